--- /dev/null
+++ b/core/job/record.go
@@ -0,0 +1,120 @@
+package job
+
+import (
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+// Definition is what a job needs to run, resolved from its template when it was
+// submitted, so that a later configuration does not change a job that waits.
+type Definition struct {
+	Pool        string          `json:"pool"`
+	Class       string          `json:"class"` // name of the policy
+	Team        string          `json:"team"`
+	Priority    int             `json:"priority"`
+	DeadlineMS  int64           `json:"deadline_ms"` // from submission to start
+	Operation   string          `json:"operation"`
+	Service     string          `json:"service,omitempty"` // for durable requests
+	Resources   resource.Vector `json:"resources"`         // per task
+	RunMS       int64           `json:"run_ms"`
+	MaxAttempts int             `json:"max_attempts"` // failed runs of one task before it fails
+	Gang        bool            `json:"gang,omitempty"`
+	MinRacks    int             `json:"min_racks,omitempty"`
+	SpreadRacks bool            `json:"spread_racks,omitempty"`
+	Preemptible bool            `json:"preemptible,omitempty"`
+	CanPreempt  bool            `json:"can_preempt,omitempty"`
+	Checkpoint  bool            `json:"checkpoint,omitempty"`
+}
+
+// Submit is the record that accepts a job.
+type Submit struct {
+	ID         string     `json:"id"`
+	Template   string     `json:"template"`
+	SpecDigest string     `json:"spec_digest"` // tells a repeat from another job of the same id
+	Definition Definition `json:"definition"`
+	Tasks      int        `json:"tasks"`
+	Body       []byte     `json:"body,omitempty"`
+	AtMS       int64      `json:"at_ms"` // Unix time, ms
+}
+
+// Intent is the record that precedes every start.
+type Intent struct {
+	Job        string `json:"job"`
+	Index      int    `json:"index"`
+	Generation int64  `json:"generation"`
+	VM         string `json:"vm"`
+}
+
+// Ended is the record of an attempt's end.
+type Ended struct {
+	Job        string        `json:"job"`
+	Index      int           `json:"index"`
+	Generation int64         `json:"generation"`
+	State      wire.RunState `json:"state"`
+	Result     *wire.Result  `json:"result,omitempty"`
+	AtMS       int64         `json:"at_ms"` // Unix time, ms
+}
+
+// Cancel is the record that cancels a job.
+type Cancel struct {
+	Job  string `json:"job"`
+	AtMS int64  `json:"at_ms"` // Unix time, ms
+}
+
+// Record is one entry of a shard's stream. Exactly one field is set.
+type Record struct {
+	Submit *Submit `json:"submit,omitempty"`
+	Intent *Intent `json:"intent,omitempty"`
+	Ended  *Ended  `json:"ended,omitempty"`
+	Cancel *Cancel `json:"cancel,omitempty"`
+	Job    *Job    `json:"job,omitempty"` // a whole job, re-appended before its records expire
+}
+
+// Phase is the state of a task.
+type Phase string
+
+// Phases of a task. Pending to Starting exist only in the owner's memory; the
+// stream knows an intent and an end.
+const (
+	Pending   Phase = "pending"   // waits for room
+	Reserving Phase = "reserving" // a rack owner is asked for room
+	Logging   Phase = "logging"   // the intent is being appended
+	Starting  Phase = "starting"  // the intent is logged, the start may be on its way
+	Running   Phase = "running"
+	Verifying Phase = "verifying" // an attempt may run; its worker must be asked
+	Stopping  Phase = "stopping"  // an attempt is being stopped
+	Succeeded Phase = "succeeded"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Final reports whether the task has ended.
+func (p Phase) Final() bool { return p == Succeeded || p == Failed || p == Cancelled }
+
+// active reports whether an attempt of the task may run.
+func (p Phase) active() bool {
+	return p == Starting || p == Running || p == Verifying || p == Stopping
+}
+
+// Task is one task of a job.
+type Task struct {
+	Phase      Phase        `json:"phase"`
+	Generation int64        `json:"generation"` // of the newest attempt
+	VM         string       `json:"vm,omitempty"`
+	Failures   int          `json:"failures,omitempty"`
+	FailedOn   []string     `json:"failed_on,omitempty"` // VMs on which it failed
+	Result     *wire.Result `json:"result,omitempty"`
+	Reason     string       `json:"reason,omitempty"` // why it waits or failed
+}
+
+// Job is a job with its tasks.
+type Job struct {
+	Submit
+	Tasks      []Task `json:"task_states"`
+	Cancelled  bool   `json:"cancelled,omitempty"`
+	FinishedMS int64  `json:"finished_ms,omitempty"` // Unix time, ms; 0 while it has open tasks
+	open       int    // tasks that are not final
+	seq        int64  // order of submission
+	tries      int    // failed reservations in a row
+	aborting   bool   // a gang attempt is being taken back
+}
