--- a/core/idempotency/table.go
+++ b/core/idempotency/table.go
@@ -142,8 +142,13 @@
 	e.Result = d.Result
 }
 
-// ApplyEntry replaces the state of a key by a re-appended one, in log order.
+// ApplyEntry adds a key from its re-appended state, on replay only. A key that is
+// known already is complete: every record that followed the first one is kept
+// longer than it.
 func (t *Table) ApplyEntry(e Entry) {
+	if _, known := t.entries[e.Key]; known {
+		return
+	}
 	t.entries[e.Key] = &e
 }
 
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -123,8 +123,13 @@
 	s.enqueue(group{job: j, index: index, notBefore: notBefore, deadline: j.AtMS + j.Definition.DeadlineMS}, now)
 }
 
-// applyJob replaces a job by its re-appended state. It occurs on replay only.
+// applyJob adds a job from its re-appended state, on replay only. A job that is
+// known already is complete: every record that followed the first one is kept
+// longer than it.
 func (s *Shard) applyJob(j Job) {
+	if _, known := s.jobs[j.ID]; known {
+		return
+	}
 	j.open = 0
 	for _, t := range j.Tasks {
 		if !t.Phase.Final() {
@@ -462,6 +467,28 @@
 	return attempts
 }
 
+// Verifying returns the number of attempts whose workers must be asked.
+func (s *Shard) Verifying() int { return len(s.verify) }
+
+// VerifyRunning marks the running attempts on the given VMs for verification and
+// returns their number. It is used when a VM's rack has a new owner.
+func (s *Shard) VerifyRunning(onVM func(vm string) bool) int {
+	marked := 0
+	for _, j := range s.jobs {
+		if j.open == 0 {
+			continue
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.Phase == Running && onVM(t.VM) {
+				s.verify[TaskID(j.ID, i)] = Running
+				t.Phase = Verifying
+				marked++
+			}
+		}
+	}
+	return marked
+}
+
 // ToStop takes up to limit attempts to stop. An attempt whose stop got no answer
 // is given back with StopAgain.
 func (s *Shard) ToStop(limit int) []Attempt {
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -85,6 +85,7 @@
 	Body       []byte
 	From       string
 	Shard      int
+	ShardEpoch int64 // epoch of the shard that the sender knows; a call that outlives it is refused
 }
 
 // ForwardReply carries a result or a problem.
@@ -112,6 +113,7 @@
 	Spec       *JobSpec
 	DeadlineMS int64
 	From       string
+	ShardEpoch int64 // as in ForwardArgs
 }
 
 // JobReply answers a job call.
--- a/daemon/peer/caller.go
+++ b/daemon/peer/caller.go
@@ -1,4 +1,3 @@
-// Package peer carries calls between daemons over net/rpc.
 package peer
 
 import "context"
--- /dev/null
+++ b/daemon/shard/place.go
@@ -0,0 +1,295 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/job"
+	"briarproxy/core/wire"
+)
+
+// place asks rack owners for room for the groups that are ready.
+func (r *runner) place(now time.Duration) {
+	if r.jobs.Waiting() == 0 || !r.leased() {
+		return
+	}
+	r.owners.refresh(now)
+	batches := map[string]*reservation{}
+	for _, g := range r.jobs.NextGroups(now, maxGroupsPerTick) {
+		r.assign(g, now, batches)
+	}
+	for _, b := range batches {
+		r.reserve(b)
+	}
+}
+
+// reservation is one call to a rack owner: a batch of single tasks, or one gang.
+type reservation struct {
+	owner  string
+	gang   bool
+	groups []job.Group
+	tried  map[string]bool        // gang: owners asked so far
+	held   map[string]heldByOwner // gang: task id -> room held at owners asked before
+}
+
+type heldByOwner struct {
+	owner string
+	room  wire.Reservation
+}
+
+func (r *runner) assign(g job.Group, now time.Duration, batches map[string]*reservation) {
+	d := g.Job.Definition
+	total := d.Resources.Scale(int64(len(g.Tasks)))
+	owner := r.owners.choose(d.Pool, d.Resources, total, now, nil)
+	if owner == "" {
+		r.waits(g, "no rack owner that was asked has room in pool "+d.Pool, now)
+		return
+	}
+	if d.Gang {
+		batches["gang "+g.Job.ID] = &reservation{owner: owner, gang: true, groups: []job.Group{g}, tried: map[string]bool{}, held: map[string]heldByOwner{}}
+		return
+	}
+	if batches[owner] == nil {
+		batches[owner] = &reservation{owner: owner}
+	}
+	batches[owner].groups = append(batches[owner].groups, g)
+}
+
+func (r *runner) waits(g job.Group, reason string, now time.Duration) {
+	r.jobs.NoRoom(g, reason, now)
+	r.note(g.Job.ID, "waits", reason)
+	r.Log.Emit(eventWaits, "job", g.Job.ID, "tasks", len(g.Tasks), "class", g.Job.Definition.Class, "reason", reason)
+}
+
+// reserve asks one owner. A gang is asked for task by task and may be spread over
+// several owners; room is only ever tried for, never waited for while room is held
+// elsewhere, so two gangs can't block one another.
+func (r *runner) reserve(b *reservation) {
+	args := &wire.ReserveArgs{
+		From: r.Self, Shard: r.shard, ShardEpoch: r.epoch, TTLMS: reservationTTL.Milliseconds(),
+	}
+	for _, g := range b.groups {
+		for _, i := range g.Tasks {
+			if _, held := b.held[job.TaskID(g.Job.ID, i)]; !held {
+				args.Asks = append(args.Asks, taskAsk(g.Job, i))
+			}
+		}
+	}
+	r.Calls.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+		defer cancel()
+		var reply wire.ReserveReply
+		err := r.Peers.Call(ctx, b.owner, wire.RPCReserve, args, &reply)
+		_ = r.send(reserved{batch: b, reply: reply, err: err})
+	})
+}
+
+func taskAsk(j *job.Job, index int) wire.TaskAsk {
+	d := j.Definition
+	t := j.Tasks[index]
+	ask := wire.TaskAsk{
+		TaskID: job.TaskID(j.ID, index), Job: j.ID, Generation: t.Generation + 1, Pool: d.Pool,
+		Class: d.Class, Priority: d.Priority, Team: d.Team, Resources: d.Resources, RunMS: d.RunMS,
+		AvoidVMs: t.FailedOn, SpreadRacks: d.SpreadRacks, Preemptible: d.Preemptible,
+		CanPreempt: d.CanPreempt, CheckpointOK: d.Checkpoint,
+	}
+	if d.Gang {
+		ask.Gang = j.ID
+	}
+	return ask
+}
+
+// reserved is a rack owner's answer.
+type reserved struct {
+	batch *reservation
+	reply wire.ReserveReply
+	err   error
+}
+
+func (m reserved) handle(r *runner) {
+	rooms := map[string]heldByOwner{}
+	for _, room := range m.reply.Reservations {
+		rooms[room.TaskID] = heldByOwner{owner: m.batch.owner, room: room}
+	}
+	if m.err != nil {
+		delete(r.owners.summaries, m.batch.owner)
+	}
+	if m.batch.gang {
+		r.gangReserved(m, rooms)
+		return
+	}
+	var granted []job.Group
+	for _, g := range m.batch.groups {
+		if _, ok := rooms[job.TaskID(g.Job.ID, g.Tasks[0])]; ok {
+			granted = append(granted, g)
+		} else {
+			r.waits(g, m.reason(), r.Now())
+		}
+	}
+	r.logIntents(granted, rooms, m.reason())
+}
+
+// reason describes why an owner refused.
+func (m reserved) reason() string {
+	if m.err != nil {
+		return fmt.Sprintf("daemon %s did not answer: %v", m.batch.owner, m.err)
+	}
+	parts := make([]string, 0, len(m.reply.Refused))
+	for _, refused := range m.reply.Refused {
+		parts = append(parts, fmt.Sprintf("%d %s", refused.Count, refused.Reason))
+	}
+	return fmt.Sprintf("daemon %s refused: %s", m.batch.owner, strings.Join(parts, ", "))
+}
+
+// gangReserved goes on to another owner until every task has room, or gives all
+// room back.
+func (r *runner) gangReserved(m reserved, rooms map[string]heldByOwner) {
+	b, g := m.batch, m.batch.groups[0]
+	for id, room := range rooms {
+		b.held[id] = room
+	}
+	if len(b.held) == len(g.Tasks) {
+		r.logIntents(b.groups, b.held, m.reason())
+		return
+	}
+	b.tried[b.owner] = true
+	d := g.Job.Definition
+	missing := d.Resources.Scale(int64(len(g.Tasks) - len(b.held)))
+	next := r.owners.choose(d.Pool, d.Resources, missing, r.Now(), b.tried)
+	if next != "" && m.err == nil {
+		b.owner = next
+		r.reserve(b)
+		return
+	}
+	r.release(b.held)
+	r.waits(g, fmt.Sprintf("the gang found room for %d of %d tasks; last: %s", len(b.held), len(g.Tasks), m.reason()), r.Now())
+}
+
+func (r *runner) release(rooms map[string]heldByOwner) {
+	byOwner := map[string][]int64{}
+	for _, room := range rooms {
+		byOwner[room.owner] = append(byOwner[room.owner], room.room.ID)
+	}
+	for owner, ids := range byOwner {
+		r.Calls.Go(func() {
+			ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+			defer cancel()
+			var done bool // an answer that is lost does no harm: reservations expire
+			_ = r.Peers.Call(ctx, owner, wire.RPCRelease, &wire.ReleaseArgs{From: r.Self, IDs: ids}, &done)
+		})
+	}
+}
+
+// logIntents appends the start records of all groups in one record.
+func (r *runner) logIntents(groups []job.Group, rooms map[string]heldByOwner, refused string) {
+	var records []job.Record
+	for _, g := range groups {
+		vms := make([]string, len(g.Tasks))
+		for n, i := range g.Tasks {
+			room := rooms[job.TaskID(g.Job.ID, i)]
+			vms[n] = room.room.VM
+			r.Log.Emit(eventPlaced, "task", job.TaskID(g.Job.ID, i), "class", g.Job.Definition.Class, "vm", room.room.VM, "rack", room.room.Rack, "owner", room.owner, "alternatives", refused)
+		}
+		r.note(g.Job.ID, "placed", fmt.Sprintf("tasks %v on %v", g.Tasks, vms))
+		records = append(records, r.jobs.Reserved(g, vms)...)
+	}
+	if len(records) == 0 {
+		return
+	}
+	r.append(jobEntries(records), func(err error) { r.intentsLogged(groups, rooms, records, err) })
+}
+
+func (r *runner) intentsLogged(groups []job.Group, rooms map[string]heldByOwner, records []job.Record, err error) {
+	if err == nil && !r.leased() {
+		err = fault.New(fault.NotOwner, "none; the next owner starts the tasks", "the lease expired while the start records were appended")
+	}
+	if err != nil {
+		r.Log.Emit(eventUnlogged, "shard", r.shard, "records", len(records), "error", err.Error())
+		for _, g := range groups {
+			r.jobs.NotLogged(g, r.Now())
+		}
+		r.release(rooms)
+		return
+	}
+	r.start(rooms, records)
+}
+
+// start sends the starts to the owners that hold the room.
+func (r *runner) start(rooms map[string]heldByOwner, records []job.Record) {
+	byOwner := map[string]*wire.StartArgs{}
+	for _, record := range records {
+		in := record.Intent
+		room := rooms[job.TaskID(in.Job, in.Index)]
+		if !r.jobs.Startable(in.Job, in.Index, in.Generation) {
+			r.release(map[string]heldByOwner{"": room})
+			continue
+		}
+		args := byOwner[room.owner]
+		if args == nil {
+			args = &wire.StartArgs{From: r.Self, Shard: r.shard, ShardEpoch: r.epoch}
+			byOwner[room.owner] = args
+		}
+		args.Starts = append(args.Starts, wire.ReservedStart{ReservationID: room.room.ID, Start: startOf(r.jobs.Get(in.Job), *in)})
+	}
+	for owner, args := range byOwner {
+		r.callStart(owner, args)
+	}
+}
+
+func startOf(j *job.Job, in job.Intent) wire.Start {
+	d := j.Definition
+	return wire.Start{
+		ID: job.TaskID(in.Job, in.Index), Generation: in.Generation, Kind: wire.KindTask, Job: j.ID,
+		Service: d.Service, Operation: d.Operation, Resources: d.Resources, RunMS: d.RunMS, Body: j.Body,
+	}
+}
+
+func (r *runner) callStart(owner string, args *wire.StartArgs) {
+	r.Calls.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+		defer cancel()
+		var reply wire.StartReplyBatch
+		err := r.Peers.Call(ctx, owner, wire.RPCStart, args, &reply)
+		_ = r.send(startAnswer{args: args, reply: reply, err: err})
+	})
+}
+
+// startAnswer is a rack owner's answer to starts.
+type startAnswer struct {
+	args  *wire.StartArgs
+	reply wire.StartReplyBatch
+	err   error
+}
+
+func (m startAnswer) handle(r *runner) {
+	outcomes := map[string]wire.StartOutcome{}
+	for _, o := range m.reply.Outcomes {
+		outcomes[o.TaskID] = o
+	}
+	var ended []endedAttempt
+	for _, s := range m.args.Starts {
+		name, index, _ := job.ParseTaskID(s.Start.ID)
+		o, answered := outcomes[s.Start.ID]
+		switch {
+		case m.err != nil || !answered || o.Unknown:
+			r.jobs.StartUnknown(name, index, s.Start.Generation)
+		case o.Started:
+			r.started(name, index, s.Start.Generation)
+		default:
+			r.note(name, "start refused", string(o.Refused)+" on "+o.VM)
+			ended = append(ended, endedAttempt{id: s.Start.ID, generation: s.Start.Generation, state: wire.RunNeverStarted})
+		}
+	}
+	r.recordEnds(ended, nil)
+}
+
+func (r *runner) started(name string, index int, generation int64) {
+	r.jobs.Started(name, index, generation)
+	r.wake(name)
+	if j := r.jobs.Get(name); j != nil {
+		r.Observer.TaskStarted(j.Definition.Class, time.Duration(r.WallMS()-j.AtMS)*time.Millisecond)
+	}
+}
