Add stand-ins for the log service, the VM list and workers

Cause: the daemons meet the platform only through its protocols, and tests need log outages, lost answers, lagging lists and misbehaving workers on demand.

Change: module standin has the packages logservice, vmlist and worker, each an http.Handler, and the binary standin with the subcommands logservice, vmlist, worker and workers (many workers in one process).

--- /dev/null
+++ b/standin/internal/httpjson/httpjson.go
@@ -0,0 +1,121 @@
+// Package httpjson holds what the HTTP stand-ins share: JSON bodies, query
+// numbers, and serving on a listener until a context ends.
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"briarproxy/core/fault"
+)
+
+// MaxBody is the largest body, in bytes, that Decode reads.
+const MaxBody = 16 << 20
+
+// Empty is the answer of calls that return nothing.
+type Empty struct{}
+
+// Failure is the body of an error answer.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// Write answers with a status and a JSON body.
+func Write(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// Fail answers with a status and a Failure.
+func Fail(w http.ResponseWriter, status int, format string, args ...any) {
+	Write(w, status, Failure{Error: fmt.Sprintf(format, args...)})
+}
+
+// Decode reads a JSON body into target. Errors are of kind fault.Invalid.
+func Decode(r *http.Request, target any) error {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBody))
+	if err := decoder.Decode(target); err != nil {
+		return fault.Wrap(err, fault.Invalid, "send the JSON object that the path expects", "body of %s", r.URL.Path)
+	}
+	// Reads to the end, so that the server notices when the client goes away.
+	_, err := io.Copy(io.Discard, r.Body)
+	return err
+}
+
+// Control returns a handler that decodes a T, applies it and answers with an
+// empty object, or with 400 if the body is not a T or apply refuses it. No body
+// stands for the zero T.
+func Control[T any](apply func(T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		err := Decode(r, &body)
+		if err == nil || errors.Is(err, io.EOF) {
+			err = apply(body)
+		}
+		if err != nil {
+			Fail(w, http.StatusBadRequest, "%v", err)
+			return
+		}
+		Write(w, http.StatusOK, Empty{})
+	}
+}
+
+// QueryInt returns a number from the query, or fallback if it is absent. Errors
+// are of kind fault.Invalid.
+func QueryInt(r *http.Request, key string, fallback int64) (int64, error) {
+	text := r.URL.Query().Get(key)
+	if text == "" {
+		return fallback, nil
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value < 0 {
+		return 0, fault.New(fault.Invalid, "give a whole number of at least 0", "query parameter %q is %q", key, text)
+	}
+	return value, nil
+}
+
+// Serve listens on address, prints "listening ADDRESS" and then label, if any, to
+// out, and serves until ctx ends. It then closes all connections, because
+// requests that hang on purpose would hold up a graceful shutdown.
+func Serve(ctx context.Context, address, label string, handler http.Handler, out io.Writer) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "listen on %s", address)
+	}
+	Announce(out, listener.Addr().String(), label)
+	return ServeOn(ctx, listener, handler)
+}
+
+// Announce prints the line that tells a parent process the address.
+func Announce(out io.Writer, address, label string) {
+	if label == "" {
+		_, _ = fmt.Fprintf(out, "listening %s\n", address)
+		return
+	}
+	_, _ = fmt.Fprintf(out, "listening %s %s\n", address, label)
+}
+
+// ServeOn serves on a listener until ctx ends.
+func ServeOn(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/standin/worker/worker_test.go
@@ -0,0 +1,387 @@
+package worker
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+const testTimeout = 5 * time.Second
+
+// clock is a worker's clock that only tests move.
+type clock struct{ now atomic.Int64 }
+
+func (c *clock) read() time.Duration  { return time.Duration(c.now.Load()) }
+func (c *clock) move(d time.Duration) { c.now.Add(int64(d)) }
+func slots(n int64) resource.Vector   { return resource.Vector{Slots: n} }
+func (w *Worker) events() []Entry     { return w.Journal().Entries() }
+func refusalOf(w *Worker, s wire.Start) wire.Refusal {
+	refusal, _ := w.accept(s)
+	return refusal
+}
+
+func newWorker(change func(*Options)) (*Worker, *clock) {
+	c := &clock{}
+	c.move(time.Hour)
+	options := Options{Name: "w", Incarnation: 7, Capacity: slots(2), Clock: c.read, UsageLag: time.Second}
+	if change != nil {
+		change(&options)
+	}
+	return New(options), c
+}
+
+func task(id string, generation int64) wire.Start {
+	return wire.Start{
+		ID: id, Generation: generation, Epoch: 5, Incarnation: 7,
+		NotAfterMS: time.Hour.Milliseconds() + 2000, LeaseMS: 20000,
+		Kind: wire.KindTask, Operation: "sleep:10000", Resources: slots(1),
+	}
+}
+
+func count(entries []Entry, event JournalEvent) int {
+	n := 0
+	for _, e := range entries {
+		if e.Event == event {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a worker that accepts what the protocol refuses: each case would
+// let a paused or superseded scheduler overload a VM or run something twice.
+func TestStartIsRefused(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*Worker, *clock)
+		change  func(*wire.Start)
+		want    wire.Refusal
+	}{
+		{"accepted", nil, nil, ""},
+		{"lower epoch", func(w *Worker, _ *clock) { w.Fence(wire.Fence{Epoch: 6}) }, nil, wire.RefusedStaleEpoch},
+		{"equal epoch", func(w *Worker, _ *clock) { w.Fence(wire.Fence{Epoch: 5}) }, nil, ""},
+		{"not_after reached", func(_ *Worker, c *clock) { c.move(2 * time.Second) }, nil, ""},
+		{"not_after passed", func(_ *Worker, c *clock) { c.move(2*time.Second + 1) }, nil, wire.RefusedTooLate},
+		{"other incarnation", nil, func(s *wire.Start) { s.Incarnation = 6 }, wire.RefusedWrongIncarnation},
+		{"same generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 2)) }, nil, wire.RefusedDuplicate},
+		{"lower generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 1)) }, nil, wire.RefusedDuplicate},
+		{"higher generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 3)) }, nil, wire.RefusedStaleGeneration},
+		{"same generation stopped", func(w *Worker, _ *clock) {
+			w.accept(task("a", 2))
+			w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
+		}, nil, wire.RefusedDuplicate},
+		{"acknowledged", func(w *Worker, _ *clock) {
+			w.accept(task("a", 2))
+			w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
+			w.Ack(wire.Ack{IDs: []string{"a"}})
+		}, nil, wire.RefusedDuplicate},
+		{"stop came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5}) }, nil, wire.RefusedStaleGeneration},
+		{"query came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 3, Epoch: 5, Query: true}) }, nil, wire.RefusedStaleGeneration},
+		{"stop of a lower generation", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5}) }, nil, ""},
+		{"draining", func(w *Worker, _ *clock) { w.SetDraining(true) }, nil, wire.RefusedDraining},
+		{"no room", nil, func(s *wire.Start) { s.Resources = slots(3) }, wire.RefusedNoRoom},
+		{"no lease", nil, func(s *wire.Start) { s.LeaseMS = 0 }, wire.RefusedMalformed},
+		{"negative size", nil, func(s *wire.Start) { s.Resources = slots(-1) }, wire.RefusedMalformed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, clock := newWorker(nil)
+			if c.prepare != nil {
+				c.prepare(w, clock)
+			}
+			start := task("a", 2)
+			if c.change != nil {
+				c.change(&start)
+			}
+			assert.Equal(t, c.want, refusalOf(w, start))
+		})
+	}
+}
+
+// Guards against a copy of a refused start that runs when there is room again,
+// after its sender was told that it never will.
+func TestNoRoomIsFinal(t *testing.T) {
+	w, _ := newWorker(nil)
+	require.Empty(t, refusalOf(w, task("a", 1)))
+	require.Empty(t, refusalOf(w, task("b", 1)))
+	require.Equal(t, wire.RefusedNoRoom, refusalOf(w, task("c", 1)))
+	w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5})
+	assert.Equal(t, wire.RefusedStaleGeneration, refusalOf(w, task("c", 1)))
+	assert.Empty(t, refusalOf(w, task("c", 2)))
+	assert.Zero(t, count(w.events(), EventOverload))
+}
+
+// Guards against an overload by the scheduler that no journal shows.
+func TestTrustingWorkerJournalsOverload(t *testing.T) {
+	w, _ := newWorker(func(o *Options) { o.Trusting = true })
+	for _, id := range []string{"a", "b", "c"} {
+		require.Empty(t, refusalOf(w, task(id, 1)))
+	}
+	entries := w.events()
+	require.Equal(t, 1, count(entries, EventOverload))
+	last := entries[len(entries)-2]
+	assert.Equal(t, EventOverload, last.Event)
+	assert.Equal(t, slots(3), last.InUse)
+}
+
+// Guards against a fence that an old owner can undo, and one that does not bind
+// messages other than starts.
+func TestFenceBindsOldOwner(t *testing.T) {
+	w, _ := newWorker(nil)
+	require.Empty(t, refusalOf(w, task("a", 1)))
+	report := w.Fence(wire.Fence{Epoch: 9})
+	require.Len(t, report.Attempts, 1)
+	assert.Equal(t, wire.RunRunning, report.Attempts[0].State)
+	assert.Equal(t, wire.RefusedStaleEpoch, w.Fence(wire.Fence{Epoch: 8}).Refused)
+	assert.Equal(t, int64(9), w.Report().Epoch)
+	assert.Equal(t, wire.RefusedStaleEpoch, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 8}).Refused)
+	assert.Equal(t, wire.RefusedStaleEpoch, w.Renew(wire.Renew{Epoch: 8, NotAfterMS: 1 << 40}).Refused)
+	assert.Equal(t, wire.RunRunning, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 9, Query: true}).State)
+}
+
+// Guards against an answer about another generation: a caller would be told "not
+// run" for something that ran, or the reverse.
+func TestStopTellsAboutTheGenerationAskedFor(t *testing.T) {
+	w, c := newWorker(nil)
+	ask := func(generation int64, query bool) wire.StopReply {
+		return w.Stop(wire.Stop{ID: "a", Generation: generation, Epoch: 5, Query: query})
+	}
+	start := task("a", 1)
+	start.Operation = "sleep:100"
+	require.Empty(t, refusalOf(w, start))
+	assert.Equal(t, wire.RunRunning, ask(1, true).State)
+	c.move(100 * time.Millisecond)
+	finished := ask(1, true)
+	require.Equal(t, wire.RunFinished, finished.State)
+	assert.Equal(t, digest(finished.Result.Body), finished.Result.Digest)
+	require.Empty(t, refusalOf(w, task("a", 3)))
+	assert.Equal(t, wire.RunFinished, ask(1, false).State, "generation 1 finished before")
+	assert.Equal(t, wire.RunNeverStarted, ask(2, false).State)
+	assert.Equal(t, wire.RunRunning, ask(4, true).State, "the id still runs")
+	assert.Equal(t, wire.RunNeverStarted, ask(4, false).State)
+	assert.Equal(t, wire.RunStopped, ask(3, true).State)
+	w.Ack(wire.Ack{IDs: []string{"a"}})
+	forgotten := ask(1, true)
+	assert.Equal(t, wire.RunFinished, forgotten.State, "it ran, though its result is gone")
+	assert.Nil(t, forgotten.Result)
+}
+
+// Guards against work that outlives its run lease, also when the worker was
+// paused beyond both the lease and the end of the work.
+func TestRunLease(t *testing.T) {
+	w, c := newWorker(nil)
+	for _, id := range []string{"a", "b"} {
+		start := task(id, 1)
+		start.Operation = "sleep:30000"
+		require.Empty(t, refusalOf(w, start))
+	}
+	c.move(15 * time.Second)
+	renewal := wire.Renew{Epoch: 5, NotAfterMS: c.read().Milliseconds(), Leases: []wire.LeaseRenewal{
+		{ID: "a", Generation: 1, LeaseMS: 20000}, {ID: "b", Generation: 2, LeaseMS: 20000},
+	}}
+	assert.Equal(t, []string{"b"}, w.Renew(renewal).Gone)
+	c.move(5 * time.Second)
+	assert.Equal(t, wire.RefusedTooLate, w.Renew(renewal).Refused)
+	report := w.Report()
+	assert.Equal(t, wire.RunRunning, report.Attempts[0].State)
+	assert.Equal(t, wire.RunStopped, report.Attempts[1].State)
+	c.move(time.Minute)
+	assert.Equal(t, wire.RunStopped, w.Report().Attempts[0].State)
+	entries := w.events()
+	assert.Equal(t, (45 * time.Second).Microseconds(), entries[len(entries)-1].OverdueUS)
+}
+
+// Guards against results that vanish before the 10 minutes are over, and reports
+// that grow for good.
+func TestResultsAreKeptForTenMinutes(t *testing.T) {
+	w, c := newWorker(nil)
+	require.Empty(t, refusalOf(w, task("a", 1)))
+	c.move(10 * time.Second)
+	require.Equal(t, wire.RunFinished, w.Report().Attempts[0].State)
+	c.move(DefaultKeepResults)
+	require.Len(t, w.Report().Attempts, 1)
+	c.move(time.Second)
+	assert.Empty(t, w.Report().Attempts)
+}
+
+// Guards against a checkpoint that loses progress and a throttle without effect.
+func TestThrottleAndCheckpoint(t *testing.T) {
+	w, c := newWorker(nil)
+	require.Empty(t, refusalOf(w, task("a", 1)))
+	c.move(4 * time.Second)
+	w.Throttle(wire.Throttle{ID: "a", Generation: 1, Epoch: 5, Percent: 50})
+	c.move(4 * time.Second) // 6 s of 10 s are done
+	assert.Equal(t, wire.RunStopped, w.Checkpoint(wire.Checkpoint{ID: "a", Generation: 1, Epoch: 5}).State)
+	again := task("a", 2)
+	again.NotAfterMS += 8000
+	require.Empty(t, refusalOf(w, again))
+	c.move(3999 * time.Millisecond)
+	assert.Equal(t, wire.RunRunning, w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5, Query: true}).State)
+	c.move(time.Millisecond)
+	assert.Equal(t, wire.RunFinished, w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5, Query: true}).State)
+}
+
+// Guards against estimates that tests can only learn from fresh reports: use is
+// reported late and differs from the declared size.
+func TestUsageLagsAndDiffers(t *testing.T) {
+	w, c := newWorker(func(o *Options) { o.Capacity = resource.Vector{MilliCores: 1000} })
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{RealUse: 3}))
+	start := task("a", 1)
+	start.Resources = resource.Vector{MilliCores: 500}
+	require.Empty(t, refusalOf(w, start))
+	assert.Zero(t, w.Report().Attempts[0].Usage)
+	c.move(time.Second)
+	assert.Equal(t, int64(1500), w.Report().Attempts[0].Usage.MilliCores)
+	assert.Equal(t, 1, count(w.events(), EventOveruse))
+	assert.Zero(t, count(w.events(), EventOverload))
+}
+
+// Guards against books that drift under any order of messages: in use must equal
+// the sum of what runs, never exceed capacity, and no attempt may run twice.
+func TestBooksBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, c := newWorker(nil)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
+			generation := rapid.Int64Range(1, 4).Draw(t, "generation")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				start := task(id, generation)
+				start.NotAfterMS = 1 << 40
+				w.accept(start)
+			case 1:
+				w.Stop(wire.Stop{ID: id, Generation: generation, Epoch: 5, Query: rapid.Bool().Draw(t, "query")})
+			case 2:
+				c.move(time.Duration(rapid.IntRange(0, 15000).Draw(t, "ms")) * time.Millisecond)
+			case 3:
+				w.Ack(wire.Ack{IDs: []string{id}})
+			}
+		}
+		var sum resource.Vector
+		for _, a := range w.Report().Attempts {
+			if a.State == wire.RunRunning {
+				sum = sum.Add(a.Resources)
+			}
+		}
+		require.Equal(t, sum, w.inUse)
+		starts := map[string]map[int64]bool{}
+		for _, e := range w.events() {
+			require.True(t, e.InUse.Fits(e.Capacity))
+			if e.Event != EventStart {
+				continue
+			}
+			if starts[e.ID] == nil {
+				starts[e.ID] = map[int64]bool{}
+			}
+			require.False(t, starts[e.ID][e.Generation], "%s generation %d started twice", e.ID, e.Generation)
+			starts[e.ID][e.Generation] = true
+		}
+	})
+}
+
+func post(t *testing.T, url string, body, reply any) error {
+	t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	client := &http.Client{Timeout: testTimeout}
+	defer client.CloseIdleConnections()
+	response, err := client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(content, reply)
+}
+
+func request(w *Worker, id string) wire.Start {
+	s := task(id, 1)
+	s.Kind = wire.KindRequest
+	s.Operation = "sleep:1"
+	s.Body = []byte("body of " + id)
+	s.Incarnation = w.Report().Incarnation
+	s.NotAfterMS = w.Report().ClockMS + 2000
+	return s
+}
+
+// Guards against a fault injection that prevents the run itself: the run must
+// take effect, and a later query must find its result.
+func TestFaultyAnswersOfRequestsThatRan(t *testing.T) {
+	cases := []struct {
+		name  string
+		bad   Misbehaviour
+		check func(*testing.T, wire.StartReply, error)
+	}{
+		{"healthy", Misbehaviour{}, func(t *testing.T, r wire.StartReply, err error) {
+			require.NoError(t, err)
+			var body RequestResult
+			require.NoError(t, json.Unmarshal(r.Result.Body, &body))
+			assert.Equal(t, RequestResult{ID: "r", Generation: 1, Operation: "sleep:1", VM: "w", BodySHA256: digest([]byte("body of r"))}, body)
+		}},
+		{"truncated", Misbehaviour{TruncateAnswers: true}, func(t *testing.T, _ wire.StartReply, err error) {
+			assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+		}},
+		{"shortened", Misbehaviour{ShortenResults: true}, func(t *testing.T, r wire.StartReply, err error) {
+			require.NoError(t, err)
+			assert.NotEqual(t, r.Result.Digest, digest(r.Result.Body))
+		}},
+		{"foreign", Misbehaviour{ForeignResults: true}, func(t *testing.T, r wire.StartReply, err error) {
+			require.NoError(t, err)
+			assert.NotEqual(t, "r", r.Result.ID)
+		}},
+		{"fails everything", Misbehaviour{FailAll: true}, func(t *testing.T, r wire.StartReply, err error) {
+			require.NoError(t, err)
+			assert.Equal(t, wire.RunFailed, r.Result.State)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := New(Options{Name: "w", Capacity: slots(1)})
+			server := httptest.NewServer(w)
+			defer server.Close()
+			require.NoError(t, w.SetMisbehaviour(c.bad))
+			var reply wire.StartReply
+			err := post(t, server.URL+wire.PathStart, request(w, "r"), &reply)
+			c.check(t, reply, err)
+			stopped := w.Stop(wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true})
+			require.NotNil(t, stopped.Result)
+			assert.Equal(t, 1, count(w.events(), EventStart))
+		})
+	}
+}
+
+// Guards against a restarted worker that answers for its former incarnation, or
+// leaves a caller waiting for a run that is gone.
+func TestRestartBreaksWaitingRequests(t *testing.T) {
+	w := New(Options{Name: "w", Capacity: slots(1)})
+	server := httptest.NewServer(w)
+	defer server.Close()
+	start := request(w, "r")
+	start.Operation = "forever"
+	failed := make(chan error, 1)
+	go func() {
+		var reply wire.StartReply
+		failed <- post(t, server.URL+wire.PathStart, start, &reply)
+	}()
+	require.Eventually(t, func() bool { return len(w.Report().Attempts) == 1 }, testTimeout, time.Millisecond)
+	w.Restart()
+	assert.Error(t, <-failed)
+	assert.Equal(t, wire.RefusedWrongIncarnation, refusalOf(w, start))
+	assert.Empty(t, w.Report().Attempts)
+}
