Read and check sets of objects

Cause: operators' files need every fault of a whole set reported before anything is published.

Change: core/jsonc reads JSON with comments into typed fields and collects issues with line, field path, rule and remedy. core/object loads, checks, encodes, decodes and compares sets. Policy gets a parent whose values fill the fields left out; it is the only reference that can form a cycle. Batch and gang jobs share one name space, because callers submit both by name.

--- /dev/null
+++ b/core/jsonc/fields.go
@@ -0,0 +1,254 @@
+package jsonc
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Read is the type of a Field's reading function.
+type Read = func(r *Reader, n Node)
+
+const (
+	milliPerCore    = 1000
+	bytesPerMiB     = 1 << 20
+	remedyCores     = `write cores as a string such as "2" or "500m" (thousandths)`
+	remedyMemory    = `write memory as a string such as "64GiB" or "512MiB"`
+	remedyBytes     = `write a size as a string such as "512B", "64KiB" or "1MiB"`
+	remedyDuration  = `write a duration as a string such as "90s", "5m" or "250ms"`
+	maxSizeBytes    = 1 << 60
+	maxSuggestEdits = 3
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	corePattern   = regexp.MustCompile(`^([0-9]{1,9})(\.[0-9]{1,3})?(m?)$`)
+	sizePattern   = regexp.MustCompile(`^([0-9]{1,15})(B|KiB|MiB|GiB|TiB)$`)
+	bytesPerUnit  = map[string]int64{"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
+	remedyForName = "use 1 to 63 characters from a-z, 0-9 and -, not starting with -"
+)
+
+// String reads any string.
+func String(dst *string) Read {
+	return func(r *Reader, n Node) { r.literal(n, `"`, "a string", "write a string", dst) }
+}
+
+// Name reads the name of an object, place or list entry.
+func Name(dst *string) Read {
+	return func(r *Reader, n Node) {
+		if !r.literal(n, `"`, "a name", "write a string", dst) {
+			return
+		}
+		r.CheckName(n, *dst)
+	}
+}
+
+// CheckName reports text that is not a name.
+func (r *Reader) CheckName(n Node, text string) {
+	if !namePattern.MatchString(text) {
+		r.Add(n, RuleRange, remedyForName, "%q is not a name", text)
+	}
+}
+
+// Names reads a list of distinct names.
+func Names(dst *[]string) Read {
+	return func(r *Reader, n Node) {
+		seen := map[string]bool{}
+		r.Elements(n, func(_ int, element Node) {
+			var name string
+			Name(&name)(r, element)
+			if seen[name] {
+				r.Add(element, RuleRepeated, "keep one of them", "%q is in the list twice", name)
+			}
+			seen[name] = true
+			*dst = append(*dst, name)
+		})
+	}
+}
+
+// Strings reads a list of strings.
+func Strings(dst *[]string) Read {
+	return func(r *Reader, n Node) {
+		*dst = []string{}
+		r.Elements(n, func(_ int, element Node) {
+			var text string
+			String(&text)(r, element)
+			*dst = append(*dst, text)
+		})
+	}
+}
+
+// OneOf reads one of the given strings.
+func OneOf(dst *string, values ...string) Read {
+	return func(r *Reader, n Node) {
+		if !r.literal(n, `"`, "a string", "write a string", dst) {
+			return
+		}
+		for _, v := range values {
+			if *dst == v {
+				return
+			}
+		}
+		r.Add(n, RuleUnknownValue, Suggest(*dst, values), "%q is not a known value", *dst)
+	}
+}
+
+// Bool reads true or false.
+func Bool(dst *bool) Read {
+	return func(r *Reader, n Node) { r.literal(n, "tf", "true or false", "write true or false", dst) }
+}
+
+// Int reads a whole number from least to most.
+func Int[T int | int64](dst *T, least, most T) Read {
+	return func(r *Reader, n Node) {
+		if !r.literal(n, "0", "a whole number", "write a whole number without quotes", dst) {
+			return
+		}
+		if *dst < least || *dst > most {
+			r.Add(n, RuleRange, fmt.Sprintf("use %d to %d", least, most), "%d is out of range", *dst)
+		}
+	}
+}
+
+// Float reads a number from least to most.
+func Float(dst *float64, least, most float64) Read {
+	return func(r *Reader, n Node) {
+		if !r.literal(n, "0", "a number", "write a number without quotes", dst) {
+			return
+		}
+		if *dst < least || *dst > most || math.IsNaN(*dst) {
+			r.Add(n, RuleRange, fmt.Sprintf("use %g to %g", least, most), "%g is out of range", *dst)
+		}
+	}
+}
+
+// Duration reads a duration such as "90s" from least to most.
+func Duration(dst *time.Duration, least, most time.Duration) Read {
+	return func(r *Reader, n Node) {
+		var text string
+		if !r.literal(n, `"`, "a duration", remedyDuration, &text) {
+			return
+		}
+		value, err := time.ParseDuration(text)
+		if err != nil {
+			r.Add(n, RuleUnit, remedyDuration, "%q is not a duration", text)
+			return
+		}
+		*dst = value
+		if value < least || value > most {
+			r.Add(n, RuleRange, fmt.Sprintf("use %s to %s", least, most), "%s is out of range", value)
+		}
+	}
+}
+
+// Cores reads an amount of cores such as "2", "1.5" or "500m" as millicores.
+func Cores(dst *int64) Read {
+	return func(r *Reader, n Node) {
+		var text string
+		if !r.literal(n, `"`, "an amount of cores", remedyCores, &text) {
+			return
+		}
+		parts := corePattern.FindStringSubmatch(text)
+		if parts == nil || (parts[2] != "" && parts[3] != "") {
+			r.Add(n, RuleUnit, remedyCores, "%q is not an amount of cores", text)
+			return
+		}
+		amount, _ := strconv.ParseInt(parts[1], 10, 64)
+		if parts[3] == "" {
+			fraction, _ := strconv.ParseInt((strings.TrimPrefix(parts[2], ".") + "000")[:3], 10, 64)
+			amount = amount*milliPerCore + fraction
+		}
+		*dst = amount
+	}
+}
+
+// Bytes reads a size such as "64KiB" as bytes from least to most.
+func Bytes(dst *int64, least, most int64) Read {
+	return func(r *Reader, n Node) { readSize(r, n, dst, remedyBytes, least, most) }
+}
+
+// Memory reads a size such as "64GiB" as mebibytes.
+func Memory(dst *int64) Read {
+	return func(r *Reader, n Node) {
+		var size int64
+		if !readSize(r, n, &size, remedyMemory, 0, maxSizeBytes) {
+			return
+		}
+		if size%bytesPerMiB != 0 {
+			r.Add(n, RuleUnit, remedyMemory, "%d bytes are not a whole number of MiB", size)
+			return
+		}
+		*dst = size / bytesPerMiB
+	}
+}
+
+func readSize(r *Reader, n Node, dst *int64, remedy string, least, most int64) bool {
+	var text string
+	if !r.literal(n, `"`, "a size", remedy, &text) {
+		return false
+	}
+	parts := sizePattern.FindStringSubmatch(text)
+	if parts == nil {
+		r.Add(n, RuleUnit, remedy, "%q is not a size with a unit of B, KiB, MiB, GiB or TiB", text)
+		return false
+	}
+	amount, _ := strconv.ParseInt(parts[1], 10, 64)
+	unit := bytesPerUnit[parts[2]]
+	if amount > maxSizeBytes/unit {
+		r.Add(n, RuleRange, remedy, "%s is out of range", text)
+		return false
+	}
+	*dst = amount * unit
+	if *dst < least || *dst > most {
+		r.Add(n, RuleRange, fmt.Sprintf("use %d to %d bytes", least, most), "%s is out of range", text)
+		return false
+	}
+	return true
+}
+
+// Suggest returns a remedy that names the candidate nearest to name, or all
+// candidates if none is near.
+func Suggest(name string, candidates []string) string {
+	best, bestEdits := "", maxSuggestEdits+1
+	for _, c := range candidates {
+		if edits := distance(name, c); edits < bestEdits && edits < len(c) {
+			best, bestEdits = c, edits
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %q?", best)
+	}
+	if len(candidates) == 0 {
+		return "remove it"
+	}
+	return "use one of: " + strings.Join(candidates, ", ")
+}
+
+// distance is the Levenshtein distance in bytes. Names longer than maxCompared
+// differ from every known name.
+func distance(a, b string) int {
+	const maxCompared = 64
+	if len(a) > maxCompared || len(b) > maxCompared {
+		return maxCompared
+	}
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j-1]+1, diagonal+cost)
+			diagonal, row[j] = row[j], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/core/object/load_test.go
@@ -0,0 +1,177 @@
+package object
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/resource"
+)
+
+const base = `[
+{"kind": "pool", "name": "p", "spec": {"largest": {"cores": "4", "memory": "8GiB", "slots": 8}, "vms": 2}},
+{"kind": "team", "name": "t", "spec": {"quota": {"cores": "6"}}},
+{"kind": "policy", "name": "safe", "spec": {"priority": 10, "deadline": "10s"}}, // no retries
+{"kind": "policy", "name": "retry", "spec": {"parent": "safe", "max_retries": 2, "retry_backoff": "100ms"}},
+]`
+
+const job = `{"kind": "gang-job", "name": "g", "spec": {"pool": "p", "policy": "safe", "team": "t", "operation": "op",
+ "run_time": "1m", "resources": {"cores": "500m", "memory": "1GiB"}, "tasks": 2}}`
+
+const service = `{"kind": "service", "name": "s", "spec": {"pool": "p", "team": "t", "operations": {
+ "issue": {"policy": "safe", "idempotent": false, "run_time": "1s", "max_run_time": "5s"}}}}`
+
+func load(text string) (*Set, []Problem) {
+	return Load(map[string][]byte{"base.jsonc": []byte(base), "x.jsonc": []byte(text)})
+}
+
+// Guards against units, defaults or inheritance that are read wrongly.
+func TestLoadReadsUnitsDefaultsAndParents(t *testing.T) {
+	set, problems := load("[" + job + "," + service + "]")
+	require.Empty(t, problems)
+	assert.Equal(t, resource.Vector{MilliCores: 500, MemoryMiB: 1024}, set.GangJobs["g"].Resources)
+	assert.Equal(t, resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8}, set.Pools["p"].Largest)
+	assert.True(t, set.Pools["p"].Fencing)
+	assert.Equal(t, defaultMaxAttempts, set.GangJobs["g"].MaxAttempts)
+	assert.Equal(t, int64(defaultMaxBody), set.Services["s"].MaxBody)
+	assert.Equal(t, 5*time.Second, set.Services["s"].Operations["issue"].MaxRunTime)
+	assert.Equal(t, 10, set.Policies["retry"].Priority)
+	assert.Equal(t, 10*time.Second, set.Policies["retry"].Deadline)
+}
+
+// Guards against a mistake that is accepted, reported at the wrong place, or that
+// hides another one. Each case lists the exact problems.
+func TestLoadReportsExactProblems(t *testing.T) {
+	cases := []struct {
+		name, text string
+		want       []string // rule line field
+	}{
+		{"syntax", "{\n\"kind\" 1}", []string{"syntax 2 "}},
+		{"trailing data", service + " {}", []string{"syntax 2 "}},
+		{"too deep", strings.Repeat("[", 100), []string{"syntax 1 "}},
+		{"no object", "[1]", []string{"wrong-type 1 "}},
+		{"unknown kind", `{"kind": "servise", "name": "a", "spec": {}}`, []string{"unknown-kind 1 kind"}},
+		{"missing envelope", `{}`, []string{"missing-field 1 kind", "missing-field 1 name", "missing-field 1 spec"}},
+		{"empty service", "{\"kind\": \"service\", \"name\": \"a\",\n\"spec\": {\"operations\": {}}}",
+			[]string{"out-of-range 2 spec.operations", "missing-field 2 spec.pool", "missing-field 2 spec.team"}},
+		{"unknown and repeated", edit(job, `"tasks": 2`, "\"taks\": 2,\n\"pool\": \"p\""),
+			[]string{"unknown-field 2 spec.taks", "repeated-field 3 spec.pool"}},
+		{"wrong types and units", edit(job, `"cores": "500m", "memory": "1GiB"`, `"cores": 2, "memory": "1GB", "slots": 1.5`),
+			[]string{"wrong-type 2 spec.resources.cores", "wrong-unit 2 spec.resources.memory", "wrong-type 2 spec.resources.slots"}},
+		{"duration without unit", edit(job, `"1m"`, `"60"`), []string{"wrong-unit 2 spec.run_time"}},
+		{"null", edit(job, `"1m"`, `null`), []string{"wrong-type 2 spec.run_time"}},
+		{"negative", edit(job, `"tasks": 2`, `"tasks": -1`), []string{"out-of-range 2 spec.tasks"}},
+		{"bad name", edit(job, `"g"`, `"G_1"`), []string{"out-of-range 1 name"}},
+		{"dangling", edit(edit(edit(job, `"p"`, `"px"`), `"safe"`, `"sefe"`), `"t"`, `"nobody"`),
+			[]string{"dangling-reference 1 spec.policy", "dangling-reference 1 spec.pool", "dangling-reference 1 spec.team"}},
+		{"two of one name", "[" + job + ",\n" + edit(job, "gang-job", "batch-job") + "]", []string{"duplicate-name 3 name"}},
+		{"cycle", `[{"kind": "policy", "name": "a", "spec": {"parent": "b", "priority": 1, "deadline": "1s"}},
+			{"kind": "policy", "name": "b", "spec": {"parent": "c"}}, {"kind": "policy", "name": "c", "spec": {"parent": "a"}}]`,
+			[]string{"cyclic-reference 1 spec.parent"}},
+		{"own parent", `{"kind": "policy", "name": "a", "spec": {"parent": "a", "priority": 1, "deadline": "1s"}}`,
+			[]string{"cyclic-reference 1 spec.parent"}},
+		{"no deadline anywhere", `{"kind": "policy", "name": "a", "spec": {"priority": 1}}`, []string{"missing-field 1 spec.deadline"}},
+		{"empty pool", `{"kind": "pool", "name": "a", "spec": {"largest": {"cores": "4"}, "vms": 0}}`,
+			[]string{"empty-pool 1 spec.largest", "empty-pool 1 spec.vms"}},
+		{"task too large", edit(job, `"1GiB"`, `"9GiB"`), []string{"never-fits 2 spec.resources"}},
+		{"gang over quota", edit(job, `"tasks": 2`, `"tasks": 13`), []string{"never-fits 1 spec.team"}},
+		{"gang over pool", edit(edit(job, `"tasks": 2`, `"tasks": 4`), `"1GiB"`, `"5GiB"`), []string{"never-fits 2 spec.tasks"}},
+		{"gang over racks", edit(job, `"tasks": 2`, `"tasks": 2, "min_racks": 3`),
+			[]string{"never-fits 2 spec.min_racks", "never-fits 2 spec.min_racks"}},
+		{"no resources", edit(job, `"cores": "500m", "memory": "1GiB"`, ``),
+			[]string{"missing-field 2 spec.resources.cores", "missing-field 2 spec.resources.memory"}},
+		{"blind retry", edit(service, `"safe"`, `"retry"`), []string{"unsafe-retry 2 spec.operations.issue.policy"}},
+		{"run over limit and deadline", edit(service, `"1s"`, `"11s"`),
+			[]string{"conflicting-fields 2 spec.operations.issue.max_run_time", "never-fits 2 spec.operations.issue.policy"}},
+		{"retries without backoff", `{"kind": "policy", "name": "a", "spec": {"priority": 1, "deadline": "1s", "max_retries": 1, "checkpoint": true, "headroom": 1}}`,
+			[]string{"conflicting-fields 1 spec.checkpoint", "never-fits 1 spec.headroom", "missing-field 1 spec.retry_backoff"}},
+		{"shares over one", `[{"kind": "policy", "name": "a", "spec": {"priority": 1, "deadline": "1s", "min_share": 0.6}},
+			{"kind": "policy", "name": "b", "spec": {"parent": "a"}}]`, []string{"conflicting-fields 2 spec.min_share"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set, problems := load(c.text)
+			assert.Nil(t, set)
+			var got []string
+			for _, p := range problems {
+				assert.Equal(t, "x.jsonc", p.File)
+				assert.NotEmpty(t, p.Remedy)
+				got = append(got, fmt.Sprintf("%s %d %s", p.Rule, p.Line, p.Field))
+			}
+			assert.Equal(t, c.want, got, "%v", problems)
+		})
+	}
+}
+
+// Guards against messages that lose the nearest name or the place.
+func TestProblemsNameTheRemedy(t *testing.T) {
+	_, problems := load(edit(job, `"tasks": 2`, `"taks": 2`))
+	require.Len(t, problems, 1)
+	assert.Equal(t, `x.jsonc:2: gang-job "g": spec.taks: is not a known field (did you mean "tasks"?)`, problems[0].String())
+	assert.True(t, fault.Is(Err(problems), fault.Invalid))
+	assert.NoError(t, Err(nil))
+}
+
+// Guards against an encoding that is not canonical, loses fields, or is read by a
+// release that does not know all of it.
+func TestEncodeDecode(t *testing.T) {
+	set, _ := load("[" + job + "," + service + "]")
+	data, err := Encode(set)
+	require.NoError(t, err)
+	back, err := Decode(data)
+	require.NoError(t, err)
+	assert.Equal(t, set, back)
+	again, _ := Encode(back)
+	assert.Equal(t, data, again)
+	for _, bad := range []string{"", "{}x", `{"teams":{"a":null}}`, `{"teams":null}`, edit(string(data), `"vms"`, `"wms"`)} {
+		_, err := Decode([]byte(bad))
+		assert.True(t, fault.Is(err, fault.Invalid), bad)
+	}
+}
+
+// Guards against a difference that a reviewer does not see before publication.
+func TestDiff(t *testing.T) {
+	from, _ := load("[" + job + "," + service + "]")
+	to, problems := load(edit(service, `"5s"`, `"6s"`) + "")
+	require.Empty(t, problems)
+	d := Diff(from, to)
+	assert.Equal(t, Difference{
+		Removed: []Ref{{KindGangJob, "g"}},
+		Changed: []Change{{Ref{KindService, "s"}, []FieldChange{{"operations.issue.max_run_time", "5s", "6s"}}}},
+	}, d)
+	assert.True(t, Diff(to, to).Empty())
+	assert.Len(t, Diff(nil, to).Added, 5)
+}
+
+// Guards against panics and against a set that is returned together with problems
+// or that does not survive its own encoding.
+func FuzzLoad(f *testing.F) {
+	seeds, err := filepath.Glob("testdata/seeds/*.jsonc")
+	require.NoError(f, err)
+	for _, name := range seeds {
+		data, err := os.ReadFile(name)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, problems := Load(map[string][]byte{"f": data})
+		require.Equal(t, len(problems) == 0, set != nil)
+		if set == nil {
+			return
+		}
+		encoded, err := Encode(set)
+		require.NoError(t, err)
+		back, err := Decode(encoded)
+		require.NoError(t, err)
+		require.True(t, Diff(set, back).Empty())
+	})
+}
+
+func edit(text, from, to string) string { return strings.Replace(text, from, to, 1) }
--- /dev/null
+++ b/core/object/problem.go
@@ -0,0 +1,81 @@
+package object
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/jsonc"
+)
+
+// Rules that a whole set is checked against, in addition to those of jsonc.
+const (
+	RuleUnknownKind jsonc.Rule = "unknown-kind"
+	RuleDuplicate   jsonc.Rule = "duplicate-name"
+	RuleDangling    jsonc.Rule = "dangling-reference"
+	RuleCycle       jsonc.Rule = "cyclic-reference"
+	RuleNeverFits   jsonc.Rule = "never-fits"
+	RuleEmptyPool   jsonc.Rule = "empty-pool"
+	RuleUnsafeRetry jsonc.Rule = "unsafe-retry"
+	RuleConflict    jsonc.Rule = "conflicting-fields"
+)
+
+// Problem is one fault of a set of object files.
+type Problem struct {
+	File    string     `json:"file"`
+	Line    int        `json:"line"` // from 1
+	Kind    Kind       `json:"kind,omitempty"`
+	Object  string     `json:"object,omitempty"`
+	Field   string     `json:"field,omitempty"` // path within the object
+	Rule    jsonc.Rule `json:"rule"`
+	Message string     `json:"message"`
+	Remedy  string     `json:"remedy"`
+}
+
+// String formats the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d: ", p.File, p.Line)
+	if p.Object != "" {
+		fmt.Fprintf(&b, "%s %q: ", p.Kind, p.Object)
+	}
+	if p.Field != "" {
+		fmt.Fprintf(&b, "%s: ", p.Field)
+	}
+	fmt.Fprintf(&b, "%s (%s)", p.Message, p.Remedy)
+	return b.String()
+}
+
+// Err returns the problems as one error of kind fault.Invalid, or nil.
+func Err(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(problems))
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return fault.New(fault.Invalid, "correct every listed problem; nothing of the set was accepted",
+		"%d problems in the objects:\n%s", len(problems), strings.Join(lines, "\n"))
+}
+
+// sortProblems orders problems by place, so that equal input gives equal output.
+func sortProblems(problems []Problem) {
+	sort.SliceStable(problems, func(i, j int) bool {
+		a, b := problems[i], problems[j]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		if a.Object != b.Object {
+			return a.Object < b.Object
+		}
+		if a.Field != b.Field {
+			return a.Field < b.Field
+		}
+		return a.Message < b.Message
+	})
+}
--- a/core/object/types.go
+++ b/core/object/types.go
@@ -73,11 +73,12 @@
 // Policy governs how work of one class is treated.
 type Policy struct {
 	Name         string        `json:"name"`
-	Priority     int           `json:"priority"`  // 0 to 1000, higher first
-	Deadline     time.Duration `json:"deadline"`  // time in which callers expect an answer or a start
-	Durable      bool          `json:"durable"`   // accepted work is logged and never dropped
-	MinShare     float64       `json:"min_share"` // part of capacity that lower priority keeps under load, 0 to 1
-	Headroom     float64       `json:"headroom"`  // part of a pool kept free for higher priorities, 0 to 1
+	Parent       string        `json:"parent,omitempty"` // policy whose values fill the fields left out; already applied by Load
+	Priority     int           `json:"priority"`         // 0 to 1000, higher first
+	Deadline     time.Duration `json:"deadline"`         // time in which callers expect an answer or a start
+	Durable      bool          `json:"durable"`          // accepted work is logged and never dropped
+	MinShare     float64       `json:"min_share"`        // part of capacity that lower priority keeps under load, 0 to 1
+	Headroom     float64       `json:"headroom"`         // part of a pool kept free for higher priorities, 0 to 1
 	CanPreempt   bool          `json:"can_preempt"`
 	Preemptible  bool          `json:"preemptible"`
 	Checkpoint   bool          `json:"checkpoint"`   // a checkpoint is taken before preemption
