--- a/core/jsonc/reader.go
+++ b/core/jsonc/reader.go
@@ -203,6 +203,12 @@
 // IsList reports whether the node is a JSON array.
 func (n Node) IsList() bool { return n.value.Value.Kind() == '[' }
 
+// IsEmptyString reports whether the node is "".
+func (n Node) IsEmptyString() bool {
+	literal, ok := n.value.Value.(hujson.Literal)
+	return ok && literal.Kind() == '"' && literal.String() == ""
+}
+
 // kindName returns the JSON type of the node for messages.
 func (n Node) kindName() string {
 	switch n.value.Value.Kind() {
