core/place: place tasks, gangs and slots with an index

Cause: owners of rack units need a decision for each task and request that does not scan all workers, and that cannot overcommit a worker when the state has changed between the decision and its commit.

Change: place.Cell holds the workers of one owner with an index by pool, data centre, accelerator class and free capacity. Plan leaves the cell as it was; Verify and Commit check each assignment against the present state, a gang only as a whole. Slots of requests have their own buckets.

--- /dev/null
+++ b/core/place/locality.go
@@ -0,0 +1,24 @@
+package place
+
+// distance is 0 in the local data centre, 1 in the local region, else 2.
+func distance(region, dataCentre string, o *Options) int {
+	if dataCentre == o.DataCentre {
+		return 0
+	}
+	if region == o.Region {
+		return 1
+	}
+	return 2
+}
+
+// maxDistance is the largest distance that the options allow.
+func maxDistance(r Reach) int {
+	switch r {
+	case ReachDataCentre:
+		return 0
+	case ReachRegion:
+		return 1
+	default:
+		return 2
+	}
+}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,279 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/place"
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+var local = place.Options{DataCentre: "d0", Region: "r0"}
+
+// fourRacks returns n workers of 4 cores, 8192 MiB and 8 slots in four racks.
+func fourRacks(n int) *place.Cell {
+	cell := place.NewCell()
+	for i := range n {
+		vm := fmt.Sprintf("vm-%02d", i)
+		cell.UpdateWorker(place.Worker{
+			VM: vm, Region: "r0", DataCentre: "d0", Rack: fmt.Sprintf("k%d", i%4), Incarnation: 1,
+			Pools: []string{"a"}, Capacity: resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8},
+		})
+		cell.SetUsable(vm, true)
+	}
+	return cell
+}
+
+func askFor(id string, cores, memory int64) wire.TaskAsk {
+	return wire.TaskAsk{TaskID: id, Job: "j", Generation: 1, Pool: "a", Resources: resource.Vector{MilliCores: cores, MemoryMiB: memory}}
+}
+
+func gangOf(n int, cores int64) []wire.TaskAsk {
+	asks := make([]wire.TaskAsk, n)
+	for i := range asks {
+		asks[i] = askFor(fmt.Sprintf("g-%d", i), cores, 0)
+		asks[i].Gang = "g"
+	}
+	return asks
+}
+
+// Guards against an allocation on the request path and against slots above the
+// capacity.
+func TestSlotsWithoutAllocation(t *testing.T) {
+	cell := fourRacks(4)
+	avoid := make([]place.Slot, 1)
+	avoid[0], _ = cell.SlotOf("vm-00")
+	allocations := testing.AllocsPerRun(100, func() {
+		slot, ok := cell.PickSlot("a", &local, avoid)
+		if !ok || !cell.TakeSlots(slot, 1) || cell.ReturnSlots(slot, 1) != 1 {
+			panic("no slot")
+		}
+	})
+	assert.Zero(t, allocations)
+
+	taken := 0
+	for {
+		slot, ok := cell.PickSlot("a", &local, avoid)
+		if !ok {
+			break
+		}
+		require.True(t, cell.TakeSlots(slot, 1))
+		taken++
+	}
+	assert.Equal(t, 24, taken)
+	slot, _ := cell.SlotOf("vm-01")
+	assert.False(t, cell.TakeSlots(slot, 1))
+	cell.RemoveWorker("vm-01")
+	assert.False(t, cell.TakeSlots(slot, 1), "a handle of a removed worker")
+	assert.Zero(t, cell.ReturnSlots(slot, 1))
+}
+
+// Guards against commits that trust an old plan: the worker has been replaced, has
+// begun to leave, or has been filled since.
+func TestCommitRefusesWhatChanged(t *testing.T) {
+	changes := map[string]struct {
+		change func(*place.Cell, string)
+		want   place.Step
+	}{
+		"leaving":     {func(c *place.Cell, vm string) { c.SetLeaving(vm) }, place.StepUsable},
+		"quarantined": {func(c *place.Cell, vm string) { c.SetQuarantined(vm, true) }, place.StepUsable},
+		"removed":     {func(c *place.Cell, vm string) { c.RemoveWorker(vm) }, place.StepGone},
+		"replaced": {func(c *place.Cell, vm string) {
+			c.UpdateWorker(place.Worker{VM: vm, DataCentre: "d0", Incarnation: 2, Pools: []string{"a"}, Capacity: resource.Vector{MilliCores: 9000}})
+			c.SetUsable(vm, true)
+		}, place.StepGone},
+		"filled": {func(c *place.Cell, vm string) {
+			c.AddTask(vm, place.Task{ID: "other", Resources: resource.Vector{MilliCores: 3500}})
+		}, place.StepFits},
+		"placed already": {func(c *place.Cell, vm string) {
+			c.AddTask("vm-01", place.Task{ID: "t", Resources: resource.Vector{MilliCores: 1}})
+		}, place.StepDuplicate},
+	}
+	for name, tc := range changes {
+		t.Run(name, func(t *testing.T) {
+			cell := fourRacks(2)
+			cell.AddTask("vm-00", place.Task{ID: "first", Resources: resource.Vector{MilliCores: 100}})
+			plan := cell.Plan([]wire.TaskAsk{askFor("t", 1000, 1000)}, local, 0, nil)
+			require.Len(t, plan.Assignments, 1)
+			tc.change(cell, plan.Assignments[0].VM)
+			accepted, refused := cell.Commit(plan, local, 0)
+			assert.Empty(t, accepted)
+			require.Len(t, refused, 1)
+			assert.Equal(t, tc.want, refused[0].Reason)
+			require.NoError(t, place.CheckIndex(cell))
+		})
+	}
+}
+
+// Guards against a leaving worker that gets work again without a new incarnation.
+func TestLeavingIsSticky(t *testing.T) {
+	cell := fourRacks(1)
+	cell.SetLeaving("vm-00")
+	cell.SetUsable("vm-00", false)
+	cell.SetUsable("vm-00", true)
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1, 1)}, local, 0, nil).Assignments)
+	_, ok := cell.PickSlot("a", &local, nil)
+	assert.False(t, ok)
+}
+
+// Guards against gangs in too few racks, partial commits of a gang and a request
+// that is reported as waiting although it can never run.
+func TestGangRacksAndNeverFits(t *testing.T) {
+	cell := fourRacks(8)
+	rules := local
+	rules.Gangs = []place.GangRule{{Gang: "g", MinRacks: 3}}
+	plan := cell.Plan(gangOf(4, 1000), rules, 0, nil)
+	racks := map[string]bool{}
+	for _, a := range plan.Assignments {
+		racks[a.Rack] = true
+	}
+	assert.Len(t, plan.Assignments, 4)
+	assert.Len(t, racks, 3)
+
+	cell.AddTask(plan.Assignments[3].VM, place.Task{ID: "x", Resources: resource.Vector{MilliCores: 4000}})
+	accepted, refused := cell.Commit(plan, rules, 0)
+	assert.Empty(t, accepted)
+	assert.Len(t, refused, 4)
+
+	rules.Gangs[0].MinRacks = 5
+	plan = cell.Plan(gangOf(5, 1000), rules, 0, nil)
+	assert.Empty(t, plan.Assignments)
+	require.Len(t, plan.Unplaced, 5)
+	assert.Contains(t, plan.Unplaced[0].Refused, wire.Refused{Reason: string(place.StepSpread), Count: 7})
+
+	plan = cell.Plan([]wire.TaskAsk{askFor("huge", 4001, 0)}, local, 0, nil)
+	assert.Equal(t, []string{"huge"}, plan.NeverFits)
+}
+
+// Guards against an explanation that counts workers twice or not at all.
+func TestExplanationCountsEveryWorker(t *testing.T) {
+	cell := fourRacks(6)
+	cell.UpdateWorker(place.Worker{VM: "other", DataCentre: "d0", Incarnation: 1, Pools: []string{"b"}})
+	cell.SetUsable("vm-00", false)
+	cell.AddTask("vm-01", place.Task{ID: "x", Resources: resource.Vector{MilliCores: 4000}})
+	ask := askFor("t", 500, 0)
+	ask.AvoidVMs = []string{"vm-02", "vm-03", "vm-04", "vm-05"}
+	plan := cell.Plan([]wire.TaskAsk{ask}, local, 0, nil)
+	require.Len(t, plan.Unplaced, 1)
+	assert.Equal(t, []wire.Refused{
+		{Reason: string(place.StepPool), Count: 1}, {Reason: string(place.StepUsable), Count: 1},
+		{Reason: string(place.StepFits), Count: 1}, {Reason: string(place.StepAvoid), Count: 4},
+	}, plan.Unplaced[0].Refused)
+}
+
+// Guards against low classes that use up the headroom, and against urgent work
+// that is refused it.
+func TestHeadroomIsForUrgentWork(t *testing.T) {
+	cell := fourRacks(10)
+	rules := local
+	rules.Headroom = []place.Headroom{{Pool: "a", Below: 500, Share: 0.2}}
+	placed := 0
+	for i := range 40 {
+		plan := cell.Plan([]wire.TaskAsk{askFor(fmt.Sprint(i), 1000, 0)}, rules, 0, nil)
+		accepted, _ := cell.Commit(plan, rules, 0)
+		placed += len(accepted)
+	}
+	assert.Equal(t, 32, placed)
+	urgent := askFor("urgent", 4000, 0)
+	urgent.Priority = 500
+	assert.Len(t, cell.Plan([]wire.TaskAsk{urgent}, rules, 0, nil).Assignments, 1)
+}
+
+func preemptible(id string, cores, memory int64, priority int) place.Task {
+	return place.Task{
+		ID: id, Generation: 1, Resources: resource.Vector{MilliCores: cores, MemoryMiB: memory},
+		Priority: priority, Preemptible: true, Checkpoint: true,
+	}
+}
+
+// Guards against victims of equal or higher priority, larger sets than necessary,
+// a stop where throttling is enough, and a second preemption for a task that
+// already waits for its victims.
+func TestPreemptionTakesTheSmallestSet(t *testing.T) {
+	cell := fourRacks(2)
+	cell.AddTask("vm-00", preemptible("small-1", 1000, 4000, 1))
+	cell.AddTask("vm-00", preemptible("small-2", 1000, 4000, 1))
+	cell.AddTask("vm-00", preemptible("equal", 2000, 100, 9))
+	cell.AddTask("vm-01", preemptible("large", 4000, 8000, 2))
+	urgent := askFor("urgent", 2000, 7000)
+	urgent.Priority, urgent.CanPreempt = 9, true
+	plan := cell.Plan([]wire.TaskAsk{urgent}, local, 0, nil)
+	require.Len(t, plan.Preemptions, 1)
+	assert.Equal(t, []place.Victim{{TaskID: "large", Generation: 1, Action: place.ActionCheckpoint}}, plan.Preemptions[0].Victims)
+
+	cell.Commit(plan, local, 0)
+	again := cell.Plan([]wire.TaskAsk{urgent, askFor("thief", 1, 1)}, local, time.Second, nil)
+	assert.Empty(t, again.Preemptions)
+	cell.Release("large", 1)
+	later := cell.Plan([]wire.TaskAsk{askFor("thief", 2000, 1), urgent}, local, time.Second, nil)
+	require.Len(t, later.Assignments, 1, "the room is held for the urgent task")
+	assert.Equal(t, "urgent", later.Assignments[0].Ask.TaskID)
+
+	coresOnly := askFor("urgent-2", 1000, 10)
+	coresOnly.Priority, coresOnly.CanPreempt = 9, true
+	cell.Commit(later, local, time.Second)
+	cell.AddTask("vm-01", place.Task{ID: "fixed", Resources: resource.Vector{MilliCores: 2000}})
+	plan = cell.Plan([]wire.TaskAsk{coresOnly}, local, time.Second, nil)
+	require.Len(t, plan.Preemptions, 1)
+	gained := int64(0)
+	for _, v := range plan.Preemptions[0].Victims {
+		assert.Equal(t, place.ActionThrottle, v.Action)
+		require.True(t, cell.Throttle(v.TaskID, 1, v.Percent))
+		gained += 1000 - 1000*int64(v.Percent)/100
+	}
+	assert.GreaterOrEqual(t, gained, int64(1000))
+	assert.Len(t, cell.Plan([]wire.TaskAsk{coresOnly}, local, time.Second, nil).Assignments, 1)
+}
+
+// Guards against a gang that waits forever behind small tasks, and against held
+// workers that stay idle although a short task would end in time.
+func TestHeldWorkersAreBackfilledOnlyWithShortTasks(t *testing.T) {
+	cell := fourRacks(4)
+	for i := range 4 {
+		task := place.Task{ID: fmt.Sprint("old", i), Generation: 1, Resources: resource.Vector{MilliCores: 3000}, ExpectedEnd: time.Duration(10+i) * time.Second}
+		cell.AddTask(fmt.Sprintf("vm-%02d", i), task)
+	}
+	gang := gangOf(2, 4000)
+	hold, ok := cell.PlanHold(gang, local, 0.5, 0, time.Minute)
+	require.True(t, ok)
+	assert.Equal(t, []string{"vm-00", "vm-01"}, hold.VMs)
+	assert.Equal(t, 11*time.Second, hold.Start)
+	require.Equal(t, 2, cell.ApplyHold(hold, 0))
+	_, second := cell.PlanHold([]wire.TaskAsk{{TaskID: "o", Gang: "other", Pool: "a", Resources: resource.Vector{MilliCores: 10}}}, local, 1, 0, time.Minute)
+	assert.False(t, second, "two gangs that hold workers can block each other")
+
+	for _, runMS := range []int64{0, 12_000, 9000} {
+		ask := askFor(fmt.Sprint("run", runMS), 1000, 0)
+		ask.RunMS = runMS
+		ask.AvoidVMs = []string{"vm-02", "vm-03"}
+		plan := cell.Plan([]wire.TaskAsk{ask}, local, time.Second, nil)
+		assert.Equal(t, runMS == 9000, len(plan.Assignments) == 1, "run time %d", runMS)
+	}
+	cell.Release("old0", 1)
+	cell.Release("old1", 1)
+	plan := cell.Plan(gang, local, 12*time.Second, nil)
+	require.Len(t, plan.Assignments, 2)
+	cell.Commit(plan, local, 12*time.Second)
+	w, _ := cell.Worker("vm-00")
+	assert.Empty(t, w.Hold.Owner)
+}
+
+// Guards against a late end of an old attempt that frees the room of a new one,
+// and against reports above the declared size that are not counted.
+func TestReleaseAndResizeRespectGenerations(t *testing.T) {
+	cell := fourRacks(1)
+	cell.AddTask("vm-00", place.Task{ID: "t", Generation: 2, Resources: resource.Vector{MilliCores: 1000}})
+	assert.False(t, cell.Release("t", 1))
+	assert.True(t, cell.Resize("t", 2, resource.Vector{MilliCores: 5000}))
+	w, _ := cell.Worker("vm-00")
+	assert.Equal(t, int64(-1000), w.Free().MilliCores)
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, local, 0, nil).Assignments)
+	assert.Len(t, cell.Plan([]wire.TaskAsk{askFor("m", 0, 100)}, local, 0, nil).Assignments, 1, "cores do not matter to it")
+	assert.True(t, cell.Release("t", 2))
+	require.NoError(t, place.CheckIndex(cell))
+}
--- /dev/null
+++ b/core/place/slot.go
@@ -0,0 +1,115 @@
+package place
+
+import (
+	"math/bits"
+
+	"briarproxy/core/resource"
+)
+
+// Slot names a worker with a slot for a request. It is valid until the worker is
+// removed or replaced; TakeSlots verifies it. Holds do not concern slots, because
+// tasks do not use them.
+type Slot struct {
+	worker int32
+	serial int64
+}
+
+// PickSlot returns the nearest worker of the pool with the most free slots,
+// without taking one. Workers in avoid are skipped. It does not allocate.
+func (c *Cell) PickSlot(poolName string, o *Options, avoid []Slot) (Slot, bool) {
+	p, ok := c.pools[poolName]
+	if !ok {
+		return Slot{}, false
+	}
+	for d := 0; d <= maxDistance(o.Reach); d++ {
+		best, found, most := Slot{}, false, int64(0)
+		for _, z := range p.zones {
+			if distance(z.region, z.dataCentre, o) != d {
+				continue
+			}
+			slot, free := c.mostFree(z, avoid)
+			if free > most {
+				best, found, most = slot, true, free
+			}
+		}
+		if found {
+			return best, true
+		}
+	}
+	return Slot{}, false
+}
+
+// mostFree returns the worker of the zone with the most free slots and their
+// number. Bucket 0 holds workers without a free slot.
+func (c *Cell) mostFree(z *zone, avoid []Slot) (Slot, int64) {
+	for filled := z.slots.filled &^ 1; filled != 0; {
+		bucket := bits.Len64(filled) - 1
+		for n := z.slots.heads[bucket]; n != 0; n = c.nodes[n].next {
+			i := c.nodes[n].worker
+			slot := Slot{worker: i, serial: c.serials[i]}
+			if !avoids(avoid, slot) {
+				return slot, int64(bucket)
+			}
+		}
+		filled &^= 1 << bucket
+	}
+	return Slot{}, 0
+}
+
+func avoids(avoid []Slot, s Slot) bool {
+	for _, a := range avoid {
+		if a == s {
+			return true
+		}
+	}
+	return false
+}
+
+// SlotVM returns the VM of a slot, or "" if the worker is gone.
+func (c *Cell) SlotVM(s Slot) string {
+	if !c.slotValid(s) {
+		return ""
+	}
+	return c.states[s.worker].VM
+}
+
+func (c *Cell) slotValid(s Slot) bool {
+	return s.serial != 0 && int(s.worker) < len(c.states) && c.present[s.worker] && c.serials[s.worker] == s.serial
+}
+
+// TakeSlots commits n slots of the worker. It refuses if the worker is gone, gets
+// no new work, or has fewer free slots. It does not allocate.
+func (c *Cell) TakeSlots(s Slot, n int64) bool {
+	if n <= 0 || !c.slotValid(s) {
+		return false
+	}
+	w := &c.states[s.worker]
+	if !w.Open() || w.Capacity.Slots-w.Committed.Slots < n {
+		return false
+	}
+	w.Slots += n
+	c.adjust(s.worker, resource.Vector{Slots: n})
+	return true
+}
+
+// ReturnSlots frees slots taken with TakeSlots. It returns the number freed,
+// which is lower than n if the worker was replaced or fewer were taken.
+func (c *Cell) ReturnSlots(s Slot, n int64) int64 {
+	if n <= 0 || !c.slotValid(s) {
+		return 0
+	}
+	w := &c.states[s.worker]
+	n = min(n, w.Slots)
+	w.Slots -= n
+	c.adjust(s.worker, resource.Vector{Slots: -n})
+	return n
+}
+
+// SlotOf returns the slot handle of a VM, for loans that name the VM.
+func (c *Cell) SlotOf(vm string) (Slot, bool) {
+	i, ok := c.byVM[vm]
+	if !ok {
+		return Slot{}, false
+	}
+	return Slot{worker: i, serial: c.serials[i]}, true
+}
--- /dev/null
+++ b/core/place/verify.go
@@ -0,0 +1,134 @@
+package place
+
+import (
+	"time"
+
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+// preemptionHold is how long a worker is held for a task whose victims are being
+// stopped. It is below the 3.7 s in which urgent work must start.
+const preemptionHold = 3 * time.Second
+
+// Verify tells which assignments of the plan would be refused now. The cell is
+// the same afterwards.
+func (c *Cell) Verify(plan Plan, o Options, now time.Duration) []Refusal {
+	accepted, refused := c.accept(plan, &o, now)
+	for n := len(accepted) - 1; n >= 0; n-- {
+		c.Release(accepted[n].Ask.TaskID, accepted[n].Ask.Generation)
+	}
+	return refused
+}
+
+// Commit applies the assignments that still fit, and a gang only as a whole. It
+// returns the applied assignments and the refused ones. The workers of the plan's
+// preemptions are held for the tasks that they make room for; the holds of placed
+// tasks and gangs end.
+func (c *Cell) Commit(plan Plan, o Options, now time.Duration) ([]Assignment, []Refusal) {
+	accepted, refused := c.accept(plan, &o, now)
+	for n := range accepted {
+		c.ReleaseHold(accepted[n].Ask.TaskID)
+		c.ReleaseHold(accepted[n].Ask.Gang)
+	}
+	c.forgetExpired(now)
+	for _, p := range plan.Preemptions {
+		c.hold(p.VM, Hold{Owner: p.Ask.TaskID, Start: now, Expires: now + preemptionHold}, now)
+	}
+	return accepted, refused
+}
+
+func (c *Cell) accept(plan Plan, o *Options, now time.Duration) ([]Assignment, []Refusal) {
+	accepted := make([]Assignment, 0, len(plan.Assignments))
+	var refused []Refusal
+	for n := 0; n < len(plan.Assignments); {
+		group := gangGroup(plan.Assignments[n:])
+		if r := c.acceptGroup(group, o, now); len(r) > 0 {
+			refused = append(refused, r...)
+		} else {
+			accepted = append(accepted, group...)
+		}
+		n += len(group)
+	}
+	return accepted, refused
+}
+
+// gangGroup returns the first assignment and the ones after it of the same gang.
+// Plan puts the assignments of a gang next to each other.
+func gangGroup(as []Assignment) []Assignment {
+	gang := as[0].Ask.Gang
+	n := 1
+	for gang != "" && n < len(as) && as[n].Ask.Gang == gang {
+		n++
+	}
+	return as[:n]
+}
+
+// acceptGroup applies all assignments of the group, or none if one is refused.
+func (c *Cell) acceptGroup(group []Assignment, o *Options, now time.Duration) []Refusal {
+	for n := range group {
+		reason := c.acceptOne(&group[n], o, now)
+		if reason == StepNone {
+			continue
+		}
+		for k := n - 1; k >= 0; k-- {
+			c.Release(group[k].Ask.TaskID, group[k].Ask.Generation)
+		}
+		return refuseGroup(group, n, reason)
+	}
+	return nil
+}
+
+func refuseGroup(group []Assignment, at int, reason Step) []Refusal {
+	refused := make([]Refusal, len(group))
+	for n := range group {
+		refused[n] = Refusal{TaskID: group[n].Ask.TaskID, VM: group[n].VM, Reason: StepGang}
+	}
+	refused[at].Reason = reason
+	return refused
+}
+
+func (c *Cell) acceptOne(a *Assignment, o *Options, now time.Duration) Step {
+	i, ok := c.byVM[a.VM]
+	if !ok || c.states[i].Incarnation != a.Incarnation || c.states[i].Rack != a.Rack {
+		return StepGone
+	}
+	if _, placed := c.tasks[a.Ask.TaskID]; placed {
+		return StepDuplicate
+	}
+	if reason := Check(&c.states[i], a.Ask, o, now); reason != StepNone {
+		return reason
+	}
+	if pl := c.pools[a.Ask.Pool]; headroomRefuses(pl.name, a.Ask.Priority, pl.capacity, pl.committed, a.Ask.Resources, o.Headroom) {
+		return StepHeadroom
+	}
+	c.addTask(i, TaskOf(a.Ask, now))
+	return StepNone
+}
+
+// TaskOf returns the task that a request becomes when it is placed.
+func TaskOf(ask *wire.TaskAsk, now time.Duration) Task {
+	t := Task{
+		ID: ask.TaskID, Job: ask.Job, Generation: ask.Generation,
+		Resources: ask.Resources, Priority: ask.Priority,
+		Preemptible: ask.Preemptible, Checkpoint: ask.CheckpointOK, SpreadRacks: ask.SpreadRacks,
+	}
+	if ask.RunMS > 0 {
+		t.ExpectedEnd = now + time.Duration(ask.RunMS)*time.Millisecond
+	}
+	return t
+}
+
+// adjustQuietly gives back room that a planning run had booked. The pool is then
+// as it was before the run, so shapes that did not fit before still do not.
+func (c *Cell) adjustQuietly(i int32, delta resource.Vector) {
+	w := &c.states[i]
+	w.Committed = w.Committed.Add(delta)
+	if w.Open() {
+		for n := range c.links[i] {
+			p := c.links[i][n].pool
+			p.committed = p.committed.Add(delta)
+		}
+	}
+	c.reindex(i)
+}
