--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,129 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Version is the envelope version that this code writes. Records of a higher
+// version are skipped by readers.
+const Version = 1
+
+// NoRecord is the value of Supersedes for a unit that has never been owned.
+const NoRecord int64 = -1
+
+// ID identifies a record for ever: no incarnation uses a counter twice.
+type ID struct {
+	Daemon      string `json:"d"`
+	Incarnation int64  `json:"i"`
+	Counter     int64  `json:"c"`
+}
+
+// String formats the id for read-back and log lines.
+func (id ID) String() string {
+	return fmt.Sprintf("%s/%d/%d", id.Daemon, id.Incarnation, id.Counter)
+}
+
+// HeldUnit is a unit that a heartbeat's sender holds.
+type HeldUnit struct {
+	Name  string `json:"n"`
+	Epoch int64  `json:"e"` // log offset of the claim
+}
+
+// Heartbeat describes a daemon and renews the units it lists.
+type Heartbeat struct {
+	Sequence      int64      `json:"s"`
+	PeerAddress   string     `json:"p,omitempty"` // IP:port
+	CallerAddress string     `json:"c,omitempty"` // IP:port
+	AdminAddress  string     `json:"a,omitempty"` // IP:port
+	Region        string     `json:"r,omitempty"`
+	DataCentre    string     `json:"z,omitempty"`
+	ConfigVersion int64      `json:"v,omitempty"`
+	Draining      bool       `json:"x,omitempty"`
+	Appends       int64      `json:"l,omitempty"` // log appends used since the daemon started
+	Units         []HeldUnit `json:"u,omitempty"`
+}
+
+// ClaimedUnit names a unit and the record that the claim replaces.
+type ClaimedUnit struct {
+	Name       string `json:"n"`
+	Supersedes int64  `json:"o"` // offset of the last record that held the unit, or NoRecord
+}
+
+// Claim takes units over. The claimant is the record's ID.
+type Claim struct {
+	Units []ClaimedUnit `json:"u"`
+}
+
+// Release frees units that the sender owns.
+type Release struct {
+	Units []string `json:"u"`
+}
+
+// Record is one record of the stream. Exactly one of Heartbeat, Claim and Release
+// is set.
+type Record struct {
+	Version   int        `json:"v"`
+	ID        ID         `json:"id"`
+	Heartbeat *Heartbeat `json:"hb,omitempty"`
+	Claim     *Claim     `json:"cl,omitempty"`
+	Release   *Release   `json:"rl,omitempty"`
+}
+
+// Encode returns one line without a line end.
+func Encode(r Record) ([]byte, error) {
+	r.Version = Version
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(r)
+}
+
+// Decode returns the records of one append in order, and the number of lines that
+// were skipped because they do not decode.
+func Decode(data []byte) (records []Record, skipped int) {
+	for line := range bytes.SplitSeq(data, []byte{'\n'}) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		var r Record
+		if json.Unmarshal(line, &r) != nil || r.check() != nil {
+			skipped++
+			continue
+		}
+		records = append(records, r)
+	}
+	return records, skipped
+}
+
+// Contains reports whether an append holds the record with this id (ID.String).
+func Contains(data []byte, id string) bool {
+	records, _ := Decode(data)
+	for _, r := range records {
+		if r.ID.String() == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (r Record) check() error {
+	if r.Version != Version {
+		return fmt.Errorf("record version %d is not supported, want %d", r.Version, Version)
+	}
+	if r.ID.Daemon == "" {
+		return errors.New("record id has no daemon name")
+	}
+	bodies := 0
+	for _, set := range []bool{r.Heartbeat != nil, r.Claim != nil, r.Release != nil} {
+		if set {
+			bodies++
+		}
+	}
+	if bodies != 1 {
+		return fmt.Errorf("record %s has %d bodies, want 1", r.ID, bodies)
+	}
+	return nil
+}
