--- a/core/idempotency/table.go
+++ b/core/idempotency/table.go
@@ -23,6 +23,7 @@
 	BodyDigest string `json:"body_digest"` // hex SHA-256 of service, operation and body
 	RequestID  string `json:"request_id"`  // id of the attempt on the worker
 	VM         string `json:"vm"`
+	Worker     int64  `json:"worker"` // incarnation of the worker on the VM
 	Generation int64  `json:"generation"`
 	AtMS       int64  `json:"at_ms"` // Unix time, ms; decides only when the key is forgotten
 }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -42,7 +42,13 @@
 	Job        string `json:"job"`
 	Index      int    `json:"index"`
 	Generation int64  `json:"generation"`
-	VM         string `json:"vm"`
+	Place
+}
+
+// Place is the VM to which an attempt is sent.
+type Place struct {
+	VM          string `json:"vm,omitempty"`
+	Incarnation int64  `json:"incarnation,omitempty"` // of the worker on the VM
 }
 
 // Ended is the record of an attempt's end.
@@ -98,13 +104,13 @@
 
 // Task is one task of a job.
 type Task struct {
-	Phase      Phase        `json:"phase"`
-	Generation int64        `json:"generation"` // of the newest attempt
-	VM         string       `json:"vm,omitempty"`
-	Failures   int          `json:"failures,omitempty"`
-	FailedOn   []string     `json:"failed_on,omitempty"` // VMs on which it failed
-	Result     *wire.Result `json:"result,omitempty"`
-	Reason     string       `json:"reason,omitempty"` // why it waits or failed
+	Phase      Phase `json:"phase"`
+	Generation int64 `json:"generation"` // of the newest attempt
+	Place
+	Failures int          `json:"failures,omitempty"`
+	FailedOn []string     `json:"failed_on,omitempty"` // VMs on which it failed
+	Result   *wire.Result `json:"result,omitempty"`
+	Reason   string       `json:"reason,omitempty"` // why it waits or failed
 }
 
 // Job is a job with its tasks.
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -25,7 +25,7 @@
 	Job        string
 	Index      int
 	Generation int64
-	VM         string
+	Place
 }
 
 // Group is a set of tasks to place together.
@@ -153,7 +153,7 @@
 		return
 	}
 	t.Generation = in.Generation
-	t.VM = in.VM
+	t.Place = in.Place
 	t.Phase = Starting
 }
 
@@ -164,7 +164,7 @@
 	}
 	delete(s.verify, TaskID(in.Job, in.Index))
 	vm := t.VM
-	t.VM = ""
+	t.Place = Place{}
 	switch {
 	case in.State == wire.RunFinished:
 		s.finish(j, t, Succeeded, in)
@@ -255,7 +255,7 @@
 
 func attemptOf(j *Job, index int) Attempt {
 	t := &j.Tasks[index]
-	return Attempt{TaskID: TaskID(j.ID, index), Job: j.ID, Index: index, Generation: t.Generation, VM: t.VM}
+	return Attempt{TaskID: TaskID(j.ID, index), Job: j.ID, Index: index, Generation: t.Generation, Place: t.Place}
 }
 
 func (s *Shard) applyCancel(in Cancel) {
@@ -364,7 +364,7 @@
 
 // Reserved returns the records to append before the group's tasks are started on
 // the given VMs, one per task in the order of g.Tasks.
-func (s *Shard) Reserved(g Group, vms []string) []Record {
+func (s *Shard) Reserved(g Group, places []Place) []Record {
 	g.Job.tries = 0
 	records := make([]Record, 0, len(g.Tasks))
 	for n, i := range g.Tasks {
@@ -374,7 +374,7 @@
 		}
 		t.Phase = Logging
 		t.Reason = ""
-		records = append(records, Record{Intent: &Intent{Job: g.Job.ID, Index: i, Generation: t.Generation + 1, VM: vms[n]}})
+		records = append(records, Record{Intent: &Intent{Job: g.Job.ID, Index: i, Generation: t.Generation + 1, Place: places[n]}})
 	}
 	return records
 }
--- a/core/job/shard_test.go
+++ b/core/job/shard_test.go
@@ -89,11 +89,11 @@
 			h.shard.NoRoom(g, "no room", h.now)
 			continue
 		}
-		vms := make([]string, len(g.Tasks))
-		for i := range vms {
-			vms[i] = fmt.Sprintf("vm-%d", rapid.IntRange(0, 3).Draw(h.t, "vm"))
+		places := make([]Place, len(g.Tasks))
+		for i := range places {
+			places[i].VM = fmt.Sprintf("vm-%d", rapid.IntRange(0, 3).Draw(h.t, "vm"))
 		}
-		records := h.shard.Reserved(g, vms)
+		records := h.shard.Reserved(g, places)
 		if h.chance("append unconfirmed", 6) {
 			h.log = append(h.log, records...)
 			h.shard.NotLogged(g, h.now)
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -231,10 +231,11 @@
 
 // StopTask names an attempt to stop and the worker that has it.
 type StopTask struct {
-	TaskID     string
-	Generation int64
-	VM         string
-	Query      bool
+	TaskID      string
+	Generation  int64
+	VM          string
+	Incarnation int64 // of the worker to which the attempt was sent
+	Query       bool
 }
 
 // StopArgs stops or queries attempts in a batch.
@@ -249,6 +250,7 @@
 	TaskID     string
 	Generation int64
 	Known      bool
+	Restarted  bool // the worker has restarted since: the attempt does not run, whether it ran is unknown
 	State      RunState
 	Result     *Result
 }
--- a/core/wire/worker.go
+++ b/core/wire/worker.go
@@ -101,6 +101,9 @@
 	Generation int64  `json:"generation"` // this and all lower generations
 	Epoch      int64  `json:"epoch"`
 	Query      bool   `json:"query,omitempty"`
+	// Incarnation of the worker to which the attempt was sent, 0 for any. Another
+	// incarnation refuses, because it can't know whether the attempt ran before.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // StopReply tells what became of the attempt. Result is set when it has ended
--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -187,14 +187,14 @@
 func (r *runner) logIntents(groups []job.Group, rooms map[string]heldByOwner, refused string) {
 	var records []job.Record
 	for _, g := range groups {
-		vms := make([]string, len(g.Tasks))
+		places := make([]job.Place, len(g.Tasks))
 		for n, i := range g.Tasks {
 			room := rooms[job.TaskID(g.Job.ID, i)]
-			vms[n] = room.room.VM
+			places[n] = job.Place{VM: room.room.VM, Incarnation: room.room.Incarnation}
 			r.Log.Emit(eventPlaced, "task", job.TaskID(g.Job.ID, i), "class", g.Job.Definition.Class, "vm", room.room.VM, "rack", room.room.Rack, "owner", room.owner, "alternatives", refused)
 		}
-		r.note(g.Job.ID, "placed", fmt.Sprintf("tasks %v on %v", g.Tasks, vms))
-		records = append(records, r.jobs.Reserved(g, vms)...)
+		r.note(g.Job.ID, "placed", fmt.Sprintf("tasks %v on %v", g.Tasks, places))
+		records = append(records, r.jobs.Reserved(g, places)...)
 	}
 	if len(records) == 0 {
 		return
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -36,6 +36,7 @@
 	owners     *ownerChoice
 	rackEpochs map[string]int64 // epoch under which each rack unit was last seen
 	lastView   *view.Snapshot
+	missing    map[string]time.Duration // VMs that the list does not name, since when
 	verifying  bool
 	stopping   bool
 	nextVerify time.Duration
@@ -59,6 +60,7 @@
 		rng: options.Random(), stream: options.Stream(shard),
 		waiters: map[string][]chan struct{}{}, submitting: map[string]bool{},
 		history: map[string][]wire.HistoryRow{}, rackEpochs: map[string]int64{},
+		missing: map[string]time.Duration{},
 	}
 	r.owners = newOwnerChoice(r)
 	go r.serve()
--- a/daemon/shard/verify.go
+++ b/daemon/shard/verify.go
@@ -158,34 +158,55 @@
 	r.ask(attempts, false)
 }
 
-// ask stops or queries attempts through the owners of their VMs' racks.
+// goneAfter is how long a VM must be missing from the VM list before its attempts
+// count as stopped: the list lags, but it does not drop a VM that still runs.
+const goneAfter = time.Minute
+
+// ask stops or queries attempts through the owners of their VMs' racks. A rack
+// without an owner is asked again later.
 func (r *runner) ask(attempts []job.Attempt, query bool) {
 	snapshot := r.View.Current()
+	answer := stopAnswer{attempts: attempts, query: query}
 	byOwner := map[string]*wire.StopArgs{}
 	for _, a := range attempts {
-		owner := ""
-		if vm, listed := snapshot.VMs[a.VM]; listed {
-			if d, owned := snapshot.OwnerOf(wire.RackUnit(vm.DataCentre, vm.Rack)); owned {
-				owner = d.Name
-			}
+		vm, listed := snapshot.VMs[a.VM]
+		if r.vmGone(a.VM, listed) {
+			answer.outcomes = append(answer.outcomes, wire.StopOutcome{TaskID: a.TaskID, Generation: a.Generation, Known: true, State: wire.RunStopped})
+			continue
+		}
+		owner, owned := snapshot.OwnerOf(wire.RackUnit(vm.DataCentre, vm.Rack))
+		if !listed || !owned {
+			continue
 		}
-		if byOwner[owner] == nil {
-			byOwner[owner] = &wire.StopArgs{From: r.Self}
+		if byOwner[owner.Name] == nil {
+			byOwner[owner.Name] = &wire.StopArgs{From: r.Self}
 		}
-		byOwner[owner].Tasks = append(byOwner[owner].Tasks, wire.StopTask{TaskID: a.TaskID, Generation: a.Generation, VM: a.VM, Query: query})
+		task := wire.StopTask{TaskID: a.TaskID, Generation: a.Generation, VM: a.VM, Incarnation: a.Incarnation, Query: query}
+		byOwner[owner.Name].Tasks = append(byOwner[owner.Name].Tasks, task)
 	}
 	r.Calls.Go(func() {
-		answer := stopAnswer{attempts: attempts, query: query}
 		for owner, args := range byOwner {
-			if owner == "" {
-				continue // the rack has no owner yet; asked again
-			}
 			answer.outcomes = append(answer.outcomes, r.callStop(owner, args)...)
 		}
 		_ = r.send(answer)
 	})
 }
 
+// vmGone reports whether the VM has been missing from the list for long enough.
+func (r *runner) vmGone(vm string, listed bool) bool {
+	if listed {
+		delete(r.missing, vm)
+		return false
+	}
+	now := r.Now()
+	since, known := r.missing[vm]
+	if !known {
+		r.missing[vm] = now
+		return false
+	}
+	return now-since > goneAfter
+}
+
 func (r *runner) callStop(owner string, args *wire.StopArgs) []wire.StopOutcome {
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 	defer cancel()
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -189,6 +189,9 @@
 	if s.Epoch < w.epoch {
 		return wire.StopReply{Refused: wire.RefusedStaleEpoch}
 	}
+	if s.Incarnation != 0 && s.Incarnation != w.incarnation {
+		return wire.StopReply{Refused: wire.RefusedWrongIncarnation}
+	}
 	if a, ok := w.running[s.ID]; ok && a.start.Generation <= s.Generation {
 		if s.Query {
 			w.forbid(s, now)
