--- /dev/null
+++ b/daemon/rack/events.go
@@ -0,0 +1,25 @@
+package rack
+
+import (
+	"github.com/phuslu/log"
+
+	"briarproxy/daemon/event"
+)
+
+var (
+	eventFenced    = event.Define(1700, "worker fenced", log.InfoLevel, "this daemon may place on the worker now; the line counts what its inventory showed")
+	eventStale     = event.Define(1701, "worker refused epoch", log.WarnLevel, "the worker has seen a higher epoch: another daemon owns its rack")
+	eventSilent    = event.Define(1702, "worker silent", log.WarnLevel, "the worker does not answer; nothing new is placed there until it does")
+	eventRestarted = event.Define(1703, "worker restarted", log.WarnLevel, "the worker has a new incarnation; what ran on it has ended")
+	eventDropped   = event.Define(1704, "worker given up", log.InfoLevel, "this daemon does not own the worker's rack any more")
+	eventReserved  = event.Define(1710, "room reserved", log.InfoLevel, "tasks got room; refused alternatives are in the line")
+	eventNoRoom    = event.Define(1711, "room refused", log.InfoLevel, "tasks got no room; the filter steps that refused are in the line")
+	eventLapsed    = event.Define(1712, "reservation expired", log.InfoLevel, "a reservation was not started in time; the room is free again")
+	eventStarted   = event.Define(1713, "task started", log.InfoLevel, "the worker accepted the start")
+	eventNoStart   = event.Define(1714, "task start refused", log.WarnLevel, "the worker refused the start; the task is placed again")
+	eventUnsure    = event.Define(1715, "task start unanswered", log.WarnLevel, "the worker did not answer the start; it is asked again")
+	eventLost      = event.Define(1716, "task lost", log.WarnLevel, "the run lease has surely lapsed without word from the worker; the task is placed again")
+	eventLent      = event.Define(1720, "slots lent", log.DebugLevel, "slots of workers were lent to a daemon")
+	eventPreempt   = event.Define(1730, "task preempted", log.InfoLevel, "a task is throttled, checkpointed or stopped for an urgent one")
+	eventIsolated  = event.Define(1731, "worker isolated", log.WarnLevel, "the worker failed tasks of unlike jobs in a row; it is probed with a backoff")
+)
--- /dev/null
+++ b/daemon/rack/reserve.go
@@ -0,0 +1,238 @@
+package rack
+
+import (
+	"time"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/place"
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+// maxReservation bounds the time for which room is kept without a start.
+const maxReservation = 5 * time.Second
+
+// slotDemandTime is how long slots that tasks waited for are not lent.
+const slotDemandTime = 2 * time.Second
+
+// slotDemand is the number of slots that tasks of a pool could not get lately.
+type slotDemand struct {
+	slots int64
+	until time.Duration // boot clock
+}
+
+// reserved finds the attempt of a reservation.
+type reserved struct {
+	worker  *worker
+	attempt *attempt
+}
+
+// Reserve serves a shard owner's request for room.
+func (o *Owner) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	call := reserveCall{args: args, reply: make(chan reserveAnswer, 1)}
+	answer, err := ask(o, call, call.reply)
+	*reply = answer.reply
+	if err != nil {
+		return err
+	}
+	return answer.err
+}
+
+type reserveAnswer struct {
+	reply wire.ReserveReply
+	err   error
+}
+
+type reserveCall struct {
+	args  *wire.ReserveArgs
+	reply chan reserveAnswer
+}
+
+func (m reserveCall) handle(o *Owner) {
+	if err := o.checkShard(m.args.Shard, m.args.ShardEpoch); err != nil {
+		m.reply <- reserveAnswer{err: err}
+		return
+	}
+	now := o.Now()
+	options := o.placeOptions()
+	o.commitEstimates(m.args.Asks, now)
+	plan := o.cell.Plan(m.args.Asks, options, now, o.Random)
+	if m.args.AllOrNothing && len(plan.Assignments) < len(m.args.Asks) {
+		plan.Assignments = nil
+	}
+	accepted, refused := o.cell.Commit(plan, options, now)
+	o.preempt(plan.Preemptions)
+	m.reply <- reserveAnswer{reply: o.reservationsFor(m.args, accepted, plan, refused, now)}
+}
+
+// checkShard refuses a call of a shard owner that has a successor.
+func (o *Owner) checkShard(shard int, epoch int64) error {
+	unit := o.lastView.Units[wire.ShardUnit(shard)]
+	if unit.Epoch > epoch {
+		return fault.New(fault.NotOwner, "none; the next owner of the shard places the tasks", "%s is owned under epoch %d, the call names %d", unit.Name, unit.Epoch, epoch)
+	}
+	return nil
+}
+
+func (o *Owner) placeOptions() place.Options {
+	options := place.Options{DataCentre: o.lastView.Self.DataCentre, Region: o.lastView.Self.Region, ProtectAccelerators: true}
+	for name := range o.lastView.Set.Pools {
+		for _, policy := range o.lastView.Set.Policies {
+			if policy.Headroom > 0 {
+				options.Headroom = append(options.Headroom, place.Headroom{Pool: name, Below: policy.Priority, Share: policy.Headroom})
+			}
+		}
+	}
+	return options
+}
+
+// commitEstimates raises declared sizes to what was learned of the job. Learned
+// sizes below the declared ones are not used: a worker checks declared sizes.
+func (o *Owner) commitEstimates(asks []wire.TaskAsk, now time.Duration) {
+	for i := range asks {
+		declared := asks[i].Resources
+		learned := o.sizes.Size(asks[i].Job, declared, now)
+		learned.Slots, learned.Accelerators = declared.Slots, declared.Accelerators
+		asks[i].Resources = declared.Max(learned)
+	}
+}
+
+func (o *Owner) reservationsFor(args *wire.ReserveArgs, accepted []place.Assignment, plan place.Plan, refused []place.Refusal, now time.Duration) wire.ReserveReply {
+	reply := wire.ReserveReply{NeverFits: plan.NeverFits}
+	ttl := min(time.Duration(args.TTLMS)*time.Millisecond, maxReservation)
+	for i := range accepted {
+		reply.Reservations = append(reply.Reservations, o.hold(&accepted[i], now+ttl))
+	}
+	reply.Refused = refusals(plan, refused)
+	if len(accepted) > 0 {
+		o.Log.Emit(eventReserved, "for", args.From, "tasks", len(accepted), "first", accepted[0].Ask.TaskID, "vm", accepted[0].VM, "refused", reply.Refused)
+	}
+	if missing := len(args.Asks) - len(accepted); missing > 0 {
+		o.Log.Emit(eventNoRoom, "for", args.From, "tasks", missing, "refused", reply.Refused)
+		o.noteDemand(args.Asks[0], missing, now)
+	}
+	return reply
+}
+
+// noteDemand keeps slots from being lent while tasks wait for them.
+func (o *Owner) noteDemand(ask wire.TaskAsk, missing int, now time.Duration) {
+	if ask.Resources.Slots > 0 {
+		o.slotDemand[ask.Pool] = slotDemand{slots: ask.Resources.Slots * int64(missing), until: now + slotDemandTime}
+	}
+}
+
+func refusals(plan place.Plan, commit []place.Refusal) []wire.Refused {
+	counts := map[string]int{}
+	for _, u := range plan.Unplaced {
+		for _, r := range u.Refused {
+			counts[r.Reason] += r.Count
+		}
+	}
+	for _, r := range commit {
+		counts[string(r.Reason)]++
+	}
+	list := make([]wire.Refused, 0, len(counts))
+	for reason, count := range counts {
+		list = append(list, wire.Refused{Reason: reason, Count: count})
+	}
+	return list
+}
+
+// hold records a committed assignment as a reservation.
+func (o *Owner) hold(a *place.Assignment, expires time.Duration) wire.Reservation {
+	w := o.workers[a.VM]
+	o.nextID++
+	att := &attempt{
+		task:        wire.Attempt{ID: a.Ask.TaskID, Generation: a.Ask.Generation, Kind: wire.KindTask, Job: a.Ask.Job, Resources: a.Ask.Resources},
+		class:       a.Ask.Class,
+		reservation: o.nextID,
+		expires:     expires,
+	}
+	w.attempts[a.Ask.TaskID] = att
+	o.byTask[a.Ask.TaskID] = w
+	o.reservations[o.nextID] = reserved{worker: w, attempt: att}
+	return wire.Reservation{
+		TaskID: a.Ask.TaskID, Generation: a.Ask.Generation, ID: o.nextID,
+		VM: a.VM, Rack: a.Rack, Epoch: w.epoch, Incarnation: w.incarnation,
+	}
+}
+
+// discard frees the room of an attempt that surely does not run.
+func (o *Owner) discard(w *worker, a *attempt) {
+	delete(o.reservations, a.reservation)
+	o.cell.Release(a.task.ID, a.task.Generation)
+	if w.attempts[a.task.ID] == a {
+		delete(w.attempts, a.task.ID)
+		delete(o.byTask, a.task.ID)
+	}
+}
+
+func (o *Owner) expireReservations(now time.Duration) {
+	for id, r := range o.reservations {
+		if now >= r.attempt.expires {
+			o.Log.Emit(eventLapsed, "reservation", id, "task", r.attempt.task.ID, "vm", r.worker.vm.Name)
+			o.discard(r.worker, r.attempt)
+		}
+	}
+}
+
+// Release serves a shard owner that gives reservations back.
+func (o *Owner) Release(args *wire.ReleaseArgs, reply *bool) error {
+	call := releaseCall{ids: args.IDs, reply: make(chan bool, 1)}
+	done, err := ask(o, call, call.reply)
+	*reply = done
+	return err
+}
+
+type releaseCall struct {
+	ids   []int64
+	reply chan bool
+}
+
+func (m releaseCall) handle(o *Owner) {
+	for _, id := range m.ids {
+		if r, known := o.reservations[id]; known {
+			o.discard(r.worker, r.attempt)
+		}
+	}
+	m.reply <- true
+}
+
+// Summary serves a shard owner's question for free room.
+func (o *Owner) Summary(_ *wire.SummaryArgs, reply *wire.SummaryReply) error {
+	call := summaryCall{reply: make(chan wire.SummaryReply, 1)}
+	answer, err := ask(o, call, call.reply)
+	*reply = answer
+	return err
+}
+
+type summaryCall struct{ reply chan wire.SummaryReply }
+
+func (m summaryCall) handle(o *Owner) {
+	pools := map[string]*wire.PoolSummary{}
+	for _, state := range o.cell.Workers() {
+		for _, name := range state.Pools {
+			if pools[name] == nil {
+				pools[name] = &wire.PoolSummary{Pool: name, Region: state.Region, DataCentre: state.DataCentre}
+			}
+			addWorker(pools[name], &state)
+		}
+	}
+	answer := wire.SummaryReply{Name: o.Self}
+	for _, p := range pools {
+		answer.Pools = append(answer.Pools, *p)
+	}
+	m.reply <- answer
+}
+
+func addWorker(p *wire.PoolSummary, state *place.State) {
+	p.Workers++
+	p.Capacity = p.Capacity.Add(state.Capacity)
+	if !state.Open() {
+		return
+	}
+	free := state.Free()
+	p.Usable++
+	p.Free = p.Free.Add(free.Max(resource.Vector{}))
+	p.Largest = p.Largest.Max(free)
+}
