Add the router: queues, borrowed slots, starts and forwards

Change: daemon/router. Non-idempotent requests go to the shard owner, durable ones become jobs. core/admission predicts one more wait when no slot is free: without it a request was admitted that could only start after the running one.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -104,10 +104,14 @@
 	return 0
 }
 
-// Push queues the entry, or returns why it is refused. rate is the measured number
-// of starts per second; 0 means that it is not known, and then nothing is refused
-// for its predicted wait.
-func (q *Queue[T]) Push(now time.Duration, rate float64, entry *Entry[T]) *Shed {
+// Load is what is known of the service that the queue waits for.
+type Load struct {
+	Rate float64 // measured starts per second under load; 0: not known, nothing is refused for its wait
+	Idle bool    // a slot is free now, so the first entry need not wait for one to end
+}
+
+// Push queues the entry, or returns why it is refused.
+func (q *Queue[T]) Push(now time.Duration, load Load, entry *Entry[T]) *Shed {
 	class, found := q.classes[entry.Class]
 	if !found {
 		return &Shed{Reason: ShedNotKnown}
@@ -115,7 +119,7 @@
 	if entry.StartBy < now {
 		return &Shed{Reason: ShedPastDue}
 	}
-	wait := q.predict(class, entry, rate)
+	wait := q.predict(class, entry, load)
 	if late := wait - (entry.StartBy - now); late > 0 {
 		return &Shed{Reason: ShedTooLong, Wait: wait, RetryAfter: clampRetry(late)}
 	}
@@ -134,21 +138,25 @@
 }
 
 // PredictWait returns the wait that Push would predict for the entry.
-func (q *Queue[T]) PredictWait(entry *Entry[T], rate float64) time.Duration {
+func (q *Queue[T]) PredictWait(entry *Entry[T], load Load) time.Duration {
 	class, found := q.classes[entry.Class]
 	if !found {
 		return 0
 	}
-	return q.predict(class, entry, rate)
+	return q.predict(class, entry, load)
 }
 
-// predict divides the entries ahead by the service rate. The guaranteed share of
-// the class bounds the wait from above.
-func (q *Queue[T]) predict(class *classQueue[T], entry *Entry[T], rate float64) time.Duration {
+// predict divides the entries ahead, and the entry itself unless a slot is free, by
+// the service rate. The guaranteed share of the class bounds the wait from above.
+func (q *Queue[T]) predict(class *classQueue[T], entry *Entry[T], load Load) time.Duration {
+	rate := load.Rate
 	if rate <= 0 {
 		return 0
 	}
 	own := class.ahead(entry)
+	if !load.Idle {
+		own++
+	}
 	higher := 0
 	for _, other := range q.classes {
 		if other.Priority > class.Priority {
@@ -187,9 +195,10 @@
 	return total
 }
 
-// Pop removes and returns the entry that goes next, or nil.
-func (q *Queue[T]) Pop() *Entry[T] {
-	class := q.next()
+// Pop removes and returns the entry that goes next among the classes that allow
+// accepts, or nil. A nil allow accepts every class.
+func (q *Queue[T]) Pop(allow func(class string) bool) *Entry[T] {
+	class := q.next(allow)
 	if class == nil {
 		return nil
 	}
@@ -205,10 +214,10 @@
 
 // next chooses the class: the one that is owed the most under its guaranteed share
 // once it is owed a whole entry, otherwise the one with the highest priority.
-func (q *Queue[T]) next() *classQueue[T] {
+func (q *Queue[T]) next(allow func(class string) bool) *classQueue[T] {
 	var owed, first *classQueue[T]
 	for _, c := range q.classes {
-		if c.length == 0 {
+		if c.length == 0 || (allow != nil && !allow(c.Name)) {
 			continue
 		}
 		if c.credit+c.MinShare >= 1 && (owed == nil || c.owedBefore(owed)) {
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -134,10 +134,10 @@
 					Class: rapid.SampledFrom(classes).Draw(t, "class").Name, Team: team, Weight: weights[team],
 					StartBy: time.Duration(rapid.IntRange(0, 20).Draw(t, "by")), Value: i,
 				}
-				require.Nil(t, queue.Push(0, 0, e))
+				require.Nil(t, queue.Push(0, Load{}, e))
 				naive.push(e)
 			case 3, 4:
-				require.Same(t, naive.pop(), queue.Pop())
+				require.Same(t, naive.pop(), queue.Pop(nil))
 			case 5:
 				if len(naive.entries) > 0 {
 					e := rapid.SampledFrom(naive.entries).Draw(t, "cancelled")
@@ -157,13 +157,13 @@
 	queue.SetClass(Class{Name: "urgent", Priority: 9, MaxLength: 1000})
 	queue.SetClass(Class{Name: "survey", Priority: 1, MinShare: 0.2, MaxLength: 1000})
 	for i := range 500 {
-		require.Nil(t, queue.Push(0, 0, &Entry[int]{Class: "urgent", Team: "a", Weight: 3, StartBy: 1, Value: i}))
-		require.Nil(t, queue.Push(0, 0, &Entry[int]{Class: "urgent", Team: "b", Weight: 1, StartBy: 2, Value: i}))
-		require.Nil(t, queue.Push(0, 0, &Entry[int]{Class: "survey", Team: "a", StartBy: 3, Value: i}))
+		require.Nil(t, queue.Push(0, Load{}, &Entry[int]{Class: "urgent", Team: "a", Weight: 3, StartBy: 1, Value: i}))
+		require.Nil(t, queue.Push(0, Load{}, &Entry[int]{Class: "urgent", Team: "b", Weight: 1, StartBy: 2, Value: i}))
+		require.Nil(t, queue.Push(0, Load{}, &Entry[int]{Class: "survey", Team: "a", StartBy: 3, Value: i}))
 	}
 	served := map[string]int{}
 	for range 500 {
-		e := queue.Pop()
+		e := queue.Pop(nil)
 		served[e.Class+"/"+e.Team]++
 	}
 	require.InDelta(t, 100, served["survey/a"], 1)
@@ -177,18 +177,20 @@
 	queue := NewQueue[int]()
 	queue.SetClass(Class{Name: "c", Priority: 1, MaxLength: 100})
 	for range 100 {
-		require.Nil(t, queue.Push(0, 0, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second}))
+		require.Nil(t, queue.Push(0, Load{}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second}))
 	}
-	late := queue.Push(0, 10, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	late := queue.Push(0, Load{Rate: 10, Idle: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
 	require.Equal(t, ShedFull, late.Reason)
-	late = queue.Push(0, 2, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	late = queue.Push(0, Load{Rate: 2, Idle: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
 	require.Equal(t, ShedTooLong, late.Reason)
 	require.Equal(t, 50*time.Second, late.Wait)
 	require.Equal(t, 30*time.Second, late.RetryAfter)
+	late = queue.Push(0, Load{Rate: 2}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	require.Equal(t, 50500*time.Millisecond, late.Wait, "without a free slot one run must end first")
 	queue.SetClass(Class{Name: "c", Priority: 1, MaxLength: 200})
-	require.Nil(t, queue.Push(0, 2, &Entry[int]{Class: "c", Team: "light", StartBy: 2 * time.Second}))
-	require.Equal(t, ShedPastDue, queue.Push(9, 0, &Entry[int]{Class: "c", StartBy: 8}).Reason)
-	require.Equal(t, ShedNotKnown, queue.Push(0, 0, &Entry[int]{Class: "x"}).Reason)
+	require.Nil(t, queue.Push(0, Load{Rate: 2, Idle: true}, &Entry[int]{Class: "c", Team: "light", StartBy: 2 * time.Second}))
+	require.Equal(t, ShedPastDue, queue.Push(9, Load{}, &Entry[int]{Class: "c", StartBy: 8}).Reason)
+	require.Equal(t, ShedNotKnown, queue.Push(0, Load{}, &Entry[int]{Class: "x"}).Reason)
 }
 
 // Guards against a retry storm and against synchronised retries.
--- /dev/null
+++ b/daemon/router/forward.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"briarproxy/core/admission"
+	"briarproxy/core/fault"
+	"briarproxy/core/wire"
+)
+
+// Times of calls to shard owners.
+const (
+	// forwardSilence is the time after which a forward is sent again with the same
+	// key; the shard owner lets a repeat wait for the one in flight.
+	forwardSilence  = 5 * time.Second
+	forwardBackoff  = 50 * time.Millisecond
+	noOwnerRetry    = 3 * time.Second // covers most of a takeover
+	maxForwardTries = 20
+)
+
+// forward sends a non-idempotent request to the owner of its key's shard. A lost
+// answer is asked for again with the same key, which the owner makes idempotent.
+func (r *Router) forward(ctx context.Context, plan *Plan) (*Answer, *wire.Problem) {
+	if p := plan.needKey(); p != nil {
+		return nil, p
+	}
+	args := &wire.ForwardArgs{
+		RequestID: plan.ID,
+		Key:       plan.IdempotencyKey,
+		Service:   plan.Service.Name,
+		Operation: plan.Operation,
+		Class:     plan.Class,
+		Team:      plan.Team,
+		Body:      plan.Body,
+		From:      r.options.View.Current().Self.Name,
+		Shard:     wire.ShardOf(plan.IdempotencyKey),
+	}
+	var reply *wire.ForwardReply
+	p := r.callShard(ctx, plan.ID, args.Shard, plan.Deadline, func(ctx context.Context, owner string, left time.Duration) error {
+		args := *args
+		args.DeadlineMS = left.Milliseconds()
+		reply = &wire.ForwardReply{}
+		return r.options.Peers.Call(ctx, owner, wire.RPCForward, &args, reply)
+	})
+	switch {
+	case p != nil:
+		return nil, p
+	case reply.Problem != nil:
+		return nil, reply.Problem
+	case !verified(reply.Result):
+		return nil, problem(http.StatusBadGateway, wire.OutcomeUnknown, "answer-damaged", askAgain, "the shard owner's answer is incomplete")
+	}
+	return &Answer{Result: reply.Result}, nil
+}
+
+// needKey refuses a non-idempotent request without an idempotency key.
+func (p *Plan) needKey() *wire.Problem {
+	if p.Op.Idempotent || p.IdempotencyKey != "" {
+		return nil
+	}
+	return notRun(http.StatusBadRequest, "key-required", "set the "+wire.HeaderIdempotencyKey+" header to a unique value and use the same value to ask again",
+		"operation %q is not idempotent", p.Operation)
+}
+
+const askAgain = "send the request again with the same idempotency key"
+
+// callShard calls the owner of a shard until it answers or the deadline passes.
+// The calls it repeats must be idempotent at the owner. Without an owner the
+// request is answered at once.
+func (r *Router) callShard(ctx context.Context, id string, shard int, deadline time.Duration, call func(ctx context.Context, owner string, left time.Duration) error) *wire.Problem {
+	mayHaveRun := false
+	var last error
+	for try := range maxForwardTries {
+		owner, owned := r.options.View.Current().OwnerOf(wire.ShardUnit(shard))
+		left := deadline - r.options.Now()
+		if !owned || left <= 0 || ctx.Err() != nil {
+			return shardProblem(mayHaveRun, owned, shard, last)
+		}
+		r.options.Log.Emit(eventForwarded, "request", id, "shard", shard, "owner", owner.Name, "try", try+1)
+		r.recent.add(decision{at: time.Now(), id: id, state: "forwarded", detail: "to " + owner.Name + ", owner of " + wire.ShardUnit(shard)})
+		last = r.callOnce(ctx, owner.Name, left, call)
+		if last == nil {
+			return nil
+		}
+		if fault.Is(last, fault.Refused) {
+			return shardProblem(mayHaveRun, owned, shard, last)
+		}
+		if !fault.Is(last, fault.NotOwner) {
+			mayHaveRun = true
+		}
+		r.options.Observer.Retried("shard-call")
+		r.pause(ctx, try)
+	}
+	return shardProblem(mayHaveRun, true, shard, last)
+}
+
+func (r *Router) callOnce(ctx context.Context, owner string, left time.Duration, call func(ctx context.Context, owner string, left time.Duration) error) error {
+	ctx, cancel := context.WithTimeout(ctx, min(left, forwardSilence))
+	defer cancel()
+	return call(ctx, owner, left)
+}
+
+// pause waits for the backoff, or until the view changes, which may bring a new
+// owner.
+func (r *Router) pause(ctx context.Context, try int) {
+	timer := time.NewTimer(admission.Backoff(r.budget.rng(), forwardBackoff, try))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.options.View.Changed():
+	case <-ctx.Done():
+	}
+}
+
+// shardProblem tells why no owner answered. Only a call that surely had no effect
+// is reported as not run.
+func shardProblem(mayHaveRun, owned bool, shard int, last error) *wire.Problem {
+	detail := "no answer before the deadline"
+	if last != nil {
+		detail = last.Error()
+	}
+	if mayHaveRun {
+		return unknown(askAgain, "the owner of key shard %d did not answer: %s", shard, detail)
+	}
+	if !owned {
+		return busy("no-shard-owner", noOwnerRetry, "key shard %d has no live owner now", shard)
+	}
+	return busy("shard-unavailable", noOwnerRetry, "the owner of key shard %d did not take the call: %s", shard, detail)
+}
--- /dev/null
+++ b/daemon/router/state.go
@@ -0,0 +1,453 @@
+package router
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"briarproxy/core/admission"
+	"briarproxy/core/wire"
+	"briarproxy/daemon/view"
+)
+
+// state belongs to the router's goroutine.
+type state struct {
+	r        *Router
+	ctx      context.Context
+	pools    map[string]*poolState
+	suspects map[string]suspect
+	leaving  map[workerKey]bool
+	draining bool
+}
+
+// workerKey names one incarnation of a worker.
+type workerKey struct {
+	vm          string
+	incarnation int64
+}
+
+// suspect is a worker that takes no start until a time, because a start did not
+// reach it or its outcome is unknown.
+type suspect struct {
+	until   time.Duration
+	strikes int
+}
+
+// poolState is the queue and the borrowed slots of one pool.
+type poolState struct {
+	name       string
+	queue      *admission.Queue[*waiter]
+	cross      map[string]bool // classes that may go to another region
+	rate       admission.ServiceRate
+	runTimes   map[string]*admission.ServiceRate // by service and operation
+	loans      []*loan
+	held       []heldSlot
+	lenders    []*lender
+	lendersAt  time.Duration
+	lendersSet bool
+	peak       float64 // decaying peak of the slots in use and waited for
+	peakAt     time.Duration
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	query   Query
+	began   time.Duration
+	entry   *admission.Entry[*waiter]
+	queued  chan time.Duration // latest useful start
+	granted chan grant
+}
+
+// grant answers a waiter.
+type grant struct {
+	slot    *Slot
+	problem *wire.Problem
+	reason  string
+	refused []wire.Refused
+}
+
+func newState(r *Router, ctx context.Context) *state {
+	return &state{r: r, ctx: ctx, pools: map[string]*poolState{}, suspects: map[string]suspect{}, leaving: map[workerKey]bool{}}
+}
+
+func (s *state) now() time.Duration { return s.r.options.Now() }
+
+func (s *state) pool(name string) *poolState {
+	p, found := s.pools[name]
+	if !found {
+		p = &poolState{name: name, queue: admission.NewQueue[*waiter](), cross: map[string]bool{}, runTimes: map[string]*admission.ServiceRate{}}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// acquireMsg asks for a slot.
+type acquireMsg struct{ w *waiter }
+
+func (m acquireMsg) apply(s *state) {
+	w, q := m.w, m.w.query
+	if s.draining {
+		w.granted <- grant{problem: stopping()}
+		return
+	}
+	now := s.now()
+	p := s.pool(q.Pool)
+	s.refreshLenders(p, now)
+	if len(p.lenders) == 0 && p.freeSlots(now, tierRemote) == 0 {
+		w.granted <- grant{problem: busy("no-capacity", noSlotRetry, "no live daemon owns workers of pool %q", q.Pool)}
+		return
+	}
+	p.queue.SetClass(admission.Class{Name: q.Class, Priority: q.Priority, MinShare: q.MinShare, MaxLength: maxQueued})
+	p.cross[q.Class] = q.CrossRegion
+	startBy := q.Deadline - min(p.runTime(q.Service, q.Operation).Mean(), (q.Deadline-now)/2)
+	w.entry = &admission.Entry[*waiter]{Class: q.Class, Team: q.Team, Weight: q.Weight, StartBy: startBy, Value: w}
+	if shed := p.queue.Push(now, p.load(now), w.entry); shed != nil {
+		w.granted <- grant{problem: busy("overload", shed.RetryAfter, "refused at once: %s, predicted wait %d ms", shed.Reason, shed.Wait.Milliseconds())}
+		return
+	}
+	w.queued <- startBy
+	s.serve(p, now)
+}
+
+// cancelMsg takes a waiter out of the queue.
+type cancelMsg struct {
+	w       *waiter
+	removed chan struct{}
+}
+
+func (m cancelMsg) apply(s *state) {
+	if m.w.entry != nil {
+		s.pool(m.w.query.Pool).queue.Remove(m.w.entry)
+	}
+	close(m.removed)
+}
+
+// releaseMsg gives back a slot.
+type releaseMsg struct {
+	slot    *Slot
+	hold    time.Duration // keep the slot occupied until then; 0: it is free
+	refused wire.Refusal
+	noRoute bool
+	ran     bool
+	took    time.Duration
+
+	service   string
+	operation string
+}
+
+func (m releaseMsg) apply(s *state) {
+	slot := m.slot
+	if slot.released {
+		return
+	}
+	slot.released = true
+	now := s.now()
+	p := s.pool(slot.pool)
+	s.judge(m, now)
+	if m.ran {
+		p.rate.Observe(m.took)
+		p.runTime(m.service, m.operation).Observe(m.took)
+	}
+	if m.hold > now {
+		p.held = append(p.held, heldSlot{slot: slot, until: m.hold})
+		return
+	}
+	p.vacate(slot.loan, now)
+	s.serve(p, now)
+}
+
+// endedMsg says that the run in a held slot has ended.
+type endedMsg struct{ slot *Slot }
+
+func (m endedMsg) apply(s *state) {
+	now := s.now()
+	p := s.pool(m.slot.pool)
+	for i, h := range p.held {
+		if h.slot == m.slot {
+			p.held = append(p.held[:i], p.held[i+1:]...)
+			p.vacate(h.slot.loan, now)
+			s.serve(p, now)
+			return
+		}
+	}
+}
+
+// Times for which a worker that did not take a start is passed over.
+const (
+	firstSuspicion = time.Second
+	maxSuspicion   = 15 * time.Second
+)
+
+// judge draws conclusions about the worker from the end of a run.
+func (s *state) judge(m releaseMsg, now time.Duration) {
+	switch m.refused {
+	case wire.RefusedDraining:
+		s.leaving[workerKey{m.slot.VM, m.slot.Incarnation}] = true
+		m.slot.loan.dropped = true
+	case wire.RefusedStaleEpoch, wire.RefusedWrongIncarnation:
+		m.slot.loan.dropped = true
+	}
+	if m.ran {
+		delete(s.suspects, m.slot.VM)
+	}
+	if m.noRoute || m.refused == wire.RefusedNoRoom {
+		old := s.suspects[m.slot.VM]
+		wait := min(maxSuspicion, firstSuspicion<<min(old.strikes, 4))
+		s.suspects[m.slot.VM] = suspect{until: now + wait, strikes: old.strikes + 1}
+	}
+}
+
+// vacate frees one slot of a loan.
+func (p *poolState) vacate(l *loan, now time.Duration) {
+	l.busy--
+	l.idleSince = now
+}
+
+// serve hands out free slots and asks for more where they are missing.
+func (s *state) serve(p *poolState, now time.Duration) {
+	s.dispatch(p, now)
+	s.borrow(p, now)
+}
+
+// maxPassedOver bounds the waiters that one dispatch passes over because they
+// avoid every free worker.
+const maxPassedOver = 16
+
+// dispatch hands free slots to waiters in the queue's order.
+func (s *state) dispatch(p *poolState, now time.Duration) {
+	var passed []*admission.Entry[*waiter]
+	for p.queue.Len() > 0 && len(passed) < maxPassedOver {
+		entry := p.queue.Pop(s.allowed(p, now))
+		if entry == nil {
+			break
+		}
+		if !s.assign(p, entry.Value, now) {
+			passed = append(passed, entry)
+		}
+	}
+	for _, entry := range passed {
+		if p.queue.Push(now, admission.Load{}, entry) != nil {
+			entry.Value.granted <- grant{problem: busy("no-slot", noSlotRetry, "no slot became free before the deadline")}
+		}
+	}
+}
+
+// allowed returns which classes can use the slots that are free now: all of them
+// while a local slot is free, otherwise those that may cross regions.
+func (s *state) allowed(p *poolState, now time.Duration) func(string) bool {
+	local, remote := false, false
+	for _, l := range p.loans {
+		if s.refusal(l, nil, now) != "" {
+			continue
+		}
+		local = local || l.tier != tierRemote
+		remote = remote || l.tier == tierRemote
+	}
+	if local {
+		return nil
+	}
+	return func(class string) bool { return remote && p.cross[class] }
+}
+
+// refusal says why the loan can't serve the query, "" when it can. A nil query
+// stands for one without restrictions.
+func (s *state) refusal(l *loan, q *Query, now time.Duration) string {
+	switch {
+	case !l.usable(now):
+		return "loan lapsed or withdrawn"
+	case l.free() <= 0:
+		return "no free slot"
+	case s.isLeaving(l):
+		return "worker is leaving"
+	case s.suspects[l.VM].until > now:
+		return "worker did not take the last start"
+	case q == nil:
+		return ""
+	case l.tier == tierRemote && !q.CrossRegion:
+		return "policy keeps the request in the region"
+	}
+	for _, vm := range q.Avoid {
+		if vm == l.VM {
+			return "worker refused this request before"
+		}
+	}
+	return ""
+}
+
+func (s *state) isLeaving(l *loan) bool {
+	if s.leaving[workerKey{l.VM, l.Incarnation}] {
+		return true
+	}
+	vm, listed := s.r.options.View.Current().VMs[l.VM]
+	return listed && vm.Leaving
+}
+
+// assign gives the waiter a slot of the nearest and least used worker.
+func (s *state) assign(p *poolState, w *waiter, now time.Duration) bool {
+	counts := map[string]int{}
+	var best *loan
+	candidates := 0
+	for _, l := range p.loans {
+		if reason := s.refusal(l, &w.query, now); reason != "" {
+			counts[reason]++
+			continue
+		}
+		candidates++
+		if best == nil || l.better(best) {
+			best = l
+		}
+	}
+	if best == nil {
+		return false
+	}
+	w.granted <- grant{slot: best.slot(p.name), reason: reasonFor(best.tier, candidates), refused: refusedList(counts)}
+	return true
+}
+
+// better prefers the nearer worker, then the one with the smaller part in use.
+func (l *loan) better(o *loan) bool {
+	if l.tier != o.tier {
+		return l.tier < o.tier
+	}
+	return l.busy*o.Slots < o.busy*l.Slots
+}
+
+// tick does what is due by time and returns the time until the next tick.
+func (s *state) tick() time.Duration {
+	now := s.now()
+	next := idleTick
+	for _, p := range s.pools {
+		s.expire(p, now)
+		s.serve(p, now)
+		s.keepLoans(p, now)
+		if p.queue.Len() > 0 {
+			next = busyTick
+		}
+	}
+	s.forgetGone()
+	return next
+}
+
+// expire frees held slots whose run lease has lapsed and drops lapsed loans.
+func (s *state) expire(p *poolState, now time.Duration) {
+	held := p.held[:0]
+	for _, h := range p.held {
+		if h.until > now {
+			held = append(held, h)
+			continue
+		}
+		p.vacate(h.slot.loan, now)
+	}
+	clear(p.held[len(held):])
+	p.held = held
+	kept := p.loans[:0]
+	for _, l := range p.loans {
+		if now-l.received >= maxLoanAge || s.isLeaving(l) {
+			l.dropped = true
+		}
+		if now < l.end || l.busy > 0 {
+			kept = append(kept, l)
+			continue
+		}
+		if !l.dropped {
+			s.r.options.Log.Emit(eventLapsed, "lender", l.lender, "vm", l.VM, "loan", l.ID)
+		}
+	}
+	clear(p.loans[len(kept):])
+	p.loans = kept
+}
+
+// forgetGone bounds the knowledge about workers to those in the VM list.
+func (s *state) forgetGone() {
+	vms := s.r.options.View.Current().VMs
+	for key := range s.leaving {
+		if _, listed := vms[key.vm]; !listed {
+			delete(s.leaving, key)
+		}
+	}
+	for vm := range s.suspects {
+		if _, listed := vms[vm]; !listed {
+			delete(s.suspects, vm)
+		}
+	}
+}
+
+// freeSlots counts free slots up to a distance.
+func (p *poolState) freeSlots(now time.Duration, limit tier) int64 {
+	var free int64
+	for _, l := range p.loans {
+		if l.usable(now) && l.tier <= limit {
+			free += max(0, l.free())
+		}
+	}
+	return free
+}
+
+func (p *poolState) busySlots() int64 {
+	var sum int64
+	for _, l := range p.loans {
+		sum += l.busy
+	}
+	return sum
+}
+
+// runTime returns the measured run time of an operation.
+func (p *poolState) runTime(service, operation string) *admission.ServiceRate {
+	key := service + "/" + operation
+	rate, found := p.runTimes[key]
+	if !found {
+		rate = &admission.ServiceRate{}
+		p.runTimes[key] = rate
+	}
+	return rate
+}
+
+// load estimates the service from the slots that this daemon has and those that
+// the lenders reported free. The rate is unknown while a lender of this region has
+// not answered yet, so that nothing is refused on a guess.
+func (p *poolState) load(now time.Duration) admission.Load {
+	free := p.freeSlots(now, tierRemote)
+	for _, l := range p.lenders {
+		if l.freeThere < 0 && l.tier != tierRemote {
+			return admission.Load{}
+		}
+		free += max(0, l.freeThere)
+	}
+	return admission.Load{Rate: p.rate.PerSecond(p.busySlots() + free), Idle: free > 0}
+}
+
+// notePeak follows the use of the pool upwards at once and downwards slowly.
+func (p *poolState) notePeak(now time.Duration) {
+	use := float64(p.busySlots()) + float64(p.queue.Len())
+	p.peak *= math.Exp(-(now - p.peakAt).Seconds() / peakDecay.Seconds())
+	p.peakAt = now
+	p.peak = math.Max(p.peak, use)
+}
+
+// refuseAll answers everybody who waits.
+func (s *state) refuseAll() {
+	for _, p := range s.pools {
+		for entry := p.queue.Pop(nil); entry != nil; entry = p.queue.Pop(nil) {
+			entry.Value.granted <- grant{problem: stopping()}
+		}
+	}
+}
+
+// distance returns the tier of a place as seen from this daemon.
+func distance(self view.Daemon, region, dataCentre string) tier {
+	switch {
+	case region != self.Region:
+		return tierRemote
+	case dataCentre != self.DataCentre:
+		return tierRegion
+	}
+	return tierDataCentre
+}
+
+func reasonFor(t tier, candidates int) string {
+	where := [...]string{"local data centre", "local region", "other region, local slots are exhausted"}[t]
+	if candidates == 1 {
+		return where + ", only free worker"
+	}
+	return where + ", least used worker"
+}
--- a/daemon/workerclient/run.go
+++ b/daemon/workerclient/run.go
@@ -39,6 +39,7 @@
 	Refused wire.Refusal  // the worker's reason when it refused the start
 	State   wire.RunState // last known state on the worker, "" when it told none
 	Reason  string        // why the outcome is not Done
+	NoRoute bool          // the worker accepted no connection
 }
 
 // Ended reports whether the worker surely does not run the attempt any more.
@@ -124,7 +125,7 @@
 // tell what became of it.
 func settleStart(answer startAnswer, start wire.Start) (outcome Outcome, settled bool) {
 	if answer.err != nil && !answer.sent {
-		return Outcome{Kind: NeverRan, Reason: "the worker accepts no connection: " + answer.err.Error()}, true
+		return Outcome{Kind: NeverRan, NoRoute: true, Reason: "the worker accepts no connection: " + answer.err.Error()}, true
 	}
 	if answer.err != nil {
 		return Outcome{Reason: answer.err.Error()}, false
