--- a/standin/internal/httpjson/httpjson.go
+++ b/standin/internal/httpjson/httpjson.go
@@ -61,8 +61,11 @@
 func Control[T any](apply func(T) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body T
-		err := Decode(r, &body)
-		if err == nil || errors.Is(err, io.EOF) {
+		var err error
+		if r.ContentLength != 0 {
+			err = Decode(r, &body)
+		}
+		if err == nil {
 			err = apply(body)
 		}
 		if err != nil {
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"slices"
 	"sync"
 	"time"
 
@@ -95,5 +94,5 @@
 func (j *Journal) Entries() []Entry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return slices.Clone(j.entries)
+	return append([]Entry{}, j.entries...)
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -269,6 +269,7 @@
 // keep stores an ended attempt.
 func (w *Worker) keep(a *attempt, now time.Duration) {
 	a.ended = now
+	a.start.Body = nil // not needed any more, and kept results are many
 	w.ended[a.start.ID] = append(w.ended[a.start.ID], a)
 	w.remember(a.start.ID, a.start.Generation, a.state, now)
 	close(a.done)
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -366,6 +367,43 @@
 	}
 }
 
+// Guards against a hang or a delay of answers that spreads: other paths and other
+// connections must answer, or a resolve over a new connection could not succeed.
+func TestHungAndLateAnswers(t *testing.T) {
+	w := New(Options{Name: "w", Capacity: slots(2)})
+	server := httptest.NewServer(w)
+	defer server.Close()
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{HangAnswers: true, Paths: []string{wire.PathStart}}))
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	data, err := json.Marshal(request(w, "r"))
+	require.NoError(t, err)
+	_, err = client.Post(server.URL+wire.PathStart, "application/json", bytes.NewReader(data))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	var stopped wire.StopReply
+	require.NoError(t, post(t, server.URL+wire.PathStop, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &stopped))
+	assert.Equal(t, wire.RunFinished, stopped.State)
+
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{LateAnswersMS: 50}))
+	begin := time.Now()
+	var report wire.Report
+	require.NoError(t, post(t, server.URL+wire.PathFence, wire.Fence{Epoch: 5}, &report))
+	assert.GreaterOrEqual(t, time.Since(begin), 50*time.Millisecond)
+}
+
+// Guards against a paused worker that answers, and one whose clock stands still
+// meanwhile: expired leases would look valid on resume.
+func TestPausedWorker(t *testing.T) {
+	w := New(Options{Name: "w", Capacity: slots(1)})
+	start := request(w, "r")
+	start.Kind, start.Operation, start.LeaseMS = wire.KindTask, "sleep:20", 50
+	require.Empty(t, refusalOf(w, start))
+	begin := time.Now()
+	w.Pause(100 * time.Millisecond)
+	report := w.Report()
+	assert.GreaterOrEqual(t, time.Since(begin), 100*time.Millisecond)
+	assert.Equal(t, wire.RunStopped, report.Attempts[0].State)
+}
+
 // Guards against a restarted worker that answers for its former incarnation, or
 // leaves a caller waiting for a run that is gone.
 func TestRestartBreaksWaitingRequests(t *testing.T) {
