--- a/core/place/locality.go
+++ b/core/place/locality.go
@@ -1,5 +1,11 @@
 package place
 
+// Distance is 0 for a worker in the local data centre, 1 in the local region, else 2.
+func (o *Options) Distance(w *State) int { return distance(w.Region, w.DataCentre, o) }
+
+// InReach tells whether the options allow a worker at that distance.
+func (o *Options) InReach(w *State) bool { return o.Distance(w) <= maxDistance(o.Reach) }
+
 // distance is 0 in the local data centre, 1 in the local region, else 2.
 func distance(region, dataCentre string, o *Options) int {
 	if dataCentre == o.DataCentre {
--- a/core/place/naive/naive.go
+++ b/core/place/naive/naive.go
@@ -17,19 +17,22 @@
 	Workers []place.State
 }
 
-// Place returns the position of the worker with the lowest cost, or -1. Racks for
-// which used reports true are left out; used may be nil.
-func (c *Cell) Place(ask *wire.TaskAsk, o *place.Options, now time.Duration, used func(*place.State) bool) int {
+// Cost ranks workers instead of the score steps of core/place.
+type Cost func(*place.State, *wire.TaskAsk) float64
+
+// Place returns the position of the worker with the lowest cost, the first one
+// among equals, or -1. A nil cost stands for the score steps of core/place.
+func (c *Cell) Place(ask *wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) int {
 	best, bestCost := -1, 0.0
 	if c.headroomRefuses(ask, o) {
 		return best
 	}
 	for i := range c.Workers {
 		w := &c.Workers[i]
-		if place.Check(w, ask, o, now) != place.StepNone || (used != nil && used(w)) {
+		if place.Check(w, ask, o, now) != place.StepNone {
 			continue
 		}
-		cost := place.Cost(w, ask, o, c.tasksInRack(w, ask))
+		cost := c.costOf(w, ask, o, cost)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -37,6 +40,31 @@
 	return best
 }
 
+func (c *Cell) costOf(w *place.State, ask *wire.TaskAsk, o *place.Options, cost Cost) float64 {
+	if cost != nil {
+		return cost(w, ask)
+	}
+	return place.Cost(w, ask, o, c.tasksInRack(w, ask))
+}
+
+// Slot returns the position of the nearest worker of the pool with the most free
+// slots, or -1.
+func (c *Cell) Slot(pool string, o *place.Options) int {
+	best, bestFree, bestDistance := -1, int64(0), 0
+	for i := range c.Workers {
+		w := &c.Workers[i]
+		free := w.Capacity.Slots - w.Committed.Slots
+		if free <= 0 || !w.Open() || !slices.Contains(w.Pools, pool) || !o.InReach(w) {
+			continue
+		}
+		d := o.Distance(w)
+		if best < 0 || d < bestDistance || (d == bestDistance && free > bestFree) {
+			best, bestFree, bestDistance = i, free, d
+		}
+	}
+	return best
+}
+
 // headroomRefuses counts the pool anew for each rule.
 func (c *Cell) headroomRefuses(ask *wire.TaskAsk, o *place.Options) bool {
 	for _, rule := range o.Headroom {
@@ -93,11 +121,16 @@
 // Gang places all tasks one after the other and returns the positions, or nil
 // with the cell unchanged if one of them finds no room.
 func (c *Cell) Gang(asks []wire.TaskAsk, o *place.Options, now time.Duration) []int {
+	return c.GangBy(asks, o, now, nil)
+}
+
+// GangBy is Gang with another cost.
+func (c *Cell) GangBy(asks []wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) []int {
 	placed := make([]int, 0, len(asks))
 	for i := range asks {
-		worker := c.Place(&asks[i], o, now, nil)
+		worker := c.Place(&asks[i], o, now, cost)
 		if worker < 0 {
-			c.takeBack(placed)
+			c.TakeBack(placed)
 			return nil
 		}
 		c.Add(worker, place.TaskOf(&asks[i], now))
@@ -106,7 +139,8 @@
 	return placed
 }
 
-func (c *Cell) takeBack(placed []int) {
+// TakeBack removes the last task of each worker, in reverse order of placement.
+func (c *Cell) TakeBack(placed []int) {
 	for n := len(placed) - 1; n >= 0; n-- {
 		w := &c.Workers[placed[n]]
 		last := len(w.Tasks) - 1
