Name the shard's epoch in calls and separate waiting from deadlines

Cause: a call that was delayed across a change of owners could take effect under the next one, and a status call waited as long as its deadline. Change: forwards and job calls carry the epoch; job calls carry their own waiting time. Conclusion: an owner can refuse late calls.

--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -111,7 +111,8 @@
 	Action     JobAction
 	ID         string
 	Spec       *JobSpec
-	DeadlineMS int64
+	DeadlineMS int64 // time left
+	WaitMS     int64 // JobGet: how long to wait for the job's end
 	From       string
 	ShardEpoch int64 // as in ForwardArgs
 }
--- a/daemon/router/durable.go
+++ b/daemon/router/durable.go
@@ -81,21 +81,20 @@
 // call may be repeated: a submission with equal content is the same job.
 func (r *Router) Job(ctx context.Context, args *wire.JobArgs, deadline time.Duration) (*wire.JobReply, *wire.Problem) {
 	var reply *wire.JobReply
-	p := r.callShard(ctx, args.ID, wire.ShardOf(args.ID), deadline, func(ctx context.Context, owner string, left time.Duration) error {
+	lost, p := r.callShard(ctx, args.ID, wire.ShardOf(args.ID), deadline, func(ctx context.Context, owner shardOwner, left time.Duration) error {
 		call := *args
 		call.From = r.options.View.Current().Self.Name
+		call.ShardEpoch = owner.epoch
 		call.DeadlineMS = left.Milliseconds()
-		if args.Action == wire.JobGet {
-			call.DeadlineMS = min(call.DeadlineMS, jobPoll.Milliseconds())
-		}
+		call.WaitMS = min(args.WaitMS, call.DeadlineMS, jobPoll.Milliseconds())
 		reply = &wire.JobReply{}
-		return r.options.Peers.Call(ctx, owner, wire.RPCJob, &call, reply)
+		return r.options.Peers.Call(ctx, owner.name, wire.RPCJob, &call, reply)
 	})
 	if p != nil && p.Outcome == wire.OutcomeUnknown {
 		p.Remedy = "ask for the job at /v1/jobs/" + args.ID + " or send the call again"
 	}
 	if p == nil && reply.Problem != nil {
-		p = reply.Problem
+		p = honest(reply.Problem, lost)
 	}
 	if p != nil {
 		return nil, p
@@ -129,7 +128,8 @@
 // last status.
 func (r *Router) WaitJob(ctx context.Context, id string, deadline time.Duration) (*wire.JobStatus, *wire.Problem) {
 	for {
-		reply, p := r.Job(ctx, &wire.JobArgs{Action: wire.JobGet, ID: id}, deadline)
+		wait := (deadline - r.options.Now()).Milliseconds()
+		reply, p := r.Job(ctx, &wire.JobArgs{Action: wire.JobGet, ID: id, WaitMS: wait}, deadline)
 		if p != nil {
 			return nil, p
 		}
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -38,17 +38,18 @@
 		Shard:     wire.ShardOf(plan.IdempotencyKey),
 	}
 	var reply *wire.ForwardReply
-	p := r.callShard(ctx, plan.ID, args.Shard, plan.Deadline, func(ctx context.Context, owner string, left time.Duration) error {
+	lost, p := r.callShard(ctx, plan.ID, args.Shard, plan.Deadline, func(ctx context.Context, owner shardOwner, left time.Duration) error {
 		args := *args
+		args.ShardEpoch = owner.epoch
 		args.DeadlineMS = left.Milliseconds()
 		reply = &wire.ForwardReply{}
-		return r.options.Peers.Call(ctx, owner, wire.RPCForward, &args, reply)
+		return r.options.Peers.Call(ctx, owner.name, wire.RPCForward, &args, reply)
 	})
 	switch {
 	case p != nil:
 		return nil, p
 	case reply.Problem != nil:
-		return nil, reply.Problem
+		return nil, honest(reply.Problem, lost)
 	case !verified(reply.Result):
 		return nil, problem(http.StatusBadGateway, wire.OutcomeUnknown, "answer-damaged", askAgain, "the shard owner's answer is incomplete")
 	}
@@ -66,37 +67,44 @@
 
 const askAgain = "send the request again with the same idempotency key"
 
+// shardOwner is the owner of a shard under one epoch. An owner refuses calls that
+// name another epoch, so that a call which was delayed across a change of owners
+// has no effect.
+type shardOwner struct {
+	name  string
+	epoch int64
+}
+
 // callShard calls the owner of a shard until it answers or the deadline passes.
 // The calls it repeats must be idempotent at the owner. Without an owner the
-// request is answered at once.
-func (r *Router) callShard(ctx context.Context, id string, shard int, deadline time.Duration, call func(ctx context.Context, owner string, left time.Duration) error) *wire.Problem {
-	mayHaveRun := false
+// request is answered at once. lost tells that a call before the answered one got
+// no answer: a copy of it may still arrive.
+func (r *Router) callShard(ctx context.Context, id string, shard int, deadline time.Duration, call func(ctx context.Context, owner shardOwner, left time.Duration) error) (lost bool, p *wire.Problem) {
 	var last error
 	for try := range maxForwardTries {
-		owner, owned := r.options.View.Current().OwnerOf(wire.ShardUnit(shard))
+		snapshot := r.options.View.Current()
+		owner, owned := snapshot.OwnerOf(wire.ShardUnit(shard))
 		left := deadline - r.options.Now()
 		if !owned || left <= 0 || ctx.Err() != nil {
-			return shardProblem(mayHaveRun, owned, shard, last)
+			return lost, shardProblem(lost, owned, shard, last)
 		}
 		r.options.Log.Emit(eventForwarded, "request", id, "shard", shard, "owner", owner.Name, "try", try+1)
 		r.recent.add(decision{at: time.Now(), id: id, state: "forwarded", detail: "to " + owner.Name + ", owner of " + wire.ShardUnit(shard)})
-		last = r.callOnce(ctx, owner.Name, left, call)
+		last = r.callOnce(ctx, shardOwner{owner.Name, snapshot.Units[wire.ShardUnit(shard)].Epoch}, left, call)
 		if last == nil {
-			return nil
+			return lost, nil
 		}
 		if fault.Is(last, fault.Refused) {
-			return shardProblem(mayHaveRun, owned, shard, last)
-		}
-		if !fault.Is(last, fault.NotOwner) {
-			mayHaveRun = true
+			return lost, shardProblem(lost, owned, shard, last)
 		}
+		lost = lost || !fault.Is(last, fault.NotOwner)
 		r.options.Observer.Retried("shard-call")
 		r.pause(ctx, try)
 	}
-	return shardProblem(mayHaveRun, true, shard, last)
+	return lost, shardProblem(lost, true, shard, last)
 }
 
-func (r *Router) callOnce(ctx context.Context, owner string, left time.Duration, call func(ctx context.Context, owner string, left time.Duration) error) error {
+func (r *Router) callOnce(ctx context.Context, owner shardOwner, left time.Duration, call func(ctx context.Context, owner shardOwner, left time.Duration) error) error {
 	ctx, cancel := context.WithTimeout(ctx, min(left, forwardSilence))
 	defer cancel()
 	return call(ctx, owner, left)
--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -18,14 +18,13 @@
 // maxJobTasks bounds the tasks of one job.
 const maxJobTasks = 4096
 
-// Job serves a job call. It waits until the call is decided or its deadline has
-// passed; JobGet with a deadline waits for the job's end.
+// Job serves a job call. It waits until the call is decided; JobGet waits for the job's end as long as WaitMS allows.
 func (m *Manager) Job(args *wire.JobArgs, reply *wire.JobReply) error {
 	r, err := m.runner(wire.ShardOf(args.ID), args.ShardEpoch)
 	if err != nil {
 		return err
 	}
-	deadline := time.NewTimer(time.Duration(args.DeadlineMS) * time.Millisecond)
+	deadline := time.NewTimer(time.Duration(args.WaitMS) * time.Millisecond)
 	defer deadline.Stop()
 	for {
 		call := jobCall{args: args, reply: make(chan wire.JobReply, 1), changed: make(chan struct{})}
@@ -51,7 +50,7 @@
 }
 
 func waitsForEnd(args *wire.JobArgs, reply *wire.JobReply) bool {
-	if args.Action != wire.JobGet || args.DeadlineMS <= 0 || reply.Status == nil {
+	if args.Action != wire.JobGet || args.WaitMS <= 0 || reply.Status == nil {
 		return false
 	}
 	return reply.Status.State == wire.JobPending || reply.Status.State == wire.JobRunning
--- a/daemon/shard/keys.go
+++ b/daemon/shard/keys.go
@@ -80,7 +80,9 @@
 func (k *keyedRequest) serve(ctx context.Context) (*wire.Result, *wire.Problem) {
 	for attempt := 1; ; attempt++ {
 		call := keyCall{key: k.plan.IdempotencyKey, digest: k.digest, reply: make(chan keyAnswer, 1)}
-		answer, p := ask(ctx, k.r, call, call.reply)
+		// The decision must not be lost when the caller leaves: it marks the key as
+		// in flight.
+		answer, p := ask(k.r.ctx, k.r, call, call.reply)
 		if p != nil {
 			return nil, p
 		}
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -43,6 +43,7 @@
 	nextStop   time.Duration
 	nextKeep   time.Duration
 	nextRepeat time.Duration // when the state is appended again
+	seq        int64         // number of the newest batch
 	inAppend   int           // appends in flight
 	repeatDue  bool          // repeat waits for appends in flight
 	repeating  int           // appends of repeat in flight
@@ -109,21 +110,21 @@
 func (r *runner) replay() error {
 	r.jobs = job.NewShard(r.rng)
 	r.keys = idempotency.NewTable()
-	item, err := json.Marshal(Batch{Epoch: r.epoch, Entries: []Entry{{Open: &Open{Owner: r.Self}}}})
+	item, err := r.batch([]Entry{{Open: &Open{Owner: r.Self}}})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, 2*appendTimeout)
 	defer cancel()
-	if err := r.stream.Append(ctx, item); err != nil {
+	if err := r.stream.Append(item)(ctx); err != nil {
 		return err
 	}
-	newest := int64(0)
-	if err := r.stream.Replay(ctx, func(item []byte) { newest = r.replayItem(item, newest) }); err != nil {
+	p := replayer{r: r}
+	if err := r.stream.Replay(ctx, p.item); err != nil {
 		return err
 	}
-	if newest > r.epoch {
-		return fault.New(fault.NotOwner, "none; the owner with the higher epoch serves the shard", "the stream was opened under epoch %d", newest)
+	if p.epoch > r.epoch {
+		return fault.New(fault.NotOwner, "none; the owner with the higher epoch serves the shard", "the stream was opened under epoch %d", p.epoch)
 	}
 	now := r.Now()
 	r.jobs.FinishReplay(now)
@@ -132,22 +133,36 @@
 	return nil
 }
 
-// replayItem applies one item, unless an owner with a higher epoch had opened the
-// stream before it.
-func (r *runner) replayItem(item []byte, newest int64) int64 {
+// batch encodes entries as the next batch of this owner.
+func (r *runner) batch(entries []Entry) ([]byte, error) {
+	r.seq++
+	return json.Marshal(Batch{Epoch: r.epoch, Seq: r.seq, Entries: entries})
+}
+
+// replayer applies the items of a stream. It skips what landed too late: batches
+// of an owner after its successor had opened the stream, and batches of one owner
+// that landed behind a later one. Their owner never learned that they landed and
+// did not act on them.
+type replayer struct {
+	r     *runner
+	epoch int64
+	seq   int64
+}
+
+func (p *replayer) item(item []byte) {
 	var batch Batch
 	if err := json.Unmarshal(item, &batch); err != nil {
-		r.Log.Emit(eventBadEntry, "shard", r.shard, "error", err.Error())
-		return newest
+		p.r.Log.Emit(eventBadEntry, "shard", p.r.shard, "error", err.Error())
+		return
 	}
-	if batch.Epoch < newest {
-		return newest
+	if batch.Epoch < p.epoch || batch.Epoch == p.epoch && batch.Seq <= p.seq {
+		return
 	}
-	now := r.Now()
+	p.epoch, p.seq = batch.Epoch, batch.Seq
+	now := p.r.Now()
 	for _, e := range batch.Entries {
-		r.apply(e, now)
+		p.r.apply(e, now)
 	}
-	return batch.Epoch
 }
 
 func (r *runner) apply(e Entry, now time.Duration) {
@@ -226,7 +241,7 @@
 }
 
 func (r *runner) write(entries []Entry, then func(err error)) {
-	item, err := json.Marshal(Batch{Epoch: r.epoch, Entries: entries})
+	item, err := r.batch(entries)
 	if err != nil {
 		then(fault.Wrap(err, fault.Refused, "report this as a bug", "a record does not encode"))
 		return
@@ -236,11 +251,12 @@
 		return
 	}
 	r.inAppend++
-	r.Calls.Go(func() {
+	wait := r.stream.Append(item) // in the order of batch numbers
+	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, appendTimeout)
 		defer cancel()
-		_ = r.send(appended{entries: entries, err: r.stream.Append(ctx, item), then: then})
-	})
+		_ = r.send(appended{entries: entries, err: wait(ctx), then: then})
+	}()
 }
 
 func jobEntries(records []job.Record) []Entry {
--- a/daemon/shard/types.go
+++ b/daemon/shard/types.go
@@ -48,15 +48,17 @@
 // Batch is what one call appends.
 type Batch struct {
 	Epoch   int64   `json:"epoch"` // of the shard's unit
+	Seq     int64   `json:"seq"`   // rises with each batch of the epoch
 	Entries []Entry `json:"entries"`
 }
 
 // Stream is the log stream of one shard.
 type Stream interface {
-	// Append appends one item. A nil error means that it is in the stream. An error
-	// of kind fault.Refused means that it is not and never will be; with any other
-	// error it may be.
-	Append(ctx context.Context, item []byte) error
+	// Append queues an item behind those queued before it, without blocking, and
+	// returns a function that waits for the outcome. A nil error means that it is in
+	// the stream. An error of kind fault.Refused means that it is not and never will
+	// be; with any other error it may be there, now or later.
+	Append(item []byte) (wait func(ctx context.Context) error)
 	// Replay hands over every item that is in the stream, in order.
 	Replay(ctx context.Context, handle func(item []byte)) error
 }
