--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -15,9 +15,15 @@
 // durable request was accepted.
 type Answer struct {
 	Result *wire.Result
-	JobID  string // set when the result is to be fetched later
+	JobID  string // set for durable requests; without Result it is to be fetched later
+
+	ConfigVersion int64 // configuration version that the request was decided under
 }
 
+// OutcomeAccepted is what an Observer is told of a durable request whose job goes
+// on after the answer.
+const OutcomeAccepted wire.Outcome = "accepted"
+
 // minResends is the number of times that an idempotent request which never ran is
 // sent to another worker even if its policy allows fewer retries: such a request
 // has not used any capacity.
@@ -37,6 +43,11 @@
 	if p != nil {
 		p.RequestID = request.ID
 		outcome = p.Outcome
+	} else {
+		answer.ConfigVersion = plan.Version
+		if answer.Result == nil {
+			outcome = OutcomeAccepted
+		}
 	}
 	r.options.Observer.Answered(plan.Service.Name, plan.Class, outcome)
 	return answer, p
