--- a/daemon/cmd/briarctl/main.go
+++ b/daemon/cmd/briarctl/main.go
@@ -2,16 +2,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/spf13/cobra"
+	"briarproxy/daemon/internal/ctl"
 )
 
-func main() {
-	cmd := &cobra.Command{Use: "briarctl", SilenceUsage: true}
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/daemon/internal/ctl/check.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"briarproxy/core/object"
+)
+
+// checked is the outcome of checking one directory.
+type checked struct {
+	Directory string           `json:"directory"`
+	Files     int              `json:"files"`
+	Objects   int              `json:"objects"` // 0 if there are problems
+	Problems  []object.Problem `json:"problems"`
+}
+
+func newCheck() *cobra.Command {
+	var output outputFlag
+	cmd := &cobra.Command{
+		Use:   "check DIR...",
+		Short: "Check sets of objects and list every problem",
+		Long: "check reads the files *.json and *.jsonc of each directory and its subdirectories\n" +
+			"as one set of objects and lists every problem of the set.\n\n" + exitCodes,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, dirs []string) error {
+			asJSON, err := output.json()
+			if err != nil {
+				return err
+			}
+			results, err := checkAll(dirs)
+			if err != nil {
+				return err
+			}
+			return printChecked(cmd.OutOrStdout(), results, asJSON)
+		},
+	}
+	output.register(cmd)
+	return cmd
+}
+
+func checkAll(dirs []string) ([]checked, error) {
+	results := make([]checked, 0, len(dirs))
+	for _, dir := range dirs {
+		files, err := readObjectFiles(dir)
+		if err != nil {
+			return nil, err
+		}
+		set, problems := object.Load(files)
+		results = append(results, checked{
+			Directory: dir, Files: len(files), Objects: count(set), Problems: append([]object.Problem{}, problems...),
+		})
+	}
+	return results, nil
+}
+
+// readObjectFiles reads the object files below a directory, by path.
+func readObjectFiles(dir string) (map[string][]byte, error) {
+	files := map[string][]byte{}
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		extension := filepath.Ext(path)
+		if entry.IsDir() || strings.HasPrefix(entry.Name(), ".") || (extension != ".json" && extension != ".jsonc") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		files[path] = data
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(files) == 0 {
+		return nil, fmt.Errorf("%s has no file *.json or *.jsonc; name the directory of the objects", dir)
+	}
+	return files, nil
+}
+
+func count(set *object.Set) int {
+	if set == nil {
+		return 0
+	}
+	return len(set.Services) + len(set.BatchJobs) + len(set.GangJobs) + len(set.Policies) + len(set.Pools) + len(set.Teams)
+}
+
+func printChecked(w io.Writer, results []checked, asJSON bool) error {
+	if asJSON {
+		if err := printJSON(w, results); err != nil {
+			return err
+		}
+	} else if err := printTables(w, results); err != nil {
+		return err
+	}
+	for _, result := range results {
+		if len(result.Problems) > 0 {
+			return errProblems
+		}
+	}
+	return nil
+}
+
+func printTables(w io.Writer, results []checked) error {
+	for _, result := range results {
+		if len(result.Problems) == 0 {
+			fmt.Fprintf(w, "%s: %d objects in %d files, no problems\n", result.Directory, result.Objects, result.Files)
+			continue
+		}
+		fmt.Fprintf(w, "%s: %d problems in %d files\n", result.Directory, len(result.Problems), result.Files)
+		if err := printProblems(w, result.Problems); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printProblems(w io.Writer, problems []object.Problem) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "PLACE\tOBJECT\tFIELD\tPROBLEM\tREMEDY")
+	for _, p := range problems {
+		name := ""
+		if p.Object != "" {
+			name = string(p.Kind) + "/" + p.Object
+		}
+		fmt.Fprintf(table, "%s:%d\t%s\t%s\t%s\t%s\n", p.File, p.Line, name, p.Field, p.Message, p.Remedy)
+	}
+	return table.Flush()
+}
+
+func printJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/daemon/internal/ctl/ctl_test.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/object"
+)
+
+const (
+	inspectors  = "../../../examples/inspectors"
+	cooperative = "../../../examples/cooperative"
+)
+
+func run(args ...string) (code int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	code = Run(args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against example objects that a change of the rules makes invalid.
+func TestExamplesHaveNoProblems(t *testing.T) {
+	code, out, errs := run("check", inspectors, cooperative)
+	assert.Equal(t, ExitFine, code, out+errs)
+	assert.Equal(t, inspectors+": 10 objects in 4 files, no problems\n"+cooperative+": 9 objects in 4 files, no problems\n", out)
+}
+
+// Guards against problems that change the exit code or are missing from an output.
+func TestCheckReportsProblems(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "a.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"kind": "team", "name": "a", "spec": {"wieght": 1}}`), 0o600))
+	code, out, _ := run("check", dir)
+	assert.Equal(t, ExitProblems, code)
+	assert.Contains(t, out, `did you mean "weight"?`)
+
+	code, out, _ = run("check", "--output", "json", dir)
+	assert.Equal(t, ExitProblems, code)
+	var results []checked
+	require.NoError(t, json.Unmarshal([]byte(out), &results))
+	require.Len(t, results, 1)
+	assert.Equal(t, []object.Problem{{
+		File: file, Line: 1, Kind: object.KindTeam, Object: "a", Field: "spec.wieght", Rule: "unknown-field",
+		Message: "is not a known field", Remedy: `did you mean "weight"?`,
+	}}, results[0].Problems)
+
+	code, out, errs := run("diff", dir, inspectors)
+	assert.Equal(t, ExitProblems, code)
+	assert.Empty(t, out)
+	assert.Contains(t, errs, "spec.wieght")
+}
+
+// Guards against usage errors that look like found problems to a script.
+func TestUsageErrors(t *testing.T) {
+	empty := t.TempDir()
+	for _, args := range [][]string{
+		{"check"}, {"chek"}, {"check", "--nothing", inspectors}, {"check", "-o", "xml", inspectors},
+		{"check", filepath.Join(empty, "absent")}, {"check", empty}, {"diff", inspectors},
+	} {
+		code, out, errs := run(args...)
+		assert.Equal(t, ExitUsage, code, args)
+		assert.Empty(t, out, args)
+		assert.NotEmpty(t, errs, args)
+	}
+}
+
+// Guards against exit codes that the help does not name and against a lost
+// completion command.
+func TestHelpAndCompletion(t *testing.T) {
+	for _, args := range [][]string{{"--help"}, {"check", "--help"}, {"diff", "--help"}} {
+		code, out, _ := run(args...)
+		assert.Equal(t, ExitFine, code)
+		assert.Contains(t, out, exitCodes)
+	}
+	code, out, _ := run("completion", "bash")
+	assert.Equal(t, ExitFine, code)
+	assert.Contains(t, out, "briarctl")
+}
+
+// Guards against a comparison that misses a changed field.
+func TestDiff(t *testing.T) {
+	dir := t.TempDir()
+	files, err := readObjectFiles(cooperative)
+	require.NoError(t, err)
+	for name, data := range files {
+		data = bytes.Replace(data, []byte(`"deadline": "3s"`), []byte(`"deadline": "2500ms"`), 1)
+		require.NoError(t, os.WriteFile(filepath.Join(dir, filepath.Base(name)), data, 0o600))
+	}
+	code, out, _ := run("diff", cooperative, dir)
+	assert.Equal(t, ExitFine, code)
+	assert.Regexp(t, `changed +policy/quotes +deadline +3s +2.5s`, out)
+	code, out, _ = run("diff", dir, dir)
+	assert.Equal(t, ExitFine, code)
+	assert.Equal(t, "no difference\n", out)
+	code, out, _ = run("diff", "-o", "json", cooperative, inspectors)
+	assert.Equal(t, ExitFine, code)
+	assert.True(t, json.Valid([]byte(out)))
+}
+
+// Guards against settings commands that accept a faulty file or print defaults that
+// the reader does not know.
+func TestSettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "s.jsonc")
+	_, out, _ := run("settings", "defaults")
+	require.NoError(t, os.WriteFile(file, []byte(out), 0o600))
+	code, _, errs := run("settings", "check", file)
+	assert.Equal(t, ExitProblems, code)
+	assert.NotContains(t, errs, "not a known field")
+	assert.Contains(t, errs, "log_url")
+}
--- /dev/null
+++ b/daemon/internal/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl holds the commands of briarctl.
+package ctl
--- /dev/null
+++ b/daemon/internal/ctl/root.go
@@ -0,0 +1,73 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of briarctl.
+const (
+	ExitFine        = 0
+	ExitProblems    = 1
+	ExitUsage       = 2
+	ExitUnreachable = 3
+)
+
+const exitCodes = `Exit codes:
+  0  fine
+  1  problems were found
+  2  wrong usage, or a file that cannot be read
+  3  a service could not be reached`
+
+// errProblems ends a command that has printed the problems it found.
+var errProblems = errors.New("problems were found")
+
+// Run runs briarctl with arguments and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	cmd := newRoot()
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.Execute()
+	switch {
+	case err == nil:
+		return ExitFine
+	case errors.Is(err, errProblems):
+		return ExitProblems
+	}
+	fmt.Fprintln(stderr, "briarctl:", err)
+	return ExitUsage
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "briarctl",
+		Short:         "Check, compare and publish the configuration of a cell",
+		Long:          "briarctl checks, compares and publishes the configuration of a cell.\n\n" + exitCodes,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newCheck(), newDiff(), newSettings())
+	return root
+}
+
+// outputFlag is the format of a command's output.
+type outputFlag struct{ format string }
+
+func (o *outputFlag) register(cmd *cobra.Command) {
+	cmd.Flags().StringVarP(&o.format, "output", "o", "table", "output format: table or json")
+	_ = cmd.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
+}
+
+func (o *outputFlag) json() (bool, error) {
+	switch o.format {
+	case "json":
+		return true, nil
+	case "table":
+		return false, nil
+	}
+	return false, fmt.Errorf("output format %q does not exist; use table or json", o.format)
+}
