core/place: plan gangs of equal tasks in one pass over the index

Cause: a gang of 512 searched the index once per worker that it used; at 98% load the same full workers were examined again for each task.

Change: workers for equal tasks are collected in one pass, sorted by cost and filled. Scratch memory is kept in the cell, and preemptible tasks are counted.

--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -9,24 +9,26 @@
 
 // Cell is the state of the workers of one owner, with its index.
 type Cell struct {
-	states    []State
-	links     [][]link
-	present   []bool
-	serials   []int64 // differ between all workers that the cell ever had
-	serial    int64
-	racks     []int32 // rack number per worker
-	byVM      map[string]int32
-	freeIDs   []int32
-	nodes     []node
-	freeNodes []int32
-	pools     map[string]*pool
-	rackIDs   map[rackKey]int32
-	tasks     map[string]int32 // worker per task id
-	spread    map[jobRack]int  // running tasks of spread jobs
-	failed    map[failedShape]int64
-	holds     map[string][]int32 // workers held per owner; the hold in State decides
-	inRack    []bool             // scratch: racks used by the gang being planned
-	usedRacks []int32            // scratch: the racks set in inRack
+	states     []State
+	links      [][]link
+	present    []bool
+	serials    []int64 // differ between all workers that the cell ever had
+	serial     int64
+	racks      []int32 // rack number per worker
+	byVM       map[string]int32
+	freeIDs    []int32
+	nodes      []node
+	freeNodes  []int32
+	pools      map[string]*pool
+	rackIDs    map[rackKey]int32
+	tasks      map[string]int32 // worker per task id
+	spread     map[jobRack]int  // running tasks of spread jobs
+	failed     map[failedShape]int64
+	holds      map[string][]int32 // workers held per owner; the hold in State decides
+	inRack     []bool             // scratch: racks used by the gang being planned
+	usedRacks  []int32            // scratch: the racks set in inRack
+	candidates []candidate        // scratch: workers for the gang being planned
+	booked     []booking          // scratch: room booked by the planning run
 }
 
 type rackKey struct{ dataCentre, rack string }
@@ -323,7 +325,10 @@
 		c.countSpread(t.Job, c.racks[i], 1)
 	}
 	c.adjust(i, t.Resources)
-	c.updateVictims(i)
+	if t.Preemptible {
+		c.states[i].preemptible++
+		c.updateVictims(i)
+	}
 }
 
 // TaskWorker returns the VM that holds the task.
@@ -353,7 +358,10 @@
 		c.countSpread(t.Job, c.racks[i], -1)
 	}
 	c.adjust(i, resource.Vector{}.Sub(t.Resources))
-	c.updateVictims(i)
+	if t.Preemptible {
+		w.preemptible--
+		c.updateVictims(i)
+	}
 	return true
 }
 
--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 
 	"briarproxy/core/resource"
@@ -53,26 +54,93 @@
 // finds none.
 func (p *planner) gangTasks(ordered []*wire.TaskAsk) []wire.Refused {
 	racks := p.minRacks(ordered[0].Gang)
-	for n := 0; n < len(ordered); {
-		newRack := len(p.cell.usedRacks) < racks
-		worker, refused := p.find(ordered[n], newRack)
-		if worker < 0 {
+	n := 0
+	for ; n < len(ordered) && len(p.cell.usedRacks) < racks; n++ {
+		if refused := p.gangTask(ordered[n], true); refused != nil {
 			return refused
 		}
-		p.useRack(worker)
-		if newRack {
-			p.assign(ordered[n], worker)
-			n++
-			continue
-		}
-		n += p.fill(worker, ordered[n:])
 	}
 	if len(p.cell.usedRacks) < racks {
 		return []wire.Refused{{Reason: string(StepSpread), Count: len(ordered)}}
 	}
+	rest := ordered[n:]
+	if len(rest) > 1 && alike(rest) {
+		return p.sweep(rest)
+	}
+	for _, ask := range rest {
+		if refused := p.gangTask(ask, false); refused != nil {
+			return refused
+		}
+	}
+	return nil
+}
+
+// gangTask books room for one task of a gang.
+func (p *planner) gangTask(ask *wire.TaskAsk, newRack bool) []wire.Refused {
+	worker, refused := p.find(ask, newRack)
+	if worker < 0 {
+		return refused
+	}
+	p.useRack(worker)
+	p.assign(ask, worker)
+	return nil
+}
+
+// alike tells whether the tasks can be swapped for one another.
+func alike(asks []*wire.TaskAsk) bool {
+	first := asks[0]
+	for _, a := range asks {
+		if a.Resources != first.Resources || a.Pool != first.Pool || a.Priority != first.Priority ||
+			a.RunMS != first.RunMS || a.SpreadRacks || !slices.Equal(a.AvoidVMs, first.AvoidVMs) {
+			return false
+		}
+	}
+	return true
+}
+
+// sweep books room for tasks that are alike in one pass over the index, instead
+// of one search per task, and fills the workers with the lowest cost first.
+func (p *planner) sweep(asks []*wire.TaskAsk) []wire.Refused {
+	first := asks[0]
+	pl := p.cell.pools[first.Pool]
+	if pl == nil {
+		return []wire.Refused{{Reason: string(StepPool), Count: p.cell.Len()}}
+	}
+	sum := first.Resources.Scale(int64(len(asks)))
+	if headroomRefuses(first.Pool, first.Priority, pl.capacity, pl.committed, sum, p.options.Headroom) {
+		return p.explain(pl, refusals{}, pl.open)
+	}
+	s := search{
+		cell: p.cell, pool: pl, ask: first, options: p.options, now: p.now, limit: p.limit,
+		need: int64(len(asks)), collected: p.cell.candidates[:0],
+	}
+	found := s.collect()
+	p.cell.candidates = s.collected
+	if !found {
+		return p.explain(pl, s.refused, 0)
+	}
+	slices.SortFunc(s.collected, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker, b.worker))
+	})
+	for _, c := range s.collected {
+		n := min(int64(len(asks)), c.tasks)
+		p.fill(c.worker, asks[:n])
+		asks = asks[n:]
+		if len(asks) == 0 {
+			break
+		}
+	}
 	return nil
 }
 
+// fill books one worker for the tasks with one change of the index.
+func (p *planner) fill(worker int32, asks []*wire.TaskAsk) {
+	for _, ask := range asks {
+		p.record(ask, worker)
+	}
+	p.cell.adjust(worker, asks[0].Resources.Scale(int64(len(asks))))
+}
+
 func (p *planner) minRacks(gang string) int {
 	for _, rule := range p.options.Gangs {
 		if rule.Gang == gang {
@@ -97,39 +165,3 @@
 	}
 	p.cell.usedRacks = p.cell.usedRacks[:0]
 }
-
-// fill puts the first request, and those after it that are alike, on the worker
-// as long as it has room, with one change of the index. It returns their number,
-// at least 1.
-func (p *planner) fill(worker int32, asks []*wire.TaskAsk) int {
-	first := asks[0]
-	sum, n := resource.Vector{}, 0
-	for _, ask := range asks {
-		if n > 0 && !p.canFollow(worker, first, ask, sum) {
-			break
-		}
-		p.record(ask, worker)
-		sum = sum.Add(ask.Resources)
-		n++
-	}
-	p.cell.adjust(worker, sum)
-	return n
-}
-
-// canFollow tells whether the next request can be put on the same worker without
-// a search: it is like the first one and still passes the filter steps.
-func (p *planner) canFollow(worker int32, first, next *wire.TaskAsk, sum resource.Vector) bool {
-	if next.Resources != first.Resources || next.SpreadRacks || next.Pool != first.Pool || next.RunMS != first.RunMS {
-		return false
-	}
-	w := &p.cell.states[worker]
-	free := w.Free().Sub(sum)
-	if fitsRefuses(free, next.Resources) || avoidRefuses(w.VM, next.AvoidVMs) {
-		return false
-	}
-	if p.options.ProtectAccelerators && acceleratorRefuses(w.Capacity, free, next.Resources) {
-		return false
-	}
-	pl := p.cell.pools[next.Pool]
-	return !headroomRefuses(pl.name, next.Priority, pl.capacity, pl.committed.Add(sum), next.Resources, p.options.Headroom)
-}
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -40,8 +40,10 @@
 	}
 	p.plan.At = now
 	p.plan.Assignments = make([]Assignment, 0, len(asks))
+	p.booked = c.booked[:0]
 	p.all(asks)
 	p.undo(0)
+	c.booked = p.booked
 	return p.plan
 }
 
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -255,7 +255,7 @@
 // updateVictims keeps the lists of workers with preemptible tasks.
 func (c *Cell) updateVictims(i int32) {
 	w := &c.states[i]
-	wanted := w.Open() && slices.ContainsFunc(w.Tasks, func(t Task) bool { return t.Preemptible })
+	wanted := w.Open() && w.preemptible > 0
 	for n := range c.links[i] {
 		l := &c.links[i][n]
 		if !wanted {
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -60,6 +60,36 @@
 	unbounded bool
 	truncated bool
 	refused   refusals
+
+	collecting bool  // several workers are wanted
+	need       int64 // tasks of the gang for which no worker is collected yet
+	collected  []candidate
+}
+
+// candidate is a worker that can hold some tasks of a gang.
+type candidate struct {
+	worker int32
+	tasks  int64
+	cost   float64
+}
+
+// collect fills s.collected with workers that can hold s.need equal tasks
+// together, and reports whether they do. Each worker is looked at once.
+func (s *search) collect() bool {
+	s.factor, s.unbounded, s.collecting = 1, true, true
+	for d := 0; d <= maxDistance(s.options.Reach); d++ {
+		for class := 0; class < 2; class++ {
+			if class == 0 && s.ask.Resources.Accelerators > 0 {
+				continue
+			}
+			s.scored, s.best = 0, -1
+			s.pass(d, class)
+			if s.need <= 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // run returns the best worker found, or -1.
@@ -155,7 +185,7 @@
 
 func (s *search) done() bool {
 	if s.unbounded {
-		return s.scored >= s.limit
+		return s.scored >= s.limit && s.need <= 0
 	}
 	if s.scored >= s.limit || s.examined >= s.limit*examinedFactor {
 		s.truncated = true
@@ -191,8 +221,28 @@
 		tasks = s.cell.spread[jobRack{s.ask.Job, rack}]
 	}
 	cost := Cost(w, s.ask, s.options, tasks)
+	if s.collecting {
+		n := s.timesFits(w)
+		s.need -= n
+		s.collected = append(s.collected, candidate{i, n, cost})
+		return true
+	}
 	if s.best < 0 || cost < s.bestCost {
 		s.best, s.bestCost = i, cost
 	}
 	return true
 }
+
+// timesFits returns how many tasks of the gang the worker can hold, at least 1.
+func (s *search) timesFits(w *State) int64 {
+	free, size := w.Free(), s.ask.Resources
+	n := timesFits(free, size)
+	if !s.options.ProtectAccelerators || w.Capacity.Accelerators == 0 || size.Accelerators > 0 {
+		return n
+	}
+	allowed := int64(1)
+	for allowed < n && !acceleratorRefuses(w.Capacity, free.Sub(size.Scale(allowed)), size) {
+		allowed++
+	}
+	return allowed
+}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -49,6 +49,7 @@
 	Quarantined bool
 	Hold        Hold
 	Tasks       []Task
+	preemptible int // number of preemptible tasks
 }
 
 // Free returns the capacity that is not committed. An amount is negative when
