--- /dev/null
+++ b/daemon/node/doc.go
@@ -0,0 +1,3 @@
+// Package node assembles one daemon from its parts, runs it, and stops it
+// gracefully.
+package node
