--- a/standin/cmd/standin/workers.go
+++ b/standin/cmd/standin/workers.go
@@ -33,6 +33,7 @@
 	flags.Int64Var(&f.options.Capacity.Slots, "slots", 8, "capacity, concurrent requests")
 	flags.Int64Var(&f.options.Incarnation, "incarnation", 0, "incarnation number; 0: Unix time in ms")
 	flags.BoolVar(&f.options.Trusting, "trusting", false, "accept work over capacity and journal it as an overload")
+	flags.BoolVar(&f.options.Unfenced, "unfenced", false, "ignore epochs and not_after")
 	flags.StringArrayVar(&f.operations, "operation", nil, "NAME=MS: run time of an operation; may be repeated")
 	flags.DurationVar(&f.options.DefaultRun, "default-run", worker.DefaultRunTime, "run time of other operations")
 	flags.DurationVar(&f.options.UsageLag, "usage-lag", worker.DefaultUsageLag, "age of the use that reports show; negative: none")
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -33,11 +35,7 @@
 	e := &echo{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
+		for c, err := listener.Accept(); err == nil; c, err = listener.Accept() {
 			go e.serve(c)
 		}
 	}()
@@ -76,9 +74,7 @@
 
 // ask sends a line and returns the answer.
 func (c client) ask(line string, timeout time.Duration) (string, error) {
-	if _, err := fmt.Fprintln(c, line); err != nil {
-		return "", err
-	}
+	_, _ = fmt.Fprintln(c, line) // a failed write makes the read fail
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
 	answer, err := c.reader.ReadString('\n')
 	return strings.TrimSpace(answer), err
@@ -94,9 +90,7 @@
 func requireSilent(t *testing.T, c client) {
 	t.Helper()
 	_, err := c.ask("x", quiet)
-	var timeout net.Error
-	require.ErrorAs(t, err, &timeout)
-	require.True(t, timeout.Timeout(), "the connection must stay open: %v", err)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must stay open")
 }
 
 // Guards against a silent connection that clients can notice by an error, and one
@@ -149,8 +143,7 @@
 	assert.Equal(t, int64(1), e.lines.Load())
 
 	require.NoError(t, p.SetLose(Lose{Answers: 1, Silent: true}))
-	c := dial(t, p)
-	requireSilent(t, c)
+	requireSilent(t, dial(t, p))
 	assert.Equal(t, int64(2), e.lines.Load())
 	requireAnswer(t, dial(t, p), "b")
 }
@@ -211,11 +204,10 @@
 	defer p.Close()
 	response, err := http.Get("http://" + p.Address())
 	require.NoError(t, err)
-	var got strings.Builder
-	_, err = bufio.NewReader(response.Body).WriteTo(&got)
+	got, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	assert.True(t, body == got.String())
+	assert.True(t, body == string(got))
 
 	for path, want := range map[string]int{"/control/cut": http.StatusOK, "/control/silence": http.StatusBadRequest} {
 		answer := httptest.NewRecorder()
--- a/standin/logservice/service_test.go
+++ b/standin/logservice/service_test.go
@@ -25,7 +25,6 @@
 }
 
 func start(t *testing.T, options Options) harness {
-	t.Helper()
 	s := New(options)
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
@@ -33,7 +32,6 @@
 }
 
 func (h harness) call(method, query, body string, timeout time.Duration, reply any) (int, error) {
-	h.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, h.url+query, strings.NewReader(body))
@@ -43,21 +41,16 @@
 		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return response.StatusCode, nil
-	}
 	return response.StatusCode, json.NewDecoder(response.Body).Decode(reply)
 }
 
 func (h harness) append(body string) (int64, int, error) {
-	h.Helper()
 	var reply wire.AppendReply
 	status, err := h.call(http.MethodPost, "", body, testTimeout, &reply)
 	return reply.Offset, status, err
 }
 
 func (h harness) read(query string) wire.ReadReply {
-	h.Helper()
 	var reply wire.ReadReply
 	status, err := h.call(http.MethodGet, query, "", testTimeout, &reply)
 	require.NoError(h, err)
@@ -159,20 +152,17 @@
 func TestLimitsAndRetention(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := New(Options{AppendsPerSecond: 100, RetainFor: time.Minute, RetainCount: 15, Now: func() time.Time { return now }})
-	accepted := 0
-	for range 100 {
-		if _, _, ok := s.append("x", []byte("r")); ok {
-			accepted++
+	flood := func() (accepted int) {
+		for range 100 {
+			if _, _, ok := s.append("x", []byte("r")); ok {
+				accepted++
+			}
 		}
+		return accepted
 	}
-	assert.Equal(t, 11, accepted, "burst of 100 ms and the one that is due")
+	assert.Equal(t, 11, flood(), "burst of 100 ms and the one that is due")
 	now = now.Add(50 * time.Millisecond)
-	for range 100 {
-		if _, _, ok := s.append("x", []byte("r")); ok {
-			accepted++
-		}
-	}
-	assert.Equal(t, 16, accepted)
+	assert.Equal(t, 5, flood())
 	assert.Equal(t, StreamStats{First: 2, Next: 17, Bytes: 15}, s.Stats().Streams["x"])
 	now = now.Add(2 * time.Minute)
 	reply, _, _ := s.read(readQuery{name: "x", from: 3, limit: 10})
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"sync"
 	"time"
 
+	"briarproxy/core/fault"
 	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 )
@@ -96,3 +98,21 @@
 	defer j.mu.Unlock()
 	return append([]Entry{}, j.entries...)
 }
+
+// ReadEntries parses a journal file. A last line that a killed process left
+// incomplete is passed over. Errors are of kind fault.Invalid.
+func ReadEntries(in io.Reader) ([]Entry, error) {
+	var entries []Entry
+	decoder := json.NewDecoder(in)
+	for {
+		var e Entry
+		err := decoder.Decode(&e)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return entries, nil
+		}
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "read a file that a worker wrote", "journal entry %d", len(entries)+1)
+		}
+		entries = append(entries, e)
+	}
+}
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -15,8 +15,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.settle()
-	if f.Epoch < w.epoch {
-		w.journal(EventRefuse, wire.Start{Epoch: f.Epoch}, "", string(wire.RefusedStaleEpoch))
+	if w.stale(f.Epoch) {
+		w.journalStale("", 0, f.Epoch)
 		report := w.report(now)
 		report.Refused = wire.RefusedStaleEpoch
 		return report
@@ -28,6 +28,20 @@
 	return w.report(now)
 }
 
+// stale reports whether a fence forbids messages of an epoch.
+func (w *Worker) stale(epoch int64) bool { return epoch < w.epoch && !w.options.Unfenced }
+
+// tooLate reports whether a not_after has passed on the worker's clock.
+func (w *Worker) tooLate(notAfterMS int64, now time.Duration) bool {
+	return now > ms(notAfterMS) && !w.options.Unfenced
+}
+
+// journalStale records a message of an old owner other than a start.
+func (w *Worker) journalStale(id string, generation, epoch int64) {
+	message := wire.Start{ID: id, Generation: generation, Epoch: epoch}
+	w.journal(EventRefuse, message, "", string(wire.RefusedStaleEpoch))
+}
+
 // Report returns the inventory.
 func (w *Worker) Report() wire.Report {
 	w.mu.Lock()
@@ -114,14 +128,14 @@
 		return wire.RefusedMalformed
 	case s.Incarnation != w.incarnation:
 		return wire.RefusedWrongIncarnation
-	case s.Epoch < w.epoch:
+	case w.stale(s.Epoch):
 		return wire.RefusedStaleEpoch
 	}
 	if refusal := w.refusesGeneration(s); refusal != "" {
 		return refusal
 	}
 	switch {
-	case now > ms(s.NotAfterMS):
+	case w.tooLate(s.NotAfterMS, now):
 		return wire.RefusedTooLate
 	case w.draining:
 		return wire.RefusedDraining
@@ -161,10 +175,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.settle()
-	if r.Epoch < w.epoch {
+	if w.stale(r.Epoch) {
+		w.journalStale("", 0, r.Epoch)
 		return wire.RenewReply{Refused: wire.RefusedStaleEpoch}
 	}
-	if now > ms(r.NotAfterMS) {
+	if w.tooLate(r.NotAfterMS, now) {
 		return wire.RenewReply{Refused: wire.RefusedTooLate}
 	}
 	var reply wire.RenewReply
@@ -186,7 +201,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.settle()
-	if s.Epoch < w.epoch {
+	if w.stale(s.Epoch) {
+		w.journalStale(s.ID, s.Generation, s.Epoch)
 		return wire.StopReply{Refused: wire.RefusedStaleEpoch}
 	}
 	if a, ok := w.running[s.ID]; ok && a.start.Generation <= s.Generation {
@@ -275,7 +291,8 @@
 func (w *Worker) runningTask(id string, generation, epoch int64) (*attempt, wire.Refusal) {
 	a, ok := w.running[id]
 	switch {
-	case epoch < w.epoch:
+	case w.stale(epoch):
+		w.journalStale(id, generation, epoch)
 		return nil, wire.RefusedStaleEpoch
 	case !ok || a.start.Generation != generation:
 		return nil, wire.RefusedStaleGeneration
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -28,6 +28,7 @@
 	Capacity    resource.Vector
 	Incarnation int64                // 0: Unix time in ms
 	Trusting    bool                 // accepts work over capacity, and journals it
+	Unfenced    bool                 // ignores epochs and not_after, as in pools with fencing: false
 	Operations  map[string]Operation // by name
 	DefaultRun  time.Duration        // of operations that nothing else gives a time
 	UsageLag    time.Duration        // age of the use that reports show; negative: none
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,18 +55,16 @@
 }
 
 func count(entries []Entry, event JournalEvent) int {
-	n := 0
-	for _, e := range entries {
-		if e.Event == event {
-			n++
-		}
-	}
-	return n
+	return len(slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Event != event }))
 }
 
 // Guards against a worker that accepts what the protocol refuses: each case would
 // let a paused or superseded scheduler overload a VM or run something twice.
 func TestStartIsRefused(t *testing.T) {
+	runAndStop := func(w *Worker, _ *clock) {
+		w.accept(task("a", 2))
+		w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
+	}
 	cases := []struct {
 		name    string
 		prepare func(*Worker, *clock)
@@ -80,15 +80,8 @@
 		{"same generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 2)) }, nil, wire.RefusedDuplicate},
 		{"lower generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 1)) }, nil, wire.RefusedDuplicate},
 		{"higher generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 3)) }, nil, wire.RefusedStaleGeneration},
-		{"same generation stopped", func(w *Worker, _ *clock) {
-			w.accept(task("a", 2))
-			w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
-		}, nil, wire.RefusedDuplicate},
-		{"acknowledged", func(w *Worker, _ *clock) {
-			w.accept(task("a", 2))
-			w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
-			w.Ack(wire.Ack{IDs: []string{"a"}})
-		}, nil, wire.RefusedDuplicate},
+		{"same generation stopped", runAndStop, nil, wire.RefusedDuplicate},
+		{"acknowledged", func(w *Worker, c *clock) { runAndStop(w, c); w.Ack(wire.Ack{IDs: []string{"a"}}) }, nil, wire.RefusedDuplicate},
 		{"stop came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5}) }, nil, wire.RefusedStaleGeneration},
 		{"query came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 3, Epoch: 5, Query: true}) }, nil, wire.RefusedStaleGeneration},
 		{"stop of a lower generation", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5}) }, nil, ""},
@@ -138,6 +131,15 @@
 	assert.Equal(t, slots(3), last.InUse)
 }
 
+// Guards against a stand-in for unfenced pools that still fences: waits for the
+// lease and the start validity would then be untested.
+func TestUnfencedWorker(t *testing.T) {
+	w, c := newWorker(func(o *Options) { o.Unfenced = true })
+	w.Fence(wire.Fence{Epoch: 9})
+	c.move(time.Minute)
+	assert.Empty(t, refusalOf(w, task("a", 1)))
+}
+
 // Guards against a fence that an old owner can undo, and one that does not bind
 // messages other than starts.
 func TestFenceBindsOldOwner(t *testing.T) {
@@ -150,6 +152,7 @@
 	assert.Equal(t, int64(9), w.Report().Epoch)
 	assert.Equal(t, wire.RefusedStaleEpoch, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 8}).Refused)
 	assert.Equal(t, wire.RefusedStaleEpoch, w.Renew(wire.Renew{Epoch: 8, NotAfterMS: 1 << 40}).Refused)
+	assert.Equal(t, 3, count(w.events(), EventRefuse))
 	assert.Equal(t, wire.RunRunning, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 9, Query: true}).State)
 }
 
@@ -278,37 +281,28 @@
 			}
 		}
 		require.Equal(t, sum, w.inUse)
-		starts := map[string]map[int64]bool{}
+		started := map[string]int64{}
 		for _, e := range w.events() {
 			require.True(t, e.InUse.Fits(e.Capacity))
-			if e.Event != EventStart {
-				continue
+			if e.Event == EventStart {
+				require.Greater(t, e.Generation, started[e.ID], "generations of %s must rise", e.ID)
+				started[e.ID] = e.Generation
 			}
-			if starts[e.ID] == nil {
-				starts[e.ID] = map[int64]bool{}
-			}
-			require.False(t, starts[e.ID][e.Generation], "%s generation %d started twice", e.ID, e.Generation)
-			starts[e.ID][e.Generation] = true
 		}
 	})
 }
 
-func post(t *testing.T, url string, body, reply any) error {
-	t.Helper()
+func post(t *testing.T, url string, timeout time.Duration, body, reply any) error {
 	data, err := json.Marshal(body)
 	require.NoError(t, err)
-	client := &http.Client{Timeout: testTimeout}
+	client := &http.Client{Timeout: timeout}
 	defer client.CloseIdleConnections()
 	response, err := client.Post(url, "application/json", bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(content, reply)
+	return json.NewDecoder(response.Body).Decode(reply)
 }
 
 func request(w *Worker, id string) wire.Start {
@@ -358,7 +352,7 @@
 			defer server.Close()
 			require.NoError(t, w.SetMisbehaviour(c.bad))
 			var reply wire.StartReply
-			err := post(t, server.URL+wire.PathStart, request(w, "r"), &reply)
+			err := post(t, server.URL+wire.PathStart, testTimeout, request(w, "r"), &reply)
 			c.check(t, reply, err)
 			stopped := w.Stop(wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true})
 			require.NotNil(t, stopped.Result)
@@ -374,19 +368,15 @@
 	server := httptest.NewServer(w)
 	defer server.Close()
 	require.NoError(t, w.SetMisbehaviour(Misbehaviour{HangAnswers: true, Paths: []string{wire.PathStart}}))
-	client := &http.Client{Timeout: 100 * time.Millisecond}
-	data, err := json.Marshal(request(w, "r"))
-	require.NoError(t, err)
-	_, err = client.Post(server.URL+wire.PathStart, "application/json", bytes.NewReader(data))
+	err := post(t, server.URL+wire.PathStart, 100*time.Millisecond, request(w, "r"), &wire.StartReply{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	var stopped wire.StopReply
-	require.NoError(t, post(t, server.URL+wire.PathStop, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &stopped))
+	require.NoError(t, post(t, server.URL+wire.PathStop, testTimeout, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &stopped))
 	assert.Equal(t, wire.RunFinished, stopped.State)
 
 	require.NoError(t, w.SetMisbehaviour(Misbehaviour{LateAnswersMS: 50}))
 	begin := time.Now()
-	var report wire.Report
-	require.NoError(t, post(t, server.URL+wire.PathFence, wire.Fence{Epoch: 5}, &report))
+	require.NoError(t, post(t, server.URL+wire.PathFence, testTimeout, wire.Fence{Epoch: 5}, &wire.Report{}))
 	assert.GreaterOrEqual(t, time.Since(begin), 50*time.Millisecond)
 }
 
@@ -404,6 +394,20 @@
 	assert.Equal(t, wire.RunStopped, report.Attempts[0].State)
 }
 
+// Guards against a journal that can't be read back after its process was killed in
+// the middle of a line.
+func TestJournalIsReadBack(t *testing.T) {
+	var file bytes.Buffer
+	w, _ := newWorker(func(o *Options) { o.Journal = NewJournal(&file) })
+	require.Empty(t, refusalOf(w, task("a", 1)))
+	text := file.String()
+	entries, err := ReadEntries(strings.NewReader(text + text[:20]))
+	require.NoError(t, err)
+	require.Len(t, entries, 2)
+	assert.Equal(t, EventStart, entries[1].Event)
+	assert.Equal(t, slots(1), entries[1].InUse)
+}
+
 // Guards against a restarted worker that answers for its former incarnation, or
 // leaves a caller waiting for a run that is gone.
 func TestRestartBreaksWaitingRequests(t *testing.T) {
@@ -414,8 +418,7 @@
 	start.Operation = "forever"
 	failed := make(chan error, 1)
 	go func() {
-		var reply wire.StartReply
-		failed <- post(t, server.URL+wire.PathStart, start, &reply)
+		failed <- post(t, server.URL+wire.PathStart, testTimeout, start, &wire.StartReply{})
 	}()
 	require.Eventually(t, func() bool { return len(w.Report().Attempts) == 1 }, testTimeout, time.Millisecond)
 	w.Restart()
