--- a/core/wire/worker.go
+++ b/core/wire/worker.go
@@ -50,8 +50,8 @@
 // Refusal is the reason for which a worker did not start something.
 type Refusal string
 
-// Reasons of a worker's refusal. After any of them the attempt has not run and
-// will not run.
+// Reasons of a worker's refusal. After any of them but RefusedDuplicate the attempt
+// has not run and will not run.
 const (
 	RefusedStaleEpoch       Refusal = "stale-epoch"
 	RefusedTooLate          Refusal = "too-late"
@@ -162,9 +162,16 @@
 	Attempts    []Attempt       `json:"attempts"`
 }
 
-// Ack lets the worker forget finished attempts.
+// AttemptID names one attempt.
+type AttemptID struct {
+	ID         string `json:"id"`
+	Generation int64  `json:"generation"`
+}
+
+// Ack lets the worker forget the results of ended attempts. Without the generation
+// a late acknowledgement could drop the result of a later attempt.
 type Ack struct {
-	IDs []string `json:"ids"`
+	Attempts []AttemptID `json:"attempts"`
 }
 
 // Throttle limits a running task to a share of its cores.
--- a/daemon/rack/notice.go
+++ b/daemon/rack/notice.go
@@ -70,7 +70,7 @@
 		recorded[id] = true
 	}
 	now := o.Now()
-	acks := map[*worker][]string{}
+	acks := map[*worker][]wire.AttemptID{}
 	for _, e := range m.ended {
 		a := o.notices[e.TaskID]
 		if a == nil || a.task.Generation != e.Generation {
@@ -88,7 +88,7 @@
 }
 
 // forget drops an attempt whose end is recorded.
-func (o *Owner) forget(a *attempt, acks map[*worker][]string) {
+func (o *Owner) forget(a *attempt, acks map[*worker][]wire.AttemptID) {
 	id := a.task.ID
 	delete(o.notices, id)
 	w := o.byTask[id]
@@ -97,16 +97,16 @@
 	}
 	delete(w.attempts, id)
 	delete(o.byTask, id)
-	acks[w] = append(acks[w], id)
+	acks[w] = append(acks[w], wire.AttemptID{ID: id, Generation: a.task.Generation})
 }
 
-func (o *Owner) ack(w *worker, ids []string) {
+func (o *Owner) ack(w *worker, attempts []wire.AttemptID) {
 	address := w.vm.Address
 	o.Calls.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		// A lost acknowledgement shows as a finished attempt in the next report and
 		// is told and acknowledged again.
-		_ = o.Workers.Ack(ctx, address, wire.Ack{IDs: ids})
+		_ = o.Workers.Ack(ctx, address, wire.Ack{Attempts: attempts})
 	})
 }
--- a/daemon/router/ack.go
+++ b/daemon/router/ack.go
@@ -27,7 +27,10 @@
 	inbox   chan ackItem
 }
 
-type ackItem struct{ address, id string }
+type ackItem struct {
+	address string
+	attempt wire.AttemptID
+}
 
 func newAcker(workers Workers, log *event.Logger) *acker {
 	return &acker{workers: workers, log: log, inbox: make(chan ackItem, ackBacklog)}
@@ -35,9 +38,9 @@
 
 // Ack lets the worker of the slot forget the result of a request. Shard owners
 // call it after the outcome is in their log.
-func (r *Router) Ack(slot *Slot, id string) {
+func (r *Router) Ack(slot *Slot, id string, generation int64) {
 	select {
-	case r.acks.inbox <- ackItem{slot.Address, id}:
+	case r.acks.inbox <- ackItem{slot.Address, wire.AttemptID{ID: id, Generation: generation}}:
 	default: // the worker forgets the result by its own limit
 	}
 }
@@ -46,25 +49,25 @@
 func (a *acker) serve(ctx context.Context) {
 	ticker := time.NewTicker(ackEvery)
 	defer ticker.Stop()
-	fresh, aged := map[string][]string{}, map[string][]string{}
+	fresh, aged := map[string][]wire.AttemptID{}, map[string][]wire.AttemptID{}
 	for {
 		select {
 		case item := <-a.inbox:
-			fresh[item.address] = append(fresh[item.address], item.id)
+			fresh[item.address] = append(fresh[item.address], item.attempt)
 		case <-ticker.C:
 			a.flush(ctx, aged)
-			fresh, aged = map[string][]string{}, fresh
+			fresh, aged = map[string][]wire.AttemptID{}, fresh
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (a *acker) flush(ctx context.Context, batches map[string][]string) {
+func (a *acker) flush(ctx context.Context, batches map[string][]wire.AttemptID) {
 	for address, ids := range batches {
 		for len(ids) > 0 {
 			n := min(len(ids), maxAckBatch)
-			if err := a.workers.Ack(ctx, address, wire.Ack{IDs: ids[:n]}); err != nil {
+			if err := a.workers.Ack(ctx, address, wire.Ack{Attempts: ids[:n]}); err != nil {
 				a.log.Emit(eventAckFailed, "worker", address, "reason", err.Error())
 				break
 			}
--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -86,7 +86,7 @@
 		}
 		if answer, p, settled := settle(plan, slot, *outcome); settled {
 			if answer != nil {
-				r.Ack(slot, plan.ID)
+				r.Ack(slot, plan.ID, generation)
 			}
 			return answer, p
 		}
--- a/daemon/shard/keys.go
+++ b/daemon/shard/keys.go
@@ -19,7 +19,7 @@
 	Acquire(ctx context.Context, query router.Query) (*router.Slot, *wire.Problem)
 	Release(slot *router.Slot)
 	Run(ctx context.Context, slot *router.Slot, start wire.Start) router.Outcome
-	Ack(slot *router.Slot, id string)
+	Ack(slot *router.Slot, id string, generation int64)
 }
 
 // resolveInterval is the time between questions to a worker about an attempt.
@@ -177,7 +177,7 @@
 	case workerclient.Done:
 		done.Result = outcome.Result
 		k.how = "ran on " + slot.VM
-		_ = k.r.send(keyEnded{done: done, then: func() { k.r.Requests.Ack(slot, intent.RequestID) }})
+		_ = k.r.send(keyEnded{done: done, then: func() { k.r.Requests.Ack(slot, intent.RequestID, intent.Generation) }})
 		if outcome.Result.State == wire.RunFinished {
 			return outcome.Result, nil, true
 		}
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -81,10 +81,10 @@
 	return &router.Slot{VM: "vm", Incarnation: 1}, nil
 }
 
-func (f *fakeWorker) Release(*router.Slot)     {}
-func (f *fakeWorker) Ack(*router.Slot, string) {}
-func (f *fakeWorker) effects(body string) int  { f.mu.Lock(); defer f.mu.Unlock(); return f.runs[body] }
-func attemptKey(id string, gen int64) string   { return fmt.Sprintf("%s#%d", id, gen) }
+func (f *fakeWorker) Release(*router.Slot)            {}
+func (f *fakeWorker) Ack(*router.Slot, string, int64) {}
+func (f *fakeWorker) effects(body string) int         { f.mu.Lock(); defer f.mu.Unlock(); return f.runs[body] }
+func attemptKey(id string, gen int64) string          { return fmt.Sprintf("%s#%d", id, gen) }
 
 func (f *fakeWorker) Run(_ context.Context, _ *router.Slot, start wire.Start) router.Outcome {
 	f.mu.Lock()
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -250,8 +250,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle()
-	for _, id := range a.IDs {
-		delete(w.ended, id)
+	for _, acked := range a.Attempts {
+		kept := slices.DeleteFunc(w.ended[acked.ID], func(e *attempt) bool { return e.start.Generation == acked.Generation })
+		if len(kept) == 0 {
+			delete(w.ended, acked.ID)
+		} else {
+			w.ended[acked.ID] = kept
+		}
 	}
 }
 
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -81,7 +81,7 @@
 		{"lower generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 1)) }, nil, wire.RefusedDuplicate},
 		{"higher generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 3)) }, nil, wire.RefusedStaleGeneration},
 		{"same generation stopped", runAndStop, nil, wire.RefusedDuplicate},
-		{"acknowledged", func(w *Worker, c *clock) { runAndStop(w, c); w.Ack(wire.Ack{IDs: []string{"a"}}) }, nil, wire.RefusedDuplicate},
+		{"acknowledged", func(w *Worker, c *clock) { runAndStop(w, c); w.Ack(ackOf("a", 2)) }, nil, wire.RefusedDuplicate},
 		{"stop came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5}) }, nil, wire.RefusedStaleGeneration},
 		{"query came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 3, Epoch: 5, Query: true}) }, nil, wire.RefusedStaleGeneration},
 		{"stop of a lower generation", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5}) }, nil, ""},
@@ -177,7 +177,7 @@
 	assert.Equal(t, wire.RunRunning, ask(4, true).State, "the id still runs")
 	assert.Equal(t, wire.RunNeverStarted, ask(4, false).State)
 	assert.Equal(t, wire.RunStopped, ask(3, true).State)
-	w.Ack(wire.Ack{IDs: []string{"a"}})
+	w.Ack(ackOf("a", 1))
 	forgotten := ask(1, true)
 	assert.Equal(t, wire.RunFinished, forgotten.State, "it ran, though its result is gone")
 	assert.Nil(t, forgotten.Result)
@@ -271,7 +271,7 @@
 			case 2:
 				c.move(time.Duration(rapid.IntRange(0, 15000).Draw(t, "ms")) * time.Millisecond)
 			case 3:
-				w.Ack(wire.Ack{IDs: []string{id}})
+				w.Ack(ackOf(id, generation))
 			}
 		}
 		var sum resource.Vector
@@ -426,3 +426,7 @@
 	assert.Equal(t, wire.RefusedWrongIncarnation, refusalOf(w, start))
 	assert.Empty(t, w.Report().Attempts)
 }
+
+func ackOf(id string, generation int64) wire.Ack {
+	return wire.Ack{Attempts: []wire.AttemptID{{ID: id, Generation: generation}}}
+}
