--- a/core/wire/worker.go
+++ b/core/wire/worker.go
@@ -44,6 +44,7 @@
 	Job         string          `json:"job,omitempty"`     // for tasks
 	Resources   resource.Vector `json:"resources"`         // committed on the worker while it runs
 	RunMS       int64           `json:"run_ms,omitempty"`  // declared run time of a task
+	Loan        int64           `json:"loan,omitempty"`    // loan of the slot, repeated in reports
 	Body        []byte          `json:"body,omitempty"`
 }
 
@@ -141,6 +142,7 @@
 	Epoch      int64           `json:"epoch"`
 	Kind       Kind            `json:"kind"`
 	Job        string          `json:"job,omitempty"`
+	Loan       int64           `json:"loan,omitempty"` // as in the start
 	State      RunState        `json:"state"`
 	Resources  resource.Vector `json:"resources"`
 	Usage      resource.Vector `json:"usage"` // measured, with the platform's lag
