Publish configuration changes as deltas to their base

Change: a publication record may hold the objects put and removed relative to its base. It is accepted under the same rule and refused if it does not apply.

Conclusion: the property test covers both forms mixed.

--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/object"
+	"briarproxy/core/resource"
+)
+
+// targetSet returns a set of the target scale (620 teams) in which one quota varies.
+func targetSet(quota int64) *object.Set {
+	s := setNamed("x")
+	for i := range int64(620) {
+		name := fmt.Sprintf("team-%03d", i)
+		s.Teams[name] = &object.Team{
+			Name: name, Weight: float64(i%7 + 1),
+			Quota: resource.Vector{MilliCores: i * 1000, MemoryMiB: i * 4096, Accelerators: i % 9},
+		}
+	}
+	for i := range 400 {
+		name := fmt.Sprintf("job-%03d", i)
+		s.BatchJobs[name] = &object.BatchJob{JobTemplate: object.JobTemplate{
+			Name: name, Pool: fmt.Sprintf("pool-%d", i%11), Policy: "p", Team: fmt.Sprintf("team-%03d", i), Operation: "op",
+			Tasks: i, Resources: resource.Vector{MilliCores: int64(i * 10), MemoryMiB: int64(i * 64)},
+			RunTime: time.Duration(i) * time.Second, MaxAttempts: 3,
+		}}
+	}
+	for i := range 100 {
+		name := fmt.Sprintf("svc-%03d", i)
+		operation := &object.Operation{Policy: "p", RunTime: time.Second, MaxRunTime: time.Minute}
+		s.Services[name] = &object.Service{
+			Name: name, Pool: "p", Team: "t", MaxBody: 1 << 20,
+			Operations: map[string]*object.Operation{"a": operation, "b": operation},
+		}
+	}
+	s.Teams["team-500"].Quota.MilliCores = quota
+	return s
+}
+
+// BenchmarkApply measures what one changed team costs a reader in time and bytes,
+// as a whole set and as a delta.
+func BenchmarkApply(b *testing.B) {
+	first, second := targetSet(1), targetSet(2)
+	p := Publication{ID: "10", Base: 10, Author: "operator", Message: "raise the quota", Set: second}
+	whole, err := EncodePublication(p)
+	require.NoError(b, err)
+	delta, err := EncodeDelta(p, first)
+	require.NoError(b, err)
+	for name, data := range map[string][]byte{"whole": whole, "delta": delta} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s := New(0)
+				s.version, s.set = p.Base, first
+				require.Equal(b, Accepted, s.Apply(0, data))
+			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
+		})
+	}
+}
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -40,14 +40,31 @@
 	Through int64           `json:"through,omitempty"` // snapshots: offset of the last record that the version takes into account
 	Author  string          `json:"author"`
 	Message string          `json:"message,omitempty"`
-	Set     json.RawMessage `json:"set"`
+	Set     json.RawMessage `json:"set"`              // the whole set, or the objects that are put
+	Delta   bool            `json:"delta,omitempty"`  // publications: Set and Remove are relative to the base
+	Remove  []object.Ref    `json:"remove,omitempty"` // publications with Delta
 
 	decoded *object.Set
 }
 
-// EncodePublication encodes a publication for the log.
+// EncodePublication encodes a publication with its whole set for the log.
 func EncodePublication(p Publication) ([]byte, error) {
-	return encode(record{Kind: KindPublication, ID: p.ID, Base: p.Base, Author: p.Author, Message: p.Message}, p.Set)
+	return encode(publicationRecord(p), p.Set)
+}
+
+// EncodeDelta encodes a publication as the difference to the set of its base
+// version. The record is accepted under the same rule; it is small where few
+// objects change, so that 32,000 changes a day fit the daemons' network limit.
+func EncodeDelta(p Publication, base *object.Set) ([]byte, error) {
+	delta := object.DeltaOf(base, p.Set)
+	r := publicationRecord(p)
+	r.Delta = true
+	r.Remove = delta.Remove
+	return encode(r, delta.Put)
+}
+
+func publicationRecord(p Publication) record {
+	return record{Kind: KindPublication, ID: p.ID, Base: p.Base, Author: p.Author, Message: p.Message}
 }
 
 func encode(r record, set *object.Set) ([]byte, error) {
@@ -60,6 +77,19 @@
 	return json.Marshal(r)
 }
 
+// successor returns the set that a publication makes of the version in force. ok is
+// false if it is not accepted.
+func (r record) successor(version int64, set *object.Set) (next *object.Set, ok bool) {
+	if r.Base != version {
+		return nil, false
+	}
+	if !r.Delta {
+		return r.decoded, true
+	}
+	next, err := object.Delta{Put: r.decoded, Remove: r.Remove}.Apply(set)
+	return next, err == nil
+}
+
 // IDOf returns the unique id of an encoded record, for reading back an append whose
 // answer was lost. ok is false if the data is not a record that has one.
 func IDOf(data []byte) (id string, ok bool) {
@@ -106,6 +136,10 @@
 		return fault.New(fault.Invalid, remedy, "unknown kind of record %q", r.Kind)
 	case r.Base < 0 || (r.Kind == KindSnapshot && r.Version < 1):
 		return fault.New(fault.Invalid, remedy, "version out of range")
+	case r.Delta && r.Kind == KindSnapshot:
+		return fault.New(fault.Invalid, remedy, "snapshot without the whole set")
+	case !r.Delta && len(r.Remove) > 0:
+		return fault.New(fault.Invalid, remedy, "removal from a whole set")
 	}
 	return nil
 }
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -32,12 +32,17 @@
 	Winner   Entry // if refused: the version that took the place, or else the newest
 }
 
-// Err returns nil for an accepted publication and else an error of kind
-// fault.Conflict that names the winner.
+// Err returns nil for an accepted publication, an error of kind fault.Conflict that
+// names the winner for a stale base, and one of kind fault.Invalid for a delta that
+// was not made from its base.
 func (v Verdict) Err() error {
 	if v.Accepted {
 		return nil
 	}
+	if v.Base == v.Winner.Version {
+		return fault.New(fault.Invalid, "read the newest version and publish again from it",
+			"the change does not apply to the set of its base version %d", v.Base)
+	}
 	return fault.New(fault.Conflict, "compare with the newest version and publish again from it",
 		"base version %d is not the newest: version %d was published by %s (%q)",
 		v.Base, v.Winner.Version, v.Winner.Author, v.Winner.Message)
@@ -175,14 +180,15 @@
 	}
 }
 
-// judge accepts a publication if its base is the newest version. A base has one
+// judge accepts a publication if its base is the newest version and, for a delta,
+// if it applies to that version's set. A base has one
 // winner, so a refused record was accepted at another offset only if it is a copy of
 // that winner. If the winner is not known any more, there is no verdict.
 func (s *State) judge(offset int64, r record) Effect {
-	if r.Base == s.version {
+	if set, ok := r.successor(s.version, s.set); ok {
 		s.accept(Entry{
 			Version: r.Base + 1, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: offset,
-		}, r.decoded)
+		}, set)
 		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base})
 		return Accepted
 	}
@@ -253,7 +259,7 @@
 		return Passed
 	}
 	after := s.publicationsAfter(r.Through)
-	if r.Version+accepted(r.Version, after) < s.version {
+	if versionAfter(r, after) < s.version {
 		return Passed
 	}
 	s.missing = -1
@@ -273,15 +279,17 @@
 	return nil
 }
 
-// accepted counts the publications that are accepted in order from a version.
-func accepted(version int64, publications []offsetRecord) int64 {
-	count := int64(0)
-	for _, p := range publications {
-		if p.record.Base == version+count {
-			count++
+// versionAfter returns the version that a snapshot and the publications after it
+// lead to.
+func versionAfter(snapshot record, after []offsetRecord) int64 {
+	version, set := snapshot.Version, snapshot.decoded
+	for _, p := range after {
+		if next, ok := p.record.successor(version, set); ok {
+			version++
+			set = next
 		}
 	}
-	return count
+	return version
 }
 
 // Snapshot encodes the state for the log, so that it outlives the records it came
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -36,31 +36,59 @@
 	return data
 }
 
+// drawn is a publication of the drawn log. A delta removes the team of the version
+// that it was made from.
+type drawn struct {
+	id     string
+	base   int64
+	delta  bool
+	remove string
+}
+
 // model is the naive replay: it reads the whole log from offset 0 each time.
 type model struct {
 	version int64
-	newest  string           // id
+	teams   map[string]bool
 	won     map[string]int64 // id to accepted version
 }
 
-func replay(log []any) model {
-	m := model{won: map[string]int64{}}
-	for _, entry := range log {
-		if p, ok := entry.(Publication); ok && p.Base == m.version {
-			m.version++
-			m.newest = p.ID
-			m.won[p.ID] = m.version
+func replay(log []drawn) model {
+	m := model{won: map[string]int64{}, teams: map[string]bool{}}
+	for _, p := range log {
+		if p.id == "" || p.base != m.version || (p.remove != "" && !m.teams[p.remove]) {
+			continue
+		}
+		m.version++
+		m.won[p.id] = m.version
+		if !p.delta {
+			m.teams = map[string]bool{}
 		}
+		delete(m.teams, p.remove)
+		m.teams[p.id] = true
 	}
 	return m
 }
 
+func (p drawn) encode(t require.TestingT) []byte {
+	if !p.delta {
+		return publication(t, p.id, p.base)
+	}
+	from := &object.Set{}
+	if p.remove != "" {
+		from = setNamed(p.remove)
+	}
+	data, err := EncodeDelta(Publication{ID: p.id, Base: p.base, Author: "a-" + p.id, Set: setNamed(p.id)}, from)
+	require.NoError(t, err)
+	return data
+}
+
 // drawLog returns a log and its encoded records. Publishers and the writer of
 // snapshots act on states that are up to 6 records old.
-func drawLog(t *rapid.T) (log []any, data [][]byte) {
+func drawLog(t *rapid.T) (log []drawn, data [][]byte) {
 	full := New(0)
 	var versions []int64
 	var snapshots [][]byte
+	var newest []string
 	n := rapid.IntRange(1, 40).Draw(t, "records")
 	for i := range n {
 		snapshot, err := full.Snapshot()
@@ -68,13 +96,15 @@
 			snapshot = []byte("not exact")
 		}
 		versions, snapshots = append(versions, full.Version()), append(snapshots, snapshot)
+		entry, _ := full.Newest()
+		newest = append(newest, entry.ID)
 		seen := max(0, i-rapid.IntRange(0, 6).Draw(t, "lag"))
 		switch rapid.IntRange(0, 9).Draw(t, "kind") {
 		case 0, 1:
-			log, data = append(log, nil), append(data, snapshots[seen])
+			log, data = append(log, drawn{}), append(data, snapshots[seen])
 		case 2:
 			garbage := rapid.SampledFrom([]string{"", "{}", `{"format":9,"kind":"publication","id":"x"}`, `{"format":1,"kind":"publication","id":"x","base":0,"author":"","set":{"new":{}}}`}).Draw(t, "garbage")
-			log, data = append(log, nil), append(data, []byte(garbage))
+			log, data = append(log, drawn{}), append(data, []byte(garbage))
 		case 3:
 			if i > 0 {
 				copied := rapid.IntRange(0, i-1).Draw(t, "copied")
@@ -83,9 +113,12 @@
 			}
 			fallthrough
 		default:
-			p := Publication{ID: fmt.Sprint("p", i), Base: versions[seen] + int64(rapid.SampledFrom([]int{0, 0, 0, 0, 1, -1}).Draw(t, "error"))}
-			p.Base = max(p.Base, 0)
-			log, data = append(log, p), append(data, publication(t, p.ID, p.Base))
+			wrong := rapid.SampledFrom([]int64{0, 0, 0, 0, 1, -1}).Draw(t, "error")
+			p := drawn{id: fmt.Sprint("p", i), base: max(versions[seen]+wrong, 0), delta: rapid.Bool().Draw(t, "delta")}
+			if p.delta && i > 0 {
+				p.remove = newest[seen]
+			}
+			log, data = append(log, p), append(data, p.encode(t))
 		}
 		full.Apply(int64(i), data[i])
 	}
@@ -118,9 +151,11 @@
 			exact++
 			want := replay(log[:i+1])
 			require.Equal(t, want.version, s.Version())
-			if want.version > 0 {
-				require.Equal(t, setNamed(want.newest), s.Set())
+			got := map[string]bool{}
+			for name := range s.Set().Teams {
+				got[name] = true
 			}
+			require.Equal(t, want.teams, got)
 			for id, version := range want.won {
 				if v, ok := s.Verdict(id); ok {
 					require.Equal(t, version, v.Version, id)
@@ -150,15 +185,14 @@
 		}
 		require.True(t, s.Exact())
 		want := replay(log)
-		for _, entry := range log {
-			p, ok := entry.(Publication)
-			if !ok {
+		for _, p := range log {
+			if p.id == "" {
 				continue
 			}
-			v, known := s.Verdict(p.ID)
+			v, known := s.Verdict(p.id)
 			require.True(t, known)
-			require.Equal(t, want.won[p.ID], v.Version)
-			require.Equal(t, want.won[p.ID] > 0, v.Err() == nil)
+			require.Equal(t, want.won[p.id], v.Version)
+			require.Equal(t, want.won[p.id] > 0, v.Err() == nil)
 		}
 		for i, e := range s.History() {
 			require.Equal(t, int64(i+1), e.Version)
@@ -202,6 +236,19 @@
 	assert.Contains(t, v.Err().Error(), "version 1 was published by a-winner")
 }
 
+// Guards against a delta that is applied to a set it was not made from.
+func TestDeltaFromAnotherSetIsRefused(t *testing.T) {
+	s := New(0)
+	s.Apply(0, publication(t, "one", 0))
+	foreign, err := EncodeDelta(Publication{ID: "two", Base: 1, Author: "a", Set: setNamed("two")}, setNamed("zero"))
+	require.NoError(t, err)
+	assert.Equal(t, Refused, s.Apply(1, foreign))
+	v, ok := s.Verdict("two")
+	require.True(t, ok)
+	assert.True(t, fault.Is(v.Err(), fault.Invalid))
+	assert.Equal(t, setNamed("one"), s.Set())
+}
+
 // Guards against a reader that stops at a record of a later release: it skips and
 // counts it, and takes the version from the next snapshot that it can read.
 func TestNewerFormatIsSkippedUntilASnapshot(t *testing.T) {
--- a/core/object/load_test.go
+++ b/core/object/load_test.go
@@ -150,6 +150,29 @@
 	assert.Len(t, Diff(nil, to).Added, 5)
 }
 
+// Guards against a delta that does not reproduce the new set, changes its base, or
+// applies to a base that it was not made for.
+func TestDelta(t *testing.T) {
+	one, _ := load("[" + job + "," + service + "]")
+	two, problems := load(edit(service, `"5s"`, `"6s"`))
+	require.Empty(t, problems)
+	for _, c := range [][2]*Set{{one, two}, {two, one}, {newSet(), one}, {one, newSet()}, {one, one}} {
+		before, _ := Encode(c[0])
+		d := DeltaOf(c[0], c[1])
+		got, err := d.Apply(c[0])
+		require.NoError(t, err)
+		assert.Equal(t, c[1], got)
+		after, _ := Encode(c[0])
+		assert.Equal(t, before, after)
+	}
+	d := DeltaOf(one, two)
+	assert.Equal(t, []Ref{{KindGangJob, "g"}}, d.Remove)
+	assert.Len(t, d.Put.Services, 1)
+	assert.Empty(t, d.Put.Pools)
+	_, err := d.Apply(two)
+	assert.True(t, fault.Is(err, fault.Invalid))
+}
+
 // Guards against panics and against a set that is returned together with problems
 // or that does not survive its own encoding.
 func FuzzLoad(f *testing.F) {
--- a/core/object/set.go
+++ b/core/object/set.go
@@ -12,7 +12,8 @@
 	"briarproxy/core/fault"
 )
 
-// Encode returns the canonical JSON of a set: equal sets give equal bytes.
+// Encode returns the canonical JSON of a set: equal sets give equal bytes. Kinds
+// without objects are left out.
 func Encode(set *Set) ([]byte, error) { return json.Marshal(set) }
 
 // Decode reads canonical JSON. It refuses unknown fields, because a reader that
@@ -180,13 +181,17 @@
 	for ref := range seen {
 		refs = append(refs, ref)
 	}
+	sortRefs(refs)
+	return refs
+}
+
+func sortRefs(refs []Ref) {
 	sort.Slice(refs, func(i, j int) bool {
 		if refs[i].Kind != refs[j].Kind {
 			return refs[i].Kind < refs[j].Kind
 		}
 		return refs[i].Name < refs[j].Name
 	})
-	return refs
 }
 
 func compare(old, now flat) []FieldChange {
