Test the reader's limits, cycles and records against naive versions

Cause: depth limit, units, cycle detection and null sets were covered only in part.

Change: tests for the depth check, units and suggestions; cycles against a naive walk; equal output on every run; FuzzApply for config records. A record whose set is null was read as an empty set, which would have removed all objects; the decoder refuses it now.

--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -273,3 +273,19 @@
 	_, ok = IDOf([]byte("{}"))
 	assert.False(t, ok)
 }
+
+// Guards against a record that stops or panics a reader.
+func FuzzApply(f *testing.F) {
+	f.Add(publication(f, "one", 0))
+	f.Add([]byte(`{"format":1,"kind":"publication","id":"x","base":1,"author":"","set":{},"delta":true,"remove":[{"kind":"team","name":"one"}]}`))
+	f.Add([]byte(`{"format":1,"kind":"snapshot","id":"x","base":0,"version":9,"through":0,"author":"","set":{}}`))
+	f.Add([]byte(`{"format":1,"kind":"publication","id":"x","base":1,"author":"","set":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := New(0)
+		s.Apply(0, publication(t, "one", 0))
+		s.Apply(1, data)
+		s.Apply(2, data)
+		require.GreaterOrEqual(t, s.Version(), int64(1))
+		require.NotNil(t, s.Set())
+	})
+}
--- /dev/null
+++ b/core/jsonc/reader_test.go
@@ -0,0 +1,82 @@
+package jsonc
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a depth check that counts brackets in strings or comments, or that
+// text can hide brackets from, which would overflow the parser's stack.
+func TestDepthLimit(t *testing.T) {
+	many := strings.Repeat("[", MaxDepth+1)
+	cases := []struct {
+		text string
+		ok   bool
+	}{
+		{strings.Repeat("[", MaxDepth) + strings.Repeat("]", MaxDepth), true},
+		{many + strings.Repeat("]", MaxDepth+1), false},
+		{`["` + many + `\""]`, true},
+		{"[ // " + many + "\n1]", true},
+		{"[ /* " + many + "*/ 1]", true},
+		{`["\"", ` + many, false},
+		{"[ /**/ // x\n" + many, false},
+		{"[ /* " + many, false}, // refused by the parser
+		{"/" + many, false},
+		{"", false},
+	}
+	for _, c := range cases {
+		r, _, ok := Parse([]byte(c.text))
+		assert.Equal(t, c.ok, ok, c.text)
+		assert.Equal(t, c.ok, len(r.Issues) == 0, c.text)
+	}
+	_, _, ok := Parse(make([]byte, MaxBytes+1))
+	assert.False(t, ok)
+}
+
+// Guards against amounts that are read with the wrong scale or silently rounded.
+func TestUnits(t *testing.T) {
+	var cores, memory, size int64
+	var duration time.Duration
+	fields := []Field{
+		{Name: "c", Read: Cores(&cores)}, {Name: "m", Read: Memory(&memory)},
+		{Name: "b", Read: Bytes(&size, 0, 1<<50)}, {Name: "d", Read: Duration(&duration, 0, time.Hour)},
+	}
+	cases := []struct {
+		text string
+		want string // milli-cores, MiB, bytes, duration, or the rule of the issue
+	}{
+		{`"c": "2", "m": "64GiB", "b": "64KiB", "d": "90s"`, "2000 65536 65536 1m30s"},
+		{`"c": "1.5", "m": "1024KiB", "b": "3B", "d": "250ms"`, "1500 1 3 250ms"},
+		{`"c": "500m", "m": "1TiB", "b": "0B", "d": "0s"`, "500 1048576 0 0s"},
+		{`"c": "0.001"`, "1 0 0 0s"},
+		{`"c": "1.5m"`, "wrong-unit"}, {`"c": "0.0005"`, "wrong-unit"}, {`"c": "-1"`, "wrong-unit"}, {`"c": "2 "`, "wrong-unit"},
+		{`"c": 2`, "wrong-type"}, {`"m": "1GB"`, "wrong-unit"}, {`"m": "1.5GiB"`, "wrong-unit"}, {`"m": "1KiB"`, "wrong-unit"},
+		{`"m": "64"`, "wrong-unit"}, {`"m": "999999999999999TiB"`, "out-of-range"}, {`"d": "90"`, "wrong-unit"}, {`"d": "2h"`, "out-of-range"},
+		{`"d": "-1s"`, "out-of-range"}, {`"d": 90`, "wrong-type"}, {`"d": null`, "wrong-type"},
+	}
+	for _, c := range cases {
+		cores, memory, size, duration = 0, 0, 0, 0
+		r, root, ok := Parse([]byte("{" + c.text + "}"))
+		require.True(t, ok)
+		r.Object(root, fields)
+		got := fmt.Sprint(cores, memory, size, duration)
+		if len(r.Issues) > 0 {
+			got = string(r.Issues[0].Rule)
+		}
+		assert.Equal(t, c.want, got, c.text)
+	}
+}
+
+// Guards against remedies that name an unrelated field.
+func TestSuggest(t *testing.T) {
+	known := []string{"deadline", "durable", "pool"}
+	assert.Equal(t, `did you mean "deadline"?`, Suggest("dead_line", known))
+	assert.Equal(t, `did you mean "pool"?`, Suggest("pol", known))
+	assert.Equal(t, "use one of: deadline, durable, pool", Suggest("weight", known))
+	assert.Equal(t, "use one of: deadline, durable, pool", Suggest(strings.Repeat("x", 1000), known))
+}
--- a/core/object/load_test.go
+++ b/core/object/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"strings"
@@ -110,6 +111,54 @@
 	}
 }
 
+// Guards against a cycle that is missed or reported for policies outside it:
+// compares random parents with a naive walk from each policy.
+func TestCyclesAgainstNaiveWalk(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	cyclic := 0
+	for range 300 {
+		n := 1 + random.Intn(6)
+		parents := make([]int, n) // n: none
+		var text strings.Builder
+		for i := range parents {
+			parents[i] = random.Intn(n + 1)
+			parent := ""
+			if parents[i] < n {
+				parent = fmt.Sprintf(`"parent": "p%d", `, parents[i])
+			}
+			fmt.Fprintf(&text, `{"kind": "policy", "name": "p%d", "spec": {%s"priority": 1, "deadline": "1s"}},`, i, parent)
+		}
+		cycles := map[int]bool{} // by smallest member
+		for i := range parents {
+			smallest, at := i, parents[i]
+			for steps := 0; at < n && at != i && steps < n; steps++ {
+				smallest, at = min(smallest, at), parents[at]
+			}
+			if at == i {
+				cycles[smallest] = true
+			}
+		}
+		_, problems := load("[" + text.String() + "]")
+		require.Len(t, problems, len(cycles), text.String())
+		for _, p := range problems {
+			require.Equal(t, RuleCycle, p.Rule)
+		}
+		cyclic += len(cycles)
+	}
+	assert.Positive(t, cyclic)
+}
+
+// Guards against an outcome that depends on the order of maps or files.
+func TestLoadIsDeterministic(t *testing.T) {
+	text := "[" + edit(job, `"p"`, `"q"`) + "," + edit(service, `"issue"`, `"a": {}, "b": {}, "c": 1, "issue"`) + "]"
+	_, first := load(text)
+	require.Len(t, first, 10)
+	for range 20 {
+		_, again := load(text)
+		require.Equal(t, first, again)
+	}
+}
+
 // Guards against messages that lose the nearest name or the place.
 func TestProblemsNameTheRemedy(t *testing.T) {
 	_, problems := load(edit(job, `"tasks": 2`, `"taks": 2`))
@@ -130,7 +179,7 @@
 	assert.Equal(t, set, back)
 	again, _ := Encode(back)
 	assert.Equal(t, data, again)
-	for _, bad := range []string{"", "{}x", `{"teams":{"a":null}}`, `{"teams":null}`, edit(string(data), `"vms"`, `"wms"`)} {
+	for _, bad := range []string{"", "null", "{}x", `{"teams":{"a":null}}`, `{"teams":null}`, edit(string(data), `"vms"`, `"wms"`)} {
 		_, err := Decode([]byte(bad))
 		assert.True(t, fault.Is(err, fault.Invalid), bad)
 	}
--- a/core/object/set.go
+++ b/core/object/set.go
@@ -19,6 +19,9 @@
 // Decode reads canonical JSON. It refuses unknown fields, because a reader that
 // dropped a field would treat work differently from one that knows it.
 func Decode(data []byte) (*Set, error) {
+	if !bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
+		return nil, fault.New(fault.Invalid, "read the set with the release that wrote it", "the encoded set is not an object")
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	set := newSet()
