--- a/core/loan/ledger.go
+++ b/core/loan/ledger.go
@@ -35,9 +35,10 @@
 	lapsed map[int64]*Loan // slots may still be busy
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger(timing Timing) *Ledger {
-	return &Ledger{timing: timing, live: map[int64]*Loan{}, lapsed: map[int64]*Loan{}}
+// NewLedger returns an empty ledger whose loan ids follow first. Ids must not
+// repeat across ledgers that one borrower deals with.
+func NewLedger(first int64, timing Timing) *Ledger {
+	return &Ledger{timing: timing, nextID: first, live: map[int64]*Loan{}, lapsed: map[int64]*Loan{}}
 }
 
 // Grant records a loan. The caller has taken the slots out of the VM's capacity.
--- a/core/loan/ledger_test.go
+++ b/core/loan/ledger_test.go
@@ -62,7 +62,7 @@
 // slow, die, use a loan to its end, and answers and reports are late.
 func TestSlotsAreNeverUsedTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{free: capacity, ledger: NewLedger(Timing{Lapse: ttl + drift, Settle: runLease + validity + drift})}
+		m := &model{free: capacity, ledger: NewLedger(0, Timing{Lapse: ttl + drift, Settle: runLease + validity + drift})}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			m.now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
 			m.endRuns()
@@ -132,7 +132,7 @@
 
 // Guards against a loan that another daemon renews or returns.
 func TestOnlyTheBorrowerRenewsAndReturns(t *testing.T) {
-	l := NewLedger(Timing{Lapse: time.Second, Settle: time.Second})
+	l := NewLedger(0, Timing{Lapse: time.Second, Settle: time.Second})
 	granted := l.Grant("vm", "p", "a", 2, 0)
 	require.False(t, l.Renew(granted.ID, "b", 0))
 	_, ok := l.Return(granted.ID, "b", 2)
@@ -143,7 +143,7 @@
 // Guards against slots that are reused because of a report which the worker was
 // asked for before the loan lapsed: a request may have started after it.
 func TestReportAskedBeforeTheLapseSettlesNothing(t *testing.T) {
-	l := NewLedger(Timing{Lapse: time.Second, Settle: time.Minute})
+	l := NewLedger(0, Timing{Lapse: time.Second, Settle: time.Minute})
 	granted := l.Grant("vm", "p", "a", 2, 0)
 	require.Empty(t, l.Expire(granted.LapsesAt))
 	require.Zero(t, l.Settle("vm", nil, granted.LapsesAt-1))
--- /dev/null
+++ b/daemon/control/control.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"briarproxy/core/ownership"
+	"briarproxy/core/record"
+	"briarproxy/core/wire"
+	"briarproxy/daemon/configstream"
+	"briarproxy/daemon/event"
+	"briarproxy/daemon/logclient"
+	"briarproxy/daemon/peer"
+	"briarproxy/daemon/view"
+)
+
+// Times of the control goroutine.
+const (
+	tickInterval    = 200 * time.Millisecond
+	pollWait        = time.Second // long polls of the log
+	pollBatch       = 500         // records per read
+	peerPoll        = 500 * time.Millisecond
+	peerTimeout     = 2 * time.Second
+	vmListInterval  = time.Second
+	appendTimeout   = 4 * time.Second // until a membership record counts as unconfirmed
+	publishInterval = time.Second     // at the latest; liveness of daemons depends on time
+	logDownAfter    = 3 * time.Second // without an answer of the log service
+	unlistedVMs     = time.Minute     // flags of VMs that the list does not name are kept this long
+)
+
+// LogService is what control needs of the log; *logclient.Client implements it.
+type LogService interface {
+	Append(ctx context.Context, stream string, data []byte, contains func(data []byte) bool) (int64, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (wire.ReadReply, error)
+}
+
+// VMSource reads the VM list; *vmlist.Client implements it.
+type VMSource interface {
+	Get(ctx context.Context) ([]wire.VM, error)
+}
+
+// Options configures a Control. All fields are required.
+type Options struct {
+	Self      view.Daemon // Name, Incarnation, addresses, Region and DataCentre
+	Log       LogService
+	VMs       VMSource
+	Peers     peer.Caller
+	View      *view.Holder
+	Events    *event.Logger
+	Now       func() time.Duration // boot clock
+	Timing    ownership.Timing
+	Heartbeat time.Duration
+	Retention time.Duration // time for which the log keeps records
+	Budget    *logclient.Budget
+	CellRate  func() float64 // appends a second that all daemons may use together
+}
+
+// Control is the control goroutine of one daemon.
+type Control struct {
+	Options
+	messages chan message
+	done     chan struct{}
+
+	// The fields below belong to the goroutine that runs Serve.
+	ctx         context.Context
+	units       *ownership.State
+	config      configstream.Reader
+	configKnown bool // the config stream was read to its end once
+	configTail  []wire.LogRecord
+	counter     int64 // of this daemon's records
+	sequence    int64 // of its heartbeats
+	appending   bool
+	draining    bool
+	released    []chan struct{}
+	nextBeat    time.Duration
+	nextRepeat  time.Duration
+	vms         map[string]wire.VM
+	flags       map[string]vmFlags
+	logOK       time.Duration // boot clock of the last answer
+	logHealthy  bool
+	publishedAt time.Duration
+	mine        map[string]int64 // units of this daemon and their epochs, as last published
+	dirty       bool
+}
+
+// message is handled by the control goroutine.
+type message interface{ handle(c *Control) }
+
+// New returns a Control. Call Serve to run it.
+func New(options Options) *Control {
+	self := ownership.Identity{Name: options.Self.Name, Incarnation: options.Self.Incarnation}
+	return &Control{
+		Options: options, messages: make(chan message, 256), done: make(chan struct{}),
+		units: ownership.New(self, options.Timing), vms: map[string]wire.VM{},
+		flags: map[string]vmFlags{}, mine: map[string]int64{}, logOK: options.Now(), logHealthy: true,
+	}
+}
+
+// Serve runs until ctx ends.
+func (c *Control) Serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(c.done)
+	c.ctx = ctx
+	c.nextRepeat = c.Now() + c.Retention/3
+	go c.followMembers(ctx)
+	go c.followConfig(ctx)
+	go c.followVMs(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.messages:
+			m.handle(c)
+		case <-ticker.C:
+			c.tick()
+		}
+		if c.dirty {
+			c.publish()
+		}
+	}
+}
+
+func (c *Control) send(m message) bool {
+	select {
+	case c.messages <- m:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *Control) tick() {
+	now := c.Now()
+	c.checkLog(now)
+	c.dirty = c.dirty || now-c.publishedAt >= publishInterval
+	if c.appending {
+		return
+	}
+	records := c.due(now)
+	if len(records) > 0 {
+		c.append(records, now)
+	}
+	if now >= c.nextRepeat {
+		c.nextRepeat = now + c.Retention/3
+		c.repeatConfig()
+	}
+}
+
+// due returns the records to append now: a heartbeat when its time has come, and
+// claims and releases at once.
+func (c *Control) due(now time.Duration) []record.Record {
+	plan := c.units.Decide(now, c.wantedUnits(), c.draining)
+	var records []record.Record
+	if len(plan.Releases) > 0 {
+		records = append(records, record.Record{ID: c.nextID(), Release: &record.Release{Units: plan.Releases}})
+	}
+	if len(plan.Claims) > 0 {
+		records = append(records, record.Record{ID: c.nextID(), Claim: &record.Claim{Units: plan.Claims}})
+	}
+	if now >= c.nextBeat {
+		c.nextBeat = now + c.Heartbeat
+		records = append(records, record.Record{ID: c.nextID(), Heartbeat: c.heartbeat()})
+	}
+	return records
+}
+
+func (c *Control) nextID() record.ID {
+	c.counter++
+	return record.ID{Daemon: c.Self.Name, Incarnation: c.Self.Incarnation, Counter: c.counter}
+}
+
+func (c *Control) heartbeat() *record.Heartbeat {
+	c.sequence++
+	return &record.Heartbeat{
+		Sequence: c.sequence, PeerAddress: c.Self.PeerAddress, CallerAddress: c.Self.CallerAddress,
+		AdminAddress: c.Self.AdminAddress, Region: c.Self.Region, DataCentre: c.Self.DataCentre,
+		ConfigVersion: c.version(), Draining: c.Self.Draining || c.draining, Units: c.units.Held(),
+	}
+}
+
+func (c *Control) version() int64 {
+	if !c.configKnown {
+		return 0
+	}
+	return c.config.Version()
+}
+
+// append sends the records in one append. Their leases count from now on, before
+// the append is sent.
+func (c *Control) append(records []record.Record, now time.Duration) {
+	c.appending = true
+	var data []byte
+	for _, r := range records {
+		line, err := record.Encode(r)
+		if err != nil {
+			continue // only records of this function are encoded
+		}
+		c.units.Sending(r.ID, now)
+		data = append(append(data, line...), '\n')
+	}
+	id := records[0].ID.String()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, appendTimeout)
+		defer cancel()
+		_, err := c.Log.Append(ctx, wire.StreamMembers, data, func(found []byte) bool { return record.Contains(found, id) })
+		c.send(appended{err: err})
+	}()
+}
+
+// appended is the outcome of an append to `members`. What it changes is learned by
+// reading the stream.
+type appended struct{ err error }
+
+func (m appended) handle(c *Control) {
+	c.appending = false
+	if m.err != nil {
+		c.Events.Emit(eventAppend, "error", m.err.Error())
+		return
+	}
+	c.logOK = c.Now()
+}
+
+func (c *Control) checkLog(now time.Duration) {
+	healthy := now-c.logOK < logDownAfter
+	if healthy == c.logHealthy {
+		return
+	}
+	c.logHealthy = healthy
+	if healthy {
+		c.Events.Emit(eventLogUp)
+	} else {
+		c.Events.Emit(eventLogDown, "silent_ms", (now - c.logOK).Milliseconds())
+	}
+}
+
+// Drain marks this daemon as draining: it claims nothing more. It keeps its units
+// until ReleaseAll.
+func (c *Control) Drain() {
+	c.send(drainMessage{})
+}
+
+type drainMessage struct{ done chan struct{} }
+
+func (m drainMessage) handle(c *Control) {
+	if m.done == nil {
+		c.leaving()
+		return
+	}
+	c.draining = true
+	c.released = append(c.released, m.done)
+	c.nextBeat = 0
+	c.tick()
+}
+
+// leaving makes the next heartbeat tell peers that this daemon is draining.
+func (c *Control) leaving() {
+	c.Self.Draining = true
+	c.nextBeat = 0
+	c.dirty = true
+}
+
+// ReleaseAll releases all units and waits until the release was read back, or ctx
+// ends. A unit whose release is not in the log changes owner when its lease ends.
+func (c *Control) ReleaseAll(ctx context.Context) {
+	m := drainMessage{done: make(chan struct{})}
+	if !c.send(m) {
+		return
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	case <-c.done:
+	}
+}
+
+func (c *Control) tellReleased() {
+	if !c.draining || len(c.units.Held()) > 0 || c.ownsAny() {
+		return
+	}
+	for _, done := range c.released {
+		close(done)
+	}
+	c.released = nil
+}
+
+func (c *Control) ownsAny() bool {
+	owns := false
+	c.units.Units(func(_ string, h ownership.Holding) {
+		owns = owns || h.Owner == ownership.Identity{Name: c.Self.Name, Incarnation: c.Self.Incarnation}
+	})
+	return owns
+}
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -95,6 +95,7 @@
 	o.cell.RemoveWorker(w.vm.Name)
 	w.fenced = false
 	w.draining = false
+	w.foreign = 0
 	w.askedAt = 0
 }
 
@@ -103,37 +104,36 @@
 	if w.incarnation != 0 && w.incarnation != m.report.Incarnation {
 		o.ledger.Forget(w.vm.Name)
 		o.cell.RemoveWorker(w.vm.Name)
+		w.foreign = 0
 	}
 	w.fenced = true
 	w.incarnation = m.report.Incarnation
 	w.renewedAt = 0
 	o.describe(w)
-	o.ledger.Fenced(w.vm.Name, w.capacity.Slots)
-	requests := 0
-	for _, a := range m.report.Attempts {
-		if a.Kind == wire.KindRequest && a.State == wire.RunRunning {
-			requests++
-		}
-	}
-	o.Log.Emit(eventFenced, "vm", w.vm.Name, "epoch", w.epoch, "incarnation", w.incarnation, "attempts", len(m.report.Attempts), "requests_running", requests)
+	o.Log.Emit(eventFenced, "vm", w.vm.Name, "epoch", w.epoch, "incarnation", w.incarnation, "attempts", len(m.report.Attempts))
 }
 
 // follow compares the worker's inventory with what is known of it.
 func (o *Owner) follow(w *worker, m inventory) {
-	busy := int64(0)
+	busy := map[int64]int64{}
+	foreign := int64(0)
 	listed := map[string]bool{}
 	for i := range m.report.Attempts {
 		a := &m.report.Attempts[i]
 		if a.Kind == wire.KindRequest {
-			if a.State == wire.RunRunning {
-				busy += a.Resources.Slots
+			switch {
+			case a.State != wire.RunRunning:
+			case a.Epoch == w.epoch:
+				busy[a.Loan] += a.Resources.Slots
+			default:
+				foreign += a.Resources.Slots
 			}
 			continue
 		}
 		listed[a.ID] = true
 		o.followTask(w, a, m)
 	}
-	o.settleLoans(w, busy, m.sent)
+	o.settleLoans(w, busy, foreign, m.sent)
 	for id, a := range w.attempts {
 		if !listed[id] && !a.ended() && !a.starting && a.reservation == 0 {
 			// The worker forgot an attempt that it had accepted: it does not run.
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -32,7 +32,8 @@
 	notices      map[string]*attempt // ended attempts by task id, until their end is recorded
 	nextID       int64
 	draining     bool
-	slotDemand   map[string]slotDemand // by pool
+	slotDemand   map[string]slotDemand  // by pool
+	wants        map[want]time.Duration // borrowers that got less than they wanted, until when
 }
 
 // message is handled by the owner's goroutine.
@@ -45,7 +46,7 @@
 		workers: map[string]*worker{}, byTask: map[string]*worker{}, cell: place.NewCell(),
 		ledger: newLedger(), failures: quarantine.New(quarantine.Defaults()),
 		sizes: estimate.New(estimate.Defaults()), reservations: map[int64]reserved{},
-		slotDemand: map[string]slotDemand{}, notices: map[string]*attempt{},
+		slotDemand: map[string]slotDemand{}, wants: map[want]time.Duration{}, notices: map[string]*attempt{},
 	}
 }
 
--- a/daemon/rack/types.go
+++ b/daemon/rack/types.go
@@ -84,6 +84,7 @@
 	renewedAt   time.Duration // boot clock
 	fencing     bool          // the worker's pools say that it refuses stale epochs
 	draining    bool
+	foreign     int64               // slots busy with requests that earlier owners lent for
 	attempts    map[string]*attempt // tasks that may run or whose end is not recorded yet
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -176,6 +176,7 @@
 		return attempt{}, &Outcome{Kind: workerclient.NeverRan, Reason: "the loan of the slot lapsed before the start was sent"}
 	}
 	start.Epoch = slot.Epoch
+	start.Loan = slot.loan.ID
 	start.Incarnation = slot.Incarnation
 	start.NotAfterMS = limit.Milliseconds()
 	start.LeaseMS = leaseMS(start.LeaseMS, slot.maxLease)
