End a lease when its release is decided; check claims of late readers

Cause: the property test drew nearly only small values, so most daemons were always in a fault. With uniform draws it found two faults: a daemon that had sent a release kept its lease until it read the release, after another daemon had read it and claimed; a reader that started in the middle of the log took an invalid first claim for valid and rejected the right one. Change: Decide gives the unit up at once; a release names the epoch; claims whose history was not read are tentative until a heartbeat confirms them; a unit that nobody renewed for a window of records counts as never owned. Conclusion: a new reader starts Timing.History() records before the end.

--- a/core/ownership/state.go
+++ b/core/ownership/state.go
@@ -8,13 +8,6 @@
 	"briarproxy/core/record"
 )
 
-// Window is the number of log records after which a unit that nobody renewed
-// counts as never owned. The rule depends on offsets alone, so readers that start
-// at different offsets agree once they have read Window records. The log must keep
-// at least this many records while any daemon runs: at one heartbeat every 2 s a
-// single daemon writes them in 35 min.
-const Window int64 = 1024
-
 // maxPendingSends bounds the remembered sends whose record has not been read back.
 const maxPendingSends = 256
 
@@ -30,9 +23,9 @@
 	Epoch  int64         // offset of the claim; kept after a release
 	Last   int64         // offset of the last claim or heartbeat that held the unit
 	ReadAt time.Duration // when this daemon read the record at Last
-	// assumed is set when the reader started after the claim's history, so that a
-	// heartbeat with an epoch from before the start may still correct it.
-	assumed bool
+	// tentative is set when the claim could not be checked because the reader started
+	// after its history, and no heartbeat has confirmed it yet.
+	tentative bool
 }
 
 // Free reports whether the unit was released.
@@ -56,6 +49,7 @@
 	members  map[string]Member
 	sends    map[int64]time.Duration // counter of own records, time before their send
 	leases   map[string]time.Duration
+	givenUp  map[string]int64         // own units whose release is decided, with their epochs
 	unwanted map[string]time.Duration // own units and since when another daemon is wanted
 	lastRead time.Duration
 	watching time.Duration // start of the current uninterrupted reading
@@ -79,12 +73,13 @@
 	s.members = map[string]Member{}
 	s.sends = map[int64]time.Duration{}
 	s.leases = map[string]time.Duration{}
+	s.givenUp = map[string]int64{}
 	s.unwanted = map[string]time.Duration{}
 	s.hasRead = false
 }
 
-// StartAt sets the first offset that will be applied. A state that starts above 0
-// has not seen the history before it.
+// StartAt sets the first offset that will be applied: the later of the first
+// retained offset and Timing.History records before the end of the log.
 func (s *State) StartAt(offset int64) { s.start = offset }
 
 // Sending notes the time before a record of this daemon is sent.
@@ -134,36 +129,45 @@
 		case found && holding.Owner == sender && holding.Epoch == held.Epoch:
 			holding.Last = offset
 			holding.ReadAt = readAt
+			holding.tentative = false
 			s.units[held.Name] = holding
 			s.extendLease(held.Name, r.ID)
 		case s.learns(holding, found, held, offset):
-			s.units[held.Name] = Holding{Owner: sender, Epoch: held.Epoch, Last: offset, ReadAt: readAt, assumed: true}
+			s.units[held.Name] = Holding{Owner: sender, Epoch: held.Epoch, Last: offset, ReadAt: readAt}
 			s.extendLease(held.Name, r.ID)
 		}
 	}
 }
 
 // learns reports whether a heartbeat tells this reader of a claim that it could not
-// read because it started above the claim's offset.
+// read or judge because it started in the middle of the log. Daemons list only
+// claims that they know to be valid, so a higher epoch replaces a lower one.
 func (s *State) learns(holding Holding, found bool, held record.HeldUnit, offset int64) bool {
-	if held.Epoch >= s.start || offset-s.start >= Window {
+	switch {
+	case s.start == 0:
 		return false
-	}
-	if !found {
+	case !found:
+		return offset < s.horizon()
+	case holding.tentative:
 		return true
+	default:
+		return held.Epoch > holding.Epoch && held.Epoch < s.horizon()
 	}
-	return holding.assumed && (holding.Epoch >= s.start || held.Epoch > holding.Epoch)
 }
 
+// horizon is the offset up to which missing history can matter to this reader.
+func (s *State) horizon() int64 { return s.start + 2*s.timing.Window }
+
 func (s *State) applyClaim(offset int64, sender Identity, r record.Record, readAt time.Duration) {
 	for _, claimed := range r.Claim.Units {
 		if !s.claimValid(claimed, offset) {
 			continue
 		}
 		old, found := s.holding(claimed.Name, offset)
-		assumed := (!found || old.assumed) && s.start > 0 && offset-s.start < Window
-		s.units[claimed.Name] = Holding{Owner: sender, Epoch: offset, Last: offset, ReadAt: readAt, assumed: assumed}
+		tentative := s.start > 0 && (old.tentative || !found && offset < s.horizon())
+		s.units[claimed.Name] = Holding{Owner: sender, Epoch: offset, Last: offset, ReadAt: readAt, tentative: tentative}
 		delete(s.leases, claimed.Name)
+		delete(s.unwanted, claimed.Name)
 		s.extendLease(claimed.Name, r.ID)
 	}
 }
@@ -173,28 +177,25 @@
 	if found {
 		return claimed.Supersedes == holding.Last
 	}
-	// The history before the start is unknown: the claim may refer to it.
-	missingHistory := s.start > 0 && offset-s.start < Window && claimed.Supersedes < s.start
-	return claimed.Supersedes == record.NoRecord || missingHistory
+	return claimed.Supersedes == record.NoRecord || (s.start > 0 && offset < s.horizon())
 }
 
 func (s *State) applyRelease(sender Identity, release *record.Release) {
-	for _, name := range release.Units {
-		holding, found := s.units[name]
-		if !found || holding.Owner != sender {
+	for _, unit := range release.Units {
+		holding, found := s.units[unit.Name]
+		if !found || holding.Owner != sender || holding.Epoch != unit.Epoch {
 			continue
 		}
 		holding.Owner = Identity{}
-		s.units[name] = holding
-		delete(s.leases, name)
-		delete(s.unwanted, name)
+		holding.tentative = false
+		s.units[unit.Name] = holding
 	}
 }
 
 // holding returns the holding of a unit as it counts for a record at the offset.
 func (s *State) holding(unit string, offset int64) (Holding, bool) {
 	h, found := s.units[unit]
-	if !found || offset-h.Last > Window {
+	if !found || offset-h.Last > s.timing.Window {
 		return Holding{}, false
 	}
 	return h, true
@@ -227,11 +228,12 @@
 	}
 }
 
-// Held returns this daemon's units with their epochs, sorted by name, for a heartbeat.
+// Held returns this daemon's units with their epochs, sorted by name, for a
+// heartbeat. Units whose release is decided are left out.
 func (s *State) Held() []record.HeldUnit {
 	var held []record.HeldUnit
 	s.Units(func(unit string, h Holding) {
-		if h.Owner == s.self {
+		if s.holds(unit, h) {
 			held = append(held, record.HeldUnit{Name: unit, Epoch: h.Epoch})
 		}
 	})
@@ -239,10 +241,15 @@
 	return held
 }
 
+func (s *State) holds(unit string, h Holding) bool {
+	epoch, givenUp := s.givenUp[unit]
+	return h.Owner == s.self && !(givenUp && epoch == h.Epoch)
+}
+
 // LeaseUntil returns the end of this daemon's lease of a unit, 0 if it has none.
 func (s *State) LeaseUntil(unit string) time.Duration {
 	h, ok := s.Owner(unit)
-	if !ok || h.Owner != s.self {
+	if !ok || !s.holds(unit, h) {
 		return 0
 	}
 	return s.leases[unit]
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -26,7 +26,7 @@
 	return fmt.Sprintf("%s/%d/%d", id.Daemon, id.Incarnation, id.Counter)
 }
 
-// HeldUnit is a unit that a heartbeat's sender holds.
+// HeldUnit is a unit that a record's sender holds.
 type HeldUnit struct {
 	Name  string `json:"n"`
 	Epoch int64  `json:"e"` // log offset of the claim
@@ -57,9 +57,10 @@
 	Units []ClaimedUnit `json:"u"`
 }
 
-// Release frees units that the sender owns.
+// Release frees units that the sender owns under the given epochs. The epoch keeps
+// a delayed release from freeing a unit that the sender has claimed again.
 type Release struct {
-	Units []string `json:"u"`
+	Units []HeldUnit `json:"u"`
 }
 
 // Record is one record of the stream. Exactly one of Heartbeat, Claim and Release
