Run idempotent requests again when their result is lost

Cause: an idempotent request whose first result was lost was answered with an error although time was left. Change: a lost result counts as an attempt without an answer; the final problem says that it ran.

--- a/daemon/router/borrow.go
+++ b/daemon/router/borrow.go
@@ -44,7 +44,11 @@
 
 // refreshLenders derives the owners of the pool's rack units from the view.
 func (s *state) refreshLenders(p *poolState, now time.Duration) {
-	if p.lendersSet && now-p.lendersAt < lendersEvery {
+	every := lendersEvery
+	if len(p.lenders) == 0 {
+		every = busyTick
+	}
+	if p.lendersSet && now-p.lendersAt < every {
 		return
 	}
 	p.lendersAt, p.lendersSet = now, true
--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -65,17 +65,17 @@
 	return r.runIdempotent(ctx, plan)
 }
 
-// runIdempotent acquires a slot and runs the request. A request that never ran, or
-// whose run lease has surely lapsed, goes to another worker while the deadline, the
-// policy and the retry budget allow.
+// runIdempotent acquires a slot and runs the request. A request that never ran,
+// whose result is lost or whose run lease has surely lapsed goes to another worker
+// while the deadline, the policy and the retry budget allow.
 func (r *Router) runIdempotent(ctx context.Context, plan *Plan) (*Answer, *wire.Problem) {
 	r.budget.request()
 	query := plan.Query()
-	mayHaveRun := false
+	earlier := wire.OutcomeNotRun // of the earlier attempts
 	for generation := int64(1); ; generation++ {
 		slot, p := r.Acquire(ctx, query)
 		if p != nil {
-			return nil, honest(p, mayHaveRun)
+			return nil, honest(p, earlier)
 		}
 		run, early := r.prepare(slot, plan.Start(generation))
 		outcome := early
@@ -90,19 +90,32 @@
 			}
 			return answer, p
 		}
-		if outcome.Kind != workerclient.NeverRan {
-			mayHaveRun = true
-			if r.options.Now() < run.lapsed {
-				return nil, unknown("send the request again; it is idempotent", "the end of the run was not learned in time: %s", outcome.Reason)
-			}
+		if !outcome.Ended() && r.options.Now() < run.lapsed {
+			return nil, unknown(sendAgain, "the end of the run was not learned in time: %s", outcome.Reason)
 		}
+		earlier = worse(earlier, *outcome)
 		query.Avoid = append(query.Avoid, slot.VM)
 		if p := r.mayResend(ctx, plan, generation, outcome.Reason); p != nil {
-			return nil, honest(p, mayHaveRun)
+			return nil, honest(p, earlier)
 		}
 	}
 }
 
+const sendAgain = "send the request again; it is idempotent"
+
+// worse adds the outcome of an attempt without an answer to those before it.
+func worse(earlier wire.Outcome, outcome Outcome) wire.Outcome {
+	switch {
+	case outcome.Kind == workerclient.NeverRan:
+		return earlier
+	case outcome.Ended():
+		return wire.OutcomeRan
+	case earlier == wire.OutcomeNotRun:
+		return wire.OutcomeUnknown
+	}
+	return earlier
+}
+
 // followUntilLapsed follows a run until its run lease has surely lapsed, because an
 // idempotent request may then go to another worker.
 func (r *Router) followUntilLapsed(ctx context.Context, run attempt) Outcome {
@@ -111,33 +124,27 @@
 	return r.follow(ctx, run)
 }
 
-// honest turns a not-run problem into an unknown one when an earlier attempt of
-// the request may have run.
-func honest(p *wire.Problem, mayHaveRun bool) *wire.Problem {
-	if !mayHaveRun || p.Outcome != wire.OutcomeNotRun {
+// honest corrects a not-run problem by the outcome of the earlier attempts.
+func honest(p *wire.Problem, earlier wire.Outcome) *wire.Problem {
+	if p.Outcome != wire.OutcomeNotRun || earlier == wire.OutcomeNotRun {
 		return p
 	}
-	return unknown("send the request again; it is idempotent", "an earlier attempt may have run; then: %s", p.Detail)
+	if earlier == wire.OutcomeRan {
+		return problem(http.StatusBadGateway, wire.OutcomeRan, "result-lost", sendAgain, "the request ran but its result is lost; then: %s", p.Detail)
+	}
+	return unknown(sendAgain, "an earlier attempt may have run; then: %s", p.Detail)
 }
 
 // settle turns an outcome into an answer; settled is false when the request may be
 // sent to another worker.
 func settle(plan *Plan, slot *Slot, outcome Outcome) (answer *Answer, p *wire.Problem, settled bool) {
-	switch outcome.Kind {
-	case workerclient.Done:
-		if outcome.Result.State == wire.RunFailed || outcome.Result.State == wire.RunStopped {
-			return nil, failed(plan, slot, outcome.Result), true
-		}
-		return &Answer{Result: outcome.Result}, nil, true
-	case workerclient.Lost:
-		return nil, problem(http.StatusBadGateway, wire.OutcomeRan, "result-lost", "send the request again; it is idempotent",
-			"the request ran on %s but its result is not kept", slot.VM), true
+	if outcome.Kind != workerclient.Done {
+		return nil, nil, false
 	}
-	if outcome.Ended() && outcome.Kind == workerclient.Unknown {
-		return nil, problem(http.StatusBadGateway, wire.OutcomeRan, "result-lost", "send the request again; it is idempotent",
-			"the request ran on %s but its result did not arrive whole before the deadline", slot.VM), true
+	if outcome.Result.State == wire.RunFailed || outcome.Result.State == wire.RunStopped {
+		return nil, failed(plan, slot, outcome.Result), true
 	}
-	return nil, nil, false
+	return &Answer{Result: outcome.Result}, nil, true
 }
 
 func failed(plan *Plan, slot *Slot, result *wire.Result) *wire.Problem {
--- a/daemon/router/main_test.go
+++ b/daemon/router/main_test.go
@@ -50,6 +50,7 @@
 	runTime time.Duration
 	refuse  wire.Refusal
 	mangle  func(n int, reply *wire.StartReply) bool // changes an answer; false: never answers
+	forget  int                                      // stops answered without the result
 	lose    *atomic.Int64                            // number of starts still to be taken off a connection and lost
 	starts  int
 }
@@ -115,6 +116,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if result, found := w.results[key]; found {
+		if w.forget > 0 {
+			w.forget--
+			result = nil
+		}
 		return wire.StopReply{State: wire.RunFinished, Result: result}
 	}
 	if w.ran[key] > 0 {
@@ -147,6 +152,7 @@
 	ttl     time.Duration
 	lent    map[int64]int64
 	asked   map[string]int
+	granted int // loans
 	forward func(n int, args *wire.ForwardArgs, reply *wire.ForwardReply) error
 	keys    []string
 	job     func(args *wire.JobArgs, reply *wire.JobReply) error
@@ -181,6 +187,7 @@
 		}
 		args.Want -= f.slots
 		f.lent[id] = f.slots
+		f.granted++
 		reply.Loans = append(reply.Loans, wire.Loan{
 			ID: id, VM: w.vm.Name, Address: w.vm.Address, Region: w.vm.Region, DataCentre: w.vm.DataCentre, Slots: f.slots,
 			Epoch: 5, Incarnation: 1, WorkerClockMS: f.clock().Milliseconds(), TTLMS: f.ttl.Milliseconds(), MaxDeadlineMS: 20_000, LenderInstance: daemon,
@@ -191,7 +198,7 @@
 // harness is a router with stand-ins around it.
 type harness struct {
 	*Router
-	t       *testing.T
+	t       testing.TB
 	peers   *fakePeers
 	holder  *view.Holder
 	mu      sync.Mutex
@@ -213,7 +220,7 @@
 
 // newHarness builds one worker per given region; the lender of a worker in region
 // "r1" is "d-r1".
-func newHarness(t *testing.T, regions ...string) *harness {
+func newHarness(t testing.TB, regions ...string) *harness {
 	h := &harness{t: t, holder: view.NewHolder()}
 	h.peers = &fakePeers{workers: map[string][]*testWorker{}, slots: 2, ttl: 10 * time.Second, lent: map[int64]int64{}, asked: map[string]int{}, clock: h.now}
 	snapshot := &view.Snapshot{
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -105,6 +105,45 @@
 	}
 }
 
+// Guards against giving up an idempotent request whose first result is lost.
+func TestLostResultRunsAgain(t *testing.T) {
+	h := newHarness(t, "r1", "r1")
+	for _, w := range h.workers {
+		w.forget = 1
+		w.mangle = func(_ int, r *wire.StartReply) bool { r.Result.Digest = ""; return true }
+	}
+	_, p := h.Handle(context.Background(), Request{ID: "r1", Service: "s", Operation: "read", Wait: time.Second})
+	require.NotNil(t, p)
+	require.Equal(t, wire.OutcomeRan, p.Outcome, "both results are lost")
+	answer, p := h.handle("r2", "read")
+	require.Nil(t, p, "%+v", p)
+	require.Equal(t, "body of r2", string(answer.Result.Body))
+}
+
+// Guards against loans that lapse in use, that are borrowed again instead of
+// renewed, or that stay borrowed when they are idle.
+func TestLoansAreRenewedAndReturned(t *testing.T) {
+	h := newHarness(t, "r1")
+	h.peers.ttl = 1500 * time.Millisecond
+	slot, p := h.Acquire(context.Background(), h.query(time.Second))
+	require.Nil(t, p)
+	time.Sleep(2 * h.peers.ttl)
+	h.Release(slot)
+	slot, p = h.Acquire(context.Background(), h.query(time.Second))
+	require.Nil(t, p)
+	require.Equal(t, workerclient.Done, h.Run(context.Background(), slot, wire.Start{ID: "x", Generation: 1}).Kind)
+	h.peers.mu.Lock()
+	require.Equal(t, 1, h.peers.granted)
+	h.peers.ttl = time.Hour
+	h.peers.mu.Unlock()
+	require.Eventually(t, func() bool {
+		h.advance(100 * time.Millisecond) // the recent peak decays in 7 s
+		h.peers.mu.Lock()
+		defer h.peers.mu.Unlock()
+		return len(h.peers.lent) == 0
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
 // Guards against reusing the slot of a run that may still go on, and against a
 // wrong outcome at the deadline.
 func TestUnknownKeepsSlotOccupied(t *testing.T) {
