--- a/daemon/cmd/briarproxyd/main.go
+++ b/daemon/cmd/briarproxyd/main.go
@@ -5,13 +5,12 @@
 	"fmt"
 	"os"
 
-	"github.com/spf13/cobra"
+	"briarproxy/daemon/internal/daemoncmd"
 )
 
 func main() {
-	cmd := &cobra.Command{Use: "briarproxyd", SilenceUsage: true}
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	if err := daemoncmd.New().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "briarproxyd:", err)
 		os.Exit(1)
 	}
 }
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -65,6 +65,9 @@
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return NewLogger(io.Discard, log.PanicLevel, "") }
 
+// SetLevel changes the lowest level that is written.
+func (l *Logger) SetLevel(level log.Level) { l.out.SetLevel(level) }
+
 // Emit writes one line for the event. The fields are alternating keys and values.
 func (l *Logger) Emit(e Event, fields ...any) {
 	entry := l.out.WithLevel(e.Level)
--- a/daemon/metric/metric.go
+++ b/daemon/metric/metric.go
@@ -53,6 +53,7 @@
 
 	requests *prometheus.CounterVec
 	wait     *prometheus.HistogramVec
+	taskWait *prometheus.HistogramVec
 	retries  *prometheus.CounterVec
 	appends  *prometheus.CounterVec
 	appended prometheus.Counter
@@ -72,6 +73,9 @@
 		wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "briar_request_wait_seconds", Help: "Time from arrival to a slot.", Buckets: waitBuckets,
 		}, []string{"class"}),
+		taskWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "briar_task_wait_seconds", Help: "Time from a job's submission to a task's start.", Buckets: waitBuckets,
+		}, []string{"class"}),
 		retries: counter("briar_retries_total", "Repeated starts and calls.", "reason"),
 		appends: counter("briar_log_appends_total", "Appends to the log service.", "stream", "result"),
 		appended: prometheus.NewCounter(prometheus.CounterOpts{
@@ -82,7 +86,7 @@
 		classes:  bounded{limit: maxClasses},
 		reasons:  bounded{limit: maxReasons},
 	}
-	m.Registry.MustRegister(m.requests, m.wait, m.retries, m.appends, m.appended, m.bytes,
+	m.Registry.MustRegister(m.requests, m.wait, m.taskWait, m.retries, m.appends, m.appended, m.bytes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -146,3 +150,8 @@
 	b.seen[v] = true
 	return v
 }
+
+// TaskStarted records the time from the submission of a job to the start of a task.
+func (m *Metrics) TaskStarted(class string, waited time.Duration) {
+	m.taskWait.WithLabelValues(m.classes.value(class)).Observe(waited.Seconds())
+}
--- a/daemon/router/durable.go
+++ b/daemon/router/durable.go
@@ -97,7 +97,7 @@
 		p.Remedy = "ask for the job at /v1/jobs/" + args.ID + " or send the call again"
 	}
 	if p == nil && reply.Problem != nil {
-		p = honest(reply.Problem, lost)
+		p = afterLoss(reply.Problem, lost)
 	}
 	if p != nil {
 		return nil, p
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -50,7 +50,7 @@
 	case p != nil:
 		return nil, p
 	case reply.Problem != nil:
-		return nil, honest(reply.Problem, lost)
+		return nil, afterLoss(reply.Problem, lost)
 	case !verified(reply.Result):
 		return nil, problem(http.StatusBadGateway, wire.OutcomeUnknown, "answer-damaged", askAgain, "the shard owner's answer is incomplete")
 	}
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -58,7 +58,7 @@
 	r := &runner{
 		Options: options, shard: shard, epoch: epoch, cancel: cancel, ctx: ctx,
 		done: make(chan struct{}), messages: make(chan message, 256),
-		rng: options.Random(), stream: options.Stream(shard),
+		rng: options.Random(), stream: options.Stream(ctx, shard),
 		waiters: map[string][]chan struct{}{}, submitting: map[string]bool{},
 		history: map[string][]wire.HistoryRow{}, rackEpochs: map[string]int64{},
 		missing: map[string]time.Duration{},
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -162,7 +162,7 @@
 	holder := view.NewHolder()
 	m = New(Options{
 		Self: "d", View: holder, Peers: c.worker, Requests: c.worker,
-		Stream: func(int) Stream { return c.stream }, Log: event.Discard(), Observer: noObserver{},
+		Stream: func(context.Context, int) Stream { return c.stream }, Log: event.Discard(), Observer: noObserver{},
 		Now: bootclock.Now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }, Calls: c.calls, Retention: time.Hour,
 	})
--- a/daemon/shard/types.go
+++ b/daemon/shard/types.go
@@ -74,7 +74,7 @@
 	View      view.Source
 	Peers     peer.Caller
 	Requests  Requests
-	Stream    func(shard int) Stream
+	Stream    func(ctx context.Context, shard int) Stream // open until ctx ends
 	Log       *event.Logger
 	Observer  Observer
 	Now       func() time.Duration // boot clock
