--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -85,6 +85,7 @@
 	Body       []byte
 	From       string
 	Shard      int
+	ShardEpoch int64 // epoch of the shard that the sender knows; a call that outlives it is refused
 }
 
 // ForwardReply carries a result or a problem.
@@ -110,8 +111,10 @@
 	Action     JobAction
 	ID         string
 	Spec       *JobSpec
-	DeadlineMS int64
+	DeadlineMS int64 // time left
+	WaitMS     int64 // JobGet: how long to wait for the job's end
 	From       string
+	ShardEpoch int64 // as in ForwardArgs
 }
 
 // JobReply answers a job call.
@@ -229,10 +232,11 @@
 
 // StopTask names an attempt to stop and the worker that has it.
 type StopTask struct {
-	TaskID     string
-	Generation int64
-	VM         string
-	Query      bool
+	TaskID      string
+	Generation  int64
+	VM          string
+	Incarnation int64 // of the worker to which the attempt was sent
+	Query       bool
 }
 
 // StopArgs stops or queries attempts in a batch.
@@ -247,6 +251,7 @@
 	TaskID     string
 	Generation int64
 	Known      bool
+	Restarted  bool // the worker has restarted since: the attempt does not run, whether it ran is unknown
 	State      RunState
 	Result     *Result
 }
--- a/core/wire/worker.go
+++ b/core/wire/worker.go
@@ -44,14 +44,15 @@
 	Job         string          `json:"job,omitempty"`     // for tasks
 	Resources   resource.Vector `json:"resources"`         // committed on the worker while it runs
 	RunMS       int64           `json:"run_ms,omitempty"`  // declared run time of a task
+	Loan        int64           `json:"loan,omitempty"`    // loan of the slot, repeated in reports
 	Body        []byte          `json:"body,omitempty"`
 }
 
 // Refusal is the reason for which a worker did not start something.
 type Refusal string
 
-// Reasons of a worker's refusal. After any of them the attempt has not run and
-// will not run.
+// Reasons of a worker's refusal. After any of them but RefusedDuplicate the attempt
+// has not run and will not run.
 const (
 	RefusedStaleEpoch       Refusal = "stale-epoch"
 	RefusedTooLate          Refusal = "too-late"
@@ -101,6 +102,9 @@
 	Generation int64  `json:"generation"` // this and all lower generations
 	Epoch      int64  `json:"epoch"`
 	Query      bool   `json:"query,omitempty"`
+	// Incarnation of the worker to which the attempt was sent, 0 for any. Another
+	// incarnation refuses, because it can't know whether the attempt ran before.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // StopReply tells what became of the attempt. Result is set when it has ended
@@ -138,6 +142,7 @@
 	Epoch      int64           `json:"epoch"`
 	Kind       Kind            `json:"kind"`
 	Job        string          `json:"job,omitempty"`
+	Loan       int64           `json:"loan,omitempty"` // as in the start
 	State      RunState        `json:"state"`
 	Resources  resource.Vector `json:"resources"`
 	Usage      resource.Vector `json:"usage"` // measured, with the platform's lag
@@ -159,9 +164,16 @@
 	Attempts    []Attempt       `json:"attempts"`
 }
 
-// Ack lets the worker forget finished attempts.
+// AttemptID names one attempt.
+type AttemptID struct {
+	ID         string `json:"id"`
+	Generation int64  `json:"generation"`
+}
+
+// Ack lets the worker forget the results of ended attempts. Without the generation
+// a late acknowledgement could drop the result of a later attempt.
 type Ack struct {
-	IDs []string `json:"ids"`
+	Attempts []AttemptID `json:"attempts"`
 }
 
 // Throttle limits a running task to a share of its cores.
--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -86,7 +86,7 @@
 		}
 		if answer, p, settled := settle(plan, slot, *outcome); settled {
 			if answer != nil {
-				r.Ack(slot, plan.ID)
+				r.Ack(slot, plan.ID, generation)
 			}
 			return answer, p
 		}
@@ -108,7 +108,7 @@
 	switch {
 	case outcome.Kind == workerclient.NeverRan:
 		return earlier
-	case outcome.Ended():
+	case outcome.Ended() && !outcome.Restarted:
 		return wire.OutcomeRan
 	case earlier == wire.OutcomeNotRun:
 		return wire.OutcomeUnknown
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -176,6 +176,7 @@
 		return attempt{}, &Outcome{Kind: workerclient.NeverRan, Reason: "the loan of the slot lapsed before the start was sent"}
 	}
 	start.Epoch = slot.Epoch
+	start.Loan = slot.loan.ID
 	start.Incarnation = slot.Incarnation
 	start.NotAfterMS = limit.Milliseconds()
 	start.LeaseMS = leaseMS(start.LeaseMS, slot.maxLease)
@@ -247,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), run.lapsed-r.options.Now())
 	defer cancel()
 	if run.stop {
-		msg := wire.Stop{ID: run.start.ID, Generation: run.start.Generation, Epoch: run.start.Epoch}
+		msg := wire.Stop{ID: run.start.ID, Generation: run.start.Generation, Epoch: run.start.Epoch, Incarnation: run.start.Incarnation}
 		_, _ = r.options.Workers.Stop(ctx, run.slot.Address, msg) // the query below tells whether it worked
 	}
 	ticker := time.NewTicker(resolveEvery)
--- a/daemon/workerclient/run_test.go
+++ b/daemon/workerclient/run_test.go
@@ -25,7 +25,7 @@
 	stops  int
 	start  func(n int, w http.ResponseWriter, r *http.Request)
 	stop   func(n int) wire.StopReply
-	report wire.Report
+	report wire.Report // its incarnation and epoch are the worker's
 }
 
 func (f *fakeWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -42,12 +42,24 @@
 	case wire.PathStart:
 		f.start(starts, w, r)
 	case wire.PathStop:
-		_ = json.NewEncoder(w).Encode(f.stop(stops))
+		_ = json.NewEncoder(w).Encode(f.query(stops, r))
 	case wire.PathReport:
 		_ = json.NewEncoder(w).Encode(f.report)
 	}
 }
 
+func (f *fakeWorker) query(n int, r *http.Request) wire.StopReply {
+	var msg wire.Stop
+	_ = json.NewDecoder(r.Body).Decode(&msg)
+	switch {
+	case msg.Epoch < f.report.Epoch:
+		return wire.StopReply{Refused: wire.RefusedStaleEpoch}
+	case msg.Incarnation != f.report.Incarnation:
+		return wire.StopReply{Refused: wire.RefusedWrongIncarnation}
+	}
+	return f.stop(n)
+}
+
 func silent(_ int, _ http.ResponseWriter, r *http.Request) {
 	_, _ = http.MaxBytesReader(nil, r.Body, 1<<20).Read(make([]byte, 1<<10))
 	<-r.Context().Done()
@@ -100,32 +112,35 @@
 		start       func(int, http.ResponseWriter, *http.Request)
 		stop        func(int) wire.StopReply
 		incarnation int64
+		epoch       int64
 		want        OutcomeKind
 	}{
-		{"complete answer", answer(good), unseen, 7, Done},
-		{"truncated body is fetched again", answer(short), finished, 7, Done},
-		{"answer of another request is not passed on", answer(foreign), finished, 7, Done},
-		{"connection cut in the answer", cut, finished, 7, Done},
-		{"refused", refuse(wire.RefusedNoRoom), finished, 7, NeverRan},
-		{"duplicate is not never-ran", refuse(wire.RefusedDuplicate), finished, 7, Done},
-		{"stale generation is not never-ran", refuse(wire.RefusedStaleGeneration), finished, 7, Done},
-		{"unknown refusal is not never-ran", refuse("new-reason"), finished, 7, Done},
-		{"silent connection, unseen", silent, unseen, 7, NeverRan},
-		{"silent connection, worker replaced", silent, unseen, 8, Unknown},
-		{"silent connection, finished", silent, finished, 7, Done},
-		{"result not kept", cut, func(int) wire.StopReply { return wire.StopReply{State: wire.RunFinished} }, 7, Lost},
-		{"still running at the deadline", silent, func(int) wire.StopReply { return wire.StopReply{State: wire.RunRunning} }, 7, Unknown},
+		{"complete answer", answer(good), unseen, 7, 0, Done},
+		{"truncated body is fetched again", answer(short), finished, 7, 0, Done},
+		{"answer of another request is not passed on", answer(foreign), finished, 7, 0, Done},
+		{"connection cut in the answer", cut, finished, 7, 0, Done},
+		{"refused", refuse(wire.RefusedNoRoom), finished, 7, 0, NeverRan},
+		{"duplicate is not never-ran", refuse(wire.RefusedDuplicate), finished, 7, 0, Done},
+		{"stale generation is not never-ran", refuse(wire.RefusedStaleGeneration), finished, 7, 0, Done},
+		{"unknown refusal is not never-ran", refuse("new-reason"), finished, 7, 0, Done},
+		{"silent connection, unseen", silent, unseen, 7, 0, NeverRan},
+		{"silent connection, worker replaced", silent, unseen, 8, 0, Unknown},
+		{"silent connection, finished", silent, finished, 7, 0, Done},
+		{"silent connection, fenced, unseen", silent, unseen, 7, 9, NeverRan},
+		{"silent connection, fenced, finished", silent, finished, 7, 9, Done},
+		{"result not kept", cut, func(int) wire.StopReply { return wire.StopReply{State: wire.RunFinished} }, 7, 0, Lost},
+		{"still running at the deadline", silent, func(int) wire.StopReply { return wire.StopReply{State: wire.RunRunning} }, 7, 0, Unknown},
 		{"late end seen by a later query", silent, func(n int) wire.StopReply {
 			if n < 2 {
 				return wire.StopReply{State: wire.RunRunning}
 			}
 			return finished(n)
-		}, 7, Done},
+		}, 7, 0, Done},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			worker := &fakeWorker{start: c.start, stop: c.stop, report: wire.Report{Incarnation: c.incarnation}}
+			worker := &fakeWorker{start: c.start, stop: c.stop, report: wire.Report{Incarnation: c.incarnation, Epoch: c.epoch}}
 			outcome := runOn(t, serve(t, worker), 2500*time.Millisecond)
 			require.Equal(t, c.want, outcome.Kind, outcome.Reason)
 			if c.want == Done {
