--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -66,6 +66,15 @@
 		"operation %q is not idempotent", p.Operation)
 }
 
+// afterLoss corrects a not-run problem when a copy of the call was lost before,
+// because that copy may still arrive.
+func afterLoss(p *wire.Problem, lost bool) *wire.Problem {
+	if !lost || p.Outcome != wire.OutcomeNotRun {
+		return p
+	}
+	return unknown(askAgain, "an earlier copy of the call got no answer; then: %s", p.Detail)
+}
+
 const askAgain = "send the request again with the same idempotency key"
 
 // shardOwner is the owner of a shard under one epoch. An owner refuses calls that
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -248,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), run.lapsed-r.options.Now())
 	defer cancel()
 	if run.stop {
-		msg := wire.Stop{ID: run.start.ID, Generation: run.start.Generation, Epoch: run.start.Epoch}
+		msg := wire.Stop{ID: run.start.ID, Generation: run.start.Generation, Epoch: run.start.Epoch, Incarnation: run.start.Incarnation}
 		_, _ = r.options.Workers.Stop(ctx, run.slot.Address, msg) // the query below tells whether it worked
 	}
 	ticker := time.NewTicker(resolveEvery)
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -120,11 +120,11 @@
 	require.Equal(t, "body of r2", string(answer.Result.Body))
 }
 
-// Guards against loans that lapse in use, that are borrowed again instead of
-// renewed, or that stay borrowed when they are idle.
-func TestLoansAreRenewedAndReturned(t *testing.T) {
+// Guards against loans that lapse in use, or that are borrowed again instead of
+// renewed.
+func TestLoansAreRenewed(t *testing.T) {
 	h := newHarness(t, "r1")
-	h.peers.ttl = 1500 * time.Millisecond
+	h.peers.ttl = 2 * time.Second
 	slot, p := h.Acquire(context.Background(), h.query(time.Second))
 	require.Nil(t, p)
 	time.Sleep(2 * h.peers.ttl)
@@ -133,11 +133,19 @@
 	require.Nil(t, p)
 	require.Equal(t, workerclient.Done, h.Run(context.Background(), slot, wire.Start{ID: "x", Generation: 1}).Kind)
 	h.peers.mu.Lock()
+	defer h.peers.mu.Unlock()
 	require.Equal(t, 1, h.peers.granted)
+}
+
+// Guards against loans that stay borrowed when they are idle.
+func TestIdleLoansAreReturned(t *testing.T) {
+	h := newHarness(t, "r1")
 	h.peers.ttl = time.Hour
-	h.peers.mu.Unlock()
+	slot, p := h.Acquire(context.Background(), h.query(time.Second))
+	require.Nil(t, p)
+	h.Release(slot)
+	h.advance(time.Minute) // the recent peak has decayed
 	require.Eventually(t, func() bool {
-		h.advance(100 * time.Millisecond) // the recent peak decays in 7 s
 		h.peers.mu.Lock()
 		defer h.peers.mu.Unlock()
 		return len(h.peers.lent) == 0
--- a/daemon/workerclient/run.go
+++ b/daemon/workerclient/run.go
@@ -40,11 +40,14 @@
 	State   wire.RunState // last known state on the worker, "" when it told none
 	Reason  string        // why the outcome is not Done
 	NoRoute bool          // the worker accepted no connection
+
+	// Restarted: the worker runs the attempt no more; whether it ran is unknown.
+	Restarted bool
 }
 
 // Ended reports whether the worker surely does not run the attempt any more.
 func (o Outcome) Ended() bool {
-	return o.Kind != Unknown || o.State == wire.RunFinished || o.State == wire.RunFailed || o.State == wire.RunStopped
+	return o.Kind != Unknown || o.Restarted || o.State == wire.RunFinished || o.State == wire.RunFailed || o.State == wire.RunStopped
 }
 
 // Verify reports whether a result belongs to the attempt and is complete.
@@ -68,7 +71,8 @@
 // Run starts a request and follows it to its end. A start without an answer for
 // CallTimeout, and one whose connection broke, is queried over a new connection
 // every second until the attempt has ended or ctx ends. The query forbids an
-// attempt that the worker has not seen, which makes NeverRan safe to say.
+// attempt that the worker has not seen, which makes NeverRan safe to say. The same
+// id and generation must not have been sent before; Resolve follows such an attempt.
 func (c *Client) Run(ctx context.Context, address string, start wire.Start) Outcome {
 	if ctx.Err() != nil {
 		return Outcome{Kind: NeverRan, Reason: "the deadline passed before the start was sent"}
@@ -155,25 +159,41 @@
 	return false
 }
 
-// query asks on a new connection what became of the attempt.
+// query asks on a new connection what became of the attempt. A worker that has
+// restarted refuses, because it can't know whether the attempt ran before.
 func query(ctx context.Context, w *worker, start wire.Start) (outcome Outcome, settled bool) {
-	stop := wire.Stop{ID: start.ID, Generation: start.Generation, Epoch: start.Epoch, Query: true}
+	stop := wire.Stop{ID: start.ID, Generation: start.Generation, Epoch: start.Epoch, Incarnation: start.Incarnation, Query: true}
 	reply, err := timed[wire.StopReply](ctx, w.fresh, http.MethodPost, wire.PathStop, stop)
+	if err == nil && reply.Refused == wire.RefusedStaleEpoch {
+		reply, err = queryFenced(ctx, w, stop)
+	}
 	if err != nil {
 		return Outcome{Reason: err.Error()}, false
 	}
-	if reply.Refused != "" {
-		return fromInventory(ctx, w, start)
-	}
-	switch reply.State {
-	case wire.RunNeverStarted:
-		return neverStarted(ctx, w, start)
-	case wire.RunFinished, wire.RunFailed, wire.RunStopped:
+	switch {
+	case reply.Refused == wire.RefusedWrongIncarnation:
+		return Outcome{Restarted: true, Reason: "the worker restarted while the request may have run"}, true
+	case reply.Refused != "":
+		return Outcome{Reason: "the worker refuses the query: " + string(reply.Refused)}, false
+	case reply.State == wire.RunNeverStarted:
+		return Outcome{Kind: NeverRan, State: reply.State, Reason: "the worker never saw the start and refuses a later copy"}, true
+	case reply.State == wire.RunFinished || reply.State == wire.RunFailed || reply.State == wire.RunStopped:
 		return ended(reply, start)
 	}
 	return Outcome{State: reply.State, Reason: "the request still runs"}, false
 }
 
+// queryFenced asks under the epoch of the owner that has fenced the worker. A query
+// places nothing, so it needs no authority over the worker's capacity.
+func queryFenced(ctx context.Context, w *worker, stop wire.Stop) (wire.StopReply, error) {
+	report, err := timed[wire.Report](ctx, w.fresh, http.MethodGet, wire.PathReport, nil)
+	if err != nil {
+		return wire.StopReply{}, err
+	}
+	stop.Epoch = max(stop.Epoch, report.Epoch)
+	return timed[wire.StopReply](ctx, w.fresh, http.MethodPost, wire.PathStop, stop)
+}
+
 // ended reads the result of an attempt that has ended.
 func ended(reply wire.StopReply, start wire.Start) (outcome Outcome, settled bool) {
 	if Verify(reply.Result, start.ID, start.Generation) {
@@ -185,41 +205,6 @@
 	return Outcome{State: reply.State, Reason: "the stored result arrives truncated"}, false
 }
 
-// neverStarted confirms that the worker which denies having seen the attempt is
-// the incarnation to which the start was sent. A replacement on the same address
-// has not seen it either, but its predecessor may have run it. Incarnations only
-// rise, so a report made after the query proves which one answered the query.
-func neverStarted(ctx context.Context, w *worker, start wire.Start) (outcome Outcome, settled bool) {
-	report, err := timed[wire.Report](ctx, w.fresh, http.MethodGet, wire.PathReport, nil)
-	if err != nil {
-		return Outcome{Reason: err.Error()}, false
-	}
-	if report.Incarnation != start.Incarnation {
-		return Outcome{Reason: "the worker was replaced while the request ran"}, true
-	}
-	return Outcome{Kind: NeverRan, State: wire.RunNeverStarted, Reason: "the worker never saw the start and refuses a later copy"}, true
-}
-
-// fromInventory looks for the attempt in the worker's inventory when the worker
-// refuses the query because a newer owner has fenced it. Absence proves nothing,
-// since the newer owner may have acknowledged the result.
-func fromInventory(ctx context.Context, w *worker, start wire.Start) (outcome Outcome, settled bool) {
-	report, err := timed[wire.Report](ctx, w.fresh, http.MethodGet, wire.PathReport, nil)
-	if err != nil {
-		return Outcome{Reason: err.Error()}, false
-	}
-	for _, attempt := range report.Attempts {
-		if attempt.ID != start.ID || attempt.Generation != start.Generation {
-			continue
-		}
-		if attempt.State == wire.RunRunning {
-			return Outcome{State: attempt.State, Reason: "the request still runs"}, false
-		}
-		return ended(wire.StopReply{State: attempt.State, Result: attempt.Result}, start)
-	}
-	return Outcome{Reason: "a newer owner has fenced the worker"}, false
-}
-
 // Resolve asks once what became of an attempt; ok is false when it still runs or
 // the worker could not tell. start needs ID, Generation, Epoch and Incarnation.
 func (c *Client) Resolve(ctx context.Context, address string, start wire.Start) (outcome Outcome, ok bool) {
