Add briarctl publish, rollback, history, status, top and explain

Cause: the operator drives everything by publishing objects and reading state. Change: daemon/internal/ctl reads and extends the configuration stream and reads the admin API; exit code 4 tells of a lost race.

--- a/daemon/internal/ctl/root.go
+++ b/daemon/internal/ctl/root.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"briarproxy/core/fault"
 )
 
 // Exit codes of briarctl.
@@ -14,13 +16,15 @@
 	ExitProblems    = 1
 	ExitUsage       = 2
 	ExitUnreachable = 3
+	ExitConflict    = 4
 )
 
 const exitCodes = `Exit codes:
   0  fine
   1  problems were found
   2  wrong usage, or a file that cannot be read
-  3  a service could not be reached`
+  3  a service could not be reached, or its answer leaves the outcome open
+  4  another operator has published since the base version`
 
 // errProblems ends a command that has printed the problems it found.
 var errProblems = errors.New("problems were found")
@@ -39,6 +43,16 @@
 		return ExitProblems
 	}
 	fmt.Fprintln(stderr, "briarctl:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case fault.Is(err, fault.Conflict):
+		return ExitConflict
+	case fault.Is(err, fault.Unavailable), fault.Is(err, fault.Unknown), fault.Is(err, fault.Refused):
+		return ExitUnreachable
+	}
 	return ExitUsage
 }
 
@@ -50,7 +64,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCheck(), newDiff(), newSettings())
+	root.AddCommand(newCheck(), newDiff(), newPublish(), newRollback(), newHistory(), newStatus(), newTop(), newExplain(), newSettings())
 	return root
 }
 
