--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return "" // reported at the listener
 	}
-	if parsed.Addr().IsUnspecified() || parsed.Port() == 0 {
+	if parsed.Addr().IsUnspecified() {
 		add(r, path, "set the address that others reach", "is required, because others cannot connect to the listener's address %q", listen)
 		return ""
 	}
