--- a/core/ownership/state.go
+++ b/core/ownership/state.go
@@ -274,3 +274,6 @@
 	s.hasRead = true
 	s.lastRead = now
 }
+
+// Started reports whether the first offset is set.
+func (s *State) Started() bool { return s.start != record.NoRecord }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 )
 
 // Version is the envelope version that this code writes. Records of a higher
@@ -16,16 +18,45 @@
 
 // ID identifies a record for ever: no incarnation uses a counter twice.
 type ID struct {
-	Daemon      string `json:"d"`
-	Incarnation int64  `json:"i"`
-	Counter     int64  `json:"c"`
+	Daemon      string
+	Incarnation int64
+	Counter     int64
 }
 
-// String formats the id for read-back and log lines.
+// String formats the id as it stands, quoted, in the encoded record.
 func (id ID) String() string {
 	return fmt.Sprintf("%s/%d/%d", id.Daemon, id.Incarnation, id.Counter)
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (id ID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *ID) UnmarshalText(text []byte) error {
+	rest, counter, found := cutLast(string(text))
+	name, incarnation, foundBoth := cutLast(rest)
+	if !found || !foundBoth {
+		return fmt.Errorf("record id %q is not daemon/incarnation/counter", text)
+	}
+	var err error
+	if id.Counter, err = strconv.ParseInt(counter, 10, 64); err != nil {
+		return fmt.Errorf("counter of record id %q: %w", text, err)
+	}
+	if id.Incarnation, err = strconv.ParseInt(incarnation, 10, 64); err != nil {
+		return fmt.Errorf("incarnation of record id %q: %w", text, err)
+	}
+	id.Daemon = name
+	return nil
+}
+
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
 // HeldUnit is a unit that a record's sender holds.
 type HeldUnit struct {
 	Name  string `json:"n"`
@@ -99,17 +130,6 @@
 	return records, skipped
 }
 
-// Contains reports whether an append holds the record with this id (ID.String).
-func Contains(data []byte, id string) bool {
-	records, _ := Decode(data)
-	for _, r := range records {
-		if r.ID.String() == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (r Record) check() error {
 	if r.Version != Version {
 		return fmt.Errorf("record version %d is not supported, want %d", r.Version, Version)
--- a/daemon/logclient/client.go
+++ b/daemon/logclient/client.go
@@ -43,7 +43,7 @@
 	CallTimeout time.Duration // of each call, in addition to the wait of a long poll
 	PollWait    time.Duration // longest wait of one long poll
 	// Contains reports whether an append holds the record with the id. The default
-	// searches for the id's bytes.
+	// searches for the id in quotes, as it stands in a JSON record.
 	Contains func(data []byte, id string) bool
 	Limiter  *Limiter // of the daemon's appends; nil for none
 	Logger   *event.Logger
@@ -68,7 +68,7 @@
 		options.PollWait = defaultPollWait
 	}
 	if options.Contains == nil {
-		options.Contains = func(data []byte, id string) bool { return bytes.Contains(data, []byte(id)) }
+		options.Contains = func(data []byte, id string) bool { return bytes.Contains(data, []byte(strconv.Quote(id))) }
 	}
 	if options.Limiter == nil {
 		options.Limiter = NewLimiter()
