--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"bytes"
 	"context"
+	"strconv"
 	"time"
 
 	"briarproxy/core/ownership"
@@ -141,6 +143,9 @@
 	}
 	records := c.due(now)
 	if len(records) > 0 {
+		// A successor may claim a unit as soon as it reads the release, so this daemon
+		// stops acting for the unit before it sends the release.
+		c.publish()
 		c.append(records, now)
 	}
 	if now >= c.nextRepeat {
@@ -201,11 +206,11 @@
 		c.units.Sending(r.ID, now)
 		data = append(append(data, line...), '\n')
 	}
-	id := records[0].ID.String()
+	id := []byte(strconv.Quote(records[0].ID.String()))
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, appendTimeout)
 		defer cancel()
-		_, err := c.Log.Append(ctx, wire.StreamMembers, data, func(found []byte) bool { return record.Contains(found, id) })
+		_, err := c.Log.Append(ctx, wire.StreamMembers, data, func(found []byte) bool { return bytes.Contains(found, id) })
 		c.send(appended{err: err})
 	}()
 }
