Split gangs over owners and never run a lost non-idempotent task again

Cause: a gang larger than one owner's free room never started; a durable non-idempotent request whose attempt was lost would have been run again. Change: a gang is tried whole at the sampled owners, then split, try-only; a task of a non-idempotent operation fails with its reason once it may have run; a first placement waits for the first summary instead of a backoff. Conclusion: at most once holds for durable requests too.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -17,7 +17,8 @@
 	Service     string          `json:"service,omitempty"` // for durable requests
 	Resources   resource.Vector `json:"resources"`         // per task
 	RunMS       int64           `json:"run_ms"`
-	MaxAttempts int             `json:"max_attempts"` // failed runs of one task before it fails
+	MaxAttempts int             `json:"max_attempts"`           // failed runs of one task before it fails
+	AtMostOnce  bool            `json:"at_most_once,omitempty"` // never started again once it may have run
 	Gang        bool            `json:"gang,omitempty"`
 	MinRacks    int             `json:"min_racks,omitempty"`
 	SpreadRacks bool            `json:"spread_racks,omitempty"`
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -179,12 +179,19 @@
 			break
 		}
 		t.Phase = Pending
+	case j.Definition.AtMostOnce && in.State != wire.RunNeverStarted:
+		t.Reason = mayHaveRun
+		s.finish(j, t, Failed, in)
 	default:
 		t.Phase = Pending
 	}
 	s.afterEnd(j, in.Index, now)
 }
 
+// mayHaveRun is the reason of a task that must not be started again although its
+// end is not known.
+const mayHaveRun = "the attempt was lost after it may have run; the operation is not idempotent, so it is not started again"
+
 func failureReason(in Ended) string {
 	if in.Result != nil && in.Result.Error != "" {
 		return in.Result.Error
--- a/core/job/shard_test.go
+++ b/core/job/shard_test.go
@@ -242,6 +242,24 @@
 	})
 }
 
+// Guards against a second run of a non-idempotent task whose first attempt was
+// lost: only an attempt that never started may be followed by another.
+func TestAtMostOnceTaskIsNotRunAgain(t *testing.T) {
+	for state, want := range map[wire.RunState]Phase{
+		wire.RunNeverStarted: Pending,
+		wire.RunStopped:      Failed,
+		wire.RunFailed:       Failed,
+		wire.RunFinished:     Succeeded,
+	} {
+		s := NewShard(rand.New(rand.NewPCG(1, 1)))
+		s.Apply(Record{Submit: &Submit{ID: "j", Tasks: 1, Definition: Definition{AtMostOnce: true, MaxAttempts: 1}}}, 0)
+		records := s.Reserved(s.NextGroups(0, 1)[0], []Place{{VM: "vm"}})
+		s.Apply(records[0], 0)
+		s.Apply(*s.EndRecord(TaskID("j", 0), 1, state, nil, 0), 0)
+		require.Equal(t, want, s.Get("j").Tasks[0].Phase, "after %s", state)
+	}
+}
+
 // Guards against a gang that is placed in parts.
 func TestGangIsOneGroup(t *testing.T) {
 	s := NewShard(rand.New(rand.NewPCG(1, 1)))
--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -254,6 +254,8 @@
 	}
 	if op.Idempotent {
 		definition.MaxAttempts = idempotentAttempts
+	} else {
+		definition.AtMostOnce = true
 	}
 	if spec.Tasks == 0 {
 		spec.Tasks = 1
--- a/daemon/shard/owners.go
+++ b/daemon/shard/owners.go
@@ -85,6 +85,16 @@
 	})
 }
 
+// known reports whether any owner's summary is there.
+func (o *ownerChoice) known() bool {
+	for _, s := range o.summaries {
+		if s.pools != nil {
+			return true
+		}
+	}
+	return false
+}
+
 type summaryAnswer struct {
 	name  string
 	pools []wire.PoolSummary
@@ -103,6 +113,7 @@
 	for i := range m.pools {
 		s.add(&m.pools[i])
 	}
+	r.place(s.at)
 }
 
 // add merges the parts of a pool that lie in several data centres.
--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -17,6 +17,9 @@
 		return
 	}
 	r.owners.refresh(now)
+	if !r.owners.known() {
+		return // the first summary calls place again
+	}
 	batches := map[string]*reservation{}
 	for _, g := range r.jobs.NextGroups(now, maxGroupsPerTick) {
 		r.assign(g, now, batches)
@@ -30,8 +33,9 @@
 type reservation struct {
 	owner  string
 	gang   bool
+	split  bool // the gang is spread over several owners, because none has room for all of it
 	groups []job.Group
-	tried  map[string]bool        // gang: owners asked so far
+	tried  map[string]bool        // gang: owners asked in this round
 	held   map[string]heldByOwner // gang: task id -> room held at owners asked before
 }
 
@@ -64,18 +68,23 @@
 	r.Log.Emit(eventWaits, "job", g.Job.ID, "tasks", len(g.Tasks), "class", g.Job.Definition.Class, "reason", reason)
 }
 
-// reserve asks one owner. A gang is asked for task by task and may be spread over
-// several owners; room is only ever tried for, never waited for while room is held
-// elsewhere, so two gangs can't block one another.
+// reserve asks one owner. A gang is asked for as a whole first, then task by task
+// at several owners; room is only ever tried for, never waited for while room is
+// held elsewhere, so two gangs can't block one another.
 func (r *runner) reserve(b *reservation) {
 	args := &wire.ReserveArgs{
 		From: r.Self, Shard: r.shard, ShardEpoch: r.epoch, TTLMS: reservationTTL.Milliseconds(),
 	}
 	for _, g := range b.groups {
 		for _, i := range g.Tasks {
-			if _, held := b.held[job.TaskID(g.Job.ID, i)]; !held {
-				args.Asks = append(args.Asks, taskAsk(g.Job, i))
+			if _, held := b.held[job.TaskID(g.Job.ID, i)]; held {
+				continue
+			}
+			ask := taskAsk(g.Job, i)
+			if b.split {
+				ask.Gang = ""
 			}
+			args.Asks = append(args.Asks, ask)
 		}
 	}
 	r.Calls.Go(func() {
@@ -159,6 +168,11 @@
 	d := g.Job.Definition
 	missing := d.Resources.Scale(int64(len(g.Tasks) - len(b.held)))
 	next := r.owners.choose(d.Pool, d.Resources, missing, r.Now(), b.tried)
+	if next == "" && !b.split {
+		b.split = true
+		b.tried = map[string]bool{}
+		next = r.owners.choose(d.Pool, d.Resources, missing, r.Now(), b.tried)
+	}
 	if next != "" && m.err == nil {
 		b.owner = next
 		r.reserve(b)
