standin/bench: trial of reservations from opposite ends

It might avoid conflicts between daemons that reserve from the same list.

Change: bench opposite-ends compares it with a random and an ordered start for 2 and 8 daemons; docs/opposite-ends.md has the result. The targets of bench decisions are printed per kind of work. Commit no longer copies the accepted assignments if none is refused.

It is not used, because a rack unit has one owner that plans for its workers.

--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -71,7 +71,11 @@
 		if gangs == nil {
 			gangs = map[string][]*wire.TaskAsk{}
 		}
-		gangs[asks[i].Gang] = append(gangs[asks[i].Gang], &asks[i])
+		members := gangs[asks[i].Gang]
+		if members == nil {
+			members = make([]*wire.TaskAsk, 0, len(asks)-i)
+		}
+		gangs[asks[i].Gang] = append(members, &asks[i])
 	}
 	return gangs
 }
--- a/core/place/verify.go
+++ b/core/place/verify.go
@@ -39,12 +39,14 @@
 }
 
 func (c *Cell) accept(plan Plan, o *Options, now time.Duration) ([]Assignment, []Refusal) {
-	accepted := make([]Assignment, 0, len(plan.Assignments))
+	accepted := plan.Assignments[:0:0]
 	var refused []Refusal
 	for n := 0; n < len(plan.Assignments); {
 		group := gangGroup(plan.Assignments[n:])
 		if r := c.acceptGroup(group, o, now); len(r) > 0 {
 			refused = append(refused, r...)
+		} else if len(refused) == 0 {
+			accepted = plan.Assignments[: n+len(group) : n+len(group)] // no copy as long as nothing is refused
 		} else {
 			accepted = append(accepted, group...)
 		}
--- a/standin/bench/decisions.go
+++ b/standin/bench/decisions.go
@@ -259,17 +259,25 @@
 
 // DecisionTargets compares the rows with the targets of the design page.
 func DecisionTargets(rows []DecisionRow) []Target {
-	return append([]Target{slowest(rows), noAllocation(rows)}, growth(rows)...)
+	targets := []Target{noAllocation(rows)}
+	for _, r := range rows {
+		if r.Workers == largestTarget && r.Load == rows[0].Load {
+			targets = append(targets, slowest(rows, r.Work))
+		}
+	}
+	return append(targets, growth(rows)...)
 }
 
-func slowest(rows []DecisionRow) Target {
-	t := Target{Name: "p99 below 1 ms at 18,000 workers on one core", Met: true}
+// slowest takes the load with the highest p99 of one work.
+func slowest(rows []DecisionRow, work string) Target {
+	t := Target{Name: fmt.Sprintf("p99 of %s below 1 ms at 18,000 workers on one core", work)}
 	worst := int64(0)
 	for _, r := range rows {
-		if r.Workers == largestTarget && r.P99NS > worst {
-			worst = r.P99NS
-			t.Detail = fmt.Sprintf("slowest: %s at %.0f%% load, %s", r.Work, 100*r.Load, time.Duration(r.P99NS))
+		if r.Work != work || r.Workers != largestTarget || r.P99NS <= worst {
+			continue
 		}
+		worst = r.P99NS
+		t.Detail = fmt.Sprintf("%s at %.0f%% load, %s per task", time.Duration(r.P99NS), 100*r.Load, time.Duration(r.P99NS/int64(r.Tasks)))
 	}
 	t.Met = worst < p99TargetNS
 	return t
@@ -313,10 +321,10 @@
 }
 
 func printDecisions(out io.Writer, rows []DecisionRow) {
-	_, _ = fmt.Fprintln(out, "work\tworkers\tload\tplaced\tp50\tp99\tallocs\tscan placed\tscan p50\tscan p99\tscan/index p50\t")
+	_, _ = fmt.Fprintln(out, "work\tworkers\tload\tplaced\tp50\tp99\tallocs\trepeats\tscan repeats\tscan placed\tscan p50\tscan p99\tscan/index p50\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%.0f%%\t%s\t%s\t%.1f\t\n",
-			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs,
+		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%d\t%d\t%.0f%%\t%s\t%s\t%.1f\t\n",
+			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs, r.Repeats, r.NaiveRuns,
 			100*r.NaivePlaced, time.Duration(r.NaiveP50NS), time.Duration(r.NaiveP99NS), float64(r.NaiveP50NS)/float64(max(r.P50NS, 1)))
 	}
 }
--- a/standin/bench/opposite.go
+++ b/standin/bench/opposite.go
@@ -6,27 +6,32 @@
 	"math/rand/v2"
 )
 
-// OppositeEnds are the cases of the trial of reservation orders.
+// OppositeEnds are the cases of the trial of reservation orders. The idea is from
+// N. Mohamed, J. Al-Jaroodi, H. Jiang, DDOps: dual-direction operations for load
+// balancing on non-dedicated heterogeneous distributed systems, Cluster Computing,
+// 2013.
 type OppositeEnds struct {
 	Seed    uint64
 	Runs    int
 	Workers int
-	Demands []float64 // demand of both daemons together as a share of the capacity
+	Demands []float64 // demand of all daemons together as a share of the capacity
+	Daemons []int     // half of them start from each end
 	Lags    []int     // reservations between two refreshes of a daemon's view
 }
 
 // DefaultOppositeEnds returns the cases that docs/opposite-ends.md reports.
 func DefaultOppositeEnds(seed uint64) OppositeEnds {
-	return OppositeEnds{Seed: seed, Runs: 40, Workers: 400, Demands: []float64{0.5, 0.9, 1.2}, Lags: []int{50, 400}}
+	return OppositeEnds{Seed: seed, Runs: 40, Workers: 400, Daemons: []int{2, 8}, Demands: []float64{0.5, 0.9, 1.2}, Lags: []int{10, 50}}
 }
 
 // OppositeRow is the mean over the runs of one order.
 type OppositeRow struct {
 	Order     string  `json:"order"`
+	Daemons   int     `json:"daemons"`
 	Demand    float64 `json:"demand"`
 	Lag       int     `json:"lag"`
 	Tries     float64 `json:"reservations_tried"`
-	Conflicts float64 `json:"conflicts_per_100_tries"` // refused because the other daemon took the room
+	Conflicts float64 `json:"conflicts_per_100_tries"` // refused because another daemon took the room
 	Stranded  float64 `json:"stranded"`                // share of the capacity free at the end although tasks wait
 	Unplaced  float64 `json:"unplaced"`                // share of the demand that found no room
 	Partial   float64 `json:"partly_used"`             // share of workers neither empty nor full
@@ -49,7 +54,7 @@
 func orders() []order {
 	return []order{
 		{"opposite ends", func(daemon, _, k, n int) int {
-			if daemon == 0 {
+			if daemon%2 == 0 {
 				return k
 			}
 			return n - 1 - k
@@ -66,11 +71,11 @@
 	rng   *rand.Rand
 }
 
-// trial is the true state of the workers that both daemons reserve from.
+// trial is the true state of the workers that all daemons reserve from.
 type trial struct {
 	order     order
 	free      []int
-	daemons   [2]reserver
+	daemons   []reserver
 	tries     int
 	conflicts int
 	unplaced  int
@@ -79,21 +84,23 @@
 // RunOppositeEnds runs all orders on the same demands.
 func RunOppositeEnds(o OppositeEnds) []OppositeRow {
 	var rows []OppositeRow
-	for _, demand := range o.Demands {
-		for _, lag := range o.Lags {
-			for _, order := range orders() {
-				rows = append(rows, o.row(order, demand, lag))
+	for _, daemons := range o.Daemons {
+		for _, demand := range o.Demands {
+			for _, lag := range o.Lags {
+				for _, order := range orders() {
+					rows = append(rows, o.row(order, daemons, demand, lag))
+				}
 			}
 		}
 	}
 	return rows
 }
 
-func (o OppositeEnds) row(order order, demand float64, lag int) OppositeRow {
-	row := OppositeRow{Order: order.name, Demand: demand, Lag: lag}
+func (o OppositeEnds) row(order order, daemons int, demand float64, lag int) OppositeRow {
+	row := OppositeRow{Order: order.name, Daemons: daemons, Demand: demand, Lag: lag}
 	tries, conflicts := 0, 0
 	for run := range o.Runs {
-		t := o.trial(order, demand, uint64(run))
+		t := o.trial(order, daemons, demand, uint64(run))
 		total := t.run(lag)
 		tries += t.tries
 		conflicts += t.conflicts
@@ -115,16 +122,16 @@
 	return row
 }
 
-func (o OppositeEnds) trial(order order, demand float64, run uint64) *trial {
-	t := &trial{order: order, free: make([]int, o.Workers)}
+func (o OppositeEnds) trial(order order, daemons int, demand float64, run uint64) *trial {
+	t := &trial{order: order, free: make([]int, o.Workers), daemons: make([]reserver, daemons)}
 	for i := range t.free {
 		t.free[i] = trialCapacity
 	}
 	for d := range t.daemons {
 		rng := rand.New(rand.NewPCG(o.Seed+run, uint64(d)))
-		r := reserver{view: make([]int, o.Workers), rng: rand.New(rand.NewPCG(o.Seed+run, uint64(d+2)))}
-		half := int(demand * float64(o.Workers*trialCapacity) / 2)
-		for sum := 0; sum < half; {
+		r := reserver{view: make([]int, o.Workers), rng: rand.New(rand.NewPCG(o.Seed+run, uint64(d+daemons)))}
+		part := int(demand * float64(o.Workers*trialCapacity) / float64(daemons))
+		for sum := 0; sum < part; {
 			size := trialLeast + rng.IntN(trialSpan)
 			r.queue = append(r.queue, size)
 			sum += size
@@ -134,8 +141,8 @@
 	return t
 }
 
-// run lets both daemons reserve in turn until their queues are empty and returns
-// the demand. Each sees the other's reservations only at the next refresh, or when
+// run lets the daemons reserve in turn until their queues are empty and returns
+// the demand. Each sees the others' reservations only at the next refresh, or when
 // a worker refuses.
 func (t *trial) run(lag int) int {
 	total := 0
@@ -144,7 +151,7 @@
 			total += size
 		}
 	}
-	for turn := 0; len(t.daemons[0].queue)+len(t.daemons[1].queue) > 0; turn++ {
+	for turn := 0; t.waiting(); turn++ {
 		for d := range t.daemons {
 			if turn%lag == 0 {
 				copy(t.daemons[d].view, t.free)
@@ -155,6 +162,15 @@
 	return total
 }
 
+func (t *trial) waiting() bool {
+	for _, d := range t.daemons {
+		if len(d.queue) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // step tries one reservation for the task at the head of the queue.
 func (t *trial) step(d int) {
 	r := &t.daemons[d]
@@ -193,9 +209,9 @@
 }
 
 func printOppositeEnds(out io.Writer, rows []OppositeRow) {
-	_, _ = fmt.Fprintln(out, "order\tdemand\tlag\ttries\tconflicts per 100\tstranded\tunplaced\tpartly used\t")
+	_, _ = fmt.Fprintln(out, "order\tdaemons\tdemand\tlag\ttries\tconflicts per 100\tstranded\tunplaced\tpartly used\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(out, "%s\t%.0f%%\t%d\t%.0f\t%.2f\t%.2f%%\t%.2f%%\t%.1f%%\t\n",
-			r.Order, 100*r.Demand, r.Lag, r.Tries, r.Conflicts, 100*r.Stranded, 100*r.Unplaced, 100*r.Partial)
+		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%d\t%.0f\t%.2f\t%.2f%%\t%.2f%%\t%.1f%%\t\n",
+			r.Order, r.Daemons, 100*r.Demand, r.Lag, r.Tries, r.Conflicts, 100*r.Stranded, 100*r.Unplaced, 100*r.Partial)
 	}
 }
--- a/standin/bench/packing.go
+++ b/standin/bench/packing.go
@@ -15,12 +15,13 @@
 
 // Packing are the cases of the packing benchmark.
 type Packing struct {
-	Seed uint64
-	Runs int // sequences of tasks per mix
+	Seed  uint64
+	Runs  int // sequences of tasks per mix
+	Large int // workers of the heavy-tailed mix; the users' own mixes have 50
 }
 
 // DefaultPacking returns the cases that are reported.
-func DefaultPacking(seed uint64) Packing { return Packing{Seed: seed, Runs: 20} }
+func DefaultPacking(seed uint64) Packing { return Packing{Seed: seed, Runs: 20, Large: 300} }
 
 // PackingRow is the mean over the runs of one rule on one mix.
 type PackingRow struct {
@@ -62,7 +63,7 @@
 // RunPacking fills the workers of each mix under each rule.
 func RunPacking(p Packing) []PackingRow {
 	var rows []PackingRow
-	for _, m := range mixes() {
+	for _, m := range mixes(p.Large) {
 		for _, r := range rules() {
 			rows = append(rows, p.row(m, r))
 		}
@@ -219,11 +220,11 @@
 	return max(float64(left.MilliCores)/float64(w.Capacity.MilliCores), float64(left.MemoryMiB)/float64(w.Capacity.MemoryMiB))
 }
 
-func mixes() []mix {
+func mixes(large int) []mix {
 	return []mix{
 		{"inspectors", uniform(50, resource.Vector{MilliCores: 64_000, MemoryMiB: 256 * gibibyte}), inspectorsNext},
 		{"cooperative", uniform(50, resource.Vector{MilliCores: 32_000, MemoryMiB: 64 * gibibyte}), cooperativeNext},
-		{"heavy-tailed", workers(300), heavyNext},
+		{"heavy-tailed", workers(large), heavyNext},
 	}
 }
 
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -26,7 +26,7 @@
 	for kind, short := range map[bench.Kind]string{
 		bench.KindDecisions:    "time and allocations per placement against the full scan",
 		bench.KindPacking:      "share of capacity placed when the first task does not fit",
-		bench.KindOppositeEnds: "conflicts of two daemons that reserve from the same list",
+		bench.KindOppositeEnds: "conflicts of daemons that reserve from the same list",
 	} {
 		root.AddCommand(&cobra.Command{Use: string(kind), Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			return bench.Run(kind, seed, cmd.OutOrStdout(), jsonPath)
