core/place: harden the tests, add a summary of free capacity

Cause: trial mutations of the code showed that the tests missed a bounded search without its second pass, a refusal remembered during a plan, bookings kept by a refused gang, a gang rolled back only in part and slots taken on a leaving worker.

Summary returns the rows that Peer.Summary publishes.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -66,7 +66,11 @@
 		taken++
 	}
 	assert.Equal(t, 24, taken)
-	slot, _ := cell.SlotOf("vm-01")
+	slot, _ := cell.SlotOf("vm-02")
+	cell.ReturnSlots(slot, 1)
+	cell.SetLeaving("vm-02")
+	assert.False(t, cell.TakeSlots(slot, 1), "a leaving worker")
+	slot, _ = cell.SlotOf("vm-01")
 	assert.False(t, cell.TakeSlots(slot, 1))
 	cell.RemoveWorker("vm-01")
 	assert.False(t, cell.TakeSlots(slot, 1), "a handle of a removed worker")
@@ -139,7 +143,13 @@
 	accepted, refused := cell.Commit(plan, rules, 0)
 	assert.Empty(t, accepted)
 	assert.Len(t, refused, 4)
+	for _, r := range refused {
+		_, placed := cell.TaskWorker(r.TaskID)
+		assert.False(t, placed, r.TaskID)
+	}
 
+	assert.Len(t, fourRacks(40).Plan(gangOf(60, 2500), local, 0, nil).Unplaced, 60)
+	assert.Len(t, fourRacks(40).Plan(gangOf(40, 2500), local, 0, nil).Assignments, 40)
 	rules.Gangs[0].MinRacks = 5
 	plan = cell.Plan(gangOf(5, 1000), rules, 0, nil)
 	assert.Empty(t, plan.Assignments)
@@ -150,6 +160,50 @@
 	assert.Equal(t, []string{"huge"}, plan.NeverFits)
 }
 
+// Guards against room that a refused gang or an uncommitted plan keeps, and
+// against a refusal that is remembered although it was due to the plan's own
+// bookings.
+func TestPlansThatAreNotCommittedLeaveNothingBehind(t *testing.T) {
+	cell := fourRacks(1)
+	asks := append(gangOf(2, 3000), askFor("single", 3000, 0), askFor("second", 3000, 0))
+	asks[1].Resources.MilliCores = 2000 // unequal tasks are planned one by one
+	for range 2 {
+		plan := cell.Plan(asks, local, 0, nil)
+		require.Len(t, plan.Assignments, 1)
+		assert.Equal(t, "single", plan.Assignments[0].Ask.TaskID)
+	}
+	assert.Len(t, cell.Plan(asks[3:], local, 0, nil).Assignments, 1)
+}
+
+// Guards against tasks and gangs without accelerators that take the cores which
+// free accelerators need.
+func TestPlainTasksLeaveCoresForFreeAccelerators(t *testing.T) {
+	cell := place.NewCell()
+	shape := resource.Vector{MilliCores: 8000, MemoryMiB: 8000, Accelerators: 4}
+	cell.UpdateWorker(place.Worker{VM: "vm", DataCentre: "d0", Region: "r0", Incarnation: 1, Pools: []string{"a"}, Capacity: shape})
+	cell.SetUsable("vm", true)
+	protected := local
+	protected.ProtectAccelerators = true
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1000, 0)}, protected, 0, nil).Assignments)
+	cell.AddTask("vm", place.Task{ID: "acc", Resources: resource.Vector{Accelerators: 2}})
+	for tasks := range 7 {
+		plan := cell.Plan(gangOf(tasks, 1000), protected, 0, nil)
+		assert.Equal(t, tasks > 0 && tasks <= 4, len(plan.Assignments) > 0, "%d tasks", tasks)
+	}
+}
+
+// Guards against a summary that counts closed workers as free.
+func TestSummaryCountsOpenWorkers(t *testing.T) {
+	cell := fourRacks(3)
+	cell.SetQuarantined("vm-00", true)
+	cell.AddTask("vm-01", place.Task{ID: "x", Resources: resource.Vector{MilliCores: 1000}})
+	full := resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8}
+	assert.Equal(t, []wire.PoolSummary{{
+		Pool: "a", Region: "r0", DataCentre: "d0", Workers: 3, Usable: 2, Capacity: full.Scale(2),
+		Free: full.Scale(2).Sub(resource.Vector{MilliCores: 1000}), Largest: full,
+	}}, cell.Summary())
+}
+
 // Guards against an explanation that counts workers twice or not at all.
 func TestExplanationCountsEveryWorker(t *testing.T) {
 	cell := fourRacks(6)
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -163,6 +163,7 @@
 			m.stale = append(m.stale, plan)
 			return
 		}
+		require.Empty(t, m.cell.Verify(plan, o, m.now), "a plan for the present state is refused")
 		m.commit(t, plan, o)
 	}
 }
@@ -194,18 +195,20 @@
 		m := newModel(t)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			m.step(t)
-			checkCapacity(t, m.cell)
+			checkCapacity(t, m)
 			require.NoError(t, place.CheckIndex(m.cell))
 		}
 	})
 }
 
-// checkCapacity adds up the tasks and slots of each worker anew.
-func checkCapacity(t *rapid.T, cell *place.Cell) {
-	for _, w := range cell.Workers() {
+// checkCapacity adds up the tasks and slots of each worker anew. Every task in the
+// cell must have been reported as accepted.
+func checkCapacity(t *rapid.T, m *model) {
+	for _, w := range m.cell.Workers() {
 		sum := resource.Vector{Slots: w.Slots}
 		for _, task := range w.Tasks {
 			sum = sum.Add(task.Resources)
+			require.Contains(t, m.live, task.ID)
 		}
 		require.Equal(t, sum, w.Committed, w.VM)
 		require.True(t, sum.Fits(w.Capacity), "%s holds %v of %v", w.VM, sum, w.Capacity)
@@ -255,7 +258,8 @@
 		// The rule's outcome depends on the order in which workers are filled.
 		o.ProtectAccelerators = false
 		ask := drawAsk(t, m.next, "gang")
-		asks := make([]wire.TaskAsk, rapid.IntRange(2, 8).Draw(t, "tasks"))
+		ask.Resources = resource.Vector{MilliCores: rapid.Int64Range(500, 1500).Draw(t, "gang cores"), Accelerators: ask.Resources.Accelerators / 2}
+		asks := make([]wire.TaskAsk, rapid.IntRange(2, 12).Draw(t, "tasks"))
 		for i := range asks {
 			asks[i] = ask
 			asks[i].TaskID = fmt.Sprintf("gang-%d", i)
--- /dev/null
+++ b/core/place/summary.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"briarproxy/core/wire"
+)
+
+// Summary returns the free capacity per pool and data centre, in order of name.
+// Largest is the free vector of the open worker with the most free cores. It
+// looks at every worker; it is published every few seconds, not per decision.
+func (c *Cell) Summary() []wire.PoolSummary {
+	type key struct{ pool, region, dataCentre string }
+	rows := map[key]*wire.PoolSummary{}
+	for i := range c.states {
+		w := &c.states[i]
+		for n := range c.links[i] {
+			k := key{c.links[i][n].pool.name, w.Region, w.DataCentre}
+			if rows[k] == nil {
+				rows[k] = &wire.PoolSummary{Pool: k.pool, Region: k.region, DataCentre: k.dataCentre}
+			}
+			addToSummary(rows[k], w)
+		}
+	}
+	all := make([]wire.PoolSummary, 0, len(rows))
+	for _, row := range rows {
+		all = append(all, *row)
+	}
+	slices.SortFunc(all, func(a, b wire.PoolSummary) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Region, b.Region), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	return all
+}
+
+func addToSummary(row *wire.PoolSummary, w *State) {
+	row.Workers++
+	if !w.Open() {
+		return
+	}
+	free := w.Free()
+	if row.Usable == 0 || free.MilliCores > row.Largest.MilliCores {
+		row.Largest = free
+	}
+	row.Usable++
+	row.Capacity = row.Capacity.Add(w.Capacity)
+	row.Free = row.Free.Add(free)
+}
