core/place: bound the cost of preemption and keep its room

A later task of the same plan could also take the free part of the room that was being made.

Change: workers whose preemptible tasks do not free enough are skipped after one pass, sets that cannot be preferred are not built, at most 2048 workers are looked at, and no other task of the run is placed on such a worker. The property test carries out each preemption and checks that the task fits.

--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -112,7 +112,7 @@
 	}
 	s := search{
 		cell: p.cell, pool: pl, ask: first, options: p.options, now: p.now, limit: p.limit,
-		need: int64(len(asks)), collected: p.cell.candidates[:0],
+		claimed: p.claimed, need: int64(len(asks)), collected: p.cell.candidates[:0],
 	}
 	found := s.collect()
 	p.cell.candidates = s.collected
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -24,8 +24,8 @@
 	tasks  int64         // tasks of the gang that it can hold then
 }
 
-// PlanHold chooses the workers whose tasks end first until they can hold the gang
-// of equal tasks. It returns false if the pool is too small, if more than
+// PlanHold chooses the workers whose tasks end first until they can hold the gang.
+// Tasks of unequal size are all counted as the largest. It returns false if the pool is too small, if more than
 // maxShare of its open workers would be held, or if the cell already holds
 // workers for another gang in this pool: two holds that grow at the same time can
 // block each other. It looks at every worker of the pool; an aging gang is rare.
@@ -37,7 +37,11 @@
 	if p == nil || c.gangHeld(asks[0].Pool, asks[0].Gang, now) {
 		return HoldPlan{}, false
 	}
-	choices := c.holdChoices(&asks[0], &o, now)
+	largest := asks[0]
+	for i := range asks {
+		largest.Resources = largest.Resources.Max(asks[i].Resources)
+	}
+	choices := c.holdChoices(&largest, &o, now)
 	plan := HoldPlan{Gang: asks[0].Gang, Start: now}
 	left := int64(len(asks))
 	for _, choice := range choices {
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -20,6 +20,7 @@
 	booked  []booking
 	claimed map[int32]bool // workers chosen for preemption in this run
 	fitting *wire.TaskAsk  // the last request that fits some empty worker
+	lower   []*Task        // scratch: tasks of a lower priority
 }
 
 // booking is room that a planning run took for one request.
@@ -129,7 +130,7 @@
 	}
 	s := search{
 		cell: p.cell, pool: pl, ask: ask, options: p.options, now: p.now,
-		newRacks: newRacks, limit: p.limit,
+		claimed: p.claimed, newRacks: newRacks, limit: p.limit,
 	}
 	worker := s.run()
 	if worker >= 0 {
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -10,8 +10,11 @@
 
 const (
 	// preemptSample is the number of workers compared for the smallest set of
-	// victims. Only if none of them qualifies are the others looked at.
+	// victims.
 	preemptSample = 64
+	// preemptLimit is the number of workers looked at if none of the sample
+	// qualifies. The next run begins at another worker.
+	preemptLimit = 2048
 	// throttleFloor is the percentage of its cores that a throttled task keeps.
 	throttleFloor = 25
 )
@@ -47,8 +50,8 @@
 		start = p.rng.IntN(n)
 	}
 	var best *victimSet
-	for k := 0; k < n && (k < preemptSample || best == nil); k++ {
-		set := p.victimsOn(pl.victims[(start+k)%n], ask)
+	for k := 0; k < min(n, preemptLimit) && (k < preemptSample || best == nil); k++ {
+		set := p.victimsOn(pl.victims[(start+k)%n], ask, best)
 		if set != nil && (best == nil || set.less(best)) {
 			best = set
 		}
@@ -66,8 +69,9 @@
 	return true
 }
 
-// victimsOn returns the smallest set of victims on one worker, or nil.
-func (p *planner) victimsOn(worker int32, ask *wire.TaskAsk) *victimSet {
+// victimsOn returns the smallest set of victims on one worker. It returns nil if
+// there is none, or none that could be preferred to best, which may be nil.
+func (p *planner) victimsOn(worker int32, ask *wire.TaskAsk, best *victimSet) *victimSet {
 	w := &p.cell.states[worker]
 	if p.claimed[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Reach) {
 		return nil
@@ -82,12 +86,14 @@
 	if lacking.IsZero() {
 		return nil // another step than fits refuses this worker
 	}
-	candidates := lowerPriority(w.Tasks, ask.Priority)
-	if set := throttleSet(candidates, lacking); set != nil {
-		set.worker = worker
-		return set
+	tasks := p.lowerPriority(w, ask.Priority, lacking)
+	if tasks == nil {
+		return nil
+	}
+	set := throttleSet(tasks, lacking)
+	if set == nil {
+		set = stopSet(tasks, lacking, best)
 	}
-	set := stopSet(candidates, lacking)
 	if set != nil {
 		set.worker = worker
 	}
@@ -113,59 +119,63 @@
 	return lacking
 }
 
-func lowerPriority(tasks []Task, priority int) []Task {
-	var lower []Task
-	for _, t := range tasks {
-		if t.Preemptible && t.Priority < priority {
-			lower = append(lower, t)
+// lowerPriority returns the tasks that may be preempted, in scratch memory, or nil
+// if all of them together do not free enough.
+func (p *planner) lowerPriority(w *State, priority int, lacking resource.Vector) []*Task {
+	p.lower = p.lower[:0]
+	sum := resource.Vector{}
+	for n := range w.Tasks {
+		if t := &w.Tasks[n]; t.Preemptible && t.Priority < priority {
+			p.lower = append(p.lower, t)
+			sum = sum.Add(t.Resources)
 		}
 	}
-	return lower
+	if !lacking.Fits(sum) {
+		return nil
+	}
+	return p.lower
 }
 
 // throttleSet makes room by limiting cores, which keeps the victims running. It
 // helps only if nothing but cores is lacking.
-func throttleSet(tasks []Task, lacking resource.Vector) *victimSet {
+func throttleSet(tasks []*Task, lacking resource.Vector) *victimSet {
 	cores := lacking.MilliCores
 	if cores <= 0 || lacking != (resource.Vector{MilliCores: cores}) {
 		return nil
 	}
-	tasks = slices.DeleteFunc(slices.Clone(tasks), func(t Task) bool { return t.Throttled })
-	slices.SortFunc(tasks, func(a, b Task) int {
+	slices.SortFunc(tasks, func(a, b *Task) int {
 		return cmp.Or(cmp.Compare(b.Resources.MilliCores, a.Resources.MilliCores), cmp.Compare(a.ID, b.ID))
 	})
 	set := &victimSet{}
 	for _, t := range tasks {
-		if cores <= 0 {
-			break
-		}
 		gain := min(t.Resources.MilliCores*(100-throttleFloor)/100, cores)
-		if gain <= 0 {
-			break
+		if t.Throttled || gain <= 0 {
+			continue
 		}
 		// Rounding down leaves the victim less, never the urgent task.
 		percent := int((t.Resources.MilliCores - gain) * 100 / t.Resources.MilliCores)
 		set.victims = append(set.victims, Victim{t.ID, t.Generation, ActionThrottle, percent})
 		set.priority += t.Priority
 		cores -= gain
+		if cores == 0 {
+			return set
+		}
 	}
-	if cores > 0 {
-		return nil
-	}
-	return set
+	return nil
 }
 
 // stopSet makes room by stopping tasks. A single victim is found if one suffices,
 // then a pair; larger sets are built greedily and then reduced, so that no victim
 // of the set can be left out.
-func stopSet(tasks []Task, lacking resource.Vector) *victimSet {
-	slices.SortFunc(tasks, func(a, b Task) int {
+func stopSet(tasks []*Task, lacking resource.Vector, best *victimSet) *victimSet {
+	limit := len(tasks)
+	if best != nil {
+		limit = min(limit, best.stopped)
+	}
+	slices.SortFunc(tasks, func(a, b *Task) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Resources.MilliCores, b.Resources.MilliCores), cmp.Compare(a.ID, b.ID))
 	})
-	chosen := oneOrTwo(tasks, lacking)
-	if chosen == nil {
-		chosen = reduce(greedy(tasks, lacking), lacking)
-	}
+	chosen := smallest(tasks, lacking, limit)
 	if chosen == nil {
 		return nil
 	}
@@ -181,42 +191,52 @@
 	return set
 }
 
-func oneOrTwo(tasks []Task, lacking resource.Vector) []Task {
-	for i := range tasks {
-		if lacking.Fits(tasks[i].Resources) {
-			return []Task{tasks[i]}
+// smallest returns at most limit tasks that free enough, or nil.
+func smallest(tasks []*Task, lacking resource.Vector, limit int) []*Task {
+	if limit < 1 {
+		return nil
+	}
+	for i, t := range tasks {
+		if lacking.Fits(t.Resources) {
+			return tasks[i : i+1]
 		}
 	}
-	for i := range tasks {
-		for k := i + 1; k < len(tasks); k++ {
-			if lacking.Fits(tasks[i].Resources.Add(tasks[k].Resources)) {
-				return []Task{tasks[i], tasks[k]}
+	if limit < 2 {
+		return nil
+	}
+	for i, t := range tasks {
+		for _, u := range tasks[i+1:] {
+			if lacking.Fits(t.Resources.Add(u.Resources)) {
+				return []*Task{t, u}
 			}
 		}
 	}
-	return nil
+	if limit < 3 {
+		return nil
+	}
+	chosen := reduce(greedy(tasks, lacking), lacking)
+	if len(chosen) > limit {
+		return nil
+	}
+	return chosen
 }
 
-// greedy takes the task that covers the most of what is still lacking, until
-// nothing is. It returns nil if all tasks together are not enough.
-func greedy(tasks []Task, lacking resource.Vector) []Task {
-	rest := slices.Clone(tasks)
-	var chosen []Task
-	for !lacking.IsZero() {
-		best, bestCover := -1, 0.0
-		for i := range rest {
-			if c := cover(rest[i].Resources, lacking); c > bestCover {
+// greedy moves the task that covers the most of what is still lacking to the
+// front, until nothing is, and returns the tasks moved. All tasks together must
+// free enough.
+func greedy(tasks []*Task, lacking resource.Vector) []*Task {
+	n := 0
+	for ; !lacking.IsZero(); n++ {
+		best, bestCover := n, -1.0
+		for i := n; i < len(tasks); i++ {
+			if c := cover(tasks[i].Resources, lacking); c > bestCover {
 				best, bestCover = i, c
 			}
 		}
-		if best < 0 {
-			return nil
-		}
-		chosen = append(chosen, rest[best])
-		lacking = lacking.Sub(rest[best].Resources).Max(resource.Vector{})
-		rest = slices.Delete(rest, best, best+1)
+		tasks[n], tasks[best] = tasks[best], tasks[n]
+		lacking = lacking.Sub(tasks[n].Resources).Max(resource.Vector{})
 	}
-	return chosen
+	return tasks[:n]
 }
 
 // cover is the sum over the kinds of the covered share of what is lacking.
@@ -235,7 +255,7 @@
 }
 
 // reduce leaves out every victim that the others make unnecessary.
-func reduce(chosen []Task, lacking resource.Vector) []Task {
+func reduce(chosen []*Task, lacking resource.Vector) []*Task {
 	for i := 0; i < len(chosen); {
 		sum := resource.Vector{}
 		for k := range chosen {
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -165,6 +165,24 @@
 		}
 		require.Empty(t, m.cell.Verify(plan, o, m.now), "a plan for the present state is refused")
 		m.commit(t, plan, o)
+		m.preempt(t, plan)
+	}
+}
+
+// preempt carries out the plan's preemptions; then the tasks must fit.
+func (m *model) preempt(t *rapid.T, plan place.Plan) {
+	for _, p := range plan.Preemptions {
+		for _, v := range p.Victims {
+			require.Less(t, m.live[v.TaskID].Priority, p.Ask.Priority)
+			if v.Action == place.ActionThrottle {
+				require.True(t, m.cell.Throttle(v.TaskID, v.Generation, v.Percent))
+				continue
+			}
+			require.True(t, m.cell.Release(v.TaskID, v.Generation))
+			delete(m.live, v.TaskID)
+		}
+		w, _ := m.cell.Worker(p.VM)
+		require.True(t, p.Ask.Resources.Fits(w.Free().Max(resource.Vector{})), "%v into %v", p.Ask.Resources, w.Free())
 	}
 }
 
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -49,9 +49,10 @@
 	ask      *wire.TaskAsk
 	options  *Options
 	now      time.Duration
-	newRacks bool // only racks that the gang does not use yet
-	limit    int  // scored workers, per data centre distance and accelerator class
-	factor   int  // multiplies the bounds; spreadFactor for tasks to spread
+	claimed  map[int32]bool // workers on which this run makes room for another task
+	newRacks bool           // only racks that the gang does not use yet
+	limit    int            // scored workers, per data centre distance and accelerator class
+	factor   int            // multiplies the bounds; spreadFactor for tasks to spread
 
 	best      int32 // -1 until a worker is found
 	bestCost  float64
@@ -197,6 +198,10 @@
 // examine filters and scores one worker and reports whether it fits.
 func (s *search) examine(i int32) bool {
 	w := &s.cell.states[i]
+	if s.claimed != nil && s.claimed[i] {
+		s.refused.held++
+		return false
+	}
 	switch checkRoom(w, s.ask, s.options, s.now) {
 	case StepNone:
 	case StepAvoid:
--- a/standin/bench/decisions.go
+++ b/standin/bench/decisions.go
@@ -41,8 +41,9 @@
 
 // Names of the works that are measured.
 const (
-	workSlot = "request slot"
-	workTask = "batch task"
+	workSlot   = "request slot"
+	workTask   = "batch task"
+	workUrgent = "urgent task"
 )
 
 // DefaultDecisions returns the cases of the design page.
@@ -90,6 +91,7 @@
 			row := DecisionRow{Workers: n, Load: load}
 			rows = append(rows, d.row(row, workSlot, 1, slotDecision(cell), naiveSlot(full)))
 			rows = append(rows, d.row(row, workTask, 1, indexed(cell, 1, d.Seed), scanned(full, 1, d.Seed)))
+			rows = append(rows, d.row(row, workUrgent, 1, urgent(cell, d.Seed), decision{}))
 			for _, size := range d.Gangs {
 				name := fmt.Sprintf("gang of %d", size)
 				rows = append(rows, d.row(row, name, size, indexed(cell, size, d.Seed), scanned(full, size, d.Seed)))
@@ -105,6 +107,9 @@
 	row.Repeats, row.Placed = len(times), placed
 	row.P50NS, row.P99NS = quantiles(times)
 	row.Allocs = allocations(fast)
+	if full.do == nil {
+		return row
+	}
 	times, row.NaivePlaced = d.measure(full)
 	row.NaiveRuns = len(times)
 	row.NaiveP50NS, row.NaiveP99NS = quantiles(times)
@@ -257,6 +262,26 @@
 	}
 }
 
+// urgent plans one large task that may preempt others. The plan is not carried
+// out, so that each decision finds the same load. It has no naive version.
+func urgent(cell *place.Cell, seed uint64) decision {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	all := prepared(1, seed)
+	n := 0
+	return decision{
+		do: func() bool {
+			plan := cell.Plan(all[n%len(all)], localOptions, 0, rng)
+			return len(plan.Assignments)+len(plan.Preemptions) == 1
+		},
+		undo: func() {
+			n++
+			ask := &all[n%len(all)][0]
+			ask.Priority, ask.CanPreempt = 1000, true
+			ask.Resources = resource.Vector{MilliCores: 16_000, MemoryMiB: 48 * gibibyte}
+		},
+	}
+}
+
 // DecisionTargets compares the rows with the targets of the design page.
 func DecisionTargets(rows []DecisionRow) []Target {
 	targets := []Target{noAllocation(rows)}
