Refuse queued requests at once when others overtake them

Cause: a request with an earlier deadline may go before queued ones, whose predicted wait then no longer held; they were kept until they could not start any more. A renewal that the lender declined was taken for a lapsed loan and its idle slots were not given back. Change: admission.Hopeless simulates the order of service and gives up late entries every 100 ms; declined loans are returned; a call that reached no daemon is repeated twice; a slot on a restarted worker is dropped. Conclusion: requests that can't start in time are answered within about 100 ms.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -146,26 +146,29 @@
 	return q.predict(class, entry, load)
 }
 
-// predict divides the entries ahead, and the entry itself unless a slot is free, by
-// the service rate. The guaranteed share of the class bounds the wait from above.
+// predict returns the wait of an entry that would be queued now.
 func (q *Queue[T]) predict(class *classQueue[T], entry *Entry[T], load Load) time.Duration {
-	rate := load.Rate
-	if rate <= 0 {
+	if load.Rate <= 0 {
 		return 0
 	}
-	own := class.ahead(entry)
-	if !load.Idle {
-		own++
-	}
 	higher := 0
 	for _, other := range q.classes {
 		if other.Priority > class.Priority {
 			higher += other.length
 		}
 	}
-	seconds := (own + float64(higher)) / rate
-	if class.MinShare > 0 {
-		seconds = math.Min(seconds, own/(rate*class.MinShare))
+	return class.waitFor(class.ahead(entry), higher, load)
+}
+
+// waitFor divides the entries ahead, and the entry itself unless a slot is free, by
+// the service rate. The guaranteed share of the class bounds the wait from above.
+func (c *classQueue[T]) waitFor(own float64, higher int, load Load) time.Duration {
+	if !load.Idle {
+		own++
+	}
+	seconds := (own + float64(higher)) / load.Rate
+	if c.MinShare > 0 {
+		seconds = math.Min(seconds, own/(load.Rate*c.MinShare))
 	}
 	if seconds > maxWait.Seconds() {
 		return maxWait
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -193,6 +193,30 @@
 	require.Equal(t, ShedNotKnown, queue.Push(0, Load{}, &Entry[int]{Class: "x"}).Reason)
 }
 
+// Guards against holding back queued entries that later arrivals have overtaken, and
+// against giving up one that Pop serves in time.
+func TestHopelessEntriesAreGivenUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := NewQueue[int]()
+		queue.SetClass(Class{Name: "c", MaxLength: 1000})
+		n := rapid.IntRange(0, 60).Draw(t, "entries")
+		for range n {
+			team := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+			e := &Entry[int]{Class: "c", Team: team, StartBy: time.Duration(rapid.IntRange(0, 40).Draw(t, "by")) * time.Second}
+			require.Nil(t, queue.Push(0, Load{}, e))
+		}
+		late := queue.Hopeless(0, Load{Rate: 1})
+		require.Equal(t, n, queue.Len()+len(late))
+		for _, l := range late {
+			require.Greater(t, time.Duration(float64(l.Shed.Wait)*hopelessPart), l.Entry.StartBy)
+			require.False(t, queue.Remove(l.Entry))
+		}
+		for i := 1; queue.Len() > 0; i++ {
+			require.LessOrEqual(t, hopelessPart*float64(i), queue.Pop(nil).StartBy.Seconds()+1e-6)
+		}
+	})
+}
+
 // Guards against a retry storm and against synchronised retries.
 func TestRetryBudgetAndBackoff(t *testing.T) {
 	budget := NewRetryBudget()
--- a/daemon/router/borrow.go
+++ b/daemon/router/borrow.go
@@ -285,8 +285,8 @@
 	}
 	for _, id := range m.reply.Lapsed {
 		if l := m.pool.find(m.lender.name, id); l != nil {
-			l.dropped = true
-			l.end = min(l.end, now)
+			// The lender wants the slots back or does not know the loan any more.
+			l.dropped, l.declined = true, true
 		}
 	}
 	granted := m.take(s, now)
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -19,6 +19,7 @@
 	maxForwardShift = 4               // doublings of the backoff
 	noOwnerRetry    = 3 * time.Second // covers most of a takeover
 	maxQuickFails   = 20
+	maxRefusals     = 3 // calls that reached no daemon, before the request is given up
 )
 
 // forward sends a non-idempotent request to the owner of its key's shard. A lost
@@ -91,6 +92,7 @@
 // no answer: a copy of it may still arrive.
 func (r *Router) callShard(ctx context.Context, id string, shard int, deadline time.Duration, call func(ctx context.Context, owner shardOwner, left time.Duration) error) (lost bool, p *wire.Problem) {
 	var last error
+	refusals := 0
 	quick := 0 // failures other than silence; a long request is asked for again without limit
 	for quick < maxQuickFails {
 		snapshot := r.options.View.Current()
@@ -107,9 +109,12 @@
 			return lost, nil
 		}
 		if fault.Is(last, fault.Refused) {
+			refusals++
+		}
+		if refusals == maxRefusals {
 			return lost, shardProblem(lost, owned, shard, last)
 		}
-		lost = lost || !fault.Is(last, fault.NotOwner)
+		lost = lost || !(fault.Is(last, fault.NotOwner) || fault.Is(last, fault.Refused))
 		r.options.Observer.Retried("shard-call")
 		if r.options.Now()-began < forwardSilence {
 			quick++
--- a/daemon/router/loans.go
+++ b/daemon/router/loans.go
@@ -25,6 +25,7 @@
 	busy      int64         // slots that run a request or may still run one
 	idleSince time.Duration
 	dropped   bool // takes no further start
+	declined  bool // the lender renews it no more
 }
 
 // loanEnd counts a loan's life from before the borrow call was sent, on a clock
@@ -45,7 +46,7 @@
 
 func (l *loan) renewDue(now time.Duration) bool {
 	ttl := time.Duration(l.TTLMS) * time.Millisecond
-	return now < l.end && now > l.end-ttl*2/3 && (!l.dropped || l.busy > 0)
+	return now < l.end && now > l.end-ttl/2 && !l.declined && (!l.dropped || l.busy > 0)
 }
 
 // slot takes one slot of the loan.
--- a/daemon/router/main_test.go
+++ b/daemon/router/main_test.go
@@ -153,6 +153,7 @@
 	lent    map[int64]int64
 	asked   map[string]int
 	granted int // loans
+	decline bool
 	forward func(n int, args *wire.ForwardArgs, reply *wire.ForwardReply) error
 	keys    []string
 	job     func(args *wire.JobArgs, reply *wire.JobReply) error
@@ -179,7 +180,11 @@
 	for _, back := range args.Return {
 		delete(f.lent, back.LoanID)
 	}
-	reply.Renewed = args.Renew
+	if f.decline {
+		reply.Lapsed = args.Renew
+	} else {
+		reply.Renewed = args.Renew
+	}
 	for i, w := range f.workers[daemon] {
 		id := int64(daemon[len(daemon)-1])*1000 + int64(i)
 		if args.Want <= 0 || f.lent[id] > 0 {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -214,6 +214,8 @@
 		noRoute: outcome.NoRoute || silent,
 		took:    took,
 
+		restarted: outcome.Restarted,
+
 		service:   run.start.Service,
 		operation: run.start.Operation,
 	}
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -47,6 +47,7 @@
 	lendersSet bool
 	peak       float64 // decaying peak of the slots in use and waited for
 	peakAt     time.Duration
+	checkedAt  time.Duration // last check for waiters that can't start in time
 }
 
 // waiter is a request that waits for a slot.
@@ -102,7 +103,7 @@
 	startBy := q.Deadline - min(p.runTime(q.Service, q.Operation).Mean(), (q.Deadline-now)/2)
 	w.entry = &admission.Entry[*waiter]{Class: q.Class, Team: q.Team, Weight: q.Weight, StartBy: startBy, Value: w}
 	if shed := p.queue.Push(now, p.load(now), w.entry); shed != nil {
-		w.granted <- grant{problem: busy("overload", shed.RetryAfter, "refused at once: %s, predicted wait %d ms", shed.Reason, shed.Wait.Milliseconds())}
+		w.granted <- grant{problem: overload(shed)}
 		return
 	}
 	w.queued <- startBy
@@ -129,7 +130,9 @@
 	refused wire.Refusal
 	noRoute bool
 	ran     bool
-	took    time.Duration
+
+	restarted bool // the worker has another incarnation
+	took      time.Duration
 
 	service   string
 	operation string
@@ -187,6 +190,9 @@
 	case wire.RefusedStaleEpoch, wire.RefusedWrongIncarnation:
 		m.slot.loan.dropped = true
 	}
+	if m.restarted {
+		m.slot.loan.dropped = true
+	}
 	if m.ran {
 		delete(s.suspects, m.slot.VM)
 	}
@@ -318,6 +324,7 @@
 	next := idleTick
 	for _, p := range s.pools {
 		s.expire(p, now)
+		s.giveUp(p, now)
 		s.serve(p, now)
 		s.keepLoans(p, now)
 		if p.queue.Len() > 0 {
@@ -328,6 +335,24 @@
 	return next
 }
 
+// hopelessEvery is the time between checks for waiters that can't start in time.
+const hopelessEvery = 100 * time.Millisecond
+
+// giveUp answers waiters that can't start in time any more.
+func (s *state) giveUp(p *poolState, now time.Duration) {
+	if p.queue.Len() == 0 || now-p.checkedAt < hopelessEvery {
+		return
+	}
+	p.checkedAt = now
+	for _, late := range p.queue.Hopeless(now, p.load(now)) {
+		late.Entry.Value.granted <- grant{problem: overload(&late.Shed)}
+	}
+}
+
+func overload(shed *admission.Shed) *wire.Problem {
+	return busy("overload", shed.RetryAfter, "refused at once: %s, predicted wait %d ms", shed.Reason, shed.Wait.Milliseconds())
+}
+
 // expire frees held slots whose run lease has lapsed and drops lapsed loans.
 func (s *state) expire(p *poolState, now time.Duration) {
 	held := p.held[:0]
