Answer at once while the log is down; tell a replaced VM from a leaving one

Cause: an append to a log service that can't be connected to was read back until its time ran out, so a keyed request got its refusal late; a VM that was replaced under its name stayed leaving as long as the list lagged. Change: a failed connection and 4xx/503 answers count as no effect, other error answers are read back; keyed requests and submissions are refused at once while the log is known to be down; the VM table tells incarnations apart.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"briarproxy/core/object"
 	"briarproxy/core/ownership"
 	"briarproxy/core/record"
 	"briarproxy/core/wire"
@@ -27,7 +28,6 @@
 	appendTimeout   = 4 * time.Second // until a membership record counts as unconfirmed
 	publishInterval = time.Second     // at the latest; liveness of daemons depends on time
 	logDownAfter    = 3 * time.Second // without an answer of the log service
-	unlistedVMs     = time.Minute     // flags of VMs that the list does not name are kept this long
 )
 
 // LogService is what control needs of the log; *logclient.Client implements it.
@@ -76,8 +76,7 @@
 	released    []chan struct{}
 	nextBeat    time.Duration
 	nextRepeat  time.Duration
-	vms         map[string]wire.VM
-	flags       map[string]vmFlags
+	vms         *vmTable
 	logOK       time.Duration // boot clock of the last answer
 	logHealthy  bool
 	publishedAt time.Duration
@@ -93,8 +92,8 @@
 	self := ownership.Identity{Name: options.Self.Name, Incarnation: options.Self.Incarnation}
 	return &Control{
 		Options: options, messages: make(chan message, 256), done: make(chan struct{}),
-		units: ownership.New(self, options.Timing), vms: map[string]wire.VM{},
-		flags: map[string]vmFlags{}, mine: map[string]int64{}, logOK: options.Now(), logHealthy: true,
+		units: ownership.New(self, options.Timing), vms: newVMTable(),
+		mine: map[string]int64{}, logOK: options.Now(), logHealthy: true,
 	}
 }
 
@@ -157,7 +156,7 @@
 // due returns the records to append now: a heartbeat when its time has come, and
 // claims and releases at once.
 func (c *Control) due(now time.Duration) []record.Record {
-	plan := c.units.Decide(now, c.wantedUnits(), c.draining)
+	plan := c.units.Decide(now, unitsOf(c.vms.current(now), c.set()), c.draining)
 	var records []record.Record
 	if len(plan.Releases) > 0 {
 		records = append(records, record.Record{ID: c.nextID(), Release: &record.Release{Units: plan.Releases}})
@@ -186,6 +185,14 @@
 	}
 }
 
+// set returns the objects in force, nil before the stream was read.
+func (c *Control) set() *object.Set {
+	if !c.configKnown {
+		return nil
+	}
+	return c.config.Set()
+}
+
 func (c *Control) version() int64 {
 	if !c.configKnown {
 		return 0
--- a/daemon/control/publish.go
+++ b/daemon/control/publish.go
@@ -12,7 +12,7 @@
 	c.publishedAt = c.Now()
 	snapshot := &view.Snapshot{
 		Self: c.Self, Set: &object.Set{}, LogHealthy: c.logHealthy,
-		Units: map[string]view.Unit{}, Daemons: map[string]view.Daemon{}, VMs: make(map[string]view.VM, len(c.vms)),
+		Units: map[string]view.Unit{}, Daemons: map[string]view.Daemon{}, VMs: c.vms.current(c.Now()),
 	}
 	if c.configKnown {
 		snapshot.ConfigVersion = c.config.Version()
@@ -20,9 +20,6 @@
 	}
 	snapshot.Self.ConfigVersion = snapshot.ConfigVersion
 	snapshot.Self.Live = true
-	for name, vm := range c.vms {
-		snapshot.VMs[name] = view.VM{VM: vm, Leaving: c.flags[name].leaving}
-	}
 	live := c.addDaemons(snapshot)
 	c.addUnits(snapshot)
 	c.Budget.SetShare(c.CellRate(), live)
--- /dev/null
+++ b/daemon/control/vmtable.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"briarproxy/core/object"
+	"briarproxy/core/ownership"
+	"briarproxy/core/wire"
+	"briarproxy/daemon/view"
+)
+
+// vmState combines the sources of membership of one VM.
+type vmState struct {
+	vm          wire.VM
+	listed      bool
+	incarnation int64 // from the worker's reports, 0 before the first
+	leaving     bool  // sticky for the incarnation
+	// listIsOld is set when a report showed a new incarnation while the list called
+	// the VM leaving: the list lags and may mean the incarnation before.
+	listIsOld  bool
+	reportedAt time.Duration
+	reported   bool
+}
+
+// startValidity is the longest time for which a start may be on its way to a
+// worker that does not refuse stale epochs.
+const startValidity = 2 * time.Second
+
+// vmKeptAfterReport is how long a VM that the list does not name counts as present
+// after its worker's last report.
+const vmKeptAfterReport = 10 * time.Second
+
+type vmTable struct{ vms map[string]*vmState }
+
+func newVMTable() *vmTable { return &vmTable{vms: map[string]*vmState{}} }
+
+// list takes over a VM list. VMs that are in it no more stay for as long as their
+// own reports are recent.
+func (t *vmTable) list(list wire.VMList, now time.Duration) {
+	for _, v := range t.vms {
+		v.listed = false
+	}
+	for _, vm := range list.VMs {
+		v, found := t.vms[vm.Name]
+		if !found || v.vm.Address != vm.Address {
+			v = &vmState{}
+			t.vms[vm.Name] = v
+		}
+		v.vm = vm
+		v.listed = true
+		if vm.State == wire.VMLive {
+			v.listIsOld = false
+		}
+		if vm.State == wire.VMLeaving && !v.listIsOld {
+			v.leaving = true
+		}
+	}
+	for name, v := range t.vms {
+		if !v.present(now) {
+			delete(t.vms, name)
+		}
+	}
+}
+
+func (v *vmState) present(now time.Duration) bool {
+	return v.listed || (v.reported && now-v.reportedAt <= vmKeptAfterReport)
+}
+
+// report takes over what a worker says of itself; true if that changes anything.
+func (t *vmTable) report(vm string, incarnation int64, draining bool, now time.Duration) bool {
+	v, found := t.vms[vm]
+	if !found || incarnation < v.incarnation {
+		return false
+	}
+	before := *v
+	if incarnation > v.incarnation && v.incarnation != 0 {
+		v.leaving = false
+		v.listIsOld = v.vm.State == wire.VMLeaving
+	}
+	v.incarnation = incarnation
+	v.leaving = v.leaving || draining
+	v.reportedAt = now
+	v.reported = true
+	return v.leaving != before.leaving || v.incarnation != before.incarnation
+}
+
+func (t *vmTable) current(now time.Duration) map[string]view.VM {
+	vms := make(map[string]view.VM, len(t.vms))
+	for name, v := range t.vms {
+		if v.present(now) {
+			vms[name] = view.VM{VM: v.vm, Leaving: v.leaving}
+		}
+	}
+	return vms
+}
+
+// unitsOf returns all key shards and the racks of all workers, sorted by name.
+func unitsOf(vms map[string]view.VM, set *object.Set) []ownership.Unit {
+	units := make([]ownership.Unit, 0, wire.ShardCount)
+	for shard := range wire.ShardCount {
+		units = append(units, ownership.Unit{Name: wire.ShardUnit(shard)})
+	}
+	racks := map[string]ownership.Unit{}
+	for _, vm := range vms {
+		if vm.Role != wire.RoleWorker {
+			continue
+		}
+		name := wire.RackUnit(vm.DataCentre, vm.Rack)
+		unit := ownership.Unit{Name: name, Region: vm.Region, DataCentre: vm.DataCentre, ExtraWait: racks[name].ExtraWait}
+		if set != nil && unfenced(set, vm) {
+			unit.ExtraWait = startValidity
+		}
+		racks[name] = unit
+	}
+	for _, unit := range racks {
+		units = append(units, unit)
+	}
+	slices.SortFunc(units, func(a, b ownership.Unit) int { return strings.Compare(a.Name, b.Name) })
+	return units
+}
+
+// unfenced reports whether the VM is in a pool whose workers do not support fencing.
+func unfenced(set *object.Set, vm view.VM) bool {
+	for _, pool := range set.Pools {
+		if !pool.Fencing && view.PoolOf(pool, vm) {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/logclient/client.go
+++ b/daemon/logclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -74,15 +75,29 @@
 		c.seen(stream, reply.Offset+1)
 		return reply.Offset, nil
 	}
-	if err == nil && response.IsError() {
+	if err == nil && hadNoEffect(response.StatusCode()) {
 		return 0, refusedBy(response)
 	}
+	if neverSent(err) {
+		return 0, fault.Wrap(err, fault.Refused, "retry with a backoff", "the log service can't be connected to")
+	}
 	c.transport.CloseIdleConnections() // they may have gone silent with this one
 	return c.readBack(ctx, stream, from, contains)
 }
 
-// refusedBy turns an error answer into an error; the service answers with an error
-// only before the record takes effect.
+// hadNoEffect reports whether an error answer was given before the record took
+// effect. Any other error answer leaves it open.
+func hadNoEffect(status int) bool {
+	return status >= 400 && status < 500 || status == http.StatusServiceUnavailable
+}
+
+// neverSent reports whether no connection could be made.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// refusedBy turns an error answer without effect into an error.
 func refusedBy(response *resty.Response) error {
 	err := fault.New(fault.Refused, "retry after the time given", "the log service answered %s", response.Status())
 	if seconds, parseErr := strconv.Atoi(response.Header().Get("Retry-After")); parseErr == nil {
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -106,6 +106,11 @@
 			o.drop(name, "the rack unit has another owner")
 		}
 	}
+	for name, w := range o.workers {
+		if _, listed := snapshot.VMs[name]; !listed && len(w.attempts) == 0 {
+			o.drop(name, "the VM is gone")
+		}
+	}
 	for name, vm := range snapshot.VMs {
 		if vm.Role != wire.RoleWorker {
 			continue
--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -122,6 +122,10 @@
 		m.fail(p)
 		return
 	}
+	if !r.View.Current().LogHealthy {
+		m.fail(logDown())
+		return
+	}
 	record := job.Record{Submit: &job.Submit{
 		ID: spec.ID, Template: spec.Template, SpecDigest: digest, Definition: *definition,
 		Tasks: spec.Tasks, Body: spec.Body, AtMS: r.WallMS(),
--- a/daemon/shard/keys.go
+++ b/daemon/shard/keys.go
@@ -139,6 +139,10 @@
 
 // run makes one attempt: slot, intent record, lease check, start.
 func (k *keyedRequest) run(ctx context.Context, generation int64, attempt int) (*wire.Result, *wire.Problem, bool) {
+	if !k.r.View.Current().LogHealthy {
+		_ = k.r.send(keyAbandon{key: k.plan.IdempotencyKey})
+		return nil, logDown(), true
+	}
 	slot, p := k.r.Requests.Acquire(ctx, k.plan.Query())
 	if p != nil {
 		_ = k.r.send(keyAbandon{key: k.plan.IdempotencyKey})
@@ -162,6 +166,13 @@
 	return k.settle(slot, intent, outcome)
 }
 
+// logDown is the answer to what needs a record while the log service is known to be
+// down; waiting for it would only take up the caller's time.
+func logDown() *wire.Problem {
+	return problem(http.StatusServiceUnavailable, "log-unavailable", wire.OutcomeNotRun, logDownRetrySeconds,
+		"the log service is not available", "retry after the time given")
+}
+
 // unlogged is the problem when no start was sent for want of its record.
 func (k *keyedRequest) unlogged(err error, p *wire.Problem) *wire.Problem {
 	detail := "the shard has changed its owner"
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -167,7 +167,7 @@
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }, Calls: c.calls, Retention: time.Hour,
 	})
 	holder.Publish(&view.Snapshot{
-		ConfigVersion: 1, Set: testSet(),
+		ConfigVersion: 1, Set: testSet(), LogHealthy: true,
 		Daemons: map[string]view.Daemon{"d": {Name: "d", Live: true}},
 		VMs:     map[string]view.VM{"vm": {VM: wire.VM{Name: "vm", DataCentre: "dc", Rack: "r"}}},
 		Units: map[string]view.Unit{
--- a/daemon/shard/types.go
+++ b/daemon/shard/types.go
@@ -17,17 +17,18 @@
 
 // Times of a shard's owner.
 const (
-	tickInterval      = 20 * time.Millisecond
-	verifyInterval    = 500 * time.Millisecond
-	stopInterval      = 250 * time.Millisecond
-	housekeepInterval = 30 * time.Second
-	callTimeout       = 3 * time.Second  // calls to rack owners
-	appendTimeout     = 10 * time.Second // until an append counts as unconfirmed
-	reservationTTL    = 2 * time.Second
-	keepFinished      = time.Hour // results of jobs and keys stay available
-	retryAfterSeconds = 2         // suggested to callers when a shard has no owner or the log is down
-	maxGroupsPerTick  = 128       // groups placed in one step
-	maxAttemptsPerTry = 512       // attempts verified or stopped in one step
+	tickInterval        = 20 * time.Millisecond
+	verifyInterval      = 500 * time.Millisecond
+	stopInterval        = 250 * time.Millisecond
+	housekeepInterval   = 30 * time.Second
+	callTimeout         = 3 * time.Second  // calls to rack owners
+	appendTimeout       = 10 * time.Second // until an append counts as unconfirmed
+	reservationTTL      = 2 * time.Second
+	keepFinished        = time.Hour // results of jobs and keys stay available
+	retryAfterSeconds   = 2         // suggested to callers when a shard has no owner or the log is down
+	logDownRetrySeconds = 5         // suggested to callers while the log is known to be down
+	maxGroupsPerTick    = 128       // groups placed in one step
+	maxAttemptsPerTry   = 512       // attempts verified or stopped in one step
 )
 
 // Open is the first record that an owner writes. Records of older epochs that
