--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -36,7 +37,8 @@
 	return e
 }
 
-// Catalogue returns every event defined in the packages linked into the program.
+// Catalogue returns every event defined in the packages linked into the program,
+// ordered by number.
 func Catalogue() []Event {
 	catalogueMu.Lock()
 	defer catalogueMu.Unlock()
@@ -44,6 +46,7 @@
 	for _, e := range catalogue {
 		events = append(events, e)
 	}
+	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
 }
 
--- a/daemon/internal/daemoncmd/command.go
+++ b/daemon/internal/daemoncmd/command.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"briarproxy/daemon/event"
 	"briarproxy/daemon/node"
 	"briarproxy/daemon/settings"
 )
@@ -22,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), validateCommand(), defaultsCommand())
+	root.AddCommand(runCommand(), validateCommand(), defaultsCommand(), eventsCommand())
 	return root
 }
 
@@ -93,3 +94,15 @@
 		},
 	}
 }
+
+func eventsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "events",
+		Short: "Print the catalogue of log events as a Markdown page",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := cmd.OutOrStdout().Write(event.Page())
+			return err
+		},
+	}
+}
--- a/daemon/node/events.go
+++ b/daemon/node/events.go
@@ -8,10 +8,10 @@
 
 var (
 	eventStarted  = event.Define(1000, "daemon started", log.InfoLevel, "the listeners are open; the daemon is ready once it has read the configuration")
-	eventReady    = event.Define(1001, "daemon ready", log.InfoLevel, "the load balancer may send requests")
-	eventDraining = event.Define(1002, "daemon draining", log.InfoLevel, "a planned stop has begun")
-	eventStopped  = event.Define(1003, "daemon stopped", log.InfoLevel, "the planned stop has ended; the line says whether anything was cut off")
-	eventServe    = event.Define(1004, "listener failed", log.ErrorLevel, "a listener ended with an error; check its address")
+	eventReady    = event.Define(1001, "daemon ready", log.InfoLevel, "the readiness answer is true now, so the load balancer may send requests")
+	eventDraining = event.Define(1002, "daemon draining", log.InfoLevel, "a planned stop has begun: readiness is false and the listeners answer for the drain delay; raise drain_delay if the load balancer still sends afterwards")
+	eventStopped  = event.Define(1003, "daemon stopped", log.InfoLevel, "the planned stop has ended; if clean is false, requests were still in flight when the time for them was over")
+	eventServe    = event.Define(1004, "listener failed", log.ErrorLevel, "a listener ended with an error and its callers are refused; check the address and the limit of open files, then restart the daemon")
 	eventReload   = event.Define(1005, "settings reloaded", log.InfoLevel, "the settings that may change while running are in force")
-	eventReloadNo = event.Define(1006, "settings not reloaded", log.WarnLevel, "the file has problems or changes what needs a restart; the old settings stay")
+	eventReloadNo = event.Define(1006, "settings not reloaded", log.WarnLevel, "the file has problems or changes what needs a restart; the old settings stay; check the file with briarproxyd validate")
 )
