core/job steps its tasks by the task chart

Cause: the task chart described other phases than the code had, and the code did not use it. Change: the chart takes the names of the phases, which are stored in records, and one event for each step of the code. Every change of a phase goes through step; a refused event changes nothing, is kept as a typed error and logged by the shard's owner as event 1504. The property test now also requires that no event of the owner is refused. Shown: the tests fail with a refusal that is dropped, with a phase renamed in the code, and with found-running refused in the chart.

--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -73,6 +73,27 @@
 	return c, nil
 }
 
+// MustLoad is Load for package variables; the embedded charts are checked by tests.
+func MustLoad(name Name) *Chart {
+	c, err := Load(name)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Transitions returns the state that follows an event by the state that handles it.
+// Code that steps very often prepares its own table from it.
+func (c *Chart) Transitions(e Event) map[State]State {
+	transitions := map[State]State{}
+	for s, b := range c.States {
+		if to, handled := b.On[e]; handled {
+			transitions[s] = to
+		}
+	}
+	return transitions
+}
+
 // IsFinal reports whether nothing follows a state.
 func (c *Chart) IsFinal(s State) bool { return slices.Contains(c.Final, s) }
 
@@ -193,19 +214,33 @@
 func (m *Machine) Done() bool { return m.chart.IsFinal(m.state) }
 
 // Step moves by an event and returns the state that follows. The state stays and
-// the error is of kind fault.Refused for an event that the state refuses on purpose,
-// fault.Internal for an event that the chart does not have.
+// the error is Next's for an event that is not handled.
 func (m *Machine) Step(e Event) (State, error) {
-	behaviour := m.chart.States[m.state]
-	if to, handled := behaviour.On[e]; handled {
-		m.state = to
+	to, err := m.chart.Next(m.state, e)
+	m.state = to
+	return to, err
+}
+
+// Next returns the state that follows an event. The state stays and the error is of
+// kind fault.Refused for an event that the state refuses on purpose, fault.Internal
+// for a state or an event that the chart does not have.
+func (c *Chart) Next(s State, e Event) (State, error) {
+	if to, handled := c.States[s].On[e]; handled {
 		return to, nil
 	}
+	return s, c.refusal(s, e)
+}
+
+func (c *Chart) refusal(s State, e Event) error {
+	behaviour, known := c.States[s]
+	if !known {
+		return fault.New(fault.Internal, "report this as a defect", "chart %q has no state %q", c.Name, s)
+	}
 	for reason, events := range behaviour.Refuse {
 		if slices.Contains(events, e) {
-			return m.state, fault.New(fault.Refused, "discard the event",
-				"chart %q in state %q refuses %q: %s", m.chart.Name, m.state, e, reason)
+			return fault.New(fault.Refused, "discard the event",
+				"chart %q in state %q refuses %q: %s", c.Name, s, e, reason)
 		}
 	}
-	return m.state, fault.New(fault.Internal, "report this as a defect", "chart %q has no event %q", m.chart.Name, e)
+	return fault.New(fault.Internal, "report this as a defect", "chart %q has no event %q", c.Name, e)
 }
--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -74,8 +74,8 @@
 		state     State
 		event     Event
 	}{
-		{"2 one place per task", Task, "running", "reserved"},
-		{"2 one place per task", Task, "resolving", "intent-logged"},
+		{"2 one place per task", Task, "running", "taken"},
+		{"2 one place per task", Task, "verifying", "intent-logged"},
 		{"4 not run is relied on", Request, "not-run", "slot-granted"},
 		{"5 at most once", Request, "sent", "slot-granted"},
 		{"7 stop cuts nothing off", Daemon, "draining", "release-logged"},
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -77,32 +77,6 @@
 	Job    *Job    `json:"job,omitempty"` // a whole job, re-appended before its records expire
 }
 
-// Phase is the state of a task.
-type Phase string
-
-// Phases of a task. Pending to Starting exist only in the owner's memory; the
-// stream knows an intent and an end.
-const (
-	Pending   Phase = "pending"   // waits for room
-	Reserving Phase = "reserving" // a rack owner is asked for room
-	Logging   Phase = "logging"   // the intent is being appended
-	Starting  Phase = "starting"  // the intent is logged, the start may be on its way
-	Running   Phase = "running"
-	Verifying Phase = "verifying" // an attempt may run; its worker must be asked
-	Stopping  Phase = "stopping"  // an attempt is being stopped
-	Succeeded Phase = "succeeded"
-	Failed    Phase = "failed"
-	Cancelled Phase = "cancelled"
-)
-
-// Final reports whether the task has ended.
-func (p Phase) Final() bool { return p == Succeeded || p == Failed || p == Cancelled }
-
-// active reports whether an attempt of the task may run.
-func (p Phase) active() bool {
-	return p == Starting || p == Running || p == Verifying || p == Stopping
-}
-
 // Task is one task of a job.
 type Task struct {
 	Phase      Phase `json:"phase"`
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -36,13 +36,14 @@
 
 // Shard is the state of one key shard's jobs. It is not safe for concurrent use.
 type Shard struct {
-	jobs    map[string]*Job
-	ready   readyQueue
-	delayed delayQueue
-	stop    []Attempt        // attempts to stop
-	verify  map[string]Phase // task id -> phase to return to, for attempts to verify
-	nextSeq int64
-	rng     *rand.Rand
+	jobs     map[string]*Job
+	ready    readyQueue
+	delayed  delayQueue
+	stop     []Attempt        // attempts to stop
+	verify   map[string]Phase // task id -> phase to return to, for attempts to verify
+	nextSeq  int64
+	rng      *rand.Rand
+	refusals []error // events that the task chart refused
 }
 
 // NewShard returns an empty shard. The random source spreads backoffs.
@@ -152,9 +153,14 @@
 	if t == nil || t.Phase.Final() || in.Generation <= t.Generation {
 		return
 	}
-	t.Generation = in.Generation
-	t.Place = in.Place
-	t.Phase = Starting
+	event := intentReplayed
+	if t.Phase == Logging {
+		event = intentLogged
+	}
+	if s.step(t, event) {
+		t.Generation = in.Generation
+		t.Place = in.Place
+	}
 }
 
 func (s *Shard) applyEnded(in Ended, now time.Duration) {
@@ -167,23 +173,23 @@
 	t.Place = Place{}
 	switch {
 	case in.State == wire.RunFinished:
-		s.finish(j, t, Succeeded, in)
+		s.finish(j, t, finished, in)
 	case j.Cancelled:
-		s.finish(j, t, Cancelled, in)
+		s.finish(j, t, endedCancelled, in)
 	case in.State == wire.RunFailed:
 		t.Failures++
 		t.FailedOn = append(t.FailedOn, vm)
 		t.Reason = failureReason(in)
 		if t.Failures >= max(1, j.Definition.MaxAttempts) {
-			s.finish(j, t, Failed, in)
+			s.finish(j, t, attemptsExhausted, in)
 			break
 		}
-		t.Phase = Pending
+		s.step(t, attemptEnded)
 	case j.Definition.AtMostOnce && in.State != wire.RunNeverStarted:
 		t.Reason = mayHaveRun
-		s.finish(j, t, Failed, in)
+		s.finish(j, t, attemptsExhausted, in)
 	default:
-		t.Phase = Pending
+		s.step(t, attemptEnded)
 	}
 	s.afterEnd(j, in.Index, now)
 }
@@ -199,8 +205,11 @@
 	return "the worker reported a failure without a reason"
 }
 
-func (s *Shard) finish(j *Job, t *Task, phase Phase, in Ended) {
-	t.Phase = phase
+// finish moves the task to its final phase.
+func (s *Shard) finish(j *Job, t *Task, event *taskEvent, in Ended) {
+	if !s.step(t, event) {
+		return
+	}
 	t.Result = in.Result
 	j.open--
 	if j.open == 0 {
@@ -235,7 +244,7 @@
 	}
 	for i := range j.Tasks {
 		if p := j.Tasks[i].Phase; p == Starting || p == Running {
-			s.stopTask(j, i)
+			s.stopTask(j, i, gangAborted)
 			j.aborting = true
 		}
 	}
@@ -255,9 +264,10 @@
 	}
 }
 
-func (s *Shard) stopTask(j *Job, index int) {
-	j.Tasks[index].Phase = Stopping
-	s.stop = append(s.stop, attemptOf(j, index))
+func (s *Shard) stopTask(j *Job, index int, event *taskEvent) {
+	if s.step(&j.Tasks[index], event) {
+		s.stop = append(s.stop, attemptOf(j, index))
+	}
 }
 
 func attemptOf(j *Job, index int) Attempt {
@@ -275,9 +285,11 @@
 		t := &j.Tasks[i]
 		switch t.Phase {
 		case Starting, Running:
-			s.stopTask(j, i)
+			s.stopTask(j, i, cancel)
 		case Pending, Reserving, Logging:
-			s.finish(j, t, Cancelled, Ended{AtMS: in.AtMS})
+			s.finish(j, t, cancel, Ended{AtMS: in.AtMS})
+		case Verifying, Stopping:
+			s.step(t, cancel)
 		}
 	}
 }
@@ -297,11 +309,10 @@
 		t := &j.Tasks[i]
 		switch {
 		case t.Phase.active():
-			s.verify[TaskID(j.ID, i)] = t.Phase
-			t.Phase = Verifying
+			s.toVerify(j, i, ownerChanged)
 			active = true
 		case !t.Phase.Final():
-			t.Phase = Pending
+			s.step(t, ownerChanged)
 		}
 	}
 	if j.open == 0 || j.Definition.Gang && active {
@@ -310,6 +321,15 @@
 	s.enqueueJob(j, now)
 }
 
+// toVerify marks an attempt for the question to its worker.
+func (s *Shard) toVerify(j *Job, index int, event *taskEvent) {
+	t := &j.Tasks[index]
+	before := t.Phase
+	if s.step(t, event) {
+		s.verify[TaskID(j.ID, index)] = before
+	}
+}
+
 // NextGroups takes up to limit groups that are ready to be placed, the most urgent
 // first. Their tasks are in phase Reserving until Reserved or NoRoom is called.
 func (s *Shard) NextGroups(now time.Duration, limit int) []Group {
@@ -317,25 +337,24 @@
 	var groups []Group
 	for len(groups) < limit && s.ready.Len() > 0 {
 		g := heap.Pop(&s.ready).(group)
-		if tasks := takePending(g); len(tasks) > 0 {
+		if tasks := s.takePending(g); len(tasks) > 0 {
 			groups = append(groups, Group{Job: g.job, Tasks: tasks})
 		}
 	}
 	return groups
 }
 
-func takePending(g group) []int {
+func (s *Shard) takePending(g group) []int {
 	if !g.job.Definition.Gang {
-		if g.job.Tasks[g.index].Phase != Pending {
+		t := &g.job.Tasks[g.index]
+		if t.Phase != Pending || !s.step(t, taken) {
 			return nil
 		}
-		g.job.Tasks[g.index].Phase = Reserving
 		return []int{g.index}
 	}
 	var tasks []int
 	for i := range g.job.Tasks {
-		if g.job.Tasks[i].Phase == Pending {
-			g.job.Tasks[i].Phase = Reserving
+		if t := &g.job.Tasks[i]; t.Phase == Pending && s.step(t, taken) {
 			tasks = append(tasks, i)
 		}
 	}
@@ -344,14 +363,17 @@
 
 // NoRoom puts a group back with a backoff. The reason is kept for explanations.
 func (s *Shard) NoRoom(g Group, reason string, now time.Duration) {
+	s.putBack(g, noRoom, reason, now)
+}
+
+func (s *Shard) putBack(g Group, event *taskEvent, reason string, now time.Duration) {
 	g.Job.tries++
 	requeue := false
 	for _, i := range g.Tasks {
 		t := &g.Job.Tasks[i]
-		if t.Phase != Reserving && t.Phase != Logging {
+		if t.Phase.Final() || !s.step(t, event) {
 			continue
 		}
-		t.Phase = Pending
 		t.Reason = reason
 		requeue = true
 	}
@@ -376,10 +398,9 @@
 	records := make([]Record, 0, len(g.Tasks))
 	for n, i := range g.Tasks {
 		t := &g.Job.Tasks[i]
-		if t.Phase != Reserving {
+		if t.Phase.Final() || !s.step(t, reserved) {
 			continue
 		}
-		t.Phase = Logging
 		t.Reason = ""
 		records = append(records, Record{Intent: &Intent{Job: g.Job.ID, Index: i, Generation: t.Generation + 1, Place: places[n]}})
 	}
@@ -394,7 +415,7 @@
 			t.Generation++
 		}
 	}
-	s.NoRoom(g, "the log service did not confirm the start record", now)
+	s.putBack(g, notLogged, "the log service did not confirm the start record", now)
 }
 
 // Startable reports whether a logged attempt should still be started.
@@ -407,16 +428,15 @@
 func (s *Shard) Started(job string, index int, generation int64) {
 	if s.Startable(job, index, generation) {
 		_, t := s.task(job, index)
-		t.Phase = Running
+		s.step(t, started)
 	}
 }
 
 // StartUnknown notes that it is not known whether the worker got the start.
 func (s *Shard) StartUnknown(job string, index int, generation int64) {
 	if s.Startable(job, index, generation) {
-		_, t := s.task(job, index)
-		s.verify[TaskID(job, index)] = t.Phase
-		t.Phase = Verifying
+		j, _ := s.task(job, index)
+		s.toVerify(j, index, startUnknown)
 	}
 }
 
@@ -456,10 +476,15 @@
 		return
 	}
 	before := s.verify[taskID]
+	if !s.step(t, foundRunning) {
+		return
+	}
 	delete(s.verify, taskID)
-	t.Phase = Running
-	if j.Cancelled || before == Stopping {
-		s.stopTask(j, index)
+	switch {
+	case j.Cancelled:
+		s.stopTask(j, index, cancel)
+	case before == Stopping:
+		s.stopTask(j, index, gangAborted)
 	}
 }
 
@@ -487,8 +512,7 @@
 		}
 		for i := range j.Tasks {
 			if t := &j.Tasks[i]; t.Phase == Running && onVM(t.VM) {
-				s.verify[TaskID(j.ID, i)] = Running
-				t.Phase = Verifying
+				s.toVerify(j, i, rackOwnerChanged)
 				marked++
 			}
 		}
--- a/core/job/shard_test.go
+++ b/core/job/shard_test.go
@@ -208,6 +208,7 @@
 	h.verify()
 	h.stop()
 	h.reports()
+	require.Empty(h.t, h.shard.TakeRefusals(), "the task chart refused an event of the owner")
 	if h.chance("new owner", 3) {
 		h.replay()
 	}
--- a/daemon/node/events_test.go
+++ b/daemon/node/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,8 +23,12 @@
 	}
 	page, err := os.ReadFile(eventsPage)
 	require.NoError(t, err)
-	require.Equal(t, string(event.Page()), string(page),
-		"docs/events.md differs from the code; run: go test ./daemon/node -run Events -update")
+	const remedy = "docs/events.md differs from the code; run: go test ./daemon/node -run Events -update"
+	want, got := strings.Split(string(event.Page()), "\n"), strings.Split(string(page), "\n")
+	for i := range min(len(want), len(got)) {
+		require.Equal(t, want[i], got[i], remedy)
+	}
+	require.Len(t, got, len(want), remedy)
 }
 
 // Guards against events that tell an operator nothing.
--- a/daemon/shard/events.go
+++ b/daemon/shard/events.go
@@ -11,6 +11,7 @@
 	eventClosed    = event.Define(1501, "shard closed", log.InfoLevel, "this daemon does not serve the shard any more; its successor replays the stream")
 	eventReplay    = event.Define(1502, "shard replay failed", log.WarnLevel, "the stream could not be read to its end; tried again with a backoff; check the log service")
 	eventBadEntry  = event.Define(1503, "shard entry skipped", log.ErrorLevel, "an entry of the stream does not decode; check for daemons of another release")
+	eventStep      = event.Define(1504, "task event refused", log.WarnLevel, "the task chart refused an event, which changed nothing; the line says why; report it if it is frequent, because it shows a defect")
 	eventAccepted  = event.Define(1510, "job accepted", log.InfoLevel, "the job's record is in the log, so the job outlives every daemon")
 	eventRefused   = event.Define(1511, "job refused", log.InfoLevel, "the job was not accepted and never runs; the reason and what the submitter can do are in the line")
 	eventCancelled = event.Define(1512, "job cancelled", log.InfoLevel, "the cancellation is in the log; the job's running tasks are being stopped")
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -270,6 +270,7 @@
 func (r *runner) tick() {
 	now := r.Now()
 	r.publishStats()
+	r.logRefusals()
 	if now >= r.nextKeep {
 		r.nextKeep = now + housekeepInterval
 		r.housekeep(now)
@@ -287,6 +288,13 @@
 	r.stats.Store(&Stats{Jobs: r.jobs.Len(), Waiting: r.jobs.Waiting(), Verify: r.jobs.Verifying(), Keys: r.keys.Len()})
 }
 
+// logRefusals logs what the task chart refused.
+func (r *runner) logRefusals() {
+	for _, err := range r.jobs.TakeRefusals() {
+		r.Log.Emit(eventStep, "shard", r.shard, "error", err.Error())
+	}
+}
+
 func (r *runner) housekeep(now time.Duration) {
 	wall := r.WallMS()
 	r.jobs.Expire(wall, keepFinished)
