--- a/standin/bench/decisions.go
+++ b/standin/bench/decisions.go
@@ -348,9 +348,14 @@
 func printDecisions(out io.Writer, rows []DecisionRow) {
 	_, _ = fmt.Fprintln(out, "work\tworkers\tload\tplaced\tp50\tp99\tallocs\trepeats\tscan repeats\tscan placed\tscan p50\tscan p99\tscan/index p50\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%d\t%d\t%.0f%%\t%s\t%s\t%.1f\t\n",
-			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs, r.Repeats, r.NaiveRuns,
-			100*r.NaivePlaced, time.Duration(r.NaiveP50NS), time.Duration(r.NaiveP99NS), float64(r.NaiveP50NS)/float64(max(r.P50NS, 1)))
+		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%d\t",
+			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs, r.Repeats)
+		if r.NaiveRuns == 0 {
+			_, _ = fmt.Fprintln(out, "-\t-\t-\t-\t-\t")
+			continue
+		}
+		_, _ = fmt.Fprintf(out, "%d\t%.0f%%\t%s\t%s\t%.1f\t\n",
+			r.NaiveRuns, 100*r.NaivePlaced, time.Duration(r.NaiveP50NS), time.Duration(r.NaiveP99NS), float64(r.NaiveP50NS)/float64(max(r.P50NS, 1)))
 	}
 }
 
