core/place: plan probes of quarantined workers

Cause: quarantine says when a worker may be probed, but a plan never uses a quarantined worker.

Conclusion: the worker stays closed for all other work while it is probed.

--- /dev/null
+++ b/core/place/probe.go
@@ -0,0 +1,30 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"briarproxy/core/wire"
+)
+
+// Probe plans one of the requests, the first that fits, on a quarantined worker to
+// find out whether it works again. The plan is empty if the worker is not
+// quarantined, is leaving or not usable, or holds tasks: one probe runs at a time.
+func (c *Cell) Probe(vm string, asks []wire.TaskAsk, o Options, now time.Duration) Plan {
+	plan := Plan{At: now}
+	i, ok := c.byVM[vm]
+	if !ok || !c.states[i].Quarantined || len(c.states[i].Tasks) > 0 {
+		return plan
+	}
+	w := &c.states[i]
+	n := slices.IndexFunc(asks, func(ask wire.TaskAsk) bool {
+		a := Assignment{Ask: &ask, probe: true}
+		return ask.Gang == "" && c.checkAssigned(i, &a, &o, now) == StepNone
+	})
+	if n >= 0 {
+		plan.Assignments = []Assignment{{
+			Ask: &asks[n], VM: w.VM, Rack: w.Rack, Incarnation: w.Incarnation, worker: i, probe: true,
+		}}
+	}
+	return plan
+}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -124,6 +124,7 @@
 	Rack        string
 	Incarnation int64
 	worker      int32
+	probe       bool // the worker may be quarantined
 }
 
 // Action is the way in which a victim is preempted.
