core/place: probe a quarantined worker that still has old tasks

Cause: a probe was planned only on an idle worker, so a long-running task from before the quarantine would have blocked probes for good.

Change: the worker need not be idle; quarantine.ProbeStarted limits the probes.

--- a/core/place/probe.go
+++ b/core/place/probe.go
@@ -9,11 +9,12 @@
 
 // Probe plans one of the requests, the first that fits, on a quarantined worker to
 // find out whether it works again. The plan is empty if the worker is not
-// quarantined, is leaving or not usable, or holds tasks: one probe runs at a time.
+// quarantined, is leaving or not usable. The caller limits the probes per worker;
+// tasks that ran before the quarantine may still be on it.
 func (c *Cell) Probe(vm string, asks []wire.TaskAsk, o Options, now time.Duration) Plan {
 	plan := Plan{At: now}
 	i, ok := c.byVM[vm]
-	if !ok || !c.states[i].Quarantined || len(c.states[i].Tasks) > 0 {
+	if !ok || !c.states[i].Quarantined {
 		return plan
 	}
 	w := &c.states[i]
