Test remote slots and restarted workers more sharply

Cause: two of ten mutations of the request path passed the tests: a class that must stay in its region got a borrowed remote slot, and a restarted worker was queried until the deadline. Change: assert both. Conclusion: each mutation now fails a test.

--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -218,6 +218,10 @@
 	require.Nil(t, p, "%+v", p)
 	require.Equal(t, 1, runs("r1", h.workers[1]))
 	h.Release(local)
+	query := h.query(200 * time.Millisecond)
+	query.Avoid = []string{h.workers[0].vm.Name}
+	_, p = h.Acquire(context.Background(), query)
+	require.NotNil(t, p, "a remote slot that is borrowed already is not for this class either")
 }
 
 // Guards against holding back requests that can't start in time. Of 20 requests,
--- a/daemon/workerclient/run_test.go
+++ b/daemon/workerclient/run_test.go
@@ -143,6 +143,7 @@
 			worker := &fakeWorker{start: c.start, stop: c.stop, report: wire.Report{Incarnation: c.incarnation, Epoch: c.epoch}}
 			outcome := runOn(t, serve(t, worker), 2500*time.Millisecond)
 			require.Equal(t, c.want, outcome.Kind, outcome.Reason)
+			require.Equal(t, c.incarnation == 8, outcome.Restarted)
 			if c.want == Done {
 				require.Equal(t, "whole", string(outcome.Result.Body))
 			}
