Count the bytes of worker connections

Change: workerclient.New takes WithTraffic, which reports bytes by worker and by starts or control. A test that silent starts leave control calls their connections. Conclusion: go test -race -count=2 passes; the daemon has yet to connect it to metric.Transferred.

--- a/daemon/workerclient/client.go
+++ b/daemon/workerclient/client.go
@@ -32,6 +32,7 @@
 
 // Client calls workers by address. It is safe for concurrent use.
 type Client struct {
+	traffic Traffic
 	pool    pond.Pool
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -46,9 +47,24 @@
 	fresh   *resty.Client // one new connection per call
 }
 
+// Traffic is told of bytes sent to or received from a worker. request is true on
+// the connections for starts and queries, false on those for control calls.
+// Implementations must not block.
+type Traffic func(address string, request bool, bytes int)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTraffic has the bytes of all connections counted.
+func WithTraffic(traffic Traffic) Option { return func(c *Client) { c.traffic = traffic } }
+
 // New returns a client without connections.
-func New() *Client {
-	return &Client{pool: pond.NewPool(maxStartsAtOnce), workers: map[string]*worker{}}
+func New(options ...Option) *Client {
+	c := &Client{pool: pond.NewPool(maxStartsAtOnce), workers: map[string]*worker{}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Close waits for the starts in flight and closes all idle connections.
@@ -80,9 +96,9 @@
 	if !found {
 		c.sweep(now)
 		w = &worker{
-			start:   newHTTP(address, maxStartConns, true),
-			control: newHTTP(address, maxControlConns, true),
-			fresh:   newHTTP(address, maxFreshConns, false),
+			start:   c.newHTTP(address, maxStartConns, true, true),
+			control: c.newHTTP(address, maxControlConns, true, false),
+			fresh:   c.newHTTP(address, maxFreshConns, false, true),
 		}
 		c.workers[address] = w
 	}
@@ -107,10 +123,20 @@
 	}
 }
 
-func newHTTP(address string, conns int, keepAlive bool) *resty.Client {
+func (c *Client) newHTTP(address string, conns int, keepAlive, request bool) *resty.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := dialer.DialContext
+	if c.traffic != nil {
+		dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, to)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, count: func(n int) { c.traffic(address, request, n) }}, nil
+		}
+	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
@@ -122,6 +148,26 @@
 		SetResponseBodyLimit(maxAnswerBytes)
 }
 
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	count func(bytes int)
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
 // Fence raises the worker's epoch and returns its inventory. A refusal is in the
 // report's Refused.
 func (c *Client) Fence(ctx context.Context, address string, msg wire.Fence) (wire.Report, error) {
--- a/daemon/workerclient/run_test.go
+++ b/daemon/workerclient/run_test.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,6 +163,38 @@
 	require.Equal(t, NeverRan, runOn(t, address, time.Second).Kind)
 }
 
+// Guards against silent starts that use up the connections of control calls, and
+// against bytes that are not counted.
+func TestSilentStartsDoNotBlockControlCalls(t *testing.T) {
+	worker := &fakeWorker{start: silent, stop: func(int) wire.StopReply { return wire.StopReply{State: wire.RunRunning} }}
+	address := serve(t, worker)
+	var requests, control atomic.Int64
+	client := New(WithTraffic(func(_ string, request bool, bytes int) {
+		if request {
+			requests.Add(int64(bytes))
+		} else {
+			control.Add(int64(bytes))
+		}
+	}))
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for i := range 2 * maxStartConns {
+		go client.Run(ctx, address, wire.Start{ID: fmt.Sprint("r", i), Generation: 1})
+	}
+	require.Eventually(t, func() bool {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		return worker.starts == maxStartConns
+	}, time.Second, time.Millisecond)
+	began := time.Now()
+	_, err := client.Report(ctx, address)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), CallTimeout)
+	require.Positive(t, requests.Load())
+	require.Positive(t, control.Load())
+}
+
 // Guards against a silent pooled connection that fails a control call although
 // new connections work.
 func TestControlCallMovesToNewConnection(t *testing.T) {
