Probe isolated workers and judge failures by operation

Cause: failures were counted by job, so that durable requests, each a job of its own, looked like unlike templates; isolated workers were never tried again; the minimum number of racks of a gang did not reach the placement. Change: attempts and requests for room name their operation; a reservation call puts one task on each isolated worker whose backoff has ended; gangs pass their minimum of racks.

--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -158,7 +158,9 @@
 	Team         string
 	Resources    resource.Vector
 	RunMS        int64
+	Operation    string
 	Gang         string // set for tasks of one gang
+	MinRacks     int    // gang: use at least this many racks
 	AvoidVMs     []string
 	SpreadRacks  bool
 	Preemptible  bool
--- a/core/wire/worker.go
+++ b/core/wire/worker.go
@@ -142,6 +142,7 @@
 	Epoch      int64           `json:"epoch"`
 	Kind       Kind            `json:"kind"`
 	Job        string          `json:"job,omitempty"`
+	Operation  string          `json:"operation,omitempty"`
 	Loan       int64           `json:"loan,omitempty"` // as in the start
 	State      RunState        `json:"state"`
 	Resources  resource.Vector `json:"resources"`
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -178,7 +178,7 @@
 
 // resize commits the larger of the estimate and the reported use.
 func (o *Owner) resize(w *worker, a *attempt, now time.Duration) {
-	o.sizes.Reported(a.task.Job, a.task.Usage, now)
+	o.sizes.Reported(a.task.Operation, a.task.Usage, now)
 	size := a.task.Resources.Max(a.task.Usage)
 	size.Slots = a.task.Resources.Slots
 	o.cell.Resize(a.task.ID, a.task.Generation, size)
@@ -202,7 +202,7 @@
 func (o *Owner) judge(w *worker, a *attempt, state wire.RunState, now time.Duration) {
 	switch state {
 	case wire.RunFailed:
-		f := quarantine.Failure{VM: w.vm.Name, Rack: w.unit, TaskID: a.task.ID, Template: a.task.Job}
+		f := quarantine.Failure{VM: w.vm.Name, Rack: w.unit, TaskID: a.task.ID, Template: a.task.Operation}
 		verdict := o.failures.Failed(f, now)
 		for _, vm := range verdict.Isolate {
 			o.Log.Emit(eventIsolated, "vm", vm, "task", a.task.ID)
@@ -212,11 +212,11 @@
 			o.cell.SetQuarantined(vm, false)
 		}
 	case wire.RunFinished:
-		if o.failures.Succeeded(w.vm.Name, a.task.ID, a.task.Job) {
+		if o.failures.Succeeded(w.vm.Name, a.task.ID, a.task.Operation) {
 			o.cell.SetQuarantined(w.vm.Name, false)
 		}
 		o.failures.ForgetTask(a.task.ID)
-		o.sizes.Ended(a.task.Job, a.task.Usage, 0, now)
+		o.sizes.Ended(a.task.Operation, a.task.Usage, 0, now)
 	}
 }
 
--- a/daemon/rack/reserve.go
+++ b/daemon/rack/reserve.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"slices"
 	"time"
 
 	"briarproxy/core/fault"
@@ -54,15 +55,41 @@
 		return
 	}
 	now := o.Now()
-	options := o.placeOptions()
+	options := o.placeOptions(m.args.Asks)
 	o.commitEstimates(m.args.Asks, now)
-	plan := o.cell.Plan(m.args.Asks, options, now, o.Random)
-	if m.args.AllOrNothing && len(plan.Assignments) < len(m.args.Asks) {
+	probes, asks := o.probe(m.args.Asks, options, now)
+	plan := o.cell.Plan(asks, options, now, o.Random)
+	if m.args.AllOrNothing && len(plan.Assignments) < len(asks) {
 		plan.Assignments = nil
 	}
 	accepted, refused := o.cell.Commit(plan, options, now)
 	o.preempt(plan.Preemptions)
-	m.reply <- reserveAnswer{reply: o.reservationsFor(m.args, accepted, plan, refused, now)}
+	m.reply <- reserveAnswer{reply: o.reservationsFor(m.args, append(probes, accepted...), plan, refused, now)}
+}
+
+// probeTimeout is the time after which a probe of which nothing was heard counts as
+// failed.
+const probeTimeout = 2 * time.Minute
+
+// probe puts single tasks on isolated workers whose backoff has ended, one on each,
+// to find out whether they work again. It returns the requests that are left.
+func (o *Owner) probe(asks []wire.TaskAsk, options place.Options, now time.Duration) ([]place.Assignment, []wire.TaskAsk) {
+	o.failures.Expire(now)
+	var probes []place.Assignment
+	for _, vm := range o.failures.Probes(now) {
+		left := slices.DeleteFunc(slices.Clone(asks), func(ask wire.TaskAsk) bool {
+			return ask.Gang != "" || slices.ContainsFunc(probes, func(p place.Assignment) bool { return p.Ask.TaskID == ask.TaskID })
+		})
+		accepted, _ := o.cell.Commit(o.cell.Probe(vm, left, options, now), options, now)
+		if len(accepted) > 0 {
+			o.failures.ProbeStarted(vm, now+probeTimeout)
+			probes = append(probes, accepted...)
+		}
+	}
+	rest := slices.DeleteFunc(slices.Clone(asks), func(ask wire.TaskAsk) bool {
+		return slices.ContainsFunc(probes, func(p place.Assignment) bool { return p.Ask.TaskID == ask.TaskID })
+	})
+	return probes, rest
 }
 
 // checkShard refuses a call of a shard owner that has a successor.
@@ -74,8 +101,14 @@
 	return nil
 }
 
-func (o *Owner) placeOptions() place.Options {
+func (o *Owner) placeOptions(asks []wire.TaskAsk) place.Options {
 	options := place.Options{DataCentre: o.lastView.Self.DataCentre, Region: o.lastView.Self.Region, ProtectAccelerators: true}
+	for _, ask := range asks {
+		if ask.Gang != "" && ask.MinRacks > 1 {
+			options.Gangs = append(options.Gangs, place.GangRule{Gang: ask.Gang, MinRacks: ask.MinRacks})
+			break // a call holds one gang
+		}
+	}
 	for name := range o.lastView.Set.Pools {
 		for _, policy := range o.lastView.Set.Policies {
 			if policy.Headroom > 0 {
@@ -91,7 +124,7 @@
 func (o *Owner) commitEstimates(asks []wire.TaskAsk, now time.Duration) {
 	for i := range asks {
 		declared := asks[i].Resources
-		learned := o.sizes.Size(asks[i].Job, declared, now)
+		learned := o.sizes.Size(asks[i].Operation, declared, now)
 		learned.Slots, learned.Accelerators = declared.Slots, declared.Accelerators
 		asks[i].Resources = declared.Max(learned)
 	}
@@ -143,7 +176,7 @@
 	w := o.workers[a.VM]
 	o.nextID++
 	att := &attempt{
-		task:        wire.Attempt{ID: a.Ask.TaskID, Generation: a.Ask.Generation, Kind: wire.KindTask, Job: a.Ask.Job, Resources: a.Ask.Resources},
+		task:        wire.Attempt{ID: a.Ask.TaskID, Generation: a.Ask.Generation, Kind: wire.KindTask, Job: a.Ask.Job, Operation: a.Ask.Operation, Resources: a.Ask.Resources},
 		class:       a.Ask.Class,
 		reservation: o.nextID,
 		expires:     expires,
--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -103,10 +103,11 @@
 		TaskID: job.TaskID(j.ID, index), Job: j.ID, Generation: t.Generation + 1, Pool: d.Pool,
 		Class: d.Class, Priority: d.Priority, Team: d.Team, Resources: d.Resources, RunMS: d.RunMS,
 		AvoidVMs: t.FailedOn, SpreadRacks: d.SpreadRacks, Preemptible: d.Preemptible,
-		CanPreempt: d.CanPreempt, CheckpointOK: d.Checkpoint,
+		CanPreempt: d.CanPreempt, CheckpointOK: d.Checkpoint, Operation: d.Operation,
 	}
 	if d.Gang {
 		ask.Gang = j.ID
+		ask.MinRacks = d.MinRacks
 	}
 	return ask
 }
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -82,6 +82,7 @@
 		Epoch:      a.start.Epoch,
 		Kind:       a.start.Kind,
 		Job:        a.start.Job,
+		Operation:  a.start.Operation,
 		Loan:       a.start.Loan,
 		State:      a.state,
 		Resources:  a.start.Resources,
