Add callers of the example work and a checker of what they are told

Cause: nothing compared what callers were told with what workers ran.

Change: standin/demo sends both users' work as careful callers do, pairs the starts and ends in the workers' journals, and checks capacity, overlap, at-most-once, true answers, accepted work and gangs.

--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,59 @@
+// Command demo sends the example users' work to running cells and compares what
+// callers were told with the workers' journals. scripts/demo.sh starts the cells.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"briarproxy/standin/demo"
+)
+
+const (
+	defaultDuration  = 20 * time.Second
+	defaultGangTasks = 6
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var cells []string
+	options := demo.Options{Out: os.Stdout}
+	cmd := &cobra.Command{
+		Use:           "demo",
+		Short:         "Run the users' work on running cells and compare answers with journals",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, text := range cells {
+				cell, err := demo.ParseCell(text)
+				if err != nil {
+					return err
+				}
+				options.Cells = append(options.Cells, cell)
+			}
+			return demo.RunCells(cmd.Context(), options)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringArrayVar(&cells, "cell", nil, "USER,JOURNAL,URL,URL...: user, workers' journal file and daemons of a cell; may be repeated")
+	flags.DurationVar(&options.Duration, "duration", defaultDuration, "time for which requests are sent")
+	flags.IntVar(&options.GangTasks, "gang-tasks", defaultGangTasks, "tasks of the gang job")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the times between requests and of the daemons chosen")
+	_ = cmd.MarkFlagRequired("cell")
+	return cmd
+}
--- /dev/null
+++ b/standin/demo/client.go
@@ -0,0 +1,224 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"briarproxy/core/wire"
+	"briarproxy/standin/worker"
+)
+
+// Times of a caller.
+const (
+	brokenPause  = 100 * time.Millisecond // before another daemon is tried
+	answerMargin = 500 * time.Millisecond // by which an answer may miss the caller's deadline
+	jobCall      = 5 * time.Second        // one call that waits for a job
+	busyPause    = 200 * time.Millisecond // before a job call is repeated
+)
+
+// Client sends requests to the daemons of one cell. It is safe for concurrent use.
+type Client struct {
+	http *resty.Client
+
+	mu      sync.Mutex
+	daemons []string // base URLs
+	rng     *rand.Rand
+}
+
+// NewClient returns a client of the daemons with the given base URLs. The seed
+// decides which daemons requests go to.
+func NewClient(daemons []string, seed uint64) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}
+	return &Client{
+		http:    resty.New().SetTransport(transport),
+		daemons: append([]string{}, daemons...),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.GetClient().CloseIdleConnections() }
+
+// pick returns a random daemon other than the one to avoid, if there is one.
+func (c *Client) pick(avoid string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	start := c.rng.IntN(len(c.daemons))
+	for i := range c.daemons {
+		if d := c.daemons[(start+i)%len(c.daemons)]; d != avoid {
+			return d
+		}
+	}
+	return avoid
+}
+
+// Do sends a request until it is answered or its deadline has passed, as a careful
+// caller does: it waits for Retry-After, and asks another daemon after a broken
+// connection or an unknown outcome, with the same idempotency key.
+func (c *Client) Do(ctx context.Context, request Request) *Record {
+	record := NewRecord(request)
+	deadline := record.Sent.Add(request.Deadline)
+	avoid := ""
+	for {
+		attempt := c.send(ctx, record, c.pick(avoid), time.Until(deadline))
+		record.Attempts = append(record.Attempts, attempt)
+		record.Final = attempt.Told
+		record.Answered = time.Now()
+		pause, again := attempt.again(request)
+		if !again || time.Until(deadline) <= pause || !sleep(ctx, pause) {
+			return record
+		}
+		avoid = ""
+		if attempt.Told != ToldNotRun {
+			avoid = attempt.Daemon
+		}
+	}
+}
+
+// again reports whether a caller may send the request again, and after what time.
+func (a Attempt) again(request Request) (time.Duration, bool) {
+	repeatable := request.Idempotent || request.Key != ""
+	switch a.Told {
+	case ToldNotRun:
+		return a.RetryAfter, a.RetryAfter > 0
+	case ToldUnknown:
+		return max(a.RetryAfter, brokenPause), repeatable
+	case ToldBroken:
+		return brokenPause, repeatable
+	}
+	return 0, false
+}
+
+// Once sends a request to one daemon without repeats.
+func (c *Client) Once(ctx context.Context, daemon string, request Request) *Record {
+	record := NewRecord(request)
+	attempt := c.send(ctx, record, daemon, request.Deadline)
+	record.Attempts = []Attempt{attempt}
+	record.Final = attempt.Told
+	record.Answered = time.Now()
+	return record
+}
+
+func (c *Client) send(ctx context.Context, record *Record, daemon string, left time.Duration) Attempt {
+	attempt := Attempt{Daemon: daemon, Told: ToldBroken}
+	if record.CallWait > 0 {
+		left = min(left, record.CallWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left+answerMargin)
+	defer cancel()
+	call := c.http.R().SetContext(ctx).SetBody(record.Body).
+		SetHeader("Content-Type", "application/octet-stream").
+		SetHeader(wire.HeaderOperation, record.Operation).
+		SetHeader(wire.HeaderDeadlineMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if record.Key != "" {
+		call.SetHeader(wire.HeaderIdempotencyKey, record.Key)
+	}
+	if record.Team != "" {
+		call.SetHeader(wire.HeaderTeam, record.Team)
+	}
+	response, err := call.Post(daemon + "/v1/services/" + record.Service + "/requests")
+	if err != nil {
+		attempt.Detail = err.Error()
+		return attempt
+	}
+	return record.read(attempt, response)
+}
+
+// read interprets an answer.
+func (r *Record) read(attempt Attempt, response *resty.Response) Attempt {
+	attempt = readHeaders(attempt, response)
+	if response.Header().Get(wire.HeaderResultDigest) != digest(response.Body()) {
+		attempt.Detail = "the answer does not match its digest"
+		r.violate(attempt.Detail)
+		return attempt
+	}
+	switch response.StatusCode() {
+	case http.StatusOK:
+		return r.readResult(attempt, response)
+	case http.StatusAccepted:
+		return r.readAccepted(attempt, response)
+	}
+	return r.readProblem(attempt, response)
+}
+
+func readHeaders(attempt Attempt, response *resty.Response) Attempt {
+	attempt.Status = response.StatusCode()
+	attempt.RequestID = response.Header().Get(wire.HeaderRequestID)
+	seconds, _ := strconv.ParseInt(response.Header().Get("Retry-After"), 10, 64)
+	attempt.RetryAfter = time.Duration(seconds) * time.Second
+	attempt.ConfigVersion, _ = strconv.ParseInt(response.Header().Get(wire.HeaderConfigVersion), 10, 64)
+	return attempt
+}
+
+func (r *Record) readResult(attempt Attempt, response *resty.Response) Attempt {
+	var result worker.RequestResult
+	if err := json.Unmarshal(response.Body(), &result); err != nil {
+		attempt.Detail = err.Error()
+		r.violate("the answer is not what a worker wrote: " + err.Error())
+		return attempt
+	}
+	if result.BodySHA256 != r.Digest {
+		r.violate("the answer belongs to another request, " + result.ID)
+	}
+	attempt.Told = ToldAnswered
+	r.Result = &result
+	r.ResultDigest = digest(response.Body())
+	return attempt
+}
+
+// acceptedBody is the part of a 202 answer that callers use.
+type acceptedBody struct {
+	ID string `json:"id"`
+}
+
+func (r *Record) readAccepted(attempt Attempt, response *resty.Response) Attempt {
+	var body acceptedBody
+	if err := json.Unmarshal(response.Body(), &body); err != nil || body.ID == "" {
+		attempt.Detail = "the answer names no job"
+		r.violate(attempt.Detail)
+		return attempt
+	}
+	attempt.Told = ToldAccepted
+	r.JobID = body.ID
+	return attempt
+}
+
+func (r *Record) readProblem(attempt Attempt, response *resty.Response) Attempt {
+	var problem wire.Problem
+	if err := json.Unmarshal(response.Body(), &problem); err != nil {
+		attempt.Detail = err.Error()
+		r.violate("an error without a problem body, status " + response.Status())
+		return attempt
+	}
+	attempt.Detail = problem.Type + ": " + problem.Detail
+	switch problem.Outcome {
+	case wire.OutcomeNotRun:
+		attempt.Told = ToldNotRun
+	case wire.OutcomeRan:
+		attempt.Told = ToldRan
+	default:
+		attempt.Told = ToldUnknown
+	}
+	return attempt
+}
+
+func (r *Record) violate(text string) { r.Violations = append(r.Violations, text) }
+
+// sleep waits and reports whether the context is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -52,10 +52,11 @@
 	Job         string          `json:"job,omitempty"`
 	State       wire.RunState   `json:"state,omitempty"`
 	Reason      string          `json:"reason,omitempty"`
-	Digest      string          `json:"digest,omitempty"`     // of the result, at the end
-	OverdueUS   int64           `json:"overdue_us,omitempty"` // for ReasonLapse: time since the lease lapsed; a paused worker notices late
-	InUse       resource.Vector `json:"in_use"`               // committed after the event
-	RealUse     resource.Vector `json:"real_use"`             // used after the event
+	Digest      string          `json:"digest,omitempty"`      // of the result, at the end
+	BodyDigest  string          `json:"body_digest,omitempty"` // of the body, at the start
+	OverdueUS   int64           `json:"overdue_us,omitempty"`  // for ReasonLapse: time since the lease lapsed; a paused worker notices late
+	InUse       resource.Vector `json:"in_use"`                // committed after the event
+	RealUse     resource.Vector `json:"real_use"`              // used after the event
 	Capacity    resource.Vector `json:"capacity"`
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -331,7 +331,9 @@
 	w.running[start.ID] = a
 	w.inUse = w.inUse.Add(start.Resources)
 	w.realUse = w.realUse.Add(a.usage)
-	w.journal(EventStart, start, a.state, "")
+	e := w.entry(EventStart, start, a.state, "")
+	e.BodyDigest = digest(start.Body)
+	w.options.Journal.Add(e)
 	if !w.inUse.Fits(w.options.Capacity) {
 		w.journal(EventOverload, start, a.state, "")
 	}
