--- a/standin/demo/load.go
+++ b/standin/demo/load.go
@@ -43,17 +43,21 @@
 
 func inspectors(name string) []Kind {
 	return []Kind{
-		{Name: "survey", PerSecond: 4, Make: func(n int) Request {
-			return Request{
-				Kind: "survey", Service: "dispatch", Operation: "survey", Team: "town-offices", Key: key(name, "survey", n),
-				Idempotent: true, Durable: true, Body: body(name, "survey", n), Deadline: awaitWait, CallWait: time.Second,
-			}
-		}},
+		{Name: "survey", PerSecond: 4, Make: func(n int) Request { return Survey(name, n) }},
 		{Name: "certificate", PerSecond: 5, Make: func(n int) Request { return Certificate(name, n) }},
 		{Name: "doorstep", PerSecond: 20, Make: func(n int) Request { return Doorstep(name, n) }},
 	}
 }
 
+// Survey returns a durable request of the inspectors. Its key keeps a repeat after a
+// broken connection from becoming a second job.
+func Survey(name string, n int) Request {
+	return Request{
+		Kind: "survey", Service: "dispatch", Operation: "survey", Team: "town-offices", Key: key(name, "survey", n),
+		Idempotent: true, Durable: true, Body: body(name, "survey", n), Deadline: awaitWait, CallWait: time.Second,
+	}
+}
+
 // Certificate returns a non-idempotent request of the inspectors.
 func Certificate(name string, n int) Request {
 	return Request{
--- a/standin/demo/record.go
+++ b/standin/demo/record.go
@@ -35,7 +35,7 @@
 	Durable    bool   // accepted work must run
 	Body       []byte
 	Deadline   time.Duration // time after which the caller gives up
-	CallWait   time.Duration // time that one call of a durable request waits for the result; 0: until the deadline
+	CallWait   time.Duration // time that one call waits; 0: until the deadline
 }
 
 // Attempt is one call of a daemon.
