--- a/core/object/set.go
+++ b/core/object/set.go
@@ -12,12 +12,16 @@
 	"briarproxy/core/fault"
 )
 
-// Encode returns the canonical JSON of a set: equal sets give equal bytes.
+// Encode returns the canonical JSON of a set: equal sets give equal bytes. Kinds
+// without objects are left out.
 func Encode(set *Set) ([]byte, error) { return json.Marshal(set) }
 
 // Decode reads canonical JSON. It refuses unknown fields, because a reader that
 // dropped a field would treat work differently from one that knows it.
 func Decode(data []byte) (*Set, error) {
+	if !bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
+		return nil, fault.New(fault.Invalid, "read the set with the release that wrote it", "the encoded set is not an object")
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	set := newSet()
@@ -180,13 +184,17 @@
 	for ref := range seen {
 		refs = append(refs, ref)
 	}
+	sortRefs(refs)
+	return refs
+}
+
+func sortRefs(refs []Ref) {
 	sort.Slice(refs, func(i, j int) bool {
 		if refs[i].Kind != refs[j].Kind {
 			return refs[i].Kind < refs[j].Kind
 		}
 		return refs[i].Name < refs[j].Name
 	})
-	return refs
 }
 
 func compare(old, now flat) []FieldChange {
