--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,16 +84,6 @@
   run "$name" "$bin/briarproxyd" run --settings "$dir/$name.jsonc"
 }
 
-# wait_ready URL waits until the daemon is ready.
-wait_ready() {
-  for _ in $(seq 150); do
-    if curl -fs -m 1 -o /dev/null "$1/ready"; then return 0; fi
-    sleep 0.1
-  done
-  echo "$1 is not ready" >&2
-  return 1
-}
-
 # start_cell USER MILLI_CORES MEMORY_MIB OPERATIONS REGION/DC... starts a cell and
 # adds it to cells and to victims.
 start_cell() {
@@ -120,7 +110,7 @@
     urls+=",http://$(field "$text" caller)"
     metrics+=("http://$(field "$text" metrics)")
   done
-  for i in $(seq "$daemons"); do wait_ready "${metrics[$((i - 1))]}"; done
+  "$bin/demo" wait "${metrics[@]}"
   cells+=(--cell "$user,$dir/$user.journal$urls")
   victims+=("${ids[1]}")
   echo "$user: $daemons daemons, $workers workers in 3 regions, configuration $(tail -n 1 "$dir/$user-publish.out")"
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -18,6 +18,7 @@
 const (
 	defaultDuration  = 20 * time.Second
 	defaultGangTasks = 6
+	readyTimeout     = 15 * time.Second
 )
 
 func main() {
@@ -55,5 +56,19 @@
 	flags.IntVar(&options.GangTasks, "gang-tasks", defaultGangTasks, "tasks of the gang job")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the times between requests and of the daemons chosen")
 	_ = cmd.MarkFlagRequired("cell")
+	cmd.AddCommand(waitCommand())
 	return cmd
 }
+
+func waitCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "wait URL...",
+		Short: "Wait until the daemons with these metrics listeners are ready",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, urls []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), readyTimeout)
+			defer cancel()
+			return demo.WaitReady(ctx, urls)
+		},
+	}
+}
--- a/standin/integration/cluster_test.go
+++ b/standin/integration/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-resty/resty/v2"
 	"github.com/stretchr/testify/require"
 
 	"briarproxy/core/wire"
@@ -193,13 +195,8 @@
 
 // ready reports whether the daemon says that it is ready.
 func (d *daemon) ready() bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get(d.metrics + "/ready")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	client := resty.New().SetTimeout(callTimeout)
+	return demo.Ready(context.Background(), client, d.metrics)
 }
 
 func (d *daemon) waitReady() {
