--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -108,7 +108,7 @@
 	switch {
 	case outcome.Kind == workerclient.NeverRan:
 		return earlier
-	case outcome.Ended():
+	case outcome.Ended() && !outcome.Restarted:
 		return wire.OutcomeRan
 	case earlier == wire.OutcomeNotRun:
 		return wire.OutcomeUnknown
