Read readiness at /readyz

Cause: the daemon serves /readyz, the harness asked for another path. Change: the harness and the demo ask /readyz. Conclusion: cells are waited for as the load balancer would.

--- a/standin/demo/ready.go
+++ b/standin/demo/ready.go
@@ -31,6 +31,6 @@
 
 // Ready reports whether a daemon says that it is ready.
 func Ready(ctx context.Context, client *resty.Client, url string) bool {
-	response, err := client.R().SetContext(ctx).Get(url + "/ready")
+	response, err := client.R().SetContext(ctx).Get(url + "/readyz")
 	return err == nil && response.StatusCode() == http.StatusOK
 }
--- a/standin/integration/process_test.go
+++ b/standin/integration/process_test.go
@@ -78,9 +78,17 @@
 	}
 }
 
+// tail returns the end of the log without the lines on opened shards, of which a
+// daemon writes dozens.
 func (p *process) tail() []byte {
 	data, _ := os.ReadFile(p.log)
-	return bytes.ToValidUTF8(data[max(0, len(data)-logTail):], []byte("?"))
+	var kept []byte
+	for line := range bytes.Lines(data) {
+		if !bytes.Contains(line, []byte(`"shard opened"`)) {
+			kept = append(kept, line...)
+		}
+	}
+	return bytes.ToValidUTF8(kept[max(0, len(kept)-logTail):], []byte("?"))
 }
 
 // waitLine returns the fields of the first line of output with the prefix.
