--- a/core/ownership/state.go
+++ b/core/ownership/state.go
@@ -55,6 +55,7 @@
 	watching time.Duration // start of the current uninterrupted reading
 	hasRead  bool
 	movesAt  []time.Duration // times of recent releases for a move
+	cache    wantedCache
 }
 
 // New returns the state of a reader that has read nothing.
@@ -274,3 +275,6 @@
 	s.hasRead = true
 	s.lastRead = now
 }
+
+// Started reports whether the first offset is set.
+func (s *State) Started() bool { return s.start != record.NoRecord }
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"bytes"
 	"context"
+	"strconv"
 	"time"
 
+	"briarproxy/core/object"
 	"briarproxy/core/ownership"
 	"briarproxy/core/record"
 	"briarproxy/core/wire"
@@ -25,7 +28,6 @@
 	appendTimeout   = 4 * time.Second // until a membership record counts as unconfirmed
 	publishInterval = time.Second     // at the latest; liveness of daemons depends on time
 	logDownAfter    = 3 * time.Second // without an answer of the log service
-	unlistedVMs     = time.Minute     // flags of VMs that the list does not name are kept this long
 )
 
 // LogService is what control needs of the log; *logclient.Client implements it.
@@ -74,8 +76,7 @@
 	released    []chan struct{}
 	nextBeat    time.Duration
 	nextRepeat  time.Duration
-	vms         map[string]wire.VM
-	flags       map[string]vmFlags
+	vms         *vmTable
 	logOK       time.Duration // boot clock of the last answer
 	logHealthy  bool
 	publishedAt time.Duration
@@ -91,8 +92,8 @@
 	self := ownership.Identity{Name: options.Self.Name, Incarnation: options.Self.Incarnation}
 	return &Control{
 		Options: options, messages: make(chan message, 256), done: make(chan struct{}),
-		units: ownership.New(self, options.Timing), vms: map[string]wire.VM{},
-		flags: map[string]vmFlags{}, mine: map[string]int64{}, logOK: options.Now(), logHealthy: true,
+		units: ownership.New(self, options.Timing), vms: newVMTable(),
+		mine: map[string]int64{}, logOK: options.Now(), logHealthy: true,
 	}
 }
 
@@ -141,6 +142,9 @@
 	}
 	records := c.due(now)
 	if len(records) > 0 {
+		// A successor may claim a unit as soon as it reads the release, so this daemon
+		// stops acting for the unit before it sends the release.
+		c.publish()
 		c.append(records, now)
 	}
 	if now >= c.nextRepeat {
@@ -152,7 +156,7 @@
 // due returns the records to append now: a heartbeat when its time has come, and
 // claims and releases at once.
 func (c *Control) due(now time.Duration) []record.Record {
-	plan := c.units.Decide(now, c.wantedUnits(), c.draining)
+	plan := c.units.Decide(now, unitsOf(c.vms.current(now), c.set()), c.draining)
 	var records []record.Record
 	if len(plan.Releases) > 0 {
 		records = append(records, record.Record{ID: c.nextID(), Release: &record.Release{Units: plan.Releases}})
@@ -181,6 +185,14 @@
 	}
 }
 
+// set returns the objects in force, nil before the stream was read.
+func (c *Control) set() *object.Set {
+	if !c.configKnown {
+		return nil
+	}
+	return c.config.Set()
+}
+
 func (c *Control) version() int64 {
 	if !c.configKnown {
 		return 0
@@ -201,11 +213,11 @@
 		c.units.Sending(r.ID, now)
 		data = append(append(data, line...), '\n')
 	}
-	id := records[0].ID.String()
+	id := []byte(strconv.Quote(records[0].ID.String()))
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, appendTimeout)
 		defer cancel()
-		_, err := c.Log.Append(ctx, wire.StreamMembers, data, func(found []byte) bool { return record.Contains(found, id) })
+		_, err := c.Log.Append(ctx, wire.StreamMembers, data, func(found []byte) bool { return bytes.Contains(found, id) })
 		c.send(appended{err: err})
 	}()
 }
