daemon/node steps its life cycle by the daemon chart

Cause: the chart was not used and described steps that the code does not have. Change: starting, syncing, serving, draining, finishing, returning, releasing and stopped are the states of the machine in daemon/node; readiness follows from them. callerapi.Drain is split into Leave and Finish, so that the end of the drain delay is a step of its own; its test waits the same 300 ms between them. ReleaseAll reports whether the release was read back, which event 1008 tells the operator. The time for requests in flight now begins after the drain delay. Conclusion: the order of a planned stop is checked while it happens.

--- a/daemon/callerapi/api_test.go
+++ b/daemon/callerapi/api_test.go
@@ -161,7 +161,11 @@
 	}()
 	<-f.entered
 	drained := make(chan error, 1)
-	go func() { drained <- s.Drain(context.Background(), 300*time.Millisecond) }()
+	go func() {
+		s.Leave()
+		time.Sleep(300 * time.Millisecond)
+		drained <- s.Finish(context.Background())
+	}()
 	require.Eventually(t, s.draining.Load, time.Second, time.Millisecond)
 	response, err := http.Get("http://" + strings.Split(url, "/")[2] + "/v1/jobs/j")
 	require.NoError(t, err)
--- a/daemon/callerapi/server.go
+++ b/daemon/callerapi/server.go
@@ -96,26 +96,19 @@
 	return len(line), nil
 }
 
-// Serve accepts connections until Drain or Close; it returns http.ErrServerClosed
+// Serve accepts connections until Finish or Close; it returns http.ErrServerClosed
 // then.
 func (s *Server) Serve(listener net.Listener) error {
 	return s.http.Serve(netutil.LimitListener(listener, s.options.MaxConnections))
 }
 
-// Drain makes a planned stop. For the drain delay, requests are still answered but
-// each answer closes its connection; idle connections stay open, because closing
-// one could cut off a request that is on its way. Then the listener closes and the
-// requests in flight finish, until ctx ends.
-func (s *Server) Drain(ctx context.Context, delay time.Duration) error {
-	s.draining.Store(true)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.http.Shutdown(ctx)
-}
+// Leave begins a planned stop: requests are still answered but each answer closes
+// its connection. Idle connections stay open, because closing one could cut off a
+// request that is on its way.
+func (s *Server) Leave() { s.draining.Store(true) }
+
+// Finish closes the listener and waits for the requests in flight, until ctx ends.
+func (s *Server) Finish(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -274,18 +274,21 @@
 	c.dirty = true
 }
 
-// ReleaseAll releases all units and waits until the release was read back, or ctx
-// ends. A unit whose release is not in the log changes owner when its lease ends.
-func (c *Control) ReleaseAll(ctx context.Context) {
+// ReleaseAll releases all units and reports whether the release was read back
+// before ctx ended. A unit whose release is not in the log changes owner when its
+// lease ends.
+func (c *Control) ReleaseAll(ctx context.Context) (released bool) {
 	m := drainMessage{done: make(chan struct{})}
 	if !c.send(m) {
-		return
+		return false
 	}
 	select {
 	case <-m.done:
+		return true
 	case <-ctx.Done():
 	case <-c.done:
 	}
+	return false
 }
 
 func (c *Control) tellReleased() {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -71,7 +71,7 @@
 	pools      []pond.Pool
 	cellRate   atomic.Int64 // log appends a second of the whole cell
 	drainDelay atomic.Int64 // time.Duration
-	draining   atomic.Bool
+	life       *life
 	running    sync.WaitGroup
 }
 
@@ -85,13 +85,17 @@
 	n.events = event.NewLogger(logOutput, log.ParseLevel(s.LogLevel), s.Name)
 	n.cellRate.Store(int64(s.LogAppendsPerSecond))
 	n.drainDelay.Store(int64(s.DrainDelay))
+	n.life = newLife(n.events)
 	if err := n.listen(); err != nil {
+		n.life.step(startFailed)
 		return nil, err
 	}
 	if err := n.build(); err != nil {
+		n.life.step(startFailed)
 		n.closeListeners()
 		return nil, err
 	}
+	n.life.step(listening)
 	return n, nil
 }
 
@@ -239,15 +243,26 @@
 
 // Ready implements adminapi.Readiness.
 func (n *Node) Ready() (ready bool, reason string) {
+	state := n.life.state()
+	if state != stateServing && state != stateSyncing {
+		return false, string(state)
+	}
+	if reason := n.missing(); reason != "" {
+		return false, reason
+	}
+	return state == stateServing, either(state == stateServing, "ready", "syncing")
+}
+
+// missing says what the daemon has not read yet, "" when it knows everything that
+// it needs to serve.
+func (n *Node) missing() string {
 	switch {
-	case n.draining.Load():
-		return false, "draining"
 	case n.holder.Current().ConfigVersion == 0:
-		return false, "no configuration is in force yet"
+		return "no configuration is in force yet"
 	case len(n.holder.Current().VMs) == 0:
-		return false, "the VM list was not read yet"
+		return "the VM list was not read yet"
 	}
-	return true, "ready"
+	return ""
 }
 
 // Run serves until ctx ends, then makes a planned stop.
@@ -264,7 +279,7 @@
 	if n.admin != nil {
 		n.spawn(func() { n.noteEnd("admin", n.admin.Serve(n.listeners.admin)) })
 	}
-	n.spawn(func() { n.noteReady(parts) })
+	n.spawn(func() { n.noteReady(ctx) })
 	<-ctx.Done()
 	clean := n.drain()
 	stopParts()
@@ -290,8 +305,10 @@
 func (n *Node) noteReady(ctx context.Context) {
 	for {
 		changed := n.holder.Changed()
-		if ready, _ := n.Ready(); ready {
-			n.events.Emit(eventReady, "config_version", n.holder.Current().ConfigVersion)
+		if n.missing() == "" {
+			if n.life.step(synced) {
+				n.events.Emit(eventReady, "config_version", n.holder.Current().ConfigVersion)
+			}
 			return
 		}
 		select {
@@ -305,20 +322,27 @@
 // drain makes a planned stop in the order of the design page: readiness first,
 // units last, so that requests in flight keep their slots and shards.
 func (n *Node) drain() (clean bool) {
-	n.draining.Store(true)
+	n.life.step(stop)
 	delay := time.Duration(n.drainDelay.Load())
 	n.events.Emit(eventDraining, "delay_ms", delay.Milliseconds())
 	n.control.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), delay+drainTimeout)
+	n.callers.Leave()
+	time.Sleep(delay)
+	n.life.step(drainDelayPassed)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	clean = n.callers.Drain(ctx, delay) == nil
-	clean = n.awaitShards(ctx) && clean
-	clean = n.router.Drain(ctx) && clean
+	ended := n.callers.Finish(ctx) == nil
+	ended = n.awaitShards(ctx) && ended
+	n.life.step(either(ended, requestsEnded, requestsCutOff))
+	returned := n.router.Drain(ctx)
 	n.racks.Drain()
+	n.life.step(either(returned, loansReturned, loansKept))
 	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancelRelease()
-	n.control.ReleaseAll(releaseCtx)
-	return clean
+	released := n.control.ReleaseAll(releaseCtx)
+	n.life.step(either(released, releaseLogged, releaseFailed))
+	n.events.Emit(eventReleased, "released", released)
+	return ended && returned
 }
 
 // awaitShards waits until no request that other daemons forwarded is in flight.
