core/loan and core/config step by their charts

Cause: both charts were unused; the lease chart described unit ownership, which core/ownership derives from the log order and keeps in no state. Change: the lease chart now describes a loan of slots at its lender (lent, lapsed, ended) and every change of a loan is a step of it. The versions in core/config's history are accepted or superseded and verdicts accepted or refused by the config-version chart; briarctl publish steps from the draft to the verdict and returns a refused event as an error. A refusal in a reader is logged as event 1111. A return of a loan whose renewal was refused as too late is refused too, because a report settles its slots. Shown: tests fail with lapsed loans renewable in the chart, without the lapse check in Renew, without the step to superseded, and with a lost answer taken for a failed append.

--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -20,9 +20,9 @@
 const (
 	Request       Name = "request"        // a request at its entry daemon
 	Task          Name = "task"           // a task at the owner of its key shard
-	Lease         Name = "lease"          // an ownership unit at a daemon that claims it
+	Lease         Name = "lease"          // a loan of slots at its lender
 	Daemon        Name = "daemon"         // the life of a daemon
-	ConfigVersion Name = "config-version" // a configuration from draft to succession
+	ConfigVersion Name = "config-version" // a configuration from draft to its successor
 )
 
 // Names lists the embedded charts.
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"briarproxy/core/chart"
 	"briarproxy/core/fault"
 	"briarproxy/core/object"
 )
@@ -21,7 +22,8 @@
 	Base    int64
 	Author  string
 	Message string
-	Offset  int64 // log offset, -1 if it was learned from a snapshot
+	Offset  int64       // log offset, -1 if it was learned from a snapshot
+	State   chart.State // Accepted for the newest version, Superseded for others
 }
 
 // Verdict says what became of a publication.
@@ -29,7 +31,8 @@
 	Accepted bool
 	Version  int64 // the accepted version
 	Base     int64
-	Winner   Entry // if refused: the version that took the place, or else the newest
+	Winner   Entry       // if refused: the version that took the place, or else the newest
+	State    chart.State // of the publication when it was judged
 }
 
 // Err returns nil for an accepted publication, an error of kind fault.Conflict that
@@ -81,6 +84,7 @@
 	verdicts map[string]Verdict
 	order    []string // ids of verdicts, oldest first
 	counters Counters
+	refusals []error
 }
 
 type offsetRecord struct {
@@ -188,21 +192,22 @@
 	if set, ok := r.successor(s.version, s.set); ok {
 		s.accept(Entry{
 			Version: r.Base + 1, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: offset,
+			State: s.stepVersion(StateLogged, BaseIsNewest),
 		}, set)
-		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base})
+		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base, State: StateAccepted})
 		return Accepted
 	}
 	winner, known := s.entryOf(r.Base + 1)
 	switch {
 	case known && winner.ID == r.ID:
-		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: winner.Version, Base: r.Base})
+		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: winner.Version, Base: r.Base, State: winner.State})
 		return Copied
 	case !known && r.Base < s.version:
 		return Refused
 	case !known:
 		winner, _ = s.Newest()
 	}
-	s.keepVerdict(r.ID, Verdict{Base: r.Base, Winner: winner})
+	s.keepVerdict(r.ID, Verdict{Base: r.Base, Winner: winner, State: s.stepVersion(StateLogged, BaseIsStale)})
 	return Refused
 }
 
@@ -212,6 +217,9 @@
 	if newest, ok := s.Newest(); ok && newest.Version >= e.Version {
 		return // judged again from a snapshot
 	}
+	if n := len(s.history); n > 0 {
+		s.history[n-1].State = s.stepVersion(s.history[n-1].State, NewerAccepted)
+	}
 	s.history = append(s.history, e)
 	if len(s.history) > maxHistory {
 		s.history = append([]Entry(nil), s.history[len(s.history)-maxHistory/2:]...)
@@ -263,7 +271,7 @@
 		return Passed
 	}
 	s.missing = -1
-	s.accept(Entry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1}, r.decoded)
+	s.accept(Entry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1, State: StateAccepted}, r.decoded)
 	for _, p := range after {
 		s.judge(p.offset, p.record)
 	}
--- /dev/null
+++ b/core/config/version_test.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/chart"
+	"briarproxy/core/fault"
+	"briarproxy/core/object"
+)
+
+// Guards against versions whose states differ from the config-version chart: the
+// newest is accepted, older ones are superseded, one with a stale base is refused.
+func TestHistoryFollowsTheVersionChart(t *testing.T) {
+	s := New(0)
+	for offset, p := range []Publication{{ID: "a", Base: 0}, {ID: "b", Base: 1}, {ID: "late", Base: 1}} {
+		p.Set = &object.Set{}
+		data, err := EncodePublication(p)
+		require.NoError(t, err)
+		s.Apply(int64(offset), data)
+	}
+	states := []chart.State{}
+	for _, e := range s.History() {
+		states = append(states, e.State)
+	}
+	require.Equal(t, []chart.State{StateSuperseded, StateAccepted}, states)
+	verdict, known := s.Verdict("late")
+	require.True(t, known)
+	require.Equal(t, StateRefused, verdict.State)
+	require.Empty(t, s.TakeRefusals())
+	require.Equal(t, StateSuperseded, s.stepVersion(StateSuperseded, BaseIsStale), "an accepted version never reverts")
+	require.Len(t, s.TakeRefusals(), 1)
+}
+
+// Guards against a publication that is sent again although the first append may
+// have taken effect.
+func TestLostAnswerIsNotFollowedByAnotherAppend(t *testing.T) {
+	p := NewProgress()
+	require.Error(t, p.Step(AppendSent), "an unchecked set is never published")
+	require.NoError(t, p.Step(Checked))
+	require.NoError(t, p.Step(AppendSent))
+	require.NoError(t, p.Appended(fault.New(fault.Unknown, "read back", "the answer was lost")))
+	require.True(t, fault.Is(p.Step(AppendSent), fault.Refused))
+	require.NoError(t, p.Appended(nil))
+	require.NoError(t, p.Judged(Verdict{Accepted: true}))
+	require.Equal(t, StateAccepted, p.State())
+}
+
+// Guards against events that the chart does not have, or that the code lacks.
+func TestEventsAreThoseOfTheVersionChart(t *testing.T) {
+	require.ElementsMatch(t, versionChart.Events, []chart.Event{
+		ProblemsFound, Checked, AppendSent, AppendFailed, AnswerLost, FoundInLog, AbsentFromLog,
+		BaseIsNewest, BaseIsStale, NewerAccepted,
+	})
+}
--- a/core/loan/ledger.go
+++ b/core/loan/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"briarproxy/core/chart"
 )
 
 // Timing holds the durations of loans on the lender's clock.
@@ -19,8 +21,25 @@
 	Borrower string
 	Slots    int64
 	LapsesAt time.Duration // lender's boot clock
+	state    chart.State
 }
 
+// States and events of the lease chart.
+const (
+	stateLent chart.State = "lent"
+
+	renewed          chart.Event = "renewed"
+	returned         chart.Event = "returned"     // some slots
+	returnedAll      chart.Event = "returned-all" // the last slots
+	lapse            chart.Event = "lapse"        // not renewed in time
+	settled          chart.Event = "settled"      // a report shows fewer runs
+	settledAll       chart.Event = "settled-all"  // a report shows no run
+	settleTimePassed chart.Event = "settle-time-passed"
+	vmGone           chart.Event = "vm-gone"
+)
+
+var leaseChart = chart.MustLoad(chart.Lease)
+
 // Freed is a number of slots of a VM that can be used again.
 type Freed struct {
 	VM    string
@@ -31,63 +50,85 @@
 type Ledger struct {
 	timing Timing
 	nextID int64
-	live   map[int64]*Loan
-	lapsed map[int64]*Loan // slots may still be busy
+	loans  map[int64]*Loan // lent, or lapsed with slots that may still be busy
+}
+
+// step moves a loan by an event and reports whether its state handles it. The
+// caller tells the borrower of a refusal.
+func (l *Ledger) step(loan *Loan, e chart.Event) bool {
+	next, err := leaseChart.Next(loan.state, e)
+	if err != nil {
+		return false
+	}
+	loan.state = next
+	if leaseChart.IsFinal(next) {
+		delete(l.loans, loan.ID)
+	}
+	return true
 }
 
 // NewLedger returns an empty ledger whose loan ids follow first. Ids must not
 // repeat across ledgers that one borrower deals with.
 func NewLedger(first int64, timing Timing) *Ledger {
-	return &Ledger{timing: timing, nextID: first, live: map[int64]*Loan{}, lapsed: map[int64]*Loan{}}
+	return &Ledger{timing: timing, nextID: first, loans: map[int64]*Loan{}}
 }
 
 // Grant records a loan. The caller has taken the slots out of the VM's capacity.
 func (l *Ledger) Grant(vm, pool, borrower string, slots int64, now time.Duration) Loan {
 	l.nextID++
-	granted := &Loan{ID: l.nextID, VM: vm, Pool: pool, Borrower: borrower, Slots: slots, LapsesAt: now + l.timing.Lapse}
-	l.live[granted.ID] = granted
+	granted := &Loan{ID: l.nextID, VM: vm, Pool: pool, Borrower: borrower, Slots: slots, LapsesAt: now + l.timing.Lapse, state: leaseChart.Initial}
+	l.loans[granted.ID] = granted
 	return *granted
 }
 
 // Renew extends a loan; it reports false for a loan that is unknown, lapsed or
 // lent to another daemon.
 func (l *Ledger) Renew(id int64, borrower string, now time.Duration) bool {
-	loan := l.live[id]
-	if loan == nil || loan.Borrower != borrower || now >= loan.LapsesAt {
+	loan := l.loans[id]
+	if loan == nil || loan.Borrower != borrower {
+		return false
+	}
+	l.lapseAt(loan, now)
+	if !l.step(loan, renewed) {
 		return false
 	}
 	loan.LapsesAt = now + l.timing.Lapse
 	return true
 }
 
+// lapseAt lets a loan lapse whose time is over.
+func (l *Ledger) lapseAt(loan *Loan, now time.Duration) {
+	if loan.state == stateLent && now >= loan.LapsesAt {
+		l.step(loan, lapse)
+	}
+}
+
 // Return takes back slots that the borrower does not use. It returns what can be
 // used again; slots of a lapsed loan are settled by a report instead.
 func (l *Ledger) Return(id int64, borrower string, slots int64) (Freed, bool) {
-	loan := l.live[id]
+	loan := l.loans[id]
 	if loan == nil || loan.Borrower != borrower || slots <= 0 {
 		return Freed{}, false
 	}
 	n := min(slots, loan.Slots)
-	loan.Slots -= n
-	if loan.Slots == 0 {
-		delete(l.live, id)
+	event := returned
+	if n == loan.Slots {
+		event = returnedAll
 	}
+	if !l.step(loan, event) {
+		return Freed{}, false
+	}
+	loan.Slots -= n
 	return Freed{VM: loan.VM, Slots: n}, true
 }
 
 // Expire moves loans that have lapsed to those that wait for a report, and returns
 // the slots of loans whose last run has surely ended.
 func (l *Ledger) Expire(now time.Duration) []Freed {
-	for id, loan := range l.live {
-		if now >= loan.LapsesAt {
-			delete(l.live, id)
-			l.lapsed[id] = loan
-		}
-	}
 	var freed []Freed
-	for id, loan := range l.lapsed {
-		if now >= loan.LapsesAt+l.timing.Settle {
-			delete(l.lapsed, id)
+	for _, loan := range l.loans {
+		l.lapseAt(loan, now)
+		if now >= loan.LapsesAt+l.timing.Settle && l.step(loan, settleTimePassed) {
 			freed = append(freed, Freed{VM: loan.VM, Slots: loan.Slots})
 		}
 	}
@@ -110,15 +151,18 @@
 // number of slots that can be used again.
 func (l *Ledger) Settle(vm string, busy map[int64]int64, askedAt time.Duration) int64 {
 	freed := int64(0)
-	for id, loan := range l.lapsed {
-		if loan.VM != vm || askedAt < loan.LapsesAt {
+	for id, loan := range l.loans {
+		if loan.VM != vm || loan.state == stateLent || askedAt < loan.LapsesAt {
 			continue
 		}
 		keep := min(loan.Slots, busy[id])
-		freed += loan.Slots - keep
-		loan.Slots = keep
+		event := settled
 		if keep == 0 {
-			delete(l.lapsed, id)
+			event = settledAll
+		}
+		if l.step(loan, event) {
+			freed += loan.Slots - keep
+			loan.Slots = keep
 		}
 	}
 	return freed
@@ -127,14 +171,9 @@
 // Forget drops all loans of a VM: it is not lent by this daemon any more, or it
 // has restarted and runs nothing.
 func (l *Ledger) Forget(vm string) {
-	for id, loan := range l.live {
-		if loan.VM == vm {
-			delete(l.live, id)
-		}
-	}
-	for id, loan := range l.lapsed {
+	for _, loan := range l.loans {
 		if loan.VM == vm {
-			delete(l.lapsed, id)
+			l.step(loan, vmGone)
 		}
 	}
 }
@@ -142,8 +181,8 @@
 // LentTo returns the slots of a pool that are on loan, by borrower.
 func (l *Ledger) LentTo(pool string) map[string]int64 {
 	lent := map[string]int64{}
-	for _, loan := range l.live {
-		if loan.Pool == pool {
+	for _, loan := range l.loans {
+		if loan.Pool == pool && loan.state == stateLent {
 			lent[loan.Borrower] += loan.Slots
 		}
 	}
@@ -153,11 +192,9 @@
 // Held returns the slots of a VM that are lent or not settled.
 func (l *Ledger) Held(vm string) int64 {
 	held := int64(0)
-	for _, loans := range []map[int64]*Loan{l.live, l.lapsed} {
-		for _, loan := range loans {
-			if loan.VM == vm {
-				held += loan.Slots
-			}
+	for _, loan := range l.loans {
+		if loan.VM == vm {
+			held += loan.Slots
 		}
 	}
 	return held
--- a/core/loan/ledger_test.go
+++ b/core/loan/ledger_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"briarproxy/core/chart"
 )
 
 // A fixed seed gives the property tests the same verdict on every run.
@@ -149,3 +151,23 @@
 	require.Zero(t, l.Settle("vm", nil, granted.LapsesAt-1))
 	require.EqualValues(t, 2, l.Settle("vm", nil, granted.LapsesAt))
 }
+
+// Guards against a loan that is taken up again after it lapsed, when its renewal
+// arrives before the ledger has expired it.
+func TestLapsedLoanIsNotRenewed(t *testing.T) {
+	l := NewLedger(0, Timing{Lapse: time.Second, Settle: time.Minute})
+	granted := l.Grant("vm", "p", "a", 2, 0)
+	require.False(t, l.Renew(granted.ID, "a", granted.LapsesAt))
+	_, ok := l.Return(granted.ID, "a", 2)
+	require.False(t, ok, "a report settles the slots of a lapsed loan")
+	require.Empty(t, l.LentTo("p"))
+	require.EqualValues(t, 2, l.Held("vm"))
+}
+
+// Guards against events that the lease chart does not have, or that the code lacks.
+func TestEventsAreThoseOfTheLeaseChart(t *testing.T) {
+	require.Contains(t, leaseChart.States, stateLent)
+	require.ElementsMatch(t, leaseChart.Events, []chart.Event{
+		renewed, returned, returnedAll, lapse, settled, settledAll, settleTimePassed, vmGone,
+	})
+}
--- a/daemon/control/config.go
+++ b/daemon/control/config.go
@@ -129,6 +129,9 @@
 		return
 	}
 	effect := c.config.Apply(r)
+	for _, err := range c.config.TakeRefusals() {
+		c.Events.Emit(eventVersion, "offset", r.Offset, "error", err.Error())
+	}
 	c.configTail = append(c.configTail, r)
 	if n := len(c.configTail); n > maxConfigTail {
 		c.configTail = slices.Clone(c.configTail[n-maxConfigTail:])
--- a/daemon/control/events.go
+++ b/daemon/control/events.go
@@ -17,5 +17,6 @@
 	eventVMList      = event.Define(1107, "VM list unavailable", log.WarnLevel, "the VM list service did not answer; the last list stays in use, so new and leaving VMs are learned late")
 	eventLeaving     = event.Define(1108, "VM leaving", log.InfoLevel, "the VM gets no new work until a new incarnation reports; the line says whether the list or the worker said so")
 	eventRecord      = event.Define(1109, "membership record skipped", log.WarnLevel, "a record of the stream does not decode; check for daemons of another release")
+	eventVersion     = event.Define(1111, "configuration event refused", log.WarnLevel, "the config-version chart refused an event, which changed nothing; this is a defect of the program; report it with the line")
 	eventSnapshot    = event.Define(1110, "configuration repeated", log.InfoLevel, "the configuration was appended again, so that it outlives the log's retention time; nothing has to be done")
 )
--- a/daemon/internal/ctl/configlog.go
+++ b/daemon/internal/ctl/configlog.go
@@ -72,14 +72,24 @@
 // publish appends a publication and returns its verdict. The verdict is read from
 // the stream, so that a lost answer is not guessed at.
 func (l *configLog) publish(ctx context.Context, p config.Publication) (config.Verdict, error) {
+	progress := config.NewProgress()
+	if err := progress.Step(config.Checked); err != nil {
+		return config.Verdict{}, err
+	}
 	data, err := l.encode(p)
 	if err != nil {
 		return config.Verdict{}, err
 	}
+	if err := progress.Step(config.AppendSent); err != nil {
+		return config.Verdict{}, err
+	}
 	_, err = l.client.Append(ctx, wire.StreamConfig, data, func(found []byte) bool {
 		id, ok := config.IDOf(found)
 		return ok && id == p.ID
 	})
+	if err := progress.Appended(err); err != nil {
+		return config.Verdict{}, err
+	}
 	if err != nil {
 		return config.Verdict{}, err
 	}
@@ -88,7 +98,7 @@
 			return config.Verdict{}, fault.Wrap(err, fault.Unknown, "run history to see whether version was accepted", "the publication is in the log but its verdict can't be read")
 		}
 		if verdict, known := l.reader.Verdict(p.ID); known {
-			return verdict, nil
+			return verdict, progress.Judged(verdict)
 		}
 		select {
 		case <-ctx.Done():
