--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -72,6 +72,7 @@
 	cellRate   atomic.Int64 // log appends a second of the whole cell
 	drainDelay atomic.Int64 // time.Duration
 	draining   atomic.Bool
+	served     atomic.Bool // it was ready once
 	running    sync.WaitGroup
 }
 
@@ -246,10 +247,24 @@
 		return false, "no configuration is in force yet"
 	case len(n.holder.Current().VMs) == 0:
 		return false, "the VM list was not read yet"
+	case !n.served.Load() && !ownsRacks(n.holder.Current()):
+		return false, "no rack has an owner yet"
 	}
+	n.served.Store(true)
 	return true, "ready"
 }
 
+// ownsRacks reports whether any rack has an owner. It matters at the start only: a
+// cell that loses its owners later must not look down to the load balancer.
+func ownsRacks(s *view.Snapshot) bool {
+	for _, vm := range s.VMs {
+		if _, owned := s.OwnerOf(wire.RackUnit(vm.DataCentre, vm.Rack)); owned {
+			return true
+		}
+	}
+	return false
+}
+
 // Run serves until ctx ends, then makes a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	n.events.Emit(eventStarted, "addresses", n.Addresses())
