Say 'unknown' of requests whose worker restarted; make the log's retention a setting

Cause: a keyed request whose worker had restarted was reported as 'ran, result not kept', although it may not have run; the retention that decides how often state is appended again was a constant of the daemon. Change: such a key ends as uncertain and is never run again; settings log_retention, default 24h. Figures: TestRestartedWorkerLeavesTheOutcomeUnknown fails before the change with outcome 'ran'. Conclusion: the three outcomes are told apart after a restart too.

--- a/core/idempotency/table.go
+++ b/core/idempotency/table.go
@@ -34,14 +34,16 @@
 	RequestID  string       `json:"request_id"`
 	Generation int64        `json:"generation"`
 	NeverRan   bool         `json:"never_ran,omitempty"`
+	Uncertain  bool         `json:"uncertain,omitempty"` // it can't be learned any more whether it ran
 	Result     *wire.Result `json:"result,omitempty"`
 }
 
 // Entry is the state of one key.
 type Entry struct {
 	Intent
-	State  State        `json:"state"`
-	Result *wire.Result `json:"result,omitempty"`
+	State     State        `json:"state"`
+	Uncertain bool         `json:"uncertain,omitempty"` // as in Done
+	Result    *wire.Result `json:"result,omitempty"`
 }
 
 // Action is the decision on a request.
@@ -140,6 +142,7 @@
 		return
 	}
 	e.State = StateDone
+	e.Uncertain = d.Uncertain
 	e.Result = d.Result
 }
 
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -47,7 +47,6 @@
 	reportInterval = 2 * time.Second
 	drainTimeout   = 60 * time.Second // for requests in flight, after the drain delay
 	releaseTimeout = 3 * time.Second
-	logRetention   = 24 * time.Hour // assumed of the log service; state is repeated every third of it
 )
 
 // Node is one daemon.
@@ -181,7 +180,7 @@
 	n.shards = shard.New(shard.Options{
 		Self: self.Name, View: n.holder, Peers: n.peers, Requests: n.router, Stream: n.streams(self, budget),
 		Log: n.events, Observer: n.metrics, Now: bootclock.Now, WallMS: func() int64 { return time.Now().UnixMilli() },
-		Random: newRandom, Calls: n.pool(shardCalls), Retention: logRetention,
+		Random: newRandom, Calls: n.pool(shardCalls), Retention: n.settings.LogRetention,
 	})
 	n.metrics.ObservePools(n.router)
 	return n.buildServers()
@@ -195,7 +194,7 @@
 	n.control = control.New(control.Options{
 		Self: self, Log: n.log, VMs: vmlist.New(n.settings.VMListURL), Peers: n.peers, View: n.holder,
 		Events: n.events, Now: bootclock.Now, Timing: timing, Heartbeat: n.settings.Lease.Heartbeat,
-		Retention: logRetention, Budget: budget, CellRate: func() float64 { return float64(n.cellRate.Load()) },
+		Retention: n.settings.LogRetention, Budget: budget, CellRate: func() float64 { return float64(n.cellRate.Load()) },
 	})
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -27,7 +27,8 @@
 	Limits     Limits
 	Lease      Lease
 
-	LogAppendsPerSecond int // appends that all daemons of the cell may use together
+	LogAppendsPerSecond int           // appends that all daemons of the cell may use together
+	LogRetention        time.Duration // time for which the log service keeps records
 	Admin               Admin
 	LogLevel            string
 	MemoryLimit         int64 // bytes; soft limit of the Go runtime
@@ -89,6 +90,7 @@
 		},
 		Lease:               Lease{Duration: 6 * time.Second, Heartbeat: 2 * time.Second},
 		LogAppendsPerSecond: 300,
+		LogRetention:        24 * time.Hour,
 		LogLevel:            "info",
 		MemoryLimit:         256 << 20,
 	}
--- a/daemon/settings/table.go
+++ b/daemon/settings/table.go
@@ -22,6 +22,8 @@
 	maxMemory      = 1 << 40  // bytes
 	minHeartbeat   = 50 * time.Millisecond
 	maxLease       = 5 * time.Minute
+	minRetention   = time.Minute
+	maxRetention   = 10 * 365 * 24 * time.Hour
 )
 
 // field describes one setting. The path of a field in a group is "group.name".
@@ -123,6 +125,10 @@
 		func(s *Settings) jsonc.Read { return jsonc.Int(&s.LogAppendsPerSecond, 1, maxAppends) },
 		func(s *Settings) string { return fmt.Sprint(s.LogAppendsPerSecond) },
 		"log appends per second that all daemons of the cell may use together"},
+	{"log_retention", false, false,
+		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.LogRetention, minRetention, maxRetention) },
+		func(s *Settings) string { return text(s.LogRetention.String()) },
+		"time for which the log service keeps records; state is appended again every third of it"},
 	{"admin.token_file", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.String(&s.Admin.TokenFile) },
 		func(s *Settings) string { return text(s.Admin.TokenFile) },
--- a/daemon/shard/keys.go
+++ b/daemon/shard/keys.go
@@ -117,6 +117,10 @@
 }
 
 func storedOutcome(e idempotency.Entry) (*wire.Result, *wire.Problem, bool) {
+	if e.Uncertain {
+		return nil, problem(http.StatusBadGateway, "outcome-lost", wire.OutcomeUnknown, 0,
+			"the worker on "+e.VM+" restarted before the end of the request was learned", "look up the effect in the service itself; the request is not run again under this key"), true
+	}
 	if e.Result == nil {
 		return nil, problem(http.StatusBadGateway, "result-lost", wire.OutcomeRan, 0,
 			"the request ran, its result is not kept", "look up the effect in the service itself; do not send it under a new key"), true
@@ -215,7 +219,9 @@
 		done := idempotency.Done{Key: e.Key, RequestID: e.RequestID, Generation: e.Generation}
 		switch {
 		case known && o.Restarted:
-			// The worker forgot; the attempt may have run, so it counts as run.
+			// The worker forgot: the attempt does not run, and nobody can tell whether it
+			// ran. It must not be started again.
+			done.Uncertain = true
 			_ = k.r.send(keyEnded{done: done})
 			return nil, nil, false
 		case known && o.State == wire.RunNeverStarted:
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -71,6 +71,7 @@
 	ended     map[string]*wire.Result
 	forbidden map[string]bool
 	run       func(start wire.Start) workerclient.OutcomeKind
+	restarted bool // the worker has forgotten what it ran
 }
 
 func newFakeWorker() *fakeWorker {
@@ -113,7 +114,9 @@
 	for _, task := range args.(*wire.StopArgs).Tasks {
 		o := wire.StopOutcome{TaskID: task.TaskID, Generation: task.Generation, Known: true, State: wire.RunNeverStarted}
 		key := attemptKey(task.TaskID, task.Generation)
-		if result, ran := f.ended[key]; ran {
+		if f.restarted {
+			o.Restarted, o.State = true, wire.RunStopped
+		} else if result, ran := f.ended[key]; ran {
 			o.State, o.Result = wire.RunFinished, result
 		} else {
 			f.forbidden[key] = true
@@ -241,6 +244,23 @@
 	}
 }
 
+// Guards against a second run, and against a false 'ran' or 'not run', when the
+// worker restarted after the request was sent to it.
+func TestRestartedWorkerLeavesTheOutcomeUnknown(t *testing.T) {
+	c := newTestCell(t)
+	m, _ := c.owner(10, time.Minute)
+	c.worker.run = func(wire.Start) workerclient.OutcomeKind { return workerclient.Unknown }
+	require.Equal(t, wire.OutcomeUnknown, c.issue(m, 10, "r1", "k", "certificate").Problem.Outcome)
+	c.worker.mu.Lock()
+	c.worker.restarted, c.worker.run = true, nil
+	c.worker.mu.Unlock()
+	for range 2 {
+		reply := c.issue(m, 10, "r2", "k", "certificate")
+		require.Equal(t, wire.OutcomeUnknown, reply.Problem.Outcome)
+	}
+	require.Equal(t, 1, c.worker.effects("certificate"))
+}
+
 // Guards against a start whose record is not in the log, and against a 'not run'
 // that a record which lands late would make false.
 func TestUnloggedIntentIsNeverStarted(t *testing.T) {
