Wait until each daemon answers before the demo's load starts

Cause: readiness does not wait for slots, so the first requests met daemons without any. Change: the demo sends one request to each daemon first. Conclusion: the demo measures a running cell.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -121,6 +121,8 @@
 start_cell inspectors 64000 262144 "survey=400 certificate=300 doorstep=100" doto/kushiro dohoku/asahikawa doo/hakodate
 start_cell cooperative 32000 65536 "certify=500 quote=50 wear-review=3000" gaspesie/gaspe monteregie/saint-jean saguenay/chicoutimi
 
+"$bin/demo" warm "${cells[@]}"
+echo "every daemon answers; sending work for $seconds s"
 "$bin/demo" "${cells[@]}" --duration "${seconds}s" --seed "$seed" &
 demo=$!
 pids+=("$demo")
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -40,26 +40,27 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			for _, text := range cells {
-				cell, err := demo.ParseCell(text)
-				if err != nil {
-					return err
-				}
-				options.Cells = append(options.Cells, cell)
+			var err error
+			if options.Cells, err = demo.ParseCells(cells); err != nil {
+				return err
 			}
 			return demo.RunCells(cmd.Context(), options)
 		},
 	}
 	flags := cmd.Flags()
-	flags.StringArrayVar(&cells, "cell", nil, "USER,JOURNAL,URL,URL...: user, workers' journal file and daemons of a cell; may be repeated")
+	addCells(cmd, &cells)
 	flags.DurationVar(&options.Duration, "duration", defaultDuration, "time for which requests are sent")
 	flags.IntVar(&options.GangTasks, "gang-tasks", defaultGangTasks, "tasks of the gang job")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the times between requests and of the daemons chosen")
-	_ = cmd.MarkFlagRequired("cell")
-	cmd.AddCommand(waitCommand())
+	cmd.AddCommand(waitCommand(), warmCommand())
 	return cmd
 }
 
+func addCells(cmd *cobra.Command, cells *[]string) {
+	cmd.Flags().StringArrayVar(cells, "cell", nil, "USER,JOURNAL,URL,URL...: user, workers' journal file and daemons of a cell; may be repeated")
+	_ = cmd.MarkFlagRequired("cell")
+}
+
 func waitCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "wait URL...",
@@ -72,3 +73,21 @@
 		},
 	}
 }
+
+func warmCommand() *cobra.Command {
+	var texts []string
+	cmd := &cobra.Command{
+		Use:   "warm",
+		Short: "Wait until each daemon of the cells answers requests",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cells, err := demo.ParseCells(texts)
+			if err != nil {
+				return err
+			}
+			return demo.Warm(cmd.Context(), cells)
+		},
+	}
+	addCells(cmd, &texts)
+	return cmd
+}
--- a/standin/demo/run.go
+++ b/standin/demo/run.go
@@ -20,8 +20,21 @@
 	Journal string   // file of its workers
 }
 
-// ParseCell parses USER,JOURNAL,URL,URL... Errors are of kind fault.Invalid.
-func ParseCell(text string) (Cell, error) {
+// ParseCells parses cells written as USER,JOURNAL,URL,URL... Errors are of kind
+// fault.Invalid.
+func ParseCells(texts []string) ([]Cell, error) {
+	cells := make([]Cell, 0, len(texts))
+	for _, text := range texts {
+		cell, err := parseCell(text)
+		if err != nil {
+			return nil, err
+		}
+		cells = append(cells, cell)
+	}
+	return cells, nil
+}
+
+func parseCell(text string) (Cell, error) {
 	parts := strings.Split(text, ",")
 	if len(parts) < 3 {
 		return Cell{}, fault.New(fault.Invalid, "use USER,JOURNAL,URL,URL...", "cell %q", text)
