Test late reports, spoilt answers, failing workers and two failures at once

Cause: the demo once showed a survey that ran in two places at once, 72 ms apart, after a daemon was killed. A report that was asked for before a start and read after its acceptance does not list the task; its rack's owner ends it as stopped and the shard's owner starts it again.

More tests: spoilt answers, a worker that fails everything, a batch job whose daemon is killed, a daemon killed during a log outage.

--- a/standin/demo/load.go
+++ b/standin/demo/load.go
@@ -26,6 +26,7 @@
 	PerSecond float64
 	Make      func(number int) Request
 	Job       func(number int) wire.JobSpec // instead of Make: a job
+	Batch     bool                          // the tasks of the job need not run together
 	Limit     int                           // requests in all, 0: as many as the time allows
 	After     time.Duration                 // start of the stream
 }
@@ -132,6 +133,7 @@
 	var record *Record
 	if k.Job != nil {
 		record = client.Submit(ctx, k.Name, k.Job(n), awaitWait)
+		record.Batch = k.Batch
 	} else {
 		record = client.Do(ctx, k.Make(n))
 	}
--- a/standin/demo/record.go
+++ b/standin/demo/record.go
@@ -65,6 +65,7 @@
 	Job        *wire.JobStatus // last status read
 	JobResults []wire.Result   // of a job that succeeded
 	Tasks      int             // of jobs
+	Batch      bool            // the tasks of the job need not run together
 	Violations []string        // found by the caller itself
 }
 
--- a/standin/integration/daemon_failure_test.go
+++ b/standin/integration/daemon_failure_test.go
@@ -1,12 +1,17 @@
 package integration
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"briarproxy/core/wire"
 	"briarproxy/standin/demo"
+	"briarproxy/standin/logservice"
+	"briarproxy/standin/worker"
 )
 
 var fastOperations = []string{"survey=200", "certificate=300", "doorstep=100"}
@@ -75,3 +80,46 @@
 	records = append(records, others.wait()...)
 	c.verify(records)
 }
+
+// Guards against long tasks that are lost, run in two places or start again
+// without need when the owner of their rack or of their job is killed.
+func TestJobSurvivesKilledDaemon(t *testing.T) {
+	c := start(t, options{daemons: 3, workers: 9, operations: []string{"risk-map=7000", "certificate=300", "doorstep=100"}})
+	records := c.warm()
+	ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+	defer cancel()
+	client := demo.NewClient(c.urls(), seed)
+	defer client.Close()
+	spec := wire.JobSpec{ID: "map-1", Template: "risk-map", Tasks: 30, Body: []byte("map")}
+	record := client.Submit(ctx, "risk-map", spec, 10*time.Second)
+	record.Batch = true
+	require.Equal(t, demo.ToldAccepted, record.Final, lastDetail(record))
+	time.Sleep(2 * time.Second)
+	c.daemons[0].kill()
+	client.Await(ctx, record, 15*time.Second)
+	records = append(records, record)
+	c.verify(records)
+	starts := 0
+	for _, e := range c.entries() {
+		if e.Job == spec.ID && e.Event == worker.EventStart {
+			starts++
+		}
+	}
+	assert.Equal(t, spec.Tasks, starts, "a task that its worker goes on running needs no second start")
+}
+
+// Guards against faults that only two failures together show: the log service is
+// down, and a daemon is killed meanwhile.
+func TestDaemonKilledDuringLogOutage(t *testing.T) {
+	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warm()
+	load := c.load(c.urls(), 7*time.Second, certificates(10), surveys(4))
+	time.Sleep(1500 * time.Millisecond)
+	c.control(c.logURL, "/control/outage", logservice.Outage{MS: 4000})
+	time.Sleep(time.Second)
+	c.daemons[1].kill()
+	records = append(records, load.wait()...)
+	c.requireFinal(records, "certificate", demo.ToldAnswered)
+	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verify(records)
+}
--- a/standin/integration/load_test.go
+++ b/standin/integration/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"briarproxy/core/wire"
 	"briarproxy/standin/demo"
 )
 
@@ -124,6 +126,13 @@
 	return demo.Kind{Name: "survey", PerSecond: perSecond, Make: func(n int) demo.Request { return demo.Survey("load", n) }}
 }
 
+// riskMaps are batch jobs with a number of tasks each.
+func riskMaps(perSecond float64, tasks int) demo.Kind {
+	return demo.Kind{Name: "risk-map", PerSecond: perSecond, Batch: true, Job: func(n int) wire.JobSpec {
+		return wire.JobSpec{ID: fmt.Sprintf("map-%d", n), Template: "risk-map", Tasks: tasks, Body: []byte(fmt.Sprintf("map %d", n))}
+	}}
+}
+
 // callUntilUnready sends requests to one daemon until it says that it is not
 // ready, as a load balancer does. No call is repeated.
 func (c *cluster) callUntilUnready(d *daemon, perSecond int) *background {
--- a/standin/integration/worker_failure_test.go
+++ b/standin/integration/worker_failure_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"briarproxy/core/wire"
 	"briarproxy/standin/demo"
 	"briarproxy/standin/faultproxy"
 	"briarproxy/standin/worker"
@@ -76,3 +77,79 @@
 	c.requireFinal(records, "certificate", demo.ToldAnswered)
 	c.verify(records)
 }
+
+// Guards against a report that was written before a start and read after it: the
+// task that it does not list yet must not count as gone and start a second time.
+func TestLateReports(t *testing.T) {
+	c := start(t, options{daemons: 3, workers: 8, operations: []string{"survey=1000", "certificate=300", "doorstep=100"}})
+	records := c.warm()
+	for _, vm := range c.vms {
+		c.controlWorker(vm.Name, "/control/misbehaviour", worker.Misbehaviour{LateAnswersMS: 300, Paths: []string{wire.PathReport}})
+	}
+	records = append(records, c.load(c.urls(), 5*time.Second, surveys(15)).wait()...)
+	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verify(records)
+}
+
+// Guards against answers that belong to another request, are cut short or lack
+// their end, and against a second run of the request because its answer was bad.
+func TestSpoiltAnswers(t *testing.T) {
+	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warm()
+	paths := []string{wire.PathStart, wire.PathStop}
+	faults := []worker.Misbehaviour{{ForeignResults: true}, {ShortenResults: true}, {TruncateAnswers: true}, {HangAnswers: true}}
+	for i, vm := range c.vms {
+		bad := faults[i%len(faults)]
+		bad.Paths, bad.Share, bad.Seed = paths, 0.3, int64(i+1)
+		c.controlWorker(vm.Name, "/control/misbehaviour", bad)
+	}
+	records = append(records, c.load(c.urls(), 7*time.Second, doorsteps(15), certificates(8), surveys(4)).wait()...)
+	c.requireFinal(records, "certificate", demo.ToldAnswered)
+	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verify(records)
+}
+
+// busiest returns the VM on which most tasks were started so far.
+func (c *cluster) busiest() string {
+	c.Helper()
+	counts := map[string]int{}
+	best := ""
+	for _, e := range c.entries() {
+		if e.Event == worker.EventStart && e.Kind == wire.KindTask {
+			counts[e.VM]++
+		}
+		if counts[e.VM] > counts[best] {
+			best = e.VM
+		}
+	}
+	return best
+}
+
+// Guards against a worker that fails everything and attracts all work, because it
+// is free again at once. Two unlike operations are sent: one alone would not tell a
+// bad worker from a bad operation.
+func TestWorkerFailsEverything(t *testing.T) {
+	c := start(t, options{daemons: 3, workers: 9, operations: append([]string{"risk-map=300"}, fastOperations...)})
+	records := c.warm()
+	sending := c.load(c.urls(), 9*time.Second, surveys(10), riskMaps(1, 12))
+	time.Sleep(1500 * time.Millisecond)
+	bad := c.busiest()
+	c.controlWorker(bad, "/control/misbehaviour", worker.Misbehaviour{FailAll: true})
+	from := time.Now()
+	load := sending.wait()
+	c.requireFinal(load, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	limit := from.Add(5 * time.Second).UnixMicro()
+	starts, late := 0, 0
+	for _, e := range c.entries() {
+		if e.VM != bad || e.Event != worker.EventStart || e.TimeUS < from.UnixMicro() {
+			continue
+		}
+		starts++
+		if e.TimeUS > limit {
+			late++
+		}
+	}
+	assert.NotZero(t, starts, "the VM had no work, so the test shows nothing")
+	assert.LessOrEqual(t, late, 1, "of %d starts on the VM that fails everything, this many came after 5 s; one may be a probe", starts)
+	c.verify(append(records, load...))
+}
