--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -122,6 +122,10 @@
 		m.fail(p)
 		return
 	}
+	if !r.View.Current().LogHealthy {
+		m.fail(logDown())
+		return
+	}
 	record := job.Record{Submit: &job.Submit{
 		ID: spec.ID, Template: spec.Template, SpecDigest: digest, Definition: *definition,
 		Tasks: spec.Tasks, Body: spec.Body, AtMS: r.WallMS(),
@@ -254,6 +258,8 @@
 	}
 	if op.Idempotent {
 		definition.MaxAttempts = idempotentAttempts
+	} else {
+		definition.AtMostOnce = true
 	}
 	if spec.Tasks == 0 {
 		spec.Tasks = 1
--- a/standin/bench/decisions.go
+++ b/standin/bench/decisions.go
@@ -41,8 +41,9 @@
 
 // Names of the works that are measured.
 const (
-	workSlot = "request slot"
-	workTask = "batch task"
+	workSlot   = "request slot"
+	workTask   = "batch task"
+	workUrgent = "urgent task"
 )
 
 // DefaultDecisions returns the cases of the design page.
@@ -90,6 +91,7 @@
 			row := DecisionRow{Workers: n, Load: load}
 			rows = append(rows, d.row(row, workSlot, 1, slotDecision(cell), naiveSlot(full)))
 			rows = append(rows, d.row(row, workTask, 1, indexed(cell, 1, d.Seed), scanned(full, 1, d.Seed)))
+			rows = append(rows, d.row(row, workUrgent, 1, urgent(cell, d.Seed), decision{}))
 			for _, size := range d.Gangs {
 				name := fmt.Sprintf("gang of %d", size)
 				rows = append(rows, d.row(row, name, size, indexed(cell, size, d.Seed), scanned(full, size, d.Seed)))
@@ -105,6 +107,9 @@
 	row.Repeats, row.Placed = len(times), placed
 	row.P50NS, row.P99NS = quantiles(times)
 	row.Allocs = allocations(fast)
+	if full.do == nil {
+		return row
+	}
 	times, row.NaivePlaced = d.measure(full)
 	row.NaiveRuns = len(times)
 	row.NaiveP50NS, row.NaiveP99NS = quantiles(times)
@@ -257,19 +262,47 @@
 	}
 }
 
+// urgent plans one large task that may preempt others. The plan is not carried
+// out, so that each decision finds the same load. It has no naive version.
+func urgent(cell *place.Cell, seed uint64) decision {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	all := prepared(1, seed)
+	n := 0
+	return decision{
+		do: func() bool {
+			plan := cell.Plan(all[n%len(all)], localOptions, 0, rng)
+			return len(plan.Assignments)+len(plan.Preemptions) == 1
+		},
+		undo: func() {
+			n++
+			ask := &all[n%len(all)][0]
+			ask.Priority, ask.CanPreempt = 1000, true
+			ask.Resources = resource.Vector{MilliCores: 16_000, MemoryMiB: 48 * gibibyte}
+		},
+	}
+}
+
 // DecisionTargets compares the rows with the targets of the design page.
 func DecisionTargets(rows []DecisionRow) []Target {
-	return append([]Target{slowest(rows), noAllocation(rows)}, growth(rows)...)
+	targets := []Target{noAllocation(rows)}
+	for _, r := range rows {
+		if r.Workers == largestTarget && r.Load == rows[0].Load {
+			targets = append(targets, slowest(rows, r.Work))
+		}
+	}
+	return append(targets, growth(rows)...)
 }
 
-func slowest(rows []DecisionRow) Target {
-	t := Target{Name: "p99 below 1 ms at 18,000 workers on one core", Met: true}
+// slowest takes the load with the highest p99 of one work.
+func slowest(rows []DecisionRow, work string) Target {
+	t := Target{Name: fmt.Sprintf("p99 of %s below 1 ms at 18,000 workers on one core", work)}
 	worst := int64(0)
 	for _, r := range rows {
-		if r.Workers == largestTarget && r.P99NS > worst {
-			worst = r.P99NS
-			t.Detail = fmt.Sprintf("slowest: %s at %.0f%% load, %s", r.Work, 100*r.Load, time.Duration(r.P99NS))
+		if r.Work != work || r.Workers != largestTarget || r.P99NS <= worst {
+			continue
 		}
+		worst = r.P99NS
+		t.Detail = fmt.Sprintf("%s at %.0f%% load, %s per task", time.Duration(r.P99NS), 100*r.Load, time.Duration(r.P99NS/int64(r.Tasks)))
 	}
 	t.Met = worst < p99TargetNS
 	return t
@@ -313,11 +346,16 @@
 }
 
 func printDecisions(out io.Writer, rows []DecisionRow) {
-	_, _ = fmt.Fprintln(out, "work\tworkers\tload\tplaced\tp50\tp99\tallocs\tscan placed\tscan p50\tscan p99\tscan/index p50\t")
+	_, _ = fmt.Fprintln(out, "work\tworkers\tload\tplaced\tp50\tp99\tallocs\trepeats\tscan repeats\tscan placed\tscan p50\tscan p99\tscan/index p50\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%.0f%%\t%s\t%s\t%.1f\t\n",
-			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs,
-			100*r.NaivePlaced, time.Duration(r.NaiveP50NS), time.Duration(r.NaiveP99NS), float64(r.NaiveP50NS)/float64(max(r.P50NS, 1)))
+		_, _ = fmt.Fprintf(out, "%s\t%d\t%.0f%%\t%.0f%%\t%s\t%s\t%.0f\t%d\t",
+			r.Work, r.Workers, 100*r.Load, 100*r.Placed, time.Duration(r.P50NS), time.Duration(r.P99NS), r.Allocs, r.Repeats)
+		if r.NaiveRuns == 0 {
+			_, _ = fmt.Fprintln(out, "-\t-\t-\t-\t-\t")
+			continue
+		}
+		_, _ = fmt.Fprintf(out, "%d\t%.0f%%\t%s\t%s\t%.1f\t\n",
+			r.NaiveRuns, 100*r.NaivePlaced, time.Duration(r.NaiveP50NS), time.Duration(r.NaiveP99NS), float64(r.NaiveP50NS)/float64(max(r.P50NS, 1)))
 	}
 }
 
