Keep a task that started while its worker's report was on the way

Cause: a report that a worker made before a start arrived could be handled after the answer to that start. The attempt was missing in the report, so the rack owner ended it as stopped, and the shard owner started it again while it might still run (invariant 2). Change: an attempt counts as forgotten by its worker only if the report was asked for after the answer to its start had arrived.

--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -135,7 +135,9 @@
 	}
 	o.settleLoans(w, busy, foreign, m.sent)
 	for id, a := range w.attempts {
-		if !listed[id] && !a.ended() && !a.starting && a.reservation == 0 {
+		// A report that was asked for before the start was answered may have been made
+		// before the start arrived.
+		if !listed[id] && !a.ended() && !a.starting && a.reservation == 0 && m.sent >= a.startedAt {
 			// The worker forgot an attempt that it had accepted: it does not run.
 			o.end(w, a, wire.RunStopped, nil)
 		}
--- a/daemon/rack/start.go
+++ b/daemon/rack/start.go
@@ -133,6 +133,7 @@
 	switch {
 	case outcome.Started:
 		a.starting = false
+		a.startedAt = o.Now()
 	case outcome.Refused != "":
 		o.discard(w, a)
 		o.noteRefusal(w, outcome.Refused)
--- a/daemon/rack/types.go
+++ b/daemon/rack/types.go
@@ -96,6 +96,7 @@
 	reservation int64         // set while the attempt is only reserved
 	expires     time.Duration // boot clock; end of the reservation
 	starting    bool          // a start may be on its way
+	startedAt   time.Duration // boot clock when the worker's answer to the start had arrived
 	noticeAt    time.Duration // when its end is told next
 	noticing    bool
 }
