--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -47,7 +47,6 @@
 	reportInterval = 2 * time.Second
 	drainTimeout   = 60 * time.Second // for requests in flight, after the drain delay
 	releaseTimeout = 3 * time.Second
-	logRetention   = 24 * time.Hour // assumed of the log service; state is repeated every third of it
 )
 
 // Node is one daemon.
@@ -184,7 +183,7 @@
 	n.shards = shard.New(shard.Options{
 		Self: self.Name, View: n.holder, Peers: n.peers, Requests: n.router, Stream: n.streams(self, budget),
 		Log: n.events, Observer: n.metrics, Now: bootclock.Now, WallMS: func() int64 { return time.Now().UnixMilli() },
-		Random: newRandom, Calls: n.pool(shardCalls), Retention: logRetention,
+		Random: newRandom, Calls: n.pool(shardCalls), Retention: n.settings.LogRetention,
 	})
 	n.metrics.ObservePools(n.router)
 	return n.buildServers()
@@ -198,7 +197,7 @@
 	n.control = control.New(control.Options{
 		Self: self, Log: n.log, VMs: vmlist.New(n.settings.VMListURL), Peers: n.peers, View: n.holder,
 		Events: n.events, Now: bootclock.Now, Timing: timing, Heartbeat: n.settings.Lease.Heartbeat,
-		Retention: logRetention, Budget: budget, CellRate: func() float64 { return float64(n.cellRate.Load()) },
+		Retention: n.settings.LogRetention, Budget: budget, CellRate: func() float64 { return float64(n.cellRate.Load()) },
 	})
 }
 
@@ -261,10 +260,23 @@
 		return "no configuration is in force yet"
 	case len(n.holder.Current().VMs) == 0:
 		return "the VM list was not read yet"
+	case n.life.state() == stateSyncing && !ownsRacks(n.holder.Current()):
+		return "no rack has an owner yet"
 	}
 	return ""
 }
 
+// ownsRacks reports whether any rack has an owner. It matters at the start only: a
+// cell that loses its owners later must not look down to the load balancer.
+func ownsRacks(s *view.Snapshot) bool {
+	for _, vm := range s.VMs {
+		if _, owned := s.OwnerOf(wire.RackUnit(vm.DataCentre, vm.Rack)); owned {
+			return true
+		}
+	}
+	return false
+}
+
 // Run serves until ctx ends, then makes a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	n.events.Emit(eventStarted, "addresses", n.Addresses())
