Share summaries between shards and keep slots for waiting requests

Cause: each of 64 shards asked rack owners for summaries by itself while work waited, and groups without room backed off up to 2 s although room was there; durable tasks took slots from requests without regard to their priority. Change: one cache of summaries for a daemon; a group that nobody known has room for is tried again after 50 to 100 ms, at no call; while requests wait, tasks take slots only up to their policy's guaranteed share; a wait is logged once a reason.

--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -17,6 +17,7 @@
 const (
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	deferFor     = 50 * time.Millisecond // shortest wait of a group that nobody known has room for
 )
 
 // Attempt names an attempt and the VM that may run it.
@@ -363,11 +364,16 @@
 
 // NoRoom puts a group back with a backoff. The reason is kept for explanations.
 func (s *Shard) NoRoom(g Group, reason string, now time.Duration) {
-	s.putBack(g, noRoom, reason, now)
+	g.Job.tries++
+	s.putBack(g, noRoom, reason, now, s.backoff(g.Job.tries))
 }
 
-func (s *Shard) putBack(g Group, event *taskEvent, reason string, now time.Duration) {
-	g.Job.tries++
+// Defer puts a group back for a short time, because nobody known has room for it.
+func (s *Shard) Defer(g Group, reason string, now time.Duration) {
+	s.putBack(g, noRoom, reason, now, deferFor+time.Duration(s.rng.Int64N(int64(deferFor))))
+}
+
+func (s *Shard) putBack(g Group, event *taskEvent, reason string, now, delay time.Duration) {
 	requeue := false
 	for _, i := range g.Tasks {
 		t := &g.Job.Tasks[i]
@@ -378,7 +384,7 @@
 		requeue = true
 	}
 	if requeue {
-		s.enqueueGroup(g.Job, g.Tasks[0], now+s.backoff(g.Job.tries), now)
+		s.enqueueGroup(g.Job, g.Tasks[0], now+delay, now)
 	}
 }
 
@@ -415,7 +421,8 @@
 			t.Generation++
 		}
 	}
-	s.putBack(g, notLogged, "the log service did not confirm the start record", now)
+	g.Job.tries++
+	s.putBack(g, notLogged, "the log service did not confirm the start record", now, s.backoff(g.Job.tries))
 }
 
 // Startable reports whether a logged attempt should still be started.
--- a/daemon/rack/reserve.go
+++ b/daemon/rack/reserve.go
@@ -8,6 +8,7 @@
 	"briarproxy/core/place"
 	"briarproxy/core/resource"
 	"briarproxy/core/wire"
+	"briarproxy/daemon/view"
 )
 
 // maxReservation bounds the time for which room is kept without a start.
@@ -57,14 +58,75 @@
 	now := o.Now()
 	options := o.placeOptions(m.args.Asks)
 	o.commitEstimates(m.args.Asks, now)
-	probes, asks := o.probe(m.args.Asks, options, now)
+	kept, allowed := o.keepForRequests(m.args.Asks, now)
+	probes, asks := o.probe(allowed, options, now)
 	plan := o.cell.Plan(asks, options, now, o.Random)
 	if m.args.AllOrNothing && len(plan.Assignments) < len(asks) {
 		plan.Assignments = nil
 	}
 	accepted, refused := o.cell.Commit(plan, options, now)
 	o.preempt(plan.Preemptions)
-	m.reply <- reserveAnswer{reply: o.reservationsFor(m.args, append(probes, accepted...), plan, refused, now)}
+	reply := o.reservationsFor(m.args, append(probes, accepted...), plan, refused, now)
+	if kept > 0 {
+		reply.Refused = append(reply.Refused, wire.Refused{Reason: "slots are kept for waiting requests", Count: kept})
+	}
+	m.reply <- reserveAnswer{reply: reply}
+}
+
+// keepForRequests leaves out tasks that would take slots for which requests wait,
+// beyond the share of the pool that the task's policy guarantees. Gangs and tasks
+// without slots are not concerned.
+func (o *Owner) keepForRequests(asks []wire.TaskAsk, now time.Duration) (kept int, allowed []wire.TaskAsk) {
+	left := map[string]int64{} // by pool
+	for _, ask := range asks {
+		if ask.Resources.Slots == 0 || ask.Gang != "" || !o.requestsWait(ask.Pool, now) {
+			allowed = append(allowed, ask)
+			continue
+		}
+		if _, known := left[ask.Pool]; !known {
+			left[ask.Pool] = o.taskShare(ask)
+		}
+		if left[ask.Pool] < ask.Resources.Slots {
+			kept++
+			continue
+		}
+		left[ask.Pool] -= ask.Resources.Slots
+		allowed = append(allowed, ask)
+	}
+	return kept, allowed
+}
+
+// requestsWait reports whether a borrower lately got less slots than it wanted.
+func (o *Owner) requestsWait(pool string, now time.Duration) bool {
+	for w, until := range o.wants {
+		if w.pool == pool && now < until {
+			return true
+		}
+	}
+	return false
+}
+
+// taskShare returns the slots that tasks of the ask's policy may still take while
+// requests wait: its guaranteed share of the pool, less what tasks use already.
+func (o *Owner) taskShare(ask wire.TaskAsk) int64 {
+	capacity, used := int64(0), int64(0)
+	pool := o.lastView.Set.Pools[ask.Pool]
+	policy := o.lastView.Set.Policies[ask.Class]
+	if pool == nil || policy == nil {
+		return 0
+	}
+	for _, w := range o.workers {
+		if !w.fenced || !view.PoolOf(pool, w.vm) {
+			continue
+		}
+		capacity += w.capacity.Slots
+		for _, a := range w.attempts {
+			if !a.ended() {
+				used += a.task.Resources.Slots
+			}
+		}
+	}
+	return int64(policy.MinShare*float64(capacity)) - used
 }
 
 // probeTimeout is the time after which a probe of which nothing was heard counts as
@@ -149,8 +211,15 @@
 
 // noteDemand keeps slots from being lent while tasks wait for them.
 func (o *Owner) noteDemand(ask wire.TaskAsk, missing int, now time.Duration) {
-	if ask.Resources.Slots > 0 {
-		o.slotDemand[ask.Pool] = slotDemand{slots: ask.Resources.Slots * int64(missing), until: now + slotDemandTime}
+	if ask.Resources.Slots == 0 {
+		return
+	}
+	wanted := ask.Resources.Slots * int64(missing)
+	if o.requestsWait(ask.Pool, now) {
+		wanted = min(wanted, o.taskShare(ask))
+	}
+	if wanted > 0 {
+		o.slotDemand[ask.Pool] = slotDemand{slots: wanted, until: now + slotDemandTime}
 	}
 }
 
--- a/daemon/shard/manager.go
+++ b/daemon/shard/manager.go
@@ -11,18 +11,20 @@
 
 // Manager runs one goroutine for each shard that this daemon owns.
 type Manager struct {
-	options Options
-	mu      sync.Mutex
-	runners map[int]*runner
+	options   Options
+	summaries *summaries
+	mu        sync.Mutex
+	runners   map[int]*runner
 }
 
 // New returns a manager. Call Serve to run it.
 func New(options Options) *Manager {
-	return &Manager{options: options, runners: map[int]*runner{}}
+	return &Manager{options: options, summaries: newSummaries(&options), runners: map[int]*runner{}}
 }
 
 // Serve starts and stops shards as their ownership changes, until ctx ends.
 func (m *Manager) Serve(ctx context.Context) {
+	go m.summaries.serve(ctx)
 	for {
 		changed := m.options.View.Changed()
 		m.reconcile(ctx, m.options.View.Current())
@@ -52,7 +54,7 @@
 		current = nil
 	}
 	if current == nil && unit.Mine {
-		m.runners[shard] = startRunner(ctx, m.options, shard, unit.Epoch)
+		m.runners[shard] = startRunner(ctx, m.options, m.summaries, shard, unit.Epoch)
 	}
 }
 
--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -16,9 +16,9 @@
 	if r.jobs.Waiting() == 0 || !r.leased() {
 		return
 	}
-	r.owners.refresh(now)
+	r.owners.refresh()
 	if !r.owners.known() {
-		return // the first summary calls place again
+		return // tried again in the next tick
 	}
 	batches := map[string]*reservation{}
 	for _, g := range r.jobs.NextGroups(now, maxGroupsPerTick) {
@@ -49,7 +49,7 @@
 	total := d.Resources.Scale(int64(len(g.Tasks)))
 	owner := r.owners.choose(d.Pool, d.Resources, total, now, nil)
 	if owner == "" {
-		r.waits(g, "no rack owner that was asked has room in pool "+d.Pool, now)
+		r.deferred(g, "no rack owner that was asked has room in pool "+d.Pool, now)
 		return
 	}
 	if d.Gang {
@@ -62,8 +62,24 @@
 	batches[owner].groups = append(batches[owner].groups, g)
 }
 
+// deferred puts a group back that no known owner has room for. It costs no call, so
+// it is tried again soon and without a growing backoff.
+func (r *runner) deferred(g job.Group, reason string, now time.Duration) {
+	r.noteWait(g, reason)
+	r.jobs.Defer(g, reason, now)
+}
+
+// waits puts a group back that an owner has refused.
 func (r *runner) waits(g job.Group, reason string, now time.Duration) {
+	r.noteWait(g, reason)
 	r.jobs.NoRoom(g, reason, now)
+}
+
+// noteWait records why a group waits, once for each reason.
+func (r *runner) noteWait(g job.Group, reason string) {
+	if g.Job.Tasks[g.Tasks[0]].Reason == reason {
+		return
+	}
 	r.note(g.Job.ID, "waits", reason)
 	r.Log.Emit(eventWaits, "job", g.Job.ID, "tasks", len(g.Tasks), "class", g.Job.Definition.Class, "reason", reason)
 }
@@ -125,7 +141,7 @@
 		rooms[room.TaskID] = heldByOwner{owner: m.batch.owner, room: room}
 	}
 	if m.err != nil {
-		delete(r.owners.summaries, m.batch.owner)
+		r.owners.shared.forget(m.batch.owner)
 	}
 	if m.batch.gang {
 		r.gangReserved(m, rooms)
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -53,7 +53,7 @@
 // message is handled by the runner's goroutine.
 type message interface{ handle(r *runner) }
 
-func startRunner(parent context.Context, options Options, shard int, epoch int64) *runner {
+func startRunner(parent context.Context, options Options, shared *summaries, shard int, epoch int64) *runner {
 	ctx, cancel := context.WithCancel(parent)
 	r := &runner{
 		Options: options, shard: shard, epoch: epoch, cancel: cancel, ctx: ctx,
@@ -63,7 +63,7 @@
 		history: map[string][]wire.HistoryRow{}, rackEpochs: map[string]int64{},
 		missing: map[string]time.Duration{},
 	}
-	r.owners = newOwnerChoice(r)
+	r.owners = newOwnerChoice(shared)
 	go r.serve()
 	return r
 }
