Isolate workers that fail every request

Cause: only failures of tasks isolated a worker. A worker that failed every request at once kept its slots free and so drew more requests than the others, and the first failed run was the caller's answer.

Change: an idempotent request whose run failed runs again on another worker within the policy's retries, the retry budget and the deadline. Borrowers send counts of finished and failed requests per worker and operation in BorrowArgs, and the rack owner judges them with core/quarantine, stops lending isolated workers and lends one slot as a probe after the backoff. An owner isolates at most a third of its workers for requests. A replaced worker starts without its predecessor's failures.

Tests (20 workers, 2 faulty): after the isolation 2400 requests caused at most one start on the faulty workers, and one probe each after the backoff. Each new test fails without its mechanism: without judgeRuns and with a probe loan that is reused (TestWorkersThatFailEverythingAreAvoided), without the run on another worker and without the check for one (TestFailedRunGoesToAnotherWorker), without the bound on isolated workers (TestOperationThatFailsEverywhereIsolatesNobody), without room for failures in full counts (TestRunCountsAreBounded).

Conclusion: a worker that fails everything costs a few requests a retry instead of an answer. Services with a single operation are not covered: core/quarantine asks for failures of two operations.

--- a/core/loan/ledger.go
+++ b/core/loan/ledger.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// Loan returns a loan that has not lapsed.
+func (l *Ledger) Loan(id int64) (Loan, bool) {
+	loan := l.live[id]
+	if loan == nil {
+		return Loan{}, false
+	}
+	return *loan, true
+}
+
+// LoansOn returns the ids of the loans of a VM to a borrower, in ascending order.
+func (l *Ledger) LoansOn(vm, borrower string) []int64 {
+	var ids []int64
+	for id, loan := range l.live {
+		if loan.VM == vm && loan.Borrower == borrower {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // LentTo returns the slots of a pool that are on loan, by borrower.
 func (l *Ledger) LentTo(pool string) map[string]int64 {
 	lent := map[string]int64{}
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -92,6 +92,20 @@
 	return true
 }
 
+// TakeProbeSlot takes one slot of a worker that is quarantined and otherwise open.
+func (c *Cell) TakeProbeSlot(s Slot) bool {
+	if !c.slotValid(s) {
+		return false
+	}
+	w := &c.states[s.worker]
+	if !w.Quarantined || !w.Usable || w.Leaving || w.Capacity.Slots-w.Committed.Slots < 1 {
+		return false
+	}
+	w.Slots++
+	c.adjust(s.worker, resource.Vector{Slots: 1})
+	return true
+}
+
 // ReturnSlots frees slots taken with TakeSlots. It returns the number freed,
 // which is lower than n if the worker was replaced or fewer were taken.
 func (c *Cell) ReturnSlots(s Slot, n int64) int64 {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -233,6 +233,15 @@
 	}
 }
 
+// ProbeUnused notes that the task of a probe was never started. The worker may be
+// probed again after the first wait.
+func (t *Tracker) ProbeUnused(vm string, now time.Duration) {
+	if w, ok := t.workers[vm]; ok && w.probing {
+		w.probing = false
+		w.probeAt = now + t.options.FirstProbe
+	}
+}
+
 // Expire ends probes of which nothing was heard; they count as failed.
 func (t *Tracker) Expire(now time.Duration) {
 	for _, w := range t.workers {
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -40,6 +40,19 @@
 	Want        int64 // slots wanted in addition
 	Renew       []int64
 	Return      []SlotReturn // slots given back in the same message
+	Runs        []RunCount   // ended requests since the last call, at most MaxRunCounts
+}
+
+// MaxRunCounts bounds the run counts in one borrow call.
+const MaxRunCounts = 64
+
+// RunCount counts the requests of one operation that ended on one worker.
+type RunCount struct {
+	VM          string
+	Incarnation int64
+	Operation   string // service/operation
+	Finished    int64
+	Failed      int64
 }
 
 // Loan lends slots of one worker until the borrower's clock, counted from before
@@ -57,6 +70,7 @@
 	TTLMS          int64
 	MaxDeadlineMS  int64 // longest run lease that a start under this loan may ask for
 	LenderInstance string
+	Probe          bool // for one request that may run again: the worker failed everything before
 }
 
 // SlotReturn gives back slots of one loan.
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -92,6 +92,7 @@
 		}
 	}
 	o.ledger.Forget(w.vm.Name)
+	o.failures.Forget(w.vm.Name)
 	o.cell.RemoveWorker(w.vm.Name)
 	w.fenced = false
 	w.draining = false
@@ -103,6 +104,7 @@
 func (o *Owner) fenced(w *worker, m inventory) {
 	if w.incarnation != 0 && w.incarnation != m.report.Incarnation {
 		o.ledger.Forget(w.vm.Name)
+		o.failures.Forget(w.vm.Name)
 		o.cell.RemoveWorker(w.vm.Name)
 		w.foreign = 0
 	}
@@ -208,12 +210,10 @@
 			o.Log.Emit(eventIsolated, "vm", vm, "task", a.task.ID)
 			o.cell.SetQuarantined(vm, true)
 		}
-		for _, vm := range verdict.Restore {
-			o.cell.SetQuarantined(vm, false)
-		}
+		o.restore(verdict.Restore...)
 	case wire.RunFinished:
 		if o.failures.Succeeded(w.vm.Name, a.task.ID, a.task.Operation) {
-			o.cell.SetQuarantined(w.vm.Name, false)
+			o.restore(w.vm.Name)
 		}
 		o.failures.ForgetTask(a.task.ID)
 		o.sizes.Ended(a.task.Operation, a.task.Usage, 0, now)
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -43,14 +43,19 @@
 
 func (m borrowCall) handle(o *Owner) {
 	now := o.Now()
-	answer := wire.BorrowReply{}
+	answer := wire.BorrowReply{Lapsed: o.judgeRuns(m.args, now)}
 	for _, back := range m.args.Return {
 		if freed, ok := o.ledger.Return(back.LoanID, m.args.Borrower, back.Slots); ok {
 			o.freeSlots(freed)
+			o.failures.ProbeUnused(freed.VM, now)
 		}
 	}
 	decline := o.declinable(m.args, now)
 	for _, id := range m.args.Renew {
+		if given, _ := o.ledger.Loan(id); o.failures.Isolated(given.VM) {
+			answer.Lapsed = append(answer.Lapsed, id)
+			continue
+		}
 		if decline > 0 || !o.ledger.Renew(id, m.args.Borrower, now) {
 			decline--
 			answer.Lapsed = append(answer.Lapsed, id)
@@ -107,6 +112,9 @@
 		given := o.ledger.Grant(vm, args.Pool, args.Borrower, slots, now)
 		loans = append(loans, o.loanOf(given, now))
 	}
+	if wanted > 0 || len(args.Renew) > 0 {
+		loans = append(loans, o.lendProbe(args, now)...)
+	}
 	if len(loans) > 0 {
 		o.Log.Emit(eventLent, "to", args.Borrower, "pool", args.Pool, "wanted", args.Want, "slots", sum(granted), "workers", len(granted), "free", free)
 	}
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -190,6 +190,7 @@
 		}
 	}
 	o.ledger.Forget(name)
+	o.failures.Forget(name)
 	o.cell.RemoveWorker(name)
 	delete(o.workers, name)
 }
--- a/daemon/router/borrow.go
+++ b/daemon/router/borrow.go
@@ -23,6 +23,7 @@
 	nextAsk   time.Duration
 	nextSpare time.Duration // not asked for spare slots before
 	strikes   int
+	runs      runCounts
 	freeThere int64 // slots that stayed free at its last answer, -1 before one
 }
 
@@ -180,7 +181,8 @@
 // keepLoans renews loans that are needed and returns the others.
 func (s *state) keepLoans(p *poolState, now time.Duration) {
 	for _, l := range p.lenders {
-		if !l.calling && now >= l.nextAsk && s.hasDue(p, l, now) {
+		failures := l.runs.failed && now-l.calledAt >= failureReportEvery
+		if !l.calling && now >= l.nextAsk && (failures || s.hasDue(p, l, now)) {
 			s.call(p, l, 0, now)
 		}
 	}
@@ -223,6 +225,7 @@
 		Incarnation: snapshot.Self.Incarnation,
 		Pool:        p.name,
 		Want:        want,
+		Runs:        l.runs.take(),
 	}
 	s.sortLoans(p, l, args, now)
 	l.calling, l.calledAt, l.wanted = true, now, want
--- a/daemon/router/handle.go
+++ b/daemon/router/handle.go
@@ -66,24 +66,34 @@
 }
 
 // runIdempotent acquires a slot and runs the request. A request that never ran,
-// whose result is lost or whose run lease has surely lapsed goes to another worker
-// while the deadline, the policy and the retry budget allow.
+// whose result is lost, whose run lease has surely lapsed or whose run failed goes to
+// another worker while the deadline, the policy and the retry budget allow.
 func (r *Router) runIdempotent(ctx context.Context, plan *Plan) (*Answer, *wire.Problem) {
 	r.budget.request()
 	query := plan.Query()
-	earlier := wire.OutcomeNotRun // of the earlier attempts
+	past := &history{outcome: wire.OutcomeNotRun}
+	defer func() { r.blame(plan, past) }()
 	for generation := int64(1); ; generation++ {
 		slot, p := r.Acquire(ctx, query)
 		if p != nil {
-			return nil, honest(p, earlier)
+			return nil, past.honest(p)
 		}
 		run, early := r.prepare(slot, plan.Start(generation))
 		outcome := early
 		if early == nil {
-			run.stop = true
+			run.stop, run.deferFailure = true, true
 			got := r.followUntilLapsed(ctx, run)
 			outcome = &got
 		}
+		if ranAndFailed(*outcome) {
+			past.fail(plan, slot, outcome.Result)
+			query.Probe = false
+			query.Avoid = append(query.Avoid, slot.VM)
+			if !r.mayRunAgain(ctx, plan, past, generation, query.Avoid) {
+				return nil, past.last
+			}
+			continue
+		}
 		if answer, p, settled := settle(plan, slot, *outcome); settled {
 			if answer != nil {
 				r.Ack(slot, plan.ID, generation)
@@ -93,10 +103,10 @@
 		if !outcome.Ended() && r.options.Now() < run.lapsed {
 			return nil, unknown(sendAgain, "the end of the run was not learned in time: %s", outcome.Reason)
 		}
-		earlier = worse(earlier, *outcome)
+		past.outcome = worse(past.outcome, *outcome)
 		query.Avoid = append(query.Avoid, slot.VM)
-		if p := r.mayResend(ctx, plan, generation, outcome.Reason); p != nil {
-			return nil, honest(p, earlier)
+		if p := r.mayResend(ctx, plan, generation, "never-ran", outcome.Reason); p != nil {
+			return nil, past.honest(p)
 		}
 	}
 }
@@ -154,7 +164,7 @@
 
 // mayResend waits for the backoff before another attempt, or returns why none is
 // made.
-func (r *Router) mayResend(ctx context.Context, plan *Plan, generation int64, reason string) *wire.Problem {
+func (r *Router) mayResend(ctx context.Context, plan *Plan, generation int64, kind, reason string) *wire.Problem {
 	if generation > int64(max(plan.Policy.MaxRetries, minResends)) {
 		return busy("retries-used-up", noSlotRetry, "no worker ran the request in %d attempts, the last one: %s", generation, reason)
 	}
@@ -165,7 +175,7 @@
 	if r.options.Now()+wait >= plan.Deadline {
 		return busy("deadline-passed", notReadyRetry, "no time is left for another attempt; the last one: %s", reason)
 	}
-	r.options.Observer.Retried("never-ran")
+	r.options.Observer.Retried(kind)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/daemon/router/loans.go
+++ b/daemon/router/loans.go
@@ -52,6 +52,9 @@
 // slot takes one slot of the loan.
 func (l *loan) slot(pool string) *Slot {
 	l.busy++
+	if l.Probe {
+		l.dropped = true // one request decides
+	}
 	return &Slot{
 		VM:          l.VM,
 		Address:     l.Address,
@@ -60,6 +63,7 @@
 		Epoch:       l.Epoch,
 		Incarnation: l.Incarnation,
 		pool:        pool,
+		probe:       l.Probe,
 		loan:        l,
 		end:         l.end,
 		clock:       time.Duration(l.WorkerClockMS) * time.Millisecond,
--- a/daemon/router/plan.go
+++ b/daemon/router/plan.go
@@ -113,6 +113,7 @@
 		Weight:      p.Weight,
 		Deadline:    p.Deadline,
 		CrossRegion: p.Policy.CrossRegion,
+		Probe:       p.Op.Idempotent && p.Policy.MaxRetries > 0,
 	}
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -164,6 +164,8 @@
 	sent   time.Duration // boot clock before it is sent
 	lapsed time.Duration // its run lease has surely lapsed then
 	stop   bool          // end the run when nobody waits for it any more
+
+	deferFailure bool // the request is judged when all its attempts have ended
 }
 
 // prepare fills in what depends on the slot. It gives the slot back and returns an
@@ -218,6 +220,10 @@
 
 		service:   run.start.Service,
 		operation: run.start.Operation,
+
+		failed: ranAndFailed(outcome),
+
+		deferFailure: run.deferFailure && !run.slot.probe,
 	}
 	if !outcome.Ended() {
 		m.hold = run.lapsed
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -136,6 +136,9 @@
 
 	service   string
 	operation string
+
+	failed       bool // it ran and ended as failed
+	deferFailure bool // failedMsg counts the failure
 }
 
 func (m releaseMsg) apply(s *state) {
@@ -147,7 +150,10 @@
 	now := s.now()
 	p := s.pool(slot.pool)
 	s.judge(m, now)
-	if m.ran {
+	if m.ran && !(m.failed && m.deferFailure) {
+		p.countRun(slot, m.service+"/"+m.operation, m.failed)
+	}
+	if m.ran && !m.failed { // a quick failure says nothing about the service rate
 		p.rate.Observe(m.took)
 		p.runTime(m.service, m.operation).Observe(m.took)
 	}
@@ -269,6 +275,8 @@
 		return "worker did not take the last start"
 	case q == nil:
 		return ""
+	case l.Probe && !q.Probe:
+		return "worker is isolated, only a request that may run again probes it"
 	case l.tier == tierRemote && !q.CrossRegion:
 		return "policy keeps the request in the region"
 	}
@@ -310,11 +318,16 @@
 	return true
 }
 
-// better prefers the nearer worker, then the one with the smaller part in use.
+// better prefers the nearer worker, then one that waits for a probe, then the one
+// with the smaller part in use. A probe that is not used delays the return of its
+// worker.
 func (l *loan) better(o *loan) bool {
 	if l.tier != o.tier {
 		return l.tier < o.tier
 	}
+	if l.Probe != o.Probe {
+		return l.Probe
+	}
 	return l.busy*o.Slots < o.busy*l.Slots
 }
 
--- a/daemon/router/types.go
+++ b/daemon/router/types.go
@@ -58,7 +58,8 @@
 	Weight      float64
 	Deadline    time.Duration // boot clock
 	CrossRegion bool
-	Avoid       []string // VMs that have refused this request
+	Avoid       []string // VMs that have refused this request, or on which it failed
+	Probe       bool     // may be sent to an isolated worker, because it may run again
 }
 
 // Slot is the right to start one request on one worker. It is used by one Run or
@@ -72,6 +73,7 @@
 	Incarnation int64
 
 	pool     string
+	probe    bool // one run decides whether its worker is used again
 	loan     *loan
 	end      time.Duration // boot clock; no start at or after it
 	clock    time.Duration // conservative worker clock at reference
