--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -74,12 +74,14 @@
 		state     State
 		event     Event
 	}{
-		{"2 one place per task", Task, "running", "reserved"},
-		{"2 one place per task", Task, "resolving", "intent-logged"},
+		{"2 one place per task", Task, "running", "taken"},
+		{"2 one place per task", Task, "verifying", "intent-logged"},
 		{"4 not run is relied on", Request, "not-run", "slot-granted"},
 		{"5 at most once", Request, "sent", "slot-granted"},
 		{"7 stop cuts nothing off", Daemon, "draining", "release-logged"},
-		{"8 never reverts", ConfigVersion, "in-force", "base-is-stale"},
+		{"8 never reverts", ConfigVersion, "accepted", "base-is-stale"},
+		{"1 slots are not used twice", Lease, "lapsed", "renewed"},
+		{"1 slots are not used twice", Lease, "lent", "settled"},
 		{"1 no stale owner", Lease, "ended", "renewed"},
 	}
 	for _, c := range cases {
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -76,20 +76,36 @@
 	}
 	r.Log.Emit(eventOpened, "shard", r.shard, "epoch", r.epoch, "jobs", r.jobs.Len(), "keys", r.keys.Len(), "state", r.jobs.String())
 	defer r.Log.Emit(eventClosed, "shard", r.shard, "epoch", r.epoch)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	idle := false
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
 		case m := <-r.messages:
 			m.handle(r)
-		case <-ticker.C:
+			if idle {
+				idle = false
+				timer.Reset(tickInterval)
+			}
+		case <-timer.C:
 			r.tick()
+			idle = !r.busy()
+			if idle {
+				timer.Reset(idleTickInterval)
+			} else {
+				timer.Reset(tickInterval)
+			}
 		}
 	}
 }
 
+// busy reports whether something waits that a tick moves on.
+func (r *runner) busy() bool {
+	return r.jobs.Waiting() > 0 || r.jobs.Verifying() > 0 || r.stopping
+}
+
 // open replays the stream. It goes on trying until it succeeds or the shard is
 // taken away.
 func (r *runner) open() bool {
@@ -270,6 +286,7 @@
 func (r *runner) tick() {
 	now := r.Now()
 	r.publishStats()
+	r.logRefusals()
 	if now >= r.nextKeep {
 		r.nextKeep = now + housekeepInterval
 		r.housekeep(now)
@@ -287,6 +304,13 @@
 	r.stats.Store(&Stats{Jobs: r.jobs.Len(), Waiting: r.jobs.Waiting(), Verify: r.jobs.Verifying(), Keys: r.keys.Len()})
 }
 
+// logRefusals logs what the task chart refused.
+func (r *runner) logRefusals() {
+	for _, err := range r.jobs.TakeRefusals() {
+		r.Log.Emit(eventStep, "shard", r.shard, "error", err.Error())
+	}
+}
+
 func (r *runner) housekeep(now time.Duration) {
 	wall := r.WallMS()
 	r.jobs.Expire(wall, keepFinished)
