--- a/core/loan/ledger.go
+++ b/core/loan/ledger.go
@@ -178,10 +178,10 @@
 	}
 }
 
-// Loan returns a loan that has not lapsed.
+// Loan returns a loan that was not found to have lapsed.
 func (l *Ledger) Loan(id int64) (Loan, bool) {
-	loan := l.live[id]
-	if loan == nil {
+	loan := l.loans[id]
+	if loan == nil || loan.state != stateLent {
 		return Loan{}, false
 	}
 	return *loan, true
@@ -190,8 +190,8 @@
 // LoansOn returns the ids of the loans of a VM to a borrower, in ascending order.
 func (l *Ledger) LoansOn(vm, borrower string) []int64 {
 	var ids []int64
-	for id, loan := range l.live {
-		if loan.VM == vm && loan.Borrower == borrower {
+	for id, loan := range l.loans {
+		if loan.VM == vm && loan.Borrower == borrower && loan.state == stateLent {
 			ids = append(ids, id)
 		}
 	}
