--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -91,6 +91,17 @@
 	p.until = until
 }
 
+// Shrink lowers the amount, before the ledger is told that less is wanted.
+func (p *Portion) Shrink(amount resource.Vector) { p.amount = p.amount.Min(amount) }
+
+// Amount returns what the portion covers at now.
+func (p *Portion) Amount(now time.Duration) resource.Vector {
+	if now >= p.until {
+		return resource.Vector{}
+	}
+	return p.amount
+}
+
 // Take charges an amount; it returns false when the portion has lapsed or does not
 // cover it. Kinds with a zero quota must be zero in the amount.
 func (p *Portion) Take(now time.Duration, amount resource.Vector) bool {
--- /dev/null
+++ b/core/admission/quota_test.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/resource"
+	"briarproxy/core/wire"
+)
+
+const (
+	testTTL   = 10 * time.Second
+	testDrift = 200 * time.Millisecond
+)
+
+// quotaCall is a call on its way. Its answer can be lost, and it can be overtaken.
+type quotaCall struct {
+	holder string
+	seq    int64
+	sent   time.Duration
+	wish   wire.QuotaWish
+}
+
+// quotaModel is one team, three holders and owners that follow one another.
+type quotaModel struct {
+	now     time.Duration
+	seq     int64
+	owner   *QuotaOwner
+	holders map[string]*QuotaHolder
+	calls   []quotaCall
+	granted int
+	pending map[string]int64 // call that each holder waits for
+}
+
+func (m *quotaModel) used() (sum int64) {
+	for _, h := range m.holders {
+		sum += h.team("t").portion.Used().Slots
+	}
+	return sum
+}
+
+// step does one thing that the random source chooses.
+func (m *quotaModel) step(rng *rand.Rand, quota resource.Vector) {
+	name := []string{"a", "b", "c"}[rng.IntN(3)]
+	h := m.holders[name]
+	switch step := rng.IntN(200); {
+	case step < 50:
+		h.Waiting("t", resource.Vector{Slots: rng.Int64N(8)})
+		for h.Take(m.now, "t", resource.Vector{Slots: 1}) && rng.IntN(4) > 0 {
+			continue
+		}
+	case step < 90:
+		if n := h.team("t").portion.Used().Slots; n > 0 {
+			h.Put("t", resource.Vector{Slots: rng.Int64N(n) + 1})
+		}
+	case step < 140:
+		for _, wishes := range h.Due(m.now) {
+			m.seq++
+			m.pending[name] = m.seq
+			m.calls = append(m.calls, quotaCall{holder: name, seq: m.seq, sent: m.now, wish: wishes[0]})
+		}
+	case step < 199:
+		m.deliver(rng, quota)
+	default:
+		m.owner = NewQuotaOwner(m.now, testTTL+testDrift)
+	}
+}
+
+// deliver hands a call to the owner. The holder may have given it up before, and
+// its answer can be lost.
+func (m *quotaModel) deliver(rng *rand.Rand, quota resource.Vector) {
+	if len(m.calls) == 0 {
+		return
+	}
+	i := rng.IntN(len(m.calls))
+	call := m.calls[i]
+	h := m.holders[call.holder]
+	awaited := m.pending[call.holder] == call.seq
+	if awaited && rng.IntN(4) == 0 {
+		m.pending[call.holder] = 0
+		h.Failed(m.now, "t")
+		return
+	}
+	m.calls = append(m.calls[:i], m.calls[i+1:]...)
+	portion, ok := m.owner.Lease(m.now, call.holder, call.seq, quota, call.wish)
+	if !awaited {
+		return
+	}
+	m.pending[call.holder] = 0
+	if !ok || rng.IntN(4) == 0 {
+		h.Failed(m.now, "t")
+		return
+	}
+	portion.TTLMS = testTTL.Milliseconds()
+	h.Granted(m.now, call.sent+testTTL, portion)
+	m.granted++
+}
+
+// Guards against use above a team's quota when calls are lost, delayed, overtaken,
+// and owners change without knowing what their predecessors leased.
+func TestQuotaIsNeverExceededAcrossHolders(t *testing.T) {
+	quota := resource.Vector{Slots: 8}
+	most := int64(0)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		m := &quotaModel{pending: map[string]int64{}, holders: map[string]*QuotaHolder{}}
+		for _, name := range []string{"a", "b", "c"} {
+			m.holders[name] = NewQuotaHolder()
+		}
+		m.owner = NewQuotaOwner(-time.Hour, testTTL+testDrift)
+		for range 10000 {
+			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
+			for _, h := range m.holders { // runs end with the lease that they were taken under
+				if t := h.team("t"); m.now >= t.until {
+					t.portion.Put(t.portion.Used())
+				}
+			}
+			m.step(rng, quota)
+			require.LessOrEqual(t, m.used(), quota.Slots, "seed %d", seed)
+			most = max(most, m.used())
+		}
+		require.Greater(t, m.granted, 100, "seed %d", seed)
+	}
+	require.Equal(t, quota.Slots, most, "the whole quota was used at some time")
+}
+
+// Guards against a holder that keeps a whole quota which it does not use, or uses
+// more than its share of, while others get nothing.
+func TestQuotaIsSharedBetweenHolders(t *testing.T) {
+	quota := resource.Vector{Slots: 8}
+	owner := NewQuotaOwner(-time.Hour, testTTL)
+	holders := map[string]*QuotaHolder{"a": NewQuotaHolder(), "b": NewQuotaHolder()}
+	seq := int64(0)
+	ask := func(now time.Duration, name string) {
+		for _, wishes := range holders[name].Due(now) {
+			seq++
+			portion, ok := owner.Lease(now, name, seq, quota, wishes[0])
+			require.True(t, ok)
+			portion.TTLMS = testTTL.Milliseconds()
+			holders[name].Granted(now, now+testTTL, portion)
+		}
+	}
+	one := resource.Vector{Slots: 1}
+	holders["a"].Waiting("t", resource.Vector{Slots: 20})
+	ask(0, "a")
+	require.EqualValues(t, 8, holders["a"].Amount(0, "t").Slots)
+	for range 6 {
+		require.True(t, holders["a"].Take(0, "t", one))
+	}
+	holders["b"].Waiting("t", resource.Vector{Slots: 20})
+	for now := time.Second; now < 8*time.Second; now += 100 * time.Millisecond {
+		ask(now, "a")
+		ask(now, "b")
+		if holders["a"].team("t").portion.Used().Slots > 4 {
+			holders["a"].Put("t", one)
+		}
+	}
+	require.EqualValues(t, 4, holders["b"].Amount(8*time.Second, "t").Slots)
+	require.EqualValues(t, 4, holders["a"].Amount(8*time.Second, "t").Slots)
+}
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Min returns the smaller amount of each kind.
+func (v Vector) Min(o Vector) Vector {
+	return Vector{
+		MilliCores:   min(v.MilliCores, o.MilliCores),
+		MemoryMiB:    min(v.MemoryMiB, o.MemoryMiB),
+		Accelerators: min(v.Accelerators, o.Accelerators),
+		Slots:        min(v.Slots, o.Slots),
+	}
+}
+
 // Fits reports whether v is at most capacity in every kind.
 func (v Vector) Fits(capacity Vector) bool {
 	return v.MilliCores <= capacity.MilliCores &&
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -16,6 +16,7 @@
 	RPCTaskEnded   = "Peer.TaskEnded"
 	RPCSummary     = "Peer.Summary"
 	RPCConfigSince = "Peer.ConfigSince"
+	RPCQuota       = "Peer.Quota"
 )
 
 // PingArgs and PingReply carry liveness between daemons.
--- a/core/wire/shard.go
+++ b/core/wire/shard.go
@@ -15,6 +15,9 @@
 	return int(h.Sum32() % ShardCount)
 }
 
+// TeamShard returns the key shard whose owner leases the team's quota.
+func TeamShard(team string) int { return ShardOf("team:" + team) }
+
 // ShardStream returns the log stream of a key shard.
 func ShardStream(shard int) string { return fmt.Sprintf("shard-%02d", shard) }
 
