Count the daemons' traffic by purpose from the kernel's socket counters

The load tool reads bytes and data segments of each TCP connection by sock_diag, because briar_message_bytes_total is not fed by the daemon yet, and the system call counters of /proc/PID/io include the wake-ups of the Go runtime.

--- a/standin/load/cell.go
+++ b/standin/load/cell.go
@@ -61,11 +61,13 @@
 	daemons   []*daemon
 	client    *http.Client
 	starts    startIndex
+	traffic   traffic
 }
 
 type daemon struct {
 	*process
 	url     string // callers' API
+	peer    string // IP:port of the peer listener
 	metrics string // base URL of the monitor listener
 }
 
@@ -76,6 +78,7 @@
 		return nil, err
 	}
 	c := &Cell{options: options, dir: dir, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+	c.traffic = traffic{bytes: map[string]int64{}, segments: map[string]int64{}}
 	if err := c.start(); err != nil {
 		c.Stop()
 		return nil, err
@@ -244,6 +247,8 @@
 		switch key {
 		case "caller":
 			d.url = "http://" + address
+		case "peer":
+			d.peer = address
 		case "metrics":
 			d.metrics = "http://" + address
 		}
--- a/standin/load/starts.go
+++ b/standin/load/starts.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"time"
@@ -51,11 +52,20 @@
 	if _, err := file.Seek(from, io.SeekStart); err != nil {
 		return 0, err
 	}
-	reader := bufio.NewReader(file)
+	return x.scan(file)
+}
+
+// scan takes in whole lines and returns their length. What is left is read once
+// its line is complete.
+func (x *startIndex) scan(in io.Reader) (read int64, err error) {
+	reader := bufio.NewReader(in)
 	for {
 		line, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return read, nil
+		}
 		if err != nil {
-			return read, nil // the rest is read once its line is complete
+			return read, err
 		}
 		read += int64(len(line))
 		var e worker.Entry
