--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -3,10 +3,13 @@
 package vmlist
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -141,7 +144,8 @@
 	return wire.VMList{VMs: vms}
 }
 
-func (l *List) handleList(w http.ResponseWriter, _ *http.Request) {
+// handleList answers 304 to a client that names the entity tag of the list.
+func (l *List) handleList(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	down := l.options.Now().Before(l.downUntil)
 	l.mu.Unlock()
@@ -149,5 +153,19 @@
 		httpjson.Fail(w, http.StatusServiceUnavailable, "the VM list is down")
 		return
 	}
-	httpjson.Write(w, http.StatusOK, l.Seen())
+	data, err := json.Marshal(l.Seen())
+	if err != nil {
+		httpjson.Fail(w, http.StatusInternalServerError, "%v", err)
+		return
+	}
+	digest := sha256.Sum256(data)
+	etag := strconv.Quote(hex.EncodeToString(digest[:16]))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
 }
