--- a/core/job/phase_test.go
+++ b/core/job/phase_test.go
@@ -43,3 +43,21 @@
 	require.True(t, fault.Is(refusals[0], fault.Refused))
 	require.Empty(t, s.TakeRefusals())
 }
+
+// Guards against a record that stops every owner of its shard: a count of tasks that
+// can't be allocated, or a phase that no step leads out of.
+func TestCheckRefusesWhatNoReleaseWrites(t *testing.T) {
+	bad := []Record{
+		{Submit: &Submit{ID: "j", Tasks: -1}},
+		{Submit: &Submit{ID: "j"}},
+		{Submit: &Submit{ID: "j", Tasks: MaxTasks + 1}},
+		{Submit: &Submit{Tasks: 1}},
+		{Job: &Job{Submit: Submit{ID: "j"}}},
+		{Job: &Job{Submit: Submit{ID: "j"}, Tasks: []Task{{Phase: "no such"}}}},
+	}
+	for _, r := range bad {
+		require.True(t, fault.Is(r.Check(), fault.Invalid), "%+v", r)
+	}
+	require.NoError(t, Record{Submit: &Submit{ID: "j", Tasks: MaxTasks}}.Check())
+	require.NoError(t, Record{Job: &Job{Submit: Submit{ID: "j"}, Tasks: []Task{{Phase: Running}}}}.Check())
+}
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"briarproxy/core/chart"
+	"briarproxy/core/fault"
 	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 )
@@ -99,3 +101,32 @@
 	tries      int    // failed reservations in a row
 	aborting   bool   // a gang attempt is being taken back
 }
+
+// MaxTasks bounds the tasks of one job.
+const MaxTasks = 100_000
+
+// Check refuses a record that no release of this code writes. Applying one could
+// stop every owner of the shard, one after the other.
+func (r Record) Check() error {
+	const remedy = "check for daemons of another release"
+	switch {
+	case r.Submit != nil && (r.Submit.ID == "" || r.Submit.Tasks < 1 || r.Submit.Tasks > MaxTasks):
+		return fault.New(fault.Invalid, remedy, "submission of job %q with %d tasks", r.Submit.ID, r.Submit.Tasks)
+	case r.Job != nil:
+		return r.Job.check()
+	}
+	return nil
+}
+
+func (j *Job) check() error {
+	const remedy = "check for daemons of another release"
+	if j.ID == "" || len(j.Tasks) < 1 || len(j.Tasks) > MaxTasks {
+		return fault.New(fault.Invalid, remedy, "state of job %q with %d tasks", j.ID, len(j.Tasks))
+	}
+	for i := range j.Tasks {
+		if _, known := taskChart.States[chart.State(j.Tasks[i].Phase)]; !known {
+			return fault.New(fault.Invalid, remedy, "task %d of job %q in unknown phase %q", i, j.ID, j.Tasks[i].Phase)
+		}
+	}
+	return nil
+}
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -74,8 +74,8 @@
 // Waiting returns the number of groups that wait for room.
 func (s *Shard) Waiting() int { return s.ready.Len() + s.delayed.Len() }
 
-// Apply applies a confirmed record. Records of an ended or unknown attempt have no
-// effect, so replaying a record twice is harmless.
+// Apply applies a confirmed record that passes Check. Records of an ended or unknown
+// attempt have no effect, so replaying a record twice is harmless.
 func (s *Shard) Apply(r Record, now time.Duration) {
 	switch {
 	case r.Submit != nil:
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -184,6 +184,10 @@
 func (r *runner) apply(e Entry, now time.Duration) {
 	switch {
 	case e.Job != nil:
+		if err := e.Job.Check(); err != nil {
+			r.Log.Emit(eventBadEntry, "shard", r.shard, "error", err.Error())
+			return
+		}
 		r.jobs.Apply(*e.Job, now)
 	case e.KeyIntent != nil:
 		r.keys.ApplyIntent(*e.KeyIntent)
