Refuse a job submission without an id

Cause: job.Record.Check refuses the record of such a job on every reader, so its owner would have looked for a job that does not exist. Callers can't send one; another daemon could. Change: the shard's owner answers that the call carries no job. Shown: the test fails without the condition.

--- a/daemon/shard/fuzz_test.go
+++ b/daemon/shard/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"briarproxy/core/idempotency"
 	"briarproxy/core/job"
+	"briarproxy/core/wire"
 	"briarproxy/daemon/event"
 )
 
@@ -47,3 +48,11 @@
 		require.Equal(t, before.keys.Len(), after.keys.Len())
 	})
 }
+
+// Guards against a submission without an id, whose record every reader refuses: its
+// owner would look for a job that does not exist.
+func TestSubmissionWithoutAnIDIsRefused(t *testing.T) {
+	call := jobCall{args: &wire.JobArgs{Action: wire.JobSubmit, Spec: &wire.JobSpec{}}, reply: make(chan wire.JobReply, 1)}
+	(&runner{}).submit(call)
+	require.Equal(t, wire.OutcomeNotRun, (<-call.reply).Problem.Outcome)
+}
--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -103,7 +103,7 @@
 
 func (r *runner) submit(m jobCall) {
 	spec := m.args.Spec
-	if spec == nil || spec.ID != m.args.ID {
+	if spec == nil || spec.ID == "" || spec.ID != m.args.ID {
 		m.fail(problem(http.StatusBadRequest, "malformed-job", wire.OutcomeNotRun, 0, "the call carries no job of this id", "send the job's specification"))
 		return
 	}
