Ask for reports around the expected ends of tasks

Cause: the end of a task was found by the next report, up to 2 s later, and its slots stayed committed until then; spare slots of idle borrowers counted as waiting requests. Change: reports are asked for every 200 ms while a task is expected to end, by learned run times; borrowers say how many requests wait; half of the loans of a borrower without waiting requests are not renewed while tasks wait.

--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -38,7 +38,8 @@
 	Borrower    string
 	Incarnation int64
 	Pool        string
-	Want        int64 // slots wanted in addition
+	Want        int64 // slots wanted in addition, also for requests that are expected
+	Waiting     int64 // requests that wait for a slot now
 	Renew       []int64
 	Return      []SlotReturn // slots given back in the same message
 	Runs        []RunCount   // ended requests since the last call, at most MaxRunCounts
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -218,7 +218,14 @@
 			o.restore(w.vm.Name)
 		}
 		o.failures.ForgetTask(a.task.ID)
-		o.sizes.Ended(a.task.Operation, a.task.Usage, 0, now)
+		o.noteRun(a, now)
+	}
+}
+
+// noteRun learns sizes and run times from an attempt that finished.
+func (o *Owner) noteRun(a *attempt, now time.Duration) {
+	if a.begunAt > 0 {
+		o.sizes.Ended(a.task.Operation, a.task.Usage, now-a.begunAt, now)
 	}
 }
 
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -67,10 +67,14 @@
 	m.reply <- answer
 }
 
-// declinable returns how many renewals to decline: one a call, while others or
+// declinable returns how many renewals to decline: half of them when tasks wait and
+// no request of the borrower does, and one a call otherwise, while others or
 // tasks wait for slots of the pool and the borrower has more than an equal share.
 func (o *Owner) declinable(args *wire.BorrowArgs, now time.Duration) int {
 	others := o.slotDemand[args.Pool].until > now
+	if others && args.Waiting == 0 {
+		return (len(args.Renew) + 1) / 2 // spare slots go to the tasks that wait
+	}
 	for w, until := range o.wants {
 		if until <= now {
 			delete(o.wants, w)
@@ -103,7 +107,7 @@
 	granted := o.pick(args.Pool, min(wanted, free), now)
 	free -= sum(granted)
 	key := want{pool: args.Pool, borrower: args.Borrower}
-	if wanted > sum(granted) {
+	if args.Waiting > sum(granted) {
 		o.wants[key] = now + wantMemory
 	} else {
 		delete(o.wants, key)
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -206,10 +206,7 @@
 }
 
 func (o *Owner) tickWorker(w *worker, now time.Duration) {
-	interval := o.ReportInterval
-	if !w.fenced {
-		interval = fenceRetry
-	}
+	interval := o.reportInterval(w, now)
 	if !w.asking && now-w.askedAt >= interval && o.authorised(w, now) {
 		o.askWorker(w, now)
 	}
@@ -220,6 +217,22 @@
 	}
 }
 
+// reportInterval is the time between reports of a worker. Around the expected ends
+// of tasks it is shorter: the room of a task that has ended is found only by a
+// report. A task that is far over its expected end does not count.
+func (o *Owner) reportInterval(w *worker, now time.Duration) time.Duration {
+	if !w.fenced {
+		return fenceRetry
+	}
+	for _, a := range w.attempts {
+		overdue := now - a.expectedEnd
+		if a.expectedEnd > 0 && !a.ended() && overdue >= 0 && overdue < o.ReportInterval {
+			return min(endInterval, o.ReportInterval)
+		}
+	}
+	return o.ReportInterval
+}
+
 // Drain stops lending and reserving; what runs goes on under its leases.
 func (o *Owner) Drain() { _ = o.send(drain{}) }
 
--- a/daemon/rack/start.go
+++ b/daemon/rack/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"briarproxy/core/fault"
 	"briarproxy/core/wire"
@@ -80,6 +81,8 @@
 	a.starting = true
 	a.task.State = wire.RunRunning
 	a.leaseUntil = now + longest(startValidity+runLease)
+	a.begunAt = now
+	a.expectedEnd = now + o.sizes.RunTime(a.task.Operation, time.Duration(s.Start.RunMS)*time.Millisecond)
 	start := s.Start
 	start.Epoch = w.epoch
 	start.Incarnation = w.incarnation
--- a/daemon/rack/types.go
+++ b/daemon/rack/types.go
@@ -18,6 +18,7 @@
 const (
 	tickInterval     = 50 * time.Millisecond
 	fenceRetry       = 500 * time.Millisecond
+	endInterval      = 200 * time.Millisecond // between reports while tasks should be ending
 	renewInterval    = 5 * time.Second
 	runLease         = 20 * time.Second // run lease of tasks
 	startValidity    = 2 * time.Second  // how long a start or a renewal may be on its way
@@ -96,6 +97,8 @@
 	reservation int64         // set while the attempt is only reserved
 	expires     time.Duration // boot clock; end of the reservation
 	starting    bool          // a start may be on its way
+	begunAt     time.Duration // boot clock when the start was sent; 0 for attempts of an earlier owner
+	expectedEnd time.Duration // boot clock; 0 is unknown
 	startedAt   time.Duration // boot clock when the worker's answer to the start had arrived
 	noticeAt    time.Duration // when its end is told next
 	noticing    bool
--- a/daemon/router/borrow.go
+++ b/daemon/router/borrow.go
@@ -225,6 +225,7 @@
 		Incarnation: snapshot.Self.Incarnation,
 		Pool:        p.name,
 		Want:        want,
+		Waiting:     min(want, int64(p.queue.Len())),
 		Runs:        l.runs.take(),
 	}
 	s.sortLoans(p, l, args, now)
