Enforce slot quotas of teams with leased portions

Cause: a team could use any number of request slots in a cell of several daemons.

Change: Peer.Quota leases portions; the router charges requests before it queues them, holds back or refuses (429, not run, Retry-After) what the portion does not cover, and answers 503 when the portion has lapsed and the owner does not answer. Shard owners serve the call only under their lease, and after a predecessor lease only what is held. Repeated shard state includes the open record, so that a successor knows of it.

Tests: with a quota of 3 on 8 slots, 24 requests at once never run more than 3 at a time, also when a quarter of the callers leave.

--- a/core/admission/quotaholder.go
+++ b/core/admission/quotaholder.go
@@ -163,3 +163,6 @@
 	t.nextAsk = now + min(maxQuotaRetry, quotaRetry<<min(t.strikes, 5))
 	t.strikes++
 }
+
+// Used returns what is taken of the team's portion.
+func (h *QuotaHolder) Used(team string) resource.Vector { return h.team(team).portion.Used() }
--- a/daemon/node/handler.go
+++ b/daemon/node/handler.go
@@ -61,3 +61,7 @@
 func (h *handler) ConfigSince(args *wire.ConfigSinceArgs, reply *wire.ConfigSinceReply) error {
 	return h.control.ConfigSince(args, reply)
 }
+
+func (h *handler) Quota(args *wire.QuotaArgs, reply *wire.QuotaReply) error {
+	return h.shards.Quota(args, reply)
+}
--- a/daemon/peer/handler.go
+++ b/daemon/peer/handler.go
@@ -19,6 +19,7 @@
 	TaskEnded(args *wire.TaskEndedArgs, reply *wire.TaskEndedReply) error
 	Summary(args *wire.SummaryArgs, reply *wire.SummaryReply) error
 	ConfigSince(args *wire.ConfigSinceArgs, reply *wire.ConfigSinceReply) error
+	Quota(args *wire.QuotaArgs, reply *wire.QuotaReply) error
 }
 
 // dispatch calls the handler's method without the network.
@@ -46,6 +47,8 @@
 		return call(h.Summary, args, reply)
 	case wire.RPCConfigSince:
 		return call(h.ConfigSince, args, reply)
+	case wire.RPCQuota:
+		return call(h.Quota, args, reply)
 	default:
 		return unknownMethod(method)
 	}
--- a/daemon/peer/service.go
+++ b/daemon/peer/service.go
@@ -60,3 +60,8 @@
 func (s *service) ConfigSince(args *wire.ConfigSinceArgs, reply *wire.ConfigSinceReply) error {
 	return encodeError(s.handler.ConfigSince(args, reply))
 }
+
+// Quota serves Peer.Quota.
+func (s *service) Quota(args *wire.QuotaArgs, reply *wire.QuotaReply) error {
+	return encodeError(s.handler.Quota(args, reply))
+}
--- a/daemon/router/events.go
+++ b/daemon/router/events.go
@@ -16,5 +16,6 @@
 	eventLapsed    = event.Define(1310, "loan lapsed", log.WarnLevel, "A loan of slots ended before it was renewed. If this is frequent, check the connections to the lender.")
 	eventBorrow    = event.Define(1311, "borrow call failed", log.WarnLevel, "The owner of rack units did not answer a borrow call.")
 	eventUseless   = event.Define(1313, "loan not usable", log.WarnLevel, "A loan arrived after its end, or without slots or run lease. If this is frequent, check the delay to the lender.")
+	eventQuota     = event.Define(1350, "quota call failed", log.WarnLevel, "The owner of a key shard did not lease portions of team quotas. Portions leased before go on until they lapse; then requests of these teams are refused.")
 	eventAckFailed = event.Define(1312, "result acknowledgement failed", log.DebugLevel, "A worker did not take the acknowledgement of results; it keeps them until its own limit.")
 )
--- a/daemon/router/main_test.go
+++ b/daemon/router/main_test.go
@@ -158,6 +158,7 @@
 	keys    []string
 	job     func(args *wire.JobArgs, reply *wire.JobReply) error
 	clock   func() time.Duration
+	quota   func(args *wire.QuotaArgs, reply *wire.QuotaReply) error
 }
 
 func (f *fakePeers) Call(_ context.Context, daemon, method string, args, reply any) error {
@@ -169,6 +170,8 @@
 	case wire.RPCForward:
 		f.keys = append(f.keys, args.(*wire.ForwardArgs).Key)
 		return f.forward(len(f.keys), args.(*wire.ForwardArgs), reply.(*wire.ForwardReply))
+	case wire.RPCQuota:
+		return f.quota(args.(*wire.QuotaArgs), reply.(*wire.QuotaReply))
 	case wire.RPCJob:
 		return f.job(args.(*wire.JobArgs), reply.(*wire.JobReply))
 	}
--- a/daemon/router/plan.go
+++ b/daemon/router/plan.go
@@ -25,14 +25,16 @@
 // Plan is a request checked against one configuration version.
 type Plan struct {
 	Request
-	Version  int64
-	Service  *object.Service
-	Op       *object.Operation
-	Policy   *object.Policy
-	Pool     *object.Pool
-	Durable  bool // also when the caller chose another class than the operation's
-	Weight   float64
-	Deadline time.Duration // boot clock
+	Version int64
+	Service *object.Service
+	Op      *object.Operation
+	Policy  *object.Policy
+	Pool    *object.Pool
+	Durable bool // also when the caller chose another class than the operation's
+	Weight  float64
+
+	SlotQuota int64         // of the team, 0 for none
+	Deadline  time.Duration // boot clock
 }
 
 // Defaults for policies that leave a time out, and the longest time that a caller
@@ -88,6 +90,7 @@
 		return notRun(http.StatusBadRequest, "unknown-team", "set the "+wire.HeaderTeam+" header to a published team or leave it out", "team %q is not published", p.Team)
 	}
 	p.Weight = team.Weight
+	p.SlotQuota = team.Quota.Slots
 	wait := p.Wait
 	if wait <= 0 {
 		wait = p.Policy.Deadline
@@ -111,6 +114,7 @@
 		MinShare:    p.Policy.MinShare,
 		Team:        p.Team,
 		Weight:      p.Weight,
+		SlotQuota:   p.SlotQuota,
 		Deadline:    p.Deadline,
 		CrossRegion: p.Policy.CrossRegion,
 		Probe:       p.Op.Idempotent && p.Policy.MaxRetries > 0,
--- a/daemon/router/problem.go
+++ b/daemon/router/problem.go
@@ -42,4 +42,13 @@
 // unknownRetry is the Retry-After of an unknown outcome.
 const unknownRetry = 2 * time.Second
 
+// Limits of the Retry-After of a predicted wait.
+const (
+	minRetry = time.Second
+	maxRetry = time.Minute
+)
+
+// retrySeconds bounds a predicted wait for Retry-After.
+func retrySeconds(wait time.Duration) int64 { return seconds(min(max(wait, minRetry), maxRetry)) }
+
 func seconds(d time.Duration) int64 { return max(1, int64(math.Ceil(d.Seconds()))) }
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -18,6 +18,7 @@
 	suspects map[string]suspect
 	leaving  map[workerKey]bool
 	draining bool
+	quotas   quotas
 }
 
 // workerKey names one incarnation of a worker.
@@ -57,6 +58,18 @@
 	entry   *admission.Entry[*waiter]
 	queued  chan time.Duration // latest useful start
 	granted chan grant
+
+	charged bool          // to its team's quota
+	heldAt  time.Duration // since when it waits for the quota
+	startBy time.Duration
+}
+
+// tell passes on the latest useful start, unless an earlier one was not read yet.
+func (w *waiter) tell(startBy time.Duration) {
+	select {
+	case w.queued <- startBy:
+	default:
+	}
 }
 
 // grant answers a waiter.
@@ -68,7 +81,7 @@
 }
 
 func newState(r *Router, ctx context.Context) *state {
-	return &state{r: r, ctx: ctx, pools: map[string]*poolState{}, suspects: map[string]suspect{}, leaving: map[workerKey]bool{}}
+	return &state{r: r, ctx: ctx, pools: map[string]*poolState{}, suspects: map[string]suspect{}, leaving: map[workerKey]bool{}, quotas: newQuotas()}
 }
 
 func (s *state) now() time.Duration { return s.r.options.Now() }
@@ -98,15 +111,30 @@
 		w.granted <- grant{problem: busy("no-capacity", noSlotRetry, "no live daemon owns workers of pool %q", q.Pool)}
 		return
 	}
+	if !s.charge(w, now) {
+		s.holdBack(p, w, now)
+		return
+	}
+	s.enqueue(p, w, now)
+}
+
+// startBy returns the latest start that leaves time to run.
+func startBy(p *poolState, q *Query, now time.Duration) time.Duration {
+	return q.Deadline - min(p.runTime(q.Service, q.Operation).Mean(), (q.Deadline-now)/2)
+}
+
+// enqueue queues a request that is charged to its team.
+func (s *state) enqueue(p *poolState, w *waiter, now time.Duration) {
+	q := &w.query
 	p.queue.SetClass(admission.Class{Name: q.Class, Priority: q.Priority, MinShare: q.MinShare, MaxLength: maxQueued})
 	p.cross[q.Class] = q.CrossRegion
-	startBy := q.Deadline - min(p.runTime(q.Service, q.Operation).Mean(), (q.Deadline-now)/2)
+	startBy := startBy(p, q, now)
 	w.entry = &admission.Entry[*waiter]{Class: q.Class, Team: q.Team, Weight: q.Weight, StartBy: startBy, Value: w}
 	if shed := p.queue.Push(now, p.load(now), w.entry); shed != nil {
-		w.granted <- grant{problem: overload(shed)}
+		s.refuse(w, overload(shed))
 		return
 	}
-	w.queued <- startBy
+	w.tell(startBy)
 	s.serve(p, now)
 }
 
@@ -117,9 +145,10 @@
 }
 
 func (m cancelMsg) apply(s *state) {
-	if m.w.entry != nil {
-		s.pool(m.w.query.Pool).queue.Remove(m.w.entry)
+	if m.w.entry != nil && s.pool(m.w.query.Pool).queue.Remove(m.w.entry) {
+		s.uncharge(m.w)
 	}
+	s.dropHeld(m.w)
 	close(m.removed)
 }
 
@@ -161,7 +190,8 @@
 		p.held = append(p.held, heldSlot{slot: slot, until: m.hold})
 		return
 	}
-	p.vacate(slot.loan, now)
+	s.vacate(slot, now)
+	s.admitHeld(slot.team, now)
 	s.serve(p, now)
 }
 
@@ -174,7 +204,7 @@
 	for i, h := range p.held {
 		if h.slot == m.slot {
 			p.held = append(p.held[:i], p.held[i+1:]...)
-			p.vacate(h.slot.loan, now)
+			s.vacate(h.slot, now)
 			s.serve(p, now)
 			return
 		}
@@ -209,10 +239,13 @@
 	}
 }
 
-// vacate frees one slot of a loan.
-func (p *poolState) vacate(l *loan, now time.Duration) {
-	l.busy--
-	l.idleSince = now
+// vacate frees a slot of a loan and the part of the quota that it was charged to.
+func (s *state) vacate(slot *Slot, now time.Duration) {
+	slot.loan.busy--
+	slot.loan.idleSince = now
+	if slot.team != "" {
+		s.quotas.holder.Put(slot.team, oneSlot)
+	}
 }
 
 // serve hands out free slots and asks for more where they are missing.
@@ -239,7 +272,7 @@
 	}
 	for _, entry := range passed {
 		if p.queue.Push(now, admission.Load{}, entry) != nil {
-			entry.Value.granted <- grant{problem: busy("no-slot", noSlotRetry, "no slot became free before the deadline")}
+			s.refuse(entry.Value, busy("no-slot", noSlotRetry, "no slot became free before the deadline"))
 		}
 	}
 }
@@ -314,7 +347,11 @@
 	if best == nil {
 		return false
 	}
-	w.granted <- grant{slot: best.slot(p.name), reason: reasonFor(best.tier, candidates), refused: refusedList(counts)}
+	slot := best.slot(p.name)
+	if w.charged {
+		slot.team = w.query.Team
+	}
+	w.granted <- grant{slot: slot, reason: reasonFor(best.tier, candidates), refused: refusedList(counts)}
 	return true
 }
 
@@ -335,6 +372,9 @@
 func (s *state) tick() time.Duration {
 	now := s.now()
 	next := idleTick
+	if s.tickQuotas(now) {
+		next = busyTick
+	}
 	for _, p := range s.pools {
 		s.expire(p, now)
 		s.giveUp(p, now)
@@ -358,7 +398,7 @@
 	}
 	p.checkedAt = now
 	for _, late := range p.queue.Hopeless(now, p.load(now)) {
-		late.Entry.Value.granted <- grant{problem: overload(&late.Shed)}
+		s.refuse(late.Entry.Value, overload(&late.Shed))
 	}
 }
 
@@ -374,7 +414,7 @@
 			held = append(held, h)
 			continue
 		}
-		p.vacate(h.slot.loan, now)
+		s.vacate(h.slot, now)
 	}
 	clear(p.held[len(held):])
 	p.held = held
@@ -466,8 +506,15 @@
 func (s *state) refuseAll() {
 	for _, p := range s.pools {
 		for entry := p.queue.Pop(nil); entry != nil; entry = p.queue.Pop(nil) {
-			entry.Value.granted <- grant{problem: stopping()}
+			s.refuse(entry.Value, stopping())
+		}
+	}
+	for team, waiting := range s.quotas.held {
+		for _, w := range waiting {
+			s.refuse(w, stopping())
 		}
+		delete(s.quotas.held, team)
+		s.quotas.noteWaiting(team)
 	}
 }
 
--- a/daemon/router/types.go
+++ b/daemon/router/types.go
@@ -56,6 +56,7 @@
 	MinShare    float64
 	Team        string
 	Weight      float64
+	SlotQuota   int64         // quota of the team, 0 for none
 	Deadline    time.Duration // boot clock
 	CrossRegion bool
 	Avoid       []string // VMs that have refused this request, or on which it failed
@@ -73,7 +74,8 @@
 	Incarnation int64
 
 	pool     string
-	probe    bool // one run decides whether its worker is used again
+	team     string // charged for the slot, "" for a team without a quota
+	probe    bool   // one run decides whether its worker is used again
 	loan     *loan
 	end      time.Duration // boot clock; no start at or after it
 	clock    time.Duration // conservative worker clock at reference
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarproxy/core/admission"
 	"briarproxy/core/fault"
 	"briarproxy/core/idempotency"
 	"briarproxy/core/job"
@@ -30,6 +31,7 @@
 	stream     Stream
 	jobs       *job.Shard
 	keys       *idempotency.Table
+	quotas     *admission.QuotaOwner
 	waiters    map[string][]chan struct{} // closed when the job or key changes
 	submitting map[string]bool            // job ids whose Submit record is being appended
 	history    map[string][]wire.HistoryRow
@@ -145,6 +147,7 @@
 	now := r.Now()
 	r.jobs.FinishReplay(now)
 	r.keys.FinishReplay()
+	r.quotas = newQuotas(now, p.predecessor)
 	r.nextRepeat = now + r.Retention/3
 	return nil
 }
@@ -163,6 +166,8 @@
 	r     *runner
 	epoch int64
 	seq   int64
+
+	predecessor bool // another owner served the shard before
 }
 
 func (p *replayer) item(item []byte) {
@@ -175,6 +180,7 @@
 		return
 	}
 	p.epoch, p.seq = batch.Epoch, batch.Seq
+	p.predecessor = p.predecessor || batch.Epoch < p.r.epoch
 	now := p.r.Now()
 	for _, e := range batch.Entries {
 		p.r.apply(e, now)
@@ -315,6 +321,7 @@
 	wall := r.WallMS()
 	r.jobs.Expire(wall, keepFinished)
 	r.keys.Expire(wall, keepFinished)
+	r.quotas.Expire(now)
 	for id := range r.history {
 		if r.jobs.Get(id) == nil {
 			delete(r.history, id)
@@ -350,7 +357,7 @@
 }
 
 func (r *runner) wholeState() []Entry {
-	var entries []Entry
+	entries := []Entry{{Open: &Open{Owner: r.Self}}} // a successor learns that there was an owner
 	for _, record := range r.jobs.Snapshot() {
 		entries = append(entries, Entry{Job: &record})
 	}
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -152,7 +152,10 @@
 		}}},
 		Policies: map[string]*object.Policy{"c": {Name: "c", Deadline: 5 * time.Second}},
 		Pools:    map[string]*object.Pool{"p": {Name: "p", Largest: resource.Vector{Slots: 8, MilliCores: 8000}}},
-		Teams:    map[string]*object.Team{"t": {Name: "t", Weight: 1}},
+		Teams: map[string]*object.Team{
+			"t":       {Name: "t", Weight: 1},
+			quotaTeam: {Name: quotaTeam, Weight: 1, Quota: resource.Vector{Slots: 8, MilliCores: 2000}},
+		},
 		BatchJobs: map[string]*object.BatchJob{"b": {JobTemplate: object.JobTemplate{
 			Name: "b", Pool: "p", Policy: "c", Team: "t", Tasks: 1, Resources: resource.Vector{MilliCores: 1000},
 		}}},
