Enforce team quotas for jobs

Cause: tasks of a team could use more cores, memory and accelerators than its quota.

Change: a shard owner holds portions of the quotas of the teams whose jobs it keeps. It places only tasks that the portion covers and gives back what ended tasks used. Use that a new shard owner finds running is kept from being leased to others.

TestUseFoundAfterATakeoverIsNotLeasedToOthers fails without the count of found use.

--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -47,6 +47,15 @@
 	return granted
 }
 
+// Count raises what is recorded of a holder to what it uses, which can be more than
+// its portion after a takeover, so that nobody else is leased it.
+func (l *QuotaLedger) Count(now, ttl time.Duration, holder string, used resource.Vector) {
+	amount := l.portions[holder].amount.Max(used)
+	if !amount.IsZero() {
+		l.portions[holder] = portion{amount: amount, until: now + ttl}
+	}
+}
+
 // cut limits want to free; a quota of zero is unlimited.
 func cut(want, free, quota int64) int64 {
 	if quota == 0 {
--- a/core/admission/quota_test.go
+++ b/core/admission/quota_test.go
@@ -161,3 +161,18 @@
 	require.EqualValues(t, 4, holders["b"].Amount(8*time.Second, "t").Slots)
 	require.EqualValues(t, 4, holders["a"].Amount(8*time.Second, "t").Slots)
 }
+
+// Guards against leasing to others what a new owner of a job shard found in use,
+// after the portion of its predecessor has lapsed.
+func TestUseFoundAfterATakeoverIsNotLeasedToOthers(t *testing.T) {
+	quota := resource.Vector{Slots: 8}
+	owner := NewQuotaOwner(-time.Hour, testTTL)
+	_, _ = owner.Lease(0, "old", 1, quota, wire.QuotaWish{Team: "t", Want: quota})
+	found := wire.QuotaWish{Team: "t", Want: quota, Used: quota}
+	p, _ := owner.Lease(time.Second, "new", 1, quota, found)
+	require.Zero(t, p.Amount.Slots)
+	p, _ = owner.Lease(testTTL+time.Millisecond, "other", 1, quota, wire.QuotaWish{Team: "t", Want: quota})
+	require.Zero(t, p.Amount.Slots)
+	p, _ = owner.Lease(testTTL+2*time.Millisecond, "new", 2, quota, found)
+	require.Equal(t, quota.Slots, p.Amount.Slots)
+}
--- a/core/admission/quotaholder.go
+++ b/core/admission/quotaholder.go
@@ -166,3 +166,15 @@
 
 // Used returns what is taken of the team's portion.
 func (h *QuotaHolder) Used(team string) resource.Vector { return h.team(team).portion.Used() }
+
+// SetUsed replaces what is taken of the team's portion by a count of it.
+func (h *QuotaHolder) SetUsed(team string, used resource.Vector) { h.team(team).portion.used = used }
+
+// Teams returns the teams that are held, used or waited for.
+func (h *QuotaHolder) Teams() []string {
+	names := make([]string, 0, len(h.teams))
+	for name := range h.teams {
+		names = append(names, name)
+	}
+	return names
+}
--- a/core/admission/quotaowner.go
+++ b/core/admission/quotaowner.go
@@ -60,6 +60,7 @@
 	}
 	t.ledger.SetQuota(quota)
 	portion.Amount = t.ledger.Lease(now, o.ttl, holder, want)
+	t.ledger.Count(now, o.ttl, holder, wish.Used)
 	h.unmet = !wish.Want.Fits(portion.Amount)
 	return portion, true
 }
--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -52,6 +52,10 @@
 		r.deferred(g, "no rack owner that was asked has room in pool "+d.Pool, now)
 		return
 	}
+	if !r.teams.take(g, now) {
+		r.deferred(g, "the quota of team "+d.Team+" is used up, or its owner does not answer", now)
+		return
+	}
 	if d.Gang {
 		batches["gang "+g.Job.ID] = &reservation{owner: owner, gang: true, groups: []job.Group{g}, tried: map[string]bool{}, held: map[string]heldByOwner{}}
 		return
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -36,6 +36,7 @@
 	submitting map[string]bool            // job ids whose Submit record is being appended
 	history    map[string][]wire.HistoryRow
 	owners     *ownerChoice
+	teams      *teamQuotas
 	rackEpochs map[string]int64 // epoch under which each rack unit was last seen
 	lastView   *view.Snapshot
 	missing    map[string]time.Duration // VMs that the list does not name, since when
@@ -66,6 +67,7 @@
 		missing: map[string]time.Duration{},
 	}
 	r.owners = newOwnerChoice(shared)
+	r.teams = newTeamQuotas(r)
 	go r.serve()
 	return r
 }
@@ -301,6 +303,7 @@
 		return
 	}
 	r.noticeRackChanges()
+	r.teams.tick(now)
 	r.place(now)
 	r.verify(now)
 	r.stop(now)
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -18,6 +18,7 @@
 	"briarproxy/core/wire"
 	"briarproxy/daemon/bootclock"
 	"briarproxy/daemon/event"
+	"briarproxy/daemon/peer"
 	"briarproxy/daemon/router"
 	"briarproxy/daemon/view"
 	"briarproxy/daemon/workerclient"
@@ -137,12 +138,14 @@
 	stream *memoryStream
 	worker *fakeWorker
 	calls  pond.Pool
+	peers  peer.Caller
 }
 
 func newTestCell(t *testing.T) *testCell {
 	calls := pond.NewPool(16)
 	t.Cleanup(calls.StopAndWait)
-	return &testCell{t: t, stream: &memoryStream{}, worker: newFakeWorker(), calls: calls}
+	worker := newFakeWorker()
+	return &testCell{t: t, stream: &memoryStream{}, worker: worker, calls: calls, peers: worker}
 }
 
 func testSet() *object.Set {
@@ -167,7 +170,7 @@
 func (c *testCell) owner(epoch int64, lease time.Duration) (m *Manager, stop func()) {
 	holder := view.NewHolder()
 	m = New(Options{
-		Self: "d", View: holder, Peers: c.worker, Requests: c.worker,
+		Self: "d", View: holder, Peers: c.peers, Requests: c.worker,
 		Stream: func(context.Context, int) Stream { return c.stream }, Log: event.Discard(), Observer: noObserver{},
 		Now: bootclock.Now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }, Calls: c.calls, Retention: time.Hour,
