Count bytes per purpose and region

Cause: briar_message_bytes_total and the counters of log appends had no source, so control cost and cross-region traffic could not be seen.

Change: the peer client counts the bytes of each call by method with a codec of its own around gob, the log client by kind of stream with separate connections, and worker connections are attributed by the region of the worker. Scopes platform and unknown are added.

Tests: the counts of calls that share a connection add up to the bytes on the wire.

--- a/daemon/logclient/client.go
+++ b/daemon/logclient/client.go
@@ -14,6 +14,7 @@
 
 	"briarproxy/core/fault"
 	"briarproxy/core/wire"
+	"briarproxy/daemon/internal/traffic"
 )
 
 // Times of calls to the log service.
@@ -28,25 +29,94 @@
 
 // Client calls one log service.
 type Client struct {
-	http      *resty.Client
-	transport *http.Transport
-	mu        sync.Mutex
-	next      map[string]int64 // lowest offset at which a new record of the stream can be
+	http     map[StreamKind]*resty.Client
+	traffic  Traffic
+	appended Appended
+	mu       sync.Mutex
+	next     map[string]int64 // lowest offset at which a new record of the stream can be
 }
 
+// StreamKind groups streams by what they are for. Each kind has connections of its
+// own, so that bytes are counted per kind.
+type StreamKind string
+
+// Kinds of streams.
+const (
+	StreamConfig  StreamKind = "config"
+	StreamMembers StreamKind = "members"
+	StreamShards  StreamKind = "shards"
+)
+
+func kindOf(stream string) StreamKind {
+	switch stream {
+	case wire.StreamConfig:
+		return StreamConfig
+	case wire.StreamMembers:
+		return StreamMembers
+	}
+	return StreamShards
+}
+
+// AppendResult is the result of an append.
+type AppendResult string
+
+// Results of appends.
+const (
+	AppendConfirmed AppendResult = "confirmed"
+	AppendReadBack  AppendResult = "read-back" // the answer was lost and the record found
+	AppendFailed    AppendResult = "failed"
+)
+
+// Traffic is told of bytes sent to or received from the log service, and Appended
+// of the end of an append of the given bytes. Implementations must not block.
+type (
+	Traffic  func(kind StreamKind, bytes int)
+	Appended func(stream string, result AppendResult, bytes int)
+)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTraffic has the bytes of all connections counted.
+func WithTraffic(count Traffic) Option { return func(c *Client) { c.traffic = count } }
+
+// WithAppended has all appends counted.
+func WithAppended(count Appended) Option { return func(c *Client) { c.appended = count } }
+
 // New returns a client of the log service at the base URL.
-func New(baseURL string) *Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+func New(baseURL string, options ...Option) *Client {
+	c := &Client{http: map[StreamKind]*resty.Client{}, next: map[string]int64{}, appended: func(string, AppendResult, int) {}}
+	for _, option := range options {
+		option(c)
+	}
+	for _, kind := range []StreamKind{StreamConfig, StreamMembers, StreamShards} {
+		c.http[kind] = resty.New().SetBaseURL(baseURL).SetTransport(c.transport(kind))
+	}
+	return c
+}
+
+func (c *Client) transport(kind StreamKind) *http.Transport {
+	var count func(int)
+	if c.traffic != nil {
+		count = func(bytes int) { c.traffic(kind, bytes) }
+	}
+	return &http.Transport{
+		DialContext:         traffic.Counted((&net.Dialer{Timeout: dialTimeout}).DialContext, count),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConnTimeout,
 	}
-	client := resty.New().SetBaseURL(baseURL).SetTransport(transport)
-	return &Client{http: client, transport: transport, next: map[string]int64{}}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	for _, client := range c.http {
+		client.GetClient().CloseIdleConnections()
+	}
+}
+
+// closeIdle closes the idle connections for a stream; they may have gone silent
+// with one that did.
+func (c *Client) closeIdle(stream string) { c.http[kindOf(stream)].GetClient().CloseIdleConnections() }
 
 func (c *Client) seen(stream string, next int64) {
 	c.mu.Lock()
@@ -65,24 +135,34 @@
 // fault.Refused, the record is not in the stream and never will be;
 // fault.Unknown, it may be there now or later.
 func (c *Client) Append(ctx context.Context, stream string, data []byte, contains func(data []byte) bool) (int64, error) {
+	offset, result, err := c.append(ctx, stream, data, contains)
+	c.appended(stream, result, len(data))
+	return offset, err
+}
+
+func (c *Client) append(ctx context.Context, stream string, data []byte, contains func(data []byte) bool) (int64, AppendResult, error) {
 	from := c.lowest(stream)
 	var reply wire.AppendReply
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	response, err := c.http.R().SetContext(callCtx).SetHeader("Content-Type", "application/octet-stream").
+	response, err := c.http[kindOf(stream)].R().SetContext(callCtx).SetHeader("Content-Type", "application/octet-stream").
 		SetBody(data).SetResult(&reply).ForceContentType("application/json").Post("/v1/streams/" + stream + "/records")
 	cancel()
 	if err == nil && response.IsSuccess() && reply.Offset > 0 {
 		c.seen(stream, reply.Offset+1)
-		return reply.Offset, nil
+		return reply.Offset, AppendConfirmed, nil
 	}
 	if err == nil && hadNoEffect(response.StatusCode()) {
-		return 0, refusedBy(response)
+		return 0, AppendFailed, refusedBy(response)
 	}
 	if neverSent(err) {
-		return 0, fault.Wrap(err, fault.Refused, "retry with a backoff", "the log service can't be connected to")
+		return 0, AppendFailed, fault.Wrap(err, fault.Refused, "retry with a backoff", "the log service can't be connected to")
+	}
+	c.closeIdle(stream)
+	offset, err := c.readBack(ctx, stream, from, contains)
+	if err != nil {
+		return 0, AppendFailed, err
 	}
-	c.transport.CloseIdleConnections() // they may have gone silent with this one
-	return c.readBack(ctx, stream, from, contains)
+	return offset, AppendReadBack, nil
 }
 
 // hadNoEffect reports whether an error answer was given before the record took
@@ -143,13 +223,13 @@
 	var reply wire.ReadReply
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	response, err := c.http.R().SetContext(ctx).SetResult(&reply).ForceContentType("application/json").
+	response, err := c.http[kindOf(stream)].R().SetContext(ctx).SetResult(&reply).ForceContentType("application/json").
 		SetQueryParam("from", strconv.FormatInt(from, 10)).
 		SetQueryParam("max", strconv.Itoa(limit)).
 		SetQueryParam("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10)).
 		Get("/v1/streams/" + stream + "/records")
 	if err != nil {
-		c.transport.CloseIdleConnections()
+		c.closeIdle(stream)
 		return wire.ReadReply{}, fault.Wrap(err, fault.Unavailable, "retry with a backoff", "the log service can't be read")
 	}
 	if response.IsError() {
--- a/daemon/logclient/client_test.go
+++ b/daemon/logclient/client_test.go
@@ -64,10 +64,10 @@
 	return true
 }
 
-func start(t *testing.T, s *service) *Client {
+func start(t *testing.T, s *service, options ...Option) *Client {
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	return New(server.URL)
+	return New(server.URL, options...)
 }
 
 func is(id string) func([]byte) bool {
@@ -126,3 +126,37 @@
 	}
 	require.Less(t, s.appends, items/10, "items of one moment must share an append")
 }
+
+// Guards against bytes and appends that are not counted, or counted for another
+// kind of stream, so that the control cost of the log can't be told.
+func TestTrafficIsCountedByKindOfStream(t *testing.T) {
+	var mu sync.Mutex
+	bytes := map[StreamKind]int{}
+	results := map[AppendResult]int{}
+	s := &service{}
+	client := start(t, s, WithTraffic(func(kind StreamKind, n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		bytes[kind] += n
+	}), WithAppended(func(_ string, result AppendResult, _ int) {
+		mu.Lock()
+		defer mu.Unlock()
+		results[result]++
+	}))
+	large := strconv.Quote(string(make([]byte, 10_000)))
+	appendTo := func(stream, data string) {
+		_, _ = client.Append(t.Context(), stream, []byte(data), func(found []byte) bool { return string(found) == data })
+	}
+	appendTo(wire.ShardStream(3), `"small"`)
+	s.loseAnswer = 1
+	appendTo(wire.ShardStream(4), `"lost"`)
+	s.refuse = 1
+	appendTo(wire.StreamMembers, large)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, map[AppendResult]int{AppendConfirmed: 1, AppendReadBack: 1, AppendFailed: 1}, results)
+	require.Greater(t, bytes[StreamMembers], len(large))
+	require.Greater(t, bytes[StreamShards], 300)
+	require.Less(t, bytes[StreamShards], len(large))
+	require.Zero(t, bytes[StreamConfig])
+}
--- a/daemon/metric/metric.go
+++ b/daemon/metric/metric.go
@@ -21,6 +21,18 @@
 	PurposeRequests   Purpose = "requests"
 	PurposeReports    Purpose = "reports"
 	PurposePlacement  Purpose = "placement"
+	PurposeRecords    Purpose = "records" // of key shards, in the log
+)
+
+// Scope tells how far bytes travel.
+type Scope string
+
+// Scopes of messages.
+const (
+	ScopeLocal       Scope = "local" // within the daemon's region
+	ScopeCrossRegion Scope = "cross-region"
+	ScopePlatform    Scope = "platform" // to the log service, whose region is not known
+	ScopeUnknown     Scope = "unknown"  // the other end has left the view
 )
 
 // AppendResult is the result of an append to the log.
@@ -120,12 +132,8 @@
 }
 
 // Transferred counts the bytes of a message, sent or received.
-func (m *Metrics) Transferred(purpose Purpose, crossRegion bool, bytes int) {
-	scope := "local"
-	if crossRegion {
-		scope = "cross-region"
-	}
-	m.bytes.WithLabelValues(string(purpose), scope).Add(float64(bytes))
+func (m *Metrics) Transferred(purpose Purpose, scope Scope, bytes int) {
+	m.bytes.WithLabelValues(string(purpose), string(scope)).Add(float64(bytes))
 }
 
 // bounded admits the first values of a label and replaces the others.
--- a/daemon/metric/metric_test.go
+++ b/daemon/metric/metric_test.go
@@ -40,7 +40,7 @@
 	m.Waited("c", 3*time.Millisecond)
 	m.Retried("never-ran")
 	m.Appended("shard-07", AppendReadBack, 100)
-	m.Transferred(PurposeLoans, true, 50)
+	m.Transferred(PurposeLoans, ScopeCrossRegion, 50)
 	m.ObservePools(fixedPools{{Pool: "p", Queued: map[string]int{"c": 4}, Slots: 8, Busy: 3, Unsettled: 1}})
 	want := `
 # HELP briar_log_appends_total Appends to the log service.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -167,9 +167,11 @@
 
 func (n *Node) build() error {
 	self := n.self()
-	n.log = logclient.New(n.settings.LogURL)
-	n.workers = workerclient.New()
+	counts := newTraffic(n.metrics, n.holder)
+	n.log = logclient.New(n.settings.LogURL, logclient.WithTraffic(counts.log), logclient.WithAppended(counts.appended))
+	n.workers = workerclient.New(workerclient.WithTraffic(counts.worker))
 	n.peers = peer.NewClient(self.Name, n.peerAddress, nil)
+	n.peers.SetTraffic(counts.peer)
 	budget := logclient.NewBudget(float64(n.settings.LogAppendsPerSecond))
 	n.buildControl(self, budget)
 	n.racks = rack.New(rack.Options{
--- a/daemon/peer/client.go
+++ b/daemon/peer/client.go
@@ -25,12 +25,17 @@
 // Observer is told of every call and its outcome; err is nil on success.
 type Observer func(daemon, method string, err error)
 
+// Traffic is told of the bytes of a call, sent or received. Implementations must
+// not block.
+type Traffic func(daemon, method string, bytes int)
+
 // Client implements Caller.
 type Client struct {
 	self      string
 	local     Handler
 	directory Directory
 	observe   Observer
+	traffic   Traffic
 	mu        sync.Mutex
 	conns     map[string]*connection // by address
 }
@@ -48,6 +53,9 @@
 // before the first call.
 func (c *Client) SetLocal(h Handler) { c.local = h }
 
+// SetTraffic has the bytes of all calls counted. It is called before the first call.
+func (c *Client) SetTraffic(count Traffic) { c.traffic = count }
+
 // Call implements Caller.
 func (c *Client) Call(ctx context.Context, daemon, method string, args, reply any) error {
 	err := c.call(ctx, daemon, method, args, reply)
@@ -63,14 +71,14 @@
 	if !known {
 		return fault.New(fault.Refused, "retry when its heartbeat has been read", "daemon %q has no known address", daemon)
 	}
-	conn, err := c.connection(address)
+	conn, err := c.connection(daemon, address)
 	if err != nil {
 		return fault.Wrap(err, fault.Refused, "retry; another daemon takes over if this one stays away", "can't connect to daemon %q at %s", daemon, address)
 	}
 	return conn.call(ctx, daemon, method, args, reply)
 }
 
-func (c *Client) connection(address string) (*connection, error) {
+func (c *Client) connection(daemon, address string) (*connection, error) {
 	c.mu.Lock()
 	old := c.conns[address]
 	c.mu.Unlock()
@@ -81,7 +89,12 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := &connection{rpc: rpc.NewClient(raw)}
+	count := func(method string, bytes int) {
+		if c.traffic != nil {
+			c.traffic(daemon, method, bytes)
+		}
+	}
+	fresh := &connection{rpc: rpc.NewClientWithCodec(newCodec(raw, count))}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if current := c.conns[address]; current != nil && !current.broken.Load() {
--- a/daemon/peer/peer_test.go
+++ b/daemon/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -155,3 +156,64 @@
 	client := clientFor(t, address)
 	require.NoError(t, client.Call(context.Background(), "peer", wire.RPCBorrow, &wire.BorrowArgs{}, &wire.BorrowReply{}))
 }
+
+// Guards against bytes that are lost or counted twice, or attributed to another
+// method that shares the connection.
+func TestBytesAreCountedByMethod(t *testing.T) {
+	const size = 50_000
+	h := &handler{borrow: func(_ *wire.BorrowArgs, reply *wire.BorrowReply) error {
+		reply.Renewed = make([]int64, size)
+		return nil
+	}}
+	address := serve(t, h)
+	var wired atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		in, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(io.MultiWriter(counter{&wired}, out), in) }()
+		_, _ = io.Copy(io.MultiWriter(counter{&wired}, in), out)
+	}()
+	client := clientFor(t, listener.Addr().String())
+	var mu sync.Mutex
+	counted := map[string]int{}
+	client.SetTraffic(func(daemon, method string, bytes int) {
+		mu.Lock()
+		defer mu.Unlock()
+		counted[daemon+" "+method] += bytes
+	})
+	require.NoError(t, client.Call(t.Context(), "peer", wire.RPCPing, &wire.PingArgs{}, &wire.PingReply{}))
+	var calls sync.WaitGroup // on the one connection that is open now
+	for i := range 20 {
+		calls.Go(func() {
+			if i%2 == 0 {
+				_ = client.Call(t.Context(), "peer", wire.RPCPing, &wire.PingArgs{}, &wire.PingReply{})
+				return
+			}
+			_ = client.Call(t.Context(), "peer", wire.RPCBorrow, &wire.BorrowArgs{}, &wire.BorrowReply{})
+		})
+	}
+	calls.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	ping, borrow := counted["peer "+wire.RPCPing], counted["peer "+wire.RPCBorrow]
+	require.Len(t, counted, 2)
+	require.EqualValues(t, wired.Load(), ping+borrow)
+	require.Greater(t, borrow, 10*size)
+	require.Less(t, ping, 2000)
+}
+
+type counter struct{ n *atomic.Int64 }
+
+func (c counter) Write(b []byte) (int, error) {
+	c.n.Add(int64(len(b)))
+	return len(b), nil
+}
--- a/daemon/workerclient/client.go
+++ b/daemon/workerclient/client.go
@@ -13,6 +13,7 @@
 
 	"briarproxy/core/fault"
 	"briarproxy/core/wire"
+	"briarproxy/daemon/internal/traffic"
 )
 
 // CallTimeout is the time without an answer after which a connection counts as
@@ -56,7 +57,7 @@
 type Option func(*Client)
 
 // WithTraffic has the bytes of all connections counted.
-func WithTraffic(traffic Traffic) Option { return func(c *Client) { c.traffic = traffic } }
+func WithTraffic(count Traffic) Option { return func(c *Client) { c.traffic = count } }
 
 // New returns a client without connections.
 func New(options ...Option) *Client {
@@ -125,18 +126,12 @@
 
 func (c *Client) newHTTP(address string, conns int, keepAlive, request bool) *resty.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := dialer.DialContext
+	var count func(int)
 	if c.traffic != nil {
-		dial = func(ctx context.Context, network, to string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, to)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn, count: func(n int) { c.traffic(address, request, n) }}, nil
-		}
+		count = func(bytes int) { c.traffic(address, request, bytes) }
 	}
 	transport := &http.Transport{
-		DialContext:         dial,
+		DialContext:         traffic.Counted(dialer.DialContext, count),
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
@@ -148,26 +143,6 @@
 		SetResponseBodyLimit(maxAnswerBytes)
 }
 
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	count func(bytes int)
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.count(n)
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.count(n)
-	return n, err
-}
-
 // Fence raises the worker's epoch and returns its inventory. A refusal is in the
 // report's Refused.
 func (c *Client) Fence(ctx context.Context, address string, msg wire.Fence) (wire.Report, error) {
