Keep headroom of policies for requests

Cause: only tasks left a policy's headroom free; requests of lower classes could use every slot, so that urgent ones waited for a run to end.

Change: an entry daemon gives lower classes no slot out of the headroom share of its borrowed slots, unless their guaranteed share owes them a turn.

Tests: with 8 slots and a headroom of a quarter, 16 requests of a low class use 6 slots and urgent ones start at once (TestUrgentRequestsFindHeadroom, fails without the rule); a class with MinShare 0.2 is served under urgent load (TestHeadroomKeepsTheGuaranteedShare, fails without the exception); TestReserve fails without the slot that is always left.

Conclusion: headroom is kept per entry daemon, not by the lender.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -215,6 +215,13 @@
 	return entry
 }
 
+// Owed reports whether entries of the class wait and its guaranteed share owes them a
+// turn before classes of higher priority.
+func (q *Queue[T]) Owed(class string) bool {
+	c, found := q.classes[class]
+	return found && c.length > 0 && c.credit+c.MinShare >= 1
+}
+
 // next chooses the class: the one that is owed the most under its guaranteed share
 // once it is owed a whole entry, otherwise the one with the highest priority.
 func (q *Queue[T]) next(allow func(class string) bool) *classQueue[T] {
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -19,6 +19,7 @@
 	leaving  map[workerKey]bool
 	draining bool
 	quotas   quotas
+	headroom headroom
 }
 
 // workerKey names one incarnation of a worker.
@@ -39,6 +40,7 @@
 	name       string
 	queue      *admission.Queue[*waiter]
 	cross      map[string]bool // classes that may go to another region
+	priorities map[string]int  // of classes
 	rate       admission.ServiceRate
 	runTimes   map[string]*admission.ServiceRate // by service and operation
 	loans      []*loan
@@ -89,7 +91,7 @@
 func (s *state) pool(name string) *poolState {
 	p, found := s.pools[name]
 	if !found {
-		p = &poolState{name: name, queue: admission.NewQueue[*waiter](), cross: map[string]bool{}, runTimes: map[string]*admission.ServiceRate{}}
+		p = &poolState{name: name, queue: admission.NewQueue[*waiter](), cross: map[string]bool{}, priorities: map[string]int{}, runTimes: map[string]*admission.ServiceRate{}}
 		s.pools[name] = p
 	}
 	return p
@@ -128,6 +130,7 @@
 	q := &w.query
 	p.queue.SetClass(admission.Class{Name: q.Class, Priority: q.Priority, MinShare: q.MinShare, MaxLength: maxQueued})
 	p.cross[q.Class] = q.CrossRegion
+	p.priorities[q.Class] = q.Priority
 	startBy := startBy(p, q, now)
 	w.entry = &admission.Entry[*waiter]{Class: q.Class, Team: q.Team, Weight: q.Weight, StartBy: startBy, Value: w}
 	if shed := p.queue.Push(now, p.load(now), w.entry); shed != nil {
@@ -278,7 +281,8 @@
 }
 
 // allowed returns which classes can use the slots that are free now: all of them
-// while a local slot is free, otherwise those that may cross regions.
+// while a local slot is free, otherwise those that may cross regions. Classes that
+// must leave headroom go on only while their guaranteed share owes them a turn.
 func (s *state) allowed(p *poolState, now time.Duration) func(string) bool {
 	local, remote := false, false
 	for _, l := range p.loans {
@@ -288,10 +292,17 @@
 		local = local || l.tier != tierRemote
 		remote = remote || l.tier == tierRemote
 	}
-	if local {
+	rules := s.headroom.rules(s.r.options.View.Current().Set)
+	if local && len(rules) == 0 {
 		return nil
 	}
-	return func(class string) bool { return remote && p.cross[class] }
+	free, total := p.capacity(now)
+	return func(class string) bool {
+		if !local && !(remote && p.cross[class]) {
+			return false
+		}
+		return free > reserve(rules, p.priorities[class], total) || p.queue.Owed(class)
+	}
 }
 
 // refusal says why the loan can't serve the query, "" when it can. A nil query
