--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -25,9 +25,10 @@
 	peerPoll        = 500 * time.Millisecond
 	peerTimeout     = 2 * time.Second
 	vmListInterval  = time.Second
-	appendTimeout   = 4 * time.Second // until a membership record counts as unconfirmed
-	publishInterval = time.Second     // at the latest; liveness of daemons depends on time
-	logDownAfter    = 3 * time.Second // without an answer of the log service
+	appendTimeout   = 4 * time.Second        // until a membership record counts as unconfirmed
+	publishInterval = time.Second            // at the latest; liveness of daemons depends on time
+	publishSpacing  = 100 * time.Millisecond // between views that differ in heartbeats; 150 daemons send 75 a second
+	logDownAfter    = 3 * time.Second        // without an answer of the log service
 )
 
 // LogService is what control needs of the log; *logclient.Client implements it.
@@ -81,7 +82,8 @@
 	logHealthy  bool
 	publishedAt time.Duration
 	mine        map[string]int64 // units of this daemon and their epochs, as last published
-	dirty       bool
+	dirty       bool             // the view is to be published at once
+	stale       bool             // the view is to be published after publishSpacing
 }
 
 // message is handled by the control goroutine.
@@ -118,7 +120,7 @@
 		case <-ticker.C:
 			c.tick()
 		}
-		if c.dirty {
+		if c.dirty || c.stale && c.Now()-c.publishedAt >= publishSpacing {
 			c.publish()
 		}
 	}
@@ -156,7 +158,7 @@
 // due returns the records to append now: a heartbeat when its time has come, and
 // claims and releases at once.
 func (c *Control) due(now time.Duration) []record.Record {
-	plan := c.units.Decide(now, unitsOf(c.vms.current(now), c.set()), c.draining)
+	plan := c.units.Decide(now, c.vms.wantedUnits(now, c.set()), c.draining)
 	var records []record.Record
 	if len(plan.Releases) > 0 {
 		records = append(records, record.Record{ID: c.nextID(), Release: &record.Release{Units: plan.Releases}})
--- a/daemon/control/members.go
+++ b/daemon/control/members.go
@@ -85,7 +85,7 @@
 		c.units.ReadSucceeded(m.at)
 	}
 	c.logOK = max(c.logOK, m.at)
-	c.dirty = c.dirty || len(m.records) > 0
+	c.stale = c.stale || len(m.records) > 0
 	c.tellReleased()
 }
 
--- a/daemon/control/publish.go
+++ b/daemon/control/publish.go
@@ -8,7 +8,7 @@
 
 // publish makes a snapshot of everything and hands it to the rest of the daemon.
 func (c *Control) publish() {
-	c.dirty = false
+	c.dirty, c.stale = false, false
 	c.publishedAt = c.Now()
 	snapshot := &view.Snapshot{
 		Self: c.Self, Set: &object.Set{}, LogHealthy: c.logHealthy,
--- a/daemon/control/vms.go
+++ b/daemon/control/vms.go
@@ -46,11 +46,13 @@
 }
 
 func (m vmReport) handle(c *Control) {
-	before := c.leavingVMs()
+	before := c.vms.leaving(m.vm)
 	if c.vms.report(m.vm, m.incarnation, m.draining, m.at) {
-		c.logLeaving(before, "worker")
 		c.dirty = true
 	}
+	if c.vms.leaving(m.vm) && !before {
+		c.Events.Emit(eventLeaving, "vm", m.vm, "source", "worker")
+	}
 }
 
 func (c *Control) leavingVMs() map[string]bool {
--- a/daemon/control/vmtable.go
+++ b/daemon/control/vmtable.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -32,13 +33,28 @@
 // after its worker's last report.
 const vmKeptAfterReport = 10 * time.Second
 
-type vmTable struct{ vms map[string]*vmState }
+type vmTable struct {
+	vms    map[string]*vmState
+	newest []wire.VM // the list that was taken over last
+
+	// What current and unitsOf return, until a change. With 18,000 VMs a rebuild takes
+	// milliseconds, and both are needed several times a second.
+	snapshot map[string]view.VM
+	units    []ownership.Unit
+	unitsSet *object.Set   // that units were made with
+	until    time.Duration // when the first VM that is not in the list may count as gone
+}
 
 func newVMTable() *vmTable { return &vmTable{vms: map[string]*vmState{}} }
 
 // list takes over a VM list. VMs that are in it no more stay for as long as their
 // own reports are recent.
 func (t *vmTable) list(list wire.VMList, now time.Duration) {
+	if sameList(list.VMs, t.newest) {
+		return
+	}
+	t.newest = list.VMs
+	t.changed()
 	for _, v := range t.vms {
 		v.listed = false
 	}
@@ -57,6 +73,21 @@
 			v.leaving = true
 		}
 	}
+	t.dropGone(now)
+}
+
+// sameList reports whether two lists are one and the same, as the list's client
+// returns it while the service says that nothing has changed.
+func sameList(a, b []wire.VM) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
+func (t *vmTable) changed() {
+	t.snapshot = nil
+	t.units = nil
+}
+
+func (t *vmTable) dropGone(now time.Duration) {
 	for name, v := range t.vms {
 		if !v.present(now) {
 			delete(t.vms, name)
@@ -83,17 +114,45 @@
 	v.leaving = v.leaving || draining
 	v.reportedAt = now
 	v.reported = true
-	return v.leaving != before.leaving || v.incarnation != before.incarnation
+	changed := v.leaving != before.leaving || v.incarnation != before.incarnation
+	if changed {
+		t.changed()
+	}
+	return changed
+}
+
+// leaving reports whether the VM is known to leave.
+func (t *vmTable) leaving(vm string) bool {
+	v, found := t.vms[vm]
+	return found && v.leaving
 }
 
+// current returns the VMs that are present. The caller must not change the result.
 func (t *vmTable) current(now time.Duration) map[string]view.VM {
-	vms := make(map[string]view.VM, len(t.vms))
+	if t.snapshot != nil && now < t.until {
+		return t.snapshot
+	}
+	t.changed()
+	t.dropGone(now)
+	t.until = math.MaxInt64
+	t.snapshot = make(map[string]view.VM, len(t.vms))
 	for name, v := range t.vms {
-		if v.present(now) {
-			vms[name] = view.VM{VM: v.vm, Leaving: v.leaving}
+		t.snapshot[name] = view.VM{VM: v.vm, Leaving: v.leaving}
+		if !v.listed {
+			t.until = min(t.until, v.reportedAt+vmKeptAfterReport+1)
 		}
 	}
-	return vms
+	return t.snapshot
+}
+
+// wantedUnits returns unitsOf for the VMs that are present. The caller must not
+// change the result.
+func (t *vmTable) wantedUnits(now time.Duration, set *object.Set) []ownership.Unit {
+	vms := t.current(now)
+	if t.units == nil || t.unitsSet != set {
+		t.units, t.unitsSet = unitsOf(vms, set), set
+	}
+	return t.units
 }
 
 // unitsOf returns all key shards and the racks of all workers, sorted by name.
