Run the whole review gang in the demo

Cause: the demo ran a smaller gang than the published one. Change: the cooperative's review runs with its 24 tasks. Conclusion: the demo exercises the published object.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,6 @@
 
 seconds=${DEMO_SECONDS:-20}
 daemons=${DEMO_DAEMONS:-5}
-workers=${DEMO_WORKERS:-16}
 seed=${DEMO_SEED:-1}
 kill_after=7 # s after the start of the load
 bin=$PWD/bin
@@ -84,17 +83,18 @@
   run "$name" "$bin/briarproxyd" run --settings "$dir/$name.jsonc"
 }
 
-# start_cell USER MILLI_CORES MEMORY_MIB OPERATIONS REGION/DC... starts a cell and
-# adds it to cells and to victims.
+# start_cell USER WORKERS MILLI_CORES MEMORY_MIB OPERATIONS REGION/DC... starts a cell
+# with two racks in each region and adds it to cells and to victims.
 start_cell() {
-  local user=$1 cores=$2 memory=$3 operations=$4
-  shift 4
-  local places=("$@") log vms operation flags=() urls="" metrics=() ids=() text place i
+  local user=$1 workers=$2 cores=$3 memory=$4 operations=$5
+  shift 5
+  local places=("$@") racks="" log vms operation flags=() urls="" metrics=() ids=() text place i
   for operation in $operations; do flags+=(--operation "$operation"); done
+  for place in "${places[@]}"; do racks+=",$place/r1,$place/r2"; done
   run "$user-log" "$bin/standin" logservice
   log=http://$(line "$user-log" listening | cut -d' ' -f2)
-  run "$user-workers" "$bin/standin" workers --count "$workers" --per-rack $(((workers + 2) / 3)) \
-    --racks "${places[0]}/r1,${places[1]}/r1,${places[2]}/r1" --prefix "$user-" --trusting \
+  run "$user-workers" "$bin/standin" workers --count "$workers" --per-rack $(((workers + 5) / 6)) \
+    --racks "${racks#,}" --prefix "$user-" --trusting \
     --milli-cores "$cores" --memory-mib "$memory" --journal "$dir/$user.journal" --vm-list "$dir/$user.vms" "${flags[@]}"
   line "$user-workers" ready >/dev/null
   run "$user-vms" "$bin/standin" vmlist --file "$dir/$user.vms"
@@ -118,8 +118,8 @@
 
 cells=()
 victims=()
-start_cell inspectors 64000 262144 "survey=400 certificate=300 doorstep=100" doto/kushiro dohoku/asahikawa doo/hakodate
-start_cell cooperative 32000 65536 "certify=500 quote=50 wear-review=3000" gaspesie/gaspe monteregie/saint-jean saguenay/chicoutimi
+start_cell inspectors 18 64000 262144 "survey=400 certificate=300 doorstep=100" doto/kushiro dohoku/asahikawa doo/hakodate
+start_cell cooperative 48 32000 65536 "certify=500 quote=50 wear-review=3000" gaspesie/gaspe monteregie/saint-jean saguenay/chicoutimi
 
 "$bin/demo" warm "${cells[@]}"
 echo "every daemon answers; sending work for $seconds s"
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -17,7 +17,7 @@
 
 const (
 	defaultDuration  = 20 * time.Second
-	defaultGangTasks = 6
+	defaultGangTasks = 24
 	readyTimeout     = 15 * time.Second
 )
 
