--- a/standin/integration/cluster_test.go
+++ b/standin/integration/cluster_test.go
@@ -36,13 +36,31 @@
 // place is a region with its only data centre.
 type place struct{ region, dataCentre string }
 
-// places are the regions of examples/inspectors.
-var places = []place{{"doto", "kushiro"}, {"dohoku", "asahikawa"}, {"doo", "hakodate"}}
+// user is an example user with its regions and the size of its workers.
+type user struct {
+	objects    string
+	places     []place
+	milliCores int
+	memoryMiB  int
+}
 
-const examples = "../../examples/inspectors"
+var (
+	inspectors = user{
+		objects:    "../../examples/inspectors",
+		places:     []place{{"doto", "kushiro"}, {"dohoku", "asahikawa"}, {"doo", "hakodate"}},
+		milliCores: 64000, memoryMiB: 262144,
+	}
+	cooperative = user{
+		objects:    "../../examples/cooperative",
+		places:     []place{{"gaspesie", "gaspe"}, {"monteregie", "saint-jean"}, {"saguenay", "chicoutimi"}},
+		milliCores: 32000, memoryMiB: 65536,
+	}
+)
 
 // options describe a system to start.
 type options struct {
+	user         *user // default: inspectors
+	racks        int   // in each region, default 1
 	daemons      int
 	workers      int
 	operations   []string // NAME=MS
@@ -73,12 +91,16 @@
 	metrics  string // base URL
 }
 
-// start starts a system that serves the inspectors' example, and waits until each
-// daemon is ready.
+// start starts a system that serves a user's example, and waits until each daemon
+// is ready.
 func start(t *testing.T, o options) *cluster {
 	t.Helper()
+	if o.user == nil {
+		o.user = &inspectors
+	}
+	o.racks = max(1, o.racks)
 	c := startStandins(t, o)
-	require.Zero(t, c.publish("operator", 0, examples))
+	require.Zero(t, c.publish("operator", 0, o.user.objects))
 	for i := range o.daemons {
 		c.startDaemon(i)
 	}
@@ -104,14 +126,18 @@
 // capacity and journal it when it does not.
 func (c *cluster) startWorkers(list string) {
 	c.Helper()
-	perRack := (c.options.workers + len(places) - 1) / len(places)
-	racks := make([]string, 0, len(places))
-	for _, p := range places {
-		racks = append(racks, p.region+"/"+p.dataCentre+"/r1")
+	u := c.options.user
+	count := len(u.places) * c.options.racks
+	perRack := (c.options.workers + count - 1) / count
+	racks := make([]string, 0, count)
+	for _, p := range u.places {
+		for n := range c.options.racks {
+			racks = append(racks, fmt.Sprintf("%s/%s/r%d", p.region, p.dataCentre, n+1))
+		}
 	}
 	args := []string{
 		"workers", "--count", fmt.Sprint(c.options.workers), "--per-rack", fmt.Sprint(perRack), "--racks", strings.Join(racks, ","),
-		"--trusting", "--milli-cores", "64000", "--memory-mib", "262144", "--journal", c.journal, "--vm-list", list,
+		"--trusting", "--milli-cores", fmt.Sprint(u.milliCores), "--memory-mib", fmt.Sprint(u.memoryMiB), "--journal", c.journal, "--vm-list", list,
 	}
 	for _, op := range c.options.operations {
 		args = append(args, "--operation", op)
@@ -174,7 +200,8 @@
 	}
 	s := settings.Defaults()
 	s.Name = fmt.Sprintf("entry-%d", i+1)
-	s.Region, s.DataCentre = places[i%len(places)].region, places[i%len(places)].dataCentre
+	home := c.options.user.places[i%len(c.options.user.places)]
+	s.Region, s.DataCentre = home.region, home.dataCentre
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
 	s.LogURL, s.VMListURL = logURL, c.vmsURL
 	s.DrainDelay = drainDelay
--- a/standin/integration/log_failure_test.go
+++ b/standin/integration/log_failure_test.go
@@ -82,7 +82,7 @@
 	records := c.warm()
 	codes := make(chan int, 2)
 	for _, author := range []string{"akiko", "benoit"} {
-		go func() { codes <- c.publish(author, 1, examples) }()
+		go func() { codes <- c.publish(author, 1, inspectors.objects) }()
 	}
 	first, second := <-codes, <-codes
 	assert.True(t, (first == 0) != (second == 0), "exit codes %d and %d: exactly one must win", first, second)
