--- a/daemon/shard/place.go
+++ b/daemon/shard/place.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"briarproxy/core/fault"
 	"briarproxy/core/job"
 	"briarproxy/core/wire"
+	"briarproxy/daemon/view"
 )
 
 // place asks rack owners for room for the groups that are ready.
@@ -34,6 +36,7 @@
 	owner  string
 	gang   bool
 	split  bool // the gang is spread over several owners, because none has room for all of it
+	asked  int  // tasks in the last call
 	groups []job.Group
 	tried  map[string]bool        // gang: owners asked in this round
 	held   map[string]heldByOwner // gang: task id -> room held at owners asked before
@@ -97,16 +100,15 @@
 	}
 	for _, g := range b.groups {
 		for _, i := range g.Tasks {
-			if _, held := b.held[job.TaskID(g.Job.ID, i)]; held {
-				continue
+			if _, held := b.held[job.TaskID(g.Job.ID, i)]; !held {
+				args.Asks = append(args.Asks, taskAsk(g.Job, i))
 			}
-			ask := taskAsk(g.Job, i)
-			if b.split {
-				ask.Gang = ""
-			}
-			args.Asks = append(args.Asks, ask)
 		}
 	}
+	if b.split {
+		args.Asks = r.part(b, args.Asks)
+	}
+	b.asked = len(args.Asks)
 	r.Calls.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
@@ -116,6 +118,40 @@
 	})
 }
 
+// part returns the requests of one call for a split gang. As long as the gang does
+// not use its minimum of racks, a call asks for at most an equal part of the gang,
+// and not on racks that are used already.
+func (r *runner) part(b *reservation, asks []wire.TaskAsk) []wire.TaskAsk {
+	d := b.groups[0].Job.Definition
+	snapshot := r.View.Current()
+	used := racksOf(snapshot, b.held)
+	var avoid []string
+	if len(used) < d.MinRacks {
+		whole := len(b.groups[0].Tasks)
+		asks = asks[:min(len(asks), (whole+d.MinRacks-1)/d.MinRacks)]
+		for name, vm := range snapshot.VMs {
+			if used[wire.RackUnit(vm.DataCentre, vm.Rack)] {
+				avoid = append(avoid, name)
+			}
+		}
+	}
+	for i := range asks {
+		asks[i].Gang = ""
+		asks[i].AvoidVMs = append(slices.Clone(asks[i].AvoidVMs), avoid...)
+	}
+	return asks
+}
+
+// racksOf returns the rack units on which room is held.
+func racksOf(snapshot *view.Snapshot, held map[string]heldByOwner) map[string]bool {
+	racks := map[string]bool{}
+	for _, room := range held {
+		vm := snapshot.VMs[room.room.VM]
+		racks[wire.RackUnit(vm.DataCentre, vm.Rack)] = true
+	}
+	return racks
+}
+
 func taskAsk(j *job.Job, index int) wire.TaskAsk {
 	d := j.Definition
 	t := j.Tasks[index]
@@ -174,18 +210,34 @@
 	return fmt.Sprintf("daemon %s refused: %s", m.batch.owner, strings.Join(parts, ", "))
 }
 
-// gangReserved goes on to another owner until every task has room, or gives all
-// room back.
+// gangReserved goes on to another owner until every task has room on enough racks,
+// or gives all room back.
 func (r *runner) gangReserved(m reserved, rooms map[string]heldByOwner) {
 	b, g := m.batch, m.batch.groups[0]
 	for id, room := range rooms {
 		b.held[id] = room
 	}
-	if len(b.held) == len(g.Tasks) {
+	racks := len(racksOf(r.View.Current(), b.held))
+	if len(b.held) == len(g.Tasks) && (!b.split || racks >= g.Job.Definition.MinRacks) {
 		r.logIntents(b.groups, b.held, m.reason())
 		return
 	}
-	b.tried[b.owner] = true
+	if !b.split || len(rooms) < b.asked {
+		b.tried[b.owner] = true
+	}
+	next := r.nextOwner(b, g)
+	if next != "" && m.err == nil && len(b.held) < len(g.Tasks) {
+		b.owner = next
+		r.reserve(b)
+		return
+	}
+	r.release(b.held)
+	r.waits(g, fmt.Sprintf("the gang found room for %d of %d tasks on %d racks; last: %s", len(b.held), len(g.Tasks), racks, m.reason()), r.Now())
+}
+
+// nextOwner chooses the next owner for a gang. When none is left to try for the
+// whole gang, the gang is split.
+func (r *runner) nextOwner(b *reservation, g job.Group) string {
 	d := g.Job.Definition
 	missing := d.Resources.Scale(int64(len(g.Tasks) - len(b.held)))
 	next := r.owners.choose(d.Pool, d.Resources, missing, r.Now(), b.tried)
@@ -194,13 +246,7 @@
 		b.tried = map[string]bool{}
 		next = r.owners.choose(d.Pool, d.Resources, missing, r.Now(), b.tried)
 	}
-	if next != "" && m.err == nil {
-		b.owner = next
-		r.reserve(b)
-		return
-	}
-	r.release(b.held)
-	r.waits(g, fmt.Sprintf("the gang found room for %d of %d tasks; last: %s", len(b.held), len(g.Tasks), m.reason()), r.Now())
+	return next
 }
 
 func (r *runner) release(rooms map[string]heldByOwner) {
