Predict Retry-After and check the outcome of every problem

Cause: a request without a slot was told to come back in a fixed time, and a durable request that was cancelled or failed before its first attempt was reported as run.

Change: Retry-After is the predicted wait, the end of the workers' backoff, the time of a takeover, or 60 s for a pool without live workers, bounded to 1 to 60 s. Durable requests without an attempt are reported as not run, cancelled ones with an attempt as unknown.

Tests: TestEveryProblemHasATrueOutcomeAndARemedy reads all calls of the constructors of wire.Problem in the daemon; it fails with a wrong outcome, without a retry time, with a kind that was not judged, and without a remedy. TestWaitForASlotIsPredicted fails without either prediction, TestRetryAfterIsThePrediction without the time of a takeover, TestOutcomeOfADurableRequest without the case of a cancelled job.

Conclusion: job problems still have types without the prefix briar:; changing them is a change of the API.

--- a/daemon/router/durable.go
+++ b/daemon/router/durable.go
@@ -72,12 +72,24 @@
 	return &Answer{Result: &result, JobID: id}, nil
 }
 
+// jobOutcome tells whether the task of a durable request ran. A task without an
+// attempt never did. One that was cancelled may have been stopped before it began.
+func jobOutcome(status *wire.JobStatus) wire.Outcome {
+	attempts := int64(0)
+	for _, task := range status.Tasks {
+		attempts += task.Generation
+	}
+	switch {
+	case attempts == 0:
+		return wire.OutcomeNotRun
+	case status.State == wire.JobCancelled:
+		return wire.OutcomeUnknown
+	}
+	return wire.OutcomeRan
+}
+
 func jobFailed(status *wire.JobStatus) *wire.Problem {
-	outcome := wire.OutcomeRan
-	if status.State == wire.JobRefused {
-		outcome = wire.OutcomeNotRun
-	}
-	return problem(http.StatusBadGateway, outcome, "job-"+string(status.State), "read the job at /v1/jobs/"+status.ID, "job %s ended as %s: %s", status.ID, status.State, status.Reason)
+	return problem(http.StatusBadGateway, jobOutcome(status), "job-"+string(status.State), "read the job at /v1/jobs/"+status.ID, "job %s ended as %s: %s", status.ID, status.State, status.Reason)
 }
 
 // Job calls the owner of the job's shard; deadline is on the boot clock. Every job
--- a/daemon/router/problem.go
+++ b/daemon/router/problem.go
@@ -28,14 +28,14 @@
 // busy builds a not-run problem with a retry time.
 func busy(kind string, retry time.Duration, format string, args ...any) *wire.Problem {
 	p := notRun(http.StatusServiceUnavailable, kind, "send the request again after the time in Retry-After", format, args...)
-	p.RetryAfter = seconds(retry)
+	p.RetryAfter = retrySeconds(retry)
 	return p
 }
 
 // unknown builds a problem for a request that may have run.
 func unknown(remedy, format string, args ...any) *wire.Problem {
 	p := problem(http.StatusGatewayTimeout, wire.OutcomeUnknown, "outcome-unknown", remedy, format, args...)
-	p.RetryAfter = seconds(unknownRetry)
+	p.RetryAfter = retrySeconds(unknownRetry)
 	return p
 }
 
@@ -49,6 +49,6 @@
 )
 
 // retrySeconds bounds a predicted wait for Retry-After.
-func retrySeconds(wait time.Duration) int64 { return seconds(min(max(wait, minRetry), maxRetry)) }
-
-func seconds(d time.Duration) int64 { return max(1, int64(math.Ceil(d.Seconds()))) }
+func retrySeconds(wait time.Duration) int64 {
+	return int64(math.Ceil(min(max(wait, minRetry), maxRetry).Seconds()))
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -122,10 +122,11 @@
 // abandon takes a waiter out of the queue. A slot that was granted at the same
 // moment is used if there is time left, and otherwise given back.
 func (r *Router) abandon(ctx context.Context, w *waiter) (*Slot, *wire.Problem) {
-	removed := make(chan struct{})
+	removed := make(chan time.Duration, 1)
+	predicted := time.Duration(0)
 	if r.send(cancelMsg{w, removed}) {
 		select {
-		case <-removed:
+		case predicted = <-removed:
 		case <-r.done:
 		}
 	}
@@ -137,9 +138,10 @@
 		r.Release(g.slot)
 	default:
 	}
-	return r.received(w, grant{problem: busy("no-slot", noSlotRetry, "no slot became free before the deadline or the caller left")})
+	return r.received(w, grant{problem: noSlot(predicted)})
 }
 
+// noSlotRetry is the Retry-After when the wait can't be predicted.
 const noSlotRetry = 2 * time.Second
 
 // Release gives back a slot under which nothing was started.
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -110,7 +110,7 @@
 	p := s.pool(q.Pool)
 	s.refreshLenders(p, now)
 	if len(p.lenders) == 0 && p.freeSlots(now, tierRemote) == 0 {
-		w.granted <- grant{problem: busy("no-capacity", noSlotRetry, "no live daemon owns workers of pool %q", q.Pool)}
+		w.granted <- grant{problem: s.noCapacity(q.Pool)}
 		return
 	}
 	if !s.charge(w, now) {
@@ -144,7 +144,7 @@
 // cancelMsg takes a waiter out of the queue.
 type cancelMsg struct {
 	w       *waiter
-	removed chan struct{}
+	removed chan time.Duration // predicted wait of such a request, 0: not known
 }
 
 func (m cancelMsg) apply(s *state) {
@@ -152,7 +152,7 @@
 		s.uncharge(m.w)
 	}
 	s.dropHeld(m.w)
-	close(m.removed)
+	m.removed <- s.predicted(s.pool(m.w.query.Pool), m.w, s.now())
 }
 
 // releaseMsg gives back a slot.
