--- a/standin/integration/daemon_failure_test.go
+++ b/standin/integration/daemon_failure_test.go
@@ -70,6 +70,7 @@
 	time.Sleep(2 * time.Second)
 	c.daemons[2].stopSoft()
 	stopped := calls.wait()
+	assert.Greater(t, len(stopped), 40, "too few requests to show anything")
 	assert.Zero(t, c.daemons[2].waitExit(15*time.Second))
 	for _, r := range stopped {
 		if r.Final == demo.ToldBroken || r.Final == demo.ToldUnknown {
