End tasks of workers that were never reached after their rack was released

Cause: a rack of 8 workers that was killed 15 s after a daemon had been killed and replaced kept its 96 tasks open for over 60 s (docs/CAPACITY.md, recovery): the rack moved back to its wanted owner, which could not fence the dead workers, and the VM list still named them as live. Ruled out: ending them by time alone. A former owner that is cut off from the log but not from the worker may go on renewing run leases. Change: a claim that follows a release is marked. The former owner neither starts nor renews after its release, so the new one counts tasks as stopped once the longest run lease has passed. A rack is not released while one of its workers was never fenced, because an even earlier owner could renew there. Conclusion: racks that were taken over after a lease ran out still wait for the VM list.

--- a/core/ownership/decide.go
+++ b/core/ownership/decide.go
@@ -62,6 +62,8 @@
 	// ExtraWait is added to the takeover wait: the longest start validity for racks
 	// whose workers do not support fencing.
 	ExtraWait time.Duration
+	// Keep forbids releasing the unit. Its lease may still run out.
+	Keep bool
 }
 
 // Plan lists what this daemon should append.
@@ -81,7 +83,7 @@
 func (s *State) Decide(now time.Duration, units []Unit, draining bool) Plan {
 	s.forgetSilent(now)
 	if draining {
-		return Plan{Releases: s.release(s.Held())}
+		return Plan{Releases: s.release(s.releasable(units))}
 	}
 	candidates := s.candidates(now)
 	if len(candidates) == 0 || !s.watchedLongEnough(now) {
@@ -97,7 +99,7 @@
 		}
 	}
 	var moves []record.HeldUnit
-	for _, held := range s.Held() {
+	for _, held := range s.releasable(units) {
 		if !wanted[held.Name] && s.shouldMove(now, held.Name) {
 			moves = append(moves, held)
 		}
@@ -106,6 +108,17 @@
 	return plan
 }
 
+// releasable returns this daemon's units without those that must be kept.
+func (s *State) releasable(units []Unit) []record.HeldUnit {
+	keep := map[string]bool{}
+	for _, unit := range units {
+		if unit.Keep {
+			keep[unit.Name] = true
+		}
+	}
+	return slices.DeleteFunc(s.Held(), func(held record.HeldUnit) bool { return keep[held.Name] })
+}
+
 // wantedUnits returns the units whose wanted owner is this daemon. The result is
 // kept while units and candidates stay the same: with 2,314 units and 150 daemons a
 // decision took 31 ms with the hashing and 0.3 ms without.
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -369,3 +369,26 @@
 	require.Equal(t, "far", WantedOwner(unit, []Member{far}))
 	require.Empty(t, WantedOwner(unit, nil))
 }
+
+// Guards against a successor that takes a lapsed lease for a release, and against the
+// release of a unit that must be kept.
+func TestReleasesAreToldApartAndCanBeForbidden(t *testing.T) {
+	s := New(Identity{Name: "z"}, DefaultTiming())
+	s.StartAt(0)
+	s.Apply(0, claim("a", 1, "rack:x", record.NoRecord), 0)
+	s.Apply(1, claim("b", 1, "rack:x", 0), 0)
+	h, _ := s.Owner("rack:x")
+	require.False(t, h.AfterRelease, "the lease of a ran out")
+	release := record.Release{Units: []record.HeldUnit{{Name: "rack:x", Epoch: 1}}}
+	s.Apply(2, record.Record{ID: record.ID{Daemon: "b", Incarnation: 1, Counter: 2}, Release: &release}, 0)
+	s.Apply(3, claim("a", 2, "rack:x", 1), 0)
+	h, _ = s.Owner("rack:x")
+	require.Equal(t, "a", h.Owner.Name)
+	require.True(t, h.AfterRelease)
+
+	mine := New(Identity{Name: "a", Incarnation: 1}, DefaultTiming())
+	mine.StartAt(0)
+	mine.Apply(0, claim("a", 1, "rack:x", record.NoRecord), 0)
+	require.Empty(t, mine.Decide(0, []Unit{{Name: "rack:x", Keep: true}}, true).Releases)
+	require.Len(t, mine.Decide(0, []Unit{{Name: "rack:x"}}, true).Releases, 1)
+}
--- a/core/ownership/state.go
+++ b/core/ownership/state.go
@@ -23,6 +23,9 @@
 	Epoch  int64         // offset of the claim; kept after a release
 	Last   int64         // offset of the last claim or heartbeat that held the unit
 	ReadAt time.Duration // when this daemon read the record at Last
+	// AfterRelease is set when the former owner had released the unit before the
+	// claim: it has not acted for the unit since.
+	AfterRelease bool
 	// tentative is set when the claim could not be checked because the reader started
 	// after its history, and no heartbeat has confirmed it yet.
 	tentative bool
@@ -166,7 +169,7 @@
 		}
 		old, found := s.holding(claimed.Name, offset)
 		tentative := s.start > 0 && (old.tentative || !found && offset < s.horizon())
-		s.units[claimed.Name] = Holding{Owner: sender, Epoch: offset, Last: offset, ReadAt: readAt, tentative: tentative}
+		s.units[claimed.Name] = Holding{Owner: sender, Epoch: offset, Last: offset, ReadAt: readAt, AfterRelease: found && old.Free(), tentative: tentative}
 		delete(s.leases, claimed.Name)
 		delete(s.unwanted, claimed.Name)
 		s.extendLease(claimed.Name, r.ID)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +43,7 @@
 	Get(ctx context.Context) ([]wire.VM, error)
 }
 
-// Options configures a Control. All fields are required.
+// Options configures a Control. Fields without a default are required.
 type Options struct {
 	Self      view.Daemon // Name, Incarnation, addresses, Region and DataCentre
 	Log       LogService
@@ -55,7 +56,8 @@
 	Heartbeat time.Duration
 	Retention time.Duration // time for which the log keeps records
 	Budget    *logclient.Budget
-	CellRate  func() float64 // appends a second that all daemons may use together
+	Keep      func(unit string) bool // the unit must not be released now; default: none
+	CellRate  func() float64         // appends a second that all daemons may use together
 }
 
 // Control is the control goroutine of one daemon.
@@ -91,6 +93,9 @@
 
 // New returns a Control. Call Serve to run it.
 func New(options Options) *Control {
+	if options.Keep == nil {
+		options.Keep = func(string) bool { return false }
+	}
 	self := ownership.Identity{Name: options.Self.Name, Incarnation: options.Self.Incarnation}
 	return &Control{
 		Options: options, messages: make(chan message, 256), done: make(chan struct{}),
@@ -158,7 +163,7 @@
 // due returns the records to append now: a heartbeat when its time has come, and
 // claims and releases at once.
 func (c *Control) due(now time.Duration) []record.Record {
-	plan := c.units.Decide(now, c.vms.wantedUnits(now, c.set()), c.draining)
+	plan := c.units.Decide(now, c.unitsToOwn(now), c.draining)
 	var records []record.Record
 	if len(plan.Releases) > 0 {
 		records = append(records, record.Record{ID: c.nextID(), Release: &record.Release{Units: plan.Releases}})
@@ -173,6 +178,16 @@
 	return records
 }
 
+// unitsToOwn lists every unit that should have an owner, and which of them must
+// not be released.
+func (c *Control) unitsToOwn(now time.Duration) []ownership.Unit {
+	units := slices.Clone(c.vms.wantedUnits(now, c.set()))
+	for i := range units {
+		units[i].Keep = c.Keep(units[i].Name)
+	}
+	return units
+}
+
 func (c *Control) nextID() record.ID {
 	c.counter++
 	return record.ID{Daemon: c.Self.Name, Incarnation: c.Self.Incarnation, Counter: c.counter}
--- a/daemon/control/publish.go
+++ b/daemon/control/publish.go
@@ -46,7 +46,7 @@
 	self := ownership.Identity{Name: c.Self.Name, Incarnation: c.Self.Incarnation}
 	mine := map[string]int64{}
 	c.units.Units(func(name string, h ownership.Holding) {
-		u := view.Unit{Name: name, Owner: h.Owner.Name, Epoch: h.Epoch}
+		u := view.Unit{Name: name, Owner: h.Owner.Name, Epoch: h.Epoch, AfterRelease: h.AfterRelease}
 		if h.Owner == self {
 			u.LeaseUntil = c.units.LeaseUntil(name)
 			u.Mine = u.LeaseUntil > 0
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -199,7 +199,7 @@
 	n.control = control.New(control.Options{
 		Self: self, Log: n.log, VMs: vmlist.New(n.settings.VMListURL), Peers: n.peers, View: n.holder,
 		Events: n.events, Now: bootclock.Now, Timing: timing, Heartbeat: n.settings.Lease.Heartbeat,
-		Retention: n.settings.LogRetention, Budget: budget, CellRate: func() float64 { return float64(n.cellRate.Load()) },
+		Retention: n.settings.LogRetention, Budget: budget, Keep: func(unit string) bool { return n.racks.MustKeep(unit) }, CellRate: func() float64 { return float64(n.cellRate.Load()) },
 	})
 }
 
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -109,6 +109,7 @@
 		w.foreign = 0
 	}
 	w.fenced = true
+	w.fencedOnce = true
 	w.incarnation = m.report.Incarnation
 	w.renewedAt = 0
 	o.describe(w)
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"briarproxy/core/estimate"
@@ -32,8 +33,9 @@
 	notices      map[string]*attempt // ended attempts by task id, until their end is recorded
 	nextID       int64
 	draining     bool
-	slotDemand   map[string]slotDemand  // by pool
-	wants        map[want]time.Duration // borrowers that got less than they wanted, until when
+	unfenced     atomic.Pointer[map[string]bool] // rack units with workers that were never fenced; read by any goroutine
+	slotDemand   map[string]slotDemand           // by pool
+	wants        map[want]time.Duration          // borrowers that got less than they wanted, until when
 }
 
 // message is handled by the owner's goroutine.
@@ -125,7 +127,7 @@
 func (o *Owner) adopt(name string, vm view.VM, unit view.Unit) {
 	w := o.workers[name]
 	if w == nil {
-		w = &worker{unit: unit.Name, epoch: unit.Epoch, attempts: map[string]*attempt{}, capacity: vm.Capacity}
+		w = &worker{unit: unit.Name, epoch: unit.Epoch, attempts: map[string]*attempt{}, capacity: vm.Capacity, takenAt: o.Now()}
 		if unit.Name == "" {
 			w.unit = wire.RackUnit(vm.DataCentre, vm.Rack)
 		}
@@ -200,6 +202,7 @@
 	for _, w := range o.workers {
 		o.tickWorker(w, now)
 	}
+	o.publishUnfenced()
 	o.expireReservations(now)
 	o.expireLoans(now)
 	o.tellEnds(now)
@@ -233,6 +236,26 @@
 	return o.ReportInterval
 }
 
+// publishUnfenced notes which racks have workers that were never fenced under the
+// present epoch.
+func (o *Owner) publishUnfenced() {
+	unfenced := map[string]bool{}
+	for _, w := range o.workers {
+		if !w.fencedOnce {
+			unfenced[w.unit] = true
+		}
+	}
+	o.unfenced.Store(&unfenced)
+}
+
+// MustKeep reports whether a rack must not be released, because an earlier owner may
+// still renew run leases on one of its workers. A release tells the next owner that
+// nobody does.
+func (o *Owner) MustKeep(unit string) bool {
+	unfenced := o.unfenced.Load()
+	return unfenced != nil && (*unfenced)[unit]
+}
+
 // Drain stops lending and reserving; what runs goes on under its leases.
 func (o *Owner) Drain() { _ = o.send(drain{}) }
 
--- a/daemon/rack/stop.go
+++ b/daemon/rack/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"briarproxy/core/job"
 	"briarproxy/core/place"
 	"briarproxy/core/wire"
 )
@@ -34,7 +35,11 @@
 	for _, task := range m.args.Tasks {
 		w := o.workers[task.VM]
 		if w == nil || !w.fenced {
-			m.outcomes <- wire.StopOutcome{TaskID: task.TaskID, Generation: task.Generation}
+			outcome := wire.StopOutcome{TaskID: task.TaskID, Generation: task.Generation}
+			if w != nil && o.lapsedUnfenced(w, task.TaskID) {
+				outcome.Known, outcome.Restarted, outcome.State = true, true, wire.RunStopped
+			}
+			m.outcomes <- outcome
 			continue
 		}
 		o.callStop(w, task, m.outcomes)
@@ -42,6 +47,22 @@
 	m.reply <- true
 }
 
+// lapsedUnfenced reports whether nothing that was started before this daemon owned
+// the rack can still run on a worker that it could not reach since. The former owner
+// released the rack, after which it neither started nor renewed anything, so every
+// run lease has lapsed after the longest one.
+func (o *Owner) lapsedUnfenced(w *worker, id string) bool {
+	unit := o.lastView.Units[w.unit]
+	if w.fencedOnce || !unit.AfterRelease {
+		return false
+	}
+	lease := maxRequestLease
+	if _, _, isTask := job.ParseTaskID(id); isTask {
+		lease = runLease
+	}
+	return o.Now()-w.takenAt > longest(startValidity+lease)
+}
+
 func (o *Owner) callStop(w *worker, task wire.StopTask, outcomes chan<- wire.StopOutcome) {
 	address := w.vm.Address
 	msg := wire.Stop{ID: task.TaskID, Generation: task.Generation, Epoch: w.epoch, Query: task.Query, Incarnation: task.Incarnation}
--- a/daemon/rack/types.go
+++ b/daemon/rack/types.go
@@ -73,8 +73,10 @@
 type worker struct {
 	vm          view.VM
 	unit        string
-	epoch       int64 // of the unit when it was taken over
-	fenced      bool  // the inventory under epoch was adopted
+	epoch       int64         // of the unit when it was taken over
+	fenced      bool          // the inventory under epoch was adopted
+	fencedOnce  bool          // it was adopted at some time under epoch
+	takenAt     time.Duration // boot clock when this daemon first knew that it owns the rack
 	incarnation int64
 	capacity    resource.Vector
 	clock       time.Duration // worker clock at the last report
--- a/daemon/view/view.go
+++ b/daemon/view/view.go
@@ -31,6 +31,9 @@
 	Epoch      int64         // log offset of the claim record
 	Mine       bool          // owned by this daemon's incarnation
 	LeaseUntil time.Duration // boot clock; set for units of this daemon only
+	// AfterRelease is set when the former owner released the unit, and so has not
+	// acted for it since the claim.
+	AfterRelease bool
 }
 
 // VM is a VM with every source of membership taken into account.
