--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,7 @@
 seconds=${DEMO_SECONDS:-20}
 daemons=${DEMO_DAEMONS:-5}
 seed=${DEMO_SEED:-1}
-kill_after=7 # s after the start of the load
+kill_after=4 # s after the start of the load
 bin=$PWD/bin
 dir=$(mktemp -d)
 pids=()
