--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -48,6 +48,7 @@
 	set.StringVar(&f.options.Keep, "keep", "", "directory to create for the logs and journals of the run; empty keeps none")
 	set.StringSliceVar(&f.parts, "parts", []string{"idle", "waits", "starts", "recovery"}, "measurements to run")
 	set.Float64SliceVar(&f.plan.Loads, "loads", []float64{0.5, 0.9, 1.2, 2}, "multiples of the slots' capacity, lowest first")
+	set.Float64SliceVar(&f.plan.FailingLoads, "failing-loads", []float64{0.5, 2}, "the same with a tenth of the workers failing")
 	set.DurationVar(&f.plan.Lasting, "lasting", 5*time.Second, "time of each load and of the idle measurement")
 	set.Float64SliceVar(&f.plan.StartRates, "starts", []float64{500, 2200}, "task starts a second that are asked for")
 	set.StringVar(&f.json, "json", "", "file for the report")
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -18,10 +18,11 @@
 
 // Plan says what a run measures.
 type Plan struct {
-	Parts      []Part
-	Loads      []float64 // multiples of the slots' capacity
-	Lasting    time.Duration
-	StartRates []float64 // task starts a second that are asked for
+	Parts        []Part
+	Loads        []float64 // multiples of the slots' capacity, lowest first
+	FailingLoads []float64 // the same, for the part with failing workers
+	Lasting      time.Duration
+	StartRates   []float64 // task starts a second that are asked for
 }
 
 // Run starts a cell, measures the plan's parts on it and stops it. The rows of
@@ -49,7 +50,7 @@
 	case PartIdle:
 		return c.idle(r, plan.Lasting)
 	case PartWaits:
-		return c.waits(r, plan.Loads, plan.Lasting)
+		return c.waits(r, plan.Loads, plan.FailingLoads, plan.Lasting)
 	case PartStarts:
 		for _, rate := range plan.StartRates {
 			if err := c.taskStarts(r, rate); err != nil {
--- a/standin/load/waits.go
+++ b/standin/load/waits.go
@@ -19,10 +19,17 @@
 	targetRatio  = 1.5
 )
 
-// waits measures waiting times at the loads, once with healthy workers and once
-// with a tenth of them failing everything, and through an outage of the log.
-func (c *Cell) waits(r *Report, loads []float64, lasting time.Duration) error {
+// waits measures waiting times at healthyLoads with all workers healthy, at failingLoads
+// with a tenth of the workers failing everything, and through an outage of the log.
+func (c *Cell) waits(r *Report, healthyLoads, failingLoads []float64, lasting time.Duration) error {
 	for _, failing := range []bool{false, true} {
+		loads := healthyLoads
+		if failing {
+			loads = failingLoads
+		}
+		if len(loads) == 0 {
+			continue
+		}
 		if err := c.setFailing(failing); err != nil {
 			return err
 		}
@@ -45,7 +52,10 @@
 	if err := c.setFailing(false); err != nil {
 		return err
 	}
-	return c.throughOutage(r, loads[0])
+	if len(healthyLoads) == 0 {
+		return nil
+	}
+	return c.throughOutage(r, healthyLoads[0])
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
