Let a new owner of a quota lease what its predecessor cannot have leased

Change: an owner logs a bound of what it leases of a quota before it leases more; a successor leases beside that bound at once.

--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -70,6 +70,12 @@
 	return l.leased()
 }
 
+// LeasedToOthers returns the sum of the portions of all but one holder.
+func (l *QuotaLedger) LeasedToOthers(now time.Duration, holder string) resource.Vector {
+	l.expire(now)
+	return l.leased().Sub(l.portions[holder].amount)
+}
+
 func (l *QuotaLedger) leased() resource.Vector {
 	var sum resource.Vector
 	for _, p := range l.portions {
--- a/core/admission/quota_test.go
+++ b/core/admission/quota_test.go
@@ -127,6 +127,65 @@
 	require.Equal(t, quota.Slots, most, "the whole quota was used at some time")
 }
 
+// Guards against use above a team's quota, and against a quota that nobody gets more
+// of for the time of a portion, when a new owner knows its predecessor's logged bound.
+func TestNewOwnerLeasesWhatItsPredecessorCannotHaveLeased(t *testing.T) {
+	quota := resource.Vector{Slots: 12}
+	early := 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		m := &quotaModel{pending: map[string]int64{}, holders: map[string]*QuotaHolder{}}
+		for _, name := range []string{"a", "b", "c"} {
+			m.holders[name] = NewQuotaHolder()
+		}
+		logged := map[string]resource.Vector{}
+		m.owner = NewQuotaOwner(-time.Hour, testTTL+testDrift)
+		m.owner.UseBounds(logged)
+		for range 10000 {
+			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
+			for _, h := range m.holders {
+				if t := h.team("t"); m.now >= t.until {
+					t.portion.Put(t.portion.Used())
+				}
+			}
+			before, granted := m.owner, m.granted
+			m.step(rng, quota)
+			if m.owner != before {
+				m.owner.UseBounds(logged)
+			} else if m.granted > granted && m.now < m.owner.settled {
+				early++
+			}
+			for _, bound := range m.owner.Raises() {
+				fate := rng.IntN(40) // below 38: the append is lost, 38: only its answer is lost
+				if fate >= 38 {
+					logged[bound.Team] = logged[bound.Team].Max(bound.Most)
+				}
+				if fate > 38 {
+					m.owner.Logged(bound)
+				}
+			}
+			require.LessOrEqual(t, m.used(), quota.Slots, "seed %d", seed)
+		}
+	}
+	require.Greater(t, early, 100, "leased before the predecessor's portions had lapsed")
+}
+
+// Guards against a new owner that leases either nothing or too much until the
+// portions of its predecessor have lapsed.
+func TestNewOwnerLeasesBesidesTheInheritedBound(t *testing.T) {
+	quota := resource.Vector{Slots: 40}
+	owner := NewQuotaOwner(0, testTTL)
+	owner.UseBounds(map[string]resource.Vector{"t": {Slots: 10}})
+	_, _ = owner.Lease(0, "a", 1, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
+	for _, bound := range owner.Raises() {
+		owner.Logged(bound)
+	}
+	p, _ := owner.Lease(0, "a", 2, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
+	require.EqualValues(t, 25, p.Amount.Slots)
+	p, _ = owner.Lease(0, "b", 1, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
+	require.LessOrEqual(t, p.Amount.Slots, int64(5), "the predecessor may have leased 10")
+}
+
 // Guards against a holder that keeps a whole quota which it does not use, or uses
 // more than its share of, while others get nothing.
 func TestQuotaIsSharedBetweenHolders(t *testing.T) {
--- a/daemon/shard/quota.go
+++ b/daemon/shard/quota.go
@@ -5,6 +5,7 @@
 
 	"briarproxy/core/admission"
 	"briarproxy/core/fault"
+	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 )
 
@@ -17,12 +18,14 @@
 const quotaLapse = quotaTTL + quotaTTL/2000 + 100*time.Millisecond
 
 // newQuotas returns the state of an owner that took over at now. Portions that a
-// predecessor leased may still be in use.
-func newQuotas(now time.Duration, predecessor bool) *admission.QuotaOwner {
+// predecessor leased may still be in use; they are within its logged bounds.
+func newQuotas(now time.Duration, predecessor bool, logged map[string]resource.Vector) *admission.QuotaOwner {
 	if !predecessor {
 		now -= quotaLapse
 	}
-	return admission.NewQuotaOwner(now, quotaLapse)
+	owner := admission.NewQuotaOwner(now, quotaLapse)
+	owner.UseBounds(logged)
+	return owner
 }
 
 // Quota leases portions of the quotas of teams whose key shard this daemon owns.
@@ -44,6 +47,26 @@
 	}
 }
 
+// applyBound takes over a confirmed bound. Bounds only rise.
+func (r *runner) applyBound(b admission.QuotaBound) {
+	r.bounds[b.Team] = r.bounds[b.Team].Max(b.Most)
+	if r.quotas != nil {
+		r.quotas.Logged(b)
+	}
+}
+
+// logBounds appends the bounds that the answered wishes need. A holder that got less
+// than it wanted asks again.
+func (r *runner) logBounds() {
+	var entries []Entry
+	for _, bound := range r.quotas.Raises() {
+		entries = append(entries, Entry{Bound: &bound})
+	}
+	if len(entries) > 0 {
+		r.append(entries, func(error) {})
+	}
+}
+
 type quotaAnswer struct {
 	reply wire.QuotaReply
 	err   error
@@ -74,5 +97,6 @@
 		portion.TTLMS = quotaTTL.Milliseconds()
 		answer.reply.Portions = append(answer.reply.Portions, portion)
 	}
+	r.logBounds()
 	m.reply <- answer
 }
--- a/daemon/shard/runner.go
+++ b/daemon/shard/runner.go
@@ -11,6 +11,7 @@
 	"briarproxy/core/fault"
 	"briarproxy/core/idempotency"
 	"briarproxy/core/job"
+	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 	"briarproxy/daemon/view"
 )
@@ -32,6 +33,7 @@
 	jobs       *job.Shard
 	keys       *idempotency.Table
 	quotas     *admission.QuotaOwner
+	bounds     map[string]resource.Vector // logged bounds of what is leased of quotas, by team
 	waiters    map[string][]chan struct{} // closed when the job or key changes
 	submitting map[string]bool            // job ids whose Submit record is being appended
 	history    map[string][]wire.HistoryRow
@@ -130,6 +132,7 @@
 func (r *runner) replay() error {
 	r.jobs = job.NewShard(r.rng)
 	r.keys = idempotency.NewTable()
+	r.quotas, r.bounds = nil, map[string]resource.Vector{}
 	item, err := r.batch([]Entry{{Open: &Open{Owner: r.Self}}})
 	if err != nil {
 		return err
@@ -149,7 +152,7 @@
 	now := r.Now()
 	r.jobs.FinishReplay(now)
 	r.keys.FinishReplay()
-	r.quotas = newQuotas(now, p.predecessor)
+	r.quotas = newQuotas(now, p.predecessor, r.bounds)
 	r.nextRepeat = now + r.Retention/3
 	return nil
 }
@@ -203,6 +206,8 @@
 		r.keys.ApplyDone(*e.KeyDone)
 	case e.Key != nil:
 		r.keys.ApplyEntry(*e.Key)
+	case e.Bound != nil:
+		r.applyBound(*e.Bound)
 	}
 }
 
@@ -371,6 +376,9 @@
 	for _, key := range r.keys.Snapshot() {
 		entries = append(entries, Entry{Key: &key})
 	}
+	for team, most := range r.bounds {
+		entries = append(entries, Entry{Bound: &admission.QuotaBound{Team: team, Most: most}})
+	}
 	return entries
 }
 
--- a/daemon/shard/types.go
+++ b/daemon/shard/types.go
@@ -7,6 +7,7 @@
 
 	"github.com/alitto/pond/v2"
 
+	"briarproxy/core/admission"
 	"briarproxy/core/idempotency"
 	"briarproxy/core/job"
 	"briarproxy/core/wire"
@@ -40,11 +41,12 @@
 
 // Entry is one record of a shard's stream. Exactly one field is set.
 type Entry struct {
-	Open      *Open               `json:"open,omitempty"`
-	Job       *job.Record         `json:"job,omitempty"`
-	KeyIntent *idempotency.Intent `json:"key_intent,omitempty"`
-	KeyDone   *idempotency.Done   `json:"key_done,omitempty"`
-	Key       *idempotency.Entry  `json:"key,omitempty"` // re-appended before its records expire
+	Open      *Open                 `json:"open,omitempty"`
+	Job       *job.Record           `json:"job,omitempty"`
+	KeyIntent *idempotency.Intent   `json:"key_intent,omitempty"`
+	KeyDone   *idempotency.Done     `json:"key_done,omitempty"`
+	Key       *idempotency.Entry    `json:"key,omitempty"` // re-appended before its records expire
+	Bound     *admission.QuotaBound `json:"quota_bound,omitempty"`
 }
 
 // Batch is what one call appends.
