End attempts whose unanswered start can't arrive any more

Cause: an attempt whose start got no answer was renewed and never compared with reports, so a task could stay running for good (seen by the failure tests as a consequence of a double start); an attempt of a lower generation kept its room when a higher one was adopted. Change: such an attempt ends when a report that was asked for after the start's validity does not list its generation; a listed one counts as started. Figures: TestUnansweredStartThatNeverArrivedEnds fails without the rule, and with a rule that does not wait for the validity. Conclusion: every attempt of the rack owner ends or is renewed on the worker's word.

--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -120,7 +120,7 @@
 func (o *Owner) follow(w *worker, m inventory) {
 	busy := map[int64]int64{}
 	foreign := int64(0)
-	listed := map[string]bool{}
+	listed := map[string]int64{} // generation by task id
 	for i := range m.report.Attempts {
 		a := &m.report.Attempts[i]
 		if a.Kind == wire.KindRequest {
@@ -133,30 +133,47 @@
 			}
 			continue
 		}
-		listed[a.ID] = true
+		listed[a.ID] = max(listed[a.ID], a.Generation)
 		o.followTask(w, a, m)
 	}
 	o.settleLoans(w, busy, foreign, m.sent)
 	for id, a := range w.attempts {
-		// A report that was asked for before the start was answered may have been made
-		// before the start arrived.
-		if !listed[id] && !a.ended() && !a.starting && a.reservation == 0 && m.sent >= a.startedAt {
-			// The worker forgot an attempt that it had accepted: it does not run.
-			o.end(w, a, wire.RunStopped, nil)
+		if listed[id] < a.task.Generation && a.mustBeListed(m.sent) {
+			o.end(w, a, wire.RunStopped, nil) // it does not run, and no late start is accepted
 		}
 	}
 }
 
+// mustBeListed reports whether a report that was asked for at askedAt lists the
+// attempt if it runs or has ended. A report that was asked for before the start was
+// answered may have been made before the start arrived; a start without an answer may
+// arrive as long as it is valid.
+func (a *attempt) mustBeListed(askedAt time.Duration) bool {
+	if a.ended() || a.reservation != 0 {
+		return false
+	}
+	if a.starting {
+		return askedAt > a.begunAt+longest(startValidity)
+	}
+	return askedAt >= a.startedAt
+}
+
 func (o *Owner) followTask(w *worker, listed *wire.Attempt, m inventory) {
 	a := w.attempts[listed.ID]
 	if a != nil && a.task.Generation > listed.Generation {
 		return
 	}
+	if a != nil && a.task.Generation < listed.Generation && !a.ended() {
+		o.discard(w, a)
+	}
 	if a == nil || a.task.Generation < listed.Generation {
 		a = o.adoptTask(w, listed, m.received)
 	}
-	if a.reservation != 0 || a.starting && listed.State == wire.RunRunning {
-		return // the answer to the start tells
+	if a.reservation != 0 {
+		return
+	}
+	if a.starting {
+		a.starting, a.startedAt = false, m.received
 	}
 	if listed.State != wire.RunRunning {
 		if !a.ended() {
--- a/daemon/rack/owner_test.go
+++ b/daemon/rack/owner_test.go
@@ -95,6 +95,23 @@
 	require.Equal(t, wire.RunStopped, h.worker.attempts["j/0"].State, "its worker has stopped it before")
 }
 
+// Guards against a task that stays open for ever, with its room, because its start got
+// no answer and never arrived, and against ending it while the start may arrive.
+func TestUnansweredStartThatNeverArrivedEnds(t *testing.T) {
+	h := newHarness(t, vmSize)
+	h.pass(time.Second, tickInterval)
+	r := h.reserve("j/0", vmSize)[0]
+	h.worker.silent = true
+	require.True(t, h.start(r, vmSize).Unknown)
+	h.worker.silent = false
+	h.pass(startValidity/2, tickInterval)
+	require.Empty(t, h.shards.ended, "the start may still arrive")
+	h.pass(10*time.Second, tickInterval)
+	require.Len(t, h.shards.ended, 1)
+	require.Equal(t, wire.RunStopped, h.shards.ended[0].State)
+	require.Len(t, h.reserve("j/1", vmSize), 1, "the room is free again")
+}
+
 // Guards against a start whose room was given away when its reservation expired.
 func TestExpiredReservationIsNotStarted(t *testing.T) {
 	h := newHarness(t, vmSize)
