Drop an RPC that nobody serves and name lenders by their incarnation

Cause: Peer.Return was replaced by a field of Peer.Borrow; a lender that restarted under its name looked like the same lender; the setting seed_peers has no effect. Change: the constant and its mentions are gone, LenderInstance holds the incarnation, the setting's meaning says that it is not used yet. Figures: tests of daemon/node, daemon/rack and daemon/settings pass. Conclusion: no behaviour is changed but for restarted lenders.

--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -6,7 +6,6 @@
 const (
 	RPCPing        = "Peer.Ping"
 	RPCBorrow      = "Peer.Borrow"
-	RPCReturn      = "Peer.Return"
 	RPCForward     = "Peer.Forward"
 	RPCJob         = "Peer.Job"
 	RPCReserve     = "Peer.Reserve"
--- a/daemon/node/traffic.go
+++ b/daemon/node/traffic.go
@@ -13,7 +13,6 @@
 var purposes = map[string]metric.Purpose{
 	wire.RPCPing:        metric.PurposeMembership,
 	wire.RPCBorrow:      metric.PurposeLoans,
-	wire.RPCReturn:      metric.PurposeLoans,
 	wire.RPCQuota:       metric.PurposeLoans,
 	wire.RPCForward:     metric.PurposeRequests,
 	wire.RPCJob:         metric.PurposeRequests,
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"fmt"
 	"time"
 
 	"briarproxy/core/loan"
@@ -161,7 +162,7 @@
 		WorkerClockMS:  (w.clock + slowest(now-w.clockAt)).Milliseconds(),
 		TTLMS:          loanTTL.Milliseconds(),
 		MaxDeadlineMS:  maxRequestLease.Milliseconds(),
-		LenderInstance: o.Self,
+		LenderInstance: fmt.Sprintf("%s/%d", o.Self, o.lastView.Self.Incarnation),
 	}
 }
 
--- a/daemon/settings/table.go
+++ b/daemon/settings/table.go
@@ -84,7 +84,7 @@
 	{"seed_peers", false, true,
 		func(s *Settings) jsonc.Read { return addresses(&s.SeedPeers) },
 		func(s *Settings) string { return list(s.SeedPeers) },
-		"peer addresses to contact at start, IP:port"},
+		"addresses of other daemons, IP:port; not used yet: daemons learn of one another from the log"},
 	{"drain_delay", false, true,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.DrainDelay, 0, maxTimeout) },
 		func(s *Settings) string { return text(s.DrainDelay.String()) },
