--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,16 @@
 # shellcheck disable=SC2086
 go test -race -timeout 20m -p 4 $packages 2>&1 | tee "$out"
 status=${PIPESTATUS[0]}
+
+# Closing table of the run.
+printf '\n%-10s %8s %8s %10s\n' module passed failed 'no tests'
+for module in core daemon standin; do
+  printf '%-10s %8d %8d %10d\n' "$module" \
+    "$(grep -cE "^ok +\\s*briarproxy/$module/" "$out")" \
+    "$(grep -cE "^FAIL\\s+briarproxy/$module/" "$out")" \
+    "$(grep -cE "^\\?\\s+briarproxy/$module/" "$out")"
+done
+echo "packages with the race detector; $(grep -c '^--- FAIL' "$out") failed tests"
 [ "$status" -eq 0 ] && { echo "all tests passed"; exit 0; }
 
 # A build failure, a panic or a timeout is never a known failure.
