End loans of unfenced workers with the rack's lease

Cause: reading the code, a borrower could renew loans of workers that do not refuse stale epochs after the lease of the rack had ended, and a successor waited 2 s for starts while a loan granted just before lives 3 s. Both could put more requests on such a worker than it has slots. Change: loans of such workers are not renewed after the lease; a successor waits 3.2 s longer than the lease and margin. Conclusion: pools with fencing are not concerned; unfenced pools are not tested with real processes yet.

--- a/daemon/control/vmtable.go
+++ b/daemon/control/vmtable.go
@@ -25,9 +25,10 @@
 	reported   bool
 }
 
-// startValidity is the longest time for which a start may be on its way to a
-// worker that does not refuse stale epochs.
-const startValidity = 2 * time.Second
+// latestStart is how long after the end of a rack's lease a start may still reach a
+// worker that does not refuse stale epochs: under a loan that was granted just before,
+// which lives for 3 s, with a margin for clock drift.
+const latestStart = 3*time.Second + 200*time.Millisecond
 
 // vmKeptAfterReport is how long a VM that the list does not name counts as present
 // after its worker's last report.
@@ -169,7 +170,7 @@
 		name := wire.RackUnit(vm.DataCentre, vm.Rack)
 		unit := ownership.Unit{Name: name, Region: vm.Region, DataCentre: vm.DataCentre, ExtraWait: racks[name].ExtraWait}
 		if set != nil && unfenced(set, vm) {
-			unit.ExtraWait = startValidity
+			unit.ExtraWait = latestStart
 		}
 		racks[name] = unit
 	}
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -53,7 +53,7 @@
 	}
 	decline := o.declinable(m.args, now)
 	for _, id := range m.args.Renew {
-		if given, _ := o.ledger.Loan(id); o.failures.Isolated(given.VM) {
+		if given, _ := o.ledger.Loan(id); o.failures.Isolated(given.VM) || !o.mayLend(given.VM, now) {
 			answer.Lapsed = append(answer.Lapsed, id)
 			continue
 		}
@@ -68,6 +68,13 @@
 	m.reply <- answer
 }
 
+// mayLend reports whether this daemon may still lend slots of the VM. On workers that
+// do not refuse stale epochs a loan must not be renewed after the lease of the rack.
+func (o *Owner) mayLend(vm string, now time.Duration) bool {
+	w := o.workers[vm]
+	return w != nil && o.authorised(w, now)
+}
+
 // declinable returns how many renewals to decline: half of them when tasks wait and
 // no request of the borrower does, and one a call otherwise, while others or
 // tasks wait for slots of the pool and the borrower has more than an equal share.
