Renew and start only by the newest view

Cause: reading the code, the rack owner's goroutine checked its right by the view that it had followed last. Between a release and the next view it could renew a run lease on a worker that the next owner cannot reach and counts as stopped by time. Figures: TestNothingIsRenewedAfterTheRelease fails with the followed view. Conclusion: a release is published before it is sent, so the last renewal is older.

--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -172,8 +172,12 @@
 // authorised reports whether this daemon may still act for the worker's rack. With
 // fencing it may until it knows of a successor, because the successor fences the
 // worker before it places there. Without, it may only while its lease is valid.
+//
+// now must have been read before the call: whatever is sent on the strength of it is
+// valid for a bounded time after now, so it is refused if this process is paused
+// between the check and the send.
 func (o *Owner) authorised(w *worker, now time.Duration) bool {
-	unit := o.lastView.Units[w.unit]
+	unit := o.View.Current().Units[w.unit]
 	return unit.Mine && unit.Epoch == w.epoch && (w.fencing || now < unit.LeaseUntil)
 }
 
--- a/daemon/rack/release_test.go
+++ b/daemon/rack/release_test.go
@@ -72,3 +72,23 @@
 	h.pass(time.Minute, time.Second)
 	require.False(t, h.MustKeep(rack), "it was fenced once, so no earlier owner can renew")
 }
+
+// Guards against run leases that are renewed after the rack was released, because the
+// owner's goroutine has not followed the newest view yet: the next owner counts on the
+// last renewal being older than the release.
+func TestNothingIsRenewedAfterTheRelease(t *testing.T) {
+	h := newHarness(t, vmSize)
+	h.pass(time.Second, tickInterval)
+	require.True(t, h.start(h.reserve("j/0", taskSize)[0], taskSize).Started)
+	h.pass(renewInterval+time.Second, tickInterval)
+	before := h.worker.leases["j/0"]
+	released := *h.holder.Current()
+	released.Units = map[string]view.Unit{}
+	h.holder.Publish(&released)
+	for range 20 {
+		h.now += time.Second
+		h.tick() // without reconcile
+		h.pump()
+	}
+	require.Equal(t, before, h.worker.leases["j/0"])
+}
