Claim near the store and retire the former placer

Change: silence counts from the first configuration on, a claim waits for the outcome of the last one to be read, the release goes behind the last batch, the successor asks its predecessor to yield, workers whose entry vanished are used on while they answer.

--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -16,7 +16,7 @@
 // Watch is what a daemon knows when it considers a claim.
 type Watch struct {
 	Now       time.Duration // boot clock
-	ReadSince time.Duration // since when the log has been read without a gap
+	Able      time.Duration // since when the daemon has had all that a placer needs and has read the log without a gap
 	ReadLast  time.Duration // last answer that reached the end of the log
 	RoundTrip time.Duration // to the log
 	Failover  time.Duration // silence of a placer that makes others claim
@@ -31,7 +31,7 @@
 		return "", false
 	}
 	delay := roundTripFactor*w.RoundTrip + w.Jitter
-	quiet := w.Now - max(s.Heard, w.ReadSince)
+	quiet := w.Now - max(s.Heard, w.Able)
 	switch {
 	case s.Claim.Daemon == "" && quiet > delay:
 		return "there is no placer", true
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -22,7 +22,8 @@
 	ticketPlan      = 350 * time.Millisecond // left of a ticket for a plan that is still to be recorded
 	batchGap        = 12 * time.Millisecond  // gathers plans and ends into one append
 	beatGap         = 500 * time.Millisecond // an idle placer shows that it is alive; several fit into a failover time
-	maxBatch        = 400                    // begins and ends in one record, far below the record limit
+	unlistedGrace   = 5 * time.Second        // a worker whose entry vanished is used on while it answers: entries may be dropped and written again
+	answerGrace     = 2500 * time.Millisecond
 	failuresToAvoid = 3
 	avoidFor        = 6 * time.Second
 	refusalAvoid    = 500 * time.Millisecond
@@ -213,7 +214,7 @@
 			p.newLife(v, w.Life, nil, now)
 		}
 		v.Worker = *w
-		v.listed = true
+		v.listed, v.listedAt = true, now
 	}
 	for id, v := range p.vms {
 		if !v.listed && len(v.runs) == 0 && !v.looking {
@@ -247,7 +248,8 @@
 	if v.Draining {
 		p.cell.SetLeaving(v.Life.Worker)
 	}
-	p.cell.SetUsable(v.Life.Worker, v.listed && !v.Draining && v.fenced && v.misses == 0 && now >= v.avoidUntil)
+	present := v.listed || now-v.listedAt < unlistedGrace && now-v.answered < answerGrace
+	p.cell.SetUsable(v.Life.Worker, present && !v.Draining && v.fenced && v.misses == 0 && now >= v.avoidUntil)
 }
 
 func (p *Placer) cellTask(r *run, now time.Duration) place.Task {
@@ -280,3 +282,13 @@
 	p.cell.RemoveWorker(v.Life.Worker)
 	p.describe(v, now)
 }
+
+// FormerRetired takes the news that the former placer sends no more orders: what it
+// ordered ends with the leases that it gave until now.
+func (p *Placer) FormerRetired(now time.Duration) {
+	for _, v := range p.vms {
+		if v.inherited > 0 {
+			v.inherited = min(v.inherited, now+p.options.Lease+leaseMargin)
+		}
+	}
+}
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -11,7 +11,6 @@
 // jobWork is what the placer keeps of a job that has not ended.
 type jobWork struct {
 	job       *flow.Job
-	objective time.Duration // see cluster.Queue.Objective
 	activated map[cluster.StepID]bool
 }
 
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -9,11 +9,12 @@
 // vm is a worker as the placer knows it.
 type vm struct {
 	cluster.Worker
-	listed  bool // in the registry
-	fenced  bool // it has answered a look under this placer's token in its present life
-	known   bool // its clock has been read in its present life
-	clockMS int64
-	clockAt time.Duration // boot clock at which the answer with clockMS arrived
+	listed   bool // in the registry
+	listedAt time.Duration
+	fenced   bool // it has answered a look under this placer's token in its present life
+	known    bool // its clock has been read in its present life
+	clockMS  int64
+	clockAt  time.Duration // boot clock at which the answer with clockMS arrived
 
 	leaseUntil int64         // worker's clock: the latest end of lease ever sent
 	inherited  time.Duration // boot clock: the end of all leases that earlier placers can have sent
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -39,7 +39,6 @@
 	known   bool
 	phase   flow.Phase
 	pending int
-	times   bool // the job has due times
 }
 
 // ask runs a query on the engine and waits for its result.
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
@@ -27,7 +28,9 @@
 	failoverShare = 0.6                     // of the bound for a change of the daemon that orders: leaves time to take over
 	leaseMost     = 6 * time.Second         // longer leases delay the restart of what ran on lost workers
 	readyWithin   = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
-	orphanTime    = 14 * time.Second        // longest outage of the log over which leases are renewed
+	retireTries   = 4
+	retireTimeout = 800 * time.Millisecond
+	orphanTime    = 14 * time.Second // longest outage of the log over which leases are renewed
 )
 
 // engine owns the state that the log tells and, at times, the placer.
@@ -45,7 +48,7 @@
 
 	state      *flow.State
 	config     *cluster.Configuration
-	configAt   time.Duration
+	configAt   time.Duration // first configuration
 	readSince  time.Duration
 	readLast   time.Duration
 	roundTrip  time.Duration
@@ -58,8 +61,11 @@
 	appender   *fenced
 	claimEpoch int64 // of a claim that this daemon has sent
 	claiming   bool
+	claimedAt  time.Duration // when the last claim was answered
+	leaving    bool          // the placer gives up its claim once its last batch is stored
 	appending  bool
 	ackedAt    time.Duration
+	placing    context.Context // of the placer's orders
 	stopPlacer context.CancelFunc
 	helloAt    time.Duration
 	forgotAt   time.Duration
@@ -142,7 +148,7 @@
 		}
 		return
 	}
-	if e.lost || now-e.readLast > readyWithin+readTimeout {
+	if e.lost || e.readLast == 0 || now-e.readLast > readyWithin+readTimeout {
 		if e.lost {
 			e.log.Emit(evStoreBack, "position", p.next, "away_ms", (now - e.readLast).Milliseconds())
 		}
@@ -163,8 +169,6 @@
 	}
 	if e.state.Next >= p.end {
 		e.readLast = p.sentAt
-	} else if e.readLast == 0 {
-		e.readSince = now
 	}
 	e.answerFresh()
 }
@@ -175,6 +179,7 @@
 		e.state.Skip()
 		return
 	}
+	former := e.state.Claim
 	if err := e.state.Apply(&d.record, now); err != nil {
 		e.log.Emit(evBadRecord, "position", e.state.Next-1, "reason", err.Error())
 	}
@@ -182,18 +187,18 @@
 		e.placer.Read(&d.record, now)
 	}
 	if d.record.Claim != nil {
-		e.claimed(ctx, now)
+		e.claimed(ctx, former, now)
 	}
 }
 
 // claimed follows a claim that was read.
-func (e *engine) claimed(ctx context.Context, now time.Duration) {
+func (e *engine) claimed(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.endPlacer("another daemon claimed")
 	if e.claimEpoch == 0 || e.state.Claim.Epoch != e.claimEpoch {
 		return
 	}
 	placing, stop := context.WithCancel(ctx)
-	e.stopPlacer = stop
+	e.placing, e.stopPlacer = placing, stop
 	e.ackedAt = now
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), Orphan: orphanTime,
@@ -202,6 +207,37 @@
 	}, now)
 	e.log.Emit(evPlacing, "offset", e.state.Token-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.RunsActive())
 	go e.watchRegistry(placing, e.placer)
+	go e.retire(placing, e.placer, former)
+}
+
+// retire asks the former placer to stop, so that what it ordered is bounded by leases
+// that end soon. Without an answer its orders are bounded by the time over which a
+// placer without the log renews leases.
+func (e *engine) retire(ctx context.Context, p *placer.Placer, former flow.Claim) {
+	for try := 0; try < retireTries && ctx.Err() == nil; try++ {
+		err := error(nil)
+		if former.Daemon != "" && former.Address != e.settings.Listen.Peers {
+			bounded, cancel := context.WithTimeout(ctx, retireTimeout)
+			err = e.orders.peers.yield(bounded, former.Address, former.Epoch)
+			cancel()
+		}
+		if err == nil {
+			e.do(ctx, func(e *engine) {
+				if e.placer == p {
+					e.log.Emit(evRetired, "daemon", former.Daemon, "epoch", former.Epoch, "tries", try+1)
+					p.FormerRetired(bootclock.Now())
+				}
+			})
+			return
+		}
+	}
+}
+
+// yield ends the placer of an epoch on behalf of its successor.
+func (e *engine) yield(epoch int64) {
+	if e.placer != nil && e.placer.Epoch() <= epoch {
+		e.endPlacer("a successor asked")
+	}
 }
 
 func (e *engine) configOrEmpty() *cluster.Configuration {
@@ -245,11 +281,11 @@
 }
 
 func (e *engine) considerClaim(ctx context.Context, now time.Duration) {
-	if e.draining || e.claiming || e.config == nil {
-		return
+	if e.draining || e.claiming || e.config == nil || e.readLast < e.claimedAt {
+		return // the outcome of the last claim has not been read yet
 	}
 	reason, claim := placer.ShouldClaim(e.state, placer.Watch{
-		Now: now, ReadSince: e.readSince, ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
+		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
 		Failover: time.Duration(failoverShare * float64(ms(e.settings.Bounds.FailoverMS))),
 	})
 	if !claim {
@@ -266,7 +302,7 @@
 		defer cancel()
 		_, err := appender.append(bounded, record)
 		e.do(ctx, func(e *engine) {
-			e.claiming = false
+			e.claiming, e.claimedAt = false, bootclock.Now()
 			if err != nil {
 				e.log.Emit(evPlacingEnd, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
 			}
@@ -320,7 +356,13 @@
 		e.endPlacer("the log has not answered for too long")
 		return
 	}
-	e.carryOut(ctx, e.placer.Tick(now, time.Now().UnixMilli()))
+	if e.leaving {
+		if !e.appending {
+			e.release(ctx)
+		}
+		return
+	}
+	e.carryOut(e.placing, e.placer.Tick(now, time.Now().UnixMilli()))
 	for _, n := range e.placer.Notes() {
 		e.logNote(&n)
 	}
@@ -354,7 +396,7 @@
 				return
 			}
 			e.ackedAt = sent
-			e.carryOut(ctx, p.Appended(runs, bootclock.Now()))
+			e.carryOut(e.placing, p.Appended(runs, bootclock.Now()))
 			e.wakeTail()
 		})
 	}()
@@ -399,6 +441,9 @@
 		cancel()
 		position = next
 		if err != nil {
+			if fault.Is(err, fault.Invalid) {
+				e.log.Emit(evConfigBad, "reason", err.Error(), "position", position)
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(readBackoff):
@@ -420,7 +465,10 @@
 	if e.config != nil && c.Version <= e.config.Version {
 		return
 	}
-	e.config, e.configAt = c, bootclock.Now()
+	if e.config == nil {
+		e.configAt = bootclock.Now()
+	}
+	e.config = c
 	e.log.Emit(evConfig, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools))
 	if e.placer != nil {
 		e.placer.SetConfig(c)
@@ -432,23 +480,25 @@
 func (e *engine) leave(ctx context.Context) {
 	e.draining = true
 	e.sayHello(ctx, true)
-	if e.placer == nil || e.appending {
-		e.endPlacer("planned stop")
-		return
-	}
+	e.leaving = e.placer != nil
+}
+
+// release gives up the claim behind the last batch.
+func (e *engine) release(ctx context.Context) {
 	batch, _, due := e.placer.Flush(bootclock.Now())
+	batch.Begins = nil // nothing begins after the release
 	appender, epoch := e.appender, e.placer.Epoch()
 	e.endPlacer("planned stop")
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, drainTime)
 		defer cancel()
-		if batch.Begins = nil; due && len(batch.Ends) > 0 {
+		if due && len(batch.Ends) > 0 {
 			if _, err := appender.append(bounded, &flow.Record{Batch: &batch}); err != nil {
-				e.log.Emit(evPlacingEnd, "reason", "the last batch was not stored: "+err.Error())
+				e.log.Emit(evPlacingEnd, "reason", "the last batch was not stored: "+err.Error(), "epoch", epoch)
 			}
 		}
 		if _, err := appender.append(bounded, &flow.Record{Release: &flow.Release{Daemon: e.settings.Name, Epoch: epoch}}); err != nil {
-			e.log.Emit(evPlacingEnd, "reason", "the release was not stored: "+err.Error())
+			e.log.Emit(evPlacingEnd, "reason", "the release was not stored: "+err.Error(), "epoch", epoch)
 		}
 	}()
 }
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -34,7 +34,10 @@
 	}
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	if err := servePeers(listeners.peers, p); err != nil {
+	yield := func(epoch int64) {
+		_, _ = ask(life, e, func(e *engine, reply chan<- bool) { e.yield(epoch); reply <- true })
+	}
+	if err := servePeers(listeners.peers, &peerService{adviser: p, yield: yield}); err != nil {
 		return err
 	}
 	t := &tail{log: p, pages: e.pages, nudge: e.nudge, gap: e.readGap}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -20,7 +21,11 @@
 	peerSilence = 1500 * time.Millisecond // unacknowledged bytes: the other machine or the path is gone
 )
 
-const adviseMethod = "Cell.Advise"
+// Methods of the peers' service.
+const (
+	adviseMethod = "Cell.Advise"
+	yieldMethod  = "Cell.Yield"
+)
 
 // AdviseArgs asks a daemon to ask the advice service.
 type AdviseArgs struct {
@@ -36,7 +41,19 @@
 }
 
 // peerService serves the other daemons' RPCs.
-type peerService struct{ adviser Adviser }
+type peerService struct {
+	adviser Adviser
+	yield   func(epoch int64)
+}
+
+// YieldArgs tells the placer of an epoch, or an earlier one, that it has a successor.
+type YieldArgs struct{ Epoch int64 }
+
+// Yield returns when this daemon sends no more orders under the epoch.
+func (s *peerService) Yield(args *YieldArgs, _ *bool) error {
+	s.yield(args.Epoch)
+	return nil
+}
 
 // Advise asks the advice service on behalf of the placer.
 func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) error {
@@ -48,9 +65,9 @@
 }
 
 // servePeers serves RPCs until the listener is closed.
-func servePeers(l net.Listener, adviser Adviser) error {
+func servePeers(l net.Listener, service *peerService) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName("Cell", &peerService{adviser}); err != nil {
+	if err := server.RegisterName("Cell", service); err != nil {
 		return fault.Wrap(err, fault.Internal, "report this as a bug", "the peers' service can't be registered")
 	}
 	go server.Accept(l)
@@ -66,28 +83,45 @@
 func newPeers() *peers { return &peers{conns: map[string]*rpc.Client{}} }
 
 func (p *peers) advise(ctx context.Context, address string, step cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error) {
-	client, err := p.client(address)
-	if err != nil {
-		return nil, 0, fault.Wrap(err, fault.Unavailable, "ask through another daemon", "can't connect to the daemon at %s", address)
-	}
-	reply := &AdviseReply{}
 	within := adviceTimeout
 	if deadline, set := ctx.Deadline(); set {
 		within = time.Until(deadline)
 	}
-	call := client.Go(adviseMethod, &AdviseArgs{step, workers, within}, reply, make(chan *rpc.Call, 1))
+	reply := &AdviseReply{}
+	err := p.call(ctx, address, adviseMethod, &AdviseArgs{step, workers, within}, reply)
+	return reply.Grants, reply.Valid, err
+}
+
+// yield makes sure that the daemon at an address orders nothing under an epoch any more.
+// A process that does not listen has ended.
+func (p *peers) yield(ctx context.Context, address string, epoch int64) error {
+	var done bool
+	err := p.call(ctx, address, yieldMethod, &YieldArgs{epoch}, &done)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	return err
+}
+
+// call makes one RPC. A connection whose call failed without an answer is dropped.
+func (p *peers) call(ctx context.Context, address, method string, args, reply any) error {
+	client, err := p.client(address)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "ask another daemon", "can't connect to the daemon at %s", address)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
-			return reply.Grants, reply.Valid, nil
+			return nil
 		}
 		if _, said := call.Error.(rpc.ServerError); !said {
 			p.drop(address, client)
 		}
-		return nil, 0, fault.Wrap(call.Error, fault.Unavailable, "ask again", "advice through the daemon at %s", address)
+		return fault.Wrap(call.Error, fault.Unavailable, "ask again", "%s through the daemon at %s", method, address)
 	case <-ctx.Done():
 		p.drop(address, client)
-		return nil, 0, fault.Wrap(ctx.Err(), fault.Unavailable, "ask through another daemon", "the daemon at %s does not answer", address)
+		return fault.Wrap(ctx.Err(), fault.Unavailable, "ask another daemon", "the daemon at %s does not answer", address)
 	}
 }
 
