--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -66,6 +66,15 @@
 	return w, true
 }
 
+// Room returns the free capacity of a worker that new work may be placed on.
+func (c *Cell) Room(vm string) (free resource.Vector, open bool) {
+	i, ok := c.byVM[vm]
+	if !ok || !c.states[i].Open() {
+		return resource.Vector{}, false
+	}
+	return c.states[i].Free(), true
+}
+
 // Workers returns a copy of the state of all workers, in no particular order but
 // the same for the same history.
 func (c *Cell) Workers() []State {
--- /dev/null
+++ b/core/placer/fake_test.go
@@ -0,0 +1,316 @@
+package placer
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/core/resource"
+)
+
+// fakeCell is a cell with a virtual clock: a log, workers that keep the platform's
+// rules and complain when one is broken, and one placer at a time.
+type fakeCell struct {
+	t       testing.TB
+	now     time.Duration
+	state   *flow.State
+	placer  *Placer
+	config  *cluster.Configuration
+	workers map[string]*fakeWorker
+	later   []event
+	seq     int
+	done    map[cluster.TaskID]int // runs that ended done
+	starts  int
+	delay   time.Duration // of every answer
+	lose    func(c Command) (lost bool, late time.Duration)
+	runTime func(s cluster.Start) time.Duration
+	how     func(s cluster.Start) cluster.How
+	maxBusy resource.Vector
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type fakeRun struct {
+	start cluster.Start
+	size  resource.Vector
+	endAt time.Duration
+}
+
+type fakeWorker struct {
+	cluster.Worker
+	up       bool
+	cut      bool // takes no orders and answers nothing
+	token    int64
+	lease    int64
+	runs     map[cluster.TaskID]*fakeRun
+	ended    []cluster.EndReport
+	number   int64
+	highest  map[cluster.TaskID]int
+	listable bool
+	started  time.Duration
+}
+
+const testWall = 1_700_000_000_000
+
+func newFakeCell(t testing.TB, workers int, capacity resource.Vector) *fakeCell {
+	c := &fakeCell{
+		t: t, now: time.Second, state: flow.NewState(), workers: map[string]*fakeWorker{}, done: map[cluster.TaskID]int{}, delay: 5 * time.Millisecond,
+		config: &cluster.Configuration{Version: 1, Queues: []cluster.Queue{
+			{Name: "q", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second},
+		}},
+	}
+	for i := range workers {
+		id := fmt.Sprintf("w%02d", i)
+		c.workers[id] = &fakeWorker{
+			Worker: cluster.Worker{Life: cluster.Life{Worker: id, Born: 1}, Address: id, Pool: "p", Rack: fmt.Sprintf("r%d", i/8),
+				Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: capacity},
+			up: true, listable: true, runs: map[cluster.TaskID]*fakeRun{}, highest: map[cluster.TaskID]int{},
+		}
+	}
+	c.runTime = func(cluster.Start) time.Duration { return 800 * time.Millisecond }
+	c.how = func(cluster.Start) cluster.How { return cluster.Done }
+	return c
+}
+
+func (c *fakeCell) wall() int64 { return testWall + c.now.Milliseconds() }
+
+func (c *fakeCell) after(d time.Duration, do func()) {
+	c.seq++
+	c.later = append(c.later, event{c.now + d, c.seq, do})
+}
+
+// append puts a record at the end of the log and lets the placer read it.
+func (c *fakeCell) append(r flow.Record) error {
+	err := c.state.Apply(&r, c.now)
+	if c.placer != nil {
+		c.placer.Read(&r, c.now)
+	}
+	return err
+}
+
+func (c *fakeCell) submit(id string, steps ...flow.Step) {
+	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wall()}}))
+}
+
+// takeOver makes a new placer; the former one is gone.
+func (c *fakeCell) takeOver() {
+	epoch := c.state.Claim.Epoch + 1
+	c.placer = nil
+	require.NoError(c.t, c.append(flow.Record{Claim: &flow.Claim{Daemon: fmt.Sprint("d", epoch), Epoch: epoch}}))
+	c.placer = New(c.state, c.config, Options{Lease: 6 * time.Second, Orphan: 14 * time.Second, GangTimeout: 3 * time.Second, Keep: time.Minute}, c.now)
+	c.registry()
+}
+
+func (c *fakeCell) registry() {
+	var list []cluster.Worker
+	for _, w := range c.workers {
+		if w.listable {
+			list = append(list, w.Worker)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Life.Worker < list[j].Life.Worker })
+	c.placer.Registry(list, c.now)
+}
+
+// run plays the cell for a time.
+func (c *fakeCell) run(d time.Duration) {
+	end := c.now + d
+	for c.now < end {
+		c.now += 5 * time.Millisecond
+		c.events()
+		c.workersTick()
+		if c.placer == nil {
+			continue
+		}
+		c.carry(c.placer.Tick(c.now, c.wall()))
+		c.placer.Notes()
+		if batch, runs, ok := c.placer.Flush(c.now); ok {
+			p := c.placer
+			c.after(c.delay, func() {
+				if c.placer != p {
+					return // fenced
+				}
+				require.NoError(c.t, c.append(flow.Record{Batch: &batch}))
+				c.carry(p.Appended(runs, c.now))
+			})
+		}
+	}
+}
+
+func (c *fakeCell) events() {
+	sort.Slice(c.later, func(i, j int) bool {
+		return c.later[i].at < c.later[j].at || c.later[i].at == c.later[j].at && c.later[i].seq < c.later[j].seq
+	})
+	for len(c.later) > 0 && c.later[0].at <= c.now {
+		e := c.later[0]
+		c.later = c.later[1:]
+		e.do()
+	}
+}
+
+func (w *fakeWorker) clock(now time.Duration) int64 { return (now - w.started).Milliseconds() }
+
+func (w *fakeWorker) end(id cluster.TaskID, how cluster.How) {
+	r := w.runs[id]
+	delete(w.runs, id)
+	w.number++
+	w.highest[id] = max(w.highest[id], r.start.Run)
+	w.ended = append(w.ended, cluster.EndReport{Number: w.number, RunID: r.start.RunID, How: how})
+}
+
+func (c *fakeCell) workersTick() {
+	for _, w := range c.workers {
+		for id, r := range w.runs {
+			switch {
+			case w.clock(c.now) > w.lease:
+				w.end(id, cluster.Lapsed)
+			case c.now >= r.endAt:
+				how := c.how(r.start)
+				if how == cluster.Done {
+					c.done[id]++
+					require.LessOrEqual(c.t, c.done[id], 1, "task %v was done twice", id)
+				}
+				w.end(id, how)
+			}
+		}
+	}
+}
+
+// carry sends commands to the workers and their answers back.
+func (c *fakeCell) carry(commands []Command) {
+	p := c.placer
+	for _, command := range commands {
+		lost, late := false, time.Duration(0)
+		if c.lose != nil {
+			lost, late = c.lose(command)
+		}
+		c.after(c.delay/2+late, func() { c.deliver(p, command, lost) })
+	}
+}
+
+func (c *fakeCell) deliver(p *Placer, command Command, lost bool) {
+	back := func(f func(now time.Duration) []Command) {
+		c.after(c.delay/2, func() {
+			if c.placer == p {
+				c.carry(f(c.now))
+			}
+		})
+	}
+	switch {
+	case command.Start != nil:
+		s := command.Start
+		w := c.workers[s.Life.Worker]
+		result, clock := cluster.NoAnswer, int64(0)
+		if w != nil && w.up && !w.cut {
+			result, clock = c.start(w, &s.Order), w.clock(c.now)
+		}
+		if lost {
+			result, clock = cluster.NoAnswer, 0
+		}
+		back(func(now time.Duration) []Command { p.Answered(s, result, clock, now); return nil })
+	case command.Stop != nil:
+		s := command.Stop
+		w := c.workers[s.Life.Worker]
+		result, clock := cluster.NoAnswer, int64(0)
+		if w != nil && w.up && !w.cut {
+			result, clock = c.stop(w, s), w.clock(c.now)
+		}
+		back(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
+	case command.Look != nil:
+		l := command.Look
+		w := c.workers[l.Life.Worker]
+		if w == nil || !w.up || w.cut || l.Hold.Token < w.token {
+			back(func(now time.Duration) []Command { p.LookFailed(l, now); return nil })
+			return
+		}
+		report := c.look(w, &l.Hold)
+		back(func(now time.Duration) []Command { p.Looked(l, report, now); return nil })
+	}
+}
+
+func (c *fakeCell) start(w *fakeWorker, s *cluster.Start) cluster.StartResult {
+	if s.Token < w.token {
+		return cluster.RefusedFence
+	}
+	w.token = s.Token
+	if r := w.runs[s.TaskID]; r != nil && r.start.Run == s.Run {
+		return cluster.Started
+	}
+	if s.Run <= w.highest[s.TaskID] {
+		return cluster.RefusedOld
+	}
+	if w.clock(c.now) > s.LeaseUntil {
+		return cluster.RefusedLate
+	}
+	w.lease = max(w.lease, s.LeaseUntil)
+	for id, other := range c.workers {
+		require.NotContains(c.t, other.runs, s.TaskID, "task %v runs on %s and is started on %s", s.TaskID, id, w.Life.Worker)
+	}
+	require.Zero(c.t, c.done[s.TaskID], "task %v is started after it was done", s.TaskID)
+	job := c.state.Jobs[s.Job]
+	size := job.Steps[s.Step].Size
+	for _, a := range job.Steps[s.Step].After {
+		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
+	}
+	w.runs[s.TaskID] = &fakeRun{start: *s, size: size, endAt: c.now + c.runTime(*s)}
+	used := resource.Vector{}
+	for _, r := range w.runs {
+		used = used.Add(r.size)
+	}
+	require.True(c.t, used.Fits(w.Capacity), "worker %s is given %v of %v", w.Life.Worker, used, w.Capacity)
+	c.starts++
+	return cluster.Started
+}
+
+func (c *fakeCell) stop(w *fakeWorker, s *StopCommand) cluster.StartResult {
+	if s.Token < w.token {
+		return cluster.RefusedFence
+	}
+	w.token = s.Token
+	w.highest[s.Run.TaskID] = max(w.highest[s.Run.TaskID], s.Run.Run)
+	if r := w.runs[s.Run.TaskID]; r != nil && r.start.Run == s.Run.Run {
+		w.end(s.Run.TaskID, cluster.Stopped)
+	}
+	return cluster.Started
+}
+
+func (c *fakeCell) look(w *fakeWorker, h *cluster.Hold) *cluster.Report {
+	w.token = h.Token
+	w.lease = max(w.lease, h.LeaseUntil)
+	rest := w.ended[:0:0]
+	for _, e := range w.ended {
+		if e.Number > h.Confirmed {
+			rest = append(rest, e)
+		}
+	}
+	w.ended = rest
+	r := &cluster.Report{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
+	for _, run := range w.runs {
+		r.Running = append(r.Running, cluster.RunReport{RunID: run.start.RunID})
+	}
+	return r
+}
+
+// restart gives a worker a new life.
+func (c *fakeCell) restart(w *fakeWorker) {
+	w.Born++
+	w.runs, w.ended, w.highest = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
+	w.number, w.token, w.lease, w.started = 0, 0, 0, c.now
+}
+
+func (c *fakeCell) phases() map[flow.Phase]int {
+	n := map[flow.Phase]int{}
+	for _, j := range c.state.Jobs {
+		n[j.Phase]++
+	}
+	return n
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -111,6 +111,7 @@
 	strays  []Command
 	queues  map[string]*cluster.Queue // newest known; a queue that was removed still has jobs
 	planAt  time.Duration
+	largest resource.Vector // largest free amounts of any worker, in this planning pass
 }
 
 // New returns the placer of a claim that was read at the given offset token. It takes
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -8,6 +8,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
 	"briarproxy/core/place"
+	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 )
 
@@ -153,9 +154,11 @@
 		return commands
 	}
 	p.advise.members(p.memberNames(now))
+	p.measureRoom()
 	order := make([]*stepWork, 0, len(p.steps))
 	for _, w := range p.steps {
-		if w.queue = p.queues[w.job.Queue]; w.job.Config <= p.config.Version {
+		w.rank(p.queues[w.job.Queue])
+		if w.job.Config <= p.config.Version {
 			order = append(order, w)
 		}
 	}
@@ -168,7 +171,7 @@
 			continue
 		}
 		placed := p.placeStep(w, waiting, now)
-		commands = p.askAdvice(commands, w, now)
+		commands = p.askAdvice(commands, w, placed, now)
 		if !placed && w.def.Gang && !holding {
 			holding = p.holdFor(w, waiting, now)
 		}
@@ -179,27 +182,54 @@
 // sortSteps puts steps that can still be on time before late ones, and among each the
 // one that must begin first.
 func sortSteps(order []*stepWork, wallMS int64) {
-	type key struct {
-		late   bool
-		latest int64
-	}
-	keys := make(map[*stepWork]key, len(order))
-	for _, w := range order {
-		latest := w.latestStart()
-		keys[w] = key{latest < wallMS, latest}
-	}
 	slices.SortFunc(order, func(a, b *stepWork) int {
-		x, y := keys[a], keys[b]
-		if x.late != y.late {
-			if x.late {
+		if x, y := a.latest < wallMS, b.latest < wallMS; x != y {
+			if x {
 				return 1
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(x.latest, y.latest), cmp.Compare(a.job.Offset, b.job.Offset), cmp.Compare(a.id.Step, b.id.Step))
+		return cmp.Or(cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.Offset, b.job.Offset), cmp.Compare(a.id.Step, b.id.Step))
 	})
 }
 
+// roomFor reports whether the workers (nil: the pool's) may have room for at least one
+// task of the step, or for all of them. It is far cheaper than a plan, and in a full
+// cell it spares the plan.
+func (p *Placer) roomFor(w *stepWork, among []string, tasks int) bool {
+	if !w.def.Size.Fits(p.largest) {
+		return false
+	}
+	if among == nil {
+		return true
+	}
+	left := 1
+	if w.def.Gang {
+		left = tasks
+	}
+	for _, id := range among {
+		free, open := p.cell.Room(id)
+		for open && left > 0 && w.def.Size.Fits(free) {
+			free = free.Sub(w.def.Size)
+			left--
+		}
+		if left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// measureRoom notes the largest free amounts of any worker.
+func (p *Placer) measureRoom() {
+	p.largest = resource.Vector{}
+	for id := range p.vms {
+		if free, open := p.cell.Room(id); open {
+			p.largest = p.largest.Max(free)
+		}
+	}
+}
+
 func (p *Placer) memberNames(now time.Duration) []string {
 	names := make([]string, 0, len(p.state.Members))
 	for name, m := range p.state.Members {
@@ -241,6 +271,9 @@
 // placeAmong places tasks on the given workers (nil: any) and returns those that found
 // no room.
 func (p *Placer) placeAmong(w *stepWork, tasks []int, among []string, now time.Duration) []int {
+	if !p.roomFor(w, among, len(tasks)) {
+		return tasks
+	}
 	if w.def.SameRack && len(tasks) > 1 {
 		for _, rack := range p.racks(among) {
 			if rest := p.placeOn(w, tasks, rack, now, true); len(rest) == 0 {
@@ -398,14 +431,14 @@
 
 // askAdvice asks for advice on workers that the step has not asked about, or for new
 // tickets for workers on which room is kept.
-func (p *Placer) askAdvice(commands []Command, w *stepWork, now time.Duration) []Command {
+func (p *Placer) askAdvice(commands []Command, w *stepWork, placed bool, now time.Duration) []Command {
 	if w.queue == nil || w.queue.Advice == nil {
 		return commands
 	}
 	workers := w.renew
 	w.renew = nil
 	if len(workers) == 0 {
-		if w.asking || now < w.askAfter {
+		if placed || w.asking || now < w.askAfter {
 			return commands
 		}
 		workers = p.unasked(w)
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -21,6 +21,7 @@
 	def      *flow.Step
 	queue    *cluster.Queue
 	since    time.Duration // its turn came
+	latest   int64         // see latestStart
 	grants   map[string]ticket
 	denied   map[string]bool
 	asking   bool
@@ -139,6 +140,15 @@
 	return cluster.TaskID{Job: w.id.Job, Occurrence: w.id.Occurrence, Step: w.id.Step, Index: i}
 }
 
+// rank puts the step's latest start in place when its queue is first known.
+func (w *stepWork) rank(q *cluster.Queue) {
+	if w.queue == nil && q != nil {
+		w.queue = q
+		w.latest = w.latestStart()
+	}
+	w.queue = q
+}
+
 // latestStart returns the time (Unix ms) at which the step must begin for its job to
 // end within its objective, as far as estimates go.
 func (w *stepWork) latestStart() int64 {
--- /dev/null
+++ b/core/placer/summary.go
@@ -0,0 +1,61 @@
+package placer
+
+import (
+	"time"
+
+	"briarproxy/core/chart"
+	"briarproxy/core/resource"
+)
+
+// Summary counts what the placer holds at one instant.
+type Summary struct {
+	Steps     int // whose turn has come and that are not complete
+	Unadvised int // wait for the first advice
+	Asking    int
+	Roomless  int // have advice, and tasks that wait for room
+	Late      int // waiting steps that can't end within their objective any more
+	Runs      map[chart.State]int
+	Usable    int // workers that may take work
+	Workers   int
+	Free      resource.Vector
+	Capacity  resource.Vector
+	Advisers  int
+	Calls     int // for advice, under way
+}
+
+// Summarize counts what the placer holds.
+func (p *Placer) Summarize(now time.Duration, wallMS int64) Summary {
+	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Advisers: len(p.advise.byName)}
+	var waiting []int
+	for _, w := range p.steps {
+		if waiting = p.waiting(w, waiting[:0]); len(waiting) == 0 {
+			continue
+		}
+		advised := w.queue == nil || w.queue.Advice == nil || len(w.grants) > 0
+		switch {
+		case w.asking:
+			s.Asking++
+		case !advised:
+			s.Unadvised++
+		default:
+			s.Roomless++
+		}
+		if w.latest < wallMS {
+			s.Late++
+		}
+	}
+	for _, r := range p.runs {
+		s.Runs[r.state]++
+	}
+	for id, v := range p.vms {
+		if free, open := p.cell.Room(id); open {
+			s.Usable++
+			s.Free = s.Free.Add(free)
+			s.Capacity = s.Capacity.Add(v.Capacity)
+		}
+	}
+	for _, d := range p.advise.byName {
+		s.Calls += d.open
+	}
+	return s
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -23,6 +23,7 @@
 	placerTick    = 20 * time.Millisecond
 	followTick    = 250 * time.Millisecond
 	helloEvery    = 5 * time.Second
+	summaryEvery  = time.Second
 	forgetEvery   = 10 * time.Second
 	keepFactor    = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
 	failoverShare = 0.6                     // of the bound for a change of the daemon that orders: leaves time to take over
@@ -70,6 +71,7 @@
 	helloAt    time.Duration
 	forgotAt   time.Duration
 	unusable   int
+	summaryAt  time.Duration
 
 	isPlacer atomic.Bool // read by the tail
 	isReady  atomic.Bool // read by the balancer's checks
@@ -367,6 +369,19 @@
 		e.logNote(&n)
 	}
 	e.flush(ctx, now)
+	e.summarize(now)
+}
+
+// summarize writes once a second what the placer holds.
+func (e *engine) summarize(now time.Duration) {
+	if now-e.summaryAt < summaryEvery || e.placer == nil {
+		return
+	}
+	e.summaryAt = now
+	s := e.placer.Summarize(now, time.Now().UnixMilli())
+	e.log.Emit(evSummary, "steps", s.Steps, "unadvised", s.Unadvised, "asking", s.Asking, "roomless", s.Roomless, "late", s.Late,
+		"runs", s.Runs, "usable", s.Usable, "workers", s.Workers, "free", s.Free.String(), "capacity", s.Capacity.String(),
+		"advisers", s.Advisers, "calls", s.Calls)
 }
 
 // flush appends the next batch unless one is under way.
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -28,5 +28,6 @@
 	evUnsure     = event.Define(942, "job-outcome-unknown", log.WarnLevel, "The caller was told that it is not known whether the job was stored; it may ask again with the same id.")
 	evCancelled  = event.Define(943, "job-cancelled", log.InfoLevel, "The cancellation of a job is stored.")
 	evDecision   = event.Define(950, "placer-decision", log.InfoLevel, "A decision or a change of belief of the placer about a task or worker.")
+	evSummary    = event.Define(951, "placer-summary", log.InfoLevel, "What the placer holds, once a second: steps by what they wait for, runs by state, workers, room, calls for advice.")
 	evPeerLost   = event.Define(960, "peer-unreachable", log.WarnLevel, "A call to another daemon failed; it is left alone for a while.")
 )
