Bound the planning's share of the processor

Change: the gap between passes grows with the steps, fewer collections, reads gathered over 12 ms, no new pass without an adviser.

--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	planGap      = 15 * time.Millisecond // gathers events into one planning pass
-	firstLook    = 64                    // workers named in the first call for advice
-	holdShare    = 0.5                   // of a pool that may be held for one gang
-	holdValidity = time.Second
-	sameRackWait = 2 * time.Second // a step waits this long for room in one rack
+	planGap = 15 * time.Millisecond // gathers events into one planning pass
+	// A pass takes longer with more waiting steps; the gap bounds its share of the processor.
+	planGapPerStep = 120 * time.Microsecond
+	firstLook      = 64  // workers named in the first call for advice
+	holdShare      = 0.5 // of a pool that may be held for one gang
+	holdValidity   = time.Second
+	sameRackWait   = 2 * time.Second // a step waits this long for room in one rack
 )
 
 // Tick does what is due by time: it follows leases, stops, looks and plans.
@@ -27,7 +29,7 @@
 	p.wakeDue(now, wallMS+p.options.Early.Milliseconds()/2)
 	p.lapse(now)
 	commands = p.stops(commands, now)
-	if p.dirty && now-p.planAt >= planGap {
+	if p.dirty && now-p.planAt >= planGap+planGapPerStep*time.Duration(len(p.steps)) {
 		p.dirty, p.planAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
@@ -246,6 +248,9 @@
 	if w.queue == nil || w.queue.Advice == nil {
 		return len(p.placeAmong(w, tasks, nil, now)) == 0
 	}
+	if !w.def.Size.Fits(p.largest) {
+		return false
+	}
 	valid, all := w.granted(now)
 	if len(valid) > 0 {
 		tasks = p.placeAmong(w, tasks, valid, now)
@@ -452,9 +457,7 @@
 	daemon := p.advise.pick(cost, now)
 	if daemon == "" {
 		p.dropTicketing(w, now)
-		w.askAfter = now + planGap
-		p.dirty = true
-		return commands
+		return commands // an answer to another call starts the next pass
 	}
 	w.asking, w.askedAt = true, now
 	p.advise.asked(daemon, w.id, cost, now)
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -19,11 +19,13 @@
 const (
 	drainTime  = 2600 * time.Millisecond
 	stopReport = 300 * time.Millisecond
+	gcPercent  = 400 // the live heap is small against the limit, processor time is not
 	heapShare  = 0.6 // of the process's memory limit; the rest is for stacks, buffers and unread bytes
 )
 
 // Run runs a daemon until the context ends, then makes a planned stop.
 func Run(ctx context.Context, s *Settings, p Platform, log *event.Logger) error {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * s.Limits.MemoryMiB * (1 << 20)))
 	e := newEngine(s, p, log)
 	e.counts = newCounts()
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -15,7 +15,7 @@
 	readTimeout  = readWait + 900*time.Millisecond
 	readBackoff  = 150 * time.Millisecond // after a failed read
 	followGap    = 250 * time.Millisecond // between reads of a daemon that only answers callers; each read has a price
-	placerGap    = 5 * time.Millisecond   // between reads of the placer
+	placerGap    = 12 * time.Millisecond  // between reads of the placer
 	recentReads  = 20 * time.Millisecond  // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
 	registryGap  = 800 * time.Millisecond // a draining worker must be known well within the drain bound
