Reach the store through another daemon when it turns this one away

Change: a relay tries the store directly and then through up to two other daemons, keeps what an unanswered try leaves open, and probes the direct path in the background.

--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -38,6 +38,8 @@
 type engine struct {
 	settings *Settings
 	platform Platform
+	store    *relay
+	peers    *peers
 	log      *event.Logger
 	rng      *rand.Rand
 
@@ -86,10 +88,12 @@
 
 func newEngine(s *Settings, p Platform, log *event.Logger) *engine {
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(bootclock.Now())))
+	links := newPeers()
+	store := newRelay(p, links)
 	e := &engine{
-		settings: s, platform: p, log: log, rng: rng,
+		settings: s, platform: p, store: store, peers: links, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
-		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(p), stopPlacer: func() {},
+		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store), stopPlacer: func() {},
 	}
 	e.orders = newOrders(e)
 	return e
@@ -188,11 +192,25 @@
 	if e.placer != nil {
 		e.placer.Read(&d.record, now)
 	}
+	if d.record.Hello != nil {
+		e.shareMembers()
+	}
 	if d.record.Claim != nil {
 		e.claimed(ctx, former, now)
 	}
 }
 
+// shareMembers tells the relay through which daemons the store may be reached.
+func (e *engine) shareMembers() {
+	addresses := make([]string, 0, len(e.state.Members))
+	for name, m := range e.state.Members {
+		if name != e.settings.Name {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	e.store.members.Store(&addresses)
+}
+
 // claimed follows a claim that was read.
 func (e *engine) claimed(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.endPlacer("another daemon claimed")
@@ -220,7 +238,7 @@
 		err := error(nil)
 		if former.Daemon != "" && former.Address != e.settings.Listen.Peers {
 			bounded, cancel := context.WithTimeout(ctx, retireTimeout)
-			err = e.orders.peers.yield(bounded, former.Address, former.Epoch)
+			err = e.peers.yield(bounded, former.Address, former.Epoch)
 			cancel()
 		}
 		if err == nil {
@@ -295,7 +313,7 @@
 	}
 	epoch := placer.NextEpoch(e.state, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
-	e.appender = &fenced{log: e.platform, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
+	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch, "silent_ms", (now - e.state.Heard).Milliseconds())
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch}}
 	appender := e.appender
@@ -328,7 +346,7 @@
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		got, err := e.platform.Read(bounded, partition, from, 0)
+		got, err := e.store.Read(bounded, partition, from, 0)
 		e.do(ctx, func(e *engine) {
 			if err != nil || e.state.Next >= got.End {
 				f(e, err == nil)
@@ -426,7 +444,7 @@
 func (e *engine) watchRegistry(ctx context.Context, p *placer.Placer) {
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		workers, unusable, err := e.platform.Workers(bounded)
+		workers, unusable, err := e.store.Workers(bounded)
 		cancel()
 		if err == nil {
 			e.do(ctx, func(e *engine) {
@@ -452,7 +470,7 @@
 	position := int64(-1)
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
-		config, next, err := e.platform.Configuration(bounded, position, configWait)
+		config, next, err := e.store.Configuration(bounded, position, configWait)
 		cancel()
 		position = next
 		if err != nil {
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -29,7 +29,6 @@
 	debug.SetMemoryLimit(int64(heapShare * s.Limits.MemoryMiB * (1 << 20)))
 	e := newEngine(s, p, log)
 	e.counts = newCounts()
-	e.orders.peers = newPeers()
 	listeners, err := listenAll(s)
 	if err != nil {
 		return err
@@ -39,10 +38,10 @@
 	yield := func(epoch int64) {
 		_, _ = ask(life, e, func(e *engine, reply chan<- bool) { e.yield(epoch); reply <- true })
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: p, yield: yield}); err != nil {
+	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield}); err != nil {
 		return err
 	}
-	t := &tail{log: p, pages: e.pages, nudge: e.nudge, gap: e.readGap}
+	t := &tail{log: e.store, pages: e.pages, nudge: e.nudge, gap: e.readGap}
 	go t.run(life)
 	go e.writer.run(life)
 	go e.watchConfig(life)
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -28,7 +28,6 @@
 	starts  pond.Pool
 	looks   pond.Pool
 	advices pond.Pool
-	peers   *peers
 }
 
 func newOrders(e *engine) *orders {
@@ -125,5 +124,5 @@
 	if self {
 		return o.engine.platform.Advise(bounded, c.Step, c.Workers)
 	}
-	return o.peers.advise(bounded, address, c.Step, c.Workers)
+	return o.engine.peers.advise(bounded, address, c.Step, c.Workers)
 }
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -43,6 +43,7 @@
 // peerService serves the other daemons' RPCs.
 type peerService struct {
 	adviser Adviser
+	store   storeAccess
 	yield   func(epoch int64)
 }
 
--- /dev/null
+++ b/daemon/cell/relay.go
@@ -0,0 +1,218 @@
+package cell
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
+	"briarproxy/daemon/bootclock"
+)
+
+// Times of reaching the store through another daemon.
+const (
+	directTimeout = 800 * time.Millisecond // a slow store answers within a third of a second
+	directAgain   = 1200 * time.Millisecond
+	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
+	relayTries    = 2
+)
+
+// storeAccess is what a daemon needs of the platform's store.
+type storeAccess interface {
+	Log
+	Registry
+}
+
+// relay reaches the store directly or, while the store turns this daemon away or the
+// path to it is cut, through other daemons. All calls may safely be made twice.
+type relay struct {
+	direct     storeAccess
+	peers      *peers
+	members    atomic.Pointer[[]string] // addresses of the other daemons
+	away       atomic.Bool              // the store was not reached directly
+	position   atomic.Int64             // of the last read
+	relayAfter atomic.Int64             // boot clock: do not try peers until then
+}
+
+func newRelay(direct storeAccess, p *peers) *relay {
+	r := &relay{direct: direct, peers: p}
+	r.members.Store(&[]string{})
+	return r
+}
+
+// worthRelaying reports whether another daemon may get what this one did not.
+func worthRelaying(err error) bool {
+	return err != nil && !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Invalid)
+}
+
+// reach makes a call directly and, if that fails, through other daemons.
+func (r *relay) reach(ctx context.Context, wait time.Duration, direct func(ctx context.Context) error, via func(ctx context.Context, address string) error) error {
+	var err error
+	relayed := r.away.Load() && int64(bootclock.Now()) >= r.relayAfter.Load()
+	if !relayed {
+		bounded, cancel := context.WithTimeout(ctx, wait+directTimeout)
+		err = direct(bounded)
+		cancel()
+		if !worthRelaying(err) {
+			return err
+		}
+		r.lost()
+		if int64(bootclock.Now()) < r.relayAfter.Load() {
+			return err
+		}
+	}
+	members := *r.members.Load()
+	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil; try++ {
+		failed := via(ctx, members[rand.IntN(len(members))])
+		if !worthRelaying(failed) {
+			return failed
+		}
+		err = keepUnsure(err, failed)
+	}
+	r.relayAfter.Store(int64(bootclock.Now() + relayAgain))
+	if err == nil {
+		err = fault.New(fault.Unavailable, "retry", "the store was not reached and there is no other daemon")
+	}
+	return err
+}
+
+// lost notes that the store was not reached directly and tries from time to time in the
+// background, so that no call waits for a path that does not work.
+func (r *relay) lost() {
+	if r.away.Swap(true) {
+		return
+	}
+	go func() {
+		for r.away.Load() {
+			time.Sleep(directAgain)
+			ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
+			if _, err := r.direct.Read(ctx, partition, r.position.Load(), 0); err == nil {
+				r.away.Store(false)
+			}
+			cancel()
+		}
+	}()
+}
+
+// keepUnsure returns the error that says more of what may have happened: a call without
+// an answer may have taken effect.
+func keepUnsure(first, second error) error {
+	if first != nil && fault.Is(first, fault.Unknown) {
+		return first
+	}
+	return second
+}
+
+// Append implements Log.
+func (r *relay) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	var offset int64
+	err := r.reach(ctx, 0, func(ctx context.Context) (err error) {
+		offset, err = r.direct.Append(ctx, part, records, fence)
+		return err
+	}, func(ctx context.Context, address string) error {
+		reply := &AppendReply{}
+		err := r.peers.call(ctx, address, appendMethod, &AppendArgs{part, records, fence, within(ctx, directTimeout)}, reply)
+		offset = reply.Offset
+		return remote(err, reply.Failure, fault.Unknown)
+	})
+	return offset, err
+}
+
+// Read implements Log.
+func (r *relay) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	var page cluster.LogPage
+	r.position.Store(from)
+	err := r.reach(ctx, wait, func(ctx context.Context) (err error) {
+		page, err = r.direct.Read(ctx, part, from, wait)
+		return err
+	}, func(ctx context.Context, address string) error {
+		reply := &ReadReply{}
+		err := r.peers.call(ctx, address, readMethod, &ReadArgs{part, from, min(wait, relayWait), within(ctx, directTimeout+relayWait)}, reply)
+		page = reply.Page
+		return remote(err, reply.Failure, fault.Unavailable)
+	})
+	return page, err
+}
+
+// Configuration implements Registry.
+func (r *relay) Configuration(ctx context.Context, position int64, wait time.Duration) (*cluster.Configuration, int64, error) {
+	var config *cluster.Configuration
+	next := position
+	err := r.reach(ctx, wait, func(ctx context.Context) (err error) {
+		config, next, err = r.direct.Configuration(ctx, position, wait)
+		return err
+	}, func(ctx context.Context, address string) error {
+		reply := &ConfigurationReply{}
+		err := r.peers.call(ctx, address, configurationMethod, &ReadArgs{From: position, Wait: min(wait, relayWait), Within: within(ctx, directTimeout+relayWait)}, reply)
+		if err == nil && reply.Failure == "" {
+			next = reply.Next
+			if reply.Some {
+				config = &reply.Config
+			}
+		}
+		return remote(err, reply.Failure, fault.Unavailable)
+	})
+	return config, next, err
+}
+
+// Workers implements Registry.
+func (r *relay) Workers(ctx context.Context) ([]cluster.Worker, []string, error) {
+	var workers []cluster.Worker
+	var unusable []string
+	err := r.reach(ctx, 0, func(ctx context.Context) (err error) {
+		workers, unusable, err = r.direct.Workers(ctx)
+		return err
+	}, func(ctx context.Context, address string) error {
+		reply := &WorkersReply{}
+		err := r.peers.call(ctx, address, workersMethod, &ReadArgs{Within: within(ctx, directTimeout)}, reply)
+		workers, unusable = reply.Workers, reply.Unusable
+		return remote(err, reply.Failure, fault.Unavailable)
+	})
+	return workers, unusable, err
+}
+
+// relayWait is how long a read through another daemon waits for a record.
+const relayWait = 300 * time.Millisecond
+
+// within is the time that a call may take at the other daemon.
+func within(ctx context.Context, most time.Duration) time.Duration {
+	if deadline, set := ctx.Deadline(); set {
+		return min(most, time.Until(deadline))
+	}
+	return most
+}
+
+// failures are the kinds of error that keep their meaning on the way back.
+var failures = map[string]*errorx.Type{
+	"refused": fault.Refused, "unavailable": fault.Unavailable, "conflict": fault.Conflict, "invalid": fault.Invalid, "unknown": fault.Unknown,
+}
+
+// failure returns the name of an error's kind for a reply; "" is no error.
+func failure(err error) string {
+	if err == nil {
+		return ""
+	}
+	for name, kind := range failures {
+		if fault.Is(err, kind) {
+			return name
+		}
+	}
+	return "unknown"
+}
+
+// remote returns the error of a call through another daemon. A call without an answer is
+// of the given kind.
+func remote(err error, failed string, unanswered *errorx.Type) error {
+	switch {
+	case err != nil:
+		return fault.Wrap(err, unanswered, "retry", "a daemon that was asked for the store gave no answer")
+	case failed != "":
+		return fault.New(failures[failed], "retry", "the store refused another daemon (%s)", failed)
+	default:
+		return nil
+	}
+}
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -11,15 +11,15 @@
 
 // Times of reading the log.
 const (
-	readWait     = 1000 * time.Millisecond // one read waits this long for a record
-	readTimeout  = readWait + 900*time.Millisecond
-	readBackoff  = 150 * time.Millisecond // after a failed read
-	followGap    = 250 * time.Millisecond // between reads of a daemon that only answers callers; each read has a price
-	placerGap    = 12 * time.Millisecond  // between reads of the placer
-	recentReads  = 20 * time.Millisecond  // shorter answers than the wait show the round trip
+	readWait     = 1000 * time.Millisecond          // one read waits this long for a record
+	readTimeout  = readWait + 2200*time.Millisecond // a direct try, then one through another daemon
+	readBackoff  = 150 * time.Millisecond           // after a failed read
+	followGap    = 250 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
+	placerGap    = 12 * time.Millisecond            // between reads of the placer
+	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
 	registryGap  = 800 * time.Millisecond // a draining worker must be known well within the drain bound
-	storeTimeout = 1500 * time.Millisecond
+	storeTimeout = 2000 * time.Millisecond
 )
 
 // page is what the tail read.
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -13,7 +13,7 @@
 
 // Limits of appending.
 const (
-	appendTimeout = 900 * time.Millisecond // of one append; the store answers in milliseconds when it is well
+	appendTimeout = 1800 * time.Millisecond // of one append: a direct try, then one through another daemon
 	appendRetry   = 120 * time.Millisecond
 	appendQueue   = 4096 // records that wait for an append
 	appendsOpen   = 4    // appends under way at a time; more would only wait at the partition
