Tell a job as begun only when a worker took a run; end a claim with its process

After a loss of all machines nobody placed until the lost placer had been silent for 1.8 s. Change: a batch names the jobs of which a worker took the first run; a claim is over when its daemon says hello from a new process; silence of 1.05 s makes others claim, beats every 250 ms; waiting direct reads end when the store path is found broken.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -55,7 +55,7 @@
 	Daemon  string `json:"d"`
 	Address string `json:"a"` // of its peer listener
 	Epoch   int64  `json:"e"` // of its appends
-	RoundMS int64  `json:"r,omitempty"`
+	Started int64  `json:"t"` // start of the process, Unix ms: tells its lives apart
 }
 
 // Release ends the placer's claim.
@@ -68,6 +68,7 @@
 type Hello struct {
 	Daemon  string `json:"d"`
 	Address string `json:"a"`
+	Started int64  `json:"t"` // start of the process, Unix ms
 	Leaving bool   `json:"x,omitempty"`
 }
 
@@ -88,9 +89,10 @@
 // Batch is what the placer decided and learned since its last batch. An empty one shows
 // that it is alive.
 type Batch struct {
-	Epoch  int64   `json:"e"`
-	Begins []Begin `json:"b,omitempty"`
-	Ends   []End   `json:"x,omitempty"`
+	Epoch   int64    `json:"e"`
+	Begins  []Begin  `json:"b,omitempty"`
+	Ends    []End    `json:"x,omitempty"`
+	Started []string `json:"s,omitempty"` // jobs of which a worker has taken the first run
 }
 
 // Record is one entry of the log. Exactly one field is set.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -38,6 +38,7 @@
 	Done     int // tasks that are done
 	Run      int // highest run of any task, shared by the members of a gang
 	Failures int // failed runs of a gang
+	failed   int // last run that was counted
 }
 
 // Complete reports whether all tasks of the step are done.
@@ -97,6 +98,14 @@
 	return true
 }
 
+// start notes that a run of the job has certainly begun.
+func (s *State) start(j *Job) {
+	if j.Phase == Queued {
+		s.leaveQueue(j)
+		j.Phase = Running
+	}
+}
+
 // Member is a daemon that said hello.
 type Member struct {
 	Hello
@@ -188,6 +197,9 @@
 		delete(s.Members, h.Daemon)
 		return
 	}
+	if h.Daemon == s.Claim.Daemon && h.Started > s.Claim.Started {
+		s.Claim.Daemon = "" // the process that claimed has ended: this is its successor
+	}
 	s.Members[h.Daemon] = Member{Hello: h, Seen: now}
 }
 
@@ -196,6 +208,11 @@
 		return fault.New(fault.Conflict, "none needed: a newer placer has taken over", "batch of epoch %d while %d is in force", b.Epoch, s.Claim.Epoch)
 	}
 	s.Heard = now
+	for _, id := range b.Started {
+		if j := s.Jobs[id]; j != nil {
+			s.start(j)
+		}
+	}
 	var first error
 	for i := range b.Ends {
 		if err := s.end(&b.Ends[i], now); err != nil && first == nil {
@@ -235,10 +252,6 @@
 	t.Run, t.Active, t.Life = b.Run, true, b.Life
 	step.Run = max(step.Run, b.Run)
 	j.Active++
-	if j.Phase == Queued {
-		s.leaveQueue(j)
-		j.Phase = Running
-	}
 	return nil
 }
 
@@ -247,11 +260,18 @@
 	if t == nil {
 		return fault.New(fault.Conflict, "none needed: the job has been forgotten", "end of unknown task %v", e.TaskID)
 	}
+	if t.Done && t.Run == e.Run {
+		return nil // a gang's member that ended with the others
+	}
 	if !t.Active || t.Run != e.Run {
 		return fault.New(fault.Conflict, "none needed: the end was recorded before", "run %d of task %v does not run", e.Run, e.TaskID)
 	}
 	t.Active = false
 	j.Active--
+	if e.How == cluster.Void {
+		return nil
+	}
+	s.start(j)
 	def := &j.Steps[e.Step]
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
@@ -262,12 +282,30 @@
 	switch e.How {
 	case cluster.Done:
 		s.done(j, o, step, t, now)
+		if def.Gang {
+			s.doneGang(j, o, step, e.Run, now)
+		}
 	case cluster.Failed:
 		s.failed(j, def, step, t, e, now)
 	}
 	return nil
 }
 
+// doneGang marks the other members of a gang as done: one such end stands for all.
+func (s *State) doneGang(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
+	for i := range step.Tasks {
+		t := &step.Tasks[i]
+		if t.Done || t.Run != run {
+			continue
+		}
+		if t.Active {
+			t.Active = false
+			j.Active--
+		}
+		s.done(j, o, step, t, now)
+	}
+}
+
 func (s *State) done(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
 	t.Done = true
 	step.Done++
@@ -289,6 +327,10 @@
 	t.Failures++
 	attempts := t.Failures
 	if def.Gang {
+		if step.failed == e.Run {
+			return
+		}
+		step.failed = e.Run
 		step.Failures++
 		attempts = step.Failures
 	}
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -75,6 +75,16 @@
 	return commands
 }
 
+// confirm has it recorded that a job has begun, once.
+func (p *Placer) confirm(r *run) {
+	w := p.jobs[r.Job]
+	if w == nil || w.confirmed || w.job.Phase != flow.Queued {
+		return
+	}
+	w.confirmed = true
+	p.out.Started = append(p.out.Started, r.Job)
+}
+
 // start returns the order to start a run.
 func (p *Placer) start(r *run, now time.Duration) Command {
 	v := r.vm
@@ -106,6 +116,7 @@
 		v.refusals = 0
 		r.step(accepted)
 		r.answeredAt = now
+		p.confirm(r)
 		return false
 	case cluster.NoAnswer:
 		r.step(unanswered)
@@ -258,6 +269,7 @@
 			r.percent = row.Percent
 			if r.state != ended {
 				r.step(listed)
+				p.confirm(r)
 			}
 			continue
 		}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -21,7 +21,8 @@
 	ticketMargin    = 150 * time.Millisecond // left of a ticket when the order is sent: one way to a far region and queueing
 	ticketPlan      = 350 * time.Millisecond // left of a ticket for a plan that is still to be recorded
 	batchGap        = 12 * time.Millisecond  // gathers plans and ends into one append
-	beatGap         = 500 * time.Millisecond // an idle placer shows that it is alive; several fit into a failover time
+	startedGap      = 150 * time.Millisecond // that a job has begun may be told this much later
+	beatGap         = 250 * time.Millisecond // an idle placer shows that it is alive; several fit into a failover time
 	unlistedGrace   = 5 * time.Second        // a worker whose entry vanished is used on while it answers: entries may be dropped and written again
 	answerGrace     = 2500 * time.Millisecond
 	failuresToAvoid = 3
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -134,6 +134,9 @@
 // appends one batch at a time and passes runs to Appended when it is acknowledged.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
 	n := len(p.out.Begins) + len(p.out.Ends)
+	if len(p.out.Started) > 0 && now-p.sentAt >= startedGap {
+		n++
+	}
 	if n == 0 && now-p.sentAt < beatGap || n > 0 && now-p.sentAt < batchGap {
 		return flow.Batch{}, nil, false
 	}
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -12,6 +12,7 @@
 type jobWork struct {
 	job       *flow.Job
 	activated map[cluster.StepID]bool
+	confirmed bool // that it has begun is recorded or about to be
 }
 
 // stepWork is a step whose turn has come and that has tasks to start.
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -26,7 +26,7 @@
 	summaryEvery  = time.Second
 	forgetEvery   = 10 * time.Second
 	keepFactor    = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
-	failoverShare = 0.6                     // of the bound for a change of the daemon that orders: leaves time to take over
+	failoverShare = 0.35                    // of the bound for a change of the daemon that orders: leaves time to take over
 	leaseMost     = 6 * time.Second         // longer leases delay the restart of what ran on lost workers
 	readyWithin   = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
 	retireTries   = 4
@@ -37,6 +37,7 @@
 // engine owns the state that the log tells and, at times, the placer.
 type engine struct {
 	settings *Settings
+	started  int64 // Unix ms
 	platform Platform
 	store    *relay
 	peers    *peers
@@ -91,7 +92,7 @@
 	links := newPeers()
 	store := newRelay(p, links)
 	e := &engine{
-		settings: s, platform: p, store: store, peers: links, log: log, rng: rng,
+		settings: s, started: time.Now().UnixMilli(), platform: p, store: store, peers: links, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
 		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store), stopPlacer: func() {},
 	}
@@ -296,7 +297,7 @@
 }
 
 func (e *engine) sayHello(ctx context.Context, leaving bool) {
-	r := flow.Record{Hello: &flow.Hello{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Leaving: leaving}}
+	r := flow.Record{Hello: &flow.Hello{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Started: e.started, Leaving: leaving}}
 	go func() { _ = e.writer.append(ctx, &r, helloEvery) }() // repeated every few seconds
 }
 
@@ -315,7 +316,7 @@
 	e.claiming, e.claimEpoch = true, epoch
 	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch, "silent_ms", (now - e.state.Heard).Milliseconds())
-	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch}}
+	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
 	appender := e.appender
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, 2*appendTimeout)
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // Times of reaching the store through another daemon.
 const (
-	directTimeout = 800 * time.Millisecond // a slow store answers within a third of a second
+	directTimeout = 600 * time.Millisecond // a slow store answers within a third of a second
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
 	relayTries    = 2
@@ -36,10 +37,14 @@
 	away       atomic.Bool              // the store was not reached directly
 	position   atomic.Int64             // of the last read
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
+
+	mu   sync.Mutex
+	last int
+	open map[int]func() // direct calls under way
 }
 
 func newRelay(direct storeAccess, p *peers) *relay {
-	r := &relay{direct: direct, peers: p}
+	r := &relay{direct: direct, peers: p, open: map[int]func(){}}
 	r.members.Store(&[]string{})
 	return r
 }
@@ -55,7 +60,9 @@
 	relayed := r.away.Load() && int64(bootclock.Now()) >= r.relayAfter.Load()
 	if !relayed {
 		bounded, cancel := context.WithTimeout(ctx, wait+directTimeout)
+		forget := r.cancelWhenLost(cancel)
 		err = direct(bounded)
+		forget()
 		cancel()
 		if !worthRelaying(err) {
 			return err
@@ -80,12 +87,31 @@
 	return err
 }
 
+// cancelWhenLost has a call ended when another one finds that the path does not work.
+func (r *relay) cancelWhenLost(cancel func()) (forget func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	id := r.last
+	r.open[id] = cancel
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, id)
+	}
+}
+
 // lost notes that the store was not reached directly and tries from time to time in the
 // background, so that no call waits for a path that does not work.
 func (r *relay) lost() {
 	if r.away.Swap(true) {
 		return
 	}
+	r.mu.Lock()
+	for _, cancel := range r.open {
+		cancel() // calls that wait on the same path
+	}
+	r.mu.Unlock()
 	go func() {
 		for r.away.Load() {
 			time.Sleep(directAgain)
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -14,7 +14,7 @@
 	readWait     = 1000 * time.Millisecond          // one read waits this long for a record
 	readTimeout  = readWait + 2200*time.Millisecond // a direct try, then one through another daemon
 	readBackoff  = 150 * time.Millisecond           // after a failed read
-	followGap    = 250 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
+	followGap    = 180 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
 	placerGap    = 12 * time.Millisecond            // between reads of the placer
 	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
