Gather callers' records at the placer and make claims unique

Change: records go through the placer, which appends all daemons' in one append at a time, and are appended here when it does not answer for 0.5 s; no record waits for another's attempt; a claim counts only for the process that it names, epochs are drawn from a million; claims follow a read of the log out of turn, whose time tells a slow log from a silent placer.

--- /dev/null
+++ b/core/flow/state_test.go
@@ -0,0 +1,154 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+)
+
+func apply(t *testing.T, s *State, records ...Record) {
+	t.Helper()
+	for i := range records {
+		data, err := records[i].Encode()
+		require.NoError(t, err)
+		decoded, err := Decode(data)
+		require.NoError(t, err)
+		require.NoError(t, s.Apply(&decoded, time.Second))
+	}
+}
+
+func claimed(t *testing.T, steps ...Step) *State {
+	s := NewState()
+	apply(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}},
+		Record{Submit: &Submit{ID: "j", Queue: "q", Pool: "p", Spec: "first", Steps: steps, MaxAttempts: 2}})
+	return s
+}
+
+func runOf(step, index, run int) cluster.RunID {
+	return cluster.RunID{TaskID: cluster.TaskID{Job: "j", Step: step, Index: index}, Run: run}
+}
+
+func begin(ids ...cluster.RunID) Record {
+	b := &Batch{Epoch: 9}
+	for _, id := range ids {
+		b.Begins = append(b.Begins, Begin{RunID: id, Life: cluster.Life{Worker: "w", Born: 3}})
+	}
+	return Record{Batch: b}
+}
+
+func ends(how cluster.How, ids ...cluster.RunID) Record {
+	b := &Batch{Epoch: 9}
+	for _, id := range ids {
+		b.Ends = append(b.Ends, End{RunID: id, How: how})
+	}
+	return Record{Batch: b}
+}
+
+// Guards against a repeat of a submission that replaces the job or counts it twice.
+func TestFirstSubmissionCounts(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, Record{Submit: &Submit{ID: "j", Queue: "q", Spec: "second", Steps: []Step{{Count: 9}}}})
+	require.Equal(t, "first", s.Jobs["j"].Spec)
+	require.Equal(t, 1, s.Pending["q"])
+}
+
+// Guards against a job that is told as begun although no worker took a run of it (MIXED on
+// dosui-sched, hunt-5e82-3), and against one that is told as waiting although one did.
+func TestPendingUntilAWorkerTookARun(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, begin(runOf(0, 0, 1)))
+	require.Equal(t, 1, s.Pending["q"])
+	require.Equal(t, Queued, s.Jobs["j"].Phase)
+	apply(t, s, ends(cluster.Void, runOf(0, 0, 1)), begin(runOf(0, 0, 2)))
+	require.Equal(t, 1, s.Pending["q"])
+	apply(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j", "unknown"}}})
+	require.Zero(t, s.Pending["q"])
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	apply(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j"}}}, ends(cluster.Done, runOf(0, 0, 2)))
+	require.Zero(t, s.Pending["q"])
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+}
+
+// Guards against a job shown as completed while a task is open, and against steps whose
+// turn comes early.
+func TestCompletedWhenAllTasksAreDone(t *testing.T) {
+	s := claimed(t, Step{Count: 2}, Step{Count: 1, After: []int{0}})
+	apply(t, s, begin(runOf(0, 0, 1), runOf(0, 1, 1)), ends(cluster.Done, runOf(0, 0, 1)))
+	require.False(t, s.Jobs["j"].StepReady(0, 1))
+	apply(t, s, ends(cluster.Lapsed, runOf(0, 1, 1)), begin(runOf(0, 1, 2)), ends(cluster.Done, runOf(0, 1, 2)))
+	require.True(t, s.Jobs["j"].StepReady(0, 1))
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	apply(t, s, begin(runOf(1, 0, 1)), ends(cluster.Done, runOf(1, 0, 1)))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+}
+
+// Guards against attempts that are counted for each member of a gang, or for ends that are
+// nobody's failure.
+func TestAttemptsAreCountedOnce(t *testing.T) {
+	s := claimed(t, Step{Count: 3, Gang: true})
+	all := func(run int) []cluster.RunID {
+		return []cluster.RunID{runOf(0, 0, run), runOf(0, 1, run), runOf(0, 2, run)}
+	}
+	apply(t, s, begin(all(1)...), ends(cluster.Failed, all(1)...))
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	apply(t, s, begin(all(2)...), ends(cluster.Broken, all(2)...), begin(all(3)...), ends(cluster.Lost, all(3)...))
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	apply(t, s, begin(all(4)...), ends(cluster.Failed, runOf(0, 1, 4)))
+	require.Equal(t, Failed, s.Jobs["j"].Phase)
+}
+
+// Guards against a gang that runs again because the end of one member was lost with its
+// worker: one end stands for all.
+func TestOneDoneMemberEndsTheGang(t *testing.T) {
+	s := claimed(t, Step{Count: 3, Gang: true})
+	apply(t, s, begin(runOf(0, 0, 1), runOf(0, 1, 1), runOf(0, 2, 1)), ends(cluster.Done, runOf(0, 1, 1)))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+	require.Zero(t, s.Jobs["j"].Active)
+	apply(t, s, ends(cluster.Lost, runOf(0, 0, 1)), ends(cluster.Done, runOf(0, 2, 1)))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+}
+
+// Guards against runs begun or ended by a placer that was superseded, and against doubled
+// runs in the state.
+func TestForeignAndDoubledEntriesAreIgnored(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, begin(runOf(0, 0, 1)))
+	require.Error(t, s.Apply(&Record{Batch: &Batch{Epoch: 8, Ends: []End{{RunID: runOf(0, 0, 1), How: cluster.Done}}}}, 0))
+	second := begin(runOf(0, 0, 2))
+	require.Error(t, s.Apply(&second, 0))
+	require.Equal(t, 1, s.Task(runOf(0, 0, 1).TaskID).Run)
+	unknown := ends(cluster.Done, cluster.RunID{TaskID: cluster.TaskID{Job: "none"}, Run: 1})
+	require.Error(t, s.Apply(&unknown, 0))
+	outside := begin(runOf(4, 0, 1))
+	require.Error(t, s.Apply(&outside, 0))
+	require.Error(t, s.Apply(&Record{}, 0))
+	require.EqualValues(t, 8, s.Next)
+}
+
+// Guards against a cell that waits for a placer whose process is known to have ended, and
+// against a claim that ends because another daemon, or the same process, says hello.
+func TestClaimEndsWithItsProcess(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, Record{Hello: &Hello{Daemon: "b", Started: 99}}, Record{Hello: &Hello{Daemon: "a", Started: 5}})
+	require.Equal(t, "a", s.Claim.Daemon)
+	apply(t, s, Record{Hello: &Hello{Daemon: "a", Started: 6}})
+	require.Empty(t, s.Claim.Daemon)
+	require.EqualValues(t, 9, s.Claim.Epoch)
+	apply(t, s, Record{Claim: &Claim{Daemon: "b", Epoch: 10}}, Record{Release: &Release{Daemon: "a", Epoch: 9}})
+	require.Equal(t, "b", s.Claim.Daemon)
+}
+
+// Guards against jobs that are forgotten too early, or never.
+func TestForget(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, begin(runOf(0, 0, 1)), Record{Cancel: &Cancel{ID: "j"}})
+	require.Equal(t, Cancelled, s.Jobs["j"].Phase)
+	require.Empty(t, s.Forget(time.Minute, 10*time.Minute), "a run is still active")
+	apply(t, s, ends(cluster.Stopped, runOf(0, 0, 1)))
+	require.Empty(t, s.Forget(time.Minute, 30*time.Second))
+	require.Equal(t, []string{"j"}, s.Forget(time.Minute, 10*time.Minute))
+	require.Error(t, s.Apply(&Record{Cancel: &Cancel{ID: "j"}}, 0))
+}
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	epochStep       = 1 << 12 // epochs of one generation of claims differ below this
-	roundTripFactor = 5       // a daemon near the log claims before one that is far from it
+	epochStep       = 1 << 20               // epochs of one generation of claims differ below this
+	roundTripFactor = 5                     // a daemon near the log claims before one that is far from it
+	slowAnswer      = 80 * time.Millisecond // beyond the usual round trip
+	slowFactor      = 10
 	claimSpread     = 60 * time.Millisecond
 )
 
@@ -21,6 +23,7 @@
 	RoundTrip time.Duration // to the log
 	Failover  time.Duration // silence of a placer that makes others claim
 	Jitter    time.Duration // of this daemon, below claimSpread
+	Probe     time.Duration // how long the log took to answer just now; 0 is not known
 }
 
 // ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
@@ -32,10 +35,13 @@
 	}
 	delay := roundTripFactor*w.RoundTrip + w.Jitter
 	quiet := w.Now - max(s.Heard, w.Able)
-	switch {
-	case s.Claim.Daemon == "" && quiet > delay:
+	if s.Claim.Daemon == "" && quiet > delay {
 		return "there is no placer", true
-	case quiet > w.Failover+delay:
+	}
+	if slow := w.Probe - w.RoundTrip; slow > slowAnswer {
+		delay += slowFactor * slow // a placer's records are as late as this answer, several times over
+	}
+	if s.Claim.Daemon != "" && quiet > w.Failover+delay {
 		return "the placer is silent", true
 	}
 	return "", false
--- /dev/null
+++ b/core/placer/claim_test.go
@@ -0,0 +1,57 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/flow"
+)
+
+const second = time.Second
+
+// Guards against claims while a placer is alive: after an outage of the log, by daemons
+// that have just begun to read, and while the log itself is slow; and against a cell that
+// waits although nobody places.
+func TestShouldClaim(t *testing.T) {
+	placing := &flow.State{Claim: flow.Claim{Daemon: "a", Epoch: 1}, Heard: 100 * second}
+	free := &flow.State{Heard: 100 * second}
+	near := Watch{Now: 100*second + 200*time.Millisecond, Able: 50 * second, ReadLast: 100*second + 150*time.Millisecond, RoundTrip: 4 * time.Millisecond, Failover: second}
+	for _, test := range []struct {
+		name   string
+		state  *flow.State
+		change func(*Watch)
+		claim  bool
+	}{
+		{"a placer was heard just now", placing, func(*Watch) {}, false},
+		{"nobody places", free, func(*Watch) {}, true},
+		{"nobody places, but a nearer daemon goes first", free, func(w *Watch) { w.RoundTrip = 64 * time.Millisecond }, false},
+		{"nobody places and the log is slow", free, func(w *Watch) { w.Probe = 400 * time.Millisecond }, true},
+		{"the placer is silent", placing, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, true},
+		{"the log was not read lately", placing, func(w *Watch) { w.Now = 102 * second }, false},
+		{"the log was not readable in between", placing, func(w *Watch) { w.Now, w.ReadLast, w.Able = 110*second, 110*second, 109*second+500*time.Millisecond }, false},
+		{"the log is slow, so is the placer", placing, func(w *Watch) { w.Now, w.ReadLast, w.Probe = 102*second, 102*second, 300*time.Millisecond }, false},
+		{"never read", placing, func(w *Watch) { w.ReadLast = 0 }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := near
+			test.change(&w)
+			_, claim := ShouldClaim(test.state, w)
+			require.Equal(t, test.claim, claim)
+		})
+	}
+}
+
+// Guards against two claimants with the same epoch, of which the log would refuse neither.
+func TestEpochsRise(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := &flow.State{}
+	for range 1000 {
+		next := NextEpoch(s, rng)
+		require.Greater(t, next, s.Claim.Epoch)
+		require.NotEqual(t, next, NextEpoch(s, rng))
+		s.Claim.Epoch = next
+	}
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -75,6 +75,7 @@
 	forgotAt   time.Duration
 	unusable   int
 	summaryAt  time.Duration
+	probedAt   time.Duration // boot clock: answer to the newest read out of turn
 
 	isPlacer atomic.Bool // read by the tail
 	isReady  atomic.Bool // read by the balancer's checks
@@ -94,7 +95,7 @@
 	e := &engine{
 		settings: s, started: time.Now().UnixMilli(), platform: p, store: store, peers: links, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
-		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store), stopPlacer: func() {},
+		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
 	e.orders = newOrders(e)
 	return e
@@ -196,11 +197,23 @@
 	if d.record.Hello != nil {
 		e.shareMembers()
 	}
+	if address := e.placerAddress(); address != *e.writer.placer.Load() {
+		e.writer.placer.Store(&address)
+	}
 	if d.record.Claim != nil {
 		e.claimed(ctx, former, now)
 	}
 }
 
+// placerAddress is where callers' records are gathered: at the placer, which is near the
+// log; "" is here.
+func (e *engine) placerAddress() string {
+	if e.state.Claim.Daemon == "" || e.state.Claim.Daemon == e.settings.Name {
+		return ""
+	}
+	return e.state.Claim.Address
+}
+
 // shareMembers tells the relay through which daemons the store may be reached.
 func (e *engine) shareMembers() {
 	addresses := make([]string, 0, len(e.state.Members))
@@ -215,7 +228,8 @@
 // claimed follows a claim that was read.
 func (e *engine) claimed(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.endPlacer("another daemon claimed")
-	if e.claimEpoch == 0 || e.state.Claim.Epoch != e.claimEpoch {
+	mine := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.Started == e.started
+	if !mine || e.state.Claim.Epoch != e.claimEpoch {
 		return
 	}
 	placing, stop := context.WithCancel(ctx)
@@ -305,17 +319,32 @@
 	if e.draining || e.claiming || e.config == nil || e.readLast < e.claimedAt {
 		return // the outcome of the last claim has not been read yet
 	}
-	reason, claim := placer.ShouldClaim(e.state, placer.Watch{
+	watch := placer.Watch{
 		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
 		Failover: time.Duration(failoverShare * float64(ms(e.settings.Bounds.FailoverMS))),
-	})
-	if !claim {
+	}
+	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
 		return
 	}
+	e.claiming = true
+	sent := now
+	e.fresh(ctx, func(e *engine, ok bool) {
+		e.claiming = false
+		watch.Now, watch.ReadLast = bootclock.Now(), e.readLast
+		watch.Probe = e.probedAt - sent
+		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
+			e.claim(ctx, reason)
+		}
+	})
+}
+
+// claim appends a claim under a new epoch. It counts once it is read back.
+func (e *engine) claim(ctx context.Context, reason string) {
 	epoch := placer.NextEpoch(e.state, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
 	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
-	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch, "silent_ms", (now - e.state.Heard).Milliseconds())
+	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
+		"silent_ms", (bootclock.Now() - e.state.Heard).Milliseconds(), "offset", e.state.Next)
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
 	appender := e.appender
 	go func() {
@@ -348,7 +377,9 @@
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		got, err := e.store.Read(bounded, partition, from, 0)
+		answered := bootclock.Now()
 		e.do(ctx, func(e *engine) {
+			e.probedAt = answered
 			if err != nil || e.state.Next >= got.End {
 				f(e, err == nil)
 				return
--- /dev/null
+++ b/daemon/cell/engine_test.go
@@ -0,0 +1,40 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/daemon/event"
+)
+
+// Guards against two placers under one epoch: the log answers the second of two claims
+// with the same epoch like a repeat of the first (TWICE and LIMIT on grenaille-sched,
+// hunt-952b-11).
+func TestOnlyTheDaemonThatTheClaimNamesPlaces(t *testing.T) {
+	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000}}, nil, event.Discard())
+	e.counts = newCounts()
+	e.claimEpoch = 77
+	for _, claim := range []flow.Claim{
+		{Daemon: "b", Epoch: 77, Started: e.started},
+		{Daemon: "a", Epoch: 77, Started: e.started - 1},
+		{Daemon: "a", Epoch: 76, Started: e.started},
+	} {
+		record := flow.Record{Claim: &claim}
+		e.apply(t.Context(), &decoded{record: record}, time.Second)
+		require.Nil(t, e.placer, "%+v", claim)
+	}
+}
+
+// Guards against a configuration that reverts.
+func TestConfigurationNeverReverts(t *testing.T) {
+	e := newEngine(&Settings{Name: "a"}, nil, event.Discard())
+	e.setConfig(&cluster.Configuration{Version: 5})
+	e.setConfig(&cluster.Configuration{Version: 4})
+	require.EqualValues(t, 5, e.config.Version)
+	e.setConfig(&cluster.Configuration{Version: 9})
+	require.EqualValues(t, 9, e.config.Version)
+}
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -38,7 +38,7 @@
 	yield := func(epoch int64) {
 		_, _ = ask(life, e, func(e *engine, reply chan<- bool) { e.yield(epoch); reply <- true })
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield}); err != nil {
+	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put}); err != nil {
 		return err
 	}
 	t := &tail{log: e.store, pages: e.pages, nudge: e.nudge, gap: e.readGap}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -45,6 +45,7 @@
 	adviser Adviser
 	store   storeAccess
 	yield   func(epoch int64)
+	submit  func(records [][]byte, within time.Duration) error
 }
 
 // YieldArgs tells the placer of an epoch, or an earlier one, that it has a successor.
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -13,6 +13,7 @@
 	readMethod          = "Cell.Read"
 	configurationMethod = "Cell.Configuration"
 	workersMethod       = "Cell.Workers"
+	submitMethod        = "Cell.Submit"
 )
 
 // AppendArgs asks a daemon to append records.
@@ -29,6 +30,21 @@
 	Failure string
 }
 
+// SubmitArgs asks the placer to append callers' records with those of other daemons.
+type SubmitArgs struct {
+	Records [][]byte
+	Within  time.Duration
+}
+
+// SubmitReply answers SubmitArgs.
+type SubmitReply struct{ Failure string }
+
+// Submit appends callers' records of another daemon.
+func (s *peerService) Submit(args *SubmitArgs, reply *SubmitReply) error {
+	reply.Failure = failure(s.submit(args.Records, args.Within))
+	return nil
+}
+
 // ReadArgs asks a daemon to read the log or what is published from a position on.
 type ReadArgs struct {
 	Partition int
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -16,7 +16,7 @@
 
 // Times of reaching the store through another daemon.
 const (
-	directTimeout = 600 * time.Millisecond // a slow store answers within a third of a second
+	directTimeout = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
 	relayTries    = 2
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/flow"
@@ -13,32 +13,93 @@
 
 // Limits of appending.
 const (
-	appendTimeout = 1800 * time.Millisecond // of one append: a direct try, then one through another daemon
-	appendRetry   = 120 * time.Millisecond
-	appendQueue   = 4096 // records that wait for an append
-	appendsOpen   = 4    // appends under way at a time; more would only wait at the partition
-	gather        = 4 * time.Millisecond
-	maxGather     = 128
+	appendTimeout  = 1800 * time.Millisecond // of one append: a direct try, then one through another daemon
+	appendRetry    = 120 * time.Millisecond
+	appendQueue    = 4096 // records that wait for an append
+	forwardsOpen   = 16   // groups that are under way to the placer
+	gather         = 4 * time.Millisecond
+	maxGather      = 128
+	placerPatience = 500 * time.Millisecond // then the record is appended here as well
+	peerMargin     = 100 * time.Millisecond // of a call's time limit, for the way back
 )
 
-// entry is a record to append and the place for the outcome.
+// entry is a record to append and its outcome.
 type entry struct {
 	data  []byte
 	until time.Time
-	done  chan error
+	done  chan struct{} // closed when the record is stored
+
+	mu     sync.Mutex
+	stored bool
+	open   int  // attempts under way
+	unsure bool // an attempt was not answered
+	dead   bool // given up: it must not be sent any more
+}
+
+// begin notes an attempt; false means that none may be made any more.
+func (e *entry) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead || e.stored {
+		return false
+	}
+	e.open++
+	return true
+}
+
+// end notes the outcome of an attempt.
+func (e *entry) end(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	switch {
+	case err == nil && !e.stored:
+		e.stored = true
+		close(e.done)
+	case fault.Is(err, fault.Unknown):
+		e.unsure = true
+	}
+}
+
+// giveUp returns what is certain at the record's deadline.
+func (e *entry) giveUp() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.stored:
+		return nil
+	case e.open > 0 || e.unsure:
+		return fault.New(fault.Unknown, "ask again with the same id", "the log did not answer in time")
+	}
+	e.dead = true
+	return fault.New(fault.Refused, "ask again later; nothing was done", "the log did not take the record in time")
 }
 
 // writer appends callers' records in groups. Every record may safely be appended twice,
 // because the first submission and the first cancellation of a job count; so it repeats
 // an append that was not answered until the deadline of the record.
+//
+// The records go through the placer, which is near the log and gathers those of all
+// daemons: a partition carries out its appends one at a time, so many small ones wait
+// for each other when the store is slow. Without an answer of the placer they are
+// appended here.
 type writer struct {
-	log     Log
-	entries chan *entry
-	slots   chan struct{}
+	log      Log
+	peers    *peers
+	placer   atomic.Pointer[string] // address of the placer; "" is here
+	entries  chan *entry
+	direct   chan *entry
+	forwards chan struct{}
 }
 
-func newWriter(log Log) *writer {
-	return &writer{log: log, entries: make(chan *entry, appendQueue), slots: make(chan struct{}, appendsOpen)}
+func newWriter(log Log, p *peers) *writer {
+	w := &writer{
+		log: log, peers: p, entries: make(chan *entry, appendQueue), direct: make(chan *entry, appendQueue),
+		forwards: make(chan struct{}, forwardsOpen),
+	}
+	none := ""
+	w.placer.Store(&none)
+	return w
 }
 
 // append stores a record. An error of kind fault.Refused means that it is not stored
@@ -48,48 +109,82 @@
 	if err != nil {
 		return err
 	}
-	e := &entry{data: data, until: time.Now().Add(within), done: make(chan error, 1)}
+	return w.await(ctx, w.entries, data, within)
+}
+
+// put stores encoded records of another daemon.
+func (w *writer) put(records [][]byte, within time.Duration) error {
+	outcomes := make(chan error, len(records))
+	for _, data := range records {
+		go func() { outcomes <- w.await(context.Background(), w.direct, data, within) }()
+	}
+	var worst error
+	for range records {
+		if err := <-outcomes; err != nil && (worst == nil || fault.Is(err, fault.Unknown)) {
+			worst = err
+		}
+	}
+	return worst
+}
+
+// await queues a record and waits for its outcome until its deadline.
+func (w *writer) await(ctx context.Context, queue chan *entry, data []byte, within time.Duration) error {
+	e := &entry{data: data, until: time.Now().Add(within), done: make(chan struct{})}
 	select {
-	case w.entries <- e:
+	case queue <- e:
 	default:
 		return fault.New(fault.Refused, "retry later; nothing was done", "%d records wait for the log", appendQueue)
 	}
+	timer := time.NewTimer(within)
+	defer timer.Stop()
 	select {
-	case err := <-e.done:
-		return err
+	case <-e.done:
+		return nil
+	case <-timer.C:
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Unknown, "ask again with the same id", "the caller left before the log answered")
 	}
+	return e.giveUp()
 }
 
 func (w *writer) run(ctx context.Context) {
+	go w.runDirect(ctx)
 	for {
-		select {
-		case <-ctx.Done():
+		group := next(ctx, w.entries)
+		if group == nil {
 			return
-		case e := <-w.entries:
-			group := w.group(e)
-			select {
-			case w.slots <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			go func() {
-				defer func() { <-w.slots }()
-				w.store(ctx, group)
-			}()
 		}
+		address := *w.placer.Load()
+		if address == "" {
+			w.hand(group)
+			continue
+		}
+		select {
+		case w.forwards <- struct{}{}:
+		default:
+			w.hand(group) // the placer does not keep up
+			continue
+		}
+		go func() {
+			defer func() { <-w.forwards }()
+			w.forward(ctx, address, group)
+		}()
 	}
 }
 
-// group gathers the records that arrive within a short time of the first.
-func (w *writer) group(first *entry) []*entry {
-	group := []*entry{first}
+// next gathers the records that arrive within a short time of the first.
+func next(ctx context.Context, queue <-chan *entry) []*entry {
+	var group []*entry
+	select {
+	case <-ctx.Done():
+		return nil
+	case e := <-queue:
+		group = append(group, e)
+	}
 	timer := time.NewTimer(gather)
 	defer timer.Stop()
 	for len(group) < maxGather {
 		select {
-		case e := <-w.entries:
+		case e := <-queue:
 			group = append(group, e)
 		case <-timer.C:
 			return group
@@ -98,74 +193,81 @@
 	return group
 }
 
-// store appends a group until it is acknowledged or the deadlines of its records pass.
-func (w *writer) store(ctx context.Context, group []*entry) {
-	unsure := false
-	for {
-		now := time.Now()
-		group = expire(group, now, unsure)
-		if len(group) == 0 {
-			return
-		}
-		records := make([][]byte, len(group))
-		for i, e := range group {
-			records[i] = e.data
-		}
-		err := w.try(ctx, records, group[0].until)
-		if err == nil {
-			finish(group, nil)
-			return
-		}
-		if fault.Is(err, fault.Unknown) {
-			unsure = true
-		}
-		if ctx.Err() != nil {
-			finish(group, outcome(err, unsure))
-			return
+// hand has records appended here.
+func (w *writer) hand(group []*entry) {
+	for _, e := range group {
+		select {
+		case w.direct <- e:
+		default: // the queue is full; the record is refused at its deadline
 		}
-		time.Sleep(appendRetry)
 	}
 }
 
-func (w *writer) try(ctx context.Context, records [][]byte, until time.Time) error {
-	limit := min(appendTimeout, max(time.Until(until), appendRetry))
-	bounded, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	_, err := w.log.Append(bounded, partition, records, nil)
-	return err
-}
-
-// expire answers the records whose deadline has passed and returns the others.
-func expire(group []*entry, now time.Time, unsure bool) []*entry {
-	rest := group[:0:0]
+// begun returns the records that may still be sent, each with an attempt begun.
+func begun(group []*entry) (live []*entry, records [][]byte) {
 	for _, e := range group {
-		if now.Before(e.until) {
-			rest = append(rest, e)
-			continue
+		if e.begin() {
+			live = append(live, e)
+			records = append(records, e.data)
 		}
-		e.done <- outcome(nil, unsure)
 	}
-	return rest
+	return live, records
 }
 
-func outcome(cause error, unsure bool) error {
-	kind, text := fault.Refused, "the log did not take the record in time"
-	if unsure {
-		kind, text = fault.Unknown, "the log did not answer in time"
+func finish(group []*entry, err error) {
+	for _, e := range group {
+		e.end(err)
 	}
-	return newOutcome(cause, kind, text)
 }
 
-func newOutcome(cause error, kind *errorx.Type, text string) error {
-	if cause == nil {
-		return fault.New(kind, "ask again with the same id", "%s", text)
+// forward has the placer append records with those of other daemons. Records that it
+// does not answer for a while are appended here as well.
+func (w *writer) forward(ctx context.Context, address string, group []*entry) {
+	live, records := begun(group)
+	if len(live) == 0 {
+		return
 	}
-	return fault.Wrap(cause, kind, "ask again with the same id", "%s", text)
+	answered := make(chan error, 1)
+	go func() {
+		limit := time.Until(live[0].until)
+		bounded, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		reply := &SubmitReply{}
+		err := w.peers.call(bounded, address, submitMethod, &SubmitArgs{records, limit - peerMargin}, reply)
+		err = remote(err, reply.Failure, fault.Unknown)
+		finish(live, err)
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		if err == nil {
+			return
+		}
+	case <-time.After(placerPatience):
+	}
+	w.hand(live)
 }
 
-func finish(group []*entry, err error) {
-	for _, e := range group {
-		e.done <- err
+// runDirect appends records here, one append at a time: more would only wait for each
+// other at the partition.
+func (w *writer) runDirect(ctx context.Context) {
+	for {
+		group := next(ctx, w.direct)
+		if group == nil {
+			return
+		}
+		live, records := begun(group)
+		if len(live) == 0 {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := w.log.Append(bounded, partition, records, nil)
+		cancel()
+		finish(live, err)
+		if err != nil {
+			time.Sleep(appendRetry)
+			w.hand(live)
+		}
 	}
 }
 
--- /dev/null
+++ b/daemon/cell/writer_test.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/flow"
+)
+
+// placerOf serves submissions of other daemons and returns the address.
+func placerOf(t *testing.T, submit func([][]byte, time.Duration) error) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	require.NoError(t, servePeers(l, &peerService{yield: func(int64) {}, submit: submit}))
+	return l.Addr().String()
+}
+
+func runWriter(t *testing.T, store *fakeStore, placer string) *writer {
+	w := newWriter(store, newPeers())
+	w.placer.Store(&placer)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.run(ctx)
+	return w
+}
+
+var aJob = &flow.Record{Submit: &flow.Submit{ID: "j"}}
+
+// Guards against small appends of many daemons that wait for each other at a slow store.
+func TestWriterGathersAtThePlacer(t *testing.T) {
+	store, gathered := &fakeStore{}, 0
+	w := runWriter(t, store, placerOf(t, func(records [][]byte, _ time.Duration) error { gathered += len(records); return nil }))
+	require.NoError(t, w.append(t.Context(), aJob, time.Second))
+	require.Equal(t, 1, gathered)
+	require.Zero(t, store.appends.Load())
+}
+
+// Guards against jobs that can't be accepted while the placer is gone.
+func TestWriterAppendsItselfWithoutThePlacer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	store := &fakeStore{}
+	w := runWriter(t, store, gone)
+	require.NoError(t, w.append(t.Context(), aJob, time.Second))
+	require.EqualValues(t, 1, store.appends.Load())
+}
+
+// Guards against a frozen placer that holds up the acceptance of jobs.
+func TestWriterDoesNotWaitForAFrozenPlacer(t *testing.T) {
+	store := &fakeStore{}
+	w := runWriter(t, store, placerOf(t, func([][]byte, time.Duration) error { time.Sleep(10 * time.Second); return nil }))
+	began := time.Now()
+	require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
+// Guards against "not stored" being said of a record that may be stored.
+func TestWriterTellsTheTruth(t *testing.T) {
+	store := &fakeStore{}
+	store.failWith(errTurnedAway)
+	w := runWriter(t, store, "")
+	err := w.append(t.Context(), aJob, 300*time.Millisecond)
+	require.True(t, fault.Is(err, fault.Refused), "%v", err)
+	store.failWith(errSilent)
+	err = w.append(t.Context(), aJob, 300*time.Millisecond)
+	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
+}
