Let daemons of the integration tests choose their ports

Cause: TestPlatformJobsEnd failed: a port that the test had chosen and closed was taken by another process (bind: address already in use). Change: a port of 0 in the settings is replaced by the one that was opened, the tests read the addresses from the start line and show the daemons' decisions on failure.

--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -27,12 +27,12 @@
 func Run(ctx context.Context, s *Settings, p Platform, log *event.Logger) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * s.Limits.MemoryMiB * (1 << 20)))
-	e := newEngine(s, p, log)
-	e.counts = newCounts()
 	listeners, err := listenAll(s)
 	if err != nil {
 		return err
 	}
+	e := newEngine(s, p, log)
+	e.counts = newCounts()
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	yield := func(epoch int64) {
@@ -71,20 +71,22 @@
 func listenAll(s *Settings) (listeners, error) {
 	var l listeners
 	for _, f := range []struct {
-		path, address string
-		into          *net.Listener
+		path    string
+		setting *string
+		into    *net.Listener
 	}{
-		{"listen.callers", s.Listen.Callers, &l.callers}, {"listen.ready", s.Listen.Ready, &l.ready},
-		{"listen.peers", s.Listen.Peers, &l.peers}, {"listen.metrics", s.Listen.Metrics, &l.metrics},
+		{"listen.callers", &s.Listen.Callers, &l.callers}, {"listen.ready", &s.Listen.Ready, &l.ready},
+		{"listen.peers", &s.Listen.Peers, &l.peers}, {"listen.metrics", &s.Listen.Metrics, &l.metrics},
 	} {
-		if f.address == "" {
+		if *f.setting == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", f.address)
+		opened, err := net.Listen("tcp", *f.setting)
 		if err != nil {
-			return l, fault.Wrap(err, fault.Unavailable, "free the address or change the setting", "%s: can't listen on %s", f.path, f.address)
+			return l, fault.Wrap(err, fault.Unavailable, "free the address or change the setting", "%s: can't listen on %s", f.path, *f.setting)
 		}
 		*f.into = opened
+		*f.setting = opened.Addr().String() // the port that a setting of 0 came to
 	}
 	return l, nil
 }
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -27,7 +26,6 @@
 	fleet   *platform.Fleet
 	daemons []*process
 	callers []string
-	files   []string
 }
 
 const (
@@ -35,6 +33,7 @@
 	workerMemMB = 32768
 	jobsPath    = "/jobs/"
 	jobsHost    = "cell.example"
+	anyPort     = "127.0.0.1:0"
 )
 
 func newPlatformCell(t *testing.T, daemons, workers int, advice bool) *platformCell {
@@ -58,6 +57,7 @@
 	t.Cleanup(c.fleet.Close)
 	store, adviser := httptest.NewServer(c.store), httptest.NewServer(c.fleet)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); adviser.Close() })
+	t.Cleanup(c.showDecisions)
 	for i := range daemons {
 		c.addDaemon(i, store.Listener.Addr().String(), adviser.Listener.Addr().String())
 	}
@@ -66,10 +66,9 @@
 
 func (c *platformCell) addDaemon(i int, store, adviser string) {
 	name := fmt.Sprintf("d%d", i)
-	callers := freeAddress(c.t)
 	settings := map[string]any{
 		"name": name, "region": "r", "data_centre": "z",
-		"listen":   map[string]any{"callers": callers, "ready": freeAddress(c.t), "peers": freeAddress(c.t), "metrics": freeAddress(c.t)},
+		"listen":   map[string]any{"callers": anyPort, "ready": anyPort, "peers": anyPort, "metrics": anyPort},
 		"platform": map[string]any{"store": store, "advice": adviser, "machines": ""},
 		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
 		"bounds": map[string]any{
@@ -80,17 +79,48 @@
 	require.NoError(c.t, err)
 	file := filepath.Join(c.t.TempDir(), name+".jsonc")
 	require.NoError(c.t, os.WriteFile(file, data, 0o600))
-	c.daemons = append(c.daemons, startProcess(c.t, name, "briarproxyd", "serve", "--settings", file))
-	c.callers = append(c.callers, callers)
-	c.files = append(c.files, file)
+	p := startProcess(c.t, name, "briarproxyd", "serve", "--settings", file)
+	c.daemons = append(c.daemons, p)
+	c.callers = append(c.callers, callersAddress(p))
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close() //nolint:errcheck // only the number is wanted
-	return l.Addr().String()
+// showDecisions writes what the daemons decided, but for what goes well, if the test
+// failed.
+func (c *platformCell) showDecisions() {
+	if !c.t.Failed() {
+		return
+	}
+	for _, p := range c.daemons {
+		p.mu.Lock()
+		for _, line := range p.lines {
+			if !strings.Contains(line, `"start sent"`) && !strings.Contains(line, `"reason":"done"`) && !strings.Contains(line, `"event":940`) {
+				c.t.Log(line)
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
+// callersAddress waits for the line in which a daemon names its addresses.
+func callersAddress(p *process) string {
+	p.t.Helper()
+	const event = 900 // cell-started
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		p.mu.Lock()
+		lines := p.lines
+		p.mu.Unlock()
+		for _, line := range lines {
+			var started struct {
+				Event   int
+				Callers string
+			}
+			if json.Unmarshal([]byte(line), &started) == nil && started.Event == event {
+				return started.Callers
+			}
+		}
+	}
+	require.Fail(p.t, "a daemon does not start", p.name)
+	return ""
 }
 
 // call makes one call of a caller; status 0 is no answer.
