Apply the placer's own appends without reading them back

Change: acknowledged appends are applied when all records before them are; the tail reads on from what is known; the placer's reads do not wait.

--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -77,8 +77,10 @@
 	summaryAt  time.Duration
 	probedAt   time.Duration // boot clock: answer to the newest read out of turn
 
-	isPlacer atomic.Bool // read by the tail
-	isReady  atomic.Bool // read by the balancer's checks
+	ahead    map[int64]decoded // own appends that were acknowledged, by offset, until their turn comes
+	known    atomic.Int64      // offset of the next record to apply
+	isPlacer atomic.Bool       // read by the tail
+	isReady  atomic.Bool       // read by the balancer's checks
 	counts   counts
 }
 
@@ -95,7 +97,7 @@
 	e := &engine{
 		settings: s, started: time.Now().UnixMilli(), platform: p, store: store, peers: links, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
-		state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
+		ahead: map[int64]decoded{}, state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
 	e.orders = newOrders(e)
 	return e
@@ -170,10 +172,14 @@
 	}
 	if p.expired {
 		e.log.Emit(evHistory, "position", e.state.Next, "first", p.first)
-		e.state.Next = p.next
+		e.state.Next = max(e.state.Next, p.next)
 	}
 	for i := range p.records {
+		if p.next-int64(len(p.records)-i) < e.state.Next {
+			continue // known from the acknowledgement of its append
+		}
 		e.apply(ctx, &p.records[i], now)
+		e.applyAhead(ctx, now)
 	}
 	if e.state.Next >= p.end {
 		e.readLast = p.sentAt
@@ -214,6 +220,38 @@
 	return e.state.Claim.Address
 }
 
+// appended takes records that this daemon appended. They are applied when all before
+// them are, without being read back.
+func (e *engine) appended(ctx context.Context, first int64, records [][]byte) {
+	now := bootclock.Now()
+	for i, data := range records {
+		if offset := first + int64(i); offset >= e.state.Next {
+			record, err := flow.Decode(data)
+			e.ahead[offset] = decoded{record, err}
+		}
+	}
+	e.applyAhead(ctx, now)
+	if len(e.ahead) > 0 {
+		e.wakeTail() // somebody else's records lie in between
+	}
+}
+
+func (e *engine) applyAhead(ctx context.Context, now time.Duration) {
+	for len(e.ahead) > 0 {
+		d, ready := e.ahead[e.state.Next]
+		if !ready {
+			break
+		}
+		delete(e.ahead, e.state.Next)
+		e.apply(ctx, &d, now)
+	}
+	for offset := range e.ahead {
+		if offset < e.state.Next {
+			delete(e.ahead, offset) // it was read meanwhile
+		}
+	}
+}
+
 // shareMembers tells the relay through which daemons the store may be reached.
 func (e *engine) shareMembers() {
 	addresses := make([]string, 0, len(e.state.Members))
@@ -450,19 +488,29 @@
 		bounded, cancel := context.WithTimeout(ctx, orphanTime)
 		defer cancel()
 		sent := bootclock.Now()
-		_, err := appender.append(bounded, &flow.Record{Batch: &batch})
+		record := &flow.Record{Batch: &batch}
+		offset, err := appender.append(bounded, record)
 		e.do(ctx, func(e *engine) {
 			if e.placer != p {
 				return
 			}
 			e.appending = false
+			if err == nil && offset >= e.state.Next {
+				e.ahead[offset] = decoded{record: *record}
+				e.applyAhead(ctx, bootclock.Now())
+			}
 			if err != nil {
 				e.endPlacer("the log refused a batch: " + err.Error())
 				return
 			}
 			e.ackedAt = sent
+			if e.placer != p {
+				return // a record that was applied just now ended it
+			}
 			e.carryOut(e.placing, p.Appended(runs, bootclock.Now()))
-			e.wakeTail()
+			if len(e.ahead) > 0 {
+				e.wakeTail()
+			}
 		})
 	}()
 }
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -41,8 +41,13 @@
 	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put}); err != nil {
 		return err
 	}
-	t := &tail{log: e.store, pages: e.pages, nudge: e.nudge, gap: e.readGap}
+	t := &tail{log: e.store, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
 	go t.run(life)
+	e.writer.stored = func(first int64, records [][]byte) {
+		if e.isPlacer.Load() {
+			e.do(life, func(e *engine) { e.appended(life, first, records) })
+		}
+	}
 	go e.writer.run(life)
 	go e.watchConfig(life)
 	go e.run(life)
@@ -91,12 +96,13 @@
 	return l, nil
 }
 
-// readGap is the pause between two reads of the log.
-func (e *engine) readGap() time.Duration {
+// readPace is the pause between two reads of the log and how long a read waits for a
+// record. A read of the placer does not wait: its own next append would end the wait.
+func (e *engine) readPace() (gap, wait time.Duration) {
 	if e.isPlacer.Load() {
-		return placerGap
+		return placerGap, 0
 	}
-	return followGap
+	return followGap, readWait
 }
 
 // serveReady tells the balancer whether callers are served well here.
@@ -111,6 +117,7 @@
 // publish tells the other goroutines what they may know of the engine's state.
 func (e *engine) publish(now time.Duration) {
 	e.isPlacer.Store(e.placer != nil)
+	e.known.Store(e.state.Next)
 	e.isReady.Store(!e.draining && e.config != nil && e.readLast > 0 && now-e.readLast < readyWithin+readWait)
 }
 
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -15,7 +15,7 @@
 	readTimeout  = readWait + 2200*time.Millisecond // a direct try, then one through another daemon
 	readBackoff  = 150 * time.Millisecond           // after a failed read
 	followGap    = 180 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
-	placerGap    = 12 * time.Millisecond            // between reads of the placer
+	placerGap    = 120 * time.Millisecond           // the placer knows its own appends; others append directly only when they do not reach it
 	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
 	registryGap  = 800 * time.Millisecond // a draining worker must be known well within the drain bound
@@ -44,20 +44,21 @@
 	log   Log
 	pages chan<- page
 	nudge chan struct{} // wakes it from its gap
-	gap   func() time.Duration
+	pace  func() (gap, wait time.Duration)
+	known func() int64 // offset up to which the engine knows the log without reading it
 }
 
 func (t *tail) run(ctx context.Context) {
 	from := int64(0)
 	for ctx.Err() == nil {
-		p := t.read(ctx, from)
+		gap, wait := t.pace()
+		p := t.read(ctx, max(from, t.known()), wait)
 		from = p.next
 		select {
 		case t.pages <- p:
 		case <-ctx.Done():
 			return
 		}
-		gap := t.gap()
 		if p.err != nil {
 			gap = readBackoff
 		} else if p.next < p.end {
@@ -80,11 +81,11 @@
 	}
 }
 
-func (t *tail) read(ctx context.Context, from int64) page {
+func (t *tail) read(ctx context.Context, from int64, wait time.Duration) page {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	p := page{sentAt: bootclock.Now(), next: from}
-	got, err := t.log.Read(bounded, partition, from, readWait)
+	got, err := t.log.Read(bounded, partition, from, wait)
 	p.readAt = bootclock.Now()
 	if err != nil {
 		p.err = err
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -90,12 +90,13 @@
 	entries  chan *entry
 	direct   chan *entry
 	forwards chan struct{}
+	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
 func newWriter(log Log, p *peers) *writer {
 	w := &writer{
 		log: log, peers: p, entries: make(chan *entry, appendQueue), direct: make(chan *entry, appendQueue),
-		forwards: make(chan struct{}, forwardsOpen),
+		forwards: make(chan struct{}, forwardsOpen), stored: func(int64, [][]byte) {},
 	}
 	none := ""
 	w.placer.Store(&none)
@@ -261,13 +262,15 @@
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := w.log.Append(bounded, partition, records, nil)
+		first, err := w.log.Append(bounded, partition, records, nil)
 		cancel()
 		finish(live, err)
 		if err != nil {
 			time.Sleep(appendRetry)
 			w.hand(live)
+			continue
 		}
+		w.stored(first, records)
 	}
 }
 
