--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -234,3 +234,9 @@
 	End     int64 // offset of the next append
 	Expired bool  // the offset asked for is no longer kept
 }
+
+// Entry is a named value that the log keeps until it is replaced.
+type Entry struct {
+	Key   string
+	Value []byte
+}
--- /dev/null
+++ b/core/flow/snapshot.go
@@ -0,0 +1,155 @@
+package flow
+
+import (
+	"encoding/json"
+	"time"
+
+	"briarproxy/core/fault"
+)
+
+// chunkBytes bounds a part of a snapshot, below the record limit of the log.
+const chunkBytes = 128 << 10
+
+// wholeAfterEnd is how long a job that has ended is saved whole: a run of it that was
+// planned before may still be recorded.
+const wholeAfterEnd = 20 * time.Second
+
+// SnapshotHead names a complete snapshot. It is written after its chunks.
+type SnapshotHead struct {
+	Generation int64   `json:"g"`
+	Chunks     int     `json:"n"`
+	Next       int64   `json:"x"` // offset of the first record that the snapshot does not know
+	Claim      Claim   `json:"c"`
+	Token      int64   `json:"k"`
+	Members    []Hello `json:"m,omitempty"`
+}
+
+// savedJob is a job in a snapshot. Jobs that ended a while ago and have no run left keep
+// only their id and phase.
+type savedJob struct {
+	Submit   *Submit             `json:"s,omitempty"`
+	ID       string              `json:"id,omitempty"`
+	Offset   int64               `json:"o,omitempty"`
+	Phase    Phase               `json:"p"`
+	EndedMS  int64               `json:"e,omitempty"` // how long ago it ended
+	Occurred map[int][]savedStep `json:"k,omitempty"`
+}
+
+type savedStep struct {
+	Run      int         `json:"r,omitempty"`
+	Failures int         `json:"f,omitempty"`
+	Failed   int         `json:"l,omitempty"`
+	Tasks    []TaskState `json:"t"`
+}
+
+// Snapshot returns the state as a head and chunks.
+func (s *State) Snapshot(generation int64, now time.Duration) (SnapshotHead, [][]byte, error) {
+	head := SnapshotHead{Generation: generation, Next: s.Next, Claim: s.Claim, Token: s.Token}
+	for _, m := range s.Members {
+		head.Members = append(head.Members, m.Hello)
+	}
+	var chunks [][]byte
+	chunk := []byte{'['}
+	for _, j := range s.Jobs {
+		data, err := json.Marshal(saveJob(j, now))
+		if err != nil {
+			return SnapshotHead{}, nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s can't be saved", j.ID)
+		}
+		if len(chunk) > 1 && len(chunk)+len(data) > chunkBytes {
+			chunks = append(chunks, append(chunk, ']'))
+			chunk = []byte{'['}
+		}
+		if len(chunk) > 1 {
+			chunk = append(chunk, ',')
+		}
+		chunk = append(chunk, data...)
+	}
+	chunks = append(chunks, append(chunk, ']'))
+	head.Chunks = len(chunks)
+	return head, chunks, nil
+}
+
+func saveJob(j *Job, now time.Duration) savedJob {
+	saved := savedJob{Phase: j.Phase, Offset: j.Offset}
+	if j.Phase.Final() {
+		saved.EndedMS = (now - j.EndedAt).Milliseconds()
+		if j.Active <= 0 && now-j.EndedAt > wholeAfterEnd {
+			saved.ID = j.ID
+			return saved
+		}
+	}
+	saved.Submit = &j.Submit
+	saved.Occurred = map[int][]savedStep{}
+	for k, o := range j.Occurrences {
+		steps := make([]savedStep, len(o.Steps))
+		for i := range o.Steps {
+			st := &o.Steps[i]
+			steps[i] = savedStep{Run: st.Run, Failures: st.Failures, Failed: st.failed, Tasks: st.Tasks}
+		}
+		saved.Occurred[k] = steps
+	}
+	return saved
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(head SnapshotHead, chunks [][]byte, now time.Duration) (*State, error) {
+	s := NewState()
+	s.Next, s.Claim, s.Token, s.Heard = head.Next, head.Claim, head.Token, now
+	for _, h := range head.Members {
+		s.Members[h.Daemon] = Member{Hello: h, Seen: now}
+	}
+	if len(chunks) != head.Chunks {
+		return nil, fault.New(fault.Invalid, "read the snapshot again", "the snapshot has %d of %d chunks", len(chunks), head.Chunks)
+	}
+	for _, chunk := range chunks {
+		var jobs []savedJob
+		if err := json.Unmarshal(chunk, &jobs); err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
+		}
+		for i := range jobs {
+			s.restoreJob(&jobs[i], now)
+		}
+	}
+	return s, nil
+}
+
+func (s *State) restoreJob(saved *savedJob, now time.Duration) {
+	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
+	if saved.Submit == nil {
+		j.ID = saved.ID
+		s.Jobs[j.ID] = j
+		return
+	}
+	j.Submit = *saved.Submit
+	s.Jobs[j.ID] = j
+	if j.Phase == Queued && j.Times == 0 {
+		s.Pending[j.Queue]++
+	}
+	for k, steps := range saved.Occurred {
+		o := j.occurrence(k)
+		for i := range steps {
+			if i < len(o.Steps) && len(steps[i].Tasks) == len(o.Steps[i].Tasks) {
+				restoreStep(j, o, &o.Steps[i], &steps[i])
+			}
+		}
+		if o.Complete == len(o.Steps) {
+			j.Ended++
+		}
+	}
+}
+
+func restoreStep(j *Job, o *Occurrence, st *StepState, saved *savedStep) {
+	st.Run, st.Failures, st.failed = saved.Run, saved.Failures, saved.Failed
+	copy(st.Tasks, saved.Tasks)
+	for i := range st.Tasks {
+		if st.Tasks[i].Done {
+			st.Done++
+		}
+		if st.Tasks[i].Active {
+			j.Active++
+		}
+	}
+	if st.Complete() {
+		o.Complete++
+	}
+}
--- /dev/null
+++ b/core/flow/snapshot_test.go
@@ -0,0 +1,111 @@
+package flow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+)
+
+// plain returns what two states must have in common.
+func plain(s *State) map[string]any {
+	view := map[string]any{"next": s.Next, "claim": s.Claim, "token": s.Token, "pending": s.Pending}
+	for id, j := range s.Jobs {
+		view[id] = j.Phase
+		if j.Phase.Final() && j.Active <= 0 {
+			continue
+		}
+		view[id+" active"], view[id+" ended"] = j.Active, j.Ended
+		for k, o := range j.Occurrences {
+			view[fmt.Sprint(id, "/", k)] = *o
+		}
+	}
+	return view
+}
+
+// Guards against a snapshot that forgets or invents something: a state that is restored
+// from one must go through later records like the state that it was taken of.
+func TestSnapshotGoesOnLikeTheState(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	s := NewState()
+	apply(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}}, Record{Hello: &Hello{Daemon: "a", Address: "x", Started: 5}})
+	var restored *State
+	for n := range 3000 {
+		r := randomRecord(rng)
+		first := s.Apply(&r, time.Second)
+		if restored != nil {
+			again := restored.Apply(&r, time.Second)
+			require.Equal(t, first == nil, again == nil, "record %d: %v, %v", n, first, again)
+		}
+		if n%500 == 250 {
+			head, chunks, err := s.Snapshot(int64(n), time.Second)
+			require.NoError(t, err)
+			require.Greater(t, head.Chunks, 0)
+			restored, err = Restore(head, chunks, time.Second)
+			require.NoError(t, err)
+			require.Len(t, restored.Members, 1)
+		}
+	}
+	for queue, n := range s.Pending {
+		if n == 0 {
+			delete(s.Pending, queue)
+		}
+	}
+	for queue, n := range restored.Pending {
+		if n == 0 {
+			delete(restored.Pending, queue)
+		}
+	}
+	require.Equal(t, plain(s), plain(restored))
+}
+
+func randomRecord(rng *rand.Rand) Record {
+	job := fmt.Sprint("j", rng.IntN(120))
+	task := cluster.TaskID{Job: job, Occurrence: rng.IntN(2), Step: rng.IntN(2), Index: rng.IntN(3)}
+	switch rng.IntN(10) {
+	case 0, 1:
+		return Record{Submit: &Submit{ID: job, Queue: fmt.Sprint("q", rng.IntN(3)), Steps: []Step{{Count: 3, Gang: rng.IntN(2) == 0}, {Count: 1 + rng.IntN(3), After: []int{0}}}, Times: rng.IntN(3), MaxAttempts: 3}}
+	case 2:
+		if rng.IntN(4) > 0 {
+			return Record{Batch: &Batch{Epoch: 9, Started: []string{job}}}
+		}
+		return Record{Cancel: &Cancel{ID: job}}
+	case 3, 4, 5, 6:
+		return Record{Batch: &Batch{Epoch: 9, Begins: []Begin{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Life: cluster.Life{Worker: "w", Born: 2}}}}}
+	default:
+		how := []cluster.How{cluster.Done, cluster.Done, cluster.Failed, cluster.Void, cluster.Lapsed}[rng.IntN(5)]
+		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, How: how, Checkpoint: "c"}}}}
+	}
+}
+
+// Guards against ended jobs that become unknown, or grow, through a snapshot.
+func TestEndedJobsKeepTheirPhase(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, Record{Cancel: &Cancel{ID: "j"}})
+	for _, now := range []time.Duration{2 * time.Second, time.Minute} {
+		head, chunks, err := s.Snapshot(1, now)
+		require.NoError(t, err)
+		restored, err := Restore(head, chunks, time.Hour)
+		require.NoError(t, err)
+		require.Equal(t, Cancelled, restored.Jobs["j"].Phase)
+		require.Equal(t, now-time.Second, time.Hour-restored.Jobs["j"].EndedAt)
+		apply(t, restored, Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 1}}}})
+		require.Equal(t, Cancelled, restored.Jobs["j"].Phase)
+		require.Zero(t, restored.Pending["q"])
+	}
+}
+
+// Guards against a snapshot whose parts are of two generations, or incomplete.
+func TestIncompleteSnapshotIsRefused(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	head, chunks, err := s.Snapshot(1, 0)
+	require.NoError(t, err)
+	_, err = Restore(head, chunks[:0], 0)
+	require.Error(t, err)
+	_, err = Restore(head, [][]byte{[]byte("{")}, 0)
+	require.Error(t, err)
+}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -24,12 +24,12 @@
 
 // TaskState is what the log says of one task.
 type TaskState struct {
-	Run        int // of the last run begun; runs count from 1
-	Active     bool
-	Done       bool
-	Failures   int
-	Life       cluster.Life // that the last run was begun on
-	Checkpoint string
+	Run        int          `json:"r,omitempty"` // of the last run begun; runs count from 1
+	Active     bool         `json:"a,omitempty"`
+	Done       bool         `json:"d,omitempty"`
+	Failures   int          `json:"f,omitempty"`
+	Life       cluster.Life `json:"l"` // that the last run was begun on
+	Checkpoint string       `json:"c,omitempty"`
 }
 
 // StepState is what the log says of one step of an occurrence.
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -30,7 +30,7 @@
 // counts only while the log was readable: after an outage of the log every placer has
 // been silent.
 func ShouldClaim(s *flow.State, w Watch) (reason string, claim bool) {
-	if w.ReadLast == 0 || w.Now-w.ReadLast > w.Failover/2 {
+	if w.ReadLast == 0 || w.Now-w.ReadLast > w.Failover {
 		return "", false
 	}
 	delay := roundTripFactor*w.RoundTrip + w.Jitter
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -75,7 +75,14 @@
 	forgotAt   time.Duration
 	unusable   int
 	summaryAt  time.Duration
-	probedAt   time.Duration // boot clock: answer to the newest read out of turn
+
+	saver           *saver
+	saving          bool
+	savedAt         time.Duration
+	savedNext       int64
+	savedGeneration int64
+
+	probedAt time.Duration // boot clock: answer to the newest read out of turn
 
 	ahead    map[int64]decoded // own appends that were acknowledged, by offset, until their turn comes
 	known    atomic.Int64      // offset of the next record to apply
@@ -170,6 +177,9 @@
 			e.roundTrip = took
 		}
 	}
+	if p.restored != nil {
+		e.restore(&p)
+	}
 	if p.expired {
 		e.log.Emit(evHistory, "position", e.state.Next, "first", p.first)
 		e.state.Next = max(e.state.Next, p.next)
@@ -182,7 +192,7 @@
 		e.applyAhead(ctx, now)
 	}
 	if e.state.Next >= p.end {
-		e.readLast = p.sentAt
+		e.readLast = max(p.sentAt, now-e.roundTrip) // the end of the log as of the answer
 	}
 	e.answerFresh()
 }
@@ -203,14 +213,19 @@
 	if d.record.Hello != nil {
 		e.shareMembers()
 	}
-	if address := e.placerAddress(); address != *e.writer.placer.Load() {
-		e.writer.placer.Store(&address)
-	}
+	e.sharePlacer()
 	if d.record.Claim != nil {
 		e.claimed(ctx, former, now)
 	}
 }
 
+// sharePlacer tells the writer where callers' records are gathered.
+func (e *engine) sharePlacer() {
+	if address := e.placerAddress(); address != *e.writer.placer.Load() {
+		e.writer.placer.Store(&address)
+	}
+}
+
 // placerAddress is where callers' records are gathered: at the placer, which is near the
 // log; "" is here.
 func (e *engine) placerAddress() string {
@@ -220,6 +235,20 @@
 	return e.state.Claim.Address
 }
 
+// restore begins with a snapshot if it is newer than what is known.
+func (e *engine) restore(p *page) {
+	e.savedGeneration = max(e.savedGeneration, p.generation)
+	if p.restored.Next <= e.state.Next {
+		return
+	}
+	e.endPlacer("its records expired unread")
+	e.state = p.restored
+	e.savedNext = p.restored.Next
+	e.log.Emit(evRestored, "offset", e.state.Next, "jobs", len(e.state.Jobs), "generation", p.generation)
+	e.shareMembers()
+	e.sharePlacer()
+}
+
 // appended takes records that this daemon appended. They are applied when all before
 // them are, without being read back.
 func (e *engine) appended(ctx context.Context, first int64, records [][]byte) {
@@ -272,6 +301,8 @@
 	}
 	placing, stop := context.WithCancel(ctx)
 	e.placing, e.stopPlacer = placing, stop
+	e.saver = &saver{store: e.platform, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
+	e.saving, e.savedAt = false, now
 	e.ackedAt = now
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), MaxLease: ms(e.settings.Bounds.MaxLeaseMS), Orphan: orphanTime,
@@ -458,6 +489,9 @@
 	}
 	e.flush(ctx, now)
 	e.summarize(now)
+	if e.placer != nil {
+		e.saveSnapshot(e.placing, now)
+	}
 }
 
 // summarize writes once a second what the placer holds.
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -17,6 +17,13 @@
 	Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error)
 }
 
+// Snapshots keeps the newest snapshot of what a partition of the log says, for longer
+// than the log keeps its records. Errors are those of Log.
+type Snapshots interface {
+	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) error
+	Saved(ctx context.Context, partition int) (map[string][]byte, error)
+}
+
 // Registry lists what the operator published and which workers there are.
 type Registry interface {
 	Configuration(ctx context.Context, position int64, wait time.Duration) (*cluster.Configuration, int64, error)
@@ -38,6 +45,7 @@
 // Platform is all that a daemon needs of its platform.
 type Platform interface {
 	Log
+	Snapshots
 	Registry
 	Workers
 	Adviser
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -54,6 +54,7 @@
 	GraceS     float64 `json:"grace_s"`  // from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"` // for which the state of an ended job is told
 	VisibleMS  float64 `json:"visible_ms"`
+	KeepS      float64 `json:"keep_s"` // for which the log keeps records
 }
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -94,7 +95,7 @@
 	}{
 		{"bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1000}, {"bounds.failover_ms", s.Bounds.FailoverMS, 200},
 		{"bounds.stop_ms", s.Bounds.StopMS, 0}, {"bounds.grace_s", s.Bounds.GraceS, 0},
-		{"bounds.status_s", s.Bounds.StatusS, 1}, {"limits.memory_mib", s.Limits.MemoryMiB, 32},
+		{"bounds.status_s", s.Bounds.StatusS, 1}, {"bounds.keep_s", s.Bounds.KeepS, 1}, {"limits.memory_mib", s.Limits.MemoryMiB, 32},
 	} {
 		if f.value < f.least {
 			return fault.New(fault.Invalid, "raise it", "%s is %v, the least is %v", f.path, f.value, f.least)
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -32,6 +32,9 @@
 	err     error
 	sentAt  time.Duration
 	readAt  time.Duration
+
+	restored   *flow.State // of a snapshot that replaces what is known
+	generation int64       // of the snapshot
 }
 
 type decoded struct {
@@ -42,6 +45,7 @@
 // tail reads the log and hands every page to the engine. It owns the read position.
 type tail struct {
 	log   Log
+	saved Snapshots
 	pages chan<- page
 	nudge chan struct{} // wakes it from its gap
 	pace  func() (gap, wait time.Duration)
@@ -49,10 +53,17 @@
 }
 
 func (t *tail) run(ctx context.Context) {
-	from := int64(0)
+	from, load := int64(0), true
 	for ctx.Err() == nil {
 		gap, wait := t.pace()
-		p := t.read(ctx, max(from, t.known()), wait)
+		var p page
+		if load {
+			p = t.restore(ctx, from)
+			load = p.err != nil
+		} else {
+			p = t.read(ctx, max(from, t.known()), wait)
+			load = p.expired
+		}
 		from = p.next
 		select {
 		case t.pages <- p:
@@ -81,6 +92,20 @@
 	}
 }
 
+// restore reads the newest snapshot, at the start and after records expired unread.
+func (t *tail) restore(ctx context.Context, from int64) page {
+	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	p := page{sentAt: bootclock.Now(), next: from, end: from + 1}
+	p.restored, p.generation, p.err = loadSnapshot(bounded, t.saved)
+	p.readAt = bootclock.Now()
+	if p.restored != nil {
+		p.next = max(from, p.restored.Next)
+		p.end = p.next + 1 // the log has not been read to its end
+	}
+	return p
+}
+
 func (t *tail) read(ctx context.Context, from int64, wait time.Duration) page {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -26,6 +26,8 @@
 	fleet   *platform.Fleet
 	daemons []*process
 	callers []string
+	keep    int       // seconds for which the store keeps records
+	address [2]string // of the store and the advice service
 }
 
 const (
@@ -38,7 +40,12 @@
 
 func newPlatformCell(t *testing.T, daemons, workers int, advice bool) *platformCell {
 	t.Helper()
-	c := &platformCell{t: t, store: platform.NewStore()}
+	return startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 300}, daemons, workers, advice)
+}
+
+func startPlatformCell(c *platformCell, daemons, workers int, advice bool) *platformCell {
+	t := c.t
+	t.Helper()
 	route := map[string]any{
 		"Name": "jobs", "Host": jobsHost, "PathPrefix": jobsPath, "Type": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 1000,
 		"Priority": 1, "Service": "pool", "MaxAttempts": 3, "SlackFactor": 2.0,
@@ -58,21 +65,22 @@
 	store, adviser := httptest.NewServer(c.store), httptest.NewServer(c.fleet)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); adviser.Close() })
 	t.Cleanup(c.showDecisions)
+	c.address = [2]string{store.Listener.Addr().String(), adviser.Listener.Addr().String()}
 	for i := range daemons {
-		c.addDaemon(i, store.Listener.Addr().String(), adviser.Listener.Addr().String())
+		c.addDaemon(i)
 	}
 	return c
 }
 
-func (c *platformCell) addDaemon(i int, store, adviser string) {
+func (c *platformCell) addDaemon(i int) {
 	name := fmt.Sprintf("d%d", i)
 	settings := map[string]any{
 		"name": name, "region": "r", "data_centre": "z",
 		"listen":   map[string]any{"callers": anyPort, "ready": anyPort, "peers": anyPort, "metrics": anyPort},
-		"platform": map[string]any{"store": store, "advice": adviser, "machines": ""},
+		"platform": map[string]any{"store": c.address[0], "advice": c.address[1], "machines": ""},
 		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
 		"bounds": map[string]any{
-			"max_lease_ms": 6000, "failover_ms": 3000, "stop_ms": 200, "gang_ms": 3000, "early_ms": 250, "grace_s": 6, "status_s": 120, "visible_ms": 3000,
+			"max_lease_ms": 6000, "failover_ms": 3000, "stop_ms": 200, "gang_ms": 3000, "early_ms": 250, "grace_s": 6, "status_s": 120, "visible_ms": 3000, "keep_s": c.keep,
 		},
 	}
 	data, err := json.Marshal(settings)
@@ -280,3 +288,55 @@
 	c.completed(2, ids, 20*time.Second)
 	require.Equal(t, 16, c.fleet.Starts(), "tasks run on under their leases while the store is down")
 }
+
+// Guards against jobs that are lost with records that the log keeps for a limited time: a
+// daemon that starts later, without any older one, must know them and go on with them.
+func TestPlatformHistoryExpires(t *testing.T) {
+	t.Parallel()
+	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 5}, 2, 4, false)
+	var ids []string
+	for i := range 6 {
+		id := fmt.Sprintf("%016x", 0xe000+i)
+		takes := 100 * time.Millisecond
+		if i%2 == 0 {
+			takes = 6 * time.Second
+		}
+		c.submit(i%2, id, c.step(id, 0, 2, takes, nil), c.step(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}))
+		ids = append(ids, id)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	c.store.Expire("briarproxy.jobs", 3)
+	for _, d := range c.daemons {
+		require.NoError(t, d.cmd.Process.Kill())
+	}
+	c.addDaemon(2)
+	c.completed(2, ids, 20*time.Second)
+	require.Equal(t, 18, c.fleet.Starts(), "what ran is adopted, what ended does not run again")
+}
+
+// Guards against an id that can't be followed to the decisions on its job.
+func TestPlatformIdLeadsToTheDecisions(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 2, 2, false)
+	id := fmt.Sprintf("%016x", 0xf000)
+	c.submit(0, id, c.step(id, 0, 1, 100*time.Millisecond, nil))
+	c.completed(0, []string{id}, 5*time.Second)
+	for _, wanted := range []string{"job-accepted", "start sent", "run ended"} {
+		require.Eventually(t, func() bool { return c.logged(id, wanted) }, 3*time.Second, 50*time.Millisecond, wanted)
+	}
+}
+
+// logged reports whether a daemon wrote a line with both texts.
+func (c *platformCell) logged(id, text string) bool {
+	for _, p := range c.daemons {
+		p.mu.Lock()
+		lines := p.lines
+		p.mu.Unlock()
+		for _, line := range lines {
+			if strings.Contains(line, id) && strings.Contains(line, text) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -25,6 +25,7 @@
 
 type part struct {
 	records [][]byte
+	first   int            // older records have expired
 	newest  map[string]int // keyed topics: offset of the newest record of a key
 }
 
@@ -53,6 +54,14 @@
 	s.lose = n
 }
 
+// Expire drops the records of a topic's first partition but for the newest ones.
+func (s *Store) Expire(topic string, keep int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.part(topic + "/0")
+	p.first = max(p.first, len(p.records)-keep)
+}
+
 // Calls returns the number of calls served.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -177,16 +186,20 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		records, changed := s.part(name).records, s.changed
+		records, first, changed := s.part(name).records, s.part(name).first, s.changed
 		s.mu.Unlock()
+		if from < first {
+			reply(w, http.StatusGone, map[string]any{"First": first})
+			return
+		}
 		if len(records) > from {
-			writePage(w, records, from)
+			writePage(w, records, from, first)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writePage(w, records, from)
+			writePage(w, records, from, first)
 			return
 		case <-r.Context().Done():
 			return
@@ -194,9 +207,9 @@
 	}
 }
 
-func writePage(w http.ResponseWriter, records [][]byte, from int) {
+func writePage(w http.ResponseWriter, records [][]byte, from, first int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-	out = binary.BigEndian.AppendUint64(out, 0)
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
 	for _, record := range records[min(from, len(records)):] {
 		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 		out = append(out, record...)
