Tell callers at once that the log is away

Cause: during an outage each submission was held for 2.5 s and answered 504; the users ask for an answer at once where it is known that a request can't be served. Change: when the log has not answered for 1.5 s, a submission is refused with 503 and Retry-After 2 before anything is sent, so it has truly not run.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -18,7 +18,9 @@
 const (
 	answerShare    = 0.85 // of a caller's time limit: the answer must still arrive
 	defaultAnswer  = 2500 * time.Millisecond
-	retryAfter     = time.Second // the log is usually back within seconds
+	retryAfter     = time.Second             // without more knowledge
+	retryLost      = 2 * time.Second         // outages of the log last some seconds; callers have few retries
+	lostAfter      = 1500 * time.Millisecond // without an answer of the log: twice what a read takes in an idle cell
 	bodyLimit      = 256 << 10
 	headerLimit    = 16 << 10
 	requestHeaders = 3 * time.Second
@@ -39,6 +41,7 @@
 	known   bool
 	phase   flow.Phase
 	pending int
+	lost    bool // the log has not answered for a while
 }
 
 // ask runs a query on the engine and waits for its result.
@@ -109,7 +112,7 @@
 	if e.config == nil {
 		return found{}
 	}
-	f := found{version: e.config.Version, queue: e.config.Match(host, path)}
+	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: bootclock.Now()-e.readLast > lostAfter}
 	if f.queue == nil {
 		return f
 	}
@@ -165,6 +168,10 @@
 		c.engine.log.Emit(evRejected, "job", id, "queue", got.queue.Name, "reason", err.Error())
 		return answer(w, http.StatusBadRequest, nil)
 	}
+	if got.lost {
+		c.engine.log.Emit(evRejected, "job", id, "queue", got.queue.Name, "reason", "the log does not answer", "version", got.version)
+		return rejectFor(w, http.StatusServiceUnavailable, retryLost)
+	}
 	job.ID, job.Queue, job.Pool, job.Config = id, got.queue.Name, got.queue.Pool, got.version
 	job.MaxAttempts, job.AtMS = got.queue.MaxAttempts, time.Now().UnixMilli()
 	began := bootclock.Now()
@@ -211,8 +218,10 @@
 }
 
 // reject answers a request that was not carried out, with when to come back.
-func reject(w http.ResponseWriter, status int) int {
-	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+func reject(w http.ResponseWriter, status int) int { return rejectFor(w, status, retryAfter) }
+
+func rejectFor(w http.ResponseWriter, status int, after time.Duration) int {
+	w.Header().Set("Retry-After", strconv.Itoa(int(after.Seconds())))
 	return answer(w, status, nil)
 }
 
--- /dev/null
+++ b/daemon/cell/callers_test.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/daemon/bootclock"
+	"briarproxy/daemon/event"
+	"briarproxy/platform"
+)
+
+// fakePlatform is the adapter's form of requests with a store of the test's own.
+type fakePlatform struct {
+	*platform.Client
+	store *fakeStore
+}
+
+func (f fakePlatform) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	return f.store.Append(ctx, part, records, fence)
+}
+
+func (f fakePlatform) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	return f.store.Read(ctx, part, from, wait)
+}
+
+const aBody = `{"Spec":"s","Steps":[{"Count":1,"Cpu":500}]}`
+
+// callersOf runs an engine that last read the log at the given age.
+func callersOf(t *testing.T, store *fakeStore, readAge time.Duration) *callers {
+	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}},
+		fakePlatform{platform.New(platform.Addresses{}, "a"), store}, event.Discard())
+	e.counts = newCounts()
+	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
+	e.readLast = bootclock.Now() - readAge
+	e.state.Next = 100
+	e.state.Jobs["known"] = &flow.Job{Submit: flow.Submit{ID: "known", Queue: "q"}, Phase: flow.Completed, EndedAt: bootclock.Now()}
+	e.state.Pending["q"] = 7
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	e.claiming = true // this daemon does not place
+	go e.run(ctx)
+	go e.writer.run(ctx)
+	return &callers{engine: e, ctx: ctx}
+}
+
+func (c *callers) try(method, path, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
+	r.Header.Set("X-Deadline-Ms", "1000")
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, r)
+	return w
+}
+
+// Guards against wrong answers to each kind of request while the log is well.
+func TestCallersAreAnswered(t *testing.T) {
+	store := &fakeStore{}
+	c := callersOf(t, store, 0)
+	for _, test := range []struct {
+		method, path, body string
+		status             int
+		text               string
+	}{
+		{http.MethodPost, "/p/new", aBody, http.StatusOK, "queued"},
+		{http.MethodPost, "/p/known", aBody, http.StatusOK, "completed"},
+		{http.MethodPost, "/p/bad", `{"Spec":"s","Steps":[]}`, http.StatusBadRequest, ""},
+		{http.MethodPost, "/p/", aBody, http.StatusMethodNotAllowed, ""},
+		{http.MethodPost, "/other/x", aBody, http.StatusNotFound, ""},
+		{http.MethodGet, "/p/known", "", http.StatusOK, `{"State":"completed"}`},
+		{http.MethodGet, "/p/unknown", "", http.StatusGone, ""},
+		{http.MethodDelete, "/p/unknown", "", http.StatusGone, ""},
+		{http.MethodGet, "/p/", "", http.StatusOK, `{"Pending":7}`},
+	} {
+		got := c.try(test.method, test.path, test.body)
+		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
+		require.Contains(t, got.Body.String(), test.text)
+	}
+	require.EqualValues(t, 1, store.appends.Load())
+}
+
+// Guards against callers that wait for their time limit while the log is known to be away,
+// against "not run" being said of a job that was sent to the log, and against 410 for a
+// job that the log may know.
+func TestCallersAreToldAtOnceThatTheLogIsAway(t *testing.T) {
+	store := &fakeStore{}
+	store.failWith(errSilent)
+	c := callersOf(t, store, 10*time.Second)
+	began := time.Now()
+	got := c.try(http.MethodPost, "/p/new", aBody)
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.Equal(t, "2", got.Header().Get("Retry-After"))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	require.Zero(t, store.appends.Load())
+	require.Equal(t, http.StatusServiceUnavailable, c.try(http.MethodGet, "/p/unknown", "").Code)
+	require.Equal(t, http.StatusOK, c.try(http.MethodGet, "/p/known", "").Code)
+
+	c = callersOf(t, store, 0)
+	require.Equal(t, http.StatusGatewayTimeout, c.try(http.MethodPost, "/p/new", aBody).Code)
+}
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -36,7 +36,7 @@
 }
 
 func (f *fakeStore) Read(_ context.Context, _ int, from int64, _ time.Duration) (cluster.LogPage, error) {
-	return cluster.LogPage{Next: from, End: 7}, f.err()
+	return cluster.LogPage{Next: from, End: min(from, 100)}, f.err()
 }
 
 func (f *fakeStore) Configuration(context.Context, int64, time.Duration) (*cluster.Configuration, int64, error) {
@@ -77,7 +77,7 @@
 	require.EqualValues(t, 1, offset)
 	page, err := r.Read(ctx, 0, 5, 0)
 	require.NoError(t, err)
-	require.EqualValues(t, 7, page.End)
+	require.EqualValues(t, 5, page.End)
 	config, next, err := r.Configuration(ctx, -1, 0)
 	require.NoError(t, err)
 	require.EqualValues(t, 3, config.Version)
