--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 )
@@ -134,8 +132,7 @@
 	if c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: peerDial, KeepAlive: 5 * time.Second, Control: limitSilence}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := NewDialer(peerDial, peerSilence).Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -158,14 +155,3 @@
 	p.mu.Unlock()
 	_ = c.Close() // it may have been closed by the other side
 }
-
-// limitSilence has the kernel give up a connection whose bytes are not acknowledged.
-func limitSilence(_, _ string, c syscall.RawConn) error {
-	var failed error
-	if err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(peerSilence.Milliseconds()))
-	}); err != nil {
-		return err
-	}
-	return failed
-}
--- a/daemon/internal/daemoncmd/serve.go
+++ b/daemon/internal/daemoncmd/serve.go
@@ -50,7 +50,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go watchHangup(ctx, path, logger)
-	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Machines}, s.Name)
+	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Machines},
+		cell.NewDialer(cell.PlatformDial, cell.PlatformSilence))
 	return cell.Run(ctx, s, adapter, logger)
 }
 
