--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,14 +6,14 @@
 cd "$(dirname "$0")/.." || exit 1
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-packages=$(go list ./core/... ./daemon/... ./standin/...) || exit 1
+packages=$(go list ./core/... ./daemon/... ./platform/... ./standin/...) || exit 1
 # shellcheck disable=SC2086
 go test -race -count=1 -timeout 20m -p 4 $packages 2>&1 | tee "$out"
 status=${PIPESTATUS[0]}
 
 # Closing table of the run.
 printf '\n%-10s %8s %8s %10s\n' module passed failed 'no tests'
-for module in core daemon standin; do
+for module in core daemon platform standin; do
   printf '%-10s %8d %8d %10d\n' "$module" \
     "$(grep -cE "^ok +\\s*briarproxy/$module/" "$out")" \
     "$(grep -cE "^FAIL\\s+briarproxy/$module/" "$out")" \
