Keep a loaded placer from being replaced

Lost answers of the log had the same effect, and an outage let 620 planned runs pile up that all started at once. Change: steps that can't ask for advice are passed over; at most 48 planned runs wait for an append; the placer's append is repeated after 0.6 s while the first attempt waits; a new placer gets three times the silence for six seconds.

--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -118,6 +118,7 @@
 	Claim   Claim // newest claim; its Daemon is "" if it was released or never made
 	Token   int64 // fencing token of the newest claim: its offset plus one
 	Heard   time.Duration
+	Claimed time.Duration // boot clock at which the newest claim was read
 	Members map[string]Member
 	Next    int64          // offset of the next record
 	Pending map[string]int // by queue: jobs without a due time of which nothing has begun
@@ -139,7 +140,7 @@
 	case r.Cancel != nil:
 		return s.cancel(r.Cancel, now)
 	case r.Claim != nil:
-		s.Claim, s.Token, s.Heard = *r.Claim, offset+1, now
+		s.Claim, s.Token, s.Heard, s.Claimed = *r.Claim, offset+1, now, now
 	case r.Release != nil:
 		if r.Release.Epoch == s.Claim.Epoch {
 			s.Claim.Daemon = ""
--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -64,6 +64,17 @@
 	return rule.Decide + time.Duration(workers)*rule.PerVM
 }
 
+// available reports whether any daemon may take another call. Most steps of a backlog
+// find none, and are spared the choice of workers.
+func (a *advisers) available(now time.Duration) bool {
+	for _, d := range a.byName {
+		if now >= d.avoid && d.open < openPerAdviser {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the daemon whose answer is expected first, or "". Slow calls leave a
 // share of the daemons to quick ones.
 func (a *advisers) pick(cost, now time.Duration) string {
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -17,7 +17,7 @@
 	workers := w.renew
 	w.renew = nil
 	if len(workers) == 0 {
-		if placed || w.asking || now < w.askAfter {
+		if placed || w.asking || now < w.askAfter || !p.advise.available(now) {
 			return commands
 		}
 		workers = p.unasked(w)
@@ -62,11 +62,8 @@
 		if _, granted := w.grants[id]; granted || !w.def.Size.Fits(v.Capacity) || w.def.Label != "" && !v.HasLabel(w.def.Label) {
 			continue
 		}
-		state, known := p.cell.Worker(id)
-		if !known {
-			continue
-		}
-		choices = append(choices, choice{id, state.Free().MilliCores})
+		free, _ := p.cell.Room(id)
+		choices = append(choices, choice{id, free.MilliCores})
 	}
 	slices.SortFunc(choices, func(a, b choice) int { return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.id, b.id)) })
 	limit := min(firstLook, w.queue.Advice.MaxVMs)
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -12,6 +12,8 @@
 	roundTripFactor = 5                     // a daemon near the log claims before one that is far from it
 	slowAnswer      = 80 * time.Millisecond // beyond the usual round trip
 	slowFactor      = 10
+	settleTime      = 6 * time.Second // after a claim
+	settleFactor    = 2
 	claimSpread     = 60 * time.Millisecond
 )
 
@@ -41,6 +43,9 @@
 	if slow := w.Probe - w.RoundTrip; slow > slowAnswer {
 		delay += slowFactor * slow // a placer's records are as late as this answer, several times over
 	}
+	if w.Now-s.Claimed < settleTime {
+		delay += settleFactor * w.Failover // it takes over runs and a backlog; another takeover would begin anew
+	}
 	if s.Claim.Daemon != "" && quiet > w.Failover+delay {
 		return "the placer is silent", true
 	}
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -33,6 +33,8 @@
 		{"the log was not read lately", placing, func(w *Watch) { w.Now = 102 * second }, false},
 		{"the log was not readable in between", placing, func(w *Watch) { w.Now, w.ReadLast, w.Able = 110*second, 110*second, 109*second+500*time.Millisecond }, false},
 		{"the log is slow, so is the placer", placing, func(w *Watch) { w.Now, w.ReadLast, w.Probe = 102*second, 102*second, 300*time.Millisecond }, false},
+		{"a new placer has not settled", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, false},
+		{"a new placer is lost", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 104*second, 104*second }, true},
 		{"never read", placing, func(w *Watch) { w.ReadLast = 0 }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -31,6 +31,7 @@
 	runTime func(s cluster.Start) time.Duration
 	how     func(s cluster.Start) cluster.How
 	notes   []Note
+	logAway bool // nothing is appended
 }
 
 type event struct {
@@ -136,6 +137,9 @@
 		}
 		c.carry(c.placer.Tick(c.now, c.wall()))
 		c.notes = append(c.notes, c.placer.Notes()...)
+		if c.logAway {
+			continue
+		}
 		if batch, runs, ok := c.placer.Flush(c.now); ok {
 			p := c.placer
 			c.after(c.delay, func() {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -227,3 +227,42 @@
 		}
 	})
 }
+
+// Guards against plans that pile up while the log is away: their tickets run out, and all
+// start at once when it is back (LOST on a variant of grenaille-sched, day store-away).
+func TestPlansDoNotPileUpWithoutTheLog(t *testing.T) {
+	c := ready(t, 40)
+	for i := range 100 {
+		c.submit(fmt.Sprint("j", i), tasks(4))
+	}
+	c.logAway = true
+	c.run(2 * time.Second)
+	c.logAway = false
+	require.Less(t, len(c.placer.out.Begins), maxUnsent+4)
+	c.run(20 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 100}, c.phases())
+}
+
+// Guards against a backlog that takes the placer's processor time although no daemon can
+// ask for advice: each waiting step used to sort all workers in each pass, and on VMs of a
+// quarter of a core the placer fell silent and was replaced again and again (LOST on a
+// variant of grenaille-sched, day store-away, seed 805831438111).
+func TestBacklogWithoutAdvisersIsCheap(t *testing.T) {
+	c := newFakeCell(t, 48, roomy)
+	c.config.Queues[0].Advice = &cluster.Advice{Decide: 500 * time.Millisecond, Valid: time.Second, MaxVMs: 100}
+	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d1", Address: "x"}}))
+	c.takeOver()
+	c.run(200 * time.Millisecond)
+	const steps = 600
+	for i := range steps {
+		c.submit(fmt.Sprint("j", i), tasks(2))
+	}
+	c.placer.Tick(c.now+time.Second, c.wall()) // takes all calls that the one daemon may have
+	now := c.now + 2*time.Second
+	allocations := testing.AllocsPerRun(20, func() {
+		now += time.Second
+		c.placer.dirty = true
+		c.placer.Tick(now, c.wall())
+	})
+	require.Less(t, allocations, float64(steps), "a step that can't ask for advice allocates nothing")
+}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -15,6 +15,7 @@
 	planGap = 15 * time.Millisecond // gathers events into one planning pass
 	// A pass takes longer with more waiting steps; the gap bounds its share of the processor.
 	planGapPerStep = 120 * time.Microsecond
+	maxUnsent      = 48  // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
 	firstLook      = 64  // workers named in the first call for advice
 	holdShare      = 0.5 // of a pool that may be held for one gang
 	holdValidity   = time.Second
@@ -39,6 +40,10 @@
 	holding := false
 	var waiting []int
 	for _, w := range order {
+		if len(p.outRuns) >= maxUnsent {
+			p.dirty = true
+			break
+		}
 		waiting = p.waiting(w, waiting[:0])
 		if len(waiting) == 0 || w.def.Gang && (w.active > 0 || len(waiting) < w.def.Count) {
 			continue
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -20,6 +20,8 @@
 	gather         = 4 * time.Millisecond
 	maxGather      = 128
 	placerPatience = 500 * time.Millisecond // then the record is appended here as well
+	hedgeAfter     = 600 * time.Millisecond // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
+	hedgesOpen     = 3
 	peerMargin     = 100 * time.Millisecond // of a call's time limit, for the way back
 )
 
@@ -290,17 +292,48 @@
 	}
 	fence := f.fence
 	f.fence.Sequence++
-	for {
-		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := f.log.Append(bounded, partition, [][]byte{data}, &fence)
-		cancel()
-		if err == nil || fault.Is(err, fault.Conflict) {
-			return offset, err
+	return f.repeat(ctx, data, fence)
+}
+
+// repeat appends until there is an answer. While one attempt waits, the next is made: the
+// answer of the first may be lost, and a placer that is silent for long is replaced.
+func (f *fenced) repeat(ctx context.Context, data []byte, fence cluster.Fence) (int64, error) {
+	type answer struct {
+		offset int64
+		err    error
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, 1)
+	attempt := func() {
+		limited, end := context.WithTimeout(bounded, appendTimeout)
+		defer end()
+		offset, err := f.log.Append(limited, partition, [][]byte{data}, &fence)
+		select {
+		case answers <- answer{offset, err}:
+		case <-bounded.Done():
 		}
+	}
+	open, wait := 0, hedgeAfter
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			return 0, err
-		case <-time.After(appendRetry):
+			return 0, fault.Wrap(ctx.Err(), fault.Unknown, "read the log", "an append of the placer was not answered")
+		case <-timer.C:
+			if open < hedgesOpen {
+				open++
+				go attempt()
+			}
+			timer.Reset(wait)
+			wait *= 2
+		case a := <-answers:
+			open--
+			if a.err == nil || fault.Is(a.err, fault.Conflict) {
+				return a.offset, a.err
+			}
+			timer.Reset(appendRetry)
 		}
 	}
 }
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/flow"
 )
@@ -74,3 +76,33 @@
 	err = w.append(t.Context(), aJob, 300*time.Millisecond)
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 }
+
+// Guards against a placer that is replaced because one answer of the log was lost
+// (takeovers after each lost answer, LOST on a variant of grenaille-sched).
+func TestPlacerRepeatsAnAppendWithoutAnAnswer(t *testing.T) {
+	store := &hangingStore{}
+	store.hang.Store(1)
+	f := &fenced{log: store, fence: cluster.Fence{Producer: "placer", Epoch: 3}}
+	began := time.Now()
+	offset, _ := f.append(t.Context(), &flow.Record{Batch: &flow.Batch{Epoch: 3}})
+	require.EqualValues(t, 1, offset)
+	require.Less(t, time.Since(began), time.Second)
+	require.EqualValues(t, 1, f.fence.Sequence)
+	require.EqualValues(t, 2, store.calls.Load())
+}
+
+// hangingStore leaves the first appends without an answer.
+type hangingStore struct {
+	fakeStore
+	hang  atomic.Int64
+	calls atomic.Int64
+}
+
+func (s *hangingStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	s.calls.Add(1)
+	if s.hang.Add(-1) >= 0 {
+		<-ctx.Done()
+		return 0, errSilent
+	}
+	return s.fakeStore.Append(ctx, part, records, fence)
+}
