Drop settings that nothing reads and keep to the manifest's limits

Cause: reading the change as a newcomer: three bounds, a counter and the advice backlog were carried and never used; the manifest's body limit and a queue's time-out were not kept; a deployment that leaves out a bound would have kept the daemon from starting.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -12,11 +12,10 @@
 // Advice says that only a service outside the cell knows which workers may run the
 // steps of a queue.
 type Advice struct {
-	Decide  time.Duration // fixed part of the time of one call
-	PerVM   time.Duration // time of one call for each worker that it names
-	Valid   time.Duration // how long a ticket holds
-	MaxVMs  int           // workers that one call may name
-	Backlog int           // calls that may wait for one caller
+	Decide time.Duration // fixed part of the time of one call
+	PerVM  time.Duration // time of one call for each worker that it names
+	Valid  time.Duration // how long a ticket holds
+	MaxVMs int           // workers that one call may name
 }
 
 // Queue takes the jobs of one host and path prefix and says how they are run.
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -90,7 +90,6 @@
 	v := r.vm
 	lease := v.clock(now) + p.options.Lease.Milliseconds()
 	v.leaseUntil = max(v.leaseUntil, lease)
-	v.openOrders++
 	p.note(Note{What: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Age: now - r.plannedAt, Version: p.token})
 	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Order: cluster.Start{
 		RunID: r.RunID, Spec: r.spec, Checkpoint: r.checkpoint, Ticket: r.ticket.text, LeaseUntil: lease, Token: p.token,
@@ -103,7 +102,6 @@
 	if v == nil {
 		return false
 	}
-	v.openOrders--
 	if v.Life == c.Life {
 		v.readClock(clockMS, now)
 	}
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -61,7 +61,7 @@
 	lapsed   int64 // ends up to this number were followed by a lapse of the lease
 }
 
-var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Orphan: 14 * time.Second, GangTimeout: 3 * time.Second}
+var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Orphan: 14 * time.Second}
 
 const testWall = 1_700_000_000_000
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -35,12 +35,10 @@
 
 // Options are the bounds of a deployment.
 type Options struct {
-	Lease       time.Duration // of the runs on a worker, from each renewal
-	MaxLease    time.Duration // longest lease that a worker grants
-	Orphan      time.Duration // a placer that lost the log renews leases for at most this long
-	StopTimeout time.Duration
-	GangTimeout time.Duration
-	Early       time.Duration // a task with a due time may begin this much earlier
+	Lease    time.Duration // of the runs on a worker, from each renewal
+	MaxLease time.Duration // longest lease that a worker grants
+	Orphan   time.Duration // a placer that lost the log renews leases for at most this long
+	Early    time.Duration // a task with a due time may begin this much earlier
 }
 
 // Command is one thing to do. Exactly one field is set.
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -34,7 +34,6 @@
 	lastFailed string        // job of the last failed run
 	avoidUntil time.Duration
 	refusals   int // starts refused as unhealthy, in a row
-	openOrders int
 }
 
 // unsettledEnd is a listed end of which the record was not read back yet.
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -42,6 +42,7 @@
 	phase   flow.Phase
 	pending int
 	lost    bool // the log has not answered for a while
+	body    int  // most bytes of a body
 }
 
 // ask runs a query on the engine and waits for its result.
@@ -83,6 +84,11 @@
 	case got.queue == nil:
 		return answer(w, http.StatusNotFound, nil)
 	}
+	if limit := time.Duration(answerShare * float64(got.queue.Timeout)); limit > 0 {
+		bounded, end := context.WithTimeout(ctx, limit)
+		defer end()
+		ctx = bounded
+	}
 	id := path[len(got.queue.PathPrefix):]
 	switch {
 	case r.Method == http.MethodGet && id == "":
@@ -116,7 +122,10 @@
 	if f.queue == nil {
 		return f
 	}
-	f.pending = e.state.Pending[f.queue.Name]
+	f.pending, f.body = e.state.Pending[f.queue.Name], bodyLimit
+	if limit := e.config.Limits.Body; limit > 0 {
+		f.body = min(limit, bodyLimit)
+	}
 	if j := e.state.Jobs[path[len(f.queue.PathPrefix):]]; j != nil {
 		f.known, f.phase = true, j.Phase
 	}
@@ -159,9 +168,12 @@
 	if got.known {
 		return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.phase))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit+1))
-	if err != nil || len(body) > bodyLimit {
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(got.body)+1))
+	switch {
+	case err != nil:
 		return answer(w, http.StatusBadRequest, nil)
+	case len(body) > got.body:
+		return answer(w, http.StatusRequestEntityTooLarge, nil)
 	}
 	job, err := c.engine.platform.DecodeJob(body)
 	if err != nil {
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -24,7 +24,6 @@
 	e.ackedAt = now
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), MaxLease: ms(e.settings.Bounds.MaxLeaseMS), Orphan: orphanTime,
-		StopTimeout: ms(e.settings.Bounds.StopMS), GangTimeout: ms(e.settings.Bounds.GangMS),
 		Early: ms(e.settings.Bounds.EarlyMS),
 	}, now)
 	e.log.Emit(evPlacing, "offset", e.state.Token-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.RunsActive())
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -21,6 +21,8 @@
 	Platform   PlatformSettings `json:"platform"`
 	Limits     LimitSettings    `json:"limits"`
 	Bounds     BoundSettings    `json:"bounds"`
+
+	defaulted []string // fields that were absent
 }
 
 // ListenSettings are addresses, IP:port.
@@ -48,13 +50,10 @@
 type BoundSettings struct {
 	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
 	FailoverMS float64 `json:"failover_ms"`  // bound for a change of the daemon that orders workers
-	StopMS     float64 `json:"stop_ms"`
-	GangMS     float64 `json:"gang_ms"`
 	EarlyMS    float64 `json:"early_ms"`
 	GraceS     float64 `json:"grace_s"`  // from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"` // for which the state of an ended job is told
-	VisibleMS  float64 `json:"visible_ms"`
-	KeepS      float64 `json:"keep_s"` // for which the log keeps records
+	KeepS      float64 `json:"keep_s"`   // for which the log keeps records
 }
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -75,9 +74,37 @@
 	if err := decoder.Decode(s); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "correct the field", "settings %s", path)
 	}
+	s.fill()
 	return s, s.check()
 }
 
+// Bounds that apply where a deployment does not state them: those of today's deployments.
+const (
+	defaultMaxLeaseMS = 6000
+	defaultFailoverMS = 3000
+	defaultGraceS     = 5
+	defaultStatusS    = 120
+	defaultKeepS      = 300
+)
+
+// fill puts defaults in place of bounds that are absent, and remembers their names.
+func (s *Settings) fill() {
+	for _, f := range []struct {
+		path  string
+		value *float64
+		use   float64
+	}{
+		{"bounds.max_lease_ms", &s.Bounds.MaxLeaseMS, defaultMaxLeaseMS}, {"bounds.failover_ms", &s.Bounds.FailoverMS, defaultFailoverMS},
+		{"bounds.grace_s", &s.Bounds.GraceS, defaultGraceS}, {"bounds.status_s", &s.Bounds.StatusS, defaultStatusS},
+		{"bounds.keep_s", &s.Bounds.KeepS, defaultKeepS},
+	} {
+		if *f.value == 0 {
+			*f.value = f.use
+			s.defaulted = append(s.defaulted, f.path)
+		}
+	}
+}
+
 // check names the first field that is missing or out of range.
 func (s *Settings) check() error {
 	for _, f := range []struct{ path, value string }{
@@ -94,7 +121,7 @@
 		least float64
 	}{
 		{"bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1000}, {"bounds.failover_ms", s.Bounds.FailoverMS, 200},
-		{"bounds.stop_ms", s.Bounds.StopMS, 0}, {"bounds.grace_s", s.Bounds.GraceS, 0},
+		{"bounds.grace_s", s.Bounds.GraceS, 0},
 		{"bounds.status_s", s.Bounds.StatusS, 1}, {"bounds.keep_s", s.Bounds.KeepS, 1}, {"limits.memory_mib", s.Limits.MemoryMiB, 32},
 	} {
 		if f.value < f.least {
--- /dev/null
+++ b/daemon/cell/settings_test.go
@@ -0,0 +1,49 @@
+package cell
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/fault"
+)
+
+const wholeSettings = `// one daemon
+{"name": "a", "region": "r", "data_centre": "z",
+ "listen": {"callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
+ "platform": {"store": "127.0.0.1:4", "advice": null, "machines": null},
+ "limits": {"memory_mib": 284, "descriptors": 4100},
+ "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "grace_s": 6, "status_s": 120, "keep_s": null}}`
+
+func loadText(t *testing.T, text string) (*Settings, error) {
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return Load(file)
+}
+
+// Guards against a daemon that does not start because a deployment leaves out a bound, and
+// against a bound that is zero in silence.
+func TestAbsentBoundsHaveDefaults(t *testing.T) {
+	s, err := loadText(t, wholeSettings)
+	require.NoError(t, err)
+	require.EqualValues(t, defaultKeepS, s.Bounds.KeepS)
+	require.Equal(t, []string{"bounds.keep_s"}, s.defaulted)
+}
+
+// Guards against settings that are wrong and not named.
+func TestSettingsNameTheField(t *testing.T) {
+	for from, field := range map[string]string{
+		`"name": "a"`: "name", `"127.0.0.1:4"`: "platform.store", `"memory_mib": 284`: "limits.memory_mib",
+		`"max_lease_ms": 10000`: "bounds.max_lease_ms",
+	} {
+		to := strings.NewReplacer(`"a"`, `""`, "284", "1", "10000", "7", `"127.0.0.1:4"`, `""`).Replace(from)
+		_, err := loadText(t, strings.Replace(wholeSettings, from, to, 1))
+		require.True(t, fault.Is(err, fault.Invalid), "%v", err)
+		require.ErrorContains(t, err, field)
+	}
+	_, err := loadText(t, strings.Replace(wholeSettings, `"region"`, `"regoin"`, 1))
+	require.ErrorContains(t, err, "regoin")
+}
