Tell callers when a cancellation may be stored

While the log is known to be away it also waited for the caller's time limit. Change: 504 when the outcome is unknown; 503 with Retry-After when nothing was stored, at once while the log is known to be away. Ruled out: repeating the append on behalf of the caller, since the caller's time is over. Figures: TestCancellationIsAnsweredTruly failed before (503 for 504) and passes.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -212,9 +212,18 @@
 	case got.phase.Final():
 		return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.phase))
 	}
+	if got.lost {
+		c.engine.log.Emit(evCancelRefused, "job", id, "queue", got.queue.Name, "reason", "the log does not answer", "version", got.version)
+		return rejectFor(w, http.StatusServiceUnavailable, retryLost)
+	}
 	err := c.engine.writer.append(ctx, &flow.Record{Cancel: &flow.Cancel{ID: id, AtMS: time.Now().UnixMilli()}}, remaining(ctx))
-	if err != nil {
+	switch {
+	case fault.Is(err, fault.Refused):
+		c.engine.log.Emit(evCancelRefused, "job", id, "queue", got.queue.Name, "reason", err.Error(), "version", got.version)
 		return reject(w, http.StatusServiceUnavailable)
+	case err != nil:
+		c.engine.log.Emit(evCancelUnsure, "job", id, "queue", got.queue.Name, "reason", err.Error(), "version", got.version)
+		return answer(w, http.StatusGatewayTimeout, nil)
 	}
 	c.engine.log.Emit(evCancelled, "job", id, "queue", got.queue.Name, "version", got.version)
 	return answer(w, http.StatusOK, c.engine.platform.EncodeState(flow.Cancelled))
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -104,3 +104,35 @@
 	c = callersOf(t, store, 0)
 	require.Equal(t, http.StatusGatewayTimeout, c.try(http.MethodPost, "/p/new", aBody).Code)
 }
+
+// Guards against "not done" being said of a cancellation that the log may have stored, and
+// against a caller that waits while the log is known to be away.
+func TestCancellationIsAnsweredTruly(t *testing.T) {
+	store := &fakeStore{}
+	c := callersOf(t, store, 0)
+	c.run(func(e *engine) {
+		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
+	})
+	store.failWith(errSilent)
+	require.Equal(t, http.StatusGatewayTimeout, c.try(http.MethodDelete, "/p/open", "").Code)
+
+	store.failWith(errTurnedAway)
+	got := c.try(http.MethodDelete, "/p/open", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.Equal(t, "1", got.Header().Get("Retry-After"))
+
+	c.run(func(e *engine) { e.readLast = bootclock.Now() - 10*time.Second })
+	sent, began := store.appends.Load(), time.Now()
+	got = c.try(http.MethodDelete, "/p/open", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.Equal(t, "2", got.Header().Get("Retry-After"))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	require.Equal(t, sent, store.appends.Load())
+}
+
+// run changes the engine's state on its own goroutine.
+func (c *callers) run(change func(e *engine)) {
+	done := make(chan struct{})
+	c.engine.do(c.ctx, func(e *engine) { change(e); close(done) })
+	<-done
+}
