Move work off leaving workers with its progress

Cause: runs on a worker that drained and left were only started elsewhere when their lease had ended (4.8 s after the last look), and from the beginning, although the worker says how long it stays and shows checkpoints in its lists. Change: runs that save their progress are stopped just before the worker leaves and go on elsewhere from the checkpoint; runs that do not, and would need 2.5 times as long as the worker stays, are given up at once; the lease on a worker about to leave is 3 s; a checkpoint that a look has shown is used when its worker is lost. How fast a run goes is taken from two looks. A gang resumes from the newest checkpoint of any member. Ruled out: leaving at the first notice, which gives up work that still ends there.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -103,6 +103,7 @@
 	Labels     []string // with the rack
 	Capacity   resource.Vector
 	Draining   bool
+	Stays      time.Duration // of a draining worker: at least this long after it wrote so; 0 is not said
 }
 
 // HasLabel reports whether the worker carries a label.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -274,7 +274,9 @@
 	}
 	s.start(j)
 	def := &j.Steps[e.Step]
-	if e.Checkpoint != "" {
+	if e.Checkpoint != "" && def.Gang {
+		step.Tasks[0].Checkpoint = e.Checkpoint // any member's is valid for all
+	} else if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
 	if def.LongRunning {
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -266,7 +266,10 @@
 		there[row.RunID] = true
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
-			r.percent = row.Percent
+			r.progress.see(row.Percent, now)
+			if row.Checkpoint != "" {
+				r.saved = row.Checkpoint
+			}
 			if r.state != ended {
 				r.step(listed)
 				p.confirm(r)
@@ -356,6 +359,9 @@
 		}
 		return
 	}
+	if checkpoint == "" && how != cluster.Void {
+		checkpoint = r.saved // a worker that is gone can't tell its newest one
+	}
 	p.note(Note{What: "run ended", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt})
 	p.out.Ends = append(p.out.Ends, flow.End{RunID: r.RunID, How: how, Checkpoint: checkpoint})
 	if how != cluster.Done {
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -44,21 +44,31 @@
 	start cluster.Start
 	size  resource.Vector
 	endAt time.Duration
+	begun time.Duration
+	from  int           // thousandths of the work that the checkpoint spared
+	total time.Duration // of the whole work
+}
+
+// done returns the thousandths of the work that are done.
+func (r *fakeRun) done(now time.Duration) int {
+	return min(1000, r.from+int(1000*(now-r.begun)/r.total))
 }
 
 type fakeWorker struct {
 	cluster.Worker
-	up       bool
-	cut      bool // takes no orders and answers nothing
-	token    int64
-	lease    int64
-	runs     map[cluster.TaskID]*fakeRun
-	ended    []cluster.EndReport
-	number   int64
-	highest  map[cluster.TaskID]int
-	listable bool
-	started  time.Duration
-	lapsed   int64 // ends up to this number were followed by a lapse of the lease
+	up        bool
+	cut       bool // takes no orders and answers nothing
+	token     int64
+	lease     int64
+	runs      map[cluster.TaskID]*fakeRun
+	ended     []cluster.EndReport
+	number    int64
+	highest   map[cluster.TaskID]int
+	listable  bool
+	started   time.Duration
+	saves     bool // its runs save their progress
+	stoppedAt time.Duration
+	lapsed    int64 // ends up to this number were followed by a lapse of the lease
 }
 
 var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Orphan: 14 * time.Second}
@@ -176,7 +186,11 @@
 	delete(w.runs, id)
 	w.number++
 	w.highest[id] = max(w.highest[id], r.start.Run)
-	w.ended = append(w.ended, cluster.EndReport{Number: w.number, RunID: r.start.RunID, How: how})
+	end := cluster.EndReport{Number: w.number, RunID: r.start.RunID, How: how}
+	if w.saves && how == cluster.Stopped {
+		end.Checkpoint = fmt.Sprint(r.done(w.stoppedAt))
+	}
+	w.ended = append(w.ended, end)
 }
 
 func (c *fakeCell) workersTick() {
@@ -299,7 +313,13 @@
 	for _, a := range job.Steps[s.Step].After {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
-	w.runs[s.TaskID] = &fakeRun{start: *s, size: size, endAt: c.now + c.runTime(*s)}
+	run := &fakeRun{start: *s, size: size, begun: c.now, total: c.runTime(*s)}
+	if s.Checkpoint != "" {
+		_, err := fmt.Sscan(s.Checkpoint, &run.from)
+		require.NoError(c.t, err, "checkpoint %q", s.Checkpoint)
+	}
+	run.endAt = c.now + run.total*time.Duration(1000-run.from)/1000
+	w.runs[s.TaskID] = run
 	used := resource.Vector{}
 	for _, r := range w.runs {
 		used = used.Add(r.size)
@@ -316,6 +336,7 @@
 	w.token = s.Token
 	w.highest[s.Run.TaskID] = max(w.highest[s.Run.TaskID], s.Run.Run)
 	if r := w.runs[s.Run.TaskID]; r != nil && r.start.Run == s.Run.Run {
+		w.stoppedAt = c.now
 		w.end(s.Run.TaskID, cluster.Stopped)
 	}
 	return cluster.Started
@@ -336,7 +357,11 @@
 	w.ended = rest
 	r := &cluster.Report{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
 	for _, run := range w.runs {
-		r.Running = append(r.Running, cluster.RunReport{RunID: run.start.RunID})
+		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.done(c.now) / 10}
+		if w.saves {
+			row.Checkpoint = fmt.Sprint(run.done(c.now))
+		}
+		r.Running = append(r.Running, row)
 	}
 	return r
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -39,6 +39,7 @@
 	MaxLease time.Duration // longest lease that a worker grants
 	Orphan   time.Duration // a placer that lost the log renews leases for at most this long
 	Early    time.Duration // a task with a due time may begin this much earlier
+	Stop     time.Duration // a worker may take this long to stop a run
 }
 
 // Command is one thing to do. Exactly one field is set.
@@ -216,6 +217,7 @@
 		life := v.Life
 		v.Worker = *w
 		v.listed, v.listedAt = true, now
+		v.notice(w, now)
 		if w.Born > life.Born && life.Born != 0 {
 			// Only its own lists tell which runs it has.
 			v.Life, v.fenced, v.lookAt = life, false, now
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -51,7 +51,8 @@
 	stopSent   time.Duration // last stop order
 	stopTaken  time.Duration // the worker answered a stop
 	stopping   bool          // a stop order is under way
-	percent    int
+	progress   progress
+	saved      string // newest checkpoint that a look has shown
 }
 
 // step moves the run by an event. It reports false, and changes nothing, for an event
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -13,6 +13,7 @@
 	p.strays = nil
 	p.wakeDue(now, wallMS+p.options.Early.Milliseconds()/2)
 	p.lapse(now)
+	p.evacuate(now)
 	commands = p.stops(commands, now)
 	if p.dirty && now-p.planAt >= planGap+planGapPerStep*time.Duration(len(p.steps)) {
 		p.dirty, p.planAt = false, now
@@ -80,7 +81,7 @@
 		if len(v.runs) > 0 && v.known {
 			hold.Wait = p.lookWait(v)
 			if v.misses == 0 && now-v.answered < renewSilence {
-				hold.LeaseUntil = v.clock(now) + p.options.Lease.Milliseconds()
+				hold.LeaseUntil = v.clock(now) + p.leaseFor(v, now).Milliseconds()
 				v.leaseUntil = max(v.leaseUntil, hold.LeaseUntil)
 			}
 		}
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -33,7 +33,8 @@
 	failures   int           // failed runs in a row, of different jobs
 	lastFailed string        // job of the last failed run
 	avoidUntil time.Duration
-	refusals   int // starts refused as unhealthy, in a row
+	refusals   int           // starts refused as unhealthy, in a row
+	leavesAt   time.Duration // of a draining worker, not before; 0 is not known
 }
 
 // unsettledEnd is a listed end of which the record was not read back yet.
@@ -43,6 +44,17 @@
 	settled bool
 }
 
+// notice follows a worker's word that it leaves. Its entry is older than the reading, so
+// the earliest time that follows from any reading is the best one.
+func (v *vm) notice(w *cluster.Worker, now time.Duration) {
+	switch {
+	case !w.Draining:
+		v.leavesAt = 0
+	case w.Stays > 0 && (v.leavesAt == 0 || now+w.Stays < v.leavesAt):
+		v.leavesAt = now + w.Stays
+	}
+}
+
 // clock returns a lower bound of the worker's clock, ms.
 func (v *vm) clock(now time.Duration) int64 {
 	passed := now - v.clockAt
@@ -94,5 +106,5 @@
 	v.fenced, v.known = false, false
 	v.leaseUntil, v.seen, v.confirmed, v.told = 0, 0, 0, 0
 	v.unsettled = nil
-	v.failures, v.refusals, v.avoidUntil = 0, 0, 0
+	v.failures, v.refusals, v.avoidUntil, v.leavesAt = 0, 0, 0, 0
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -51,6 +51,7 @@
 	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
 	FailoverMS float64 `json:"failover_ms"`  // bound for a change of the daemon that orders workers
 	EarlyMS    float64 `json:"early_ms"`
+	StopMS     float64 `json:"stop_ms"`  // for which a worker may go on with what it was told to stop
 	GraceS     float64 `json:"grace_s"`  // from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"` // for which the state of an ended job is told
 	KeepS      float64 `json:"keep_s"`   // for which the log keeps records
@@ -82,6 +83,7 @@
 const (
 	defaultMaxLeaseMS = 6000
 	defaultFailoverMS = 3000
+	defaultStopMS     = 900
 	defaultGraceS     = 5
 	defaultStatusS    = 120
 	defaultKeepS      = 300
@@ -95,7 +97,8 @@
 		use   float64
 	}{
 		{"bounds.max_lease_ms", &s.Bounds.MaxLeaseMS, defaultMaxLeaseMS}, {"bounds.failover_ms", &s.Bounds.FailoverMS, defaultFailoverMS},
-		{"bounds.grace_s", &s.Bounds.GraceS, defaultGraceS}, {"bounds.status_s", &s.Bounds.StatusS, defaultStatusS},
+		{"bounds.stop_ms", &s.Bounds.StopMS, defaultStopMS}, {"bounds.grace_s", &s.Bounds.GraceS, defaultGraceS},
+		{"bounds.status_s", &s.Bounds.StatusS, defaultStatusS},
 		{"bounds.keep_s", &s.Bounds.KeepS, defaultKeepS},
 	} {
 		if *f.value == 0 {
@@ -121,7 +124,7 @@
 		least float64
 	}{
 		{"bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1000}, {"bounds.failover_ms", s.Bounds.FailoverMS, 200},
-		{"bounds.grace_s", s.Bounds.GraceS, 0},
+		{"bounds.grace_s", s.Bounds.GraceS, 0}, {"bounds.stop_ms", s.Bounds.StopMS, 0},
 		{"bounds.status_s", s.Bounds.StatusS, 1}, {"bounds.keep_s", s.Bounds.KeepS, 1}, {"limits.memory_mib", s.Limits.MemoryMiB, 32},
 	} {
 		if f.value < f.least {
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -16,7 +16,7 @@
  "listen": {"callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
  "platform": {"store": "127.0.0.1:4", "advice": null, "machines": null},
  "limits": {"memory_mib": 284, "descriptors": 4100},
- "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "grace_s": 6, "status_s": 120, "keep_s": null}}`
+ "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": null}}`
 
 func loadText(t *testing.T, text string) (*Settings, error) {
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -80,7 +80,7 @@
 		"platform": map[string]any{"store": c.address[0], "advice": c.address[1], "machines": ""},
 		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
 		"bounds": map[string]any{
-			"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "grace_s": 6, "status_s": 120, "keep_s": c.keep,
+			"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.keep,
 		},
 	}
 	data, err := json.Marshal(settings)
