Claim in turn and keep to a path to the store that works

Change: daemons tell their strength and distance to the log with their hello and claim in that order, a step apart that grows with the log's answer time; the relay keeps to the daemon that reached the store last and tries four; a connection that still answers is kept; the placer alone bounds the calls for advice. Ruled out: a conditional claim (At), which every other record of the log would refuse. Figures: TestDaemonsClaimInTurn, TestSlowAnswerEndsNoOtherCall and TestRelayKeepsToADaemonThatReachesTheStore were written with the change.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -70,6 +70,10 @@
 	Address string `json:"a"`
 	Started int64  `json:"t"` // start of the process, Unix ms
 	Leaving bool   `json:"x,omitempty"`
+	// Strength is how many times the daemon has what a placer needs; DistanceMS is how long
+	// the log takes to answer it.
+	Strength   float64 `json:"w,omitempty"`
+	DistanceMS int64   `json:"r,omitempty"`
 }
 
 // Begin is the plan to start a run. It is recorded before the order is sent.
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -9,12 +9,21 @@
 
 const (
 	epochStep       = 1 << 20               // epochs of one generation of claims differ below this
-	roundTripFactor = 5                     // a daemon near the log claims before one that is far from it
+	roundTripFactor = 2                     // a daemon near the log claims before one that is far from it
 	slowAnswer      = 80 * time.Millisecond // beyond the usual round trip
 	slowFactor      = 10
 	settleTime      = 6 * time.Second // after a claim
 	settleFactor    = 2
-	claimSpread     = 60 * time.Millisecond
+	claimSpread     = 20 * time.Millisecond
+
+	// rankStep lets the claim of a daemon reach the next one before that claims too: an
+	// append and a read between regions, or twice what the log takes to answer now.
+	rankStep     = 60 * time.Millisecond
+	probesARank  = 2
+	ranksMost    = 8                // more daemons than this are not lost at once without the log
+	rankSilence  = 12 * time.Second // a daemon says hello every few seconds
+	muchStronger = 1.5              // differences below this do not matter to a placer
+	distanceStep = 10 * time.Millisecond
 )
 
 // Watch is what a daemon knows when it considers a claim.
@@ -26,6 +35,7 @@
 	Failover  time.Duration // silence of a placer that makes others claim
 	Jitter    time.Duration // of this daemon, below claimSpread
 	Probe     time.Duration // how long the log took to answer just now; 0 is not known
+	Rank      int           // daemons that are to claim before this one
 }
 
 // ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
@@ -35,7 +45,7 @@
 	if w.ReadLast == 0 || w.Now-w.ReadLast > w.Failover {
 		return "", false
 	}
-	delay := roundTripFactor*w.RoundTrip + w.Jitter
+	delay := roundTripFactor*w.RoundTrip + w.Jitter + time.Duration(min(w.Rank, ranksMost))*max(rankStep, probesARank*w.Probe)
 	quiet := w.Now - max(s.Heard, w.Able)
 	if s.Claim.Daemon == "" && quiet > delay {
 		return "there is no placer", true
@@ -52,6 +62,30 @@
 	return "", false
 }
 
+// Rank returns the number of daemons that are to claim before the named one: those that
+// have much more of what a placer needs, then those nearer to the log. Without an order
+// all claim at once in a large cell, and each claim makes the last one void.
+func Rank(s *flow.State, self flow.Hello, now time.Duration) int {
+	n := 0
+	for name, m := range s.Members {
+		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < rankSilence && before(&m.Hello, &self) {
+			n++
+		}
+	}
+	return n
+}
+
+func before(a, b *flow.Hello) bool {
+	switch {
+	case a.Strength >= muchStronger*b.Strength && a.Strength > 0:
+		return true
+	case b.Strength >= muchStronger*a.Strength && b.Strength > 0:
+		return false
+	}
+	x, y := a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()
+	return x < y || x == y && a.Daemon < b.Daemon
+}
+
 // NextEpoch returns an epoch above all that were claimed. Two daemons that claim at the
 // same time get different ones, so that the log fences the lower one.
 func NextEpoch(s *flow.State, rng *rand.Rand) int64 {
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -27,7 +27,9 @@
 	}{
 		{"a placer was heard just now", placing, func(*Watch) {}, false},
 		{"nobody places", free, func(*Watch) {}, true},
-		{"nobody places, but a nearer daemon goes first", free, func(w *Watch) { w.RoundTrip = 64 * time.Millisecond }, false},
+		{"nobody places, but a nearer daemon goes first", free, func(w *Watch) { w.Rank = 4 }, false},
+		{"nobody places, the nearer daemons do not claim", free, func(w *Watch) { w.Rank, w.Now = 4, 101*second; w.ReadLast = w.Now }, true},
+		{"the log is slow and a nearer daemon goes first", free, func(w *Watch) { w.Rank, w.Probe = 1, 400*time.Millisecond }, false},
 		{"nobody places and the log is slow", free, func(w *Watch) { w.Probe = 400 * time.Millisecond }, true},
 		{"the placer is silent", placing, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, true},
 		{"the log was not read lately", placing, func(w *Watch) { w.Now = 102 * second }, false},
@@ -57,3 +59,26 @@
 		s.Claim.Epoch = next
 	}
 }
+
+// Guards against all daemons of a large cell claiming at once when the placer is silent:
+// 35 claims in two seconds, each of which fenced the one before (dosui-sched-grown,
+// trouble-2), and against a placer on a VM that is too small for it.
+func TestDaemonsClaimInTurn(t *testing.T) {
+	s := flow.NewState()
+	add := func(name string, strength float64, distanceMS int64) flow.Hello {
+		h := flow.Hello{Daemon: name, Strength: strength, DistanceMS: distanceMS}
+		s.Members[name] = flow.Member{Hello: h, Seen: 100 * second}
+		return h
+	}
+	order := []flow.Hello{
+		add("near", 4, 4), add("near2", 4, 6), add("far", 4, 64), add("far2", 3.9, 63),
+		add("small", 1, 4), add("small2", 1, 5), add("smallfar", 1, 64),
+	}
+	for i, h := range order {
+		require.Equal(t, i, Rank(s, h, 101*second), h.Daemon)
+	}
+	s.Claim.Daemon = "near" // it is the one that is silent
+	require.Equal(t, 0, Rank(s, order[1], 101*second))
+	s.Members["near2"] = flow.Member{Hello: order[1], Seen: 50 * second}
+	require.Equal(t, 0, Rank(s, order[2], 101*second))
+}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -78,6 +78,7 @@
 	}
 	watch := placer.Watch{
 		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
+		Rank:     placer.Rank(e.state, e.hello(), now),
 		Failover: time.Duration(failoverShare * float64(ms(e.settings.Bounds.FailoverMS))),
 	}
 	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
@@ -100,7 +101,7 @@
 	epoch := placer.NextEpoch(e.state, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
 	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
-	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
+	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch, "rank", placer.Rank(e.state, e.hello(), bootclock.Now()),
 		"silent_ms", (bootclock.Now() - e.state.Heard).Milliseconds(), "offset", e.state.Next)
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
 	appender := e.appender
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -180,8 +180,18 @@
 	e.considerClaim(ctx, now)
 }
 
+// hello names this daemon to the others.
+func (e *engine) hello() flow.Hello {
+	return flow.Hello{
+		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Started: e.started,
+		Strength: e.settings.Limits.strength(), DistanceMS: e.roundTrip.Milliseconds(),
+	}
+}
+
 func (e *engine) sayHello(ctx context.Context, leaving bool) {
-	r := flow.Record{Hello: &flow.Hello{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Started: e.started, Leaving: leaving}}
+	h := e.hello()
+	h.Leaving = leaving
+	r := flow.Record{Hello: &h}
 	go func() { _ = e.writer.append(ctx, &r, helloEvery) }() // repeated every few seconds
 }
 
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -19,7 +19,7 @@
 	adviceTimeout = 2500 * time.Millisecond // beyond the service's own time: calls of one daemon are served in turn
 	ordersOpen    = 256
 	looksOpen     = 2048 // one for each worker of a placer
-	advicesOpen   = 64
+	advicesOpen   = 2048 // the placer bounds the calls of each daemon
 )
 
 // orders carries out the placer's commands in bounded pools.
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
+	"briarproxy/daemon/bootclock"
 )
 
 // Times of connections between daemons.
@@ -77,10 +79,16 @@
 // peers holds one connection to each daemon.
 type peers struct {
 	mu    sync.Mutex
-	conns map[string]*rpc.Client // by address
+	conns map[string]*peerConn // by address
 }
 
-func newPeers() *peers { return &peers{conns: map[string]*rpc.Client{}} }
+// peerConn is a connection with the time of its last answer.
+type peerConn struct {
+	*rpc.Client
+	answered atomic.Int64 // boot clock
+}
+
+func newPeers() *peers { return &peers{conns: map[string]*peerConn{}} }
 
 func (p *peers) advise(ctx context.Context, address string, step cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error) {
 	within := adviceTimeout
@@ -103,29 +111,35 @@
 	return err
 }
 
-// call makes one RPC. A connection whose call failed without an answer is dropped.
+// call makes one RPC. A connection that breaks, or brings no answer at all while a call
+// waits in vain, is dropped; one slow answer does not end the other calls on it.
 func (p *peers) call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := p.client(address)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "ask another daemon", "can't connect to the daemon at %s", address)
 	}
+	sent := bootclock.Now()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if _, said := call.Error.(rpc.ServerError); call.Error == nil || said {
+			client.answered.Store(int64(bootclock.Now()))
+		} else {
+			p.drop(address, client)
+		}
 		if call.Error == nil {
 			return nil
 		}
-		if _, said := call.Error.(rpc.ServerError); !said {
-			p.drop(address, client)
-		}
 		return fault.Wrap(call.Error, fault.Unavailable, "ask again", "%s through the daemon at %s", method, address)
 	case <-ctx.Done():
-		p.drop(address, client)
+		if time.Duration(client.answered.Load()) < sent {
+			p.drop(address, client)
+		}
 		return fault.Wrap(ctx.Err(), fault.Unavailable, "ask another daemon", "the daemon at %s does not answer", address)
 	}
 }
 
-func (p *peers) client(address string) (*rpc.Client, error) {
+func (p *peers) client(address string) (*peerConn, error) {
 	p.mu.Lock()
 	c := p.conns[address]
 	p.mu.Unlock()
@@ -136,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := rpc.NewClient(conn)
+	fresh := &peerConn{Client: rpc.NewClient(conn)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.conns[address]; c != nil {
@@ -147,7 +161,7 @@
 	return fresh, nil
 }
 
-func (p *peers) drop(address string, c *rpc.Client) {
+func (p *peers) drop(address string, c *peerConn) {
 	p.mu.Lock()
 	if p.conns[address] == c {
 		delete(p.conns, address)
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,8 @@
 	directTimeout = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
-	relayTries    = 2
+	relayTries    = 4
+	relayPatience = 900 * time.Millisecond // with one daemon: a slow answer of the store and a dead daemon
 )
 
 // storeAccess is what a daemon needs of the platform's store.
@@ -37,6 +39,7 @@
 	away       atomic.Bool              // the store was not reached directly
 	position   atomic.Int64             // of the last read
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
+	through    atomic.Pointer[string]   // the daemon that reached the store last
 
 	mu   sync.Mutex
 	last int
@@ -74,8 +77,15 @@
 	}
 	members := *r.members.Load()
 	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil; try++ {
-		failed := via(ctx, members[rand.IntN(len(members))])
+		address := members[rand.IntN(len(members))]
+		if last := r.through.Load(); try == 0 && last != nil && slices.Contains(members, *last) {
+			address = *last
+		}
+		bounded, cancel := context.WithTimeout(ctx, min(wait, relayWait)+relayPatience)
+		failed := via(bounded, address)
+		cancel()
 		if !worthRelaying(failed) {
+			r.through.Store(&address)
 			return failed
 		}
 		err = keepUnsure(err, failed)
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -133,3 +133,62 @@
 	_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.NoError(t, err)
 }
+
+// Guards against a placer that is taken for lost because the store turns it and a third of
+// the other daemons away: two random tries both met such daemons, and then nothing was
+// tried for 0.9 s (dosui-sched-grown, trouble-1).
+func TestRelayKeepsToADaemonThatReachesTheStore(t *testing.T) {
+	mine, turned, good := &fakeStore{}, &fakeStore{}, &fakeStore{}
+	mine.failWith(errTurnedAway)
+	turned.failWith(errTurnedAway)
+	r := newRelay(mine, newPeers())
+	addresses := []string{peerOf(t, turned), peerOf(t, turned), peerOf(t, turned), peerOf(t, good)}
+	r.members.Store(&addresses)
+	through := addresses[3]
+	r.through.Store(&through)
+	for range 20 {
+		_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 20, good.appends.Load())
+	require.Zero(t, r.relayAfter.Load())
+}
+
+// slowAdviser answers after a delay that the workers' names give.
+type slowAdviser struct{}
+
+func (slowAdviser) Advise(ctx context.Context, _ cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error) {
+	delay, err := time.ParseDuration(workers[0])
+	if err != nil {
+		return nil, 0, err
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+	return nil, time.Second, nil
+}
+
+// Guards against one call that waits in vain ending all others on the same connection.
+func TestSlowAnswerEndsNoOtherCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	require.NoError(t, servePeers(l, &peerService{adviser: slowAdviser{}, yield: func(int64) {}}))
+	p := newPeers()
+	call := func(delay string, within time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), within)
+		defer cancel()
+		reply := &AdviseReply{}
+		return p.call(ctx, l.Addr().String(), adviseMethod, &AdviseArgs{Workers: []string{delay}, Within: 10 * time.Second}, reply)
+	}
+	require.NoError(t, call("1ms", time.Second))
+	other := make(chan error, 1)
+	go func() { other <- call("600ms", 5*time.Second) }()
+	late := make(chan error, 1)
+	go func() { late <- call("3s", 300*time.Millisecond) }()
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, call("1ms", time.Second)) // the connection answers
+	require.Error(t, <-late)
+	require.NoError(t, <-other)
+}
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -44,6 +44,30 @@
 type LimitSettings struct {
 	MemoryMiB   float64 `json:"memory_mib"`
 	Descriptors float64 `json:"descriptors"`
+	CPUShare    float64 `json:"cpu_share"` // cores
+	LinkMbps    float64 `json:"link_mbps"`
+}
+
+// What the placer of a cell of 350 workers and 600 starts a second needs; measured on
+// dosui-sched-grown, see docs/CAPACITY.md.
+const (
+	placerCores  = 0.1
+	placerMiB    = 150
+	placerMbps   = 10
+	unknownLimit = 1 // a limit that is not stated counts as just enough
+)
+
+// strength is how many times the process has what a placer needs.
+func (l *LimitSettings) strength() float64 {
+	least := l.MemoryMiB / placerMiB
+	for _, f := range []struct{ limit, needs float64 }{{l.CPUShare, placerCores}, {l.LinkMbps, placerMbps}} {
+		if f.limit > 0 {
+			least = min(least, f.limit/f.needs)
+		} else {
+			least = min(least, unknownLimit)
+		}
+	}
+	return least
 }
 
 // BoundSettings are the bounds of the deployment.
