--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -115,13 +115,21 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "a record can't be encoded")
 	}
-	return data, nil
+	stored, err := pack(data)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "a record can't be compressed")
+	}
+	return stored, nil
 }
 
 // Decode reads a stored record.
 func Decode(data []byte) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
+	plain, err := unpack(data)
+	if err == nil {
+		err = json.Unmarshal(plain, &r)
+	}
+	if err != nil {
 		return Record{}, fault.Wrap(err, fault.Invalid, "remove the writer of foreign records from the log", "a record of %d bytes can't be read", len(data))
 	}
 	return r, nil
