--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -34,7 +34,7 @@
 	RoundTrip time.Duration // to the log
 	Failover  time.Duration // silence of a placer that makes others claim
 	Jitter    time.Duration // of this daemon, below claimSpread
-	Probe     time.Duration // how long the log took to answer just now; 0 is not known
+	Probe     time.Duration // longest that the log took to answer lately; 0 is not known
 	Rank      int           // daemons that are to claim before this one
 }
 
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -14,13 +14,17 @@
 // Limits of appending.
 const (
 	appendTimeout  = 1800 * time.Millisecond // of one append: a direct try, then one through another daemon
-	appendRetry    = 120 * time.Millisecond
+	appendRetry    = 120 * time.Millisecond  // doubled with each failure in a row
+	appendRetryMax = 960 * time.Millisecond
 	appendQueue    = 4096 // records that wait for an append
 	forwardsOpen   = 16   // groups that are under way to the placer
 	gather         = 4 * time.Millisecond
 	maxGather      = 128
-	placerPatience = 500 * time.Millisecond // then the record is appended here as well
-	hedgeAfter     = 600 * time.Millisecond // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
+	placerPatience = 500 * time.Millisecond  // then the record is appended here as well
+	patienceFactor = 3                       // times the usual answer: a slow store must not get every record twice, from all daemons
+	patienceMost   = 1500 * time.Millisecond // leaves a caller time for an append from here
+	answerWeight   = 4                       // one answer moves the usual one by this part of the difference
+	hedgeAfter     = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
 	hedgesOpen     = 3
 	peerMargin     = 100 * time.Millisecond // of a call's time limit, for the way back
 )
@@ -92,6 +96,7 @@
 	entries  chan *entry
 	direct   chan *entry
 	forwards chan struct{}
+	usual    atomic.Int64                        // time of the placer's answers, ns
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
@@ -230,7 +235,7 @@
 	if len(live) == 0 {
 		return
 	}
-	answered := make(chan error, 1)
+	answered, sent := make(chan error, 1), time.Now()
 	go func() {
 		limit := time.Until(live[0].until)
 		bounded, cancel := context.WithTimeout(ctx, limit)
@@ -239,6 +244,7 @@
 		err := w.peers.call(bounded, address, submitMethod, &SubmitArgs{records, limit - peerMargin}, reply)
 		err = remote(err, reply.Failure, fault.Unknown)
 		finish(live, err)
+		w.learn(time.Since(sent))
 		answered <- err
 	}()
 	select {
@@ -246,14 +252,26 @@
 		if err == nil {
 			return
 		}
-	case <-time.After(placerPatience):
+	case <-time.After(w.patience()):
 	}
 	w.hand(live)
 }
 
+// learn takes the time of one answer of the placer into the usual one.
+func (w *writer) learn(took time.Duration) {
+	usual := time.Duration(w.usual.Load())
+	w.usual.Store(int64(usual + (took-usual)/answerWeight))
+}
+
+// patience is how long an answer of the placer is waited for.
+func (w *writer) patience() time.Duration {
+	return min(max(placerPatience, patienceFactor*time.Duration(w.usual.Load())), patienceMost)
+}
+
 // runDirect appends records here, one append at a time: more would only wait for each
 // other at the partition.
 func (w *writer) runDirect(ctx context.Context) {
+	retry := appendRetry
 	for {
 		group := next(ctx, w.direct)
 		if group == nil {
@@ -268,10 +286,12 @@
 		cancel()
 		finish(live, err)
 		if err != nil {
-			time.Sleep(appendRetry)
+			time.Sleep(retry)
+			retry = min(2*retry, appendRetryMax)
 			w.hand(live)
 			continue
 		}
+		retry = appendRetry
 		w.stored(first, records)
 	}
 }
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -106,3 +106,18 @@
 	}
 	return s.fakeStore.Append(ctx, part, records, fence)
 }
+
+// Guards against a store that is slow getting every record twice, from the placer and from
+// the daemon that took it, so that nothing is stored any more (dosui-sched-grown, trouble-2).
+func TestWriterWaitsLongerForASlowPlacer(t *testing.T) {
+	store := &fakeStore{}
+	w := runWriter(t, store, placerOf(t, func([][]byte, time.Duration) error { time.Sleep(700 * time.Millisecond); return nil }))
+	for range 4 {
+		require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
+	}
+	before := store.appends.Load()
+	for range 3 {
+		require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
+	}
+	require.Equal(t, before, store.appends.Load())
+}
