Tell one story from the logs of several daemons

Two log lines named another daemon in the field that names the writer; they use former and peer now.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -45,7 +45,7 @@
 		if err == nil {
 			e.do(ctx, func(e *engine) {
 				if e.placer == p {
-					e.log.Emit(evRetired, "daemon", former.Daemon, "epoch", former.Epoch, "tries", try+1)
+					e.log.Emit(evRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", try+1)
 					p.FormerRetired(bootclock.Now())
 				}
 			})
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -111,7 +111,7 @@
 		took := bootclock.Now() - began
 		o.back(ctx, p, func(e *engine) {
 			if err != nil {
-				e.log.Emit(evPeerLost, "daemon", c.Daemon, "reason", err.Error(), "job", c.Step.Job)
+				e.log.Emit(evPeerLost, "peer", c.Daemon, "reason", err.Error(), "job", c.Step.Job)
 			}
 			p.Granted(c, grants, valid, took, err != nil, bootclock.Now())
 		})
--- a/daemon/internal/ctl/admin.go
+++ b/daemon/internal/ctl/admin.go
@@ -29,13 +29,18 @@
 }
 
 func (f *adminFlags) register(cmd *cobra.Command) {
+	f.describe(cmd)
+	_ = cmd.MarkFlagRequired("admin")
+	_ = cmd.MarkFlagRequired("token-file")
+}
+
+// describe adds the flags without requiring them.
+func (f *adminFlags) describe(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.url, "admin", "", "URL of a daemon's admin API")
 	cmd.Flags().StringVar(&f.tokenFile, "token-file", "", "file with the admin token")
 	cmd.Flags().StringVar(&f.caFile, "ca-file", "", "PEM file of the authority that signed the admin API's certificate")
 	cmd.Flags().DurationVar(&f.timeout, "timeout", 15*time.Second, "time after which the command gives up")
 	f.output.register(cmd)
-	_ = cmd.MarkFlagRequired("admin")
-	_ = cmd.MarkFlagRequired("token-file")
 }
 
 func (f *adminFlags) client() (*resty.Client, error) {
@@ -190,16 +195,21 @@
 
 func newExplain() *cobra.Command {
 	var flags adminFlags
+	var logs []string
 	cmd := &cobra.Command{
 		Use:   "explain TASK|JOB|REQUEST",
 		Short: "Say why something was placed where it is, or why it waits",
-		Long:  "explain says why something was placed where it is, or why it waits.\n\n" + exitCodes,
-		Args:  cobra.ExactArgs(1),
+		Long: "explain says why something was placed where it is, or why it waits. With --log it\n" +
+			"reads saved logs of daemons instead of asking one.\n\n" + exitCodes,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			asJSON, err := flags.output.json()
 			if err != nil {
 				return err
 			}
+			if len(logs) > 0 {
+				return explainFromLogs(cmd, args[0], logs)
+			}
 			var e wire.Explanation
 			if err := flags.get(cmd.Context(), "/v1/explain/"+url.PathEscape(args[0]), &e); err != nil {
 				return err
@@ -210,7 +220,10 @@
 			return printExplanation(cmd, &e)
 		},
 	}
-	flags.register(cmd)
+	flags.describe(cmd)
+	cmd.Flags().StringSliceVar(&logs, "log", nil, "saved log of a daemon; may be given several times")
+	cmd.MarkFlagsOneRequired("admin", "log")
+	cmd.MarkFlagsRequiredTogether("admin", "token-file")
 	return cmd
 }
 
--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -114,3 +114,19 @@
 	assert.NotContains(t, errs, "not a known field")
 	assert.Contains(t, errs, "log_url")
 }
+
+// Guards against saved logs that can't answer what a live daemon would.
+func TestExplainAndTimelineReadSavedLogs(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "a.log")
+	require.NoError(t, os.WriteFile(log, []byte(`{"time":"2026-05-25T23:03:12.900Z","level":"info","daemon":"b-1","event":941,"job":"j3","reason":"the log does not answer","message":"job-rejected"}`+"\n"), 0o600))
+	code, out, errs := run("explain", "j3", "--log", log)
+	require.Equal(t, ExitFine, code, errs)
+	require.Contains(t, out, "job j3 was not accepted here: job-rejected (the log does not answer) at b-1")
+
+	page := filepath.Join(t.TempDir(), "a.html")
+	code, _, errs = run("timeline", log, "--job", "j3", "--html", page)
+	require.Equal(t, ExitFine, code, errs)
+	require.FileExists(t, page)
+	code, _, _ = run("timeline", filepath.Join(t.TempDir(), "none"))
+	require.Equal(t, ExitUsage, code)
+}
--- a/daemon/internal/ctl/root.go
+++ b/daemon/internal/ctl/root.go
@@ -64,7 +64,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCheck(), newDiff(), newPublish(), newRollback(), newHistory(), newStatus(), newTop(), newExplain(), newSettings())
+	root.AddCommand(newCheck(), newDiff(), newPublish(), newRollback(), newHistory(), newStatus(), newTop(), newExplain(), newTimeline(), newSettings())
 	return root
 }
 
--- /dev/null
+++ b/daemon/internal/ctl/timeline.go
@@ -0,0 +1,92 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"briarproxy/core/fault"
+	"briarproxy/daemon/internal/timeline"
+)
+
+func newTimeline() *cobra.Command {
+	var filter timeline.Filter
+	var page string
+	cmd := &cobra.Command{
+		Use:   "timeline LOG...",
+		Short: "Tell one ordered story from the logs of several daemons",
+		Long: "timeline puts the lines of several daemons' logs in order and tells the story of a\n" +
+			"job, of a worker, or of who placed. Without a filter it prints every line but summaries.\n\n" + exitCodes,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			lines, err := readLogs(files, cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			chosen := timeline.Select(lines, filter)
+			if page != "" {
+				return writePage(page, filter, chosen)
+			}
+			return timeline.Write(cmd.OutOrStdout(), chosen)
+		},
+	}
+	cmd.Flags().StringVar(&filter.Job, "job", "", "lines of this job, and who placed meanwhile")
+	cmd.Flags().StringVar(&filter.Worker, "worker", "", "lines of this worker, and who placed meanwhile")
+	cmd.Flags().BoolVar(&filter.Ownership, "ownership", false, "who placed, starts and stops, and when daemons lost the log")
+	cmd.Flags().StringVar(&page, "html", "", "write one self-contained page to this file instead of text")
+	return cmd
+}
+
+func readLogs(files []string, warnings io.Writer) ([]timeline.Line, error) {
+	var all []timeline.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "name a readable log", "log %s", name)
+		}
+		lines, skipped, err := timeline.Read(f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return nil, err
+		}
+		if skipped > 0 {
+			fmt.Fprintf(warnings, "%s: %d lines are no log lines of briarproxyd and were passed over\n", name, skipped)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func writePage(name string, filter timeline.Filter, lines []timeline.Line) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "name a file that can be written", "page %s", name)
+	}
+	title := "briarproxy timeline"
+	switch {
+	case filter.Job != "":
+		title = "Job " + filter.Job
+	case filter.Worker != "":
+		title = "Worker " + filter.Worker
+	case filter.Ownership:
+		title = "Who placed"
+	}
+	if err := timeline.WritePage(f, title, timeline.Summary(lines, filter.Job), lines); err != nil {
+		_ = f.Close() // the first error is reported
+		return fault.Wrap(err, fault.Internal, "report this as a bug", "page %s", name)
+	}
+	return f.Close()
+}
+
+// explainFromLogs says what saved logs tell of a job.
+func explainFromLogs(cmd *cobra.Command, job string, files []string) error {
+	lines, err := readLogs(files, cmd.ErrOrStderr())
+	if err != nil {
+		return err
+	}
+	chosen := timeline.Select(lines, timeline.Filter{Job: job})
+	fmt.Fprintln(cmd.OutOrStdout(), timeline.Summary(chosen, job))
+	return timeline.Write(cmd.OutOrStdout(), chosen)
+}
