Measure what on-call engineers ask for

Change: queue by kind and age, time to the first start, ends by how, rejections by reason, claims, calls, bytes and time-outs by dependency, versions and ages of what is believed, free and total room, thrown-away work. Labels are names of queues, decisions and dependencies. Figures: their cost is not measured yet.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -212,6 +212,23 @@
 	Ended   []EndReport
 }
 
+// Outcomes of a call to the platform or a worker.
+const (
+	CallAnswered = "answered"
+	CallRefused  = "refused" // answered, and nothing was done
+	CallTimedOut = "no answer"
+	CallUnsent   = "not sent" // no connection
+)
+
+// Call tells of one call to the platform or a worker, for the metrics.
+type Call struct {
+	Dependency string // "store", "worker" or "advice"
+	Outcome    string
+	Took       time.Duration
+	Sent       int // bytes of the body
+	Received   int
+}
+
 // Grant allows a step on a worker.
 type Grant struct {
 	Worker string
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -82,6 +82,7 @@
 		return
 	}
 	w.confirmed = true
+	p.note(Note{What: NoteBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.since})
 	p.out.Started = append(p.out.Started, r.Job)
 }
 
@@ -362,7 +363,13 @@
 	if checkpoint == "" && how != cluster.Void {
 		checkpoint = r.saved // a worker that is gone can't tell its newest one
 	}
-	p.note(Note{What: "run ended", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt})
+	thrown := 0.0
+	if how != cluster.Done && how != cluster.Void && checkpoint == "" && r.answeredAt > 0 {
+		thrown = (now - r.answeredAt).Seconds() * float64(r.size.MilliCores) / 1000
+	}
+	p.note(Note{
+		What: NoteEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, Thrown: thrown,
+	})
 	p.out.Ends = append(p.out.Ends, flow.End{RunID: r.RunID, How: how, Checkpoint: checkpoint})
 	if how != cluster.Done {
 		p.breakGang(r)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -90,8 +90,15 @@
 	Reason  string
 	Age     time.Duration // of the input that decided
 	Version int64         // of the configuration, or the offset of the record, that decided
+	Thrown  float64       // core-seconds of work that an end has made useless
 }
 
+// Notes that the metrics count by more than their name.
+const (
+	NoteEnded = "run ended"
+	NoteBegan = "job began" // the first run of a job was taken; Reason is its queue
+)
+
 // Placer is the state of the placer of one log partition.
 type Placer struct {
 	options Options
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -11,6 +11,7 @@
 // jobWork is what the placer keeps of a job that has not ended.
 type jobWork struct {
 	job       *flow.Job
+	since     time.Duration // its record was read
 	activated map[cluster.StepID]bool
 	confirmed bool // that it has begun is recorded or about to be
 }
@@ -52,7 +53,7 @@
 	if j.Phase.Final() || p.jobs[j.ID] != nil {
 		return
 	}
-	w := &jobWork{job: j, activated: map[cluster.StepID]bool{}}
+	w := &jobWork{job: j, since: now, activated: map[cluster.StepID]bool{}}
 	p.jobs[j.ID] = w
 	for k := 0; k < j.Submit.Occurrences(); k++ {
 		if at := j.Due(k); at > 0 && len(j.Occurrences) <= k {
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -20,17 +20,26 @@
 	Free      resource.Vector
 	Capacity  resource.Vector
 	Advisers  int
-	Calls     int // for advice, under way
+	Calls     int                // for advice, under way
+	Waiting   map[string]Waiting // by queue
+}
+
+// Waiting counts the steps of one queue that have tasks to start.
+type Waiting struct {
+	Steps  int
+	Oldest time.Duration // how long the first of them has waited
 }
 
 // Summarize counts what the placer holds.
 func (p *Placer) Summarize(now time.Duration, wallMS int64) Summary {
-	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Advisers: len(p.advise.byName)}
+	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]Waiting{}, Advisers: len(p.advise.byName)}
 	var waiting []int
 	for _, w := range p.steps {
 		if waiting = p.waiting(w, waiting[:0]); len(waiting) == 0 {
 			continue
 		}
+		waits := s.Waiting[w.job.Queue]
+		s.Waiting[w.job.Queue] = Waiting{waits.Steps + 1, max(waits.Oldest, now-w.since)}
 		advised := w.queue == nil || w.queue.Advice == nil || len(w.grants) > 0
 		switch {
 		case w.asking:
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -178,10 +178,12 @@
 	job, err := c.engine.platform.DecodeJob(body)
 	if err != nil {
 		c.engine.log.Emit(evRejected, "job", id, "queue", got.queue.Name, "reason", err.Error())
+		c.engine.counts.rejections.WithLabelValues("invalid").Inc()
 		return answer(w, http.StatusBadRequest, nil)
 	}
 	if got.lost {
 		c.engine.log.Emit(evRejected, "job", id, "queue", got.queue.Name, "reason", "the log does not answer", "version", got.version)
+		c.engine.counts.rejections.WithLabelValues("log away").Inc()
 		return rejectFor(w, http.StatusServiceUnavailable, retryLost)
 	}
 	job.ID, job.Queue, job.Pool, job.Config = id, got.queue.Name, got.queue.Pool, got.version
@@ -194,9 +196,11 @@
 		c.engine.log.Emit(evAccepted, "job", id, "queue", got.queue.Name, "version", got.version, "append_ms", took.Milliseconds())
 		return answer(w, http.StatusOK, c.engine.platform.EncodeState(flow.Queued))
 	case fault.Is(err, fault.Refused):
+		c.engine.counts.rejections.WithLabelValues("not stored").Inc()
 		c.engine.log.Emit(evRejected, "job", id, "queue", got.queue.Name, "reason", err.Error(), "append_ms", took.Milliseconds())
 		return reject(w, http.StatusServiceUnavailable)
 	default:
+		c.engine.counts.rejections.WithLabelValues("outcome unknown").Inc()
 		c.engine.log.Emit(evUnsure, "job", id, "queue", got.queue.Name, "reason", err.Error(), "append_ms", took.Milliseconds())
 		return answer(w, http.StatusGatewayTimeout, nil)
 	}
@@ -214,14 +218,17 @@
 	}
 	if got.lost {
 		c.engine.log.Emit(evCancelRefused, "job", id, "queue", got.queue.Name, "reason", "the log does not answer", "version", got.version)
+		c.engine.counts.rejections.WithLabelValues("log away").Inc()
 		return rejectFor(w, http.StatusServiceUnavailable, retryLost)
 	}
 	err := c.engine.writer.append(ctx, &flow.Record{Cancel: &flow.Cancel{ID: id, AtMS: time.Now().UnixMilli()}}, remaining(ctx))
 	switch {
 	case fault.Is(err, fault.Refused):
+		c.engine.counts.rejections.WithLabelValues("not stored").Inc()
 		c.engine.log.Emit(evCancelRefused, "job", id, "queue", got.queue.Name, "reason", err.Error(), "version", got.version)
 		return reject(w, http.StatusServiceUnavailable)
 	case err != nil:
+		c.engine.counts.rejections.WithLabelValues("outcome unknown").Inc()
 		c.engine.log.Emit(evCancelUnsure, "job", id, "queue", got.queue.Name, "reason", err.Error(), "version", got.version)
 		return answer(w, http.StatusGatewayTimeout, nil)
 	}
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -37,7 +37,6 @@
 func callersOf(t *testing.T, store *fakeStore, readAge time.Duration) *callers {
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}},
 		fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), store}, event.Discard())
-	e.counts = newCounts()
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
 	e.readLast = bootclock.Now() - readAge
 	e.state.Next = 100
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -26,6 +26,7 @@
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), MaxLease: ms(e.settings.Bounds.MaxLeaseMS), Orphan: orphanTime,
 		Early: ms(e.settings.Bounds.EarlyMS), Stop: ms(e.settings.Bounds.StopMS),
 	}, now)
+	e.counts.claims.WithLabelValues("won").Inc()
 	e.log.Emit(evPlacing, "offset", e.state.Token-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.RunsActive())
 	go e.watchRegistry(placing, e.placer)
 	go e.retire(placing, e.placer, former)
@@ -134,6 +135,7 @@
 		e.do(ctx, func(e *engine) {
 			e.claiming, e.claimedAt = false, bootclock.Now()
 			if err != nil {
+				e.counts.claims.WithLabelValues("not stored").Inc()
 				e.log.Emit(evPlacingEnd, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
 			}
 			e.wakeTail()
--- /dev/null
+++ b/daemon/cell/counts_test.go
@@ -0,0 +1,45 @@
+package cell
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/placer"
+)
+
+// Guards against a question of the on-call engineer that the metrics do not answer: what
+// waits and for how long, how runs end, why callers are turned away, and which dependency
+// is slow or gone.
+func TestMetricsAnswerTheUsualQuestions(t *testing.T) {
+	c := newCounts()
+	c.noted(&placer.Note{What: placer.NoteEnded, Reason: "lapsed", Thrown: 12.5})
+	c.noted(&placer.Note{What: placer.NoteBegan, Reason: "q", Age: 300 * time.Millisecond})
+	c.summary(&placer.Summary{Waiting: map[string]placer.Waiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
+	c.called(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Took: time.Second, Sent: 10})
+	require.InDelta(t, 1, testutil.ToFloat64(c.ends.WithLabelValues("lapsed")), 0)
+	require.InDelta(t, 12.5, testutil.ToFloat64(c.thrown), 0)
+	require.InDelta(t, 3, testutil.ToFloat64(c.steps.WithLabelValues("q")), 0)
+	require.InDelta(t, 2, testutil.ToFloat64(c.oldest.WithLabelValues("q")), 0)
+	require.InDelta(t, 4, testutil.ToFloat64(c.workers.WithLabelValues("usable")), 0)
+	require.InDelta(t, 1, testutil.ToFloat64(c.calls.WithLabelValues("store", cluster.CallTimedOut)), 0)
+	require.Equal(t, 1, testutil.CollectAndCount(c.firstStart))
+	problems, err := testutil.GatherAndLint(c.registry)
+	require.NoError(t, err)
+	require.Empty(t, problems)
+
+	// A daemon that no longer places tells nothing of the cell: another one knows it now.
+	e := callersOf(t, &fakeStore{}, 0)
+	e.run(func(e *engine) {
+		e.counts.summary(&placer.Summary{Workers: 5})
+		e.countBelief(time.Hour)
+	})
+	require.Equal(t, 0, testutil.CollectAndCount(e.engine.counts.workers))
+	e = callersOf(t, &fakeStore{}, 10*time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, e.try(http.MethodPost, "/p/new", aBody).Code)
+	require.InDelta(t, 1, testutil.ToFloat64(e.engine.counts.rejections.WithLabelValues("log away")), 0)
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -76,6 +76,7 @@
 	forgotAt   time.Duration
 	unusable   int
 	summaryAt  time.Duration
+	countedAt  time.Duration
 
 	saver           *saver
 	saving          bool
@@ -110,6 +111,7 @@
 		ahead: map[int64]decoded{}, state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
 	e.orders = newOrders(e)
+	e.counts = newCounts()
 	return e
 }
 
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	e := newEngine(s, p, log)
-	e.counts = newCounts()
+	p.Observe(e.counts.called)
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	yield := func(epoch int64) {
@@ -118,6 +118,10 @@
 
 // publish tells the other goroutines what they may know of the engine's state.
 func (e *engine) publish(now time.Duration) {
+	if now-e.countedAt >= summaryEvery {
+		e.countedAt = now
+		e.countBelief(now)
+	}
 	e.isPlacer.Store(e.placer != nil)
 	e.known.Store(e.state.Next)
 	e.isReady.Store(!e.draining && e.config != nil && e.readLast > 0 && now-e.readLast < readyWithin+readWait)
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -39,6 +39,7 @@
 	}
 	e.summaryAt = now
 	s := e.placer.Summarize(now, time.Now().UnixMilli())
+	e.counts.summary(&s)
 	e.log.Emit(evSummary, "steps", s.Steps, "unadvised", s.Unadvised, "asking", s.Asking, "roomless", s.Roomless, "late", s.Late,
 		"runs", s.Runs, "usable", s.Usable, "workers", s.Workers, "free", s.Free.String(), "capacity", s.Capacity.String(),
 		"advisers", s.Advisers, "calls", s.Calls)
@@ -88,6 +89,10 @@
 }
 
 func (e *engine) logNote(n *placer.Note) {
+	e.counts.noted(n)
+	if n.What == placer.NoteBegan {
+		return // the start of the run has its own line
+	}
 	e.log.Emit(evDecision, "decision", n.What, "job", n.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "task", n.Task.Index,
 		"run", n.Run, "worker", n.Worker, "reason", n.Reason, "age_ms", n.Age.Milliseconds(), "version", n.Version)
 }
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -50,6 +50,7 @@
 	Workers
 	Adviser
 	Callers
+	Observe(told func(cluster.Call)) // before the first call
 }
 
 // Callers is the form of the callers' requests and answers.
