Keep filling work apart from serving tasks and pace it

Change: a filling task takes memory only and is placed where cores are idle and nothing serves; serving tasks avoid workers with filling ones while others have room; where they do meet, filling runs are slowed to a quarter and then to a stop when a look shows a serving one near its target, and let go again by tenths. Ruled out: stopping them, which throws work away.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -194,6 +194,7 @@
 	RunID
 	Checkpoint string
 	Percent    int // of the run's work
+	Load       int // roughly, over the last half second: tail of response times in ms of a task that serves, thousandths of a core of any other
 }
 
 // EndReport is one end on a worker.
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -65,11 +65,11 @@
 		if v == nil || !v.listed || v.Draining || !v.fenced || v.Pool != w.job.Pool || w.denied[id] {
 			continue
 		}
-		if _, granted := w.grants[id]; granted || !w.def.Size.Fits(v.Capacity) || w.def.Label != "" && !v.HasLabel(w.def.Label) {
+		if _, granted := w.grants[id]; granted || !size(w.def).Fits(v.Capacity) || w.def.Label != "" && !v.HasLabel(w.def.Label) {
 			continue
 		}
 		free, _ := p.cell.Room(id)
-		n := free.Times(w.def.Size)
+		n := free.Times(size(w.def))
 		if n == 0 {
 			full = append(full, id)
 			continue
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -207,6 +207,7 @@
 	}
 	p.takeEnds(v, report, now)
 	p.takeRunning(v, report, now)
+	p.pace(v, now)
 	v.lookAt = now + lookGap
 	p.describe(v, now)
 	p.dirty = true
@@ -268,6 +269,7 @@
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
 			r.progress.see(row.Percent, now)
+			r.load = row.Load
 			if row.Checkpoint != "" {
 				r.saved = row.Checkpoint
 			}
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -31,7 +31,8 @@
 	runTime func(s cluster.Start) time.Duration
 	how     func(s cluster.Start) cluster.How
 	notes   []Note
-	logAway bool // nothing is appended
+	logAway bool                                // nothing is appended
+	load    func(w *fakeWorker, r *fakeRun) int // as a look shows it
 	advice  func(c *AdviseCommand) []cluster.Grant
 	adviser map[string]time.Duration // by daemon: its calls for advice have been served
 	spent   time.Duration            // processor time of the placer
@@ -51,6 +52,7 @@
 	begun time.Duration
 	from  int           // thousandths of the work that the checkpoint spared
 	total time.Duration // of the whole work
+	pace  int
 }
 
 // done returns the thousandths of the work that are done.
@@ -281,6 +283,8 @@
 		return c.Start.Life
 	case c.Stop != nil:
 		return c.Stop.Life
+	case c.Pace != nil:
+		return c.Pace.Life
 	default:
 		return c.Look.Life
 	}
@@ -320,6 +324,20 @@
 			result, clock = c.stop(w, s), w.clock(c.now)
 		}
 		back(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
+	case command.Pace != nil:
+		o := command.Pace
+		w := c.workers[o.Life.Worker]
+		result := cluster.NoAnswer
+		if w != nil && w.up && !w.cut && !gone && o.Token >= w.token {
+			if r := w.runs[o.Run.TaskID]; r != nil {
+				r.pace = o.Percent
+			}
+			result = cluster.Started
+		}
+		if lost {
+			result = cluster.NoAnswer
+		}
+		back(func(now time.Duration) []Command { p.Paced(o, result, 0, now); return nil })
 	case command.Look != nil:
 		l := command.Look
 		w := c.workers[l.Life.Worker]
@@ -356,11 +374,11 @@
 		require.Fail(c.t, "a run after the end", "task %v is started after its end was taken note of: %v", s.TaskID, c.story(s.TaskID))
 	}
 	job := c.state.Jobs[s.Job]
-	size := job.Steps[s.Step].Size
+	size := size(&job.Steps[s.Step])
 	for _, a := range job.Steps[s.Step].After {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
-	run := &fakeRun{start: *s, size: size, begun: c.now, total: c.runTime(*s)}
+	run := &fakeRun{start: *s, size: size, begun: c.now, total: c.runTime(*s), pace: 100}
 	if s.Checkpoint != "" {
 		_, err := fmt.Sscan(s.Checkpoint, &run.from)
 		require.NoError(c.t, err, "checkpoint %q", s.Checkpoint)
@@ -405,6 +423,9 @@
 	r := &cluster.Report{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
 	for _, run := range w.runs {
 		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.done(c.now) / 10}
+		if c.load != nil {
+			row.Load = c.load(w, run)
+		}
 		if w.saves {
 			row.Checkpoint = fmt.Sprint(run.done(c.now))
 		}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -49,6 +49,7 @@
 	Stop   *StopCommand
 	Look   *LookCommand
 	Advise *AdviseCommand
+	Pace   *PaceCommand
 }
 
 // StartCommand orders a worker to start a run.
@@ -162,6 +163,7 @@
 				r := &run{
 					RunID: cluster.RunID{TaskID: id, Run: t.Run}, state: uncertain, vm: v, size: size(&j.Steps[s]),
 					spec: j.Spec, checkpoint: t.Checkpoint, recorded: true, wanted: !j.Phase.Final(), plannedAt: now, answeredAt: now,
+					paced: 100, // what the former placer ordered is not known
 				}
 				p.runs[id] = r
 				v.runs[id] = r
@@ -200,7 +202,15 @@
 // RunsActive returns the number of runs from plan to recorded end.
 func (p *Placer) RunsActive() int { return len(p.runs) }
 
-func size(s *flow.Step) resource.Vector { return s.Size }
+// size is the room that a task takes away from others on its worker. One that fills
+// works with the cores that they leave.
+func size(s *flow.Step) resource.Vector {
+	v := s.Size
+	if s.Fills {
+		v.MilliCores = 0
+	}
+	return v
+}
 
 // SetConfig takes a newer configuration.
 func (p *Placer) SetConfig(c *cluster.Configuration) {
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -87,7 +87,7 @@
 // task of the step, or for all of them. It is far cheaper than a plan, and in a full
 // cell it spares the plan.
 func (p *Placer) roomFor(w *stepWork, among []string, tasks int) bool {
-	if !w.def.Size.Fits(p.largest) {
+	if !size(w.def).Fits(p.largest) {
 		return false
 	}
 	if among == nil {
@@ -99,8 +99,8 @@
 	}
 	for _, id := range among {
 		free, open := p.cell.Room(id)
-		for open && left > 0 && w.def.Size.Fits(free) {
-			free = free.Sub(w.def.Size)
+		for open && left > 0 && size(w.def).Fits(free) {
+			free = free.Sub(size(w.def))
 			left--
 		}
 		if left == 0 {
@@ -136,7 +136,7 @@
 	if w.queue == nil || w.queue.Advice == nil {
 		return len(p.placeAmong(w, tasks, nil, now)) == 0
 	}
-	if !w.def.Size.Fits(p.largest) {
+	if !size(w.def).Fits(p.largest) {
 		return false
 	}
 	valid, all := w.granted(now)
@@ -164,6 +164,12 @@
 // placeAmong places tasks on the given workers (nil: any) and returns those that found
 // no room.
 func (p *Placer) placeAmong(w *stepWork, tasks []int, among []string, now time.Duration) []int {
+	switch {
+	case w.def.Fills:
+		among = p.apart(w, among)
+	case w.def.TargetMS > 0:
+		among = p.quiet(among)
+	}
 	if !p.roomFor(w, among, len(tasks)) {
 		return tasks
 	}
@@ -232,7 +238,7 @@
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
 			TaskID: cellID(w.task(index)), Job: cellJob(w.id), Generation: int64(w.nextRun(index)), Pool: w.job.Pool,
-			Resources: w.def.Size, RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
+			Resources: size(w.def), RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
 			Label: w.def.Label, NearRack: w.def.NearRack, PerVM: w.def.PerWorker,
 		}
 		if whole {
@@ -284,8 +290,8 @@
 func (p *Placer) newRun(w *stepWork, index int, v *vm, now time.Duration) {
 	id := w.task(index)
 	r := &run{
-		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: w.def.Size,
-		spec: w.job.Spec, checkpoint: w.checkpoint(index), wanted: true, plannedAt: now,
+		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: size(w.def),
+		spec: w.job.Spec, checkpoint: w.checkpoint(index), wanted: true, plannedAt: now, paced: 100, paceKnown: true,
 	}
 	p.runs[id] = r
 	v.runs[id] = r
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -53,6 +53,10 @@
 	stopping   bool          // a stop order is under way
 	progress   progress
 	saved      string // newest checkpoint that a look has shown
+	load       int    // of the last look: tail of response times in ms of a serving run, thousandths of a core of others
+	paced      int    // percent of its speed that it was told to work at
+	paceKnown  bool   // the worker has taken that order
+	pacing     bool   // an order to pace is under way
 }
 
 // step moves the run by an event. It reports false, and changes nothing, for an event
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -113,12 +113,16 @@
 	if v.misses > 0 {
 		return 0
 	}
+	wait := lookWait
+	if serving, filling, _ := p.company(v); serving > 0 && filling > 0 {
+		wait = serveWatch
+	}
 	for _, r := range v.runs {
 		if r.state == uncertain || r.state == stopping {
 			return 0
 		}
 	}
-	return lookWait
+	return wait
 }
 
 // Flush returns the batch to append next; ok is false if nothing is due. The caller
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -42,6 +42,8 @@
 			e.orders.start(ctx, e.placer, c.Start)
 		case c.Stop != nil:
 			e.orders.stop(ctx, e.placer, c.Stop)
+		case c.Pace != nil:
+			e.orders.pace(ctx, e.placer, c.Pace)
 		case c.Look != nil:
 			e.orders.look(ctx, e.placer, c.Look)
 		case c.Advise != nil:
@@ -80,6 +82,15 @@
 	})
 }
 
+func (o *orders) pace(ctx context.Context, p *placer.Placer, c *placer.PaceCommand) {
+	o.starts.Submit(func() {
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		result, clock := o.engine.platform.Pace(bounded, c.Life, c.Address, c.Run, c.Percent, c.Token)
+		o.back(ctx, p, func(e *engine) { e.superseded(p.Paced(c, result, clock, bootclock.Now())) })
+	})
+}
+
 func (o *orders) look(ctx context.Context, p *placer.Placer, c *placer.LookCommand) {
 	o.looks.Submit(func() {
 		bounded, cancel := context.WithTimeout(ctx, c.Hold.Wait+lookTimeout)
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -34,6 +34,7 @@
 type Workers interface {
 	Start(ctx context.Context, life cluster.Life, address string, s *cluster.Start) (cluster.StartResult, int64)
 	Stop(ctx context.Context, life cluster.Life, address string, run cluster.RunID, token int64) (cluster.StartResult, int64)
+	Pace(ctx context.Context, life cluster.Life, address string, run cluster.RunID, percent int, token int64) (cluster.StartResult, int64)
 	Look(ctx context.Context, life cluster.Life, address string, h *cluster.Hold) (*cluster.Report, error)
 }
 
