Reach the store through strong daemons first

Change: the order in which daemons claim is also the order in which they are asked for the store: at first one of the first quarter, then any.

--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,12 +20,13 @@
 
 	// rankStep lets the claim of a daemon reach the next one before that claims too: an
 	// append and a read between regions, or twice what the log takes to answer now.
-	rankStep     = 60 * time.Millisecond
-	probesARank  = 2
-	ranksMost    = 8                // more daemons than this are not lost at once without the log
-	rankSilence  = 12 * time.Second // a daemon says hello every few seconds
-	muchStronger = 1.5              // differences below this do not matter to a placer
-	distanceStep = 10 * time.Millisecond
+	rankStep      = 60 * time.Millisecond
+	probesARank   = 2
+	ranksMost     = 8                // more daemons than this are not lost at once without the log
+	rankSilence   = 12 * time.Second // a daemon says hello every few seconds
+	muchStronger  = 1.5              // differences below this do not matter to a placer
+	distanceStep  = 10 * time.Millisecond
+	leastStrength = 0.01 // of a daemon that does not state it
 )
 
 // Watch is what a daemon knows when it considers a claim.
@@ -68,22 +71,21 @@
 func Rank(s *flow.State, self flow.Hello, now time.Duration) int {
 	n := 0
 	for name, m := range s.Members {
-		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < rankSilence && before(&m.Hello, &self) {
+		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < rankSilence && Order(m.Hello, self) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
-func before(a, b *flow.Hello) bool {
-	switch {
-	case a.Strength >= muchStronger*b.Strength && a.Strength > 0:
-		return true
-	case b.Strength >= muchStronger*a.Strength && b.Strength > 0:
-		return false
-	}
-	x, y := a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()
-	return x < y || x == y && a.Daemon < b.Daemon
+// Order puts the daemons first that have much of what a placer needs and are near the log.
+func Order(a, b flow.Hello) int {
+	return cmp.Or(cmp.Compare(class(b.Strength), class(a.Strength)), cmp.Compare(a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()), cmp.Compare(a.Daemon, b.Daemon))
+}
+
+// class puts strengths that differ little into one class.
+func class(strength float64) int {
+	return int(math.Floor(math.Log(max(strength, leastStrength)) / math.Log(muchStronger)))
 }
 
 // NextEpoch returns an epoch above all that were claimed. Two daemons that claim at the
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"briarproxy/core/flow"
+	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
 )
 
@@ -136,12 +138,17 @@
 
 // shareMembers tells the relay through which daemons the store may be reached.
 func (e *engine) shareMembers() {
-	addresses := make([]string, 0, len(e.state.Members))
+	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
 		if name != e.settings.Name {
-			addresses = append(addresses, m.Address)
+			hellos = append(hellos, m.Hello)
 		}
 	}
+	slices.SortFunc(hellos, placer.Order)
+	addresses := make([]string, len(hellos))
+	for i := range hellos {
+		addresses[i] = hellos[i].Address
+	}
 	e.store.members.Store(&addresses)
 }
 
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -21,6 +21,8 @@
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
 	relayTries    = 4
+	relayFirst    = 3 // daemons of which the first tries choose, or a part of a large cell:
+	relayPart     = 4
 	relayPatience = 900 * time.Millisecond // with one daemon: a slow answer of the store and a dead daemon
 )
 
@@ -35,7 +37,7 @@
 type relay struct {
 	direct     storeAccess
 	peers      *peers
-	members    atomic.Pointer[[]string] // addresses of the other daemons
+	members    atomic.Pointer[[]string] // addresses of the other daemons, the strong and near ones first
 	away       atomic.Bool              // the store was not reached directly
 	position   atomic.Int64             // of the last read
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
@@ -77,7 +79,7 @@
 	}
 	members := *r.members.Load()
 	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil; try++ {
-		address := members[rand.IntN(len(members))]
+		address := candidate(members, try)
 		if last := r.through.Load(); try == 0 && last != nil && slices.Contains(members, *last) {
 			address = *last
 		}
@@ -97,6 +99,16 @@
 	return err
 }
 
+// candidate chooses a daemon for a try: at first one of the strong ones near the store, as
+// the log passes its link once more for each daemon that it helps; then any.
+func candidate(members []string, try int) string {
+	among := len(members)
+	if try < relayTries/2 {
+		among = max(min(relayFirst, among), among/relayPart)
+	}
+	return members[rand.IntN(among)]
+}
+
 // cancelWhenLost has a call ended when another one finds that the path does not work.
 func (r *relay) cancelWhenLost(cancel func()) (forget func()) {
 	r.mu.Lock()
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -192,3 +192,22 @@
 	require.Error(t, <-late)
 	require.NoError(t, <-other)
 }
+
+// Guards against the log reaching a placer over the links of the smallest VMs: a relay
+// chosen at random had a 20th of the bandwidth, and ends waited to be read
+// (dosui-sched-grown, trouble-1).
+func TestRelayAsksStrongDaemonsFirst(t *testing.T) {
+	members := make([]string, 20)
+	for i := range members {
+		members[i] = string(rune('a' + i))
+	}
+	for range 200 {
+		require.Contains(t, members[:5], candidate(members, 0))
+		require.Contains(t, members[:2], candidate(members[:2], 0))
+	}
+	later := map[string]bool{}
+	for range 400 {
+		later[candidate(members, relayTries-1)] = true
+	}
+	require.Greater(t, len(later), 10)
+}
