Start gangs as a whole and tell no stale counts

Change: all members of a gang wait for tickets if one has none; when a ticket expires while the plan is recorded, the whole gang is withdrawn; the count is refused with Retry-After while the log is known to be away.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -54,6 +54,7 @@
 // Appended takes the acknowledgement of a batch: its runs may be started now.
 func (p *Placer) Appended(runs []*run, now time.Duration) []Command {
 	var commands []Command
+	expired := p.expiredGangs(runs, now)
 	for _, r := range runs {
 		if r.state != logging || p.runs[r.TaskID] != r {
 			continue
@@ -63,7 +64,7 @@
 		case !r.wanted:
 			r.step(logged)
 			p.endRun(r, cluster.Void, "", now)
-		case r.ticket.text != "" && now+ticketMargin > r.ticket.until:
+		case r.expired(now) || expired[r.StepID()]:
 			r.step(logged)
 			p.note(Note{What: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
 			p.endRun(r, cluster.Void, "", now)
@@ -75,6 +76,26 @@
 	return commands
 }
 
+// expired reports whether the run's ticket would not reach its worker in time.
+func (r *run) expired(now time.Duration) bool {
+	return r.ticket.text != "" && now+ticketMargin > r.ticket.until
+}
+
+// expiredGangs returns the gangs of which a member's ticket expired while the plan was
+// recorded: none of their members is started.
+func (p *Placer) expiredGangs(runs []*run, now time.Duration) map[cluster.StepID]bool {
+	var gangs map[cluster.StepID]bool
+	for _, r := range runs {
+		if def := p.def(r); r.expired(now) && def != nil && def.Gang {
+			if gangs == nil {
+				gangs = map[cluster.StepID]bool{}
+			}
+			gangs[r.StepID()] = true
+		}
+	}
+	return gangs
+}
+
 // confirm has it recorded that a job has begun, once.
 func (p *Placer) confirm(r *run) {
 	w := p.jobs[r.Job]
@@ -417,18 +438,34 @@
 		}
 		p.note(Note{What: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
 	}
-	for i := 0; w != nil && i < w.def.Count; i++ {
+	if w != nil {
+		p.takeTickets(w, now)
+	}
+}
+
+// takeTickets begins the runs of a step that wait for tickets and have one now, and gives
+// the room of the others back. The members of a gang begin together or not at all.
+func (p *Placer) takeTickets(w *stepWork, now time.Duration) {
+	var waiting []*run
+	whole := true
+	for i := 0; i < w.def.Count; i++ {
 		r := p.runs[w.task(i)]
 		if r == nil || r.state != ticketing {
 			continue
 		}
-		t, granted := w.grants[r.vm.Life.Worker]
-		if granted && t.until > now+ticketPlan && r.wanted {
-			r.ticket = t
-			r.step(ticketGranted)
-			p.begin(r)
+		waiting = append(waiting, r)
+		if t := w.grants[r.vm.Life.Worker]; t.until <= now+ticketPlan || !r.wanted {
+			whole = false
+		}
+	}
+	for _, r := range waiting {
+		t := w.grants[r.vm.Life.Worker]
+		if t.until <= now+ticketPlan || !r.wanted || w.def.Gang && !whole {
+			p.endRun(r, cluster.Void, "", now)
 			continue
 		}
-		p.endRun(r, cluster.Void, "", now)
+		r.ticket = t
+		r.step(ticketGranted)
+		p.begin(r)
 	}
 }
--- /dev/null
+++ b/core/placer/gang_test.go
@@ -0,0 +1,79 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+)
+
+// advisedGang has a gang of six wait for two full workers until the tickets have expired.
+func advisedGang(t *testing.T) (c *fakeCell, starts map[cluster.TaskID]time.Duration) {
+	c = newFakeCell(t, 2, roomy)
+	c.config.Queues = append(c.config.Queues, cluster.Queue{
+		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
+		Advice: &cluster.Advice{Decide: 400 * time.Millisecond, Valid: 1500 * time.Millisecond, MaxVMs: 100},
+	})
+	starts = map[cluster.TaskID]time.Duration{}
+	c.runTime = func(s cluster.Start) time.Duration {
+		if s.Job == "gang" {
+			starts[s.TaskID] = c.now
+		}
+		return 3 * time.Second
+	}
+	c.advice = func(a *AdviseCommand) (grants []cluster.Grant) {
+		for _, w := range a.Workers {
+			grants = append(grants, cluster.Grant{Worker: w, Ticket: "t"})
+		}
+		return grants
+	}
+	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}}))
+	c.takeOver()
+	c.run(200 * time.Millisecond)
+	c.submit("blocks", tasks(8))
+	c.run(200 * time.Millisecond)
+	gang := tasks(6)
+	gang.Gang = true
+	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wall()}}))
+	c.run(2500 * time.Millisecond)
+	require.Empty(t, starts)
+	return c, starts
+}
+
+// Guards against a gang of which some members start while the tickets of others are asked
+// for: they waited for longer than workers allow (GANG on a variant of dosui-sched with
+// several racks and due times, hunt-c32d-7).
+func TestGangStartsWhenAllTicketsAreThere(t *testing.T) {
+	c, starts := advisedGang(t)
+	w := c.placer.steps[cluster.StepID{Job: "gang"}]
+	w.grants["w00"] = ticket{"t", c.now + 5*time.Second} // only this one holds until there is room
+	c.run(3 * time.Second)
+	require.Len(t, starts, 6)
+	first, last := time.Hour, time.Duration(0)
+	for _, at := range starts {
+		first, last = min(first, at), max(last, at)
+	}
+	require.Less(t, last-first, 100*time.Millisecond)
+}
+
+// Guards against a gang that starts in part because the log took so long that only some
+// tickets still hold.
+func TestGangIsWithdrawnAsAWhole(t *testing.T) {
+	c, starts := advisedGang(t)
+	w := c.placer.steps[cluster.StepID{Job: "gang"}]
+	c.logAway = true
+	c.run(time.Second) // the blocking tasks end
+	w.grants["w00"] = ticket{"t", c.now + 20*time.Second}
+	w.grants["w01"] = ticket{"t", c.now + 600*time.Millisecond}
+	c.logAway = false
+	c.delay = 1500 * time.Millisecond // of the append, too
+	c.run(1600 * time.Millisecond)
+	c.delay = 5 * time.Millisecond
+	require.Empty(t, starts)
+	c.run(6 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
+	require.Len(t, starts, 6)
+}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -275,10 +275,13 @@
 	for i := range done {
 		placed[done[i].Ask.TaskID] = done[i].VM
 	}
+	// A gang begins when all its tickets are there: members that begin earlier wait for
+	// the others on their workers, and only for so long.
+	gather := w.def.Gang && !w.holdTickets(done, now)
 	var rest []int
 	for i, index := range tasks {
 		if worker, ok := placed[asks[i].TaskID]; ok {
-			p.newRun(w, index, p.vms[worker], now)
+			p.newRun(w, index, p.vms[worker], gather, now)
 		} else {
 			rest = append(rest, index)
 		}
@@ -286,8 +289,22 @@
 	return rest
 }
 
-// newRun makes the run of a task whose room is committed.
-func (p *Placer) newRun(w *stepWork, index int, v *vm, now time.Duration) {
+// holdTickets reports whether the step has a ticket for every worker that was chosen.
+func (w *stepWork) holdTickets(chosen []place.Assignment, now time.Duration) bool {
+	if w.queue == nil || w.queue.Advice == nil {
+		return true
+	}
+	for i := range chosen {
+		if w.grants[chosen[i].VM].until <= now+ticketPlan {
+			return false
+		}
+	}
+	return true
+}
+
+// newRun makes the run of a task whose room is committed. With gather set it waits until
+// all tickets of its gang have come.
+func (p *Placer) newRun(w *stepWork, index int, v *vm, gather bool, now time.Duration) {
 	id := w.task(index)
 	r := &run{
 		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: size(w.def),
@@ -297,7 +314,7 @@
 	v.runs[id] = r
 	w.active++
 	if w.queue != nil && w.queue.Advice != nil {
-		if t := w.grants[v.Life.Worker]; t.until > now+ticketPlan {
+		if t := w.grants[v.Life.Worker]; t.until > now+ticketPlan && !gather {
 			r.ticket = t
 		} else {
 			w.renew = append(w.renew, v.Life.Worker)
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -91,6 +91,8 @@
 	}
 	id := path[len(got.queue.PathPrefix):]
 	switch {
+	case r.Method == http.MethodGet && id == "" && got.lost:
+		return reject(w, http.StatusServiceUnavailable) // the count is older than callers may take it for
 	case r.Method == http.MethodGet && id == "":
 		return answer(w, http.StatusOK, c.engine.platform.EncodePending(got.pending))
 	case r.Method == http.MethodGet:
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -99,6 +99,9 @@
 	require.Zero(t, store.appends.Load())
 	require.Equal(t, http.StatusServiceUnavailable, c.try(http.MethodGet, "/p/unknown", "").Code)
 	require.Equal(t, http.StatusOK, c.try(http.MethodGet, "/p/known", "").Code)
+	got = c.try(http.MethodGet, "/p/", "") // a count of long ago (MIXED on grenaille-sched-grown, fresh-7bd0)
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.NotEmpty(t, got.Header().Get("Retry-After"))
 
 	c = callersOf(t, store, 0)
 	require.Equal(t, http.StatusGatewayTimeout, c.try(http.MethodPost, "/p/new", aBody).Code)
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -73,27 +73,6 @@
 	e.log.Emit(evPlacingEnd, "reason", reason, "epoch", e.claimEpoch)
 }
 
-// slowAnswers is the longest time that the log took to answer lately. After a slow store
-// has recovered its first quick answer says nothing of the placer's silence: its records
-// waited as all others did.
-type slowAnswers struct {
-	took time.Duration
-	at   time.Duration // boot clock
-}
-
-func (s *slowAnswers) note(took, now time.Duration) {
-	if took >= s.longest(now) {
-		s.took, s.at = took, now
-	}
-}
-
-func (s *slowAnswers) longest(now time.Duration) time.Duration {
-	if now-s.at > slowMemory {
-		return 0
-	}
-	return s.took
-}
-
 func (e *engine) considerClaim(ctx context.Context, now time.Duration) {
 	if e.draining || e.claiming || e.config == nil || e.readLast < e.claimedAt {
 		return // the outcome of the last claim has not been read yet
@@ -112,7 +91,7 @@
 		e.claiming = false
 		watch.Now, watch.ReadLast = bootclock.Now(), e.readLast
 		e.slow.note(e.probedAt-sent, e.probedAt)
-		watch.Probe = e.slow.longest(watch.Now)
+		watch.Probe = max(e.slow.longest(watch.Now), e.writer.slow.longest(watch.Now))
 		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
 			e.claim(ctx, reason)
 		}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -29,7 +29,6 @@
 	failoverShare = 0.35                    // of the bound for a change of the daemon that orders: leaves time to take over
 	leaseMost     = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
 	readyWithin   = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
-	slowMemory    = 2500 * time.Millisecond // the records that waited for a slow store are stored and read within this time
 	retireTries   = 4
 	retireTimeout = 800 * time.Millisecond
 	orphanTime    = 14 * time.Second // longest outage of the log over which leases are renewed
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -9,6 +9,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/daemon/bootclock"
 )
 
 // Limits of appending.
@@ -97,6 +98,7 @@
 	direct   chan *entry
 	forwards chan struct{}
 	usual    atomic.Int64                        // time of the placer's answers, ns
+	slow     slowAnswers                         // to appends that were stored
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
@@ -245,6 +247,9 @@
 		err = remote(err, reply.Failure, fault.Unknown)
 		finish(live, err)
 		w.learn(time.Since(sent))
+		if err == nil {
+			w.slow.note(time.Since(sent), bootclock.Now())
+		}
 		answered <- err
 	}()
 	select {
@@ -282,6 +287,7 @@
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		sent := bootclock.Now()
 		first, err := w.log.Append(bounded, partition, records, nil)
 		cancel()
 		finish(live, err)
@@ -292,6 +298,7 @@
 			continue
 		}
 		retry = appendRetry
+		w.slow.note(bootclock.Now()-sent, bootclock.Now())
 		w.stored(first, records)
 	}
 }
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -12,6 +12,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/daemon/bootclock"
 )
 
 // placerOf serves submissions of other daemons and returns the address.
@@ -120,4 +121,5 @@
 		require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
 	}
 	require.Equal(t, before, store.appends.Load())
+	require.Greater(t, w.slow.longest(bootclock.Now()), 600*time.Millisecond, "claims wait for what waits there")
 }
