Hand over directly when a placer stops

Change: a placer that stops asks a daemon to take over, which claims at once; the release remains for the case that none does. Among equals the daemons that started last are chosen, since restarts in turn reach them last. A claim is applied when it is acknowledged. Ruled out: naming a successor in the release, which needs one more reading of the log.

--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"briarproxy/core/flow"
@@ -24,6 +25,7 @@
 	probesARank   = 2
 	ranksMost     = 8                // more daemons than this are not lost at once without the log
 	rankSilence   = 12 * time.Second // a daemon says hello every few seconds
+	startTime     = 3 * time.Second  // a daemon has read the log by then
 	muchStronger  = 1.5              // differences below this do not matter to a placer
 	distanceStep  = 10 * time.Millisecond
 	leastStrength = 0.01 // of a daemon that does not state it
@@ -78,9 +80,23 @@
 	return n
 }
 
-// Order puts the daemons first that have much of what a placer needs and are near the log.
+// Successors returns the daemons to which a placer that stops may hand over, the best one
+// first. One that has just started may not have read the log yet.
+func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
+	var list []flow.Hello
+	for name, m := range s.Members {
+		if name != self && now-m.Seen < rankSilence && wallMS-m.Started > startTime.Milliseconds() {
+			list = append(list, m.Hello)
+		}
+	}
+	slices.SortFunc(list, Order)
+	return list
+}
+
+// Order puts the daemons first that have much of what a placer needs and are near the log;
+// among equal ones those that started last, as restarts in turn come to them last.
 func Order(a, b flow.Hello) int {
-	return cmp.Or(cmp.Compare(class(b.Strength), class(a.Strength)), cmp.Compare(a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()), cmp.Compare(a.Daemon, b.Daemon))
+	return cmp.Or(cmp.Compare(class(b.Strength), class(a.Strength)), cmp.Compare(a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()), cmp.Compare(b.Started, a.Started), cmp.Compare(a.Daemon, b.Daemon))
 }
 
 // class puts strengths that differ little into one class.
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -82,3 +82,19 @@
 	s.Members["near2"] = flow.Member{Hello: order[1], Seen: 50 * second}
 	require.Equal(t, 0, Rank(s, order[2], 101*second))
 }
+
+// Guards against a placer that hands over to the daemon that is stopped next, or to one
+// that has not read the log yet.
+func TestSuccessorsAreThoseThatStartedLast(t *testing.T) {
+	s := flow.NewState()
+	const wall = 1_700_000_100_000
+	for name, age := range map[string]int64{"old": 100_000, "older": 200_000, "young": 10_000, "newborn": 1_000, "self": 50_000} {
+		s.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Strength: 2, DistanceMS: 4, Started: wall - age}, Seen: 100 * second}
+	}
+	s.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", Strength: 2, Started: wall - 5_000}, Seen: 50 * second}
+	var names []string
+	for _, h := range Successors(s, "self", 101*second, wall) {
+		names = append(names, h.Daemon)
+	}
+	require.Equal(t, []string{"young", "old", "older"}, names)
+}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -93,35 +93,53 @@
 		e.slow.note(e.probedAt-sent, e.probedAt)
 		watch.Probe = max(e.slow.longest(watch.Now), e.writer.slow.longest(watch.Now))
 		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
-			e.claim(ctx, reason)
+			e.claim(ctx, reason, nil)
 		}
 	})
 }
 
-// claim appends a claim under a new epoch. It counts once it is read back.
-func (e *engine) claim(ctx context.Context, reason string) {
+// claim appends a claim under a new epoch. It counts once it is read back. The outcome of
+// the append is told to done, which may be nil.
+func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
 	epoch := placer.NextEpoch(e.state, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
 	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
-	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch, "rank", placer.Rank(e.state, e.hello(), bootclock.Now()),
+	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
+		"rank", placer.Rank(e.state, e.hello(), bootclock.Now()),
 		"silent_ms", (bootclock.Now() - e.state.Heard).Milliseconds(), "offset", e.state.Next)
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
 	appender := e.appender
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, 2*appendTimeout)
 		defer cancel()
-		_, err := appender.append(bounded, record)
+		offset, err := appender.append(bounded, record)
 		e.do(ctx, func(e *engine) {
 			e.claiming, e.claimedAt = false, bootclock.Now()
 			if err != nil {
 				e.counts.claims.WithLabelValues("not stored").Inc()
 				e.log.Emit(evPlacingEnd, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
+			} else if offset >= e.state.Next {
+				e.ahead[offset] = decoded{record: *record}
+				e.applyAhead(ctx, bootclock.Now())
+			}
+			if done != nil {
+				done(err == nil)
 			}
 			e.wakeTail()
 		})
 	}()
 }
 
+// succeed claims on behalf of a placer that has stopped and chose this daemon. Nobody else
+// needs to notice that, and no silence has to pass.
+func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
+	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.lost || e.state.Claim.Epoch != epoch {
+		reply <- false
+		return
+	}
+	e.claim(ctx, "the placer hands over", func(stored bool) { reply <- stored })
+}
+
 // leave begins a planned stop: the placer records what it knows and gives up its claim,
 // so that another daemon takes over at once. Workers keep their leases meanwhile.
 func (e *engine) leave(ctx context.Context) {
@@ -130,11 +148,32 @@
 	e.leaving = e.placer != nil
 }
 
-// release gives up the claim behind the last batch.
+// handOver asks daemons in turn to take over and reports whether one has.
+func (e *engine) handOver(ctx context.Context, successors []flow.Hello, epoch int64) bool {
+	for i := 0; i < min(handOverTries, len(successors)); i++ {
+		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+		var done bool
+		err := e.peers.call(bounded, successors[i].Address, succeedMethod, &SucceedArgs{epoch}, &done)
+		cancel()
+		if err == nil && done {
+			e.log.Emit(evHandedOver, "successor", successors[i].Daemon, "epoch", epoch, "tries", i+1)
+			return true
+		}
+		if err != nil {
+			e.log.Emit(evPeerLost, "peer", successors[i].Daemon, "reason", err.Error())
+			return false // it may have claimed: the release tells everybody
+		}
+	}
+	return false
+}
+
+// release gives up the claim behind the last batch, to a daemon that takes over if there
+// is one.
 func (e *engine) release(ctx context.Context) {
 	batch, _, due := e.placer.Flush(bootclock.Now())
 	batch.Begins = nil // nothing begins after the release
 	appender, epoch := e.appender, e.placer.Epoch()
+	successors := placer.Successors(e.state, e.settings.Name, bootclock.Now(), time.Now().UnixMilli())
 	e.endPlacer("planned stop")
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, drainTime)
@@ -144,6 +183,9 @@
 				e.log.Emit(evPlacingEnd, "reason", "the last batch was not stored: "+err.Error(), "epoch", epoch)
 			}
 		}
+		if e.handOver(bounded, successors, epoch) {
+			return
+		}
 		if _, err := appender.append(bounded, &flow.Record{Release: &flow.Release{Daemon: e.settings.Name, Epoch: epoch}}); err != nil {
 			e.log.Emit(evPlacingEnd, "reason", "the release was not stored: "+err.Error(), "epoch", epoch)
 		}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -20,18 +20,20 @@
 
 // Times of the engine.
 const (
-	placerTick    = 20 * time.Millisecond
-	followTick    = 250 * time.Millisecond
-	helloEvery    = 5 * time.Second
-	summaryEvery  = time.Second
-	forgetEvery   = 10 * time.Second
-	keepFactor    = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
-	failoverShare = 0.35                    // of the bound for a change of the daemon that orders: leaves time to take over
-	leaseMost     = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
-	readyWithin   = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
-	retireTries   = 4
-	retireTimeout = 800 * time.Millisecond
-	orphanTime    = 14 * time.Second // longest outage of the log over which leases are renewed
+	placerTick      = 20 * time.Millisecond
+	followTick      = 250 * time.Millisecond
+	helloEvery      = 5 * time.Second
+	summaryEvery    = time.Second
+	forgetEvery     = 10 * time.Second
+	keepFactor      = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
+	failoverShare   = 0.35                    // of the bound for a change of the daemon that orders: leaves time to take over
+	leaseMost       = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
+	readyWithin     = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
+	retireTries     = 4
+	handOverTries   = 2
+	handOverTimeout = 1200 * time.Millisecond // an append of a slow store; with two tries within drainTime
+	retireTimeout   = 800 * time.Millisecond
+	orphanTime      = 14 * time.Second // longest outage of the log over which leases are renewed
 )
 
 // engine owns the state that the log tells and, at times, the placer.
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -26,6 +26,7 @@
 	evPlacingEnd    = event.Define(932, "placer-ended", log.WarnLevel, "This daemon is not the placer any more, for the reason given.")
 	evWorkers       = event.Define(933, "registry-entries-unusable", log.WarnLevel, "Entries of the registry can't be read and name no worker.")
 	evRetired       = event.Define(934, "former-placer-retired", log.InfoLevel, "The former placer has stopped ordering or its process is gone; what it ordered ends with the leases that it gave.")
+	evHandedOver    = event.Define(935, "placer-handed-over", log.InfoLevel, "A placer that stops has handed over to the named daemon, whose claim is stored.")
 	evAccepted      = event.Define(940, "job-accepted", log.InfoLevel, "A job is stored and will be run.")
 	evRejected      = event.Define(941, "job-rejected", log.InfoLevel, "A job was not accepted and never runs, for the reason given.")
 	evUnsure        = event.Define(942, "job-outcome-unknown", log.WarnLevel, "The caller was told that it is not known whether the job was stored; it may ask again with the same id.")
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -40,7 +40,13 @@
 	yield := func(epoch int64) {
 		_, _ = ask(life, e, func(e *engine, reply chan<- bool) { e.yield(epoch); reply <- true })
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put}); err != nil {
+	succeed := func(epoch int64) bool {
+		bounded, cancel := context.WithTimeout(life, handOverTimeout)
+		defer cancel()
+		stored, ok := ask(bounded, e, func(e *engine, reply chan<- bool) { e.succeed(life, epoch, reply) })
+		return stored && ok
+	}
+	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put, succeed: succeed}); err != nil {
 		return err
 	}
 	t := &tail{log: e.store, saved: p, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -23,8 +23,9 @@
 
 // Methods of the peers' service.
 const (
-	adviseMethod = "Cell.Advise"
-	yieldMethod  = "Cell.Yield"
+	adviseMethod  = "Cell.Advise"
+	yieldMethod   = "Cell.Yield"
+	succeedMethod = "Cell.Succeed"
 )
 
 // AdviseArgs asks a daemon to ask the advice service.
@@ -46,6 +47,7 @@
 	store   storeAccess
 	yield   func(epoch int64)
 	submit  func(records [][]byte, within time.Duration) error
+	succeed func(epoch int64) bool
 }
 
 // YieldArgs tells the placer of an epoch, or an earlier one, that it has a successor.
@@ -57,6 +59,15 @@
 	return nil
 }
 
+// SucceedArgs asks a daemon to take over from the placer of an epoch, which has stopped.
+type SucceedArgs struct{ Epoch int64 }
+
+// Succeed returns true when the daemon's claim is stored.
+func (s *peerService) Succeed(args *SucceedArgs, done *bool) error {
+	*done = s.succeed(args.Epoch)
+	return nil
+}
+
 // Advise asks the advice service on behalf of the placer.
 func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) error {
 	bounded, cancel := context.WithTimeout(context.Background(), args.Within)
--- a/daemon/internal/timeline/read.go
+++ b/daemon/internal/timeline/read.go
@@ -102,24 +102,24 @@
 
 // Events by which a story is told.
 const (
-	eventStarted   = 900
-	eventStopped   = 902
-	eventLogLost   = 910
-	eventLogBack   = 911
-	eventHistory   = 912
-	eventClaim     = 930
-	eventPlacing   = 931
-	eventPlacedEnd = 932
-	eventRetired   = 934
-	eventAccepted  = 940
-	eventLastOfJob = 949
-	eventDecision  = 950
-	eventSummary   = 951
+	eventStarted    = 900
+	eventStopped    = 902
+	eventLogLost    = 910
+	eventLogBack    = 911
+	eventHistory    = 912
+	eventClaim      = 930
+	eventPlacing    = 931
+	eventPlacedEnd  = 932
+	eventHandedOver = 935
+	eventAccepted   = 940
+	eventLastOfJob  = 949
+	eventDecision   = 950
+	eventSummary    = 951
 )
 
 // owns reports whether a line tells who placed or which daemon could not.
 func (l *Line) owns() bool {
-	return l.Event >= eventStarted && l.Event <= eventHistory || l.Event >= eventClaim && l.Event <= eventRetired
+	return l.Event >= eventStarted && l.Event <= eventHistory || l.Event >= eventClaim && l.Event <= eventHandedOver
 }
 
 func (f Filter) selects(l *Line) bool {
