Soak the real programs, and run the demo on the users' platform too

Change: TestPlatformSoak starts daemons, each behind a proxy of its own to the store, and plays kills, pauses, planned stops, paths that are refused, silent or slow, outages, lost answers and restarted workers under load; every accepted job must end, no worker may see a broken promise, and what was refused must not have run. It is short in make test; make soak takes three minutes. make demo runs a third cell of three daemons on the stand-in of the platform with jobs like the users', and kills its placer.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: all build tools fmt lint test demo bench clean
+.PHONY: all build tools fmt lint test demo soak bench clean
 
 all: build
 
@@ -30,6 +30,10 @@
 test: lint build
 	bash scripts/test.sh
 
+# soak plays random faults against the real programs for three minutes; SEED chooses them.
+soak:
+	BRIARPROXY_SOAK=3m BRIARPROXY_SOAK_SEED=$(or $(SEED),7) go test ./standin/integration -run TestPlatformSoak -count=1 -timeout 10m -v
+
 demo: build
 	bash scripts/demo.sh
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -121,12 +121,56 @@
 start_cell inspectors 18 64000 262144 "survey=400 certificate=300 doorstep=100" doto/kushiro dohoku/asahikawa doo/hakodate
 start_cell cooperative 48 32000 65536 "certify=500 quote=50 wear-review=3000" gaspesie/gaspe monteregie/saint-jean saguenay/chicoutimi
 
+# start_platform_daemon NUMBER STORE ADVICE starts a daemon on the users' platform.
+start_platform_daemon() {
+  local name=platform-entry-$1
+  cat >"$dir/$name.jsonc" <<EOF
+{
+	"name": "$name", "region": "doto", "data_centre": "kushiro",
+	"listen": {"callers": "127.0.0.1:0", "ready": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
+	"platform": {"store": "$2", "advice": "$3", "machines": ""},
+	"limits": {"memory_mib": 256, "descriptors": 4096},
+	"bounds": {"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": 300},
+}
+EOF
+  run "$name" "$bin/briarproxyd" serve --settings "$dir/$name.jsonc"
+}
+
+# callers_of NAME prints the callers' address in the first line of a daemon's log.
+callers_of() {
+  for _ in $(seq 150); do
+    if grep -m1 '"event":900' "$dir/$1.out" 2>/dev/null | sed 's/.*"callers":"\([^"]*\)".*/\1/' | grep .; then return 0; fi
+    sleep 0.1
+  done
+  return 1
+}
+
+run platform "$bin/standin" platform --workers 18
+platform_pid=$last_pid
+text=$(line platform listening)
+platform_ids=()
+platform_callers=()
+for i in 1 2 3; do
+  start_platform_daemon "$i" "$(field "$text" store)" "$(field "$text" advice)"
+  platform_ids+=("$last_pid")
+done
+for i in 1 2 3; do platform_callers+=("$(callers_of "platform-entry-$i")"); done
+echo "users' platform: 3 daemons, 18 workers"
+
 "$bin/demo" warm "${cells[@]}"
 echo "every daemon answers; sending work for $seconds s"
 "$bin/demo" "${cells[@]}" --duration "${seconds}s" --seed "$seed" &
 demo=$!
 pids+=("$demo")
+"$bin/demo" platform "${platform_callers[@]}" --duration "${seconds}s" --seed "$seed" &
+platform_demo=$!
+pids+=("$platform_demo")
 sleep "$kill_after"
 for pid in "${victims[@]}"; do kill -9 "$pid"; done
-echo "killed daemon 2 of each cell after $kill_after s"
+kill -9 "${platform_ids[0]}"
+echo "killed daemon 2 of each cell, and daemon 1 on the users' platform, after $kill_after s"
+wait "$platform_demo"
+kill "$platform_pid"
+wait_or_kill "$platform_pid"
+line platform "ended " | grep -q "problems=0" || { tail -n 3 "$dir/platform.err"; exit 1; }
 wait "$demo"
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -52,7 +52,7 @@
 	flags.DurationVar(&options.Duration, "duration", defaultDuration, "time for which requests are sent")
 	flags.IntVar(&options.GangTasks, "gang-tasks", defaultGangTasks, "tasks of the gang job")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the times between requests and of the daemons chosen")
-	cmd.AddCommand(waitCommand(), warmCommand())
+	cmd.AddCommand(waitCommand(), warmCommand(), platformCommand())
 	return cmd
 }
 
@@ -61,6 +61,22 @@
 	_ = cmd.MarkFlagRequired("cell")
 }
 
+func platformCommand() *cobra.Command {
+	options := demo.PlatformOptions{Out: os.Stdout}
+	cmd := &cobra.Command{
+		Use:   "platform ADDRESS...",
+		Short: "Send jobs to daemons on the users' platform and wait for their ends",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, addresses []string) error {
+			options.Daemons = addresses
+			return demo.RunPlatform(cmd.Context(), options)
+		},
+	}
+	cmd.Flags().DurationVar(&options.Duration, "duration", defaultDuration, "time for which jobs are sent")
+	cmd.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of the ids and of the daemons chosen")
+	return cmd
+}
+
 func waitCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "wait URL...",
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -15,7 +15,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	cmd := &cobra.Command{Use: "standin", SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(logServiceCommand(), vmListCommand(), workerCommand(), workersCommand(), faultProxyCommand())
+	cmd.AddCommand(logServiceCommand(), vmListCommand(), workerCommand(), workersCommand(), faultProxyCommand(), platformCommand())
 	if err := cmd.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -131,6 +131,27 @@
 	return ""
 }
 
+// post hands a body in as a caller does; 0 is no answer.
+func post(url string, body any) int {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	req.Host = jobsHost
+	req.Header.Set("X-Deadline-Ms", "3000")
+	client := &http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close() // only the status counts
+	return resp.StatusCode
+}
+
 // call makes one call of a caller; status 0 is no answer.
 func (c *platformCell) call(daemon int, method, id string, body any) (int, string) {
 	var payload io.Reader
--- a/standin/platform/doc.go
+++ b/standin/platform/doc.go
@@ -4,3 +4,9 @@
 // given more than it holds, that no task runs twice at a time or again after it was
 // done, and that only granted workers run a step.
 package platform
+
+// Host and path of the queue that make demo uses.
+const (
+	DemoHost = "jobs.example"
+	DemoPath = "/jobs/"
+)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -31,6 +31,7 @@
 	running  map[string]string // task -> worker
 	problems []string
 	starts   int
+	ran      map[string]bool            // jobs of which a task was started
 	advised  map[string]map[string]bool // step -> granted workers
 }
 
@@ -45,7 +46,7 @@
 func NewFleet(store *Store, pool string, n int, capacity Size) (*Fleet, error) {
 	f := &Fleet{
 		store: store, pool: pool, capacity: capacity, workers: map[string]*Worker{}, steps: map[string]StepPlan{},
-		done: map[string]int{}, running: map[string]string{}, advised: map[string]map[string]bool{},
+		done: map[string]int{}, running: map[string]string{}, advised: map[string]map[string]bool{}, ran: map[string]bool{},
 	}
 	for i := range n {
 		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8)}
@@ -84,6 +85,13 @@
 	return append([]string(nil), f.problems...)
 }
 
+// Ran reports whether any task of a job was started.
+func (f *Fleet) Ran(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[job]
+}
+
 // Starts returns the number of runs started.
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
@@ -280,7 +288,7 @@
 	if f.done[o.Task] > 0 {
 		f.problem("task %s is started after it was done", o.Task)
 	}
-	plan := f.steps[parts[0]+"."+parts[2]]
+	plan := f.plan(parts[0], parts[2], o.Spec)
 	how := "done"
 	if w.fleet.failures(o.Task) < plan.Fail {
 		how = "failed"
@@ -290,6 +298,7 @@
 	w.runs[o.Task] = &taskRun{run: o.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how}
 	f.running[o.Task] = w.id
 	f.starts++
+	f.ran[parts[0]] = true
 	used := Size{}
 	for _, r := range w.runs {
 		used = used.add(r.size)
@@ -300,6 +309,32 @@
 	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
 }
 
+// SpecStep tells in the Spec of a job what the tasks of one of its steps take, for workers
+// that run in another process than the caller.
+type SpecStep struct {
+	MS         int64
+	Cpu, MemMb int64
+}
+
+// Body is the step as a caller posts it.
+func (s SpecStep) Body(count int, gang bool, after []int) map[string]any {
+	return map[string]any{"Count": count, "Cpu": s.Cpu, "MemMb": s.MemMb, "EstimateMs": s.MS, "Gang": gang, "StartAfter": after}
+}
+
+// plan returns what the tasks of a step do: as the test said, or as the job's Spec says.
+// The caller holds the lock.
+func (f *Fleet) plan(job, step, spec string) StepPlan {
+	if p, known := f.steps[job+"."+step]; known {
+		return p
+	}
+	var steps []SpecStep
+	if n, err := strconv.Atoi(step); err == nil && json.Unmarshal([]byte(spec), &steps) == nil && n < len(steps) {
+		s := steps[n]
+		return StepPlan{Size: Size{Cpu: s.Cpu, MemMb: s.MemMb}, Takes: time.Duration(s.MS) * time.Millisecond}
+	}
+	return StepPlan{}
+}
+
 // failures counts the failed runs of a task on all workers.
 func (f *Fleet) failures(task string) int {
 	n := 0
