--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -23,10 +23,13 @@
 	// append and a read between regions, or twice what the log takes to answer now.
 	rankStep      = 60 * time.Millisecond
 	probesARank   = 2
-	ranksMost     = 8                // more daemons than this are not lost at once without the log
-	rankSilence   = 12 * time.Second // a daemon says hello every few seconds
-	startTime     = 3 * time.Second  // a daemon has read the log by then
-	muchStronger  = 1.5              // differences below this do not matter to a placer
+	ranksMost     = 8                      // more daemons than this are not lost at once without the log
+	rankSilence   = 12 * time.Second       // a daemon says hello every few seconds
+	weakWait      = 2 * time.Second        // the strong daemons have claimed by then, also after a missed probe
+	usualGap      = 600 * time.Millisecond // between two readings of an idle placer's records
+	gapFactor     = 3
+	startTime     = 3 * time.Second // a daemon has read the log by then
+	muchStronger  = 1.5             // differences below this do not matter to a placer
 	distanceStep  = 10 * time.Millisecond
 	leastStrength = 0.01 // of a daemon that does not state it
 )
@@ -41,6 +44,8 @@
 	Jitter    time.Duration // of this daemon, below claimSpread
 	Probe     time.Duration // longest that the log took to answer lately; 0 is not known
 	Rank      int           // daemons that are to claim before this one
+	Weaker    bool          // a much stronger daemon than this one is there
+	Gap       time.Duration // longest time without a record of the placer lately, before the present one
 }
 
 // ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
@@ -52,6 +57,9 @@
 	}
 	delay := roundTripFactor*w.RoundTrip + w.Jitter + time.Duration(min(w.Rank, ranksMost))*max(rankStep, probesARank*w.Probe)
 	quiet := w.Now - max(s.Heard, w.Able)
+	if w.Weaker {
+		delay += weakWait
+	}
 	if s.Claim.Daemon == "" && quiet > delay {
 		return "there is no placer", true
 	}
@@ -61,6 +69,9 @@
 	if w.Now-s.Claimed < settleTime {
 		delay += settleFactor * w.Failover // it takes over runs and a backlog; another takeover would begin anew
 	}
+	if late := w.Gap - usualGap; late > 0 {
+		delay += gapFactor * late // a placer whose records come seldom is slow, as the log may be
+	}
 	if s.Claim.Daemon != "" && quiet > w.Failover+delay {
 		return "the placer is silent", true
 	}
@@ -80,6 +91,16 @@
 	return n
 }
 
+// Weaker reports whether a daemon is there that has much more of what a placer needs.
+func Weaker(s *flow.State, self flow.Hello, now time.Duration) bool {
+	for name, m := range s.Members {
+		if name != self.Daemon && now-m.Seen < rankSilence && class(m.Strength) > class(self.Strength) {
+			return true
+		}
+	}
+	return false
+}
+
 // Successors returns the daemons to which a placer that stops may hand over, the best one
 // first. One that has just started may not have read the log yet.
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -37,6 +37,9 @@
 		{"the log is slow, so is the placer", placing, func(w *Watch) { w.Now, w.ReadLast, w.Probe = 102*second, 102*second, 300*time.Millisecond }, false},
 		{"a new placer has not settled", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, false},
 		{"a new placer is lost", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 104*second, 104*second }, true},
+		{"a stronger daemon is there", placing, func(w *Watch) { w.Now, w.ReadLast, w.Weaker = 102*second, 102*second, true }, false},
+		{"no stronger daemon claims", placing, func(w *Watch) { w.Now, w.ReadLast, w.Weaker = 104*second, 104*second, true }, true},
+		{"the placer's records came seldom", placing, func(w *Watch) { w.Now, w.ReadLast, w.Gap = 102*second, 102*second, 1200*time.Millisecond }, false},
 		{"never read", placing, func(w *Watch) { w.ReadLast = 0 }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -77,6 +80,9 @@
 	for i, h := range order {
 		require.Equal(t, i, Rank(s, h, 101*second), h.Daemon)
 	}
+	for i, h := range order {
+		require.Equal(t, i >= 4, Weaker(s, h, 101*second), h.Daemon)
+	}
 	s.Claim.Daemon = "near" // it is the one that is silent
 	require.Equal(t, 0, Rank(s, order[1], 101*second))
 	s.Members["near2"] = flow.Member{Hello: order[1], Seen: 50 * second}
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -58,10 +58,13 @@
 		e.state.Skip()
 		return
 	}
-	former := e.state.Claim
+	former, heard := e.state.Claim, e.state.Heard
 	if err := e.state.Apply(&d.record, now); err != nil {
 		e.log.Emit(evBadRecord, "position", e.state.Next-1, "reason", err.Error())
 	}
+	if d.record.Batch != nil && e.state.Heard > heard && heard > 0 {
+		e.gaps.note(e.state.Heard-heard, now)
+	}
 	if e.placer != nil {
 		e.placer.Read(&d.record, now)
 	}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -21,7 +21,7 @@
 	e.placing, e.stopPlacer = placing, stop
 	e.saver = &saver{store: e.platform, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
 	e.saving, e.savedAt = false, now
-	e.ackedAt = now
+	e.ackedAt, e.placingSince = now, now
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), MaxLease: ms(e.settings.Bounds.MaxLeaseMS), Orphan: orphanTime,
 		Early: ms(e.settings.Bounds.EarlyMS), Stop: ms(e.settings.Bounds.StopMS),
@@ -68,7 +68,7 @@
 		return
 	}
 	e.stopPlacer()
-	e.placer, e.appending = nil, false
+	e.placer, e.appending, e.leaving = nil, false, false
 	e.isPlacer.Store(false)
 	e.log.Emit(evPlacingEnd, "reason", reason, "epoch", e.claimEpoch)
 }
@@ -79,7 +79,7 @@
 	}
 	watch := placer.Watch{
 		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
-		Rank:     placer.Rank(e.state, e.hello(), now),
+		Rank: placer.Rank(e.state, e.hello(), now), Weaker: placer.Weaker(e.state, e.hello(), now), Gap: e.gaps.longest(now),
 		Failover: time.Duration(failoverShare * float64(ms(e.settings.Bounds.FailoverMS))),
 	}
 	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
@@ -140,6 +140,15 @@
 	e.claim(ctx, "the placer hands over", func(stored bool) { reply <- stored })
 }
 
+// considerHandOver gives up the claim when a daemon is there that can place much faster: a
+// small VM takes over only while no other does.
+func (e *engine) considerHandOver(now time.Duration) {
+	if !e.leaving && now-e.placingSince > handOverAfter && placer.Weaker(e.state, e.hello(), now) &&
+		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) > 0 {
+		e.leaving = true
+	}
+}
+
 // leave begins a planned stop: the placer records what it knows and gives up its claim,
 // so that another daemon takes over at once. Workers keep their leases meanwhile.
 func (e *engine) leave(ctx context.Context) {
@@ -174,7 +183,7 @@
 	batch.Begins = nil // nothing begins after the release
 	appender, epoch := e.appender, e.placer.Epoch()
 	successors := placer.Successors(e.state, e.settings.Name, bootclock.Now(), time.Now().UnixMilli())
-	e.endPlacer("planned stop")
+	e.endPlacer("planned stop or hand-over")
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, drainTime)
 		defer cancel()
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -30,6 +30,7 @@
 	leaseMost       = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
 	readyWithin     = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
 	retireTries     = 4
+	handOverAfter   = 2 * time.Second // a placer that has just begun is settling its workers
 	handOverTries   = 2
 	handOverTimeout = 1200 * time.Millisecond // an append of a slow store; with two tries within drainTime
 	retireTimeout   = 800 * time.Millisecond
@@ -85,8 +86,10 @@
 	savedNext       int64
 	savedGeneration int64
 
-	probedAt time.Duration // boot clock: answer to the newest read out of turn
-	slow     slowAnswers
+	probedAt     time.Duration // boot clock: answer to the newest read out of turn
+	slow         slowAnswers
+	gaps         slowAnswers   // between records of the placer
+	placingSince time.Duration // boot clock
 
 	ahead    map[int64]decoded // own appends that were acknowledged, by offset, until their turn comes
 	known    atomic.Int64      // offset of the next record to apply
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -15,6 +15,7 @@
 		e.endPlacer("the log has not answered for too long")
 		return
 	}
+	e.considerHandOver(now)
 	if e.leaving {
 		if !e.appending {
 			e.release(ctx)
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -22,6 +22,7 @@
 	gather         = 4 * time.Millisecond
 	maxGather      = 128
 	placerPatience = 500 * time.Millisecond  // then the record is appended here as well
+	aliveTimeout   = 300 * time.Millisecond  // two ways between regions and a busy daemon
 	patienceFactor = 3                       // times the usual answer: a slow store must not get every record twice, from all daemons
 	patienceMost   = 1500 * time.Millisecond // leaves a caller time for an append from here
 	answerWeight   = 4                       // one answer moves the usual one by this part of the difference
@@ -252,16 +253,32 @@
 		}
 		answered <- err
 	}()
-	select {
-	case err := <-answered:
-		if err == nil {
-			return
+	patience := w.patience()
+	for waited := time.Duration(0); ; {
+		select {
+		case err := <-answered:
+			if err == nil {
+				return
+			}
+		case <-time.After(patience):
+			if waited += patience; waited < patienceMost && w.alive(ctx, address) {
+				continue // it waits for a slow log, which appends from all daemons would only slow down
+			}
 		}
-	case <-time.After(w.patience()):
+		break
 	}
 	w.hand(live)
 }
 
+// alive reports whether the placer's daemon answers. A call to yield an epoch before the
+// first one has no effect.
+func (w *writer) alive(ctx context.Context, address string) bool {
+	bounded, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	var done bool
+	return w.peers.call(bounded, address, yieldMethod, &YieldArgs{Epoch: -1}, &done) == nil
+}
+
 // learn takes the time of one answer of the placer into the usual one.
 func (w *writer) learn(took time.Duration) {
 	usual := time.Duration(w.usual.Load())
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -310,6 +310,25 @@
 	require.Equal(t, 16, c.fleet.Starts(), "tasks run on under their leases while the store is down")
 }
 
+// Guards against a task that is given up because its end was lost with its worker's life
+// before it could be recorded, and against one that ran being shown as done without a
+// record. Workers forget such ends, so the second run is allowed.
+func TestPlatformWorkerRestartsBeforeItsEndIsRecorded(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 2, 1, false)
+	id := fmt.Sprintf("%016x", 0xd100)
+	c.submit(0, id, c.step(id, 0, 1, 600*time.Millisecond, nil))
+	require.Eventually(t, func() bool { return c.fleet.Starts() == 1 }, 5*time.Second, 10*time.Millisecond)
+	c.store.SetDown(true)
+	time.Sleep(1200 * time.Millisecond) // the task ends, and the placer can't record that
+	placer := c.placer()
+	c.daemons[placer].kill()
+	c.fleet.Restart("i-0000")
+	c.store.SetDown(false)
+	c.completed(1-placer, []string{id}, 30*time.Second)
+	require.Equal(t, 2, c.fleet.Starts())
+}
+
 // Guards against jobs that are lost with records that the log keeps for a limited time: a
 // daemon that starts later, without any older one, must know them and go on with them.
 func TestPlatformHistoryExpires(t *testing.T) {
