Confirm ends only to the life of a worker that listed them

Change: a look confirms ends only while every run that was ordered to the worker has been listed by its present life. Figures: TestConfirmationsDoNotReachTheNextLife fails without it and passes.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -290,7 +290,7 @@
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
 			r.progress.see(row.Percent, now)
-			r.load = row.Load
+			r.load, r.seen = row.Load, true
 			if row.Checkpoint != "" {
 				r.saved = row.Checkpoint
 			}
@@ -344,7 +344,7 @@
 		return
 	}
 	j := p.state.Jobs[row.Job]
-	r := &run{RunID: row.RunID, state: stopping, vm: v, foreign: true, recorded: true, plannedAt: now, answeredAt: now}
+	r := &run{RunID: row.RunID, state: stopping, vm: v, foreign: true, seen: true, recorded: true, plannedAt: now, answeredAt: now}
 	if j != nil && row.Step >= 0 && row.Step < len(j.Steps) {
 		r.size = size(&j.Steps[row.Step])
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -307,6 +307,7 @@
 	v.forget(report.Life)
 	v.inherited = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
+		r.seen = false
 		switch {
 		case !r.ordered() || there[r.RunID]:
 		case r.state == starting || r.state == uncertain || r.answeredAt >= v.lookSentAt:
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -266,3 +266,26 @@
 	})
 	require.Less(t, allocations, float64(steps), "a step that can't ask for advice allocates nothing")
 }
+
+// Guards against an end that is lost because a confirmation meant for the former life of a
+// worker reached the next one, in which ends are counted anew: the task, which had ended,
+// was started again (TestPlatformSoak, seeds 11, 21 and 22).
+func TestConfirmationsDoNotReachTheNextLife(t *testing.T) {
+	c := ready(t, 1)
+	c.runTime = func(cluster.Start) time.Duration { return 50 * time.Millisecond }
+	for i := range 6 {
+		c.submit(fmt.Sprint("before", i), tasks(1))
+		c.run(400 * time.Millisecond)
+	}
+	c.delay = 200 * time.Millisecond
+	for i := range 5 {
+		id := cluster.TaskID{Job: fmt.Sprint("after", i)}
+		c.submit(id.Job, tasks(1))
+		for r := c.placer.runs[id]; r == nil || r.state != starting; r = c.placer.runs[id] {
+			c.run(5 * time.Millisecond)
+		}
+		c.restart(c.workers["w00"]) // before the order arrives
+		c.run(20 * time.Second)     // the fake complains of a run after an end that was taken note of
+	}
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 11}, c.phases())
+}
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -46,6 +46,7 @@
 	recorded   bool          // its Begin was acknowledged
 	foreign    bool          // begun by nobody known: it is only stopped
 	wanted     bool          // false: it is to be stopped as soon as that is possible
+	seen       bool          // the worker has listed it in its present life
 	plannedAt  time.Duration // boot clock
 	answeredAt time.Duration // of the start; a later look must list the run
 	stopSent   time.Duration // last stop order
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -77,7 +77,10 @@
 		if v.looking || now < v.lookAt || v.Address == "" || !p.wantsLook(v, now) {
 			continue
 		}
-		hold := cluster.Hold{Token: p.token, Confirmed: v.confirmed}
+		hold := cluster.Hold{Token: p.token}
+		if v.allSeen() {
+			hold.Confirmed = v.confirmed
+		}
 		if len(v.runs) > 0 && v.known {
 			hold.Wait = p.lookWait(v)
 			if v.misses == 0 && now-v.answered < renewSilence {
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -44,6 +44,18 @@
 	settled bool
 }
 
+// allSeen reports whether the worker has listed every run that was ordered there in its
+// present life. Otherwise one may have run in a next life that is not known yet, in which
+// ends are numbered anew, and a confirmation for this life would make it forget that end.
+func (v *vm) allSeen() bool {
+	for _, r := range v.runs {
+		if r.ordered() && !r.seen {
+			return false
+		}
+	}
+	return true
+}
+
 // notice follows a worker's word that it leaves. Its entry is older than the reading, so
 // the earliest time that follows from any reading is the best one.
 func (v *vm) notice(w *cluster.Worker, now time.Duration) {
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,7 +39,8 @@
 	*platformCell
 	rng     *rand.Rand
 	proxies []*faultproxy.Proxy
-	ill     []bool // daemons with a fault under way; the test's own goroutine
+	gone    []*process // daemons that were started again
+	ill     []bool     // daemons with a fault under way; the test's own goroutine
 
 	mu       sync.Mutex
 	accepted []string
@@ -66,6 +69,7 @@
 	s.addDaemon(i)
 	last := len(s.daemons) - 1
 	s.mu.Lock()
+	s.gone = append(s.gone, s.daemons[i])
 	s.daemons[i], s.callers[i] = s.daemons[last], s.callers[last]
 	s.daemons, s.callers = s.daemons[:last], s.callers[:last]
 	s.mu.Unlock()
@@ -77,6 +81,26 @@
 	return s.callers[i]
 }
 
+// showStories writes all that any daemon, also one that was killed, said of the jobs that
+// the workers complain of.
+func (s *soak) showStories() {
+	for _, problem := range s.fleet.Problems() {
+		id := regexp.MustCompile("[0-9a-f]{16}").FindString(problem)
+		var lines []string
+		for _, p := range append(s.gone, s.daemons...) {
+			p.mu.Lock()
+			for _, line := range p.lines {
+				if strings.Contains(line, id) || strings.Contains(line, `"event":93`) || strings.Contains(line, "worker started again") || strings.Contains(line, "lease ended") {
+					lines = append(lines, line)
+				}
+			}
+			p.mu.Unlock()
+		}
+		slices.Sort(lines) // they begin with the time
+		s.t.Logf("%s:\n%s", problem, strings.Join(lines, "\n"))
+	}
+}
+
 // hand hands a job in through daemons in turn until one gives a final answer.
 func (s *soak) hand(id string, body map[string]any, first int) {
 	defer s.calls.Done()
@@ -213,6 +237,7 @@
 	s.calls.Wait()
 	t.Logf("seed %d: %d jobs, %d accepted, %d rejected, %d starts; %s", seed, jobs, len(s.accepted), len(s.rejected), s.fleet.Starts(), strings.Join(story, "; "))
 	require.NotEmpty(t, s.accepted)
+	t.Cleanup(s.showStories)
 	s.completed(0, s.accepted, soakSettle)
 	for _, id := range s.rejected {
 		require.False(t, s.fleet.Ran(id), "job %s was refused by every daemon and ran", id)
