List the platform daemons' events on the events page

Cause: docs/OPERATIONS.md points to docs/events.md, whose test knew only the events of packages that it loads, so 900 to 960 were missing.

--- a/daemon/node/events_test.go
+++ b/daemon/node/events_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	_ "briarproxy/daemon/cell" // defines the events of daemons on the users' platform
 	"briarproxy/daemon/event"
 )
 
