Name the memory of long times for what it holds

It serves the log's answers and the gaps between the placer's records alike; the engine's fields that decide about claims stand together. No change of behaviour.

--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -88,13 +88,14 @@
 	savedNext       int64
 	savedGeneration int64
 
-	probedAt     time.Duration // boot clock: answer to the newest read out of turn
-	slow         slowAnswers
-	gaps         slowAnswers   // between records of the placer
-	isolatedAt   time.Duration // boot clock: when it gave up placing, cut off from the others
+	// What decides about claims and hand-overs. Times are of the boot clock.
+	probedAt     time.Duration // answer to the newest read out of turn
+	slow         lately        // answers of the log to this daemon's probes
+	gaps         lately        // between records of the placer
+	placingSince time.Duration
 	bypassed     int           // callers' records that other daemons appended past this placer
-	bypassedAt   time.Duration // boot clock: the last one
-	placingSince time.Duration // boot clock
+	bypassedAt   time.Duration // the last one
+	isolatedAt   time.Duration // when this daemon gave up placing, cut off from the others
 
 	ahead    map[int64]decoded // own appends that were acknowledged, by offset, until their turn comes
 	known    atomic.Int64      // offset of the next record to apply
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -99,7 +99,7 @@
 	direct   chan *entry
 	forwards chan struct{}
 	usual    atomic.Int64                        // time of the placer's answers, ns
-	slow     slowAnswers                         // to appends that were stored
+	slow     lately                              // to appends that were stored
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
