--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -140,8 +140,8 @@
 	e.claim(ctx, "the placer hands over", func(stored bool) { reply <- stored })
 }
 
-// considerHandOver gives up the claim when a daemon is there that can place much faster: a
-// small VM takes over only while no other does.
+// considerHandOver gives up the claim when this daemon is cut off from the others, or when
+// a much stronger one is there: a small VM places only while no other does.
 func (e *engine) considerHandOver(now time.Duration) {
 	if e.leaving || now-e.placingSince < handOverAfter ||
 		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
@@ -155,8 +155,8 @@
 	e.leaving = placer.Weaker(e.state, e.hello(), now)
 }
 
-// isolated reports whether the placer is cut off from most other daemons while they live:
-// it gets no advice through them, and they append callers' records past it.
+// isolated reports whether the placer is cut off from at least half of the daemons while
+// they live: it gets no advice through them, and they append callers' records past it.
 func (e *engine) isolated(now time.Duration) bool {
 	failing, all := e.placer.Unreachable()
 	return all > 2 && 2*failing >= all && e.bypassed >= bypassesMost && now-e.bypassedAt < handOverAfter
