--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -43,7 +43,7 @@
 // daemon has nothing to do, so that a backlog does not make new requests late as well.
 type advisers struct {
 	byName   map[string]*adviser
-	list     []*adviser          // sorted by name
+	list     []*adviser          // those that may be asked in this pass, sorted by name
 	refused  [2][2]time.Duration // by lateness and lane: the longest call for which none was found in this pass
 	sent     map[cluster.StepID]sentCall
 	quickest time.Duration // the shortest call of any queue
@@ -69,7 +69,7 @@
 }
 
 // members keeps the advisers equal to the daemons of the cell, at the start of a pass.
-func (a *advisers) members(names []string) {
+func (a *advisers) members(names []string, now time.Duration) {
 	a.list, a.refused = a.list[:0], [2][2]time.Duration{}
 	for name := range a.byName {
 		if !slices.Contains(names, name) {
@@ -80,7 +80,9 @@
 		if a.byName[name] == nil {
 			a.byName[name] = &adviser{name: name, delay: netDelay}
 		}
-		a.list = append(a.list, a.byName[name])
+		if d := a.byName[name]; now >= d.avoid {
+			a.list = append(a.list, d)
+		}
 	}
 	slices.SortFunc(a.list, func(x, y *adviser) int { return cmp.Compare(x.name, y.name) })
 }
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -121,7 +121,7 @@
 }
 
 // Members takes the daemons of the cell as those that advice is asked through.
-func (p *Placer) Members(now time.Duration) { p.advise.members(p.memberNames(now)) }
+func (p *Placer) Members(now time.Duration) { p.advise.members(p.memberNames(now), now) }
 
 func (p *Placer) memberNames(now time.Duration) []string {
 	names := make([]string, 0, len(p.state.Members))
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -196,6 +196,9 @@
 	batch.Begins = nil // nothing begins after the release
 	appender, epoch := e.appender, e.placer.Epoch()
 	successors := placer.Successors(e.state, e.settings.Name, bootclock.Now(), time.Now().UnixMilli())
+	if e.isolatedAt > 0 && bootclock.Now()-e.isolatedAt < handOverAfter {
+		successors = nil // none would be reached
+	}
 	e.endPlacer("planned stop or hand-over")
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, drainTime)
