Hand over when the placer has no path of its own to the log; mend tests that could not fail

A relay also tried four daemons that it could not reach for 0.9 s each. (2) Mechanisms taken out one by one on a copy: TestGangIsWithdrawnAsAWhole passed without its mechanism, nothing bounded the queue of calls at one daemon, and TestIsolatedPlacerGivesUp hung instead of failing. (3) Callers of the soak read lists that restarts change. Change: a placer whose own path has been down for 2 s, while its records are stored through others, hands over, and nobody in that state succeeds it or claims early; the relay tries for 0.9 s in all. The gang's test drives the slow log itself, TestCallsDoNotQueueUpAtADaemon is new, assertions left the engine's goroutine, the soak keeps addresses of its own. What serves other daemons' calls shares its time limit.

--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -64,16 +64,24 @@
 func TestGangIsWithdrawnAsAWhole(t *testing.T) {
 	c, starts := advisedGang(t)
 	w := c.placer.steps[cluster.StepID{Job: "gang"}]
-	c.logAway = true
-	c.run(time.Second) // the blocking tasks end
-	w.grants["w00"] = ticket{"t", c.now + 20*time.Second}
-	w.grants["w01"] = ticket{"t", c.now + 600*time.Millisecond}
-	c.logAway = false
-	c.delay = 1500 * time.Millisecond // of the append, too
-	c.run(1600 * time.Millisecond)
-	c.delay = 5 * time.Millisecond
+	w.grants["w00"] = ticket{"t", c.now + time.Minute}
+	w.grants["w01"] = ticket{"t", c.now + 2*time.Second}
+	for len(c.placer.outRuns) < 6 { // the blocking tasks end and the gang is planned
+		c.now += 5 * time.Millisecond
+		c.events()
+		c.workersTick()
+		c.carry(c.placer.Tick(c.now, c.wall()))
+		if batch, runs, ok := c.placer.Flush(c.now); ok && len(runs) > 0 {
+			c.now += 3 * time.Second // the log is slow
+			require.NoError(t, c.append(flow.Record{Batch: &batch}))
+			require.Empty(t, c.placer.Appended(runs, c.now), "orders of a gang that can't be whole")
+			break
+		} else if ok {
+			require.NoError(t, c.append(flow.Record{Batch: &batch}))
+		}
+	}
 	require.Empty(t, starts)
-	c.run(6 * time.Second)
+	c.run(8 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
 	require.Len(t, starts, 6)
 }
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -79,7 +79,8 @@
 	}
 	watch := placer.Watch{
 		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
-		Rank: placer.Rank(e.state, e.hello(), now), Weaker: placer.Weaker(e.state, e.hello(), now) || e.isolatedAt > 0 && now-e.isolatedAt < isolationTime, Gap: e.gaps.longest(now),
+		Rank: placer.Rank(e.state, e.hello(), now), Weaker: placer.Weaker(e.state, e.hello(), now) || e.store.away.Load() ||
+			e.isolatedAt > 0 && now-e.isolatedAt < isolationTime, Gap: e.gaps.longest(now),
 		Failover: time.Duration(failoverShare * float64(ms(e.settings.Bounds.FailoverMS))),
 	}
 	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
@@ -133,15 +134,16 @@
 // succeed claims on behalf of a placer that has stopped and chose this daemon. Nobody else
 // needs to notice that, and no silence has to pass.
 func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
-	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.lost || e.state.Claim.Epoch != epoch {
+	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.lost || e.store.away.Load() || e.state.Claim.Epoch != epoch {
 		reply <- false
 		return
 	}
 	e.claim(ctx, "the placer hands over", func(stored bool) { reply <- stored })
 }
 
-// considerHandOver gives up the claim when this daemon is cut off from the others, or when
-// a much stronger one is there: a small VM places only while no other does.
+// considerHandOver gives up the claim when this daemon is cut off from the others, when it
+// reaches the log through them only, or when a much stronger one is there: a small VM places
+// only while no other does.
 func (e *engine) considerHandOver(now time.Duration) {
 	if e.leaving || now-e.placingSince < handOverAfter ||
 		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
@@ -152,7 +154,21 @@
 		e.leaving = true
 		return
 	}
-	e.leaving = placer.Weaker(e.state, e.hello(), now)
+	e.leaving = e.reachesLogBadly(now) || placer.Weaker(e.state, e.hello(), now)
+}
+
+// reachesLogBadly reports whether this daemon's own path to the log has been down for a
+// while in which other daemons brought its records there: each of them is late then. While
+// the log is away from everybody the placer stays, as it renews the workers' leases.
+func (e *engine) reachesLogBadly(now time.Duration) bool {
+	if !e.store.away.Load() {
+		e.awaySince = 0
+		return false
+	}
+	if e.awaySince == 0 {
+		e.awaySince = now
+	}
+	return now-e.awaySince > handOverAfter && now-e.ackedAt < handOverAfter
 }
 
 // isolated reports whether the placer is cut off from at least half of the daemons while
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -54,27 +54,52 @@
 // machines), and against one that gives up because daemons have died.
 func TestIsolatedPlacerGivesUp(t *testing.T) {
 	c := callersOf(t, &fakeStore{}, 0)
+	var died, cut bool
+	var at, now time.Duration
 	c.run(func(e *engine) {
-		now := bootclock.Now()
+		now = bootclock.Now()
 		for _, name := range []string{"b", "c", "d"} {
 			e.state.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Address: "x", Started: 1}, Seen: now}
 		}
 		e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
-		defer func() { e.placer = nil }()
 		e.placingSince = now - time.Minute
-		fail := func(names ...string) {
-			e.placer.Members(now)
-			for _, name := range names {
-				e.placer.Granted(&placer.AdviseCommand{Daemon: name}, nil, 0, time.Second, true, now)
-			}
+		e.placer.Members(now)
+		for _, name := range []string{"b", "c"} {
+			e.placer.Granted(&placer.AdviseCommand{Daemon: name}, nil, 0, time.Second, true, now)
 		}
-		fail("b", "c")
 		e.considerHandOver(now)
-		require.False(t, e.leaving, "they may have died")
+		died = e.leaving
 		e.bypassed, e.bypassedAt = bypassesMost, now
 		e.considerHandOver(now)
-		require.True(t, e.leaving)
-		require.Equal(t, now, e.isolatedAt)
-		e.leaving = false
+		cut, at = e.leaving, e.isolatedAt
+		e.placer, e.leaving = nil, false
 	})
+	require.False(t, died, "the others may have died")
+	require.True(t, cut)
+	require.Equal(t, now, at)
+}
+
+// Guards against a placer that stays although it reaches the log through other daemons only
+// (every record a second late for 12 s: dosui-sched, scale-2, three daemons cut off), and
+// against one that gives up while the log is away from everybody.
+func TestPlacerWithoutItsOwnPathHandsOver(t *testing.T) {
+	c := callersOf(t, &fakeStore{}, 0)
+	try := func(away bool, since, acked time.Duration) (leaves bool) {
+		c.run(func(e *engine) {
+			now := bootclock.Now()
+			e.state.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "x", Started: 1}, Seen: now}
+			e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
+			e.placingSince, e.awaySince, e.ackedAt = now-time.Minute, now-since, now-acked
+			e.store.away.Store(away)
+			e.considerHandOver(now)
+			leaves = e.leaving
+			e.store.away.Store(false)
+			e.placer, e.leaving = nil, false
+		})
+		return leaves
+	}
+	require.True(t, try(true, 3*time.Second, time.Second))
+	require.False(t, try(false, 3*time.Second, time.Second))
+	require.False(t, try(true, time.Second, time.Second), "for a moment")
+	require.False(t, try(true, 9*time.Second, 8*time.Second), "away from everybody")
 }
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -93,6 +93,7 @@
 	slow         lately        // answers of the log to this daemon's probes
 	gaps         lately        // between records of the placer
 	placingSince time.Duration
+	awaySince    time.Duration // the log is reached through other daemons only; 0 is directly
 	bypassed     int           // callers' records that other daemons appended past this placer
 	bypassedAt   time.Duration // the last one
 	isolatedAt   time.Duration // when this daemon gave up placing, cut off from the others
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -70,7 +70,7 @@
 
 // Advise asks the advice service on behalf of the placer.
 func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) error {
-	bounded, cancel := context.WithTimeout(context.Background(), args.Within)
+	bounded, cancel := limited(args.Within)
 	defer cancel()
 	var err error
 	reply.Grants, reply.Valid, err = s.adviser.Advise(bounded, args.Step, args.Workers)
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -74,9 +74,14 @@
 	Failure  string
 }
 
+// limited bounds what is done for another daemon by the time that its caller waits.
+func limited(within time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), within)
+}
+
 // Append appends records for another daemon. It never goes through a third one.
 func (s *peerService) Append(args *AppendArgs, reply *AppendReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := limited(args.Within)
 	defer cancel()
 	offset, err := s.store.Append(ctx, args.Partition, args.Records, args.Fence)
 	reply.Offset, reply.Failure = offset, failure(err)
@@ -85,7 +90,7 @@
 
 // Read reads the log for another daemon.
 func (s *peerService) Read(args *ReadArgs, reply *ReadReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := limited(args.Within)
 	defer cancel()
 	page, err := s.store.Read(ctx, args.Partition, args.From, args.Wait)
 	reply.Page, reply.Failure = page, failure(err)
@@ -94,7 +99,7 @@
 
 // Configuration reads what the operator published for another daemon.
 func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := limited(args.Within)
 	defer cancel()
 	config, next, err := s.store.Configuration(ctx, args.From, args.Wait)
 	reply.Next, reply.Failure = next, failure(err)
@@ -106,7 +111,7 @@
 
 // Workers reads the registry for another daemon.
 func (s *peerService) Workers(args *ReadArgs, reply *WorkersReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := limited(args.Within)
 	defer cancel()
 	workers, unusable, err := s.store.Workers(ctx)
 	reply.Workers, reply.Unusable, reply.Failure = workers, unusable, failure(err)
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -20,8 +20,8 @@
 	directTimeout = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
-	relayTries    = 4
-	relayFirst    = 3 // daemons of which the first tries choose, or a part of a large cell:
+	relayTries    = 4                      // as long as they fail at once: a daemon that is cut off reaches no other one, and its own path may work
+	relayFirst    = 3                      // daemons of which the first tries choose, or a part of a large cell:
 	relayPart     = 4
 	relayPatience = 900 * time.Millisecond // with one daemon: a slow answer of the store and a dead daemon
 )
@@ -78,7 +78,8 @@
 		}
 	}
 	members := *r.members.Load()
-	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil; try++ {
+	began := bootclock.Now()
+	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil && bootclock.Now()-began < relayPatience; try++ {
 		address := candidate(members, try)
 		if last := r.through.Load(); try == 0 && last != nil && slices.Contains(members, *last) {
 			address = *last
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -43,6 +43,7 @@
 	ill     []bool     // daemons with a fault under way; the test's own goroutine
 
 	mu       sync.Mutex
+	reached  []string // callers' addresses of the daemons, by number
 	accepted []string
 	rejected []string // every try was answered with "not accepted"
 	calls    sync.WaitGroup
@@ -59,6 +60,7 @@
 		s.proxies = append(s.proxies, proxy)
 		s.address[0] = proxy.Address()
 		s.addDaemon(i)
+		s.reached = append(s.reached, s.callers[i])
 	}
 	return s
 }
@@ -68,17 +70,19 @@
 	s.address[0] = s.proxies[i].Address()
 	s.addDaemon(i)
 	last := len(s.daemons) - 1
-	s.mu.Lock()
 	s.gone = append(s.gone, s.daemons[i])
 	s.daemons[i], s.callers[i] = s.daemons[last], s.callers[last]
 	s.daemons, s.callers = s.daemons[:last], s.callers[:last]
+	s.mu.Lock()
+	s.reached[i] = s.callers[i]
 	s.mu.Unlock()
 }
 
+// callersOf is read beside restarts, which change the cell's own lists.
 func (s *soak) callersOf(i int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.callers[i]
+	return s.reached[i]
 }
 
 // showStories writes all that any daemon, also one that was killed, said of the jobs that
