Keep a slow log usable: one writer, claims by rank, no false alarm about the path

One late answer, mostly of a reading of the registry, was taken for a lost path: all calls under way were ended and made once more through other daemons; daemons that waited for the placer for 1.5 s appended themselves, each append taking a quarter of a second of the one partition; and claims with random epochs fenced each other while they waited there. Change: a path on which another call was answered meanwhile is not lost; while the log answers slowly daemons leave appends to a living placer, appends get 3 s, repeats come later, the registry is read every 2.4 s, and a daemon whose records are stored goes on accepting; the epoch of a claim carries the daemon's rank, and a refused claim is not repeated for 2.5 s.

--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -11,7 +11,9 @@
 )
 
 const (
-	epochStep       = 1 << 20               // epochs of one generation of claims differ below this
+	epochRandom     = 1 << 20 // epochs of claims of one rank differ below this
+	epochRanks      = 64      // later ranks share the last place
+	epochStep       = epochRanks * epochRandom
 	roundTripFactor = 2                     // a daemon near the log claims before one that is far from it
 	slowAnswer      = 80 * time.Millisecond // beyond the usual round trip
 	slowFactor      = 10
@@ -125,10 +127,12 @@
 	return int(math.Floor(math.Log(max(strength, leastStrength)) / math.Log(muchStronger)))
 }
 
-// NextEpoch returns an epoch above all that were claimed. Two daemons that claim at the
-// same time get different ones, so that the log fences the lower one.
-func NextEpoch(s *flow.State, rng *rand.Rand) int64 {
-	return (s.Claim.Epoch/epochStep+1)*epochStep + rng.Int64N(epochStep)
+// NextEpoch returns an epoch above all that were claimed. Of daemons that claim at the same
+// time the one with the lowest rank gets the highest epoch: while appends wait at a slow
+// log, a claim that arrives later with a higher epoch fences the one that waits there.
+func NextEpoch(s *flow.State, rank int, rng *rand.Rand) int64 {
+	place := int64(epochRanks - 1 - min(rank, epochRanks-1))
+	return (s.Claim.Epoch/epochStep+1)*epochStep + place*epochRandom + rng.Int64N(epochRandom)
 }
 
 // ClaimJitter returns a daemon's own delay before a claim.
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -115,12 +115,18 @@
 	return time.Duration(answerShare * float64(limit))
 }
 
+// lastContact is when the log last was read to its end or took a record of this daemon. A
+// slow log takes records long before all daemons have read them.
+func (e *engine) lastContact() time.Duration {
+	return max(e.readLast, time.Duration(e.writer.storedAt.Load()))
+}
+
 // look finds the queue of a path and what is known of the job it names.
 func (e *engine) look(host, path string) found {
 	if e.config == nil {
 		return found{}
 	}
-	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: bootclock.Now()-e.readLast > lostAfter}
+	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: bootclock.Now()-e.lastContact() > lostAfter}
 	if f.queue == nil {
 		return f
 	}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
@@ -13,6 +14,7 @@
 // claimed follows a claim that was read.
 func (e *engine) claimed(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.endPlacer("another daemon claimed")
+	e.outbidAt = 0
 	mine := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.Started == e.started
 	if !mine || e.state.Claim.Epoch != e.claimEpoch {
 		return
@@ -77,6 +79,9 @@
 	if e.draining || e.claiming || e.config == nil || e.readLast < e.claimedAt {
 		return // the outcome of the last claim has not been read yet
 	}
+	if e.outbidAt > 0 && now-e.outbidAt < outbidWait {
+		return // a higher claim waits at the log
+	}
 	watch := placer.Watch{
 		Now: now, Able: max(e.readSince, e.configAt), ReadLast: e.readLast, RoundTrip: e.roundTrip, Jitter: e.jitter,
 		Rank: placer.Rank(e.state, e.hello(), now), Weaker: placer.Weaker(e.state, e.hello(), now) || e.store.away.Load() ||
@@ -102,20 +107,24 @@
 // claim appends a claim under a new epoch. It counts once it is read back. The outcome of
 // the append is told to done, which may be nil.
 func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
-	epoch := placer.NextEpoch(e.state, e.rng)
+	rank := placer.Rank(e.state, e.hello(), bootclock.Now())
+	epoch := placer.NextEpoch(e.state, rank, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
-	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}}
+	e.appender = &fenced{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}, slow: e.store.slow.Load}
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
-		"rank", placer.Rank(e.state, e.hello(), bootclock.Now()),
+		"rank", rank,
 		"silent_ms", (bootclock.Now() - e.state.Heard).Milliseconds(), "offset", e.state.Next)
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
 	appender := e.appender
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, 2*appendTimeout)
+		bounded, cancel := context.WithTimeout(ctx, 2*slowTimeout)
 		defer cancel()
 		offset, err := appender.append(bounded, record)
 		e.do(ctx, func(e *engine) {
 			e.claiming, e.claimedAt = false, bootclock.Now()
+			if fault.Is(err, fault.Conflict) {
+				e.outbidAt = e.claimedAt
+			}
 			if err != nil {
 				e.counts.claims.WithLabelValues("not stored").Inc()
 				e.log.Emit(evPlacingEnd, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -1,11 +1,14 @@
 package cell
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
+	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
@@ -103,3 +106,27 @@
 	require.False(t, try(true, time.Second, time.Second), "for a moment")
 	require.False(t, try(true, 9*time.Second, 8*time.Second), "away from everybody")
 }
+
+// fencingStore refuses all appends for a higher epoch.
+type fencingStore struct{ Platform }
+
+func (fencingStore) Append(context.Context, int, [][]byte, *cluster.Fence) (int64, error) {
+	return 0, errFenced
+}
+
+// Guards against a daemon that claims again and again while a higher claim waits at a slow
+// log: one of its epochs fences that claim in turn (trouble-2 of dosui-sched-large).
+func TestOutbidClaimIsNotRepeatedAtOnce(t *testing.T) {
+	c := callersOf(t, &fakeStore{}, 0)
+	c.engine.store.direct = fencingStore{c.engine.platform}
+	c.run(func(e *engine) { e.claiming, e.readSince, e.configAt = false, 1, 1 })
+	refused := 0.0
+	for range 30 {
+		c.run(func(e *engine) {
+			e.readLast = bootclock.Now()
+			refused = testutil.ToFloat64(e.counts.claims.WithLabelValues("not stored"))
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	require.Equal(t, 1.0, refused)
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -30,9 +30,10 @@
 	leaseMost       = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
 	readyWithin     = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
 	retireTries     = 4
-	handOverAfter   = 2 * time.Second  // a placer that has just begun is settling its workers
-	bypassesMost    = 5                // a daemon that does not reach the placer once appends a record past it, too
-	isolationTime   = 10 * time.Second // then the path may be whole again
+	outbidWait      = 2500 * time.Millisecond // a partition holds 2 s of appends at most
+	handOverAfter   = 2 * time.Second         // a placer that has just begun is settling its workers
+	bypassesMost    = 5                       // a daemon that does not reach the placer once appends a record past it, too
+	isolationTime   = 10 * time.Second        // then the path may be whole again
 	handOverTries   = 2
 	handOverTimeout = 1200 * time.Millisecond // an append of a slow store; with two tries within drainTime
 	retireTimeout   = 800 * time.Millisecond
@@ -71,6 +72,7 @@
 	claimEpoch int64 // of a claim that this daemon has sent
 	claiming   bool
 	claimedAt  time.Duration // when the last claim was answered
+	outbidAt   time.Duration // when the log refused a claim for a higher one that was not read yet; 0 is never
 	leaving    bool          // the placer gives up its claim once its last batch is stored
 	appending  bool
 	ackedAt    time.Duration
@@ -92,6 +94,7 @@
 	probedAt     time.Duration // answer to the newest read out of turn
 	slow         lately        // answers of the log to this daemon's probes
 	gaps         lately        // between records of the placer
+	quickest     floor         // answer of the log to a read
 	placingSince time.Duration
 	awaySince    time.Duration // the log is reached through other daemons only; 0 is directly
 	bypassed     int           // callers' records that other daemons appended past this placer
@@ -121,6 +124,7 @@
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
 		ahead: map[int64]decoded{}, state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
+	e.writer.logSlow = store.slow.Load
 	e.orders = newOrders(e)
 	e.counts = newCounts()
 	return e
--- a/daemon/cell/lately.go
+++ b/daemon/cell/lately.go
@@ -35,3 +35,26 @@
 	}
 	return l.most
 }
+
+// floorWindow is how long a short time counts. A read that waits for a record takes longer
+// than the log needs, so one answer alone does not show that the log is slow.
+const floorWindow = time.Second
+
+// floor holds the shortest of some times that were noted in the last one to two windows.
+type floor struct {
+	present, former time.Duration // of this window and the one before
+	since           time.Duration // boot clock: begin of this window
+}
+
+func (f *floor) note(took, now time.Duration) {
+	switch {
+	case f.since == 0 || now-f.since > 2*floorWindow:
+		f.present, f.former, f.since = took, took, now
+	case now-f.since > floorWindow:
+		f.present, f.former, f.since = took, f.present, now
+	default:
+		f.present = min(f.present, took)
+	}
+}
+
+func (f *floor) shortest() time.Duration { return min(f.present, f.former) }
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -130,7 +130,7 @@
 	}
 	e.isPlacer.Store(e.placer != nil)
 	e.known.Store(e.state.Next)
-	e.isReady.Store(!e.draining && e.config != nil && e.readLast > 0 && now-e.readLast < readyWithin+readWait)
+	e.isReady.Store(!e.draining && e.config != nil && e.readLast > 0 && now-e.lastContact() < readyWithin+readWait)
 }
 
 // stop makes a planned stop: another daemon places on, callers go elsewhere, requests
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"briarproxy/core/fault"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
@@ -73,6 +74,9 @@
 				e.ahead[offset] = decoded{record: *record}
 				e.applyAhead(ctx, bootclock.Now())
 			}
+			if fault.Is(err, fault.Conflict) {
+				e.outbidAt = bootclock.Now()
+			}
 			if err != nil {
 				e.endPlacer("the log refused a batch: " + err.Error())
 				return
@@ -98,6 +102,15 @@
 		"run", n.Run, "worker", n.Worker, "reason", n.Reason, "age_ms", n.Age.Milliseconds(), "version", n.Version)
 }
 
+// registryPause is the time between two readings of the registry. All readings share what a
+// slow store can send.
+func (e *engine) registryPause() time.Duration {
+	if e.store.slow.Load() {
+		return slowRegistry
+	}
+	return registryGap
+}
+
 // watchRegistry reads the registry while this daemon is the placer.
 func (e *engine) watchRegistry(ctx context.Context, p *placer.Placer) {
 	for ctx.Err() == nil {
@@ -118,7 +131,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(registryGap):
+		case <-time.After(e.registryPause()):
 		}
 	}
 }
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -18,6 +18,7 @@
 // Times of reaching the store through another daemon.
 const (
 	directTimeout = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
+	slowTimeout   = 3 * time.Second         // of a call to a store that is known to be slow: a partition holds 2 s of appends
 	directAgain   = 1200 * time.Millisecond
 	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
 	relayTries    = 4                      // as long as they fail at once: a daemon that is cut off reaches no other one, and its own path may work
@@ -41,6 +42,8 @@
 	away       atomic.Bool              // the store was not reached directly
 	position   atomic.Int64             // of the last read
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
+	answered   atomic.Int64             // boot clock: the last direct call that was carried out
+	slow       atomic.Bool              // the store's answers take much longer than usual
 	through    atomic.Pointer[string]   // the daemon that reached the store last
 
 	mu   sync.Mutex
@@ -64,14 +67,19 @@
 	var err error
 	relayed := r.away.Load() && int64(bootclock.Now()) >= r.relayAfter.Load()
 	if !relayed {
-		bounded, cancel := context.WithTimeout(ctx, wait+directTimeout)
+		sent := int64(bootclock.Now())
+		bounded, cancel := context.WithTimeout(ctx, wait+r.patience())
 		forget := r.cancelWhenLost(cancel)
 		err = direct(bounded)
 		forget()
 		cancel()
 		if !worthRelaying(err) {
+			r.answered.Store(int64(bootclock.Now()))
 			return err
 		}
+		if fault.Is(err, fault.Unknown) && r.answered.Load() > sent {
+			return err // the store is slow: through another daemon it would get the call once more
+		}
 		r.lost()
 		if int64(bootclock.Now()) < r.relayAfter.Load() {
 			return err
@@ -100,6 +108,14 @@
 	return err
 }
 
+// patience is how long a direct call may take beyond the wait that it asks for.
+func (r *relay) patience() time.Duration {
+	if r.slow.Load() {
+		return slowTimeout
+	}
+	return directTimeout
+}
+
 // candidate chooses a daemon for a try: at first one of the strong ones near the store, as
 // the log passes its link once more for each daemon that it helps; then any.
 func candidate(members []string, try int) string {
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -211,3 +211,30 @@
 	}
 	require.Greater(t, len(later), 10)
 }
+
+// halfSlowStore answers reads and leaves appends without an answer.
+type halfSlowStore struct{ fakeStore }
+
+func (s *halfSlowStore) Append(ctx context.Context, _ int, _ [][]byte, _ *cluster.Fence) (int64, error) {
+	<-ctx.Done()
+	return 0, errSilent
+}
+
+// Guards against a slow store that is taken for a path that does not work: one late answer
+// ended all calls under way and sent them through other daemons, once more each, so that
+// the log took nothing for eight seconds (trouble-2 of dosui-sched-large).
+func TestRelayStaysOnAPathThatAnswers(t *testing.T) {
+	other := &fakeStore{}
+	r := newRelay(&halfSlowStore{}, newPeers())
+	r.members.Store(&[]string{peerOf(t, other)})
+	done := make(chan error, 1)
+	go func() { _, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil); done <- err }()
+	for range 20 {
+		_, err := r.Read(t.Context(), partition, 0, 0)
+		require.NoError(t, err)
+		time.Sleep(directTimeout / 16)
+	}
+	require.True(t, fault.Is(<-done, fault.Unknown))
+	require.False(t, r.away.Load())
+	require.Zero(t, other.appends.Load())
+}
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -18,7 +18,8 @@
 	placerGap    = 120 * time.Millisecond           // the placer knows its own appends; others append directly only when they do not reach it
 	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
-	registryGap  = 800 * time.Millisecond // a draining worker must be known well within the drain bound
+	registryGap  = 800 * time.Millisecond  // a draining worker must be known well within the drain bound
+	slowRegistry = 2400 * time.Millisecond // at a slow store; still within the drain bound
 	storeTimeout = 2000 * time.Millisecond
 )
 
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -14,8 +14,8 @@
 
 // Limits of appending.
 const (
-	appendTimeout  = 1800 * time.Millisecond // of one append: a direct try, then one through another daemon
-	appendRetry    = 120 * time.Millisecond  // doubled with each failure in a row
+	appendTimeout  = directTimeout + 300*time.Millisecond // of one append: a direct try, then one through another daemon
+	appendRetry    = 120 * time.Millisecond               // doubled with each failure in a row
 	appendRetryMax = 960 * time.Millisecond
 	appendQueue    = 4096 // records that wait for an append
 	forwardsOpen   = 16   // groups that are under way to the placer
@@ -25,6 +25,7 @@
 	aliveTimeout   = 300 * time.Millisecond  // two ways between regions and a busy daemon
 	patienceFactor = 3                       // times the usual answer: a slow store must not get every record twice, from all daemons
 	patienceMost   = 1500 * time.Millisecond // leaves a caller time for an append from here
+	slowLog        = 100 * time.Millisecond  // beyond the usual answer: appends from all daemons would wait there for seconds
 	answerWeight   = 4                       // one answer moves the usual one by this part of the difference
 	hedgeAfter     = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
 	hedgesOpen     = 3
@@ -100,6 +101,8 @@
 	forwards chan struct{}
 	usual    atomic.Int64                        // time of the placer's answers, ns
 	slow     lately                              // to appends that were stored
+	logSlow  func() bool                         // the log's answers take much longer than usual
+	storedAt atomic.Int64                        // boot clock: a record of this daemon was stored
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
@@ -107,6 +110,7 @@
 	w := &writer{
 		log: log, peers: p, entries: make(chan *entry, appendQueue), direct: make(chan *entry, appendQueue),
 		forwards: make(chan struct{}, forwardsOpen), stored: func(int64, [][]byte) {},
+		logSlow: func() bool { return false },
 	}
 	none := ""
 	w.placer.Store(&none)
@@ -250,6 +254,7 @@
 		w.learn(time.Since(sent))
 		if err == nil {
 			w.slow.note(time.Since(sent), bootclock.Now())
+			w.storedAt.Store(int64(bootclock.Now()))
 		}
 		answered <- err
 	}()
@@ -261,7 +266,7 @@
 				return
 			}
 		case <-time.After(patience):
-			if waited += patience; waited < patienceMost && w.alive(ctx, address) {
+			if waited += patience; (waited < patienceMost || w.logSlow()) && w.alive(ctx, address) {
 				continue // it waits for a slow log, which appends from all daemons would only slow down
 			}
 		}
@@ -290,6 +295,15 @@
 	return min(max(placerPatience, patienceFactor*time.Duration(w.usual.Load())), patienceMost)
 }
 
+// timeout is the time limit of one append. Another one before the first is answered would
+// wait behind it at a slow log.
+func (w *writer) timeout() time.Duration {
+	if w.logSlow() {
+		return slowTimeout
+	}
+	return appendTimeout
+}
+
 // runDirect appends records here, one append at a time: more would only wait for each
 // other at the partition.
 func (w *writer) runDirect(ctx context.Context) {
@@ -303,7 +317,7 @@
 		if len(live) == 0 {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		bounded, cancel := context.WithTimeout(ctx, w.timeout())
 		sent := bootclock.Now()
 		first, err := w.log.Append(bounded, partition, records, nil)
 		cancel()
@@ -316,6 +330,7 @@
 		}
 		retry = appendRetry
 		w.slow.note(bootclock.Now()-sent, bootclock.Now())
+		w.storedAt.Store(int64(bootclock.Now()))
 		w.stored(first, records)
 	}
 }
@@ -324,6 +339,7 @@
 type fenced struct {
 	log   Log
 	fence cluster.Fence
+	slow  func() bool // the log's answers take much longer than usual
 }
 
 // append stores a record and returns its offset. It repeats the append, which has no
@@ -349,8 +365,12 @@
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, 1)
+	limit, wait := appendTimeout, hedgeAfter
+	if f.slow() {
+		limit, wait = slowTimeout, slowTimeout/2
+	}
 	attempt := func() {
-		limited, end := context.WithTimeout(bounded, appendTimeout)
+		limited, end := context.WithTimeout(bounded, limit)
 		defer end()
 		offset, err := f.log.Append(limited, partition, [][]byte{data}, &fence)
 		select {
@@ -358,7 +378,7 @@
 		case <-bounded.Done():
 		}
 	}
-	open, wait := 0, hedgeAfter
+	open := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
