Leave a placer alone that a slow log keeps waiting

Change: before a claim for silence a daemon that knows the log to be slow asks the placer's daemon; if that answers, it waits, for 7 s of silence at most. Conclusion: a takeover costs more than it brings while the log itself is slow.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -99,11 +99,31 @@
 		e.slow.note(e.probedAt-sent, e.probedAt)
 		watch.Probe = max(e.slow.longest(watch.Now), e.writer.slow.longest(watch.Now))
 		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
-			e.claim(ctx, reason, nil)
+			e.claimUnlessBusy(ctx, reason)
 		}
 	})
 }
 
+// claimUnlessBusy claims, unless the log is slow and the placer's daemon answers: its
+// records wait at the log, where those of a successor would only wait behind them.
+func (e *engine) claimUnlessBusy(ctx context.Context, reason string) {
+	former := e.state.Claim
+	if !e.store.slow.Load() || former.Daemon == "" || former.Daemon == e.settings.Name || bootclock.Now()-e.state.Heard > busyMost {
+		e.claim(ctx, reason, nil)
+		return
+	}
+	e.claiming = true
+	go func() {
+		busy := e.writer.alive(ctx, former.Address)
+		e.do(ctx, func(e *engine) {
+			e.claiming = false
+			if !busy && e.state.Claim == former && !e.draining {
+				e.claim(ctx, reason, nil)
+			}
+		})
+	}()
+}
+
 // claim appends a claim under a new epoch. It counts once it is read back. The outcome of
 // the append is told to done, which may be nil.
 func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -130,3 +131,37 @@
 	}
 	require.Equal(t, 1.0, refused)
 }
+
+// Guards against a placer that is replaced while a slow log keeps its records waiting, and
+// against one that is not although its daemon is gone or it has been silent for very long.
+func TestBusyPlacerAtASlowLogIsNotReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	alive := placerOf(t, nil)
+	for _, c := range []struct {
+		name    string
+		address string
+		silent  time.Duration
+		slow    bool
+		claims  bool
+	}{
+		{"alive at a slow log", alive, 3 * time.Second, true, false},
+		{"alive at a quick log", alive, 3 * time.Second, false, true},
+		{"gone at a slow log", gone, 3 * time.Second, true, true},
+		{"silent for very long", alive, busyMost + time.Second, true, true},
+	} {
+		callers := callersOf(t, &fakeStore{}, 0)
+		callers.run(func(e *engine) {
+			e.state.Claim = flow.Claim{Daemon: "x", Address: c.address, Epoch: 5}
+			e.state.Heard = bootclock.Now() - c.silent
+			e.store.slow.Store(c.slow)
+			e.claimUnlessBusy(callers.ctx, "the placer is silent")
+		})
+		time.Sleep(aliveTimeout + 200*time.Millisecond)
+		claimed := false
+		callers.run(func(e *engine) { claimed = e.claimEpoch > 0 })
+		require.Equal(t, c.claims, claimed, c.name)
+	}
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -31,6 +31,7 @@
 	readyWithin     = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
 	retireTries     = 4
 	outbidWait      = 2500 * time.Millisecond // a partition holds 2 s of appends at most
+	busyMost        = 7 * time.Second         // of silence of a placer at a slow log: three appends that a full partition keeps waiting
 	handOverAfter   = 2 * time.Second         // a placer that has just begun is settling its workers
 	bypassesMost    = 5                       // a daemon that does not reach the placer once appends a record past it, too
 	isolationTime   = 10 * time.Second        // then the path may be whole again
