Send orders through other daemons when the placer's link is thin

Cause: an order to start carries the whole Spec of its job, 1.5 KB with headers; 200 starts a second take more than the 2 Mbit/s of a small VM. Callers' records passed that link twice, the list of workers took a quarter of it, each ticket named its worker again. Change: orders beyond a tenth of the link go through a daemon in the worker's data centre that fills in the Spec from the log; records are gathered at the placer only if its machine is strong or the log slow; the registry is read in step with the link; advice names workers by position. The worker's fence and a lease that ends at a time on its clock bind a relayed order like a direct one.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -66,10 +66,11 @@
 
 // Hello names a daemon to the others. It is repeated while the daemon runs.
 type Hello struct {
-	Daemon  string `json:"d"`
-	Address string `json:"a"`
-	Started int64  `json:"t"` // start of the process, Unix ms
-	Leaving bool   `json:"x,omitempty"`
+	Daemon     string `json:"d"`
+	Address    string `json:"a"`
+	Started    int64  `json:"t"` // start of the process, Unix ms
+	Leaving    bool   `json:"x,omitempty"`
+	DataCentre string `json:"z,omitempty"`
 	// Strength is how many times the daemon has what a placer needs; DistanceMS is how long
 	// the log takes to answer it.
 	Strength   float64 `json:"w,omitempty"`
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -113,7 +113,7 @@
 	r.orderedAt = now
 	p.unanswered = append(p.unanswered, r)
 	p.budget.Request()
-	return p.startOrder(r, now)
+	return p.startOrder(r, p.courier(r.vm, r.spec, now), now)
 }
 
 // Answered takes the answer to a start. It reports whether a newer placer was named.
@@ -130,6 +130,9 @@
 		return result == cluster.RefusedFence
 	}
 	r.underWay--
+	if result == cluster.NoAnswer {
+		p.courierLost(c.Courier, now)
+	}
 	fenced := result == cluster.RefusedFence
 	if !r.settledBy(result) {
 		if r.underWay > 0 || r.state != starting {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -42,6 +42,7 @@
 	Orphan   time.Duration // a placer that lost the log renews leases for at most this long
 	Early    time.Duration // a task with a due time may begin this much earlier
 	Stop     time.Duration // a worker may take this long to stop a run
+	LinkMbps float64       // of the placer's machine; 0 is not known
 }
 
 // Command is one thing to do. Exactly one field is set.
@@ -58,6 +59,7 @@
 	Life    cluster.Life
 	Address string
 	Order   cluster.Start
+	Courier string // the daemon that sends the order; "" is this one
 }
 
 // StopCommand orders a worker to stop a run.
@@ -127,6 +129,7 @@
 
 	unanswered []*run // ordered to start lately, the oldest order first
 	budget     *admission.RetryBudget
+	couriers   couriers
 	queues     map[string]*cluster.Queue // newest known; a queue that was removed still has jobs
 	planAt     time.Duration
 	tries      int             // of the last pass, to find room
@@ -140,7 +143,7 @@
 		options: o, state: state, config: config, cell: place.NewCell(),
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*jobWork{},
 		steps: map[cluster.StepID]*stepWork{}, advise: newAdvisers(), granted: map[string]float64{},
-		budget: admission.NewRetryBudget(),
+		budget: admission.NewRetryBudget(), couriers: newCouriers(o.LinkMbps, now),
 		queues: map[string]*cluster.Queue{}, token: state.Token, epoch: state.Claim.Epoch, since: now, sentAt: now, dirty: true,
 	}
 	p.SetConfig(config)
--- a/core/placer/repeat.go
+++ b/core/placer/repeat.go
@@ -26,20 +26,20 @@
 			continue
 		}
 		p.note(Note{What: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
-		commands = append(commands, p.startOrder(r, now))
+		commands = append(commands, p.startOrder(r, "", now))
 	}
 	p.unanswered = p.unanswered[n:]
 	return commands
 }
 
-// startOrder returns an order to start a run.
-func (p *Placer) startOrder(r *run, now time.Duration) Command {
+// startOrder returns an order to start a run, to be sent through a courier.
+func (p *Placer) startOrder(r *run, courier string, now time.Duration) Command {
 	v := r.vm
 	lease := v.clock(now) + p.options.Lease.Milliseconds()
 	v.leaseUntil = max(v.leaseUntil, lease)
 	r.copies++
 	r.underWay++
-	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Order: cluster.Start{
+	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Courier: courier, Order: cluster.Start{
 		RunID: r.RunID, Spec: r.spec, Checkpoint: r.checkpoint, Ticket: r.ticket.text, LeaseUntil: lease, Token: p.token,
 	}}}
 }
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -88,6 +88,8 @@
 	if address := e.placerAddress(); address != *e.writer.placer.Load() {
 		e.writer.placer.Store(&address)
 	}
+	strength := e.state.Members[e.state.Claim.Daemon].Strength
+	e.writer.thin.Store(strength > 0 && strength < thinStrength)
 }
 
 // placerAddress is where callers' records are gathered: at the placer, which is near the
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -26,7 +26,7 @@
 	e.ackedAt, e.placingSince, e.bypassed = now, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(leaseMost, ms(e.settings.Bounds.MaxLeaseMS)), MaxLease: ms(e.settings.Bounds.MaxLeaseMS), Orphan: orphanTime,
-		Early: ms(e.settings.Bounds.EarlyMS), Stop: ms(e.settings.Bounds.StopMS),
+		Early: ms(e.settings.Bounds.EarlyMS), Stop: ms(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
 	}, now)
 	e.counts.claims.WithLabelValues("won").Inc()
 	e.log.Emit(evPlacing, "offset", e.state.Token-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.RunsActive())
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -32,9 +32,11 @@
 	retireTries     = 4
 	outbidWait      = 2500 * time.Millisecond // a partition holds 2 s of appends at most
 	busyMost        = 7 * time.Second         // of silence of a placer at a slow log: three appends that a full partition keeps waiting
-	handOverAfter   = 2 * time.Second         // a placer that has just begun is settling its workers
-	bypassesMost    = 5                       // a daemon that does not reach the placer once appends a record past it, too
-	isolationTime   = 10 * time.Second        // then the path may be whole again
+	specTries       = 4
+	specWait        = 40 * time.Millisecond // a read of the log
+	handOverAfter   = 2 * time.Second       // a placer that has just begun is settling its workers
+	bypassesMost    = 5                     // a daemon that does not reach the placer once appends a record past it, too
+	isolationTime   = 10 * time.Second      // then the path may be whole again
 	handOverTries   = 2
 	handOverTimeout = 1200 * time.Millisecond // an append of a slow store; with two tries within drainTime
 	retireTimeout   = 800 * time.Millisecond
@@ -204,7 +206,7 @@
 func (e *engine) hello() flow.Hello {
 	return flow.Hello{
 		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Started: e.started,
-		Strength: e.settings.Limits.strength(), DistanceMS: e.roundTrip.Milliseconds(),
+		Strength: e.settings.Limits.strength(), DistanceMS: e.roundTrip.Milliseconds(), DataCentre: e.settings.DataCentre,
 	}
 }
 
@@ -257,3 +259,30 @@
 		e.placer.SetConfig(c)
 	}
 }
+
+// specOf returns the Spec of a job. It waits a little for the record of a job that was
+// submitted just now.
+func (e *engine) specOf(ctx context.Context, job string) (string, bool) {
+	type found struct {
+		spec  string
+		known bool
+	}
+	for try := range specTries {
+		if try > 0 {
+			e.wakeTail()
+			time.Sleep(specWait)
+		}
+		f, ok := ask(ctx, e, func(e *engine, reply chan<- found) {
+			j := e.state.Jobs[job]
+			if j == nil {
+				reply <- found{}
+				return
+			}
+			reply <- found{j.Spec, true}
+		})
+		if !ok || f.known {
+			return f.spec, f.known
+		}
+	}
+	return "", false
+}
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -62,10 +62,17 @@
 }
 
 func (o *orders) start(ctx context.Context, p *placer.Placer, c *placer.StartCommand) {
+	courier := o.engine.state.Members[c.Courier].Address
 	o.starts.Submit(func() {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		result, clock := o.engine.platform.Start(bounded, c.Life, c.Address, &c.Order)
+		result, clock, sent := cluster.NoAnswer, int64(0), false
+		if courier != "" {
+			result, clock, sent = o.startThrough(bounded, courier, c)
+		}
+		if !sent {
+			result, clock = o.engine.platform.Start(bounded, c.Life, c.Address, &c.Order)
+		}
 		o.back(ctx, p, func(e *engine) {
 			e.counts.starts.WithLabelValues(string(result)).Inc()
 			e.superseded(p.Answered(c, result, clock, bootclock.Now()))
@@ -73,6 +80,19 @@
 	})
 }
 
+// startThrough has another daemon send an order to start. Sent is false if it certainly
+// was not sent.
+func (o *orders) startThrough(ctx context.Context, courier string, c *placer.StartCommand) (result cluster.StartResult, clockMS int64, sent bool) {
+	args := &StartArgs{Life: c.Life, Address: c.Address, Order: c.Order, Within: within(ctx, orderTimeout)}
+	args.Order.Spec = ""
+	reply := &StartReply{}
+	if err := o.engine.peers.call(ctx, courier, startMethod, args, reply); err != nil {
+		o.engine.log.Emit(evPeerLost, "peer", c.Courier, "reason", err.Error(), "job", c.Order.Job)
+		return cluster.NoAnswer, 0, true
+	}
+	return reply.Result, reply.ClockMS, !reply.Unsent
+}
+
 func (o *orders) stop(ctx context.Context, p *placer.Placer, c *placer.StopCommand) {
 	o.starts.Submit(func() {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,7 @@
 	adviseMethod  = "Cell.Advise"
 	yieldMethod   = "Cell.Yield"
 	succeedMethod = "Cell.Succeed"
+	startMethod   = "Cell.Start"
 )
 
 // AdviseArgs asks a daemon to ask the advice service.
@@ -37,8 +39,32 @@
 
 // AdviseReply answers AdviseArgs.
 type AdviseReply struct {
-	Grants []cluster.Grant
-	Valid  time.Duration
+	Rows  []AdviceRow
+	Valid time.Duration
+}
+
+// AdviceRow is a ticket for the worker at a position of the request, whose name need not
+// travel twice.
+type AdviceRow struct {
+	At     int
+	Ticket string
+}
+
+// StartArgs has a daemon send the placer's order to start a run. Its Spec is left out: the
+// daemon has read it from the log.
+type StartArgs struct {
+	Life    cluster.Life
+	Address string
+	Order   cluster.Start
+	Within  time.Duration
+}
+
+// StartReply answers StartArgs. Unsent means that the daemon does not know the job yet
+// and has sent nothing.
+type StartReply struct {
+	Result  cluster.StartResult
+	ClockMS int64
+	Unsent  bool
 }
 
 // peerService serves the other daemons' RPCs.
@@ -48,6 +74,29 @@
 	yield   func(epoch int64)
 	submit  func(records [][]byte, within time.Duration) error
 	succeed func(epoch int64) bool
+	starter Starter
+	spec    func(ctx context.Context, job string) (string, bool) // of a job that the log has told of
+}
+
+// Starter orders workers to start runs.
+type Starter interface {
+	Start(ctx context.Context, life cluster.Life, address string, s *cluster.Start) (cluster.StartResult, int64)
+}
+
+// Start sends an order to start on behalf of the placer. The worker's fence decides
+// whether that placer may still order.
+func (s *peerService) Start(args *StartArgs, reply *StartReply) error {
+	bounded, cancel := limited(args.Within)
+	defer cancel()
+	spec, known := s.spec(bounded, args.Order.Job)
+	if !known {
+		reply.Unsent = true
+		return nil
+	}
+	order := args.Order
+	order.Spec = spec
+	reply.Result, reply.ClockMS = s.starter.Start(bounded, args.Life, args.Address, &order)
+	return nil
 }
 
 // YieldArgs tells the placer of an epoch, or an earlier one, that it has a successor.
@@ -72,8 +121,13 @@
 func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) error {
 	bounded, cancel := limited(args.Within)
 	defer cancel()
-	var err error
-	reply.Grants, reply.Valid, err = s.adviser.Advise(bounded, args.Step, args.Workers)
+	grants, valid, err := s.adviser.Advise(bounded, args.Step, args.Workers)
+	reply.Valid = valid
+	for _, g := range grants {
+		if at := slices.Index(args.Workers, g.Worker); at >= 0 {
+			reply.Rows = append(reply.Rows, AdviceRow{at, g.Ticket})
+		}
+	}
 	return err
 }
 
@@ -108,7 +162,13 @@
 	}
 	reply := &AdviseReply{}
 	err := p.call(ctx, address, adviseMethod, &AdviseArgs{step, workers, within}, reply)
-	return reply.Grants, reply.Valid, err
+	grants := make([]cluster.Grant, 0, len(reply.Rows))
+	for _, row := range reply.Rows {
+		if row.At >= 0 && row.At < len(workers) {
+			grants = append(grants, cluster.Grant{Worker: workers[row.At], Ticket: row.Ticket})
+		}
+	}
+	return grants, reply.Valid, err
 }
 
 // yield makes sure that the daemon at an address orders nothing under an epoch any more.
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -102,13 +102,17 @@
 		"run", n.Run, "worker", n.Worker, "reason", n.Reason, "age_ms", n.Age.Milliseconds(), "version", n.Version)
 }
 
-// registryPause is the time between two readings of the registry. All readings share what a
-// slow store can send.
-func (e *engine) registryPause() time.Duration {
+// registryPause is the time between two readings of the registry, of which the last one named
+// some workers. All readings share what a slow store can send, and what the link can take.
+func (e *engine) registryPause(workers int) time.Duration {
+	pause := registryGap
 	if e.store.slow.Load() {
-		return slowRegistry
+		pause = slowRegistry
 	}
-	return registryGap
+	if rate := registryShare * e.settings.Limits.LinkMbps * bytesPerMbit; rate > 0 {
+		pause = max(pause, time.Duration(float64(workers*registryBytes)/rate*float64(time.Second)))
+	}
+	return min(pause, slowRegistry)
 }
 
 // watchRegistry reads the registry while this daemon is the placer.
@@ -131,7 +135,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(e.registryPause()):
+		case <-time.After(e.registryPause(len(workers))):
 		}
 	}
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -54,7 +54,8 @@
 	placerCores  = 0.1
 	placerMiB    = 150
 	placerMbps   = 10
-	unknownLimit = 1 // a limit that is not stated counts as just enough
+	thinStrength = 0.5 // a placer below it gets no records to gather
+	unknownLimit = 1   // a limit that is not stated counts as just enough
 )
 
 // strength is how many times the process has what a placer needs.
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -19,8 +19,12 @@
 	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
 	configWait   = 1000 * time.Millisecond
 	registryGap  = 800 * time.Millisecond  // a draining worker must be known well within the drain bound
-	slowRegistry = 2400 * time.Millisecond // at a slow store; still within the drain bound
-	storeTimeout = 2000 * time.Millisecond
+	slowRegistry = 2400 * time.Millisecond // the longest pause; still within the drain bound
+
+	registryShare = 0.08 // of the link that readings of the registry may take
+	registryBytes = 410  // of one worker in an answer
+	bytesPerMbit  = 1e6 / 8
+	storeTimeout  = 2000 * time.Millisecond
 )
 
 // page is what the tail read.
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -88,7 +88,7 @@
 // because the first submission and the first cancellation of a job count; so it repeats
 // an append that was not answered until the deadline of the record.
 //
-// The records go through the placer, which is near the log and gathers those of all
+// The records go through the placer, unless its machine is weak; it is near the log and gathers those of all
 // daemons: a partition carries out its appends one at a time, so many small ones wait
 // for each other when the store is slow. Without an answer of the placer they are
 // appended here.
@@ -103,6 +103,7 @@
 	slow     lately                              // to appends that were stored
 	logSlow  func() bool                         // the log's answers take much longer than usual
 	storedAt atomic.Int64                        // boot clock: a record of this daemon was stored
+	thin     atomic.Bool                         // the placer's machine has too little of what a placer needs: records should not pass its link twice
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
@@ -169,7 +170,7 @@
 			return
 		}
 		address := *w.placer.Load()
-		if address == "" {
+		if address == "" || w.thin.Load() && !w.logSlow() {
 			w.hand(group)
 			continue
 		}
