Do not take a catching-up daemon for one at a slow log, nor a weak placer for a cut-off one

Change: reads count from the first end of the log on; a weak placer is isolated when no call comes back.

--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -32,8 +32,10 @@
 			e.roundTrip = took
 		}
 	}
-	e.quickest.note(now-p.sentAt, now)
-	e.store.slow.Store(e.quickest.shortest()-e.roundTrip > slowLog)
+	if e.readLast > 0 { // whole pages are read until then
+		e.quickest.note(now-p.sentAt, now)
+		e.store.slow.Store(e.quickest.shortest()-e.roundTrip > slowLog)
+	}
 	if p.restored != nil {
 		e.restore(&p)
 	}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -204,7 +204,11 @@
 // they live: it gets no advice through them, and they append callers' records past it.
 func (e *engine) isolated(now time.Duration) bool {
 	failing, all := e.placer.Unreachable()
-	return all > 2 && 2*failing >= all && e.bypassed >= bypassesMost && now-e.bypassedAt < handOverAfter
+	most := 2*failing >= all
+	if e.writer.thin.Load() {
+		most = failing == all // all records are appended past a weak placer, and its link makes some calls late
+	}
+	return all > 2 && most && e.bypassed >= bypassesMost && now-e.bypassedAt < handOverAfter
 }
 
 // leave begins a planned stop: the placer records what it knows and gives up its claim,
