--- /dev/null
+++ b/core/flow/fuzz_test.go
@@ -0,0 +1,85 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"briarproxy/core/cluster"
+)
+
+// Guards against a record that no daemon can follow: each would end at it, at every start.
+func TestImpossibleJobsAreIgnored(t *testing.T) {
+	for name, steps := range map[string][]Step{
+		"negative count":      {{Count: -1}},
+		"no task":             {{Count: 0}},
+		"too many tasks":      {{Count: MaxTasksInStep + 1}},
+		"waits for itself":    {{Count: 1, After: []int{0}}},
+		"waits for a later":   {{Count: 1, After: []int{1}}, {Count: 1}},
+		"waits for a missing": {{Count: 1}, {Count: 1, After: []int{-1}}},
+	} {
+		s := NewState()
+		if err := s.Apply(&Record{Submit: &Submit{ID: "j", Steps: steps}}, 0); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+		if s.Next != 1 || len(s.Jobs) != 0 {
+			t.Errorf("%s: next %d, %d jobs", name, s.Next, len(s.Jobs))
+		}
+	}
+}
+
+// FuzzRecords guards against records, in any order and of any content, that end the process
+// or move the position by other than one.
+func FuzzRecords(f *testing.F) {
+	begin := Record{Batch: &Batch{Epoch: 1, Begins: []Begin{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}}}}}
+	end := Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}, How: cluster.Done, Checkpoint: "c"}}}}
+	for _, r := range []Record{
+		{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}, MaxAttempts: 1}},
+		{Submit: &Submit{ID: "j", Times: 3, Steps: []Step{{Count: -1}}}},
+		{Claim: &Claim{Daemon: "d", Epoch: 1}}, begin, end, {Cancel: &Cancel{ID: "j"}}, {Hello: &Hello{Daemon: "d", Leaving: true}}, {},
+	} {
+		data, err := r.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, data)
+	}
+	f.Add([]byte{packed, 0xff, 0x01}, []byte(`{"b":{"e":1,"b":[{"j":"j","i":-1,"s":99}]}}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		s := NewState()
+		claim := Record{Claim: &Claim{Daemon: "d", Epoch: 1}}
+		job := Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}, MaxAttempts: 1}}
+		records := []Record{claim, job}
+		for _, data := range [][]byte{first, second, first} {
+			if r, err := Decode(data); err == nil {
+				records = append(records, r)
+			}
+		}
+		for i := range records {
+			_ = s.Apply(&records[i], time.Duration(i)) // an error says that the record was ignored
+		}
+		if s.Next != int64(len(records)) {
+			t.Fatalf("position %d after %d records", s.Next, len(records))
+		}
+		head, chunks, err := s.Snapshot(1, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Restore(head, chunks, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzRestore guards against a damaged snapshot that ends the process.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":2}]},"p":"running","k":{"0":[{"t":[{},{}]}]}}]`))
+	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":-2}]},"p":"running","k":{"0":[]}}]`))
+	f.Fuzz(func(_ *testing.T, chunk []byte) {
+		s, err := Restore(SnapshotHead{Chunks: 1}, [][]byte{chunk}, time.Second)
+		if err != nil {
+			return
+		}
+		batch := Record{Batch: &Batch{Begins: []Begin{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 9}}}}}
+		_ = s.Apply(&batch, time.Second)
+	})
+}
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -136,6 +136,31 @@
 	return r, nil
 }
 
+// Limits of a job, also of one that another writer put into the log.
+const (
+	MaxTasksInStep = 5000
+	MaxTimes       = 10_000
+)
+
+// check reports what makes a job impossible to follow: every daemon applies every record, so
+// none may ask for memory without bound or name what is not there.
+func (s *Submit) check() error {
+	if s.ID == "" || s.Times < 0 || s.Times > MaxTimes {
+		return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %q with %d occurrences", s.ID, s.Times)
+	}
+	for i := range s.Steps {
+		if n := s.Steps[i].Count; n < 1 || n > MaxTasksInStep {
+			return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %s: step %d has %d tasks", s.ID, i, n)
+		}
+		for _, a := range s.Steps[i].After {
+			if a < 0 || a >= i {
+				return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %s: step %d waits for step %d", s.ID, i, a)
+			}
+		}
+	}
+	return nil
+}
+
 // Due returns the due time of an occurrence, Unix ms; 0 is at once.
 func (s *Submit) Due(occurrence int) int64 {
 	if s.Times == 0 {
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -107,18 +107,23 @@
 			return nil, fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
 		}
 		for i := range jobs {
-			s.restoreJob(&jobs[i], now)
+			if err := s.restoreJob(&jobs[i], now); err != nil {
+				return nil, err
+			}
 		}
 	}
 	return s, nil
 }
 
-func (s *State) restoreJob(saved *savedJob, now time.Duration) {
+func (s *State) restoreJob(saved *savedJob, now time.Duration) error {
 	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
 	if saved.Submit == nil {
 		j.ID = saved.ID
 		s.Jobs[j.ID] = j
-		return
+		return nil
+	}
+	if err := saved.Submit.check(); err != nil {
+		return err
 	}
 	j.Submit = *saved.Submit
 	s.Jobs[j.ID] = j
@@ -126,6 +131,9 @@
 		s.Pending[j.Queue]++
 	}
 	for k, steps := range saved.Occurred {
+		if k < 0 || k >= j.Submit.Occurrences() {
+			return fault.New(fault.Invalid, "read the snapshot again", "the snapshot names occurrence %d of job %s", k, j.ID)
+		}
 		o := j.occurrence(k)
 		for i := range steps {
 			if i < len(o.Steps) && len(steps[i].Tasks) == len(o.Steps[i].Tasks) {
@@ -136,6 +144,7 @@
 			j.Ended++
 		}
 	}
+	return nil
 }
 
 func restoreStep(j *Job, o *Occurrence, st *StepState, saved *savedStep) {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -136,7 +136,7 @@
 	s.Next++
 	switch {
 	case r.Submit != nil:
-		s.submit(r.Submit, offset)
+		return s.submit(r.Submit, offset)
 	case r.Cancel != nil:
 		return s.cancel(r.Cancel, now)
 	case r.Claim != nil:
@@ -158,14 +158,18 @@
 // Skip passes over a record that can't be read.
 func (s *State) Skip() { s.Next++ }
 
-func (s *State) submit(in *Submit, offset int64) {
+func (s *State) submit(in *Submit, offset int64) error {
 	if s.Jobs[in.ID] != nil {
-		return
+		return nil
+	}
+	if err := in.check(); err != nil {
+		return err
 	}
 	s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Queued}
 	if in.Times == 0 {
 		s.Pending[in.Queue]++
 	}
+	return nil
 }
 
 func (s *State) cancel(c *Cancel, now time.Duration) error {
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -67,9 +67,13 @@
 		return
 	}
 	former, heard := e.state.Claim, e.state.Heard
-	if err := e.state.Apply(&d.record, now); err != nil {
-		e.log.Emit(evBadRecord, "position", e.state.Next-1, "reason", err.Error())
-	}
+	position := e.state.Next
+	e.guard(func() {
+		if err := e.state.Apply(&d.record, now); err != nil {
+			e.log.Emit(evBadRecord, "position", position, "reason", err.Error())
+		}
+	})
+	e.state.Next = position + 1
 	if d.record.Batch != nil && e.state.Heard > heard && heard > 0 {
 		e.gaps.note(e.state.Heard-heard, now)
 	}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +34,7 @@
 	retireTries     = 4
 	outbidWait      = 2500 * time.Millisecond // a partition holds 2 s of appends at most
 	busyMost        = 7 * time.Second         // of silence of a placer at a slow log: three appends that a full partition keeps waiting
+	stackBytes      = 2048
 	specTries       = 4
 	specWait        = 40 * time.Millisecond // a read of the log
 	handOverAfter   = 2 * time.Second       // a placer that has just begun is settling its workers
@@ -150,14 +153,14 @@
 		case <-ctx.Done():
 			return
 		case p := <-e.pages:
-			e.read(ctx, p)
+			e.guard(func() { e.read(ctx, p) })
 		case f := <-e.calls:
-			f(e)
+			e.guard(func() { f(e) })
 			e.drainCalls()
 		case <-ticker.C:
 		}
 		now := bootclock.Now()
-		e.onTime(ctx, now)
+		e.guard(func() { e.onTime(ctx, now) })
 		e.publish(now)
 		if want := e.placer != nil; want != quick {
 			quick = want
@@ -171,13 +174,33 @@
 	for range 256 {
 		select {
 		case f := <-e.calls:
-			f(e)
+			e.guard(func() { f(e) })
 		default:
 			return
 		}
 	}
 }
 
+// guard runs one piece of the engine's work. An unexpected error in it ends that piece, and
+// the placing of this daemon, whose state may be half changed; it does not end the process,
+// as the same record or job would end every daemon in turn.
+func (e *engine) guard(work func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			e.log.Emit(evPanic, "reason", fmt.Sprint(r), "offset", e.state.Next, "stack", stack())
+			e.endPlacer("an unexpected error")
+			e.isolatedAt = bootclock.Now() // others are to place first
+		}
+	}()
+	work()
+}
+
+// stack returns the calls that led to a panic, within the length of a log line.
+func stack() string {
+	text := make([]byte, stackBytes)
+	return string(text[:runtime.Stack(text, false)])
+}
+
 func (e *engine) configOrEmpty() *cluster.Configuration {
 	if e.config == nil {
 		return &cluster.Configuration{}
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -35,5 +35,6 @@
 	evCancelUnsure  = event.Define(945, "cancel-outcome-unknown", log.WarnLevel, "The caller was told that it is not known whether the cancellation was stored; it may ask again.")
 	evDecision      = event.Define(950, "placer-decision", log.InfoLevel, "A decision or a change of belief of the placer about a task or worker.")
 	evSummary       = event.Define(951, "placer-summary", log.InfoLevel, "What the placer holds, once a second: steps by what they wait for, runs by state, workers, room, calls for advice.")
+	evPanic         = event.Define(970, "unexpected-error", log.ErrorLevel, "A piece of work was given up because of a bug; the daemon goes on, and another one places. Report it with the stack.")
 	evPeerLost      = event.Define(960, "peer-unreachable", log.WarnLevel, "A call to another daemon failed; it is left alone for a while.")
 )
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -85,7 +85,8 @@
 
 // Start sends an order to start on behalf of the placer. The worker's fence decides
 // whether that placer may still order.
-func (s *peerService) Start(args *StartArgs, reply *StartReply) error {
+func (s *peerService) Start(args *StartArgs, reply *StartReply) (err error) {
+	defer recoverAs(&err)
 	bounded, cancel := limited(args.Within)
 	defer cancel()
 	spec, known := s.spec(bounded, args.Order.Job)
@@ -103,7 +104,8 @@
 type YieldArgs struct{ Epoch int64 }
 
 // Yield returns when this daemon sends no more orders under the epoch.
-func (s *peerService) Yield(args *YieldArgs, _ *bool) error {
+func (s *peerService) Yield(args *YieldArgs, _ *bool) (err error) {
+	defer recoverAs(&err)
 	s.yield(args.Epoch)
 	return nil
 }
@@ -112,13 +114,15 @@
 type SucceedArgs struct{ Epoch int64 }
 
 // Succeed returns true when the daemon's claim is stored.
-func (s *peerService) Succeed(args *SucceedArgs, done *bool) error {
+func (s *peerService) Succeed(args *SucceedArgs, done *bool) (err error) {
+	defer recoverAs(&err)
 	*done = s.succeed(args.Epoch)
 	return nil
 }
 
 // Advise asks the advice service on behalf of the placer.
-func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) error {
+func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) (err error) {
+	defer recoverAs(&err)
 	bounded, cancel := limited(args.Within)
 	defer cancel()
 	grants, valid, err := s.adviser.Advise(bounded, args.Step, args.Workers)
@@ -131,6 +135,14 @@
 	return err
 }
 
+// recoverAs turns a panic of a handler into its error. The RPC library would let it end the
+// process.
+func recoverAs(err *error) {
+	if r := recover(); r != nil {
+		*err = fault.New(fault.Internal, "report this as a bug", "a call of another daemon failed unexpectedly: %v", r)
+	}
+}
+
 // servePeers serves RPCs until the listener is closed.
 func servePeers(l net.Listener, service *peerService) error {
 	server := rpc.NewServer()
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -40,7 +40,8 @@
 type SubmitReply struct{ Failure string }
 
 // Submit appends callers' records of another daemon.
-func (s *peerService) Submit(args *SubmitArgs, reply *SubmitReply) error {
+func (s *peerService) Submit(args *SubmitArgs, reply *SubmitReply) (err error) {
+	defer recoverAs(&err)
 	reply.Failure = failure(s.submit(args.Records, args.Within))
 	return nil
 }
@@ -80,7 +81,8 @@
 }
 
 // Append appends records for another daemon. It never goes through a third one.
-func (s *peerService) Append(args *AppendArgs, reply *AppendReply) error {
+func (s *peerService) Append(args *AppendArgs, reply *AppendReply) (err error) {
+	defer recoverAs(&err)
 	ctx, cancel := limited(args.Within)
 	defer cancel()
 	offset, err := s.store.Append(ctx, args.Partition, args.Records, args.Fence)
@@ -89,7 +91,8 @@
 }
 
 // Read reads the log for another daemon.
-func (s *peerService) Read(args *ReadArgs, reply *ReadReply) error {
+func (s *peerService) Read(args *ReadArgs, reply *ReadReply) (err error) {
+	defer recoverAs(&err)
 	ctx, cancel := limited(args.Within)
 	defer cancel()
 	page, err := s.store.Read(ctx, args.Partition, args.From, args.Wait)
@@ -98,7 +101,8 @@
 }
 
 // Configuration reads what the operator published for another daemon.
-func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) error {
+func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) (err error) {
+	defer recoverAs(&err)
 	ctx, cancel := limited(args.Within)
 	defer cancel()
 	config, next, err := s.store.Configuration(ctx, args.From, args.Wait)
@@ -110,7 +114,8 @@
 }
 
 // Workers reads the registry for another daemon.
-func (s *peerService) Workers(args *ReadArgs, reply *WorkersReply) error {
+func (s *peerService) Workers(args *ReadArgs, reply *WorkersReply) (err error) {
+	defer recoverAs(&err)
 	ctx, cancel := limited(args.Within)
 	defer cancel()
 	workers, unusable, err := s.store.Workers(ctx)
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -122,6 +122,9 @@
 	if err := json.Unmarshal(saved[headKey], &head); err != nil {
 		return nil, 0, fault.Wrap(err, fault.Invalid, "remove the foreign head of the snapshot", "the head of the snapshot can't be read")
 	}
+	if head.Chunks < 0 || head.Chunks >= len(saved) {
+		return nil, 0, fault.New(fault.Invalid, "read the snapshot again", "the snapshot should have %d chunks and has %d entries", head.Chunks, len(saved))
+	}
 	var chunks [][]byte
 	for i := range head.Chunks {
 		if chunk := saved[chunkKey(head.Generation, i)]; chunk != nil {
