Tell the outcome of each record that the placer appends for another daemon

Cause: a daemon hands callers' records to the placer in groups.

Change: SubmitReply names the outcome of each record; what it does not tell of is unknown. A daemon of the former version that answers is taken as unknown, so the record is appended once more.

--- a/daemon/cell/courier_test.go
+++ b/daemon/cell/courier_test.go
@@ -69,7 +69,7 @@
 func TestRecordsDoNotPassAWeakPlacer(t *testing.T) {
 	store := &fakeStore{}
 	w := newWriter(store, newPeers())
-	address := placerOf(t, func([][]byte, time.Duration) error { return nil })
+	address := placerOf(t, func(records [][]byte, _ time.Duration) []error { return make([]error, len(records)) })
 	w.placer.Store(&address)
 	w.thin.Store(true)
 	go w.run(t.Context())
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -72,7 +72,7 @@
 	adviser Adviser
 	store   storeAccess
 	yield   func(epoch int64)
-	submit  func(records [][]byte, within time.Duration) error
+	submit  func(records [][]byte, within time.Duration) []error // one outcome a record
 	succeed func(epoch int64) bool
 	starter Starter
 	spec    func(ctx context.Context, job string) (string, bool) // of a job that the log has told of
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
 )
 
 // Methods with which a daemon reaches the store for another one.
@@ -36,16 +37,29 @@
 	Within  time.Duration
 }
 
-// SubmitReply answers SubmitArgs.
-type SubmitReply struct{ Failure string }
+// SubmitReply answers SubmitArgs. Failures has the kind of each record's error, in the order
+// of the records; "" is none. The records may go into several appends, so one may be stored
+// and the next one not.
+type SubmitReply struct{ Failures []string }
 
 // Submit appends callers' records of another daemon.
 func (s *peerService) Submit(args *SubmitArgs, reply *SubmitReply) (err error) {
 	defer recoverAs(&err)
-	reply.Failure = failure(s.submit(args.Records, args.Within))
+	for _, outcome := range s.submit(args.Records, args.Within) {
+		reply.Failures = append(reply.Failures, failure(outcome))
+	}
 	return nil
 }
 
+// outcome returns the error of the record at an index. A reply that does not tell of it, as
+// one from a daemon of another version, leaves it unknown.
+func (r *SubmitReply) outcome(index int) error {
+	if index >= len(r.Failures) {
+		return fault.New(fault.Unknown, "append the record again; the first copy counts", "the placer did not say what became of record %d of %d", index, len(r.Failures))
+	}
+	return remote(nil, r.Failures[index], fault.Unknown)
+}
+
 // ReadArgs asks a daemon to read the log or what is published from a position on.
 type ReadArgs struct {
 	Partition int
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -128,19 +128,15 @@
 	return w.await(ctx, w.entries, data, within)
 }
 
-// put stores encoded records of another daemon.
-func (w *writer) put(records [][]byte, within time.Duration) error {
-	outcomes := make(chan error, len(records))
-	for _, data := range records {
-		go func() { outcomes <- w.await(context.Background(), w.direct, data, within) }()
+// put stores encoded records of another daemon and returns the outcome of each.
+func (w *writer) put(records [][]byte, within time.Duration) []error {
+	outcomes := make([]error, len(records))
+	var waiting sync.WaitGroup
+	for i, data := range records {
+		waiting.Go(func() { outcomes[i] = w.await(context.Background(), w.direct, data, within) })
 	}
-	var worst error
-	for range records {
-		if err := <-outcomes; err != nil && (worst == nil || fault.Is(err, fault.Unknown)) {
-			worst = err
-		}
-	}
-	return worst
+	waiting.Wait()
+	return outcomes
 }
 
 // await queues a record and waits for its outcome until its deadline.
@@ -236,6 +232,19 @@
 	}
 }
 
+// finishEach notes the placer's answer for each record. It returns the error of one that is
+// not known to be stored.
+func finishEach(group []*entry, reply *SubmitReply) (failed error) {
+	for i, e := range group {
+		err := reply.outcome(i)
+		e.end(err)
+		if err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
 // forward has the placer append records with those of other daemons. Records that it
 // does not answer for a while are appended here as well.
 func (w *writer) forward(ctx context.Context, address string, group []*entry) {
@@ -250,8 +259,11 @@
 		defer cancel()
 		reply := &SubmitReply{}
 		err := w.peers.call(bounded, address, submitMethod, &SubmitArgs{records, limit - peerMargin}, reply)
-		err = remote(err, reply.Failure, fault.Unknown)
-		finish(live, err)
+		if err = remote(err, "", fault.Unknown); err != nil {
+			finish(live, err)
+		} else {
+			err = finishEach(live, reply)
+		}
 		w.learn(time.Since(sent))
 		if err == nil {
 			w.slow.note(time.Since(sent), bootclock.Now())
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -16,7 +16,7 @@
 )
 
 // placerOf serves submissions of other daemons and returns the address.
-func placerOf(t *testing.T, submit func([][]byte, time.Duration) error) string {
+func placerOf(t *testing.T, submit func([][]byte, time.Duration) []error) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -39,7 +39,10 @@
 // Guards against small appends of many daemons that wait for each other at a slow store.
 func TestWriterGathersAtThePlacer(t *testing.T) {
 	store, gathered := &fakeStore{}, 0
-	w := runWriter(t, store, placerOf(t, func(records [][]byte, _ time.Duration) error { gathered += len(records); return nil }))
+	w := runWriter(t, store, placerOf(t, func(records [][]byte, _ time.Duration) []error {
+		gathered += len(records)
+		return make([]error, len(records))
+	}))
 	require.NoError(t, w.append(t.Context(), aJob, time.Second))
 	require.Equal(t, 1, gathered)
 	require.Zero(t, store.appends.Load())
@@ -60,7 +63,7 @@
 // Guards against a frozen placer that holds up the acceptance of jobs.
 func TestWriterDoesNotWaitForAFrozenPlacer(t *testing.T) {
 	store := &fakeStore{}
-	w := runWriter(t, store, placerOf(t, func([][]byte, time.Duration) error { time.Sleep(10 * time.Second); return nil }))
+	w := runWriter(t, store, placerOf(t, func([][]byte, time.Duration) []error { time.Sleep(10 * time.Second); return nil }))
 	began := time.Now()
 	require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
 	require.Less(t, time.Since(began), 2*time.Second)
@@ -112,7 +115,10 @@
 // the daemon that took it, so that nothing is stored any more (dosui-sched-grown, trouble-2).
 func TestWriterWaitsLongerForASlowPlacer(t *testing.T) {
 	store := &fakeStore{}
-	w := runWriter(t, store, placerOf(t, func([][]byte, time.Duration) error { time.Sleep(700 * time.Millisecond); return nil }))
+	w := runWriter(t, store, placerOf(t, func(records [][]byte, _ time.Duration) []error {
+		time.Sleep(700 * time.Millisecond)
+		return make([]error, len(records))
+	}))
 	for range 4 {
 		require.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond))
 	}
@@ -124,7 +130,10 @@
 // of a second of its one partition, so the placer's own records waited for seconds and it was
 // replaced (trouble-2 of dosui-sched-large).
 func TestWriterLeavesASlowLogToThePlacer(t *testing.T) {
-	store, placer := &fakeStore{}, placerOf(t, func([][]byte, time.Duration) error { time.Sleep(2 * time.Second); return nil })
+	store, placer := &fakeStore{}, placerOf(t, func(records [][]byte, _ time.Duration) []error {
+		time.Sleep(2 * time.Second)
+		return make([]error, len(records))
+	})
 	w := newWriter(store, newPeers())
 	w.placer.Store(&placer)
 	w.logSlow = func() bool { return true }
@@ -148,3 +157,54 @@
 	f.note(40*time.Millisecond, 9*time.Second)
 	require.Equal(t, 40*time.Millisecond, f.shortest())
 }
+
+// Guards against a refusal of a job that is stored: the placer told one outcome for all
+// records of a call, so those that its first append had taken were refused to their callers
+// together with one that was left for the next append (REFUSED on kandy-strings-grown).
+func TestOneRefusedRecordRefusesNoOther(t *testing.T) {
+	store := &limitedStore{limit: 1}
+	placer := newWriter(store, newPeers())
+	placer.direct <- &entry{data: []byte{1}, until: time.Now().Add(time.Minute), done: make(chan struct{})}
+	go func() {
+		for len(placer.direct) < maxGather+1 { // one record does not fit into the first append
+			time.Sleep(time.Millisecond)
+		}
+		placer.run(t.Context())
+	}()
+	away := &fakeStore{}
+	away.failWith(errTurnedAway)
+	w := newWriter(away, newPeers())
+	address := placerOf(t, placer.put)
+	w.placer.Store(&address)
+	outcomes := make(chan error, maxGather)
+	for range maxGather {
+		go func() { outcomes <- w.append(t.Context(), aJob, time.Second) }()
+	}
+	for len(w.entries) < maxGather {
+		time.Sleep(time.Millisecond)
+	}
+	go w.run(t.Context())
+	stored := 0
+	for range maxGather {
+		if err := <-outcomes; err == nil {
+			stored++
+		} else {
+			require.True(t, fault.Is(err, fault.Refused), "%v", err)
+		}
+	}
+	require.Equal(t, maxGather-1, stored)
+}
+
+// limitedStore takes some appends and turns all further ones away.
+type limitedStore struct {
+	fakeStore
+	limit int64
+	taken atomic.Int64
+}
+
+func (s *limitedStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	if s.taken.Add(1) > s.limit {
+		return 0, errTurnedAway
+	}
+	return s.fakeStore.Append(ctx, part, records, fence)
+}
