Let each daemon use less memory: collections by role, ended jobs by id, one compressor

A daemon that only answers callers let its heap grow to five times what lives in it; every daemon kept the steps, tasks and specs of jobs that had ended; a heap profile of the placer under 550 starts a second had a third of its 24 MB in eight compressors.

Test: TestEndedJobsKeepTheirIDAndPhaseOnly, written with the change. go test ./core/flow passes.

--- a/core/flow/pack.go
+++ b/core/flow/pack.go
@@ -22,14 +22,13 @@
 const packDictionary = `{"b":{"e":,"b":[{"j":"","s":1,"i":1,"r":1,"w":"","b":17},"x":[{"j":"","i":2,"r":1,"h":"failed","stopped","lapsed","broken","done"},"c":""}],"s":["` +
 	`{"s":{"id":"","q":"","o":"","v":1,"s":"","t":[{"n":1,"z":{"milli_cores":1000,"memory_mib":10000,"accelerators":1},"e":1000,"a":[0],"g":true,"c":true,"x":true,"p":1}],"m":3,"at":17`
 
+// A compressor takes over a megabyte and is used for a fraction of a millisecond, so all
+// records of a process share one.
 var (
-	packers = sync.Pool{New: func() any {
-		w, err := flate.NewWriterDict(nil, flate.BestSpeed, []byte(packDictionary))
-		if err != nil {
-			panic(err) // only for a level that does not exist
-		}
-		return w
-	}}
+	packing sync.Mutex
+	packer  = sync.OnceValues(func() (*flate.Writer, error) {
+		return flate.NewWriterDict(nil, flate.BestSpeed, []byte(packDictionary))
+	})
 	unpackers = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), []byte(packDictionary)) }}
 )
 
@@ -41,8 +40,12 @@
 	var out bytes.Buffer
 	out.Grow(len(data) / 2)
 	out.WriteByte(packed)
-	w := packers.Get().(*flate.Writer)
-	defer packers.Put(w)
+	packing.Lock()
+	defer packing.Unlock()
+	w, err := packer()
+	if err != nil {
+		return nil, err
+	}
 	w.Reset(&out)
 	if _, err := w.Write(data); err != nil {
 		return nil, err
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -10,7 +10,7 @@
 // chunkBytes bounds a part of a snapshot, below the record limit of the log.
 const chunkBytes = 128 << 10
 
-// wholeAfterEnd is how long a job that has ended is saved whole: a run of it that was
+// wholeAfterEnd is how long a job that has ended is kept and saved whole: a run of it that was
 // planned before may still be recorded.
 const wholeAfterEnd = 20 * time.Second
 
@@ -73,7 +73,7 @@
 	saved := savedJob{Phase: j.Phase, Offset: j.Offset}
 	if j.Phase.Final() {
 		saved.EndedMS = (now - j.EndedAt).Milliseconds()
-		if j.Active <= 0 && now-j.EndedAt > wholeAfterEnd {
+		if j.over(now) {
 			saved.ID = j.ID
 			return saved
 		}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -347,14 +347,23 @@
 }
 
 // Forget drops jobs that ended longer ago than the given time and have no run left. It
-// returns their ids.
+// returns their ids. Of those that ended a while ago it keeps what a snapshot keeps.
 func (s *State) Forget(keep, now time.Duration) []string {
 	var gone []string
 	for id, j := range s.Jobs {
-		if j.Phase.Final() && j.Active <= 0 && now-j.EndedAt > keep {
+		switch {
+		case !j.over(now):
+		case now-j.EndedAt > keep:
 			delete(s.Jobs, id)
 			gone = append(gone, id)
+		case len(j.Steps) > 0:
+			s.Jobs[id] = &Job{Submit: Submit{ID: id}, Offset: j.Offset, Phase: j.Phase, EndedAt: j.EndedAt}
 		}
 	}
 	return gone
 }
+
+// over reports whether only the id and phase of the job are of use any more.
+func (j *Job) over(now time.Duration) bool {
+	return j.Phase.Final() && j.Active <= 0 && now-j.EndedAt > wholeAfterEnd
+}
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -152,3 +152,19 @@
 	require.Equal(t, []string{"j"}, s.Forget(time.Minute, 10*time.Minute))
 	require.Error(t, s.Apply(&Record{Cancel: &Cancel{ID: "j"}}, 0))
 }
+
+// Guards against ended jobs that fill the memory of every daemon, and against one that is
+// forgotten early: its id would be accepted again.
+func TestEndedJobsKeepTheirIDAndPhaseOnly(t *testing.T) {
+	s := claimed(t, Step{Count: 1})
+	apply(t, s, begin(runOf(0, 0, 1)), ends(cluster.Done, runOf(0, 0, 1)))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+	require.Empty(t, s.Forget(time.Hour, time.Second+wholeAfterEnd/2))
+	require.NotEmpty(t, s.Jobs["j"].Steps, "a run planned before may still be recorded")
+	require.Empty(t, s.Forget(time.Hour, 2*time.Second+wholeAfterEnd))
+	require.Empty(t, s.Jobs["j"].Steps)
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+	require.NoError(t, s.submit(&Submit{ID: "j", Steps: []Step{{Count: 1}}}, 99))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+	require.Equal(t, []string{"j"}, s.Forget(time.Hour, 2*time.Hour))
+}
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -21,8 +21,11 @@
 	stopReport = 900 * time.Millisecond // left of the grace period for the last lines, also on a slow machine
 	quietTime  = 150 * time.Millisecond // without a request before connections are closed
 	stopPoll   = 20 * time.Millisecond
-	gcPercent  = 400 // the live heap is small against the limit, processor time is not
-	heapShare  = 0.6 // of the process's memory limit; the rest is for stacks, buffers and unread bytes
+	// Heap growth between collections. Daemons that only answer callers have processor time
+	// left, the placer has memory left.
+	gcPercent       = 100
+	placerGCPercent = 200
+	heapShare       = 0.6 // of the process's memory limit; the rest is for stacks, buffers and unread bytes
 )
 
 // Run runs a daemon until the context ends, then makes a planned stop.
@@ -51,6 +54,7 @@
 	}
 	t := &tail{log: e.store, saved: p, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
 	go t.run(life)
+	go e.store.watch(life)
 	e.writer.stored = func(first int64, records [][]byte) {
 		if e.isPlacer.Load() {
 			e.do(life, func(e *engine) { e.appended(life, first, records) })
@@ -128,7 +132,9 @@
 		e.countedAt = now
 		e.countBelief(now)
 	}
-	e.isPlacer.Store(e.placer != nil)
+	if placing := e.placer != nil; e.isPlacer.Swap(placing) != placing {
+		debug.SetGCPercent(map[bool]int{true: placerGCPercent, false: gcPercent}[placing])
+	}
 	e.known.Store(e.state.Next)
 	e.isReady.Store(!e.draining && e.config != nil && e.readLast > 0 && now-e.lastContact() < readyWithin+readWait)
 }
