See the beginning and the end of an outage of the store at once, and send nothing into it

Records went on being sent to the silent store for 1.5 s, so 105 calls were held for 2.5 s and answered 504, after which a caller can't come again. The store was back at 22.2 s, but the daemons knew it at 23.1 to 25.5 s: a probe was made every 1.2 s and waited 1.5 s, and calls from before hung on connections that had fallen silent. 190 calls were refused in that time.

The writer keeps records back while the store is doubtful; what was never sent is refused as soon as it is silent, truthfully and at once. The bounds grow with what an answer takes at present, so a slow store is not taken for a silent one.

Tests: TestRecordsAreKeptBackFromASilentLog and TestTheEndOfAnOutageIsSeenAtOnce; the first failed with the gate of the writer taken out. TestAnIdleLogIsNotDoubted failed with a probe only every 2.5 s. go test -race ./daemon/cell passes.

--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -35,6 +35,7 @@
 	if e.readLast > 0 { // whole pages are read until then
 		e.quickest.note(now-p.sentAt, now)
 		e.store.slow.Store(e.quickest.shortest()-e.roundTrip > slowLog)
+		e.store.usual.Store(int64(e.quickest.shortest()))
 	}
 	if p.restored != nil {
 		e.restore(&p)
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -126,7 +126,7 @@
 	if e.config == nil {
 		return found{}
 	}
-	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: bootclock.Now()-e.lastContact() > lostAfter}
+	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter}
 	if f.queue == nil {
 		return f
 	}
--- /dev/null
+++ b/daemon/cell/contact_test.go
@@ -0,0 +1,98 @@
+package cell
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
+)
+
+// mutedStore answers no call while it is muted, as a store behind a cut does.
+type mutedStore struct {
+	fakeStore
+	muted   atomic.Bool
+	started atomic.Int64 // appends that were sent
+}
+
+func (s *mutedStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	s.started.Add(1)
+	if s.muted.Load() {
+		<-ctx.Done()
+		return 0, errSilent
+	}
+	return s.fakeStore.Append(ctx, part, records, fence)
+}
+
+func (s *mutedStore) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	if s.muted.Load() {
+		<-ctx.Done()
+		return cluster.LogPage{}, errSilent
+	}
+	return s.fakeStore.Read(ctx, part, from, wait)
+}
+
+// mutedCell is a writer on a store that has just fallen silent, with the judgement of it.
+func mutedCell(t *testing.T) (*mutedStore, *relay, *writer) {
+	store := &mutedStore{}
+	r := newRelay(store, newPeers())
+	w := newWriter(r, r.peers)
+	w.logDoubtful, w.logSilent = r.doubtful, r.silent
+	go r.watch(t.Context())
+	go w.run(t.Context())
+	require.NoError(t, w.append(t.Context(), aJob, time.Second))
+	store.muted.Store(true)
+	return store, r, w
+}
+
+// callerLimit is the time limit of the users' callers.
+const callerLimit = 3 * time.Second
+
+// Guards against callers that are held to the end of their time limit, and left without a
+// clear answer, by records sent to a store that was silent already (trouble-3 of kandy-strings:
+// 105 answers 504 in an outage of 4 s).
+func TestRecordsAreKeptBackFromASilentLog(t *testing.T) {
+	store, r, w := mutedCell(t)
+	require.Eventually(t, r.doubtful, 2*doubtfulAfter, 10*time.Millisecond)
+	sent, began := store.started.Load(), time.Now()
+	err := w.append(t.Context(), aJob, callerLimit)
+	require.True(t, fault.Is(err, fault.Refused), "%v", err)
+	require.Less(t, time.Since(began), callerLimit/2)
+	require.Equal(t, sent, store.started.Load(), "a refused record was sent")
+	require.True(t, r.silent())
+}
+
+// Guards against a store that is taken for silent seconds after it is back: callers with 3 s
+// were refused for 1.4 to 3 s more (trouble-3 of kandy-strings).
+func TestTheEndOfAnOutageIsSeenAtOnce(t *testing.T) {
+	store, r, w := mutedCell(t)
+	require.Eventually(t, r.silent, 2*silentAfter, 10*time.Millisecond)
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+		waiting <- err
+	}()
+	time.Sleep(2 * time.Second)
+	store.muted.Store(false)
+	require.Eventually(t, func() bool { return !r.doubtful() }, 500*time.Millisecond, 5*time.Millisecond)
+	require.NoError(t, w.append(t.Context(), aJob, time.Second))
+	select {
+	case <-waiting: // a call from before the end of the outage waits no longer
+	case <-time.After(time.Second):
+		require.Fail(t, "a call waits on a connection that is silent")
+	}
+}
+
+// Guards against an idle cell being taken for an outage.
+func TestAnIdleLogIsNotDoubted(t *testing.T) {
+	r := newRelay(&fakeStore{}, newPeers())
+	go r.watch(t.Context())
+	for range 30 {
+		time.Sleep(50 * time.Millisecond)
+		require.False(t, r.doubtful())
+	}
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -130,7 +130,7 @@
 		pages: make(chan page), calls: make(chan func(*engine), 1024), nudge: make(chan struct{}, 1),
 		ahead: map[int64]decoded{}, state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
-	e.writer.logSlow = store.slow.Load
+	e.writer.logSlow, e.writer.logDoubtful, e.writer.logSilent = store.slow.Load, store.doubtful, store.silent
 	e.orders = newOrders(e)
 	e.counts = newCounts()
 	return e
@@ -297,7 +297,7 @@
 		}
 		f, ok := ask(ctx, e, func(e *engine, reply chan<- found) {
 			j := e.state.Jobs[job]
-			if j == nil {
+			if j == nil || j.Phase.Final() { // of an ended job only the id may be known
 				reply <- found{}
 				return
 			}
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -19,10 +19,10 @@
 const (
 	directTimeout = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
 	slowTimeout   = 3 * time.Second         // of a call to a store that is known to be slow: a partition holds 2 s of appends
-	directAgain   = 1200 * time.Millisecond
-	relayAgain    = 900 * time.Millisecond // after no other daemon reached the store either
-	relayTries    = 4                      // as long as they fail at once: a daemon that is cut off reaches no other one, and its own path may work
-	relayFirst    = 3                      // daemons of which the first tries choose, or a part of a large cell:
+	directAgain   = 1200 * time.Millisecond // between probes of a path that has not worked for long
+	relayAgain    = 900 * time.Millisecond  // after no other daemon reached the store either
+	relayTries    = 4                       // as long as they fail at once: a daemon that is cut off reaches no other one, and its own path may work
+	relayFirst    = 3                       // daemons of which the first tries choose, or a part of a large cell:
 	relayPart     = 4
 	relayPatience = 900 * time.Millisecond // with one daemon: a slow answer of the store and a dead daemon
 )
@@ -43,6 +43,8 @@
 	position   atomic.Int64             // of the last read
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
 	answered   atomic.Int64             // boot clock: the last direct call that was carried out
+	contact    atomic.Int64             // boot clock: the last call that was carried out, directly or through another daemon
+	usual      atomic.Int64             // ns that an answer of the store takes at present
 	slow       atomic.Bool              // the store's answers take much longer than usual
 	through    atomic.Pointer[string]   // the daemon that reached the store last
 
@@ -53,6 +55,7 @@
 
 func newRelay(direct storeAccess, p *peers) *relay {
 	r := &relay{direct: direct, peers: p, open: map[int]func(){}}
+	r.reached()
 	r.members.Store(&[]string{})
 	return r
 }
@@ -74,7 +77,7 @@
 		forget()
 		cancel()
 		if !worthRelaying(err) {
-			r.answered.Store(int64(bootclock.Now()))
+			r.reached()
 			return err
 		}
 		if fault.Is(err, fault.Unknown) && r.answered.Load() > sent {
@@ -97,6 +100,7 @@
 		cancel()
 		if !worthRelaying(failed) {
 			r.through.Store(&address)
+			r.contact.Store(int64(bootclock.Now()))
 			return failed
 		}
 		err = keepUnsure(err, failed)
@@ -140,27 +144,23 @@
 	}
 }
 
-// lost notes that the store was not reached directly and tries from time to time in the
-// background, so that no call waits for a path that does not work.
+// lost notes that the store was not reached directly, and has the path tried in the background,
+// so that no call waits for one that does not work.
 func (r *relay) lost() {
 	if r.away.Swap(true) {
 		return
 	}
+	r.cancelOpen()
+	go r.seek()
+}
+
+// cancelOpen ends the direct calls that are under way.
+func (r *relay) cancelOpen() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, cancel := range r.open {
-		cancel() // calls that wait on the same path
+		cancel()
 	}
-	r.mu.Unlock()
-	go func() {
-		for r.away.Load() {
-			time.Sleep(directAgain)
-			ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
-			if _, err := r.direct.Read(ctx, partition, r.position.Load(), 0); err == nil {
-				r.away.Store(false)
-			}
-			cancel()
-		}
-	}()
 }
 
 // keepUnsure returns the error that says more of what may have happened: a call without
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,13 +31,14 @@
 	hedgeAfter     = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
 	hedgesOpen     = 3
 	peerMargin     = 100 * time.Millisecond // of a call's time limit, for the way back
+	doubtPoll      = 20 * time.Millisecond
 )
 
 // entry is a record to append and its outcome.
 type entry struct {
 	data  []byte
 	until time.Time
-	done  chan struct{} // closed when the record is stored
+	done  chan struct{} // closed when the outcome is certain
 
 	mu     sync.Mutex
 	stored bool
@@ -70,14 +72,32 @@
 	}
 }
 
-// giveUp returns what is certain at the record's deadline.
+// refuse gives a record up that was certainly not sent, so that its caller is told at once.
+func (e *entry) refuse() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead || e.stored || e.open > 0 || e.unsure {
+		return
+	}
+	e.dead = true
+	close(e.done)
+}
+
+// over reports whether nobody waits for the record any more.
+func (e *entry) over() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead || e.stored || time.Now().After(e.until)
+}
+
+// giveUp returns what is certain at the record's deadline, or when its outcome is.
 func (e *entry) giveUp() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case e.stored:
 		return nil
-	case e.open > 0 || e.unsure:
+	case !e.dead && (e.open > 0 || e.unsure):
 		return fault.New(fault.Unknown, "ask again with the same id", "the log did not answer in time")
 	}
 	e.dead = true
@@ -99,19 +119,24 @@
 	entries  chan *entry
 	direct   chan *entry
 	forwards chan struct{}
-	usual    atomic.Int64                        // time of the placer's answers, ns
-	slow     lately                              // to appends that were stored
-	logSlow  func() bool                         // the log's answers take much longer than usual
-	storedAt atomic.Int64                        // boot clock: a record of this daemon was stored
-	thin     atomic.Bool                         // the placer's machine has too little of what a placer needs: records should not pass its link twice
-	stored   func(first int64, records [][]byte) // told of every append made here
+	usual    atomic.Int64 // time of the placer's answers, ns
+	slow     lately       // to appends that were stored
+	logSlow  func() bool  // the log's answers take much longer than usual
+	// logDoubtful reports that an append made now may be left without an answer, logSilent that
+	// the log does not answer at all.
+	logDoubtful, logSilent func() bool
+	storedAt               atomic.Int64                        // boot clock: a record of this daemon was stored
+	thin                   atomic.Bool                         // the placer's machine has too little of what a placer needs: records should not pass its link twice
+	stored                 func(first int64, records [][]byte) // told of every append made here
 }
 
+func never() bool { return false }
+
 func newWriter(log Log, p *peers) *writer {
 	w := &writer{
 		log: log, peers: p, entries: make(chan *entry, appendQueue), direct: make(chan *entry, appendQueue),
 		forwards: make(chan struct{}, forwardsOpen), stored: func(int64, [][]byte) {},
-		logSlow: func() bool { return false },
+		logSlow: never, logDoubtful: never, logSilent: never,
 	}
 	none := ""
 	w.placer.Store(&none)
@@ -151,7 +176,6 @@
 	defer timer.Stop()
 	select {
 	case <-e.done:
-		return nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -326,6 +350,9 @@
 		if group == nil {
 			return
 		}
+		if w.logDoubtful() {
+			group = w.keepBack(ctx, group)
+		}
 		live, records := begun(group)
 		if len(live) == 0 {
 			continue
@@ -348,6 +375,39 @@
 	}
 }
 
+// keepBack holds records until the log answers again, and returns those that are still to be
+// appended. Those of which none was sent are refused as soon as the log is known to be silent:
+// their callers have time left to come again.
+func (w *writer) keepBack(ctx context.Context, group []*entry) []*entry {
+	for w.logDoubtful() && ctx.Err() == nil {
+		if w.logSilent() {
+			group = append(group, queued(w.direct)...)
+			for _, e := range group {
+				e.refuse()
+			}
+		}
+		group = slices.DeleteFunc(group, func(e *entry) bool { return e.over() })
+		if len(group) == 0 {
+			break
+		}
+		time.Sleep(doubtPoll)
+	}
+	return group
+}
+
+// queued takes what waits in a queue.
+func queued(queue <-chan *entry) []*entry {
+	var group []*entry
+	for {
+		select {
+		case e := <-queue:
+			group = append(group, e)
+		default:
+			return group
+		}
+	}
+}
+
 // fenced appends the placer's records in order, each under the next sequence number.
 type fenced struct {
 	log   Log
