Ask near daemons for quick advice, order steps by priority, let single tasks yield to urgent gangs

Quick calls for advice took 146 ms where the service needs 9: the daemons kept for them were the first by name, most often in another region, while slow calls went through those beside the placer. 2. The operator's Priority was used nowhere. 3. Renewals (gangs, priority 1) waited 10 to 30 s for room at four fifths of the load: tasks of priority 2 took each gap before the next one opened. 4. Ticks that come with each of a thousand events a second scanned all runs and workers: 15 of 100 of the placer's processor time in a profile at 550 starts a second. 5. While an append takes 0.4 s, 48 planned runs may wait for it, which is 120 starts a second; 240 came.

Change: advisers sorted by the delay that their answers showed (1); core/placer/order.go is the one place that orders waiting steps: chance to be on time, priority, then latest start, or least work for late ones (2); core/placer/yield.go keeps steps with more than half of their objective left off workers that an urgent gang waits for (3); scans every 10 ms, and a job that ends looks at its own runs only (4); planned runs by the time that an append takes (5). Ablation switches for tests.

--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -19,8 +19,9 @@
 	quickShare     = 0.34 // of the daemons are kept for quick calls
 	netDelay       = 70 * time.Millisecond
 	delayMost      = time.Second
-	delayWeight    = 8                // one answer moves a daemon's delay by this part of the difference
-	memberSilence  = 15 * time.Second // a daemon says hello every few seconds
+	delayStep      = 20 * time.Millisecond // smaller differences do not change the order of daemons
+	delayWeight    = 8                     // one answer moves a daemon's delay by this part of the difference
+	memberSilence  = 15 * time.Second      // a daemon says hello every few seconds
 )
 
 // adviser is a daemon through which advice is asked for.
@@ -43,10 +44,12 @@
 // daemon has nothing to do, so that a backlog does not make new requests late as well.
 type advisers struct {
 	byName   map[string]*adviser
-	list     []*adviser          // those that may be asked in this pass, sorted by name
+	list     []*adviser          // those that may be asked in this pass, the nearest first
 	refused  [2][2]time.Duration // by lateness and lane: the longest call for which none was found in this pass
 	sent     map[cluster.StepID]sentCall
 	quickest time.Duration // the shortest call of any queue
+
+	byNameOnly bool // see Ablation.NearAdvisers
 }
 
 // sentCall is a call under way.
@@ -84,7 +87,17 @@
 			a.list = append(a.list, d)
 		}
 	}
-	slices.SortFunc(a.list, func(x, y *adviser) int { return cmp.Compare(x.name, y.name) })
+	if a.byNameOnly {
+		slices.SortFunc(a.list, func(x, y *adviser) int { return cmp.Compare(x.name, y.name) })
+		return
+	}
+	slices.SortFunc(a.list, compareAdvisers)
+}
+
+// compareAdvisers puts the daemons through which answers come soonest first: the first ones are
+// kept for quick calls, which a way to another region would make many times as long.
+func compareAdvisers(x, y *adviser) int {
+	return cmp.Or(cmp.Compare(x.delay/delayStep, y.delay/delayStep), cmp.Compare(x.name, y.name))
 }
 
 // callTime is the time that the service takes for a call.
--- a/core/placer/advise_test.go
+++ b/core/placer/advise_test.go
@@ -45,3 +45,31 @@
 	require.Equal(t, 1, sent[true], "a late call waits until the daemon has nothing to do")
 	require.Equal(t, 1, sent[false])
 }
+
+// Guards against quick calls that go through another region: the daemons kept for them were
+// the first by name, so 38 checks a second waited 146 ms for advice that takes 14 ms through a
+// daemon beside the placer (kandy-strings).
+func TestNearDaemonsAreKeptForQuickCalls(t *testing.T) {
+	a := newAdvisers()
+	a.quickest = 10 * time.Millisecond
+	names := []string{"far-1", "far-2", "far-3", "near-1", "near-2", "near-3"}
+	now := time.Minute
+	a.members(names, now)
+	for _, name := range names {
+		took := 15 * time.Millisecond
+		if name < "g" {
+			took = 150 * time.Millisecond
+		}
+		for range 40 { // enough answers for the delay to be learned
+			step := cluster.StepID{Job: name}
+			a.asked(name, step, a.quickest, now)
+			a.finished(&AdviseCommand{Daemon: name, Step: step}, took, false, now)
+		}
+	}
+	a.members(names, now)
+	require.Contains(t, a.pick(a.quickest, false, now), "near")
+	require.Contains(t, a.pick(time.Second, false, now), "near-3", "slow calls leave two of six to quick ones")
+	for _, kept := range a.list[:2] {
+		require.Contains(t, kept.name, "near")
+	}
+}
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -15,7 +15,7 @@
 	}
 	workers := w.renew
 	w.renew = nil
-	late := w.late && len(workers) == 0 // room that is kept waits for no one
+	late := w.ranked.chance != onTime && len(workers) == 0 // room that is kept waits for no one
 	if len(workers) == 0 {
 		if placed || w.asking || now < w.askAfter || p.advise.pick(callTime(w.queue.Advice, usualAsk), late, now) == "" {
 			return commands // an answer to another call starts the next pass
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -54,6 +54,7 @@
 // Appended takes the acknowledgement of a batch: its runs may be started now.
 func (p *Placer) Appended(runs []*run, now time.Duration) []Command {
 	var commands []Command
+	p.appendTook = now - p.sentAt
 	expired := p.expiredGangs(runs, now)
 	for _, r := range runs {
 		if r.state != logging || p.runs[r.TaskID] != r {
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -77,8 +77,12 @@
 }
 
 func newPlay(t testing.TB, workers, daemons int, kinds []kind, seed uint64) *play {
+	return newPlayOn(t, workers, daemons, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}, kinds, seed)
+}
+
+func newPlayOn(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []kind, seed uint64) *play {
 	p := &play{
-		fakeCell: newFakeCell(t, workers, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}), kinds: kinds,
+		fakeCell: newFakeCell(t, workers, capacity), kinds: kinds,
 		rng: rand.New(rand.NewPCG(seed, 1)), takes: map[cluster.StepID]time.Duration{}, sent: map[string]time.Duration{}, aim: map[string]time.Duration{},
 		scored: map[string]bool{}, kindOf: map[string]*kind{}, onTime: map[string]int{}, late: map[string]int{}, owed: map[string]int{},
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -26,6 +26,7 @@
 	ticketMargin    = 150 * time.Millisecond // left of a ticket when the order is sent: one way to a far region and queueing
 	ticketPlan      = 350 * time.Millisecond // left of a ticket for a plan that is still to be recorded
 	batchGap        = 12 * time.Millisecond  // gathers plans and ends into one append
+	scanGap         = 10 * time.Millisecond  // between two scans of all workers and runs; each of a thousand events a second comes with a tick
 	startedGap      = 150 * time.Millisecond // that a job has begun may be told this much later
 	beatGap         = 250 * time.Millisecond // an idle placer shows that it is alive; several fit into a failover time
 	unlistedGrace   = 5 * time.Second        // a worker whose entry vanished is used on while it answers: entries may be dropped and written again
@@ -43,6 +44,7 @@
 	Early    time.Duration // a task with a due time may begin this much earlier
 	Stop     time.Duration // a worker may take this long to stop a run
 	LinkMbps float64       // of the placer's machine; 0 is not known
+	Without  Ablation
 }
 
 // Command is one thing to do. Exactly one field is set.
@@ -128,10 +130,13 @@
 	strays  []Command
 
 	unanswered []*run // ordered to start lately, the oldest order first
+	yields     yields
 	budget     *admission.RetryBudget
 	couriers   couriers
 	queues     map[string]*cluster.Queue // newest known; a queue that was removed still has jobs
 	planAt     time.Duration
+	scannedAt  time.Duration
+	appendTook time.Duration   // of the last batch, from its hand-over to its acknowledgement
 	tries      int             // of the last pass, to find room
 	largest    resource.Vector // largest free amounts of any worker, in this planning pass
 }
@@ -146,6 +151,7 @@
 		budget: admission.NewRetryBudget(), couriers: newCouriers(o.LinkMbps, now),
 		queues: map[string]*cluster.Queue{}, token: state.Token, epoch: state.Claim.Epoch, since: now, sentAt: now, dirty: true,
 	}
+	p.advise.byNameOnly = o.Without.NearAdvisers
 	p.SetConfig(config)
 	for _, j := range state.Jobs {
 		p.inherit(j, now)
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -17,10 +17,14 @@
 	// gap after it bounds its share of the processor.
 	planGapPerStep = 4 * time.Microsecond
 	planGapPerTry  = 150 * time.Microsecond
-	minUnsent      = 48  // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
-	holdShare      = 0.5 // of a pool that may be held for one gang
-	holdValidity   = time.Second
-	sameRackWait   = 2 * time.Second // a step waits this long for room in one rack
+	minUnsent      = 48 // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
+	// A worker starts at most this many tasks a second, for as long as an append may count: one
+	// that takes longer outlives most tickets.
+	startsPerVM   = 8.0
+	appendCounted = time.Second
+	holdShare     = 0.5 // of a pool that may be held for one gang
+	holdValidity  = time.Second
+	sameRackWait  = 2 * time.Second // a step waits this long for room in one rack
 )
 
 // plan places the waiting steps in the order of what their callers lose.
@@ -29,17 +33,17 @@
 		return commands
 	}
 	p.tries = 0
+	p.yields.clear()
 	p.Members(now)
 	p.measureRoom()
 	order := make([]*stepWork, 0, len(p.steps))
 	for _, w := range p.steps {
 		w.rank(p.queues[w.job.Queue])
-		w.late = w.latest < wallMS
 		if w.job.Config <= p.config.Version {
 			order = append(order, w)
 		}
 	}
-	sortSteps(order, wallMS)
+	p.sortSteps(order, wallMS)
 	holding := false
 	var waiting []int
 	for _, w := range order {
@@ -51,9 +55,12 @@
 		if len(waiting) == 0 || w.def.Gang && (w.active > 0 || len(waiting) < w.def.Count) {
 			continue
 		}
-		placed := p.placeStep(w, waiting, now)
+		placed := p.placeStep(w, waiting, now, wallMS)
+		if !placed && w.def.Gang && w.ranked.chance == onTime && !p.options.Without.Yields {
+			p.yields.to(w)
+		}
 		commands = p.askAdvice(commands, w, placed, now)
-		if !placed && w.def.Gang && !holding {
+		if !placed && w.def.Gang && !holding && !p.options.Without.Holds {
 			holding = p.holdFor(w, waiting, now)
 		}
 	}
@@ -61,28 +68,20 @@
 }
 
 // maxUnsent is the number of planned runs that may wait for the next append: a large cell
-// starts as many between two appends as it has workers.
-func (p *Placer) maxUnsent() int { return max(minUnsent, len(p.vms)) }
+// starts as many between two appends as it has workers, and more while each append takes long.
+func (p *Placer) maxUnsent() int {
+	if p.options.Without.LongAppends {
+		return max(minUnsent, len(p.vms))
+	}
+	duringAppend := startsPerVM * float64(len(p.vms)) * min(p.appendTook, appendCounted).Seconds()
+	return max(minUnsent, len(p.vms), int(duringAppend))
+}
 
 // passGap is the time from the last pass to the next one.
 func (p *Placer) passGap() time.Duration {
 	return planGap + planGapPerStep*time.Duration(len(p.steps)) + planGapPerTry*time.Duration(p.tries)
 }
 
-// sortSteps puts steps that can still be on time before late ones, and among each the
-// one that must begin first.
-func sortSteps(order []*stepWork, wallMS int64) {
-	slices.SortFunc(order, func(a, b *stepWork) int {
-		if x, y := a.latest < wallMS, b.latest < wallMS; x != y {
-			if x {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.Offset, b.job.Offset), cmp.Compare(a.id.Step, b.id.Step))
-	})
-}
-
 // roomFor reports whether the workers (nil: the pool's) may have room for at least one
 // task of the step, or for all of them. It is far cheaper than a plan, and in a full
 // cell it spares the plan.
@@ -135,7 +134,7 @@
 
 // placeStep places tasks of a step, on workers with a valid ticket first. It reports
 // whether all of them were placed.
-func (p *Placer) placeStep(w *stepWork, tasks []int, now time.Duration) bool {
+func (p *Placer) placeStep(w *stepWork, tasks []int, now time.Duration, wallMS int64) bool {
 	if w.queue == nil || w.queue.Advice == nil {
 		return len(p.placeAmong(w, tasks, nil, now)) == 0
 	}
@@ -143,6 +142,9 @@
 		return false
 	}
 	valid, all := w.granted(now)
+	if p.yields.mayWait(w, wallMS) {
+		valid, all = p.yields.others(w, valid), p.yields.others(w, all)
+	}
 	if len(valid) > 0 {
 		tasks = p.placeAmong(w, tasks, valid, now)
 	}
--- a/core/placer/repeat.go
+++ b/core/placer/repeat.go
@@ -22,7 +22,7 @@
 			break
 		}
 		n++
-		if r.state != starting || !r.wanted || r.copies > 1 || p.runs[r.TaskID] != r || !p.budget.Retry() {
+		if p.options.Without.Repeats || r.state != starting || !r.wanted || r.copies > 1 || p.runs[r.TaskID] != r || !p.budget.Retry() {
 			continue
 		}
 		p.note(Note{What: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -18,21 +18,22 @@
 
 // stepWork is a step whose turn has come and that has tasks to start.
 type stepWork struct {
-	id       cluster.StepID
-	job      *flow.Job
-	def      *flow.Step
-	queue    *cluster.Queue
-	since    time.Duration // its turn came
-	latest   int64         // see latestStart
-	late     bool          // in this planning pass
-	grants   map[string]ticket
-	denied   map[string]bool
-	asking   bool
-	askedAt  time.Duration
-	askAfter time.Duration
-	avoid    []string // workers on which a task of the step failed
-	renew    []string // workers on which room is kept until a new ticket comes
-	active   int      // runs of the step from plan to recorded end
+	id        cluster.StepID
+	job       *flow.Job
+	def       *flow.Step
+	queue     *cluster.Queue
+	since     time.Duration // its turn came
+	latest    int64         // see latestStart
+	objective time.Duration // of the job
+	ranked    stepRank      // in this planning pass
+	grants    map[string]ticket
+	denied    map[string]bool
+	asking    bool
+	askedAt   time.Duration
+	askAfter  time.Duration
+	avoid     []string // workers on which a task of the step failed
+	renew     []string // workers on which room is kept until a new ticket comes
+	active    int      // runs of the step from plan to recorded end
 }
 
 // dueStep is an occurrence that waits for its time.
@@ -115,10 +116,10 @@
 	delete(p.jobs, id)
 	for s := range w.activated {
 		delete(p.steps, s)
-	}
-	for _, r := range p.runs {
-		if r.Job == id {
-			r.wanted = false
+		for i := range w.job.Steps[s.Step].Count {
+			if r := p.runs[cluster.TaskID{Job: id, Occurrence: s.Occurrence, Step: s.Step, Index: i}]; r != nil {
+				r.wanted = false
+			}
 		}
 	}
 	p.dirty = true
@@ -159,13 +160,13 @@
 	if due := w.job.Due(w.id.Occurrence); due > 0 {
 		begin = due
 	}
-	objective := time.Duration(0)
+	w.objective = 0
 	if w.queue != nil {
-		objective = w.queue.Objective(w.job.Chain())
+		w.objective = w.queue.Objective(w.job.Chain())
 	}
 	remaining := w.job.ChainFrom(func(step int) bool {
 		s := w.job.Step(w.id.Occurrence, step)
 		return s != nil && s.Complete()
 	})
-	return begin + objective.Milliseconds() - remaining.Milliseconds()
+	return begin + w.objective.Milliseconds() - remaining.Milliseconds()
 }
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -12,15 +12,22 @@
 	commands := p.strays
 	p.strays = nil
 	p.wakeDue(now, wallMS+p.options.Early.Milliseconds()/2)
-	p.lapse(now)
-	p.evacuate(now)
-	commands = p.stops(commands, now)
+	scan := now-p.scannedAt >= scanGap
+	if scan {
+		p.scannedAt = now
+		p.lapse(now)
+		p.evacuate(now)
+		commands = p.stops(commands, now)
+	}
 	commands = p.repeats(commands, now)
 	if p.dirty && now-p.planAt >= p.passGap() {
 		p.dirty, p.planAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
-	return p.looks(commands, now)
+	if scan {
+		commands = p.looks(commands, now)
+	}
+	return commands
 }
 
 // lapse ends the runs of workers whose leases have surely ended.
