--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -12,7 +12,14 @@
 
 // wholeAfterEnd is how long a job that has ended is kept and saved whole: a run of it that was
 // planned before may still be recorded.
-const wholeAfterEnd = 20 * time.Second
+const wholeAfterEnd = 5 * time.Second
+
+// savedChunk is a part of a snapshot. The generation tells parts of two snapshots apart: a
+// reader may see some of the next one already.
+type savedChunk struct {
+	Generation int64             `json:"g"`
+	Jobs       []json.RawMessage `json:"j"`
+}
 
 // SnapshotHead names a complete snapshot. It is written after its chunks.
 type SnapshotHead struct {
@@ -49,22 +56,35 @@
 		head.Members = append(head.Members, m.Hello)
 	}
 	var chunks [][]byte
-	chunk := []byte{'['}
+	chunk, size := savedChunk{Generation: generation}, 0
+	flush := func() error {
+		data, err := json.Marshal(chunk)
+		if err == nil {
+			data, err = pack(data)
+		}
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "report this as a bug", "a part of the snapshot can't be encoded")
+		}
+		chunks = append(chunks, data)
+		chunk.Jobs, size = nil, 0
+		return nil
+	}
 	for _, j := range s.Jobs {
 		data, err := json.Marshal(saveJob(j, now))
 		if err != nil {
 			return SnapshotHead{}, nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s can't be saved", j.ID)
 		}
-		if len(chunk) > 1 && len(chunk)+len(data) > chunkBytes {
-			chunks = append(chunks, append(chunk, ']'))
-			chunk = []byte{'['}
-		}
-		if len(chunk) > 1 {
-			chunk = append(chunk, ',')
+		if size > 0 && size+len(data) > chunkBytes {
+			if err := flush(); err != nil {
+				return SnapshotHead{}, nil, err
+			}
 		}
-		chunk = append(chunk, data...)
+		chunk.Jobs = append(chunk.Jobs, data)
+		size += len(data)
+	}
+	if err := flush(); err != nil {
+		return SnapshotHead{}, nil, err
 	}
-	chunks = append(chunks, append(chunk, ']'))
 	head.Chunks = len(chunks)
 	return head, chunks, nil
 }
@@ -102,19 +122,37 @@
 		return nil, fault.New(fault.Invalid, "read the snapshot again", "the snapshot has %d of %d chunks", len(chunks), head.Chunks)
 	}
 	for _, chunk := range chunks {
-		var jobs []savedJob
-		if err := json.Unmarshal(chunk, &jobs); err != nil {
-			return nil, fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
-		}
-		for i := range jobs {
-			if err := s.restoreJob(&jobs[i], now); err != nil {
-				return nil, err
-			}
+		if err := s.restoreChunk(chunk, head.Generation, now); err != nil {
+			return nil, err
 		}
 	}
 	return s, nil
 }
 
+// restoreChunk takes the jobs of one part.
+func (s *State) restoreChunk(data []byte, generation int64, now time.Duration) error {
+	plain, err := unpack(data)
+	var chunk struct {
+		Generation int64      `json:"g"`
+		Jobs       []savedJob `json:"j"`
+	}
+	if err == nil {
+		err = json.Unmarshal(plain, &chunk)
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
+	}
+	if chunk.Generation != generation {
+		return fault.New(fault.Invalid, "read the snapshot again", "a chunk of generation %d among those of %d", chunk.Generation, generation)
+	}
+	for i := range chunk.Jobs {
+		if err := s.restoreJob(&chunk.Jobs[i], now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *State) restoreJob(saved *savedJob, now time.Duration) error {
 	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
 	if saved.Submit == nil {
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"briarproxy/core/cluster"
+	"briarproxy/core/fault"
 )
 
 // plain returns what two states must have in common.
@@ -108,4 +109,8 @@
 	require.Error(t, err)
 	_, err = Restore(head, [][]byte{[]byte("{")}, 0)
 	require.Error(t, err)
+	_, next, err := s.Snapshot(2, 0)
+	require.NoError(t, err)
+	_, err = Restore(head, next, 0)
+	require.True(t, fault.Is(err, fault.Invalid), "a part of the next snapshot was taken: %v", err)
 }
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -75,6 +75,7 @@
 		}
 	})
 	e.state.Next = position + 1
+	e.unsaved += entries(&d.record)
 	if d.record.Batch != nil && e.state.Heard > heard && heard > 0 {
 		e.gaps.note(e.state.Heard-heard, now)
 	}
@@ -90,6 +91,14 @@
 	}
 }
 
+// entries counts what a record tells, for the work of reading it.
+func entries(r *flow.Record) int {
+	if b := r.Batch; b != nil {
+		return 1 + len(b.Begins) + len(b.Ends) + len(b.Started)
+	}
+	return 1
+}
+
 // sharePlacer tells the writer where callers' records are gathered.
 func (e *engine) sharePlacer() {
 	if address := e.placerAddress(); address != *e.writer.placer.Load() {
@@ -116,7 +125,7 @@
 	}
 	e.endPlacer("its records expired unread")
 	e.state = p.restored
-	e.savedNext = p.restored.Next
+	e.savedNext, e.unsaved = p.restored.Next, 0
 	e.log.Emit(evRestored, "offset", e.state.Next, "jobs", len(e.state.Jobs), "generation", p.generation)
 	e.shareMembers()
 	e.sharePlacer()
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -95,6 +95,8 @@
 	savedAt         time.Duration
 	savedNext       int64
 	savedGeneration int64
+	savedBytes      int // of the last snapshot
+	unsaved         int // entries of records since the newest snapshot that this daemon knows
 
 	// What decides about claims and hand-overs. Times are of the boot clock.
 	probedAt     time.Duration // answer to the newest read out of turn
@@ -131,6 +133,7 @@
 		ahead: map[int64]decoded{}, state: flow.NewState(), jitter: placer.ClaimJitter(rng), writer: newWriter(store, links), stopPlacer: func() {},
 	}
 	e.writer.logSlow, e.writer.logDoubtful, e.writer.logSilent = store.slow.Load, store.doubtful, store.silent
+	e.writer.logQuick = store.quick
 	e.orders = newOrders(e)
 	e.counts = newCounts()
 	return e
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -21,7 +21,7 @@
 // than the log keeps its records. Errors are those of Log.
 type Snapshots interface {
 	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) error
-	Saved(ctx context.Context, partition int) (map[string][]byte, error)
+	Saved(ctx context.Context, partition int, after string) (map[string][]byte, error)
 }
 
 // Registry lists what the operator published and which workers there are.
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -17,6 +17,7 @@
 	followGap    = 180 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
 	placerGap    = 120 * time.Millisecond           // the placer knows its own appends; others append directly only when they do not reach it
 	recentReads  = 20 * time.Millisecond            // shorter answers than the wait show the round trip
+	damagedTries = 5                                // to read a snapshot; another one may have been written meanwhile
 	configWait   = 1000 * time.Millisecond
 	registryGap  = 800 * time.Millisecond  // a draining worker must be known well within the drain bound
 	slowRegistry = 2400 * time.Millisecond // the longest pause; still within the drain bound
@@ -58,16 +59,20 @@
 }
 
 func (t *tail) run(ctx context.Context) {
-	from, load := int64(0), true
+	from, load, damaged := int64(0), true, 0
 	for ctx.Err() == nil {
 		gap, wait := t.pace()
 		var p page
 		if load {
 			p = t.restore(ctx, from)
-			load = p.err != nil
+			if fault.Is(p.err, fault.Invalid) {
+				damaged++
+			}
+			// Without a snapshot that can be read, the log is read from its first record.
+			load = p.err != nil && damaged < damagedTries
 		} else {
 			p = t.read(ctx, max(from, t.known()), wait)
-			load = p.expired
+			load, damaged = p.expired, 0
 		}
 		from = p.next
 		select {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -217,13 +217,14 @@
 	_, _ = w.Write(out) // the reader may have left
 }
 
-func (s *Store) list(w http.ResponseWriter, _ *http.Request, name string) {
+func (s *Store) list(w http.ResponseWriter, r *http.Request, name string) {
+	after := r.URL.Query().Get("StartAfter")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part(name)
 	items := []map[string]any{}
 	for key, offset := range p.newest {
-		if value := p.records[offset][1+len(key):]; len(value) > 0 {
+		if value := p.records[offset][1+len(key):]; len(value) > 0 && key > after {
 			items = append(items, map[string]any{"Key": key, "Value": base64.StdEncoding.EncodeToString(value), "Offset": offset})
 		}
 	}
