Refuse records that wait behind an append to a silent log

Change: a second loop refuses what is queued as soon as the log is silent. The reason of the refusal says that the record was kept back.

Test: TestRecordsBehindASilentAppendAreRefused, which failed without the loop (1.9 s against 0.5 s).

--- a/daemon/cell/contact_test.go
+++ b/daemon/cell/contact_test.go
@@ -66,6 +66,25 @@
 	require.True(t, r.silent())
 }
 
+// Guards against callers that wait behind an append to a silent store until that is given up
+// (trouble-3 of kandy-strings: refused 2 s after the store fell silent).
+func TestRecordsBehindASilentAppendAreRefused(t *testing.T) {
+	store, silent := &mutedStore{}, &atomic.Bool{}
+	store.muted.Store(true)
+	w := newWriter(store, newPeers())
+	w.logDoubtful, w.logSilent = silent.Load, silent.Load
+	go w.run(t.Context())
+	first := make(chan error, 1)
+	go func() { first <- w.append(t.Context(), aJob, callerLimit) }()
+	require.Eventually(t, func() bool { return store.started.Load() > 0 }, time.Second, time.Millisecond)
+	began := time.Now()
+	time.AfterFunc(probeGap, func() { silent.Store(true) })
+	err := w.append(t.Context(), aJob, callerLimit)
+	require.True(t, fault.Is(err, fault.Refused), "%v", err)
+	require.Less(t, time.Since(began), 2*probeGap)
+	require.True(t, fault.Is(<-first, fault.Unknown), "a record that was sent is not called unsent")
+}
+
 // Guards against a store that is taken for silent seconds after it is back: callers with 3 s
 // were refused for 1.4 to 3 s more (trouble-3 of kandy-strings).
 func TestTheEndOfAnOutageIsSeenAtOnce(t *testing.T) {
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -97,7 +97,9 @@
 	switch {
 	case e.stored:
 		return nil
-	case !e.dead && (e.open > 0 || e.unsure):
+	case e.dead:
+		return fault.New(fault.Refused, "ask again later; nothing was done", "the log does not answer; the record was kept back")
+	case e.open > 0 || e.unsure:
 		return fault.New(fault.Unknown, "ask again with the same id", "the log did not answer in time")
 	}
 	e.dead = true
@@ -187,6 +189,7 @@
 
 func (w *writer) run(ctx context.Context) {
 	go w.runDirect(ctx)
+	go w.refuseQueued(ctx)
 	for {
 		group := next(ctx, w.entries)
 		if group == nil {
@@ -398,6 +401,24 @@
 	return group
 }
 
+// refuseQueued refuses the records that wait behind an append to a silent log. The append itself
+// may take seconds to be given up.
+func (w *writer) refuseQueued(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(doubtPoll)
+		if !w.logSilent() {
+			continue
+		}
+		var rest []*entry
+		for _, e := range queued(w.direct) {
+			if e.refuse(); !e.over() {
+				rest = append(rest, e) // an attempt of it is under way
+			}
+		}
+		w.hand(rest)
+	}
+}
+
 // queued takes what waits in a queue.
 func queued(queue <-chan *entry) []*entry {
 	var group []*entry
