--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -135,6 +135,7 @@
 	stored   func(first int64, records [][]byte) // told of every append made here
 }
 
+// never is the judgement of a log that always answers.
 func never() bool { return false }
 
 func newWriter(log Log, p *peers) *writer {
