Count the probes of a lost path in the test of an outage's end

Cause: with probes only every 1.2 s the test still passed when one happened to be due, so it could not fail for what it names. Change: the test also counts reads during the outage; its bound is half of the stated rate. No check or bound is loosened; no code is changed.

--- a/daemon/cell/contact_test.go
+++ b/daemon/cell/contact_test.go
@@ -17,6 +17,7 @@
 	fakeStore
 	muted   atomic.Bool
 	started atomic.Int64 // appends that were sent
+	reads   atomic.Int64
 }
 
 func (s *mutedStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
@@ -29,6 +30,7 @@
 }
 
 func (s *mutedStore) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	s.reads.Add(1)
 	if s.muted.Load() {
 		<-ctx.Done()
 		return cluster.LogPage{}, errSilent
@@ -95,7 +97,9 @@
 		_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
 		waiting <- err
 	}()
+	before := store.reads.Load()
 	time.Sleep(2 * time.Second)
+	require.Greater(t, store.reads.Load()-before, int64(2*time.Second/(2*probeGap)), "probes of a lost path")
 	store.muted.Store(false)
 	require.Eventually(t, func() bool { return !r.doubtful() }, 500*time.Millisecond, 5*time.Millisecond)
 	require.NoError(t, w.append(t.Context(), aJob, time.Second))
