--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -20,6 +20,7 @@
 		}
 		return
 	}
+	e.logEnd = p.end
 	if e.lost || e.readLast == 0 || now-e.readLast > readyWithin+readTimeout {
 		if e.lost {
 			e.log.Emit(evStoreBack, "position", p.next, "away_ms", (now - e.readLast).Milliseconds())
@@ -195,6 +196,7 @@
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		got, err := e.store.Read(bounded, partition, from, 0)
+		e.store.reads.notePage(readToRefresh, &got)
 		answered := bootclock.Now()
 		e.do(ctx, func(e *engine) {
 			e.probedAt = answered
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -41,8 +41,10 @@
 	known   bool
 	phase   flow.Phase
 	pending int
-	lost    bool // the log has not answered for a while
-	body    int  // most bytes of a body
+	offset  int64         // up to which the log is known
+	age     time.Duration // since the log was read to its end
+	lost    bool          // the log has not answered for a while
+	body    int           // most bytes of a body
 }
 
 // ask runs a query on the engine and waits for its result.
@@ -94,6 +96,7 @@
 	case r.Method == http.MethodGet && id == "" && got.lost:
 		return reject(w, http.StatusServiceUnavailable) // the count is older than callers may take it for
 	case r.Method == http.MethodGet && id == "":
+		c.engine.log.Emit(evCounted, "queue", got.queue.Name, "pending", got.pending, "offset", got.offset, "age_ms", got.age.Milliseconds())
 		return answer(w, http.StatusOK, c.engine.platform.EncodePending(got.pending))
 	case r.Method == http.MethodGet:
 		return c.state(ctx, w, id, got)
@@ -126,7 +129,7 @@
 	if e.config == nil {
 		return found{}
 	}
-	f := found{version: e.config.Version, queue: e.config.Match(host, path), lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter}
+	f := found{version: e.config.Version, offset: e.state.Next, age: bootclock.Now() - e.readLast, queue: e.config.Match(host, path), lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter}
 	if f.queue == nil {
 		return f
 	}
--- a/daemon/cell/contact.go
+++ b/daemon/cell/contact.go
@@ -43,7 +43,8 @@
 func (r *relay) quick(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(r.usual.Load())+slowLog)
 	defer cancel()
-	_, err := r.direct.Read(bounded, partition, r.position.Load(), 0)
+	page, err := r.direct.Read(bounded, partition, r.position.Load(), 0)
+	r.reads.notePage(readToProbe, &page)
 	return err == nil
 }
 
@@ -88,7 +89,9 @@
 func (r *relay) probe(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, r.patience())
 	defer cancel()
-	if _, err := r.direct.Read(bounded, partition, r.position.Load(), 0); err != nil {
+	page, err := r.direct.Read(bounded, partition, r.position.Load(), 0)
+	r.reads.notePage(readToProbe, &page)
+	if err != nil {
 		return
 	}
 	r.reached()
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -32,6 +32,8 @@
 	calls      *prometheus.CounterVec
 	callTime   *prometheus.HistogramVec
 	callBytes  *prometheus.CounterVec
+	readCalls  *prometheus.CounterVec
+	readBytes  *prometheus.CounterVec
 	config     prometheus.Gauge
 	logAge     prometheus.Gauge
 	placing    prometheus.Gauge
@@ -76,6 +78,8 @@
 		calls:      counter("platform_calls_total", "Calls to the platform and its workers, by dependency and outcome.", "dependency", "outcome"),
 		callTime:   histogram("platform_call_seconds", "Time of answered calls to the platform and its workers, with the wait that the call asks for.", answerBuckets, "dependency"),
 		callBytes:  counter("platform_call_bytes_total", "Bytes of bodies, by dependency and direction.", "dependency", "direction"),
+		readCalls:  counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
+		readBytes:  counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
 		config:     gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
 		logAge:     gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
 		placing:    gauge("placing", "1 on the daemon that places.").WithLabelValues(),
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -88,6 +88,8 @@
 	forgotAt   time.Duration
 	unusable   int
 	summaryAt  time.Duration
+	catchUpAt  time.Duration
+	logEnd     int64 // as of the last read
 	countedAt  time.Duration
 
 	saver           *saver
@@ -136,6 +138,7 @@
 	e.writer.logQuick = store.quick
 	e.orders = newOrders(e)
 	e.counts = newCounts()
+	store.reads = newReads(e.counts)
 	return e
 }
 
@@ -221,6 +224,7 @@
 		e.forgotAt = now
 		e.state.Forget(time.Duration(keepFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
 	}
+	e.reportCatchingUp(now)
 	if e.placer != nil {
 		e.place(ctx, now)
 		return
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -52,7 +52,7 @@
 	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put, succeed: succeed, starter: p, spec: e.specOf}); err != nil {
 		return err
 	}
-	t := &tail{log: e.store, saved: p, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
+	t := &tail{log: e.store, saved: p, reads: e.store.reads, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
 	go t.run(life)
 	go e.store.watch(life)
 	e.writer.stored = func(first int64, records [][]byte) {
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -44,9 +44,10 @@
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
 	answered   atomic.Int64             // boot clock: the last direct call that was carried out
 	contact    atomic.Int64             // boot clock: the last call that was carried out, directly or through another daemon
-	usual      atomic.Int64             // ns that an answer of the store takes at present
-	slow       atomic.Bool              // the store's answers take much longer than usual
-	through    atomic.Pointer[string]   // the daemon that reached the store last
+	reads      *reads
+	usual      atomic.Int64           // ns that an answer of the store takes at present
+	slow       atomic.Bool            // the store's answers take much longer than usual
+	through    atomic.Pointer[string] // the daemon that reached the store last
 
 	mu   sync.Mutex
 	last int
@@ -54,7 +55,7 @@
 }
 
 func newRelay(direct storeAccess, p *peers) *relay {
-	r := &relay{direct: direct, peers: p, open: map[int]func(){}}
+	r := &relay{direct: direct, peers: p, open: map[int]func(){}, reads: newReads(newCounts())}
 	r.reached()
 	r.members.Store(&[]string{})
 	return r
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -70,7 +70,7 @@
 			}
 			e.savedNext, e.savedGeneration = head.Next, generation
 			e.unsaved -= unsaved
-			e.log.Emit(evSnapshot, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "took_ms", (bootclock.Now() - now).Milliseconds())
+			e.log.Emit(evSnapshot, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.savedBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
 		})
 	}()
 }
@@ -179,21 +179,26 @@
 	}
 }
 
-// loadSnapshot returns the newest snapshot; nil if there is none.
-func loadSnapshot(ctx context.Context, store Snapshots) (*flow.State, int64, error) {
+// loadSnapshot returns the newest snapshot, nil if there is none, its generation and the bytes
+// that were read.
+func loadSnapshot(ctx context.Context, store Snapshots) (*flow.State, int64, int, error) {
 	saved, err := store.Saved(ctx, partition, "")
+	bytes := 0
+	for _, value := range saved {
+		bytes += len(value)
+	}
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, bytes, err
 	}
 	if saved[headKey] == nil {
-		return nil, 0, nil
+		return nil, 0, bytes, nil
 	}
 	head, err := decodeHead(saved[headKey])
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, bytes, err
 	}
 	if head.Chunks < 0 || head.Chunks >= len(saved) {
-		return nil, 0, fault.New(fault.Invalid, "read the snapshot again", "the snapshot should have %d chunks and has %d entries", head.Chunks, len(saved))
+		return nil, 0, bytes, fault.New(fault.Invalid, "read the snapshot again", "the snapshot should have %d chunks and has %d entries", head.Chunks, len(saved))
 	}
 	var chunks [][]byte
 	for i := range head.Chunks {
@@ -202,5 +207,5 @@
 		}
 	}
 	state, err := flow.Restore(head, chunks, bootclock.Now())
-	return state, head.Generation, err
+	return state, head.Generation, bytes, err
 }
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -87,13 +87,13 @@
 	require.NoError(t, second.put(t.Context(), entries)) // its head is not written yet
 	late, lateChunks := saved(t, 4, generation+1)
 	require.True(t, fault.Is(first.save(t.Context(), late, lateChunks), fault.Conflict))
-	state, loaded, err := loadSnapshot(t.Context(), store)
+	state, loaded, _, err := loadSnapshot(t.Context(), store)
 	require.NoError(t, err)
 	require.Equal(t, generation, loaded)
 	require.Len(t, state.Jobs, 4)
 
 	require.NoError(t, second.save(t.Context(), head, chunks))
-	state, _, err = loadSnapshot(t.Context(), store)
+	state, _, _, err = loadSnapshot(t.Context(), store)
 	require.NoError(t, err)
 	require.Len(t, state.Jobs, 9)
 }
@@ -105,7 +105,7 @@
 	require.NoError(t, store.Save(t.Context(), partition, []cluster.Entry{{Key: headKey, Value: []byte("{")}}, &cluster.Fence{Epoch: 1}))
 	pages := make(chan page)
 	follower := &tail{
-		log: &fakeStore{}, saved: store, pages: pages, nudge: make(chan struct{}),
+		log: &fakeStore{}, saved: store, reads: newRelay(&fakeStore{}, newPeers()).reads, pages: pages, nudge: make(chan struct{}),
 		pace: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, known: func() int64 { return 0 },
 	}
 	go follower.run(t.Context())
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -54,6 +54,7 @@
 	saved Snapshots
 	pages chan<- page
 	nudge chan struct{} // wakes it from its gap
+	reads *reads
 	pace  func() (gap, wait time.Duration)
 	known func() int64 // offset up to which the engine knows the log without reading it
 }
@@ -107,7 +108,9 @@
 	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	p := page{sentAt: bootclock.Now(), next: from, end: from + 1}
-	p.restored, p.generation, p.err = loadSnapshot(bounded, t.saved)
+	var bytes int
+	p.restored, p.generation, bytes, p.err = loadSnapshot(bounded, t.saved)
+	t.reads.note(readToRestore, bytes)
 	p.readAt = bootclock.Now()
 	if p.restored != nil {
 		p.next = max(from, p.restored.Next)
@@ -121,6 +124,7 @@
 	defer cancel()
 	p := page{sentAt: bootclock.Now(), next: from}
 	got, err := t.log.Read(bounded, partition, from, wait)
+	t.reads.notePage(readToFollow, &got)
 	p.readAt = bootclock.Now()
 	if err != nil {
 		p.err = err
