--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -195,16 +195,15 @@
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		got, err := e.store.Read(bounded, partition, from, 0)
-		e.store.reads.notePage(readToRefresh, &got)
+		end, err := e.store.End(bounded, partition, from)
 		answered := bootclock.Now()
 		e.do(ctx, func(e *engine) {
 			e.probedAt = answered
-			if err != nil || e.state.Next >= got.End {
+			if err != nil || e.state.Next >= end {
 				f(e, err == nil)
 				return
 			}
-			e.freshWaits = append(e.freshWaits, freshWait{got.End, f})
+			e.freshWaits = append(e.freshWaits, freshWait{end, f})
 			e.wakeTail()
 		})
 	}()
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -31,6 +31,10 @@
 	return f.store.Read(ctx, part, from, wait)
 }
 
+func (f fakePlatform) End(ctx context.Context, part int, from int64) (int64, error) {
+	return f.store.End(ctx, part, from)
+}
+
 const aBody = `{"Spec":"s","Steps":[{"Count":1,"Cpu":500}]}`
 
 // callersOf runs an engine that last read the log at the given age.
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -71,6 +71,15 @@
 	return p, s.carry(ctx, bytes)
 }
 
+func (s *thinStore) End(ctx context.Context, _ int, from int64) (int64, error) {
+	const leastBytes = 1 << 10 // one record is cut at this limit
+	bytes := 0
+	if from < int64(len(s.records)) {
+		bytes = leastBytes
+	}
+	return int64(len(s.records)), s.carry(ctx, bytes)
+}
+
 func (s *thinStore) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
 	const encoding = 4.0 / 3 // base64
 	values, err := s.keyedStore.Saved(ctx, part, after)
@@ -93,6 +102,10 @@
 	return p.thin.Read(ctx, part, from, wait)
 }
 
+func (p thinPlatform) End(ctx context.Context, part int, from int64) (int64, error) {
+	return p.thin.End(ctx, part, from)
+}
+
 func (p thinPlatform) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
 	return p.thin.Saved(ctx, part, after)
 }
--- a/daemon/cell/contact.go
+++ b/daemon/cell/contact.go
@@ -43,8 +43,8 @@
 func (r *relay) quick(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(r.usual.Load())+slowLog)
 	defer cancel()
-	page, err := r.direct.Read(bounded, partition, r.position.Load(), 0)
-	r.reads.notePage(readToProbe, &page)
+	r.reads.note(readToProbe, 0)
+	_, err := r.direct.End(bounded, partition, r.position.Load())
 	return err == nil
 }
 
@@ -89,9 +89,8 @@
 func (r *relay) probe(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, r.patience())
 	defer cancel()
-	page, err := r.direct.Read(bounded, partition, r.position.Load(), 0)
-	r.reads.notePage(readToProbe, &page)
-	if err != nil {
+	r.reads.note(readToProbe, 0)
+	if _, err := r.direct.End(bounded, partition, r.position.Load()); err != nil {
 		return
 	}
 	r.reached()
--- a/daemon/cell/contact_test.go
+++ b/daemon/cell/contact_test.go
@@ -38,6 +38,12 @@
 	return s.fakeStore.Read(ctx, part, from, wait)
 }
 
+// End counts as a read: it is one, of next to nothing.
+func (s *mutedStore) End(ctx context.Context, part int, from int64) (int64, error) {
+	page, err := s.Read(ctx, part, from, 0)
+	return page.End, err
+}
+
 // mutedCell is a writer on a store that has just fallen silent, with the judgement of it.
 func mutedCell(t *testing.T) (*mutedStore, *relay, *writer) {
 	store := &mutedStore{}
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -12,6 +12,7 @@
 const (
 	appendMethod        = "Cell.Append"
 	readMethod          = "Cell.Read"
+	endMethod           = "Cell.End"
 	configurationMethod = "Cell.Configuration"
 	workersMethod       = "Cell.Workers"
 	submitMethod        = "Cell.Submit"
@@ -74,6 +75,12 @@
 	Failure string
 }
 
+// EndReply answers Cell.End.
+type EndReply struct {
+	End     int64
+	Failure string
+}
+
 // ConfigurationReply answers Cell.Configuration.
 type ConfigurationReply struct {
 	Some    bool // there is a newer configuration
@@ -114,6 +121,16 @@
 	return nil
 }
 
+// End reads for another daemon where the log ends.
+func (s *peerService) End(args *ReadArgs, reply *EndReply) (err error) {
+	defer recoverAs(&err)
+	ctx, cancel := limited(args.Within)
+	defer cancel()
+	end, err := s.store.End(ctx, args.Partition, args.From)
+	reply.End, reply.Failure = end, failure(err)
+	return nil
+}
+
 // Configuration reads what the operator published for another daemon.
 func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) (err error) {
 	defer recoverAs(&err)
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -15,6 +15,7 @@
 type Log interface {
 	Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error)
 	Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error)
+	End(ctx context.Context, partition int, from int64) (int64, error) // offset of the next append, as cheap as a call can be; from should be near it
 }
 
 // Snapshots keeps the newest snapshot of what a partition of the log says, for longer
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -204,6 +204,22 @@
 	return page, err
 }
 
+// End implements Log.
+func (r *relay) End(ctx context.Context, part int, from int64) (int64, error) {
+	var end int64
+	err := r.reach(ctx, 0, func(ctx context.Context) (err error) {
+		end, err = r.direct.End(ctx, part, from)
+		return err
+	}, func(ctx context.Context, address string) error {
+		reply := &EndReply{}
+		err := r.peers.call(ctx, address, endMethod, &ReadArgs{Partition: part, From: from, Within: within(ctx, directTimeout)}, reply)
+		end = reply.End
+		return remote(err, reply.Failure, fault.Unavailable)
+	})
+	r.reads.note(readToRefresh, 0)
+	return end, err
+}
+
 // Configuration implements Registry.
 func (r *relay) Configuration(ctx context.Context, position int64, wait time.Duration) (*cluster.Configuration, int64, error) {
 	var config *cluster.Configuration
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -39,6 +39,10 @@
 	return cluster.LogPage{Next: from, End: min(from, 100)}, f.err()
 }
 
+func (f *fakeStore) End(_ context.Context, _ int, from int64) (int64, error) {
+	return min(from, 100), f.err()
+}
+
 func (f *fakeStore) Configuration(context.Context, int64, time.Duration) (*cluster.Configuration, int64, error) {
 	return &cluster.Configuration{Version: 3}, 4, f.err()
 }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -182,6 +182,10 @@
 func (s *Store) read(w http.ResponseWriter, r *http.Request, name string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("From"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	most, err := strconv.Atoi(r.URL.Query().Get("MaxKb"))
+	if err != nil {
+		most = defaultReadKB
+	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -193,13 +197,13 @@
 			return
 		}
 		if len(records) > from {
-			writePage(w, records, from, first)
+			writePage(w, records, from, first, most<<10)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writePage(w, records, from, first)
+			writePage(w, records, from, first, most<<10)
 			return
 		case <-r.Context().Done():
 			return
@@ -207,12 +211,19 @@
 	}
 }
 
-func writePage(w http.ResponseWriter, records [][]byte, from, first int) {
+// defaultReadKB is the limit of an answer to a read that names none.
+const defaultReadKB = 1024
+
+// writePage writes records up to a limit of bytes, but at least one if there is one.
+func writePage(w http.ResponseWriter, records [][]byte, from, first, limit int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	out = binary.BigEndian.AppendUint64(out, uint64(first))
 	for _, record := range records[min(from, len(records)):] {
 		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 		out = append(out, record...)
+		if len(out) >= limit {
+			break
+		}
 	}
 	_, _ = w.Write(out) // the reader may have left
 }
