Answer callers only from a log that was read to its end

Cause: the time at which the store took a record of this daemon (its greeting, every 5 s) counted as contact with the log, so a daemon that had read nothing, or nothing for seconds, answered counts from the state it had. A greeting proves a path, no knowledge. Change: knowledge (offset, as of when) is renewed by reading the log to its end and by nothing else, and decides from where a question is answered: here, from the log's end, or from a daemon that knows (Cell.Consult); none knows: 503 with Retry-After. The same for states of jobs, 410 and cancellations. A successor of a placer must have read the log. Jobs are accepted while the store answers anything, also before the log is read: storing one needs no knowledge of others.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -20,7 +20,7 @@
 	defaultAnswer  = 2500 * time.Millisecond
 	retryAfter     = time.Second             // without more knowledge
 	retryLost      = 2 * time.Second         // outages of the log last some seconds; callers have few retries
-	lostAfter      = 1500 * time.Millisecond // without an answer of the log: twice what a read takes in an idle cell
+	lostAfter      = 1500 * time.Millisecond // without an answer of the store: twice what a read takes in an idle cell
 	bodyLimit      = 256 << 10
 	headerLimit    = 16 << 10
 	requestHeaders = 3 * time.Second
@@ -38,13 +38,10 @@
 type found struct {
 	queue   *cluster.Queue
 	version int64
-	known   bool
-	phase   flow.Phase
-	pending int
-	offset  int64         // up to which the log is known
-	age     time.Duration // since the log was read to its end
-	lost    bool          // the log has not answered for a while
-	body    int           // most bytes of a body
+	facts
+	knowledge
+	lost bool // the log has not answered for a while
+	body int  // most bytes of a body
 }
 
 // ask runs a query on the engine and waits for its result.
@@ -93,11 +90,8 @@
 	}
 	id := path[len(got.queue.PathPrefix):]
 	switch {
-	case r.Method == http.MethodGet && id == "" && got.lost:
-		return reject(w, http.StatusServiceUnavailable) // the count is older than callers may take it for
 	case r.Method == http.MethodGet && id == "":
-		c.engine.log.Emit(evCounted, "queue", got.queue.Name, "pending", got.pending, "offset", got.offset, "age_ms", got.age.Milliseconds())
-		return answer(w, http.StatusOK, c.engine.platform.EncodePending(got.pending))
+		return c.count(ctx, w, got)
 	case r.Method == http.MethodGet:
 		return c.state(ctx, w, id, got)
 	case r.Method == http.MethodPost && id != "":
@@ -118,66 +112,102 @@
 	return time.Duration(answerShare * float64(limit))
 }
 
-// lastContact is when the log last was read to its end or took a record of this daemon. A
-// slow log takes records long before all daemons have read them.
+// lastContact is when the store last took a record of this daemon or answered it. It says that
+// jobs can be stored, and nothing of what the log holds.
 func (e *engine) lastContact() time.Duration {
-	return max(e.readLast, time.Duration(e.writer.storedAt.Load()))
+	return max(e.readLast, time.Duration(e.writer.storedAt.Load()), time.Duration(e.store.carried.Load()))
 }
 
+// knowledge is what the daemon knows of the log.
+func (e *engine) knowledge() knowledge { return knowledge{e.state.Next, e.readLast} }
+
 // look finds the queue of a path and what is known of the job it names.
 func (e *engine) look(host, path string) found {
 	if e.config == nil {
 		return found{}
 	}
-	f := found{version: e.config.Version, offset: e.state.Next, age: bootclock.Now() - e.readLast, queue: e.config.Match(host, path), lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter}
+	f := found{
+		version: e.config.Version, queue: e.config.Match(host, path), knowledge: e.knowledge(),
+		lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter, body: bodyLimit,
+	}
 	if f.queue == nil {
 		return f
 	}
-	f.pending, f.body = e.state.Pending[f.queue.Name], bodyLimit
 	if limit := e.config.Limits.Body; limit > 0 {
 		f.body = min(limit, bodyLimit)
 	}
-	if j := e.state.Jobs[path[len(f.queue.PathPrefix):]]; j != nil {
-		f.known, f.phase = true, j.Phase
-	}
+	f.facts = e.facts(f.queue.Name, path[len(f.queue.PathPrefix):])
 	return f
 }
 
-// refresh reads the log before it says that a job is not known.
-func (c *callers) refresh(ctx context.Context, id string, got found) (found, bool) {
-	if got.known {
-		return got, true
+// count tells how many jobs of a queue wait.
+func (c *callers) count(ctx context.Context, w http.ResponseWriter, got found) int {
+	from := sourceOfCount(got.knowledge, bootclock.Now())
+	f := got.facts
+	if from == fromOther {
+		var err error
+		if f, err = c.engine.consultant.ask(ctx, got.queue.Name, ""); err != nil {
+			return c.unknown(w, got, "", err)
+		}
 	}
+	age, _ := got.age(bootclock.Now())
+	c.engine.log.Emit(evCounted, "queue", got.queue.Name, "pending", f.Pending, "source", from.String(), "offset", got.offset, "age_ms", age.Milliseconds())
+	return answer(w, http.StatusOK, c.engine.platform.EncodePending(f.Pending))
+}
+
+// unknown rejects a question that this daemon can't answer truly.
+func (c *callers) unknown(w http.ResponseWriter, got found, id string, err error) int {
+	_, read := got.age(bootclock.Now())
+	c.engine.log.Emit(evUnknown, "queue", got.queue.Name, "job", id, "reason", err.Error(), "offset", got.offset, "ever_read", read)
+	c.engine.counts.rejections.WithLabelValues("log not read").Inc()
+	return reject(w, http.StatusServiceUnavailable)
+}
+
+// learn returns what is known of a job, from this daemon, from the log or from another daemon.
+func (c *callers) learn(ctx context.Context, id string, got found) (facts, error) {
+	switch sourceOfState(got.knowledge, got.facts, bootclock.Now()) {
+	case fromOther:
+		f, err := c.engine.consultant.ask(ctx, got.queue.Name, id)
+		if err != nil && got.Found {
+			return got.facts, nil // it was true when it was read
+		}
+		return f, err
+	case fromLog:
+		return c.refresh(ctx, id, got.queue.Name)
+	default:
+		return got.facts, nil
+	}
+}
+
+// refresh reads the log before it says that a job is not known.
+func (c *callers) refresh(ctx context.Context, id, queue string) (facts, error) {
 	type outcome struct {
-		found
+		facts
 		ok bool
 	}
-	fresh, ok := ask(ctx, c.engine, func(e *engine, reply chan<- outcome) {
-		e.fresh(c.ctx, func(e *engine, ok bool) {
-			f := got
-			if j := e.state.Jobs[id]; j != nil {
-				f.known, f.phase = true, j.Phase
-			}
-			reply <- outcome{f, ok}
-		})
+	got, ok := ask(ctx, c.engine, func(e *engine, reply chan<- outcome) {
+		e.fresh(c.ctx, func(e *engine, ok bool) { reply <- outcome{e.facts(queue, id), ok} })
 	})
-	return fresh.found, ok && fresh.ok
+	if !ok || !got.ok && !got.Found {
+		return facts{}, fault.New(fault.Unavailable, "ask again in a second", "the log was not read to its end in time")
+	}
+	return got.facts, nil
 }
 
 func (c *callers) state(ctx context.Context, w http.ResponseWriter, id string, got found) int {
-	got, ok := c.refresh(ctx, id, got)
+	f, err := c.learn(ctx, id, got)
 	switch {
-	case !ok && !got.known:
-		return reject(w, http.StatusServiceUnavailable)
-	case !got.known:
+	case err != nil:
+		return c.unknown(w, got, id, err)
+	case !f.Found:
 		return answer(w, http.StatusGone, nil)
 	}
-	return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.phase))
+	return answer(w, http.StatusOK, c.engine.platform.EncodeState(f.Phase))
 }
 
 func (c *callers) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, got found) int {
-	if got.known {
-		return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.phase))
+	if got.Found {
+		return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.Phase))
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(got.body)+1))
 	switch {
@@ -218,14 +248,18 @@
 }
 
 func (c *callers) cancel(ctx context.Context, w http.ResponseWriter, id string, got found) int {
-	got, ok := c.refresh(ctx, id, got)
+	f := got.facts
+	if !f.Found {
+		var err error
+		if f, err = c.learn(ctx, id, got); err != nil {
+			return c.unknown(w, got, id, err)
+		}
+	}
 	switch {
-	case !ok && !got.known:
-		return reject(w, http.StatusServiceUnavailable)
-	case !got.known:
+	case !f.Found:
 		return answer(w, http.StatusGone, nil)
-	case got.phase.Final():
-		return answer(w, http.StatusOK, c.engine.platform.EncodeState(got.phase))
+	case f.Phase.Final():
+		return answer(w, http.StatusOK, c.engine.platform.EncodeState(f.Phase))
 	}
 	if got.lost {
 		c.engine.log.Emit(evCancelRefused, "job", id, "queue", got.queue.Name, "reason", "the log does not answer", "version", got.version)
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -163,7 +163,7 @@
 // succeed claims on behalf of a placer that has stopped and chose this daemon. Nobody else
 // needs to notice that, and no silence has to pass.
 func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
-	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.lost || e.store.away.Load() || e.state.Claim.Epoch != epoch {
+	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.lost || !e.knowledge().within(readyWithin, bootclock.Now()) || e.store.away.Load() || e.state.Claim.Epoch != epoch {
 		reply <- false
 		return
 	}
--- /dev/null
+++ b/daemon/cell/consult.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"briarproxy/core/fault"
+	"briarproxy/core/flow"
+	"briarproxy/daemon/bootclock"
+)
+
+// Limits of asking another daemon what it knows of the log.
+const (
+	consultMethod   = "Cell.Consult"
+	consultTries    = 3
+	consultPatience = 500 * time.Millisecond // with one daemon: two ways between regions and a read of the log's end there
+)
+
+// ConsultArgs asks a daemon what it knows of a queue and a job. An empty job asks for the queue
+// alone.
+type ConsultArgs struct {
+	Queue  string
+	Job    string
+	Within time.Duration
+}
+
+// ConsultReply answers ConsultArgs. Known is false if that daemon does not know the log well
+// enough itself; it asks no third one.
+type ConsultReply struct {
+	Known   bool
+	Pending int
+	Found   bool
+	Phase   string
+}
+
+func (r *ConsultReply) facts() facts { return facts{r.Pending, r.Found, flow.Phase(r.Phase)} }
+
+// consultant asks daemons that know the log on behalf of one that does not.
+type consultant struct {
+	peers   *peers
+	members *atomic.Pointer[[]string]
+	placer  *atomic.Pointer[string]
+	last    atomic.Pointer[string] // the daemon that knew an answer last
+}
+
+// ask returns what another daemon knows. An error of kind fault.Unavailable means that none of
+// those asked knows the log to its end.
+func (c *consultant) ask(ctx context.Context, queue, job string) (facts, error) {
+	members := *c.members.Load()
+	var tried []string
+	for len(tried) < consultTries && ctx.Err() == nil {
+		address := c.candidate(members, tried)
+		if address == "" {
+			break
+		}
+		tried = append(tried, address)
+		reply := &ConsultReply{}
+		bounded, cancel := context.WithTimeout(ctx, consultPatience)
+		err := c.peers.call(bounded, address, consultMethod, &ConsultArgs{queue, job, within(bounded, consultPatience)}, reply)
+		cancel()
+		if err == nil && reply.Known {
+			c.last.Store(&address)
+			return reply.facts(), nil
+		}
+	}
+	return facts{}, fault.New(fault.Unavailable, "ask again in a second", "none of %d daemons asked knows the log to its end", len(tried))
+}
+
+// candidate chooses the daemon for a try: the last one that knew, the placer, then others that
+// were not tried, the strong and near ones first.
+func (c *consultant) candidate(members, tried []string) string {
+	wanted := []string{*c.placer.Load()}
+	if last := c.last.Load(); last != nil {
+		wanted = slices.Insert(wanted, 0, *last)
+	}
+	for _, address := range wanted {
+		if address != "" && !slices.Contains(tried, address) {
+			return address
+		}
+	}
+	rest := slices.DeleteFunc(slices.Clone(members), func(address string) bool { return slices.Contains(tried, address) })
+	if len(rest) == 0 {
+		return ""
+	}
+	return candidate(rest, 0)
+}
+
+// Consult tells another daemon what this one knows of the log.
+func (s *peerService) Consult(args *ConsultArgs, reply *ConsultReply) (err error) {
+	defer recoverAs(&err)
+	ctx, cancel := limited(args.Within)
+	defer cancel()
+	f, known := s.consult(ctx, args.Queue, args.Job)
+	*reply = ConsultReply{Known: known, Pending: f.Pending, Found: f.Found, Phase: string(f.Phase)}
+	return nil
+}
+
+// facts returns what a queue and a job are like to this daemon's knowledge.
+func (e *engine) facts(queue, job string) facts {
+	f := facts{Pending: e.state.Pending[queue]}
+	if j := e.state.Jobs[job]; j != nil {
+		f.Found, f.Phase = true, j.Phase
+	}
+	return f
+}
+
+// knownFacts answers another daemon from here, after reading the log to its end if need be.
+func (e *engine) knownFacts(ctx context.Context, queue, job string) (facts, bool) {
+	type outcome struct {
+		facts
+		known bool
+	}
+	got, ok := ask(ctx, e, func(e *engine, reply chan<- outcome) {
+		f, now := e.facts(queue, job), bootclock.Now()
+		from := sourceOfCount(e.knowledge(), now)
+		if job != "" {
+			from = sourceOfState(e.knowledge(), f, now)
+		}
+		if from != fromLog {
+			reply <- outcome{f, from == fromHere}
+			return
+		}
+		e.fresh(ctx, func(e *engine, ok bool) { reply <- outcome{e.facts(queue, job), ok} })
+	})
+	return got.facts, ok && got.known
+}
--- a/daemon/cell/contact.go
+++ b/daemon/cell/contact.go
@@ -24,6 +24,7 @@
 	now := int64(bootclock.Now())
 	r.answered.Store(now)
 	r.contact.Store(now)
+	r.carried.Store(now)
 }
 
 // silence is how long the store has not answered this daemon, directly or through another
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -62,6 +62,8 @@
 	writer *writer
 	orders *orders
 
+	consultant *consultant
+
 	state      *flow.State
 	config     *cluster.Configuration
 	configAt   time.Duration // first configuration
@@ -137,6 +139,7 @@
 	e.writer.logSlow, e.writer.logDoubtful, e.writer.logSilent = store.slow.Load, store.doubtful, store.silent
 	e.writer.logQuick = store.quick
 	e.orders = newOrders(e)
+	e.consultant = &consultant{peers: links, members: &store.members, placer: &e.writer.placer}
 	e.counts = newCounts()
 	store.reads = newReads(e.counts)
 	return e
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -34,6 +34,7 @@
 	evCancelled     = event.Define(943, "job-cancelled", log.InfoLevel, "The cancellation of a job is stored.")
 	evCancelRefused = event.Define(944, "cancel-rejected", log.InfoLevel, "A cancellation was not stored, for the reason given; the job goes on until the caller asks again.")
 	evCancelUnsure  = event.Define(945, "cancel-outcome-unknown", log.WarnLevel, "The caller was told that it is not known whether the cancellation was stored; it may ask again.")
+	evUnknown       = event.Define(947, "question-rejected", log.InfoLevel, "A caller's question was answered with 503: this daemon has not read the log to its end, and no other daemon that was asked has. It asks again.")
 	evCounted       = event.Define(946, "count-answered", log.InfoLevel, "A caller was told how many jobs of a queue wait. Fields: the offset up to which the log is known, and the time since it was read to its end.")
 	evDecision      = event.Define(950, "placer-decision", log.InfoLevel, "A decision or a change of belief of the placer about a task or worker.")
 	evSummary       = event.Define(951, "placer-summary", log.InfoLevel, "What the placer holds, once a second: steps by what they wait for, runs by state, workers, room, calls for advice.")
--- /dev/null
+++ b/daemon/cell/knowledge_test.go
@@ -0,0 +1,100 @@
+package cell
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/flow"
+	"briarproxy/daemon/bootclock"
+)
+
+// consultable serves what a daemon knows to others and returns its address.
+func consultable(t *testing.T, c *callers) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	require.NoError(t, servePeers(l, &peerService{consult: c.engine.knownFacts}))
+	return l.Addr().String()
+}
+
+// unreadBeside is a daemon that has read nothing, with others that it may ask.
+func unreadBeside(t *testing.T, others ...string) *callers {
+	c := newDaemon(t, &thinStore{})
+	c.engine.store.members.Store(&others)
+	c.run(func(e *engine) { e.writer.storedAt.Store(int64(bootclock.Now())) })
+	return c
+}
+
+// Guards against callers who get no answer, or one from an empty state, at a daemon that is still reading the log.
+func TestADaemonThatReadsTheLogAsksOneThatKnowsIt(t *testing.T) {
+	store := &fakeStore{}
+	knows := callersOf(t, store, 0)
+	knows.run(func(e *engine) {
+		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
+	})
+	c := unreadBeside(t, consultable(t, knows))
+	for _, test := range []struct {
+		method, path, body string
+		status             int
+		text               string
+	}{
+		{http.MethodGet, "/p/", "", http.StatusOK, `{"Pending":7}`},
+		{http.MethodGet, "/p/known", "", http.StatusOK, `{"State":"completed"}`},
+		{http.MethodGet, "/p/open", "", http.StatusOK, `{"State":"running"}`},
+		{http.MethodGet, "/p/unknown", "", http.StatusGone, ""},
+		{http.MethodDelete, "/p/unknown", "", http.StatusGone, ""},
+		{http.MethodDelete, "/p/known", "", http.StatusOK, "completed"},
+		{http.MethodDelete, "/p/open", "", http.StatusOK, "cancelled"},
+		{http.MethodPost, "/p/new", aBody, http.StatusOK, "queued"},
+	} {
+		got := c.try(test.method, test.path, test.body)
+		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
+		require.Contains(t, got.Body.String(), test.text)
+	}
+	require.EqualValues(t, 2, c.engine.platform.(thinPlatform).store.appends.Load(), "the cancellation and the new job")
+}
+
+// Guards against a chain of daemons that pass a question on, and against 410 or a count from one that knows no better.
+func TestAQuestionGoesNoFurtherThanOneDaemon(t *testing.T) {
+	stale := callersOf(t, &fakeStore{}, 10*time.Second)
+	c := unreadBeside(t, consultable(t, stale), consultable(t, unreadBeside(t)))
+	for _, path := range []string{"/p/", "/p/unknown"} {
+		got := c.try(http.MethodGet, path, "")
+		require.Equal(t, http.StatusServiceUnavailable, got.Code, path)
+		require.NotEmpty(t, got.Header().Get("Retry-After"))
+	}
+	require.Equal(t, http.StatusOK, c.try(http.MethodGet, "/p/known", "").Code, "a final state never changes")
+}
+
+// Guards against a placer's successor that has not read the log: nothing would be started until it has.
+func TestADaemonThatHasNotReadTheLogDoesNotSucceed(t *testing.T) {
+	c := newDaemon(t, &thinStore{})
+	c.run(func(e *engine) { e.claiming, e.state.Claim = false, flow.Claim{Daemon: "x", Epoch: 5} })
+	done, ok := ask(t.Context(), c.engine, func(e *engine, reply chan<- bool) { e.succeed(c.ctx, 5, reply) })
+	require.True(t, ok)
+	require.False(t, done)
+}
+
+// Guards against answers from a state that is older than callers may take it for.
+func TestSourcesOfAnswers(t *testing.T) {
+	const now = time.Minute
+	never, fresh, old := knowledge{}, knowledge{1, now - time.Second}, knowledge{1, now - 2*time.Second}
+	running, done := facts{Found: true, Phase: flow.Running}, facts{Found: true, Phase: flow.Failed}
+	for _, test := range []struct {
+		k            knowledge
+		f            facts
+		count, state source
+	}{
+		{never, facts{}, fromOther, fromOther}, {never, running, fromOther, fromOther}, {never, done, fromOther, fromHere},
+		{old, facts{}, fromOther, fromOther}, {old, running, fromOther, fromOther}, {old, done, fromOther, fromHere},
+		{fresh, facts{}, fromHere, fromLog}, {fresh, running, fromHere, fromHere}, {fresh, done, fromHere, fromHere},
+	} {
+		require.Equal(t, test.count, sourceOfCount(test.k, now), "%v %v", test.k, test.f)
+		require.Equal(t, test.state, sourceOfState(test.k, test.f, now), "%v %v", test.k, test.f)
+	}
+}
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -49,7 +49,7 @@
 		stored, ok := ask(bounded, e, func(e *engine, reply chan<- bool) { e.succeed(life, epoch, reply) })
 		return stored && ok
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put, succeed: succeed, starter: p, spec: e.specOf}); err != nil {
+	if err := servePeers(listeners.peers, &peerService{adviser: p, store: p, yield: yield, submit: e.writer.put, succeed: succeed, consult: e.knownFacts, starter: p, spec: e.specOf}); err != nil {
 		return err
 	}
 	t := &tail{log: e.store, saved: p, reads: e.store.reads, pages: e.pages, nudge: e.nudge, pace: e.readPace, known: e.known.Load}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -72,6 +72,7 @@
 	adviser Adviser
 	store   storeAccess
 	yield   func(epoch int64)
+	consult func(ctx context.Context, queue, job string) (facts, bool)
 	submit  func(records [][]byte, within time.Duration) []error // one outcome a record
 	succeed func(epoch int64) bool
 	starter Starter
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -44,6 +44,7 @@
 	relayAfter atomic.Int64             // boot clock: do not try peers until then
 	answered   atomic.Int64             // boot clock: the last direct call that was carried out
 	contact    atomic.Int64             // boot clock: the last call that was carried out, directly or through another daemon
+	carried    atomic.Int64             // boot clock: as contact, 0 before the first call
 	reads      *reads
 	usual      atomic.Int64           // ns that an answer of the store takes at present
 	slow       atomic.Bool            // the store's answers take much longer than usual
@@ -56,7 +57,8 @@
 
 func newRelay(direct storeAccess, p *peers) *relay {
 	r := &relay{direct: direct, peers: p, open: map[int]func(){}, reads: newReads(newCounts())}
-	r.reached()
+	r.contact.Store(int64(bootclock.Now()))
+	r.answered.Store(r.contact.Load())
 	r.members.Store(&[]string{})
 	return r
 }
@@ -102,6 +104,7 @@
 		if !worthRelaying(failed) {
 			r.through.Store(&address)
 			r.contact.Store(int64(bootclock.Now()))
+			r.carried.Store(r.contact.Load())
 			return failed
 		}
 		err = keepUnsure(err, failed)
