Leave the greeting out of the count of appends in the test of asking another daemon

The test counted the daemon's own greeting as a third append when the race detector made the engine's first tick come before the last request. The greeting is put off, the count stays exact.

--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -149,6 +149,7 @@
 		thinPlatform{fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), &store.fakeStore}, store}, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
 	e.claiming = true // this daemon does not place
+	e.helloAt = bootclock.Now()
 	go e.run(t.Context())
 	go e.writer.run(t.Context())
 	return &callers{engine: e, ctx: t.Context()}
