--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -42,8 +42,11 @@
 		e.restore(&p)
 	}
 	if p.expired {
-		e.log.Emit(evHistory, "position", e.state.Next, "first", p.first)
-		e.state.Next = max(e.state.Next, p.next)
+		return // a snapshot is read next
+	}
+	if from := p.next - int64(len(p.records)); from > e.state.Next { // no snapshot reaches up to the kept records
+		e.log.Emit(evHistory, "position", e.state.Next, "first", from)
+		e.state.Next = from
 	}
 	for i := range p.records {
 		if p.next-int64(len(p.records)-i) < e.state.Next {
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -98,3 +98,30 @@
 		require.Equal(t, test.state, sourceOfState(test.k, test.f, now), "%v %v", test.k, test.f)
 	}
 }
+
+// Guards against answers from a state with a hole: records that expired unread were taken for read.
+func TestExpiredRecordsAreNoKnowledgeOfTheLog(t *testing.T) {
+	c := newDaemon(t, &thinStore{})
+	now := bootclock.Now()
+	var k knowledge
+	c.run(func(e *engine) {
+		e.read(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
+		k = e.knowledge()
+	})
+	require.False(t, k.within(countAge, bootclock.Now()))
+}
+
+// Guards against a snapshot that is passed over because it ends just where the kept records begin.
+func TestASnapshotUpToTheKeptRecordsIsTaken(t *testing.T) {
+	c := newDaemon(t, &thinStore{})
+	state := flow.NewState()
+	state.Next, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed}
+	now := bootclock.Now()
+	c.run(func(e *engine) {
+		e.read(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
+		e.read(c.ctx, page{sentAt: now, readAt: now, next: 50, end: 51, restored: state, generation: 3})
+	})
+	c.run(func(e *engine) { state = e.state })
+	require.Contains(t, state.Jobs, "j")
+	require.EqualValues(t, 50, state.Next)
+}
