--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -114,9 +114,9 @@
 // Guards against a snapshot that is passed over because it ends just where the kept records begin.
 func TestASnapshotUpToTheKeptRecordsIsTaken(t *testing.T) {
 	c := newDaemon(t, &thinStore{})
-	state := flow.NewState()
-	state.Next, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed}
 	now := bootclock.Now()
+	state := flow.NewState()
+	state.Next, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed, EndedAt: now}
 	c.run(func(e *engine) {
 		e.read(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
 		e.read(c.ctx, page{sentAt: now, readAt: now, next: 50, end: 51, restored: state, generation: 3})
