Judge the path to the store only by calls that got their time

Cause: a placer's append is hedged, and the first answer ends the other attempts. An attempt that ended so was taken for a failure: of the direct path (all other direct calls were cancelled), or of the way through other daemons, which was then closed to all calls for 0.9 s, each of which waited 1.5 s on the silent path instead. Change: a call that its caller ends leaves the judgement of both paths as it is. Events 961 to 963 tell when the path is lost and back and when other daemons fail, too. Two tests failed before: 1.7 s instead of 0.2 s through another daemon, and a path lost after 50 ms.

--- a/daemon/cell/contact.go
+++ b/daemon/cell/contact.go
@@ -96,6 +96,7 @@
 	}
 	r.reached()
 	if r.away.Swap(false) {
+		r.log.Emit(evPathBack)
 		r.cancelOpen()
 	}
 }
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -141,6 +141,7 @@
 	e.orders = newOrders(e)
 	e.consultant = &consultant{peers: links, members: &store.members, placer: &e.writer.placer}
 	e.counts = newCounts()
+	store.log = log
 	store.reads = newReads(e.counts)
 	return e
 }
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -39,5 +39,8 @@
 	evDecision      = event.Define(950, "placer-decision", log.InfoLevel, "A decision or a change of belief of the placer about a task or worker.")
 	evSummary       = event.Define(951, "placer-summary", log.InfoLevel, "What the placer holds, once a second: steps by what they wait for, runs by state, workers, room, calls for advice.")
 	evPanic         = event.Define(970, "unexpected-error", log.ErrorLevel, "A piece of work was given up because of a bug; the daemon goes on, and another one places. Report it with the stack.")
+	evPathLost      = event.Define(961, "store-path-lost", log.WarnLevel, "The store does not answer this daemon directly; calls go through other daemons until it does.")
+	evPathBack      = event.Define(962, "store-path-back", log.InfoLevel, "The store answers this daemon directly again.")
+	evRelayFailed   = event.Define(963, "store-through-peers-failed", log.WarnLevel, "A call to the store through other daemons failed, too, at most one line a second. Fields: how many were asked, and for how long.")
 	evPeerLost      = event.Define(960, "peer-unreachable", log.WarnLevel, "A call to another daemon failed; it is left alone for a while.")
 )
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -13,6 +13,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/daemon/bootclock"
+	"briarproxy/daemon/event"
 )
 
 // Times of reaching the store through another daemon.
@@ -50,13 +51,16 @@
 	slow       atomic.Bool            // the store's answers take much longer than usual
 	through    atomic.Pointer[string] // the daemon that reached the store last
 
+	log      *event.Logger
+	failedAt atomic.Int64 // boot clock: last line about a failure through other daemons
+
 	mu   sync.Mutex
 	last int
 	open map[int]func() // direct calls under way
 }
 
 func newRelay(direct storeAccess, p *peers) *relay {
-	r := &relay{direct: direct, peers: p, open: map[int]func(){}, reads: newReads(newCounts())}
+	r := &relay{direct: direct, peers: p, open: map[int]func(){}, reads: newReads(newCounts()), log: event.Discard()}
 	r.contact.Store(int64(bootclock.Now()))
 	r.answered.Store(r.contact.Load())
 	r.members.Store(&[]string{})
@@ -86,6 +90,9 @@
 		if fault.Is(err, fault.Unknown) && r.answered.Load() > sent {
 			return err // the store is slow: through another daemon it would get the call once more
 		}
+		if ctx.Err() != nil {
+			return err // its caller ended it, which says nothing of the path
+		}
 		r.lost()
 		if int64(bootclock.Now()) < r.relayAfter.Load() {
 			return err
@@ -93,7 +100,9 @@
 	}
 	members := *r.members.Load()
 	began := bootclock.Now()
+	tries := 0
 	for try := 0; try < relayTries && len(members) > 0 && ctx.Err() == nil && bootclock.Now()-began < relayPatience; try++ {
+		tries++
 		address := candidate(members, try)
 		if last := r.through.Load(); try == 0 && last != nil && slices.Contains(members, *last) {
 			address = *last
@@ -109,13 +118,26 @@
 		}
 		err = keepUnsure(err, failed)
 	}
+	if ctx.Err() != nil {
+		return keepUnsure(err, fault.Wrap(ctx.Err(), fault.Unavailable, "retry", "the call was ended before another daemon reached the store"))
+	}
 	r.relayAfter.Store(int64(bootclock.Now() + relayAgain))
+	r.reportFailure(err, tries, bootclock.Now()-began)
 	if err == nil {
 		err = fault.New(fault.Unavailable, "retry", "the store was not reached and there is no other daemon")
 	}
 	return err
 }
 
+// reportFailure logs that neither this daemon nor those that it asked reached the store.
+func (r *relay) reportFailure(err error, tries int, took time.Duration) {
+	now := int64(bootclock.Now())
+	if last := r.failedAt.Load(); err == nil || now-last < int64(time.Second) || !r.failedAt.CompareAndSwap(last, now) {
+		return
+	}
+	r.log.Emit(evRelayFailed, "reason", err.Error(), "asked", tries, "took_ms", took.Milliseconds())
+}
+
 // patience is how long a direct call may take beyond the wait that it asks for.
 func (r *relay) patience() time.Duration {
 	if r.slow.Load() {
@@ -154,6 +176,7 @@
 	if r.away.Swap(true) {
 		return
 	}
+	r.log.Emit(evPathLost, "silent_ms", r.silence().Milliseconds())
 	r.cancelOpen()
 	go r.seek()
 }
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -242,3 +242,44 @@
 	require.False(t, r.away.Load())
 	require.Zero(t, other.appends.Load())
 }
+
+// slowStore takes some time for each append.
+type slowStore struct {
+	fakeStore
+	takes time.Duration
+}
+
+func (s *slowStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	time.Sleep(s.takes)
+	return s.fakeStore.Append(ctx, part, records, fence)
+}
+
+// Guards against a call that its own caller ends and that closes the way through other daemons to all calls (trouble-1 of dosui-sched-grown: a placer's appends took 1.5 s each).
+func TestACallThatItsCallerEndsSaysNothingOfThePath(t *testing.T) {
+	store, r, _ := mutedCell(t)
+	addresses := []string{peerOf(t, &slowStore{takes: 200 * time.Millisecond})}
+	r.members.Store(&addresses)
+	require.Eventually(t, r.away.Load, 3*silentAfter, 10*time.Millisecond)
+	sent := store.started.Load()
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := r.Append(short, partition, [][]byte{{1}}, nil)
+	require.Error(t, err)
+	began := time.Now()
+	_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), relayPatience)
+	require.Equal(t, sent, store.started.Load(), "a path that is known to be silent was tried")
+}
+
+// Guards against a call that its caller ends early and that has all calls take a path that works for lost.
+func TestACallThatItsCallerEndsLosesNoPath(t *testing.T) {
+	store := &mutedStore{}
+	store.muted.Store(true)
+	r := newRelay(store, newPeers())
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := r.Append(short, partition, [][]byte{{1}}, nil)
+	require.Error(t, err)
+	require.False(t, r.away.Load())
+}
