Bound what asking another daemon costs, and say whose knowledge a count has

Change: connections of their own, a margin for the way back, the dial ends with the question, members without a greeting for 15 s are left out, one try for a known job, offset and age of the answering daemon in the reply.

--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -171,7 +171,7 @@
 func (e *engine) shareMembers() {
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
-		if name != e.settings.Name {
+		if name != e.settings.Name && bootclock.Now()-m.Seen < memberSilence {
 			hellos = append(hellos, m.Hello)
 		}
 	}
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -39,7 +39,6 @@
 	queue   *cluster.Queue
 	version int64
 	facts
-	knowledge
 	lost bool // the log has not answered for a while
 	body int  // most bytes of a body
 }
@@ -127,7 +126,7 @@
 		return found{}
 	}
 	f := found{
-		version: e.config.Version, queue: e.config.Match(host, path), knowledge: e.knowledge(),
+		version: e.config.Version, queue: e.config.Match(host, path), facts: facts{as: e.knowledge()},
 		lost: e.store.silent() || bootclock.Now()-e.lastContact() > lostAfter, body: bodyLimit,
 	}
 	if f.queue == nil {
@@ -142,36 +141,38 @@
 
 // count tells how many jobs of a queue wait.
 func (c *callers) count(ctx context.Context, w http.ResponseWriter, got found) int {
-	from := sourceOfCount(got.knowledge, bootclock.Now())
+	from := sourceOfCount(got.as, bootclock.Now())
 	f := got.facts
 	if from == fromOther {
 		var err error
-		if f, err = c.engine.consultant.ask(ctx, got.queue.Name, ""); err != nil {
+		if f, err = c.engine.consultant.ask(ctx, got.queue.Name, "", consultTries); err != nil {
 			return c.unknown(w, got, "", err)
 		}
 	}
-	age, _ := got.age(bootclock.Now())
-	c.engine.log.Emit(evCounted, "queue", got.queue.Name, "pending", f.Pending, "source", from.String(), "offset", got.offset, "age_ms", age.Milliseconds())
+	age, _ := f.as.age(bootclock.Now())
+	c.engine.log.Emit(evCounted, "queue", got.queue.Name, "pending", f.Pending, "source", from.String(), "offset", f.as.offset, "age_ms", age.Milliseconds())
 	return answer(w, http.StatusOK, c.engine.platform.EncodePending(f.Pending))
 }
 
 // unknown rejects a question that this daemon can't answer truly.
 func (c *callers) unknown(w http.ResponseWriter, got found, id string, err error) int {
-	_, read := got.age(bootclock.Now())
-	c.engine.log.Emit(evUnknown, "queue", got.queue.Name, "job", id, "reason", err.Error(), "offset", got.offset, "ever_read", read)
+	_, read := got.as.age(bootclock.Now())
+	c.engine.log.Emit(evUnknown, "queue", got.queue.Name, "job", id, "reason", err.Error(), "offset", got.as.offset, "ever_read", read)
 	c.engine.counts.rejections.WithLabelValues("log not read").Inc()
 	return reject(w, http.StatusServiceUnavailable)
 }
 
 // learn returns what is known of a job, from this daemon, from the log or from another daemon.
 func (c *callers) learn(ctx context.Context, id string, got found) (facts, error) {
-	switch sourceOfState(got.knowledge, got.facts, bootclock.Now()) {
+	switch sourceOfState(got.as, got.facts, bootclock.Now()) {
 	case fromOther:
-		f, err := c.engine.consultant.ask(ctx, got.queue.Name, id)
-		if err != nil && got.Found {
-			return got.facts, nil // it was true when it was read
+		if !got.Found {
+			return c.engine.consultant.ask(ctx, got.queue.Name, id, consultTries)
 		}
-		return f, err
+		if f, err := c.engine.consultant.ask(ctx, got.queue.Name, id, 1); err == nil && f.Found {
+			return f, nil
+		}
+		return got.facts, nil // it was true when it was read
 	case fromLog:
 		return c.refresh(ctx, id, got.queue.Name)
 	default:
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	fakeStore
 	keyedStore
 	records [][]byte
+	ends    atomic.Int64 // reads of the log's end that were answered
 
 	link sync.Mutex
 	free time.Time // when the link has carried what it was given
@@ -77,7 +79,9 @@
 	if from < int64(len(s.records)) {
 		bytes = leastBytes
 	}
-	return int64(len(s.records)), s.carry(ctx, bytes)
+	err := s.carry(ctx, bytes)
+	s.ends.Add(1)
+	return int64(len(s.records)), err
 }
 
 func (s *thinStore) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
@@ -173,6 +177,19 @@
 	t.Log("ready after", time.Since(began), e.store.reads.fields())
 }
 
+// Guards against refreshes that bring records: each of a daemon that is behind took a thin link for 0.15 s (inc1).
+func TestARefreshBringsNoRecords(t *testing.T) {
+	c := newDaemon(t, aBusyLog(t))
+	c.run(func(e *engine) { e.state.Next, e.readLast = savedJobs, bootclock.Now() })
+	free := c.engine.platform.(thinPlatform).thin
+	began := time.Now()
+	for range 2 * callersPolls {
+		c.run(func(e *engine) { e.fresh(t.Context(), func(*engine, bool) {}) })
+	}
+	require.Eventually(t, func() bool { return free.ends.Load() == 2*callersPolls }, time.Second, time.Millisecond)
+	require.Less(t, time.Since(began), time.Second)
+}
+
 // Guards against a count from a state that was never read, or read long ago, at a daemon whose own record was just stored (MIXED, inc1).
 func TestAStoredRecordIsNoKnowledgeOfTheLog(t *testing.T) {
 	for _, age := range []time.Duration{0, 10 * time.Second} {
--- a/daemon/cell/consult.go
+++ b/daemon/cell/consult.go
@@ -16,6 +16,7 @@
 	consultMethod   = "Cell.Consult"
 	consultTries    = 3
 	consultPatience = 500 * time.Millisecond // with one daemon: two ways between regions and a read of the log's end there
+	consultMargin   = 150 * time.Millisecond // of it, for the ways there and back
 )
 
 // ConsultArgs asks a daemon what it knows of a queue and a job. An empty job asks for the queue
@@ -33,24 +34,28 @@
 	Pending int
 	Found   bool
 	Phase   string
+	Offset  int64         // up to which that daemon knows the log
+	Age     time.Duration // of that knowledge
 }
 
-func (r *ConsultReply) facts() facts { return facts{r.Pending, r.Found, flow.Phase(r.Phase)} }
+func (r *ConsultReply) facts() facts {
+	return facts{r.Pending, r.Found, flow.Phase(r.Phase), knowledge{r.Offset, max(bootclock.Now()-r.Age, 1)}}
+}
 
 // consultant asks daemons that know the log on behalf of one that does not.
 type consultant struct {
-	peers   *peers
+	peers   *peers // of its own: a late answer ends the connection, and appends must not wait on it
 	members *atomic.Pointer[[]string]
 	placer  *atomic.Pointer[string]
 	last    atomic.Pointer[string] // the daemon that knew an answer last
 }
 
-// ask returns what another daemon knows. An error of kind fault.Unavailable means that none of
-// those asked knows the log to its end.
-func (c *consultant) ask(ctx context.Context, queue, job string) (facts, error) {
+// ask returns what another daemon knows; it asks at most the given number. An error of kind
+// fault.Unavailable means that none of those asked knows the log to its end.
+func (c *consultant) ask(ctx context.Context, queue, job string, most int) (facts, error) {
 	members := *c.members.Load()
 	var tried []string
-	for len(tried) < consultTries && ctx.Err() == nil {
+	for len(tried) < most && ctx.Err() == nil {
 		address := c.candidate(members, tried)
 		if address == "" {
 			break
@@ -58,12 +63,15 @@
 		tried = append(tried, address)
 		reply := &ConsultReply{}
 		bounded, cancel := context.WithTimeout(ctx, consultPatience)
-		err := c.peers.call(bounded, address, consultMethod, &ConsultArgs{queue, job, within(bounded, consultPatience)}, reply)
+		err := c.peers.call(bounded, address, consultMethod, &ConsultArgs{queue, job, within(bounded, consultPatience) - consultMargin}, reply)
 		cancel()
 		if err == nil && reply.Known {
 			c.last.Store(&address)
 			return reply.facts(), nil
 		}
+		if last := c.last.Load(); last != nil && *last == address {
+			c.last.CompareAndSwap(last, nil)
+		}
 	}
 	return facts{}, fault.New(fault.Unavailable, "ask again in a second", "none of %d daemons asked knows the log to its end", len(tried))
 }
@@ -93,13 +101,14 @@
 	ctx, cancel := limited(args.Within)
 	defer cancel()
 	f, known := s.consult(ctx, args.Queue, args.Job)
-	*reply = ConsultReply{Known: known, Pending: f.Pending, Found: f.Found, Phase: string(f.Phase)}
+	age, _ := f.as.age(bootclock.Now())
+	*reply = ConsultReply{Known: known, Pending: f.Pending, Found: f.Found, Phase: string(f.Phase), Offset: f.as.offset, Age: age}
 	return nil
 }
 
 // facts returns what a queue and a job are like to this daemon's knowledge.
 func (e *engine) facts(queue, job string) facts {
-	f := facts{Pending: e.state.Pending[queue]}
+	f := facts{Pending: e.state.Pending[queue], as: e.knowledge()}
 	if j := e.state.Jobs[job]; j != nil {
 		f.Found, f.Phase = true, j.Phase
 	}
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -68,7 +68,7 @@
 		registry:   registry,
 		requests:   counter("caller_requests_total", "Requests of callers by method and status.", "method", "status"),
 		seconds:    histogram("caller_request_seconds", "Time to answer callers, by method.", answerBuckets, "method"),
-		rejections: counter("caller_rejections_total", "Submissions and cancellations that were not carried out, by reason.", "reason"),
+		rejections: counter("caller_rejections_total", "Submissions and cancellations that were not carried out, and questions that were not answered, by reason.", "reason"),
 		starts:     counter("starts_total", "Orders to start a run, by the worker's answer.", "result"),
 		ends:       counter("ends_total", "Ends of runs, by how they ended.", "how"),
 		decisions:  counter("placer_decisions_total", "Decisions and changes of belief of the placer.", "decision"),
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -25,6 +25,7 @@
 	placerTick      = 20 * time.Millisecond
 	followTick      = 250 * time.Millisecond
 	helloEvery      = 5 * time.Second
+	memberSilence   = 3 * helloEvery // a daemon without a greeting for this long is not asked for anything
 	summaryEvery    = time.Second
 	forgetEvery     = 10 * time.Second
 	keepFactor      = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
@@ -139,7 +140,7 @@
 	e.writer.logSlow, e.writer.logDoubtful, e.writer.logSilent = store.slow.Load, store.doubtful, store.silent
 	e.writer.logQuick = store.quick
 	e.orders = newOrders(e)
-	e.consultant = &consultant{peers: links, members: &store.members, placer: &e.writer.placer}
+	e.consultant = &consultant{peers: newPeers(), members: &store.members, placer: &e.writer.placer}
 	e.counts = newCounts()
 	store.log = log
 	store.reads = newReads(e.counts)
--- a/daemon/cell/knowledge.go
+++ b/daemon/cell/knowledge.go
@@ -35,6 +35,7 @@
 	Pending int        // jobs of the queue that wait
 	Found   bool       // the job is in the log
 	Phase   flow.Phase // of the job, if it was found
+	as      knowledge  // from which this is said
 }
 
 // source is from where a question of a caller is to be answered.
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -62,6 +62,8 @@
 // Guards against a chain of daemons that pass a question on, and against 410 or a count from one that knows no better.
 func TestAQuestionGoesNoFurtherThanOneDaemon(t *testing.T) {
 	stale := callersOf(t, &fakeStore{}, 10*time.Second)
+	knows := []string{consultable(t, callersOf(t, &fakeStore{}, 0))}
+	stale.engine.store.members.Store(&knows)
 	c := unreadBeside(t, consultable(t, stale), consultable(t, unreadBeside(t)))
 	for _, path := range []string{"/p/", "/p/unknown"} {
 		got := c.try(http.MethodGet, path, "")
@@ -125,3 +127,11 @@
 	require.Contains(t, state.Jobs, "j")
 	require.EqualValues(t, 50, state.Next)
 }
+
+// Guards against 410 for a job that the log holds beyond what the asked daemon has read.
+func TestAJobIsUnknownOnlyAtTheEndOfTheLog(t *testing.T) {
+	knows := newDaemon(t, aBusyLog(t))
+	knows.run(func(e *engine) { e.state.Next, e.readLast = savedJobs, bootclock.Now() }) // tailRecords behind
+	c := unreadBeside(t, consultable(t, knows))
+	require.Equal(t, http.StatusServiceUnavailable, c.try(http.MethodGet, "/p/unknown", "").Code)
+}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -198,7 +198,7 @@
 // call makes one RPC. A connection that breaks, or brings no answer at all while a call
 // waits in vain, is dropped; one slow answer does not end the other calls on it.
 func (p *peers) call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := p.client(address)
+	client, err := p.client(ctx, address)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "ask another daemon", "can't connect to the daemon at %s", address)
 	}
@@ -223,14 +223,14 @@
 	}
 }
 
-func (p *peers) client(address string) (*peerConn, error) {
+func (p *peers) client(ctx context.Context, address string) (*peerConn, error) {
 	p.mu.Lock()
 	c := p.conns[address]
 	p.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
-	conn, err := NewDialer(peerDial, peerSilence).Dial("tcp", address)
+	conn, err := NewDialer(peerDial, peerSilence).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/cell/reads.go
+++ b/daemon/cell/reads.go
@@ -75,5 +75,5 @@
 		return
 	}
 	e.catchUpAt = now
-	e.log.Emit(evCatchingUp, append([]any{"offset", e.state.Next, "end", e.logEnd, "ever_read", e.readLast > 0}, e.store.reads.fields()...)...)
+	e.log.Emit(evCatchingUp, append([]any{"offset", e.state.Next, "end_at_least", e.logEnd, "ever_read", e.readLast > 0}, e.store.reads.fields()...)...)
 }
