Gather records at a slow log also while the placer is gone

Cause: without a placer that answers, all 37 daemons appended by themselves. The hand-over and the claims waited behind them. Change: at a slow log the daemon that would succeed the placer gathers meanwhile; others append themselves only if it does not answer either. At a quick log nothing changes. The test (37 daemons, 0.28 s an append) had 174 of 222 records without an answer in 2.5 s and has none.

--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -86,7 +86,7 @@
 	if e.placer != nil {
 		e.placer.Read(&d.record, now)
 	}
-	if d.record.Hello != nil {
+	if d.record.Hello != nil || d.record.Claim != nil || d.record.Release != nil {
 		e.shareMembers()
 	}
 	e.sharePlacer()
@@ -121,6 +121,19 @@
 	return e.state.Claim.Address
 }
 
+// standInAddress is where callers' records are gathered at a slow log while the placer is not
+// reached: at the daemon that would succeed it; "" is here.
+func (e *engine) standInAddress() string {
+	if e.state.Claim.Daemon == e.settings.Name {
+		return ""
+	}
+	list := placer.Successors(e.state, e.state.Claim.Daemon, bootclock.Now(), time.Now().UnixMilli())
+	if len(list) == 0 || list[0].Daemon == e.settings.Name {
+		return ""
+	}
+	return list[0].Address
+}
+
 // restore begins with a snapshot if it is newer than what is known.
 func (e *engine) restore(p *page) {
 	e.savedGeneration = max(e.savedGeneration, p.generation)
@@ -167,7 +180,8 @@
 	}
 }
 
-// shareMembers tells the relay through which daemons the store may be reached.
+// shareMembers tells the relay through which daemons the store may be reached, and the writer
+// which one stands in for the placer.
 func (e *engine) shareMembers() {
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
@@ -181,6 +195,8 @@
 		addresses[i] = hellos[i].Address
 	}
 	e.store.members.Store(&addresses)
+	standIn := e.standInAddress()
+	e.writer.standIn.Store(&standIn)
 }
 
 // wakeTail has the log read at once.
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -170,3 +170,29 @@
 		require.Equal(t, c.claims, claimed, c.name)
 	}
 }
+
+// Guards against a placer that has its own records gathered elsewhere, and against a stand-in that is the placer, has left, or has just started.
+func TestTheStandInIsTheBestSuccessor(t *testing.T) {
+	c := callersOf(t, &fakeStore{}, 0)
+	standIn := func(claim string) (address string) {
+		c.run(func(e *engine) {
+			now := bootclock.Now()
+			for name, h := range map[string]flow.Hello{
+				"p": {Strength: 9, Started: 1}, "young": {Strength: 9, Started: time.Now().UnixMilli()},
+				"b": {Strength: 4, Started: 1}, "c": {Strength: 1, Started: 1}, "a": {Strength: 2, Started: 1},
+			} {
+				h.Daemon, h.Address = name, "at "+name
+				e.state.Members[name] = flow.Member{Hello: h, Seen: now}
+			}
+			e.state.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", Strength: 9, Started: 1, Address: "at gone"}, Seen: now - time.Hour}
+			e.state.Claim.Daemon = claim
+			e.shareMembers()
+			address = *e.writer.standIn.Load()
+		})
+		return address
+	}
+	require.Equal(t, "at b", standIn("p"))
+	require.Equal(t, "at p", standIn(""))
+	require.Empty(t, standIn("a"), "this daemon places")
+	require.Equal(t, "at p", standIn("b"))
+}
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -118,6 +118,7 @@
 	log      Log
 	peers    *peers
 	placer   atomic.Pointer[string] // address of the placer; "" is here
+	standIn  atomic.Pointer[string] // where records are gathered at a slow log while the placer is not reached; "" is here
 	entries  chan *entry
 	direct   chan *entry
 	forwards chan struct{}
@@ -146,6 +147,7 @@
 	}
 	none := ""
 	w.placer.Store(&none)
+	w.standIn.Store(&none)
 	return w
 }
 
@@ -196,8 +198,8 @@
 		if group == nil {
 			return
 		}
-		address := *w.placer.Load()
-		if address == "" || w.thin.Load() && !w.logSlow() {
+		address := w.gatherer()
+		if address == "" {
 			w.hand(group)
 			continue
 		}
@@ -210,10 +212,36 @@
 		go func() {
 			defer func() { <-w.forwards }()
 			w.forward(ctx, address, group)
+			w.gatherElsewhere(ctx, address, group)
 		}()
 	}
 }
 
+// gatherer is the daemon that appends the records of this one; "" is this one.
+func (w *writer) gatherer() string {
+	placer := *w.placer.Load()
+	switch {
+	case w.logSlow() && placer == "":
+		return *w.standIn.Load()
+	case w.thin.Load() && !w.logSlow():
+		return ""
+	default:
+		return placer
+	}
+}
+
+// gatherElsewhere has records appended that the gatherer did not get stored: here, or at a slow
+// log by the daemon that stands in, as appends of all daemons would wait for each other there.
+func (w *writer) gatherElsewhere(ctx context.Context, tried string, group []*entry) {
+	if slices.IndexFunc(group, func(e *entry) bool { return !e.over() }) < 0 {
+		return
+	}
+	if standIn := *w.standIn.Load(); w.logSlow() && standIn != "" && standIn != tried {
+		w.forward(ctx, standIn, group)
+	}
+	w.hand(group)
+}
+
 // next gathers the records that arrive within a short time of the first.
 func next(ctx context.Context, queue <-chan *entry) []*entry {
 	var group []*entry
@@ -276,8 +304,8 @@
 	return failed
 }
 
-// forward has the placer append records with those of other daemons. Records that it
-// does not answer for a while are appended here as well.
+// forward has another daemon append records with those of other daemons, until it answers or
+// can't be waited for any longer.
 func (w *writer) forward(ctx context.Context, address string, group []*entry) {
 	live, records := begun(group)
 	if len(live) == 0 {
@@ -314,9 +342,8 @@
 				continue // it waits for a slow log, which appends from all daemons would only slow down
 			}
 		}
-		break
+		return
 	}
-	w.hand(live)
 }
 
 // alive reports whether the placer's daemon answers. A call to yield an epoch before the
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"briarproxy/core/cluster"
@@ -224,3 +226,47 @@
 	require.NoError(t, w.append(t.Context(), aJob, 3*time.Second))
 	require.Zero(t, store.appends.Load())
 }
+
+// serialStore takes one append at a time, each for a while, as a partition of a slow log does.
+type serialStore struct {
+	fakeStore
+	takes time.Duration
+	mu    sync.Mutex
+}
+
+func (s *serialStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0, errSilent
+	}
+	time.Sleep(s.takes)
+	return s.fakeStore.Append(ctx, part, records, fence)
+}
+
+// Guards against appends of all daemons at a slow log while the placer is gone: they wait there for each other for seconds (trouble-2 of dosui-sched-grown, a placer stopped in a slow phase).
+func TestRecordsAreGatheredAtASlowLogWithoutThePlacer(t *testing.T) {
+	const daemons, each = 37, 3
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	for _, placer := range []string{gone, ""} {
+		store := &serialStore{takes: 280 * time.Millisecond}
+		gatherer := newWriter(store, newPeers())
+		go gatherer.run(t.Context())
+		standIn := placerOf(t, gatherer.put)
+		var waiting sync.WaitGroup
+		for range daemons {
+			w := newWriter(store, newPeers())
+			w.placer.Store(&placer)
+			w.standIn.Store(&standIn)
+			w.logSlow = func() bool { return true }
+			go w.run(t.Context())
+			for range each {
+				waiting.Go(func() { assert.NoError(t, w.append(t.Context(), aJob, 2500*time.Millisecond)) })
+			}
+		}
+		waiting.Wait()
+	}
+}
