--- a/core/flow/fuzz_test.go
+++ b/core/flow/fuzz_test.go
@@ -74,8 +74,10 @@
 func FuzzRestore(f *testing.F) {
 	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":2}]},"p":"running","k":{"0":[{"t":[{},{}]}]}}]`))
 	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":-2}]},"p":"running","k":{"0":[]}}]`))
+	f.Add(append([]byte{overVersion, 0, 1}, "8bytes--\x05\x80\x03abc\x00"...))
+	f.Add([]byte{overVersion, 0, overTextID, 0xff, 0xff, 0x03})
 	f.Fuzz(func(_ *testing.T, chunk []byte) {
-		s, err := Restore(SnapshotHead{Chunks: 1}, [][]byte{chunk}, time.Second)
+		s, err := Restore(SnapshotHead{Chunks: 1, Parts: []SnapshotPart{PartOf(chunk)}}, [][]byte{chunk}, time.Second)
 		if err != nil {
 			return
 		}
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -1,7 +1,10 @@
 package flow
 
 import (
+	"cmp"
 	"encoding/json"
+	"hash/crc32"
+	"slices"
 	"time"
 
 	"briarproxy/core/fault"
@@ -23,19 +26,18 @@
 
 // SnapshotHead names a complete snapshot. It is written after its chunks.
 type SnapshotHead struct {
-	Generation int64   `json:"g"`
-	Chunks     int     `json:"n"`
-	Next       int64   `json:"x"` // offset of the first record that the snapshot does not know
-	Claim      Claim   `json:"c"`
-	Token      int64   `json:"k"`
-	Members    []Hello `json:"m,omitempty"`
+	Generation int64          `json:"g"`
+	Chunks     int            `json:"n"`
+	Parts      []SnapshotPart `json:"p"` // one for each chunk
+	Next       int64          `json:"x"` // offset of the first record that the snapshot does not know
+	Claim      Claim          `json:"c"`
+	Token      int64          `json:"k"`
+	Members    []Hello        `json:"m,omitempty"`
 }
 
-// savedJob is a job in a snapshot. Jobs that ended a while ago and have no run left keep
-// only their id and phase.
+// savedJob is a job that is saved whole.
 type savedJob struct {
 	Submit   *Submit             `json:"s,omitempty"`
-	ID       string              `json:"id,omitempty"`
 	Offset   int64               `json:"o,omitempty"`
 	Phase    Phase               `json:"p"`
 	EndedMS  int64               `json:"e,omitempty"` // how long ago it ended
@@ -49,12 +51,94 @@
 	Tasks    []TaskState `json:"t"`
 }
 
-// Snapshot returns the state as a head and chunks.
+// SnapshotPart describes a chunk, so that a reader knows what it lacks and rejects a chunk that
+// is damaged or of another snapshot.
+type SnapshotPart struct {
+	Bytes  int    `json:"b"`
+	Sum    uint32 `json:"s"` // CRC-32
+	Offset int64  `json:"o"` // where the writer stored it
+}
+
+// PartOf describes a chunk that is not stored yet.
+func PartOf(chunk []byte) SnapshotPart {
+	return SnapshotPart{Bytes: len(chunk), Sum: crc32.ChecksumIEEE(chunk)}
+}
+
+func (p SnapshotPart) describes(chunk []byte) bool {
+	return len(chunk) == p.Bytes && crc32.ChecksumIEEE(chunk) == p.Sum
+}
+
+// Encode returns the head as it is stored.
+func (h *SnapshotHead) Encode() ([]byte, error) {
+	data, err := json.Marshal(h)
+	if err == nil {
+		data, err = pack(data)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "the head of a snapshot can't be encoded")
+	}
+	return data, nil
+}
+
+// DecodeHead reads a stored head.
+func DecodeHead(data []byte) (SnapshotHead, error) {
+	var head SnapshotHead
+	plain, err := unpack(data)
+	if err == nil {
+		err = json.Unmarshal(plain, &head)
+	}
+	if err != nil {
+		return SnapshotHead{}, fault.Wrap(err, fault.Invalid, "remove the foreign head of the snapshot", "the head of the snapshot can't be read")
+	}
+	foreign := slices.ContainsFunc(head.Parts, func(p SnapshotPart) bool { return p.Offset < 0 })
+	if foreign || head.Generation < 0 || head.Chunks < 1 || head.Chunks != len(head.Parts) {
+		return SnapshotHead{}, fault.New(fault.Invalid, "remove the head of a foreign or former version", "the head of snapshot %d describes %d of %d chunks", head.Generation, len(head.Parts), head.Chunks)
+	}
+	return head, nil
+}
+
+// Snapshot returns the state as a head and chunks. What is needed to place comes first, the
+// jobs of which only the phase is of use come last.
 func (s *State) Snapshot(generation int64, now time.Duration) (SnapshotHead, [][]byte, error) {
 	head := SnapshotHead{Generation: generation, Next: s.Next, Claim: s.Claim, Token: s.Token}
 	for _, m := range s.Members {
 		head.Members = append(head.Members, m.Hello)
 	}
+	whole, over := s.byUse(now)
+	chunks, err := saveWhole(whole, generation, now)
+	if err != nil {
+		return SnapshotHead{}, nil, err
+	}
+	chunks = append(chunks, saveOver(over, generation, now)...)
+	head.Chunks = len(chunks)
+	for _, chunk := range chunks {
+		head.Parts = append(head.Parts, PartOf(chunk))
+	}
+	return head, chunks, nil
+}
+
+// byUse returns the jobs that are saved whole, those that have not ended first, and the
+// others, those that ended last first.
+func (s *State) byUse(now time.Duration) (whole, over []*Job) {
+	for _, j := range s.Jobs {
+		if j.over(now) {
+			over = append(over, j)
+		} else {
+			whole = append(whole, j)
+		}
+	}
+	slices.SortFunc(whole, func(a, b *Job) int {
+		if a.Phase.Final() != b.Phase.Final() {
+			return map[bool]int{false: -1, true: 1}[a.Phase.Final()]
+		}
+		return cmp.Compare(a.Offset, b.Offset)
+	})
+	slices.SortFunc(over, func(a, b *Job) int { return cmp.Compare(b.EndedAt, a.EndedAt) })
+	return whole, over
+}
+
+// saveWhole returns the chunks of jobs with all that is known of them, one chunk at least.
+func saveWhole(jobs []*Job, generation int64, now time.Duration) ([][]byte, error) {
 	var chunks [][]byte
 	chunk, size := savedChunk{Generation: generation}, 0
 	flush := func() error {
@@ -69,34 +153,26 @@
 		chunk.Jobs, size = nil, 0
 		return nil
 	}
-	for _, j := range s.Jobs {
+	for _, j := range jobs {
 		data, err := json.Marshal(saveJob(j, now))
 		if err != nil {
-			return SnapshotHead{}, nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s can't be saved", j.ID)
+			return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s can't be saved", j.ID)
 		}
 		if size > 0 && size+len(data) > chunkBytes {
 			if err := flush(); err != nil {
-				return SnapshotHead{}, nil, err
+				return nil, err
 			}
 		}
 		chunk.Jobs = append(chunk.Jobs, data)
 		size += len(data)
 	}
-	if err := flush(); err != nil {
-		return SnapshotHead{}, nil, err
-	}
-	head.Chunks = len(chunks)
-	return head, chunks, nil
+	return chunks, flush()
 }
 
 func saveJob(j *Job, now time.Duration) savedJob {
 	saved := savedJob{Phase: j.Phase, Offset: j.Offset}
 	if j.Phase.Final() {
 		saved.EndedMS = (now - j.EndedAt).Milliseconds()
-		if j.over(now) {
-			saved.ID = j.ID
-			return saved
-		}
 	}
 	saved.Submit = &j.Submit
 	saved.Occurred = map[int][]savedStep{}
@@ -111,26 +187,72 @@
 	return saved
 }
 
-// Restore returns the state that a snapshot holds.
-func Restore(head SnapshotHead, chunks [][]byte, now time.Duration) (*State, error) {
-	s := NewState()
-	s.Next, s.Claim, s.Token, s.Heard = head.Next, head.Claim, head.Token, now
+// Restorer takes a snapshot chunk by chunk.
+type Restorer struct {
+	head  SnapshotHead
+	state *State
+	taken int
+}
+
+// NewRestorer returns a restorer that has taken no chunk.
+func NewRestorer(head SnapshotHead) *Restorer { return &Restorer{head: head, state: NewState()} }
+
+// Head returns the head of the snapshot.
+func (r *Restorer) Head() *SnapshotHead { return &r.head }
+
+// Taken returns how many chunks were taken; it is the index of the next one.
+func (r *Restorer) Taken() int { return r.taken }
+
+// Complete reports whether all chunks were taken.
+func (r *Restorer) Complete() bool { return r.taken == r.head.Chunks }
+
+// Take takes the next chunk. A chunk that the head does not describe changes nothing.
+func (r *Restorer) Take(chunk []byte, now time.Duration) error {
+	if r.taken >= len(r.head.Parts) || !r.head.Parts[r.taken].describes(chunk) {
+		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is damaged or of another one", r.taken, r.head.Generation)
+	}
+	if err := r.state.restoreChunk(chunk, r.head.Generation, now); err != nil {
+		return err
+	}
+	r.taken++
+	return nil
+}
+
+// State returns the state that a complete snapshot holds.
+func (r *Restorer) State(now time.Duration) (*State, error) {
+	if !r.Complete() {
+		return nil, fault.New(fault.Invalid, "read the snapshot again", "the snapshot has %d of %d chunks", r.taken, r.head.Chunks)
+	}
+	s := r.state
+	s.Next, s.Token, s.Heard = r.head.Next, r.head.Token, now
+	s.Meet(&r.head, now)
+	return s, nil
+}
+
+// Meet takes from the head of a snapshot who else there is, and nothing of the jobs.
+func (s *State) Meet(head *SnapshotHead, now time.Duration) {
+	s.Claim = head.Claim
 	for _, h := range head.Members {
 		s.Members[h.Daemon] = Member{Hello: h, Seen: now}
 	}
-	if len(chunks) != head.Chunks {
-		return nil, fault.New(fault.Invalid, "read the snapshot again", "the snapshot has %d of %d chunks", len(chunks), head.Chunks)
-	}
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(head SnapshotHead, chunks [][]byte, now time.Duration) (*State, error) {
+	r := NewRestorer(head)
 	for _, chunk := range chunks {
-		if err := s.restoreChunk(chunk, head.Generation, now); err != nil {
+		if err := r.Take(chunk, now); err != nil {
 			return nil, err
 		}
 	}
-	return s, nil
+	return r.State(now)
 }
 
 // restoreChunk takes the jobs of one part.
 func (s *State) restoreChunk(data []byte, generation int64, now time.Duration) error {
+	if len(data) > 0 && data[0] == overVersion {
+		return s.restoreOver(data[1:], generation, now)
+	}
 	plain, err := unpack(data)
 	var chunk struct {
 		Generation int64      `json:"g"`
@@ -143,7 +265,7 @@
 		return fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
 	}
 	if chunk.Generation != generation {
-		return fault.New(fault.Invalid, "read the snapshot again", "a chunk of generation %d among those of %d", chunk.Generation, generation)
+		return foreignChunk(chunk.Generation, generation)
 	}
 	for i := range chunk.Jobs {
 		if err := s.restoreJob(&chunk.Jobs[i], now); err != nil {
@@ -153,13 +275,15 @@
 	return nil
 }
 
+func foreignChunk(is, should int64) error {
+	return fault.New(fault.Invalid, "read the snapshot again", "a chunk of generation %d among those of %d", is, should)
+}
+
 func (s *State) restoreJob(saved *savedJob, now time.Duration) error {
-	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
 	if saved.Submit == nil {
-		j.ID = saved.ID
-		s.Jobs[j.ID] = j
-		return nil
+		return fault.New(fault.Invalid, "read the snapshot again", "a job of the snapshot has no submission")
 	}
+	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
 	if err := saved.Submit.check(); err != nil {
 		return err
 	}
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -113,4 +113,85 @@
 	require.NoError(t, err)
 	_, err = Restore(head, next, 0)
 	require.True(t, fault.Is(err, fault.Invalid), "a part of the next snapshot was taken: %v", err)
+	head.Parts = []SnapshotPart{PartOf(next[0])}
+	_, err = Restore(head, next, 0)
+	require.True(t, fault.Is(err, fault.Invalid), "a part of the next snapshot was taken that the head describes: %v", err)
+}
+
+// mixedJobs is a state in which a third of the jobs has not ended, and the others have for a
+// minute.
+func mixedJobs(t testing.TB, n int) *State {
+	s := NewState()
+	apply := func(r Record) { require.NoError(t, s.Apply(&r, time.Second)) }
+	apply(Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}})
+	for i := range n {
+		id := fmt.Sprintf("%016x", i)
+		apply(Record{Submit: &Submit{ID: id, Queue: "q", Steps: []Step{{Count: 1}}, MaxAttempts: 2}})
+		if i%3 > 0 {
+			apply(Record{Cancel: &Cancel{ID: id}})
+		}
+	}
+	return s
+}
+
+// Guards against a daemon that reads what is of no use for placing first, and against ended jobs
+// that fill the link of a thin one.
+func TestEndedJobsComeLastAndCostLittle(t *testing.T) {
+	const jobs, bytesEach = 3000, 11
+	head, chunks, err := mixedJobs(t, jobs).Snapshot(1, time.Minute)
+	require.NoError(t, err)
+	r := NewRestorer(head)
+	last := chunks[len(chunks)-1]
+	for _, chunk := range chunks[:len(chunks)-1] {
+		require.NoError(t, r.Take(chunk, time.Hour))
+	}
+	require.Len(t, r.state.Jobs, jobs/3)
+	require.Equal(t, jobs/3, r.state.Pending["q"])
+	_, err = r.State(time.Hour)
+	require.True(t, fault.Is(err, fault.Invalid), "a state without the ended jobs was given")
+	require.LessOrEqual(t, len(last), jobs*2/3*bytesEach)
+	require.NoError(t, r.Take(last, time.Hour))
+	s, err := r.State(time.Hour)
+	require.NoError(t, err)
+	require.Len(t, s.Jobs, jobs)
+	require.Equal(t, Cancelled, s.Jobs[fmt.Sprintf("%016x", 1)].Phase)
+	require.Equal(t, time.Hour-59*time.Second, s.Jobs[fmt.Sprintf("%016x", 1)].EndedAt)
+}
+
+// Guards against ids that change their form, phases and ages that get mixed up, and chunks
+// beyond the record limit of the log.
+func TestEndedJobsOfAllForms(t *testing.T) {
+	s := NewState()
+	phases := []Phase{Completed, Failed, Cancelled}
+	for i, id := range []string{"j", "00000000000000ff", "00000000000000FF", "not hexadecimal!", "0123456789abcdef0", string(make([]byte, 300))} {
+		s.Jobs[id] = &Job{Submit: Submit{ID: id}, Phase: phases[i%3], EndedAt: time.Duration(i) * time.Second}
+	}
+	for i := range 30_000 {
+		id := fmt.Sprintf("%016x", 1000+i)
+		s.Jobs[id] = &Job{Submit: Submit{ID: id}, Phase: phases[i%3], EndedAt: time.Duration(i) * time.Millisecond}
+	}
+	head, chunks, err := s.Snapshot(7, time.Hour)
+	require.NoError(t, err)
+	require.Greater(t, len(chunks), 2)
+	for _, chunk := range chunks {
+		require.Less(t, len(chunk), chunkBytes+1024)
+	}
+	restored, err := Restore(head, chunks, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, s.Jobs, restored.Jobs)
+}
+
+// Guards against a head of another writer that ends the process or has it ask for ever.
+func TestForeignHeadsAreRefused(t *testing.T) {
+	head, _, err := claimed(t, Step{Count: 1}).Snapshot(3, 0)
+	require.NoError(t, err)
+	data, err := head.Encode()
+	require.NoError(t, err)
+	again, err := DecodeHead(data)
+	require.NoError(t, err)
+	require.Equal(t, head, again)
+	for _, foreign := range []string{"{", `{}`, `{"g":-1,"n":1,"p":[{}]}`, `{"g":1,"n":2,"p":[{}]}`, `{"g":1,"n":1,"p":[{"o":-4}]}`, `{"g":6,"n":24,"x":7591}`} {
+		_, err := DecodeHead([]byte(foreign))
+		require.True(t, fault.Is(err, fault.Invalid), "%s: %v", foreign, err)
+	}
 }
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"briarproxy/core/fault"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
@@ -14,12 +15,19 @@
 func (e *engine) read(ctx context.Context, p page) {
 	now := p.readAt
 	if p.err != nil {
+		if fault.Is(p.err, fault.Invalid) {
+			e.log.Emit(evSnapshotBad, "reason", p.err.Error(), "offset", e.state.Next)
+		}
 		if !e.lost && now-e.readLast > readyWithin {
 			e.lost = true
 			e.log.Emit(evStoreLost, "reason", p.err.Error(), "position", p.next)
 		}
 		return
 	}
+	if p.head != nil {
+		e.meet(p.head, now)
+		return
+	}
 	e.logEnd = p.end
 	if e.lost || e.readLast == 0 || now-e.readLast > readyWithin+readTimeout {
 		if e.lost {
@@ -40,6 +48,8 @@
 	}
 	if p.restored != nil {
 		e.restore(&p)
+	} else if e.met && e.state.Next == 0 {
+		e.state, e.met = flow.NewState(), false // the snapshot can't be read: only the log counts
 	}
 	if p.expired {
 		e.log.Emit(evHistory, "position", e.state.Next, "first", p.first)
@@ -118,6 +128,18 @@
 	return e.state.Claim.Address
 }
 
+// meet learns from the head of a snapshot through which daemons the store may be reached, and
+// where callers' records are gathered. It says nothing of the log.
+func (e *engine) meet(head *flow.SnapshotHead, now time.Duration) {
+	if e.state.Next > 0 || e.met {
+		return
+	}
+	e.met = true
+	e.state.Meet(head, now)
+	e.shareMembers()
+	e.sharePlacer()
+}
+
 // restore begins with a snapshot if it is newer than what is known.
 func (e *engine) restore(p *page) {
 	e.savedGeneration = max(e.savedGeneration, p.generation)
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -72,11 +72,10 @@
 }
 
 func (s *thinStore) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	const encoding = 4.0 / 3 // base64
 	values, err := s.keyedStore.Saved(ctx, part, after)
 	bytes := 0
 	for _, v := range values {
-		bytes += int(encoding * float64(len(v)))
+		bytes += inBase64(v)
 	}
 	if sent := s.carry(ctx, bytes); sent != nil {
 		return nil, sent
@@ -84,6 +83,18 @@
 	return values, err
 }
 
+func (s *thinStore) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFrom(ctx, part, from, most)
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Value)
+	}
+	if sent := s.carry(ctx, bytes); sent != nil {
+		return nil, false, sent
+	}
+	return entries, expired, err
+}
+
 type thinPlatform struct {
 	fakePlatform
 	thin *thinStore
@@ -93,6 +104,10 @@
 	return p.thin.Read(ctx, part, from, wait)
 }
 
+func (p thinPlatform) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	return p.thin.SavedFrom(ctx, part, from, most)
+}
+
 func (p thinPlatform) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
 	return p.thin.Saved(ctx, part, after)
 }
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -69,6 +69,7 @@
 	readLast   time.Duration
 	roundTrip  time.Duration
 	lost       bool
+	met        bool // members and claim are those of the head of a snapshot
 	draining   bool
 	jitter     time.Duration
 	freshWaits []freshWait
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -18,10 +18,14 @@
 }
 
 // Snapshots keeps the newest snapshot of what a partition of the log says, for longer
-// than the log keeps its records. Errors are those of Log.
+// than the log keeps its records, in partitions of its own. A fence holds for one of them.
+// Errors are those of Log.
 type Snapshots interface {
-	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) error
+	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error)
+	// Saved returns the newest entries of the first keys behind a key, as many as one answer
+	// holds; SavedFrom what was written from an offset on, within a number of bytes.
 	Saved(ctx context.Context, partition int, after string) (map[string][]byte, error)
+	SavedFrom(ctx context.Context, partition int, from int64, bytes int) (entries []cluster.Entry, expired bool, err error)
 }
 
 // Registry lists what the operator published and which workers there are.
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -21,14 +20,25 @@
 	snapshotLink    = 0.05 // of the link that snapshots may take
 	snapshotTimeout = 5 * time.Second
 	saveBytes       = 1 << 20 // of one append, below the limit of a call
-	headKey         = "head"
+	headKey         = "state"
 	writerKey       = "writer" // the epoch of the placer that saves
-	beforeHead      = "h"      // in the order of keys all chunks come before it, the head after it
+	beforeHead      = "r"      // in the order of keys; what former versions wrote comes before it
+
+	headPartition      = 0 // and two with a generation each
+	snapshotPartitions = 3
 )
 
-// chunkKey names a chunk. Two generations take turns, so that a snapshot stays whole
-// until the next one is.
-func chunkKey(generation int64, chunk int) string { return fmt.Sprintf("g%d-%d", generation%2, chunk) }
+// chunkPartition holds the chunks of a generation. Two take turns, so that a snapshot stays
+// whole until the next one is.
+func chunkPartition(generation int64) int { return 1 + int(generation%2) }
+
+// chunkKey names a chunk. The order of keys is that of the chunks; "" comes before the first.
+func chunkKey(chunk int) string {
+	if chunk < 0 {
+		return ""
+	}
+	return fmt.Sprintf("%06d", chunk)
+}
 
 // saveSnapshot has the placer save what the log says, often enough that no record that is
 // needed expires.
@@ -113,99 +123,66 @@
 type saver struct {
 	store Snapshots
 	fence cluster.Fence
-	begun bool // the newest snapshot is known, and no earlier placer can write another
+	next  [snapshotPartitions]int64 // appends made to each partition
+	begun bool                      // the newest snapshot is known, and no earlier placer can write another
 }
 
 // begin ends the writing of earlier placers and returns the generation of the newest snapshot.
 func (s *saver) begin(ctx context.Context) (int64, error) {
-	if err := s.put(ctx, []cluster.Entry{{Key: writerKey, Value: strconv.AppendInt(nil, s.fence.Epoch, 10)}}); err != nil {
-		return 0, err
+	for part := range snapshotPartitions {
+		if _, err := s.put(ctx, part, []cluster.Entry{{Key: writerKey, Value: strconv.AppendInt(nil, s.fence.Epoch, 10)}}); err != nil {
+			return 0, err
+		}
 	}
-	saved, err := s.store.Saved(ctx, partition, beforeHead)
+	saved, err := s.store.Saved(ctx, headPartition, beforeHead)
 	if err != nil || saved[headKey] == nil {
 		return 0, err
 	}
-	head, err := decodeHead(saved[headKey])
+	head, err := flow.DecodeHead(saved[headKey])
 	return head.Generation, err
 }
 
-func decodeHead(data []byte) (flow.SnapshotHead, error) {
-	var head flow.SnapshotHead
-	if err := json.Unmarshal(data, &head); err != nil {
-		return head, fault.Wrap(err, fault.Invalid, "remove the foreign head of the snapshot", "the head of the snapshot can't be read")
-	}
-	return head, nil
-}
-
+// save writes the chunks and then the head, which names where they are.
 func (s *saver) save(ctx context.Context, head *flow.SnapshotHead, chunks [][]byte) error {
-	var entries []cluster.Entry
-	size := 0
-	for i, chunk := range chunks {
-		if size > 0 && size+len(chunk) > saveBytes {
-			if err := s.put(ctx, entries); err != nil {
-				return err
-			}
-			entries, size = nil, 0
+	for first := 0; first < len(chunks); {
+		var entries []cluster.Entry
+		for size, i := 0, first; i < len(chunks) && (i == first || size+len(chunks[i]) <= saveBytes); i++ {
+			entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunks[i]})
+			size += len(chunks[i])
 		}
-		entries = append(entries, cluster.Entry{Key: chunkKey(head.Generation, i), Value: chunk})
-		size += len(chunk)
-	}
-	if err := s.put(ctx, entries); err != nil {
-		return err
+		offset, err := s.put(ctx, chunkPartition(head.Generation), entries)
+		if err != nil {
+			return err
+		}
+		for i := range entries {
+			head.Parts[first+i].Offset = offset + int64(i)
+		}
+		first += len(entries)
 	}
-	data, err := json.Marshal(head)
+	data, err := head.Encode()
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "report this as a bug", "the head of a snapshot can't be encoded")
+		return err
 	}
-	return s.put(ctx, []cluster.Entry{{Key: headKey, Value: data}})
+	_, err = s.put(ctx, headPartition, []cluster.Entry{{Key: headKey, Value: data}})
+	return err
 }
 
 // put appends entries until there is an answer; a repeat has no further effect.
-func (s *saver) put(ctx context.Context, entries []cluster.Entry) error {
+func (s *saver) put(ctx context.Context, part int, entries []cluster.Entry) (int64, error) {
 	fence := s.fence
-	s.fence.Sequence++
+	fence.Sequence += s.next[part]
+	s.next[part]++
 	for {
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		err := s.store.Save(bounded, partition, entries, &fence)
+		offset, err := s.store.Save(bounded, part, entries, &fence)
 		cancel()
 		if err == nil || fault.Is(err, fault.Conflict) {
-			return err
+			return offset, err
 		}
 		select {
 		case <-ctx.Done():
-			return err
+			return 0, err
 		case <-time.After(appendRetry):
 		}
 	}
 }
-
-// loadSnapshot returns the newest snapshot, nil if there is none, its generation and the bytes
-// that were read.
-func loadSnapshot(ctx context.Context, store Snapshots) (*flow.State, int64, int, error) {
-	saved, err := store.Saved(ctx, partition, "")
-	bytes := 0
-	for _, value := range saved {
-		bytes += len(value)
-	}
-	if err != nil {
-		return nil, 0, bytes, err
-	}
-	if saved[headKey] == nil {
-		return nil, 0, bytes, nil
-	}
-	head, err := decodeHead(saved[headKey])
-	if err != nil {
-		return nil, 0, bytes, err
-	}
-	if head.Chunks < 0 || head.Chunks >= len(saved) {
-		return nil, 0, bytes, fault.New(fault.Invalid, "read the snapshot again", "the snapshot should have %d chunks and has %d entries", head.Chunks, len(saved))
-	}
-	var chunks [][]byte
-	for i := range head.Chunks {
-		if chunk := saved[chunkKey(head.Generation, i)]; chunk != nil {
-			chunks = append(chunks, chunk)
-		}
-	}
-	state, err := flow.Restore(head, chunks, bootclock.Now())
-	return state, head.Generation, bytes, err
-}
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,41 +17,117 @@
 	"briarproxy/core/flow"
 )
 
-// keyedStore keeps the newest entry of each key and refuses a superseded writer.
+// Sizes of answers of the store.
+const (
+	listBytes   = 1 << 20 // of newest entries, in base64, at most
+	recordFrame = 4 + 1   // of a record beside its key and value
+)
+
+// keyedStore keeps the newest entry of each key of a partition, and the records before it until
+// they expire. Each partition refuses a superseded writer.
 type keyedStore struct {
-	mu     sync.Mutex
-	epoch  int64
-	values map[string][]byte
+	mu    sync.Mutex
+	parts [snapshotPartitions]keyedPart
+}
+
+type keyedPart struct {
+	epoch, sequence int64
+	first           int // older records have expired
+	records         []cluster.Entry
+	newest          map[string][]byte
 }
 
-func (s *keyedStore) Save(_ context.Context, _ int, entries []cluster.Entry, fence *cluster.Fence) error {
+func (s *keyedStore) Save(_ context.Context, part int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if fence.Epoch < s.epoch {
-		return errFenced
+	p := &s.parts[part]
+	if fence.Epoch < p.epoch || fence.Epoch == p.epoch && fence.Sequence != p.sequence+1 {
+		return 0, errFenced
 	}
-	s.epoch = fence.Epoch
-	if s.values == nil {
-		s.values = map[string][]byte{}
+	p.epoch, p.sequence = fence.Epoch, fence.Sequence
+	return s.write(part, entries), nil
+}
+
+// write writes entries of any writer.
+func (s *keyedStore) write(part int, entries []cluster.Entry) int64 {
+	p := &s.parts[part]
+	offset := int64(len(p.records))
+	p.records = append(p.records, entries...)
+	if p.newest == nil {
+		p.newest = map[string][]byte{}
 	}
 	for _, e := range entries {
-		s.values[e.Key] = e.Value
+		p.newest[e.Key] = e.Value
 	}
-	return nil
+	return offset
 }
 
-func (s *keyedStore) Saved(_ context.Context, _ int, after string) (map[string][]byte, error) {
+// expire drops all records; the newest of each key stay.
+func (s *keyedStore) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	values := map[string][]byte{}
-	for key, value := range s.values {
-		if key > after {
-			values[key] = value
+	for i := range s.parts {
+		s.parts[i].first = len(s.parts[i].records)
+	}
+}
+
+func (s *keyedStore) Saved(_ context.Context, part int, after string) (map[string][]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values, size := map[string][]byte{}, 0
+	for _, key := range slices.Sorted(maps.Keys(s.parts[part].newest)) {
+		value := s.parts[part].newest[key]
+		if key <= after {
+			continue
+		}
+		if size += inBase64(value); size > listBytes && len(values) > 0 {
+			break
 		}
+		values[key] = value
 	}
 	return values, nil
 }
 
+func (s *keyedStore) SavedFrom(_ context.Context, part int, from int64, most int) (entries []cluster.Entry, expired bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.parts[part]
+	if from < int64(p.first) {
+		return nil, true, nil
+	}
+	size := 0
+	for i := from; i < int64(len(p.records)); i++ {
+		if size += recordFrame + len(p.records[i].Key) + len(p.records[i].Value); size > most && i > from {
+			break
+		}
+		entries = append(entries, p.records[i])
+	}
+	return entries, false, nil
+}
+
+func inBase64(value []byte) int { return base64.StdEncoding.EncodedLen(len(value)) }
+
+// load reads the newest snapshot, with the given number of failed calls at most. It returns nil
+// if there is none.
+func load(t testing.TB, l *loader, failures int) (*flow.State, int64) {
+	const most = 1000
+	for range most {
+		head, state, err := l.step(t.Context())
+		if err != nil {
+			failures--
+			require.GreaterOrEqual(t, failures, 0, "%v", err)
+		} else if head == nil {
+			return state, l.generation
+		}
+	}
+	require.Fail(t, "the snapshot is never read")
+	return nil, 0
+}
+
+func loaderOf(store Snapshots) *loader {
+	return newLoader(store, newRelay(&fakeStore{}, newPeers()).reads)
+}
+
 // saved is a state with some jobs, as a snapshot of the given generation.
 func saved(t *testing.T, jobs int, generation int64) (*flow.SnapshotHead, [][]byte) {
 	s := flow.NewState()
@@ -82,19 +161,22 @@
 	head, chunks := saved(t, 9, newest+1)
 	var entries []cluster.Entry
 	for i, chunk := range chunks {
-		entries = append(entries, cluster.Entry{Key: chunkKey(head.Generation, i), Value: chunk})
+		entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunk})
 	}
-	require.NoError(t, second.put(t.Context(), entries)) // its head is not written yet
-	late, lateChunks := saved(t, 4, generation+1)
-	require.True(t, fault.Is(first.save(t.Context(), late, lateChunks), fault.Conflict))
-	state, loaded, _, err := loadSnapshot(t.Context(), store)
-	require.NoError(t, err)
+	_, err = second.put(t.Context(), chunkPartition(head.Generation), entries)
+	require.NoError(t, err) // its head is not written yet
+	for _, next := range []int64{generation, generation + 1} {
+		late, lateChunks := saved(t, 5, next)
+		require.True(t, fault.Is(first.save(t.Context(), late, lateChunks), fault.Conflict), "chunks of generation %d", next)
+	}
+	_, err = first.put(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}})
+	require.True(t, fault.Is(err, fault.Conflict), "a head")
+	state, loaded := load(t, loaderOf(store), 0)
 	require.Equal(t, generation, loaded)
 	require.Len(t, state.Jobs, 4)
 
 	require.NoError(t, second.save(t.Context(), head, chunks))
-	state, _, _, err = loadSnapshot(t.Context(), store)
-	require.NoError(t, err)
+	state, _ = load(t, loaderOf(store), 0)
 	require.Len(t, state.Jobs, 9)
 }
 
@@ -102,7 +184,8 @@
 // all its records.
 func TestADamagedSnapshotIsPassedOver(t *testing.T) {
 	store := &keyedStore{}
-	require.NoError(t, store.Save(t.Context(), partition, []cluster.Entry{{Key: headKey, Value: []byte("{")}}, &cluster.Fence{Epoch: 1}))
+	_, err := store.Save(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}}, &cluster.Fence{Epoch: 1})
+	require.NoError(t, err)
 	pages := make(chan page)
 	follower := &tail{
 		log: &fakeStore{}, saved: store, reads: newRelay(&fakeStore{}, newPeers()).reads, pages: pages, nudge: make(chan struct{}),
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -39,8 +39,9 @@
 	sentAt  time.Duration
 	readAt  time.Duration
 
-	restored   *flow.State // of a snapshot that replaces what is known
-	generation int64       // of the snapshot
+	head       *flow.SnapshotHead // of a snapshot of which chunks are missing
+	restored   *flow.State        // of a snapshot that replaces what is known
+	generation int64              // of the snapshot
 }
 
 type decoded struct {
@@ -60,20 +61,17 @@
 }
 
 func (t *tail) run(ctx context.Context) {
-	from, load, damaged := int64(0), true, 0
+	from, load, snapshot := int64(0), true, newLoader(t.saved, t.reads)
 	for ctx.Err() == nil {
 		gap, wait := t.pace()
 		var p page
 		if load {
-			p = t.restore(ctx, from)
-			if fault.Is(p.err, fault.Invalid) {
-				damaged++
-			}
+			p = restore(ctx, snapshot, from)
 			// Without a snapshot that can be read, the log is read from its first record.
-			load = p.err != nil && damaged < damagedTries
+			load = p.head != nil || p.err != nil && snapshot.damaged < damagedTries
 		} else {
 			p = t.read(ctx, max(from, t.known()), wait)
-			load, damaged = p.expired, 0
+			load, snapshot.damaged = p.expired, 0
 		}
 		from = p.next
 		select {
@@ -103,16 +101,13 @@
 	}
 }
 
-// restore reads the newest snapshot, at the start and after records expired unread.
-func (t *tail) restore(ctx context.Context, from int64) page {
-	bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
+// restore reads a part of the newest snapshot, at the start and after records expired unread.
+func restore(ctx context.Context, snapshot *loader, from int64) page {
 	p := page{sentAt: bootclock.Now(), next: from, end: from + 1}
-	var bytes int
-	p.restored, p.generation, bytes, p.err = loadSnapshot(bounded, t.saved)
-	t.reads.note(readToRestore, bytes)
+	p.head, p.restored, p.err = snapshot.step(ctx)
 	p.readAt = bootclock.Now()
 	if p.restored != nil {
+		p.generation = snapshot.generation
 		p.next = max(from, p.restored.Next)
 		p.end = p.next + 1 // the log has not been read to its end
 	}
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -332,6 +332,12 @@
 // Guards against jobs that are lost with records that the log keeps for a limited time: a
 // daemon that starts later, without any older one, must know them and go on with them.
 func TestPlatformHistoryExpires(t *testing.T) {
+	t.Parallel()
+	t.Run("of the log", func(t *testing.T) { historyExpires(t, false) })
+	t.Run("of the log and the snapshots", func(t *testing.T) { historyExpires(t, true) })
+}
+
+func historyExpires(t *testing.T, snapshots bool) {
 	t.Parallel()
 	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 5}, 2, 4, false)
 	var ids []string
@@ -346,6 +352,9 @@
 	}
 	time.Sleep(2500 * time.Millisecond)
 	c.store.Expire("briarproxy.jobs", 3)
+	for part := 0; part < 3 && snapshots; part++ {
+		c.store.ExpirePart("keyed.briarproxy", part, 0) // the newest of each key stay
+	}
 	for _, d := range c.daemons {
 		require.NoError(t, d.cmd.Process.Kill())
 	}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -5,13 +5,22 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
+// Limits of one answer.
+const (
+	usualKB   = 1024 // of a read that names no limit
+	listItems = 500
+	listBytes = 1 << 20
+)
+
 // Store is the log service.
 type Store struct {
 	mu       sync.Mutex
@@ -55,10 +64,13 @@
 }
 
 // Expire drops the records of a topic's first partition but for the newest ones.
-func (s *Store) Expire(topic string, keep int) {
+func (s *Store) Expire(topic string, keep int) { s.ExpirePart(topic, 0, keep) }
+
+// ExpirePart is Expire for another partition.
+func (s *Store) ExpirePart(topic string, number, keep int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.part(topic + "/0")
+	p := s.part(topic + "/" + strconv.Itoa(number))
 	p.first = max(p.first, len(p.records)-keep)
 }
 
@@ -182,6 +194,10 @@
 func (s *Store) read(w http.ResponseWriter, r *http.Request, name string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("From"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	most, err := strconv.Atoi(r.URL.Query().Get("MaxKb"))
+	if err != nil {
+		most = usualKB
+	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -193,13 +209,13 @@
 			return
 		}
 		if len(records) > from {
-			writePage(w, records, from, first)
+			writePage(w, records, from, first, most<<10)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writePage(w, records, from, first)
+			writePage(w, records, from, first, most<<10)
 			return
 		case <-r.Context().Done():
 			return
@@ -207,10 +223,14 @@
 	}
 }
 
-func writePage(w http.ResponseWriter, records [][]byte, from, first int) {
+// writePage writes whole records up to a number of bytes, one at least.
+func writePage(w http.ResponseWriter, records [][]byte, from, first, most int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	out = binary.BigEndian.AppendUint64(out, uint64(first))
-	for _, record := range records[min(from, len(records)):] {
+	for i, record := range records[min(from, len(records)):] {
+		if i > 0 && len(out)+4+len(record) > most {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 		out = append(out, record...)
 	}
@@ -222,13 +242,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part(name)
-	items := []map[string]any{}
-	for key, offset := range p.newest {
-		if value := p.records[offset][1+len(key):]; len(value) > 0 && key > after {
-			items = append(items, map[string]any{"Key": key, "Value": base64.StdEncoding.EncodeToString(value), "Offset": offset})
+	items, size, more := []map[string]any{}, 0, false
+	for _, key := range slices.Sorted(maps.Keys(p.newest)) {
+		offset := p.newest[key]
+		value := p.records[offset][1+len(key):]
+		if len(value) == 0 || key <= after {
+			continue
+		}
+		encoded := base64.StdEncoding.EncodeToString(value)
+		if more = len(items) == listItems || len(items) > 0 && size+len(encoded) > listBytes; more {
+			break
 		}
+		size += len(encoded)
+		items = append(items, map[string]any{"Key": key, "Value": encoded, "Offset": offset})
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "End": len(p.records)})
+	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "End": len(p.records)})
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
