--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -75,6 +75,7 @@
 			}
 			e.saving = false
 			if err != nil {
+				saver.begun = false // its head may be stored
 				e.log.Emit(evSnapshotBad, "reason", err.Error(), "offset", head.Next)
 				return
 			}
@@ -123,8 +124,9 @@
 type saver struct {
 	store Snapshots
 	fence cluster.Fence
-	next  [snapshotPartitions]int64 // appends made to each partition
-	begun bool                      // the newest snapshot is known, and no earlier placer can write another
+	next  [snapshotPartitions]int64           // appends answered by each partition
+	open  [snapshotPartitions][]cluster.Entry // of an append without an answer, which may be carried out later
+	begun bool                                // the newest snapshot is known, and no earlier placer can write another
 }
 
 // begin ends the writing of earlier placers and returns the generation of the newest snapshot.
@@ -167,15 +169,30 @@
 	return err
 }
 
-// put appends entries until there is an answer; a repeat has no further effect.
+// put appends entries until there is an answer; a repeat has no further effect. An append that
+// was given up comes first, as the partition takes the next one only after it.
 func (s *saver) put(ctx context.Context, part int, entries []cluster.Entry) (int64, error) {
+	if s.open[part] != nil {
+		if _, err := s.repeat(ctx, part); err != nil {
+			return 0, err
+		}
+	}
+	s.open[part] = entries
+	return s.repeat(ctx, part)
+}
+
+// repeat makes the open append of a partition until there is an answer.
+func (s *saver) repeat(ctx context.Context, part int) (int64, error) {
 	fence := s.fence
 	fence.Sequence += s.next[part]
-	s.next[part]++
 	for {
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := s.store.Save(bounded, part, entries, &fence)
+		offset, err := s.store.Save(bounded, part, s.open[part], &fence)
 		cancel()
+		if err == nil {
+			s.next[part]++
+			s.open[part] = nil
+		}
 		if err == nil || fault.Is(err, fault.Conflict) {
 			return offset, err
 		}
