A second signal does not end a planned stop

Cause: the daemon gave SIGTERM its default effect back before it wrote its last lines and ended. A second signal at that moment killed it: no event 902, an exit by the signal. Change: the signals stay caught until the process has ended, with `serve` and `run`. Evidence: TestPlatformSecondSignalDoesNotEndAPlannedStop sends signals until the process is gone. Conclusion: the last lines of a planned stop are written, whatever is sent meanwhile.

--- a/daemon/internal/daemoncmd/command.go
+++ b/daemon/internal/daemoncmd/command.go
@@ -43,8 +43,7 @@
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "listening", n.Addresses())
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
+			ctx := untilStopped()
 			go reload(ctx, n, path)
 			return n.Run(ctx)
 		},
@@ -54,6 +53,19 @@
 	return cmd
 }
 
+// untilStopped returns a context that ends with the first SIGTERM or SIGINT. Later ones have no
+// effect: a planned stop goes on, and its last lines are written.
+func untilStopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
 // reload reads the settings again on SIGHUP.
 func reload(ctx context.Context, n *node.Node, path string) {
 	hangup := make(chan os.Signal, 1)
--- a/daemon/internal/daemoncmd/serve.go
+++ b/daemon/internal/daemoncmd/serve.go
@@ -47,8 +47,7 @@
 	out := event.NewStdout()
 	defer out.Flush()
 	logger := event.NewLogger(out, log.InfoLevel, s.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := untilStopped()
 	go watchHangup(ctx, path, logger)
 	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Machines},
 		cell.NewDialer(cell.PlatformDial, cell.PlatformSilence))
