--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: all build tools fmt lint test demo soak bench regression clean
+.PHONY: all build tools fmt lint test demo soak rolling bench regression clean
 
 all: build
 
@@ -34,6 +34,10 @@
 soak:
 	BRIARPROXY_SOAK=3m BRIARPROXY_SOAK_SEED=$(or $(SEED),7) go test ./standin/integration -run TestPlatformSoak -count=1 -timeout 10m -v
 
+# rolling stops the real programs in turn for a minute under load; SEED chooses what happens.
+rolling:
+	BRIARPROXY_SOAK=1m BRIARPROXY_SOAK_SEED=$(or $(SEED),7) go test ./standin/integration -run TestPlatformRollingStops -count=1 -timeout 10m -v
+
 demo: build
 	bash scripts/demo.sh
 
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -65,7 +65,7 @@
 		mux.Handle("/metrics", promhttp.HandlerFor(e.counts.registry, promhttp.HandlerOpts{}))
 		go serve(&http.Server{Handler: mux, ReadHeaderTimeout: requestHeaders}, listeners.metrics)
 	}
-	log.Emit(evStarted, "callers", s.Listen.Callers, "peers", s.Listen.Peers, "data_centre", s.DataCentre, "region", s.Region, "defaults", s.defaulted)
+	log.Emit(evStarted, "callers", s.Listen.Callers, "ready", s.Listen.Ready, "peers", s.Listen.Peers, "data_centre", s.DataCentre, "region", s.Region, "defaults", s.defaulted)
 	<-ctx.Done()
 	return e.stop(life, front)
 }
