Do not take a store that has turned slow for a lost path

Change: a call that times out while the store owes no answer at its present pace loses no path. A store that refuses this daemon, or resets it, does so at once as before.

--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -81,6 +82,7 @@
 		bounded, cancel := context.WithTimeout(ctx, wait+r.patience())
 		forget := r.cancelWhenLost(cancel)
 		err = direct(bounded)
+		timedOut := errors.Is(bounded.Err(), context.DeadlineExceeded)
 		forget()
 		cancel()
 		if !worthRelaying(err) {
@@ -90,8 +92,8 @@
 		if fault.Is(err, fault.Unknown) && r.answered.Load() > sent {
 			return err // the store is slow: through another daemon it would get the call once more
 		}
-		if ctx.Err() != nil {
-			return err // its caller ended it, which says nothing of the path
+		if ctx.Err() != nil || timedOut && r.silence() < 0 {
+			return err // its caller ended it, or the store is slow: that says nothing of the path
 		}
 		r.lost()
 		if int64(bootclock.Now()) < r.relayAfter.Load() {
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -283,3 +283,19 @@
 	require.Error(t, err)
 	require.False(t, r.away.Load())
 }
+
+// Guards against a store that has turned slow and is taken for lost by all daemons, which then make each call again through each other (trouble-2 of dosui-sched-grown).
+func TestACallThatASlowStoreLeavesLosesNoPath(t *testing.T) {
+	store := &mutedStore{}
+	r := newRelay(store, newPeers())
+	r.usual.Store(int64(800 * time.Millisecond))
+	store.muted.Store(true)
+	_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+	require.Error(t, err)
+	require.False(t, r.away.Load(), "one answer less than the store owes at its present pace")
+	for range 2 {
+		_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+		require.Error(t, err)
+	}
+	require.True(t, r.away.Load())
+}
