Bound the runs being started by how late answers to orders come

An append takes 63 ms at 6.9 s, 634 ms at 8.9 s, 863 ms at 9.9 s. - maxUnsent grows with the time of an append, so 528 runs wait for one batch at 9.9 s and 470 orders leave at once: 541 ms each, tickets expire, 332 refusals "no ticket" from 10 to 12 s. Change: a window bounds the runs from the question for advice to the worker's answer. It is unlimited until the median answer comes 150 ms later than usual, shrinks with that excess, and grows while it holds starts back. Nothing else changes.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -131,6 +131,7 @@
 		return result == cluster.RefusedFence
 	}
 	r.underWay--
+	p.judgeAnswer(r, now)
 	if result == cluster.NoAnswer {
 		p.courierLost(c.Courier, now)
 	}
@@ -178,6 +179,15 @@
 	return fenced
 }
 
+// judgeAnswer lets the answer to an order, or its absence, decide how many runs may be started
+// at one time.
+func (p *Placer) judgeAnswer(r *run, now time.Duration) {
+	p.dirty = p.dirty || p.window.full
+	if r.state == starting && p.window.answered(r.orderedAt, now, p.opening) {
+		p.note(Note{What: "start window changed", Version: int64(p.window.limit), Age: now - r.orderedAt})
+	}
+}
+
 // StopAnswered takes the answer to a stop order.
 func (p *Placer) StopAnswered(c *StopCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -34,9 +34,11 @@
 	logAway bool                                // nothing is appended
 	load    func(w *fakeWorker, r *fakeRun) int // as a look shows it
 	advice  func(c *AdviseCommand) []cluster.Grant
-	adviser map[string]time.Duration // by daemon: its calls for advice have been served
-	spent   time.Duration            // processor time of the placer
-	ended   func(j *flow.Job)        // told of each job that ends
+	adviser map[string]time.Duration                 // by daemon: its calls for advice have been served
+	spent   time.Duration                            // processor time of the placer
+	link    func(c Command, bytes int) time.Duration // how long bytes of a command, or of the log, wait for the placer's link
+	refuse  func(s *cluster.Start) bool              // a worker refuses the ticket of an order
+	ended   func(j *flow.Job)                        // told of each job that ends
 }
 
 type event struct {
@@ -169,8 +171,11 @@
 			continue
 		}
 		if batch, runs, ok := c.placer.Flush(c.now); ok {
-			p := c.placer
-			c.after(c.delay, func() {
+			p, wait := c.placer, time.Duration(0)
+			if c.link != nil {
+				wait = c.link(Command{}, batchBytes(&batch))
+			}
+			c.after(c.delay+wait, func() {
 				if c.placer != p {
 					return // fenced
 				}
@@ -242,6 +247,11 @@
 		if c.lose != nil {
 			lost, late = c.lose(command)
 		}
+		if c.link != nil {
+			wait := c.link(command, command.bytes())
+			late += wait
+			lost = lost || wait > orderPatience
+		}
 		if late == 0 {
 			c.after(c.delay/2, func() { c.deliver(p, command, lost) })
 			continue
@@ -265,8 +275,12 @@
 	if c.adviser == nil {
 		c.adviser = map[string]time.Duration{}
 	}
-	sent := c.now
-	c.adviser[a.Daemon] = max(c.adviser[a.Daemon], c.now+c.delay/2) + callTime(rule, len(a.Workers))
+	sent, wait := c.now, time.Duration(0)
+	if c.link != nil {
+		command := Command{Advise: a}
+		wait = c.link(command, command.bytes())
+	}
+	c.adviser[a.Daemon] = max(c.adviser[a.Daemon], c.now+wait+c.delay/2) + callTime(rule, len(a.Workers))
 	c.after(c.adviser[a.Daemon]-c.now+c.delay/2, func() {
 		if c.placer == p {
 			began := time.Now()
@@ -365,6 +379,9 @@
 		return cluster.RefusedLate
 	}
 	w.hold(c.now, s.LeaseUntil)
+	if c.refuse != nil && c.refuse(s) {
+		return cluster.RefusedPass
+	}
 	for id, other := range c.workers {
 		if other.runs[s.TaskID] != nil {
 			require.Fail(c.t, "two runs at once", "task %v runs on %s and is started on %s", s.TaskID, id, w.Life.Worker)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -133,6 +133,7 @@
 	yields     yields
 	budget     *admission.RetryBudget
 	couriers   couriers
+	window     window
 	queues     map[string]*cluster.Queue // newest known; a queue that was removed still has jobs
 	planAt     time.Duration
 	scannedAt  time.Duration
@@ -148,7 +149,7 @@
 		options: o, state: state, config: config, cell: place.NewCell(),
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*jobWork{},
 		steps: map[cluster.StepID]*stepWork{}, advise: newAdvisers(), granted: map[string]float64{},
-		budget: admission.NewRetryBudget(), couriers: newCouriers(o.LinkMbps, now),
+		budget: admission.NewRetryBudget(), couriers: newCouriers(o.LinkMbps, now), window: newWindow(now),
 		queues: map[string]*cluster.Queue{}, token: state.Token, epoch: state.Claim.Epoch, since: now, sentAt: now, dirty: true,
 	}
 	p.advise.byNameOnly = o.Without.NearAdvisers
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -46,20 +46,34 @@
 	p.sortSteps(order, wallMS)
 	holding := false
 	var waiting []int
+	room := p.window.room(p.opening)
 	for _, w := range order {
 		if len(p.outRuns) >= p.maxUnsent() {
 			p.dirty = true
 			break
 		}
+		if room <= 0 {
+			p.window.full = true // an answer starts the next pass
+			break
+		}
 		waiting = p.waiting(w, waiting[:0])
 		if len(waiting) == 0 || w.def.Gang && (w.active > 0 || len(waiting) < w.def.Count) {
 			continue
 		}
+		if !w.def.Gang && len(waiting) > room {
+			waiting = waiting[:room]
+		}
+		active, asking := w.active, w.asking
 		placed := p.placeStep(w, waiting, now, wallMS)
 		if !placed && w.def.Gang && w.ranked.chance == onTime && !p.options.Without.Yields {
 			p.yields.to(w)
 		}
 		commands = p.askAdvice(commands, w, placed, now)
+		room -= w.active - active
+		if w.asking && !asking {
+			waiting = p.waiting(w, waiting[:0])
+			room -= len(waiting)
+		}
 		if !placed && w.def.Gang && !holding && !p.options.Without.Holds {
 			holding = p.holdFor(w, waiting, now)
 		}
