Do not send an order that would outlive its ticket or lease

Cause: an order to start has no deadline between the placer's decision and the link. Orders wait for one of 256 senders, behind orders and stops that time out after 1 s each (62 waited at 26 s of the traced collapse), and were sent whatever had become of their tickets; the margin left of a ticket was fixed at 150 ms while the median order took 0.5 to 0.9 s. Change: each order carries the time by which it must be sent: the end of its ticket, or of its lease, less the time that it takes on the way as answers tell (half the median of the last judgement, 150 ms at least). Later it is given up as `not sent`, like a refusal. A repeat is bound by the lease only, as it also tells whether the first order was carried out. Tests: TestOrderIsNotSentWhenItsTicketWouldExpireOnTheWay, TestOrderIsNotSentAfterItsDeadline.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -179,6 +179,7 @@
 	RefusedPass  StartResult = "no ticket" // the ticket is missing or has expired
 	RefusedOther StartResult = "refused"   // the worker is unhealthy or rejects the order; nothing was done
 	OtherLife    StartResult = "other life"
+	NotSent      StartResult = "not sent" // it would have reached the worker after its ticket or lease
 )
 
 // Hold renews the lease of a worker, confirms ends and asks for its lists.
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -65,7 +65,7 @@
 		case !r.wanted:
 			r.step(logged)
 			p.endRun(r, cluster.Void, "", now)
-		case r.expired(now) || expired[r.StepID()]:
+		case p.expired(r, now) || expired[r.StepID()]:
 			r.step(logged)
 			p.note(Note{What: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
 			p.endRun(r, cluster.Void, "", now)
@@ -78,8 +78,21 @@
 }
 
 // expired reports whether the run's ticket would not reach its worker in time.
-func (r *run) expired(now time.Duration) bool {
-	return r.ticket.text != "" && now+ticketMargin > r.ticket.until
+func (p *Placer) expired(r *run, now time.Duration) bool {
+	return r.ticket.text != "" && now+p.travel() > r.ticket.until
+}
+
+// travel is how long an order may take to reach its worker, as far as answers tell.
+func (p *Placer) travel() time.Duration { return max(ticketMargin, p.window.median/2) }
+
+// sendBy is the latest time at which an order made now may be sent. A repeat also tells whether
+// the run began on an earlier order, which needs no ticket.
+func (p *Placer) sendBy(r *run, now time.Duration) time.Duration {
+	until := now + p.options.Lease
+	if r.ticket.text != "" && r.copies == 0 {
+		until = min(until, r.ticket.until)
+	}
+	return until - p.travel()
 }
 
 // expiredGangs returns the gangs of which a member's ticket expired while the plan was
@@ -87,7 +100,7 @@
 func (p *Placer) expiredGangs(runs []*run, now time.Duration) map[cluster.StepID]bool {
 	var gangs map[cluster.StepID]bool
 	for _, r := range runs {
-		if def := p.def(r); r.expired(now) && def != nil && def.Gang {
+		if def := p.def(r); p.expired(r, now) && def != nil && def.Gang {
 			if gangs == nil {
 				gangs = map[cluster.StepID]bool{}
 			}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -61,7 +61,8 @@
 	Life    cluster.Life
 	Address string
 	Order   cluster.Start
-	Courier string // the daemon that sends the order; "" is this one
+	Courier string        // the daemon that sends the order; "" is this one
+	SendBy  time.Duration // boot clock: sent later it would reach the worker after its ticket or lease
 }
 
 // StopCommand orders a worker to stop a run.
--- a/core/placer/repeat.go
+++ b/core/placer/repeat.go
@@ -37,9 +37,10 @@
 	v := r.vm
 	lease := v.clock(now) + p.options.Lease.Milliseconds()
 	v.leaseUntil = max(v.leaseUntil, lease)
+	sendBy := p.sendBy(r, now)
 	r.copies++
 	r.underWay++
-	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Courier: courier, Order: cluster.Start{
+	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Courier: courier, SendBy: sendBy, Order: cluster.Start{
 		RunID: r.RunID, Spec: r.spec, Checkpoint: r.checkpoint, Ticket: r.ticket.text, LeaseUntil: lease, Token: p.token,
 	}}}
 }
--- a/core/placer/window_test.go
+++ b/core/placer/window_test.go
@@ -143,3 +143,17 @@
 	}
 	require.Greater(t, w.limit, 1000.0)
 }
+
+// Guards against an order that is sent with a ticket which expires on the way, while orders are
+// known to take longer than usual.
+func TestOrderIsNotSentWhenItsTicketWouldExpireOnTheWay(t *testing.T) {
+	c := ready(t, 1)
+	p := c.placer
+	r := &run{ticket: ticket{"t", c.now + 300*time.Millisecond}, vm: p.vms["w00"]}
+	require.False(t, p.expired(r, c.now))
+	require.Equal(t, c.now+300*time.Millisecond-ticketMargin, p.startOrder(r, "", c.now).Start.SendBy)
+	p.window.median, r.copies = time.Second, 0
+	require.True(t, p.expired(r, c.now))
+	require.Equal(t, c.now-200*time.Millisecond, p.startOrder(r, "", c.now).Start.SendBy)
+	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startOrder(r, "", c.now).Start.SendBy, "a repeat tells what became of the first order")
+}
--- a/daemon/cell/courier_test.go
+++ b/daemon/cell/courier_test.go
@@ -11,6 +11,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
 	"briarproxy/core/placer"
+	"briarproxy/daemon/bootclock"
 )
 
 // startLog notes the orders to start that were sent.
@@ -51,6 +52,21 @@
 	require.Empty(t, other.sent)
 }
 
+// Guards against orders that wait behind others until their tickets have expired and are then
+// sent all the same: the worker refuses them, and the link carries them for nothing.
+func TestOrderIsNotSentAfterItsDeadline(t *testing.T) {
+	c := callersOf(t, &fakeStore{}, 0)
+	sent := startLog{sent: make(chan cluster.Start, 2)}
+	c.engine.platform = sent
+	o := newOrders(c.engine)
+	result, _ := o.sendStart(t.Context(), "", &placer.StartCommand{SendBy: bootclock.Now() - time.Millisecond})
+	require.Equal(t, cluster.NotSent, result)
+	require.Empty(t, sent.sent)
+	result, _ = o.sendStart(t.Context(), "", &placer.StartCommand{SendBy: bootclock.Now() + time.Minute})
+	require.Equal(t, cluster.Started, result)
+	require.Len(t, sent.sent, 1)
+}
+
 // Guards against a Spec that is not found although its record is about to be read.
 func TestSpecOfAJobThatIsBeingRead(t *testing.T) {
 	c := callersOf(t, &fakeStore{}, 0)
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -64,15 +64,7 @@
 func (o *orders) start(ctx context.Context, p *placer.Placer, c *placer.StartCommand) {
 	courier := o.engine.state.Members[c.Courier].Address
 	o.starts.Submit(func() {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		result, clock, sent := cluster.NoAnswer, int64(0), false
-		if courier != "" {
-			result, clock, sent = o.startThrough(bounded, courier, c)
-		}
-		if !sent {
-			result, clock = o.engine.platform.Start(bounded, c.Life, c.Address, &c.Order)
-		}
+		result, clock := o.sendStart(ctx, courier, c)
 		o.back(ctx, p, func(e *engine) {
 			e.counts.starts.WithLabelValues(string(result)).Inc()
 			e.superseded(p.Answered(c, result, clock, bootclock.Now()))
@@ -80,6 +72,22 @@
 	})
 }
 
+// sendStart sends an order to start, through another daemon if one is named. An order that
+// waited here for too long is not sent at all.
+func (o *orders) sendStart(ctx context.Context, courier string, c *placer.StartCommand) (cluster.StartResult, int64) {
+	if bootclock.Now() > c.SendBy {
+		return cluster.NotSent, 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if courier != "" {
+		if result, clock, sent := o.startThrough(bounded, courier, c); sent {
+			return result, clock
+		}
+	}
+	return o.engine.platform.Start(bounded, c.Life, c.Address, &c.Order)
+}
+
 // startThrough has another daemon send an order to start. Sent is false if it certainly
 // was not sent.
 func (o *orders) startThrough(ctx context.Context, courier string, c *placer.StartCommand) (result cluster.StartResult, clockMS int64, sent bool) {
