--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -21,7 +21,7 @@
 	}
 	placing, stop := context.WithCancel(ctx)
 	e.placing, e.stopPlacer = placing, stop
-	e.saver = &saver{store: e.platform, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
+	e.saver = &saver{store: e.platform, rate: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
 	e.saving, e.savedAt = false, now
 	e.ackedAt, e.placingSince, e.bypassed = now, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -19,7 +19,9 @@
 	snapshotGap     = 5 * time.Second
 	snapshotLink    = 0.05 // of the link that snapshots may take
 	snapshotTimeout = 5 * time.Second
-	saveBytes       = 1 << 20 // of one append, below the limit of a call
+	saveBytes       = 1 << 20     // of one append, below the limit of a call
+	saveShare       = 0.25        // of the link while a snapshot is written; the placer's orders need the rest
+	saveTime        = time.Second // of one append at that share, below its time limit
 	headKey         = "state"
 	writerKey       = "writer" // the epoch of the placer that saves
 	beforeHead      = "r"      // in the order of keys; what former versions wrote comes before it
@@ -66,7 +68,7 @@
 	}
 	saver, p := e.saver, e.placer
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		bounded, cancel := context.WithTimeout(ctx, saver.timeout(chunks))
 		defer cancel()
 		err := saver.save(bounded, &head, chunks)
 		e.do(ctx, func(e *engine) {
@@ -123,6 +125,7 @@
 // saver writes snapshots under the placer's epoch, so that a superseded placer can't.
 type saver struct {
 	store Snapshots
+	rate  float64 // of this daemon's link, bytes a second; 0 is not known
 	fence cluster.Fence
 	next  [snapshotPartitions]int64           // appends answered by each partition
 	open  [snapshotPartitions][]cluster.Entry // of an append without an answer, which may be carried out later
@@ -144,11 +147,49 @@
 	return head.Generation, err
 }
 
+// appendBytes is the most that one append should carry.
+func (s *saver) appendBytes() int {
+	if s.rate <= 0 {
+		return saveBytes
+	}
+	return min(saveBytes, int(saveShare*s.rate*saveTime.Seconds()))
+}
+
+// pace is how long some bytes take at the share of the link that a snapshot may have.
+func (s *saver) pace(bytes int) time.Duration {
+	if s.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / (saveShare * s.rate) * float64(time.Second))
+}
+
+// timeout is the time limit of a snapshot.
+func (s *saver) timeout(chunks [][]byte) time.Duration {
+	bytes := 0
+	for _, chunk := range chunks {
+		bytes += len(chunk)
+	}
+	return snapshotTimeout + s.pace(bytes)
+}
+
+// rest waits until an append has taken as long as its bytes may take.
+func (s *saver) rest(ctx context.Context, began time.Duration, bytes int) {
+	wait := s.pace(bytes) - (bootclock.Now() - began)
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done(): // the next append tells it
+	case <-time.After(wait):
+	}
+}
+
 // save writes the chunks and then the head, which names where they are.
 func (s *saver) save(ctx context.Context, head *flow.SnapshotHead, chunks [][]byte) error {
 	for first := 0; first < len(chunks); {
 		var entries []cluster.Entry
-		for size, i := 0, first; i < len(chunks) && (i == first || size+len(chunks[i]) <= saveBytes); i++ {
+		size, began := 0, bootclock.Now()
+		for i := first; i < len(chunks) && (i == first || size+len(chunks[i]) <= s.appendBytes()); i++ {
 			entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunks[i]})
 			size += len(chunks[i])
 		}
@@ -160,6 +201,7 @@
 			head.Parts[first+i].Offset = offset + int64(i)
 		}
 		first += len(entries)
+		s.rest(ctx, began, size)
 	}
 	data, err := head.Encode()
 	if err != nil {
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -270,3 +270,42 @@
 		}
 	}
 }
+
+// uplink is a store behind a link that carries a few bytes a second; an append that is ended on the way is lost.
+type uplink struct {
+	keyedStore
+	rate float64 // bytes a second
+}
+
+func (s *uplink) Save(ctx context.Context, part int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Value)
+	}
+	select {
+	case <-time.After(time.Duration(float64(bytes) / s.rate * float64(time.Second))):
+		return s.keyedStore.Save(ctx, part, entries, fence)
+	case <-ctx.Done():
+		return 0, errSilent
+	}
+}
+
+// Guards against a thin placer that never saves a snapshot, as each append needs longer than its time limit, and fills its link in trying (small twin of dosui-sched-grown, quiet-1).
+func TestAThinPlacerSavesItsSnapshot(t *testing.T) {
+	const thinMbps = 2
+	store := &uplink{rate: thinMbps * bytesPerMbit}
+	s := &saver{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}, rate: store.rate}
+	_, err := s.begin(t.Context())
+	require.NoError(t, err)
+	var chunks [][]byte
+	for range 13 {
+		chunks = append(chunks, make([]byte, 60<<10))
+	}
+	head := &flow.SnapshotHead{Generation: 1, Parts: make([]flow.SnapshotPart, len(chunks))}
+	bounded, cancel := context.WithTimeout(t.Context(), s.timeout(chunks))
+	defer cancel()
+	began := time.Now()
+	require.NoError(t, s.save(bounded, head, chunks))
+	least := float64(len(chunks)*len(chunks[0])) / (saveShare * store.rate)
+	require.Greater(t, time.Since(began).Seconds(), 0.9*least, "the placer's orders need the rest of the link")
+}
