--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"briarproxy/core/cluster"
@@ -128,21 +129,37 @@
 		pace: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, known: func() int64 { return 0 },
 	}
 	go follower.run(t.Context())
-	newer, generation, began := time.NewTicker(newEvery), int64(2), time.Now()
-	defer newer.Stop()
-	for restored := false; !restored; {
-		select {
-		case p := <-pages:
-			if restored = p.restored != nil; restored {
-				require.Len(t, p.restored.Jobs, jobs)
+	restored, written, began := make(chan struct{}), make(chan int64, 1), time.Now()
+	go func() {
+		generation := int64(2)
+		defer func() { written <- generation }()
+		newer := time.NewTicker(newEvery)
+		defer newer.Stop()
+		for {
+			select {
+			case <-restored:
+				return
+			case <-newer.C:
+				generation++
+				head, chunks, err := s.Snapshot(generation, time.Minute)
+				if !assert.NoError(t, err) || !assert.NoError(t, placer.save(t.Context(), &head, chunks)) {
+					return
+				}
 			}
-		case <-newer.C:
-			generation++
-			saveOf(t, placer, s, generation)
+		}
+	}()
+	for done := false; !done; {
+		p := <-pages
+		if done = p.restored != nil; done {
+			require.Len(t, p.restored.Jobs, jobs)
 		}
 		require.Less(t, time.Since(began), within, "%d calls, %d bytes of a snapshot of %d", store.calls.Load(), store.carried.Load(), bytes)
 	}
-	t.Logf("read in %v and %d calls, %d bytes of a snapshot of %d, newest generation %d", time.Since(began), store.calls.Load(), store.carried.Load(), bytes, generation)
+	took := time.Since(began)
+	close(restored)
+	generation := <-written
+	require.Greater(t, generation, int64(2), "newer generations were written meanwhile")
+	t.Logf("read in %v and %d calls, %d bytes of a snapshot of %d, newest generation %d", took, store.calls.Load(), store.carried.Load(), bytes, generation)
 	require.Less(t, float64(store.carried.Load()), wasted*float64(bytes))
 }
 
