--- a/core/placer/advise_test.go
+++ b/core/placer/advise_test.go
@@ -12,17 +12,17 @@
 // Guards against slow calls for advice that no daemon takes: when a partition left the
 // placer with itself alone, which happened to be one of those kept for quick calls, wide
 // steps got no advice until the partition ended (dosui-sched, scale-2).
-func TestSlowCallsAreMadeThroughWhoeverIsLeft(t *testing.T) {
+func TestSlowCallsUseTheRemainingDaemons(t *testing.T) {
 	a := newAdvisers()
-	a.quickest = 10 * time.Millisecond
+	a.shortestCall = 10 * time.Millisecond
 	names := []string{"a", "b", "c", "d", "e"}
 	now := time.Minute
-	a.members(names, now)
+	a.setMembers(names, now)
 	require.NotEqual(t, "a", a.pick(time.Second, false, now), "one of those kept for quick calls")
 	for _, name := range names[1:] {
-		a.finished(&AdviseCommand{Daemon: name, Step: cluster.StepID{Job: name}}, time.Second, true, now)
+		a.callFinished(&AdviseCommand{Daemon: name, Step: cluster.StepID{Job: name}}, time.Second, true, now)
 	}
-	a.members(names, now)
+	a.setMembers(names, now)
 	require.Equal(t, "a", a.pick(time.Second, false, now))
 }
 
@@ -30,16 +30,16 @@
 // steps that are late already taking the place of new ones.
 func TestCallsDoNotQueueUpAtADaemon(t *testing.T) {
 	a := newAdvisers()
-	a.quickest = 10 * time.Millisecond
+	a.shortestCall = 10 * time.Millisecond
 	now := time.Minute
-	a.members([]string{"a"}, now)
+	a.setMembers([]string{"a"}, now)
 	const cost = 100 * time.Millisecond
 	sent := map[bool]int{}
 	for _, late := range []bool{true, false} {
 		for i := 0; a.pick(cost, late, now) != ""; i++ {
-			a.asked("a", cluster.StepID{Job: "j", Occurrence: sent[true] + sent[false]}, cost, now)
+			a.callSent("a", cluster.StepID{Job: "j", Occurrence: sent[true] + sent[false]}, cost, now)
 			sent[late]++
-			require.Less(t, sent[late], openPerAdviser)
+			require.Less(t, sent[late], maxCallsPerAdviser)
 		}
 	}
 	require.Equal(t, 1, sent[true], "a late call waits until the daemon has nothing to do")
@@ -51,10 +51,10 @@
 // daemon beside the placer (kandy-strings).
 func TestNearDaemonsAreKeptForQuickCalls(t *testing.T) {
 	a := newAdvisers()
-	a.quickest = 10 * time.Millisecond
+	a.shortestCall = 10 * time.Millisecond
 	names := []string{"far-1", "far-2", "far-3", "near-1", "near-2", "near-3"}
 	now := time.Minute
-	a.members(names, now)
+	a.setMembers(names, now)
 	for _, name := range names {
 		took := 15 * time.Millisecond
 		if name < "g" {
@@ -62,14 +62,14 @@
 		}
 		for range 40 { // enough answers for the delay to be learned
 			step := cluster.StepID{Job: name}
-			a.asked(name, step, a.quickest, now)
-			a.finished(&AdviseCommand{Daemon: name, Step: step}, took, false, now)
+			a.callSent(name, step, a.shortestCall, now)
+			a.callFinished(&AdviseCommand{Daemon: name, Step: step}, took, false, now)
 		}
 	}
-	a.members(names, now)
-	require.Contains(t, a.pick(a.quickest, false, now), "near")
+	a.setMembers(names, now)
+	require.Contains(t, a.pick(a.shortestCall, false, now), "near")
 	require.Contains(t, a.pick(time.Second, false, now), "near-3", "slow calls leave two of six to quick ones")
-	for _, kept := range a.list[:2] {
+	for _, kept := range a.candidates[:2] {
 		require.Contains(t, kept.name, "near")
 	}
 }
--- a/core/placer/bench_test.go
+++ b/core/placer/bench_test.go
@@ -17,18 +17,18 @@
 		b.Run(fmt.Sprintf("%dworkers-%djobs", size.workers, size.jobs), func(b *testing.B) {
 			c := newFakeCell(b, size.workers, resource.Vector{MilliCores: 64000, MemoryMiB: 262144})
 			c.takeOver()
-			c.run(200 * time.Millisecond)
+			c.advance(200 * time.Millisecond)
 			for i := range size.workers {
 				c.submit(fmt.Sprintf("full%d", i), flow.Step{Count: 1, Size: resource.Vector{MilliCores: 63000, MemoryMiB: 1000}, EstimateMS: 60000})
 			}
 			c.runTime = func(cluster.Start) time.Duration { return time.Hour }
-			c.run(300 * time.Millisecond)
+			c.advance(300 * time.Millisecond)
 			for i := range size.jobs {
 				c.submit(fmt.Sprintf("wait%d", i), flow.Step{Count: 8, Size: resource.Vector{MilliCores: 4000 + int64(i), MemoryMiB: 9000}, EstimateMS: 800})
 			}
 			b.ResetTimer()
 			for b.Loop() {
-				c.now += planGap
+				c.now += planInterval
 				c.placer.dirty = true
 				c.placer.Tick(c.now, c.wall())
 			}
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -11,39 +11,39 @@
 )
 
 const (
-	epochRandom     = 1 << 20 // epochs of claims of one rank differ below this
-	epochRanks      = 64      // later ranks share the last place
-	epochStep       = epochRanks * epochRandom
-	roundTripFactor = 2                     // a daemon near the log claims before one that is far from it
-	slowAnswer      = 80 * time.Millisecond // beyond the usual round trip
-	slowFactor      = 10
-	settleTime      = 6 * time.Second // after a claim
-	settleFactor    = 2
-	claimSpread     = 20 * time.Millisecond
+	epochsPerRank        = 1 << 20 // epochs of claims of one rank differ below this
+	epochRanks           = 64      // later ranks share the last place
+	epochsPerClaim       = epochRanks * epochsPerRank
+	claimDelayRoundTrips = 2                     // a daemon near the log claims before one that is far from it
+	slowLogExtraLatency  = 80 * time.Millisecond // beyond the usual round trip
+	slowLogDelayFactor   = 10
+	placerSettleTime     = 6 * time.Second // after a claim
+	settleFailoverFactor = 2
+	maxClaimJitter       = 20 * time.Millisecond
 
-	// rankStep lets the claim of a daemon reach the next one before that claims too: an
+	// rankDelay lets the claim of a daemon reach the next one before that claims too: an
 	// append and a read between regions, or twice what the log takes to answer now.
-	rankStep      = 60 * time.Millisecond
-	probesARank   = 2
-	ranksMost     = 8                      // more daemons than this are not lost at once without the log
-	rankSilence   = 12 * time.Second       // a daemon says hello every few seconds
-	weakWait      = 2 * time.Second        // the strong daemons have claimed by then, also after a missed probe
-	usualGap      = 600 * time.Millisecond // between two readings of an idle placer's records
-	gapFactor     = 3
-	startTime     = 3 * time.Second // a daemon has read the log by then
-	muchStronger  = 1.5             // differences below this do not matter to a placer
-	distanceStep  = 10 * time.Millisecond
-	leastStrength = 0.01 // of a daemon that does not state it
+	rankDelay            = 60 * time.Millisecond
+	logLatenciesPerRank  = 2
+	maxDelayedRanks      = 8                      // more daemons than this are not lost at once without the log
+	helloTimeout         = 12 * time.Second       // a daemon says hello every few seconds
+	strongerClaimWait    = 2 * time.Second        // the strong daemons have claimed by then, also after a missed probe
+	usualRecordGap       = 600 * time.Millisecond // between two readings of an idle placer's records
+	recordGapDelayFactor = 3
+	logReplayTime        = 3 * time.Second // a daemon has read the log by then
+	strengthClassRatio   = 1.5             // differences below this do not matter to a placer
+	distanceClassWidth   = 10 * time.Millisecond
+	minStrength          = 0.01 // of a daemon that does not state it
 )
 
-// Watch is what a daemon knows when it considers a claim.
+// ClaimInput is what a daemon knows when it considers a claim.
 type Watch struct {
 	Now       time.Duration // boot clock
 	Able      time.Duration // since when the daemon has had all that a placer needs and has read the log without a gap
 	ReadLast  time.Duration // last answer that reached the end of the log
 	RoundTrip time.Duration // to the log
 	Failover  time.Duration // silence of a placer that makes others claim
-	Jitter    time.Duration // of this daemon, below claimSpread
+	Jitter    time.Duration // of this daemon, below maxClaimJitter
 	Probe     time.Duration // longest that the log took to answer lately; 0 is not known
 	Rank      int           // daemons that are to claim before this one
 	Weaker    bool          // a much stronger daemon than this one is there
@@ -53,50 +53,50 @@
 // ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
 // counts only while the log was readable: after an outage of the log every placer has
 // been silent.
-func ShouldClaim(s *flow.State, w Watch) (reason string, claim bool) {
-	if w.ReadLast == 0 || w.Now-w.ReadLast > w.Failover {
+func ShouldClaim(s *flow.State, in Watch) (reason string, claim bool) {
+	if in.ReadLast == 0 || in.Now-in.ReadLast > in.Failover {
 		return "", false
 	}
-	delay := roundTripFactor*w.RoundTrip + w.Jitter + time.Duration(min(w.Rank, ranksMost))*max(rankStep, probesARank*w.Probe)
-	quiet := w.Now - max(s.Heard, w.Able)
-	if w.Weaker {
-		delay += weakWait
+	delay := claimDelayRoundTrips*in.RoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.Probe)
+	silence := in.Now - max(s.Heard, in.Able)
+	if in.Weaker {
+		delay += strongerClaimWait
 	}
-	if s.Claim.Daemon == "" && quiet > delay {
+	if s.Claim.Daemon == "" && silence > delay {
 		return "there is no placer", true
 	}
-	if slow := w.Probe - w.RoundTrip; slow > slowAnswer {
-		delay += slowFactor * slow // a placer's records are as late as this answer, several times over
+	if slow := in.Probe - in.RoundTrip; slow > slowLogExtraLatency {
+		delay += slowLogDelayFactor * slow // a placer's records are as late as this answer, several times over
 	}
-	if w.Now-s.Claimed < settleTime {
-		delay += settleFactor * w.Failover // it takes over runs and a backlog; another takeover would begin anew
+	if in.Now-s.Claimed < placerSettleTime {
+		delay += settleFailoverFactor * in.Failover // it takes over runs and a backlog; another takeover would begin anew
 	}
-	if late := w.Gap - usualGap; late > 0 {
-		delay += gapFactor * late // a placer whose records come seldom is slow, as the log may be
+	if late := in.Gap - usualRecordGap; late > 0 {
+		delay += recordGapDelayFactor * late // a placer whose records come seldom is slow, as the log may be
 	}
-	if s.Claim.Daemon != "" && quiet > w.Failover+delay {
+	if s.Claim.Daemon != "" && silence > in.Failover+delay {
 		return "the placer is silent", true
 	}
 	return "", false
 }
 
-// Rank returns the number of daemons that are to claim before the named one: those that
+// ClaimRank returns the number of daemons that are to claim before the named one: those that
 // have much more of what a placer needs, then those nearer to the log. Without an order
 // all claim at once in a large cell, and each claim makes the last one void.
 func Rank(s *flow.State, self flow.Hello, now time.Duration) int {
 	n := 0
 	for name, m := range s.Members {
-		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < rankSilence && Order(m.Hello, self) < 0 {
+		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < helloTimeout && Order(m.Hello, self) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
-// Weaker reports whether a daemon is there that has much more of what a placer needs.
+// HasStronger reports whether a daemon is there that has much more of what a placer needs.
 func Weaker(s *flow.State, self flow.Hello, now time.Duration) bool {
 	for name, m := range s.Members {
-		if name != self.Daemon && now-m.Seen < rankSilence && class(m.Strength) > class(self.Strength) {
+		if name != self.Daemon && now-m.Seen < helloTimeout && strengthClass(m.Strength) > strengthClass(self.Strength) {
 			return true
 		}
 	}
@@ -108,7 +108,7 @@
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
 	var list []flow.Hello
 	for name, m := range s.Members {
-		if name != self && now-m.Seen < rankSilence && wallMS-m.Started > startTime.Milliseconds() {
+		if name != self && now-m.Seen < helloTimeout && wallMS-m.Started > logReplayTime.Milliseconds() {
 			list = append(list, m.Hello)
 		}
 	}
@@ -116,15 +116,15 @@
 	return list
 }
 
-// Order puts the daemons first that have much of what a placer needs and are near the log;
+// CompareCandidates puts the daemons first that have much of what a placer needs and are near the log;
 // among equal ones those that started last, as restarts in turn come to them last.
 func Order(a, b flow.Hello) int {
-	return cmp.Or(cmp.Compare(class(b.Strength), class(a.Strength)), cmp.Compare(a.DistanceMS/distanceStep.Milliseconds(), b.DistanceMS/distanceStep.Milliseconds()), cmp.Compare(b.Started, a.Started), cmp.Compare(a.Daemon, b.Daemon))
+	return cmp.Or(cmp.Compare(strengthClass(b.Strength), strengthClass(a.Strength)), cmp.Compare(a.DistanceMS/distanceClassWidth.Milliseconds(), b.DistanceMS/distanceClassWidth.Milliseconds()), cmp.Compare(b.Started, a.Started), cmp.Compare(a.Daemon, b.Daemon))
 }
 
-// class puts strengths that differ little into one class.
-func class(strength float64) int {
-	return int(math.Floor(math.Log(max(strength, leastStrength)) / math.Log(muchStronger)))
+// strengthClass puts strengths that differ little into one class.
+func strengthClass(strength float64) int {
+	return int(math.Floor(math.Log(max(strength, minStrength)) / math.Log(strengthClassRatio)))
 }
 
 // NextEpoch returns an epoch above all that were claimed. Of daemons that claim at the same
@@ -132,8 +132,10 @@
 // log, a claim that arrives later with a higher epoch fences the one that waits there.
 func NextEpoch(s *flow.State, rank int, rng *rand.Rand) int64 {
 	place := int64(epochRanks - 1 - min(rank, epochRanks-1))
-	return (s.Claim.Epoch/epochStep+1)*epochStep + place*epochRandom + rng.Int64N(epochRandom)
+	return (s.Claim.Epoch/epochsPerClaim+1)*epochsPerClaim + place*epochsPerRank + rng.Int64N(epochsPerRank)
 }
 
 // ClaimJitter returns a daemon's own delay before a claim.
-func ClaimJitter(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(claimSpread))) }
+func ClaimJitter(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.Int64N(int64(maxClaimJitter)))
+}
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -108,7 +108,7 @@
 // Guards against claims that fence each other for seconds while a slow log keeps them
 // waiting: each had a random epoch, so the daemon that was to claim first lost to others
 // that came later (trouble-2 of dosui-sched-large, thirty claims in two seconds).
-func TestClaimsOfLaterRanksFenceNobody(t *testing.T) {
+func TestClaimsOfLaterRanksHaveLowerEpochs(t *testing.T) {
 	s, rng := flow.NewState(), rand.New(rand.NewPCG(1, 2))
 	s.Claim.Epoch = NextEpoch(s, 5, rng)
 	for rank := range 70 {
--- a/core/placer/evacuate.go
+++ b/core/placer/evacuate.go
@@ -8,16 +8,16 @@
 
 // Times of workers that leave.
 const (
-	// leaveMargin is left for the order to stop, its end and the look that brings the
+	// evacuationMargin is left for the order to stop, its end and the look that brings the
 	// checkpoint: three ways to a far region and the rounding of the notice.
-	leaveMargin = 400 * time.Millisecond
-	// leaveLease is the lease on a worker that is about to leave: a look with its wait
+	evacuationMargin = 400 * time.Millisecond
+	// departingLease is the lease on a worker that is about to leave: a look with its wait
 	// and one repeat. What is still there when the worker goes starts elsewhere sooner.
-	leaveLease = 3 * time.Second
-	// hopeless is how many times longer than the worker stays a run without checkpoints
+	departingLease = 3 * time.Second
+	// giveUpFactor is how many times longer than the worker stays a run without checkpoints
 	// must need before it is given up early. Estimates are off by half, and workers often
 	// stay longer than they say.
-	hopeless = 2.5
+	giveUpFactor = 2.5
 )
 
 // evacuate stops the runs on leaving workers that can't end there, so that they go on
@@ -30,20 +30,20 @@
 			continue
 		}
 		for _, r := range v.runs {
-			if r.state != running || !r.wanted || r.foreign {
+			if r.state != running || !r.wanted || r.unknown {
 				continue
 			}
-			if reason := p.mustLeave(r, v.leavesAt-now, now); reason != "" {
+			if reason := p.evacuationReason(r, v.leavesAt-now, now); reason != "" {
 				r.wanted = false
-				p.note(Note{What: "run leaves its worker", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: reason, Age: v.leavesAt - now})
+				p.addDecision(Note{What: "run leaves its worker", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: reason, Age: v.leavesAt - now})
 			}
 		}
 	}
 }
 
-// mustLeave returns why a run is stopped now on a worker that stays for the given time.
-func (p *Placer) mustLeave(r *run, stays, now time.Duration) string {
-	def := p.def(r)
+// evacuationReason returns why a run is stopped now on a worker that stays for the given time.
+func (p *Placer) evacuationReason(r *run, stays, now time.Duration) string {
+	def := p.stepDef(r)
 	if def == nil {
 		return ""
 	}
@@ -52,16 +52,16 @@
 	switch {
 	case !def.LongRunning && needs <= stays:
 		return ""
-	case keeps && stays <= p.options.Stop+leaveMargin:
+	case keeps && stays <= p.options.Stop+evacuationMargin:
 		return "its worker leaves; its progress is saved"
-	case !keeps && stays > 0 && needs > time.Duration(hopeless*float64(stays)):
+	case !keeps && stays > 0 && needs > time.Duration(giveUpFactor*float64(stays)):
 		return "it can't end before its worker leaves"
 	}
 	return ""
 }
 
-// def returns the step of a run; nil if the job is not known any more.
-func (p *Placer) def(r *run) *flow.Step {
+// stepDef returns the step of a run; nil if the job is not known any more.
+func (p *Placer) stepDef(r *run) *flow.Step {
 	j := p.state.Jobs[r.Job]
 	if j == nil || r.Step >= len(j.Steps) {
 		return nil
@@ -69,10 +69,10 @@
 	return &j.Steps[r.Step]
 }
 
-// leaseFor returns the lease of what runs on a worker.
-func (p *Placer) leaseFor(v *vm, now time.Duration) time.Duration {
+// leaseDuration returns the lease of what runs on a worker.
+func (p *Placer) leaseDuration(v *vm, now time.Duration) time.Duration {
 	if v.Draining && v.leavesAt > 0 && v.leavesAt-now < p.options.Lease {
-		return min(p.options.Lease, leaveLease)
+		return min(p.options.Lease, departingLease)
 	}
 	return p.options.Lease
 }
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -7,10 +7,10 @@
 	"briarproxy/core/flow"
 )
 
-// maxRows is the number of ends that a worker lists at most in one answer.
-const maxRows = 500
+// maxReportedEnds is the number of ends that a worker lists at most in one answer.
+const maxReportedEnds = 500
 
-// Read takes a record that was applied to the state just now.
+// RecordApplied takes a record that was applied to the state just now.
 func (p *Placer) Read(r *flow.Record, now time.Duration) {
 	switch {
 	case r.Submit != nil:
@@ -22,19 +22,19 @@
 		p.dropJob(r.Cancel.ID)
 	case r.Batch != nil:
 		for i := range r.Batch.Ends {
-			p.recorded(&r.Batch.Ends[i], now)
+			p.endRecorded(&r.Batch.Ends[i], now)
 		}
 	}
 }
 
-// recorded follows the record of an end.
-func (p *Placer) recorded(e *flow.End, now time.Duration) {
+// endRecorded follows the record of an end.
+func (p *Placer) endRecorded(e *flow.End, now time.Duration) {
 	if r := p.runs[e.TaskID]; r != nil && r.Run == e.Run && r.state == ended {
 		delete(p.runs, e.TaskID)
 		if w := p.steps[e.StepID()]; w != nil {
-			w.active--
+			w.activeRuns--
 		}
-		r.vm.settle(e.RunID)
+		r.vm.markEndRecorded(e.RunID)
 	}
 	p.dirty = true
 	w := p.jobs[e.Job]
@@ -51,10 +51,10 @@
 	}
 }
 
-// Appended takes the acknowledgement of a batch: its runs may be started now.
+// BatchAppended takes the acknowledgement of a batch: its runs may be started now.
 func (p *Placer) Appended(runs []*run, now time.Duration) []Command {
 	var commands []Command
-	p.appendTook = now - p.sentAt
+	p.lastAppendTime = now - p.flushedAt
 	expired := p.expiredGangs(runs, now)
 	for _, r := range runs {
 		if r.state != logging || p.runs[r.TaskID] != r {
@@ -63,36 +63,36 @@
 		r.recorded = true
 		switch {
 		case !r.wanted:
-			r.step(logged)
+			r.transition(logged)
 			p.endRun(r, cluster.Void, "", now)
-		case p.expired(r, now) || expired[r.StepID()]:
-			r.step(logged)
-			p.note(Note{What: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
+		case p.ticketExpired(r, now) || expired[r.StepID()]:
+			r.transition(logged)
+			p.addDecision(Note{What: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
 			p.endRun(r, cluster.Void, "", now)
 		default:
-			r.step(logged)
-			commands = append(commands, p.start(r, now))
+			r.transition(logged)
+			commands = append(commands, p.firstStart(r, now))
 		}
 	}
 	return commands
 }
 
-// expired reports whether the run's ticket would not reach its worker in time.
-func (p *Placer) expired(r *run, now time.Duration) bool {
-	return r.ticket.text != "" && now+p.travel() > r.ticket.until
+// ticketExpired reports whether the run's ticket would not reach its worker in time.
+func (p *Placer) ticketExpired(r *run, now time.Duration) bool {
+	return r.ticket.text != "" && now+p.deliveryTime() > r.ticket.validUntil
 }
 
-// travel is how long an order may take to reach its worker, as far as answers tell.
-func (p *Placer) travel() time.Duration { return max(ticketMargin, p.window.median/2) }
+// deliveryTime is how long an order may take to reach its worker, as far as answers tell.
+func (p *Placer) deliveryTime() time.Duration { return max(ticketSendMargin, p.startWindow.median/2) }
 
-// sendBy is the latest time at which an order made now may be sent. A repeat also tells whether
+// sendDeadline is the latest time at which an order made now may be sent. A repeat also tells whether
 // the run began on an earlier order, which needs no ticket.
-func (p *Placer) sendBy(r *run, now time.Duration) time.Duration {
+func (p *Placer) sendDeadline(r *run, now time.Duration) time.Duration {
 	until := now + p.options.Lease
-	if r.ticket.text != "" && r.copies == 0 {
-		until = min(until, r.ticket.until)
+	if r.ticket.text != "" && r.startsSent == 0 {
+		until = min(until, r.ticket.validUntil)
 	}
-	return until - p.travel()
+	return until - p.deliveryTime()
 }
 
 // expiredGangs returns the gangs of which a member's ticket expired while the plan was
@@ -100,7 +100,7 @@
 func (p *Placer) expiredGangs(runs []*run, now time.Duration) map[cluster.StepID]bool {
 	var gangs map[cluster.StepID]bool
 	for _, r := range runs {
-		if def := p.def(r); p.expired(r, now) && def != nil && def.Gang {
+		if def := p.stepDef(r); p.ticketExpired(r, now) && def != nil && def.Gang {
 			if gangs == nil {
 				gangs = map[cluster.StepID]bool{}
 			}
@@ -110,47 +110,47 @@
 	return gangs
 }
 
-// confirm has it recorded that a job has begun, once.
-func (p *Placer) confirm(r *run) {
+// recordJobStart has it recorded that a job has begun, once.
+func (p *Placer) recordJobStart(r *run) {
 	w := p.jobs[r.Job]
-	if w == nil || w.confirmed || w.job.Phase != flow.Queued {
+	if w == nil || w.startRecorded || w.job.Phase != flow.Queued {
 		return
 	}
-	w.confirmed = true
-	p.note(Note{What: NoteBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.since})
-	p.out.Started = append(p.out.Started, r.Job)
+	w.startRecorded = true
+	p.addDecision(Note{What: NoteBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.readAt})
+	p.pendingBatch.Started = append(p.pendingBatch.Started, r.Job)
 }
 
-// start returns the first order to start a run.
-func (p *Placer) start(r *run, now time.Duration) Command {
-	p.note(Note{What: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
+// firstStart returns the first order to start a run.
+func (p *Placer) firstStart(r *run, now time.Duration) Command {
+	p.addDecision(Note{What: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
 	r.orderedAt = now
-	p.unanswered = append(p.unanswered, r)
-	p.budget.Request()
-	return p.startOrder(r, p.courier(r.vm, r.spec, now), now)
+	p.unansweredStarts = append(p.unansweredStarts, r)
+	p.retryBudget.Request()
+	return p.startCommand(r, p.chooseRelay(r.vm, r.spec, now), now)
 }
 
-// Answered takes the answer to a start. It reports whether a newer placer was named.
+// StartAnswered takes the answer to a start. It reports whether a newer placer was named.
 func (p *Placer) Answered(c *StartCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return false
 	}
 	if v.Life == c.Life {
-		v.readClock(clockMS, now)
+		v.observeClock(clockMS, now)
 	}
 	r := p.runs[c.Order.TaskID]
 	if r == nil || r.Run != c.Order.Run || r.vm != v {
 		return result == cluster.RefusedFence
 	}
-	r.underWay--
-	p.judgeAnswer(r, now)
+	r.startsInFlight--
+	p.updateStartWindow(r, now)
 	if result == cluster.NoAnswer {
-		p.courierLost(c.Courier, now)
+		p.relayFailed(c.Courier, now)
 	}
 	fenced := result == cluster.RefusedFence
-	if !r.settledBy(result) {
-		if r.underWay > 0 || r.state != starting {
+	if !r.decidedBy(result) {
+		if r.startsInFlight > 0 || r.state != starting {
 			return fenced
 		}
 		result = cluster.NoAnswer
@@ -158,31 +158,31 @@
 	switch result {
 	case cluster.Started:
 		v.refusals = 0
-		r.step(accepted)
+		r.transition(accepted)
 		r.answeredAt = now
-		p.confirm(r)
+		p.recordJobStart(r)
 		return false
 	case cluster.NoAnswer:
-		r.step(unanswered)
+		r.transition(unanswered)
 		r.answeredAt = now
-		v.lookAt = now
-		v.avoidUntil = max(v.avoidUntil, now+silentAvoid)
-		p.describe(v, now)
-		p.note(Note{What: "start not answered", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker})
+		v.nextPollAt = now
+		v.avoidUntil = max(v.avoidUntil, now+avoidAfterNoAnswer)
+		p.updateCellWorker(v, now)
+		p.addDecision(Note{What: "start not answered", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker})
 		return false
 	}
-	p.note(Note{What: "start refused", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: string(result)})
-	if !r.step(refused) {
+	p.addDecision(Note{What: "start refused", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: string(result)})
+	if !r.transition(refused) {
 		return result == cluster.RefusedFence
 	}
 	switch result {
 	case cluster.RefusedOther:
 		v.refusals++
-		v.avoidUntil = now + refusalAvoid*time.Duration(min(v.refusals, 8))
-		p.describe(v, now)
+		v.avoidUntil = now + avoidAfterRefusal*time.Duration(min(v.refusals, 8))
+		p.updateCellWorker(v, now)
 	case cluster.RefusedRoom:
-		v.avoidUntil = now + refusalAvoid
-		p.describe(v, now)
+		v.avoidUntil = now + avoidAfterRefusal
+		p.updateCellWorker(v, now)
 	case cluster.RefusedPass:
 		if w := p.steps[r.StepID()]; w != nil {
 			delete(w.grants, v.Life.Worker)
@@ -192,12 +192,12 @@
 	return fenced
 }
 
-// judgeAnswer lets the answer to an order, or its absence, decide how many runs may be started
+// updateStartWindow lets the answer to an order, or its absence, decide how many runs may be started
 // at one time.
-func (p *Placer) judgeAnswer(r *run, now time.Duration) {
-	p.dirty = p.dirty || p.window.full
-	if r.state == starting && p.window.answered(r.orderedAt, now, p.opening) {
-		p.note(Note{What: "start window changed", Version: int64(p.window.limit), Age: now - r.orderedAt})
+func (p *Placer) updateStartWindow(r *run, now time.Duration) {
+	p.dirty = p.dirty || p.startWindow.limiting
+	if r.state == starting && p.startWindow.observe(r.orderedAt, now, p.startsInProgress) {
+		p.addDecision(Note{What: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.orderedAt})
 	}
 }
 
@@ -208,84 +208,84 @@
 		return false
 	}
 	if v.Life == c.Life {
-		v.readClock(clockMS, now)
+		v.observeClock(clockMS, now)
 	}
 	r := p.runs[c.Run.TaskID]
 	if r == nil || r.Run != c.Run.Run || r.vm != v {
 		return result == cluster.RefusedFence
 	}
-	r.stopping = false
+	r.stopInFlight = false
 	if result == cluster.Started || result == cluster.RefusedOld {
-		r.stopTaken = now
-		v.lookAt = min(v.lookAt, now)
+		r.stopAnsweredAt = now
+		v.nextPollAt = min(v.nextPollAt, now)
 	}
 	return result == cluster.RefusedFence
 }
 
-// LookFailed takes a look that was not answered.
+// PollFailed takes a look that was not answered.
 func (p *Placer) LookFailed(c *LookCommand, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return
 	}
-	v.looking = false
-	v.misses++
-	v.lookAt = now + missedLookGap
-	if v.misses == 1 {
-		p.note(Note{What: "worker does not answer", Worker: v.Life.Worker, Age: now - v.answered})
-		p.describe(v, now)
+	v.pollInFlight = false
+	v.missedPolls++
+	v.nextPollAt = now + missedPollDelay
+	if v.missedPolls == 1 {
+		p.addDecision(Note{What: "worker does not answer", Worker: v.Life.Worker, Age: now - v.answeredAt})
+		p.updateCellWorker(v, now)
 	}
 }
 
-// Looked takes the answer to a look.
+// PollAnswered takes the answer to a look.
 func (p *Placer) Looked(c *LookCommand, report *cluster.Report, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return
 	}
-	v.looking = false
+	v.pollInFlight = false
 	if report.Life.Born < v.Born {
 		return // an answer of a former life that was overtaken
 	}
 	if report.Life.Born > v.Born {
-		p.newLife(v, report, now)
+		p.workerRestarted(v, report, now)
 	}
-	if v.misses > 0 {
-		p.note(Note{What: "worker answers again", Worker: v.Life.Worker})
+	if v.missedPolls > 0 {
+		p.addDecision(Note{What: "worker answers again", Worker: v.Life.Worker})
 	}
-	v.misses = 0
-	v.readClock(report.ClockMS, now)
-	v.fenced = true // it has seen this placer's token in the life that answered
+	v.missedPolls = 0
+	v.observeClock(report.ClockMS, now)
+	v.tokenSeen = true // it has seen this placer's token in the life that answered
 	if v.Life == c.Life {
-		v.told = max(v.told, c.Hold.Confirmed)
+		v.confirmedUpTo = max(v.confirmedUpTo, c.Hold.Confirmed)
 	}
-	p.takeEnds(v, report, now)
-	p.takeRunning(v, report, now)
-	p.pace(v, now)
-	v.lookAt = now + lookGap
-	p.describe(v, now)
+	p.processEnds(v, report, now)
+	p.processRunning(v, report, now)
+	p.adjustPace(v, now)
+	v.nextPollAt = now + pollInterval
+	p.updateCellWorker(v, now)
 	p.dirty = true
 }
 
-// takeEnds takes the ends that were not listed before.
-func (p *Placer) takeEnds(v *vm, report *cluster.Report, now time.Duration) {
+// processEnds takes the ends that were not listed before.
+func (p *Placer) processEnds(v *vm, report *cluster.Report, now time.Duration) {
 	for i := range report.Ended {
 		e := &report.Ended[i]
-		if e.Number <= v.seen {
+		if e.Number <= v.lastListedEnd {
 			continue
 		}
-		v.seen = e.Number
+		v.lastListedEnd = e.Number
 		r := p.runs[e.TaskID]
 		mine := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
-		v.unsettled = append(v.unsettled, unsettledEnd{number: e.Number, run: e.RunID, settled: !mine || r.foreign})
+		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !mine || r.unknown})
 		if mine {
-			p.takeEnd(r, e, now)
+			p.processEnd(r, e, now)
 		}
 	}
-	v.advance()
+	v.advanceRecorded()
 }
 
-func (p *Placer) takeEnd(r *run, e *cluster.EndReport, now time.Duration) {
+func (p *Placer) processEnd(r *run, e *cluster.EndReport, now time.Duration) {
 	v := r.vm
 	switch e.How {
 	case cluster.Failed:
@@ -299,8 +299,8 @@
 // workerFailed counts failures of unlike jobs in a row: a worker that fails all that it
 // starts is left alone for a while, a task that fails everywhere is not its fault.
 func (p *Placer) workerFailed(v *vm, r *run, now time.Duration) {
-	if w := p.steps[r.StepID()]; w != nil && len(w.avoid) < 8 {
-		w.avoid = append(w.avoid, v.Life.Worker)
+	if w := p.steps[r.StepID()]; w != nil && len(w.avoidWorkers) < 8 {
+		w.avoidWorkers = append(w.avoidWorkers, v.Life.Worker)
 	}
 	if v.lastFailed == r.Job {
 		return
@@ -308,150 +308,150 @@
 	v.lastFailed = r.Job
 	v.failures++
 	if v.failures >= failuresToAvoid {
-		v.avoidUntil = now + avoidFor
-		p.note(Note{What: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
-		p.describe(v, now)
+		v.avoidUntil = now + avoidAfterFailures
+		p.addDecision(Note{What: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
+		p.updateCellWorker(v, now)
 	}
 }
 
-// takeRunning compares the runs that the worker lists with those that it should have.
-func (p *Placer) takeRunning(v *vm, report *cluster.Report, now time.Duration) {
-	there := make(map[cluster.RunID]bool, len(report.Running))
+// processRunning compares the runs that the worker lists with those that it should have.
+func (p *Placer) processRunning(v *vm, report *cluster.Report, now time.Duration) {
+	listedRuns := make(map[cluster.RunID]bool, len(report.Running))
 	for i := range report.Running {
 		row := &report.Running[i]
-		there[row.RunID] = true
+		listedRuns[row.RunID] = true
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
-			r.progress.see(row.Percent, now)
-			r.load, r.seen = row.Load, true
+			r.progress.observe(row.Percent, now)
+			r.load, r.wasListed = row.Load, true
 			if row.Checkpoint != "" {
-				r.saved = row.Checkpoint
+				r.lastCheckpoint = row.Checkpoint
 			}
 			if r.state != ended {
-				r.step(listed)
-				p.confirm(r)
+				r.transition(listed)
+				p.recordJobStart(r)
 			}
 			continue
 		}
-		p.foreign(v, row, now)
+		p.handleUnknownRun(v, row, now)
 	}
-	if len(report.Ended) >= maxRows {
+	if len(report.Ended) >= maxReportedEnds {
 		return // later ends may be missing from the answer
 	}
 	for _, r := range v.runs {
-		if there[r.RunID] {
+		if listedRuns[r.RunID] {
 			continue
 		}
-		p.missing(r, now)
+		p.handleMissing(r, now)
 	}
 }
 
-// missing follows a run that its worker does not list. Only a look that was sent after
+// handleMissing follows a run that its worker does not list. Only a look that was sent after
 // the order was settled proves that the run is not there.
-func (p *Placer) missing(r *run, now time.Duration) {
-	sent := r.vm.lookSentAt
+func (p *Placer) handleMissing(r *run, now time.Duration) {
+	sent := r.vm.pollSentAt
 	switch r.state {
 	case running:
 		if sent > r.answeredAt+time.Second {
-			if r.copyPending(now) {
-				r.step(stopOrder)
+			if r.mayStartLate(now) {
+				r.transition(stopOrder)
 				return
 			}
-			p.note(Note{What: "run is missing", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.answeredAt})
+			p.addDecision(Note{What: "run is missing", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.answeredAt})
 			p.endRun(r, cluster.Lost, "", now)
 		}
 	case uncertain:
 		if sent > r.answeredAt {
-			r.step(stopOrder)
+			r.transition(stopOrder)
 		}
 	case stopping:
-		if r.stopTaken > 0 && sent > r.stopTaken {
+		if r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt {
 			p.endRun(r, cluster.Void, "", now)
 		}
 	}
 }
 
-// foreign stops a run that the log does not know as active, and keeps its room until it
+// handleUnknownRun stops a run that the log does not know as active, and keeps its room until it
 // is gone.
-func (p *Placer) foreign(v *vm, row *cluster.RunReport, now time.Duration) {
+func (p *Placer) handleUnknownRun(v *vm, row *cluster.RunReport, now time.Duration) {
 	if known := p.runs[row.TaskID]; known != nil {
 		// The task has another run: the stray one is stopped without being followed up.
-		p.note(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
-		p.strays = append(p.strays, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
+		p.addDecision(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
+		p.queuedCommands = append(p.queuedCommands, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
 		return
 	}
 	j := p.state.Jobs[row.Job]
-	r := &run{RunID: row.RunID, state: stopping, vm: v, foreign: true, seen: true, recorded: true, plannedAt: now, answeredAt: now}
+	r := &run{RunID: row.RunID, state: stopping, vm: v, unknown: true, wasListed: true, recorded: true, plannedAt: now, answeredAt: now}
 	if j != nil && row.Step >= 0 && row.Step < len(j.Steps) {
-		r.size = size(&j.Steps[row.Step])
+		r.size = occupiedRoom(&j.Steps[row.Step])
 	}
-	p.note(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
+	p.addDecision(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 	p.runs[row.TaskID] = r
 	v.runs[row.TaskID] = r
 	if w := p.steps[row.StepID()]; w != nil {
-		w.active++
+		w.activeRuns++
 	}
 	p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
 }
 
 // endRun frees the room of a run and has its end recorded.
 func (p *Placer) endRun(r *run, how cluster.How, checkpoint string, now time.Duration) {
-	if r.closed {
+	if r.released {
 		return
 	}
-	r.closed = true
+	r.released = true
 	if r.state != ended {
-		r.step(dropped)
+		r.transition(dropped)
 	}
 	delete(r.vm.runs, r.TaskID)
-	p.cell.Release(cellID(r.TaskID), int64(r.Run))
+	p.cell.Release(cellTaskID(r.TaskID), int64(r.Run))
 	p.dirty = true
-	if r.foreign {
+	if r.unknown {
 		delete(p.runs, r.TaskID)
 		if w := p.steps[r.StepID()]; w != nil {
-			w.active--
+			w.activeRuns--
 		}
 		return
 	}
 	if !r.recorded {
 		delete(p.runs, r.TaskID)
 		if w := p.steps[r.StepID()]; w != nil {
-			w.active--
+			w.activeRuns--
 		}
 		return
 	}
 	if checkpoint == "" && how != cluster.Void {
-		checkpoint = r.saved // a worker that is gone can't tell its newest one
+		checkpoint = r.lastCheckpoint // a worker that is gone can't tell its newest one
 	}
 	thrown := 0.0
 	if how != cluster.Done && how != cluster.Void && checkpoint == "" && r.answeredAt > 0 {
 		thrown = (now - r.answeredAt).Seconds() * float64(r.size.MilliCores) / 1000
 	}
-	p.note(Note{
+	p.addDecision(Note{
 		What: NoteEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, Thrown: thrown,
 	})
-	p.out.Ends = append(p.out.Ends, flow.End{RunID: r.RunID, How: how, Checkpoint: checkpoint})
+	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: r.RunID, How: how, Checkpoint: checkpoint})
 	if how != cluster.Done {
-		p.breakGang(r)
+		p.stopGang(r)
 	}
 }
 
-// breakGang has the other members of a gang stopped when one is gone.
-func (p *Placer) breakGang(r *run) {
+// stopGang has the other members of a gang stopped when one is gone.
+func (p *Placer) stopGang(r *run) {
 	w := p.steps[r.StepID()]
 	if w == nil || !w.def.Gang {
 		return
 	}
 	for i := 0; i < w.def.Count; i++ {
-		if other := p.runs[w.task(i)]; other != nil && other != r && other.Run == r.Run && other.state != ended {
+		if other := p.runs[w.taskID(i)]; other != nil && other != r && other.Run == r.Run && other.state != ended {
 			other.wanted = false
 		}
 	}
 }
 
-// Granted takes the answer to a request for advice; failed means that there was none.
+// AdviceAnswered takes the answer to a request for advice; failed means that there was none.
 func (p *Placer) Granted(c *AdviseCommand, grants []cluster.Grant, valid, took time.Duration, failed bool, now time.Duration) {
-	p.advise.finished(c, took, failed, now)
+	p.advisers.callFinished(c, took, failed, now)
 	w := p.steps[c.Step]
 	p.dirty = true
 	got := map[string]string{}
@@ -459,50 +459,50 @@
 		got[g.Worker] = g.Ticket
 	}
 	if w != nil {
-		w.asking = false
+		w.adviceInFlight = false
 		if failed {
-			w.askAfter = now + adviceRetry
+			w.nextAdviceAt = now + adviceRetryDelay
 		} else {
-			p.learnGrants(w.job.Queue, len(grants), len(c.Workers))
+			p.updateGrantRate(w.job.Queue, len(grants), len(c.Workers))
 			for _, worker := range c.Workers {
 				if text, granted := got[worker]; granted {
-					w.grants[worker] = ticket{text, now + valid - p.advise.age(c)}
+					w.grants[worker] = ticket{text, now + valid - p.advisers.ticketAge(c)}
 				} else {
 					w.denied[worker] = true
 					delete(w.grants, worker)
 				}
 			}
 		}
-		p.note(Note{What: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
+		p.addDecision(Note{What: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
 	}
 	if w != nil {
-		p.takeTickets(w, now)
+		p.applyTickets(w, now)
 	}
 }
 
-// takeTickets begins the runs of a step that wait for tickets and have one now, and gives
+// applyTickets begins the runs of a step that wait for tickets and have one now, and gives
 // the room of the others back. The members of a gang begin together or not at all.
-func (p *Placer) takeTickets(w *stepWork, now time.Duration) {
+func (p *Placer) applyTickets(w *pendingStep, now time.Duration) {
 	var waiting []*run
 	whole := true
 	for i := 0; i < w.def.Count; i++ {
-		r := p.runs[w.task(i)]
+		r := p.runs[w.taskID(i)]
 		if r == nil || r.state != ticketing {
 			continue
 		}
 		waiting = append(waiting, r)
-		if t := w.grants[r.vm.Life.Worker]; t.until <= now+ticketPlan || !r.wanted {
+		if t := w.grants[r.vm.Life.Worker]; t.validUntil <= now+ticketPlanMargin || !r.wanted {
 			whole = false
 		}
 	}
 	for _, r := range waiting {
 		t := w.grants[r.vm.Life.Worker]
-		if t.until <= now+ticketPlan || !r.wanted || w.def.Gang && !whole {
+		if t.validUntil <= now+ticketPlanMargin || !r.wanted || w.def.Gang && !whole {
 			p.endRun(r, cluster.Void, "", now)
 			continue
 		}
 		r.ticket = t
-		r.step(ticketGranted)
-		p.begin(r)
+		r.transition(ticketGranted)
+		p.recordBegin(r)
 	}
 }
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -16,29 +16,29 @@
 // fakeCell is a cell with a virtual clock: a log, workers that keep the platform's
 // rules and complain when one is broken, and one placer at a time.
 type fakeCell struct {
-	t       testing.TB
-	now     time.Duration
-	state   *flow.State
-	placer  *Placer
-	config  *cluster.Configuration
-	workers map[string]*fakeWorker
-	later   []event
-	seq     int
-	noted   map[cluster.TaskID]bool // runs that ended done, confirmed while the lease held
-	starts  int
-	delay   time.Duration // of every answer
-	lose    func(c Command) (lost bool, late time.Duration)
-	runTime func(s cluster.Start) time.Duration
-	how     func(s cluster.Start) cluster.How
-	notes   []Note
-	logAway bool                                // nothing is appended
-	load    func(w *fakeWorker, r *fakeRun) int // as a look shows it
-	advice  func(c *AdviseCommand) []cluster.Grant
-	adviser map[string]time.Duration                 // by daemon: its calls for advice have been served
-	spent   time.Duration                            // processor time of the placer
-	link    func(c Command, bytes int) time.Duration // how long bytes of a command, or of the log, wait for the placer's link
-	refuse  func(s *cluster.Start) bool              // a worker refuses the ticket of an order
-	ended   func(j *flow.Job)                        // told of each job that ends
+	t                testing.TB
+	now              time.Duration
+	state            *flow.State
+	placer           *Placer
+	config           *cluster.Configuration
+	workers          map[string]*fakeWorker
+	scheduled        []event
+	seq              int
+	confirmedDone    map[cluster.TaskID]bool // runs that ended done, confirmed while the lease held
+	starts           int
+	answerDelay      time.Duration // of every answer
+	drop             func(c Command) (lost bool, late time.Duration)
+	runTime          func(s cluster.Start) time.Duration
+	outcome          func(s cluster.Start) cluster.How
+	decisions        []Note
+	logDown          bool                                // nothing is appended
+	load             func(w *fakeWorker, r *fakeRun) int // as a look shows it
+	advice           func(c *AdviseCommand) []cluster.Grant
+	adviserBusyUntil map[string]time.Duration                 // by daemon: its calls for advice have been served
+	placerTime       time.Duration                            // processor time of the placer
+	linkDelay        func(c Command, bytes int) time.Duration // how long bytes of a command, or of the log, wait for the placer's link
+	refuseTicket     func(s *cluster.Start) bool              // a worker refuses the ticket of an order
+	onJobEnd         func(j *flow.Job)                        // told of each job that ends
 }
 
 type event struct {
@@ -48,44 +48,44 @@
 }
 
 type fakeRun struct {
-	start cluster.Start
-	size  resource.Vector
-	endAt time.Duration
-	begun time.Duration
-	from  int           // thousandths of the work that the checkpoint spared
-	total time.Duration // of the whole work
-	pace  int
+	start              cluster.Start
+	size               resource.Vector
+	endAt              time.Duration
+	startedAt          time.Duration
+	checkpointPermille int           // thousandths of the work that the checkpoint spared
+	duration           time.Duration // of the whole work
+	pace               int
 }
 
-// done returns the thousandths of the work that are done.
-func (r *fakeRun) done(now time.Duration) int {
-	return min(1000, r.from+int(1000*(now-r.begun)/r.total))
+// donePermille returns the thousandths of the work that are done.
+func (r *fakeRun) donePermille(now time.Duration) int {
+	return min(1000, r.checkpointPermille+int(1000*(now-r.startedAt)/r.duration))
 }
 
 type fakeWorker struct {
 	cluster.Worker
-	up        bool
-	cut       bool // takes no orders and answers nothing
-	token     int64
-	lease     int64
-	runs      map[cluster.TaskID]*fakeRun
-	ended     []cluster.EndReport
-	number    int64
-	highest   map[cluster.TaskID]int
-	listable  bool
-	started   time.Duration
-	saves     bool // its runs save their progress
-	stoppedAt time.Duration
-	lapsed    int64 // ends up to this number were followed by a lapse of the lease
+	up            bool
+	partitioned   bool // takes no orders and answers nothing
+	token         int64
+	leaseUntilMS  int64
+	runs          map[cluster.TaskID]*fakeRun
+	ended         []cluster.EndReport
+	lastEndNumber int64
+	highestRun    map[cluster.TaskID]int
+	inRegistry    bool
+	started       time.Duration
+	savesProgress bool // its runs save their progress
+	stoppedAt     time.Duration
+	lapsedUpTo    int64 // ends up to this number were followed by a lapse of the lease
 }
 
 var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Orphan: 14 * time.Second}
 
-const testWall = 1_700_000_000_000
+const testWallMS = 1_700_000_000_000
 
 func newFakeCell(t testing.TB, workers int, capacity resource.Vector) *fakeCell {
 	c := &fakeCell{
-		t: t, now: time.Second, state: flow.NewState(), workers: map[string]*fakeWorker{}, noted: map[cluster.TaskID]bool{}, delay: 5 * time.Millisecond,
+		t: t, now: time.Second, state: flow.NewState(), workers: map[string]*fakeWorker{}, confirmedDone: map[cluster.TaskID]bool{}, answerDelay: 5 * time.Millisecond,
 		config: &cluster.Configuration{Version: 1, Queues: []cluster.Queue{
 			{Name: "q", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second},
 		}},
@@ -95,19 +95,19 @@
 		c.workers[id] = &fakeWorker{
 			Worker: cluster.Worker{Life: cluster.Life{Worker: id, Born: 1}, Address: id, Pool: "p", Rack: fmt.Sprintf("r%d", i/8),
 				Labels: []string{"a", fmt.Sprintf("r%d", i/8)}, Capacity: capacity},
-			up: true, listable: true, runs: map[cluster.TaskID]*fakeRun{}, highest: map[cluster.TaskID]int{},
+			up: true, inRegistry: true, runs: map[cluster.TaskID]*fakeRun{}, highestRun: map[cluster.TaskID]int{},
 		}
 	}
 	c.runTime = func(cluster.Start) time.Duration { return 800 * time.Millisecond }
-	c.how = func(cluster.Start) cluster.How { return cluster.Done }
+	c.outcome = func(cluster.Start) cluster.How { return cluster.Done }
 	return c
 }
 
-func (c *fakeCell) wall() int64 { return testWall + c.now.Milliseconds() }
+func (c *fakeCell) wall() int64 { return testWallMS + c.now.Milliseconds() }
 
 func (c *fakeCell) after(d time.Duration, do func()) {
 	c.seq++
-	c.later = append(c.later, event{c.now + d, c.seq, do})
+	c.scheduled = append(c.scheduled, event{c.now + d, c.seq, do})
 }
 
 // append puts a record at the end of the log and lets the placer read it.
@@ -116,12 +116,12 @@
 	if c.placer != nil {
 		began := time.Now()
 		c.placer.Read(&r, c.now)
-		c.spent += time.Since(began)
+		c.placerTime += time.Since(began)
 	}
-	if c.ended != nil && r.Batch != nil {
+	if c.onJobEnd != nil && r.Batch != nil {
 		for _, e := range r.Batch.Ends {
 			if j := c.state.Jobs[e.Job]; j != nil && j.Phase.Final() {
-				c.ended(j)
+				c.onJobEnd(j)
 			}
 		}
 	}
@@ -138,13 +138,13 @@
 	c.placer = nil
 	require.NoError(c.t, c.append(flow.Record{Claim: &flow.Claim{Daemon: fmt.Sprint("d", epoch), Epoch: epoch}}))
 	c.placer = New(c.state, c.config, testOptions, c.now)
-	c.registry()
+	c.publishRegistry()
 }
 
-func (c *fakeCell) registry() {
+func (c *fakeCell) publishRegistry() {
 	var list []cluster.Worker
 	for _, w := range c.workers {
-		if w.listable {
+		if w.inRegistry {
 			list = append(list, w.Worker)
 		}
 	}
@@ -152,91 +152,91 @@
 	c.placer.Registry(list, c.now)
 }
 
-// run plays the cell for a time.
-func (c *fakeCell) run(d time.Duration) {
+// advance plays the cell for a time.
+func (c *fakeCell) advance(d time.Duration) {
 	end := c.now + d
 	for c.now < end {
 		c.now += 5 * time.Millisecond
-		c.events()
-		c.workersTick()
+		c.runScheduled()
+		c.tickWorkers()
 		if c.placer == nil {
 			continue
 		}
 		began := time.Now()
 		commands := c.placer.Tick(c.now, c.wall())
-		c.spent += time.Since(began)
-		c.carry(commands)
-		c.notes = append(c.notes, c.placer.Notes()...)
-		if c.logAway {
+		c.placerTime += time.Since(began)
+		c.dispatch(commands)
+		c.decisions = append(c.decisions, c.placer.Notes()...)
+		if c.logDown {
 			continue
 		}
 		if batch, runs, ok := c.placer.Flush(c.now); ok {
 			p, wait := c.placer, time.Duration(0)
-			if c.link != nil {
-				wait = c.link(Command{}, batchBytes(&batch))
+			if c.linkDelay != nil {
+				wait = c.linkDelay(Command{}, batchBytes(&batch))
 			}
-			c.after(c.delay+wait, func() {
+			c.after(c.answerDelay+wait, func() {
 				if c.placer != p {
 					return // fenced
 				}
 				require.NoError(c.t, c.append(flow.Record{Batch: &batch}))
 				began := time.Now()
 				commands := p.Appended(runs, c.now)
-				c.spent += time.Since(began)
-				c.carry(commands)
+				c.placerTime += time.Since(began)
+				c.dispatch(commands)
 			})
 		}
 	}
 }
 
-func (c *fakeCell) events() {
-	sort.Slice(c.later, func(i, j int) bool {
-		return c.later[i].at < c.later[j].at || c.later[i].at == c.later[j].at && c.later[i].seq < c.later[j].seq
+func (c *fakeCell) runScheduled() {
+	sort.Slice(c.scheduled, func(i, j int) bool {
+		return c.scheduled[i].at < c.scheduled[j].at || c.scheduled[i].at == c.scheduled[j].at && c.scheduled[i].seq < c.scheduled[j].seq
 	})
-	for len(c.later) > 0 && c.later[0].at <= c.now {
-		e := c.later[0]
-		c.later = c.later[1:]
+	for len(c.scheduled) > 0 && c.scheduled[0].at <= c.now {
+		e := c.scheduled[0]
+		c.scheduled = c.scheduled[1:]
 		e.do()
 	}
 }
 
 func (w *fakeWorker) clock(now time.Duration) int64 { return (now - w.started).Milliseconds() }
 
-// hold extends the lease, at most to the longest one.
-func (w *fakeWorker) hold(now time.Duration, until int64) {
-	w.lease = max(w.lease, min(until, w.clock(now)+testOptions.MaxLease.Milliseconds()))
+// extendLease extends the lease, at most to the longest one.
+func (w *fakeWorker) extendLease(now time.Duration, until int64) {
+	w.leaseUntilMS = max(w.leaseUntilMS, min(until, w.clock(now)+testOptions.MaxLease.Milliseconds()))
 }
 
 func (w *fakeWorker) end(id cluster.TaskID, how cluster.How) {
 	r := w.runs[id]
 	delete(w.runs, id)
-	w.number++
-	w.highest[id] = max(w.highest[id], r.start.Run)
-	end := cluster.EndReport{Number: w.number, RunID: r.start.RunID, How: how}
-	if w.saves && how == cluster.Stopped {
-		end.Checkpoint = fmt.Sprint(r.done(w.stoppedAt))
+	w.lastEndNumber++
+	w.highestRun[id] = max(w.highestRun[id], r.start.Run)
+	end := cluster.EndReport{Number: w.lastEndNumber, RunID: r.start.RunID, How: how}
+	if w.savesProgress && how == cluster.Stopped {
+		end.Checkpoint = fmt.Sprint(r.donePermille(w.stoppedAt))
 	}
 	w.ended = append(w.ended, end)
 }
 
-func (c *fakeCell) workersTick() {
+func (c *fakeCell) tickWorkers() {
 	for _, w := range c.workers {
-		if w.clock(c.now) > w.lease {
-			w.lapsed = w.number
+		if w.clock(c.now) > w.leaseUntilMS {
+			w.lapsedUpTo = w.lastEndNumber
 		}
 		for id, r := range w.runs {
 			switch {
-			case w.clock(c.now) > w.lease:
+			case w.clock(c.now) > w.leaseUntilMS:
 				w.end(id, cluster.Lapsed)
 			case c.now >= r.endAt:
-				w.end(id, c.how(r.start))
+				w.end(id, c.outcome(r.start))
 			}
 		}
 	}
 }
 
-// carry sends commands to the workers and their answers back.
-func (c *fakeCell) carry(commands []Command) {
+// dispatch sends commands to the workers and their answers back.
+func (c *fakeCell) dispatch(commands []Command) {
 	p := c.placer
 	for _, command := range commands {
 		if command.Advise != nil {
@@ -244,22 +244,22 @@
 			continue
 		}
 		lost, late := false, time.Duration(0)
-		if c.lose != nil {
-			lost, late = c.lose(command)
+		if c.drop != nil {
+			lost, late = c.drop(command)
 		}
-		if c.link != nil {
-			wait := c.link(command, command.bytes())
+		if c.linkDelay != nil {
+			wait := c.linkDelay(command, command.bytes())
 			late += wait
-			lost = lost || wait > orderPatience
+			lost = lost || wait > orderTimeout
 		}
 		if late == 0 {
-			c.after(c.delay/2, func() { c.deliver(p, command, lost) })
+			c.after(c.answerDelay/2, func() { c.deliver(p, command, lost) })
 			continue
 		}
 		// The worker has the order and carries it out late; it dies with the worker's life.
 		w := c.workers[command.worker()]
 		born := w.Born
-		c.after(c.delay/2+late, func() {
+		c.after(c.answerDelay/2+late, func() {
 			if w.Born == born {
 				c.deliver(p, command, lost)
 			} else {
@@ -272,20 +272,20 @@
 // advise serves the calls of each daemon in turn, each for as long as the queue's rule says.
 func (c *fakeCell) advise(p *Placer, a *AdviseCommand) {
 	rule := c.config.Queue(c.state.Jobs[a.Step.Job].Queue).Advice
-	if c.adviser == nil {
-		c.adviser = map[string]time.Duration{}
+	if c.adviserBusyUntil == nil {
+		c.adviserBusyUntil = map[string]time.Duration{}
 	}
 	sent, wait := c.now, time.Duration(0)
-	if c.link != nil {
+	if c.linkDelay != nil {
 		command := Command{Advise: a}
-		wait = c.link(command, command.bytes())
+		wait = c.linkDelay(command, command.bytes())
 	}
-	c.adviser[a.Daemon] = max(c.adviser[a.Daemon], c.now+wait+c.delay/2) + callTime(rule, len(a.Workers))
-	c.after(c.adviser[a.Daemon]-c.now+c.delay/2, func() {
+	c.adviserBusyUntil[a.Daemon] = max(c.adviserBusyUntil[a.Daemon], c.now+wait+c.answerDelay/2) + adviceCallTime(rule, len(a.Workers))
+	c.after(c.adviserBusyUntil[a.Daemon]-c.now+c.answerDelay/2, func() {
 		if c.placer == p {
 			began := time.Now()
 			p.Granted(a, c.advice(a), rule.Valid, c.now-sent, false, c.now)
-			c.spent += time.Since(began)
+			c.placerTime += time.Since(began)
 		}
 	})
 }
@@ -308,12 +308,12 @@
 
 func (c *fakeCell) deliver(p *Placer, command Command, lost bool) {
 	back := func(f func(now time.Duration) []Command) {
-		c.after(c.delay/2, func() {
+		c.after(c.answerDelay/2, func() {
 			if c.placer == p {
 				began := time.Now()
 				commands := f(c.now)
-				c.spent += time.Since(began)
-				c.carry(commands)
+				c.placerTime += time.Since(began)
+				c.dispatch(commands)
 			}
 		})
 	}
@@ -323,7 +323,7 @@
 		s := command.Start
 		w := c.workers[s.Life.Worker]
 		result, clock := cluster.NoAnswer, int64(0)
-		if w != nil && w.up && !w.cut && !gone {
+		if w != nil && w.up && !w.partitioned && !gone {
 			result, clock = c.start(w, &s.Order), w.clock(c.now)
 		}
 		if lost {
@@ -334,7 +334,7 @@
 		s := command.Stop
 		w := c.workers[s.Life.Worker]
 		result, clock := cluster.NoAnswer, int64(0)
-		if w != nil && w.up && !w.cut {
+		if w != nil && w.up && !w.partitioned {
 			result, clock = c.stop(w, s), w.clock(c.now)
 		}
 		back(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
@@ -342,7 +342,7 @@
 		o := command.Pace
 		w := c.workers[o.Life.Worker]
 		result := cluster.NoAnswer
-		if w != nil && w.up && !w.cut && !gone && o.Token >= w.token {
+		if w != nil && w.up && !w.partitioned && !gone && o.Token >= w.token {
 			if r := w.runs[o.Run.TaskID]; r != nil {
 				r.pace = o.Percent
 			}
@@ -355,11 +355,11 @@
 	case command.Look != nil:
 		l := command.Look
 		w := c.workers[l.Life.Worker]
-		if w == nil || !w.up || w.cut || gone || l.Hold.Token < w.token {
+		if w == nil || !w.up || w.partitioned || gone || l.Hold.Token < w.token {
 			back(func(now time.Duration) []Command { p.LookFailed(l, now); return nil })
 			return
 		}
-		report := c.look(w, &l.Hold)
+		report := c.poll(w, &l.Hold)
 		back(func(now time.Duration) []Command { p.Looked(l, report, now); return nil })
 	}
 }
@@ -372,14 +372,14 @@
 	if r := w.runs[s.TaskID]; r != nil && r.start.Run == s.Run {
 		return cluster.Started
 	}
-	if s.Run <= w.highest[s.TaskID] {
+	if s.Run <= w.highestRun[s.TaskID] {
 		return cluster.RefusedOld
 	}
 	if w.clock(c.now) > s.LeaseUntil {
 		return cluster.RefusedLate
 	}
-	w.hold(c.now, s.LeaseUntil)
-	if c.refuse != nil && c.refuse(s) {
+	w.extendLease(c.now, s.LeaseUntil)
+	if c.refuseTicket != nil && c.refuseTicket(s) {
 		return cluster.RefusedPass
 	}
 	for id, other := range c.workers {
@@ -387,20 +387,20 @@
 			require.Fail(c.t, "two runs at once", "task %v runs on %s and is started on %s", s.TaskID, id, w.Life.Worker)
 		}
 	}
-	if c.noted[s.TaskID] {
-		require.Fail(c.t, "a run after the end", "task %v is started after its end was taken note of: %v", s.TaskID, c.story(s.TaskID))
+	if c.confirmedDone[s.TaskID] {
+		require.Fail(c.t, "a run after the end", "task %v is started after its end was taken note of: %v", s.TaskID, c.decisionsOn(s.TaskID))
 	}
 	job := c.state.Jobs[s.Job]
-	size := size(&job.Steps[s.Step])
+	size := occupiedRoom(&job.Steps[s.Step])
 	for _, a := range job.Steps[s.Step].After {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
-	run := &fakeRun{start: *s, size: size, begun: c.now, total: c.runTime(*s), pace: 100}
+	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: c.runTime(*s), pace: 100}
 	if s.Checkpoint != "" {
-		_, err := fmt.Sscan(s.Checkpoint, &run.from)
+		_, err := fmt.Sscan(s.Checkpoint, &run.checkpointPermille)
 		require.NoError(c.t, err, "checkpoint %q", s.Checkpoint)
 	}
-	run.endAt = c.now + run.total*time.Duration(1000-run.from)/1000
+	run.endAt = c.now + run.duration*time.Duration(1000-run.checkpointPermille)/1000
 	w.runs[s.TaskID] = run
 	used := resource.Vector{}
 	for _, r := range w.runs {
@@ -416,7 +416,7 @@
 		return cluster.RefusedFence
 	}
 	w.token = s.Token
-	w.highest[s.Run.TaskID] = max(w.highest[s.Run.TaskID], s.Run.Run)
+	w.highestRun[s.Run.TaskID] = max(w.highestRun[s.Run.TaskID], s.Run.Run)
 	if r := w.runs[s.Run.TaskID]; r != nil && r.start.Run == s.Run.Run {
 		w.stoppedAt = c.now
 		w.end(s.Run.TaskID, cluster.Stopped)
@@ -424,27 +424,27 @@
 	return cluster.Started
 }
 
-func (c *fakeCell) look(w *fakeWorker, h *cluster.Hold) *cluster.Report {
+func (c *fakeCell) poll(w *fakeWorker, h *cluster.Hold) *cluster.Report {
 	w.token = h.Token
-	w.hold(c.now, h.LeaseUntil)
+	w.extendLease(c.now, h.LeaseUntil)
 	rest := w.ended[:0:0]
 	for _, e := range w.ended {
 		switch {
 		case e.Number > h.Confirmed:
 			rest = append(rest, e)
-		case e.How == cluster.Done && e.Number > w.lapsed:
-			c.noted[e.TaskID] = true
+		case e.How == cluster.Done && e.Number > w.lapsedUpTo:
+			c.confirmedDone[e.TaskID] = true
 		}
 	}
 	w.ended = rest
 	r := &cluster.Report{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
 	for _, run := range w.runs {
-		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.done(c.now) / 10}
+		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.donePermille(c.now) / 10}
 		if c.load != nil {
 			row.Load = c.load(w, run)
 		}
-		if w.saves {
-			row.Checkpoint = fmt.Sprint(run.done(c.now))
+		if w.savesProgress {
+			row.Checkpoint = fmt.Sprint(run.donePermille(c.now))
 		}
 		r.Running = append(r.Running, row)
 	}
@@ -454,8 +454,8 @@
 // restart gives a worker a new life.
 func (c *fakeCell) restart(w *fakeWorker) {
 	w.Born++
-	w.runs, w.ended, w.highest = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
-	w.number, w.token, w.lease, w.lapsed, w.started = 0, 0, 0, 0, c.now
+	w.runs, w.ended, w.highestRun = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
+	w.lastEndNumber, w.token, w.leaseUntilMS, w.lapsedUpTo, w.started = 0, 0, 0, 0, c.now
 }
 
 func (c *fakeCell) phases() map[flow.Phase]int {
@@ -466,10 +466,10 @@
 	return n
 }
 
-// story returns the placer's notes on a task.
-func (c *fakeCell) story(id cluster.TaskID) []string {
+// decisionsOn returns the placer's decisions on a task.
+func (c *fakeCell) decisionsOn(id cluster.TaskID) []string {
 	var lines []string
-	for _, n := range append(c.notes, c.placer.Notes()...) {
+	for _, n := range append(c.decisions, c.placer.Notes()...) {
 		if n.Task == id && n.Job == id.Job || n.What == "worker started again" || n.What == "lease ended" {
 			lines = append(lines, fmt.Sprintf("%s run %d %s %s %v;", n.What, n.Run, n.Worker, n.Reason, n.Age))
 		}
--- a/core/placer/trouble_test.go
+++ b/core/placer/faults_test.go
@@ -13,18 +13,18 @@
 // Guards against a worker that was only silent for a while and has its running work started
 // again elsewhere, or given up.
 func TestSilentWorkerKeepsItsWork(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 12 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
-	w := c.busy()
+	c.advance(500 * time.Millisecond)
+	w := c.busyWorker()
 	for range 2 {
-		w.cut = true
-		c.run(3500 * time.Millisecond) // less than a lease
-		w.cut = false
-		c.run(time.Second)
+		w.partitioned = true
+		c.advance(3500 * time.Millisecond) // less than a lease
+		w.partitioned = false
+		c.advance(time.Second)
 	}
-	c.run(8 * time.Second)
+	c.advance(8 * time.Second)
 	require.Equal(t, 6, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
@@ -32,16 +32,16 @@
 // Guards against a placer that was paused while its successor took over and then sends its
 // orders, or repeats of them: workers must take none of them.
 func TestPausedPlacerOrdersNothingAfterItsSuccessor(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 5 * time.Second }
-	c.lose = func(command Command) (bool, time.Duration) { return command.Start != nil, time.Hour }
+	c.drop = func(command Command) (bool, time.Duration) { return command.Start != nil, time.Hour }
 	c.submit("j", tasks(6))
-	c.run(100 * time.Millisecond) // orders are sent and not carried out
+	c.advance(100 * time.Millisecond) // orders are sent and not carried out
 	former := c.placer
 	require.Zero(t, c.starts)
-	c.lose = nil
+	c.drop = nil
 	c.takeOver()
-	c.run(time.Second)
+	c.advance(time.Second)
 	orders := 0
 	for _, command := range former.Tick(c.now, c.wall()) { // it wakes
 		if s := command.Start; s != nil {
@@ -50,7 +50,7 @@
 		}
 	}
 	require.Positive(t, orders, "it repeats what was not answered")
-	c.run(15 * time.Second)
+	c.advance(15 * time.Second)
 	require.Equal(t, 6, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
@@ -58,15 +58,15 @@
 // Guards against a placer that stood still for longer than its leases and goes on as if they
 // held: what ran under them has ended.
 func TestPlacerPausedBeyondItsLeases(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
+	c.advance(500 * time.Millisecond)
 	for range 1600 { // 8 s in which only the workers go on
 		c.now += 5 * time.Millisecond
-		c.workersTick()
+		c.tickWorkers()
 	}
-	c.run(25 * time.Second) // the fake complains of a second run
+	c.advance(25 * time.Second) // the fake complains of a second run
 	require.Equal(t, 12, c.starts, "each task lapsed once and began once more")
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
@@ -74,27 +74,27 @@
 // Guards against a worker that had left, or that leaves, and is in use again after a
 // takeover, as the new placer has not seen it go.
 func TestWorkersThatLeftStayUnusedAfterATakeover(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	gone, leaving := c.workers["w00"], c.workers["w01"]
-	gone.listable, gone.cut = false, true
+	gone.inRegistry, gone.partitioned = false, true
 	leaving.Draining = true
-	c.registry()
+	c.publishRegistry()
 	c.takeOver()
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	c.submit("j", tasks(12))
-	c.run(5 * time.Second)
+	c.advance(5 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
-	require.Zero(t, leaving.number+gone.number)
-	require.EqualValues(t, 12, c.workers["w02"].number)
+	require.Zero(t, leaving.lastEndNumber+gone.lastEndNumber)
+	require.EqualValues(t, 12, c.workers["w02"].lastEndNumber)
 }
 
 // Guards against work that ran and is run again because the answer to its order was lost:
 // the repeat of the order is refused, which must not count as "did not run".
 func TestLostAnswerOfAShortRun(t *testing.T) {
-	c := ready(t, 2)
+	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 100 * time.Millisecond } // ended before the repeat
 	lost, quiet := map[cluster.TaskID]bool{}, time.Duration(0)
-	c.lose = func(command Command) (bool, time.Duration) {
+	c.drop = func(command Command) (bool, time.Duration) {
 		if s := command.Start; s != nil && !lost[s.Order.TaskID] {
 			lost[s.Order.TaskID] = true
 			require.Equal(t, cluster.Started, c.start(c.workers[s.Life.Worker], &s.Order))
@@ -107,7 +107,7 @@
 	}
 	quiet = c.now + 900*time.Millisecond // looks are answered after the repeat
 	c.submit("j", tasks(4))
-	c.run(6 * time.Second)
+	c.advance(6 * time.Second)
 	require.Len(t, lost, 4)
 	require.Equal(t, 4, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
@@ -116,10 +116,10 @@
 // Guards against a repeated order that is carried out in the next life of its worker after
 // the task has been started elsewhere.
 func TestLateCopyInTheNextLife(t *testing.T) {
-	c := ready(t, 2)
+	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 30 * time.Second }
 	var late []*StartCommand
-	c.lose = func(command Command) (bool, time.Duration) {
+	c.drop = func(command Command) (bool, time.Duration) {
 		if command.Start != nil && len(late) < 1 {
 			late = append(late, command.Start)
 			return true, time.Hour // never, but for the copy below
@@ -127,14 +127,14 @@
 		return false, 0
 	}
 	c.submit("j", tasks(1))
-	c.run(time.Second)
+	c.advance(time.Second)
 	require.Equal(t, 1, c.starts, "the repeat was carried out")
 	w := c.workers[late[0].Life.Worker]
 	c.restart(w)
-	c.registry()
-	c.run(2 * time.Second)
+	c.publishRegistry()
+	c.advance(2 * time.Second)
 	require.Equal(t, cluster.RefusedOld, c.start(w, &late[0].Order), "the new life was told to stop it first")
-	c.run(35 * time.Second)
+	c.advance(35 * time.Second)
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
--- a/core/placer/fill_test.go
+++ b/core/placer/fill_test.go
@@ -13,7 +13,7 @@
 
 // servingCell has serving tasks whose response times rise with the filling work beside them.
 func servingCell(t *testing.T, workers int) *fakeCell {
-	c := newFakeCell(t, workers, roomy)
+	c := newFakeCell(t, workers, workerCapacity)
 	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
 	c.load = func(w *fakeWorker, r *fakeRun) int {
 		if c.state.Jobs[r.start.Job].Steps[0].Fills {
@@ -28,7 +28,7 @@
 		return tail
 	}
 	c.takeOver()
-	c.run(200 * time.Millisecond)
+	c.advance(200 * time.Millisecond)
 	return c
 }
 
@@ -42,12 +42,12 @@
 
 // Guards against filling tasks beside serving ones while other workers are idle, and
 // against the cores of filling tasks being kept from others.
-func TestFillingTasksStayApart(t *testing.T) {
+func TestFillingTasksAvoidServingOnes(t *testing.T) {
 	c := servingCell(t, 3)
 	c.submit("serve", serving(1))
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	c.submit("fill", filling(2))
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	for id, w := range c.workers {
 		kinds := map[string]int{}
 		for task := range w.runs {
@@ -56,7 +56,7 @@
 		require.False(t, kinds["serve"] > 0 && kinds["fill"] > 0, "worker %s has %v", id, kinds)
 	}
 	c.submit("work", flow.Step{Count: 11, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 1024}, EstimateMS: 1000})
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	require.Equal(t, 14, c.starts, "filling tasks hold no cores")
 }
 
@@ -65,17 +65,17 @@
 func TestFillingTasksArePaced(t *testing.T) {
 	c := servingCell(t, 1)
 	c.submit("fill", filling(1))
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	c.submit("serve", serving(1))
-	c.run(4 * time.Second)
+	c.advance(4 * time.Second)
 	w := c.workers["w00"]
 	require.Len(t, w.runs, 2)
 	fill := w.runs[cluster.TaskID{Job: "fill"}]
 	require.Less(t, fill.pace+20, 100)
 	c.takeOver()
-	c.run(4 * time.Second)
+	c.advance(4 * time.Second)
 	require.Less(t, fill.pace+20, 100)
 	require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: "serve"}}))
-	c.run(20 * time.Second)
+	c.advance(20 * time.Second)
 	require.Equal(t, 100, fill.pace)
 }
--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -12,7 +12,7 @@
 
 // advisedGang has a gang of six wait for two full workers until the tickets have expired.
 func advisedGang(t *testing.T) (c *fakeCell, starts map[cluster.TaskID]time.Duration) {
-	c = newFakeCell(t, 2, roomy)
+	c = newFakeCell(t, 2, workerCapacity)
 	c.config.Queues = append(c.config.Queues, cluster.Queue{
 		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
 		Advice: &cluster.Advice{Decide: 400 * time.Millisecond, Valid: 1500 * time.Millisecond, MaxVMs: 100},
@@ -32,13 +32,13 @@
 	}
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}}))
 	c.takeOver()
-	c.run(200 * time.Millisecond)
+	c.advance(200 * time.Millisecond)
 	c.submit("blocks", tasks(8))
-	c.run(200 * time.Millisecond)
+	c.advance(200 * time.Millisecond)
 	gang := tasks(6)
 	gang.Gang = true
 	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wall()}}))
-	c.run(2500 * time.Millisecond)
+	c.advance(2500 * time.Millisecond)
 	require.Empty(t, starts)
 	return c, starts
 }
@@ -50,7 +50,7 @@
 	c, starts := advisedGang(t)
 	w := c.placer.steps[cluster.StepID{Job: "gang"}]
 	w.grants["w00"] = ticket{"t", c.now + 5*time.Second} // only this one holds until there is room
-	c.run(3 * time.Second)
+	c.advance(3 * time.Second)
 	require.Len(t, starts, 6)
 	first, last := time.Hour, time.Duration(0)
 	for _, at := range starts {
@@ -66,11 +66,11 @@
 	w := c.placer.steps[cluster.StepID{Job: "gang"}]
 	w.grants["w00"] = ticket{"t", c.now + time.Minute}
 	w.grants["w01"] = ticket{"t", c.now + 2*time.Second}
-	for len(c.placer.outRuns) < 6 { // the blocking tasks end and the gang is planned
+	for len(c.placer.pendingRuns) < 6 { // the blocking tasks end and the gang is planned
 		c.now += 5 * time.Millisecond
-		c.events()
-		c.workersTick()
-		c.carry(c.placer.Tick(c.now, c.wall()))
+		c.runScheduled()
+		c.tickWorkers()
+		c.dispatch(c.placer.Tick(c.now, c.wall()))
 		if batch, runs, ok := c.placer.Flush(c.now); ok && len(runs) > 0 {
 			c.now += 3 * time.Second // the log is slow
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
@@ -81,7 +81,7 @@
 		}
 	}
 	require.Empty(t, starts)
-	c.run(8 * time.Second)
+	c.advance(8 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
 	require.Len(t, starts, 6)
 }
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -15,25 +15,25 @@
 	"briarproxy/core/resource"
 )
 
-// kind is one kind of request of a generated load.
-type kind struct {
-	name    string
-	rate    float64 // jobs a second
-	steps   float64 // mean
-	width   float64 // mean tasks of a step
-	takes   time.Duration
-	size    resource.Vector
-	gangs   float64 // share
-	slack   float64
-	target  time.Duration
-	advice  *cluster.Advice
-	granted float64 // share of workers that advice allows
-	worth   float64
+// requestKind is one kind of request of a generated load.
+type requestKind struct {
+	name     string
+	rate     float64 // jobs a second
+	steps    float64 // mean
+	width    float64 // mean tasks of a step
+	duration time.Duration
+	size     resource.Vector
+	gangs    float64 // share
+	slack    float64
+	target   time.Duration
+	advice   *cluster.Advice
+	granted  float64 // share of workers that advice allows
+	value    float64
 }
 
 // The users' loads: the same three kinds on 48 workers and on 350.
 var (
-	smallLoad = []kind{
+	smallLoad = []requestKind{
 		{"survey", 1.16, 1.2, 8, 6200 * time.Millisecond, resource.Vector{MilliCores: 18000, MemoryMiB: 37000}, 1, 2.2, 1200 * time.Millisecond,
 			&cluster.Advice{Decide: 650 * time.Millisecond, PerVM: 9200 * time.Microsecond, Valid: 1500 * time.Millisecond, MaxVMs: 100}, 0.25, 15.8},
 		{"cert", 4.36, 1.5, 10, 3400 * time.Millisecond, resource.Vector{MilliCores: 3900, MemoryMiB: 14000}, 0, 4, 3 * time.Second,
@@ -41,7 +41,7 @@
 		{"check", 38.7, 1, 2, 800 * time.Millisecond, resource.Vector{MilliCores: 5600, MemoryMiB: 21000}, 0.3, 1.5, 600 * time.Millisecond,
 			&cluster.Advice{Decide: 9300 * time.Microsecond, PerVM: 130 * time.Microsecond, Valid: 1500 * time.Millisecond, MaxVMs: 100}, 0.7, 0.415},
 	}
-	largeLoad = []kind{
+	largeLoad = []requestKind{
 		{"survey", 3.46, 1.2, 20, 6200 * time.Millisecond, resource.Vector{MilliCores: 18000, MemoryMiB: 67000}, 1, 2.2, 1200 * time.Millisecond,
 			&cluster.Advice{Decide: 540 * time.Millisecond, PerVM: 7700 * time.Microsecond, Valid: 1500 * time.Millisecond, MaxVMs: 100}, 0.25, 16},
 		{"cert", 8.97, 1.5, 25, 2700 * time.Millisecond, resource.Vector{MilliCores: 6900, MemoryMiB: 20000}, 0, 4, 3 * time.Second,
@@ -49,7 +49,7 @@
 		{"check", 125, 1, 3.2, 640 * time.Millisecond, resource.Vector{MilliCores: 9900, MemoryMiB: 37000}, 0.3, 1.5, 600 * time.Millisecond,
 			&cluster.Advice{Decide: 7200 * time.Microsecond, PerVM: 100 * time.Microsecond, Valid: 1500 * time.Millisecond, MaxVMs: 100}, 0.7, 0.388},
 	}
-	wideLoad = []kind{
+	wideLoad = []requestKind{
 		{"survey", 5.47, 1.2, 13, 6200 * time.Millisecond, resource.Vector{MilliCores: 18000, MemoryMiB: 67000}, 1, 2.2, 1200 * time.Millisecond,
 			&cluster.Advice{Decide: 600 * time.Millisecond, PerVM: 8500 * time.Microsecond, Valid: 1500 * time.Millisecond, MaxVMs: 100}, 0.23, 8.66},
 		{"cert", 11.3, 1.5, 14, 2700 * time.Millisecond, resource.Vector{MilliCores: 11000, MemoryMiB: 30000}, 0, 4, 3 * time.Second,
@@ -59,40 +59,40 @@
 	}
 )
 
-// play is a load that is played on a fake cell.
-type play struct {
+// workload is a load that is played on a fake cell.
+type workload struct {
 	*fakeCell
-	kinds   []kind
-	rng     *rand.Rand
-	takes   map[cluster.StepID]time.Duration // of a step's tasks, in truth
-	sent    map[string]time.Duration
-	kindOf  map[string]*kind
-	aim     map[string]time.Duration
-	onTime  map[string]int // by kind
-	late    map[string]int
-	owed    map[string]int
-	jobs    int
-	daemons int
-	scored  map[string]bool
+	kinds     []requestKind
+	rng       *rand.Rand
+	durations map[cluster.StepID]time.Duration // of a step's tasks, in truth
+	sent      map[string]time.Duration
+	kindOf    map[string]*requestKind
+	objective map[string]time.Duration
+	onTime    map[string]int // by kind
+	late      map[string]int
+	submitted map[string]int
+	jobs      int
+	daemons   int
+	scored    map[string]bool
 }
 
-func newPlay(t testing.TB, workers, daemons int, kinds []kind, seed uint64) *play {
-	return newPlayOn(t, workers, daemons, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}, kinds, seed)
+func newWorkload(t testing.TB, workers, daemons int, kinds []requestKind, seed uint64) *workload {
+	return newWorkloadOn(t, workers, daemons, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}, kinds, seed)
 }
 
-func newPlayOn(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []kind, seed uint64) *play {
-	p := &play{
+func newWorkloadOn(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []requestKind, seed uint64) *workload {
+	p := &workload{
 		fakeCell: newFakeCell(t, workers, capacity), kinds: kinds,
-		rng: rand.New(rand.NewPCG(seed, 1)), takes: map[cluster.StepID]time.Duration{}, sent: map[string]time.Duration{}, aim: map[string]time.Duration{},
-		scored: map[string]bool{}, kindOf: map[string]*kind{}, onTime: map[string]int{}, late: map[string]int{}, owed: map[string]int{},
+		rng: rand.New(rand.NewPCG(seed, 1)), durations: map[cluster.StepID]time.Duration{}, sent: map[string]time.Duration{}, objective: map[string]time.Duration{},
+		scored: map[string]bool{}, kindOf: map[string]*requestKind{}, onTime: map[string]int{}, late: map[string]int{}, submitted: map[string]int{},
 	}
 	p.config.Queues = nil
 	for i := range kinds {
 		k := &kinds[i]
 		p.config.Queues = append(p.config.Queues, cluster.Queue{Name: k.name, Pool: "p", MaxAttempts: 4, Slack: k.slack, Target: k.target, Advice: k.advice})
 	}
-	p.delay = 20 * time.Millisecond
-	p.runTime = func(s cluster.Start) time.Duration { return p.takes[s.StepID()] }
+	p.answerDelay = 20 * time.Millisecond
+	p.runTime = func(s cluster.Start) time.Duration { return p.durations[s.StepID()] }
 	p.advice = func(a *AdviseCommand) []cluster.Grant {
 		var grants []cluster.Grant
 		for _, w := range a.Workers {
@@ -104,68 +104,68 @@
 		}
 		return grants
 	}
-	p.ended = p.score
+	p.onJobEnd = p.score
 	p.daemons = daemons
-	p.hello()
+	p.sendHellos()
 	p.takeOver()
-	p.run(500 * time.Millisecond)
+	p.advance(500 * time.Millisecond)
 	return p
 }
 
-// hello has all daemons say that they run, again and again.
-func (p *play) hello() {
+// sendHellos has all daemons say that they run, again and again.
+func (p *workload) sendHellos() {
 	for i := range p.daemons {
 		require.NoError(p.t, p.append(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprintf("d%02d", i), Address: "x"}}))
 	}
-	p.after(5*time.Second, p.hello)
+	p.after(5*time.Second, p.sendHellos)
 }
 
-// spread draws from a distribution with the given mean that is often below it.
-func (p *play) spread(mean, sigma float64) float64 {
+// logNormal draws from a distribution with the given mean that is often below it.
+func (p *workload) logNormal(mean, sigma float64) float64 {
 	return mean * math.Exp(sigma*p.rng.NormFloat64()-sigma*sigma/2)
 }
 
-func (p *play) score(j *flow.Job) {
+func (p *workload) score(j *flow.Job) {
 	k := p.kindOf[j.ID]
 	if k == nil || p.scored[j.ID] || j.Phase != flow.Completed {
 		return
 	}
 	p.scored[j.ID] = true
 	switch took := p.now - p.sent[j.ID]; {
-	case took <= p.aim[j.ID]:
+	case took <= p.objective[j.ID]:
 		p.onTime[k.name]++
-	case took <= 3*p.aim[j.ID]:
+	case took <= 3*p.objective[j.ID]:
 		p.late[k.name]++
 	}
 }
 
-func (p *play) submit(k *kind) {
+func (p *workload) submit(k *requestKind) {
 	id := fmt.Sprintf("%s-%05d", k.name, p.jobs)
 	p.jobs++
 	in := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: p.wall()}
 	chain := time.Duration(0)
-	for s := range max(1, int(p.spread(k.steps, 0.4)+0.5)) {
-		takes := time.Duration(p.spread(1, 0.5) * float64(k.takes))
+	for s := range max(1, int(p.logNormal(k.steps, 0.4)+0.5)) {
+		takes := time.Duration(p.logNormal(1, 0.5) * float64(k.duration))
 		step := flow.Step{
-			Count: min(max(1, int(p.spread(k.width, 0.8)+0.5)), int(6*k.width)), EstimateMS: int64(p.spread(1, 0.5) * float64(takes.Milliseconds())),
-			Size: resource.Vector{MilliCores: int64(min(p.spread(1, 0.4), 1.66) * float64(k.size.MilliCores)), MemoryMiB: int64(min(p.spread(1, 0.5), 1.9) * float64(k.size.MemoryMiB))},
+			Count: min(max(1, int(p.logNormal(k.width, 0.8)+0.5)), int(6*k.width)), EstimateMS: int64(p.logNormal(1, 0.5) * float64(takes.Milliseconds())),
+			Size: resource.Vector{MilliCores: int64(min(p.logNormal(1, 0.4), 1.66) * float64(k.size.MilliCores)), MemoryMiB: int64(min(p.logNormal(1, 0.5), 1.9) * float64(k.size.MemoryMiB))},
 			Gang: p.rng.Float64() < k.gangs,
 		}
 		if s > 0 {
 			step.After = []int{s - 1}
 		}
 		in.Steps = append(in.Steps, step)
-		p.takes[cluster.StepID{Job: id, Step: s}] = takes
+		p.durations[cluster.StepID{Job: id, Step: s}] = takes
 		chain += takes
 	}
 	p.sent[id], p.kindOf[id] = p.now, k
-	p.aim[id] = time.Duration(k.slack*float64(chain)) + k.target
-	p.owed[k.name]++
+	p.objective[id] = time.Duration(k.slack*float64(chain)) + k.target
+	p.submitted[k.name]++
 	require.NoError(p.t, p.append(flow.Record{Submit: in}))
 }
 
-// traffic plays the kinds at a multiple of their rates.
-func (p *play) traffic(d time.Duration, times float64) {
+// generate plays the kinds at a multiple of their rates.
+func (p *workload) generate(d time.Duration, times float64) {
 	const slot = 20 * time.Millisecond
 	for end := p.now + d; p.now < end; {
 		for i := range p.kinds {
@@ -173,36 +173,36 @@
 				p.submit(&p.kinds[i])
 			}
 		}
-		p.run(slot)
+		p.advance(slot)
 	}
 }
 
-// share returns the share of jobs on time, by kind.
-func (p *play) share(kind string) float64 {
-	return float64(p.onTime[kind]) / float64(max(1, p.owed[kind]))
+// onTimeShare returns the share of jobs on time, by kind.
+func (p *workload) onTimeShare(kind string) float64 {
+	return float64(p.onTime[kind]) / float64(max(1, p.submitted[kind]))
 }
 
-// worth returns the share of worth earned; late jobs earn a fifth.
-func (p *play) worth() float64 {
+// valueShare returns the share of the value earned; late jobs earn a fifth.
+func (p *workload) valueShare() float64 {
 	got, owed := 0.0, 0.0
 	for _, k := range p.kinds {
-		got += k.worth * (float64(p.onTime[k.name]) + 0.2*float64(p.late[k.name]))
-		owed += k.worth * float64(p.owed[k.name])
+		got += k.value * (float64(p.onTime[k.name]) + 0.2*float64(p.late[k.name]))
+		owed += k.value * float64(p.submitted[k.name])
 	}
 	return got / owed
 }
 
-func (p *play) String() string {
-	s := fmt.Sprintf("worth %.3f, starts %d, placer %.3f cores", p.worth(), p.starts, p.spent.Seconds()/p.now.Seconds())
+func (p *workload) String() string {
+	s := fmt.Sprintf("worth %.3f, starts %d, placer %.3f cores", p.valueShare(), p.starts, p.placerTime.Seconds()/p.now.Seconds())
 	for _, k := range p.kinds {
-		s += fmt.Sprintf("; %s %d: %.3f on time, %d late", k.name, p.owed[k.name], p.share(k.name), p.late[k.name])
+		s += fmt.Sprintf("; %s %d: %.3f on time, %d late", k.name, p.submitted[k.name], p.onTimeShare(k.name), p.late[k.name])
 	}
 	return s
 }
 
-// reset begins to count anew: only jobs that are sent from now on count.
-func (p *play) reset() {
-	p.onTime, p.late, p.owed = map[string]int{}, map[string]int{}, map[string]int{}
+// resetCounts begins to count anew: only jobs that are sent from now on count.
+func (p *workload) resetCounts() {
+	p.onTime, p.late, p.submitted = map[string]int{}, map[string]int{}, map[string]int{}
 	for id := range p.kindOf {
 		p.scored[id] = true
 	}
@@ -211,14 +211,14 @@
 // Guards against a backlog that grows although most of the room is free: after an outage the
 // passes came further apart the more steps waited, and each placed the same few (LOST and
 // MIXED on dosui-sched-grown, trouble-1).
-func TestBacklogOfAnOutageIsWorkedOff(t *testing.T) {
-	p := newPlay(t, 350, 37, largeLoad, 1)
-	p.traffic(5*time.Second, 1)
+func TestBacklogAfterAnOutageDrains(t *testing.T) {
+	p := newWorkload(t, 350, 37, largeLoad, 1)
+	p.generate(5*time.Second, 1)
 	p.placer = nil
-	p.traffic(6*time.Second, 1)
+	p.generate(6*time.Second, 1)
 	p.takeOver()
 	p.placer.FormerRetired(p.now)
-	p.traffic(9*time.Second, 1)
+	p.generate(9*time.Second, 1)
 	require.Less(t, len(p.placer.steps), 400, "%v", p)
 }
 
@@ -226,40 +226,40 @@
 // calls for advice were those of late steps, four deep at each daemon (trouble-1 of
 // dosui-sched-grown).
 func TestNewRequestsAreServedBesideABacklog(t *testing.T) {
-	p := newPlay(t, 350, 37, largeLoad, 1)
-	p.delay = 60 * time.Millisecond
-	p.traffic(3*time.Second, 1)
+	p := newWorkload(t, 350, 37, largeLoad, 1)
+	p.answerDelay = 60 * time.Millisecond
+	p.generate(3*time.Second, 1)
 	p.placer = nil
-	p.traffic(12*time.Second, 1)
+	p.generate(12*time.Second, 1)
 	p.takeOver()
 	p.placer.FormerRetired(p.now)
-	p.traffic(2*time.Second, 1)
-	p.reset()
-	p.traffic(5*time.Second, 1)
+	p.generate(2*time.Second, 1)
+	p.resetCounts()
+	p.generate(5*time.Second, 1)
 	require.Less(t, len(p.placer.steps), 800, "%v", p)
-	p.traffic(7*time.Second, 1)
-	p.run(2 * time.Second)
-	require.Greater(t, p.share("check"), 0.85, "%v", p)
+	p.generate(7*time.Second, 1)
+	p.advance(2 * time.Second)
+	require.Greater(t, p.onTimeShare("check"), 0.85, "%v", p)
 }
 
-// aimedWorth is the mean worth that the users aim at on heavy days.
-const aimedWorth = 0.74
+// minValueShare is the mean share of the value that the users aim at on heavy days.
+const minValueShare = 0.74
 
 // Guards against an order in which a long overload makes quick requests late behind wide
 // ones: at two and a half times the load that fills four fifths of the room, first come
 // first served earned 0.54 of the worth and 0.39 of the quick requests were on time.
-func TestQuickRequestsOutlastAnOverload(t *testing.T) {
-	p := newPlay(t, 48, 9, smallLoad, 1)
-	p.delay = 40 * time.Millisecond
-	p.traffic(25*time.Second, 2.5)
-	p.run(25 * time.Second)
-	require.Greater(t, p.worth(), aimedWorth, "%v", p)
-	require.Greater(t, p.share("check"), aimedWorth, "%v", p)
+func TestQuickRequestsStayOnTimeUnderOverload(t *testing.T) {
+	p := newWorkload(t, 48, 9, smallLoad, 1)
+	p.answerDelay = 40 * time.Millisecond
+	p.generate(25*time.Second, 2.5)
+	p.advance(25 * time.Second)
+	require.Greater(t, p.valueShare(), minValueShare, "%v", p)
+	require.Greater(t, p.onTimeShare("check"), minValueShare, "%v", p)
 }
 
-// loseOrders has a share of the orders to start go unanswered and be carried out 2 to 12 s later.
-func (p *play) loseOrders(share float64) {
-	p.lose = func(c Command) (bool, time.Duration) {
+// dropStarts has a share of the orders to start go unanswered and be carried out 2 to 12 s later.
+func (p *workload) dropStarts(share float64) {
+	p.drop = func(c Command) (bool, time.Duration) {
 		if c.Start == nil || p.rng.Float64() >= share {
 			return false, 0
 		}
@@ -267,21 +267,21 @@
 	}
 }
 
-// noise is the difference of worth that says nothing, by the users' pages.
-const noise = 0.03
+// valueShareNoise is the difference of value shares that says nothing, by the users' pages.
+const valueShareNoise = 0.03
 
 // Guards against orders whose loss costs a task a second, and a gang the work of all its
 // members: with 4 of 100 orders unanswered, two of five gangs of thirteen lose a member at
 // their first attempt (trouble-1 of dosui-sched-large).
 func TestLostOrdersDoNotDelayTheirTasks(t *testing.T) {
-	worth := func(lost float64) float64 {
-		p := newPlay(t, 370, 47, wideLoad, 1)
-		p.delay = 60 * time.Millisecond
-		p.loseOrders(lost)
-		p.traffic(15*time.Second, 1)
-		p.run(20 * time.Second)
+	valueShare := func(lost float64) float64 {
+		p := newWorkload(t, 370, 47, wideLoad, 1)
+		p.answerDelay = 60 * time.Millisecond
+		p.dropStarts(lost)
+		p.generate(15*time.Second, 1)
+		p.advance(20 * time.Second)
 		t.Log(p)
-		return p.worth()
+		return p.valueShare()
 	}
-	require.Greater(t, worth(0.04), worth(0)-noise)
+	require.Greater(t, valueShare(0.04), valueShare(0)-valueShareNoise)
 }
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -6,27 +6,27 @@
 	"time"
 )
 
-// lateFactor is how many times its objective a job may take and still be of some use to its
+// maxLateFactor is how many times its objective a job may take and still be of some use to its
 // caller, by the users' rules.
-const lateFactor = 3
+const maxLateFactor = 3
 
-// chance says how much of a job's use can still be had from a waiting step.
-type chance int
+// timeliness says how much of a job's use can still be had from a waiting step.
+type timeliness int
 
 const (
-	onTime  chance = iota // the job can end within its objective
-	late                  // it can't, but can end while late answers are of use
-	tooLate               // it must still be run, but nobody waits for it any more
+	onTime  timeliness = iota // the job can end within its objective
+	late                      // it can't, but can end while late answers are of use
+	tooLate                   // it must still be run, but nobody waits for it any more
 )
 
 // stepRank places a waiting step among the others.
 type stepRank struct {
-	chance   chance
-	priority int           // of the queue; 0 is the most urgent
-	latest   int64         // Unix ms: the latest start with which the job ends on time
-	work     time.Duration // core time of the step
-	offset   int64         // of the job's record
-	step     int
+	timeliness    timeliness
+	priority      int           // of the queue; 0 is the most urgent
+	latestStartMS int64         // Unix ms: the latest start with which the job ends on time
+	coreTime      time.Duration // core time of the step
+	offset        int64         // of the job's record
+	step          int
 }
 
 // newStepRank returns the rank of a step at a time (Unix ms).
@@ -35,31 +35,31 @@
 // late ones, so that a backlog does not make new requests late as well. Among each the
 // operator's priority decides. Steps of one queue that can be on time follow their latest
 // start; late ones begin with the least work, which frees most callers with the same room.
-func newStepRank(w *stepWork, wallMS int64) stepRank {
-	r := stepRank{latest: w.latest, work: w.work(), offset: w.job.Offset, step: w.id.Step}
+func newStepRank(w *pendingStep, wallMS int64) stepRank {
+	r := stepRank{latestStartMS: w.latestStartMS, coreTime: w.coreTime(), offset: w.job.Offset, step: w.id.Step}
 	if w.queue != nil {
 		r.priority = w.queue.Priority
 	}
 	switch {
-	case wallMS <= w.latest:
-		r.chance = onTime
-	case wallMS <= w.latest+(lateFactor-1)*w.objective.Milliseconds():
-		r.chance = late
+	case wallMS <= w.latestStartMS:
+		r.timeliness = onTime
+	case wallMS <= w.latestStartMS+(maxLateFactor-1)*w.objective.Milliseconds():
+		r.timeliness = late
 	default:
-		r.chance = tooLate
+		r.timeliness = tooLate
 	}
 	return r
 }
 
 // compare is negative if the step of rank a is to be placed before that of b.
 func (a stepRank) compare(b stepRank) int {
-	if order := cmp.Or(cmp.Compare(a.chance, b.chance), cmp.Compare(a.priority, b.priority)); order != 0 {
+	if order := cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority)); order != 0 {
 		return order
 	}
-	if a.chance == onTime {
-		return cmp.Or(cmp.Compare(a.latest, b.latest), a.compareAge(b))
+	if a.timeliness == onTime {
+		return cmp.Or(cmp.Compare(a.latestStartMS, b.latestStartMS), a.compareAge(b))
 	}
-	return cmp.Or(cmp.Compare(a.work, b.work), a.compareAge(b))
+	return cmp.Or(cmp.Compare(a.coreTime, b.coreTime), a.compareAge(b))
 }
 
 // compareAge makes the order total: steps of equal rank go in the order of their jobs' records.
@@ -67,18 +67,18 @@
 	return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.step, b.step))
 }
 
-// work is the core time that the step's tasks are estimated to take.
-func (w *stepWork) work() time.Duration {
+// coreTime is the core time that the step's tasks are estimated to take.
+func (w *pendingStep) coreTime() time.Duration {
 	return time.Duration(int64(w.def.Count)*w.def.Size.MilliCores*w.def.EstimateMS/1000) * time.Millisecond
 }
 
 // sortSteps puts waiting steps into the order in which room and advice are given to them.
-func (p *Placer) sortSteps(order []*stepWork, wallMS int64) {
+func (p *Placer) sortSteps(order []*pendingStep, wallMS int64) {
 	for _, w := range order {
-		w.ranked = newStepRank(w, wallMS)
+		w.stepRank = newStepRank(w, wallMS)
 		if p.options.Without.Priority {
-			w.ranked.priority = 0
+			w.stepRank.priority = 0
 		}
 	}
-	slices.SortFunc(order, func(a, b *stepWork) int { return a.ranked.compare(b.ranked) })
+	slices.SortFunc(order, func(a, b *pendingStep) int { return a.stepRank.compare(b.stepRank) })
 }
--- a/core/placer/order_test.go
+++ b/core/placer/order_test.go
@@ -13,18 +13,18 @@
 )
 
 // waitingStep is a step of a queue with its latest start relative to now, ms.
-func waitingStep(name string, priority int, latestIn, estimate int64, count int) *stepWork {
+func waitingStep(name string, priority int, latestIn, estimate int64, count int) *pendingStep {
 	def := flow.Step{Count: count, Size: resource.Vector{MilliCores: 1000}, EstimateMS: estimate}
-	return &stepWork{
+	return &pendingStep{
 		job: &flow.Job{Submit: flow.Submit{ID: name}, Offset: int64(len(name))}, def: &def, queue: &cluster.Queue{Priority: priority},
-		latest: testWall + latestIn, objective: 4 * time.Second,
+		latestStartMS: testWallMS + latestIn, objective: 4 * time.Second,
 	}
 }
 
 // Guards against the operator's priority being ignored, late work before work that can be on
 // time, wide late work before small one, and work that nobody waits for before any other.
 func TestOrderOfWaitingSteps(t *testing.T) {
-	want := []*stepWork{
+	want := []*pendingStep{
 		waitingStep("urgent", 0, 900, 800, 2),
 		waitingStep("urgent, later", 0, 5000, 800, 2),
 		waitingStep("middle, first to start", 1, 10, 800, 2),
@@ -37,9 +37,9 @@
 	}
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 50 {
-		got := append([]*stepWork(nil), want...)
+		got := append([]*pendingStep(nil), want...)
 		rng.Shuffle(len(got), func(i, j int) { got[i], got[j] = got[j], got[i] })
-		(&Placer{}).sortSteps(got, testWall)
+		(&Placer{}).sortSteps(got, testWallMS)
 		for i := range want {
 			require.Equal(t, want[i].job.ID, got[i].job.ID, "place %d", i)
 		}
@@ -51,15 +51,15 @@
 func TestStepsYieldOnlyWithTimeLeft(t *testing.T) {
 	gang := waitingStep("gang", 1, 900, 800, 4)
 	gang.grants = map[string]ticket{"w1": {}, "w2": {}}
-	steps := []*stepWork{gang, waitingStep("less", 2, 3000, 800, 1), waitingStep("less, soon late", 2, 1000, 800, 1), waitingStep("equal", 1, 3000, 800, 1)}
-	(&Placer{}).sortSteps(steps, testWall)
+	steps := []*pendingStep{gang, waitingStep("less", 2, 3000, 800, 1), waitingStep("less, soon late", 2, 1000, 800, 1), waitingStep("equal", 1, 3000, 800, 1)}
+	(&Placer{}).sortSteps(steps, testWallMS)
 	var y yields
-	y.to(gang)
+	y.addGang(gang)
 	allowed := map[string][]string{}
 	for _, w := range steps {
 		workers := []string{"w1", "w2", "w3"}
-		if y.mayWait(w, testWall) {
-			workers = y.others(w, workers)
+		if y.canYield(w, testWallMS) {
+			workers = y.withoutYielded(w, workers)
 		}
 		allowed[w.job.ID] = workers
 	}
@@ -67,6 +67,6 @@
 	require.Equal(t, []string{"w3"}, allowed["less"])
 	require.Equal(t, all, allowed["less, soon late"])
 	require.Equal(t, all, allowed["equal"])
-	y.clear()
-	require.False(t, y.mayWait(steps[0], testWall))
+	y.reset()
+	require.False(t, y.canYield(steps[0], testWallMS))
 }
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -14,22 +14,22 @@
 	"briarproxy/core/resource"
 )
 
-var roomy = resource.Vector{MilliCores: 16000, MemoryMiB: 32768}
+var workerCapacity = resource.Vector{MilliCores: 16000, MemoryMiB: 32768}
 
 func tasks(n int) flow.Step {
 	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, EstimateMS: 800}
 }
 
-// ready returns a cell with a placer that knows its workers.
-func ready(t testing.TB, workers int) *fakeCell {
-	c := newFakeCell(t, workers, roomy)
+// readyCell returns a cell with a placer that knows its workers.
+func readyCell(t testing.TB, workers int) *fakeCell {
+	c := newFakeCell(t, workers, workerCapacity)
 	c.takeOver()
-	c.run(200 * time.Millisecond)
+	c.advance(200 * time.Millisecond)
 	return c
 }
 
-// busy returns a worker that has runs.
-func (c *fakeCell) busy() *fakeWorker {
+// busyWorker returns a worker that has runs.
+func (c *fakeCell) busyWorker() *fakeWorker {
 	for i := range len(c.workers) {
 		if w := c.workers[fmt.Sprintf("w%02d", i)]; len(w.runs) > 0 {
 			return w
@@ -42,14 +42,14 @@
 // Guards against steps that start too early, tasks that run twice and rooms that overflow
 // on a day without trouble.
 func TestStepsRunInOrder(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	for i := range 20 {
 		second, third := tasks(2), tasks(3)
 		second.After, third.After = []int{0}, []int{1}
 		third.Gang = true
 		c.submit(fmt.Sprint("j", i), tasks(4), second, third)
 	}
-	c.run(40 * time.Second)
+	c.advance(40 * time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 20}, c.phases())
 	require.Equal(t, 20*9, c.starts)
 	require.Empty(t, c.placer.runs)
@@ -58,61 +58,61 @@
 // Guards against a worker that is lost for good keeping its tasks: every unanswered look
 // used to push the end of the lease on (LOST on grenaille-sched, mix 937181577388).
 func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
-	lost := c.busy()
-	lost.cut, lost.listable = true, false
+	c.advance(500 * time.Millisecond)
+	lost := c.busyWorker()
+	lost.partitioned, lost.inRegistry = true, false
 	held := len(lost.runs)
 	require.Positive(t, held)
-	c.registry()
-	c.run(6*time.Second + 3*time.Second + time.Second)
+	c.publishRegistry()
+	c.advance(6*time.Second + 3*time.Second + time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
 // Guards against a restart elsewhere while the lost worker may still run the task.
-func TestTasksOfACutWorkerWaitForItsLease(t *testing.T) {
-	c := ready(t, 3)
+func TestTasksOfAPartitionedWorkerWaitForItsLease(t *testing.T) {
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
-	lost := c.busy()
-	lost.cut = true
-	c.run(15 * time.Second) // the fake complains of a second run
+	c.advance(500 * time.Millisecond)
+	lost := c.busyWorker()
+	lost.partitioned = true
+	c.advance(15 * time.Second) // the fake complains of a second run
 	require.Empty(t, lost.runs)
 	require.Equal(t, 6+len(lost.ended), c.starts)
 }
 
 // Guards against tasks that wait for a lease although their worker has started again.
 func TestTasksOfARestartedWorkerStartAtOnce(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
-	w := c.busy()
+	c.advance(500 * time.Millisecond)
+	w := c.busyWorker()
 	held := len(w.runs)
 	c.restart(w)
-	c.registry()
-	c.run(300 * time.Millisecond)
+	c.publishRegistry()
+	c.advance(300 * time.Millisecond)
 	require.Equal(t, 6+held, c.starts)
-	c.run(4 * time.Second)
+	c.advance(4 * time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
 // Guards against a successor that starts what its predecessor's workers still run, and
 // against one that stops or forgets it.
 func TestTakeoverAdoptsRuns(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
 	for i := range 3 {
 		c.submit(fmt.Sprint("j", i), tasks(3))
 	}
-	c.run(time.Second)
+	c.advance(time.Second)
 	starts := c.starts
 	require.Equal(t, 9, starts)
 	c.takeOver()
-	c.run(4 * time.Second)
+	c.advance(4 * time.Second)
 	require.Equal(t, starts, c.starts)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 3}, c.phases())
 }
@@ -121,24 +121,24 @@
 // longest time a lost placer renews leases, although that placer has retired (LOST on
 // dosui-sched, scale-1).
 func TestRetiredPlacerShortensInheritedLeases(t *testing.T) {
-	c := ready(t, 3)
+	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
 	c.submit("j", tasks(6))
-	c.run(500 * time.Millisecond)
-	lost := c.busy()
-	lost.up, lost.listable = false, false
+	c.advance(500 * time.Millisecond)
+	lost := c.busyWorker()
+	lost.up, lost.inRegistry = false, false
 	c.takeOver()
 	c.placer.FormerRetired(c.now)
-	c.run(6*time.Second + 3*time.Second)
+	c.advance(6*time.Second + 3*time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
 // Guards against jobs shown as failed before their attempts are used up, and against
 // attempts beyond the limit.
 func TestAttempts(t *testing.T) {
-	c := ready(t, 2)
+	c := readyCell(t, 2)
 	failures := map[cluster.TaskID]int{}
-	c.how = func(s cluster.Start) cluster.How {
+	c.outcome = func(s cluster.Start) cluster.How {
 		limit := map[string]int{"poison": 99, "twice": 2}[s.Job]
 		if failures[s.TaskID] < limit {
 			failures[s.TaskID]++
@@ -151,7 +151,7 @@
 	gang := tasks(3)
 	gang.Gang = true
 	c.submit("fine", gang)
-	c.run(10 * time.Second)
+	c.advance(10 * time.Second)
 	require.Equal(t, flow.Failed, c.state.Jobs["poison"].Phase)
 	require.Equal(t, flow.Completed, c.state.Jobs["twice"].Phase)
 	require.Equal(t, flow.Completed, c.state.Jobs["fine"].Phase)
@@ -160,31 +160,31 @@
 
 // Guards against runs of a cancelled job that go on, or that start after the cancelling.
 func TestCancelStopsRuns(t *testing.T) {
-	c := ready(t, 2)
+	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
 	c.submit("j", tasks(8), tasks(8))
-	c.run(400 * time.Millisecond)
+	c.advance(400 * time.Millisecond)
 	require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: "j"}}))
-	c.run(300 * time.Millisecond)
+	c.advance(300 * time.Millisecond)
 	for _, w := range c.workers {
 		require.Empty(t, w.runs)
 	}
 	starts := c.starts
-	c.run(2 * time.Second)
+	c.advance(2 * time.Second)
 	require.Equal(t, starts, c.starts)
 	require.Empty(t, c.placer.runs)
 }
 
 // Guards against every promise at once under lost answers, late orders, cut and restarted
 // workers and takeovers; the fake workers check room, order, doubled and repeated runs.
-func TestPromisesUnderTrouble(t *testing.T) {
+func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		rng := rand.New(rand.NewPCG(seed, 1))
-		c := ready(t, 4)
+		c := readyCell(t, 4)
 		c.runTime = func(cluster.Start) time.Duration { return time.Duration(100+rng.IntN(1500)) * time.Millisecond }
 		trouble := true
-		c.lose = func(Command) (bool, time.Duration) {
+		c.drop = func(Command) (bool, time.Duration) {
 			if !trouble || rng.IntN(20) > 0 {
 				return false, 0
 			}
@@ -197,7 +197,7 @@
 				c.takeOver()
 			case 1, 2:
 				w := c.workers[fmt.Sprintf("w%02d", rng.IntN(4))]
-				w.cut = !w.cut
+				w.partitioned = !w.partitioned
 			case 3:
 				c.restart(c.workers[fmt.Sprintf("w%02d", rng.IntN(4))])
 			case 4:
@@ -210,16 +210,16 @@
 				c.submit(fmt.Sprint("j", jobs), tasks(1+rng.IntN(4)), second)
 				jobs++
 			}
-			c.registry()
-			c.run(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
+			c.publishRegistry()
+			c.advance(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
 		}
 		trouble = false
 		for _, w := range c.workers {
-			w.cut = false
+			w.partitioned = false
 		}
 		c.takeOver()
 		c.placer.FormerRetired(c.now)
-		c.run(40 * time.Second)
+		c.advance(40 * time.Second)
 		phases := c.phases()
 		require.Equal(t, jobs, phases[flow.Completed]+phases[flow.Cancelled], "seed %d: %v", seed, phases)
 		for _, w := range c.workers {
@@ -231,15 +231,15 @@
 // Guards against plans that pile up while the log is away: their tickets run out, and all
 // start at once when it is back (LOST on a variant of grenaille-sched, day store-away).
 func TestPlansDoNotPileUpWithoutTheLog(t *testing.T) {
-	c := ready(t, 40)
+	c := readyCell(t, 40)
 	for i := range 100 {
 		c.submit(fmt.Sprint("j", i), tasks(4))
 	}
-	c.logAway = true
-	c.run(2 * time.Second)
-	c.logAway = false
-	require.Less(t, len(c.placer.out.Begins), minUnsent+4)
-	c.run(20 * time.Second)
+	c.logDown = true
+	c.advance(2 * time.Second)
+	c.logDown = false
+	require.Less(t, len(c.placer.pendingBatch.Begins), minPendingRuns+4)
+	c.advance(20 * time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 100}, c.phases())
 }
 
@@ -248,11 +248,11 @@
 // quarter of a core the placer fell silent and was replaced again and again (LOST on a
 // variant of grenaille-sched, day store-away, seed 805831438111).
 func TestBacklogWithoutAdvisersIsCheap(t *testing.T) {
-	c := newFakeCell(t, 48, roomy)
+	c := newFakeCell(t, 48, workerCapacity)
 	c.config.Queues[0].Advice = &cluster.Advice{Decide: 500 * time.Millisecond, Valid: time.Second, MaxVMs: 100}
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d1", Address: "x"}}))
 	c.takeOver()
-	c.run(200 * time.Millisecond)
+	c.advance(200 * time.Millisecond)
 	const steps = 600
 	for i := range steps {
 		c.submit(fmt.Sprint("j", i), tasks(2))
@@ -271,21 +271,21 @@
 // worker reached the next one, in which ends are counted anew: the task, which had ended,
 // was started again (TestPlatformSoak, seeds 11, 21 and 22).
 func TestConfirmationsDoNotReachTheNextLife(t *testing.T) {
-	c := ready(t, 1)
+	c := readyCell(t, 1)
 	c.runTime = func(cluster.Start) time.Duration { return 50 * time.Millisecond }
 	for i := range 6 {
 		c.submit(fmt.Sprint("before", i), tasks(1))
-		c.run(400 * time.Millisecond)
+		c.advance(400 * time.Millisecond)
 	}
-	c.delay = 200 * time.Millisecond
+	c.answerDelay = 200 * time.Millisecond
 	for i := range 5 {
 		id := cluster.TaskID{Job: fmt.Sprint("after", i)}
 		c.submit(id.Job, tasks(1))
 		for r := c.placer.runs[id]; r == nil || r.state != starting; r = c.placer.runs[id] {
-			c.run(5 * time.Millisecond)
+			c.advance(5 * time.Millisecond)
 		}
 		c.restart(c.workers["w00"]) // before the order arrives
-		c.run(20 * time.Second)     // the fake complains of a run after an end that was taken note of
+		c.advance(20 * time.Second) // the fake complains of a run after an end that was taken note of
 	}
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 11}, c.phases())
 }
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -12,19 +12,19 @@
 )
 
 const (
-	planGap = 15 * time.Millisecond // gathers events into one planning pass
+	planInterval = 15 * time.Millisecond // gathers events into one planning pass
 	// A pass takes longer the more steps wait and the more of them it tries to place; the
 	// gap after it bounds its share of the processor.
-	planGapPerStep = 4 * time.Microsecond
-	planGapPerTry  = 150 * time.Microsecond
-	minUnsent      = 48 // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
+	planIntervalPerStep    = 4 * time.Microsecond
+	planIntervalPerAttempt = 150 * time.Microsecond
+	minPendingRuns         = 48 // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
 	// A worker starts at most this many tasks a second, for as long as an append may count: one
 	// that takes longer outlives most tickets.
-	startsPerVM   = 8.0
-	appendCounted = time.Second
-	holdShare     = 0.5 // of a pool that may be held for one gang
-	holdValidity  = time.Second
-	sameRackWait  = 2 * time.Second // a step waits this long for room in one rack
+	startsPerVMPerSecond = 8.0
+	maxCountedAppend     = time.Second
+	maxHoldShare         = 0.5 // of a pool that may be held for one gang
+	holdValidity         = time.Second
+	maxSameRackWait      = 2 * time.Second // a step waits this long for room in one rack
 )
 
 // plan places the waiting steps in the order of what their callers lose.
@@ -32,13 +32,13 @@
 	if len(p.steps) == 0 {
 		return commands
 	}
-	p.tries = 0
-	p.yields.clear()
+	p.planAttempts = 0
+	p.yields.reset()
 	p.Members(now)
-	p.measureRoom()
-	order := make([]*stepWork, 0, len(p.steps))
+	p.updateMaxFree()
+	order := make([]*pendingStep, 0, len(p.steps))
 	for _, w := range p.steps {
-		w.rank(p.queues[w.job.Queue])
+		w.setQueue(p.queues[w.job.Queue])
 		if w.job.Config <= p.config.Version {
 			order = append(order, w)
 		}
@@ -46,61 +46,61 @@
 	p.sortSteps(order, wallMS)
 	holding := false
 	var waiting []int
-	room := p.window.room(p.opening)
+	room := p.startWindow.available(p.startsInProgress)
 	for _, w := range order {
-		if len(p.outRuns) >= p.maxUnsent() {
+		if len(p.pendingRuns) >= p.maxPendingRuns() {
 			p.dirty = true
 			break
 		}
 		if room <= 0 {
-			p.window.full = true // an answer starts the next pass
+			p.startWindow.limiting = true // an answer starts the next pass
 			break
 		}
-		waiting = p.waiting(w, waiting[:0])
-		if len(waiting) == 0 || w.def.Gang && (w.active > 0 || len(waiting) < w.def.Count) {
+		waiting = p.waitingTasks(w, waiting[:0])
+		if len(waiting) == 0 || w.def.Gang && (w.activeRuns > 0 || len(waiting) < w.def.Count) {
 			continue
 		}
 		if !w.def.Gang && len(waiting) > room {
 			waiting = waiting[:room]
 		}
-		active, asking := w.active, w.asking
+		active, asking := w.activeRuns, w.adviceInFlight
 		placed := p.placeStep(w, waiting, now, wallMS)
-		if !placed && w.def.Gang && w.ranked.chance == onTime && !p.options.Without.Yields {
-			p.yields.to(w)
+		if !placed && w.def.Gang && w.stepRank.timeliness == onTime && !p.options.Without.Yields {
+			p.yields.addGang(w)
 		}
-		commands = p.askAdvice(commands, w, placed, now)
-		room -= w.active - active
-		if w.asking && !asking {
-			waiting = p.waiting(w, waiting[:0])
+		commands = p.requestAdvice(commands, w, placed, now)
+		room -= w.activeRuns - active
+		if w.adviceInFlight && !asking {
+			waiting = p.waitingTasks(w, waiting[:0])
 			room -= len(waiting)
 		}
 		if !placed && w.def.Gang && !holding && !p.options.Without.Holds {
-			holding = p.holdFor(w, waiting, now)
+			holding = p.holdWorkers(w, waiting, now)
 		}
 	}
 	return commands
 }
 
-// maxUnsent is the number of planned runs that may wait for the next append: a large cell
+// maxPendingRuns is the number of planned runs that may wait for the next append: a large cell
 // starts as many between two appends as it has workers, and more while each append takes long.
-func (p *Placer) maxUnsent() int {
+func (p *Placer) maxPendingRuns() int {
 	if p.options.Without.LongAppends {
-		return max(minUnsent, len(p.vms))
+		return max(minPendingRuns, len(p.vms))
 	}
-	duringAppend := startsPerVM * float64(len(p.vms)) * min(p.appendTook, appendCounted).Seconds()
-	return max(minUnsent, len(p.vms), int(duringAppend))
+	duringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppend).Seconds()
+	return max(minPendingRuns, len(p.vms), int(duringAppend))
 }
 
-// passGap is the time from the last pass to the next one.
-func (p *Placer) passGap() time.Duration {
-	return planGap + planGapPerStep*time.Duration(len(p.steps)) + planGapPerTry*time.Duration(p.tries)
+// nextPlanDelay is the time from the last pass to the next one.
+func (p *Placer) nextPlanDelay() time.Duration {
+	return planInterval + planIntervalPerStep*time.Duration(len(p.steps)) + planIntervalPerAttempt*time.Duration(p.planAttempts)
 }
 
-// roomFor reports whether the workers (nil: the pool's) may have room for at least one
+// mayHaveRoom reports whether the workers (nil: the pool's) may have room for at least one
 // task of the step, or for all of them. It is far cheaper than a plan, and in a full
 // cell it spares the plan.
-func (p *Placer) roomFor(w *stepWork, among []string, tasks int) bool {
-	if !size(w.def).Fits(p.largest) {
+func (p *Placer) mayHaveRoom(w *pendingStep, among []string, tasks int) bool {
+	if !occupiedRoom(w.def).Fits(p.maxFree) {
 		return false
 	}
 	if among == nil {
@@ -112,8 +112,8 @@
 	}
 	for _, id := range among {
 		free, open := p.cell.Room(id)
-		for open && left > 0 && size(w.def).Fits(free) {
-			free = free.Sub(size(w.def))
+		for open && left > 0 && occupiedRoom(w.def).Fits(free) {
+			free = free.Sub(occupiedRoom(w.def))
 			left--
 		}
 		if left == 0 {
@@ -123,23 +123,23 @@
 	return false
 }
 
-// measureRoom notes the largest free amounts of any worker.
-func (p *Placer) measureRoom() {
-	p.largest = resource.Vector{}
+// updateMaxFree notes the largest free amounts of any worker.
+func (p *Placer) updateMaxFree() {
+	p.maxFree = resource.Vector{}
 	for id := range p.vms {
 		if free, open := p.cell.Room(id); open {
-			p.largest = p.largest.Max(free)
+			p.maxFree = p.maxFree.Max(free)
 		}
 	}
 }
 
-// Members takes the daemons of the cell as those that advice is asked through.
-func (p *Placer) Members(now time.Duration) { p.advise.members(p.memberNames(now), now) }
+// UpdateMembers takes the daemons of the cell as those that advice is asked through.
+func (p *Placer) Members(now time.Duration) { p.advisers.setMembers(p.adviserNames(now), now) }
 
-func (p *Placer) memberNames(now time.Duration) []string {
+func (p *Placer) adviserNames(now time.Duration) []string {
 	names := make([]string, 0, len(p.state.Members))
 	for name, m := range p.state.Members {
-		if now-m.Seen < memberSilence {
+		if now-m.Seen < adviserHelloTimeout {
 			names = append(names, name)
 		}
 	}
@@ -148,32 +148,32 @@
 
 // placeStep places tasks of a step, on workers with a valid ticket first. It reports
 // whether all of them were placed.
-func (p *Placer) placeStep(w *stepWork, tasks []int, now time.Duration, wallMS int64) bool {
+func (p *Placer) placeStep(w *pendingStep, tasks []int, now time.Duration, wallMS int64) bool {
 	if w.queue == nil || w.queue.Advice == nil {
 		return len(p.placeAmong(w, tasks, nil, now)) == 0
 	}
-	if !size(w.def).Fits(p.largest) {
+	if !occupiedRoom(w.def).Fits(p.maxFree) {
 		return false
 	}
-	valid, all := w.granted(now)
-	if p.yields.mayWait(w, wallMS) {
-		valid, all = p.yields.others(w, valid), p.yields.others(w, all)
+	valid, all := w.grantedWorkers(now)
+	if p.yields.canYield(w, wallMS) {
+		valid, all = p.yields.withoutYielded(w, valid), p.yields.withoutYielded(w, all)
 	}
 	if len(valid) > 0 {
 		tasks = p.placeAmong(w, tasks, valid, now)
 	}
-	if len(tasks) > 0 && !w.asking && len(all) > len(valid) {
+	if len(tasks) > 0 && !w.adviceInFlight && len(all) > len(valid) {
 		tasks = p.placeAmong(w, tasks, all, now)
 	}
 	return len(tasks) == 0
 }
 
-// granted returns the workers with a ticket that is still valid when a plan made now is
+// grantedWorkers returns the workers with a ticket that is still valid when a plan made now is
 // sent, and all workers that were ever granted.
-func (w *stepWork) granted(now time.Duration) (valid, all []string) {
+func (w *pendingStep) grantedWorkers(now time.Duration) (valid, all []string) {
 	for worker, t := range w.grants {
 		all = append(all, worker)
-		if t.until > now+ticketPlan {
+		if t.validUntil > now+ticketPlanMargin {
 			valid = append(valid, worker)
 		}
 	}
@@ -182,31 +182,31 @@
 
 // placeAmong places tasks on the given workers (nil: any) and returns those that found
 // no room.
-func (p *Placer) placeAmong(w *stepWork, tasks []int, among []string, now time.Duration) []int {
+func (p *Placer) placeAmong(w *pendingStep, tasks []int, among []string, now time.Duration) []int {
 	switch {
 	case w.def.Fills:
-		among = p.apart(w, among)
+		among = p.workersForFilling(w, among)
 	case w.def.TargetMS > 0:
-		among = p.quiet(among)
+		among = p.workersForServing(among)
 	}
-	if !p.roomFor(w, among, len(tasks)) {
+	if !p.mayHaveRoom(w, among, len(tasks)) {
 		return tasks
 	}
 	if w.def.SameRack && len(tasks) > 1 {
-		for _, rack := range p.racks(among) {
-			if rest := p.placeOn(w, tasks, rack, now, true); len(rest) == 0 {
+		for _, rack := range p.groupByRack(among) {
+			if rest := p.planAndCommit(w, tasks, rack, now, true); len(rest) == 0 {
 				return nil
 			}
 		}
-		if now-w.since < sameRackWait {
+		if now-w.readyAt < maxSameRackWait {
 			return tasks
 		}
 	}
-	return p.placeOn(w, tasks, among, now, w.def.Gang)
+	return p.planAndCommit(w, tasks, among, now, w.def.Gang)
 }
 
-// racks groups workers by rack.
-func (p *Placer) racks(among []string) [][]string {
+// groupByRack groups workers by rack.
+func (p *Placer) groupByRack(among []string) [][]string {
 	groups := map[string][]string{}
 	if among == nil {
 		for id := range p.vms {
@@ -226,10 +226,10 @@
 	return racks
 }
 
-// placeOn plans and commits; with whole set, all tasks are placed or none.
-func (p *Placer) placeOn(w *stepWork, tasks []int, among []string, now time.Duration, whole bool) []int {
-	asks := p.asks(w, tasks, among, whole)
-	if w.def.PerWorker > 0 && !whole {
+// planAndCommit plans and commits; with allOrNothing set, all tasks are placed or none.
+func (p *Placer) planAndCommit(w *pendingStep, tasks []int, among []string, now time.Duration, allOrNothing bool) []int {
+	asks := p.taskAsks(w, tasks, among, allOrNothing)
+	if w.def.PerWorker > 0 && !allOrNothing {
 		var rest []int
 		for i := range asks {
 			if len(p.commit(w, tasks[i:i+1], asks[i:i+1], now)) > 0 {
@@ -241,12 +241,12 @@
 	return p.commit(w, tasks, asks, now)
 }
 
-func (p *Placer) asks(w *stepWork, tasks []int, among []string, whole bool) []wire.TaskAsk {
+func (p *Placer) taskAsks(w *pendingStep, tasks []int, among []string, allOrNothing bool) []wire.TaskAsk {
 	candidates := len(among)
 	if among == nil {
 		candidates = len(p.vms)
 	}
-	avoid := w.avoid
+	avoid := w.avoidWorkers
 	if len(avoid) > 1 && candidates < 2*len(avoid) {
 		avoid = avoid[len(avoid)-1:] // a small pool is not shut out by a task that fails everywhere
 	}
@@ -256,19 +256,19 @@
 	asks := make([]wire.TaskAsk, len(tasks))
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
-			TaskID: cellID(w.task(index)), Job: cellJob(w.id), Generation: int64(w.nextRun(index)), Pool: w.job.Pool,
-			Resources: size(w.def), RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
+			TaskID: cellTaskID(w.taskID(index)), Job: cellJobID(w.id), Generation: int64(w.nextRun(index)), Pool: w.job.Pool,
+			Resources: occupiedRoom(w.def), RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
 			Label: w.def.Label, NearRack: w.def.NearRack, PerVM: w.def.PerWorker,
 		}
-		if whole {
-			asks[i].Gang = cellJob(w.id)
+		if allOrNothing {
+			asks[i].Gang = cellJobID(w.id)
 		}
 	}
 	return asks
 }
 
 // nextRun is the number of the task's next run. The members of a gang share it.
-func (w *stepWork) nextRun(index int) int {
+func (w *pendingStep) nextRun(index int) int {
 	state := w.job.Step(w.id.Occurrence, w.id.Step)
 	switch {
 	case state == nil:
@@ -282,8 +282,8 @@
 
 // commit plans the requests, commits what was placed and makes its runs. It returns the
 // tasks that found no room.
-func (p *Placer) commit(w *stepWork, tasks []int, asks []wire.TaskAsk, now time.Duration) []int {
-	p.tries++
+func (p *Placer) commit(w *pendingStep, tasks []int, asks []wire.TaskAsk, now time.Duration) []int {
+	p.planAttempts++
 	options := place.Options{NoPreemption: true}
 	plan := p.cell.Plan(asks, options, now, nil)
 	done, _ := p.cell.Commit(plan, options, now)
@@ -296,11 +296,11 @@
 	}
 	// A gang begins when all its tickets are there: members that begin earlier wait for
 	// the others on their workers, and only for so long.
-	gather := w.def.Gang && !w.holdTickets(done, now)
+	awaitTickets := w.def.Gang && !w.hasTickets(done, now)
 	var rest []int
 	for i, index := range tasks {
 		if worker, ok := placed[asks[i].TaskID]; ok {
-			p.newRun(w, index, p.vms[worker], gather, now)
+			p.newRun(w, index, p.vms[worker], awaitTickets, now)
 		} else {
 			rest = append(rest, index)
 		}
@@ -308,45 +308,45 @@
 	return rest
 }
 
-// holdTickets reports whether the step has a ticket for every worker that was chosen.
-func (w *stepWork) holdTickets(chosen []place.Assignment, now time.Duration) bool {
+// hasTickets reports whether the step has a ticket for every worker that was chosen.
+func (w *pendingStep) hasTickets(chosen []place.Assignment, now time.Duration) bool {
 	if w.queue == nil || w.queue.Advice == nil {
 		return true
 	}
 	for i := range chosen {
-		if w.grants[chosen[i].VM].until <= now+ticketPlan {
+		if w.grants[chosen[i].VM].validUntil <= now+ticketPlanMargin {
 			return false
 		}
 	}
 	return true
 }
 
-// newRun makes the run of a task whose room is committed. With gather set it waits until
+// newRun makes the run of a task whose room is committed. With awaitTickets set it waits until
 // all tickets of its gang have come.
-func (p *Placer) newRun(w *stepWork, index int, v *vm, gather bool, now time.Duration) {
-	id := w.task(index)
+func (p *Placer) newRun(w *pendingStep, index int, v *vm, awaitTickets bool, now time.Duration) {
+	id := w.taskID(index)
 	r := &run{
-		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: size(w.def),
-		spec: w.job.Spec, checkpoint: w.checkpoint(index), wanted: true, plannedAt: now, paced: 100, paceKnown: true,
+		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: occupiedRoom(w.def),
+		spec: w.job.Spec, checkpoint: w.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
 	}
 	p.runs[id] = r
 	v.runs[id] = r
-	w.active++
+	w.activeRuns++
 	if w.queue != nil && w.queue.Advice != nil {
-		if t := w.grants[v.Life.Worker]; t.until > now+ticketPlan && !gather {
+		if t := w.grants[v.Life.Worker]; t.validUntil > now+ticketPlanMargin && !awaitTickets {
 			r.ticket = t
 		} else {
-			w.renew = append(w.renew, v.Life.Worker)
+			w.ticketsNeeded = append(w.ticketsNeeded, v.Life.Worker)
 			return
 		}
 	}
-	r.step(ticketGranted)
-	p.begin(r)
+	r.transition(ticketGranted)
+	p.recordBegin(r)
 }
 
 // checkpoint returns the checkpoint from which the task's next run resumes. Any
 // member's is valid for the whole gang, and all members start from the same.
-func (w *stepWork) checkpoint(index int) string {
+func (w *pendingStep) checkpoint(index int) string {
 	state := w.job.Step(w.id.Occurrence, w.id.Step)
 	if state == nil {
 		return ""
@@ -357,15 +357,15 @@
 	return state.Tasks[index].Checkpoint
 }
 
-// holdFor keeps workers free for a gang that found no room.
-func (p *Placer) holdFor(w *stepWork, tasks []int, now time.Duration) bool {
-	_, among := w.granted(now)
+// holdWorkers keeps workers free for a gang that found no room.
+func (p *Placer) holdWorkers(w *pendingStep, tasks []int, now time.Duration) bool {
+	_, among := w.grantedWorkers(now)
 	if w.queue == nil || w.queue.Advice == nil {
 		among = nil
 	} else if len(among) == 0 {
 		return false
 	}
-	plan, ok := p.cell.PlanHold(p.asks(w, tasks, among, true), place.Options{}, holdShare, now, holdValidity)
+	plan, ok := p.cell.PlanHold(p.taskAsks(w, tasks, among, true), place.Options{}, maxHoldShare, now, holdValidity)
 	if ok {
 		p.cell.ApplyHold(plan, now)
 	}
--- /dev/null
+++ b/core/placer/retry.go
@@ -0,0 +1,52 @@
+package placer
+
+import (
+	"time"
+
+	"briarproxy/core/cluster"
+)
+
+// startRetryDelay is how long an order to start may stay unanswered before it is sent once
+// more: several round trips between regions, and much less than the time after which the
+// other members of a gang give up.
+const startRetryDelay = 300 * time.Millisecond
+
+// retryStarts sends orders to start once more that were not answered. A worker takes an order
+// for a run that it has, or had, without effect, so a repeat starts nothing twice. Without
+// one a lost order costs its task a second, and a gang all work of its members. The budget
+// keeps repeats from multiplying the orders while all answers are slow.
+func (p *Placer) retryStarts(commands []Command, now time.Duration) []Command {
+	n := 0
+	for _, r := range p.unansweredStarts {
+		if now-r.orderedAt < startRetryDelay {
+			break
+		}
+		n++
+		if p.options.Without.Repeats || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.Retry() {
+			continue
+		}
+		p.addDecision(Note{What: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
+		commands = append(commands, p.startCommand(r, "", now))
+	}
+	p.unansweredStarts = p.unansweredStarts[n:]
+	return commands
+}
+
+// startCommand returns an order to start a run, to be sent through a relay.
+func (p *Placer) startCommand(r *run, relay string, now time.Duration) Command {
+	v := r.vm
+	lease := v.clockLowerBound(now) + p.options.Lease.Milliseconds()
+	v.leaseUntil = max(v.leaseUntil, lease)
+	deadline := p.sendDeadline(r, now)
+	r.startsSent++
+	r.startsInFlight++
+	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Courier: relay, SendBy: deadline, Order: cluster.Start{
+		RunID: r.RunID, Spec: r.spec, Checkpoint: r.checkpoint, Ticket: r.ticket.text, LeaseUntil: lease, Token: p.token,
+	}}}
+}
+
+// decidedBy reports whether the answer tells what became of the run. A refusal of one copy
+// of the order says nothing while another copy may still be carried out.
+func (r *run) decidedBy(result cluster.StartResult) bool {
+	return result == cluster.Started || r.startsSent == 1
+}
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -36,36 +36,36 @@
 // run is one run of a task from its plan to the record of its end.
 type run struct {
 	cluster.RunID
-	state      chart.State
-	vm         *vm
-	size       resource.Vector
-	spec       string
-	checkpoint string
-	ticket     ticket
-	closed     bool          // its room was given back
-	recorded   bool          // its Begin was acknowledged
-	foreign    bool          // begun by nobody known: it is only stopped
-	wanted     bool          // false: it is to be stopped as soon as that is possible
-	seen       bool          // the worker has listed it in its present life
-	plannedAt  time.Duration // boot clock
-	answeredAt time.Duration // of the start; a later look must list the run
-	orderedAt  time.Duration // the first order to start it was sent
-	copies     int           // orders to start it that were sent
-	underWay   int           // of these, not answered and not given up yet
-	stopSent   time.Duration // last stop order
-	stopTaken  time.Duration // the worker answered a stop
-	stopping   bool          // a stop order is under way
-	progress   progress
-	saved      string // newest checkpoint that a look has shown
-	load       int    // of the last look: tail of response times in ms of a serving run, thousandths of a core of others
-	paced      int    // percent of its speed that it was told to work at
-	paceKnown  bool   // the worker has taken that order
-	pacing     bool   // an order to pace is under way
+	state          chart.State
+	vm             *vm
+	size           resource.Vector
+	spec           string
+	checkpoint     string
+	ticket         ticket
+	released       bool          // its room was given back
+	recorded       bool          // its Begin was acknowledged
+	unknown        bool          // begun by nobody known: it is only stopped
+	wanted         bool          // false: it is to be stopped as soon as that is possible
+	wasListed      bool          // the worker has listed it in its present life
+	plannedAt      time.Duration // boot clock
+	answeredAt     time.Duration // of the start; a later look must list the run
+	orderedAt      time.Duration // the first order to start it was sent
+	startsSent     int           // orders to start it that were sent
+	startsInFlight int           // of these, not answered and not given up yet
+	stopSentAt     time.Duration // last stop order
+	stopAnsweredAt time.Duration // the worker answered a stop
+	stopInFlight   bool          // a stop order is under way
+	progress       progress
+	lastCheckpoint string // newest checkpoint that a look has shown
+	load           int    // of the last look: tail of response times in ms of a serving run, thousandths of a core of others
+	pacePercent    int    // percent of its speed that it was told to work at
+	paceConfirmed  bool   // the worker has taken that order
+	paceInFlight   bool   // an order to pace is under way
 }
 
-// step moves the run by an event. It reports false, and changes nothing, for an event
+// transition moves the run by an event. It reports false, and changes nothing, for an event
 // that the state refuses.
-func (r *run) step(e chart.Event) bool {
+func (r *run) transition(e chart.Event) bool {
 	next, err := runChart.Next(r.state, e)
 	if err != nil {
 		return false
@@ -74,17 +74,17 @@
 	return true
 }
 
-// ordered reports whether an order to start the run may have been sent.
-func (r *run) ordered() bool { return r.state != ticketing && r.state != logging }
+// startOrdered reports whether an order to start the run may have been sent.
+func (r *run) startOrdered() bool { return r.state != ticketing && r.state != logging }
 
 // ticket allows a step on a worker for a limited time.
 type ticket struct {
-	text  string
-	until time.Duration // boot clock
+	text       string
+	validUntil time.Duration // boot clock
 }
 
-// copyPending reports whether an order to start the run that was not answered may still be
+// mayStartLate reports whether an order to start the run that was not answered may still be
 // carried out.
-func (r *run) copyPending(now time.Duration) bool {
-	return r.copies > 1 && now-r.orderedAt < lateOrder
+func (r *run) mayStartLate(now time.Duration) bool {
+	return r.startsSent > 1 && now-r.orderedAt < maxOrderDelay
 }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -8,57 +8,57 @@
 	"briarproxy/core/flow"
 )
 
-// jobWork is what the placer keeps of a job that has not ended.
-type jobWork struct {
-	job       *flow.Job
-	since     time.Duration // its record was read
-	activated map[cluster.StepID]bool
-	confirmed bool // that it has begun is recorded or about to be
+// pendingJob is what the placer keeps of a job that has not ended.
+type pendingJob struct {
+	job           *flow.Job
+	readAt        time.Duration // its record was read
+	activated     map[cluster.StepID]bool
+	startRecorded bool // that it has begun is recorded or about to be
 }
 
-// stepWork is a step whose turn has come and that has tasks to start.
-type stepWork struct {
-	id        cluster.StepID
-	job       *flow.Job
-	def       *flow.Step
-	queue     *cluster.Queue
-	since     time.Duration // its turn came
-	latest    int64         // see latestStart
-	objective time.Duration // of the job
-	ranked    stepRank      // in this planning pass
-	grants    map[string]ticket
-	denied    map[string]bool
-	asking    bool
-	askedAt   time.Duration
-	askAfter  time.Duration
-	avoid     []string // workers on which a task of the step failed
-	renew     []string // workers on which room is kept until a new ticket comes
-	active    int      // runs of the step from plan to recorded end
+// pendingStep is a step whose turn has come and that has tasks to start.
+type pendingStep struct {
+	id             cluster.StepID
+	job            *flow.Job
+	def            *flow.Step
+	queue          *cluster.Queue
+	readyAt        time.Duration // its turn came
+	latestStartMS  int64         // see latestStart
+	objective      time.Duration // of the job
+	stepRank       stepRank      // in this planning pass
+	grants         map[string]ticket
+	denied         map[string]bool
+	adviceInFlight bool
+	adviceSentAt   time.Duration
+	nextAdviceAt   time.Duration
+	avoidWorkers   []string // workers on which a task of the step failed
+	ticketsNeeded  []string // workers on which room is kept until a new ticket comes
+	activeRuns     int      // runs of the step from plan to recorded end
 }
 
-// dueStep is an occurrence that waits for its time.
-type dueStep struct {
+// dueOccurrence is an occurrence that waits for its time.
+type dueOccurrence struct {
 	job        *flow.Job
 	occurrence int
 	atMS       int64
 }
 
-func cellJob(s cluster.StepID) string {
+func cellJobID(s cluster.StepID) string {
 	return s.Job + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
 }
 
-func cellID(t cluster.TaskID) string { return cellJob(t.StepID()) + "." + strconv.Itoa(t.Index) }
+func cellTaskID(t cluster.TaskID) string { return cellJobID(t.StepID()) + "." + strconv.Itoa(t.Index) }
 
 // addJob takes up a job that has not ended.
 func (p *Placer) addJob(j *flow.Job, now time.Duration) {
 	if j.Phase.Final() || p.jobs[j.ID] != nil {
 		return
 	}
-	w := &jobWork{job: j, since: now, activated: map[cluster.StepID]bool{}}
+	w := &pendingJob{job: j, readAt: now, activated: map[cluster.StepID]bool{}}
 	p.jobs[j.ID] = w
 	for k := 0; k < j.Submit.Occurrences(); k++ {
 		if at := j.Due(k); at > 0 && len(j.Occurrences) <= k {
-			p.due = append(p.due, dueStep{j, k, at})
+			p.dueOccurrences = append(p.dueOccurrences, dueOccurrence{j, k, at})
 			continue
 		}
 		p.activate(w, k, now)
@@ -66,7 +66,7 @@
 }
 
 // activate takes up the steps of an occurrence whose turn has come.
-func (p *Placer) activate(w *jobWork, occurrence int, now time.Duration) {
+func (p *Placer) activate(w *pendingJob, occurrence int, now time.Duration) {
 	for s := range w.job.Steps {
 		id := cluster.StepID{Job: w.job.ID, Occurrence: occurrence, Step: s}
 		if w.activated[id] || !w.job.StepReady(occurrence, s) {
@@ -77,13 +77,13 @@
 			continue
 		}
 		w.activated[id] = true
-		work := &stepWork{
-			id: id, job: w.job, def: &w.job.Steps[s], since: now,
+		work := &pendingStep{
+			id: id, job: w.job, def: &w.job.Steps[s], readyAt: now,
 			grants: map[string]ticket{}, denied: map[string]bool{},
 		}
 		for i := 0; i < work.def.Count; i++ {
 			if p.runs[cluster.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: s, Index: i}] != nil {
-				work.active++
+				work.activeRuns++
 			}
 		}
 		p.steps[id] = work
@@ -91,10 +91,10 @@
 	}
 }
 
-// wakeDue activates the occurrences whose time has come.
-func (p *Placer) wakeDue(now time.Duration, wallMS int64) {
-	rest := p.due[:0]
-	for _, d := range p.due {
+// activateDue activates the occurrences whose time has come.
+func (p *Placer) activateDue(now time.Duration, wallMS int64) {
+	rest := p.dueOccurrences[:0]
+	for _, d := range p.dueOccurrences {
 		w := p.jobs[d.job.ID]
 		switch {
 		case w == nil:
@@ -104,7 +104,7 @@
 			rest = append(rest, d)
 		}
 	}
-	p.due = rest
+	p.dueOccurrences = rest
 }
 
 // dropJob forgets the work of a job that has ended and stops its runs.
@@ -125,14 +125,14 @@
 	p.dirty = true
 }
 
-// waiting returns the indexes of the step's tasks that are to be started.
-func (p *Placer) waiting(w *stepWork, into []int) []int {
+// waitingTasks returns the indexes of the step's tasks that are to be started.
+func (p *Placer) waitingTasks(w *pendingStep, into []int) []int {
 	state := w.job.Step(w.id.Occurrence, w.id.Step)
 	for i := 0; i < w.def.Count; i++ {
 		if state != nil && (state.Tasks[i].Done || state.Tasks[i].Active) {
 			continue
 		}
-		if w.active > 0 && p.runs[w.task(i)] != nil {
+		if w.activeRuns > 0 && p.runs[w.taskID(i)] != nil {
 			continue
 		}
 		into = append(into, i)
@@ -140,22 +140,22 @@
 	return into
 }
 
-func (w *stepWork) task(i int) cluster.TaskID {
+func (w *pendingStep) taskID(i int) cluster.TaskID {
 	return cluster.TaskID{Job: w.id.Job, Occurrence: w.id.Occurrence, Step: w.id.Step, Index: i}
 }
 
-// rank puts the step's latest start in place when its queue is first known.
-func (w *stepWork) rank(q *cluster.Queue) {
+// setQueue puts the step's latest start in place when its queue is first known.
+func (w *pendingStep) setQueue(q *cluster.Queue) {
 	if w.queue == nil && q != nil {
 		w.queue = q
-		w.latest = w.latestStart()
+		w.latestStartMS = w.latestStart()
 	}
 	w.queue = q
 }
 
 // latestStart returns the time (Unix ms) at which the step must begin for its job to
 // end within its objective, as far as estimates go.
-func (w *stepWork) latestStart() int64 {
+func (w *pendingStep) latestStart() int64 {
 	begin := w.job.AtMS
 	if due := w.job.Due(w.id.Occurrence); due > 0 {
 		begin = due
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -24,7 +24,7 @@
 	Waiting   map[string]Waiting // by queue
 }
 
-// Waiting counts the steps of one queue that have tasks to start.
+// QueueWaiting counts the steps of one queue that have tasks to start.
 type Waiting struct {
 	Steps  int
 	Oldest time.Duration // how long the first of them has waited
@@ -32,24 +32,24 @@
 
 // Summarize counts what the placer holds.
 func (p *Placer) Summarize(now time.Duration, wallMS int64) Summary {
-	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]Waiting{}, Advisers: len(p.advise.byName)}
+	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]Waiting{}, Advisers: len(p.advisers.byName)}
 	var waiting []int
 	for _, w := range p.steps {
-		if waiting = p.waiting(w, waiting[:0]); len(waiting) == 0 {
+		if waiting = p.waitingTasks(w, waiting[:0]); len(waiting) == 0 {
 			continue
 		}
 		waits := s.Waiting[w.job.Queue]
-		s.Waiting[w.job.Queue] = Waiting{waits.Steps + 1, max(waits.Oldest, now-w.since)}
+		s.Waiting[w.job.Queue] = Waiting{waits.Steps + 1, max(waits.Oldest, now-w.readyAt)}
 		advised := w.queue == nil || w.queue.Advice == nil || len(w.grants) > 0
 		switch {
-		case w.asking:
+		case w.adviceInFlight:
 			s.Asking++
 		case !advised:
 			s.Unadvised++
 		default:
 			s.Roomless++
 		}
-		if w.latest < wallMS {
+		if w.latestStartMS < wallMS {
 			s.Late++
 		}
 	}
@@ -63,8 +63,8 @@
 			s.Capacity = s.Capacity.Add(v.Capacity)
 		}
 	}
-	for _, d := range p.advise.byName {
-		s.Calls += d.open
+	for _, d := range p.advisers.byName {
+		s.Calls += d.callsInFlight
 	}
 	return s
 }
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -9,48 +9,48 @@
 
 // Tick does what is due by time: it follows leases, stops, looks and plans.
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
-	commands := p.strays
-	p.strays = nil
-	p.wakeDue(now, wallMS+p.options.Early.Milliseconds()/2)
-	scan := now-p.scannedAt >= scanGap
+	commands := p.queuedCommands
+	p.queuedCommands = nil
+	p.activateDue(now, wallMS+p.options.Early.Milliseconds()/2)
+	scan := now-p.lastScanAt >= scanInterval
 	if scan {
-		p.scannedAt = now
-		p.lapse(now)
+		p.lastScanAt = now
+		p.endLapsedRuns(now)
 		p.evacuate(now)
-		commands = p.stops(commands, now)
+		commands = p.stopUnwanted(commands, now)
 	}
-	commands = p.repeats(commands, now)
-	if p.dirty && now-p.planAt >= p.passGap() {
-		p.dirty, p.planAt = false, now
+	commands = p.retryStarts(commands, now)
+	if p.dirty && now-p.lastPlanAt >= p.nextPlanDelay() {
+		p.dirty, p.lastPlanAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
 	if scan {
-		commands = p.looks(commands, now)
+		commands = p.pollWorkers(commands, now)
 	}
 	return commands
 }
 
-// lapse ends the runs of workers whose leases have surely ended.
-func (p *Placer) lapse(now time.Duration) {
+// endLapsedRuns ends the runs of workers whose leases have surely ended.
+func (p *Placer) endLapsedRuns(now time.Duration) {
 	for _, v := range p.vms {
 		if len(v.runs) == 0 || now <= v.leaseEnd() {
 			continue
 		}
 		n := 0
 		for _, r := range v.runs {
-			if r.ordered() {
+			if r.startOrdered() {
 				p.endRun(r, cluster.Lapsed, "", now)
 				n++
 			}
 		}
 		if n > 0 {
-			p.note(Note{What: "lease ended", Worker: v.Life.Worker, Age: now - v.answered})
+			p.addDecision(Note{What: "lease ended", Worker: v.Life.Worker, Age: now - v.answeredAt})
 		}
 	}
 }
 
-// stops orders workers to stop the runs that are not wanted any more.
-func (p *Placer) stops(commands []Command, now time.Duration) []Command {
+// stopUnwanted orders workers to stop the runs that are not wanted any more.
+func (p *Placer) stopUnwanted(commands []Command, now time.Duration) []Command {
 	for _, r := range p.runs {
 		if r.wanted && r.state != stopping {
 			continue
@@ -59,74 +59,74 @@
 		case ticketing:
 			p.endRun(r, cluster.Void, "", now)
 		case uncertain, running:
-			r.step(stopOrder)
-			commands = p.stop(commands, r, now)
+			r.transition(stopOrder)
+			commands = p.stopRun(commands, r, now)
 		case stopping:
-			if !r.stopping && (r.stopSent == 0 || now-r.stopSent > stopAgain) {
-				commands = p.stop(commands, r, now)
+			if !r.stopInFlight && (r.stopSentAt == 0 || now-r.stopSentAt > stopRetryInterval) {
+				commands = p.stopRun(commands, r, now)
 			}
 		}
 	}
 	return commands
 }
 
-func (p *Placer) stop(commands []Command, r *run, now time.Duration) []Command {
+func (p *Placer) stopRun(commands []Command, r *run, now time.Duration) []Command {
 	if r.vm.Address == "" {
 		return commands
 	}
-	r.stopSent, r.stopping = now, true
-	p.note(Note{What: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Version: p.token})
+	r.stopSentAt, r.stopInFlight = now, true
+	p.addDecision(Note{What: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Version: p.token})
 	return append(commands, Command{Stop: &StopCommand{Life: r.vm.Life, Address: r.vm.Address, Run: r.RunID, Token: p.token}})
 }
 
-// looks asks the workers that have runs, or ends to confirm, for their lists.
-func (p *Placer) looks(commands []Command, now time.Duration) []Command {
+// pollWorkers asks the workers that have runs, or ends to confirm, for their lists.
+func (p *Placer) pollWorkers(commands []Command, now time.Duration) []Command {
 	for _, v := range p.vms {
-		if v.looking || now < v.lookAt || v.Address == "" || !p.wantsLook(v, now) {
+		if v.pollInFlight || now < v.nextPollAt || v.Address == "" || !p.needsPoll(v, now) {
 			continue
 		}
 		hold := cluster.Hold{Token: p.token}
-		if v.allSeen() {
-			hold.Confirmed = v.confirmed
+		if v.allRunsListed() {
+			hold.Confirmed = v.recordedUpTo
 		}
-		if len(v.runs) > 0 && v.known {
-			hold.Wait = p.lookWait(v)
-			if v.misses == 0 && now-v.answered < renewSilence {
-				hold.LeaseUntil = v.clock(now) + p.leaseFor(v, now).Milliseconds()
+		if len(v.runs) > 0 && v.clockKnown {
+			hold.Wait = p.pollWait(v)
+			if v.missedPolls == 0 && now-v.answeredAt < maxSilenceForRenewal {
+				hold.LeaseUntil = v.clockLowerBound(now) + p.leaseDuration(v, now).Milliseconds()
 				v.leaseUntil = max(v.leaseUntil, hold.LeaseUntil)
 			}
 		}
-		v.looking, v.lookSentAt = true, now
+		v.pollInFlight, v.pollSentAt = true, now
 		commands = append(commands, Command{Look: &LookCommand{Life: v.Life, Address: v.Address, Hold: hold}})
 	}
 	return commands
 }
 
-// wantsLook reports whether a look at the worker is of use now.
-func (p *Placer) wantsLook(v *vm, now time.Duration) bool {
+// needsPoll reports whether a look at the worker is of use now.
+func (p *Placer) needsPoll(v *vm, now time.Duration) bool {
 	switch {
-	case !v.fenced || !v.known:
+	case !v.tokenSeen || !v.clockKnown:
 		return v.listed || len(v.runs) > 0
-	case len(v.unsettled) > 0:
-		return now-v.lookSentAt > time.Second // the worker would list the same ends again
+	case len(v.unrecordedEnds) > 0:
+		return now-v.pollSentAt > time.Second // the worker would list the same ends again
 	case len(v.runs) > 0:
 		return true
-	case v.confirmed > v.told:
+	case v.recordedUpTo > v.confirmedUpTo:
 		return true
 	default:
-		return v.listed && now-v.answered > idleLook
+		return v.listed && now-v.answeredAt > idlePollInterval
 	}
 }
 
-// lookWait is how long a look may wait for an end: not at all if something is to be
+// pollWait is how long a look may wait for an end: not at all if something is to be
 // settled.
-func (p *Placer) lookWait(v *vm) time.Duration {
-	if v.misses > 0 {
+func (p *Placer) pollWait(v *vm) time.Duration {
+	if v.missedPolls > 0 {
 		return 0
 	}
-	wait := lookWait
-	if serving, filling, _ := p.company(v); serving > 0 && filling > 0 {
-		wait = serveWatch
+	wait := maxPollWait
+	if serving, filling, _ := p.countServingAndFilling(v); serving > 0 && filling > 0 {
+		wait = servingPollWait
 	}
 	for _, r := range v.runs {
 		if r.state == uncertain || r.state == stopping {
@@ -137,24 +137,24 @@
 }
 
 // Flush returns the batch to append next; ok is false if nothing is due. The caller
-// appends one batch at a time and passes runs to Appended when it is acknowledged.
+// appends one batch at a time and passes runs to BatchAppended when it is acknowledged.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
-	n := len(p.out.Begins) + len(p.out.Ends)
-	if len(p.out.Started) > 0 && now-p.sentAt >= startedGap {
+	n := len(p.pendingBatch.Begins) + len(p.pendingBatch.Ends)
+	if len(p.pendingBatch.Started) > 0 && now-p.flushedAt >= maxStartedDelay {
 		n++
 	}
-	if n == 0 && now-p.sentAt < beatGap || n > 0 && now-p.sentAt < batchGap {
+	if n == 0 && now-p.flushedAt < heartbeatInterval || n > 0 && now-p.flushedAt < batchInterval {
 		return flow.Batch{}, nil, false
 	}
-	batch, runs = p.out, p.outRuns
+	batch, runs = p.pendingBatch, p.pendingRuns
 	batch.Epoch = p.epoch
-	p.out, p.outRuns = flow.Batch{}, nil
-	p.sentAt = now
+	p.pendingBatch, p.pendingRuns = flow.Batch{}, nil
+	p.flushedAt = now
 	return batch, runs, true
 }
 
-// begin records the plan of a run that has its ticket.
-func (p *Placer) begin(r *run) {
-	p.out.Begins = append(p.out.Begins, flow.Begin{RunID: r.RunID, Life: r.vm.Life, Checkpoint: r.checkpoint})
-	p.outRuns = append(p.outRuns, r)
+// recordBegin records the plan of a run that has its ticket.
+func (p *Placer) recordBegin(r *run) {
+	p.pendingBatch.Begins = append(p.pendingBatch.Begins, flow.Begin{RunID: r.RunID, Life: r.vm.Life, Checkpoint: r.checkpoint})
+	p.pendingRuns = append(p.pendingRuns, r)
 }
--- a/core/placer/yield.go
+++ b/core/placer/yield.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// yieldShare is the part of its objective for which a step may make way for gangs of more
+// maxYieldShare is the part of its objective for which a step may make way for gangs of more
 // urgent queues. The rest is left to be placed in.
-const yieldShare = 0.5
+const maxYieldShare = 0.5
 
 // yields keeps less urgent steps off the workers that a waiting gang may use. A gang needs
 // room for all its members at once; single tasks take each gap before the next one opens, so
@@ -16,30 +16,30 @@
 	priority map[string]int // by worker: the most urgent priority of a gang that waits for it
 }
 
-// clear forgets the gangs of the last planning pass.
-func (y *yields) clear() { clear(y.priority) }
+// reset forgets the gangs of the last planning pass.
+func (y *yields) reset() { clear(y.priority) }
 
-// to makes less urgent steps yield the workers that the gang may use.
-func (y *yields) to(gang *stepWork) {
+// addGang makes less urgent steps yield the workers that the gang may use.
+func (y *yields) addGang(gang *pendingStep) {
 	if y.priority == nil {
 		y.priority = map[string]int{}
 	}
 	for worker := range gang.grants {
-		if p, known := y.priority[worker]; !known || gang.ranked.priority < p {
-			y.priority[worker] = gang.ranked.priority
+		if p, known := y.priority[worker]; !known || gang.stepRank.priority < p {
+			y.priority[worker] = gang.stepRank.priority
 		}
 	}
 }
 
-// mayWait reports whether the step has time to make way.
-func (y *yields) mayWait(w *stepWork, wallMS int64) bool {
-	return len(y.priority) > 0 && float64(w.latest-wallMS) > yieldShare*float64(w.objective.Milliseconds())
+// canYield reports whether the step has time to make way.
+func (y *yields) canYield(w *pendingStep, wallMS int64) bool {
+	return len(y.priority) > 0 && float64(w.latestStartMS-wallMS) > maxYieldShare*float64(w.objective.Milliseconds())
 }
 
-// others returns the workers for which no more urgent gang waits.
-func (y *yields) others(w *stepWork, workers []string) []string {
+// withoutYielded returns the workers for which no more urgent gang waits.
+func (y *yields) withoutYielded(w *pendingStep, workers []string) []string {
 	return slices.DeleteFunc(workers, func(id string) bool {
 		p, waits := y.priority[id]
-		return waits && p < w.ranked.priority
+		return waits && p < w.stepRank.priority
 	})
 }
