--- a/core/place/accelerator.go
+++ b/core/place/accelerator.go
@@ -2,10 +2,11 @@
 
 import "briarproxy/core/resource"
 
-// acceleratorRefuses tells whether a task without accelerators would strand
-// accelerators: it must leave at least the share of cores and memory that the
-// free accelerators have of all accelerators of the worker.
-func acceleratorRefuses(capacity, free, ask resource.Vector) bool {
+// strandsAccelerators reports whether a task without accelerators would leave too
+// few cores or too little memory for the worker's free accelerators. The fraction
+// of cores and memory left must be at least the fraction of accelerators that are
+// free.
+func strandsAccelerators(capacity, free, ask resource.Vector) bool {
 	if capacity.Accelerators == 0 || ask.Accelerators > 0 || free.Accelerators <= 0 {
 		return false
 	}
@@ -14,8 +15,8 @@
 		left.MemoryMiB*capacity.Accelerators < free.Accelerators*capacity.MemoryMiB
 }
 
-// acceleratorCost is 1 if a task without accelerators would run on a worker with
-// accelerators.
+// acceleratorCost returns 1 for a task without accelerators on a worker with
+// accelerators, else 0.
 func acceleratorCost(capacity, ask resource.Vector) float64 {
 	if capacity.Accelerators > 0 && ask.Accelerators == 0 {
 		return 1
--- a/core/place/among.go
+++ b/core/place/among.go
@@ -2,19 +2,19 @@
 
 import "briarproxy/core/wire"
 
-// narrow reports whether a request limits itself to some workers of its pool, so that
-// the notes on shapes that fit nowhere do not apply to it.
-func narrow(ask *wire.TaskAsk) bool {
+// restrictsWorkers reports whether a request accepts only some workers of its pool.
+// Such a request neither uses nor updates failedShapes, which describes whole pools.
+func restrictsWorkers(ask *wire.TaskAsk) bool {
 	return ask.Among != nil || ask.Label != "" || ask.PerVM > 0
 }
 
-// among examines the workers that the request names. Advice names at most a hundred, so
-// the index by free capacity is not needed.
-func (s *search) among() {
+// scanNamed examines the workers that the request names. Placement advice names at
+// most 100 workers, so a linear scan is enough.
+func (s *search) scanNamed() {
 	s.best = -1
 	for _, vm := range s.ask.Among {
-		i, known := s.cell.byVM[vm]
-		if !known || poolRefuses(&s.cell.states[i], s.ask.Pool) || usableRefuses(&s.cell.states[i]) {
+		i, known := s.cell.workerByVM[vm]
+		if !known || notInPool(&s.cell.states[i], s.ask.Pool) || notSchedulable(&s.cell.states[i]) {
 			continue
 		}
 		s.examine(i)
--- a/core/place/bestfit.go
+++ b/core/place/bestfit.go
@@ -2,19 +2,20 @@
 
 import "briarproxy/core/resource"
 
-// bestFitCost is the largest share of a kind that stays free after the placement,
-// 0 to 1. Kinds that the worker does not have do not count, and slots do not
-// compete with tasks.
+// bestFitCost returns the largest fraction, 0 to 1, of any resource that stays free
+// after the placement. Resources that the worker does not have are ignored, and so
+// are slots, because tasks do not use them. Accelerators count only if the task
+// asks for some.
 func bestFitCost(capacity, free, ask resource.Vector) float64 {
-	cost := leftShare(capacity.MilliCores, free.MilliCores, ask.MilliCores)
-	cost = max(cost, leftShare(capacity.MemoryMiB, free.MemoryMiB, ask.MemoryMiB))
+	cost := freeShareAfter(capacity.MilliCores, free.MilliCores, ask.MilliCores)
+	cost = max(cost, freeShareAfter(capacity.MemoryMiB, free.MemoryMiB, ask.MemoryMiB))
 	if ask.Accelerators > 0 {
-		cost = max(cost, leftShare(capacity.Accelerators, free.Accelerators, ask.Accelerators))
+		cost = max(cost, freeShareAfter(capacity.Accelerators, free.Accelerators, ask.Accelerators))
 	}
 	return cost
 }
 
-func leftShare(capacity, free, ask int64) float64 {
+func freeShareAfter(capacity, free, ask int64) float64 {
 	if capacity <= 0 {
 		return 0
 	}
--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -7,28 +7,30 @@
 	"briarproxy/core/resource"
 )
 
-// Cell is the state of the workers of one owner, with its index.
+// Cell holds the state of the workers that one scheduler instance is responsible
+// for, indexed by free capacity. The position of a worker is the same in states,
+// entries, present, serials and rackOfWorker.
 type Cell struct {
-	states     []State
-	links      [][]link
-	present    []bool
-	serials    []int64 // differ between all workers that the cell ever had
-	serial     int64
-	racks      []int32 // rack number per worker
-	byVM       map[string]int32
-	freeIDs    []int32
-	nodes      []node
-	freeNodes  []int32
-	pools      map[string]*pool
-	rackIDs    map[rackKey]int32
-	tasks      map[string]int32 // worker per task id
-	spread     map[jobRack]int  // running tasks of spread jobs
-	failed     map[failedShape]int64
-	holds      map[string][]int32 // workers held per owner; the hold in State decides
-	inRack     []bool             // scratch: racks used by the gang being planned
-	usedRacks  []int32            // scratch: the racks set in inRack
-	candidates []candidate        // scratch: workers for the gang being planned
-	booked     []booking          // scratch: room booked by the planning run
+	states        []State
+	entries       [][]poolEntry
+	present       []bool
+	serials       []int64 // unique among all workers that the cell ever had
+	lastSerial    int64
+	rackOfWorker  []int32 // rack number of each worker
+	workerByVM    map[string]int32
+	unusedWorkers []int32
+	nodes         []listNode
+	unusedNodes   []int32
+	pools         map[string]*poolIndex
+	rackIDs       map[rackKey]int32
+	workerOfTask  map[string]int32 // by task id
+	spreadTasks   map[jobRack]int  // number of placed tasks with SpreadRacks
+	failedShapes  map[failedShape]int64
+	heldWorkers   map[string][]int32 // by owner; may list workers whose hold has ended, WorkerState.Hold is authoritative
+	rackUsed      []bool             // scratch: by rack number, whether the gang being planned uses it
+	usedRacks     []int32            // scratch: racks set in rackUsed
+	candidates    []candidate        // scratch: workers found for the gang being planned
+	bookings      []booking          // scratch: capacity booked by the planning run
 }
 
 type rackKey struct{ dataCentre, rack string }
@@ -41,23 +43,23 @@
 // NewCell returns a cell without workers.
 func NewCell() *Cell {
 	return &Cell{
-		byVM:    map[string]int32{},
-		nodes:   make([]node, 1),
-		pools:   map[string]*pool{},
-		rackIDs: map[rackKey]int32{},
-		tasks:   map[string]int32{},
-		spread:  map[jobRack]int{},
-		failed:  map[failedShape]int64{},
-		holds:   map[string][]int32{},
+		workerByVM:   map[string]int32{},
+		nodes:        make([]listNode, 1),
+		pools:        map[string]*poolIndex{},
+		rackIDs:      map[rackKey]int32{},
+		workerOfTask: map[string]int32{},
+		spreadTasks:  map[jobRack]int{},
+		failedShapes: map[failedShape]int64{},
+		heldWorkers:  map[string][]int32{},
 	}
 }
 
 // Len returns the number of workers.
-func (c *Cell) Len() int { return len(c.byVM) }
+func (c *Cell) Len() int { return len(c.workerByVM) }
 
 // Worker returns a copy of the state of a worker.
 func (c *Cell) Worker(vm string) (State, bool) {
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok {
 		return State{}, false
 	}
@@ -66,19 +68,20 @@
 	return w, true
 }
 
-// Room returns the free capacity of a worker that new work may be placed on.
-func (c *Cell) Room(vm string) (free resource.Vector, open bool) {
-	i, ok := c.byVM[vm]
+// FreeCapacity returns the free capacity of a worker, and false if the worker is
+// unknown or not schedulable.
+func (c *Cell) Room(vm string) (free resource.Vector, schedulable bool) {
+	i, ok := c.workerByVM[vm]
 	if !ok || !c.states[i].Open() {
 		return resource.Vector{}, false
 	}
 	return c.states[i].Free(), true
 }
 
-// Workers returns a copy of the state of all workers, in no particular order but
-// the same for the same history.
+// Workers returns a copy of the state of all workers. The order is unspecified but
+// deterministic: the same sequence of operations yields the same order.
 func (c *Cell) Workers() []State {
-	all := make([]State, 0, len(c.byVM))
+	all := make([]State, 0, len(c.workerByVM))
 	for i := range c.states {
 		if c.present[i] {
 			w, _ := c.Worker(c.states[i].VM)
@@ -89,9 +92,10 @@
 }
 
 // UpdateWorker adds a worker or changes its description. A new worker or a new
-// incarnation is not usable until SetUsable. A new incarnation has no tasks.
+// incarnation is not schedulable until SetLive is called. A new incarnation has no
+// tasks.
 func (c *Cell) UpdateWorker(d Worker) {
-	i, known := c.byVM[d.VM]
+	i, known := c.workerByVM[d.VM]
 	if known && c.states[i].Incarnation != d.Incarnation {
 		c.RemoveWorker(d.VM)
 		known = false
@@ -104,12 +108,12 @@
 	if sameDescription(&w.Worker, &d) {
 		return
 	}
-	c.detach(i)
-	c.countTasks(i, -1)
+	c.removeFromIndex(i)
+	c.countSpreadTasks(i, -1)
 	w.Worker = d
 	c.states[i] = w
-	c.attach(i)
-	c.countTasks(i, 1)
+	c.addToIndex(i)
+	c.countSpreadTasks(i, 1)
 }
 
 func sameDescription(a, b *Worker) bool {
@@ -119,208 +123,211 @@
 
 func (c *Cell) insert(w State) {
 	var i int32
-	if n := len(c.freeIDs); n > 0 {
-		i = c.freeIDs[n-1]
-		c.freeIDs = c.freeIDs[:n-1]
+	if n := len(c.unusedWorkers); n > 0 {
+		i = c.unusedWorkers[n-1]
+		c.unusedWorkers = c.unusedWorkers[:n-1]
 	} else {
 		i = int32(len(c.states))
 		c.states = append(c.states, State{})
-		c.links = append(c.links, nil)
+		c.entries = append(c.entries, nil)
 		c.present = append(c.present, false)
 		c.serials = append(c.serials, 0)
-		c.racks = append(c.racks, 0)
+		c.rackOfWorker = append(c.rackOfWorker, 0)
 	}
 	c.states[i] = w
 	c.present[i] = true
-	c.serial++
-	c.serials[i] = c.serial
-	c.byVM[w.VM] = i
-	c.attach(i)
+	c.lastSerial++
+	c.serials[i] = c.lastSerial
+	c.workerByVM[w.VM] = i
+	c.addToIndex(i)
 }
 
-// RemoveWorker forgets a worker and returns the tasks that were on it.
+// RemoveWorker removes a worker and returns the tasks that were on it.
 func (c *Cell) RemoveWorker(vm string) []Task {
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok {
 		return nil
 	}
-	c.detach(i)
-	c.countTasks(i, -1)
+	c.removeFromIndex(i)
+	c.countSpreadTasks(i, -1)
 	tasks := c.states[i].Tasks
 	for _, t := range tasks {
-		delete(c.tasks, t.ID)
+		delete(c.workerOfTask, t.ID)
 	}
-	delete(c.byVM, vm)
+	delete(c.workerByVM, vm)
 	c.states[i] = State{}
 	c.present[i] = false
-	c.freeIDs = append(c.freeIDs, i)
+	c.unusedWorkers = append(c.unusedWorkers, i)
 	return tasks
 }
 
-// attach adds the worker to the index of its pools.
-func (c *Cell) attach(i int32) {
+// addToIndex adds the worker to the index of each of its pools.
+func (c *Cell) addToIndex(i int32) {
 	w := &c.states[i]
-	c.racks[i] = c.rackID(w.DataCentre, w.Rack)
+	c.rackOfWorker[i] = c.findOrAddRack(w.DataCentre, w.Rack)
 	for n, name := range w.Pools {
 		if slices.Contains(w.Pools[:n], name) {
 			continue
 		}
-		p := c.pool(name)
+		p := c.findOrAddPool(name)
 		p.members++
-		p.shapes[w.Capacity]++
-		c.links[i] = append(c.links[i], link{
-			pool: p, zone: p.zone(w.Region, w.DataCentre), slot: -1, victim: -1,
+		p.capacityCounts[w.Capacity]++
+		c.entries[i] = append(c.entries[i], poolEntry{
+			pool: p, dataCentre: p.findOrAddDataCentre(w.Region, w.DataCentre), slotBucket: -1, preemptiblePos: -1,
 			node: c.newNode(i), slotNode: c.newNode(i),
 		})
 	}
 	if w.Open() {
-		c.count(i, 1)
+		c.countSchedulable(i, 1)
 	}
 	c.reindex(i)
-	c.updateVictims(i)
+	c.updatePreemptible(i)
 }
 
-// detach removes the worker from the index of its pools.
-func (c *Cell) detach(i int32) {
+// removeFromIndex removes the worker from the index of each of its pools.
+func (c *Cell) removeFromIndex(i int32) {
 	w := &c.states[i]
 	if w.Open() {
-		c.count(i, -1)
-	}
-	for n := range c.links[i] {
-		l := &c.links[i][n]
-		c.unlink(l)
-		c.dropVictim(l)
-		c.freeNodes = append(c.freeNodes, l.node, l.slotNode)
-		l.pool.members--
-		l.pool.shapes[w.Capacity]--
-		if l.pool.shapes[w.Capacity] == 0 {
-			delete(l.pool.shapes, w.Capacity)
+		c.countSchedulable(i, -1)
+	}
+	for n := range c.entries[i] {
+		entry := &c.entries[i][n]
+		c.removeFromBuckets(entry)
+		c.removePreemptible(entry)
+		c.unusedNodes = append(c.unusedNodes, entry.node, entry.slotNode)
+		entry.pool.members--
+		entry.pool.capacityCounts[w.Capacity]--
+		if entry.pool.capacityCounts[w.Capacity] == 0 {
+			delete(entry.pool.capacityCounts, w.Capacity)
 		}
 	}
-	c.links[i] = c.links[i][:0]
+	c.entries[i] = c.entries[i][:0]
 }
 
-// count adds an open worker to the totals of its pools, or removes it.
-func (c *Cell) count(i int32, sign int64) {
+// countSchedulable adds a schedulable worker to the totals of its pools if sign is
+// 1, and subtracts it if sign is -1.
+func (c *Cell) countSchedulable(i int32, sign int64) {
 	w := &c.states[i]
-	for n := range c.links[i] {
-		p := c.links[i][n].pool
-		p.open += int(sign)
-		c.links[i][n].zone.open += int(sign)
+	for n := range c.entries[i] {
+		p := c.entries[i][n].pool
+		p.schedulable += int(sign)
+		c.entries[i][n].dataCentre.schedulable += int(sign)
 		p.capacity = p.capacity.Add(w.Capacity.Scale(sign))
 		p.committed = p.committed.Add(w.Committed.Scale(sign))
-		p.growth++
+		p.capacityVersion++
 	}
 }
 
-func (c *Cell) rackID(dataCentre, rack string) int32 {
+func (c *Cell) findOrAddRack(dataCentre, rack string) int32 {
 	key := rackKey{dataCentre, rack}
 	id, ok := c.rackIDs[key]
 	if !ok {
 		id = int32(len(c.rackIDs))
 		c.rackIDs[key] = id
-		c.inRack = append(c.inRack, false)
+		c.rackUsed = append(c.rackUsed, false)
 	}
 	return id
 }
 
-func (c *Cell) pool(name string) *pool {
+func (c *Cell) findOrAddPool(name string) *poolIndex {
 	p, ok := c.pools[name]
 	if !ok {
-		p = &pool{name: name, shapes: map[resource.Vector]int{}}
+		p = &poolIndex{name: name, capacityCounts: map[resource.Vector]int{}}
 		c.pools[name] = p
 	}
 	return p
 }
 
-func (p *pool) zone(region, dataCentre string) *zone {
-	for _, z := range p.zones {
-		if z.region == region && z.dataCentre == dataCentre {
-			return z
+func (p *poolIndex) findOrAddDataCentre(region, dataCentre string) *dataCentreIndex {
+	for _, dc := range p.dataCentres {
+		if dc.region == region && dc.dataCentre == dataCentre {
+			return dc
 		}
 	}
-	z := &zone{region: region, dataCentre: dataCentre}
-	p.zones = append(p.zones, z)
-	return z
+	dc := &dataCentreIndex{region: region, dataCentre: dataCentre}
+	p.dataCentres = append(p.dataCentres, dc)
+	return dc
 }
 
-// setFlags changes flags of a worker and its place in the index.
+// setFlags changes flags of a worker and updates the index.
 func (c *Cell) setFlags(vm string, change func(*State)) {
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok {
 		return
 	}
 	w := &c.states[i]
-	before := w.Open()
+	wasSchedulable := w.Open()
 	change(w)
-	if w.Open() == before {
+	if w.Open() == wasSchedulable {
 		return
 	}
-	if before {
-		c.count(i, -1)
+	if wasSchedulable {
+		c.countSchedulable(i, -1)
 	} else {
-		c.count(i, 1)
+		c.countSchedulable(i, 1)
 	}
 	c.reindex(i)
-	c.updateVictims(i)
+	c.updatePreemptible(i)
 }
 
-// SetUsable says whether the worker is known to be live.
+// SetLive records whether the worker is known to be live.
 func (c *Cell) SetUsable(vm string, usable bool) {
 	c.setFlags(vm, func(w *State) { w.Usable = usable })
 }
 
-// SetLeaving marks the worker as leaving. Only a new incarnation ends it.
+// SetDraining marks the worker as draining, which lasts until a new incarnation.
 func (c *Cell) SetLeaving(vm string) {
 	c.setFlags(vm, func(w *State) { w.Leaving = true })
 }
 
-// SetQuarantined isolates the worker or ends its isolation.
+// SetQuarantined starts or ends the quarantine of the worker.
 func (c *Cell) SetQuarantined(vm string, quarantined bool) {
 	c.setFlags(vm, func(w *State) { w.Quarantined = quarantined })
 }
 
-// adjust changes the committed capacity of a worker.
-func (c *Cell) adjust(i int32, delta resource.Vector) {
+// adjustCommitted adds delta to the committed capacity of a worker. It raises
+// capacityVersion if any resource is freed.
+func (c *Cell) adjustCommitted(i int32, delta resource.Vector) {
 	w := &c.states[i]
 	w.Committed = w.Committed.Add(delta)
 	if w.Open() {
 		grows := delta.MilliCores < 0 || delta.MemoryMiB < 0 || delta.Accelerators < 0 || delta.Slots < 0
-		for n := range c.links[i] {
-			p := c.links[i][n].pool
+		for n := range c.entries[i] {
+			p := c.entries[i][n].pool
 			p.committed = p.committed.Add(delta)
 			if grows {
-				p.growth++
+				p.capacityVersion++
 			}
 		}
 	}
 	c.reindex(i)
 }
 
-// countTasks adds the worker's spread tasks to the counters per rack.
-func (c *Cell) countTasks(i int32, sign int) {
+// countSpreadTasks adds the worker's tasks with SpreadRacks to the counters per
+// rack if sign is 1, and subtracts them if sign is -1.
+func (c *Cell) countSpreadTasks(i int32, sign int) {
 	for n := range c.states[i].Tasks {
 		t := &c.states[i].Tasks[n]
 		if t.SpreadRacks {
-			c.countSpread(t.Job, c.racks[i], sign)
+			c.addSpreadCount(t.Job, c.rackOfWorker[i], sign)
 		}
 	}
 }
 
-func (c *Cell) countSpread(job string, rack int32, delta int) {
+func (c *Cell) addSpreadCount(job string, rack int32, delta int) {
 	key := jobRack{job, rack}
-	c.spread[key] += delta
-	if c.spread[key] == 0 {
-		delete(c.spread, key)
+	c.spreadTasks[key] += delta
+	if c.spreadTasks[key] == 0 {
+		delete(c.spreadTasks, key)
 	}
 }
 
-// AddTask records a task that runs on the worker already, as learned from its
-// inventory. It may exceed the capacity. It reports whether the worker is known
-// and the task was not.
+// AddTask records a task that the worker's inventory reports as running. The task
+// may exceed the worker's capacity. AddTask returns false if the worker is unknown
+// or the task is already recorded.
 func (c *Cell) AddTask(vm string, t Task) bool {
-	i, ok := c.byVM[vm]
-	if _, placed := c.tasks[t.ID]; !ok || placed {
+	i, ok := c.workerByVM[vm]
+	if _, placed := c.workerOfTask[t.ID]; !ok || placed {
 		return false
 	}
 	c.addTask(i, t)
@@ -329,30 +336,30 @@
 
 func (c *Cell) addTask(i int32, t Task) {
 	c.states[i].Tasks = append(c.states[i].Tasks, t)
-	c.tasks[t.ID] = i
+	c.workerOfTask[t.ID] = i
 	if t.SpreadRacks {
-		c.countSpread(t.Job, c.racks[i], 1)
+		c.addSpreadCount(t.Job, c.rackOfWorker[i], 1)
 	}
-	c.adjust(i, t.Resources)
+	c.adjustCommitted(i, t.Resources)
 	if t.Preemptible {
 		c.states[i].preemptible++
-		c.updateVictims(i)
+		c.updatePreemptible(i)
 	}
 }
 
-// TaskWorker returns the VM that holds the task.
+// TaskWorker returns the VM on which the task is placed.
 func (c *Cell) TaskWorker(taskID string) (string, bool) {
-	i, ok := c.tasks[taskID]
+	i, ok := c.workerOfTask[taskID]
 	if !ok {
 		return "", false
 	}
 	return c.states[i].VM, true
 }
 
-// Release frees the room of a task attempt and reports whether it was there. A
-// newer generation of the task stays.
+// Release frees the capacity of a task attempt and reports whether the attempt was
+// placed. Another generation of the task is left as it is.
 func (c *Cell) Release(taskID string, generation int64) bool {
-	i, n := c.find(taskID, generation)
+	i, n := c.findAttempt(taskID, generation)
 	if n < 0 {
 		return false
 	}
@@ -362,36 +369,35 @@
 	w.Tasks[n] = w.Tasks[last]
 	w.Tasks[last] = Task{}
 	w.Tasks = w.Tasks[:last]
-	delete(c.tasks, taskID)
+	delete(c.workerOfTask, taskID)
 	if t.SpreadRacks {
-		c.countSpread(t.Job, c.racks[i], -1)
+		c.addSpreadCount(t.Job, c.rackOfWorker[i], -1)
 	}
-	c.adjust(i, resource.Vector{}.Sub(t.Resources))
+	c.adjustCommitted(i, resource.Vector{}.Sub(t.Resources))
 	if t.Preemptible {
 		w.preemptible--
-		c.updateVictims(i)
+		c.updatePreemptible(i)
 	}
 	return true
 }
 
-// Resize changes the committed size of a task attempt, for instance because
-// reports show more use.
+// Resize changes the committed resources of a task attempt, for instance after
+// reports of higher usage.
 func (c *Cell) Resize(taskID string, generation int64, size resource.Vector) bool {
-	i, n := c.find(taskID, generation)
+	i, n := c.findAttempt(taskID, generation)
 	if n < 0 {
 		return false
 	}
 	t := &c.states[i].Tasks[n]
 	delta := size.Sub(t.Resources)
 	t.Resources = size
-	c.adjust(i, delta)
+	c.adjustCommitted(i, delta)
 	return true
 }
 
-// Throttle records that a task attempt keeps only a percentage of its committed
-// cores.
+// Throttle reduces the committed cores of a task attempt to a percentage.
 func (c *Cell) Throttle(taskID string, generation int64, percent int) bool {
-	i, n := c.find(taskID, generation)
+	i, n := c.findAttempt(taskID, generation)
 	if n < 0 {
 		return false
 	}
@@ -402,9 +408,9 @@
 	return c.Resize(taskID, generation, size)
 }
 
-// SetExpectedEnd changes the instant at which a task attempt is expected to end.
+// SetExpectedEnd changes the time at which a task attempt is expected to end.
 func (c *Cell) SetExpectedEnd(taskID string, generation int64, end time.Duration) bool {
-	i, n := c.find(taskID, generation)
+	i, n := c.findAttempt(taskID, generation)
 	if n < 0 {
 		return false
 	}
@@ -412,9 +418,10 @@
 	return true
 }
 
-// find returns the worker and position of a task attempt, position -1 if absent.
-func (c *Cell) find(taskID string, generation int64) (int32, int) {
-	i, ok := c.tasks[taskID]
+// findAttempt returns the worker of a task attempt and the position in its tasks,
+// which is -1 if the attempt is not placed.
+func (c *Cell) findAttempt(taskID string, generation int64) (int32, int) {
+	i, ok := c.workerOfTask[taskID]
 	if !ok {
 		return 0, -1
 	}
--- a/core/place/check_test.go
+++ b/core/place/check_test.go
@@ -7,7 +7,7 @@
 	"briarproxy/core/resource"
 )
 
-// CheckIndex recounts the index from the workers' states.
+// CheckIndex compares the index with one recounted from the workers' states.
 func CheckIndex(c *Cell) error {
 	for name, p := range c.pools {
 		if err := checkPool(c, name, p); err != nil {
@@ -17,22 +17,22 @@
 	spread := map[jobRack]int{}
 	for i := range c.states {
 		for _, t := range c.states[i].Tasks {
-			if c.tasks[t.ID] != int32(i) {
-				return fmt.Errorf("task %s is not in the table of tasks", t.ID)
+			if c.workerOfTask[t.ID] != int32(i) {
+				return fmt.Errorf("task %s is missing in workerOfTask", t.ID)
 			}
 			if t.SpreadRacks {
-				spread[jobRack{t.Job, c.racks[i]}]++
+				spread[jobRack{t.Job, c.rackOfWorker[i]}]++
 			}
 		}
 	}
-	if fmt.Sprint(spread) != fmt.Sprint(c.spread) {
-		return fmt.Errorf("spread counters %v, recount %v", c.spread, spread)
+	if fmt.Sprint(spread) != fmt.Sprint(c.spreadTasks) {
+		return fmt.Errorf("spread counters %v, recount %v", c.spreadTasks, spread)
 	}
 	return nil
 }
 
-func checkPool(c *Cell, name string, p *pool) error {
-	members, open := 0, 0
+func checkPool(c *Cell, name string, p *poolIndex) error {
+	members, schedulable := 0, 0
 	var capacity, committed resource.Vector
 	for i := range c.states {
 		w := &c.states[i]
@@ -41,31 +41,31 @@
 		}
 		members++
 		preemptible := slices.ContainsFunc(w.Tasks, func(t Task) bool { return t.Preemptible })
-		if listed := slices.Contains(p.victims, int32(i)); listed != (preemptible && w.Open()) {
-			return fmt.Errorf("%s in the list of victims: %v", w.VM, listed)
+		if listed := slices.Contains(p.preemptible, int32(i)); listed != (preemptible && w.Open()) {
+			return fmt.Errorf("%s in the list of workers with preemptible tasks: %v", w.VM, listed)
 		}
 		if w.Open() {
-			open++
+			schedulable++
 			capacity, committed = capacity.Add(w.Capacity), committed.Add(w.Committed)
 		}
 	}
-	if members != p.members || open != p.open || capacity != p.capacity || committed != p.committed {
-		return fmt.Errorf("totals %d %d %v %v, recount %d %d %v %v", p.members, p.open, p.capacity, p.committed, members, open, capacity, committed)
+	if members != p.members || schedulable != p.schedulable || capacity != p.capacity || committed != p.committed {
+		return fmt.Errorf("totals %d %d %v %v, recount %d %d %v %v", p.members, p.schedulable, p.capacity, p.committed, members, schedulable, capacity, committed)
 	}
-	return checkBuckets(c, p, open)
+	return checkBuckets(c, p, schedulable)
 }
 
-func checkBuckets(c *Cell, p *pool, open int) error {
+func checkBuckets(c *Cell, p *poolIndex, schedulable int) error {
 	inGrids, inSlots := 0, 0
-	for _, z := range p.zones {
-		for class := range z.classes {
-			for acc, g := range z.classes[class] {
+	for _, dc := range p.dataCentres {
+		for class := range dc.grids {
+			for acc, g := range dc.grids[class] {
 				if g == nil {
 					continue
 				}
 				for bucket, head := range g.heads {
 					row, col := bucket/levels, bucket%levels
-					if bit := g.rows>>row&1 == 1 && g.cols[row]>>col&1 == 1; bit != (head != 0) {
+					if bit := g.coreLevels>>row&1 == 1 && g.memoryLevels[row]>>col&1 == 1; bit != (head != 0) {
 						return fmt.Errorf("bucket %d marked %v, head %d", bucket, bit, head)
 					}
 					for n := head; n != 0; n = c.nodes[n].next {
@@ -79,8 +79,8 @@
 				}
 			}
 		}
-		for bucket, head := range z.slots.heads {
-			if (z.slots.filled>>bucket&1 == 1) != (head != 0) {
+		for bucket, head := range dc.slots.heads {
+			if (dc.slots.nonEmpty>>bucket&1 == 1) != (head != 0) {
 				return fmt.Errorf("slot bucket %d marked wrongly", bucket)
 			}
 			for n := head; n != 0; n = c.nodes[n].next {
@@ -91,8 +91,8 @@
 			}
 		}
 	}
-	if inGrids != open || inSlots != open {
-		return fmt.Errorf("%d in grids, %d in slot buckets, %d open", inGrids, inSlots, open)
+	if inGrids != schedulable || inSlots != schedulable {
+		return fmt.Errorf("%d in grids, %d in slot buckets, %d schedulable", inGrids, inSlots, schedulable)
 	}
 	return nil
 }
--- a/core/place/doc.go
+++ b/core/place/doc.go
@@ -1,12 +1,12 @@
-// Package place decides which worker of one owner runs which task.
+// Package place assigns tasks to the workers that one scheduler instance is
+// responsible for.
 //
-// A Cell is the state of the owner's workers. Plan reads it and returns a plan
-// without changing it; Commit verifies the plan against the state of that moment
-// and refuses what does not fit any more. An index by pool, data centre,
-// accelerator class and free capacity bounds the number of workers that a
-// decision looks at. The index never hides a worker that fits: a search that
-// found nothing within its bounds is repeated over every worker whose bucket can
-// hold the request.
+// A Cell holds the state of these workers. Plan computes a plan and leaves the
+// state as it was; Commit checks the plan against the current state and refuses
+// what no longer fits. An index by pool, data centre, presence of accelerators and
+// free capacity bounds the number of workers that a decision examines. The bounds
+// never cause a refusal: a search that finds nothing within them is repeated over
+// every worker whose bucket may fit the request.
 //
-// A Cell is not safe for concurrent use; its owner is one goroutine.
+// A Cell is not safe for concurrent use.
 package place
--- a/core/place/fits.go
+++ b/core/place/fits.go
@@ -2,9 +2,9 @@
 
 import "briarproxy/core/resource"
 
-// fitsRefuses tells whether the free capacity is too small. Kinds that are not
-// asked for do not matter, even if they are overcommitted.
-func fitsRefuses(free, ask resource.Vector) bool {
+// lacksCapacity reports whether the free capacity is too small. Resources that are
+// not asked for are ignored, even if they are overcommitted.
+func lacksCapacity(free, ask resource.Vector) bool {
 	return lacks(free.MilliCores, ask.MilliCores) ||
 		lacks(free.MemoryMiB, ask.MemoryMiB) ||
 		lacks(free.Accelerators, ask.Accelerators) ||
--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -8,22 +8,22 @@
 	"briarproxy/core/wire"
 )
 
-// gang plans all tasks of one gang or none. For tasks of equal size it finds
-// room whenever there is room: a task in a new rack and a task in a used one take
-// the same share of what a worker can hold. Tasks of unequal size are planned
-// largest first, which can miss a packing that exists.
-func (p *planner) gang(members []*wire.TaskAsk) {
+// planGang plans all tasks of a gang or none. For tasks of equal size it finds a
+// placement whenever one exists, because each task takes one of the equal places
+// that a worker offers, in a new rack as in a used one. Tasks of unequal size are
+// planned largest first, which can miss a packing that exists.
+func (p *planner) planGang(members []*wire.TaskAsk) {
 	if slices.ContainsFunc(members, p.neverFits) {
 		return
 	}
-	firstBooking, firstAssignment := len(p.booked), len(p.plan.Assignments)
+	firstBooking, firstAssignment := len(p.bookings), len(p.plan.Assignments)
 	ordered := largestFirst(members)
-	refused := p.gangTasks(ordered)
-	p.clearRacks()
+	refused := p.bookGang(ordered)
+	p.clearUsedRacks()
 	if refused == nil {
 		return
 	}
-	p.undo(firstBooking)
+	p.undoBookings(firstBooking)
 	p.plan.Assignments = p.plan.Assignments[:firstAssignment]
 	refused = append(refused, wire.Refused{Reason: string(StepGang), Count: len(members)})
 	for _, ask := range members {
@@ -31,7 +31,8 @@
 	}
 }
 
-// largestFirst sorts a copy by size, and leaves gangs of equal tasks as they are.
+// largestFirst returns a copy sorted by descending size, or members itself if all
+// tasks have the same size.
 func largestFirst(members []*wire.TaskAsk) []*wire.TaskAsk {
 	first := members[0].Resources
 	if !slices.ContainsFunc(members, func(a *wire.TaskAsk) bool { return a.Resources != first }) {
@@ -46,17 +47,17 @@
 	if a.Accelerators != b.Accelerators {
 		return int(a.Accelerators - b.Accelerators)
 	}
-	// 4096 MiB per core is the usual proportion of general-purpose VMs.
+	// 4096 MiB per core is the usual ratio of general-purpose VMs.
 	return int((a.MilliCores*4096/1000 + a.MemoryMiB) - (b.MilliCores*4096/1000 + b.MemoryMiB))
 }
 
-// gangTasks books room for the tasks. It returns the reasons when one of them
-// finds none.
-func (p *planner) gangTasks(ordered []*wire.TaskAsk) []wire.Refused {
+// bookGang books capacity for all tasks, first in new racks until the gang uses its
+// minimum number. It returns the refusals of the first task that fits nowhere.
+func (p *planner) bookGang(ordered []*wire.TaskAsk) []wire.Refused {
 	racks := p.minRacks(ordered[0].Gang)
 	n := 0
 	for ; n < len(ordered) && len(p.cell.usedRacks) < racks; n++ {
-		if refused := p.gangTask(ordered[n], true); refused != nil {
+		if refused := p.bookGangTask(ordered[n], true); refused != nil {
 			return refused
 		}
 	}
@@ -64,30 +65,33 @@
 		return []wire.Refused{{Reason: string(StepSpread), Count: len(ordered)}}
 	}
 	rest := ordered[n:]
-	if len(rest) > 1 && alike(rest) {
-		return p.sweep(rest)
+	if len(rest) > 1 && interchangeable(rest) {
+		return p.bookEqualTasks(rest)
 	}
 	for _, ask := range rest {
-		if refused := p.gangTask(ask, false); refused != nil {
+		if refused := p.bookGangTask(ask, false); refused != nil {
 			return refused
 		}
 	}
 	return nil
 }
 
-// gangTask books room for one task of a gang.
-func (p *planner) gangTask(ask *wire.TaskAsk, newRack bool) []wire.Refused {
-	worker, refused := p.find(ask, newRack)
+// bookGangTask books capacity for one task of a gang, in a rack that the gang does
+// not use yet if newRack is set.
+func (p *planner) bookGangTask(ask *wire.TaskAsk, newRack bool) []wire.Refused {
+	worker, refused := p.findWorker(ask, newRack)
 	if worker < 0 {
 		return refused
 	}
-	p.useRack(worker)
-	p.assign(ask, worker)
+	p.markRackUsed(worker)
+	p.book(ask, worker)
 	return nil
 }
 
-// alike tells whether the tasks can be swapped for one another.
-func alike(asks []*wire.TaskAsk) bool {
+// interchangeable reports whether the tasks can be placed in any order with the
+// same result. Tasks that are spread over racks or limited per VM are not, because
+// the cost or the check of one depends on where the others are.
+func interchangeable(asks []*wire.TaskAsk) bool {
 	first := asks[0]
 	for _, a := range asks {
 		if a.Resources != first.Resources || a.Pool != first.Pool || a.Priority != first.Priority ||
@@ -98,33 +102,34 @@
 	return true
 }
 
-// sweep books room for tasks that are alike in one pass over the index, instead
-// of one search per task, and fills the workers with the lowest cost first.
-func (p *planner) sweep(asks []*wire.TaskAsk) []wire.Refused {
+// bookEqualTasks books capacity for interchangeable tasks in one pass over the
+// index instead of one search per task. It fills the workers with the lowest cost
+// first.
+func (p *planner) bookEqualTasks(asks []*wire.TaskAsk) []wire.Refused {
 	first := asks[0]
-	pl := p.cell.pools[first.Pool]
-	if pl == nil {
+	pool := p.cell.pools[first.Pool]
+	if pool == nil {
 		return []wire.Refused{{Reason: string(StepPool), Count: p.cell.Len()}}
 	}
 	sum := first.Resources.Scale(int64(len(asks)))
-	if headroomRefuses(first.Pool, first.Priority, pl.capacity, pl.committed, sum, p.options.Headroom) {
-		return p.explain(pl, refusals{}, pl.open)
+	if exceedsHeadroom(first.Pool, first.Priority, pool.capacity, pool.committed, sum, p.options.Headroom) {
+		return p.countRefusals(pool, refusals{}, pool.schedulable)
 	}
 	s := search{
-		cell: p.cell, pool: pl, ask: first, options: p.options, now: p.now, limit: p.limit,
-		claimed: p.claimed, need: int64(len(asks)), collected: p.cell.candidates[:0],
+		cell: p.cell, pool: pool, ask: first, options: p.options, now: p.now, candidateLimit: p.candidateLimit,
+		preemptionWorkers: p.preemptionWorkers, tasksToPlace: int64(len(asks)), collected: p.cell.candidates[:0],
 	}
 	found := s.collect()
 	p.cell.candidates = s.collected
 	if !found {
-		return p.explain(pl, s.refused, 0)
+		return p.countRefusals(pool, s.refused, 0)
 	}
 	slices.SortFunc(s.collected, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker, b.worker))
 	})
 	for _, c := range s.collected {
 		n := min(int64(len(asks)), c.tasks)
-		p.fill(c.worker, asks[:n])
+		p.bookOnWorker(c.worker, asks[:n])
 		asks = asks[n:]
 		if len(asks) == 0 {
 			break
@@ -133,12 +138,12 @@
 	return nil
 }
 
-// fill books one worker for the tasks with one change of the index.
-func (p *planner) fill(worker int32, asks []*wire.TaskAsk) {
+// bookOnWorker books one worker for all the tasks, with a single index update.
+func (p *planner) bookOnWorker(worker int32, asks []*wire.TaskAsk) {
 	for _, ask := range asks {
-		p.record(ask, worker)
+		p.addAssignment(ask, worker)
 	}
-	p.cell.adjust(worker, asks[0].Resources.Scale(int64(len(asks))))
+	p.cell.adjustCommitted(worker, asks[0].Resources.Scale(int64(len(asks))))
 }
 
 func (p *planner) minRacks(gang string) int {
@@ -150,18 +155,18 @@
 	return 0
 }
 
-func (p *planner) useRack(worker int32) {
-	rack := p.cell.racks[worker]
-	if p.cell.inRack[rack] {
+func (p *planner) markRackUsed(worker int32) {
+	rack := p.cell.rackOfWorker[worker]
+	if p.cell.rackUsed[rack] {
 		return
 	}
-	p.cell.inRack[rack] = true
+	p.cell.rackUsed[rack] = true
 	p.cell.usedRacks = append(p.cell.usedRacks, rack)
 }
 
-func (p *planner) clearRacks() {
+func (p *planner) clearUsedRacks() {
 	for _, rack := range p.cell.usedRacks {
-		p.cell.inRack[rack] = false
+		p.cell.rackUsed[rack] = false
 	}
 	p.cell.usedRacks = p.cell.usedRacks[:0]
 }
--- a/core/place/headroom.go
+++ b/core/place/headroom.go
@@ -2,10 +2,10 @@
 
 import "briarproxy/core/resource"
 
-// headroomRefuses tells whether a request of the priority would use capacity that
-// the pool keeps for more urgent work. The rule counts the pool as a whole: best
-// fit leaves whole workers free, so the headroom is not scattered.
-func headroomRefuses(pool string, priority int, capacity, committed, ask resource.Vector, rules []Headroom) bool {
+// exceedsHeadroom reports whether a request of the priority would use capacity that
+// the pool reserves for higher priorities. The rules count the pool as a whole:
+// best fit leaves whole workers free, so the headroom is not fragmented.
+func exceedsHeadroom(pool string, priority int, capacity, committed, ask resource.Vector, rules []Headroom) bool {
 	for _, rule := range rules {
 		if rule.Pool != pool || priority >= rule.Below {
 			continue
--- a/core/place/held.go
+++ b/core/place/held.go
@@ -6,9 +6,9 @@
 	"briarproxy/core/wire"
 )
 
-// heldRefuses tells whether the worker is held for something else. A task that
-// ends before the hold starts may use the worker meanwhile.
-func heldRefuses(w *State, ask *wire.TaskAsk, now time.Duration) bool {
+// heldForOther reports whether the worker is held for another task or gang. A task
+// that is expected to end by the start of the hold may be backfilled.
+func heldForOther(w *State, ask *wire.TaskAsk, now time.Duration) bool {
 	if w.Hold.Owner == "" || now >= w.Hold.Expires {
 		return false
 	}
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -8,91 +8,93 @@
 	"briarproxy/core/wire"
 )
 
-// HoldPlan is the set of workers to hold for an aging gang.
+// HoldPlan is a set of workers to hold for a gang that has waited too long.
 type HoldPlan struct {
 	Gang    string
 	VMs     []string
-	Start   time.Duration // the gang can start then if expected ends are right
+	Start   time.Duration // when the gang can start if the expected ends are right
 	Expires time.Duration
 }
 
-// holdChoice is what one worker offers to a gang.
-type holdChoice struct {
+// holdCandidate is a worker that may be held for a gang.
+type holdCandidate struct {
 	worker int32
-	at     time.Duration // instant at which its present tasks have ended
-	tasks  int64         // tasks of the gang that it can hold then
+	freeAt time.Duration // expected time at which the gang's tasks can start on it
+	tasks  int64         // number of the gang's tasks that fit at that time
 }
 
-// PlanHold chooses the workers whose tasks end first until they can hold the gang.
-// Tasks of unequal size are all counted as the largest. It returns false if the pool is too small, if more than
-// maxShare of its open workers would be held, or if the cell already holds
-// workers for another gang in this pool: two holds that grow at the same time can
-// block each other. It looks at every worker of the pool; an aging gang is rare.
+// PlanHold chooses the workers that become free first, until the gang fits on them.
+// Tasks of unequal size are all counted as the largest. It returns false if the
+// pool is too small, if more than maxShare of its schedulable workers would be
+// held, or if workers of this pool are already held for another owner: two gangs
+// that gather holds at the same time can block each other. It examines every
+// worker, which is acceptable because gangs rarely wait that long.
 func (c *Cell) PlanHold(asks []wire.TaskAsk, o Options, maxShare float64, now, validity time.Duration) (HoldPlan, bool) {
 	if len(asks) == 0 {
 		return HoldPlan{}, false
 	}
 	p := c.pools[asks[0].Pool]
-	if p == nil || c.gangHeld(asks[0].Pool, asks[0].Gang, now) {
+	if p == nil || c.poolHeldForOther(asks[0].Pool, asks[0].Gang, now) {
 		return HoldPlan{}, false
 	}
 	largest := asks[0]
 	for i := range asks {
 		largest.Resources = largest.Resources.Max(asks[i].Resources)
 	}
-	choices := c.holdChoices(&largest, &o, now)
+	candidates := c.holdCandidates(&largest, &o, now)
 	plan := HoldPlan{Gang: asks[0].Gang, Start: now}
 	left := int64(len(asks))
-	for _, choice := range choices {
+	for _, candidate := range candidates {
 		if left <= 0 {
 			break
 		}
-		left -= choice.tasks
-		plan.VMs = append(plan.VMs, c.states[choice.worker].VM)
-		plan.Start = max(plan.Start, choice.at)
+		left -= candidate.tasks
+		plan.VMs = append(plan.VMs, c.states[candidate.worker].VM)
+		plan.Start = max(plan.Start, candidate.freeAt)
 	}
-	if left > 0 || float64(len(plan.VMs)) > maxShare*float64(p.open) {
+	if left > 0 || float64(len(plan.VMs)) > maxShare*float64(p.schedulable) {
 		return HoldPlan{}, false
 	}
 	plan.Expires = plan.Start + validity
 	return plan, true
 }
 
-// holdChoices returns the open workers that can hold at least one task, those
-// that are free first come first, larger ones first among equals. Workers with a
-// task whose end is unknown are left out, unless they have room already.
-func (c *Cell) holdChoices(ask *wire.TaskAsk, o *Options, now time.Duration) []holdChoice {
-	var choices []holdChoice
+// holdCandidates returns the schedulable workers on which at least one task fits,
+// sorted by the time at which they are free, then by descending number of tasks.
+// Workers with a task whose end is unknown are left out, unless a task fits now.
+func (c *Cell) holdCandidates(ask *wire.TaskAsk, o *Options, now time.Duration) []holdCandidate {
+	var candidates []holdCandidate
 	for i := range c.states {
 		w := &c.states[i]
-		if !c.present[i] || poolRefuses(w, ask.Pool) || usableRefuses(w) || distance(w.Region, w.DataCentre, o) > maxDistance(o.Reach) {
+		if !c.present[i] || notInPool(w, ask.Pool) || notSchedulable(w) || distance(w.Region, w.DataCentre, o) > maxDistance(o.Reach) {
 			continue
 		}
-		if heldRefuses(w, ask, now) || avoidRefuses(w.VM, ask.AvoidVMs) || labelRefuses(w, ask.Label) ||
+		if heldForOther(w, ask, now) || avoided(w.VM, ask.AvoidVMs) || lacksLabel(w, ask.Label) ||
 			(ask.Among != nil && !slices.Contains(ask.Among, w.VM)) {
 			continue
 		}
-		choice := holdChoice{worker: int32(i), at: now}
-		choice.tasks = w.Free().Times(ask.Resources)
-		if end, known := lastEnd(w, now); choice.tasks == 0 && known {
-			choice.at = end
-			choice.tasks = w.Capacity.Sub(resource.Vector{Slots: w.Slots}).Times(ask.Resources)
+		candidate := holdCandidate{worker: int32(i), freeAt: now}
+		candidate.tasks = w.Free().Times(ask.Resources)
+		if end, known := lastExpectedEnd(w, now); candidate.tasks == 0 && known {
+			candidate.freeAt = end
+			candidate.tasks = w.Capacity.Sub(resource.Vector{Slots: w.Slots}).Times(ask.Resources)
 		}
-		if choice.tasks > 0 {
-			choices = append(choices, choice)
+		if candidate.tasks > 0 {
+			candidates = append(candidates, candidate)
 		}
 	}
-	slices.SortStableFunc(choices, func(a, b holdChoice) int {
-		if a.at != b.at {
-			return int(a.at - b.at)
+	slices.SortStableFunc(candidates, func(a, b holdCandidate) int {
+		if a.freeAt != b.freeAt {
+			return int(a.freeAt - b.freeAt)
 		}
 		return int(b.tasks - a.tasks)
 	})
-	return choices
+	return candidates
 }
 
-// lastEnd returns the instant at which all tasks of the worker have ended.
-func lastEnd(w *State, now time.Duration) (time.Duration, bool) {
+// lastExpectedEnd returns the time at which all tasks of the worker are expected to
+// have ended, and false if the end of a task is unknown.
+func lastExpectedEnd(w *State, now time.Duration) (time.Duration, bool) {
 	end := now
 	for n := range w.Tasks {
 		if w.Tasks[n].ExpectedEnd == 0 {
@@ -103,14 +105,15 @@
 	return end, true
 }
 
-// gangHeld tells whether workers of the pool are held for another owner.
-func (c *Cell) gangHeld(poolName, gang string, now time.Duration) bool {
-	for owner, workers := range c.holds {
+// poolHeldForOther reports whether a worker of the pool is held for an owner other
+// than the gang.
+func (c *Cell) poolHeldForOther(poolName, gang string, now time.Duration) bool {
+	for owner, workers := range c.heldWorkers {
 		if owner == gang {
 			continue
 		}
 		for _, i := range workers {
-			if c.heldBy(i, owner, now) && !poolRefuses(&c.states[i], poolName) {
+			if c.holdInForce(i, owner, now) && !notInPool(&c.states[i], poolName) {
 				return true
 			}
 		}
@@ -118,21 +121,21 @@
 	return false
 }
 
-// heldBy tells whether the owner's hold of the worker is in force.
-func (c *Cell) heldBy(i int32, owner string, now time.Duration) bool {
+// holdInForce reports whether the owner has an unexpired hold of the worker.
+func (c *Cell) holdInForce(i int32, owner string, now time.Duration) bool {
 	h := c.states[i].Hold
 	return h.Owner == owner && now < h.Expires
 }
 
-// holdsFor tells whether any worker is held for the owner.
-func (c *Cell) holdsFor(owner string, now time.Duration) bool {
-	return slices.ContainsFunc(c.holds[owner], func(i int32) bool { return c.heldBy(i, owner, now) })
+// hasHold reports whether any worker is held for the owner.
+func (c *Cell) hasHold(owner string, now time.Duration) bool {
+	return slices.ContainsFunc(c.heldWorkers[owner], func(i int32) bool { return c.holdInForce(i, owner, now) })
 }
 
-// ApplyHold holds the workers of the plan. A worker that is held for another
-// owner keeps its hold; the number of workers held is returned.
+// ApplyHold holds the workers of the plan and returns the number of workers held.
+// A worker that is held for another owner keeps that hold.
 func (c *Cell) ApplyHold(plan HoldPlan, now time.Duration) int {
-	c.forgetExpired(now)
+	c.releaseExpiredHolds(now)
 	held := 0
 	for _, vm := range plan.VMs {
 		if c.hold(vm, Hold{Owner: plan.Gang, Start: plan.Start, Expires: plan.Expires}, now) {
@@ -142,9 +145,9 @@
 	return held
 }
 
-// hold sets a hold unless another owner has one.
+// hold sets a hold unless another owner has an unexpired one.
 func (c *Cell) hold(vm string, h Hold, now time.Duration) bool {
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok {
 		return false
 	}
@@ -153,29 +156,29 @@
 		return false
 	}
 	c.states[i].Hold = h
-	if !slices.Contains(c.holds[h.Owner], i) {
-		c.holds[h.Owner] = append(c.holds[h.Owner], i)
+	if !slices.Contains(c.heldWorkers[h.Owner], i) {
+		c.heldWorkers[h.Owner] = append(c.heldWorkers[h.Owner], i)
 	}
 	return true
 }
 
 // ReleaseHold ends all holds of the owner.
 func (c *Cell) ReleaseHold(owner string) {
-	if owner == "" || len(c.holds) == 0 {
+	if owner == "" || len(c.heldWorkers) == 0 {
 		return
 	}
-	for _, i := range c.holds[owner] {
+	for _, i := range c.heldWorkers[owner] {
 		if c.states[i].Hold.Owner == owner {
 			c.states[i].Hold = Hold{}
 		}
 	}
-	delete(c.holds, owner)
+	delete(c.heldWorkers, owner)
 }
 
-// forgetExpired drops owners none of whose holds is in force.
-func (c *Cell) forgetExpired(now time.Duration) {
-	for owner := range c.holds {
-		if !c.holdsFor(owner, now) {
+// releaseExpiredHolds removes the owners whose holds have all expired.
+func (c *Cell) releaseExpiredHolds(now time.Duration) {
+	for owner := range c.heldWorkers {
+		if !c.hasHold(owner, now) {
 			c.ReleaseHold(owner)
 		}
 	}
--- a/core/place/label.go
+++ b/core/place/label.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// labelRefuses tells whether the worker lacks the label that the request needs.
-func labelRefuses(w *State, label string) bool {
+// lacksLabel reports whether the worker lacks the label that the request requires.
+func lacksLabel(w *State, label string) bool {
 	return label != "" && !slices.Contains(w.Labels, label)
 }
--- a/core/place/large_test.go
+++ b/core/place/large_test.go
@@ -14,14 +14,14 @@
 	"briarproxy/core/wire"
 )
 
-// Guards against a bounded search that gives up although a worker fits, and
-// against the memory of shapes that did not fit being kept after room came back.
-// The cell is nearly full and its workers share few buckets, so that searches hit
-// their bounds; few shapes are asked for, so that most refusals are remembered.
+// Guards against a bounded search that finds nothing although a worker fits, and
+// against failed shapes that are still remembered after capacity was freed. The
+// cell is nearly full and its workers share few buckets, so that searches reach
+// their bounds. Requests have few shapes, so that most refusals are remembered.
 func TestNearlyFullCellAgreesWithTheFullScan(t *testing.T) {
 	rng := rand.New(rand.NewPCG(11, 12))
 	cell := place.NewCell()
-	for i := range nearlyFull {
+	for i := range nearlyFullWorkers {
 		vm := fmt.Sprintf("vm-%03d", i)
 		w := place.Worker{
 			VM: vm, Region: "r0", DataCentre: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprint(i / 8), Incarnation: 1,
@@ -44,13 +44,13 @@
 			asks[k] = ask
 			asks[k].TaskID = fmt.Sprintf("t%d-%d", n, k)
 		}
-		o := local
+		o := localOptions
 		o.ProtectAccelerators = rng.IntN(2) == 0
-		full := naive.Cell{Workers: cell.Workers()}
+		fullScan := naive.Cell{Workers: cell.Workers()}
 		want := 0
 		for k := range asks {
-			if worker := full.Place(&asks[k], &o, now, nil); worker >= 0 {
-				full.Add(worker, place.TaskOf(&asks[k], now))
+			if worker := fullScan.Place(&asks[k], &o, now, nil); worker >= 0 {
+				fullScan.Add(worker, place.TaskOf(&asks[k], now))
 				want++
 			}
 		}
@@ -64,19 +64,19 @@
 				live = append(live, a.Ask.TaskID)
 			}
 		}
-		change(cell, rng, &live)
+		changeRandomly(cell, rng, &live)
 	}
 	require.Greater(t, found, 300)
 	require.Greater(t, refused, 300)
 	require.NoError(t, place.CheckIndex(cell))
 }
 
-// nearlyFull is the number of workers of the nearly full cell.
-const nearlyFull = 300
+// nearlyFullWorkers is the number of workers of the nearly full cell.
+const nearlyFullWorkers = 300
 
-// change now and then ends a task or changes a flag.
-func change(cell *place.Cell, rng *rand.Rand, live *[]string) {
-	vm := fmt.Sprintf("vm-%03d", rng.IntN(nearlyFull))
+// changeRandomly releases a task, sets a flag, resizes a task or does nothing.
+func changeRandomly(cell *place.Cell, rng *rand.Rand, live *[]string) {
+	vm := fmt.Sprintf("vm-%03d", rng.IntN(nearlyFullWorkers))
 	switch k := rng.IntN(12); {
 	case k < 8 && len(*live) > 0:
 		i := rng.IntN(len(*live))
--- a/core/place/locality.go
+++ b/core/place/locality.go
@@ -1,12 +1,13 @@
 package place
 
-// Distance is 0 for a worker in the local data centre, 1 in the local region, else 2.
+// Distance returns 0 for a worker in the local data centre, 1 for one in the local
+// region, else 2.
 func (o *Options) Distance(w *State) int { return distance(w.Region, w.DataCentre, o) }
 
-// InReach tells whether the options allow a worker at that distance.
+// InScope reports whether the options allow a worker at that distance.
 func (o *Options) InReach(w *State) bool { return o.Distance(w) <= maxDistance(o.Reach) }
 
-// distance is 0 in the local data centre, 1 in the local region, else 2.
+// distance returns 0 for the local data centre, 1 for the local region, else 2.
 func distance(region, dataCentre string, o *Options) int {
 	if dataCentre == o.DataCentre {
 		return 0
@@ -17,7 +18,7 @@
 	return 2
 }
 
-// maxDistance is the largest distance that the options allow.
+// maxDistance returns the largest distance that the scope allows.
 func maxDistance(r Reach) int {
 	switch r {
 	case ReachDataCentre:
--- a/core/place/naive/naive.go
+++ b/core/place/naive/naive.go
@@ -1,6 +1,6 @@
-// Package naive places tasks by a scan of all workers under the rules of
-// core/place. It is the baseline of differential tests and of the benchmark and is
-// not used by the daemon.
+// Package naive places tasks by a full scan of all workers, with the checks and
+// costs of core/place. It is the baseline for differential tests and benchmarks; the
+// daemon does not use it.
 package naive
 
 import (
@@ -12,19 +12,19 @@
 	"briarproxy/core/wire"
 )
 
-// Cell is a plain list of workers.
+// Cell is a list of workers without an index.
 type Cell struct {
 	Workers []place.State
 }
 
-// Cost ranks workers instead of the score steps of core/place.
+// CostFunc replaces place.Cost.
 type Cost func(*place.State, *wire.TaskAsk) float64
 
-// Place returns the position of the worker with the lowest cost, the first one
-// among equals, or -1. A nil cost stands for the score steps of core/place.
+// Place returns the position of the first worker with the lowest cost, or -1 if the
+// task fits on none. A nil cost means place.Cost.
 func (c *Cell) Place(ask *wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) int {
 	best, bestCost := -1, 0.0
-	if c.headroomRefuses(ask, o) {
+	if c.exceedsHeadroom(ask, o) {
 		return best
 	}
 	for i := range c.Workers {
@@ -47,7 +47,7 @@
 	return place.Cost(w, ask, o, c.tasksInRack(w, ask))
 }
 
-// Slot returns the position of the nearest worker of the pool with the most free
+// PickSlot returns the position of the nearest worker of the pool with the most free
 // slots, or -1.
 func (c *Cell) Slot(pool string, o *place.Options) int {
 	best, bestFree, bestDistance := -1, int64(0), 0
@@ -65,8 +65,9 @@
 	return best
 }
 
-// headroomRefuses counts the pool anew for each rule.
-func (c *Cell) headroomRefuses(ask *wire.TaskAsk, o *place.Options) bool {
+// exceedsHeadroom reports whether the request would use capacity that the pool
+// reserves for higher priorities. It sums up the pool's capacity for each rule.
+func (c *Cell) exceedsHeadroom(ask *wire.TaskAsk, o *place.Options) bool {
 	for _, rule := range o.Headroom {
 		if rule.Pool != ask.Pool || ask.Priority >= rule.Below {
 			continue
@@ -78,17 +79,17 @@
 				after = after.Add(w.Committed)
 			}
 		}
-		if over(after.MilliCores, capacity.MilliCores, ask.Resources.MilliCores, rule.Share) ||
-			over(after.MemoryMiB, capacity.MemoryMiB, ask.Resources.MemoryMiB, rule.Share) ||
-			over(after.Accelerators, capacity.Accelerators, ask.Resources.Accelerators, rule.Share) ||
-			over(after.Slots, capacity.Slots, ask.Resources.Slots, rule.Share) {
+		if exceeds(after.MilliCores, capacity.MilliCores, ask.Resources.MilliCores, rule.Share) ||
+			exceeds(after.MemoryMiB, capacity.MemoryMiB, ask.Resources.MemoryMiB, rule.Share) ||
+			exceeds(after.Accelerators, capacity.Accelerators, ask.Resources.Accelerators, rule.Share) ||
+			exceeds(after.Slots, capacity.Slots, ask.Resources.Slots, rule.Share) {
 			return true
 		}
 	}
 	return false
 }
 
-func over(after, capacity, ask int64, share float64) bool {
+func exceeds(after, capacity, ask int64, share float64) bool {
 	return ask > 0 && float64(after) > float64(capacity)*(1-share)
 }
 
@@ -98,12 +99,12 @@
 	}
 	n := 0
 	for i := range c.Workers {
-		o := &c.Workers[i]
-		if o.DataCentre != w.DataCentre || o.Rack != w.Rack {
+		other := &c.Workers[i]
+		if other.DataCentre != w.DataCentre || other.Rack != w.Rack {
 			continue
 		}
-		for k := range o.Tasks {
-			if o.Tasks[k].SpreadRacks && o.Tasks[k].Job == ask.Job {
+		for k := range other.Tasks {
+			if other.Tasks[k].SpreadRacks && other.Tasks[k].Job == ask.Job {
 				n++
 			}
 		}
@@ -111,20 +112,21 @@
 	return n
 }
 
-// Add puts the task on the worker.
+// Add assigns the task to the worker without any check.
 func (c *Cell) Add(worker int, t place.Task) {
 	w := &c.Workers[worker]
 	w.Tasks = append(w.Tasks, t)
 	w.Committed = w.Committed.Add(t.Resources)
 }
 
-// Gang places all tasks one after the other and returns the positions, or nil
-// with the cell unchanged if one of them finds no room.
+// PlaceGang places all tasks one after the other and returns the workers'
+// positions. If a task fits on no worker, it returns nil and leaves the cell
+// unchanged.
 func (c *Cell) Gang(asks []wire.TaskAsk, o *place.Options, now time.Duration) []int {
 	return c.GangBy(asks, o, now, nil)
 }
 
-// GangBy is Gang with another cost.
+// PlaceGangByCost is PlaceGang with the given cost.
 func (c *Cell) GangBy(asks []wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) []int {
 	placed := make([]int, 0, len(asks))
 	for i := range asks {
@@ -139,7 +141,7 @@
 	return placed
 }
 
-// TakeBack removes the last task of each worker, in reverse order of placement.
+// Undo removes the last task of each listed worker, in reverse order of placement.
 func (c *Cell) TakeBack(placed []int) {
 	for n := len(placed) - 1; n >= 0; n-- {
 		w := &c.Workers[placed[n]]
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -13,7 +13,7 @@
 	"briarproxy/core/wire"
 )
 
-var local = place.Options{DataCentre: "d0", Region: "r0"}
+var localOptions = place.Options{DataCentre: "d0", Region: "r0"}
 
 // fourRacks returns n workers of 4 cores, 8192 MiB and 8 slots in four racks.
 func fourRacks(n int) *place.Cell {
@@ -42,14 +42,14 @@
 	return asks
 }
 
-// Guards against an allocation on the request path and against slots above the
-// capacity.
+// Guards against allocations on the request path and against more slots than the
+// capacity allows.
 func TestSlotsWithoutAllocation(t *testing.T) {
 	cell := fourRacks(4)
 	avoid := make([]place.Slot, 1)
 	avoid[0], _ = cell.SlotOf("vm-00")
 	allocations := testing.AllocsPerRun(100, func() {
-		slot, ok := cell.PickSlot("a", &local, avoid)
+		slot, ok := cell.PickSlot("a", &localOptions, avoid)
 		if !ok || !cell.TakeSlots(slot, 1) || cell.ReturnSlots(slot, 1) != 1 {
 			panic("no slot")
 		}
@@ -58,7 +58,7 @@
 
 	taken := 0
 	for {
-		slot, ok := cell.PickSlot("a", &local, avoid)
+		slot, ok := cell.PickSlot("a", &localOptions, avoid)
 		if !ok {
 			break
 		}
@@ -69,7 +69,7 @@
 	slot, _ := cell.SlotOf("vm-02")
 	cell.ReturnSlots(slot, 1)
 	cell.SetLeaving("vm-02")
-	assert.False(t, cell.TakeSlots(slot, 1), "a leaving worker")
+	assert.False(t, cell.TakeSlots(slot, 1), "a draining worker")
 	slot, _ = cell.SlotOf("vm-01")
 	assert.False(t, cell.TakeSlots(slot, 1))
 	cell.RemoveWorker("vm-01")
@@ -77,8 +77,8 @@
 	assert.Zero(t, cell.ReturnSlots(slot, 1))
 }
 
-// Guards against commits that trust an old plan: the worker has been replaced, has
-// begun to leave, or has been filled since.
+// Guards against commits of an outdated plan whose worker has since been replaced,
+// drained, quarantined, removed or filled.
 func TestCommitRefusesWhatChanged(t *testing.T) {
 	changes := map[string]struct {
 		change func(*place.Cell, string)
@@ -102,10 +102,10 @@
 		t.Run(name, func(t *testing.T) {
 			cell := fourRacks(2)
 			cell.AddTask("vm-00", place.Task{ID: "first", Resources: resource.Vector{MilliCores: 100}})
-			plan := cell.Plan([]wire.TaskAsk{askFor("t", 1000, 1000)}, local, 0, nil)
+			plan := cell.Plan([]wire.TaskAsk{askFor("t", 1000, 1000)}, localOptions, 0, nil)
 			require.Len(t, plan.Assignments, 1)
 			tc.change(cell, plan.Assignments[0].VM)
-			accepted, refused := cell.Commit(plan, local, 0)
+			accepted, refused := cell.Commit(plan, localOptions, 0)
 			assert.Empty(t, accepted)
 			require.Len(t, refused, 1)
 			assert.Equal(t, tc.want, refused[0].Reason)
@@ -114,22 +114,22 @@
 	}
 }
 
-// Guards against a leaving worker that gets work again without a new incarnation.
-func TestLeavingIsSticky(t *testing.T) {
+// Guards against new work on a draining worker without a new incarnation.
+func TestDrainingLastsUntilNewIncarnation(t *testing.T) {
 	cell := fourRacks(1)
 	cell.SetLeaving("vm-00")
 	cell.SetUsable("vm-00", false)
 	cell.SetUsable("vm-00", true)
-	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1, 1)}, local, 0, nil).Assignments)
-	_, ok := cell.PickSlot("a", &local, nil)
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1, 1)}, localOptions, 0, nil).Assignments)
+	_, ok := cell.PickSlot("a", &localOptions, nil)
 	assert.False(t, ok)
 }
 
-// Guards against gangs in too few racks, partial commits of a gang and a request
-// that is reported as waiting although it can never run.
+// Guards against gangs in too few racks, partially committed gangs, and requests
+// that exceed every worker but are reported as merely unplaced.
 func TestGangRacksAndNeverFits(t *testing.T) {
 	cell := fourRacks(8)
-	rules := local
+	rules := localOptions
 	rules.Gangs = []place.GangRule{{Gang: "g", MinRacks: 3}}
 	plan := cell.Plan(gangOf(4, 1000), rules, 0, nil)
 	racks := map[string]bool{}
@@ -148,41 +148,40 @@
 		assert.False(t, placed, r.TaskID)
 	}
 
-	assert.Len(t, fourRacks(40).Plan(gangOf(60, 2500), local, 0, nil).Unplaced, 60)
-	assert.Len(t, fourRacks(40).Plan(gangOf(40, 2500), local, 0, nil).Assignments, 40)
+	assert.Len(t, fourRacks(40).Plan(gangOf(60, 2500), localOptions, 0, nil).Unplaced, 60)
+	assert.Len(t, fourRacks(40).Plan(gangOf(40, 2500), localOptions, 0, nil).Assignments, 40)
 	rules.Gangs[0].MinRacks = 5
 	plan = cell.Plan(gangOf(5, 1000), rules, 0, nil)
 	assert.Empty(t, plan.Assignments)
 	require.Len(t, plan.Unplaced, 5)
 	assert.Contains(t, plan.Unplaced[0].Refused, wire.Refused{Reason: string(place.StepSpread), Count: 7})
 
-	plan = cell.Plan([]wire.TaskAsk{askFor("huge", 4001, 0)}, local, 0, nil)
+	plan = cell.Plan([]wire.TaskAsk{askFor("huge", 4001, 0)}, localOptions, 0, nil)
 	assert.Equal(t, []string{"huge"}, plan.NeverFits)
 }
 
-// Guards against room that a refused gang or an uncommitted plan keeps, and
-// against a refusal that is remembered although it was due to the plan's own
-// bookings.
-func TestPlansThatAreNotCommittedLeaveNothingBehind(t *testing.T) {
+// Guards against capacity that stays booked after a refused gang or an uncommitted
+// plan, and against remembering a refusal that the plan's own bookings caused.
+func TestUncommittedPlanKeepsNoCapacity(t *testing.T) {
 	cell := fourRacks(1)
 	asks := append(gangOf(2, 3000), askFor("single", 3000, 0), askFor("second", 3000, 0))
 	asks[1].Resources.MilliCores = 2000 // unequal tasks are planned one by one
 	for range 2 {
-		plan := cell.Plan(asks, local, 0, nil)
+		plan := cell.Plan(asks, localOptions, 0, nil)
 		require.Len(t, plan.Assignments, 1)
 		assert.Equal(t, "single", plan.Assignments[0].Ask.TaskID)
 	}
-	assert.Len(t, cell.Plan(asks[3:], local, 0, nil).Assignments, 1)
+	assert.Len(t, cell.Plan(asks[3:], localOptions, 0, nil).Assignments, 1)
 }
 
-// Guards against tasks and gangs without accelerators that take the cores which
-// free accelerators need.
-func TestPlainTasksLeaveCoresForFreeAccelerators(t *testing.T) {
+// Guards against tasks and gangs without accelerators that take the cores that free
+// accelerators need.
+func TestTasksWithoutAcceleratorsLeaveCoresForThem(t *testing.T) {
 	cell := place.NewCell()
 	shape := resource.Vector{MilliCores: 8000, MemoryMiB: 8000, Accelerators: 4}
 	cell.UpdateWorker(place.Worker{VM: "vm", DataCentre: "d0", Region: "r0", Incarnation: 1, Pools: []string{"a"}, Capacity: shape})
 	cell.SetUsable("vm", true)
-	protected := local
+	protected := localOptions
 	protected.ProtectAccelerators = true
 	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1000, 0)}, protected, 0, nil).Assignments)
 	cell.AddTask("vm", place.Task{ID: "acc", Resources: resource.Vector{Accelerators: 2}})
@@ -192,28 +191,28 @@
 	}
 }
 
-// Guards against a probe on a leaving worker or beyond its capacity, and against a
-// probe that opens the worker for ordinary work or waits for old tasks to end.
+// Guards against a probe on a draining worker or beyond its capacity, and against a
+// probe that makes the worker schedulable or waits for earlier tasks to end.
 func TestProbeUsesOnlyAQuarantinedWorker(t *testing.T) {
 	cell := fourRacks(1)
 	asks := []wire.TaskAsk{askFor("large", 5000, 0), askFor("t", 1000, 0)}
-	assert.Empty(t, cell.Probe("vm-00", asks, local, 0).Assignments, "not quarantined")
+	assert.Empty(t, cell.Probe("vm-00", asks, localOptions, 0).Assignments, "not quarantined")
 	cell.AddTask("vm-00", place.Task{ID: "old", Resources: resource.Vector{MilliCores: 3000}})
 	cell.SetQuarantined("vm-00", true)
-	plan := cell.Probe("vm-00", asks, local, 0)
-	accepted, refused := cell.Commit(plan, local, 0)
+	plan := cell.Probe("vm-00", asks, localOptions, 0)
+	accepted, refused := cell.Commit(plan, localOptions, 0)
 	require.Len(t, accepted, 1)
 	assert.Empty(t, refused)
 	assert.Equal(t, "t", accepted[0].Ask.TaskID)
-	assert.Empty(t, cell.Probe("vm-00", []wire.TaskAsk{askFor("u", 1, 0)}, local, 0).Assignments, "no room")
-	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, local, 0, nil).Assignments)
+	assert.Empty(t, cell.Probe("vm-00", []wire.TaskAsk{askFor("u", 1, 0)}, localOptions, 0).Assignments, "insufficient free capacity")
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, localOptions, 0, nil).Assignments)
 	cell.Release("t", 1)
 	cell.SetLeaving("vm-00")
-	assert.Empty(t, cell.Probe("vm-00", asks, local, 0).Assignments, "leaving")
+	assert.Empty(t, cell.Probe("vm-00", asks, localOptions, 0).Assignments, "leaving")
 	require.NoError(t, place.CheckIndex(cell))
 }
 
-// Guards against a summary that counts closed workers as free.
+// Guards against a summary that counts unschedulable workers as free.
 func TestSummaryCountsOpenWorkers(t *testing.T) {
 	cell := fourRacks(3)
 	cell.SetQuarantined("vm-00", true)
@@ -225,7 +224,7 @@
 	}}, cell.Summary())
 }
 
-// Guards against an explanation that counts workers twice or not at all.
+// Guards against refusal counts that include a worker twice or not at all.
 func TestExplanationCountsEveryWorker(t *testing.T) {
 	cell := fourRacks(6)
 	cell.UpdateWorker(place.Worker{VM: "other", DataCentre: "d0", Incarnation: 1, Pools: []string{"b"}})
@@ -233,7 +232,7 @@
 	cell.AddTask("vm-01", place.Task{ID: "x", Resources: resource.Vector{MilliCores: 4000}})
 	ask := askFor("t", 500, 0)
 	ask.AvoidVMs = []string{"vm-02", "vm-03", "vm-04", "vm-05"}
-	plan := cell.Plan([]wire.TaskAsk{ask}, local, 0, nil)
+	plan := cell.Plan([]wire.TaskAsk{ask}, localOptions, 0, nil)
 	require.Len(t, plan.Unplaced, 1)
 	assert.Equal(t, []wire.Refused{
 		{Reason: string(place.StepPool), Count: 1}, {Reason: string(place.StepUsable), Count: 1},
@@ -241,11 +240,11 @@
 	}, plan.Unplaced[0].Refused)
 }
 
-// Guards against low classes that use up the headroom, and against urgent work
-// that is refused it.
+// Guards against low-priority work in the headroom, and against high-priority work
+// that is refused the headroom.
 func TestHeadroomIsForUrgentWork(t *testing.T) {
 	cell := fourRacks(10)
-	rules := local
+	rules := localOptions
 	rules.Headroom = []place.Headroom{{Pool: "a", Below: 500, Share: 0.2}}
 	placed := 0
 	for i := range 40 {
@@ -266,9 +265,9 @@
 	}
 }
 
-// Guards against victims of equal or higher priority, larger sets than necessary,
-// a stop where throttling is enough, and a second preemption for a task that
-// already waits for its victims.
+// Guards against victims of equal or higher priority, victim sets larger than
+// necessary, stopping where throttling is enough, and a second preemption for a task
+// that already waits for its victims to end.
 func TestPreemptionTakesTheSmallestSet(t *testing.T) {
 	cell := fourRacks(2)
 	cell.AddTask("vm-00", preemptible("small-1", 1000, 4000, 1))
@@ -277,23 +276,23 @@
 	cell.AddTask("vm-01", preemptible("large", 4000, 8000, 2))
 	urgent := askFor("urgent", 2000, 7000)
 	urgent.Priority, urgent.CanPreempt = 9, true
-	plan := cell.Plan([]wire.TaskAsk{urgent}, local, 0, nil)
+	plan := cell.Plan([]wire.TaskAsk{urgent}, localOptions, 0, nil)
 	require.Len(t, plan.Preemptions, 1)
 	assert.Equal(t, []place.Victim{{TaskID: "large", Generation: 1, Action: place.ActionCheckpoint}}, plan.Preemptions[0].Victims)
 
-	cell.Commit(plan, local, 0)
-	again := cell.Plan([]wire.TaskAsk{urgent, askFor("thief", 1, 1)}, local, time.Second, nil)
+	cell.Commit(plan, localOptions, 0)
+	again := cell.Plan([]wire.TaskAsk{urgent, askFor("thief", 1, 1)}, localOptions, time.Second, nil)
 	assert.Empty(t, again.Preemptions)
 	cell.Release("large", 1)
-	later := cell.Plan([]wire.TaskAsk{askFor("thief", 2000, 1), urgent}, local, time.Second, nil)
-	require.Len(t, later.Assignments, 1, "the room is held for the urgent task")
+	later := cell.Plan([]wire.TaskAsk{askFor("thief", 2000, 1), urgent}, localOptions, time.Second, nil)
+	require.Len(t, later.Assignments, 1, "the capacity is held for the urgent task")
 	assert.Equal(t, "urgent", later.Assignments[0].Ask.TaskID)
 
 	coresOnly := askFor("urgent-2", 1000, 10)
 	coresOnly.Priority, coresOnly.CanPreempt = 9, true
-	cell.Commit(later, local, time.Second)
+	cell.Commit(later, localOptions, time.Second)
 	cell.AddTask("vm-01", place.Task{ID: "fixed", Resources: resource.Vector{MilliCores: 2000}})
-	plan = cell.Plan([]wire.TaskAsk{coresOnly}, local, time.Second, nil)
+	plan = cell.Plan([]wire.TaskAsk{coresOnly}, localOptions, time.Second, nil)
 	require.Len(t, plan.Preemptions, 1)
 	gained := int64(0)
 	for _, v := range plan.Preemptions[0].Victims {
@@ -302,11 +301,11 @@
 		gained += 1000 - 1000*int64(v.Percent)/100
 	}
 	assert.GreaterOrEqual(t, gained, int64(1000))
-	assert.Len(t, cell.Plan([]wire.TaskAsk{coresOnly}, local, time.Second, nil).Assignments, 1)
+	assert.Len(t, cell.Plan([]wire.TaskAsk{coresOnly}, localOptions, time.Second, nil).Assignments, 1)
 }
 
-// Guards against a gang that waits forever behind small tasks, and against held
-// workers that stay idle although a short task would end in time.
+// Guards against starvation of a gang by small tasks, and against held workers that
+// stay idle although a short task would end before the hold starts.
 func TestHeldWorkersAreBackfilledOnlyWithShortTasks(t *testing.T) {
 	cell := fourRacks(4)
 	for i := range 4 {
@@ -314,32 +313,32 @@
 		cell.AddTask(fmt.Sprintf("vm-%02d", i), task)
 	}
 	gang := gangOf(2, 4000)
-	hold, ok := cell.PlanHold(gang, local, 0.5, 0, time.Minute)
+	hold, ok := cell.PlanHold(gang, localOptions, 0.5, 0, time.Minute)
 	require.True(t, ok)
 	assert.Equal(t, []string{"vm-00", "vm-01"}, hold.VMs)
 	assert.Equal(t, 11*time.Second, hold.Start)
 	require.Equal(t, 2, cell.ApplyHold(hold, 0))
-	_, second := cell.PlanHold([]wire.TaskAsk{{TaskID: "o", Gang: "other", Pool: "a", Resources: resource.Vector{MilliCores: 10}}}, local, 1, 0, time.Minute)
+	_, second := cell.PlanHold([]wire.TaskAsk{{TaskID: "o", Gang: "other", Pool: "a", Resources: resource.Vector{MilliCores: 10}}}, localOptions, 1, 0, time.Minute)
 	assert.False(t, second, "two gangs that hold workers can block each other")
 
 	for _, runMS := range []int64{0, 12_000, 9000} {
 		ask := askFor(fmt.Sprint("run", runMS), 1000, 0)
 		ask.RunMS = runMS
 		ask.AvoidVMs = []string{"vm-02", "vm-03"}
-		plan := cell.Plan([]wire.TaskAsk{ask}, local, time.Second, nil)
+		plan := cell.Plan([]wire.TaskAsk{ask}, localOptions, time.Second, nil)
 		assert.Equal(t, runMS == 9000, len(plan.Assignments) == 1, "run time %d", runMS)
 	}
 	cell.Release("old0", 1)
 	cell.Release("old1", 1)
-	plan := cell.Plan(gang, local, 12*time.Second, nil)
+	plan := cell.Plan(gang, localOptions, 12*time.Second, nil)
 	require.Len(t, plan.Assignments, 2)
-	cell.Commit(plan, local, 12*time.Second)
+	cell.Commit(plan, localOptions, 12*time.Second)
 	w, _ := cell.Worker("vm-00")
 	assert.Empty(t, w.Hold.Owner)
 }
 
-// Guards against a late end of an old attempt that frees the room of a new one,
-// and against reports above the declared size that are not counted.
+// Guards against a late release of an old attempt that frees the capacity of a newer
+// one, and against reported usage above the estimate that is not counted.
 func TestReleaseAndResizeRespectGenerations(t *testing.T) {
 	cell := fourRacks(1)
 	cell.AddTask("vm-00", place.Task{ID: "t", Generation: 2, Resources: resource.Vector{MilliCores: 1000}})
@@ -347,8 +346,8 @@
 	assert.True(t, cell.Resize("t", 2, resource.Vector{MilliCores: 5000}))
 	w, _ := cell.Worker("vm-00")
 	assert.Equal(t, int64(-1000), w.Free().MilliCores)
-	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, local, 0, nil).Assignments)
-	assert.Len(t, cell.Plan([]wire.TaskAsk{askFor("m", 0, 100)}, local, 0, nil).Assignments, 1, "cores do not matter to it")
+	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, localOptions, 0, nil).Assignments)
+	assert.Len(t, cell.Plan([]wire.TaskAsk{askFor("m", 0, 100)}, localOptions, 0, nil).Assignments, 1, "cores do not matter to it")
 	assert.True(t, cell.Release("t", 2))
 	require.NoError(t, place.CheckIndex(cell))
 }
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -8,62 +8,63 @@
 	"briarproxy/core/wire"
 )
 
-// planner is one planning run. It books room in the cell while it plans, so that
-// later requests see earlier ones, and takes all of it back at the end.
+// planner is the state of one planning run. It books capacity in the cell while it
+// plans, so that later requests see earlier ones, and undoes all bookings at the end.
 type planner struct {
-	cell    *Cell
-	options *Options
-	now     time.Duration
-	rng     *rand.Rand
-	limit   int
-	plan    Plan
-	booked  []booking
-	claimed map[int32]bool // workers chosen for preemption in this run
-	fitting *wire.TaskAsk  // the last request that fits some empty worker
-	lower   []*Task        // scratch: tasks of a lower priority
+	cell               *Cell
+	options            *Options
+	now                time.Duration
+	rng                *rand.Rand
+	candidateLimit     int
+	plan               Plan
+	bookings           []booking
+	preemptionWorkers  map[int32]bool // workers on which this run preempts tasks
+	lastFitting        *wire.TaskAsk  // last request found to fit some empty worker
+	lowerPriorityTasks []*Task        // scratch: result of preemptibleBelow
 }
 
-// booking is room that a planning run took for one request.
+// booking is capacity that a planning run has booked for one request.
 type booking struct {
 	worker int32
 	size   resource.Vector
 	ask    *wire.TaskAsk
 }
 
-// Plan chooses workers for the requests, in their order. The tasks of one gang
-// are planned together at the place of its first task, all or none. The cell is
-// the same afterwards. The random source chooses where the search for preemption
-// victims begins; it may be nil.
+// Plan chooses workers for the requests, in their order. The tasks of a gang are
+// planned together, all or none, when its first task is reached. The cell is the
+// same afterwards. The random source chooses the worker at which the search for
+// preemption victims begins; it may be nil.
 func (c *Cell) Plan(asks []wire.TaskAsk, o Options, now time.Duration, rng *rand.Rand) Plan {
-	p := &planner{cell: c, options: &o, now: now, rng: rng, limit: o.CandidateLimit}
-	if p.limit <= 0 {
-		p.limit = DefaultCandidateLimit
+	p := &planner{cell: c, options: &o, now: now, rng: rng, candidateLimit: o.CandidateLimit}
+	if p.candidateLimit <= 0 {
+		p.candidateLimit = DefaultCandidateLimit
 	}
 	p.plan.At = now
 	p.plan.Assignments = make([]Assignment, 0, len(asks))
-	p.booked = c.booked[:0]
-	p.all(asks)
-	p.undo(0)
-	c.booked = p.booked
+	p.bookings = c.bookings[:0]
+	p.planAll(asks)
+	p.undoBookings(0)
+	c.bookings = p.bookings
 	return p.plan
 }
 
-func (p *planner) all(asks []wire.TaskAsk) {
-	gangs := gangsOf(asks)
+func (p *planner) planAll(asks []wire.TaskAsk) {
+	gangs := groupByGang(asks)
 	for i := range asks {
 		ask := &asks[i]
 		if ask.Gang == "" {
-			p.single(ask)
+			p.planSingle(ask)
 			continue
 		}
 		if members := gangs[ask.Gang]; members[0] == ask {
-			p.gang(members)
+			p.planGang(members)
 		}
 	}
 }
 
-// gangsOf groups the requests by gang. It returns nil if there is no gang.
-func gangsOf(asks []wire.TaskAsk) map[string][]*wire.TaskAsk {
+// groupByGang groups the requests that belong to a gang. It returns nil if there
+// are none.
+func groupByGang(asks []wire.TaskAsk) map[string][]*wire.TaskAsk {
 	var gangs map[string][]*wire.TaskAsk
 	for i := range asks {
 		if asks[i].Gang == "" {
@@ -81,33 +82,34 @@
 	return gangs
 }
 
-func (p *planner) single(ask *wire.TaskAsk) {
+func (p *planner) planSingle(ask *wire.TaskAsk) {
 	if p.neverFits(ask) {
 		return
 	}
-	worker, refused := p.find(ask, false)
+	worker, refused := p.findWorker(ask, false)
 	if worker >= 0 {
-		p.assign(ask, worker)
+		p.book(ask, worker)
 		return
 	}
-	if ask.CanPreempt && !p.options.NoPreemption && !p.cell.holdsFor(ask.TaskID, p.now) && p.preempt(ask) {
+	if ask.CanPreempt && !p.options.NoPreemption && !p.cell.hasHold(ask.TaskID, p.now) && p.preempt(ask) {
 		return
 	}
 	p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{TaskID: ask.TaskID, Refused: refused})
 }
 
-// neverFits records a request that no worker of the pool could hold when empty.
+// neverFits reports whether the request exceeds the capacity of every worker of the
+// pool, and records such a request in the plan.
 func (p *planner) neverFits(ask *wire.TaskAsk) bool {
-	pl := p.cell.pools[ask.Pool]
-	if pl == nil || pl.members == 0 {
+	pool := p.cell.pools[ask.Pool]
+	if pool == nil || pool.members == 0 {
 		return false
 	}
-	if f := p.fitting; f != nil && f.Pool == ask.Pool && f.Resources == ask.Resources {
+	if f := p.lastFitting; f != nil && f.Pool == ask.Pool && f.Resources == ask.Resources {
 		return false
 	}
-	for capacity := range pl.shapes {
+	for capacity := range pool.capacityCounts {
 		if ask.Resources.Fits(capacity) {
-			p.fitting = ask
+			p.lastFitting = ask
 			return false
 		}
 	}
@@ -115,60 +117,61 @@
 	return true
 }
 
-// find returns the worker for one request, or -1 and the reasons.
-func (p *planner) find(ask *wire.TaskAsk, newRacks bool) (int32, []wire.Refused) {
-	pl := p.cell.pools[ask.Pool]
-	if pl == nil {
+// findWorker returns the worker for one request, or -1 and the refusal counts.
+func (p *planner) findWorker(ask *wire.TaskAsk, newRacks bool) (int32, []wire.Refused) {
+	pool := p.cell.pools[ask.Pool]
+	if pool == nil {
 		return -1, []wire.Refused{{Reason: string(StepPool), Count: p.cell.Len()}}
 	}
-	if headroomRefuses(ask.Pool, ask.Priority, pl.capacity, pl.committed, ask.Resources, p.options.Headroom) {
-		return -1, p.explain(pl, refusals{}, pl.open)
+	if exceedsHeadroom(ask.Pool, ask.Priority, pool.capacity, pool.committed, ask.Resources, p.options.Headroom) {
+		return -1, p.countRefusals(pool, refusals{}, pool.schedulable)
 	}
 	key := failedShapeOf(ask, p.options)
-	if at, ok := p.cell.failed[key]; ok && at == pl.growth && !narrow(ask) {
-		return -1, p.explain(pl, refusals{}, 0)
+	if at, ok := p.cell.failedShapes[key]; ok && at == pool.capacityVersion && !restrictsWorkers(ask) {
+		return -1, p.countRefusals(pool, refusals{}, 0)
 	}
 	s := search{
-		cell: p.cell, pool: pl, ask: ask, options: p.options, now: p.now,
-		claimed: p.claimed, newRacks: newRacks, limit: p.limit,
+		cell: p.cell, pool: pool, ask: ask, options: p.options, now: p.now,
+		preemptionWorkers: p.preemptionWorkers, newRacks: newRacks, candidateLimit: p.candidateLimit,
 	}
 	worker := s.run()
 	if worker >= 0 {
 		return worker, nil
 	}
-	if s.refused.only() && len(p.booked) == 0 && !narrow(ask) {
-		p.remember(key, pl.growth)
+	if s.refused.none() && len(p.bookings) == 0 && !restrictsWorkers(ask) {
+		p.rememberFailedShape(key, pool.capacityVersion)
 	}
-	return -1, p.explain(pl, s.refused, 0)
+	return -1, p.countRefusals(pool, s.refused, 0)
 }
 
-// remember notes that the shape fits nowhere. Room that this run has booked would
-// make the note wrong after the run, so the caller notes nothing then.
-func (p *planner) remember(key failedShape, growth int64) {
-	if len(p.cell.failed) >= maxFailedShapes {
-		clear(p.cell.failed)
+// rememberFailedShape records that the shape fits no worker at this capacity
+// version. The caller must not record it while the run has bookings, because the
+// shape may fit once these are undone.
+func (p *planner) rememberFailedShape(key failedShape, capacityVersion int64) {
+	if len(p.cell.failedShapes) >= maxFailedShapes {
+		clear(p.cell.failedShapes)
 	}
-	p.cell.failed[key] = growth
+	p.cell.failedShapes[key] = capacityVersion
 }
 
-// explain counts the refused workers per filter step. Workers in buckets that
-// were not searched do not fit.
-func (p *planner) explain(pl *pool, r refusals, headroom int) []wire.Refused {
-	reach := 0
+// countRefusals returns the number of refused workers per reason. Workers in
+// buckets that were not searched count as lacking capacity.
+func (p *planner) countRefusals(pool *poolIndex, r refusals, headroom int) []wire.Refused {
+	outOfScope := 0
 	if p.options.Reach != ReachAnywhere {
-		reach = pl.open - p.openInReach(pl)
+		outOfScope = pool.schedulable - p.schedulableInScope(pool)
 	}
-	fits := pl.open - reach - headroom - r.avoid - r.held - r.accelerator - r.spread
+	lackingCapacity := pool.schedulable - outOfScope - headroom - r.avoided - r.held - r.strandsAccelerators - r.rackUsed
 	rows := []wire.Refused{
-		{Reason: string(StepPool), Count: p.cell.Len() - pl.members},
-		{Reason: string(StepUsable), Count: pl.members - pl.open},
-		{Reason: string(StepReach), Count: reach},
+		{Reason: string(StepPool), Count: p.cell.Len() - pool.members},
+		{Reason: string(StepUsable), Count: pool.members - pool.schedulable},
+		{Reason: string(StepReach), Count: outOfScope},
 		{Reason: string(StepHeadroom), Count: headroom},
-		{Reason: string(StepFits), Count: max(fits, 0)},
-		{Reason: string(StepAvoid), Count: r.avoid},
+		{Reason: string(StepFits), Count: max(lackingCapacity, 0)},
+		{Reason: string(StepAvoid), Count: r.avoided},
 		{Reason: string(StepHeld), Count: r.held},
-		{Reason: string(StepAccelerator), Count: r.accelerator},
-		{Reason: string(StepSpread), Count: r.spread},
+		{Reason: string(StepAccelerator), Count: r.strandsAccelerators},
+		{Reason: string(StepSpread), Count: r.rackUsed},
 	}
 	kept := rows[:0]
 	for _, row := range rows {
@@ -179,46 +182,47 @@
 	return kept
 }
 
-func (p *planner) openInReach(pl *pool) int {
-	n := 0
-	for _, z := range pl.zones {
-		if distance(z.region, z.dataCentre, p.options) <= maxDistance(p.options.Reach) {
-			n += z.open
+func (p *planner) schedulableInScope(pool *poolIndex) int {
+	workers := 0
+	for _, dc := range pool.dataCentres {
+		if distance(dc.region, dc.dataCentre, p.options) <= maxDistance(p.options.Reach) {
+			workers += dc.schedulable
 		}
 	}
-	return n
+	return workers
 }
 
-// assign books the worker for the request.
-func (p *planner) assign(ask *wire.TaskAsk, worker int32) {
-	p.record(ask, worker)
-	p.cell.adjust(worker, ask.Resources)
+// book assigns the request to the worker and books its resources.
+func (p *planner) book(ask *wire.TaskAsk, worker int32) {
+	p.addAssignment(ask, worker)
+	p.cell.adjustCommitted(worker, ask.Resources)
 }
 
-// record notes the assignment without booking the resources.
-func (p *planner) record(ask *wire.TaskAsk, worker int32) {
+// addAssignment adds the assignment to the plan. The caller adjusts the worker's
+// committed resources.
+func (p *planner) addAssignment(ask *wire.TaskAsk, worker int32) {
 	w := &p.cell.states[worker]
 	p.plan.Assignments = append(p.plan.Assignments, Assignment{
 		Ask: ask, VM: w.VM, Rack: w.Rack, Incarnation: w.Incarnation, worker: worker,
 	})
-	p.booked = append(p.booked, booking{worker: worker, size: ask.Resources, ask: ask})
+	p.bookings = append(p.bookings, booking{worker: worker, size: ask.Resources, ask: ask})
 	if ask.SpreadRacks {
-		p.cell.countSpread(ask.Job, p.cell.racks[worker], 1)
+		p.cell.addSpreadCount(ask.Job, p.cell.rackOfWorker[worker], 1)
 	}
 }
 
-// undo takes back the bookings from position first on. Runs of bookings on the
-// same worker are taken back in one step.
-func (p *planner) undo(first int) {
-	for n := len(p.booked) - 1; n >= first; {
-		worker, sum := p.booked[n].worker, resource.Vector{}
-		for ; n >= first && p.booked[n].worker == worker; n-- {
-			sum = sum.Add(p.booked[n].size)
-			if ask := p.booked[n].ask; ask.SpreadRacks {
-				p.cell.countSpread(ask.Job, p.cell.racks[worker], -1)
+// undoBookings undoes the bookings from position first on. Consecutive bookings on
+// the same worker are undone with one index update.
+func (p *planner) undoBookings(first int) {
+	for n := len(p.bookings) - 1; n >= first; {
+		worker, sum := p.bookings[n].worker, resource.Vector{}
+		for ; n >= first && p.bookings[n].worker == worker; n-- {
+			sum = sum.Add(p.bookings[n].size)
+			if ask := p.bookings[n].ask; ask.SpreadRacks {
+				p.cell.addSpreadCount(ask.Job, p.cell.rackOfWorker[worker], -1)
 			}
 		}
-		p.cell.adjustQuietly(worker, resource.Vector{}.Sub(sum))
+		p.cell.restoreCommitted(worker, resource.Vector{}.Sub(sum))
 	}
-	p.booked = p.booked[:first]
+	p.bookings = p.bookings[:first]
 }
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -2,5 +2,5 @@
 
 import "slices"
 
-// poolRefuses tells whether the worker is outside the request's pool.
-func poolRefuses(w *State, pool string) bool { return !slices.Contains(w.Pools, pool) }
+// notInPool reports whether the worker does not belong to the pool.
+func notInPool(w *State, pool string) bool { return !slices.Contains(w.Pools, pool) }
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -9,26 +9,28 @@
 )
 
 const (
-	// preemptSample is the number of workers compared for the smallest set of
-	// victims.
-	preemptSample = 64
-	// preemptLimit is the number of workers looked at if none of the sample
-	// qualifies. The next run begins at another worker.
-	preemptLimit = 2048
-	// throttleFloor is the percentage of its cores that a throttled task keeps.
-	throttleFloor = 25
+	// preemptSampleWorkers is the number of workers that are compared for the
+	// smallest victim set.
+	preemptSampleWorkers = 64
+	// preemptMaxWorkers is the number of workers examined if the sample yields no
+	// victim set. The next run begins at another random worker.
+	preemptMaxWorkers = 2048
+	// throttledCoresPercent is the least percentage of its cores that a throttled
+	// task keeps.
+	throttledCoresPercent = 25
 )
 
-// victimSet is a set of tasks of one worker that makes room for a request.
+// victimSet is a set of tasks on one worker whose preemption frees enough capacity
+// for a request.
 type victimSet struct {
 	worker   int32
 	victims  []Victim
-	stopped  int // victims that do not go on running
-	priority int // sum over the victims
+	stopped  int // number of victims that are stopped instead of throttled
+	priority int // sum of the victims' priorities
 }
 
-// less prefers sets that stop fewer tasks, then smaller sets, then lower
-// priorities.
+// less orders sets by the number of stopped tasks, then by size, then by the sum of
+// priorities. The worker breaks ties.
 func (a *victimSet) less(b *victimSet) bool {
 	return cmp.Or(
 		cmp.Compare(a.stopped, b.stopped),
@@ -38,20 +40,20 @@
 	) < 0
 }
 
-// preempt plans to make room for the request and reports whether it could.
+// preempt plans a preemption for the request and reports whether it found one.
 func (p *planner) preempt(ask *wire.TaskAsk) bool {
-	pl := p.cell.pools[ask.Pool]
-	if pl == nil || len(pl.victims) == 0 || headroomRefuses(ask.Pool, ask.Priority, pl.capacity, pl.committed, ask.Resources, p.options.Headroom) {
+	pool := p.cell.pools[ask.Pool]
+	if pool == nil || len(pool.preemptible) == 0 || exceedsHeadroom(ask.Pool, ask.Priority, pool.capacity, pool.committed, ask.Resources, p.options.Headroom) {
 		return false
 	}
-	n := len(pl.victims)
+	n := len(pool.preemptible)
 	start := 0
 	if p.rng != nil {
 		start = p.rng.IntN(n)
 	}
 	var best *victimSet
-	for k := 0; k < min(n, preemptLimit) && (k < preemptSample || best == nil); k++ {
-		set := p.victimsOn(pl.victims[(start+k)%n], ask, best)
+	for k := 0; k < min(n, preemptMaxWorkers) && (k < preemptSampleWorkers || best == nil); k++ {
+		set := p.victimSetOn(pool.preemptible[(start+k)%n], ask, best)
 		if set != nil && (best == nil || set.less(best)) {
 			best = set
 		}
@@ -59,40 +61,40 @@
 	if best == nil {
 		return false
 	}
-	if p.claimed == nil {
-		p.claimed = map[int32]bool{}
+	if p.preemptionWorkers == nil {
+		p.preemptionWorkers = map[int32]bool{}
 	}
-	p.claimed[best.worker] = true
+	p.preemptionWorkers[best.worker] = true
 	p.plan.Preemptions = append(p.plan.Preemptions, Preemption{
 		Ask: ask, VM: p.cell.states[best.worker].VM, Victims: best.victims,
 	})
 	return true
 }
 
-// victimsOn returns the smallest set of victims on one worker. It returns nil if
-// there is none, or none that could be preferred to best, which may be nil.
-func (p *planner) victimsOn(worker int32, ask *wire.TaskAsk, best *victimSet) *victimSet {
+// victimSetOn returns the smallest victim set on one worker. It returns nil if there
+// is none, or none that could precede best. best may be nil.
+func (p *planner) victimSetOn(worker int32, ask *wire.TaskAsk, best *victimSet) *victimSet {
 	w := &p.cell.states[worker]
-	if p.claimed[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Reach) {
+	if p.preemptionWorkers[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Reach) {
 		return nil
 	}
-	if avoidRefuses(w.VM, ask.AvoidVMs) || heldRefuses(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
+	if avoided(w.VM, ask.AvoidVMs) || heldForOther(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
 		return nil
 	}
 	if p.options.ProtectAccelerators && acceleratorCost(w.Capacity, ask.Resources) > 0 {
 		return nil
 	}
-	lacking := lackingOf(w.Free(), ask.Resources)
-	if lacking.IsZero() {
-		return nil // another step than fits refuses this worker
+	shortfall := shortfallOf(w.Free(), ask.Resources)
+	if shortfall.IsZero() {
+		return nil // the worker is refused for a reason other than capacity
 	}
-	tasks := p.lowerPriority(w, ask.Priority, lacking)
+	tasks := p.preemptibleBelow(w, ask.Priority, shortfall)
 	if tasks == nil {
 		return nil
 	}
-	set := throttleSet(tasks, lacking)
+	set := throttleSet(tasks, shortfall)
 	if set == nil {
-		set = stopSet(tasks, lacking, best)
+		set = stopSet(tasks, shortfall, best)
 	}
 	if set != nil {
 		set.worker = worker
@@ -100,47 +102,47 @@
 	return set
 }
 
-// lackingOf returns what must be freed. Kinds that are not asked for do not
-// matter, even if they are overcommitted.
-func lackingOf(free, ask resource.Vector) resource.Vector {
-	lacking := ask.Sub(free).Max(resource.Vector{})
+// shortfallOf returns the resources that must be freed. Resources that are not asked
+// for are ignored, even if they are overcommitted.
+func shortfallOf(free, ask resource.Vector) resource.Vector {
+	shortfall := ask.Sub(free).Max(resource.Vector{})
 	if ask.MilliCores <= 0 {
-		lacking.MilliCores = 0
+		shortfall.MilliCores = 0
 	}
 	if ask.MemoryMiB <= 0 {
-		lacking.MemoryMiB = 0
+		shortfall.MemoryMiB = 0
 	}
 	if ask.Accelerators <= 0 {
-		lacking.Accelerators = 0
+		shortfall.Accelerators = 0
 	}
 	if ask.Slots <= 0 {
-		lacking.Slots = 0
+		shortfall.Slots = 0
 	}
-	return lacking
+	return shortfall
 }
 
-// lowerPriority returns the tasks that may be preempted, in scratch memory, or nil
-// if all of them together do not free enough.
-func (p *planner) lowerPriority(w *State, priority int, lacking resource.Vector) []*Task {
-	p.lower = p.lower[:0]
+// preemptibleBelow returns the preemptible tasks of a lower priority, or nil if all
+// of them together do not free enough. The next call overwrites the result.
+func (p *planner) preemptibleBelow(w *State, priority int, shortfall resource.Vector) []*Task {
+	p.lowerPriorityTasks = p.lowerPriorityTasks[:0]
 	sum := resource.Vector{}
 	for n := range w.Tasks {
 		if t := &w.Tasks[n]; t.Preemptible && t.Priority < priority {
-			p.lower = append(p.lower, t)
+			p.lowerPriorityTasks = append(p.lowerPriorityTasks, t)
 			sum = sum.Add(t.Resources)
 		}
 	}
-	if !lacking.Fits(sum) {
+	if !shortfall.Fits(sum) {
 		return nil
 	}
-	return p.lower
+	return p.lowerPriorityTasks
 }
 
-// throttleSet makes room by limiting cores, which keeps the victims running. It
-// helps only if nothing but cores is lacking.
-func throttleSet(tasks []*Task, lacking resource.Vector) *victimSet {
-	cores := lacking.MilliCores
-	if cores <= 0 || lacking != (resource.Vector{MilliCores: cores}) {
+// throttleSet returns a set that frees capacity by limiting cores, so that the
+// victims keep running. It returns nil if anything but cores is lacking.
+func throttleSet(tasks []*Task, shortfall resource.Vector) *victimSet {
+	cores := shortfall.MilliCores
+	if cores <= 0 || shortfall != (resource.Vector{MilliCores: cores}) {
 		return nil
 	}
 	slices.SortFunc(tasks, func(a, b *Task) int {
@@ -148,15 +150,15 @@
 	})
 	set := &victimSet{}
 	for _, t := range tasks {
-		gain := min(t.Resources.MilliCores*(100-throttleFloor)/100, cores)
-		if t.Throttled || gain <= 0 {
+		freedCores := min(t.Resources.MilliCores*(100-throttledCoresPercent)/100, cores)
+		if t.Throttled || freedCores <= 0 {
 			continue
 		}
-		// Rounding down leaves the victim less, never the urgent task.
-		percent := int((t.Resources.MilliCores - gain) * 100 / t.Resources.MilliCores)
+		// Rounding down takes from the victim, never from the preempting task.
+		percent := int((t.Resources.MilliCores - freedCores) * 100 / t.Resources.MilliCores)
 		set.victims = append(set.victims, Victim{t.ID, t.Generation, ActionThrottle, percent})
 		set.priority += t.Priority
-		cores -= gain
+		cores -= freedCores
 		if cores == 0 {
 			return set
 		}
@@ -164,10 +166,10 @@
 	return nil
 }
 
-// stopSet makes room by stopping tasks. A single victim is found if one suffices,
-// then a pair; larger sets are built greedily and then reduced, so that no victim
-// of the set can be left out.
-func stopSet(tasks []*Task, lacking resource.Vector, best *victimSet) *victimSet {
+// stopSet returns a set that frees capacity by stopping tasks. It tries single
+// victims, then pairs; larger sets are built greedily and then reduced to victims
+// that are all necessary.
+func stopSet(tasks []*Task, shortfall resource.Vector, best *victimSet) *victimSet {
 	limit := len(tasks)
 	if best != nil {
 		limit = min(limit, best.stopped)
@@ -175,7 +177,7 @@
 	slices.SortFunc(tasks, func(a, b *Task) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Resources.MilliCores, b.Resources.MilliCores), cmp.Compare(a.ID, b.ID))
 	})
-	chosen := smallest(tasks, lacking, limit)
+	chosen := smallestSet(tasks, shortfall, limit)
 	if chosen == nil {
 		return nil
 	}
@@ -191,13 +193,13 @@
 	return set
 }
 
-// smallest returns at most limit tasks that free enough, or nil.
-func smallest(tasks []*Task, lacking resource.Vector, limit int) []*Task {
+// smallestSet returns at most limit tasks that free enough, or nil.
+func smallestSet(tasks []*Task, shortfall resource.Vector, limit int) []*Task {
 	if limit < 1 {
 		return nil
 	}
 	for i, t := range tasks {
-		if lacking.Fits(t.Resources) {
+		if shortfall.Fits(t.Resources) {
 			return tasks[i : i+1]
 		}
 	}
@@ -206,7 +208,7 @@
 	}
 	for i, t := range tasks {
 		for _, u := range tasks[i+1:] {
-			if lacking.Fits(t.Resources.Add(u.Resources)) {
+			if shortfall.Fits(t.Resources.Add(u.Resources)) {
 				return []*Task{t, u}
 			}
 		}
@@ -214,48 +216,49 @@
 	if limit < 3 {
 		return nil
 	}
-	chosen := reduce(greedy(tasks, lacking), lacking)
+	chosen := dropUnneeded(greedySet(tasks, shortfall), shortfall)
 	if len(chosen) > limit {
 		return nil
 	}
 	return chosen
 }
 
-// greedy moves the task that covers the most of what is still lacking to the
-// front, until nothing is, and returns the tasks moved. All tasks together must
-// free enough.
-func greedy(tasks []*Task, lacking resource.Vector) []*Task {
+// greedySet repeatedly moves the task that covers the most of the remaining
+// shortfall to the front, until nothing is lacking, and returns the moved tasks.
+// All tasks together must free enough.
+func greedySet(tasks []*Task, shortfall resource.Vector) []*Task {
 	n := 0
-	for ; !lacking.IsZero(); n++ {
-		best, bestCover := n, -1.0
+	for ; !shortfall.IsZero(); n++ {
+		best, bestCoverage := n, -1.0
 		for i := n; i < len(tasks); i++ {
-			if c := cover(tasks[i].Resources, lacking); c > bestCover {
-				best, bestCover = i, c
+			if c := coverage(tasks[i].Resources, shortfall); c > bestCoverage {
+				best, bestCoverage = i, c
 			}
 		}
 		tasks[n], tasks[best] = tasks[best], tasks[n]
-		lacking = lacking.Sub(tasks[n].Resources).Max(resource.Vector{})
+		shortfall = shortfall.Sub(tasks[n].Resources).Max(resource.Vector{})
 	}
 	return tasks[:n]
 }
 
-// cover is the sum over the kinds of the covered share of what is lacking.
-func cover(size, lacking resource.Vector) float64 {
-	return coverShare(size.MilliCores, lacking.MilliCores) +
-		coverShare(size.MemoryMiB, lacking.MemoryMiB) +
-		coverShare(size.Accelerators, lacking.Accelerators) +
-		coverShare(size.Slots, lacking.Slots)
+// coverage returns the sum over all resources of the fraction of the shortfall that
+// size covers.
+func coverage(size, shortfall resource.Vector) float64 {
+	return coveredShare(size.MilliCores, shortfall.MilliCores) +
+		coveredShare(size.MemoryMiB, shortfall.MemoryMiB) +
+		coveredShare(size.Accelerators, shortfall.Accelerators) +
+		coveredShare(size.Slots, shortfall.Slots)
 }
 
-func coverShare(size, lacking int64) float64 {
-	if lacking <= 0 {
+func coveredShare(size, shortfall int64) float64 {
+	if shortfall <= 0 {
 		return 0
 	}
-	return min(1, float64(size)/float64(lacking))
+	return min(1, float64(size)/float64(shortfall))
 }
 
-// reduce leaves out every victim that the others make unnecessary.
-func reduce(chosen []*Task, lacking resource.Vector) []*Task {
+// dropUnneeded removes each victim without which the others still free enough.
+func dropUnneeded(chosen []*Task, shortfall resource.Vector) []*Task {
 	for i := 0; i < len(chosen); {
 		sum := resource.Vector{}
 		for k := range chosen {
@@ -263,7 +266,7 @@
 				sum = sum.Add(chosen[k].Resources)
 			}
 		}
-		if lacking.Fits(sum) {
+		if shortfall.Fits(sum) {
 			chosen = slices.Delete(chosen, i, i+1)
 			continue
 		}
@@ -272,36 +275,37 @@
 	return chosen
 }
 
-// updateVictims keeps the lists of workers with preemptible tasks.
-func (c *Cell) updateVictims(i int32) {
+// updatePreemptible adds the worker to its pools' lists of workers with preemptible
+// tasks, or removes it, according to its state.
+func (c *Cell) updatePreemptible(i int32) {
 	w := &c.states[i]
 	wanted := w.Open() && w.preemptible > 0
-	for n := range c.links[i] {
-		l := &c.links[i][n]
+	for n := range c.entries[i] {
+		entry := &c.entries[i][n]
 		if !wanted {
-			c.dropVictim(l)
-		} else if l.victim < 0 {
-			l.victim = int32(len(l.pool.victims))
-			l.pool.victims = append(l.pool.victims, i)
+			c.removePreemptible(entry)
+		} else if entry.preemptiblePos < 0 {
+			entry.preemptiblePos = int32(len(entry.pool.preemptible))
+			entry.pool.preemptible = append(entry.pool.preemptible, i)
 		}
 	}
 }
 
-// dropVictim removes the worker from the pool's list and moves the last one to
-// its place.
-func (c *Cell) dropVictim(l *link) {
-	if l.victim < 0 {
+// removePreemptible removes the worker from the pool's list of workers with
+// preemptible tasks and moves the last element to its position.
+func (c *Cell) removePreemptible(entry *poolEntry) {
+	if entry.preemptiblePos < 0 {
 		return
 	}
-	list := l.pool.victims
+	list := entry.pool.preemptible
 	last := len(list) - 1
 	moved := list[last]
-	list[l.victim] = moved
-	l.pool.victims = list[:last]
-	for n := range c.links[moved] {
-		if m := &c.links[moved][n]; m.pool == l.pool {
-			m.victim = l.victim
+	list[entry.preemptiblePos] = moved
+	entry.pool.preemptible = list[:last]
+	for n := range c.entries[moved] {
+		if movedEntry := &c.entries[moved][n]; movedEntry.pool == entry.pool {
+			movedEntry.preemptiblePos = entry.preemptiblePos
 		}
 	}
-	l.victim = -1
+	entry.preemptiblePos = -1
 }
--- a/core/place/probe.go
+++ b/core/place/probe.go
@@ -7,13 +7,13 @@
 	"briarproxy/core/wire"
 )
 
-// Probe plans one of the requests, the first that fits, on a quarantined worker to
-// find out whether it works again. The plan is empty if the worker is not
-// quarantined, is leaving or not usable. The caller limits the probes per worker;
-// tasks that ran before the quarantine may still be on it.
+// Probe plans the first of the requests that fits on a quarantined worker, to find
+// out whether the worker has recovered. The plan is empty if the worker is not
+// quarantined, is draining or is not live. Tasks from before the quarantine may
+// still run there, so the caller must limit the number of probes per worker.
 func (c *Cell) Probe(vm string, asks []wire.TaskAsk, o Options, now time.Duration) Plan {
 	plan := Plan{At: now}
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok || !c.states[i].Quarantined {
 		return plan
 	}
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -17,12 +17,12 @@
 )
 
 func drawWorker(t *rapid.T, n int) place.Worker {
-	zone := rapid.IntRange(0, 2).Draw(t, "zone")
+	dataCentre := rapid.IntRange(0, 2).Draw(t, "zone")
 	pools := [][]string{{"a"}, {"b"}, {"a", "b"}}
 	return place.Worker{
 		VM:          fmt.Sprintf("vm-%02d", n),
-		Region:      []string{"r0", "r0", "r1"}[zone],
-		DataCentre:  []string{"d0", "d1", "d2"}[zone],
+		Region:      []string{"r0", "r0", "r1"}[dataCentre],
+		DataCentre:  []string{"d0", "d1", "d2"}[dataCentre],
 		Rack:        fmt.Sprintf("k%d", rapid.IntRange(0, 2).Draw(t, "rack")),
 		Incarnation: rapid.Int64Range(1, 2).Draw(t, "incarnation"),
 		Pools:       pools[rapid.IntRange(0, 2).Draw(t, "pools")],
@@ -69,17 +69,18 @@
 	return o
 }
 
-// model runs random operations on a cell and keeps what its caller must know.
-type model struct {
-	cell  *place.Cell
-	now   time.Duration
-	next  int
-	live  map[string]wire.TaskAsk
-	slots []place.Slot
-	stale []place.Plan
+// cellModel runs random operations on a cell and tracks the tasks, slots and plans
+// that the cell's user would know.
+type cellModel struct {
+	cell       *place.Cell
+	now        time.Duration
+	next       int
+	live       map[string]wire.TaskAsk
+	slots      []place.Slot
+	stalePlans []place.Plan
 }
 
-func (m *model) asks(t *rapid.T) []wire.TaskAsk {
+func (m *cellModel) asks(t *rapid.T) []wire.TaskAsk {
 	gang := ""
 	if rapid.Bool().Draw(t, "is gang") {
 		gang = fmt.Sprintf("g%d", m.next)
@@ -92,7 +93,7 @@
 	return asks
 }
 
-func (m *model) commit(t *rapid.T, plan place.Plan, o place.Options) {
+func (m *cellModel) commit(t *rapid.T, plan place.Plan, o place.Options) {
 	refusals := m.cell.Verify(plan, o, m.now)
 	accepted, refused := m.cell.Commit(plan, o, m.now)
 	require.Equal(t, refusals, refused, "Verify and Commit must agree")
@@ -109,7 +110,7 @@
 	}
 }
 
-func (m *model) step(t *rapid.T) {
+func (m *cellModel) randomOperation(t *rapid.T) {
 	vm := fmt.Sprintf("vm-%02d", rapid.IntRange(0, 9).Draw(t, "vm"))
 	o := drawOptions(t)
 	m.now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pass ms")) * time.Millisecond
@@ -151,26 +152,27 @@
 			m.cell.ApplyHold(hold, m.now)
 		}
 	case 8:
-		if len(m.stale) > 0 {
-			m.commit(t, m.stale[0], o)
-			m.stale = m.stale[1:]
+		if len(m.stalePlans) > 0 {
+			m.commit(t, m.stalePlans[0], o)
+			m.stalePlans = m.stalePlans[1:]
 		}
 	default:
 		before := m.cell.Workers()
 		plan := m.cell.Plan(m.asks(t), o, m.now, rand.New(rand.NewPCG(1, 2)))
 		require.Equal(t, before, m.cell.Workers(), "planning changed the cell")
 		if rapid.Bool().Draw(t, "keep for later") {
-			m.stale = append(m.stale, plan)
+			m.stalePlans = append(m.stalePlans, plan)
 			return
 		}
-		require.Empty(t, m.cell.Verify(plan, o, m.now), "a plan for the present state is refused")
+		require.Empty(t, m.cell.Verify(plan, o, m.now), "a plan for the current state is refused")
 		m.commit(t, plan, o)
-		m.preempt(t, plan)
+		m.carryOutPreemptions(t, plan)
 	}
 }
 
-// preempt carries out the plan's preemptions; then the tasks must fit.
-func (m *model) preempt(t *rapid.T, plan place.Plan) {
+// carryOutPreemptions preempts the plan's victims and checks that the preempting
+// tasks then fit.
+func (m *cellModel) carryOutPreemptions(t *rapid.T, plan place.Plan) {
 	for _, p := range plan.Preemptions {
 		for _, v := range p.Victims {
 			require.Less(t, m.live[v.TaskID].Priority, p.Ask.Priority)
@@ -195,8 +197,8 @@
 	return keys
 }
 
-func newModel(t *rapid.T) *model {
-	m := &model{cell: place.NewCell(), live: map[string]wire.TaskAsk{}}
+func newModel(t *rapid.T) *cellModel {
+	m := &cellModel{cell: place.NewCell(), live: map[string]wire.TaskAsk{}}
 	for n := range rapid.IntRange(1, 10).Draw(t, "workers") {
 		w := drawWorker(t, n)
 		m.cell.UpdateWorker(w)
@@ -205,23 +207,23 @@
 	return m
 }
 
-// Guards against overcommitted workers, partial gangs, plans that change the cell
-// and an index that differs from the state, after any sequence of operations
-// including commits of plans that were made for an older state.
+// Guards against overcommitted workers, partially placed gangs, plans that change
+// the cell, and an index that differs from the state. The random operations include
+// commits of outdated plans.
 func TestAnySequenceKeepsCapacityGangsAndIndex(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			m.step(t)
+			m.randomOperation(t)
 			checkCapacity(t, m)
 			require.NoError(t, place.CheckIndex(m.cell))
 		}
 	})
 }
 
-// checkCapacity adds up the tasks and slots of each worker anew. Every task in the
-// cell must have been reported as accepted.
-func checkCapacity(t *rapid.T, m *model) {
+// checkCapacity compares each worker's committed resources with the sum of its tasks
+// and slots. Every task in the cell must have been reported as accepted.
+func checkCapacity(t *rapid.T, m *cellModel) {
 	for _, w := range m.cell.Workers() {
 		sum := resource.Vector{Slots: w.Slots}
 		for _, task := range w.Tasks {
@@ -233,23 +235,22 @@
 	}
 }
 
-// Guards against an index that hides a worker that the full scan finds, and
-// against a choice that breaks a filter step. The indexed choice may cost more
-// only in the steps after the accelerator step, because it scores a bounded
-// number of candidates.
+// Guards against an index that misses a worker that the full scan finds, and against
+// a choice that does not pass Check. The indexed choice may cost more only in the
+// terms after the accelerator term, because it scores a bounded number of candidates.
 func TestIndexPlacesWhatTheFullScanPlaces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range rapid.IntRange(0, 25).Draw(t, "steps") {
-			m.step(t)
+			m.randomOperation(t)
 		}
 		o := drawOptions(t)
 		o.NoPreemption = true
 		for range 4 {
 			ask := drawAsk(t, m.next, "")
 			m.next++
-			full := naive.Cell{Workers: m.cell.Workers()}
-			want := full.Place(&ask, &o, m.now, nil)
+			fullScan := naive.Cell{Workers: m.cell.Workers()}
+			want := fullScan.Place(&ask, &o, m.now, nil)
 			plan := m.cell.Plan([]wire.TaskAsk{ask}, o, m.now, nil)
 			require.Equal(t, want >= 0, len(plan.Assignments) == 1, "ask %+v", ask)
 			if want < 0 {
@@ -258,22 +259,22 @@
 			got, _ := m.cell.Worker(plan.Assignments[0].VM)
 			require.Equal(t, place.StepNone, place.Check(&got, &ask, &o, m.now))
 			tier := func(w *place.State) int { return int(place.Cost(w, &ask, &o, 0)) / 100 }
-			require.Equal(t, tier(&full.Workers[want]), tier(&got), "distance or accelerator step")
+			require.Equal(t, tier(&fullScan.Workers[want]), tier(&got), "distance or accelerator term")
 			m.commit(t, plan, o)
 		}
 	})
 }
 
-// Guards against a gang of equal tasks that is refused although the full scan
-// places all of its tasks one by one.
+// Guards against refusing a gang of equal tasks that the full scan places one task
+// at a time.
 func TestGangOfEqualTasksIsPlacedWhenTheFullScanPlacesIt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range rapid.IntRange(0, 15).Draw(t, "steps") {
-			m.step(t)
+			m.randomOperation(t)
 		}
 		o := drawOptions(t)
-		// The rule's outcome depends on the order in which workers are filled.
+		// Whether accelerators are stranded depends on the order in which workers are filled.
 		o.ProtectAccelerators = false
 		ask := drawAsk(t, m.next, "gang")
 		ask.Resources = resource.Vector{MilliCores: rapid.Int64Range(500, 1500).Draw(t, "gang cores"), Accelerators: ask.Resources.Accelerators / 2}
@@ -282,8 +283,8 @@
 			asks[i] = ask
 			asks[i].TaskID = fmt.Sprintf("gang-%d", i)
 		}
-		full := naive.Cell{Workers: m.cell.Workers()}
-		want := full.Gang(asks, &o, m.now)
+		fullScan := naive.Cell{Workers: m.cell.Workers()}
+		want := fullScan.Gang(asks, &o, m.now)
 		plan := m.cell.Plan(asks, o, m.now, nil)
 		require.Equal(t, want != nil, len(plan.Assignments) == len(asks))
 		require.True(t, len(plan.Assignments) == 0 || len(plan.Assignments) == len(asks))
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -8,51 +8,51 @@
 	"briarproxy/core/wire"
 )
 
-// Bounds of the first pass of a search. Only a search that found nothing goes on
-// without them.
+// Bounds of the first pass over a tier. A second pass without bounds follows only if
+// the first one finds nothing.
 const (
-	scoredPerBucket   = 2  // candidates of one bucket are nearly alike
-	examinedPerBucket = 16 // workers looked at in one bucket
-	examinedFactor    = 8  // workers looked at in all, per scored candidate
-	spreadFactor      = 8  // neighbours in a bucket are often in one rack
+	maxScoredPerBucket   = 2  // candidates in one bucket have nearly the same cost
+	maxExaminedPerBucket = 16 // includes refused workers
+	examinedPerCandidate = 8  // workers examined in a tier, per worker of the candidate limit
+	spreadBoundsFactor   = 8  // raises the bounds for spread tasks; neighbours in a bucket often share a rack
 )
 
-// maxFailedShapes bounds the memory of shapes that did not fit.
+// maxFailedShapes is the maximum number of entries in Cell.failedShapes.
 const maxFailedShapes = 1024
 
-// failedShape is an equivalence class of requests that did not fit anywhere.
-// Equal requests need no search until some worker of the pool has more room.
+// failedShape identifies equal requests that fit no worker. They need no search
+// until the capacity version of the pool changes.
 type failedShape struct {
-	pool       string
-	dataCentre string
-	region     string
-	reach      Reach
-	protect    bool
-	resources  resource.Vector
+	pool                string
+	dataCentre          string
+	region              string
+	scope               Reach
+	protectAccelerators bool
+	resources           resource.Vector
 }
 
 func failedShapeOf(ask *wire.TaskAsk, o *Options) failedShape {
 	return failedShape{ask.Pool, o.DataCentre, o.Region, o.Reach, o.ProtectAccelerators, ask.Resources}
 }
 
-// refusals counts workers per filter step of one search.
+// refusals counts the workers that a search refused, per reason other than capacity.
 type refusals struct {
-	avoid, held, accelerator, spread int
+	avoided, held, strandsAccelerators, rackUsed int
 }
 
-func (r *refusals) only() bool { return *r == refusals{} }
+func (r *refusals) none() bool { return *r == refusals{} }
 
 // search looks for the worker with the lowest cost for one request.
 type search struct {
-	cell     *Cell
-	pool     *pool
-	ask      *wire.TaskAsk
-	options  *Options
-	now      time.Duration
-	claimed  map[int32]bool // workers on which this run makes room for another task
-	newRacks bool           // only racks that the gang does not use yet
-	limit    int            // scored workers, per data centre distance and accelerator class
-	factor   int            // multiplies the bounds; spreadFactor for tasks to spread
+	cell              *Cell
+	pool              *poolIndex
+	ask               *wire.TaskAsk
+	options           *Options
+	now               time.Duration
+	preemptionWorkers map[int32]bool // workers on which this run preempts tasks for another request
+	newRacks          bool           // accept only racks that the gang does not use yet
+	candidateLimit    int            // workers to score per tier
+	boundsFactor      int            // multiplies the bounds per bucket; spreadBoundsFactor for tasks to spread
 
 	best      int32 // -1 until a worker is found
 	bestCost  float64
@@ -62,25 +62,25 @@
 	truncated bool
 	refused   refusals
 
-	collecting bool  // several workers are wanted
-	need       int64 // tasks of the gang for which no worker is collected yet
-	collected  []candidate
+	collecting   bool  // collect workers instead of choosing the best
+	tasksToPlace int64 // tasks that do not fit on the workers collected so far
+	collected    []candidate
 }
 
-// candidate is a worker that can hold some tasks of a gang.
+// candidate is a worker that some tasks of a gang fit on.
 type candidate struct {
 	worker int32
 	tasks  int64
 	cost   float64
 }
 
-// collect fills s.collected with workers that can hold s.need equal tasks
-// together, and reports whether they do. Each worker is looked at once.
+// collect fills s.collected with workers until s.tasksToPlace equal tasks fit on them
+// together, and reports whether it found enough. It examines each worker once.
 func (s *search) collect() bool {
-	s.factor, s.unbounded, s.collecting = 1, true, true
+	s.boundsFactor, s.unbounded, s.collecting = 1, true, true
 	if s.ask.Among != nil {
-		s.among()
-		return s.need <= 0
+		s.scanNamed()
+		return s.tasksToPlace <= 0
 	}
 	for d := 0; d <= maxDistance(s.options.Reach); d++ {
 		for class := 0; class < 2; class++ {
@@ -88,8 +88,8 @@
 				continue
 			}
 			s.scored, s.best = 0, -1
-			s.pass(d, class)
-			if s.need <= 0 {
+			s.scanTier(d, class)
+			if s.tasksToPlace <= 0 {
 				return true
 			}
 		}
@@ -97,61 +97,62 @@
 	return false
 }
 
-// run returns the best worker found, or -1.
+// run returns the worker with the lowest cost found, or -1.
 func (s *search) run() int32 {
 	s.best = -1
-	s.factor = 1
+	s.boundsFactor = 1
 	if s.ask.Among != nil {
-		s.among()
+		s.scanNamed()
 		return s.best
 	}
 	if s.ask.SpreadRacks || s.newRacks {
-		s.factor = spreadFactor
-		s.limit *= spreadFactor
+		s.boundsFactor = spreadBoundsFactor
+		s.candidateLimit *= spreadBoundsFactor
 	}
 	for d := 0; d <= maxDistance(s.options.Reach) && s.best < 0; d++ {
 		for class := 0; class < 2 && s.best < 0; class++ {
 			if class == 0 && s.ask.Resources.Accelerators > 0 {
 				continue
 			}
-			s.tier(d, class)
+			s.searchTier(d, class)
 		}
 	}
 	return s.best
 }
 
-// tier searches the workers of one distance and accelerator class. If the bounded
-// pass finds nothing, every worker that can fit is looked at.
-func (s *search) tier(distanceWanted, class int) {
-	before := s.refused
+// searchTier searches the workers of one distance and accelerator class. If the
+// bounded pass stops early without a result, a second pass examines every worker
+// that may fit.
+func (s *search) searchTier(distanceWanted, class int) {
+	refusedBefore := s.refused
 	s.scored, s.examined = 0, 0
 	s.unbounded, s.truncated = false, false
-	s.pass(distanceWanted, class)
+	s.scanTier(distanceWanted, class)
 	if s.best >= 0 || !s.truncated {
 		return
 	}
-	s.refused = before
+	s.refused = refusedBefore
 	s.unbounded = true
-	s.pass(distanceWanted, class)
+	s.scanTier(distanceWanted, class)
 }
 
-func (s *search) pass(distanceWanted, class int) {
-	for _, z := range s.pool.zones {
-		if distance(z.region, z.dataCentre, s.options) != distanceWanted {
+func (s *search) scanTier(distanceWanted, class int) {
+	for _, dc := range s.pool.dataCentres {
+		if distance(dc.region, dc.dataCentre, s.options) != distanceWanted {
 			continue
 		}
-		for a := acceleratorLevel(s.ask.Resources.Accelerators); a < acceleratorSize; a++ {
-			g := z.classes[class][a]
-			if g != nil && s.grid(g) {
+		for a := acceleratorLevel(s.ask.Resources.Accelerators); a < acceleratorLevels; a++ {
+			g := dc.grids[class][a]
+			if g != nil && s.scanGrid(g) {
 				return
 			}
 		}
 	}
 }
 
-// grid goes through the buckets that can hold the request, those with the least
-// free cores first. It reports whether the search is over.
-func (s *search) grid(g *grid) bool {
+// scanGrid scans the buckets that may fit the request, in ascending order of free
+// cores. It reports whether the pass is finished.
+func (s *search) scanGrid(g *grid) bool {
 	first := 0
 	if s.ask.Resources.MilliCores > 0 {
 		first = level(s.ask.Resources.MilliCores)
@@ -160,10 +161,10 @@
 	if s.ask.Resources.MemoryMiB > 0 {
 		firstCol = level(s.ask.Resources.MemoryMiB)
 	}
-	for rows := g.rows >> first << first; rows != 0; rows &= rows - 1 {
+	for rows := g.coreLevels >> first << first; rows != 0; rows &= rows - 1 {
 		row := bits.TrailingZeros64(rows)
-		for cols := g.cols[row] >> firstCol << firstCol; cols != 0; cols &= cols - 1 {
-			if s.bucket(g.heads[row*levels+bits.TrailingZeros64(cols)]) {
+		for cols := g.memoryLevels[row] >> firstCol << firstCol; cols != 0; cols &= cols - 1 {
+			if s.scanBucket(g.heads[row*levels+bits.TrailingZeros64(cols)]) {
 				return true
 			}
 		}
@@ -171,11 +172,12 @@
 	return false
 }
 
-// bucket examines the workers of one bucket and reports whether the search is over.
-func (s *search) bucket(head int32) bool {
+// scanBucket examines the workers of one bucket and reports whether the pass is
+// finished.
+func (s *search) scanBucket(head int32) bool {
 	scored, examined := 0, 0
 	for n := head; n != 0; n = s.cell.nodes[n].next {
-		if !s.unbounded && (examined >= examinedPerBucket*s.factor || scored >= scoredPerBucket*s.factor) {
+		if !s.unbounded && (examined >= maxExaminedPerBucket*s.boundsFactor || scored >= maxScoredPerBucket*s.boundsFactor) {
 			s.truncated = true
 			return false
 		}
@@ -185,58 +187,58 @@
 			scored++
 			s.scored++
 		}
-		if s.done() {
+		if s.finished() {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *search) done() bool {
+func (s *search) finished() bool {
 	if s.unbounded {
-		return s.scored >= s.limit && s.need <= 0
+		return s.scored >= s.candidateLimit && s.tasksToPlace <= 0
 	}
-	if s.scored >= s.limit || s.examined >= s.limit*examinedFactor {
+	if s.scored >= s.candidateLimit || s.examined >= s.candidateLimit*examinedPerCandidate {
 		s.truncated = true
 		return true
 	}
 	return false
 }
 
-// examine filters and scores one worker and reports whether it fits.
+// examine checks and scores one worker and reports whether the request fits on it.
 func (s *search) examine(i int32) bool {
 	w := &s.cell.states[i]
-	if s.claimed != nil && s.claimed[i] {
+	if s.preemptionWorkers != nil && s.preemptionWorkers[i] {
 		s.refused.held++
 		return false
 	}
-	switch checkRoom(w, s.ask, s.options, s.now) {
+	switch checkAfterIndex(w, s.ask, s.options, s.now) {
 	case StepNone:
 	case StepAvoid:
-		s.refused.avoid++
+		s.refused.avoided++
 		return false
 	case StepHeld:
 		s.refused.held++
 		return false
 	case StepAccelerator:
-		s.refused.accelerator++
+		s.refused.strandsAccelerators++
 		return false
 	default:
 		return false
 	}
-	rack := s.cell.racks[i]
-	if s.newRacks && s.cell.inRack[rack] {
-		s.refused.spread++
+	rack := s.cell.rackOfWorker[i]
+	if s.newRacks && s.cell.rackUsed[rack] {
+		s.refused.rackUsed++
 		return false
 	}
-	tasks := 0
+	tasksInRack := 0
 	if s.ask.SpreadRacks {
-		tasks = s.cell.spread[jobRack{s.ask.Job, rack}]
+		tasksInRack = s.cell.spreadTasks[jobRack{s.ask.Job, rack}]
 	}
-	cost := Cost(w, s.ask, s.options, tasks)
+	cost := Cost(w, s.ask, s.options, tasksInRack)
 	if s.collecting {
-		n := s.timesFits(w)
-		s.need -= n
+		n := s.maxTasks(w)
+		s.tasksToPlace -= n
 		s.collected = append(s.collected, candidate{i, n, cost})
 		return true
 	}
@@ -246,15 +248,16 @@
 	return true
 }
 
-// timesFits returns how many tasks of the gang the worker can hold, at least 1.
-func (s *search) timesFits(w *State) int64 {
+// maxTasks returns how many tasks of the gang fit on the worker. The worker has
+// passed checkAfterIndex, so the result is at least 1.
+func (s *search) maxTasks(w *State) int64 {
 	free, size := w.Free(), s.ask.Resources
 	n := free.Times(size)
 	if !s.options.ProtectAccelerators || w.Capacity.Accelerators == 0 || size.Accelerators > 0 {
 		return n
 	}
 	allowed := int64(1)
-	for allowed < n && !acceleratorRefuses(w.Capacity, free.Sub(size.Scale(allowed)), size) {
+	for allowed < n && !strandsAccelerators(w.Capacity, free.Sub(size.Scale(allowed)), size) {
 		allowed++
 	}
 	return allowed
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -6,9 +6,9 @@
 	"briarproxy/core/resource"
 )
 
-// Slot names a worker with a slot for a request. It is valid until the worker is
-// removed or replaced; TakeSlots verifies it. Holds do not concern slots, because
-// tasks do not use them.
+// Slot is a handle to a worker whose slots serve requests. It is valid until the
+// worker is removed or replaced, which TakeSlots checks. Holds do not apply to
+// slots, because tasks do not use them.
 type Slot struct {
 	worker int32
 	serial int64
@@ -23,11 +23,11 @@
 	}
 	for d := 0; d <= maxDistance(o.Reach); d++ {
 		best, found, most := Slot{}, false, int64(0)
-		for _, z := range p.zones {
-			if distance(z.region, z.dataCentre, o) != d {
+		for _, dc := range p.dataCentres {
+			if distance(dc.region, dc.dataCentre, o) != d {
 				continue
 			}
-			slot, free := c.mostFree(z, avoid)
+			slot, free := c.mostFreeSlots(dc, avoid)
 			if free > most {
 				best, found, most = slot, true, free
 			}
@@ -39,12 +39,12 @@
 	return Slot{}, false
 }
 
-// mostFree returns the worker of the zone with the most free slots and their
-// number. Bucket 0 holds workers without a free slot.
-func (c *Cell) mostFree(z *zone, avoid []Slot) (Slot, int64) {
-	for filled := z.slots.filled &^ 1; filled != 0; {
+// mostFreeSlots returns the worker of the data centre with the most free slots and
+// their number. Bucket 0 is skipped because its workers have no free slot.
+func (c *Cell) mostFreeSlots(dc *dataCentreIndex, avoid []Slot) (Slot, int64) {
+	for filled := dc.slots.nonEmpty &^ 1; filled != 0; {
 		bucket := bits.Len64(filled) - 1
-		for n := z.slots.heads[bucket]; n != 0; n = c.nodes[n].next {
+		for n := dc.slots.heads[bucket]; n != 0; n = c.nodes[n].next {
 			i := c.nodes[n].worker
 			slot := Slot{worker: i, serial: c.serials[i]}
 			if !avoids(avoid, slot) {
@@ -65,7 +65,7 @@
 	return false
 }
 
-// SlotVM returns the VM of a slot, or "" if the worker is gone.
+// SlotVM returns the VM of a slot, or "" if the worker was removed or replaced.
 func (c *Cell) SlotVM(s Slot) string {
 	if !c.slotValid(s) {
 		return ""
@@ -77,8 +77,9 @@
 	return s.serial != 0 && int(s.worker) < len(c.states) && c.present[s.worker] && c.serials[s.worker] == s.serial
 }
 
-// TakeSlots commits n slots of the worker. It refuses if the worker is gone, gets
-// no new work, or has fewer free slots. It does not allocate.
+// TakeSlots commits n slots of the worker. It returns false if the worker was
+// removed or replaced, is not schedulable, or has fewer free slots. It does not
+// allocate.
 func (c *Cell) TakeSlots(s Slot, n int64) bool {
 	if n <= 0 || !c.slotValid(s) {
 		return false
@@ -88,11 +89,12 @@
 		return false
 	}
 	w.Slots += n
-	c.adjust(s.worker, resource.Vector{Slots: n})
+	c.adjustCommitted(s.worker, resource.Vector{Slots: n})
 	return true
 }
 
-// TakeProbeSlot takes one slot of a worker that is quarantined and otherwise open.
+// TakeProbeSlot commits one slot of a worker that is quarantined but otherwise
+// schedulable.
 func (c *Cell) TakeProbeSlot(s Slot) bool {
 	if !c.slotValid(s) {
 		return false
@@ -102,12 +104,13 @@
 		return false
 	}
 	w.Slots++
-	c.adjust(s.worker, resource.Vector{Slots: 1})
+	c.adjustCommitted(s.worker, resource.Vector{Slots: 1})
 	return true
 }
 
-// ReturnSlots frees slots taken with TakeSlots. It returns the number freed,
-// which is lower than n if the worker was replaced or fewer were taken.
+// ReturnSlots frees slots taken with TakeSlots or TakeProbeSlot. It returns the
+// number freed, which is below n if the worker was removed or replaced, or fewer
+// slots were taken.
 func (c *Cell) ReturnSlots(s Slot, n int64) int64 {
 	if n <= 0 || !c.slotValid(s) {
 		return 0
@@ -115,13 +118,13 @@
 	w := &c.states[s.worker]
 	n = min(n, w.Slots)
 	w.Slots -= n
-	c.adjust(s.worker, resource.Vector{Slots: -n})
+	c.adjustCommitted(s.worker, resource.Vector{Slots: -n})
 	return n
 }
 
-// SlotOf returns the slot handle of a VM, for loans that name the VM.
+// SlotOf returns the slot handle of a VM. Loans refer to workers by VM.
 func (c *Cell) SlotOf(vm string) (Slot, bool) {
-	i, ok := c.byVM[vm]
+	i, ok := c.workerByVM[vm]
 	if !ok {
 		return Slot{}, false
 	}
--- a/core/place/summary.go
+++ b/core/place/summary.go
@@ -7,20 +7,21 @@
 	"briarproxy/core/wire"
 )
 
-// Summary returns the free capacity per pool and data centre, in order of name.
-// Largest is the free vector of the open worker with the most free cores. It
-// looks at every worker; it is published every few seconds, not per decision.
+// Summary returns the free capacity per pool and data centre, sorted by pool, region
+// and data centre. Largest is the free capacity of the schedulable worker with the
+// most free cores. Summary examines every worker, which is acceptable because it is
+// published every few seconds and not per decision.
 func (c *Cell) Summary() []wire.PoolSummary {
 	type key struct{ pool, region, dataCentre string }
 	rows := map[key]*wire.PoolSummary{}
 	for i := range c.states {
 		w := &c.states[i]
-		for n := range c.links[i] {
-			k := key{c.links[i][n].pool.name, w.Region, w.DataCentre}
+		for n := range c.entries[i] {
+			k := key{c.entries[i][n].pool.name, w.Region, w.DataCentre}
 			if rows[k] == nil {
 				rows[k] = &wire.PoolSummary{Pool: k.pool, Region: k.region, DataCentre: k.dataCentre}
 			}
-			addToSummary(rows[k], w)
+			addWorkerToSummary(rows[k], w)
 		}
 	}
 	all := make([]wire.PoolSummary, 0, len(rows))
@@ -33,7 +34,7 @@
 	return all
 }
 
-func addToSummary(row *wire.PoolSummary, w *State) {
+func addWorkerToSummary(row *wire.PoolSummary, w *State) {
 	row.Workers++
 	if !w.Open() {
 		return
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -7,7 +7,7 @@
 	"briarproxy/core/wire"
 )
 
-// Worker describes a VM that runs work.
+// Worker describes a VM that runs tasks and serves requests.
 type Worker struct {
 	VM          string
 	Region      string
@@ -19,89 +19,90 @@
 	Capacity    resource.Vector
 }
 
-// Task is one task attempt that room is committed to.
+// Task is a task attempt that capacity is committed to.
 type Task struct {
 	ID          string
 	Job         string
 	Generation  int64
-	Resources   resource.Vector // committed: the larger of estimate and reported use
+	Resources   resource.Vector // committed: the larger of estimated and reported usage
 	Priority    int
 	Preemptible bool
 	Checkpoint  bool          // a checkpoint is taken before it is preempted
-	Throttled   bool          // preemption has already limited its cores
-	SpreadRacks bool          // counted when the job's next task is spread
-	ExpectedEnd time.Duration // boot clock; 0 is unknown
+	Throttled   bool          // its cores are already limited by a preemption
+	SpreadRacks bool          // counts towards the job's tasks in the rack
+	ExpectedEnd time.Duration // on the boot clock; 0 means unknown
 }
 
-// Hold keeps a worker for one gang or task.
+// Hold reserves a worker for one gang or task.
 type Hold struct {
-	Owner   string        // gang or task id; "" is no hold
-	Start   time.Duration // other tasks may run there if they end before this instant
+	Owner   string        // gang or task id; "" means no hold
+	Start   time.Duration // other tasks may run there if they end by this time
 	Expires time.Duration
 }
 
-// State is the state of one worker.
+// WorkerState is the state of one worker.
 type State struct {
 	Worker
-	Committed   resource.Vector // tasks and slots
-	Slots       int64           // slots given to service requests, part of Committed
+	Committed   resource.Vector // sum of tasks and slots
+	Slots       int64           // slots taken by service requests, included in Committed
 	Usable      bool
-	Leaving     bool // never undone for one incarnation
+	Leaving     bool // permanent for an incarnation
 	Quarantined bool
 	Hold        Hold
 	Tasks       []Task
 	preemptible int // number of preemptible tasks
 }
 
-// Free returns the capacity that is not committed. An amount is negative when
-// reports showed more use than was committed.
+// Free returns the capacity that is not committed. An amount is negative if the
+// worker is overcommitted, for instance after reports of higher usage.
 func (s *State) Free() resource.Vector { return s.Capacity.Sub(s.Committed) }
 
-// Open reports whether new work may be placed on the worker.
+// Schedulable reports whether new work may be placed on the worker.
 func (s *State) Open() bool { return s.Usable && !s.Leaving && !s.Quarantined }
 
-// Reach bounds how far from the local data centre work may be placed.
+// Scope limits how far from the local data centre work may be placed.
 type Reach int
 
-// Values of Reach. Each includes the ones before it.
+// Values of Scope, from the widest to the narrowest.
 const (
-	ReachAnywhere   Reach = iota // also in other regions
-	ReachRegion                  // in the local region
-	ReachDataCentre              // in the local data centre
+	ReachAnywhere   Reach = iota // in any region
+	ReachRegion                  // only in the local region
+	ReachDataCentre              // only in the local data centre
 )
 
-// Headroom keeps part of a pool for urgent work.
+// Headroom reserves part of a pool for requests of higher priority.
 type Headroom struct {
 	Pool  string
 	Below int     // applies to requests with a lower priority than this
-	Share float64 // part of the pool's open capacity that they must leave free, 0 to 1
+	Share float64 // fraction, 0 to 1, of the pool's schedulable capacity that they must leave free
 }
 
 // GangRule adds constraints to one gang.
 type GangRule struct {
 	Gang     string
-	MinRacks int // the gang's tasks use at least this many racks
+	MinRacks int // least number of racks that the gang's tasks use
 }
 
-// Options are the rules of one planning run.
+// Options control one planning run.
 type Options struct {
 	DataCentre          string // local data centre
 	Region              string // local region
 	Reach               Reach
 	Headroom            []Headroom
 	Gangs               []GangRule
-	ProtectAccelerators bool // see acceleratorRefuses
-	CandidateLimit      int  // workers scored per decision; 0 is DefaultCandidateLimit
+	ProtectAccelerators bool // see strandsAccelerators
+	CandidateLimit      int  // workers scored per tier of a search; 0 means DefaultCandidateLimit
 	NoPreemption        bool
 }
 
-// DefaultCandidateLimit is the number of workers scored per decision.
+// DefaultCandidateLimit is the default number of workers scored per tier of a search.
+// A tier consists of the workers at one distance, either with or without accelerators.
 const DefaultCandidateLimit = 16
 
-// Step names a filter step. It is the reason in explanations.
+// Reason says why a worker or an assignment is refused.
 type Step string
 
-// Filter steps in the order in which they are applied.
+// Reasons for refusals.
 const (
 	StepNone        Step = ""
 	StepPool        Step = "not in the pool"
@@ -120,9 +121,9 @@
 	StepDuplicate   Step = "task is already placed"
 )
 
-// Assignment puts one task on one worker.
+// Assignment assigns one task to one worker.
 type Assignment struct {
-	Ask         *wire.TaskAsk // the caller's request; must stay unchanged until Commit
+	Ask         *wire.TaskAsk // the request passed to Plan or Probe; must not change until Commit
 	VM          string
 	Rack        string
 	Incarnation int64
@@ -130,10 +131,10 @@
 	probe       bool // the worker may be quarantined
 }
 
-// Action is the way in which a victim is preempted.
+// Action is the method by which a victim is preempted.
 type Action string
 
-// Actions of preemption.
+// Preemption actions.
 const (
 	ActionThrottle   Action = "throttle"
 	ActionCheckpoint Action = "checkpoint"
@@ -145,18 +146,19 @@
 	TaskID     string
 	Generation int64
 	Action     Action
-	Percent    int // cores left to a throttled task
+	Percent    int // percentage of its committed cores that a throttled task keeps
 }
 
-// Preemption makes room for one task. The task is placed by a later plan, when
-// the victims have released their room; Commit holds the worker until then.
+// Preemption frees capacity on a worker for one task. Commit holds the worker for a
+// limited time, and a later plan places the task once the victims have released
+// their capacity.
 type Preemption struct {
 	Ask     *wire.TaskAsk
 	VM      string
 	Victims []Victim
 }
 
-// Unplaced explains a request that got no worker.
+// Unplaced is a request that fits no worker, with the refused workers by reason.
 type Unplaced struct {
 	TaskID  string
 	Gang    string
@@ -168,7 +170,7 @@
 	At          time.Duration
 	Assignments []Assignment
 	Unplaced    []Unplaced
-	NeverFits   []string // task ids that fit no worker of the pool even when it is empty
+	NeverFits   []string // ids of tasks that exceed the capacity of every worker of the pool
 	Preemptions []Preemption
 }
 
--- a/core/place/usable.go
+++ b/core/place/usable.go
@@ -1,4 +1,4 @@
 package place
 
-// usableRefuses tells whether the worker may not get new work.
-func usableRefuses(w *State) bool { return !w.Open() }
+// notSchedulable reports whether no new work may be placed on the worker.
+func notSchedulable(w *State) bool { return !w.Open() }
--- a/core/place/verify.go
+++ b/core/place/verify.go
@@ -8,37 +8,37 @@
 )
 
 // preemptionHold is how long a worker is held for a task whose victims are being
-// stopped. It is below the 3.7 s in which urgent work must start.
+// preempted. It is shorter than the 3.7 s within which urgent work must start.
 const preemptionHold = 3 * time.Second
 
-// Verify tells which assignments of the plan would be refused now. The cell is
-// the same afterwards.
+// Verify returns the refusals that Commit would return now. The cell is the same
+// afterwards.
 func (c *Cell) Verify(plan Plan, o Options, now time.Duration) []Refusal {
-	accepted, refused := c.accept(plan, &o, now)
+	accepted, refused := c.acceptAll(plan, &o, now)
 	for n := len(accepted) - 1; n >= 0; n-- {
 		c.Release(accepted[n].Ask.TaskID, accepted[n].Ask.Generation)
 	}
 	return refused
 }
 
-// Commit applies the assignments that still fit, and a gang only as a whole. It
-// returns the applied assignments and the refused ones. The workers of the plan's
-// preemptions are held for the tasks that they make room for; the holds of placed
-// tasks and gangs end.
+// Commit applies the assignments that still fit, and each gang only as a whole. It
+// returns the applied assignments and the refusals. Commit ends the holds of placed
+// tasks and gangs, and holds the workers of the plan's preemptions for the
+// preempting tasks.
 func (c *Cell) Commit(plan Plan, o Options, now time.Duration) ([]Assignment, []Refusal) {
-	accepted, refused := c.accept(plan, &o, now)
+	accepted, refused := c.acceptAll(plan, &o, now)
 	for n := range accepted {
 		c.ReleaseHold(accepted[n].Ask.TaskID)
 		c.ReleaseHold(accepted[n].Ask.Gang)
 	}
-	c.forgetExpired(now)
+	c.releaseExpiredHolds(now)
 	for _, p := range plan.Preemptions {
 		c.hold(p.VM, Hold{Owner: p.Ask.TaskID, Start: now, Expires: now + preemptionHold}, now)
 	}
 	return accepted, refused
 }
 
-func (c *Cell) accept(plan Plan, o *Options, now time.Duration) ([]Assignment, []Refusal) {
+func (c *Cell) acceptAll(plan Plan, o *Options, now time.Duration) ([]Assignment, []Refusal) {
 	accepted := plan.Assignments[:0:0]
 	var refused []Refusal
 	for n := 0; n < len(plan.Assignments); {
@@ -46,7 +46,7 @@
 		if r := c.acceptGroup(group, o, now); len(r) > 0 {
 			refused = append(refused, r...)
 		} else if len(refused) == 0 {
-			accepted = plan.Assignments[: n+len(group) : n+len(group)] // no copy as long as nothing is refused
+			accepted = plan.Assignments[: n+len(group) : n+len(group)] // not copied until an assignment is refused
 		} else {
 			accepted = append(accepted, group...)
 		}
@@ -56,7 +56,7 @@
 }
 
 // gangGroup returns the first assignment and the ones after it of the same gang.
-// Plan puts the assignments of a gang next to each other.
+// Plan returns the assignments of a gang consecutively.
 func gangGroup(as []Assignment) []Assignment {
 	gang := as[0].Ask.Gang
 	n := 1
@@ -91,24 +91,24 @@
 }
 
 func (c *Cell) acceptOne(a *Assignment, o *Options, now time.Duration) Step {
-	i, ok := c.byVM[a.VM]
+	i, ok := c.workerByVM[a.VM]
 	if !ok || c.states[i].Incarnation != a.Incarnation || c.states[i].Rack != a.Rack {
 		return StepGone
 	}
-	if _, placed := c.tasks[a.Ask.TaskID]; placed {
+	if _, placed := c.workerOfTask[a.Ask.TaskID]; placed {
 		return StepDuplicate
 	}
 	if reason := c.checkAssigned(i, a, o, now); reason != StepNone {
 		return reason
 	}
-	if pl := c.pools[a.Ask.Pool]; headroomRefuses(pl.name, a.Ask.Priority, pl.capacity, pl.committed, a.Ask.Resources, o.Headroom) {
+	if pool := c.pools[a.Ask.Pool]; exceedsHeadroom(pool.name, a.Ask.Priority, pool.capacity, pool.committed, a.Ask.Resources, o.Headroom) {
 		return StepHeadroom
 	}
 	c.addTask(i, TaskOf(a.Ask, now))
 	return StepNone
 }
 
-// checkAssigned is Check, except that a probe may use a quarantined worker.
+// checkAssigned is Check, except that a probe may be placed on a quarantined worker.
 func (c *Cell) checkAssigned(i int32, a *Assignment, o *Options, now time.Duration) Step {
 	if !a.probe {
 		return Check(&c.states[i], a.Ask, o, now)
@@ -118,7 +118,7 @@
 	return Check(&w, a.Ask, o, now)
 }
 
-// TaskOf returns the task that a request becomes when it is placed.
+// TaskOf returns the task for a request that is placed at the time now.
 func TaskOf(ask *wire.TaskAsk, now time.Duration) Task {
 	t := Task{
 		ID: ask.TaskID, Job: ask.Job, Generation: ask.Generation,
@@ -131,14 +131,15 @@
 	return t
 }
 
-// adjustQuietly gives back room that a planning run had booked. The pool is then
-// as it was before the run, so shapes that did not fit before still do not.
-func (c *Cell) adjustQuietly(i int32, delta resource.Vector) {
+// restoreCommitted undoes bookings of a planning run. Unlike adjustCommitted, it
+// keeps the capacity version: the pool is as it was before the bookings, so shapes
+// that did not fit then still do not fit.
+func (c *Cell) restoreCommitted(i int32, delta resource.Vector) {
 	w := &c.states[i]
 	w.Committed = w.Committed.Add(delta)
 	if w.Open() {
-		for n := range c.links[i] {
-			p := c.links[i][n].pool
+		for n := range c.entries[i] {
+			p := c.entries[i][n].pool
 			p.committed = p.committed.Add(delta)
 		}
 	}
