--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -11,22 +11,22 @@
 )
 
 //go:embed charts/*.json
-var files embed.FS
+var chartFiles embed.FS
 
-// Name names an embedded chart.
+// Name identifies an embedded chart.
 type Name string
 
 // Embedded charts.
 const (
-	Request       Name = "request"        // a request at its entry daemon
-	Task          Name = "task"           // a task at the owner of its key shard
-	Lease         Name = "lease"          // a loan of slots at its lender
-	Daemon        Name = "daemon"         // the life of a daemon
-	ConfigVersion Name = "config-version" // a configuration from draft to its successor
-	Run           Name = "run"            // a run of a task at the placer
+	Request       Name = "request"        // life cycle of a request at the daemon that received it
+	Task          Name = "task"           // life cycle of a task at the owner of its key shard
+	Lease         Name = "lease"          // life cycle of a loan of slots at the lender
+	Daemon        Name = "daemon"         // life cycle of a daemon
+	ConfigVersion Name = "config-version" // life cycle of a configuration version, from draft to replacement by its successor
+	Run           Name = "run"            // life cycle of a run of a task at the placer
 )
 
-// Names lists the embedded charts.
+// Names returns the names of all embedded charts.
 func Names() []Name { return []Name{Request, Task, Lease, Daemon, ConfigVersion, Run} }
 
 // State is a state of a chart.
@@ -35,11 +35,11 @@
 // Event is an event of a chart.
 type Event string
 
-// Behaviour says what a state does with each event.
+// Behaviour defines how a state handles each event.
 type Behaviour struct {
 	Meaning string             `json:"meaning"`
 	On      map[Event]State    `json:"on"`
-	Refuse  map[string][]Event `json:"refuse"` // by reason
+	Refuse  map[string][]Event `json:"refuse"` // refused events by reason
 }
 
 // Chart is a state chart.
@@ -51,16 +51,16 @@
 	States  map[State]Behaviour `json:"states"`
 }
 
-// Load returns an embedded chart. Charts never change, so one may be shared.
+// Load returns an embedded chart. Charts are immutable, so they may be shared.
 func Load(name Name) (*Chart, error) {
-	data, err := files.ReadFile("charts/" + string(name) + ".json")
+	data, err := chartFiles.ReadFile("charts/" + string(name) + ".json")
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "use a name from chart.Names", "chart %q does not exist", name)
 	}
 	return Parse(data)
 }
 
-// Parse reads a chart and refuses one that is incomplete or contradicts itself.
+// Parse decodes a chart and rejects one that is incomplete or inconsistent.
 func Parse(data []byte) (*Chart, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -74,7 +74,8 @@
 	return c, nil
 }
 
-// MustLoad is Load for package variables; the embedded charts are checked by tests.
+// MustLoad is like Load but panics on an error, for the initialization of package variables.
+// Tests validate the embedded charts.
 func MustLoad(name Name) *Chart {
 	c, err := Load(name)
 	if err != nil {
@@ -83,8 +84,8 @@
 	return c
 }
 
-// Transitions returns the state that follows an event by the state that handles it.
-// Code that steps very often prepares its own table from it.
+// Transitions returns the successor states of an event, by the state that handles it. Code on hot
+// paths builds its own transition table from it.
 func (c *Chart) Transitions(e Event) map[State]State {
 	transitions := map[State]State{}
 	for s, b := range c.States {
@@ -95,10 +96,10 @@
 	return transitions
 }
 
-// IsFinal reports whether nothing follows a state.
+// IsFinal reports whether the state is final.
 func (c *Chart) IsFinal(s State) bool { return slices.Contains(c.Final, s) }
 
-// faults lists everything that is wrong with the chart, in a fixed order.
+// faults returns all defects of the chart, in sorted order.
 func (c *Chart) faults() []string {
 	var faults []string
 	add := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
@@ -109,7 +110,7 @@
 	}
 	for s, b := range c.States {
 		for _, e := range c.Events {
-			if n := b.answers(e); n != 1 {
+			if n := b.responseCount(e); n != 1 {
 				add("state %q answers event %q %d times, not once", s, e, n)
 			}
 		}
@@ -131,7 +132,7 @@
 			add("final state %q handles events", s)
 		}
 	}
-	faults = append(faults, c.traps()...)
+	faults = append(faults, c.reachabilityFaults()...)
 	slices.Sort(faults)
 	return faults
 }
@@ -142,8 +143,8 @@
 	}
 }
 
-// answers counts how often the state says what it does with an event.
-func (b Behaviour) answers(e Event) int {
+// responseCount returns how many transitions and refusals the state defines for an event.
+func (b Behaviour) responseCount(e Event) int {
 	count := 0
 	if _, handled := b.On[e]; handled {
 		count++
@@ -158,9 +159,9 @@
 	return count
 }
 
-// traps lists the states that cannot be reached and those from which no final state
-// can be reached.
-func (c *Chart) traps() []string {
+// reachabilityFaults returns a defect for each state that is unreachable from the initial state,
+// and for each from which no final state is reachable.
+func (c *Chart) reachabilityFaults() []string {
 	var faults []string
 	reached := c.reachable(c.Initial)
 	for s := range c.States {
@@ -174,7 +175,7 @@
 	return faults
 }
 
-// reachable returns the states that can follow a state, and itself.
+// reachable returns the states that are reachable from a state, including itself.
 func (c *Chart) reachable(from State) map[State]bool {
 	reached := map[State]bool{from: true}
 	queue := []State{from}
@@ -200,7 +201,7 @@
 // Start returns a machine in the initial state.
 func (c *Chart) Start() *Machine { return &Machine{chart: c, state: c.Initial} }
 
-// Resume returns a machine in a state that was stored before.
+// Resume returns a machine in a previously stored state.
 func (c *Chart) Resume(s State) (*Machine, error) {
 	if _, known := c.States[s]; !known {
 		return nil, fault.New(fault.Invalid, "resume with a state of the chart", "chart %q has no state %q", c.Name, s)
@@ -211,28 +212,28 @@
 // State returns the current state.
 func (m *Machine) State() State { return m.state }
 
-// Done reports whether the state is final.
+// Done reports whether the current state is final.
 func (m *Machine) Done() bool { return m.chart.IsFinal(m.state) }
 
-// Step moves by an event and returns the state that follows. The state stays and
-// the error is Next's for an event that is not handled.
+// Step applies an event and returns the resulting state. For an event that is not handled, the
+// state stays unchanged and the error is that of Next.
 func (m *Machine) Step(e Event) (State, error) {
 	to, err := m.chart.Next(m.state, e)
 	m.state = to
 	return to, err
 }
 
-// Next returns the state that follows an event. The state stays and the error is of
-// kind fault.Refused for an event that the state refuses on purpose, fault.Internal
-// for a state or an event that the chart does not have.
+// Next returns the successor of a state for an event. If the event is not handled, it returns the
+// same state and an error: of kind fault.Refused if the state refuses the event on purpose, of
+// kind fault.Internal if the chart does not have the state or the event.
 func (c *Chart) Next(s State, e Event) (State, error) {
 	if to, handled := c.States[s].On[e]; handled {
 		return to, nil
 	}
-	return s, c.refusal(s, e)
+	return s, c.refusalError(s, e)
 }
 
-func (c *Chart) refusal(s State, e Event) error {
+func (c *Chart) refusalError(s State, e Event) error {
 	behaviour, known := c.States[s]
 	if !known {
 		return fault.New(fault.Internal, "report this as a defect", "chart %q has no state %q", c.Name, s)
--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -12,8 +12,8 @@
 	"briarproxy/core/fault"
 )
 
-// Guards against a chart with a state that is never reached or never left, and
-// against an event that some state neither handles nor refuses on purpose.
+// Guards against a chart with an unreachable state or one without a path to a final state, and
+// against an event that a state neither handles nor refuses on purpose.
 func TestEmbeddedChartsAreComplete(t *testing.T) {
 	for _, name := range Names() {
 		t.Run(string(name), func(t *testing.T) {
@@ -35,13 +35,13 @@
 			}
 		})
 	}
-	listed, err := fs.Glob(files, "charts/*.json")
+	listed, err := fs.Glob(chartFiles, "charts/*.json")
 	require.NoError(t, err)
 	assert.Len(t, listed, len(Names()))
 }
 
-// Guards against outcomes that change after a caller or the log has them: no event
-// moves a final state. Walks charts at random with a fixed seed.
+// Guards against outcomes that change after they were returned to a caller or written to the log:
+// no event may change a final state. The test walks the charts at random with a fixed seed.
 func TestFinalStatesStay(t *testing.T) {
 	random := rand.New(rand.NewSource(1))
 	for _, name := range Names() {
@@ -65,9 +65,9 @@
 	}
 }
 
-// Guards against transitions that break an invariant of the design page (numbers
-// in 1.2).
-func TestForbiddenSteps(t *testing.T) {
+// Guards against transitions that violate an invariant of the design. The numbers are those of
+// section 1.2 of the design page.
+func TestForbiddenTransitions(t *testing.T) {
 	cases := []struct {
 		invariant string
 		chart     Name
@@ -94,7 +94,7 @@
 	}
 }
 
-// Guards against a checker that accepts faulty charts.
+// Guards against a parser that accepts invalid charts.
 func TestParseRefusesFaultyCharts(t *testing.T) {
 	const good = `{"name":"x","initial":"a","final":["b"],"events":["e"],"states":{
 		"a":{"meaning":"","on":{"e":"b"},"refuse":{}},"b":{"meaning":"","on":{},"refuse":{"over":["e"]}}}}`
@@ -118,7 +118,7 @@
 	}
 }
 
-// Guards against misuse that passes without notice.
+// Guards against unknown charts, states and events that are accepted without an error.
 func TestMisuse(t *testing.T) {
 	_, err := Load("nothing")
 	assert.True(t, fault.Is(err, fault.Internal))
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -1,6 +1,6 @@
-// Package cluster holds what a cell reads from its platform and what it asks of it, in
-// briarproxy's own words. An adapter fills these types; nothing else knows how the
-// platform spells them.
+// Package cluster defines the types that a cell exchanges with its platform, independently of
+// the platform's own data formats. An adapter converts between the two; no other package
+// depends on the platform's formats.
 package cluster
 
 import (
@@ -9,31 +9,31 @@
 	"briarproxy/core/resource"
 )
 
-// Advice says that only a service outside the cell knows which workers may run the
-// steps of a queue.
+// Advice configures calls to an external advice service, which alone decides which workers may
+// run the steps of a queue.
 type Advice struct {
-	Decide time.Duration // fixed part of the time of one call
-	PerVM  time.Duration // time of one call for each worker that it names
-	Valid  time.Duration // how long a ticket holds
-	MaxVMs int           // workers that one call may name
+	Decide time.Duration // fixed part of the duration of a call
+	PerVM  time.Duration // additional duration of a call per worker that it names
+	Valid  time.Duration // how long a ticket stays valid
+	MaxVMs int           // maximum number of workers that a call may name
 }
 
-// Queue takes the jobs of one host and path prefix and says how they are run.
+// Queue accepts the jobs of one host and path prefix and defines how they are run.
 type Queue struct {
 	Name        string
 	Host        string
 	PathPrefix  string
 	Pool        string
-	Priority    int // 0 is the most urgent
-	MaxAttempts int // failed runs of one task before its job fails
-	Slack       float64
+	Priority    int           // 0 is the highest priority
+	MaxAttempts int           // number of failed runs of a task at which its job fails
+	Slack       float64       // see Objective
 	Target      time.Duration // see Objective
-	Timeout     time.Duration // of one call of a caller
-	Advice      *Advice       // nil: every worker of the pool may run its steps
+	Timeout     time.Duration // time limit for a call from a caller
+	Advice      *Advice       // nil means that every worker of the pool may run the queue's steps
 }
 
-// Objective returns the time from submission in which a job should end whose longest
-// chain of work takes the given time.
+// Objective returns the target time from submission to completion of a job whose longest chain
+// of dependent steps takes the given time.
 func (q *Queue) Objective(chain time.Duration) time.Duration {
 	return time.Duration(q.Slack*float64(chain)) + q.Target
 }
@@ -41,11 +41,11 @@
 // Pool is a set of workers that run the jobs of some queues.
 type Pool struct {
 	Name             string
-	EnforcesCapacity bool // its workers refuse what does not fit
-	Standby          bool // its VMs are off until they are moved to another pool
+	EnforcesCapacity bool // workers refuse tasks that exceed their free capacity
+	Standby          bool // VMs are powered off until they are moved to another pool
 }
 
-// Limits bound what a caller may send.
+// Limits are the size and time limits for requests of callers.
 type Limits struct {
 	Headers       int // bytes
 	Body          int // bytes
@@ -53,7 +53,7 @@
 	IdleTimeout   time.Duration
 }
 
-// Configuration is one published version of the operator's objects. It never changes.
+// Configuration is one published, immutable version of the operator's configuration.
 type Configuration struct {
 	Version int64
 	Queues  []Queue
@@ -71,7 +71,8 @@
 	return nil
 }
 
-// Match returns the queue with the longest prefix of the path on the host, or nil.
+// Match returns the queue of the host whose path prefix is the longest that matches the path, or
+// nil.
 func (c *Configuration) Match(host, path string) *Queue {
 	var best *Queue
 	for i := range c.Queues {
@@ -86,27 +87,27 @@
 	return best
 }
 
-// Life names one life of a worker. A worker that starts again remembers nothing of its
-// former lives, even at the same address and under the same name.
+// Life identifies one incarnation of a worker. A restarted worker keeps no state of earlier
+// incarnations, even at the same address and under the same name.
 type Life struct {
 	Worker string `json:"w"`
-	Born   int64  `json:"b"` // Unix time of its start, ms
+	Born   int64  `json:"b"` // start time of the worker, Unix ms
 }
 
-// Worker is a worker as the platform's registry lists it.
+// Worker is a worker as listed in the platform's registry.
 type Worker struct {
 	Life
 	Address    string
 	Pool       string
 	DataCentre string
 	Rack       string
-	Labels     []string // with the rack
+	Labels     []string // including the rack
 	Capacity   resource.Vector
 	Draining   bool
-	Stays      time.Duration // of a draining worker: at least this long after it wrote so; 0 is not said
+	Stays      time.Duration // minimum time that a draining worker stays up after it announced draining; 0 means unknown
 }
 
-// HasLabel reports whether the worker carries a label.
+// HasLabel reports whether the worker has the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
 		if l == label {
@@ -116,7 +117,7 @@
 	return false
 }
 
-// TaskID names a task: a task of a step of one occurrence of a job.
+// TaskID identifies a task within a step of one occurrence of a job.
 type TaskID struct {
 	Job        string `json:"j"`
 	Occurrence int    `json:"k,omitempty"`
@@ -124,7 +125,7 @@
 	Index      int    `json:"i,omitempty"`
 }
 
-// StepID names a step of one occurrence of a job.
+// StepID identifies a step of one occurrence of a job.
 type StepID struct {
 	Job        string
 	Occurrence int
@@ -134,25 +135,25 @@
 // StepID returns the step of the task.
 func (t TaskID) StepID() StepID { return StepID{t.Job, t.Occurrence, t.Step} }
 
-// RunID names one run of a task.
+// RunID identifies one run of a task.
 type RunID struct {
 	TaskID
 	Run int `json:"r"`
 }
 
-// How says how a run ended.
+// EndReason is the way in which a run ended.
 type How string
 
-// Ends of a run. The values are stored in the log and never change.
+// Reasons for the end of a run. The values are stored in the log and must not change.
 const (
 	Done    How = "done"
-	Failed  How = "failed"  // through its own fault or the worker's
-	Stopped How = "stopped" // on an order
-	Lapsed  How = "lapsed"  // the worker's lease ended
-	Broken  How = "broken"  // another member of its gang ended
-	Alone   How = "alone"   // the other members of its gang did not come in time
-	Void    How = "void"    // the run never began and can't begin any more
-	Lost    How = "lost"    // the worker's life ended with the run on it
+	Failed  How = "failed"  // failure of the task or the worker
+	Stopped How = "stopped" // stopped by an order
+	Lapsed  How = "lapsed"  // the worker's lease expired
+	Broken  How = "broken"  // another member of the gang ended
+	Alone   How = "alone"   // the other members of the gang did not start in time
+	Void    How = "void"    // the run never began and can no longer begin
+	Lost    How = "lost"    // the worker's incarnation ended while the run was on it
 )
 
 // Start is an order to start a run.
@@ -161,52 +162,53 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	LeaseUntil int64 // worker's clock, ms: end of the lease of all that runs on the worker
+	LeaseUntil int64 // end of the lease for all runs on the worker, ms of the worker's clock
 	Token      int64 // fencing token
 }
 
-// StartResult is what a worker said to a start or a stop.
+// StartResult is the result of an order to start or stop a run.
 type StartResult string
 
-// Answers to a start. Only NoAnswer leaves open whether the run begins.
+// Results of a start order. Only after NoAnswer is it unknown whether the run begins.
 const (
 	Started      StartResult = "started"
 	NoAnswer     StartResult = "no answer"
-	RefusedFence StartResult = "fenced"       // a newer owner orders this worker
-	RefusedOld   StartResult = "old run"      // the run is not newer than one that ended there
-	RefusedLate  StartResult = "lease passed" // the order came after the end of its own lease
+	RefusedFence StartResult = "fenced"       // the worker has seen a newer fencing token
+	RefusedOld   StartResult = "old run"      // the run is not newer than one that already ended on the worker
+	RefusedLate  StartResult = "lease passed" // the order arrived after its lease had expired
 	RefusedRoom  StartResult = "no room"
 	RefusedPass  StartResult = "no ticket" // the ticket is missing or has expired
-	RefusedOther StartResult = "refused"   // the worker is unhealthy or rejects the order; nothing was done
+	RefusedOther StartResult = "refused"   // the worker is unhealthy or rejected the order; the order had no effect
 	OtherLife    StartResult = "other life"
-	NotSent      StartResult = "not sent" // it would have reached the worker after its ticket or lease
+	NotSent      StartResult = "not sent" // the order would have reached the worker after its ticket or lease expired
 )
 
-// Hold renews the lease of a worker, confirms ends and asks for its lists.
+// LeaseRenewal renews the lease of a worker, acknowledges ends of runs and requests the worker's
+// lists of running and ended runs.
 type Hold struct {
-	LeaseUntil int64 // worker's clock, ms; 0 leaves the lease as it is
+	LeaseUntil int64 // ms of the worker's clock; 0 leaves the lease unchanged
 	Token      int64
-	Confirmed  int64         // ends up to this number are recorded and may be forgotten
-	Wait       time.Duration // how long to wait for a new end
+	Confirmed  int64         // ends up to this number are recorded in the log, so the worker may discard them
+	Wait       time.Duration // maximum time to wait for a new end
 }
 
-// RunReport is one run on a worker.
+// RunReport describes one active run on a worker.
 type RunReport struct {
 	RunID
 	Checkpoint string
-	Percent    int // of the run's work
-	Load       int // roughly, over the last half second: tail of response times in ms of a task that serves, thousandths of a core of any other
+	Percent    int // progress of the run
+	Load       int // approximate, over the last half second: tail response time in ms for a serving task, used thousandths of a core for any other
 }
 
-// EndReport is one end on a worker.
+// EndReport describes one ended run on a worker.
 type EndReport struct {
-	Number int64 // counts the ends of one life of the worker
+	Number int64 // sequence number of the end within the worker's incarnation
 	RunID
 	How        How
 	Checkpoint string
 }
 
-// Report is a worker's answer to a hold.
+// WorkerReport is a worker's response to a LeaseRenewal.
 type Report struct {
 	Life    Life
 	ClockMS int64
@@ -217,44 +219,44 @@
 // Outcomes of a call to the platform or a worker.
 const (
 	CallAnswered = "answered"
-	CallRefused  = "refused" // answered, and nothing was done
+	CallRefused  = "refused" // answered, without any effect
 	CallTimedOut = "no answer"
-	CallUnsent   = "not sent" // no connection
+	CallUnsent   = "not sent" // no connection could be made
 )
 
-// Call tells of one call to the platform or a worker, for the metrics.
+// Call describes one call to the platform or a worker, for the metrics.
 type Call struct {
 	Dependency string // "store", "worker" or "advice"
 	Outcome    string
 	Took       time.Duration
-	Sent       int // bytes of the body
+	Sent       int // size of the request body
 	Received   int
 }
 
-// Grant allows a step on a worker.
+// Grant permits a step to run on a worker.
 type Grant struct {
 	Worker string
 	Ticket string
 }
 
-// Fence names the writer of an append. The log refuses an epoch lower than one that it
-// has seen, and answers a repeat of a sequence number as it answered the first.
+// Fence identifies the writer of an append. The log rejects an epoch below the highest one it
+// has seen, and answers a repeated sequence number with the result of the first append.
 type Fence struct {
 	Producer string
 	Epoch    int64
 	Sequence int64
 }
 
-// LogPage is a part of a log partition.
+// LogPage is the result of reading a range of a log partition.
 type LogPage struct {
 	Records [][]byte
-	Next    int64 // offset that follows the last record
-	First   int64 // oldest offset that is kept
+	Next    int64 // offset after the last record of the page
+	First   int64 // oldest retained offset
 	End     int64 // offset of the next append
-	Expired bool  // the offset asked for is no longer kept
+	Expired bool  // the requested offset is no longer retained
 }
 
-// Entry is a named value that the log keeps until it is replaced.
+// Entry is a keyed value that the log retains until a newer value replaces it.
 type Entry struct {
 	Key   string
 	Value []byte
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -1,4 +1,4 @@
-// Package fault builds typed errors whose messages name the remedy.
+// Package fault creates typed errors that carry a remedy for the operator or caller.
 package fault
 
 import "github.com/joomcode/errorx"
@@ -6,30 +6,30 @@
 var (
 	namespace = errorx.NewNamespace("briarproxy")
 
-	// Invalid is input that must be changed before it can be accepted.
+	// Invalid is input that must be corrected before it can be accepted.
 	Invalid = namespace.NewType("invalid")
-	// Conflict is a change made from a version that is not the newest.
+	// Conflict is a change that is based on an outdated version or state.
 	Conflict = namespace.NewType("conflict")
-	// Unavailable is a dependency that can't be reached now; a retry can succeed.
+	// Unavailable is a dependency that is currently unreachable; a retry may succeed.
 	Unavailable = namespace.NewType("unavailable", errorx.Temporary())
-	// Unknown is an operation whose effect could not be determined.
+	// Unknown is an operation whose outcome could not be determined.
 	Unknown = namespace.NewType("unknown")
-	// Refused is a request that was not carried out and never will be.
+	// Refused is a request that was not executed and will not be executed later.
 	Refused = namespace.NewType("refused")
-	// NotOwner is a call to a daemon that does not own the unit concerned.
+	// NotOwner is a call to a daemon that does not own the resource that the call concerns.
 	NotOwner = namespace.NewType("not_owner")
-	// Internal is a broken invariant.
+	// Internal is a violated invariant, which indicates a bug.
 	Internal = namespace.NewType("internal")
 
 	remedyProperty = errorx.RegisterPrintableProperty("remedy")
 )
 
-// New returns an error of the given kind. The remedy says what the reader can do.
+// New returns an error of the given kind. The remedy tells the reader what to do about it.
 func New(kind *errorx.Type, remedy, format string, args ...any) error {
 	return kind.New(format, args...).WithProperty(remedyProperty, remedy)
 }
 
-// Wrap returns an error of the given kind with a cause.
+// Wrap returns an error of the given kind that wraps a cause.
 func Wrap(cause error, kind *errorx.Type, remedy, format string, args ...any) error {
 	return kind.Wrap(cause, format, args...).WithProperty(remedyProperty, remedy)
 }
--- a/core/flow/doc.go
+++ b/core/flow/doc.go
@@ -1,9 +1,9 @@
-// Package flow holds the jobs of a cell as the log tells them: jobs of steps, their
-// occurrences, and for each task which run the placer last began and how it ended.
+// Package flow holds the replicated state of a cell's jobs, rebuilt from the log. A job has
+// steps and occurrences; for each task, the state records the last run that the placer began
+// and how that run ended.
 //
-// Every daemon applies the same records in the same order and so answers the same. The
-// first submission of an id counts, so that a caller may repeat it through any daemon.
-// Records of a placer whose claim was superseded never reach the log, because the log
-// fences their appends; Apply ignores what contradicts the state all the same and
-// returns an error for it.
+// Every daemon applies the same records in the same order and therefore reaches the same
+// state. Only the first submission of a job id takes effect, so a caller may retry it through
+// any daemon. The log fences appends of a superseded placer. As a second safeguard, Apply
+// ignores records that contradict the state and returns an error for them.
 package flow
--- a/core/flow/ended.go
+++ b/core/flow/ended.go
@@ -8,33 +8,35 @@
 	"briarproxy/core/fault"
 )
 
-// A chunk of jobs of which only the phase is of use is a version byte, the generation, and for
-// each job a byte with its phase and the form of its id, the id, and how much longer ago it
-// ended than the job before it. Numbers have the form of binary.PutUvarint.
+// A chunk of ended jobs, for which only the phase is still needed, consists of a version byte,
+// the snapshot generation, and one entry per job: a byte with the phase and the id encoding,
+// the id, and the difference in age (milliseconds since the end) from the preceding job.
+// Numbers are encoded as by binary.PutUvarint.
 const (
-	overVersion   = 0x02
-	overTextID    = 0x80 // the id is a length and text; otherwise it is idBytes in hexadecimal
-	idBytes       = 8
-	longestOverMS = int64(1) << 40 // bound of an age from another writer
+	endedVersion    = 0x02
+	endedTextIDFlag = 0x80 // the id is stored as length and text, otherwise as binaryIDBytes bytes that print as hexadecimal
+	binaryIDBytes   = 8
+	maxEndedAgeMS   = int64(1) << 40 // about 35 years; a larger age means an invalid chunk
 )
 
-var overPhases = [...]Phase{Completed, Failed, Cancelled}
+var endedPhases = [...]Phase{Completed, Failed, Cancelled}
 
-// saveOver returns the chunks of jobs in the order of their ends, the last end first.
-func saveOver(jobs []*Job, generation int64, now time.Duration) [][]byte {
+// encodeEndedJobs returns the chunks of ended jobs. The jobs must be sorted by end time, the
+// most recent first.
+func encodeEndedJobs(jobs []*Job, generation int64, now time.Duration) [][]byte {
 	var chunks [][]byte
 	var chunk []byte
-	former := int64(0)
+	previousAge := int64(0)
 	for _, j := range jobs {
-		if len(chunk) > chunkBytes {
+		if len(chunk) > maxChunkBytes {
 			chunks, chunk = append(chunks, chunk), nil
 		}
 		if chunk == nil {
-			chunk, former = binary.AppendUvarint([]byte{overVersion}, uint64(generation)), 0
+			chunk, previousAge = binary.AppendUvarint([]byte{endedVersion}, uint64(generation)), 0
 		}
-		age := max(former, (now - j.EndedAt).Milliseconds())
-		chunk = appendOver(chunk, j, age-former)
-		former = age
+		age := max(previousAge, (now - j.EndedAt).Milliseconds())
+		chunk = appendEndedJob(chunk, j, age-previousAge)
+		previousAge = age
 	}
 	if chunk != nil {
 		chunks = append(chunks, chunk)
@@ -42,84 +44,85 @@
 	return chunks
 }
 
-func appendOver(out []byte, j *Job, olderMS int64) []byte {
-	form := byte(0)
-	for i, p := range overPhases {
+func appendEndedJob(out []byte, j *Job, olderMS int64) []byte {
+	header := byte(0)
+	for i, p := range endedPhases {
 		if p == j.Phase {
-			form = byte(i)
+			header = byte(i)
 		}
 	}
-	if id, err := hex.DecodeString(j.ID); err == nil && len(id) == idBytes && hex.EncodeToString(id) == j.ID {
-		out = append(append(out, form), id...)
+	if id, err := hex.DecodeString(j.ID); err == nil && len(id) == binaryIDBytes && hex.EncodeToString(id) == j.ID {
+		out = append(append(out, header), id...)
 	} else {
-		out = binary.AppendUvarint(append(out, form|overTextID), uint64(len(j.ID)))
+		out = binary.AppendUvarint(append(out, header|endedTextIDFlag), uint64(len(j.ID)))
 		out = append(out, j.ID...)
 	}
 	return binary.AppendUvarint(out, uint64(olderMS))
 }
 
-// restoreOver takes the jobs of a chunk behind its version byte.
-func (s *State) restoreOver(data []byte, generation int64, now time.Duration) error {
-	r := overReader{rest: data}
-	if is := int64(r.number()); !r.bad && is != generation {
-		return foreignChunk(is, generation)
+// restoreEndedJobs adds the jobs of a chunk to the state. The data starts after the version byte.
+func (s *State) restoreEndedJobs(data []byte, generation int64, now time.Duration) error {
+	r := endedJobReader{remaining: data}
+	if is := int64(r.uvarint()); !r.invalid && is != generation {
+		return generationMismatch(is, generation)
 	}
 	age := int64(0)
-	for !r.bad && len(r.rest) > 0 {
-		form := r.take(1)[0]
-		id, older := r.id(form), int64(r.number())
-		phase := int(form &^ overTextID)
-		if r.bad || id == "" || phase >= len(overPhases) || older < 0 || older > longestOverMS || s.Jobs[id] != nil {
-			r.bad = true
+	for !r.invalid && len(r.remaining) > 0 {
+		header := r.next(1)[0]
+		id, older := r.id(header), int64(r.uvarint())
+		phase := int(header &^ endedTextIDFlag)
+		if r.invalid || id == "" || phase >= len(endedPhases) || older < 0 || older > maxEndedAgeMS || s.Jobs[id] != nil {
+			r.invalid = true
 			break
 		}
-		if age += older; age > longestOverMS {
-			r.bad = true
+		if age += older; age > maxEndedAgeMS {
+			r.invalid = true
 			break
 		}
-		s.Jobs[id] = &Job{Submit: Submit{ID: id}, Phase: overPhases[phase], EndedAt: now - time.Duration(age)*time.Millisecond}
+		s.Jobs[id] = &Job{Submit: Submit{ID: id}, Phase: endedPhases[phase], EndedAt: now - time.Duration(age)*time.Millisecond}
 	}
-	if r.bad {
-		return fault.New(fault.Invalid, "read the snapshot again", "a chunk of %d bytes with ended jobs can't be read", len(data))
+	if r.invalid {
+		return fault.New(fault.Invalid, "read the snapshot again", "a snapshot chunk of %d bytes with ended jobs is malformed", len(data))
 	}
 	return nil
 }
 
-// overReader reads the fields of a chunk; bad says that it ended too soon.
-type overReader struct {
-	rest []byte
-	bad  bool
+// endedJobReader reads the fields of a chunk. After a read beyond the end or an invalid field,
+// invalid is set.
+type endedJobReader struct {
+	remaining []byte
+	invalid   bool
 }
 
-func (r *overReader) number() uint64 {
-	v, n := binary.Uvarint(r.rest)
+func (r *endedJobReader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.remaining)
 	if n <= 0 {
-		r.bad = true
+		r.invalid = true
 		return 0
 	}
-	r.rest = r.rest[n:]
+	r.remaining = r.remaining[n:]
 	return v
 }
 
-// take returns the next n bytes, or zeros.
-func (r *overReader) take(n int) []byte {
-	if n > len(r.rest) {
-		r.bad = true
-		return make([]byte, min(n, idBytes))
+// next returns the next n bytes. If fewer remain, it sets invalid and returns zeros.
+func (r *endedJobReader) next(n int) []byte {
+	if n > len(r.remaining) {
+		r.invalid = true
+		return make([]byte, min(n, binaryIDBytes))
 	}
-	out := r.rest[:n]
-	r.rest = r.rest[n:]
+	out := r.remaining[:n]
+	r.remaining = r.remaining[n:]
 	return out
 }
 
-func (r *overReader) id(form byte) string {
-	if form&overTextID == 0 {
-		return hex.EncodeToString(r.take(idBytes))
+func (r *endedJobReader) id(header byte) string {
+	if header&endedTextIDFlag == 0 {
+		return hex.EncodeToString(r.next(binaryIDBytes))
 	}
-	n := r.number()
-	if n > uint64(len(r.rest)) {
-		r.bad = true
+	n := r.uvarint()
+	if n > uint64(len(r.remaining)) {
+		r.invalid = true
 		return ""
 	}
-	return string(r.take(int(n)))
+	return string(r.next(int(n)))
 }
--- a/core/flow/fuzz_test.go
+++ b/core/flow/fuzz_test.go
@@ -7,8 +7,8 @@
 	"briarproxy/core/cluster"
 )
 
-// Guards against a record that no daemon can follow: each would end at it, at every start.
-func TestImpossibleJobsAreIgnored(t *testing.T) {
+// Guards against a record that crashes every daemon that applies it, again at each restart.
+func TestInvalidJobsAreIgnored(t *testing.T) {
 	for name, steps := range map[string][]Step{
 		"negative count":      {{Count: -1}},
 		"no task":             {{Count: 0}},
@@ -27,8 +27,8 @@
 	}
 }
 
-// FuzzRecords guards against records, in any order and of any content, that end the process
-// or move the position by other than one.
+// FuzzRecords guards against records, in any order and with any content, that crash the process
+// or do not advance the offset by exactly one.
 func FuzzRecords(f *testing.F) {
 	begin := Record{Batch: &Batch{Epoch: 1, Begins: []Begin{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}}}}}
 	end := Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}, How: cluster.Done, Checkpoint: "c"}}}}
@@ -43,7 +43,7 @@
 		}
 		f.Add(data, data)
 	}
-	f.Add([]byte{packed, 0xff, 0x01}, []byte(`{"b":{"e":1,"b":[{"j":"j","i":-1,"s":99}]}}`))
+	f.Add([]byte{compressedVersion, 0xff, 0x01}, []byte(`{"b":{"e":1,"b":[{"j":"j","i":-1,"s":99}]}}`))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		s := NewState()
 		claim := Record{Claim: &Claim{Daemon: "d", Epoch: 1}}
@@ -55,7 +55,7 @@
 			}
 		}
 		for i := range records {
-			_ = s.Apply(&records[i], time.Duration(i)) // an error says that the record was ignored
+			_ = s.Apply(&records[i], time.Duration(i)) // an error means that the record was ignored
 		}
 		if s.Next != int64(len(records)) {
 			t.Fatalf("position %d after %d records", s.Next, len(records))
@@ -70,12 +70,12 @@
 	})
 }
 
-// FuzzRestore guards against a damaged snapshot that ends the process.
+// FuzzRestore guards against a damaged snapshot that crashes the process.
 func FuzzRestore(f *testing.F) {
 	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":2}]},"p":"running","k":{"0":[{"t":[{},{}]}]}}]`))
 	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":-2}]},"p":"running","k":{"0":[]}}]`))
-	f.Add(append([]byte{overVersion, 0, 1}, "8bytes--\x05\x80\x03abc\x00"...))
-	f.Add([]byte{overVersion, 0, overTextID, 0xff, 0xff, 0x03})
+	f.Add(append([]byte{endedVersion, 0, 1}, "8bytes--\x05\x80\x03abc\x00"...))
+	f.Add([]byte{endedVersion, 0, endedTextIDFlag, 0xff, 0xff, 0x03})
 	f.Fuzz(func(_ *testing.T, chunk []byte) {
 		s, err := Restore(SnapshotHead{Chunks: 1, Parts: []SnapshotPart{PartOf(chunk)}}, [][]byte{chunk}, time.Second)
 		if err != nil {
--- a/core/flow/pack.go
+++ b/core/flow/pack.go
@@ -9,40 +9,41 @@
 	"briarproxy/core/fault"
 )
 
-// Stored records are JSON, or a version byte and compressed JSON. Every daemon reads the
-// whole log, so its bytes pass the link of the smallest VM once for each daemon.
+// A stored record is plain JSON, or a version byte followed by compressed JSON. Every daemon
+// reads the whole log, so each byte crosses the link of the smallest VM once per daemon.
 const (
-	packed      = 0x01    // version byte: DEFLATE with the dictionary below
-	packFrom    = 160     // bytes; shorter records gain nothing
-	unpackLimit = 8 << 20 // bytes; far above what a batch can hold
+	compressedVersion    = 0x01    // version byte: DEFLATE with compressionDictionary
+	minCompressBytes     = 160     // shorter records do not shrink
+	maxDecompressedBytes = 8 << 20 // far above the size of the largest batch
 )
 
-// packDictionary holds what small records repeat. It belongs to the version byte: another
-// dictionary needs another byte.
-const packDictionary = `{"b":{"e":,"b":[{"j":"","s":1,"i":1,"r":1,"w":"","b":17},"x":[{"j":"","i":2,"r":1,"h":"failed","stopped","lapsed","broken","done"},"c":""}],"s":["` +
+// compressionDictionary holds the strings that small records have in common. A change of the
+// dictionary requires a new version byte.
+const compressionDictionary = `{"b":{"e":,"b":[{"j":"","s":1,"i":1,"r":1,"w":"","b":17},"x":[{"j":"","i":2,"r":1,"h":"failed","stopped","lapsed","broken","done"},"c":""}],"s":["` +
 	`{"s":{"id":"","q":"","o":"","v":1,"s":"","t":[{"n":1,"z":{"milli_cores":1000,"memory_mib":10000,"accelerators":1},"e":1000,"a":[0],"g":true,"c":true,"x":true,"p":1}],"m":3,"at":17`
 
-// A compressor takes over a megabyte and is used for a fraction of a millisecond, so all
-// records of a process share one.
+// A compressor takes more than 1 MB of memory and is used for less than a millisecond at a
+// time, so the process shares one.
 var (
-	packing sync.Mutex
-	packer  = sync.OnceValues(func() (*flate.Writer, error) {
-		return flate.NewWriterDict(nil, flate.BestSpeed, []byte(packDictionary))
+	compressorMutex sync.Mutex
+	compressor      = sync.OnceValues(func() (*flate.Writer, error) {
+		return flate.NewWriterDict(nil, flate.BestSpeed, []byte(compressionDictionary))
 	})
-	unpackers = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), []byte(packDictionary)) }}
+	decompressors = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), []byte(compressionDictionary)) }}
 )
 
-// pack compresses a record unless that is of no use.
-func pack(data []byte) ([]byte, error) {
-	if len(data) < packFrom {
+// compress returns the compressed record, or the data unchanged if compression does not make
+// it smaller.
+func compress(data []byte) ([]byte, error) {
+	if len(data) < minCompressBytes {
 		return data, nil
 	}
 	var out bytes.Buffer
 	out.Grow(len(data) / 2)
-	out.WriteByte(packed)
-	packing.Lock()
-	defer packing.Unlock()
-	w, err := packer()
+	out.WriteByte(compressedVersion)
+	compressorMutex.Lock()
+	defer compressorMutex.Unlock()
+	w, err := compressor()
 	if err != nil {
 		return nil, err
 	}
@@ -59,22 +60,22 @@
 	return out.Bytes(), nil
 }
 
-// unpack returns the JSON of a stored record.
-func unpack(data []byte) ([]byte, error) {
-	if len(data) == 0 || data[0] != packed {
+// decompress returns the JSON of a stored record.
+func decompress(data []byte) ([]byte, error) {
+	if len(data) == 0 || data[0] != compressedVersion {
 		return data, nil
 	}
-	r := unpackers.Get().(io.ReadCloser)
-	defer unpackers.Put(r)
-	if err := r.(flate.Resetter).Reset(bytes.NewReader(data[1:]), []byte(packDictionary)); err != nil {
+	r := decompressors.Get().(io.ReadCloser)
+	defer decompressors.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(data[1:]), []byte(compressionDictionary)); err != nil {
 		return nil, err
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, unpackLimit+1))
+	plain, err := io.ReadAll(io.LimitReader(r, maxDecompressedBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(plain) > unpackLimit {
-		return nil, fault.New(fault.Invalid, "remove the writer of foreign records from the log", "a record has more than %d bytes", unpackLimit)
+	if len(plain) > maxDecompressedBytes {
+		return nil, fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "a log record decompresses to more than %d bytes", maxDecompressedBytes)
 	}
 	return plain, nil
 }
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -9,39 +9,39 @@
 	"briarproxy/core/resource"
 )
 
-// Step is a set of like tasks of a job.
+// Step is a set of identical tasks of a job.
 type Step struct {
 	Count         int             `json:"n"`
 	Size          resource.Vector `json:"z"`
-	EstimateMS    int64           `json:"e,omitempty"` // rough, given by the caller
-	After         []int           `json:"a,omitempty"` // steps whose tasks must all be done first
+	EstimateMS    int64           `json:"e,omitempty"` // expected run time of a task, a rough value given by the caller
+	After         []int           `json:"a,omitempty"` // indexes of earlier steps that must be complete first
 	Gang          bool            `json:"g,omitempty"`
-	SameRack      bool            `json:"r,omitempty"` // slower on more than one rack
+	SameRack      bool            `json:"r,omitempty"` // the tasks prefer one rack, because they are slower across racks
 	Checkpointing bool            `json:"c,omitempty"`
-	Speculative   bool            `json:"x,omitempty"` // copies may run in parallel
+	Speculative   bool            `json:"x,omitempty"` // several copies of a task may run in parallel
 	LongRunning   bool            `json:"l,omitempty"` // runs until the job is cancelled
-	Fills         bool            `json:"f,omitempty"` // uses what other tasks leave
-	Label         string          `json:"b,omitempty"` // required of the worker
-	NearRack      string          `json:"k,omitempty"` // rack with the data
-	PerWorker     int             `json:"p,omitempty"` // most tasks of the step on one worker; 0 is no limit
+	Fills         bool            `json:"f,omitempty"` // uses only capacity that other tasks leave free
+	Label         string          `json:"b,omitempty"` // label that a worker must have
+	NearRack      string          `json:"k,omitempty"` // rack that holds the input data
+	PerWorker     int             `json:"p,omitempty"` // maximum number of the step's tasks on one worker; 0 means no limit
 	Image         string          `json:"i,omitempty"`
-	TargetMS      int64           `json:"t,omitempty"` // bound of the tail of response times, for tasks that last
-	MayMiss       int             `json:"m,omitempty"` // tasks that orders may take away at the same time
+	TargetMS      int64           `json:"t,omitempty"` // upper bound of the tail response time, for long-running tasks
+	MayMiss       int             `json:"m,omitempty"` // maximum number of tasks that may be disrupted on purpose at the same time
 }
 
-// Submit accepts a job. The first one of an id counts.
+// Submit accepts a job. Only the first submission of an id takes effect.
 type Submit struct {
 	ID          string `json:"id"`
 	Queue       string `json:"q"`
 	Pool        string `json:"o"`
-	Config      int64  `json:"v"` // version of the configuration that it was accepted under
+	Config      int64  `json:"v"` // version of the configuration under which the job was accepted
 	Spec        string `json:"s"`
 	Steps       []Step `json:"t"`
-	Times       int    `json:"n,omitempty"` // occurrences; 0 is one without a due time
+	Times       int    `json:"n,omitempty"` // number of occurrences; 0 means a single one without a due time
 	FirstMS     int64  `json:"f,omitempty"` // due time of the first occurrence, Unix ms
 	EveryMS     int64  `json:"e,omitempty"`
 	MaxAttempts int    `json:"m"`
-	AtMS        int64  `json:"at"` // Unix ms at the daemon that accepted it
+	AtMS        int64  `json:"at"` // time of acceptance, Unix ms of the accepting daemon's clock
 }
 
 // Cancel cancels a job.
@@ -50,12 +50,12 @@
 	AtMS int64  `json:"at"`
 }
 
-// Claim makes a daemon the placer, from the claim's offset on.
+// Claim makes a daemon the placer as of the claim's offset in the log.
 type Claim struct {
 	Daemon  string `json:"d"`
-	Address string `json:"a"` // of its peer listener
-	Epoch   int64  `json:"e"` // of its appends
-	Started int64  `json:"t"` // start of the process, Unix ms: tells its lives apart
+	Address string `json:"a"` // address of the daemon's peer listener
+	Epoch   int64  `json:"e"` // epoch of the daemon's appends
+	Started int64  `json:"t"` // process start, Unix ms; distinguishes restarts of a daemon
 }
 
 // Release ends the placer's claim.
@@ -64,20 +64,20 @@
 	Epoch  int64  `json:"e"`
 }
 
-// Hello names a daemon to the others. It is repeated while the daemon runs.
+// Hello announces a daemon to the other daemons. A running daemon repeats it.
 type Hello struct {
 	Daemon     string `json:"d"`
 	Address    string `json:"a"`
-	Started    int64  `json:"t"` // start of the process, Unix ms
+	Started    int64  `json:"t"` // process start, Unix ms
 	Leaving    bool   `json:"x,omitempty"`
 	DataCentre string `json:"z,omitempty"`
-	// Strength is how many times the daemon has what a placer needs; DistanceMS is how long
-	// the log takes to answer it.
+	// CapacityFactor is the daemon's capacity as a multiple of what a placer needs.
+	// LogLatencyMS is the response time of the log as seen by the daemon.
 	Strength   float64 `json:"w,omitempty"`
 	DistanceMS int64   `json:"r,omitempty"`
 }
 
-// Begin is the plan to start a run. It is recorded before the order is sent.
+// Begin records the intention to start a run. It is logged before the start order is sent.
 type Begin struct {
 	cluster.RunID
 	cluster.Life
@@ -91,16 +91,16 @@
 	Checkpoint string      `json:"c,omitempty"`
 }
 
-// Batch is what the placer decided and learned since its last batch. An empty one shows
-// that it is alive.
+// Batch holds the placer's decisions and the ends it learned of since its last batch. An empty
+// batch serves as a heartbeat.
 type Batch struct {
 	Epoch   int64    `json:"e"`
 	Begins  []Begin  `json:"b,omitempty"`
 	Ends    []End    `json:"x,omitempty"`
-	Started []string `json:"s,omitempty"` // jobs of which a worker has taken the first run
+	Started []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
 }
 
-// Record is one entry of the log. Exactly one field is set.
+// Record is one log record. Exactly one field is set.
 type Record struct {
 	Submit  *Submit  `json:"s,omitempty"`
 	Cancel  *Cancel  `json:"c,omitempty"`
@@ -110,15 +110,15 @@
 	Batch   *Batch   `json:"b,omitempty"`
 }
 
-// Encode returns the record as it is stored.
+// Encode returns the stored form of the record.
 func (r *Record) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "a record can't be encoded")
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "log record cannot be encoded")
 	}
-	stored, err := pack(data)
+	stored, err := compress(data)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "a record can't be compressed")
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "log record cannot be compressed")
 	}
 	return stored, nil
 }
@@ -126,42 +126,42 @@
 // Decode reads a stored record.
 func Decode(data []byte) (Record, error) {
 	var r Record
-	plain, err := unpack(data)
+	plain, err := decompress(data)
 	if err == nil {
 		err = json.Unmarshal(plain, &r)
 	}
 	if err != nil {
-		return Record{}, fault.Wrap(err, fault.Invalid, "remove the writer of foreign records from the log", "a record of %d bytes can't be read", len(data))
+		return Record{}, fault.Wrap(err, fault.Invalid, "find and stop the process that writes invalid records to the log", "log record of %d bytes cannot be decoded", len(data))
 	}
 	return r, nil
 }
 
-// Limits of a job, also of one that another writer put into the log.
+// Limits of a job. They also apply to jobs in the log that some other program wrote.
 const (
 	MaxTasksInStep = 5000
 	MaxTimes       = 10_000
 )
 
-// check reports what makes a job impossible to follow: every daemon applies every record, so
-// none may ask for memory without bound or name what is not there.
-func (s *Submit) check() error {
+// validate rejects a job that daemons could not apply safely. Every daemon applies every record,
+// so a job must not need unbounded memory or refer to steps that do not exist.
+func (s *Submit) validate() error {
 	if s.ID == "" || s.Times < 0 || s.Times > MaxTimes {
-		return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %q with %d occurrences", s.ID, s.Times)
+		return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %q has an empty id or an invalid number of occurrences: %d", s.ID, s.Times)
 	}
 	for i := range s.Steps {
 		if n := s.Steps[i].Count; n < 1 || n > MaxTasksInStep {
-			return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %s: step %d has %d tasks", s.ID, i, n)
+			return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %s: step %d has an invalid number of tasks: %d", s.ID, i, n)
 		}
 		for _, a := range s.Steps[i].After {
 			if a < 0 || a >= i {
-				return fault.New(fault.Invalid, "remove the writer of foreign records from the log", "job %s: step %d waits for step %d", s.ID, i, a)
+				return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %s: step %d depends on step %d, which is not an earlier step", s.ID, i, a)
 			}
 		}
 	}
 	return nil
 }
 
-// Due returns the due time of an occurrence, Unix ms; 0 is at once.
+// DueMS returns the due time of an occurrence in Unix ms; 0 means immediately.
 func (s *Submit) Due(occurrence int) int64 {
 	if s.Times == 0 {
 		return 0
@@ -169,14 +169,14 @@
 	return s.FirstMS + int64(occurrence)*s.EveryMS
 }
 
-// Occurrences returns how often the steps run.
+// Occurrences returns the number of occurrences, which is at least 1.
 func (s *Submit) Occurrences() int { return max(1, s.Times) }
 
-// Chain returns the estimated time of the longest chain of steps.
+// CriticalPath returns the estimated duration of the longest chain of dependent steps.
 func (s *Submit) Chain() time.Duration { return s.ChainFrom(nil) }
 
-// ChainFrom returns the estimated time of the longest chain of steps that remain; done
-// reports steps that have ended.
+// RemainingCriticalPath returns the estimated duration of the longest chain of dependent steps
+// that are not done. The function done reports whether a step is; nil means that none is.
 func (s *Submit) ChainFrom(done func(step int) bool) time.Duration {
 	ends := make([]int64, len(s.Steps))
 	longest := int64(0)
--- a/core/flow/seed_test.go
+++ b/core/flow/seed_test.go
@@ -2,5 +2,5 @@
 
 import "flag"
 
-// A fixed seed gives the property tests the same verdict on every run.
+// A fixed seed makes the results of the property tests reproducible.
 func init() { _ = flag.Set("rapid.seed", "1") }
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -10,37 +10,37 @@
 	"briarproxy/core/fault"
 )
 
-// chunkBytes bounds a part of a snapshot, below the record limit of the log.
-const chunkBytes = 128 << 10
+// maxChunkBytes is the target size of a snapshot chunk. It is below the log's limit for a record.
+const maxChunkBytes = 128 << 10
 
-// wholeAfterEnd is how long a job that has ended is kept and saved whole: a run of it that was
-// planned before may still be recorded.
-const wholeAfterEnd = 5 * time.Second
+// endedJobDetailRetention is how long an ended job keeps its steps and tasks, in memory and in
+// snapshots: a run that was planned before the end may still be recorded.
+const endedJobDetailRetention = 5 * time.Second
 
-// savedChunk is a part of a snapshot. The generation tells parts of two snapshots apart: a
-// reader may see some of the next one already.
+// savedChunk is one chunk of a snapshot. The generation distinguishes chunks of consecutive
+// snapshots, because a reader may already see chunks of the next one.
 type savedChunk struct {
 	Generation int64             `json:"g"`
 	Jobs       []json.RawMessage `json:"j"`
 }
 
-// SnapshotHead names a complete snapshot. It is written after its chunks.
+// SnapshotHead describes a complete snapshot. It is written after all chunks.
 type SnapshotHead struct {
 	Generation int64          `json:"g"`
 	Chunks     int            `json:"n"`
-	Parts      []SnapshotPart `json:"p"` // one for each chunk
-	Next       int64          `json:"x"` // offset of the first record that the snapshot does not know
+	Parts      []SnapshotPart `json:"p"` // one per chunk
+	Next       int64          `json:"x"` // offset of the first record that the snapshot does not include
 	Claim      Claim          `json:"c"`
 	Token      int64          `json:"k"`
 	Members    []Hello        `json:"m,omitempty"`
 }
 
-// savedJob is a job that is saved whole.
+// savedJob is the stored form of a job with its steps and tasks.
 type savedJob struct {
 	Submit   *Submit             `json:"s,omitempty"`
 	Offset   int64               `json:"o,omitempty"`
 	Phase    Phase               `json:"p"`
-	EndedMS  int64               `json:"e,omitempty"` // how long ago it ended
+	EndedMS  int64               `json:"e,omitempty"` // time since the end of the job
 	Occurred map[int][]savedStep `json:"k,omitempty"`
 }
 
@@ -51,65 +51,65 @@
 	Tasks    []TaskState `json:"t"`
 }
 
-// SnapshotPart describes a chunk, so that a reader knows what it lacks and rejects a chunk that
-// is damaged or of another snapshot.
+// SnapshotPart describes a chunk. It lets a reader determine which chunks are missing and reject
+// a chunk that is damaged or belongs to another snapshot.
 type SnapshotPart struct {
 	Bytes  int    `json:"b"`
 	Sum    uint32 `json:"s"` // CRC-32
-	Offset int64  `json:"o"` // where the writer stored it
+	Offset int64  `json:"o"` // offset at which the writer stored the chunk
 }
 
-// PartOf describes a chunk that is not stored yet.
+// DescribeChunk returns the description of a chunk that is not stored yet, without its offset.
 func PartOf(chunk []byte) SnapshotPart {
 	return SnapshotPart{Bytes: len(chunk), Sum: crc32.ChecksumIEEE(chunk)}
 }
 
-func (p SnapshotPart) describes(chunk []byte) bool {
+func (p SnapshotPart) matches(chunk []byte) bool {
 	return len(chunk) == p.Bytes && crc32.ChecksumIEEE(chunk) == p.Sum
 }
 
-// Encode returns the head as it is stored.
+// Encode returns the stored form of the head.
 func (h *SnapshotHead) Encode() ([]byte, error) {
 	data, err := json.Marshal(h)
 	if err == nil {
-		data, err = pack(data)
+		data, err = compress(data)
 	}
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "the head of a snapshot can't be encoded")
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "snapshot head cannot be encoded")
 	}
 	return data, nil
 }
 
-// DecodeHead reads a stored head.
+// DecodeHead decodes and validates a stored head.
 func DecodeHead(data []byte) (SnapshotHead, error) {
 	var head SnapshotHead
-	plain, err := unpack(data)
+	plain, err := decompress(data)
 	if err == nil {
 		err = json.Unmarshal(plain, &head)
 	}
 	if err != nil {
-		return SnapshotHead{}, fault.Wrap(err, fault.Invalid, "remove the foreign head of the snapshot", "the head of the snapshot can't be read")
+		return SnapshotHead{}, fault.Wrap(err, fault.Invalid, "remove the invalid snapshot head", "snapshot head cannot be decoded")
 	}
-	foreign := slices.ContainsFunc(head.Parts, func(p SnapshotPart) bool { return p.Offset < 0 })
-	if foreign || head.Generation < 0 || head.Chunks < 1 || head.Chunks != len(head.Parts) {
-		return SnapshotHead{}, fault.New(fault.Invalid, "remove the head of a foreign or former version", "the head of snapshot %d describes %d of %d chunks", head.Generation, len(head.Parts), head.Chunks)
+	negativeOffset := slices.ContainsFunc(head.Parts, func(p SnapshotPart) bool { return p.Offset < 0 })
+	if negativeOffset || head.Generation < 0 || head.Chunks < 1 || head.Chunks != len(head.Parts) {
+		return SnapshotHead{}, fault.New(fault.Invalid, "remove the snapshot head, which has another version or writer", "head of snapshot %d is invalid: it describes %d of %d chunks", head.Generation, len(head.Parts), head.Chunks)
 	}
 	return head, nil
 }
 
-// Snapshot returns the state as a head and chunks. What is needed to place comes first, the
-// jobs of which only the phase is of use come last.
+// Snapshot returns the state as a head and chunks. The data needed for placement comes first;
+// ended jobs, of which only the phase is still needed, come last.
 func (s *State) Snapshot(generation int64, now time.Duration) (SnapshotHead, [][]byte, error) {
 	head := SnapshotHead{Generation: generation, Next: s.Next, Claim: s.Claim, Token: s.Token}
 	for _, m := range s.Members {
 		head.Members = append(head.Members, m.Hello)
 	}
-	whole, over := s.byUse(now)
-	chunks, err := saveWhole(whole, generation, now)
+	full, ended := s.jobsForSnapshot(now)
+	chunks, err := encodeFullJobs(full, generation, now)
 	if err != nil {
 		return SnapshotHead{}, nil, err
 	}
-	chunks = append(chunks, saveOver(over, generation, now)...)
+	chunks = append(chunks, encodeEndedJobs(ended, generation, now)...)
 	head.Chunks = len(chunks)
 	for _, chunk := range chunks {
 		head.Parts = append(head.Parts, PartOf(chunk))
@@ -117,48 +117,48 @@
 	return head, chunks, nil
 }
 
-// byUse returns the jobs that are saved whole, those that have not ended first, and the
-// others, those that ended last first.
-func (s *State) byUse(now time.Duration) (whole, over []*Job) {
+// jobsForSnapshot returns the jobs that are saved in full, unfinished ones first, and the ended
+// jobs of which only the phase is saved, the most recently ended first.
+func (s *State) jobsForSnapshot(now time.Duration) (full, ended []*Job) {
 	for _, j := range s.Jobs {
-		if j.over(now) {
-			over = append(over, j)
+		if j.onlyPhaseNeeded(now) {
+			ended = append(ended, j)
 		} else {
-			whole = append(whole, j)
+			full = append(full, j)
 		}
 	}
-	slices.SortFunc(whole, func(a, b *Job) int {
+	slices.SortFunc(full, func(a, b *Job) int {
 		if a.Phase.Final() != b.Phase.Final() {
 			return map[bool]int{false: -1, true: 1}[a.Phase.Final()]
 		}
 		return cmp.Compare(a.Offset, b.Offset)
 	})
-	slices.SortFunc(over, func(a, b *Job) int { return cmp.Compare(b.EndedAt, a.EndedAt) })
-	return whole, over
+	slices.SortFunc(ended, func(a, b *Job) int { return cmp.Compare(b.EndedAt, a.EndedAt) })
+	return full, ended
 }
 
-// saveWhole returns the chunks of jobs with all that is known of them, one chunk at least.
-func saveWhole(jobs []*Job, generation int64, now time.Duration) ([][]byte, error) {
+// encodeFullJobs returns the chunks of jobs with their steps and tasks, at least one chunk.
+func encodeFullJobs(jobs []*Job, generation int64, now time.Duration) ([][]byte, error) {
 	var chunks [][]byte
 	chunk, size := savedChunk{Generation: generation}, 0
 	flush := func() error {
 		data, err := json.Marshal(chunk)
 		if err == nil {
-			data, err = pack(data)
+			data, err = compress(data)
 		}
 		if err != nil {
-			return fault.Wrap(err, fault.Internal, "report this as a bug", "a part of the snapshot can't be encoded")
+			return fault.Wrap(err, fault.Internal, "report this as a bug", "snapshot chunk cannot be encoded")
 		}
 		chunks = append(chunks, data)
 		chunk.Jobs, size = nil, 0
 		return nil
 	}
 	for _, j := range jobs {
-		data, err := json.Marshal(saveJob(j, now))
+		data, err := json.Marshal(toSavedJob(j, now))
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s can't be saved", j.ID)
+			return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "job %s cannot be encoded for the snapshot", j.ID)
 		}
-		if size > 0 && size+len(data) > chunkBytes {
+		if size > 0 && size+len(data) > maxChunkBytes {
 			if err := flush(); err != nil {
 				return nil, err
 			}
@@ -169,7 +169,7 @@
 	return chunks, flush()
 }
 
-func saveJob(j *Job, now time.Duration) savedJob {
+func toSavedJob(j *Job, now time.Duration) savedJob {
 	saved := savedJob{Phase: j.Phase, Offset: j.Offset}
 	if j.Phase.Final() {
 		saved.EndedMS = (now - j.EndedAt).Milliseconds()
@@ -180,48 +180,49 @@
 		steps := make([]savedStep, len(o.Steps))
 		for i := range o.Steps {
 			st := &o.Steps[i]
-			steps[i] = savedStep{Run: st.Run, Failures: st.Failures, Failed: st.failed, Tasks: st.Tasks}
+			steps[i] = savedStep{Run: st.Run, Failures: st.Failures, Failed: st.lastFailedRun, Tasks: st.Tasks}
 		}
 		saved.Occurred[k] = steps
 	}
 	return saved
 }
 
-// Restorer takes a snapshot chunk by chunk.
+// Restorer rebuilds a state from a snapshot chunk by chunk.
 type Restorer struct {
 	head  SnapshotHead
 	state *State
-	taken int
+	added int
 }
 
-// NewRestorer returns a restorer that has taken no chunk.
+// NewRestorer returns a restorer to which no chunk has been added.
 func NewRestorer(head SnapshotHead) *Restorer { return &Restorer{head: head, state: NewState()} }
 
 // Head returns the head of the snapshot.
 func (r *Restorer) Head() *SnapshotHead { return &r.head }
 
-// Taken returns how many chunks were taken; it is the index of the next one.
-func (r *Restorer) Taken() int { return r.taken }
+// ChunksAdded returns the number of chunks added so far, which is the index of the next one.
+func (r *Restorer) Taken() int { return r.added }
 
-// Complete reports whether all chunks were taken.
-func (r *Restorer) Complete() bool { return r.taken == r.head.Chunks }
+// Complete reports whether all chunks have been added.
+func (r *Restorer) Complete() bool { return r.added == r.head.Chunks }
 
-// Take takes the next chunk. A chunk that the head does not describe changes nothing.
+// AddChunk adds the next chunk. A chunk that does not match the head's description is rejected
+// and changes nothing.
 func (r *Restorer) Take(chunk []byte, now time.Duration) error {
-	if r.taken >= len(r.head.Parts) || !r.head.Parts[r.taken].describes(chunk) {
-		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is damaged or of another one", r.taken, r.head.Generation)
+	if r.added >= len(r.head.Parts) || !r.head.Parts[r.added].matches(chunk) {
+		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is damaged or belongs to another snapshot", r.added, r.head.Generation)
 	}
 	if err := r.state.restoreChunk(chunk, r.head.Generation, now); err != nil {
 		return err
 	}
-	r.taken++
+	r.added++
 	return nil
 }
 
-// State returns the state that a complete snapshot holds.
+// State returns the restored state. It fails unless all chunks have been added.
 func (r *Restorer) State(now time.Duration) (*State, error) {
 	if !r.Complete() {
-		return nil, fault.New(fault.Invalid, "read the snapshot again", "the snapshot has %d of %d chunks", r.taken, r.head.Chunks)
+		return nil, fault.New(fault.Invalid, "read the snapshot again", "snapshot is incomplete: got %d of %d chunks", r.added, r.head.Chunks)
 	}
 	s := r.state
 	s.Next, s.Token, s.Heard = r.head.Next, r.head.Token, now
@@ -229,7 +230,8 @@
 	return s, nil
 }
 
-// Meet takes from the head of a snapshot who else there is, and nothing of the jobs.
+// RestoreMembership sets the claim and the members from the head of a snapshot. Jobs stay as
+// they are.
 func (s *State) Meet(head *SnapshotHead, now time.Duration) {
 	s.Claim = head.Claim
 	for _, h := range head.Members {
@@ -237,7 +239,7 @@
 	}
 }
 
-// Restore returns the state that a snapshot holds.
+// Restore returns the state that the snapshot's head and chunks describe.
 func Restore(head SnapshotHead, chunks [][]byte, now time.Duration) (*State, error) {
 	r := NewRestorer(head)
 	for _, chunk := range chunks {
@@ -248,12 +250,12 @@
 	return r.State(now)
 }
 
-// restoreChunk takes the jobs of one part.
+// restoreChunk adds the jobs of one chunk to the state.
 func (s *State) restoreChunk(data []byte, generation int64, now time.Duration) error {
-	if len(data) > 0 && data[0] == overVersion {
-		return s.restoreOver(data[1:], generation, now)
+	if len(data) > 0 && data[0] == endedVersion {
+		return s.restoreEndedJobs(data[1:], generation, now)
 	}
-	plain, err := unpack(data)
+	plain, err := decompress(data)
 	var chunk struct {
 		Generation int64      `json:"g"`
 		Jobs       []savedJob `json:"j"`
@@ -262,10 +264,10 @@
 		err = json.Unmarshal(plain, &chunk)
 	}
 	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "read the snapshot again", "a chunk of the snapshot can't be read")
+		return fault.Wrap(err, fault.Invalid, "read the snapshot again", "snapshot chunk cannot be decoded")
 	}
 	if chunk.Generation != generation {
-		return foreignChunk(chunk.Generation, generation)
+		return generationMismatch(chunk.Generation, generation)
 	}
 	for i := range chunk.Jobs {
 		if err := s.restoreJob(&chunk.Jobs[i], now); err != nil {
@@ -275,16 +277,16 @@
 	return nil
 }
 
-func foreignChunk(is, should int64) error {
-	return fault.New(fault.Invalid, "read the snapshot again", "a chunk of generation %d among those of %d", is, should)
+func generationMismatch(got, want int64) error {
+	return fault.New(fault.Invalid, "read the snapshot again", "snapshot chunk has generation %d, want %d", got, want)
 }
 
 func (s *State) restoreJob(saved *savedJob, now time.Duration) error {
 	if saved.Submit == nil {
-		return fault.New(fault.Invalid, "read the snapshot again", "a job of the snapshot has no submission")
+		return fault.New(fault.Invalid, "read the snapshot again", "job in the snapshot has no submission")
 	}
 	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
-	if err := saved.Submit.check(); err != nil {
+	if err := saved.Submit.validate(); err != nil {
 		return err
 	}
 	j.Submit = *saved.Submit
@@ -294,9 +296,9 @@
 	}
 	for k, steps := range saved.Occurred {
 		if k < 0 || k >= j.Submit.Occurrences() {
-			return fault.New(fault.Invalid, "read the snapshot again", "the snapshot names occurrence %d of job %s", k, j.ID)
+			return fault.New(fault.Invalid, "read the snapshot again", "snapshot has invalid occurrence %d of job %s", k, j.ID)
 		}
-		o := j.occurrence(k)
+		o := j.ensureOccurrence(k)
 		for i := range steps {
 			if i < len(o.Steps) && len(steps[i].Tasks) == len(o.Steps[i].Tasks) {
 				restoreStep(j, o, &o.Steps[i], &steps[i])
@@ -310,7 +312,7 @@
 }
 
 func restoreStep(j *Job, o *Occurrence, st *StepState, saved *savedStep) {
-	st.Run, st.Failures, st.failed = saved.Run, saved.Failures, saved.Failed
+	st.Run, st.Failures, st.lastFailedRun = saved.Run, saved.Failures, saved.Failed
 	copy(st.Tasks, saved.Tasks)
 	for i := range st.Tasks {
 		if st.Tasks[i].Done {
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -12,8 +12,8 @@
 	"briarproxy/core/fault"
 )
 
-// plain returns what two states must have in common.
-func plain(s *State) map[string]any {
+// comparableState returns the parts of a state that must survive a snapshot.
+func comparableState(s *State) map[string]any {
 	view := map[string]any{"next": s.Next, "claim": s.Claim, "token": s.Token, "pending": s.Pending}
 	for id, j := range s.Jobs {
 		view[id] = j.Phase
@@ -28,12 +28,12 @@
 	return view
 }
 
-// Guards against a snapshot that forgets or invents something: a state that is restored
-// from one must go through later records like the state that it was taken of.
-func TestSnapshotGoesOnLikeTheState(t *testing.T) {
+// Guards against a snapshot that loses or adds state: a restored state must react to later
+// records like the original state.
+func TestRestoredStateMatchesOriginal(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	s := NewState()
-	apply(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}}, Record{Hello: &Hello{Daemon: "a", Address: "x", Started: 5}})
+	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}}, Record{Hello: &Hello{Daemon: "a", Address: "x", Started: 5}})
 	var restored *State
 	for n := range 3000 {
 		r := randomRecord(rng)
@@ -61,7 +61,7 @@
 			delete(restored.Pending, queue)
 		}
 	}
-	require.Equal(t, plain(s), plain(restored))
+	require.Equal(t, comparableState(s), comparableState(restored))
 }
 
 func randomRecord(rng *rand.Rand) Record {
@@ -83,10 +83,11 @@
 	}
 }
 
-// Guards against ended jobs that become unknown, or grow, through a snapshot.
+// Guards against ended jobs that lose their phase or end time through a snapshot, or are accepted
+// again after it.
 func TestEndedJobsKeepTheirPhase(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, Record{Cancel: &Cancel{ID: "j"}})
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, Record{Cancel: &Cancel{ID: "j"}})
 	for _, now := range []time.Duration{2 * time.Second, time.Minute} {
 		head, chunks, err := s.Snapshot(1, now)
 		require.NoError(t, err)
@@ -94,15 +95,15 @@
 		require.NoError(t, err)
 		require.Equal(t, Cancelled, restored.Jobs["j"].Phase)
 		require.Equal(t, now-time.Second, time.Hour-restored.Jobs["j"].EndedAt)
-		apply(t, restored, Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 1}}}})
+		applyRecords(t, restored, Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 1}}}})
 		require.Equal(t, Cancelled, restored.Jobs["j"].Phase)
 		require.Zero(t, restored.Pending["q"])
 	}
 }
 
-// Guards against a snapshot whose parts are of two generations, or incomplete.
+// Guards against a restore from an incomplete snapshot or from chunks of two generations.
 func TestIncompleteSnapshotIsRefused(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
+	s := stateWithJob(t, Step{Count: 1})
 	head, chunks, err := s.Snapshot(1, 0)
 	require.NoError(t, err)
 	_, err = Restore(head, chunks[:0], 0)
@@ -112,14 +113,14 @@
 	_, next, err := s.Snapshot(2, 0)
 	require.NoError(t, err)
 	_, err = Restore(head, next, 0)
-	require.True(t, fault.Is(err, fault.Invalid), "a part of the next snapshot was taken: %v", err)
+	require.True(t, fault.Is(err, fault.Invalid), "a chunk of the next snapshot was accepted: %v", err)
 	head.Parts = []SnapshotPart{PartOf(next[0])}
 	_, err = Restore(head, next, 0)
-	require.True(t, fault.Is(err, fault.Invalid), "a part of the next snapshot was taken that the head describes: %v", err)
+	require.True(t, fault.Is(err, fault.Invalid), "a chunk of the next snapshot was accepted although its generation differs: %v", err)
 }
 
-// mixedJobs is a state in which a third of the jobs has not ended, and the others have for a
-// minute.
+// mixedJobs returns a state in which a third of the n jobs is queued and the others were
+// cancelled at boot-clock time 1 s.
 func mixedJobs(t testing.TB, n int) *State {
 	s := NewState()
 	apply := func(r Record) { require.NoError(t, s.Apply(&r, time.Second)) }
@@ -134,9 +135,9 @@
 	return s
 }
 
-// Guards against a daemon that reads what is of no use for placing first, and against ended jobs
-// that fill the link of a thin one.
-func TestEndedJobsComeLastAndCostLittle(t *testing.T) {
+// Guards against a start-up that reads ended jobs before the data needed for placement, and
+// against ended jobs that saturate the link of a small VM.
+func TestEndedJobsAreLastAndCompact(t *testing.T) {
 	const jobs, bytesEach = 3000, 11
 	head, chunks, err := mixedJobs(t, jobs).Snapshot(1, time.Minute)
 	require.NoError(t, err)
@@ -148,7 +149,7 @@
 	require.Len(t, r.state.Jobs, jobs/3)
 	require.Equal(t, jobs/3, r.state.Pending["q"])
 	_, err = r.State(time.Hour)
-	require.True(t, fault.Is(err, fault.Invalid), "a state without the ended jobs was given")
+	require.True(t, fault.Is(err, fault.Invalid), "a state was returned without the ended jobs")
 	require.LessOrEqual(t, len(last), jobs*2/3*bytesEach)
 	require.NoError(t, r.Take(last, time.Hour))
 	s, err := r.State(time.Hour)
@@ -158,9 +159,9 @@
 	require.Equal(t, time.Hour-59*time.Second, s.Jobs[fmt.Sprintf("%016x", 1)].EndedAt)
 }
 
-// Guards against ids that change their form, phases and ages that get mixed up, and chunks
-// beyond the record limit of the log.
-func TestEndedJobsOfAllForms(t *testing.T) {
+// Guards against ids, phases or end times that change through a snapshot, and against chunks
+// above the log's limit for a record.
+func TestEndedJobsRoundTrip(t *testing.T) {
 	s := NewState()
 	phases := []Phase{Completed, Failed, Cancelled}
 	for i, id := range []string{"j", "00000000000000ff", "00000000000000FF", "not hexadecimal!", "0123456789abcdef0", string(make([]byte, 300))} {
@@ -174,24 +175,24 @@
 	require.NoError(t, err)
 	require.Greater(t, len(chunks), 2)
 	for _, chunk := range chunks {
-		require.Less(t, len(chunk), chunkBytes+1024)
+		require.Less(t, len(chunk), maxChunkBytes+1024)
 	}
 	restored, err := Restore(head, chunks, time.Hour)
 	require.NoError(t, err)
 	require.Equal(t, s.Jobs, restored.Jobs)
 }
 
-// Guards against a head of another writer that ends the process or has it ask for ever.
-func TestForeignHeadsAreRefused(t *testing.T) {
-	head, _, err := claimed(t, Step{Count: 1}).Snapshot(3, 0)
+// Guards against an invalid head that crashes the process or makes it request chunks for ever.
+func TestInvalidHeadsAreRejected(t *testing.T) {
+	head, _, err := stateWithJob(t, Step{Count: 1}).Snapshot(3, 0)
 	require.NoError(t, err)
 	data, err := head.Encode()
 	require.NoError(t, err)
 	again, err := DecodeHead(data)
 	require.NoError(t, err)
 	require.Equal(t, head, again)
-	for _, foreign := range []string{"{", `{}`, `{"g":-1,"n":1,"p":[{}]}`, `{"g":1,"n":2,"p":[{}]}`, `{"g":1,"n":1,"p":[{"o":-4}]}`, `{"g":6,"n":24,"x":7591}`} {
-		_, err := DecodeHead([]byte(foreign))
-		require.True(t, fault.Is(err, fault.Invalid), "%s: %v", foreign, err)
+	for _, invalid := range []string{"{", `{}`, `{"g":-1,"n":1,"p":[{}]}`, `{"g":1,"n":2,"p":[{}]}`, `{"g":1,"n":1,"p":[{"o":-4}]}`, `{"g":6,"n":24,"x":7591}`} {
+		_, err := DecodeHead([]byte(invalid))
+		require.True(t, fault.Is(err, fault.Invalid), "%s: %v", invalid, err)
 	}
 }
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -7,7 +7,7 @@
 	"briarproxy/core/fault"
 )
 
-// Phase is the state of a job.
+// Phase is the phase of a job's life cycle.
 type Phase string
 
 // Phases of a job. The last three are final.
@@ -22,46 +22,47 @@
 // Final reports whether a job in this phase has ended.
 func (p Phase) Final() bool { return p == Completed || p == Failed || p == Cancelled }
 
-// TaskState is what the log says of one task.
+// TaskState is the state of one task according to the log.
 type TaskState struct {
-	Run        int          `json:"r,omitempty"` // of the last run begun; runs count from 1
+	Run        int          `json:"r,omitempty"` // number of the last run begun; runs are numbered from 1
 	Active     bool         `json:"a,omitempty"`
 	Done       bool         `json:"d,omitempty"`
 	Failures   int          `json:"f,omitempty"`
-	Life       cluster.Life `json:"l"` // that the last run was begun on
+	Life       cluster.Life `json:"l"` // worker incarnation of the last run
 	Checkpoint string       `json:"c,omitempty"`
 }
 
-// StepState is what the log says of one step of an occurrence.
+// StepState is the state of one step of an occurrence according to the log.
 type StepState struct {
-	Tasks    []TaskState
-	Done     int // tasks that are done
-	Run      int // highest run of any task, shared by the members of a gang
-	Failures int // failed runs of a gang
-	failed   int // last run that was counted
+	Tasks         []TaskState
+	Done          int // number of tasks that are done
+	Run           int // highest run number of any task; the members of a gang share it
+	Failures      int // number of failed runs of a gang
+	lastFailedRun int // last run of the gang that was counted as failed
 }
 
 // Complete reports whether all tasks of the step are done.
 func (s *StepState) Complete() bool { return s.Done == len(s.Tasks) }
 
-// Occurrence is one run of all steps of a job.
+// Occurrence is one execution of all steps of a job.
 type Occurrence struct {
 	Steps    []StepState
-	Complete int // steps that are complete
+	Complete int // number of complete steps
 }
 
 // Job is a job with its progress.
 type Job struct {
 	Submit
-	Offset      int64 // of the submission in the log
+	Offset      int64 // log offset of the submission
 	Phase       Phase
-	Occurrences map[int]*Occurrence // those of which a run was begun
-	Ended       int                 // occurrences that are complete
-	EndedAt     time.Duration       // boot clock at which the final phase was read
-	Active      int                 // runs that have begun and not ended
+	Occurrences map[int]*Occurrence // occurrences of which a run has begun, by index
+	Ended       int                 // number of complete occurrences
+	EndedAt     time.Duration       // boot-clock time at which the final phase was applied
+	Active      int                 // number of runs that have begun and not ended
 }
 
-// Step returns the state of a step; nil if no run of the occurrence was begun.
+// Step returns the state of a step, or nil if no run of the occurrence has begun or the step
+// does not exist.
 func (j *Job) Step(occurrence, step int) *StepState {
 	o := j.Occurrences[occurrence]
 	if o == nil || step < 0 || step >= len(o.Steps) {
@@ -70,8 +71,8 @@
 	return &o.Steps[step]
 }
 
-// occurrence returns the occurrence and makes it if it does not exist.
-func (j *Job) occurrence(k int) *Occurrence {
+// ensureOccurrence returns the occurrence and creates it if it does not exist.
+func (j *Job) ensureOccurrence(k int) *Occurrence {
 	o := j.Occurrences[k]
 	if o != nil {
 		return o
@@ -87,7 +88,7 @@
 	return o
 }
 
-// StepReady reports whether the steps that the step waits for are complete.
+// StepReady reports whether all steps that the step depends on are complete.
 func (j *Job) StepReady(occurrence, step int) bool {
 	for _, a := range j.Steps[step].After {
 		s := j.Step(occurrence, a)
@@ -98,47 +99,48 @@
 	return true
 }
 
-// start notes that a run of the job has certainly begun.
-func (s *State) start(j *Job) {
+// markRunning moves a queued job to the running phase, once a run of it is known to have begun.
+func (s *State) markRunning(j *Job) {
 	if j.Phase == Queued {
-		s.leaveQueue(j)
+		s.decrementPending(j)
 		j.Phase = Running
 	}
 }
 
-// Member is a daemon that said hello.
+// Member is a daemon that has announced itself by a Hello record.
 type Member struct {
 	Hello
-	Seen time.Duration // boot clock
+	Seen time.Duration // boot-clock time of the last Hello
 }
 
-// State is all that the log of one partition says. It is not safe for concurrent use.
+// State is the state that the records of one log partition describe. It is not safe for
+// concurrent use.
 type State struct {
 	Jobs    map[string]*Job
-	Claim   Claim // newest claim; its Daemon is "" if it was released or never made
-	Token   int64 // fencing token of the newest claim: its offset plus one
-	Heard   time.Duration
-	Claimed time.Duration // boot clock at which the newest claim was read
+	Claim   Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
+	Token   int64         // fencing token of the newest claim: the claim's offset plus one
+	Heard   time.Duration // boot-clock time of the placer's last claim or batch
+	Claimed time.Duration // boot-clock time at which the newest claim was applied
 	Members map[string]Member
 	Next    int64          // offset of the next record
-	Pending map[string]int // by queue: jobs without a due time of which nothing has begun
+	Pending map[string]int // by queue: number of jobs without a due time that have not begun
 }
 
-// NewState returns the state before the first record.
+// NewState returns the empty state before the first record.
 func NewState() *State {
 	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}}
 }
 
-// Apply applies the record at State.Next, read at the given time of the boot clock. An
-// error means that the record, or the entry that it names, was ignored.
+// Apply applies the record at State.NextOffset, which was read at boot-clock time now. An error
+// means that the record, or the batch entry that the error names, was ignored.
 func (s *State) Apply(r *Record, now time.Duration) error {
 	offset := s.Next
 	s.Next++
 	switch {
 	case r.Submit != nil:
-		return s.submit(r.Submit, offset)
+		return s.applySubmit(r.Submit, offset)
 	case r.Cancel != nil:
-		return s.cancel(r.Cancel, now)
+		return s.applyCancel(r.Cancel, now)
 	case r.Claim != nil:
 		s.Claim, s.Token, s.Heard, s.Claimed = *r.Claim, offset+1, now, now
 	case r.Release != nil:
@@ -146,23 +148,23 @@
 			s.Claim.Daemon = ""
 		}
 	case r.Hello != nil:
-		s.hello(*r.Hello, now)
+		s.applyHello(*r.Hello, now)
 	case r.Batch != nil:
-		return s.batch(r.Batch, now)
+		return s.applyBatch(r.Batch, now)
 	default:
-		return fault.New(fault.Invalid, "upgrade this daemon if newer ones write to the log", "record %d is of no known kind", offset)
+		return fault.New(fault.Invalid, "upgrade this daemon if newer ones write to the log", "log record at offset %d has an unknown type", offset)
 	}
 	return nil
 }
 
-// Skip passes over a record that can't be read.
+// Skip advances past a record that cannot be decoded.
 func (s *State) Skip() { s.Next++ }
 
-func (s *State) submit(in *Submit, offset int64) error {
+func (s *State) applySubmit(in *Submit, offset int64) error {
 	if s.Jobs[in.ID] != nil {
 		return nil
 	}
-	if err := in.check(); err != nil {
+	if err := in.validate(); err != nil {
 		return err
 	}
 	s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Queued}
@@ -172,64 +174,64 @@
 	return nil
 }
 
-func (s *State) cancel(c *Cancel, now time.Duration) error {
+func (s *State) applyCancel(c *Cancel, now time.Duration) error {
 	j := s.Jobs[c.ID]
 	if j == nil {
-		return fault.New(fault.Invalid, "none needed: the job has been forgotten", "job %s to cancel is not known", c.ID)
+		return fault.New(fault.Invalid, "none needed: the job's retention period has passed", "cannot cancel unknown job %s", c.ID)
 	}
 	s.finish(j, Cancelled, now)
 	return nil
 }
 
-// finish gives a job its final phase, unless it has one.
+// finish sets the final phase of a job, unless it already has one.
 func (s *State) finish(j *Job, p Phase, now time.Duration) {
 	if j.Phase.Final() {
 		return
 	}
-	s.leaveQueue(j)
+	s.decrementPending(j)
 	j.Phase, j.EndedAt = p, now
 }
 
-// leaveQueue keeps the count of jobs of which nothing has begun.
-func (s *State) leaveQueue(j *Job) {
+// decrementPending removes a queued job from the count of pending jobs of its queue.
+func (s *State) decrementPending(j *Job) {
 	if j.Phase == Queued && j.Times == 0 {
 		s.Pending[j.Queue]--
 	}
 }
 
-func (s *State) hello(h Hello, now time.Duration) {
+func (s *State) applyHello(h Hello, now time.Duration) {
 	if h.Leaving {
 		delete(s.Members, h.Daemon)
 		return
 	}
 	if h.Daemon == s.Claim.Daemon && h.Started > s.Claim.Started {
-		s.Claim.Daemon = "" // the process that claimed has ended: this is its successor
+		s.Claim.Daemon = "" // the daemon has restarted, so the process that claimed has ended
 	}
 	s.Members[h.Daemon] = Member{Hello: h, Seen: now}
 }
 
-func (s *State) batch(b *Batch, now time.Duration) error {
+func (s *State) applyBatch(b *Batch, now time.Duration) error {
 	if b.Epoch != s.Claim.Epoch {
-		return fault.New(fault.Conflict, "none needed: a newer placer has taken over", "batch of epoch %d while %d is in force", b.Epoch, s.Claim.Epoch)
+		return fault.New(fault.Conflict, "none needed: a newer placer has taken over", "batch has epoch %d, but the current epoch is %d", b.Epoch, s.Claim.Epoch)
 	}
 	s.Heard = now
 	for _, id := range b.Started {
 		if j := s.Jobs[id]; j != nil {
-			s.start(j)
+			s.markRunning(j)
 		}
 	}
-	var first error
+	var firstErr error
 	for i := range b.Ends {
-		if err := s.end(&b.Ends[i], now); err != nil && first == nil {
-			first = err
+		if err := s.applyEnd(&b.Ends[i], now); err != nil && firstErr == nil {
+			firstErr = err
 		}
 	}
 	for i := range b.Begins {
-		if err := s.begin(&b.Begins[i]); err != nil && first == nil {
-			first = err
+		if err := s.applyBegin(&b.Begins[i]); err != nil && firstErr == nil {
+			firstErr = err
 		}
 	}
-	return first
+	return firstErr
 }
 
 func (s *State) find(id cluster.TaskID) (*Job, *Occurrence, *StepState, *TaskState) {
@@ -238,7 +240,7 @@
 		id.Index >= j.Steps[id.Step].Count || id.Occurrence < 0 || id.Occurrence >= j.Submit.Occurrences() {
 		return nil, nil, nil, nil
 	}
-	o := j.occurrence(id.Occurrence)
+	o := j.ensureOccurrence(id.Occurrence)
 	step := &o.Steps[id.Step]
 	return j, o, step, &step.Tasks[id.Index]
 }
@@ -249,10 +251,10 @@
 	return t
 }
 
-func (s *State) begin(b *Begin) error {
+func (s *State) applyBegin(b *Begin) error {
 	j, _, step, t := s.find(b.TaskID)
 	if t == nil || t.Done || t.Active || b.Run <= t.Run {
-		return fault.New(fault.Conflict, "report this as a bug", "run %d of task %v can't begin", b.Run, b.TaskID)
+		return fault.New(fault.Conflict, "report this as a bug", "run %d of task %v cannot begin: the task is unknown, done or active, or the run is not newer than the last one", b.Run, b.TaskID)
 	}
 	t.Run, t.Active, t.Life = b.Run, true, b.Life
 	step.Run = max(step.Run, b.Run)
@@ -260,26 +262,26 @@
 	return nil
 }
 
-func (s *State) end(e *End, now time.Duration) error {
+func (s *State) applyEnd(e *End, now time.Duration) error {
 	j, o, step, t := s.find(e.TaskID)
 	if t == nil {
-		return fault.New(fault.Conflict, "none needed: the job has been forgotten", "end of unknown task %v", e.TaskID)
+		return fault.New(fault.Conflict, "none needed: the job's retention period has passed", "run ended for unknown task %v", e.TaskID)
 	}
 	if t.Done && t.Run == e.Run {
-		return nil // a gang's member that ended with the others
+		return nil // the gang was already marked as done by another member's end
 	}
 	if !t.Active || t.Run != e.Run {
-		return fault.New(fault.Conflict, "none needed: the end was recorded before", "run %d of task %v does not run", e.Run, e.TaskID)
+		return fault.New(fault.Conflict, "none needed: the end is already recorded", "run %d of task %v is not active", e.Run, e.TaskID)
 	}
 	t.Active = false
 	j.Active--
 	if e.How == cluster.Void {
 		return nil
 	}
-	s.start(j)
+	s.markRunning(j)
 	def := &j.Steps[e.Step]
 	if e.Checkpoint != "" && def.Gang {
-		step.Tasks[0].Checkpoint = e.Checkpoint // any member's is valid for all
+		step.Tasks[0].Checkpoint = e.Checkpoint // the checkpoint of any member is valid for the whole gang
 	} else if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -288,18 +290,19 @@
 	}
 	switch e.How {
 	case cluster.Done:
-		s.done(j, o, step, t, now)
+		s.markDone(j, o, step, t, now)
 		if def.Gang {
-			s.doneGang(j, o, step, e.Run, now)
+			s.markGangDone(j, o, step, e.Run, now)
 		}
 	case cluster.Failed:
-		s.failed(j, def, step, t, e, now)
+		s.recordFailure(j, def, step, t, e, now)
 	}
 	return nil
 }
 
-// doneGang marks the other members of a gang as done: one such end stands for all.
-func (s *State) doneGang(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
+// markGangDone marks the other members of a gang as done. A gang completes as a whole, so the
+// end of one member suffices.
+func (s *State) markGangDone(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
 	for i := range step.Tasks {
 		t := &step.Tasks[i]
 		if t.Done || t.Run != run {
@@ -309,11 +312,11 @@
 			t.Active = false
 			j.Active--
 		}
-		s.done(j, o, step, t, now)
+		s.markDone(j, o, step, t, now)
 	}
 }
 
-func (s *State) done(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
+func (s *State) markDone(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
 	t.Done = true
 	step.Done++
 	if !step.Complete() {
@@ -329,15 +332,16 @@
 	}
 }
 
-// failed counts an attempt. The failure of a gang's member is one attempt of the gang.
-func (s *State) failed(j *Job, def *Step, step *StepState, t *TaskState, e *End, now time.Duration) {
+// recordFailure counts a failed attempt and fails the job at the limit. Failures of several
+// members of a gang in the same run count as one attempt.
+func (s *State) recordFailure(j *Job, def *Step, step *StepState, t *TaskState, e *End, now time.Duration) {
 	t.Failures++
 	attempts := t.Failures
 	if def.Gang {
-		if step.failed == e.Run {
+		if step.lastFailedRun == e.Run {
 			return
 		}
-		step.failed = e.Run
+		step.lastFailedRun = e.Run
 		step.Failures++
 		attempts = step.Failures
 	}
@@ -346,24 +350,26 @@
 	}
 }
 
-// Forget drops jobs that ended longer ago than the given time and have no run left. It
-// returns their ids. Of those that ended a while ago it keeps what a snapshot keeps.
+// Forget removes jobs without active runs that ended longer ago than keep, and returns their
+// ids. Ended jobs within that time are reduced to their id, offset, phase and end time after
+// endedJobDetailRetention.
 func (s *State) Forget(keep, now time.Duration) []string {
-	var gone []string
+	var forgotten []string
 	for id, j := range s.Jobs {
 		switch {
-		case !j.over(now):
+		case !j.onlyPhaseNeeded(now):
 		case now-j.EndedAt > keep:
 			delete(s.Jobs, id)
-			gone = append(gone, id)
+			forgotten = append(forgotten, id)
 		case len(j.Steps) > 0:
 			s.Jobs[id] = &Job{Submit: Submit{ID: id}, Offset: j.Offset, Phase: j.Phase, EndedAt: j.EndedAt}
 		}
 	}
-	return gone
+	return forgotten
 }
 
-// over reports whether only the id and phase of the job are of use any more.
-func (j *Job) over(now time.Duration) bool {
-	return j.Phase.Final() && j.Active <= 0 && now-j.EndedAt > wholeAfterEnd
+// onlyPhaseNeeded reports whether the job's steps and tasks are no longer needed, only its id,
+// phase and end time.
+func (j *Job) onlyPhaseNeeded(now time.Duration) bool {
+	return j.Phase.Final() && j.Active <= 0 && now-j.EndedAt > endedJobDetailRetention
 }
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -9,7 +9,7 @@
 	"briarproxy/core/cluster"
 )
 
-func apply(t *testing.T, s *State, records ...Record) {
+func applyRecords(t *testing.T, s *State, records ...Record) {
 	t.Helper()
 	for i := range records {
 		data, err := records[i].Encode()
@@ -20,9 +20,9 @@
 	}
 }
 
-func claimed(t *testing.T, steps ...Step) *State {
+func stateWithJob(t *testing.T, steps ...Step) *State {
 	s := NewState()
-	apply(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}},
+	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}},
 		Record{Submit: &Submit{ID: "j", Queue: "q", Pool: "p", Spec: "first", Steps: steps, MaxAttempts: 2}})
 	return s
 }
@@ -31,7 +31,7 @@
 	return cluster.RunID{TaskID: cluster.TaskID{Job: "j", Step: step, Index: index}, Run: run}
 }
 
-func begin(ids ...cluster.RunID) Record {
+func beginRecord(ids ...cluster.RunID) Record {
 	b := &Batch{Epoch: 9}
 	for _, id := range ids {
 		b.Begins = append(b.Begins, Begin{RunID: id, Life: cluster.Life{Worker: "w", Born: 3}})
@@ -39,7 +39,7 @@
 	return Record{Batch: b}
 }
 
-func ends(how cluster.How, ids ...cluster.RunID) Record {
+func endRecord(how cluster.How, ids ...cluster.RunID) Record {
 	b := &Batch{Epoch: 9}
 	for _, id := range ids {
 		b.Ends = append(b.Ends, End{RunID: id, How: how})
@@ -47,124 +47,123 @@
 	return Record{Batch: b}
 }
 
-// Guards against a repeat of a submission that replaces the job or counts it twice.
+// Guards against a repeated submission that replaces the job or counts it twice.
 func TestFirstSubmissionCounts(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, Record{Submit: &Submit{ID: "j", Queue: "q", Spec: "second", Steps: []Step{{Count: 9}}}})
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, Record{Submit: &Submit{ID: "j", Queue: "q", Spec: "second", Steps: []Step{{Count: 9}}}})
 	require.Equal(t, "first", s.Jobs["j"].Spec)
 	require.Equal(t, 1, s.Pending["q"])
 }
 
-// Guards against a job that is told as begun although no worker took a run of it (MIXED on
-// dosui-sched, hunt-5e82-3), and against one that is told as waiting although one did.
-func TestPendingUntilAWorkerTookARun(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, begin(runOf(0, 0, 1)))
+// Guards against a job that is reported as running although no worker accepted a run of it, and
+// against one that is reported as queued although a worker did.
+func TestJobIsPendingUntilARunStarts(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1)))
 	require.Equal(t, 1, s.Pending["q"])
 	require.Equal(t, Queued, s.Jobs["j"].Phase)
-	apply(t, s, ends(cluster.Void, runOf(0, 0, 1)), begin(runOf(0, 0, 2)))
+	applyRecords(t, s, endRecord(cluster.Void, runOf(0, 0, 1)), beginRecord(runOf(0, 0, 2)))
 	require.Equal(t, 1, s.Pending["q"])
-	apply(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j", "unknown"}}})
+	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j", "unknown"}}})
 	require.Zero(t, s.Pending["q"])
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	apply(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j"}}}, ends(cluster.Done, runOf(0, 0, 2)))
+	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j"}}}, endRecord(cluster.Done, runOf(0, 0, 2)))
 	require.Zero(t, s.Pending["q"])
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 }
 
-// Guards against a job shown as completed while a task is open, and against steps whose
-// turn comes early.
+// Guards against a job that is reported as completed before all tasks are done, and against steps
+// that become ready before the steps they depend on are complete.
 func TestCompletedWhenAllTasksAreDone(t *testing.T) {
-	s := claimed(t, Step{Count: 2}, Step{Count: 1, After: []int{0}})
-	apply(t, s, begin(runOf(0, 0, 1), runOf(0, 1, 1)), ends(cluster.Done, runOf(0, 0, 1)))
+	s := stateWithJob(t, Step{Count: 2}, Step{Count: 1, After: []int{0}})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1), runOf(0, 1, 1)), endRecord(cluster.Done, runOf(0, 0, 1)))
 	require.False(t, s.Jobs["j"].StepReady(0, 1))
-	apply(t, s, ends(cluster.Lapsed, runOf(0, 1, 1)), begin(runOf(0, 1, 2)), ends(cluster.Done, runOf(0, 1, 2)))
+	applyRecords(t, s, endRecord(cluster.Lapsed, runOf(0, 1, 1)), beginRecord(runOf(0, 1, 2)), endRecord(cluster.Done, runOf(0, 1, 2)))
 	require.True(t, s.Jobs["j"].StepReady(0, 1))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	apply(t, s, begin(runOf(1, 0, 1)), ends(cluster.Done, runOf(1, 0, 1)))
+	applyRecords(t, s, beginRecord(runOf(1, 0, 1)), endRecord(cluster.Done, runOf(1, 0, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 }
 
-// Guards against attempts that are counted for each member of a gang, or for ends that are
-// nobody's failure.
+// Guards against attempts that are counted once per member of a gang, or for ends that are not
+// failures of the task.
 func TestAttemptsAreCountedOnce(t *testing.T) {
-	s := claimed(t, Step{Count: 3, Gang: true})
+	s := stateWithJob(t, Step{Count: 3, Gang: true})
 	all := func(run int) []cluster.RunID {
 		return []cluster.RunID{runOf(0, 0, run), runOf(0, 1, run), runOf(0, 2, run)}
 	}
-	apply(t, s, begin(all(1)...), ends(cluster.Failed, all(1)...))
+	applyRecords(t, s, beginRecord(all(1)...), endRecord(cluster.Failed, all(1)...))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	apply(t, s, begin(all(2)...), ends(cluster.Broken, all(2)...), begin(all(3)...), ends(cluster.Lost, all(3)...))
+	applyRecords(t, s, beginRecord(all(2)...), endRecord(cluster.Broken, all(2)...), beginRecord(all(3)...), endRecord(cluster.Lost, all(3)...))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	apply(t, s, begin(all(4)...), ends(cluster.Failed, runOf(0, 1, 4)))
+	applyRecords(t, s, beginRecord(all(4)...), endRecord(cluster.Failed, runOf(0, 1, 4)))
 	require.Equal(t, Failed, s.Jobs["j"].Phase)
 }
 
-// Guards against a gang that runs again because the end of one member was lost with its
-// worker: one end stands for all.
+// Guards against a gang that runs again because the end of one member was lost with its worker:
+// the end of any member completes the gang.
 func TestOneDoneMemberEndsTheGang(t *testing.T) {
-	s := claimed(t, Step{Count: 3, Gang: true})
-	apply(t, s, begin(runOf(0, 0, 1), runOf(0, 1, 1), runOf(0, 2, 1)), ends(cluster.Done, runOf(0, 1, 1)))
+	s := stateWithJob(t, Step{Count: 3, Gang: true})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1), runOf(0, 1, 1), runOf(0, 2, 1)), endRecord(cluster.Done, runOf(0, 1, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 	require.Zero(t, s.Jobs["j"].Active)
-	apply(t, s, ends(cluster.Lost, runOf(0, 0, 1)), ends(cluster.Done, runOf(0, 2, 1)))
+	applyRecords(t, s, endRecord(cluster.Lost, runOf(0, 0, 1)), endRecord(cluster.Done, runOf(0, 2, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 }
 
-// Guards against runs begun or ended by a placer that was superseded, and against doubled
-// runs in the state.
-func TestForeignAndDoubledEntriesAreIgnored(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, begin(runOf(0, 0, 1)))
+// Guards against begins and ends of a superseded placer, and against two active runs of one task.
+func TestStaleAndDuplicateEntriesAreIgnored(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1)))
 	require.Error(t, s.Apply(&Record{Batch: &Batch{Epoch: 8, Ends: []End{{RunID: runOf(0, 0, 1), How: cluster.Done}}}}, 0))
-	second := begin(runOf(0, 0, 2))
+	second := beginRecord(runOf(0, 0, 2))
 	require.Error(t, s.Apply(&second, 0))
 	require.Equal(t, 1, s.Task(runOf(0, 0, 1).TaskID).Run)
-	unknown := ends(cluster.Done, cluster.RunID{TaskID: cluster.TaskID{Job: "none"}, Run: 1})
+	unknown := endRecord(cluster.Done, cluster.RunID{TaskID: cluster.TaskID{Job: "none"}, Run: 1})
 	require.Error(t, s.Apply(&unknown, 0))
-	outside := begin(runOf(4, 0, 1))
+	outside := beginRecord(runOf(4, 0, 1))
 	require.Error(t, s.Apply(&outside, 0))
 	require.Error(t, s.Apply(&Record{}, 0))
 	require.EqualValues(t, 8, s.Next)
 }
 
 // Guards against a cell that waits for a placer whose process is known to have ended, and
-// against a claim that ends because another daemon, or the same process, says hello.
+// against a claim that ends on a Hello of another daemon or of the same process.
 func TestClaimEndsWithItsProcess(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, Record{Hello: &Hello{Daemon: "b", Started: 99}}, Record{Hello: &Hello{Daemon: "a", Started: 5}})
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, Record{Hello: &Hello{Daemon: "b", Started: 99}}, Record{Hello: &Hello{Daemon: "a", Started: 5}})
 	require.Equal(t, "a", s.Claim.Daemon)
-	apply(t, s, Record{Hello: &Hello{Daemon: "a", Started: 6}})
+	applyRecords(t, s, Record{Hello: &Hello{Daemon: "a", Started: 6}})
 	require.Empty(t, s.Claim.Daemon)
 	require.EqualValues(t, 9, s.Claim.Epoch)
-	apply(t, s, Record{Claim: &Claim{Daemon: "b", Epoch: 10}}, Record{Release: &Release{Daemon: "a", Epoch: 9}})
+	applyRecords(t, s, Record{Claim: &Claim{Daemon: "b", Epoch: 10}}, Record{Release: &Release{Daemon: "a", Epoch: 9}})
 	require.Equal(t, "b", s.Claim.Daemon)
 }
 
-// Guards against jobs that are forgotten too early, or never.
+// Guards against jobs that are removed too early or never.
 func TestForget(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, begin(runOf(0, 0, 1)), Record{Cancel: &Cancel{ID: "j"}})
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1)), Record{Cancel: &Cancel{ID: "j"}})
 	require.Equal(t, Cancelled, s.Jobs["j"].Phase)
 	require.Empty(t, s.Forget(time.Minute, 10*time.Minute), "a run is still active")
-	apply(t, s, ends(cluster.Stopped, runOf(0, 0, 1)))
+	applyRecords(t, s, endRecord(cluster.Stopped, runOf(0, 0, 1)))
 	require.Empty(t, s.Forget(time.Minute, 30*time.Second))
 	require.Equal(t, []string{"j"}, s.Forget(time.Minute, 10*time.Minute))
 	require.Error(t, s.Apply(&Record{Cancel: &Cancel{ID: "j"}}, 0))
 }
 
-// Guards against ended jobs that fill the memory of every daemon, and against one that is
-// forgotten early: its id would be accepted again.
+// Guards against ended jobs that fill the memory of every daemon, and against a job that is
+// removed too early: its id would be accepted again.
 func TestEndedJobsKeepTheirIDAndPhaseOnly(t *testing.T) {
-	s := claimed(t, Step{Count: 1})
-	apply(t, s, begin(runOf(0, 0, 1)), ends(cluster.Done, runOf(0, 0, 1)))
+	s := stateWithJob(t, Step{Count: 1})
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1)), endRecord(cluster.Done, runOf(0, 0, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
-	require.Empty(t, s.Forget(time.Hour, time.Second+wholeAfterEnd/2))
-	require.NotEmpty(t, s.Jobs["j"].Steps, "a run planned before may still be recorded")
-	require.Empty(t, s.Forget(time.Hour, 2*time.Second+wholeAfterEnd))
+	require.Empty(t, s.Forget(time.Hour, time.Second+endedJobDetailRetention/2))
+	require.NotEmpty(t, s.Jobs["j"].Steps, "a run planned before the end may still be recorded")
+	require.Empty(t, s.Forget(time.Hour, 2*time.Second+endedJobDetailRetention))
 	require.Empty(t, s.Jobs["j"].Steps)
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
-	require.NoError(t, s.submit(&Submit{ID: "j", Steps: []Step{{Count: 1}}}, 99))
+	require.NoError(t, s.applySubmit(&Submit{ID: "j", Steps: []Step{{Count: 1}}}, 99))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 	require.Equal(t, []string{"j"}, s.Forget(time.Hour, 2*time.Hour))
 }
--- a/core/resource/doc.go
+++ b/core/resource/doc.go
@@ -1,3 +1,3 @@
-// Package resource defines the resource vector that workers offer and that
-// tasks and requests ask for.
+// Package resource defines the resource vector for the capacity of workers and the demands of
+// tasks and requests.
 package resource
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -5,8 +5,8 @@
 	"math"
 )
 
-// Vector is an amount of each kind of resource. All amounts are non-negative in
-// a valid request; the result of Sub may be negative.
+// Vector holds an amount of each kind of resource. All amounts of a valid request are
+// non-negative; the result of Sub may have negative ones.
 type Vector struct {
 	MilliCores   int64 `json:"milli_cores,omitempty"`  // thousandths of a core
 	MemoryMiB    int64 `json:"memory_mib,omitempty"`   // mebibytes
@@ -44,7 +44,7 @@
 	}
 }
 
-// Max returns the larger amount of each kind.
+// Max returns the elementwise maximum of v and o.
 func (v Vector) Max(o Vector) Vector {
 	return Vector{
 		MilliCores:   max(v.MilliCores, o.MilliCores),
@@ -54,7 +54,7 @@
 	}
 }
 
-// Min returns the smaller amount of each kind.
+// Min returns the elementwise minimum of v and o.
 func (v Vector) Min(o Vector) Vector {
 	return Vector{
 		MilliCores:   min(v.MilliCores, o.MilliCores),
@@ -64,7 +64,7 @@
 	}
 }
 
-// Fits reports whether v is at most capacity in every kind.
+// Fits reports whether v does not exceed the capacity in any kind.
 func (v Vector) Fits(capacity Vector) bool {
 	return v.MilliCores <= capacity.MilliCores &&
 		v.MemoryMiB <= capacity.MemoryMiB &&
@@ -72,7 +72,7 @@
 		v.Slots <= capacity.Slots
 }
 
-// Times returns how many amounts of the size v holds.
+// CountFitting returns how many items of the given size fit into v, at most math.MaxInt32.
 func (v Vector) Times(size Vector) int64 {
 	times := int64(math.MaxInt32)
 	for _, pair := range [4][2]int64{
--- a/core/resource/resource_test.go
+++ b/core/resource/resource_test.go
@@ -19,8 +19,8 @@
 	})
 }
 
-// Guards against a resource kind that Add, Sub or Fits forgets: such a kind
-// could be overcommitted without notice.
+// Guards against a resource kind that Add, Sub or Fits omits: it could be overcommitted
+// unnoticed.
 func TestFitsAgreesWithSubtraction(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity, ask := vectors().Draw(t, "capacity"), vectors().Draw(t, "ask")
