--- a/daemon/event/async.go
+++ b/daemon/event/async.go
@@ -8,14 +8,14 @@
 	"time"
 )
 
-// Bounds of an AsyncWriter.
+// Limits of an AsyncWriter.
 const (
-	asyncFlush  = 200 * time.Millisecond // lines are written in blocks: each write has a cost
-	asyncBuffer = 256 << 10              // bytes that wait at most; later lines are dropped and counted
+	flushInterval    = 200 * time.Millisecond // Batching lines saves system calls.
+	maxBufferedBytes = 256 << 10              // Lines beyond this size are dropped and counted.
 )
 
-// AsyncWriter writes lines in blocks from its own goroutine. Write never blocks: lines
-// that find the buffer full are dropped, and their number is written later.
+// AsyncWriter writes log lines in batches from a background goroutine. Write never waits for
+// the output: it drops lines that don't fit in the buffer, and the next flush logs their number.
 type AsyncWriter struct {
 	out     io.Writer
 	mu      sync.Mutex
@@ -25,8 +25,8 @@
 	wake    chan struct{}
 }
 
-// NewAsyncWriter returns a writer to out and starts its goroutine, which ends with the
-// process.
+// NewAsyncWriter returns a writer to out and starts its goroutine, which runs until the
+// process ends.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
 	w := &AsyncWriter{out: out, wake: make(chan struct{}, 1)}
 	go w.run()
@@ -36,18 +36,18 @@
 // NewStdout returns an AsyncWriter to standard output.
 func NewStdout() *AsyncWriter { return NewAsyncWriter(os.Stdout) }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It reports dropped lines as written.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	if len(w.buffer)+len(line) > asyncBuffer {
+	if len(w.buffer)+len(line) > maxBufferedBytes {
 		w.dropped++
 		w.mu.Unlock()
 		return len(line), nil
 	}
-	first := len(w.buffer) == 0
+	wasEmpty := len(w.buffer) == 0
 	w.buffer = append(w.buffer, line...)
 	w.mu.Unlock()
-	if first {
+	if wasEmpty {
 		select {
 		case w.wake <- struct{}{}:
 		default:
@@ -58,13 +58,13 @@
 
 func (w *AsyncWriter) run() {
 	for range w.wake {
-		time.Sleep(asyncFlush)
+		time.Sleep(flushInterval)
 		w.Flush()
 	}
 }
 
-// Flush writes what waits. An error of the output is not reported anywhere else than
-// there, so it is dropped.
+// Flush writes the buffered lines. It ignores write errors, as there is no other output to
+// report them to.
 func (w *AsyncWriter) Flush() {
 	w.mu.Lock()
 	block, dropped := w.buffer, w.dropped
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -11,12 +11,12 @@
 	"github.com/phuslu/log"
 )
 
-// Event is one kind of log line. Number and Name never change once released.
+// Event is a type of log event. Its Number and Name never change once released.
 type Event struct {
 	Number  int
 	Name    string
 	Level   log.Level
-	Meaning string // when it is written and what an operator can do
+	Meaning string // Says when the event is logged and what an operator can do.
 }
 
 var (
@@ -24,8 +24,8 @@
 	catalogue   = map[int]Event{}
 )
 
-// Define registers an event. It panics when the number is taken, which happens at
-// program start and so in every test of the package.
+// Define registers an event. It panics if the number is already in use. Events are defined
+// during package initialisation, so any test of the package detects a duplicate.
 func Define(number int, name string, level log.Level, meaning string) Event {
 	catalogueMu.Lock()
 	defer catalogueMu.Unlock()
@@ -37,8 +37,7 @@
 	return e
 }
 
-// Catalogue returns every event defined in the packages linked into the program,
-// ordered by number.
+// Catalogue returns the events of all packages linked into the program, ordered by number.
 func Catalogue() []Event {
 	catalogueMu.Lock()
 	defer catalogueMu.Unlock()
@@ -50,13 +49,13 @@
 	return events
 }
 
-// Logger writes events.
+// Logger writes events as JSON lines.
 type Logger struct {
 	out log.Logger
 }
 
-// NewLogger writes events at or above level to w. The daemon's name is part of
-// every line.
+// NewLogger returns a logger that writes events at or above level to w. Every line contains
+// the daemon's name.
 func NewLogger(w io.Writer, level log.Level, daemon string) *Logger {
 	return &Logger{out: log.Logger{
 		Level:   level,
@@ -68,10 +67,10 @@
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return NewLogger(io.Discard, log.PanicLevel, "") }
 
-// SetLevel changes the lowest level that is written.
+// SetLevel sets the minimum level of events that are written.
 func (l *Logger) SetLevel(level log.Level) { l.out.SetLevel(level) }
 
-// Emit writes one line for the event. The fields are alternating keys and values.
+// Emit logs the event on one line. The fields are alternating keys and values.
 func (l *Logger) Emit(e Event, fields ...any) {
 	entry := l.out.WithLevel(e.Level)
 	if entry == nil {
--- a/daemon/event/page.go
+++ b/daemon/event/page.go
@@ -17,18 +17,19 @@
 | --- | --- | --- | --- |
 `
 
-// Page returns the catalogue as a Markdown page, docs/events.md.
+// Page returns the event catalogue as a Markdown page, the content of docs/events.md.
 func Page() []byte {
 	var page bytes.Buffer
 	page.WriteString(pageHead)
 	for _, e := range Catalogue() {
-		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", e.Number, e.Name, e.Level, sentence(e.Meaning))
+		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", e.Number, e.Name, e.Level, toSentence(e.Meaning))
 	}
 	return page.Bytes()
 }
 
-// sentence begins the text with a capital letter and ends it with a full stop.
-func sentence(text string) string {
+// toSentence returns the text with an initial capital letter, a full stop at its end and its
+// vertical bars escaped for a Markdown table.
+func toSentence(text string) string {
 	text = strings.TrimSuffix(strings.ReplaceAll(text, "|", "\\|"), ".")
 	if text == "" {
 		return ""
--- a/standin/platform/doc.go
+++ b/standin/platform/doc.go
@@ -1,11 +1,11 @@
-// Package platform is a small stand-in of the users' platform for tests: its store (a log
-// with keyed topics), workers that run tasks under leases, and the advice service. It
-// speaks the published protocol over HTTP and checks, as it goes, that no worker is
-// given more than it holds, that no task runs twice at a time or again after it was
-// done, and that only granted workers run a step.
+// Package platform simulates the users' platform in tests: its store (a log with keyed
+// topics), workers that run tasks under leases, and the advice service. It speaks the
+// published protocol over HTTP. It checks that no worker gets more tasks than its capacity
+// allows, that no task runs twice at a time or again after it has completed, and that only
+// workers granted by the advice service run a step.
 package platform
 
-// Host and path of the queue that make demo uses.
+// Host and path prefix of the queue that "make demo" uses.
 const (
 	DemoHost = "jobs.example"
 	DemoPath = "/jobs/"
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -14,84 +14,86 @@
 	"time"
 )
 
-// Limits of one answer.
+// Limits of one response.
 const (
-	usualKB   = 1024 // of a read that names no limit
-	listItems = 500
-	listBytes = 1 << 20
+	defaultReadKB = 1024 // This is the limit of reads that don't set one.
+	maxListItems  = 500
+	maxListBytes  = 1 << 20
 )
 
-// Store is the log service.
+// Store simulates the platform's log store.
 type Store struct {
-	mu       sync.Mutex
-	parts    map[string]*part
-	producer map[string]*producer
-	changed  chan struct{}
-	down     bool
-	lose     int // answers of appends to lose
-	calls    int
+	mu                  sync.Mutex
+	partitions          map[string]*partition
+	producers           map[string]*producer
+	changed             chan struct{}
+	unavailable         bool
+	appendRepliesToLose int // This many of the next appends get no response.
+	calls               int
 }
 
-type part struct {
+// partition is one partition of a topic.
+type partition struct {
 	records [][]byte
-	first   int            // older records have expired
-	newest  map[string]int // keyed topics: offset of the newest record of a key
+	first   int            // This is the oldest offset that is retained.
+	newest  map[string]int // In keyed topics, it maps each key to the offset of its newest record.
 }
 
+// producer is the state of a fenced writer in one partition.
 type producer struct {
-	epoch    int64
-	next     int64
-	answered map[int64]int64 // sequence -> offset
+	epoch        int64
+	nextSequence int64
+	offsets      map[int64]int64 // It maps sequence numbers to offsets.
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{parts: map[string]*part{}, producer: map[string]*producer{}, changed: make(chan struct{})}
+	return &Store{partitions: map[string]*partition{}, producers: map[string]*producer{}, changed: make(chan struct{})}
 }
 
-// SetDown makes the store refuse every call.
-func (s *Store) SetDown(down bool) {
+// SetUnavailable makes the store reject every call with status 503, or accept calls again.
+func (s *Store) SetDown(unavailable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down = down
+	s.unavailable = unavailable
 }
 
-// LoseAnswers makes the next n appends take effect without an answer.
+// LoseAppendReplies makes the next n appends take effect without a response.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lose = n
+	s.appendRepliesToLose = n
 }
 
-// Expire drops the records of a topic's first partition but for the newest ones.
+// Expire expires all but the given number of newest records of a topic's partition 0.
 func (s *Store) Expire(topic string, keep int) { s.ExpirePart(topic, 0, keep) }
 
-// ExpirePart is Expire for another partition.
+// ExpirePartition is like Expire, for any partition.
 func (s *Store) ExpirePart(topic string, number, keep int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.part(topic + "/" + strconv.Itoa(number))
+	p := s.partition(topic + "/" + strconv.Itoa(number))
 	p.first = max(p.first, len(p.records)-keep)
 }
 
-// Calls returns the number of calls served.
+// Calls returns the number of calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls
 }
 
-// Put writes a key of a keyed topic; an empty value drops it.
+// Put sets the value of a key in partition 0 of a keyed topic. An empty value deletes the key.
 func (s *Store) Put(topic, key string, value []byte) {
 	record := append([]byte{byte(len(key))}, key...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(topic+"/0", append(record, value...))
+	s.appendRecord(topic+"/0", append(record, value...))
 }
 
-// add appends a record. The caller holds the lock.
-func (s *Store) add(name string, record []byte) {
-	p := s.part(name)
+// appendRecord appends a record to a partition. The caller must hold the lock.
+func (s *Store) appendRecord(name string, record []byte) {
+	p := s.partition(name)
 	if strings.HasPrefix(name, "keyed.") {
 		p.newest[string(record[1:1+int(record[0])])] = len(p.records)
 	}
@@ -100,28 +102,31 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) part(name string) *part {
-	p := s.parts[name]
+// partition returns the partition with the given name, TOPIC/NUMBER, and creates it if it does
+// not exist. The caller must hold the lock.
+func (s *Store) partition(name string) *partition {
+	p := s.partitions[name]
 	if p == nil {
-		p = &part{newest: map[string]int{}}
-		s.parts[name] = p
+		p = &partition{newest: map[string]int{}}
+		s.partitions[name] = p
 	}
 	return p
 }
 
-// Records returns the records of a topic's first partition.
+// Records returns all records of a topic's partition 0, expired ones included.
 func (s *Store) Records(topic string) [][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([][]byte(nil), s.part(topic+"/0").records...)
+	return append([][]byte(nil), s.partition(topic+"/0").records...)
 }
 
+// ServeHTTP serves the protocol of the log store.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down := s.down
+	unavailable := s.unavailable
 	s.mu.Unlock()
-	if down {
+	if unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -132,12 +137,14 @@
 	case "/log-read":
 		s.read(w, r, name)
 	case "/log-newest":
-		s.list(w, r, name)
+		s.listNewest(w, r, name)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// append serves an append. It rejects an older epoch of a producer and a gap in its sequence
+// numbers, and answers a repeated sequence number with the offset of the first append.
 func (s *Store) append(w http.ResponseWriter, r *http.Request, name string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -154,68 +161,69 @@
 	epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
 	sequence, _ := strconv.ParseInt(q.Get("Sequence"), 10, 64)
 	if id := q.Get("Producer"); id != "" {
-		p = s.producer[name+id]
+		p = s.producers[name+id]
 		if p == nil {
-			p = &producer{epoch: epoch, next: sequence, answered: map[int64]int64{}}
-			s.producer[name+id] = p
+			p = &producer{epoch: epoch, nextSequence: sequence, offsets: map[int64]int64{}}
+			s.producers[name+id] = p
 		}
 		switch {
 		case epoch < p.epoch:
-			reply(w, http.StatusConflict, map[string]any{"Reason": "fenced"})
+			writeJSON(w, http.StatusConflict, map[string]any{"Reason": "fenced"})
 			return
 		case epoch > p.epoch:
-			*p = producer{epoch: epoch, next: sequence, answered: map[int64]int64{}}
+			*p = producer{epoch: epoch, nextSequence: sequence, offsets: map[int64]int64{}}
 		}
-		if offset, again := p.answered[sequence]; again {
-			reply(w, http.StatusOK, map[string]any{"Offset": offset})
+		if offset, repeated := p.offsets[sequence]; repeated {
+			writeJSON(w, http.StatusOK, map[string]any{"Offset": offset})
 			return
 		}
-		if sequence != p.next {
-			reply(w, http.StatusConflict, map[string]any{"Reason": "seq", "Sequence": p.next})
+		if sequence != p.nextSequence {
+			writeJSON(w, http.StatusConflict, map[string]any{"Reason": "seq", "Sequence": p.nextSequence})
 			return
 		}
 	}
-	offset := int64(len(s.part(name).records))
+	offset := int64(len(s.partition(name).records))
 	for len(body) >= 4 {
 		n := int(binary.BigEndian.Uint32(body))
-		s.add(name, append([]byte(nil), body[4:4+n]...))
+		s.appendRecord(name, append([]byte(nil), body[4:4+n]...))
 		body = body[4+n:]
 	}
 	if p != nil {
-		p.answered[sequence], p.next = offset, sequence+1
+		p.offsets[sequence], p.nextSequence = offset, sequence+1
 	}
-	if s.lose > 0 {
-		s.lose--
-		panic(http.ErrAbortHandler) // the append took effect, its answer is lost
+	if s.appendRepliesToLose > 0 {
+		s.appendRepliesToLose--
+		panic(http.ErrAbortHandler) // The append took effect, but its response is lost.
 	}
-	reply(w, http.StatusOK, map[string]any{"Offset": offset, "End": len(s.part(name).records)})
+	writeJSON(w, http.StatusOK, map[string]any{"Offset": offset, "End": len(s.partition(name).records)})
 }
 
+// read serves a read. If there are no records, it waits for one up to the requested time.
 func (s *Store) read(w http.ResponseWriter, r *http.Request, name string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("From"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
-	most, err := strconv.Atoi(r.URL.Query().Get("MaxKb"))
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	maxKB, err := strconv.Atoi(r.URL.Query().Get("MaxKb"))
 	if err != nil {
-		most = usualKB
+		maxKB = defaultReadKB
 	}
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		records, first, changed := s.part(name).records, s.part(name).first, s.changed
+		records, first, changed := s.partition(name).records, s.partition(name).first, s.changed
 		s.mu.Unlock()
 		if from < first {
-			reply(w, http.StatusGone, map[string]any{"First": first})
+			writeJSON(w, http.StatusGone, map[string]any{"First": first})
 			return
 		}
 		if len(records) > from {
-			writePage(w, records, from, first, most<<10)
+			writePage(w, records, from, first, maxKB<<10)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writePage(w, records, from, first, most<<10)
+			writePage(w, records, from, first, maxKB<<10)
 			return
 		case <-r.Context().Done():
 			return
@@ -223,25 +231,27 @@
 	}
 }
 
-// writePage writes whole records up to a number of bytes, one at least.
-func writePage(w http.ResponseWriter, records [][]byte, from, first, most int) {
+// writePage writes as many whole records as fit into a number of bytes, but at least one if there
+// is one.
+func writePage(w http.ResponseWriter, records [][]byte, from, first, maxBytes int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	out = binary.BigEndian.AppendUint64(out, uint64(first))
 	for i, record := range records[min(from, len(records)):] {
-		if i > 0 && len(out)+4+len(record) > most {
+		if i > 0 && len(out)+4+len(record) > maxBytes {
 			break
 		}
 		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 		out = append(out, record...)
 	}
-	_, _ = w.Write(out) // the reader may have left
+	_, _ = w.Write(out) // The client may have disconnected.
 }
 
-func (s *Store) list(w http.ResponseWriter, r *http.Request, name string) {
+// listNewest serves a page of keys with their newest values, sorted by key.
+func (s *Store) listNewest(w http.ResponseWriter, r *http.Request, name string) {
 	after := r.URL.Query().Get("StartAfter")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.part(name)
+	p := s.partition(name)
 	items, size, more := []map[string]any{}, 0, false
 	for _, key := range slices.Sorted(maps.Keys(p.newest)) {
 		offset := p.newest[key]
@@ -250,21 +260,22 @@
 			continue
 		}
 		encoded := base64.StdEncoding.EncodeToString(value)
-		if more = len(items) == listItems || len(items) > 0 && size+len(encoded) > listBytes; more {
+		if more = len(items) == maxListItems || len(items) > 0 && size+len(encoded) > maxListBytes; more {
 			break
 		}
 		size += len(encoded)
 		items = append(items, map[string]any{"Key": key, "Value": encoded, "Offset": offset})
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "End": len(p.records)})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "End": len(p.records)})
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+// writeJSON sends a response with a JSON body.
+func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(data) // the caller may have left
+	_, _ = w.Write(data) // The client may have disconnected.
 }
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -11,43 +11,44 @@
 	"time"
 )
 
-// Size is an amount of a worker's room.
+// Size is an amount of resources.
 type Size struct{ Cpu, MemMb, Gpu int64 }
 
 func (s Size) add(o Size) Size { return Size{s.Cpu + o.Cpu, s.MemMb + o.MemMb, s.Gpu + o.Gpu} }
 
-func (s Size) fits(o Size) bool { return s.Cpu <= o.Cpu && s.MemMb <= o.MemMb && s.Gpu <= o.Gpu }
+func (s Size) fitsIn(o Size) bool { return s.Cpu <= o.Cpu && s.MemMb <= o.MemMb && s.Gpu <= o.Gpu }
 
-// Fleet is a set of workers with the advice service. It knows the size and run time of
-// each step's tasks from the test.
+// Fleet simulates a pool of workers and the advice service. The test or the job's Spec sets
+// the size and run time of each step's tasks.
 type Fleet struct {
-	mu       sync.Mutex
-	store    *Store
-	pool     string
-	capacity Size
-	workers  map[string]*Worker
-	steps    map[string]StepPlan // by job and step, "ID.STEP"
-	done     map[string]doneRun
-	noted    map[doneRun]bool  // ends that were confirmed while the lease held
-	running  map[string]string // task -> worker
-	problems []string
-	starts   int
-	ran      map[string]bool            // jobs of which a task was started
-	advised  map[string]map[string]bool // step -> granted workers
+	mu             sync.Mutex
+	store          *Store
+	pool           string
+	capacity       Size
+	workers        map[string]*Worker
+	plans          map[string]StepPlan // Its keys have the form JOB.STEP.
+	completed      map[string]completedRun
+	confirmed      map[completedRun]bool // These completed runs were acknowledged while the lease was valid.
+	running        map[string]string     // It maps tasks to worker IDs.
+	violations     []string
+	starts         int
+	startedJobs    map[string]bool            // At least one task of these jobs was started.
+	grantedWorkers map[string]map[string]bool // It maps steps to worker IDs.
 }
 
-// StepPlan is what the fleet does with the tasks of a step.
+// StepPlan says how the tasks of a step run.
 type StepPlan struct {
 	Size  Size
 	Takes time.Duration
-	Fail  int // runs of each task that fail first
+	Fail  int // This many runs of each task fail before one succeeds.
 }
 
-// NewFleet starts workers on loopback and lists them in the store.
+// NewFleet starts n workers that listen on the loopback interface and registers them in the
+// store.
 func NewFleet(store *Store, pool string, n int, capacity Size) (*Fleet, error) {
 	f := &Fleet{
-		store: store, pool: pool, capacity: capacity, workers: map[string]*Worker{}, steps: map[string]StepPlan{},
-		done: map[string]doneRun{}, noted: map[doneRun]bool{}, running: map[string]string{}, advised: map[string]map[string]bool{}, ran: map[string]bool{},
+		store: store, pool: pool, capacity: capacity, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
+		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{},
 	}
 	for i := range n {
 		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8)}
@@ -56,41 +57,41 @@
 			return nil, err
 		}
 		w.address = l.Addr().String()
-		w.reborn()
+		w.restart()
 		f.workers[w.id] = w
 		w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
-		go func() { _ = w.server.Serve(l) }() // ends with Close
-		w.list()
+		go func() { _ = w.server.Serve(l) }() // Close ends this goroutine.
+		w.register()
 	}
 	return f, nil
 }
 
-// Close stops the workers.
+// Close stops the workers' servers.
 func (f *Fleet) Close() {
 	for _, w := range f.workers {
 		_ = w.server.Close()
 	}
 }
 
-// Plan says what the tasks of a job's step do.
+// SetStepPlan sets the plan of a job's step.
 func (f *Fleet) Plan(job string, step int, p StepPlan) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.steps[job+"."+strconv.Itoa(step)] = p
+	f.plans[job+"."+strconv.Itoa(step)] = p
 }
 
-// Problems returns the broken rules so far.
+// Violations returns the violations of the platform's rules that were detected so far.
 func (f *Fleet) Problems() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]string(nil), f.problems...)
+	return append([]string(nil), f.violations...)
 }
 
-// Ran reports whether any task of a job was started.
+// HasStarted reports whether any task of a job was started.
 func (f *Fleet) Ran(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ran[job]
+	return f.startedJobs[job]
 }
 
 // Starts returns the number of runs started.
@@ -100,75 +101,77 @@
 	return f.starts
 }
 
-// Restart kills all that runs on a worker and gives it a new life.
+// Restart simulates a restart of a worker, which loses all its runs and begins a new incarnation.
 func (f *Fleet) Restart(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].reborn()
+	f.workers[id].restart()
 }
 
-func (f *Fleet) problem(format string, args ...any) {
-	f.problems = append(f.problems, fmt.Sprintf(format, args...))
+func (f *Fleet) addViolation(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
 
-// ServeHTTP is the advice service.
+// ServeHTTP serves the protocol of the advice service. It withholds some workers from each step.
 func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var ask struct {
+	var request struct {
 		Step    string
 		Workers []string
 	}
-	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	granted := [][]string{}
-	if f.advised[ask.Step] == nil {
-		f.advised[ask.Step] = map[string]bool{}
+	if f.grantedWorkers[request.Step] == nil {
+		f.grantedWorkers[request.Step] = map[string]bool{}
 	}
-	for i, id := range ask.Workers {
-		if (i+len(ask.Step))%4 != 0 || f.advised[ask.Step][id] {
-			f.advised[ask.Step][id] = true
-			granted = append(granted, []string{id, "t-" + ask.Step + "-" + id})
+	for i, id := range request.Workers {
+		if (i+len(request.Step))%4 != 0 || f.grantedWorkers[request.Step][id] {
+			f.grantedWorkers[request.Step][id] = true
+			granted = append(granted, []string{id, "t-" + request.Step + "-" + id})
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{"Granted": granted, "ValidMs": 1500})
+	writeJSON(w, http.StatusOK, map[string]any{"Granted": granted, "ValidMs": 1500})
 }
 
-// doneRun is a run that ended done.
-type doneRun struct {
-	worker *Worker
-	born   int64
-	number int64
+// completedRun identifies a run that ended as done.
+type completedRun struct {
+	worker    *Worker
+	born      int64
+	endNumber int64
 }
 
-// stands reports whether an end that nobody has taken note of yet may still be: it is lost
-// with the worker's life, and by the platform's rules does not count once the worker's
-// lease has lapsed behind it. One that was taken note of stands for good.
-func (f *Fleet) stands(d doneRun) bool {
-	return f.noted[d] || d.worker.born == d.born && d.number > d.worker.lapsed
+// completionCounts reports whether the completion of a run is still valid, so that its task must
+// not run again. An acknowledged completion is valid forever. One that is not yet acknowledged is
+// lost when the worker restarts, and by the platform's rules is void once the worker's lease
+// has lapsed after it.
+func (f *Fleet) completionCounts(run completedRun) bool {
+	return f.confirmed[run] || run.worker.born == run.born && run.endNumber > run.worker.lapsedUpTo
 }
 
-// Worker runs tasks under one lease.
+// Worker simulates a worker, whose runs all depend on one lease.
 type Worker struct {
-	fleet   *Fleet
-	server  *http.Server
-	id      string
-	address string
-	rack    string
-	born    int64
-	started time.Time
-	token   int64
-	lease   int64
-	number  int64
-	lapsed  int64 // ends up to this number were followed by a lapse of the lease
-	runs    map[string]*taskRun
-	ended   []endRow
-	highest map[string]int
-	failed  map[string]int
+	fleet         *Fleet
+	server        *http.Server
+	id            string
+	address       string
+	rack          string
+	born          int64
+	started       time.Time
+	highestToken  int64
+	leaseUntil    int64
+	lastEndNumber int64
+	lapsedUpTo    int64 // The lease has lapsed after the ended runs up to this number.
+	runs          map[string]*taskRun
+	ended         []endRow
+	highestRun    map[string]int
+	failedRuns    map[string]int
 }
 
+// taskRun is a run in progress.
 type taskRun struct {
 	run   int
 	size  Size
@@ -176,6 +179,7 @@
 	how   string
 }
 
+// endRow is an ended run that the scheduler has not acknowledged.
 type endRow struct {
 	number int64
 	task   string
@@ -183,19 +187,20 @@
 	how    string
 }
 
-func (w *Worker) reborn() {
+// restart drops all state of the worker and begins a new incarnation.
+func (w *Worker) restart() {
 	for task := range w.runs {
 		delete(w.fleet.running, task)
 	}
 	w.born = max(time.Now().UnixMilli(), w.born+1)
 	w.started = time.Now()
-	w.token, w.lease, w.number, w.lapsed = 0, 0, 0, 0
-	w.runs, w.ended, w.highest, w.failed = map[string]*taskRun{}, nil, map[string]int{}, map[string]int{}
-	w.list()
+	w.highestToken, w.leaseUntil, w.lastEndNumber, w.lapsedUpTo = 0, 0, 0, 0
+	w.runs, w.ended, w.highestRun, w.failedRuns = map[string]*taskRun{}, nil, map[string]int{}, map[string]int{}
+	w.register()
 }
 
-// list writes the worker's entry of the registry.
-func (w *Worker) list() {
+// register writes the worker's entry to the registry.
+func (w *Worker) register() {
 	entry, err := json.Marshal(map[string]any{
 		"Service": w.fleet.pool, "Address": w.address, "Zone": "z", "Version": "v1", "Slots": 8, "State": "ready", "Sequence": 1,
 		"Capacity": w.fleet.capacity, "Labels": []string{"a", w.rack}, "ClockMs": w.clock(), "born": w.born,
@@ -206,31 +211,34 @@
 	w.fleet.store.Put("keyed.servers", w.id, entry)
 }
 
+// clock returns the worker's own clock in ms.
 func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() + 1000 }
 
+// end records that the run of a task has ended.
 func (w *Worker) end(task, how string) {
 	r := w.runs[task]
 	delete(w.runs, task)
 	if w.fleet.running[task] == w.id {
 		delete(w.fleet.running, task)
 	}
-	w.number++
-	w.highest[task] = max(w.highest[task], r.run)
-	w.ended = append(w.ended, endRow{w.number, task, r.run, how})
+	w.lastEndNumber++
+	w.highestRun[task] = max(w.highestRun[task], r.run)
+	w.ended = append(w.ended, endRow{w.lastEndNumber, task, r.run, how})
 	if how == "done" {
-		w.fleet.done[task] = doneRun{w, w.born, w.number}
+		w.fleet.completed[task] = completedRun{w, w.born, w.lastEndNumber}
 	}
 }
 
-// settle ends what is over. The caller holds the fleet's lock.
-func (w *Worker) settle() {
+// endDueRuns ends the runs that are complete, or all runs if the lease has lapsed. The caller must
+// hold the fleet's lock.
+func (w *Worker) endDueRuns() {
 	now := time.Now()
-	if w.clock() > w.lease {
-		w.lapsed = w.number
+	if w.clock() > w.leaseUntil {
+		w.lapsedUpTo = w.lastEndNumber
 	}
 	for task, r := range w.runs {
 		switch {
-		case w.clock() > w.lease:
+		case w.clock() > w.leaseUntil:
 			w.end(task, "lapsed")
 		case now.After(r.endAt):
 			w.end(task, r.how)
@@ -238,7 +246,8 @@
 	}
 }
 
-type order struct {
+// command is the body of any request to a worker.
+type command struct {
 	Task         string
 	Run          int
 	Spec         string
@@ -249,101 +258,104 @@
 	Ticket       string
 }
 
+// ServeHTTP serves the protocol of a worker.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	var cmd command
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.settle()
-	if o.FencingToken < w.token {
-		reply(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": "fence"})
+	w.endDueRuns()
+	if cmd.FencingToken < w.highestToken {
+		writeJSON(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": "fence"})
 		return
 	}
-	w.token = o.FencingToken
+	w.highestToken = cmd.FencingToken
 	switch r.URL.Path {
 	case "/run-start":
-		w.start(out, &o)
+		w.start(out, &cmd)
 	case "/run-stop":
-		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
-		if run := w.runs[o.Task]; run != nil && run.run == o.Run {
-			w.end(o.Task, "stopped")
+		w.highestRun[cmd.Task] = max(w.highestRun[cmd.Task], cmd.Run)
+		if run := w.runs[cmd.Task]; run != nil && run.run == cmd.Run {
+			w.end(cmd.Task, "stopped")
 		}
-		reply(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
+		writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
 	case "/hold":
-		w.hold(out, r, &o)
+		w.hold(out, r, &cmd)
 	default:
 		out.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (w *Worker) start(out http.ResponseWriter, o *order) {
+// start serves POST /run-start and records violations of the platform's rules.
+func (w *Worker) start(out http.ResponseWriter, cmd *command) {
 	f := w.fleet
 	refuse := func(reason string) {
-		reply(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": reason})
+		writeJSON(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": reason})
 	}
-	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
-		reply(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
+	if r := w.runs[cmd.Task]; r != nil && r.run == cmd.Run {
+		writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
 		return
 	}
-	parts := strings.Split(o.Task, ".")
-	step := parts[0] + "." + parts[1] + "." + parts[2]
+	nameParts := strings.Split(cmd.Task, ".")
+	step := nameParts[0] + "." + nameParts[1] + "." + nameParts[2]
 	switch {
-	case o.Run <= w.highest[o.Task]:
+	case cmd.Run <= w.highestRun[cmd.Task]:
 		refuse("old")
 		return
-	case w.clock() > o.DeadlineMs:
+	case w.clock() > cmd.DeadlineMs:
 		refuse("late")
 		return
-	case f.advised[step] != nil && o.Ticket != "t-"+step+"-"+w.id:
+	case f.grantedWorkers[step] != nil && cmd.Ticket != "t-"+step+"-"+w.id:
 		refuse("ticket")
 		return
 	}
-	if other, busy := f.running[o.Task]; busy {
-		f.problem("task %s is started on %s while it runs on %s", o.Task, w.id, other)
+	if otherWorker, running := f.running[cmd.Task]; running {
+		f.addViolation("task %s was started on worker %s while running on worker %s", cmd.Task, w.id, otherWorker)
 	}
-	if d, done := f.done[o.Task]; done && f.stands(d) {
-		f.problem("task %s is started after it was done", o.Task)
+	if completion, done := f.completed[cmd.Task]; done && f.completionCounts(completion) {
+		f.addViolation("task %s was started after it had completed", cmd.Task)
 	}
-	plan := f.plan(parts[0], parts[2], o.Spec)
+	plan := f.planOf(nameParts[0], nameParts[2], cmd.Spec)
 	how := "done"
-	if w.fleet.failures(o.Task) < plan.Fail {
+	if w.fleet.failedRunsOf(cmd.Task) < plan.Fail {
 		how = "failed"
-		w.failed[o.Task]++
+		w.failedRuns[cmd.Task]++
 	}
-	w.lease = max(w.lease, o.DeadlineMs)
-	w.runs[o.Task] = &taskRun{run: o.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how}
-	f.running[o.Task] = w.id
+	w.leaseUntil = max(w.leaseUntil, cmd.DeadlineMs)
+	w.runs[cmd.Task] = &taskRun{run: cmd.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how}
+	f.running[cmd.Task] = w.id
 	f.starts++
-	f.ran[parts[0]] = true
+	f.startedJobs[nameParts[0]] = true
 	used := Size{}
 	for _, r := range w.runs {
 		used = used.add(r.size)
 	}
-	if !used.fits(f.capacity) {
-		f.problem("worker %s is given %+v of %+v", w.id, used, f.capacity)
+	if !used.fitsIn(f.capacity) {
+		f.addViolation("worker %s is overcommitted: its runs need %+v, its capacity is %+v", w.id, used, f.capacity)
 	}
-	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
+	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
 }
 
-// SpecStep tells in the Spec of a job what the tasks of one of its steps take, for workers
-// that run in another process than the caller.
+// SpecStep is an element of a job's Spec, which is a JSON array with one element per step. It
+// sets the run time and size of the step's tasks for workers in another process than the
+// caller's.
 type SpecStep struct {
 	MS         int64
 	Cpu, MemMb int64
 }
 
-// Body is the step as a caller posts it.
+// Body returns the step as part of a job submission.
 func (s SpecStep) Body(count int, gang bool, after []int) map[string]any {
 	return map[string]any{"Count": count, "Cpu": s.Cpu, "MemMb": s.MemMb, "EstimateMs": s.MS, "Gang": gang, "StartAfter": after}
 }
 
-// plan returns what the tasks of a step do: as the test said, or as the job's Spec says.
-// The caller holds the lock.
-func (f *Fleet) plan(job, step, spec string) StepPlan {
-	if p, known := f.steps[job+"."+step]; known {
+// planOf returns the plan of a step that the test has set, or else the one in the job's Spec.
+// The caller must hold the lock.
+func (f *Fleet) planOf(job, step, spec string) StepPlan {
+	if p, known := f.plans[job+"."+step]; known {
 		return p
 	}
 	var steps []SpecStep
@@ -354,33 +366,36 @@
 	return StepPlan{}
 }
 
-// failures counts the failed runs of a task on all workers.
-func (f *Fleet) failures(task string) int {
+// failedRunsOf returns the number of failed runs of a task on all workers. The caller must hold
+// the lock.
+func (f *Fleet) failedRunsOf(task string) int {
 	n := 0
 	for _, w := range f.workers {
-		n += w.failed[task]
+		n += w.failedRuns[task]
 	}
 	return n
 }
 
-func (w *Worker) hold(out http.ResponseWriter, r *http.Request, o *order) {
-	w.lease = max(w.lease, o.DeadlineMs)
-	rest := w.ended[:0:0]
+// hold serves POST /hold. It renews the lease and drops acknowledged ended runs. If none remain, it
+// waits for one up to the requested time.
+func (w *Worker) hold(out http.ResponseWriter, r *http.Request, cmd *command) {
+	w.leaseUntil = max(w.leaseUntil, cmd.DeadlineMs)
+	unconfirmed := w.ended[:0:0]
 	for _, e := range w.ended {
 		switch {
-		case e.number > o.AckCursor:
-			rest = append(rest, e)
-		case e.how == "done" && e.number > w.lapsed:
-			w.fleet.noted[doneRun{w, w.born, e.number}] = true
+		case e.number > cmd.AckCursor:
+			unconfirmed = append(unconfirmed, e)
+		case e.how == "done" && e.number > w.lapsedUpTo:
+			w.fleet.confirmed[completedRun{w, w.born, e.number}] = true
 		}
 	}
-	w.ended = rest
-	until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
+	w.ended = unconfirmed
+	until := time.Now().Add(time.Duration(cmd.WaitMs) * time.Millisecond)
 	for len(w.ended) == 0 && time.Now().Before(until) && r.Context().Err() == nil {
 		w.fleet.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		w.fleet.mu.Lock()
-		w.settle()
+		w.endDueRuns()
 	}
 	running, finished := [][]any{}, [][]any{}
 	for task, run := range w.runs {
@@ -389,5 +404,5 @@
 	for _, e := range w.ended {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	reply(out, http.StatusOK, map[string]any{"ClockMs": w.clock(), "born": w.born, "Running": running, "Finished": finished})
+	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock(), "born": w.born, "Running": running, "Finished": finished})
 }
