--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -142,18 +142,18 @@
 }
 
 // EndReason is the way in which a run ended.
-type How string
+type EndReason string
 
 // Reasons for the end of a run. The values are stored in the log and must not change.
 const (
-	Done    How = "done"
-	Failed  How = "failed"  // failure of the task or the worker
-	Stopped How = "stopped" // stopped by an order
-	Lapsed  How = "lapsed"  // the worker's lease expired
-	Broken  How = "broken"  // another member of the gang ended
-	Alone   How = "alone"   // the other members of the gang did not start in time
-	Void    How = "void"    // the run never began and can no longer begin
-	Lost    How = "lost"    // the worker's incarnation ended while the run was on it
+	Done         EndReason = "done"
+	Failed       EndReason = "failed"  // failure of the task or the worker
+	Stopped      EndReason = "stopped" // stopped by an order
+	LeaseExpired EndReason = "lapsed"  // the worker's lease expired
+	GangBroken   EndReason = "broken"  // another member of the gang ended
+	GangTimedOut EndReason = "alone"   // the other members of the gang did not start in time
+	NeverStarted EndReason = "void"    // the run never began and can no longer begin
+	Lost         EndReason = "lost"    // the worker's incarnation ended while the run was on it
 )
 
 // Start is an order to start a run.
@@ -171,21 +171,21 @@
 
 // Results of a start order. Only after NoAnswer is it unknown whether the run begins.
 const (
-	Started      StartResult = "started"
-	NoAnswer     StartResult = "no answer"
-	RefusedFence StartResult = "fenced"       // the worker has seen a newer fencing token
-	RefusedOld   StartResult = "old run"      // the run is not newer than one that already ended on the worker
-	RefusedLate  StartResult = "lease passed" // the order arrived after its lease had expired
-	RefusedRoom  StartResult = "no room"
-	RefusedPass  StartResult = "no ticket" // the ticket is missing or has expired
-	RefusedOther StartResult = "refused"   // the worker is unhealthy or rejected the order; the order had no effect
-	OtherLife    StartResult = "other life"
-	NotSent      StartResult = "not sent" // the order would have reached the worker after its ticket or lease expired
+	Started             StartResult = "started"
+	NoAnswer            StartResult = "no answer"
+	RefusedFenced       StartResult = "fenced"       // the worker has seen a newer fencing token
+	RefusedStaleRun     StartResult = "old run"      // the run is not newer than one that already ended on the worker
+	RefusedLeaseExpired StartResult = "lease passed" // the order arrived after its lease had expired
+	RefusedCapacity     StartResult = "no room"
+	RefusedTicket       StartResult = "no ticket" // the ticket is missing or has expired
+	RefusedOther        StartResult = "refused"   // the worker is unhealthy or rejected the order; the order had no effect
+	OtherLife           StartResult = "other life"
+	NotSent             StartResult = "not sent" // the order would have reached the worker after its ticket or lease expired
 )
 
 // LeaseRenewal renews the lease of a worker, acknowledges ends of runs and requests the worker's
 // lists of running and ended runs.
-type Hold struct {
+type LeaseRenewal struct {
 	LeaseUntil int64 // ms of the worker's clock; 0 leaves the lease unchanged
 	Token      int64
 	Confirmed  int64         // ends up to this number are recorded in the log, so the worker may discard them
@@ -204,12 +204,12 @@
 type EndReport struct {
 	Number int64 // sequence number of the end within the worker's incarnation
 	RunID
-	How        How
+	Reason     EndReason
 	Checkpoint string
 }
 
 // WorkerReport is a worker's response to a LeaseRenewal.
-type Report struct {
+type WorkerReport struct {
 	Life    Life
 	ClockMS int64
 	Running []RunReport
@@ -226,11 +226,11 @@
 
 // Call describes one call to the platform or a worker, for the metrics.
 type Call struct {
-	Dependency string // "store", "worker" or "advice"
-	Outcome    string
-	Took       time.Duration
-	Sent       int // size of the request body
-	Received   int
+	Dependency    string // "store", "worker" or "advice"
+	Outcome       string
+	Duration      time.Duration
+	SentBytes     int // size of the request body
+	ReceivedBytes int
 }
 
 // Grant permits a step to run on a worker.
--- a/core/flow/fuzz_test.go
+++ b/core/flow/fuzz_test.go
@@ -13,16 +13,16 @@
 		"negative count":      {{Count: -1}},
 		"no task":             {{Count: 0}},
 		"too many tasks":      {{Count: MaxTasksInStep + 1}},
-		"waits for itself":    {{Count: 1, After: []int{0}}},
-		"waits for a later":   {{Count: 1, After: []int{1}}, {Count: 1}},
-		"waits for a missing": {{Count: 1}, {Count: 1, After: []int{-1}}},
+		"waits for itself":    {{Count: 1, DependsOn: []int{0}}},
+		"waits for a later":   {{Count: 1, DependsOn: []int{1}}, {Count: 1}},
+		"waits for a missing": {{Count: 1}, {Count: 1, DependsOn: []int{-1}}},
 	} {
 		s := NewState()
 		if err := s.Apply(&Record{Submit: &Submit{ID: "j", Steps: steps}}, 0); err == nil {
 			t.Errorf("%s: accepted", name)
 		}
-		if s.Next != 1 || len(s.Jobs) != 0 {
-			t.Errorf("%s: next %d, %d jobs", name, s.Next, len(s.Jobs))
+		if s.NextOffset != 1 || len(s.Jobs) != 0 {
+			t.Errorf("%s: next %d, %d jobs", name, s.NextOffset, len(s.Jobs))
 		}
 	}
 }
@@ -31,9 +31,9 @@
 // or do not advance the offset by exactly one.
 func FuzzRecords(f *testing.F) {
 	begin := Record{Batch: &Batch{Epoch: 1, Begins: []Begin{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}}}}}
-	end := Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}, How: cluster.Done, Checkpoint: "c"}}}}
+	end := Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: cluster.RunID{TaskID: cluster.TaskID{Job: "j"}, Run: 1}, Reason: cluster.Done, Checkpoint: "c"}}}}
 	for _, r := range []Record{
-		{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}, MaxAttempts: 1}},
+		{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}, MaxAttempts: 1}},
 		{Submit: &Submit{ID: "j", Times: 3, Steps: []Step{{Count: -1}}}},
 		{Claim: &Claim{Daemon: "d", Epoch: 1}}, begin, end, {Cancel: &Cancel{ID: "j"}}, {Hello: &Hello{Daemon: "d", Leaving: true}}, {},
 	} {
@@ -47,7 +47,7 @@
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		s := NewState()
 		claim := Record{Claim: &Claim{Daemon: "d", Epoch: 1}}
-		job := Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}, MaxAttempts: 1}}
+		job := Record{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}, MaxAttempts: 1}}
 		records := []Record{claim, job}
 		for _, data := range [][]byte{first, second, first} {
 			if r, err := Decode(data); err == nil {
@@ -57,8 +57,8 @@
 		for i := range records {
 			_ = s.Apply(&records[i], time.Duration(i)) // an error means that the record was ignored
 		}
-		if s.Next != int64(len(records)) {
-			t.Fatalf("position %d after %d records", s.Next, len(records))
+		if s.NextOffset != int64(len(records)) {
+			t.Fatalf("position %d after %d records", s.NextOffset, len(records))
 		}
 		head, chunks, err := s.Snapshot(1, time.Second)
 		if err != nil {
@@ -77,7 +77,7 @@
 	f.Add(append([]byte{endedVersion, 0, 1}, "8bytes--\x05\x80\x03abc\x00"...))
 	f.Add([]byte{endedVersion, 0, endedTextIDFlag, 0xff, 0xff, 0x03})
 	f.Fuzz(func(_ *testing.T, chunk []byte) {
-		s, err := Restore(SnapshotHead{Chunks: 1, Parts: []SnapshotPart{PartOf(chunk)}}, [][]byte{chunk}, time.Second)
+		s, err := Restore(SnapshotHead{Chunks: 1, Parts: []SnapshotPart{DescribeChunk(chunk)}}, [][]byte{chunk}, time.Second)
 		if err != nil {
 			return
 		}
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -11,22 +11,22 @@
 
 // Step is a set of identical tasks of a job.
 type Step struct {
-	Count         int             `json:"n"`
-	Size          resource.Vector `json:"z"`
-	EstimateMS    int64           `json:"e,omitempty"` // expected run time of a task, a rough value given by the caller
-	After         []int           `json:"a,omitempty"` // indexes of earlier steps that must be complete first
-	Gang          bool            `json:"g,omitempty"`
-	SameRack      bool            `json:"r,omitempty"` // the tasks prefer one rack, because they are slower across racks
-	Checkpointing bool            `json:"c,omitempty"`
-	Speculative   bool            `json:"x,omitempty"` // several copies of a task may run in parallel
-	LongRunning   bool            `json:"l,omitempty"` // runs until the job is cancelled
-	Fills         bool            `json:"f,omitempty"` // uses only capacity that other tasks leave free
-	Label         string          `json:"b,omitempty"` // label that a worker must have
-	NearRack      string          `json:"k,omitempty"` // rack that holds the input data
-	PerWorker     int             `json:"p,omitempty"` // maximum number of the step's tasks on one worker; 0 means no limit
-	Image         string          `json:"i,omitempty"`
-	TargetMS      int64           `json:"t,omitempty"` // upper bound of the tail response time, for long-running tasks
-	MayMiss       int             `json:"m,omitempty"` // maximum number of tasks that may be disrupted on purpose at the same time
+	Count          int             `json:"n"`
+	Size           resource.Vector `json:"z"`
+	EstimateMS     int64           `json:"e,omitempty"` // expected run time of a task, a rough value given by the caller
+	DependsOn      []int           `json:"a,omitempty"` // indexes of earlier steps that must be complete first
+	Gang           bool            `json:"g,omitempty"`
+	SameRack       bool            `json:"r,omitempty"` // the tasks prefer one rack, because they are slower across racks
+	Checkpointing  bool            `json:"c,omitempty"`
+	Speculative    bool            `json:"x,omitempty"` // several copies of a task may run in parallel
+	LongRunning    bool            `json:"l,omitempty"` // runs until the job is cancelled
+	Backfill       bool            `json:"f,omitempty"` // uses only capacity that other tasks leave free
+	Label          string          `json:"b,omitempty"` // label that a worker must have
+	NearRack       string          `json:"k,omitempty"` // rack that holds the input data
+	MaxPerWorker   int             `json:"p,omitempty"` // maximum number of the step's tasks on one worker; 0 means no limit
+	Image          string          `json:"i,omitempty"`
+	TailTargetMS   int64           `json:"t,omitempty"` // upper bound of the tail response time, for long-running tasks
+	MaxUnavailable int             `json:"m,omitempty"` // maximum number of tasks that may be disrupted on purpose at the same time
 }
 
 // Submit accepts a job. Only the first submission of an id takes effect.
@@ -52,10 +52,10 @@
 
 // Claim makes a daemon the placer as of the claim's offset in the log.
 type Claim struct {
-	Daemon  string `json:"d"`
-	Address string `json:"a"` // address of the daemon's peer listener
-	Epoch   int64  `json:"e"` // epoch of the daemon's appends
-	Started int64  `json:"t"` // process start, Unix ms; distinguishes restarts of a daemon
+	Daemon    string `json:"d"`
+	Address   string `json:"a"` // address of the daemon's peer listener
+	Epoch     int64  `json:"e"` // epoch of the daemon's appends
+	StartedMS int64  `json:"t"` // process start, Unix ms; distinguishes restarts of a daemon
 }
 
 // Release ends the placer's claim.
@@ -68,13 +68,13 @@
 type Hello struct {
 	Daemon     string `json:"d"`
 	Address    string `json:"a"`
-	Started    int64  `json:"t"` // process start, Unix ms
+	StartedMS  int64  `json:"t"` // process start, Unix ms
 	Leaving    bool   `json:"x,omitempty"`
 	DataCentre string `json:"z,omitempty"`
 	// CapacityFactor is the daemon's capacity as a multiple of what a placer needs.
 	// LogLatencyMS is the response time of the log as seen by the daemon.
-	Strength   float64 `json:"w,omitempty"`
-	DistanceMS int64   `json:"r,omitempty"`
+	CapacityFactor float64 `json:"w,omitempty"`
+	LogLatencyMS   int64   `json:"r,omitempty"`
 }
 
 // Begin records the intention to start a run. It is logged before the start order is sent.
@@ -87,17 +87,17 @@
 // End is the end of a run.
 type End struct {
 	cluster.RunID
-	How        cluster.How `json:"h"`
-	Checkpoint string      `json:"c,omitempty"`
+	Reason     cluster.EndReason `json:"h"`
+	Checkpoint string            `json:"c,omitempty"`
 }
 
 // Batch holds the placer's decisions and the ends it learned of since its last batch. An empty
 // batch serves as a heartbeat.
 type Batch struct {
-	Epoch   int64    `json:"e"`
-	Begins  []Begin  `json:"b,omitempty"`
-	Ends    []End    `json:"x,omitempty"`
-	Started []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
+	Epoch       int64    `json:"e"`
+	Begins      []Begin  `json:"b,omitempty"`
+	Ends        []End    `json:"x,omitempty"`
+	StartedJobs []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
 }
 
 // Record is one log record. Exactly one field is set.
@@ -139,20 +139,20 @@
 // Limits of a job. They also apply to jobs in the log that some other program wrote.
 const (
 	MaxTasksInStep = 5000
-	MaxTimes       = 10_000
+	MaxOccurrences = 10_000
 )
 
 // validate rejects a job that daemons could not apply safely. Every daemon applies every record,
 // so a job must not need unbounded memory or refer to steps that do not exist.
 func (s *Submit) validate() error {
-	if s.ID == "" || s.Times < 0 || s.Times > MaxTimes {
+	if s.ID == "" || s.Times < 0 || s.Times > MaxOccurrences {
 		return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %q has an empty id or an invalid number of occurrences: %d", s.ID, s.Times)
 	}
 	for i := range s.Steps {
 		if n := s.Steps[i].Count; n < 1 || n > MaxTasksInStep {
 			return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %s: step %d has an invalid number of tasks: %d", s.ID, i, n)
 		}
-		for _, a := range s.Steps[i].After {
+		for _, a := range s.Steps[i].DependsOn {
 			if a < 0 || a >= i {
 				return fault.New(fault.Invalid, "find and stop the process that writes invalid records to the log", "job %s: step %d depends on step %d, which is not an earlier step", s.ID, i, a)
 			}
@@ -162,7 +162,7 @@
 }
 
 // DueMS returns the due time of an occurrence in Unix ms; 0 means immediately.
-func (s *Submit) Due(occurrence int) int64 {
+func (s *Submit) DueMS(occurrence int) int64 {
 	if s.Times == 0 {
 		return 0
 	}
@@ -173,16 +173,16 @@
 func (s *Submit) Occurrences() int { return max(1, s.Times) }
 
 // CriticalPath returns the estimated duration of the longest chain of dependent steps.
-func (s *Submit) Chain() time.Duration { return s.ChainFrom(nil) }
+func (s *Submit) CriticalPath() time.Duration { return s.RemainingCriticalPath(nil) }
 
 // RemainingCriticalPath returns the estimated duration of the longest chain of dependent steps
 // that are not done. The function done reports whether a step is; nil means that none is.
-func (s *Submit) ChainFrom(done func(step int) bool) time.Duration {
+func (s *Submit) RemainingCriticalPath(done func(step int) bool) time.Duration {
 	ends := make([]int64, len(s.Steps))
 	longest := int64(0)
 	for i := range s.Steps {
 		start := int64(0)
-		for _, a := range s.Steps[i].After {
+		for _, a := range s.Steps[i].DependsOn {
 			if a < i {
 				start = max(start, ends[a])
 			}
--- a/core/flow/record_test.go
+++ b/core/flow/record_test.go
@@ -18,7 +18,7 @@
 		id := cluster.RunID{TaskID: cluster.TaskID{Job: fmt.Sprintf("%016x", i/4*2654435761), Index: i % 4}, Run: 1}
 		life := cluster.Life{Worker: fmt.Sprintf("i-%04x", i*37%350), Born: 1779750176768 + int64(i*37%350)}
 		b.Begins = append(b.Begins, Begin{RunID: id, Life: life})
-		b.Ends = append(b.Ends, End{RunID: id, How: cluster.Done})
+		b.Ends = append(b.Ends, End{RunID: id, Reason: cluster.Done})
 	}
 	return &Record{Batch: b}
 }
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -60,7 +60,7 @@
 }
 
 // DescribeChunk returns the description of a chunk that is not stored yet, without its offset.
-func PartOf(chunk []byte) SnapshotPart {
+func DescribeChunk(chunk []byte) SnapshotPart {
 	return SnapshotPart{Bytes: len(chunk), Sum: crc32.ChecksumIEEE(chunk)}
 }
 
@@ -100,7 +100,7 @@
 // Snapshot returns the state as a head and chunks. The data needed for placement comes first;
 // ended jobs, of which only the phase is still needed, come last.
 func (s *State) Snapshot(generation int64, now time.Duration) (SnapshotHead, [][]byte, error) {
-	head := SnapshotHead{Generation: generation, Next: s.Next, Claim: s.Claim, Token: s.Token}
+	head := SnapshotHead{Generation: generation, Next: s.NextOffset, Claim: s.Claim, Token: s.FencingToken}
 	for _, m := range s.Members {
 		head.Members = append(head.Members, m.Hello)
 	}
@@ -112,7 +112,7 @@
 	chunks = append(chunks, encodeEndedJobs(ended, generation, now)...)
 	head.Chunks = len(chunks)
 	for _, chunk := range chunks {
-		head.Parts = append(head.Parts, PartOf(chunk))
+		head.Parts = append(head.Parts, DescribeChunk(chunk))
 	}
 	return head, chunks, nil
 }
@@ -180,7 +180,7 @@
 		steps := make([]savedStep, len(o.Steps))
 		for i := range o.Steps {
 			st := &o.Steps[i]
-			steps[i] = savedStep{Run: st.Run, Failures: st.Failures, Failed: st.lastFailedRun, Tasks: st.Tasks}
+			steps[i] = savedStep{Run: st.HighestRun, Failures: st.Failures, Failed: st.lastFailedRun, Tasks: st.Tasks}
 		}
 		saved.Occurred[k] = steps
 	}
@@ -201,14 +201,14 @@
 func (r *Restorer) Head() *SnapshotHead { return &r.head }
 
 // ChunksAdded returns the number of chunks added so far, which is the index of the next one.
-func (r *Restorer) Taken() int { return r.added }
+func (r *Restorer) ChunksAdded() int { return r.added }
 
 // Complete reports whether all chunks have been added.
 func (r *Restorer) Complete() bool { return r.added == r.head.Chunks }
 
 // AddChunk adds the next chunk. A chunk that does not match the head's description is rejected
 // and changes nothing.
-func (r *Restorer) Take(chunk []byte, now time.Duration) error {
+func (r *Restorer) AddChunk(chunk []byte, now time.Duration) error {
 	if r.added >= len(r.head.Parts) || !r.head.Parts[r.added].matches(chunk) {
 		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is damaged or belongs to another snapshot", r.added, r.head.Generation)
 	}
@@ -225,17 +225,17 @@
 		return nil, fault.New(fault.Invalid, "read the snapshot again", "snapshot is incomplete: got %d of %d chunks", r.added, r.head.Chunks)
 	}
 	s := r.state
-	s.Next, s.Token, s.Heard = r.head.Next, r.head.Token, now
-	s.Meet(&r.head, now)
+	s.NextOffset, s.FencingToken, s.LastHeard = r.head.Next, r.head.Token, now
+	s.RestoreMembership(&r.head, now)
 	return s, nil
 }
 
 // RestoreMembership sets the claim and the members from the head of a snapshot. Jobs stay as
 // they are.
-func (s *State) Meet(head *SnapshotHead, now time.Duration) {
+func (s *State) RestoreMembership(head *SnapshotHead, now time.Duration) {
 	s.Claim = head.Claim
 	for _, h := range head.Members {
-		s.Members[h.Daemon] = Member{Hello: h, Seen: now}
+		s.Members[h.Daemon] = Member{Hello: h, LastSeen: now}
 	}
 }
 
@@ -243,7 +243,7 @@
 func Restore(head SnapshotHead, chunks [][]byte, now time.Duration) (*State, error) {
 	r := NewRestorer(head)
 	for _, chunk := range chunks {
-		if err := r.Take(chunk, now); err != nil {
+		if err := r.AddChunk(chunk, now); err != nil {
 			return nil, err
 		}
 	}
@@ -304,25 +304,25 @@
 				restoreStep(j, o, &o.Steps[i], &steps[i])
 			}
 		}
-		if o.Complete == len(o.Steps) {
-			j.Ended++
+		if o.CompletedSteps == len(o.Steps) {
+			j.CompletedOccurrences++
 		}
 	}
 	return nil
 }
 
 func restoreStep(j *Job, o *Occurrence, st *StepState, saved *savedStep) {
-	st.Run, st.Failures, st.lastFailedRun = saved.Run, saved.Failures, saved.Failed
+	st.HighestRun, st.Failures, st.lastFailedRun = saved.Run, saved.Failures, saved.Failed
 	copy(st.Tasks, saved.Tasks)
 	for i := range st.Tasks {
 		if st.Tasks[i].Done {
-			st.Done++
+			st.DoneTasks++
 		}
 		if st.Tasks[i].Active {
-			j.Active++
+			j.ActiveRuns++
 		}
 	}
 	if st.Complete() {
-		o.Complete++
+		o.CompletedSteps++
 	}
 }
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -14,13 +14,13 @@
 
 // comparableState returns the parts of a state that must survive a snapshot.
 func comparableState(s *State) map[string]any {
-	view := map[string]any{"next": s.Next, "claim": s.Claim, "token": s.Token, "pending": s.Pending}
+	view := map[string]any{"next": s.NextOffset, "claim": s.Claim, "token": s.FencingToken, "pending": s.Pending}
 	for id, j := range s.Jobs {
 		view[id] = j.Phase
-		if j.Phase.Final() && j.Active <= 0 {
+		if j.Phase.Final() && j.ActiveRuns <= 0 {
 			continue
 		}
-		view[id+" active"], view[id+" ended"] = j.Active, j.Ended
+		view[id+" active"], view[id+" ended"] = j.ActiveRuns, j.CompletedOccurrences
 		for k, o := range j.Occurrences {
 			view[fmt.Sprint(id, "/", k)] = *o
 		}
@@ -33,7 +33,7 @@
 func TestRestoredStateMatchesOriginal(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	s := NewState()
-	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}}, Record{Hello: &Hello{Daemon: "a", Address: "x", Started: 5}})
+	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, StartedMS: 5}}, Record{Hello: &Hello{Daemon: "a", Address: "x", StartedMS: 5}})
 	var restored *State
 	for n := range 3000 {
 		r := randomRecord(rng)
@@ -69,17 +69,17 @@
 	task := cluster.TaskID{Job: job, Occurrence: rng.IntN(2), Step: rng.IntN(2), Index: rng.IntN(3)}
 	switch rng.IntN(10) {
 	case 0, 1:
-		return Record{Submit: &Submit{ID: job, Queue: fmt.Sprint("q", rng.IntN(3)), Steps: []Step{{Count: 3, Gang: rng.IntN(2) == 0}, {Count: 1 + rng.IntN(3), After: []int{0}}}, Times: rng.IntN(3), MaxAttempts: 3}}
+		return Record{Submit: &Submit{ID: job, Queue: fmt.Sprint("q", rng.IntN(3)), Steps: []Step{{Count: 3, Gang: rng.IntN(2) == 0}, {Count: 1 + rng.IntN(3), DependsOn: []int{0}}}, Times: rng.IntN(3), MaxAttempts: 3}}
 	case 2:
 		if rng.IntN(4) > 0 {
-			return Record{Batch: &Batch{Epoch: 9, Started: []string{job}}}
+			return Record{Batch: &Batch{Epoch: 9, StartedJobs: []string{job}}}
 		}
 		return Record{Cancel: &Cancel{ID: job}}
 	case 3, 4, 5, 6:
 		return Record{Batch: &Batch{Epoch: 9, Begins: []Begin{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Life: cluster.Life{Worker: "w", Born: 2}}}}}
 	default:
-		how := []cluster.How{cluster.Done, cluster.Done, cluster.Failed, cluster.Void, cluster.Lapsed}[rng.IntN(5)]
-		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, How: how, Checkpoint: "c"}}}}
+		how := []cluster.EndReason{cluster.Done, cluster.Done, cluster.Failed, cluster.NeverStarted, cluster.LeaseExpired}[rng.IntN(5)]
+		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Reason: how, Checkpoint: "c"}}}}
 	}
 }
 
@@ -114,7 +114,7 @@
 	require.NoError(t, err)
 	_, err = Restore(head, next, 0)
 	require.True(t, fault.Is(err, fault.Invalid), "a chunk of the next snapshot was accepted: %v", err)
-	head.Parts = []SnapshotPart{PartOf(next[0])}
+	head.Parts = []SnapshotPart{DescribeChunk(next[0])}
 	_, err = Restore(head, next, 0)
 	require.True(t, fault.Is(err, fault.Invalid), "a chunk of the next snapshot was accepted although its generation differs: %v", err)
 }
@@ -124,7 +124,7 @@
 func mixedJobs(t testing.TB, n int) *State {
 	s := NewState()
 	apply := func(r Record) { require.NoError(t, s.Apply(&r, time.Second)) }
-	apply(Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}})
+	apply(Record{Claim: &Claim{Daemon: "a", Epoch: 9, StartedMS: 5}})
 	for i := range n {
 		id := fmt.Sprintf("%016x", i)
 		apply(Record{Submit: &Submit{ID: id, Queue: "q", Steps: []Step{{Count: 1}}, MaxAttempts: 2}})
@@ -144,14 +144,14 @@
 	r := NewRestorer(head)
 	last := chunks[len(chunks)-1]
 	for _, chunk := range chunks[:len(chunks)-1] {
-		require.NoError(t, r.Take(chunk, time.Hour))
+		require.NoError(t, r.AddChunk(chunk, time.Hour))
 	}
 	require.Len(t, r.state.Jobs, jobs/3)
 	require.Equal(t, jobs/3, r.state.Pending["q"])
 	_, err = r.State(time.Hour)
 	require.True(t, fault.Is(err, fault.Invalid), "a state was returned without the ended jobs")
 	require.LessOrEqual(t, len(last), jobs*2/3*bytesEach)
-	require.NoError(t, r.Take(last, time.Hour))
+	require.NoError(t, r.AddChunk(last, time.Hour))
 	s, err := r.State(time.Hour)
 	require.NoError(t, err)
 	require.Len(t, s.Jobs, jobs)
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -24,7 +24,7 @@
 
 // TaskState is the state of one task according to the log.
 type TaskState struct {
-	Run        int          `json:"r,omitempty"` // number of the last run begun; runs are numbered from 1
+	LastRun    int          `json:"r,omitempty"` // number of the last run begun; runs are numbered from 1
 	Active     bool         `json:"a,omitempty"`
 	Done       bool         `json:"d,omitempty"`
 	Failures   int          `json:"f,omitempty"`
@@ -35,30 +35,30 @@
 // StepState is the state of one step of an occurrence according to the log.
 type StepState struct {
 	Tasks         []TaskState
-	Done          int // number of tasks that are done
-	Run           int // highest run number of any task; the members of a gang share it
+	DoneTasks     int // number of tasks that are done
+	HighestRun    int // highest run number of any task; the members of a gang share it
 	Failures      int // number of failed runs of a gang
 	lastFailedRun int // last run of the gang that was counted as failed
 }
 
 // Complete reports whether all tasks of the step are done.
-func (s *StepState) Complete() bool { return s.Done == len(s.Tasks) }
+func (s *StepState) Complete() bool { return s.DoneTasks == len(s.Tasks) }
 
 // Occurrence is one execution of all steps of a job.
 type Occurrence struct {
-	Steps    []StepState
-	Complete int // number of complete steps
+	Steps          []StepState
+	CompletedSteps int // number of complete steps
 }
 
 // Job is a job with its progress.
 type Job struct {
 	Submit
-	Offset      int64 // log offset of the submission
-	Phase       Phase
-	Occurrences map[int]*Occurrence // occurrences of which a run has begun, by index
-	Ended       int                 // number of complete occurrences
-	EndedAt     time.Duration       // boot-clock time at which the final phase was applied
-	Active      int                 // number of runs that have begun and not ended
+	Offset               int64 // log offset of the submission
+	Phase                Phase
+	Occurrences          map[int]*Occurrence // occurrences of which a run has begun, by index
+	CompletedOccurrences int                 // number of complete occurrences
+	EndedAt              time.Duration       // boot-clock time at which the final phase was applied
+	ActiveRuns           int                 // number of runs that have begun and not ended
 }
 
 // Step returns the state of a step, or nil if no run of the occurrence has begun or the step
@@ -90,7 +90,7 @@
 
 // StepReady reports whether all steps that the step depends on are complete.
 func (j *Job) StepReady(occurrence, step int) bool {
-	for _, a := range j.Steps[step].After {
+	for _, a := range j.Steps[step].DependsOn {
 		s := j.Step(occurrence, a)
 		if s == nil || !s.Complete() {
 			return false
@@ -110,20 +110,20 @@
 // Member is a daemon that has announced itself by a Hello record.
 type Member struct {
 	Hello
-	Seen time.Duration // boot-clock time of the last Hello
+	LastSeen time.Duration // boot-clock time of the last Hello
 }
 
 // State is the state that the records of one log partition describe. It is not safe for
 // concurrent use.
 type State struct {
-	Jobs    map[string]*Job
-	Claim   Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
-	Token   int64         // fencing token of the newest claim: the claim's offset plus one
-	Heard   time.Duration // boot-clock time of the placer's last claim or batch
-	Claimed time.Duration // boot-clock time at which the newest claim was applied
-	Members map[string]Member
-	Next    int64          // offset of the next record
-	Pending map[string]int // by queue: number of jobs without a due time that have not begun
+	Jobs         map[string]*Job
+	Claim        Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
+	FencingToken int64         // fencing token of the newest claim: the claim's offset plus one
+	LastHeard    time.Duration // boot-clock time of the placer's last claim or batch
+	ClaimedAt    time.Duration // boot-clock time at which the newest claim was applied
+	Members      map[string]Member
+	NextOffset   int64          // offset of the next record
+	Pending      map[string]int // by queue: number of jobs without a due time that have not begun
 }
 
 // NewState returns the empty state before the first record.
@@ -134,15 +134,15 @@
 // Apply applies the record at State.NextOffset, which was read at boot-clock time now. An error
 // means that the record, or the batch entry that the error names, was ignored.
 func (s *State) Apply(r *Record, now time.Duration) error {
-	offset := s.Next
-	s.Next++
+	offset := s.NextOffset
+	s.NextOffset++
 	switch {
 	case r.Submit != nil:
 		return s.applySubmit(r.Submit, offset)
 	case r.Cancel != nil:
 		return s.applyCancel(r.Cancel, now)
 	case r.Claim != nil:
-		s.Claim, s.Token, s.Heard, s.Claimed = *r.Claim, offset+1, now, now
+		s.Claim, s.FencingToken, s.LastHeard, s.ClaimedAt = *r.Claim, offset+1, now, now
 	case r.Release != nil:
 		if r.Release.Epoch == s.Claim.Epoch {
 			s.Claim.Daemon = ""
@@ -158,7 +158,7 @@
 }
 
 // Skip advances past a record that cannot be decoded.
-func (s *State) Skip() { s.Next++ }
+func (s *State) Skip() { s.NextOffset++ }
 
 func (s *State) applySubmit(in *Submit, offset int64) error {
 	if s.Jobs[in.ID] != nil {
@@ -204,18 +204,18 @@
 		delete(s.Members, h.Daemon)
 		return
 	}
-	if h.Daemon == s.Claim.Daemon && h.Started > s.Claim.Started {
+	if h.Daemon == s.Claim.Daemon && h.StartedMS > s.Claim.StartedMS {
 		s.Claim.Daemon = "" // the daemon has restarted, so the process that claimed has ended
 	}
-	s.Members[h.Daemon] = Member{Hello: h, Seen: now}
+	s.Members[h.Daemon] = Member{Hello: h, LastSeen: now}
 }
 
 func (s *State) applyBatch(b *Batch, now time.Duration) error {
 	if b.Epoch != s.Claim.Epoch {
 		return fault.New(fault.Conflict, "none needed: a newer placer has taken over", "batch has epoch %d, but the current epoch is %d", b.Epoch, s.Claim.Epoch)
 	}
-	s.Heard = now
-	for _, id := range b.Started {
+	s.LastHeard = now
+	for _, id := range b.StartedJobs {
 		if j := s.Jobs[id]; j != nil {
 			s.markRunning(j)
 		}
@@ -253,12 +253,12 @@
 
 func (s *State) applyBegin(b *Begin) error {
 	j, _, step, t := s.find(b.TaskID)
-	if t == nil || t.Done || t.Active || b.Run <= t.Run {
+	if t == nil || t.Done || t.Active || b.Run <= t.LastRun {
 		return fault.New(fault.Conflict, "report this as a bug", "run %d of task %v cannot begin: the task is unknown, done or active, or the run is not newer than the last one", b.Run, b.TaskID)
 	}
-	t.Run, t.Active, t.Life = b.Run, true, b.Life
-	step.Run = max(step.Run, b.Run)
-	j.Active++
+	t.LastRun, t.Active, t.Life = b.Run, true, b.Life
+	step.HighestRun = max(step.HighestRun, b.Run)
+	j.ActiveRuns++
 	return nil
 }
 
@@ -267,15 +267,15 @@
 	if t == nil {
 		return fault.New(fault.Conflict, "none needed: the job's retention period has passed", "run ended for unknown task %v", e.TaskID)
 	}
-	if t.Done && t.Run == e.Run {
+	if t.Done && t.LastRun == e.Run {
 		return nil // the gang was already marked as done by another member's end
 	}
-	if !t.Active || t.Run != e.Run {
+	if !t.Active || t.LastRun != e.Run {
 		return fault.New(fault.Conflict, "none needed: the end is already recorded", "run %d of task %v is not active", e.Run, e.TaskID)
 	}
 	t.Active = false
-	j.Active--
-	if e.How == cluster.Void {
+	j.ActiveRuns--
+	if e.Reason == cluster.NeverStarted {
 		return nil
 	}
 	s.markRunning(j)
@@ -288,7 +288,7 @@
 	if def.LongRunning {
 		return nil
 	}
-	switch e.How {
+	switch e.Reason {
 	case cluster.Done:
 		s.markDone(j, o, step, t, now)
 		if def.Gang {
@@ -305,12 +305,12 @@
 func (s *State) markGangDone(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
 	for i := range step.Tasks {
 		t := &step.Tasks[i]
-		if t.Done || t.Run != run {
+		if t.Done || t.LastRun != run {
 			continue
 		}
 		if t.Active {
 			t.Active = false
-			j.Active--
+			j.ActiveRuns--
 		}
 		s.markDone(j, o, step, t, now)
 	}
@@ -318,16 +318,16 @@
 
 func (s *State) markDone(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
 	t.Done = true
-	step.Done++
+	step.DoneTasks++
 	if !step.Complete() {
 		return
 	}
-	o.Complete++
-	if o.Complete < len(o.Steps) {
+	o.CompletedSteps++
+	if o.CompletedSteps < len(o.Steps) {
 		return
 	}
-	j.Ended++
-	if j.Ended == j.Submit.Occurrences() {
+	j.CompletedOccurrences++
+	if j.CompletedOccurrences == j.Submit.Occurrences() {
 		s.finish(j, Completed, now)
 	}
 }
@@ -371,5 +371,5 @@
 // onlyPhaseNeeded reports whether the job's steps and tasks are no longer needed, only its id,
 // phase and end time.
 func (j *Job) onlyPhaseNeeded(now time.Duration) bool {
-	return j.Phase.Final() && j.Active <= 0 && now-j.EndedAt > endedJobDetailRetention
+	return j.Phase.Final() && j.ActiveRuns <= 0 && now-j.EndedAt > endedJobDetailRetention
 }
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -22,7 +22,7 @@
 
 func stateWithJob(t *testing.T, steps ...Step) *State {
 	s := NewState()
-	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, Started: 5}},
+	applyRecords(t, s, Record{Claim: &Claim{Daemon: "a", Epoch: 9, StartedMS: 5}},
 		Record{Submit: &Submit{ID: "j", Queue: "q", Pool: "p", Spec: "first", Steps: steps, MaxAttempts: 2}})
 	return s
 }
@@ -39,10 +39,10 @@
 	return Record{Batch: b}
 }
 
-func endRecord(how cluster.How, ids ...cluster.RunID) Record {
+func endRecord(how cluster.EndReason, ids ...cluster.RunID) Record {
 	b := &Batch{Epoch: 9}
 	for _, id := range ids {
-		b.Ends = append(b.Ends, End{RunID: id, How: how})
+		b.Ends = append(b.Ends, End{RunID: id, Reason: how})
 	}
 	return Record{Batch: b}
 }
@@ -62,12 +62,12 @@
 	applyRecords(t, s, beginRecord(runOf(0, 0, 1)))
 	require.Equal(t, 1, s.Pending["q"])
 	require.Equal(t, Queued, s.Jobs["j"].Phase)
-	applyRecords(t, s, endRecord(cluster.Void, runOf(0, 0, 1)), beginRecord(runOf(0, 0, 2)))
+	applyRecords(t, s, endRecord(cluster.NeverStarted, runOf(0, 0, 1)), beginRecord(runOf(0, 0, 2)))
 	require.Equal(t, 1, s.Pending["q"])
-	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j", "unknown"}}})
+	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, StartedJobs: []string{"j", "unknown"}}})
 	require.Zero(t, s.Pending["q"])
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, Started: []string{"j"}}}, endRecord(cluster.Done, runOf(0, 0, 2)))
+	applyRecords(t, s, Record{Batch: &Batch{Epoch: 9, StartedJobs: []string{"j"}}}, endRecord(cluster.Done, runOf(0, 0, 2)))
 	require.Zero(t, s.Pending["q"])
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 }
@@ -75,10 +75,10 @@
 // Guards against a job that is reported as completed before all tasks are done, and against steps
 // that become ready before the steps they depend on are complete.
 func TestCompletedWhenAllTasksAreDone(t *testing.T) {
-	s := stateWithJob(t, Step{Count: 2}, Step{Count: 1, After: []int{0}})
+	s := stateWithJob(t, Step{Count: 2}, Step{Count: 1, DependsOn: []int{0}})
 	applyRecords(t, s, beginRecord(runOf(0, 0, 1), runOf(0, 1, 1)), endRecord(cluster.Done, runOf(0, 0, 1)))
 	require.False(t, s.Jobs["j"].StepReady(0, 1))
-	applyRecords(t, s, endRecord(cluster.Lapsed, runOf(0, 1, 1)), beginRecord(runOf(0, 1, 2)), endRecord(cluster.Done, runOf(0, 1, 2)))
+	applyRecords(t, s, endRecord(cluster.LeaseExpired, runOf(0, 1, 1)), beginRecord(runOf(0, 1, 2)), endRecord(cluster.Done, runOf(0, 1, 2)))
 	require.True(t, s.Jobs["j"].StepReady(0, 1))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
 	applyRecords(t, s, beginRecord(runOf(1, 0, 1)), endRecord(cluster.Done, runOf(1, 0, 1)))
@@ -94,7 +94,7 @@
 	}
 	applyRecords(t, s, beginRecord(all(1)...), endRecord(cluster.Failed, all(1)...))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
-	applyRecords(t, s, beginRecord(all(2)...), endRecord(cluster.Broken, all(2)...), beginRecord(all(3)...), endRecord(cluster.Lost, all(3)...))
+	applyRecords(t, s, beginRecord(all(2)...), endRecord(cluster.GangBroken, all(2)...), beginRecord(all(3)...), endRecord(cluster.Lost, all(3)...))
 	require.Equal(t, Running, s.Jobs["j"].Phase)
 	applyRecords(t, s, beginRecord(all(4)...), endRecord(cluster.Failed, runOf(0, 1, 4)))
 	require.Equal(t, Failed, s.Jobs["j"].Phase)
@@ -106,7 +106,7 @@
 	s := stateWithJob(t, Step{Count: 3, Gang: true})
 	applyRecords(t, s, beginRecord(runOf(0, 0, 1), runOf(0, 1, 1), runOf(0, 2, 1)), endRecord(cluster.Done, runOf(0, 1, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
-	require.Zero(t, s.Jobs["j"].Active)
+	require.Zero(t, s.Jobs["j"].ActiveRuns)
 	applyRecords(t, s, endRecord(cluster.Lost, runOf(0, 0, 1)), endRecord(cluster.Done, runOf(0, 2, 1)))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 }
@@ -115,25 +115,25 @@
 func TestStaleAndDuplicateEntriesAreIgnored(t *testing.T) {
 	s := stateWithJob(t, Step{Count: 1})
 	applyRecords(t, s, beginRecord(runOf(0, 0, 1)))
-	require.Error(t, s.Apply(&Record{Batch: &Batch{Epoch: 8, Ends: []End{{RunID: runOf(0, 0, 1), How: cluster.Done}}}}, 0))
+	require.Error(t, s.Apply(&Record{Batch: &Batch{Epoch: 8, Ends: []End{{RunID: runOf(0, 0, 1), Reason: cluster.Done}}}}, 0))
 	second := beginRecord(runOf(0, 0, 2))
 	require.Error(t, s.Apply(&second, 0))
-	require.Equal(t, 1, s.Task(runOf(0, 0, 1).TaskID).Run)
+	require.Equal(t, 1, s.Task(runOf(0, 0, 1).TaskID).LastRun)
 	unknown := endRecord(cluster.Done, cluster.RunID{TaskID: cluster.TaskID{Job: "none"}, Run: 1})
 	require.Error(t, s.Apply(&unknown, 0))
 	outside := beginRecord(runOf(4, 0, 1))
 	require.Error(t, s.Apply(&outside, 0))
 	require.Error(t, s.Apply(&Record{}, 0))
-	require.EqualValues(t, 8, s.Next)
+	require.EqualValues(t, 8, s.NextOffset)
 }
 
 // Guards against a cell that waits for a placer whose process is known to have ended, and
 // against a claim that ends on a Hello of another daemon or of the same process.
 func TestClaimEndsWithItsProcess(t *testing.T) {
 	s := stateWithJob(t, Step{Count: 1})
-	applyRecords(t, s, Record{Hello: &Hello{Daemon: "b", Started: 99}}, Record{Hello: &Hello{Daemon: "a", Started: 5}})
+	applyRecords(t, s, Record{Hello: &Hello{Daemon: "b", StartedMS: 99}}, Record{Hello: &Hello{Daemon: "a", StartedMS: 5}})
 	require.Equal(t, "a", s.Claim.Daemon)
-	applyRecords(t, s, Record{Hello: &Hello{Daemon: "a", Started: 6}})
+	applyRecords(t, s, Record{Hello: &Hello{Daemon: "a", StartedMS: 6}})
 	require.Empty(t, s.Claim.Daemon)
 	require.EqualValues(t, 9, s.Claim.Epoch)
 	applyRecords(t, s, Record{Claim: &Claim{Daemon: "b", Epoch: 10}}, Record{Release: &Release{Daemon: "a", Epoch: 9}})
--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -11,7 +11,7 @@
 // for, indexed by free capacity. The position of a worker is the same in states,
 // entries, present, serials and rackOfWorker.
 type Cell struct {
-	states        []State
+	states        []WorkerState
 	entries       [][]poolEntry
 	present       []bool
 	serials       []int64 // unique among all workers that the cell ever had
@@ -58,10 +58,10 @@
 func (c *Cell) Len() int { return len(c.workerByVM) }
 
 // Worker returns a copy of the state of a worker.
-func (c *Cell) Worker(vm string) (State, bool) {
+func (c *Cell) Worker(vm string) (WorkerState, bool) {
 	i, ok := c.workerByVM[vm]
 	if !ok {
-		return State{}, false
+		return WorkerState{}, false
 	}
 	w := c.states[i]
 	w.Tasks = slices.Clone(w.Tasks)
@@ -70,9 +70,9 @@
 
 // FreeCapacity returns the free capacity of a worker, and false if the worker is
 // unknown or not schedulable.
-func (c *Cell) Room(vm string) (free resource.Vector, schedulable bool) {
+func (c *Cell) FreeCapacity(vm string) (free resource.Vector, schedulable bool) {
 	i, ok := c.workerByVM[vm]
-	if !ok || !c.states[i].Open() {
+	if !ok || !c.states[i].Schedulable() {
 		return resource.Vector{}, false
 	}
 	return c.states[i].Free(), true
@@ -80,8 +80,8 @@
 
 // Workers returns a copy of the state of all workers. The order is unspecified but
 // deterministic: the same sequence of operations yields the same order.
-func (c *Cell) Workers() []State {
-	all := make([]State, 0, len(c.workerByVM))
+func (c *Cell) Workers() []WorkerState {
+	all := make([]WorkerState, 0, len(c.workerByVM))
 	for i := range c.states {
 		if c.present[i] {
 			w, _ := c.Worker(c.states[i].VM)
@@ -101,7 +101,7 @@
 		known = false
 	}
 	if !known {
-		c.insert(State{Worker: d})
+		c.insert(WorkerState{Worker: d})
 		return
 	}
 	w := c.states[i]
@@ -121,14 +121,14 @@
 		a.Capacity == b.Capacity && slices.Equal(a.Pools, b.Pools) && slices.Equal(a.Labels, b.Labels)
 }
 
-func (c *Cell) insert(w State) {
+func (c *Cell) insert(w WorkerState) {
 	var i int32
 	if n := len(c.unusedWorkers); n > 0 {
 		i = c.unusedWorkers[n-1]
 		c.unusedWorkers = c.unusedWorkers[:n-1]
 	} else {
 		i = int32(len(c.states))
-		c.states = append(c.states, State{})
+		c.states = append(c.states, WorkerState{})
 		c.entries = append(c.entries, nil)
 		c.present = append(c.present, false)
 		c.serials = append(c.serials, 0)
@@ -155,7 +155,7 @@
 		delete(c.workerOfTask, t.ID)
 	}
 	delete(c.workerByVM, vm)
-	c.states[i] = State{}
+	c.states[i] = WorkerState{}
 	c.present[i] = false
 	c.unusedWorkers = append(c.unusedWorkers, i)
 	return tasks
@@ -177,7 +177,7 @@
 			node: c.newNode(i), slotNode: c.newNode(i),
 		})
 	}
-	if w.Open() {
+	if w.Schedulable() {
 		c.countSchedulable(i, 1)
 	}
 	c.reindex(i)
@@ -187,7 +187,7 @@
 // removeFromIndex removes the worker from the index of each of its pools.
 func (c *Cell) removeFromIndex(i int32) {
 	w := &c.states[i]
-	if w.Open() {
+	if w.Schedulable() {
 		c.countSchedulable(i, -1)
 	}
 	for n := range c.entries[i] {
@@ -250,15 +250,15 @@
 }
 
 // setFlags changes flags of a worker and updates the index.
-func (c *Cell) setFlags(vm string, change func(*State)) {
+func (c *Cell) setFlags(vm string, change func(*WorkerState)) {
 	i, ok := c.workerByVM[vm]
 	if !ok {
 		return
 	}
 	w := &c.states[i]
-	wasSchedulable := w.Open()
+	wasSchedulable := w.Schedulable()
 	change(w)
-	if w.Open() == wasSchedulable {
+	if w.Schedulable() == wasSchedulable {
 		return
 	}
 	if wasSchedulable {
@@ -271,18 +271,18 @@
 }
 
 // SetLive records whether the worker is known to be live.
-func (c *Cell) SetUsable(vm string, usable bool) {
-	c.setFlags(vm, func(w *State) { w.Usable = usable })
+func (c *Cell) SetLive(vm string, usable bool) {
+	c.setFlags(vm, func(w *WorkerState) { w.Live = usable })
 }
 
 // SetDraining marks the worker as draining, which lasts until a new incarnation.
-func (c *Cell) SetLeaving(vm string) {
-	c.setFlags(vm, func(w *State) { w.Leaving = true })
+func (c *Cell) SetDraining(vm string) {
+	c.setFlags(vm, func(w *WorkerState) { w.Draining = true })
 }
 
 // SetQuarantined starts or ends the quarantine of the worker.
 func (c *Cell) SetQuarantined(vm string, quarantined bool) {
-	c.setFlags(vm, func(w *State) { w.Quarantined = quarantined })
+	c.setFlags(vm, func(w *WorkerState) { w.Quarantined = quarantined })
 }
 
 // adjustCommitted adds delta to the committed capacity of a worker. It raises
@@ -290,7 +290,7 @@
 func (c *Cell) adjustCommitted(i int32, delta resource.Vector) {
 	w := &c.states[i]
 	w.Committed = w.Committed.Add(delta)
-	if w.Open() {
+	if w.Schedulable() {
 		grows := delta.MilliCores < 0 || delta.MemoryMiB < 0 || delta.Accelerators < 0 || delta.Slots < 0
 		for n := range c.entries[i] {
 			p := c.entries[i][n].pool
--- a/core/place/check_test.go
+++ b/core/place/check_test.go
@@ -41,10 +41,10 @@
 		}
 		members++
 		preemptible := slices.ContainsFunc(w.Tasks, func(t Task) bool { return t.Preemptible })
-		if listed := slices.Contains(p.preemptible, int32(i)); listed != (preemptible && w.Open()) {
+		if listed := slices.Contains(p.preemptible, int32(i)); listed != (preemptible && w.Schedulable()) {
 			return fmt.Errorf("%s in the list of workers with preemptible tasks: %v", w.VM, listed)
 		}
-		if w.Open() {
+		if w.Schedulable() {
 			schedulable++
 			capacity, committed = capacity.Add(w.Capacity), committed.Add(w.Committed)
 		}
@@ -72,7 +72,7 @@
 						inGrids++
 						w := &c.states[c.nodes[n].worker]
 						f := w.Free()
-						if !w.Open() || level(f.MilliCores) != row || level(f.MemoryMiB) != col || (class == 1 && acceleratorLevel(f.Accelerators) != acc) {
+						if !w.Schedulable() || level(f.MilliCores) != row || level(f.MemoryMiB) != col || (class == 1 && acceleratorLevel(f.Accelerators) != acc) {
 							return fmt.Errorf("%s is in the wrong bucket", w.VM)
 						}
 					}
--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -25,7 +25,7 @@
 	}
 	p.undoBookings(firstBooking)
 	p.plan.Assignments = p.plan.Assignments[:firstAssignment]
-	refused = append(refused, wire.Refused{Reason: string(StepGang), Count: len(members)})
+	refused = append(refused, wire.Refused{Reason: string(ReasonGangDoesNotFit), Count: len(members)})
 	for _, ask := range members {
 		p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{TaskID: ask.TaskID, Gang: ask.Gang, Refused: refused})
 	}
@@ -62,7 +62,7 @@
 		}
 	}
 	if len(p.cell.usedRacks) < racks {
-		return []wire.Refused{{Reason: string(StepSpread), Count: len(ordered)}}
+		return []wire.Refused{{Reason: string(ReasonRackUsed), Count: len(ordered)}}
 	}
 	rest := ordered[n:]
 	if len(rest) > 1 && interchangeable(rest) {
@@ -109,7 +109,7 @@
 	first := asks[0]
 	pool := p.cell.pools[first.Pool]
 	if pool == nil {
-		return []wire.Refused{{Reason: string(StepPool), Count: p.cell.Len()}}
+		return []wire.Refused{{Reason: string(ReasonNotInPool), Count: p.cell.Len()}}
 	}
 	sum := first.Resources.Scale(int64(len(asks)))
 	if exceedsHeadroom(first.Pool, first.Priority, pool.capacity, pool.committed, sum, p.options.Headroom) {
--- a/core/place/headroom.go
+++ b/core/place/headroom.go
@@ -7,7 +7,7 @@
 // best fit leaves whole workers free, so the headroom is not fragmented.
 func exceedsHeadroom(pool string, priority int, capacity, committed, ask resource.Vector, rules []Headroom) bool {
 	for _, rule := range rules {
-		if rule.Pool != pool || priority >= rule.Below {
+		if rule.Pool != pool || priority >= rule.BelowPriority {
 			continue
 		}
 		after := committed.Add(ask)
--- a/core/place/held.go
+++ b/core/place/held.go
@@ -8,7 +8,7 @@
 
 // heldForOther reports whether the worker is held for another task or gang. A task
 // that is expected to end by the start of the hold may be backfilled.
-func heldForOther(w *State, ask *wire.TaskAsk, now time.Duration) bool {
+func heldForOther(w *WorkerState, ask *wire.TaskAsk, now time.Duration) bool {
 	if w.Hold.Owner == "" || now >= w.Hold.Expires {
 		return false
 	}
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -66,7 +66,7 @@
 	var candidates []holdCandidate
 	for i := range c.states {
 		w := &c.states[i]
-		if !c.present[i] || notInPool(w, ask.Pool) || notSchedulable(w) || distance(w.Region, w.DataCentre, o) > maxDistance(o.Reach) {
+		if !c.present[i] || notInPool(w, ask.Pool) || notSchedulable(w) || distance(w.Region, w.DataCentre, o) > maxDistance(o.Scope) {
 			continue
 		}
 		if heldForOther(w, ask, now) || avoided(w.VM, ask.AvoidVMs) || lacksLabel(w, ask.Label) ||
@@ -74,10 +74,10 @@
 			continue
 		}
 		candidate := holdCandidate{worker: int32(i), freeAt: now}
-		candidate.tasks = w.Free().Times(ask.Resources)
+		candidate.tasks = w.Free().CountFitting(ask.Resources)
 		if end, known := lastExpectedEnd(w, now); candidate.tasks == 0 && known {
 			candidate.freeAt = end
-			candidate.tasks = w.Capacity.Sub(resource.Vector{Slots: w.Slots}).Times(ask.Resources)
+			candidate.tasks = w.Capacity.Sub(resource.Vector{Slots: w.Slots}).CountFitting(ask.Resources)
 		}
 		if candidate.tasks > 0 {
 			candidates = append(candidates, candidate)
@@ -94,7 +94,7 @@
 
 // lastExpectedEnd returns the time at which all tasks of the worker are expected to
 // have ended, and false if the end of a task is unknown.
-func lastExpectedEnd(w *State, now time.Duration) (time.Duration, bool) {
+func lastExpectedEnd(w *WorkerState, now time.Duration) (time.Duration, bool) {
 	end := now
 	for n := range w.Tasks {
 		if w.Tasks[n].ExpectedEnd == 0 {
--- a/core/place/index.go
+++ b/core/place/index.go
@@ -158,7 +158,7 @@
 // reindex moves the worker to the buckets for its current state.
 func (c *Cell) reindex(i int32) {
 	w := &c.states[i]
-	schedulable, free := w.Open(), w.Free()
+	schedulable, free := w.Schedulable(), w.Free()
 	for n := range c.entries[i] {
 		entry := &c.entries[i][n]
 		if !schedulable {
--- a/core/place/label.go
+++ b/core/place/label.go
@@ -3,6 +3,6 @@
 import "slices"
 
 // lacksLabel reports whether the worker lacks the label that the request requires.
-func lacksLabel(w *State, label string) bool {
+func lacksLabel(w *WorkerState, label string) bool {
 	return label != "" && !slices.Contains(w.Labels, label)
 }
--- a/core/place/large_test.go
+++ b/core/place/large_test.go
@@ -28,7 +28,7 @@
 			Pools: []string{"a"}, Capacity: resource.Vector{MilliCores: 16_000, MemoryMiB: 32_768, Accelerators: int64(i % 2)},
 		}
 		cell.UpdateWorker(w)
-		cell.SetUsable(vm, true)
+		cell.SetLive(vm, true)
 		used := resource.Vector{MilliCores: 14_977 + rng.Int64N(128), MemoryMiB: 31_745 + rng.Int64N(128)}
 		cell.AddTask(vm, place.Task{ID: "old-" + vm, Generation: 1, Resources: used})
 	}
@@ -85,7 +85,7 @@
 	case k == 8:
 		cell.SetQuarantined(vm, rng.IntN(2) == 0)
 	case k == 9:
-		cell.SetUsable(vm, rng.IntN(3) > 0)
+		cell.SetLive(vm, rng.IntN(3) > 0)
 	case k == 10:
 		cell.Resize("old-"+vm, 1, resource.Vector{MilliCores: 14_977 + rng.Int64N(1500), MemoryMiB: 31_760})
 	}
--- a/core/place/locality.go
+++ b/core/place/locality.go
@@ -2,10 +2,10 @@
 
 // Distance returns 0 for a worker in the local data centre, 1 for one in the local
 // region, else 2.
-func (o *Options) Distance(w *State) int { return distance(w.Region, w.DataCentre, o) }
+func (o *Options) Distance(w *WorkerState) int { return distance(w.Region, w.DataCentre, o) }
 
 // InScope reports whether the options allow a worker at that distance.
-func (o *Options) InReach(w *State) bool { return o.Distance(w) <= maxDistance(o.Reach) }
+func (o *Options) InScope(w *WorkerState) bool { return o.Distance(w) <= maxDistance(o.Scope) }
 
 // distance returns 0 for the local data centre, 1 for the local region, else 2.
 func distance(region, dataCentre string, o *Options) int {
@@ -19,11 +19,11 @@
 }
 
 // maxDistance returns the largest distance that the scope allows.
-func maxDistance(r Reach) int {
+func maxDistance(r Scope) int {
 	switch r {
-	case ReachDataCentre:
+	case ScopeDataCentre:
 		return 0
-	case ReachRegion:
+	case ScopeRegion:
 		return 1
 	default:
 		return 2
--- a/core/place/naive/naive.go
+++ b/core/place/naive/naive.go
@@ -14,22 +14,22 @@
 
 // Cell is a list of workers without an index.
 type Cell struct {
-	Workers []place.State
+	Workers []place.WorkerState
 }
 
 // CostFunc replaces place.Cost.
-type Cost func(*place.State, *wire.TaskAsk) float64
+type CostFunc func(*place.WorkerState, *wire.TaskAsk) float64
 
 // Place returns the position of the first worker with the lowest cost, or -1 if the
 // task fits on none. A nil cost means place.Cost.
-func (c *Cell) Place(ask *wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) int {
+func (c *Cell) Place(ask *wire.TaskAsk, o *place.Options, now time.Duration, cost CostFunc) int {
 	best, bestCost := -1, 0.0
 	if c.exceedsHeadroom(ask, o) {
 		return best
 	}
 	for i := range c.Workers {
 		w := &c.Workers[i]
-		if place.Check(w, ask, o, now) != place.StepNone {
+		if place.Check(w, ask, o, now) != place.ReasonNone {
 			continue
 		}
 		cost := c.costOf(w, ask, o, cost)
@@ -40,7 +40,7 @@
 	return best
 }
 
-func (c *Cell) costOf(w *place.State, ask *wire.TaskAsk, o *place.Options, cost Cost) float64 {
+func (c *Cell) costOf(w *place.WorkerState, ask *wire.TaskAsk, o *place.Options, cost CostFunc) float64 {
 	if cost != nil {
 		return cost(w, ask)
 	}
@@ -49,12 +49,12 @@
 
 // PickSlot returns the position of the nearest worker of the pool with the most free
 // slots, or -1.
-func (c *Cell) Slot(pool string, o *place.Options) int {
+func (c *Cell) PickSlot(pool string, o *place.Options) int {
 	best, bestFree, bestDistance := -1, int64(0), 0
 	for i := range c.Workers {
 		w := &c.Workers[i]
 		free := w.Capacity.Slots - w.Committed.Slots
-		if free <= 0 || !w.Open() || !slices.Contains(w.Pools, pool) || !o.InReach(w) {
+		if free <= 0 || !w.Schedulable() || !slices.Contains(w.Pools, pool) || !o.InScope(w) {
 			continue
 		}
 		d := o.Distance(w)
@@ -69,12 +69,12 @@
 // reserves for higher priorities. It sums up the pool's capacity for each rule.
 func (c *Cell) exceedsHeadroom(ask *wire.TaskAsk, o *place.Options) bool {
 	for _, rule := range o.Headroom {
-		if rule.Pool != ask.Pool || ask.Priority >= rule.Below {
+		if rule.Pool != ask.Pool || ask.Priority >= rule.BelowPriority {
 			continue
 		}
 		capacity, after := resource.Vector{}, ask.Resources
 		for i := range c.Workers {
-			if w := &c.Workers[i]; w.Open() && slices.Contains(w.Pools, rule.Pool) {
+			if w := &c.Workers[i]; w.Schedulable() && slices.Contains(w.Pools, rule.Pool) {
 				capacity = capacity.Add(w.Capacity)
 				after = after.Add(w.Committed)
 			}
@@ -93,7 +93,7 @@
 	return ask > 0 && float64(after) > float64(capacity)*(1-share)
 }
 
-func (c *Cell) tasksInRack(w *place.State, ask *wire.TaskAsk) int {
+func (c *Cell) tasksInRack(w *place.WorkerState, ask *wire.TaskAsk) int {
 	if !ask.SpreadRacks {
 		return 0
 	}
@@ -122,17 +122,17 @@
 // PlaceGang places all tasks one after the other and returns the workers'
 // positions. If a task fits on no worker, it returns nil and leaves the cell
 // unchanged.
-func (c *Cell) Gang(asks []wire.TaskAsk, o *place.Options, now time.Duration) []int {
-	return c.GangBy(asks, o, now, nil)
+func (c *Cell) PlaceGang(asks []wire.TaskAsk, o *place.Options, now time.Duration) []int {
+	return c.PlaceGangByCost(asks, o, now, nil)
 }
 
 // PlaceGangByCost is PlaceGang with the given cost.
-func (c *Cell) GangBy(asks []wire.TaskAsk, o *place.Options, now time.Duration, cost Cost) []int {
+func (c *Cell) PlaceGangByCost(asks []wire.TaskAsk, o *place.Options, now time.Duration, cost CostFunc) []int {
 	placed := make([]int, 0, len(asks))
 	for i := range asks {
 		worker := c.Place(&asks[i], o, now, cost)
 		if worker < 0 {
-			c.TakeBack(placed)
+			c.Undo(placed)
 			return nil
 		}
 		c.Add(worker, place.TaskOf(&asks[i], now))
@@ -142,7 +142,7 @@
 }
 
 // Undo removes the last task of each listed worker, in reverse order of placement.
-func (c *Cell) TakeBack(placed []int) {
+func (c *Cell) Undo(placed []int) {
 	for n := len(placed) - 1; n >= 0; n-- {
 		w := &c.Workers[placed[n]]
 		last := len(w.Tasks) - 1
--- a/core/place/pervm.go
+++ b/core/place/pervm.go
@@ -5,7 +5,7 @@
 // atPerVMLimit reports whether the worker already runs as many tasks of the request's
 // job as the request allows per worker. It counts committed tasks only, so requests
 // with such a limit must be planned and committed one at a time.
-func atPerVMLimit(w *State, ask *wire.TaskAsk) bool {
+func atPerVMLimit(w *WorkerState, ask *wire.TaskAsk) bool {
 	if ask.PerVM <= 0 {
 		return false
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -24,7 +24,7 @@
 			VM: vm, Region: "r0", DataCentre: "d0", Rack: fmt.Sprintf("k%d", i%4), Incarnation: 1,
 			Pools: []string{"a"}, Capacity: resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8},
 		})
-		cell.SetUsable(vm, true)
+		cell.SetLive(vm, true)
 	}
 	return cell
 }
@@ -68,7 +68,7 @@
 	assert.Equal(t, 24, taken)
 	slot, _ := cell.SlotOf("vm-02")
 	cell.ReturnSlots(slot, 1)
-	cell.SetLeaving("vm-02")
+	cell.SetDraining("vm-02")
 	assert.False(t, cell.TakeSlots(slot, 1), "a draining worker")
 	slot, _ = cell.SlotOf("vm-01")
 	assert.False(t, cell.TakeSlots(slot, 1))
@@ -82,21 +82,21 @@
 func TestCommitRefusesWhatChanged(t *testing.T) {
 	changes := map[string]struct {
 		change func(*place.Cell, string)
-		want   place.Step
+		want   place.Reason
 	}{
-		"leaving":     {func(c *place.Cell, vm string) { c.SetLeaving(vm) }, place.StepUsable},
-		"quarantined": {func(c *place.Cell, vm string) { c.SetQuarantined(vm, true) }, place.StepUsable},
-		"removed":     {func(c *place.Cell, vm string) { c.RemoveWorker(vm) }, place.StepGone},
+		"leaving":     {func(c *place.Cell, vm string) { c.SetDraining(vm) }, place.ReasonNotSchedulable},
+		"quarantined": {func(c *place.Cell, vm string) { c.SetQuarantined(vm, true) }, place.ReasonNotSchedulable},
+		"removed":     {func(c *place.Cell, vm string) { c.RemoveWorker(vm) }, place.ReasonWorkerGone},
 		"replaced": {func(c *place.Cell, vm string) {
 			c.UpdateWorker(place.Worker{VM: vm, DataCentre: "d0", Incarnation: 2, Pools: []string{"a"}, Capacity: resource.Vector{MilliCores: 9000}})
-			c.SetUsable(vm, true)
-		}, place.StepGone},
+			c.SetLive(vm, true)
+		}, place.ReasonWorkerGone},
 		"filled": {func(c *place.Cell, vm string) {
 			c.AddTask(vm, place.Task{ID: "other", Resources: resource.Vector{MilliCores: 3500}})
-		}, place.StepFits},
+		}, place.ReasonLacksCapacity},
 		"placed already": {func(c *place.Cell, vm string) {
 			c.AddTask("vm-01", place.Task{ID: "t", Resources: resource.Vector{MilliCores: 1}})
-		}, place.StepDuplicate},
+		}, place.ReasonDuplicate},
 	}
 	for name, tc := range changes {
 		t.Run(name, func(t *testing.T) {
@@ -117,9 +117,9 @@
 // Guards against new work on a draining worker without a new incarnation.
 func TestDrainingLastsUntilNewIncarnation(t *testing.T) {
 	cell := fourRacks(1)
-	cell.SetLeaving("vm-00")
-	cell.SetUsable("vm-00", false)
-	cell.SetUsable("vm-00", true)
+	cell.SetDraining("vm-00")
+	cell.SetLive("vm-00", false)
+	cell.SetLive("vm-00", true)
 	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1, 1)}, localOptions, 0, nil).Assignments)
 	_, ok := cell.PickSlot("a", &localOptions, nil)
 	assert.False(t, ok)
@@ -154,7 +154,7 @@
 	plan = cell.Plan(gangOf(5, 1000), rules, 0, nil)
 	assert.Empty(t, plan.Assignments)
 	require.Len(t, plan.Unplaced, 5)
-	assert.Contains(t, plan.Unplaced[0].Refused, wire.Refused{Reason: string(place.StepSpread), Count: 7})
+	assert.Contains(t, plan.Unplaced[0].Refused, wire.Refused{Reason: string(place.ReasonRackUsed), Count: 7})
 
 	plan = cell.Plan([]wire.TaskAsk{askFor("huge", 4001, 0)}, localOptions, 0, nil)
 	assert.Equal(t, []string{"huge"}, plan.NeverFits)
@@ -180,7 +180,7 @@
 	cell := place.NewCell()
 	shape := resource.Vector{MilliCores: 8000, MemoryMiB: 8000, Accelerators: 4}
 	cell.UpdateWorker(place.Worker{VM: "vm", DataCentre: "d0", Region: "r0", Incarnation: 1, Pools: []string{"a"}, Capacity: shape})
-	cell.SetUsable("vm", true)
+	cell.SetLive("vm", true)
 	protected := localOptions
 	protected.ProtectAccelerators = true
 	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("t", 1000, 0)}, protected, 0, nil).Assignments)
@@ -207,7 +207,7 @@
 	assert.Empty(t, cell.Probe("vm-00", []wire.TaskAsk{askFor("u", 1, 0)}, localOptions, 0).Assignments, "insufficient free capacity")
 	assert.Empty(t, cell.Plan([]wire.TaskAsk{askFor("u", 1, 0)}, localOptions, 0, nil).Assignments)
 	cell.Release("t", 1)
-	cell.SetLeaving("vm-00")
+	cell.SetDraining("vm-00")
 	assert.Empty(t, cell.Probe("vm-00", asks, localOptions, 0).Assignments, "leaving")
 	require.NoError(t, place.CheckIndex(cell))
 }
@@ -228,15 +228,15 @@
 func TestExplanationCountsEveryWorker(t *testing.T) {
 	cell := fourRacks(6)
 	cell.UpdateWorker(place.Worker{VM: "other", DataCentre: "d0", Incarnation: 1, Pools: []string{"b"}})
-	cell.SetUsable("vm-00", false)
+	cell.SetLive("vm-00", false)
 	cell.AddTask("vm-01", place.Task{ID: "x", Resources: resource.Vector{MilliCores: 4000}})
 	ask := askFor("t", 500, 0)
 	ask.AvoidVMs = []string{"vm-02", "vm-03", "vm-04", "vm-05"}
 	plan := cell.Plan([]wire.TaskAsk{ask}, localOptions, 0, nil)
 	require.Len(t, plan.Unplaced, 1)
 	assert.Equal(t, []wire.Refused{
-		{Reason: string(place.StepPool), Count: 1}, {Reason: string(place.StepUsable), Count: 1},
-		{Reason: string(place.StepFits), Count: 1}, {Reason: string(place.StepAvoid), Count: 4},
+		{Reason: string(place.ReasonNotInPool), Count: 1}, {Reason: string(place.ReasonNotSchedulable), Count: 1},
+		{Reason: string(place.ReasonLacksCapacity), Count: 1}, {Reason: string(place.ReasonAvoided), Count: 4},
 	}, plan.Unplaced[0].Refused)
 }
 
@@ -245,7 +245,7 @@
 func TestHeadroomIsForUrgentWork(t *testing.T) {
 	cell := fourRacks(10)
 	rules := localOptions
-	rules.Headroom = []place.Headroom{{Pool: "a", Below: 500, Share: 0.2}}
+	rules.Headroom = []place.Headroom{{Pool: "a", BelowPriority: 500, Share: 0.2}}
 	placed := 0
 	for i := range 40 {
 		plan := cell.Plan([]wire.TaskAsk{askFor(fmt.Sprint(i), 1000, 0)}, rules, 0, nil)
@@ -261,7 +261,7 @@
 func preemptible(id string, cores, memory int64, priority int) place.Task {
 	return place.Task{
 		ID: id, Generation: 1, Resources: resource.Vector{MilliCores: cores, MemoryMiB: memory},
-		Priority: priority, Preemptible: true, Checkpoint: true,
+		Priority: priority, Preemptible: true, Checkpointable: true,
 	}
 }
 
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -39,7 +39,7 @@
 	if p.candidateLimit <= 0 {
 		p.candidateLimit = DefaultCandidateLimit
 	}
-	p.plan.At = now
+	p.plan.PlannedAt = now
 	p.plan.Assignments = make([]Assignment, 0, len(asks))
 	p.bookings = c.bookings[:0]
 	p.planAll(asks)
@@ -121,7 +121,7 @@
 func (p *planner) findWorker(ask *wire.TaskAsk, newRacks bool) (int32, []wire.Refused) {
 	pool := p.cell.pools[ask.Pool]
 	if pool == nil {
-		return -1, []wire.Refused{{Reason: string(StepPool), Count: p.cell.Len()}}
+		return -1, []wire.Refused{{Reason: string(ReasonNotInPool), Count: p.cell.Len()}}
 	}
 	if exceedsHeadroom(ask.Pool, ask.Priority, pool.capacity, pool.committed, ask.Resources, p.options.Headroom) {
 		return -1, p.countRefusals(pool, refusals{}, pool.schedulable)
@@ -158,20 +158,20 @@
 // buckets that were not searched count as lacking capacity.
 func (p *planner) countRefusals(pool *poolIndex, r refusals, headroom int) []wire.Refused {
 	outOfScope := 0
-	if p.options.Reach != ReachAnywhere {
+	if p.options.Scope != ScopeAnywhere {
 		outOfScope = pool.schedulable - p.schedulableInScope(pool)
 	}
 	lackingCapacity := pool.schedulable - outOfScope - headroom - r.avoided - r.held - r.strandsAccelerators - r.rackUsed
 	rows := []wire.Refused{
-		{Reason: string(StepPool), Count: p.cell.Len() - pool.members},
-		{Reason: string(StepUsable), Count: pool.members - pool.schedulable},
-		{Reason: string(StepReach), Count: outOfScope},
-		{Reason: string(StepHeadroom), Count: headroom},
-		{Reason: string(StepFits), Count: max(lackingCapacity, 0)},
-		{Reason: string(StepAvoid), Count: r.avoided},
-		{Reason: string(StepHeld), Count: r.held},
-		{Reason: string(StepAccelerator), Count: r.strandsAccelerators},
-		{Reason: string(StepSpread), Count: r.rackUsed},
+		{Reason: string(ReasonNotInPool), Count: p.cell.Len() - pool.members},
+		{Reason: string(ReasonNotSchedulable), Count: pool.members - pool.schedulable},
+		{Reason: string(ReasonOutOfScope), Count: outOfScope},
+		{Reason: string(ReasonHeadroom), Count: headroom},
+		{Reason: string(ReasonLacksCapacity), Count: max(lackingCapacity, 0)},
+		{Reason: string(ReasonAvoided), Count: r.avoided},
+		{Reason: string(ReasonHeld), Count: r.held},
+		{Reason: string(ReasonStrandsAccelerators), Count: r.strandsAccelerators},
+		{Reason: string(ReasonRackUsed), Count: r.rackUsed},
 	}
 	kept := rows[:0]
 	for _, row := range rows {
@@ -185,7 +185,7 @@
 func (p *planner) schedulableInScope(pool *poolIndex) int {
 	workers := 0
 	for _, dc := range pool.dataCentres {
-		if distance(dc.region, dc.dataCentre, p.options) <= maxDistance(p.options.Reach) {
+		if distance(dc.region, dc.dataCentre, p.options) <= maxDistance(p.options.Scope) {
 			workers += dc.schedulable
 		}
 	}
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -75,7 +75,7 @@
 // is none, or none that could precede best. best may be nil.
 func (p *planner) victimSetOn(worker int32, ask *wire.TaskAsk, best *victimSet) *victimSet {
 	w := &p.cell.states[worker]
-	if p.preemptionWorkers[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Reach) {
+	if p.preemptionWorkers[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Scope) {
 		return nil
 	}
 	if avoided(w.VM, ask.AvoidVMs) || heldForOther(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
@@ -123,7 +123,7 @@
 
 // preemptibleBelow returns the preemptible tasks of a lower priority, or nil if all
 // of them together do not free enough. The next call overwrites the result.
-func (p *planner) preemptibleBelow(w *State, priority int, shortfall resource.Vector) []*Task {
+func (p *planner) preemptibleBelow(w *WorkerState, priority int, shortfall resource.Vector) []*Task {
 	p.lowerPriorityTasks = p.lowerPriorityTasks[:0]
 	sum := resource.Vector{}
 	for n := range w.Tasks {
@@ -184,7 +184,7 @@
 	set := &victimSet{stopped: len(chosen)}
 	for _, t := range chosen {
 		action := ActionStop
-		if t.Checkpoint {
+		if t.Checkpointable {
 			action = ActionCheckpoint
 		}
 		set.victims = append(set.victims, Victim{TaskID: t.ID, Generation: t.Generation, Action: action})
@@ -279,7 +279,7 @@
 // tasks, or removes it, according to its state.
 func (c *Cell) updatePreemptible(i int32) {
 	w := &c.states[i]
-	wanted := w.Open() && w.preemptible > 0
+	wanted := w.Schedulable() && w.preemptible > 0
 	for n := range c.entries[i] {
 		entry := &c.entries[i][n]
 		if !wanted {
--- a/core/place/probe.go
+++ b/core/place/probe.go
@@ -12,7 +12,7 @@
 // quarantined, is draining or is not live. Tasks from before the quarantine may
 // still run there, so the caller must limit the number of probes per worker.
 func (c *Cell) Probe(vm string, asks []wire.TaskAsk, o Options, now time.Duration) Plan {
-	plan := Plan{At: now}
+	plan := Plan{PlannedAt: now}
 	i, ok := c.workerByVM[vm]
 	if !ok || !c.states[i].Quarantined {
 		return plan
@@ -20,7 +20,7 @@
 	w := &c.states[i]
 	n := slices.IndexFunc(asks, func(ask wire.TaskAsk) bool {
 		a := Assignment{Ask: &ask, probe: true}
-		return ask.Gang == "" && c.checkAssigned(i, &a, &o, now) == StepNone
+		return ask.Gang == "" && c.checkAssigned(i, &a, &o, now) == ReasonNone
 	})
 	if n >= 0 {
 		plan.Assignments = []Assignment{{
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -59,12 +59,12 @@
 func drawOptions(t *rapid.T) place.Options {
 	o := place.Options{
 		DataCentre: "d0", Region: "r0",
-		Reach:               place.Reach(rapid.IntRange(0, 2).Draw(t, "reach")),
+		Scope:               place.Scope(rapid.IntRange(0, 2).Draw(t, "reach")),
 		ProtectAccelerators: rapid.Bool().Draw(t, "protect"),
 		CandidateLimit:      rapid.IntRange(1, 4).Draw(t, "limit"),
 	}
 	if rapid.Bool().Draw(t, "headroom") {
-		o.Headroom = []place.Headroom{{Pool: "a", Below: 2, Share: 0.3}}
+		o.Headroom = []place.Headroom{{Pool: "a", BelowPriority: 2, Share: 0.3}}
 	}
 	return o
 }
@@ -122,12 +122,12 @@
 		}
 		m.cell.UpdateWorker(w)
 	case 1:
-		m.cell.SetUsable(vm, rapid.IntRange(0, 3).Draw(t, "usable") > 0)
+		m.cell.SetLive(vm, rapid.IntRange(0, 3).Draw(t, "usable") > 0)
 	case 2:
 		m.cell.SetQuarantined(vm, rapid.Bool().Draw(t, "quarantined"))
 	case 3:
 		if rapid.IntRange(0, 3).Draw(t, "leaving") == 0 {
-			m.cell.SetLeaving(vm)
+			m.cell.SetDraining(vm)
 		}
 	case 4:
 		for _, id := range sortedKeys(m.live) {
@@ -202,7 +202,7 @@
 	for n := range rapid.IntRange(1, 10).Draw(t, "workers") {
 		w := drawWorker(t, n)
 		m.cell.UpdateWorker(w)
-		m.cell.SetUsable(w.VM, rapid.IntRange(0, 4).Draw(t, "usable") > 0)
+		m.cell.SetLive(w.VM, rapid.IntRange(0, 4).Draw(t, "usable") > 0)
 	}
 	return m
 }
@@ -257,8 +257,8 @@
 				continue
 			}
 			got, _ := m.cell.Worker(plan.Assignments[0].VM)
-			require.Equal(t, place.StepNone, place.Check(&got, &ask, &o, m.now))
-			tier := func(w *place.State) int { return int(place.Cost(w, &ask, &o, 0)) / 100 }
+			require.Equal(t, place.ReasonNone, place.Check(&got, &ask, &o, m.now))
+			tier := func(w *place.WorkerState) int { return int(place.Cost(w, &ask, &o, 0)) / 100 }
 			require.Equal(t, tier(&fullScan.Workers[want]), tier(&got), "distance or accelerator term")
 			m.commit(t, plan, o)
 		}
@@ -284,7 +284,7 @@
 			asks[i].TaskID = fmt.Sprintf("gang-%d", i)
 		}
 		fullScan := naive.Cell{Workers: m.cell.Workers()}
-		want := fullScan.Gang(asks, &o, m.now)
+		want := fullScan.PlaceGang(asks, &o, m.now)
 		plan := m.cell.Plan(asks, o, m.now, nil)
 		require.Equal(t, want != nil, len(plan.Assignments) == len(asks))
 		require.True(t, len(plan.Assignments) == 0 || len(plan.Assignments) == len(asks))
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -19,42 +19,42 @@
 // Check returns the first reason to refuse the worker for the request, or
 // ReasonNone. Headroom and the racks of a gang depend on more than one worker and
 // are checked by the planner.
-func Check(w *State, ask *wire.TaskAsk, o *Options, now time.Duration) Step {
+func Check(w *WorkerState, ask *wire.TaskAsk, o *Options, now time.Duration) Reason {
 	switch {
 	case notInPool(w, ask.Pool):
-		return StepPool
+		return ReasonNotInPool
 	case notSchedulable(w):
-		return StepUsable
-	case distance(w.Region, w.DataCentre, o) > maxDistance(o.Reach):
-		return StepReach
+		return ReasonNotSchedulable
+	case distance(w.Region, w.DataCentre, o) > maxDistance(o.Scope):
+		return ReasonOutOfScope
 	}
 	return checkAfterIndex(w, ask, o, now)
 }
 
 // checkAfterIndex is Check without the conditions that the index already ensures.
-func checkAfterIndex(w *State, ask *wire.TaskAsk, o *Options, now time.Duration) Step {
+func checkAfterIndex(w *WorkerState, ask *wire.TaskAsk, o *Options, now time.Duration) Reason {
 	free := w.Free()
 	switch {
 	case lacksCapacity(free, ask.Resources):
-		return StepFits
+		return ReasonLacksCapacity
 	case len(ask.AvoidVMs) > 0 && avoided(w.VM, ask.AvoidVMs):
-		return StepAvoid
+		return ReasonAvoided
 	case heldForOther(w, ask, now):
-		return StepHeld
+		return ReasonHeld
 	case lacksLabel(w, ask.Label):
-		return StepLabel
+		return ReasonLacksLabel
 	case atPerVMLimit(w, ask):
-		return StepPerVM
+		return ReasonPerVMLimit
 	case o.ProtectAccelerators && strandsAccelerators(w.Capacity, free, ask.Resources):
-		return StepAccelerator
+		return ReasonStrandsAccelerators
 	}
-	return StepNone
+	return ReasonNone
 }
 
 // Cost returns the cost of the request on a worker that passed Check; the lowest
 // cost wins. tasksInRack is the number of tasks of the job in the worker's rack, or
 // 0 if the job's tasks are not spread over racks.
-func Cost(w *State, ask *wire.TaskAsk, o *Options, tasksInRack int) float64 {
+func Cost(w *WorkerState, ask *wire.TaskAsk, o *Options, tasksInRack int) float64 {
 	cost := weightDistance * float64(distance(w.Region, w.DataCentre, o))
 	cost += weightAccelerator * acceleratorCost(w.Capacity, ask.Resources)
 	if ask.NearRack != "" && ask.NearRack != w.Rack {
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -26,13 +26,13 @@
 	pool                string
 	dataCentre          string
 	region              string
-	scope               Reach
+	scope               Scope
 	protectAccelerators bool
 	resources           resource.Vector
 }
 
 func failedShapeOf(ask *wire.TaskAsk, o *Options) failedShape {
-	return failedShape{ask.Pool, o.DataCentre, o.Region, o.Reach, o.ProtectAccelerators, ask.Resources}
+	return failedShape{ask.Pool, o.DataCentre, o.Region, o.Scope, o.ProtectAccelerators, ask.Resources}
 }
 
 // refusals counts the workers that a search refused, per reason other than capacity.
@@ -82,7 +82,7 @@
 		s.scanNamed()
 		return s.tasksToPlace <= 0
 	}
-	for d := 0; d <= maxDistance(s.options.Reach); d++ {
+	for d := 0; d <= maxDistance(s.options.Scope); d++ {
 		for class := 0; class < 2; class++ {
 			if class == 0 && s.ask.Resources.Accelerators > 0 {
 				continue
@@ -109,7 +109,7 @@
 		s.boundsFactor = spreadBoundsFactor
 		s.candidateLimit *= spreadBoundsFactor
 	}
-	for d := 0; d <= maxDistance(s.options.Reach) && s.best < 0; d++ {
+	for d := 0; d <= maxDistance(s.options.Scope) && s.best < 0; d++ {
 		for class := 0; class < 2 && s.best < 0; class++ {
 			if class == 0 && s.ask.Resources.Accelerators > 0 {
 				continue
@@ -213,14 +213,14 @@
 		return false
 	}
 	switch checkAfterIndex(w, s.ask, s.options, s.now) {
-	case StepNone:
-	case StepAvoid:
+	case ReasonNone:
+	case ReasonAvoided:
 		s.refused.avoided++
 		return false
-	case StepHeld:
+	case ReasonHeld:
 		s.refused.held++
 		return false
-	case StepAccelerator:
+	case ReasonStrandsAccelerators:
 		s.refused.strandsAccelerators++
 		return false
 	default:
@@ -250,9 +250,9 @@
 
 // maxTasks returns how many tasks of the gang fit on the worker. The worker has
 // passed checkAfterIndex, so the result is at least 1.
-func (s *search) maxTasks(w *State) int64 {
+func (s *search) maxTasks(w *WorkerState) int64 {
 	free, size := w.Free(), s.ask.Resources
-	n := free.Times(size)
+	n := free.CountFitting(size)
 	if !s.options.ProtectAccelerators || w.Capacity.Accelerators == 0 || size.Accelerators > 0 {
 		return n
 	}
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -21,7 +21,7 @@
 	if !ok {
 		return Slot{}, false
 	}
-	for d := 0; d <= maxDistance(o.Reach); d++ {
+	for d := 0; d <= maxDistance(o.Scope); d++ {
 		best, found, most := Slot{}, false, int64(0)
 		for _, dc := range p.dataCentres {
 			if distance(dc.region, dc.dataCentre, o) != d {
@@ -85,7 +85,7 @@
 		return false
 	}
 	w := &c.states[s.worker]
-	if !w.Open() || w.Capacity.Slots-w.Committed.Slots < n {
+	if !w.Schedulable() || w.Capacity.Slots-w.Committed.Slots < n {
 		return false
 	}
 	w.Slots += n
@@ -100,7 +100,7 @@
 		return false
 	}
 	w := &c.states[s.worker]
-	if !w.Quarantined || !w.Usable || w.Leaving || w.Capacity.Slots-w.Committed.Slots < 1 {
+	if !w.Quarantined || !w.Live || w.Draining || w.Capacity.Slots-w.Committed.Slots < 1 {
 		return false
 	}
 	w.Slots++
--- a/core/place/summary.go
+++ b/core/place/summary.go
@@ -34,9 +34,9 @@
 	return all
 }
 
-func addWorkerToSummary(row *wire.PoolSummary, w *State) {
+func addWorkerToSummary(row *wire.PoolSummary, w *WorkerState) {
 	row.Workers++
-	if !w.Open() {
+	if !w.Schedulable() {
 		return
 	}
 	free := w.Free()
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -21,16 +21,16 @@
 
 // Task is a task attempt that capacity is committed to.
 type Task struct {
-	ID          string
-	Job         string
-	Generation  int64
-	Resources   resource.Vector // committed: the larger of estimated and reported usage
-	Priority    int
-	Preemptible bool
-	Checkpoint  bool          // a checkpoint is taken before it is preempted
-	Throttled   bool          // its cores are already limited by a preemption
-	SpreadRacks bool          // counts towards the job's tasks in the rack
-	ExpectedEnd time.Duration // on the boot clock; 0 means unknown
+	ID             string
+	Job            string
+	Generation     int64
+	Resources      resource.Vector // committed: the larger of estimated and reported usage
+	Priority       int
+	Preemptible    bool
+	Checkpointable bool          // a checkpoint is taken before it is preempted
+	Throttled      bool          // its cores are already limited by a preemption
+	SpreadRacks    bool          // counts towards the job's tasks in the rack
+	ExpectedEnd    time.Duration // on the boot clock; 0 means unknown
 }
 
 // Hold reserves a worker for one gang or task.
@@ -41,12 +41,12 @@
 }
 
 // WorkerState is the state of one worker.
-type State struct {
+type WorkerState struct {
 	Worker
 	Committed   resource.Vector // sum of tasks and slots
 	Slots       int64           // slots taken by service requests, included in Committed
-	Usable      bool
-	Leaving     bool // permanent for an incarnation
+	Live        bool
+	Draining    bool // permanent for an incarnation
 	Quarantined bool
 	Hold        Hold
 	Tasks       []Task
@@ -55,26 +55,26 @@
 
 // Free returns the capacity that is not committed. An amount is negative if the
 // worker is overcommitted, for instance after reports of higher usage.
-func (s *State) Free() resource.Vector { return s.Capacity.Sub(s.Committed) }
+func (s *WorkerState) Free() resource.Vector { return s.Capacity.Sub(s.Committed) }
 
 // Schedulable reports whether new work may be placed on the worker.
-func (s *State) Open() bool { return s.Usable && !s.Leaving && !s.Quarantined }
+func (s *WorkerState) Schedulable() bool { return s.Live && !s.Draining && !s.Quarantined }
 
 // Scope limits how far from the local data centre work may be placed.
-type Reach int
+type Scope int
 
 // Values of Scope, from the widest to the narrowest.
 const (
-	ReachAnywhere   Reach = iota // in any region
-	ReachRegion                  // only in the local region
-	ReachDataCentre              // only in the local data centre
+	ScopeAnywhere   Scope = iota // in any region
+	ScopeRegion                  // only in the local region
+	ScopeDataCentre              // only in the local data centre
 )
 
 // Headroom reserves part of a pool for requests of higher priority.
 type Headroom struct {
-	Pool  string
-	Below int     // applies to requests with a lower priority than this
-	Share float64 // fraction, 0 to 1, of the pool's schedulable capacity that they must leave free
+	Pool          string
+	BelowPriority int     // applies to requests with a lower priority than this
+	Share         float64 // fraction, 0 to 1, of the pool's schedulable capacity that they must leave free
 }
 
 // GangRule adds constraints to one gang.
@@ -87,7 +87,7 @@
 type Options struct {
 	DataCentre          string // local data centre
 	Region              string // local region
-	Reach               Reach
+	Scope               Scope
 	Headroom            []Headroom
 	Gangs               []GangRule
 	ProtectAccelerators bool // see strandsAccelerators
@@ -100,25 +100,25 @@
 const DefaultCandidateLimit = 16
 
 // Reason says why a worker or an assignment is refused.
-type Step string
+type Reason string
 
 // Reasons for refusals.
 const (
-	StepNone        Step = ""
-	StepPool        Step = "not in the pool"
-	StepUsable      Step = "not usable, leaving or quarantined"
-	StepReach       Step = "too far away"
-	StepHeadroom    Step = "headroom for urgent work"
-	StepFits        Step = "not enough free capacity"
-	StepAvoid       Step = "excluded by the request"
-	StepHeld        Step = "held for a gang"
-	StepAccelerator Step = "kept for accelerator tasks"
-	StepSpread      Step = "rack already used by the gang"
-	StepLabel       Step = "required label is missing"
-	StepPerVM       Step = "enough tasks of the job run there"
-	StepGang        Step = "gang does not fit as a whole"
-	StepGone        Step = "worker or incarnation is gone"
-	StepDuplicate   Step = "task is already placed"
+	ReasonNone                Reason = ""
+	ReasonNotInPool           Reason = "not in the pool"
+	ReasonNotSchedulable      Reason = "not usable, leaving or quarantined"
+	ReasonOutOfScope          Reason = "too far away"
+	ReasonHeadroom            Reason = "headroom for urgent work"
+	ReasonLacksCapacity       Reason = "not enough free capacity"
+	ReasonAvoided             Reason = "excluded by the request"
+	ReasonHeld                Reason = "held for a gang"
+	ReasonStrandsAccelerators Reason = "kept for accelerator tasks"
+	ReasonRackUsed            Reason = "rack already used by the gang"
+	ReasonLacksLabel          Reason = "required label is missing"
+	ReasonPerVMLimit          Reason = "enough tasks of the job run there"
+	ReasonGangDoesNotFit      Reason = "gang does not fit as a whole"
+	ReasonWorkerGone          Reason = "worker or incarnation is gone"
+	ReasonDuplicate           Reason = "task is already placed"
 )
 
 // Assignment assigns one task to one worker.
@@ -167,7 +167,7 @@
 
 // Plan is the result of one planning run.
 type Plan struct {
-	At          time.Duration
+	PlannedAt   time.Duration
 	Assignments []Assignment
 	Unplaced    []Unplaced
 	NeverFits   []string // ids of tasks that exceed the capacity of every worker of the pool
@@ -178,5 +178,5 @@
 type Refusal struct {
 	TaskID string
 	VM     string
-	Reason Step
+	Reason Reason
 }
--- a/core/place/usable.go
+++ b/core/place/usable.go
@@ -1,4 +1,4 @@
 package place
 
 // notSchedulable reports whether no new work may be placed on the worker.
-func notSchedulable(w *State) bool { return !w.Open() }
+func notSchedulable(w *WorkerState) bool { return !w.Schedulable() }
--- a/core/place/verify.go
+++ b/core/place/verify.go
@@ -70,7 +70,7 @@
 func (c *Cell) acceptGroup(group []Assignment, o *Options, now time.Duration) []Refusal {
 	for n := range group {
 		reason := c.acceptOne(&group[n], o, now)
-		if reason == StepNone {
+		if reason == ReasonNone {
 			continue
 		}
 		for k := n - 1; k >= 0; k-- {
@@ -81,35 +81,35 @@
 	return nil
 }
 
-func refuseGroup(group []Assignment, at int, reason Step) []Refusal {
+func refuseGroup(group []Assignment, at int, reason Reason) []Refusal {
 	refused := make([]Refusal, len(group))
 	for n := range group {
-		refused[n] = Refusal{TaskID: group[n].Ask.TaskID, VM: group[n].VM, Reason: StepGang}
+		refused[n] = Refusal{TaskID: group[n].Ask.TaskID, VM: group[n].VM, Reason: ReasonGangDoesNotFit}
 	}
 	refused[at].Reason = reason
 	return refused
 }
 
-func (c *Cell) acceptOne(a *Assignment, o *Options, now time.Duration) Step {
+func (c *Cell) acceptOne(a *Assignment, o *Options, now time.Duration) Reason {
 	i, ok := c.workerByVM[a.VM]
 	if !ok || c.states[i].Incarnation != a.Incarnation || c.states[i].Rack != a.Rack {
-		return StepGone
+		return ReasonWorkerGone
 	}
 	if _, placed := c.workerOfTask[a.Ask.TaskID]; placed {
-		return StepDuplicate
+		return ReasonDuplicate
 	}
-	if reason := c.checkAssigned(i, a, o, now); reason != StepNone {
+	if reason := c.checkAssigned(i, a, o, now); reason != ReasonNone {
 		return reason
 	}
 	if pool := c.pools[a.Ask.Pool]; exceedsHeadroom(pool.name, a.Ask.Priority, pool.capacity, pool.committed, a.Ask.Resources, o.Headroom) {
-		return StepHeadroom
+		return ReasonHeadroom
 	}
 	c.addTask(i, TaskOf(a.Ask, now))
-	return StepNone
+	return ReasonNone
 }
 
 // checkAssigned is Check, except that a probe may be placed on a quarantined worker.
-func (c *Cell) checkAssigned(i int32, a *Assignment, o *Options, now time.Duration) Step {
+func (c *Cell) checkAssigned(i int32, a *Assignment, o *Options, now time.Duration) Reason {
 	if !a.probe {
 		return Check(&c.states[i], a.Ask, o, now)
 	}
@@ -123,7 +123,7 @@
 	t := Task{
 		ID: ask.TaskID, Job: ask.Job, Generation: ask.Generation,
 		Resources: ask.Resources, Priority: ask.Priority,
-		Preemptible: ask.Preemptible, Checkpoint: ask.CheckpointOK, SpreadRacks: ask.SpreadRacks,
+		Preemptible: ask.Preemptible, Checkpointable: ask.CheckpointOK, SpreadRacks: ask.SpreadRacks,
 	}
 	if ask.RunMS > 0 {
 		t.ExpectedEnd = now + time.Duration(ask.RunMS)*time.Millisecond
@@ -137,7 +137,7 @@
 func (c *Cell) restoreCommitted(i int32, delta resource.Vector) {
 	w := &c.states[i]
 	w.Committed = w.Committed.Add(delta)
-	if w.Open() {
+	if w.Schedulable() {
 		for n := range c.entries[i] {
 			p := c.entries[i][n].pool
 			p.committed = p.committed.Add(delta)
--- a/core/placer/ablation_test.go
+++ b/core/placer/ablation_test.go
@@ -26,7 +26,7 @@
 func overload(t *testing.T, off Ablation, seeds uint64) (renewal, gauge, check, valueShare float64) {
 	for seed := range seeds {
 		p := newWorkloadOn(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
-		p.placer.options.Without = off
+		p.placer.options.Disabled = off
 		for i, priority := range []int{1, 2, 0} {
 			p.config.Queues[i].Priority = priority
 		}
--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -190,7 +190,7 @@
 
 // FailingAdvisers returns how many of the daemons that advice is asked through gave no answer
 // to their last calls, and how many there are.
-func (p *Placer) Unreachable() (failing, all int) {
+func (p *Placer) FailingAdvisers() (failing, all int) {
 	for _, d := range p.advisers.byName {
 		if d.failures > 0 {
 			failing++
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -42,7 +42,7 @@
 func (p *Placer) releaseUnticketed(w *pendingStep, now time.Duration) {
 	for i := 0; i < w.def.Count; i++ {
 		if r := p.runs[w.taskID(i)]; r != nil && r.state == ticketing {
-			p.endRun(r, cluster.Void, "", now)
+			p.endRun(r, cluster.NeverStarted, "", now)
 		}
 	}
 }
@@ -68,8 +68,8 @@
 		if _, granted := w.grants[id]; granted || !occupiedRoom(w.def).Fits(v.Capacity) || w.def.Label != "" && !v.HasLabel(w.def.Label) {
 			continue
 		}
-		free, _ := p.cell.Room(id)
-		n := free.Times(occupiedRoom(w.def))
+		free, _ := p.cell.FreeCapacity(id)
+		n := free.CountFitting(occupiedRoom(w.def))
 		if n == 0 {
 			full = append(full, id)
 			continue
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -37,44 +37,44 @@
 )
 
 // ClaimInput is what a daemon knows when it considers a claim.
-type Watch struct {
-	Now       time.Duration // boot clock
-	Able      time.Duration // since when the daemon has had all that a placer needs and has read the log without a gap
-	ReadLast  time.Duration // last answer that reached the end of the log
-	RoundTrip time.Duration // to the log
-	Failover  time.Duration // silence of a placer that makes others claim
-	Jitter    time.Duration // of this daemon, below maxClaimJitter
-	Probe     time.Duration // longest that the log took to answer lately; 0 is not known
-	Rank      int           // daemons that are to claim before this one
-	Weaker    bool          // a much stronger daemon than this one is there
-	Gap       time.Duration // longest time without a record of the placer lately, before the present one
+type ClaimInput struct {
+	Now             time.Duration // boot clock
+	ReadySince      time.Duration // since when the daemon has had all that a placer needs and has read the log without a gap
+	CaughtUpAt      time.Duration // last answer that reached the end of the log
+	LogRoundTrip    time.Duration // to the log
+	FailoverTimeout time.Duration // silence of a placer that makes others claim
+	Jitter          time.Duration // of this daemon, below maxClaimJitter
+	MaxLogLatency   time.Duration // longest that the log took to answer lately; 0 is not known
+	Rank            int           // daemons that are to claim before this one
+	StrongerPresent bool          // a much stronger daemon than this one is there
+	MaxRecordGap    time.Duration // longest time without a record of the placer lately, before the present one
 }
 
 // ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
 // counts only while the log was readable: after an outage of the log every placer has
 // been silent.
-func ShouldClaim(s *flow.State, in Watch) (reason string, claim bool) {
-	if in.ReadLast == 0 || in.Now-in.ReadLast > in.Failover {
+func ShouldClaim(s *flow.State, in ClaimInput) (reason string, claim bool) {
+	if in.CaughtUpAt == 0 || in.Now-in.CaughtUpAt > in.FailoverTimeout {
 		return "", false
 	}
-	delay := claimDelayRoundTrips*in.RoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.Probe)
-	silence := in.Now - max(s.Heard, in.Able)
-	if in.Weaker {
+	delay := claimDelayRoundTrips*in.LogRoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.MaxLogLatency)
+	silence := in.Now - max(s.LastHeard, in.ReadySince)
+	if in.StrongerPresent {
 		delay += strongerClaimWait
 	}
 	if s.Claim.Daemon == "" && silence > delay {
 		return "there is no placer", true
 	}
-	if slow := in.Probe - in.RoundTrip; slow > slowLogExtraLatency {
+	if slow := in.MaxLogLatency - in.LogRoundTrip; slow > slowLogExtraLatency {
 		delay += slowLogDelayFactor * slow // a placer's records are as late as this answer, several times over
 	}
-	if in.Now-s.Claimed < placerSettleTime {
-		delay += settleFailoverFactor * in.Failover // it takes over runs and a backlog; another takeover would begin anew
+	if in.Now-s.ClaimedAt < placerSettleTime {
+		delay += settleFailoverFactor * in.FailoverTimeout // it takes over runs and a backlog; another takeover would begin anew
 	}
-	if late := in.Gap - usualRecordGap; late > 0 {
+	if late := in.MaxRecordGap - usualRecordGap; late > 0 {
 		delay += recordGapDelayFactor * late // a placer whose records come seldom is slow, as the log may be
 	}
-	if s.Claim.Daemon != "" && silence > in.Failover+delay {
+	if s.Claim.Daemon != "" && silence > in.FailoverTimeout+delay {
 		return "the placer is silent", true
 	}
 	return "", false
@@ -83,10 +83,10 @@
 // ClaimRank returns the number of daemons that are to claim before the named one: those that
 // have much more of what a placer needs, then those nearer to the log. Without an order
 // all claim at once in a large cell, and each claim makes the last one void.
-func Rank(s *flow.State, self flow.Hello, now time.Duration) int {
+func ClaimRank(s *flow.State, self flow.Hello, now time.Duration) int {
 	n := 0
 	for name, m := range s.Members {
-		if name != self.Daemon && name != s.Claim.Daemon && now-m.Seen < helloTimeout && Order(m.Hello, self) < 0 {
+		if name != self.Daemon && name != s.Claim.Daemon && now-m.LastSeen < helloTimeout && CompareCandidates(m.Hello, self) < 0 {
 			n++
 		}
 	}
@@ -94,9 +94,9 @@
 }
 
 // HasStronger reports whether a daemon is there that has much more of what a placer needs.
-func Weaker(s *flow.State, self flow.Hello, now time.Duration) bool {
+func HasStronger(s *flow.State, self flow.Hello, now time.Duration) bool {
 	for name, m := range s.Members {
-		if name != self.Daemon && now-m.Seen < helloTimeout && strengthClass(m.Strength) > strengthClass(self.Strength) {
+		if name != self.Daemon && now-m.LastSeen < helloTimeout && strengthClass(m.CapacityFactor) > strengthClass(self.CapacityFactor) {
 			return true
 		}
 	}
@@ -108,18 +108,18 @@
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
 	var list []flow.Hello
 	for name, m := range s.Members {
-		if name != self && now-m.Seen < helloTimeout && wallMS-m.Started > logReplayTime.Milliseconds() {
+		if name != self && now-m.LastSeen < helloTimeout && wallMS-m.StartedMS > logReplayTime.Milliseconds() {
 			list = append(list, m.Hello)
 		}
 	}
-	slices.SortFunc(list, Order)
+	slices.SortFunc(list, CompareCandidates)
 	return list
 }
 
 // CompareCandidates puts the daemons first that have much of what a placer needs and are near the log;
 // among equal ones those that started last, as restarts in turn come to them last.
-func Order(a, b flow.Hello) int {
-	return cmp.Or(cmp.Compare(strengthClass(b.Strength), strengthClass(a.Strength)), cmp.Compare(a.DistanceMS/distanceClassWidth.Milliseconds(), b.DistanceMS/distanceClassWidth.Milliseconds()), cmp.Compare(b.Started, a.Started), cmp.Compare(a.Daemon, b.Daemon))
+func CompareCandidates(a, b flow.Hello) int {
+	return cmp.Or(cmp.Compare(strengthClass(b.CapacityFactor), strengthClass(a.CapacityFactor)), cmp.Compare(a.LogLatencyMS/distanceClassWidth.Milliseconds(), b.LogLatencyMS/distanceClassWidth.Milliseconds()), cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
 }
 
 // strengthClass puts strengths that differ little into one class.
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -16,31 +16,37 @@
 // that have just begun to read, and while the log itself is slow; and against a cell that
 // waits although nobody places.
 func TestShouldClaim(t *testing.T) {
-	placing := &flow.State{Claim: flow.Claim{Daemon: "a", Epoch: 1}, Heard: 100 * second}
-	free := &flow.State{Heard: 100 * second}
-	near := Watch{Now: 100*second + 200*time.Millisecond, Able: 50 * second, ReadLast: 100*second + 150*time.Millisecond, RoundTrip: 4 * time.Millisecond, Failover: second}
+	placing := &flow.State{Claim: flow.Claim{Daemon: "a", Epoch: 1}, LastHeard: 100 * second}
+	free := &flow.State{LastHeard: 100 * second}
+	near := ClaimInput{Now: 100*second + 200*time.Millisecond, ReadySince: 50 * second, CaughtUpAt: 100*second + 150*time.Millisecond, LogRoundTrip: 4 * time.Millisecond, FailoverTimeout: second}
 	for _, test := range []struct {
 		name   string
 		state  *flow.State
-		change func(*Watch)
+		change func(*ClaimInput)
 		claim  bool
 	}{
-		{"a placer was heard just now", placing, func(*Watch) {}, false},
-		{"nobody places", free, func(*Watch) {}, true},
-		{"nobody places, but a nearer daemon goes first", free, func(w *Watch) { w.Rank = 4 }, false},
-		{"nobody places, the nearer daemons do not claim", free, func(w *Watch) { w.Rank, w.Now = 4, 101*second; w.ReadLast = w.Now }, true},
-		{"the log is slow and a nearer daemon goes first", free, func(w *Watch) { w.Rank, w.Probe = 1, 400*time.Millisecond }, false},
-		{"nobody places and the log is slow", free, func(w *Watch) { w.Probe = 400 * time.Millisecond }, true},
-		{"the placer is silent", placing, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, true},
-		{"the log was not read lately", placing, func(w *Watch) { w.Now = 102 * second }, false},
-		{"the log was not readable in between", placing, func(w *Watch) { w.Now, w.ReadLast, w.Able = 110*second, 110*second, 109*second+500*time.Millisecond }, false},
-		{"the log is slow, so is the placer", placing, func(w *Watch) { w.Now, w.ReadLast, w.Probe = 102*second, 102*second, 300*time.Millisecond }, false},
-		{"a new placer has not settled", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 102*second, 102*second }, false},
-		{"a new placer is lost", &flow.State{Claim: placing.Claim, Heard: 100 * second, Claimed: 99 * second}, func(w *Watch) { w.Now, w.ReadLast = 104*second, 104*second }, true},
-		{"a stronger daemon is there", placing, func(w *Watch) { w.Now, w.ReadLast, w.Weaker = 102*second, 102*second, true }, false},
-		{"no stronger daemon claims", placing, func(w *Watch) { w.Now, w.ReadLast, w.Weaker = 104*second, 104*second, true }, true},
-		{"the placer's records came seldom", placing, func(w *Watch) { w.Now, w.ReadLast, w.Gap = 102*second, 102*second, 1200*time.Millisecond }, false},
-		{"never read", placing, func(w *Watch) { w.ReadLast = 0 }, false},
+		{"a placer was heard just now", placing, func(*ClaimInput) {}, false},
+		{"nobody places", free, func(*ClaimInput) {}, true},
+		{"nobody places, but a nearer daemon goes first", free, func(w *ClaimInput) { w.Rank = 4 }, false},
+		{"nobody places, the nearer daemons do not claim", free, func(w *ClaimInput) { w.Rank, w.Now = 4, 101*second; w.CaughtUpAt = w.Now }, true},
+		{"the log is slow and a nearer daemon goes first", free, func(w *ClaimInput) { w.Rank, w.MaxLogLatency = 1, 400*time.Millisecond }, false},
+		{"nobody places and the log is slow", free, func(w *ClaimInput) { w.MaxLogLatency = 400 * time.Millisecond }, true},
+		{"the placer is silent", placing, func(w *ClaimInput) { w.Now, w.CaughtUpAt = 102*second, 102*second }, true},
+		{"the log was not read lately", placing, func(w *ClaimInput) { w.Now = 102 * second }, false},
+		{"the log was not readable in between", placing, func(w *ClaimInput) {
+			w.Now, w.CaughtUpAt, w.ReadySince = 110*second, 110*second, 109*second+500*time.Millisecond
+		}, false},
+		{"the log is slow, so is the placer", placing, func(w *ClaimInput) {
+			w.Now, w.CaughtUpAt, w.MaxLogLatency = 102*second, 102*second, 300*time.Millisecond
+		}, false},
+		{"a new placer has not settled", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(w *ClaimInput) { w.Now, w.CaughtUpAt = 102*second, 102*second }, false},
+		{"a new placer is lost", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(w *ClaimInput) { w.Now, w.CaughtUpAt = 104*second, 104*second }, true},
+		{"a stronger daemon is there", placing, func(w *ClaimInput) { w.Now, w.CaughtUpAt, w.StrongerPresent = 102*second, 102*second, true }, false},
+		{"no stronger daemon claims", placing, func(w *ClaimInput) { w.Now, w.CaughtUpAt, w.StrongerPresent = 104*second, 104*second, true }, true},
+		{"the placer's records came seldom", placing, func(w *ClaimInput) {
+			w.Now, w.CaughtUpAt, w.MaxRecordGap = 102*second, 102*second, 1200*time.Millisecond
+		}, false},
+		{"never read", placing, func(w *ClaimInput) { w.CaughtUpAt = 0 }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			w := near
@@ -69,8 +75,8 @@
 func TestDaemonsClaimInTurn(t *testing.T) {
 	s := flow.NewState()
 	add := func(name string, strength float64, distanceMS int64) flow.Hello {
-		h := flow.Hello{Daemon: name, Strength: strength, DistanceMS: distanceMS}
-		s.Members[name] = flow.Member{Hello: h, Seen: 100 * second}
+		h := flow.Hello{Daemon: name, CapacityFactor: strength, LogLatencyMS: distanceMS}
+		s.Members[name] = flow.Member{Hello: h, LastSeen: 100 * second}
 		return h
 	}
 	order := []flow.Hello{
@@ -78,15 +84,15 @@
 		add("small", 1, 4), add("small2", 1, 5), add("smallfar", 1, 64),
 	}
 	for i, h := range order {
-		require.Equal(t, i, Rank(s, h, 101*second), h.Daemon)
+		require.Equal(t, i, ClaimRank(s, h, 101*second), h.Daemon)
 	}
 	for i, h := range order {
-		require.Equal(t, i >= 4, Weaker(s, h, 101*second), h.Daemon)
+		require.Equal(t, i >= 4, HasStronger(s, h, 101*second), h.Daemon)
 	}
 	s.Claim.Daemon = "near" // it is the one that is silent
-	require.Equal(t, 0, Rank(s, order[1], 101*second))
-	s.Members["near2"] = flow.Member{Hello: order[1], Seen: 50 * second}
-	require.Equal(t, 0, Rank(s, order[2], 101*second))
+	require.Equal(t, 0, ClaimRank(s, order[1], 101*second))
+	s.Members["near2"] = flow.Member{Hello: order[1], LastSeen: 50 * second}
+	require.Equal(t, 0, ClaimRank(s, order[2], 101*second))
 }
 
 // Guards against a placer that hands over to the daemon that is stopped next, or to one
@@ -95,9 +101,9 @@
 	s := flow.NewState()
 	const wall = 1_700_000_100_000
 	for name, age := range map[string]int64{"old": 100_000, "older": 200_000, "young": 10_000, "newborn": 1_000, "self": 50_000} {
-		s.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Strength: 2, DistanceMS: 4, Started: wall - age}, Seen: 100 * second}
+		s.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, CapacityFactor: 2, LogLatencyMS: 4, StartedMS: wall - age}, LastSeen: 100 * second}
 	}
-	s.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", Strength: 2, Started: wall - 5_000}, Seen: 50 * second}
+	s.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", CapacityFactor: 2, StartedMS: wall - 5_000}, LastSeen: 50 * second}
 	var names []string
 	for _, h := range Successors(s, "self", 101*second, wall) {
 		names = append(names, h.Daemon)
--- a/core/placer/evacuate.go
+++ b/core/placer/evacuate.go
@@ -35,7 +35,7 @@
 			}
 			if reason := p.evacuationReason(r, v.leavesAt-now, now); reason != "" {
 				r.wanted = false
-				p.addDecision(Note{What: "run leaves its worker", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: reason, Age: v.leavesAt - now})
+				p.addDecision(Decision{Kind: "run leaves its worker", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: reason, Age: v.leavesAt - now})
 			}
 		}
 	}
@@ -52,7 +52,7 @@
 	switch {
 	case !def.LongRunning && needs <= stays:
 		return ""
-	case keeps && stays <= p.options.Stop+evacuationMargin:
+	case keeps && stays <= p.options.StopTimeout+evacuationMargin:
 		return "its worker leaves; its progress is saved"
 	case !keeps && stays > 0 && needs > time.Duration(giveUpFactor*float64(stays)):
 		return "it can't end before its worker leaves"
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -11,10 +11,10 @@
 const maxReportedEnds = 500
 
 // RecordApplied takes a record that was applied to the state just now.
-func (p *Placer) Read(r *flow.Record, now time.Duration) {
+func (p *Placer) RecordApplied(r *flow.Record, now time.Duration) {
 	switch {
 	case r.Submit != nil:
-		if j := p.state.Jobs[r.Submit.ID]; j != nil && j.Offset == p.state.Next-1 {
+		if j := p.state.Jobs[r.Submit.ID]; j != nil && j.Offset == p.state.NextOffset-1 {
 			p.addJob(j, now)
 			p.dirty = true
 		}
@@ -52,7 +52,7 @@
 }
 
 // BatchAppended takes the acknowledgement of a batch: its runs may be started now.
-func (p *Placer) Appended(runs []*run, now time.Duration) []Command {
+func (p *Placer) BatchAppended(runs []*run, now time.Duration) []Command {
 	var commands []Command
 	p.lastAppendTime = now - p.flushedAt
 	expired := p.expiredGangs(runs, now)
@@ -64,11 +64,11 @@
 		switch {
 		case !r.wanted:
 			r.transition(logged)
-			p.endRun(r, cluster.Void, "", now)
+			p.endRun(r, cluster.NeverStarted, "", now)
 		case p.ticketExpired(r, now) || expired[r.StepID()]:
 			r.transition(logged)
-			p.addDecision(Note{What: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
-			p.endRun(r, cluster.Void, "", now)
+			p.addDecision(Decision{Kind: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
+			p.endRun(r, cluster.NeverStarted, "", now)
 		default:
 			r.transition(logged)
 			commands = append(commands, p.firstStart(r, now))
@@ -117,13 +117,13 @@
 		return
 	}
 	w.startRecorded = true
-	p.addDecision(Note{What: NoteBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.readAt})
-	p.pendingBatch.Started = append(p.pendingBatch.Started, r.Job)
+	p.addDecision(Decision{Kind: DecisionJobBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.readAt})
+	p.pendingBatch.StartedJobs = append(p.pendingBatch.StartedJobs, r.Job)
 }
 
 // firstStart returns the first order to start a run.
 func (p *Placer) firstStart(r *run, now time.Duration) Command {
-	p.addDecision(Note{What: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
+	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
 	r.orderedAt = now
 	p.unansweredStarts = append(p.unansweredStarts, r)
 	p.retryBudget.Request()
@@ -131,7 +131,7 @@
 }
 
 // StartAnswered takes the answer to a start. It reports whether a newer placer was named.
-func (p *Placer) Answered(c *StartCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
+func (p *Placer) StartAnswered(c *StartCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return false
@@ -141,14 +141,14 @@
 	}
 	r := p.runs[c.Order.TaskID]
 	if r == nil || r.Run != c.Order.Run || r.vm != v {
-		return result == cluster.RefusedFence
+		return result == cluster.RefusedFenced
 	}
 	r.startsInFlight--
 	p.updateStartWindow(r, now)
 	if result == cluster.NoAnswer {
-		p.relayFailed(c.Courier, now)
+		p.relayFailed(c.Relay, now)
 	}
-	fenced := result == cluster.RefusedFence
+	fenced := result == cluster.RefusedFenced
 	if !r.decidedBy(result) {
 		if r.startsInFlight > 0 || r.state != starting {
 			return fenced
@@ -168,27 +168,27 @@
 		v.nextPollAt = now
 		v.avoidUntil = max(v.avoidUntil, now+avoidAfterNoAnswer)
 		p.updateCellWorker(v, now)
-		p.addDecision(Note{What: "start not answered", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker})
+		p.addDecision(Decision{Kind: "start not answered", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker})
 		return false
 	}
-	p.addDecision(Note{What: "start refused", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: string(result)})
+	p.addDecision(Decision{Kind: "start refused", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Reason: string(result)})
 	if !r.transition(refused) {
-		return result == cluster.RefusedFence
+		return result == cluster.RefusedFenced
 	}
 	switch result {
 	case cluster.RefusedOther:
 		v.refusals++
 		v.avoidUntil = now + avoidAfterRefusal*time.Duration(min(v.refusals, 8))
 		p.updateCellWorker(v, now)
-	case cluster.RefusedRoom:
+	case cluster.RefusedCapacity:
 		v.avoidUntil = now + avoidAfterRefusal
 		p.updateCellWorker(v, now)
-	case cluster.RefusedPass:
+	case cluster.RefusedTicket:
 		if w := p.steps[r.StepID()]; w != nil {
 			delete(w.grants, v.Life.Worker)
 		}
 	}
-	p.endRun(r, cluster.Void, "", now)
+	p.endRun(r, cluster.NeverStarted, "", now)
 	return fenced
 }
 
@@ -197,7 +197,7 @@
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
 	p.dirty = p.dirty || p.startWindow.limiting
 	if r.state == starting && p.startWindow.observe(r.orderedAt, now, p.startsInProgress) {
-		p.addDecision(Note{What: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.orderedAt})
+		p.addDecision(Decision{Kind: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.orderedAt})
 	}
 }
 
@@ -212,18 +212,18 @@
 	}
 	r := p.runs[c.Run.TaskID]
 	if r == nil || r.Run != c.Run.Run || r.vm != v {
-		return result == cluster.RefusedFence
+		return result == cluster.RefusedFenced
 	}
 	r.stopInFlight = false
-	if result == cluster.Started || result == cluster.RefusedOld {
+	if result == cluster.Started || result == cluster.RefusedStaleRun {
 		r.stopAnsweredAt = now
 		v.nextPollAt = min(v.nextPollAt, now)
 	}
-	return result == cluster.RefusedFence
+	return result == cluster.RefusedFenced
 }
 
 // PollFailed takes a look that was not answered.
-func (p *Placer) LookFailed(c *LookCommand, now time.Duration) {
+func (p *Placer) PollFailed(c *PollCommand, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return
@@ -232,13 +232,13 @@
 	v.missedPolls++
 	v.nextPollAt = now + missedPollDelay
 	if v.missedPolls == 1 {
-		p.addDecision(Note{What: "worker does not answer", Worker: v.Life.Worker, Age: now - v.answeredAt})
+		p.addDecision(Decision{Kind: "worker does not answer", Worker: v.Life.Worker, Age: now - v.answeredAt})
 		p.updateCellWorker(v, now)
 	}
 }
 
 // PollAnswered takes the answer to a look.
-func (p *Placer) Looked(c *LookCommand, report *cluster.Report, now time.Duration) {
+func (p *Placer) PollAnswered(c *PollCommand, report *cluster.WorkerReport, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return
@@ -251,7 +251,7 @@
 		p.workerRestarted(v, report, now)
 	}
 	if v.missedPolls > 0 {
-		p.addDecision(Note{What: "worker answers again", Worker: v.Life.Worker})
+		p.addDecision(Decision{Kind: "worker answers again", Worker: v.Life.Worker})
 	}
 	v.missedPolls = 0
 	v.observeClock(report.ClockMS, now)
@@ -268,7 +268,7 @@
 }
 
 // processEnds takes the ends that were not listed before.
-func (p *Placer) processEnds(v *vm, report *cluster.Report, now time.Duration) {
+func (p *Placer) processEnds(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	for i := range report.Ended {
 		e := &report.Ended[i]
 		if e.Number <= v.lastListedEnd {
@@ -287,13 +287,13 @@
 
 func (p *Placer) processEnd(r *run, e *cluster.EndReport, now time.Duration) {
 	v := r.vm
-	switch e.How {
+	switch e.Reason {
 	case cluster.Failed:
 		p.workerFailed(v, r, now)
 	case cluster.Done:
 		v.failures = 0
 	}
-	p.endRun(r, e.How, e.Checkpoint, now)
+	p.endRun(r, e.Reason, e.Checkpoint, now)
 }
 
 // workerFailed counts failures of unlike jobs in a row: a worker that fails all that it
@@ -309,13 +309,13 @@
 	v.failures++
 	if v.failures >= failuresToAvoid {
 		v.avoidUntil = now + avoidAfterFailures
-		p.addDecision(Note{What: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
+		p.addDecision(Decision{Kind: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
 		p.updateCellWorker(v, now)
 	}
 }
 
 // processRunning compares the runs that the worker lists with those that it should have.
-func (p *Placer) processRunning(v *vm, report *cluster.Report, now time.Duration) {
+func (p *Placer) processRunning(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	listedRuns := make(map[cluster.RunID]bool, len(report.Running))
 	for i := range report.Running {
 		row := &report.Running[i]
@@ -357,7 +357,7 @@
 				r.transition(stopOrder)
 				return
 			}
-			p.addDecision(Note{What: "run is missing", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.answeredAt})
+			p.addDecision(Decision{Kind: "run is missing", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.answeredAt})
 			p.endRun(r, cluster.Lost, "", now)
 		}
 	case uncertain:
@@ -366,7 +366,7 @@
 		}
 	case stopping:
 		if r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt {
-			p.endRun(r, cluster.Void, "", now)
+			p.endRun(r, cluster.NeverStarted, "", now)
 		}
 	}
 }
@@ -376,7 +376,7 @@
 func (p *Placer) handleUnknownRun(v *vm, row *cluster.RunReport, now time.Duration) {
 	if known := p.runs[row.TaskID]; known != nil {
 		// The task has another run: the stray one is stopped without being followed up.
-		p.addDecision(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
+		p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 		p.queuedCommands = append(p.queuedCommands, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
 		return
 	}
@@ -385,7 +385,7 @@
 	if j != nil && row.Step >= 0 && row.Step < len(j.Steps) {
 		r.size = occupiedRoom(&j.Steps[row.Step])
 	}
-	p.addDecision(Note{What: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
+	p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 	p.runs[row.TaskID] = r
 	v.runs[row.TaskID] = r
 	if w := p.steps[row.StepID()]; w != nil {
@@ -395,7 +395,7 @@
 }
 
 // endRun frees the room of a run and has its end recorded.
-func (p *Placer) endRun(r *run, how cluster.How, checkpoint string, now time.Duration) {
+func (p *Placer) endRun(r *run, how cluster.EndReason, checkpoint string, now time.Duration) {
 	if r.released {
 		return
 	}
@@ -420,17 +420,17 @@
 		}
 		return
 	}
-	if checkpoint == "" && how != cluster.Void {
+	if checkpoint == "" && how != cluster.NeverStarted {
 		checkpoint = r.lastCheckpoint // a worker that is gone can't tell its newest one
 	}
 	thrown := 0.0
-	if how != cluster.Done && how != cluster.Void && checkpoint == "" && r.answeredAt > 0 {
+	if how != cluster.Done && how != cluster.NeverStarted && checkpoint == "" && r.answeredAt > 0 {
 		thrown = (now - r.answeredAt).Seconds() * float64(r.size.MilliCores) / 1000
 	}
-	p.addDecision(Note{
-		What: NoteEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, Thrown: thrown,
+	p.addDecision(Decision{
+		Kind: DecisionRunEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, WastedCoreSeconds: thrown,
 	})
-	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: r.RunID, How: how, Checkpoint: checkpoint})
+	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: r.RunID, Reason: how, Checkpoint: checkpoint})
 	if how != cluster.Done {
 		p.stopGang(r)
 	}
@@ -450,7 +450,7 @@
 }
 
 // AdviceAnswered takes the answer to a request for advice; failed means that there was none.
-func (p *Placer) Granted(c *AdviseCommand, grants []cluster.Grant, valid, took time.Duration, failed bool, now time.Duration) {
+func (p *Placer) AdviceAnswered(c *AdviseCommand, grants []cluster.Grant, valid, took time.Duration, failed bool, now time.Duration) {
 	p.advisers.callFinished(c, took, failed, now)
 	w := p.steps[c.Step]
 	p.dirty = true
@@ -473,7 +473,7 @@
 				}
 			}
 		}
-		p.addDecision(Note{What: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
+		p.addDecision(Decision{Kind: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
 	}
 	if w != nil {
 		p.applyTickets(w, now)
@@ -498,7 +498,7 @@
 	for _, r := range waiting {
 		t := w.grants[r.vm.Life.Worker]
 		if t.validUntil <= now+ticketPlanMargin || !r.wanted || w.def.Gang && !whole {
-			p.endRun(r, cluster.Void, "", now)
+			p.endRun(r, cluster.NeverStarted, "", now)
 			continue
 		}
 		r.ticket = t
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -29,8 +29,8 @@
 	answerDelay      time.Duration // of every answer
 	drop             func(c Command) (lost bool, late time.Duration)
 	runTime          func(s cluster.Start) time.Duration
-	outcome          func(s cluster.Start) cluster.How
-	decisions        []Note
+	outcome          func(s cluster.Start) cluster.EndReason
+	decisions        []Decision
 	logDown          bool                                // nothing is appended
 	load             func(w *fakeWorker, r *fakeRun) int // as a look shows it
 	advice           func(c *AdviseCommand) []cluster.Grant
@@ -79,7 +79,7 @@
 	lapsedUpTo    int64 // ends up to this number were followed by a lapse of the lease
 }
 
-var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Orphan: 14 * time.Second}
+var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, MaxRenewalWithoutLog: 14 * time.Second}
 
 const testWallMS = 1_700_000_000_000
 
@@ -99,7 +99,7 @@
 		}
 	}
 	c.runTime = func(cluster.Start) time.Duration { return 800 * time.Millisecond }
-	c.outcome = func(cluster.Start) cluster.How { return cluster.Done }
+	c.outcome = func(cluster.Start) cluster.EndReason { return cluster.Done }
 	return c
 }
 
@@ -115,7 +115,7 @@
 	err := c.state.Apply(&r, c.now)
 	if c.placer != nil {
 		began := time.Now()
-		c.placer.Read(&r, c.now)
+		c.placer.RecordApplied(&r, c.now)
 		c.placerTime += time.Since(began)
 	}
 	if c.onJobEnd != nil && r.Batch != nil {
@@ -149,7 +149,7 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Life.Worker < list[j].Life.Worker })
-	c.placer.Registry(list, c.now)
+	c.placer.SetRegistry(list, c.now)
 }
 
 // advance plays the cell for a time.
@@ -166,7 +166,7 @@
 		commands := c.placer.Tick(c.now, c.wall())
 		c.placerTime += time.Since(began)
 		c.dispatch(commands)
-		c.decisions = append(c.decisions, c.placer.Notes()...)
+		c.decisions = append(c.decisions, c.placer.TakeDecisions()...)
 		if c.logDown {
 			continue
 		}
@@ -181,7 +181,7 @@
 				}
 				require.NoError(c.t, c.append(flow.Record{Batch: &batch}))
 				began := time.Now()
-				commands := p.Appended(runs, c.now)
+				commands := p.BatchAppended(runs, c.now)
 				c.placerTime += time.Since(began)
 				c.dispatch(commands)
 			})
@@ -207,12 +207,12 @@
 	w.leaseUntilMS = max(w.leaseUntilMS, min(until, w.clock(now)+testOptions.MaxLease.Milliseconds()))
 }
 
-func (w *fakeWorker) end(id cluster.TaskID, how cluster.How) {
+func (w *fakeWorker) end(id cluster.TaskID, how cluster.EndReason) {
 	r := w.runs[id]
 	delete(w.runs, id)
 	w.lastEndNumber++
 	w.highestRun[id] = max(w.highestRun[id], r.start.Run)
-	end := cluster.EndReport{Number: w.lastEndNumber, RunID: r.start.RunID, How: how}
+	end := cluster.EndReport{Number: w.lastEndNumber, RunID: r.start.RunID, Reason: how}
 	if w.savesProgress && how == cluster.Stopped {
 		end.Checkpoint = fmt.Sprint(r.donePermille(w.stoppedAt))
 	}
@@ -227,7 +227,7 @@
 		for id, r := range w.runs {
 			switch {
 			case w.clock(c.now) > w.leaseUntilMS:
-				w.end(id, cluster.Lapsed)
+				w.end(id, cluster.LeaseExpired)
 			case c.now >= r.endAt:
 				w.end(id, c.outcome(r.start))
 			}
@@ -284,7 +284,7 @@
 	c.after(c.adviserBusyUntil[a.Daemon]-c.now+c.answerDelay/2, func() {
 		if c.placer == p {
 			began := time.Now()
-			p.Granted(a, c.advice(a), rule.Valid, c.now-sent, false, c.now)
+			p.AdviceAnswered(a, c.advice(a), rule.Valid, c.now-sent, false, c.now)
 			c.placerTime += time.Since(began)
 		}
 	})
@@ -300,7 +300,7 @@
 	case c.Pace != nil:
 		return c.Pace.Life
 	default:
-		return c.Look.Life
+		return c.Poll.Life
 	}
 }
 
@@ -329,7 +329,7 @@
 		if lost {
 			result, clock = cluster.NoAnswer, 0
 		}
-		back(func(now time.Duration) []Command { p.Answered(s, result, clock, now); return nil })
+		back(func(now time.Duration) []Command { p.StartAnswered(s, result, clock, now); return nil })
 	case command.Stop != nil:
 		s := command.Stop
 		w := c.workers[s.Life.Worker]
@@ -351,36 +351,36 @@
 		if lost {
 			result = cluster.NoAnswer
 		}
-		back(func(now time.Duration) []Command { p.Paced(o, result, 0, now); return nil })
-	case command.Look != nil:
-		l := command.Look
+		back(func(now time.Duration) []Command { p.PaceAnswered(o, result, 0, now); return nil })
+	case command.Poll != nil:
+		l := command.Poll
 		w := c.workers[l.Life.Worker]
 		if w == nil || !w.up || w.partitioned || gone || l.Hold.Token < w.token {
-			back(func(now time.Duration) []Command { p.LookFailed(l, now); return nil })
+			back(func(now time.Duration) []Command { p.PollFailed(l, now); return nil })
 			return
 		}
 		report := c.poll(w, &l.Hold)
-		back(func(now time.Duration) []Command { p.Looked(l, report, now); return nil })
+		back(func(now time.Duration) []Command { p.PollAnswered(l, report, now); return nil })
 	}
 }
 
 func (c *fakeCell) start(w *fakeWorker, s *cluster.Start) cluster.StartResult {
 	if s.Token < w.token {
-		return cluster.RefusedFence
+		return cluster.RefusedFenced
 	}
 	w.token = s.Token
 	if r := w.runs[s.TaskID]; r != nil && r.start.Run == s.Run {
 		return cluster.Started
 	}
 	if s.Run <= w.highestRun[s.TaskID] {
-		return cluster.RefusedOld
+		return cluster.RefusedStaleRun
 	}
 	if w.clock(c.now) > s.LeaseUntil {
-		return cluster.RefusedLate
+		return cluster.RefusedLeaseExpired
 	}
 	w.extendLease(c.now, s.LeaseUntil)
 	if c.refuseTicket != nil && c.refuseTicket(s) {
-		return cluster.RefusedPass
+		return cluster.RefusedTicket
 	}
 	for id, other := range c.workers {
 		if other.runs[s.TaskID] != nil {
@@ -392,7 +392,7 @@
 	}
 	job := c.state.Jobs[s.Job]
 	size := occupiedRoom(&job.Steps[s.Step])
-	for _, a := range job.Steps[s.Step].After {
+	for _, a := range job.Steps[s.Step].DependsOn {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
 	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: c.runTime(*s), pace: 100}
@@ -413,7 +413,7 @@
 
 func (c *fakeCell) stop(w *fakeWorker, s *StopCommand) cluster.StartResult {
 	if s.Token < w.token {
-		return cluster.RefusedFence
+		return cluster.RefusedFenced
 	}
 	w.token = s.Token
 	w.highestRun[s.Run.TaskID] = max(w.highestRun[s.Run.TaskID], s.Run.Run)
@@ -424,7 +424,7 @@
 	return cluster.Started
 }
 
-func (c *fakeCell) poll(w *fakeWorker, h *cluster.Hold) *cluster.Report {
+func (c *fakeCell) poll(w *fakeWorker, h *cluster.LeaseRenewal) *cluster.WorkerReport {
 	w.token = h.Token
 	w.extendLease(c.now, h.LeaseUntil)
 	rest := w.ended[:0:0]
@@ -432,12 +432,12 @@
 		switch {
 		case e.Number > h.Confirmed:
 			rest = append(rest, e)
-		case e.How == cluster.Done && e.Number > w.lapsedUpTo:
+		case e.Reason == cluster.Done && e.Number > w.lapsedUpTo:
 			c.confirmedDone[e.TaskID] = true
 		}
 	}
 	w.ended = rest
-	r := &cluster.Report{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
+	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
 	for _, run := range w.runs {
 		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.donePermille(c.now) / 10}
 		if c.load != nil {
@@ -469,9 +469,9 @@
 // decisionsOn returns the placer's decisions on a task.
 func (c *fakeCell) decisionsOn(id cluster.TaskID) []string {
 	var lines []string
-	for _, n := range append(c.decisions, c.placer.Notes()...) {
-		if n.Task == id && n.Job == id.Job || n.What == "worker started again" || n.What == "lease ended" {
-			lines = append(lines, fmt.Sprintf("%s run %d %s %s %v;", n.What, n.Run, n.Worker, n.Reason, n.Age))
+	for _, n := range append(c.decisions, c.placer.TakeDecisions()...) {
+		if n.Task == id && n.Job == id.Job || n.Kind == "worker started again" || n.Kind == "lease ended" {
+			lines = append(lines, fmt.Sprintf("%s run %d %s %s %v;", n.Kind, n.Run, n.Worker, n.Reason, n.Age))
 		}
 	}
 	return lines
--- a/core/placer/faults_test.go
+++ b/core/placer/faults_test.go
@@ -46,7 +46,7 @@
 	for _, command := range former.Tick(c.now, c.wall()) { // it wakes
 		if s := command.Start; s != nil {
 			orders++
-			require.Equal(t, cluster.RefusedFence, c.start(c.workers[s.Life.Worker], &s.Order))
+			require.Equal(t, cluster.RefusedFenced, c.start(c.workers[s.Life.Worker], &s.Order))
 		}
 	}
 	require.Positive(t, orders, "it repeats what was not answered")
@@ -100,7 +100,7 @@
 			require.Equal(t, cluster.Started, c.start(c.workers[s.Life.Worker], &s.Order))
 			return true, time.Hour // there is no answer, not even an error
 		}
-		if command.Look != nil && c.now < quiet {
+		if command.Poll != nil && c.now < quiet {
 			return false, quiet - c.now
 		}
 		return false, 0
@@ -133,7 +133,7 @@
 	c.restart(w)
 	c.publishRegistry()
 	c.advance(2 * time.Second)
-	require.Equal(t, cluster.RefusedOld, c.start(w, &late[0].Order), "the new life was told to stop it first")
+	require.Equal(t, cluster.RefusedStaleRun, c.start(w, &late[0].Order), "the new life was told to stop it first")
 	c.advance(35 * time.Second)
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -22,12 +22,12 @@
 // isServing reports whether a run has users whose waiting time is bounded.
 func (p *Placer) isServing(r *run) bool {
 	def := p.stepDef(r)
-	return def != nil && def.TargetMS > 0 && !def.Fills
+	return def != nil && def.TailTargetMS > 0 && !def.Backfill
 }
 
 func (p *Placer) isFilling(r *run) bool {
 	def := p.stepDef(r)
-	return def != nil && def.Fills
+	return def != nil && def.Backfill
 }
 
 // countServingAndFilling counts the serving and filling runs on a worker, and the cores that the filling
@@ -57,7 +57,7 @@
 		if v == nil {
 			continue
 		}
-		free, open := p.cell.Room(id)
+		free, open := p.cell.FreeCapacity(id)
 		serving, _, fillingMilliCores := p.countServingAndFilling(v)
 		if open && serving == 0 && float64(free.MilliCores-fillingMilliCores) >= minIdleCoreShare*float64(w.def.Size.MilliCores) {
 			fit = append(fit, id)
@@ -99,7 +99,7 @@
 		if !p.isServing(r) || r.state != running {
 			continue
 		}
-		target := float64(p.stepDef(r).TargetMS)
+		target := float64(p.stepDef(r).TailTargetMS)
 		over = over || float64(r.load) > slowDownTargetShare*target
 		calm = calm && float64(r.load) < speedUpTargetShare*target
 	}
@@ -120,7 +120,7 @@
 			continue
 		}
 		r.paceInFlight = true
-		p.addDecision(Note{What: "pace", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Age: now - v.answeredAt, Version: int64(percent)})
+		p.addDecision(Decision{Kind: "pace", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Age: now - v.answeredAt, Version: int64(percent)})
 		p.queuedCommands = append(p.queuedCommands, Command{Pace: &PaceCommand{Life: v.Life, Address: v.Address, Run: r.RunID, Percent: percent, Token: p.token}})
 	}
 }
@@ -136,7 +136,7 @@
 
 // PaceAnswered takes the answer to an order to pace. Without one the order is given again at the
 // next look.
-func (p *Placer) Paced(c *PaceCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
+func (p *Placer) PaceAnswered(c *PaceCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
 		return false
@@ -151,5 +151,5 @@
 			r.pacePercent = c.Percent
 		}
 	}
-	return result == cluster.RefusedFence
+	return result == cluster.RefusedFenced
 }
--- a/core/placer/fill_test.go
+++ b/core/placer/fill_test.go
@@ -16,12 +16,12 @@
 	c := newFakeCell(t, workers, workerCapacity)
 	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
 	c.load = func(w *fakeWorker, r *fakeRun) int {
-		if c.state.Jobs[r.start.Job].Steps[0].Fills {
+		if c.state.Jobs[r.start.Job].Steps[0].Backfill {
 			return 0
 		}
 		tail := 20
 		for _, other := range w.runs {
-			if c.state.Jobs[other.start.Job].Steps[0].Fills {
+			if c.state.Jobs[other.start.Job].Steps[0].Backfill {
 				tail += other.pace
 			}
 		}
@@ -33,11 +33,11 @@
 }
 
 func serving(n int) flow.Step {
-	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, LongRunning: true, TargetMS: 100}
+	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, LongRunning: true, TailTargetMS: 100}
 }
 
 func filling(n int) flow.Step {
-	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 8000, MemoryMiB: 1024}, Fills: true, EstimateMS: 3600_000}
+	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 8000, MemoryMiB: 1024}, Backfill: true, EstimateMS: 3600_000}
 }
 
 // Guards against filling tasks beside serving ones while other workers are idle, and
--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -74,7 +74,7 @@
 		if batch, runs, ok := c.placer.Flush(c.now); ok && len(runs) > 0 {
 			c.now += 3 * time.Second // the log is slow
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
-			require.Empty(t, c.placer.Appended(runs, c.now), "orders of a gang that can't be whole")
+			require.Empty(t, c.placer.BatchAppended(runs, c.now), "orders of a gang that can't be whole")
 			break
 		} else if ok {
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -152,7 +152,7 @@
 			Gang: p.rng.Float64() < k.gangs,
 		}
 		if s > 0 {
-			step.After = []int{s - 1}
+			step.DependsOn = []int{s - 1}
 		}
 		in.Steps = append(in.Steps, step)
 		p.durations[cluster.StepID{Job: id, Step: s}] = takes
@@ -217,7 +217,7 @@
 	p.placer = nil
 	p.generate(6*time.Second, 1)
 	p.takeOver()
-	p.placer.FormerRetired(p.now)
+	p.placer.FormerPlacerRetired(p.now)
 	p.generate(9*time.Second, 1)
 	require.Less(t, len(p.placer.steps), 400, "%v", p)
 }
@@ -232,7 +232,7 @@
 	p.placer = nil
 	p.generate(12*time.Second, 1)
 	p.takeOver()
-	p.placer.FormerRetired(p.now)
+	p.placer.FormerPlacerRetired(p.now)
 	p.generate(2*time.Second, 1)
 	p.resetCounts()
 	p.generate(5*time.Second, 1)
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -76,7 +76,7 @@
 func (p *Placer) sortSteps(order []*pendingStep, wallMS int64) {
 	for _, w := range order {
 		w.stepRank = newStepRank(w, wallMS)
-		if p.options.Without.Priority {
+		if p.options.Disabled.Priority {
 			w.stepRank.priority = 0
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -38,31 +38,31 @@
 
 // Options are the bounds of a deployment.
 type Options struct {
-	Lease    time.Duration // of the runs on a worker, from each renewal
-	MaxLease time.Duration // longest lease that a worker grants
-	Orphan   time.Duration // a placer that lost the log renews leases for at most this long
-	Early    time.Duration // a task with a due time may begin this much earlier
-	Stop     time.Duration // a worker may take this long to stop a run
-	LinkMbps float64       // of the placer's machine; 0 is not known
-	Without  Ablation
+	Lease                time.Duration // of the runs on a worker, from each renewal
+	MaxLease             time.Duration // longest lease that a worker grants
+	MaxRenewalWithoutLog time.Duration // a placer that lost the log renews leases for at most this long
+	EarlyStart           time.Duration // a task with a due time may begin this much earlier
+	StopTimeout          time.Duration // a worker may take this long to stop a run
+	LinkMbps             float64       // of the placer's machine; 0 is not known
+	Disabled             Ablation
 }
 
 // Command is one thing to do. Exactly one field is set.
 type Command struct {
 	Start  *StartCommand
 	Stop   *StopCommand
-	Look   *LookCommand
+	Poll   *PollCommand
 	Advise *AdviseCommand
 	Pace   *PaceCommand
 }
 
 // StartCommand orders a worker to start a run.
 type StartCommand struct {
-	Life    cluster.Life
-	Address string
-	Order   cluster.Start
-	Courier string        // the daemon that sends the order; "" is this one
-	SendBy  time.Duration // boot clock: sent later it would reach the worker after its ticket or lease
+	Life         cluster.Life
+	Address      string
+	Order        cluster.Start
+	Relay        string        // the daemon that sends the order; "" is this one
+	SendDeadline time.Duration // boot clock: sent later it would reach the worker after its ticket or lease
 }
 
 // StopCommand orders a worker to stop a run.
@@ -74,10 +74,10 @@
 }
 
 // PollCommand renews a worker's lease and asks for its lists.
-type LookCommand struct {
+type PollCommand struct {
 	Life    cluster.Life
 	Address string
-	Hold    cluster.Hold
+	Hold    cluster.LeaseRenewal
 }
 
 // AdviseCommand asks which workers may run a step, through the given daemon.
@@ -88,22 +88,22 @@
 }
 
 // Decision is a decision or a change of belief for the log of the daemon.
-type Note struct {
-	What    string
-	Job     string
-	Task    cluster.TaskID
-	Run     int
-	Worker  string
-	Reason  string
-	Age     time.Duration // of the input that decided
-	Version int64         // of the configuration, or the offset of the record, that decided
-	Thrown  float64       // core-seconds of work that an end has made useless
+type Decision struct {
+	Kind              string
+	Job               string
+	Task              cluster.TaskID
+	Run               int
+	Worker            string
+	Reason            string
+	Age               time.Duration // of the input that decided
+	Version           int64         // of the configuration, or the offset of the record, that decided
+	WastedCoreSeconds float64       // core-seconds of work that an end has made useless
 }
 
 // Decisions that the metrics count by more than their name.
 const (
-	NoteEnded = "run ended"
-	NoteBegan = "job began" // the first run of a job was taken; Reason is its queue
+	DecisionRunEnded = "run ended"
+	DecisionJobBegan = "job began" // the first run of a job was taken; Reason is its queue
 )
 
 // Placer is the state of the placer of one log partition.
@@ -127,7 +127,7 @@
 	epoch          int64
 	createdAt      time.Duration
 	dirty          bool
-	decisions      []Note
+	decisions      []Decision
 	queuedCommands []Command
 
 	unansweredStarts []*run // ordered to start lately, the oldest order first
@@ -151,9 +151,9 @@
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(o.LinkMbps, now), startWindow: newStartWindow(now),
-		queues: map[string]*cluster.Queue{}, token: state.Token, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, dirty: true,
+		queues: map[string]*cluster.Queue{}, token: state.FencingToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, dirty: true,
 	}
-	p.advisers.sortByName = o.Without.NearAdvisers
+	p.advisers.sortByName = o.Disabled.NearAdvisers
 	p.SetConfig(config)
 	for _, j := range state.Jobs {
 		p.adoptRuns(j, now)
@@ -177,13 +177,13 @@
 				id := cluster.TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i}
 				v := p.worker(t.Life, now)
 				r := &run{
-					RunID: cluster.RunID{TaskID: id, Run: t.Run}, state: uncertain, vm: v, size: occupiedRoom(&j.Steps[s]),
+					RunID: cluster.RunID{TaskID: id, Run: t.LastRun}, state: uncertain, vm: v, size: occupiedRoom(&j.Steps[s]),
 					spec: j.Spec, checkpoint: t.Checkpoint, recorded: true, wanted: !j.Phase.Final(), plannedAt: now, answeredAt: now,
 					pacePercent: 100, // what the former placer ordered is not known
 				}
 				p.runs[id] = r
 				v.runs[id] = r
-				v.inheritedLeaseEnd = now + p.options.Lease + p.options.Orphan + leaseMargin
+				v.inheritedLeaseEnd = now + p.options.Lease + p.options.MaxRenewalWithoutLog + leaseMargin
 			}
 		}
 	}
@@ -200,10 +200,10 @@
 	return v
 }
 
-func (p *Placer) addDecision(n Note) { p.decisions = append(p.decisions, n) }
+func (p *Placer) addDecision(n Decision) { p.decisions = append(p.decisions, n) }
 
 // TakeDecisions returns the decisions since the last call.
-func (p *Placer) Notes() []Note {
+func (p *Placer) TakeDecisions() []Decision {
 	notes := p.decisions
 	p.decisions = nil
 	return notes
@@ -213,16 +213,16 @@
 func (p *Placer) Epoch() int64 { return p.epoch }
 
 // WaitingSteps returns the number of steps that wait for room or advice.
-func (p *Placer) Waiting() int { return len(p.steps) }
+func (p *Placer) WaitingSteps() int { return len(p.steps) }
 
 // ActiveRuns returns the number of runs from plan to recorded end.
-func (p *Placer) RunsActive() int { return len(p.runs) }
+func (p *Placer) ActiveRuns() int { return len(p.runs) }
 
 // occupiedRoom is the room that a task takes away from others on its worker. One that fills
 // works with the cores that they leave.
 func occupiedRoom(s *flow.Step) resource.Vector {
 	v := s.Size
-	if s.Fills {
+	if s.Backfill {
 		v.MilliCores = 0
 	}
 	return v
@@ -239,7 +239,7 @@
 }
 
 // SetRegistry takes the workers that the platform lists.
-func (p *Placer) Registry(workers []cluster.Worker, now time.Duration) {
+func (p *Placer) SetRegistry(workers []cluster.Worker, now time.Duration) {
 	for _, v := range p.vms {
 		v.listed = false
 	}
@@ -281,7 +281,7 @@
 		return
 	}
 	if v.Draining && v.listed {
-		p.cell.SetLeaving(v.Life.Worker)
+		p.cell.SetDraining(v.Life.Worker)
 	}
 	_, known := p.cell.Worker(v.Life.Worker)
 	p.cell.UpdateWorker(place.Worker{
@@ -294,10 +294,10 @@
 		}
 	}
 	if v.Draining {
-		p.cell.SetLeaving(v.Life.Worker)
+		p.cell.SetDraining(v.Life.Worker)
 	}
 	present := v.listed || now-v.listedAt < unlistedGrace && now-v.answeredAt < unlistedAnswerTimeout
-	p.cell.SetUsable(v.Life.Worker, present && !v.Draining && v.tokenSeen && v.missedPolls == 0 && now >= v.avoidUntil)
+	p.cell.SetLive(v.Life.Worker, present && !v.Draining && v.tokenSeen && v.missedPolls == 0 && now >= v.avoidUntil)
 }
 
 func (p *Placer) cellTask(r *run, now time.Duration) place.Task {
@@ -311,8 +311,8 @@
 // workerRestarted follows a worker's own word that it has started again. Runs that it does not
 // list ended with the former life. Orders of the former life that were not answered may
 // still be carried out in the new one, under the longest lease.
-func (p *Placer) workerRestarted(v *vm, report *cluster.Report, now time.Duration) {
-	p.addDecision(Note{What: "worker started again", Worker: v.Life.Worker, Version: report.Life.Born})
+func (p *Placer) workerRestarted(v *vm, report *cluster.WorkerReport, now time.Duration) {
+	p.addDecision(Decision{Kind: "worker started again", Worker: v.Life.Worker, Version: report.Life.Born})
 	listedRuns := map[cluster.RunID]bool{}
 	for i := range report.Running {
 		listedRuns[report.Running[i].RunID] = true
@@ -338,7 +338,7 @@
 
 // FormerPlacerRetired takes the news that the former placer sends no more orders: what it
 // ordered ends with the leases that it gave until now.
-func (p *Placer) FormerRetired(now time.Duration) {
+func (p *Placer) FormerPlacerRetired(now time.Duration) {
 	for _, v := range p.vms {
 		if v.inheritedLeaseEnd > 0 {
 			v.inheritedLeaseEnd = min(v.inheritedLeaseEnd, now+p.options.Lease+leaseMargin)
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -45,7 +45,7 @@
 	c := readyCell(t, 3)
 	for i := range 20 {
 		second, third := tasks(2), tasks(3)
-		second.After, third.After = []int{0}, []int{1}
+		second.DependsOn, third.DependsOn = []int{0}, []int{1}
 		third.Gang = true
 		c.submit(fmt.Sprint("j", i), tasks(4), second, third)
 	}
@@ -128,7 +128,7 @@
 	lost := c.busyWorker()
 	lost.up, lost.inRegistry = false, false
 	c.takeOver()
-	c.placer.FormerRetired(c.now)
+	c.placer.FormerPlacerRetired(c.now)
 	c.advance(6*time.Second + 3*time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
@@ -138,7 +138,7 @@
 func TestAttempts(t *testing.T) {
 	c := readyCell(t, 2)
 	failures := map[cluster.TaskID]int{}
-	c.outcome = func(s cluster.Start) cluster.How {
+	c.outcome = func(s cluster.Start) cluster.EndReason {
 		limit := map[string]int{"poison": 99, "twice": 2}[s.Job]
 		if failures[s.TaskID] < limit {
 			failures[s.TaskID]++
@@ -206,7 +206,7 @@
 				}
 			default:
 				second := tasks(1 + rng.IntN(3))
-				second.After, second.Gang = []int{0}, rng.IntN(2) == 0
+				second.DependsOn, second.Gang = []int{0}, rng.IntN(2) == 0
 				c.submit(fmt.Sprint("j", jobs), tasks(1+rng.IntN(4)), second)
 				jobs++
 			}
@@ -218,7 +218,7 @@
 			w.partitioned = false
 		}
 		c.takeOver()
-		c.placer.FormerRetired(c.now)
+		c.placer.FormerPlacerRetired(c.now)
 		c.advance(40 * time.Second)
 		phases := c.phases()
 		require.Equal(t, jobs, phases[flow.Completed]+phases[flow.Cancelled], "seed %d: %v", seed, phases)
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -34,7 +34,7 @@
 	}
 	p.planAttempts = 0
 	p.yields.reset()
-	p.Members(now)
+	p.UpdateMembers(now)
 	p.updateMaxFree()
 	order := make([]*pendingStep, 0, len(p.steps))
 	for _, w := range p.steps {
@@ -65,7 +65,7 @@
 		}
 		active, asking := w.activeRuns, w.adviceInFlight
 		placed := p.placeStep(w, waiting, now, wallMS)
-		if !placed && w.def.Gang && w.stepRank.timeliness == onTime && !p.options.Without.Yields {
+		if !placed && w.def.Gang && w.stepRank.timeliness == onTime && !p.options.Disabled.Yields {
 			p.yields.addGang(w)
 		}
 		commands = p.requestAdvice(commands, w, placed, now)
@@ -74,7 +74,7 @@
 			waiting = p.waitingTasks(w, waiting[:0])
 			room -= len(waiting)
 		}
-		if !placed && w.def.Gang && !holding && !p.options.Without.Holds {
+		if !placed && w.def.Gang && !holding && !p.options.Disabled.Holds {
 			holding = p.holdWorkers(w, waiting, now)
 		}
 	}
@@ -84,7 +84,7 @@
 // maxPendingRuns is the number of planned runs that may wait for the next append: a large cell
 // starts as many between two appends as it has workers, and more while each append takes long.
 func (p *Placer) maxPendingRuns() int {
-	if p.options.Without.LongAppends {
+	if p.options.Disabled.MorePendingRuns {
 		return max(minPendingRuns, len(p.vms))
 	}
 	duringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppend).Seconds()
@@ -111,7 +111,7 @@
 		left = tasks
 	}
 	for _, id := range among {
-		free, open := p.cell.Room(id)
+		free, open := p.cell.FreeCapacity(id)
 		for open && left > 0 && occupiedRoom(w.def).Fits(free) {
 			free = free.Sub(occupiedRoom(w.def))
 			left--
@@ -127,19 +127,19 @@
 func (p *Placer) updateMaxFree() {
 	p.maxFree = resource.Vector{}
 	for id := range p.vms {
-		if free, open := p.cell.Room(id); open {
+		if free, open := p.cell.FreeCapacity(id); open {
 			p.maxFree = p.maxFree.Max(free)
 		}
 	}
 }
 
 // UpdateMembers takes the daemons of the cell as those that advice is asked through.
-func (p *Placer) Members(now time.Duration) { p.advisers.setMembers(p.adviserNames(now), now) }
+func (p *Placer) UpdateMembers(now time.Duration) { p.advisers.setMembers(p.adviserNames(now), now) }
 
 func (p *Placer) adviserNames(now time.Duration) []string {
 	names := make([]string, 0, len(p.state.Members))
 	for name, m := range p.state.Members {
-		if now-m.Seen < adviserHelloTimeout {
+		if now-m.LastSeen < adviserHelloTimeout {
 			names = append(names, name)
 		}
 	}
@@ -184,9 +184,9 @@
 // no room.
 func (p *Placer) placeAmong(w *pendingStep, tasks []int, among []string, now time.Duration) []int {
 	switch {
-	case w.def.Fills:
+	case w.def.Backfill:
 		among = p.workersForFilling(w, among)
-	case w.def.TargetMS > 0:
+	case w.def.TailTargetMS > 0:
 		among = p.workersForServing(among)
 	}
 	if !p.mayHaveRoom(w, among, len(tasks)) {
@@ -229,7 +229,7 @@
 // planAndCommit plans and commits; with allOrNothing set, all tasks are placed or none.
 func (p *Placer) planAndCommit(w *pendingStep, tasks []int, among []string, now time.Duration, allOrNothing bool) []int {
 	asks := p.taskAsks(w, tasks, among, allOrNothing)
-	if w.def.PerWorker > 0 && !allOrNothing {
+	if w.def.MaxPerWorker > 0 && !allOrNothing {
 		var rest []int
 		for i := range asks {
 			if len(p.commit(w, tasks[i:i+1], asks[i:i+1], now)) > 0 {
@@ -258,7 +258,7 @@
 		asks[i] = wire.TaskAsk{
 			TaskID: cellTaskID(w.taskID(index)), Job: cellJobID(w.id), Generation: int64(w.nextRun(index)), Pool: w.job.Pool,
 			Resources: occupiedRoom(w.def), RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
-			Label: w.def.Label, NearRack: w.def.NearRack, PerVM: w.def.PerWorker,
+			Label: w.def.Label, NearRack: w.def.NearRack, PerVM: w.def.MaxPerWorker,
 		}
 		if allOrNothing {
 			asks[i].Gang = cellJobID(w.id)
@@ -274,9 +274,9 @@
 	case state == nil:
 		return 1
 	case w.def.Gang:
-		return state.Run + 1
+		return state.HighestRun + 1
 	default:
-		return state.Tasks[index].Run + 1
+		return state.Tasks[index].LastRun + 1
 	}
 }
 
--- a/core/placer/relay.go
+++ b/core/placer/relay.go
@@ -56,7 +56,7 @@
 	}
 	best, bestNear, bestHash := "", false, uint32(0)
 	for name, m := range p.state.Members {
-		if name == p.state.Claim.Daemon || m.Leaving || now-m.Seen >= helloTimeout || now < p.relays.avoidUntil[name] {
+		if name == p.state.Claim.Daemon || m.Leaving || now-m.LastSeen >= helloTimeout || now < p.relays.avoidUntil[name] {
 			continue
 		}
 		h := fnv.New32a()
--- a/core/placer/retry.go
+++ b/core/placer/retry.go
@@ -22,10 +22,10 @@
 			break
 		}
 		n++
-		if p.options.Without.Repeats || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.Retry() {
+		if p.options.Disabled.StartRetries || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.Retry() {
 			continue
 		}
-		p.addDecision(Note{What: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
+		p.addDecision(Decision{Kind: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
 		commands = append(commands, p.startCommand(r, "", now))
 	}
 	p.unansweredStarts = p.unansweredStarts[n:]
@@ -40,7 +40,7 @@
 	deadline := p.sendDeadline(r, now)
 	r.startsSent++
 	r.startsInFlight++
-	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Courier: relay, SendBy: deadline, Order: cluster.Start{
+	return Command{Start: &StartCommand{Life: v.Life, Address: v.Address, Relay: relay, SendDeadline: deadline, Order: cluster.Start{
 		RunID: r.RunID, Spec: r.spec, Checkpoint: r.checkpoint, Ticket: r.ticket.text, LeaseUntil: lease, Token: p.token,
 	}}}
 }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -57,7 +57,7 @@
 	w := &pendingJob{job: j, readAt: now, activated: map[cluster.StepID]bool{}}
 	p.jobs[j.ID] = w
 	for k := 0; k < j.Submit.Occurrences(); k++ {
-		if at := j.Due(k); at > 0 && len(j.Occurrences) <= k {
+		if at := j.DueMS(k); at > 0 && len(j.Occurrences) <= k {
 			p.dueOccurrences = append(p.dueOccurrences, dueOccurrence{j, k, at})
 			continue
 		}
@@ -157,14 +157,14 @@
 // end within its objective, as far as estimates go.
 func (w *pendingStep) latestStart() int64 {
 	begin := w.job.AtMS
-	if due := w.job.Due(w.id.Occurrence); due > 0 {
+	if due := w.job.DueMS(w.id.Occurrence); due > 0 {
 		begin = due
 	}
 	w.objective = 0
 	if w.queue != nil {
-		w.objective = w.queue.Objective(w.job.Chain())
+		w.objective = w.queue.Objective(w.job.CriticalPath())
 	}
-	remaining := w.job.ChainFrom(func(step int) bool {
+	remaining := w.job.RemainingCriticalPath(func(step int) bool {
 		s := w.job.Step(w.id.Occurrence, step)
 		return s != nil && s.Complete()
 	})
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -11,7 +11,7 @@
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
 	commands := p.queuedCommands
 	p.queuedCommands = nil
-	p.activateDue(now, wallMS+p.options.Early.Milliseconds()/2)
+	p.activateDue(now, wallMS+p.options.EarlyStart.Milliseconds()/2)
 	scan := now-p.lastScanAt >= scanInterval
 	if scan {
 		p.lastScanAt = now
@@ -39,12 +39,12 @@
 		n := 0
 		for _, r := range v.runs {
 			if r.startOrdered() {
-				p.endRun(r, cluster.Lapsed, "", now)
+				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
 			}
 		}
 		if n > 0 {
-			p.addDecision(Note{What: "lease ended", Worker: v.Life.Worker, Age: now - v.answeredAt})
+			p.addDecision(Decision{Kind: "lease ended", Worker: v.Life.Worker, Age: now - v.answeredAt})
 		}
 	}
 }
@@ -57,7 +57,7 @@
 		}
 		switch r.state {
 		case ticketing:
-			p.endRun(r, cluster.Void, "", now)
+			p.endRun(r, cluster.NeverStarted, "", now)
 		case uncertain, running:
 			r.transition(stopOrder)
 			commands = p.stopRun(commands, r, now)
@@ -75,7 +75,7 @@
 		return commands
 	}
 	r.stopSentAt, r.stopInFlight = now, true
-	p.addDecision(Note{What: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Version: p.token})
+	p.addDecision(Decision{Kind: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Version: p.token})
 	return append(commands, Command{Stop: &StopCommand{Life: r.vm.Life, Address: r.vm.Address, Run: r.RunID, Token: p.token}})
 }
 
@@ -85,7 +85,7 @@
 		if v.pollInFlight || now < v.nextPollAt || v.Address == "" || !p.needsPoll(v, now) {
 			continue
 		}
-		hold := cluster.Hold{Token: p.token}
+		hold := cluster.LeaseRenewal{Token: p.token}
 		if v.allRunsListed() {
 			hold.Confirmed = v.recordedUpTo
 		}
@@ -97,7 +97,7 @@
 			}
 		}
 		v.pollInFlight, v.pollSentAt = true, now
-		commands = append(commands, Command{Look: &LookCommand{Life: v.Life, Address: v.Address, Hold: hold}})
+		commands = append(commands, Command{Poll: &PollCommand{Life: v.Life, Address: v.Address, Hold: hold}})
 	}
 	return commands
 }
@@ -140,7 +140,7 @@
 // appends one batch at a time and passes runs to BatchAppended when it is acknowledged.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
 	n := len(p.pendingBatch.Begins) + len(p.pendingBatch.Ends)
-	if len(p.pendingBatch.Started) > 0 && now-p.flushedAt >= maxStartedDelay {
+	if len(p.pendingBatch.StartedJobs) > 0 && now-p.flushedAt >= maxStartedDelay {
 		n++
 	}
 	if n == 0 && now-p.flushedAt < heartbeatInterval || n > 0 && now-p.flushedAt < batchInterval {
--- a/core/placer/window_test.go
+++ b/core/placer/window_test.go
@@ -32,7 +32,7 @@
 		return startWireBytes
 	case c.Advise != nil:
 		return adviceWireBytes + advisedWorkerWireBytes*len(c.Advise.Workers)
-	case c.Look != nil:
+	case c.Poll != nil:
 		return pollWireBytes
 	default:
 		return stopWireBytes
@@ -151,9 +151,9 @@
 	p := c.placer
 	r := &run{ticket: ticket{"t", c.now + 300*time.Millisecond}, vm: p.vms["w00"]}
 	require.False(t, p.ticketExpired(r, c.now))
-	require.Equal(t, c.now+300*time.Millisecond-ticketSendMargin, p.startCommand(r, "", c.now).Start.SendBy)
+	require.Equal(t, c.now+300*time.Millisecond-ticketSendMargin, p.startCommand(r, "", c.now).Start.SendDeadline)
 	p.startWindow.median, r.startsSent = time.Second, 0
 	require.True(t, p.ticketExpired(r, c.now))
-	require.Equal(t, c.now-200*time.Millisecond, p.startCommand(r, "", c.now).Start.SendBy)
-	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendBy, "a repeat tells what became of the first order")
+	require.Equal(t, c.now-200*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline)
+	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline, "a repeat tells what became of the first order")
 }
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -73,7 +73,7 @@
 }
 
 // CountFitting returns how many items of the given size fit into v, at most math.MaxInt32.
-func (v Vector) Times(size Vector) int64 {
+func (v Vector) CountFitting(size Vector) int64 {
 	times := int64(math.MaxInt32)
 	for _, pair := range [4][2]int64{
 		{v.MilliCores, size.MilliCores},
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -16,7 +16,7 @@
 	now := p.readAt
 	if p.err != nil {
 		if fault.Is(p.err, fault.Invalid) {
-			e.log.Emit(evSnapshotFailed, "reason", p.err.Error(), "offset", e.state.Next)
+			e.log.Emit(evSnapshotFailed, "reason", p.err.Error(), "offset", e.state.NextOffset)
 		}
 		if !e.logUnreachable && now-e.readToEndAt > readyReadAge {
 			e.logUnreachable = true
@@ -48,18 +48,18 @@
 	}
 	if p.snapshot != nil {
 		e.restoreSnapshot(&p)
-	} else if e.headApplied && e.state.Next == 0 {
+	} else if e.headApplied && e.state.NextOffset == 0 {
 		e.state, e.headApplied = flow.NewState(), false // the snapshot can't be read: only the log counts
 	}
 	if p.expired {
 		return // a snapshot is read next
 	}
-	if from := p.next - int64(len(p.records)); from > e.state.Next { // no snapshot reaches up to the kept records
-		e.log.Emit(evHistoryLost, "position", e.state.Next, "first", from)
-		e.state.Next = from
+	if from := p.next - int64(len(p.records)); from > e.state.NextOffset { // no snapshot reaches up to the kept records
+		e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", from)
+		e.state.NextOffset = from
 	}
 	for i := range p.records {
-		if p.next-int64(len(p.records)-i) < e.state.Next {
+		if p.next-int64(len(p.records)-i) < e.state.NextOffset {
 			continue // known from the acknowledgement of its append
 		}
 		if e.placer != nil && p.records[i].record.Submit != nil {
@@ -69,7 +69,7 @@
 		e.applyRecord(ctx, &p.records[i], now)
 		e.applyAcked(ctx, now)
 	}
-	if e.state.Next >= p.end {
+	if e.state.NextOffset >= p.end {
 		e.readToEndAt = max(p.sentAt, now-e.roundTrip) // the end of the log as of the answer
 	}
 	e.notifyRefreshWaiters()
@@ -77,24 +77,24 @@
 
 func (e *engine) applyRecord(ctx context.Context, d *decoded, now time.Duration) {
 	if d.err != nil {
-		e.log.Emit(evRecordUnreadable, "position", e.state.Next, "reason", d.err.Error())
+		e.log.Emit(evRecordUnreadable, "position", e.state.NextOffset, "reason", d.err.Error())
 		e.state.Skip()
 		return
 	}
-	former, heardBefore := e.state.Claim, e.state.Heard
-	position := e.state.Next
+	former, heardBefore := e.state.Claim, e.state.LastHeard
+	position := e.state.NextOffset
 	e.recoverPanic(func() {
 		if err := e.state.Apply(&d.record, now); err != nil {
 			e.log.Emit(evRecordUnreadable, "position", position, "reason", err.Error())
 		}
 	})
-	e.state.Next = position + 1
+	e.state.NextOffset = position + 1
 	e.unsavedEntries += countEntries(&d.record)
-	if d.record.Batch != nil && e.state.Heard > heardBefore && heardBefore > 0 {
-		e.placerGaps.record(e.state.Heard-heardBefore, now)
+	if d.record.Batch != nil && e.state.LastHeard > heardBefore && heardBefore > 0 {
+		e.placerGaps.record(e.state.LastHeard-heardBefore, now)
 	}
 	if e.placer != nil {
-		e.placer.Read(&d.record, now)
+		e.placer.RecordApplied(&d.record, now)
 	}
 	if d.record.Hello != nil || d.record.Claim != nil || d.record.Release != nil {
 		e.publishMembers()
@@ -108,7 +108,7 @@
 // countEntries counts what a record tells, for the work of reading it.
 func countEntries(r *flow.Record) int {
 	if b := r.Batch; b != nil {
-		return 1 + len(b.Begins) + len(b.Ends) + len(b.Started)
+		return 1 + len(b.Begins) + len(b.Ends) + len(b.StartedJobs)
 	}
 	return 1
 }
@@ -118,7 +118,7 @@
 	if address := e.placerAddress(); address != *e.writer.placerAddress.Load() {
 		e.writer.placerAddress.Store(&address)
 	}
-	strength := e.state.Members[e.state.Claim.Daemon].Strength
+	strength := e.state.Members[e.state.Claim.Daemon].CapacityFactor
 	e.writer.weakPlacer.Store(strength > 0 && strength < minGatheringStrength)
 }
 
@@ -147,11 +147,11 @@
 // applyHead learns from the head of a snapshot through which daemons the store may be reached, and
 // where callers' records are gathered. It says nothing of the log.
 func (e *engine) applyHead(head *flow.SnapshotHead, now time.Duration) {
-	if e.state.Next > 0 || e.headApplied {
+	if e.state.NextOffset > 0 || e.headApplied {
 		return
 	}
 	e.headApplied = true
-	e.state.Meet(head, now)
+	e.state.RestoreMembership(head, now)
 	e.publishMembers()
 	e.publishPlacer()
 }
@@ -159,13 +159,13 @@
 // restoreSnapshot begins with a snapshot if it is newer than what is known.
 func (e *engine) restoreSnapshot(p *page) {
 	e.savedGeneration = max(e.savedGeneration, p.generation)
-	if p.snapshot.Next <= e.state.Next {
+	if p.snapshot.NextOffset <= e.state.NextOffset {
 		return
 	}
 	e.stopPlacing("its records expired unread")
 	e.state = p.snapshot
-	e.savedOffset, e.unsavedEntries = p.snapshot.Next, 0
-	e.log.Emit(evSnapshotLoaded, "offset", e.state.Next, "jobs", len(e.state.Jobs), "generation", p.generation)
+	e.savedOffset, e.unsavedEntries = p.snapshot.NextOffset, 0
+	e.log.Emit(evSnapshotLoaded, "offset", e.state.NextOffset, "jobs", len(e.state.Jobs), "generation", p.generation)
 	e.publishMembers()
 	e.publishPlacer()
 }
@@ -175,7 +175,7 @@
 func (e *engine) applyOwnAppends(ctx context.Context, first int64, records [][]byte) {
 	now := bootclock.Now()
 	for i, data := range records {
-		if offset := first + int64(i); offset >= e.state.Next {
+		if offset := first + int64(i); offset >= e.state.NextOffset {
 			record, err := flow.Decode(data)
 			e.ackedAppends[offset] = decoded{record, err}
 		}
@@ -188,15 +188,15 @@
 
 func (e *engine) applyAcked(ctx context.Context, now time.Duration) {
 	for len(e.ackedAppends) > 0 {
-		d, ready := e.ackedAppends[e.state.Next]
+		d, ready := e.ackedAppends[e.state.NextOffset]
 		if !ready {
 			break
 		}
-		delete(e.ackedAppends, e.state.Next)
+		delete(e.ackedAppends, e.state.NextOffset)
 		e.applyRecord(ctx, &d, now)
 	}
 	for offset := range e.ackedAppends {
-		if offset < e.state.Next {
+		if offset < e.state.NextOffset {
 			delete(e.ackedAppends, offset) // it was read meanwhile
 		}
 	}
@@ -207,11 +207,11 @@
 func (e *engine) publishMembers() {
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
-		if name != e.settings.Name && bootclock.Now()-m.Seen < memberTimeout {
+		if name != e.settings.Name && bootclock.Now()-m.LastSeen < memberTimeout {
 			hellos = append(hellos, m.Hello)
 		}
 	}
-	slices.SortFunc(hellos, placer.Order)
+	slices.SortFunc(hellos, placer.CompareCandidates)
 	addresses := make([]string, len(hellos))
 	for i := range hellos {
 		addresses[i] = hellos[i].Address
@@ -232,7 +232,7 @@
 // refresh runs a query once the log was read up to what it holds now; ok is false if the
 // log can't be read.
 func (e *engine) refresh(ctx context.Context, f func(e *engine, ok bool)) {
-	from := e.state.Next
+	from := e.state.NextOffset
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
@@ -240,7 +240,7 @@
 		answered := bootclock.Now()
 		e.do(ctx, func(e *engine) {
 			e.probedAt = answered
-			if err != nil || e.state.Next >= end {
+			if err != nil || e.state.NextOffset >= end {
 				f(e, err == nil)
 				return
 			}
@@ -254,7 +254,7 @@
 	waits := e.refreshWaiters
 	e.refreshWaiters = nil
 	for _, w := range waits {
-		if e.state.Next >= w.end {
+		if e.state.NextOffset >= w.end {
 			w.do(e, true)
 		} else {
 			e.refreshWaiters = append(e.refreshWaiters, w)
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -118,7 +118,7 @@
 }
 
 // readState is what the daemon knows of the log.
-func (e *engine) readState() readState { return readState{e.state.Next, e.readToEndAt} }
+func (e *engine) readState() readState { return readState{e.state.NextOffset, e.readToEndAt} }
 
 // lookup finds the queue of a path and what is known of the job it names.
 func (e *engine) lookup(host, path string) lookupResult {
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -43,7 +43,7 @@
 		fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), store}, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
 	e.readToEndAt = bootclock.Now() - readAge
-	e.state.Next = 100
+	e.state.NextOffset = 100
 	e.state.Jobs["known"] = &flow.Job{Submit: flow.Submit{ID: "known", Queue: "q"}, Phase: flow.Completed, EndedAt: bootclock.Now()}
 	e.state.Pending["q"] = 7
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -84,8 +84,8 @@
 	return int64(len(s.records)), err
 }
 
-func (s *slowLinkStore) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.Saved(ctx, part, after)
+func (s *slowLinkStore) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
 	bytes := 0
 	for _, v := range values {
 		bytes += base64Length(v)
@@ -96,8 +96,8 @@
 	return values, err
 }
 
-func (s *slowLinkStore) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFrom(ctx, part, from, most)
+func (s *slowLinkStore) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
@@ -121,12 +121,12 @@
 	return p.slowLink.End(ctx, part, from)
 }
 
-func (p slowLinkPlatform) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	return p.slowLink.SavedFrom(ctx, part, from, most)
+func (p slowLinkPlatform) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	return p.slowLink.SavedFromOffset(ctx, part, from, most)
 }
 
-func (p slowLinkPlatform) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	return p.slowLink.Saved(ctx, part, after)
+func (p slowLinkPlatform) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
+	return p.slowLink.SavedAfterKey(ctx, part, after)
 }
 
 // newBusyLog has two generations of a snapshot and records behind the newer one.
@@ -195,7 +195,7 @@
 // Guards against refreshes that bring records: each of a daemon that is behind took a slow link for 0.15 s (inc1).
 func TestARefreshBringsNoRecords(t *testing.T) {
 	c := newDaemon(t, newBusyLog(t))
-	c.onEngine(func(e *engine) { e.state.Next, e.readToEndAt = snapshotJobs, bootclock.Now() })
+	c.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() })
 	free := c.engine.platform.(slowLinkPlatform).slowLink
 	began := time.Now()
 	for range 2 * callerPollsPerSecond {
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -15,7 +15,7 @@
 func (e *engine) handleClaim(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.stopPlacing("another daemon claimed")
 	e.claimConflictAt = 0
-	mine := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.Started == e.started
+	mine := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.started
 	if !mine || e.state.Claim.Epoch != e.claimEpoch {
 		return
 	}
@@ -25,11 +25,11 @@
 	e.saving, e.savedAt = false, now
 	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = now, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
-		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), Orphan: maxLogOutage,
-		Early: millis(e.settings.Bounds.EarlyMS), Stop: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
+		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
+		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
 	}, now)
 	e.metrics.claims.WithLabelValues("won").Inc()
-	e.log.Emit(evPlacerBegan, "offset", e.state.Token-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.RunsActive())
+	e.log.Emit(evPlacerBegan, "offset", e.state.FencingToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
 	go e.watchRegistry(placing, e.placer)
 	go e.retireFormerPlacer(placing, e.placer, former)
 }
@@ -49,7 +49,7 @@
 			e.do(ctx, func(e *engine) {
 				if e.placer == p {
 					e.log.Emit(evPlacerRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", try+1)
-					p.FormerRetired(bootclock.Now())
+					p.FormerPlacerRetired(bootclock.Now())
 				}
 			})
 			return
@@ -82,11 +82,11 @@
 	if e.claimConflictAt > 0 && now-e.claimConflictAt < claimConflictBackoff {
 		return // a higher claim waits at the log
 	}
-	watch := placer.Watch{
-		Now: now, Able: max(e.readableSince, e.firstConfigAt), ReadLast: e.readToEndAt, RoundTrip: e.roundTrip, Jitter: e.claimJitter,
-		Rank: placer.Rank(e.state, e.hello(), now), Weaker: placer.Weaker(e.state, e.hello(), now) || e.store.directDown.Load() ||
-			e.isolatedAt > 0 && now-e.isolatedAt < isolationBackoff, Gap: e.placerGaps.longest(now),
-		Failover: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
+	watch := placer.ClaimInput{
+		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
+		Rank: placer.ClaimRank(e.state, e.hello(), now), StrongerPresent: placer.HasStronger(e.state, e.hello(), now) || e.store.directDown.Load() ||
+			e.isolatedAt > 0 && now-e.isolatedAt < isolationBackoff, MaxRecordGap: e.placerGaps.longest(now),
+		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
 	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
 		return
@@ -95,9 +95,9 @@
 	sent := now
 	e.refresh(ctx, func(e *engine, ok bool) {
 		e.claiming = false
-		watch.Now, watch.ReadLast = bootclock.Now(), e.readToEndAt
+		watch.Now, watch.CaughtUpAt = bootclock.Now(), e.readToEndAt
 		e.probeTimes.record(e.probedAt-sent, e.probedAt)
-		watch.Probe = max(e.probeTimes.longest(watch.Now), e.writer.appendTimes.longest(watch.Now))
+		watch.MaxLogLatency = max(e.probeTimes.longest(watch.Now), e.writer.appendTimes.longest(watch.Now))
 		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
 			e.claimUnlessPlacerAlive(ctx, reason)
 		}
@@ -108,7 +108,7 @@
 // records wait at the log, where those of a successor would only wait behind them.
 func (e *engine) claimUnlessPlacerAlive(ctx context.Context, reason string) {
 	former := e.state.Claim
-	if !e.store.storeSlow.Load() || former.Daemon == "" || former.Daemon == e.settings.Name || bootclock.Now()-e.state.Heard > maxBusyPlacerSilence {
+	if !e.store.storeSlow.Load() || former.Daemon == "" || former.Daemon == e.settings.Name || bootclock.Now()-e.state.LastHeard > maxBusyPlacerSilence {
 		e.claim(ctx, reason, nil)
 		return
 	}
@@ -127,14 +127,14 @@
 // claim appends a claim under a new epoch. It counts once it is read back. The outcome of
 // the append is told to done, which may be nil.
 func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
-	rank := placer.Rank(e.state, e.hello(), bootclock.Now())
+	rank := placer.ClaimRank(e.state, e.hello(), bootclock.Now())
 	epoch := placer.NextEpoch(e.state, rank, e.rng)
 	e.claiming, e.claimEpoch = true, epoch
 	e.appender = &fencedAppender{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}, logSlow: e.store.storeSlow.Load}
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
 		"rank", rank,
-		"silent_ms", (bootclock.Now() - e.state.Heard).Milliseconds(), "offset", e.state.Next)
-	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, Started: e.started}}
+		"silent_ms", (bootclock.Now() - e.state.LastHeard).Milliseconds(), "offset", e.state.NextOffset)
+	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.started}}
 	appender := e.appender
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, 2*slowStoreTimeout)
@@ -148,7 +148,7 @@
 			if err != nil {
 				e.metrics.claims.WithLabelValues("not stored").Inc()
 				e.log.Emit(evPlacerEnded, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
-			} else if offset >= e.state.Next {
+			} else if offset >= e.state.NextOffset {
 				e.ackedAppends[offset] = decoded{record: *record}
 				e.applyAcked(ctx, bootclock.Now())
 			}
@@ -183,7 +183,7 @@
 		e.handingOver = true
 		return
 	}
-	e.handingOver = e.directPathFailed(now) || placer.Weaker(e.state, e.hello(), now)
+	e.handingOver = e.directPathFailed(now) || placer.HasStronger(e.state, e.hello(), now)
 }
 
 // directPathFailed reports whether this daemon's own path to the log has been down for a
@@ -203,7 +203,7 @@
 // isolated reports whether the placer is cut off from at least half of the daemons while
 // they live: it gets no advice through them, and they append callers' records past it.
 func (e *engine) isolated(now time.Duration) bool {
-	failing, all := e.placer.Unreachable()
+	failing, all := e.placer.FailingAdvisers()
 	most := 2*failing >= all
 	if e.writer.weakPlacer.Load() {
 		most = failing == all // all records are appended past a weak placer, and its link makes some calls late
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -35,7 +35,7 @@
 	c := newTestCallerAPI(t, store, 0)
 	succeed := func(epoch int64, change func(e *engine)) bool {
 		c.onEngine(func(e *engine) {
-			e.state.Claim, e.state.Heard = flow.Claim{Daemon: "x", Epoch: 5}, bootclock.Now()
+			e.state.Claim, e.state.LastHeard = flow.Claim{Daemon: "x", Epoch: 5}, bootclock.Now()
 			e.claiming, e.draining, e.logUnreachable = false, false, false
 			change(e)
 		})
@@ -63,13 +63,13 @@
 	c.onEngine(func(e *engine) {
 		now = bootclock.Now()
 		for _, name := range []string{"b", "c", "d"} {
-			e.state.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Address: "x", Started: 1}, Seen: now}
+			e.state.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Address: "x", StartedMS: 1}, LastSeen: now}
 		}
 		e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
 		e.placingStartedAt = now - time.Minute
-		e.placer.Members(now)
+		e.placer.UpdateMembers(now)
 		for _, name := range []string{"b", "c"} {
-			e.placer.Granted(&placer.AdviseCommand{Daemon: name}, nil, 0, time.Second, true, now)
+			e.placer.AdviceAnswered(&placer.AdviseCommand{Daemon: name}, nil, 0, time.Second, true, now)
 		}
 		e.handOverIfDue(now)
 		died = e.handingOver
@@ -96,7 +96,7 @@
 	try := func(away bool, since, acked time.Duration) (leaves bool) {
 		c.onEngine(func(e *engine) {
 			now := bootclock.Now()
-			e.state.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "x", Started: 1}, Seen: now}
+			e.state.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "x", StartedMS: 1}, LastSeen: now}
 			e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
 			e.placingStartedAt, e.directDownSince, e.batchAckedAt = now-time.Minute, now-since, now-acked
 			e.store.directDown.Store(away)
@@ -160,7 +160,7 @@
 		callers := newTestCallerAPI(t, &fakeStore{}, 0)
 		callers.onEngine(func(e *engine) {
 			e.state.Claim = flow.Claim{Daemon: "x", Address: c.address, Epoch: 5}
-			e.state.Heard = bootclock.Now() - c.silent
+			e.state.LastHeard = bootclock.Now() - c.silent
 			e.store.storeSlow.Store(c.slow)
 			e.claimUnlessPlacerAlive(callers.ctx, "the placer is silent")
 		})
@@ -178,13 +178,13 @@
 		c.onEngine(func(e *engine) {
 			now := bootclock.Now()
 			for name, h := range map[string]flow.Hello{
-				"p": {Strength: 9, Started: 1}, "young": {Strength: 9, Started: time.Now().UnixMilli()},
-				"b": {Strength: 4, Started: 1}, "c": {Strength: 1, Started: 1}, "a": {Strength: 2, Started: 1},
+				"p": {CapacityFactor: 9, StartedMS: 1}, "young": {CapacityFactor: 9, StartedMS: time.Now().UnixMilli()},
+				"b": {CapacityFactor: 4, StartedMS: 1}, "c": {CapacityFactor: 1, StartedMS: 1}, "a": {CapacityFactor: 2, StartedMS: 1},
 			} {
 				h.Daemon, h.Address = name, "at "+name
-				e.state.Members[name] = flow.Member{Hello: h, Seen: now}
+				e.state.Members[name] = flow.Member{Hello: h, LastSeen: now}
 			}
-			e.state.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", Strength: 9, Started: 1, Address: "at gone"}, Seen: now - time.Hour}
+			e.state.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", CapacityFactor: 9, StartedMS: 1, Address: "at gone"}, LastSeen: now - time.Hour}
 			e.state.Claim.Daemon = claim
 			e.publishMembers()
 			address = *e.writer.fallbackAddress.Load()
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -95,13 +95,13 @@
 }
 
 // countDecision counts a decision of the placer.
-func (m *metrics) countDecision(n *placer.Note) {
-	m.decisions.WithLabelValues(n.What).Inc()
-	switch n.What {
-	case placer.NoteEnded:
+func (m *metrics) countDecision(n *placer.Decision) {
+	m.decisions.WithLabelValues(n.Kind).Inc()
+	switch n.Kind {
+	case placer.DecisionRunEnded:
 		m.ends.WithLabelValues(n.Reason).Inc()
-		m.wastedCoreSeconds.Add(n.Thrown)
-	case placer.NoteBegan:
+		m.wastedCoreSeconds.Add(n.WastedCoreSeconds)
+	case placer.DecisionJobBegan:
 		m.firstStart.WithLabelValues(n.Reason).Observe(n.Age.Seconds())
 	}
 }
@@ -129,10 +129,10 @@
 // countPlatformCall counts a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
-	m.callBytes.WithLabelValues(call.Dependency, "sent").Add(float64(call.Sent))
-	m.callBytes.WithLabelValues(call.Dependency, "received").Add(float64(call.Received))
+	m.callBytes.WithLabelValues(call.Dependency, "sent").Add(float64(call.SentBytes))
+	m.callBytes.WithLabelValues(call.Dependency, "received").Add(float64(call.ReceivedBytes))
 	if call.Outcome == cluster.CallAnswered {
-		m.callTime.WithLabelValues(call.Dependency).Observe(call.Took.Seconds())
+		m.callTime.WithLabelValues(call.Dependency).Observe(call.Duration.Seconds())
 	}
 }
 
@@ -145,8 +145,8 @@
 	if e.readToEndAt > 0 {
 		c.logAge.Set((now - e.readToEndAt).Seconds())
 	}
-	if e.state.Claimed > 0 {
-		c.placerAge.Set((now - e.state.Claimed).Seconds())
+	if e.state.ClaimedAt > 0 {
+		c.placerAge.Set((now - e.state.ClaimedAt).Seconds())
 	}
 	if e.placer != nil {
 		c.placing.Set(1)
--- a/daemon/cell/counts_test.go
+++ b/daemon/cell/counts_test.go
@@ -17,10 +17,10 @@
 // is slow or gone.
 func TestMetricsAnswerTheUsualQuestions(t *testing.T) {
 	c := newMetrics()
-	c.countDecision(&placer.Note{What: placer.NoteEnded, Reason: "lapsed", Thrown: 12.5})
-	c.countDecision(&placer.Note{What: placer.NoteBegan, Reason: "q", Age: 300 * time.Millisecond})
-	c.publishSummary(&placer.Summary{Waiting: map[string]placer.Waiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
-	c.countPlatformCall(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Took: time.Second, Sent: 10})
+	c.countDecision(&placer.Decision{Kind: placer.DecisionRunEnded, Reason: "lapsed", WastedCoreSeconds: 12.5})
+	c.countDecision(&placer.Decision{Kind: placer.DecisionJobBegan, Reason: "q", Age: 300 * time.Millisecond})
+	c.publishSummary(&placer.Summary{Waiting: map[string]placer.QueueWaiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
+	c.countPlatformCall(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Duration: time.Second, SentBytes: 10})
 	require.InDelta(t, 1, testutil.ToFloat64(c.ends.WithLabelValues("lapsed")), 0)
 	require.InDelta(t, 12.5, testutil.ToFloat64(c.wastedCoreSeconds), 0)
 	require.InDelta(t, 3, testutil.ToFloat64(c.waitingSteps.WithLabelValues("q")), 0)
--- a/daemon/cell/courier_test.go
+++ b/daemon/cell/courier_test.go
@@ -36,7 +36,7 @@
 	c := newTestCallerAPI(t, &fakeStore{}, 0)
 	o := newOrderSender(c.engine)
 	order := func(job string) *placer.StartCommand {
-		return &placer.StartCommand{Courier: "d", Order: cluster.Start{
+		return &placer.StartCommand{Relay: "d", Order: cluster.Start{
 			RunID: cluster.RunID{TaskID: cluster.TaskID{Job: job}, Run: 2}, Spec: "text", Ticket: "t", LeaseUntil: 9, Token: 5,
 		}}
 	}
@@ -59,10 +59,10 @@
 	sent := startRecorder{sent: make(chan cluster.Start, 2)}
 	c.engine.platform = sent
 	o := newOrderSender(c.engine)
-	result, _ := o.sendStart(t.Context(), "", &placer.StartCommand{SendBy: bootclock.Now() - time.Millisecond})
+	result, _ := o.sendStart(t.Context(), "", &placer.StartCommand{SendDeadline: bootclock.Now() - time.Millisecond})
 	require.Equal(t, cluster.NotSent, result)
 	require.Empty(t, sent.sent)
-	result, _ = o.sendStart(t.Context(), "", &placer.StartCommand{SendBy: bootclock.Now() + time.Minute})
+	result, _ = o.sendStart(t.Context(), "", &placer.StartCommand{SendDeadline: bootclock.Now() + time.Minute})
 	require.Equal(t, cluster.Started, result)
 	require.Len(t, sent.sent, 1)
 }
--- a/daemon/cell/dialer.go
+++ b/daemon/cell/dialer.go
@@ -10,9 +10,9 @@
 
 // Times of connections to the platform and its workers.
 const (
-	PlatformDial      = 900 * time.Millisecond // a lost opening packet and a round trip between regions
-	PlatformSilence   = 2 * time.Second        // shorter than any lease
-	keepAliveInterval = 5 * time.Second
+	PlatformDialTimeout    = 900 * time.Millisecond // a lost opening packet and a round trip between regions
+	PlatformUnackedTimeout = 2 * time.Second        // shorter than any lease
+	keepAliveInterval      = 5 * time.Second
 )
 
 // NewDialer returns a dialer whose connections are given up by the kernel when bytes stay
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -199,7 +199,7 @@
 func (e *engine) recoverPanic(work func()) {
 	defer func() {
 		if r := recover(); r != nil {
-			e.log.Emit(evUnexpectedError, "reason", fmt.Sprint(r), "offset", e.state.Next, "stack", stackTrace())
+			e.log.Emit(evUnexpectedError, "reason", fmt.Sprint(r), "offset", e.state.NextOffset, "stack", stackTrace())
 			e.stopPlacing("an unexpected error")
 			e.isolatedAt = bootclock.Now() // others are to place first
 		}
@@ -241,8 +241,8 @@
 // hello names this daemon to the others.
 func (e *engine) hello() flow.Hello {
 	return flow.Hello{
-		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Started: e.started,
-		Strength: e.settings.Limits.strength(), DistanceMS: e.roundTrip.Milliseconds(), DataCentre: e.settings.DataCentre,
+		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, StartedMS: e.started,
+		CapacityFactor: e.settings.Limits.strength(), LogLatencyMS: e.roundTrip.Milliseconds(), DataCentre: e.settings.DataCentre,
 	}
 }
 
--- a/daemon/cell/engine_test.go
+++ b/daemon/cell/engine_test.go
@@ -19,9 +19,9 @@
 	e.metrics = newMetrics()
 	e.claimEpoch = 77
 	for _, claim := range []flow.Claim{
-		{Daemon: "b", Epoch: 77, Started: e.started},
-		{Daemon: "a", Epoch: 77, Started: e.started - 1},
-		{Daemon: "a", Epoch: 76, Started: e.started},
+		{Daemon: "b", Epoch: 77, StartedMS: e.started},
+		{Daemon: "a", Epoch: 77, StartedMS: e.started - 1},
+		{Daemon: "a", Epoch: 76, StartedMS: e.started},
 	} {
 		record := flow.Record{Claim: &claim}
 		e.applyRecord(t.Context(), &decoded{record: record}, time.Second)
--- a/daemon/cell/guard_test.go
+++ b/daemon/cell/guard_test.go
@@ -26,9 +26,9 @@
 		broken.Steps[0].Count = 1
 		broken.Occurrences = map[int]*flow.Occurrence{0: nil}
 		broken.Steps = append(broken.Steps, flow.Step{Count: -1})
-		next = e.state.Next
+		next = e.state.NextOffset
 		e.applyRecord(c.ctx, &decoded{record: flow.Record{Batch: batch}}, bootclock.Now())
-		next = e.state.Next - next
+		next = e.state.NextOffset - next
 	})
 	require.EqualValues(t, 1, next, "the record is passed over")
 	require.Equal(t, 200, c.request("GET", "/p/known", "").Code)
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -118,20 +118,20 @@
 	c := newDaemon(t, &slowLinkStore{})
 	now := bootclock.Now()
 	state := flow.NewState()
-	state.Next, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed, EndedAt: now}
+	state.NextOffset, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed, EndedAt: now}
 	c.onEngine(func(e *engine) {
 		e.handlePage(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
 		e.handlePage(c.ctx, page{sentAt: now, readAt: now, next: 50, end: 51, snapshot: state, generation: 3})
 	})
 	c.onEngine(func(e *engine) { state = e.state })
 	require.Contains(t, state.Jobs, "j")
-	require.EqualValues(t, 50, state.Next)
+	require.EqualValues(t, 50, state.NextOffset)
 }
 
 // Guards against 410 for a job that the log holds beyond what the asked daemon has read.
 func TestAJobIsUnknownOnlyAtTheEndOfTheLog(t *testing.T) {
 	knows := newDaemon(t, newBusyLog(t))
-	knows.onEngine(func(e *engine) { e.state.Next, e.readToEndAt = snapshotJobs, bootclock.Now() }) // tailRecords behind
+	knows.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() }) // tailRecords behind
 	c := newUnreadDaemon(t, servePeer(t, knows))
 	require.Equal(t, http.StatusServiceUnavailable, c.request(http.MethodGet, "/p/unknown", "").Code)
 }
--- a/daemon/cell/loader.go
+++ b/daemon/cell/loader.go
@@ -71,7 +71,7 @@
 }
 
 func (r *snapshotReader) readHead(ctx context.Context) error {
-	saved, err := r.store.Saved(ctx, headPartition, keyBeforeHead)
+	saved, err := r.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
 	r.reads.count(readToRestore, len(saved[headKey]))
 	if err != nil || saved[headKey] == nil {
 		return err
@@ -88,8 +88,8 @@
 // readByOffset reads chunks as they were written: the answers are small, and later generations
 // take nothing away until the records expire.
 func (r *snapshotReader) readByOffset(ctx context.Context) error {
-	head, taken := r.restorer.Head(), r.restorer.Taken()
-	entries, expired, err := r.store.SavedFrom(ctx, chunkPartition(head.Generation), head.Parts[taken].Offset, r.nextReadBytes())
+	head, taken := r.restorer.Head(), r.restorer.ChunksAdded()
+	entries, expired, err := r.store.SavedFromOffset(ctx, chunkPartition(head.Generation), head.Parts[taken].Offset, r.nextReadBytes())
 	bytes := 0
 	for _, entry := range entries {
 		bytes += len(entry.Value)
@@ -101,22 +101,22 @@
 		return err
 	}
 	for _, entry := range entries {
-		if r.restorer.Complete() || entry.Key != chunkKey(r.restorer.Taken()) {
+		if r.restorer.Complete() || entry.Key != chunkKey(r.restorer.ChunksAdded()) {
 			break
 		}
-		if err := r.restorer.Take(entry.Value, bootclock.Now()); err != nil {
+		if err := r.restorer.AddChunk(entry.Value, bootclock.Now()); err != nil {
 			r.byKey = true
 			return err
 		}
 	}
 	r.failedOffsetReads = 0
-	r.expired, r.byKey = expired, r.restorer.Taken() == taken
+	r.expired, r.byKey = expired, r.restorer.ChunksAdded() == taken
 	return nil
 }
 
 // nextReadBytes returns the size of an answer with the next chunks, as many as a short one holds.
 func (r *snapshotReader) nextReadBytes() int {
-	parts := r.restorer.Head().Parts[r.restorer.Taken():]
+	parts := r.restorer.Head().Parts[r.restorer.ChunksAdded():]
 	bytes := 0
 	for i, part := range parts {
 		if i > 0 && bytes+part.Bytes+entryOverheadBytes > maxChunkCallBytes {
@@ -129,8 +129,8 @@
 
 // readByKey reads the newest chunk of each key behind the last one taken.
 func (r *snapshotReader) readByKey(ctx context.Context) error {
-	head, taken := r.restorer.Head(), r.restorer.Taken()
-	saved, err := r.store.Saved(ctx, chunkPartition(head.Generation), chunkKey(taken-1))
+	head, taken := r.restorer.Head(), r.restorer.ChunksAdded()
+	saved, err := r.store.SavedAfterKey(ctx, chunkPartition(head.Generation), chunkKey(taken-1))
 	bytes := 0
 	for _, chunk := range saved {
 		bytes += len(chunk)
@@ -140,13 +140,13 @@
 	if err != nil {
 		return err
 	}
-	for !r.restorer.Complete() && saved[chunkKey(r.restorer.Taken())] != nil {
-		if err := r.restorer.Take(saved[chunkKey(r.restorer.Taken())], bootclock.Now()); err != nil {
+	for !r.restorer.Complete() && saved[chunkKey(r.restorer.ChunksAdded())] != nil {
+		if err := r.restorer.AddChunk(saved[chunkKey(r.restorer.ChunksAdded())], bootclock.Now()); err != nil {
 			r.markDamaged(head.Generation)
 			return err
 		}
 	}
-	if r.restorer.Taken() == taken {
+	if r.restorer.ChunksAdded() == taken {
 		r.markDamaged(head.Generation)
 		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is missing", taken, head.Generation)
 	}
--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -50,8 +50,8 @@
 	return nil
 }
 
-func (s *brokenLink) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.Saved(ctx, part, after)
+func (s *brokenLink) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
 	bytes := 0
 	for _, v := range values {
 		bytes += base64Length(v)
@@ -62,8 +62,8 @@
 	return values, err
 }
 
-func (s *brokenLink) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFrom(ctx, part, from, most)
+func (s *brokenLink) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
@@ -271,13 +271,13 @@
 		switch i % 6 {
 		case 0:
 		case 1:
-			apply(flow.Record{Batch: &flow.Batch{Epoch: 9, Begins: []flow.Begin{begin}, Started: []string{id}}})
+			apply(flow.Record{Batch: &flow.Batch{Epoch: 9, Begins: []flow.Begin{begin}, StartedJobs: []string{id}}})
 		default:
 			apply(flow.Record{Cancel: &flow.Cancel{ID: id}})
 		}
 	}
 	for i := range 37 {
-		apply(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprint("frontend-", i), Address: fmt.Sprintf("10.1.0.%d:7720", i), Started: 1764849600000, DataCentre: "obihiro", Strength: 1.2, DistanceMS: 7}})
+		apply(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprint("frontend-", i), Address: fmt.Sprintf("10.1.0.%d:7720", i), StartedMS: 1764849600000, DataCentre: "obihiro", CapacityFactor: 1.2, LogLatencyMS: 7}})
 	}
 	return s
 }
@@ -316,8 +316,8 @@
 	calls, bytes int
 }
 
-func (s *meteredStore) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.Saved(ctx, part, after)
+func (s *meteredStore) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
 	s.calls++
 	for _, v := range values {
 		s.bytes += base64Length(v)
@@ -325,8 +325,8 @@
 	return values, err
 }
 
-func (s *meteredStore) SavedFrom(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFrom(ctx, part, from, most)
+func (s *meteredStore) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
 	s.calls++
 	for _, e := range entries {
 		s.bytes += recordOverheadBytes + len(e.Key) + len(e.Value)
@@ -344,11 +344,11 @@
 	return p.keyedStore.Save(ctx, part, entries, fence)
 }
 
-func (p headOnlyPlatform) Saved(ctx context.Context, part int, after string) (map[string][]byte, error) {
+func (p headOnlyPlatform) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
 	if part != headPartition {
 		return nil, errNoAnswer
 	}
-	return p.keyedStore.Saved(ctx, part, after)
+	return p.keyedStore.SavedAfterKey(ctx, part, after)
 }
 
 // Read says that the log has records, and gives none.
@@ -356,7 +356,7 @@
 	return cluster.LogPage{Next: from, End: 5}, nil
 }
 
-func (p headOnlyPlatform) SavedFrom(context.Context, int, int64, int) ([]cluster.Entry, bool, error) {
+func (p headOnlyPlatform) SavedFromOffset(context.Context, int, int64, int) ([]cluster.Entry, bool, error) {
 	return nil, false, errNoAnswer
 }
 
@@ -382,7 +382,7 @@
 		require.Equal(t, http.StatusServiceUnavailable, c.request(http.MethodGet, path, "").Code, path)
 	}
 	c.onEngine(func(e *engine) {
-		require.Zero(t, e.state.Next)
+		require.Zero(t, e.state.NextOffset)
 		require.Zero(t, e.readToEndAt)
 		require.Empty(t, e.state.Jobs)
 	})
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -125,6 +125,6 @@
 	if placing := e.placer != nil; e.isPlacer.Swap(placing) != placing {
 		debug.SetGCPercent(map[bool]int{true: placerGCPercent, false: followerGCPercent}[placing])
 	}
-	e.appliedOffset.Store(e.state.Next)
+	e.appliedOffset.Store(e.state.NextOffset)
 	e.isReady.Store(!e.draining && e.config != nil && e.readToEndAt > 0 && now-e.lastContact() < readyReadAge+readWait)
 }
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -44,8 +44,8 @@
 			e.orders.stop(ctx, e.placer, c.Stop)
 		case c.Pace != nil:
 			e.orders.pace(ctx, e.placer, c.Pace)
-		case c.Look != nil:
-			e.orders.look(ctx, e.placer, c.Look)
+		case c.Poll != nil:
+			e.orders.look(ctx, e.placer, c.Poll)
 		case c.Advise != nil:
 			e.orders.advise(ctx, e.placer, c.Advise)
 		}
@@ -62,12 +62,12 @@
 }
 
 func (s *orderSender) start(ctx context.Context, p *placer.Placer, c *placer.StartCommand) {
-	courier := s.engine.state.Members[c.Courier].Address
+	courier := s.engine.state.Members[c.Relay].Address
 	s.starts.Submit(func() {
 		result, clock := s.sendStart(ctx, courier, c)
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			e.metrics.starts.WithLabelValues(string(result)).Inc()
-			e.stopIfSuperseded(p.Answered(c, result, clock, bootclock.Now()))
+			e.stopIfSuperseded(p.StartAnswered(c, result, clock, bootclock.Now()))
 		})
 	})
 }
@@ -75,7 +75,7 @@
 // sendStart sends an order to start, through another daemon if one is named. An order that
 // waited here for too long is not sent at all.
 func (s *orderSender) sendStart(ctx context.Context, courier string, c *placer.StartCommand) (cluster.StartResult, int64) {
-	if bootclock.Now() > c.SendBy {
+	if bootclock.Now() > c.SendDeadline {
 		return cluster.NotSent, 0
 	}
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -95,7 +95,7 @@
 	args.Order.Spec = ""
 	reply := &StartReply{}
 	if err := s.engine.peers.call(ctx, courier, startMethod, args, reply); err != nil {
-		s.engine.log.Emit(evPeerUnreachable, "peer", c.Courier, "reason", err.Error(), "job", c.Order.Job)
+		s.engine.log.Emit(evPeerUnreachable, "peer", c.Relay, "reason", err.Error(), "job", c.Order.Job)
 		return cluster.NoAnswer, 0, true
 	}
 	return reply.Result, reply.ClockMS, !reply.Unsent
@@ -115,22 +115,22 @@
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		result, clock := s.engine.platform.Pace(bounded, c.Life, c.Address, c.Run, c.Percent, c.Token)
-		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.Paced(c, result, clock, bootclock.Now())) })
+		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.PaceAnswered(c, result, clock, bootclock.Now())) })
 	})
 }
 
-func (s *orderSender) look(ctx context.Context, p *placer.Placer, c *placer.LookCommand) {
+func (s *orderSender) look(ctx context.Context, p *placer.Placer, c *placer.PollCommand) {
 	s.looks.Submit(func() {
 		bounded, cancel := context.WithTimeout(ctx, c.Hold.Wait+lookTimeout)
 		defer cancel()
-		report, err := s.engine.platform.Look(bounded, c.Life, c.Address, &c.Hold)
+		report, err := s.engine.platform.RenewLease(bounded, c.Life, c.Address, &c.Hold)
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			if err != nil {
-				p.LookFailed(c, bootclock.Now())
+				p.PollFailed(c, bootclock.Now())
 				e.stopIfSuperseded(fault.Is(err, fault.Conflict))
 				return
 			}
-			p.Looked(c, report, bootclock.Now())
+			p.PollAnswered(c, report, bootclock.Now())
 		})
 	})
 }
@@ -152,7 +152,7 @@
 			if err != nil {
 				e.log.Emit(evPeerUnreachable, "peer", c.Daemon, "reason", err.Error(), "job", c.Step.Job)
 			}
-			p.Granted(c, grants, valid, took, err != nil, bootclock.Now())
+			p.AdviceAnswered(c, grants, valid, took, err != nil, bootclock.Now())
 		})
 	})
 }
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -24,7 +24,7 @@
 		return
 	}
 	e.execute(e.placingContext, e.placer.Tick(now, time.Now().UnixMilli()))
-	for _, n := range e.placer.Notes() {
+	for _, n := range e.placer.TakeDecisions() {
 		e.logDecision(&n)
 	}
 	e.appendBatch(ctx, now)
@@ -42,9 +42,9 @@
 	e.summaryLoggedAt = now
 	s := e.placer.Summarize(now, time.Now().UnixMilli())
 	e.metrics.publishSummary(&s)
-	e.log.Emit(evSummary, "steps", s.Steps, "unadvised", s.Unadvised, "asking", s.Asking, "roomless", s.Roomless, "late", s.Late,
+	e.log.Emit(evSummary, "steps", s.Steps, "unadvised", s.Unadvised, "asking", s.AdviceInFlight, "roomless", s.AwaitingRoom, "late", s.Late,
 		"runs", s.Runs, "usable", s.Usable, "workers", s.Workers, "free", s.Free.String(), "capacity", s.Capacity.String(),
-		"advisers", s.Advisers, "calls", s.Calls)
+		"advisers", s.Advisers, "calls", s.AdviceCalls)
 }
 
 // appendBatch appends the next batch unless one is under way.
@@ -70,7 +70,7 @@
 				return
 			}
 			e.appending = false
-			if err == nil && offset >= e.state.Next {
+			if err == nil && offset >= e.state.NextOffset {
 				e.ackedAppends[offset] = decoded{record: *record}
 				e.applyAcked(ctx, bootclock.Now())
 			}
@@ -85,7 +85,7 @@
 			if e.placer != p {
 				return // a record that was applied just now ended it
 			}
-			e.execute(e.placingContext, p.Appended(runs, bootclock.Now()))
+			e.execute(e.placingContext, p.BatchAppended(runs, bootclock.Now()))
 			if len(e.ackedAppends) > 0 {
 				e.wakeReader()
 			}
@@ -93,12 +93,12 @@
 	}()
 }
 
-func (e *engine) logDecision(n *placer.Note) {
+func (e *engine) logDecision(n *placer.Decision) {
 	e.metrics.countDecision(n)
-	if n.What == placer.NoteBegan {
+	if n.Kind == placer.DecisionJobBegan {
 		return // the start of the run has its own line
 	}
-	e.log.Emit(evDecision, "decision", n.What, "job", n.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "task", n.Task.Index,
+	e.log.Emit(evDecision, "decision", n.Kind, "job", n.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "task", n.Task.Index,
 		"run", n.Run, "worker", n.Worker, "reason", n.Reason, "age_ms", n.Age.Milliseconds(), "version", n.Version)
 }
 
@@ -130,7 +130,7 @@
 					e.unusable = len(unusable)
 					e.log.Emit(evRegistryUnusable, "entries", unusable)
 				}
-				p.Registry(workers, bootclock.Now())
+				p.SetRegistry(workers, bootclock.Now())
 			})
 		}
 		select {
--- a/daemon/cell/planned_stop_test.go
+++ b/daemon/cell/planned_stop_test.go
@@ -87,9 +87,11 @@
 	return nil, nil, nil
 }
 
-func (p stopPlatform) Saved(context.Context, int, string) (map[string][]byte, error) { return nil, nil }
+func (p stopPlatform) SavedAfterKey(context.Context, int, string) (map[string][]byte, error) {
+	return nil, nil
+}
 
-func (p stopPlatform) SavedFrom(context.Context, int, int64, int) ([]cluster.Entry, bool, error) {
+func (p stopPlatform) SavedFromOffset(context.Context, int, int64, int) ([]cluster.Entry, bool, error) {
 	return nil, false, nil
 }
 
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -25,8 +25,8 @@
 	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error)
 	// SavedAfterKey returns the newest entries of the first keys behind a key, as many as one answer
 	// holds; SavedFromOffset what was written from an offset on, within a number of bytes.
-	Saved(ctx context.Context, partition int, after string) (map[string][]byte, error)
-	SavedFrom(ctx context.Context, partition int, from int64, bytes int) (entries []cluster.Entry, expired bool, err error)
+	SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error)
+	SavedFromOffset(ctx context.Context, partition int, from int64, bytes int) (entries []cluster.Entry, expired bool, err error)
 }
 
 // Registry lists what the operator published and which workers there are.
@@ -40,7 +40,7 @@
 	Start(ctx context.Context, life cluster.Life, address string, s *cluster.Start) (cluster.StartResult, int64)
 	Stop(ctx context.Context, life cluster.Life, address string, run cluster.RunID, token int64) (cluster.StartResult, int64)
 	Pace(ctx context.Context, life cluster.Life, address string, run cluster.RunID, percent int, token int64) (cluster.StartResult, int64)
-	Look(ctx context.Context, life cluster.Life, address string, h *cluster.Hold) (*cluster.Report, error)
+	RenewLease(ctx context.Context, life cluster.Life, address string, h *cluster.LeaseRenewal) (*cluster.WorkerReport, error)
 }
 
 // Adviser knows which workers may run a step.
@@ -55,12 +55,12 @@
 	Registry
 	Workers
 	Adviser
-	Callers
+	CallerCodec
 	Observe(told func(cluster.Call)) // before the first call
 }
 
 // CallerCodec is the form of the callers' requests and answers.
-type Callers interface {
+type CallerCodec interface {
 	DecodeJob(body []byte) (flow.Submit, error)
 	EncodeState(p flow.Phase) []byte
 	EncodePending(n int) []byte
--- a/daemon/cell/reads.go
+++ b/daemon/cell/reads.go
@@ -75,5 +75,5 @@
 		return
 	}
 	e.catchUpLoggedAt = now
-	e.log.Emit(evCatchingUp, append([]any{"offset", e.state.Next, "end_at_least", e.logEnd, "ever_read", e.readToEndAt > 0}, e.store.reads.logFields()...)...)
+	e.log.Emit(evCatchingUp, append([]any{"offset", e.state.NextOffset, "end_at_least", e.logEnd, "ever_read", e.readToEndAt > 0}, e.store.reads.logFields()...)...)
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -35,9 +35,9 @@
 
 // PlatformSettings are addresses of the platform's parts, IP:port.
 type PlatformSettings struct {
-	Store    string `json:"store"`
-	Advice   string `json:"advice"`
-	Machines string `json:"machines"`
+	Store  string `json:"store"`
+	Advice string `json:"advice"`
+	Cloud  string `json:"machines"`
 }
 
 // LimitSettings are the limits of the process.
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -47,7 +47,7 @@
 func (e *engine) saveSnapshot(ctx context.Context, now time.Duration) {
 	every := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
 	due := now-e.savedAt > every || e.unsavedEntries > snapshotEntryThreshold && now-e.savedAt > e.snapshotInterval()
-	if e.saving || !due || e.state.Next == e.savedOffset {
+	if e.saving || !due || e.state.NextOffset == e.savedOffset {
 		return
 	}
 	if !e.snapshotWriter.started {
@@ -59,7 +59,7 @@
 	head, chunks, err := e.state.Snapshot(generation, now)
 	e.savedAt = now
 	if err != nil {
-		e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.Next)
+		e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 		return
 	}
 	e.saving, e.savedBytes = true, 0
@@ -112,7 +112,7 @@
 			}
 			e.saving = false
 			if err != nil {
-				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.Next)
+				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 				return
 			}
 			writer.started = true
@@ -139,7 +139,7 @@
 			return 0, err
 		}
 	}
-	saved, err := w.store.Saved(ctx, headPartition, keyBeforeHead)
+	saved, err := w.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
 	if err != nil || saved[headKey] == nil {
 		return 0, err
 	}
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-func (s *keyedStore) Saved(_ context.Context, part int, after string) (map[string][]byte, error) {
+func (s *keyedStore) SavedAfterKey(_ context.Context, part int, after string) (map[string][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	values, size := map[string][]byte{}, 0
@@ -105,7 +105,7 @@
 	return values, nil
 }
 
-func (s *keyedStore) SavedFrom(_ context.Context, part int, from int64, most int) (entries []cluster.Entry, expired bool, err error) {
+func (s *keyedStore) SavedFromOffset(_ context.Context, part int, from int64, most int) (entries []cluster.Entry, expired bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &s.parts[part]
@@ -216,7 +216,7 @@
 					generation := int64(0)
 					require.Eventually(t, func() bool {
 						e.do(t.Context(), func(e *engine) {
-							e.state.Next = next
+							e.state.NextOffset = next
 							e.savedAt = min(e.savedAt, -time.Hour)
 							e.saveSnapshot(t.Context(), bootclock.Now())
 						})
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -108,7 +108,7 @@
 	p.readAt = bootclock.Now()
 	if p.snapshot != nil {
 		p.generation = snapshot.generation
-		p.next = max(from, p.snapshot.Next)
+		p.next = max(from, p.snapshot.NextOffset)
 		p.end = p.next + 1 // the log has not been read to its end
 	}
 	return p
