--- a/daemon/internal/daemoncmd/serve.go
+++ b/daemon/internal/daemoncmd/serve.go
@@ -49,8 +49,8 @@
 	logger := event.NewLogger(out, log.InfoLevel, s.Name)
 	ctx := untilStopped()
 	go watchHangup(ctx, path, logger)
-	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Machines},
-		cell.NewDialer(cell.PlatformDial, cell.PlatformSilence))
+	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Cloud},
+		cell.NewDialer(cell.PlatformDialTimeout, cell.PlatformUnackedTimeout))
 	return cell.Run(ctx, s, adapter, logger)
 }
 
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -80,7 +80,7 @@
 // unfence stops placing on the worker until it was fenced again.
 func (o *Owner) unfence(w *worker) {
 	w.fenced = false
-	o.cell.SetUsable(w.vm.Name, false)
+	o.cell.SetLive(w.vm.Name, false)
 }
 
 // restarted ends everything that ran on the worker's former incarnation.
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -181,7 +181,7 @@
 		if p == nil || !w.fenced || !view.PoolOf(p, w.vm) {
 			continue
 		}
-		if state, known := o.cell.Worker(name); known && state.Open() {
+		if state, known := o.cell.Worker(name); known && state.Schedulable() {
 			free += max(0, state.Free().Slots)
 		}
 	}
--- a/daemon/rack/owner.go
+++ b/daemon/rack/owner.go
@@ -159,9 +159,9 @@
 		Incarnation: w.incarnation, Pools: pools, Capacity: w.capacity,
 	})
 	if w.vm.Leaving || w.draining {
-		o.cell.SetLeaving(w.vm.Name)
+		o.cell.SetDraining(w.vm.Name)
 	}
-	o.cell.SetUsable(w.vm.Name, o.usable(w, o.Now()))
+	o.cell.SetLive(w.vm.Name, o.usable(w, o.Now()))
 }
 
 // usable reports whether new work may be placed on the worker.
@@ -218,7 +218,7 @@
 		o.askWorker(w, now)
 	}
 	if w.fenced {
-		o.cell.SetUsable(w.vm.Name, o.usable(w, now))
+		o.cell.SetLive(w.vm.Name, o.usable(w, now))
 		o.renew(w, now)
 		o.declareLost(w, now)
 	}
--- a/daemon/rack/reserve.go
+++ b/daemon/rack/reserve.go
@@ -174,7 +174,7 @@
 	for name := range o.lastView.Set.Pools {
 		for _, policy := range o.lastView.Set.Policies {
 			if policy.Headroom > 0 {
-				options.Headroom = append(options.Headroom, place.Headroom{Pool: name, Below: policy.Priority, Share: policy.Headroom})
+				options.Headroom = append(options.Headroom, place.Headroom{Pool: name, BelowPriority: policy.Priority, Share: policy.Headroom})
 			}
 		}
 	}
@@ -327,10 +327,10 @@
 	m.reply <- answer
 }
 
-func addWorker(p *wire.PoolSummary, state *place.State) {
+func addWorker(p *wire.PoolSummary, state *place.WorkerState) {
 	p.Workers++
 	p.Capacity = p.Capacity.Add(state.Capacity)
-	if !state.Open() {
+	if !state.Schedulable() {
 		return
 	}
 	free := state.Free()
--- a/daemon/rack/start.go
+++ b/daemon/rack/start.go
@@ -148,7 +148,7 @@
 	switch refused {
 	case wire.RefusedDraining:
 		w.draining = true
-		o.cell.SetLeaving(w.vm.Name)
+		o.cell.SetDraining(w.vm.Name)
 		o.Membership.ReportVM(w.vm.Name, w.incarnation, true)
 	case wire.RefusedStaleEpoch, wire.RefusedWrongIncarnation:
 		o.unfence(w)
--- a/standin/bench/cluster.go
+++ b/standin/bench/cluster.go
@@ -53,7 +53,7 @@
 	cell := place.NewCell()
 	for _, w := range workers(n) {
 		cell.UpdateWorker(w)
-		cell.SetUsable(w.VM, true)
+		cell.SetLive(w.VM, true)
 		fill(cell, w, load+(1-load)*2*(rng.Float64()-halfOfRandomOffset), rng)
 	}
 	return cell
--- a/standin/bench/decisions.go
+++ b/standin/bench/decisions.go
@@ -179,7 +179,7 @@
 	worker := -1
 	return decision{
 		do: func() bool {
-			worker = cell.Slot(poolName, &localOptions)
+			worker = cell.PickSlot(poolName, &localOptions)
 			if worker >= 0 {
 				cell.Workers[worker].Committed.Slots++
 			}
@@ -252,11 +252,11 @@
 	var placed []int
 	return decision{
 		do: func() bool {
-			placed = cell.Gang(all[n%len(all)], &localOptions, 0)
+			placed = cell.PlaceGang(all[n%len(all)], &localOptions, 0)
 			return placed != nil
 		},
 		undo: func() {
-			cell.TakeBack(placed)
+			cell.Undo(placed)
 			n++
 		},
 	}
--- a/standin/bench/packing.go
+++ b/standin/bench/packing.go
@@ -51,7 +51,7 @@
 // packer places one task or gang, or returns false.
 type packer interface {
 	place(asks []wire.TaskAsk) bool
-	states() []place.State
+	states() []place.WorkerState
 }
 
 // rule is a placement rule to compare.
@@ -82,7 +82,7 @@
 		{"first fit", func(m mix, _ *rand.Rand) packer { return newScanPacker(m, firstFit) }},
 		{"best fit", func(m mix, _ *rand.Rand) packer { return newScanPacker(m, bestFit) }},
 		{"random", func(m mix, rng *rand.Rand) packer {
-			return newScanPacker(m, func(*place.State, *wire.TaskAsk) float64 { return rng.Float64() })
+			return newScanPacker(m, func(*place.WorkerState, *wire.TaskAsk) float64 { return rng.Float64() })
 		}},
 	}
 }
@@ -138,7 +138,7 @@
 	}
 }
 
-func placedShare(states []place.State) float64 {
+func placedShare(states []place.WorkerState) float64 {
 	var capacity, sum resource.Vector
 	for i := range states {
 		capacity = capacity.Add(states[i].Capacity)
@@ -157,7 +157,7 @@
 	return share
 }
 
-func acceleratorsLeft(states []place.State) (free, stranded float64) {
+func acceleratorsLeft(states []place.WorkerState) (free, stranded float64) {
 	for i := range states {
 		left := states[i].Free()
 		usable := min(left.Accelerators, left.MilliCores/coresPerAccelerator, left.MemoryMiB/memoryPerAccelerator)
@@ -177,7 +177,7 @@
 	cell := place.NewCell()
 	for _, w := range m.workers {
 		cell.UpdateWorker(w)
-		cell.SetUsable(w.VM, true)
+		cell.SetLive(w.VM, true)
 	}
 	return &indexPacker{cell, o}
 }
@@ -187,35 +187,35 @@
 	return len(accepted) == len(asks)
 }
 
-func (p *indexPacker) states() []place.State { return p.cell.Workers() }
+func (p *indexPacker) states() []place.WorkerState { return p.cell.Workers() }
 
 // scanPacker places with a full scan.
 type scanPacker struct {
 	cell naive.Cell
-	cost func(*place.State, *wire.TaskAsk) float64 // nil: the cost of core/place
+	cost func(*place.WorkerState, *wire.TaskAsk) float64 // nil: the cost of core/place
 }
 
-func newScanPacker(m mix, cost func(*place.State, *wire.TaskAsk) float64) packer {
+func newScanPacker(m mix, cost func(*place.WorkerState, *wire.TaskAsk) float64) packer {
 	p := &scanPacker{cost: cost}
 	for _, w := range m.workers {
-		p.cell.Workers = append(p.cell.Workers, place.State{Worker: w, Usable: true})
+		p.cell.Workers = append(p.cell.Workers, place.WorkerState{Worker: w, Live: true})
 	}
 	return p
 }
 
 func (p *scanPacker) place(asks []wire.TaskAsk) bool {
 	if p.cost == nil {
-		return p.cell.Gang(asks, &localOptions, 0) != nil
+		return p.cell.PlaceGang(asks, &localOptions, 0) != nil
 	}
-	return p.cell.GangBy(asks, &localOptions, 0, p.cost) != nil
+	return p.cell.PlaceGangByCost(asks, &localOptions, 0, p.cost) != nil
 }
 
-func (p *scanPacker) states() []place.State { return p.cell.Workers }
+func (p *scanPacker) states() []place.WorkerState { return p.cell.Workers }
 
-func firstFit(*place.State, *wire.TaskAsk) float64 { return 0 }
+func firstFit(*place.WorkerState, *wire.TaskAsk) float64 { return 0 }
 
 // bestFit is the largest share left free, without the other score steps.
-func bestFit(w *place.State, ask *wire.TaskAsk) float64 {
+func bestFit(w *place.WorkerState, ask *wire.TaskAsk) float64 {
 	left := w.Free().Sub(ask.Resources)
 	return max(float64(left.MilliCores)/float64(w.Capacity.MilliCores), float64(left.MemoryMiB)/float64(w.Capacity.MemoryMiB))
 }
--- a/standin/cmd/standin/fleet.go
+++ b/standin/cmd/standin/fleet.go
@@ -43,7 +43,7 @@
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "listening store=%s advice=%s\n", storeAddress, adviceAddress)
 			<-cmd.Context().Done()
-			problems := fleet.Problems()
+			problems := fleet.Violations()
 			fmt.Fprintf(cmd.OutOrStdout(), "ended starts=%d problems=%d\n", fleet.Starts(), len(problems))
 			if len(problems) > 0 {
 				return fault.New(fault.Internal, "read the daemons' logs", "%d promises were broken, first: %s", len(problems), problems[0])
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -192,7 +192,7 @@
 }
 
 func (c *platformCell) step(job string, index, count int, takes time.Duration, more map[string]any) map[string]any {
-	c.fleet.Plan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: takes})
+	c.fleet.SetStepPlan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: takes})
 	step := map[string]any{"Count": count, "Cpu": 4000, "MemMb": 4096, "EstimateMs": takes.Milliseconds()}
 	for k, v := range more {
 		step[k] = v
@@ -214,7 +214,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	require.Empty(c.t, c.fleet.Problems())
+	require.Empty(c.t, c.fleet.Violations())
 }
 
 // placer returns the daemon whose claim is the newest in the log.
@@ -296,16 +296,16 @@
 	for i := range 8 {
 		id := fmt.Sprintf("%016x", 0xd000+i)
 		if i%2 == 0 {
-			c.store.LoseAnswers(2)
+			c.store.LoseAppendReplies(2)
 		}
 		c.submit(i%3, id, c.step(id, 0, 2, 2*time.Second, nil))
 		ids = append(ids, id)
 	}
-	c.store.SetDown(true)
+	c.store.SetUnavailable(true)
 	time.Sleep(3500 * time.Millisecond)
 	status, _ := c.call(0, http.MethodPost, fmt.Sprintf("%016x", 0xdead), map[string]any{"Spec": "x", "Steps": []any{c.step("0", 0, 1, time.Second, nil)}})
 	require.Equal(t, http.StatusServiceUnavailable, status, "a refusing store has not stored anything, so the job is rejected")
-	c.store.SetDown(false)
+	c.store.SetUnavailable(false)
 	c.completed(2, ids, 20*time.Second)
 	require.Equal(t, 16, c.fleet.Starts(), "tasks run on under their leases while the store is down")
 }
@@ -319,12 +319,12 @@
 	id := fmt.Sprintf("%016x", 0xd100)
 	c.submit(0, id, c.step(id, 0, 1, 600*time.Millisecond, nil))
 	require.Eventually(t, func() bool { return c.fleet.Starts() == 1 }, 5*time.Second, 10*time.Millisecond)
-	c.store.SetDown(true)
+	c.store.SetUnavailable(true)
 	time.Sleep(1200 * time.Millisecond) // the task ends, and the placer can't record that
 	placer := c.placer()
 	c.daemons[placer].kill()
 	c.fleet.Restart("i-0000")
-	c.store.SetDown(false)
+	c.store.SetUnavailable(false)
 	c.completed(1-placer, []string{id}, 30*time.Second)
 	require.Equal(t, 2, c.fleet.Starts())
 }
@@ -353,7 +353,7 @@
 	time.Sleep(2500 * time.Millisecond)
 	c.store.Expire("briarproxy.jobs", 3)
 	for part := 0; part < 3 && snapshots; part++ {
-		c.store.ExpirePart("keyed.briarproxy", part, 0) // the newest of each key stay
+		c.store.ExpirePartition("keyed.briarproxy", part, 0) // the newest of each key stay
 	}
 	for _, d := range c.daemons {
 		require.NoError(t, d.cmd.Process.Kill())
--- a/standin/integration/rolling_test.go
+++ b/standin/integration/rolling_test.go
@@ -360,7 +360,7 @@
 	r.completed(0, accepted, soakSettle)
 	for _, one := range r.requests {
 		if one.id != "" && one.status == http.StatusServiceUnavailable {
-			require.False(r.t, r.fleet.Ran(one.id), "job %s was refused and ran", one.id)
+			require.False(r.t, r.fleet.HasStarted(one.id), "job %s was refused and ran", one.id)
 		}
 	}
 }
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -88,7 +88,7 @@
 // showStories writes all that any daemon, also one that was killed, said of the jobs that
 // the workers complain of.
 func (s *soak) showStories() {
-	for _, problem := range s.fleet.Problems() {
+	for _, problem := range s.fleet.Violations() {
 		id := regexp.MustCompile("[0-9a-f]{16}").FindString(problem)
 		var lines []string
 		for _, p := range append(s.gone, s.daemons...) {
@@ -170,10 +170,10 @@
 		return daemon("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
 			func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{})) })
 	case 6:
-		s.store.SetDown(true)
-		return "store down", after, func() { s.store.SetDown(false) }
+		s.store.SetUnavailable(true)
+		return "store down", after, func() { s.store.SetUnavailable(false) }
 	case 7:
-		s.store.LoseAnswers(3)
+		s.store.LoseAppendReplies(3)
 		return "answers lost", 0, func() {}
 	default:
 		s.fleet.Restart(fmt.Sprintf("i-%04x", s.rng.IntN(soakWorkers)))
@@ -244,7 +244,7 @@
 	t.Cleanup(s.showStories)
 	s.completed(0, s.accepted, soakSettle)
 	for _, id := range s.rejected {
-		require.False(t, s.fleet.Ran(id), "job %s was refused by every daemon and ran", id)
+		require.False(t, s.fleet.HasStarted(id), "job %s was refused by every daemon and ran", id)
 	}
 	for _, p := range s.daemons {
 		require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)), "%s has ended by itself", p.name)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -52,24 +52,24 @@
 }
 
 // SetUnavailable makes the store reject every call with status 503, or accept calls again.
-func (s *Store) SetDown(unavailable bool) {
+func (s *Store) SetUnavailable(unavailable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unavailable = unavailable
 }
 
 // LoseAppendReplies makes the next n appends take effect without a response.
-func (s *Store) LoseAnswers(n int) {
+func (s *Store) LoseAppendReplies(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appendRepliesToLose = n
 }
 
 // Expire expires all but the given number of newest records of a topic's partition 0.
-func (s *Store) Expire(topic string, keep int) { s.ExpirePart(topic, 0, keep) }
+func (s *Store) Expire(topic string, keep int) { s.ExpirePartition(topic, 0, keep) }
 
 // ExpirePartition is like Expire, for any partition.
-func (s *Store) ExpirePart(topic string, number, keep int) {
+func (s *Store) ExpirePartition(topic string, number, keep int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic + "/" + strconv.Itoa(number))
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -74,21 +74,21 @@
 }
 
 // SetStepPlan sets the plan of a job's step.
-func (f *Fleet) Plan(job string, step int, p StepPlan) {
+func (f *Fleet) SetStepPlan(job string, step int, p StepPlan) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.plans[job+"."+strconv.Itoa(step)] = p
 }
 
 // Violations returns the violations of the platform's rules that were detected so far.
-func (f *Fleet) Problems() []string {
+func (f *Fleet) Violations() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]string(nil), f.violations...)
 }
 
 // HasStarted reports whether any task of a job was started.
-func (f *Fleet) Ran(job string) bool {
+func (f *Fleet) HasStarted(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.startedJobs[job]
