--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -1,4 +1,4 @@
-// Package admission decides which waiting request goes next, which is refused at
-// once because its wait would be too long, and whether a retry may be made. It
-// reads no clock: now is a time.Duration on the caller's boot clock.
+// Package admission queues requests, sheds those whose predicted wait exceeds their
+// deadline, limits retries, and leases portions of team quotas. It reads no clock:
+// now is a time.Duration on the monotonic boot clock of the calling process.
 package admission
--- a/core/admission/heaps.go
+++ b/core/admission/heaps.go
@@ -37,23 +37,23 @@
 	return entry
 }
 
-// countBefore counts the entries at or below position i with StartBy at most
-// startBy. It does not enter the subtree of a later entry.
-func (h entryHeap[T]) countBefore(startBy time.Duration, i int) int {
+// countDueBy counts the entries in the subtree rooted at index i whose StartBy is at
+// most startBy. It skips the subtree of any entry with a later StartBy.
+func (h entryHeap[T]) countDueBy(startBy time.Duration, i int) int {
 	if i >= len(h) || h[i].StartBy > startBy {
 		return 0
 	}
-	return 1 + h.countBefore(startBy, 2*i+1) + h.countBefore(startBy, 2*i+2)
+	return 1 + h.countDueBy(startBy, 2*i+1) + h.countDueBy(startBy, 2*i+2)
 }
 
-// teamHeap orders the teams of a class by virtual time, then by name.
+// teamHeap orders the teams of a class by virtual start time, then by name.
 type teamHeap[T any] []*teamQueue[T]
 
 func (h teamHeap[T]) Len() int { return len(h) }
 
 func (h teamHeap[T]) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+	if h[i].virtualStart != h[j].virtualStart {
+		return h[i].virtualStart < h[j].virtualStart
 	}
 	return h[i].name < h[j].name
 }
--- a/core/admission/main_test.go
+++ b/core/admission/main_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// TestMain fixes the seed of the property tests, so that each run checks the same
+// TestMain fixes the seed of the property tests so that every run checks the same
 // cases.
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -6,38 +6,38 @@
 	"time"
 )
 
-// Class is a class of requests.
+// Class holds the queueing settings of a class of requests.
 type Class struct {
 	Name      string
-	Priority  int     // higher first
-	MinShare  float64 // part of the service that the class gets while it waits, 0 to 1
-	MaxLength int     // entries that may wait at once
+	Priority  int     // classes with a higher value are served first
+	MinShare  float64 // guaranteed fraction of the service while the class has waiting entries, 0 to 1
+	MaxLength int     // maximum number of waiting entries
 }
 
-// Entry is a waiting request. Its pointer is the handle with which it is removed.
+// Entry is a queued request. Remove takes its pointer as the handle.
 type Entry[T any] struct {
 	Class   string
 	Team    string
-	Weight  float64       // share of the team under contention; 0 counts as 1
-	StartBy time.Duration // latest start that still meets the deadline
+	Weight  float64       // relative weight of the team under contention; 0 counts as 1
+	StartBy time.Duration // latest start time that still meets the deadline
 	Value   T
 
 	sequence uint64
-	index    int // position in the team's heap, -1 when not queued
+	index    int // index in the team's heap, -1 when not queued
 	queue    *teamQueue[T]
 }
 
-// Shed says why a request is refused at once and when a retry pays.
+// Shed says why a request was shed and when the caller should retry.
 type Shed struct {
 	Reason     ShedReason
 	Wait       time.Duration // predicted wait
 	RetryAfter time.Duration
 }
 
-// ShedReason is the reason of a refusal.
+// ShedReason is the reason for which a request was shed.
 type ShedReason string
 
-// Reasons of refusals.
+// Reasons for which requests are shed.
 const (
 	ShedFull     ShedReason = "queue-full"
 	ShedTooLong  ShedReason = "predicted-wait-over-deadline"
@@ -45,15 +45,15 @@
 	ShedNotKnown ShedReason = "unknown-class"
 )
 
-// Limits of the retry time that a refused caller is told.
+// Limits of the Retry-After time of a shed request.
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
 )
 
 // Queue orders waiting requests: classes by strict priority with a guaranteed
-// minimum share, teams of a class by weighted fairness, and the entries of a team
-// by StartBy. Push, Pop and Remove cost O(log n) in the number of entries; the
+// minimum share, teams of a class by weighted fair queueing, and the entries of a
+// team by StartBy. Push, Pop and Remove cost O(log n) in the number of entries; the
 // wait prediction adds O(teams).
 type Queue[T any] struct {
 	classes  map[string]*classQueue[T]
@@ -63,20 +63,20 @@
 
 type classQueue[T any] struct {
 	Class
-	teams  map[string]*teamQueue[T]
-	active teamHeap[T]
-	clock  float64 // virtual start of the last team served
-	credit float64 // service owed under MinShare
-	length int
+	teams       map[string]*teamQueue[T]
+	activeTeams teamHeap[T]
+	virtualTime float64 // virtual start time of the last team served
+	credit      float64 // entries that MinShare has earned the class and that were not served yet
+	length      int
 }
 
 type teamQueue[T any] struct {
-	name    string
-	weight  float64
-	virtual float64 // virtual time at which the team is served next
-	index   int     // position among the active teams, -1 when it has no entries
-	entries entryHeap[T]
-	class   *classQueue[T]
+	name         string
+	weight       float64
+	virtualStart float64 // virtual time at which the team is served next
+	index        int     // index in activeTeams, -1 when the team has no entries
+	entries      entryHeap[T]
+	class        *classQueue[T]
 }
 
 // NewQueue returns an empty queue without classes.
@@ -84,7 +84,7 @@
 	return &Queue[T]{classes: map[string]*classQueue[T]{}}
 }
 
-// SetClass adds a class or changes its settings; waiting entries stay.
+// SetClass adds a class or changes its settings. Waiting entries stay queued.
 func (q *Queue[T]) SetClass(class Class) {
 	if old, found := q.classes[class.Name]; found {
 		old.Class = class
@@ -96,7 +96,7 @@
 // Len returns the number of waiting entries.
 func (q *Queue[T]) Len() int { return q.length }
 
-// LenOf returns the number of waiting entries of a class.
+// ClassLen returns the number of waiting entries of a class.
 func (q *Queue[T]) LenOf(class string) int {
 	if c, found := q.classes[class]; found {
 		return c.length
@@ -104,13 +104,13 @@
 	return 0
 }
 
-// Load is what is known of the service that the queue waits for.
+// Load describes the service that the queued requests wait for.
 type Load struct {
-	Rate float64 // measured starts per second under load; 0: not known, nothing is refused for its wait
-	Idle bool    // a slot is free now, so the first entry need not wait for one to end
+	Rate float64 // measured starts per second under load; 0 is unknown and disables shedding by wait
+	Idle bool    // a slot is free now, so the first entry need not wait for a run to end
 }
 
-// Push queues the entry, or returns why it is refused.
+// Push queues the entry, or returns why it was shed.
 func (q *Queue[T]) Push(now time.Duration, load Load, entry *Entry[T]) *Shed {
 	class, found := q.classes[entry.Class]
 	if !found {
@@ -120,11 +120,11 @@
 		return &Shed{Reason: ShedPastDue}
 	}
 	wait := q.predict(class, entry, load)
-	if late := wait - (entry.StartBy - now); late > 0 {
-		return &Shed{Reason: ShedTooLong, Wait: wait, RetryAfter: clampRetry(late)}
+	if overrun := wait - (entry.StartBy - now); overrun > 0 {
+		return &Shed{Reason: ShedTooLong, Wait: wait, RetryAfter: clampRetryAfter(overrun)}
 	}
 	if class.length >= class.MaxLength {
-		return &Shed{Reason: ShedFull, Wait: wait, RetryAfter: clampRetry(wait)}
+		return &Shed{Reason: ShedFull, Wait: wait, RetryAfter: clampRetryAfter(wait)}
 	}
 	q.sequence++
 	entry.sequence = q.sequence
@@ -133,7 +133,7 @@
 	return nil
 }
 
-func clampRetry(d time.Duration) time.Duration {
+func clampRetryAfter(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
@@ -146,7 +146,7 @@
 	return q.predict(class, entry, load)
 }
 
-// predict returns the wait of an entry that would be queued now.
+// predict estimates the wait of an entry that would be queued now.
 func (q *Queue[T]) predict(class *classQueue[T], entry *Entry[T], load Load) time.Duration {
 	if load.Rate <= 0 {
 		return 0
@@ -157,90 +157,92 @@
 			higher += other.length
 		}
 	}
-	return class.waitFor(class.ahead(entry), higher, load)
+	return class.waitFor(class.entriesAhead(entry), higher, load)
 }
 
-// waitFor divides the entries ahead, and the entry itself unless a slot is free, by
-// the service rate. The guaranteed share of the class bounds the wait from above.
-func (c *classQueue[T]) waitFor(own float64, higher int, load Load) time.Duration {
+// waitFor returns the wait of an entry behind the given numbers of entries of its own
+// class and of classes with higher priority: the entries ahead, plus the entry itself
+// unless a slot is free, divided by the service rate. The guaranteed share of the
+// class is an upper bound on the wait.
+func (c *classQueue[T]) waitFor(ahead float64, higher int, load Load) time.Duration {
 	if !load.Idle {
-		own++
+		ahead++
 	}
-	seconds := (own + float64(higher)) / load.Rate
+	seconds := (ahead + float64(higher)) / load.Rate
 	if c.MinShare > 0 {
-		seconds = math.Min(seconds, own/(load.Rate*c.MinShare))
+		seconds = math.Min(seconds, ahead/(load.Rate*c.MinShare))
 	}
-	if seconds > maxWait.Seconds() {
-		return maxWait
+	if seconds > maxPredictedWait.Seconds() {
+		return maxPredictedWait
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// maxWait caps the predicted wait so that it fits a time.Duration.
-const maxWait = 24 * time.Hour
+// maxPredictedWait caps the predicted wait so that it fits in a time.Duration.
+const maxPredictedWait = 24 * time.Hour
 
-// ahead estimates how many entries of the class are served before the entry, when
+// entriesAhead estimates how many entries of the class are served before the entry if
 // each team is served in proportion to its weight.
-func (c *classQueue[T]) ahead(entry *Entry[T]) float64 {
-	weight := weightOf(entry.Weight)
-	own := 0.0
+func (c *classQueue[T]) entriesAhead(entry *Entry[T]) float64 {
+	weight := effectiveWeight(entry.Weight)
+	ownTeam := 0.0
 	if team, found := c.teams[entry.Team]; found {
-		own = float64(team.entries.countBefore(entry.StartBy, 0))
+		ownTeam = float64(team.entries.countDueBy(entry.StartBy, 0))
 	}
-	total := own
-	for _, team := range c.active {
+	total := ownTeam
+	for _, team := range c.activeTeams {
 		if team.name == entry.Team {
 			continue
 		}
-		turns := (own + 1) * team.weight / weight
+		turns := (ownTeam + 1) * team.weight / weight
 		total += math.Min(float64(len(team.entries)), turns)
 	}
 	return total
 }
 
-// Pop removes and returns the entry that goes next among the classes that allow
-// accepts, or nil. A nil allow accepts every class.
+// Pop removes and returns the next entry to serve from the classes that allow accepts,
+// or nil if there is none. A nil allow accepts every class.
 func (q *Queue[T]) Pop(allow func(class string) bool) *Entry[T] {
-	class := q.next(allow)
+	class := q.nextClass(allow)
 	if class == nil {
 		return nil
 	}
-	q.settle(class)
-	team := class.active[0]
+	q.updateCredits(class)
+	team := class.activeTeams[0]
 	entry := team.entries[0]
-	class.clock = team.virtual
-	team.virtual += 1 / team.weight
-	heap.Fix(&class.active, team.index)
+	class.virtualTime = team.virtualStart
+	team.virtualStart += 1 / team.weight
+	heap.Fix(&class.activeTeams, team.index)
 	q.Remove(entry)
 	return entry
 }
 
-// Owed reports whether entries of the class wait and its guaranteed share owes them a
-// turn before classes of higher priority.
+// MinShareDue reports whether the class has waiting entries and has earned enough
+// credit under MinShare to be served before classes of higher priority.
 func (q *Queue[T]) Owed(class string) bool {
 	c, found := q.classes[class]
 	return found && c.length > 0 && c.credit+c.MinShare >= 1
 }
 
-// next chooses the class: the one that is owed the most under its guaranteed share
-// once it is owed a whole entry, otherwise the one with the highest priority.
-func (q *Queue[T]) next(allow func(class string) bool) *classQueue[T] {
-	var owed, first *classQueue[T]
+// nextClass chooses the class to serve: among the classes with credit for a whole entry
+// the one with the most credit, otherwise the class with the highest priority.
+func (q *Queue[T]) nextClass(allow func(class string) bool) *classQueue[T] {
+	var shareDue, highest *classQueue[T]
 	for _, c := range q.classes {
 		if c.length == 0 || (allow != nil && !allow(c.Name)) {
 			continue
 		}
-		if c.credit+c.MinShare >= 1 && (owed == nil || c.owedBefore(owed)) {
-			owed = c
+		if c.credit+c.MinShare >= 1 && (shareDue == nil || c.hasMoreCredit(shareDue)) {
+			shareDue = c
 		}
-		if first == nil || c.before(first) {
-			first = c
+		if highest == nil || c.before(highest) {
+			highest = c
 		}
 	}
-	if owed != nil {
-		return owed
+	if shareDue != nil {
+		return shareDue
 	}
-	return first
+	return highest
 }
 
 func (c *classQueue[T]) before(o *classQueue[T]) bool {
@@ -250,7 +252,7 @@
 	return c.Name < o.Name
 }
 
-func (c *classQueue[T]) owedBefore(o *classQueue[T]) bool {
+func (c *classQueue[T]) hasMoreCredit(o *classQueue[T]) bool {
 	left, right := c.credit+c.MinShare, o.credit+o.MinShare
 	if left != right {
 		return left > right
@@ -258,9 +260,9 @@
 	return c.before(o)
 }
 
-// settle credits each waiting class with its share of one entry and charges the
-// class that is served.
-func (q *Queue[T]) settle(served *classQueue[T]) {
+// updateCredits adds MinShare to the credit of each class with waiting entries and
+// charges one entry to the class that is served.
+func (q *Queue[T]) updateCredits(served *classQueue[T]) {
 	for _, c := range q.classes {
 		if c.length > 0 {
 			c.credit += c.MinShare
@@ -269,8 +271,7 @@
 	served.credit = math.Max(0, served.credit-1)
 }
 
-// Remove takes an entry out of the queue; it returns false when the entry does not
-// wait.
+// Remove takes an entry out of the queue and returns false if it is not queued.
 func (q *Queue[T]) Remove(entry *Entry[T]) bool {
 	team := entry.queue
 	if team == nil {
@@ -278,7 +279,7 @@
 	}
 	heap.Remove(&team.entries, entry.index)
 	entry.queue = nil
-	team.class.removed(team)
+	team.class.entryRemoved(team)
 	q.length--
 	return true
 }
@@ -289,32 +290,32 @@
 		team = &teamQueue[T]{name: entry.Team, index: -1, class: c}
 		c.teams[entry.Team] = team
 	}
-	team.weight = weightOf(entry.Weight)
+	team.weight = effectiveWeight(entry.Weight)
 	entry.queue = team
 	heap.Push(&team.entries, entry)
 	c.length++
 	if team.index < 0 {
-		// A team that was idle may not claim the service it did not ask for.
-		team.virtual = math.Max(team.virtual, c.clock)
-		heap.Push(&c.active, team)
+		// A team gets no credit for service that it did not request while it was idle.
+		team.virtualStart = math.Max(team.virtualStart, c.virtualTime)
+		heap.Push(&c.activeTeams, team)
 	}
 }
 
-func (c *classQueue[T]) removed(team *teamQueue[T]) {
+func (c *classQueue[T]) entryRemoved(team *teamQueue[T]) {
 	c.length--
 	if len(team.entries) == 0 {
-		heap.Remove(&c.active, team.index)
+		heap.Remove(&c.activeTeams, team.index)
 	}
 	if c.length == 0 {
-		// With nobody waiting, no team or class is owed anything; forgetting the
-		// teams keeps the state bounded.
+		// Without waiting entries neither the class nor its teams hold any credit;
+		// dropping the teams bounds the memory.
 		c.credit = 0
-		c.clock = 0
+		c.virtualTime = 0
 		c.teams = map[string]*teamQueue[T]{}
 	}
 }
 
-func weightOf(weight float64) float64 {
+func effectiveWeight(weight float64) float64 {
 	if weight <= 0 {
 		return 1
 	}
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -12,13 +12,13 @@
 	"briarproxy/core/resource"
 )
 
-// naiveQueue follows the rules of Queue with linear scans of one slice.
+// naiveQueue is a reference model of Queue that scans one slice linearly.
 type naiveQueue struct {
-	classes []Class
-	credit  map[string]float64
-	clock   map[string]float64
-	virtual map[[2]string]float64
-	entries []*Entry[int]
+	classes      []Class
+	credit       map[string]float64
+	virtualTime  map[string]float64
+	virtualStart map[[2]string]float64
+	entries      []*Entry[int]
 }
 
 func (n *naiveQueue) count(class, team string) int {
@@ -34,7 +34,7 @@
 func (n *naiveQueue) push(e *Entry[int]) {
 	key := [2]string{e.Class, e.Team}
 	if n.count(e.Class, e.Team) == 0 {
-		n.virtual[key] = math.Max(n.virtual[key], n.clock[e.Class])
+		n.virtualStart[key] = math.Max(n.virtualStart[key], n.virtualTime[e.Class])
 	}
 	n.entries = append(n.entries, e)
 }
@@ -43,11 +43,11 @@
 	var chosen *Class
 	for i := range n.classes {
 		c := &n.classes[i]
-		owed := n.credit[c.Name] + c.MinShare
-		if n.count(c.Name, "") == 0 || owed < 1 {
+		credit := n.credit[c.Name] + c.MinShare
+		if n.count(c.Name, "") == 0 || credit < 1 {
 			continue
 		}
-		if chosen == nil || owed > n.credit[chosen.Name]+chosen.MinShare {
+		if chosen == nil || credit > n.credit[chosen.Name]+chosen.MinShare {
 			chosen = c
 		}
 	}
@@ -72,14 +72,14 @@
 		}
 	}
 	key := [2]string{best.Class, best.Team}
-	n.clock[best.Class] = n.virtual[key]
-	n.virtual[key] += 1 / best.Weight
+	n.virtualTime[best.Class] = n.virtualStart[key]
+	n.virtualStart[key] += 1 / best.Weight
 	n.remove(best)
 	return best
 }
 
 func (n *naiveQueue) before(a, b *Entry[int]) bool {
-	va, vb := n.virtual[[2]string{a.Class, a.Team}], n.virtual[[2]string{b.Class, b.Team}]
+	va, vb := n.virtualStart[[2]string{a.Class, a.Team}], n.virtualStart[[2]string{b.Class, b.Team}]
 	if va != vb {
 		return va < vb
 	}
@@ -102,16 +102,16 @@
 	if n.count(e.Class, "") > 0 {
 		return
 	}
-	n.credit[e.Class], n.clock[e.Class] = 0, 0
-	for key := range n.virtual {
+	n.credit[e.Class], n.virtualTime[e.Class] = 0, 0
+	for key := range n.virtualStart {
 		if key[0] == e.Class {
-			delete(n.virtual, key)
+			delete(n.virtualStart, key)
 		}
 	}
 }
 
-// Guards against heap or credit errors that serve entries in another order than
-// the rules say, and against removals that damage the heaps.
+// Guards against heap or credit errors that serve entries in an order other than that
+// of the reference model, and against removals that corrupt the heaps.
 func TestQueueMatchesNaive(t *testing.T) {
 	weights := map[string]float64{"a": 1, "b": 2, "c": 4}
 	rapid.Check(t, func(t *rapid.T) {
@@ -121,7 +121,7 @@
 			{Name: "low", Priority: 1, MinShare: 0.125, MaxLength: 1000},
 		}
 		queue := NewQueue[int]()
-		naive := &naiveQueue{classes: classes, credit: map[string]float64{}, clock: map[string]float64{}, virtual: map[[2]string]float64{}}
+		naive := &naiveQueue{classes: classes, credit: map[string]float64{}, virtualTime: map[string]float64{}, virtualStart: map[[2]string]float64{}}
 		for _, c := range classes {
 			queue.SetClass(c)
 		}
@@ -151,8 +151,9 @@
 	})
 }
 
-// Guards against starvation of a low class and of a light team under overload.
-func TestMinimumShareAndFairness(t *testing.T) {
+// Guards against starvation of a class with low priority and of a team with little
+// weight under overload.
+func TestMinShareAndTeamFairness(t *testing.T) {
 	queue := NewQueue[int]()
 	queue.SetClass(Class{Name: "urgent", Priority: 9, MaxLength: 1000})
 	queue.SetClass(Class{Name: "survey", Priority: 1, MinShare: 0.2, MaxLength: 1000})
@@ -171,8 +172,8 @@
 	require.InDelta(t, 100, served["urgent/b"], 2)
 }
 
-// Guards against holding a request that can't be served in time, and against
-// refusing one of a team that fairness serves soon.
+// Guards against queueing a request that can't be served in time, and against shedding
+// a request of a team that fair queueing would serve in time.
 func TestShedding(t *testing.T) {
 	queue := NewQueue[int]()
 	queue.SetClass(Class{Name: "c", Priority: 1, MaxLength: 100})
@@ -193,9 +194,9 @@
 	require.Equal(t, ShedNotKnown, queue.Push(0, Load{}, &Entry[int]{Class: "x"}).Reason)
 }
 
-// Guards against holding back queued entries that later arrivals have overtaken, and
-// against giving up one that Pop serves in time.
-func TestHopelessEntriesAreGivenUp(t *testing.T) {
+// Guards against keeping queued entries that miss their StartBy because later arrivals
+// are served first, and against shedding an entry that Pop serves in time.
+func TestShedLateRemovesOnlyEntriesThatCannotStartInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		queue := NewQueue[int]()
 		queue.SetClass(Class{Name: "c", MaxLength: 1000})
@@ -208,16 +209,16 @@
 		late := queue.Hopeless(0, Load{Rate: 1})
 		require.Equal(t, n, queue.Len()+len(late))
 		for _, l := range late {
-			require.Greater(t, time.Duration(float64(l.Shed.Wait)*hopelessPart), l.Entry.StartBy)
+			require.Greater(t, time.Duration(float64(l.Shed.Wait)*lateWaitFactor), l.Entry.StartBy)
 			require.False(t, queue.Remove(l.Entry))
 		}
 		for i := 1; queue.Len() > 0; i++ {
-			require.LessOrEqual(t, hopelessPart*float64(i), queue.Pop(nil).StartBy.Seconds()+1e-6)
+			require.LessOrEqual(t, lateWaitFactor*float64(i), queue.Pop(nil).StartBy.Seconds()+1e-6)
 		}
 	})
 }
 
-// Guards against a retry storm and against synchronised retries.
+// Guards against retry storms and synchronised retries.
 func TestRetryBudgetAndBackoff(t *testing.T) {
 	budget := NewRetryBudget()
 	retries := 0
@@ -237,7 +238,7 @@
 	require.Zero(t, Backoff(rng, 0, 3))
 }
 
-// Guards against predicting from the arrival rate instead of the capacity.
+// Guards against predicting waits from the arrival rate instead of the service rate.
 func TestServiceRate(t *testing.T) {
 	var rate ServiceRate
 	require.Zero(t, rate.PerSecond(8))
@@ -245,8 +246,8 @@
 	require.InDelta(t, 80, rate.PerSecond(8), 0.01)
 }
 
-// Guards against a team that uses more than its quota while portions move between
-// daemons and lapse.
+// Guards against use above a team's quota while portions move between daemons and
+// expire.
 func TestQuotaPortionsNeverExceedQuota(t *testing.T) {
 	quota := resource.Vector{Slots: 10}
 	rapid.Check(t, func(t *rapid.T) {
@@ -258,7 +259,7 @@
 			holder := rapid.SampledFrom([]string{"d1", "d2", "d3"}).Draw(t, "holder")
 			p := portions[holder]
 			want := resource.Vector{Slots: rapid.Int64Range(0, 12).Draw(t, "want")}.Max(p.Used())
-			// The margin of 1 on the owner's side stands for clock drift.
+			// The owner's TTL is longer than the holder's by 1 to allow for clock drift.
 			granted := ledger.Lease(now, 6, holder, want)
 			p.Set(granted, now+5)
 			for range rapid.IntRange(0, 3).Draw(t, "takes") {
@@ -270,7 +271,7 @@
 			require.True(t, ledger.Leased(now).Fits(quota))
 			sum := int64(0)
 			for _, other := range portions {
-				if now < other.until {
+				if now < other.expiresAt {
 					sum += other.amount.Slots
 				}
 			}
--- a/core/admission/quota_test.go
+++ b/core/admission/quota_test.go
@@ -16,15 +16,16 @@
 	testDrift = 200 * time.Millisecond
 )
 
-// quotaCall is a call on its way. Its answer can be lost, and it can be overtaken.
+// quotaCall is a call in flight. It can arrive after a later call, and its reply can be
+// lost.
 type quotaCall struct {
-	holder string
-	seq    int64
-	sent   time.Duration
-	wish   wire.QuotaWish
+	holder  string
+	seq     int64
+	sent    time.Duration
+	request wire.QuotaWish
 }
 
-// quotaModel is one team, three holders and owners that follow one another.
+// quotaModel simulates one team with three holders and a succession of owners.
 type quotaModel struct {
 	now     time.Duration
 	seq     int64
@@ -32,7 +33,7 @@
 	holders map[string]*QuotaHolder
 	calls   []quotaCall
 	granted int
-	pending map[string]int64 // call that each holder waits for
+	pending map[string]int64 // sequence number of the call whose reply each holder waits for, 0 is none
 }
 
 func (m *quotaModel) used() (sum int64) {
@@ -42,7 +43,7 @@
 	return sum
 }
 
-// step does one thing that the random source chooses.
+// step performs one randomly chosen action.
 func (m *quotaModel) step(rng *rand.Rand, quota resource.Vector) {
 	name := []string{"a", "b", "c"}[rng.IntN(3)]
 	h := m.holders[name]
@@ -57,10 +58,10 @@
 			h.Put("t", resource.Vector{Slots: rng.Int64N(n) + 1})
 		}
 	case step < 140:
-		for _, wishes := range h.Due(m.now) {
+		for _, requests := range h.Due(m.now) {
 			m.seq++
 			m.pending[name] = m.seq
-			m.calls = append(m.calls, quotaCall{holder: name, seq: m.seq, sent: m.now, wish: wishes[0]})
+			m.calls = append(m.calls, quotaCall{holder: name, seq: m.seq, sent: m.now, request: requests[0]})
 		}
 	case step < 199:
 		m.deliver(rng, quota)
@@ -69,8 +70,8 @@
 	}
 }
 
-// deliver hands a call to the owner. The holder may have given it up before, and
-// its answer can be lost.
+// deliver delivers a random call to the owner. The holder may have timed it out before,
+// and its reply can be lost.
 func (m *quotaModel) deliver(rng *rand.Rand, quota resource.Vector) {
 	if len(m.calls) == 0 {
 		return
@@ -85,7 +86,7 @@
 		return
 	}
 	m.calls = append(m.calls[:i], m.calls[i+1:]...)
-	portion, ok := m.owner.Lease(m.now, call.holder, call.seq, quota, call.wish)
+	portion, ok := m.owner.Lease(m.now, call.holder, call.seq, quota, call.request)
 	if !awaited {
 		return
 	}
@@ -99,11 +100,11 @@
 	m.granted++
 }
 
-// Guards against use above a team's quota when calls are lost, delayed, overtaken,
-// and owners change without knowing what their predecessors leased.
+// Guards against use above a team's quota when calls are lost, delayed or reordered and
+// a new owner does not know what its predecessors leased.
 func TestQuotaIsNeverExceededAcrossHolders(t *testing.T) {
 	quota := resource.Vector{Slots: 8}
-	most := int64(0)
+	peak := int64(0)
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 7))
 		m := &quotaModel{pending: map[string]int64{}, holders: map[string]*QuotaHolder{}}
@@ -113,22 +114,22 @@
 		m.owner = NewQuotaOwner(-time.Hour, testTTL+testDrift)
 		for range 10000 {
 			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
-			for _, h := range m.holders { // runs end with the lease that they were taken under
-				if t := h.team("t"); m.now >= t.until {
+			for _, h := range m.holders { // runs end when the lease that they started under expires
+				if t := h.team("t"); m.now >= t.expiresAt {
 					t.portion.Put(t.portion.Used())
 				}
 			}
 			m.step(rng, quota)
 			require.LessOrEqual(t, m.used(), quota.Slots, "seed %d", seed)
-			most = max(most, m.used())
+			peak = max(peak, m.used())
 		}
 		require.Greater(t, m.granted, 100, "seed %d", seed)
 	}
-	require.Equal(t, quota.Slots, most, "the whole quota was used at some time")
+	require.Equal(t, quota.Slots, peak, "the whole quota must be in use at some time")
 }
 
-// Guards against use above a team's quota, and against a quota that nobody gets more
-// of for the time of a portion, when a new owner knows its predecessor's logged bound.
+// Guards, for a new owner that knows its predecessor's logged bound, against use above a
+// team's quota and against leasing nothing more until the predecessor's portions expire.
 func TestNewOwnerLeasesWhatItsPredecessorCannotHaveLeased(t *testing.T) {
 	quota := resource.Vector{Slots: 12}
 	early := 0
@@ -144,7 +145,7 @@
 		for range 10000 {
 			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
 			for _, h := range m.holders {
-				if t := h.team("t"); m.now >= t.until {
+				if t := h.team("t"); m.now >= t.expiresAt {
 					t.portion.Put(t.portion.Used())
 				}
 			}
@@ -152,26 +153,26 @@
 			m.step(rng, quota)
 			if m.owner != before {
 				m.owner.UseBounds(logged)
-			} else if m.granted > granted && m.now < m.owner.settled {
+			} else if m.granted > granted && m.now < m.owner.predecessorsExpireAt {
 				early++
 			}
 			for _, bound := range m.owner.Raises() {
-				fate := rng.IntN(40) // below 38: the append is lost, 38: only its answer is lost
-				if fate >= 38 {
+				outcome := rng.IntN(40) // below 38: the append is lost, 38: only its reply is lost
+				if outcome >= 38 {
 					logged[bound.Team] = logged[bound.Team].Max(bound.Most)
 				}
-				if fate > 38 {
+				if outcome > 38 {
 					m.owner.Logged(bound)
 				}
 			}
 			require.LessOrEqual(t, m.used(), quota.Slots, "seed %d", seed)
 		}
 	}
-	require.Greater(t, early, 100, "leased before the predecessor's portions had lapsed")
+	require.Greater(t, early, 100, "portions must be leased before the predecessor's expire")
 }
 
-// Guards against a new owner that leases either nothing or too much until the
-// portions of its predecessor have lapsed.
+// Guards against a new owner that leases nothing or too much until the portions of its
+// predecessor expire.
 func TestNewOwnerLeasesBesidesTheInheritedBound(t *testing.T) {
 	quota := resource.Vector{Slots: 40}
 	owner := NewQuotaOwner(0, testTTL)
@@ -186,17 +187,17 @@
 	require.LessOrEqual(t, p.Amount.Slots, int64(5), "the predecessor may have leased 10")
 }
 
-// Guards against a holder that keeps a whole quota which it does not use, or uses
-// more than its share of, while others get nothing.
+// Guards against a holder that keeps the whole quota without using it, or keeps more
+// than its share while other holders get nothing.
 func TestQuotaIsSharedBetweenHolders(t *testing.T) {
 	quota := resource.Vector{Slots: 8}
 	owner := NewQuotaOwner(-time.Hour, testTTL)
 	holders := map[string]*QuotaHolder{"a": NewQuotaHolder(), "b": NewQuotaHolder()}
 	seq := int64(0)
 	ask := func(now time.Duration, name string) {
-		for _, wishes := range holders[name].Due(now) {
+		for _, requests := range holders[name].Due(now) {
 			seq++
-			portion, ok := owner.Lease(now, name, seq, quota, wishes[0])
+			portion, ok := owner.Lease(now, name, seq, quota, requests[0])
 			require.True(t, ok)
 			portion.TTLMS = testTTL.Milliseconds()
 			holders[name].Granted(now, now+testTTL, portion)
@@ -221,8 +222,8 @@
 	require.EqualValues(t, 4, holders["a"].Amount(8*time.Second, "t").Slots)
 }
 
-// Guards against leasing to others what a new owner of a job shard found in use,
-// after the portion of its predecessor has lapsed.
+// Guards against leasing to others the use that a new owner of a job shard found at its
+// takeover, once the portion of the shard's former owner has expired.
 func TestUseFoundAfterATakeoverIsNotLeasedToOthers(t *testing.T) {
 	quota := resource.Vector{Slots: 8}
 	owner := NewQuotaOwner(-time.Hour, testTTL)
--- a/core/admission/quotaholder.go
+++ b/core/admission/quotaholder.go
@@ -8,53 +8,53 @@
 	"briarproxy/core/wire"
 )
 
-// Times of a holder of portions.
+// Timing and spare amount of a holder's quota requests.
 const (
-	quotaIdle     = 2 * time.Second // what is not used for this long goes back
-	quotaRetry    = 100 * time.Millisecond
-	maxQuotaRetry = 2 * time.Second
-	quotaSpare    = 4 // one unit is kept in spare for so many in use
+	unusedQuotaReturnDelay = 2 * time.Second // unused quota is returned after this time
+	minQuotaRetryDelay     = 100 * time.Millisecond
+	maxQuotaRetryDelay     = 2 * time.Second
+	quotaSpareDivisor      = 4 // one spare unit is requested per this many units in use or waited for
 )
 
-// QuotaHolder keeps a daemon's portions of team quotas, and decides when to ask the
-// owners for more, for renewal, or to give back. A team without a portion is asked
-// for when somebody waits for it.
+// QuotaHolder keeps a daemon's portions of team quotas and decides when to ask the
+// owners for more, to renew a portion or to return a part of it. A portion of a team's
+// quota is first requested when work of that team waits for it.
 type QuotaHolder struct {
-	teams map[string]*holding
+	teams map[string]*heldQuota
 }
 
-type holding struct {
-	portion  Portion
-	ttl      time.Duration
-	until    time.Duration
-	share    resource.Vector // zero kinds: no bound
-	calling  bool
-	answered bool          // the newest call got an answer
-	nextAsk  time.Duration // not asked again for more before
-	strikes  int
-	excess   time.Duration // since when more is held than wanted, 0: it is not
-	waiting  resource.Vector
+type heldQuota struct {
+	portion          Portion
+	ttl              time.Duration
+	expiresAt        time.Duration
+	share            resource.Vector // most that this holder should keep; a zero kind is unlimited
+	callPending      bool
+	lastCallAnswered bool
+	nextCallAt       time.Duration   // no call is made before this time
+	unmetCalls       int             // consecutive calls that failed or granted too little
+	excessSince      time.Duration   // time since which more is held than wanted, 0 if it is not
+	waiting          resource.Vector // amount that waits for quota
 }
 
 // NewQuotaHolder returns a holder without portions.
-func NewQuotaHolder() *QuotaHolder { return &QuotaHolder{teams: map[string]*holding{}} }
+func NewQuotaHolder() *QuotaHolder { return &QuotaHolder{teams: map[string]*heldQuota{}} }
 
-func (h *QuotaHolder) team(name string) *holding {
+func (h *QuotaHolder) team(name string) *heldQuota {
 	t := h.teams[name]
 	if t == nil {
-		t = &holding{}
+		t = &heldQuota{}
 		h.teams[name] = t
 	}
 	return t
 }
 
-// Take charges the team's portion; it returns false when that does not cover the
-// amount. Kinds with a zero quota must be zero in the amount.
+// TryAcquire charges an amount to the team's portion and returns false if the portion
+// does not cover it. Resource kinds with a zero quota must be zero in the amount.
 func (h *QuotaHolder) Take(now time.Duration, team string, amount resource.Vector) bool {
 	return h.team(team).portion.Take(now, amount)
 }
 
-// Put gives back what was taken.
+// Release gives back an acquired amount.
 func (h *QuotaHolder) Put(team string, amount resource.Vector) { h.team(team).portion.Put(amount) }
 
 // Amount returns what the team's portion covers at now.
@@ -62,47 +62,49 @@
 	return h.team(team).portion.Amount(now)
 }
 
-// Answered reports whether the owner of the team's quota answered the last call.
-func (h *QuotaHolder) Answered(team string) bool { return h.team(team).answered }
+// LastCallAnswered reports whether the owner of the team's quota answered the last call.
+func (h *QuotaHolder) Answered(team string) bool { return h.team(team).lastCallAnswered }
 
-// Waiting sets what could not be taken.
+// SetWaiting sets the amount that could not be acquired and waits for quota.
 func (h *QuotaHolder) Waiting(team string, amount resource.Vector) { h.team(team).waiting = amount }
 
-// Due returns the wishes that are due, by key shard and in order of team, and notes
-// that they are asked for. What a wish gives up is not used from here on.
+// TakeDueRequests returns the requests to send now, by key shard and sorted by team, and
+// marks their calls as pending. A portion that a request lowers is lowered at once, so
+// that the returned amount is out of use before the owner receives the request.
 func (h *QuotaHolder) Due(now time.Duration) map[int][]wire.QuotaWish {
 	due := map[int][]wire.QuotaWish{}
 	for name, t := range h.teams {
 		want := t.want(now)
-		t.noteExcess(now, want)
+		t.updateExcess(now, want)
 		if !t.due(now, want) {
-			if t.forgettable(now) {
+			if t.removable(now) {
 				delete(h.teams, name)
 			}
 			continue
 		}
 		t.portion.Shrink(want)
-		t.calling = true
-		wish := wire.QuotaWish{Team: name, Want: want, Held: t.portion.Amount(now), Used: t.portion.Used()}
+		t.callPending = true
+		request := wire.QuotaWish{Team: name, Want: want, Held: t.portion.Amount(now), Used: t.portion.Used()}
 		shard := wire.TeamShard(name)
-		due[shard] = append(due[shard], wish)
+		due[shard] = append(due[shard], request)
 	}
-	for shard, wishes := range due {
-		sort.Slice(wishes, func(i, j int) bool { return wishes[i].Team < wishes[j].Team })
-		for _, late := range wishes[min(len(wishes), wire.MaxQuotaWishes):] {
-			h.team(late.Team).calling = false
+	for shard, requests := range due {
+		sort.Slice(requests, func(i, j int) bool { return requests[i].Team < requests[j].Team })
+		for _, deferred := range requests[min(len(requests), wire.MaxQuotaWishes):] {
+			h.team(deferred.Team).callPending = false
 		}
-		due[shard] = wishes[:min(len(wishes), wire.MaxQuotaWishes)]
+		due[shard] = requests[:min(len(requests), wire.MaxQuotaWishes)]
 	}
 	return due
 }
 
-// want is what is in use and waited for, with some spare unless others go short.
-func (t *holding) want(now time.Duration) resource.Vector {
+// want returns the amount in use and waited for plus some spare. While other holders
+// get less than they want, it is limited to the share, but not below the use.
+func (t *heldQuota) want(now time.Duration) resource.Vector {
 	base := t.portion.Used().Add(t.waiting)
 	want := base.Add(resource.Vector{
-		MilliCores: base.MilliCores / quotaSpare, MemoryMiB: base.MemoryMiB / quotaSpare,
-		Accelerators: base.Accelerators / quotaSpare, Slots: base.Slots / quotaSpare,
+		MilliCores: base.MilliCores / quotaSpareDivisor, MemoryMiB: base.MemoryMiB / quotaSpareDivisor,
+		Accelerators: base.Accelerators / quotaSpareDivisor, Slots: base.Slots / quotaSpareDivisor,
 	})
 	if t.share.IsZero() {
 		return want
@@ -110,67 +112,67 @@
 	return want.Min(t.share).Max(t.portion.Used())
 }
 
-func (t *holding) noteExcess(now time.Duration, want resource.Vector) {
+func (t *heldQuota) updateExcess(now time.Duration, want resource.Vector) {
 	if t.portion.Amount(now).Fits(want) {
-		t.excess = 0
-	} else if t.excess == 0 {
-		t.excess = now
+		t.excessSince = 0
+	} else if t.excessSince == 0 {
+		t.excessSince = now
 	}
 }
 
-func (t *holding) due(now time.Duration, want resource.Vector) bool {
-	if t.calling || now < t.nextAsk {
+func (t *heldQuota) due(now time.Duration, want resource.Vector) bool {
+	if t.callPending || now < t.nextCallAt {
 		return false
 	}
 	amount := t.portion.Amount(now)
 	switch {
 	case !t.waiting.IsZero() && !want.Fits(amount):
 		return true
-	case t.excess > 0 && (now-t.excess >= quotaIdle || !t.share.IsZero()):
+	case t.excessSince > 0 && (now-t.excessSince >= unusedQuotaReturnDelay || !t.share.IsZero()):
 		return true
 	}
-	return !want.IsZero() && t.until-now < t.ttl/2
+	return !want.IsZero() && t.expiresAt-now < t.ttl/2
 }
 
-func (t *holding) forgettable(now time.Duration) bool {
-	return !t.calling && now >= t.until && t.waiting.IsZero() && t.portion.Used().IsZero()
+func (t *heldQuota) removable(now time.Duration) bool {
+	return !t.callPending && now >= t.expiresAt && t.waiting.IsZero() && t.portion.Used().IsZero()
 }
 
-// Granted takes the owner's answer to the wish that was sent at the given time.
-// until is the end of the portion on the holder's clock, counted from then.
+// ApplyGrant applies the owner's reply to a request. until is the end of the portion on
+// the holder's clock, counted from before the request was sent.
 func (h *QuotaHolder) Granted(now, until time.Duration, p wire.QuotaPortion) {
 	t := h.team(p.Team)
-	t.calling, t.answered = false, true
+	t.callPending, t.lastCallAnswered = false, true
 	t.portion.Set(p.Amount, until)
 	t.ttl = time.Duration(p.TTLMS) * time.Millisecond
-	t.until = until
+	t.expiresAt = until
 	t.share = p.Share
 	if t.portion.Used().Add(t.waiting).Fits(p.Amount) {
-		t.strikes, t.nextAsk = 0, now
+		t.unmetCalls, t.nextCallAt = 0, now
 		return
 	}
 	t.backOff(now)
 }
 
-// Failed notes that a call got no answer. The portion goes on until it lapses.
+// CallFailed records that a call got no reply. The portion stays valid until it expires.
 func (h *QuotaHolder) Failed(now time.Duration, team string) {
 	t := h.team(team)
-	t.calling, t.answered = false, false
+	t.callPending, t.lastCallAnswered = false, false
 	t.backOff(now)
 }
 
-func (t *holding) backOff(now time.Duration) {
-	t.nextAsk = now + min(maxQuotaRetry, quotaRetry<<min(t.strikes, 5))
-	t.strikes++
+func (t *heldQuota) backOff(now time.Duration) {
+	t.nextCallAt = now + min(maxQuotaRetryDelay, minQuotaRetryDelay<<min(t.unmetCalls, 5))
+	t.unmetCalls++
 }
 
-// Used returns what is taken of the team's portion.
+// Used returns the amount acquired from the team's portion.
 func (h *QuotaHolder) Used(team string) resource.Vector { return h.team(team).portion.Used() }
 
-// SetUsed replaces what is taken of the team's portion by a count of it.
+// SetUsed replaces the amount acquired from the team's portion by a recount.
 func (h *QuotaHolder) SetUsed(team string, used resource.Vector) { h.team(team).portion.used = used }
 
-// Teams returns the teams that are held, used or waited for.
+// Teams returns the teams whose quota is held, used or waited for.
 func (h *QuotaHolder) Teams() []string {
 	names := make([]string, 0, len(h.teams))
 	for name := range h.teams {
--- a/core/admission/quotaowner.go
+++ b/core/admission/quotaowner.go
@@ -9,19 +9,19 @@
 	"briarproxy/core/wire"
 )
 
-// QuotaOwner leases portions of the quotas of the teams of one key shard. Portions
-// are not durable: those of an earlier owner lapse. Until then a holder is leased
-// what it holds, and all of them together what the earlier owners cannot have leased.
-// With bounds, an owner logs how much of a quota it leases before it leases it, so
-// that its successor knows how much that is at most.
+// QuotaOwner leases portions of the quotas of the teams of one key shard. Portions are
+// not durable: a new owner waits until those of earlier owners have expired. Until then
+// it leases a holder no more than the holder already has, plus what the earlier owners
+// cannot have leased. With bounds enforced, an owner logs an upper bound of what it
+// leases of a quota before it leases it, so that its successor knows the maximum.
 type QuotaOwner struct {
-	ttl       time.Duration // counted by the owner
-	settled   time.Duration // portions of earlier owners have surely lapsed
-	teams     map[string]*teamQuota
-	bounded   bool
-	inherited map[string]resource.Vector // with bounds: most that earlier owners leased
-	bounds    map[string]resource.Vector // logged bounds, by team
-	raises    map[string]resource.Vector // bounds that are wanted
+	ttl                  time.Duration // of a portion, on the owner's clock
+	predecessorsExpireAt time.Duration // from then on no portion of an earlier owner is valid
+	teams                map[string]*teamQuota
+	bounded              bool
+	predecessorBounds    map[string]resource.Vector // with bounds enforced: most that earlier owners leased, by team
+	loggedBounds         map[string]resource.Vector // bounds in force, by team
+	wantedBounds         map[string]resource.Vector // bounds to log next, by team
 }
 
 type teamQuota struct {
@@ -29,127 +29,133 @@
 	holders map[string]*quotaHolder
 }
 
-// QuotaBound is the record of the most that is leased of a team's quota from then on.
+// QuotaBound is the log record of the most that is leased of a team's quota from this
+// record on.
 type QuotaBound struct {
 	Team string          `json:"team"`
 	Most resource.Vector `json:"most"`
 }
 
-// quotaHolder is a daemon that asked lately.
+// quotaHolder is the owner's record of a holder whose last request is younger than the
+// TTL of a portion.
 type quotaHolder struct {
-	seq   int64
-	until time.Duration
-	unmet bool // it was granted less than it wanted
-	// carried is what it held of an earlier owner at its first call, extra what it was
-	// leased beyond that before the portions of earlier owners have lapsed.
-	carried, extra resource.Vector
+	seq       int64
+	expiresAt time.Duration
+	unmet     bool // the last grant was less than the holder wanted
+	// heldAtTakeover is what the holder had from an earlier owner at its first call, and
+	// leasedBeyond what this owner leased it beyond that amount.
+	heldAtTakeover, leasedBeyond resource.Vector
 }
 
-// NewQuotaOwner returns an owner that took over at now. ttl is the longest time,
-// on this clock, for which a holder counts on a portion.
+// NewQuotaOwner returns an owner that took over at now. ttl is the longest time, on the
+// owner's clock, for which a holder may use a portion.
 func NewQuotaOwner(now, ttl time.Duration) *QuotaOwner {
-	return &QuotaOwner{ttl: ttl, settled: now + ttl, teams: map[string]*teamQuota{}}
+	return &QuotaOwner{ttl: ttl, predecessorsExpireAt: now + ttl, teams: map[string]*teamQuota{}}
 }
 
-// Lease answers a wish; ok is false for a call that was overtaken by a later one.
-// The holder keeps at least what it both held and wants, unless the quota was
-// lowered, because it goes on using that until the answer arrives.
-func (o *QuotaOwner) Lease(now time.Duration, holder string, seq int64, quota resource.Vector, wish wire.QuotaWish) (portion wire.QuotaPortion, ok bool) {
-	t := o.team(wish.Team)
+// Lease answers a request. ok is false if a later request of the holder was answered
+// before. The holder keeps at least what it both held and wants, unless the quota was
+// lowered, because it goes on using that until the reply arrives.
+func (o *QuotaOwner) Lease(now time.Duration, holder string, seq int64, quota resource.Vector, request wire.QuotaWish) (portion wire.QuotaPortion, ok bool) {
+	t := o.team(request.Team)
 	t.expire(now)
 	h := t.holders[holder]
 	if h == nil {
-		h = &quotaHolder{carried: wish.Held.Max(resource.Vector{})}
+		h = &quotaHolder{heldAtTakeover: request.Held.Max(resource.Vector{})}
 		t.holders[holder] = h
 	}
 	if seq <= h.seq {
 		return portion, false
 	}
-	h.seq, h.until = seq, now+o.ttl
-	want := wish.Want.Max(resource.Vector{})
-	earlier := resource.Vector{} // what portions of earlier owners may take up, beside the ledger
-	if now < o.settled {
-		earlier = o.inherited[wish.Team].Add(t.extras(h)).Sub(h.carried)
-		want = want.Min(h.carried.Add(o.fresh(earlier.Add(h.carried), quota)))
+	h.seq, h.expiresAt = seq, now+o.ttl
+	want := request.Want.Max(resource.Vector{})
+	predecessors := resource.Vector{} // upper bound of what other holders have, while portions of earlier owners are valid
+	if now < o.predecessorsExpireAt {
+		predecessors = o.predecessorBounds[request.Team].Add(t.othersLeasedBeyond(h)).Sub(h.heldAtTakeover)
+		want = want.Min(h.heldAtTakeover.Add(o.additionalFree(predecessors.Add(h.heldAtTakeover), quota)))
 	}
-	portion.Team = wish.Team
+	portion.Team = request.Team
 	if t.othersUnmet(h) {
 		portion.Share = ceilDivide(quota, int64(len(t.holders)))
-		want = want.Min(portion.Share.Max(wish.Held).Max(wish.Used))
+		want = want.Min(portion.Share.Max(request.Held).Max(request.Used))
 	}
 	t.ledger.SetQuota(quota)
 	others := t.ledger.LeasedToOthers(now, holder)
-	if now < o.settled {
-		others = earlier
+	if now < o.predecessorsExpireAt {
+		others = predecessors
 	}
-	want = o.withinBound(others, quota, want, wish.Team)
+	want = o.limitToBound(others, quota, want, request.Team)
 	portion.Amount = t.ledger.Lease(now, o.ttl, holder, want)
-	h.extra = portion.Amount.Sub(h.carried).Max(resource.Vector{})
-	t.ledger.Count(now, o.ttl, holder, wish.Used)
-	h.unmet = !wish.Want.Fits(portion.Amount)
+	h.leasedBeyond = portion.Amount.Sub(h.heldAtTakeover).Max(resource.Vector{})
+	t.ledger.Count(now, o.ttl, holder, request.Used)
+	h.unmet = !request.Want.Fits(portion.Amount)
 	return portion, true
 }
 
-// UseBounds makes the owner lease only within logged bounds. logged holds those of
-// earlier owners, which are also the bounds in force now.
+// EnforceBounds makes the owner lease only within logged bounds. logged holds the bounds
+// that earlier owners logged, which are also the bounds in force now.
 func (o *QuotaOwner) UseBounds(logged map[string]resource.Vector) {
 	o.bounded = true
-	o.inherited, o.bounds, o.raises = maps.Clone(logged), maps.Clone(logged), map[string]resource.Vector{}
-	if o.bounds == nil {
-		o.bounds = map[string]resource.Vector{}
+	o.predecessorBounds, o.loggedBounds, o.wantedBounds = maps.Clone(logged), maps.Clone(logged), map[string]resource.Vector{}
+	if o.loggedBounds == nil {
+		o.loggedBounds = map[string]resource.Vector{}
 	}
 }
 
-// Raises returns the bounds to log now; each is returned once until it was logged.
+// TakeBoundsToLog returns and clears the bounds to log now. A bound whose append fails is
+// returned again after the next request that needs it.
 func (o *QuotaOwner) Raises() []QuotaBound {
 	var bounds []QuotaBound
-	for _, team := range slices.Sorted(maps.Keys(o.raises)) {
-		bounds = append(bounds, QuotaBound{Team: team, Most: o.raises[team]})
+	for _, team := range slices.Sorted(maps.Keys(o.wantedBounds)) {
+		bounds = append(bounds, QuotaBound{Team: team, Most: o.wantedBounds[team]})
 	}
-	clear(o.raises)
+	clear(o.wantedBounds)
 	return bounds
 }
 
-// Logged notes that a bound is in the log.
-func (o *QuotaOwner) Logged(b QuotaBound) { o.bounds[b.Team] = o.bounds[b.Team].Max(b.Most) }
+// BoundLogged records that a bound is in the log.
+func (o *QuotaOwner) Logged(b QuotaBound) {
+	o.loggedBounds[b.Team] = o.loggedBounds[b.Team].Max(b.Most)
+}
 
-// fresh returns what a holder may have beyond what it carried over: the part of the
-// quota that neither earlier owners can have leased nor others got from this one.
-func (o *QuotaOwner) fresh(taken, quota resource.Vector) resource.Vector {
+// additionalFree returns what a holder may be leased beyond heldAtTakeover: the part of
+// the quota that neither earlier owners can have leased nor this owner leased to others.
+func (o *QuotaOwner) additionalFree(taken, quota resource.Vector) resource.Vector {
 	if !o.bounded {
 		return resource.Vector{}
 	}
 	return quota.Sub(taken).Max(resource.Vector{})
 }
 
-// extras returns what the other holders were leased beyond what they carried over.
-func (t *teamQuota) extras(self *quotaHolder) resource.Vector {
+// othersLeasedBeyond returns the sum of leasedBeyond of all other holders.
+func (t *teamQuota) othersLeasedBeyond(self *quotaHolder) resource.Vector {
 	var sum resource.Vector
 	for _, h := range t.holders {
 		if h != self {
-			sum = sum.Add(h.extra)
+			sum = sum.Add(h.leasedBeyond)
 		}
 	}
 	return sum
 }
 
-// withinBound cuts a wish to what the logged bound allows in all, and notes when a
-// higher bound is wanted.
-func (o *QuotaOwner) withinBound(others, quota, want resource.Vector, team string) resource.Vector {
+// limitToBound limits the wanted amount to what the logged bound leaves beside the
+// amount of the others, and records a higher bound to log if that is not enough.
+func (o *QuotaOwner) limitToBound(others, quota, want resource.Vector, team string) resource.Vector {
 	if !o.bounded {
 		return want
 	}
-	bound := o.bounds[team]
+	bound := o.loggedBounds[team]
 	needed := others.Add(want).Min(quota)
 	if !needed.Fits(bound) {
-		o.raises[team] = bound.Max(needed.Scale(2).Max(ceilDivide(quota, boundSteps)).Min(quota))
+		o.wantedBounds[team] = bound.Max(needed.Scale(2).Max(ceilDivide(quota, maxBoundSteps)).Min(quota))
 	}
 	return want.Min(bound.Sub(others).Max(resource.Vector{}))
 }
 
-// boundSteps is the number of steps in which a bound is raised at the least, so that a
-// team needs few records.
-const boundSteps = 4
+// maxBoundSteps is the largest number of steps in which a bound is raised to the quota:
+// each raise is at least the quota divided by it, which keeps the log records of a team
+// few.
+const maxBoundSteps = 4
 
 func (o *QuotaOwner) team(name string) *teamQuota {
 	t := o.teams[name]
@@ -160,8 +166,8 @@
 	return t
 }
 
-// Expire forgets holders that have not asked for the time of a portion, and teams
-// without holders.
+// Expire drops holders without a request during the TTL of a portion, and teams without
+// holders.
 func (o *QuotaOwner) Expire(now time.Duration) {
 	for name, t := range o.teams {
 		t.expire(now)
@@ -173,7 +179,7 @@
 
 func (t *teamQuota) expire(now time.Duration) {
 	for name, h := range t.holders {
-		if now >= h.until {
+		if now >= h.expiresAt {
 			delete(t.holders, name)
 		}
 	}
--- a/core/admission/retry.go
+++ b/core/admission/retry.go
@@ -6,26 +6,26 @@
 	"time"
 )
 
-// RetryBudget allows retries up to a part of the requests, so that retries can't
-// multiply the load on a pool that already fails.
+// RetryBudget is a token bucket that limits retries to a fraction of the requests, so
+// that retries can't multiply the load on a pool that already fails.
 type RetryBudget struct {
 	tokens float64
 }
 
-// Parameters of a retry budget.
+// Parameters of the token bucket. A retry costs one token.
 const (
-	retryRatio    = 0.1 // retries per request
-	retryReserve  = 10  // retries allowed before any request was counted
-	retryTokenMax = 100 // bounds the burst after a long time without retries
+	retryTokensPerRequest = 0.1 // limits retries to a tenth of the requests
+	initialRetryTokens    = 10  // retries allowed before the first request
+	maxRetryTokens        = 100 // limits the burst after a long time without retries
 )
 
-// NewRetryBudget returns a budget with its reserve.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: retryReserve} }
+// NewRetryBudget returns a budget with its initial tokens.
+func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: initialRetryTokens} }
 
-// Request counts a request that is not a retry.
-func (b *RetryBudget) Request() { b.tokens = math.Min(retryTokenMax, b.tokens+retryRatio) }
+// AddRequest counts a request that is not a retry.
+func (b *RetryBudget) Request() { b.tokens = math.Min(maxRetryTokens, b.tokens+retryTokensPerRequest) }
 
-// Retry reports whether a retry may be made, and charges it.
+// TryRetry charges a retry to the budget and returns false if the budget is exhausted.
 func (b *RetryBudget) Retry() bool {
 	if b.tokens < 1 {
 		return false
@@ -34,11 +34,12 @@
 	return true
 }
 
-// MaxBackoff bounds the backoff before one retry.
+// MaxBackoff is the longest wait before one retry.
 const MaxBackoff = 30 * time.Second
 
-// Backoff returns the wait before retry number attempt, counted from 0: uniform
-// between 0 and base doubled attempt times (full jitter).
+// Backoff returns the wait before retry number attempt, counted from 0, by exponential
+// backoff with full jitter: uniform between 0 and base doubled attempt times, at most
+// MaxBackoff.
 func Backoff(rng *rand.Rand, base time.Duration, attempt int) time.Duration {
 	if base <= 0 {
 		return 0
@@ -50,35 +51,37 @@
 	return time.Duration(rng.Int64N(int64(limit) + 1))
 }
 
-// ServiceRate measures how many requests per second a pool serves. It divides the
-// slots by the mean run time, because a plain count of completions would only show
-// the arrival rate while the pool is not full.
+// ServiceRate estimates how many requests per second a pool can serve. It divides the
+// number of slots by the mean run time, because counting completions would measure the
+// arrival rate while the pool is not fully used.
 type ServiceRate struct {
-	mean float64 // seconds, 0 before the first sample
+	meanSeconds float64 // mean run time, 0 before the first sample
 }
 
-// sampleWeight is the weight of a new run time in the moving mean.
-const sampleWeight = 0.05
+// newSampleWeight is the weight of a new run time in the exponential moving average.
+const newSampleWeight = 0.05
 
-// minMeanRun keeps the rate finite.
-const minMeanRun = 0.0005 // seconds
+// minMeanSeconds is the lower limit of the mean run time, which keeps the rate finite.
+const minMeanSeconds = 0.0005
 
 // Observe adds the run time of one request.
 func (r *ServiceRate) Observe(run time.Duration) {
-	if r.mean == 0 {
-		r.mean = math.Max(minMeanRun, run.Seconds())
+	if r.meanSeconds == 0 {
+		r.meanSeconds = math.Max(minMeanSeconds, run.Seconds())
 		return
 	}
-	r.mean = math.Max(minMeanRun, r.mean+sampleWeight*(run.Seconds()-r.mean))
+	r.meanSeconds = math.Max(minMeanSeconds, r.meanSeconds+newSampleWeight*(run.Seconds()-r.meanSeconds))
 }
 
-// PerSecond returns the rate with the given number of slots, 0 when it is unknown.
+// PerSecond returns the rate for the given number of slots, or 0 if it is unknown.
 func (r *ServiceRate) PerSecond(slots int64) float64 {
-	if r.mean == 0 {
+	if r.meanSeconds == 0 {
 		return 0
 	}
-	return float64(slots) / r.mean
+	return float64(slots) / r.meanSeconds
 }
 
-// Mean returns the mean run time, 0 when it is unknown.
-func (r *ServiceRate) Mean() time.Duration { return time.Duration(r.mean * float64(time.Second)) }
+// MeanRunTime returns the mean run time, or 0 if it is unknown.
+func (r *ServiceRate) Mean() time.Duration {
+	return time.Duration(r.meanSeconds * float64(time.Second))
+}
--- a/core/estimate/doc.go
+++ b/core/estimate/doc.go
@@ -1,6 +1,6 @@
-// Package estimate learns the sizes and run times of a job template's tasks from
-// lagged reports.
+// Package estimate estimates the resource use and run time of a job template's tasks
+// from usage reports, which arrive with a lag.
 //
-// The state per template is a few hundred bytes, whatever the number of tasks.
+// The state of a template has a fixed size, independent of the number of its tasks.
 // The same reports in the same order give the same estimates.
 package estimate
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -8,20 +8,20 @@
 	"briarproxy/core/resource"
 )
 
-// Options bound the estimates.
+// Options configures an Estimator.
 type Options struct {
-	Quantile     float64       // share of past tasks that the size must suffice for, 0 to 1
-	RunQuantile  float64       // the same for run times
-	Safety       float64       // factor on the quantile
-	DeclaredTop  float64       // bound: declared size times this, unless reports prove more
-	MinSamples   int           // ended tasks needed before the declared size is replaced
-	Lag          time.Duration // lag of reports; the use of shorter tasks is not known
-	Window       time.Duration // reports of this period count as present
-	MaxTemplates int           // templates kept; the one unused for longest is dropped
+	Quantile     float64       // fraction of past tasks whose use the estimated size must cover, 0 to 1
+	RunQuantile  float64       // fraction of past tasks whose run time the estimate must cover, 0 to 1
+	Safety       float64       // multiplier of the size quantile
+	DeclaredTop  float64       // limit of the estimate as a multiple of the declared size, unless reported use exceeds it
+	MinSamples   int           // number of ended tasks before estimates replace the declared values
+	Lag          time.Duration // lag of usage reports; the use of tasks that run shorter is unknown
+	Window       time.Duration // length of the periods for which the peak use is kept
+	MaxTemplates int           // most templates kept; the least recently used are evicted
 }
 
-// runUnit is the resolution of run times. The histogram then covers 116 hours.
-const runUnit = 100 * time.Millisecond
+// runTimeResolution is the unit of the run time histogram, which so covers 116 hours.
+const runTimeResolution = 100 * time.Millisecond
 
 // Defaults returns the options that the daemon uses.
 func Defaults() Options {
@@ -31,47 +31,47 @@
 	}
 }
 
-// Estimator holds what is known about each template. It is not safe for
-// concurrent use.
+// Estimator keeps usage statistics of each job template. It is not safe for concurrent
+// use.
 type Estimator struct {
 	options   Options
 	templates map[string]*template
 }
 
-// template is what is known about one job template.
+// template holds the usage statistics of one job template.
 type template struct {
 	cores, memory histogram
-	runTime       histogram       // in units of runUnit
-	most          resource.Vector // most use ever reported
-	windows       [2]window       // present and previous period
-	used          time.Duration
+	runTime       histogram       // in units of runTimeResolution
+	peak          resource.Vector // highest use ever reported, by resource kind
+	windows       [2]window       // the period of the last report and the one recorded before it
+	lastUsed      time.Duration
 }
 
-// window is the most use reported in one period.
+// window holds the highest use reported in one period.
 type window struct {
-	number int64
-	most   resource.Vector
+	index int64
+	peak  resource.Vector
 }
 
-// New returns an estimator that knows nothing.
+// New returns an estimator without data.
 func New(o Options) *Estimator {
 	return &Estimator{options: o, templates: map[string]*template{}}
 }
 
-// Reported takes the use that a report shows for one running attempt.
+// ObserveUse adds the reported use of one running attempt.
 func (e *Estimator) Reported(name string, use resource.Vector, now time.Duration) {
-	e.get(name, now).seen(use, e.windowOf(now))
+	e.getOrCreate(name, now).recordUse(use, e.windowIndex(now))
 }
 
-// Ended takes the peak use and the run time of an attempt that finished. Use that
-// the lagged reports could not have measured is not learned from.
+// ObserveEnd adds the peak use and the run time of a finished attempt. The use is
+// ignored if the attempt was too short for the lagged reports to measure it.
 func (e *Estimator) Ended(name string, peak resource.Vector, ran, now time.Duration) {
-	t := e.get(name, now)
-	t.runTime.add(int64(ran / runUnit))
+	t := e.getOrCreate(name, now)
+	t.runTime.add(int64(ran / runTimeResolution))
 	if ran < e.options.Lag {
 		return
 	}
-	t.seen(peak, e.windowOf(now))
+	t.recordUse(peak, e.windowIndex(now))
 	if peak.MilliCores > 0 {
 		t.cores.add(peak.MilliCores)
 	}
@@ -80,29 +80,29 @@
 	}
 }
 
-// Size returns the estimate for a new task of the template. Accelerators and slots
-// are as declared.
+// Size returns the estimated resource use of a new task of the template. Accelerators
+// and slots are returned as declared.
 func (e *Estimator) Size(name string, declared resource.Vector, now time.Duration) resource.Vector {
 	t, ok := e.templates[name]
 	if !ok {
 		return declared
 	}
-	t.used = now
-	present := t.present(e.windowOf(now))
+	t.lastUsed = now
+	recentPeak := t.recentPeak(e.windowIndex(now))
 	size := declared
-	size.MilliCores = e.amount(&t.cores, declared.MilliCores, t.most.MilliCores, present.MilliCores)
-	size.MemoryMiB = e.amount(&t.memory, declared.MemoryMiB, t.most.MemoryMiB, present.MemoryMiB)
+	size.MilliCores = e.estimateAmount(&t.cores, declared.MilliCores, t.peak.MilliCores, recentPeak.MilliCores)
+	size.MemoryMiB = e.estimateAmount(&t.memory, declared.MemoryMiB, t.peak.MemoryMiB, recentPeak.MemoryMiB)
 	return size
 }
 
-// amount estimates one kind of resource.
-func (e *Estimator) amount(h *histogram, declared, most, present int64) int64 {
+// estimateAmount estimates the use of one resource kind.
+func (e *Estimator) estimateAmount(h *histogram, declared, peak, recentPeak int64) int64 {
 	if h.total < e.options.MinSamples {
-		return max(declared, present)
+		return max(declared, recentPeak)
 	}
 	learned := int64(float64(h.quantile(e.options.Quantile)) * e.options.Safety)
-	top := max(int64(float64(declared)*e.options.DeclaredTop), most)
-	return max(min(learned, top), present)
+	upperBound := max(int64(float64(declared)*e.options.DeclaredTop), peak)
+	return max(min(learned, upperBound), recentPeak)
 }
 
 // RunTime returns the estimated run time of a new task of the template.
@@ -111,30 +111,30 @@
 	if !ok || t.runTime.total < e.options.MinSamples {
 		return declared
 	}
-	return time.Duration(t.runTime.quantile(e.options.RunQuantile)+1) * runUnit
+	return time.Duration(t.runTime.quantile(e.options.RunQuantile)+1) * runTimeResolution
 }
 
-// Committed returns what a worker must count for one attempt.
+// Committed returns the amount to commit on a worker for one attempt.
 func Committed(estimated, reported resource.Vector) resource.Vector {
 	return estimated.Max(reported)
 }
 
-func (e *Estimator) windowOf(now time.Duration) int64 { return int64(now / e.options.Window) }
+func (e *Estimator) windowIndex(now time.Duration) int64 { return int64(now / e.options.Window) }
 
-func (e *Estimator) get(name string, now time.Duration) *template {
+func (e *Estimator) getOrCreate(name string, now time.Duration) *template {
 	t, ok := e.templates[name]
 	if !ok {
-		e.makeRoom()
+		e.evictIfFull()
 		t = &template{}
 		e.templates[name] = t
 	}
-	t.used = now
+	t.lastUsed = now
 	return t
 }
 
-// makeRoom drops the quarter of the templates that was unused for longest, so
-// that the scan is rare.
-func (e *Estimator) makeRoom() {
+// evictIfFull evicts the least recently used quarter of the templates when the limit is
+// reached. Evicting many at once keeps the scan of all templates rare.
+func (e *Estimator) evictIfFull() {
 	if len(e.templates) < e.options.MaxTemplates {
 		return
 	}
@@ -143,30 +143,30 @@
 		names = append(names, name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(e.templates[a].used, e.templates[b].used), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(e.templates[a].lastUsed, e.templates[b].lastUsed), cmp.Compare(a, b))
 	})
 	for _, name := range names[:len(names)/4+1] {
 		delete(e.templates, name)
 	}
 }
 
-// seen raises the maximum of the present period.
-func (t *template) seen(use resource.Vector, number int64) {
-	t.most = t.most.Max(use)
-	if number != t.windows[0].number {
+// recordUse raises the overall peak and the peak of the given period.
+func (t *template) recordUse(use resource.Vector, index int64) {
+	t.peak = t.peak.Max(use)
+	if index != t.windows[0].index {
 		t.windows[1] = t.windows[0]
-		t.windows[0] = window{number: number}
+		t.windows[0] = window{index: index}
 	}
-	t.windows[0].most = t.windows[0].most.Max(use)
+	t.windows[0].peak = t.windows[0].peak.Max(use)
 }
 
-// present returns the most use reported in this period and the one before.
-func (t *template) present(number int64) resource.Vector {
-	var most resource.Vector
+// recentPeak returns the highest use reported in the given period and the one before.
+func (t *template) recentPeak(index int64) resource.Vector {
+	var peak resource.Vector
 	for _, w := range t.windows {
-		if number-w.number <= 1 {
-			most = most.Max(w.most)
+		if index-w.index <= 1 {
+			peak = peak.Max(w.peak)
 		}
 	}
-	return most
+	return peak
 }
--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -26,29 +26,29 @@
 
 func cores(n int64) resource.Vector { return resource.Vector{MilliCores: n, MemoryMiB: n} }
 
-// Guards against a bucket whose upper end is below its amounts: the estimate
-// would be below the use.
+// Guards against a bucket whose upper bound is below one of its amounts, which would
+// make the estimate lower than the use.
 func TestHistogramBucketsCoverTheirAmounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		amount := rapid.Int64Range(0, 1<<22-1).Draw(t, "amount")
-		top := upper(bucketOf(amount))
+		top := bucketUpperBound(bucketIndex(amount))
 		assert.GreaterOrEqual(t, top, amount)
-		assert.LessOrEqual(t, top, amount+amount/perDoubling)
+		assert.LessOrEqual(t, top, amount+amount/bucketsPerDoubling)
 	})
 }
 
-// Guards against estimates below present reports, above the bound without proof,
-// and different estimates from the same reports.
+// Guards against estimates below the latest reports, estimates above the limit that no
+// report justifies, and different estimates from the same reports.
 func TestEstimateStaysWithinItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := Defaults()
 		a, b := New(o), New(o)
 		declared := cores(rapid.Int64Range(1, 10_000).Draw(t, "declared"))
-		most, last, now := int64(0), int64(0), time.Duration(0)
+		peak, last, now := int64(0), int64(0), time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(t, "reports") {
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pass s")) * time.Second
 			last = rapid.Int64Range(0, 50_000).Draw(t, "use")
-			most = max(most, last)
+			peak = max(peak, last)
 			running := rapid.Bool().Draw(t, "running")
 			for _, e := range []*Estimator{a, b} {
 				if running {
@@ -61,13 +61,13 @@
 		size := a.Size("job", declared, now)
 		assert.Equal(t, size, b.Size("job", declared, now))
 		assert.GreaterOrEqual(t, size.MilliCores, last)
-		assert.LessOrEqual(t, size.MemoryMiB, max(most, 2*declared.MemoryMiB))
+		assert.LessOrEqual(t, size.MemoryMiB, max(peak, 2*declared.MemoryMiB))
 		assert.True(t, cores(last).Fits(Committed(size, cores(last))))
 	})
 }
 
-// Guards against declared sizes that are kept although reports show far less or
-// far more, and against one outlier that sets the size for good.
+// Guards against keeping a declared size although reports show far less or far more
+// use, and against one outlier that determines the size permanently.
 func TestEstimateFollowsReports(t *testing.T) {
 	cases := map[string]struct {
 		use      func(i int) int64
@@ -92,8 +92,8 @@
 	}
 }
 
-// Guards against learning from attempts that ended before reports could measure
-// them, and against estimates from too few attempts.
+// Guards against using the reported use of attempts that ended before reports could
+// measure it, and against estimates from too few attempts.
 func TestShortOrFewAttemptsDoNotReplaceTheDeclaration(t *testing.T) {
 	e := New(Defaults())
 	for range 100 {
@@ -106,7 +106,7 @@
 	assert.Equal(t, time.Hour, e.RunTime("few", time.Hour))
 }
 
-// Guards against memory that grows with the number of templates.
+// Guards against unbounded memory use as the number of templates grows.
 func TestTemplatesAreBounded(t *testing.T) {
 	o := Defaults()
 	o.MaxTemplates = 16
--- a/core/estimate/histogram.go
+++ b/core/estimate/histogram.go
@@ -2,49 +2,50 @@
 
 import "math/bits"
 
-// Amounts are counted in buckets of eight per doubling, so that an estimate is at
-// most one eighth above the amount that it stands for.
+// The buckets are exponential with eight linear buckets per doubling, so that the upper
+// bound of a bucket is at most one eighth above any amount in it.
 const (
-	perDoubling     = 8
-	perDoublingBits = 3
-	buckets         = 20 * perDoubling // covers amounts below 2^22
-	halveAt         = 512              // samples after which old ones lose half their weight
+	bucketsPerDoubling     = 8
+	bucketsPerDoublingLog2 = 3
+	bucketCount            = 20 * bucketsPerDoubling // covers amounts below 2^22
+	maxSampleCount         = 512                     // at this number of samples all counts are halved
 )
 
-// histogram counts amounts; recent ones weigh more.
+// histogram counts amounts by bucket. Halving the counts gives recent amounts more
+// weight.
 type histogram struct {
-	counts [buckets]uint16
+	counts [bucketCount]uint16
 	total  int
 }
 
-func bucketOf(amount int64) int {
-	if amount < perDoubling {
+func bucketIndex(amount int64) int {
+	if amount < bucketsPerDoubling {
 		return int(max(amount, 0))
 	}
 	exponent := bits.Len64(uint64(amount)) - 1
-	part := int(amount>>(exponent-perDoublingBits)) & (perDoubling - 1)
-	return min((exponent-perDoublingBits+1)*perDoubling+part, buckets-1)
+	subBucket := int(amount>>(exponent-bucketsPerDoublingLog2)) & (bucketsPerDoubling - 1)
+	return min((exponent-bucketsPerDoublingLog2+1)*bucketsPerDoubling+subBucket, bucketCount-1)
 }
 
-// upper returns the largest amount of a bucket.
-func upper(bucket int) int64 {
-	if bucket < perDoubling {
+// bucketUpperBound returns the largest amount of a bucket.
+func bucketUpperBound(bucket int) int64 {
+	if bucket < bucketsPerDoubling {
 		return int64(bucket)
 	}
-	exponent := bucket/perDoubling + perDoublingBits - 1
-	part := int64(bucket % perDoubling)
-	return (perDoubling+part+1)<<(exponent-perDoublingBits) - 1
+	exponent := bucket/bucketsPerDoubling + bucketsPerDoublingLog2 - 1
+	subBucket := int64(bucket % bucketsPerDoubling)
+	return (bucketsPerDoubling+subBucket+1)<<(exponent-bucketsPerDoublingLog2) - 1
 }
 
 func (h *histogram) add(amount int64) {
-	if h.total >= halveAt {
-		h.halve()
+	if h.total >= maxSampleCount {
+		h.halveCounts()
 	}
-	h.counts[bucketOf(amount)]++
+	h.counts[bucketIndex(amount)]++
 	h.total++
 }
 
-func (h *histogram) halve() {
+func (h *histogram) halveCounts() {
 	h.total = 0
 	for i := range h.counts {
 		h.counts[i] /= 2
@@ -52,15 +53,16 @@
 	}
 }
 
-// quantile returns an amount that at least the given share of samples is not
-// above. Amounts in the last bucket are unbounded; the caller bounds them.
+// quantile returns an amount that at least the given share of the samples does not
+// exceed. The last bucket also counts all larger amounts, which may exceed the returned
+// value.
 func (h *histogram) quantile(share float64) int64 {
-	left := int(share * float64(h.total))
+	remaining := int(share * float64(h.total))
 	for i := range h.counts {
-		left -= int(h.counts[i])
-		if left < 0 {
-			return upper(i)
+		remaining -= int(h.counts[i])
+		if remaining < 0 {
+			return bucketUpperBound(i)
 		}
 	}
-	return upper(buckets - 1)
+	return bucketUpperBound(bucketCount - 1)
 }
--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -1,7 +1,7 @@
-// Package quarantine tells workers that fail everything from tasks that fail
-// everywhere. A worker that fails consecutive starts of unlike tasks, which are
-// tasks of different job templates, is isolated and probed with backoff. A task
-// that failed on unlike workers, which are workers in different racks, is failed
-// itself and does not count against workers; nor does a template whose tasks
-// failed on unlike workers and succeeded nowhere since.
+// Package quarantine distinguishes faulty workers from faulty tasks. A worker on which
+// consecutive starts of tasks of different job templates fail is isolated and probed
+// with exponential backoff. A task that fails on workers in different racks is itself
+// considered faulty, and its failures do not count against workers. The same holds for
+// the failures of a template whose tasks failed in different racks and have not
+// succeeded anywhere since.
 package quarantine
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Options are the thresholds.
+// Options holds the thresholds and probe delays.
 type Options struct {
 	WorkerFailures int           // consecutive failures that isolate a worker
-	UnlikeTasks    int           // job templates that they must belong to
-	UnlikeWorkers  int           // racks on which a task or template failed
-	FirstProbe     time.Duration // wait before the first probe; doubles with each failed one
+	UnlikeTasks    int           // number of different job templates among these failures
+	UnlikeWorkers  int           // number of racks in which a task or template must fail to be considered faulty
+	FirstProbe     time.Duration // wait before the first probe; doubles with each failed probe
 	MaxProbe       time.Duration // longest wait between probes
 }
 
@@ -22,10 +22,11 @@
 	}
 }
 
-// maxFailures bounds the failures kept per worker, task and template.
-const maxFailures = 16
+// maxTrackedFailures limits the failures kept per worker and the racks kept per task and
+// per template.
+const maxTrackedFailures = 16
 
-// Failure is one start that failed.
+// Failure is one failed start.
 type Failure struct {
 	VM       string
 	Rack     string // data centre and rack, see wire.RackUnit
@@ -33,37 +34,38 @@
 	Template string
 }
 
-// Verdict is what follows from a failure.
+// Verdict lists the actions to take after a failure.
 type Verdict struct {
 	Isolate    []string // VMs to isolate
-	Restore    []string // VMs that were isolated because of tasks that fail everywhere
-	TaskFailed bool     // the task fails everywhere: do not try it again
+	Restore    []string // VMs to use again, because faulty tasks had caused their isolation
+	TaskFailed bool     // the task is faulty and must not be retried
 }
 
-// Tracker holds the failures that matter. It is not safe for concurrent use.
+// Tracker keeps the recent failures of workers, tasks and templates. It is not safe for
+// concurrent use.
 type Tracker struct {
 	options   Options
 	workers   map[string]*worker
-	tasks     map[string]*racks
-	templates map[string]*racks
+	tasks     map[string]*rackList
+	templates map[string]*rackList
 }
 
-// worker is a VM with consecutive failures.
+// worker is the state of a VM whose last starts failed.
 type worker struct {
-	failures []Failure
-	isolated bool
-	probes   int           // failed probes
-	probeAt  time.Duration // next probe
-	probing  bool          // a probe is running
+	failures     []Failure
+	isolated     bool
+	failedProbes int           // consecutive
+	nextProbeAt  time.Duration // while probing: time at which the probe expires
+	probing      bool          // a probe is running
 }
 
-// racks is the list of racks on which something failed.
-type racks struct {
+// rackList is the list of racks in which a task or template failed.
+type rackList struct {
 	names []string
 }
 
-func (r *racks) add(name string) {
-	if len(r.names) < maxFailures && !slices.Contains(r.names, name) {
+func (r *rackList) add(name string) {
+	if len(r.names) < maxTrackedFailures && !slices.Contains(r.names, name) {
 		r.names = append(r.names, name)
 	}
 }
@@ -72,13 +74,14 @@
 func New(o Options) *Tracker {
 	return &Tracker{
 		options: o, workers: map[string]*worker{},
-		tasks: map[string]*racks{}, templates: map[string]*racks{},
+		tasks: map[string]*rackList{}, templates: map[string]*rackList{},
 	}
 }
 
-// Failed takes a failed start. A failure of an isolated worker is a failed probe.
+// RecordFailure records a failed start. If the worker is isolated and being probed, the
+// failure also ends the probe.
 func (t *Tracker) Failed(f Failure, now time.Duration) Verdict {
-	t.note(f)
+	t.recordRack(f)
 	w := t.worker(f.VM)
 	if w.isolated {
 		t.probeFailed(w, now)
@@ -87,26 +90,26 @@
 	if t.failsEverywhere(t.tasks[f.TaskID]) {
 		v.TaskFailed = true
 	}
-	if t.excused(f) {
-		v.Restore = t.excuse(f)
+	if t.isTaskFault(f) {
+		v.Restore = t.discardTaskFaults(f)
 		return v
 	}
-	t.count(w, f)
-	if !w.isolated && t.qualifies(w) {
+	t.addFailure(w, f)
+	if !w.isolated && t.meetsThresholds(w) {
 		w.isolated = true
-		w.probeAt = now + t.options.FirstProbe
+		w.nextProbeAt = now + t.options.FirstProbe
 		v.Isolate = []string{f.VM}
 	}
 	return v
 }
 
-// note adds the rack to those on which the task and the template failed.
-func (t *Tracker) note(f Failure) {
+// recordRack adds the rack to those in which the task and the template failed.
+func (t *Tracker) recordRack(f Failure) {
 	if t.tasks[f.TaskID] == nil {
-		t.tasks[f.TaskID] = &racks{}
+		t.tasks[f.TaskID] = &rackList{}
 	}
 	if t.templates[f.Template] == nil {
-		t.templates[f.Template] = &racks{}
+		t.templates[f.Template] = &rackList{}
 	}
 	t.tasks[f.TaskID].add(f.Rack)
 	t.templates[f.Template].add(f.Rack)
@@ -121,27 +124,27 @@
 	return w
 }
 
-func (t *Tracker) failsEverywhere(r *racks) bool {
+func (t *Tracker) failsEverywhere(r *rackList) bool {
 	return r != nil && len(r.names) >= t.options.UnlikeWorkers
 }
 
-// excused tells whether the failure is the task's or its template's fault.
-func (t *Tracker) excused(f Failure) bool {
+// isTaskFault reports whether the failure is attributed to the task or its template.
+func (t *Tracker) isTaskFault(f Failure) bool {
 	return t.failsEverywhere(t.tasks[f.TaskID]) || t.failsEverywhere(t.templates[f.Template])
 }
 
-// excuse removes the failures of the task, or of its template, from all workers.
-// It returns the workers that are not isolated any more.
-func (t *Tracker) excuse(f Failure) []string {
+// discardTaskFaults removes the failures that are attributed to tasks or templates from
+// all workers. It returns the workers that are no longer isolated.
+func (t *Tracker) discardTaskFaults(f Failure) []string {
 	var restored []string
 	for vm, w := range t.workers {
-		w.failures = slices.DeleteFunc(w.failures, t.excused)
-		if !w.isolated || t.qualifies(w) {
+		w.failures = slices.DeleteFunc(w.failures, t.isTaskFault)
+		if !w.isolated || t.meetsThresholds(w) {
 			t.dropIfEmpty(vm, w)
 			continue
 		}
-		// A worker whose probes failed too is isolated for a reason of its own.
-		if w.probes > 0 {
+		// Failed probes show that the worker itself is faulty, so it stays isolated.
+		if w.failedProbes > 0 {
 			continue
 		}
 		restored = append(restored, vm)
@@ -157,14 +160,14 @@
 	}
 }
 
-func (t *Tracker) count(w *worker, f Failure) {
-	if len(w.failures) >= maxFailures {
+func (t *Tracker) addFailure(w *worker, f Failure) {
+	if len(w.failures) >= maxTrackedFailures {
 		w.failures = slices.Delete(w.failures, 0, 1)
 	}
 	w.failures = append(w.failures, f)
 }
 
-func (t *Tracker) qualifies(w *worker) bool {
+func (t *Tracker) meetsThresholds(w *worker) bool {
 	if len(w.failures) < t.options.WorkerFailures {
 		return false
 	}
@@ -179,11 +182,11 @@
 
 func (t *Tracker) probeFailed(w *worker, now time.Duration) {
 	if !w.probing {
-		return // a start from before the isolation
+		return // the start was sent before the isolation
 	}
 	w.probing = false
-	w.probes++
-	w.probeAt = now + t.backoff(w.probes)
+	w.failedProbes++
+	w.nextProbeAt = now + t.backoff(w.failedProbes)
 }
 
 // backoff returns the wait after the given number of failed probes.
@@ -198,8 +201,8 @@
 	return wait
 }
 
-// Succeeded takes a start that went well and reports whether the worker was
-// isolated and is not any more.
+// RecordSuccess records a successful start, which ends an isolation of the worker. It
+// reports whether the worker was isolated.
 func (t *Tracker) Succeeded(vm, taskID, template string) bool {
 	delete(t.templates, template)
 	delete(t.tasks, taskID)
@@ -211,12 +214,12 @@
 	return w.isolated
 }
 
-// Probes returns the isolated workers that may get one task now, in order of
+// DueProbes returns the isolated workers that may be probed with one task now, sorted by
 // name.
 func (t *Tracker) Probes(now time.Duration) []string {
 	var due []string
 	for vm, w := range t.workers {
-		if w.isolated && !w.probing && now >= w.probeAt {
+		if w.isolated && !w.probing && now >= w.nextProbeAt {
 			due = append(due, vm)
 		}
 	}
@@ -224,28 +227,29 @@
 	return due
 }
 
-// ProbeStarted notes that a task was sent to an isolated worker. If nothing is
-// heard of it until expires, the worker may be probed again.
+// ProbeStarted records that a task was sent to an isolated worker. Without an outcome
+// until expires, ExpireProbes counts the probe as failed.
 func (t *Tracker) ProbeStarted(vm string, expires time.Duration) {
 	if w, ok := t.workers[vm]; ok && w.isolated {
 		w.probing = true
-		w.probeAt = expires
+		w.nextProbeAt = expires
 	}
 }
 
-// ProbeUnused notes that the task of a probe was never started. The worker may be
-// probed again after the first wait.
+// ProbeNotStarted records that the task of a probe was never started. The worker may be
+// probed again after FirstProbeDelay.
 func (t *Tracker) ProbeUnused(vm string, now time.Duration) {
 	if w, ok := t.workers[vm]; ok && w.probing {
 		w.probing = false
-		w.probeAt = now + t.options.FirstProbe
+		w.nextProbeAt = now + t.options.FirstProbe
 	}
 }
 
-// Expire ends probes of which nothing was heard; they count as failed.
+// ExpireProbes ends probes whose outcome did not arrive in time and counts them as
+// failed.
 func (t *Tracker) Expire(now time.Duration) {
 	for _, w := range t.workers {
-		if w.probing && now >= w.probeAt {
+		if w.probing && now >= w.nextProbeAt {
 			t.probeFailed(w, now)
 		}
 	}
@@ -257,11 +261,11 @@
 	return ok && w.isolated
 }
 
-// Forget drops a worker that was replaced or removed.
+// Forget drops the state of a worker that was replaced or removed.
 func (t *Tracker) Forget(vm string) { delete(t.workers, vm) }
 
-// ForgetTask drops a task that has ended for good.
+// ForgetTask drops the state of a task that will not be started again.
 func (t *Tracker) ForgetTask(taskID string) { delete(t.tasks, taskID) }
 
-// ForgetTemplate drops a template, for instance after it was changed.
+// ForgetTemplate drops the state of a template, for example after it was changed.
 func (t *Tracker) ForgetTemplate(template string) { delete(t.templates, template) }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -14,7 +14,8 @@
 	return Failure{VM: vm, Rack: rack, Template: template, TaskID: fmt.Sprintf("%s-%d", template, n)}
 }
 
-// Guards against workers isolated because of like tasks or interrupted series.
+// Guards against isolating a worker for failures of a single template, or for failures
+// that a success interrupted.
 func TestWorkerIsIsolatedOnlyForConsecutiveUnlikeFailures(t *testing.T) {
 	cases := map[string]struct {
 		templates string // one letter per failed start; '+' is a success
@@ -41,8 +42,8 @@
 	}
 }
 
-// Guards against a task that is tried for ever, and against workers isolated
-// because of it.
+// Guards against retrying a faulty task forever and against isolating workers because
+// of it.
 func TestTaskThatFailsOnUnlikeWorkersIsFailed(t *testing.T) {
 	tr := New(Defaults())
 	f := Failure{TaskID: "bad", Template: "x"}
@@ -55,8 +56,8 @@
 	assert.Empty(t, tr.workers, "its failures no longer count against workers")
 }
 
-// Guards against a worker that stays isolated because of a task that turned out
-// to fail everywhere.
+// Guards against keeping a worker isolated after the task whose failures isolated it
+// has turned out to be faulty.
 func TestWorkerIsRestoredWhenItsFailuresWereTheTasksFault(t *testing.T) {
 	tr := New(Defaults())
 	tr.Failed(failure("vm", "r1", "good", 0), 0)
@@ -68,8 +69,8 @@
 	assert.False(t, tr.Isolated("vm"))
 }
 
-// Guards against probes that come too often, never, or twice at once, and
-// against a lost probe that blocks the next one.
+// Guards against probes that are too frequent, missing or concurrent, and against a lost
+// probe that blocks the next one.
 func TestProbesBackOff(t *testing.T) {
 	tr := New(Defaults())
 	for i, template := range []string{"a", "b", "c"} {
@@ -95,9 +96,9 @@
 	assert.False(t, tr.Isolated("vm"))
 }
 
-// Guards against the two faults being confused when both occur: 3 of 40 workers
-// fail everything and 2 of 10 templates fail everywhere.
-func TestBadWorkersAndBadTemplatesAreToldApart(t *testing.T) {
+// Guards against confusing the two faults when both occur: every start fails on 3 of 40
+// workers, and every start of 2 of 10 templates fails.
+func TestFaultyWorkersAndFaultyTemplatesAreDistinguished(t *testing.T) {
 	tr := New(Defaults())
 	rng := rand.New(rand.NewPCG(7, 7))
 	failedTasks := map[string]bool{}
--- a/core/wire/caller.go
+++ b/core/wire/caller.go
@@ -2,46 +2,47 @@
 
 import "briarproxy/core/resource"
 
-// Headers of the callers' API.
+// HTTP headers of the callers' API.
 const (
-	HeaderDeadlineMS     = "Briar-Deadline-Ms"    // time the caller waits, ms
-	HeaderClass          = "Briar-Class"          // policy class, default from the service
+	HeaderDeadlineMS     = "Briar-Deadline-Ms"    // time that the caller waits, in milliseconds
+	HeaderClass          = "Briar-Class"          // policy class; the service has a default
 	HeaderTeam           = "Briar-Team"           // team that the request is charged to
 	HeaderOperation      = "Briar-Operation"      // operation of the service
 	HeaderIdempotencyKey = "Idempotency-Key"      // required for non-idempotent operations
-	HeaderRequestID      = "Briar-Request-Id"     // set on every answer
-	HeaderConfigVersion  = "Briar-Config-Version" // version that the request was decided under
-	HeaderResultDigest   = "Briar-Result-Sha256"  // hex digest of the answer's body
+	HeaderRequestID      = "Briar-Request-Id"     // set on every response
+	HeaderConfigVersion  = "Briar-Config-Version" // configuration version that the request was handled under
+	HeaderResultDigest   = "Briar-Result-Sha256"  // SHA-256 digest of the response body, in hex
 )
 
-// Outcome says whether a request ran.
+// Outcome says whether a failed request ran.
 type Outcome string
 
-// Outcomes that an error tells a caller.
+// Outcomes that an error reports to the caller.
 const (
-	OutcomeRan     Outcome = "ran"     // it ran and failed, or its result can't be fetched again
-	OutcomeNotRun  Outcome = "not-run" // it never ran and never will
-	OutcomeUnknown Outcome = "unknown" // it may have run; ask again with the same idempotency key
+	OutcomeRan     Outcome = "ran"     // it ran and failed, or its result is no longer available
+	OutcomeNotRun  Outcome = "not-run" // it did not run and will not run
+	OutcomeUnknown Outcome = "unknown" // it may have run; the caller can retry with the same idempotency key
 )
 
-// Problem is the body of an error, media type application/problem+json.
+// Problem is the body of an error response, media type application/problem+json (RFC
+// 9457).
 type Problem struct {
-	Type       string  `json:"type"` // stable identifier of the kind of problem
+	Type       string  `json:"type"` // stable identifier of the problem type
 	Title      string  `json:"title"`
 	Status     int     `json:"status"`
 	Detail     string  `json:"detail"`
 	Outcome    Outcome `json:"outcome"`
 	Remedy     string  `json:"remedy"`
-	RetryAfter int64   `json:"retry_after_s,omitempty"` // seconds, also in the Retry-After header
+	RetryAfter int64   `json:"retry_after_s,omitempty"` // in seconds, also sent as the Retry-After header
 	RequestID  string  `json:"request_id,omitempty"`
 }
 
-// JobSpec submits a batch or gang job of a published job object.
+// JobSpec is the body of a submission of a batch or gang job.
 type JobSpec struct {
-	ID       string `json:"id"`       // chosen by the caller; a repeat with equal content is the same job
+	ID       string `json:"id"`       // chosen by the caller; a resubmission with equal content refers to the same job
 	Template string `json:"template"` // name of a published batch or gang job object
 	Team     string `json:"team,omitempty"`
-	Tasks    int    `json:"tasks,omitempty"` // 0: as in the template
+	Tasks    int    `json:"tasks,omitempty"` // 0 takes the number from the template
 	Body     []byte `json:"body,omitempty"`
 }
 
@@ -55,20 +56,20 @@
 	JobSucceeded JobState = "succeeded"
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
-	JobRefused   JobState = "refused" // it can never run; Reason says why
+	JobRefused   JobState = "refused" // the job can never run; JobStatus.Reason says why
 )
 
-// TaskStatus is one task of a job as callers see it.
+// TaskStatus is the status of one task of a job in the callers' API.
 type TaskStatus struct {
 	ID         string          `json:"id"`
-	State      string          `json:"state"` // state of the task chart
+	State      string          `json:"state"` // a state of the state chart for tasks
 	Generation int64           `json:"generation"`
 	VM         string          `json:"vm,omitempty"`
 	Reason     string          `json:"reason,omitempty"` // why it waits or failed
 	Resources  resource.Vector `json:"resources"`
 }
 
-// JobStatus answers status and wait calls.
+// JobStatus is the response to a call that gets or waits for a job's status.
 type JobStatus struct {
 	ID     string       `json:"id"`
 	State  JobState     `json:"state"`
@@ -76,7 +77,7 @@
 	Tasks  []TaskStatus `json:"tasks"`
 }
 
-// JobResults answers a results call.
+// JobResults is the response to a call that gets a job's results.
 type JobResults struct {
 	ID      string   `json:"id"`
 	State   JobState `json:"state"`
--- a/core/wire/doc.go
+++ b/core/wire/doc.go
@@ -1,4 +1,4 @@
-// Package wire defines the typed messages that processes exchange: the worker
-// protocol, the log protocol, the VM list, the RPCs between daemons and the
-// callers' API. All durations on the wire are milliseconds.
+// Package wire defines the messages of the worker protocol, the log service, the VM
+// list, the RPCs between daemons and the callers' API. Durations and times are in
+// milliseconds, except Problem.RetryAfter.
 package wire
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -18,36 +18,36 @@
 	RPCQuota       = "Peer.Quota"
 )
 
-// PingArgs and PingReply carry liveness between daemons.
+// PingArgs is a liveness check between daemons.
 type PingArgs struct {
 	From        string
 	Incarnation int64
 }
 
-// PingReply answers a ping.
+// PingReply is the reply to PingArgs.
 type PingReply struct {
 	Name          string
 	Incarnation   int64
 	ConfigVersion int64
 }
 
-// BorrowArgs asks the owner of rack units for slots of a service's pool. It also
-// renews the loans that the borrower names in Renew.
+// BorrowArgs asks the owner of rack units for loans of slots of a service's pool, and
+// renews and returns loans.
 type BorrowArgs struct {
 	Borrower    string
 	Incarnation int64
 	Pool        string
-	Want        int64 // slots wanted in addition, also for requests that are expected
-	Waiting     int64 // requests that wait for a slot now
-	Renew       []int64
-	Return      []SlotReturn // slots given back in the same message
-	Runs        []RunCount   // ended requests since the last call, at most MaxRunCounts
+	Want        int64        // additional slots wanted, including those for expected requests
+	Waiting     int64        // requests that wait for a slot now
+	Renew       []int64      // IDs of the loans to renew
+	Return      []SlotReturn // slots to return
+	Runs        []RunCount   // requests that ended since the last call, at most MaxRunCounts
 }
 
-// MaxRunCounts bounds the run counts in one borrow call.
+// MaxRunCounts limits the run counts in one BorrowArgs.
 const MaxRunCounts = 64
 
-// RunCount counts the requests of one operation that ended on one worker.
+// RunCount counts the ended requests of one operation on one worker.
 type RunCount struct {
 	VM          string
 	Incarnation int64
@@ -56,8 +56,8 @@
 	Failed      int64
 }
 
-// Loan lends slots of one worker until the borrower's clock, counted from before
-// it sent BorrowArgs, has advanced by TTLMS.
+// Loan lends slots of one worker for TTLMS. The borrower counts that time on its own
+// clock from before it sent BorrowArgs.
 type Loan struct {
 	ID             int64
 	VM             string
@@ -65,30 +65,32 @@
 	Region         string
 	DataCentre     string
 	Slots          int64
-	Epoch          int64 // rack unit epoch for the starts
+	Epoch          int64 // epoch of the rack unit, which starts under the loan carry
 	Incarnation    int64 // worker incarnation
-	WorkerClockMS  int64 // conservative: not later than the worker's true clock when the lender replied
+	WorkerClockMS  int64 // lower bound of the worker's clock at the time of the reply
 	TTLMS          int64
 	MaxDeadlineMS  int64 // longest run lease that a start under this loan may ask for
 	LenderInstance string
-	Probe          bool // for one request that may run again: the worker failed everything before
+	Probe          bool // the loan probes an isolated worker with one request that is safe to retry
 }
 
-// SlotReturn gives back slots of one loan.
+// SlotReturn returns slots of one loan.
 type SlotReturn struct {
 	LoanID int64
 	Slots  int64
 }
 
-// BorrowReply answers BorrowArgs. Lapsed names renewed loans that are unknown.
+// BorrowReply is the reply to BorrowArgs. Lapsed lists the loans in Renew that the lender
+// does not know.
 type BorrowReply struct {
 	Loans   []Loan
 	Renewed []int64
 	Lapsed  []int64
-	Free    int64 // slots that stay free at the lender
+	Free    int64 // slots that remain free at the lender
 }
 
-// ForwardArgs carries a keyed request from the entry daemon to the shard owner.
+// ForwardArgs forwards a request with an idempotency key from the daemon that received it
+// to the owner of the key's shard.
 type ForwardArgs struct {
 	RequestID  string
 	Key        string
@@ -96,11 +98,11 @@
 	Operation  string
 	Class      string
 	Team       string
-	DeadlineMS int64 // time left
+	DeadlineMS int64 // time left until the deadline
 	Body       []byte
 	From       string
 	Shard      int
-	ShardEpoch int64 // epoch of the shard that the sender knows; a call that outlives it is refused
+	ShardEpoch int64 // shard epoch that the sender knows; a call with an outdated epoch is refused
 }
 
 // ForwardReply carries a result or a problem.
@@ -109,10 +111,10 @@
 	Problem *Problem
 }
 
-// JobAction is a call on a job.
+// JobAction selects the operation of a job call.
 type JobAction string
 
-// Calls on a job.
+// Operations of a job call.
 const (
 	JobSubmit  JobAction = "submit"
 	JobGet     JobAction = "get"
@@ -121,18 +123,18 @@
 	JobExplain JobAction = "explain"
 )
 
-// JobArgs carries a job call from the entry daemon to the shard owner.
+// JobArgs forwards a job call from the daemon that received it to the shard owner.
 type JobArgs struct {
 	Action     JobAction
 	ID         string
 	Spec       *JobSpec
-	DeadlineMS int64 // time left
-	WaitMS     int64 // JobGet: how long to wait for the job's end
+	DeadlineMS int64 // time left until the deadline
+	WaitMS     int64 // for JobGet: longest wait for the job's end
 	From       string
 	ShardEpoch int64 // as in ForwardArgs
 }
 
-// JobReply answers a job call.
+// JobReply is the reply to JobArgs.
 type JobReply struct {
 	Status  *JobStatus
 	Results *JobResults
@@ -140,16 +142,16 @@
 	Problem *Problem
 }
 
-// Explanation says why something was placed where it is, or why it waits.
+// Explanation says why a task, job or request was placed where it is or why it waits.
 type Explanation struct {
 	ID      string       `json:"id"`
 	State   string       `json:"state"`
 	Summary string       `json:"summary"`
-	Refused []Refused    `json:"refused,omitempty"` // alternatives refused, by reason
+	Refused []Refused    `json:"refused,omitempty"` // rejected placements, by reason
 	History []HistoryRow `json:"history,omitempty"`
 }
 
-// Refused counts the alternatives that one filter step refused.
+// Refused counts the placements that were rejected for one reason.
 type Refused struct {
 	Reason string `json:"reason"`
 	Count  int    `json:"count"`
@@ -162,7 +164,7 @@
 	Detail string `json:"detail"`
 }
 
-// TaskAsk asks for room for one task.
+// TaskAsk requests a reservation for one task.
 type TaskAsk struct {
 	TaskID       string
 	Job          string
@@ -174,10 +176,10 @@
 	Resources    resource.Vector
 	RunMS        int64
 	Operation    string
-	Gang         string // set for tasks of one gang
-	MinRacks     int    // gang: use at least this many racks
+	Gang         string // the same for all tasks of a gang; "" is none
+	MinRacks     int    // least number of racks over which a gang is spread
 	AvoidVMs     []string
-	Among        []string // only these VMs; nil is every VM of the pool
+	Among        []string // allowed VMs; nil allows every VM of the pool
 	Label        string   // required label of the VM; "" is none
 	NearRack     string   // preferred rack; "" is none
 	PerVM        int      // most tasks of the same Job on one VM; 0 is no limit
@@ -187,8 +189,8 @@
 	CheckpointOK bool
 }
 
-// ReserveArgs asks a rack owner for reservations. With AllOrNothing set, either
-// every ask is reserved or none.
+// ReserveArgs asks a rack owner for reservations. With AllOrNothing set, either all asks
+// get a reservation or none does.
 type ReserveArgs struct {
 	From         string
 	Shard        int
@@ -198,7 +200,7 @@
 	Asks         []TaskAsk
 }
 
-// Reservation holds room on one worker for one task attempt.
+// Reservation reserves capacity on one worker for one task attempt.
 type Reservation struct {
 	TaskID      string
 	Generation  int64
@@ -209,14 +211,16 @@
 	Incarnation int64
 }
 
-// ReserveReply answers ReserveArgs. Refused explains asks without a reservation.
+// ReserveReply is the reply to ReserveArgs. Refused gives the reasons for asks without a
+// reservation.
 type ReserveReply struct {
 	Reservations []Reservation
 	Refused      []Refused
-	NeverFits    []string // task ids that fit no worker of this owner even when empty
+	NeverFits    []string // IDs of tasks that are too large for any worker of this owner, even an idle one
 }
 
-// StartArgs starts reserved tasks after their intent is in the shard's stream.
+// StartArgs starts reserved tasks. The sender has logged the intent to start them to the
+// shard's stream before.
 type StartArgs struct {
 	From       string
 	Shard      int
@@ -224,83 +228,83 @@
 	Starts     []ReservedStart
 }
 
-// ReservedStart names a reservation and what to start under it.
+// ReservedStart is the start of a task under a reservation.
 type ReservedStart struct {
 	ReservationID int64
 	Start         Start
 }
 
-// StartOutcome tells what became of one reserved start.
+// StartOutcome is the outcome of one ReservedStart.
 type StartOutcome struct {
 	TaskID     string
 	Generation int64
 	VM         string
 	Started    bool
-	Unknown    bool    // no answer; the owner goes on resolving and reports by TaskEnded or the next call
-	Refused    Refusal // set when it surely did not start
+	Unknown    bool    // no reply from the worker; the rack owner resolves it and reports by TaskEnded or the next call
+	Refused    Refusal // set if the attempt did not start and will not start
 }
 
-// StartReplyBatch answers StartArgs.
+// StartReplyBatch is the reply to StartArgs.
 type StartReplyBatch struct {
 	Outcomes []StartOutcome
 }
 
-// ReleaseArgs gives reservations back.
+// ReleaseArgs releases reservations.
 type ReleaseArgs struct {
 	From string
 	IDs  []int64
 }
 
-// StopTask names an attempt to stop and the worker that has it.
+// StopTask names an attempt to stop or query and the worker that it was sent to.
 type StopTask struct {
 	TaskID      string
 	Generation  int64
 	VM          string
 	Incarnation int64 // of the worker to which the attempt was sent
-	Query       bool
+	Query       bool  // as in Stop
 }
 
-// StopArgs stops or queries attempts in a batch.
+// StopArgs stops or queries a batch of attempts.
 type StopArgs struct {
 	From  string
 	Tasks []StopTask
 }
 
-// StopOutcome answers for one attempt. Known is false if the worker could not be
-// asked and its run lease may still hold.
+// StopOutcome is the outcome of one StopTask. Known is false if the worker could not be
+// reached and the run lease of the attempt may still be valid.
 type StopOutcome struct {
 	TaskID     string
 	Generation int64
 	Known      bool
-	Restarted  bool // the worker has restarted since: the attempt does not run, whether it ran is unknown
+	Restarted  bool // the worker has restarted since: the attempt is not running, but may have run
 	State      RunState
 	Result     *Result
 }
 
-// StopReplyBatch answers StopArgs.
+// StopReplyBatch is the reply to StopArgs.
 type StopReplyBatch struct {
 	Outcomes []StopOutcome
 }
 
-// TaskEndedArgs tells shard owners that attempts have ended.
+// TaskEndedArgs reports ended attempts to a shard owner.
 type TaskEndedArgs struct {
 	From  string
 	Ended []EndedTask
 }
 
-// EndedTask is one attempt that has ended or whose run lease has surely lapsed.
+// EndedTask is an attempt that has ended or whose run lease has certainly expired.
 type EndedTask struct {
 	TaskID     string
 	Job        string
 	Generation int64
 	VM         string
-	State      RunState // RunStopped when the lease lapsed
+	State      RunState // RunStopped if the lease expired
 	Result     *Result
 	PeakUsage  resource.Vector
 }
 
-// TaskEndedReply names the attempts whose end is recorded; the worker may forget
-// them.
+// TaskEndedReply lists the attempts whose end the shard owner has recorded. The worker
+// may drop their results.
 type TaskEndedReply struct {
 	Recorded []string
 }
@@ -308,7 +312,7 @@
 // SummaryArgs asks for the free capacity that a daemon owns.
 type SummaryArgs struct{ From string }
 
-// PoolSummary is the free capacity of one pool at one owner.
+// PoolSummary is the capacity of one pool in the racks of one owner.
 type PoolSummary struct {
 	Pool       string          `json:"pool"`
 	Region     string          `json:"region"`
@@ -317,19 +321,19 @@
 	Usable     int             `json:"usable"`
 	Capacity   resource.Vector `json:"capacity"`
 	Free       resource.Vector `json:"free"`
-	Largest    resource.Vector `json:"largest"` // free vector of the worker with most free cores
+	Largest    resource.Vector `json:"largest"` // free capacity of the worker with the most free cores
 }
 
-// SummaryReply answers SummaryArgs.
+// SummaryReply is the reply to SummaryArgs.
 type SummaryReply struct {
 	Name  string
 	Pools []PoolSummary
 }
 
-// ConfigSinceArgs asks a peer for configuration records from an offset on.
+// ConfigSinceArgs asks a peer for the configuration records from an offset on.
 type ConfigSinceArgs struct{ From int64 }
 
-// ConfigSinceReply carries configuration records as they are in the log.
+// ConfigSinceReply holds configuration records as stored in the log.
 type ConfigSinceReply struct {
 	Records []LogRecord
 	Next    int64
--- a/core/wire/platform.go
+++ b/core/wire/platform.go
@@ -2,13 +2,13 @@
 
 import "briarproxy/core/resource"
 
-// Streams of the log service. Names of shard streams come from ShardStream.
+// Streams of the log service. ShardStream returns the names of the shard streams.
 const (
 	StreamConfig  = "config"
 	StreamMembers = "members"
 )
 
-// AppendReply answers an append to a stream of the log service.
+// AppendReply is the reply to an append to a stream of the log service.
 type AppendReply struct {
 	Offset int64 `json:"offset"`
 }
@@ -19,18 +19,18 @@
 	Data   []byte `json:"data"`
 }
 
-// ReadReply answers a read. First is the lowest kept offset, Next the offset that
-// the next append will get. A read below First starts at First.
+// ReadReply is the reply to a read of a stream. First is the lowest retained offset, Next
+// the offset of the next append. A read from an offset below First starts at First.
 type ReadReply struct {
 	First   int64       `json:"first"`
 	Next    int64       `json:"next"`
 	Records []LogRecord `json:"records"`
 }
 
-// VMRole tells workers from the system's own VMs.
+// VMRole distinguishes workers from the VMs that run the system's own processes.
 type VMRole string
 
-// VMState is the state that the VM list gives.
+// VMState is the state of a VM in the VM list.
 type VMState string
 
 // Values of VMRole and VMState.
@@ -44,7 +44,7 @@
 // VM is an entry of the platform's VM list.
 type VM struct {
 	Name       string          `json:"name"`
-	Address    string          `json:"address"` // IP:port of its protocol
+	Address    string          `json:"address"` // IP:port at which the VM serves the protocol of its role
 	Role       VMRole          `json:"role"`
 	State      VMState         `json:"state"`
 	Region     string          `json:"region"`
@@ -53,7 +53,7 @@
 	Capacity   resource.Vector `json:"capacity"`
 }
 
-// VMList is the platform's list, which lags behind the truth.
+// VMList is the platform's list of VMs, which lags behind their actual state.
 type VMList struct {
 	VMs []VM `json:"vms"`
 }
--- a/core/wire/quota.go
+++ b/core/wire/quota.go
@@ -2,39 +2,41 @@
 
 import "briarproxy/core/resource"
 
-// MaxQuotaWishes bounds the teams in one call.
+// MaxQuotaRequests limits the requests, which are one per team, in one QuotaArgs.
 const MaxQuotaWishes = 256
 
-// QuotaArgs asks the owner of a key shard for portions of the quotas of its teams.
+// QuotaArgs asks the owner of a key shard for portions of the quotas of the teams that
+// belong to the shard. Its fields keep the names that net/rpc sends.
 type QuotaArgs struct {
-	Holder     string // daemon and incarnation, and the shard if its jobs use the portion
-	Seq        int64  // rises with each call of the holder; an overtaken call has no effect
+	Holder     string // daemon and incarnation; for the jobs of a shard: daemon, shard unit and shard epoch
+	Seq        int64  // increases with each call of the holder; a call that arrives after a later one has no effect
 	Shard      int
 	ShardEpoch int64 // as in ForwardArgs
 	Wishes     []QuotaWish
 }
 
-// QuotaWish is what a holder wants of one team's quota. The holder uses no more than
-// Want from before it sends the call.
+// QuotaRequest is the portion that a holder requests of one team's quota. Before it sends
+// the request, the holder limits its use to Want.
 type QuotaWish struct {
 	Team string
-	Want resource.Vector // in all, including what the holder has
-	Held resource.Vector // portion that has not lapsed
+	Want resource.Vector // wanted total, including what the holder has
+	Held resource.Vector // portion that has not expired
 	Used resource.Vector
 }
 
-// QuotaReply answers QuotaArgs. A wish without a portion was overtaken.
+// QuotaReply is the reply to QuotaArgs. It has no portion for a request that arrived
+// after a later one.
 type QuotaReply struct {
 	Portions []QuotaPortion
 }
 
-// QuotaPortion is leased until the holder's clock, counted from before it sent
-// QuotaArgs, has advanced by TTLMS.
+// QuotaPortion is a portion of a quota that is leased for TTLMS. The holder counts that
+// time on its own clock from before it sent QuotaArgs.
 type QuotaPortion struct {
 	Team   string
 	Amount resource.Vector
 	TTLMS  int64
-	// Share is set while other holders want more than they have: the holder is to
-	// keep no more than this beyond what it uses.
+	// Share is set while other holders want more than they have. The holder must then
+	// not ask for more than Share, unless it uses more already.
 	Share resource.Vector
 }
