--- a/daemon/cmd/briarctl/main.go
+++ b/daemon/cmd/briarctl/main.go
@@ -1,4 +1,4 @@
-// Command briarctl is the operator's command line.
+// Command briarctl is the command-line tool for operators.
 package main
 
 import (
--- a/daemon/cmd/briarproxyd/main.go
+++ b/daemon/cmd/briarproxyd/main.go
@@ -1,4 +1,5 @@
-// Command briarproxyd is the daemon that every entry VM runs.
+// Command briarproxyd is the daemon of the cluster scheduler. It runs on every VM that
+// accepts requests from callers.
 package main
 
 import (
--- a/daemon/internal/ctl/admin.go
+++ b/daemon/internal/ctl/admin.go
@@ -19,7 +19,7 @@
 	"briarproxy/daemon/adminapi"
 )
 
-// adminFlags name a daemon's admin API.
+// adminFlags are the flags that select a daemon's admin API and the output format.
 type adminFlags struct {
 	url       string
 	tokenFile string
@@ -28,14 +28,15 @@
 	output    outputFlag
 }
 
+// register adds the flags and requires the URL and the token file.
 func (f *adminFlags) register(cmd *cobra.Command) {
-	f.describe(cmd)
+	f.registerOptional(cmd)
 	_ = cmd.MarkFlagRequired("admin")
 	_ = cmd.MarkFlagRequired("token-file")
 }
 
-// describe adds the flags without requiring them.
-func (f *adminFlags) describe(cmd *cobra.Command) {
+// registerOptional adds the flags without requiring them.
+func (f *adminFlags) registerOptional(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.url, "admin", "", "URL of a daemon's admin API")
 	cmd.Flags().StringVar(&f.tokenFile, "token-file", "", "file with the admin token")
 	cmd.Flags().StringVar(&f.caFile, "ca-file", "", "PEM file of the authority that signed the admin API's certificate")
@@ -43,6 +44,8 @@
 	f.output.register(cmd)
 }
 
+// client returns an HTTP client that authenticates with the admin token and trusts the
+// given CA file, or the system's CAs if none is given.
 func (f *adminFlags) client() (*resty.Client, error) {
 	token, err := os.ReadFile(f.tokenFile)
 	if err != nil {
@@ -63,19 +66,19 @@
 	return client.SetTLSClientConfig(&tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}), nil
 }
 
-// get reads one resource of the admin API.
-func (f *adminFlags) get(ctx context.Context, path string, into any) error {
+// get reads a resource of the admin API into result.
+func (f *adminFlags) get(ctx context.Context, path string, result any) error {
 	client, err := f.client()
 	if err != nil {
 		return err
 	}
-	var p wire.Problem
-	response, err := client.R().SetContext(ctx).SetResult(into).SetError(&p).ForceContentType("application/json").Get(path)
+	var problem wire.Problem
+	response, err := client.R().SetContext(ctx).SetResult(result).SetError(&problem).ForceContentType("application/json").Get(path)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check the URL and whether the daemon runs", "the admin API can't be reached")
 	}
 	if response.IsError() {
-		return fault.New(fault.Refused, p.Remedy, "the admin API answered %s: %s", response.Status(), p.Detail)
+		return fault.New(fault.Refused, problem.Remedy, "the admin API answered %s: %s", response.Status(), problem.Detail)
 	}
 	return nil
 }
@@ -89,11 +92,11 @@
 		Long:  "status shows the cell as one daemon sees it.\n\n" + exitCodes,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			asJSON, err := flags.output.json()
+			asJSON, err := flags.output.isJSON()
 			if err != nil {
 				return err
 			}
-			status, err := awaitVersion(cmd.Context(), &flags, wait)
+			status, err := waitForVersion(cmd.Context(), &flags, wait)
 			if err != nil {
 				return err
 			}
@@ -108,8 +111,8 @@
 	return cmd
 }
 
-// awaitVersion reads the status until every live daemon has the version.
-func awaitVersion(ctx context.Context, flags *adminFlags, version int64) (*adminapi.Status, error) {
+// waitForVersion polls the status until every live daemon has the version in force.
+func waitForVersion(ctx context.Context, flags *adminFlags, version int64) (*adminapi.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, flags.timeout)
 	defer cancel()
 	for {
@@ -117,31 +120,31 @@
 		if err := flags.get(ctx, "/v1/status", status); err != nil {
 			return nil, err
 		}
-		behind := 0
+		lagging := 0
 		for _, d := range status.Daemons {
 			if d.Live && d.ConfigVersion < version {
-				behind++
+				lagging++
 			}
 		}
-		if behind == 0 {
+		if lagging == 0 {
 			return status, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, fault.New(fault.Unavailable, "look at the daemons' logs", "%d live daemons do not have version %d in force yet", behind, version)
+			return nil, fault.New(fault.Unavailable, "look at the daemons' logs", "%d live daemons do not have version %d in force yet", lagging, version)
 		case <-time.After(200 * time.Millisecond):
 		}
 	}
 }
 
 func printStatus(cmd *cobra.Command, status *adminapi.Status) error {
-	owned := map[string]int{}
-	free := 0
+	unitsByOwner := map[string]int{}
+	unowned := 0
 	for _, u := range status.Units {
 		if u.Owner == "" {
-			free++
+			unowned++
 		}
-		owned[u.Owner]++
+		unitsByOwner[u.Owner]++
 	}
 	out := cmd.OutOrStdout()
 	fmt.Fprintf(out, "configuration version %d, log service healthy: %t, VMs %d, leaving: %s\n\n",
@@ -149,7 +152,7 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "DAEMON\tREGION\tDATA CENTRE\tLIVE\tDRAINING\tVERSION\tUNITS")
 	for _, d := range status.Daemons {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n", d.Name, d.Region, d.DataCentre, d.Live, d.Draining, d.ConfigVersion, owned[d.Name])
+		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n", d.Name, d.Region, d.DataCentre, d.Live, d.Draining, d.ConfigVersion, unitsByOwner[d.Name])
 	}
 	return table.Flush()
 }
@@ -162,7 +165,7 @@
 		Long:  "top shows queues, slots and free capacity of one daemon.\n\n" + exitCodes,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			asJSON, err := flags.output.json()
+			asJSON, err := flags.output.isJSON()
 			if err != nil {
 				return err
 			}
@@ -203,7 +206,7 @@
 			"reads saved logs of daemons instead of asking one.\n\n" + exitCodes,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			asJSON, err := flags.output.json()
+			asJSON, err := flags.output.isJSON()
 			if err != nil {
 				return err
 			}
@@ -220,7 +223,7 @@
 			return printExplanation(cmd, &e)
 		},
 	}
-	flags.describe(cmd)
+	flags.registerOptional(cmd)
 	cmd.Flags().StringSliceVar(&logs, "log", nil, "saved log of a daemon; may be given several times")
 	cmd.MarkFlagsOneRequired("admin", "log")
 	cmd.MarkFlagsRequiredTogether("admin", "token-file")
--- a/daemon/internal/ctl/check.go
+++ b/daemon/internal/ctl/check.go
@@ -15,8 +15,8 @@
 	"briarproxy/core/object"
 )
 
-// checked is the outcome of checking one directory.
-type checked struct {
+// checkResult is the result of checking one directory.
+type checkResult struct {
 	Directory string           `json:"directory"`
 	Files     int              `json:"files"`
 	Objects   int              `json:"objects"` // 0 if there are problems
@@ -32,37 +32,38 @@
 			"as one set of objects and lists every problem of the set.\n\n" + exitCodes,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, dirs []string) error {
-			asJSON, err := output.json()
+			asJSON, err := output.isJSON()
 			if err != nil {
 				return err
 			}
-			results, err := checkAll(dirs)
+			results, err := checkDirectories(dirs)
 			if err != nil {
 				return err
 			}
-			return printChecked(cmd.OutOrStdout(), results, asJSON)
+			return printCheckResults(cmd.OutOrStdout(), results, asJSON)
 		},
 	}
 	output.register(cmd)
 	return cmd
 }
 
-func checkAll(dirs []string) ([]checked, error) {
-	results := make([]checked, 0, len(dirs))
+func checkDirectories(dirs []string) ([]checkResult, error) {
+	results := make([]checkResult, 0, len(dirs))
 	for _, dir := range dirs {
 		files, err := readObjectFiles(dir)
 		if err != nil {
 			return nil, err
 		}
 		set, problems := object.Load(files)
-		results = append(results, checked{
-			Directory: dir, Files: len(files), Objects: count(set), Problems: append([]object.Problem{}, problems...),
+		results = append(results, checkResult{
+			Directory: dir, Files: len(files), Objects: countObjects(set), Problems: append([]object.Problem{}, problems...),
 		})
 	}
 	return results, nil
 }
 
-// readObjectFiles reads the object files below a directory, by path.
+// readObjectFiles returns the contents of the object files in a directory and its
+// subdirectories, keyed by path. Hidden files are ignored.
 func readObjectFiles(dir string) (map[string][]byte, error) {
 	files := map[string][]byte{}
 	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
@@ -86,19 +87,20 @@
 	return files, nil
 }
 
-func count(set *object.Set) int {
+// countObjects returns the number of objects in a set, which may be nil.
+func countObjects(set *object.Set) int {
 	if set == nil {
 		return 0
 	}
 	return len(set.Services) + len(set.BatchJobs) + len(set.GangJobs) + len(set.Policies) + len(set.Pools) + len(set.Teams)
 }
 
-func printChecked(w io.Writer, results []checked, asJSON bool) error {
+func printCheckResults(w io.Writer, results []checkResult, asJSON bool) error {
 	if asJSON {
 		if err := printJSON(w, results); err != nil {
 			return err
 		}
-	} else if err := printTables(w, results); err != nil {
+	} else if err := printCheckTables(w, results); err != nil {
 		return err
 	}
 	for _, result := range results {
@@ -109,7 +111,7 @@
 	return nil
 }
 
-func printTables(w io.Writer, results []checked) error {
+func printCheckTables(w io.Writer, results []checkResult) error {
 	for _, result := range results {
 		if len(result.Problems) == 0 {
 			fmt.Fprintf(w, "%s: %d objects in %d files, no problems\n", result.Directory, result.Objects, result.Files)
--- a/daemon/internal/ctl/configlog.go
+++ b/daemon/internal/ctl/configlog.go
@@ -19,9 +19,10 @@
 	"briarproxy/daemon/logclient"
 )
 
-const readBatch = 500 // records per read
+// recordsPerRead is the number of records that one read of the stream asks for.
+const recordsPerRead = 500
 
-// logFlags name the log service.
+// logFlags are the flags that select the log service.
 type logFlags struct {
 	url     string
 	timeout time.Duration
@@ -33,35 +34,37 @@
 	_ = cmd.MarkFlagRequired("log")
 }
 
-// configLog reads and extends the configuration stream.
+// configLog reads the configuration stream of the log and appends to it.
 type configLog struct {
-	client *logclient.Client
-	reader configstream.Reader
-	next   int64
-	sets   map[int64]*object.Set // by version, as far as the stream still has them
+	client        *logclient.Client
+	reader        configstream.Reader
+	nextOffset    int64
+	setsByVersion map[int64]*object.Set // versions that the stream still contains
 }
 
+// openConfigLog reads the configuration stream from its oldest record to its end.
 func openConfigLog(ctx context.Context, f logFlags) (*configLog, error) {
-	l := &configLog{client: logclient.New(f.url), sets: map[int64]*object.Set{}}
+	l := &configLog{client: logclient.New(f.url), setsByVersion: map[int64]*object.Set{}}
 	reply, err := l.client.Read(ctx, wire.StreamConfig, 1, 1, 0)
 	if err != nil {
 		return nil, err
 	}
-	l.next = max(1, reply.First)
-	l.reader = configstream.NewReader(l.next)
+	l.nextOffset = max(1, reply.First)
+	l.reader = configstream.NewReader(l.nextOffset)
 	return l, l.readToEnd(ctx)
 }
 
+// readToEnd applies all records up to the current end of the stream.
 func (l *configLog) readToEnd(ctx context.Context) error {
 	for {
-		reply, err := l.client.Read(ctx, wire.StreamConfig, l.next, readBatch, 0)
+		reply, err := l.client.Read(ctx, wire.StreamConfig, l.nextOffset, recordsPerRead, 0)
 		if err != nil {
 			return err
 		}
 		for _, record := range reply.Records {
 			l.reader.Apply(record)
-			l.sets[l.reader.Version()] = l.reader.Set()
-			l.next = record.Offset + 1
+			l.setsByVersion[l.reader.Version()] = l.reader.Set()
+			l.nextOffset = record.Offset + 1
 		}
 		if len(reply.Records) == 0 {
 			return nil
@@ -69,8 +72,8 @@
 	}
 }
 
-// publish appends a publication and returns its verdict. The verdict is read from
-// the stream, so that a lost answer is not guessed at.
+// publish appends a publication and returns its verdict. The verdict is read back from
+// the stream, so that a lost response to the append is not taken for a result.
 func (l *configLog) publish(ctx context.Context, p config.Publication) (config.Verdict, error) {
 	progress := config.NewProgress()
 	if err := progress.Step(config.Checked); err != nil {
@@ -95,7 +98,7 @@
 	}
 	for {
 		if err := l.readToEnd(ctx); err != nil {
-			return config.Verdict{}, fault.Wrap(err, fault.Unknown, "run history to see whether version was accepted", "the publication is in the log but its verdict can't be read")
+			return config.Verdict{}, fault.Wrap(err, fault.Unknown, "run history to see whether the version was accepted", "the publication is in the log but its verdict can't be read")
 		}
 		if verdict, known := l.reader.Verdict(p.ID); known {
 			return verdict, progress.Judged(verdict)
@@ -108,18 +111,20 @@
 	}
 }
 
-// encode writes the change only, where the base is the version that was read.
+// encode returns only the difference from the base version if that version is in the
+// stream, and the whole set otherwise.
 func (l *configLog) encode(p config.Publication) ([]byte, error) {
-	base, known := l.sets[p.Base]
+	base, known := l.setsByVersion[p.Base]
 	if p.Base == 0 || !known {
 		return config.EncodePublication(p)
 	}
 	return config.EncodeDelta(p, base)
 }
 
+// newPublicationID returns a random ID that identifies a publication in the stream.
 func newPublicationID() string {
 	var raw [12]byte
-	_, _ = rand.Read(raw[:]) // never fails
+	_, _ = rand.Read(raw[:]) // crypto/rand.Read never returns an error
 	return hex.EncodeToString(raw[:])
 }
 
--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	inspectors  = "../../../examples/inspectors"
-	cooperative = "../../../examples/cooperative"
+	inspectorsDir  = "../../../examples/inspectors"
+	cooperativeDir = "../../../examples/cooperative"
 )
 
 func run(args ...string) (code int, out, errs string) {
@@ -24,14 +24,14 @@
 	return code, stdout.String(), stderr.String()
 }
 
-// Guards against example objects that a change of the rules makes invalid.
+// Guards against changes of the validation rules that make the example objects invalid.
 func TestExamplesHaveNoProblems(t *testing.T) {
-	code, out, errs := run("check", inspectors, cooperative)
+	code, out, errs := run("check", inspectorsDir, cooperativeDir)
 	assert.Equal(t, ExitFine, code, out+errs)
-	assert.Equal(t, inspectors+": 10 objects in 4 files, no problems\n"+cooperative+": 9 objects in 4 files, no problems\n", out)
+	assert.Equal(t, inspectorsDir+": 10 objects in 4 files, no problems\n"+cooperativeDir+": 9 objects in 4 files, no problems\n", out)
 }
 
-// Guards against problems that change the exit code or are missing from an output.
+// Guards against a wrong exit code, and against an output format that omits problems.
 func TestCheckReportsProblems(t *testing.T) {
 	dir := t.TempDir()
 	file := filepath.Join(dir, "a.json")
@@ -42,7 +42,7 @@
 
 	code, out, _ = run("check", "--output", "json", dir)
 	assert.Equal(t, ExitProblems, code)
-	var results []checked
+	var results []checkResult
 	require.NoError(t, json.Unmarshal([]byte(out), &results))
 	require.Len(t, results, 1)
 	assert.Equal(t, []object.Problem{{
@@ -50,18 +50,19 @@
 		Message: "is not a known field", Remedy: `did you mean "weight"?`,
 	}}, results[0].Problems)
 
-	code, out, errs := run("diff", dir, inspectors)
+	code, out, errs := run("diff", dir, inspectorsDir)
 	assert.Equal(t, ExitProblems, code)
 	assert.Empty(t, out)
 	assert.Contains(t, errs, "spec.wieght")
 }
 
-// Guards against usage errors that look like found problems to a script.
+// Guards against usage errors with the exit code for problems found, which scripts would
+// misinterpret.
 func TestUsageErrors(t *testing.T) {
 	empty := t.TempDir()
 	for _, args := range [][]string{
-		{"check"}, {"chek"}, {"check", "--nothing", inspectors}, {"check", "-o", "xml", inspectors},
-		{"check", filepath.Join(empty, "absent")}, {"check", empty}, {"diff", inspectors},
+		{"check"}, {"chek"}, {"check", "--nothing", inspectorsDir}, {"check", "-o", "xml", inspectorsDir},
+		{"check", filepath.Join(empty, "absent")}, {"check", empty}, {"diff", inspectorsDir},
 	} {
 		code, out, errs := run(args...)
 		assert.Equal(t, ExitUsage, code, args)
@@ -70,8 +71,8 @@
 	}
 }
 
-// Guards against exit codes that the help does not name and against a lost
-// completion command.
+// Guards against help texts that omit the exit codes and against a missing completion
+// command.
 func TestHelpAndCompletion(t *testing.T) {
 	for _, args := range [][]string{{"--help"}, {"check", "--help"}, {"diff", "--help"}} {
 		code, out, _ := run(args...)
@@ -83,28 +84,28 @@
 	assert.Contains(t, out, "briarctl")
 }
 
-// Guards against a comparison that misses a changed field.
+// Guards against a diff that omits a changed field.
 func TestDiff(t *testing.T) {
 	dir := t.TempDir()
-	files, err := readObjectFiles(cooperative)
+	files, err := readObjectFiles(cooperativeDir)
 	require.NoError(t, err)
 	for name, data := range files {
 		data = bytes.Replace(data, []byte(`"deadline": "3s"`), []byte(`"deadline": "2500ms"`), 1)
 		require.NoError(t, os.WriteFile(filepath.Join(dir, filepath.Base(name)), data, 0o600))
 	}
-	code, out, _ := run("diff", cooperative, dir)
+	code, out, _ := run("diff", cooperativeDir, dir)
 	assert.Equal(t, ExitFine, code)
 	assert.Regexp(t, `changed +policy/quotes +deadline +3s +2.5s`, out)
 	code, out, _ = run("diff", dir, dir)
 	assert.Equal(t, ExitFine, code)
 	assert.Equal(t, "no difference\n", out)
-	code, out, _ = run("diff", "-o", "json", cooperative, inspectors)
+	code, out, _ = run("diff", "-o", "json", cooperativeDir, inspectorsDir)
 	assert.Equal(t, ExitFine, code)
 	assert.True(t, json.Valid([]byte(out)))
 }
 
-// Guards against settings commands that accept a faulty file or print defaults that
-// the reader does not know.
+// Guards against settings commands that accept an invalid file or print defaults with
+// unknown fields.
 func TestSettings(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "s.jsonc")
 	_, out, _ := run("settings", "defaults")
@@ -115,7 +116,7 @@
 	assert.Contains(t, errs, "log_url")
 }
 
-// Guards against saved logs that can't answer what a live daemon would.
+// Guards against explain and timeline commands that cannot work from saved logs alone.
 func TestExplainAndTimelineReadSavedLogs(t *testing.T) {
 	log := filepath.Join(t.TempDir(), "a.log")
 	require.NoError(t, os.WriteFile(log, []byte(`{"time":"2026-05-25T23:03:12.900Z","level":"info","daemon":"b-1","event":941,"job":"j3","reason":"the log does not answer","message":"job-rejected"}`+"\n"), 0o600))
--- a/daemon/internal/ctl/diff.go
+++ b/daemon/internal/ctl/diff.go
@@ -19,7 +19,7 @@
 			"added, removed and changed. It contacts no service.\n\n" + exitCodes,
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, dirs []string) error {
-			asJSON, err := output.json()
+			asJSON, err := output.isJSON()
 			if err != nil {
 				return err
 			}
@@ -32,7 +32,7 @@
 
 func runDiff(cmd *cobra.Command, dirs []string, asJSON bool) error {
 	sets := make([]*object.Set, 0, len(dirs))
-	var all []object.Problem
+	var allProblems []object.Problem
 	for _, dir := range dirs {
 		files, err := readObjectFiles(dir)
 		if err != nil {
@@ -40,10 +40,10 @@
 		}
 		set, problems := object.Load(files)
 		sets = append(sets, set)
-		all = append(all, problems...)
+		allProblems = append(allProblems, problems...)
 	}
-	if len(all) > 0 {
-		if err := printProblems(cmd.ErrOrStderr(), all); err != nil {
+	if len(allProblems) > 0 {
+		if err := printProblems(cmd.ErrOrStderr(), allProblems); err != nil {
 			return err
 		}
 		return errProblems
--- a/daemon/internal/ctl/doc.go
+++ b/daemon/internal/ctl/doc.go
@@ -1,2 +1,2 @@
-// Package ctl holds the commands of briarctl.
+// Package ctl implements the commands of briarctl.
 package ctl
--- a/daemon/internal/ctl/publish.go
+++ b/daemon/internal/ctl/publish.go
@@ -13,10 +13,10 @@
 	"briarproxy/core/object"
 )
 
-// baseNewest stands for the newest version at the time of the command.
+// baseNewest selects the newest version in the log when the command runs.
 const baseNewest = -1
 
-// publishFlags describe a publication.
+// publishFlags are the flags of the commands that publish a version.
 type publishFlags struct {
 	logFlags
 	author  string
@@ -75,7 +75,7 @@
 				flags.message = "rollback to version " + args[0]
 			}
 			return runPublish(cmd, flags, func(l *configLog) (*object.Set, error) {
-				set, known := l.sets[version]
+				set, known := l.setsByVersion[version]
 				if !known || version == 0 {
 					return nil, fault.New(fault.Invalid, "choose a version from briarctl history", "version %d is not in the log any more", version)
 				}
@@ -87,14 +87,15 @@
 	return cmd
 }
 
-func runPublish(cmd *cobra.Command, flags publishFlags, content func(*configLog) (*object.Set, error)) error {
+// runPublish publishes the set that chooseSet returns for the current log.
+func runPublish(cmd *cobra.Command, flags publishFlags, chooseSet func(*configLog) (*object.Set, error)) error {
 	ctx, cancel := context.WithTimeout(cmd.Context(), flags.timeout)
 	defer cancel()
 	l, err := openConfigLog(ctx, flags.logFlags)
 	if err != nil {
 		return err
 	}
-	set, err := content(l)
+	set, err := chooseSet(l)
 	if err != nil {
 		return err
 	}
@@ -122,7 +123,7 @@
 		Long:  "history lists the accepted versions that the log still has.\n\n" + exitCodes,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			asJSON, err := output.json()
+			asJSON, err := output.isJSON()
 			if err != nil {
 				return err
 			}
--- a/daemon/internal/ctl/root.go
+++ b/daemon/internal/ctl/root.go
@@ -26,10 +26,10 @@
   3  a service could not be reached, or its answer leaves the outcome open
   4  another operator has published since the base version`
 
-// errProblems ends a command that has printed the problems it found.
+// errProblems is returned by a command that has already printed the problems it found.
 var errProblems = errors.New("problems were found")
 
-// Run runs briarctl with arguments and returns its exit code.
+// Run runs briarctl with the given arguments and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	cmd := newRoot()
 	cmd.SetArgs(args)
@@ -46,6 +46,7 @@
 	return exitCode(err)
 }
 
+// exitCode returns the exit code for an error that is not errProblems.
 func exitCode(err error) int {
 	switch {
 	case fault.Is(err, fault.Conflict):
@@ -68,7 +69,7 @@
 	return root
 }
 
-// outputFlag is the format of a command's output.
+// outputFlag is the flag that selects the format of a command's output.
 type outputFlag struct{ format string }
 
 func (o *outputFlag) register(cmd *cobra.Command) {
@@ -76,7 +77,8 @@
 	_ = cmd.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
 }
 
-func (o *outputFlag) json() (bool, error) {
+// isJSON reports whether the output format is JSON, and fails for unknown formats.
+func (o *outputFlag) isJSON() (bool, error) {
 	switch o.format {
 	case "json":
 		return true, nil
--- a/daemon/internal/ctl/timeline.go
+++ b/daemon/internal/ctl/timeline.go
@@ -13,7 +13,7 @@
 
 func newTimeline() *cobra.Command {
 	var filter timeline.Filter
-	var page string
+	var pagePath string
 	cmd := &cobra.Command{
 		Use:   "timeline LOG...",
 		Short: "Tell one ordered story from the logs of several daemons",
@@ -25,20 +25,21 @@
 			if err != nil {
 				return err
 			}
-			chosen := timeline.Select(lines, filter)
-			if page != "" {
-				return writePage(page, filter, chosen)
+			selected := timeline.Select(lines, filter)
+			if pagePath != "" {
+				return writePage(pagePath, filter, selected)
 			}
-			return timeline.Write(cmd.OutOrStdout(), chosen)
+			return timeline.Write(cmd.OutOrStdout(), selected)
 		},
 	}
 	cmd.Flags().StringVar(&filter.Job, "job", "", "lines of this job, and who placed meanwhile")
 	cmd.Flags().StringVar(&filter.Worker, "worker", "", "lines of this worker, and who placed meanwhile")
 	cmd.Flags().BoolVar(&filter.Ownership, "ownership", false, "who placed, starts and stops, and when daemons lost the log")
-	cmd.Flags().StringVar(&page, "html", "", "write one self-contained page to this file instead of text")
+	cmd.Flags().StringVar(&pagePath, "html", "", "write one self-contained page to this file instead of text")
 	return cmd
 }
 
+// readLogs reads all log files and prints a warning for each one with unreadable lines.
 func readLogs(files []string, warnings io.Writer) ([]timeline.Line, error) {
 	var all []timeline.Line
 	for _, name := range files {
@@ -47,7 +48,7 @@
 			return nil, fault.Wrap(err, fault.Invalid, "name a readable log", "log %s", name)
 		}
 		lines, skipped, err := timeline.Read(f)
-		_ = f.Close() // it was only read
+		_ = f.Close() // a file opened for reading has no writes to lose
 		if err != nil {
 			return nil, err
 		}
@@ -74,19 +75,19 @@
 		title = "Who placed"
 	}
 	if err := timeline.WritePage(f, title, timeline.Summary(lines, filter.Job), lines); err != nil {
-		_ = f.Close() // the first error is reported
+		_ = f.Close() // the write error is reported instead
 		return fault.Wrap(err, fault.Internal, "report this as a bug", "page %s", name)
 	}
 	return f.Close()
 }
 
-// explainFromLogs says what saved logs tell of a job.
+// explainFromLogs prints a summary of a job and its lines from saved logs.
 func explainFromLogs(cmd *cobra.Command, job string, files []string) error {
 	lines, err := readLogs(files, cmd.ErrOrStderr())
 	if err != nil {
 		return err
 	}
-	chosen := timeline.Select(lines, timeline.Filter{Job: job})
-	fmt.Fprintln(cmd.OutOrStdout(), timeline.Summary(chosen, job))
-	return timeline.Write(cmd.OutOrStdout(), chosen)
+	selected := timeline.Select(lines, timeline.Filter{Job: job})
+	fmt.Fprintln(cmd.OutOrStdout(), timeline.Summary(selected, job))
+	return timeline.Write(cmd.OutOrStdout(), selected)
 }
--- a/daemon/internal/daemoncmd/command.go
+++ b/daemon/internal/daemoncmd/command.go
@@ -1,4 +1,4 @@
-// Package daemoncmd holds the commands of briarproxyd.
+// Package daemoncmd implements the commands of briarproxyd.
 package daemoncmd
 
 import (
@@ -15,7 +15,7 @@
 	"briarproxy/daemon/settings"
 )
 
-// New returns the root command.
+// New returns the root command of briarproxyd.
 func New() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "briarproxyd",
@@ -43,8 +43,8 @@
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "listening", n.Addresses())
-			ctx := untilStopped()
-			go reload(ctx, n, path)
+			ctx := contextUntilStopSignal()
+			go reloadOnHangup(ctx, n, path)
 			return n.Run(ctx)
 		},
 	}
@@ -53,9 +53,10 @@
 	return cmd
 }
 
-// untilStopped returns a context that ends with the first SIGTERM or SIGINT. Later ones have no
-// effect: a planned stop goes on, and its last lines are written.
-func untilStopped() context.Context {
+// contextUntilStopSignal returns a context that is cancelled by the first SIGTERM or SIGINT.
+// Later signals are ignored, so that the planned stop completes and its last log lines are
+// written.
+func contextUntilStopSignal() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -66,8 +67,8 @@
 	return ctx
 }
 
-// reload reads the settings again on SIGHUP.
-func reload(ctx context.Context, n *node.Node, path string) {
+// reloadOnHangup rereads the settings on each SIGHUP and passes them to the daemon.
+func reloadOnHangup(ctx context.Context, n *node.Node, path string) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	for {
--- a/daemon/internal/daemoncmd/serve.go
+++ b/daemon/internal/daemoncmd/serve.go
@@ -15,10 +15,11 @@
 	"briarproxy/platform"
 )
 
-// settingsVariable names the environment variable that holds the path of the settings.
-const settingsVariable = "BRIARPROXY_CONFIG"
+// settingsPathEnv is the environment variable that holds the path of the settings file.
+const settingsPathEnv = "BRIARPROXY_CONFIG"
 
-// serveCommand runs a daemon on the users' platform.
+// serveCommand returns the command that runs a daemon of a cell against the platform's
+// services.
 func serveCommand() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -27,18 +28,19 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if path == "" {
-				path = os.Getenv(settingsVariable)
+				path = os.Getenv(settingsPathEnv)
 			}
 			if path == "" {
-				return fault.New(fault.Invalid, "set "+settingsVariable+" or give --settings", "no settings file is named")
+				return fault.New(fault.Invalid, "set "+settingsPathEnv+" or give --settings", "no settings file is named")
 			}
 			return serve(path)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments; the default is the path in "+settingsVariable)
+	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments; the default is the path in "+settingsPathEnv)
 	return cmd
 }
 
+// serve runs a daemon of a cell with the settings of a file until the planned stop ends.
 func serve(path string) error {
 	s, err := cell.Load(path)
 	if err != nil {
@@ -47,15 +49,15 @@
 	out := event.NewStdout()
 	defer out.Flush()
 	logger := event.NewLogger(out, log.InfoLevel, s.Name)
-	ctx := untilStopped()
-	go watchHangup(ctx, path, logger)
+	ctx := contextUntilStopSignal()
+	go checkSettingsOnHangup(ctx, path, logger)
 	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Machines},
 		cell.NewDialer(cell.PlatformDial, cell.PlatformSilence))
 	return cell.Run(ctx, s, adapter, logger)
 }
 
-// watchHangup checks the settings again on SIGHUP and says what it found.
-func watchHangup(ctx context.Context, path string, logger *event.Logger) {
+// checkSettingsOnHangup rereads the settings on each SIGHUP and logs whether they are valid.
+func checkSettingsOnHangup(ctx context.Context, path string, logger *event.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	for {
--- a/daemon/internal/timeline/doc.go
+++ b/daemon/internal/timeline/doc.go
@@ -1,3 +1,3 @@
-// Package timeline turns the logs of several daemons into one ordered story of a job, a
-// worker or of who placed, as text or as one page of HTML.
+// Package timeline merges the logs of several daemons into one chronological list of events
+// about a job, a worker or the ownership of the placer role, as text or as an HTML page.
 package timeline
--- a/daemon/internal/timeline/read.go
+++ b/daemon/internal/timeline/read.go
@@ -11,30 +11,30 @@
 	"briarproxy/core/fault"
 )
 
-// maxLine is the length of the longest log line that is read, bytes.
-const maxLine = 1 << 20
+// maxLineBytes is the length of the longest log line that Read accepts.
+const maxLineBytes = 1 << 20
 
-// Line is one line of a daemon's log.
+// Line is one parsed line of a daemon's log.
 type Line struct {
 	At       time.Time
 	Daemon   string
 	Event    int
 	Message  string // name of the event
-	Decision string // of the placer
+	Decision string // kind of decision, in lines about placer decisions
 	Job      string
 	Worker   string
 	Reason   string
-	Former   string // placer before a claim
+	Former   string // daemon that was the placer before
 	Task     Task
-	AgeMS    int64
-	Version  int64
-	Fields   map[string]any
+	AgeMS    int64          // age of the data behind a decision or an answer
+	Version  int64          // configuration version, or log offset of the record behind a decision
+	Fields   map[string]any // fields of the log line that have no member here
 }
 
-// Task names a run of a task of a job.
+// Task identifies one run of a task within a job.
 type Task struct{ Occurrence, Step, Index, Run int }
 
-// record is a line as a daemon writes it.
+// record is a log line as a daemon writes it.
 type record struct {
 	Time       time.Time `json:"time"`
 	Daemon     string    `json:"daemon"`
@@ -53,11 +53,12 @@
 	Version    int64     `json:"version"`
 }
 
-// Read returns the log lines of a file. Text before the JSON object of a line, as a
-// collector of logs adds it, is passed over. Lines without a readable object are counted.
+// Read returns the log lines of a file. Text before the JSON object of a line, such as the
+// prefix that a log collector adds, is ignored, and so are lines without a brace. Lines whose
+// object is not a valid log record are counted in skipped.
 func Read(in io.Reader) (lines []Line, skipped int, err error) {
 	s := bufio.NewScanner(in)
-	s.Buffer(make([]byte, 0, 64<<10), maxLine)
+	s.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for s.Scan() {
 		text := s.Bytes()
 		start := bytes.IndexByte(text, '{')
@@ -77,6 +78,8 @@
 	return lines, skipped, nil
 }
 
+// parse decodes one log record. It returns false if the JSON is invalid or the event number
+// or time is missing.
 func parse(text []byte) (Line, bool) {
 	var r record
 	var fields map[string]any
@@ -92,69 +95,71 @@
 	}, true
 }
 
-// Filter selects lines. An empty field selects nothing by itself; a zero Filter selects
-// all lines.
+// Filter selects lines that match any of its non-zero fields. The zero Filter selects all
+// lines except the placer's periodic summaries.
 type Filter struct {
 	Job       string
 	Worker    string
-	Ownership bool // who placed, and when the log was lost
+	Ownership bool // changes of the placer, starts and stops of daemons, and losses of the log
 }
 
-// Events by which a story is told.
+// Numbers of the log events that this package interprets.
 const (
-	eventStarted    = 900
-	eventStopped    = 902
-	eventLogLost    = 910
-	eventLogBack    = 911
-	eventHistory    = 912
-	eventClaim      = 930
-	eventPlacing    = 931
-	eventPlacedEnd  = 932
-	eventHandedOver = 935
-	eventAccepted   = 940
-	eventLastOfJob  = 949
-	eventDecision   = 950
-	eventSummary    = 951
+	eventCellStarted      = 900
+	eventCellStopped      = 902
+	eventLogLost          = 910
+	eventLogBack          = 911
+	eventLogHistoryLost   = 912
+	eventPlacerClaim      = 930
+	eventPlacerBegan      = 931
+	eventPlacerEnded      = 932
+	eventPlacerHandedOver = 935
+	eventJobAccepted      = 940
+	lastJobEvent          = 949 // upper bound of the event numbers about jobs
+	eventPlacerDecision   = 950
+	eventPlacerSummary    = 951
 )
 
-// owns reports whether a line tells who placed or which daemon could not.
-func (l *Line) owns() bool {
-	return l.Event >= eventStarted && l.Event <= eventHistory || l.Event >= eventClaim && l.Event <= eventHandedOver
+// concernsOwnership reports whether a line is about a start or stop of a daemon, a loss of
+// the log, or a change of the placer.
+func (l *Line) concernsOwnership() bool {
+	return l.Event >= eventCellStarted && l.Event <= eventLogHistoryLost || l.Event >= eventPlacerClaim && l.Event <= eventPlacerHandedOver
 }
 
-func (f Filter) selects(l *Line) bool {
+func (f Filter) matches(l *Line) bool {
 	switch {
 	case f == (Filter{}):
-		return l.Event != eventSummary
+		return l.Event != eventPlacerSummary
 	case f.Job != "" && l.Job == f.Job, f.Worker != "" && l.Worker == f.Worker:
 		return true
 	case f.Ownership:
-		return l.owns()
+		return l.concernsOwnership()
 	default:
 		return false
 	}
 }
 
-// Select returns the lines of the filter in order of time. The ownership of the log is
-// part of every story: it explains the gaps.
+// Select returns the lines that match the filter in order of time. For a job or worker it
+// adds the changes of the placer and the losses of the log between the first and the last
+// matching line, because they explain gaps.
 func Select(lines []Line, f Filter) []Line {
-	var chosen []Line
+	var selected []Line
 	for i := range lines {
-		if f.selects(&lines[i]) {
-			chosen = append(chosen, lines[i])
+		if f.matches(&lines[i]) {
+			selected = append(selected, lines[i])
 		}
 	}
-	slices.SortStableFunc(chosen, func(a, b Line) int { return a.At.Compare(b.At) })
-	if f.Ownership || len(chosen) == 0 || f == (Filter{}) {
-		return chosen
+	slices.SortStableFunc(selected, func(a, b Line) int { return a.At.Compare(b.At) })
+	if f.Ownership || len(selected) == 0 || f == (Filter{}) {
+		return selected
 	}
-	from, to := chosen[0].At, chosen[len(chosen)-1].At
+	from, to := selected[0].At, selected[len(selected)-1].At
 	for i := range lines {
 		l := &lines[i]
-		if l.Event >= eventLogLost && l.owns() && !l.At.Before(from) && !l.At.After(to) {
-			chosen = append(chosen, *l)
+		if l.Event >= eventLogLost && l.concernsOwnership() && !l.At.Before(from) && !l.At.After(to) {
+			selected = append(selected, *l)
 		}
 	}
-	slices.SortStableFunc(chosen, func(a, b Line) int { return a.At.Compare(b.At) })
-	return chosen
+	slices.SortStableFunc(selected, func(a, b Line) int { return a.At.Compare(b.At) })
+	return selected
 }
--- a/daemon/internal/timeline/story.go
+++ b/daemon/internal/timeline/summary.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Text returns what a line says, without time and daemon.
+// Text returns the content of a line without its time and daemon.
 func (l *Line) Text() string {
 	parts := []string{fmt.Sprint(l.Event), l.Message}
 	if l.Decision != "" {
@@ -19,7 +19,7 @@
 		parts = append(parts, "job "+l.Job)
 	}
 	if l.Task.Run > 0 {
-		parts = append(parts, fmt.Sprintf("task %s run %d", l.Task.name(), l.Task.Run))
+		parts = append(parts, fmt.Sprintf("task %s run %d", l.Task.label(), l.Task.Run))
 	}
 	if l.Worker != "" {
 		parts = append(parts, "on "+l.Worker)
@@ -33,14 +33,14 @@
 	if l.Version > 0 {
 		parts = append(parts, fmt.Sprintf("version %d", l.Version))
 	}
-	if l.Event != eventSummary {
-		parts = append(parts, l.rest()...)
+	if l.Event != eventPlacerSummary {
+		parts = append(parts, l.formatExtraFields()...)
 	}
 	return strings.Join(parts, " ")
 }
 
-// rest returns the fields that have no place of their own, in a fixed order.
-func (l *Line) rest() []string {
+// formatExtraFields returns the fields that have no member in Line, sorted by name.
+func (l *Line) formatExtraFields() []string {
 	var names []string
 	for name := range l.Fields {
 		names = append(names, name)
@@ -52,9 +52,10 @@
 	return names
 }
 
-func (t Task) name() string { return fmt.Sprintf("%d.%d.%d", t.Occurrence, t.Step, t.Index) }
+// label returns the task as "occurrence.step.index".
+func (t Task) label() string { return fmt.Sprintf("%d.%d.%d", t.Occurrence, t.Step, t.Index) }
 
-// Write prints the lines, with the time since the first.
+// Write prints the lines as a table, with the seconds since the first line.
 func Write(out io.Writer, lines []Line) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for i := range lines {
@@ -64,12 +65,12 @@
 	return table.Flush()
 }
 
-// Summary says in one sentence how a job's story ends; "" if the lines hold no job's story.
+// Summary returns one sentence about the outcome of a job, or "" if job is empty.
 func Summary(lines []Line, job string) string {
 	if job == "" {
 		return ""
 	}
-	var accepted, decided *Line
+	var accepted, lastOutcome *Line
 	var started, ended, failed int
 	for i := range lines {
 		l := &lines[i]
@@ -77,10 +78,10 @@
 			continue
 		}
 		switch {
-		case l.Event == eventAccepted:
+		case l.Event == eventJobAccepted:
 			accepted = l
-		case l.Event > eventAccepted && l.Event <= eventLastOfJob:
-			decided = l
+		case l.Event > eventJobAccepted && l.Event <= lastJobEvent:
+			lastOutcome = l
 		case l.Decision == "start sent":
 			started++
 		case l.Decision == "run ended":
@@ -91,78 +92,80 @@
 		}
 	}
 	switch {
-	case accepted == nil && decided == nil && started == 0:
+	case accepted == nil && lastOutcome == nil && started == 0:
 		return "no line names job " + job
-	case accepted == nil && decided != nil && started == 0:
-		return fmt.Sprintf("job %s was not accepted here: %s (%s) at %s", job, decided.Message, decided.Reason, decided.Daemon)
+	case accepted == nil && lastOutcome != nil && started == 0:
+		return fmt.Sprintf("job %s was not accepted here: %s (%s) at %s", job, lastOutcome.Message, lastOutcome.Reason, lastOutcome.Daemon)
 	}
 	s := fmt.Sprintf("job %s: %d starts, %d ends, %d of them failed", job, started, ended, failed)
 	if accepted != nil {
 		s += fmt.Sprintf("; accepted by %s at %s", accepted.Daemon, accepted.At.UTC().Format("15:04:05.000"))
 	}
-	if decided != nil {
-		s += fmt.Sprintf("; %s (%s)", decided.Message, decided.Reason)
+	if lastOutcome != nil {
+		s += fmt.Sprintf("; %s (%s)", lastOutcome.Message, lastOutcome.Reason)
 	}
 	return s
 }
 
-// Span is a stretch of time in a lane of the page.
+// Span is a time interval in one lane of the page's chart.
 type Span struct {
-	Lane  string
-	From  time.Time
-	To    time.Time
-	Kind  string // "placer", "away", or how a run ended
-	Label string
-	open  bool
+	Lane       string
+	From       time.Time
+	To         time.Time
+	Kind       string // "placer", "away" for a daemon without the log, "running", or how a run ended
+	Label      string
+	unfinished bool
 }
 
-// Spans returns who placed, which daemons had lost the log, and the runs of the lines.
-// What has not ended by the last line ends there.
+// Spans returns the intervals in which a daemon was the placer, in which a daemon could not
+// read the log, and in which a task ran. Intervals that have not ended by the last line end
+// there.
 func Spans(lines []Line) []Span {
 	var spans []Span
 	if len(lines) == 0 {
 		return nil
 	}
 	end := lines[len(lines)-1].At
-	open := map[string]int{}
+	unfinished := map[string]int{}
 	begin := func(key string, s Span) {
-		s.open = true
-		open[key] = len(spans)
+		s.unfinished = true
+		unfinished[key] = len(spans)
 		spans = append(spans, s)
 	}
 	finish := func(key string, at time.Time, kind, label string) {
-		if i, found := open[key]; found {
-			spans[i].To, spans[i].open = at, false
+		if i, found := unfinished[key]; found {
+			spans[i].To, spans[i].unfinished = at, false
 			if kind != "" {
 				spans[i].Kind = kind
 			}
 			spans[i].Label += label
-			delete(open, key)
+			delete(unfinished, key)
 		}
 	}
 	for i := range lines {
 		l := &lines[i]
 		switch {
-		case l.Event == eventPlacing:
+		case l.Event == eventPlacerBegan:
 			begin("placer "+l.Daemon, Span{Lane: "placer", From: l.At, Kind: "placer", Label: l.Daemon})
-		case l.Event == eventPlacedEnd, l.Event == eventStarted, l.Event == eventStopped:
+		case l.Event == eventPlacerEnded, l.Event == eventCellStarted, l.Event == eventCellStopped:
 			finish("placer "+l.Daemon, l.At, "", ": "+l.Reason)
 		case l.Event == eventLogLost:
 			begin("away "+l.Daemon, Span{Lane: "log away from " + l.Daemon, From: l.At, Kind: "away", Label: l.Reason})
 		case l.Event == eventLogBack:
 			finish("away "+l.Daemon, l.At, "", "")
-		case l.Event == eventDecision && l.Decision == "start sent":
-			begin(runKey(l), Span{Lane: "task " + l.Task.name() + " of " + l.Job, From: l.At, Kind: "running", Label: fmt.Sprintf("run %d on %s", l.Task.Run, l.Worker)})
-		case l.Event == eventDecision && l.Decision == "run ended":
+		case l.Event == eventPlacerDecision && l.Decision == "start sent":
+			begin(runKey(l), Span{Lane: "task " + l.Task.label() + " of " + l.Job, From: l.At, Kind: "running", Label: fmt.Sprintf("run %d on %s", l.Task.Run, l.Worker)})
+		case l.Event == eventPlacerDecision && l.Decision == "run ended":
 			finish(runKey(l), l.At, l.Reason, ": "+l.Reason)
 		}
 	}
 	for i := range spans {
-		if spans[i].open {
+		if spans[i].unfinished {
 			spans[i].To = end
 		}
 	}
 	return spans
 }
 
-func runKey(l *Line) string { return fmt.Sprintf("%s %s %d", l.Job, l.Task.name(), l.Task.Run) }
+// runKey identifies one run of a task.
+func runKey(l *Line) string { return fmt.Sprintf("%s %s %d", l.Job, l.Task.label(), l.Task.Run) }
--- a/daemon/internal/traffic/conn.go
+++ b/daemon/internal/traffic/conn.go
@@ -1,4 +1,4 @@
-// Package traffic counts the bytes of connections.
+// Package traffic counts the bytes that connections transfer.
 package traffic
 
 import (
@@ -6,11 +6,11 @@
 	"net"
 )
 
-// Dial opens a connection.
+// DialFunc opens a connection, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Counted returns a dialler whose connections tell count of the bytes that they
-// send and receive. Calls of count must not block. A nil count counts nothing.
+// CountBytes returns a dial function whose connections call count with the number of bytes
+// of each read and write. count must not block. If count is nil, dial is returned unchanged.
 func Counted(dial Dial, count func(bytes int)) Dial {
 	if count == nil {
 		return dial
@@ -20,24 +20,24 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, count: count}, nil
+		return &countingConn{Conn: c, count: count}, nil
 	}
 }
 
-type conn struct {
+type countingConn struct {
 	net.Conn
 	count func(bytes int)
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
+func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.count(n)
 	return n, err
 }
 
 // Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
+func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.count(n)
 	return n, err
--- a/daemon/metric/doc.go
+++ b/daemon/metric/doc.go
@@ -1,3 +1,3 @@
-// Package metric collects the daemon's Prometheus metrics. Names end in their
+// Package metric collects the daemon's Prometheus metrics. Metric names end in their
 // unit, and each label has a bounded number of values.
 package metric
--- a/daemon/metric/metric_test.go
+++ b/daemon/metric/metric_test.go
@@ -17,8 +17,8 @@
 
 func (f fixedPools) Stats() []router.PoolStats { return f }
 
-// Guards against a label whose values grow without bound, and against a scrape
-// that fails because replaced values collide.
+// Guards against an unbounded number of values per label, and against a scrape that
+// fails because overflowing values produce duplicate series.
 func TestLabelsAreBounded(t *testing.T) {
 	m := New()
 	var pools fixedPools
@@ -27,13 +27,13 @@
 		pools = append(pools, router.PoolStats{Pool: fmt.Sprint("p", i), Queued: map[string]int{fmt.Sprint("c", i): 1}, Slots: 2, Busy: 1})
 	}
 	m.ObservePools(pools)
-	require.LessOrEqual(t, testutil.CollectAndCount(m.requests), maxServices+1)
+	require.LessOrEqual(t, testutil.CollectAndCount(m.requests), maxServiceValues+1)
 	count, err := testutil.GatherAndCount(m.Registry, "briar_slots")
 	require.NoError(t, err)
-	require.Equal(t, 3*(maxPools+1), count)
+	require.Equal(t, 3*(maxPoolValues+1), count)
 }
 
-// Guards against wrong names, units and label values.
+// Guards against wrong metric names, units and label values.
 func TestNamesAndValues(t *testing.T) {
 	m := New()
 	m.Answered("s", "c", wire.OutcomeNotRun)
--- a/daemon/metric/pools.go
+++ b/daemon/metric/pools.go
@@ -6,53 +6,53 @@
 	"briarproxy/daemon/router"
 )
 
-// PoolSource gives the state of the queues and slots.
+// PoolSource provides the state of the request queues and worker slots.
 type PoolSource interface {
 	Stats() []router.PoolStats
 }
 
 var (
-	queueDesc = prometheus.NewDesc("briar_queue_entries", "Requests that wait for a slot.", []string{"pool", "class"}, nil)
-	slotsDesc = prometheus.NewDesc("briar_slots", "Borrowed slots by state.", []string{"pool", "state"}, nil)
+	queueEntriesDesc = prometheus.NewDesc("briar_queue_entries", "Requests that wait for a slot.", []string{"pool", "class"}, nil)
+	slotsDesc        = prometheus.NewDesc("briar_slots", "Borrowed slots by state.", []string{"pool", "state"}, nil)
 )
 
-// poolCollector reads the queues and slots when it is scraped.
+// poolCollector reads the queues and slots on each scrape.
 type poolCollector struct {
 	source  PoolSource
-	pools   *bounded
-	classes *bounded
+	pools   *labelLimiter
+	classes *labelLimiter
 }
 
-// ObservePools registers the queue and slot gauges.
+// ObservePools registers the gauges for the queues and slots of source.
 func (m *Metrics) ObservePools(source PoolSource) {
-	m.Registry.MustRegister(&poolCollector{source: source, pools: &bounded{limit: maxPools}, classes: &m.classes})
+	m.Registry.MustRegister(&poolCollector{source: source, pools: &labelLimiter{maxValues: maxPoolValues}, classes: &m.classes})
 }
 
 // Describe implements prometheus.Collector.
 func (c *poolCollector) Describe(out chan<- *prometheus.Desc) {
-	out <- queueDesc
+	out <- queueEntriesDesc
 	out <- slotsDesc
 }
 
-// gauge identifies one time series.
-type gauge struct {
+// seriesKey identifies one time series.
+type seriesKey struct {
 	desc  *prometheus.Desc
 	pool  string
-	label string
+	label string // class or state
 }
 
 // Collect implements prometheus.Collector. Values whose labels are replaced by
-// otherValue are added up, because a series may be sent once only.
+// overflowValue are summed, because a scrape may contain each series only once.
 func (c *poolCollector) Collect(out chan<- prometheus.Metric) {
-	sums := map[gauge]float64{}
+	sums := map[seriesKey]float64{}
 	for _, p := range c.source.Stats() {
-		pool := c.pools.value(p.Pool)
+		pool := c.pools.admit(p.Pool)
 		for class, n := range p.Queued {
-			sums[gauge{queueDesc, pool, c.classes.value(class)}] += float64(n)
+			sums[seriesKey{queueEntriesDesc, pool, c.classes.admit(class)}] += float64(n)
 		}
-		sums[gauge{slotsDesc, pool, "busy"}] += float64(p.Busy - int64(p.Unsettled))
-		sums[gauge{slotsDesc, pool, "unsettled"}] += float64(p.Unsettled)
-		sums[gauge{slotsDesc, pool, "free"}] += float64(p.Slots - p.Busy)
+		sums[seriesKey{slotsDesc, pool, "busy"}] += float64(p.Busy - int64(p.Unsettled))
+		sums[seriesKey{slotsDesc, pool, "unsettled"}] += float64(p.Unsettled)
+		sums[seriesKey{slotsDesc, pool, "free"}] += float64(p.Slots - p.Busy)
 	}
 	for g, sum := range sums {
 		out <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, sum, g.pool, g.label)
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -7,24 +7,25 @@
 	"briarproxy/core/jsonc"
 )
 
-const remedyAddress = `write IP:port, for example "10.0.0.1:8080" or "[fd00::1]:8080"`
+const addressRemedy = `write IP:port, for example "10.0.0.1:8080" or "[fd00::1]:8080"`
 
-// listener reads an IP:port to listen on. Port 0 lets the system choose.
-func listener(dst *string) jsonc.Read {
+// listenAddress reads an IP:port to listen on. With port 0 the operating system chooses
+// the port.
+func listenAddress(dst *string) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) { readAddress(r, n, dst) }
 }
 
-// optionalAddress reads an IP:port that others connect to, or "".
-func optionalAddress(dst *string) jsonc.Read {
+// optionalDialAddress reads an IP:port that other processes connect to, or "".
+func optionalDialAddress(dst *string) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		if !n.IsEmptyString() {
-			address(dst)(r, n)
+			dialAddress(dst)(r, n)
 		}
 	}
 }
 
-// address reads an IP:port that others connect to.
-func address(dst *string) jsonc.Read {
+// dialAddress reads an IP:port that other processes connect to.
+func dialAddress(dst *string) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		parsed, ok := readAddress(r, n, dst)
 		if ok && (parsed.Port() == 0 || parsed.Addr().IsUnspecified()) {
@@ -33,36 +34,39 @@
 	}
 }
 
-func addresses(dst *[]string) jsonc.Read {
+// dialAddresses reads a list of IP:port that other processes connect to.
+func dialAddresses(dst *[]string) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		*dst = []string{}
 		r.Elements(n, func(_ int, element jsonc.Node) {
-			var one string
-			address(&one)(r, element)
-			*dst = append(*dst, one)
+			var item string
+			dialAddress(&item)(r, element)
+			*dst = append(*dst, item)
 		})
 	}
 }
 
+// readAddress reads an IP:port and reports whether it is valid.
 func readAddress(r *jsonc.Reader, n jsonc.Node, dst *string) (netip.AddrPort, bool) {
-	before := len(r.Issues)
+	issuesBefore := len(r.Issues)
 	jsonc.String(dst)(r, n)
-	if len(r.Issues) > before {
+	if len(r.Issues) > issuesBefore {
 		return netip.AddrPort{}, false
 	}
 	parsed, err := netip.ParseAddrPort(*dst)
 	if err != nil {
-		r.Add(n, jsonc.RuleUnit, remedyAddress, "%q is not IP:port", *dst)
+		r.Add(n, jsonc.RuleUnit, addressRemedy, "%q is not IP:port", *dst)
 		return netip.AddrPort{}, false
 	}
 	return parsed, true
 }
 
+// httpURL reads a base URL with scheme http or https.
 func httpURL(dst *string) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) {
-		before := len(r.Issues)
+		issuesBefore := len(r.Issues)
 		jsonc.String(dst)(r, n)
-		if len(r.Issues) > before {
+		if len(r.Issues) > issuesBefore {
 			return
 		}
 		u, err := url.Parse(*dst)
@@ -72,43 +76,46 @@
 	}
 }
 
-func bytesInt(dst *int, least, most int64) jsonc.Read {
+// bytesInt reads a number of bytes into an int.
+func bytesInt(dst *int, minimum, maximum int64) jsonc.Read {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		var value int64
-		jsonc.Bytes(&value, least, most)(r, n)
+		jsonc.Bytes(&value, minimum, maximum)(r, n)
 		*dst = int(value)
 	}
 }
 
-// check verifies fields against one another and fills the advertised addresses.
-func (s *Settings) check(r *jsonc.Reader) {
+// checkConsistency checks rules that involve several fields and fills in the advertised
+// addresses that are not set.
+func (s *Settings) checkConsistency(r *jsonc.Reader) {
 	s.checkListeners(r)
-	s.Advertise.Caller = s.advertised(r, "advertise.caller", s.Advertise.Caller, s.Listen.Caller)
-	s.Advertise.Peer = s.advertised(r, "advertise.peer", s.Advertise.Peer, s.Listen.Peer)
+	s.Advertise.Caller = s.advertisedAddress(r, "advertise.caller", s.Advertise.Caller, s.Listen.Caller)
+	s.Advertise.Peer = s.advertisedAddress(r, "advertise.peer", s.Advertise.Peer, s.Listen.Peer)
 	if s.Lease.Heartbeat*3 > s.Lease.Duration {
-		add(r, "lease.heartbeat", "use at most a third of lease.duration",
+		addIssue(r, "lease.heartbeat", "use at most a third of lease.duration",
 			"%s is too long for a lease of %s: one lost heartbeat would end it", s.Lease.Heartbeat, s.Lease.Duration)
 	}
 	s.checkAdmin(r)
 }
 
-// advertised returns the advertised address, which defaults to the listener's.
-func (s *Settings) advertised(r *jsonc.Reader, path, set, listen string) string {
-	if set != "" {
-		return set
+// advertisedAddress returns the configured address, or the listener's if none is
+// configured.
+func (s *Settings) advertisedAddress(r *jsonc.Reader, path, configured, listen string) string {
+	if configured != "" {
+		return configured
 	}
 	parsed, err := netip.ParseAddrPort(listen)
 	if err != nil {
-		return "" // reported at the listener
+		return "" // already reported for the listen address
 	}
 	if parsed.Addr().IsUnspecified() {
-		add(r, path, "set the address that others reach", "is required, because others cannot connect to the listener's address %q", listen)
+		addIssue(r, path, "set the address that others reach", "is required, because others cannot connect to the listener's address %q", listen)
 		return ""
 	}
 	return listen
 }
 
-// checkListeners reports two listeners on one address. Port 0 never collides.
+// checkListeners reports listeners that share an address. Port 0 never conflicts.
 func (s *Settings) checkListeners(r *jsonc.Reader) {
 	listeners := []struct{ path, address string }{
 		{"listen.caller", s.Listen.Caller}, {"listen.peer", s.Listen.Peer},
@@ -116,14 +123,16 @@
 	}
 	for i, a := range listeners {
 		for _, b := range listeners[:i] {
-			if collide(a.address, b.address) {
-				add(r, a.path, "use another port", "%q is also used by %s", a.address, b.path)
+			if addressesConflict(a.address, b.address) {
+				addIssue(r, a.path, "use another port", "%q is also used by %s", a.address, b.path)
 			}
 		}
 	}
 }
 
-func collide(a, b string) bool {
+// addressesConflict reports whether two listeners cannot both bind their addresses. An
+// unspecified IP address conflicts with every address of the same port.
+func addressesConflict(a, b string) bool {
 	first, errA := netip.ParseAddrPort(a)
 	second, errB := netip.ParseAddrPort(b)
 	if errA != nil || errB != nil || first.Port() == 0 || first.Port() != second.Port() {
@@ -132,10 +141,11 @@
 	return first.Addr() == second.Addr() || first.Addr().IsUnspecified() || second.Addr().IsUnspecified()
 }
 
-// checkAdmin requires TLS where the bearer token would cross a network in clear.
+// checkAdmin requires TLS unless the admin API listens on loopback, because the bearer
+// token would otherwise cross the network unencrypted.
 func (s *Settings) checkAdmin(r *jsonc.Reader) {
 	if (s.Admin.TLSCert == "") != (s.Admin.TLSKey == "") {
-		add(r, "admin.tls_key", "set both or neither", "admin.tls_cert and admin.tls_key belong together")
+		addIssue(r, "admin.tls_key", "set both or neither", "admin.tls_cert and admin.tls_key belong together")
 		return
 	}
 	listen, err := netip.ParseAddrPort(s.Listen.Admin)
@@ -143,12 +153,12 @@
 		return
 	}
 	if !listen.Addr().IsLoopback() {
-		add(r, "admin.tls_cert", "set admin.tls_cert and admin.tls_key, or listen on 127.0.0.1",
+		addIssue(r, "admin.tls_cert", "set admin.tls_cert and admin.tls_key, or listen on 127.0.0.1",
 			"is required, because the admin token would cross the network unencrypted")
 	}
 }
 
-// add records an issue that concerns several fields at the line of one of them.
-func add(r *jsonc.Reader, path, remedy, format string, args ...any) {
+// addIssue records an issue that involves several fields at the line of one of them.
+func addIssue(r *jsonc.Reader, path, remedy, format string, args ...any) {
 	r.Add(jsonc.Node{Path: path, Line: r.Line(path)}, jsonc.RuleRange, remedy, format, args...)
 }
--- a/daemon/settings/doc.go
+++ b/daemon/settings/doc.go
@@ -1,4 +1,4 @@
-// Package settings reads the settings of one daemon from JSON with comments. One
-// table of fields drives reading, printing of defaults and the check of what may
-// change while the daemon runs.
+// Package settings reads the settings of one daemon from a JSON file with comments.
+// A single table of fields drives parsing, printing of the defaults and the check of
+// which settings may change while the daemon runs.
 package settings
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -10,7 +10,7 @@
 	"briarproxy/core/jsonc"
 )
 
-// Settings of one daemon.
+// Settings holds the settings of one daemon.
 type Settings struct {
 	Name       string
 	Region     string
@@ -21,20 +21,20 @@
 
 	LogURL    string
 	VMListURL string
-	SeedPeers []string // IP:port of peer listeners
+	SeedPeers []string // IP:port of other daemons' peer listeners
 
 	DrainDelay time.Duration
 	Limits     Limits
 	Lease      Lease
 
-	LogAppendsPerSecond int           // appends that all daemons of the cell may use together
-	LogRetention        time.Duration // time for which the log service keeps records
+	LogAppendsPerSecond int           // shared budget of all daemons of the cell
+	LogRetention        time.Duration // how long the log service keeps records
 	Admin               Admin
-	LogLevel            string
-	MemoryLimit         int64 // bytes; soft limit of the Go runtime
+	LogLevel            string // "debug", "info", "warn" or "error"
+	MemoryLimit         int64  // soft memory limit of the Go runtime, in bytes
 }
 
-// Listen holds the listeners' addresses, IP:port.
+// Listen holds the addresses that the daemon listens on, as IP:port.
 type Listen struct {
 	Caller  string
 	Peer    string
@@ -42,40 +42,41 @@
 	Metrics string // health, readiness and metrics
 }
 
-// Advertise holds the addresses that other processes use, IP:port.
+// Advertise holds the addresses under which other processes reach the daemon, as
+// IP:port.
 type Advertise struct {
 	Caller string
 	Peer   string
 }
 
-// Limits bound what one connection or caller may use.
+// Limits bounds what a connection or caller may use.
 type Limits struct {
-	Body         int64 // bytes of a request body
-	Headers      int   // bytes of request headers
+	Body         int64 // size of a request body, in bytes
+	Headers      int   // size of the request headers, in bytes
 	ReadTimeout  time.Duration
 	WriteTimeout time.Duration
 	IdleTimeout  time.Duration
 	Connections  int // open connections per listener
 }
 
-// Lease holds the times of unit leases. They must be equal on all daemons of a cell.
+// Lease holds the timing of the leases under which daemons own units such as key shards
+// and racks. It must be the same on all daemons of a cell.
 type Lease struct {
 	Duration  time.Duration
 	Heartbeat time.Duration
 }
 
-// Admin holds the files that the admin API needs.
+// Admin holds the files that the admin API uses.
 type Admin struct {
-	TokenFile string // "" turns the admin API off
-	TLSCert   string
-	TLSKey    string
+	TokenFile string // bearer token; "" disables the admin API
+	TLSCert   string // PEM certificate
+	TLSKey    string // PEM key
 }
 
-// AdminEnabled reports whether the admin API is on.
+// AdminEnabled reports whether the admin API is enabled.
 func (s *Settings) AdminEnabled() bool { return s.Admin.TokenFile != "" }
 
-// Defaults returns the settings that apply where a file is silent. Required fields
-// are empty.
+// Defaults returns the default settings. Required fields are empty.
 func Defaults() *Settings {
 	return &Settings{
 		Listen: Listen{
@@ -96,8 +97,8 @@
 	}
 }
 
-// Load reads a settings file. The error is of kind fault.Invalid and lists every
-// issue of the file.
+// Load reads and validates a settings file. Errors are of kind fault.Invalid and list
+// every issue in the file.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -114,16 +115,16 @@
 	return nil, fault.New(fault.Invalid, "correct every listed field", "%d problems in the settings:\n%s", len(issues), strings.Join(lines, "\n"))
 }
 
-// Parse reads settings over the defaults. The settings are nil if there is any
+// Parse reads settings on top of the defaults. It returns nil settings if it finds any
 // issue.
 func Parse(data []byte) (*Settings, []jsonc.Issue) {
 	s := Defaults()
 	r, root, ok := jsonc.Parse(data)
 	if ok {
-		ok = r.Object(root, fieldsOf(s, ""))
+		ok = r.Object(root, groupFields(s, ""))
 	}
 	if ok {
-		s.check(r)
+		s.checkConsistency(r)
 	}
 	if len(r.Issues) > 0 {
 		return nil, r.Issues
@@ -131,18 +132,18 @@
 	return s, nil
 }
 
-// Reloadable returns an error that names the changed fields which need a restart,
-// or nil if the new settings may be put in force while the daemon runs.
-func Reloadable(old, now *Settings) error {
-	var fixed []string
-	for _, f := range table {
-		if !f.reload && f.show(old) != f.show(now) {
-			fixed = append(fixed, f.path)
+// CheckReload returns an error that names the changed fields that require a restart,
+// or nil if the updated settings can be applied while the daemon runs.
+func Reloadable(current, updated *Settings) error {
+	var restartOnly []string
+	for _, f := range fieldTable {
+		if !f.reloadable && f.format(current) != f.format(updated) {
+			restartOnly = append(restartOnly, f.path)
 		}
 	}
-	if len(fixed) == 0 {
+	if len(restartOnly) == 0 {
 		return nil
 	}
 	return fault.New(fault.Refused, "restart the daemon to change them, or restore their values",
-		"fields that cannot change while the daemon runs: %s", strings.Join(fixed, ", "))
+		"fields that cannot change while the daemon runs: %s", strings.Join(restartOnly, ", "))
 }
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -14,16 +14,16 @@
 	"briarproxy/core/fault"
 )
 
-const minimal = `{
+const minimalSettings = `{
 "name": "e1", "region": "doto", "data_centre": "kushiro-1", // place
 "advertise": {"caller": "10.0.0.1:8080", "peer": "10.0.0.1:8081"},
 "log_url": "http://10.0.0.9:9000", "vm_list_url": "http://10.0.0.9:9001",
 }`
 
-// Guards against a printed default that the reader does not accept or reads as
-// another value, and against a field that is missing from the table.
+// Guards against printed defaults that Parse rejects or reads as different values, and
+// against a field that is missing from the table.
 func TestDefaultsPrintAndReadBack(t *testing.T) {
-	s, issues := Parse([]byte(minimal))
+	s, issues := Parse([]byte(minimalSettings))
 	require.Empty(t, issues)
 	want := Defaults()
 	want.Name, want.Region, want.DataCentre = "e1", "doto", "kushiro-1"
@@ -42,12 +42,12 @@
 	assert.Contains(t, string(Defaults().Encode()), "\"drain_delay\": \"5s\",")
 }
 
-// Guards against a mistake that is accepted or hides another one. Each case lists
-// the exact issues.
+// Guards against invalid settings that are accepted or that mask a second issue. Each
+// case lists the exact issues.
 func TestParseReportsExactIssues(t *testing.T) {
 	cases := []struct {
-		name, add string
-		want      []string // rule line path
+		name, extra string
+		want        []string // "rule line path"
 	}{
 		{"unknown keys", `"drain_dealy": "1s", "limits": {"bodies": 1}`, []string{"unknown-field 5 drain_dealy", "unknown-field 5 limits.bodies"}},
 		{"number as duration", `"drain_delay": 2`, []string{"wrong-type 5 drain_delay"}},
@@ -64,7 +64,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s, issues := Parse([]byte(strings.TrimSuffix(minimal, "}") + c.add + "}"))
+			s, issues := Parse([]byte(strings.TrimSuffix(minimalSettings, "}") + c.extra + "}"))
 			assert.Nil(t, s)
 			var got []string
 			for _, issue := range issues {
@@ -76,8 +76,8 @@
 	}
 }
 
-// Guards against an error that stops at the first fault or names no file and line.
-func TestLoadListsEverything(t *testing.T) {
+// Guards against an error that reports only the first issue or omits the file and line.
+func TestLoadListsAllIssues(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.jsonc")
 	require.NoError(t, os.WriteFile(path, []byte(`{"nmae": "x"}`), 0o600))
 	_, err := Load(path)
@@ -92,21 +92,22 @@
 	assert.True(t, fault.Is(err, fault.Invalid))
 }
 
-// Guards against a running daemon that takes over a field that only a restart can
-// change, such as the lease.
-func TestReloadable(t *testing.T) {
-	old, now := Defaults(), Defaults()
-	now.LogLevel, now.DrainDelay, now.SeedPeers = "debug", time.Second, []string{"10.0.0.1:1"}
-	assert.NoError(t, Reloadable(old, now))
-	now.Lease.Duration, now.Listen.Peer = time.Minute, "10.0.0.1:1"
-	err := Reloadable(old, now)
+// Guards against a reload that applies a field that must not change without a restart,
+// such as the lease duration.
+func TestCheckReload(t *testing.T) {
+	current, updated := Defaults(), Defaults()
+	updated.LogLevel, updated.DrainDelay, updated.SeedPeers = "debug", time.Second, []string{"10.0.0.1:1"}
+	assert.NoError(t, Reloadable(current, updated))
+	updated.Lease.Duration, updated.Listen.Peer = time.Minute, "10.0.0.1:1"
+	err := Reloadable(current, updated)
 	require.True(t, fault.Is(err, fault.Refused))
 	assert.Contains(t, err.Error(), "listen.peer, lease.duration")
 }
 
-// Guards against panics and against accepted settings that do not survive printing.
+// Guards against panics and against accepted settings that change when encoded and
+// parsed again.
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(minimal))
+	f.Add([]byte(minimalSettings))
 	seeds, err := filepath.Glob("testdata/seeds/*.jsonc")
 	require.NoError(f, err)
 	for _, name := range seeds {
--- a/daemon/settings/table.go
+++ b/daemon/settings/table.go
@@ -9,153 +9,161 @@
 	"briarproxy/core/jsonc"
 )
 
-// Bounds of fields.
+// Permitted ranges of the settings.
 const (
-	minTimeout     = 100 * time.Millisecond
-	maxTimeout     = time.Hour
-	maxBody        = 16 << 20 // bytes, as for max_body of a service
-	minHeaders     = 1 << 10  // bytes
-	maxHeaders     = 1 << 20  // bytes
-	maxConnections = 1 << 20
-	maxAppends     = 100_000
-	minMemory      = 32 << 20 // bytes
-	maxMemory      = 1 << 40  // bytes
-	minHeartbeat   = 50 * time.Millisecond
-	maxLease       = 5 * time.Minute
-	minRetention   = time.Minute
-	maxRetention   = 10 * 365 * 24 * time.Hour
+	minTimeout             = 100 * time.Millisecond
+	maxTimeout             = time.Hour
+	maxBodyBytes           = 16 << 20 // the same bound as for max_body of a service
+	minHeaderBytes         = 1 << 10
+	maxHeaderBytes         = 1 << 20
+	maxConnections         = 1 << 20
+	maxLogAppendsPerSecond = 100_000
+	minMemoryLimitBytes    = 32 << 20
+	maxMemoryLimitBytes    = 1 << 40
+	minHeartbeatInterval   = 50 * time.Millisecond
+	maxLeaseDuration       = 5 * time.Minute
+	minLogRetention        = time.Minute
+	maxLogRetention        = 10 * 365 * 24 * time.Hour
 )
 
-// field describes one setting. The path of a field in a group is "group.name".
+// field describes one setting. A field inside a group has the path "group.name".
 type field struct {
-	path     string
-	required bool
-	reload   bool // may change while the daemon runs
-	read     func(s *Settings) jsonc.Read
-	show     func(s *Settings) string // the value as JSON
-	comment  string
+	path        string
+	required    bool
+	reloadable  bool // may change while the daemon runs
+	read        func(s *Settings) jsonc.Read
+	format      func(s *Settings) string // returns the value as JSON
+	description string
 }
 
-var table = []field{
+// fieldTable lists all settings. The fields of a group are adjacent.
+var fieldTable = []field{
 	{"name", true, false,
 		func(s *Settings) jsonc.Read { return jsonc.Name(&s.Name) },
-		func(s *Settings) string { return text(s.Name) },
+		func(s *Settings) string { return encodeString(s.Name) },
 		"unique name of this daemon in its cell"},
 	{"region", true, false,
 		func(s *Settings) jsonc.Read { return jsonc.Name(&s.Region) },
-		func(s *Settings) string { return text(s.Region) },
+		func(s *Settings) string { return encodeString(s.Region) },
 		"region of this VM"},
 	{"data_centre", true, false,
 		func(s *Settings) jsonc.Read { return jsonc.Name(&s.DataCentre) },
-		func(s *Settings) string { return text(s.DataCentre) },
+		func(s *Settings) string { return encodeString(s.DataCentre) },
 		"data centre of this VM"},
 	{"listen.caller", false, false,
-		func(s *Settings) jsonc.Read { return listener(&s.Listen.Caller) },
-		func(s *Settings) string { return text(s.Listen.Caller) },
+		func(s *Settings) jsonc.Read { return listenAddress(&s.Listen.Caller) },
+		func(s *Settings) string { return encodeString(s.Listen.Caller) },
 		"callers' API, IP:port"},
 	{"listen.peer", false, false,
-		func(s *Settings) jsonc.Read { return listener(&s.Listen.Peer) },
-		func(s *Settings) string { return text(s.Listen.Peer) },
+		func(s *Settings) jsonc.Read { return listenAddress(&s.Listen.Peer) },
+		func(s *Settings) string { return encodeString(s.Listen.Peer) },
 		"net/rpc between daemons, IP:port"},
 	{"listen.admin", false, false,
-		func(s *Settings) jsonc.Read { return listener(&s.Listen.Admin) },
-		func(s *Settings) string { return text(s.Listen.Admin) },
+		func(s *Settings) jsonc.Read { return listenAddress(&s.Listen.Admin) },
+		func(s *Settings) string { return encodeString(s.Listen.Admin) },
 		"admin API, IP:port; off unless admin.token_file is set"},
 	{"listen.metrics", false, false,
-		func(s *Settings) jsonc.Read { return listener(&s.Listen.Metrics) },
-		func(s *Settings) string { return text(s.Listen.Metrics) },
+		func(s *Settings) jsonc.Read { return listenAddress(&s.Listen.Metrics) },
+		func(s *Settings) string { return encodeString(s.Listen.Metrics) },
 		"health, readiness and metrics, IP:port"},
 	{"advertise.caller", false, false,
-		func(s *Settings) jsonc.Read { return optionalAddress(&s.Advertise.Caller) },
-		func(s *Settings) string { return text(s.Advertise.Caller) },
+		func(s *Settings) jsonc.Read { return optionalDialAddress(&s.Advertise.Caller) },
+		func(s *Settings) string { return encodeString(s.Advertise.Caller) },
 		"IP:port under which callers reach listen.caller; empty: as listen.caller"},
 	{"advertise.peer", false, false,
-		func(s *Settings) jsonc.Read { return optionalAddress(&s.Advertise.Peer) },
-		func(s *Settings) string { return text(s.Advertise.Peer) },
+		func(s *Settings) jsonc.Read { return optionalDialAddress(&s.Advertise.Peer) },
+		func(s *Settings) string { return encodeString(s.Advertise.Peer) },
 		"IP:port under which daemons reach listen.peer; empty: as listen.peer"},
 	{"log_url", true, false,
 		func(s *Settings) jsonc.Read { return httpURL(&s.LogURL) },
-		func(s *Settings) string { return text(s.LogURL) },
+		func(s *Settings) string { return encodeString(s.LogURL) },
 		"base URL of the log service"},
 	{"vm_list_url", true, false,
 		func(s *Settings) jsonc.Read { return httpURL(&s.VMListURL) },
-		func(s *Settings) string { return text(s.VMListURL) },
+		func(s *Settings) string { return encodeString(s.VMListURL) },
 		"base URL of the VM list"},
 	{"seed_peers", false, true,
-		func(s *Settings) jsonc.Read { return addresses(&s.SeedPeers) },
-		func(s *Settings) string { return list(s.SeedPeers) },
+		func(s *Settings) jsonc.Read { return dialAddresses(&s.SeedPeers) },
+		func(s *Settings) string { return encodeStrings(s.SeedPeers) },
 		"addresses of other daemons, IP:port; not used yet: daemons learn of one another from the log"},
 	{"drain_delay", false, true,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.DrainDelay, 0, maxTimeout) },
-		func(s *Settings) string { return text(s.DrainDelay.String()) },
+		func(s *Settings) string { return encodeString(s.DrainDelay.String()) },
 		"time between unreadiness and the end of accepting at a planned stop"},
 	{"limits.body", false, true,
-		func(s *Settings) jsonc.Read { return jsonc.Bytes(&s.Limits.Body, 1, maxBody) },
-		func(s *Settings) string { return text(size(s.Limits.Body)) },
+		func(s *Settings) jsonc.Read { return jsonc.Bytes(&s.Limits.Body, 1, maxBodyBytes) },
+		func(s *Settings) string { return encodeString(formatBytes(s.Limits.Body)) },
 		"largest request body"},
 	{"limits.headers", false, false,
-		func(s *Settings) jsonc.Read { return bytesInt(&s.Limits.Headers, minHeaders, maxHeaders) },
-		func(s *Settings) string { return text(size(int64(s.Limits.Headers))) },
+		func(s *Settings) jsonc.Read { return bytesInt(&s.Limits.Headers, minHeaderBytes, maxHeaderBytes) },
+		func(s *Settings) string { return encodeString(formatBytes(int64(s.Limits.Headers))) },
 		"largest request headers"},
 	{"limits.read_timeout", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Limits.ReadTimeout, minTimeout, maxTimeout) },
-		func(s *Settings) string { return text(s.Limits.ReadTimeout.String()) },
+		func(s *Settings) string { return encodeString(s.Limits.ReadTimeout.String()) },
 		"time in which a request must be read"},
 	{"limits.write_timeout", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Limits.WriteTimeout, minTimeout, maxTimeout) },
-		func(s *Settings) string { return text(s.Limits.WriteTimeout.String()) },
+		func(s *Settings) string { return encodeString(s.Limits.WriteTimeout.String()) },
 		"time in which a request must be answered"},
 	{"limits.idle_timeout", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Limits.IdleTimeout, minTimeout, maxTimeout) },
-		func(s *Settings) string { return text(s.Limits.IdleTimeout.String()) },
+		func(s *Settings) string { return encodeString(s.Limits.IdleTimeout.String()) },
 		"time after which an idle connection is closed"},
 	{"limits.connections", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.Int(&s.Limits.Connections, 1, maxConnections) },
 		func(s *Settings) string { return fmt.Sprint(s.Limits.Connections) },
 		"open connections per listener"},
 	{"lease.duration", false, false,
-		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Lease.Duration, 3*minHeartbeat, maxLease) },
-		func(s *Settings) string { return text(s.Lease.Duration.String()) },
+		func(s *Settings) jsonc.Read {
+			return jsonc.Duration(&s.Lease.Duration, 3*minHeartbeatInterval, maxLeaseDuration)
+		},
+		func(s *Settings) string { return encodeString(s.Lease.Duration.String()) },
 		"lease of ownership units; equal on all daemons of the cell"},
 	{"lease.heartbeat", false, false,
-		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Lease.Heartbeat, minHeartbeat, maxLease) },
-		func(s *Settings) string { return text(s.Lease.Heartbeat.String()) },
+		func(s *Settings) jsonc.Read {
+			return jsonc.Duration(&s.Lease.Heartbeat, minHeartbeatInterval, maxLeaseDuration)
+		},
+		func(s *Settings) string { return encodeString(s.Lease.Heartbeat.String()) },
 		"time between heartbeats; at most a third of lease.duration"},
 	{"log_appends_per_second", false, true,
-		func(s *Settings) jsonc.Read { return jsonc.Int(&s.LogAppendsPerSecond, 1, maxAppends) },
+		func(s *Settings) jsonc.Read { return jsonc.Int(&s.LogAppendsPerSecond, 1, maxLogAppendsPerSecond) },
 		func(s *Settings) string { return fmt.Sprint(s.LogAppendsPerSecond) },
 		"log appends per second that all daemons of the cell may use together"},
 	{"log_retention", false, false,
-		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.LogRetention, minRetention, maxRetention) },
-		func(s *Settings) string { return text(s.LogRetention.String()) },
+		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.LogRetention, minLogRetention, maxLogRetention) },
+		func(s *Settings) string { return encodeString(s.LogRetention.String()) },
 		"time for which the log service keeps records; state is appended again every third of it"},
 	{"admin.token_file", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.String(&s.Admin.TokenFile) },
-		func(s *Settings) string { return text(s.Admin.TokenFile) },
+		func(s *Settings) string { return encodeString(s.Admin.TokenFile) },
 		"file with the bearer token of the admin API; empty: the admin API is off"},
 	{"admin.tls_cert", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.String(&s.Admin.TLSCert) },
-		func(s *Settings) string { return text(s.Admin.TLSCert) },
+		func(s *Settings) string { return encodeString(s.Admin.TLSCert) },
 		"PEM certificate of the admin API; required unless it listens on loopback"},
 	{"admin.tls_key", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.String(&s.Admin.TLSKey) },
-		func(s *Settings) string { return text(s.Admin.TLSKey) },
+		func(s *Settings) string { return encodeString(s.Admin.TLSKey) },
 		"PEM key of admin.tls_cert"},
 	{"log_level", false, true,
 		func(s *Settings) jsonc.Read { return jsonc.OneOf(&s.LogLevel, "debug", "info", "warn", "error") },
-		func(s *Settings) string { return text(s.LogLevel) },
+		func(s *Settings) string { return encodeString(s.LogLevel) },
 		"debug, info, warn or error"},
 	{"memory_limit", false, true,
-		func(s *Settings) jsonc.Read { return jsonc.Bytes(&s.MemoryLimit, minMemory, maxMemory) },
-		func(s *Settings) string { return text(size(s.MemoryLimit)) },
+		func(s *Settings) jsonc.Read {
+			return jsonc.Bytes(&s.MemoryLimit, minMemoryLimitBytes, maxMemoryLimitBytes)
+		},
+		func(s *Settings) string { return encodeString(formatBytes(s.MemoryLimit)) },
 		"memory above which the garbage collector works harder"},
 }
 
-// fieldsOf returns the fields of a group, or of the top level for group "".
-func fieldsOf(s *Settings, group string) []jsonc.Field {
+// groupFields returns the readers for the fields of a group, or for the top-level fields
+// and the groups themselves if group is "".
+func groupFields(s *Settings, group string) []jsonc.Field {
 	var fields []jsonc.Field
 	seen := map[string]bool{}
-	for _, f := range table {
+	for _, f := range fieldTable {
 		first, rest, nested := strings.Cut(f.path, ".")
 		switch {
 		case group == "" && nested && !seen[first]:
@@ -170,16 +178,17 @@
 	return fields
 }
 
+// readGroup returns the reader for the object that holds the fields of a group.
 func readGroup(s *Settings, group string) jsonc.Read {
-	return func(r *jsonc.Reader, n jsonc.Node) { r.Object(n, fieldsOf(s, group)) }
+	return func(r *jsonc.Reader, n jsonc.Node) { r.Object(n, groupFields(s, group)) }
 }
 
-// Encode writes settings as JSON with a comment on each field.
+// Encode returns the settings as JSON with a comment above each field.
 func (s *Settings) Encode() []byte {
 	var b strings.Builder
 	b.WriteString("{\n")
 	group, indent := "", "\t"
-	for _, f := range table {
+	for _, f := range fieldTable {
 		first, name, nested := strings.Cut(f.path, ".")
 		if !nested {
 			first, name = "", f.path
@@ -193,34 +202,35 @@
 			indent = "\t\t"
 		}
 		group = first
-		fmt.Fprintf(&b, "%s// %s%s\n%s%q: %s,\n", indent, f.comment, f.note(), indent, name, f.show(s))
+		fmt.Fprintf(&b, "%s// %s%s\n%s%q: %s,\n", indent, f.description, f.annotation(), indent, name, f.format(s))
 	}
 	b.WriteString("}\n")
 	return []byte(b.String())
 }
 
-func (f field) note() string {
+// annotation returns the suffix of the field's printed comment.
+func (f field) annotation() string {
 	switch {
 	case f.required:
 		return " (required)"
-	case f.reload:
+	case f.reloadable:
 		return " (may change while the daemon runs)"
 	}
 	return ""
 }
 
-func text(s string) string {
-	encoded, _ := json.Marshal(s) // a string always encodes
+func encodeString(s string) string {
+	encoded, _ := json.Marshal(s) // encoding a string cannot fail
 	return string(encoded)
 }
 
-func list(items []string) string {
-	encoded, _ := json.Marshal(items) // strings always encode
+func encodeStrings(items []string) string {
+	encoded, _ := json.Marshal(items) // encoding strings cannot fail
 	return string(encoded)
 }
 
-// size formats bytes with the largest unit that divides them.
-func size(n int64) string {
+// formatBytes formats a number of bytes in the largest binary unit that divides it.
+func formatBytes(n int64) string {
 	units := []string{"B", "KiB", "MiB", "GiB", "TiB"}
 	unit := 0
 	for n > 0 && n%1024 == 0 && unit < len(units)-1 {
