--- a/core/placer/ablation_test.go
+++ b/core/placer/ablation_test.go
@@ -10,8 +10,8 @@
 	"briarproxy/core/resource"
 )
 
-// mixedPriorityLoad has gangs of an urgent queue beside single tasks of a less urgent one, at four fifths
-// of the room of 48 workers.
+// mixedPriorityLoad combines gangs of an urgent queue with single tasks of a less urgent one, at
+// 80 % of the capacity of 48 workers.
 var mixedPriorityLoad = []requestKind{
 	{"renewal", 1.44, 1.2, 6.4, 6200 * time.Millisecond, resource.Vector{MilliCores: 9000, MemoryMiB: 13000}, 1, 2.2, 1200 * time.Millisecond,
 		&cluster.Advice{Decide: 450 * time.Millisecond, PerVM: 6500 * time.Microsecond, Valid: 2500 * time.Millisecond, MaxVMs: 100}, 0.35, 13.3},
@@ -21,35 +21,36 @@
 		&cluster.Advice{Decide: 8100 * time.Microsecond, PerVM: 120 * time.Microsecond, Valid: 2500 * time.Millisecond, MaxVMs: 100}, 0.7, 0.437},
 }
 
-// overload plays ten seconds at a bit over twice the usual rates, with a mechanism
-// switched off, for some seeds, and returns the mean share of jobs on time of each kind and of the value.
-func overload(t *testing.T, off Ablation, seeds uint64) (renewal, gauge, check, valueShare float64) {
+// overload simulates ten seconds at 2.2 times the usual rates, with the given mechanisms disabled
+// and a number of seeds. It returns the mean shares of jobs on time of each kind and the mean share
+// of the value.
+func overload(t *testing.T, disabled Ablation, seeds uint64) (renewal, gauge, check, valueShare float64) {
 	for seed := range seeds {
-		p := newWorkloadOn(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
-		p.placer.options.Disabled = off
+		load := newWorkloadOn(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
+		load.placer.options.Disabled = disabled
 		for i, priority := range []int{1, 2, 0} {
-			p.config.Queues[i].Priority = priority
+			load.config.Queues[i].Priority = priority
 		}
-		p.answerDelay = 60 * time.Millisecond
-		p.generate(4*time.Second, 1)
-		p.generate(10*time.Second, 2.2)
-		p.generate(10*time.Second, 1)
-		p.advance(25 * time.Second)
-		t.Log(p)
+		load.answerDelay = 60 * time.Millisecond
+		load.generate(4*time.Second, 1)
+		load.generate(10*time.Second, 2.2)
+		load.generate(10*time.Second, 1)
+		load.advance(25 * time.Second)
+		t.Log(load)
 		n := float64(seeds)
-		renewal, gauge, check, valueShare = renewal+p.onTimeShare("renewal")/n, gauge+p.onTimeShare("gauge")/n, check+p.onTimeShare("check")/n, valueShare+p.valueShare()/n
+		renewal, gauge, check, valueShare = renewal+load.onTimeShare("renewal")/n, gauge+load.onTimeShare("gauge")/n, check+load.onTimeShare("check")/n, valueShare+load.valueShare()/n
 	}
 	return renewal, gauge, check, valueShare
 }
 
-// Guards against gangs of an urgent queue that wait behind single tasks of a less urgent one,
-// which take each gap before the next one opens (renewals of kandy-strings-grown, 0.72 in time
-// on a calm day), and against less urgent work that starves in turn.
+// Guards against gangs of an urgent queue that are blocked by single tasks of a less urgent one,
+// which take each free slot before the gang finds room for all its members (without overload, only
+// 0.72 of the gang jobs were on time), and against starvation of the less urgent work.
 func TestSingleTasksYieldToUrgentGangs(t *testing.T) {
-	without, _, _, before := overload(t, Ablation{Yields: true}, 3)
+	renewalWithout, _, _, valueShareWithout := overload(t, Ablation{Yields: true}, 3)
 	renewal, gauge, check, valueShare := overload(t, Ablation{}, 3)
-	require.Greater(t, renewal, without+valueShareNoise)
-	require.Greater(t, valueShare, before-valueShareNoise)
-	require.Greater(t, gauge, minValueShare, "less urgent work starves")
+	require.Greater(t, renewal, renewalWithout+valueShareNoise)
+	require.Greater(t, valueShare, valueShareWithout-valueShareNoise)
+	require.Greater(t, gauge, minValueShare, "starvation of the less urgent queue")
 	require.Greater(t, check, minValueShare)
 }
--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -9,57 +9,57 @@
 	"briarproxy/core/cluster"
 )
 
-// Limits of asking for advice.
+// Limits for calls to the advice service.
 const (
 	adviceRetryDelay      = 250 * time.Millisecond
-	initialAdviserBackoff = 2 * time.Second // after a daemon could not bring an answer; doubled each time
+	initialAdviserBackoff = 2 * time.Second // doubled with each further failure of a daemon to return an answer
 	maxAdviserBackoff     = 16 * time.Second
-	slowCallFactor        = 4    // a call that takes this many times as long as the quickest one is slow
-	maxCallsPerAdviser    = 16   // the service takes 32 calls of a daemon; both placers of a takeover may ask
-	quickCallDaemonShare  = 0.34 // of the daemons are kept for quick calls
+	slowCallFactor        = 4    // a call is slow if it takes more than this many times as long as the shortest call of any queue
+	maxCallsPerAdviser    = 16   // half of the 32 calls that the service accepts from a daemon: during a takeover, both placers may call
+	quickCallDaemonShare  = 0.34 // share of the daemons that is reserved for quick calls
 	usualNetworkDelay     = 70 * time.Millisecond
 	maxAnswerDelay        = time.Second
-	answerDelayResolution = 20 * time.Millisecond // smaller differences do not change the order of daemons
-	answerDelayDivisor    = 8                     // one answer moves a daemon's delay by this part of the difference
-	adviserHelloTimeout   = 15 * time.Second      // a daemon says hello every few seconds
+	answerDelayResolution = 20 * time.Millisecond // smaller differences do not affect the ranking of daemons
+	answerDelayDivisor    = 8                     // each answer moves the average by 1/8 of the difference
+	adviserHelloTimeout   = 15 * time.Second      // daemons append a Hello record every few seconds
 )
 
-// adviser is a daemon through which advice is asked for.
+// adviser is a daemon through which the placer calls the advice service.
 type adviser struct {
 	name          string
-	busyUntil     time.Duration // boot clock: when the service will have served the calls sent so far
+	busyUntil     time.Duration // boot clock: expected time at which the service has processed all calls sent so far
 	callsInFlight int
-	avoidUntil    time.Duration // boot clock: not asked until then
-	failures      int           // in a row
-	answerDelay   time.Duration // of its answers beyond the service's own time
+	avoidUntil    time.Duration // boot clock: receives no calls before this time
+	failures      int           // consecutive
+	answerDelay   time.Duration // moving average of the response time in excess of the expected queueing and service time
 }
 
-// queueDelay is how long the service would leave a call sent now waiting.
+// queueDelay returns how long a call sent now is expected to wait in the service's queue.
 func (d *adviser) queueDelay(now time.Duration) time.Duration { return max(0, d.busyUntil-now) }
 
-// advisers spreads calls for advice over the daemons. The service serves one call at a
-// time for each daemon, so a slow call delays all that follow it there. Therefore some
-// daemons take quick calls only; none gets a call that would wait there for long, as
-// that is better sent later to another; and steps that are late already wait until a
-// daemon has nothing to do, so that a backlog does not make new requests late as well.
+// advisers distributes advice calls over the daemons. The service processes one call at a
+// time for each daemon, so a slow call delays all calls behind it. Therefore some daemons are
+// reserved for quick calls. No daemon receives a call that would queue there for long: it is
+// better sent later through another daemon. Steps that are already late wait for an idle
+// daemon, so that a backlog does not make new requests late as well.
 type advisers struct {
 	byName        map[string]*adviser
-	candidates    []*adviser          // those that may be asked in this pass, the nearest first
-	refusedCost   [2][2]time.Duration // by lateness and lane: the longest call for which none was found in this pass
+	candidates    []*adviser          // daemons available in this planning pass, shortest answerDelay first
+	refusedCost   [2][2]time.Duration // by lateness (on time, late) and lane (quick, slow): longest call for which this pass found no daemon
 	callsInFlight map[cluster.StepID]adviceCall
-	shortestCall  time.Duration // the shortest call of any queue
+	shortestCall  time.Duration // duration of the shortest call of any queue
 
 	sortByName bool // see Ablation.NearAdvisers
 }
 
-// adviceCall is a call under way.
-type adviceCall struct{ expected time.Duration } // answer, without the daemon's delay
+// adviceCall is a call in flight.
+type adviceCall struct{ expected time.Duration } // queueing and service time, without the daemon's answerDelay
 
 func newAdvisers() *advisers {
 	return &advisers{byName: map[string]*adviser{}, callsInFlight: map[cluster.StepID]adviceCall{}}
 }
 
-// setQueues takes the queues' rules for advice.
+// setQueues updates shortestCall from the advice rules of the queues.
 func (a *advisers) setQueues(queues []cluster.Queue) {
 	a.shortestCall = 0
 	for i := range queues {
@@ -71,7 +71,8 @@
 	}
 }
 
-// setMembers keeps the advisers equal to the daemons of the cell, at the start of a pass.
+// setMembers synchronizes the advisers with the daemons of the cell and determines the
+// candidates of a planning pass.
 func (a *advisers) setMembers(names []string, now time.Duration) {
 	a.candidates, a.refusedCost = a.candidates[:0], [2][2]time.Duration{}
 	for name := range a.byName {
@@ -94,35 +95,36 @@
 	slices.SortFunc(a.candidates, compareAdvisers)
 }
 
-// compareAdvisers puts the daemons through which answers come soonest first: the first ones are
-// kept for quick calls, which a way to another region would make many times as long.
+// compareAdvisers sorts by answer delay, shortest first. The first daemons are reserved for
+// quick calls, which a detour through another region would make many times as long.
 func compareAdvisers(x, y *adviser) int {
 	return cmp.Or(cmp.Compare(x.answerDelay/answerDelayResolution, y.answerDelay/answerDelayResolution), cmp.Compare(x.name, y.name))
 }
 
-// adviceCallTime is the time that the service takes for a call.
+// adviceCallTime returns the service time of a call.
 func adviceCallTime(rule *cluster.Advice, workers int) time.Duration {
 	return rule.Decide + time.Duration(workers)*rule.PerVM
 }
 
-// accepts reports whether a call may be sent to the daemon now.
+// accepts reports whether a call may be sent through the daemon now.
 func (d *adviser) accepts(cost time.Duration, late bool, now time.Duration) bool {
-	most := d.answerDelay // the call arrives as the service gets to it
+	maxQueueDelay := d.answerDelay // the service becomes idle by the time the call arrives
 	if !late {
-		most += cost
+		maxQueueDelay += cost
 	}
-	return now >= d.avoidUntil && d.callsInFlight < maxCallsPerAdviser && d.queueDelay(now) <= most
+	return now >= d.avoidUntil && d.callsInFlight < maxCallsPerAdviser && d.queueDelay(now) <= maxQueueDelay
 }
 
-// pick returns the daemon whose answer is expected first, or "". Within a planning pass
-// the daemons only get busier, so a length of call for which none was found is not tried
-// again: a backlog would look through all daemons for each of its steps.
+// pick returns the daemon that is expected to answer first, or "" if none is available. Within
+// a planning pass daemons only get busier, and a shorter call tolerates less queueing, so once
+// no daemon was found for a call, shorter ones are refused without a search. Otherwise each
+// step of a backlog would search all daemons.
 func (a *advisers) pick(cost time.Duration, late bool, now time.Duration) string {
-	list, lane, lateness := a.candidates, 0, 0
+	eligible, lane, lateness := a.candidates, 0, 0
 	if cost > slowCallFactor*a.shortestCall {
 		lane = 1
-		if kept := int(quickCallDaemonShare*float64(len(list)) + 0.5); len(list) > kept {
-			list = list[kept:]
+		if reserved := int(quickCallDaemonShare*float64(len(eligible)) + 0.5); len(eligible) > reserved {
+			eligible = eligible[reserved:]
 		}
 	}
 	if late {
@@ -131,19 +133,19 @@
 	if cost <= a.refusedCost[lateness][lane] {
 		return ""
 	}
-	best, bestAt := "", time.Duration(0)
-	for _, d := range list {
+	bestName, bestDelay := "", time.Duration(0)
+	for _, d := range eligible {
 		if !d.accepts(cost, late, now) {
 			continue
 		}
-		if at := d.queueDelay(now) + d.answerDelay; best == "" || at < bestAt {
-			best, bestAt = d.name, at
+		if delay := d.queueDelay(now) + d.answerDelay; bestName == "" || delay < bestDelay {
+			bestName, bestDelay = d.name, delay
 		}
 	}
-	if best == "" {
+	if bestName == "" {
 		a.refusedCost[lateness][lane] = cost
 	}
-	return best
+	return bestName
 }
 
 func (a *advisers) callSent(name string, step cluster.StepID, cost, now time.Duration) {
@@ -154,7 +156,7 @@
 }
 
 func (a *advisers) callFinished(c *AdviseCommand, took time.Duration, failed bool, now time.Duration) {
-	s := a.callsInFlight[c.Step]
+	call := a.callsInFlight[c.Step]
 	delete(a.callsInFlight, c.Step)
 	d := a.byName[c.Daemon]
 	if d == nil {
@@ -170,10 +172,10 @@
 		return
 	}
 	d.failures = 0
-	d.answerDelay += (min(max(0, took-s.expected), maxAnswerDelay) - d.answerDelay) / answerDelayDivisor
+	d.answerDelay += (min(max(0, took-call.expected), maxAnswerDelay) - d.answerDelay) / answerDelayDivisor
 }
 
-// ticketAge is how old the tickets of an answer may be: its way back.
+// ticketAge returns how old the tickets of an answer may be on arrival: its network delay.
 func (a *advisers) ticketAge(c *AdviseCommand) time.Duration {
 	if d := a.byName[c.Daemon]; d != nil {
 		return min(d.answerDelay, usualNetworkDelay)
@@ -188,8 +190,8 @@
 	return fmt.Sprintf("%d of %d workers granted", granted, asked)
 }
 
-// FailingAdvisers returns how many of the daemons that advice is asked through gave no answer
-// to their last calls, and how many there are.
+// FailingAdvisers returns the number of advisers whose last calls failed, and the number of
+// all advisers.
 func (p *Placer) FailingAdvisers() (failing, all int) {
 	for _, d := range p.advisers.byName {
 		if d.failures > 0 {
--- a/core/placer/advise_test.go
+++ b/core/placer/advise_test.go
@@ -9,16 +9,16 @@
 	"briarproxy/core/cluster"
 )
 
-// Guards against slow calls for advice that no daemon takes: when a partition left the
-// placer with itself alone, which happened to be one of those kept for quick calls, wide
-// steps got no advice until the partition ended (dosui-sched, scale-2).
+// Guards against slow advice calls that no daemon accepts: when a network partition left only
+// the placer's own daemon, which was one of those reserved for quick calls, wide steps got no
+// advice until the partition ended.
 func TestSlowCallsUseTheRemainingDaemons(t *testing.T) {
 	a := newAdvisers()
 	a.shortestCall = 10 * time.Millisecond
 	names := []string{"a", "b", "c", "d", "e"}
 	now := time.Minute
 	a.setMembers(names, now)
-	require.NotEqual(t, "a", a.pick(time.Second, false, now), "one of those kept for quick calls")
+	require.NotEqual(t, "a", a.pick(time.Second, false, now), "daemon a is reserved for quick calls")
 	for _, name := range names[1:] {
 		a.callFinished(&AdviseCommand{Daemon: name, Step: cluster.StepID{Job: name}}, time.Second, true, now)
 	}
@@ -26,8 +26,8 @@
 	require.Equal(t, "a", a.pick(time.Second, false, now))
 }
 
-// Guards against calls that queue up at a daemon for longer than they take, and against
-// steps that are late already taking the place of new ones.
+// Guards against calls that wait at a daemon for longer than they take, and against calls of
+// late steps that delay those of new ones.
 func TestCallsDoNotQueueUpAtADaemon(t *testing.T) {
 	a := newAdvisers()
 	a.shortestCall = 10 * time.Millisecond
@@ -42,14 +42,14 @@
 			require.Less(t, sent[late], maxCallsPerAdviser)
 		}
 	}
-	require.Equal(t, 1, sent[true], "a late call waits until the daemon has nothing to do")
+	require.Equal(t, 1, sent[true], "calls of late steps wait for an idle daemon")
 	require.Equal(t, 1, sent[false])
 }
 
-// Guards against quick calls that go through another region: the daemons kept for them were
-// the first by name, so 38 checks a second waited 146 ms for advice that takes 14 ms through a
-// daemon beside the placer (kandy-strings).
-func TestNearDaemonsAreKeptForQuickCalls(t *testing.T) {
+// Guards against quick calls through another region: when the daemons reserved for them were the
+// first ones by name, 38 short jobs a second waited 146 ms for advice that takes 14 ms through a
+// daemon near the placer.
+func TestNearDaemonsAreReservedForQuickCalls(t *testing.T) {
 	a := newAdvisers()
 	a.shortestCall = 10 * time.Millisecond
 	names := []string{"far-1", "far-2", "far-3", "near-1", "near-2", "near-3"}
@@ -60,7 +60,7 @@
 		if name < "g" {
 			took = 150 * time.Millisecond
 		}
-		for range 40 { // enough answers for the delay to be learned
+		for range 40 { // enough answers for the moving average to converge
 			step := cluster.StepID{Job: name}
 			a.callSent(name, step, a.shortestCall, now)
 			a.callFinished(&AdviseCommand{Daemon: name, Step: step}, took, false, now)
@@ -68,8 +68,8 @@
 	}
 	a.setMembers(names, now)
 	require.Contains(t, a.pick(a.shortestCall, false, now), "near")
-	require.Contains(t, a.pick(time.Second, false, now), "near-3", "slow calls leave two of six to quick ones")
-	for _, kept := range a.candidates[:2] {
-		require.Contains(t, kept.name, "near")
+	require.Contains(t, a.pick(time.Second, false, now), "near-3", "two of six daemons are reserved for quick calls")
+	for _, reserved := range a.candidates[:2] {
+		require.Contains(t, reserved.name, "near")
 	}
 }
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -7,94 +7,94 @@
 	"briarproxy/core/cluster"
 )
 
-// requestAdvice asks for advice on workers that the step has not asked about, or for new
-// tickets for workers on which room is kept.
-func (p *Placer) requestAdvice(commands []Command, w *pendingStep, placed bool, now time.Duration) []Command {
-	if w.queue == nil || w.queue.Advice == nil {
+// requestAdvice appends an advice call for a step: for new tickets on workers where capacity
+// is already reserved for its runs, otherwise for workers that it has not asked about.
+func (p *Placer) requestAdvice(commands []Command, step *pendingStep, placed bool, now time.Duration) []Command {
+	if step.queue == nil || step.queue.Advice == nil {
 		return commands
 	}
-	workers := w.ticketsNeeded
-	w.ticketsNeeded = nil
-	late := w.stepRank.timeliness != onTime && len(workers) == 0 // room that is kept waits for no one
+	workers := step.ticketsNeeded
+	step.ticketsNeeded = nil
+	late := step.stepRank.timeliness != onTime && len(workers) == 0 // calls for reserved capacity count as on time, as the capacity is idle meanwhile
 	if len(workers) == 0 {
-		if placed || w.adviceInFlight || now < w.nextAdviceAt || p.advisers.pick(adviceCallTime(w.queue.Advice, usualCallWorkers), late, now) == "" {
-			return commands // an answer to another call starts the next pass
+		if placed || step.adviceInFlight || now < step.nextAdviceAt || p.advisers.pick(adviceCallTime(step.queue.Advice, usualCallWorkers), late, now) == "" {
+			return commands // the answer to another call triggers the next planning pass
 		}
-		workers = p.workersToAsk(w)
+		workers = p.workersToAsk(step)
 	}
 	if len(workers) == 0 {
 		return commands
 	}
 	slices.Sort(workers)
 	workers = slices.Compact(workers)
-	cost := adviceCallTime(w.queue.Advice, len(workers))
+	cost := adviceCallTime(step.queue.Advice, len(workers))
 	daemon := p.advisers.pick(cost, late, now)
 	if daemon == "" {
-		p.releaseUnticketed(w, now)
+		p.releaseUnticketed(step, now)
 		return commands
 	}
-	w.adviceInFlight, w.adviceSentAt = true, now
-	p.advisers.callSent(daemon, w.id, cost, now)
-	return append(commands, Command{Advise: &AdviseCommand{Step: w.id, Workers: workers, Daemon: daemon}})
+	step.adviceInFlight, step.adviceSentAt = true, now
+	p.advisers.callSent(daemon, step.id, cost, now)
+	return append(commands, Command{Advise: &AdviseCommand{Step: step.id, Workers: workers, Daemon: daemon}})
 }
 
-// releaseUnticketed gives back room that was kept for runs without tickets.
-func (p *Placer) releaseUnticketed(w *pendingStep, now time.Duration) {
-	for i := 0; i < w.def.Count; i++ {
-		if r := p.runs[w.taskID(i)]; r != nil && r.state == ticketing {
+// releaseUnticketed releases the capacity reserved for runs that have no ticket yet.
+func (p *Placer) releaseUnticketed(step *pendingStep, now time.Duration) {
+	for i := 0; i < step.def.Count; i++ {
+		if r := p.runs[step.taskID(i)]; r != nil && r.state == ticketing {
 			p.endRun(r, cluster.NeverStarted, "", now)
 		}
 	}
 }
 
-// workersToAsk returns workers that might run the step and that it has not asked about: those
-// with room first, as many as are expected to hold its tasks. Steps begin at different
-// workers, so that those that ask at the same time do not all wait for the freest ones.
-func (p *Placer) workersToAsk(w *pendingStep) []string {
-	var full []string
-	limit := min(maxCallWorkers, w.queue.Advice.MaxVMs)
+// workersToAsk returns eligible workers that the step has not asked about. Workers with free
+// capacity come first, as many as are expected to hold the tasks. Steps start the search at
+// different workers, so that concurrent steps do not compete for the same ones.
+func (p *Placer) workersToAsk(step *pendingStep) []string {
+	var fullWorkers []string
+	limit := min(maxCallWorkers, step.queue.Advice.MaxVMs)
 	workers := make([]string, 0, limit)
-	room, granted := 0.0, p.grantRate(w.job.Queue)
-	begin := 0
+	expectedTasks, grantRate := 0.0, p.grantRate(step.job.Queue)
+	startIndex := 0
 	if n := len(p.workerIDs); n > 0 {
-		begin = int(w.job.Offset*workerStride) % n
+		startIndex = int(step.job.Offset*workerStride) % n
 	}
 	for i := range p.workerIDs {
-		id := p.workerIDs[(begin+i)%len(p.workerIDs)]
+		id := p.workerIDs[(startIndex+i)%len(p.workerIDs)]
 		v := p.vms[id]
-		if v == nil || !v.listed || v.Draining || !v.tokenSeen || v.Pool != w.job.Pool || w.denied[id] {
+		if v == nil || !v.listed || v.Draining || !v.tokenSeen || v.Pool != step.job.Pool || step.denied[id] {
 			continue
 		}
-		if _, granted := w.grants[id]; granted || !occupiedRoom(w.def).Fits(v.Capacity) || w.def.Label != "" && !v.HasLabel(w.def.Label) {
+		if _, granted := step.grants[id]; granted || !occupiedRoom(step.def).Fits(v.Capacity) || step.def.Label != "" && !v.HasLabel(step.def.Label) {
 			continue
 		}
 		free, _ := p.cell.FreeCapacity(id)
-		n := free.CountFitting(occupiedRoom(w.def))
+		n := free.CountFitting(occupiedRoom(step.def))
 		if n == 0 {
-			full = append(full, id)
+			fullWorkers = append(fullWorkers, id)
 			continue
 		}
 		workers = append(workers, id)
-		room += granted * float64(n)
-		if len(workers) >= limit || len(workers) >= minCallWorkers && room >= requestedRoomFactor*float64(w.def.Count) {
+		expectedTasks += grantRate * float64(n)
+		if len(workers) >= limit || len(workers) >= minCallWorkers && expectedTasks >= requestedRoomFactor*float64(step.def.Count) {
 			return workers
 		}
 	}
-	return append(workers, full[:min(len(full), limit-len(workers))]...)
+	return append(workers, fullWorkers[:min(len(fullWorkers), limit-len(workers))]...)
 }
 
-// Sizes of a call for advice.
+// Size of an advice call.
 const (
-	usualCallWorkers    = 30   // workers, for the length of a usual call
-	minCallWorkers      = 12   // the answer is also the choice for packing
-	maxCallWorkers      = 64   // longer calls delay the step more than the choice is worth
-	requestedRoomFactor = 2.0  // times the room that the tasks need: some of it is taken before the answer
-	initialGrantRate    = 0.5  // share of workers that is granted, until answers tell
-	grantRateWeight     = 0.05 // of one answer
-	workerStride        = 7919 // a prime above any number of workers: neighbouring jobs begin far apart
+	usualCallWorkers    = 30   // assumed when the duration of a call is estimated before its workers are chosen
+	minCallWorkers      = 12   // fewer would leave bin packing too little choice among the granted workers
+	maxCallWorkers      = 64   // larger calls delay the step more than the additional choice is worth
+	requestedRoomFactor = 2.0  // multiple of the capacity that the tasks need: some of it is taken before the answer arrives
+	initialGrantRate    = 0.5  // assumed share of granted workers before the first answer
+	grantRateWeight     = 0.05 // weight of one answer in the moving average
+	workerStride        = 7919 // a prime above any number of workers, so that consecutive jobs start far apart
 )
 
-// grantRate returns the share of workers that advice grants for the steps of a queue.
+// grantRate returns the estimated share of workers that advice grants for steps of a queue.
 func (p *Placer) grantRate(queue string) float64 {
 	if rate, known := p.grantRates[queue]; known {
 		return rate
@@ -102,7 +102,7 @@
 	return initialGrantRate
 }
 
-// updateGrantRate takes the outcome of a call into the share of workers that is granted.
+// updateGrantRate updates the moving average of the share of granted workers.
 func (p *Placer) updateGrantRate(queue string, granted, asked int) {
 	rate := p.grantRate(queue)
 	p.grantRates[queue] = max(grantRateWeight, rate+grantRateWeight*(float64(granted)/float64(asked)-rate))
--- a/core/placer/bench_test.go
+++ b/core/placer/bench_test.go
@@ -10,8 +10,8 @@
 	"briarproxy/core/resource"
 )
 
-// Measures a planning pass over a backlog that finds no room: the load after an outage,
-// in which the placer must not keep its processor from its orders.
+// Measures a planning pass over a backlog in a full cell. This is the load after an outage, in
+// which planning must leave enough CPU time for sending commands.
 func BenchmarkPlanFullCell(b *testing.B) {
 	for _, size := range []struct{ workers, jobs int }{{48, 300}, {350, 2000}} {
 		b.Run(fmt.Sprintf("%dworkers-%djobs", size.workers, size.jobs), func(b *testing.B) {
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -11,48 +11,49 @@
 )
 
 const (
-	epochsPerRank        = 1 << 20 // epochs of claims of one rank differ below this
-	epochRanks           = 64      // later ranks share the last place
+	epochsPerRank        = 1 << 20 // number of epochs from which the claims of one rank are drawn
+	epochRanks           = 64      // higher ranks use the epochs of the last one
 	epochsPerClaim       = epochRanks * epochsPerRank
-	claimDelayRoundTrips = 2                     // a daemon near the log claims before one that is far from it
-	slowLogExtraLatency  = 80 * time.Millisecond // beyond the usual round trip
+	claimDelayRoundTrips = 2                     // a daemon close to the log claims before a distant one
+	slowLogExtraLatency  = 80 * time.Millisecond // above the usual round trip; the log counts as slow beyond this
 	slowLogDelayFactor   = 10
-	placerSettleTime     = 6 * time.Second // after a claim
+	placerSettleTime     = 6 * time.Second // after a claim, while the new placer takes over runs and a backlog
 	settleFailoverFactor = 2
 	maxClaimJitter       = 20 * time.Millisecond
 
-	// rankDelay lets the claim of a daemon reach the next one before that claims too: an
-	// append and a read between regions, or twice what the log takes to answer now.
+	// rankDelay is the least delay per rank. It gives the claim of one daemon time to reach the
+	// next one before that claims too: an append and a read between regions. While the log is
+	// slow, twice its current latency applies instead.
 	rankDelay            = 60 * time.Millisecond
 	logLatenciesPerRank  = 2
-	maxDelayedRanks      = 8                      // more daemons than this are not lost at once without the log
-	helloTimeout         = 12 * time.Second       // a daemon says hello every few seconds
-	strongerClaimWait    = 2 * time.Second        // the strong daemons have claimed by then, also after a missed probe
-	usualRecordGap       = 600 * time.Millisecond // between two readings of an idle placer's records
+	maxDelayedRanks      = 8                      // more daemons than this do not fail at once unless the log fails, too
+	helloTimeout         = 12 * time.Second       // daemons append a Hello record every few seconds
+	strongerClaimWait    = 2 * time.Second        // stronger daemons have claimed by then, even if they missed a probe
+	usualRecordGap       = 600 * time.Millisecond // between two reads that return records of an idle placer
 	recordGapDelayFactor = 3
-	logReplayTime        = 3 * time.Second // a daemon has read the log by then
-	strengthClassRatio   = 1.5             // differences below this do not matter to a placer
+	logReplayTime        = 3 * time.Second // a daemon has replayed the log within this time after its start
+	strengthClassRatio   = 1.5             // differences below this ratio do not affect a placer
 	distanceClassWidth   = 10 * time.Millisecond
-	minStrength          = 0.01 // of a daemon that does not state it
+	minStrength          = 0.01 // also assumed for a daemon that does not report its capacity
 )
 
-// ClaimInput is what a daemon knows when it considers a claim.
+// ClaimInput is the local information on which a daemon decides whether to claim.
 type ClaimInput struct {
 	Now             time.Duration // boot clock
-	ReadySince      time.Duration // since when the daemon has had all that a placer needs and has read the log without a gap
-	CaughtUpAt      time.Duration // last answer that reached the end of the log
-	LogRoundTrip    time.Duration // to the log
-	FailoverTimeout time.Duration // silence of a placer that makes others claim
-	Jitter          time.Duration // of this daemon, below maxClaimJitter
-	MaxLogLatency   time.Duration // longest that the log took to answer lately; 0 is not known
-	Rank            int           // daemons that are to claim before this one
-	StrongerPresent bool          // a much stronger daemon than this one is there
-	MaxRecordGap    time.Duration // longest time without a record of the placer lately, before the present one
+	ReadySince      time.Duration // since when the daemon has met all conditions for a placer and has read the log without interruption
+	CaughtUpAt      time.Duration // last read that reached the end of the log
+	LogRoundTrip    time.Duration // usual round trip to the log
+	FailoverTimeout time.Duration // silence of the placer after which other daemons claim
+	Jitter          time.Duration // random delay of this daemon, below maxClaimJitter
+	MaxLogLatency   time.Duration // longest recent response time of the log; 0 means unknown
+	Rank            int           // number of daemons that claim before this one
+	StrongerPresent bool          // a much stronger daemon than this one is alive
+	MaxRecordGap    time.Duration // longest recent gap between records of the placer, without the current one
 }
 
-// ShouldClaim reports whether a daemon should claim to be the placer, and why. Silence
-// counts only while the log was readable: after an outage of the log every placer has
-// been silent.
+// ShouldClaim reports whether a daemon should claim the placer role, and why. Only the time in
+// which the log was readable counts as silence of the placer: after an outage of the log, every
+// placer has been silent.
 func ShouldClaim(s *flow.State, in ClaimInput) (reason string, claim bool) {
 	if in.CaughtUpAt == 0 || in.Now-in.CaughtUpAt > in.FailoverTimeout {
 		return "", false
@@ -65,14 +66,14 @@
 	if s.Claim.Daemon == "" && silence > delay {
 		return "there is no placer", true
 	}
-	if slow := in.MaxLogLatency - in.LogRoundTrip; slow > slowLogExtraLatency {
-		delay += slowLogDelayFactor * slow // a placer's records are as late as this answer, several times over
+	if extraLatency := in.MaxLogLatency - in.LogRoundTrip; extraLatency > slowLogExtraLatency {
+		delay += slowLogDelayFactor * extraLatency // records of the placer are delayed by several such response times
 	}
 	if in.Now-s.ClaimedAt < placerSettleTime {
-		delay += settleFailoverFactor * in.FailoverTimeout // it takes over runs and a backlog; another takeover would begin anew
+		delay += settleFailoverFactor * in.FailoverTimeout // another claim would make the takeover of runs and backlog start again
 	}
-	if late := in.MaxRecordGap - usualRecordGap; late > 0 {
-		delay += recordGapDelayFactor * late // a placer whose records come seldom is slow, as the log may be
+	if extraGap := in.MaxRecordGap - usualRecordGap; extraGap > 0 {
+		delay += recordGapDelayFactor * extraGap // infrequent records mean that the placer, or the log, is slow rather than lost
 	}
 	if s.Claim.Daemon != "" && silence > in.FailoverTimeout+delay {
 		return "the placer is silent", true
@@ -80,9 +81,9 @@
 	return "", false
 }
 
-// ClaimRank returns the number of daemons that are to claim before the named one: those that
-// have much more of what a placer needs, then those nearer to the log. Without an order
-// all claim at once in a large cell, and each claim makes the last one void.
+// ClaimRank returns the number of daemons that claim before self: those of a higher strength
+// class, then those closer to the log. Without this order all daemons of a large cell claim at
+// once, and each claim fences the one before.
 func ClaimRank(s *flow.State, self flow.Hello, now time.Duration) int {
 	n := 0
 	for name, m := range s.Members {
@@ -93,7 +94,7 @@
 	return n
 }
 
-// HasStronger reports whether a daemon is there that has much more of what a placer needs.
+// HasStronger reports whether a daemon of a higher strength class than self is alive.
 func HasStronger(s *flow.State, self flow.Hello, now time.Duration) bool {
 	for name, m := range s.Members {
 		if name != self.Daemon && now-m.LastSeen < helloTimeout && strengthClass(m.CapacityFactor) > strengthClass(self.CapacityFactor) {
@@ -103,8 +104,8 @@
 	return false
 }
 
-// Successors returns the daemons to which a placer that stops may hand over, the best one
-// first. One that has just started may not have read the log yet.
+// Successors returns the daemons to which a stopping placer may hand over, the best candidate
+// first. Daemons that started a moment ago are left out, as they may not have replayed the log.
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
 	var list []flow.Hello
 	for name, m := range s.Members {
@@ -116,26 +117,27 @@
 	return list
 }
 
-// CompareCandidates puts the daemons first that have much of what a placer needs and are near the log;
-// among equal ones those that started last, as restarts in turn come to them last.
+// CompareCandidates sorts daemons by suitability for the placer role: by strength class, then by
+// distance to the log. Among equal ones the one that started last comes first, as a rolling
+// restart reaches it last.
 func CompareCandidates(a, b flow.Hello) int {
 	return cmp.Or(cmp.Compare(strengthClass(b.CapacityFactor), strengthClass(a.CapacityFactor)), cmp.Compare(a.LogLatencyMS/distanceClassWidth.Milliseconds(), b.LogLatencyMS/distanceClassWidth.Milliseconds()), cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
 }
 
-// strengthClass puts strengths that differ little into one class.
+// strengthClass maps strengths that differ little to the same class.
 func strengthClass(strength float64) int {
 	return int(math.Floor(math.Log(max(strength, minStrength)) / math.Log(strengthClassRatio)))
 }
 
-// NextEpoch returns an epoch above all that were claimed. Of daemons that claim at the same
-// time the one with the lowest rank gets the highest epoch: while appends wait at a slow
-// log, a claim that arrives later with a higher epoch fences the one that waits there.
+// NextEpoch returns an epoch above all claimed ones. Among daemons that claim at the same time,
+// the one with the lowest rank gets the highest epoch: while appends are queued at a slow log, a
+// claim that arrives later with a higher epoch fences the one that is queued there.
 func NextEpoch(s *flow.State, rank int, rng *rand.Rand) int64 {
-	place := int64(epochRanks - 1 - min(rank, epochRanks-1))
-	return (s.Claim.Epoch/epochsPerClaim+1)*epochsPerClaim + place*epochsPerRank + rng.Int64N(epochsPerRank)
+	rankFromLast := int64(epochRanks - 1 - min(rank, epochRanks-1))
+	return (s.Claim.Epoch/epochsPerClaim+1)*epochsPerClaim + rankFromLast*epochsPerRank + rng.Int64N(epochsPerRank)
 }
 
-// ClaimJitter returns a daemon's own delay before a claim.
+// ClaimJitter returns a random delay for the claims of a daemon.
 func ClaimJitter(rng *rand.Rand) time.Duration {
 	return time.Duration(rng.Int64N(int64(maxClaimJitter)))
 }
--- a/core/placer/doc.go
+++ b/core/placer/doc.go
@@ -1,18 +1,19 @@
-// Package placer decides what the one placer of a group of pools does: which task runs
-// where, which orders go to workers, and what is recorded in the log.
+// Package placer implements the decisions of the placer, the single active scheduler of a group
+// of pools: which task runs on which worker, which commands are sent to workers, and what is
+// recorded in the log.
 //
-// A Placer is a state that takes events (records read from the log, answers of workers,
-// granted advice, the registry) and returns commands. It does no I/O and reads no clock.
-// Order of one run: the plan commits room in a place.Cell, a flow.Begin is recorded, the
-// order is sent, the worker lists the run and later its end, the end is recorded, and
-// only then is it confirmed to the worker.
+// A Placer is a state machine. Its inputs are records read from the log, answers of workers,
+// answers to advice calls and the registry; its outputs are commands. It does no I/O and reads
+// no clock. The sequence of a run is: the plan commits capacity in a place.Cell, a flow.Begin is
+// recorded, the start command is sent, the worker reports the run and later its end, the end is
+// recorded, and only then is it confirmed to the worker.
 //
 // Invariants:
-//   - a start is sent only after its Begin was acknowledged by the log;
-//   - room is given back only when the worker has listed the end, has refused the start,
-//     or has surely ended the run because its lease or its life ended;
-//   - an end is confirmed to the worker only after the record of it was read back;
+//   - a start command is sent only after the log has acknowledged the Begin of the run;
+//   - capacity is released only when the worker has reported the end or refused the start, or
+//     when the run has certainly ended because its lease expired or the worker restarted;
+//   - an end is confirmed to the worker only after its record was read back from the log;
 //   - at most one run of a task is active.
 //
-// A Placer is not safe for concurrent use; its owner is one goroutine.
+// A Placer is not safe for concurrent use: a single goroutine owns it.
 package placer
--- a/core/placer/evacuate.go
+++ b/core/placer/evacuate.go
@@ -6,24 +6,24 @@
 	"briarproxy/core/flow"
 )
 
-// Times of workers that leave.
+// Timing of the evacuation of draining workers.
 const (
-	// evacuationMargin is left for the order to stop, its end and the look that brings the
-	// checkpoint: three ways to a far region and the rounding of the notice.
+	// evacuationMargin leaves time for the stop command, the end of the run and the poll that
+	// returns the checkpoint: three one-way delays to a distant region, and the rounding of the
+	// announced departure time.
 	evacuationMargin = 400 * time.Millisecond
-	// departingLease is the lease on a worker that is about to leave: a look with its wait
-	// and one repeat. What is still there when the worker goes starts elsewhere sooner.
+	// departingLease is the lease on a worker that is about to leave: one long poll and one
+	// retry. A run that is still there when the worker leaves can start elsewhere sooner.
 	departingLease = 3 * time.Second
-	// giveUpFactor is how many times longer than the worker stays a run without checkpoints
-	// must need before it is given up early. Estimates are off by half, and workers often
-	// stay longer than they say.
+	// giveUpFactor bounds the early stop of runs without checkpoints: the remaining time of the
+	// run must exceed that of its worker by this factor. Estimates are off by half, and workers
+	// often stay longer than announced.
 	giveUpFactor = 2.5
 )
 
-// evacuate stops the runs on leaving workers that can't end there, so that they go on
-// elsewhere without waiting for a lease. A run that saves its progress works on until
-// the last moment; one that does not is given up early, as what it still did would be
-// lost.
+// evacuate stops the runs on draining workers that cannot finish there, so that they continue
+// elsewhere without waiting for a lease to expire. A run with checkpoints continues until the
+// last moment. A run without them is stopped early, as all further work of it would be lost.
 func (p *Placer) evacuate(now time.Duration) {
 	for _, v := range p.vms {
 		if !v.Draining || v.leavesAt == 0 || len(v.runs) == 0 {
@@ -41,26 +41,26 @@
 	}
 }
 
-// evacuationReason returns why a run is stopped now on a worker that stays for the given time.
-func (p *Placer) evacuationReason(r *run, stays, now time.Duration) string {
+// evacuationReason returns why a run must stop now on a worker that leaves after timeLeft, or "".
+func (p *Placer) evacuationReason(r *run, timeLeft, now time.Duration) string {
 	def := p.stepDef(r)
 	if def == nil {
 		return ""
 	}
-	needs := r.progress.remaining(time.Duration(def.EstimateMS)*time.Millisecond, now)
-	keeps := def.Checkpointing || def.LongRunning
+	remaining := r.progress.remaining(time.Duration(def.EstimateMS)*time.Millisecond, now)
+	savesProgress := def.Checkpointing || def.LongRunning
 	switch {
-	case !def.LongRunning && needs <= stays:
+	case !def.LongRunning && remaining <= timeLeft:
 		return ""
-	case keeps && stays <= p.options.StopTimeout+evacuationMargin:
-		return "its worker leaves; its progress is saved"
-	case !keeps && stays > 0 && needs > time.Duration(giveUpFactor*float64(stays)):
-		return "it can't end before its worker leaves"
+	case savesProgress && timeLeft <= p.options.StopTimeout+evacuationMargin:
+		return "its worker is leaving; progress is saved in a checkpoint"
+	case !savesProgress && timeLeft > 0 && remaining > time.Duration(giveUpFactor*float64(timeLeft)):
+		return "it cannot finish before its worker leaves"
 	}
 	return ""
 }
 
-// stepDef returns the step of a run; nil if the job is not known any more.
+// stepDef returns the definition of a run's step, or nil if the job is no longer known.
 func (p *Placer) stepDef(r *run) *flow.Step {
 	j := p.state.Jobs[r.Job]
 	if j == nil || r.Step >= len(j.Steps) {
@@ -69,7 +69,7 @@
 	return &j.Steps[r.Step]
 }
 
-// leaseDuration returns the lease of what runs on a worker.
+// leaseDuration returns the lease duration for the runs on a worker.
 func (p *Placer) leaseDuration(v *vm, now time.Duration) time.Duration {
 	if v.Draining && v.leavesAt > 0 && v.leavesAt-now < p.options.Lease {
 		return min(p.options.Lease, departingLease)
--- a/core/placer/evacuate_test.go
+++ b/core/placer/evacuate_test.go
@@ -10,7 +10,7 @@
 	"briarproxy/core/flow"
 )
 
-// drainWorker has a worker say that it leaves, and takes it away after the time that it says.
+// drainWorker makes a worker announce its departure, and removes it after the announced time.
 func (c *fakeCell) drainWorker(w *fakeWorker, stays time.Duration) {
 	w.Draining, w.Stays = true, stays
 	c.publishRegistry()
@@ -21,19 +21,19 @@
 	})
 }
 
-// longTasks returns a step whose tasks take as long as the estimate says.
-func (c *fakeCell) longTasks(n int, takes time.Duration, savesProgress bool) flow.Step {
-	c.runTime = func(cluster.Start) time.Duration { return takes }
+// longTasks returns a step whose tasks take exactly as long as estimated.
+func (c *fakeCell) longTasks(n int, duration time.Duration, savesProgress bool) flow.Step {
+	c.runTime = func(cluster.Start) time.Duration { return duration }
 	for _, w := range c.workers {
 		w.savesProgress = savesProgress
 	}
 	s := tasks(n)
-	s.EstimateMS, s.Checkpointing = takes.Milliseconds(), savesProgress
+	s.EstimateMS, s.Checkpointing = duration.Milliseconds(), savesProgress
 	return s
 }
 
-// Guards against work on a worker that leaves being done anew, after a lease, although it
-// saves its progress.
+// Guards against runs with checkpoints on a draining worker that start from scratch elsewhere,
+// and only after their lease has expired.
 func TestRunsLeaveADrainingWorkerWithTheirCheckpoints(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		c := readyCell(t, 3)
@@ -42,13 +42,13 @@
 		c.submit("j", step)
 		c.advance(time.Second)
 		c.drainWorker(c.busyWorker(), 3*time.Second)
-		c.advance(6 * time.Second) // 6 s of work and a second for the move
+		c.advance(6 * time.Second) // 7 s in all: 6 s of work and one second for the move
 		require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases(), "gang %v", gang)
 	}
 }
 
-// Guards against work that saves no progress staying on a worker that leaves long before
-// it can end, and against work that can end there being stopped.
+// Guards against runs without checkpoints that stay on a worker that leaves long before they can
+// finish, and against the stop of runs that can finish there.
 func TestRunsThatCantFinishLeaveADrainingWorkerAtOnce(t *testing.T) {
 	c := readyCell(t, 3)
 	c.submit("long", c.longTasks(4, 9*time.Second, false))
@@ -66,7 +66,7 @@
 	require.Equal(t, 4, c.starts)
 }
 
-// Guards against the loss of progress that a worker has shown before it vanished.
+// Guards against the loss of checkpoints that a worker reported before it failed.
 func TestCheckpointsSurviveALostWorker(t *testing.T) {
 	c := readyCell(t, 3)
 	c.submit("j", c.longTasks(4, 8*time.Second, true))
@@ -74,6 +74,6 @@
 	lost := c.busyWorker()
 	lost.partitioned, lost.inRegistry = true, false
 	c.publishRegistry()
-	c.advance(6*time.Second + 5*time.Second) // a lease, and what the last look did not show
+	c.advance(6*time.Second + 5*time.Second) // the lease, and the work after the last reported checkpoint
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -7,10 +7,10 @@
 	"briarproxy/core/flow"
 )
 
-// maxReportedEnds is the number of ends that a worker lists at most in one answer.
+// maxReportedEnds is the maximum number of run ends in one worker report.
 const maxReportedEnds = 500
 
-// RecordApplied takes a record that was applied to the state just now.
+// RecordApplied processes a record that has just been applied to the state.
 func (p *Placer) RecordApplied(r *flow.Record, now time.Duration) {
 	switch {
 	case r.Submit != nil:
@@ -27,31 +27,31 @@
 	}
 }
 
-// endRecorded follows the record of an end.
-func (p *Placer) endRecorded(e *flow.End, now time.Duration) {
-	if r := p.runs[e.TaskID]; r != nil && r.Run == e.Run && r.state == ended {
-		delete(p.runs, e.TaskID)
-		if w := p.steps[e.StepID()]; w != nil {
-			w.activeRuns--
+// endRecorded processes the record of a run's end after it was read back from the log.
+func (p *Placer) endRecorded(end *flow.End, now time.Duration) {
+	if r := p.runs[end.TaskID]; r != nil && r.Run == end.Run && r.state == ended {
+		delete(p.runs, end.TaskID)
+		if step := p.steps[end.StepID()]; step != nil {
+			step.activeRuns--
 		}
-		r.vm.markEndRecorded(e.RunID)
+		r.vm.markEndRecorded(end.RunID)
 	}
 	p.dirty = true
-	w := p.jobs[e.Job]
-	if w == nil {
+	pending := p.jobs[end.Job]
+	if pending == nil {
 		return
 	}
-	if w.job.Phase.Final() {
-		p.dropJob(e.Job)
+	if pending.job.Phase.Final() {
+		p.dropJob(end.Job)
 		return
 	}
-	if s := w.job.Step(e.Occurrence, e.Step); s != nil && s.Complete() {
-		delete(p.steps, e.StepID())
-		p.activate(w, e.Occurrence, now)
+	if s := pending.job.Step(end.Occurrence, end.Step); s != nil && s.Complete() {
+		delete(p.steps, end.StepID())
+		p.activate(pending, end.Occurrence, now)
 	}
 }
 
-// BatchAppended takes the acknowledgement of a batch: its runs may be started now.
+// BatchAppended processes the log's acknowledgement of a batch and starts its runs.
 func (p *Placer) BatchAppended(runs []*run, now time.Duration) []Command {
 	var commands []Command
 	p.lastAppendTime = now - p.flushedAt
@@ -67,7 +67,7 @@
 			p.endRun(r, cluster.NeverStarted, "", now)
 		case p.ticketExpired(r, now) || expired[r.StepID()]:
 			r.transition(logged)
-			p.addDecision(Decision{Kind: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was recorded"})
+			p.addDecision(Decision{Kind: "start withdrawn", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: "the ticket expired while the plan was being recorded"})
 			p.endRun(r, cluster.NeverStarted, "", now)
 		default:
 			r.transition(logged)
@@ -77,26 +77,28 @@
 	return commands
 }
 
-// ticketExpired reports whether the run's ticket would not reach its worker in time.
+// ticketExpired reports whether the run's ticket would expire before it reaches the worker.
 func (p *Placer) ticketExpired(r *run, now time.Duration) bool {
 	return r.ticket.text != "" && now+p.deliveryTime() > r.ticket.validUntil
 }
 
-// deliveryTime is how long an order may take to reach its worker, as far as answers tell.
+// deliveryTime returns the expected time from sending a command to its arrival at the worker,
+// based on recent answers.
 func (p *Placer) deliveryTime() time.Duration { return max(ticketSendMargin, p.startWindow.median/2) }
 
-// sendDeadline is the latest time at which an order made now may be sent. A repeat also tells whether
-// the run began on an earlier order, which needs no ticket.
+// sendDeadline returns the latest time at which a start command created now may be sent. The
+// ticket limits only the first command: a retry also finds out whether the run has started on an
+// earlier one, which needs no valid ticket.
 func (p *Placer) sendDeadline(r *run, now time.Duration) time.Duration {
-	until := now + p.options.Lease
+	expiry := now + p.options.Lease
 	if r.ticket.text != "" && r.startsSent == 0 {
-		until = min(until, r.ticket.validUntil)
+		expiry = min(expiry, r.ticket.validUntil)
 	}
-	return until - p.deliveryTime()
+	return expiry - p.deliveryTime()
 }
 
-// expiredGangs returns the gangs of which a member's ticket expired while the plan was
-// recorded: none of their members is started.
+// expiredGangs returns the gangs in which the ticket of a member expired while the plan was
+// being recorded. None of their members is started.
 func (p *Placer) expiredGangs(runs []*run, now time.Duration) map[cluster.StepID]bool {
 	var gangs map[cluster.StepID]bool
 	for _, r := range runs {
@@ -110,18 +112,18 @@
 	return gangs
 }
 
-// recordJobStart has it recorded that a job has begun, once.
+// recordJobStart adds the start of a job to the next batch, once per job.
 func (p *Placer) recordJobStart(r *run) {
-	w := p.jobs[r.Job]
-	if w == nil || w.startRecorded || w.job.Phase != flow.Queued {
+	pending := p.jobs[r.Job]
+	if pending == nil || pending.startRecorded || pending.job.Phase != flow.Queued {
 		return
 	}
-	w.startRecorded = true
-	p.addDecision(Decision{Kind: DecisionJobBegan, Job: r.Job, Reason: w.job.Queue, Age: r.answeredAt - w.readAt})
+	pending.startRecorded = true
+	p.addDecision(Decision{Kind: DecisionJobBegan, Job: r.Job, Reason: pending.job.Queue, Age: r.answeredAt - pending.readAt})
 	p.pendingBatch.StartedJobs = append(p.pendingBatch.StartedJobs, r.Job)
 }
 
-// firstStart returns the first order to start a run.
+// firstStart returns the first start command of a run.
 func (p *Placer) firstStart(r *run, now time.Duration) Command {
 	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
 	r.orderedAt = now
@@ -130,7 +132,8 @@
 	return p.startCommand(r, p.chooseRelay(r.vm, r.spec, now), now)
 }
 
-// StartAnswered takes the answer to a start. It reports whether a newer placer was named.
+// StartAnswered processes the answer to a start command. It reports whether the worker refused
+// the command because a newer placer exists.
 func (p *Placer) StartAnswered(c *StartCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
@@ -184,16 +187,16 @@
 		v.avoidUntil = now + avoidAfterRefusal
 		p.updateCellWorker(v, now)
 	case cluster.RefusedTicket:
-		if w := p.steps[r.StepID()]; w != nil {
-			delete(w.grants, v.Life.Worker)
+		if step := p.steps[r.StepID()]; step != nil {
+			delete(step.grants, v.Life.Worker)
 		}
 	}
 	p.endRun(r, cluster.NeverStarted, "", now)
 	return fenced
 }
 
-// updateStartWindow lets the answer to an order, or its absence, decide how many runs may be started
-// at one time.
+// updateStartWindow adjusts the limit of concurrent starts to the response time of a start
+// command, or to the lack of an answer.
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
 	p.dirty = p.dirty || p.startWindow.limiting
 	if r.state == starting && p.startWindow.observe(r.orderedAt, now, p.startsInProgress) {
@@ -201,7 +204,8 @@
 	}
 }
 
-// StopAnswered takes the answer to a stop order.
+// StopAnswered processes the answer to a stop command. It reports whether the worker refused the
+// command because a newer placer exists.
 func (p *Placer) StopAnswered(c *StopCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
@@ -222,7 +226,7 @@
 	return result == cluster.RefusedFenced
 }
 
-// PollFailed takes a look that was not answered.
+// PollFailed processes a poll that was not answered.
 func (p *Placer) PollFailed(c *PollCommand, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
@@ -237,7 +241,7 @@
 	}
 }
 
-// PollAnswered takes the answer to a look.
+// PollAnswered processes the answer to a poll.
 func (p *Placer) PollAnswered(c *PollCommand, report *cluster.WorkerReport, now time.Duration) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
@@ -245,7 +249,7 @@
 	}
 	v.pollInFlight = false
 	if report.Life.Born < v.Born {
-		return // an answer of a former life that was overtaken
+		return // late answer from before the worker's restart
 	}
 	if report.Life.Born > v.Born {
 		p.workerRestarted(v, report, now)
@@ -255,7 +259,7 @@
 	}
 	v.missedPolls = 0
 	v.observeClock(report.ClockMS, now)
-	v.tokenSeen = true // it has seen this placer's token in the life that answered
+	v.tokenSeen = true // the answer proves that the worker has seen this placer's token since its start
 	if v.Life == c.Life {
 		v.confirmedUpTo = max(v.confirmedUpTo, c.Hold.Confirmed)
 	}
@@ -267,7 +271,7 @@
 	p.dirty = true
 }
 
-// processEnds takes the ends that were not listed before.
+// processEnds processes the run ends that the worker has not reported before.
 func (p *Placer) processEnds(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	for i := range report.Ended {
 		e := &report.Ended[i]
@@ -276,9 +280,9 @@
 		}
 		v.lastListedEnd = e.Number
 		r := p.runs[e.TaskID]
-		mine := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
-		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !mine || r.unknown})
-		if mine {
+		tracked := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
+		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !tracked || r.unknown})
+		if tracked {
 			p.processEnd(r, e, now)
 		}
 	}
@@ -296,11 +300,12 @@
 	p.endRun(r, e.Reason, e.Checkpoint, now)
 }
 
-// workerFailed counts failures of unlike jobs in a row: a worker that fails all that it
-// starts is left alone for a while, a task that fails everywhere is not its fault.
+// workerFailed counts consecutive failures of different jobs. A worker on which several jobs in
+// a row fail receives no work for a while. Repeated failures of one job count once, as the worker
+// may not be their cause.
 func (p *Placer) workerFailed(v *vm, r *run, now time.Duration) {
-	if w := p.steps[r.StepID()]; w != nil && len(w.avoidWorkers) < 8 {
-		w.avoidWorkers = append(w.avoidWorkers, v.Life.Worker)
+	if step := p.steps[r.StepID()]; step != nil && len(step.avoidWorkers) < 8 {
+		step.avoidWorkers = append(step.avoidWorkers, v.Life.Worker)
 	}
 	if v.lastFailed == r.Job {
 		return
@@ -314,7 +319,7 @@
 	}
 }
 
-// processRunning compares the runs that the worker lists with those that it should have.
+// processRunning compares the runs that the worker reports with those that it should have.
 func (p *Placer) processRunning(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	listedRuns := make(map[cluster.RunID]bool, len(report.Running))
 	for i := range report.Running {
@@ -336,7 +341,7 @@
 		p.handleUnknownRun(v, row, now)
 	}
 	if len(report.Ended) >= maxReportedEnds {
-		return // later ends may be missing from the answer
+		return // the report may have been truncated: a run that it lacks may have ended
 	}
 	for _, r := range v.runs {
 		if listedRuns[r.RunID] {
@@ -346,8 +351,8 @@
 	}
 }
 
-// handleMissing follows a run that its worker does not list. Only a look that was sent after
-// the order was settled proves that the run is not there.
+// handleMissing handles a run that its worker does not report. Only a poll that was sent after
+// the outcome of the command was known proves that the worker does not have the run.
 func (p *Placer) handleMissing(r *run, now time.Duration) {
 	sent := r.vm.pollSentAt
 	switch r.state {
@@ -371,11 +376,11 @@
 	}
 }
 
-// handleUnknownRun stops a run that the log does not know as active, and keeps its room until it
-// is gone.
+// handleUnknownRun stops a run that is not active according to the log. The capacity of the run
+// stays occupied until the run is gone, unless the task has another run.
 func (p *Placer) handleUnknownRun(v *vm, row *cluster.RunReport, now time.Duration) {
 	if known := p.runs[row.TaskID]; known != nil {
-		// The task has another run: the stray one is stopped without being followed up.
+		// The task has another run: the stray one is stopped without being tracked.
 		p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 		p.queuedCommands = append(p.queuedCommands, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
 		return
@@ -388,13 +393,13 @@
 	p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 	p.runs[row.TaskID] = r
 	v.runs[row.TaskID] = r
-	if w := p.steps[row.StepID()]; w != nil {
-		w.activeRuns++
+	if step := p.steps[row.StepID()]; step != nil {
+		step.activeRuns++
 	}
 	p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
 }
 
-// endRun frees the room of a run and has its end recorded.
+// endRun releases the capacity of a run and adds its end to the next batch.
 func (p *Placer) endRun(r *run, how cluster.EndReason, checkpoint string, now time.Duration) {
 	if r.released {
 		return
@@ -408,27 +413,27 @@
 	p.dirty = true
 	if r.unknown {
 		delete(p.runs, r.TaskID)
-		if w := p.steps[r.StepID()]; w != nil {
-			w.activeRuns--
+		if step := p.steps[r.StepID()]; step != nil {
+			step.activeRuns--
 		}
 		return
 	}
 	if !r.recorded {
 		delete(p.runs, r.TaskID)
-		if w := p.steps[r.StepID()]; w != nil {
-			w.activeRuns--
+		if step := p.steps[r.StepID()]; step != nil {
+			step.activeRuns--
 		}
 		return
 	}
 	if checkpoint == "" && how != cluster.NeverStarted {
-		checkpoint = r.lastCheckpoint // a worker that is gone can't tell its newest one
+		checkpoint = r.lastCheckpoint // a lost worker cannot report a newer one
 	}
-	thrown := 0.0
+	wastedCoreSeconds := 0.0
 	if how != cluster.Done && how != cluster.NeverStarted && checkpoint == "" && r.answeredAt > 0 {
-		thrown = (now - r.answeredAt).Seconds() * float64(r.size.MilliCores) / 1000
+		wastedCoreSeconds = (now - r.answeredAt).Seconds() * float64(r.size.MilliCores) / 1000
 	}
 	p.addDecision(Decision{
-		Kind: DecisionRunEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, WastedCoreSeconds: thrown,
+		Kind: DecisionRunEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, WastedCoreSeconds: wastedCoreSeconds,
 	})
 	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: r.RunID, Reason: how, Checkpoint: checkpoint})
 	if how != cluster.Done {
@@ -436,68 +441,68 @@
 	}
 }
 
-// stopGang has the other members of a gang stopped when one is gone.
+// stopGang requests the stop of the other members of a gang when one has ended early.
 func (p *Placer) stopGang(r *run) {
-	w := p.steps[r.StepID()]
-	if w == nil || !w.def.Gang {
+	step := p.steps[r.StepID()]
+	if step == nil || !step.def.Gang {
 		return
 	}
-	for i := 0; i < w.def.Count; i++ {
-		if other := p.runs[w.taskID(i)]; other != nil && other != r && other.Run == r.Run && other.state != ended {
+	for i := 0; i < step.def.Count; i++ {
+		if other := p.runs[step.taskID(i)]; other != nil && other != r && other.Run == r.Run && other.state != ended {
 			other.wanted = false
 		}
 	}
 }
 
-// AdviceAnswered takes the answer to a request for advice; failed means that there was none.
+// AdviceAnswered processes the answer to an advice call; failed means that there was no answer.
 func (p *Placer) AdviceAnswered(c *AdviseCommand, grants []cluster.Grant, valid, took time.Duration, failed bool, now time.Duration) {
 	p.advisers.callFinished(c, took, failed, now)
-	w := p.steps[c.Step]
+	step := p.steps[c.Step]
 	p.dirty = true
-	got := map[string]string{}
+	tickets := map[string]string{}
 	for _, g := range grants {
-		got[g.Worker] = g.Ticket
+		tickets[g.Worker] = g.Ticket
 	}
-	if w != nil {
-		w.adviceInFlight = false
+	if step != nil {
+		step.adviceInFlight = false
 		if failed {
-			w.nextAdviceAt = now + adviceRetryDelay
+			step.nextAdviceAt = now + adviceRetryDelay
 		} else {
-			p.updateGrantRate(w.job.Queue, len(grants), len(c.Workers))
+			p.updateGrantRate(step.job.Queue, len(grants), len(c.Workers))
 			for _, worker := range c.Workers {
-				if text, granted := got[worker]; granted {
-					w.grants[worker] = ticket{text, now + valid - p.advisers.ticketAge(c)}
+				if text, granted := tickets[worker]; granted {
+					step.grants[worker] = ticket{text, now + valid - p.advisers.ticketAge(c)}
 				} else {
-					w.denied[worker] = true
-					delete(w.grants, worker)
+					step.denied[worker] = true
+					delete(step.grants, worker)
 				}
 			}
 		}
 		p.addDecision(Decision{Kind: "advice", Job: c.Step.Job, Task: cluster.TaskID{Job: c.Step.Job, Occurrence: c.Step.Occurrence, Step: c.Step.Step}, Reason: adviceReason(failed, len(grants), len(c.Workers)), Age: took})
 	}
-	if w != nil {
-		p.applyTickets(w, now)
+	if step != nil {
+		p.applyTickets(step, now)
 	}
 }
 
-// applyTickets begins the runs of a step that wait for tickets and have one now, and gives
-// the room of the others back. The members of a gang begin together or not at all.
-func (p *Placer) applyTickets(w *pendingStep, now time.Duration) {
+// applyTickets lets the runs of a step that wait for a ticket proceed if they have one now, and
+// releases the capacity of the others. The members of a gang proceed together or not at all.
+func (p *Placer) applyTickets(step *pendingStep, now time.Duration) {
 	var waiting []*run
-	whole := true
-	for i := 0; i < w.def.Count; i++ {
-		r := p.runs[w.taskID(i)]
+	allGranted := true
+	for i := 0; i < step.def.Count; i++ {
+		r := p.runs[step.taskID(i)]
 		if r == nil || r.state != ticketing {
 			continue
 		}
 		waiting = append(waiting, r)
-		if t := w.grants[r.vm.Life.Worker]; t.validUntil <= now+ticketPlanMargin || !r.wanted {
-			whole = false
+		if t := step.grants[r.vm.Life.Worker]; t.validUntil <= now+ticketPlanMargin || !r.wanted {
+			allGranted = false
 		}
 	}
 	for _, r := range waiting {
-		t := w.grants[r.vm.Life.Worker]
-		if t.validUntil <= now+ticketPlanMargin || !r.wanted || w.def.Gang && !whole {
+		t := step.grants[r.vm.Life.Worker]
+		if t.validUntil <= now+ticketPlanMargin || !r.wanted || step.def.Gang && !allGranted {
 			p.endRun(r, cluster.NeverStarted, "", now)
 			continue
 		}
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -13,8 +13,8 @@
 	"briarproxy/core/resource"
 )
 
-// fakeCell is a cell with a virtual clock: a log, workers that keep the platform's
-// rules and complain when one is broken, and one placer at a time.
+// fakeCell simulates a cell on a virtual clock: a log, workers, and one placer at a time. The
+// workers follow the platform's contract and fail the test when the placer violates it.
 type fakeCell struct {
 	t                testing.TB
 	now              time.Duration
@@ -24,21 +24,21 @@
 	workers          map[string]*fakeWorker
 	scheduled        []event
 	seq              int
-	confirmedDone    map[cluster.TaskID]bool // runs that ended done, confirmed while the lease held
+	confirmedDone    map[cluster.TaskID]bool // tasks whose successful end was confirmed before the lease expired
 	starts           int
-	answerDelay      time.Duration // of every answer
-	drop             func(c Command) (lost bool, late time.Duration)
+	answerDelay      time.Duration // round trip of every command, and latency of an append
+	drop             func(c Command) (lost bool, delay time.Duration)
 	runTime          func(s cluster.Start) time.Duration
 	outcome          func(s cluster.Start) cluster.EndReason
 	decisions        []Decision
-	logDown          bool                                // nothing is appended
-	load             func(w *fakeWorker, r *fakeRun) int // as a look shows it
+	logDown          bool                                // no batches are appended
+	load             func(w *fakeWorker, r *fakeRun) int // as reported in answers to polls
 	advice           func(c *AdviseCommand) []cluster.Grant
-	adviserBusyUntil map[string]time.Duration                 // by daemon: its calls for advice have been served
-	placerTime       time.Duration                            // processor time of the placer
-	linkDelay        func(c Command, bytes int) time.Duration // how long bytes of a command, or of the log, wait for the placer's link
-	refuseTicket     func(s *cluster.Start) bool              // a worker refuses the ticket of an order
-	onJobEnd         func(j *flow.Job)                        // told of each job that ends
+	adviserBusyUntil map[string]time.Duration                 // by daemon: when the service has processed its advice calls
+	placerTime       time.Duration                            // time spent in calls of the placer
+	linkDelay        func(c Command, bytes int) time.Duration // queueing delay at the placer's link of a command or, with a zero Command, of an append
+	refuseTicket     func(s *cluster.Start) bool              // whether the worker refuses the ticket of a start command
+	onJobEnd         func(j *flow.Job)                        // called for each job that ends
 }
 
 type event struct {
@@ -52,12 +52,12 @@
 	size               resource.Vector
 	endAt              time.Duration
 	startedAt          time.Duration
-	checkpointPermille int           // thousandths of the work that the checkpoint spared
-	duration           time.Duration // of the whole work
+	checkpointPermille int           // work that the checkpoint contained, in thousandths
+	duration           time.Duration // of the whole task without a checkpoint
 	pace               int
 }
 
-// donePermille returns the thousandths of the work that are done.
+// donePermille returns the completed work in thousandths.
 func (r *fakeRun) donePermille(now time.Duration) int {
 	return min(1000, r.checkpointPermille+int(1000*(now-r.startedAt)/r.duration))
 }
@@ -65,7 +65,7 @@
 type fakeWorker struct {
 	cluster.Worker
 	up            bool
-	partitioned   bool // takes no orders and answers nothing
+	partitioned   bool // receives and answers no commands
 	token         int64
 	leaseUntilMS  int64
 	runs          map[cluster.TaskID]*fakeRun
@@ -74,9 +74,9 @@
 	highestRun    map[cluster.TaskID]int
 	inRegistry    bool
 	started       time.Duration
-	savesProgress bool // its runs save their progress
+	savesProgress bool // its runs create checkpoints
 	stoppedAt     time.Duration
-	lapsedUpTo    int64 // ends up to this number were followed by a lapse of the lease
+	lapsedUpTo    int64 // the lease has expired after the ends up to this number
 }
 
 var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, MaxRenewalWithoutLog: 14 * time.Second}
@@ -110,7 +110,7 @@
 	c.scheduled = append(c.scheduled, event{c.now + d, c.seq, do})
 }
 
-// append puts a record at the end of the log and lets the placer read it.
+// append appends a record to the log and passes it to the placer.
 func (c *fakeCell) append(r flow.Record) error {
 	err := c.state.Apply(&r, c.now)
 	if c.placer != nil {
@@ -132,7 +132,7 @@
 	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wall()}}))
 }
 
-// takeOver makes a new placer; the former one is gone.
+// takeOver replaces the placer by a new one.
 func (c *fakeCell) takeOver() {
 	epoch := c.state.Claim.Epoch + 1
 	c.placer = nil
@@ -152,7 +152,7 @@
 	c.placer.SetRegistry(list, c.now)
 }
 
-// advance plays the cell for a time.
+// advance runs the simulation for the given time.
 func (c *fakeCell) advance(d time.Duration) {
 	end := c.now + d
 	for c.now < end {
@@ -202,7 +202,7 @@
 
 func (w *fakeWorker) clock(now time.Duration) int64 { return (now - w.started).Milliseconds() }
 
-// extendLease extends the lease, at most to the longest one.
+// extendLease extends the lease up to the given time, but never beyond MaxLease from now.
 func (w *fakeWorker) extendLease(now time.Duration, until int64) {
 	w.leaseUntilMS = max(w.leaseUntilMS, min(until, w.clock(now)+testOptions.MaxLease.Milliseconds()))
 }
@@ -235,7 +235,7 @@
 	}
 }
 
-// dispatch sends commands to the workers and their answers back.
+// dispatch delivers commands to the workers and schedules their answers.
 func (c *fakeCell) dispatch(commands []Command) {
 	p := c.placer
 	for _, command := range commands {
@@ -243,23 +243,23 @@
 			c.advise(p, command.Advise)
 			continue
 		}
-		lost, late := false, time.Duration(0)
+		lost, delay := false, time.Duration(0)
 		if c.drop != nil {
-			lost, late = c.drop(command)
+			lost, delay = c.drop(command)
 		}
 		if c.linkDelay != nil {
 			wait := c.linkDelay(command, command.bytes())
-			late += wait
+			delay += wait
 			lost = lost || wait > orderTimeout
 		}
-		if late == 0 {
+		if delay == 0 {
 			c.after(c.answerDelay/2, func() { c.deliver(p, command, lost) })
 			continue
 		}
-		// The worker has the order and carries it out late; it dies with the worker's life.
+		// The command reaches the worker late. It is lost if the worker has restarted meanwhile.
 		w := c.workers[command.worker()]
 		born := w.Born
-		c.after(c.answerDelay/2+late, func() {
+		c.after(c.answerDelay/2+delay, func() {
 			if w.Born == born {
 				c.deliver(p, command, lost)
 			} else {
@@ -269,7 +269,8 @@
 	}
 }
 
-// advise serves the calls of each daemon in turn, each for as long as the queue's rule says.
+// advise processes the calls of each daemon one after another, each for the duration that the
+// advice rule of the queue specifies.
 func (c *fakeCell) advise(p *Placer, a *AdviseCommand) {
 	rule := c.config.Queue(c.state.Jobs[a.Step.Job].Queue).Advice
 	if c.adviserBusyUntil == nil {
@@ -290,7 +291,7 @@
 	})
 }
 
-// life names the life of a worker that a command is meant for.
+// life returns the life of the worker that a command is addressed to.
 func (c Command) life() cluster.Life {
 	switch {
 	case c.Start != nil:
@@ -307,7 +308,7 @@
 func (c Command) worker() string { return c.life().Worker }
 
 func (c *fakeCell) deliver(p *Placer, command Command, lost bool) {
-	back := func(f func(now time.Duration) []Command) {
+	answer := func(f func(now time.Duration) []Command) {
 		c.after(c.answerDelay/2, func() {
 			if c.placer == p {
 				began := time.Now()
@@ -317,19 +318,19 @@
 			}
 		})
 	}
-	gone := lost && c.workers[command.worker()].Born != command.life().Born
+	restarted := lost && c.workers[command.worker()].Born != command.life().Born
 	switch {
 	case command.Start != nil:
 		s := command.Start
 		w := c.workers[s.Life.Worker]
 		result, clock := cluster.NoAnswer, int64(0)
-		if w != nil && w.up && !w.partitioned && !gone {
+		if w != nil && w.up && !w.partitioned && !restarted {
 			result, clock = c.start(w, &s.Order), w.clock(c.now)
 		}
 		if lost {
 			result, clock = cluster.NoAnswer, 0
 		}
-		back(func(now time.Duration) []Command { p.StartAnswered(s, result, clock, now); return nil })
+		answer(func(now time.Duration) []Command { p.StartAnswered(s, result, clock, now); return nil })
 	case command.Stop != nil:
 		s := command.Stop
 		w := c.workers[s.Life.Worker]
@@ -337,30 +338,30 @@
 		if w != nil && w.up && !w.partitioned {
 			result, clock = c.stop(w, s), w.clock(c.now)
 		}
-		back(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
+		answer(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
 	case command.Pace != nil:
-		o := command.Pace
-		w := c.workers[o.Life.Worker]
+		pace := command.Pace
+		w := c.workers[pace.Life.Worker]
 		result := cluster.NoAnswer
-		if w != nil && w.up && !w.partitioned && !gone && o.Token >= w.token {
-			if r := w.runs[o.Run.TaskID]; r != nil {
-				r.pace = o.Percent
+		if w != nil && w.up && !w.partitioned && !restarted && pace.Token >= w.token {
+			if r := w.runs[pace.Run.TaskID]; r != nil {
+				r.pace = pace.Percent
 			}
 			result = cluster.Started
 		}
 		if lost {
 			result = cluster.NoAnswer
 		}
-		back(func(now time.Duration) []Command { p.PaceAnswered(o, result, 0, now); return nil })
+		answer(func(now time.Duration) []Command { p.PaceAnswered(pace, result, 0, now); return nil })
 	case command.Poll != nil:
-		l := command.Poll
-		w := c.workers[l.Life.Worker]
-		if w == nil || !w.up || w.partitioned || gone || l.Hold.Token < w.token {
-			back(func(now time.Duration) []Command { p.PollFailed(l, now); return nil })
+		poll := command.Poll
+		w := c.workers[poll.Life.Worker]
+		if w == nil || !w.up || w.partitioned || restarted || poll.Hold.Token < w.token {
+			answer(func(now time.Duration) []Command { p.PollFailed(poll, now); return nil })
 			return
 		}
-		report := c.poll(w, &l.Hold)
-		back(func(now time.Duration) []Command { p.PollAnswered(l, report, now); return nil })
+		report := c.poll(w, &poll.Hold)
+		answer(func(now time.Duration) []Command { p.PollAnswered(poll, report, now); return nil })
 	}
 }
 
@@ -384,11 +385,11 @@
 	}
 	for id, other := range c.workers {
 		if other.runs[s.TaskID] != nil {
-			require.Fail(c.t, "two runs at once", "task %v runs on %s and is started on %s", s.TaskID, id, w.Life.Worker)
+			require.Fail(c.t, "concurrent runs of a task", "task %v runs on %s and is started on %s", s.TaskID, id, w.Life.Worker)
 		}
 	}
 	if c.confirmedDone[s.TaskID] {
-		require.Fail(c.t, "a run after the end", "task %v is started after its end was taken note of: %v", s.TaskID, c.decisionsOn(s.TaskID))
+		require.Fail(c.t, "task started after its end", "task %v is started although its end was confirmed: %v", s.TaskID, c.decisionsOn(s.TaskID))
 	}
 	job := c.state.Jobs[s.Job]
 	size := occupiedRoom(&job.Steps[s.Step])
@@ -406,7 +407,7 @@
 	for _, r := range w.runs {
 		used = used.Add(r.size)
 	}
-	require.True(c.t, used.Fits(w.Capacity), "worker %s is given %v of %v", w.Life.Worker, used, w.Capacity)
+	require.True(c.t, used.Fits(w.Capacity), "worker %s has tasks of %v on a capacity of %v", w.Life.Worker, used, w.Capacity)
 	c.starts++
 	return cluster.Started
 }
@@ -427,17 +428,17 @@
 func (c *fakeCell) poll(w *fakeWorker, h *cluster.LeaseRenewal) *cluster.WorkerReport {
 	w.token = h.Token
 	w.extendLease(c.now, h.LeaseUntil)
-	rest := w.ended[:0:0]
+	unconfirmed := w.ended[:0:0]
 	for _, e := range w.ended {
 		switch {
 		case e.Number > h.Confirmed:
-			rest = append(rest, e)
+			unconfirmed = append(unconfirmed, e)
 		case e.Reason == cluster.Done && e.Number > w.lapsedUpTo:
 			c.confirmedDone[e.TaskID] = true
 		}
 	}
-	w.ended = rest
-	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), rest...)}
+	w.ended = unconfirmed
+	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), unconfirmed...)}
 	for _, run := range w.runs {
 		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.donePermille(c.now) / 10}
 		if c.load != nil {
@@ -451,7 +452,7 @@
 	return r
 }
 
-// restart gives a worker a new life.
+// restart restarts a worker, which gives it a new life.
 func (c *fakeCell) restart(w *fakeWorker) {
 	w.Born++
 	w.runs, w.ended, w.highestRun = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
@@ -466,12 +467,12 @@
 	return n
 }
 
-// decisionsOn returns the placer's decisions on a task.
+// decisionsOn returns the decisions of the placer that affected a task.
 func (c *fakeCell) decisionsOn(id cluster.TaskID) []string {
 	var lines []string
-	for _, n := range append(c.decisions, c.placer.TakeDecisions()...) {
-		if n.Task == id && n.Job == id.Job || n.Kind == "worker started again" || n.Kind == "lease ended" {
-			lines = append(lines, fmt.Sprintf("%s run %d %s %s %v;", n.Kind, n.Run, n.Worker, n.Reason, n.Age))
+	for _, d := range append(c.decisions, c.placer.TakeDecisions()...) {
+		if d.Task == id && d.Job == id.Job || d.Kind == "worker started again" || d.Kind == "lease ended" {
+			lines = append(lines, fmt.Sprintf("%s run %d %s %s %v;", d.Kind, d.Run, d.Worker, d.Reason, d.Age))
 		}
 	}
 	return lines
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -6,114 +6,115 @@
 	"briarproxy/core/cluster"
 )
 
-// Tasks that fill take the cores that the others on a worker leave. They slow down tasks
-// that serve their own users, by amounts that change within seconds, so they are kept
-// apart where there is room, and paced where there is not.
+// Backfill tasks use the cores that the other tasks on a worker leave idle. They slow down
+// serving tasks, which answer the requests of users, by amounts that change within seconds.
+// Therefore the two kinds run on different workers where possible; where they share a worker,
+// the backfill tasks are throttled.
 const (
-	minIdleCoreShare    = 0.5                    // of the cores that a filling task asks for must be idle where it is placed
-	paceDecreaseDivisor = 4                      // a worker's filling tasks are divided by this when a serving task is over its target
-	minPacePercent      = 10                     // percent; below it they stand still
-	paceIncreasePercent = 10                     // percent at a time
-	slowDownTargetShare = 0.9                    // of the target: the figure is rough, and the effect of an order comes later
-	speedUpTargetShare  = 0.6                    // of the target: filling tasks may go faster again
-	servingPollWait     = 500 * time.Millisecond // the figure is for the last half second
+	minIdleCoreShare    = 0.5                    // share of the cores requested by a backfill task that must be idle on its worker
+	paceDecreaseDivisor = 4                      // divides the pace of a worker's backfill tasks when the load of a serving task exceeds slowDownTargetShare
+	minPacePercent      = 10                     // below it, backfill tasks are paused
+	paceIncreasePercent = 10                     // percentage points of each increase
+	slowDownTargetShare = 0.9                    // share of the latency target; below 1, as the measured latency is imprecise and a new pace takes effect with a delay
+	speedUpTargetShare  = 0.6                    // share of the latency target below which the pace rises again
+	servingPollWait     = 500 * time.Millisecond // workers measure the latency over the last half second
 )
 
-// isServing reports whether a run has users whose waiting time is bounded.
+// isServing reports whether a run serves requests of users under a tail latency target.
 func (p *Placer) isServing(r *run) bool {
 	def := p.stepDef(r)
 	return def != nil && def.TailTargetMS > 0 && !def.Backfill
 }
 
-func (p *Placer) isFilling(r *run) bool {
+func (p *Placer) isBackfill(r *run) bool {
 	def := p.stepDef(r)
 	return def != nil && def.Backfill
 }
 
-// countServingAndFilling counts the serving and filling runs on a worker, and the cores that the filling
-// ones ask for.
-func (p *Placer) countServingAndFilling(v *vm) (serving, filling int, fillingMilliCores int64) {
+// countServingAndFilling returns the numbers of serving and backfill runs on a worker, and the
+// CPU that the backfill runs request.
+func (p *Placer) countServingAndFilling(v *vm) (serving, backfill int, backfillMilliCores int64) {
 	for _, r := range v.runs {
 		switch {
-		case p.isFilling(r):
-			filling++
-			fillingMilliCores += p.stepDef(r).Size.MilliCores
+		case p.isBackfill(r):
+			backfill++
+			backfillMilliCores += p.stepDef(r).Size.MilliCores
 		case p.isServing(r):
 			serving++
 		}
 	}
-	return serving, filling, fillingMilliCores
+	return serving, backfill, backfillMilliCores
 }
 
-// workersForFilling narrows the workers for a step that fills to those with idle cores and without a
-// serving task.
-func (p *Placer) workersForFilling(w *pendingStep, among []string) []string {
-	if among == nil {
-		among = p.workerIDs
+// workersForFilling returns the candidates (nil: all workers) with idle cores and without serving
+// tasks, for a backfill step.
+func (p *Placer) workersForFilling(step *pendingStep, candidates []string) []string {
+	if candidates == nil {
+		candidates = p.workerIDs
 	}
-	fit := make([]string, 0, len(among))
-	for _, id := range among {
+	eligible := make([]string, 0, len(candidates))
+	for _, id := range candidates {
 		v := p.vms[id]
 		if v == nil {
 			continue
 		}
-		free, open := p.cell.FreeCapacity(id)
-		serving, _, fillingMilliCores := p.countServingAndFilling(v)
-		if open && serving == 0 && float64(free.MilliCores-fillingMilliCores) >= minIdleCoreShare*float64(w.def.Size.MilliCores) {
-			fit = append(fit, id)
+		free, schedulable := p.cell.FreeCapacity(id)
+		serving, _, backfillMilliCores := p.countServingAndFilling(v)
+		if schedulable && serving == 0 && float64(free.MilliCores-backfillMilliCores) >= minIdleCoreShare*float64(step.def.Size.MilliCores) {
+			eligible = append(eligible, id)
 		}
 	}
-	return fit
+	return eligible
 }
 
-// workersForServing narrows the workers for a serving step to those without a filling task, if there
-// are any.
-func (p *Placer) workersForServing(among []string) []string {
-	all := among
+// workersForServing returns the candidates (nil: all workers) without backfill tasks, for a
+// serving step. If there are none, it returns candidates unchanged.
+func (p *Placer) workersForServing(candidates []string) []string {
+	all := candidates
 	if all == nil {
 		all = p.workerIDs
 	}
-	fit := make([]string, 0, len(all))
+	eligible := make([]string, 0, len(all))
 	for _, id := range all {
 		if v := p.vms[id]; v != nil {
-			if _, filling, _ := p.countServingAndFilling(v); filling == 0 {
-				fit = append(fit, id)
+			if _, backfill, _ := p.countServingAndFilling(v); backfill == 0 {
+				eligible = append(eligible, id)
 			}
 		}
 	}
-	if len(fit) == 0 {
-		return among
+	if len(eligible) == 0 {
+		return candidates
 	}
-	return fit
+	return eligible
 }
 
-// adjustPace slows the filling runs of a worker down while a serving one is near its target, and
-// lets them go again when all are far from it.
+// adjustPace throttles the backfill runs of a worker while a serving run is near or above its
+// latency target, and speeds them up again when all serving runs are well below theirs.
 func (p *Placer) adjustPace(v *vm, now time.Duration) {
-	serving, filling, _ := p.countServingAndFilling(v)
-	if filling == 0 {
+	serving, backfill, _ := p.countServingAndFilling(v)
+	if backfill == 0 {
 		return
 	}
-	over, calm := false, true
+	nearTarget, wellBelowTarget := false, true
 	for _, r := range v.runs {
 		if !p.isServing(r) || r.state != running {
 			continue
 		}
 		target := float64(p.stepDef(r).TailTargetMS)
-		over = over || float64(r.load) > slowDownTargetShare*target
-		calm = calm && float64(r.load) < speedUpTargetShare*target
+		nearTarget = nearTarget || float64(r.load) > slowDownTargetShare*target
+		wellBelowTarget = wellBelowTarget && float64(r.load) < speedUpTargetShare*target
 	}
 	for _, r := range v.runs {
-		if r.state != running || !p.isFilling(r) || r.paceInFlight {
+		if r.state != running || !p.isBackfill(r) || r.paceInFlight {
 			continue
 		}
 		percent := r.pacePercent
 		switch {
-		case over && serving > 0:
+		case nearTarget && serving > 0:
 			if percent /= paceDecreaseDivisor; percent < minPacePercent {
 				percent = 0
 			}
-		case calm:
+		case wellBelowTarget:
 			percent = min(100, percent+paceIncreasePercent)
 		}
 		if percent == r.pacePercent && r.paceConfirmed {
@@ -125,7 +126,7 @@
 	}
 }
 
-// PaceCommand orders a worker to let a run work at a share of its speed.
+// PaceCommand tells a worker to limit a run to a percentage of its full speed.
 type PaceCommand struct {
 	Life    cluster.Life
 	Address string
@@ -134,8 +135,9 @@
 	Token   int64
 }
 
-// PaceAnswered takes the answer to an order to pace. Without one the order is given again at the
-// next look.
+// PaceAnswered processes the answer to a pace command. An unanswered command is repeated after
+// the next poll. PaceAnswered reports whether the worker refused the command because a newer
+// placer exists.
 func (p *Placer) PaceAnswered(c *PaceCommand, result cluster.StartResult, clockMS int64, now time.Duration) (superseded bool) {
 	v := p.vms[c.Life.Worker]
 	if v == nil {
--- a/core/placer/fill_test.go
+++ b/core/placer/fill_test.go
@@ -11,7 +11,8 @@
 	"briarproxy/core/resource"
 )
 
-// servingCell has serving tasks whose response times rise with the filling work beside them.
+// servingCell returns a cell in which the tail latency of serving tasks rises with the pace of
+// the backfill tasks on the same worker.
 func servingCell(t *testing.T, workers int) *fakeCell {
 	c := newFakeCell(t, workers, workerCapacity)
 	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
@@ -32,21 +33,21 @@
 	return c
 }
 
-func serving(n int) flow.Step {
+func servingStep(n int) flow.Step {
 	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, LongRunning: true, TailTargetMS: 100}
 }
 
-func filling(n int) flow.Step {
+func backfillStep(n int) flow.Step {
 	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 8000, MemoryMiB: 1024}, Backfill: true, EstimateMS: 3600_000}
 }
 
-// Guards against filling tasks beside serving ones while other workers are idle, and
-// against the cores of filling tasks being kept from others.
-func TestFillingTasksAvoidServingOnes(t *testing.T) {
+// Guards against backfill tasks on the workers of serving tasks while other workers are idle,
+// and against backfill tasks that occupy cores which other tasks could use.
+func TestBackfillTasksAvoidServingTasks(t *testing.T) {
 	c := servingCell(t, 3)
-	c.submit("serve", serving(1))
+	c.submit("serve", servingStep(1))
 	c.advance(300 * time.Millisecond)
-	c.submit("fill", filling(2))
+	c.submit("fill", backfillStep(2))
 	c.advance(300 * time.Millisecond)
 	for id, w := range c.workers {
 		kinds := map[string]int{}
@@ -57,16 +58,16 @@
 	}
 	c.submit("work", flow.Step{Count: 11, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 1024}, EstimateMS: 1000})
 	c.advance(300 * time.Millisecond)
-	require.Equal(t, 14, c.starts, "filling tasks hold no cores")
+	require.Equal(t, 14, c.starts, "backfill tasks occupy no cores")
 }
 
-// Guards against a serving task that stays over its target because of filling tasks that
-// nobody slows down, and against filling tasks that stand still for ever.
-func TestFillingTasksArePaced(t *testing.T) {
+// Guards against serving tasks that stay above their latency target because backfill tasks are
+// not throttled, and against backfill tasks that stay throttled for ever.
+func TestBackfillTasksArePaced(t *testing.T) {
 	c := servingCell(t, 1)
-	c.submit("fill", filling(1))
+	c.submit("fill", backfillStep(1))
 	c.advance(300 * time.Millisecond)
-	c.submit("serve", serving(1))
+	c.submit("serve", servingStep(1))
 	c.advance(4 * time.Second)
 	w := c.workers["w00"]
 	require.Len(t, w.runs, 2)
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -6,44 +6,44 @@
 	"time"
 )
 
-// maxLateFactor is how many times its objective a job may take and still be of some use to its
-// caller, by the users' rules.
+// maxLateFactor is the multiple of its objective within which the result of a late job is still
+// of some value to the caller, according to the users' requirements.
 const maxLateFactor = 3
 
-// timeliness says how much of a job's use can still be had from a waiting step.
+// timeliness classifies a waiting step by the value that its job can still have for the caller.
 type timeliness int
 
 const (
-	onTime  timeliness = iota // the job can end within its objective
-	late                      // it can't, but can end while late answers are of use
-	tooLate                   // it must still be run, but nobody waits for it any more
+	onTime  timeliness = iota // the job can complete within its objective
+	late                      // the job will miss its objective, but can complete within maxLateFactor times the objective
+	tooLate                   // the job must still run, but the caller no longer waits for it
 )
 
-// stepRank places a waiting step among the others.
+// stepRank is the sort key of a waiting step.
 type stepRank struct {
 	timeliness    timeliness
-	priority      int           // of the queue; 0 is the most urgent
-	latestStartMS int64         // Unix ms: the latest start with which the job ends on time
-	coreTime      time.Duration // core time of the step
-	offset        int64         // of the job's record
+	priority      int           // of the queue; 0 is the highest
+	latestStartMS int64         // Unix ms: latest start with which the job completes within its objective
+	coreTime      time.Duration // estimated CPU time of all tasks of the step
+	offset        int64         // log offset of the job's record
 	step          int
 }
 
-// newStepRank returns the rank of a step at a time (Unix ms).
+// newStepRank returns the rank of a step at the given time (Unix ms).
 //
-// It answers a load beyond the room of the cell. Steps that can still be on time go before
-// late ones, so that a backlog does not make new requests late as well. Among each the
-// operator's priority decides. Steps of one queue that can be on time follow their latest
-// start; late ones begin with the least work, which frees most callers with the same room.
-func newStepRank(w *pendingStep, wallMS int64) stepRank {
-	r := stepRank{latestStartMS: w.latestStartMS, coreTime: w.coreTime(), offset: w.job.Offset, step: w.id.Step}
-	if w.queue != nil {
-		r.priority = w.queue.Priority
+// The order is designed for overload. Steps that can still be on time precede late ones, so
+// that a backlog does not make new requests late as well. Within a class, the operator's queue
+// priority decides. Steps of equal priority that can be on time are sorted by latest start, late
+// ones by least work, which completes most jobs with the same capacity.
+func newStepRank(step *pendingStep, wallMS int64) stepRank {
+	r := stepRank{latestStartMS: step.latestStartMS, coreTime: step.coreTime(), offset: step.job.Offset, step: step.id.Step}
+	if step.queue != nil {
+		r.priority = step.queue.Priority
 	}
 	switch {
-	case wallMS <= w.latestStartMS:
+	case wallMS <= step.latestStartMS:
 		r.timeliness = onTime
-	case wallMS <= w.latestStartMS+(maxLateFactor-1)*w.objective.Milliseconds():
+	case wallMS <= step.latestStartMS+(maxLateFactor-1)*step.objective.Milliseconds():
 		r.timeliness = late
 	default:
 		r.timeliness = tooLate
@@ -51,7 +51,7 @@
 	return r
 }
 
-// compare is negative if the step of rank a is to be placed before that of b.
+// compare returns a negative number if the step of rank a is placed before that of b.
 func (a stepRank) compare(b stepRank) int {
 	if order := cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority)); order != 0 {
 		return order
@@ -62,23 +62,23 @@
 	return cmp.Or(cmp.Compare(a.coreTime, b.coreTime), a.compareAge(b))
 }
 
-// compareAge makes the order total: steps of equal rank go in the order of their jobs' records.
+// compareAge makes the order total: it sorts steps of equal rank by the log offset of their jobs.
 func (a stepRank) compareAge(b stepRank) int {
 	return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.step, b.step))
 }
 
-// coreTime is the core time that the step's tasks are estimated to take.
+// coreTime returns the estimated CPU time of all tasks of the step.
 func (w *pendingStep) coreTime() time.Duration {
 	return time.Duration(int64(w.def.Count)*w.def.Size.MilliCores*w.def.EstimateMS/1000) * time.Millisecond
 }
 
-// sortSteps puts waiting steps into the order in which room and advice are given to them.
-func (p *Placer) sortSteps(order []*pendingStep, wallMS int64) {
-	for _, w := range order {
-		w.stepRank = newStepRank(w, wallMS)
+// sortSteps sorts waiting steps by the order in which they receive capacity and advice.
+func (p *Placer) sortSteps(steps []*pendingStep, wallMS int64) {
+	for _, step := range steps {
+		step.stepRank = newStepRank(step, wallMS)
 		if p.options.Disabled.Priority {
-			w.stepRank.priority = 0
+			step.stepRank.priority = 0
 		}
 	}
-	slices.SortFunc(order, func(a, b *pendingStep) int { return a.stepRank.compare(b.stepRank) })
+	slices.SortFunc(steps, func(a, b *pendingStep) int { return a.stepRank.compare(b.stepRank) })
 }
--- a/core/placer/relay.go
+++ b/core/placer/relay.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// Limits of sending orders through other daemons.
+// Limits for relaying start commands through other daemons.
 const (
-	directStartShare        = 0.1             // of the placer's link that its own orders to start may take; looks, advice and the log need the rest
-	directStartBurstSeconds = 0.5             // s: orders of this long may be sent at once
-	relayAvoidTime          = 5 * time.Second // a daemon through which an order was not answered is left alone
-	startOverheadBytes      = 350             // of an order to start and its answer beside the Spec, with headers
+	directStartShare        = 0.1             // share of the placer's link for start commands that it sends itself; polls, advice and the log need the rest
+	directStartBurstSeconds = 0.5             // seconds of the direct share that may be used at once
+	relayAvoidTime          = 5 * time.Second // after a relayed command was not answered
+	startOverheadBytes      = 350             // of a start command and its answer without the Spec, headers included
 )
 
-// startRelays decides which orders to start the placer sends itself. An order carries the
-// whole Spec of its job, which every daemon has read from the log, so another daemon can
-// send it for a hundredth of the bytes of the placer's link. The worker's fence judges such
-// an order like one of the placer's own, and its lease ends at a time on the worker's clock.
-// It answers a load of starts that fill the link: 200 a second with 1.3 KB of Spec take more
-// than 2 Mbit/s.
+// startRelays decides which start commands the placer sends itself. A start command carries the
+// whole Spec of its job, which every daemon has read from the log. A relay can therefore send it
+// for a hundredth of the bytes on the placer's link. The fencing check of the worker applies to a
+// relayed command as to a direct one, and its lease ends at a time on the worker's clock.
+// It serves loads whose starts fill the link: 200 starts a second with a Spec of 1.3 KB take
+// more than 2 Mbit/s.
 type startRelays struct {
-	linkBytesPerSecond float64 // bytes a second; 0 is not known, and all orders are sent directly
-	budgetBytes        float64 // bytes that may be sent now
+	linkBytesPerSecond float64 // 0 means unknown, and all commands are sent directly
+	budgetBytes        float64 // token bucket: bytes that may be sent now
 	refilledAt         time.Duration
-	avoidUntil         map[string]time.Duration // boot clock, by daemon
+	avoidUntil         map[string]time.Duration // boot clock, by name of the daemon
 }
 
 func newStartRelays(mbps float64, now time.Duration) startRelays {
@@ -31,45 +31,45 @@
 	return startRelays{linkBytesPerSecond: mbps * bytesPerMbit, budgetBytes: mbps * bytesPerMbit * directStartShare * directStartBurstSeconds, refilledAt: now, avoidUntil: map[string]time.Duration{}}
 }
 
-// takeBudget reports whether the placer's own link has room for an order of some bytes, and
-// takes it.
-func (c *startRelays) takeBudget(bytes int, now time.Duration) bool {
-	if c.linkBytesPerSecond == 0 {
+// takeBudget reports whether the budget of the placer's link allows a message of the given
+// size, and if so deducts it.
+func (s *startRelays) takeBudget(bytes int, now time.Duration) bool {
+	if s.linkBytesPerSecond == 0 {
 		return true
 	}
-	rate := c.linkBytesPerSecond * directStartShare
-	c.budgetBytes = min(rate*directStartBurstSeconds, c.budgetBytes+rate*(now-c.refilledAt).Seconds())
-	c.refilledAt = now
-	if c.budgetBytes < float64(bytes) {
+	rate := s.linkBytesPerSecond * directStartShare
+	s.budgetBytes = min(rate*directStartBurstSeconds, s.budgetBytes+rate*(now-s.refilledAt).Seconds())
+	s.refilledAt = now
+	if s.budgetBytes < float64(bytes) {
 		return false
 	}
-	c.budgetBytes -= float64(bytes)
+	s.budgetBytes -= float64(bytes)
 	return true
 }
 
-// chooseRelay returns the daemon that is to send an order to start to the worker, or "" for the
-// placer itself. Each worker has one, in its own data centre if there is any, so that few
-// connections to workers are opened.
+// chooseRelay returns the daemon that sends a start command to the worker, or "" for the placer
+// itself. Rendezvous hashing assigns one relay to each worker, in the same data centre if
+// possible, which keeps the number of connections to workers low.
 func (p *Placer) chooseRelay(v *vm, spec string, now time.Duration) string {
 	if p.relays.takeBudget(startOverheadBytes+len(spec), now) {
 		return ""
 	}
-	best, bestNear, bestHash := "", false, uint32(0)
+	best, bestSameDataCentre, bestHash := "", false, uint32(0)
 	for name, m := range p.state.Members {
 		if name == p.state.Claim.Daemon || m.Leaving || now-m.LastSeen >= helloTimeout || now < p.relays.avoidUntil[name] {
 			continue
 		}
 		h := fnv.New32a()
-		_, _ = h.Write([]byte(v.Life.Worker + " " + name)) // never fails
-		near, hash := m.DataCentre == v.DataCentre, h.Sum32()
-		if best == "" || near && !bestNear || near == bestNear && (hash > bestHash || hash == bestHash && name < best) {
-			best, bestNear, bestHash = name, near, hash
+		_, _ = h.Write([]byte(v.Life.Worker + " " + name)) // a hash never returns an error
+		sameDataCentre, hash := m.DataCentre == v.DataCentre, h.Sum32()
+		if best == "" || sameDataCentre && !bestSameDataCentre || sameDataCentre == bestSameDataCentre && (hash > bestHash || hash == bestHash && name < best) {
+			best, bestSameDataCentre, bestHash = name, sameDataCentre, hash
 		}
 	}
 	return best
 }
 
-// relayFailed leaves a daemon alone that did not bring the answer to an order.
+// relayFailed excludes a daemon that did not return the answer to a command for relayAvoidTime.
 func (p *Placer) relayFailed(name string, now time.Duration) {
 	if name != "" {
 		p.relays.avoidUntil[name] = now + relayAvoidTime
--- a/core/placer/relay_test.go
+++ b/core/placer/relay_test.go
@@ -11,8 +11,8 @@
 	"briarproxy/core/flow"
 )
 
-// Guards against a placer whose link is filled by its own orders, so that it can't renew
-// leases or record ends any more (LOST on the small twin of quiet-1 of dosui-sched-large).
+// Guards against a placer that saturates its link with start commands and can no longer renew
+// leases or record the ends of runs, so that runs are lost.
 func TestStartsBeyondTheLinkShareAreRelayed(t *testing.T) {
 	c := newFakeCell(t, 1, workerCapacity)
 	for _, h := range []flow.Hello{
@@ -25,26 +25,26 @@
 	v.Life, v.DataCentre = cluster.Life{Worker: "w"}, "a"
 	spec := strings.Repeat("s", 1300)
 	p.relays = newStartRelays(2, c.now)
-	direct, through := 0, map[string]int{}
+	direct, relayed := 0, map[string]int{}
 	for i := range 400 { // 200 a second
 		if name := p.chooseRelay(v, spec, c.now+time.Duration(i)*5*time.Millisecond); name == "" {
 			direct++
 		} else {
-			through[name]++
+			relayed[name]++
 		}
 	}
-	sent := float64(direct*(startOverheadBytes+len(spec))) / 2
-	require.LessOrEqual(t, sent, 250_000*directStartShare*(1+directStartBurstSeconds/2))
-	require.Greater(t, sent, 250_000*directStartShare*0.8, "what the link has room for is sent directly")
-	require.Len(t, through, 1, "one daemon a worker: %v", through)
+	directBytesPerSecond := float64(direct*(startOverheadBytes+len(spec))) / 2
+	require.LessOrEqual(t, directBytesPerSecond, 250_000*directStartShare*(1+directStartBurstSeconds/2))
+	require.Greater(t, directBytesPerSecond, 250_000*directStartShare*0.8, "the direct share of the link is used")
+	require.Len(t, relayed, 1, "each worker has one relay: %v", relayed)
 	chosen := ""
-	for name := range through {
+	for name := range relayed {
 		chosen = name
 	}
 	require.Contains(t, []string{"near1", "near2"}, chosen)
 	p.relayFailed(chosen, c.now)
 	p.relays.budgetBytes = 0
-	require.NotContains(t, []string{chosen, "d1", "far"}, p.chooseRelay(v, spec, p.relays.refilledAt), "the other one nearby")
+	require.NotContains(t, []string{chosen, "d1", "far"}, p.chooseRelay(v, spec, p.relays.refilledAt), "the other daemon in the same data centre")
 	p.relays = newStartRelays(0, c.now)
-	require.Empty(t, p.chooseRelay(v, spec, c.now), "the link is not known")
+	require.Empty(t, p.chooseRelay(v, spec, c.now), "without a known link speed, all commands are sent directly")
 }
