--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -16,13 +16,13 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Times of connections between daemons.
+// Timeouts of connections between daemons.
 const (
 	peerDialTimeout    = 700 * time.Millisecond
-	peerUnackedTimeout = 1500 * time.Millisecond // unacknowledged bytes: the other machine or the path is gone
+	peerUnackedTimeout = 1500 * time.Millisecond // of sent bytes without a TCP acknowledgement: the peer's VM or the network path is gone
 )
 
-// Methods of the peers' service.
+// RPC methods between daemons for the placer's work.
 const (
 	adviseMethod  = "Cell.Advise"
 	yieldMethod   = "Cell.Yield"
@@ -30,7 +30,7 @@
 	startMethod   = "Cell.Start"
 )
 
-// AdviseArgs asks a daemon to ask the advice service.
+// AdviseArgs asks a daemon to call the advice service on behalf of the placer.
 type AdviseArgs struct {
 	Step    cluster.StepID
 	Workers []string
@@ -43,15 +43,15 @@
 	Valid time.Duration
 }
 
-// AdviceRow is a ticket for the worker at a position of the request, whose name need not
-// travel twice.
+// AdviceRow is a ticket for one worker of the request. It names the worker by its index in
+// AdviseArgs.Workers, to keep the reply short.
 type AdviceRow struct {
 	At     int
 	Ticket string
 }
 
-// StartArgs has a daemon send the placer's order to start a run. Its Spec is left out: the
-// daemon has read it from the log.
+// StartArgs asks a daemon to send the placer's order to start a run. The order's Spec is left out, as
+// the daemon has it from the log.
 type StartArgs struct {
 	Life    cluster.Life
 	Address string
@@ -59,7 +59,7 @@
 	Within  time.Duration
 }
 
-// StartReply answers StartArgs. Unsent means that the daemon does not know the job yet
+// StartReply answers StartArgs. Unsent means that the daemon has not read the job from the log yet
 // and has sent nothing.
 type StartReply struct {
 	Result  cluster.StartResult
@@ -67,100 +67,101 @@
 	Unsent  bool
 }
 
-// peerService serves the other daemons' RPCs.
+// peerService serves the RPCs of other daemons.
 type peerService struct {
 	adviser     Adviser
 	store       storeAccess
 	yield       func(epoch int64)
 	consultView func(ctx context.Context, queue, job string) (view, bool)
-	submit      func(records [][]byte, within time.Duration) []error // one outcome a record
+	submit      func(records [][]byte, timeout time.Duration) []error // returns one error per record
 	succeed     func(epoch int64) bool
 	starter     Starter
-	spec        func(ctx context.Context, job string) (string, bool) // of a job that the log has told of
+	spec        func(ctx context.Context, job string) (string, bool) // of a job that this daemon has read from the log
 }
 
-// Starter orders workers to start runs.
+// Starter sends workers orders to start runs.
 type Starter interface {
-	Start(ctx context.Context, life cluster.Life, address string, s *cluster.Start) (cluster.StartResult, int64)
+	Start(ctx context.Context, life cluster.Life, address string, order *cluster.Start) (cluster.StartResult, int64)
 }
 
-// Start sends an order to start on behalf of the placer. The worker's fence decides
-// whether that placer may still order.
+// Start sends an order to start on behalf of the placer. The worker checks the fencing token and
+// refuses the order of a superseded placer.
 func (s *peerService) Start(args *StartArgs, reply *StartReply) (err error) {
 	defer recoverAsError(&err)
-	bounded, cancel := handlerContext(args.Within)
+	callCtx, cancel := handlerContext(args.Within)
 	defer cancel()
-	spec, known := s.spec(bounded, args.Order.Job)
+	spec, known := s.spec(callCtx, args.Order.Job)
 	if !known {
 		reply.Unsent = true
 		return nil
 	}
 	order := args.Order
 	order.Spec = spec
-	reply.Result, reply.ClockMS = s.starter.Start(bounded, args.Life, args.Address, &order)
+	reply.Result, reply.ClockMS = s.starter.Start(callCtx, args.Life, args.Address, &order)
 	return nil
 }
 
-// YieldArgs tells the placer of an epoch, or an earlier one, that it has a successor.
+// YieldArgs tells a daemon that placers up to an epoch have been superseded.
 type YieldArgs struct{ Epoch int64 }
 
-// Yield returns when this daemon sends no more orders under the epoch.
+// Yield stops this daemon's placer if its epoch is not newer than the given one. Once it returns,
+// the daemon sends no more orders under that epoch.
 func (s *peerService) Yield(args *YieldArgs, _ *bool) (err error) {
 	defer recoverAsError(&err)
 	s.yield(args.Epoch)
 	return nil
 }
 
-// SucceedArgs asks a daemon to take over from the placer of an epoch, which has stopped.
+// SucceedArgs asks a daemon to take over from the placer of an epoch, which has stopped placing.
 type SucceedArgs struct{ Epoch int64 }
 
-// Succeed returns true when the daemon's claim is stored.
-func (s *peerService) Succeed(args *SucceedArgs, done *bool) (err error) {
+// Succeed claims the placer's role for this daemon and replies whether the claim is stored.
+func (s *peerService) Succeed(args *SucceedArgs, claimed *bool) (err error) {
 	defer recoverAsError(&err)
-	*done = s.succeed(args.Epoch)
+	*claimed = s.succeed(args.Epoch)
 	return nil
 }
 
-// Advise asks the advice service on behalf of the placer.
+// Advise calls the advice service on behalf of the placer.
 func (s *peerService) Advise(args *AdviseArgs, reply *AdviseReply) (err error) {
 	defer recoverAsError(&err)
-	bounded, cancel := handlerContext(args.Within)
+	callCtx, cancel := handlerContext(args.Within)
 	defer cancel()
-	grants, valid, err := s.adviser.Advise(bounded, args.Step, args.Workers)
+	grants, valid, err := s.adviser.Advise(callCtx, args.Step, args.Workers)
 	reply.Valid = valid
-	for _, g := range grants {
-		if at := slices.Index(args.Workers, g.Worker); at >= 0 {
-			reply.Rows = append(reply.Rows, AdviceRow{at, g.Ticket})
+	for _, grant := range grants {
+		if index := slices.Index(args.Workers, grant.Worker); index >= 0 {
+			reply.Rows = append(reply.Rows, AdviceRow{index, grant.Ticket})
 		}
 	}
 	return err
 }
 
-// recoverAsError turns a panic of a handler into its error. The RPC library would let it end the
-// process.
+// recoverAsError turns a panic of an RPC handler into an error. The RPC library does not recover
+// panics, so the process would end.
 func recoverAsError(err *error) {
-	if r := recover(); r != nil {
-		*err = fault.New(fault.Internal, "report this as a bug", "a call of another daemon failed unexpectedly: %v", r)
+	if recovered := recover(); recovered != nil {
+		*err = fault.New(fault.Internal, "report this as a bug", "the handler of another daemon's call panicked unexpectedly: %v", recovered)
 	}
 }
 
-// servePeers serves RPCs until the listener is closed.
-func servePeers(l net.Listener, service *peerService) error {
+// servePeers serves the RPCs of other daemons until the listener is closed.
+func servePeers(listener net.Listener, service *peerService) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName("Cell", service); err != nil {
-		return fault.Wrap(err, fault.Internal, "report this as a bug", "the peers' service can't be registered")
+		return fault.Wrap(err, fault.Internal, "report this as a bug", "can't register the RPC service for other daemons")
 	}
-	go server.Accept(l)
+	go server.Accept(listener)
 	return nil
 }
 
-// peerClients holds one connection to each daemon.
+// peerClients makes RPCs to other daemons over one shared connection to each.
 type peerClients struct {
 	mu          sync.Mutex
 	connections map[string]*peerConn // by address
 }
 
-// peerConn is a connection with the time of its last answer.
+// peerConn is a connection to another daemon with the time of its last answer.
 type peerConn struct {
 	*rpc.Client
 	answeredAt atomic.Int64 // boot clock
@@ -169,12 +170,12 @@
 func newPeerClients() *peerClients { return &peerClients{connections: map[string]*peerConn{}} }
 
 func (p *peerClients) advise(ctx context.Context, address string, step cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error) {
-	within := adviceTimeout
-	if deadline, set := ctx.Deadline(); set {
-		within = time.Until(deadline)
+	timeout := adviceTimeout
+	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+		timeout = time.Until(deadline)
 	}
 	reply := &AdviseReply{}
-	err := p.call(ctx, address, adviseMethod, &AdviseArgs{step, workers, within}, reply)
+	err := p.call(ctx, address, adviseMethod, &AdviseArgs{step, workers, timeout}, reply)
 	grants := make([]cluster.Grant, 0, len(reply.Rows))
 	for _, row := range reply.Rows {
 		if row.At >= 0 && row.At < len(workers) {
@@ -184,29 +185,29 @@
 	return grants, reply.Valid, err
 }
 
-// yield makes sure that the daemon at an address orders nothing under an epoch any more.
-// A process that does not listen has ended.
+// yield makes the daemon at an address stop sending orders under an epoch. A refused connection
+// counts as success, because the process has ended then.
 func (p *peerClients) yield(ctx context.Context, address string, epoch int64) error {
-	var done bool
-	err := p.call(ctx, address, yieldMethod, &YieldArgs{epoch}, &done)
+	var reply bool
+	err := p.call(ctx, address, yieldMethod, &YieldArgs{epoch}, &reply)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil
 	}
 	return err
 }
 
-// call makes one RPC. A connection that breaks, or brings no answer at all while a call
-// waits in vain, is dropped; one slow answer does not end the other calls on it.
+// call makes one RPC. It closes a connection that breaks, or on which no answer arrived between the
+// start of the call and its timeout; one slow answer does not end the other calls on it.
 func (p *peerClients) call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := p.connect(ctx, address)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "ask another daemon", "can't connect to the daemon at %s", address)
 	}
-	sent := bootclock.Now()
+	sentAt := bootclock.Now()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if _, said := call.Error.(rpc.ServerError); call.Error == nil || said {
+		if _, isServerError := call.Error.(rpc.ServerError); call.Error == nil || isServerError {
 			client.answeredAt.Store(int64(bootclock.Now()))
 		} else {
 			p.drop(address, client)
@@ -214,42 +215,42 @@
 		if call.Error == nil {
 			return nil
 		}
-		return fault.Wrap(call.Error, fault.Unavailable, "ask again", "%s through the daemon at %s", method, address)
+		return fault.Wrap(call.Error, fault.Unavailable, "retry", "%s at the daemon at %s", method, address)
 	case <-ctx.Done():
-		if time.Duration(client.answeredAt.Load()) < sent {
+		if time.Duration(client.answeredAt.Load()) < sentAt {
 			p.drop(address, client)
 		}
-		return fault.Wrap(ctx.Err(), fault.Unavailable, "ask another daemon", "the daemon at %s does not answer", address)
+		return fault.Wrap(ctx.Err(), fault.Unavailable, "ask another daemon", "the daemon at %s did not answer", address)
 	}
 }
 
 func (p *peerClients) connect(ctx context.Context, address string) (*peerConn, error) {
 	p.mu.Lock()
-	c := p.connections[address]
+	existing := p.connections[address]
 	p.mu.Unlock()
-	if c != nil {
-		return c, nil
+	if existing != nil {
+		return existing, nil
 	}
 	conn, err := NewDialer(peerDialTimeout, peerUnackedTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	fresh := &peerConn{Client: rpc.NewClient(conn)}
+	client := &peerConn{Client: rpc.NewClient(conn)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.connections[address]; c != nil {
-		_ = fresh.Close() // another call connected meanwhile
-		return c, nil
+	if existing := p.connections[address]; existing != nil {
+		_ = client.Close() // another call has connected meanwhile
+		return existing, nil
 	}
-	p.connections[address] = fresh
-	return fresh, nil
+	p.connections[address] = client
+	return client, nil
 }
 
-func (p *peerClients) drop(address string, c *peerConn) {
+func (p *peerClients) drop(address string, client *peerConn) {
 	p.mu.Lock()
-	if p.connections[address] == c {
+	if p.connections[address] == client {
 		delete(p.connections, address)
 	}
 	p.mu.Unlock()
-	_ = c.Close() // it may have been closed by the other side
+	_ = client.Close() // an error means that the other side has closed it already
 }
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -8,7 +8,7 @@
 	"briarproxy/core/fault"
 )
 
-// Methods with which a daemon reaches the store for another one.
+// RPC methods with which a daemon calls the store on behalf of another one.
 const (
 	appendMethod        = "Cell.Append"
 	readMethod          = "Cell.Read"
@@ -26,42 +26,44 @@
 	Within    time.Duration
 }
 
-// AppendReply answers AppendArgs. Failure is the kind of the error; "" is none.
+// AppendReply answers AppendArgs. Failure names the kind of the error, as in all these replies; ""
+// means no error.
 type AppendReply struct {
 	Offset  int64
 	Failure string
 }
 
-// SubmitArgs asks the placer to append callers' records with those of other daemons.
+// SubmitArgs asks the placer to append callers' records together with those of other daemons.
 type SubmitArgs struct {
 	Records [][]byte
 	Within  time.Duration
 }
 
-// SubmitReply answers SubmitArgs. Failures has the kind of each record's error, in the order
-// of the records; "" is none. The records may go into several appends, so one may be stored
-// and the next one not.
+// SubmitReply answers SubmitArgs. Failures names the kind of each record's error, in the order of
+// the records; "" means that the record is stored. The records may go into several appends, so one
+// may be stored and the next one not.
 type SubmitReply struct{ Failures []string }
 
-// Submit appends callers' records of another daemon.
+// Submit appends callers' records on behalf of another daemon.
 func (s *peerService) Submit(args *SubmitArgs, reply *SubmitReply) (err error) {
 	defer recoverAsError(&err)
-	for _, outcome := range s.submit(args.Records, args.Within) {
-		reply.Failures = append(reply.Failures, failureName(outcome))
+	for _, recordErr := range s.submit(args.Records, args.Within) {
+		reply.Failures = append(reply.Failures, failureName(recordErr))
 	}
 	return nil
 }
 
-// outcome returns the error of the record at an index. A reply that does not tell of it, as
-// one from a daemon of another version, leaves it unknown.
+// outcome returns the error of the record at an index. Its kind is fault.Unknown if the reply is too
+// short to cover the record, as a reply from a daemon of another version may be.
 func (r *SubmitReply) outcome(index int) error {
 	if index >= len(r.Failures) {
-		return fault.New(fault.Unknown, "append the record again; the first copy counts", "the placer did not say what became of record %d of %d", index, len(r.Failures))
+		return fault.New(fault.Unknown, "append the record again; the first copy counts", "the placer's reply has no outcome for the record at index %d: it covers %d records", index, len(r.Failures))
 	}
 	return remoteError(nil, r.Failures[index], fault.Unknown)
 }
 
-// ReadArgs asks a daemon to read the log or what is published from a position on.
+// ReadArgs asks a daemon to read from the store: the log or the published configuration from a
+// position on, the end of the log, or the registry of workers.
 type ReadArgs struct {
 	Partition int
 	From      int64
@@ -69,39 +71,41 @@
 	Within    time.Duration
 }
 
-// ReadReply answers Cell.Read.
+// ReadReply answers the method Read.
 type ReadReply struct {
 	Page    cluster.LogPage
 	Failure string
 }
 
-// EndReply answers Cell.End.
+// EndReply answers the method End.
 type EndReply struct {
 	End     int64
 	Failure string
 }
 
-// ConfigurationReply answers Cell.Configuration.
+// ConfigurationReply answers the method Configuration.
 type ConfigurationReply struct {
-	Some    bool // there is a newer configuration
+	Some    bool // Config is set: there is a configuration after the position asked for
 	Config  cluster.Configuration
 	Next    int64
 	Failure string
 }
 
-// WorkersReply answers Cell.Workers.
+// WorkersReply answers the method Workers.
 type WorkersReply struct {
 	Workers  []cluster.Worker
 	Unusable []string
 	Failure  string
 }
 
-// handlerContext bounds what is done for another daemon by the time that its caller waits.
-func handlerContext(within time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), within)
+// handlerContext returns a context for work on behalf of another daemon, which ends when that daemon
+// stops waiting.
+func handlerContext(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), timeout)
 }
 
-// Append appends records for another daemon. It never goes through a third one.
+// Append appends records on behalf of another daemon. It calls the store directly, never through a
+// third daemon.
 func (s *peerService) Append(args *AppendArgs, reply *AppendReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
@@ -111,7 +115,7 @@
 	return nil
 }
 
-// Read reads the log for another daemon.
+// Read reads the log on behalf of another daemon.
 func (s *peerService) Read(args *ReadArgs, reply *ReadReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
@@ -121,7 +125,7 @@
 	return nil
 }
 
-// End reads for another daemon where the log ends.
+// End reads the end of the log on behalf of another daemon.
 func (s *peerService) End(args *ReadArgs, reply *EndReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
@@ -131,7 +135,7 @@
 	return nil
 }
 
-// Configuration reads what the operator published for another daemon.
+// Configuration reads the published configuration on behalf of another daemon.
 func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
@@ -144,7 +148,7 @@
 	return nil
 }
 
-// Workers reads the registry for another daemon.
+// Workers reads the registry of workers on behalf of another daemon.
 func (s *peerService) Workers(args *ReadArgs, reply *WorkersReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -9,46 +9,47 @@
 	"briarproxy/core/flow"
 )
 
-// Log is the platform's log. Errors of kind fault.Refused and fault.Unavailable mean
-// that nothing was done, fault.Conflict that a newer epoch was used, fault.Unknown that
-// the records may be there.
+// Log is the platform's log. Errors of kind fault.Refused and fault.Unavailable mean that nothing
+// was done, fault.Conflict that the log has seen a newer epoch of the fence, and fault.Unknown that
+// the records may be stored.
 type Log interface {
 	Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error)
 	Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error)
-	End(ctx context.Context, partition int, from int64) (int64, error) // offset of the next append, as cheap as a call can be; from should be near it
+	// End returns the offset of the next append. It is the cheapest call if from is near that offset.
+	End(ctx context.Context, partition int, from int64) (int64, error)
 }
 
-// Snapshots keeps the newest snapshot of what a partition of the log says, for longer
-// than the log keeps its records, in partitions of its own. A fence holds for one of them.
-// Errors are those of Log.
+// Snapshots stores the newest snapshot of the state that a partition of the log leads to, in
+// partitions of its own, for longer than the log keeps records. A fence applies to one of these
+// partitions. Errors are those of Log.
 type Snapshots interface {
 	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error)
-	// SavedAfterKey returns the newest entries of the first keys behind a key, as many as one answer
-	// holds; SavedFromOffset what was written from an offset on, within a number of bytes.
+	// SavedAfterKey returns the newest entries of the keys that follow a key, as many as one answer holds.
 	SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error)
-	SavedFromOffset(ctx context.Context, partition int, from int64, bytes int) (entries []cluster.Entry, expired bool, err error)
+	// SavedFromOffset returns the entries that were written from an offset on, up to a number of bytes.
+	SavedFromOffset(ctx context.Context, partition int, from int64, maxBytes int) (entries []cluster.Entry, expired bool, err error)
 }
 
-// Registry lists what the operator published and which workers there are.
+// Registry reads the configuration that the operator published and the list of workers.
 type Registry interface {
 	Configuration(ctx context.Context, position int64, wait time.Duration) (*cluster.Configuration, int64, error)
 	Workers(ctx context.Context) (workers []cluster.Worker, unusable []string, err error)
 }
 
-// Workers carries orders to workers.
+// Workers sends orders to workers.
 type Workers interface {
-	Start(ctx context.Context, life cluster.Life, address string, s *cluster.Start) (cluster.StartResult, int64)
+	Start(ctx context.Context, life cluster.Life, address string, order *cluster.Start) (cluster.StartResult, int64)
 	Stop(ctx context.Context, life cluster.Life, address string, run cluster.RunID, token int64) (cluster.StartResult, int64)
 	Pace(ctx context.Context, life cluster.Life, address string, run cluster.RunID, percent int, token int64) (cluster.StartResult, int64)
-	RenewLease(ctx context.Context, life cluster.Life, address string, h *cluster.LeaseRenewal) (*cluster.WorkerReport, error)
+	RenewLease(ctx context.Context, life cluster.Life, address string, renewal *cluster.LeaseRenewal) (*cluster.WorkerReport, error)
 }
 
-// Adviser knows which workers may run a step.
+// Adviser asks the advice service which workers may run a step.
 type Adviser interface {
 	Advise(ctx context.Context, step cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error)
 }
 
-// Platform is all that a daemon needs of its platform.
+// Platform is everything that a daemon uses of its platform.
 type Platform interface {
 	Log
 	Snapshots
@@ -56,13 +57,13 @@
 	Workers
 	Adviser
 	CallerCodec
-	Observe(told func(cluster.Call)) // before the first call
+	Observe(onCall func(cluster.Call)) // sets a callback for every call; called before the first call
 }
 
-// CallerCodec is the form of the callers' requests and answers.
+// CallerCodec decodes callers' requests and encodes the answers.
 type CallerCodec interface {
 	DecodeJob(body []byte) (flow.Submit, error)
-	EncodeState(p flow.Phase) []byte
-	EncodePending(n int) []byte
-	CallerDeadline(r *http.Request) time.Duration // 0 is not said
+	EncodeState(phase flow.Phase) []byte
+	EncodePending(count int) []byte
+	CallerDeadline(r *http.Request) time.Duration // time limit that the request states; 0 if it states none
 }
--- a/daemon/cell/reads.go
+++ b/daemon/cell/reads.go
@@ -9,67 +9,67 @@
 	"briarproxy/core/cluster"
 )
 
-// purpose is why something is read from the store.
+// purpose is the reason for a read from the store.
 type purpose int
 
-// Purposes of reads.
+// Purposes of reads, with their number, and the interval of log lines about them.
 const (
-	readToFollow       purpose = iota // the log reader follows the log
-	readToRefresh                     // an answer needs what the log holds now
-	readToProbe                       // the path to the store is tried
-	readToRestore                     // a snapshot
-	purposes           int     = iota
-	catchUpLogInterval         = time.Second // between two lines of a daemon that catches up
+	readToFollow       purpose = iota // the log reader reads on
+	readToRefresh                     // an answer to a caller or peer, or a claim, needs the current end of the log
+	readToProbe                       // checks whether the store answers
+	readToRestore                     // reads a snapshot
+	purposeCount       int     = iota
+	catchUpLogInterval         = time.Second // between two log lines of a daemon that catches up
 )
 
-var purposeNames = [purposes]string{"follow", "refresh", "probe", "restore"}
+var purposeNames = [purposeCount]string{"follow", "refresh", "probe", "restore"}
 
-// readVolume is a number of reads and of the bytes that they brought.
+// readVolume counts reads and the bytes that they returned.
 type readVolume struct{ calls, bytes atomic.Int64 }
 
-// readStats counts what this daemon reads from the store, by purpose.
+// readStats counts the reads of this daemon from the store and their bytes, by purpose, for log lines
+// and metrics.
 type readStats struct {
-	volumes [purposes]readVolume
-	total   [purposes]prometheus.Counter
-	bytes   [purposes]prometheus.Counter
+	volumes      [purposeCount]readVolume
+	callCounters [purposeCount]prometheus.Counter
+	byteCounters [purposeCount]prometheus.Counter
 }
 
-func newReadStats(c metrics) *readStats {
-	r := &readStats{}
+func newReadStats(m metrics) *readStats {
+	s := &readStats{}
 	for p, name := range purposeNames {
-		r.total[p], r.bytes[p] = c.readCalls.WithLabelValues(name), c.readBytes.WithLabelValues(name)
+		s.callCounters[p], s.byteCounters[p] = m.readCalls.WithLabelValues(name), m.readBytes.WithLabelValues(name)
 	}
-	return r
+	return s
 }
 
-// count counts one read.
-func (r *readStats) count(p purpose, bytes int) {
-	r.volumes[p].calls.Add(1)
-	r.volumes[p].bytes.Add(int64(bytes))
-	r.total[p].Inc()
-	r.bytes[p].Add(float64(bytes))
+func (s *readStats) count(p purpose, bytes int) {
+	s.volumes[p].calls.Add(1)
+	s.volumes[p].bytes.Add(int64(bytes))
+	s.callCounters[p].Inc()
+	s.byteCounters[p].Add(float64(bytes))
 }
 
-// countPage counts the read of a page of the log.
-func (r *readStats) countPage(p purpose, page *cluster.LogPage) {
+// countPage counts the read of a log page, with the bytes of its records.
+func (s *readStats) countPage(p purpose, page *cluster.LogPage) {
 	bytes := 0
 	for _, record := range page.Records {
 		bytes += len(record)
 	}
-	r.count(p, bytes)
+	s.count(p, bytes)
 }
 
-// logFields returns the volumes for a log line.
-func (r *readStats) logFields() []any {
+// logFields returns the counts as fields of a log line.
+func (s *readStats) logFields() []any {
 	var fields []any
 	for p, name := range purposeNames {
-		fields = append(fields, name+"_calls", r.volumes[p].calls.Load(), name+"_bytes", r.volumes[p].bytes.Load())
+		fields = append(fields, name+"_calls", s.volumes[p].calls.Load(), name+"_bytes", s.volumes[p].bytes.Load())
 	}
 	return fields
 }
 
-// logCatchingUp writes once a second how far a daemon is that has not read the log to its
-// end, and what it reads meanwhile.
+// logCatchingUp logs the progress of a daemon that has not read the log to its end lately, once per
+// catchUpLogInterval: its offset, and what it has read from the store so far.
 func (e *engine) logCatchingUp(now time.Duration) {
 	if now-e.readToEndAt < readyReadAge || now-e.catchUpLoggedAt < catchUpLogInterval {
 		return
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -17,83 +17,84 @@
 	"briarproxy/daemon/event"
 )
 
-// Times of reaching the store through another daemon.
+// Time limits, delays and numbers of calls to the store, directly and through other daemons.
 const (
-	directTimeout         = 1500 * time.Millisecond // a slow store answers within a second; calls that it does not get to in time would only be made again
-	slowStoreTimeout      = 3 * time.Second         // of a call to a store that is known to be slow: a partition holds 2 s of appends
-	maxProbeInterval      = 1200 * time.Millisecond // between probes of a path that has not worked for long
-	relayRetryDelay       = 900 * time.Millisecond  // after no other daemon reached the store either
-	maxRelayTries         = 4                       // as long as they fail at once: a daemon that is cut off reaches no other one, and its own path may work
-	preferredRelays       = 3                       // daemons of which the first tries choose, or a part of a large cell:
+	directTimeout         = 1500 * time.Millisecond // a slow store answers within a second; with a shorter limit, calls that still queue there would only be made again
+	slowStoreTimeout      = 3 * time.Second         // of a call to a store that is known to be slow: a partition queues up to 2 s of appends
+	maxProbeInterval      = 1200 * time.Millisecond // between probes of a direct path that has been down for long
+	relayRetryDelay       = 900 * time.Millisecond  // until other daemons are asked again after none of them reached the store
+	maxRelayTries         = 4                       // made only within relayTimeout: a daemon that is cut off reaches no peer either, and its direct path may work again
+	preferredRelays       = 3                       // daemons that the first tries choose from; in a large cell, its size divided by preferredRelayDivisor
 	preferredRelayDivisor = 4
-	relayTimeout          = 900 * time.Millisecond // with one daemon: a slow answer of the store and a dead daemon
+	relayTimeout          = 900 * time.Millisecond // of a call through one daemon: covers a slow answer of the store, and bounds the wait for a dead daemon
 )
 
-// storeAccess is what a daemon needs of the platform's store.
+// storeAccess is the part of the platform's store that daemons reach for each other.
 type storeAccess interface {
 	Log
 	Registry
 }
 
-// relay reaches the store directly or, while the store turns this daemon away or the
-// path to it is cut, through other daemons. All calls may safely be made twice.
+// relay calls the store directly or, while the store refuses this daemon or the network path to it
+// is down, through other daemons. All calls may safely be made twice.
 type relay struct {
 	direct            storeAccess
 	peers             *peerClients
-	members           atomic.Pointer[[]string] // addresses of the other daemons, the strong and near ones first
-	directDown        atomic.Bool              // the store was not reached directly
-	readPosition      atomic.Int64             // of the last read
-	relayBlockedUntil atomic.Int64             // boot clock: do not try peers until then
-	directAnsweredAt  atomic.Int64             // boot clock: the last direct call that was carried out
-	answeredAt        atomic.Int64             // boot clock: the last call that was carried out, directly or through another daemon
-	confirmedAt       atomic.Int64             // boot clock: as answeredAt, 0 before the first call
+	members           atomic.Pointer[[]string] // addresses of the other daemons, those with more capacity and nearer to the store first
+	directDown        atomic.Bool              // the direct path to the store is down
+	readPosition      atomic.Int64             // log position of the last read; probes use it
+	relayBlockedUntil atomic.Int64             // boot clock: no other daemon is asked before
+	directAnsweredAt  atomic.Int64             // boot clock: last answer to a direct call
+	answeredAt        atomic.Int64             // boot clock: last answer of the store, directly or through another daemon; initially the start
+	confirmedAt       atomic.Int64             // boot clock: as answeredAt, but 0 before the first answer
 	reads             *readStats
-	latency           atomic.Int64           // ns that an answer of the store takes at present
-	storeSlow         atomic.Bool            // the store's answers take much longer than usual
-	lastRelay         atomic.Pointer[string] // the daemon that reached the store last
+	latency           atomic.Int64           // current latency of the store, ns
+	storeSlow         atomic.Bool            // the store takes much longer than usual to answer
+	lastRelay         atomic.Pointer[string] // address of the daemon that reached the store last
 
 	log             *event.Logger
-	failureLoggedAt atomic.Int64 // boot clock: last line about a failure through other daemons
+	failureLoggedAt atomic.Int64 // boot clock: last log line about a failure through other daemons
 
 	mu          sync.Mutex
 	lastCallID  int
-	directCalls map[int]func() // direct calls under way
+	directCalls map[int]func() // cancels the direct calls in progress, by call id
 }
 
-func newRelay(direct storeAccess, p *peerClients) *relay {
-	r := &relay{direct: direct, peers: p, directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
+func newRelay(direct storeAccess, peers *peerClients) *relay {
+	r := &relay{direct: direct, peers: peers, directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
 	r.answeredAt.Store(int64(bootclock.Now()))
 	r.directAnsweredAt.Store(r.answeredAt.Load())
 	r.members.Store(&[]string{})
 	return r
 }
 
-// shouldRelay reports whether another daemon may get what this one did not.
+// shouldRelay reports whether a failed call may succeed through another daemon.
 func shouldRelay(err error) bool {
 	return err != nil && !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Invalid)
 }
 
-// callStore makes a call directly and, if that fails, through other daemons.
-func (r *relay) callStore(ctx context.Context, wait time.Duration, direct func(ctx context.Context) error, via func(ctx context.Context, address string) error) error {
+// callStore makes a call directly and, if that fails or the direct path is down, through other
+// daemons. The store may hold the call for the given wait before it answers.
+func (r *relay) callStore(ctx context.Context, wait time.Duration, direct func(ctx context.Context) error, throughPeer func(ctx context.Context, address string) error) error {
 	var err error
-	relayed := r.directDown.Load() && int64(bootclock.Now()) >= r.relayBlockedUntil.Load()
-	if !relayed {
-		sent := int64(bootclock.Now())
-		bounded, cancel := context.WithTimeout(ctx, wait+r.directCallTimeout())
+	skipDirect := r.directDown.Load() && int64(bootclock.Now()) >= r.relayBlockedUntil.Load()
+	if !skipDirect {
+		sentAt := int64(bootclock.Now())
+		callCtx, cancel := context.WithTimeout(ctx, wait+r.directCallTimeout())
 		unregister := r.registerDirectCall(cancel)
-		err = direct(bounded)
-		timedOut := errors.Is(bounded.Err(), context.DeadlineExceeded)
+		err = direct(callCtx)
+		timedOut := errors.Is(callCtx.Err(), context.DeadlineExceeded)
 		unregister()
 		cancel()
 		if !shouldRelay(err) {
 			r.recordDirectAnswer()
 			return err
 		}
-		if fault.Is(err, fault.Unknown) && r.directAnsweredAt.Load() > sent {
-			return err // the store is slow: through another daemon it would get the call once more
+		if fault.Is(err, fault.Unknown) && r.directAnsweredAt.Load() > sentAt {
+			return err // the store answered other calls meanwhile: it is slow, and a relayed call would only add to its load
 		}
 		if ctx.Err() != nil || timedOut && r.unansweredTime() < 0 {
-			return err // its caller ended it, or the store is slow: that says nothing of the path
+			return err // the caller cancelled, or the store is slow: neither shows that the path is down
 		}
 		r.markDirectDown()
 		if int64(bootclock.Now()) < r.relayBlockedUntil.Load() {
@@ -101,37 +102,38 @@
 		}
 	}
 	members := *r.members.Load()
-	began := bootclock.Now()
+	relayingSince := bootclock.Now()
 	tries := 0
-	for try := 0; try < maxRelayTries && len(members) > 0 && ctx.Err() == nil && bootclock.Now()-began < relayTimeout; try++ {
+	for try := 0; try < maxRelayTries && len(members) > 0 && ctx.Err() == nil && bootclock.Now()-relayingSince < relayTimeout; try++ {
 		tries++
 		address := chooseRelay(members, try)
-		if last := r.lastRelay.Load(); try == 0 && last != nil && slices.Contains(members, *last) {
-			address = *last
+		if lastAddress := r.lastRelay.Load(); try == 0 && lastAddress != nil && slices.Contains(members, *lastAddress) {
+			address = *lastAddress
 		}
-		bounded, cancel := context.WithTimeout(ctx, min(wait, maxRelayReadWait)+relayTimeout)
-		failed := via(bounded, address)
+		callCtx, cancel := context.WithTimeout(ctx, min(wait, maxRelayReadWait)+relayTimeout)
+		relayErr := throughPeer(callCtx, address)
 		cancel()
-		if !shouldRelay(failed) {
+		if !shouldRelay(relayErr) {
 			r.lastRelay.Store(&address)
 			r.answeredAt.Store(int64(bootclock.Now()))
 			r.confirmedAt.Store(r.answeredAt.Load())
-			return failed
+			return relayErr
 		}
-		err = preferUnknownOutcome(err, failed)
+		err = preferUnknownOutcome(err, relayErr)
 	}
 	if ctx.Err() != nil {
-		return preferUnknownOutcome(err, fault.Wrap(ctx.Err(), fault.Unavailable, "retry", "the call was ended before another daemon reached the store"))
+		return preferUnknownOutcome(err, fault.Wrap(ctx.Err(), fault.Unavailable, "retry", "the call was cancelled or timed out before another daemon reached the store"))
 	}
 	r.relayBlockedUntil.Store(int64(bootclock.Now() + relayRetryDelay))
-	r.logFailure(err, tries, bootclock.Now()-began)
+	r.logFailure(err, tries, bootclock.Now()-relayingSince)
 	if err == nil {
-		err = fault.New(fault.Unavailable, "retry", "the store was not reached and there is no other daemon")
+		err = fault.New(fault.Unavailable, "retry", "the store can't be reached directly, and no other daemon is known")
 	}
 	return err
 }
 
-// logFailure logs that neither this daemon nor those that it asked reached the store.
+// logFailure logs, at most once a second, that neither this daemon nor those that it asked reached
+// the store.
 func (r *relay) logFailure(err error, tries int, took time.Duration) {
 	now := int64(bootclock.Now())
 	if last := r.failureLoggedAt.Load(); err == nil || now-last < int64(time.Second) || !r.failureLoggedAt.CompareAndSwap(last, now) {
@@ -140,7 +142,7 @@
 	r.log.Emit(evStoreThroughPeersFailed, "reason", err.Error(), "asked", tries, "took_ms", took.Milliseconds())
 }
 
-// directCallTimeout is how long a direct call may take beyond the wait that it asks for.
+// directCallTimeout returns the time limit of a direct call, not counting the wait that it asks for.
 func (r *relay) directCallTimeout() time.Duration {
 	if r.storeSlow.Load() {
 		return slowStoreTimeout
@@ -148,18 +150,20 @@
 	return directTimeout
 }
 
-// chooseRelay chooses a daemon for a try: at first one of the strong ones near the store, as
-// the log passes its link once more for each daemon that it helps; then any.
+// chooseRelay chooses a random daemon for a try. The first tries choose among those with the most
+// capacity near the store, as a relay's link carries the log once more for each daemon that
+// reads through it; later tries choose among all.
 func chooseRelay(members []string, try int) string {
-	among := len(members)
+	candidates := len(members)
 	if try < maxRelayTries/2 {
-		among = max(min(preferredRelays, among), among/preferredRelayDivisor)
+		candidates = max(min(preferredRelays, candidates), candidates/preferredRelayDivisor)
 	}
-	return members[rand.IntN(among)]
+	return members[rand.IntN(candidates)]
 }
 
-// registerDirectCall has a call ended when another one finds that the path does not work.
-func (r *relay) registerDirectCall(cancel func()) (forget func()) {
+// registerDirectCall registers a direct call, to be cancelled when another one finds that the path is
+// down.
+func (r *relay) registerDirectCall(cancel func()) (unregister func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastCallID++
@@ -172,8 +176,8 @@
 	}
 }
 
-// markDirectDown notes that the store was not reached directly, and has the path tried in the background,
-// so that no call waits for one that does not work.
+// markDirectDown marks the direct path as down, cancels the direct calls in progress and probes the
+// path in the background, so that no call waits for it.
 func (r *relay) markDirectDown() {
 	if r.directDown.Swap(true) {
 		return
@@ -183,7 +187,7 @@
 	go r.probeUntilReached()
 }
 
-// cancelDirectCalls ends the direct calls that are under way.
+// cancelDirectCalls cancels the direct calls in progress.
 func (r *relay) cancelDirectCalls() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -192,8 +196,8 @@
 	}
 }
 
-// preferUnknownOutcome returns the error that says more of what may have happened: a call without
-// an answer may have taken effect.
+// preferUnknownOutcome returns the first error if its outcome is unknown, else the second: a call
+// without an answer may have taken effect, whatever a later try returned.
 func preferUnknownOutcome(first, second error) error {
 	if first != nil && fault.Is(first, fault.Unknown) {
 		return first
@@ -202,14 +206,14 @@
 }
 
 // Append implements Log.
-func (r *relay) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (r *relay) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	var offset int64
 	err := r.callStore(ctx, 0, func(ctx context.Context) (err error) {
-		offset, err = r.direct.Append(ctx, part, records, fence)
+		offset, err = r.direct.Append(ctx, partition, records, fence)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &AppendReply{}
-		err := r.peers.call(ctx, address, appendMethod, &AppendArgs{part, records, fence, remoteTimeout(ctx, directTimeout)}, reply)
+		err := r.peers.call(ctx, address, appendMethod, &AppendArgs{partition, records, fence, remoteTimeout(ctx, directTimeout)}, reply)
 		offset = reply.Offset
 		return remoteError(err, reply.Failure, fault.Unknown)
 	})
@@ -217,15 +221,15 @@
 }
 
 // Read implements Log.
-func (r *relay) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+func (r *relay) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
 	var page cluster.LogPage
 	r.readPosition.Store(from)
 	err := r.callStore(ctx, wait, func(ctx context.Context) (err error) {
-		page, err = r.direct.Read(ctx, part, from, wait)
+		page, err = r.direct.Read(ctx, partition, from, wait)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &ReadReply{}
-		err := r.peers.call(ctx, address, readMethod, &ReadArgs{part, from, min(wait, maxRelayReadWait), remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
+		err := r.peers.call(ctx, address, readMethod, &ReadArgs{partition, from, min(wait, maxRelayReadWait), remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
 		page = reply.Page
 		return remoteError(err, reply.Failure, fault.Unavailable)
 	})
@@ -233,14 +237,14 @@
 }
 
 // End implements Log.
-func (r *relay) End(ctx context.Context, part int, from int64) (int64, error) {
+func (r *relay) End(ctx context.Context, partition int, from int64) (int64, error) {
 	var end int64
 	err := r.callStore(ctx, 0, func(ctx context.Context) (err error) {
-		end, err = r.direct.End(ctx, part, from)
+		end, err = r.direct.End(ctx, partition, from)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &EndReply{}
-		err := r.peers.call(ctx, address, endMethod, &ReadArgs{Partition: part, From: from, Within: remoteTimeout(ctx, directTimeout)}, reply)
+		err := r.peers.call(ctx, address, endMethod, &ReadArgs{Partition: partition, From: from, Within: remoteTimeout(ctx, directTimeout)}, reply)
 		end = reply.End
 		return remoteError(err, reply.Failure, fault.Unavailable)
 	})
@@ -249,15 +253,15 @@
 }
 
 // Configuration implements Registry.
-func (r *relay) Configuration(ctx context.Context, position int64, wait time.Duration) (*cluster.Configuration, int64, error) {
+func (r *relay) Configuration(ctx context.Context, from int64, wait time.Duration) (*cluster.Configuration, int64, error) {
 	var config *cluster.Configuration
-	next := position
+	next := from
 	err := r.callStore(ctx, wait, func(ctx context.Context) (err error) {
-		config, next, err = r.direct.Configuration(ctx, position, wait)
+		config, next, err = r.direct.Configuration(ctx, from, wait)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &ConfigurationReply{}
-		err := r.peers.call(ctx, address, configurationMethod, &ReadArgs{From: position, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
+		err := r.peers.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
 		if err == nil && reply.Failure == "" {
 			next = reply.Next
 			if reply.Some {
@@ -285,23 +289,24 @@
 	return workers, unusable, err
 }
 
-// maxRelayReadWait is how long a read through another daemon waits for a record.
+// maxRelayReadWait is the longest wait for a record in a read through another daemon.
 const maxRelayReadWait = 300 * time.Millisecond
 
-// remoteTimeout is the time that a call may take at the other daemon.
-func remoteTimeout(ctx context.Context, most time.Duration) time.Duration {
-	if deadline, set := ctx.Deadline(); set {
-		return min(most, time.Until(deadline))
+// remoteTimeout returns the time limit to send with a call to another daemon: the time that is left
+// in the context, at most maxTimeout.
+func remoteTimeout(ctx context.Context, maxTimeout time.Duration) time.Duration {
+	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+		return min(maxTimeout, time.Until(deadline))
 	}
-	return most
+	return maxTimeout
 }
 
-// failureKinds are the kinds of error that keep their meaning on the way back.
+// failureKinds are the kinds of error that replies between daemons carry, by name.
 var failureKinds = map[string]*errorx.Type{
 	"refused": fault.Refused, "unavailable": fault.Unavailable, "conflict": fault.Conflict, "invalid": fault.Invalid, "unknown": fault.Unknown,
 }
 
-// failureName returns the name of an error's kind for a reply; "" is no error.
+// failureName returns the name of an error's kind for a reply; "" means no error.
 func failureName(err error) string {
 	if err == nil {
 		return ""
@@ -314,14 +319,14 @@
 	return "unknown"
 }
 
-// remoteError returns the error of a call through another daemon. A call without an answer is
-// of the given kind.
-func remoteError(err error, failed string, unanswered *errorx.Type) error {
+// remoteError returns the error of a call through another daemon, from the error of the RPC or the
+// name of the kind in its reply. A call without an answer gets the kind unansweredKind.
+func remoteError(err error, failure string, unansweredKind *errorx.Type) error {
 	switch {
 	case err != nil:
-		return fault.Wrap(err, unanswered, "retry", "a daemon that was asked for the store gave no answer")
-	case failed != "":
-		return fault.New(failureKinds[failed], "retry", "the store refused another daemon (%s)", failed)
+		return fault.Wrap(err, unansweredKind, "retry", "the daemon that was to relay a call to the store did not answer")
+	case failure != "":
+		return fault.New(failureKinds[failure], "retry", "a call to the store through another daemon failed: %s", failure)
 	default:
 		return nil
 	}
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -13,17 +13,17 @@
 	"briarproxy/core/fault"
 )
 
-// fakeStore fails every call with an error, if one is set.
+// fakeStore fails every call with the error that is set, and succeeds if none is.
 type fakeStore struct {
-	fail    atomic.Pointer[error]
+	failure atomic.Pointer[error]
 	appends atomic.Int64
 }
 
-func (f *fakeStore) failWith(err error) { f.fail.Store(&err) }
+func (f *fakeStore) failWith(err error) { f.failure.Store(&err) }
 
 func (f *fakeStore) err() error {
-	if e := f.fail.Load(); e != nil {
-		return *e
+	if err := f.failure.Load(); err != nil {
+		return *err
 	}
 	return nil
 }
@@ -51,28 +51,28 @@
 	return []cluster.Worker{{Pool: "p"}}, nil, f.err()
 }
 
-// serveStorePeer serves a store to other daemons and returns the address.
+// serveStorePeer starts a daemon that relays calls to a store, and returns its address.
 func serveStorePeer(t *testing.T, store storeAccess) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	require.NoError(t, servePeers(l, &peerService{store: store, yield: func(int64) {}}))
-	return l.Addr().String()
+	t.Cleanup(func() { _ = listener.Close() })
+	require.NoError(t, servePeers(listener, &peerService{store: store, yield: func(int64) {}}))
+	return listener.Addr().String()
 }
 
 var (
-	errRefused  = fault.New(fault.Refused, "retry", "turned away")
+	errRefused  = fault.New(fault.Refused, "retry", "the store refuses the call")
 	errNoAnswer = fault.New(fault.Unknown, "retry", "no answer")
 	errConflict = fault.New(fault.Conflict, "stop", "fenced")
 )
 
-// Guards against a daemon that can't serve callers while the store turns only it away.
+// Guards against a daemon that can't serve callers while the store refuses only this daemon.
 func TestRelayReachesTheStoreThroughAnotherDaemon(t *testing.T) {
-	mine, other := &fakeStore{}, &fakeStore{}
-	mine.failWith(errRefused)
-	r := newRelay(mine, newPeerClients())
-	addresses := []string{serveStorePeer(t, other)}
+	direct, peer := &fakeStore{}, &fakeStore{}
+	direct.failWith(errRefused)
+	r := newRelay(direct, newPeerClients())
+	addresses := []string{serveStorePeer(t, peer)}
 	r.members.Store(&addresses)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
@@ -91,74 +91,73 @@
 	require.Len(t, workers, 1)
 }
 
-// Guards against "not stored" being told of an append that may have been carried out by
-// the first of two tries, and against a fenced append that is tried elsewhere.
+// Guards against reporting an append as not stored when the first of two tries may have stored it, and
+// against a second try, through another daemon, of an append that the log has rejected as fenced off.
 func TestRelayPreservesUnknownOutcomes(t *testing.T) {
-	mine, other := &fakeStore{}, &fakeStore{}
-	r := newRelay(mine, newPeerClients())
-	addresses := []string{serveStorePeer(t, other)}
+	direct, peer := &fakeStore{}, &fakeStore{}
+	r := newRelay(direct, newPeerClients())
+	addresses := []string{serveStorePeer(t, peer)}
 	r.members.Store(&addresses)
-	mine.failWith(errNoAnswer)
-	other.failWith(errRefused)
+	direct.failWith(errNoAnswer)
+	peer.failWith(errRefused)
 	_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 
-	mine, other = &fakeStore{}, &fakeStore{}
-	r = newRelay(mine, newPeerClients())
+	direct, peer = &fakeStore{}, &fakeStore{}
+	r = newRelay(direct, newPeerClients())
 	r.members.Store(&addresses)
-	mine.failWith(errConflict)
+	direct.failWith(errConflict)
 	_, err = r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
-	require.Zero(t, other.appends.Load())
+	require.Zero(t, peer.appends.Load())
 
-	mine.failWith(errRefused)
-	addresses = []string{serveStorePeer(t, other)}
-	other.failWith(errConflict)
+	direct.failWith(errRefused)
+	addresses = []string{serveStorePeer(t, peer)}
+	peer.failWith(errConflict)
 	r.members.Store(&addresses)
 	_, err = r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
 }
 
-// Guards against outages of the store for everybody in which each call is made several
-// times: calls have a price and a rate.
+// Guards against repeating each call through several daemons while the store fails for all of them:
+// the platform charges for calls and limits their rate.
 func TestRelayDoesNotMultiplyCallsInAnOutage(t *testing.T) {
-	mine, other := &fakeStore{}, &fakeStore{}
-	mine.failWith(errRefused)
-	other.failWith(errRefused)
-	r := newRelay(mine, newPeerClients())
-	addresses := []string{serveStorePeer(t, other)}
+	direct, peer := &fakeStore{}, &fakeStore{}
+	direct.failWith(errRefused)
+	peer.failWith(errRefused)
+	r := newRelay(direct, newPeerClients())
+	addresses := []string{serveStorePeer(t, peer)}
 	r.members.Store(&addresses)
 	for range 10 {
 		_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 		require.True(t, fault.Is(err, fault.Refused), "%v", err)
 	}
 	require.Positive(t, r.relayBlockedUntil.Load())
-	mine.failWith(nil)
+	direct.failWith(nil)
 	_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.NoError(t, err)
 }
 
-// Guards against a placer that is taken for lost because the store turns it and a third of
-// the other daemons away: two random tries both met such daemons, and then nothing was
-// tried for 0.9 s (dosui-sched-grown, trouble-1).
-func TestRelayKeepsToADaemonThatReachesTheStore(t *testing.T) {
-	mine, turned, good := &fakeStore{}, &fakeStore{}, &fakeStore{}
-	mine.failWith(errRefused)
-	turned.failWith(errRefused)
-	r := newRelay(mine, newPeerClients())
-	addresses := []string{serveStorePeer(t, turned), serveStorePeer(t, turned), serveStorePeer(t, turned), serveStorePeer(t, good)}
+// Guards against a placer that is replaced because the store refuses it and a third of the other
+// daemons: two random tries both chose such daemons, and then nothing was tried for 0.9 s.
+func TestRelayReusesTheLastWorkingRelay(t *testing.T) {
+	direct, refused, reachable := &fakeStore{}, &fakeStore{}, &fakeStore{}
+	direct.failWith(errRefused)
+	refused.failWith(errRefused)
+	r := newRelay(direct, newPeerClients())
+	addresses := []string{serveStorePeer(t, refused), serveStorePeer(t, refused), serveStorePeer(t, refused), serveStorePeer(t, reachable)}
 	r.members.Store(&addresses)
-	through := addresses[3]
-	r.lastRelay.Store(&through)
+	reachableAddress := addresses[3]
+	r.lastRelay.Store(&reachableAddress)
 	for range 20 {
 		_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
 		require.NoError(t, err)
 	}
-	require.EqualValues(t, 20, good.appends.Load())
+	require.EqualValues(t, 20, reachable.appends.Load())
 	require.Zero(t, r.relayBlockedUntil.Load())
 }
 
-// slowAdviser answers after a delay that the workers' names give.
+// slowAdviser answers after a delay that the name of the first worker states.
 type slowAdviser struct{}
 
 func (slowAdviser) Advise(ctx context.Context, _ cluster.StepID, workers []string) ([]cluster.Grant, time.Duration, error) {
@@ -173,18 +172,18 @@
 	return nil, time.Second, nil
 }
 
-// Guards against one call that waits in vain ending all others on the same connection.
-func TestSlowAnswerEndsNoOtherCall(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Guards against one call that times out ending all others on the same connection.
+func TestTimedOutCallDoesNotCloseSharedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	require.NoError(t, servePeers(l, &peerService{adviser: slowAdviser{}, yield: func(int64) {}}))
+	t.Cleanup(func() { _ = listener.Close() })
+	require.NoError(t, servePeers(listener, &peerService{adviser: slowAdviser{}, yield: func(int64) {}}))
 	p := newPeerClients()
-	call := func(delay string, within time.Duration) error {
-		ctx, cancel := context.WithTimeout(t.Context(), within)
+	call := func(delay string, timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
 		reply := &AdviseReply{}
-		return p.call(ctx, l.Addr().String(), adviseMethod, &AdviseArgs{Workers: []string{delay}, Within: 10 * time.Second}, reply)
+		return p.call(ctx, listener.Addr().String(), adviseMethod, &AdviseArgs{Workers: []string{delay}, Within: 10 * time.Second}, reply)
 	}
 	require.NoError(t, call("1ms", time.Second))
 	other := make(chan error, 1)
@@ -192,15 +191,14 @@
 	late := make(chan error, 1)
 	go func() { late <- call("3s", 300*time.Millisecond) }()
 	time.Sleep(100 * time.Millisecond)
-	require.NoError(t, call("1ms", time.Second)) // the connection answers
+	require.NoError(t, call("1ms", time.Second)) // shows that the connection still works
 	require.Error(t, <-late)
 	require.NoError(t, <-other)
 }
 
-// Guards against the log reaching a placer over the links of the smallest VMs: a relay
-// chosen at random had a 20th of the bandwidth, and ends waited to be read
-// (dosui-sched-grown, trouble-1).
-func TestRelayAsksStrongDaemonsFirst(t *testing.T) {
+// Guards against a placer that reads the log through the slow links of the smallest VMs: a relay chosen
+// at random had 1/20 of the bandwidth, so the ends of runs were read late.
+func TestRelayPrefersStrongDaemons(t *testing.T) {
 	members := make([]string, 20)
 	for i := range members {
 		members[i] = string(rune('a' + i))
@@ -209,14 +207,14 @@
 		require.Contains(t, members[:5], chooseRelay(members, 0))
 		require.Contains(t, members[:2], chooseRelay(members[:2], 0))
 	}
-	later := map[string]bool{}
+	chosen := map[string]bool{}
 	for range 400 {
-		later[chooseRelay(members, maxRelayTries-1)] = true
+		chosen[chooseRelay(members, maxRelayTries-1)] = true
 	}
-	require.Greater(t, len(later), 10)
+	require.Greater(t, len(chosen), 10)
 }
 
-// slowAppendStore answers reads and leaves appends without an answer.
+// slowAppendStore answers reads, but no append before its context ends.
 type slowAppendStore struct{ fakeStore }
 
 func (s *slowAppendStore) Append(ctx context.Context, _ int, _ [][]byte, _ *cluster.Fence) (int64, error) {
@@ -224,13 +222,12 @@
 	return 0, errNoAnswer
 }
 
-// Guards against a slow store that is taken for a path that does not work: one late answer
-// ended all calls under way and sent them through other daemons, once more each, so that
-// the log took nothing for eight seconds (trouble-2 of dosui-sched-large).
-func TestRelayStaysOnAPathThatAnswers(t *testing.T) {
-	other := &fakeStore{}
+// Guards against a slow store that is mistaken for a path that is down: one late answer cancelled all
+// calls in progress and repeated each through other daemons, so that the log stored nothing for 8 s.
+func TestSlowAppendDoesNotMarkDirectPathDown(t *testing.T) {
+	peer := &fakeStore{}
 	r := newRelay(&slowAppendStore{}, newPeerClients())
-	r.members.Store(&[]string{serveStorePeer(t, other)})
+	r.members.Store(&[]string{serveStorePeer(t, peer)})
 	done := make(chan error, 1)
 	go func() { _, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil); done <- err }()
 	for range 20 {
@@ -240,24 +237,25 @@
 	}
 	require.True(t, fault.Is(<-done, fault.Unknown))
 	require.False(t, r.directDown.Load())
-	require.Zero(t, other.appends.Load())
+	require.Zero(t, peer.appends.Load())
 }
 
-// slowStore takes some time for each append.
+// slowStore takes a fixed time for each append.
 type slowStore struct {
 	fakeStore
-	takes time.Duration
+	appendTime time.Duration
 }
 
-func (s *slowStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
-	time.Sleep(s.takes)
-	return s.fakeStore.Append(ctx, part, records, fence)
+func (s *slowStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	time.Sleep(s.appendTime)
+	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-// Guards against a call that its own caller ends and that closes the way through other daemons to all calls (trouble-1 of dosui-sched-grown: a placer's appends took 1.5 s each).
-func TestACallThatItsCallerEndsSaysNothingOfThePath(t *testing.T) {
+// Guards against one call that its own caller cancels blocking the way through other daemons for all
+// calls: as a result, a placer's appends took 1.5 s each.
+func TestCallerCancellationDoesNotBlockRelaying(t *testing.T) {
 	store, r, _ := newUnresponsiveStore(t)
-	addresses := []string{serveStorePeer(t, &slowStore{takes: 200 * time.Millisecond})}
+	addresses := []string{serveStorePeer(t, &slowStore{appendTime: 200 * time.Millisecond})}
 	r.members.Store(&addresses)
 	require.Eventually(t, r.directDown.Load, 3*unresponsiveAfter, 10*time.Millisecond)
 	sent := store.started.Load()
@@ -265,15 +263,15 @@
 	defer cancel()
 	_, err := r.Append(short, partition, [][]byte{{1}}, nil)
 	require.Error(t, err)
-	began := time.Now()
+	start := time.Now()
 	_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
 	require.NoError(t, err)
-	require.Less(t, time.Since(began), relayTimeout)
-	require.Equal(t, sent, store.started.Load(), "a path that is known to be silent was tried")
+	require.Less(t, time.Since(start), relayTimeout)
+	require.Equal(t, sent, store.started.Load(), "the direct path was tried although it is marked as down")
 }
 
-// Guards against a call that its caller ends early and that has all calls take a path that works for lost.
-func TestACallThatItsCallerEndsLosesNoPath(t *testing.T) {
+// Guards against one call that its caller cancels early marking a working path as down.
+func TestCallerCancellationDoesNotMarkDirectPathDown(t *testing.T) {
 	store := &unresponsiveStore{}
 	store.unresponsive.Store(true)
 	r := newRelay(store, newPeerClients())
@@ -284,15 +282,16 @@
 	require.False(t, r.directDown.Load())
 }
 
-// Guards against a store that has turned slow and is taken for lost by all daemons, which then make each call again through each other (trouble-2 of dosui-sched-grown).
-func TestACallThatASlowStoreLeavesLosesNoPath(t *testing.T) {
+// Guards against a store that has become slow and that all daemons mistake for a path that is down: they
+// then repeat each call through each other.
+func TestOneTimeoutOfASlowStoreDoesNotMarkDirectPathDown(t *testing.T) {
 	store := &unresponsiveStore{}
 	r := newRelay(store, newPeerClients())
 	r.latency.Store(int64(800 * time.Millisecond))
 	store.unresponsive.Store(true)
 	_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
 	require.Error(t, err)
-	require.False(t, r.directDown.Load(), "one answer less than the store owes at its present pace")
+	require.False(t, r.directDown.Load(), "one missing answer is within the tolerance at the store's current latency")
 	for range 2 {
 		_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
 		require.Error(t, err)
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -9,69 +9,70 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Times of reading the log.
+// Times of reading the log, its snapshots, the configuration and the registry.
 const (
-	readWait             = 1000 * time.Millisecond          // one read waits this long for a record
-	readTimeout          = readWait + 2200*time.Millisecond // a direct try, then one through another daemon
+	readWait             = 1000 * time.Millisecond          // for which the store holds a read that finds no record
+	readTimeout          = readWait + 2200*time.Millisecond // a direct attempt, then one through another daemon
 	readRetryDelay       = 150 * time.Millisecond           // after a failed read
-	followerReadInterval = 180 * time.Millisecond           // between reads of a daemon that only answers callers; each read has a price
-	placerReadInterval   = 120 * time.Millisecond           // the placer knows its own appends; others append directly only when they do not reach it
-	maxRoundTripSample   = 20 * time.Millisecond            // shorter answers than the wait show the round trip
-	maxDamagedReads      = 5                                // to read a snapshot; another one may have been written meanwhile
-	configWait           = 1000 * time.Millisecond
-	registryInterval     = 800 * time.Millisecond  // a draining worker must be known well within the drain bound
-	maxRegistryInterval  = 2400 * time.Millisecond // the longest pause; still within the drain bound
+	followerReadInterval = 180 * time.Millisecond           // between reads of a daemon that only answers callers; the platform charges for each read
+	placerReadInterval   = 120 * time.Millisecond           // between reads of the placer, which knows its own appends; other daemons append directly only when they can't reach it
+	maxRoundTripSample   = 20 * time.Millisecond            // an answer that came without a wait for records shows the round trip
+	maxDamagedReads      = 5                                // attempts to read a damaged snapshot; a new one may be written meanwhile
+	configWait           = 1000 * time.Millisecond          // for which the store holds a read that finds no newer configuration
+	registryInterval     = 800 * time.Millisecond           // between reads of the registry: a draining worker must be noticed well within the drain bound
+	maxRegistryInterval  = 2400 * time.Millisecond          // at a slow store or on a slow link; still within the drain bound
 
-	registryLinkShare      = 0.08 // of the link that readings of the registry may take
-	registryBytesPerWorker = 410  // of one worker in an answer
+	registryLinkShare      = 0.08 // of the link's bandwidth, for reads of the registry
+	registryBytesPerWorker = 410  // of one entry in an answer of the registry
 	bytesPerMbit           = 1e6 / 8
-	storeTimeout           = 2000 * time.Millisecond
+	storeTimeout           = 2000 * time.Millisecond // of a call to the store, beyond the wait that it asks for
 )
 
-// page is what the log reader read.
+// page is the result of one read of the log reader: records of the log, or a part of a snapshot.
 type page struct {
 	records []decoded
-	next    int64
-	end     int64
-	first   int64
-	expired bool
+	next    int64 // offset after the last record of the page
+	end     int64 // offset of the next append to the log
+	first   int64 // oldest retained offset
+	expired bool  // the record at the read position is no longer retained
 	err     error
-	sentAt  time.Duration
-	readAt  time.Duration
+	sentAt  time.Duration // boot clock
+	readAt  time.Duration // boot clock
 
-	head       *flow.SnapshotHead // of a snapshot of which chunks are missing
-	snapshot   *flow.State        // of a snapshot that replaces what is known
+	head       *flow.SnapshotHead // of a snapshot that is not complete yet
+	snapshot   *flow.State        // restored from a complete snapshot; replaces the engine's state
 	generation int64              // of the snapshot
 }
 
+// decoded is a record of the log, or the error of decoding it.
 type decoded struct {
 	record flow.Record
 	err    error
 }
 
-// logReader reads the log and hands every page to the engine. It owns the read position.
+// logReader reads the log and sends every page to the engine. It owns the read position.
 type logReader struct {
 	log           Log
 	snapshots     Snapshots
 	pages         chan<- page
-	wake          chan struct{} // wakes it from its gap
+	wake          chan struct{} // ends the pause between two reads
 	reads         *readStats
-	timing        func() (gap, wait time.Duration)
-	appliedOffset func() int64 // offset up to which the engine knows the log without reading it
+	timing        func() (delay, wait time.Duration) // pause between two reads, and how long a read waits for records
+	appliedOffset func() int64                       // offset of the next record that the engine needs; it applies its own appends without reading them
 }
 
 func (r *logReader) run(ctx context.Context) {
-	from, load, snapshot := int64(0), true, newSnapshotReader(r.snapshots, r.reads)
+	from, restoring, snapshot := int64(0), true, newSnapshotReader(r.snapshots, r.reads)
 	for ctx.Err() == nil {
-		gap, wait := r.timing()
+		delay, wait := r.timing()
 		var p page
-		if load {
+		if restoring {
 			p = restorePage(ctx, snapshot, from)
-			// Without a snapshot that can be read, the log is read from its first record.
-			load = p.head != nil || p.err != nil && snapshot.damagedReads < maxDamagedReads
+			// If no snapshot can be read, the log is read from its oldest record on.
+			restoring = p.head != nil || p.err != nil && snapshot.damagedReads < maxDamagedReads
 		} else {
 			p = r.read(ctx, max(from, r.appliedOffset()), wait)
-			load, snapshot.damagedReads = p.expired, 0
+			restoring, snapshot.damagedReads = p.expired, 0
 		}
 		from = p.next
 		select {
@@ -80,19 +81,19 @@
 			return
 		}
 		if p.err != nil {
-			gap = readRetryDelay
+			delay = readRetryDelay
 		} else if p.next < p.end {
-			gap = 0
+			delay = 0
 		}
-		r.pause(ctx, gap)
+		r.pause(ctx, delay)
 	}
 }
 
-func (r *logReader) pause(ctx context.Context, gap time.Duration) {
-	if gap <= 0 {
+func (r *logReader) pause(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
 		return
 	}
-	timer := time.NewTimer(gap)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -101,7 +102,8 @@
 	}
 }
 
-// restorePage reads a part of the newest snapshot, at the start and after records expired unread.
+// restorePage makes one read of the newest snapshot. The log reader restores a snapshot at its start,
+// and when records have expired before it read them.
 func restorePage(ctx context.Context, snapshot *snapshotReader, from int64) page {
 	p := page{sentAt: bootclock.Now(), next: from, end: from + 1}
 	p.head, p.snapshot, p.err = snapshot.step(ctx)
@@ -115,27 +117,27 @@
 }
 
 func (r *logReader) read(ctx context.Context, from int64, wait time.Duration) page {
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	p := page{sentAt: bootclock.Now(), next: from}
-	got, err := r.log.Read(bounded, partition, from, wait)
-	r.reads.countPage(readToFollow, &got)
+	logPage, err := r.log.Read(readCtx, partition, from, wait)
+	r.reads.countPage(readToFollow, &logPage)
 	p.readAt = bootclock.Now()
 	if err != nil {
 		p.err = err
 		return p
 	}
-	p.first, p.end, p.expired, p.next = got.First, got.End, got.Expired, got.Next
-	if got.Expired {
-		p.next = got.First
+	p.first, p.end, p.expired, p.next = logPage.First, logPage.End, logPage.Expired, logPage.Next
+	if logPage.Expired {
+		p.next = logPage.First
 		return p
 	}
-	if got.End < from {
-		p.err = fault.New(fault.Internal, "report this as a bug", "the log ends at %d before position %d", got.End, from)
+	if logPage.End < from {
+		p.err = fault.New(fault.Internal, "report this as a bug", "the log ends at offset %d, before the read position %d", logPage.End, from)
 		return p
 	}
-	p.records = make([]decoded, len(got.Records))
-	for i, data := range got.Records {
+	p.records = make([]decoded, len(logPage.Records))
+	for i, data := range logPage.Records {
 		p.records[i].record, p.records[i].err = flow.Decode(data)
 	}
 	return p
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -13,41 +13,42 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Limits of appending.
+// Time limits, delays and sizes of appends.
 const (
-	appendTimeout         = directTimeout + 300*time.Millisecond // of one append: a direct try, then one through another daemon
-	appendRetryDelay      = 120 * time.Millisecond               // doubled with each failure in a row
+	appendTimeout         = directTimeout + 300*time.Millisecond // of one append: a direct attempt, then one through another daemon
+	appendRetryDelay      = 120 * time.Millisecond               // doubled after each failure in a row
 	maxAppendRetryDelay   = 960 * time.Millisecond
 	appendQueueLength     = 4096 // records that wait for an append
-	maxOpenForwards       = 16   // groups that are under way to the placer
+	maxOpenForwards       = 16   // concurrent calls that forward a group to the placer
 	groupWindow           = 4 * time.Millisecond
-	maxGroupRecords       = 512                     // of 400 bytes: a partition that is a hundred times as slow takes them in a second
-	minPlacerWait         = 500 * time.Millisecond  // then the record is appended here as well
-	aliveTimeout          = 300 * time.Millisecond  // two ways between regions and a busy daemon
-	placerWaitFactor      = 3                       // times the usual answer: a slow store must not get every record twice, from all daemons
-	maxPlacerWait         = 1500 * time.Millisecond // leaves a caller time for an append from here
-	slowLogExcess         = 100 * time.Millisecond  // beyond the usual answer: appends from all daemons would wait there for seconds
-	latencyAverageDivisor = 4                       // one answer moves the usual one by this part of the difference
-	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence that makes others claim; doubled each time
-	maxOpenHedges         = 3
-	peerReturnMargin      = 100 * time.Millisecond // of a call's time limit, for the way back
+	maxGroupRecords       = 512                     // at 400 bytes each, a partition slowed down by a factor of 100 appends them within a second
+	minPlacerWait         = 500 * time.Millisecond  // after the wait for the placer, the record is appended from here as well
+	aliveTimeout          = 300 * time.Millisecond  // a round trip between regions to a busy daemon
+	placerWaitFactor      = 3                       // times the average latency: at a slow store, a shorter wait would have all daemons append their records a second time
+	maxPlacerWait         = 1500 * time.Millisecond // leaves time within the caller's time limit for an append from here
+	slowLogExcess         = 100 * time.Millisecond  // over the usual latency, beyond which a log counts as slow: appends of all daemons would queue there for seconds
+	latencyAverageDivisor = 4                       // each answer moves the average by the difference divided by this
+	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence after which another daemon claims; doubled after each attempt
+	maxOpenHedges         = 3                       // concurrent attempts of one append
+	peerReturnMargin      = 100 * time.Millisecond  // of a call's time limit, left for the reply to travel back
 	suspectPollInterval   = 20 * time.Millisecond
 )
 
-// pendingRecord is a record to append and its outcome.
+// pendingRecord is a record to append, with the state of its attempts and its outcome.
 type pendingRecord struct {
 	data     []byte
 	deadline time.Time
-	done     chan struct{} // closed when the outcome is certain
+	done     chan struct{} // closed once the record is stored or abandoned
 
 	mu             sync.Mutex
 	stored         bool
-	attempts       int  // attempts under way
-	outcomeUnknown bool // an attempt was not answered
-	abandoned      bool // given up: it must not be sent any more
+	attempts       int  // attempts without an outcome yet
+	outcomeUnknown bool // an attempt ended without an answer, so the record may be stored
+	abandoned      bool // must not be sent any more
 }
 
-// beginAttempt notes an attempt; false means that none may be made any more.
+// beginAttempt registers an attempt and reports whether it may be made: a record that is stored
+// or abandoned is not sent again.
 func (p *pendingRecord) beginAttempt() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,7 +59,7 @@
 	return true
 }
 
-// endAttempt notes the outcome of an attempt.
+// endAttempt records the outcome of an attempt.
 func (p *pendingRecord) endAttempt(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,7 +73,7 @@
 	}
 }
 
-// refuse gives a record up that was certainly not sent, so that its caller is told at once.
+// refuse abandons a record that is certainly not stored, so that its caller gets an answer at once.
 func (p *pendingRecord) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,14 +84,17 @@
 	close(p.done)
 }
 
-// settled reports whether nobody waits for the record any more.
+// settled reports whether the record needs no further attempt: it is stored, abandoned or past its
+// deadline.
 func (p *pendingRecord) settled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.abandoned || p.stored || time.Now().After(p.deadline)
 }
 
-// finalOutcome returns what is certain at the record's deadline, or when its outcome is.
+// finalOutcome returns the outcome of the record, and abandons a record that is
+// certainly not stored. It is called once the record is done, its deadline has passed or its
+// caller has gone.
 func (p *pendingRecord) finalOutcome() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,96 +102,96 @@
 	case p.stored:
 		return nil
 	case p.abandoned:
-		return fault.New(fault.Refused, "ask again later; nothing was done", "the log does not answer; the record was kept back")
+		return fault.New(fault.Refused, "retry later; nothing was done", "the log does not answer; the record was held back and is not stored")
 	case p.attempts > 0 || p.outcomeUnknown:
-		return fault.New(fault.Unknown, "ask again with the same id", "the log did not answer in time")
+		return fault.New(fault.Unknown, "retry with the same id", "the log did not answer the append in time; the record may be stored")
 	}
 	p.abandoned = true
-	return fault.New(fault.Refused, "ask again later; nothing was done", "the log did not take the record in time")
+	return fault.New(fault.Refused, "retry later; nothing was done", "the record could not be appended to the log in time")
 }
 
-// writer appends callers' records in groups. Every record may safely be appended twice,
-// because the first submission and the first cancellation of a job count; so it repeats
-// an append that was not answered until the deadline of the record.
+// writer appends callers' records in groups. Only the first submission and the first
+// cancellation of a job count, so every record may safely be appended twice, and an append
+// without an answer is repeated until the deadline of the record.
 //
-// The records go through the placer, unless its machine is weak; it is near the log and gathers those of all
-// daemons: a partition carries out its appends one at a time, so many small ones wait
-// for each other when the store is slow. Without an answer of the placer they are
-// appended here.
+// Records are forwarded to the placer, which is near the log and merges those of all daemons:
+// a partition carries out one append at a time, so at a slow store many small appends would
+// queue behind each other. Records that the placer does not get stored in time, or that would
+// cross the slow link of a weak placer, are appended from this daemon.
 type writer struct {
 	log             Log
 	peers           *peerClients
-	placerAddress   atomic.Pointer[string] // address of the placer; "" is here
-	fallbackAddress atomic.Pointer[string] // where records are gathered at a slow log while the placer is not reached; "" is here
-	queue           chan *pendingRecord
-	directQueue     chan *pendingRecord
-	forwards        chan struct{}
-	placerLatency   atomic.Int64 // time of the placer's answers, ns
-	appendTimes     recentMax    // to appends that were stored
-	logSlow         func() bool  // the log's answers take much longer than usual
-	// logSuspect reports that an append made now may be left without an answer, logUnresponsive that
-	// the log does not answer at all.
+	placerAddress   atomic.Pointer[string] // "" means this daemon, or no known placer
+	fallbackAddress atomic.Pointer[string] // daemon that appends for all while the log is slow and the placer is not reached; "" means this daemon
+	queue           chan *pendingRecord    // records of this daemon, to be forwarded or appended here
+	directQueue     chan *pendingRecord    // records to append here
+	forwardSlots    chan struct{}          // semaphore of concurrent forwards
+	placerLatency   atomic.Int64           // moving average of the placer's answers, ns
+	appendTimes     recentMax              // durations of successful appends
+	logSlow         func() bool            // reports whether the log takes much longer than usual to answer
+	// logSuspect reports whether an append sent now is likely to get no answer; logUnresponsive
+	// whether the log has stopped answering altogether.
 	logSuspect, logUnresponsive func() bool
-	// logAnswersInTime asks the log for a sign of life and reports whether it comes in the usual time. The
-	// answers of a slow log show up in logSlow only after a second or two.
+	// logAnswersInTime probes the log and reports whether it answers within the usual time. logSlow
+	// notices a log that has become slow only after a second or two.
 	logAnswersInTime func(ctx context.Context) bool
-	storedAt         atomic.Int64                        // boot clock: a record of this daemon was stored
-	weakPlacer       atomic.Bool                         // the placer's machine has too little of what a placer needs: records should not pass its link twice
-	onAppended       func(first int64, records [][]byte) // told of every append made here
+	storedAt         atomic.Int64                              // boot clock: time of the last successful append or forward
+	weakPlacer       atomic.Bool                               // the placer's VM lacks the resources of a placer: records must not cross its link twice
+	onAppended       func(firstOffset int64, records [][]byte) // called after every successful append from here
 }
 
-// alwaysFalse is the judgement of a log that always answers.
+// alwaysFalse stands in for checks of the log's health until they are set.
 func alwaysFalse() bool { return false }
 
-func newWriter(log Log, p *peerClients) *writer {
+func newWriter(log Log, peers *peerClients) *writer {
 	w := &writer{
-		log: log, peers: p, queue: make(chan *pendingRecord, appendQueueLength), directQueue: make(chan *pendingRecord, appendQueueLength),
-		forwards: make(chan struct{}, maxOpenForwards), onAppended: func(int64, [][]byte) {},
+		log: log, peers: peers, queue: make(chan *pendingRecord, appendQueueLength), directQueue: make(chan *pendingRecord, appendQueueLength),
+		forwardSlots: make(chan struct{}, maxOpenForwards), onAppended: func(int64, [][]byte) {},
 		logSlow: alwaysFalse, logSuspect: alwaysFalse, logUnresponsive: alwaysFalse, logAnswersInTime: func(context.Context) bool { return true },
 	}
-	none := ""
-	w.placerAddress.Store(&none)
-	w.fallbackAddress.Store(&none)
+	unset := ""
+	w.placerAddress.Store(&unset)
+	w.fallbackAddress.Store(&unset)
 	return w
 }
 
-// append stores a record. An error of kind fault.Refused means that it is not stored
-// and never will be; fault.Unknown that it may be.
-func (w *writer) append(ctx context.Context, r *flow.Record, within time.Duration) error {
-	data, err := r.Encode()
+// append stores a record. An error of kind fault.Refused means that the record is not stored and
+// never will be; fault.Unknown means that it may be stored.
+func (w *writer) append(ctx context.Context, record *flow.Record, timeout time.Duration) error {
+	data, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	return w.enqueueAndWait(ctx, w.queue, data, within)
+	return w.enqueueAndWait(ctx, w.queue, data, timeout)
 }
 
-// appendForPeer stores encoded records of another daemon and returns the outcome of each.
-func (w *writer) appendForPeer(records [][]byte, within time.Duration) []error {
+// appendForPeer stores encoded records on behalf of another daemon and returns the error of each.
+func (w *writer) appendForPeer(records [][]byte, timeout time.Duration) []error {
 	outcomes := make([]error, len(records))
-	var waiting sync.WaitGroup
+	var wg sync.WaitGroup
 	for i, data := range records {
-		waiting.Go(func() { outcomes[i] = w.enqueueAndWait(context.Background(), w.directQueue, data, within) })
+		wg.Go(func() { outcomes[i] = w.enqueueAndWait(context.Background(), w.directQueue, data, timeout) })
 	}
-	waiting.Wait()
+	wg.Wait()
 	return outcomes
 }
 
-// enqueueAndWait queues a record and waits for its outcome until its deadline.
-func (w *writer) enqueueAndWait(ctx context.Context, queue chan *pendingRecord, data []byte, within time.Duration) error {
-	e := &pendingRecord{data: data, deadline: time.Now().Add(within), done: make(chan struct{})}
+// enqueueAndWait queues a record and waits for its outcome, at most until its deadline.
+func (w *writer) enqueueAndWait(ctx context.Context, queue chan *pendingRecord, data []byte, timeout time.Duration) error {
+	pending := &pendingRecord{data: data, deadline: time.Now().Add(timeout), done: make(chan struct{})}
 	select {
-	case queue <- e:
+	case queue <- pending:
 	default:
-		return fault.New(fault.Refused, "retry later; nothing was done", "%d records wait for the log", appendQueueLength)
+		return fault.New(fault.Refused, "retry later; nothing was done", "the queue of appends is full: %d records wait for the log", appendQueueLength)
 	}
-	timer := time.NewTimer(within)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-e.done:
+	case <-pending.done:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return e.finalOutcome()
+	return pending.finalOutcome()
 }
 
 func (w *writer) run(ctx context.Context) {
@@ -204,20 +208,21 @@
 			continue
 		}
 		select {
-		case w.forwards <- struct{}{}:
+		case w.forwardSlots <- struct{}{}:
 		default:
 			w.queueDirect(group) // the placer does not keep up
 			continue
 		}
 		go func() {
-			defer func() { <-w.forwards }()
+			defer func() { <-w.forwardSlots }()
 			w.forward(ctx, address, group)
 			w.appendElsewhere(ctx, address, group)
 		}()
 	}
 }
 
-// appenderAddress is the daemon that appends the records of this one; "" is this one.
+// appenderAddress returns the address of the daemon that appends the records of this one; ""
+// means this daemon itself.
 func (w *writer) appenderAddress() string {
 	placer := *w.placerAddress.Load()
 	switch {
@@ -230,33 +235,35 @@
 	}
 }
 
-// appendElsewhere has records appended that the daemon at appenderAddress did not get stored: here, or at a slow
-// log by the fallback appender, as appends of all daemons would wait for each other there.
-func (w *writer) appendElsewhere(ctx context.Context, tried string, group []*pendingRecord) {
-	if slices.IndexFunc(group, func(e *pendingRecord) bool { return !e.settled() }) < 0 {
+// appendElsewhere appends the records that the daemon at triedAddress did not get stored. At a slow
+// log the fallback daemon comes first, as direct appends of all daemons would queue behind each
+// other; what is left is appended from this daemon.
+func (w *writer) appendElsewhere(ctx context.Context, triedAddress string, group []*pendingRecord) {
+	if slices.IndexFunc(group, func(record *pendingRecord) bool { return !record.settled() }) < 0 {
 		return
 	}
-	if fallback := *w.fallbackAddress.Load(); w.logSlow() && fallback != "" && fallback != tried {
+	if fallback := *w.fallbackAddress.Load(); w.logSlow() && fallback != "" && fallback != triedAddress {
 		w.forward(ctx, fallback, group)
 	}
 	w.queueDirect(group)
 }
 
-// nextGroup gathers the records that arrive within a short time of the first.
+// nextGroup returns the next record with those that arrive within groupWindow of it, or nil when
+// the context ends.
 func nextGroup(ctx context.Context, queue <-chan *pendingRecord) []*pendingRecord {
 	var group []*pendingRecord
 	select {
 	case <-ctx.Done():
 		return nil
-	case e := <-queue:
-		group = append(group, e)
+	case record := <-queue:
+		group = append(group, record)
 	}
 	timer := time.NewTimer(groupWindow)
 	defer timer.Stop()
 	for len(group) < maxGroupRecords {
 		select {
-		case e := <-queue:
-			group = append(group, e)
+		case record := <-queue:
+			group = append(group, record)
 		case <-timer.C:
 			return group
 		}
@@ -264,110 +271,112 @@
 	return group
 }
 
-// queueDirect has records appended here.
+// queueDirect queues records to be appended by this daemon.
 func (w *writer) queueDirect(group []*pendingRecord) {
-	for _, e := range group {
+	for _, record := range group {
 		select {
-		case w.directQueue <- e:
-		default: // the queue is full; the record is refused at its deadline
+		case w.directQueue <- record:
+		default: // the queue is full: the record fails at its deadline
 		}
 	}
 }
 
-// beginAttempts returns the records that may still be sent, each with an attempt begun.
+// beginAttempts begins an attempt of each record that may still be sent, and returns these records
+// with their data.
 func beginAttempts(group []*pendingRecord) (live []*pendingRecord, records [][]byte) {
-	for _, e := range group {
-		if e.beginAttempt() {
-			live = append(live, e)
-			records = append(records, e.data)
+	for _, record := range group {
+		if record.beginAttempt() {
+			live = append(live, record)
+			records = append(records, record.data)
 		}
 	}
 	return live, records
 }
 
 func endAttempts(group []*pendingRecord, err error) {
-	for _, e := range group {
-		e.endAttempt(err)
+	for _, record := range group {
+		record.endAttempt(err)
 	}
 }
 
-// endSubmitted notes the placer's answer for each record. It returns the error of one that is
-// not known to be stored.
-func endSubmitted(group []*pendingRecord, reply *SubmitReply) (failed error) {
-	for i, e := range group {
+// endSubmitted records the placer's answer for each record. It returns the error of the last one
+// that is not known to be stored.
+func endSubmitted(group []*pendingRecord, reply *SubmitReply) (lastErr error) {
+	for i, record := range group {
 		err := reply.outcome(i)
-		e.endAttempt(err)
+		record.endAttempt(err)
 		if err != nil {
-			failed = err
+			lastErr = err
 		}
 	}
-	return failed
+	return lastErr
 }
 
-// forward has another daemon append records with those of other daemons, until it answers or
-// can't be waited for any longer.
+// forward sends records to another daemon, which appends them with those of other daemons. It
+// returns when all are stored, or when they are to be appended elsewhere: the daemon has answered
+// with an error, does not respond, or is late although the log is not slow.
 func (w *writer) forward(ctx context.Context, address string, group []*pendingRecord) {
 	live, records := beginAttempts(group)
 	if len(live) == 0 {
 		return
 	}
-	answered, sent := make(chan error, 1), time.Now()
+	result, sentAt := make(chan error, 1), time.Now()
 	go func() {
-		limit := time.Until(live[0].deadline)
-		bounded, cancel := context.WithTimeout(ctx, limit)
+		timeout := time.Until(live[0].deadline)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		reply := &SubmitReply{}
-		err := w.peers.call(bounded, address, submitMethod, &SubmitArgs{records, limit - peerReturnMargin}, reply)
+		err := w.peers.call(callCtx, address, submitMethod, &SubmitArgs{records, timeout - peerReturnMargin}, reply)
 		if err = remoteError(err, "", fault.Unknown); err != nil {
 			endAttempts(live, err)
 		} else {
 			err = endSubmitted(live, reply)
 		}
-		w.recordPlacerLatency(time.Since(sent))
+		w.recordPlacerLatency(time.Since(sentAt))
 		if err == nil {
-			w.appendTimes.record(time.Since(sent), bootclock.Now())
+			w.appendTimes.record(time.Since(sentAt), bootclock.Now())
 			w.storedAt.Store(int64(bootclock.Now()))
 		}
-		answered <- err
+		result <- err
 	}()
 	wait := w.placerWait()
 	for waited := time.Duration(0); ; {
 		select {
-		case err := <-answered:
+		case err := <-result:
 			if err == nil {
 				return
 			}
 		case <-time.After(wait):
 			if waited += wait; (waited < maxPlacerWait || w.logSlow() || !w.logAnswersInTime(ctx)) && w.alive(ctx, address) {
-				continue // it waits for a slow log, which appends from all daemons would only slow down
+				continue // the placer waits for a slow log, which direct appends of all daemons would slow down further
 			}
 		}
 		return
 	}
 }
 
-// alive reports whether the placer's daemon answers. A call to yield an epoch before the
-// first one has no effect.
+// alive reports whether a daemon answers RPCs. It asks that daemon to yield an epoch before the
+// first one, which has no effect.
 func (w *writer) alive(ctx context.Context, address string) bool {
-	bounded, cancel := context.WithTimeout(ctx, aliveTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	var done bool
-	return w.peers.call(bounded, address, yieldMethod, &YieldArgs{Epoch: -1}, &done) == nil
+	var reply bool
+	return w.peers.call(callCtx, address, yieldMethod, &YieldArgs{Epoch: -1}, &reply) == nil
 }
 
-// recordPlacerLatency takes the time of one answer of the placer into the usual one.
-func (w *writer) recordPlacerLatency(took time.Duration) {
+// recordPlacerLatency adds the latency of one answer of the placer to the moving average.
+func (w *writer) recordPlacerLatency(latency time.Duration) {
 	average := time.Duration(w.placerLatency.Load())
-	w.placerLatency.Store(int64(average + (took-average)/latencyAverageDivisor))
+	w.placerLatency.Store(int64(average + (latency-average)/latencyAverageDivisor))
 }
 
-// placerWait is how long an answer of the placer is waited for.
+// placerWait returns how long to wait for an answer of the placer.
 func (w *writer) placerWait() time.Duration {
 	return min(max(minPlacerWait, placerWaitFactor*time.Duration(w.placerLatency.Load())), maxPlacerWait)
 }
 
-// appendTimeLimit is the time limit of one append. Another one before the first is answered would
-// wait behind it at a slow log.
+// appendTimeLimit returns the time limit of one append. It is longer at a slow log, where a repeated
+// append would queue behind the first one.
 func (w *writer) appendTimeLimit() time.Duration {
 	if w.logSlow() {
 		return slowStoreTimeout
@@ -375,10 +384,10 @@
 	return appendTimeout
 }
 
-// runDirect appends records here, one append at a time: more would only wait for each
-// other at the partition.
+// runDirect appends the records of directQueue, one append at a time, because the partition carries
+// out only one at a time anyway.
 func (w *writer) runDirect(ctx context.Context) {
-	retry := appendRetryDelay
+	retryDelay := appendRetryDelay
 	for {
 		group := nextGroup(ctx, w.directQueue)
 		if group == nil {
@@ -391,36 +400,36 @@
 		if len(live) == 0 {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, w.appendTimeLimit())
-		sent := bootclock.Now()
-		first, err := w.log.Append(bounded, partition, records, nil)
+		appendCtx, cancel := context.WithTimeout(ctx, w.appendTimeLimit())
+		sentAt := bootclock.Now()
+		firstOffset, err := w.log.Append(appendCtx, partition, records, nil)
 		cancel()
 		endAttempts(live, err)
 		if err != nil {
-			time.Sleep(retry)
-			retry = min(2*retry, maxAppendRetryDelay)
+			time.Sleep(retryDelay)
+			retryDelay = min(2*retryDelay, maxAppendRetryDelay)
 			w.queueDirect(live)
 			continue
 		}
-		retry = appendRetryDelay
-		w.appendTimes.record(bootclock.Now()-sent, bootclock.Now())
+		retryDelay = appendRetryDelay
+		w.appendTimes.record(bootclock.Now()-sentAt, bootclock.Now())
 		w.storedAt.Store(int64(bootclock.Now()))
-		w.onAppended(first, records)
+		w.onAppended(firstOffset, records)
 	}
 }
 
-// holdWhileSuspect holds records until the log answers again, and returns those that are still to be
-// appended. Those of which none was sent are refused as soon as the log is known to be silent:
-// their callers have time left to come again.
+// holdWhileSuspect holds records back while the log is suspected not to answer, and returns those
+// that are still to be appended. As soon as the log is known to be unresponsive, it refuses the
+// records that are certainly not stored, so that their callers have time left for a retry.
 func (w *writer) holdWhileSuspect(ctx context.Context, group []*pendingRecord) []*pendingRecord {
 	for w.logSuspect() && ctx.Err() == nil {
 		if w.logUnresponsive() {
 			group = append(group, drainQueue(w.directQueue)...)
-			for _, e := range group {
-				e.refuse()
+			for _, record := range group {
+				record.refuse()
 			}
 		}
-		group = slices.DeleteFunc(group, func(e *pendingRecord) bool { return e.settled() })
+		group = slices.DeleteFunc(group, func(record *pendingRecord) bool { return record.settled() })
 		if len(group) == 0 {
 			break
 		}
@@ -429,49 +438,49 @@
 	return group
 }
 
-// refuseQueued refuses the records that wait behind an append to a silent log. The append itself
-// may take seconds to be given up.
+// refuseQueued refuses the records that wait in directQueue while the log is unresponsive. The append
+// in progress, which they wait for, may take seconds to time out.
 func (w *writer) refuseQueued(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(suspectPollInterval)
 		if !w.logUnresponsive() {
 			continue
 		}
-		var rest []*pendingRecord
-		for _, e := range drainQueue(w.directQueue) {
-			if e.refuse(); !e.settled() {
-				rest = append(rest, e) // an attempt of it is under way
+		var unsettled []*pendingRecord
+		for _, record := range drainQueue(w.directQueue) {
+			if record.refuse(); !record.settled() {
+				unsettled = append(unsettled, record) // an attempt has been made or is in progress
 			}
 		}
-		w.queueDirect(rest)
+		w.queueDirect(unsettled)
 	}
 }
 
-// drainQueue takes what waits in a queue.
+// drainQueue returns all records that are in a queue now.
 func drainQueue(queue <-chan *pendingRecord) []*pendingRecord {
-	var group []*pendingRecord
+	var drained []*pendingRecord
 	for {
 		select {
-		case e := <-queue:
-			group = append(group, e)
+		case record := <-queue:
+			drained = append(drained, record)
 		default:
-			return group
+			return drained
 		}
 	}
 }
 
-// fencedAppender appends the placer's records in order, each under the next sequence number.
+// fencedAppender appends the placer's records in order, each with the next sequence number of its
+// fence, so that a repeated append has no further effect.
 type fencedAppender struct {
 	log     Log
 	fence   cluster.Fence
-	logSlow func() bool // the log's answers take much longer than usual
+	logSlow func() bool // reports whether the log takes much longer than usual to answer
 }
 
-// append stores a record and returns its offset. It repeats the append, which has no
-// further effect, until there is an answer or the context ends. An error of kind
-// fault.Conflict means that a newer epoch was used.
-func (f *fencedAppender) append(ctx context.Context, r *flow.Record) (int64, error) {
-	data, err := r.Encode()
+// append stores a record and returns its offset. It repeats the append until there is an answer or
+// the context ends. An error of kind fault.Conflict means that the log has seen a newer epoch.
+func (f *fencedAppender) append(ctx context.Context, record *flow.Record) (int64, error) {
+	data, err := record.Encode()
 	if err != nil {
 		return 0, err
 	}
@@ -480,47 +489,47 @@
 	return f.appendUntilAnswered(ctx, data, fence)
 }
 
-// appendUntilAnswered appends until there is an answer. While one attempt waits, the next is made: the
-// answer of the first may be lost, and a placer that is silent for long is replaced.
+// appendUntilAnswered hedges an append until there is an answer: it starts the next attempt while
+// earlier ones wait, as their answers may be lost and a placer whose records stop is replaced.
 func (f *fencedAppender) appendUntilAnswered(ctx context.Context, data []byte, fence cluster.Fence) (int64, error) {
 	type answer struct {
 		offset int64
 		err    error
 	}
-	bounded, cancel := context.WithCancel(ctx)
+	hedgeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, 1)
-	limit, wait := appendTimeout, hedgeDelay
+	timeout, hedgeWait := appendTimeout, hedgeDelay
 	if f.logSlow() {
-		limit, wait = slowStoreTimeout, slowStoreTimeout/2
+		timeout, hedgeWait = slowStoreTimeout, slowStoreTimeout/2
 	}
 	attempt := func() {
-		limited, end := context.WithTimeout(bounded, limit)
-		defer end()
-		offset, err := f.log.Append(limited, partition, [][]byte{data}, &fence)
+		attemptCtx, cancelAttempt := context.WithTimeout(hedgeCtx, timeout)
+		defer cancelAttempt()
+		offset, err := f.log.Append(attemptCtx, partition, [][]byte{data}, &fence)
 		select {
 		case answers <- answer{offset, err}:
-		case <-bounded.Done():
+		case <-hedgeCtx.Done():
 		}
 	}
-	open := 0
+	inFlight := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return 0, fault.Wrap(ctx.Err(), fault.Unknown, "read the log", "an append of the placer was not answered")
+			return 0, fault.Wrap(ctx.Err(), fault.Unknown, "read the log to learn the outcome", "an append of the placer got no answer")
 		case <-timer.C:
-			if open < maxOpenHedges {
-				open++
+			if inFlight < maxOpenHedges {
+				inFlight++
 				go attempt()
 			}
-			timer.Reset(wait)
-			wait *= 2
-		case a := <-answers:
-			open--
-			if a.err == nil || fault.Is(a.err, fault.Conflict) {
-				return a.offset, a.err
+			timer.Reset(hedgeWait)
+			hedgeWait *= 2
+		case got := <-answers:
+			inFlight--
+			if got.err == nil || fault.Is(got.err, fault.Conflict) {
+				return got.offset, got.err
 			}
 			timer.Reset(appendRetryDelay)
 		}
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -17,16 +17,17 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// serveSubmissions serves submissions of other daemons and returns the address.
+// serveSubmissions serves the method Submit of a placer and returns its address.
 func serveSubmissions(t *testing.T, submit func([][]byte, time.Duration) []error) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	require.NoError(t, servePeers(l, &peerService{yield: func(int64) {}, submit: submit}))
-	return l.Addr().String()
+	t.Cleanup(func() { _ = listener.Close() })
+	require.NoError(t, servePeers(listener, &peerService{yield: func(int64) {}, submit: submit}))
+	return listener.Addr().String()
 }
 
+// runWriter starts a writer that forwards to the placer at an address; "" means that it appends itself.
 func runWriter(t *testing.T, store *fakeStore, placer string) *writer {
 	w := newWriter(store, newPeerClients())
 	w.placerAddress.Store(&placer)
@@ -38,40 +39,41 @@
 
 var testSubmission = &flow.Record{Submit: &flow.Submit{ID: "j"}}
 
-// Guards against small appends of many daemons that wait for each other at a slow store.
-func TestWriterGathersAtThePlacer(t *testing.T) {
-	store, gathered := &fakeStore{}, 0
+// Guards against each daemon appending its own records although it reaches the placer: small appends
+// of many daemons queue behind each other at a slow store.
+func TestWriterForwardsToThePlacer(t *testing.T) {
+	store, forwarded := &fakeStore{}, 0
 	w := runWriter(t, store, serveSubmissions(t, func(records [][]byte, _ time.Duration) []error {
-		gathered += len(records)
+		forwarded += len(records)
 		return make([]error, len(records))
 	}))
 	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
-	require.Equal(t, 1, gathered)
+	require.Equal(t, 1, forwarded)
 	require.Zero(t, store.appends.Load())
 }
 
-// Guards against jobs that can't be accepted while the placer is gone.
-func TestWriterAppendsItselfWithoutThePlacer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Guards against jobs that can't be accepted while the placer's process is gone.
+func TestWriterAppendsDirectlyWithoutThePlacer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	gone := l.Addr().String()
-	require.NoError(t, l.Close())
+	deadAddress := listener.Addr().String()
+	require.NoError(t, listener.Close())
 	store := &fakeStore{}
-	w := runWriter(t, store, gone)
+	w := runWriter(t, store, deadAddress)
 	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
 	require.EqualValues(t, 1, store.appends.Load())
 }
 
-// Guards against a frozen placer that holds up the acceptance of jobs.
+// Guards against a placer that hangs and so delays the acceptance of jobs.
 func TestWriterDoesNotWaitForAHungPlacer(t *testing.T) {
 	store := &fakeStore{}
 	w := runWriter(t, store, serveSubmissions(t, func([][]byte, time.Duration) []error { time.Sleep(10 * time.Second); return nil }))
-	began := time.Now()
+	start := time.Now()
 	require.NoError(t, w.append(t.Context(), testSubmission, 2500*time.Millisecond))
-	require.Less(t, time.Since(began), 2*time.Second)
+	require.Less(t, time.Since(start), 2*time.Second)
 }
 
-// Guards against "not stored" being said of a record that may be stored.
+// Guards against reporting a record as not stored when it may be stored.
 func TestWriterReportsUnknownOutcomes(t *testing.T) {
 	store := &fakeStore{}
 	store.failWith(errRefused)
@@ -83,38 +85,38 @@
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 }
 
-// Guards against a placer that is replaced because one answer of the log was lost
-// (takeovers after each lost answer, LOST on a variant of grenaille-sched).
-func TestPlacerRepeatsAnAppendWithoutAnAnswer(t *testing.T) {
+// Guards against a placer that is replaced because one answer of the log was lost: it waited for that
+// answer while its records stopped, and another daemon claimed.
+func TestPlacerHedgesAnUnansweredAppend(t *testing.T) {
 	store := &hangingStore{}
 	store.hangingCalls.Store(1)
-	f := &fencedAppender{log: store, fence: cluster.Fence{Producer: "placer", Epoch: 3}, logSlow: func() bool { return false }}
-	began := time.Now()
-	offset, _ := f.append(t.Context(), &flow.Record{Batch: &flow.Batch{Epoch: 3}})
+	appender := &fencedAppender{log: store, fence: cluster.Fence{Producer: "placer", Epoch: 3}, logSlow: func() bool { return false }}
+	start := time.Now()
+	offset, _ := appender.append(t.Context(), &flow.Record{Batch: &flow.Batch{Epoch: 3}})
 	require.EqualValues(t, 1, offset)
-	require.Less(t, time.Since(began), time.Second)
-	require.EqualValues(t, 1, f.fence.Sequence)
+	require.Less(t, time.Since(start), time.Second)
+	require.EqualValues(t, 1, appender.fence.Sequence)
 	require.EqualValues(t, 2, store.calls.Load())
 }
 
-// hangingStore leaves the first appends without an answer.
+// hangingStore does not answer the first appends.
 type hangingStore struct {
 	fakeStore
 	hangingCalls atomic.Int64
 	calls        atomic.Int64
 }
 
-func (s *hangingStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (s *hangingStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	s.calls.Add(1)
 	if s.hangingCalls.Add(-1) >= 0 {
 		<-ctx.Done()
 		return 0, errNoAnswer
 	}
-	return s.fakeStore.Append(ctx, part, records, fence)
+	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-// Guards against a store that is slow getting every record twice, from the placer and from
-// the daemon that took it, so that nothing is stored any more (dosui-sched-grown, trouble-2).
+// Guards against a slow store that gets every record twice, from the placer and from the daemon that
+// accepted it, and is overloaded until nothing is stored any more.
 func TestWriterWaitsLongerForASlowPlacer(t *testing.T) {
 	store := &fakeStore{}
 	w := runWriter(t, store, serveSubmissions(t, func(records [][]byte, _ time.Duration) []error {
@@ -125,13 +127,12 @@
 		require.NoError(t, w.append(t.Context(), testSubmission, 2500*time.Millisecond))
 	}
 	require.Zero(t, store.appends.Load())
-	require.Greater(t, w.appendTimes.longest(bootclock.Now()), 600*time.Millisecond, "claims wait for what waits there")
+	require.Greater(t, w.appendTimes.longest(bootclock.Now()), 600*time.Millisecond, "a claim waits as long as the slowest recent append")
 }
 
-// Guards against appends of all daemons at a log that answers slowly: each took a quarter
-// of a second of its one partition, so the placer's own records waited for seconds and it was
-// replaced (trouble-2 of dosui-sched-large).
-func TestWriterLeavesASlowLogToThePlacer(t *testing.T) {
+// Guards against direct appends of all daemons at a slow log: each took 0.25 s of its one partition, so
+// the placer's own records waited for seconds and it was replaced.
+func TestWriterKeepsWaitingForThePlacerAtASlowLog(t *testing.T) {
 	store, placer := &fakeStore{}, serveSubmissions(t, func(records [][]byte, _ time.Duration) []error {
 		time.Sleep(2 * time.Second)
 		return make([]error, len(records))
@@ -144,38 +145,38 @@
 	require.Zero(t, store.appends.Load())
 }
 
-// Guards against a log that is taken for slow because reads wait there for records, and
-// against one that is not because one answer was quick.
+// Guards against a log that counts as slow only because reads wait there for records: one quick answer
+// within the window shows that it is not. A quick answer before the window no longer counts.
 func TestRecentMinIsTheShortestRecentTime(t *testing.T) {
-	var f recentMin
-	f.record(900*time.Millisecond, time.Second)
-	f.record(30*time.Millisecond, 1500*time.Millisecond)
-	f.record(800*time.Millisecond, 1900*time.Millisecond)
-	require.Equal(t, 30*time.Millisecond, f.shortest())
-	f.record(300*time.Millisecond, 2600*time.Millisecond)
-	require.Equal(t, 30*time.Millisecond, f.shortest())
-	f.record(310*time.Millisecond, 3700*time.Millisecond)
-	require.Equal(t, 300*time.Millisecond, f.shortest())
-	f.record(40*time.Millisecond, 9*time.Second)
-	require.Equal(t, 40*time.Millisecond, f.shortest())
+	var recent recentMin
+	recent.record(900*time.Millisecond, time.Second)
+	recent.record(30*time.Millisecond, 1500*time.Millisecond)
+	recent.record(800*time.Millisecond, 1900*time.Millisecond)
+	require.Equal(t, 30*time.Millisecond, recent.shortest())
+	recent.record(300*time.Millisecond, 2600*time.Millisecond)
+	require.Equal(t, 30*time.Millisecond, recent.shortest())
+	recent.record(310*time.Millisecond, 3700*time.Millisecond)
+	require.Equal(t, 300*time.Millisecond, recent.shortest())
+	recent.record(40*time.Millisecond, 9*time.Second)
+	require.Equal(t, 40*time.Millisecond, recent.shortest())
 }
 
-// Guards against a refusal of a job that is stored: the placer told one outcome for all
-// records of a call, so those that its first append had taken were refused to their callers
-// together with one that was left for the next append (REFUSED on kandy-strings-grown).
-func TestOneRefusedRecordRefusesNoOther(t *testing.T) {
+// Guards against a job that is stored but reported as refused: the placer returned one outcome for all
+// records of a call, so one record that was left for the next append, which failed, had those of the
+// first append reported as refused, too.
+func TestRecordsOfAGroupHaveSeparateOutcomes(t *testing.T) {
 	store := &limitedStore{limit: 1}
 	placer := newWriter(store, newPeerClients())
 	placer.directQueue <- &pendingRecord{data: []byte{1}, deadline: time.Now().Add(time.Minute), done: make(chan struct{})}
 	go func() {
-		for len(placer.directQueue) < maxGroupRecords+1 { // one record does not fit into the first append
+		for len(placer.directQueue) < maxGroupRecords+1 { // one record more than fits into the first append
 			time.Sleep(time.Millisecond)
 		}
 		placer.run(t.Context())
 	}()
-	away := &fakeStore{}
-	away.failWith(errRefused)
-	w := newWriter(away, newPeerClients())
+	unreachable := &fakeStore{}
+	unreachable.failWith(errRefused)
+	w := newWriter(unreachable, newPeerClients())
 	address := serveSubmissions(t, placer.appendForPeer)
 	w.placerAddress.Store(&address)
 	outcomes := make(chan error, maxGroupRecords)
@@ -197,23 +198,22 @@
 	require.Equal(t, maxGroupRecords-1, stored)
 }
 
-// limitedStore takes some appends and turns all further ones away.
+// limitedStore accepts some appends and refuses all further ones.
 type limitedStore struct {
 	fakeStore
 	limit    int64
 	appended atomic.Int64
 }
 
-func (s *limitedStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (s *limitedStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	if s.appended.Add(1) > s.limit {
 		return 0, errRefused
 	}
-	return s.fakeStore.Append(ctx, part, records, fence)
+	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-// Guards against the first seconds of a slow log, before its answers have shown it: all daemons
-// appended past the placer, 38 appends of 0.4 s each, and nothing was stored for five seconds
-// (trouble-2 of kandy-strings-grown).
+// Guards against direct appends in the first seconds of a slow log, before its answers have shown that it
+// is slow: all daemons bypassed the placer with 38 appends of 0.4 s each, and nothing was stored for 5 s.
 func TestWriterProbesTheLogBeforeItBypassesThePlacer(t *testing.T) {
 	store, placer := &fakeStore{}, serveSubmissions(t, func(records [][]byte, _ time.Duration) []error {
 		time.Sleep(2 * time.Second)
@@ -227,46 +227,47 @@
 	require.Zero(t, store.appends.Load())
 }
 
-// serialStore takes one append at a time, each for a while, as a partition of a slow log does.
+// serialStore carries out one append at a time, each of a fixed duration, as a partition of a slow log does.
 type serialStore struct {
 	fakeStore
 	appendTime time.Duration
 	mu         sync.Mutex
 }
 
-func (s *serialStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (s *serialStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
 		return 0, errNoAnswer
 	}
 	time.Sleep(s.appendTime)
-	return s.fakeStore.Append(ctx, part, records, fence)
+	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-// Guards against appends of all daemons at a slow log while the placer is gone: they wait there for each other for seconds (trouble-2 of dosui-sched-grown, a placer stopped in a slow phase).
-func TestRecordsAreGatheredAtASlowLogWithoutThePlacer(t *testing.T) {
-	const daemons, each = 37, 3
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Guards against direct appends of all daemons at a slow log after the placer has stopped: they queue
+// behind each other for seconds.
+func TestFallbackAppendsForAllAtASlowLogWithoutThePlacer(t *testing.T) {
+	const daemons, recordsPerDaemon = 37, 3
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	gone := l.Addr().String()
-	require.NoError(t, l.Close())
-	for _, placer := range []string{gone, ""} {
+	deadAddress := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	for _, placer := range []string{deadAddress, ""} {
 		store := &serialStore{appendTime: 280 * time.Millisecond}
 		appender := newWriter(store, newPeerClients())
 		go appender.run(t.Context())
 		fallback := serveSubmissions(t, appender.appendForPeer)
-		var waiting sync.WaitGroup
+		var wg sync.WaitGroup
 		for range daemons {
 			w := newWriter(store, newPeerClients())
 			w.placerAddress.Store(&placer)
 			w.fallbackAddress.Store(&fallback)
 			w.logSlow = func() bool { return true }
 			go w.run(t.Context())
-			for range each {
-				waiting.Go(func() { assert.NoError(t, w.append(t.Context(), testSubmission, 2500*time.Millisecond)) })
+			for range recordsPerDaemon {
+				wg.Go(func() { assert.NoError(t, w.append(t.Context(), testSubmission, 2500*time.Millisecond)) })
 			}
 		}
-		waiting.Wait()
+		wg.Wait()
 	}
 }
