--- a/core/admission/late.go
+++ b/core/admission/late.go
@@ -11,7 +11,7 @@
 const lateWaitFactor = 0.8
 
 // LateEntry is a queued entry that is predicted to miss its StartBy.
-type Late[T any] struct {
+type LateEntry[T any] struct {
 	Entry *Entry[T]
 	Shed  Shed
 }
@@ -19,8 +19,8 @@
 // ShedLate removes and returns the queued entries that can no longer start in time,
 // because later arrivals are served before them or the service rate has dropped. It
 // costs O(entries × teams) and is meant to be called a few times a second.
-func (q *Queue[T]) Hopeless(now time.Duration, load Load) []Late[T] {
-	if load.Rate <= 0 || q.length == 0 {
+func (q *Queue[T]) ShedLate(now time.Duration, load Load) []LateEntry[T] {
+	if load.StartsPerSecond <= 0 || q.length == 0 {
 		return nil
 	}
 	classes := make([]*classQueue[T], 0, len(q.classes))
@@ -28,7 +28,7 @@
 		classes = append(classes, c)
 	}
 	sort.Slice(classes, func(i, j int) bool { return classes[i].before(classes[j]) })
-	var late []Late[T]
+	var late []LateEntry[T]
 	higher := 0
 	for _, c := range classes {
 		late = append(late, c.lateEntries(now, load, higher)...)
@@ -51,8 +51,8 @@
 // lateEntries visits the entries of the class in the order in which Pop would serve
 // them. A late entry is not counted as served, which shortens the wait of the
 // entries behind it.
-func (c *classQueue[T]) lateEntries(now time.Duration, load Load, higher int) []Late[T] {
-	var late []Late[T]
+func (c *classQueue[T]) lateEntries(now time.Duration, load Load, higher int) []LateEntry[T] {
+	var late []LateEntry[T]
 	served := 0
 	teams := c.cursors()
 	for len(teams) > 0 {
@@ -62,7 +62,7 @@
 		team.entries = team.entries[1:]
 		wait := c.waitFor(float64(served), higher, load)
 		if overrun := time.Duration(float64(wait)*lateWaitFactor) - (entry.StartBy - now); overrun > 0 {
-			late = append(late, Late[T]{entry, Shed{Reason: ShedTooLong, Wait: wait, RetryAfter: clampRetryAfter(overrun)}})
+			late = append(late, LateEntry[T]{entry, Shed{Reason: ShedWaitTooLong, Wait: wait, RetryAfter: clampRetryAfter(overrun)}})
 		} else {
 			served++
 			team.virtualStart += 1 / team.weight
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -39,10 +39,10 @@
 
 // Reasons for which requests are shed.
 const (
-	ShedFull     ShedReason = "queue-full"
-	ShedTooLong  ShedReason = "predicted-wait-over-deadline"
-	ShedPastDue  ShedReason = "deadline-passed"
-	ShedNotKnown ShedReason = "unknown-class"
+	ShedQueueFull      ShedReason = "queue-full"
+	ShedWaitTooLong    ShedReason = "predicted-wait-over-deadline"
+	ShedDeadlinePassed ShedReason = "deadline-passed"
+	ShedUnknownClass   ShedReason = "unknown-class"
 )
 
 // Limits of the Retry-After time of a shed request.
@@ -97,7 +97,7 @@
 func (q *Queue[T]) Len() int { return q.length }
 
 // ClassLen returns the number of waiting entries of a class.
-func (q *Queue[T]) LenOf(class string) int {
+func (q *Queue[T]) ClassLen(class string) int {
 	if c, found := q.classes[class]; found {
 		return c.length
 	}
@@ -106,25 +106,25 @@
 
 // Load describes the service that the queued requests wait for.
 type Load struct {
-	Rate float64 // measured starts per second under load; 0 is unknown and disables shedding by wait
-	Idle bool    // a slot is free now, so the first entry need not wait for a run to end
+	StartsPerSecond float64 // measured starts per second under load; 0 is unknown and disables shedding by wait
+	SlotFree        bool    // a slot is free now, so the first entry need not wait for a run to end
 }
 
 // Push queues the entry, or returns why it was shed.
 func (q *Queue[T]) Push(now time.Duration, load Load, entry *Entry[T]) *Shed {
 	class, found := q.classes[entry.Class]
 	if !found {
-		return &Shed{Reason: ShedNotKnown}
+		return &Shed{Reason: ShedUnknownClass}
 	}
 	if entry.StartBy < now {
-		return &Shed{Reason: ShedPastDue}
+		return &Shed{Reason: ShedDeadlinePassed}
 	}
 	wait := q.predict(class, entry, load)
 	if overrun := wait - (entry.StartBy - now); overrun > 0 {
-		return &Shed{Reason: ShedTooLong, Wait: wait, RetryAfter: clampRetryAfter(overrun)}
+		return &Shed{Reason: ShedWaitTooLong, Wait: wait, RetryAfter: clampRetryAfter(overrun)}
 	}
 	if class.length >= class.MaxLength {
-		return &Shed{Reason: ShedFull, Wait: wait, RetryAfter: clampRetryAfter(wait)}
+		return &Shed{Reason: ShedQueueFull, Wait: wait, RetryAfter: clampRetryAfter(wait)}
 	}
 	q.sequence++
 	entry.sequence = q.sequence
@@ -148,7 +148,7 @@
 
 // predict estimates the wait of an entry that would be queued now.
 func (q *Queue[T]) predict(class *classQueue[T], entry *Entry[T], load Load) time.Duration {
-	if load.Rate <= 0 {
+	if load.StartsPerSecond <= 0 {
 		return 0
 	}
 	higher := 0
@@ -165,12 +165,12 @@
 // unless a slot is free, divided by the service rate. The guaranteed share of the
 // class is an upper bound on the wait.
 func (c *classQueue[T]) waitFor(ahead float64, higher int, load Load) time.Duration {
-	if !load.Idle {
+	if !load.SlotFree {
 		ahead++
 	}
-	seconds := (ahead + float64(higher)) / load.Rate
+	seconds := (ahead + float64(higher)) / load.StartsPerSecond
 	if c.MinShare > 0 {
-		seconds = math.Min(seconds, ahead/(load.Rate*c.MinShare))
+		seconds = math.Min(seconds, ahead/(load.StartsPerSecond*c.MinShare))
 	}
 	if seconds > maxPredictedWait.Seconds() {
 		return maxPredictedWait
@@ -219,7 +219,7 @@
 
 // MinShareDue reports whether the class has waiting entries and has earned enough
 // credit under MinShare to be served before classes of higher priority.
-func (q *Queue[T]) Owed(class string) bool {
+func (q *Queue[T]) MinShareDue(class string) bool {
 	c, found := q.classes[class]
 	return found && c.length > 0 && c.credit+c.MinShare >= 1
 }
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -180,18 +180,18 @@
 	for range 100 {
 		require.Nil(t, queue.Push(0, Load{}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second}))
 	}
-	late := queue.Push(0, Load{Rate: 10, Idle: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
-	require.Equal(t, ShedFull, late.Reason)
-	late = queue.Push(0, Load{Rate: 2, Idle: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
-	require.Equal(t, ShedTooLong, late.Reason)
+	late := queue.Push(0, Load{StartsPerSecond: 10, SlotFree: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	require.Equal(t, ShedQueueFull, late.Reason)
+	late = queue.Push(0, Load{StartsPerSecond: 2, SlotFree: true}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	require.Equal(t, ShedWaitTooLong, late.Reason)
 	require.Equal(t, 50*time.Second, late.Wait)
 	require.Equal(t, 30*time.Second, late.RetryAfter)
-	late = queue.Push(0, Load{Rate: 2}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
+	late = queue.Push(0, Load{StartsPerSecond: 2}, &Entry[int]{Class: "c", Team: "heavy", StartBy: 20 * time.Second})
 	require.Equal(t, 50500*time.Millisecond, late.Wait, "without a free slot one run must end first")
 	queue.SetClass(Class{Name: "c", Priority: 1, MaxLength: 200})
-	require.Nil(t, queue.Push(0, Load{Rate: 2, Idle: true}, &Entry[int]{Class: "c", Team: "light", StartBy: 2 * time.Second}))
-	require.Equal(t, ShedPastDue, queue.Push(9, Load{}, &Entry[int]{Class: "c", StartBy: 8}).Reason)
-	require.Equal(t, ShedNotKnown, queue.Push(0, Load{}, &Entry[int]{Class: "x"}).Reason)
+	require.Nil(t, queue.Push(0, Load{StartsPerSecond: 2, SlotFree: true}, &Entry[int]{Class: "c", Team: "light", StartBy: 2 * time.Second}))
+	require.Equal(t, ShedDeadlinePassed, queue.Push(9, Load{}, &Entry[int]{Class: "c", StartBy: 8}).Reason)
+	require.Equal(t, ShedUnknownClass, queue.Push(0, Load{}, &Entry[int]{Class: "x"}).Reason)
 }
 
 // Guards against keeping queued entries that miss their StartBy because later arrivals
@@ -206,7 +206,7 @@
 			e := &Entry[int]{Class: "c", Team: team, StartBy: time.Duration(rapid.IntRange(0, 40).Draw(t, "by")) * time.Second}
 			require.Nil(t, queue.Push(0, Load{}, e))
 		}
-		late := queue.Hopeless(0, Load{Rate: 1})
+		late := queue.ShedLate(0, Load{StartsPerSecond: 1})
 		require.Equal(t, n, queue.Len()+len(late))
 		for _, l := range late {
 			require.Greater(t, time.Duration(float64(l.Shed.Wait)*lateWaitFactor), l.Entry.StartBy)
@@ -223,8 +223,8 @@
 	budget := NewRetryBudget()
 	retries := 0
 	for range 1000 {
-		budget.Request()
-		if budget.Retry() {
+		budget.AddRequest()
+		if budget.TryRetry() {
 			retries++
 		}
 	}
@@ -263,10 +263,10 @@
 			granted := ledger.Lease(now, 6, holder, want)
 			p.Set(granted, now+5)
 			for range rapid.IntRange(0, 3).Draw(t, "takes") {
-				p.Take(now, resource.Vector{Slots: 1})
+				p.TryAcquire(now, resource.Vector{Slots: 1})
 			}
 			if p.Used().Slots > 0 && rapid.Bool().Draw(t, "put") {
-				p.Put(resource.Vector{Slots: 1})
+				p.Release(resource.Vector{Slots: 1})
 			}
 			require.True(t, ledger.Leased(now).Fits(quota))
 			sum := int64(0)
--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -50,7 +50,7 @@
 
 // RecordUse raises the recorded portion of a holder to what it uses, which can exceed
 // its portion after a takeover, so that the amount is not leased to others.
-func (l *QuotaLedger) Count(now, ttl time.Duration, holder string, used resource.Vector) {
+func (l *QuotaLedger) RecordUse(now, ttl time.Duration, holder string, used resource.Vector) {
 	amount := l.portions[holder].amount.Max(used)
 	if !amount.IsZero() {
 		l.portions[holder] = portion{amount: amount, expiresAt: now + ttl}
@@ -121,7 +121,7 @@
 // TryAcquire charges an amount to the portion. It returns false if the portion has
 // expired or does not cover the amount. Resource kinds with a zero quota must be zero
 // in the amount.
-func (p *Portion) Take(now time.Duration, amount resource.Vector) bool {
+func (p *Portion) TryAcquire(now time.Duration, amount resource.Vector) bool {
 	if now >= p.expiresAt || !p.used.Add(amount).Fits(p.amount) {
 		return false
 	}
@@ -130,7 +130,7 @@
 }
 
 // Release gives back an acquired amount.
-func (p *Portion) Put(amount resource.Vector) { p.used = p.used.Sub(amount) }
+func (p *Portion) Release(amount resource.Vector) { p.used = p.used.Sub(amount) }
 
 // Used returns the amount that is acquired now.
 func (p *Portion) Used() resource.Vector { return p.used }
--- a/core/admission/quota_test.go
+++ b/core/admission/quota_test.go
@@ -22,7 +22,7 @@
 	holder  string
 	seq     int64
 	sent    time.Duration
-	request wire.QuotaWish
+	request wire.QuotaRequest
 }
 
 // quotaModel simulates one team with three holders and a succession of owners.
@@ -49,16 +49,16 @@
 	h := m.holders[name]
 	switch step := rng.IntN(200); {
 	case step < 50:
-		h.Waiting("t", resource.Vector{Slots: rng.Int64N(8)})
-		for h.Take(m.now, "t", resource.Vector{Slots: 1}) && rng.IntN(4) > 0 {
+		h.SetWaiting("t", resource.Vector{Slots: rng.Int64N(8)})
+		for h.TryAcquire(m.now, "t", resource.Vector{Slots: 1}) && rng.IntN(4) > 0 {
 			continue
 		}
 	case step < 90:
 		if n := h.team("t").portion.Used().Slots; n > 0 {
-			h.Put("t", resource.Vector{Slots: rng.Int64N(n) + 1})
+			h.Release("t", resource.Vector{Slots: rng.Int64N(n) + 1})
 		}
 	case step < 140:
-		for _, requests := range h.Due(m.now) {
+		for _, requests := range h.TakeDueRequests(m.now) {
 			m.seq++
 			m.pending[name] = m.seq
 			m.calls = append(m.calls, quotaCall{holder: name, seq: m.seq, sent: m.now, request: requests[0]})
@@ -82,7 +82,7 @@
 	awaited := m.pending[call.holder] == call.seq
 	if awaited && rng.IntN(4) == 0 {
 		m.pending[call.holder] = 0
-		h.Failed(m.now, "t")
+		h.CallFailed(m.now, "t")
 		return
 	}
 	m.calls = append(m.calls[:i], m.calls[i+1:]...)
@@ -92,11 +92,11 @@
 	}
 	m.pending[call.holder] = 0
 	if !ok || rng.IntN(4) == 0 {
-		h.Failed(m.now, "t")
+		h.CallFailed(m.now, "t")
 		return
 	}
 	portion.TTLMS = testTTL.Milliseconds()
-	h.Granted(m.now, call.sent+testTTL, portion)
+	h.ApplyGrant(m.now, call.sent+testTTL, portion)
 	m.granted++
 }
 
@@ -116,7 +116,7 @@
 			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
 			for _, h := range m.holders { // runs end when the lease that they started under expires
 				if t := h.team("t"); m.now >= t.expiresAt {
-					t.portion.Put(t.portion.Used())
+					t.portion.Release(t.portion.Used())
 				}
 			}
 			m.step(rng, quota)
@@ -141,28 +141,28 @@
 		}
 		logged := map[string]resource.Vector{}
 		m.owner = NewQuotaOwner(-time.Hour, testTTL+testDrift)
-		m.owner.UseBounds(logged)
+		m.owner.EnforceBounds(logged)
 		for range 10000 {
 			m.now += time.Duration(rng.IntN(150)) * time.Millisecond
 			for _, h := range m.holders {
 				if t := h.team("t"); m.now >= t.expiresAt {
-					t.portion.Put(t.portion.Used())
+					t.portion.Release(t.portion.Used())
 				}
 			}
 			before, granted := m.owner, m.granted
 			m.step(rng, quota)
 			if m.owner != before {
-				m.owner.UseBounds(logged)
+				m.owner.EnforceBounds(logged)
 			} else if m.granted > granted && m.now < m.owner.predecessorsExpireAt {
 				early++
 			}
-			for _, bound := range m.owner.Raises() {
+			for _, bound := range m.owner.TakeBoundsToLog() {
 				outcome := rng.IntN(40) // below 38: the append is lost, 38: only its reply is lost
 				if outcome >= 38 {
 					logged[bound.Team] = logged[bound.Team].Max(bound.Most)
 				}
 				if outcome > 38 {
-					m.owner.Logged(bound)
+					m.owner.BoundLogged(bound)
 				}
 			}
 			require.LessOrEqual(t, m.used(), quota.Slots, "seed %d", seed)
@@ -176,14 +176,14 @@
 func TestNewOwnerLeasesBesidesTheInheritedBound(t *testing.T) {
 	quota := resource.Vector{Slots: 40}
 	owner := NewQuotaOwner(0, testTTL)
-	owner.UseBounds(map[string]resource.Vector{"t": {Slots: 10}})
-	_, _ = owner.Lease(0, "a", 1, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
-	for _, bound := range owner.Raises() {
-		owner.Logged(bound)
+	owner.EnforceBounds(map[string]resource.Vector{"t": {Slots: 10}})
+	_, _ = owner.Lease(0, "a", 1, quota, wire.QuotaRequest{Team: "t", Want: resource.Vector{Slots: 25}})
+	for _, bound := range owner.TakeBoundsToLog() {
+		owner.BoundLogged(bound)
 	}
-	p, _ := owner.Lease(0, "a", 2, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
+	p, _ := owner.Lease(0, "a", 2, quota, wire.QuotaRequest{Team: "t", Want: resource.Vector{Slots: 25}})
 	require.EqualValues(t, 25, p.Amount.Slots)
-	p, _ = owner.Lease(0, "b", 1, quota, wire.QuotaWish{Team: "t", Want: resource.Vector{Slots: 25}})
+	p, _ = owner.Lease(0, "b", 1, quota, wire.QuotaRequest{Team: "t", Want: resource.Vector{Slots: 25}})
 	require.LessOrEqual(t, p.Amount.Slots, int64(5), "the predecessor may have leased 10")
 }
 
@@ -195,27 +195,27 @@
 	holders := map[string]*QuotaHolder{"a": NewQuotaHolder(), "b": NewQuotaHolder()}
 	seq := int64(0)
 	ask := func(now time.Duration, name string) {
-		for _, requests := range holders[name].Due(now) {
+		for _, requests := range holders[name].TakeDueRequests(now) {
 			seq++
 			portion, ok := owner.Lease(now, name, seq, quota, requests[0])
 			require.True(t, ok)
 			portion.TTLMS = testTTL.Milliseconds()
-			holders[name].Granted(now, now+testTTL, portion)
+			holders[name].ApplyGrant(now, now+testTTL, portion)
 		}
 	}
 	one := resource.Vector{Slots: 1}
-	holders["a"].Waiting("t", resource.Vector{Slots: 20})
+	holders["a"].SetWaiting("t", resource.Vector{Slots: 20})
 	ask(0, "a")
 	require.EqualValues(t, 8, holders["a"].Amount(0, "t").Slots)
 	for range 6 {
-		require.True(t, holders["a"].Take(0, "t", one))
+		require.True(t, holders["a"].TryAcquire(0, "t", one))
 	}
-	holders["b"].Waiting("t", resource.Vector{Slots: 20})
+	holders["b"].SetWaiting("t", resource.Vector{Slots: 20})
 	for now := time.Second; now < 8*time.Second; now += 100 * time.Millisecond {
 		ask(now, "a")
 		ask(now, "b")
 		if holders["a"].team("t").portion.Used().Slots > 4 {
-			holders["a"].Put("t", one)
+			holders["a"].Release("t", one)
 		}
 	}
 	require.EqualValues(t, 4, holders["b"].Amount(8*time.Second, "t").Slots)
@@ -227,11 +227,11 @@
 func TestUseFoundAfterATakeoverIsNotLeasedToOthers(t *testing.T) {
 	quota := resource.Vector{Slots: 8}
 	owner := NewQuotaOwner(-time.Hour, testTTL)
-	_, _ = owner.Lease(0, "old", 1, quota, wire.QuotaWish{Team: "t", Want: quota})
-	found := wire.QuotaWish{Team: "t", Want: quota, Used: quota}
+	_, _ = owner.Lease(0, "old", 1, quota, wire.QuotaRequest{Team: "t", Want: quota})
+	found := wire.QuotaRequest{Team: "t", Want: quota, Used: quota}
 	p, _ := owner.Lease(time.Second, "new", 1, quota, found)
 	require.Zero(t, p.Amount.Slots)
-	p, _ = owner.Lease(testTTL+time.Millisecond, "other", 1, quota, wire.QuotaWish{Team: "t", Want: quota})
+	p, _ = owner.Lease(testTTL+time.Millisecond, "other", 1, quota, wire.QuotaRequest{Team: "t", Want: quota})
 	require.Zero(t, p.Amount.Slots)
 	p, _ = owner.Lease(testTTL+2*time.Millisecond, "new", 2, quota, found)
 	require.Equal(t, quota.Slots, p.Amount.Slots)
--- a/core/admission/quotaholder.go
+++ b/core/admission/quotaholder.go
@@ -50,12 +50,14 @@
 
 // TryAcquire charges an amount to the team's portion and returns false if the portion
 // does not cover it. Resource kinds with a zero quota must be zero in the amount.
-func (h *QuotaHolder) Take(now time.Duration, team string, amount resource.Vector) bool {
-	return h.team(team).portion.Take(now, amount)
+func (h *QuotaHolder) TryAcquire(now time.Duration, team string, amount resource.Vector) bool {
+	return h.team(team).portion.TryAcquire(now, amount)
 }
 
 // Release gives back an acquired amount.
-func (h *QuotaHolder) Put(team string, amount resource.Vector) { h.team(team).portion.Put(amount) }
+func (h *QuotaHolder) Release(team string, amount resource.Vector) {
+	h.team(team).portion.Release(amount)
+}
 
 // Amount returns what the team's portion covers at now.
 func (h *QuotaHolder) Amount(now time.Duration, team string) resource.Vector {
@@ -63,16 +65,16 @@
 }
 
 // LastCallAnswered reports whether the owner of the team's quota answered the last call.
-func (h *QuotaHolder) Answered(team string) bool { return h.team(team).lastCallAnswered }
+func (h *QuotaHolder) LastCallAnswered(team string) bool { return h.team(team).lastCallAnswered }
 
 // SetWaiting sets the amount that could not be acquired and waits for quota.
-func (h *QuotaHolder) Waiting(team string, amount resource.Vector) { h.team(team).waiting = amount }
+func (h *QuotaHolder) SetWaiting(team string, amount resource.Vector) { h.team(team).waiting = amount }
 
 // TakeDueRequests returns the requests to send now, by key shard and sorted by team, and
 // marks their calls as pending. A portion that a request lowers is lowered at once, so
 // that the returned amount is out of use before the owner receives the request.
-func (h *QuotaHolder) Due(now time.Duration) map[int][]wire.QuotaWish {
-	due := map[int][]wire.QuotaWish{}
+func (h *QuotaHolder) TakeDueRequests(now time.Duration) map[int][]wire.QuotaRequest {
+	due := map[int][]wire.QuotaRequest{}
 	for name, t := range h.teams {
 		want := t.want(now)
 		t.updateExcess(now, want)
@@ -84,16 +86,16 @@
 		}
 		t.portion.Shrink(want)
 		t.callPending = true
-		request := wire.QuotaWish{Team: name, Want: want, Held: t.portion.Amount(now), Used: t.portion.Used()}
+		request := wire.QuotaRequest{Team: name, Want: want, Held: t.portion.Amount(now), Used: t.portion.Used()}
 		shard := wire.TeamShard(name)
 		due[shard] = append(due[shard], request)
 	}
 	for shard, requests := range due {
 		sort.Slice(requests, func(i, j int) bool { return requests[i].Team < requests[j].Team })
-		for _, deferred := range requests[min(len(requests), wire.MaxQuotaWishes):] {
+		for _, deferred := range requests[min(len(requests), wire.MaxQuotaRequests):] {
 			h.team(deferred.Team).callPending = false
 		}
-		due[shard] = requests[:min(len(requests), wire.MaxQuotaWishes)]
+		due[shard] = requests[:min(len(requests), wire.MaxQuotaRequests)]
 	}
 	return due
 }
@@ -140,7 +142,7 @@
 
 // ApplyGrant applies the owner's reply to a request. until is the end of the portion on
 // the holder's clock, counted from before the request was sent.
-func (h *QuotaHolder) Granted(now, until time.Duration, p wire.QuotaPortion) {
+func (h *QuotaHolder) ApplyGrant(now, until time.Duration, p wire.QuotaPortion) {
 	t := h.team(p.Team)
 	t.callPending, t.lastCallAnswered = false, true
 	t.portion.Set(p.Amount, until)
@@ -155,7 +157,7 @@
 }
 
 // CallFailed records that a call got no reply. The portion stays valid until it expires.
-func (h *QuotaHolder) Failed(now time.Duration, team string) {
+func (h *QuotaHolder) CallFailed(now time.Duration, team string) {
 	t := h.team(team)
 	t.callPending, t.lastCallAnswered = false, false
 	t.backOff(now)
--- a/core/admission/quotaowner.go
+++ b/core/admission/quotaowner.go
@@ -56,7 +56,7 @@
 // Lease answers a request. ok is false if a later request of the holder was answered
 // before. The holder keeps at least what it both held and wants, unless the quota was
 // lowered, because it goes on using that until the reply arrives.
-func (o *QuotaOwner) Lease(now time.Duration, holder string, seq int64, quota resource.Vector, request wire.QuotaWish) (portion wire.QuotaPortion, ok bool) {
+func (o *QuotaOwner) Lease(now time.Duration, holder string, seq int64, quota resource.Vector, request wire.QuotaRequest) (portion wire.QuotaPortion, ok bool) {
 	t := o.team(request.Team)
 	t.expire(now)
 	h := t.holders[holder]
@@ -87,14 +87,14 @@
 	want = o.limitToBound(others, quota, want, request.Team)
 	portion.Amount = t.ledger.Lease(now, o.ttl, holder, want)
 	h.leasedBeyond = portion.Amount.Sub(h.heldAtTakeover).Max(resource.Vector{})
-	t.ledger.Count(now, o.ttl, holder, request.Used)
+	t.ledger.RecordUse(now, o.ttl, holder, request.Used)
 	h.unmet = !request.Want.Fits(portion.Amount)
 	return portion, true
 }
 
 // EnforceBounds makes the owner lease only within logged bounds. logged holds the bounds
 // that earlier owners logged, which are also the bounds in force now.
-func (o *QuotaOwner) UseBounds(logged map[string]resource.Vector) {
+func (o *QuotaOwner) EnforceBounds(logged map[string]resource.Vector) {
 	o.bounded = true
 	o.predecessorBounds, o.loggedBounds, o.wantedBounds = maps.Clone(logged), maps.Clone(logged), map[string]resource.Vector{}
 	if o.loggedBounds == nil {
@@ -104,7 +104,7 @@
 
 // TakeBoundsToLog returns and clears the bounds to log now. A bound whose append fails is
 // returned again after the next request that needs it.
-func (o *QuotaOwner) Raises() []QuotaBound {
+func (o *QuotaOwner) TakeBoundsToLog() []QuotaBound {
 	var bounds []QuotaBound
 	for _, team := range slices.Sorted(maps.Keys(o.wantedBounds)) {
 		bounds = append(bounds, QuotaBound{Team: team, Most: o.wantedBounds[team]})
@@ -114,7 +114,7 @@
 }
 
 // BoundLogged records that a bound is in the log.
-func (o *QuotaOwner) Logged(b QuotaBound) {
+func (o *QuotaOwner) BoundLogged(b QuotaBound) {
 	o.loggedBounds[b.Team] = o.loggedBounds[b.Team].Max(b.Most)
 }
 
--- a/core/admission/retry.go
+++ b/core/admission/retry.go
@@ -23,10 +23,12 @@
 func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: initialRetryTokens} }
 
 // AddRequest counts a request that is not a retry.
-func (b *RetryBudget) Request() { b.tokens = math.Min(maxRetryTokens, b.tokens+retryTokensPerRequest) }
+func (b *RetryBudget) AddRequest() {
+	b.tokens = math.Min(maxRetryTokens, b.tokens+retryTokensPerRequest)
+}
 
 // TryRetry charges a retry to the budget and returns false if the budget is exhausted.
-func (b *RetryBudget) Retry() bool {
+func (b *RetryBudget) TryRetry() bool {
 	if b.tokens < 1 {
 		return false
 	}
@@ -82,6 +84,6 @@
 }
 
 // MeanRunTime returns the mean run time, or 0 if it is unknown.
-func (r *ServiceRate) Mean() time.Duration {
+func (r *ServiceRate) MeanRunTime() time.Duration {
 	return time.Duration(r.meanSeconds * float64(time.Second))
 }
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -10,14 +10,14 @@
 
 // Options configures an Estimator.
 type Options struct {
-	Quantile     float64       // fraction of past tasks whose use the estimated size must cover, 0 to 1
-	RunQuantile  float64       // fraction of past tasks whose run time the estimate must cover, 0 to 1
-	Safety       float64       // multiplier of the size quantile
-	DeclaredTop  float64       // limit of the estimate as a multiple of the declared size, unless reported use exceeds it
-	MinSamples   int           // number of ended tasks before estimates replace the declared values
-	Lag          time.Duration // lag of usage reports; the use of tasks that run shorter is unknown
-	Window       time.Duration // length of the periods for which the peak use is kept
-	MaxTemplates int           // most templates kept; the least recently used are evicted
+	SizeQuantile      float64       // fraction of past tasks whose use the estimated size must cover, 0 to 1
+	RunTimeQuantile   float64       // fraction of past tasks whose run time the estimate must cover, 0 to 1
+	SafetyFactor      float64       // multiplier of the size quantile
+	MaxDeclaredFactor float64       // limit of the estimate as a multiple of the declared size, unless reported use exceeds it
+	MinSamples        int           // number of ended tasks before estimates replace the declared values
+	ReportLag         time.Duration // lag of usage reports; the use of tasks that run shorter is unknown
+	PeakWindow        time.Duration // length of the periods for which the peak use is kept
+	MaxTemplates      int           // most templates kept; the least recently used are evicted
 }
 
 // runTimeResolution is the unit of the run time histogram, which so covers 116 hours.
@@ -26,8 +26,8 @@
 // Defaults returns the options that the daemon uses.
 func Defaults() Options {
 	return Options{
-		Quantile: 0.95, RunQuantile: 0.9, Safety: 1.15, DeclaredTop: 2, MinSamples: 8,
-		Lag: 10 * time.Second, Window: 5 * time.Minute, MaxTemplates: 4096,
+		SizeQuantile: 0.95, RunTimeQuantile: 0.9, SafetyFactor: 1.15, MaxDeclaredFactor: 2, MinSamples: 8,
+		ReportLag: 10 * time.Second, PeakWindow: 5 * time.Minute, MaxTemplates: 4096,
 	}
 }
 
@@ -59,16 +59,16 @@
 }
 
 // ObserveUse adds the reported use of one running attempt.
-func (e *Estimator) Reported(name string, use resource.Vector, now time.Duration) {
+func (e *Estimator) ObserveUse(name string, use resource.Vector, now time.Duration) {
 	e.getOrCreate(name, now).recordUse(use, e.windowIndex(now))
 }
 
 // ObserveEnd adds the peak use and the run time of a finished attempt. The use is
 // ignored if the attempt was too short for the lagged reports to measure it.
-func (e *Estimator) Ended(name string, peak resource.Vector, ran, now time.Duration) {
+func (e *Estimator) ObserveEnd(name string, peak resource.Vector, ran, now time.Duration) {
 	t := e.getOrCreate(name, now)
 	t.runTime.add(int64(ran / runTimeResolution))
-	if ran < e.options.Lag {
+	if ran < e.options.ReportLag {
 		return
 	}
 	t.recordUse(peak, e.windowIndex(now))
@@ -100,8 +100,8 @@
 	if h.total < e.options.MinSamples {
 		return max(declared, recentPeak)
 	}
-	learned := int64(float64(h.quantile(e.options.Quantile)) * e.options.Safety)
-	upperBound := max(int64(float64(declared)*e.options.DeclaredTop), peak)
+	learned := int64(float64(h.quantile(e.options.SizeQuantile)) * e.options.SafetyFactor)
+	upperBound := max(int64(float64(declared)*e.options.MaxDeclaredFactor), peak)
 	return max(min(learned, upperBound), recentPeak)
 }
 
@@ -111,7 +111,7 @@
 	if !ok || t.runTime.total < e.options.MinSamples {
 		return declared
 	}
-	return time.Duration(t.runTime.quantile(e.options.RunQuantile)+1) * runTimeResolution
+	return time.Duration(t.runTime.quantile(e.options.RunTimeQuantile)+1) * runTimeResolution
 }
 
 // Committed returns the amount to commit on a worker for one attempt.
@@ -119,7 +119,7 @@
 	return estimated.Max(reported)
 }
 
-func (e *Estimator) windowIndex(now time.Duration) int64 { return int64(now / e.options.Window) }
+func (e *Estimator) windowIndex(now time.Duration) int64 { return int64(now / e.options.PeakWindow) }
 
 func (e *Estimator) getOrCreate(name string, now time.Duration) *template {
 	t, ok := e.templates[name]
--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -52,9 +52,9 @@
 			running := rapid.Bool().Draw(t, "running")
 			for _, e := range []*Estimator{a, b} {
 				if running {
-					e.Reported("job", cores(last), now)
+					e.ObserveUse("job", cores(last), now)
 				} else {
-					e.Ended("job", cores(last), o.Lag, now)
+					e.ObserveEnd("job", cores(last), o.ReportLag, now)
 				}
 			}
 		}
@@ -83,7 +83,7 @@
 			now := time.Duration(0)
 			for i := range 200 {
 				now += 10 * time.Second
-				e.Ended("job", cores(tc.use(i)), time.Minute, now)
+				e.ObserveEnd("job", cores(tc.use(i)), time.Minute, now)
 			}
 			size := e.Size("job", cores(4000), now)
 			assert.GreaterOrEqual(t, size.MilliCores, tc.min)
@@ -97,11 +97,11 @@
 func TestShortOrFewAttemptsDoNotReplaceTheDeclaration(t *testing.T) {
 	e := New(Defaults())
 	for range 100 {
-		e.Ended("short", cores(1), time.Second, 0)
+		e.ObserveEnd("short", cores(1), time.Second, 0)
 	}
 	assert.Equal(t, cores(4000), e.Size("short", cores(4000), 0))
 	assert.InDelta(t, 1000, e.RunTime("short", time.Hour).Milliseconds(), 200)
-	e.Ended("few", cores(1), time.Minute, 0)
+	e.ObserveEnd("few", cores(1), time.Minute, 0)
 	assert.Equal(t, cores(4000), e.Size("few", cores(4000), 0))
 	assert.Equal(t, time.Hour, e.RunTime("few", time.Hour))
 }
@@ -112,7 +112,7 @@
 	o.MaxTemplates = 16
 	e := New(o)
 	for i := range 100 {
-		e.Ended(fmt.Sprint("job", i), cores(1), time.Minute, time.Duration(i))
+		e.ObserveEnd(fmt.Sprint("job", i), cores(1), time.Minute, time.Duration(i))
 		require.LessOrEqual(t, len(e.templates), 16)
 	}
 	assert.Contains(t, e.templates, "job99")
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -128,7 +128,7 @@
 	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
 	r.orderedAt = now
 	p.unansweredStarts = append(p.unansweredStarts, r)
-	p.retryBudget.Request()
+	p.retryBudget.AddRequest()
 	return p.startCommand(r, p.chooseRelay(r.vm, r.spec, now), now)
 }
 
--- a/core/placer/retry.go
+++ b/core/placer/retry.go
@@ -22,7 +22,7 @@
 			break
 		}
 		n++
-		if p.options.Disabled.StartRetries || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.Retry() {
+		if p.options.Disabled.StartRetries || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.TryRetry() {
 			continue
 		}
 		p.addDecision(Decision{Kind: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.orderedAt, Version: p.token})
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -7,18 +7,18 @@
 
 // Options holds the thresholds and probe delays.
 type Options struct {
-	WorkerFailures int           // consecutive failures that isolate a worker
-	UnlikeTasks    int           // number of different job templates among these failures
-	UnlikeWorkers  int           // number of racks in which a task or template must fail to be considered faulty
-	FirstProbe     time.Duration // wait before the first probe; doubles with each failed probe
-	MaxProbe       time.Duration // longest wait between probes
+	WorkerFailures    int           // consecutive failures that isolate a worker
+	DistinctTemplates int           // number of different job templates among these failures
+	DistinctRacks     int           // number of racks in which a task or template must fail to be considered faulty
+	FirstProbeDelay   time.Duration // wait before the first probe; doubles with each failed probe
+	MaxProbeDelay     time.Duration // longest wait between probes
 }
 
 // Defaults returns the options that the daemon uses.
 func Defaults() Options {
 	return Options{
-		WorkerFailures: 3, UnlikeTasks: 2, UnlikeWorkers: 3,
-		FirstProbe: 30 * time.Second, MaxProbe: 30 * time.Minute,
+		WorkerFailures: 3, DistinctTemplates: 2, DistinctRacks: 3,
+		FirstProbeDelay: 30 * time.Second, MaxProbeDelay: 30 * time.Minute,
 	}
 }
 
@@ -80,7 +80,7 @@
 
 // RecordFailure records a failed start. If the worker is isolated and being probed, the
 // failure also ends the probe.
-func (t *Tracker) Failed(f Failure, now time.Duration) Verdict {
+func (t *Tracker) RecordFailure(f Failure, now time.Duration) Verdict {
 	t.recordRack(f)
 	w := t.worker(f.VM)
 	if w.isolated {
@@ -97,7 +97,7 @@
 	t.addFailure(w, f)
 	if !w.isolated && t.meetsThresholds(w) {
 		w.isolated = true
-		w.nextProbeAt = now + t.options.FirstProbe
+		w.nextProbeAt = now + t.options.FirstProbeDelay
 		v.Isolate = []string{f.VM}
 	}
 	return v
@@ -125,7 +125,7 @@
 }
 
 func (t *Tracker) failsEverywhere(r *rackList) bool {
-	return r != nil && len(r.names) >= t.options.UnlikeWorkers
+	return r != nil && len(r.names) >= t.options.DistinctRacks
 }
 
 // isTaskFault reports whether the failure is attributed to the task or its template.
@@ -177,7 +177,7 @@
 			templates = append(templates, f.Template)
 		}
 	}
-	return len(templates) >= t.options.UnlikeTasks
+	return len(templates) >= t.options.DistinctTemplates
 }
 
 func (t *Tracker) probeFailed(w *worker, now time.Duration) {
@@ -191,11 +191,11 @@
 
 // backoff returns the wait after the given number of failed probes.
 func (t *Tracker) backoff(probes int) time.Duration {
-	wait := t.options.FirstProbe
+	wait := t.options.FirstProbeDelay
 	for range probes {
 		wait *= 2
-		if wait >= t.options.MaxProbe {
-			return t.options.MaxProbe
+		if wait >= t.options.MaxProbeDelay {
+			return t.options.MaxProbeDelay
 		}
 	}
 	return wait
@@ -203,7 +203,7 @@
 
 // RecordSuccess records a successful start, which ends an isolation of the worker. It
 // reports whether the worker was isolated.
-func (t *Tracker) Succeeded(vm, taskID, template string) bool {
+func (t *Tracker) RecordSuccess(vm, taskID, template string) bool {
 	delete(t.templates, template)
 	delete(t.tasks, taskID)
 	w, ok := t.workers[vm]
@@ -216,7 +216,7 @@
 
 // DueProbes returns the isolated workers that may be probed with one task now, sorted by
 // name.
-func (t *Tracker) Probes(now time.Duration) []string {
+func (t *Tracker) DueProbes(now time.Duration) []string {
 	var due []string
 	for vm, w := range t.workers {
 		if w.isolated && !w.probing && now >= w.nextProbeAt {
@@ -238,16 +238,16 @@
 
 // ProbeNotStarted records that the task of a probe was never started. The worker may be
 // probed again after FirstProbeDelay.
-func (t *Tracker) ProbeUnused(vm string, now time.Duration) {
+func (t *Tracker) ProbeNotStarted(vm string, now time.Duration) {
 	if w, ok := t.workers[vm]; ok && w.probing {
 		w.probing = false
-		w.nextProbeAt = now + t.options.FirstProbe
+		w.nextProbeAt = now + t.options.FirstProbeDelay
 	}
 }
 
 // ExpireProbes ends probes whose outcome did not arrive in time and counts them as
 // failed.
-func (t *Tracker) Expire(now time.Duration) {
+func (t *Tracker) ExpireProbes(now time.Duration) {
 	for _, w := range t.workers {
 		if w.probing && now >= w.nextProbeAt {
 			t.probeFailed(w, now)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -32,10 +32,10 @@
 			tr := New(Defaults())
 			for i, c := range tc.templates {
 				if c == '+' {
-					tr.Succeeded("vm", "s", "s")
+					tr.RecordSuccess("vm", "s", "s")
 					continue
 				}
-				tr.Failed(failure("vm", "rack", string(c), i), 0)
+				tr.RecordFailure(failure("vm", "rack", string(c), i), 0)
 			}
 			assert.Equal(t, tc.want, tr.Isolated("vm"))
 		})
@@ -49,10 +49,10 @@
 	f := Failure{TaskID: "bad", Template: "x"}
 	for i, rack := range []string{"r1", "r1", "r2"} {
 		f.VM, f.Rack = fmt.Sprint("vm", i), rack
-		assert.False(t, tr.Failed(f, 0).TaskFailed, "attempt %d", i)
+		assert.False(t, tr.RecordFailure(f, 0).TaskFailed, "attempt %d", i)
 	}
 	f.VM, f.Rack = "vm3", "r3"
-	assert.True(t, tr.Failed(f, 0).TaskFailed)
+	assert.True(t, tr.RecordFailure(f, 0).TaskFailed)
 	assert.Empty(t, tr.workers, "its failures no longer count against workers")
 }
 
@@ -60,12 +60,12 @@
 // has turned out to be faulty.
 func TestWorkerIsRestoredWhenItsFailuresWereTheTasksFault(t *testing.T) {
 	tr := New(Defaults())
-	tr.Failed(failure("vm", "r1", "good", 0), 0)
-	tr.Failed(failure("vm", "r1", "bad", 1), 0)
-	v := tr.Failed(failure("vm", "r1", "bad", 2), 0)
+	tr.RecordFailure(failure("vm", "r1", "good", 0), 0)
+	tr.RecordFailure(failure("vm", "r1", "bad", 1), 0)
+	v := tr.RecordFailure(failure("vm", "r1", "bad", 2), 0)
 	require.Equal(t, []string{"vm"}, v.Isolate)
-	assert.Empty(t, tr.Failed(failure("b", "r2", "bad", 3), 0).Restore)
-	assert.Equal(t, []string{"vm"}, tr.Failed(failure("c", "r3", "bad", 4), 0).Restore)
+	assert.Empty(t, tr.RecordFailure(failure("b", "r2", "bad", 3), 0).Restore)
+	assert.Equal(t, []string{"vm"}, tr.RecordFailure(failure("c", "r3", "bad", 4), 0).Restore)
 	assert.False(t, tr.Isolated("vm"))
 }
 
@@ -74,25 +74,25 @@
 func TestProbesBackOff(t *testing.T) {
 	tr := New(Defaults())
 	for i, template := range []string{"a", "b", "c"} {
-		tr.Failed(failure("vm", "r", template, i), 0)
+		tr.RecordFailure(failure("vm", "r", template, i), 0)
 	}
 	now := time.Duration(0)
 	for _, wait := range []time.Duration{30, 60, 120, 240, 480, 960, 1800, 1800} {
-		require.Empty(t, tr.Probes(now+wait*time.Second-1))
+		require.Empty(t, tr.DueProbes(now+wait*time.Second-1))
 		now += wait * time.Second
-		require.Equal(t, []string{"vm"}, tr.Probes(now))
+		require.Equal(t, []string{"vm"}, tr.DueProbes(now))
 		tr.ProbeStarted("vm", now+time.Second)
-		require.Empty(t, tr.Probes(now))
-		tr.Failed(failure("vm", "r", "a", 9), now)
+		require.Empty(t, tr.DueProbes(now))
+		tr.RecordFailure(failure("vm", "r", "a", 9), now)
 	}
 	now += 1800 * time.Second
 	tr.ProbeStarted("vm", now+time.Second)
 	now += time.Second
-	tr.Expire(now)
-	require.Empty(t, tr.Probes(now))
+	tr.ExpireProbes(now)
+	require.Empty(t, tr.DueProbes(now))
 	now += 1800 * time.Second
-	require.Equal(t, []string{"vm"}, tr.Probes(now))
-	assert.True(t, tr.Succeeded("vm", "t", "a"))
+	require.Equal(t, []string{"vm"}, tr.DueProbes(now))
+	assert.True(t, tr.RecordSuccess("vm", "t", "a"))
 	assert.False(t, tr.Isolated("vm"))
 }
 
@@ -110,10 +110,10 @@
 		}
 		f := failure(name, fmt.Sprint("rack", vm/8), fmt.Sprint("job", template), n%500)
 		if vm%13 == 5 || template < 2 {
-			failedTasks[f.Template] = tr.Failed(f, 0).TaskFailed || failedTasks[f.Template]
+			failedTasks[f.Template] = tr.RecordFailure(f, 0).TaskFailed || failedTasks[f.Template]
 			continue
 		}
-		tr.Succeeded(name, f.TaskID, f.Template)
+		tr.RecordSuccess(name, f.TaskID, f.Template)
 	}
 	for vm := range 40 {
 		assert.Equal(t, vm%13 == 5, tr.Isolated(fmt.Sprint("vm", vm)), "vm%d", vm)
--- a/core/wire/quota.go
+++ b/core/wire/quota.go
@@ -3,7 +3,7 @@
 import "briarproxy/core/resource"
 
 // MaxQuotaRequests limits the requests, which are one per team, in one QuotaArgs.
-const MaxQuotaWishes = 256
+const MaxQuotaRequests = 256
 
 // QuotaArgs asks the owner of a key shard for portions of the quotas of the teams that
 // belong to the shard. Its fields keep the names that net/rpc sends.
@@ -12,12 +12,12 @@
 	Seq        int64  // increases with each call of the holder; a call that arrives after a later one has no effect
 	Shard      int
 	ShardEpoch int64 // as in ForwardArgs
-	Wishes     []QuotaWish
+	Wishes     []QuotaRequest
 }
 
 // QuotaRequest is the portion that a holder requests of one team's quota. Before it sends
 // the request, the holder limits its use to Want.
-type QuotaWish struct {
+type QuotaRequest struct {
 	Team string
 	Want resource.Vector // wanted total, including what the holder has
 	Held resource.Vector // portion that has not expired
--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -27,7 +27,7 @@
 // Guards against changes of the validation rules that make the example objects invalid.
 func TestExamplesHaveNoProblems(t *testing.T) {
 	code, out, errs := run("check", inspectorsDir, cooperativeDir)
-	assert.Equal(t, ExitFine, code, out+errs)
+	assert.Equal(t, ExitOK, code, out+errs)
 	assert.Equal(t, inspectorsDir+": 10 objects in 4 files, no problems\n"+cooperativeDir+": 9 objects in 4 files, no problems\n", out)
 }
 
@@ -76,11 +76,11 @@
 func TestHelpAndCompletion(t *testing.T) {
 	for _, args := range [][]string{{"--help"}, {"check", "--help"}, {"diff", "--help"}} {
 		code, out, _ := run(args...)
-		assert.Equal(t, ExitFine, code)
+		assert.Equal(t, ExitOK, code)
 		assert.Contains(t, out, exitCodes)
 	}
 	code, out, _ := run("completion", "bash")
-	assert.Equal(t, ExitFine, code)
+	assert.Equal(t, ExitOK, code)
 	assert.Contains(t, out, "briarctl")
 }
 
@@ -94,13 +94,13 @@
 		require.NoError(t, os.WriteFile(filepath.Join(dir, filepath.Base(name)), data, 0o600))
 	}
 	code, out, _ := run("diff", cooperativeDir, dir)
-	assert.Equal(t, ExitFine, code)
+	assert.Equal(t, ExitOK, code)
 	assert.Regexp(t, `changed +policy/quotes +deadline +3s +2.5s`, out)
 	code, out, _ = run("diff", dir, dir)
-	assert.Equal(t, ExitFine, code)
+	assert.Equal(t, ExitOK, code)
 	assert.Equal(t, "no difference\n", out)
 	code, out, _ = run("diff", "-o", "json", cooperativeDir, inspectorsDir)
-	assert.Equal(t, ExitFine, code)
+	assert.Equal(t, ExitOK, code)
 	assert.True(t, json.Valid([]byte(out)))
 }
 
@@ -121,12 +121,12 @@
 	log := filepath.Join(t.TempDir(), "a.log")
 	require.NoError(t, os.WriteFile(log, []byte(`{"time":"2026-05-25T23:03:12.900Z","level":"info","daemon":"b-1","event":941,"job":"j3","reason":"the log does not answer","message":"job-rejected"}`+"\n"), 0o600))
 	code, out, errs := run("explain", "j3", "--log", log)
-	require.Equal(t, ExitFine, code, errs)
+	require.Equal(t, ExitOK, code, errs)
 	require.Contains(t, out, "job j3 was not accepted here: job-rejected (the log does not answer) at b-1")
 
 	page := filepath.Join(t.TempDir(), "a.html")
 	code, _, errs = run("timeline", log, "--job", "j3", "--html", page)
-	require.Equal(t, ExitFine, code, errs)
+	require.Equal(t, ExitOK, code, errs)
 	require.FileExists(t, page)
 	code, _, _ = run("timeline", filepath.Join(t.TempDir(), "none"))
 	require.Equal(t, ExitUsage, code)
--- a/daemon/internal/ctl/root.go
+++ b/daemon/internal/ctl/root.go
@@ -12,7 +12,7 @@
 
 // Exit codes of briarctl.
 const (
-	ExitFine        = 0
+	ExitOK          = 0
 	ExitProblems    = 1
 	ExitUsage       = 2
 	ExitUnreachable = 3
@@ -38,7 +38,7 @@
 	err := cmd.Execute()
 	switch {
 	case err == nil:
-		return ExitFine
+		return ExitOK
 	case errors.Is(err, errProblems):
 		return ExitProblems
 	}
--- a/daemon/internal/timeline/page.go
+++ b/daemon/internal/timeline/page.go
@@ -67,7 +67,7 @@
 
 // draw fills in the chart and the table.
 func (d *pageData) draw(lines []Line) {
-	from, to := lines[0].At, lines[len(lines)-1].At
+	from, to := lines[0].Time, lines[len(lines)-1].Time
 	scale := (pageWidthPixels - labelWidthPixels) / max(to.Sub(from).Seconds(), time.Millisecond.Seconds())
 	x := func(at time.Time) float64 { return labelWidthPixels + at.Sub(from).Seconds()*scale }
 	laneY := map[string]float64{}
@@ -97,6 +97,6 @@
 		if l.concernsOwnership() {
 			kind = "owner"
 		}
-		d.Rows = append(d.Rows, row{l.At.UTC().Format("15:04:05.000"), l.At.Sub(from).Round(time.Millisecond).String(), l.Daemon, l.Text(), kind})
+		d.Rows = append(d.Rows, row{l.Time.UTC().Format("15:04:05.000"), l.Time.Sub(from).Round(time.Millisecond).String(), l.Daemon, l.Text(), kind})
 	}
 }
--- a/daemon/internal/timeline/read.go
+++ b/daemon/internal/timeline/read.go
@@ -16,19 +16,19 @@
 
 // Line is one parsed line of a daemon's log.
 type Line struct {
-	At       time.Time
-	Daemon   string
-	Event    int
-	Message  string // name of the event
-	Decision string // kind of decision, in lines about placer decisions
-	Job      string
-	Worker   string
-	Reason   string
-	Former   string // daemon that was the placer before
-	Task     Task
-	AgeMS    int64          // age of the data behind a decision or an answer
-	Version  int64          // configuration version, or log offset of the record behind a decision
-	Fields   map[string]any // fields of the log line that have no member here
+	Time      time.Time
+	Daemon    string
+	Event     int
+	EventName string // name of the event
+	Decision  string // kind of decision, in lines about placer decisions
+	Job       string
+	Worker    string
+	Reason    string
+	Former    string // daemon that was the placer before
+	Task      Task
+	AgeMS     int64          // age of the data behind a decision or an answer
+	Version   int64          // configuration version, or log offset of the record behind a decision
+	Fields    map[string]any // fields of the log line that have no member here
 }
 
 // Task identifies one run of a task within a job.
@@ -90,7 +90,7 @@
 		delete(fields, known)
 	}
 	return Line{
-		At: r.Time, Daemon: r.Daemon, Event: r.Event, Message: r.Message, Decision: r.Decision, Job: r.Job, Worker: r.Worker, Reason: r.Reason,
+		Time: r.Time, Daemon: r.Daemon, Event: r.Event, EventName: r.Message, Decision: r.Decision, Job: r.Job, Worker: r.Worker, Reason: r.Reason,
 		Former: r.Former, Task: Task{r.Occurrence, r.Step, r.Task, r.Run}, AgeMS: r.AgeMS, Version: r.Version, Fields: fields,
 	}, true
 }
@@ -149,17 +149,17 @@
 			selected = append(selected, lines[i])
 		}
 	}
-	slices.SortStableFunc(selected, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(selected, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	if f.Ownership || len(selected) == 0 || f == (Filter{}) {
 		return selected
 	}
-	from, to := selected[0].At, selected[len(selected)-1].At
+	from, to := selected[0].Time, selected[len(selected)-1].Time
 	for i := range lines {
 		l := &lines[i]
-		if l.Event >= eventLogLost && l.concernsOwnership() && !l.At.Before(from) && !l.At.After(to) {
+		if l.Event >= eventLogLost && l.concernsOwnership() && !l.Time.Before(from) && !l.Time.After(to) {
 			selected = append(selected, *l)
 		}
 	}
-	slices.SortStableFunc(selected, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(selected, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return selected
 }
--- a/daemon/internal/timeline/summary.go
+++ b/daemon/internal/timeline/summary.go
@@ -11,7 +11,7 @@
 
 // Text returns the content of a line without its time and daemon.
 func (l *Line) Text() string {
-	parts := []string{fmt.Sprint(l.Event), l.Message}
+	parts := []string{fmt.Sprint(l.Event), l.EventName}
 	if l.Decision != "" {
 		parts = []string{fmt.Sprint(l.Event), l.Decision}
 	}
@@ -60,7 +60,7 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for i := range lines {
 		l := &lines[i]
-		fmt.Fprintf(table, "%s\t+%.3f\t%s\t%s\n", l.At.UTC().Format("15:04:05.000"), l.At.Sub(lines[0].At).Seconds(), l.Daemon, l.Text())
+		fmt.Fprintf(table, "%s\t+%.3f\t%s\t%s\n", l.Time.UTC().Format("15:04:05.000"), l.Time.Sub(lines[0].Time).Seconds(), l.Daemon, l.Text())
 	}
 	return table.Flush()
 }
@@ -95,14 +95,14 @@
 	case accepted == nil && lastOutcome == nil && started == 0:
 		return "no line names job " + job
 	case accepted == nil && lastOutcome != nil && started == 0:
-		return fmt.Sprintf("job %s was not accepted here: %s (%s) at %s", job, lastOutcome.Message, lastOutcome.Reason, lastOutcome.Daemon)
+		return fmt.Sprintf("job %s was not accepted here: %s (%s) at %s", job, lastOutcome.EventName, lastOutcome.Reason, lastOutcome.Daemon)
 	}
 	s := fmt.Sprintf("job %s: %d starts, %d ends, %d of them failed", job, started, ended, failed)
 	if accepted != nil {
-		s += fmt.Sprintf("; accepted by %s at %s", accepted.Daemon, accepted.At.UTC().Format("15:04:05.000"))
+		s += fmt.Sprintf("; accepted by %s at %s", accepted.Daemon, accepted.Time.UTC().Format("15:04:05.000"))
 	}
 	if lastOutcome != nil {
-		s += fmt.Sprintf("; %s (%s)", lastOutcome.Message, lastOutcome.Reason)
+		s += fmt.Sprintf("; %s (%s)", lastOutcome.EventName, lastOutcome.Reason)
 	}
 	return s
 }
@@ -125,7 +125,7 @@
 	if len(lines) == 0 {
 		return nil
 	}
-	end := lines[len(lines)-1].At
+	end := lines[len(lines)-1].Time
 	unfinished := map[string]int{}
 	begin := func(key string, s Span) {
 		s.unfinished = true
@@ -146,17 +146,17 @@
 		l := &lines[i]
 		switch {
 		case l.Event == eventPlacerBegan:
-			begin("placer "+l.Daemon, Span{Lane: "placer", From: l.At, Kind: "placer", Label: l.Daemon})
+			begin("placer "+l.Daemon, Span{Lane: "placer", From: l.Time, Kind: "placer", Label: l.Daemon})
 		case l.Event == eventPlacerEnded, l.Event == eventCellStarted, l.Event == eventCellStopped:
-			finish("placer "+l.Daemon, l.At, "", ": "+l.Reason)
+			finish("placer "+l.Daemon, l.Time, "", ": "+l.Reason)
 		case l.Event == eventLogLost:
-			begin("away "+l.Daemon, Span{Lane: "log away from " + l.Daemon, From: l.At, Kind: "away", Label: l.Reason})
+			begin("away "+l.Daemon, Span{Lane: "log away from " + l.Daemon, From: l.Time, Kind: "away", Label: l.Reason})
 		case l.Event == eventLogBack:
-			finish("away "+l.Daemon, l.At, "", "")
+			finish("away "+l.Daemon, l.Time, "", "")
 		case l.Event == eventPlacerDecision && l.Decision == "start sent":
-			begin(runKey(l), Span{Lane: "task " + l.Task.label() + " of " + l.Job, From: l.At, Kind: "running", Label: fmt.Sprintf("run %d on %s", l.Task.Run, l.Worker)})
+			begin(runKey(l), Span{Lane: "task " + l.Task.label() + " of " + l.Job, From: l.Time, Kind: "running", Label: fmt.Sprintf("run %d on %s", l.Task.Run, l.Worker)})
 		case l.Event == eventPlacerDecision && l.Decision == "run ended":
-			finish(runKey(l), l.At, l.Reason, ": "+l.Reason)
+			finish(runKey(l), l.Time, l.Reason, ": "+l.Reason)
 		}
 	}
 	for i := range spans {
--- a/daemon/internal/traffic/conn.go
+++ b/daemon/internal/traffic/conn.go
@@ -7,11 +7,11 @@
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // CountBytes returns a dial function whose connections call count with the number of bytes
 // of each read and write. count must not block. If count is nil, dial is returned unchanged.
-func Counted(dial Dial, count func(bytes int)) Dial {
+func CountBytes(dial DialFunc, count func(bytes int)) DialFunc {
 	if count == nil {
 		return dial
 	}
--- a/daemon/logclient/client.go
+++ b/daemon/logclient/client.go
@@ -101,7 +101,7 @@
 		count = func(bytes int) { c.traffic(kind, bytes) }
 	}
 	return &http.Transport{
-		DialContext:         traffic.Counted((&net.Dialer{Timeout: dialTimeout}).DialContext, count),
+		DialContext:         traffic.CountBytes((&net.Dialer{Timeout: dialTimeout}).DialContext, count),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConnTimeout,
 	}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -79,7 +79,7 @@
 // New opens the listeners and builds the daemon. Errors are of kind fault.Invalid
 // and name the setting to change.
 func New(s *settings.Settings, logOutput io.Writer) (*Node, error) {
-	debug.SetMemoryLimit(s.MemoryLimit)
+	debug.SetMemoryLimit(s.MemoryLimitBytes)
 	n := &Node{settings: s, holder: view.NewHolder(), metrics: metric.New()}
 	n.events = event.NewLogger(logOutput, log.ParseLevel(s.LogLevel), s.Name)
 	n.cellRate.Store(int64(s.LogAppendsPerSecond))
@@ -198,7 +198,7 @@
 	timing.Lease = n.settings.Lease.Duration
 	n.control = control.New(control.Options{
 		Self: self, Log: n.log, VMs: vmlist.New(n.settings.VMListURL), Peers: n.peers, View: n.holder,
-		Events: n.events, Now: bootclock.Now, Timing: timing, Heartbeat: n.settings.Lease.Heartbeat,
+		Events: n.events, Now: bootclock.Now, Timing: timing, Heartbeat: n.settings.Lease.HeartbeatInterval,
 		Retention: n.settings.LogRetention, Budget: budget, Keep: func(unit string) bool { return n.racks.MustKeep(unit) }, CellRate: func() float64 { return float64(n.cellRate.Load()) },
 	})
 }
@@ -213,7 +213,7 @@
 	limits := n.settings.Limits
 	n.callers = callerapi.New(callerapi.Options{
 		Router: n.router, View: n.holder, Log: n.events, Now: bootclock.Now,
-		MaxConnections: limits.Connections, MaxBody: limits.Body, HeaderTimeout: limits.ReadTimeout,
+		MaxConnections: limits.MaxConnections, MaxBody: limits.MaxBodyBytes, HeaderTimeout: limits.ReadTimeout,
 		BodyTimeout: limits.ReadTimeout, WriteTimeout: limits.WriteTimeout, IdleTimeout: limits.IdleTimeout,
 	})
 	n.monitor = adminapi.MonitorServer(adminapi.Monitor(n, n.metrics.Registry))
--- a/daemon/node/reload.go
+++ b/daemon/node/reload.go
@@ -12,13 +12,13 @@
 // runs. With an error, or a change that needs a restart, the old ones stay.
 func (n *Node) Reload(s *settings.Settings, err error) {
 	if err == nil {
-		err = settings.Reloadable(n.settings, s)
+		err = settings.CheckReload(n.settings, s)
 	}
 	if err != nil {
 		n.events.Emit(eventReloadNo, "error", err.Error())
 		return
 	}
-	debug.SetMemoryLimit(s.MemoryLimit)
+	debug.SetMemoryLimit(s.MemoryLimitBytes)
 	n.cellRate.Store(int64(s.LogAppendsPerSecond))
 	n.events.SetLevel(log.ParseLevel(s.LogLevel))
 	n.drainDelay.Store(int64(s.DrainDelay))
--- a/daemon/node/stop_test.go
+++ b/daemon/node/stop_test.go
@@ -64,7 +64,7 @@
 	s.Name, s.Region, s.DataCentre = "d1", "r", "d"
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
 	s.LogURL, s.VMListURL = "http://"+p.address, "http://"+p.address
-	s.Lease = settings.Lease{Duration: time.Second, Heartbeat: 200 * time.Millisecond}
+	s.Lease = settings.Lease{Duration: time.Second, HeartbeatInterval: 200 * time.Millisecond}
 	s.DrainDelay = 1500 * time.Millisecond
 	n, err := New(s, log)
 	require.NoError(t, err)
--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -200,7 +200,7 @@
 
 // resize commits the larger of the estimate and the reported use.
 func (o *Owner) resize(w *worker, a *attempt, now time.Duration) {
-	o.sizes.Reported(a.task.Operation, a.task.Usage, now)
+	o.sizes.ObserveUse(a.task.Operation, a.task.Usage, now)
 	size := a.task.Resources.Max(a.task.Usage)
 	size.Slots = a.task.Resources.Slots
 	o.cell.Resize(a.task.ID, a.task.Generation, size)
@@ -225,14 +225,14 @@
 	switch state {
 	case wire.RunFailed:
 		f := quarantine.Failure{VM: w.vm.Name, Rack: w.unit, TaskID: a.task.ID, Template: a.task.Operation}
-		verdict := o.failures.Failed(f, now)
+		verdict := o.failures.RecordFailure(f, now)
 		for _, vm := range verdict.Isolate {
 			o.Log.Emit(eventIsolated, "vm", vm, "task", a.task.ID)
 			o.cell.SetQuarantined(vm, true)
 		}
 		o.restore(verdict.Restore...)
 	case wire.RunFinished:
-		if o.failures.Succeeded(w.vm.Name, a.task.ID, a.task.Operation) {
+		if o.failures.RecordSuccess(w.vm.Name, a.task.ID, a.task.Operation) {
 			o.restore(w.vm.Name)
 		}
 		o.failures.ForgetTask(a.task.ID)
@@ -243,7 +243,7 @@
 // noteRun learns sizes and run times from an attempt that finished.
 func (o *Owner) noteRun(a *attempt, now time.Duration) {
 	if a.begunAt > 0 {
-		o.sizes.Ended(a.task.Operation, a.task.Usage, now-a.begunAt, now)
+		o.sizes.ObserveEnd(a.task.Operation, a.task.Usage, now-a.begunAt, now)
 	}
 }
 
--- a/daemon/rack/lend.go
+++ b/daemon/rack/lend.go
@@ -48,7 +48,7 @@
 	for _, back := range m.args.Return {
 		if freed, ok := o.ledger.Return(back.LoanID, m.args.Borrower, back.Slots); ok {
 			o.freeSlots(freed)
-			o.failures.ProbeUnused(freed.VM, now)
+			o.failures.ProbeNotStarted(freed.VM, now)
 		}
 	}
 	decline := o.declinable(m.args, now)
--- a/daemon/rack/reserve.go
+++ b/daemon/rack/reserve.go
@@ -136,9 +136,9 @@
 // probe puts single tasks on isolated workers whose backoff has ended, one on each,
 // to find out whether they work again. It returns the requests that are left.
 func (o *Owner) probe(asks []wire.TaskAsk, options place.Options, now time.Duration) ([]place.Assignment, []wire.TaskAsk) {
-	o.failures.Expire(now)
+	o.failures.ExpireProbes(now)
 	var probes []place.Assignment
-	for _, vm := range o.failures.Probes(now) {
+	for _, vm := range o.failures.DueProbes(now) {
 		left := slices.DeleteFunc(slices.Clone(asks), func(ask wire.TaskAsk) bool {
 			return ask.Gang != "" || slices.ContainsFunc(probes, func(p place.Assignment) bool { return p.Ask.TaskID == ask.TaskID })
 		})
--- a/daemon/rack/runs.go
+++ b/daemon/rack/runs.go
@@ -49,7 +49,7 @@
 }
 
 func (o *Owner) runWorked(run wire.RunCount) {
-	if o.failures.Succeeded(run.VM, requestTask, run.Operation) {
+	if o.failures.RecordSuccess(run.VM, requestTask, run.Operation) {
 		o.restore(run.VM)
 	}
 }
@@ -60,7 +60,7 @@
 func (o *Owner) runsFailed(run wire.RunCount, works bool, now time.Duration) (isolated bool) {
 	f := quarantine.Failure{VM: run.VM, Rack: o.workers[run.VM].unit, TaskID: requestTask, Template: run.Operation}
 	for range min(run.Failed, int64(quarantine.Defaults().WorkerFailures)) {
-		verdict := o.failures.Failed(f, now)
+		verdict := o.failures.RecordFailure(f, now)
 		o.failures.ForgetTask(requestTask)
 		if works {
 			o.failures.ForgetTemplate(run.Operation)
@@ -104,8 +104,8 @@
 	if pool == nil {
 		return nil
 	}
-	o.failures.Expire(now)
-	for _, vm := range o.failures.Probes(now) {
+	o.failures.ExpireProbes(now)
+	for _, vm := range o.failures.DueProbes(now) {
 		w := o.workers[vm]
 		if w == nil || !o.usable(w, now) || !view.PoolOf(pool, w.vm) {
 			continue
--- a/daemon/router/borrow.go
+++ b/daemon/router/borrow.go
@@ -157,7 +157,7 @@
 	var sum int64
 	for class, allowed := range p.cross {
 		if allowed {
-			sum += int64(p.queue.LenOf(class))
+			sum += int64(p.queue.ClassLen(class))
 		}
 	}
 	return sum
--- a/daemon/router/budget.go
+++ b/daemon/router/budget.go
@@ -22,13 +22,13 @@
 func (b *sharedBudget) request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.Request()
+	b.budget.AddRequest()
 }
 
 func (b *sharedBudget) retry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Retry()
+	return b.budget.TryRetry()
 }
 
 // rng returns a random source of the calling goroutine's own.
--- a/daemon/router/quota.go
+++ b/daemon/router/quota.go
@@ -42,7 +42,7 @@
 	if w.query.SlotQuota <= 0 {
 		return true
 	}
-	w.charged = s.quotas.holder.Take(now, w.query.Team, oneSlot)
+	w.charged = s.quotas.holder.TryAcquire(now, w.query.Team, oneSlot)
 	return w.charged
 }
 
@@ -55,7 +55,7 @@
 func (s *state) uncharge(w *waiter) {
 	if w.charged {
 		w.charged = false
-		s.quotas.holder.Put(w.query.Team, oneSlot)
+		s.quotas.holder.Release(w.query.Team, oneSlot)
 	}
 }
 
@@ -76,7 +76,7 @@
 }
 
 func (q *quotas) noteWaiting(team string) {
-	q.holder.Waiting(team, resource.Vector{Slots: int64(len(q.held[team]))})
+	q.holder.SetWaiting(team, resource.Vector{Slots: int64(len(q.held[team]))})
 	if len(q.held[team]) == 0 {
 		delete(q.held, team)
 	}
@@ -89,7 +89,7 @@
 	if amount <= 0 {
 		return 0
 	}
-	mean := p.runTime(w.query.Service, w.query.Operation).Mean()
+	mean := p.runTime(w.query.Service, w.query.Operation).MeanRunTime()
 	return mean * time.Duration(len(s.quotas.held[w.query.Team])+1) / time.Duration(amount)
 }
 
@@ -136,7 +136,7 @@
 
 // overQuota tells why the team's quota keeps the request from running.
 func (s *state) overQuota(p *poolState, w *waiter, now time.Duration) *wire.Problem {
-	if !s.quotas.holder.Answered(w.query.Team) {
+	if !s.quotas.holder.LastCallAnswered(w.query.Team) {
 		return busy("quota-unavailable", noOwnerRetry, "the owner of the quota of team %q does not answer and the portion leased here has lapsed", w.query.Team)
 	}
 	problem := notRun(http.StatusTooManyRequests, "quota-used-up", "send the request again after the time in Retry-After, or ask the operator for a larger quota",
@@ -157,7 +157,7 @@
 // askQuotas sends the wishes that are due to the owners of the teams' shards.
 func (s *state) askQuotas(now time.Duration) {
 	snapshot := s.r.options.View.Current()
-	for shard, wishes := range s.quotas.holder.Due(now) {
+	for shard, wishes := range s.quotas.holder.TakeDueRequests(now) {
 		s.quotas.seq++
 		args := &wire.QuotaArgs{
 			Holder: fmt.Sprintf("%s/%d", snapshot.Self.Name, snapshot.Self.Incarnation),
@@ -204,11 +204,11 @@
 	granted := map[string]bool{}
 	for _, portion := range m.reply.Portions {
 		granted[portion.Team] = true
-		s.quotas.holder.Granted(now, loanEnd(m.sent, portion.TTLMS), portion)
+		s.quotas.holder.ApplyGrant(now, loanEnd(m.sent, portion.TTLMS), portion)
 	}
 	for _, wish := range m.args.Wishes {
 		if !granted[wish.Team] {
-			s.quotas.holder.Failed(now, wish.Team)
+			s.quotas.holder.CallFailed(now, wish.Team)
 		}
 		s.admitHeld(wish.Team, now)
 	}
--- a/daemon/router/state.go
+++ b/daemon/router/state.go
@@ -122,7 +122,7 @@
 
 // startBy returns the latest start that leaves time to run.
 func startBy(p *poolState, q *Query, now time.Duration) time.Duration {
-	return q.Deadline - min(p.runTime(q.Service, q.Operation).Mean(), (q.Deadline-now)/2)
+	return q.Deadline - min(p.runTime(q.Service, q.Operation).MeanRunTime(), (q.Deadline-now)/2)
 }
 
 // enqueue queues a request that is charged to its team.
@@ -247,7 +247,7 @@
 	slot.loan.busy--
 	slot.loan.idleSince = now
 	if slot.team != "" {
-		s.quotas.holder.Put(slot.team, oneSlot)
+		s.quotas.holder.Release(slot.team, oneSlot)
 	}
 }
 
@@ -301,7 +301,7 @@
 		if !local && !(remote && p.cross[class]) {
 			return false
 		}
-		return free > reserve(rules, p.priorities[class], total) || p.queue.Owed(class)
+		return free > reserve(rules, p.priorities[class], total) || p.queue.MinShareDue(class)
 	}
 }
 
@@ -408,7 +408,7 @@
 		return
 	}
 	p.checkedAt = now
-	for _, late := range p.queue.Hopeless(now, p.load(now)) {
+	for _, late := range p.queue.ShedLate(now, p.load(now)) {
 		s.refuse(late.Entry.Value, overload(&late.Shed))
 	}
 }
@@ -502,7 +502,7 @@
 		}
 		free += max(0, l.freeThere)
 	}
-	return admission.Load{Rate: p.rate.PerSecond(p.busySlots() + free), Idle: free > 0}
+	return admission.Load{StartsPerSecond: p.rate.PerSecond(p.busySlots() + free), SlotFree: free > 0}
 }
 
 // notePeak follows the use of the pool upwards at once and downwards slowly.
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -21,9 +21,9 @@
 func (m statsMsg) apply(s *state) {
 	var all []PoolStats
 	for _, p := range s.pools {
-		stats := PoolStats{Pool: p.name, Queued: map[string]int{}, Unsettled: len(p.held), Lenders: len(p.lenders), MeanRunMS: p.rate.Mean().Milliseconds()}
+		stats := PoolStats{Pool: p.name, Queued: map[string]int{}, Unsettled: len(p.held), Lenders: len(p.lenders), MeanRunMS: p.rate.MeanRunTime().Milliseconds()}
 		for class := range p.cross {
-			stats.Queued[class] = p.queue.LenOf(class)
+			stats.Queued[class] = p.queue.ClassLen(class)
 		}
 		for _, l := range p.loans {
 			stats.Slots += l.Slots
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -91,9 +91,9 @@
 	s.checkListeners(r)
 	s.Advertise.Caller = s.advertisedAddress(r, "advertise.caller", s.Advertise.Caller, s.Listen.Caller)
 	s.Advertise.Peer = s.advertisedAddress(r, "advertise.peer", s.Advertise.Peer, s.Listen.Peer)
-	if s.Lease.Heartbeat*3 > s.Lease.Duration {
+	if s.Lease.HeartbeatInterval*3 > s.Lease.Duration {
 		addIssue(r, "lease.heartbeat", "use at most a third of lease.duration",
-			"%s is too long for a lease of %s: one lost heartbeat would end it", s.Lease.Heartbeat, s.Lease.Duration)
+			"%s is too long for a lease of %s: one lost heartbeat would end it", s.Lease.HeartbeatInterval, s.Lease.Duration)
 	}
 	s.checkAdmin(r)
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -31,7 +31,7 @@
 	LogRetention        time.Duration // how long the log service keeps records
 	Admin               Admin
 	LogLevel            string // "debug", "info", "warn" or "error"
-	MemoryLimit         int64  // soft memory limit of the Go runtime, in bytes
+	MemoryLimitBytes    int64  // soft memory limit of the Go runtime, in bytes
 }
 
 // Listen holds the addresses that the daemon listens on, as IP:port.
@@ -51,19 +51,19 @@
 
 // Limits bounds what a connection or caller may use.
 type Limits struct {
-	Body         int64 // size of a request body, in bytes
-	Headers      int   // size of the request headers, in bytes
-	ReadTimeout  time.Duration
-	WriteTimeout time.Duration
-	IdleTimeout  time.Duration
-	Connections  int // open connections per listener
+	MaxBodyBytes   int64 // size of a request body, in bytes
+	MaxHeaderBytes int   // size of the request headers, in bytes
+	ReadTimeout    time.Duration
+	WriteTimeout   time.Duration
+	IdleTimeout    time.Duration
+	MaxConnections int // open connections per listener
 }
 
 // Lease holds the timing of the leases under which daemons own units such as key shards
 // and racks. It must be the same on all daemons of a cell.
 type Lease struct {
-	Duration  time.Duration
-	Heartbeat time.Duration
+	Duration          time.Duration
+	HeartbeatInterval time.Duration
 }
 
 // Admin holds the files that the admin API uses.
@@ -85,15 +85,15 @@
 		SeedPeers:  []string{},
 		DrainDelay: 5 * time.Second,
 		Limits: Limits{
-			Body: 1 << 20, Headers: 16 << 10,
+			MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10,
 			ReadTimeout: 30 * time.Second, WriteTimeout: 5 * time.Minute, IdleTimeout: 2 * time.Minute,
-			Connections: 4096,
+			MaxConnections: 4096,
 		},
-		Lease:               Lease{Duration: 6 * time.Second, Heartbeat: 2 * time.Second},
+		Lease:               Lease{Duration: 6 * time.Second, HeartbeatInterval: 2 * time.Second},
 		LogAppendsPerSecond: 300,
 		LogRetention:        24 * time.Hour,
 		LogLevel:            "info",
-		MemoryLimit:         256 << 20,
+		MemoryLimitBytes:    256 << 20,
 	}
 }
 
@@ -134,7 +134,7 @@
 
 // CheckReload returns an error that names the changed fields that require a restart,
 // or nil if the updated settings can be applied while the daemon runs.
-func Reloadable(current, updated *Settings) error {
+func CheckReload(current, updated *Settings) error {
 	var restartOnly []string
 	for _, f := range fieldTable {
 		if !f.reloadable && f.format(current) != f.format(updated) {
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -97,9 +97,9 @@
 func TestCheckReload(t *testing.T) {
 	current, updated := Defaults(), Defaults()
 	updated.LogLevel, updated.DrainDelay, updated.SeedPeers = "debug", time.Second, []string{"10.0.0.1:1"}
-	assert.NoError(t, Reloadable(current, updated))
+	assert.NoError(t, CheckReload(current, updated))
 	updated.Lease.Duration, updated.Listen.Peer = time.Minute, "10.0.0.1:1"
-	err := Reloadable(current, updated)
+	err := CheckReload(current, updated)
 	require.True(t, fault.Is(err, fault.Refused))
 	assert.Contains(t, err.Error(), "listen.peer, lease.duration")
 }
--- a/daemon/settings/table.go
+++ b/daemon/settings/table.go
@@ -91,12 +91,14 @@
 		func(s *Settings) string { return encodeString(s.DrainDelay.String()) },
 		"time between unreadiness and the end of accepting at a planned stop"},
 	{"limits.body", false, true,
-		func(s *Settings) jsonc.Read { return jsonc.Bytes(&s.Limits.Body, 1, maxBodyBytes) },
-		func(s *Settings) string { return encodeString(formatBytes(s.Limits.Body)) },
+		func(s *Settings) jsonc.Read { return jsonc.Bytes(&s.Limits.MaxBodyBytes, 1, maxBodyBytes) },
+		func(s *Settings) string { return encodeString(formatBytes(s.Limits.MaxBodyBytes)) },
 		"largest request body"},
 	{"limits.headers", false, false,
-		func(s *Settings) jsonc.Read { return bytesInt(&s.Limits.Headers, minHeaderBytes, maxHeaderBytes) },
-		func(s *Settings) string { return encodeString(formatBytes(int64(s.Limits.Headers))) },
+		func(s *Settings) jsonc.Read {
+			return bytesInt(&s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+		},
+		func(s *Settings) string { return encodeString(formatBytes(int64(s.Limits.MaxHeaderBytes))) },
 		"largest request headers"},
 	{"limits.read_timeout", false, false,
 		func(s *Settings) jsonc.Read { return jsonc.Duration(&s.Limits.ReadTimeout, minTimeout, maxTimeout) },
@@ -111,8 +113,8 @@
 		func(s *Settings) string { return encodeString(s.Limits.IdleTimeout.String()) },
 		"time after which an idle connection is closed"},
 	{"limits.connections", false, false,
-		func(s *Settings) jsonc.Read { return jsonc.Int(&s.Limits.Connections, 1, maxConnections) },
-		func(s *Settings) string { return fmt.Sprint(s.Limits.Connections) },
+		func(s *Settings) jsonc.Read { return jsonc.Int(&s.Limits.MaxConnections, 1, maxConnections) },
+		func(s *Settings) string { return fmt.Sprint(s.Limits.MaxConnections) },
 		"open connections per listener"},
 	{"lease.duration", false, false,
 		func(s *Settings) jsonc.Read {
@@ -122,9 +124,9 @@
 		"lease of ownership units; equal on all daemons of the cell"},
 	{"lease.heartbeat", false, false,
 		func(s *Settings) jsonc.Read {
-			return jsonc.Duration(&s.Lease.Heartbeat, minHeartbeatInterval, maxLeaseDuration)
+			return jsonc.Duration(&s.Lease.HeartbeatInterval, minHeartbeatInterval, maxLeaseDuration)
 		},
-		func(s *Settings) string { return encodeString(s.Lease.Heartbeat.String()) },
+		func(s *Settings) string { return encodeString(s.Lease.HeartbeatInterval.String()) },
 		"time between heartbeats; at most a third of lease.duration"},
 	{"log_appends_per_second", false, true,
 		func(s *Settings) jsonc.Read { return jsonc.Int(&s.LogAppendsPerSecond, 1, maxLogAppendsPerSecond) },
@@ -152,9 +154,9 @@
 		"debug, info, warn or error"},
 	{"memory_limit", false, true,
 		func(s *Settings) jsonc.Read {
-			return jsonc.Bytes(&s.MemoryLimit, minMemoryLimitBytes, maxMemoryLimitBytes)
+			return jsonc.Bytes(&s.MemoryLimitBytes, minMemoryLimitBytes, maxMemoryLimitBytes)
 		},
-		func(s *Settings) string { return encodeString(formatBytes(s.MemoryLimit)) },
+		func(s *Settings) string { return encodeString(formatBytes(s.MemoryLimitBytes)) },
 		"memory above which the garbage collector works harder"},
 }
 
--- a/daemon/shard/quota.go
+++ b/daemon/shard/quota.go
@@ -24,7 +24,7 @@
 		now -= quotaLapse
 	}
 	owner := admission.NewQuotaOwner(now, quotaLapse)
-	owner.UseBounds(logged)
+	owner.EnforceBounds(logged)
 	return owner
 }
 
@@ -51,7 +51,7 @@
 func (r *runner) applyBound(b admission.QuotaBound) {
 	r.bounds[b.Team] = r.bounds[b.Team].Max(b.Most)
 	if r.quotas != nil {
-		r.quotas.Logged(b)
+		r.quotas.BoundLogged(b)
 	}
 }
 
@@ -59,7 +59,7 @@
 // than it wanted asks again.
 func (r *runner) logBounds() {
 	var entries []Entry
-	for _, bound := range r.quotas.Raises() {
+	for _, bound := range r.quotas.TakeBoundsToLog() {
 		entries = append(entries, Entry{Bound: &bound})
 	}
 	if len(entries) > 0 {
@@ -85,7 +85,7 @@
 	now := r.Now()
 	teams := r.View.Current().Set.Teams
 	var answer quotaAnswer
-	for _, wish := range m.args.Wishes[:min(len(m.args.Wishes), wire.MaxQuotaWishes)] {
+	for _, wish := range m.args.Wishes[:min(len(m.args.Wishes), wire.MaxQuotaRequests)] {
 		team := teams[wish.Team]
 		if team == nil || wire.TeamShard(wish.Team) != r.shard {
 			continue
--- a/daemon/shard/quota_test.go
+++ b/daemon/shard/quota_test.go
@@ -25,9 +25,9 @@
 }()
 
 func lease(m *Manager, epoch, seq int64, holder string, want, held int64) (int64, error) {
-	wish := wire.QuotaWish{Team: quotaTeam, Want: resource.Vector{Slots: want}, Held: resource.Vector{Slots: held}}
+	wish := wire.QuotaRequest{Team: quotaTeam, Want: resource.Vector{Slots: want}, Held: resource.Vector{Slots: held}}
 	var reply wire.QuotaReply
-	err := m.Quota(&wire.QuotaArgs{Holder: holder, Seq: seq, Shard: testShard, ShardEpoch: epoch, Wishes: []wire.QuotaWish{wish}}, &reply)
+	err := m.Quota(&wire.QuotaArgs{Holder: holder, Seq: seq, Shard: testShard, ShardEpoch: epoch, Wishes: []wire.QuotaRequest{wish}}, &reply)
 	if err != nil || len(reply.Portions) == 0 {
 		return 0, err
 	}
--- a/daemon/shard/teams.go
+++ b/daemon/shard/teams.go
@@ -66,9 +66,9 @@
 	for team, use := range uses {
 		quota, _ := q.limit(team)
 		q.holder.SetUsed(team, limited(use.Used, quota))
-		q.holder.Waiting(team, limited(use.Waiting, quota))
+		q.holder.SetWaiting(team, limited(use.Waiting, quota))
 	}
-	for shard, wishes := range q.holder.Due(now) {
+	for shard, wishes := range q.holder.TakeDueRequests(now) {
 		q.ask(shard, wishes, now)
 	}
 }
@@ -83,10 +83,10 @@
 		return true
 	}
 	need := limited(d.Resources, quota).Scale(int64(len(g.Tasks)))
-	return need.IsZero() || q.holder.Take(now, d.Team, need)
+	return need.IsZero() || q.holder.TryAcquire(now, d.Team, need)
 }
 
-func (q *teamQuotas) ask(shard int, wishes []wire.QuotaWish, now time.Duration) {
+func (q *teamQuotas) ask(shard int, wishes []wire.QuotaRequest, now time.Duration) {
 	r := q.r
 	q.seq++
 	unit := wire.ShardUnit(shard)
@@ -127,11 +127,11 @@
 	for _, portion := range m.reply.Portions {
 		granted[portion.Team] = true
 		ttl := time.Duration(portion.TTLMS) * time.Millisecond
-		r.teams.holder.Granted(now, m.sent+ttl-ttl/2000-100*time.Millisecond, portion)
+		r.teams.holder.ApplyGrant(now, m.sent+ttl-ttl/2000-100*time.Millisecond, portion)
 	}
 	for _, wish := range m.args.Wishes {
 		if !granted[wish.Team] {
-			r.teams.holder.Failed(now, wish.Team)
+			r.teams.holder.CallFailed(now, wish.Team)
 		}
 	}
 }
--- a/daemon/workerclient/client.go
+++ b/daemon/workerclient/client.go
@@ -131,7 +131,7 @@
 		count = func(bytes int) { c.traffic(address, request, bytes) }
 	}
 	transport := &http.Transport{
-		DialContext:         traffic.Counted(dialer.DialContext, count),
+		DialContext:         traffic.CountBytes(dialer.DialContext, count),
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
--- a/standin/integration/cluster_test.go
+++ b/standin/integration/cluster_test.go
@@ -205,7 +205,7 @@
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
 	s.LogURL, s.VMListURL = logURL, c.vmsURL
 	s.DrainDelay = drainDelay
-	s.Lease = settings.Lease{Duration: lease, Heartbeat: lease / 3}
+	s.Lease = settings.Lease{Duration: lease, HeartbeatInterval: lease / 3}
 	path := filepath.Join(c.TempDir(), s.Name+".jsonc")
 	require.NoError(c, os.WriteFile(path, s.Encode(), 0o600))
 	d := &daemon{settings: path, process: startProcess(c.T, s.Name, "briarproxyd", "run", "--settings", path)}
