--- a/core/placer/faults_test.go
+++ b/core/placer/faults_test.go
@@ -93,22 +93,22 @@
 func TestLostAnswerOfAShortRun(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 100 * time.Millisecond } // ended before the repeat
-	lost, quiet := map[cluster.TaskID]bool{}, time.Duration(0)
+	answerLost, noPollUntil := map[cluster.TaskID]bool{}, time.Duration(0)
 	c.drop = func(command Command) (bool, time.Duration) {
-		if s := command.Start; s != nil && !lost[s.Order.TaskID] {
-			lost[s.Order.TaskID] = true
+		if s := command.Start; s != nil && !answerLost[s.Order.TaskID] {
+			answerLost[s.Order.TaskID] = true
 			require.Equal(t, cluster.Started, c.start(c.workers[s.Life.Worker], &s.Order))
 			return true, time.Hour // there is no answer, not even an error
 		}
-		if command.Poll != nil && c.now < quiet {
-			return false, quiet - c.now
+		if command.Poll != nil && c.now < noPollUntil {
+			return false, noPollUntil - c.now
 		}
 		return false, 0
 	}
-	quiet = c.now + 900*time.Millisecond // looks are answered after the repeat
+	noPollUntil = c.now + 900*time.Millisecond // looks are answered after the repeat
 	c.submit("j", tasks(4))
 	c.advance(6 * time.Second)
-	require.Len(t, lost, 4)
+	require.Len(t, answerLost, 4)
 	require.Equal(t, 4, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
@@ -118,10 +118,10 @@
 func TestLateCopyInTheNextLife(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 30 * time.Second }
-	var late []*StartCommand
+	var delayed []*StartCommand
 	c.drop = func(command Command) (bool, time.Duration) {
-		if command.Start != nil && len(late) < 1 {
-			late = append(late, command.Start)
+		if command.Start != nil && len(delayed) < 1 {
+			delayed = append(delayed, command.Start)
 			return true, time.Hour // never, but for the copy below
 		}
 		return false, 0
@@ -129,11 +129,11 @@
 	c.submit("j", tasks(1))
 	c.advance(time.Second)
 	require.Equal(t, 1, c.starts, "the repeat was carried out")
-	w := c.workers[late[0].Life.Worker]
+	w := c.workers[delayed[0].Life.Worker]
 	c.restart(w)
 	c.publishRegistry()
 	c.advance(2 * time.Second)
-	require.Equal(t, cluster.RefusedStaleRun, c.start(w, &late[0].Order), "the new life was told to stop it first")
+	require.Equal(t, cluster.RefusedStaleRun, c.start(w, &delayed[0].Order), "the new life was told to stop it first")
 	c.advance(35 * time.Second)
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -95,11 +95,11 @@
 	p.runTime = func(s cluster.Start) time.Duration { return p.durations[s.StepID()] }
 	p.advice = func(a *AdviseCommand) []cluster.Grant {
 		var grants []cluster.Grant
-		for _, w := range a.Workers {
+		for _, worker := range a.Workers {
 			h := fnv.New32a()
-			_, _ = fmt.Fprint(h, a.Step, w)
+			_, _ = fmt.Fprint(h, a.Step, worker)
 			if float64(h.Sum32()%1000) < 1000*p.kindOf[a.Step.Job].granted {
-				grants = append(grants, cluster.Grant{Worker: w, Ticket: "t"})
+				grants = append(grants, cluster.Grant{Worker: worker, Ticket: "t"})
 			}
 		}
 		return grants
@@ -113,98 +113,98 @@
 }
 
 // sendHellos has all daemons say that they run, again and again.
-func (p *workload) sendHellos() {
-	for i := range p.daemons {
-		require.NoError(p.t, p.append(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprintf("d%02d", i), Address: "x"}}))
+func (w *workload) sendHellos() {
+	for i := range w.daemons {
+		require.NoError(w.t, w.append(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprintf("d%02d", i), Address: "x"}}))
 	}
-	p.after(5*time.Second, p.sendHellos)
+	w.after(5*time.Second, w.sendHellos)
 }
 
 // logNormal draws from a distribution with the given mean that is often below it.
-func (p *workload) logNormal(mean, sigma float64) float64 {
-	return mean * math.Exp(sigma*p.rng.NormFloat64()-sigma*sigma/2)
+func (w *workload) logNormal(mean, sigma float64) float64 {
+	return mean * math.Exp(sigma*w.rng.NormFloat64()-sigma*sigma/2)
 }
 
-func (p *workload) score(j *flow.Job) {
-	k := p.kindOf[j.ID]
-	if k == nil || p.scored[j.ID] || j.Phase != flow.Completed {
+func (w *workload) score(j *flow.Job) {
+	k := w.kindOf[j.ID]
+	if k == nil || w.scored[j.ID] || j.Phase != flow.Completed {
 		return
 	}
-	p.scored[j.ID] = true
-	switch took := p.now - p.sent[j.ID]; {
-	case took <= p.objective[j.ID]:
-		p.onTime[k.name]++
-	case took <= 3*p.objective[j.ID]:
-		p.late[k.name]++
+	w.scored[j.ID] = true
+	switch elapsed := w.now - w.sent[j.ID]; {
+	case elapsed <= w.objective[j.ID]:
+		w.onTime[k.name]++
+	case elapsed <= 3*w.objective[j.ID]:
+		w.late[k.name]++
 	}
 }
 
-func (p *workload) submit(k *requestKind) {
-	id := fmt.Sprintf("%s-%05d", k.name, p.jobs)
-	p.jobs++
-	in := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: p.wall()}
-	chain := time.Duration(0)
-	for s := range max(1, int(p.logNormal(k.steps, 0.4)+0.5)) {
-		takes := time.Duration(p.logNormal(1, 0.5) * float64(k.duration))
+func (w *workload) submit(k *requestKind) {
+	id := fmt.Sprintf("%s-%05d", k.name, w.jobs)
+	w.jobs++
+	submission := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: w.wall()}
+	criticalPath := time.Duration(0)
+	for s := range max(1, int(w.logNormal(k.steps, 0.4)+0.5)) {
+		duration := time.Duration(w.logNormal(1, 0.5) * float64(k.duration))
 		step := flow.Step{
-			Count: min(max(1, int(p.logNormal(k.width, 0.8)+0.5)), int(6*k.width)), EstimateMS: int64(p.logNormal(1, 0.5) * float64(takes.Milliseconds())),
-			Size: resource.Vector{MilliCores: int64(min(p.logNormal(1, 0.4), 1.66) * float64(k.size.MilliCores)), MemoryMiB: int64(min(p.logNormal(1, 0.5), 1.9) * float64(k.size.MemoryMiB))},
-			Gang: p.rng.Float64() < k.gangs,
+			Count: min(max(1, int(w.logNormal(k.width, 0.8)+0.5)), int(6*k.width)), EstimateMS: int64(w.logNormal(1, 0.5) * float64(duration.Milliseconds())),
+			Size: resource.Vector{MilliCores: int64(min(w.logNormal(1, 0.4), 1.66) * float64(k.size.MilliCores)), MemoryMiB: int64(min(w.logNormal(1, 0.5), 1.9) * float64(k.size.MemoryMiB))},
+			Gang: w.rng.Float64() < k.gangs,
 		}
 		if s > 0 {
 			step.DependsOn = []int{s - 1}
 		}
-		in.Steps = append(in.Steps, step)
-		p.durations[cluster.StepID{Job: id, Step: s}] = takes
-		chain += takes
+		submission.Steps = append(submission.Steps, step)
+		w.durations[cluster.StepID{Job: id, Step: s}] = duration
+		criticalPath += duration
 	}
-	p.sent[id], p.kindOf[id] = p.now, k
-	p.objective[id] = time.Duration(k.slack*float64(chain)) + k.target
-	p.submitted[k.name]++
-	require.NoError(p.t, p.append(flow.Record{Submit: in}))
+	w.sent[id], w.kindOf[id] = w.now, k
+	w.objective[id] = time.Duration(k.slack*float64(criticalPath)) + k.target
+	w.submitted[k.name]++
+	require.NoError(w.t, w.append(flow.Record{Submit: submission}))
 }
 
 // generate plays the kinds at a multiple of their rates.
-func (p *workload) generate(d time.Duration, times float64) {
-	const slot = 20 * time.Millisecond
-	for end := p.now + d; p.now < end; {
-		for i := range p.kinds {
-			for n := p.rng.Float64(); n < p.kinds[i].rate*times*slot.Seconds(); n++ {
-				p.submit(&p.kinds[i])
+func (w *workload) generate(duration time.Duration, factor float64) {
+	const interval = 20 * time.Millisecond
+	for end := w.now + duration; w.now < end; {
+		for i := range w.kinds {
+			for n := w.rng.Float64(); n < w.kinds[i].rate*factor*interval.Seconds(); n++ {
+				w.submit(&w.kinds[i])
 			}
 		}
-		p.advance(slot)
+		w.advance(interval)
 	}
 }
 
 // onTimeShare returns the share of jobs on time, by kind.
-func (p *workload) onTimeShare(kind string) float64 {
-	return float64(p.onTime[kind]) / float64(max(1, p.submitted[kind]))
+func (w *workload) onTimeShare(kind string) float64 {
+	return float64(w.onTime[kind]) / float64(max(1, w.submitted[kind]))
 }
 
 // valueShare returns the share of the value earned; late jobs earn a fifth.
-func (p *workload) valueShare() float64 {
-	got, owed := 0.0, 0.0
-	for _, k := range p.kinds {
-		got += k.value * (float64(p.onTime[k.name]) + 0.2*float64(p.late[k.name]))
-		owed += k.value * float64(p.submitted[k.name])
+func (w *workload) valueShare() float64 {
+	earned, total := 0.0, 0.0
+	for _, k := range w.kinds {
+		earned += k.value * (float64(w.onTime[k.name]) + 0.2*float64(w.late[k.name]))
+		total += k.value * float64(w.submitted[k.name])
 	}
-	return got / owed
+	return earned / total
 }
 
-func (p *workload) String() string {
-	s := fmt.Sprintf("worth %.3f, starts %d, placer %.3f cores", p.valueShare(), p.starts, p.placerTime.Seconds()/p.now.Seconds())
-	for _, k := range p.kinds {
-		s += fmt.Sprintf("; %s %d: %.3f on time, %d late", k.name, p.submitted[k.name], p.onTimeShare(k.name), p.late[k.name])
+func (w *workload) String() string {
+	s := fmt.Sprintf("worth %.3f, starts %d, placer %.3f cores", w.valueShare(), w.starts, w.placerTime.Seconds()/w.now.Seconds())
+	for _, k := range w.kinds {
+		s += fmt.Sprintf("; %s %d: %.3f on time, %d late", k.name, w.submitted[k.name], w.onTimeShare(k.name), w.late[k.name])
 	}
 	return s
 }
 
 // resetCounts begins to count anew: only jobs that are sent from now on count.
-func (p *workload) resetCounts() {
-	p.onTime, p.late, p.submitted = map[string]int{}, map[string]int{}, map[string]int{}
-	for id := range p.kindOf {
-		p.scored[id] = true
+func (w *workload) resetCounts() {
+	w.onTime, w.late, w.submitted = map[string]int{}, map[string]int{}, map[string]int{}
+	for id := range w.kindOf {
+		w.scored[id] = true
 	}
 }
 
@@ -212,34 +212,34 @@
 // passes came further apart the more steps waited, and each placed the same few (LOST and
 // MIXED on dosui-sched-grown, trouble-1).
 func TestBacklogAfterAnOutageDrains(t *testing.T) {
-	p := newWorkload(t, 350, 37, largeLoad, 1)
-	p.generate(5*time.Second, 1)
-	p.placer = nil
-	p.generate(6*time.Second, 1)
-	p.takeOver()
-	p.placer.FormerPlacerRetired(p.now)
-	p.generate(9*time.Second, 1)
-	require.Less(t, len(p.placer.steps), 400, "%v", p)
+	w := newWorkload(t, 350, 37, largeLoad, 1)
+	w.generate(5*time.Second, 1)
+	w.placer = nil
+	w.generate(6*time.Second, 1)
+	w.takeOver()
+	w.placer.FormerPlacerRetired(w.now)
+	w.generate(9*time.Second, 1)
+	require.Less(t, len(w.placer.steps), 400, "%v", w)
 }
 
 // Guards against new requests that become late behind late ones: after a long outage all
 // calls for advice were those of late steps, four deep at each daemon (trouble-1 of
 // dosui-sched-grown).
 func TestNewRequestsAreServedBesideABacklog(t *testing.T) {
-	p := newWorkload(t, 350, 37, largeLoad, 1)
-	p.answerDelay = 60 * time.Millisecond
-	p.generate(3*time.Second, 1)
-	p.placer = nil
-	p.generate(12*time.Second, 1)
-	p.takeOver()
-	p.placer.FormerPlacerRetired(p.now)
-	p.generate(2*time.Second, 1)
-	p.resetCounts()
-	p.generate(5*time.Second, 1)
-	require.Less(t, len(p.placer.steps), 800, "%v", p)
-	p.generate(7*time.Second, 1)
-	p.advance(2 * time.Second)
-	require.Greater(t, p.onTimeShare("check"), 0.85, "%v", p)
+	w := newWorkload(t, 350, 37, largeLoad, 1)
+	w.answerDelay = 60 * time.Millisecond
+	w.generate(3*time.Second, 1)
+	w.placer = nil
+	w.generate(12*time.Second, 1)
+	w.takeOver()
+	w.placer.FormerPlacerRetired(w.now)
+	w.generate(2*time.Second, 1)
+	w.resetCounts()
+	w.generate(5*time.Second, 1)
+	require.Less(t, len(w.placer.steps), 800, "%v", w)
+	w.generate(7*time.Second, 1)
+	w.advance(2 * time.Second)
+	require.Greater(t, w.onTimeShare("check"), 0.85, "%v", w)
 }
 
 // minValueShare is the mean share of the value that the users aim at on heavy days.
@@ -249,21 +249,21 @@
 // ones: at two and a half times the load that fills four fifths of the room, first come
 // first served earned 0.54 of the worth and 0.39 of the quick requests were on time.
 func TestQuickRequestsStayOnTimeUnderOverload(t *testing.T) {
-	p := newWorkload(t, 48, 9, smallLoad, 1)
-	p.answerDelay = 40 * time.Millisecond
-	p.generate(25*time.Second, 2.5)
-	p.advance(25 * time.Second)
-	require.Greater(t, p.valueShare(), minValueShare, "%v", p)
-	require.Greater(t, p.onTimeShare("check"), minValueShare, "%v", p)
+	w := newWorkload(t, 48, 9, smallLoad, 1)
+	w.answerDelay = 40 * time.Millisecond
+	w.generate(25*time.Second, 2.5)
+	w.advance(25 * time.Second)
+	require.Greater(t, w.valueShare(), minValueShare, "%v", w)
+	require.Greater(t, w.onTimeShare("check"), minValueShare, "%v", w)
 }
 
 // dropStarts has a share of the orders to start go unanswered and be carried out 2 to 12 s later.
-func (p *workload) dropStarts(share float64) {
-	p.drop = func(c Command) (bool, time.Duration) {
-		if c.Start == nil || p.rng.Float64() >= share {
+func (w *workload) dropStarts(share float64) {
+	w.drop = func(c Command) (bool, time.Duration) {
+		if c.Start == nil || w.rng.Float64() >= share {
 			return false, 0
 		}
-		return true, 2*time.Second + time.Duration(p.rng.Int64N(int64(10*time.Second)))
+		return true, 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 	}
 }
 
@@ -274,14 +274,14 @@
 // members: with 4 of 100 orders unanswered, two of five gangs of thirteen lose a member at
 // their first attempt (trouble-1 of dosui-sched-large).
 func TestLostOrdersDoNotDelayTheirTasks(t *testing.T) {
-	valueShare := func(lost float64) float64 {
-		p := newWorkload(t, 370, 47, wideLoad, 1)
-		p.answerDelay = 60 * time.Millisecond
-		p.dropStarts(lost)
-		p.generate(15*time.Second, 1)
-		p.advance(20 * time.Second)
-		t.Log(p)
-		return p.valueShare()
+	valueShare := func(lostShare float64) float64 {
+		w := newWorkload(t, 370, 47, wideLoad, 1)
+		w.answerDelay = 60 * time.Millisecond
+		w.dropStarts(lostShare)
+		w.generate(15*time.Second, 1)
+		w.advance(20 * time.Second)
+		t.Log(w)
+		return w.valueShare()
 	}
 	require.Greater(t, valueShare(0.04), valueShare(0)-valueShareNoise)
 }
--- a/core/placer/order_test.go
+++ b/core/placer/order_test.go
@@ -13,11 +13,11 @@
 )
 
 // waitingStep is a step of a queue with its latest start relative to now, ms.
-func waitingStep(name string, priority int, latestIn, estimate int64, count int) *pendingStep {
-	def := flow.Step{Count: count, Size: resource.Vector{MilliCores: 1000}, EstimateMS: estimate}
+func waitingStep(name string, priority int, latestStartInMS, estimateMS int64, count int) *pendingStep {
+	def := flow.Step{Count: count, Size: resource.Vector{MilliCores: 1000}, EstimateMS: estimateMS}
 	return &pendingStep{
 		job: &flow.Job{Submit: flow.Submit{ID: name}, Offset: int64(len(name))}, def: &def, queue: &cluster.Queue{Priority: priority},
-		latestStartMS: testWallMS + latestIn, objective: 4 * time.Second,
+		latestStartMS: testWallMS + latestStartInMS, objective: 4 * time.Second,
 	}
 }
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -13,41 +13,69 @@
 
 // Fixed times and limits.
 const (
-	maxClockDrift         = 0.02                   // workers' clocks may be this much slow, by the platform's contract
-	leaseMargin           = 150 * time.Millisecond // rounding of worker clocks and scheduling delay of this process
-	maxPollWait           = 1400 * time.Millisecond
-	maxSilenceForRenewal  = 2600 * time.Millisecond // a worker that has not answered for longer than a look takes gets no new lease
-	maxOrderDelay         = 12 * time.Second        // an order without an answer may be carried out this much later, by the platform's contract
-	avoidAfterNoAnswer    = time.Second             // nothing is placed on a worker that left an order unanswered
-	pollInterval          = 150 * time.Millisecond  // between two looks at one worker: each has a price
-	idlePollInterval      = 20 * time.Second        // idle workers: keeps the clock's error below a lease's slack
-	missedPollDelay       = 400 * time.Millisecond
-	stopRetryInterval     = 700 * time.Millisecond // an order to stop that had no effect is repeated after this time
-	ticketSendMargin      = 150 * time.Millisecond // left of a ticket when the order is sent: one way to a far region and queueing
-	ticketPlanMargin      = 350 * time.Millisecond // left of a ticket for a plan that is still to be recorded
-	batchInterval         = 12 * time.Millisecond  // gathers plans and ends into one append
-	scanInterval          = 10 * time.Millisecond  // between two scans of all workers and runs; each of a thousand events a second comes with a tick
-	maxStartedDelay       = 150 * time.Millisecond // that a job has begun may be told this much later
-	heartbeatInterval     = 250 * time.Millisecond // an idle placer shows that it is alive; several fit into a failover time
-	unlistedGrace         = 5 * time.Second        // a worker whose entry vanished is used on while it answers: entries may be dropped and written again
+	// maxClockDrift is how much slower than real time the platform's contract allows a
+	// worker's clock to run.
+	maxClockDrift = 0.02
+	// leaseMargin covers the rounding of worker clocks and the scheduling delay of this process.
+	leaseMargin = 150 * time.Millisecond
+	maxPollWait = 1400 * time.Millisecond
+	// maxSilenceForRenewal is longer than a poll takes. The lease of a worker that has not
+	// answered for this long is not renewed.
+	maxSilenceForRenewal = 2600 * time.Millisecond
+	// maxOrderDelay is how long after an order without an answer the platform's contract
+	// allows the worker to execute it.
+	maxOrderDelay = 12 * time.Second
+	// avoidAfterNoAnswer is how long nothing is placed on a worker that did not answer an order.
+	avoidAfterNoAnswer = time.Second
+	// pollInterval is the time from the answer to one poll to the next poll of the same
+	// worker. Each poll has a cost.
+	pollInterval = 150 * time.Millisecond
+	// idlePollInterval is short enough that the error in the estimate of an idle worker's
+	// clock stays below the slack of a lease.
+	idlePollInterval = 20 * time.Second
+	missedPollDelay  = 400 * time.Millisecond
+	// stopRetryInterval is the time after which a stop order without effect is sent again.
+	stopRetryInterval = 700 * time.Millisecond
+	// ticketSendMargin is the validity that a ticket must still have when the order is sent:
+	// the one-way latency to a distant region and queueing.
+	ticketSendMargin = 150 * time.Millisecond
+	// ticketPlanMargin is the validity that a ticket must still have when a run is planned,
+	// because the plan has to be recorded before the order is sent.
+	ticketPlanMargin = 350 * time.Millisecond
+	// batchInterval is the time for which plans and ends are gathered into one append.
+	batchInterval = 12 * time.Millisecond
+	// scanInterval is the least time between two scans of all workers and runs. Every event
+	// causes a tick, and there may be a thousand events a second.
+	scanInterval = 10 * time.Millisecond
+	// maxStartedDelay is how long the record that a job has started may wait for a batch.
+	maxStartedDelay = 150 * time.Millisecond
+	// heartbeatInterval is the time after which an idle placer appends an empty batch to show
+	// that it is alive. Several heartbeats fit into a failover timeout.
+	heartbeatInterval = 250 * time.Millisecond
+	// unlistedGrace is how long a worker that has left the registry stays in use while it
+	// answers. An entry may disappear from the registry and be written again.
+	unlistedGrace = 5 * time.Second
+	// unlistedAnswerTimeout is how recent the last answer of such a worker has to be.
 	unlistedAnswerTimeout = 2500 * time.Millisecond
-	failuresToAvoid       = 3
-	avoidAfterFailures    = 6 * time.Second
-	avoidAfterRefusal     = 500 * time.Millisecond
+	// failuresToAvoid is the number of runs of different jobs that have to fail in a row on
+	// a worker before it is avoided for avoidAfterFailures.
+	failuresToAvoid    = 3
+	avoidAfterFailures = 6 * time.Second
+	avoidAfterRefusal  = 500 * time.Millisecond
 )
 
-// Options are the bounds of a deployment.
+// Options are the limits of a deployment.
 type Options struct {
-	Lease                time.Duration // of the runs on a worker, from each renewal
-	MaxLease             time.Duration // longest lease that a worker grants
-	MaxRenewalWithoutLog time.Duration // a placer that lost the log renews leases for at most this long
-	EarlyStart           time.Duration // a task with a due time may begin this much earlier
-	StopTimeout          time.Duration // a worker may take this long to stop a run
-	LinkMbps             float64       // of the placer's machine; 0 is not known
+	Lease                time.Duration // of the runs on a worker, counted from each renewal
+	MaxLease             time.Duration // longest lease that a worker accepts
+	MaxRenewalWithoutLog time.Duration // a placer that can't reach the log renews leases for at most this long
+	EarlyStart           time.Duration // a task with a due time may start this much earlier
+	StopTimeout          time.Duration // longest time that a worker takes to stop a run
+	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
 	Disabled             Ablation
 }
 
-// Command is one thing to do. Exactly one field is set.
+// Command is an action for the caller of the Placer to perform. Exactly one field is set.
 type Command struct {
 	Start  *StartCommand
 	Stop   *StopCommand
@@ -61,8 +89,8 @@
 	Life         cluster.Life
 	Address      string
 	Order        cluster.Start
-	Relay        string        // the daemon that sends the order; "" is this one
-	SendDeadline time.Duration // boot clock: sent later it would reach the worker after its ticket or lease
+	Relay        string        // name of the daemon that sends the order; "" means this daemon
+	SendDeadline time.Duration // boot clock; an order sent later would reach the worker after its ticket or lease has expired
 }
 
 // StopCommand orders a worker to stop a run.
@@ -73,21 +101,22 @@
 	Token   int64
 }
 
-// PollCommand renews a worker's lease and asks for its lists.
+// PollCommand renews a worker's lease and requests its lists of running and ended runs.
 type PollCommand struct {
 	Life    cluster.Life
 	Address string
 	Hold    cluster.LeaseRenewal
 }
 
-// AdviseCommand asks which workers may run a step, through the given daemon.
+// AdviseCommand asks the advice service, through the given daemon, which workers may run a step.
 type AdviseCommand struct {
 	Step    cluster.StepID
 	Workers []string
 	Daemon  string
 }
 
-// Decision is a decision or a change of belief for the log of the daemon.
+// Decision is a decision of the placer, or a change in what it assumes about a worker or a
+// run, for the daemon's log.
 type Decision struct {
 	Kind              string
 	Job               string
@@ -95,91 +124,91 @@
 	Run               int
 	Worker            string
 	Reason            string
-	Age               time.Duration // of the input that decided
-	Version           int64         // of the configuration, or the offset of the record, that decided
-	WastedCoreSeconds float64       // core-seconds of work that an end has made useless
+	Age               time.Duration // of the input on which the decision is based
+	Version           int64         // depends on Kind: the fencing token, the incarnation of a worker, a limit or a percentage
+	WastedCoreSeconds float64       // core-seconds of work lost with the end of a run
 }
 
-// Decisions that the metrics count by more than their name.
+// Kinds of decisions that metrics also count by other fields.
 const (
 	DecisionRunEnded = "run ended"
-	DecisionJobBegan = "job began" // the first run of a job was taken; Reason is its queue
+	DecisionJobBegan = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
 )
 
-// Placer is the state of the placer of one log partition.
+// Placer is the state of the placer of one log partition. Its times are those of the boot clock.
 type Placer struct {
 	options        Options
 	state          *flow.State
 	config         *cluster.Configuration
 	cell           *place.Cell
 	vms            map[string]*vm
-	workerIDs      []string // ids of the workers of the registry, sorted
+	workerIDs      []string // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
 	steps          map[cluster.StepID]*pendingStep
 	dueOccurrences []dueOccurrence
 	advisers       *advisers
-	grantRates     map[string]float64 // by queue: share of workers that advice grants
+	grantRates     map[string]float64 // by queue: share of the workers asked about that advice grants
 	pendingBatch   flow.Batch
-	pendingRuns    []*run // runs of out.Begins
+	pendingRuns    []*run // runs of pendingBatch.Begins
 	flushedAt      time.Duration
 	token          int64
 	epoch          int64
 	createdAt      time.Duration
-	dirty          bool
+	dirty          bool // something has changed, so a planning pass is due
 	decisions      []Decision
 	queuedCommands []Command
 
-	unansweredStarts []*run // ordered to start lately, the oldest order first
+	unansweredStarts []*run // runs with a recent start order, oldest order first
 	yields           yields
 	retryBudget      *admission.RetryBudget
 	relays           startRelays
 	startWindow      startWindow
-	queues           map[string]*cluster.Queue // newest known; a queue that was removed still has jobs
+	queues           map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt       time.Duration
 	lastScanAt       time.Duration
-	lastAppendTime   time.Duration   // of the last batch, from its hand-over to its acknowledgement
-	planAttempts     int             // of the last pass, to find room
-	maxFree          resource.Vector // largest free amounts of any worker, in this planning pass
+	lastAppendTime   time.Duration   // of the last batch, from Flush to its acknowledgement
+	planAttempts     int             // number of times that the last planning pass called the cell's planner
+	maxFree          resource.Vector // largest free amount of each resource on any worker, in this planning pass
 }
 
-// New returns the placer of a claim that was read at the given offset token. It takes
-// over all runs that the log says are active.
-func New(state *flow.State, config *cluster.Configuration, o Options, now time.Duration) *Placer {
+// New returns the placer of the claim that the state was last read with. It adopts all runs
+// that are active according to the log.
+func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
-		options: o, state: state, config: config, cell: place.NewCell(),
+		options: options, state: state, config: config, cell: place.NewCell(),
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
-		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(o.LinkMbps, now), startWindow: newStartWindow(now),
+		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
 		queues: map[string]*cluster.Queue{}, token: state.FencingToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, dirty: true,
 	}
-	p.advisers.sortByName = o.Disabled.NearAdvisers
+	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
-	for _, j := range state.Jobs {
-		p.adoptRuns(j, now)
+	for _, job := range state.Jobs {
+		p.adoptRuns(job, now)
 	}
-	for _, j := range state.Jobs {
-		p.addJob(j, now)
+	for _, job := range state.Jobs {
+		p.addJob(job, now)
 	}
 	return p
 }
 
-// adoptRuns takes over the active runs of a job. Until their worker has answered a look,
-// they may run or begin there.
-func (p *Placer) adoptRuns(j *flow.Job, now time.Duration) {
-	for k, o := range j.Occurrences {
-		for s := range o.Steps {
-			for i := range o.Steps[s].Tasks {
-				t := &o.Steps[s].Tasks[i]
-				if !t.Active {
+// adoptRuns takes over the active runs of a job. Until their worker has answered a poll, each
+// of them may be running there or may still start.
+func (p *Placer) adoptRuns(job *flow.Job, now time.Duration) {
+	for k, occurrence := range job.Occurrences {
+		for step := range occurrence.Steps {
+			for i := range occurrence.Steps[step].Tasks {
+				task := &occurrence.Steps[step].Tasks[i]
+				if !task.Active {
 					continue
 				}
-				id := cluster.TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i}
-				v := p.worker(t.Life, now)
+				id := cluster.TaskID{Job: job.ID, Occurrence: k, Step: step, Index: i}
+				v := p.worker(task.Life, now)
 				r := &run{
-					RunID: cluster.RunID{TaskID: id, Run: t.LastRun}, state: uncertain, vm: v, size: occupiedRoom(&j.Steps[s]),
-					spec: j.Spec, checkpoint: t.Checkpoint, recorded: true, wanted: !j.Phase.Final(), plannedAt: now, answeredAt: now,
-					pacePercent: 100, // what the former placer ordered is not known
+					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: occupiedRoom(&job.Steps[step]),
+					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
+					pacePercent: 100, // the pace that the previous placer ordered is not known
 				}
 				p.runs[id] = r
 				v.runs[id] = r
@@ -189,7 +218,7 @@
 	}
 }
 
-// worker returns the worker of a life and makes it if it is not known.
+// worker returns the worker of the given incarnation and adds it if it is not known.
 func (p *Placer) worker(life cluster.Life, now time.Duration) *vm {
 	v := p.vms[life.Worker]
 	if v == nil {
@@ -200,66 +229,66 @@
 	return v
 }
 
-func (p *Placer) addDecision(n Decision) { p.decisions = append(p.decisions, n) }
+func (p *Placer) addDecision(d Decision) { p.decisions = append(p.decisions, d) }
 
 // TakeDecisions returns the decisions since the last call.
 func (p *Placer) TakeDecisions() []Decision {
-	notes := p.decisions
+	decisions := p.decisions
 	p.decisions = nil
-	return notes
+	return decisions
 }
 
 // Epoch returns the epoch of the placer's appends.
 func (p *Placer) Epoch() int64 { return p.epoch }
 
-// WaitingSteps returns the number of steps that wait for room or advice.
+// WaitingSteps returns the number of steps that are ready and not complete.
 func (p *Placer) WaitingSteps() int { return len(p.steps) }
 
-// ActiveRuns returns the number of runs from plan to recorded end.
+// ActiveRuns returns the number of runs that are planned and whose end is not recorded yet.
 func (p *Placer) ActiveRuns() int { return len(p.runs) }
 
-// occupiedRoom is the room that a task takes away from others on its worker. One that fills
-// works with the cores that they leave.
-func occupiedRoom(s *flow.Step) resource.Vector {
-	v := s.Size
-	if s.Backfill {
+// occupiedRoom returns the resources that a task of the step reserves on its worker. A backfill
+// task reserves no cores: it uses those that other tasks leave idle.
+func occupiedRoom(step *flow.Step) resource.Vector {
+	v := step.Size
+	if step.Backfill {
 		v.MilliCores = 0
 	}
 	return v
 }
 
-// SetConfig takes a newer configuration.
-func (p *Placer) SetConfig(c *cluster.Configuration) {
-	p.config = c
-	for i := range c.Queues {
-		p.queues[c.Queues[i].Name] = &c.Queues[i]
+// SetConfig replaces the configuration by a newer one.
+func (p *Placer) SetConfig(config *cluster.Configuration) {
+	p.config = config
+	for i := range config.Queues {
+		p.queues[config.Queues[i].Name] = &config.Queues[i]
 	}
-	p.advisers.setQueues(c.Queues)
+	p.advisers.setQueues(config.Queues)
 	p.dirty = true
 }
 
-// SetRegistry takes the workers that the platform lists.
+// SetRegistry replaces the list of workers by the platform's current one.
 func (p *Placer) SetRegistry(workers []cluster.Worker, now time.Duration) {
 	for _, v := range p.vms {
 		v.listed = false
 	}
 	p.workerIDs = p.workerIDs[:0]
 	for i := range workers {
-		w := &workers[i]
-		p.workerIDs = append(p.workerIDs, w.Life.Worker)
-		v := p.vms[w.Worker]
+		entry := &workers[i]
+		p.workerIDs = append(p.workerIDs, entry.Life.Worker)
+		v := p.vms[entry.Worker]
 		if v == nil {
-			v = p.worker(w.Life, now)
+			v = p.worker(entry.Life, now)
 		}
-		if w.Born < v.Born {
-			continue // an entry that the platform has not replaced yet
+		if entry.Born < v.Born {
+			continue // the entry describes an earlier incarnation of the worker
 		}
 		life := v.Life
-		v.Worker = *w
+		v.Worker = *entry
 		v.listed, v.listedAt = true, now
-		v.updateDeparture(w, now)
-		if w.Born > life.Born && life.Born != 0 {
-			// Only its own lists tell which runs it has.
+		v.updateDeparture(entry, now)
+		if entry.Born > life.Born && life.Born != 0 {
+			// Only the worker's own lists show which runs survived the restart.
 			v.Life, v.tokenSeen, v.nextPollAt = life, false, now
 		}
 	}
@@ -275,7 +304,7 @@
 	p.dirty = true
 }
 
-// updateCellWorker tells the cell of a worker.
+// updateCellWorker updates the cell's description of a worker and whether tasks may be placed on it.
 func (p *Placer) updateCellWorker(v *vm, now time.Duration) {
 	if v.Address == "" {
 		return
@@ -301,16 +330,16 @@
 }
 
 func (p *Placer) cellTask(r *run, now time.Duration) place.Task {
-	t := place.Task{ID: cellTaskID(r.TaskID), Job: cellJobID(r.StepID()), Generation: int64(r.Run), Resources: r.size}
+	task := place.Task{ID: cellTaskID(r.TaskID), Job: cellJobID(r.StepID()), Generation: int64(r.Run), Resources: r.size}
 	if j := p.state.Jobs[r.Job]; j != nil && r.Step < len(j.Steps) {
-		t.ExpectedEnd = now + time.Duration(j.Steps[r.Step].EstimateMS)*time.Millisecond
+		task.ExpectedEnd = now + time.Duration(j.Steps[r.Step].EstimateMS)*time.Millisecond
 	}
-	return t
+	return task
 }
 
-// workerRestarted follows a worker's own word that it has started again. Runs that it does not
-// list ended with the former life. Orders of the former life that were not answered may
-// still be carried out in the new one, under the longest lease.
+// workerRestarted handles the report of a worker that has restarted. Runs that it does not
+// list ended with its previous incarnation. Unanswered orders to the previous incarnation may
+// still be executed by the new one, under the longest lease.
 func (p *Placer) workerRestarted(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	p.addDecision(Decision{Kind: "worker started again", Worker: v.Life.Worker, Version: report.Life.Born})
 	listedRuns := map[cluster.RunID]bool{}
@@ -336,8 +365,8 @@
 	p.updateCellWorker(v, now)
 }
 
-// FormerPlacerRetired takes the news that the former placer sends no more orders: what it
-// ordered ends with the leases that it gave until now.
+// FormerPlacerRetired is called when the previous placer sends no more orders: the runs that it
+// ordered end at the latest with the leases that it has granted until now.
 func (p *Placer) FormerPlacerRetired(now time.Duration) {
 	for _, v := range p.vms {
 		if v.inheritedLeaseEnd > 0 {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -64,8 +64,8 @@
 	c.advance(500 * time.Millisecond)
 	lost := c.busyWorker()
 	lost.partitioned, lost.inRegistry = true, false
-	held := len(lost.runs)
-	require.Positive(t, held)
+	runCount := len(lost.runs)
+	require.Positive(t, runCount)
 	c.publishRegistry()
 	c.advance(6*time.Second + 3*time.Second + time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
@@ -91,11 +91,11 @@
 	c.submit("j", tasks(6))
 	c.advance(500 * time.Millisecond)
 	w := c.busyWorker()
-	held := len(w.runs)
+	runCount := len(w.runs)
 	c.restart(w)
 	c.publishRegistry()
 	c.advance(300 * time.Millisecond)
-	require.Equal(t, 6+held, c.starts)
+	require.Equal(t, 6+runCount, c.starts)
 	c.advance(4 * time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
@@ -183,9 +183,9 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		c := readyCell(t, 4)
 		c.runTime = func(cluster.Start) time.Duration { return time.Duration(100+rng.IntN(1500)) * time.Millisecond }
-		trouble := true
+		faultsOn := true
 		c.drop = func(Command) (bool, time.Duration) {
-			if !trouble || rng.IntN(20) > 0 {
+			if !faultsOn || rng.IntN(20) > 0 {
 				return false, 0
 			}
 			return true, time.Duration(rng.IntN(4000)) * time.Millisecond
@@ -213,7 +213,7 @@
 			c.publishRegistry()
 			c.advance(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
 		}
-		trouble = false
+		faultsOn = false
 		for _, w := range c.workers {
 			w.partitioned = false
 		}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -12,22 +12,31 @@
 )
 
 const (
-	planInterval = 15 * time.Millisecond // gathers events into one planning pass
-	// A pass takes longer the more steps wait and the more of them it tries to place; the
-	// gap after it bounds its share of the processor.
+	// planInterval is the least time between two planning passes, so that one pass covers the
+	// events of this time.
+	planInterval = 15 * time.Millisecond
+	// A pass takes longer the more steps wait and the more of them it tries to place. The
+	// additional time before the next pass limits the planner's share of the processor.
 	planIntervalPerStep    = 4 * time.Microsecond
 	planIntervalPerAttempt = 150 * time.Microsecond
-	minPendingRuns         = 48 // planned runs that wait for the next append: while the log is away more would only outlive their tickets, and start all at once when it is back
-	// A worker starts at most this many tasks a second, for as long as an append may count: one
-	// that takes longer outlives most tickets.
+	// minPendingRuns is a number of planned runs that may always wait for the next append.
+	// While the log is unreachable, the tickets of more runs would only expire, and the rest
+	// would start all at once when it is reachable again.
+	minPendingRuns = 48
+	// startsPerVMPerSecond is the highest rate at which one worker starts tasks.
 	startsPerVMPerSecond = 8.0
-	maxCountedAppend     = time.Second
-	maxHoldShare         = 0.5 // of a pool that may be held for one gang
-	holdValidity         = time.Second
-	maxSameRackWait      = 2 * time.Second // a step waits this long for room in one rack
+	// maxCountedAppend limits the append time for which starts are planned ahead. Most tickets
+	// expire during a longer append.
+	maxCountedAppend = time.Second
+	// maxHoldShare is the share of a pool that may be held for one gang.
+	maxHoldShare = 0.5
+	holdValidity = time.Second
+	// maxSameRackWait is how long a step waits for free capacity within one rack.
+	maxSameRackWait = 2 * time.Second
 )
 
-// plan places the waiting steps in the order of what their callers lose.
+// plan places the tasks of the waiting steps, in the order of the steps' ranks, and requests
+// advice for those that lack it.
 func (p *Placer) plan(commands []Command, now time.Duration, wallMS int64) []Command {
 	if len(p.steps) == 0 {
 		return commands
@@ -36,104 +45,104 @@
 	p.yields.reset()
 	p.UpdateMembers(now)
 	p.updateMaxFree()
-	order := make([]*pendingStep, 0, len(p.steps))
-	for _, w := range p.steps {
-		w.setQueue(p.queues[w.job.Queue])
-		if w.job.Config <= p.config.Version {
-			order = append(order, w)
+	steps := make([]*pendingStep, 0, len(p.steps))
+	for _, step := range p.steps {
+		step.setQueue(p.queues[step.job.Queue])
+		if step.job.Config <= p.config.Version {
+			steps = append(steps, step)
 		}
 	}
-	p.sortSteps(order, wallMS)
+	p.sortSteps(steps, wallMS)
 	holding := false
 	var waiting []int
-	room := p.startWindow.available(p.startsInProgress)
-	for _, w := range order {
+	startsAllowed := p.startWindow.available(p.startsInProgress)
+	for _, step := range steps {
 		if len(p.pendingRuns) >= p.maxPendingRuns() {
 			p.dirty = true
 			break
 		}
-		if room <= 0 {
-			p.startWindow.limiting = true // an answer starts the next pass
+		if startsAllowed <= 0 {
+			p.startWindow.limiting = true // the answer to a start order triggers the next pass
 			break
 		}
-		waiting = p.waitingTasks(w, waiting[:0])
-		if len(waiting) == 0 || w.def.Gang && (w.activeRuns > 0 || len(waiting) < w.def.Count) {
+		waiting = p.waitingTasks(step, waiting[:0])
+		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
-		if !w.def.Gang && len(waiting) > room {
-			waiting = waiting[:room]
+		if !step.def.Gang && len(waiting) > startsAllowed {
+			waiting = waiting[:startsAllowed]
 		}
-		active, asking := w.activeRuns, w.adviceInFlight
-		placed := p.placeStep(w, waiting, now, wallMS)
-		if !placed && w.def.Gang && w.stepRank.timeliness == onTime && !p.options.Disabled.Yields {
-			p.yields.addGang(w)
+		activeBefore, askedBefore := step.activeRuns, step.adviceInFlight
+		placed := p.placeStep(step, waiting, now, wallMS)
+		if !placed && step.def.Gang && step.stepRank.timeliness == onTime && !p.options.Disabled.Yields {
+			p.yields.addGang(step)
 		}
-		commands = p.requestAdvice(commands, w, placed, now)
-		room -= w.activeRuns - active
-		if w.adviceInFlight && !asking {
-			waiting = p.waitingTasks(w, waiting[:0])
-			room -= len(waiting)
+		commands = p.requestAdvice(commands, step, placed, now)
+		startsAllowed -= step.activeRuns - activeBefore
+		if step.adviceInFlight && !askedBefore {
+			waiting = p.waitingTasks(step, waiting[:0])
+			startsAllowed -= len(waiting)
 		}
-		if !placed && w.def.Gang && !holding && !p.options.Disabled.Holds {
-			holding = p.holdWorkers(w, waiting, now)
+		if !placed && step.def.Gang && !holding && !p.options.Disabled.Holds {
+			holding = p.holdWorkers(step, waiting, now)
 		}
 	}
 	return commands
 }
 
-// maxPendingRuns is the number of planned runs that may wait for the next append: a large cell
-// starts as many between two appends as it has workers, and more while each append takes long.
+// maxPendingRuns returns the number of planned runs that may wait for the next append. Between two
+// appends a large cell starts as many runs as it has workers, and more while appends are slow.
 func (p *Placer) maxPendingRuns() int {
 	if p.options.Disabled.MorePendingRuns {
 		return max(minPendingRuns, len(p.vms))
 	}
-	duringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppend).Seconds()
-	return max(minPendingRuns, len(p.vms), int(duringAppend))
+	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppend).Seconds()
+	return max(minPendingRuns, len(p.vms), int(startsDuringAppend))
 }
 
-// nextPlanDelay is the time from the last pass to the next one.
+// nextPlanDelay returns the least time from the start of the last planning pass to the next one.
 func (p *Placer) nextPlanDelay() time.Duration {
 	return planInterval + planIntervalPerStep*time.Duration(len(p.steps)) + planIntervalPerAttempt*time.Duration(p.planAttempts)
 }
 
-// mayHaveRoom reports whether the workers (nil: the pool's) may have room for at least one
-// task of the step, or for all of them. It is far cheaper than a plan, and in a full
-// cell it spares the plan.
-func (p *Placer) mayHaveRoom(w *pendingStep, among []string, tasks int) bool {
-	if !occupiedRoom(w.def).Fits(p.maxFree) {
+// mayHaveRoom reports whether the workers (nil: all of the pool) may have free capacity for at
+// least one task of the step, or for all tasks of a gang. It is far cheaper than a plan and
+// avoids planning in a full cell.
+func (p *Placer) mayHaveRoom(step *pendingStep, workers []string, tasks int) bool {
+	if !occupiedRoom(step.def).Fits(p.maxFree) {
 		return false
 	}
-	if among == nil {
+	if workers == nil {
 		return true
 	}
-	left := 1
-	if w.def.Gang {
-		left = tasks
+	needed := 1
+	if step.def.Gang {
+		needed = tasks
 	}
-	for _, id := range among {
-		free, open := p.cell.FreeCapacity(id)
-		for open && left > 0 && occupiedRoom(w.def).Fits(free) {
-			free = free.Sub(occupiedRoom(w.def))
-			left--
+	for _, id := range workers {
+		free, schedulable := p.cell.FreeCapacity(id)
+		for schedulable && needed > 0 && occupiedRoom(step.def).Fits(free) {
+			free = free.Sub(occupiedRoom(step.def))
+			needed--
 		}
-		if left == 0 {
+		if needed == 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// updateMaxFree notes the largest free amounts of any worker.
+// updateMaxFree computes the largest free amount of each resource on any worker.
 func (p *Placer) updateMaxFree() {
 	p.maxFree = resource.Vector{}
 	for id := range p.vms {
-		if free, open := p.cell.FreeCapacity(id); open {
+		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			p.maxFree = p.maxFree.Max(free)
 		}
 	}
 }
 
-// UpdateMembers takes the daemons of the cell as those that advice is asked through.
+// UpdateMembers updates the list of daemons through which advice may be requested.
 func (p *Placer) UpdateMembers(now time.Duration) { p.advisers.setMembers(p.adviserNames(now), now) }
 
 func (p *Placer) adviserNames(now time.Duration) []string {
@@ -146,30 +155,30 @@
 	return names
 }
 
-// placeStep places tasks of a step, on workers with a valid ticket first. It reports
-// whether all of them were placed.
-func (p *Placer) placeStep(w *pendingStep, tasks []int, now time.Duration, wallMS int64) bool {
-	if w.queue == nil || w.queue.Advice == nil {
-		return len(p.placeAmong(w, tasks, nil, now)) == 0
+// placeStep places tasks of a step, preferring workers for which the step has a valid ticket.
+// It reports whether all tasks were placed.
+func (p *Placer) placeStep(step *pendingStep, tasks []int, now time.Duration, wallMS int64) bool {
+	if step.queue == nil || step.queue.Advice == nil {
+		return len(p.placeAmong(step, tasks, nil, now)) == 0
 	}
-	if !occupiedRoom(w.def).Fits(p.maxFree) {
+	if !occupiedRoom(step.def).Fits(p.maxFree) {
 		return false
 	}
-	valid, all := w.grantedWorkers(now)
-	if p.yields.canYield(w, wallMS) {
-		valid, all = p.yields.withoutYielded(w, valid), p.yields.withoutYielded(w, all)
+	valid, all := step.grantedWorkers(now)
+	if p.yields.canYield(step, wallMS) {
+		valid, all = p.yields.withoutYielded(step, valid), p.yields.withoutYielded(step, all)
 	}
 	if len(valid) > 0 {
-		tasks = p.placeAmong(w, tasks, valid, now)
+		tasks = p.placeAmong(step, tasks, valid, now)
 	}
-	if len(tasks) > 0 && !w.adviceInFlight && len(all) > len(valid) {
-		tasks = p.placeAmong(w, tasks, all, now)
+	if len(tasks) > 0 && !step.adviceInFlight && len(all) > len(valid) {
+		tasks = p.placeAmong(step, tasks, all, now)
 	}
 	return len(tasks) == 0
 }
 
-// grantedWorkers returns the workers with a ticket that is still valid when a plan made now is
-// sent, and all workers that were ever granted.
+// grantedWorkers returns the workers whose ticket will still be valid when the order of a run
+// planned now is sent, and all workers that advice has ever granted to the step.
 func (w *pendingStep) grantedWorkers(now time.Duration) (valid, all []string) {
 	for worker, t := range w.grants {
 		all = append(all, worker)
@@ -180,94 +189,95 @@
 	return valid, all
 }
 
-// placeAmong places tasks on the given workers (nil: any) and returns those that found
-// no room.
-func (p *Placer) placeAmong(w *pendingStep, tasks []int, among []string, now time.Duration) []int {
+// placeAmong places tasks on the given workers (nil: any) and returns the tasks that could not
+// be placed.
+func (p *Placer) placeAmong(step *pendingStep, tasks []int, workers []string, now time.Duration) []int {
 	switch {
-	case w.def.Backfill:
-		among = p.workersForFilling(w, among)
-	case w.def.TailTargetMS > 0:
-		among = p.workersForServing(among)
+	case step.def.Backfill:
+		workers = p.workersForFilling(step, workers)
+	case step.def.TailTargetMS > 0:
+		workers = p.workersForServing(workers)
 	}
-	if !p.mayHaveRoom(w, among, len(tasks)) {
+	if !p.mayHaveRoom(step, workers, len(tasks)) {
 		return tasks
 	}
-	if w.def.SameRack && len(tasks) > 1 {
-		for _, rack := range p.groupByRack(among) {
-			if rest := p.planAndCommit(w, tasks, rack, now, true); len(rest) == 0 {
+	if step.def.SameRack && len(tasks) > 1 {
+		for _, rack := range p.groupByRack(workers) {
+			if unplaced := p.planAndCommit(step, tasks, rack, now, true); len(unplaced) == 0 {
 				return nil
 			}
 		}
-		if now-w.readyAt < maxSameRackWait {
+		if now-step.readyAt < maxSameRackWait {
 			return tasks
 		}
 	}
-	return p.planAndCommit(w, tasks, among, now, w.def.Gang)
+	return p.planAndCommit(step, tasks, workers, now, step.def.Gang)
 }
 
-// groupByRack groups workers by rack.
-func (p *Placer) groupByRack(among []string) [][]string {
+// groupByRack groups the workers (nil: all) by rack, with the largest group first.
+func (p *Placer) groupByRack(workers []string) [][]string {
 	groups := map[string][]string{}
-	if among == nil {
+	if workers == nil {
 		for id := range p.vms {
-			among = append(among, id)
+			workers = append(workers, id)
 		}
 	}
-	for _, id := range among {
+	for _, id := range workers {
 		if v := p.vms[id]; v != nil {
 			groups[v.Rack] = append(groups[v.Rack], id)
 		}
 	}
 	racks := make([][]string, 0, len(groups))
-	for _, g := range groups {
-		racks = append(racks, g)
+	for _, group := range groups {
+		racks = append(racks, group)
 	}
 	slices.SortFunc(racks, func(a, b []string) int { return cmp.Compare(len(b), len(a)) })
 	return racks
 }
 
-// planAndCommit plans and commits; with allOrNothing set, all tasks are placed or none.
-func (p *Placer) planAndCommit(w *pendingStep, tasks []int, among []string, now time.Duration, allOrNothing bool) []int {
-	asks := p.taskAsks(w, tasks, among, allOrNothing)
-	if w.def.MaxPerWorker > 0 && !allOrNothing {
-		var rest []int
+// planAndCommit plans and commits the tasks on the given workers (nil: any) and returns the tasks
+// that could not be placed. With allOrNothing set, either all tasks are placed or none.
+func (p *Placer) planAndCommit(step *pendingStep, tasks []int, workers []string, now time.Duration, allOrNothing bool) []int {
+	asks := p.taskAsks(step, tasks, workers, allOrNothing)
+	if step.def.MaxPerWorker > 0 && !allOrNothing {
+		var unplaced []int
 		for i := range asks {
-			if len(p.commit(w, tasks[i:i+1], asks[i:i+1], now)) > 0 {
-				rest = append(rest, tasks[i])
+			if len(p.commit(step, tasks[i:i+1], asks[i:i+1], now)) > 0 {
+				unplaced = append(unplaced, tasks[i])
 			}
 		}
-		return rest
+		return unplaced
 	}
-	return p.commit(w, tasks, asks, now)
+	return p.commit(step, tasks, asks, now)
 }
 
-func (p *Placer) taskAsks(w *pendingStep, tasks []int, among []string, allOrNothing bool) []wire.TaskAsk {
-	candidates := len(among)
-	if among == nil {
-		candidates = len(p.vms)
+func (p *Placer) taskAsks(step *pendingStep, tasks []int, workers []string, allOrNothing bool) []wire.TaskAsk {
+	workerCount := len(workers)
+	if workers == nil {
+		workerCount = len(p.vms)
 	}
-	avoid := w.avoidWorkers
-	if len(avoid) > 1 && candidates < 2*len(avoid) {
-		avoid = avoid[len(avoid)-1:] // a small pool is not shut out by a task that fails everywhere
+	avoid := step.avoidWorkers
+	if len(avoid) > 1 && workerCount < 2*len(avoid) {
+		avoid = avoid[len(avoid)-1:] // a task that fails everywhere must not rule out all workers of a small pool
 	}
-	if candidates < 2 {
+	if workerCount < 2 {
 		avoid = nil
 	}
 	asks := make([]wire.TaskAsk, len(tasks))
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
-			TaskID: cellTaskID(w.taskID(index)), Job: cellJobID(w.id), Generation: int64(w.nextRun(index)), Pool: w.job.Pool,
-			Resources: occupiedRoom(w.def), RunMS: w.def.EstimateMS, AvoidVMs: avoid, Among: among,
-			Label: w.def.Label, NearRack: w.def.NearRack, PerVM: w.def.MaxPerWorker,
+			TaskID: cellTaskID(step.taskID(index)), Job: cellJobID(step.id), Generation: int64(step.nextRun(index)), Pool: step.job.Pool,
+			Resources: occupiedRoom(step.def), RunMS: step.def.EstimateMS, AvoidVMs: avoid, Among: workers,
+			Label: step.def.Label, NearRack: step.def.NearRack, PerVM: step.def.MaxPerWorker,
 		}
 		if allOrNothing {
-			asks[i].Gang = cellJobID(w.id)
+			asks[i].Gang = cellJobID(step.id)
 		}
 	}
 	return asks
 }
 
-// nextRun is the number of the task's next run. The members of a gang share it.
+// nextRun returns the number of the task's next run. All members of a gang use the same number.
 func (w *pendingStep) nextRun(index int) int {
 	state := w.job.Step(w.id.Occurrence, w.id.Step)
 	switch {
@@ -280,35 +290,35 @@
 	}
 }
 
-// commit plans the requests, commits what was placed and makes its runs. It returns the
-// tasks that found no room.
-func (p *Placer) commit(w *pendingStep, tasks []int, asks []wire.TaskAsk, now time.Duration) []int {
+// commit plans the asks, commits the assignments and creates their runs. It returns the tasks
+// that could not be placed.
+func (p *Placer) commit(step *pendingStep, tasks []int, asks []wire.TaskAsk, now time.Duration) []int {
 	p.planAttempts++
 	options := place.Options{NoPreemption: true}
 	plan := p.cell.Plan(asks, options, now, nil)
-	done, _ := p.cell.Commit(plan, options, now)
-	if len(done) == 0 {
+	committed, _ := p.cell.Commit(plan, options, now)
+	if len(committed) == 0 {
 		return tasks
 	}
-	placed := make(map[string]string, len(done))
-	for i := range done {
-		placed[done[i].Ask.TaskID] = done[i].VM
+	workerByTask := make(map[string]string, len(committed))
+	for i := range committed {
+		workerByTask[committed[i].Ask.TaskID] = committed[i].VM
 	}
-	// A gang begins when all its tickets are there: members that begin earlier wait for
-	// the others on their workers, and only for so long.
-	awaitTickets := w.def.Gang && !w.hasTickets(done, now)
-	var rest []int
+	// A gang starts only when it has all its tickets: on the workers, members that start
+	// earlier wait for the others for a limited time only.
+	awaitTickets := step.def.Gang && !step.hasTickets(committed, now)
+	var unplaced []int
 	for i, index := range tasks {
-		if worker, ok := placed[asks[i].TaskID]; ok {
-			p.newRun(w, index, p.vms[worker], awaitTickets, now)
+		if worker, ok := workerByTask[asks[i].TaskID]; ok {
+			p.newRun(step, index, p.vms[worker], awaitTickets, now)
 		} else {
-			rest = append(rest, index)
+			unplaced = append(unplaced, index)
 		}
 	}
-	return rest
+	return unplaced
 }
 
-// hasTickets reports whether the step has a ticket for every worker that was chosen.
+// hasTickets reports whether the step has a valid ticket for every chosen worker.
 func (w *pendingStep) hasTickets(chosen []place.Assignment, now time.Duration) bool {
 	if w.queue == nil || w.queue.Advice == nil {
 		return true
@@ -321,22 +331,22 @@
 	return true
 }
 
-// newRun makes the run of a task whose room is committed. With awaitTickets set it waits until
-// all tickets of its gang have come.
-func (p *Placer) newRun(w *pendingStep, index int, v *vm, awaitTickets bool, now time.Duration) {
-	id := w.taskID(index)
+// newRun creates the run of a task whose resources are committed. With awaitTickets set the run
+// waits until all tickets of its gang have arrived.
+func (p *Placer) newRun(step *pendingStep, index int, v *vm, awaitTickets bool, now time.Duration) {
+	id := step.taskID(index)
 	r := &run{
-		RunID: cluster.RunID{TaskID: id, Run: w.nextRun(index)}, state: ticketing, vm: v, size: occupiedRoom(w.def),
-		spec: w.job.Spec, checkpoint: w.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
+		RunID: cluster.RunID{TaskID: id, Run: step.nextRun(index)}, state: ticketing, vm: v, size: occupiedRoom(step.def),
+		spec: step.job.Spec, checkpoint: step.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
 	}
 	p.runs[id] = r
 	v.runs[id] = r
-	w.activeRuns++
-	if w.queue != nil && w.queue.Advice != nil {
-		if t := w.grants[v.Life.Worker]; t.validUntil > now+ticketPlanMargin && !awaitTickets {
-			r.ticket = t
+	step.activeRuns++
+	if step.queue != nil && step.queue.Advice != nil {
+		if grant := step.grants[v.Life.Worker]; grant.validUntil > now+ticketPlanMargin && !awaitTickets {
+			r.ticket = grant
 		} else {
-			w.ticketsNeeded = append(w.ticketsNeeded, v.Life.Worker)
+			step.ticketsNeeded = append(step.ticketsNeeded, v.Life.Worker)
 			return
 		}
 	}
@@ -344,8 +354,8 @@
 	p.recordBegin(r)
 }
 
-// checkpoint returns the checkpoint from which the task's next run resumes. Any
-// member's is valid for the whole gang, and all members start from the same.
+// checkpoint returns the checkpoint from which the task's next run resumes. A checkpoint of any
+// member is valid for the whole gang, and all members resume from the same one.
 func (w *pendingStep) checkpoint(index int) string {
 	state := w.job.Step(w.id.Occurrence, w.id.Step)
 	if state == nil {
@@ -357,15 +367,16 @@
 	return state.Tasks[index].Checkpoint
 }
 
-// holdWorkers keeps workers free for a gang that found no room.
-func (p *Placer) holdWorkers(w *pendingStep, tasks []int, now time.Duration) bool {
-	_, among := w.grantedWorkers(now)
-	if w.queue == nil || w.queue.Advice == nil {
-		among = nil
-	} else if len(among) == 0 {
+// holdWorkers keeps workers free for a gang that could not be placed. It reports whether it has
+// tried to do so.
+func (p *Placer) holdWorkers(step *pendingStep, tasks []int, now time.Duration) bool {
+	_, workers := step.grantedWorkers(now)
+	if step.queue == nil || step.queue.Advice == nil {
+		workers = nil
+	} else if len(workers) == 0 {
 		return false
 	}
-	plan, ok := p.cell.PlanHold(p.taskAsks(w, tasks, among, true), place.Options{}, maxHoldShare, now, holdValidity)
+	plan, ok := p.cell.PlanHold(p.taskAsks(step, tasks, workers, true), place.Options{}, maxHoldShare, now, holdValidity)
 	if ok {
 		p.cell.ApplyHold(plan, now)
 	}
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -10,7 +10,7 @@
 
 var runChart = chart.MustLoad(chart.Run)
 
-// States of a run; the chart says what each means.
+// States of a run. The state chart of runs describes each of them.
 const (
 	ticketing chart.State = "ticketing"
 	logging   chart.State = "logging"
@@ -33,7 +33,7 @@
 	dropped       chart.Event = "dropped"
 )
 
-// run is one run of a task from its plan to the record of its end.
+// run is one run of a task, from its plan until its end is recorded.
 type run struct {
 	cluster.RunID
 	state          chart.State
@@ -42,29 +42,29 @@
 	spec           string
 	checkpoint     string
 	ticket         ticket
-	released       bool          // its room was given back
-	recorded       bool          // its Begin was acknowledged
-	unknown        bool          // begun by nobody known: it is only stopped
-	wanted         bool          // false: it is to be stopped as soon as that is possible
-	wasListed      bool          // the worker has listed it in its present life
+	released       bool          // its resources were released
+	recorded       bool          // the log has acknowledged its Begin record
+	unknown        bool          // listed by a worker but not active according to the log, so it is only stopped
+	wanted         bool          // false: it is to be stopped as soon as possible
+	wasListed      bool          // the current incarnation of the worker has listed it
 	plannedAt      time.Duration // boot clock
-	answeredAt     time.Duration // of the start; a later look must list the run
-	orderedAt      time.Duration // the first order to start it was sent
-	startsSent     int           // orders to start it that were sent
-	startsInFlight int           // of these, not answered and not given up yet
-	stopSentAt     time.Duration // last stop order
-	stopAnsweredAt time.Duration // the worker answered a stop
-	stopInFlight   bool          // a stop order is under way
+	answeredAt     time.Duration // time of the answer to its start order; the answer to a later poll must list the run
+	orderedAt      time.Duration // time at which the first order to start it was sent
+	startsSent     int           // number of start orders sent
+	startsInFlight int           // number of start orders that are neither answered nor given up
+	stopSentAt     time.Duration // time of the last stop order
+	stopAnsweredAt time.Duration // time at which the worker last answered a stop order
+	stopInFlight   bool          // a stop order is in flight
 	progress       progress
-	lastCheckpoint string // newest checkpoint that a look has shown
-	load           int    // of the last look: tail of response times in ms of a serving run, thousandths of a core of others
-	pacePercent    int    // percent of its speed that it was told to work at
-	paceConfirmed  bool   // the worker has taken that order
-	paceInFlight   bool   // an order to pace is under way
+	lastCheckpoint string // newest checkpoint that the worker has reported
+	load           int    // last reported load: tail response time in ms of a serving run, thousandths of a core of any other run
+	pacePercent    int    // speed at which it was ordered to work, in percent of its full speed
+	paceConfirmed  bool   // the worker has accepted that order
+	paceInFlight   bool   // a pace order is in flight
 }
 
-// transition moves the run by an event. It reports false, and changes nothing, for an event
-// that the state refuses.
+// transition applies an event to the state of the run. It returns false and changes nothing if
+// the chart does not allow the event in this state.
 func (r *run) transition(e chart.Event) bool {
 	next, err := runChart.Next(r.state, e)
 	if err != nil {
@@ -74,17 +74,17 @@
 	return true
 }
 
-// startOrdered reports whether an order to start the run may have been sent.
+// startOrdered reports whether a start order for the run may have been sent.
 func (r *run) startOrdered() bool { return r.state != ticketing && r.state != logging }
 
-// ticket allows a step on a worker for a limited time.
+// ticket permits a step to run on a worker for a limited time.
 type ticket struct {
 	text       string
 	validUntil time.Duration // boot clock
 }
 
-// mayStartLate reports whether an order to start the run that was not answered may still be
-// carried out.
+// mayStartLate reports whether the worker may still execute an unanswered start order for the
+// run.
 func (r *run) mayStartLate(now time.Duration) bool {
 	return r.startsSent > 1 && now-r.orderedAt < maxOrderDelay
 }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -8,22 +8,22 @@
 	"briarproxy/core/flow"
 )
 
-// pendingJob is what the placer keeps of a job that has not ended.
+// pendingJob is the placer's state of a job that has not ended.
 type pendingJob struct {
 	job           *flow.Job
-	readAt        time.Duration // its record was read
-	activated     map[cluster.StepID]bool
-	startRecorded bool // that it has begun is recorded or about to be
+	readAt        time.Duration           // time at which the job's record was read
+	activated     map[cluster.StepID]bool // steps that are or were in Placer.steps, or needed no run
+	startRecorded bool                    // the start of the job is recorded or about to be
 }
 
-// pendingStep is a step whose turn has come and that has tasks to start.
+// pendingStep is a step that is ready to run and is not complete.
 type pendingStep struct {
 	id             cluster.StepID
 	job            *flow.Job
 	def            *flow.Step
 	queue          *cluster.Queue
-	readyAt        time.Duration // its turn came
-	latestStartMS  int64         // see latestStart
+	readyAt        time.Duration // time at which the step became ready
+	latestStartMS  int64         // Unix ms; see latestStart
 	objective      time.Duration // of the job
 	stepRank       stepRank      // in this planning pass
 	grants         map[string]ticket
@@ -32,15 +32,15 @@
 	adviceSentAt   time.Duration
 	nextAdviceAt   time.Duration
 	avoidWorkers   []string // workers on which a task of the step failed
-	ticketsNeeded  []string // workers on which room is kept until a new ticket comes
-	activeRuns     int      // runs of the step from plan to recorded end
+	ticketsNeeded  []string // workers on which resources are reserved until a new ticket arrives
+	activeRuns     int      // runs of the step that are planned and whose end is not recorded yet
 }
 
-// dueOccurrence is an occurrence that waits for its time.
+// dueOccurrence is an occurrence whose due time is still to come.
 type dueOccurrence struct {
 	job        *flow.Job
 	occurrence int
-	atMS       int64
+	atMS       int64 // Unix ms
 }
 
 func cellJobID(s cluster.StepID) string {
@@ -49,57 +49,57 @@
 
 func cellTaskID(t cluster.TaskID) string { return cellJobID(t.StepID()) + "." + strconv.Itoa(t.Index) }
 
-// addJob takes up a job that has not ended.
-func (p *Placer) addJob(j *flow.Job, now time.Duration) {
-	if j.Phase.Final() || p.jobs[j.ID] != nil {
+// addJob adds a job unless it has ended. Its occurrences become active at their due times.
+func (p *Placer) addJob(job *flow.Job, now time.Duration) {
+	if job.Phase.Final() || p.jobs[job.ID] != nil {
 		return
 	}
-	w := &pendingJob{job: j, readAt: now, activated: map[cluster.StepID]bool{}}
-	p.jobs[j.ID] = w
-	for k := 0; k < j.Submit.Occurrences(); k++ {
-		if at := j.DueMS(k); at > 0 && len(j.Occurrences) <= k {
-			p.dueOccurrences = append(p.dueOccurrences, dueOccurrence{j, k, at})
+	pending := &pendingJob{job: job, readAt: now, activated: map[cluster.StepID]bool{}}
+	p.jobs[job.ID] = pending
+	for occurrence := 0; occurrence < job.Submit.Occurrences(); occurrence++ {
+		if at := job.DueMS(occurrence); at > 0 && len(job.Occurrences) <= occurrence {
+			p.dueOccurrences = append(p.dueOccurrences, dueOccurrence{job, occurrence, at})
 			continue
 		}
-		p.activate(w, k, now)
+		p.activate(pending, occurrence, now)
 	}
 }
 
-// activate takes up the steps of an occurrence whose turn has come.
-func (p *Placer) activate(w *pendingJob, occurrence int, now time.Duration) {
-	for s := range w.job.Steps {
-		id := cluster.StepID{Job: w.job.ID, Occurrence: occurrence, Step: s}
-		if w.activated[id] || !w.job.StepReady(occurrence, s) {
+// activate adds the steps of an occurrence that have become ready to run.
+func (p *Placer) activate(pending *pendingJob, occurrence int, now time.Duration) {
+	for s := range pending.job.Steps {
+		id := cluster.StepID{Job: pending.job.ID, Occurrence: occurrence, Step: s}
+		if pending.activated[id] || !pending.job.StepReady(occurrence, s) {
 			continue
 		}
-		if st := w.job.Step(occurrence, s); st != nil && st.Complete() {
-			w.activated[id] = true
+		if state := pending.job.Step(occurrence, s); state != nil && state.Complete() {
+			pending.activated[id] = true
 			continue
 		}
-		w.activated[id] = true
-		work := &pendingStep{
-			id: id, job: w.job, def: &w.job.Steps[s], readyAt: now,
+		pending.activated[id] = true
+		step := &pendingStep{
+			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now,
 			grants: map[string]ticket{}, denied: map[string]bool{},
 		}
-		for i := 0; i < work.def.Count; i++ {
+		for i := 0; i < step.def.Count; i++ {
 			if p.runs[cluster.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: s, Index: i}] != nil {
-				work.activeRuns++
+				step.activeRuns++
 			}
 		}
-		p.steps[id] = work
+		p.steps[id] = step
 		p.dirty = true
 	}
 }
 
-// activateDue activates the occurrences whose time has come.
+// activateDue activates the occurrences whose due time has passed.
 func (p *Placer) activateDue(now time.Duration, wallMS int64) {
 	rest := p.dueOccurrences[:0]
 	for _, d := range p.dueOccurrences {
-		w := p.jobs[d.job.ID]
+		pending := p.jobs[d.job.ID]
 		switch {
-		case w == nil:
+		case pending == nil:
 		case wallMS >= d.atMS:
-			p.activate(w, d.occurrence, now)
+			p.activate(pending, d.occurrence, now)
 		default:
 			rest = append(rest, d)
 		}
@@ -107,16 +107,16 @@
 	p.dueOccurrences = rest
 }
 
-// dropJob forgets the work of a job that has ended and stops its runs.
+// dropJob removes a job that has ended, with its steps, and marks its runs to be stopped.
 func (p *Placer) dropJob(id string) {
-	w := p.jobs[id]
-	if w == nil {
+	pending := p.jobs[id]
+	if pending == nil {
 		return
 	}
 	delete(p.jobs, id)
-	for s := range w.activated {
+	for s := range pending.activated {
 		delete(p.steps, s)
-		for i := range w.job.Steps[s.Step].Count {
+		for i := range pending.job.Steps[s.Step].Count {
 			if r := p.runs[cluster.TaskID{Job: id, Occurrence: s.Occurrence, Step: s.Step, Index: i}]; r != nil {
 				r.wanted = false
 			}
@@ -125,26 +125,27 @@
 	p.dirty = true
 }
 
-// waitingTasks returns the indexes of the step's tasks that are to be started.
-func (p *Placer) waitingTasks(w *pendingStep, into []int) []int {
-	state := w.job.Step(w.id.Occurrence, w.id.Step)
-	for i := 0; i < w.def.Count; i++ {
+// waitingTasks appends the indexes of the step's tasks that have to be started to buf and returns
+// the result.
+func (p *Placer) waitingTasks(step *pendingStep, buf []int) []int {
+	state := step.job.Step(step.id.Occurrence, step.id.Step)
+	for i := 0; i < step.def.Count; i++ {
 		if state != nil && (state.Tasks[i].Done || state.Tasks[i].Active) {
 			continue
 		}
-		if w.activeRuns > 0 && p.runs[w.taskID(i)] != nil {
+		if step.activeRuns > 0 && p.runs[step.taskID(i)] != nil {
 			continue
 		}
-		into = append(into, i)
+		buf = append(buf, i)
 	}
-	return into
+	return buf
 }
 
 func (w *pendingStep) taskID(i int) cluster.TaskID {
 	return cluster.TaskID{Job: w.id.Job, Occurrence: w.id.Occurrence, Step: w.id.Step, Index: i}
 }
 
-// setQueue puts the step's latest start in place when its queue is first known.
+// setQueue sets the step's queue and, when the queue is first known, its latest start.
 func (w *pendingStep) setQueue(q *cluster.Queue) {
 	if w.queue == nil && q != nil {
 		w.queue = q
@@ -153,12 +154,12 @@
 	w.queue = q
 }
 
-// latestStart returns the time (Unix ms) at which the step must begin for its job to
-// end within its objective, as far as estimates go.
+// latestStart returns the latest time (Unix ms) at which the step has to start for its job to
+// end within its objective, according to the estimates. It also sets the objective.
 func (w *pendingStep) latestStart() int64 {
-	begin := w.job.AtMS
+	start := w.job.AtMS
 	if due := w.job.DueMS(w.id.Occurrence); due > 0 {
-		begin = due
+		start = due
 	}
 	w.objective = 0
 	if w.queue != nil {
@@ -168,5 +169,5 @@
 		s := w.job.Step(w.id.Occurrence, step)
 		return s != nil && s.Complete()
 	})
-	return begin + w.objective.Milliseconds() - remaining.Milliseconds()
+	return start + w.objective.Milliseconds() - remaining.Milliseconds()
 }
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -7,64 +7,64 @@
 	"briarproxy/core/resource"
 )
 
-// Summary counts what the placer holds at one instant.
+// Summary counts the steps, runs and workers of a placer at one point in time.
 type Summary struct {
-	Steps          int // whose turn has come and that are not complete
-	Unadvised      int // wait for the first advice
-	AdviceInFlight int
-	AwaitingRoom   int // have advice, and tasks that wait for room
-	Late           int // waiting steps that can't end within their objective any more
+	Steps          int // ready and not complete
+	Unadvised      int // waiting steps without any granted worker and without a request for advice in flight
+	AdviceInFlight int // waiting steps with a request for advice in flight
+	AwaitingRoom   int // waiting steps that have advice, or need none, and lack free capacity
+	Late           int // waiting steps that can no longer end within their objective
 	Runs           map[chart.State]int
-	Usable         int // workers that may take work
+	Usable         int // workers that may receive tasks
 	Workers        int
-	Free           resource.Vector
-	Capacity       resource.Vector
-	Advisers       int
-	AdviceCalls    int                     // for advice, under way
+	Free           resource.Vector         // of the usable workers
+	Capacity       resource.Vector         // of the usable workers
+	Advisers       int                     // daemons through which advice may be requested
+	AdviceCalls    int                     // requests for advice in flight
 	Waiting        map[string]QueueWaiting // by queue
 }
 
-// QueueWaiting counts the steps of one queue that have tasks to start.
+// QueueWaiting describes the waiting steps of one queue: those that have tasks to start.
 type QueueWaiting struct {
 	Steps  int
-	Oldest time.Duration // how long the first of them has waited
+	Oldest time.Duration // longest time that one of them has been ready
 }
 
-// Summarize counts what the placer holds.
+// Summarize returns the current counts.
 func (p *Placer) Summarize(now time.Duration, wallMS int64) Summary {
-	s := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]QueueWaiting{}, Advisers: len(p.advisers.byName)}
+	summary := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]QueueWaiting{}, Advisers: len(p.advisers.byName)}
 	var waiting []int
-	for _, w := range p.steps {
-		if waiting = p.waitingTasks(w, waiting[:0]); len(waiting) == 0 {
+	for _, step := range p.steps {
+		if waiting = p.waitingTasks(step, waiting[:0]); len(waiting) == 0 {
 			continue
 		}
-		waits := s.Waiting[w.job.Queue]
-		s.Waiting[w.job.Queue] = QueueWaiting{waits.Steps + 1, max(waits.Oldest, now-w.readyAt)}
-		advised := w.queue == nil || w.queue.Advice == nil || len(w.grants) > 0
+		counts := summary.Waiting[step.job.Queue]
+		summary.Waiting[step.job.Queue] = QueueWaiting{counts.Steps + 1, max(counts.Oldest, now-step.readyAt)}
+		advised := step.queue == nil || step.queue.Advice == nil || len(step.grants) > 0
 		switch {
-		case w.adviceInFlight:
-			s.AdviceInFlight++
+		case step.adviceInFlight:
+			summary.AdviceInFlight++
 		case !advised:
-			s.Unadvised++
+			summary.Unadvised++
 		default:
-			s.AwaitingRoom++
+			summary.AwaitingRoom++
 		}
-		if w.latestStartMS < wallMS {
-			s.Late++
+		if step.latestStartMS < wallMS {
+			summary.Late++
 		}
 	}
 	for _, r := range p.runs {
-		s.Runs[r.state]++
+		summary.Runs[r.state]++
 	}
 	for id, v := range p.vms {
-		if free, open := p.cell.FreeCapacity(id); open {
-			s.Usable++
-			s.Free = s.Free.Add(free)
-			s.Capacity = s.Capacity.Add(v.Capacity)
+		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
+			summary.Usable++
+			summary.Free = summary.Free.Add(free)
+			summary.Capacity = summary.Capacity.Add(v.Capacity)
 		}
 	}
-	for _, d := range p.advisers.byName {
-		s.AdviceCalls += d.callsInFlight
+	for _, adviser := range p.advisers.byName {
+		summary.AdviceCalls += adviser.callsInFlight
 	}
-	return s
+	return summary
 }
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -7,13 +7,14 @@
 	"briarproxy/core/flow"
 )
 
-// Tick does what is due by time: it follows leases, stops, looks and plans.
+// Tick does what is due at the given time (boot clock and Unix ms): it ends runs whose leases
+// have expired, stops runs, retries start orders, plans and polls workers.
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
 	commands := p.queuedCommands
 	p.queuedCommands = nil
 	p.activateDue(now, wallMS+p.options.EarlyStart.Milliseconds()/2)
-	scan := now-p.lastScanAt >= scanInterval
-	if scan {
+	scanDue := now-p.lastScanAt >= scanInterval
+	if scanDue {
 		p.lastScanAt = now
 		p.endLapsedRuns(now)
 		p.evacuate(now)
@@ -24,13 +25,13 @@
 		p.dirty, p.lastPlanAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
-	if scan {
+	if scanDue {
 		commands = p.pollWorkers(commands, now)
 	}
 	return commands
 }
 
-// endLapsedRuns ends the runs of workers whose leases have surely ended.
+// endLapsedRuns ends the runs of workers on which all leases have certainly expired.
 func (p *Placer) endLapsedRuns(now time.Duration) {
 	for _, v := range p.vms {
 		if len(v.runs) == 0 || now <= v.leaseEnd() {
@@ -49,7 +50,7 @@
 	}
 }
 
-// stopUnwanted orders workers to stop the runs that are not wanted any more.
+// stopUnwanted orders workers to stop the runs that are no longer wanted.
 func (p *Placer) stopUnwanted(commands []Command, now time.Duration) []Command {
 	for _, r := range p.runs {
 		if r.wanted && r.state != stopping {
@@ -79,36 +80,37 @@
 	return append(commands, Command{Stop: &StopCommand{Life: r.vm.Life, Address: r.vm.Address, Run: r.RunID, Token: p.token}})
 }
 
-// pollWorkers asks the workers that have runs, or ends to confirm, for their lists.
+// pollWorkers polls the workers for which a poll is due and renews the leases of those that have
+// runs and have answered recently.
 func (p *Placer) pollWorkers(commands []Command, now time.Duration) []Command {
 	for _, v := range p.vms {
 		if v.pollInFlight || now < v.nextPollAt || v.Address == "" || !p.needsPoll(v, now) {
 			continue
 		}
-		hold := cluster.LeaseRenewal{Token: p.token}
+		renewal := cluster.LeaseRenewal{Token: p.token}
 		if v.allRunsListed() {
-			hold.Confirmed = v.recordedUpTo
+			renewal.Confirmed = v.recordedUpTo
 		}
 		if len(v.runs) > 0 && v.clockKnown {
-			hold.Wait = p.pollWait(v)
+			renewal.Wait = p.pollWait(v)
 			if v.missedPolls == 0 && now-v.answeredAt < maxSilenceForRenewal {
-				hold.LeaseUntil = v.clockLowerBound(now) + p.leaseDuration(v, now).Milliseconds()
-				v.leaseUntil = max(v.leaseUntil, hold.LeaseUntil)
+				renewal.LeaseUntil = v.clockLowerBound(now) + p.leaseDuration(v, now).Milliseconds()
+				v.leaseUntil = max(v.leaseUntil, renewal.LeaseUntil)
 			}
 		}
 		v.pollInFlight, v.pollSentAt = true, now
-		commands = append(commands, Command{Poll: &PollCommand{Life: v.Life, Address: v.Address, Hold: hold}})
+		commands = append(commands, Command{Poll: &PollCommand{Life: v.Life, Address: v.Address, Hold: renewal}})
 	}
 	return commands
 }
 
-// needsPoll reports whether a look at the worker is of use now.
+// needsPoll reports whether a poll of the worker is useful now.
 func (p *Placer) needsPoll(v *vm, now time.Duration) bool {
 	switch {
 	case !v.tokenSeen || !v.clockKnown:
 		return v.listed || len(v.runs) > 0
 	case len(v.unrecordedEnds) > 0:
-		return now-v.pollSentAt > time.Second // the worker would list the same ends again
+		return now-v.pollSentAt > time.Second // a poll sooner would only list the same ends again
 	case len(v.runs) > 0:
 		return true
 	case v.recordedUpTo > v.confirmedUpTo:
@@ -118,8 +120,8 @@
 	}
 }
 
-// pollWait is how long a look may wait for an end: not at all if something is to be
-// settled.
+// pollWait returns how long the worker may delay its answer to a poll until a run ends: not at all
+// if the worker has missed polls, or if one of its runs is uncertain or being stopped.
 func (p *Placer) pollWait(v *vm) time.Duration {
 	if v.missedPolls > 0 {
 		return 0
@@ -136,8 +138,8 @@
 	return wait
 }
 
-// Flush returns the batch to append next; ok is false if nothing is due. The caller
-// appends one batch at a time and passes runs to BatchAppended when it is acknowledged.
+// Flush returns the batch to append next, and false if none is due. The caller appends one batch
+// at a time and passes the runs to BatchAppended when the log has acknowledged it.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
 	n := len(p.pendingBatch.Begins) + len(p.pendingBatch.Ends)
 	if len(p.pendingBatch.StartedJobs) > 0 && now-p.flushedAt >= maxStartedDelay {
@@ -153,7 +155,7 @@
 	return batch, runs, true
 }
 
-// recordBegin records the plan of a run that has its ticket.
+// recordBegin adds the planned run to the next batch. If the run needs a ticket, it has one.
 func (p *Placer) recordBegin(r *run) {
 	p.pendingBatch.Begins = append(p.pendingBatch.Begins, flow.Begin{RunID: r.RunID, Life: r.vm.Life, Checkpoint: r.checkpoint})
 	p.pendingRuns = append(p.pendingRuns, r)
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -6,47 +6,49 @@
 	"briarproxy/core/cluster"
 )
 
-// vm is a worker as the placer knows it.
+// vm is the placer's state of a worker.
 type vm struct {
 	cluster.Worker
-	listed     bool // in the registry
-	listedAt   time.Duration
-	tokenSeen  bool // it has answered a look under this placer's token in its present life
-	clockKnown bool // its clock has been read in its present life
-	clockMS    int64
-	clockAt    time.Duration // boot clock at which the answer with clockMS arrived
+	listed     bool          // the worker is in the registry
+	listedAt   time.Duration // time of the last registry that contains it
+	tokenSeen  bool          // the current incarnation has answered a poll with this placer's fencing token
+	clockKnown bool          // the clock of the current incarnation has been read
+	clockMS    int64         // last value read from its clock
+	clockAt    time.Duration // boot clock: arrival of the answer with clockMS
 
-	leaseUntil        int64         // worker's clock: the latest end of lease ever sent
-	inheritedLeaseEnd time.Duration // boot clock: the end of all leases that earlier placers can have sent
+	leaseUntil        int64         // latest lease expiry that this placer has sent to the current incarnation, ms of the worker's clock
+	inheritedLeaseEnd time.Duration // boot clock: expiry of all leases that former placers, or orders to a former incarnation, can have set
 
 	runs           map[cluster.TaskID]*run
-	lastListedEnd  int64 // highest number of an end that was listed
-	unrecordedEnds []listedEnd
-	recordedUpTo   int64 // ends up to this number are recorded
-	confirmedUpTo  int64 // highest number that the worker was told
+	lastListedEnd  int64       // highest number of an end that the worker has listed
+	unrecordedEnds []listedEnd // in the order of their numbers, from the first that is not recorded
+	recordedUpTo   int64       // ends up to this number are recorded in the log
+	confirmedUpTo  int64       // highest number that was confirmed to the worker
 
-	pollInFlight bool // a look is under way
+	pollInFlight bool // a poll is in flight
 	pollSentAt   time.Duration
-	nextPollAt   time.Duration // next look, not before
-	answeredAt   time.Duration // last answer to any order
-	missedPolls  int           // looks in a row without an answer
-	failures     int           // failed runs in a row, of different jobs
+	nextPollAt   time.Duration // earliest time of the next poll
+	answeredAt   time.Duration // time of the last answer to any order or poll
+	missedPolls  int           // consecutive polls without an answer
+	failures     int           // consecutive failed runs, of different jobs
 	lastFailed   string        // job of the last failed run
-	avoidUntil   time.Duration
-	refusals     int           // starts refused as unhealthy, in a row
-	leavesAt     time.Duration // of a draining worker, not before; 0 is not known
+	avoidUntil   time.Duration // nothing is placed on the worker before this time
+	refusals     int           // consecutive starts refused because the worker is unhealthy
+	leavesAt     time.Duration // earliest time at which a draining worker leaves; 0 means unknown
 }
 
-// listedEnd is a listed end of which the record was not read back yet.
+// listedEnd is an end that the worker has listed and whose record the placer has not read back
+// from the log, or that follows such an end.
 type listedEnd struct {
 	number   int64
 	run      cluster.RunID
 	recorded bool
 }
 
-// allRunsListed reports whether the worker has listed every run that was ordered there in its
-// present life. Otherwise one may have run in a next life that is not known yet, in which
-// ends are numbered anew, and a confirmation for this life would make it forget that end.
+// allRunsListed reports whether the current incarnation of the worker has listed every run that
+// was ordered there. If one is not listed, the worker may have restarted unnoticed and the run
+// may have ended in the new incarnation. Ends are numbered from 1 again there, so a
+// confirmation meant for the known incarnation would make the worker discard that end.
 func (v *vm) allRunsListed() bool {
 	for _, r := range v.runs {
 		if r.startOrdered() && !r.wasListed {
@@ -56,24 +58,25 @@
 	return true
 }
 
-// updateDeparture follows a worker's word that it leaves. Its entry is older than the reading, so
-// the earliest time that follows from any reading is the best one.
-func (v *vm) updateDeparture(w *cluster.Worker, now time.Duration) {
+// updateDeparture updates the time at which a draining worker leaves from its registry entry. The
+// entry was written before it is read, so the earliest time computed from any reading is the
+// most accurate one.
+func (v *vm) updateDeparture(entry *cluster.Worker, now time.Duration) {
 	switch {
-	case !w.Draining:
+	case !entry.Draining:
 		v.leavesAt = 0
-	case w.Stays > 0 && (v.leavesAt == 0 || now+w.Stays < v.leavesAt):
-		v.leavesAt = now + w.Stays
+	case entry.Stays > 0 && (v.leavesAt == 0 || now+entry.Stays < v.leavesAt):
+		v.leavesAt = now + entry.Stays
 	}
 }
 
-// clockLowerBound returns a lower bound of the worker's clock, ms.
+// clockLowerBound returns a lower bound of the worker's current clock in ms.
 func (v *vm) clockLowerBound(now time.Duration) int64 {
-	passed := now - v.clockAt
-	return v.clockMS + int64(float64(passed.Milliseconds())*(1-maxClockDrift))
+	elapsed := now - v.clockAt
+	return v.clockMS + int64(float64(elapsed.Milliseconds())*(1-maxClockDrift))
 }
 
-// observeClock takes a clock value from an answer.
+// observeClock records the clock value of an answer; 0 means that the answer had none.
 func (v *vm) observeClock(ms int64, now time.Duration) {
 	if ms <= 0 {
 		return
@@ -82,7 +85,7 @@
 	v.answeredAt = now
 }
 
-// leaseEnd returns the boot time at which every lease on the worker has surely ended.
+// leaseEnd returns the boot clock time at which every lease on the worker has certainly expired.
 func (v *vm) leaseEnd() time.Duration {
 	end := v.inheritedLeaseEnd
 	if v.clockKnown && v.leaseUntil > 0 {
@@ -92,8 +95,8 @@
 	return end
 }
 
-// markEndRecorded marks the end of a run as recorded and moves the number up to which ends may
-// be confirmed.
+// markEndRecorded marks the end of a run as recorded and advances the number up to which ends
+// may be confirmed.
 func (v *vm) markEndRecorded(id cluster.RunID) {
 	for i := range v.unrecordedEnds {
 		if v.unrecordedEnds[i].run == id {
@@ -112,7 +115,7 @@
 	v.unrecordedEnds = v.unrecordedEnds[n:]
 }
 
-// resetLife drops what belongs to a former life.
+// resetLife sets the worker's incarnation and clears the state of the former one.
 func (v *vm) resetLife(life cluster.Life) {
 	v.Life = life
 	v.tokenSeen, v.clockKnown = false, false
--- a/core/placer/window.go
+++ b/core/placer/window.go
@@ -8,28 +8,40 @@
 	"briarproxy/core/chart"
 )
 
-// Limits of the runs that are being started at one time.
+// Parameters of the limit on runs that are being started at the same time.
 const (
-	maxStartQueueDelay  = 150 * time.Millisecond // answers this much later than usual: orders wait on the link, and tickets age there
-	minWindowRuns       = 16                     // runs; a wider gang is still started whole
-	minWindowShare      = 0.5                    // least share of the window that a cut leaves
-	windowGrowthFactor  = 1.25                   // with each judgement by which answers came in time
-	minWindowAnswers    = 8                      // least number of answers to judge by
-	windowInterval      = 200 * time.Millisecond // between two judgements: a few round trips between regions
-	baselineDriftFactor = 1.01                   // with each judgement: the usual time follows a way that has become longer
+	// maxStartQueueDelay is the latency above the baseline from which orders are taken to queue
+	// on the link, where their tickets age.
+	maxStartQueueDelay = 150 * time.Millisecond
+	// minWindowRuns is the lower bound of the limit. A gang that is wider than the limit is still
+	// started as a whole.
+	minWindowRuns = 16
+	// minWindowShare is the least share of the runs in progress that a reduction leaves.
+	minWindowShare = 0.5
+	// windowGrowthFactor applies at each adjustment in which the window has delayed starts while
+	// the latency was within its limit.
+	windowGrowthFactor = 1.25
+	// minWindowAnswers is the least number of answers for an adjustment.
+	minWindowAnswers = 8
+	// windowInterval is the least time between two adjustments: a few round trips between regions.
+	windowInterval = 200 * time.Millisecond
+	// baselineDriftFactor raises the baseline at each adjustment, so that it follows a network
+	// path that has become longer.
+	baselineDriftFactor = 1.01
 )
 
-// startWindow bounds the runs that are being started: waiting for tickets, recorded or ordered, and not yet
-// answered. Orders beyond what the placer's link carries wait there until their tickets have
-// expired, and then cost the same bytes again. Only orders sent since the last judgement count:
-// the answers to earlier ones still show the queue that a cut is about to shorten. The median
-// decides, so that silent workers or a distant data centre do not shrink the window.
+// startWindow limits the number of runs that are being started: those that wait for a ticket, for
+// the log or for the answer to their order. Orders beyond the bandwidth of the placer's link
+// would queue there until their tickets have expired, and then use the same bandwidth again.
+// An adjustment uses only answers to orders sent since the previous one, because answers to
+// earlier orders still show the queue that a reduction is about to shorten. It uses the median
+// latency, so that unresponsive workers or a distant data centre do not shrink the window.
 type startWindow struct {
-	limit      float64 // runs; +Inf until answers came late
-	limiting   bool    // it held a start back since the last judgement
-	latencies  []time.Duration
-	baseline   time.Duration // lowest median of a judgement; 0 is not known
-	median     time.Duration // of the last judgement
+	limit      float64         // runs; +Inf until answers are late for the first time
+	limiting   bool            // the limit has delayed a start since the last adjustment
+	latencies  []time.Duration // of the answers since the last adjustment
+	baseline   time.Duration   // lowest median so far, with drift; 0 means unknown
+	median     time.Duration   // of the latencies at the last adjustment
 	adjustedAt time.Duration
 }
 
@@ -37,9 +49,10 @@
 	return startWindow{limit: math.Inf(1), adjustedAt: now}
 }
 
-// observe takes the time of an answer to an order to start, or of its absence. It reports
-// whether the limit changed; opening counts the runs that are being started.
-func (w *startWindow) observe(sent, now time.Duration, opening func() int) (changed bool) {
+// observe records the latency of the answer to a start order, or the time after which no answer
+// is expected any more. startsInProgress counts the runs that are being started. It reports
+// whether the limit has changed.
+func (w *startWindow) observe(sent, now time.Duration, startsInProgress func() int) (changed bool) {
 	if sent < w.adjustedAt {
 		return false
 	}
@@ -53,28 +66,30 @@
 	if w.baseline = time.Duration(float64(w.baseline) * baselineDriftFactor); w.baseline == 0 || median < w.baseline {
 		w.baseline = median
 	}
-	former := w.limit
+	oldLimit := w.limit
 	switch {
 	case median > w.baseline+maxStartQueueDelay:
-		// At the rate of the answers, as many runs wait for them only half as long beyond the usual.
+		// At an unchanged rate of answers the latency is proportional to the runs in progress.
+		// This share of them leads to half of the allowed delay above the baseline.
 		share := float64(w.baseline+maxStartQueueDelay/2) / float64(median)
-		w.limit = max(minWindowRuns, max(minWindowShare, share)*min(w.limit, float64(opening())))
+		w.limit = max(minWindowRuns, max(minWindowShare, share)*min(w.limit, float64(startsInProgress())))
 	case w.limiting:
 		w.limit *= windowGrowthFactor
 	}
 	w.limiting, w.latencies, w.adjustedAt = false, w.latencies[:0], now
-	return w.limit != former
+	return w.limit != oldLimit
 }
 
-// available returns how many more runs may be planned beside those that are being started.
-func (w *startWindow) available(opening func() int) int {
+// available returns how many more runs may be planned in addition to those that are being started.
+func (w *startWindow) available(startsInProgress func() int) int {
 	if math.IsInf(w.limit, 1) {
 		return math.MaxInt
 	}
-	return max(0, int(w.limit)-opening())
+	return max(0, int(w.limit)-startsInProgress())
 }
 
-// startsInProgress counts the runs that are being started, and the tasks of steps that wait for advice.
+// startsInProgress counts the runs that are being started and the tasks that wait for requested
+// advice.
 func (p *Placer) startsInProgress() int {
 	n := 0
 	for _, r := range p.runs {
@@ -83,9 +98,9 @@
 		}
 	}
 	var waiting []int
-	for _, w := range p.steps {
-		if w.adviceInFlight {
-			waiting = p.waitingTasks(w, waiting[:0])
+	for _, step := range p.steps {
+		if step.adviceInFlight {
+			waiting = p.waitingTasks(step, waiting[:0])
 			n += len(waiting)
 		}
 	}
--- a/core/placer/window_test.go
+++ b/core/placer/window_test.go
@@ -44,32 +44,32 @@
 // limitLink lets everything that the placer sends wait for a link of some bytes a second, and
 // lets the workers check how old the tickets of orders are. It returns the number of orders
 // that were refused for their tickets.
-func (p *workload) limitLink(bytesPerS float64) (refused *int) {
-	free, jobs := time.Duration(0), 0
+func (w *workload) limitLink(bytesPerSecond float64) (refused *int) {
+	linkFreeAt, jobsSent := time.Duration(0), 0
 	send := func(bytes int) time.Duration {
-		free = max(free, p.now) + time.Duration(float64(bytes)/bytesPerS*float64(time.Second))
-		return free - p.now
+		linkFreeAt = max(linkFreeAt, w.now) + time.Duration(float64(bytes)/bytesPerSecond*float64(time.Second))
+		return linkFreeAt - w.now
 	}
-	p.linkDelay = func(_ Command, bytes int) time.Duration {
-		for ; jobs < p.jobs; jobs++ {
+	w.linkDelay = func(_ Command, bytes int) time.Duration {
+		for ; jobsSent < w.jobs; jobsSent++ {
 			send(submitWireBytes) // the records that the placer has read meanwhile
 		}
 		return send(bytes)
 	}
-	advice := p.advice
-	p.advice = func(a *AdviseCommand) []cluster.Grant {
+	advice := w.advice
+	w.advice = func(a *AdviseCommand) []cluster.Grant {
 		grants := advice(a)
-		valid := p.config.Queue(p.state.Jobs[a.Step.Job].Queue).Advice.Valid
+		valid := w.config.Queue(w.state.Jobs[a.Step.Job].Queue).Advice.Valid
 		for i := range grants {
-			grants[i].Ticket = strconv.FormatInt(int64(p.now+valid-p.answerDelay/2), 10)
+			grants[i].Ticket = strconv.FormatInt(int64(w.now+valid-w.answerDelay/2), 10)
 		}
 		return grants
 	}
 	refused = new(int)
-	p.refuseTicket = func(s *cluster.Start) bool {
-		until, err := strconv.ParseInt(s.Ticket, 10, 64)
-		require.NoError(p.t, err, "ticket %q", s.Ticket)
-		if time.Duration(until) < p.now {
+	w.refuseTicket = func(s *cluster.Start) bool {
+		validUntil, err := strconv.ParseInt(s.Ticket, 10, 64)
+		require.NoError(w.t, err, "ticket %q", s.Ticket)
+		if time.Duration(validUntil) < w.now {
 			*refused++
 			return true
 		}
@@ -83,35 +83,35 @@
 // (quiet-1 of dosui-sched-grown with machines of 2 Mbit/s: 3,096 starts refused, 1,254 jobs
 // never run).
 func TestPlacerWithASlowLinkRecoversFromABurst(t *testing.T) {
-	p := newWorkload(t, 138, 16, largeLoad, 1)
-	p.answerDelay = 60 * time.Millisecond
-	refused := p.limitLink(600_000)
-	p.generate(6*time.Second, 0.2)
-	p.generate(4*time.Second, 0.8)
-	t.Log("after the burst:", *refused, "refused,", len(p.placer.steps), "steps,", p)
-	began := p.starts
-	p.generate(10*time.Second, 0.2)
-	t.Log("10 s later:", *refused, "refused,", len(p.placer.steps), "steps,", p)
-	require.Greater(t, p.starts-began, 1500, "%v", p)
-	p.generate(10*time.Second, 0.2)
-	p.resetCounts()
-	p.generate(8*time.Second, 0.2)
-	p.advance(3 * time.Second)
-	require.Less(t, *refused, 100, "%v", p)
-	require.Less(t, len(p.placer.steps), 150, "%v", p)
-	require.Greater(t, p.onTimeShare("check"), 0.6, "%v", p)
+	w := newWorkload(t, 138, 16, largeLoad, 1)
+	w.answerDelay = 60 * time.Millisecond
+	refused := w.limitLink(600_000)
+	w.generate(6*time.Second, 0.2)
+	w.generate(4*time.Second, 0.8)
+	t.Log("after the burst:", *refused, "refused,", len(w.placer.steps), "steps,", w)
+	startsBefore := w.starts
+	w.generate(10*time.Second, 0.2)
+	t.Log("10 s later:", *refused, "refused,", len(w.placer.steps), "steps,", w)
+	require.Greater(t, w.starts-startsBefore, 1500, "%v", w)
+	w.generate(10*time.Second, 0.2)
+	w.resetCounts()
+	w.generate(8*time.Second, 0.2)
+	w.advance(3 * time.Second)
+	require.Less(t, *refused, 100, "%v", w)
+	require.Less(t, len(w.placer.steps), 150, "%v", w)
+	require.Greater(t, w.onTimeShare("check"), 0.6, "%v", w)
 }
 
 // Guards against a window that shrinks because a few workers are silent while the link is free.
 func TestWindowIgnoresASilentMinority(t *testing.T) {
 	w := newStartWindow(0)
 	for i := range 100 {
-		took := 70 * time.Millisecond
+		latency := 70 * time.Millisecond
 		if i%3 == 0 {
-			took = time.Second
+			latency = time.Second
 		}
 		sent := time.Duration(i) * 50 * time.Millisecond
-		w.observe(sent, sent+took, func() int { return 40 })
+		w.observe(sent, sent+latency, func() int { return 40 })
 	}
 	require.True(t, math.IsInf(w.limit, 1), "limit %v", w.limit)
 }
@@ -120,15 +120,15 @@
 // waited in the queue that the first cut is about to shorten.
 func TestWindowIsCutOnceForOneQueue(t *testing.T) {
 	w := newStartWindow(0)
-	answers := func(sent, at, took time.Duration, n int) {
+	observeAnswers := func(sent, at, latency time.Duration, n int) {
 		for range n {
-			w.observe(sent, at+took, func() int { return 400 })
+			w.observe(sent, at+latency, func() int { return 400 })
 		}
 	}
-	answers(0, 0, 250*time.Millisecond, minWindowAnswers)
-	answers(300*time.Millisecond, 300*time.Millisecond, time.Second, 200)
+	observeAnswers(0, 0, 250*time.Millisecond, minWindowAnswers)
+	observeAnswers(300*time.Millisecond, 300*time.Millisecond, time.Second, 200)
 	require.Equal(t, 400*minWindowShare, w.limit)
-	answers(400*time.Millisecond, 400*time.Millisecond, time.Second, 200)
+	observeAnswers(400*time.Millisecond, 400*time.Millisecond, time.Second, 200)
 	require.Equal(t, 400*minWindowShare, w.limit)
 }
 
--- a/core/placer/yield.go
+++ b/core/placer/yield.go
@@ -2,21 +2,20 @@
 
 import "slices"
 
-// maxYieldShare is the part of its objective for which a step may make way for gangs of more
-// urgent queues. The rest is left to be placed in.
+// maxYieldShare is the share of its objective for which a step may yield to gangs of more urgent
+// queues. The rest of the time is left for placing the step itself.
 const maxYieldShare = 0.5
 
-// yields keeps less urgent steps off the workers that a waiting gang may use. A gang needs
-// room for all its members at once; single tasks take each gap before the next one opens, so
-// that a gang of an urgent queue waits behind work of any priority.
-//
-// It answers a cell that is nearly full of single tasks while gangs of a more urgent queue
-// arrive.
+// yields keeps less urgent steps off the workers that a waiting gang may use. A gang needs free
+// capacity for all its members at once. Without yields, single tasks would take any
+// capacity that becomes free before there is enough for the gang, and a gang of an urgent
+// queue would wait behind tasks of any priority. This matters in a cell that is nearly full
+// of single tasks while gangs of a more urgent queue arrive.
 type yields struct {
-	priority map[string]int // by worker: the most urgent priority of a gang that waits for it
+	priority map[string]int // by worker: most urgent priority (lowest number) of the gangs that wait for it
 }
 
-// reset forgets the gangs of the last planning pass.
+// reset removes the gangs of the last planning pass.
 func (y *yields) reset() { clear(y.priority) }
 
 // addGang makes less urgent steps yield the workers that the gang may use.
@@ -25,21 +24,21 @@
 		y.priority = map[string]int{}
 	}
 	for worker := range gang.grants {
-		if p, known := y.priority[worker]; !known || gang.stepRank.priority < p {
+		if priority, known := y.priority[worker]; !known || gang.stepRank.priority < priority {
 			y.priority[worker] = gang.stepRank.priority
 		}
 	}
 }
 
-// canYield reports whether the step has time to make way.
-func (y *yields) canYield(w *pendingStep, wallMS int64) bool {
-	return len(y.priority) > 0 && float64(w.latestStartMS-wallMS) > maxYieldShare*float64(w.objective.Milliseconds())
+// canYield reports whether a gang waits and the step has time to yield to it.
+func (y *yields) canYield(step *pendingStep, wallMS int64) bool {
+	return len(y.priority) > 0 && float64(step.latestStartMS-wallMS) > maxYieldShare*float64(step.objective.Milliseconds())
 }
 
-// withoutYielded returns the workers for which no more urgent gang waits.
-func (y *yields) withoutYielded(w *pendingStep, workers []string) []string {
+// withoutYielded removes the workers for which a more urgent gang than the step waits.
+func (y *yields) withoutYielded(step *pendingStep, workers []string) []string {
 	return slices.DeleteFunc(workers, func(id string) bool {
-		p, waits := y.priority[id]
-		return waits && p < w.stepRank.priority
+		priority, waits := y.priority[id]
+		return waits && priority < step.stepRank.priority
 	})
 }
