--- a/core/placer/faults_test.go
+++ b/core/placer/faults_test.go
@@ -10,8 +10,8 @@
 	"briarproxy/core/flow"
 )
 
-// Guards against a worker that was only silent for a while and has its running work started
-// again elsewhere, or given up.
+// Guards against runs that are started again elsewhere or given up although their worker was
+// unreachable for less than a lease.
 func TestSilentWorkerKeepsItsWork(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 12 * time.Second }
@@ -29,50 +29,50 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a placer that was paused while its successor took over and then sends its
-// orders, or repeats of them: workers must take none of them.
+// Guards against a placer that was paused during a takeover and then sends its orders or retries
+// them: workers must refuse all of them.
 func TestPausedPlacerOrdersNothingAfterItsSuccessor(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 5 * time.Second }
 	c.drop = func(command Command) (bool, time.Duration) { return command.Start != nil, time.Hour }
 	c.submit("j", tasks(6))
-	c.advance(100 * time.Millisecond) // orders are sent and not carried out
+	c.advance(100 * time.Millisecond) // orders are sent and not executed
 	former := c.placer
 	require.Zero(t, c.starts)
 	c.drop = nil
 	c.takeOver()
 	c.advance(time.Second)
 	orders := 0
-	for _, command := range former.Tick(c.now, c.wall()) { // it wakes
+	for _, command := range former.Tick(c.now, c.wall()) { // the paused placer resumes
 		if s := command.Start; s != nil {
 			orders++
 			require.Equal(t, cluster.RefusedFenced, c.start(c.workers[s.Life.Worker], &s.Order))
 		}
 	}
-	require.Positive(t, orders, "it repeats what was not answered")
+	require.Positive(t, orders, "the resumed placer retries unanswered orders")
 	c.advance(15 * time.Second)
 	require.Equal(t, 6, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a placer that stood still for longer than its leases and goes on as if they
-// held: what ran under them has ended.
+// Guards against a placer that was paused for longer than its leases and then assumes that they
+// are still valid: the runs under them have ended.
 func TestPlacerPausedBeyondItsLeases(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
 	c.submit("j", tasks(6))
 	c.advance(500 * time.Millisecond)
-	for range 1600 { // 8 s in which only the workers go on
+	for range 1600 { // 8 s in which only the workers continue
 		c.now += 5 * time.Millisecond
 		c.tickWorkers()
 	}
-	c.advance(25 * time.Second) // the fake complains of a second run
-	require.Equal(t, 12, c.starts, "each task lapsed once and began once more")
+	c.advance(25 * time.Second) // the fake workers fail the test if a task runs twice
+	require.Equal(t, 12, c.starts, "the lease of each task expired once, and each task started once more")
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a worker that had left, or that leaves, and is in use again after a
-// takeover, as the new placer has not seen it go.
+// Guards against a worker that has left, or is draining, and is used again after a takeover
+// because the new placer has not seen it leave.
 func TestWorkersThatLeftStayUnusedAfterATakeover(t *testing.T) {
 	c := readyCell(t, 3)
 	gone, leaving := c.workers["w00"], c.workers["w01"]
@@ -88,24 +88,24 @@
 	require.EqualValues(t, 12, c.workers["w02"].lastEndNumber)
 }
 
-// Guards against work that ran and is run again because the answer to its order was lost:
-// the repeat of the order is refused, which must not count as "did not run".
+// Guards against a task that runs twice because the answer to its start order was lost: the
+// retried order is refused, which must not count as "did not run".
 func TestLostAnswerOfAShortRun(t *testing.T) {
 	c := readyCell(t, 2)
-	c.runTime = func(cluster.Start) time.Duration { return 100 * time.Millisecond } // ended before the repeat
+	c.runTime = func(cluster.Start) time.Duration { return 100 * time.Millisecond } // ends before the retry
 	answerLost, noPollUntil := map[cluster.TaskID]bool{}, time.Duration(0)
 	c.drop = func(command Command) (bool, time.Duration) {
 		if s := command.Start; s != nil && !answerLost[s.Order.TaskID] {
 			answerLost[s.Order.TaskID] = true
 			require.Equal(t, cluster.Started, c.start(c.workers[s.Life.Worker], &s.Order))
-			return true, time.Hour // there is no answer, not even an error
+			return true, time.Hour // no answer, not even an error
 		}
 		if command.Poll != nil && c.now < noPollUntil {
 			return false, noPollUntil - c.now
 		}
 		return false, 0
 	}
-	noPollUntil = c.now + 900*time.Millisecond // looks are answered after the repeat
+	noPollUntil = c.now + 900*time.Millisecond // polls are answered after the retry
 	c.submit("j", tasks(4))
 	c.advance(6 * time.Second)
 	require.Len(t, answerLost, 4)
@@ -113,8 +113,8 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a repeated order that is carried out in the next life of its worker after
-// the task has been started elsewhere.
+// Guards against a delayed copy of an order that the next incarnation of its worker executes
+// after the task has been started elsewhere.
 func TestLateCopyInTheNextLife(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 30 * time.Second }
@@ -122,18 +122,18 @@
 	c.drop = func(command Command) (bool, time.Duration) {
 		if command.Start != nil && len(delayed) < 1 {
 			delayed = append(delayed, command.Start)
-			return true, time.Hour // never, but for the copy below
+			return true, time.Hour // executed only by the explicit call below
 		}
 		return false, 0
 	}
 	c.submit("j", tasks(1))
 	c.advance(time.Second)
-	require.Equal(t, 1, c.starts, "the repeat was carried out")
+	require.Equal(t, 1, c.starts, "the retried order was executed")
 	w := c.workers[delayed[0].Life.Worker]
 	c.restart(w)
 	c.publishRegistry()
 	c.advance(2 * time.Second)
-	require.Equal(t, cluster.RefusedStaleRun, c.start(w, &delayed[0].Order), "the new life was told to stop it first")
+	require.Equal(t, cluster.RefusedStaleRun, c.start(w, &delayed[0].Order), "the new incarnation was told to stop the run first")
 	c.advance(35 * time.Second)
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -10,8 +10,9 @@
 	"briarproxy/core/flow"
 )
 
-// advisedGang has a gang of six wait for two full workers until the tickets have expired.
-func advisedGang(t *testing.T) (c *fakeCell, starts map[cluster.TaskID]time.Duration) {
+// gangWithExpiredTickets returns a cell in which a gang of six has waited for two full workers until
+// its tickets expired, and a map that receives the times at which members of the gang start.
+func gangWithExpiredTickets(t *testing.T) (c *fakeCell, starts map[cluster.TaskID]time.Duration) {
 	c = newFakeCell(t, 2, workerCapacity)
 	c.config.Queues = append(c.config.Queues, cluster.Queue{
 		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
@@ -43,13 +44,13 @@
 	return c, starts
 }
 
-// Guards against a gang of which some members start while the tickets of others are asked
-// for: they waited for longer than workers allow (GANG on a variant of dosui-sched with
-// several racks and due times, hunt-c32d-7).
+// Guards against a gang of which some members start while tickets for others are still
+// requested: on their workers the started members waited for longer than allowed. It
+// happened in a cell of several racks with jobs that have due times.
 func TestGangStartsWhenAllTicketsAreThere(t *testing.T) {
-	c, starts := advisedGang(t)
-	w := c.placer.steps[cluster.StepID{Job: "gang"}]
-	w.grants["w00"] = ticket{"t", c.now + 5*time.Second} // only this one holds until there is room
+	c, starts := gangWithExpiredTickets(t)
+	step := c.placer.steps[cluster.StepID{Job: "gang"}]
+	step.grants["w00"] = ticket{"t", c.now + 5*time.Second} // only this ticket is valid until the workers have free capacity
 	c.advance(3 * time.Second)
 	require.Len(t, starts, 6)
 	first, last := time.Hour, time.Duration(0)
@@ -59,22 +60,22 @@
 	require.Less(t, last-first, 100*time.Millisecond)
 }
 
-// Guards against a gang that starts in part because the log took so long that only some
-// tickets still hold.
+// Guards against a gang that starts partially because an append took so long that only some of
+// its tickets are still valid.
 func TestGangIsWithdrawnAsAWhole(t *testing.T) {
-	c, starts := advisedGang(t)
-	w := c.placer.steps[cluster.StepID{Job: "gang"}]
-	w.grants["w00"] = ticket{"t", c.now + time.Minute}
-	w.grants["w01"] = ticket{"t", c.now + 2*time.Second}
+	c, starts := gangWithExpiredTickets(t)
+	step := c.placer.steps[cluster.StepID{Job: "gang"}]
+	step.grants["w00"] = ticket{"t", c.now + time.Minute}
+	step.grants["w01"] = ticket{"t", c.now + 2*time.Second}
 	for len(c.placer.pendingRuns) < 6 { // the blocking tasks end and the gang is planned
 		c.now += 5 * time.Millisecond
 		c.runScheduled()
 		c.tickWorkers()
 		c.dispatch(c.placer.Tick(c.now, c.wall()))
 		if batch, runs, ok := c.placer.Flush(c.now); ok && len(runs) > 0 {
-			c.now += 3 * time.Second // the log is slow
+			c.now += 3 * time.Second // a slow append
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
-			require.Empty(t, c.placer.BatchAppended(runs, c.now), "orders of a gang that can't be whole")
+			require.Empty(t, c.placer.BatchAppended(runs, c.now), "no member is started once a ticket of the gang has expired")
 			break
 		} else if ok {
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -15,23 +15,23 @@
 	"briarproxy/core/resource"
 )
 
-// requestKind is one kind of request of a generated load.
+// requestKind describes one kind of request of a generated load.
 type requestKind struct {
 	name     string
-	rate     float64 // jobs a second
-	steps    float64 // mean
-	width    float64 // mean tasks of a step
-	duration time.Duration
-	size     resource.Vector
-	gangs    float64 // share
+	rate     float64         // jobs per second
+	steps    float64         // mean steps of a job
+	width    float64         // mean tasks of a step
+	duration time.Duration   // mean of a task
+	size     resource.Vector // mean of a task
+	gangs    float64         // share of the steps that are gangs
 	slack    float64
 	target   time.Duration
 	advice   *cluster.Advice
-	granted  float64 // share of workers that advice allows
-	value    float64
+	granted  float64 // share of workers that advice grants
+	value    float64 // of a job on time
 }
 
-// The users' loads: the same three kinds on 48 workers and on 350.
+// The same three kinds of requests for 48 workers (smallLoad), 350 (largeLoad) and 370 (wideLoad).
 var (
 	smallLoad = []requestKind{
 		{"survey", 1.16, 1.2, 8, 6200 * time.Millisecond, resource.Vector{MilliCores: 18000, MemoryMiB: 37000}, 1, 2.2, 1200 * time.Millisecond,
@@ -59,21 +59,21 @@
 	}
 )
 
-// workload is a load that is played on a fake cell.
+// workload generates a load on a fake cell and counts the jobs by kind.
 type workload struct {
 	*fakeCell
 	kinds     []requestKind
 	rng       *rand.Rand
-	durations map[cluster.StepID]time.Duration // of a step's tasks, in truth
+	durations map[cluster.StepID]time.Duration // actual duration of a step's tasks
 	sent      map[string]time.Duration
 	kindOf    map[string]*requestKind
 	objective map[string]time.Duration
 	onTime    map[string]int // by kind
-	late      map[string]int
-	submitted map[string]int
+	late      map[string]int // by kind
+	submitted map[string]int // by kind
 	jobs      int
 	daemons   int
-	scored    map[string]bool
+	counted   map[string]bool // jobs that are counted or left out of the counts
 }
 
 func newWorkload(t testing.TB, workers, daemons int, kinds []requestKind, seed uint64) *workload {
@@ -81,38 +81,38 @@
 }
 
 func newWorkloadOn(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []requestKind, seed uint64) *workload {
-	p := &workload{
+	w := &workload{
 		fakeCell: newFakeCell(t, workers, capacity), kinds: kinds,
 		rng: rand.New(rand.NewPCG(seed, 1)), durations: map[cluster.StepID]time.Duration{}, sent: map[string]time.Duration{}, objective: map[string]time.Duration{},
-		scored: map[string]bool{}, kindOf: map[string]*requestKind{}, onTime: map[string]int{}, late: map[string]int{}, submitted: map[string]int{},
+		counted: map[string]bool{}, kindOf: map[string]*requestKind{}, onTime: map[string]int{}, late: map[string]int{}, submitted: map[string]int{},
 	}
-	p.config.Queues = nil
+	w.config.Queues = nil
 	for i := range kinds {
 		k := &kinds[i]
-		p.config.Queues = append(p.config.Queues, cluster.Queue{Name: k.name, Pool: "p", MaxAttempts: 4, Slack: k.slack, Target: k.target, Advice: k.advice})
+		w.config.Queues = append(w.config.Queues, cluster.Queue{Name: k.name, Pool: "p", MaxAttempts: 4, Slack: k.slack, Target: k.target, Advice: k.advice})
 	}
-	p.answerDelay = 20 * time.Millisecond
-	p.runTime = func(s cluster.Start) time.Duration { return p.durations[s.StepID()] }
-	p.advice = func(a *AdviseCommand) []cluster.Grant {
+	w.answerDelay = 20 * time.Millisecond
+	w.runTime = func(s cluster.Start) time.Duration { return w.durations[s.StepID()] }
+	w.advice = func(a *AdviseCommand) []cluster.Grant {
 		var grants []cluster.Grant
 		for _, worker := range a.Workers {
 			h := fnv.New32a()
 			_, _ = fmt.Fprint(h, a.Step, worker)
-			if float64(h.Sum32()%1000) < 1000*p.kindOf[a.Step.Job].granted {
+			if float64(h.Sum32()%1000) < 1000*w.kindOf[a.Step.Job].granted {
 				grants = append(grants, cluster.Grant{Worker: worker, Ticket: "t"})
 			}
 		}
 		return grants
 	}
-	p.onJobEnd = p.score
-	p.daemons = daemons
-	p.sendHellos()
-	p.takeOver()
-	p.advance(500 * time.Millisecond)
-	return p
+	w.onJobEnd = w.countJob
+	w.daemons = daemons
+	w.sendHellos()
+	w.takeOver()
+	w.advance(500 * time.Millisecond)
+	return w
 }
 
-// sendHellos has all daemons say that they run, again and again.
+// sendHellos appends the hello records of all daemons, periodically.
 func (w *workload) sendHellos() {
 	for i := range w.daemons {
 		require.NoError(w.t, w.append(flow.Record{Hello: &flow.Hello{Daemon: fmt.Sprintf("d%02d", i), Address: "x"}}))
@@ -120,17 +120,18 @@
 	w.after(5*time.Second, w.sendHellos)
 }
 
-// logNormal draws from a distribution with the given mean that is often below it.
+// logNormal draws from a log-normal distribution with the given mean.
 func (w *workload) logNormal(mean, sigma float64) float64 {
 	return mean * math.Exp(sigma*w.rng.NormFloat64()-sigma*sigma/2)
 }
 
-func (w *workload) score(j *flow.Job) {
+// countJob counts a completed job as on time, late or neither.
+func (w *workload) countJob(j *flow.Job) {
 	k := w.kindOf[j.ID]
-	if k == nil || w.scored[j.ID] || j.Phase != flow.Completed {
+	if k == nil || w.counted[j.ID] || j.Phase != flow.Completed {
 		return
 	}
-	w.scored[j.ID] = true
+	w.counted[j.ID] = true
 	switch elapsed := w.now - w.sent[j.ID]; {
 	case elapsed <= w.objective[j.ID]:
 		w.onTime[k.name]++
@@ -164,7 +165,7 @@
 	require.NoError(w.t, w.append(flow.Record{Submit: submission}))
 }
 
-// generate plays the kinds at a multiple of their rates.
+// generate submits jobs of all kinds for the given duration, at a multiple of their rates.
 func (w *workload) generate(duration time.Duration, factor float64) {
 	const interval = 20 * time.Millisecond
 	for end := w.now + duration; w.now < end; {
@@ -177,12 +178,13 @@
 	}
 }
 
-// onTimeShare returns the share of jobs on time, by kind.
+// onTimeShare returns the share of the submitted jobs of a kind that ended on time.
 func (w *workload) onTimeShare(kind string) float64 {
 	return float64(w.onTime[kind]) / float64(max(1, w.submitted[kind]))
 }
 
-// valueShare returns the share of the value earned; late jobs earn a fifth.
+// valueShare returns the share of the total value that was earned. Late jobs earn a fifth of
+// their value.
 func (w *workload) valueShare() float64 {
 	earned, total := 0.0, 0.0
 	for _, k := range w.kinds {
@@ -193,24 +195,24 @@
 }
 
 func (w *workload) String() string {
-	s := fmt.Sprintf("worth %.3f, starts %d, placer %.3f cores", w.valueShare(), w.starts, w.placerTime.Seconds()/w.now.Seconds())
+	s := fmt.Sprintf("value share %.3f, starts %d, placer %.3f cores", w.valueShare(), w.starts, w.placerTime.Seconds()/w.now.Seconds())
 	for _, k := range w.kinds {
 		s += fmt.Sprintf("; %s %d: %.3f on time, %d late", k.name, w.submitted[k.name], w.onTimeShare(k.name), w.late[k.name])
 	}
 	return s
 }
 
-// resetCounts begins to count anew: only jobs that are sent from now on count.
+// resetCounts resets the counts. Only jobs submitted from now on count.
 func (w *workload) resetCounts() {
 	w.onTime, w.late, w.submitted = map[string]int{}, map[string]int{}, map[string]int{}
 	for id := range w.kindOf {
-		w.scored[id] = true
+		w.counted[id] = true
 	}
 }
 
-// Guards against a backlog that grows although most of the room is free: after an outage the
-// passes came further apart the more steps waited, and each placed the same few (LOST and
-// MIXED on dosui-sched-grown, trouble-1).
+// Guards against a backlog that grows although most of the capacity is free. After an outage of
+// the placer in a cell of 350 workers, the time between planning passes grew with the number
+// of waiting steps, while each pass placed the same small number of them.
 func TestBacklogAfterAnOutageDrains(t *testing.T) {
 	w := newWorkload(t, 350, 37, largeLoad, 1)
 	w.generate(5*time.Second, 1)
@@ -222,9 +224,8 @@
 	require.Less(t, len(w.placer.steps), 400, "%v", w)
 }
 
-// Guards against new requests that become late behind late ones: after a long outage all
-// calls for advice were those of late steps, four deep at each daemon (trouble-1 of
-// dosui-sched-grown).
+// Guards against new requests that become late behind a backlog. After a long outage all calls
+// for advice were made for late steps, four in flight at each daemon.
 func TestNewRequestsAreServedBesideABacklog(t *testing.T) {
 	w := newWorkload(t, 350, 37, largeLoad, 1)
 	w.answerDelay = 60 * time.Millisecond
@@ -242,12 +243,12 @@
 	require.Greater(t, w.onTimeShare("check"), 0.85, "%v", w)
 }
 
-// minValueShare is the mean share of the value that the users aim at on heavy days.
+// minValueShare is the mean share of the value that the callers aim at under heavy load.
 const minValueShare = 0.74
 
-// Guards against an order in which a long overload makes quick requests late behind wide
-// ones: at two and a half times the load that fills four fifths of the room, first come
-// first served earned 0.54 of the worth and 0.39 of the quick requests were on time.
+// Guards against an order of steps in which a long overload makes quick requests late behind
+// wide ones. At two and a half times the load that uses four fifths of the capacity, first
+// come, first served earned 0.54 of the value, and 0.39 of the quick requests were on time.
 func TestQuickRequestsStayOnTimeUnderOverload(t *testing.T) {
 	w := newWorkload(t, 48, 9, smallLoad, 1)
 	w.answerDelay = 40 * time.Millisecond
@@ -257,7 +258,7 @@
 	require.Greater(t, w.onTimeShare("check"), minValueShare, "%v", w)
 }
 
-// dropStarts has a share of the orders to start go unanswered and be carried out 2 to 12 s later.
+// dropStarts makes a share of the start orders go unanswered and be executed 2 to 12 s later.
 func (w *workload) dropStarts(share float64) {
 	w.drop = func(c Command) (bool, time.Duration) {
 		if c.Start == nil || w.rng.Float64() >= share {
@@ -267,12 +268,13 @@
 	}
 }
 
-// valueShareNoise is the difference of value shares that says nothing, by the users' pages.
+// valueShareNoise is the largest difference between two value shares that the requirements
+// treat as insignificant.
 const valueShareNoise = 0.03
 
-// Guards against orders whose loss costs a task a second, and a gang the work of all its
-// members: with 4 of 100 orders unanswered, two of five gangs of thirteen lose a member at
-// their first attempt (trouble-1 of dosui-sched-large).
+// Guards against lost orders that delay a task by a second each and cost a gang the work of all
+// its members. With 4 of 100 orders unanswered in a cell of 370 workers, two of five gangs
+// of thirteen lose a member at their first attempt.
 func TestLostOrdersDoNotDelayTheirTasks(t *testing.T) {
 	valueShare := func(lostShare float64) float64 {
 		w := newWorkload(t, 370, 47, wideLoad, 1)
--- a/core/placer/order_test.go
+++ b/core/placer/order_test.go
@@ -12,7 +12,8 @@
 	"briarproxy/core/resource"
 )
 
-// waitingStep is a step of a queue with its latest start relative to now, ms.
+// waitingStep returns a waiting step with the given priority of its queue and the given latest
+// start, relative to testWallMS.
 func waitingStep(name string, priority int, latestStartInMS, estimateMS int64, count int) *pendingStep {
 	def := flow.Step{Count: count, Size: resource.Vector{MilliCores: 1000}, EstimateMS: estimateMS}
 	return &pendingStep{
@@ -21,8 +22,9 @@
 	}
 }
 
-// Guards against the operator's priority being ignored, late work before work that can be on
-// time, wide late work before small one, and work that nobody waits for before any other.
+// Guards against an order of steps that ignores the operator's priority, that puts late steps
+// before steps that can be on time or wide late steps before small ones, or that does not
+// put steps of no use to their callers last.
 func TestOrderOfWaitingSteps(t *testing.T) {
 	want := []*pendingStep{
 		waitingStep("urgent", 0, 900, 800, 2),
@@ -46,27 +48,27 @@
 	}
 }
 
-// Guards against a step that makes way until it is late itself, and against one that makes way
-// for a gang of its own priority or a lower one.
+// Guards against a step that yields until it is late itself, and against one that yields to a
+// gang of its own priority or a lower one.
 func TestStepsYieldOnlyWithTimeLeft(t *testing.T) {
 	gang := waitingStep("gang", 1, 900, 800, 4)
 	gang.grants = map[string]ticket{"w1": {}, "w2": {}}
 	steps := []*pendingStep{gang, waitingStep("less", 2, 3000, 800, 1), waitingStep("less, soon late", 2, 1000, 800, 1), waitingStep("equal", 1, 3000, 800, 1)}
 	(&Placer{}).sortSteps(steps, testWallMS)
-	var y yields
-	y.addGang(gang)
+	var gangYields yields
+	gangYields.addGang(gang)
 	allowed := map[string][]string{}
-	for _, w := range steps {
+	for _, step := range steps {
 		workers := []string{"w1", "w2", "w3"}
-		if y.canYield(w, testWallMS) {
-			workers = y.withoutYielded(w, workers)
+		if gangYields.canYield(step, testWallMS) {
+			workers = gangYields.withoutYielded(step, workers)
 		}
-		allowed[w.job.ID] = workers
+		allowed[step.job.ID] = workers
 	}
 	all := []string{"w1", "w2", "w3"}
 	require.Equal(t, []string{"w3"}, allowed["less"])
 	require.Equal(t, all, allowed["less, soon late"])
 	require.Equal(t, all, allowed["equal"])
-	y.reset()
-	require.False(t, y.canYield(steps[0], testWallMS))
+	gangYields.reset()
+	require.False(t, gangYields.canYield(steps[0], testWallMS))
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -172,8 +172,8 @@
 	maxFree          resource.Vector // largest free amount of each resource on any worker, in this planning pass
 }
 
-// New returns the placer of the claim that the state was last read with. It adopts all runs
-// that are active according to the log.
+// New returns the placer for the newest claim in the state. It adopts all runs that are active
+// according to the log.
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
@@ -218,7 +218,7 @@
 	}
 }
 
-// worker returns the worker of the given incarnation and adds it if it is not known.
+// worker returns the named worker, and adds it with the given incarnation if it is not known.
 func (p *Placer) worker(life cluster.Life, now time.Duration) *vm {
 	v := p.vms[life.Worker]
 	if v == nil {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -20,7 +20,7 @@
 	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, EstimateMS: 800}
 }
 
-// readyCell returns a cell with a placer that knows its workers.
+// readyCell returns a fake cell whose placer has polled its workers.
 func readyCell(t testing.TB, workers int) *fakeCell {
 	c := newFakeCell(t, workers, workerCapacity)
 	c.takeOver()
@@ -39,8 +39,8 @@
 	return nil
 }
 
-// Guards against steps that start too early, tasks that run twice and rooms that overflow
-// on a day without trouble.
+// Guards against steps that start too early, tasks that run twice and workers that are
+// overcommitted, without any faults.
 func TestStepsRunInOrder(t *testing.T) {
 	c := readyCell(t, 3)
 	for i := range 20 {
@@ -55,8 +55,8 @@
 	require.Empty(t, c.placer.runs)
 }
 
-// Guards against a worker that is lost for good keeping its tasks: every unanswered look
-// used to push the end of the lease on (LOST on grenaille-sched, mix 937181577388).
+// Guards against tasks that are never started again after their worker is lost for good: every
+// unanswered poll used to extend the lease.
 func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
@@ -71,7 +71,7 @@
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
-// Guards against a restart elsewhere while the lost worker may still run the task.
+// Guards against a task that is started elsewhere while its unreachable worker may still run it.
 func TestTasksOfAPartitionedWorkerWaitForItsLease(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
@@ -79,12 +79,12 @@
 	c.advance(500 * time.Millisecond)
 	lost := c.busyWorker()
 	lost.partitioned = true
-	c.advance(15 * time.Second) // the fake complains of a second run
+	c.advance(15 * time.Second) // the fake workers fail the test if a task runs twice
 	require.Empty(t, lost.runs)
 	require.Equal(t, 6+len(lost.ended), c.starts)
 }
 
-// Guards against tasks that wait for a lease although their worker has started again.
+// Guards against tasks that wait for a lease to expire although their worker has restarted.
 func TestTasksOfARestartedWorkerStartAtOnce(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
@@ -100,8 +100,8 @@
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
-// Guards against a successor that starts what its predecessor's workers still run, and
-// against one that stops or forgets it.
+// Guards against a new placer that starts tasks again that workers still run for the former
+// one, and against one that stops or loses such runs.
 func TestTakeoverAdoptsRuns(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
@@ -117,9 +117,8 @@
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 3}, c.phases())
 }
 
-// Guards against runs on a worker that left during a takeover being held until the
-// longest time a lost placer renews leases, although that placer has retired (LOST on
-// dosui-sched, scale-1).
+// Guards against tasks of a worker that left during a takeover waiting for the longest time for
+// which a disconnected placer renews leases, although the former placer has retired.
 func TestRetiredPlacerShortensInheritedLeases(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
@@ -133,8 +132,8 @@
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
 }
 
-// Guards against jobs shown as failed before their attempts are used up, and against
-// attempts beyond the limit.
+// Guards against jobs that fail before their attempts are used up, and against attempts beyond
+// the limit.
 func TestAttempts(t *testing.T) {
 	c := readyCell(t, 2)
 	failures := map[cluster.TaskID]int{}
@@ -158,7 +157,7 @@
 	require.Equal(t, 3, failures[cluster.TaskID{Job: "poison"}])
 }
 
-// Guards against runs of a cancelled job that go on, or that start after the cancelling.
+// Guards against runs of a cancelled job that continue, or that start after the cancellation.
 func TestCancelStopsRuns(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
@@ -175,8 +174,9 @@
 	require.Empty(t, c.placer.runs)
 }
 
-// Guards against every promise at once under lost answers, late orders, cut and restarted
-// workers and takeovers; the fake workers check room, order, doubled and repeated runs.
+// Guards against violations of the package's invariants under lost answers, late orders,
+// partitioned and restarted workers, cancellations and takeovers. The fake workers check
+// capacity, the order of steps, concurrent runs and runs after the end of a task.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -228,8 +228,8 @@
 	})
 }
 
-// Guards against plans that pile up while the log is away: their tickets run out, and all
-// start at once when it is back (LOST on a variant of grenaille-sched, day store-away).
+// Guards against plans that accumulate while the log is unreachable: their tickets expire, and
+// all of them start at once when the log is reachable again.
 func TestPlansDoNotPileUpWithoutTheLog(t *testing.T) {
 	c := readyCell(t, 40)
 	for i := range 100 {
@@ -243,10 +243,9 @@
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 100}, c.phases())
 }
 
-// Guards against a backlog that takes the placer's processor time although no daemon can
-// ask for advice: each waiting step used to sort all workers in each pass, and on VMs of a
-// quarter of a core the placer fell silent and was replaced again and again (LOST on a
-// variant of grenaille-sched, day store-away, seed 805831438111).
+// Guards against a backlog that uses the placer's processor time although no daemon can request
+// advice. Each waiting step used to sort all workers in each pass. On VMs with a quarter of a
+// core the placer then sent no heartbeats in time and was replaced again and again.
 func TestBacklogWithoutAdvisersIsCheap(t *testing.T) {
 	c := newFakeCell(t, 48, workerCapacity)
 	c.config.Queues[0].Advice = &cluster.Advice{Decide: 500 * time.Millisecond, Valid: time.Second, MaxVMs: 100}
@@ -257,18 +256,18 @@
 	for i := range steps {
 		c.submit(fmt.Sprint("j", i), tasks(2))
 	}
-	c.placer.Tick(c.now+time.Second, c.wall()) // takes all calls that the one daemon may have
+	c.placer.Tick(c.now+time.Second, c.wall()) // uses all calls that the only daemon may have in flight
 	now := c.now + 2*time.Second
 	allocations := testing.AllocsPerRun(20, func() {
 		now += time.Second
 		c.placer.dirty = true
 		c.placer.Tick(now, c.wall())
 	})
-	require.Less(t, allocations, float64(steps), "a step that can't ask for advice allocates nothing")
+	require.Less(t, allocations, float64(steps), "a step that can't request advice must not allocate memory")
 }
 
-// Guards against an end that is lost because a confirmation meant for the former life of a
-// worker reached the next one, in which ends are counted anew: the task, which had ended,
+// Guards against an end that is lost because a confirmation for the former incarnation of a
+// worker reached the next one, which numbers its ends from 1 again: the task, which had ended,
 // was started again (TestPlatformSoak, seeds 11, 21 and 22).
 func TestConfirmationsDoNotReachTheNextLife(t *testing.T) {
 	c := readyCell(t, 1)
@@ -284,8 +283,8 @@
 		for r := c.placer.runs[id]; r == nil || r.state != starting; r = c.placer.runs[id] {
 			c.advance(5 * time.Millisecond)
 		}
-		c.restart(c.workers["w00"]) // before the order arrives
-		c.advance(20 * time.Second) // the fake complains of a run after an end that was taken note of
+		c.restart(c.workers["w00"]) // before the start order arrives
+		c.advance(20 * time.Second) // the fake workers fail the test on a run after a confirmed end
 	}
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 11}, c.phases())
 }
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -15,13 +15,13 @@
 	// planInterval is the least time between two planning passes, so that one pass covers the
 	// events of this time.
 	planInterval = 15 * time.Millisecond
-	// A pass takes longer the more steps wait and the more of them it tries to place. The
-	// additional time before the next pass limits the planner's share of the processor.
+	// A pass takes longer the more steps wait and the more of them it tries to place. The delay
+	// of the next pass grows accordingly, which limits the planner's share of the processor.
 	planIntervalPerStep    = 4 * time.Microsecond
 	planIntervalPerAttempt = 150 * time.Microsecond
-	// minPendingRuns is a number of planned runs that may always wait for the next append.
-	// While the log is unreachable, the tickets of more runs would only expire, and the rest
-	// would start all at once when it is reachable again.
+	// minPendingRuns is the lower bound of maxPendingRuns. While the log is unreachable, the
+	// tickets of more planned runs would only expire, and all of them would be ordered at once
+	// when the log is reachable again.
 	minPendingRuns = 48
 	// startsPerVMPerSecond is the highest rate at which one worker starts tasks.
 	startsPerVMPerSecond = 8.0
@@ -53,7 +53,7 @@
 		}
 	}
 	p.sortSteps(steps, wallMS)
-	holding := false
+	holdTried := false
 	var waiting []int
 	startsAllowed := p.startWindow.available(p.startsInProgress)
 	for _, step := range steps {
@@ -83,8 +83,8 @@
 			waiting = p.waitingTasks(step, waiting[:0])
 			startsAllowed -= len(waiting)
 		}
-		if !placed && step.def.Gang && !holding && !p.options.Disabled.Holds {
-			holding = p.holdWorkers(step, waiting, now)
+		if !placed && step.def.Gang && !holdTried && !p.options.Disabled.Holds {
+			holdTried = p.holdWorkers(step, waiting, now)
 		}
 	}
 	return commands
@@ -105,10 +105,10 @@
 	return planInterval + planIntervalPerStep*time.Duration(len(p.steps)) + planIntervalPerAttempt*time.Duration(p.planAttempts)
 }
 
-// mayHaveRoom reports whether the workers (nil: all of the pool) may have free capacity for at
+// mayFit reports whether the workers (nil: all of the pool) may have free capacity for at
 // least one task of the step, or for all tasks of a gang. It is far cheaper than a plan and
 // avoids planning in a full cell.
-func (p *Placer) mayHaveRoom(step *pendingStep, workers []string, tasks int) bool {
+func (p *Placer) mayFit(step *pendingStep, workers []string, tasks int) bool {
 	if !occupiedRoom(step.def).Fits(p.maxFree) {
 		return false
 	}
@@ -155,8 +155,9 @@
 	return names
 }
 
-// placeStep places tasks of a step, preferring workers for which the step has a valid ticket.
-// It reports whether all tasks were placed.
+// placeStep places tasks of a step, preferring workers for which the step has a valid ticket. On
+// workers whose tickets have expired, the runs wait for new ones. It reports whether all tasks
+// were placed.
 func (p *Placer) placeStep(step *pendingStep, tasks []int, now time.Duration, wallMS int64) bool {
 	if step.queue == nil || step.queue.Advice == nil {
 		return len(p.placeAmong(step, tasks, nil, now)) == 0
@@ -198,7 +199,7 @@
 	case step.def.TailTargetMS > 0:
 		workers = p.workersForServing(workers)
 	}
-	if !p.mayHaveRoom(step, workers, len(tasks)) {
+	if !p.mayFit(step, workers, len(tasks)) {
 		return tasks
 	}
 	if step.def.SameRack && len(tasks) > 1 {
--- a/core/placer/seed_test.go
+++ b/core/placer/seed_test.go
@@ -2,5 +2,5 @@
 
 import "flag"
 
-// A fixed seed gives the property tests the same verdict on every run.
+// A fixed seed makes the property tests deterministic.
 func init() { _ = flag.Set("rapid.seed", "1") }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -12,7 +12,7 @@
 type pendingJob struct {
 	job           *flow.Job
 	readAt        time.Duration           // time at which the job's record was read
-	activated     map[cluster.StepID]bool // steps that are or were in Placer.steps, or needed no run
+	activated     map[cluster.StepID]bool // steps that were added to Placer.steps or were complete already
 	startRecorded bool                    // the start of the job is recorded or about to be
 }
 
@@ -108,16 +108,16 @@
 }
 
 // dropJob removes a job that has ended, with its steps, and marks its runs to be stopped.
-func (p *Placer) dropJob(id string) {
-	pending := p.jobs[id]
+func (p *Placer) dropJob(jobID string) {
+	pending := p.jobs[jobID]
 	if pending == nil {
 		return
 	}
-	delete(p.jobs, id)
-	for s := range pending.activated {
-		delete(p.steps, s)
-		for i := range pending.job.Steps[s.Step].Count {
-			if r := p.runs[cluster.TaskID{Job: id, Occurrence: s.Occurrence, Step: s.Step, Index: i}]; r != nil {
+	delete(p.jobs, jobID)
+	for stepID := range pending.activated {
+		delete(p.steps, stepID)
+		for i := range pending.job.Steps[stepID.Step].Count {
+			if r := p.runs[cluster.TaskID{Job: jobID, Occurrence: stepID.Occurrence, Step: stepID.Step, Index: i}]; r != nil {
 				r.wanted = false
 			}
 		}
--- a/core/placer/window_test.go
+++ b/core/placer/window_test.go
@@ -12,18 +12,18 @@
 	"briarproxy/core/flow"
 )
 
-// What commands and their answers take of the placer's link, as counted on the smallest
-// machines of dosui-sched-grown.
+// Bytes of commands, answers and records on the placer's link, as measured on small VMs, and the
+// time limit for an answer.
 const (
-	startWireBytes         = 600 // through another daemon, both ways
+	startWireBytes         = 600 // sent through another daemon, both directions
 	stopWireBytes          = 400
 	pollWireBytes          = 750
 	adviceWireBytes        = 250
-	advisedWorkerWireBytes = 30 // of one worker, with its ticket
+	advisedWorkerWireBytes = 30 // for each worker asked about, with its ticket
 	batchWireBytes         = 400
 	runWireBytes           = 70
 	submitWireBytes        = 1400
-	orderTimeout           = time.Second // for the answer to an order
+	orderTimeout           = time.Second // time limit for the answer to an order
 )
 
 func (c Command) bytes() int {
@@ -41,18 +41,18 @@
 
 func batchBytes(b *flow.Batch) int { return batchWireBytes + runWireBytes*(len(b.Begins)+len(b.Ends)) }
 
-// limitLink lets everything that the placer sends wait for a link of some bytes a second, and
-// lets the workers check how old the tickets of orders are. It returns the number of orders
-// that were refused for their tickets.
+// limitLink limits the bandwidth of the placer's link, which delays everything that the placer
+// sends, and makes workers refuse orders with expired tickets. It returns the number of
+// orders that were refused for that reason.
 func (w *workload) limitLink(bytesPerSecond float64) (refused *int) {
-	linkFreeAt, jobsSent := time.Duration(0), 0
+	linkFreeAt, jobsRead := time.Duration(0), 0
 	send := func(bytes int) time.Duration {
 		linkFreeAt = max(linkFreeAt, w.now) + time.Duration(float64(bytes)/bytesPerSecond*float64(time.Second))
 		return linkFreeAt - w.now
 	}
 	w.linkDelay = func(_ Command, bytes int) time.Duration {
-		for ; jobsSent < w.jobs; jobsSent++ {
-			send(submitWireBytes) // the records that the placer has read meanwhile
+		for ; jobsRead < w.jobs; jobsRead++ {
+			send(submitWireBytes) // the job records that the placer has read since the last call
 		}
 		return send(bytes)
 	}
@@ -78,10 +78,9 @@
 	return refused
 }
 
-// Guards against a burst after which a placer with a thin link never recovers: orders waited on
-// the link until their tickets had expired, and each was planned, advised and sent again
-// (quiet-1 of dosui-sched-grown with machines of 2 Mbit/s: 3,096 starts refused, 1,254 jobs
-// never run).
+// Guards against a placer with a slow link that never recovers from a burst. Orders queued on the
+// link until their tickets had expired, and each was planned, advised and sent again. With a
+// link of 2 Mbit/s, 3,096 starts were refused and 1,254 jobs never ran.
 func TestPlacerWithASlowLinkRecoversFromABurst(t *testing.T) {
 	w := newWorkload(t, 138, 16, largeLoad, 1)
 	w.answerDelay = 60 * time.Millisecond
@@ -102,7 +101,7 @@
 	require.Greater(t, w.onTimeShare("check"), 0.6, "%v", w)
 }
 
-// Guards against a window that shrinks because a few workers are silent while the link is free.
+// Guards against a window that shrinks because some workers do not answer while the link is idle.
 func TestWindowIgnoresASilentMinority(t *testing.T) {
 	w := newStartWindow(0)
 	for i := range 100 {
@@ -116,8 +115,8 @@
 	require.True(t, math.IsInf(w.limit, 1), "limit %v", w.limit)
 }
 
-// Guards against a second cut by answers to orders that were sent before the first one: they
-// waited in the queue that the first cut is about to shorten.
+// Guards against a second reduction of the window by answers to orders that were sent before the
+// first one: those orders waited in the queue that the first reduction is about to shorten.
 func TestWindowIsCutOnceForOneQueue(t *testing.T) {
 	w := newStartWindow(0)
 	observeAnswers := func(sent, at, latency time.Duration, n int) {
@@ -132,7 +131,7 @@
 	require.Equal(t, 400*minWindowShare, w.limit)
 }
 
-// Guards against a window that stays small after the link is free again.
+// Guards against a window that stays small when the link is idle again.
 func TestWindowGrowsWhileItHoldsStartsBack(t *testing.T) {
 	w := newStartWindow(0)
 	w.limit, w.baseline = minWindowRuns, 70*time.Millisecond
@@ -144,7 +143,7 @@
 	require.Greater(t, w.limit, 1000.0)
 }
 
-// Guards against an order that is sent with a ticket which expires on the way, while orders are
+// Guards against an order that is sent with a ticket that expires on the way, while orders are
 // known to take longer than usual.
 func TestOrderIsNotSentWhenItsTicketWouldExpireOnTheWay(t *testing.T) {
 	c := readyCell(t, 1)
@@ -155,5 +154,5 @@
 	p.startWindow.median, r.startsSent = time.Second, 0
 	require.True(t, p.ticketExpired(r, c.now))
 	require.Equal(t, c.now-200*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline)
-	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline, "a repeat tells what became of the first order")
+	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline, "the answer to a retry shows what became of the first order")
 }
