--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -11,7 +11,8 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// handlePage takes a page of the log.
+// handlePage handles the result of one read of the log reader: a page of records, a snapshot
+// or its head, or an error.
 func (e *engine) handlePage(ctx context.Context, p page) {
 	now := p.readAt
 	if p.err != nil {
@@ -36,12 +37,12 @@
 		e.logUnreachable = false
 		e.readableSince = now
 	}
-	if took := now - p.sentAt; len(p.records) == 0 && took < readWait || took < readWait/2 {
-		if e.roundTrip == 0 || took < e.roundTrip {
-			e.roundTrip = took
+	if latency := now - p.sentAt; len(p.records) == 0 && latency < readWait || latency < readWait/2 {
+		if e.roundTrip == 0 || latency < e.roundTrip {
+			e.roundTrip = latency
 		}
 	}
-	if e.readToEndAt > 0 { // whole pages are read until then
+	if e.readToEndAt > 0 { // before that, full pages take longer to transfer
 		e.readTimes.record(now-p.sentAt, now)
 		e.store.storeSlow.Store(e.readTimes.shortest()-e.roundTrip > slowLogExcess)
 		e.store.latency.Store(int64(e.readTimes.shortest()))
@@ -49,18 +50,18 @@
 	if p.snapshot != nil {
 		e.restoreSnapshot(&p)
 	} else if e.headApplied && e.state.NextOffset == 0 {
-		e.state, e.headApplied = flow.NewState(), false // the snapshot can't be read: only the log counts
+		e.state, e.headApplied = flow.NewState(), false // the snapshot can't be read, so the state is built from the log alone
 	}
 	if p.expired {
-		return // a snapshot is read next
+		return // the log reader reads a snapshot next
 	}
-	if from := p.next - int64(len(p.records)); from > e.state.NextOffset { // no snapshot reaches up to the kept records
-		e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", from)
-		e.state.NextOffset = from
+	if firstOffset := p.next - int64(len(p.records)); firstOffset > e.state.NextOffset { // no snapshot reaches up to the oldest record kept
+		e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", firstOffset)
+		e.state.NextOffset = firstOffset
 	}
 	for i := range p.records {
 		if p.next-int64(len(p.records)-i) < e.state.NextOffset {
-			continue // known from the acknowledgement of its append
+			continue // already applied when its append was acknowledged
 		}
 		if e.placer != nil && p.records[i].record.Submit != nil {
 			e.bypassedRecords++
@@ -70,18 +71,20 @@
 		e.applyAcked(ctx, now)
 	}
 	if e.state.NextOffset >= p.end {
-		e.readToEndAt = max(p.sentAt, now-e.roundTrip) // the end of the log as of the answer
+		e.readToEndAt = max(p.sentAt, now-e.roundTrip) // estimates when the store looked up the end of the log
 	}
 	e.notifyRefreshWaiters()
 }
 
+// applyRecord applies the record at the next offset to the state and updates all that depends
+// on it. An unreadable record is logged and skipped.
 func (e *engine) applyRecord(ctx context.Context, d *decoded, now time.Duration) {
 	if d.err != nil {
 		e.log.Emit(evRecordUnreadable, "position", e.state.NextOffset, "reason", d.err.Error())
 		e.state.Skip()
 		return
 	}
-	former, heardBefore := e.state.Claim, e.state.LastHeard
+	former, previousLastHeard := e.state.Claim, e.state.LastHeard
 	position := e.state.NextOffset
 	e.recoverPanic(func() {
 		if err := e.state.Apply(&d.record, now); err != nil {
@@ -90,8 +93,8 @@
 	})
 	e.state.NextOffset = position + 1
 	e.unsavedEntries += countEntries(&d.record)
-	if d.record.Batch != nil && e.state.LastHeard > heardBefore && heardBefore > 0 {
-		e.placerGaps.record(e.state.LastHeard-heardBefore, now)
+	if d.record.Batch != nil && e.state.LastHeard > previousLastHeard && previousLastHeard > 0 {
+		e.placerGaps.record(e.state.LastHeard-previousLastHeard, now)
 	}
 	if e.placer != nil {
 		e.placer.RecordApplied(&d.record, now)
@@ -105,7 +108,8 @@
 	}
 }
 
-// countEntries counts what a record tells, for the work of reading it.
+// countEntries returns the number of entries in a record, as a measure of the work of
+// applying it.
 func countEntries(r *flow.Record) int {
 	if b := r.Batch; b != nil {
 		return 1 + len(b.Begins) + len(b.Ends) + len(b.StartedJobs)
@@ -113,17 +117,17 @@
 	return 1
 }
 
-// publishPlacer tells the writer where callers' records are gathered.
+// publishPlacer gives the writer the address at which callers' records are gathered.
 func (e *engine) publishPlacer() {
 	if address := e.placerAddress(); address != *e.writer.placerAddress.Load() {
 		e.writer.placerAddress.Store(&address)
 	}
-	strength := e.state.Members[e.state.Claim.Daemon].CapacityFactor
-	e.writer.weakPlacer.Store(strength > 0 && strength < minGatheringStrength)
+	capacityFactor := e.state.Members[e.state.Claim.Daemon].CapacityFactor
+	e.writer.weakPlacer.Store(capacityFactor > 0 && capacityFactor < minGatheringStrength)
 }
 
-// placerAddress is where callers' records are gathered: at the placer, which is near the
-// log; "" is here.
+// placerAddress returns the address at which callers' records are gathered: that of the
+// placer, which is near the log, or "" for this daemon.
 func (e *engine) placerAddress() string {
 	if e.state.Claim.Daemon == "" || e.state.Claim.Daemon == e.settings.Name {
 		return ""
@@ -131,21 +135,23 @@
 	return e.state.Claim.Address
 }
 
-// fallbackAddress is where callers' records are gathered at a slow log while the placer is not
-// reached: at the daemon that would succeed it; "" is here.
+// fallbackAddress returns the address at which callers' records are gathered while the log is
+// slow and the placer is not reached: that of the placer's best successor, or "" for this
+// daemon.
 func (e *engine) fallbackAddress() string {
 	if e.state.Claim.Daemon == e.settings.Name {
 		return ""
 	}
-	list := placer.Successors(e.state, e.state.Claim.Daemon, bootclock.Now(), time.Now().UnixMilli())
-	if len(list) == 0 || list[0].Daemon == e.settings.Name {
+	successors := placer.Successors(e.state, e.state.Claim.Daemon, bootclock.Now(), time.Now().UnixMilli())
+	if len(successors) == 0 || successors[0].Daemon == e.settings.Name {
 		return ""
 	}
-	return list[0].Address
+	return successors[0].Address
 }
 
-// applyHead learns from the head of a snapshot through which daemons the store may be reached, and
-// where callers' records are gathered. It says nothing of the log.
+// applyHead takes the members and the claim from the head of a snapshot: the daemons that may
+// relay calls to the store, and the placer that gathers callers' records. The head holds no
+// jobs, and the read position stays.
 func (e *engine) applyHead(head *flow.SnapshotHead, now time.Duration) {
 	if e.state.NextOffset > 0 || e.headApplied {
 		return
@@ -156,13 +162,13 @@
 	e.publishPlacer()
 }
 
-// restoreSnapshot begins with a snapshot if it is newer than what is known.
+// restoreSnapshot replaces the state by a snapshot if the snapshot is newer.
 func (e *engine) restoreSnapshot(p *page) {
 	e.savedGeneration = max(e.savedGeneration, p.generation)
 	if p.snapshot.NextOffset <= e.state.NextOffset {
 		return
 	}
-	e.stopPlacing("its records expired unread")
+	e.stopPlacing("records of the log expired before this daemon read them")
 	e.state = p.snapshot
 	e.savedOffset, e.unsavedEntries = p.snapshot.NextOffset, 0
 	e.log.Emit(evSnapshotLoaded, "offset", e.state.NextOffset, "jobs", len(e.state.Jobs), "generation", p.generation)
@@ -170,26 +176,28 @@
 	e.publishPlacer()
 }
 
-// applyOwnAppends takes records that this daemon appended. They are applied when all before
-// them are, without being read back.
-func (e *engine) applyOwnAppends(ctx context.Context, first int64, records [][]byte) {
+// applyOwnAppends takes records that this daemon appended. They are applied as soon as all
+// records before them are, without being read back.
+func (e *engine) applyOwnAppends(ctx context.Context, firstOffset int64, records [][]byte) {
 	now := bootclock.Now()
 	for i, data := range records {
-		if offset := first + int64(i); offset >= e.state.NextOffset {
+		if offset := firstOffset + int64(i); offset >= e.state.NextOffset {
 			record, err := flow.Decode(data)
 			e.ackedAppends[offset] = decoded{record, err}
 		}
 	}
 	e.applyAcked(ctx, now)
 	if len(e.ackedAppends) > 0 {
-		e.wakeReader() // somebody else's records lie in between
+		e.wakeReader() // records of other daemons precede them
 	}
 }
 
+// applyAcked applies the acknowledged appends that are next in the log, and drops those that
+// were read in the meantime.
 func (e *engine) applyAcked(ctx context.Context, now time.Duration) {
 	for len(e.ackedAppends) > 0 {
-		d, ready := e.ackedAppends[e.state.NextOffset]
-		if !ready {
+		d, acked := e.ackedAppends[e.state.NextOffset]
+		if !acked {
 			break
 		}
 		delete(e.ackedAppends, e.state.NextOffset)
@@ -197,13 +205,13 @@
 	}
 	for offset := range e.ackedAppends {
 		if offset < e.state.NextOffset {
-			delete(e.ackedAppends, offset) // it was read meanwhile
+			delete(e.ackedAppends, offset)
 		}
 	}
 }
 
-// publishMembers tells the relay through which daemons the store may be reached, and the writer
-// which one is the fallback appender.
+// publishMembers gives the relay the addresses of the daemons through which the store may be
+// reached, the best candidates for placer first, and the writer that of the fallback appender.
 func (e *engine) publishMembers() {
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
@@ -221,7 +229,7 @@
 	e.writer.fallbackAddress.Store(&fallback)
 }
 
-// wakeReader has the log read at once.
+// wakeReader makes the log reader read at once.
 func (e *engine) wakeReader() {
 	select {
 	case e.wakeRead <- struct{}{}:
@@ -229,17 +237,17 @@
 	}
 }
 
-// refresh runs a query once the log was read up to what it holds now; ok is false if the
-// log can't be read.
+// refresh runs f once the log has been read up to its present end. It passes ok as false if
+// that end can't be determined.
 func (e *engine) refresh(ctx context.Context, f func(e *engine, ok bool)) {
-	from := e.state.NextOffset
+	nextOffset := e.state.NextOffset
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		end, err := e.store.End(bounded, partition, from)
-		answered := bootclock.Now()
+		end, err := e.store.End(callCtx, partition, nextOffset)
+		answeredAt := bootclock.Now()
 		e.do(ctx, func(e *engine) {
-			e.probedAt = answered
+			e.probedAt = answeredAt
 			if err != nil || e.state.NextOffset >= end {
 				f(e, err == nil)
 				return
@@ -250,12 +258,13 @@
 	}()
 }
 
+// notifyRefreshWaiters runs the queries whose offset has been reached.
 func (e *engine) notifyRefreshWaiters() {
-	waits := e.refreshWaiters
+	waiters := e.refreshWaiters
 	e.refreshWaiters = nil
-	for _, w := range waits {
+	for _, w := range waiters {
 		if e.state.NextOffset >= w.end {
-			w.do(e, true)
+			w.callback(e, true)
 		} else {
 			e.refreshWaiters = append(e.refreshWaiters, w)
 		}
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -19,14 +19,14 @@
 	"briarproxy/platform"
 )
 
-// A daemon on a slow link of the users' grown sites, and when callers must be served again.
+// Load of a daemon on a slow link, and the time within which it must serve callers again.
 const (
-	slowLinkBytesPerSecond = 10 * bytesPerMbit // a second
-	callerPollsPerSecond   = 8                 // a second, of one daemon's callers
-	maxCatchUpTime         = 8 * time.Second   // after a loss of all machines
-	snapshotJobs           = 4600              // in the snapshot of inc1
+	slowLinkBytesPerSecond = 10 * bytesPerMbit
+	callerPollsPerSecond   = 8               // by the callers of one daemon
+	maxCatchUpTime         = 8 * time.Second // after a restart of all VMs
+	snapshotJobs           = 4600
 	specBytes              = 600
-	tailRecords            = 1500 // behind the snapshot
+	tailRecords            = 1500 // after the snapshot
 )
 
 // slowLinkStore is a store behind a link that all calls share.
@@ -34,13 +34,13 @@
 	fakeStore
 	keyedStore
 	records [][]byte
-	ends    atomic.Int64 // reads of the log's end that were answered
+	ends    atomic.Int64 // answered calls of End
 
 	link       sync.Mutex
-	linkFreeAt time.Time // when the link has carried what it was given
+	linkFreeAt time.Time // when all transfers accepted so far are complete
 }
 
-// transfer waits until the link has carried an answer.
+// transfer waits until the link has carried an answer of the given size.
 func (s *slowLinkStore) transfer(ctx context.Context, bytes int) error {
 	s.link.Lock()
 	if now := time.Now(); s.linkFreeAt.Before(now) {
@@ -74,36 +74,36 @@
 }
 
 func (s *slowLinkStore) End(ctx context.Context, _ int, from int64) (int64, error) {
-	const leastBytes = 1 << 10 // one record is cut at this limit
+	const minReadBytes = 1 << 10 // smallest limit of a read of the log; a longer record is cut off there
 	bytes := 0
 	if from < int64(len(s.records)) {
-		bytes = leastBytes
+		bytes = minReadBytes
 	}
 	err := s.transfer(ctx, bytes)
 	s.ends.Add(1)
 	return int64(len(s.records)), err
 }
 
-func (s *slowLinkStore) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
+func (s *slowLinkStore) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, partition, after)
 	bytes := 0
 	for _, v := range values {
 		bytes += base64Length(v)
 	}
-	if sent := s.transfer(ctx, bytes); sent != nil {
-		return nil, sent
+	if transferErr := s.transfer(ctx, bytes); transferErr != nil {
+		return nil, transferErr
 	}
 	return values, err
 }
 
-func (s *slowLinkStore) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
+func (s *slowLinkStore) SavedFromOffset(ctx context.Context, partition int, from int64, maxEntries int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, partition, from, maxEntries)
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
 	}
-	if sent := s.transfer(ctx, bytes); sent != nil {
-		return nil, false, sent
+	if transferErr := s.transfer(ctx, bytes); transferErr != nil {
+		return nil, false, transferErr
 	}
 	return entries, expired, err
 }
@@ -113,23 +113,24 @@
 	slowLink *slowLinkStore
 }
 
-func (p slowLinkPlatform) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
-	return p.slowLink.Read(ctx, part, from, wait)
+func (p slowLinkPlatform) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	return p.slowLink.Read(ctx, partition, from, wait)
 }
 
-func (p slowLinkPlatform) End(ctx context.Context, part int, from int64) (int64, error) {
-	return p.slowLink.End(ctx, part, from)
+func (p slowLinkPlatform) End(ctx context.Context, partition int, from int64) (int64, error) {
+	return p.slowLink.End(ctx, partition, from)
 }
 
-func (p slowLinkPlatform) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	return p.slowLink.SavedFromOffset(ctx, part, from, most)
+func (p slowLinkPlatform) SavedFromOffset(ctx context.Context, partition int, from int64, maxEntries int) ([]cluster.Entry, bool, error) {
+	return p.slowLink.SavedFromOffset(ctx, partition, from, maxEntries)
 }
 
-func (p slowLinkPlatform) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	return p.slowLink.SavedAfterKey(ctx, part, after)
+func (p slowLinkPlatform) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
+	return p.slowLink.SavedAfterKey(ctx, partition, after)
 }
 
-// newBusyLog has two generations of a snapshot and records behind the newer one.
+// newBusyLog returns a store with two generations of a snapshot, and records of the log after
+// the newer one.
 func newBusyLog(t *testing.T) *slowLinkStore {
 	store := &slowLinkStore{}
 	s := flow.NewState()
@@ -147,14 +148,14 @@
 	for i := range snapshotJobs {
 		submit(i)
 	}
-	placer := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
-	generation, err := placer.takeOver(t.Context())
+	writer := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+	generation, err := writer.takeOver(t.Context())
 	require.NoError(t, err)
 	for range 2 {
 		generation++
 		head, chunks, err := s.Snapshot(generation, time.Second)
 		require.NoError(t, err)
-		require.NoError(t, placer.save(t.Context(), &head, chunks))
+		require.NoError(t, writer.save(t.Context(), &head, chunks))
 	}
 	for i := range tailRecords {
 		submit(snapshotJobs + i)
@@ -162,50 +163,53 @@
 	return store
 }
 
-// newDaemon returns the callers' side of a daemon that has read nothing yet.
+// newDaemon returns the callers' API of a daemon that has read nothing yet.
 func newDaemon(t *testing.T, store *slowLinkStore) *callerAPI {
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}},
 		slowLinkPlatform{fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), &store.fakeStore}, store}, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
-	e.claiming = true // this daemon does not place
+	e.claiming = true // keeps this daemon from claiming
 	e.helloSentAt = bootclock.Now()
 	go e.run(t.Context())
 	go e.writer.run(t.Context())
 	return &callerAPI{engine: e, ctx: t.Context()}
 }
 
-// Guards against callers' questions that take the link from the snapshot (inc1 of dosui-sched-grown: 22 s and more).
+// Guards against callers' queries that use up the link while the daemon reads a snapshot: with
+// 4600 jobs on a link of 10 Mbit/s, it became ready only after 22 s and more.
 func TestQueriesDoNotDelayLogReadsOnASlowLink(t *testing.T) {
 	c := newDaemon(t, newBusyLog(t))
 	e := c.engine
-	follower := &logReader{log: e.store, snapshots: e.platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
-	go follower.run(t.Context())
+	reader := &logReader{log: e.store, snapshots: e.platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
+	go reader.run(t.Context())
 	go e.store.monitor(t.Context())
-	asking := time.NewTicker(time.Second / callerPollsPerSecond)
-	defer asking.Stop()
+	ticker := time.NewTicker(time.Second / callerPollsPerSecond)
+	defer ticker.Stop()
 	began := time.Now()
-	for asked := 0; !e.isReady.Load(); asked++ {
-		<-asking.C
-		go c.request(http.MethodGet, fmt.Sprintf("/p/%016x", snapshotJobs+tailRecords+asked), "")
+	for requests := 0; !e.isReady.Load(); requests++ {
+		<-ticker.C
+		go c.request(http.MethodGet, fmt.Sprintf("/p/%016x", snapshotJobs+tailRecords+requests), "")
 		require.Less(t, time.Since(began), maxCatchUpTime, "read so far: %v", e.store.reads.logFields())
 	}
 	t.Log("ready after", time.Since(began), e.store.reads.logFields())
 }
 
-// Guards against refreshes that bring records: each of a daemon that is behind took a slow link for 0.15 s (inc1).
-func TestARefreshBringsNoRecords(t *testing.T) {
+// Guards against refreshes that fetch records: each refresh of a daemon that is behind occupied
+// a slow link for 0.15 s.
+func TestRefreshFetchesNoRecords(t *testing.T) {
 	c := newDaemon(t, newBusyLog(t))
 	c.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() })
-	free := c.engine.platform.(slowLinkPlatform).slowLink
+	store := c.engine.platform.(slowLinkPlatform).slowLink
 	began := time.Now()
 	for range 2 * callerPollsPerSecond {
 		c.onEngine(func(e *engine) { e.refresh(t.Context(), func(*engine, bool) {}) })
 	}
-	require.Eventually(t, func() bool { return free.ends.Load() == 2*callerPollsPerSecond }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return store.ends.Load() == 2*callerPollsPerSecond }, time.Second, time.Millisecond)
 	require.Less(t, time.Since(began), time.Second)
 }
 
-// Guards against a count from a state that was never read, or read long ago, at a daemon whose own record was just stored (MIXED, inc1).
+// Guards against a daemon that answers a count of jobs from a state that it never read, or read
+// long ago, because a record of its own was just stored.
 func TestAStoredRecordDoesNotRenewTheReadState(t *testing.T) {
 	for _, age := range []time.Duration{0, 10 * time.Second} {
 		c := newDaemon(t, &slowLinkStore{})
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -11,16 +11,17 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// handleClaim follows a claim that was read.
+// handleClaim handles a claim that was just applied to the state. Placing starts if the
+// claim is the last one that this process sent.
 func (e *engine) handleClaim(ctx context.Context, former flow.Claim, now time.Duration) {
-	e.stopPlacing("another daemon claimed")
+	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
-	mine := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.started
-	if !mine || e.state.Claim.Epoch != e.claimEpoch {
+	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.started
+	if !own || e.state.Claim.Epoch != e.claimEpoch {
 		return
 	}
-	placing, stop := context.WithCancel(ctx)
-	e.placingContext, e.cancelPlacing = placing, stop
+	placingCtx, cancel := context.WithCancel(ctx)
+	e.placingContext, e.cancelPlacing = placingCtx, cancel
 	e.snapshotWriter = &snapshotWriter{store: e.platform, linkBytesPerSecond: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
 	e.saving, e.savedAt = false, now
 	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = now, now, 0
@@ -30,25 +31,25 @@
 	}, now)
 	e.metrics.claims.WithLabelValues("won").Inc()
 	e.log.Emit(evPlacerBegan, "offset", e.state.FencingToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
-	go e.watchRegistry(placing, e.placer)
-	go e.retireFormerPlacer(placing, e.placer, former)
+	go e.watchRegistry(placingCtx, e.placer)
+	go e.retireFormerPlacer(placingCtx, e.placer, former)
 }
 
-// retireFormerPlacer asks the former placer to stop, so that what it ordered is bounded by leases
-// that end soon. Without an answer its orders are bounded by the time over which a
-// placer without the log renews leases.
+// retireFormerPlacer asks the former placer to stop. Once it has, the runs that it started
+// end at the latest with their present leases. Without an answer, it may renew leases for as
+// long as a placer does that has lost the log.
 func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim) {
-	for try := 0; try < maxRetireTries && ctx.Err() == nil; try++ {
+	for attempt := 0; attempt < maxRetireTries && ctx.Err() == nil; attempt++ {
 		err := error(nil)
 		if former.Daemon != "" && former.Address != e.settings.Listen.Peers {
-			bounded, cancel := context.WithTimeout(ctx, retireTimeout)
-			err = e.peers.yield(bounded, former.Address, former.Epoch)
+			callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
+			err = e.peers.yield(callCtx, former.Address, former.Epoch)
 			cancel()
 		}
 		if err == nil {
 			e.do(ctx, func(e *engine) {
 				if e.placer == p {
-					e.log.Emit(evPlacerRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", try+1)
+					e.log.Emit(evPlacerRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", attempt+1)
 					p.FormerPlacerRetired(bootclock.Now())
 				}
 			})
@@ -57,14 +58,15 @@
 	}
 }
 
-// yield ends the placer of an epoch on behalf of its successor.
+// yield stops placing at the request of a successor if this daemon's epoch is not newer than
+// the given one.
 func (e *engine) yield(epoch int64) {
 	if e.placer != nil && e.placer.Epoch() <= epoch {
-		e.stopPlacing("a successor asked")
+		e.stopPlacing("requested by the successor")
 	}
 }
 
-// stopPlacing stops placing, if this daemon does.
+// stopPlacing ends the placer of this daemon, if it has one.
 func (e *engine) stopPlacing(reason string) {
 	if e.placer == nil {
 		return
@@ -75,57 +77,59 @@
 	e.log.Emit(evPlacerEnded, "reason", reason, "epoch", e.claimEpoch)
 }
 
+// claimIfDue claims if placer.ShouldClaim says so, both on the state at hand and on one that
+// has been brought up to the end of the log.
 func (e *engine) claimIfDue(ctx context.Context, now time.Duration) {
-	if e.draining || e.claiming || e.config == nil || e.readToEndAt < e.claimedAt {
+	if e.draining || e.claiming || e.config == nil || e.readToEndAt < e.claimAnsweredAt {
 		return // the outcome of the last claim has not been read yet
 	}
 	if e.claimConflictAt > 0 && now-e.claimConflictAt < claimConflictBackoff {
-		return // a higher claim waits at the log
+		return // a higher claim is stored but has not been read yet
 	}
-	watch := placer.ClaimInput{
+	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
 		Rank: placer.ClaimRank(e.state, e.hello(), now), StrongerPresent: placer.HasStronger(e.state, e.hello(), now) || e.store.directDown.Load() ||
 			e.isolatedAt > 0 && now-e.isolatedAt < isolationBackoff, MaxRecordGap: e.placerGaps.longest(now),
 		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
-	if _, claim := placer.ShouldClaim(e.state, watch); !claim {
+	if _, shouldClaim := placer.ShouldClaim(e.state, input); !shouldClaim {
 		return
 	}
 	e.claiming = true
-	sent := now
+	probeSentAt := now
 	e.refresh(ctx, func(e *engine, ok bool) {
 		e.claiming = false
-		watch.Now, watch.CaughtUpAt = bootclock.Now(), e.readToEndAt
-		e.probeTimes.record(e.probedAt-sent, e.probedAt)
-		watch.MaxLogLatency = max(e.probeTimes.longest(watch.Now), e.writer.appendTimes.longest(watch.Now))
-		if reason, claim := placer.ShouldClaim(e.state, watch); claim && ok {
+		input.Now, input.CaughtUpAt = bootclock.Now(), e.readToEndAt
+		e.probeTimes.record(e.probedAt-probeSentAt, e.probedAt)
+		input.MaxLogLatency = max(e.probeTimes.longest(input.Now), e.writer.appendTimes.longest(input.Now))
+		if reason, shouldClaim := placer.ShouldClaim(e.state, input); shouldClaim && ok {
 			e.claimUnlessPlacerAlive(ctx, reason)
 		}
 	})
 }
 
-// claimUnlessPlacerAlive claims, unless the log is slow and the placer's daemon answers: its
-// records wait at the log, where those of a successor would only wait behind them.
+// claimUnlessPlacerAlive claims, unless the log is slow and the placer's daemon answers. Its
+// records then wait at the log, and those of a successor would only queue behind them.
 func (e *engine) claimUnlessPlacerAlive(ctx context.Context, reason string) {
-	former := e.state.Claim
-	if !e.store.storeSlow.Load() || former.Daemon == "" || former.Daemon == e.settings.Name || bootclock.Now()-e.state.LastHeard > maxBusyPlacerSilence {
+	currentClaim := e.state.Claim
+	if !e.store.storeSlow.Load() || currentClaim.Daemon == "" || currentClaim.Daemon == e.settings.Name || bootclock.Now()-e.state.LastHeard > maxBusyPlacerSilence {
 		e.claim(ctx, reason, nil)
 		return
 	}
 	e.claiming = true
 	go func() {
-		busy := e.writer.alive(ctx, former.Address)
+		alive := e.writer.alive(ctx, currentClaim.Address)
 		e.do(ctx, func(e *engine) {
 			e.claiming = false
-			if !busy && e.state.Claim == former && !e.draining {
+			if !alive && e.state.Claim == currentClaim && !e.draining {
 				e.claim(ctx, reason, nil)
 			}
 		})
 	}()
 }
 
-// claim appends a claim under a new epoch. It counts once it is read back. The outcome of
-// the append is told to done, which may be nil.
+// claim appends a claim under a new epoch. The claim takes effect once it is applied to the
+// state. If done is not nil, it is called with the outcome of the append.
 func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
 	rank := placer.ClaimRank(e.state, e.hello(), bootclock.Now())
 	epoch := placer.NextEpoch(e.state, rank, e.rng)
@@ -137,17 +141,17 @@
 	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.started}}
 	appender := e.appender
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, 2*slowStoreTimeout)
+		appendCtx, cancel := context.WithTimeout(ctx, 2*slowStoreTimeout)
 		defer cancel()
-		offset, err := appender.append(bounded, record)
+		offset, err := appender.append(appendCtx, record)
 		e.do(ctx, func(e *engine) {
-			e.claiming, e.claimedAt = false, bootclock.Now()
+			e.claiming, e.claimAnsweredAt = false, bootclock.Now()
 			if fault.Is(err, fault.Conflict) {
-				e.claimConflictAt = e.claimedAt
+				e.claimConflictAt = e.claimAnsweredAt
 			}
 			if err != nil {
 				e.metrics.claims.WithLabelValues("not stored").Inc()
-				e.log.Emit(evPlacerEnded, "reason", "the claim was not stored: "+err.Error(), "epoch", epoch)
+				e.log.Emit(evPlacerEnded, "reason", "appending the claim failed: "+err.Error(), "epoch", epoch)
 			} else if offset >= e.state.NextOffset {
 				e.ackedAppends[offset] = decoded{record: *record}
 				e.applyAcked(ctx, bootclock.Now())
@@ -160,19 +164,20 @@
 	}()
 }
 
-// succeed claims on behalf of a placer that has stopped and chose this daemon. Nobody else
-// needs to notice that, and no silence has to pass.
+// succeed claims at the request of a placer that has stopped and chose this daemon as its
+// successor, so no daemon has to wait for a time without records of the placer. The reply
+// reports whether the claim was stored.
 func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
 	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.logUnreachable || !e.readState().atMostOld(readyReadAge, bootclock.Now()) || e.store.directDown.Load() || e.state.Claim.Epoch != epoch {
 		reply <- false
 		return
 	}
-	e.claim(ctx, "the placer hands over", func(stored bool) { reply <- stored })
+	e.claim(ctx, "the former placer hands over", func(stored bool) { reply <- stored })
 }
 
-// handOverIfDue gives up the claim when this daemon is cut off from the others, when it
-// reaches the log through them only, or when a much stronger one is there: a small VM places
-// only while no other does.
+// handOverIfDue begins a hand-over when this daemon is isolated from the others, when it
+// reaches the log only through them, or when one with much more capacity is present: a small
+// VM places only while no larger one can.
 func (e *engine) handOverIfDue(now time.Duration) {
 	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
 		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
@@ -186,9 +191,9 @@
 	e.handingOver = e.directPathFailed(now) || placer.HasStronger(e.state, e.hello(), now)
 }
 
-// directPathFailed reports whether this daemon's own path to the log has been down for a
-// while in which other daemons brought its records there: each of them is late then. While
-// the log is away from everybody the placer stays, as it renews the workers' leases.
+// directPathFailed reports whether this daemon's direct path to the log has been down for
+// handOverDelay while other daemons relayed its records, which delays each of them. While no
+// daemon reaches the log, the placer stays, because it renews the workers' leases.
 func (e *engine) directPathFailed(now time.Duration) bool {
 	if !e.store.directDown.Load() {
 		e.directDownSince = 0
@@ -200,68 +205,71 @@
 	return now-e.directDownSince > handOverDelay && now-e.batchAckedAt < handOverDelay
 }
 
-// isolated reports whether the placer is cut off from at least half of the daemons while
-// they live: it gets no advice through them, and they append callers' records past it.
+// isolated reports whether the placer cannot reach at least half of the daemons although
+// they are alive: calls for advice through them fail, and callers' records are appended
+// without passing through the placer.
 func (e *engine) isolated(now time.Duration) bool {
-	failing, all := e.placer.FailingAdvisers()
-	most := 2*failing >= all
+	failing, total := e.placer.FailingAdvisers()
+	mostFailing := 2*failing >= total
 	if e.writer.weakPlacer.Load() {
-		most = failing == all // all records are appended past a weak placer, and its link makes some calls late
+		mostFailing = failing == total // no record passes through a weak placer, and its link makes some calls time out
 	}
-	return all > 2 && most && e.bypassedRecords >= isolationBypassedRecords && now-e.lastBypassAt < handOverDelay
+	return total > 2 && mostFailing && e.bypassedRecords >= isolationBypassedRecords && now-e.lastBypassAt < handOverDelay
 }
 
-// beginDrain begins a planned stop: the placer records what it knows and gives up its claim,
-// so that another daemon takes over at once. Workers keep their leases meanwhile.
+// beginDrain begins a planned stop. If this daemon is the placer, it stores its last results
+// and releases its claim, so that another daemon takes over at once. Workers keep their
+// leases meanwhile.
 func (e *engine) beginDrain(ctx context.Context) {
 	e.draining = true
 	e.sendHello(ctx, true)
 	e.handingOver = e.placer != nil
 }
 
-// handOver asks daemons in turn to take over and reports whether one has.
+// handOver asks up to maxHandOverTries daemons, one after the other, to take over and reports
+// whether one has.
 func (e *engine) handOver(ctx context.Context, successors []flow.Hello, epoch int64) bool {
 	for i := 0; i < min(maxHandOverTries, len(successors)); i++ {
-		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
-		var done bool
-		err := e.peers.call(bounded, successors[i].Address, succeedMethod, &SucceedArgs{epoch}, &done)
+		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
+		var accepted bool
+		err := e.peers.call(callCtx, successors[i].Address, succeedMethod, &SucceedArgs{epoch}, &accepted)
 		cancel()
-		if err == nil && done {
+		if err == nil && accepted {
 			e.log.Emit(evPlacerHandedOver, "successor", successors[i].Daemon, "epoch", epoch, "tries", i+1)
 			return true
 		}
 		if err != nil {
 			e.log.Emit(evPeerUnreachable, "peer", successors[i].Daemon, "reason", err.Error())
-			return false // it may have claimed: the release tells everybody
+			return false // it may have claimed; the release informs all daemons
 		}
 	}
 	return false
 }
 
-// release gives up the claim behind the last batch, to a daemon that takes over if there
-// is one.
-func (e *engine) release(ctx context.Context) {
-	batch, _, due := e.placer.Flush(bootclock.Now())
-	batch.Begins = nil // nothing begins after the release
+// releaseClaim stops placing, appends the results of the last batch and hands over to a
+// successor. If none takes over, it appends a release of the claim.
+func (e *engine) releaseClaim(ctx context.Context) {
+	batch, _, batchDue := e.placer.Flush(bootclock.Now())
+	batch.Begins = nil // no run starts after the release
 	appender, epoch := e.appender, e.placer.Epoch()
 	successors := placer.Successors(e.state, e.settings.Name, bootclock.Now(), time.Now().UnixMilli())
 	if e.isolatedAt > 0 && bootclock.Now()-e.isolatedAt < handOverDelay {
-		successors = nil // none would be reached
+		successors = nil // an isolated daemon reaches none of them
 	}
 	e.stopPlacing("planned stop or hand-over")
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, drainTimeout)
+		drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 		defer cancel()
-		if due && len(batch.Ends) > 0 {
-			if _, err := appender.append(bounded, &flow.Record{Batch: &batch}); err != nil {
-				e.log.Emit(evPlacerEnded, "reason", "the last batch was not stored: "+err.Error(), "epoch", epoch)
+		if batchDue && len(batch.Ends) > 0 {
+			if _, err := appender.append(drainCtx, &flow.Record{Batch: &batch}); err != nil {
+				e.log.Emit(evPlacerEnded, "reason", "appending the last batch failed: "+err.Error(), "epoch", epoch)
 			}
 		}
-		if e.handOver(bounded, successors, epoch) {
+		if e.handOver(drainCtx, successors, epoch) {
 			return
 		}
-		if _, err := appender.append(bounded, &flow.Record{Release: &flow.Release{Daemon: e.settings.Name, Epoch: epoch}}); err != nil {
-			e.log.Emit(evPlacerEnded, "reason", "the release was not stored: "+err.Error(), "epoch", epoch)
+		if _, err := appender.append(drainCtx, &flow.Record{Release: &flow.Release{Daemon: e.settings.Name, Epoch: epoch}}); err != nil {
+			e.log.Emit(evPlacerEnded, "reason", "appending the release failed: "+err.Error(), "epoch", epoch)
 		}
 	}()
 }
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -15,8 +15,8 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Guards against all daemons claiming as soon as a slow store is quick again, before the
-// placer's records that waited there can be read (dosui-sched-grown, trouble-2).
+// Guards against claims by all daemons as soon as a slow store is fast again, before the
+// placer's records that waited there can be read.
 func TestRecentMaxKeepsLongTimesForItsWindow(t *testing.T) {
 	var s recentMax
 	require.Zero(t, s.longest(10*time.Second))
@@ -28,8 +28,8 @@
 	require.Equal(t, 20*time.Millisecond, s.longest(14*time.Second))
 }
 
-// Guards against two successors of one placer, and against one that can't place: a claim
-// on request must be that of a ready daemon which knows the same placer.
+// Guards against two successors of one placer, and against a successor that can't place: only
+// a ready daemon that knows the same placer may claim on request.
 func TestSucceedClaimsOnceAndOnlyWhenReady(t *testing.T) {
 	store := &fakeStore{}
 	c := newTestCallerAPI(t, store, 0)
@@ -42,7 +42,7 @@
 		done, ok := query(t.Context(), c.engine, func(e *engine, reply chan<- bool) { e.succeed(c.ctx, epoch, reply) })
 		return done && ok
 	}
-	require.False(t, succeed(4, func(*engine) {}), "another placer is in force")
+	require.False(t, succeed(4, func(*engine) {}), "another placer holds the claim")
 	require.False(t, succeed(5, func(e *engine) { e.draining = true }))
 	require.False(t, succeed(5, func(e *engine) { e.logUnreachable = true }))
 	require.False(t, succeed(5, func(e *engine) { e.claiming = true }))
@@ -53,13 +53,13 @@
 	require.False(t, succeed(5, func(*engine) {}), "the claim was not stored")
 }
 
-// Guards against a placer that goes on for the whole of a partition in which it reaches the
-// log but no other daemon: it got advice through itself alone (dosui-sched, scale-2, cut
-// machines), and against one that gives up because daemons have died.
-func TestIsolatedPlacerGivesUp(t *testing.T) {
+// Guards against a placer that keeps its claim throughout a network partition in which it
+// reaches the log but no other daemon, so that it gets advice only through itself, and against
+// one that hands over because other daemons have died.
+func TestIsolatedPlacerHandsOver(t *testing.T) {
 	c := newTestCallerAPI(t, &fakeStore{}, 0)
-	var died, weak, cut bool
-	var at, now time.Duration
+	var handsOverOnDeaths, handsOverWhenWeak, handsOverWhenIsolated bool
+	var isolatedAt, now time.Duration
 	c.onEngine(func(e *engine) {
 		now = bootclock.Now()
 		for _, name := range []string{"b", "c", "d"} {
@@ -72,79 +72,79 @@
 			e.placer.AdviceAnswered(&placer.AdviseCommand{Daemon: name}, nil, 0, time.Second, true, now)
 		}
 		e.handOverIfDue(now)
-		died = e.handingOver
+		handsOverOnDeaths = e.handingOver
 		e.bypassedRecords, e.lastBypassAt = isolationBypassedRecords, now
 		e.writer.weakPlacer.Store(true)
 		e.handOverIfDue(now)
-		weak = e.handingOver
+		handsOverWhenWeak = e.handingOver
 		e.writer.weakPlacer.Store(false)
 		e.handOverIfDue(now)
-		cut, at = e.handingOver, e.isolatedAt
+		handsOverWhenIsolated, isolatedAt = e.handingOver, e.isolatedAt
 		e.placer, e.handingOver = nil, false
 	})
-	require.False(t, died, "the others may have died")
-	require.False(t, weak, "the others append past a weak placer also when they reach it")
-	require.True(t, cut)
-	require.Equal(t, now, at)
+	require.False(t, handsOverOnDeaths, "the other daemons may have died")
+	require.False(t, handsOverWhenWeak, "other daemons append without a weak placer even if they reach it")
+	require.True(t, handsOverWhenIsolated)
+	require.Equal(t, now, isolatedAt)
 }
 
-// Guards against a placer that stays although it reaches the log through other daemons only
-// (every record a second late for 12 s: dosui-sched, scale-2, three daemons cut off), and
-// against one that gives up while the log is away from everybody.
-func TestPlacerWithoutItsOwnPathHandsOver(t *testing.T) {
+// Guards against a placer that keeps its claim although it reaches the log through other
+// daemons only (with three daemons cut off from the log, every record was a second late for
+// 12 s), and against one that hands over while no daemon reaches the log.
+func TestPlacerWithoutDirectLogPathHandsOver(t *testing.T) {
 	c := newTestCallerAPI(t, &fakeStore{}, 0)
-	try := func(away bool, since, acked time.Duration) (leaves bool) {
+	handsOver := func(directDown bool, downFor, sinceAck time.Duration) (handingOver bool) {
 		c.onEngine(func(e *engine) {
 			now := bootclock.Now()
 			e.state.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "x", StartedMS: 1}, LastSeen: now}
 			e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
-			e.placingStartedAt, e.directDownSince, e.batchAckedAt = now-time.Minute, now-since, now-acked
-			e.store.directDown.Store(away)
+			e.placingStartedAt, e.directDownSince, e.batchAckedAt = now-time.Minute, now-downFor, now-sinceAck
+			e.store.directDown.Store(directDown)
 			e.handOverIfDue(now)
-			leaves = e.handingOver
+			handingOver = e.handingOver
 			e.store.directDown.Store(false)
 			e.placer, e.handingOver = nil, false
 		})
-		return leaves
+		return handingOver
 	}
-	require.True(t, try(true, 3*time.Second, time.Second))
-	require.False(t, try(false, 3*time.Second, time.Second))
-	require.False(t, try(true, time.Second, time.Second), "for a moment")
-	require.False(t, try(true, 9*time.Second, 8*time.Second), "away from everybody")
+	require.True(t, handsOver(true, 3*time.Second, time.Second))
+	require.False(t, handsOver(false, 3*time.Second, time.Second))
+	require.False(t, handsOver(true, time.Second, time.Second), "the direct path has been down for a moment only")
+	require.False(t, handsOver(true, 9*time.Second, 8*time.Second), "no daemon reaches the log")
 }
 
-// fencingStore refuses all appends for a higher epoch.
+// fencingStore refuses all appends as fenced by a higher epoch.
 type fencingStore struct{ Platform }
 
 func (fencingStore) Append(context.Context, int, [][]byte, *cluster.Fence) (int64, error) {
 	return 0, errConflict
 }
 
-// Guards against a daemon that claims again and again while a higher claim waits at a slow
-// log: one of its epochs fences that claim in turn (trouble-2 of dosui-sched-large).
-func TestOutbidClaimIsNotRepeatedAtOnce(t *testing.T) {
+// Guards against a daemon that keeps claiming while a higher claim waits at a slow log, until
+// one of its own epochs is high enough to fence that claim off.
+func TestSupersededClaimIsNotRetriedAtOnce(t *testing.T) {
 	c := newTestCallerAPI(t, &fakeStore{}, 0)
 	c.engine.store.direct = fencingStore{c.engine.platform}
 	c.onEngine(func(e *engine) { e.claiming, e.readableSince, e.firstConfigAt = false, 1, 1 })
-	refused := 0.0
+	failedClaims := 0.0
 	for range 30 {
 		c.onEngine(func(e *engine) {
 			e.readToEndAt = bootclock.Now()
-			refused = testutil.ToFloat64(e.metrics.claims.WithLabelValues("not stored"))
+			failedClaims = testutil.ToFloat64(e.metrics.claims.WithLabelValues("not stored"))
 		})
 		time.Sleep(40 * time.Millisecond)
 	}
-	require.Equal(t, 1.0, refused)
+	require.Equal(t, 1.0, failedClaims)
 }
 
-// Guards against a placer that is replaced while a slow log keeps its records waiting, and
-// against one that is not although its daemon is gone or it has been silent for very long.
+// Guards against replacing a placer whose records only wait at a slow log, and against keeping
+// one whose daemon is gone or that has been silent for longer than maxBusyPlacerSilence.
 func TestBusyPlacerAtASlowLogIsNotReplaced(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	gone := l.Addr().String()
+	unreachableAddress := l.Addr().String()
 	require.NoError(t, l.Close())
-	alive := serveSubmissions(t, nil)
+	aliveAddress := serveSubmissions(t, nil)
 	for _, c := range []struct {
 		name    string
 		address string
@@ -152,29 +152,30 @@
 		slow    bool
 		claims  bool
 	}{
-		{"alive at a slow log", alive, 3 * time.Second, true, false},
-		{"alive at a quick log", alive, 3 * time.Second, false, true},
-		{"gone at a slow log", gone, 3 * time.Second, true, true},
-		{"silent for very long", alive, maxBusyPlacerSilence + time.Second, true, true},
+		{"alive at a slow log", aliveAddress, 3 * time.Second, true, false},
+		{"alive at a fast log", aliveAddress, 3 * time.Second, false, true},
+		{"gone at a slow log", unreachableAddress, 3 * time.Second, true, true},
+		{"silent for very long", aliveAddress, maxBusyPlacerSilence + time.Second, true, true},
 	} {
-		callers := newTestCallerAPI(t, &fakeStore{}, 0)
-		callers.onEngine(func(e *engine) {
+		api := newTestCallerAPI(t, &fakeStore{}, 0)
+		api.onEngine(func(e *engine) {
 			e.state.Claim = flow.Claim{Daemon: "x", Address: c.address, Epoch: 5}
 			e.state.LastHeard = bootclock.Now() - c.silent
 			e.store.storeSlow.Store(c.slow)
-			e.claimUnlessPlacerAlive(callers.ctx, "the placer is silent")
+			e.claimUnlessPlacerAlive(api.ctx, "the placer is silent")
 		})
 		time.Sleep(aliveTimeout + 200*time.Millisecond)
 		claimed := false
-		callers.onEngine(func(e *engine) { claimed = e.claimEpoch > 0 })
+		api.onEngine(func(e *engine) { claimed = e.claimEpoch > 0 })
 		require.Equal(t, c.claims, claimed, c.name)
 	}
 }
 
-// Guards against a placer that has its own records gathered elsewhere, and against a fallback appender that is the placer, has left, or has just started.
+// Guards against a placer that sends its callers' records to a fallback appender, and against a
+// fallback appender that is the placer, is gone, or has just started.
 func TestFallbackAppenderIsTheBestSuccessor(t *testing.T) {
 	c := newTestCallerAPI(t, &fakeStore{}, 0)
-	fallback := func(claim string) (address string) {
+	fallback := func(placerName string) (address string) {
 		c.onEngine(func(e *engine) {
 			now := bootclock.Now()
 			for name, h := range map[string]flow.Hello{
@@ -185,7 +186,7 @@
 				e.state.Members[name] = flow.Member{Hello: h, LastSeen: now}
 			}
 			e.state.Members["gone"] = flow.Member{Hello: flow.Hello{Daemon: "gone", CapacityFactor: 9, StartedMS: 1, Address: "at gone"}, LastSeen: now - time.Hour}
-			e.state.Claim.Daemon = claim
+			e.state.Claim.Daemon = placerName
 			e.publishMembers()
 			address = *e.writer.fallbackAddress.Load()
 		})
@@ -193,6 +194,6 @@
 	}
 	require.Equal(t, "at b", fallback("p"))
 	require.Equal(t, "at p", fallback(""))
-	require.Empty(t, fallback("a"), "this daemon places")
+	require.Empty(t, fallback("a"), "this daemon is the placer")
 	require.Equal(t, "at p", fallback("b"))
 }
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -16,38 +16,39 @@
 	"briarproxy/daemon/event"
 )
 
-// partition holds the records of the cell. A cell whose pools outgrow one placer gets
-// one partition for each group of pools.
+// partition is the partition of the log that holds the records of the cell. A cell whose
+// pools outgrow one placer gets one partition for each group of pools.
 const partition = 0
 
-// Times of the engine.
+// Intervals, time-outs and limits of the engine.
 const (
 	placerTickInterval       = 20 * time.Millisecond
 	followerTickInterval     = 250 * time.Millisecond
 	helloInterval            = 5 * time.Second
-	memberTimeout            = 3 * helloInterval // a daemon without a greeting for this long is not asked for anything
+	memberTimeout            = 3 * helloInterval // a daemon without a Hello record for this long gets no requests
 	summaryInterval          = time.Second
 	expiryInterval           = 10 * time.Second
-	endedJobRetentionFactor  = 1.25                    // ended jobs are known longer than promised, as clocks and answers lag
-	failoverBoundShare       = 0.35                    // of the bound for a change of the daemon that orders: leaves time to take over
-	maxLease                 = 4800 * time.Millisecond // longer leases delay the restart of what ran on lost workers
-	readyReadAge             = 1600 * time.Millisecond // a daemon that has not read the log for this long turns callers away
+	endedJobRetentionFactor  = 1.25                    // keeps ended jobs longer than bounds promise, because clocks and answers lag
+	failoverBoundShare       = 0.35                    // of the failover bound; the rest is left for the take-over
+	maxLease                 = 4800 * time.Millisecond // longer leases delay the restart of tasks of lost workers
+	readyReadAge             = 1600 * time.Millisecond // a daemon that has not read the log for this long rejects callers
 	maxRetireTries           = 4
-	claimConflictBackoff     = 2500 * time.Millisecond // a partition holds 2 s of appends at most
-	maxBusyPlacerSilence     = 7 * time.Second         // of silence of a placer at a slow log: three appends that a full partition keeps waiting
+	claimConflictBackoff     = 2500 * time.Millisecond // a partition queues at most 2 s of appends
+	maxBusyPlacerSilence     = 7 * time.Second         // while the log is slow; three appends that wait in a full partition
 	maxStackBytes            = 2048
 	maxSpecTries             = 4
-	specRetryDelay           = 40 * time.Millisecond // a read of the log
-	handOverDelay            = 2 * time.Second       // a placer that has just begun is settling its workers
-	isolationBypassedRecords = 5                     // a daemon that does not reach the placer once appends a record past it, too
-	isolationBackoff         = 10 * time.Second      // then the path may be whole again
+	specRetryDelay           = 40 * time.Millisecond // about one read of the log
+	handOverDelay            = 2 * time.Second       // a new placer is still learning the state of its workers
+	isolationBypassedRecords = 5                     // a single failed call to the placer also makes a daemon append a record past it
+	isolationBackoff         = 10 * time.Second      // after it the network path may work again
 	maxHandOverTries         = 2
-	handOverTimeout          = 1200 * time.Millisecond // an append of a slow store; with two tries within drainTimeout
+	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
-	maxLogOutage             = 14 * time.Second // longest outage of the log over which leases are renewed
+	maxLogOutage             = 14 * time.Second // longest outage of the log during which leases are renewed
 )
 
-// engine owns the state that the log tells and, at times, the placer.
+// engine owns the state that is built from the log and, while this daemon holds the claim,
+// the placer.
 type engine struct {
 	settings *Settings
 	started  int64 // Unix ms
@@ -67,33 +68,33 @@
 
 	state          *flow.State
 	config         *cluster.Configuration
-	firstConfigAt  time.Duration // first configuration
-	readableSince  time.Duration
-	readToEndAt    time.Duration
-	roundTrip      time.Duration
+	firstConfigAt  time.Duration // when the first configuration came into force
+	readableSince  time.Duration // start of the present period in which the log could be read without a gap
+	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
+	roundTrip      time.Duration // shortest round trip to the log so far
 	logUnreachable bool
-	headApplied    bool // members and claim are those of the head of a snapshot
+	headApplied    bool // members and claim come from the head of a snapshot
 	draining       bool
 	claimJitter    time.Duration
 	refreshWaiters []refreshWaiter
 
 	placer          *placer.Placer
 	appender        *fencedAppender
-	claimEpoch      int64 // of a claim that this daemon has sent
-	claiming        bool
-	claimedAt       time.Duration // when the last claim was answered
-	claimConflictAt time.Duration // when the log refused a claim for a higher one that was not read yet; 0 is never
-	handingOver     bool          // the placer gives up its claim once its last batch is stored
-	appending       bool
-	batchAckedAt    time.Duration
-	placingContext  context.Context // of the placer's orders
+	claimEpoch      int64           // epoch of the last claim that this daemon has appended
+	claiming        bool            // a claim, or the check before it, is under way
+	claimAnsweredAt time.Duration   // when the last claim was answered
+	claimConflictAt time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	handingOver     bool            // the placer releases its claim once the append under way has ended
+	appending       bool            // a batch is being appended
+	batchAckedAt    time.Duration   // when the last acknowledged batch was sent, at first when placing began
+	placingContext  context.Context // cancelled when this daemon stops placing
 	cancelPlacing   context.CancelFunc
 	helloSentAt     time.Duration
-	expiredAt       time.Duration
-	unusable        int
+	lastExpiryAt    time.Duration
+	unusableEntries int // entries of the registry that could not be read the last time
 	summaryLoggedAt time.Duration
 	catchUpLoggedAt time.Duration
-	logEnd          int64 // as of the last read
+	logEnd          int64 // end of the log as of the last read
 	metricsAt       time.Duration
 
 	snapshotWriter  *snapshotWriter
@@ -101,32 +102,32 @@
 	savedAt         time.Duration
 	savedOffset     int64
 	savedGeneration int64
-	savedBytes      int // of the last snapshot
-	unsavedEntries  int // entries of records since the newest snapshot that this daemon knows
+	savedBytes      int // size of the last snapshot
+	unsavedEntries  int // entries in the records since the newest snapshot that this daemon knows
 
-	// What decides about claims and hand-overs. Times are of the boot clock.
-	probedAt         time.Duration // answer to the newest read out of turn
-	probeTimes       recentMax     // answers of the log to this daemon's probes
-	placerGaps       recentMax     // between records of the placer
-	readTimes        recentMin     // answer of the log to a read
+	// Inputs of the decisions on claims and hand-overs. Times are of the boot clock.
+	probedAt         time.Duration // answer to the last query for the end of the log
+	probeTimes       recentMax     // latency of queries for the end of the log before a claim
+	placerGaps       recentMax     // between batches of the placer
+	readTimes        recentMin     // latency of reads of the log
 	placingStartedAt time.Duration
-	directDownSince  time.Duration // the log is reached through other daemons only; 0 is directly
-	bypassedRecords  int           // callers' records that other daemons appended past this placer
-	lastBypassAt     time.Duration // the last one
-	isolatedAt       time.Duration // when this daemon gave up placing, cut off from the others
+	directDownSince  time.Duration // since when the log is reached through other daemons only; 0 while it is reached directly
+	bypassedRecords  int           // callers' records that other daemons appended without this placer
+	lastBypassAt     time.Duration // the last of these records
+	isolatedAt       time.Duration // when this daemon last gave up placing, because of isolation or an unexpected error
 
-	ackedAppends  map[int64]decoded // own appends that were acknowledged, by offset, until their turn comes
+	ackedAppends  map[int64]decoded // acknowledged appends of this daemon, by offset, until all records before them are applied
 	appliedOffset atomic.Int64      // offset of the next record to apply
 	isPlacer      atomic.Bool       // read by the log reader
-	isReady       atomic.Bool       // read by the balancer's checks
-	inFlight      atomic.Int64      // callers' requests
+	isReady       atomic.Bool       // read by the load balancer's health checks
+	inFlight      atomic.Int64      // callers' requests under way
 	metrics       metrics
 }
 
-// refreshWaiter is a query that waits until the log was read up to an offset.
+// refreshWaiter is a query that waits until the log has been read up to the offset end.
 type refreshWaiter struct {
-	end int64
-	do  func(e *engine, ok bool)
+	end      int64
+	callback func(e *engine, ok bool)
 }
 
 func newEngine(s *Settings, p Platform, log *event.Logger) *engine {
@@ -148,7 +149,7 @@
 	return e
 }
 
-// do runs a function on the engine's goroutine.
+// do queues a function to run on the engine's goroutine.
 func (e *engine) do(ctx context.Context, f func(*engine)) {
 	select {
 	case e.calls <- f:
@@ -159,7 +160,7 @@
 func (e *engine) run(ctx context.Context) {
 	ticker := time.NewTicker(followerTickInterval)
 	defer ticker.Stop()
-	quick := false
+	fastTicks := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -174,14 +175,14 @@
 		now := bootclock.Now()
 		e.recoverPanic(func() { e.runTimers(ctx, now) })
 		e.publish(now)
-		if want := e.placer != nil; want != quick {
-			quick = want
-			ticker.Reset(map[bool]time.Duration{true: placerTickInterval, false: followerTickInterval}[quick])
+		if placing := e.placer != nil; placing != fastTicks {
+			fastTicks = placing
+			ticker.Reset(map[bool]time.Duration{true: placerTickInterval, false: followerTickInterval}[fastTicks])
 		}
 	}
 }
 
-// runQueuedCalls runs what else waits, so that one planning pass serves it all.
+// runQueuedCalls runs up to 256 more queued calls, so that one planning pass serves them all.
 func (e *engine) runQueuedCalls() {
 	for range 256 {
 		select {
@@ -193,21 +194,21 @@
 	}
 }
 
-// recoverPanic runs one piece of the engine's work. An unexpected error in it ends that piece, and
-// the placing of this daemon, whose state may be half changed; it does not end the process,
-// as the same record or job would end every daemon in turn.
+// recoverPanic runs one piece of the engine's work. A panic in it ends that piece of work and
+// makes this daemon stop placing, as the placer's state may be inconsistent. It does not end
+// the process, because the same record or job would then end every daemon in turn.
 func (e *engine) recoverPanic(work func()) {
 	defer func() {
 		if r := recover(); r != nil {
 			e.log.Emit(evUnexpectedError, "reason", fmt.Sprint(r), "offset", e.state.NextOffset, "stack", stackTrace())
-			e.stopPlacing("an unexpected error")
-			e.isolatedAt = bootclock.Now() // others are to place first
+			e.stopPlacing("unexpected error")
+			e.isolatedAt = bootclock.Now() // gives other daemons the first chance to claim
 		}
 	}()
 	work()
 }
 
-// stackTrace returns the calls that led to a panic, within the length of a log line.
+// stackTrace returns the stack of the calling goroutine, cut to fit into a log line.
 func stackTrace() string {
 	text := make([]byte, maxStackBytes)
 	return string(text[:runtime.Stack(text, false)])
@@ -220,14 +221,14 @@
 	return e.config
 }
 
-// runTimers does what is due by time.
+// runTimers does the periodic work that is due.
 func (e *engine) runTimers(ctx context.Context, now time.Duration) {
 	if now-e.helloSentAt > helloInterval && !e.draining {
 		e.helloSentAt = now
 		e.sendHello(ctx, false)
 	}
-	if now-e.expiredAt > expiryInterval {
-		e.expiredAt = now
+	if now-e.lastExpiryAt > expiryInterval {
+		e.lastExpiryAt = now
 		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
 	}
 	e.logCatchingUp(now)
@@ -238,7 +239,7 @@
 	e.claimIfDue(ctx, now)
 }
 
-// hello names this daemon to the others.
+// hello returns the record content that announces this daemon to the others.
 func (e *engine) hello() flow.Hello {
 	return flow.Hello{
 		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, StartedMS: e.started,
@@ -250,15 +251,15 @@
 	h := e.hello()
 	h.Leaving = leaving
 	r := flow.Record{Hello: &h}
-	go func() { _ = e.writer.append(ctx, &r, helloInterval) }() // repeated every few seconds
+	go func() { _ = e.writer.append(ctx, &r, helloInterval) }() // an error is ignored: the next Hello follows within seconds
 }
 
-// watchConfig keeps the newest configuration in force.
+// watchConfig waits for new configurations and puts each in force.
 func (e *engine) watchConfig(ctx context.Context) {
 	position := int64(-1)
 	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
-		config, next, err := e.store.Configuration(bounded, position, configWait)
+		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
+		config, next, err := e.store.Configuration(callCtx, position, configWait)
 		cancel()
 		position = next
 		if err != nil {
@@ -281,7 +282,7 @@
 	}
 }
 
-// setConfig puts a configuration in force unless a newer one is.
+// setConfig puts a configuration in force unless the present one is as new or newer.
 func (e *engine) setConfig(c *cluster.Configuration) {
 	if e.config != nil && c.Version <= e.config.Version {
 		return
@@ -296,21 +297,22 @@
 	}
 }
 
-// specOf returns the Spec of a job. It waits a little for the record of a job that was
-// submitted just now.
+// specOf returns the Spec of a job that has not ended. The record of a job that was just
+// submitted may not have been read yet, so specOf tries several times, with specRetryDelay
+// between the tries.
 func (e *engine) specOf(ctx context.Context, job string) (string, bool) {
 	type found struct {
 		spec  string
 		known bool
 	}
-	for try := range maxSpecTries {
-		if try > 0 {
+	for attempt := range maxSpecTries {
+		if attempt > 0 {
 			e.wakeReader()
 			time.Sleep(specRetryDelay)
 		}
 		f, ok := query(ctx, e, func(e *engine, reply chan<- found) {
 			j := e.state.Jobs[job]
-			if j == nil || j.Phase.Final() { // of an ended job only the id may be known
+			if j == nil || j.Phase.Final() { // of an ended job, possibly only the id is known
 				reply <- found{}
 				return
 			}
--- a/daemon/cell/engine_test.go
+++ b/daemon/cell/engine_test.go
@@ -11,9 +11,8 @@
 	"briarproxy/daemon/event"
 )
 
-// Guards against two placers under one epoch: the log answers the second of two claims
-// with the same epoch like a repeat of the first (TWICE and LIMIT on grenaille-sched,
-// hunt-952b-11).
+// Guards against two placers under one epoch: the log acknowledges the second of two claims
+// with the same epoch as if it were a repeat of the first.
 func TestOnlyTheDaemonThatTheClaimNamesPlaces(t *testing.T) {
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000}}, nil, event.Discard())
 	e.metrics = newMetrics()
@@ -29,7 +28,7 @@
 	}
 }
 
-// Guards against a configuration that reverts.
+// Guards against an older configuration that replaces a newer one.
 func TestConfigurationNeverReverts(t *testing.T) {
 	e := newEngine(&Settings{Name: "a"}, nil, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 5})
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -12,28 +12,29 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Limits of orders.
+// Time-outs and concurrency limits of the placer's commands.
 const (
-	orderTimeout       = 1000 * time.Millisecond // a few round trips between regions; the outcome is settled by a look
-	lookTimeout        = 1000 * time.Millisecond // beyond the wait of the look
-	adviceTimeout      = 2500 * time.Millisecond // beyond the service's own time: calls of one daemon are served in turn
+	orderTimeout       = 1000 * time.Millisecond // a few round trips between regions; a later poll of the worker shows an unknown outcome
+	pollTimeout        = 1000 * time.Millisecond // in addition to the wait of the poll
+	adviceTimeout      = 2500 * time.Millisecond // longer than the advice service needs for one call, because it serves calls of one daemon one after the other
 	maxOpenOrders      = 256
-	maxOpenLooks       = 2048 // one for each worker of a placer
+	maxOpenPolls       = 2048 // one for each worker of a placer
 	maxOpenAdviceCalls = 2048 // the placer bounds the calls of each daemon
 )
 
-// orderSender carries out the placer's commands in bounded pools.
+// orderSender carries out the placer's commands in worker pools of limited size.
 type orderSender struct {
-	engine  *engine
-	starts  pond.Pool
-	looks   pond.Pool
-	advices pond.Pool
+	engine     *engine
+	orderPool  pond.Pool
+	pollPool   pond.Pool
+	advicePool pond.Pool
 }
 
 func newOrderSender(e *engine) *orderSender {
-	return &orderSender{engine: e, starts: pond.NewPool(maxOpenOrders), looks: pond.NewPool(maxOpenLooks), advices: pond.NewPool(maxOpenAdviceCalls)}
+	return &orderSender{engine: e, orderPool: pond.NewPool(maxOpenOrders), pollPool: pond.NewPool(maxOpenPolls), advicePool: pond.NewPool(maxOpenAdviceCalls)}
 }
 
+// execute hands the placer's commands to the orderSender.
 func (e *engine) execute(ctx context.Context, commands []placer.Command) {
 	for i := range commands {
 		c := &commands[i]
@@ -45,14 +46,15 @@
 		case c.Pace != nil:
 			e.orders.pace(ctx, e.placer, c.Pace)
 		case c.Poll != nil:
-			e.orders.look(ctx, e.placer, c.Poll)
+			e.orders.poll(ctx, e.placer, c.Poll)
 		case c.Advise != nil:
 			e.orders.advise(ctx, e.placer, c.Advise)
 		}
 	}
 }
 
-// ifStillPlacing runs a function with the placer that gave the command, if it still decides.
+// ifStillPlacing runs f on the engine if p, the placer that issued the command, is still in
+// charge.
 func (s *orderSender) ifStillPlacing(ctx context.Context, p *placer.Placer, f func(e *engine)) {
 	s.engine.do(ctx, func(e *engine) {
 		if e.placer == p {
@@ -62,39 +64,39 @@
 }
 
 func (s *orderSender) start(ctx context.Context, p *placer.Placer, c *placer.StartCommand) {
-	courier := s.engine.state.Members[c.Relay].Address
-	s.starts.Submit(func() {
-		result, clock := s.sendStart(ctx, courier, c)
+	relayAddress := s.engine.state.Members[c.Relay].Address
+	s.orderPool.Submit(func() {
+		result, workerClockMS := s.sendStart(ctx, relayAddress, c)
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			e.metrics.starts.WithLabelValues(string(result)).Inc()
-			e.stopIfSuperseded(p.StartAnswered(c, result, clock, bootclock.Now()))
+			e.stopIfSuperseded(p.StartAnswered(c, result, workerClockMS, bootclock.Now()))
 		})
 	})
 }
 
-// sendStart sends an order to start, through another daemon if one is named. An order that
-// waited here for too long is not sent at all.
-func (s *orderSender) sendStart(ctx context.Context, courier string, c *placer.StartCommand) (cluster.StartResult, int64) {
+// sendStart sends a start order to a worker, through the daemon at relayAddress unless that is
+// empty. An order whose send deadline has passed while it was queued is not sent.
+func (s *orderSender) sendStart(ctx context.Context, relayAddress string, c *placer.StartCommand) (cluster.StartResult, int64) {
 	if bootclock.Now() > c.SendDeadline {
 		return cluster.NotSent, 0
 	}
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if courier != "" {
-		if result, clock, sent := s.startThroughPeer(bounded, courier, c); sent {
-			return result, clock
+	if relayAddress != "" {
+		if result, workerClockMS, sent := s.startThroughPeer(callCtx, relayAddress, c); sent {
+			return result, workerClockMS
 		}
 	}
-	return s.engine.platform.Start(bounded, c.Life, c.Address, &c.Order)
+	return s.engine.platform.Start(callCtx, c.Life, c.Address, &c.Order)
 }
 
-// startThroughPeer has another daemon send an order to start. Sent is false if it certainly
-// was not sent.
-func (s *orderSender) startThroughPeer(ctx context.Context, courier string, c *placer.StartCommand) (result cluster.StartResult, clockMS int64, sent bool) {
+// startThroughPeer sends a start order through another daemon. Sent is false only if the order
+// was certainly not sent.
+func (s *orderSender) startThroughPeer(ctx context.Context, relayAddress string, c *placer.StartCommand) (result cluster.StartResult, workerClockMS int64, sent bool) {
 	args := &StartArgs{Life: c.Life, Address: c.Address, Order: c.Order, Within: remoteTimeout(ctx, orderTimeout)}
 	args.Order.Spec = ""
 	reply := &StartReply{}
-	if err := s.engine.peers.call(ctx, courier, startMethod, args, reply); err != nil {
+	if err := s.engine.peers.call(ctx, relayAddress, startMethod, args, reply); err != nil {
 		s.engine.log.Emit(evPeerUnreachable, "peer", c.Relay, "reason", err.Error(), "job", c.Order.Job)
 		return cluster.NoAnswer, 0, true
 	}
@@ -102,28 +104,28 @@
 }
 
 func (s *orderSender) stop(ctx context.Context, p *placer.Placer, c *placer.StopCommand) {
-	s.starts.Submit(func() {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	s.orderPool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		result, clock := s.engine.platform.Stop(bounded, c.Life, c.Address, c.Run, c.Token)
-		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.StopAnswered(c, result, clock, bootclock.Now())) })
+		result, workerClockMS := s.engine.platform.Stop(callCtx, c.Life, c.Address, c.Run, c.Token)
+		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.StopAnswered(c, result, workerClockMS, bootclock.Now())) })
 	})
 }
 
 func (s *orderSender) pace(ctx context.Context, p *placer.Placer, c *placer.PaceCommand) {
-	s.starts.Submit(func() {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	s.orderPool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		result, clock := s.engine.platform.Pace(bounded, c.Life, c.Address, c.Run, c.Percent, c.Token)
-		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.PaceAnswered(c, result, clock, bootclock.Now())) })
+		result, workerClockMS := s.engine.platform.Pace(callCtx, c.Life, c.Address, c.Run, c.Percent, c.Token)
+		s.ifStillPlacing(ctx, p, func(e *engine) { e.stopIfSuperseded(p.PaceAnswered(c, result, workerClockMS, bootclock.Now())) })
 	})
 }
 
-func (s *orderSender) look(ctx context.Context, p *placer.Placer, c *placer.PollCommand) {
-	s.looks.Submit(func() {
-		bounded, cancel := context.WithTimeout(ctx, c.Hold.Wait+lookTimeout)
+func (s *orderSender) poll(ctx context.Context, p *placer.Placer, c *placer.PollCommand) {
+	s.pollPool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, c.Hold.Wait+pollTimeout)
 		defer cancel()
-		report, err := s.engine.platform.RenewLease(bounded, c.Life, c.Address, &c.Hold)
+		report, err := s.engine.platform.RenewLease(callCtx, c.Life, c.Address, &c.Hold)
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			if err != nil {
 				p.PollFailed(c, bootclock.Now())
@@ -135,19 +137,19 @@
 	})
 }
 
-// stopIfSuperseded ends the placer when a worker names a newer one.
-func (e *engine) stopIfSuperseded(yes bool) {
-	if yes {
-		e.stopPlacing("a worker knows a newer token")
+// stopIfSuperseded stops placing if a worker's answer showed that a newer placer exists.
+func (e *engine) stopIfSuperseded(superseded bool) {
+	if superseded {
+		e.stopPlacing("a worker knows a newer fencing token")
 	}
 }
 
 func (s *orderSender) advise(ctx context.Context, p *placer.Placer, c *placer.AdviseCommand) {
-	member, self := s.engine.state.Members[c.Daemon], c.Daemon == s.engine.settings.Name
-	s.advices.Submit(func() {
-		began := bootclock.Now()
-		grants, valid, err := s.requestAdvice(ctx, member.Address, self, c)
-		took := bootclock.Now() - began
+	member, isSelf := s.engine.state.Members[c.Daemon], c.Daemon == s.engine.settings.Name
+	s.advicePool.Submit(func() {
+		sentAt := bootclock.Now()
+		grants, valid, err := s.requestAdvice(ctx, member.Address, isSelf, c)
+		took := bootclock.Now() - sentAt
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			if err != nil {
 				e.log.Emit(evPeerUnreachable, "peer", c.Daemon, "reason", err.Error(), "job", c.Step.Job)
@@ -157,11 +159,11 @@
 	})
 }
 
-func (s *orderSender) requestAdvice(ctx context.Context, address string, self bool, c *placer.AdviseCommand) ([]cluster.Grant, time.Duration, error) {
-	bounded, cancel := context.WithTimeout(ctx, adviceTimeout)
+func (s *orderSender) requestAdvice(ctx context.Context, address string, isSelf bool, c *placer.AdviseCommand) ([]cluster.Grant, time.Duration, error) {
+	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
-	if self {
-		return s.engine.platform.Advise(bounded, c.Step, c.Workers)
+	if isSelf {
+		return s.engine.platform.Advise(callCtx, c.Step, c.Workers)
 	}
-	return s.engine.peers.advise(bounded, address, c.Step, c.Workers)
+	return s.engine.peers.advise(callCtx, address, c.Step, c.Workers)
 }
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -10,44 +10,45 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// runPlacer lets the placer decide and carries its commands out.
+// runPlacer runs one tick of the placer: it carries out the placer's commands, logs its
+// decisions and appends its batch.
 func (e *engine) runPlacer(ctx context.Context, now time.Duration) {
 	if now-e.batchAckedAt > maxLogOutage {
-		e.stopPlacing("the log has not answered for too long")
+		e.stopPlacing("no batch was acknowledged within the longest tolerated log outage")
 		return
 	}
 	e.handOverIfDue(now)
 	if e.handingOver {
 		if !e.appending {
-			e.release(ctx)
+			e.releaseClaim(ctx)
 		}
 		return
 	}
 	e.execute(e.placingContext, e.placer.Tick(now, time.Now().UnixMilli()))
-	for _, n := range e.placer.TakeDecisions() {
-		e.logDecision(&n)
+	for _, decision := range e.placer.TakeDecisions() {
+		e.logDecision(&decision)
 	}
 	e.appendBatch(ctx, now)
-	e.summarize(now)
+	e.logSummary(now)
 	if e.placer != nil {
 		e.saveSnapshot(e.placingContext, now)
 	}
 }
 
-// summarize writes once a second what the placer holds.
-func (e *engine) summarize(now time.Duration) {
+// logSummary logs and publishes a summary of the placer's state once a second.
+func (e *engine) logSummary(now time.Duration) {
 	if now-e.summaryLoggedAt < summaryInterval || e.placer == nil {
 		return
 	}
 	e.summaryLoggedAt = now
-	s := e.placer.Summarize(now, time.Now().UnixMilli())
-	e.metrics.publishSummary(&s)
-	e.log.Emit(evSummary, "steps", s.Steps, "unadvised", s.Unadvised, "asking", s.AdviceInFlight, "roomless", s.AwaitingRoom, "late", s.Late,
-		"runs", s.Runs, "usable", s.Usable, "workers", s.Workers, "free", s.Free.String(), "capacity", s.Capacity.String(),
-		"advisers", s.Advisers, "calls", s.AdviceCalls)
+	summary := e.placer.Summarize(now, time.Now().UnixMilli())
+	e.metrics.publishSummary(&summary)
+	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingRoom, "late", summary.Late,
+		"runs", summary.Runs, "usable", summary.Usable, "workers", summary.Workers, "free", summary.Free.String(), "capacity", summary.Capacity.String(),
+		"advisers", summary.Advisers, "calls", summary.AdviceCalls)
 }
 
-// appendBatch appends the next batch unless one is under way.
+// appendBatch appends the next batch, unless an append is under way or nothing is due.
 func (e *engine) appendBatch(ctx context.Context, now time.Duration) {
 	if e.appending || e.placer == nil {
 		return
@@ -60,11 +61,11 @@
 	p, appender := e.placer, e.appender
 	e.metrics.batches.Inc()
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, maxLogOutage)
+		appendCtx, cancel := context.WithTimeout(ctx, maxLogOutage)
 		defer cancel()
-		sent := bootclock.Now()
+		sentAt := bootclock.Now()
 		record := &flow.Record{Batch: &batch}
-		offset, err := appender.append(bounded, record)
+		offset, err := appender.append(appendCtx, record)
 		e.do(ctx, func(e *engine) {
 			if e.placer != p {
 				return
@@ -78,12 +79,12 @@
 				e.claimConflictAt = bootclock.Now()
 			}
 			if err != nil {
-				e.stopPlacing("the log refused a batch: " + err.Error())
+				e.stopPlacing("appending a batch failed: " + err.Error())
 				return
 			}
-			e.batchAckedAt = sent
+			e.batchAckedAt = sentAt
 			if e.placer != p {
-				return // a record that was applied just now ended it
+				return // a record that applyAcked applied has ended the placer
 			}
 			e.execute(e.placingContext, p.BatchAppended(runs, bootclock.Now()))
 			if len(e.ackedAppends) > 0 {
@@ -93,41 +94,42 @@
 	}()
 }
 
-func (e *engine) logDecision(n *placer.Decision) {
-	e.metrics.countDecision(n)
-	if n.Kind == placer.DecisionJobBegan {
-		return // the start of the run has its own line
+func (e *engine) logDecision(decision *placer.Decision) {
+	e.metrics.countDecision(decision)
+	if decision.Kind == placer.DecisionJobBegan {
+		return // the start of the run is logged on its own
 	}
-	e.log.Emit(evDecision, "decision", n.Kind, "job", n.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step, "task", n.Task.Index,
-		"run", n.Run, "worker", n.Worker, "reason", n.Reason, "age_ms", n.Age.Milliseconds(), "version", n.Version)
+	e.log.Emit(evDecision, "decision", decision.Kind, "job", decision.Job, "occurrence", decision.Task.Occurrence, "step", decision.Task.Step, "task", decision.Task.Index,
+		"run", decision.Run, "worker", decision.Worker, "reason", decision.Reason, "age_ms", decision.Age.Milliseconds(), "version", decision.Version)
 }
 
-// registryReadInterval is the time between two readings of the registry, of which the last one named
-// some workers. All readings share what a slow store can send, and what the link can take.
+// registryReadInterval returns the time between two reads of the registry, given the number of
+// workers in the last one. Reads are rarer while the store is slow, because all reads share what
+// it can send, and when they would take more than registryLinkShare of the link.
 func (e *engine) registryReadInterval(workers int) time.Duration {
-	pause := registryInterval
+	interval := registryInterval
 	if e.store.storeSlow.Load() {
-		pause = maxRegistryInterval
+		interval = maxRegistryInterval
 	}
-	if rate := registryLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit; rate > 0 {
-		pause = max(pause, time.Duration(float64(workers*registryBytesPerWorker)/rate*float64(time.Second)))
+	if bytesPerSecond := registryLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit; bytesPerSecond > 0 {
+		interval = max(interval, time.Duration(float64(workers*registryBytesPerWorker)/bytesPerSecond*float64(time.Second)))
 	}
-	return min(pause, maxRegistryInterval)
+	return min(interval, maxRegistryInterval)
 }
 
-// watchRegistry reads the registry while this daemon is the placer.
+// watchRegistry reads the registry periodically while this daemon is the placer.
 func (e *engine) watchRegistry(ctx context.Context, p *placer.Placer) {
 	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		workers, unusable, err := e.store.Workers(bounded)
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		workers, unusable, err := e.store.Workers(callCtx)
 		cancel()
 		if err == nil {
 			e.do(ctx, func(e *engine) {
 				if e.placer != p {
 					return
 				}
-				if len(unusable) != e.unusable {
-					e.unusable = len(unusable)
+				if len(unusable) != e.unusableEntries {
+					e.unusableEntries = len(unusable)
 					e.log.Emit(evRegistryUnusable, "entries", unusable)
 				}
 				p.SetRegistry(workers, bootclock.Now())
