--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -11,9 +11,10 @@
 	"briarproxy/core/resource"
 )
 
-// targetSet returns a set of the target scale (620 teams) in which one quota varies.
-func targetSet(quota int64) *object.Set {
-	s := setNamed("x")
+// largeSet returns a set with 620 teams, 400 batch jobs and 100 services in which the
+// quota of one team is a parameter.
+func largeSet(quota int64) *object.Set {
+	s := setWithTeam("x")
 	for i := range int64(620) {
 		name := fmt.Sprintf("team-%03d", i)
 		s.Teams[name] = &object.Team{
@@ -41,16 +42,16 @@
 	return s
 }
 
-// BenchmarkApply measures what one changed team costs a reader in time and bytes,
-// as a whole set and as a delta.
+// BenchmarkApply measures the time and the record size for a reader to apply one
+// changed team, as a whole set and as a delta.
 func BenchmarkApply(b *testing.B) {
-	first, second := targetSet(1), targetSet(2)
+	first, second := largeSet(1), largeSet(2)
 	p := Publication{ID: "10", Base: 10, Author: "operator", Message: "raise the quota", Set: second}
-	whole, err := EncodePublication(p)
+	wholeSet, err := EncodePublication(p)
 	require.NoError(b, err)
 	delta, err := EncodeDelta(p, first)
 	require.NoError(b, err)
-	for name, data := range map[string][]byte{"whole": whole, "delta": delta} {
+	for name, data := range map[string][]byte{"whole": wholeSet, "delta": delta} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
 				s := New(0)
--- a/core/config/fuzz_test.go
+++ b/core/config/fuzz_test.go
@@ -8,8 +8,8 @@
 	"briarproxy/core/object"
 )
 
-// Guards against records of the stream `config` that stop a reader, take the
-// version back, or lead to a state whose snapshot another reader does not adopt.
+// Guards against records of the stream "config" that crash a reader, decrease the
+// version, or lead to a state whose snapshot another reader does not adopt.
 func FuzzSequence(f *testing.F) {
 	set := &object.Set{}
 	whole, err := EncodePublication(Publication{ID: "a", Author: "x", Set: set})
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -8,53 +8,55 @@
 	"briarproxy/core/object"
 )
 
-// Format is the newest record format that this release reads and writes. It rises
-// when a record or any object gains, loses or reinterprets a field.
+// RecordFormat is the newest record format that this release reads and writes. It is
+// incremented when a field of a record or of any object is added, removed or given
+// another meaning.
 const Format = 1
 
-// Kind names the kind of a record.
+// Kind identifies the type of a record.
 type Kind string
 
-// Kinds of records.
+// These are the kinds of records.
 const (
 	KindPublication Kind = "publication"
 	KindSnapshot    Kind = "snapshot"
 )
 
-// Publication is an operator's request to put a set in force.
+// Publication is an operator's request to put a set of objects in force.
 type Publication struct {
-	ID      string // unique; identifies the record after a lost answer
-	Base    int64  // version that the author started from; 0 before the first
+	ID      string // ID is unique; it identifies the record in the log if the response to the append is lost.
+	Base    int64  // Base is the version that the author started from, 0 if there was none.
 	Author  string
 	Message string
 	Set     *object.Set
 }
 
-// record is the encoding of both kinds.
+// record is the JSON encoding of publications and snapshots.
 type record struct {
 	Format  int             `json:"format"`
 	Kind    Kind            `json:"kind"`
 	ID      string          `json:"id"`
 	Base    int64           `json:"base"`
-	Version int64           `json:"version,omitempty"` // snapshots
-	Through int64           `json:"through,omitempty"` // snapshots: offset of the last record that the version takes into account
+	Version int64           `json:"version,omitempty"` // Version is set in snapshots only.
+	Through int64           `json:"through,omitempty"` // Through is set in snapshots only: the offset of the last record that Version takes into account.
 	Author  string          `json:"author"`
 	Message string          `json:"message,omitempty"`
-	Set     json.RawMessage `json:"set"`              // the whole set, or the objects that are put
-	Delta   bool            `json:"delta,omitempty"`  // publications: Set and Remove are relative to the base
-	Remove  []object.Ref    `json:"remove,omitempty"` // publications with Delta
+	Set     json.RawMessage `json:"set"`              // Set holds the whole set, or the added and replaced objects of a delta.
+	Delta   bool            `json:"delta,omitempty"`  // Delta is set in publications whose Set and Remove are changes to the base version.
+	Remove  []object.Ref    `json:"remove,omitempty"` // Remove is used only with Delta.
 
-	decoded *object.Set
+	decodedSet *object.Set
 }
 
-// EncodePublication encodes a publication with its whole set for the log.
+// EncodePublication encodes a publication with its whole set as a log record.
 func EncodePublication(p Publication) ([]byte, error) {
 	return encode(publicationRecord(p), p.Set)
 }
 
-// EncodeDelta encodes a publication as the difference to the set of its base
-// version. The record is accepted under the same rule; it is small where few
-// objects change, so that 32,000 changes a day fit the daemons' network limit.
+// EncodeDelta encodes a publication as the difference from the set of its base
+// version. The rule for acceptance is the same as for a whole set. The size of the
+// record depends on the number of changed objects, so that 32,000 changes a day stay
+// within the daemons' network limit.
 func EncodeDelta(p Publication, base *object.Set) ([]byte, error) {
 	delta := object.DeltaOf(base, p.Set)
 	r := publicationRecord(p)
@@ -77,40 +79,42 @@
 	return json.Marshal(r)
 }
 
-// successor returns the set that a publication makes of the version in force. ok is
-// false if it is not accepted.
-func (r record) successor(version int64, set *object.Set) (next *object.Set, ok bool) {
+// applyTo returns the set that results from applying a publication to the version in
+// force. ok is false if the publication is not accepted.
+func (r record) applyTo(version int64, set *object.Set) (next *object.Set, ok bool) {
 	if r.Base != version {
 		return nil, false
 	}
 	if !r.Delta {
-		return r.decoded, true
+		return r.decodedSet, true
 	}
-	next, err := object.Delta{Put: r.decoded, Remove: r.Remove}.Apply(set)
+	next, err := object.Delta{Put: r.decodedSet, Remove: r.Remove}.Apply(set)
 	return next, err == nil
 }
 
-// IDOf returns the unique id of an encoded record, for reading back an append whose
-// answer was lost. ok is false if the data is not a record that has one.
+// RecordID returns the unique id of an encoded record, which is used to find a record
+// in the log after the response to its append was lost. ok is false if the data is
+// not a record with an id.
 func IDOf(data []byte) (id string, ok bool) {
-	var head struct {
+	var header struct {
 		ID string `json:"id"`
 	}
-	if json.Unmarshal(data, &head) != nil {
+	if json.Unmarshal(data, &header) != nil {
 		return "", false
 	}
-	return head.ID, head.ID != ""
+	return header.ID, header.ID != ""
 }
 
-// decode reads a record. newer is true for a record of a later release's format.
-func decode(data []byte) (r record, newer bool, err error) {
-	var head struct {
+// decode reads a record. If a later release wrote it in a newer format, newerFormat
+// is true and the record is not decoded.
+func decode(data []byte) (r record, newerFormat bool, err error) {
+	var header struct {
 		Format int `json:"format"`
 	}
-	if err := json.Unmarshal(data, &head); err != nil {
+	if err := json.Unmarshal(data, &header); err != nil {
 		return record{}, false, err
 	}
-	if head.Format > Format {
+	if header.Format > Format {
 		return record{}, true, nil
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
@@ -121,7 +125,7 @@
 	if err := r.validate(); err != nil {
 		return record{}, false, err
 	}
-	r.decoded, err = object.Decode(r.Set)
+	r.decodedSet, err = object.Decode(r.Set)
 	return r, false, err
 }
 
@@ -137,9 +141,9 @@
 	case r.Base < 0 || (r.Kind == KindSnapshot && r.Version < 1):
 		return fault.New(fault.Invalid, remedy, "version out of range")
 	case r.Delta && r.Kind == KindSnapshot:
-		return fault.New(fault.Invalid, remedy, "snapshot without the whole set")
+		return fault.New(fault.Invalid, remedy, "snapshot holds a delta instead of the whole set")
 	case !r.Delta && len(r.Remove) > 0:
-		return fault.New(fault.Invalid, remedy, "removal from a whole set")
+		return fault.New(fault.Invalid, remedy, "record with a whole set lists removed objects")
 	}
 	return nil
 }
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -7,84 +7,85 @@
 )
 
 const (
-	// maxHistory bounds the entries and verdicts that are kept.
-	maxHistory = 4096
-	// maxRecent bounds the publications that a snapshot older than them can be
-	// brought up to date with. A snapshot is appended within an append delay of the
-	// state that it holds, so few publications lie between.
-	maxRecent = 16
+	// maxHistoryEntries limits the history entries and the publication results that
+	// are kept.
+	maxHistoryEntries = 4096
+	// maxRecentPublications limits the publications that can be applied again on top
+	// of an older snapshot. A snapshot follows the state that it holds by the duration
+	// of one append, so only a few publications lie between them.
+	maxRecentPublications = 16
 )
 
-// Entry is an accepted version. A snapshot gives an entry without Offset.
+// HistoryEntry describes an accepted version.
 type Entry struct {
 	Version int64
 	ID      string
 	Base    int64
 	Author  string
 	Message string
-	Offset  int64       // log offset, -1 if it was learned from a snapshot
-	State   chart.State // Accepted for the newest version, Superseded for others
+	Offset  int64       // Offset is the log offset of the publication, -1 if the version was read from a snapshot.
+	State   chart.State // State is StateAccepted for the newest version and StateSuperseded for all others.
 }
 
-// Verdict says what became of a publication.
+// PublicationResult tells whether a publication was accepted.
 type Verdict struct {
 	Accepted bool
-	Version  int64 // the accepted version
+	Version  int64 // Version is the accepted version.
 	Base     int64
-	Winner   Entry       // if refused: the version that took the place, or else the newest
-	State    chart.State // of the publication when it was judged
+	Winner   Entry       // ConflictingEntry is, for a refused publication, the version that was accepted on the same base, or else the newest one.
+	State    chart.State // State is the state of the publication when it was accepted or refused.
 }
 
-// Err returns nil for an accepted publication, an error of kind fault.Conflict that
-// names the winner for a stale base, and one of kind fault.Invalid for a delta that
-// was not made from its base.
-func (v Verdict) Err() error {
-	if v.Accepted {
+// Err returns nil for an accepted publication. It returns an error of kind
+// fault.Conflict that names the conflicting version if the base is stale, and one of
+// kind fault.Invalid if a delta does not apply to the set of its base version.
+func (r Verdict) Err() error {
+	if r.Accepted {
 		return nil
 	}
-	if v.Base == v.Winner.Version {
+	if r.Base == r.Winner.Version {
 		return fault.New(fault.Invalid, "read the newest version and publish again from it",
-			"the change does not apply to the set of its base version %d", v.Base)
+			"the change does not apply to the set of its base version %d", r.Base)
 	}
 	return fault.New(fault.Conflict, "compare with the newest version and publish again from it",
 		"base version %d is not the newest: version %d was published by %s (%q)",
-		v.Base, v.Winner.Version, v.Winner.Author, v.Winner.Message)
+		r.Base, r.Winner.Version, r.Winner.Author, r.Winner.Message)
 }
 
-// Effect is what applying a record did.
+// Effect is the effect of a record on the state.
 type Effect int
 
-// Effects of a record.
+// These are the effects of a record.
 const (
-	Repeated    Effect = iota // the offset was applied before
-	Accepted                  // a publication is in force now
-	Refused                   // a publication whose base is not the newest version
-	Copied                    // another copy of an accepted publication
-	Undecided                 // a publication that cannot be judged before a usable snapshot
-	Adopted                   // a snapshot made the state exact or newer
-	Passed                    // a snapshot that tells nothing new
-	Undecodable               // a record that is not readable; skipped
-	Newer                     // a record of a later format; skipped
+	Repeated    Effect = iota // The offset was applied before.
+	Accepted                  // The publication is in force.
+	Refused                   // The base of the publication is stale, or its delta does not apply.
+	Copied                    // The record is another copy of an accepted publication.
+	Undecided                 // The publication can be decided only after a usable snapshot.
+	Adopted                   // The snapshot made the state synced, or moved it to a newer version.
+	Passed                    // The snapshot is not usable, or not newer than the state.
+	Undecodable               // The record is not readable and was skipped.
+	Newer                     // The record has a later format and was skipped.
 )
 
-// Counters count records by effect.
+// Counters holds the number of records by effect.
 type Counters map[Effect]int64
 
-// State is the state of a reader of the stream. It is not safe for concurrent use.
+// State is the state of one reader of the stream. It is not safe for concurrent use.
 type State struct {
-	version int64
-	set     *object.Set
-	next    int64 // lowest offset not applied
-	missing int64 // highest offset before the state is exact that was not read, -1 if none
-
-	recent  []offsetRecord // newest publications, for rebasing
-	dropped int64          // highest offset of a publication no longer in recent, -1 if none
-
-	history  []Entry
-	verdicts map[string]Verdict
-	order    []string // ids of verdicts, oldest first
-	counters Counters
-	refusals []error
+	version          int64
+	set              *object.Set
+	nextOffset       int64 // nextOffset is the lowest offset that was not applied.
+	lastMissedOffset int64 // lastMissedOffset is the highest offset that was not read and that no snapshot covers, -1 if there is none.
+
+	recentPublications []offsetRecord // recentPublications holds the newest publications, which are applied again on top of a snapshot.
+	lastDroppedOffset  int64          // lastDroppedOffset is the highest offset of a publication that was dropped from recentPublications, -1 if there is none.
+
+	history       []Entry
+	results       map[string]Verdict
+	resultOrder   []string // resultOrder holds the ids of results, oldest first.
+	counters      Counters
+	refusedEvents []error
 }
 
 type offsetRecord struct {
@@ -92,31 +93,32 @@
 	record record
 }
 
-// New returns the state of a reader whose first record has the given offset. From
-// offset 0 the state is exact at once; later it needs a snapshot.
+// NewState returns the state of a reader whose first record has the given offset. A
+// reader that starts at offset 0 is synced at once; any other needs a snapshot.
 func New(first int64) *State {
 	return &State{
-		set:      &object.Set{},
-		next:     first,
-		missing:  first - 1,
-		dropped:  -1,
-		verdicts: map[string]Verdict{},
-		counters: Counters{},
+		set:               &object.Set{},
+		nextOffset:        first,
+		lastMissedOffset:  first - 1,
+		lastDroppedOffset: -1,
+		results:           map[string]Verdict{},
+		counters:          Counters{},
 	}
 }
 
-// Exact reports whether the version is the newest one at Next. It is false after
-// records were missed, until a snapshot covers them; the last version then stays.
-func (s *State) Exact() bool { return s.missing < 0 }
+// Synced reports whether the version in force reflects all records before NextOffset.
+// It is false from the time that records are missed until a snapshot covers them;
+// meanwhile the last known version stays in force.
+func (s *State) Exact() bool { return s.lastMissedOffset < 0 }
 
-// Version returns the version in force, 0 before the first.
+// Version returns the version in force, 0 if there is none yet.
 func (s *State) Version() int64 { return s.version }
 
-// Set returns the set in force. The caller must not change it.
+// Set returns the set in force. The caller must not modify it.
 func (s *State) Set() *object.Set { return s.set }
 
-// Next returns the lowest offset that was not applied.
-func (s *State) Next() int64 { return s.next }
+// NextOffset returns the lowest offset that was not applied.
+func (s *State) Next() int64 { return s.nextOffset }
 
 // Counters returns the number of records by effect.
 func (s *State) Counters() Counters {
@@ -127,17 +129,17 @@
 	return copied
 }
 
-// Verdict returns what became of a publication. ok is false if it was not read,
-// cannot be judged yet, or lies too far back.
-func (s *State) Verdict(id string) (v Verdict, ok bool) {
-	v, ok = s.verdicts[id]
-	return v, ok
+// PublicationResult returns the result of a publication. ok is false if the
+// publication was not read, cannot be decided yet, or is too old to be kept.
+func (s *State) Verdict(id string) (result Verdict, ok bool) {
+	result, ok = s.results[id]
+	return result, ok
 }
 
 // History returns the known accepted versions, oldest first.
 func (s *State) History() []Entry { return append([]Entry(nil), s.history...) }
 
-// Newest returns the newest accepted version; ok is false before the first.
+// Newest returns the newest accepted version. ok is false if there is none yet.
 func (s *State) Newest() (e Entry, ok bool) {
 	if len(s.history) == 0 {
 		return Entry{}, false
@@ -145,30 +147,30 @@
 	return s.history[len(s.history)-1], true
 }
 
-// Apply applies one record. Offsets below Next are ignored. A gap above Next means
-// that records expired unread; the state is then not exact.
+// Apply applies one record. An offset below NextOffset is ignored. An offset above it
+// means that records expired before they were read; the state is then not synced.
 func (s *State) Apply(offset int64, data []byte) Effect {
-	if offset < s.next {
+	if offset < s.nextOffset {
 		return s.count(Repeated)
 	}
-	if offset > s.next {
-		s.missing = offset - 1
+	if offset > s.nextOffset {
+		s.lastMissedOffset = offset - 1
 	}
-	s.next = offset + 1
-	r, newer, err := decode(data)
+	s.nextOffset = offset + 1
+	r, newerFormat, err := decode(data)
 	switch {
-	case newer:
+	case newerFormat:
 		return s.count(Newer)
 	case err != nil:
 		return s.count(Undecodable)
 	case r.Kind == KindSnapshot:
 		return s.count(s.applySnapshot(r))
 	}
-	s.remember(offset, r)
+	s.addRecent(offset, r)
 	if !s.Exact() {
 		return s.count(Undecided)
 	}
-	return s.count(s.judge(offset, r))
+	return s.count(s.decide(offset, r))
 }
 
 func (s *State) count(e Effect) Effect {
@@ -176,38 +178,39 @@
 	return e
 }
 
-func (s *State) remember(offset int64, r record) {
-	s.recent = append(s.recent, offsetRecord{offset, r})
-	if len(s.recent) > maxRecent {
-		s.dropped = s.recent[0].offset
-		s.recent = append([]offsetRecord(nil), s.recent[1:]...)
+func (s *State) addRecent(offset int64, r record) {
+	s.recentPublications = append(s.recentPublications, offsetRecord{offset, r})
+	if len(s.recentPublications) > maxRecentPublications {
+		s.lastDroppedOffset = s.recentPublications[0].offset
+		s.recentPublications = append([]offsetRecord(nil), s.recentPublications[1:]...)
 	}
 }
 
-// judge accepts a publication if its base is the newest version and, for a delta,
-// if it applies to that version's set. A base has one
-// winner, so a refused record was accepted at another offset only if it is a copy of
-// that winner. If the winner is not known any more, there is no verdict.
-func (s *State) judge(offset int64, r record) Effect {
-	if set, ok := r.successor(s.version, s.set); ok {
+// decide accepts a publication if its base is the newest version and, for a delta, if
+// the delta applies to that version's set. Only one publication is accepted on each
+// base, so a refused record was accepted at another offset only if it is a copy of
+// that publication. If the accepted publication is no longer known, no result is
+// recorded.
+func (s *State) decide(offset int64, r record) Effect {
+	if set, ok := r.applyTo(s.version, s.set); ok {
 		s.accept(Entry{
 			Version: r.Base + 1, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: offset,
-			State: s.stepVersion(StateLogged, BaseIsNewest),
+			State: s.nextVersionState(StateLogged, BaseIsNewest),
 		}, set)
-		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base, State: StateAccepted})
+		s.recordResult(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base, State: StateAccepted})
 		return Accepted
 	}
-	winner, known := s.entryOf(r.Base + 1)
+	conflicting, known := s.entryOfVersion(r.Base + 1)
 	switch {
-	case known && winner.ID == r.ID:
-		s.keepVerdict(r.ID, Verdict{Accepted: true, Version: winner.Version, Base: r.Base, State: winner.State})
+	case known && conflicting.ID == r.ID:
+		s.recordResult(r.ID, Verdict{Accepted: true, Version: conflicting.Version, Base: r.Base, State: conflicting.State})
 		return Copied
 	case !known && r.Base < s.version:
 		return Refused
 	case !known:
-		winner, _ = s.Newest()
+		conflicting, _ = s.Newest()
 	}
-	s.keepVerdict(r.ID, Verdict{Base: r.Base, Winner: winner, State: s.stepVersion(StateLogged, BaseIsStale)})
+	s.recordResult(r.ID, Verdict{Base: r.Base, Winner: conflicting, State: s.nextVersionState(StateLogged, BaseIsStale)})
 	return Refused
 }
 
@@ -215,19 +218,19 @@
 	s.version = e.Version
 	s.set = set
 	if newest, ok := s.Newest(); ok && newest.Version >= e.Version {
-		return // judged again from a snapshot
+		return // The publication was applied again on top of a snapshot.
 	}
 	if n := len(s.history); n > 0 {
-		s.history[n-1].State = s.stepVersion(s.history[n-1].State, NewerAccepted)
+		s.history[n-1].State = s.nextVersionState(s.history[n-1].State, NewerAccepted)
 	}
 	s.history = append(s.history, e)
-	if len(s.history) > maxHistory {
-		s.history = append([]Entry(nil), s.history[len(s.history)-maxHistory/2:]...)
+	if len(s.history) > maxHistoryEntries {
+		s.history = append([]Entry(nil), s.history[len(s.history)-maxHistoryEntries/2:]...)
 	}
 }
 
-// entryOf returns the entry of a version if it is still known.
-func (s *State) entryOf(version int64) (e Entry, known bool) {
+// entryOfVersion returns the history entry of a version if it is still kept.
+func (s *State) entryOfVersion(version int64) (e Entry, known bool) {
 	for i := len(s.history) - 1; i >= 0; i-- {
 		if s.history[i].Version == version {
 			return s.history[i], true
@@ -236,63 +239,64 @@
 	return Entry{}, false
 }
 
-// keepVerdict keeps the first verdict of an id, but acceptance overrides an earlier
-// refusal, which only a base that did not exist yet can cause.
-func (s *State) keepVerdict(id string, v Verdict) {
-	_, known := s.verdicts[id]
-	if known && !v.Accepted {
+// recordResult keeps the first result of an id, except that an acceptance replaces an
+// earlier refusal. That occurs only if the base did not exist yet when the first copy
+// was read.
+func (s *State) recordResult(id string, result Verdict) {
+	_, known := s.results[id]
+	if known && !result.Accepted {
 		return
 	}
-	s.verdicts[id] = v
+	s.results[id] = result
 	if known {
 		return
 	}
-	s.order = append(s.order, id)
-	if len(s.order) > maxHistory {
-		delete(s.verdicts, s.order[0])
-		s.order = s.order[1:]
+	s.resultOrder = append(s.resultOrder, id)
+	if len(s.resultOrder) > maxHistoryEntries {
+		delete(s.results, s.resultOrder[0])
+		s.resultOrder = s.resultOrder[1:]
 	}
 }
 
-// applySnapshot adopts a snapshot that covers all records that were missed, or one
-// that is ahead because records of a later format were skipped. Publications after
-// the snapshot's Through are judged again from it.
+// applySnapshot adopts a snapshot that covers all missed records, or that has a newer
+// version because this reader skipped records of a later format. Publications after
+// the snapshot's Through are decided again on top of it.
 func (s *State) applySnapshot(r record) Effect {
-	covers := r.Through >= s.missing && r.Through < s.next
-	replayable := s.dropped <= r.Through
-	if !covers || !replayable {
+	coversMissed := r.Through >= s.lastMissedOffset && r.Through < s.nextOffset
+	replayable := s.lastDroppedOffset <= r.Through
+	if !coversMissed || !replayable {
 		return Passed
 	}
 	if s.Exact() && r.Version <= s.version {
 		return Passed
 	}
-	after := s.publicationsAfter(r.Through)
-	if versionAfter(r, after) < s.version {
+	later := s.publicationsAfter(r.Through)
+	if versionAfter(r, later) < s.version {
 		return Passed
 	}
-	s.missing = -1
-	s.accept(Entry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1, State: StateAccepted}, r.decoded)
-	for _, p := range after {
-		s.judge(p.offset, p.record)
+	s.lastMissedOffset = -1
+	s.accept(Entry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1, State: StateAccepted}, r.decodedSet)
+	for _, p := range later {
+		s.decide(p.offset, p.record)
 	}
 	return Adopted
 }
 
 func (s *State) publicationsAfter(offset int64) []offsetRecord {
-	for i, p := range s.recent {
+	for i, p := range s.recentPublications {
 		if p.offset > offset {
-			return s.recent[i:]
+			return s.recentPublications[i:]
 		}
 	}
 	return nil
 }
 
-// versionAfter returns the version that a snapshot and the publications after it
-// lead to.
-func versionAfter(snapshot record, after []offsetRecord) int64 {
-	version, set := snapshot.Version, snapshot.decoded
-	for _, p := range after {
-		if next, ok := p.record.successor(version, set); ok {
+// versionAfter returns the version that results from a snapshot and the publications
+// after it.
+func versionAfter(snapshot record, later []offsetRecord) int64 {
+	version, set := snapshot.Version, snapshot.decodedSet
+	for _, p := range later {
+		if next, ok := p.record.applyTo(version, set); ok {
 			version++
 			set = next
 		}
@@ -300,15 +304,15 @@
 	return version
 }
 
-// Snapshot encodes the state for the log, so that it outlives the records it came
-// from. It needs an exact state with a version.
+// Snapshot encodes the state as a log record, so that readers can start after the
+// publications behind it have expired. The state must be synced and have a version.
 func (s *State) Snapshot() ([]byte, error) {
 	newest, ok := s.Newest()
 	if !ok || !s.Exact() {
-		return nil, fault.New(fault.Unavailable, "read the stream to its end first", "the state at offset %d is not exact", s.next)
+		return nil, fault.New(fault.Unavailable, "read the stream to its end first", "the state at offset %d is not synced", s.nextOffset)
 	}
 	return encode(record{
 		Kind: KindSnapshot, ID: newest.ID, Base: newest.Base, Version: newest.Version,
-		Through: s.next - 1, Author: newest.Author, Message: newest.Message,
+		Through: s.nextOffset - 1, Author: newest.Author, Message: newest.Message,
 	}, s.set)
 }
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -21,8 +21,8 @@
 	os.Exit(m.Run())
 }
 
-// setNamed returns a set that differs from all others by one team.
-func setNamed(name string) *object.Set {
+// setWithTeam returns a set that holds a single team with the given name.
+func setWithTeam(name string) *object.Set {
 	return &object.Set{
 		Services: map[string]*object.Service{}, BatchJobs: map[string]*object.BatchJob{}, GangJobs: map[string]*object.GangJob{},
 		Policies: map[string]*object.Policy{}, Pools: map[string]*object.Pool{},
@@ -30,81 +30,82 @@
 	}
 }
 
-func publication(t require.TestingT, id string, base int64) []byte {
-	data, err := EncodePublication(Publication{ID: id, Base: base, Author: "a-" + id, Message: "m", Set: setNamed(id)})
+func encodedPublication(t require.TestingT, id string, base int64) []byte {
+	data, err := EncodePublication(Publication{ID: id, Base: base, Author: "a-" + id, Message: "m", Set: setWithTeam(id)})
 	require.NoError(t, err)
 	return data
 }
 
-// drawn is a publication of the drawn log. A delta removes the team of the version
-// that it was made from.
-type drawn struct {
-	id     string
-	base   int64
-	delta  bool
-	remove string
+// generatedPublication is a publication in a generated log. A delta removes the team
+// of the version that it was computed from.
+type generatedPublication struct {
+	id          string
+	base        int64
+	delta       bool
+	removedTeam string
 }
 
-// model is the naive replay: it reads the whole log from offset 0 each time.
-type model struct {
-	version int64
-	teams   map[string]bool
-	won     map[string]int64 // id to accepted version
+// referenceState is the result of the reference implementation, which replays the
+// whole log from offset 0 each time.
+type referenceState struct {
+	version          int64
+	teams            map[string]bool
+	acceptedVersions map[string]int64 // acceptedVersions maps the id of a publication to its version.
 }
 
-func replay(log []drawn) model {
-	m := model{won: map[string]int64{}, teams: map[string]bool{}}
+func replay(log []generatedPublication) referenceState {
+	m := referenceState{acceptedVersions: map[string]int64{}, teams: map[string]bool{}}
 	for _, p := range log {
-		if p.id == "" || p.base != m.version || (p.remove != "" && !m.teams[p.remove]) {
+		if p.id == "" || p.base != m.version || (p.removedTeam != "" && !m.teams[p.removedTeam]) {
 			continue
 		}
 		m.version++
-		m.won[p.id] = m.version
+		m.acceptedVersions[p.id] = m.version
 		if !p.delta {
 			m.teams = map[string]bool{}
 		}
-		delete(m.teams, p.remove)
+		delete(m.teams, p.removedTeam)
 		m.teams[p.id] = true
 	}
 	return m
 }
 
-func (p drawn) encode(t require.TestingT) []byte {
+func (p generatedPublication) encode(t require.TestingT) []byte {
 	if !p.delta {
-		return publication(t, p.id, p.base)
+		return encodedPublication(t, p.id, p.base)
 	}
 	from := &object.Set{}
-	if p.remove != "" {
-		from = setNamed(p.remove)
+	if p.removedTeam != "" {
+		from = setWithTeam(p.removedTeam)
 	}
-	data, err := EncodeDelta(Publication{ID: p.id, Base: p.base, Author: "a-" + p.id, Set: setNamed(p.id)}, from)
+	data, err := EncodeDelta(Publication{ID: p.id, Base: p.base, Author: "a-" + p.id, Set: setWithTeam(p.id)}, from)
 	require.NoError(t, err)
 	return data
 }
 
-// drawLog returns a log and its encoded records. Publishers and the writer of
-// snapshots act on states that are up to 6 records old.
-func drawLog(t *rapid.T) (log []drawn, data [][]byte) {
-	full := New(0)
+// generateLog returns a log and its encoded records. Publishers and the writer of
+// snapshots use states that are up to 6 records old.
+func generateLog(t *rapid.T) (log []generatedPublication, data [][]byte) {
+	writer := New(0)
 	var versions []int64
 	var snapshots [][]byte
-	var newest []string
+	var newestIDs []string
 	n := rapid.IntRange(1, 40).Draw(t, "records")
 	for i := range n {
-		snapshot, err := full.Snapshot()
+		snapshot, err := writer.Snapshot()
 		if err != nil {
-			snapshot = []byte("not exact")
+			snapshot = []byte("not synced")
 		}
-		versions, snapshots = append(versions, full.Version()), append(snapshots, snapshot)
-		entry, _ := full.Newest()
-		newest = append(newest, entry.ID)
-		seen := max(0, i-rapid.IntRange(0, 6).Draw(t, "lag"))
+		versions, snapshots = append(versions, writer.Version()), append(snapshots, snapshot)
+		entry, _ := writer.Newest()
+		newestIDs = append(newestIDs, entry.ID)
+		observed := max(0, i-rapid.IntRange(0, 6).Draw(t, "lag"))
 		switch rapid.IntRange(0, 9).Draw(t, "kind") {
 		case 0, 1:
-			log, data = append(log, drawn{}), append(data, snapshots[seen])
+			log, data = append(log, generatedPublication{}), append(data, snapshots[observed])
 		case 2:
-			garbage := rapid.SampledFrom([]string{"", "{}", `{"format":9,"kind":"publication","id":"x"}`, `{"format":1,"kind":"publication","id":"x","base":0,"author":"","set":{"new":{}}}`}).Draw(t, "garbage")
-			log, data = append(log, drawn{}), append(data, []byte(garbage))
+			invalid := rapid.SampledFrom([]string{"", "{}", `{"format":9,"kind":"publication","id":"x"}`, `{"format":1,"kind":"publication","id":"x","base":0,"author":"","set":{"new":{}}}`}).Draw(t, "garbage")
+			log, data = append(log, generatedPublication{}), append(data, []byte(invalid))
 		case 3:
 			if i > 0 {
 				copied := rapid.IntRange(0, i-1).Draw(t, "copied")
@@ -113,25 +114,25 @@
 			}
 			fallthrough
 		default:
-			wrong := rapid.SampledFrom([]int64{0, 0, 0, 0, 1, -1}).Draw(t, "error")
-			p := drawn{id: fmt.Sprint("p", i), base: max(versions[seen]+wrong, 0), delta: rapid.Bool().Draw(t, "delta")}
+			baseError := rapid.SampledFrom([]int64{0, 0, 0, 0, 1, -1}).Draw(t, "error")
+			p := generatedPublication{id: fmt.Sprint("p", i), base: max(versions[observed]+baseError, 0), delta: rapid.Bool().Draw(t, "delta")}
 			if p.delta && i > 0 {
-				p.remove = newest[seen]
+				p.removedTeam = newestIDs[observed]
 			}
 			log, data = append(log, p), append(data, p.encode(t))
 		}
-		full.Apply(int64(i), data[i])
+		writer.Apply(int64(i), data[i])
 	}
 	return log, data
 }
 
-// Guards against readers that disagree about the version in force: from any start,
-// with expired records in between, with records delivered twice, an exact state
-// equals the naive replay of the whole log, and no version ever goes back.
-func TestReadersAgreeWithNaiveReplay(t *testing.T) {
-	exact, adopted := 0, 0
+// Guards against readers that disagree about the version in force. With any start
+// offset, expired records in between and records delivered twice, a synced state must
+// equal a replay of the whole log, and the version must never decrease.
+func TestReadersAgreeWithReferenceReplay(t *testing.T) {
+	syncedStates, loadedSnapshots := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		log, data := drawLog(t)
+		log, data := generateLog(t)
 		start := rapid.IntRange(0, len(data)).Draw(t, "start")
 		gap := rapid.IntRange(start, len(data)).Draw(t, "gap")
 		gapEnd := gap + rapid.IntRange(0, 5).Draw(t, "gap length")
@@ -144,11 +145,11 @@
 			s.Apply(int64(i), data[i])
 			require.Equal(t, Repeated, s.Apply(int64(i), data[i]))
 			require.GreaterOrEqual(t, s.Version(), before)
-			requireRising(t, s.History())
+			requireIncreasingVersions(t, s.History())
 			if !s.Exact() {
 				continue
 			}
-			exact++
+			syncedStates++
 			want := replay(log[:i+1])
 			require.Equal(t, want.version, s.Version())
 			got := map[string]bool{}
@@ -156,29 +157,30 @@
 				got[name] = true
 			}
 			require.Equal(t, want.teams, got)
-			for id, version := range want.won {
-				if v, ok := s.Verdict(id); ok {
-					require.Equal(t, version, v.Version, id)
+			for id, version := range want.acceptedVersions {
+				if result, ok := s.Verdict(id); ok {
+					require.Equal(t, version, result.Version, id)
 				}
 			}
 		}
-		adopted += int(s.Counters()[Adopted])
+		loadedSnapshots += int(s.Counters()[Adopted])
 	})
-	assert.Positive(t, adopted, "no run used a snapshot")
-	assert.Positive(t, exact)
+	assert.Positive(t, loadedSnapshots, "no run used a snapshot")
+	assert.Positive(t, syncedStates)
 }
 
-func requireRising(t require.TestingT, history []Entry) {
+func requireIncreasingVersions(t require.TestingT, history []Entry) {
 	for i := 1; i < len(history); i++ {
 		require.Greater(t, history[i].Version, history[i-1].Version)
 	}
 }
 
-// Guards against a complete reader that is not exact or that judges a publication
-// otherwise than the naive replay, and against a refusal that names no winner.
-func TestVerdictsOfACompleteReader(t *testing.T) {
+// Guards against a reader of the complete log that is not synced or that decides a
+// publication differently from the reference replay, and against a refused
+// publication without an error.
+func TestResultsOfACompleteReader(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		log, data := drawLog(t)
+		log, data := generateLog(t)
 		s := New(0)
 		for i, d := range data {
 			s.Apply(int64(i), d)
@@ -189,10 +191,10 @@
 			if p.id == "" {
 				continue
 			}
-			v, known := s.Verdict(p.id)
+			result, known := s.Verdict(p.id)
 			require.True(t, known)
-			require.Equal(t, want.won[p.id], v.Version)
-			require.Equal(t, want.won[p.id] > 0, v.Err() == nil)
+			require.Equal(t, want.acceptedVersions[p.id], result.Version)
+			require.Equal(t, want.acceptedVersions[p.id] > 0, result.Err() == nil)
 		}
 		for i, e := range s.History() {
 			require.Equal(t, int64(i+1), e.Version)
@@ -200,89 +202,90 @@
 	})
 }
 
-// Guards against a snapshot that was appended after a publication it does not know:
-// the publication must be judged from the snapshot, not lost.
+// Guards against losing a publication when a snapshot that does not include it is
+// appended after it. The publication must be decided on top of the snapshot.
 func TestSnapshotOlderThanAPublication(t *testing.T) {
 	writer := New(0)
-	first, second := publication(t, "one", 0), publication(t, "two", 1)
+	first, second := encodedPublication(t, "one", 0), encodedPublication(t, "two", 1)
 	writer.Apply(0, first)
 	snapshot, err := writer.Snapshot()
 	require.NoError(t, err)
 
-	s := New(1) // record 0 has expired
+	s := New(1) // Record 0 has expired.
 	assert.Equal(t, Undecided, s.Apply(1, second))
 	assert.Equal(t, Adopted, s.Apply(2, snapshot))
 	assert.Equal(t, int64(2), s.Version())
-	v, ok := s.Verdict("two")
-	assert.True(t, ok && v.Accepted)
+	result, ok := s.Verdict("two")
+	assert.True(t, ok && result.Accepted)
 
-	late := New(2) // the publication has expired too, so the snapshot proves nothing
-	assert.Equal(t, Passed, late.Apply(2, snapshot))
-	assert.False(t, late.Exact())
-	_, err = late.Snapshot()
+	lateReader := New(2) // The publication has expired, too, so the snapshot does not cover all missed records.
+	assert.Equal(t, Passed, lateReader.Apply(2, snapshot))
+	assert.False(t, lateReader.Exact())
+	_, err = lateReader.Snapshot()
 	assert.True(t, fault.Is(err, fault.Unavailable))
 }
 
-// Guards against a loser that is not told who won.
-func TestLoserLearnsTheWinner(t *testing.T) {
+// Guards against a refusal that does not name the conflicting publication.
+func TestStaleBaseNamesTheConflictingVersion(t *testing.T) {
 	s := New(0)
-	s.Apply(0, publication(t, "winner", 0))
-	assert.Equal(t, Refused, s.Apply(1, publication(t, "loser", 0)))
-	s.Apply(2, publication(t, "later", 1))
-	v, ok := s.Verdict("loser")
+	s.Apply(0, encodedPublication(t, "winner", 0))
+	assert.Equal(t, Refused, s.Apply(1, encodedPublication(t, "loser", 0)))
+	s.Apply(2, encodedPublication(t, "later", 1))
+	result, ok := s.Verdict("loser")
 	require.True(t, ok)
-	assert.Equal(t, "winner", v.Winner.ID)
-	assert.True(t, fault.Is(v.Err(), fault.Conflict))
-	assert.Contains(t, v.Err().Error(), "version 1 was published by a-winner")
+	assert.Equal(t, "winner", result.Winner.ID)
+	assert.True(t, fault.Is(result.Err(), fault.Conflict))
+	assert.Contains(t, result.Err().Error(), "version 1 was published by a-winner")
 }
 
-// Guards against a delta that is applied to a set it was not made from.
+// Guards against a delta that is applied to a set it was not computed from.
 func TestDeltaFromAnotherSetIsRefused(t *testing.T) {
 	s := New(0)
-	s.Apply(0, publication(t, "one", 0))
-	foreign, err := EncodeDelta(Publication{ID: "two", Base: 1, Author: "a", Set: setNamed("two")}, setNamed("zero"))
+	s.Apply(0, encodedPublication(t, "one", 0))
+	foreign, err := EncodeDelta(Publication{ID: "two", Base: 1, Author: "a", Set: setWithTeam("two")}, setWithTeam("zero"))
 	require.NoError(t, err)
 	assert.Equal(t, Refused, s.Apply(1, foreign))
-	v, ok := s.Verdict("two")
+	result, ok := s.Verdict("two")
 	require.True(t, ok)
-	assert.True(t, fault.Is(v.Err(), fault.Invalid))
-	assert.Equal(t, setNamed("one"), s.Set())
+	assert.True(t, fault.Is(result.Err(), fault.Invalid))
+	assert.Equal(t, setWithTeam("one"), s.Set())
 }
 
-// Guards against a reader that stops at a record of a later release: it skips and
-// counts it, and takes the version from the next snapshot that it can read.
+// Guards against a reader that stops at a record in a later release's format. It must
+// skip and count the record, and take the version from the next readable snapshot.
 func TestNewerFormatIsSkippedUntilASnapshot(t *testing.T) {
-	newer := bytes.Replace(publication(t, "two", 1), []byte(`"format":1`), []byte(`"format":2,"extra":0`), 1)
+	newer := bytes.Replace(encodedPublication(t, "two", 1), []byte(`"format":1`), []byte(`"format":2,"extra":0`), 1)
 	s := New(0)
-	s.Apply(0, publication(t, "one", 0))
+	s.Apply(0, encodedPublication(t, "one", 0))
 	assert.Equal(t, Newer, s.Apply(1, newer))
-	assert.Equal(t, Refused, s.Apply(2, publication(t, "three", 2)))
+	assert.Equal(t, Refused, s.Apply(2, encodedPublication(t, "three", 2)))
 	assert.Equal(t, int64(1), s.Version())
-	snapshot, err := encode(record{Kind: KindSnapshot, ID: "three", Base: 2, Version: 3, Through: 2, Author: "a"}, setNamed("three"))
+	snapshot, err := encode(record{Kind: KindSnapshot, ID: "three", Base: 2, Version: 3, Through: 2, Author: "a"}, setWithTeam("three"))
 	require.NoError(t, err)
 	assert.Equal(t, Adopted, s.Apply(3, snapshot))
 	assert.Equal(t, int64(3), s.Version())
 	assert.Equal(t, int64(1), s.Counters()[Newer])
 }
 
-// Guards against a lost append answer that cannot be resolved by reading back.
+// Guards against a record whose id cannot be read, so that a lost response to an append
+// cannot be resolved by reading the log.
 func TestIDOf(t *testing.T) {
-	id, ok := IDOf(publication(t, "one", 0))
+	id, ok := IDOf(encodedPublication(t, "one", 0))
 	assert.True(t, ok)
 	assert.Equal(t, "one", id)
 	_, ok = IDOf([]byte("{}"))
 	assert.False(t, ok)
 }
 
-// Guards against a record that stops or panics a reader.
+// Guards against a record that makes a reader panic or lose its version.
 func FuzzApply(f *testing.F) {
-	f.Add(publication(f, "one", 0))
+	f.Add(encodedPublication(f, "one", 0))
 	f.Add([]byte(`{"format":1,"kind":"publication","id":"x","base":1,"author":"","set":{},"delta":true,"remove":[{"kind":"team","name":"one"}]}`))
 	f.Add([]byte(`{"format":1,"kind":"snapshot","id":"x","base":0,"version":9,"through":0,"author":"","set":{}}`))
 	f.Add([]byte(`{"format":1,"kind":"publication","id":"x","base":1,"author":"","set":null}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := New(0)
-		s.Apply(0, publication(t, "one", 0))
+		s.Apply(0, encodedPublication(t, "one", 0))
 		s.Apply(1, data)
 		s.Apply(2, data)
 		require.GreaterOrEqual(t, s.Version(), int64(1))
--- a/core/config/version.go
+++ b/core/config/version.go
@@ -5,7 +5,7 @@
 	"briarproxy/core/fault"
 )
 
-// States of the config-version chart that code asks for.
+// These are the states of the config-version chart that code refers to.
 const (
 	StateLogged     chart.State = "logged"
 	StateAccepted   chart.State = "accepted"
@@ -13,13 +13,13 @@
 	StateSuperseded chart.State = "superseded"
 )
 
-// Events of the config-version chart.
+// These are the events of the config-version chart.
 const (
 	ProblemsFound chart.Event = "problems-found"
 	Checked       chart.Event = "checked"
 	AppendSent    chart.Event = "append-sent"
-	AppendFailed  chart.Event = "append-failed" // the record is not in the log and never will be
-	AnswerLost    chart.Event = "answer-lost"   // the record may be in the log
+	AppendFailed  chart.Event = "append-failed" // The record is not in the log and never will be.
+	AnswerLost    chart.Event = "answer-lost"   // The record may be in the log.
 	FoundInLog    chart.Event = "found-in-log"
 	AbsentFromLog chart.Event = "absent-from-log"
 	BaseIsNewest  chart.Event = "base-is-newest"
@@ -29,44 +29,44 @@
 
 var versionChart = chart.MustLoad(chart.ConfigVersion)
 
-// stepVersion returns the state of a version after an event. With a refused event the
-// state stays and the refusal is kept for TakeRefusals.
-func (s *State) stepVersion(before chart.State, e chart.Event) chart.State {
+// nextVersionState returns the state of a version after an event. If the chart refuses
+// the event, the state is unchanged and the error is kept for TakeRefusals.
+func (s *State) nextVersionState(before chart.State, e chart.Event) chart.State {
 	after, err := versionChart.Next(before, e)
 	if err != nil {
-		s.refusals = append(s.refusals, err)
+		s.refusedEvents = append(s.refusedEvents, err)
 	}
 	return after
 }
 
-// TakeRefusals returns the events that the config-version chart refused since the
-// last call, as errors of kind fault.Refused or fault.Internal. Each one shows a
-// defect of this package.
+// TakeRefusals returns and clears the errors for events that the config-version chart
+// has refused since the last call. They are of kind fault.Refused or fault.Internal,
+// and each indicates a defect in this package.
 func (s *State) TakeRefusals() []error {
-	taken := s.refusals
-	s.refusals = nil
-	return taken
+	events := s.refusedEvents
+	s.refusedEvents = nil
+	return events
 }
 
-// Progress follows one publication from its draft to its verdict by the
-// config-version chart.
+// Progress tracks one publication in the config-version chart, from the draft to its
+// acceptance or refusal.
 type Progress struct{ machine *chart.Machine }
 
-// NewProgress returns the progress of a draft.
+// NewProgress returns the progress of a publication that is a draft.
 func NewProgress() *Progress { return &Progress{machine: versionChart.Start()} }
 
 // State returns the state of the publication.
 func (p *Progress) State() chart.State { return p.machine.State() }
 
-// Step moves by an event. The error of a refused event is the chart's.
+// Step applies an event. It returns the chart's error if the chart refuses the event.
 func (p *Progress) Step(e chart.Event) error {
 	_, err := p.machine.Step(e)
 	return err
 }
 
-// Appended steps by the outcome of the append that was sent: nil, fault.Refused for
-// a record that is not in the log and never will be, any other error for one that
-// may be there.
+// RecordAppend applies the outcome of the append. A nil error means that the record is
+// in the log, fault.Refused that it is not and never will be, and any other error
+// that it may be.
 func (p *Progress) Appended(outcome error) error {
 	switch {
 	case outcome == nil:
@@ -77,9 +77,9 @@
 	return p.Step(AnswerLost)
 }
 
-// Judged steps by the verdict that was read from the log.
-func (p *Progress) Judged(v Verdict) error {
-	if v.Accepted {
+// RecordResult applies the result of the publication that was read from the log.
+func (p *Progress) Judged(result Verdict) error {
+	if result.Accepted {
 		return p.Step(BaseIsNewest)
 	}
 	return p.Step(BaseIsStale)
--- a/core/config/version_test.go
+++ b/core/config/version_test.go
@@ -10,9 +10,10 @@
 	"briarproxy/core/object"
 )
 
-// Guards against versions whose states differ from the config-version chart: the
-// newest is accepted, older ones are superseded, one with a stale base is refused.
-func TestHistoryFollowsTheVersionChart(t *testing.T) {
+// Guards against version states that differ from the config-version chart. The newest
+// version is accepted, older ones are superseded, and a publication with a stale base
+// is refused.
+func TestHistoryFollowsTheConfigVersionChart(t *testing.T) {
 	s := New(0)
 	for offset, p := range []Publication{{ID: "a", Base: 0}, {ID: "b", Base: 1}, {ID: "late", Base: 1}} {
 		p.Set = &object.Set{}
@@ -25,17 +26,17 @@
 		states = append(states, e.State)
 	}
 	require.Equal(t, []chart.State{StateSuperseded, StateAccepted}, states)
-	verdict, known := s.Verdict("late")
+	result, known := s.Verdict("late")
 	require.True(t, known)
-	require.Equal(t, StateRefused, verdict.State)
+	require.Equal(t, StateRefused, result.State)
 	require.Empty(t, s.TakeRefusals())
-	require.Equal(t, StateSuperseded, s.stepVersion(StateSuperseded, BaseIsStale), "an accepted version never reverts")
+	require.Equal(t, StateSuperseded, s.nextVersionState(StateSuperseded, BaseIsStale), "an accepted version never reverts")
 	require.Len(t, s.TakeRefusals(), 1)
 }
 
-// Guards against a publication that is sent again although the first append may
+// Guards against a publication that is appended again although the first append may
 // have taken effect.
-func TestLostAnswerIsNotFollowedByAnotherAppend(t *testing.T) {
+func TestNoSecondAppendAfterALostAnswer(t *testing.T) {
 	p := NewProgress()
 	require.Error(t, p.Step(AppendSent), "an unchecked set is never published")
 	require.NoError(t, p.Step(Checked))
@@ -47,8 +48,8 @@
 	require.Equal(t, StateAccepted, p.State())
 }
 
-// Guards against events that the chart does not have, or that the code lacks.
-func TestEventsAreThoseOfTheVersionChart(t *testing.T) {
+// Guards against events that only the chart or only the code defines.
+func TestEventsMatchTheConfigVersionChart(t *testing.T) {
 	require.ElementsMatch(t, versionChart.Events, []chart.Event{
 		ProblemsFound, Checked, AppendSent, AppendFailed, AnswerLost, FoundInLog, AbsentFromLog,
 		BaseIsNewest, BaseIsStale, NewerAccepted,
--- a/core/jsonc/doc.go
+++ b/core/jsonc/doc.go
@@ -1,4 +1,4 @@
-// Package jsonc reads JSON with comments into typed fields. It reports every issue
-// of a document at once, each with its line, field path and remedy. Objects and
-// settings are both read with it.
+// Package jsonc reads JSON with comments into typed fields. It reports all issues
+// of a document at once, each with its line, field path and remedy. Configuration
+// objects and daemon settings are read with it.
 package jsonc
--- a/core/jsonc/fields.go
+++ b/core/jsonc/fields.go
@@ -9,47 +9,47 @@
 	"time"
 )
 
-// Read is the type of a Field's reading function.
+// ReadFunc decodes the value of a field and reports its issues to the reader.
 type Read = func(r *Reader, n Node)
 
 const (
-	milliPerCore    = 1000
-	bytesPerMiB     = 1 << 20
-	remedyCores     = `write cores as a string such as "2" or "500m" (thousandths)`
-	remedyMemory    = `write memory as a string such as "64GiB" or "512MiB"`
-	remedyBytes     = `write a size as a string such as "512B", "64KiB" or "1MiB"`
-	remedyDuration  = `write a duration as a string such as "90s", "5m" or "250ms"`
-	maxSizeBytes    = 1 << 60
-	maxSuggestEdits = 3
+	milliCoresPerCore  = 1000
+	bytesPerMiB        = 1 << 20
+	remedyCores        = `write cores as a string such as "2" or "500m" (thousandths)`
+	remedyMemory       = `write memory as a string such as "64GiB" or "512MiB"`
+	remedyBytes        = `write a size as a string such as "512B", "64KiB" or "1MiB"`
+	remedyDuration     = `write a duration as a string such as "90s", "5m" or "250ms"`
+	maxSizeBytes       = 1 << 60
+	maxSuggestionEdits = 3
 )
 
 var (
-	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	corePattern   = regexp.MustCompile(`^([0-9]{1,9})(\.[0-9]{1,3})?(m?)$`)
-	sizePattern   = regexp.MustCompile(`^([0-9]{1,15})(B|KiB|MiB|GiB|TiB)$`)
-	bytesPerUnit  = map[string]int64{"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
-	remedyForName = "use 1 to 63 characters from a-z, 0-9 and -, not starting with -"
+	namePattern  = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	corePattern  = regexp.MustCompile(`^([0-9]{1,9})(\.[0-9]{1,3})?(m?)$`)
+	sizePattern  = regexp.MustCompile(`^([0-9]{1,15})(B|KiB|MiB|GiB|TiB)$`)
+	bytesPerUnit = map[string]int64{"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
+	remedyName   = "use 1 to 63 characters from a-z, 0-9 and -, not starting with -"
 )
 
-// String reads any string.
+// String reads a string without further checks.
 func String(dst *string) Read {
-	return func(r *Reader, n Node) { r.literal(n, `"`, "a string", "write a string", dst) }
+	return func(r *Reader, n Node) { r.readLiteral(n, `"`, "a string", "write a string", dst) }
 }
 
-// Name reads the name of an object, place or list entry.
+// Name reads the name of an object, a location or a list element.
 func Name(dst *string) Read {
 	return func(r *Reader, n Node) {
-		if !r.literal(n, `"`, "a name", "write a string", dst) {
+		if !r.readLiteral(n, `"`, "a name", "write a string", dst) {
 			return
 		}
 		r.CheckName(n, *dst)
 	}
 }
 
-// CheckName reports text that is not a name.
+// CheckName adds an issue if the text is not a valid name.
 func (r *Reader) CheckName(n Node, text string) {
 	if !namePattern.MatchString(text) {
-		r.Add(n, RuleRange, remedyForName, "%q is not a name", text)
+		r.Add(n, RuleRange, remedyName, "%q is not a name", text)
 	}
 }
 
@@ -84,7 +84,7 @@
 // OneOf reads one of the given strings.
 func OneOf(dst *string, values ...string) Read {
 	return func(r *Reader, n Node) {
-		if !r.literal(n, `"`, "a string", "write a string", dst) {
+		if !r.readLiteral(n, `"`, "a string", "write a string", dst) {
 			return
 		}
 		for _, v := range values {
@@ -98,38 +98,38 @@
 
 // Bool reads true or false.
 func Bool(dst *bool) Read {
-	return func(r *Reader, n Node) { r.literal(n, "tf", "true or false", "write true or false", dst) }
+	return func(r *Reader, n Node) { r.readLiteral(n, "tf", "true or false", "write true or false", dst) }
 }
 
-// Int reads a whole number from least to most.
-func Int[T int | int64](dst *T, least, most T) Read {
+// Int reads an integer between minValue and maxValue, both included.
+func Int[T int | int64](dst *T, minValue, maxValue T) Read {
 	return func(r *Reader, n Node) {
-		if !r.literal(n, "0", "a whole number", "write a whole number without quotes", dst) {
+		if !r.readLiteral(n, "0", "a whole number", "write a whole number without quotes", dst) {
 			return
 		}
-		if *dst < least || *dst > most {
-			r.Add(n, RuleRange, fmt.Sprintf("use %d to %d", least, most), "%d is out of range", *dst)
+		if *dst < minValue || *dst > maxValue {
+			r.Add(n, RuleRange, fmt.Sprintf("use %d to %d", minValue, maxValue), "%d is out of range", *dst)
 		}
 	}
 }
 
-// Float reads a number from least to most.
-func Float(dst *float64, least, most float64) Read {
+// Float reads a number between minValue and maxValue, both included.
+func Float(dst *float64, minValue, maxValue float64) Read {
 	return func(r *Reader, n Node) {
-		if !r.literal(n, "0", "a number", "write a number without quotes", dst) {
+		if !r.readLiteral(n, "0", "a number", "write a number without quotes", dst) {
 			return
 		}
-		if *dst < least || *dst > most || math.IsNaN(*dst) {
-			r.Add(n, RuleRange, fmt.Sprintf("use %g to %g", least, most), "%g is out of range", *dst)
+		if *dst < minValue || *dst > maxValue || math.IsNaN(*dst) {
+			r.Add(n, RuleRange, fmt.Sprintf("use %g to %g", minValue, maxValue), "%g is out of range", *dst)
 		}
 	}
 }
 
-// Duration reads a duration such as "90s" from least to most.
-func Duration(dst *time.Duration, least, most time.Duration) Read {
+// Duration reads a duration such as "90s" between minValue and maxValue, both included.
+func Duration(dst *time.Duration, minValue, maxValue time.Duration) Read {
 	return func(r *Reader, n Node) {
 		var text string
-		if !r.literal(n, `"`, "a duration", remedyDuration, &text) {
+		if !r.readLiteral(n, `"`, "a duration", remedyDuration, &text) {
 			return
 		}
 		value, err := time.ParseDuration(text)
@@ -138,17 +138,17 @@
 			return
 		}
 		*dst = value
-		if value < least || value > most {
-			r.Add(n, RuleRange, fmt.Sprintf("use %s to %s", least, most), "%s is out of range", value)
+		if value < minValue || value > maxValue {
+			r.Add(n, RuleRange, fmt.Sprintf("use %s to %s", minValue, maxValue), "%s is out of range", value)
 		}
 	}
 }
 
-// Cores reads an amount of cores such as "2", "1.5" or "500m" as millicores.
+// Cores reads a number of cores such as "2", "1.5" or "500m" and stores millicores.
 func Cores(dst *int64) Read {
 	return func(r *Reader, n Node) {
 		var text string
-		if !r.literal(n, `"`, "an amount of cores", remedyCores, &text) {
+		if !r.readLiteral(n, `"`, "an amount of cores", remedyCores, &text) {
 			return
 		}
 		parts := corePattern.FindStringSubmatch(text)
@@ -159,18 +159,20 @@
 		amount, _ := strconv.ParseInt(parts[1], 10, 64)
 		if parts[3] == "" {
 			fraction, _ := strconv.ParseInt((strings.TrimPrefix(parts[2], ".") + "000")[:3], 10, 64)
-			amount = amount*milliPerCore + fraction
+			amount = amount*milliCoresPerCore + fraction
 		}
 		*dst = amount
 	}
 }
 
-// Bytes reads a size such as "64KiB" as bytes from least to most.
-func Bytes(dst *int64, least, most int64) Read {
-	return func(r *Reader, n Node) { readSize(r, n, dst, remedyBytes, least, most) }
+// Bytes reads a size such as "64KiB" between minBytes and maxBytes, both included,
+// and stores bytes.
+func Bytes(dst *int64, minBytes, maxBytes int64) Read {
+	return func(r *Reader, n Node) { readSize(r, n, dst, remedyBytes, minBytes, maxBytes) }
 }
 
-// Memory reads a size such as "64GiB" as mebibytes.
+// Memory reads a size such as "64GiB" and stores mebibytes. A size that is not a
+// whole number of mebibytes is an issue.
 func Memory(dst *int64) Read {
 	return func(r *Reader, n Node) {
 		var size int64
@@ -185,9 +187,9 @@
 	}
 }
 
-func readSize(r *Reader, n Node, dst *int64, remedy string, least, most int64) bool {
+func readSize(r *Reader, n Node, dst *int64, remedy string, minBytes, maxBytes int64) bool {
 	var text string
-	if !r.literal(n, `"`, "a size", remedy, &text) {
+	if !r.readLiteral(n, `"`, "a size", remedy, &text) {
 		return false
 	}
 	parts := sizePattern.FindStringSubmatch(text)
@@ -196,25 +198,25 @@
 		return false
 	}
 	amount, _ := strconv.ParseInt(parts[1], 10, 64)
-	unit := bytesPerUnit[parts[2]]
-	if amount > maxSizeBytes/unit {
+	unitBytes := bytesPerUnit[parts[2]]
+	if amount > maxSizeBytes/unitBytes {
 		r.Add(n, RuleRange, remedy, "%s is out of range", text)
 		return false
 	}
-	*dst = amount * unit
-	if *dst < least || *dst > most {
-		r.Add(n, RuleRange, fmt.Sprintf("use %d to %d bytes", least, most), "%s is out of range", text)
+	*dst = amount * unitBytes
+	if *dst < minBytes || *dst > maxBytes {
+		r.Add(n, RuleRange, fmt.Sprintf("use %d to %d bytes", minBytes, maxBytes), "%s is out of range", text)
 		return false
 	}
 	return true
 }
 
-// Suggest returns a remedy that names the candidate nearest to name, or all
-// candidates if none is near.
+// Suggest returns a remedy that names the candidate with the smallest edit distance
+// to name, or lists all candidates if none is within maxSuggestionEdits edits.
 func Suggest(name string, candidates []string) string {
-	best, bestEdits := "", maxSuggestEdits+1
+	best, bestEdits := "", maxSuggestionEdits+1
 	for _, c := range candidates {
-		if edits := distance(name, c); edits < bestEdits && edits < len(c) {
+		if edits := editDistance(name, c); edits < bestEdits && edits < len(c) {
 			best, bestEdits = c, edits
 		}
 	}
@@ -227,28 +229,29 @@
 	return "use one of: " + strings.Join(candidates, ", ")
 }
 
-// distance is the Levenshtein distance in bytes. Names longer than maxCompared
-// differ from every known name.
-func distance(a, b string) int {
-	const maxCompared = 64
-	if len(a) > maxCompared || len(b) > maxCompared {
-		return maxCompared
+// editDistance returns the Levenshtein distance in bytes. For text longer than
+// maxComparedBytes it returns maxComparedBytes without comparing, which bounds its
+// cost and exceeds every distance that Suggest accepts.
+func editDistance(a, b string) int {
+	const maxComparedBytes = 64
+	if len(a) > maxComparedBytes || len(b) > maxComparedBytes {
+		return maxComparedBytes
 	}
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
+	distances := make([]int, len(b)+1)
+	for j := range distances {
+		distances[j] = j
 	}
 	for i := 1; i <= len(a); i++ {
-		diagonal := row[0]
-		row[0] = i
+		diagonal := distances[0]
+		distances[0] = i
 		for j := 1; j <= len(b); j++ {
 			cost := 1
 			if a[i-1] == b[j-1] {
 				cost = 0
 			}
-			next := min(row[j]+1, row[j-1]+1, diagonal+cost)
-			diagonal, row[j] = row[j], next
+			next := min(distances[j]+1, distances[j-1]+1, diagonal+cost)
+			diagonal, distances[j] = distances[j], next
 		}
 	}
-	return row[len(b)]
+	return distances[len(b)]
 }
--- a/core/jsonc/reader.go
+++ b/core/jsonc/reader.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// MaxBytes is the largest document that is read.
+	// MaxDocumentBytes is the size limit of a document.
 	MaxBytes = 8 << 20
-	// MaxDepth is the deepest nesting that is read. The parser recurses once per
-	// level, so that an unbounded depth could overflow the stack.
+	// MaxDepth limits the nesting of objects and lists. The parser recurses once per
+	// level, so unbounded nesting could overflow the stack.
 	MaxDepth = 64
 )
 
-// Rule names the check that an issue comes from.
+// Rule identifies the check that an issue violates.
 type Rule string
 
-// Rules that the reader itself checks.
+// These rules are checked by the reader itself.
 const (
 	RuleSyntax       Rule = "syntax"
 	RuleUnknownField Rule = "unknown-field"
@@ -32,43 +32,43 @@
 	RuleUnknownValue Rule = "unknown-value"
 )
 
-// Issue is one fault of a document.
+// Issue is one violation of a rule in a document.
 type Issue struct {
-	Line    int    // from 1
-	Path    string // field path, "" for the document itself
+	Line    int    // Lines are numbered from 1.
+	Path    string // Path is the field path, "" for the whole document.
 	Rule    Rule
 	Message string
 	Remedy  string
 }
 
-// Node is one value of a document and its field path.
+// Node is a JSON value with its field path and line in the document.
 type Node struct {
 	Path  string
 	Line  int
 	value *hujson.Value
 }
 
-// Reader collects the issues of one document.
+// Reader decodes one document and collects its issues.
 type Reader struct {
-	Issues []Issue
-	starts []int          // offset of the first byte of each line
-	lines  map[string]int // line of each field path that was read
+	Issues     []Issue
+	lineStarts []int          // lineStarts holds the byte offset at which each line starts.
+	pathLines  map[string]int // pathLines holds the line of each field path that was read.
 }
 
-// Field describes one member of a JSON object. Read is called with its value.
+// Field describes one member of a JSON object. Read decodes its value.
 type Field struct {
 	Name     string
 	Required bool
 	Read     func(r *Reader, n Node)
 }
 
-// Parse parses a document. ok is false when it is not JSON with comments; the
-// reader then holds the issue.
+// Parse parses a document. ok is false if the document is too large, nested too
+// deeply, or not JSON with comments; the reader then holds the issue.
 func Parse(src []byte) (r *Reader, root Node, ok bool) {
-	r = &Reader{starts: []int{0}, lines: map[string]int{}}
+	r = &Reader{lineStarts: []int{0}, pathLines: map[string]int{}}
 	for i, b := range src {
 		if b == '\n' {
-			r.starts = append(r.starts, i+1)
+			r.lineStarts = append(r.lineStarts, i+1)
 		}
 	}
 	root = Node{Line: 1}
@@ -76,8 +76,8 @@
 		r.Add(root, RuleSyntax, "split the document", "the document has %d bytes; at most %d are read", len(src), MaxBytes)
 		return r, root, false
 	}
-	if offset, deep := tooDeep(src); deep {
-		root.Line = r.lineOf(offset)
+	if offset, exceeded := findExcessDepth(src); exceeded {
+		root.Line = r.lineOfOffset(offset)
 		r.Add(root, RuleSyntax, "nest fewer objects and lists", "nesting is deeper than %d levels", MaxDepth)
 		return r, root, false
 	}
@@ -87,10 +87,11 @@
 		r.Add(root, RuleSyntax, "write JSON; // and /* */ comments and trailing commas are allowed", "%v", err)
 		return r, root, false
 	}
-	return r, r.node(&value, ""), true
+	return r, r.newNode(&value, ""), true
 }
 
-// lineOfError returns the line that a syntax error of hujson names.
+// lineOfError extracts the line number from the text of a hujson syntax error. It
+// returns 1 if the text has none.
 func lineOfError(err error) int {
 	line := 1
 	if _, rest, found := strings.Cut(err.Error(), "line "); found {
@@ -99,8 +100,9 @@
 	return line
 }
 
-// tooDeep finds the first bracket that exceeds MaxDepth.
-func tooDeep(src []byte) (offset int, deep bool) {
+// findExcessDepth returns the offset of the first opening bracket that exceeds
+// MaxDepth. Brackets within strings and comments do not count.
+func findExcessDepth(src []byte) (offset int, exceeded bool) {
 	depth := 0
 	for i := 0; i < len(src); i++ {
 		switch src[i] {
@@ -132,55 +134,56 @@
 
 // skipComment returns the offset of the last byte of the comment at i.
 func skipComment(src []byte, i int) int {
-	rest := string(src[i:min(i+2, len(src))])
-	end := ""
-	switch rest {
+	opening := string(src[i:min(i+2, len(src))])
+	closing := ""
+	switch opening {
 	case "//":
-		end = "\n"
+		closing = "\n"
 	case "/*":
-		end = "*/"
+		closing = "*/"
 	default:
 		return i
 	}
-	at := strings.Index(string(src[i+2:]), end)
-	if at < 0 {
+	closingIndex := strings.Index(string(src[i+2:]), closing)
+	if closingIndex < 0 {
 		return len(src)
 	}
-	return i + 2 + at + len(end) - 1
+	return i + 2 + closingIndex + len(closing) - 1
 }
 
-func (r *Reader) lineOf(offset int) int {
-	return sort.SearchInts(r.starts, offset+1)
+func (r *Reader) lineOfOffset(offset int) int {
+	return sort.SearchInts(r.lineStarts, offset+1)
 }
 
-func (r *Reader) node(value *hujson.Value, path string) Node {
-	n := Node{Path: path, Line: r.lineOf(value.StartOffset), value: value}
-	r.lines[path] = n.Line
+func (r *Reader) newNode(value *hujson.Value, path string) Node {
+	n := Node{Path: path, Line: r.lineOfOffset(value.StartOffset), value: value}
+	r.pathLines[path] = n.Line
 	return n
 }
 
-// Line returns the line of a field path, or of the nearest enclosing value that
-// is in the document.
+// Line returns the line of a field path. If the document does not have the path, it
+// returns the line of the nearest enclosing value.
 func (r *Reader) Line(path string) int {
 	for {
-		if line, found := r.lines[path]; found {
+		if line, found := r.pathLines[path]; found {
 			return line
 		}
 		cut := strings.LastIndexAny(path, ".[")
 		if cut < 0 {
-			return max(r.lines[""], 1)
+			return max(r.pathLines[""], 1)
 		}
 		path = path[:cut]
 	}
 }
 
-// Has reports whether a field path is in the document.
+// HasPath reports whether the document has a field path.
 func (r *Reader) Has(path string) bool {
-	_, found := r.lines[path]
+	_, found := r.pathLines[path]
 	return found
 }
 
-// MemberNames returns the names of the node's members, none if it is no object.
+// MemberNames returns the names of an object's members in document order, or nil if
+// the node is not an object.
 func (n Node) MemberNames() []string {
 	object, ok := n.value.Value.(*hujson.Object)
 	if !ok {
@@ -193,7 +196,7 @@
 	return names
 }
 
-// Add records an issue at a node.
+// AddIssue records an issue at a node.
 func (r *Reader) Add(n Node, rule Rule, remedy, format string, args ...any) {
 	r.Issues = append(r.Issues, Issue{
 		Line: n.Line, Path: n.Path, Rule: rule, Message: fmt.Sprintf(format, args...), Remedy: remedy,
@@ -203,14 +206,14 @@
 // IsList reports whether the node is a JSON array.
 func (n Node) IsList() bool { return n.value.Value.Kind() == '[' }
 
-// IsEmptyString reports whether the node is "".
+// IsEmptyString reports whether the node is the string "".
 func (n Node) IsEmptyString() bool {
 	literal, ok := n.value.Value.(hujson.Literal)
 	return ok && literal.Kind() == '"' && literal.String() == ""
 }
 
-// kindName returns the JSON type of the node for messages.
-func (n Node) kindName() string {
+// typeName returns the JSON type of the node with an article, for use in messages.
+func (n Node) typeName() string {
 	switch n.value.Value.Kind() {
 	case '{':
 		return "an object"
@@ -226,8 +229,8 @@
 	return "a boolean"
 }
 
-func (r *Reader) wrongType(n Node, want, remedy string) {
-	r.Add(n, RuleType, remedy, "is %s, not %s", n.kindName(), want)
+func (r *Reader) addWrongType(n Node, want, remedy string) {
+	r.Add(n, RuleType, remedy, "is %s, not %s", n.typeName(), want)
 }
 
 // Join appends a member name to a field path.
@@ -238,12 +241,13 @@
 	return path + "." + name
 }
 
-// Members calls read for each member of a JSON object, in order of the document,
-// and reports members that occur twice.
+// ReadMembers calls read for each member of a JSON object in document order. A
+// repeated member is an issue and is not passed to read. ReadMembers returns false
+// if the node is not an object.
 func (r *Reader) Members(n Node, read func(name string, n Node)) bool {
 	object, ok := n.value.Value.(*hujson.Object)
 	if !ok {
-		r.wrongType(n, "an object", "write {...}")
+		r.addWrongType(n, "an object", "write {...}")
 		return false
 	}
 	seen := map[string]int{}
@@ -251,7 +255,7 @@
 		name := object.Members[i].Name.Value.(hujson.Literal).String()
 		member := Node{
 			Path:  Join(n.Path, name),
-			Line:  r.lineOf(object.Members[i].Name.StartOffset),
+			Line:  r.lineOfOffset(object.Members[i].Name.StartOffset),
 			value: &object.Members[i].Value,
 		}
 		if first, repeated := seen[name]; repeated {
@@ -259,14 +263,15 @@
 			continue
 		}
 		seen[name] = member.Line
-		r.lines[member.Path] = member.Line
+		r.pathLines[member.Path] = member.Line
 		read(name, member)
 	}
 	return true
 }
 
-// Object reads the members that the fields describe. Other members, repeated ones
-// and missing required ones are issues.
+// ReadObject reads the members that the fields describe. Unknown members, repeated
+// members and missing required members are issues. ReadObject returns false if the
+// node is not an object.
 func (r *Reader) Object(n Node, fields []Field) bool {
 	byName := map[string]Field{}
 	names := make([]string, 0, len(fields))
@@ -296,24 +301,26 @@
 	return true
 }
 
-// Elements calls read for each element of a list.
+// ReadElements calls read for each element of a list. It returns false if the node
+// is not a list.
 func (r *Reader) Elements(n Node, read func(i int, n Node)) bool {
 	array, ok := n.value.Value.(*hujson.Array)
 	if !ok {
-		r.wrongType(n, "a list", "write [...]")
+		r.addWrongType(n, "a list", "write [...]")
 		return false
 	}
 	for i := range array.Elements {
-		read(i, r.node(&array.Elements[i], fmt.Sprintf("%s[%d]", n.Path, i)))
+		read(i, r.newNode(&array.Elements[i], fmt.Sprintf("%s[%d]", n.Path, i)))
 	}
 	return true
 }
 
-// literal decodes a literal of the wanted JSON type.
-func (r *Reader) literal(n Node, kinds, want, remedy string, dst any) bool {
+// readLiteral decodes a literal whose JSON type is one of kinds, as hujson names them:
+// '"' for a string, '0' for a number, 't' or 'f' for a boolean.
+func (r *Reader) readLiteral(n Node, kinds, want, remedy string, dst any) bool {
 	literal, ok := n.value.Value.(hujson.Literal)
 	if !ok || !strings.ContainsRune(kinds, rune(literal.Kind())) {
-		r.wrongType(n, want, remedy)
+		r.addWrongType(n, want, remedy)
 		return false
 	}
 	if err := json.Unmarshal(literal, dst); err != nil {
--- a/core/jsonc/reader_test.go
+++ b/core/jsonc/reader_test.go
@@ -10,23 +10,24 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a depth check that counts brackets in strings or comments, or that
-// text can hide brackets from, which would overflow the parser's stack.
+// Guards against a depth check that counts brackets within strings or comments, and
+// against one that misses brackets after escaped quotes or comments, so that the
+// parser's stack overflows.
 func TestDepthLimit(t *testing.T) {
-	many := strings.Repeat("[", MaxDepth+1)
+	tooManyBrackets := strings.Repeat("[", MaxDepth+1)
 	cases := []struct {
 		text string
 		ok   bool
 	}{
 		{strings.Repeat("[", MaxDepth) + strings.Repeat("]", MaxDepth), true},
-		{many + strings.Repeat("]", MaxDepth+1), false},
-		{`["` + many + `\""]`, true},
-		{"[ // " + many + "\n1]", true},
-		{"[ /* " + many + "*/ 1]", true},
-		{`["\"", ` + many, false},
-		{"[ /**/ // x\n" + many, false},
-		{"[ /* " + many, false}, // refused by the parser
-		{"/" + many, false},
+		{tooManyBrackets + strings.Repeat("]", MaxDepth+1), false},
+		{`["` + tooManyBrackets + `\""]`, true},
+		{"[ // " + tooManyBrackets + "\n1]", true},
+		{"[ /* " + tooManyBrackets + "*/ 1]", true},
+		{`["\"", ` + tooManyBrackets, false},
+		{"[ /**/ // x\n" + tooManyBrackets, false},
+		{"[ /* " + tooManyBrackets, false}, // The parser refuses an unterminated comment.
+		{"/" + tooManyBrackets, false},
 		{"", false},
 	}
 	for _, c := range cases {
@@ -38,7 +39,7 @@
 	assert.False(t, ok)
 }
 
-// Guards against amounts that are read with the wrong scale or silently rounded.
+// Guards against values that are read with the wrong scale or silently rounded.
 func TestUnits(t *testing.T) {
 	var cores, memory, size int64
 	var duration time.Duration
@@ -48,7 +49,7 @@
 	}
 	cases := []struct {
 		text string
-		want string // milli-cores, MiB, bytes, duration, or the rule of the issue
+		want string // These are millicores, MiB, bytes and duration, or the rule of the first issue.
 	}{
 		{`"c": "2", "m": "64GiB", "b": "64KiB", "d": "90s"`, "2000 65536 65536 1m30s"},
 		{`"c": "1.5", "m": "1024KiB", "b": "3B", "d": "250ms"`, "1500 1 3 250ms"},
@@ -72,7 +73,7 @@
 	}
 }
 
-// Guards against remedies that name an unrelated field.
+// Guards against remedies that suggest an unrelated field.
 func TestSuggest(t *testing.T) {
 	known := []string{"deadline", "durable", "pool"}
 	assert.Equal(t, `did you mean "deadline"?`, Suggest("dead_line", known))
--- a/core/object/check.go
+++ b/core/object/check.go
@@ -8,9 +8,10 @@
 	"briarproxy/core/resource"
 )
 
-// check verifies the references and the feasibility of the whole set.
+// check reports dangling references, conflicting fields and work that no VM or quota
+// of the set can ever hold.
 func (l *loader) check(set *Set) {
-	var policies []*source
+	var policies []*objectSource
 	for _, s := range l.sources {
 		switch s.kind {
 		case KindService:
@@ -24,12 +25,13 @@
 			l.checkPool(s)
 		}
 	}
-	l.checkShares(policies)
+	l.checkMinShares(policies)
 }
 
-// refer looks up a reference and reports it when nothing has that name. An empty
-// name is reported as missing elsewhere.
-func refer[T any](l *loader, s *source, field string, kind Kind, name string, objects map[string]*T) *T {
+// resolveReference returns the object that a field refers to, or reports a dangling
+// reference and returns nil. An empty name is skipped: the reader has reported it if
+// the field is required.
+func resolveReference[T any](l *loader, s *objectSource, field string, kind Kind, name string, objects map[string]*T) *T {
 	if name == "" {
 		return nil
 	}
@@ -45,15 +47,15 @@
 	if len(names) == 0 {
 		remedy = fmt.Sprintf("define %s %q", kind, name)
 	}
-	l.add(s, field, RuleDangling, remedy, "%s %q does not exist", kind, name)
+	l.addProblem(s, field, RuleDangling, remedy, "%s %q does not exist", kind, name)
 	return nil
 }
 
-func (l *loader) checkService(set *Set, s *source) {
-	pool := refer(l, s, "spec.pool", KindPool, s.service.Pool, set.Pools)
-	refer(l, s, "spec.team", KindTeam, s.service.Team, set.Teams)
-	if pool != nil && l.pools[pool.Name].sound("largest") && pool.Largest.Slots < 1 {
-		l.add(s, "spec.pool", RuleNeverFits, "set slots of the pool's largest VM, or use another pool",
+func (l *loader) checkService(set *Set, s *objectSource) {
+	pool := resolveReference(l, s, "spec.pool", KindPool, s.service.Pool, set.Pools)
+	resolveReference(l, s, "spec.team", KindTeam, s.service.Team, set.Teams)
+	if pool != nil && l.pools[pool.Name].fieldsValid("largest") && pool.Largest.Slots < 1 {
+		l.addProblem(s, "spec.pool", RuleNeverFits, "set slots of the pool's largest VM, or use another pool",
 			"no VM of pool %q has a slot, so no request can ever run", pool.Name)
 	}
 	for name, operation := range s.service.Operations {
@@ -61,91 +63,91 @@
 	}
 }
 
-func (l *loader) checkOperation(set *Set, s *source, path string, o *Operation) {
+func (l *loader) checkOperation(set *Set, s *objectSource, path string, o *Operation) {
 	if o.RunTime > 0 && o.MaxRunTime > 0 && o.MaxRunTime < o.RunTime {
-		l.add(s, path+".max_run_time", RuleConflict, "raise max_run_time or lower run_time",
+		l.addProblem(s, path+".max_run_time", RuleConflict, "raise max_run_time or lower run_time",
 			"max_run_time %s is shorter than run_time %s", o.MaxRunTime, o.RunTime)
 	}
-	policy := refer(l, s, path+".policy", KindPolicy, o.Policy, set.Policies)
+	policy := resolveReference(l, s, path+".policy", KindPolicy, o.Policy, set.Policies)
 	if policy == nil {
 		return
 	}
 	if !policy.Durable && policy.Deadline > 0 && policy.Deadline < o.RunTime {
-		l.add(s, path+".policy", RuleNeverFits, "use a policy with a longer deadline or make it durable",
+		l.addProblem(s, path+".policy", RuleNeverFits, "use a policy with a longer deadline or make it durable",
 			"run_time %s is longer than the deadline %s of policy %q, so no answer can be in time", o.RunTime, policy.Deadline, policy.Name)
 	}
-	if !s.setsIdempotent(path) || o.Idempotent {
+	if !s.declaresIdempotent(path) || o.Idempotent {
 		return
 	}
 	if policy.MaxRetries > 0 {
-		l.add(s, path+".policy", RuleUnsafeRetry, "use a policy with max_retries 0, or declare the operation idempotent if it is",
+		l.addProblem(s, path+".policy", RuleUnsafeRetry, "use a policy with max_retries 0, or declare the operation idempotent if it is",
 			"the operation is not idempotent, but policy %q retries %d times", policy.Name, policy.MaxRetries)
 	}
 	if policy.Preemptible {
-		l.add(s, path+".policy", RuleUnsafeRetry, "use a policy that is not preemptible",
+		l.addProblem(s, path+".policy", RuleUnsafeRetry, "use a policy that is not preemptible",
 			"the operation is not idempotent, but policy %q lets it be stopped and run again", policy.Name)
 	}
 }
 
-// setsIdempotent reports whether the operation states idempotent. If it is missing,
-// that alone is reported.
-func (s *source) setsIdempotent(path string) bool {
-	return s.reader.Has(jsonc.Join(s.prefix, path+".idempotent"))
+// declaresIdempotent reports whether the operation has the field idempotent. If it is
+// missing, the retry checks are skipped, because the missing field is reported already.
+func (s *objectSource) declaresIdempotent(path string) bool {
+	return s.reader.Has(jsonc.Join(s.objectPath, path+".idempotent"))
 }
 
-func (l *loader) checkJob(set *Set, s *source) {
+func (l *loader) checkJob(set *Set, s *objectSource) {
 	job := s.job
-	refer(l, s, "spec.policy", KindPolicy, job.Policy, set.Policies)
-	team := refer(l, s, "spec.team", KindTeam, job.Team, set.Teams)
-	pool := refer(l, s, "spec.pool", KindPool, job.Pool, set.Pools)
+	resolveReference(l, s, "spec.policy", KindPolicy, job.Policy, set.Policies)
+	team := resolveReference(l, s, "spec.team", KindTeam, job.Team, set.Teams)
+	pool := resolveReference(l, s, "spec.pool", KindPool, job.Pool, set.Pools)
 	if s.gang != nil {
-		l.checkRacks(s, pool)
+		l.checkGangRacks(s, pool)
 	}
-	if !s.sound("resources", "tasks") {
+	if !s.fieldsValid("resources", "tasks") {
 		return
 	}
 	l.checkResources(s)
-	if pool != nil && l.pools[pool.Name].sound("largest") {
-		l.checkFits(s, pool)
+	if pool != nil && l.pools[pool.Name].fieldsValid("largest") {
+		l.checkTaskFits(s, pool)
 	}
-	if team != nil && l.teams[team.Name].sound("quota") {
+	if team != nil && l.teams[team.Name].fieldsValid("quota") {
 		l.checkQuota(s, team)
 	}
-	if s.gang != nil && pool != nil && l.pools[pool.Name].sound("largest", "vms") {
+	if s.gang != nil && pool != nil && l.pools[pool.Name].fieldsValid("largest", "vms") {
 		l.checkGangFits(s, pool)
 	}
 }
 
-func (l *loader) checkResources(s *source) {
+func (l *loader) checkResources(s *objectSource) {
 	if s.job.Resources.MilliCores == 0 {
-		l.add(s, "spec.resources.cores", jsonc.RuleMissing, `add cores, for example "500m"`, "a task needs some cores")
+		l.addProblem(s, "spec.resources.cores", jsonc.RuleMissing, `add cores, for example "500m"`, "a task needs some cores")
 	}
 	if s.job.Resources.MemoryMiB == 0 {
-		l.add(s, "spec.resources.memory", jsonc.RuleMissing, `add memory, for example "1GiB"`, "a task needs some memory")
+		l.addProblem(s, "spec.resources.memory", jsonc.RuleMissing, `add memory, for example "1GiB"`, "a task needs some memory")
 	}
 }
 
-func (l *loader) checkFits(s *source, pool *Pool) {
+func (l *loader) checkTaskFits(s *objectSource, pool *Pool) {
 	if !s.job.Resources.Fits(pool.Largest) {
-		l.add(s, "spec.resources", RuleNeverFits, "lower the resources or use a pool with larger VMs",
+		l.addProblem(s, "spec.resources", RuleNeverFits, "lower the resources or use a pool with larger VMs",
 			"a task needs %s, but the largest VM of pool %q has %s", s.job.Resources, pool.Name, pool.Largest)
 	}
 }
 
-// checkQuota reports work that the team's quota can never admit: one task, or all
-// tasks of a gang, which run at once.
-func (l *loader) checkQuota(s *source, team *Team) {
-	need := s.job.Resources
+// checkQuota reports a job that exceeds the team's quota even when nothing else runs.
+// A batch job needs quota for one task, a gang job for all of its tasks at once.
+func (l *loader) checkQuota(s *objectSource, team *Team) {
+	required := s.job.Resources
 	if s.gang != nil {
-		need = need.Scale(int64(s.job.Tasks))
+		required = required.Scale(int64(s.job.Tasks))
 	}
-	if !need.Fits(unlimitedWhereZero(team.Quota)) {
-		l.add(s, "spec.team", RuleNeverFits, "raise the team's quota or lower tasks or resources",
-			"%s must run at once, but the quota of team %q is %s", need, team.Name, team.Quota)
+	if !required.Fits(zeroAsUnlimited(team.Quota)) {
+		l.addProblem(s, "spec.team", RuleNeverFits, "raise the team's quota or lower tasks or resources",
+			"%s must run at once, but the quota of team %q is %s", required, team.Name, team.Quota)
 	}
 }
 
-func unlimitedWhereZero(v resource.Vector) resource.Vector {
+func zeroAsUnlimited(v resource.Vector) resource.Vector {
 	const unlimited = 1<<63 - 1
 	for _, amount := range []*int64{&v.MilliCores, &v.MemoryMiB, &v.Accelerators, &v.Slots} {
 		if *amount == 0 {
@@ -155,102 +157,102 @@
 	return v
 }
 
-func (l *loader) checkRacks(s *source, pool *Pool) {
+func (l *loader) checkGangRacks(s *objectSource, pool *Pool) {
 	gang := s.gang
-	if s.sound("tasks", "min_racks") && gang.MinRacks > gang.Tasks {
-		l.add(s, "spec.min_racks", RuleNeverFits, "lower min_racks or raise tasks",
+	if s.fieldsValid("tasks", "min_racks") && gang.MinRacks > gang.Tasks {
+		l.addProblem(s, "spec.min_racks", RuleNeverFits, "lower min_racks or raise tasks",
 			"%d tasks cannot be spread over %d racks", gang.Tasks, gang.MinRacks)
 	}
 	if pool == nil {
 		return
 	}
 	if len(pool.Racks) > 0 && gang.MinRacks > len(pool.Racks) {
-		l.add(s, "spec.min_racks", RuleNeverFits, "lower min_racks or add racks to the pool",
+		l.addProblem(s, "spec.min_racks", RuleNeverFits, "lower min_racks or add racks to the pool",
 			"pool %q selects %d racks, fewer than %d", pool.Name, len(pool.Racks), gang.MinRacks)
 	}
-	if l.pools[pool.Name].sound("vms") && pool.VMs > 0 && gang.MinRacks > pool.VMs {
-		l.add(s, "spec.min_racks", RuleNeverFits, "lower min_racks or use a larger pool",
+	if l.pools[pool.Name].fieldsValid("vms") && pool.VMs > 0 && gang.MinRacks > pool.VMs {
+		l.addProblem(s, "spec.min_racks", RuleNeverFits, "lower min_racks or use a larger pool",
 			"pool %q has %d VMs, fewer than %d racks need", pool.Name, pool.VMs, gang.MinRacks)
 	}
 }
 
-func (l *loader) checkGangFits(s *source, pool *Pool) {
+func (l *loader) checkGangFits(s *objectSource, pool *Pool) {
 	gang := s.gang
 	if !gang.Resources.Fits(pool.Largest) || pool.VMs == 0 {
 		return
 	}
-	room := perVM(gang.Resources, pool.Largest) * int64(pool.VMs)
-	if int64(gang.Tasks) > room {
-		l.add(s, "spec.tasks", RuleNeverFits, "lower tasks or resources, or use a larger pool",
-			"all %d tasks start together, but %d VMs of pool %q hold at most %d", gang.Tasks, pool.VMs, pool.Name, room)
+	maxConcurrentTasks := tasksPerVM(gang.Resources, pool.Largest) * int64(pool.VMs)
+	if int64(gang.Tasks) > maxConcurrentTasks {
+		l.addProblem(s, "spec.tasks", RuleNeverFits, "lower tasks or resources, or use a larger pool",
+			"all %d tasks start together, but %d VMs of pool %q hold at most %d", gang.Tasks, pool.VMs, pool.Name, maxConcurrentTasks)
 	}
 }
 
-// perVM returns how many tasks an empty VM holds, at most maxTasks.
-func perVM(task, vm resource.Vector) int64 {
+// tasksPerVM returns how many tasks fit on an empty VM, at most maxTasks.
+func tasksPerVM(task, vm resource.Vector) int64 {
 	count := int64(maxTasks)
 	pairs := [][2]int64{
 		{task.MilliCores, vm.MilliCores}, {task.MemoryMiB, vm.MemoryMiB},
 		{task.Accelerators, vm.Accelerators}, {task.Slots, vm.Slots},
 	}
-	for _, p := range pairs {
-		if p[0] > 0 {
-			count = min(count, p[1]/p[0])
+	for _, pair := range pairs {
+		if pair[0] > 0 {
+			count = min(count, pair[1]/pair[0])
 		}
 	}
 	return count
 }
 
-// requirePolicyFields checks the fields that a policy needs itself or from a parent.
-func (l *loader) requirePolicyFields(s *source) {
+// requirePolicyFields reports required fields that a policy neither has nor inherits.
+func (l *loader) requirePolicyFields(s *objectSource) {
 	for _, field := range []string{"priority", "deadline"} {
-		if !s.fields[field] {
-			l.add(s, "spec."+field, jsonc.RuleMissing, fmt.Sprintf("add %q here or in a parent", field), "is required")
+		if !s.presentFields[field] {
+			l.addProblem(s, "spec."+field, jsonc.RuleMissing, fmt.Sprintf("add %q here or in a parent", field), "is required")
 		}
 	}
 }
 
-func (l *loader) checkPolicy(set *Set, s *source) {
+func (l *loader) checkPolicy(set *Set, s *objectSource) {
 	p := s.policy
-	refer(l, s, "spec.parent", KindPolicy, p.Parent, set.Policies)
+	resolveReference(l, s, "spec.parent", KindPolicy, p.Parent, set.Policies)
 	if p.Checkpoint && !p.Preemptible {
-		l.add(s, "spec.checkpoint", RuleConflict, "set preemptible or remove checkpoint",
+		l.addProblem(s, "spec.checkpoint", RuleConflict, "set preemptible or remove checkpoint",
 			"checkpoint has no effect on work that is not preemptible")
 	}
-	if p.MaxRetries > 0 && !s.fields["retry_backoff"] {
-		l.add(s, "spec.retry_backoff", jsonc.RuleMissing, `add "retry_backoff", for example "200ms"`,
+	if p.MaxRetries > 0 && !s.presentFields["retry_backoff"] {
+		l.addProblem(s, "spec.retry_backoff", jsonc.RuleMissing, `add "retry_backoff", for example "200ms"`,
 			"is required with max_retries %d, because retries without backoff overload a failing worker", p.MaxRetries)
 	}
-	if s.fields["headroom"] && p.Headroom == 1 {
-		l.add(s, "spec.headroom", RuleNeverFits, "use less than 1",
+	if s.presentFields["headroom"] && p.Headroom == 1 {
+		l.addProblem(s, "spec.headroom", RuleNeverFits, "use less than 1",
 			"work of this policy may use no part of any pool, so it can never run")
 	}
 }
 
-// checkShares reports guaranteed shares that exceed the whole capacity.
-func (l *loader) checkShares(policies []*source) {
+// checkMinShares reports guaranteed shares that add up to more than the whole capacity.
+func (l *loader) checkMinShares(policies []*objectSource) {
 	total := 0.0
 	for _, s := range policies {
 		total += s.policy.MinShare
 		if total > 1+1e-9 {
-			l.add(s, "spec.min_share", RuleConflict, "lower min_share of some policies",
+			l.addProblem(s, "spec.min_share", RuleConflict, "lower min_share of some policies",
 				"the policies up to %q guarantee %.2f of the capacity in total, more than 1", s.name, total)
 			return
 		}
 	}
 }
 
-func (l *loader) checkPool(s *source) {
+func (l *loader) checkPool(s *objectSource) {
 	pool := s.pool
-	if s.sound("vms") && pool.VMs == 0 {
-		l.add(s, "spec.vms", RuleEmptyPool, "set the expected number of VMs", "the pool has no VM")
+	if s.fieldsValid("vms") && pool.VMs == 0 {
+		l.addProblem(s, "spec.vms", RuleEmptyPool, "set the expected number of VMs", "the pool has no VM")
 	}
-	if s.sound("largest") && (pool.Largest.MilliCores == 0 || pool.Largest.MemoryMiB == 0) {
-		l.add(s, "spec.largest", RuleEmptyPool, "set cores and memory of the pool's largest VM",
+	if s.fieldsValid("largest") && (pool.Largest.MilliCores == 0 || pool.Largest.MemoryMiB == 0) {
+		l.addProblem(s, "spec.largest", RuleEmptyPool, "set cores and memory of the pool's largest VM",
 			"no VM with %s can hold any work", pool.Largest)
 	}
-	if selects := len(pool.Racks); selects > 0 && pool.VMs > 0 && selects > pool.VMs {
-		l.add(s, "spec.racks", RuleEmptyPool, "raise vms or remove racks",
-			"%d racks are selected, but only %d VMs are expected", selects, pool.VMs)
+	if racks := len(pool.Racks); racks > 0 && pool.VMs > 0 && racks > pool.VMs {
+		l.addProblem(s, "spec.racks", RuleEmptyPool, "raise vms or remove racks",
+			"%d racks are selected, but only %d VMs are expected", racks, pool.VMs)
 	}
 }
--- a/core/object/delta.go
+++ b/core/object/delta.go
@@ -7,27 +7,28 @@
 	"briarproxy/core/fault"
 )
 
-// Delta turns one set into another. It is small where few objects change.
+// Delta holds the changes that turn one set into another. Its size depends on the
+// number of changed objects, not on the size of the sets.
 type Delta struct {
-	Put    *Set  `json:"put"`              // objects that are added or replaced
-	Remove []Ref `json:"remove,omitempty"` // ordered by kind and name
+	Put    *Set  `json:"put"`              // Put holds the objects that are added or replaced.
+	Remove []Ref `json:"remove,omitempty"` // Remove is ordered by kind and name.
 }
 
-// DeltaOf returns the delta that turns one set into another.
+// DeltaOf returns the delta that turns the set from into the set to.
 func DeltaOf(from, to *Set) Delta {
 	put := newSet()
 	d := Delta{Put: put}
-	deltaOfKind(&d, KindBatchJob, from.BatchJobs, to.BatchJobs, put.BatchJobs)
-	deltaOfKind(&d, KindGangJob, from.GangJobs, to.GangJobs, put.GangJobs)
-	deltaOfKind(&d, KindPolicy, from.Policies, to.Policies, put.Policies)
-	deltaOfKind(&d, KindPool, from.Pools, to.Pools, put.Pools)
-	deltaOfKind(&d, KindService, from.Services, to.Services, put.Services)
-	deltaOfKind(&d, KindTeam, from.Teams, to.Teams, put.Teams)
+	addDeltaOfKind(&d, KindBatchJob, from.BatchJobs, to.BatchJobs, put.BatchJobs)
+	addDeltaOfKind(&d, KindGangJob, from.GangJobs, to.GangJobs, put.GangJobs)
+	addDeltaOfKind(&d, KindPolicy, from.Policies, to.Policies, put.Policies)
+	addDeltaOfKind(&d, KindPool, from.Pools, to.Pools, put.Pools)
+	addDeltaOfKind(&d, KindService, from.Services, to.Services, put.Services)
+	addDeltaOfKind(&d, KindTeam, from.Teams, to.Teams, put.Teams)
 	sortRefs(d.Remove)
 	return d
 }
 
-func deltaOfKind[T any](d *Delta, kind Kind, from, to, put map[string]*T) {
+func addDeltaOfKind[T any](d *Delta, kind Kind, from, to, put map[string]*T) {
 	for name, o := range to {
 		if old, found := from[name]; !found || !reflect.DeepEqual(old, o) {
 			put[name] = o
@@ -40,17 +41,17 @@
 	}
 }
 
-// Apply returns the set that the delta makes of base, which stays unchanged. It
-// fails if the delta removes an object that base does not have, because it was then
-// made for another base.
+// Apply returns a new set with the changes applied to base, which is not modified. It
+// fails if the delta removes an object that base does not have, because the delta was
+// then computed from another base.
 func (d Delta) Apply(base *Set) (*Set, error) {
 	set := &Set{
-		Services:  copyOf(base.Services),
-		BatchJobs: copyOf(base.BatchJobs),
-		GangJobs:  copyOf(base.GangJobs),
-		Policies:  copyOf(base.Policies),
-		Pools:     copyOf(base.Pools),
-		Teams:     copyOf(base.Teams),
+		Services:  cloneMap(base.Services),
+		BatchJobs: cloneMap(base.BatchJobs),
+		GangJobs:  cloneMap(base.GangJobs),
+		Policies:  cloneMap(base.Policies),
+		Pools:     cloneMap(base.Pools),
+		Teams:     cloneMap(base.Teams),
 	}
 	for _, ref := range d.Remove {
 		if !set.remove(ref) {
@@ -66,7 +67,7 @@
 	return set, nil
 }
 
-func copyOf[T any](objects map[string]*T) map[string]*T {
+func cloneMap[T any](objects map[string]*T) map[string]*T {
 	copied := make(map[string]*T, len(objects)+1)
 	maps.Copy(copied, objects)
 	return copied
@@ -76,22 +77,22 @@
 func (s *Set) remove(ref Ref) bool {
 	switch ref.Kind {
 	case KindService:
-		return removeFrom(s.Services, ref.Name)
+		return removeFromMap(s.Services, ref.Name)
 	case KindBatchJob:
-		return removeFrom(s.BatchJobs, ref.Name)
+		return removeFromMap(s.BatchJobs, ref.Name)
 	case KindGangJob:
-		return removeFrom(s.GangJobs, ref.Name)
+		return removeFromMap(s.GangJobs, ref.Name)
 	case KindPolicy:
-		return removeFrom(s.Policies, ref.Name)
+		return removeFromMap(s.Policies, ref.Name)
 	case KindPool:
-		return removeFrom(s.Pools, ref.Name)
+		return removeFromMap(s.Pools, ref.Name)
 	case KindTeam:
-		return removeFrom(s.Teams, ref.Name)
+		return removeFromMap(s.Teams, ref.Name)
 	}
 	return false
 }
 
-func removeFrom[T any](objects map[string]*T, name string) bool {
+func removeFromMap[T any](objects map[string]*T, name string) bool {
 	_, found := objects[name]
 	delete(objects, name)
 	return found
--- a/core/object/inherit.go
+++ b/core/object/inherit.go
@@ -5,11 +5,11 @@
 	"strings"
 )
 
-// inherit fills the fields that policies leave out from their parents. Parents are
-// the only references between objects of one kind, and so the only ones that can
+// inheritPolicyFields fills the fields that policies leave out from their parents.
+// Only a parent reference links objects of the same kind, so no other reference can
 // form a cycle.
-func (l *loader) inherit(set *Set) {
-	policies := map[string]*source{}
+func (l *loader) inheritPolicyFields(set *Set) {
+	policies := map[string]*objectSource{}
 	for _, s := range l.sources {
 		if s.kind == KindPolicy {
 			policies[s.name] = s
@@ -22,22 +22,23 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		l.inheritOne(policies, state, policies[name], nil)
+		l.inheritFromParents(policies, state, policies[name], nil)
 	}
 	for _, name := range names {
 		l.requirePolicyFields(policies[name])
 	}
 }
 
-// States of the depth-first walk over parents.
+// These are the states of a policy in the depth-first search along parents. A policy
+// that is reached again while it is onPath is part of a cycle.
 const (
 	unvisited = iota
 	onPath
-	settled
+	visited
 )
 
-func (l *loader) inheritOne(policies map[string]*source, state map[string]int, s *source, path []string) {
-	if state[s.name] == settled {
+func (l *loader) inheritFromParents(policies map[string]*objectSource, state map[string]int, s *objectSource, path []string) {
+	if state[s.name] == visited {
 		return
 	}
 	path = append(path, s.name)
@@ -47,44 +48,44 @@
 	}
 	state[s.name] = onPath
 	if parent, found := policies[s.policy.Parent]; found {
-		l.inheritOne(policies, state, parent, path)
-		s.fill(parent)
+		l.inheritFromParents(policies, state, parent, path)
+		s.inheritFrom(parent)
 	}
-	state[s.name] = settled
+	state[s.name] = visited
 }
 
-// reportCycle reports the cycle that ends the path.
-func (l *loader) reportCycle(s *source, path []string) {
+// reportCycle reports the cycle that s closes at the end of the path.
+func (l *loader) reportCycle(s *objectSource, path []string) {
 	start := 0
 	for path[start] != s.name {
 		start++
 	}
-	l.add(s, "spec.parent", RuleCycle, "remove one parent of the cycle",
+	l.addProblem(s, "spec.parent", RuleCycle, "remove one parent of the cycle",
 		"the parents form a cycle: %s", strings.Join(path[start:], " -> "))
 }
 
-// fill copies the fields that the policy leaves out from its parent and marks
-// them as set, so that its own children receive them too.
-func (s *source) fill(parent *source) {
-	own, from := s.policy, parent.policy
+// inheritFrom copies the fields that the policy leaves out from its parent and marks
+// them as present, so that the children of the policy inherit them, too.
+func (s *objectSource) inheritFrom(parent *objectSource) {
+	own, inherited := s.policy, parent.policy
 	copies := map[string]func(){
-		"priority":      func() { own.Priority = from.Priority },
-		"deadline":      func() { own.Deadline = from.Deadline },
-		"durable":       func() { own.Durable = from.Durable },
-		"min_share":     func() { own.MinShare = from.MinShare },
-		"headroom":      func() { own.Headroom = from.Headroom },
-		"can_preempt":   func() { own.CanPreempt = from.CanPreempt },
-		"preemptible":   func() { own.Preemptible = from.Preemptible },
-		"checkpoint":    func() { own.Checkpoint = from.Checkpoint },
-		"spread_racks":  func() { own.SpreadRacks = from.SpreadRacks },
-		"cross_region":  func() { own.CrossRegion = from.CrossRegion },
-		"max_retries":   func() { own.MaxRetries = from.MaxRetries },
-		"retry_backoff": func() { own.RetryBackoff = from.RetryBackoff },
+		"priority":      func() { own.Priority = inherited.Priority },
+		"deadline":      func() { own.Deadline = inherited.Deadline },
+		"durable":       func() { own.Durable = inherited.Durable },
+		"min_share":     func() { own.MinShare = inherited.MinShare },
+		"headroom":      func() { own.Headroom = inherited.Headroom },
+		"can_preempt":   func() { own.CanPreempt = inherited.CanPreempt },
+		"preemptible":   func() { own.Preemptible = inherited.Preemptible },
+		"checkpoint":    func() { own.Checkpoint = inherited.Checkpoint },
+		"spread_racks":  func() { own.SpreadRacks = inherited.SpreadRacks },
+		"cross_region":  func() { own.CrossRegion = inherited.CrossRegion },
+		"max_retries":   func() { own.MaxRetries = inherited.MaxRetries },
+		"retry_backoff": func() { own.RetryBackoff = inherited.RetryBackoff },
 	}
 	for field, copyField := range copies {
-		if parent.fields[field] && !s.fields[field] {
+		if parent.presentFields[field] && !s.presentFields[field] {
 			copyField()
-			s.fields[field] = true
+			s.presentFields[field] = true
 		}
 	}
 }
--- a/core/object/load.go
+++ b/core/object/load.go
@@ -7,18 +7,18 @@
 	"briarproxy/core/jsonc"
 )
 
-// source is one object as it stands in a file.
-type source struct {
-	file   string
-	reader *jsonc.Reader
-	prefix string // path of the object in its file
-	kind   Kind
-	name   string
-	fields map[string]bool // fields that the spec sets; used for inheritance
-	faulty map[string]bool // fields of the spec with an issue; their values are not used in further checks
+// objectSource is an object with the location in a file from which it was read.
+type objectSource struct {
+	file          string
+	reader        *jsonc.Reader
+	objectPath    string // objectPath is the path of the object within its file.
+	kind          Kind
+	name          string
+	presentFields map[string]bool // presentFields holds the fields that the spec has or inherits.
+	invalidFields map[string]bool // invalidFields holds the fields of the spec that have an issue; later checks ignore their values.
 
 	service *Service
-	job     *JobTemplate // of a batch or gang job
+	job     *JobTemplate // job is the common part of a batch or gang job.
 	batch   *BatchJob
 	gang    *GangJob
 	policy  *Policy
@@ -26,18 +26,18 @@
 	team    *Team
 }
 
-// loader collects the objects and problems of a set.
+// loader collects the objects of a set and their problems.
 type loader struct {
-	sources  []*source
-	pools    map[string]*source
-	teams    map[string]*source
+	sources  []*objectSource
+	pools    map[string]*objectSource
+	teams    map[string]*objectSource
 	problems []Problem
 }
 
-// Load reads object files, by file name, and checks the whole set. It returns
-// every problem of the set at once. The set is nil if there is any problem.
+// Load reads object files, keyed by file name, and validates the whole set. It
+// returns all problems of the set at once; if there is any, the set is nil.
 func Load(files map[string][]byte) (*Set, []Problem) {
-	l := &loader{pools: map[string]*source{}, teams: map[string]*source{}}
+	l := &loader{pools: map[string]*objectSource{}, teams: map[string]*objectSource{}}
 	names := make([]string, 0, len(files))
 	for name := range files {
 		names = append(names, name)
@@ -46,8 +46,8 @@
 	for _, name := range names {
 		l.readFile(name, files[name])
 	}
-	set := l.collect()
-	l.inherit(set)
+	set := l.buildSet()
+	l.inheritPolicyFields(set)
 	l.check(set)
 	if len(l.problems) > 0 {
 		sortProblems(l.problems)
@@ -60,7 +60,7 @@
 	r, root, ok := jsonc.Parse(data)
 	switch {
 	case !ok:
-		l.take(&source{file: file, reader: r})
+		l.collectIssues(&objectSource{file: file, reader: r})
 	case root.IsList():
 		r.Elements(root, func(_ int, n jsonc.Node) { l.readObject(file, r, n) })
 	default:
@@ -68,47 +68,47 @@
 	}
 }
 
-// take moves the reader's issues to the problems of the set.
-func (l *loader) take(s *source) {
+// collectIssues moves the reader's issues to the problems of the set.
+func (l *loader) collectIssues(s *objectSource) {
 	for _, issue := range s.reader.Issues {
 		l.problems = append(l.problems, Problem{
 			File: s.file, Line: issue.Line, Kind: s.kind, Object: s.name,
-			Field: s.relative(issue.Path), Rule: issue.Rule,
+			Field: s.relativePath(issue.Path), Rule: issue.Rule,
 			Message: issue.Message, Remedy: issue.Remedy,
 		})
 	}
 	s.reader.Issues = nil
 }
 
-// relative strips the path of the object from a path of the file.
-func (s *source) relative(path string) string {
-	if s.prefix != "" && len(path) > len(s.prefix) && path[:len(s.prefix)] == s.prefix {
-		return path[len(s.prefix)+1:]
+// relativePath returns a path of the file relative to the object.
+func (s *objectSource) relativePath(path string) string {
+	if s.objectPath != "" && len(path) > len(s.objectPath) && path[:len(s.objectPath)] == s.objectPath {
+		return path[len(s.objectPath)+1:]
 	}
-	if path == s.prefix {
+	if path == s.objectPath {
 		return ""
 	}
 	return path
 }
 
-// add records a problem of the object at a field path within it.
-func (l *loader) add(s *source, field string, rule jsonc.Rule, remedy, format string, args ...any) {
-	path := s.prefix
+// addProblem records a problem at a field path within the object.
+func (l *loader) addProblem(s *objectSource, field string, rule jsonc.Rule, remedy, format string, args ...any) {
+	path := s.objectPath
 	if field != "" {
-		path = jsonc.Join(s.prefix, field)
+		path = jsonc.Join(s.objectPath, field)
 	}
 	n := jsonc.Node{Path: path, Line: s.reader.Line(path)}
 	s.reader.Add(n, rule, remedy, format, args...)
-	l.take(s)
+	l.collectIssues(s)
 }
 
-// readObject reads the envelope first, so that problems of the spec carry the
-// object's kind and name whatever the order of the members.
+// readObject reads kind and name before the spec, so that problems of the spec carry
+// them regardless of the order of the members in the file.
 func (l *loader) readObject(file string, r *jsonc.Reader, n jsonc.Node) {
-	s := &source{file: file, reader: r, prefix: n.Path, fields: map[string]bool{}, faulty: map[string]bool{}}
+	s := &objectSource{file: file, reader: r, objectPath: n.Path, presentFields: map[string]bool{}, invalidFields: map[string]bool{}}
 	var kind string
 	var spec *jsonc.Node
-	known := r.Object(n, []jsonc.Field{
+	isObject := r.Object(n, []jsonc.Field{
 		{Name: "kind", Required: true, Read: jsonc.OneOf(&kind, kindNames()...)},
 		{Name: "name", Required: true, Read: jsonc.Name(&s.name)},
 		{Name: "spec", Required: true, Read: func(_ *jsonc.Reader, n jsonc.Node) { spec = &n }},
@@ -119,42 +119,43 @@
 			r.Issues[i].Rule = RuleUnknownKind
 		}
 	}
-	fields, isKind := s.specFields()
-	if known && isKind && spec != nil {
-		s.noteFields(*spec)
+	fields, knownKind := s.specFields()
+	if isObject && knownKind && spec != nil {
+		s.recordPresentFields(*spec)
 		r.Object(*spec, fields)
-		s.noteFaulty()
+		s.recordInvalidFields()
 		l.sources = append(l.sources, s)
 	}
-	l.take(s)
+	l.collectIssues(s)
 }
 
-// noteFields remembers which fields the spec sets.
-func (s *source) noteFields(spec jsonc.Node) {
+// recordPresentFields records which fields the spec has.
+func (s *objectSource) recordPresentFields(spec jsonc.Node) {
 	for _, name := range spec.MemberNames() {
-		s.fields[name] = true
+		s.presentFields[name] = true
 	}
 }
 
-// noteFaulty remembers which fields of the spec have an issue.
-func (s *source) noteFaulty() {
+// recordInvalidFields records which top-level fields of the spec have an issue.
+func (s *objectSource) recordInvalidFields() {
 	for _, issue := range s.reader.Issues {
-		field, found := strings.CutPrefix(s.relative(issue.Path), "spec.")
+		field, found := strings.CutPrefix(s.relativePath(issue.Path), "spec.")
 		if !found {
 			continue
 		}
 		if end := strings.IndexAny(field, ".["); end >= 0 {
 			field = field[:end]
 		}
-		s.faulty[field] = true
+		s.invalidFields[field] = true
 	}
 }
 
-// sound reports whether none of the fields of the spec has an issue. Checks that
-// combine values skip faulty ones, so that one mistake is reported once.
-func (s *source) sound(fields ...string) bool {
+// fieldsValid reports whether none of the given fields of the spec has an issue.
+// Checks that combine several values skip invalid ones, so that a mistake is reported
+// only once.
+func (s *objectSource) fieldsValid(fields ...string) bool {
 	for _, field := range fields {
-		if s.faulty[field] {
+		if s.invalidFields[field] {
 			return false
 		}
 	}
@@ -168,27 +169,27 @@
 	}
 }
 
-// collect puts the objects into a set and reports names that occur twice. Batch
-// and gang jobs share one name space, because callers submit both by name only.
-func (l *loader) collect() *Set {
+// buildSet adds the objects to a set and reports duplicate names. Batch and gang jobs
+// share a namespace, because callers submit both by name only.
+func (l *loader) buildSet() *Set {
 	set := newSet()
-	first := map[string]*source{}
-	kept := l.sources[:0]
+	first := map[string]*objectSource{}
+	unique := l.sources[:0]
 	for _, s := range l.sources {
-		space := string(s.kind)
+		namespace := string(s.kind)
 		if s.job != nil {
-			space = "job"
+			namespace = "job"
 		}
-		if other, taken := first[space+"/"+s.name]; taken {
-			l.add(s, "name", RuleDuplicate, "rename or remove one of them",
-				"%s %q is defined already in %s line %d", other.kind, s.name, other.file, other.reader.Line(other.prefix))
+		if other, exists := first[namespace+"/"+s.name]; exists {
+			l.addProblem(s, "name", RuleDuplicate, "rename or remove one of them",
+				"%s %q is defined already in %s line %d", other.kind, s.name, other.file, other.reader.Line(other.objectPath))
 			continue
 		}
-		first[space+"/"+s.name] = s
-		l.put(set, s)
-		kept = append(kept, s)
+		first[namespace+"/"+s.name] = s
+		l.addToSet(set, s)
+		unique = append(unique, s)
 	}
-	l.sources = kept
+	l.sources = unique
 	return set
 }
 
@@ -199,7 +200,7 @@
 	}
 }
 
-func (l *loader) put(set *Set, s *source) {
+func (l *loader) addToSet(set *Set, s *objectSource) {
 	switch s.kind {
 	case KindService:
 		s.service.Name = s.name
--- a/core/object/problem.go
+++ b/core/object/problem.go
@@ -9,7 +9,7 @@
 	"briarproxy/core/jsonc"
 )
 
-// Rules that a whole set is checked against, in addition to those of jsonc.
+// These rules apply to a whole set, in addition to the rules of jsonc.
 const (
 	RuleUnknownKind jsonc.Rule = "unknown-kind"
 	RuleDuplicate   jsonc.Rule = "duplicate-name"
@@ -21,13 +21,13 @@
 	RuleConflict    jsonc.Rule = "conflicting-fields"
 )
 
-// Problem is one fault of a set of object files.
+// Problem is one violation of a rule in a set of object files.
 type Problem struct {
 	File    string     `json:"file"`
-	Line    int        `json:"line"` // from 1
+	Line    int        `json:"line"` // Lines are numbered from 1.
 	Kind    Kind       `json:"kind,omitempty"`
 	Object  string     `json:"object,omitempty"`
-	Field   string     `json:"field,omitempty"` // path within the object
+	Field   string     `json:"field,omitempty"` // Field is the path within the object.
 	Rule    jsonc.Rule `json:"rule"`
 	Message string     `json:"message"`
 	Remedy  string     `json:"remedy"`
@@ -47,7 +47,8 @@
 	return b.String()
 }
 
-// Err returns the problems as one error of kind fault.Invalid, or nil.
+// ProblemsError returns one error of kind fault.Invalid that lists the problems, or
+// nil if there are none.
 func Err(problems []Problem) error {
 	if len(problems) == 0 {
 		return nil
@@ -60,7 +61,7 @@
 		"%d problems in the objects:\n%s", len(problems), strings.Join(lines, "\n"))
 }
 
-// sortProblems orders problems by place, so that equal input gives equal output.
+// sortProblems orders problems by location, so that equal input gives equal output.
 func sortProblems(problems []Problem) {
 	sort.SliceStable(problems, func(i, j int) bool {
 		a, b := problems[i], problems[j]
--- a/core/object/set.go
+++ b/core/object/set.go
@@ -12,12 +12,12 @@
 	"briarproxy/core/fault"
 )
 
-// Encode returns the canonical JSON of a set: equal sets give equal bytes. Kinds
-// without objects are left out.
+// Encode returns the canonical JSON of a set, so that equal sets give equal bytes.
+// Kinds without objects are omitted.
 func Encode(set *Set) ([]byte, error) { return json.Marshal(set) }
 
-// Decode reads canonical JSON. It refuses unknown fields, because a reader that
-// dropped a field would treat work differently from one that knows it.
+// Decode reads canonical JSON. It refuses unknown fields, because a release that
+// ignored a field would schedule work differently from one that knows it.
 func Decode(data []byte) (*Set, error) {
 	if !bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
 		return nil, fault.New(fault.Invalid, "read the set with the release that wrote it", "the encoded set is not an object")
@@ -61,13 +61,13 @@
 	return false
 }
 
-// Ref names an object.
+// Ref identifies an object by kind and name.
 type Ref struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
 }
 
-// FieldChange is one field that differs. Old or New is "" where the field is absent.
+// FieldChange is one field that differs. Old or New is "" if the field is absent.
 type FieldChange struct {
 	Path string `json:"path"`
 	Old  string `json:"old"`
@@ -80,14 +80,15 @@
 	Fields []FieldChange `json:"fields"`
 }
 
-// Difference lists what changes from one set to another, ordered by kind and name.
+// Difference lists the objects that change from one set to another, ordered by kind
+// and name.
 type Difference struct {
 	Added   []Ref    `json:"added"`
 	Removed []Ref    `json:"removed"`
 	Changed []Change `json:"changed"`
 }
 
-// Empty reports whether nothing changes.
+// Empty reports whether the sets are equal.
 func (d Difference) Empty() bool {
 	return len(d.Added) == 0 && len(d.Removed) == 0 && len(d.Changed) == 0
 }
@@ -97,15 +98,15 @@
 	before, after := flattenSet(from), flattenSet(to)
 	var d Difference
 	for _, ref := range sortedRefs(before, after) {
-		old, inOld := before[ref]
-		now, inNew := after[ref]
+		oldFields, inOld := before[ref]
+		newFields, inNew := after[ref]
 		switch {
 		case !inOld:
 			d.Added = append(d.Added, ref)
 		case !inNew:
 			d.Removed = append(d.Removed, ref)
 		default:
-			if fields := compare(old, now); len(fields) > 0 {
+			if fields := diffFields(oldFields, newFields); len(fields) > 0 {
 				d.Changed = append(d.Changed, Change{Ref: ref, Fields: fields})
 			}
 		}
@@ -113,11 +114,11 @@
 	return d
 }
 
-// flat maps the field paths of an object to their values as text.
-type flat map[string]string
+// fieldValues maps the field paths of an object to their values as text.
+type fieldValues map[string]string
 
-func flattenSet(set *Set) map[Ref]flat {
-	objects := map[Ref]flat{}
+func flattenSet(set *Set) map[Ref]fieldValues {
+	objects := map[Ref]fieldValues{}
 	if set == nil {
 		return objects
 	}
@@ -130,16 +131,17 @@
 	return objects
 }
 
-func flattenKind[T any](into map[Ref]flat, kind Kind, objects map[string]*T) {
+func flattenKind[T any](into map[Ref]fieldValues, kind Kind, objects map[string]*T) {
 	for name, o := range objects {
-		fields := flat{}
+		fields := fieldValues{}
 		flatten(fields, "", reflect.ValueOf(o).Elem())
 		into[Ref{Kind: kind, Name: name}] = fields
 	}
 }
 
-// flatten walks structs and maps; everything else is one value.
-func flatten(into flat, path string, v reflect.Value) {
+// flatten adds the field paths below v. It descends into structs and maps; any other
+// kind, lists included, is a single value.
+func flatten(into fieldValues, path string, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Pointer:
 		flatten(into, path, v.Elem())
@@ -147,14 +149,14 @@
 		flattenStruct(into, path, v)
 	case reflect.Map:
 		for _, key := range v.MapKeys() {
-			flatten(into, join(path, key.String()), v.MapIndex(key))
+			flatten(into, joinPath(path, key.String()), v.MapIndex(key))
 		}
 	default:
 		into[path] = fmt.Sprint(v.Interface())
 	}
 }
 
-func flattenStruct(into flat, path string, v reflect.Value) {
+func flattenStruct(into fieldValues, path string, v reflect.Value) {
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
@@ -162,18 +164,18 @@
 			flatten(into, path, v.Field(i))
 			continue
 		}
-		flatten(into, join(path, name), v.Field(i))
+		flatten(into, joinPath(path, name), v.Field(i))
 	}
 }
 
-func join(path, name string) string {
+func joinPath(path, name string) string {
 	if path == "" {
 		return name
 	}
 	return path + "." + name
 }
 
-func sortedRefs(sets ...map[Ref]flat) []Ref {
+func sortedRefs(sets ...map[Ref]fieldValues) []Ref {
 	seen := map[Ref]bool{}
 	for _, set := range sets {
 		for ref := range set {
@@ -197,15 +199,15 @@
 	})
 }
 
-func compare(old, now flat) []FieldChange {
+func diffFields(oldFields, newFields fieldValues) []FieldChange {
 	var changes []FieldChange
-	for path, value := range old {
-		if now[path] != value {
-			changes = append(changes, FieldChange{Path: path, Old: value, New: now[path]})
+	for path, value := range oldFields {
+		if newFields[path] != value {
+			changes = append(changes, FieldChange{Path: path, Old: value, New: newFields[path]})
 		}
 	}
-	for path, value := range now {
-		if _, inOld := old[path]; !inOld {
+	for path, value := range newFields {
+		if _, inOld := oldFields[path]; !inOld {
 			changes = append(changes, FieldChange{Path: path, New: value})
 		}
 	}
--- a/core/object/spec.go
+++ b/core/object/spec.go
@@ -7,39 +7,39 @@
 	"briarproxy/core/resource"
 )
 
-// Bounds and defaults of fields.
+// These are the bounds and defaults of fields.
 const (
-	maxBodyLimit       = 16 << 20 // bytes; an answer is held in a daemon's memory while it is checked
-	defaultMaxBody     = 1 << 20  // bytes
-	maxRunTime         = 30 * 24 * time.Hour
-	maxDeadline        = 7 * 24 * time.Hour
-	minTime            = time.Millisecond
-	maxTasks           = 100_000
-	maxAttempts        = 100
-	defaultMaxAttempts = 3
-	maxRetries         = 20
-	maxBackoff         = time.Hour
-	maxPriority        = 1000
-	maxPoolVMs         = 1_000_000
-	maxDevices         = 1024
-	maxSlots           = 1 << 20
-	maxWeight          = 1000
-	defaultWeight      = 1
+	maxBodyLimitBytes        = 16 << 20 // A daemon holds a whole response in memory while it verifies it.
+	defaultMaxBodyBytes      = 1 << 20
+	maxRunTime               = 30 * 24 * time.Hour
+	maxDeadline              = 7 * 24 * time.Hour
+	minDuration              = time.Millisecond
+	maxTasks                 = 100_000
+	maxAttempts              = 100
+	defaultMaxAttempts       = 3
+	maxRetries               = 20
+	maxBackoff               = time.Hour
+	maxPriority              = 1000
+	maxPoolVMs               = 1_000_000
+	maxAcceleratorsPerVector = 1024
+	maxSlotsPerVector        = 1 << 20
+	maxTeamWeight            = 1000
+	defaultTeamWeight        = 1
 )
 
-// specFields returns the fields of the object's spec and prepares the object with
-// its defaults. ok is false for an unknown kind.
-func (s *source) specFields() (fields []jsonc.Field, ok bool) {
+// specFields creates the object with its defaults and returns the fields of its spec.
+// ok is false for an unknown kind.
+func (s *objectSource) specFields() (fields []jsonc.Field, ok bool) {
 	switch s.kind {
 	case KindService:
-		s.service = &Service{Operations: map[string]*Operation{}, MaxBody: defaultMaxBody}
+		s.service = &Service{Operations: map[string]*Operation{}, MaxBody: defaultMaxBodyBytes}
 		return serviceFields(s.service), true
 	case KindBatchJob:
-		s.batch = &BatchJob{JobTemplate: defaultJob()}
+		s.batch = &BatchJob{JobTemplate: defaultJobTemplate()}
 		s.job = &s.batch.JobTemplate
 		return jobFields(s.job), true
 	case KindGangJob:
-		s.gang = &GangJob{JobTemplate: defaultJob()}
+		s.gang = &GangJob{JobTemplate: defaultJobTemplate()}
 		s.job = &s.gang.JobTemplate
 		minRacks := jsonc.Field{Name: "min_racks", Read: jsonc.Int(&s.gang.MinRacks, 0, maxTasks)}
 		return append(jobFields(s.job), minRacks), true
@@ -50,20 +50,20 @@
 		s.pool = &Pool{Fencing: true}
 		return poolFields(s.pool), true
 	case KindTeam:
-		s.team = &Team{Weight: defaultWeight}
+		s.team = &Team{Weight: defaultTeamWeight}
 		return teamFields(s.team), true
 	}
 	return nil, false
 }
 
-func defaultJob() JobTemplate { return JobTemplate{Tasks: 1, MaxAttempts: defaultMaxAttempts} }
+func defaultJobTemplate() JobTemplate { return JobTemplate{Tasks: 1, MaxAttempts: defaultMaxAttempts} }
 
 func serviceFields(s *Service) []jsonc.Field {
 	return []jsonc.Field{
 		{Name: "pool", Required: true, Read: jsonc.Name(&s.Pool)},
 		{Name: "team", Required: true, Read: jsonc.Name(&s.Team)},
 		{Name: "operations", Required: true, Read: readOperations(s.Operations)},
-		{Name: "max_body", Read: jsonc.Bytes(&s.MaxBody, 1, maxBodyLimit)},
+		{Name: "max_body", Read: jsonc.Bytes(&s.MaxBody, 1, maxBodyLimitBytes)},
 	}
 }
 
@@ -87,8 +87,8 @@
 	return []jsonc.Field{
 		{Name: "policy", Required: true, Read: jsonc.Name(&o.Policy)},
 		{Name: "idempotent", Required: true, Read: jsonc.Bool(&o.Idempotent)},
-		{Name: "run_time", Required: true, Read: jsonc.Duration(&o.RunTime, minTime, maxRunTime)},
-		{Name: "max_run_time", Required: true, Read: jsonc.Duration(&o.MaxRunTime, minTime, maxRunTime)},
+		{Name: "run_time", Required: true, Read: jsonc.Duration(&o.RunTime, minDuration, maxRunTime)},
+		{Name: "max_run_time", Required: true, Read: jsonc.Duration(&o.MaxRunTime, minDuration, maxRunTime)},
 	}
 }
 
@@ -100,7 +100,7 @@
 		{Name: "operation", Required: true, Read: jsonc.Name(&j.Operation)},
 		{Name: "tasks", Read: jsonc.Int(&j.Tasks, 1, maxTasks)},
 		{Name: "resources", Required: true, Read: readVector(&j.Resources)},
-		{Name: "run_time", Required: true, Read: jsonc.Duration(&j.RunTime, minTime, maxRunTime)},
+		{Name: "run_time", Required: true, Read: jsonc.Duration(&j.RunTime, minDuration, maxRunTime)},
 		{Name: "max_attempts", Read: jsonc.Int(&j.MaxAttempts, 1, maxAttempts)},
 	}
 }
@@ -109,7 +109,7 @@
 	return []jsonc.Field{
 		{Name: "parent", Read: jsonc.Name(&p.Parent)},
 		{Name: "priority", Read: jsonc.Int(&p.Priority, 0, maxPriority)},
-		{Name: "deadline", Read: jsonc.Duration(&p.Deadline, minTime, maxDeadline)},
+		{Name: "deadline", Read: jsonc.Duration(&p.Deadline, minDuration, maxDeadline)},
 		{Name: "durable", Read: jsonc.Bool(&p.Durable)},
 		{Name: "min_share", Read: jsonc.Float(&p.MinShare, 0, 1)},
 		{Name: "headroom", Read: jsonc.Float(&p.Headroom, 0, 1)},
@@ -119,7 +119,7 @@
 		{Name: "spread_racks", Read: jsonc.Bool(&p.SpreadRacks)},
 		{Name: "cross_region", Read: jsonc.Bool(&p.CrossRegion)},
 		{Name: "max_retries", Read: jsonc.Int(&p.MaxRetries, 0, maxRetries)},
-		{Name: "retry_backoff", Read: jsonc.Duration(&p.RetryBackoff, minTime, maxBackoff)},
+		{Name: "retry_backoff", Read: jsonc.Duration(&p.RetryBackoff, minDuration, maxBackoff)},
 	}
 }
 
@@ -136,7 +136,7 @@
 
 func teamFields(t *Team) []jsonc.Field {
 	return []jsonc.Field{
-		{Name: "weight", Read: jsonc.Float(&t.Weight, 0.001, maxWeight)},
+		{Name: "weight", Read: jsonc.Float(&t.Weight, 0.001, maxTeamWeight)},
 		{Name: "quota", Read: readVector(&t.Quota)},
 	}
 }
@@ -146,8 +146,8 @@
 		r.Object(n, []jsonc.Field{
 			{Name: "cores", Read: jsonc.Cores(&v.MilliCores)},
 			{Name: "memory", Read: jsonc.Memory(&v.MemoryMiB)},
-			{Name: "accelerators", Read: jsonc.Int(&v.Accelerators, 0, maxDevices)},
-			{Name: "slots", Read: jsonc.Int(&v.Slots, 0, maxSlots)},
+			{Name: "accelerators", Read: jsonc.Int(&v.Accelerators, 0, maxAcceleratorsPerVector)},
+			{Name: "slots", Read: jsonc.Int(&v.Slots, 0, maxSlotsPerVector)},
 		})
 	}
 }
--- a/core/object/types.go
+++ b/core/object/types.go
@@ -6,10 +6,10 @@
 	"briarproxy/core/resource"
 )
 
-// Kind names the kind of an object.
+// Kind identifies the type of an object.
 type Kind string
 
-// Kinds of objects.
+// These are the kinds of objects.
 const (
 	KindService  Kind = "service"
 	KindBatchJob Kind = "batch-job"
@@ -19,7 +19,7 @@
 	KindTeam     Kind = "team"
 )
 
-// Set is a checked set of objects, by name within each kind.
+// Set holds validated objects, keyed by name within each kind.
 type Set struct {
 	Services  map[string]*Service  `json:"services,omitempty"`
 	BatchJobs map[string]*BatchJob `json:"batch_jobs,omitempty"`
@@ -29,33 +29,33 @@
 	Teams     map[string]*Team     `json:"teams,omitempty"`
 }
 
-// Service answers requests on the slots of a pool's workers.
+// Service is a request-serving workload that runs on the slots of a pool's workers.
 type Service struct {
 	Name       string                `json:"name"`
 	Pool       string                `json:"pool"`
 	Team       string                `json:"team"`
 	Operations map[string]*Operation `json:"operations"`
-	MaxBody    int64                 `json:"max_body_bytes"` // largest request body, bytes
+	MaxBody    int64                 `json:"max_body_bytes"` // MaxBodyBytes limits the size of a request body.
 }
 
-// Operation is one kind of request of a service.
+// Operation is a type of request that a service accepts.
 type Operation struct {
 	Policy     string        `json:"policy"`
 	Idempotent bool          `json:"idempotent"`
-	RunTime    time.Duration `json:"run_time"`     // declared, often far off
-	MaxRunTime time.Duration `json:"max_run_time"` // run lease of one attempt
+	RunTime    time.Duration `json:"run_time"`     // RunTime is the declared run time, which is often far off.
+	MaxRunTime time.Duration `json:"max_run_time"` // MaxRunTime is the duration of the run lease of one attempt.
 }
 
-// JobTemplate holds what batch and gang jobs share.
+// JobTemplate holds the fields that batch and gang jobs have in common.
 type JobTemplate struct {
 	Name        string          `json:"name"`
 	Pool        string          `json:"pool"`
 	Policy      string          `json:"policy"`
 	Team        string          `json:"team"`
-	Operation   string          `json:"operation"` // what the worker runs
+	Operation   string          `json:"operation"` // Operation names what the worker runs.
 	Tasks       int             `json:"tasks"`
-	Resources   resource.Vector `json:"resources"` // per task, declared
-	RunTime     time.Duration   `json:"run_time"`  // declared, often far off
+	Resources   resource.Vector `json:"resources"` // Resources is the declared demand of each task.
+	RunTime     time.Duration   `json:"run_time"`  // RunTime is the declared run time, which is often far off.
 	MaxAttempts int             `json:"max_attempts"`
 }
 
@@ -64,44 +64,46 @@
 	JobTemplate
 }
 
-// GangJob is a template of jobs whose tasks all start together.
+// GangJob is a template of jobs whose tasks start all together or not at all.
 type GangJob struct {
 	JobTemplate
-	MinRacks int `json:"min_racks"` // spread over at least this many racks; 0 or 1: any
+	MinRacks int `json:"min_racks"` // MinRacks is the smallest number of racks that the tasks are spread over; 0 and 1 set no constraint.
 }
 
-// Policy governs how work of one class is treated.
+// Policy defines how work of one class is scheduled and retried.
 type Policy struct {
 	Name         string        `json:"name"`
-	Parent       string        `json:"parent,omitempty"` // policy whose values fill the fields left out; already applied by Load
-	Priority     int           `json:"priority"`         // 0 to 1000, higher first
-	Deadline     time.Duration `json:"deadline"`         // time in which callers expect an answer or a start
-	Durable      bool          `json:"durable"`          // accepted work is logged and never dropped
-	MinShare     float64       `json:"min_share"`        // part of capacity that lower priority keeps under load, 0 to 1
-	Headroom     float64       `json:"headroom"`         // part of a pool kept free for higher priorities, 0 to 1
+	Parent       string        `json:"parent,omitempty"` // Parent names the policy that missing fields are inherited from; Load has applied it.
+	Priority     int           `json:"priority"`         // Priority is 0 to 1000; higher values are scheduled first.
+	Deadline     time.Duration `json:"deadline"`         // Deadline is the time within which callers expect a response or a start.
+	Durable      bool          `json:"durable"`          // Durable work is logged when it is accepted and is never dropped.
+	MinShare     float64       `json:"min_share"`        // MinShare is the fraction of capacity, 0 to 1, that work of this policy keeps under load from higher priorities.
+	Headroom     float64       `json:"headroom"`         // Headroom is the fraction of a pool, 0 to 1, that stays free for higher priorities.
 	CanPreempt   bool          `json:"can_preempt"`
 	Preemptible  bool          `json:"preemptible"`
-	Checkpoint   bool          `json:"checkpoint"`   // a checkpoint is taken before preemption
-	SpreadRacks  bool          `json:"spread_racks"` // tasks of one job go to different racks where possible
-	CrossRegion  bool          `json:"cross_region"` // may be sent to another region when the local one is full
+	Checkpoint   bool          `json:"checkpoint"`   // Checkpoint requests a checkpoint before preemption.
+	SpreadRacks  bool          `json:"spread_racks"` // SpreadRacks places the tasks of a job on different racks where possible.
+	CrossRegion  bool          `json:"cross_region"` // CrossRegion allows work to be sent to another region when the local one is full.
 	MaxRetries   int           `json:"max_retries"`
-	RetryBackoff time.Duration `json:"retry_backoff"` // first backoff; doubles, with full jitter
+	RetryBackoff time.Duration `json:"retry_backoff"` // RetryBackoff is the first backoff; it doubles with each retry and has full jitter.
 }
 
-// Pool selects VMs and states the shape that the operator expects of them.
+// Pool selects VMs by location and declares the number and size that the operator
+// expects.
 type Pool struct {
 	Name        string          `json:"name"`
-	Regions     []string        `json:"regions,omitempty"`      // empty: all
-	DataCentres []string        `json:"data_centres,omitempty"` // empty: all
-	Racks       []string        `json:"racks,omitempty"`        // empty: all
-	Largest     resource.Vector `json:"largest"`                // capacity of the pool's largest VM
-	VMs         int             `json:"vms"`                    // expected number of VMs
-	Fencing     bool            `json:"fencing"`                // workers refuse stale epochs; default true
+	Regions     []string        `json:"regions,omitempty"`      // An empty list selects all regions.
+	DataCentres []string        `json:"data_centres,omitempty"` // An empty list selects all data centres.
+	Racks       []string        `json:"racks,omitempty"`        // An empty list selects all racks.
+	Largest     resource.Vector `json:"largest"`                // LargestVM is the capacity of the pool's largest VM.
+	VMs         int             `json:"vms"`                    // ExpectedVMs is the number of VMs that the operator expects.
+	Fencing     bool            `json:"fencing"`                // Fencing is set if workers refuse stale epochs; it defaults to true.
 }
 
-// Team owns services and jobs and has a quota.
+// Team owns services and jobs, and shares capacity with other teams by weight and
+// quota.
 type Team struct {
 	Name   string          `json:"name"`
-	Weight float64         `json:"weight"` // share under contention, default 1
-	Quota  resource.Vector `json:"quota"`  // upper bound in use at once; zero amounts are unlimited
+	Weight float64         `json:"weight"` // Weight is the relative share under contention; it defaults to 1.
+	Quota  resource.Vector `json:"quota"`  // Quota limits the resources in use at once; a zero amount means unlimited.
 }
