--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -34,7 +34,7 @@
 		name := fmt.Sprintf("svc-%03d", i)
 		operation := &object.Operation{Policy: "p", RunTime: time.Second, MaxRunTime: time.Minute}
 		s.Services[name] = &object.Service{
-			Name: name, Pool: "p", Team: "t", MaxBody: 1 << 20,
+			Name: name, Pool: "p", Team: "t", MaxBodyBytes: 1 << 20,
 			Operations: map[string]*object.Operation{"a": operation, "b": operation},
 		}
 	}
@@ -54,9 +54,9 @@
 	for name, data := range map[string][]byte{"whole": wholeSet, "delta": delta} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				s := New(0)
+				s := NewState(0)
 				s.version, s.set = p.Base, first
-				require.Equal(b, Accepted, s.Apply(0, data))
+				require.Equal(b, EffectAccepted, s.Apply(0, data))
 			}
 			b.ReportMetric(float64(len(data)), "record-bytes")
 		})
--- a/core/config/fuzz_test.go
+++ b/core/config/fuzz_test.go
@@ -20,7 +20,7 @@
 	f.Add(whole, []byte(`{"format":1,"kind":"snapshot","id":"s","base":4,"version":5,"through":1,"set":{}}`), uint8(3))
 	f.Add([]byte(`{"format":2}`), []byte("null"), uint8(1))
 	f.Fuzz(func(t *testing.T, first, second []byte, gap uint8) {
-		s := New(0)
+		s := NewState(0)
 		offset := int64(0)
 		for _, data := range [][]byte{whole, first, second, first, delta} {
 			before := s.Version()
@@ -34,8 +34,8 @@
 		if err != nil {
 			return
 		}
-		reader := New(s.Next())
-		require.Equal(t, Adopted, reader.Apply(s.Next(), snapshot))
+		reader := NewState(s.NextOffset())
+		require.Equal(t, EffectSnapshotAdopted, reader.Apply(s.NextOffset(), snapshot))
 		require.Equal(t, s.Version(), reader.Version())
 	})
 }
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -11,7 +11,7 @@
 // RecordFormat is the newest record format that this release reads and writes. It is
 // incremented when a field of a record or of any object is added, removed or given
 // another meaning.
-const Format = 1
+const RecordFormat = 1
 
 // Kind identifies the type of a record.
 type Kind string
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "report this as a defect", "the set cannot be encoded")
 	}
-	r.Format = Format
+	r.Format = RecordFormat
 	r.Set = encoded
 	return json.Marshal(r)
 }
@@ -95,7 +95,7 @@
 // RecordID returns the unique id of an encoded record, which is used to find a record
 // in the log after the response to its append was lost. ok is false if the data is
 // not a record with an id.
-func IDOf(data []byte) (id string, ok bool) {
+func RecordID(data []byte) (id string, ok bool) {
 	var header struct {
 		ID string `json:"id"`
 	}
@@ -114,7 +114,7 @@
 	if err := json.Unmarshal(data, &header); err != nil {
 		return record{}, false, err
 	}
-	if header.Format > Format {
+	if header.Format > RecordFormat {
 		return record{}, true, nil
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -17,7 +17,7 @@
 )
 
 // HistoryEntry describes an accepted version.
-type Entry struct {
+type HistoryEntry struct {
 	Version int64
 	ID      string
 	Base    int64
@@ -28,28 +28,28 @@
 }
 
 // PublicationResult tells whether a publication was accepted.
-type Verdict struct {
-	Accepted bool
-	Version  int64 // Version is the accepted version.
-	Base     int64
-	Winner   Entry       // ConflictingEntry is, for a refused publication, the version that was accepted on the same base, or else the newest one.
-	State    chart.State // State is the state of the publication when it was accepted or refused.
+type PublicationResult struct {
+	Accepted         bool
+	Version          int64 // Version is the accepted version.
+	Base             int64
+	ConflictingEntry HistoryEntry // ConflictingEntry is, for a refused publication, the version that was accepted on the same base, or else the newest one.
+	State            chart.State  // State is the state of the publication when it was accepted or refused.
 }
 
 // Err returns nil for an accepted publication. It returns an error of kind
 // fault.Conflict that names the conflicting version if the base is stale, and one of
 // kind fault.Invalid if a delta does not apply to the set of its base version.
-func (r Verdict) Err() error {
+func (r PublicationResult) Err() error {
 	if r.Accepted {
 		return nil
 	}
-	if r.Base == r.Winner.Version {
+	if r.Base == r.ConflictingEntry.Version {
 		return fault.New(fault.Invalid, "read the newest version and publish again from it",
 			"the change does not apply to the set of its base version %d", r.Base)
 	}
 	return fault.New(fault.Conflict, "compare with the newest version and publish again from it",
 		"base version %d is not the newest: version %d was published by %s (%q)",
-		r.Base, r.Winner.Version, r.Winner.Author, r.Winner.Message)
+		r.Base, r.ConflictingEntry.Version, r.ConflictingEntry.Author, r.ConflictingEntry.Message)
 }
 
 // Effect is the effect of a record on the state.
@@ -57,15 +57,15 @@
 
 // These are the effects of a record.
 const (
-	Repeated    Effect = iota // The offset was applied before.
-	Accepted                  // The publication is in force.
-	Refused                   // The base of the publication is stale, or its delta does not apply.
-	Copied                    // The record is another copy of an accepted publication.
-	Undecided                 // The publication can be decided only after a usable snapshot.
-	Adopted                   // The snapshot made the state synced, or moved it to a newer version.
-	Passed                    // The snapshot is not usable, or not newer than the state.
-	Undecodable               // The record is not readable and was skipped.
-	Newer                     // The record has a later format and was skipped.
+	EffectAlreadyApplied  Effect = iota // The offset was applied before.
+	EffectAccepted                      // The publication is in force.
+	EffectRefused                       // The base of the publication is stale, or its delta does not apply.
+	EffectDuplicate                     // The record is another copy of an accepted publication.
+	EffectUndecided                     // The publication can be decided only after a usable snapshot.
+	EffectSnapshotAdopted               // The snapshot made the state synced, or moved it to a newer version.
+	EffectSnapshotIgnored               // The snapshot is not usable, or not newer than the state.
+	EffectUndecodable                   // The record is not readable and was skipped.
+	EffectNewerFormat                   // The record has a later format and was skipped.
 )
 
 // Counters holds the number of records by effect.
@@ -81,8 +81,8 @@
 	recentPublications []offsetRecord // recentPublications holds the newest publications, which are applied again on top of a snapshot.
 	lastDroppedOffset  int64          // lastDroppedOffset is the highest offset of a publication that was dropped from recentPublications, -1 if there is none.
 
-	history       []Entry
-	results       map[string]Verdict
+	history       []HistoryEntry
+	results       map[string]PublicationResult
 	resultOrder   []string // resultOrder holds the ids of results, oldest first.
 	counters      Counters
 	refusedEvents []error
@@ -95,13 +95,13 @@
 
 // NewState returns the state of a reader whose first record has the given offset. A
 // reader that starts at offset 0 is synced at once; any other needs a snapshot.
-func New(first int64) *State {
+func NewState(first int64) *State {
 	return &State{
 		set:               &object.Set{},
 		nextOffset:        first,
 		lastMissedOffset:  first - 1,
 		lastDroppedOffset: -1,
-		results:           map[string]Verdict{},
+		results:           map[string]PublicationResult{},
 		counters:          Counters{},
 	}
 }
@@ -109,7 +109,7 @@
 // Synced reports whether the version in force reflects all records before NextOffset.
 // It is false from the time that records are missed until a snapshot covers them;
 // meanwhile the last known version stays in force.
-func (s *State) Exact() bool { return s.lastMissedOffset < 0 }
+func (s *State) Synced() bool { return s.lastMissedOffset < 0 }
 
 // Version returns the version in force, 0 if there is none yet.
 func (s *State) Version() int64 { return s.version }
@@ -118,7 +118,7 @@
 func (s *State) Set() *object.Set { return s.set }
 
 // NextOffset returns the lowest offset that was not applied.
-func (s *State) Next() int64 { return s.nextOffset }
+func (s *State) NextOffset() int64 { return s.nextOffset }
 
 // Counters returns the number of records by effect.
 func (s *State) Counters() Counters {
@@ -131,18 +131,18 @@
 
 // PublicationResult returns the result of a publication. ok is false if the
 // publication was not read, cannot be decided yet, or is too old to be kept.
-func (s *State) Verdict(id string) (result Verdict, ok bool) {
+func (s *State) PublicationResult(id string) (result PublicationResult, ok bool) {
 	result, ok = s.results[id]
 	return result, ok
 }
 
 // History returns the known accepted versions, oldest first.
-func (s *State) History() []Entry { return append([]Entry(nil), s.history...) }
+func (s *State) History() []HistoryEntry { return append([]HistoryEntry(nil), s.history...) }
 
 // Newest returns the newest accepted version. ok is false if there is none yet.
-func (s *State) Newest() (e Entry, ok bool) {
+func (s *State) Newest() (e HistoryEntry, ok bool) {
 	if len(s.history) == 0 {
-		return Entry{}, false
+		return HistoryEntry{}, false
 	}
 	return s.history[len(s.history)-1], true
 }
@@ -151,7 +151,7 @@
 // means that records expired before they were read; the state is then not synced.
 func (s *State) Apply(offset int64, data []byte) Effect {
 	if offset < s.nextOffset {
-		return s.count(Repeated)
+		return s.count(EffectAlreadyApplied)
 	}
 	if offset > s.nextOffset {
 		s.lastMissedOffset = offset - 1
@@ -160,15 +160,15 @@
 	r, newerFormat, err := decode(data)
 	switch {
 	case newerFormat:
-		return s.count(Newer)
+		return s.count(EffectNewerFormat)
 	case err != nil:
-		return s.count(Undecodable)
+		return s.count(EffectUndecodable)
 	case r.Kind == KindSnapshot:
 		return s.count(s.applySnapshot(r))
 	}
 	s.addRecent(offset, r)
-	if !s.Exact() {
-		return s.count(Undecided)
+	if !s.Synced() {
+		return s.count(EffectUndecided)
 	}
 	return s.count(s.decide(offset, r))
 }
@@ -193,28 +193,28 @@
 // recorded.
 func (s *State) decide(offset int64, r record) Effect {
 	if set, ok := r.applyTo(s.version, s.set); ok {
-		s.accept(Entry{
+		s.accept(HistoryEntry{
 			Version: r.Base + 1, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: offset,
 			State: s.nextVersionState(StateLogged, BaseIsNewest),
 		}, set)
-		s.recordResult(r.ID, Verdict{Accepted: true, Version: s.version, Base: r.Base, State: StateAccepted})
-		return Accepted
+		s.recordResult(r.ID, PublicationResult{Accepted: true, Version: s.version, Base: r.Base, State: StateAccepted})
+		return EffectAccepted
 	}
 	conflicting, known := s.entryOfVersion(r.Base + 1)
 	switch {
 	case known && conflicting.ID == r.ID:
-		s.recordResult(r.ID, Verdict{Accepted: true, Version: conflicting.Version, Base: r.Base, State: conflicting.State})
-		return Copied
+		s.recordResult(r.ID, PublicationResult{Accepted: true, Version: conflicting.Version, Base: r.Base, State: conflicting.State})
+		return EffectDuplicate
 	case !known && r.Base < s.version:
-		return Refused
+		return EffectRefused
 	case !known:
 		conflicting, _ = s.Newest()
 	}
-	s.recordResult(r.ID, Verdict{Base: r.Base, Winner: conflicting, State: s.nextVersionState(StateLogged, BaseIsStale)})
-	return Refused
+	s.recordResult(r.ID, PublicationResult{Base: r.Base, ConflictingEntry: conflicting, State: s.nextVersionState(StateLogged, BaseIsStale)})
+	return EffectRefused
 }
 
-func (s *State) accept(e Entry, set *object.Set) {
+func (s *State) accept(e HistoryEntry, set *object.Set) {
 	s.version = e.Version
 	s.set = set
 	if newest, ok := s.Newest(); ok && newest.Version >= e.Version {
@@ -225,24 +225,24 @@
 	}
 	s.history = append(s.history, e)
 	if len(s.history) > maxHistoryEntries {
-		s.history = append([]Entry(nil), s.history[len(s.history)-maxHistoryEntries/2:]...)
+		s.history = append([]HistoryEntry(nil), s.history[len(s.history)-maxHistoryEntries/2:]...)
 	}
 }
 
 // entryOfVersion returns the history entry of a version if it is still kept.
-func (s *State) entryOfVersion(version int64) (e Entry, known bool) {
+func (s *State) entryOfVersion(version int64) (e HistoryEntry, known bool) {
 	for i := len(s.history) - 1; i >= 0; i-- {
 		if s.history[i].Version == version {
 			return s.history[i], true
 		}
 	}
-	return Entry{}, false
+	return HistoryEntry{}, false
 }
 
 // recordResult keeps the first result of an id, except that an acceptance replaces an
 // earlier refusal. That occurs only if the base did not exist yet when the first copy
 // was read.
-func (s *State) recordResult(id string, result Verdict) {
+func (s *State) recordResult(id string, result PublicationResult) {
 	_, known := s.results[id]
 	if known && !result.Accepted {
 		return
@@ -265,21 +265,21 @@
 	coversMissed := r.Through >= s.lastMissedOffset && r.Through < s.nextOffset
 	replayable := s.lastDroppedOffset <= r.Through
 	if !coversMissed || !replayable {
-		return Passed
+		return EffectSnapshotIgnored
 	}
-	if s.Exact() && r.Version <= s.version {
-		return Passed
+	if s.Synced() && r.Version <= s.version {
+		return EffectSnapshotIgnored
 	}
 	later := s.publicationsAfter(r.Through)
 	if versionAfter(r, later) < s.version {
-		return Passed
+		return EffectSnapshotIgnored
 	}
 	s.lastMissedOffset = -1
-	s.accept(Entry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1, State: StateAccepted}, r.decodedSet)
+	s.accept(HistoryEntry{Version: r.Version, ID: r.ID, Base: r.Base, Author: r.Author, Message: r.Message, Offset: -1, State: StateAccepted}, r.decodedSet)
 	for _, p := range later {
 		s.decide(p.offset, p.record)
 	}
-	return Adopted
+	return EffectSnapshotAdopted
 }
 
 func (s *State) publicationsAfter(offset int64) []offsetRecord {
@@ -308,7 +308,7 @@
 // publications behind it have expired. The state must be synced and have a version.
 func (s *State) Snapshot() ([]byte, error) {
 	newest, ok := s.Newest()
-	if !ok || !s.Exact() {
+	if !ok || !s.Synced() {
 		return nil, fault.New(fault.Unavailable, "read the stream to its end first", "the state at offset %d is not synced", s.nextOffset)
 	}
 	return encode(record{
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -86,7 +86,7 @@
 // generateLog returns a log and its encoded records. Publishers and the writer of
 // snapshots use states that are up to 6 records old.
 func generateLog(t *rapid.T) (log []generatedPublication, data [][]byte) {
-	writer := New(0)
+	writer := NewState(0)
 	var versions []int64
 	var snapshots [][]byte
 	var newestIDs []string
@@ -136,17 +136,17 @@
 		start := rapid.IntRange(0, len(data)).Draw(t, "start")
 		gap := rapid.IntRange(start, len(data)).Draw(t, "gap")
 		gapEnd := gap + rapid.IntRange(0, 5).Draw(t, "gap length")
-		s := New(int64(start))
+		s := NewState(int64(start))
 		for i := start; i < len(data); i++ {
 			if i >= gap && i < gapEnd && i != start {
 				continue
 			}
 			before := s.Version()
 			s.Apply(int64(i), data[i])
-			require.Equal(t, Repeated, s.Apply(int64(i), data[i]))
+			require.Equal(t, EffectAlreadyApplied, s.Apply(int64(i), data[i]))
 			require.GreaterOrEqual(t, s.Version(), before)
 			requireIncreasingVersions(t, s.History())
-			if !s.Exact() {
+			if !s.Synced() {
 				continue
 			}
 			syncedStates++
@@ -158,18 +158,18 @@
 			}
 			require.Equal(t, want.teams, got)
 			for id, version := range want.acceptedVersions {
-				if result, ok := s.Verdict(id); ok {
+				if result, ok := s.PublicationResult(id); ok {
 					require.Equal(t, version, result.Version, id)
 				}
 			}
 		}
-		loadedSnapshots += int(s.Counters()[Adopted])
+		loadedSnapshots += int(s.Counters()[EffectSnapshotAdopted])
 	})
 	assert.Positive(t, loadedSnapshots, "no run used a snapshot")
 	assert.Positive(t, syncedStates)
 }
 
-func requireIncreasingVersions(t require.TestingT, history []Entry) {
+func requireIncreasingVersions(t require.TestingT, history []HistoryEntry) {
 	for i := 1; i < len(history); i++ {
 		require.Greater(t, history[i].Version, history[i-1].Version)
 	}
@@ -181,17 +181,17 @@
 func TestResultsOfACompleteReader(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		log, data := generateLog(t)
-		s := New(0)
+		s := NewState(0)
 		for i, d := range data {
 			s.Apply(int64(i), d)
 		}
-		require.True(t, s.Exact())
+		require.True(t, s.Synced())
 		want := replay(log)
 		for _, p := range log {
 			if p.id == "" {
 				continue
 			}
-			result, known := s.Verdict(p.id)
+			result, known := s.PublicationResult(p.id)
 			require.True(t, known)
 			require.Equal(t, want.acceptedVersions[p.id], result.Version)
 			require.Equal(t, want.acceptedVersions[p.id] > 0, result.Err() == nil)
@@ -205,47 +205,47 @@
 // Guards against losing a publication when a snapshot that does not include it is
 // appended after it. The publication must be decided on top of the snapshot.
 func TestSnapshotOlderThanAPublication(t *testing.T) {
-	writer := New(0)
+	writer := NewState(0)
 	first, second := encodedPublication(t, "one", 0), encodedPublication(t, "two", 1)
 	writer.Apply(0, first)
 	snapshot, err := writer.Snapshot()
 	require.NoError(t, err)
 
-	s := New(1) // Record 0 has expired.
-	assert.Equal(t, Undecided, s.Apply(1, second))
-	assert.Equal(t, Adopted, s.Apply(2, snapshot))
+	s := NewState(1) // Record 0 has expired.
+	assert.Equal(t, EffectUndecided, s.Apply(1, second))
+	assert.Equal(t, EffectSnapshotAdopted, s.Apply(2, snapshot))
 	assert.Equal(t, int64(2), s.Version())
-	result, ok := s.Verdict("two")
+	result, ok := s.PublicationResult("two")
 	assert.True(t, ok && result.Accepted)
 
-	lateReader := New(2) // The publication has expired, too, so the snapshot does not cover all missed records.
-	assert.Equal(t, Passed, lateReader.Apply(2, snapshot))
-	assert.False(t, lateReader.Exact())
+	lateReader := NewState(2) // The publication has expired, too, so the snapshot does not cover all missed records.
+	assert.Equal(t, EffectSnapshotIgnored, lateReader.Apply(2, snapshot))
+	assert.False(t, lateReader.Synced())
 	_, err = lateReader.Snapshot()
 	assert.True(t, fault.Is(err, fault.Unavailable))
 }
 
 // Guards against a refusal that does not name the conflicting publication.
 func TestStaleBaseNamesTheConflictingVersion(t *testing.T) {
-	s := New(0)
+	s := NewState(0)
 	s.Apply(0, encodedPublication(t, "winner", 0))
-	assert.Equal(t, Refused, s.Apply(1, encodedPublication(t, "loser", 0)))
+	assert.Equal(t, EffectRefused, s.Apply(1, encodedPublication(t, "loser", 0)))
 	s.Apply(2, encodedPublication(t, "later", 1))
-	result, ok := s.Verdict("loser")
+	result, ok := s.PublicationResult("loser")
 	require.True(t, ok)
-	assert.Equal(t, "winner", result.Winner.ID)
+	assert.Equal(t, "winner", result.ConflictingEntry.ID)
 	assert.True(t, fault.Is(result.Err(), fault.Conflict))
 	assert.Contains(t, result.Err().Error(), "version 1 was published by a-winner")
 }
 
 // Guards against a delta that is applied to a set it was not computed from.
 func TestDeltaFromAnotherSetIsRefused(t *testing.T) {
-	s := New(0)
+	s := NewState(0)
 	s.Apply(0, encodedPublication(t, "one", 0))
 	foreign, err := EncodeDelta(Publication{ID: "two", Base: 1, Author: "a", Set: setWithTeam("two")}, setWithTeam("zero"))
 	require.NoError(t, err)
-	assert.Equal(t, Refused, s.Apply(1, foreign))
-	result, ok := s.Verdict("two")
+	assert.Equal(t, EffectRefused, s.Apply(1, foreign))
+	result, ok := s.PublicationResult("two")
 	require.True(t, ok)
 	assert.True(t, fault.Is(result.Err(), fault.Invalid))
 	assert.Equal(t, setWithTeam("one"), s.Set())
@@ -255,25 +255,25 @@
 // skip and count the record, and take the version from the next readable snapshot.
 func TestNewerFormatIsSkippedUntilASnapshot(t *testing.T) {
 	newer := bytes.Replace(encodedPublication(t, "two", 1), []byte(`"format":1`), []byte(`"format":2,"extra":0`), 1)
-	s := New(0)
+	s := NewState(0)
 	s.Apply(0, encodedPublication(t, "one", 0))
-	assert.Equal(t, Newer, s.Apply(1, newer))
-	assert.Equal(t, Refused, s.Apply(2, encodedPublication(t, "three", 2)))
+	assert.Equal(t, EffectNewerFormat, s.Apply(1, newer))
+	assert.Equal(t, EffectRefused, s.Apply(2, encodedPublication(t, "three", 2)))
 	assert.Equal(t, int64(1), s.Version())
 	snapshot, err := encode(record{Kind: KindSnapshot, ID: "three", Base: 2, Version: 3, Through: 2, Author: "a"}, setWithTeam("three"))
 	require.NoError(t, err)
-	assert.Equal(t, Adopted, s.Apply(3, snapshot))
+	assert.Equal(t, EffectSnapshotAdopted, s.Apply(3, snapshot))
 	assert.Equal(t, int64(3), s.Version())
-	assert.Equal(t, int64(1), s.Counters()[Newer])
+	assert.Equal(t, int64(1), s.Counters()[EffectNewerFormat])
 }
 
 // Guards against a record whose id cannot be read, so that a lost response to an append
 // cannot be resolved by reading the log.
 func TestIDOf(t *testing.T) {
-	id, ok := IDOf(encodedPublication(t, "one", 0))
+	id, ok := RecordID(encodedPublication(t, "one", 0))
 	assert.True(t, ok)
 	assert.Equal(t, "one", id)
-	_, ok = IDOf([]byte("{}"))
+	_, ok = RecordID([]byte("{}"))
 	assert.False(t, ok)
 }
 
@@ -284,7 +284,7 @@
 	f.Add([]byte(`{"format":1,"kind":"snapshot","id":"x","base":0,"version":9,"through":0,"author":"","set":{}}`))
 	f.Add([]byte(`{"format":1,"kind":"publication","id":"x","base":1,"author":"","set":null}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s := New(0)
+		s := NewState(0)
 		s.Apply(0, encodedPublication(t, "one", 0))
 		s.Apply(1, data)
 		s.Apply(2, data)
--- a/core/config/version.go
+++ b/core/config/version.go
@@ -67,7 +67,7 @@
 // RecordAppend applies the outcome of the append. A nil error means that the record is
 // in the log, fault.Refused that it is not and never will be, and any other error
 // that it may be.
-func (p *Progress) Appended(outcome error) error {
+func (p *Progress) RecordAppend(outcome error) error {
 	switch {
 	case outcome == nil:
 		return p.Step(FoundInLog)
@@ -78,7 +78,7 @@
 }
 
 // RecordResult applies the result of the publication that was read from the log.
-func (p *Progress) Judged(result Verdict) error {
+func (p *Progress) RecordResult(result PublicationResult) error {
 	if result.Accepted {
 		return p.Step(BaseIsNewest)
 	}
--- a/core/config/version_test.go
+++ b/core/config/version_test.go
@@ -14,7 +14,7 @@
 // version is accepted, older ones are superseded, and a publication with a stale base
 // is refused.
 func TestHistoryFollowsTheConfigVersionChart(t *testing.T) {
-	s := New(0)
+	s := NewState(0)
 	for offset, p := range []Publication{{ID: "a", Base: 0}, {ID: "b", Base: 1}, {ID: "late", Base: 1}} {
 		p.Set = &object.Set{}
 		data, err := EncodePublication(p)
@@ -26,7 +26,7 @@
 		states = append(states, e.State)
 	}
 	require.Equal(t, []chart.State{StateSuperseded, StateAccepted}, states)
-	result, known := s.Verdict("late")
+	result, known := s.PublicationResult("late")
 	require.True(t, known)
 	require.Equal(t, StateRefused, result.State)
 	require.Empty(t, s.TakeRefusals())
@@ -41,10 +41,10 @@
 	require.Error(t, p.Step(AppendSent), "an unchecked set is never published")
 	require.NoError(t, p.Step(Checked))
 	require.NoError(t, p.Step(AppendSent))
-	require.NoError(t, p.Appended(fault.New(fault.Unknown, "read back", "the answer was lost")))
+	require.NoError(t, p.RecordAppend(fault.New(fault.Unknown, "read back", "the answer was lost")))
 	require.True(t, fault.Is(p.Step(AppendSent), fault.Refused))
-	require.NoError(t, p.Appended(nil))
-	require.NoError(t, p.Judged(Verdict{Accepted: true}))
+	require.NoError(t, p.RecordAppend(nil))
+	require.NoError(t, p.RecordResult(PublicationResult{Accepted: true}))
 	require.Equal(t, StateAccepted, p.State())
 }
 
--- a/core/jsonc/fields.go
+++ b/core/jsonc/fields.go
@@ -10,7 +10,7 @@
 )
 
 // ReadFunc decodes the value of a field and reports its issues to the reader.
-type Read = func(r *Reader, n Node)
+type ReadFunc = func(r *Reader, n Node)
 
 const (
 	milliCoresPerCore  = 1000
@@ -32,12 +32,12 @@
 )
 
 // String reads a string without further checks.
-func String(dst *string) Read {
+func String(dst *string) ReadFunc {
 	return func(r *Reader, n Node) { r.readLiteral(n, `"`, "a string", "write a string", dst) }
 }
 
 // Name reads the name of an object, a location or a list element.
-func Name(dst *string) Read {
+func Name(dst *string) ReadFunc {
 	return func(r *Reader, n Node) {
 		if !r.readLiteral(n, `"`, "a name", "write a string", dst) {
 			return
@@ -49,19 +49,19 @@
 // CheckName adds an issue if the text is not a valid name.
 func (r *Reader) CheckName(n Node, text string) {
 	if !namePattern.MatchString(text) {
-		r.Add(n, RuleRange, remedyName, "%q is not a name", text)
+		r.AddIssue(n, RuleOutOfRange, remedyName, "%q is not a name", text)
 	}
 }
 
 // Names reads a list of distinct names.
-func Names(dst *[]string) Read {
+func Names(dst *[]string) ReadFunc {
 	return func(r *Reader, n Node) {
 		seen := map[string]bool{}
-		r.Elements(n, func(_ int, element Node) {
+		r.ReadElements(n, func(_ int, element Node) {
 			var name string
 			Name(&name)(r, element)
 			if seen[name] {
-				r.Add(element, RuleRepeated, "keep one of them", "%q is in the list twice", name)
+				r.AddIssue(element, RuleRepeatedField, "keep one of them", "%q is in the list twice", name)
 			}
 			seen[name] = true
 			*dst = append(*dst, name)
@@ -70,10 +70,10 @@
 }
 
 // Strings reads a list of strings.
-func Strings(dst *[]string) Read {
+func Strings(dst *[]string) ReadFunc {
 	return func(r *Reader, n Node) {
 		*dst = []string{}
-		r.Elements(n, func(_ int, element Node) {
+		r.ReadElements(n, func(_ int, element Node) {
 			var text string
 			String(&text)(r, element)
 			*dst = append(*dst, text)
@@ -82,7 +82,7 @@
 }
 
 // OneOf reads one of the given strings.
-func OneOf(dst *string, values ...string) Read {
+func OneOf(dst *string, values ...string) ReadFunc {
 	return func(r *Reader, n Node) {
 		if !r.readLiteral(n, `"`, "a string", "write a string", dst) {
 			return
@@ -92,41 +92,41 @@
 				return
 			}
 		}
-		r.Add(n, RuleUnknownValue, Suggest(*dst, values), "%q is not a known value", *dst)
+		r.AddIssue(n, RuleUnknownValue, Suggest(*dst, values), "%q is not a known value", *dst)
 	}
 }
 
 // Bool reads true or false.
-func Bool(dst *bool) Read {
+func Bool(dst *bool) ReadFunc {
 	return func(r *Reader, n Node) { r.readLiteral(n, "tf", "true or false", "write true or false", dst) }
 }
 
 // Int reads an integer between minValue and maxValue, both included.
-func Int[T int | int64](dst *T, minValue, maxValue T) Read {
+func Int[T int | int64](dst *T, minValue, maxValue T) ReadFunc {
 	return func(r *Reader, n Node) {
 		if !r.readLiteral(n, "0", "a whole number", "write a whole number without quotes", dst) {
 			return
 		}
 		if *dst < minValue || *dst > maxValue {
-			r.Add(n, RuleRange, fmt.Sprintf("use %d to %d", minValue, maxValue), "%d is out of range", *dst)
+			r.AddIssue(n, RuleOutOfRange, fmt.Sprintf("use %d to %d", minValue, maxValue), "%d is out of range", *dst)
 		}
 	}
 }
 
 // Float reads a number between minValue and maxValue, both included.
-func Float(dst *float64, minValue, maxValue float64) Read {
+func Float(dst *float64, minValue, maxValue float64) ReadFunc {
 	return func(r *Reader, n Node) {
 		if !r.readLiteral(n, "0", "a number", "write a number without quotes", dst) {
 			return
 		}
 		if *dst < minValue || *dst > maxValue || math.IsNaN(*dst) {
-			r.Add(n, RuleRange, fmt.Sprintf("use %g to %g", minValue, maxValue), "%g is out of range", *dst)
+			r.AddIssue(n, RuleOutOfRange, fmt.Sprintf("use %g to %g", minValue, maxValue), "%g is out of range", *dst)
 		}
 	}
 }
 
 // Duration reads a duration such as "90s" between minValue and maxValue, both included.
-func Duration(dst *time.Duration, minValue, maxValue time.Duration) Read {
+func Duration(dst *time.Duration, minValue, maxValue time.Duration) ReadFunc {
 	return func(r *Reader, n Node) {
 		var text string
 		if !r.readLiteral(n, `"`, "a duration", remedyDuration, &text) {
@@ -134,18 +134,18 @@
 		}
 		value, err := time.ParseDuration(text)
 		if err != nil {
-			r.Add(n, RuleUnit, remedyDuration, "%q is not a duration", text)
+			r.AddIssue(n, RuleWrongUnit, remedyDuration, "%q is not a duration", text)
 			return
 		}
 		*dst = value
 		if value < minValue || value > maxValue {
-			r.Add(n, RuleRange, fmt.Sprintf("use %s to %s", minValue, maxValue), "%s is out of range", value)
+			r.AddIssue(n, RuleOutOfRange, fmt.Sprintf("use %s to %s", minValue, maxValue), "%s is out of range", value)
 		}
 	}
 }
 
 // Cores reads a number of cores such as "2", "1.5" or "500m" and stores millicores.
-func Cores(dst *int64) Read {
+func Cores(dst *int64) ReadFunc {
 	return func(r *Reader, n Node) {
 		var text string
 		if !r.readLiteral(n, `"`, "an amount of cores", remedyCores, &text) {
@@ -153,7 +153,7 @@
 		}
 		parts := corePattern.FindStringSubmatch(text)
 		if parts == nil || (parts[2] != "" && parts[3] != "") {
-			r.Add(n, RuleUnit, remedyCores, "%q is not an amount of cores", text)
+			r.AddIssue(n, RuleWrongUnit, remedyCores, "%q is not an amount of cores", text)
 			return
 		}
 		amount, _ := strconv.ParseInt(parts[1], 10, 64)
@@ -167,20 +167,20 @@
 
 // Bytes reads a size such as "64KiB" between minBytes and maxBytes, both included,
 // and stores bytes.
-func Bytes(dst *int64, minBytes, maxBytes int64) Read {
+func Bytes(dst *int64, minBytes, maxBytes int64) ReadFunc {
 	return func(r *Reader, n Node) { readSize(r, n, dst, remedyBytes, minBytes, maxBytes) }
 }
 
 // Memory reads a size such as "64GiB" and stores mebibytes. A size that is not a
 // whole number of mebibytes is an issue.
-func Memory(dst *int64) Read {
+func Memory(dst *int64) ReadFunc {
 	return func(r *Reader, n Node) {
 		var size int64
 		if !readSize(r, n, &size, remedyMemory, 0, maxSizeBytes) {
 			return
 		}
 		if size%bytesPerMiB != 0 {
-			r.Add(n, RuleUnit, remedyMemory, "%d bytes are not a whole number of MiB", size)
+			r.AddIssue(n, RuleWrongUnit, remedyMemory, "%d bytes are not a whole number of MiB", size)
 			return
 		}
 		*dst = size / bytesPerMiB
@@ -194,18 +194,18 @@
 	}
 	parts := sizePattern.FindStringSubmatch(text)
 	if parts == nil {
-		r.Add(n, RuleUnit, remedy, "%q is not a size with a unit of B, KiB, MiB, GiB or TiB", text)
+		r.AddIssue(n, RuleWrongUnit, remedy, "%q is not a size with a unit of B, KiB, MiB, GiB or TiB", text)
 		return false
 	}
 	amount, _ := strconv.ParseInt(parts[1], 10, 64)
 	unitBytes := bytesPerUnit[parts[2]]
 	if amount > maxSizeBytes/unitBytes {
-		r.Add(n, RuleRange, remedy, "%s is out of range", text)
+		r.AddIssue(n, RuleOutOfRange, remedy, "%s is out of range", text)
 		return false
 	}
 	*dst = amount * unitBytes
 	if *dst < minBytes || *dst > maxBytes {
-		r.Add(n, RuleRange, fmt.Sprintf("use %d to %d bytes", minBytes, maxBytes), "%s is out of range", text)
+		r.AddIssue(n, RuleOutOfRange, fmt.Sprintf("use %d to %d bytes", minBytes, maxBytes), "%s is out of range", text)
 		return false
 	}
 	return true
--- a/core/jsonc/reader.go
+++ b/core/jsonc/reader.go
@@ -11,7 +11,7 @@
 
 const (
 	// MaxDocumentBytes is the size limit of a document.
-	MaxBytes = 8 << 20
+	MaxDocumentBytes = 8 << 20
 	// MaxDepth limits the nesting of objects and lists. The parser recurses once per
 	// level, so unbounded nesting could overflow the stack.
 	MaxDepth = 64
@@ -22,14 +22,14 @@
 
 // These rules are checked by the reader itself.
 const (
-	RuleSyntax       Rule = "syntax"
-	RuleUnknownField Rule = "unknown-field"
-	RuleRepeated     Rule = "repeated-field"
-	RuleMissing      Rule = "missing-field"
-	RuleType         Rule = "wrong-type"
-	RuleUnit         Rule = "wrong-unit"
-	RuleRange        Rule = "out-of-range"
-	RuleUnknownValue Rule = "unknown-value"
+	RuleSyntax        Rule = "syntax"
+	RuleUnknownField  Rule = "unknown-field"
+	RuleRepeatedField Rule = "repeated-field"
+	RuleMissingField  Rule = "missing-field"
+	RuleWrongType     Rule = "wrong-type"
+	RuleWrongUnit     Rule = "wrong-unit"
+	RuleOutOfRange    Rule = "out-of-range"
+	RuleUnknownValue  Rule = "unknown-value"
 )
 
 // Issue is one violation of a rule in a document.
@@ -72,19 +72,19 @@
 		}
 	}
 	root = Node{Line: 1}
-	if len(src) > MaxBytes {
-		r.Add(root, RuleSyntax, "split the document", "the document has %d bytes; at most %d are read", len(src), MaxBytes)
+	if len(src) > MaxDocumentBytes {
+		r.AddIssue(root, RuleSyntax, "split the document", "the document has %d bytes; at most %d are read", len(src), MaxDocumentBytes)
 		return r, root, false
 	}
 	if offset, exceeded := findExcessDepth(src); exceeded {
 		root.Line = r.lineOfOffset(offset)
-		r.Add(root, RuleSyntax, "nest fewer objects and lists", "nesting is deeper than %d levels", MaxDepth)
+		r.AddIssue(root, RuleSyntax, "nest fewer objects and lists", "nesting is deeper than %d levels", MaxDepth)
 		return r, root, false
 	}
 	value, err := hujson.Parse(src)
 	if err != nil {
 		root.Line = lineOfError(err)
-		r.Add(root, RuleSyntax, "write JSON; // and /* */ comments and trailing commas are allowed", "%v", err)
+		r.AddIssue(root, RuleSyntax, "write JSON; // and /* */ comments and trailing commas are allowed", "%v", err)
 		return r, root, false
 	}
 	return r, r.newNode(&value, ""), true
@@ -177,7 +177,7 @@
 }
 
 // HasPath reports whether the document has a field path.
-func (r *Reader) Has(path string) bool {
+func (r *Reader) HasPath(path string) bool {
 	_, found := r.pathLines[path]
 	return found
 }
@@ -197,7 +197,7 @@
 }
 
 // AddIssue records an issue at a node.
-func (r *Reader) Add(n Node, rule Rule, remedy, format string, args ...any) {
+func (r *Reader) AddIssue(n Node, rule Rule, remedy, format string, args ...any) {
 	r.Issues = append(r.Issues, Issue{
 		Line: n.Line, Path: n.Path, Rule: rule, Message: fmt.Sprintf(format, args...), Remedy: remedy,
 	})
@@ -230,7 +230,7 @@
 }
 
 func (r *Reader) addWrongType(n Node, want, remedy string) {
-	r.Add(n, RuleType, remedy, "is %s, not %s", n.typeName(), want)
+	r.AddIssue(n, RuleWrongType, remedy, "is %s, not %s", n.typeName(), want)
 }
 
 // Join appends a member name to a field path.
@@ -244,7 +244,7 @@
 // ReadMembers calls read for each member of a JSON object in document order. A
 // repeated member is an issue and is not passed to read. ReadMembers returns false
 // if the node is not an object.
-func (r *Reader) Members(n Node, read func(name string, n Node)) bool {
+func (r *Reader) ReadMembers(n Node, read func(name string, n Node)) bool {
 	object, ok := n.value.Value.(*hujson.Object)
 	if !ok {
 		r.addWrongType(n, "an object", "write {...}")
@@ -259,7 +259,7 @@
 			value: &object.Members[i].Value,
 		}
 		if first, repeated := seen[name]; repeated {
-			r.Add(member, RuleRepeated, "keep one of them", "is set twice, first on line %d", first)
+			r.AddIssue(member, RuleRepeatedField, "keep one of them", "is set twice, first on line %d", first)
 			continue
 		}
 		seen[name] = member.Line
@@ -272,7 +272,7 @@
 // ReadObject reads the members that the fields describe. Unknown members, repeated
 // members and missing required members are issues. ReadObject returns false if the
 // node is not an object.
-func (r *Reader) Object(n Node, fields []Field) bool {
+func (r *Reader) ReadObject(n Node, fields []Field) bool {
 	byName := map[string]Field{}
 	names := make([]string, 0, len(fields))
 	for _, f := range fields {
@@ -280,10 +280,10 @@
 		names = append(names, f.Name)
 	}
 	present := map[string]bool{}
-	ok := r.Members(n, func(name string, member Node) {
+	ok := r.ReadMembers(n, func(name string, member Node) {
 		field, known := byName[name]
 		if !known {
-			r.Add(member, RuleUnknownField, Suggest(name, names), "is not a known field")
+			r.AddIssue(member, RuleUnknownField, Suggest(name, names), "is not a known field")
 			return
 		}
 		present[name] = true
@@ -295,7 +295,7 @@
 	for _, f := range fields {
 		if f.Required && !present[f.Name] {
 			missing := Node{Path: Join(n.Path, f.Name), Line: n.Line}
-			r.Add(missing, RuleMissing, fmt.Sprintf("add %q", f.Name), "is required")
+			r.AddIssue(missing, RuleMissingField, fmt.Sprintf("add %q", f.Name), "is required")
 		}
 	}
 	return true
@@ -303,7 +303,7 @@
 
 // ReadElements calls read for each element of a list. It returns false if the node
 // is not a list.
-func (r *Reader) Elements(n Node, read func(i int, n Node)) bool {
+func (r *Reader) ReadElements(n Node, read func(i int, n Node)) bool {
 	array, ok := n.value.Value.(*hujson.Array)
 	if !ok {
 		r.addWrongType(n, "a list", "write [...]")
@@ -324,7 +324,7 @@
 		return false
 	}
 	if err := json.Unmarshal(literal, dst); err != nil {
-		r.Add(n, RuleType, remedy, "%s is not %s", literal, want)
+		r.AddIssue(n, RuleWrongType, remedy, "%s is not %s", literal, want)
 		return false
 	}
 	return true
--- a/core/jsonc/reader_test.go
+++ b/core/jsonc/reader_test.go
@@ -35,7 +35,7 @@
 		assert.Equal(t, c.ok, ok, c.text)
 		assert.Equal(t, c.ok, len(r.Issues) == 0, c.text)
 	}
-	_, _, ok := Parse(make([]byte, MaxBytes+1))
+	_, _, ok := Parse(make([]byte, MaxDocumentBytes+1))
 	assert.False(t, ok)
 }
 
@@ -64,7 +64,7 @@
 		cores, memory, size, duration = 0, 0, 0, 0
 		r, root, ok := Parse([]byte("{" + c.text + "}"))
 		require.True(t, ok)
-		r.Object(root, fields)
+		r.ReadObject(root, fields)
 		got := fmt.Sprint(cores, memory, size, duration)
 		if len(r.Issues) > 0 {
 			got = string(r.Issues[0].Rule)
--- a/core/object/check.go
+++ b/core/object/check.go
@@ -47,14 +47,14 @@
 	if len(names) == 0 {
 		remedy = fmt.Sprintf("define %s %q", kind, name)
 	}
-	l.addProblem(s, field, RuleDangling, remedy, "%s %q does not exist", kind, name)
+	l.addProblem(s, field, RuleDanglingReference, remedy, "%s %q does not exist", kind, name)
 	return nil
 }
 
 func (l *loader) checkService(set *Set, s *objectSource) {
 	pool := resolveReference(l, s, "spec.pool", KindPool, s.service.Pool, set.Pools)
 	resolveReference(l, s, "spec.team", KindTeam, s.service.Team, set.Teams)
-	if pool != nil && l.pools[pool.Name].fieldsValid("largest") && pool.Largest.Slots < 1 {
+	if pool != nil && l.pools[pool.Name].fieldsValid("largest") && pool.LargestVM.Slots < 1 {
 		l.addProblem(s, "spec.pool", RuleNeverFits, "set slots of the pool's largest VM, or use another pool",
 			"no VM of pool %q has a slot, so no request can ever run", pool.Name)
 	}
@@ -65,7 +65,7 @@
 
 func (l *loader) checkOperation(set *Set, s *objectSource, path string, o *Operation) {
 	if o.RunTime > 0 && o.MaxRunTime > 0 && o.MaxRunTime < o.RunTime {
-		l.addProblem(s, path+".max_run_time", RuleConflict, "raise max_run_time or lower run_time",
+		l.addProblem(s, path+".max_run_time", RuleConflictingFields, "raise max_run_time or lower run_time",
 			"max_run_time %s is shorter than run_time %s", o.MaxRunTime, o.RunTime)
 	}
 	policy := resolveReference(l, s, path+".policy", KindPolicy, o.Policy, set.Policies)
@@ -92,7 +92,7 @@
 // declaresIdempotent reports whether the operation has the field idempotent. If it is
 // missing, the retry checks are skipped, because the missing field is reported already.
 func (s *objectSource) declaresIdempotent(path string) bool {
-	return s.reader.Has(jsonc.Join(s.objectPath, path+".idempotent"))
+	return s.reader.HasPath(jsonc.Join(s.objectPath, path+".idempotent"))
 }
 
 func (l *loader) checkJob(set *Set, s *objectSource) {
@@ -120,17 +120,17 @@
 
 func (l *loader) checkResources(s *objectSource) {
 	if s.job.Resources.MilliCores == 0 {
-		l.addProblem(s, "spec.resources.cores", jsonc.RuleMissing, `add cores, for example "500m"`, "a task needs some cores")
+		l.addProblem(s, "spec.resources.cores", jsonc.RuleMissingField, `add cores, for example "500m"`, "a task needs some cores")
 	}
 	if s.job.Resources.MemoryMiB == 0 {
-		l.addProblem(s, "spec.resources.memory", jsonc.RuleMissing, `add memory, for example "1GiB"`, "a task needs some memory")
+		l.addProblem(s, "spec.resources.memory", jsonc.RuleMissingField, `add memory, for example "1GiB"`, "a task needs some memory")
 	}
 }
 
 func (l *loader) checkTaskFits(s *objectSource, pool *Pool) {
-	if !s.job.Resources.Fits(pool.Largest) {
+	if !s.job.Resources.Fits(pool.LargestVM) {
 		l.addProblem(s, "spec.resources", RuleNeverFits, "lower the resources or use a pool with larger VMs",
-			"a task needs %s, but the largest VM of pool %q has %s", s.job.Resources, pool.Name, pool.Largest)
+			"a task needs %s, but the largest VM of pool %q has %s", s.job.Resources, pool.Name, pool.LargestVM)
 	}
 }
 
@@ -170,21 +170,21 @@
 		l.addProblem(s, "spec.min_racks", RuleNeverFits, "lower min_racks or add racks to the pool",
 			"pool %q selects %d racks, fewer than %d", pool.Name, len(pool.Racks), gang.MinRacks)
 	}
-	if l.pools[pool.Name].fieldsValid("vms") && pool.VMs > 0 && gang.MinRacks > pool.VMs {
+	if l.pools[pool.Name].fieldsValid("vms") && pool.ExpectedVMs > 0 && gang.MinRacks > pool.ExpectedVMs {
 		l.addProblem(s, "spec.min_racks", RuleNeverFits, "lower min_racks or use a larger pool",
-			"pool %q has %d VMs, fewer than %d racks need", pool.Name, pool.VMs, gang.MinRacks)
+			"pool %q has %d VMs, fewer than %d racks need", pool.Name, pool.ExpectedVMs, gang.MinRacks)
 	}
 }
 
 func (l *loader) checkGangFits(s *objectSource, pool *Pool) {
 	gang := s.gang
-	if !gang.Resources.Fits(pool.Largest) || pool.VMs == 0 {
+	if !gang.Resources.Fits(pool.LargestVM) || pool.ExpectedVMs == 0 {
 		return
 	}
-	maxConcurrentTasks := tasksPerVM(gang.Resources, pool.Largest) * int64(pool.VMs)
+	maxConcurrentTasks := tasksPerVM(gang.Resources, pool.LargestVM) * int64(pool.ExpectedVMs)
 	if int64(gang.Tasks) > maxConcurrentTasks {
 		l.addProblem(s, "spec.tasks", RuleNeverFits, "lower tasks or resources, or use a larger pool",
-			"all %d tasks start together, but %d VMs of pool %q hold at most %d", gang.Tasks, pool.VMs, pool.Name, maxConcurrentTasks)
+			"all %d tasks start together, but %d VMs of pool %q hold at most %d", gang.Tasks, pool.ExpectedVMs, pool.Name, maxConcurrentTasks)
 	}
 }
 
@@ -207,7 +207,7 @@
 func (l *loader) requirePolicyFields(s *objectSource) {
 	for _, field := range []string{"priority", "deadline"} {
 		if !s.presentFields[field] {
-			l.addProblem(s, "spec."+field, jsonc.RuleMissing, fmt.Sprintf("add %q here or in a parent", field), "is required")
+			l.addProblem(s, "spec."+field, jsonc.RuleMissingField, fmt.Sprintf("add %q here or in a parent", field), "is required")
 		}
 	}
 }
@@ -216,11 +216,11 @@
 	p := s.policy
 	resolveReference(l, s, "spec.parent", KindPolicy, p.Parent, set.Policies)
 	if p.Checkpoint && !p.Preemptible {
-		l.addProblem(s, "spec.checkpoint", RuleConflict, "set preemptible or remove checkpoint",
+		l.addProblem(s, "spec.checkpoint", RuleConflictingFields, "set preemptible or remove checkpoint",
 			"checkpoint has no effect on work that is not preemptible")
 	}
 	if p.MaxRetries > 0 && !s.presentFields["retry_backoff"] {
-		l.addProblem(s, "spec.retry_backoff", jsonc.RuleMissing, `add "retry_backoff", for example "200ms"`,
+		l.addProblem(s, "spec.retry_backoff", jsonc.RuleMissingField, `add "retry_backoff", for example "200ms"`,
 			"is required with max_retries %d, because retries without backoff overload a failing worker", p.MaxRetries)
 	}
 	if s.presentFields["headroom"] && p.Headroom == 1 {
@@ -235,7 +235,7 @@
 	for _, s := range policies {
 		total += s.policy.MinShare
 		if total > 1+1e-9 {
-			l.addProblem(s, "spec.min_share", RuleConflict, "lower min_share of some policies",
+			l.addProblem(s, "spec.min_share", RuleConflictingFields, "lower min_share of some policies",
 				"the policies up to %q guarantee %.2f of the capacity in total, more than 1", s.name, total)
 			return
 		}
@@ -244,15 +244,15 @@
 
 func (l *loader) checkPool(s *objectSource) {
 	pool := s.pool
-	if s.fieldsValid("vms") && pool.VMs == 0 {
+	if s.fieldsValid("vms") && pool.ExpectedVMs == 0 {
 		l.addProblem(s, "spec.vms", RuleEmptyPool, "set the expected number of VMs", "the pool has no VM")
 	}
-	if s.fieldsValid("largest") && (pool.Largest.MilliCores == 0 || pool.Largest.MemoryMiB == 0) {
+	if s.fieldsValid("largest") && (pool.LargestVM.MilliCores == 0 || pool.LargestVM.MemoryMiB == 0) {
 		l.addProblem(s, "spec.largest", RuleEmptyPool, "set cores and memory of the pool's largest VM",
-			"no VM with %s can hold any work", pool.Largest)
+			"no VM with %s can hold any work", pool.LargestVM)
 	}
-	if racks := len(pool.Racks); racks > 0 && pool.VMs > 0 && racks > pool.VMs {
+	if racks := len(pool.Racks); racks > 0 && pool.ExpectedVMs > 0 && racks > pool.ExpectedVMs {
 		l.addProblem(s, "spec.racks", RuleEmptyPool, "raise vms or remove racks",
-			"%d racks are selected, but only %d VMs are expected", racks, pool.VMs)
+			"%d racks are selected, but only %d VMs are expected", racks, pool.ExpectedVMs)
 	}
 }
--- a/core/object/inherit.go
+++ b/core/object/inherit.go
@@ -60,7 +60,7 @@
 	for path[start] != s.name {
 		start++
 	}
-	l.addProblem(s, "spec.parent", RuleCycle, "remove one parent of the cycle",
+	l.addProblem(s, "spec.parent", RuleCyclicReference, "remove one parent of the cycle",
 		"the parents form a cycle: %s", strings.Join(path[start:], " -> "))
 }
 
--- a/core/object/load.go
+++ b/core/object/load.go
@@ -62,7 +62,7 @@
 	case !ok:
 		l.collectIssues(&objectSource{file: file, reader: r})
 	case root.IsList():
-		r.Elements(root, func(_ int, n jsonc.Node) { l.readObject(file, r, n) })
+		r.ReadElements(root, func(_ int, n jsonc.Node) { l.readObject(file, r, n) })
 	default:
 		l.readObject(file, r, root)
 	}
@@ -98,7 +98,7 @@
 		path = jsonc.Join(s.objectPath, field)
 	}
 	n := jsonc.Node{Path: path, Line: s.reader.Line(path)}
-	s.reader.Add(n, rule, remedy, format, args...)
+	s.reader.AddIssue(n, rule, remedy, format, args...)
 	l.collectIssues(s)
 }
 
@@ -108,7 +108,7 @@
 	s := &objectSource{file: file, reader: r, objectPath: n.Path, presentFields: map[string]bool{}, invalidFields: map[string]bool{}}
 	var kind string
 	var spec *jsonc.Node
-	isObject := r.Object(n, []jsonc.Field{
+	isObject := r.ReadObject(n, []jsonc.Field{
 		{Name: "kind", Required: true, Read: jsonc.OneOf(&kind, kindNames()...)},
 		{Name: "name", Required: true, Read: jsonc.Name(&s.name)},
 		{Name: "spec", Required: true, Read: func(_ *jsonc.Reader, n jsonc.Node) { spec = &n }},
@@ -122,7 +122,7 @@
 	fields, knownKind := s.specFields()
 	if isObject && knownKind && spec != nil {
 		s.recordPresentFields(*spec)
-		r.Object(*spec, fields)
+		r.ReadObject(*spec, fields)
 		s.recordInvalidFields()
 		l.sources = append(l.sources, s)
 	}
@@ -181,7 +181,7 @@
 			namespace = "job"
 		}
 		if other, exists := first[namespace+"/"+s.name]; exists {
-			l.addProblem(s, "name", RuleDuplicate, "rename or remove one of them",
+			l.addProblem(s, "name", RuleDuplicateName, "rename or remove one of them",
 				"%s %q is defined already in %s line %d", other.kind, s.name, other.file, other.reader.Line(other.objectPath))
 			continue
 		}
--- a/core/object/load_test.go
+++ b/core/object/load_test.go
@@ -38,10 +38,10 @@
 	set, problems := loadWithBase("[" + gangJob + "," + service + "]")
 	require.Empty(t, problems)
 	assert.Equal(t, resource.Vector{MilliCores: 500, MemoryMiB: 1024}, set.GangJobs["g"].Resources)
-	assert.Equal(t, resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8}, set.Pools["p"].Largest)
+	assert.Equal(t, resource.Vector{MilliCores: 4000, MemoryMiB: 8192, Slots: 8}, set.Pools["p"].LargestVM)
 	assert.True(t, set.Pools["p"].Fencing)
 	assert.Equal(t, defaultMaxAttempts, set.GangJobs["g"].MaxAttempts)
-	assert.Equal(t, int64(defaultMaxBodyBytes), set.Services["s"].MaxBody)
+	assert.Equal(t, int64(defaultMaxBodyBytes), set.Services["s"].MaxBodyBytes)
 	assert.Equal(t, 5*time.Second, set.Services["s"].Operations["issue"].MaxRunTime)
 	assert.Equal(t, 10, set.Policies["retry"].Priority)
 	assert.Equal(t, 10*time.Second, set.Policies["retry"].Deadline)
@@ -141,7 +141,7 @@
 		_, problems := loadWithBase("[" + text.String() + "]")
 		require.Len(t, problems, len(cycles), text.String())
 		for _, p := range problems {
-			require.Equal(t, RuleCycle, p.Rule)
+			require.Equal(t, RuleCyclicReference, p.Rule)
 		}
 		totalCycles += len(cycles)
 	}
@@ -164,8 +164,8 @@
 	_, problems := loadWithBase(replaceOnce(gangJob, `"tasks": 2`, `"taks": 2`))
 	require.Len(t, problems, 1)
 	assert.Equal(t, `x.jsonc:2: gang-job "g": spec.taks: is not a known field (did you mean "tasks"?)`, problems[0].String())
-	assert.True(t, fault.Is(Err(problems), fault.Invalid))
-	assert.NoError(t, Err(nil))
+	assert.True(t, fault.Is(ProblemsError(problems), fault.Invalid))
+	assert.NoError(t, ProblemsError(nil))
 }
 
 // Guards against an encoding that is not canonical or loses fields, and against a
--- a/core/object/problem.go
+++ b/core/object/problem.go
@@ -11,14 +11,14 @@
 
 // These rules apply to a whole set, in addition to the rules of jsonc.
 const (
-	RuleUnknownKind jsonc.Rule = "unknown-kind"
-	RuleDuplicate   jsonc.Rule = "duplicate-name"
-	RuleDangling    jsonc.Rule = "dangling-reference"
-	RuleCycle       jsonc.Rule = "cyclic-reference"
-	RuleNeverFits   jsonc.Rule = "never-fits"
-	RuleEmptyPool   jsonc.Rule = "empty-pool"
-	RuleUnsafeRetry jsonc.Rule = "unsafe-retry"
-	RuleConflict    jsonc.Rule = "conflicting-fields"
+	RuleUnknownKind       jsonc.Rule = "unknown-kind"
+	RuleDuplicateName     jsonc.Rule = "duplicate-name"
+	RuleDanglingReference jsonc.Rule = "dangling-reference"
+	RuleCyclicReference   jsonc.Rule = "cyclic-reference"
+	RuleNeverFits         jsonc.Rule = "never-fits"
+	RuleEmptyPool         jsonc.Rule = "empty-pool"
+	RuleUnsafeRetry       jsonc.Rule = "unsafe-retry"
+	RuleConflictingFields jsonc.Rule = "conflicting-fields"
 )
 
 // Problem is one violation of a rule in a set of object files.
@@ -49,7 +49,7 @@
 
 // ProblemsError returns one error of kind fault.Invalid that lists the problems, or
 // nil if there are none.
-func Err(problems []Problem) error {
+func ProblemsError(problems []Problem) error {
 	if len(problems) == 0 {
 		return nil
 	}
--- a/core/object/spec.go
+++ b/core/object/spec.go
@@ -32,7 +32,7 @@
 func (s *objectSource) specFields() (fields []jsonc.Field, ok bool) {
 	switch s.kind {
 	case KindService:
-		s.service = &Service{Operations: map[string]*Operation{}, MaxBody: defaultMaxBodyBytes}
+		s.service = &Service{Operations: map[string]*Operation{}, MaxBodyBytes: defaultMaxBodyBytes}
 		return serviceFields(s.service), true
 	case KindBatchJob:
 		s.batch = &BatchJob{JobTemplate: defaultJobTemplate()}
@@ -63,22 +63,22 @@
 		{Name: "pool", Required: true, Read: jsonc.Name(&s.Pool)},
 		{Name: "team", Required: true, Read: jsonc.Name(&s.Team)},
 		{Name: "operations", Required: true, Read: readOperations(s.Operations)},
-		{Name: "max_body", Read: jsonc.Bytes(&s.MaxBody, 1, maxBodyLimitBytes)},
+		{Name: "max_body", Read: jsonc.Bytes(&s.MaxBodyBytes, 1, maxBodyLimitBytes)},
 	}
 }
 
-func readOperations(operations map[string]*Operation) jsonc.Read {
+func readOperations(operations map[string]*Operation) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		count := 0
-		ok := r.Members(n, func(name string, member jsonc.Node) {
+		ok := r.ReadMembers(n, func(name string, member jsonc.Node) {
 			count++
 			o := &Operation{}
 			r.CheckName(member, name)
-			r.Object(member, operationFields(o))
+			r.ReadObject(member, operationFields(o))
 			operations[name] = o
 		})
 		if ok && count == 0 {
-			r.Add(n, jsonc.RuleRange, "add an operation", "a service needs at least one operation")
+			r.AddIssue(n, jsonc.RuleOutOfRange, "add an operation", "a service needs at least one operation")
 		}
 	}
 }
@@ -128,8 +128,8 @@
 		{Name: "regions", Read: jsonc.Names(&p.Regions)},
 		{Name: "data_centres", Read: jsonc.Names(&p.DataCentres)},
 		{Name: "racks", Read: jsonc.Names(&p.Racks)},
-		{Name: "largest", Required: true, Read: readVector(&p.Largest)},
-		{Name: "vms", Required: true, Read: jsonc.Int(&p.VMs, 0, maxPoolVMs)},
+		{Name: "largest", Required: true, Read: readVector(&p.LargestVM)},
+		{Name: "vms", Required: true, Read: jsonc.Int(&p.ExpectedVMs, 0, maxPoolVMs)},
 		{Name: "fencing", Read: jsonc.Bool(&p.Fencing)},
 	}
 }
@@ -141,9 +141,9 @@
 	}
 }
 
-func readVector(v *resource.Vector) jsonc.Read {
+func readVector(v *resource.Vector) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
-		r.Object(n, []jsonc.Field{
+		r.ReadObject(n, []jsonc.Field{
 			{Name: "cores", Read: jsonc.Cores(&v.MilliCores)},
 			{Name: "memory", Read: jsonc.Memory(&v.MemoryMiB)},
 			{Name: "accelerators", Read: jsonc.Int(&v.Accelerators, 0, maxAcceleratorsPerVector)},
--- a/core/object/types.go
+++ b/core/object/types.go
@@ -31,11 +31,11 @@
 
 // Service is a request-serving workload that runs on the slots of a pool's workers.
 type Service struct {
-	Name       string                `json:"name"`
-	Pool       string                `json:"pool"`
-	Team       string                `json:"team"`
-	Operations map[string]*Operation `json:"operations"`
-	MaxBody    int64                 `json:"max_body_bytes"` // MaxBodyBytes limits the size of a request body.
+	Name         string                `json:"name"`
+	Pool         string                `json:"pool"`
+	Team         string                `json:"team"`
+	Operations   map[string]*Operation `json:"operations"`
+	MaxBodyBytes int64                 `json:"max_body_bytes"` // MaxBodyBytes limits the size of a request body.
 }
 
 // Operation is a type of request that a service accepts.
@@ -95,8 +95,8 @@
 	Regions     []string        `json:"regions,omitempty"`      // An empty list selects all regions.
 	DataCentres []string        `json:"data_centres,omitempty"` // An empty list selects all data centres.
 	Racks       []string        `json:"racks,omitempty"`        // An empty list selects all racks.
-	Largest     resource.Vector `json:"largest"`                // LargestVM is the capacity of the pool's largest VM.
-	VMs         int             `json:"vms"`                    // ExpectedVMs is the number of VMs that the operator expects.
+	LargestVM   resource.Vector `json:"largest"`                // LargestVM is the capacity of the pool's largest VM.
+	ExpectedVMs int             `json:"vms"`                    // ExpectedVMs is the number of VMs that the operator expects.
 	Fencing     bool            `json:"fencing"`                // Fencing is set if workers refuse stale epochs; it defaults to true.
 }
 
--- a/daemon/callerapi/body.go
+++ b/daemon/callerapi/body.go
@@ -44,8 +44,8 @@
 // bodyLimit is the smaller of the service's limit and the listener's.
 func (s *Server) bodyLimit(service string) int64 {
 	limit := s.options.MaxBody
-	if svc := s.options.View.Current().Set.Services[service]; svc != nil && svc.MaxBody > 0 {
-		limit = min(limit, svc.MaxBody)
+	if svc := s.options.View.Current().Set.Services[service]; svc != nil && svc.MaxBodyBytes > 0 {
+		limit = min(limit, svc.MaxBodyBytes)
 	}
 	return limit
 }
--- a/daemon/configstream/reader.go
+++ b/daemon/configstream/reader.go
@@ -11,7 +11,7 @@
 type Reader struct{ *config.State }
 
 // NewReader returns a reader whose first record will have the given log offset.
-func NewReader(first int64) Reader { return Reader{config.New(max(0, first-1))} }
+func NewReader(first int64) Reader { return Reader{config.NewState(max(0, first-1))} }
 
 // Apply applies one record of the stream.
 func (r Reader) Apply(record wire.LogRecord) config.Effect {
@@ -19,4 +19,4 @@
 }
 
 // Next returns the log offset of the first record that was not applied.
-func (r Reader) Next() int64 { return r.State.Next() + 1 }
+func (r Reader) Next() int64 { return r.State.NextOffset() + 1 }
--- a/daemon/control/config.go
+++ b/daemon/control/config.go
@@ -117,7 +117,7 @@
 	for _, r := range m.records {
 		c.applyConfig(r)
 	}
-	if m.atEnd && !c.configKnown && c.config.State != nil && c.config.Exact() {
+	if m.atEnd && !c.configKnown && c.config.State != nil && c.config.Synced() {
 		c.configKnown = true
 		c.dirty = true
 	}
@@ -137,11 +137,11 @@
 		c.configTail = slices.Clone(c.configTail[n-maxConfigTail:])
 	}
 	switch effect {
-	case config.Accepted, config.Adopted:
+	case config.EffectAccepted, config.EffectSnapshotAdopted:
 		c.dirty = true
 		newest, _ := c.config.Newest()
 		c.Events.Emit(eventConfig, "version", c.config.Version(), "offset", r.Offset, "author", newest.Author, "message", newest.Message)
-	case config.Refused, config.Undecodable, config.Newer:
+	case config.EffectRefused, config.EffectUndecodable, config.EffectNewerFormat:
 		c.Events.Emit(eventConfigSkips, "offset", r.Offset, "effect", int(effect))
 	}
 }
--- a/daemon/internal/ctl/configlog.go
+++ b/daemon/internal/ctl/configlog.go
@@ -74,38 +74,38 @@
 
 // publish appends a publication and returns its verdict. The verdict is read back from
 // the stream, so that a lost response to the append is not taken for a result.
-func (l *configLog) publish(ctx context.Context, p config.Publication) (config.Verdict, error) {
+func (l *configLog) publish(ctx context.Context, p config.Publication) (config.PublicationResult, error) {
 	progress := config.NewProgress()
 	if err := progress.Step(config.Checked); err != nil {
-		return config.Verdict{}, err
+		return config.PublicationResult{}, err
 	}
 	data, err := l.encode(p)
 	if err != nil {
-		return config.Verdict{}, err
+		return config.PublicationResult{}, err
 	}
 	if err := progress.Step(config.AppendSent); err != nil {
-		return config.Verdict{}, err
+		return config.PublicationResult{}, err
 	}
 	_, err = l.client.Append(ctx, wire.StreamConfig, data, func(found []byte) bool {
-		id, ok := config.IDOf(found)
+		id, ok := config.RecordID(found)
 		return ok && id == p.ID
 	})
-	if err := progress.Appended(err); err != nil {
-		return config.Verdict{}, err
+	if err := progress.RecordAppend(err); err != nil {
+		return config.PublicationResult{}, err
 	}
 	if err != nil {
-		return config.Verdict{}, err
+		return config.PublicationResult{}, err
 	}
 	for {
 		if err := l.readToEnd(ctx); err != nil {
-			return config.Verdict{}, fault.Wrap(err, fault.Unknown, "run history to see whether the version was accepted", "the publication is in the log but its verdict can't be read")
+			return config.PublicationResult{}, fault.Wrap(err, fault.Unknown, "run history to see whether the version was accepted", "the publication is in the log but its verdict can't be read")
 		}
-		if verdict, known := l.reader.Verdict(p.ID); known {
-			return verdict, progress.Judged(verdict)
+		if verdict, known := l.reader.PublicationResult(p.ID); known {
+			return verdict, progress.RecordResult(verdict)
 		}
 		select {
 		case <-ctx.Done():
-			return config.Verdict{}, fault.New(fault.Unknown, "run history to see whether the version was accepted", "the verdict on the publication was not read in time")
+			return config.PublicationResult{}, fault.New(fault.Unknown, "run history to see whether the version was accepted", "the verdict on the publication was not read in time")
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
--- a/daemon/router/plan.go
+++ b/daemon/router/plan.go
@@ -62,7 +62,7 @@
 	if plan.Op == nil {
 		return nil, notRun(http.StatusNotFound, "unknown-operation", "set the "+wire.HeaderOperation+" header to an operation of the service", "service %q has no operation %q", request.Service, request.Operation)
 	}
-	if limit := plan.Service.MaxBody; limit > 0 && int64(len(request.Body)) > limit {
+	if limit := plan.Service.MaxBodyBytes; limit > 0 && int64(len(request.Body)) > limit {
 		return nil, notRun(http.StatusRequestEntityTooLarge, "body-too-large", "send a smaller body", "the body has %d bytes, the service accepts %d", len(request.Body), limit)
 	}
 	if plan.Class == "" {
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -11,12 +11,12 @@
 
 // listenAddress reads an IP:port to listen on. With port 0 the operating system chooses
 // the port.
-func listenAddress(dst *string) jsonc.Read {
+func listenAddress(dst *string) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) { readAddress(r, n, dst) }
 }
 
 // optionalDialAddress reads an IP:port that other processes connect to, or "".
-func optionalDialAddress(dst *string) jsonc.Read {
+func optionalDialAddress(dst *string) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		if !n.IsEmptyString() {
 			dialAddress(dst)(r, n)
@@ -25,20 +25,20 @@
 }
 
 // dialAddress reads an IP:port that other processes connect to.
-func dialAddress(dst *string) jsonc.Read {
+func dialAddress(dst *string) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		parsed, ok := readAddress(r, n, dst)
 		if ok && (parsed.Port() == 0 || parsed.Addr().IsUnspecified()) {
-			r.Add(n, jsonc.RuleRange, "name the address that others reach", "%q cannot be connected to", *dst)
+			r.AddIssue(n, jsonc.RuleOutOfRange, "name the address that others reach", "%q cannot be connected to", *dst)
 		}
 	}
 }
 
 // dialAddresses reads a list of IP:port that other processes connect to.
-func dialAddresses(dst *[]string) jsonc.Read {
+func dialAddresses(dst *[]string) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		*dst = []string{}
-		r.Elements(n, func(_ int, element jsonc.Node) {
+		r.ReadElements(n, func(_ int, element jsonc.Node) {
 			var item string
 			dialAddress(&item)(r, element)
 			*dst = append(*dst, item)
@@ -55,14 +55,14 @@
 	}
 	parsed, err := netip.ParseAddrPort(*dst)
 	if err != nil {
-		r.Add(n, jsonc.RuleUnit, addressRemedy, "%q is not IP:port", *dst)
+		r.AddIssue(n, jsonc.RuleWrongUnit, addressRemedy, "%q is not IP:port", *dst)
 		return netip.AddrPort{}, false
 	}
 	return parsed, true
 }
 
 // httpURL reads a base URL with scheme http or https.
-func httpURL(dst *string) jsonc.Read {
+func httpURL(dst *string) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		issuesBefore := len(r.Issues)
 		jsonc.String(dst)(r, n)
@@ -71,13 +71,13 @@
 		}
 		u, err := url.Parse(*dst)
 		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" || u.RawQuery != "" || u.Fragment != "" {
-			r.Add(n, jsonc.RuleUnit, `write a URL such as "http://10.0.0.9:9000"`, "%q is not an http or https URL", *dst)
+			r.AddIssue(n, jsonc.RuleWrongUnit, `write a URL such as "http://10.0.0.9:9000"`, "%q is not an http or https URL", *dst)
 		}
 	}
 }
 
 // bytesInt reads a number of bytes into an int.
-func bytesInt(dst *int, minimum, maximum int64) jsonc.Read {
+func bytesInt(dst *int, minimum, maximum int64) jsonc.ReadFunc {
 	return func(r *jsonc.Reader, n jsonc.Node) {
 		var value int64
 		jsonc.Bytes(&value, minimum, maximum)(r, n)
@@ -160,5 +160,5 @@
 
 // addIssue records an issue that involves several fields at the line of one of them.
 func addIssue(r *jsonc.Reader, path, remedy, format string, args ...any) {
-	r.Add(jsonc.Node{Path: path, Line: r.Line(path)}, jsonc.RuleRange, remedy, format, args...)
+	r.AddIssue(jsonc.Node{Path: path, Line: r.Line(path)}, jsonc.RuleOutOfRange, remedy, format, args...)
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -121,7 +121,7 @@
 	s := Defaults()
 	r, root, ok := jsonc.Parse(data)
 	if ok {
-		ok = r.Object(root, groupFields(s, ""))
+		ok = r.ReadObject(root, groupFields(s, ""))
 	}
 	if ok {
 		s.checkConsistency(r)
--- a/daemon/shard/jobs.go
+++ b/daemon/shard/jobs.go
@@ -206,11 +206,11 @@
 	if pool == nil {
 		return nil, refuse("unknown-pool", "pool \""+definition.Pool+"\" is not published", "tell the operator")
 	}
-	if !definition.Resources.Fits(pool.Largest) {
-		return nil, refuse("can-never-run", "a task needs "+definition.Resources.String()+", the largest VM of pool \""+pool.Name+"\" has "+pool.Largest.String(), "ask for less or for another pool")
+	if !definition.Resources.Fits(pool.LargestVM) {
+		return nil, refuse("can-never-run", "a task needs "+definition.Resources.String()+", the largest VM of pool \""+pool.Name+"\" has "+pool.LargestVM.String(), "ask for less or for another pool")
 	}
 	total := definition.Resources.Scale(int64(spec.Tasks))
-	if definition.Gang && pool.VMs > 0 && !total.Fits(pool.Largest.Scale(int64(pool.VMs))) {
+	if definition.Gang && pool.ExpectedVMs > 0 && !total.Fits(pool.LargestVM.Scale(int64(pool.ExpectedVMs))) {
 		return nil, refuse("can-never-run", "the gang needs more than the whole pool \""+pool.Name+"\" has", "ask for fewer tasks")
 	}
 	return definition, nil
--- a/daemon/shard/shard_test.go
+++ b/daemon/shard/shard_test.go
@@ -154,7 +154,7 @@
 			"issue": {Policy: "c", MaxRunTime: time.Second},
 		}}},
 		Policies: map[string]*object.Policy{"c": {Name: "c", Deadline: 5 * time.Second}},
-		Pools:    map[string]*object.Pool{"p": {Name: "p", Largest: resource.Vector{Slots: 8, MilliCores: 8000}}},
+		Pools:    map[string]*object.Pool{"p": {Name: "p", LargestVM: resource.Vector{Slots: 8, MilliCores: 8000}}},
 		Teams: map[string]*object.Team{
 			"t":       {Name: "t", Weight: 1},
 			quotaTeam: {Name: quotaTeam, Weight: 1, Quota: resource.Vector{Slots: 8, MilliCores: 2000}},
