--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -9,15 +9,15 @@
 	"briarproxy/core/placer"
 )
 
-// Buckets of the histograms, seconds. Callers wait for up to 3 s; a job may wait for room
-// for a minute.
+// Buckets of the histograms, in seconds. Callers wait up to 3 s for an answer; a job may wait a
+// minute for free capacity.
 var (
 	answerSecondsBuckets = []float64{.005, .02, .05, .1, .2, .5, 1, 2, 3}
 	waitSecondsBuckets   = []float64{.05, .1, .2, .5, 1, 2, 5, 10, 30, 60}
 )
 
-// metrics are the daemon's metrics. Labels have few values: names of queues, of decisions
-// and of dependencies, never of jobs or workers.
+// metrics are the daemon's metrics. Labels have few values: they name queues, decisions and
+// dependencies, never jobs or workers.
 type metrics struct {
 	registry          *prometheus.Registry
 	requests          *prometheus.CounterVec
@@ -26,17 +26,17 @@
 	starts            *prometheus.CounterVec
 	ends              *prometheus.CounterVec
 	decisions         *prometheus.CounterVec
-	firstStart        *prometheus.HistogramVec
+	firstStartSeconds *prometheus.HistogramVec
 	batches           prometheus.Counter
 	claims            *prometheus.CounterVec
 	calls             *prometheus.CounterVec
-	callTime          *prometheus.HistogramVec
+	callSeconds       *prometheus.HistogramVec
 	callBytes         *prometheus.CounterVec
 	readCalls         *prometheus.CounterVec
 	readBytes         *prometheus.CounterVec
 	config            prometheus.Gauge
 	logAge            prometheus.Gauge
-	placing           prometheus.Gauge
+	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
 	waitingSteps      *prometheus.GaugeVec
 	oldestWaiting     *prometheus.GaugeVec
@@ -72,17 +72,17 @@
 		starts:            counter("starts_total", "Orders to start a run, by the worker's answer.", "result"),
 		ends:              counter("ends_total", "Ends of runs, by how they ended.", "how"),
 		decisions:         counter("placer_decisions_total", "Decisions and changes of belief of the placer.", "decision"),
-		firstStart:        histogram("first_start_seconds", "Time from a job's record to the first start that a worker took, by queue.", waitSecondsBuckets, "queue"),
+		firstStartSeconds: histogram("first_start_seconds", "Time from a job's record to the first start that a worker took, by queue.", waitSecondsBuckets, "queue"),
 		batches:           counter("placer_batches_total", "Batches that the placer appended to the log.").WithLabelValues(),
 		claims:            counter("placer_claims_total", "Claims of this daemon to be the placer, by outcome.", "outcome"),
 		calls:             counter("platform_calls_total", "Calls to the platform and its workers, by dependency and outcome.", "dependency", "outcome"),
-		callTime:          histogram("platform_call_seconds", "Time of answered calls to the platform and its workers, with the wait that the call asks for.", answerSecondsBuckets, "dependency"),
+		callSeconds:       histogram("platform_call_seconds", "Time of answered calls to the platform and its workers, with the wait that the call asks for.", answerSecondsBuckets, "dependency"),
 		callBytes:         counter("platform_call_bytes_total", "Bytes of bodies, by dependency and direction.", "dependency", "direction"),
 		readCalls:         counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
 		readBytes:         counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
 		config:            gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
-		placing:           gauge("placing", "1 on the daemon that places.").WithLabelValues(),
+		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
 		waitingSteps:      gauge("waiting_steps", "Steps with tasks to start, by queue; on the placer.", "queue"),
 		oldestWaiting:     gauge("waiting_oldest_seconds", "How long the oldest such step has waited, by queue; on the placer.", "queue"),
@@ -94,66 +94,67 @@
 	}
 }
 
-// countDecision counts a decision of the placer.
-func (m *metrics) countDecision(n *placer.Decision) {
-	m.decisions.WithLabelValues(n.Kind).Inc()
-	switch n.Kind {
+// countDecision records a decision of the placer.
+func (m *metrics) countDecision(decision *placer.Decision) {
+	m.decisions.WithLabelValues(decision.Kind).Inc()
+	switch decision.Kind {
 	case placer.DecisionRunEnded:
-		m.ends.WithLabelValues(n.Reason).Inc()
-		m.wastedCoreSeconds.Add(n.WastedCoreSeconds)
+		m.ends.WithLabelValues(decision.Reason).Inc()
+		m.wastedCoreSeconds.Add(decision.WastedCoreSeconds)
 	case placer.DecisionJobBegan:
-		m.firstStart.WithLabelValues(n.Reason).Observe(n.Age.Seconds())
+		m.firstStartSeconds.WithLabelValues(decision.Reason).Observe(decision.Age.Seconds())
 	}
 }
 
-// publishSummary publishes what the placer holds.
-func (m *metrics) publishSummary(s *placer.Summary) {
+// publishSummary sets the gauges of waiting steps, runs, workers and capacity from the placer's summary.
+func (m *metrics) publishSummary(summary *placer.Summary) {
 	m.waitingSteps.Reset()
 	m.oldestWaiting.Reset()
-	for queue, w := range s.Waiting {
-		m.waitingSteps.WithLabelValues(queue).Set(float64(w.Steps))
-		m.oldestWaiting.WithLabelValues(queue).Set(w.Oldest.Seconds())
+	for queue, waiting := range summary.Waiting {
+		m.waitingSteps.WithLabelValues(queue).Set(float64(waiting.Steps))
+		m.oldestWaiting.WithLabelValues(queue).Set(waiting.Oldest.Seconds())
 	}
 	m.runs.Reset()
-	for state, n := range s.Runs {
-		m.runs.WithLabelValues(string(state)).Set(float64(n))
+	for state, count := range summary.Runs {
+		m.runs.WithLabelValues(string(state)).Set(float64(count))
 	}
-	m.workers.WithLabelValues("known").Set(float64(s.Workers))
-	m.workers.WithLabelValues("usable").Set(float64(s.Usable))
-	m.roomCores.WithLabelValues("total").Set(float64(s.Capacity.MilliCores) / 1000)
-	m.roomCores.WithLabelValues("free").Set(float64(s.Free.MilliCores) / 1000)
-	m.roomMemory.WithLabelValues("total").Set(float64(s.Capacity.MemoryMiB) * (1 << 20))
-	m.roomMemory.WithLabelValues("free").Set(float64(s.Free.MemoryMiB) * (1 << 20))
+	m.workers.WithLabelValues("known").Set(float64(summary.Workers))
+	m.workers.WithLabelValues("usable").Set(float64(summary.Usable))
+	m.roomCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
+	m.roomCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
+	m.roomMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
+	m.roomMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
 }
 
-// countPlatformCall counts a call to the platform.
+// countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
 	m.callBytes.WithLabelValues(call.Dependency, "sent").Add(float64(call.SentBytes))
 	m.callBytes.WithLabelValues(call.Dependency, "received").Add(float64(call.ReceivedBytes))
 	if call.Outcome == cluster.CallAnswered {
-		m.callTime.WithLabelValues(call.Dependency).Observe(call.Duration.Seconds())
+		m.callSeconds.WithLabelValues(call.Dependency).Observe(call.Duration.Seconds())
 	}
 }
 
-// publishMetrics publishes what the daemon knows of the log and the configuration.
+// publishMetrics sets the gauges of the configuration, the log and the placer. Unless this daemon
+// is the placer, it removes the gauges that only the placer reports.
 func (e *engine) publishMetrics(now time.Duration) {
-	c := &e.metrics
+	m := &e.metrics
 	if e.config != nil {
-		c.config.Set(float64(e.config.Version))
+		m.config.Set(float64(e.config.Version))
 	}
 	if e.readToEndAt > 0 {
-		c.logAge.Set((now - e.readToEndAt).Seconds())
+		m.logAge.Set((now - e.readToEndAt).Seconds())
 	}
 	if e.state.ClaimedAt > 0 {
-		c.placerAge.Set((now - e.state.ClaimedAt).Seconds())
+		m.placerAge.Set((now - e.state.ClaimedAt).Seconds())
 	}
 	if e.placer != nil {
-		c.placing.Set(1)
+		m.isPlacer.Set(1)
 		return
 	}
-	c.placing.Set(0)
-	for _, g := range []*prometheus.GaugeVec{c.waitingSteps, c.oldestWaiting, c.runs, c.workers, c.roomCores, c.roomMemory} {
-		g.Reset() // another daemon knows them now
+	m.isPlacer.Set(0)
+	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.roomCores, m.roomMemory} {
+		g.Reset() // Another daemon reports them now.
 	}
 }
--- a/daemon/cell/counts_test.go
+++ b/daemon/cell/counts_test.go
@@ -12,27 +12,26 @@
 	"briarproxy/core/placer"
 )
 
-// Guards against a question of the on-call engineer that the metrics do not answer: what
-// waits and for how long, how runs end, why callers are turned away, and which dependency
-// is slow or gone.
-func TestMetricsAnswerTheUsualQuestions(t *testing.T) {
-	c := newMetrics()
-	c.countDecision(&placer.Decision{Kind: placer.DecisionRunEnded, Reason: "lapsed", WastedCoreSeconds: 12.5})
-	c.countDecision(&placer.Decision{Kind: placer.DecisionJobBegan, Reason: "q", Age: 300 * time.Millisecond})
-	c.publishSummary(&placer.Summary{Waiting: map[string]placer.QueueWaiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
-	c.countPlatformCall(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Duration: time.Second, SentBytes: 10})
-	require.InDelta(t, 1, testutil.ToFloat64(c.ends.WithLabelValues("lapsed")), 0)
-	require.InDelta(t, 12.5, testutil.ToFloat64(c.wastedCoreSeconds), 0)
-	require.InDelta(t, 3, testutil.ToFloat64(c.waitingSteps.WithLabelValues("q")), 0)
-	require.InDelta(t, 2, testutil.ToFloat64(c.oldestWaiting.WithLabelValues("q")), 0)
-	require.InDelta(t, 4, testutil.ToFloat64(c.workers.WithLabelValues("usable")), 0)
-	require.InDelta(t, 1, testutil.ToFloat64(c.calls.WithLabelValues("store", cluster.CallTimedOut)), 0)
-	require.Equal(t, 1, testutil.CollectAndCount(c.firstStart))
-	problems, err := testutil.GatherAndLint(c.registry)
+// Guards against metrics that lack what an on-call engineer needs: what waits and for how long,
+// how runs end, why callers are rejected, and which dependency is slow or does not answer.
+func TestMetricsOfPlacerAndPlatformCalls(t *testing.T) {
+	m := newMetrics()
+	m.countDecision(&placer.Decision{Kind: placer.DecisionRunEnded, Reason: "lapsed", WastedCoreSeconds: 12.5})
+	m.countDecision(&placer.Decision{Kind: placer.DecisionJobBegan, Reason: "q", Age: 300 * time.Millisecond})
+	m.publishSummary(&placer.Summary{Waiting: map[string]placer.QueueWaiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
+	m.countPlatformCall(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Duration: time.Second, SentBytes: 10})
+	require.InDelta(t, 1, testutil.ToFloat64(m.ends.WithLabelValues("lapsed")), 0)
+	require.InDelta(t, 12.5, testutil.ToFloat64(m.wastedCoreSeconds), 0)
+	require.InDelta(t, 3, testutil.ToFloat64(m.waitingSteps.WithLabelValues("q")), 0)
+	require.InDelta(t, 2, testutil.ToFloat64(m.oldestWaiting.WithLabelValues("q")), 0)
+	require.InDelta(t, 4, testutil.ToFloat64(m.workers.WithLabelValues("usable")), 0)
+	require.InDelta(t, 1, testutil.ToFloat64(m.calls.WithLabelValues("store", cluster.CallTimedOut)), 0)
+	require.Equal(t, 1, testutil.CollectAndCount(m.firstStartSeconds))
+	problems, err := testutil.GatherAndLint(m.registry)
 	require.NoError(t, err)
 	require.Empty(t, problems)
 
-	// A daemon that no longer places tells nothing of the cell: another one knows it now.
+	// A daemon that is no longer the placer must not report the cell's gauges: the new placer does.
 	e := newTestCallerAPI(t, &fakeStore{}, 0)
 	e.onEngine(func(e *engine) {
 		e.metrics.publishSummary(&placer.Summary{Workers: 5})
--- a/daemon/cell/lately.go
+++ b/daemon/cell/lately.go
@@ -5,55 +5,56 @@
 	"time"
 )
 
-// recentMaxWindow is how long a long time counts: the records that waited for a slow store are
-// stored and read within it, as a partition holds 2 s of appends at most.
+// recentMaxWindow is how long a recorded duration counts towards the maximum. Records that waited
+// for a slow store are stored and read within it, as a partition queues at most 2 s of appends.
 const recentMaxWindow = 2500 * time.Millisecond
 
-// recentMax holds the longest of some times that were recorded within recentMaxWindow: of the log's answers, or
-// between two records of the placer. After a slow store has recovered, its first quick
-// answer says nothing of the placer's silence, as its records still wait there. Calls
-// without an answer are not recorded, so that a lost placer is no reason to wait.
+// recentMax tracks the longest duration recorded within recentMaxWindow, such as the log's response
+// times or the gaps between two records of the placer. A maximum is used because the first quick
+// response of a store that has recovered from slowness does not mean that a silent placer has
+// failed: its records may still be queued there. Calls without an answer are not recorded, so
+// that a failed placer does not prolong the wait for it.
 type recentMax struct {
-	mu    sync.Mutex
-	value time.Duration
-	at    time.Duration // boot clock
+	mu         sync.Mutex
+	value      time.Duration
+	recordedAt time.Duration // Time on the boot clock.
 }
 
-func (m *recentMax) record(took, now time.Duration) {
+func (m *recentMax) record(duration, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now-m.at > recentMaxWindow || took >= m.value {
-		m.value, m.at = took, now
+	if now-m.recordedAt > recentMaxWindow || duration >= m.value {
+		m.value, m.recordedAt = duration, now
 	}
 }
 
 func (m *recentMax) longest(now time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now-m.at > recentMaxWindow {
+	if now-m.recordedAt > recentMaxWindow {
 		return 0
 	}
 	return m.value
 }
 
-// recentMinWindow is how long a short time counts. A read that waits for a record takes longer
-// than the log needs, so one answer alone does not show that the log is slow.
+// recentMinWindow is the length of a window of recentMin. A read that waits for a new record takes
+// longer than the log itself needs, so a single slow read does not show that the log is slow.
 const recentMinWindow = time.Second
 
-// recentMin holds the shortest of some times that were recorded in the last one to two windows.
+// recentMin tracks the shortest duration recorded in the current window and the one before.
 type recentMin struct {
-	current, previous time.Duration // of this window and the one before
-	since             time.Duration // boot clock: begin of this window
+	current, previous time.Duration // Minimum of each window.
+	windowStart       time.Duration // Start of the current window on the boot clock.
 }
 
-func (m *recentMin) record(took, now time.Duration) {
+func (m *recentMin) record(duration, now time.Duration) {
 	switch {
-	case m.since == 0 || now-m.since > 2*recentMinWindow:
-		m.current, m.previous, m.since = took, took, now
-	case now-m.since > recentMinWindow:
-		m.current, m.previous, m.since = took, m.current, now
+	case m.windowStart == 0 || now-m.windowStart > 2*recentMinWindow:
+		m.current, m.previous, m.windowStart = duration, duration, now
+	case now-m.windowStart > recentMinWindow:
+		m.current, m.previous, m.windowStart = duration, m.current, now
 	default:
-		m.current = min(m.current, took)
+		m.current = min(m.current, duration)
 	}
 }
 
--- a/daemon/cell/loader.go
+++ b/daemon/cell/loader.go
@@ -9,43 +9,43 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Times and limits of reading a snapshot.
+// Timeouts and limits for reading a snapshot.
 const (
-	minChunkCallTimeout      = 2 * time.Second // of one call, at first; maxChunkCallBytes pass 10 Mbit/s in 0.16 s
-	maxChunkCallTimeout      = 16 * time.Second
-	maxChunkCallBytes        = 192 << 10
-	entryOverheadBytes       = 32 // bytes of an entry beside its value, at most
-	maxOffsetTries           = 5  // in a row that fail before the chunks are asked for by their keys
-	unreadableHeadGeneration = -1 // in place of a generation
+	minChunkCallTimeout      = 2 * time.Second  // Initial timeout of a call; a 10 Mbit/s link carries maxChunkCallBytes in 0.16 s.
+	maxChunkCallTimeout      = 16 * time.Second // Limit to which the timeout doubles when calls time out.
+	maxChunkCallBytes        = 192 << 10        // Size limit of a response, unless a single chunk is larger.
+	entryOverheadBytes       = 32               // Largest size of an entry without its value.
+	maxOffsetTries           = 5                // Consecutive failed reads by offset before one read by key.
+	unreadableHeadGeneration = -1               // Stands for the unknown generation of a head that can't be decoded.
 )
 
-// snapshotReader reads the newest snapshot in calls that bring a few chunks each. A call that fails
-// loses none of the chunks before it. The log reader owns it.
+// snapshotReader reads the newest snapshot a few chunks at a time. A failed call loses none of
+// the chunks read before. It is not safe for concurrent use; the log reader owns it.
 type snapshotReader struct {
 	store             Snapshots
 	reads             *readStats
 	timeout           time.Duration
-	restorer          *flow.Restorer // nil: the head has not been read
-	expired           bool           // the chunks are not kept at their offsets any more
-	byKey             bool           // the next call asks for them by their keys, in larger answers
-	failedOffsetReads int            // calls in a row that asked for them at their offsets
+	restorer          *flow.Restorer // Nil until the head has been read.
+	expired           bool           // The chunks' records have expired; only the newest of each key is kept.
+	byKey             bool           // The next call reads chunks by key, in larger responses.
+	failedOffsetReads int            // Consecutive failed reads by offset.
 
-	generation        int64 // that was read last
-	damagedGeneration int64 // generation that could not be read
-	damagedReads      int   // how often
+	generation        int64 // Generation of the snapshot that was read last.
+	damagedGeneration int64 // Generation that could not be read.
+	damagedReads      int   // Number of failed attempts to read damagedGeneration.
 }
 
 func newSnapshotReader(store Snapshots, reads *readStats) *snapshotReader {
 	return &snapshotReader{store: store, reads: reads, timeout: minChunkCallTimeout}
 }
 
-// step makes one call. It returns the head while chunks are missing and the state with the
-// last of them; both are nil if there is no snapshot.
+// step makes one call to the store. It returns the head while chunks are missing, and the restored
+// state after the last chunk. Both are nil if there is no snapshot.
 func (r *snapshotReader) step(ctx context.Context) (*flow.SnapshotHead, *flow.State, error) {
-	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	callCtx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	err := r.call(bounded)
-	if err != nil && bounded.Err() != nil {
+	err := r.call(callCtx)
+	if err != nil && callCtx.Err() != nil {
 		r.timeout = min(2*r.timeout, maxChunkCallTimeout)
 	}
 	if err != nil || r.restorer == nil {
@@ -71,12 +71,12 @@
 }
 
 func (r *snapshotReader) readHead(ctx context.Context) error {
-	saved, err := r.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
-	r.reads.count(readToRestore, len(saved[headKey]))
-	if err != nil || saved[headKey] == nil {
+	values, err := r.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
+	r.reads.count(readToRestore, len(values[headKey]))
+	if err != nil || values[headKey] == nil {
 		return err
 	}
-	head, err := flow.DecodeHead(saved[headKey])
+	head, err := flow.DecodeHead(values[headKey])
 	if err != nil {
 		r.markDamaged(unreadableHeadGeneration)
 		return err
@@ -85,11 +85,11 @@
 	return nil
 }
 
-// readByOffset reads chunks as they were written: the answers are small, and later generations
-// take nothing away until the records expire.
+// readByOffset reads chunks in the order in which they were written. The responses are small, and
+// later generations do not overwrite the records, which stay until they expire.
 func (r *snapshotReader) readByOffset(ctx context.Context) error {
-	head, taken := r.restorer.Head(), r.restorer.ChunksAdded()
-	entries, expired, err := r.store.SavedFromOffset(ctx, chunkPartition(head.Generation), head.Parts[taken].Offset, r.nextReadBytes())
+	head, previouslyAdded := r.restorer.Head(), r.restorer.ChunksAdded()
+	entries, expired, err := r.store.SavedFromOffset(ctx, chunkPartition(head.Generation), head.Parts[previouslyAdded].Offset, r.nextReadBytes())
 	bytes := 0
 	for _, entry := range entries {
 		bytes += len(entry.Value)
@@ -110,11 +110,12 @@
 		}
 	}
 	r.failedOffsetReads = 0
-	r.expired, r.byKey = expired, r.restorer.ChunksAdded() == taken
+	r.expired, r.byKey = expired, r.restorer.ChunksAdded() == previouslyAdded
 	return nil
 }
 
-// nextReadBytes returns the size of an answer with the next chunks, as many as a short one holds.
+// nextReadBytes returns the size limit of the next read by offset: the size of as many chunks as
+// fit in maxChunkCallBytes, but at least one.
 func (r *snapshotReader) nextReadBytes() int {
 	parts := r.restorer.Head().Parts[r.restorer.ChunksAdded():]
 	bytes := 0
@@ -127,12 +128,12 @@
 	return bytes
 }
 
-// readByKey reads the newest chunk of each key behind the last one taken.
+// readByKey reads the newest chunks of the keys after that of the last chunk added.
 func (r *snapshotReader) readByKey(ctx context.Context) error {
-	head, taken := r.restorer.Head(), r.restorer.ChunksAdded()
-	saved, err := r.store.SavedAfterKey(ctx, chunkPartition(head.Generation), chunkKey(taken-1))
+	head, previouslyAdded := r.restorer.Head(), r.restorer.ChunksAdded()
+	values, err := r.store.SavedAfterKey(ctx, chunkPartition(head.Generation), chunkKey(previouslyAdded-1))
 	bytes := 0
-	for _, chunk := range saved {
+	for _, chunk := range values {
 		bytes += len(chunk)
 	}
 	r.reads.count(readToRestore, bytes)
@@ -140,21 +141,21 @@
 	if err != nil {
 		return err
 	}
-	for !r.restorer.Complete() && saved[chunkKey(r.restorer.ChunksAdded())] != nil {
-		if err := r.restorer.AddChunk(saved[chunkKey(r.restorer.ChunksAdded())], bootclock.Now()); err != nil {
+	for !r.restorer.Complete() && values[chunkKey(r.restorer.ChunksAdded())] != nil {
+		if err := r.restorer.AddChunk(values[chunkKey(r.restorer.ChunksAdded())], bootclock.Now()); err != nil {
 			r.markDamaged(head.Generation)
 			return err
 		}
 	}
-	if r.restorer.ChunksAdded() == taken {
+	if r.restorer.ChunksAdded() == previouslyAdded {
 		r.markDamaged(head.Generation)
-		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is missing", taken, head.Generation)
+		return fault.New(fault.Invalid, "read the snapshot again", "chunk %d of snapshot %d is missing", previouslyAdded, head.Generation)
 	}
 	return nil
 }
 
-// markDamaged gives up a generation of which a chunk is damaged or was overwritten. The head is
-// read again; it may name a newer one.
+// markDamaged abandons a generation because its head or a chunk is damaged, missing or
+// overwritten. The head is read again, as there may be a newer generation.
 func (r *snapshotReader) markDamaged(generation int64) {
 	if r.damagedGeneration != generation {
 		r.damagedReads = 0
--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -20,62 +20,62 @@
 	"briarproxy/platform"
 )
 
-// brokenLink is a store behind a slow link on which some calls break off.
-type brokenLink struct {
+// unreliableLinkStore is a store behind a slow link on which some calls fail halfway.
+type unreliableLinkStore struct {
 	keyedStore
-	rate  float64 // bytes a second
-	every int     // of so many calls one breaks off half way; 0 is none
+	bytesPerSecond float64
+	failEvery      int // One call out of this many fails halfway; 0 lets none fail.
 
-	link    sync.Mutex
-	calls   atomic.Int64
-	carried atomic.Int64 // bytes
+	link         sync.Mutex
+	calls        atomic.Int64
+	carriedBytes atomic.Int64
 }
 
-func (s *brokenLink) transfer(ctx context.Context, bytes int) error {
+func (s *unreliableLinkStore) transfer(ctx context.Context, bytes int) error {
 	s.link.Lock()
 	defer s.link.Unlock()
-	broken := s.every > 0 && int(s.calls.Add(1))%s.every == 0
-	if broken {
+	fails := s.failEvery > 0 && int(s.calls.Add(1))%s.failEvery == 0
+	if fails {
 		bytes /= 2
 	}
-	s.carried.Add(int64(bytes))
+	s.carriedBytes.Add(int64(bytes))
 	select {
-	case <-time.After(time.Duration(float64(bytes) / s.rate * float64(time.Second))):
+	case <-time.After(time.Duration(float64(bytes) / s.bytesPerSecond * float64(time.Second))):
 	case <-ctx.Done():
 		return errNoAnswer
 	}
-	if broken {
+	if fails {
 		return errNoAnswer
 	}
 	return nil
 }
 
-func (s *brokenLink) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
+func (s *unreliableLinkStore) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, partition, after)
 	bytes := 0
 	for _, v := range values {
 		bytes += base64Length(v)
 	}
-	if sent := s.transfer(ctx, bytes); sent != nil {
-		return nil, sent
+	if transferErr := s.transfer(ctx, bytes); transferErr != nil {
+		return nil, transferErr
 	}
 	return values, err
 }
 
-func (s *brokenLink) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
+func (s *unreliableLinkStore) SavedFromOffset(ctx context.Context, partition int, from int64, maxBytes int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, partition, from, maxBytes)
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
 	}
-	if sent := s.transfer(ctx, bytes); sent != nil {
-		return nil, false, sent
+	if transferErr := s.transfer(ctx, bytes); transferErr != nil {
+		return nil, false, transferErr
 	}
 	return entries, expired, err
 }
 
-// waitingJobs is a state with jobs of a usual size, none of which has ended.
-func waitingJobs(t testing.TB, jobs int) *flow.State {
+// newStateWithWaitingJobs returns a state with unfinished jobs of a typical size.
+func newStateWithWaitingJobs(t testing.TB, jobs int) *flow.State {
 	s := flow.NewState()
 	for i := range jobs {
 		spec := make([]byte, specBytes/2)
@@ -88,11 +88,12 @@
 	return s
 }
 
-// saveSnapshotOf writes a state as the next generation and returns the bytes of its chunks.
-func saveSnapshotOf(t testing.TB, placer *snapshotWriter, s *flow.State, generation int64) int {
-	head, chunks, err := s.Snapshot(generation, time.Minute)
+// saveSnapshotOf writes a snapshot of a state with the given generation and returns the total size
+// of its chunks.
+func saveSnapshotOf(t testing.TB, writer *snapshotWriter, state *flow.State, generation int64) int {
+	head, chunks, err := state.Snapshot(generation, time.Minute)
 	require.NoError(t, err)
-	require.NoError(t, placer.save(t.Context(), &head, chunks))
+	require.NoError(t, writer.save(t.Context(), &head, chunks))
 	bytes := 0
 	for _, chunk := range chunks {
 		bytes += len(chunk)
@@ -100,49 +101,50 @@
 	return bytes
 }
 
-func newSaver(t testing.TB, store Snapshots) *snapshotWriter {
-	placer := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
-	_, err := placer.takeOver(t.Context())
+func newTestSnapshotWriter(t testing.TB, store Snapshots) *snapshotWriter {
+	writer := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+	_, err := writer.takeOver(t.Context())
 	require.NoError(t, err)
-	return placer
+	return writer
 }
 
-// Guards against a daemon on a slow link that begins anew with each broken or slow call: with a limit for
-// the whole snapshot, one that takes longer is never read (frontend-obihiro-4, inc1).
-func TestASnapshotIsReadOnWhereACallBrokeOff(t *testing.T) {
+// Guards against a daemon on a slow link that restarts reading the snapshot after each failed or
+// slow call. With a time limit for the whole snapshot, one that takes longer would never be read.
+// The link here has 200 kB/s and fails every third call, and the snapshot has 1700 jobs.
+func TestSnapshotReadResumesAfterFailedCall(t *testing.T) {
 	const (
-		jobs     = 1700
-		rate     = 200e3
-		newEvery = 700 * time.Millisecond
-		within   = 12 * time.Second
-		wasted   = 1.5 // share of the bytes, with those of broken calls
+		jobs              = 1700
+		bytesPerSecond    = 200e3
+		saveInterval      = 700 * time.Millisecond
+		maxDuration       = 12 * time.Second
+		maxTransferFactor = 1.5 // Bytes transferred, including those of failed calls, relative to the snapshot's size.
 	)
-	store := &brokenLink{rate: rate, every: 3}
-	placer, s := newSaver(t, &store.keyedStore), waitingJobs(t, jobs)
+	store := &unreliableLinkStore{bytesPerSecond: bytesPerSecond, failEvery: 3}
+	writer, s := newTestSnapshotWriter(t, &store.keyedStore), newStateWithWaitingJobs(t, jobs)
 	bytes := 0
 	for generation := range int64(2) {
-		bytes = saveSnapshotOf(t, placer, s, generation+1)
+		bytes = saveSnapshotOf(t, writer, s, generation+1)
 	}
 	pages := make(chan page)
-	follower := &logReader{
+	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
 		timing: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
-	go follower.run(t.Context())
-	restored, written, began := make(chan struct{}), make(chan int64, 1), time.Now()
+	go reader.run(t.Context())
+	restored, newestGeneration, start := make(chan struct{}), make(chan int64, 1), time.Now()
 	go func() {
 		generation := int64(2)
-		defer func() { written <- generation }()
-		newer := time.NewTicker(newEvery)
-		defer newer.Stop()
+		defer func() { newestGeneration <- generation }()
+		ticker := time.NewTicker(saveInterval)
+		defer ticker.Stop()
 		for {
 			select {
 			case <-restored:
 				return
-			case <-newer.C:
+			case <-ticker.C:
 				generation++
 				head, chunks, err := s.Snapshot(generation, time.Minute)
-				if !assert.NoError(t, err) || !assert.NoError(t, placer.save(t.Context(), &head, chunks)) {
+				if !assert.NoError(t, err) || !assert.NoError(t, writer.save(t.Context(), &head, chunks)) {
 					return
 				}
 			}
@@ -153,116 +155,118 @@
 		if done = p.snapshot != nil; done {
 			require.Len(t, p.snapshot.Jobs, jobs)
 		}
-		require.Less(t, time.Since(began), within, "%d calls, %d bytes of a snapshot of %d", store.calls.Load(), store.carried.Load(), bytes)
+		require.Less(t, time.Since(start), maxDuration, "%d calls, %d bytes of a snapshot of %d", store.calls.Load(), store.carriedBytes.Load(), bytes)
 	}
-	took := time.Since(began)
+	duration := time.Since(start)
 	close(restored)
-	generation := <-written
-	require.Greater(t, generation, int64(2), "newer generations were written meanwhile")
-	t.Logf("read in %v and %d calls, %d bytes of a snapshot of %d, newest generation %d", took, store.calls.Load(), store.carried.Load(), bytes, generation)
-	require.Less(t, float64(store.carried.Load()), wasted*float64(bytes))
+	generation := <-newestGeneration
+	require.Greater(t, generation, int64(2), "no newer generation was written during the read")
+	t.Logf("read in %v and %d calls, %d bytes of a snapshot of %d, newest generation %d", duration, store.calls.Load(), store.carriedBytes.Load(), bytes, generation)
+	require.Less(t, float64(store.carriedBytes.Load()), maxTransferFactor*float64(bytes))
 }
 
-// Guards against a link slower than the time limit of a call, on which no call ever ends.
+// Guards against a fixed timeout on a link that needs longer for each response, so that no call
+// would ever succeed.
 func TestCallsOnASlowLinkGetMoreTime(t *testing.T) {
-	const first = 20 * time.Millisecond
-	store := &brokenLink{rate: 2e6} // 98 ms for an answer
-	saveSnapshotOf(t, newSaver(t, &store.keyedStore), waitingJobs(t, 1500), 1)
-	l := newTestSnapshotReader(store)
-	l.timeout = first
-	state, _ := readWholeSnapshot(t, l, 4)
+	const firstTimeout = 20 * time.Millisecond
+	store := &unreliableLinkStore{bytesPerSecond: 2e6} // A response of maxChunkCallBytes takes 98 ms.
+	saveSnapshotOf(t, newTestSnapshotWriter(t, &store.keyedStore), newStateWithWaitingJobs(t, 1500), 1)
+	reader := newTestSnapshotReader(store)
+	reader.timeout = firstTimeout
+	state, _ := readWholeSnapshot(t, reader, 4)
 	require.Len(t, state.Jobs, 1500)
-	require.LessOrEqual(t, l.timeout, 16*first)
+	require.LessOrEqual(t, reader.timeout, 16*firstTimeout)
 }
 
-// Guards against a well-formed chunk of the right generation that is not the one the placer
-// wrote: a daemon that took it answered 410 for jobs that it lacked.
-func TestAForeignChunkIsRejected(t *testing.T) {
+// Guards against a well-formed chunk of the right generation that is not the one that the placer
+// wrote. A daemon that accepted such a chunk answered 410 for jobs that it lacked.
+func TestChunkOfAnotherSnapshotIsRejected(t *testing.T) {
 	for _, expired := range []bool{false, true} {
 		store := &keyedStore{}
-		placer := newSaver(t, store)
-		saveSnapshotOf(t, placer, waitingJobs(t, 900), 1)
-		_, foreign, err := waitingJobs(t, 3).Snapshot(1, time.Minute)
+		writer := newTestSnapshotWriter(t, store)
+		saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 900), 1)
+		_, foreign, err := newStateWithWaitingJobs(t, 3).Snapshot(1, time.Minute)
 		require.NoError(t, err)
-		chunks := &store.parts[chunkPartition(1)]
+		partition := &store.partitions[chunkPartition(1)]
 		if expired {
 			store.expire()
 		} else {
-			chunks.records[2].Value = foreign[0] // behind the writer's record and a chunk
+			partition.records[2].Value = foreign[0] // Records 0 and 1 are the writer's epoch and the first chunk.
 		}
-		chunks.newest[chunkKey(1)] = foreign[0]
+		partition.newest[chunkKey(1)] = foreign[0]
 
-		l := newTestSnapshotReader(store)
-		for began := time.Now(); l.damagedReads < maxDamagedReads; {
-			require.Less(t, time.Since(began), 5*time.Second, "the chunk is asked for without an end")
-			_, state, err := l.step(t.Context())
+		reader := newTestSnapshotReader(store)
+		for start := time.Now(); reader.damagedReads < maxDamagedReads; {
+			require.Less(t, time.Since(start), 5*time.Second, "the reader still requests the chunk after 5 s")
+			_, state, err := reader.step(t.Context())
 			require.Nil(t, state)
 			if err != nil {
 				require.True(t, fault.Is(err, fault.Invalid), "%v", err)
 			}
 		}
-		saveSnapshotOf(t, placer, waitingJobs(t, 900), 2)
-		state, generation := readWholeSnapshot(t, l, 0)
+		saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 900), 2)
+		state, generation := readWholeSnapshot(t, reader, 0)
 		require.Len(t, state.Jobs, 900)
 		require.Equal(t, int64(2), generation)
 	}
 }
 
-// Guards against a chunk that can't be read at its offset although the newest of its key can.
+// Guards against a snapshot that is given up because a chunk can't be read at its offset, although
+// it can be read by its key.
 func TestADamagedRecordIsReadByItsKey(t *testing.T) {
 	store := &keyedStore{}
-	saveSnapshotOf(t, newSaver(t, store), waitingJobs(t, 900), 1)
-	store.parts[chunkPartition(1)].records[2].Value = []byte("damaged")
+	saveSnapshotOf(t, newTestSnapshotWriter(t, store), newStateWithWaitingJobs(t, 900), 1)
+	store.partitions[chunkPartition(1)].records[2].Value = []byte("damaged")
 	state, _ := readWholeSnapshot(t, newTestSnapshotReader(store), 1)
 	require.Len(t, state.Jobs, 900)
 }
 
-// Guards against a snapshot that is lost with the records of the log, and against one mixed of
-// two generations when it is overwritten while it is read.
+// Guards against a snapshot that becomes unreadable when its records expire, and against one that
+// mixes two generations because it is overwritten while it is read.
 func TestASnapshotIsReadableAfterItsRecordsExpired(t *testing.T) {
 	store := &keyedStore{}
-	placer, s := newSaver(t, store), waitingJobs(t, 3000)
-	saveSnapshotOf(t, placer, s, 1)
-	l := newTestSnapshotReader(store)
-	for range 2 { // the head and the first chunks
-		head, _, err := l.step(t.Context())
+	writer, s := newTestSnapshotWriter(t, store), newStateWithWaitingJobs(t, 3000)
+	saveSnapshotOf(t, writer, s, 1)
+	reader := newTestSnapshotReader(store)
+	for range 2 { // Reads the head and the first chunks.
+		head, _, err := reader.step(t.Context())
 		require.NoError(t, err)
 		require.NotNil(t, head)
 	}
 	store.expire()
-	state, _ := readWholeSnapshot(t, l, 0)
+	state, _ := readWholeSnapshot(t, reader, 0)
 	require.Len(t, state.Jobs, 3000)
 
 	for range 2 {
-		_, _, err := l.step(t.Context())
+		_, _, err := reader.step(t.Context())
 		require.NoError(t, err)
 	}
-	saveSnapshotOf(t, placer, waitingJobs(t, 10), 2)
-	saveSnapshotOf(t, placer, waitingJobs(t, 20), 3)
+	saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 10), 2)
+	saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 20), 3)
 	store.expire()
-	state, generation := readWholeSnapshot(t, l, 1)
+	state, generation := readWholeSnapshot(t, reader, 1)
 	require.Len(t, state.Jobs, 20)
 	require.Equal(t, int64(3), generation)
 }
 
-// Guards against a superseded placer that writes into a partition that its successor has not
-// written yet: the epoch of a writer holds for one partition.
+// Guards against a superseded placer that writes to a partition to which its successor has not yet
+// written: the store checks a writer's epoch per partition.
 func TestANewPlacerFencesEveryPartition(t *testing.T) {
 	store := &keyedStore{}
-	first := newSaver(t, store)
+	first := newTestSnapshotWriter(t, store)
 	second := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 20}}
 	_, err := second.takeOver(t.Context())
 	require.NoError(t, err)
-	for part := range snapshotPartitions {
-		_, err := first.append(t.Context(), part, []cluster.Entry{{Key: chunkKey(0), Value: []byte("late")}})
-		require.True(t, fault.Is(err, fault.Conflict), "partition %d", part)
+	for partition := range snapshotPartitions {
+		_, err := first.append(t.Context(), partition, []cluster.Entry{{Key: chunkKey(0), Value: []byte("late")}})
+		require.True(t, fault.Is(err, fault.Conflict), "partition %d", partition)
 	}
 }
 
-// newStateWithEndedJobs is a state in which a third of the jobs has not ended, half of those run, and the
-// others have been over for a minute.
+// newStateWithEndedJobs returns a state in which a third of the jobs has not ended. Half of these
+// run. The other two thirds were cancelled one minute before the snapshot.
 func newStateWithEndedJobs(b *testing.B, jobs int) *flow.State {
-	s := waitingJobs(b, jobs)
+	s := newStateWithWaitingJobs(b, jobs)
 	apply := func(r flow.Record) { require.NoError(b, s.Apply(&r, 0)) }
 	apply(flow.Record{Claim: &flow.Claim{Daemon: "a", Epoch: 9}})
 	for i := range jobs {
@@ -282,16 +286,16 @@
 	return s
 }
 
-// BenchmarkReadBack tells the bytes that a daemon reads of a store that holds two generations,
-// and how long two links take for them; the time of an operation is that of decoding.
+// BenchmarkReadBack reports how many bytes a daemon reads from a store with two generations, and
+// how long links of 10 and 200 Mbit/s take to carry them. The time per operation is that of decoding.
 func BenchmarkReadBack(b *testing.B) {
-	const thick = 200 * bytesPerMbit
+	const fastLinkBytesPerSecond = 200 * bytesPerMbit
 	for _, jobs := range []int{100, 1000, 10_000} {
 		b.Run(fmt.Sprint("jobs=", jobs), func(b *testing.B) {
 			store := &meteredStore{}
-			placer, s := newSaver(b, store), newStateWithEndedJobs(b, jobs)
+			writer, s := newTestSnapshotWriter(b, store), newStateWithEndedJobs(b, jobs)
 			for generation := range int64(2) {
-				saveSnapshotOf(b, placer, s, generation+1)
+				saveSnapshotOf(b, writer, s, generation+1)
 			}
 			for b.Loop() {
 				store.calls, store.bytes = 0, 0
@@ -300,7 +304,7 @@
 			b.ReportMetric(float64(store.bytes), "wire-bytes")
 			b.ReportMetric(float64(store.calls), "calls")
 			b.ReportMetric(float64(store.bytes)/slowLinkBytesPerSecond, "s/10Mbit")
-			b.ReportMetric(float64(store.bytes)/thick, "s/200Mbit")
+			b.ReportMetric(float64(store.bytes)/fastLinkBytesPerSecond, "s/200Mbit")
 		})
 	}
 }
@@ -310,14 +314,14 @@
 	return state
 }
 
-// meteredStore counts what the store's answers carry.
+// meteredStore counts the reads of a store and the bytes of its responses.
 type meteredStore struct {
 	keyedStore
 	calls, bytes int
 }
 
-func (s *meteredStore) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	values, err := s.keyedStore.SavedAfterKey(ctx, part, after)
+func (s *meteredStore) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
+	values, err := s.keyedStore.SavedAfterKey(ctx, partition, after)
 	s.calls++
 	for _, v := range values {
 		s.bytes += base64Length(v)
@@ -325,8 +329,8 @@
 	return values, err
 }
 
-func (s *meteredStore) SavedFromOffset(ctx context.Context, part int, from int64, most int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, part, from, most)
+func (s *meteredStore) SavedFromOffset(ctx context.Context, partition int, from int64, maxBytes int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, partition, from, maxBytes)
 	s.calls++
 	for _, e := range entries {
 		s.bytes += recordOverheadBytes + len(e.Key) + len(e.Value)
@@ -334,24 +338,24 @@
 	return entries, expired, err
 }
 
-// headOnlyPlatform is a platform that gives no chunk of the snapshot.
+// headOnlyPlatform is a platform on which only the snapshot's head can be read, and none of its chunks.
 type headOnlyPlatform struct {
 	fakePlatform
 	*keyedStore
 }
 
-func (p headOnlyPlatform) Save(ctx context.Context, part int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
-	return p.keyedStore.Save(ctx, part, entries, fence)
+func (p headOnlyPlatform) Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
+	return p.keyedStore.Save(ctx, partition, entries, fence)
 }
 
-func (p headOnlyPlatform) SavedAfterKey(ctx context.Context, part int, after string) (map[string][]byte, error) {
-	if part != headPartition {
+func (p headOnlyPlatform) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
+	if partition != headPartition {
 		return nil, errNoAnswer
 	}
-	return p.keyedStore.SavedAfterKey(ctx, part, after)
+	return p.keyedStore.SavedAfterKey(ctx, partition, after)
 }
 
-// Read says that the log has records, and gives none.
+// Read reports that the log has records, but returns none.
 func (p headOnlyPlatform) Read(_ context.Context, _ int, from int64, _ time.Duration) (cluster.LogPage, error) {
 	return cluster.LogPage{Next: from, End: 5}, nil
 }
@@ -360,21 +364,21 @@
 	return nil, false, errNoAnswer
 }
 
-// Guards against a daemon that knows no other one until it has read the whole state, and
-// against one that takes the head for knowledge of the jobs.
+// Guards against a daemon that does not know the other daemons until it has read the whole
+// snapshot, and against one that answers for jobs although it has read only the head.
 func TestSnapshotHeadGivesMembersOnly(t *testing.T) {
-	store, s := &keyedStore{}, waitingJobs(t, 5)
+	store, s := &keyedStore{}, newStateWithWaitingJobs(t, 5)
 	s.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "b:1"}}
 	s.Claim = flow.Claim{Daemon: "b", Address: "b:1", Epoch: 4}
-	saveSnapshotOf(t, newSaver(t, store), s, 1)
-	p := headOnlyPlatform{fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), &fakeStore{}}, store}
-	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}}, p, event.Discard())
+	saveSnapshotOf(t, newTestSnapshotWriter(t, store), s, 1)
+	headOnly := headOnlyPlatform{fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), &fakeStore{}}, store}
+	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}}, headOnly, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
 	go e.run(t.Context())
-	follower := &logReader{log: e.store, snapshots: p, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
-	go follower.run(t.Context())
+	reader := &logReader{log: e.store, snapshots: headOnly, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
+	go reader.run(t.Context())
 
-	require.Eventually(t, func() bool { return len(*e.store.members.Load()) > 0 }, time.Second, time.Millisecond, "the members are not known")
+	require.Eventually(t, func() bool { return len(*e.store.members.Load()) > 0 }, time.Second, time.Millisecond, "the members were not published within 1 s")
 	require.Equal(t, []string{"b:1"}, *e.store.members.Load())
 	require.Equal(t, "b:1", *e.writer.placerAddress.Load())
 	c := &callerAPI{engine: e, ctx: t.Context()}
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -12,7 +12,7 @@
 	"briarproxy/daemon/event"
 )
 
-// Settings of one daemon, JSON with comments.
+// Settings are the settings of one daemon. The settings file is JSON with comments.
 type Settings struct {
 	Name       string           `json:"name"`
 	Region     string           `json:"region"`
@@ -22,10 +22,10 @@
 	Limits     LimitSettings    `json:"limits"`
 	Bounds     BoundSettings    `json:"bounds"`
 
-	defaultedFields []string // fields that were absent
+	defaultedFields []string // Paths of the fields that were absent or 0 and got their default.
 }
 
-// ListenSettings are addresses, IP:port.
+// ListenSettings are the addresses to listen on, as IP:port.
 type ListenSettings struct {
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
@@ -33,78 +33,78 @@
 	Metrics string `json:"metrics"`
 }
 
-// PlatformSettings are addresses of the platform's parts, IP:port.
+// PlatformSettings are the addresses of the platform's services, as IP:port.
 type PlatformSettings struct {
 	Store  string `json:"store"`
 	Advice string `json:"advice"`
 	Cloud  string `json:"machines"`
 }
 
-// LimitSettings are the limits of the process.
+// LimitSettings are the resource limits of the process.
 type LimitSettings struct {
 	MemoryMiB   float64 `json:"memory_mib"`
 	Descriptors float64 `json:"descriptors"`
-	CPUShare    float64 `json:"cpu_share"` // cores
+	CPUShare    float64 `json:"cpu_share"` // Number of cores.
 	LinkMbps    float64 `json:"link_mbps"`
 }
 
-// What the placer of a cell of 350 workers and 600 starts a second needs; measured on
-// dosui-sched-grown, see docs/CAPACITY.md.
+// Resources that the placer needs in a cell with 350 workers and 600 starts a second, as measured
+// (see docs/CAPACITY.md), and ratios of a process's limits to them.
 const (
 	placerCPUCores        = 0.1
 	placerMemoryMiB       = 150
 	placerLinkMbps        = 10
-	minGatheringStrength  = 0.5 // a placer below it gets no records to gather
-	unstatedLimitStrength = 1   // a limit that is not stated counts as just enough
+	minGatheringStrength  = 0.5 // Below this ratio, other daemons send the placer no records to append, unless the log is slow.
+	unstatedLimitStrength = 1   // A limit that is not set counts as exactly sufficient.
 )
 
-// strength is how many times the process has what a placer needs.
+// strength returns the lowest ratio of the process's limits to the resources that a placer needs.
 func (l *LimitSettings) strength() float64 {
-	least := l.MemoryMiB / placerMemoryMiB
-	for _, f := range []struct{ limit, needs float64 }{{l.CPUShare, placerCPUCores}, {l.LinkMbps, placerLinkMbps}} {
-		if f.limit > 0 {
-			least = min(least, f.limit/f.needs)
+	lowest := l.MemoryMiB / placerMemoryMiB
+	for _, resource := range []struct{ limit, needed float64 }{{l.CPUShare, placerCPUCores}, {l.LinkMbps, placerLinkMbps}} {
+		if resource.limit > 0 {
+			lowest = min(lowest, resource.limit/resource.needed)
 		} else {
-			least = min(least, unstatedLimitStrength)
+			lowest = min(lowest, unstatedLimitStrength)
 		}
 	}
-	return least
+	return lowest
 }
 
-// BoundSettings are the bounds of the deployment.
+// BoundSettings are the time bounds of the deployment.
 type BoundSettings struct {
-	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
-	FailoverMS float64 `json:"failover_ms"`  // bound for a change of the daemon that orders workers
+	MaxLeaseMS float64 `json:"max_lease_ms"` // Longest lease that workers grant.
+	FailoverMS float64 `json:"failover_ms"`  // Longest time for a change of the placer.
 	EarlyMS    float64 `json:"early_ms"`
-	StopMS     float64 `json:"stop_ms"`  // for which a worker may go on with what it was told to stop
-	GraceS     float64 `json:"grace_s"`  // from SIGTERM to SIGKILL
-	StatusS    float64 `json:"status_s"` // for which the state of an ended job is told
-	KeepS      float64 `json:"keep_s"`   // for which the log keeps records
+	StopMS     float64 `json:"stop_ms"`  // How long a worker may continue a task after it was told to stop it.
+	GraceS     float64 `json:"grace_s"`  // Time from SIGTERM to SIGKILL.
+	StatusS    float64 `json:"status_s"` // How long the state of an ended job can be queried.
+	KeepS      float64 `json:"keep_s"`   // Retention time of the log's records.
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// Load reads a settings file. Every problem is reported with its field path.
+// Load reads and validates a settings file. Errors name the path of the field at fault.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "name a readable settings file", "settings %s", path)
+		return nil, fault.Wrap(err, fault.Invalid, "name a readable settings file", "settings file %s can't be read", path)
 	}
-	plain, err := hujson.Standardize(data)
+	standardJSON, err := hujson.Standardize(data)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "correct the JSON", "settings %s", path)
+		return nil, fault.Wrap(err, fault.Invalid, "correct the JSON", "settings file %s is malformed", path)
 	}
 	s := &Settings{}
-	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder := json.NewDecoder(bytes.NewReader(standardJSON))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "correct the field", "settings %s", path)
+		return nil, fault.Wrap(err, fault.Invalid, "correct the field", "settings file %s has an invalid field", path)
 	}
 	s.applyDefaults()
 	return s, s.validate()
 }
 
-// Bounds that apply where a deployment does not state them: those of today's deployments.
+// Defaults of the bounds that a deployment does not set.
 const (
 	defaultMaxLeaseMS = 6000
 	defaultFailoverMS = 3000
@@ -114,12 +114,12 @@
 	defaultKeepS      = 300
 )
 
-// applyDefaults puts defaults in place of bounds that are absent, and remembers their names.
+// applyDefaults sets bounds that are absent or 0 to their defaults and records their paths.
 func (s *Settings) applyDefaults() {
 	for _, f := range []struct {
-		path  string
-		value *float64
-		use   float64
+		path         string
+		value        *float64
+		defaultValue float64
 	}{
 		{"bounds.max_lease_ms", &s.Bounds.MaxLeaseMS, defaultMaxLeaseMS}, {"bounds.failover_ms", &s.Bounds.FailoverMS, defaultFailoverMS},
 		{"bounds.stop_ms", &s.Bounds.StopMS, defaultStopMS}, {"bounds.grace_s", &s.Bounds.GraceS, defaultGraceS},
@@ -127,13 +127,13 @@
 		{"bounds.keep_s", &s.Bounds.KeepS, defaultKeepS},
 	} {
 		if *f.value == 0 {
-			*f.value = f.use
+			*f.value = f.defaultValue
 			s.defaultedFields = append(s.defaultedFields, f.path)
 		}
 	}
 }
 
-// validate names the first field that is missing or out of range.
+// validate returns an error that names the first field that is missing or below its minimum.
 func (s *Settings) validate() error {
 	for _, f := range []struct{ path, value string }{
 		{"name", s.Name}, {"data_centre", s.DataCentre}, {"listen.callers", s.Listen.Callers},
@@ -144,22 +144,22 @@
 		}
 	}
 	for _, f := range []struct {
-		path  string
-		value float64
-		least float64
+		path    string
+		value   float64
+		minimum float64
 	}{
 		{"bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1000}, {"bounds.failover_ms", s.Bounds.FailoverMS, 200},
 		{"bounds.grace_s", s.Bounds.GraceS, 0}, {"bounds.stop_ms", s.Bounds.StopMS, 0},
 		{"bounds.status_s", s.Bounds.StatusS, 1}, {"bounds.keep_s", s.Bounds.KeepS, 1}, {"limits.memory_mib", s.Limits.MemoryMiB, 32},
 	} {
-		if f.value < f.least {
-			return fault.New(fault.Invalid, "raise it", "%s is %v, the least is %v", f.path, f.value, f.least)
+		if f.value < f.minimum {
+			return fault.New(fault.Invalid, "increase it", "%s is %v, but must be at least %v", f.path, f.value, f.minimum)
 		}
 	}
 	return nil
 }
 
-// LogReload writes what reading the settings again came to.
+// LogReload logs the outcome of reloading the settings.
 func LogReload(log *event.Logger, err error) {
 	if err != nil {
 		log.Emit(evReloaded, "outcome", "kept the former settings", "reason", err.Error())
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -25,7 +25,7 @@
 }
 
 // Guards against a daemon that does not start because a deployment leaves out a bound, and
-// against a bound that is zero in silence.
+// against a missing bound that is silently taken as 0.
 func TestAbsentBoundsHaveDefaults(t *testing.T) {
 	s, err := loadText(t, completeSettings)
 	require.NoError(t, err)
@@ -33,7 +33,7 @@
 	require.Equal(t, []string{"bounds.keep_s"}, s.defaultedFields)
 }
 
-// Guards against settings that are wrong and not named.
+// Guards against errors that do not name the invalid setting.
 func TestSettingsNameTheField(t *testing.T) {
 	for from, field := range map[string]string{
 		`"name": "a"`: "name", `"127.0.0.1:4"`: "platform.store", `"memory_mib": 284`: "limits.memory_mib",
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -12,29 +12,33 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Times and limits of snapshots.
+// Timing and size limits for writing snapshots.
 const (
-	snapshotRetentionShare = 0.2  // of the time for which the log keeps records, between two snapshots
-	snapshotEntryThreshold = 8000 // a daemon with a fifth of a core and 10 Mbit/s reads as many in a second
-	minSnapshotInterval    = 5 * time.Second
-	snapshotLinkShare      = 0.05 // of the link that snapshots may take
-	snapshotTimeout        = 5 * time.Second
-	maxSaveBytes           = 1 << 20     // of one append, below the limit of a call
-	saveLinkShare          = 0.25        // of the link while a snapshot is written; the placer's orders need the rest
-	targetSaveTime         = time.Second // of one append at that share, below its time limit
-	headKey                = "state"
-	writerKey              = "writer" // the epoch of the placer that saves
-	keyBeforeHead          = "r"      // in the order of keys; what former versions wrote comes before it
-
-	headPartition      = 0 // and two with a generation each
+	snapshotRetentionShare = 0.2             // Longest time between two snapshots, as a share of the log's retention time.
+	snapshotEntryThreshold = 8000            // Log entries after which a snapshot is due early; a daemon with 0.2 cores and a 10 Mbit/s link reads that many in a second.
+	minSnapshotInterval    = 5 * time.Second // Shortest time between two snapshots that are due early.
+	snapshotLinkShare      = 0.05            // Share of the placer's link that early snapshots may use on average.
+	snapshotTimeout        = 5 * time.Second // Time limit of a snapshot, without the time that throttling adds.
+	maxSaveBytes           = 1 << 20         // Size limit of one append, below the limit of a call to the store.
+	saveLinkShare          = 0.25            // Share of the link that a snapshot may use while it is written; the placer's orders need the rest.
+	targetSaveTime         = time.Second     // Duration of one append at that share, below the append's time limit.
+	headKey                = "state"         // Key of the snapshot's head.
+	writerKey              = "writer"        // Key of the epoch of the placer that writes snapshots.
+	keyBeforeHead          = "r"             // Sorts directly before headKey and after the keys that former versions wrote.
+)
+
+// Partitions of the snapshot store: one for the head and two for the chunks.
+const (
+	headPartition      = 0
 	snapshotPartitions = 3
 )
 
-// chunkPartition holds the chunks of a generation. Two take turns, so that a snapshot stays
-// whole until the next one is.
+// chunkPartition returns the partition for the chunks of a generation. Generations alternate
+// between two partitions, so that a snapshot stays intact until the next one is complete.
 func chunkPartition(generation int64) int { return 1 + int(generation%2) }
 
-// chunkKey names a chunk. The order of keys is that of the chunks; "" comes before the first.
+// chunkKey returns the key of a chunk. Keys sort in the order of the chunks. For a negative
+// chunk it returns "", which sorts before the first key.
 func chunkKey(chunk int) string {
 	if chunk < 0 {
 		return ""
@@ -42,11 +46,11 @@
 	return fmt.Sprintf("%06d", chunk)
 }
 
-// saveSnapshot has the placer save what the log says, often enough that no record that is
-// needed expires.
+// saveSnapshot starts writing a snapshot of the placer's state if one is due. Snapshots are due
+// often enough that no log record expires before a snapshot covers it.
 func (e *engine) saveSnapshot(ctx context.Context, now time.Duration) {
-	every := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
-	due := now-e.savedAt > every || e.unsavedEntries > snapshotEntryThreshold && now-e.savedAt > e.snapshotInterval()
+	interval := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
+	due := now-e.savedAt > interval || e.unsavedEntries > snapshotEntryThreshold && now-e.savedAt > e.snapshotInterval()
 	if e.saving || !due || e.state.NextOffset == e.savedOffset {
 		return
 	}
@@ -55,7 +59,7 @@
 		return
 	}
 	generation := e.savedGeneration + 1
-	unsaved := e.unsavedEntries
+	coveredEntries := e.unsavedEntries
 	head, chunks, err := e.state.Snapshot(generation, now)
 	e.savedAt = now
 	if err != nil {
@@ -66,48 +70,49 @@
 	for _, chunk := range chunks {
 		e.savedBytes += len(chunk)
 	}
-	writer, p := e.snapshotWriter, e.placer
+	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, writer.timeout(chunks))
+		saveCtx, cancel := context.WithTimeout(ctx, writer.timeout(chunks))
 		defer cancel()
-		err := writer.save(bounded, &head, chunks)
+		err := writer.save(saveCtx, &head, chunks)
 		e.do(ctx, func(e *engine) {
-			if e.placer != p {
+			if e.placer != startedBy {
 				return
 			}
 			e.saving = false
 			if err != nil {
-				writer.started = false // its head may be stored
+				writer.started = false // The failed snapshot's head may have been stored.
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", head.Next)
 				return
 			}
 			e.savedOffset, e.savedGeneration = head.Next, generation
-			e.unsavedEntries -= unsaved
+			e.unsavedEntries -= coveredEntries
 			e.log.Emit(evSnapshotSaved, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.savedBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
 		})
 	}()
 }
 
-// snapshotInterval is the time between two snapshots of which the last one had some bytes. A slow
-// link of the placer is needed for its orders.
+// snapshotInterval returns the shortest time between two snapshots that are due early, given the
+// size of the last one. A placer on a slow link needs most of the link for its orders.
 func (e *engine) snapshotInterval() time.Duration {
-	rate := snapshotLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit
-	if rate <= 0 {
+	bytesPerSecond := snapshotLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit
+	if bytesPerSecond <= 0 {
 		return minSnapshotInterval
 	}
-	return max(minSnapshotInterval, time.Duration(float64(e.savedBytes)/rate*float64(time.Second)))
+	return max(minSnapshotInterval, time.Duration(float64(e.savedBytes)/bytesPerSecond*float64(time.Second)))
 }
 
-// beginSnapshots learns which snapshot is the newest one, so that the next does not overwrite it.
+// beginSnapshots fences earlier writers and looks up the newest snapshot's generation, so that
+// the next snapshot does not overwrite it.
 func (e *engine) beginSnapshots(ctx context.Context, now time.Duration) {
 	e.saving, e.savedAt = true, now
-	writer, p := e.snapshotWriter, e.placer
+	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		takeOverCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
-		generation, err := writer.takeOver(bounded)
+		generation, err := writer.takeOver(takeOverCtx)
 		e.do(ctx, func(e *engine) {
-			if e.placer != p {
+			if e.placer != startedBy {
 				return
 			}
 			e.saving = false
@@ -122,32 +127,35 @@
 	}()
 }
 
-// snapshotWriter writes snapshots under the placer's epoch, so that a superseded placer can't.
+// snapshotWriter writes snapshots under the placer's epoch, so that the store rejects the writes
+// of a superseded placer.
 type snapshotWriter struct {
 	store              Snapshots
-	linkBytesPerSecond float64 // of this daemon's link, bytes a second; 0 is not known
+	linkBytesPerSecond float64 // Rate of this daemon's link; 0 if unknown.
 	fence              cluster.Fence
-	sequences          [snapshotPartitions]int64           // appends answered by each partition
-	unanswered         [snapshotPartitions][]cluster.Entry // of an append without an answer, which may be carried out later
-	started            bool                                // the newest snapshot is known, and no earlier placer can write another
+	sequences          [snapshotPartitions]int64           // Number of answered appends to each partition.
+	unanswered         [snapshotPartitions][]cluster.Entry // Entries of an append that got no answer and may still be stored later.
+	started            bool                                // Whether the newest snapshot is known and no earlier placer can write another one.
 }
 
-// takeOver ends the writing of earlier placers and returns the generation of the newest snapshot.
+// takeOver fences earlier placers in every partition and returns the generation of the newest
+// snapshot, or 0 if there is none.
 func (w *snapshotWriter) takeOver(ctx context.Context) (int64, error) {
-	for part := range snapshotPartitions {
-		if _, err := w.append(ctx, part, []cluster.Entry{{Key: writerKey, Value: strconv.AppendInt(nil, w.fence.Epoch, 10)}}); err != nil {
+	for partition := range snapshotPartitions {
+		if _, err := w.append(ctx, partition, []cluster.Entry{{Key: writerKey, Value: strconv.AppendInt(nil, w.fence.Epoch, 10)}}); err != nil {
 			return 0, err
 		}
 	}
-	saved, err := w.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
-	if err != nil || saved[headKey] == nil {
+	values, err := w.store.SavedAfterKey(ctx, headPartition, keyBeforeHead)
+	if err != nil || values[headKey] == nil {
 		return 0, err
 	}
-	head, err := flow.DecodeHead(saved[headKey])
+	head, err := flow.DecodeHead(values[headKey])
 	return head.Generation, err
 }
 
-// maxAppendBytes is the most that one append should carry.
+// maxAppendBytes returns the size limit of one append. On a slow link it is smaller, so that an
+// append ends within its time limit.
 func (w *snapshotWriter) maxAppendBytes() int {
 	if w.linkBytesPerSecond <= 0 {
 		return maxSaveBytes
@@ -155,7 +163,8 @@
 	return min(maxSaveBytes, int(saveLinkShare*w.linkBytesPerSecond*targetSaveTime.Seconds()))
 }
 
-// minTransferTime is how long some bytes take at the share of the link that a snapshot may have.
+// minTransferTime returns how long a transfer takes at the share of the link that a snapshot may
+// use, or 0 if the rate of the link is unknown.
 func (w *snapshotWriter) minTransferTime(bytes int) time.Duration {
 	if w.linkBytesPerSecond <= 0 {
 		return 0
@@ -163,7 +172,7 @@
 	return time.Duration(float64(bytes) / (saveLinkShare * w.linkBytesPerSecond) * float64(time.Second))
 }
 
-// timeout is the time limit of a snapshot.
+// timeout returns the time limit for writing a snapshot, including the time that throttling adds.
 func (w *snapshotWriter) timeout(chunks [][]byte) time.Duration {
 	bytes := 0
 	for _, chunk := range chunks {
@@ -172,23 +181,23 @@
 	return snapshotTimeout + w.minTransferTime(bytes)
 }
 
-// throttle waits until an append has taken as long as its bytes may take.
-func (w *snapshotWriter) throttle(ctx context.Context, began time.Duration, bytes int) {
-	wait := w.minTransferTime(bytes) - (bootclock.Now() - began)
+// throttle waits until at least minTransferTime has passed since the start of an append.
+func (w *snapshotWriter) throttle(ctx context.Context, start time.Duration, bytes int) {
+	wait := w.minTransferTime(bytes) - (bootclock.Now() - start)
 	if wait <= 0 {
 		return
 	}
 	select {
-	case <-ctx.Done(): // the next append tells it
+	case <-ctx.Done(): // The next append returns the error.
 	case <-time.After(wait):
 	}
 }
 
-// save writes the chunks and then the head, which names where they are.
+// save writes the chunks and then the head, in which it records their offsets.
 func (w *snapshotWriter) save(ctx context.Context, head *flow.SnapshotHead, chunks [][]byte) error {
 	for first := 0; first < len(chunks); {
 		var entries []cluster.Entry
-		size, began := 0, bootclock.Now()
+		size, start := 0, bootclock.Now()
 		for i := first; i < len(chunks) && (i == first || size+len(chunks[i]) <= w.maxAppendBytes()); i++ {
 			entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunks[i]})
 			size += len(chunks[i])
@@ -201,7 +210,7 @@
 			head.Parts[first+i].Offset = offset + int64(i)
 		}
 		first += len(entries)
-		w.throttle(ctx, began, size)
+		w.throttle(ctx, start, size)
 	}
 	data, err := head.Encode()
 	if err != nil {
@@ -211,29 +220,30 @@
 	return err
 }
 
-// append appends entries until there is an answer; a repeat has no further effect. An append that
-// was given up comes first, as the partition takes the next one only after it.
-func (w *snapshotWriter) append(ctx context.Context, part int, entries []cluster.Entry) (int64, error) {
-	if w.unanswered[part] != nil {
-		if _, err := w.appendUntilAnswered(ctx, part); err != nil {
+// append appends entries to a partition and retries until the store answers. It first completes
+// an earlier append that got no answer, because the partition accepts appends only in sequence.
+func (w *snapshotWriter) append(ctx context.Context, partition int, entries []cluster.Entry) (int64, error) {
+	if w.unanswered[partition] != nil {
+		if _, err := w.appendUntilAnswered(ctx, partition); err != nil {
 			return 0, err
 		}
 	}
-	w.unanswered[part] = entries
-	return w.appendUntilAnswered(ctx, part)
+	w.unanswered[partition] = entries
+	return w.appendUntilAnswered(ctx, partition)
 }
 
-// appendUntilAnswered makes the open append of a partition until there is an answer.
-func (w *snapshotWriter) appendUntilAnswered(ctx context.Context, part int) (int64, error) {
+// appendUntilAnswered sends the pending append of a partition until the store answers. The
+// sequence number of the fence makes a retry idempotent.
+func (w *snapshotWriter) appendUntilAnswered(ctx context.Context, partition int) (int64, error) {
 	fence := w.fence
-	fence.Sequence += w.sequences[part]
+	fence.Sequence += w.sequences[partition]
 	for {
-		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := w.store.Save(bounded, part, w.unanswered[part], &fence)
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		offset, err := w.store.Save(callCtx, partition, w.unanswered[partition], &fence)
 		cancel()
 		if err == nil {
-			w.sequences[part]++
-			w.unanswered[part] = nil
+			w.sequences[partition]++
+			w.unanswered[partition] = nil
 		}
 		if err == nil || fault.Is(err, fault.Conflict) {
 			return offset, err
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -19,35 +19,35 @@
 	"briarproxy/daemon/event"
 )
 
-// Sizes of answers of the store.
+// Sizes of the store's responses.
 const (
-	maxListBytes        = 1 << 20 // of newest entries, in base64, at most
-	recordOverheadBytes = 4 + 1   // of a record beside its key and value
+	maxListBytes        = 1 << 20 // Limit of a response with newest entries, in base64.
+	recordOverheadBytes = 4 + 1   // Size of a record without its key and value.
 )
 
-// keyedStore keeps the newest entry of each key of a partition, and the records before it until
-// they expire. Each partition refuses a superseded writer.
+// keyedStore keeps the newest entry of each key of a partition, and all records until they expire.
+// Each partition rejects superseded writers.
 type keyedStore struct {
-	mu      sync.Mutex
-	parts   [snapshotPartitions]keyedPart
-	respond func(part int) (stored, answered bool) // nil: all is stored and answered
+	mu         sync.Mutex
+	partitions [snapshotPartitions]keyedPartition
+	respond    func(part int) (stored, answered bool) // If nil, every append is stored and answered.
 }
 
-type keyedPart struct {
+type keyedPartition struct {
 	epoch, sequence int64
-	last            int64 // offset of the last append
-	first           int   // older records have expired
+	lastOffset      int64 // Offset of the last append.
+	firstUnexpired  int   // Index of the oldest record that has not expired.
 	records         []cluster.Entry
 	newest          map[string][]byte
 }
 
-func (s *keyedStore) Save(_ context.Context, part int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
+func (s *keyedStore) Save(_ context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &s.parts[part]
+	p := &s.partitions[partition]
 	stored, answered := true, true
 	if s.respond != nil {
-		stored, answered = s.respond(part)
+		stored, answered = s.respond(partition)
 	}
 	if !stored {
 		return 0, errNoAnswer
@@ -56,18 +56,18 @@
 		return 0, errConflict
 	}
 	if fence.Epoch > p.epoch || fence.Sequence != p.sequence {
-		p.last = s.write(part, entries)
+		p.lastOffset = s.write(partition, entries)
 	}
 	p.epoch, p.sequence = fence.Epoch, fence.Sequence
 	if !answered {
 		return 0, errNoAnswer
 	}
-	return p.last, nil
+	return p.lastOffset, nil
 }
 
-// write writes entries of any writer.
-func (s *keyedStore) write(part int, entries []cluster.Entry) int64 {
-	p := &s.parts[part]
+// write appends entries without checking the writer's fence.
+func (s *keyedStore) write(partition int, entries []cluster.Entry) int64 {
+	p := &s.partitions[partition]
 	offset := int64(len(p.records))
 	p.records = append(p.records, entries...)
 	if p.newest == nil {
@@ -79,21 +79,21 @@
 	return offset
 }
 
-// expire drops all records; the newest of each key stay.
+// expire drops all records but keeps the newest entry of each key.
 func (s *keyedStore) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.parts {
-		s.parts[i].first = len(s.parts[i].records)
+	for i := range s.partitions {
+		s.partitions[i].firstUnexpired = len(s.partitions[i].records)
 	}
 }
 
-func (s *keyedStore) SavedAfterKey(_ context.Context, part int, after string) (map[string][]byte, error) {
+func (s *keyedStore) SavedAfterKey(_ context.Context, partition int, after string) (map[string][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	values, size := map[string][]byte{}, 0
-	for _, key := range slices.Sorted(maps.Keys(s.parts[part].newest)) {
-		value := s.parts[part].newest[key]
+	for _, key := range slices.Sorted(maps.Keys(s.partitions[partition].newest)) {
+		value := s.partitions[partition].newest[key]
 		if key <= after {
 			continue
 		}
@@ -105,16 +105,16 @@
 	return values, nil
 }
 
-func (s *keyedStore) SavedFromOffset(_ context.Context, part int, from int64, most int) (entries []cluster.Entry, expired bool, err error) {
+func (s *keyedStore) SavedFromOffset(_ context.Context, partition int, from int64, maxBytes int) (entries []cluster.Entry, expired bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &s.parts[part]
-	if from < int64(p.first) {
+	p := &s.partitions[partition]
+	if from < int64(p.firstUnexpired) {
 		return nil, true, nil
 	}
 	size := 0
 	for i := from; i < int64(len(p.records)); i++ {
-		if size += recordOverheadBytes + len(p.records[i].Key) + len(p.records[i].Value); size > most && i > from {
+		if size += recordOverheadBytes + len(p.records[i].Key) + len(p.records[i].Value); size > maxBytes && i > from {
 			break
 		}
 		entries = append(entries, p.records[i])
@@ -124,20 +124,20 @@
 
 func base64Length(value []byte) int { return base64.StdEncoding.EncodedLen(len(value)) }
 
-// readWholeSnapshot reads the newest snapshot, with the given number of failed calls at most. It returns nil
-// if there is none.
-func readWholeSnapshot(t testing.TB, l *snapshotReader, failures int) (*flow.State, int64) {
-	const most = 1000
-	for range most {
-		head, state, err := l.step(t.Context())
+// readWholeSnapshot reads the newest snapshot and tolerates the given number of failed calls. It
+// returns nil if there is no snapshot.
+func readWholeSnapshot(t testing.TB, reader *snapshotReader, maxFailures int) (*flow.State, int64) {
+	const maxCalls = 1000
+	for range maxCalls {
+		head, state, err := reader.step(t.Context())
 		if err != nil {
-			failures--
-			require.GreaterOrEqual(t, failures, 0, "%v", err)
+			maxFailures--
+			require.GreaterOrEqual(t, maxFailures, 0, "%v", err)
 		} else if head == nil {
-			return state, l.generation
+			return state, reader.generation
 		}
 	}
-	require.Fail(t, "the snapshot is never read")
+	require.Fail(t, "the snapshot was not read within the limit of calls")
 	return nil, 0
 }
 
@@ -145,7 +145,7 @@
 	return newSnapshotReader(store, newRelay(&fakeStore{}, newPeerClients()).reads)
 }
 
-// newTestSnapshot is a state with some jobs, as a snapshot of the given generation.
+// newTestSnapshot returns a snapshot of the given generation of a state with the given number of jobs.
 func newTestSnapshot(t *testing.T, jobs int, generation int64) (*flow.SnapshotHead, [][]byte) {
 	s := flow.NewState()
 	for i := range jobs {
@@ -158,9 +158,9 @@
 }
 
 // Guards against a new placer that overwrites the newest snapshot in place, and against a
-// former one that writes its head over the chunks of the new one: each left a daemon that
-// started then with jobs missing.
-func TestANewPlacerKeepsTheNewestSnapshotWhole(t *testing.T) {
+// superseded placer that writes its head over the new placer's chunks. In both cases a daemon
+// that started at that time lacked jobs.
+func TestNewPlacerKeepsNewestSnapshotIntact(t *testing.T) {
 	store := &keyedStore{}
 	first := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
 	generation, err := first.takeOver(t.Context())
@@ -181,13 +181,13 @@
 		entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunk})
 	}
 	_, err = second.append(t.Context(), chunkPartition(head.Generation), entries)
-	require.NoError(t, err) // its head is not written yet
-	for _, next := range []int64{generation, generation + 1} {
-		late, lateChunks := newTestSnapshot(t, 5, next)
-		require.True(t, fault.Is(first.save(t.Context(), late, lateChunks), fault.Conflict), "chunks of generation %d", next)
+	require.NoError(t, err) // The head of this snapshot has not been written yet.
+	for _, lateGeneration := range []int64{generation, generation + 1} {
+		lateHead, lateChunks := newTestSnapshot(t, 5, lateGeneration)
+		require.True(t, fault.Is(first.save(t.Context(), lateHead, lateChunks), fault.Conflict), "chunks of generation %d", lateGeneration)
 	}
 	_, err = first.append(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}})
-	require.True(t, fault.Is(err, fault.Conflict), "a head")
+	require.True(t, fault.Is(err, fault.Conflict), "head")
 	state, loaded := readWholeSnapshot(t, newTestSnapshotReader(store), 0)
 	require.Equal(t, generation, loaded)
 	require.Len(t, state.Jobs, 4)
@@ -197,68 +197,68 @@
 	require.Len(t, state.Jobs, 9)
 }
 
-// Guards against a placer that saves no snapshot any more after an outage of the store during
-// one: the next append of that partition was refused for its sequence number, until records
-// expired that no snapshot had. And against one that overwrites a snapshot of which it did not
-// learn that its head was stored.
-func TestSavingGoesOnAfterAnOutage(t *testing.T) {
-	for _, part := range []int{headPartition, 2} {
+// Guards against a placer that stops saving snapshots after a store outage interrupted one: the
+// partition rejected the next append for its sequence number, until records expired that no
+// snapshot covered. Also guards against a placer that overwrites a snapshot whose head was stored
+// although the append got no answer.
+func TestSnapshotsAreSavedAfterStoreOutage(t *testing.T) {
+	for _, partition := range []int{headPartition, 2} {
 		for _, stored := range []bool{false, true} {
-			t.Run(fmt.Sprint("partition ", part, " stored ", stored), func(t *testing.T) {
+			t.Run(fmt.Sprint("partition ", partition, " stored ", stored), func(t *testing.T) {
 				t.Parallel()
 				store := &keyedStore{}
 				e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{KeepS: 300}}, headOnlyPlatform{keyedStore: store}, event.Discard())
 				e.snapshotWriter = &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
-				e.claiming = true // this daemon does not claim
+				e.claiming = true // Keeps this daemon from claiming the placer's role.
 				go e.run(t.Context())
-				last := int64(0)
-				saves := func(next int64) {
+				lastGeneration := int64(0)
+				requireSaved := func(nextOffset int64) {
 					generation := int64(0)
 					require.Eventually(t, func() bool {
 						e.do(t.Context(), func(e *engine) {
-							e.state.NextOffset = next
+							e.state.NextOffset = nextOffset
 							e.savedAt = min(e.savedAt, -time.Hour)
 							e.saveSnapshot(t.Context(), bootclock.Now())
 						})
 						head, _, _ := newTestSnapshotReader(store).step(t.Context())
-						if head == nil || head.Next != next {
+						if head == nil || head.Next != nextOffset {
 							return false
 						}
 						generation = head.Generation
 						return true
-					}, 5*snapshotTimeout, 20*time.Millisecond, "offset %d is never saved", next)
-					require.Greater(t, generation, last, "the newest snapshot was overwritten in place")
-					last = generation
+					}, 5*snapshotTimeout, 20*time.Millisecond, "offset %d was not saved in time", nextOffset)
+					require.Greater(t, generation, lastGeneration, "the newest snapshot was overwritten in place")
+					lastGeneration = generation
 				}
-				saves(7)
-				outage := bootclock.Now() + snapshotTimeout + time.Second
+				requireSaved(7)
+				outageEnd := bootclock.Now() + snapshotTimeout + time.Second
 				store.mu.Lock()
-				store.respond = func(at int) (bool, bool) {
-					if at != part || bootclock.Now() > outage {
+				store.respond = func(savedPartition int) (bool, bool) {
+					if savedPartition != partition || bootclock.Now() > outageEnd {
 						return true, true
 					}
 					return stored, false
 				}
 				store.mu.Unlock()
-				saves(8)
-				saves(9)
+				requireSaved(8)
+				requireSaved(9)
 			})
 		}
 	}
 }
 
-// Guards against a daemon that asks for a damaged snapshot for ever while the log still has
-// all its records.
+// Guards against a daemon that retries a damaged snapshot forever although the log still has all
+// of its records.
 func TestADamagedSnapshotIsSkipped(t *testing.T) {
 	store := &keyedStore{}
 	_, err := store.Save(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}}, &cluster.Fence{Epoch: 1})
 	require.NoError(t, err)
 	pages := make(chan page)
-	follower := &logReader{
+	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
 		timing: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
-	go follower.run(t.Context())
+	go reader.run(t.Context())
 	for deadline := time.After(5 * time.Second); ; {
 		select {
 		case p := <-pages:
@@ -266,46 +266,49 @@
 				return
 			}
 		case <-deadline:
-			require.Fail(t, "the log is never read")
+			require.Fail(t, "the log was not read within 5 s")
 		}
 	}
 }
 
-// slowUplinkStore is a store behind a link that carries a few bytes a second; an append that is ended on the way is lost.
+// slowUplinkStore is a store behind a slow link. An append that is cancelled during its transfer is
+// lost.
 type slowUplinkStore struct {
 	keyedStore
-	rate float64 // bytes a second
+	bytesPerSecond float64
 }
 
-func (s *slowUplinkStore) Save(ctx context.Context, part int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
+func (s *slowUplinkStore) Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error) {
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
 	}
 	select {
-	case <-time.After(time.Duration(float64(bytes) / s.rate * float64(time.Second))):
-		return s.keyedStore.Save(ctx, part, entries, fence)
+	case <-time.After(time.Duration(float64(bytes) / s.bytesPerSecond * float64(time.Second))):
+		return s.keyedStore.Save(ctx, partition, entries, fence)
 	case <-ctx.Done():
 		return 0, errNoAnswer
 	}
 }
 
-// Guards against a placer on a slow link that never saves a snapshot, as each append needs longer than its time limit, and fills its link in trying (small twin of dosui-sched-grown, quiet-1).
+// Guards against a placer on a slow link that never saves a snapshot because each append takes
+// longer than its time limit, and whose retries saturate the link. The link here has 2 Mbit/s, and
+// the snapshot has 13 chunks of 60 KiB.
 func TestAPlacerOnASlowLinkSavesItsSnapshot(t *testing.T) {
-	const thinMbps = 2
-	store := &slowUplinkStore{rate: thinMbps * bytesPerMbit}
-	s := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}, linkBytesPerSecond: store.rate}
-	_, err := s.takeOver(t.Context())
+	const linkMbps = 2
+	store := &slowUplinkStore{bytesPerSecond: linkMbps * bytesPerMbit}
+	writer := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}, linkBytesPerSecond: store.bytesPerSecond}
+	_, err := writer.takeOver(t.Context())
 	require.NoError(t, err)
 	var chunks [][]byte
 	for range 13 {
 		chunks = append(chunks, make([]byte, 60<<10))
 	}
 	head := &flow.SnapshotHead{Generation: 1, Parts: make([]flow.SnapshotPart, len(chunks))}
-	bounded, cancel := context.WithTimeout(t.Context(), s.timeout(chunks))
+	saveCtx, cancel := context.WithTimeout(t.Context(), writer.timeout(chunks))
 	defer cancel()
-	began := time.Now()
-	require.NoError(t, s.save(bounded, head, chunks))
-	least := float64(len(chunks)*len(chunks[0])) / (saveLinkShare * store.rate)
-	require.Greater(t, time.Since(began).Seconds(), 0.9*least, "the placer's orders need the rest of the link")
+	start := time.Now()
+	require.NoError(t, writer.save(saveCtx, head, chunks))
+	minSeconds := float64(len(chunks)*len(chunks[0])) / (saveLinkShare * store.bytesPerSecond)
+	require.Greater(t, time.Since(start).Seconds(), 0.9*minSeconds, "the placer's orders need the rest of the link")
 }
