--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -128,7 +128,7 @@
 	pages := make(chan page)
 	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
-		timing: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
+		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
 	go reader.run(t.Context())
 	restored, newestGeneration, start := make(chan struct{}), make(chan int64, 1), time.Now()
@@ -185,15 +185,15 @@
 		store := &keyedStore{}
 		writer := newTestSnapshotWriter(t, store)
 		saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 900), 1)
-		_, foreign, err := newStateWithWaitingJobs(t, 3).Snapshot(1, time.Minute)
+		_, otherChunks, err := newStateWithWaitingJobs(t, 3).Snapshot(1, time.Minute)
 		require.NoError(t, err)
 		partition := &store.partitions[chunkPartition(1)]
 		if expired {
 			store.expire()
 		} else {
-			partition.records[2].Value = foreign[0] // Records 0 and 1 are the writer's epoch and the first chunk.
+			partition.records[2].Value = otherChunks[0] // Records 0 and 1 are the writer's epoch and the first chunk.
 		}
-		partition.newest[chunkKey(1)] = foreign[0]
+		partition.newest[chunkKey(1)] = otherChunks[0]
 
 		reader := newTestSnapshotReader(store)
 		for start := time.Now(); reader.damagedReads < maxDamagedReads; {
@@ -253,12 +253,12 @@
 // written: the store checks a writer's epoch per partition.
 func TestANewPlacerFencesEveryPartition(t *testing.T) {
 	store := &keyedStore{}
-	first := newTestSnapshotWriter(t, store)
-	second := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 20}}
-	_, err := second.takeOver(t.Context())
+	formerWriter := newTestSnapshotWriter(t, store)
+	newWriter := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 20}}
+	_, err := newWriter.takeOver(t.Context())
 	require.NoError(t, err)
 	for partition := range snapshotPartitions {
-		_, err := first.append(t.Context(), partition, []cluster.Entry{{Key: chunkKey(0), Value: []byte("late")}})
+		_, err := formerWriter.append(t.Context(), partition, []cluster.Entry{{Key: chunkKey(0), Value: []byte("late")}})
 		require.True(t, fault.Is(err, fault.Conflict), "partition %d", partition)
 	}
 }
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -76,6 +76,7 @@
 
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
+// openListeners listens on the addresses of the settings and replaces them by the actual ones.
 func openListeners(settings *Settings) (listeners, error) {
 	var l listeners
 	for _, f := range []struct {
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -84,7 +84,7 @@
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// Load reads and validates a settings file. Errors name the path of the field at fault.
+// Load reads and validates a settings file. Its errors name the field at fault.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -98,13 +98,13 @@
 	decoder := json.NewDecoder(bytes.NewReader(standardJSON))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "correct the field", "settings file %s has an invalid field", path)
+		return nil, fault.Wrap(err, fault.Invalid, "correct the field", "settings file %s can't be decoded", path)
 	}
 	s.applyDefaults()
 	return s, s.validate()
 }
 
-// Defaults of the bounds that a deployment does not set.
+// Defaults of the bounds that a deployment does not set. They are the values of existing deployments.
 const (
 	defaultMaxLeaseMS = 6000
 	defaultFailoverMS = 3000
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -18,7 +18,7 @@
  "limits": {"memory_mib": 284, "descriptors": 4100},
  "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": null}}`
 
-func loadText(t *testing.T, text string) (*Settings, error) {
+func loadSettings(t *testing.T, text string) (*Settings, error) {
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	return Load(file)
@@ -27,7 +27,7 @@
 // Guards against a daemon that does not start because a deployment leaves out a bound, and
 // against a missing bound that is silently taken as 0.
 func TestAbsentBoundsHaveDefaults(t *testing.T) {
-	s, err := loadText(t, completeSettings)
+	s, err := loadSettings(t, completeSettings)
 	require.NoError(t, err)
 	require.EqualValues(t, defaultKeepS, s.Bounds.KeepS)
 	require.Equal(t, []string{"bounds.keep_s"}, s.defaultedFields)
@@ -35,15 +35,15 @@
 
 // Guards against errors that do not name the invalid setting.
 func TestSettingsNameTheField(t *testing.T) {
-	for from, field := range map[string]string{
+	for original, field := range map[string]string{
 		`"name": "a"`: "name", `"127.0.0.1:4"`: "platform.store", `"memory_mib": 284`: "limits.memory_mib",
 		`"max_lease_ms": 10000`: "bounds.max_lease_ms",
 	} {
-		to := strings.NewReplacer(`"a"`, `""`, "284", "1", "10000", "7", `"127.0.0.1:4"`, `""`).Replace(from)
-		_, err := loadText(t, strings.Replace(completeSettings, from, to, 1))
+		replacement := strings.NewReplacer(`"a"`, `""`, "284", "1", "10000", "7", `"127.0.0.1:4"`, `""`).Replace(original)
+		_, err := loadSettings(t, strings.Replace(completeSettings, original, replacement, 1))
 		require.True(t, fault.Is(err, fault.Invalid), "%v", err)
 		require.ErrorContains(t, err, field)
 	}
-	_, err := loadText(t, strings.Replace(completeSettings, `"region"`, `"regoin"`, 1))
+	_, err := loadSettings(t, strings.Replace(completeSettings, `"region"`, `"regoin"`, 1))
 	require.ErrorContains(t, err, "regoin")
 }
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -12,10 +12,10 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Timing and size limits for writing snapshots.
+// Timing, size limits, keys and partitions of snapshots.
 const (
 	snapshotRetentionShare = 0.2             // Longest time between two snapshots, as a share of the log's retention time.
-	snapshotEntryThreshold = 8000            // Log entries after which a snapshot is due early; a daemon with 0.2 cores and a 10 Mbit/s link reads that many in a second.
+	snapshotEntryThreshold = 8000            // Log entries that make a snapshot due early; with 0.2 cores and 10 Mbit/s a daemon reads as many in 1 s.
 	minSnapshotInterval    = 5 * time.Second // Shortest time between two snapshots that are due early.
 	snapshotLinkShare      = 0.05            // Share of the placer's link that early snapshots may use on average.
 	snapshotTimeout        = 5 * time.Second // Time limit of a snapshot, without the time that throttling adds.
@@ -24,13 +24,10 @@
 	targetSaveTime         = time.Second     // Duration of one append at that share, below the append's time limit.
 	headKey                = "state"         // Key of the snapshot's head.
 	writerKey              = "writer"        // Key of the epoch of the placer that writes snapshots.
-	keyBeforeHead          = "r"             // Sorts directly before headKey and after the keys that former versions wrote.
-)
+	keyBeforeHead          = "r"             // Sorts before headKey and after the keys that former versions wrote.
 
-// Partitions of the snapshot store: one for the head and two for the chunks.
-const (
 	headPartition      = 0
-	snapshotPartitions = 3
+	snapshotPartitions = 3 // One partition for the head and two for the chunks.
 )
 
 // chunkPartition returns the partition for the chunks of a generation. Generations alternate
@@ -163,8 +160,8 @@
 	return min(maxSaveBytes, int(saveLinkShare*w.linkBytesPerSecond*targetSaveTime.Seconds()))
 }
 
-// minTransferTime returns how long a transfer takes at the share of the link that a snapshot may
-// use, or 0 if the rate of the link is unknown.
+// minTransferTime returns how long the transfer of the given number of bytes takes at the share of
+// the link that a snapshot may use, or 0 if the rate of the link is unknown.
 func (w *snapshotWriter) minTransferTime(bytes int) time.Duration {
 	if w.linkBytesPerSecond <= 0 {
 		return 0
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -30,7 +30,7 @@
 type keyedStore struct {
 	mu         sync.Mutex
 	partitions [snapshotPartitions]keyedPartition
-	respond    func(part int) (stored, answered bool) // If nil, every append is stored and answered.
+	respond    func(partition int) (stored, answered bool) // If nil, every append is stored and answered.
 }
 
 type keyedPartition struct {
@@ -162,37 +162,37 @@
 // that started at that time lacked jobs.
 func TestNewPlacerKeepsNewestSnapshotIntact(t *testing.T) {
 	store := &keyedStore{}
-	first := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
-	generation, err := first.takeOver(t.Context())
+	formerWriter := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+	generation, err := formerWriter.takeOver(t.Context())
 	require.NoError(t, err)
 	for range 3 {
 		generation++
 		head, chunks := newTestSnapshot(t, 4, generation)
-		require.NoError(t, first.save(t.Context(), head, chunks))
+		require.NoError(t, formerWriter.save(t.Context(), head, chunks))
 	}
-	second := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 20}}
-	newest, err := second.takeOver(t.Context())
+	newWriter := &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 20}}
+	newestGeneration, err := newWriter.takeOver(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, generation, newest)
+	require.Equal(t, generation, newestGeneration)
 
-	head, chunks := newTestSnapshot(t, 9, newest+1)
+	head, chunks := newTestSnapshot(t, 9, newestGeneration+1)
 	var entries []cluster.Entry
 	for i, chunk := range chunks {
 		entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunk})
 	}
-	_, err = second.append(t.Context(), chunkPartition(head.Generation), entries)
+	_, err = newWriter.append(t.Context(), chunkPartition(head.Generation), entries)
 	require.NoError(t, err) // The head of this snapshot has not been written yet.
 	for _, lateGeneration := range []int64{generation, generation + 1} {
 		lateHead, lateChunks := newTestSnapshot(t, 5, lateGeneration)
-		require.True(t, fault.Is(first.save(t.Context(), lateHead, lateChunks), fault.Conflict), "chunks of generation %d", lateGeneration)
+		require.True(t, fault.Is(formerWriter.save(t.Context(), lateHead, lateChunks), fault.Conflict), "chunks of generation %d", lateGeneration)
 	}
-	_, err = first.append(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}})
+	_, err = formerWriter.append(t.Context(), headPartition, []cluster.Entry{{Key: headKey, Value: []byte("{")}})
 	require.True(t, fault.Is(err, fault.Conflict), "head")
-	state, loaded := readWholeSnapshot(t, newTestSnapshotReader(store), 0)
-	require.Equal(t, generation, loaded)
+	state, loadedGeneration := readWholeSnapshot(t, newTestSnapshotReader(store), 0)
+	require.Equal(t, generation, loadedGeneration)
 	require.Len(t, state.Jobs, 4)
 
-	require.NoError(t, second.save(t.Context(), head, chunks))
+	require.NoError(t, newWriter.save(t.Context(), head, chunks))
 	state, _ = readWholeSnapshot(t, newTestSnapshotReader(store), 0)
 	require.Len(t, state.Jobs, 9)
 }
@@ -256,7 +256,7 @@
 	pages := make(chan page)
 	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
-		timing: func() (gap, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
+		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
 	go reader.run(t.Context())
 	for deadline := time.After(5 * time.Second); ; {
