--- a/core/placer/ablation_test.go
+++ b/core/placer/ablation_test.go
@@ -26,7 +26,7 @@
 // of the value.
 func overload(t *testing.T, disabled Ablation, seeds uint64) (renewal, gauge, check, valueShare float64) {
 	for seed := range seeds {
-		load := newWorkloadOn(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
+		load := newWorkloadWithCapacity(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
 		load.placer.options.Disabled = disabled
 		for i, priority := range []int{1, 2, 0} {
 			load.config.Queues[i].Priority = priority
@@ -44,8 +44,9 @@
 }
 
 // Guards against gangs of an urgent queue that are blocked by single tasks of a less urgent one,
-// which take each free slot before the gang finds room for all its members (without overload, only
-// 0.72 of the gang jobs were on time), and against starvation of the less urgent work.
+// which take any free capacity before there is enough for all members of the gang: even without
+// overload, only 0.72 of the gang jobs were on time. Also guards against starvation of the less
+// urgent work.
 func TestSingleTasksYieldToUrgentGangs(t *testing.T) {
 	renewalWithout, _, _, valueShareWithout := overload(t, Ablation{Yields: true}, 3)
 	renewal, gauge, check, valueShare := overload(t, Ablation{}, 3)
--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -26,12 +26,12 @@
 
 // adviser is a daemon through which the placer calls the advice service.
 type adviser struct {
-	name          string
-	busyUntil     time.Duration // boot clock: expected time at which the service has processed all calls sent so far
-	callsInFlight int
-	avoidUntil    time.Duration // boot clock: receives no calls before this time
-	failures      int           // consecutive
-	answerDelay   time.Duration // moving average of the response time in excess of the expected queueing and service time
+	name                string
+	busyUntil           time.Duration // boot clock: expected time at which the service has processed all calls sent so far
+	callsInFlight       int
+	avoidUntil          time.Duration // boot clock: receives no calls before this time
+	consecutiveFailures int           // consecutive calls without an answer
+	answerDelay         time.Duration // moving average of the response time in excess of the expected queueing and service time
 }
 
 // queueDelay returns how long a call sent now is expected to wait in the service's queue.
@@ -43,13 +43,13 @@
 // better sent later through another daemon. Steps that are already late wait for an idle
 // daemon, so that a backlog does not make new requests late as well.
 type advisers struct {
-	byName        map[string]*adviser
-	candidates    []*adviser          // daemons available in this planning pass, shortest answerDelay first
-	refusedCost   [2][2]time.Duration // by lateness (on time, late) and lane (quick, slow): longest call for which this pass found no daemon
-	callsInFlight map[cluster.StepID]adviceCall
-	shortestCall  time.Duration // duration of the shortest call of any queue
+	byName             map[string]*adviser
+	candidates         []*adviser          // daemons available in this planning pass, shortest answerDelay first
+	longestRefusedCall [2][2]time.Duration // by lateness (on time, late) and lane (quick, slow): longest call for which this pass found no daemon
+	callsInFlight      map[cluster.StepID]adviceCall
+	shortestCall       time.Duration // duration of the shortest call of any queue
 
-	sortByName bool // see Ablation.NearAdvisers
+	sortByName bool // see DisabledMechanisms.NearAdvisers
 }
 
 // adviceCall is a call in flight.
@@ -74,7 +74,7 @@
 // setMembers synchronizes the advisers with the daemons of the cell and determines the
 // candidates of a planning pass.
 func (a *advisers) setMembers(names []string, now time.Duration) {
-	a.candidates, a.refusedCost = a.candidates[:0], [2][2]time.Duration{}
+	a.candidates, a.longestRefusedCall = a.candidates[:0], [2][2]time.Duration{}
 	for name := range a.byName {
 		if !slices.Contains(names, name) {
 			delete(a.byName, name)
@@ -130,7 +130,7 @@
 	if late {
 		lateness = 1
 	}
-	if cost <= a.refusedCost[lateness][lane] {
+	if cost <= a.longestRefusedCall[lateness][lane] {
 		return ""
 	}
 	bestName, bestDelay := "", time.Duration(0)
@@ -143,7 +143,7 @@
 		}
 	}
 	if bestName == "" {
-		a.refusedCost[lateness][lane] = cost
+		a.longestRefusedCall[lateness][lane] = cost
 	}
 	return bestName
 }
@@ -167,11 +167,11 @@
 		d.busyUntil = now
 	}
 	if failed {
-		d.avoidUntil = now + min(initialAdviserBackoff<<min(d.failures, 4), maxAdviserBackoff)
-		d.failures++
+		d.avoidUntil = now + min(initialAdviserBackoff<<min(d.consecutiveFailures, 4), maxAdviserBackoff)
+		d.consecutiveFailures++
 		return
 	}
-	d.failures = 0
+	d.consecutiveFailures = 0
 	d.answerDelay += (min(max(0, took-call.expected), maxAnswerDelay) - d.answerDelay) / answerDelayDivisor
 }
 
@@ -190,11 +190,11 @@
 	return fmt.Sprintf("%d of %d workers granted", granted, asked)
 }
 
-// FailingAdvisers returns the number of advisers whose last calls failed, and the number of
+// FailingAdvisers returns the number of advisers whose last call failed, and the number of
 // all advisers.
 func (p *Placer) FailingAdvisers() (failing, all int) {
 	for _, d := range p.advisers.byName {
-		if d.failures > 0 {
+		if d.consecutiveFailures > 0 {
 			failing++
 		}
 	}
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -30,7 +30,7 @@
 	cost := adviceCallTime(step.queue.Advice, len(workers))
 	daemon := p.advisers.pick(cost, late, now)
 	if daemon == "" {
-		p.releaseUnticketed(step, now)
+		p.releaseRunsWithoutTicket(step, now)
 		return commands
 	}
 	step.adviceInFlight, step.adviceSentAt = true, now
@@ -38,8 +38,8 @@
 	return append(commands, Command{Advise: &AdviseCommand{Step: step.id, Workers: workers, Daemon: daemon}})
 }
 
-// releaseUnticketed releases the capacity reserved for runs that have no ticket yet.
-func (p *Placer) releaseUnticketed(step *pendingStep, now time.Duration) {
+// releaseRunsWithoutTicket releases the capacity reserved for runs that have no ticket yet.
+func (p *Placer) releaseRunsWithoutTicket(step *pendingStep, now time.Duration) {
 	for i := 0; i < step.def.Count; i++ {
 		if r := p.runs[step.taskID(i)]; r != nil && r.state == ticketing {
 			p.endRun(r, cluster.NeverStarted, "", now)
@@ -62,21 +62,21 @@
 	for i := range p.workerIDs {
 		id := p.workerIDs[(startIndex+i)%len(p.workerIDs)]
 		v := p.vms[id]
-		if v == nil || !v.listed || v.Draining || !v.tokenSeen || v.Pool != step.job.Pool || step.denied[id] {
+		if v == nil || !v.inRegistry || v.Draining || !v.tokenSeen || v.Pool != step.job.Pool || step.denied[id] {
 			continue
 		}
-		if _, granted := step.grants[id]; granted || !occupiedRoom(step.def).Fits(v.Capacity) || step.def.Label != "" && !v.HasLabel(step.def.Label) {
+		if _, granted := step.grants[id]; granted || !reservedResources(step.def).Fits(v.Capacity) || step.def.Label != "" && !v.HasLabel(step.def.Label) {
 			continue
 		}
 		free, _ := p.cell.FreeCapacity(id)
-		n := free.CountFitting(occupiedRoom(step.def))
+		n := free.CountFitting(reservedResources(step.def))
 		if n == 0 {
 			fullWorkers = append(fullWorkers, id)
 			continue
 		}
 		workers = append(workers, id)
 		expectedTasks += grantRate * float64(n)
-		if len(workers) >= limit || len(workers) >= minCallWorkers && expectedTasks >= requestedRoomFactor*float64(step.def.Count) {
+		if len(workers) >= limit || len(workers) >= minCallWorkers && expectedTasks >= requestedCapacityFactor*float64(step.def.Count) {
 			return workers
 		}
 	}
@@ -85,13 +85,13 @@
 
 // Size of an advice call.
 const (
-	usualCallWorkers    = 30   // assumed when the duration of a call is estimated before its workers are chosen
-	minCallWorkers      = 12   // fewer would leave bin packing too little choice among the granted workers
-	maxCallWorkers      = 64   // larger calls delay the step more than the additional choice is worth
-	requestedRoomFactor = 2.0  // multiple of the capacity that the tasks need: some of it is taken before the answer arrives
-	initialGrantRate    = 0.5  // assumed share of granted workers before the first answer
-	grantRateWeight     = 0.05 // weight of one answer in the moving average
-	workerStride        = 7919 // a prime above any number of workers, so that consecutive jobs start far apart
+	usualCallWorkers        = 30   // assumed when the duration of a call is estimated before its workers are chosen
+	minCallWorkers          = 12   // fewer would leave bin packing too little choice among the granted workers
+	maxCallWorkers          = 64   // larger calls delay the step more than the additional choice is worth
+	requestedCapacityFactor = 2.0  // multiple of the capacity that the tasks need: some of it is taken before the answer arrives
+	initialGrantRate        = 0.5  // assumed share of granted workers before the first answer
+	grantRateWeight         = 0.05 // weight of one answer in the moving average
+	workerStride            = 7919 // a prime above any number of workers, so that consecutive jobs start far apart
 )
 
 // grantRate returns the estimated share of workers that advice grants for steps of a queue.
--- a/core/placer/bench_test.go
+++ b/core/placer/bench_test.go
@@ -29,8 +29,8 @@
 			b.ResetTimer()
 			for b.Loop() {
 				c.now += planInterval
-				c.placer.dirty = true
-				c.placer.Tick(c.now, c.wall())
+				c.placer.planNeeded = true
+				c.placer.Tick(c.now, c.wallMS())
 			}
 		})
 	}
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -15,7 +15,7 @@
 	epochRanks           = 64      // higher ranks use the epochs of the last one
 	epochsPerClaim       = epochRanks * epochsPerRank
 	claimDelayRoundTrips = 2                     // a daemon close to the log claims before a distant one
-	slowLogExtraLatency  = 80 * time.Millisecond // above the usual round trip; the log counts as slow beyond this
+	slowLogExtraLatency  = 80 * time.Millisecond // above the usual round trip; beyond this the log counts as slow
 	slowLogDelayFactor   = 10
 	placerSettleTime     = 6 * time.Second // after a claim, while the new placer takes over runs and a backlog
 	settleFailoverFactor = 2
@@ -24,17 +24,17 @@
 	// rankDelay is the least delay per rank. It gives the claim of one daemon time to reach the
 	// next one before that claims too: an append and a read between regions. While the log is
 	// slow, twice its current latency applies instead.
-	rankDelay            = 60 * time.Millisecond
-	logLatenciesPerRank  = 2
-	maxDelayedRanks      = 8                      // more daemons than this do not fail at once unless the log fails, too
-	helloTimeout         = 12 * time.Second       // daemons append a Hello record every few seconds
-	strongerClaimWait    = 2 * time.Second        // stronger daemons have claimed by then, even if they missed a probe
-	usualRecordGap       = 600 * time.Millisecond // between two reads that return records of an idle placer
-	recordGapDelayFactor = 3
-	logReplayTime        = 3 * time.Second // a daemon has replayed the log within this time after its start
-	strengthClassRatio   = 1.5             // differences below this ratio do not affect a placer
-	distanceClassWidth   = 10 * time.Millisecond
-	minStrength          = 0.01 // also assumed for a daemon that does not report its capacity
+	rankDelay                 = 60 * time.Millisecond
+	logLatenciesPerRank       = 2
+	maxDelayedRanks           = 8                      // more daemons than this do not fail at once unless the log fails, too
+	helloTimeout              = 12 * time.Second       // daemons append a Hello record every few seconds
+	betterCandidateClaimDelay = 2 * time.Second        // better candidates have claimed by then, even if they missed a probe
+	usualRecordGap            = 600 * time.Millisecond // between two reads that return records of an idle placer
+	recordGapDelayFactor      = 3
+	logReplayTime             = 3 * time.Second // a daemon has replayed the log within this time after its start
+	capacityClassRatio        = 1.5             // differences below this ratio do not affect a placer
+	logLatencyClassWidth      = 10 * time.Millisecond
+	minCapacityFactor         = 0.01 // also assumed for a daemon that does not report its capacity
 )
 
 // ClaimInput is the local information on which a daemon decides whether to claim.
@@ -47,7 +47,7 @@
 	Jitter          time.Duration // random delay of this daemon, below maxClaimJitter
 	MaxLogLatency   time.Duration // longest recent response time of the log; 0 means unknown
 	Rank            int           // number of daemons that claim before this one
-	StrongerPresent bool          // a much stronger daemon than this one is alive
+	StrongerPresent bool          // another daemon is a better placer: it has a higher capacity class, or this one lacks a direct path to the log or was isolated recently
 	MaxRecordGap    time.Duration // longest recent gap between records of the placer, without the current one
 }
 
@@ -61,7 +61,7 @@
 	delay := claimDelayRoundTrips*in.LogRoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.MaxLogLatency)
 	silence := in.Now - max(s.LastHeard, in.ReadySince)
 	if in.StrongerPresent {
-		delay += strongerClaimWait
+		delay += betterCandidateClaimDelay
 	}
 	if s.Claim.Daemon == "" && silence > delay {
 		return "there is no placer", true
@@ -81,7 +81,7 @@
 	return "", false
 }
 
-// ClaimRank returns the number of daemons that claim before self: those of a higher strength
+// ClaimRank returns the number of daemons that claim before self: those of a higher capacity
 // class, then those closer to the log. Without this order all daemons of a large cell claim at
 // once, and each claim fences the one before.
 func ClaimRank(s *flow.State, self flow.Hello, now time.Duration) int {
@@ -94,10 +94,10 @@
 	return n
 }
 
-// HasStronger reports whether a daemon of a higher strength class than self is alive.
+// HasHigherCapacity reports whether a daemon of a higher capacity class than self is alive.
 func HasStronger(s *flow.State, self flow.Hello, now time.Duration) bool {
 	for name, m := range s.Members {
-		if name != self.Daemon && now-m.LastSeen < helloTimeout && strengthClass(m.CapacityFactor) > strengthClass(self.CapacityFactor) {
+		if name != self.Daemon && now-m.LastSeen < helloTimeout && capacityClass(m.CapacityFactor) > capacityClass(self.CapacityFactor) {
 			return true
 		}
 	}
@@ -105,7 +105,8 @@
 }
 
 // Successors returns the daemons to which a stopping placer may hand over, the best candidate
-// first. Daemons that started a moment ago are left out, as they may not have replayed the log.
+// first. Daemons that started within logReplayTime are left out, as they may not have replayed the
+// log.
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
 	var list []flow.Hello
 	for name, m := range s.Members {
@@ -117,16 +118,16 @@
 	return list
 }
 
-// CompareCandidates sorts daemons by suitability for the placer role: by strength class, then by
-// distance to the log. Among equal ones the one that started last comes first, as a rolling
+// CompareCandidates sorts daemons by suitability for the placer role: by capacity class, then by
+// the latency of the log. Among equal ones the one that started last comes first, as a rolling
 // restart reaches it last.
 func CompareCandidates(a, b flow.Hello) int {
-	return cmp.Or(cmp.Compare(strengthClass(b.CapacityFactor), strengthClass(a.CapacityFactor)), cmp.Compare(a.LogLatencyMS/distanceClassWidth.Milliseconds(), b.LogLatencyMS/distanceClassWidth.Milliseconds()), cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
+	return cmp.Or(cmp.Compare(capacityClass(b.CapacityFactor), capacityClass(a.CapacityFactor)), cmp.Compare(a.LogLatencyMS/logLatencyClassWidth.Milliseconds(), b.LogLatencyMS/logLatencyClassWidth.Milliseconds()), cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
 }
 
-// strengthClass maps strengths that differ little to the same class.
-func strengthClass(strength float64) int {
-	return int(math.Floor(math.Log(max(strength, minStrength)) / math.Log(strengthClassRatio)))
+// capacityClass maps capacity factors that differ little to the same class.
+func capacityClass(factor float64) int {
+	return int(math.Floor(math.Log(max(factor, minCapacityFactor)) / math.Log(capacityClassRatio)))
 }
 
 // NextEpoch returns an epoch above all claimed ones. Among daemons that claim at the same time,
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -17,7 +17,7 @@
 // without a placer.
 func TestShouldClaim(t *testing.T) {
 	placing := &flow.State{Claim: flow.Claim{Daemon: "a", Epoch: 1}, LastHeard: 100 * second}
-	free := &flow.State{LastHeard: 100 * second}
+	noPlacer := &flow.State{LastHeard: 100 * second}
 	base := ClaimInput{Now: 100*second + 200*time.Millisecond, ReadySince: 50 * second, CaughtUpAt: 100*second + 150*time.Millisecond, LogRoundTrip: 4 * time.Millisecond, FailoverTimeout: second}
 	for _, test := range []struct {
 		name   string
@@ -26,11 +26,11 @@
 		claim  bool
 	}{
 		{"the placer has appended recently", placing, func(*ClaimInput) {}, false},
-		{"there is no placer", free, func(*ClaimInput) {}, true},
-		{"there is no placer, but a closer daemon claims first", free, func(in *ClaimInput) { in.Rank = 4 }, false},
-		{"there is no placer and the closer daemons do not claim", free, func(in *ClaimInput) { in.Rank, in.Now = 4, 101*second; in.CaughtUpAt = in.Now }, true},
-		{"there is no placer, the log is slow and a closer daemon claims first", free, func(in *ClaimInput) { in.Rank, in.MaxLogLatency = 1, 400*time.Millisecond }, false},
-		{"there is no placer and the log is slow", free, func(in *ClaimInput) { in.MaxLogLatency = 400 * time.Millisecond }, true},
+		{"there is no placer", noPlacer, func(*ClaimInput) {}, true},
+		{"there is no placer, but a closer daemon claims first", noPlacer, func(in *ClaimInput) { in.Rank = 4 }, false},
+		{"there is no placer and the closer daemons do not claim", noPlacer, func(in *ClaimInput) { in.Rank, in.Now = 4, 101*second; in.CaughtUpAt = in.Now }, true},
+		{"there is no placer, the log is slow and a closer daemon claims first", noPlacer, func(in *ClaimInput) { in.Rank, in.MaxLogLatency = 1, 400*time.Millisecond }, false},
+		{"there is no placer and the log is slow", noPlacer, func(in *ClaimInput) { in.MaxLogLatency = 400 * time.Millisecond }, true},
 		{"the placer is silent", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 102*second, 102*second }, true},
 		{"the log was not read recently", placing, func(in *ClaimInput) { in.Now = 102 * second }, false},
 		{"the log was unreadable during the silence", placing, func(in *ClaimInput) {
@@ -41,8 +41,8 @@
 		}, false},
 		{"a new placer is silent while it takes over", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 102*second, 102*second }, false},
 		{"a new placer is silent for longer than a takeover needs", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 104*second, 104*second }, true},
-		{"the placer is silent, but a stronger daemon claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 102*second, 102*second, true }, false},
-		{"the placer is silent and the stronger daemon does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 104*second, 104*second, true }, true},
+		{"the placer is silent, but a daemon with more capacity claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 102*second, 102*second, true }, false},
+		{"the placer is silent and the daemon with more capacity does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 104*second, 104*second, true }, true},
 		{"the placer is silent, but its records were infrequent before", placing, func(in *ClaimInput) {
 			in.Now, in.CaughtUpAt, in.MaxRecordGap = 102*second, 102*second, 1200*time.Millisecond
 		}, false},
@@ -58,7 +58,7 @@
 }
 
 // Guards against two claims with the same epoch, neither of which the log would reject.
-func TestEpochsRise(t *testing.T) {
+func TestEpochsIncrease(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	s := &flow.State{}
 	for range 1000 {
@@ -74,8 +74,8 @@
 // on a VM that is too small for it.
 func TestDaemonsClaimInTurn(t *testing.T) {
 	s := flow.NewState()
-	add := func(name string, strength float64, distanceMS int64) flow.Hello {
-		h := flow.Hello{Daemon: name, CapacityFactor: strength, LogLatencyMS: distanceMS}
+	add := func(name string, capacityFactor float64, logLatencyMS int64) flow.Hello {
+		h := flow.Hello{Daemon: name, CapacityFactor: capacityFactor, LogLatencyMS: logLatencyMS}
 		s.Members[name] = flow.Member{Hello: h, LastSeen: 100 * second}
 		return h
 	}
--- a/core/placer/courier.go
+++ b/core/placer/courier.go
@@ -9,16 +9,16 @@
 const (
 	directStartShare        = 0.1             // share of the placer's link for start commands that it sends itself; polls, advice and the log need the rest
 	directStartBurstSeconds = 0.5             // seconds of the direct share that may be used at once
-	relayAvoidTime          = 5 * time.Second // after a relayed command was not answered
-	startOverheadBytes      = 350             // of a start command and its answer without the Spec, headers included
+	relayAvoidTime          = 5 * time.Second // for which a relay is not used after a command through it was not answered
+	startOverheadBytes      = 350             // size of a start command and its answer, with headers and without the Spec
 )
 
 // startRelays decides which start commands the placer sends itself. A start command carries the
 // whole Spec of its job, which every daemon has read from the log. A relay can therefore send it
 // for a hundredth of the bytes on the placer's link. The fencing check of the worker applies to a
 // relayed command as to a direct one, and its lease ends at a time on the worker's clock.
-// It serves loads whose starts fill the link: 200 starts a second with a Spec of 1.3 KB take
-// more than 2 Mbit/s.
+// Without relays the start commands alone can fill the link: 200 starts a second with a Spec of
+// 1.3 KB take more than 2 Mbit/s.
 type startRelays struct {
 	linkBytesPerSecond float64 // 0 means unknown, and all commands are sent directly
 	budgetBytes        float64 // token bucket: bytes that may be sent now
--- a/core/placer/doc.go
+++ b/core/placer/doc.go
@@ -3,10 +3,10 @@
 // recorded in the log.
 //
 // A Placer is a state machine. Its inputs are records read from the log, answers of workers,
-// answers to advice calls and the registry; its outputs are commands. It does no I/O and reads
-// no clock. The sequence of a run is: the plan commits capacity in a place.Cell, a flow.Begin is
-// recorded, the start command is sent, the worker reports the run and later its end, the end is
-// recorded, and only then is it confirmed to the worker.
+// answers to advice calls and the registry; its outputs are commands and batches to append to the
+// log. It does no I/O and reads no clock. The sequence of a run is: the plan commits capacity in a
+// place.Cell, a flow.Begin is recorded, the start command is sent, the worker reports the run and
+// later its end, the end is recorded, and only then is it confirmed to the worker.
 //
 // Invariants:
 //   - a start command is sent only after the log has acknowledged the Begin of the run;
--- a/core/placer/evacuate.go
+++ b/core/placer/evacuate.go
@@ -12,25 +12,26 @@
 	// returns the checkpoint: three one-way delays to a distant region, and the rounding of the
 	// announced departure time.
 	evacuationMargin = 400 * time.Millisecond
-	// departingLease is the lease on a worker that is about to leave: one long poll and one
+	// departingLeaseDuration applies to a worker that is about to leave: one long poll and one
 	// retry. A run that is still there when the worker leaves can start elsewhere sooner.
-	departingLease = 3 * time.Second
-	// giveUpFactor bounds the early stop of runs without checkpoints: the remaining time of the
+	departingLeaseDuration = 3 * time.Second
+	// earlyStopFactor limits the early stop of runs without checkpoints: the remaining time of the
 	// run must exceed that of its worker by this factor. Estimates are off by half, and workers
 	// often stay longer than announced.
-	giveUpFactor = 2.5
+	earlyStopFactor = 2.5
 )
 
 // evacuate stops the runs on draining workers that cannot finish there, so that they continue
-// elsewhere without waiting for a lease to expire. A run with checkpoints continues until the
-// last moment. A run without them is stopped early, as all further work of it would be lost.
+// elsewhere without waiting for a lease to expire. A run with checkpoints continues until it
+// must stop to save its progress. A run without them is stopped early, as all further work of it
+// would be lost.
 func (p *Placer) evacuate(now time.Duration) {
 	for _, v := range p.vms {
 		if !v.Draining || v.leavesAt == 0 || len(v.runs) == 0 {
 			continue
 		}
 		for _, r := range v.runs {
-			if r.state != running || !r.wanted || r.unknown {
+			if r.state != running || !r.wanted || r.stray {
 				continue
 			}
 			if reason := p.evacuationReason(r, v.leavesAt-now, now); reason != "" {
@@ -54,7 +55,7 @@
 		return ""
 	case savesProgress && timeLeft <= p.options.StopTimeout+evacuationMargin:
 		return "its worker is leaving; progress is saved in a checkpoint"
-	case !savesProgress && timeLeft > 0 && remaining > time.Duration(giveUpFactor*float64(timeLeft)):
+	case !savesProgress && timeLeft > 0 && remaining > time.Duration(earlyStopFactor*float64(timeLeft)):
 		return "it cannot finish before its worker leaves"
 	}
 	return ""
@@ -72,7 +73,7 @@
 // leaseDuration returns the lease duration for the runs on a worker.
 func (p *Placer) leaseDuration(v *vm, now time.Duration) time.Duration {
 	if v.Draining && v.leavesAt > 0 && v.leavesAt-now < p.options.Lease {
-		return min(p.options.Lease, departingLease)
+		return min(p.options.Lease, departingLeaseDuration)
 	}
 	return p.options.Lease
 }
--- a/core/placer/evacuate_test.go
+++ b/core/placer/evacuate_test.go
@@ -21,13 +21,13 @@
 	})
 }
 
-// longTasks returns a step whose tasks take exactly as long as estimated.
-func (c *fakeCell) longTasks(n int, duration time.Duration, savesProgress bool) flow.Step {
+// longStep returns a step whose tasks take exactly as long as estimated.
+func (c *fakeCell) longStep(n int, duration time.Duration, savesProgress bool) flow.Step {
 	c.runTime = func(cluster.Start) time.Duration { return duration }
 	for _, w := range c.workers {
 		w.savesProgress = savesProgress
 	}
-	s := tasks(n)
+	s := batchStep(n)
 	s.EstimateMS, s.Checkpointing = duration.Milliseconds(), savesProgress
 	return s
 }
@@ -37,43 +37,43 @@
 func TestRunsLeaveADrainingWorkerWithTheirCheckpoints(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		c := readyCell(t, 3)
-		step := c.longTasks(4, 6*time.Second, true)
+		step := c.longStep(4, 6*time.Second, true)
 		step.Gang = gang
 		c.submit("j", step)
 		c.advance(time.Second)
 		c.drainWorker(c.busyWorker(), 3*time.Second)
 		c.advance(6 * time.Second) // 7 s in all: 6 s of work and one second for the move
-		require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases(), "gang %v", gang)
+		require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase(), "gang %v", gang)
 	}
 }
 
 // Guards against runs without checkpoints that stay on a worker that leaves long before they can
 // finish, and against the stop of runs that can finish there.
-func TestRunsThatCantFinishLeaveADrainingWorkerAtOnce(t *testing.T) {
+func TestRunsThatCannotFinishAreStoppedOnADrainingWorker(t *testing.T) {
 	c := readyCell(t, 3)
-	c.submit("long", c.longTasks(4, 9*time.Second, false))
+	c.submit("long", c.longStep(4, 9*time.Second, false))
 	c.advance(500 * time.Millisecond)
 	c.drainWorker(c.busyWorker(), 3*time.Second)
 	c.advance(10500 * time.Millisecond)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 
 	c = readyCell(t, 3)
-	c.submit("short", c.longTasks(4, 2500*time.Millisecond, false))
+	c.submit("short", c.longStep(4, 2500*time.Millisecond, false))
 	c.advance(500 * time.Millisecond)
 	c.drainWorker(c.busyWorker(), 3*time.Second)
 	c.advance(3 * time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 	require.Equal(t, 4, c.starts)
 }
 
 // Guards against the loss of checkpoints that a worker reported before it failed.
 func TestCheckpointsSurviveALostWorker(t *testing.T) {
 	c := readyCell(t, 3)
-	c.submit("j", c.longTasks(4, 8*time.Second, true))
+	c.submit("j", c.longStep(4, 8*time.Second, true))
 	c.advance(5 * time.Second)
 	lost := c.busyWorker()
 	lost.partitioned, lost.inRegistry = true, false
 	c.publishRegistry()
 	c.advance(6*time.Second + 5*time.Second) // the lease, and the work after the last reported checkpoint
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 }
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -16,7 +16,7 @@
 	case r.Submit != nil:
 		if j := p.state.Jobs[r.Submit.ID]; j != nil && j.Offset == p.state.NextOffset-1 {
 			p.addJob(j, now)
-			p.dirty = true
+			p.planNeeded = true
 		}
 	case r.Cancel != nil:
 		p.dropJob(r.Cancel.ID)
@@ -36,7 +36,7 @@
 		}
 		r.vm.markEndRecorded(end.RunID)
 	}
-	p.dirty = true
+	p.planNeeded = true
 	pending := p.jobs[end.Job]
 	if pending == nil {
 		return
@@ -126,7 +126,7 @@
 // firstStart returns the first start command of a run.
 func (p *Placer) firstStart(r *run, now time.Duration) Command {
 	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
-	r.orderedAt = now
+	r.startSentAt = now
 	p.unansweredStarts = append(p.unansweredStarts, r)
 	p.retryBudget.AddRequest()
 	return p.startCommand(r, p.chooseRelay(r.vm, r.spec, now), now)
@@ -152,7 +152,7 @@
 		p.relayFailed(c.Relay, now)
 	}
 	fenced := result == cluster.RefusedFenced
-	if !r.decidedBy(result) {
+	if !r.isConclusive(result) {
 		if r.startsInFlight > 0 || r.state != starting {
 			return fenced
 		}
@@ -160,7 +160,7 @@
 	}
 	switch result {
 	case cluster.Started:
-		v.refusals = 0
+		v.consecutiveRefusals = 0
 		r.transition(accepted)
 		r.answeredAt = now
 		p.recordJobStart(r)
@@ -180,8 +180,8 @@
 	}
 	switch result {
 	case cluster.RefusedOther:
-		v.refusals++
-		v.avoidUntil = now + avoidAfterRefusal*time.Duration(min(v.refusals, 8))
+		v.consecutiveRefusals++
+		v.avoidUntil = now + avoidAfterRefusal*time.Duration(min(v.consecutiveRefusals, 8))
 		p.updateCellWorker(v, now)
 	case cluster.RefusedCapacity:
 		v.avoidUntil = now + avoidAfterRefusal
@@ -198,9 +198,9 @@
 // updateStartWindow adjusts the limit of concurrent starts to the response time of a start
 // command, or to the lack of an answer.
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
-	p.dirty = p.dirty || p.startWindow.limiting
-	if r.state == starting && p.startWindow.observe(r.orderedAt, now, p.startsInProgress) {
-		p.addDecision(Decision{Kind: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.orderedAt})
+	p.planNeeded = p.planNeeded || p.startWindow.limiting
+	if r.state == starting && p.startWindow.observe(r.startSentAt, now, p.startsInProgress) {
+		p.addDecision(Decision{Kind: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.startSentAt})
 	}
 }
 
@@ -268,7 +268,7 @@
 	p.adjustPace(v, now)
 	v.nextPollAt = now + pollInterval
 	p.updateCellWorker(v, now)
-	p.dirty = true
+	p.planNeeded = true
 }
 
 // processEnds processes the run ends that the worker has not reported before.
@@ -281,7 +281,7 @@
 		v.lastListedEnd = e.Number
 		r := p.runs[e.TaskID]
 		tracked := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
-		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !tracked || r.unknown})
+		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !tracked || r.stray})
 		if tracked {
 			p.processEnd(r, e, now)
 		}
@@ -293,26 +293,26 @@
 	v := r.vm
 	switch e.Reason {
 	case cluster.Failed:
-		p.workerFailed(v, r, now)
+		p.countWorkerFailure(v, r, now)
 	case cluster.Done:
-		v.failures = 0
+		v.consecutiveFailures = 0
 	}
 	p.endRun(r, e.Reason, e.Checkpoint, now)
 }
 
-// workerFailed counts consecutive failures of different jobs. A worker on which several jobs in
-// a row fail receives no work for a while. Repeated failures of one job count once, as the worker
-// may not be their cause.
-func (p *Placer) workerFailed(v *vm, r *run, now time.Duration) {
+// countWorkerFailure counts consecutive failures of runs of different jobs. A worker on which
+// several jobs in a row fail receives no work for a while. Repeated failures of one job count
+// once, as the worker may not be their cause.
+func (p *Placer) countWorkerFailure(v *vm, r *run, now time.Duration) {
 	if step := p.steps[r.StepID()]; step != nil && len(step.avoidWorkers) < 8 {
 		step.avoidWorkers = append(step.avoidWorkers, v.Life.Worker)
 	}
-	if v.lastFailed == r.Job {
+	if v.lastFailedJob == r.Job {
 		return
 	}
-	v.lastFailed = r.Job
-	v.failures++
-	if v.failures >= failuresToAvoid {
+	v.lastFailedJob = r.Job
+	v.consecutiveFailures++
+	if v.consecutiveFailures >= failuresToAvoid {
 		v.avoidUntil = now + avoidAfterFailures
 		p.addDecision(Decision{Kind: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
 		p.updateCellWorker(v, now)
@@ -338,7 +338,7 @@
 			}
 			continue
 		}
-		p.handleUnknownRun(v, row, now)
+		p.handleStrayRun(v, row, now)
 	}
 	if len(report.Ended) >= maxReportedEnds {
 		return // the report may have been truncated: a run that it lacks may have ended
@@ -347,19 +347,19 @@
 		if listedRuns[r.RunID] {
 			continue
 		}
-		p.handleMissing(r, now)
+		p.handleMissingRun(r, now)
 	}
 }
 
-// handleMissing handles a run that its worker does not report. Only a poll that was sent after
-// the outcome of the command was known proves that the worker does not have the run.
-func (p *Placer) handleMissing(r *run, now time.Duration) {
+// handleMissingRun handles a run that its worker does not report. Only a poll that was sent after
+// the outcome of the last command was known proves that the worker does not have the run.
+func (p *Placer) handleMissingRun(r *run, now time.Duration) {
 	sent := r.vm.pollSentAt
 	switch r.state {
 	case running:
 		if sent > r.answeredAt+time.Second {
 			if r.mayStartLate(now) {
-				r.transition(stopOrder)
+				r.transition(stopRequested)
 				return
 			}
 			p.addDecision(Decision{Kind: "run is missing", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.answeredAt})
@@ -367,7 +367,7 @@
 		}
 	case uncertain:
 		if sent > r.answeredAt {
-			r.transition(stopOrder)
+			r.transition(stopRequested)
 		}
 	case stopping:
 		if r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt {
@@ -376,19 +376,19 @@
 	}
 }
 
-// handleUnknownRun stops a run that is not active according to the log. The capacity of the run
+// handleStrayRun stops a run that is not active according to the log. The capacity of the run
 // stays occupied until the run is gone, unless the task has another run.
-func (p *Placer) handleUnknownRun(v *vm, row *cluster.RunReport, now time.Duration) {
+func (p *Placer) handleStrayRun(v *vm, row *cluster.RunReport, now time.Duration) {
 	if known := p.runs[row.TaskID]; known != nil {
-		// The task has another run: the stray one is stopped without being tracked.
+		// The task has another run, so the stray one is stopped without being tracked.
 		p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 		p.queuedCommands = append(p.queuedCommands, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
 		return
 	}
 	j := p.state.Jobs[row.Job]
-	r := &run{RunID: row.RunID, state: stopping, vm: v, unknown: true, wasListed: true, recorded: true, plannedAt: now, answeredAt: now}
+	r := &run{RunID: row.RunID, state: stopping, vm: v, stray: true, wasListed: true, recorded: true, plannedAt: now, answeredAt: now}
 	if j != nil && row.Step >= 0 && row.Step < len(j.Steps) {
-		r.size = occupiedRoom(&j.Steps[row.Step])
+		r.size = reservedResources(&j.Steps[row.Step])
 	}
 	p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 	p.runs[row.TaskID] = r
@@ -410,8 +410,8 @@
 	}
 	delete(r.vm.runs, r.TaskID)
 	p.cell.Release(cellTaskID(r.TaskID), int64(r.Run))
-	p.dirty = true
-	if r.unknown {
+	p.planNeeded = true
+	if r.stray {
 		delete(p.runs, r.TaskID)
 		if step := p.steps[r.StepID()]; step != nil {
 			step.activeRuns--
@@ -458,7 +458,7 @@
 func (p *Placer) AdviceAnswered(c *AdviseCommand, grants []cluster.Grant, valid, took time.Duration, failed bool, now time.Duration) {
 	p.advisers.callFinished(c, took, failed, now)
 	step := p.steps[c.Step]
-	p.dirty = true
+	p.planNeeded = true
 	tickets := map[string]string{}
 	for _, g := range grants {
 		tickets[g.Worker] = g.Ticket
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -22,26 +22,26 @@
 	placer           *Placer
 	config           *cluster.Configuration
 	workers          map[string]*fakeWorker
-	scheduled        []event
+	scheduled        []scheduledEvent
 	seq              int
 	confirmedDone    map[cluster.TaskID]bool // tasks whose successful end was confirmed before the lease expired
 	starts           int
-	answerDelay      time.Duration // round trip of every command, and latency of an append
-	drop             func(c Command) (lost bool, delay time.Duration)
+	answerDelay      time.Duration                                    // round trip of every command, and latency of an append
+	commandFault     func(c Command) (lost bool, delay time.Duration) // whether the answer to a command is lost, and how much later the command arrives
 	runTime          func(s cluster.Start) time.Duration
 	outcome          func(s cluster.Start) cluster.EndReason
 	decisions        []Decision
-	logDown          bool                                // no batches are appended
-	load             func(w *fakeWorker, r *fakeRun) int // as reported in answers to polls
+	logUnreachable   bool                                // no batches are appended
+	reportedLoad     func(w *fakeWorker, r *fakeRun) int // as reported in answers to polls
 	advice           func(c *AdviseCommand) []cluster.Grant
 	adviserBusyUntil map[string]time.Duration                 // by daemon: when the service has processed its advice calls
 	placerTime       time.Duration                            // time spent in calls of the placer
-	linkDelay        func(c Command, bytes int) time.Duration // queueing delay at the placer's link of a command or, with a zero Command, of an append
+	linkDelay        func(c Command, bytes int) time.Duration // queueing delay of a command at the placer's link; of an append if the Command is zero
 	refuseTicket     func(s *cluster.Start) bool              // whether the worker refuses the ticket of a start command
 	onJobEnd         func(j *flow.Job)                        // called for each job that ends
 }
 
-type event struct {
+type scheduledEvent struct {
 	at  time.Duration
 	seq int
 	do  func()
@@ -54,7 +54,7 @@
 	startedAt          time.Duration
 	checkpointPermille int           // work that the checkpoint contained, in thousandths
 	duration           time.Duration // of the whole task without a checkpoint
-	pace               int
+	pacePercent        int
 }
 
 // donePermille returns the completed work in thousandths.
@@ -73,10 +73,10 @@
 	lastEndNumber int64
 	highestRun    map[cluster.TaskID]int
 	inRegistry    bool
-	started       time.Duration
+	startedAt     time.Duration
 	savesProgress bool // its runs create checkpoints
 	stoppedAt     time.Duration
-	lapsedUpTo    int64 // the lease has expired after the ends up to this number
+	expiredUpTo   int64 // the lease has expired since the ends up to this number
 }
 
 var testOptions = Options{Lease: 6 * time.Second, MaxLease: 10 * time.Second, MaxRenewalWithoutLog: 14 * time.Second}
@@ -103,11 +103,11 @@
 	return c
 }
 
-func (c *fakeCell) wall() int64 { return testWallMS + c.now.Milliseconds() }
+func (c *fakeCell) wallMS() int64 { return testWallMS + c.now.Milliseconds() }
 
 func (c *fakeCell) after(d time.Duration, do func()) {
 	c.seq++
-	c.scheduled = append(c.scheduled, event{c.now + d, c.seq, do})
+	c.scheduled = append(c.scheduled, scheduledEvent{c.now + d, c.seq, do})
 }
 
 // append appends a record to the log and passes it to the placer.
@@ -129,7 +129,7 @@
 }
 
 func (c *fakeCell) submit(id string, steps ...flow.Step) {
-	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wall()}}))
+	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wallMS()}}))
 }
 
 // takeOver replaces the placer by a new one.
@@ -163,11 +163,11 @@
 			continue
 		}
 		began := time.Now()
-		commands := c.placer.Tick(c.now, c.wall())
+		commands := c.placer.Tick(c.now, c.wallMS())
 		c.placerTime += time.Since(began)
 		c.dispatch(commands)
 		c.decisions = append(c.decisions, c.placer.TakeDecisions()...)
-		if c.logDown {
+		if c.logUnreachable {
 			continue
 		}
 		if batch, runs, ok := c.placer.Flush(c.now); ok {
@@ -200,11 +200,11 @@
 	}
 }
 
-func (w *fakeWorker) clock(now time.Duration) int64 { return (now - w.started).Milliseconds() }
+func (w *fakeWorker) clockMS(now time.Duration) int64 { return (now - w.startedAt).Milliseconds() }
 
 // extendLease extends the lease up to the given time, but never beyond MaxLease from now.
 func (w *fakeWorker) extendLease(now time.Duration, until int64) {
-	w.leaseUntilMS = max(w.leaseUntilMS, min(until, w.clock(now)+testOptions.MaxLease.Milliseconds()))
+	w.leaseUntilMS = max(w.leaseUntilMS, min(until, w.clockMS(now)+testOptions.MaxLease.Milliseconds()))
 }
 
 func (w *fakeWorker) end(id cluster.TaskID, how cluster.EndReason) {
@@ -221,12 +221,12 @@
 
 func (c *fakeCell) tickWorkers() {
 	for _, w := range c.workers {
-		if w.clock(c.now) > w.leaseUntilMS {
-			w.lapsedUpTo = w.lastEndNumber
+		if w.clockMS(c.now) > w.leaseUntilMS {
+			w.expiredUpTo = w.lastEndNumber
 		}
 		for id, r := range w.runs {
 			switch {
-			case w.clock(c.now) > w.leaseUntilMS:
+			case w.clockMS(c.now) > w.leaseUntilMS:
 				w.end(id, cluster.LeaseExpired)
 			case c.now >= r.endAt:
 				w.end(id, c.outcome(r.start))
@@ -244,13 +244,13 @@
 			continue
 		}
 		lost, delay := false, time.Duration(0)
-		if c.drop != nil {
-			lost, delay = c.drop(command)
+		if c.commandFault != nil {
+			lost, delay = c.commandFault(command)
 		}
 		if c.linkDelay != nil {
 			wait := c.linkDelay(command, command.bytes())
 			delay += wait
-			lost = lost || wait > orderTimeout
+			lost = lost || wait > commandTimeout
 		}
 		if delay == 0 {
 			c.after(c.answerDelay/2, func() { c.deliver(p, command, lost) })
@@ -291,7 +291,7 @@
 	})
 }
 
-// life returns the life of the worker that a command is addressed to.
+// life returns the incarnation of the worker to which a command is addressed.
 func (c Command) life() cluster.Life {
 	switch {
 	case c.Start != nil:
@@ -325,7 +325,7 @@
 		w := c.workers[s.Life.Worker]
 		result, clock := cluster.NoAnswer, int64(0)
 		if w != nil && w.up && !w.partitioned && !restarted {
-			result, clock = c.start(w, &s.Order), w.clock(c.now)
+			result, clock = c.start(w, &s.Order), w.clockMS(c.now)
 		}
 		if lost {
 			result, clock = cluster.NoAnswer, 0
@@ -336,7 +336,7 @@
 		w := c.workers[s.Life.Worker]
 		result, clock := cluster.NoAnswer, int64(0)
 		if w != nil && w.up && !w.partitioned {
-			result, clock = c.stop(w, s), w.clock(c.now)
+			result, clock = c.stop(w, s), w.clockMS(c.now)
 		}
 		answer(func(now time.Duration) []Command { p.StopAnswered(s, result, clock, now); return nil })
 	case command.Pace != nil:
@@ -345,7 +345,7 @@
 		result := cluster.NoAnswer
 		if w != nil && w.up && !w.partitioned && !restarted && pace.Token >= w.token {
 			if r := w.runs[pace.Run.TaskID]; r != nil {
-				r.pace = pace.Percent
+				r.pacePercent = pace.Percent
 			}
 			result = cluster.Started
 		}
@@ -376,7 +376,7 @@
 	if s.Run <= w.highestRun[s.TaskID] {
 		return cluster.RefusedStaleRun
 	}
-	if w.clock(c.now) > s.LeaseUntil {
+	if w.clockMS(c.now) > s.LeaseUntil {
 		return cluster.RefusedLeaseExpired
 	}
 	w.extendLease(c.now, s.LeaseUntil)
@@ -392,11 +392,11 @@
 		require.Fail(c.t, "task started after its end", "task %v is started although its end was confirmed: %v", s.TaskID, c.decisionsOn(s.TaskID))
 	}
 	job := c.state.Jobs[s.Job]
-	size := occupiedRoom(&job.Steps[s.Step])
+	size := reservedResources(&job.Steps[s.Step])
 	for _, a := range job.Steps[s.Step].DependsOn {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
-	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: c.runTime(*s), pace: 100}
+	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: c.runTime(*s), pacePercent: 100}
 	if s.Checkpoint != "" {
 		_, err := fmt.Sscan(s.Checkpoint, &run.checkpointPermille)
 		require.NoError(c.t, err, "checkpoint %q", s.Checkpoint)
@@ -433,16 +433,16 @@
 		switch {
 		case e.Number > h.Confirmed:
 			unconfirmed = append(unconfirmed, e)
-		case e.Reason == cluster.Done && e.Number > w.lapsedUpTo:
+		case e.Reason == cluster.Done && e.Number > w.expiredUpTo:
 			c.confirmedDone[e.TaskID] = true
 		}
 	}
 	w.ended = unconfirmed
-	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clock(c.now), Ended: append([]cluster.EndReport(nil), unconfirmed...)}
+	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clockMS(c.now), Ended: append([]cluster.EndReport(nil), unconfirmed...)}
 	for _, run := range w.runs {
 		row := cluster.RunReport{RunID: run.start.RunID, Percent: run.donePermille(c.now) / 10}
-		if c.load != nil {
-			row.Load = c.load(w, run)
+		if c.reportedLoad != nil {
+			row.Load = c.reportedLoad(w, run)
 		}
 		if w.savesProgress {
 			row.Checkpoint = fmt.Sprint(run.donePermille(c.now))
@@ -452,14 +452,14 @@
 	return r
 }
 
-// restart restarts a worker, which gives it a new life.
+// restart replaces the incarnation of a worker by a new one.
 func (c *fakeCell) restart(w *fakeWorker) {
 	w.Born++
 	w.runs, w.ended, w.highestRun = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
-	w.lastEndNumber, w.token, w.leaseUntilMS, w.lapsedUpTo, w.started = 0, 0, 0, 0, c.now
+	w.lastEndNumber, w.token, w.leaseUntilMS, w.expiredUpTo, w.startedAt = 0, 0, 0, 0, c.now
 }
 
-func (c *fakeCell) phases() map[flow.Phase]int {
+func (c *fakeCell) jobsByPhase() map[flow.Phase]int {
 	n := map[flow.Phase]int{}
 	for _, j := range c.state.Jobs {
 		n[j.Phase]++
--- a/core/placer/faults_test.go
+++ b/core/placer/faults_test.go
@@ -12,10 +12,10 @@
 
 // Guards against runs that are started again elsewhere or given up although their worker was
 // unreachable for less than a lease.
-func TestSilentWorkerKeepsItsWork(t *testing.T) {
+func TestUnreachableWorkerKeepsItsRuns(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 12 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	w := c.busyWorker()
 	for range 2 {
@@ -29,27 +29,27 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a placer that was paused during a takeover and then sends its orders or retries
-// them: workers must refuse all of them.
-func TestPausedPlacerOrdersNothingAfterItsSuccessor(t *testing.T) {
+// Guards against a placer that was paused during a takeover and then sends its start commands or
+// retries them: workers must refuse all of them.
+func TestPausedPlacerIsFencedAfterATakeover(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 5 * time.Second }
-	c.drop = func(command Command) (bool, time.Duration) { return command.Start != nil, time.Hour }
-	c.submit("j", tasks(6))
-	c.advance(100 * time.Millisecond) // orders are sent and not executed
+	c.commandFault = func(command Command) (bool, time.Duration) { return command.Start != nil, time.Hour }
+	c.submit("j", batchStep(6))
+	c.advance(100 * time.Millisecond) // the start commands are sent and not executed
 	former := c.placer
 	require.Zero(t, c.starts)
-	c.drop = nil
+	c.commandFault = nil
 	c.takeOver()
 	c.advance(time.Second)
-	orders := 0
-	for _, command := range former.Tick(c.now, c.wall()) { // the paused placer resumes
+	retries := 0
+	for _, command := range former.Tick(c.now, c.wallMS()) { // the paused placer resumes
 		if s := command.Start; s != nil {
-			orders++
+			retries++
 			require.Equal(t, cluster.RefusedFenced, c.start(c.workers[s.Life.Worker], &s.Order))
 		}
 	}
-	require.Positive(t, orders, "the resumed placer retries unanswered orders")
+	require.Positive(t, retries, "the resumed placer retries unanswered start commands")
 	c.advance(15 * time.Second)
 	require.Equal(t, 6, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
@@ -60,7 +60,7 @@
 func TestPlacerPausedBeyondItsLeases(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	for range 1600 { // 8 s in which only the workers continue
 		c.now += 5 * time.Millisecond
@@ -81,20 +81,20 @@
 	c.publishRegistry()
 	c.takeOver()
 	c.advance(300 * time.Millisecond)
-	c.submit("j", tasks(12))
+	c.submit("j", batchStep(12))
 	c.advance(5 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 	require.Zero(t, leaving.lastEndNumber+gone.lastEndNumber)
 	require.EqualValues(t, 12, c.workers["w02"].lastEndNumber)
 }
 
-// Guards against a task that runs twice because the answer to its start order was lost: the
-// retried order is refused, which must not count as "did not run".
+// Guards against a task that runs twice because the answer to its start command was lost: the
+// retried command is refused, which must not count as "did not run".
 func TestLostAnswerOfAShortRun(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 100 * time.Millisecond } // ends before the retry
 	answerLost, noPollUntil := map[cluster.TaskID]bool{}, time.Duration(0)
-	c.drop = func(command Command) (bool, time.Duration) {
+	c.commandFault = func(command Command) (bool, time.Duration) {
 		if s := command.Start; s != nil && !answerLost[s.Order.TaskID] {
 			answerLost[s.Order.TaskID] = true
 			require.Equal(t, cluster.Started, c.start(c.workers[s.Life.Worker], &s.Order))
@@ -106,29 +106,29 @@
 		return false, 0
 	}
 	noPollUntil = c.now + 900*time.Millisecond // polls are answered after the retry
-	c.submit("j", tasks(4))
+	c.submit("j", batchStep(4))
 	c.advance(6 * time.Second)
 	require.Len(t, answerLost, 4)
 	require.Equal(t, 4, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
-// Guards against a delayed copy of an order that the next incarnation of its worker executes
+// Guards against a delayed copy of a start command that the next incarnation of its worker executes
 // after the task has been started elsewhere.
-func TestLateCopyInTheNextLife(t *testing.T) {
+func TestDelayedStartCommandReachesTheNextIncarnation(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 30 * time.Second }
 	var delayed []*StartCommand
-	c.drop = func(command Command) (bool, time.Duration) {
+	c.commandFault = func(command Command) (bool, time.Duration) {
 		if command.Start != nil && len(delayed) < 1 {
 			delayed = append(delayed, command.Start)
 			return true, time.Hour // executed only by the explicit call below
 		}
 		return false, 0
 	}
-	c.submit("j", tasks(1))
+	c.submit("j", batchStep(1))
 	c.advance(time.Second)
-	require.Equal(t, 1, c.starts, "the retried order was executed")
+	require.Equal(t, 1, c.starts, "the retried command was executed")
 	w := c.workers[delayed[0].Life.Worker]
 	c.restart(w)
 	c.publishRegistry()
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -12,12 +12,12 @@
 // the backfill tasks are throttled.
 const (
 	minIdleCoreShare    = 0.5                    // share of the cores requested by a backfill task that must be idle on its worker
-	paceDecreaseDivisor = 4                      // divides the pace of a worker's backfill tasks when the load of a serving task exceeds slowDownTargetShare
+	paceDecreaseDivisor = 4                      // divides the pace of a worker's backfill tasks when the latency of a serving task exceeds slowDownTargetShare
 	minPacePercent      = 10                     // below it, backfill tasks are paused
 	paceIncreasePercent = 10                     // percentage points of each increase
 	slowDownTargetShare = 0.9                    // share of the latency target; below 1, as the measured latency is imprecise and a new pace takes effect with a delay
 	speedUpTargetShare  = 0.6                    // share of the latency target below which the pace rises again
-	servingPollWait     = 500 * time.Millisecond // workers measure the latency over the last half second
+	pacingPollWait      = 500 * time.Millisecond // for workers with serving and backfill tasks, which measure the latency over the last half second
 )
 
 // isServing reports whether a run serves requests of users under a tail latency target.
@@ -31,9 +31,9 @@
 	return def != nil && def.Backfill
 }
 
-// countServingAndFilling returns the numbers of serving and backfill runs on a worker, and the
+// countServingAndBackfill returns the numbers of serving and backfill runs on a worker, and the
 // CPU that the backfill runs request.
-func (p *Placer) countServingAndFilling(v *vm) (serving, backfill int, backfillMilliCores int64) {
+func (p *Placer) countServingAndBackfill(v *vm) (serving, backfill int, backfillMilliCores int64) {
 	for _, r := range v.runs {
 		switch {
 		case p.isBackfill(r):
@@ -46,9 +46,9 @@
 	return serving, backfill, backfillMilliCores
 }
 
-// workersForFilling returns the candidates (nil: all workers) with idle cores and without serving
+// workersForBackfill returns the candidates (nil: all workers) with idle cores and without serving
 // tasks, for a backfill step.
-func (p *Placer) workersForFilling(step *pendingStep, candidates []string) []string {
+func (p *Placer) workersForBackfill(step *pendingStep, candidates []string) []string {
 	if candidates == nil {
 		candidates = p.workerIDs
 	}
@@ -59,7 +59,7 @@
 			continue
 		}
 		free, schedulable := p.cell.FreeCapacity(id)
-		serving, _, backfillMilliCores := p.countServingAndFilling(v)
+		serving, _, backfillMilliCores := p.countServingAndBackfill(v)
 		if schedulable && serving == 0 && float64(free.MilliCores-backfillMilliCores) >= minIdleCoreShare*float64(step.def.Size.MilliCores) {
 			eligible = append(eligible, id)
 		}
@@ -77,7 +77,7 @@
 	eligible := make([]string, 0, len(all))
 	for _, id := range all {
 		if v := p.vms[id]; v != nil {
-			if _, backfill, _ := p.countServingAndFilling(v); backfill == 0 {
+			if _, backfill, _ := p.countServingAndBackfill(v); backfill == 0 {
 				eligible = append(eligible, id)
 			}
 		}
@@ -91,7 +91,7 @@
 // adjustPace throttles the backfill runs of a worker while a serving run is near or above its
 // latency target, and speeds them up again when all serving runs are well below theirs.
 func (p *Placer) adjustPace(v *vm, now time.Duration) {
-	serving, backfill, _ := p.countServingAndFilling(v)
+	serving, backfill, _ := p.countServingAndBackfill(v)
 	if backfill == 0 {
 		return
 	}
--- a/core/placer/fill_test.go
+++ b/core/placer/fill_test.go
@@ -16,14 +16,14 @@
 func servingCell(t *testing.T, workers int) *fakeCell {
 	c := newFakeCell(t, workers, workerCapacity)
 	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
-	c.load = func(w *fakeWorker, r *fakeRun) int {
+	c.reportedLoad = func(w *fakeWorker, r *fakeRun) int {
 		if c.state.Jobs[r.start.Job].Steps[0].Backfill {
 			return 0
 		}
 		tail := 20
 		for _, other := range w.runs {
 			if c.state.Jobs[other.start.Job].Steps[0].Backfill {
-				tail += other.pace
+				tail += other.pacePercent
 			}
 		}
 		return tail
@@ -72,11 +72,11 @@
 	w := c.workers["w00"]
 	require.Len(t, w.runs, 2)
 	fill := w.runs[cluster.TaskID{Job: "fill"}]
-	require.Less(t, fill.pace+20, 100)
+	require.Less(t, fill.pacePercent+20, 100)
 	c.takeOver()
 	c.advance(4 * time.Second)
-	require.Less(t, fill.pace+20, 100)
+	require.Less(t, fill.pacePercent+20, 100)
 	require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: "serve"}}))
 	c.advance(20 * time.Second)
-	require.Equal(t, 100, fill.pace)
+	require.Equal(t, 100, fill.pacePercent)
 }
--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -34,20 +34,20 @@
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}}))
 	c.takeOver()
 	c.advance(200 * time.Millisecond)
-	c.submit("blocks", tasks(8))
+	c.submit("blocks", batchStep(8))
 	c.advance(200 * time.Millisecond)
-	gang := tasks(6)
+	gang := batchStep(6)
 	gang.Gang = true
-	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wall()}}))
+	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wallMS()}}))
 	c.advance(2500 * time.Millisecond)
 	require.Empty(t, starts)
 	return c, starts
 }
 
 // Guards against a gang of which some members start while tickets for others are still
-// requested: on their workers the started members waited for longer than allowed. It
-// happened in a cell of several racks with jobs that have due times.
-func TestGangStartsWhenAllTicketsAreThere(t *testing.T) {
+// requested: on their workers the started members waited for the others for longer than
+// allowed. This happened in a cell of several racks with jobs that have due times.
+func TestGangStartsOnlyWithAllTickets(t *testing.T) {
 	c, starts := gangWithExpiredTickets(t)
 	step := c.placer.steps[cluster.StepID{Job: "gang"}]
 	step.grants["w00"] = ticket{"t", c.now + 5*time.Second} // only this ticket is valid until the workers have free capacity
@@ -71,7 +71,7 @@
 		c.now += 5 * time.Millisecond
 		c.runScheduled()
 		c.tickWorkers()
-		c.dispatch(c.placer.Tick(c.now, c.wall()))
+		c.dispatch(c.placer.Tick(c.now, c.wallMS()))
 		if batch, runs, ok := c.placer.Flush(c.now); ok && len(runs) > 0 {
 			c.now += 3 * time.Second // a slow append
 			require.NoError(t, c.append(flow.Record{Batch: &batch}))
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -17,18 +17,18 @@
 
 // requestKind describes one kind of request of a generated load.
 type requestKind struct {
-	name     string
-	rate     float64         // jobs per second
-	steps    float64         // mean steps of a job
-	width    float64         // mean tasks of a step
-	duration time.Duration   // mean of a task
-	size     resource.Vector // mean of a task
-	gangs    float64         // share of the steps that are gangs
-	slack    float64
-	target   time.Duration
-	advice   *cluster.Advice
-	granted  float64 // share of workers that advice grants
-	value    float64 // of a job on time
+	name         string
+	rate         float64         // jobs per second
+	steps        float64         // mean steps of a job
+	width        float64         // mean tasks of a step
+	duration     time.Duration   // mean of a task
+	size         resource.Vector // mean of a task
+	gangShare    float64         // share of the steps that are gangs
+	slack        float64
+	target       time.Duration
+	advice       *cluster.Advice
+	grantedShare float64 // share of the workers that advice grants
+	value        float64 // of a job on time
 }
 
 // The same three kinds of requests for 48 workers (smallLoad), 350 (largeLoad) and 370 (wideLoad).
@@ -62,28 +62,28 @@
 // workload generates a load on a fake cell and counts the jobs by kind.
 type workload struct {
 	*fakeCell
-	kinds     []requestKind
-	rng       *rand.Rand
-	durations map[cluster.StepID]time.Duration // actual duration of a step's tasks
-	sent      map[string]time.Duration
-	kindOf    map[string]*requestKind
-	objective map[string]time.Duration
-	onTime    map[string]int // by kind
-	late      map[string]int // by kind
-	submitted map[string]int // by kind
-	jobs      int
-	daemons   int
-	counted   map[string]bool // jobs that are counted or left out of the counts
+	kinds       []requestKind
+	rng         *rand.Rand
+	durations   map[cluster.StepID]time.Duration // actual duration of a step's tasks
+	submittedAt map[string]time.Duration
+	kindOf      map[string]*requestKind
+	objective   map[string]time.Duration
+	onTime      map[string]int // by kind
+	late        map[string]int // by kind
+	submitted   map[string]int // by kind
+	jobs        int
+	daemons     int
+	counted     map[string]bool // jobs that are counted or left out of the counts
 }
 
 func newWorkload(t testing.TB, workers, daemons int, kinds []requestKind, seed uint64) *workload {
-	return newWorkloadOn(t, workers, daemons, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}, kinds, seed)
+	return newWorkloadWithCapacity(t, workers, daemons, resource.Vector{MilliCores: 64000, MemoryMiB: 262144}, kinds, seed)
 }
 
-func newWorkloadOn(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []requestKind, seed uint64) *workload {
+func newWorkloadWithCapacity(t testing.TB, workers, daemons int, capacity resource.Vector, kinds []requestKind, seed uint64) *workload {
 	w := &workload{
 		fakeCell: newFakeCell(t, workers, capacity), kinds: kinds,
-		rng: rand.New(rand.NewPCG(seed, 1)), durations: map[cluster.StepID]time.Duration{}, sent: map[string]time.Duration{}, objective: map[string]time.Duration{},
+		rng: rand.New(rand.NewPCG(seed, 1)), durations: map[cluster.StepID]time.Duration{}, submittedAt: map[string]time.Duration{}, objective: map[string]time.Duration{},
 		counted: map[string]bool{}, kindOf: map[string]*requestKind{}, onTime: map[string]int{}, late: map[string]int{}, submitted: map[string]int{},
 	}
 	w.config.Queues = nil
@@ -98,7 +98,7 @@
 		for _, worker := range a.Workers {
 			h := fnv.New32a()
 			_, _ = fmt.Fprint(h, a.Step, worker)
-			if float64(h.Sum32()%1000) < 1000*w.kindOf[a.Step.Job].granted {
+			if float64(h.Sum32()%1000) < 1000*w.kindOf[a.Step.Job].grantedShare {
 				grants = append(grants, cluster.Grant{Worker: worker, Ticket: "t"})
 			}
 		}
@@ -132,7 +132,7 @@
 		return
 	}
 	w.counted[j.ID] = true
-	switch elapsed := w.now - w.sent[j.ID]; {
+	switch elapsed := w.now - w.submittedAt[j.ID]; {
 	case elapsed <= w.objective[j.ID]:
 		w.onTime[k.name]++
 	case elapsed <= 3*w.objective[j.ID]:
@@ -143,14 +143,14 @@
 func (w *workload) submit(k *requestKind) {
 	id := fmt.Sprintf("%s-%05d", k.name, w.jobs)
 	w.jobs++
-	submission := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: w.wall()}
+	submission := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: w.wallMS()}
 	criticalPath := time.Duration(0)
 	for s := range max(1, int(w.logNormal(k.steps, 0.4)+0.5)) {
 		duration := time.Duration(w.logNormal(1, 0.5) * float64(k.duration))
 		step := flow.Step{
 			Count: min(max(1, int(w.logNormal(k.width, 0.8)+0.5)), int(6*k.width)), EstimateMS: int64(w.logNormal(1, 0.5) * float64(duration.Milliseconds())),
 			Size: resource.Vector{MilliCores: int64(min(w.logNormal(1, 0.4), 1.66) * float64(k.size.MilliCores)), MemoryMiB: int64(min(w.logNormal(1, 0.5), 1.9) * float64(k.size.MemoryMiB))},
-			Gang: w.rng.Float64() < k.gangs,
+			Gang: w.rng.Float64() < k.gangShare,
 		}
 		if s > 0 {
 			step.DependsOn = []int{s - 1}
@@ -159,7 +159,7 @@
 		w.durations[cluster.StepID{Job: id, Step: s}] = duration
 		criticalPath += duration
 	}
-	w.sent[id], w.kindOf[id] = w.now, k
+	w.submittedAt[id], w.kindOf[id] = w.now, k
 	w.objective[id] = time.Duration(k.slack*float64(criticalPath)) + k.target
 	w.submitted[k.name]++
 	require.NoError(w.t, w.append(flow.Record{Submit: submission}))
@@ -226,7 +226,7 @@
 
 // Guards against new requests that become late behind a backlog. After a long outage all calls
 // for advice were made for late steps, four in flight at each daemon.
-func TestNewRequestsAreServedBesideABacklog(t *testing.T) {
+func TestNewRequestsStayOnTimeDuringABacklog(t *testing.T) {
 	w := newWorkload(t, 350, 37, largeLoad, 1)
 	w.answerDelay = 60 * time.Millisecond
 	w.generate(3*time.Second, 1)
@@ -243,7 +243,7 @@
 	require.Greater(t, w.onTimeShare("check"), 0.85, "%v", w)
 }
 
-// minValueShare is the mean share of the value that the callers aim at under heavy load.
+// minValueShare is the mean share of the value that has to be earned under heavy load.
 const minValueShare = 0.74
 
 // Guards against an order of steps in which a long overload makes quick requests late behind
@@ -258,9 +258,9 @@
 	require.Greater(t, w.onTimeShare("check"), minValueShare, "%v", w)
 }
 
-// dropStarts makes a share of the start orders go unanswered and be executed 2 to 12 s later.
-func (w *workload) dropStarts(share float64) {
-	w.drop = func(c Command) (bool, time.Duration) {
+// delayStarts makes a share of the start commands go unanswered and be executed 2 to 12 s later.
+func (w *workload) delayStarts(share float64) {
+	w.commandFault = func(c Command) (bool, time.Duration) {
 		if c.Start == nil || w.rng.Float64() >= share {
 			return false, 0
 		}
@@ -272,14 +272,14 @@
 // treat as insignificant.
 const valueShareNoise = 0.03
 
-// Guards against lost orders that delay a task by a second each and cost a gang the work of all
-// its members. With 4 of 100 orders unanswered in a cell of 370 workers, two of five gangs
+// Guards against lost start commands that delay a task by a second each and cost a gang the work
+// of all its members. With 4 of 100 commands unanswered in a cell of 370 workers, two of five gangs
 // of thirteen lose a member at their first attempt.
-func TestLostOrdersDoNotDelayTheirTasks(t *testing.T) {
+func TestLostStartCommandsDoNotDelayTheirTasks(t *testing.T) {
 	valueShare := func(lostShare float64) float64 {
 		w := newWorkload(t, 370, 47, wideLoad, 1)
 		w.answerDelay = 60 * time.Millisecond
-		w.dropStarts(lostShare)
+		w.delayStarts(lostShare)
 		w.generate(15*time.Second, 1)
 		w.advance(20 * time.Second)
 		t.Log(w)
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -7,7 +7,7 @@
 )
 
 // maxLateFactor is the multiple of its objective within which the result of a late job is still
-// of some value to the caller, according to the users' requirements.
+// of some value to the caller, according to the requirements.
 const maxLateFactor = 3
 
 // timeliness classifies a waiting step by the value that its job can still have for the caller.
@@ -68,8 +68,8 @@
 }
 
 // coreTime returns the estimated CPU time of all tasks of the step.
-func (w *pendingStep) coreTime() time.Duration {
-	return time.Duration(int64(w.def.Count)*w.def.Size.MilliCores*w.def.EstimateMS/1000) * time.Millisecond
+func (s *pendingStep) coreTime() time.Duration {
+	return time.Duration(int64(s.def.Count)*s.def.Size.MilliCores*s.def.EstimateMS/1000) * time.Millisecond
 }
 
 // sortSteps sorts waiting steps by the order in which they receive capacity and advice.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -22,10 +22,11 @@
 	// maxSilenceForRenewal is longer than a poll takes. The lease of a worker that has not
 	// answered for this long is not renewed.
 	maxSilenceForRenewal = 2600 * time.Millisecond
-	// maxOrderDelay is how long after an order without an answer the platform's contract
+	// maxCommandDelay is how long after a command without an answer the platform's contract
 	// allows the worker to execute it.
-	maxOrderDelay = 12 * time.Second
-	// avoidAfterNoAnswer is how long nothing is placed on a worker that did not answer an order.
+	maxCommandDelay = 12 * time.Second
+	// avoidAfterNoAnswer is how long nothing is placed on a worker that did not answer a start
+	// command.
 	avoidAfterNoAnswer = time.Second
 	// pollInterval is the time from the answer to one poll to the next poll of the same
 	// worker. Each poll has a cost.
@@ -34,29 +35,29 @@
 	// clock stays below the slack of a lease.
 	idlePollInterval = 20 * time.Second
 	missedPollDelay  = 400 * time.Millisecond
-	// stopRetryInterval is the time after which a stop order without effect is sent again.
+	// stopRetryInterval is the time after which a stop command without effect is sent again.
 	stopRetryInterval = 700 * time.Millisecond
-	// ticketSendMargin is the validity that a ticket must still have when the order is sent:
-	// the one-way latency to a distant region and queueing.
+	// ticketSendMargin is the validity that a ticket must still have when the start command
+	// is sent: the one-way latency to a distant region and queueing.
 	ticketSendMargin = 150 * time.Millisecond
 	// ticketPlanMargin is the validity that a ticket must still have when a run is planned,
-	// because the plan has to be recorded before the order is sent.
+	// because the plan has to be recorded before the start command is sent.
 	ticketPlanMargin = 350 * time.Millisecond
 	// batchInterval is the time for which plans and ends are gathered into one append.
 	batchInterval = 12 * time.Millisecond
 	// scanInterval is the least time between two scans of all workers and runs. Every event
 	// causes a tick, and there may be a thousand events a second.
 	scanInterval = 10 * time.Millisecond
-	// maxStartedDelay is how long the record that a job has started may wait for a batch.
+	// maxStartedDelay is how long the start of a job waits for a batch with other contents.
 	maxStartedDelay = 150 * time.Millisecond
 	// heartbeatInterval is the time after which an idle placer appends an empty batch to show
 	// that it is alive. Several heartbeats fit into a failover timeout.
 	heartbeatInterval = 250 * time.Millisecond
-	// unlistedGrace is how long a worker that has left the registry stays in use while it
-	// answers. An entry may disappear from the registry and be written again.
-	unlistedGrace = 5 * time.Second
-	// unlistedAnswerTimeout is how recent the last answer of such a worker has to be.
-	unlistedAnswerTimeout = 2500 * time.Millisecond
+	// unregisteredGracePeriod is how long a worker that has left the registry stays in use while
+	// it answers. An entry may disappear from the registry and be written again.
+	unregisteredGracePeriod = 5 * time.Second
+	// unregisteredAnswerTimeout is how recent the last answer of such a worker has to be.
+	unregisteredAnswerTimeout = 2500 * time.Millisecond
 	// failuresToAvoid is the number of runs of different jobs that have to fail in a row on
 	// a worker before it is avoided for avoidAfterFailures.
 	failuresToAvoid    = 3
@@ -84,16 +85,16 @@
 	Pace   *PaceCommand
 }
 
-// StartCommand orders a worker to start a run.
+// StartCommand tells a worker to start a run.
 type StartCommand struct {
 	Life         cluster.Life
 	Address      string
 	Order        cluster.Start
-	Relay        string        // name of the daemon that sends the order; "" means this daemon
-	SendDeadline time.Duration // boot clock; an order sent later would reach the worker after its ticket or lease has expired
+	Relay        string        // name of the daemon that sends the command; "" means this daemon
+	SendDeadline time.Duration // boot clock; a command sent later would reach the worker after its ticket or lease has expired
 }
 
-// StopCommand orders a worker to stop a run.
+// StopCommand tells a worker to stop a run.
 type StopCommand struct {
 	Life    cluster.Life
 	Address string
@@ -129,7 +130,7 @@
 	WastedCoreSeconds float64       // core-seconds of work lost with the end of a run
 }
 
-// Kinds of decisions that metrics also count by other fields.
+// Kinds of decisions of which the metrics also use other fields.
 const (
 	DecisionRunEnded = "run ended"
 	DecisionJobBegan = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
@@ -155,11 +156,11 @@
 	token          int64
 	epoch          int64
 	createdAt      time.Duration
-	dirty          bool // something has changed, so a planning pass is due
+	planNeeded     bool // something has changed since the last planning pass
 	decisions      []Decision
 	queuedCommands []Command
 
-	unansweredStarts []*run // runs with a recent start order, oldest order first
+	unansweredStarts []*run // runs with a recent start command, oldest first
 	yields           yields
 	retryBudget      *admission.RetryBudget
 	relays           startRelays
@@ -180,7 +181,7 @@
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
-		queues: map[string]*cluster.Queue{}, token: state.FencingToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, dirty: true,
+		queues: map[string]*cluster.Queue{}, token: state.FencingToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
 	}
 	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
@@ -204,11 +205,11 @@
 					continue
 				}
 				id := cluster.TaskID{Job: job.ID, Occurrence: k, Step: step, Index: i}
-				v := p.worker(task.Life, now)
+				v := p.ensureWorker(task.Life, now)
 				r := &run{
-					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: occupiedRoom(&job.Steps[step]),
+					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: reservedResources(&job.Steps[step]),
 					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
-					pacePercent: 100, // the pace that the previous placer ordered is not known
+					pacePercent: 100, // the pace that the former placer set is not known
 				}
 				p.runs[id] = r
 				v.runs[id] = r
@@ -218,8 +219,9 @@
 	}
 }
 
-// worker returns the named worker, and adds it with the given incarnation if it is not known.
-func (p *Placer) worker(life cluster.Life, now time.Duration) *vm {
+// ensureWorker returns the named worker, and adds it with the given incarnation if it is not
+// known.
+func (p *Placer) ensureWorker(life cluster.Life, now time.Duration) *vm {
 	v := p.vms[life.Worker]
 	if v == nil {
 		v = &vm{runs: map[cluster.TaskID]*run{}, nextPollAt: now}
@@ -247,9 +249,9 @@
 // ActiveRuns returns the number of runs that are planned and whose end is not recorded yet.
 func (p *Placer) ActiveRuns() int { return len(p.runs) }
 
-// occupiedRoom returns the resources that a task of the step reserves on its worker. A backfill
-// task reserves no cores: it uses those that other tasks leave idle.
-func occupiedRoom(step *flow.Step) resource.Vector {
+// reservedResources returns the resources that a task of the step reserves on its worker. A
+// backfill task reserves no cores: it uses those that other tasks leave idle.
+func reservedResources(step *flow.Step) resource.Vector {
 	v := step.Size
 	if step.Backfill {
 		v.MilliCores = 0
@@ -264,13 +266,13 @@
 		p.queues[config.Queues[i].Name] = &config.Queues[i]
 	}
 	p.advisers.setQueues(config.Queues)
-	p.dirty = true
+	p.planNeeded = true
 }
 
 // SetRegistry replaces the list of workers by the platform's current one.
 func (p *Placer) SetRegistry(workers []cluster.Worker, now time.Duration) {
 	for _, v := range p.vms {
-		v.listed = false
+		v.inRegistry = false
 	}
 	p.workerIDs = p.workerIDs[:0]
 	for i := range workers {
@@ -278,14 +280,14 @@
 		p.workerIDs = append(p.workerIDs, entry.Life.Worker)
 		v := p.vms[entry.Worker]
 		if v == nil {
-			v = p.worker(entry.Life, now)
+			v = p.ensureWorker(entry.Life, now)
 		}
 		if entry.Born < v.Born {
 			continue // the entry describes an earlier incarnation of the worker
 		}
 		life := v.Life
 		v.Worker = *entry
-		v.listed, v.listedAt = true, now
+		v.inRegistry, v.lastInRegistryAt = true, now
 		v.updateDeparture(entry, now)
 		if entry.Born > life.Born && life.Born != 0 {
 			// Only the worker's own lists show which runs survived the restart.
@@ -294,14 +296,14 @@
 	}
 	slices.Sort(p.workerIDs)
 	for id, v := range p.vms {
-		if !v.listed && len(v.runs) == 0 && !v.pollInFlight {
+		if !v.inRegistry && len(v.runs) == 0 && !v.pollInFlight {
 			p.cell.RemoveWorker(id)
 			delete(p.vms, id)
 			continue
 		}
 		p.updateCellWorker(v, now)
 	}
-	p.dirty = true
+	p.planNeeded = true
 }
 
 // updateCellWorker updates the cell's description of a worker and whether tasks may be placed on it.
@@ -309,7 +311,7 @@
 	if v.Address == "" {
 		return
 	}
-	if v.Draining && v.listed {
+	if v.Draining && v.inRegistry {
 		p.cell.SetDraining(v.Life.Worker)
 	}
 	_, known := p.cell.Worker(v.Life.Worker)
@@ -325,7 +327,7 @@
 	if v.Draining {
 		p.cell.SetDraining(v.Life.Worker)
 	}
-	present := v.listed || now-v.listedAt < unlistedGrace && now-v.answeredAt < unlistedAnswerTimeout
+	present := v.inRegistry || now-v.lastInRegistryAt < unregisteredGracePeriod && now-v.answeredAt < unregisteredAnswerTimeout
 	p.cell.SetLive(v.Life.Worker, present && !v.Draining && v.tokenSeen && v.missedPolls == 0 && now >= v.avoidUntil)
 }
 
@@ -338,8 +340,8 @@
 }
 
 // workerRestarted handles the report of a worker that has restarted. Runs that it does not
-// list ended with its previous incarnation. Unanswered orders to the previous incarnation may
-// still be executed by the new one, under the longest lease.
+// list ended with its previous incarnation. The new incarnation may still execute unanswered
+// commands to the previous one, under the longest lease.
 func (p *Placer) workerRestarted(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	p.addDecision(Decision{Kind: "worker started again", Worker: v.Life.Worker, Version: report.Life.Born})
 	listedRuns := map[cluster.RunID]bool{}
@@ -354,9 +356,9 @@
 	for _, r := range v.runs {
 		r.wasListed = false
 		switch {
-		case !r.startOrdered() || listedRuns[r.RunID]:
+		case !r.mayHaveStarted() || listedRuns[r.RunID]:
 		case r.state == starting || r.state == uncertain || r.answeredAt >= v.pollSentAt || r.mayStartLate(now):
-			v.inheritedLeaseEnd = now + maxOrderDelay + p.options.MaxLease + leaseMargin
+			v.inheritedLeaseEnd = now + maxCommandDelay + p.options.MaxLease + leaseMargin
 		default:
 			p.endRun(r, cluster.Lost, "", now)
 		}
@@ -365,8 +367,8 @@
 	p.updateCellWorker(v, now)
 }
 
-// FormerPlacerRetired is called when the previous placer sends no more orders: the runs that it
-// ordered end at the latest with the leases that it has granted until now.
+// FormerPlacerRetired is called when the former placer sends no more commands: the runs that it
+// started end at the latest with the leases that it has granted until now.
 func (p *Placer) FormerPlacerRetired(now time.Duration) {
 	for _, v := range p.vms {
 		if v.inheritedLeaseEnd > 0 {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -16,7 +16,7 @@
 
 var workerCapacity = resource.Vector{MilliCores: 16000, MemoryMiB: 32768}
 
-func tasks(n int) flow.Step {
+func batchStep(n int) flow.Step {
 	return flow.Step{Count: n, Size: resource.Vector{MilliCores: 4000, MemoryMiB: 4096}, EstimateMS: 800}
 }
 
@@ -44,13 +44,13 @@
 func TestStepsRunInOrder(t *testing.T) {
 	c := readyCell(t, 3)
 	for i := range 20 {
-		second, third := tasks(2), tasks(3)
+		second, third := batchStep(2), batchStep(3)
 		second.DependsOn, third.DependsOn = []int{0}, []int{1}
 		third.Gang = true
-		c.submit(fmt.Sprint("j", i), tasks(4), second, third)
+		c.submit(fmt.Sprint("j", i), batchStep(4), second, third)
 	}
 	c.advance(40 * time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 20}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 20}, c.jobsByPhase())
 	require.Equal(t, 20*9, c.starts)
 	require.Empty(t, c.placer.runs)
 }
@@ -60,7 +60,7 @@
 func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	lost := c.busyWorker()
 	lost.partitioned, lost.inRegistry = true, false
@@ -68,14 +68,14 @@
 	require.Positive(t, runCount)
 	c.publishRegistry()
 	c.advance(6*time.Second + 3*time.Second + time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 }
 
 // Guards against a task that is started elsewhere while its unreachable worker may still run it.
 func TestTasksOfAPartitionedWorkerWaitForItsLease(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	lost := c.busyWorker()
 	lost.partitioned = true
@@ -88,7 +88,7 @@
 func TestTasksOfARestartedWorkerStartAtOnce(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	w := c.busyWorker()
 	runCount := len(w.runs)
@@ -97,7 +97,7 @@
 	c.advance(300 * time.Millisecond)
 	require.Equal(t, 6+runCount, c.starts)
 	c.advance(4 * time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 }
 
 // Guards against a new placer that starts tasks again that workers still run for the former
@@ -106,7 +106,7 @@
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
 	for i := range 3 {
-		c.submit(fmt.Sprint("j", i), tasks(3))
+		c.submit(fmt.Sprint("j", i), batchStep(3))
 	}
 	c.advance(time.Second)
 	starts := c.starts
@@ -114,7 +114,7 @@
 	c.takeOver()
 	c.advance(4 * time.Second)
 	require.Equal(t, starts, c.starts)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 3}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 3}, c.jobsByPhase())
 }
 
 // Guards against tasks of a worker that left during a takeover waiting for the longest time for
@@ -122,14 +122,14 @@
 func TestRetiredPlacerShortensInheritedLeases(t *testing.T) {
 	c := readyCell(t, 3)
 	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
-	c.submit("j", tasks(6))
+	c.submit("j", batchStep(6))
 	c.advance(500 * time.Millisecond)
 	lost := c.busyWorker()
 	lost.up, lost.inRegistry = false, false
 	c.takeOver()
 	c.placer.FormerPlacerRetired(c.now)
 	c.advance(6*time.Second + 3*time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 }
 
 // Guards against jobs that fail before their attempts are used up, and against attempts beyond
@@ -145,9 +145,9 @@
 		}
 		return cluster.Done
 	}
-	c.submit("poison", tasks(1))
-	c.submit("twice", tasks(1))
-	gang := tasks(3)
+	c.submit("poison", batchStep(1))
+	c.submit("twice", batchStep(1))
+	gang := batchStep(3)
 	gang.Gang = true
 	c.submit("fine", gang)
 	c.advance(10 * time.Second)
@@ -161,7 +161,7 @@
 func TestCancelStopsRuns(t *testing.T) {
 	c := readyCell(t, 2)
 	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
-	c.submit("j", tasks(8), tasks(8))
+	c.submit("j", batchStep(8), batchStep(8))
 	c.advance(400 * time.Millisecond)
 	require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: "j"}}))
 	c.advance(300 * time.Millisecond)
@@ -174,7 +174,7 @@
 	require.Empty(t, c.placer.runs)
 }
 
-// Guards against violations of the package's invariants under lost answers, late orders,
+// Guards against violations of the package's invariants under lost answers, late commands,
 // partitioned and restarted workers, cancellations and takeovers. The fake workers check
 // capacity, the order of steps, concurrent runs and runs after the end of a task.
 func TestInvariantsUnderFaults(t *testing.T) {
@@ -184,7 +184,7 @@
 		c := readyCell(t, 4)
 		c.runTime = func(cluster.Start) time.Duration { return time.Duration(100+rng.IntN(1500)) * time.Millisecond }
 		faultsOn := true
-		c.drop = func(Command) (bool, time.Duration) {
+		c.commandFault = func(Command) (bool, time.Duration) {
 			if !faultsOn || rng.IntN(20) > 0 {
 				return false, 0
 			}
@@ -205,9 +205,9 @@
 					require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: j.ID}}))
 				}
 			default:
-				second := tasks(1 + rng.IntN(3))
+				second := batchStep(1 + rng.IntN(3))
 				second.DependsOn, second.Gang = []int{0}, rng.IntN(2) == 0
-				c.submit(fmt.Sprint("j", jobs), tasks(1+rng.IntN(4)), second)
+				c.submit(fmt.Sprint("j", jobs), batchStep(1+rng.IntN(4)), second)
 				jobs++
 			}
 			c.publishRegistry()
@@ -220,7 +220,7 @@
 		c.takeOver()
 		c.placer.FormerPlacerRetired(c.now)
 		c.advance(40 * time.Second)
-		phases := c.phases()
+		phases := c.jobsByPhase()
 		require.Equal(t, jobs, phases[flow.Completed]+phases[flow.Cancelled], "seed %d: %v", seed, phases)
 		for _, w := range c.workers {
 			require.Empty(t, w.runs)
@@ -230,23 +230,23 @@
 
 // Guards against plans that accumulate while the log is unreachable: their tickets expire, and
 // all of them start at once when the log is reachable again.
-func TestPlansDoNotPileUpWithoutTheLog(t *testing.T) {
+func TestPendingRunsAreLimitedWhileTheLogIsUnreachable(t *testing.T) {
 	c := readyCell(t, 40)
 	for i := range 100 {
-		c.submit(fmt.Sprint("j", i), tasks(4))
+		c.submit(fmt.Sprint("j", i), batchStep(4))
 	}
-	c.logDown = true
+	c.logUnreachable = true
 	c.advance(2 * time.Second)
-	c.logDown = false
+	c.logUnreachable = false
 	require.Less(t, len(c.placer.pendingBatch.Begins), minPendingRuns+4)
 	c.advance(20 * time.Second)
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 100}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 100}, c.jobsByPhase())
 }
 
 // Guards against a backlog that uses the placer's processor time although no daemon can request
 // advice. Each waiting step used to sort all workers in each pass. On VMs with a quarter of a
 // core the placer then sent no heartbeats in time and was replaced again and again.
-func TestBacklogWithoutAdvisersIsCheap(t *testing.T) {
+func TestBacklogWithoutAdvisersDoesNotAllocate(t *testing.T) {
 	c := newFakeCell(t, 48, workerCapacity)
 	c.config.Queues[0].Advice = &cluster.Advice{Decide: 500 * time.Millisecond, Valid: time.Second, MaxVMs: 100}
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d1", Address: "x"}}))
@@ -254,37 +254,37 @@
 	c.advance(200 * time.Millisecond)
 	const steps = 600
 	for i := range steps {
-		c.submit(fmt.Sprint("j", i), tasks(2))
+		c.submit(fmt.Sprint("j", i), batchStep(2))
 	}
-	c.placer.Tick(c.now+time.Second, c.wall()) // uses all calls that the only daemon may have in flight
+	c.placer.Tick(c.now+time.Second, c.wallMS()) // uses all calls that the only daemon may have in flight
 	now := c.now + 2*time.Second
 	allocations := testing.AllocsPerRun(20, func() {
 		now += time.Second
-		c.placer.dirty = true
-		c.placer.Tick(now, c.wall())
+		c.placer.planNeeded = true
+		c.placer.Tick(now, c.wallMS())
 	})
 	require.Less(t, allocations, float64(steps), "a step that can't request advice must not allocate memory")
 }
 
-// Guards against an end that is lost because a confirmation for the former incarnation of a
+// Guards against an end that is lost because a confirmation for the previous incarnation of a
 // worker reached the next one, which numbers its ends from 1 again: the task, which had ended,
 // was started again (TestPlatformSoak, seeds 11, 21 and 22).
-func TestConfirmationsDoNotReachTheNextLife(t *testing.T) {
+func TestConfirmationsDoNotReachTheNextIncarnation(t *testing.T) {
 	c := readyCell(t, 1)
 	c.runTime = func(cluster.Start) time.Duration { return 50 * time.Millisecond }
 	for i := range 6 {
-		c.submit(fmt.Sprint("before", i), tasks(1))
+		c.submit(fmt.Sprint("before", i), batchStep(1))
 		c.advance(400 * time.Millisecond)
 	}
 	c.answerDelay = 200 * time.Millisecond
 	for i := range 5 {
 		id := cluster.TaskID{Job: fmt.Sprint("after", i)}
-		c.submit(id.Job, tasks(1))
+		c.submit(id.Job, batchStep(1))
 		for r := c.placer.runs[id]; r == nil || r.state != starting; r = c.placer.runs[id] {
 			c.advance(5 * time.Millisecond)
 		}
-		c.restart(c.workers["w00"]) // before the start order arrives
+		c.restart(c.workers["w00"]) // before the start command arrives
 		c.advance(20 * time.Second) // the fake workers fail the test on a run after a confirmed end
 	}
-	require.Equal(t, map[flow.Phase]int{flow.Completed: 11}, c.phases())
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 11}, c.jobsByPhase())
 }
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -20,14 +20,14 @@
 	planIntervalPerStep    = 4 * time.Microsecond
 	planIntervalPerAttempt = 150 * time.Microsecond
 	// minPendingRuns is the lower bound of maxPendingRuns. While the log is unreachable, the
-	// tickets of more planned runs would only expire, and all of them would be ordered at once
+	// tickets of more planned runs would only expire, and all of them would be started at once
 	// when the log is reachable again.
 	minPendingRuns = 48
 	// startsPerVMPerSecond is the highest rate at which one worker starts tasks.
 	startsPerVMPerSecond = 8.0
-	// maxCountedAppend limits the append time for which starts are planned ahead. Most tickets
+	// maxCountedAppendTime limits the append time for which starts are planned ahead. Most tickets
 	// expire during a longer append.
-	maxCountedAppend = time.Second
+	maxCountedAppendTime = time.Second
 	// maxHoldShare is the share of a pool that may be held for one gang.
 	maxHoldShare = 0.5
 	holdValidity = time.Second
@@ -53,16 +53,16 @@
 		}
 	}
 	p.sortSteps(steps, wallMS)
-	holdTried := false
+	holdAttempted := false
 	var waiting []int
 	startsAllowed := p.startWindow.available(p.startsInProgress)
 	for _, step := range steps {
 		if len(p.pendingRuns) >= p.maxPendingRuns() {
-			p.dirty = true
+			p.planNeeded = true
 			break
 		}
 		if startsAllowed <= 0 {
-			p.startWindow.limiting = true // the answer to a start order triggers the next pass
+			p.startWindow.limiting = true // the answer to a start command triggers the next pass
 			break
 		}
 		waiting = p.waitingTasks(step, waiting[:0])
@@ -72,19 +72,19 @@
 		if !step.def.Gang && len(waiting) > startsAllowed {
 			waiting = waiting[:startsAllowed]
 		}
-		activeBefore, askedBefore := step.activeRuns, step.adviceInFlight
+		activeBefore, adviceInFlightBefore := step.activeRuns, step.adviceInFlight
 		placed := p.placeStep(step, waiting, now, wallMS)
 		if !placed && step.def.Gang && step.stepRank.timeliness == onTime && !p.options.Disabled.Yields {
 			p.yields.addGang(step)
 		}
 		commands = p.requestAdvice(commands, step, placed, now)
 		startsAllowed -= step.activeRuns - activeBefore
-		if step.adviceInFlight && !askedBefore {
+		if step.adviceInFlight && !adviceInFlightBefore {
 			waiting = p.waitingTasks(step, waiting[:0])
 			startsAllowed -= len(waiting)
 		}
-		if !placed && step.def.Gang && !holdTried && !p.options.Disabled.Holds {
-			holdTried = p.holdWorkers(step, waiting, now)
+		if !placed && step.def.Gang && !holdAttempted && !p.options.Disabled.Holds {
+			holdAttempted = p.holdWorkers(step, waiting, now)
 		}
 	}
 	return commands
@@ -96,7 +96,7 @@
 	if p.options.Disabled.MorePendingRuns {
 		return max(minPendingRuns, len(p.vms))
 	}
-	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppend).Seconds()
+	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppendTime).Seconds()
 	return max(minPendingRuns, len(p.vms), int(startsDuringAppend))
 }
 
@@ -105,11 +105,11 @@
 	return planInterval + planIntervalPerStep*time.Duration(len(p.steps)) + planIntervalPerAttempt*time.Duration(p.planAttempts)
 }
 
-// mayFit reports whether the workers (nil: all of the pool) may have free capacity for at
-// least one task of the step, or for all tasks of a gang. It is far cheaper than a plan and
-// avoids planning in a full cell.
+// mayFit reports whether the workers (nil: all) may have free capacity for at least one task of
+// the step, or for all tasks of a gang. It is far cheaper than a plan and avoids planning in a
+// full cell.
 func (p *Placer) mayFit(step *pendingStep, workers []string, tasks int) bool {
-	if !occupiedRoom(step.def).Fits(p.maxFree) {
+	if !reservedResources(step.def).Fits(p.maxFree) {
 		return false
 	}
 	if workers == nil {
@@ -121,8 +121,8 @@
 	}
 	for _, id := range workers {
 		free, schedulable := p.cell.FreeCapacity(id)
-		for schedulable && needed > 0 && occupiedRoom(step.def).Fits(free) {
-			free = free.Sub(occupiedRoom(step.def))
+		for schedulable && needed > 0 && reservedResources(step.def).Fits(free) {
+			free = free.Sub(reservedResources(step.def))
 			needed--
 		}
 		if needed == 0 {
@@ -162,7 +162,7 @@
 	if step.queue == nil || step.queue.Advice == nil {
 		return len(p.placeAmong(step, tasks, nil, now)) == 0
 	}
-	if !occupiedRoom(step.def).Fits(p.maxFree) {
+	if !reservedResources(step.def).Fits(p.maxFree) {
 		return false
 	}
 	valid, all := step.grantedWorkers(now)
@@ -178,10 +178,10 @@
 	return len(tasks) == 0
 }
 
-// grantedWorkers returns the workers whose ticket will still be valid when the order of a run
-// planned now is sent, and all workers that advice has ever granted to the step.
-func (w *pendingStep) grantedWorkers(now time.Duration) (valid, all []string) {
-	for worker, t := range w.grants {
+// grantedWorkers returns the workers whose ticket will still be valid when the start command of
+// a run planned now is sent, and all workers that advice has ever granted to the step.
+func (s *pendingStep) grantedWorkers(now time.Duration) (valid, all []string) {
+	for worker, t := range s.grants {
 		all = append(all, worker)
 		if t.validUntil > now+ticketPlanMargin {
 			valid = append(valid, worker)
@@ -195,7 +195,7 @@
 func (p *Placer) placeAmong(step *pendingStep, tasks []int, workers []string, now time.Duration) []int {
 	switch {
 	case step.def.Backfill:
-		workers = p.workersForFilling(step, workers)
+		workers = p.workersForBackfill(step, workers)
 	case step.def.TailTargetMS > 0:
 		workers = p.workersForServing(workers)
 	}
@@ -268,7 +268,7 @@
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
 			TaskID: cellTaskID(step.taskID(index)), Job: cellJobID(step.id), Generation: int64(step.nextRun(index)), Pool: step.job.Pool,
-			Resources: occupiedRoom(step.def), RunMS: step.def.EstimateMS, AvoidVMs: avoid, Among: workers,
+			Resources: reservedResources(step.def), RunMS: step.def.EstimateMS, AvoidVMs: avoid, Among: workers,
 			Label: step.def.Label, NearRack: step.def.NearRack, PerVM: step.def.MaxPerWorker,
 		}
 		if allOrNothing {
@@ -279,12 +279,12 @@
 }
 
 // nextRun returns the number of the task's next run. All members of a gang use the same number.
-func (w *pendingStep) nextRun(index int) int {
-	state := w.job.Step(w.id.Occurrence, w.id.Step)
+func (s *pendingStep) nextRun(index int) int {
+	state := s.job.Step(s.id.Occurrence, s.id.Step)
 	switch {
 	case state == nil:
 		return 1
-	case w.def.Gang:
+	case s.def.Gang:
 		return state.HighestRun + 1
 	default:
 		return state.Tasks[index].LastRun + 1
@@ -320,12 +320,12 @@
 }
 
 // hasTickets reports whether the step has a valid ticket for every chosen worker.
-func (w *pendingStep) hasTickets(chosen []place.Assignment, now time.Duration) bool {
-	if w.queue == nil || w.queue.Advice == nil {
+func (s *pendingStep) hasTickets(chosen []place.Assignment, now time.Duration) bool {
+	if s.queue == nil || s.queue.Advice == nil {
 		return true
 	}
 	for i := range chosen {
-		if w.grants[chosen[i].VM].validUntil <= now+ticketPlanMargin {
+		if s.grants[chosen[i].VM].validUntil <= now+ticketPlanMargin {
 			return false
 		}
 	}
@@ -337,7 +337,7 @@
 func (p *Placer) newRun(step *pendingStep, index int, v *vm, awaitTickets bool, now time.Duration) {
 	id := step.taskID(index)
 	r := &run{
-		RunID: cluster.RunID{TaskID: id, Run: step.nextRun(index)}, state: ticketing, vm: v, size: occupiedRoom(step.def),
+		RunID: cluster.RunID{TaskID: id, Run: step.nextRun(index)}, state: ticketing, vm: v, size: reservedResources(step.def),
 		spec: step.job.Spec, checkpoint: step.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
 	}
 	p.runs[id] = r
@@ -357,12 +357,12 @@
 
 // checkpoint returns the checkpoint from which the task's next run resumes. A checkpoint of any
 // member is valid for the whole gang, and all members resume from the same one.
-func (w *pendingStep) checkpoint(index int) string {
-	state := w.job.Step(w.id.Occurrence, w.id.Step)
+func (s *pendingStep) checkpoint(index int) string {
+	state := s.job.Step(s.id.Occurrence, s.id.Step)
 	if state == nil {
 		return ""
 	}
-	if w.def.Gang {
+	if s.def.Gang {
 		index = 0
 	}
 	return state.Tasks[index].Checkpoint
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -29,7 +29,7 @@
 	refused       chart.Event = "refused"
 	unanswered    chart.Event = "unanswered"
 	listed        chart.Event = "listed"
-	stopOrder     chart.Event = "stop"
+	stopRequested chart.Event = "stop"
 	dropped       chart.Event = "dropped"
 )
 
@@ -44,23 +44,23 @@
 	ticket         ticket
 	released       bool          // its resources were released
 	recorded       bool          // the log has acknowledged its Begin record
-	unknown        bool          // listed by a worker but not active according to the log, so it is only stopped
+	stray          bool          // listed by a worker but not active according to the log, so it is only stopped
 	wanted         bool          // false: it is to be stopped as soon as possible
 	wasListed      bool          // the current incarnation of the worker has listed it
 	plannedAt      time.Duration // boot clock
-	answeredAt     time.Duration // time of the answer to its start order; the answer to a later poll must list the run
-	orderedAt      time.Duration // time at which the first order to start it was sent
-	startsSent     int           // number of start orders sent
-	startsInFlight int           // number of start orders that are neither answered nor given up
-	stopSentAt     time.Duration // time of the last stop order
-	stopAnsweredAt time.Duration // time at which the worker last answered a stop order
-	stopInFlight   bool          // a stop order is in flight
+	answeredAt     time.Duration // time of the answer to its start command; the answer to a later poll must list the run
+	startSentAt    time.Duration // time at which the first start command was sent
+	startsSent     int           // number of start commands sent
+	startsInFlight int           // number of start commands that are neither answered nor timed out
+	stopSentAt     time.Duration // time of the last stop command
+	stopAnsweredAt time.Duration // time at which the worker last answered a stop command
+	stopInFlight   bool          // a stop command is in flight
 	progress       progress
 	lastCheckpoint string // newest checkpoint that the worker has reported
-	load           int    // last reported load: tail response time in ms of a serving run, thousandths of a core of any other run
-	pacePercent    int    // speed at which it was ordered to work, in percent of its full speed
-	paceConfirmed  bool   // the worker has accepted that order
-	paceInFlight   bool   // a pace order is in flight
+	load           int    // last reported load: tail latency in ms of a serving run, thousandths of a core of any other run
+	pacePercent    int    // last confirmed or initial pace, in percent of its full speed
+	paceConfirmed  bool   // the worker is known to work at that pace
+	paceInFlight   bool   // a pace command is in flight
 }
 
 // transition applies an event to the state of the run. It returns false and changes nothing if
@@ -74,17 +74,17 @@
 	return true
 }
 
-// startOrdered reports whether a start order for the run may have been sent.
-func (r *run) startOrdered() bool { return r.state != ticketing && r.state != logging }
+// mayHaveStarted reports whether a start command for the run may have been sent.
+func (r *run) mayHaveStarted() bool { return r.state != ticketing && r.state != logging }
 
-// ticket permits a step to run on a worker for a limited time.
+// ticket permits a step to run on a worker for a limited time. Advice grants it.
 type ticket struct {
 	text       string
 	validUntil time.Duration // boot clock
 }
 
-// mayStartLate reports whether the worker may still execute an unanswered start order for the
+// mayStartLate reports whether the worker may still execute an unanswered start command for the
 // run.
 func (r *run) mayStartLate(now time.Duration) bool {
-	return r.startsSent > 1 && now-r.orderedAt < maxOrderDelay
+	return r.startsSent > 1 && now-r.startSentAt < maxCommandDelay
 }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -13,7 +13,7 @@
 	job           *flow.Job
 	readAt        time.Duration           // time at which the job's record was read
 	activated     map[cluster.StepID]bool // steps that were added to Placer.steps or were complete already
-	startRecorded bool                    // the start of the job is recorded or about to be
+	startRecorded bool                    // the start of the job is recorded or in a batch still to be appended
 }
 
 // pendingStep is a step that is ready to run and is not complete.
@@ -87,7 +87,7 @@
 			}
 		}
 		p.steps[id] = step
-		p.dirty = true
+		p.planNeeded = true
 	}
 }
 
@@ -122,7 +122,7 @@
 			}
 		}
 	}
-	p.dirty = true
+	p.planNeeded = true
 }
 
 // waitingTasks appends the indexes of the step's tasks that have to be started to buf and returns
@@ -141,33 +141,33 @@
 	return buf
 }
 
-func (w *pendingStep) taskID(i int) cluster.TaskID {
-	return cluster.TaskID{Job: w.id.Job, Occurrence: w.id.Occurrence, Step: w.id.Step, Index: i}
+func (s *pendingStep) taskID(i int) cluster.TaskID {
+	return cluster.TaskID{Job: s.id.Job, Occurrence: s.id.Occurrence, Step: s.id.Step, Index: i}
 }
 
 // setQueue sets the step's queue and, when the queue is first known, its latest start.
-func (w *pendingStep) setQueue(q *cluster.Queue) {
-	if w.queue == nil && q != nil {
-		w.queue = q
-		w.latestStartMS = w.latestStart()
+func (s *pendingStep) setQueue(q *cluster.Queue) {
+	if s.queue == nil && q != nil {
+		s.queue = q
+		s.latestStartMS = s.latestStart()
 	}
-	w.queue = q
+	s.queue = q
 }
 
 // latestStart returns the latest time (Unix ms) at which the step has to start for its job to
 // end within its objective, according to the estimates. It also sets the objective.
-func (w *pendingStep) latestStart() int64 {
-	start := w.job.AtMS
-	if due := w.job.DueMS(w.id.Occurrence); due > 0 {
+func (s *pendingStep) latestStart() int64 {
+	start := s.job.AtMS
+	if due := s.job.DueMS(s.id.Occurrence); due > 0 {
 		start = due
 	}
-	w.objective = 0
-	if w.queue != nil {
-		w.objective = w.queue.Objective(w.job.CriticalPath())
+	s.objective = 0
+	if s.queue != nil {
+		s.objective = s.queue.Objective(s.job.CriticalPath())
 	}
-	remaining := w.job.RemainingCriticalPath(func(step int) bool {
-		s := w.job.Step(w.id.Occurrence, step)
-		return s != nil && s.Complete()
+	remaining := s.job.RemainingCriticalPath(func(step int) bool {
+		state := s.job.Step(s.id.Occurrence, step)
+		return state != nil && state.Complete()
 	})
-	return start + w.objective.Milliseconds() - remaining.Milliseconds()
+	return start + s.objective.Milliseconds() - remaining.Milliseconds()
 }
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -24,10 +24,10 @@
 	Waiting        map[string]QueueWaiting // by queue
 }
 
-// QueueWaiting describes the waiting steps of one queue: those that have tasks to start.
+// QueueBacklog describes the waiting steps of one queue: those that have tasks to start.
 type QueueWaiting struct {
 	Steps  int
-	Oldest time.Duration // longest time that one of them has been ready
+	Oldest time.Duration // time since the first of them became ready
 }
 
 // Summarize returns the current counts.
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -8,7 +8,7 @@
 )
 
 // Tick does what is due at the given time (boot clock and Unix ms): it ends runs whose leases
-// have expired, stops runs, retries start orders, plans and polls workers.
+// have expired, stops runs, retries start commands, plans and polls workers.
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
 	commands := p.queuedCommands
 	p.queuedCommands = nil
@@ -16,13 +16,13 @@
 	scanDue := now-p.lastScanAt >= scanInterval
 	if scanDue {
 		p.lastScanAt = now
-		p.endLapsedRuns(now)
+		p.endExpiredRuns(now)
 		p.evacuate(now)
 		commands = p.stopUnwanted(commands, now)
 	}
 	commands = p.retryStarts(commands, now)
-	if p.dirty && now-p.lastPlanAt >= p.nextPlanDelay() {
-		p.dirty, p.lastPlanAt = false, now
+	if p.planNeeded && now-p.lastPlanAt >= p.nextPlanDelay() {
+		p.planNeeded, p.lastPlanAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
 	if scanDue {
@@ -31,15 +31,15 @@
 	return commands
 }
 
-// endLapsedRuns ends the runs of workers on which all leases have certainly expired.
-func (p *Placer) endLapsedRuns(now time.Duration) {
+// endExpiredRuns ends the runs of workers on which all leases have certainly expired.
+func (p *Placer) endExpiredRuns(now time.Duration) {
 	for _, v := range p.vms {
 		if len(v.runs) == 0 || now <= v.leaseEnd() {
 			continue
 		}
 		n := 0
 		for _, r := range v.runs {
-			if r.startOrdered() {
+			if r.mayHaveStarted() {
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
 			}
@@ -50,7 +50,7 @@
 	}
 }
 
-// stopUnwanted orders workers to stop the runs that are no longer wanted.
+// stopUnwanted sends stop commands for the runs that are no longer wanted.
 func (p *Placer) stopUnwanted(commands []Command, now time.Duration) []Command {
 	for _, r := range p.runs {
 		if r.wanted && r.state != stopping {
@@ -60,7 +60,7 @@
 		case ticketing:
 			p.endRun(r, cluster.NeverStarted, "", now)
 		case uncertain, running:
-			r.transition(stopOrder)
+			r.transition(stopRequested)
 			commands = p.stopRun(commands, r, now)
 		case stopping:
 			if !r.stopInFlight && (r.stopSentAt == 0 || now-r.stopSentAt > stopRetryInterval) {
@@ -94,8 +94,8 @@
 		if len(v.runs) > 0 && v.clockKnown {
 			renewal.Wait = p.pollWait(v)
 			if v.missedPolls == 0 && now-v.answeredAt < maxSilenceForRenewal {
-				renewal.LeaseUntil = v.clockLowerBound(now) + p.leaseDuration(v, now).Milliseconds()
-				v.leaseUntil = max(v.leaseUntil, renewal.LeaseUntil)
+				renewal.LeaseUntil = v.clockLowerBoundMS(now) + p.leaseDuration(v, now).Milliseconds()
+				v.leaseUntilMS = max(v.leaseUntilMS, renewal.LeaseUntil)
 			}
 		}
 		v.pollInFlight, v.pollSentAt = true, now
@@ -108,7 +108,7 @@
 func (p *Placer) needsPoll(v *vm, now time.Duration) bool {
 	switch {
 	case !v.tokenSeen || !v.clockKnown:
-		return v.listed || len(v.runs) > 0
+		return v.inRegistry || len(v.runs) > 0
 	case len(v.unrecordedEnds) > 0:
 		return now-v.pollSentAt > time.Second // a poll sooner would only list the same ends again
 	case len(v.runs) > 0:
@@ -116,7 +116,7 @@
 	case v.recordedUpTo > v.confirmedUpTo:
 		return true
 	default:
-		return v.listed && now-v.answeredAt > idlePollInterval
+		return v.inRegistry && now-v.answeredAt > idlePollInterval
 	}
 }
 
@@ -127,8 +127,8 @@
 		return 0
 	}
 	wait := maxPollWait
-	if serving, filling, _ := p.countServingAndFilling(v); serving > 0 && filling > 0 {
-		wait = servingPollWait
+	if serving, backfill, _ := p.countServingAndBackfill(v); serving > 0 && backfill > 0 {
+		wait = pacingPollWait
 	}
 	for _, r := range v.runs {
 		if r.state == uncertain || r.state == stopping {
@@ -155,7 +155,7 @@
 	return batch, runs, true
 }
 
-// recordBegin adds the planned run to the next batch. If the run needs a ticket, it has one.
+// recordBegin adds the planned run to the next batch. A run that needs a ticket already has one.
 func (p *Placer) recordBegin(r *run) {
 	p.pendingBatch.Begins = append(p.pendingBatch.Begins, flow.Begin{RunID: r.RunID, Life: r.vm.Life, Checkpoint: r.checkpoint})
 	p.pendingRuns = append(p.pendingRuns, r)
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -6,18 +6,18 @@
 	"briarproxy/core/cluster"
 )
 
-// vm is the placer's state of a worker.
+// vm is what the placer knows about a worker. Each worker is a VM.
 type vm struct {
 	cluster.Worker
-	listed     bool          // the worker is in the registry
-	listedAt   time.Duration // time of the last registry that contains it
-	tokenSeen  bool          // the current incarnation has answered a poll with this placer's fencing token
-	clockKnown bool          // the clock of the current incarnation has been read
-	clockMS    int64         // last value read from its clock
-	clockAt    time.Duration // boot clock: arrival of the answer with clockMS
+	inRegistry       bool          // the worker is in the registry
+	lastInRegistryAt time.Duration // time of the last registry that contains it
+	tokenSeen        bool          // the current incarnation has answered a poll with this placer's fencing token
+	clockKnown       bool          // the clock of the current incarnation has been read
+	clockMS          int64         // last value read from its clock
+	clockAt          time.Duration // boot clock: arrival of the answer with clockMS
 
-	leaseUntil        int64         // latest lease expiry that this placer has sent to the current incarnation, ms of the worker's clock
-	inheritedLeaseEnd time.Duration // boot clock: expiry of all leases that former placers, or orders to a former incarnation, can have set
+	leaseUntilMS      int64         // latest lease expiry that this placer has sent to the current incarnation, on the worker's clock
+	inheritedLeaseEnd time.Duration // boot clock: expiry of all leases that former placers, or commands to the previous incarnation, can have set
 
 	runs           map[cluster.TaskID]*run
 	lastListedEnd  int64       // highest number of an end that the worker has listed
@@ -25,16 +25,16 @@
 	recordedUpTo   int64       // ends up to this number are recorded in the log
 	confirmedUpTo  int64       // highest number that was confirmed to the worker
 
-	pollInFlight bool // a poll is in flight
-	pollSentAt   time.Duration
-	nextPollAt   time.Duration // earliest time of the next poll
-	answeredAt   time.Duration // time of the last answer to any order or poll
-	missedPolls  int           // consecutive polls without an answer
-	failures     int           // consecutive failed runs, of different jobs
-	lastFailed   string        // job of the last failed run
-	avoidUntil   time.Duration // nothing is placed on the worker before this time
-	refusals     int           // consecutive starts refused because the worker is unhealthy
-	leavesAt     time.Duration // earliest time at which a draining worker leaves; 0 means unknown
+	pollInFlight        bool // a poll is in flight
+	pollSentAt          time.Duration
+	nextPollAt          time.Duration // earliest time of the next poll
+	answeredAt          time.Duration // time of the last answer to any command
+	missedPolls         int           // consecutive polls without an answer
+	consecutiveFailures int           // failed runs of different jobs in a row
+	lastFailedJob       string        // job of the last failed run
+	avoidUntil          time.Duration // nothing is placed on the worker before this time
+	consecutiveRefusals int           // consecutive starts refused because the worker is unhealthy
+	leavesAt            time.Duration // earliest time at which a draining worker leaves; 0 means unknown
 }
 
 // listedEnd is an end that the worker has listed and whose record the placer has not read back
@@ -45,13 +45,13 @@
 	recorded bool
 }
 
-// allRunsListed reports whether the current incarnation of the worker has listed every run that
-// was ordered there. If one is not listed, the worker may have restarted unnoticed and the run
-// may have ended in the new incarnation. Ends are numbered from 1 again there, so a
-// confirmation meant for the known incarnation would make the worker discard that end.
+// allRunsListed reports whether the current incarnation of the worker has listed every run for
+// which a start command may have been sent. If one is not listed, the worker may have restarted
+// unnoticed and the run may have ended in the new incarnation. Ends are numbered from 1 again
+// there, so a confirmation meant for the known incarnation would make the worker discard that end.
 func (v *vm) allRunsListed() bool {
 	for _, r := range v.runs {
-		if r.startOrdered() && !r.wasListed {
+		if r.mayHaveStarted() && !r.wasListed {
 			return false
 		}
 	}
@@ -70,8 +70,8 @@
 	}
 }
 
-// clockLowerBound returns a lower bound of the worker's current clock in ms.
-func (v *vm) clockLowerBound(now time.Duration) int64 {
+// clockLowerBoundMS returns a lower bound of the current time on the worker's clock.
+func (v *vm) clockLowerBoundMS(now time.Duration) int64 {
 	elapsed := now - v.clockAt
 	return v.clockMS + int64(float64(elapsed.Milliseconds())*(1-maxClockDrift))
 }
@@ -88,8 +88,8 @@
 // leaseEnd returns the boot clock time at which every lease on the worker has certainly expired.
 func (v *vm) leaseEnd() time.Duration {
 	end := v.inheritedLeaseEnd
-	if v.clockKnown && v.leaseUntil > 0 {
-		left := time.Duration(float64(v.leaseUntil-v.clockMS)/(1-maxClockDrift)) * time.Millisecond
+	if v.clockKnown && v.leaseUntilMS > 0 {
+		left := time.Duration(float64(v.leaseUntilMS-v.clockMS)/(1-maxClockDrift)) * time.Millisecond
 		end = max(end, v.clockAt+left+leaseMargin)
 	}
 	return end
@@ -115,11 +115,11 @@
 	v.unrecordedEnds = v.unrecordedEnds[n:]
 }
 
-// resetLife sets the worker's incarnation and clears the state of the former one.
+// resetLife sets the worker's incarnation and clears the state of the previous one.
 func (v *vm) resetLife(life cluster.Life) {
 	v.Life = life
 	v.tokenSeen, v.clockKnown = false, false
-	v.leaseUntil, v.lastListedEnd, v.recordedUpTo, v.confirmedUpTo = 0, 0, 0, 0
+	v.leaseUntilMS, v.lastListedEnd, v.recordedUpTo, v.confirmedUpTo = 0, 0, 0, 0
 	v.unrecordedEnds = nil
-	v.failures, v.refusals, v.avoidUntil, v.leavesAt = 0, 0, 0, 0
+	v.consecutiveFailures, v.consecutiveRefusals, v.avoidUntil, v.leavesAt = 0, 0, 0, 0
 }
--- a/core/placer/window.go
+++ b/core/placer/window.go
@@ -10,8 +10,8 @@
 
 // Parameters of the limit on runs that are being started at the same time.
 const (
-	// maxStartQueueDelay is the latency above the baseline from which orders are taken to queue
-	// on the link, where their tickets age.
+	// maxStartQueueDelay is the latency above the baseline from which start commands are assumed
+	// to queue on the link, where their tickets age.
 	maxStartQueueDelay = 150 * time.Millisecond
 	// minWindowRuns is the lower bound of the limit. A gang that is wider than the limit is still
 	// started as a whole.
@@ -31,10 +31,10 @@
 )
 
 // startWindow limits the number of runs that are being started: those that wait for a ticket, for
-// the log or for the answer to their order. Orders beyond the bandwidth of the placer's link
+// the log or for the answer to their command. Commands beyond the bandwidth of the placer's link
 // would queue there until their tickets have expired, and then use the same bandwidth again.
-// An adjustment uses only answers to orders sent since the previous one, because answers to
-// earlier orders still show the queue that a reduction is about to shorten. It uses the median
+// An adjustment uses only answers to commands sent since the previous one, because answers to
+// earlier commands still show the queue that a reduction is about to shorten. It uses the median
 // latency, so that unresponsive workers or a distant data centre do not shrink the window.
 type startWindow struct {
 	limit      float64         // runs; +Inf until answers are late for the first time
@@ -49,7 +49,7 @@
 	return startWindow{limit: math.Inf(1), adjustedAt: now}
 }
 
-// observe records the latency of the answer to a start order, or the time after which no answer
+// observe records the latency of the answer to a start command, or the time after which no answer
 // is expected any more. startsInProgress counts the runs that are being started. It reports
 // whether the limit has changed.
 func (w *startWindow) observe(sent, now time.Duration, startsInProgress func() int) (changed bool) {
--- a/core/placer/window_test.go
+++ b/core/placer/window_test.go
@@ -23,7 +23,7 @@
 	batchWireBytes         = 400
 	runWireBytes           = 70
 	submitWireBytes        = 1400
-	orderTimeout           = time.Second // time limit for the answer to an order
+	commandTimeout         = time.Second // time limit for the answer to a command
 )
 
 func (c Command) bytes() int {
@@ -42,8 +42,8 @@
 func batchBytes(b *flow.Batch) int { return batchWireBytes + runWireBytes*(len(b.Begins)+len(b.Ends)) }
 
 // limitLink limits the bandwidth of the placer's link, which delays everything that the placer
-// sends, and makes workers refuse orders with expired tickets. It returns the number of
-// orders that were refused for that reason.
+// sends, and makes workers refuse start commands with expired tickets. It returns the number
+// of commands that were refused for that reason.
 func (w *workload) limitLink(bytesPerSecond float64) (refused *int) {
 	linkFreeAt, jobsRead := time.Duration(0), 0
 	send := func(bytes int) time.Duration {
@@ -78,8 +78,8 @@
 	return refused
 }
 
-// Guards against a placer with a slow link that never recovers from a burst. Orders queued on the
-// link until their tickets had expired, and each was planned, advised and sent again. With a
+// Guards against a placer with a slow link that never recovers from a burst. Start commands queued
+// on the link until their tickets had expired, and each was planned, advised and sent again. With a
 // link of 2 Mbit/s, 3,096 starts were refused and 1,254 jobs never ran.
 func TestPlacerWithASlowLinkRecoversFromABurst(t *testing.T) {
 	w := newWorkload(t, 138, 16, largeLoad, 1)
@@ -102,7 +102,7 @@
 }
 
 // Guards against a window that shrinks because some workers do not answer while the link is idle.
-func TestWindowIgnoresASilentMinority(t *testing.T) {
+func TestWindowIgnoresAMinorityOfUnresponsiveWorkers(t *testing.T) {
 	w := newStartWindow(0)
 	for i := range 100 {
 		latency := 70 * time.Millisecond
@@ -115,9 +115,10 @@
 	require.True(t, math.IsInf(w.limit, 1), "limit %v", w.limit)
 }
 
-// Guards against a second reduction of the window by answers to orders that were sent before the
-// first one: those orders waited in the queue that the first reduction is about to shorten.
-func TestWindowIsCutOnceForOneQueue(t *testing.T) {
+// Guards against a second reduction of the window by answers to start commands that were sent
+// before the first one: those commands waited in the queue that the first reduction is about to
+// shorten.
+func TestWindowIsReducedOncePerQueue(t *testing.T) {
 	w := newStartWindow(0)
 	observeAnswers := func(sent, at, latency time.Duration, n int) {
 		for range n {
@@ -132,7 +133,7 @@
 }
 
 // Guards against a window that stays small when the link is idle again.
-func TestWindowGrowsWhileItHoldsStartsBack(t *testing.T) {
+func TestWindowGrowsWhileItDelaysStarts(t *testing.T) {
 	w := newStartWindow(0)
 	w.limit, w.baseline = minWindowRuns, 70*time.Millisecond
 	for i := range 400 {
@@ -143,9 +144,9 @@
 	require.Greater(t, w.limit, 1000.0)
 }
 
-// Guards against an order that is sent with a ticket that expires on the way, while orders are
-// known to take longer than usual.
-func TestOrderIsNotSentWhenItsTicketWouldExpireOnTheWay(t *testing.T) {
+// Guards against a start command that is sent with a ticket that expires in transit, while
+// commands are known to take longer than usual.
+func TestStartIsNotSentWhenItsTicketWouldExpireInTransit(t *testing.T) {
 	c := readyCell(t, 1)
 	p := c.placer
 	r := &run{ticket: ticket{"t", c.now + 300*time.Millisecond}, vm: p.vms["w00"]}
@@ -154,5 +155,5 @@
 	p.startWindow.median, r.startsSent = time.Second, 0
 	require.True(t, p.ticketExpired(r, c.now))
 	require.Equal(t, c.now-200*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline)
-	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline, "the answer to a retry shows what became of the first order")
+	require.Equal(t, c.now+testOptions.Lease-500*time.Millisecond, p.startCommand(r, "", c.now).Start.SendDeadline, "the answer to a retry shows what became of the first command")
 }
