Rename exported identifiers of the placer that its whole package reads better with

Cause: read as a whole, the package still had names that said less than they hold: Ablation, whose fields disable mechanisms, Decision.Version, which carries a number of any kind, and Summary.AwaitingRoom.

Change: renames by type and gofmt only: DisabledMechanisms, Decision.Value, PollCommand.Renewal, QueueBacklog and others. Kinds of decisions, log keys and metric names are unchanged.

Conclusion: nothing but names differs, as a comparison of the code without comments and layout shows.

--- a/core/placer/ablation_test.go
+++ b/core/placer/ablation_test.go
@@ -24,7 +24,7 @@
 // overload simulates ten seconds at 2.2 times the usual rates, with the given mechanisms disabled
 // and a number of seeds. It returns the mean shares of jobs on time of each kind and the mean share
 // of the value.
-func overload(t *testing.T, disabled Ablation, seeds uint64) (renewal, gauge, check, valueShare float64) {
+func overload(t *testing.T, disabled DisabledMechanisms, seeds uint64) (renewal, gauge, check, valueShare float64) {
 	for seed := range seeds {
 		load := newWorkloadWithCapacity(t, 48, 7, resource.Vector{MilliCores: 32000, MemoryMiB: 65536}, mixedPriorityLoad, seed+1)
 		load.placer.options.Disabled = disabled
@@ -48,8 +48,8 @@
 // overload, only 0.72 of the gang jobs were on time. Also guards against starvation of the less
 // urgent work.
 func TestSingleTasksYieldToUrgentGangs(t *testing.T) {
-	renewalWithout, _, _, valueShareWithout := overload(t, Ablation{Yields: true}, 3)
-	renewal, gauge, check, valueShare := overload(t, Ablation{}, 3)
+	renewalWithout, _, _, valueShareWithout := overload(t, DisabledMechanisms{Yields: true}, 3)
+	renewal, gauge, check, valueShare := overload(t, DisabledMechanisms{}, 3)
 	require.Greater(t, renewal, renewalWithout+valueShareNoise)
 	require.Greater(t, valueShare, valueShareWithout-valueShareNoise)
 	require.Greater(t, gauge, minValueShare, "starvation of the less urgent queue")
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -41,8 +41,8 @@
 		}, false},
 		{"a new placer is silent while it takes over", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 102*second, 102*second }, false},
 		{"a new placer is silent for longer than a takeover needs", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 104*second, 104*second }, true},
-		{"the placer is silent, but a daemon with more capacity claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 102*second, 102*second, true }, false},
-		{"the placer is silent and the daemon with more capacity does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.StrongerPresent = 104*second, 104*second, true }, true},
+		{"the placer is silent, but a daemon with more capacity claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.BetterCandidatePresent = 102*second, 102*second, true }, false},
+		{"the placer is silent and the daemon with more capacity does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.BetterCandidatePresent = 104*second, 104*second, true }, true},
 		{"the placer is silent, but its records were infrequent before", placing, func(in *ClaimInput) {
 			in.Now, in.CaughtUpAt, in.MaxRecordGap = 102*second, 102*second, 1200*time.Millisecond
 		}, false},
@@ -87,7 +87,7 @@
 		require.Equal(t, i, ClaimRank(s, h, 101*second), h.Daemon)
 	}
 	for i, h := range order {
-		require.Equal(t, i >= 4, HasStronger(s, h, 101*second), h.Daemon)
+		require.Equal(t, i >= 4, HasHigherCapacity(s, h, 101*second), h.Daemon)
 	}
 	s.Claim.Daemon = "near" // the silent placer does not count
 	require.Equal(t, 0, ClaimRank(s, order[1], 101*second))
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -119,13 +119,13 @@
 		return
 	}
 	pending.startRecorded = true
-	p.addDecision(Decision{Kind: DecisionJobBegan, Job: r.Job, Reason: pending.job.Queue, Age: r.answeredAt - pending.readAt})
+	p.addDecision(Decision{Kind: DecisionJobStarted, Job: r.Job, Reason: pending.job.Queue, Age: r.answeredAt - pending.readAt})
 	p.pendingBatch.StartedJobs = append(p.pendingBatch.StartedJobs, r.Job)
 }
 
 // firstStart returns the first start command of a run.
 func (p *Placer) firstStart(r *run, now time.Duration) Command {
-	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Version: p.token})
+	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Value: p.token})
 	r.startSentAt = now
 	p.unansweredStarts = append(p.unansweredStarts, r)
 	p.retryBudget.AddRequest()
@@ -200,7 +200,7 @@
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
 	p.planNeeded = p.planNeeded || p.startWindow.limiting
 	if r.state == starting && p.startWindow.observe(r.startSentAt, now, p.startsInProgress) {
-		p.addDecision(Decision{Kind: "start window changed", Version: int64(p.startWindow.limit), Age: now - r.startSentAt})
+		p.addDecision(Decision{Kind: "start window changed", Value: int64(p.startWindow.limit), Age: now - r.startSentAt})
 	}
 }
 
@@ -261,7 +261,7 @@
 	v.observeClock(report.ClockMS, now)
 	v.tokenSeen = true // the answer proves that the worker has seen this placer's token since its start
 	if v.Life == c.Life {
-		v.confirmedUpTo = max(v.confirmedUpTo, c.Hold.Confirmed)
+		v.confirmedUpTo = max(v.confirmedUpTo, c.Renewal.Confirmed)
 	}
 	p.processEnds(v, report, now)
 	p.processRunning(v, report, now)
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -356,11 +356,11 @@
 	case command.Poll != nil:
 		poll := command.Poll
 		w := c.workers[poll.Life.Worker]
-		if w == nil || !w.up || w.partitioned || restarted || poll.Hold.Token < w.token {
+		if w == nil || !w.up || w.partitioned || restarted || poll.Renewal.Token < w.token {
 			answer(func(now time.Duration) []Command { p.PollFailed(poll, now); return nil })
 			return
 		}
-		report := c.poll(w, &poll.Hold)
+		report := c.poll(w, &poll.Renewal)
 		answer(func(now time.Duration) []Command { p.PollAnswered(poll, report, now); return nil })
 	}
 }
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		r.paceInFlight = true
-		p.addDecision(Decision{Kind: "pace", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Age: now - v.answeredAt, Version: int64(percent)})
+		p.addDecision(Decision{Kind: "pace", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: v.Life.Worker, Age: now - v.answeredAt, Value: int64(percent)})
 		p.queuedCommands = append(p.queuedCommands, Command{Pace: &PaceCommand{Life: v.Life, Address: v.Address, Run: r.RunID, Percent: percent, Token: p.token}})
 	}
 }
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -76,7 +76,7 @@
 func (p *Placer) sortSteps(steps []*pendingStep, wallMS int64) {
 	for _, step := range steps {
 		step.stepRank = newStepRank(step, wallMS)
-		if p.options.Disabled.Priority {
+		if p.options.Disabled.QueuePriorities {
 			step.stepRank.priority = 0
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -73,7 +73,7 @@
 	EarlyStart           time.Duration // a task with a due time may start this much earlier
 	StopTimeout          time.Duration // longest time that a worker takes to stop a run
 	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
-	Disabled             Ablation
+	Disabled             DisabledMechanisms
 }
 
 // Command is an action for the caller of the Placer to perform. Exactly one field is set.
@@ -106,7 +106,7 @@
 type PollCommand struct {
 	Life    cluster.Life
 	Address string
-	Hold    cluster.LeaseRenewal
+	Renewal cluster.LeaseRenewal
 }
 
 // AdviseCommand asks the advice service, through the given daemon, which workers may run a step.
@@ -126,14 +126,14 @@
 	Worker            string
 	Reason            string
 	Age               time.Duration // of the input on which the decision is based
-	Version           int64         // depends on Kind: the fencing token, the incarnation of a worker, a limit or a percentage
+	Value             int64         // depends on Kind: the fencing token, the incarnation of a worker, a limit or a percentage
 	WastedCoreSeconds float64       // core-seconds of work lost with the end of a run
 }
 
 // Kinds of decisions of which the metrics also use other fields.
 const (
-	DecisionRunEnded = "run ended"
-	DecisionJobBegan = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
+	DecisionRunEnded   = "run ended"
+	DecisionJobStarted = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
 )
 
 // Placer is the state of the placer of one log partition. Its times are those of the boot clock.
@@ -343,7 +343,7 @@
 // list ended with its previous incarnation. The new incarnation may still execute unanswered
 // commands to the previous one, under the longest lease.
 func (p *Placer) workerRestarted(v *vm, report *cluster.WorkerReport, now time.Duration) {
-	p.addDecision(Decision{Kind: "worker started again", Worker: v.Life.Worker, Version: report.Life.Born})
+	p.addDecision(Decision{Kind: "worker started again", Worker: v.Life.Worker, Value: report.Life.Born})
 	listedRuns := map[cluster.RunID]bool{}
 	for i := range report.Running {
 		listedRuns[report.Running[i].RunID] = true
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -83,7 +83,7 @@
 			waiting = p.waitingTasks(step, waiting[:0])
 			startsAllowed -= len(waiting)
 		}
-		if !placed && step.def.Gang && !holdAttempted && !p.options.Disabled.Holds {
+		if !placed && step.def.Gang && !holdAttempted && !p.options.Disabled.GangHolds {
 			holdAttempted = p.holdWorkers(step, waiting, now)
 		}
 	}
@@ -93,7 +93,7 @@
 // maxPendingRuns returns the number of planned runs that may wait for the next append. Between two
 // appends a large cell starts as many runs as it has workers, and more while appends are slow.
 func (p *Placer) maxPendingRuns() int {
-	if p.options.Disabled.MorePendingRuns {
+	if p.options.Disabled.PendingRunScaling {
 		return max(minPendingRuns, len(p.vms))
 	}
 	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppendTime).Seconds()
--- a/core/placer/repeat.go
+++ b/core/placer/repeat.go
@@ -25,7 +25,7 @@
 		if p.options.Disabled.StartRetries || r.state != starting || !r.wanted || r.startsSent > 1 || p.runs[r.TaskID] != r || !p.retryBudget.TryRetry() {
 			continue
 		}
-		p.addDecision(Decision{Kind: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.startSentAt, Version: p.token})
+		p.addDecision(Decision{Kind: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.startSentAt, Value: p.token})
 		commands = append(commands, p.startCommand(r, "", now))
 	}
 	p.unansweredStarts = p.unansweredStarts[handled:]
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -76,7 +76,7 @@
 		return commands
 	}
 	r.stopSentAt, r.stopInFlight = now, true
-	p.addDecision(Decision{Kind: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Version: p.token})
+	p.addDecision(Decision{Kind: "stop sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Value: p.token})
 	return append(commands, Command{Stop: &StopCommand{Life: r.vm.Life, Address: r.vm.Address, Run: r.RunID, Token: p.token}})
 }
 
@@ -99,7 +99,7 @@
 			}
 		}
 		v.pollInFlight, v.pollSentAt = true, now
-		commands = append(commands, Command{Poll: &PollCommand{Life: v.Life, Address: v.Address, Hold: renewal}})
+		commands = append(commands, Command{Poll: &PollCommand{Life: v.Life, Address: v.Address, Renewal: renewal}})
 	}
 	return commands
 }
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -88,7 +88,7 @@
 	}
 	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
-		Rank: placer.ClaimRank(e.state, e.hello(), now), StrongerPresent: placer.HasStronger(e.state, e.hello(), now) || e.store.directDown.Load() ||
+		Rank: placer.ClaimRank(e.state, e.hello(), now), BetterCandidatePresent: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
 			e.isolatedAt > 0 && now-e.isolatedAt < isolationBackoff, MaxRecordGap: e.placerGaps.longest(now),
 		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
@@ -188,7 +188,7 @@
 		e.handingOver = true
 		return
 	}
-	e.handingOver = e.directPathFailed(now) || placer.HasStronger(e.state, e.hello(), now)
+	e.handingOver = e.directPathFailed(now) || placer.HasHigherCapacity(e.state, e.hello(), now)
 }
 
 // directPathFailed reports whether this daemon's direct path to the log has been down for
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -101,7 +101,7 @@
 	case placer.DecisionRunEnded:
 		m.ends.WithLabelValues(decision.Reason).Inc()
 		m.wastedCoreSeconds.Add(decision.WastedCoreSeconds)
-	case placer.DecisionJobBegan:
+	case placer.DecisionJobStarted:
 		m.firstStartSeconds.WithLabelValues(decision.Reason).Observe(decision.Age.Seconds())
 	}
 }
@@ -112,7 +112,7 @@
 	m.oldestWaiting.Reset()
 	for queue, waiting := range summary.Waiting {
 		m.waitingSteps.WithLabelValues(queue).Set(float64(waiting.Steps))
-		m.oldestWaiting.WithLabelValues(queue).Set(waiting.Oldest.Seconds())
+		m.oldestWaiting.WithLabelValues(queue).Set(waiting.LongestWait.Seconds())
 	}
 	m.runs.Reset()
 	for state, count := range summary.Runs {
--- a/daemon/cell/counts_test.go
+++ b/daemon/cell/counts_test.go
@@ -17,8 +17,8 @@
 func TestMetricsOfPlacerAndPlatformCalls(t *testing.T) {
 	m := newMetrics()
 	m.countDecision(&placer.Decision{Kind: placer.DecisionRunEnded, Reason: "lapsed", WastedCoreSeconds: 12.5})
-	m.countDecision(&placer.Decision{Kind: placer.DecisionJobBegan, Reason: "q", Age: 300 * time.Millisecond})
-	m.publishSummary(&placer.Summary{Waiting: map[string]placer.QueueWaiting{"q": {Steps: 3, Oldest: 2 * time.Second}}, Workers: 5, Usable: 4})
+	m.countDecision(&placer.Decision{Kind: placer.DecisionJobStarted, Reason: "q", Age: 300 * time.Millisecond})
+	m.publishSummary(&placer.Summary{Waiting: map[string]placer.QueueBacklog{"q": {Steps: 3, LongestWait: 2 * time.Second}}, Workers: 5, Usable: 4})
 	m.countPlatformCall(cluster.Call{Dependency: "store", Outcome: cluster.CallTimedOut, Duration: time.Second, SentBytes: 10})
 	require.InDelta(t, 1, testutil.ToFloat64(m.ends.WithLabelValues("lapsed")), 0)
 	require.InDelta(t, 12.5, testutil.ToFloat64(m.wastedCoreSeconds), 0)
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -123,9 +123,9 @@
 
 func (s *orderSender) poll(ctx context.Context, p *placer.Placer, c *placer.PollCommand) {
 	s.pollPool.Submit(func() {
-		callCtx, cancel := context.WithTimeout(ctx, c.Hold.Wait+pollTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, c.Renewal.Wait+pollTimeout)
 		defer cancel()
-		report, err := s.engine.platform.RenewLease(callCtx, c.Life, c.Address, &c.Hold)
+		report, err := s.engine.platform.RenewLease(callCtx, c.Life, c.Address, &c.Renewal)
 		s.ifStillPlacing(ctx, p, func(e *engine) {
 			if err != nil {
 				p.PollFailed(c, bootclock.Now())
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -43,7 +43,7 @@
 	e.summaryLoggedAt = now
 	summary := e.placer.Summarize(now, time.Now().UnixMilli())
 	e.metrics.publishSummary(&summary)
-	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingRoom, "late", summary.Late,
+	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "late", summary.Late,
 		"runs", summary.Runs, "usable", summary.Usable, "workers", summary.Workers, "free", summary.Free.String(), "capacity", summary.Capacity.String(),
 		"advisers", summary.Advisers, "calls", summary.AdviceCalls)
 }
@@ -96,11 +96,11 @@
 
 func (e *engine) logDecision(decision *placer.Decision) {
 	e.metrics.countDecision(decision)
-	if decision.Kind == placer.DecisionJobBegan {
+	if decision.Kind == placer.DecisionJobStarted {
 		return // the start of the run is logged on its own
 	}
 	e.log.Emit(evDecision, "decision", decision.Kind, "job", decision.Job, "occurrence", decision.Task.Occurrence, "step", decision.Task.Step, "task", decision.Task.Index,
-		"run", decision.Run, "worker", decision.Worker, "reason", decision.Reason, "age_ms", decision.Age.Milliseconds(), "version", decision.Version)
+		"run", decision.Run, "worker", decision.Worker, "reason", decision.Reason, "age_ms", decision.Age.Milliseconds(), "version", decision.Value)
 }
 
 // registryReadInterval returns the time between two reads of the registry, given the number of
