--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -44,7 +44,7 @@
 	}
 	if e.readToEndAt > 0 { // before that, full pages take longer to transfer
 		e.readTimes.record(now-p.sentAt, now)
-		e.store.storeSlow.Store(e.readTimes.shortest()-e.roundTrip > slowLogExcess)
+		e.store.storeSlow.Store(e.readTimes.shortest()-e.roundTrip > slowLogMargin)
 		e.store.latency.Store(int64(e.readTimes.shortest()))
 	}
 	if p.snapshot != nil {
@@ -78,13 +78,13 @@
 
 // applyRecord applies the record at the next offset to the state and updates all that depends
 // on it. An unreadable record is logged and skipped.
-func (e *engine) applyRecord(ctx context.Context, d *decoded, now time.Duration) {
+func (e *engine) applyRecord(ctx context.Context, d *decodedRecord, now time.Duration) {
 	if d.err != nil {
 		e.log.Emit(evRecordUnreadable, "position", e.state.NextOffset, "reason", d.err.Error())
 		e.state.Skip()
 		return
 	}
-	former, previousLastHeard := e.state.Claim, e.state.LastHeard
+	former, formerLastHeard := e.state.Claim, e.state.LastHeard
 	position := e.state.NextOffset
 	e.recoverPanic(func() {
 		if err := e.state.Apply(&d.record, now); err != nil {
@@ -92,9 +92,9 @@
 		}
 	})
 	e.state.NextOffset = position + 1
-	e.unsavedEntries += countEntries(&d.record)
-	if d.record.Batch != nil && e.state.LastHeard > previousLastHeard && previousLastHeard > 0 {
-		e.placerGaps.record(e.state.LastHeard-previousLastHeard, now)
+	e.entriesSinceSnapshot += countEntries(&d.record)
+	if d.record.Batch != nil && e.state.LastHeard > formerLastHeard && formerLastHeard > 0 {
+		e.batchGaps.record(e.state.LastHeard-formerLastHeard, now)
 	}
 	if e.placer != nil {
 		e.placer.RecordApplied(&d.record, now)
@@ -117,17 +117,18 @@
 	return 1
 }
 
-// publishPlacer gives the writer the address at which callers' records are gathered.
+// publishPlacer gives the writer the address to which callers' records are forwarded, and whether
+// the placer has enough capacity for them.
 func (e *engine) publishPlacer() {
 	if address := e.placerAddress(); address != *e.writer.placerAddress.Load() {
 		e.writer.placerAddress.Store(&address)
 	}
 	capacityFactor := e.state.Members[e.state.Claim.Daemon].CapacityFactor
-	e.writer.weakPlacer.Store(capacityFactor > 0 && capacityFactor < minGatheringStrength)
+	e.writer.lowCapacityPlacer.Store(capacityFactor > 0 && capacityFactor < minForwardCapacityFactor)
 }
 
-// placerAddress returns the address at which callers' records are gathered: that of the
-// placer, which is near the log, or "" for this daemon.
+// placerAddress returns the address to which callers' records are forwarded: that of the
+// placer, which is near the log, or "" if this daemon is the placer or none is known.
 func (e *engine) placerAddress() string {
 	if e.state.Claim.Daemon == "" || e.state.Claim.Daemon == e.settings.Name {
 		return ""
@@ -135,9 +136,9 @@
 	return e.state.Claim.Address
 }
 
-// fallbackAddress returns the address at which callers' records are gathered while the log is
-// slow and the placer is not reached: that of the placer's best successor, or "" for this
-// daemon.
+// fallbackAddress returns the address to which callers' records are forwarded while the log is
+// slow and the placer can't be reached: that of the placer's best successor, or "" if this daemon
+// is the placer or that successor, or none is known.
 func (e *engine) fallbackAddress() string {
 	if e.state.Claim.Daemon == e.settings.Name {
 		return ""
@@ -150,8 +151,8 @@
 }
 
 // applyHead takes the members and the claim from the head of a snapshot: the daemons that may
-// relay calls to the store, and the placer that gathers callers' records. The head holds no
-// jobs, and the read position stays.
+// relay calls to the store, and the placer, to which callers' records are forwarded. The head
+// holds no jobs, and the read position does not change.
 func (e *engine) applyHead(head *flow.SnapshotHead, now time.Duration) {
 	if e.state.NextOffset > 0 || e.headApplied {
 		return
@@ -162,28 +163,28 @@
 	e.publishPlacer()
 }
 
-// restoreSnapshot replaces the state by a snapshot if the snapshot is newer.
+// restoreSnapshot replaces the state with a snapshot if the snapshot is newer.
 func (e *engine) restoreSnapshot(p *page) {
-	e.savedGeneration = max(e.savedGeneration, p.generation)
+	e.snapshotGeneration = max(e.snapshotGeneration, p.generation)
 	if p.snapshot.NextOffset <= e.state.NextOffset {
 		return
 	}
 	e.stopPlacing("records of the log expired before this daemon read them")
 	e.state = p.snapshot
-	e.savedOffset, e.unsavedEntries = p.snapshot.NextOffset, 0
+	e.snapshotOffset, e.entriesSinceSnapshot = p.snapshot.NextOffset, 0
 	e.log.Emit(evSnapshotLoaded, "offset", e.state.NextOffset, "jobs", len(e.state.Jobs), "generation", p.generation)
 	e.publishMembers()
 	e.publishPlacer()
 }
 
 // applyOwnAppends takes records that this daemon appended. They are applied as soon as all
-// records before them are, without being read back.
+// records before them are, without being read from the log.
 func (e *engine) applyOwnAppends(ctx context.Context, firstOffset int64, records [][]byte) {
 	now := bootclock.Now()
 	for i, data := range records {
 		if offset := firstOffset + int64(i); offset >= e.state.NextOffset {
 			record, err := flow.Decode(data)
-			e.ackedAppends[offset] = decoded{record, err}
+			e.ackedAppends[offset] = decodedRecord{record, err}
 		}
 	}
 	e.applyAcked(ctx, now)
@@ -210,8 +211,8 @@
 	}
 }
 
-// publishMembers gives the relay the addresses of the daemons through which the store may be
-// reached, the best candidates for placer first, and the writer that of the fallback appender.
+// publishMembers gives the store client the addresses of the daemons that may relay calls to the store,
+// those best suited as the placer first, and the writer the address of the fallback appender.
 func (e *engine) publishMembers() {
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
@@ -224,7 +225,7 @@
 	for i := range hellos {
 		addresses[i] = hellos[i].Address
 	}
-	e.store.members.Store(&addresses)
+	e.store.memberAddresses.Store(&addresses)
 	fallback := e.fallbackAddress()
 	e.writer.fallbackAddress.Store(&fallback)
 }
@@ -247,7 +248,7 @@
 		end, err := e.store.End(callCtx, partition, nextOffset)
 		answeredAt := bootclock.Now()
 		e.do(ctx, func(e *engine) {
-			e.probedAt = answeredAt
+			e.endQueryAnsweredAt = answeredAt
 			if err != nil || e.state.NextOffset >= end {
 				f(e, err == nil)
 				return
@@ -258,7 +259,7 @@
 	}()
 }
 
-// notifyRefreshWaiters runs the queries whose offset has been reached.
+// notifyRefreshWaiters runs the callbacks of the waiters whose offset has been reached.
 func (e *engine) notifyRefreshWaiters() {
 	waiters := e.refreshWaiters
 	e.refreshWaiters = nil
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -20,7 +20,7 @@
 	defaultAnswerTimeout  = 2500 * time.Millisecond // for a request that names no time limit
 	defaultRetryAfter     = time.Second             // for rejections whose cause gives no better estimate
 	logOutageRetryAfter   = 2 * time.Second         // outages of the log last some seconds, and callers have few retries
-	logOutageAfter        = 1500 * time.Millisecond // without an answer from the store; twice the duration of a read in an idle cell
+	logOutageThreshold    = 1500 * time.Millisecond // without an answer from the store; twice the duration of a read in an idle cell
 	maxBodyBytes          = 256 << 10
 	maxHeaderBytes        = 16 << 10
 	readHeaderTimeout     = 3 * time.Second
@@ -39,7 +39,7 @@
 	queue   *cluster.Queue
 	version int64
 	view
-	logUnreachable bool // the store is unresponsive or has not answered for logOutageAfter
+	logUnreachable bool // the store is unresponsive or has not answered for logOutageThreshold
 	maxBodyBytes   int  // of the request
 }
 
@@ -112,9 +112,9 @@
 	return time.Duration(callerTimeoutShare * float64(limit))
 }
 
-// lastContact returns when the store last stored a record of this daemon or answered one of its
+// lastStoreAnswer returns when the store last stored a record of this daemon or answered one of its
 // calls. It shows that jobs can be stored, but not that this daemon has read the log to its end.
-func (e *engine) lastContact() time.Duration {
+func (e *engine) lastStoreAnswer() time.Duration {
 	return max(e.readToEndAt, time.Duration(e.writer.storedAt.Load()), time.Duration(e.store.confirmedAt.Load()))
 }
 
@@ -128,7 +128,7 @@
 	}
 	result := lookupResult{
 		version: e.config.Version, queue: e.config.Match(host, path), view: view{readState: e.readState()},
-		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastContact() > logOutageAfter, maxBodyBytes: maxBodyBytes,
+		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastStoreAnswer() > logOutageThreshold, maxBodyBytes: maxBodyBytes,
 	}
 	if result.queue == nil {
 		return result
@@ -146,7 +146,7 @@
 	v := lookup.view
 	if src == fromPeer {
 		var err error
-		if v, err = a.engine.consultClient.ask(ctx, lookup.queue.Name, "", maxConsultTries); err != nil {
+		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", maxConsultTries); err != nil {
 			return a.rejectQuery(w, lookup, "", err)
 		}
 	}
@@ -169,9 +169,9 @@
 	switch sourceOfState(lookup.readState, lookup.view, bootclock.Now()) {
 	case fromPeer:
 		if !lookup.Found {
-			return a.engine.consultClient.ask(ctx, lookup.queue.Name, id, maxConsultTries)
+			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, maxConsultTries)
 		}
-		if v, err := a.engine.consultClient.ask(ctx, lookup.queue.Name, id, 1); err == nil && v.Found {
+		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, 1); err == nil && v.Found {
 			return v, nil
 		}
 		return lookup.view, nil // outdated, but correct as of the last read
@@ -285,8 +285,8 @@
 	return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Cancelled))
 }
 
-// remaining returns the time limit of an append: 50 ms less than the request has left, for the
-// answer to be written.
+// remaining returns the time limit of an append: 50 ms less than the request has left. The 50 ms
+// are for writing the answer.
 func remaining(ctx context.Context) time.Duration {
 	deadline, set := ctx.Deadline()
 	if !set {
@@ -295,7 +295,8 @@
 	return time.Until(deadline) - 50*time.Millisecond
 }
 
-// reject answers a request that was not executed; the Retry-After header says when to try again.
+// reject answers a request that was not executed. The Retry-After header states when the caller may
+// retry.
 func reject(w http.ResponseWriter, status int) int {
 	return rejectWithRetryAfter(w, status, defaultRetryAfter)
 }
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -23,16 +23,16 @@
 	store *fakeStore
 }
 
-func (f fakePlatform) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
-	return f.store.Append(ctx, part, records, fence)
+func (f fakePlatform) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	return f.store.Append(ctx, partition, records, fence)
 }
 
-func (f fakePlatform) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
-	return f.store.Read(ctx, part, from, wait)
+func (f fakePlatform) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	return f.store.Read(ctx, partition, from, wait)
 }
 
-func (f fakePlatform) End(ctx context.Context, part int, from int64) (int64, error) {
-	return f.store.End(ctx, part, from)
+func (f fakePlatform) End(ctx context.Context, partition int, from int64) (int64, error) {
+	return f.store.End(ctx, partition, from)
 }
 
 const jobBody = `{"Spec":"s","Steps":[{"Count":1,"Cpu":500}]}`
@@ -54,18 +54,18 @@
 	return &callerAPI{engine: e, ctx: ctx}
 }
 
-func (c *callerAPI) request(method, path, body string) *httptest.ResponseRecorder {
+func (a *callerAPI) request(method, path, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
 	r.Header.Set("X-Deadline-Ms", "1000")
 	w := httptest.NewRecorder()
-	c.ServeHTTP(w, r)
+	a.ServeHTTP(w, r)
 	return w
 }
 
 // Guards against wrong answers to any kind of request while the log works normally.
 func TestCallersAreAnswered(t *testing.T) {
 	store := &fakeStore{}
-	c := newTestCallerAPI(t, store, 0)
+	api := newTestCallerAPI(t, store, 0)
 	for _, test := range []struct {
 		method, path, body string
 		status             int
@@ -81,7 +81,7 @@
 		{http.MethodDelete, "/p/unknown", "", http.StatusGone, ""},
 		{http.MethodGet, "/p/", "", http.StatusOK, `{"Pending":7}`},
 	} {
-		got := c.request(test.method, test.path, test.body)
+		got := api.request(test.method, test.path, test.body)
 		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
 		require.Contains(t, got.Body.String(), test.text)
 	}
@@ -94,42 +94,42 @@
 func TestCallersAreRefusedAtOnceDuringALogOutage(t *testing.T) {
 	store := &fakeStore{}
 	store.failWith(errNoAnswer)
-	c := newTestCallerAPI(t, store, 10*time.Second)
+	api := newTestCallerAPI(t, store, 10*time.Second)
 	began := time.Now()
-	got := c.request(http.MethodPost, "/p/new", jobBody)
+	got := api.request(http.MethodPost, "/p/new", jobBody)
 	require.Equal(t, http.StatusServiceUnavailable, got.Code)
 	require.Equal(t, "2", got.Header().Get("Retry-After"))
 	require.Less(t, time.Since(began), 200*time.Millisecond)
 	require.Zero(t, store.appends.Load())
-	require.Equal(t, http.StatusServiceUnavailable, c.request(http.MethodGet, "/p/unknown", "").Code)
-	require.Equal(t, http.StatusOK, c.request(http.MethodGet, "/p/known", "").Code)
-	got = c.request(http.MethodGet, "/p/", "") // the count is 10 s old, which callers would take for the current one
+	require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodGet, "/p/unknown", "").Code)
+	require.Equal(t, http.StatusOK, api.request(http.MethodGet, "/p/known", "").Code)
+	got = api.request(http.MethodGet, "/p/", "") // the count is 10 s old, which callers would take for the current one
 	require.Equal(t, http.StatusServiceUnavailable, got.Code)
 	require.NotEmpty(t, got.Header().Get("Retry-After"))
 
-	c = newTestCallerAPI(t, store, 0)
-	require.Equal(t, http.StatusGatewayTimeout, c.request(http.MethodPost, "/p/new", jobBody).Code)
+	api = newTestCallerAPI(t, store, 0)
+	require.Equal(t, http.StatusGatewayTimeout, api.request(http.MethodPost, "/p/new", jobBody).Code)
 }
 
 // Guards against a cancellation reported as rejected although the log may have stored it, and
 // against a caller that waits during a known outage of the log.
 func TestCancellationReportsUnknownOutcomes(t *testing.T) {
 	store := &fakeStore{}
-	c := newTestCallerAPI(t, store, 0)
-	c.onEngine(func(e *engine) {
+	api := newTestCallerAPI(t, store, 0)
+	api.onEngine(func(e *engine) {
 		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
 	})
 	store.failWith(errNoAnswer)
-	require.Equal(t, http.StatusGatewayTimeout, c.request(http.MethodDelete, "/p/open", "").Code)
+	require.Equal(t, http.StatusGatewayTimeout, api.request(http.MethodDelete, "/p/open", "").Code)
 
 	store.failWith(errRefused)
-	got := c.request(http.MethodDelete, "/p/open", "")
+	got := api.request(http.MethodDelete, "/p/open", "")
 	require.Equal(t, http.StatusServiceUnavailable, got.Code)
 	require.Equal(t, "1", got.Header().Get("Retry-After"))
 
-	c.onEngine(func(e *engine) { e.readToEndAt = bootclock.Now() - 10*time.Second })
+	api.onEngine(func(e *engine) { e.readToEndAt = bootclock.Now() - 10*time.Second })
 	sent, began := store.appends.Load(), time.Now()
-	got = c.request(http.MethodDelete, "/p/open", "")
+	got = api.request(http.MethodDelete, "/p/open", "")
 	require.Equal(t, http.StatusServiceUnavailable, got.Code)
 	require.Equal(t, "2", got.Header().Get("Retry-After"))
 	require.Less(t, time.Since(began), 200*time.Millisecond)
@@ -137,8 +137,8 @@
 }
 
 // onEngine runs a change of the engine's state on the engine's goroutine.
-func (c *callerAPI) onEngine(change func(e *engine)) {
+func (a *callerAPI) onEngine(change func(e *engine)) {
 	done := make(chan struct{})
-	c.engine.do(c.ctx, func(e *engine) { change(e); close(done) })
+	a.engine.do(a.ctx, func(e *engine) { change(e); close(done) })
 	<-done
 }
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -22,11 +22,11 @@
 // Load of a daemon on a slow link, and the time within which it must serve callers again.
 const (
 	slowLinkBytesPerSecond = 10 * bytesPerMbit
-	callerPollsPerSecond   = 8               // by the callers of one daemon
-	maxCatchUpTime         = 8 * time.Second // after a restart of all VMs
+	callerPollsPerSecond   = 8               // queries of one daemon's callers
+	maxCatchUpTime         = 8 * time.Second // from the start of the daemon
 	snapshotJobs           = 4600
 	specBytes              = 600
-	tailRecords            = 1500 // after the snapshot
+	tailRecords            = 1500 // records of the log after the snapshot
 )
 
 // slowLinkStore is a store behind a link that all calls share.
@@ -36,19 +36,19 @@
 	records [][]byte
 	ends    atomic.Int64 // answered calls of End
 
-	link       sync.Mutex
+	linkMu     sync.Mutex
 	linkFreeAt time.Time // when all transfers accepted so far are complete
 }
 
 // transfer waits until the link has carried an answer of the given size.
 func (s *slowLinkStore) transfer(ctx context.Context, bytes int) error {
-	s.link.Lock()
+	s.linkMu.Lock()
 	if now := time.Now(); s.linkFreeAt.Before(now) {
 		s.linkFreeAt = now
 	}
 	s.linkFreeAt = s.linkFreeAt.Add(time.Duration(float64(bytes) / slowLinkBytesPerSecond * float64(time.Second)))
 	wait := time.Until(s.linkFreeAt)
-	s.link.Unlock()
+	s.linkMu.Unlock()
 	select {
 	case <-time.After(wait):
 		return nil
@@ -129,9 +129,9 @@
 	return p.slowLink.SavedAfterKey(ctx, partition, after)
 }
 
-// newBusyLog returns a store with two generations of a snapshot, and records of the log after
+// newStoreWithSnapshots returns a store with two generations of a snapshot, and records of the log after
 // the newer one.
-func newBusyLog(t *testing.T) *slowLinkStore {
+func newStoreWithSnapshots(t *testing.T) *slowLinkStore {
 	store := &slowLinkStore{}
 	s := flow.NewState()
 	submit := func(i int) {
@@ -163,8 +163,9 @@
 	return store
 }
 
-// newDaemon returns the callers' API of a daemon that has read nothing yet.
-func newDaemon(t *testing.T, store *slowLinkStore) *callerAPI {
+// newSlowLinkDaemon runs a daemon on a slow link that has read nothing yet, and returns its callers'
+// API.
+func newSlowLinkDaemon(t *testing.T, store *slowLinkStore) *callerAPI {
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}},
 		slowLinkPlatform{fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), &store.fakeStore}, store}, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
@@ -178,8 +179,8 @@
 // Guards against callers' queries that use up the link while the daemon reads a snapshot: with
 // 4600 jobs on a link of 10 Mbit/s, it became ready only after 22 s and more.
 func TestQueriesDoNotDelayLogReadsOnASlowLink(t *testing.T) {
-	c := newDaemon(t, newBusyLog(t))
-	e := c.engine
+	api := newSlowLinkDaemon(t, newStoreWithSnapshots(t))
+	e := api.engine
 	reader := &logReader{log: e.store, snapshots: e.platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
 	go reader.run(t.Context())
 	go e.store.monitor(t.Context())
@@ -188,7 +189,7 @@
 	began := time.Now()
 	for requests := 0; !e.isReady.Load(); requests++ {
 		<-ticker.C
-		go c.request(http.MethodGet, fmt.Sprintf("/p/%016x", snapshotJobs+tailRecords+requests), "")
+		go api.request(http.MethodGet, fmt.Sprintf("/p/%016x", snapshotJobs+tailRecords+requests), "")
 		require.Less(t, time.Since(began), maxCatchUpTime, "read so far: %v", e.store.reads.logFields())
 	}
 	t.Log("ready after", time.Since(began), e.store.reads.logFields())
@@ -197,12 +198,12 @@
 // Guards against refreshes that fetch records: each refresh of a daemon that is behind occupied
 // a slow link for 0.15 s.
 func TestRefreshFetchesNoRecords(t *testing.T) {
-	c := newDaemon(t, newBusyLog(t))
-	c.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() })
-	store := c.engine.platform.(slowLinkPlatform).slowLink
+	api := newSlowLinkDaemon(t, newStoreWithSnapshots(t))
+	api.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() })
+	store := api.engine.platform.(slowLinkPlatform).slowLink
 	began := time.Now()
 	for range 2 * callerPollsPerSecond {
-		c.onEngine(func(e *engine) { e.refresh(t.Context(), func(*engine, bool) {}) })
+		api.onEngine(func(e *engine) { e.refresh(t.Context(), func(*engine, bool) {}) })
 	}
 	require.Eventually(t, func() bool { return store.ends.Load() == 2*callerPollsPerSecond }, time.Second, time.Millisecond)
 	require.Less(t, time.Since(began), time.Second)
@@ -212,14 +213,14 @@
 // long ago, because a record of its own was just stored.
 func TestAStoredRecordDoesNotRenewTheReadState(t *testing.T) {
 	for _, age := range []time.Duration{0, 10 * time.Second} {
-		c := newDaemon(t, &slowLinkStore{})
-		c.onEngine(func(e *engine) {
+		api := newSlowLinkDaemon(t, &slowLinkStore{})
+		api.onEngine(func(e *engine) {
 			if age > 0 {
 				e.readToEndAt = bootclock.Now() - age
 			}
 			e.writer.storedAt.Store(int64(bootclock.Now()))
 		})
-		got := c.request(http.MethodGet, "/p/", "")
+		got := api.request(http.MethodGet, "/p/", "")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code, "read %v ago, or never: %s", age, got.Body)
 		require.NotEmpty(t, got.Header().Get("Retry-After"))
 	}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -16,14 +16,14 @@
 func (e *engine) handleClaim(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
-	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.started
+	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.startedMS
 	if !own || e.state.Claim.Epoch != e.claimEpoch {
 		return
 	}
 	placingCtx, cancel := context.WithCancel(ctx)
 	e.placingContext, e.cancelPlacing = placingCtx, cancel
 	e.snapshotWriter = &snapshotWriter{store: e.platform, linkBytesPerSecond: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
-	e.saving, e.savedAt = false, now
+	e.savingSnapshot, e.lastSnapshotAt = false, now
 	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = now, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
@@ -35,9 +35,9 @@
 	go e.retireFormerPlacer(placingCtx, e.placer, former)
 }
 
-// retireFormerPlacer asks the former placer to stop. Once it has, the runs that it started
-// end at the latest with their present leases. Without an answer, it may renew leases for as
-// long as a placer does that has lost the log.
+// retireFormerPlacer asks the former placer to stop. Once that one has stopped, the runs that it
+// started end at the latest with their present leases. If it does not answer, it may renew leases
+// for up to maxLogOutage.
 func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim) {
 	for attempt := 0; attempt < maxRetireTries && ctx.Err() == nil; attempt++ {
 		err := error(nil)
@@ -89,27 +89,27 @@
 	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
 		Rank: placer.ClaimRank(e.state, e.hello(), now), BetterCandidatePresent: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
-			e.isolatedAt > 0 && now-e.isolatedAt < isolationBackoff, MaxRecordGap: e.placerGaps.longest(now),
+			e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff, MaxRecordGap: e.batchGaps.longest(now),
 		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
 	if _, shouldClaim := placer.ShouldClaim(e.state, input); !shouldClaim {
 		return
 	}
 	e.claiming = true
-	probeSentAt := now
+	querySentAt := now
 	e.refresh(ctx, func(e *engine, ok bool) {
 		e.claiming = false
 		input.Now, input.CaughtUpAt = bootclock.Now(), e.readToEndAt
-		e.probeTimes.record(e.probedAt-probeSentAt, e.probedAt)
-		input.MaxLogLatency = max(e.probeTimes.longest(input.Now), e.writer.appendTimes.longest(input.Now))
+		e.endQueryTimes.record(e.endQueryAnsweredAt-querySentAt, e.endQueryAnsweredAt)
+		input.MaxLogLatency = max(e.endQueryTimes.longest(input.Now), e.writer.appendTimes.longest(input.Now))
 		if reason, shouldClaim := placer.ShouldClaim(e.state, input); shouldClaim && ok {
 			e.claimUnlessPlacerAlive(ctx, reason)
 		}
 	})
 }
 
-// claimUnlessPlacerAlive claims, unless the log is slow and the placer's daemon answers. Its
-// records then wait at the log, and those of a successor would only queue behind them.
+// claimUnlessPlacerAlive claims, unless the log is slow and the placer's daemon answers. In that
+// case the placer's records wait at the log, and those of a successor would only queue behind them.
 func (e *engine) claimUnlessPlacerAlive(ctx context.Context, reason string) {
 	currentClaim := e.state.Claim
 	if !e.store.storeSlow.Load() || currentClaim.Daemon == "" || currentClaim.Daemon == e.settings.Name || bootclock.Now()-e.state.LastHeard > maxBusyPlacerSilence {
@@ -138,7 +138,7 @@
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
 		"rank", rank,
 		"silent_ms", (bootclock.Now() - e.state.LastHeard).Milliseconds(), "offset", e.state.NextOffset)
-	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.started}}
+	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.startedMS}}
 	appender := e.appender
 	go func() {
 		appendCtx, cancel := context.WithTimeout(ctx, 2*slowStoreTimeout)
@@ -153,7 +153,7 @@
 				e.metrics.claims.WithLabelValues("not stored").Inc()
 				e.log.Emit(evPlacerEnded, "reason", "appending the claim failed: "+err.Error(), "epoch", epoch)
 			} else if offset >= e.state.NextOffset {
-				e.ackedAppends[offset] = decoded{record: *record}
+				e.ackedAppends[offset] = decodedRecord{record: *record}
 				e.applyAcked(ctx, bootclock.Now())
 			}
 			if done != nil {
@@ -168,7 +168,7 @@
 // successor, so no daemon has to wait for a time without records of the placer. The reply
 // reports whether the claim was stored.
 func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
-	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.logUnreachable || !e.readState().atMostOld(readyReadAge, bootclock.Now()) || e.store.directDown.Load() || e.state.Claim.Epoch != epoch {
+	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.logUnreachable || !e.readState().noOlderThan(readyReadAge, bootclock.Now()) || e.store.directDown.Load() || e.state.Claim.Epoch != epoch {
 		reply <- false
 		return
 	}
@@ -176,15 +176,15 @@
 }
 
 // handOverIfDue begins a hand-over when this daemon is isolated from the others, when it
-// reaches the log only through them, or when one with much more capacity is present: a small
-// VM places only while no larger one can.
+// reaches the log only through them, or when one with much more capacity is alive: a daemon on a
+// small VM is the placer only while no daemon on a larger VM can be.
 func (e *engine) handOverIfDue(now time.Duration) {
 	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
 		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
 		return
 	}
 	if e.isolated(now) {
-		e.isolatedAt = now
+		e.steppedDownAt = now
 		e.handingOver = true
 		return
 	}
@@ -192,8 +192,8 @@
 }
 
 // directPathFailed reports whether this daemon's direct path to the log has been down for
-// handOverDelay while other daemons relayed its records, which delays each of them. While no
-// daemon reaches the log, the placer stays, because it renews the workers' leases.
+// handOverDelay while other daemons relayed its records, which delays every record. While no
+// daemon reaches the log, the placer does not change, because it renews the workers' leases.
 func (e *engine) directPathFailed(now time.Duration) bool {
 	if !e.store.directDown.Load() {
 		e.directDownSince = 0
@@ -205,14 +205,14 @@
 	return now-e.directDownSince > handOverDelay && now-e.batchAckedAt < handOverDelay
 }
 
-// isolated reports whether the placer cannot reach at least half of the daemons although
-// they are alive: calls for advice through them fail, and callers' records are appended
-// without passing through the placer.
+// isolated reports whether the placer can't reach at least half of the daemons although they are
+// alive: calls for advice through them fail, and they append callers' records without forwarding
+// them to the placer.
 func (e *engine) isolated(now time.Duration) bool {
 	failing, total := e.placer.FailingAdvisers()
 	mostFailing := 2*failing >= total
-	if e.writer.weakPlacer.Load() {
-		mostFailing = failing == total // no record passes through a weak placer, and its link makes some calls time out
+	if e.writer.lowCapacityPlacer.Load() {
+		mostFailing = failing == total // other daemons forward no records to a low-capacity placer, and its link makes some calls time out
 	}
 	return total > 2 && mostFailing && e.bypassedRecords >= isolationBypassedRecords && now-e.lastBypassAt < handOverDelay
 }
@@ -240,7 +240,7 @@
 		}
 		if err != nil {
 			e.log.Emit(evPeerUnreachable, "peer", successors[i].Daemon, "reason", err.Error())
-			return false // it may have claimed; the release informs all daemons
+			return false // it may have claimed; the release tells all daemons that this one has stopped placing
 		}
 	}
 	return false
@@ -253,7 +253,7 @@
 	batch.Begins = nil // no run starts after the release
 	appender, epoch := e.appender, e.placer.Epoch()
 	successors := placer.Successors(e.state, e.settings.Name, bootclock.Now(), time.Now().UnixMilli())
-	if e.isolatedAt > 0 && bootclock.Now()-e.isolatedAt < handOverDelay {
+	if e.steppedDownAt > 0 && bootclock.Now()-e.steppedDownAt < handOverDelay {
 		successors = nil // an isolated daemon reaches none of them
 	}
 	e.stopPlacing("planned stop or hand-over")
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -18,28 +18,28 @@
 // Guards against claims by all daemons as soon as a slow store is fast again, before the
 // placer's records that waited there can be read.
 func TestRecentMaxKeepsLongTimesForItsWindow(t *testing.T) {
-	var s recentMax
-	require.Zero(t, s.longest(10*time.Second))
-	s.record(400*time.Millisecond, 10*time.Second)
-	s.record(20*time.Millisecond, 11*time.Second)
-	require.Equal(t, 400*time.Millisecond, s.longest(12*time.Second))
-	require.Zero(t, s.longest(10*time.Second+recentMaxWindow+time.Millisecond))
-	s.record(20*time.Millisecond, 14*time.Second)
-	require.Equal(t, 20*time.Millisecond, s.longest(14*time.Second))
+	var recent recentMax
+	require.Zero(t, recent.longest(10*time.Second))
+	recent.record(400*time.Millisecond, 10*time.Second)
+	recent.record(20*time.Millisecond, 11*time.Second)
+	require.Equal(t, 400*time.Millisecond, recent.longest(12*time.Second))
+	require.Zero(t, recent.longest(10*time.Second+recentMaxWindow+time.Millisecond))
+	recent.record(20*time.Millisecond, 14*time.Second)
+	require.Equal(t, 20*time.Millisecond, recent.longest(14*time.Second))
 }
 
 // Guards against two successors of one placer, and against a successor that can't place: only
 // a ready daemon that knows the same placer may claim on request.
 func TestSucceedClaimsOnceAndOnlyWhenReady(t *testing.T) {
 	store := &fakeStore{}
-	c := newTestCallerAPI(t, store, 0)
+	api := newTestCallerAPI(t, store, 0)
 	succeed := func(epoch int64, change func(e *engine)) bool {
-		c.onEngine(func(e *engine) {
+		api.onEngine(func(e *engine) {
 			e.state.Claim, e.state.LastHeard = flow.Claim{Daemon: "x", Epoch: 5}, bootclock.Now()
 			e.claiming, e.draining, e.logUnreachable = false, false, false
 			change(e)
 		})
-		done, ok := query(t.Context(), c.engine, func(e *engine, reply chan<- bool) { e.succeed(c.ctx, epoch, reply) })
+		done, ok := query(t.Context(), api.engine, func(e *engine, reply chan<- bool) { e.succeed(api.ctx, epoch, reply) })
 		return done && ok
 	}
 	require.False(t, succeed(4, func(*engine) {}), "another placer holds the claim")
@@ -57,10 +57,10 @@
 // reaches the log but no other daemon, so that it gets advice only through itself, and against
 // one that hands over because other daemons have died.
 func TestIsolatedPlacerHandsOver(t *testing.T) {
-	c := newTestCallerAPI(t, &fakeStore{}, 0)
-	var handsOverOnDeaths, handsOverWhenWeak, handsOverWhenIsolated bool
-	var isolatedAt, now time.Duration
-	c.onEngine(func(e *engine) {
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
+	var handsOverOnDeaths, handsOverWithLowCapacity, handsOverWhenIsolated bool
+	var steppedDownAt, now time.Duration
+	api.onEngine(func(e *engine) {
 		now = bootclock.Now()
 		for _, name := range []string{"b", "c", "d"} {
 			e.state.Members[name] = flow.Member{Hello: flow.Hello{Daemon: name, Address: "x", StartedMS: 1}, LastSeen: now}
@@ -74,27 +74,27 @@
 		e.handOverIfDue(now)
 		handsOverOnDeaths = e.handingOver
 		e.bypassedRecords, e.lastBypassAt = isolationBypassedRecords, now
-		e.writer.weakPlacer.Store(true)
+		e.writer.lowCapacityPlacer.Store(true)
 		e.handOverIfDue(now)
-		handsOverWhenWeak = e.handingOver
-		e.writer.weakPlacer.Store(false)
+		handsOverWithLowCapacity = e.handingOver
+		e.writer.lowCapacityPlacer.Store(false)
 		e.handOverIfDue(now)
-		handsOverWhenIsolated, isolatedAt = e.handingOver, e.isolatedAt
+		handsOverWhenIsolated, steppedDownAt = e.handingOver, e.steppedDownAt
 		e.placer, e.handingOver = nil, false
 	})
 	require.False(t, handsOverOnDeaths, "the other daemons may have died")
-	require.False(t, handsOverWhenWeak, "other daemons append without a weak placer even if they reach it")
+	require.False(t, handsOverWithLowCapacity, "other daemons do not forward records to a low-capacity placer even if they reach it")
 	require.True(t, handsOverWhenIsolated)
-	require.Equal(t, now, isolatedAt)
+	require.Equal(t, now, steppedDownAt)
 }
 
 // Guards against a placer that keeps its claim although it reaches the log through other
-// daemons only (with three daemons cut off from the log, every record was a second late for
+// daemons only (in a cell with three daemons cut off from the log, every record was 1 s late for
 // 12 s), and against one that hands over while no daemon reaches the log.
 func TestPlacerWithoutDirectLogPathHandsOver(t *testing.T) {
-	c := newTestCallerAPI(t, &fakeStore{}, 0)
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
 	handsOver := func(directDown bool, downFor, sinceAck time.Duration) (handingOver bool) {
-		c.onEngine(func(e *engine) {
+		api.onEngine(func(e *engine) {
 			now := bootclock.Now()
 			e.state.Members["b"] = flow.Member{Hello: flow.Hello{Daemon: "b", Address: "x", StartedMS: 1}, LastSeen: now}
 			e.placer = placer.New(e.state, e.config, placer.Options{Lease: time.Second}, now)
@@ -123,12 +123,12 @@
 // Guards against a daemon that keeps claiming while a higher claim waits at a slow log, until
 // one of its own epochs is high enough to fence that claim off.
 func TestSupersededClaimIsNotRetriedAtOnce(t *testing.T) {
-	c := newTestCallerAPI(t, &fakeStore{}, 0)
-	c.engine.store.direct = fencingStore{c.engine.platform}
-	c.onEngine(func(e *engine) { e.claiming, e.readableSince, e.firstConfigAt = false, 1, 1 })
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
+	api.engine.store.direct = fencingStore{api.engine.platform}
+	api.onEngine(func(e *engine) { e.claiming, e.readableSince, e.firstConfigAt = false, 1, 1 })
 	failedClaims := 0.0
 	for range 30 {
-		c.onEngine(func(e *engine) {
+		api.onEngine(func(e *engine) {
 			e.readToEndAt = bootclock.Now()
 			failedClaims = testutil.ToFloat64(e.metrics.claims.WithLabelValues("not stored"))
 		})
@@ -145,7 +145,7 @@
 	unreachableAddress := l.Addr().String()
 	require.NoError(t, l.Close())
 	aliveAddress := serveSubmissions(t, nil)
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name    string
 		address string
 		silent  time.Duration
@@ -159,24 +159,24 @@
 	} {
 		api := newTestCallerAPI(t, &fakeStore{}, 0)
 		api.onEngine(func(e *engine) {
-			e.state.Claim = flow.Claim{Daemon: "x", Address: c.address, Epoch: 5}
-			e.state.LastHeard = bootclock.Now() - c.silent
-			e.store.storeSlow.Store(c.slow)
+			e.state.Claim = flow.Claim{Daemon: "x", Address: test.address, Epoch: 5}
+			e.state.LastHeard = bootclock.Now() - test.silent
+			e.store.storeSlow.Store(test.slow)
 			e.claimUnlessPlacerAlive(api.ctx, "the placer is silent")
 		})
 		time.Sleep(aliveTimeout + 200*time.Millisecond)
 		claimed := false
 		api.onEngine(func(e *engine) { claimed = e.claimEpoch > 0 })
-		require.Equal(t, c.claims, claimed, c.name)
+		require.Equal(t, test.claims, claimed, test.name)
 	}
 }
 
 // Guards against a placer that sends its callers' records to a fallback appender, and against a
 // fallback appender that is the placer, is gone, or has just started.
 func TestFallbackAppenderIsTheBestSuccessor(t *testing.T) {
-	c := newTestCallerAPI(t, &fakeStore{}, 0)
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
 	fallback := func(placerName string) (address string) {
-		c.onEngine(func(e *engine) {
+		api.onEngine(func(e *engine) {
 			now := bootclock.Now()
 			for name, h := range map[string]flow.Hello{
 				"p": {CapacityFactor: 9, StartedMS: 1}, "young": {CapacityFactor: 9, StartedMS: time.Now().UnixMilli()},
--- a/daemon/cell/consult.go
+++ b/daemon/cell/consult.go
@@ -27,8 +27,8 @@
 	Within time.Duration
 }
 
-// ConsultReply answers ConsultArgs. Known is false if that daemon has not read enough of the log
-// itself; it does not consult a third daemon.
+// ConsultReply answers ConsultArgs. Known is false if the consulted daemon has not read enough of the
+// log itself; it does not consult a third daemon.
 type ConsultReply struct {
 	Known   bool
 	Pending int
@@ -44,19 +44,19 @@
 
 // consultClient consults other daemons when this one has not read the log to its end.
 type consultClient struct {
-	peers         *peerClients // not shared: a time-out may close the connection, and appends must not be affected
-	members       *atomic.Pointer[[]string]
-	placer        *atomic.Pointer[string]
-	lastAnswering atomic.Pointer[string] // address of the last daemon that had an answer
+	peers           *peerClients // not shared: a timeout may close the connection, which must not affect appends
+	memberAddresses *atomic.Pointer[[]string]
+	placerAddress   *atomic.Pointer[string]
+	lastAnswering   atomic.Pointer[string] // address of the last daemon that had an answer
 }
 
-// ask returns what another daemon knows; it consults at most maxTries daemons, one after another. An
-// error of kind fault.Unavailable means that none of them has read the log to its end.
-func (c *consultClient) ask(ctx context.Context, queue, job string, maxTries int) (view, error) {
-	members := *c.members.Load()
+// consult returns what another daemon knows. It consults at most maxTries daemons, one after another.
+// An error of kind fault.Unavailable means that none of them has read the log to its end.
+func (c *consultClient) consult(ctx context.Context, queue, job string, maxTries int) (view, error) {
+	addresses := *c.memberAddresses.Load()
 	var tried []string
 	for len(tried) < maxTries && ctx.Err() == nil {
-		address := c.nextDaemon(members, tried)
+		address := c.nextDaemon(addresses, tried)
 		if address == "" {
 			break
 		}
@@ -77,9 +77,9 @@
 }
 
 // nextDaemon chooses the next daemon to consult: the last one that had an answer, then the placer,
-// then the others, those with a fast link and near the store first.
-func (c *consultClient) nextDaemon(members, tried []string) string {
-	preferred := []string{*c.placer.Load()}
+// then the others, preferring those with more capacity and nearer to the store.
+func (c *consultClient) nextDaemon(addresses, tried []string) string {
+	preferred := []string{*c.placerAddress.Load()}
 	if last := c.lastAnswering.Load(); last != nil {
 		preferred = slices.Insert(preferred, 0, *last)
 	}
@@ -88,7 +88,7 @@
 			return address
 		}
 	}
-	untried := slices.DeleteFunc(slices.Clone(members), func(address string) bool { return slices.Contains(tried, address) })
+	untried := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return slices.Contains(tried, address) })
 	if len(untried) == 0 {
 		return ""
 	}
--- a/daemon/cell/contact_test.go
+++ b/daemon/cell/contact_test.go
@@ -16,12 +16,12 @@
 type unresponsiveStore struct {
 	fakeStore
 	unresponsive atomic.Bool
-	started      atomic.Int64 // appends that were sent
+	sentAppends  atomic.Int64 // appends that were sent
 	reads        atomic.Int64
 }
 
 func (s *unresponsiveStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
-	s.started.Add(1)
+	s.sentAppends.Add(1)
 	if s.unresponsive.Load() {
 		<-ctx.Done()
 		return 0, errNoAnswer
@@ -44,34 +44,34 @@
 	return page.End, err
 }
 
-// newUnresponsiveStore returns a store that has just stopped answering, and a relay that monitors it
+// newUnresponsiveStore returns a store that has just stopped answering, and a store client that monitors it
 // and a writer that appends to it.
-func newUnresponsiveStore(t *testing.T) (*unresponsiveStore, *relay, *writer) {
+func newUnresponsiveStore(t *testing.T) (*unresponsiveStore, *storeClient, *writer) {
 	store := &unresponsiveStore{}
-	r := newRelay(store, newPeerClients())
-	w := newWriter(r, r.peers)
-	w.logSuspect, w.logUnresponsive = r.suspect, r.unresponsive
-	go r.monitor(t.Context())
+	client := newStoreClient(store, newPeerClients())
+	w := newWriter(client, client.peers)
+	w.logSuspect, w.logUnresponsive = client.suspect, client.unresponsive
+	go client.monitor(t.Context())
 	go w.run(t.Context())
 	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
 	store.unresponsive.Store(true)
-	return store, r, w
+	return store, client, w
 }
 
-// callerTimeout is the time limit that production callers use.
+// callerTimeout is the usual time limit of callers.
 const callerTimeout = 3 * time.Second
 
 // Guards against records sent to a store that is already known to be unresponsive: their callers wait
 // for their whole time limit and get an unknown outcome (105 answers of status 504 in an outage of 4 s).
 func TestRecordsAreNotSentToAnUnresponsiveLog(t *testing.T) {
-	store, r, w := newUnresponsiveStore(t)
-	require.Eventually(t, r.suspect, 2*suspectAfter, 10*time.Millisecond)
-	sent, began := store.started.Load(), time.Now()
+	store, client, w := newUnresponsiveStore(t)
+	require.Eventually(t, client.suspect, 2*suspectAfter, 10*time.Millisecond)
+	sent, began := store.sentAppends.Load(), time.Now()
 	err := w.append(t.Context(), testSubmission, callerTimeout)
 	require.True(t, fault.Is(err, fault.Refused), "%v", err)
 	require.Less(t, time.Since(began), callerTimeout/2)
-	require.Equal(t, sent, store.started.Load(), "a refused record was sent")
-	require.True(t, r.unresponsive())
+	require.Equal(t, sent, store.sentAppends.Load(), "a refused record was sent")
+	require.True(t, client.unresponsive())
 }
 
 // Guards against callers that wait behind an append to an unresponsive store until that append times
@@ -84,7 +84,7 @@
 	go w.run(t.Context())
 	first := make(chan error, 1)
 	go func() { first <- w.append(t.Context(), testSubmission, callerTimeout) }()
-	require.Eventually(t, func() bool { return store.started.Load() > 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return store.sentAppends.Load() > 0 }, time.Second, time.Millisecond)
 	began := time.Now()
 	time.AfterFunc(minProbeInterval, func() { unresponsive.Store(true) })
 	err := w.append(t.Context(), testSubmission, callerTimeout)
@@ -96,18 +96,18 @@
 // Guards against a store that counts as unresponsive for seconds after its recovery: callers with a
 // time limit of 3 s were refused for 1.4 to 3 s longer than needed.
 func TestTheRecoveryOfTheStoreIsDetectedQuickly(t *testing.T) {
-	store, r, w := newUnresponsiveStore(t)
-	require.Eventually(t, r.unresponsive, 2*unresponsiveAfter, 10*time.Millisecond)
+	store, client, w := newUnresponsiveStore(t)
+	require.Eventually(t, client.unresponsive, 2*unresponsiveAfter, 10*time.Millisecond)
 	waiting := make(chan error, 1)
 	go func() {
-		_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+		_, err := client.Append(t.Context(), partition, [][]byte{{1}}, nil)
 		waiting <- err
 	}()
 	before := store.reads.Load()
 	time.Sleep(2 * time.Second)
 	require.Greater(t, store.reads.Load()-before, int64(2*time.Second/(2*minProbeInterval)), "probes while the direct path is down")
 	store.unresponsive.Store(false)
-	require.Eventually(t, func() bool { return !r.suspect() }, 500*time.Millisecond, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return !client.suspect() }, 500*time.Millisecond, 5*time.Millisecond)
 	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
 	select {
 	case <-waiting: // a call made during the outage has ended
@@ -118,10 +118,10 @@
 
 // Guards against an idle log being mistaken for an outage.
 func TestAnIdleLogIsNotSuspect(t *testing.T) {
-	r := newRelay(&fakeStore{}, newPeerClients())
-	go r.monitor(t.Context())
+	client := newStoreClient(&fakeStore{}, newPeerClients())
+	go client.monitor(t.Context())
 	for range 30 {
 		time.Sleep(50 * time.Millisecond)
-		require.False(t, r.suspect())
+		require.False(t, client.suspect())
 	}
 }
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -34,7 +34,7 @@
 	callBytes         *prometheus.CounterVec
 	readCalls         *prometheus.CounterVec
 	readBytes         *prometheus.CounterVec
-	config            prometheus.Gauge
+	configVersion     prometheus.Gauge
 	logAge            prometheus.Gauge
 	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
@@ -42,8 +42,8 @@
 	oldestWaiting     *prometheus.GaugeVec
 	runs              *prometheus.GaugeVec
 	workers           *prometheus.GaugeVec
-	roomCores         *prometheus.GaugeVec
-	roomMemory        *prometheus.GaugeVec
+	workerCores       *prometheus.GaugeVec
+	workerMemory      *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
 }
 
@@ -80,7 +80,7 @@
 		callBytes:         counter("platform_call_bytes_total", "Bytes of bodies, by dependency and direction.", "dependency", "direction"),
 		readCalls:         counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
 		readBytes:         counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
-		config:            gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
+		configVersion:     gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
 		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
@@ -88,8 +88,8 @@
 		oldestWaiting:     gauge("waiting_oldest_seconds", "How long the oldest such step has waited, by queue; on the placer.", "queue"),
 		runs:              gauge("runs", "Runs by state; on the placer.", "state"),
 		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
-		roomCores:         gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
-		roomMemory:        gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
+		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
 	}
 }
@@ -120,10 +120,10 @@
 	}
 	m.workers.WithLabelValues("known").Set(float64(summary.Workers))
 	m.workers.WithLabelValues("usable").Set(float64(summary.Usable))
-	m.roomCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
-	m.roomCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
-	m.roomMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
-	m.roomMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
+	m.workerCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
+	m.workerCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
+	m.workerMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
+	m.workerMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
 }
 
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
@@ -141,7 +141,7 @@
 func (e *engine) publishMetrics(now time.Duration) {
 	m := &e.metrics
 	if e.config != nil {
-		m.config.Set(float64(e.config.Version))
+		m.configVersion.Set(float64(e.config.Version))
 	}
 	if e.readToEndAt > 0 {
 		m.logAge.Set((now - e.readToEndAt).Seconds())
@@ -154,7 +154,7 @@
 		return
 	}
 	m.isPlacer.Set(0)
-	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.roomCores, m.roomMemory} {
-		g.Reset() // Another daemon reports them now.
+	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory} {
+		g.Reset() // another daemon reports them now
 	}
 }
--- a/daemon/cell/courier_test.go
+++ b/daemon/cell/courier_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	recorder := startRecorder{sent: make(chan cluster.Start, 4)}
-	require.NoError(t, servePeers(listener, &peerService{starter: recorder, spec: func(_ context.Context, job string) (string, bool) { return "text", job == "known" }}))
+	require.NoError(t, servePeers(listener, &peerService{starter: recorder, specOf: func(_ context.Context, job string) (string, bool) { return "text", job == "known" }}))
 	api := newTestCallerAPI(t, &fakeStore{}, 0)
 	sender := newOrderSender(api.engine)
 	order := func(job string) *placer.StartCommand {
@@ -81,14 +81,14 @@
 	require.False(t, known)
 }
 
-// Guards against records that cross the link of a weak placer twice: once when they are forwarded, once
-// when they are appended.
-func TestRecordsBypassAWeakPlacer(t *testing.T) {
+// Guards against records that cross the link of a low-capacity placer twice: once when they are
+// forwarded, once when they are appended.
+func TestRecordsBypassALowCapacityPlacer(t *testing.T) {
 	store := &fakeStore{}
 	w := newWriter(store, newPeerClients())
 	address := serveSubmissions(t, func(records [][]byte, _ time.Duration) []error { return make([]error, len(records)) })
 	w.placerAddress.Store(&address)
-	w.weakPlacer.Store(true)
+	w.lowCapacityPlacer.Store(true)
 	go w.run(t.Context())
 	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
 	require.EqualValues(t, 1, store.appends.Load())
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -20,7 +20,7 @@
 // pools outgrow one placer gets one partition for each group of pools.
 const partition = 0
 
-// Intervals, time-outs and limits of the engine.
+// Intervals, timeouts and limits of the engine.
 const (
 	placerTickInterval       = 20 * time.Millisecond
 	followerTickInterval     = 250 * time.Millisecond
@@ -28,19 +28,19 @@
 	memberTimeout            = 3 * helloInterval // a daemon without a Hello record for this long gets no requests
 	summaryInterval          = time.Second
 	expiryInterval           = 10 * time.Second
-	endedJobRetentionFactor  = 1.25                    // keeps ended jobs longer than bounds promise, because clocks and answers lag
+	endedJobRetentionFactor  = 1.25                    // keeps ended jobs longer than bounds.status_s, because clocks differ and answers take time
 	failoverBoundShare       = 0.35                    // of the failover bound; the rest is left for the take-over
 	maxLease                 = 4800 * time.Millisecond // longer leases delay the restart of tasks of lost workers
 	readyReadAge             = 1600 * time.Millisecond // a daemon that has not read the log for this long rejects callers
 	maxRetireTries           = 4
 	claimConflictBackoff     = 2500 * time.Millisecond // a partition queues at most 2 s of appends
-	maxBusyPlacerSilence     = 7 * time.Second         // while the log is slow; three appends that wait in a full partition
+	maxBusyPlacerSilence     = 7 * time.Second         // while the log is slow: as long as three appends wait in a full partition
 	maxStackBytes            = 2048
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
-	handOverDelay            = 2 * time.Second       // a new placer is still learning the state of its workers
+	handOverDelay            = 2 * time.Second       // a new placer does not know the state of all workers yet
 	isolationBypassedRecords = 5                     // a single failed call to the placer also makes a daemon append a record past it
-	isolationBackoff         = 10 * time.Second      // after it the network path may work again
+	stepDownBackoff          = 10 * time.Second      // after it the network path may work again
 	maxHandOverTries         = 2
 	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
@@ -50,13 +50,13 @@
 // engine owns the state that is built from the log and, while this daemon holds the claim,
 // the placer.
 type engine struct {
-	settings *Settings
-	started  int64 // Unix ms
-	platform Platform
-	store    *relay
-	peers    *peerClients
-	log      *event.Logger
-	rng      *rand.Rand
+	settings  *Settings
+	startedMS int64 // process start, Unix ms
+	platform  Platform
+	store     *storeClient
+	peers     *peerClients
+	log       *event.Logger
+	rng       *rand.Rand
 
 	pages    chan page
 	calls    chan func(*engine)
@@ -78,49 +78,49 @@
 	claimJitter    time.Duration
 	refreshWaiters []refreshWaiter
 
-	placer          *placer.Placer
-	appender        *fencedAppender
-	claimEpoch      int64           // epoch of the last claim that this daemon has appended
-	claiming        bool            // a claim, or the check before it, is under way
-	claimAnsweredAt time.Duration   // when the last claim was answered
-	claimConflictAt time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
-	handingOver     bool            // the placer releases its claim once the append under way has ended
-	appending       bool            // a batch is being appended
-	batchAckedAt    time.Duration   // when the last acknowledged batch was sent, at first when placing began
-	placingContext  context.Context // cancelled when this daemon stops placing
-	cancelPlacing   context.CancelFunc
-	helloSentAt     time.Duration
-	lastExpiryAt    time.Duration
-	unusableEntries int // entries of the registry that could not be read the last time
-	summaryLoggedAt time.Duration
-	catchUpLoggedAt time.Duration
-	logEnd          int64 // end of the log as of the last read
-	metricsAt       time.Duration
+	placer             *placer.Placer
+	appender           *fencedAppender
+	claimEpoch         int64           // epoch of the last claim that this daemon has appended
+	claiming           bool            // a claim, or the check before it, is under way
+	claimAnsweredAt    time.Duration   // when the last claim was answered
+	claimConflictAt    time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	handingOver        bool            // the placer releases its claim once the append under way has ended
+	appending          bool            // a batch is being appended
+	batchAckedAt       time.Duration   // when the last acknowledged batch was sent, at first when placing began
+	placingContext     context.Context // cancelled when this daemon stops placing
+	cancelPlacing      context.CancelFunc
+	helloSentAt        time.Duration
+	lastExpiryAt       time.Duration
+	unusableEntries    int // entries of the registry that could not be read the last time
+	summaryLoggedAt    time.Duration
+	catchUpLoggedAt    time.Duration
+	logEnd             int64 // end of the log as of the last read
+	metricsPublishedAt time.Duration
 
-	snapshotWriter  *snapshotWriter
-	saving          bool
-	savedAt         time.Duration
-	savedOffset     int64
-	savedGeneration int64
-	savedBytes      int // size of the last snapshot
-	unsavedEntries  int // entries in the records since the newest snapshot that this daemon knows
+	snapshotWriter       *snapshotWriter
+	savingSnapshot       bool          // a snapshot, or the lookup before the first one, is under way
+	lastSnapshotAt       time.Duration // when the last snapshot was begun; 0 makes the next one due at once
+	snapshotOffset       int64         // log offset up to which the newest known snapshot covers the records
+	snapshotGeneration   int64         // generation of the newest known snapshot
+	snapshotBytes        int           // size of the last snapshot that this placer began to write
+	entriesSinceSnapshot int           // entries in the records since the newest snapshot that this daemon knows
 
-	// Inputs of the decisions on claims and hand-overs. Times are of the boot clock.
-	probedAt         time.Duration // answer to the last query for the end of the log
-	probeTimes       recentMax     // latency of queries for the end of the log before a claim
-	placerGaps       recentMax     // between batches of the placer
-	readTimes        recentMin     // latency of reads of the log
-	placingStartedAt time.Duration
-	directDownSince  time.Duration // since when the log is reached through other daemons only; 0 while it is reached directly
-	bypassedRecords  int           // callers' records that other daemons appended without this placer
-	lastBypassAt     time.Duration // the last of these records
-	isolatedAt       time.Duration // when this daemon last gave up placing, because of isolation or an unexpected error
+	// Inputs of the decisions on claims and hand-overs. Times are on the boot clock.
+	endQueryAnsweredAt time.Duration // when the last query for the end of the log ended
+	endQueryTimes      recentMax     // latencies of the queries for the end of the log that precede claims
+	batchGaps          recentMax     // between batches of the placer
+	readTimes          recentMin     // latency of reads of the log
+	placingStartedAt   time.Duration
+	directDownSince    time.Duration // since when the log is reached through other daemons only; 0 while it is reached directly
+	bypassedRecords    int           // callers' records that other daemons appended without this placer
+	lastBypassAt       time.Duration // when the last of these records was applied
+	steppedDownAt      time.Duration // when this daemon last stopped placing because of isolation or an unexpected error
 
-	ackedAppends  map[int64]decoded // acknowledged appends of this daemon, by offset, until all records before them are applied
-	appliedOffset atomic.Int64      // offset of the next record to apply
-	isPlacer      atomic.Bool       // read by the log reader
-	isReady       atomic.Bool       // read by the load balancer's health checks
-	inFlight      atomic.Int64      // callers' requests under way
+	ackedAppends  map[int64]decodedRecord // acknowledged appends of this daemon, by offset, until all records before them are applied
+	appliedOffset atomic.Int64            // offset of the next record to apply
+	isPlacer      atomic.Bool             // read by the log reader
+	isReady       atomic.Bool             // read by the load balancer's health checks
+	inFlight      atomic.Int64            // callers' requests under way
 	metrics       metrics
 }
 
@@ -133,16 +133,16 @@
 func newEngine(s *Settings, p Platform, log *event.Logger) *engine {
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(bootclock.Now())))
 	peers := newPeerClients()
-	store := newRelay(p, peers)
+	store := newStoreClient(p, peers)
 	e := &engine{
-		settings: s, started: time.Now().UnixMilli(), platform: p, store: store, peers: peers, log: log, rng: rng,
+		settings: s, startedMS: time.Now().UnixMilli(), platform: p, store: store, peers: peers, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), wakeRead: make(chan struct{}, 1),
-		ackedAppends: map[int64]decoded{}, state: flow.NewState(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
+		ackedAppends: map[int64]decodedRecord{}, state: flow.NewState(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
 	}
 	e.writer.logSlow, e.writer.logSuspect, e.writer.logUnresponsive = store.storeSlow.Load, store.suspect, store.unresponsive
 	e.writer.logAnswersInTime = store.answersInTime
 	e.orders = newOrderSender(e)
-	e.consultClient = &consultClient{peers: newPeerClients(), members: &store.members, placer: &e.writer.placerAddress}
+	e.consultClient = &consultClient{peers: newPeerClients(), memberAddresses: &store.memberAddresses, placerAddress: &e.writer.placerAddress}
 	e.metrics = newMetrics()
 	store.log = log
 	store.reads = newReadStats(e.metrics)
@@ -182,7 +182,7 @@
 	}
 }
 
-// runQueuedCalls runs up to 256 more queued calls, so that one planning pass serves them all.
+// runQueuedCalls runs up to 256 more queued calls, so that the placer plans once for all of them.
 func (e *engine) runQueuedCalls() {
 	for range 256 {
 		select {
@@ -194,7 +194,7 @@
 	}
 }
 
-// recoverPanic runs one piece of the engine's work. A panic in it ends that piece of work and
+// recoverPanic runs a function on the engine's goroutine. A panic ends only that function and
 // makes this daemon stop placing, as the placer's state may be inconsistent. It does not end
 // the process, because the same record or job would then end every daemon in turn.
 func (e *engine) recoverPanic(work func()) {
@@ -202,7 +202,7 @@
 		if r := recover(); r != nil {
 			e.log.Emit(evUnexpectedError, "reason", fmt.Sprint(r), "offset", e.state.NextOffset, "stack", stackTrace())
 			e.stopPlacing("unexpected error")
-			e.isolatedAt = bootclock.Now() // gives other daemons the first chance to claim
+			e.steppedDownAt = bootclock.Now() // other daemons are to claim first
 		}
 	}()
 	work()
@@ -221,7 +221,7 @@
 	return e.config
 }
 
-// runTimers does the periodic work that is due.
+// runTimers runs the periodic tasks that are due.
 func (e *engine) runTimers(ctx context.Context, now time.Duration) {
 	if now-e.helloSentAt > helloInterval && !e.draining {
 		e.helloSentAt = now
@@ -239,11 +239,11 @@
 	e.claimIfDue(ctx, now)
 }
 
-// hello returns the record content that announces this daemon to the others.
+// hello returns the content of the Hello record, which announces this daemon to the others.
 func (e *engine) hello() flow.Hello {
 	return flow.Hello{
-		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, StartedMS: e.started,
-		CapacityFactor: e.settings.Limits.strength(), LogLatencyMS: e.roundTrip.Milliseconds(), DataCentre: e.settings.DataCentre,
+		Daemon: e.settings.Name, Address: e.settings.Listen.Peers, StartedMS: e.startedMS,
+		CapacityFactor: e.settings.Limits.capacityFactor(), LogLatencyMS: e.roundTrip.Milliseconds(), DataCentre: e.settings.DataCentre,
 	}
 }
 
--- a/daemon/cell/engine_test.go
+++ b/daemon/cell/engine_test.go
@@ -18,12 +18,12 @@
 	e.metrics = newMetrics()
 	e.claimEpoch = 77
 	for _, claim := range []flow.Claim{
-		{Daemon: "b", Epoch: 77, StartedMS: e.started},
-		{Daemon: "a", Epoch: 77, StartedMS: e.started - 1},
-		{Daemon: "a", Epoch: 76, StartedMS: e.started},
+		{Daemon: "b", Epoch: 77, StartedMS: e.startedMS},
+		{Daemon: "a", Epoch: 77, StartedMS: e.startedMS - 1},
+		{Daemon: "a", Epoch: 76, StartedMS: e.startedMS},
 	} {
 		record := flow.Record{Claim: &claim}
-		e.applyRecord(t.Context(), &decoded{record: record}, time.Second)
+		e.applyRecord(t.Context(), &decodedRecord{record: record}, time.Second)
 		require.Nil(t, e.placer, "%+v", claim)
 	}
 }
--- a/daemon/cell/front.go
+++ b/daemon/cell/front.go
@@ -26,7 +26,7 @@
 	schedule       stopSchedule
 	server         *http.Server
 	listener       net.Listener
-	requestContext context.Context // of all requests; cancelled at the stage stageCancelRequests
+	requestContext context.Context // of all requests; cancelled at stageCancelRequests
 	cancelRequests context.CancelFunc
 
 	stopStartedAt                 atomic.Int64 // boot clock; 0 while no planned stop has begun
@@ -54,8 +54,8 @@
 	return s
 }
 
-// accepter returns the listener to serve on; it tracks the connections that it accepts.
-func (s *callerServer) accepter() net.Listener { return callerListener{s.listener, s} }
+// trackingListener returns the listener to serve on, which tracks the connections that it accepts.
+func (s *callerServer) trackingListener() net.Listener { return callerListener{s.listener, s} }
 
 func (s *callerServer) beginStop(now time.Duration) { s.stopStartedAt.Store(int64(now)) }
 
@@ -116,11 +116,11 @@
 // closingResponseWriter adds "Connection: close" to each answer during a planned stop.
 type closingResponseWriter struct {
 	http.ResponseWriter
-	owner *callerServer
+	server *callerServer
 }
 
 func (w closingResponseWriter) WriteHeader(status int) {
-	if w.owner.stopping() {
+	if w.server.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
@@ -129,7 +129,7 @@
 // callerListener registers each accepted connection with its callerServer.
 type callerListener struct {
 	net.Listener
-	owner *callerServer
+	server *callerServer
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
@@ -137,10 +137,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, owner: l.owner, idle: true, idleSince: time.Now()}
-	l.owner.mu.Lock()
-	defer l.owner.mu.Unlock()
-	l.owner.connections[c] = struct{}{}
+	c := &callerConn{Conn: conn, server: l.server, idle: true, idleSince: time.Now()}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.connections[c] = struct{}{}
 	return c, nil
 }
 
@@ -149,7 +149,7 @@
 // may close it in the middle of a request.
 type callerConn struct {
 	net.Conn
-	owner *callerServer
+	server *callerServer
 
 	mu                 sync.Mutex
 	idle               bool // no byte of a request has been read since the last answer
@@ -195,7 +195,7 @@
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.allowFinalRead() {
 		if n, err = c.Conn.Read(p); n == 0 {
-			c.owner.closedIdle.Add(1)
+			c.server.closedIdle.Add(1)
 		}
 	}
 	if n > 0 {
@@ -246,8 +246,8 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.owner.mu.Lock()
-	delete(c.owner.connections, c)
-	c.owner.mu.Unlock()
+	c.server.mu.Lock()
+	delete(c.server.connections, c)
+	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/daemon/cell/front_test.go
+++ b/daemon/cell/front_test.go
@@ -21,7 +21,7 @@
 func TestStopTimesFitIntoTheGracePeriod(t *testing.T) {
 	for _, grace := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second, 6 * time.Second, time.Minute} {
 		schedule := newStopSchedule(grace)
-		require.LessOrEqual(t, schedule.balancerUntil, schedule.answerUntil)
+		require.LessOrEqual(t, schedule.newConnectionsUntil, schedule.answerUntil)
 		require.LessOrEqual(t, schedule.answerUntil, schedule.end)
 		require.LessOrEqual(t, schedule.end, max(0, grace-stopReserve))
 		require.Equal(t, grace >= 5*time.Second, schedule.admits(drainTimeout, 0), "grace %v", grace)
@@ -31,7 +31,7 @@
 			stage := schedule.stage(elapsed, 0)
 			require.GreaterOrEqual(t, stage, previousStage, "grace %v, after %v", grace, elapsed)
 			require.False(t, stage >= stageCloseListener && schedule.admits(elapsed, 0), "grace %v: the listener closes after %v, while requests are admitted", grace, elapsed)
-			require.Equal(t, elapsed >= schedule.balancerUntil, stage >= stageCloseIdle)
+			require.Equal(t, elapsed >= schedule.newConnectionsUntil, stage >= stageCloseIdle)
 			previousStage = stage
 		}
 		require.Equal(t, stageFinished, schedule.stage(grace, 0))
@@ -97,8 +97,8 @@
 			}
 		})
 		server := newCallerServer(slowHandler, countingListener, stopGraceS*time.Second)
-		server.schedule = stopSchedule{balancerUntil: spread / 2, answerUntil: 1500 * time.Millisecond, end: 1800 * time.Millisecond}
-		go serve(server.server, server.accepter())
+		server.schedule = stopSchedule{newConnectionsUntil: spread / 2, answerUntil: 1500 * time.Millisecond, end: 1800 * time.Millisecond}
+		go serve(server.server, server.trackingListener())
 		var calls sync.WaitGroup
 		var firstRequests sync.WaitGroup
 		firstRequests.Add(callers)
@@ -193,7 +193,7 @@
 			}
 		})
 		server := newCallerServer(slowHandler, delayedReadListener{listener, delayedReadConn{firstReadStarted: &atomic.Bool{}, release: release, timesOut: timesOut}}, stopGraceS*time.Second)
-		go serve(server.server, server.accepter())
+		go serve(server.server, server.trackingListener())
 		t.Cleanup(func() { _ = server.server.Close() })
 		client := &tcpCaller{address: listener.Addr().String(), rng: rand.New(rand.NewPCG(stopSeed, 0))}
 		require.True(t, client.open())
@@ -217,7 +217,7 @@
 func TestConnectionWithAByteOfTheNextRequestIsNotIdle(t *testing.T) {
 	serverEnd, callerEnd := net.Pipe()
 	defer callerEnd.Close() //nolint:errcheck // test cleanup
-	conn := &callerConn{Conn: serverEnd, owner: newCallerServer(nil, nil, 0), idle: true}
+	conn := &callerConn{Conn: serverEnd, server: newCallerServer(nil, nil, 0), idle: true}
 	conn.received(maxBodyBytes)
 	conn.received(1)
 	conn.requestAnswered()
@@ -236,8 +236,8 @@
 	api := newTestCallerAPI(t, &fakeStore{}, 0)
 	served := make(chan struct{}, 1)
 	server := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- struct{}{} }), listener, stopGraceS*time.Second)
-	server.schedule = stopSchedule{balancerUntil: 200 * time.Millisecond, answerUntil: 400 * time.Millisecond, end: 800 * time.Millisecond}
-	go serve(server.server, server.accepter())
+	server.schedule = stopSchedule{newConnectionsUntil: 200 * time.Millisecond, answerUntil: 400 * time.Millisecond, end: 800 * time.Millisecond}
+	go serve(server.server, server.trackingListener())
 	client := &tcpCaller{address: listener.Addr().String(), rng: rand.New(rand.NewPCG(stopSeed, 0)), split: true}
 	require.True(t, client.open())
 	stopResult := make(chan error, 1)
@@ -262,8 +262,8 @@
 	require.NoError(t, err)
 	api := newTestCallerAPI(t, &fakeStore{}, 0)
 	server := newCallerServer(api, listener, stopGraceS*time.Second)
-	server.schedule = stopSchedule{balancerUntil: 100 * time.Millisecond, answerUntil: 900 * time.Millisecond, end: 1500 * time.Millisecond}
-	go serve(server.server, server.accepter())
+	server.schedule = stopSchedule{newConnectionsUntil: 100 * time.Millisecond, answerUntil: 900 * time.Millisecond, end: 1500 * time.Millisecond}
+	go serve(server.server, server.trackingListener())
 	for _, incomplete := range []string{"POST /p/x HT", "POST /p/y HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n{"} {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
@@ -299,8 +299,8 @@
 		answer(w, http.StatusGatewayTimeout, nil)
 	})
 	server := newCallerServer(blockingHandler, listener, stopGraceS*time.Second)
-	server.schedule = stopSchedule{balancerUntil: 100 * time.Millisecond, answerUntil: 300 * time.Millisecond, end: time.Second}
-	go serve(server.server, server.accepter())
+	server.schedule = stopSchedule{newConnectionsUntil: 100 * time.Millisecond, answerUntil: 300 * time.Millisecond, end: time.Second}
+	go serve(server.server, server.trackingListener())
 	client := &tcpCaller{address: listener.Addr().String(), rng: rand.New(rand.NewPCG(stopSeed, 0))}
 	require.True(t, client.open())
 	done := make(chan struct{})
--- a/daemon/cell/guard_test.go
+++ b/daemon/cell/guard_test.go
@@ -27,7 +27,7 @@
 		broken.Occurrences = map[int]*flow.Occurrence{0: nil}
 		broken.Steps = append(broken.Steps, flow.Step{Count: -1})
 		applied = e.state.NextOffset
-		e.applyRecord(api.ctx, &decoded{record: flow.Record{Batch: batch}}, bootclock.Now())
+		e.applyRecord(api.ctx, &decodedRecord{record: flow.Record{Batch: batch}}, bootclock.Now())
 		applied = e.state.NextOffset - applied
 	})
 	require.EqualValues(t, 1, applied, "the record is skipped")
--- a/daemon/cell/knowledge.go
+++ b/daemon/cell/knowledge.go
@@ -25,10 +25,10 @@
 	return now - s.asOf, s.asOf > 0
 }
 
-// atMostOld reports whether the log was read to its end within the given time limit.
-func (s readState) atMostOld(limit, now time.Duration) bool {
+// noOlderThan reports whether the log was read to its end at most maxAge ago.
+func (s readState) noOlderThan(maxAge, now time.Duration) bool {
 	age, known := s.age(now)
-	return known && age <= limit
+	return known && age <= maxAge
 }
 
 // view is what a daemon knows about a queue and a job.
@@ -36,7 +36,7 @@
 	Pending   int        // number of waiting jobs of the queue
 	Found     bool       // whether the log contains the job
 	Phase     flow.Phase // of the job, if Found
-	readState readState  // on which the view is based
+	readState readState  // of the state that the view was taken from
 }
 
 // source is where the answer to a caller's query is taken from.
@@ -54,7 +54,7 @@
 // sourceOfCount decides where a count of waiting jobs is taken from. A daemon that has just started
 // or reads the log slowly has a count that is too old for its callers, who expect a current one.
 func sourceOfCount(read readState, now time.Duration) source {
-	if read.atMostOld(maxCountAge, now) {
+	if read.noOlderThan(maxCountAge, now) {
 		return fromLocalState
 	}
 	return fromPeer
@@ -67,7 +67,7 @@
 	switch {
 	case v.Found && v.Phase.Final():
 		return fromLocalState
-	case !read.atMostOld(maxStateAge, now):
+	case !read.noOlderThan(maxStateAge, now):
 		return fromPeer
 	case v.Found:
 		return fromLocalState
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -13,21 +13,21 @@
 )
 
 // servePeer serves a daemon's view to other daemons and returns its address.
-func servePeer(t *testing.T, c *callerAPI) string {
+func servePeer(t *testing.T, api *callerAPI) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	require.NoError(t, servePeers(l, &peerService{consultView: c.engine.consultView}))
+	require.NoError(t, servePeers(l, &peerService{consultView: api.engine.consultView}))
 	return l.Addr().String()
 }
 
 // newUnreadDaemon returns a daemon that has read nothing of the log and may consult the given peers.
 func newUnreadDaemon(t *testing.T, peers ...string) *callerAPI {
-	c := newDaemon(t, &slowLinkStore{})
-	c.engine.store.members.Store(&peers)
-	c.onEngine(func(e *engine) { e.writer.storedAt.Store(int64(bootclock.Now())) })
-	return c
+	api := newSlowLinkDaemon(t, &slowLinkStore{})
+	api.engine.store.memberAddresses.Store(&peers)
+	api.onEngine(func(e *engine) { e.writer.storedAt.Store(int64(bootclock.Now())) })
+	return api
 }
 
 // Guards against callers that get no answer, or one from an empty state, from a daemon that is still
@@ -38,7 +38,7 @@
 	current.onEngine(func(e *engine) {
 		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
 	})
-	c := newUnreadDaemon(t, servePeer(t, current))
+	api := newUnreadDaemon(t, servePeer(t, current))
 	for _, test := range []struct {
 		method, path, body string
 		status             int
@@ -53,11 +53,11 @@
 		{http.MethodDelete, "/p/open", "", http.StatusOK, "cancelled"},
 		{http.MethodPost, "/p/new", jobBody, http.StatusOK, "queued"},
 	} {
-		got := c.request(test.method, test.path, test.body)
+		got := api.request(test.method, test.path, test.body)
 		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
 		require.Contains(t, got.Body.String(), test.text)
 	}
-	require.EqualValues(t, 2, c.engine.platform.(slowLinkPlatform).store.appends.Load(), "the cancellation and the new job")
+	require.EqualValues(t, 2, api.engine.platform.(slowLinkPlatform).store.appends.Load(), "the cancellation and the new job")
 }
 
 // Guards against a chain of daemons that forward a query, and against status 410 or a count from a
@@ -65,22 +65,22 @@
 func TestConsultIsNotForwarded(t *testing.T) {
 	stale := newTestCallerAPI(t, &fakeStore{}, 10*time.Second)
 	current := []string{servePeer(t, newTestCallerAPI(t, &fakeStore{}, 0))}
-	stale.engine.store.members.Store(&current)
-	c := newUnreadDaemon(t, servePeer(t, stale), servePeer(t, newUnreadDaemon(t)))
+	stale.engine.store.memberAddresses.Store(&current)
+	api := newUnreadDaemon(t, servePeer(t, stale), servePeer(t, newUnreadDaemon(t)))
 	for _, path := range []string{"/p/", "/p/unknown"} {
-		got := c.request(http.MethodGet, path, "")
+		got := api.request(http.MethodGet, path, "")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code, path)
 		require.NotEmpty(t, got.Header().Get("Retry-After"))
 	}
-	require.Equal(t, http.StatusOK, c.request(http.MethodGet, "/p/known", "").Code, "a final state never changes")
+	require.Equal(t, http.StatusOK, api.request(http.MethodGet, "/p/known", "").Code, "a final state never changes")
 }
 
 // Guards against a successor of the placer that has not read the log: it could start no task until it
 // has.
 func TestADaemonThatHasNotReadTheLogDoesNotBecomeThePlacer(t *testing.T) {
-	c := newDaemon(t, &slowLinkStore{})
-	c.onEngine(func(e *engine) { e.claiming, e.state.Claim = false, flow.Claim{Daemon: "x", Epoch: 5} })
-	succeeded, ok := query(t.Context(), c.engine, func(e *engine, reply chan<- bool) { e.succeed(c.ctx, 5, reply) })
+	api := newSlowLinkDaemon(t, &slowLinkStore{})
+	api.onEngine(func(e *engine) { e.claiming, e.state.Claim = false, flow.Claim{Daemon: "x", Epoch: 5} })
+	succeeded, ok := query(t.Context(), api.engine, func(e *engine, reply chan<- bool) { e.succeed(api.ctx, 5, reply) })
 	require.True(t, ok)
 	require.False(t, succeeded)
 }
@@ -107,35 +107,35 @@
 // Guards against answers from a state that lacks records: records that expired unread once counted as
 // read.
 func TestExpiredRecordsDoNotRenewTheReadState(t *testing.T) {
-	c := newDaemon(t, &slowLinkStore{})
+	api := newSlowLinkDaemon(t, &slowLinkStore{})
 	now := bootclock.Now()
-	var k readState
-	c.onEngine(func(e *engine) {
-		e.handlePage(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
-		k = e.readState()
+	var read readState
+	api.onEngine(func(e *engine) {
+		e.handlePage(api.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
+		read = e.readState()
 	})
-	require.False(t, k.atMostOld(maxCountAge, bootclock.Now()))
+	require.False(t, read.noOlderThan(maxCountAge, bootclock.Now()))
 }
 
 // Guards against a snapshot that is skipped because it ends exactly where the retained records begin.
 func TestSnapshotEndingAtTheOldestRetainedRecordIsLoaded(t *testing.T) {
-	c := newDaemon(t, &slowLinkStore{})
+	api := newSlowLinkDaemon(t, &slowLinkStore{})
 	now := bootclock.Now()
 	state := flow.NewState()
 	state.NextOffset, state.Jobs["j"] = 50, &flow.Job{Submit: flow.Submit{ID: "j", Queue: "q"}, Phase: flow.Completed, EndedAt: now}
-	c.onEngine(func(e *engine) {
-		e.handlePage(c.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
-		e.handlePage(c.ctx, page{sentAt: now, readAt: now, next: 50, end: 51, snapshot: state, generation: 3})
+	api.onEngine(func(e *engine) {
+		e.handlePage(api.ctx, page{sentAt: now, readAt: now, next: 50, first: 50, end: 50, expired: true})
+		e.handlePage(api.ctx, page{sentAt: now, readAt: now, next: 50, end: 51, snapshot: state, generation: 3})
 	})
-	c.onEngine(func(e *engine) { state = e.state })
+	api.onEngine(func(e *engine) { state = e.state })
 	require.Contains(t, state.Jobs, "j")
 	require.EqualValues(t, 50, state.NextOffset)
 }
 
 // Guards against status 410 for a job that the log contains beyond what the consulted daemon has read.
 func TestAJobIsUnknownOnlyAtTheEndOfTheLog(t *testing.T) {
-	peer := newDaemon(t, newBusyLog(t))
+	peer := newSlowLinkDaemon(t, newStoreWithSnapshots(t))
 	peer.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() }) // tailRecords behind
-	c := newUnreadDaemon(t, servePeer(t, peer))
-	require.Equal(t, http.StatusServiceUnavailable, c.request(http.MethodGet, "/p/unknown", "").Code)
+	api := newUnreadDaemon(t, servePeer(t, peer))
+	require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodGet, "/p/unknown", "").Code)
 }
--- a/daemon/cell/lately.go
+++ b/daemon/cell/lately.go
@@ -17,7 +17,7 @@
 type recentMax struct {
 	mu         sync.Mutex
 	value      time.Duration
-	recordedAt time.Duration // Time on the boot clock.
+	recordedAt time.Duration // time on the boot clock
 }
 
 func (m *recentMax) record(duration, now time.Duration) {
@@ -43,8 +43,8 @@
 
 // recentMin tracks the shortest duration recorded in the current window and the one before.
 type recentMin struct {
-	current, previous time.Duration // Minimum of each window.
-	windowStart       time.Duration // Start of the current window on the boot clock.
+	current, previous time.Duration // minimum of each window
+	windowStart       time.Duration // start of the current window on the boot clock
 }
 
 func (m *recentMin) record(duration, now time.Duration) {
--- a/daemon/cell/loader.go
+++ b/daemon/cell/loader.go
@@ -11,37 +11,37 @@
 
 // Timeouts and limits for reading a snapshot.
 const (
-	minChunkCallTimeout      = 2 * time.Second  // Initial timeout of a call; a 10 Mbit/s link carries maxChunkCallBytes in 0.16 s.
-	maxChunkCallTimeout      = 16 * time.Second // Limit to which the timeout doubles when calls time out.
-	maxChunkCallBytes        = 192 << 10        // Size limit of a response, unless a single chunk is larger.
-	entryOverheadBytes       = 32               // Largest size of an entry without its value.
-	maxOffsetTries           = 5                // Consecutive failed reads by offset before one read by key.
-	unreadableHeadGeneration = -1               // Stands for the unknown generation of a head that can't be decoded.
+	minChunkCallTimeout      = 2 * time.Second  // initial timeout of a call; a 10 Mbit/s link carries maxChunkCallBytes in 0.16 s
+	maxChunkCallTimeout      = 16 * time.Second // limit to which the timeout doubles when calls time out
+	maxChunkCallBytes        = 192 << 10        // size limit of a response, unless a single chunk is larger
+	entryOverheadBytes       = 32               // largest size of an entry without its value
+	maxFailedOffsetReads     = 5                // consecutive failed reads by offset, after which one read is made by key
+	unreadableHeadGeneration = -1               // stands for the unknown generation of a head that can't be decoded
 )
 
-// snapshotReader reads the newest snapshot a few chunks at a time. A failed call loses none of
-// the chunks read before. It is not safe for concurrent use; the log reader owns it.
+// snapshotReader reads the newest snapshot a few chunks at a time. The chunks read before a failed
+// call are kept. It is not safe for concurrent use; the log reader owns it.
 type snapshotReader struct {
 	store             Snapshots
 	reads             *readStats
 	timeout           time.Duration
-	restorer          *flow.Restorer // Nil until the head has been read.
-	expired           bool           // The chunks' records have expired; only the newest of each key is kept.
-	byKey             bool           // The next call reads chunks by key, in larger responses.
-	failedOffsetReads int            // Consecutive failed reads by offset.
+	restorer          *flow.Restorer // nil until the head has been read
+	expired           bool           // the chunks' records have expired; only the newest of each key is kept
+	byKey             bool           // the next call reads chunks by key, in larger responses
+	failedOffsetReads int            // consecutive failed reads by offset
 
-	generation        int64 // Generation of the snapshot that was read last.
-	damagedGeneration int64 // Generation that could not be read.
-	damagedReads      int   // Number of failed attempts to read damagedGeneration.
+	generation        int64 // generation of the snapshot that was read last
+	damagedGeneration int64 // generation that could not be read
+	damagedReads      int   // number of failed attempts to read damagedGeneration
 }
 
 func newSnapshotReader(store Snapshots, reads *readStats) *snapshotReader {
 	return &snapshotReader{store: store, reads: reads, timeout: minChunkCallTimeout}
 }
 
-// step makes one call to the store. It returns the head while chunks are missing, and the restored
+// readNext makes one call to the store. It returns the head while chunks are missing, and the restored
 // state after the last chunk. Both are nil if there is no snapshot.
-func (r *snapshotReader) step(ctx context.Context) (*flow.SnapshotHead, *flow.State, error) {
+func (r *snapshotReader) readNext(ctx context.Context) (*flow.SnapshotHead, *flow.State, error) {
 	callCtx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	err := r.call(callCtx)
@@ -97,7 +97,7 @@
 	r.reads.count(readToRestore, bytes)
 	if err != nil {
 		r.failedOffsetReads++
-		r.byKey = r.failedOffsetReads%maxOffsetTries == 0
+		r.byKey = r.failedOffsetReads%maxFailedOffsetReads == 0
 		return err
 	}
 	for _, entry := range entries {
--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -24,7 +24,7 @@
 type unreliableLinkStore struct {
 	keyedStore
 	bytesPerSecond float64
-	failEvery      int // One call out of this many fails halfway; 0 lets none fail.
+	failEvery      int // one call out of this many fails halfway; 0 lets none fail
 
 	link         sync.Mutex
 	calls        atomic.Int64
@@ -117,7 +117,7 @@
 		bytesPerSecond    = 200e3
 		saveInterval      = 700 * time.Millisecond
 		maxDuration       = 12 * time.Second
-		maxTransferFactor = 1.5 // Bytes transferred, including those of failed calls, relative to the snapshot's size.
+		maxTransferFactor = 1.5 // bytes transferred, including those of failed calls, relative to the snapshot's size
 	)
 	store := &unreliableLinkStore{bytesPerSecond: bytesPerSecond, failEvery: 3}
 	writer, s := newTestSnapshotWriter(t, &store.keyedStore), newStateWithWaitingJobs(t, jobs)
@@ -127,7 +127,7 @@
 	}
 	pages := make(chan page)
 	reader := &logReader{
-		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
+		log: &fakeStore{}, snapshots: store, reads: newStoreClient(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
 		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
 	go reader.run(t.Context())
@@ -169,7 +169,7 @@
 // would ever succeed.
 func TestCallsOnASlowLinkGetMoreTime(t *testing.T) {
 	const firstTimeout = 20 * time.Millisecond
-	store := &unreliableLinkStore{bytesPerSecond: 2e6} // A response of maxChunkCallBytes takes 98 ms.
+	store := &unreliableLinkStore{bytesPerSecond: 2e6} // a response of maxChunkCallBytes takes 98 ms
 	saveSnapshotOf(t, newTestSnapshotWriter(t, &store.keyedStore), newStateWithWaitingJobs(t, 1500), 1)
 	reader := newTestSnapshotReader(store)
 	reader.timeout = firstTimeout
@@ -191,14 +191,14 @@
 		if expired {
 			store.expire()
 		} else {
-			partition.records[2].Value = otherChunks[0] // Records 0 and 1 are the writer's epoch and the first chunk.
+			partition.records[2].Value = otherChunks[0] // records 0 and 1 are the writer's epoch and the first chunk
 		}
 		partition.newest[chunkKey(1)] = otherChunks[0]
 
 		reader := newTestSnapshotReader(store)
 		for start := time.Now(); reader.damagedReads < maxDamagedReads; {
 			require.Less(t, time.Since(start), 5*time.Second, "the reader still requests the chunk after 5 s")
-			_, state, err := reader.step(t.Context())
+			_, state, err := reader.readNext(t.Context())
 			require.Nil(t, state)
 			if err != nil {
 				require.True(t, fault.Is(err, fault.Invalid), "%v", err)
@@ -211,7 +211,7 @@
 	}
 }
 
-// Guards against a snapshot that is given up because a chunk can't be read at its offset, although
+// Guards against a snapshot that is abandoned because a chunk can't be read at its offset, although
 // it can be read by its key.
 func TestADamagedRecordIsReadByItsKey(t *testing.T) {
 	store := &keyedStore{}
@@ -228,8 +228,8 @@
 	writer, s := newTestSnapshotWriter(t, store), newStateWithWaitingJobs(t, 3000)
 	saveSnapshotOf(t, writer, s, 1)
 	reader := newTestSnapshotReader(store)
-	for range 2 { // Reads the head and the first chunks.
-		head, _, err := reader.step(t.Context())
+	for range 2 { // reads the head and the first chunks
+		head, _, err := reader.readNext(t.Context())
 		require.NoError(t, err)
 		require.NotNil(t, head)
 	}
@@ -238,7 +238,7 @@
 	require.Len(t, state.Jobs, 3000)
 
 	for range 2 {
-		_, _, err := reader.step(t.Context())
+		_, _, err := reader.readNext(t.Context())
 		require.NoError(t, err)
 	}
 	saveSnapshotOf(t, writer, newStateWithWaitingJobs(t, 10), 2)
@@ -286,9 +286,9 @@
 	return s
 }
 
-// BenchmarkReadBack reports how many bytes a daemon reads from a store with two generations, and
+// BenchmarkSnapshotRead reports how many bytes a daemon reads from a store with two generations, and
 // how long links of 10 and 200 Mbit/s take to carry them. The time per operation is that of decoding.
-func BenchmarkReadBack(b *testing.B) {
+func BenchmarkSnapshotRead(b *testing.B) {
 	const fastLinkBytesPerSecond = 200 * bytesPerMbit
 	for _, jobs := range []int{100, 1000, 10_000} {
 		b.Run(fmt.Sprint("jobs=", jobs), func(b *testing.B) {
@@ -378,14 +378,14 @@
 	reader := &logReader{log: e.store, snapshots: headOnly, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
 	go reader.run(t.Context())
 
-	require.Eventually(t, func() bool { return len(*e.store.members.Load()) > 0 }, time.Second, time.Millisecond, "the members were not published within 1 s")
-	require.Equal(t, []string{"b:1"}, *e.store.members.Load())
+	require.Eventually(t, func() bool { return len(*e.store.memberAddresses.Load()) > 0 }, time.Second, time.Millisecond, "the members were not published within 1 s")
+	require.Equal(t, []string{"b:1"}, *e.store.memberAddresses.Load())
 	require.Equal(t, "b:1", *e.writer.placerAddress.Load())
-	c := &callerAPI{engine: e, ctx: t.Context()}
+	api := &callerAPI{engine: e, ctx: t.Context()}
 	for _, path := range []string{"/p/", fmt.Sprintf("/p/%016x", 1)} {
-		require.Equal(t, http.StatusServiceUnavailable, c.request(http.MethodGet, path, "").Code, path)
+		require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodGet, path, "").Code, path)
 	}
-	c.onEngine(func(e *engine) {
+	api.onEngine(func(e *engine) {
 		require.Zero(t, e.state.NextOffset)
 		require.Zero(t, e.readToEndAt)
 		require.Empty(t, e.state.Jobs)
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// Values of GOGC. Daemons that only answer callers have CPU time to spare; the placer has
-	// memory to spare.
+	// Values of GOGC. A daemon that only answers callers has unused CPU time, and the placer has unused
+	// memory.
 	followerGCPercent = 100
 	placerGCPercent   = 200
-	heapLimitShare    = 0.6 // Share of the process's memory limit; the rest is for stacks, buffers and unread bytes.
+	heapLimitShare    = 0.6 // share of the process's memory limit; the rest is for stacks, buffers and unread bytes
 )
 
 // Run runs a daemon until the context is cancelled, then performs a planned stop.
@@ -42,7 +42,7 @@
 		stored, ok := query(callCtx, e, func(e *engine, reply chan<- bool) { e.succeed(runCtx, epoch, reply) })
 		return stored && ok
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: platform, store: platform, yield: yield, submit: e.writer.appendForPeer, succeed: succeed, consultView: e.consultView, starter: platform, spec: e.specOf}); err != nil {
+	if err := servePeers(listeners.peers, &peerService{adviser: platform, store: platform, yield: yield, submit: e.writer.appendForPeer, succeed: succeed, consultView: e.consultView, starter: platform, specOf: e.specOf}); err != nil {
 		return err
 	}
 	reader := &logReader{log: e.store, snapshots: platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
@@ -57,7 +57,7 @@
 	go e.watchConfig(runCtx)
 	go e.run(runCtx)
 	server := e.newCallerServer(&callerAPI{engine: e, ctx: runCtx}, listeners.callers)
-	go serve(server.server, server.accepter())
+	go serve(server.server, server.trackingListener())
 	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	go serve(readyServer, listeners.ready)
 	if listeners.metrics != nil {
@@ -95,14 +95,14 @@
 			return l, fault.Wrap(err, fault.Unavailable, "free the address or change the setting", "%s: can't listen on %s", f.path, *f.setting)
 		}
 		*f.target = listener
-		*f.setting = listener.Addr().String() // Contains the port chosen by the system if the setting has port 0.
+		*f.setting = listener.Addr().String() // contains the port chosen by the system if the setting has port 0
 	}
 	return l, nil
 }
 
 // readTiming returns the pause between two reads of the log and how long a read waits for a
 // new record. The placer's reads do not wait, because its own next append would end the wait.
-func (e *engine) readTiming() (interval, wait time.Duration) {
+func (e *engine) readTiming() (delay, wait time.Duration) {
 	if e.isPlacer.Load() {
 		return placerReadInterval, 0
 	}
@@ -121,13 +121,13 @@
 
 // publish updates the metrics and the copies of the engine's state that other goroutines read.
 func (e *engine) publish(now time.Duration) {
-	if now-e.metricsAt >= summaryInterval {
-		e.metricsAt = now
+	if now-e.metricsPublishedAt >= summaryInterval {
+		e.metricsPublishedAt = now
 		e.publishMetrics(now)
 	}
 	if isPlacer := e.placer != nil; e.isPlacer.Swap(isPlacer) != isPlacer {
 		debug.SetGCPercent(map[bool]int{true: placerGCPercent, false: followerGCPercent}[isPlacer])
 	}
 	e.appliedOffset.Store(e.state.NextOffset)
-	e.isReady.Store(!e.draining && e.config != nil && e.readToEndAt > 0 && now-e.lastContact() < readyReadAge+readWait)
+	e.isReady.Store(!e.draining && e.config != nil && e.readToEndAt > 0 && now-e.lastStoreAnswer() < readyReadAge+readWait)
 }
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -12,9 +12,9 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Time-outs and concurrency limits of the placer's commands.
+// Timeouts and concurrency limits of the placer's commands.
 const (
-	orderTimeout       = 1000 * time.Millisecond // a few round trips between regions; a later poll of the worker shows an unknown outcome
+	orderTimeout       = 1000 * time.Millisecond // a few round trips between regions; if the outcome is unknown, a later poll of the worker shows it
 	pollTimeout        = 1000 * time.Millisecond // in addition to the wait of the poll
 	adviceTimeout      = 2500 * time.Millisecond // longer than the advice service needs for one call, because it serves calls of one daemon one after the other
 	maxOpenOrders      = 256
@@ -53,8 +53,8 @@
 	}
 }
 
-// ifStillPlacing runs f on the engine if p, the placer that issued the command, is still in
-// charge.
+// ifStillPlacing runs f on the engine's goroutine if p, the placer that issued the command, is still
+// the engine's placer.
 func (s *orderSender) ifStillPlacing(ctx context.Context, p *placer.Placer, f func(e *engine)) {
 	s.engine.do(ctx, func(e *engine) {
 		if e.placer == p {
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -19,7 +19,7 @@
 // Timeouts of connections between daemons.
 const (
 	peerDialTimeout    = 700 * time.Millisecond
-	peerUnackedTimeout = 1500 * time.Millisecond // of sent bytes without a TCP acknowledgement: the peer's VM or the network path is gone
+	peerUnackedTimeout = 1500 * time.Millisecond // of sent bytes without a TCP acknowledgement, after which the peer's VM or the network path counts as failed
 )
 
 // RPC methods between daemons for the placer's work.
@@ -76,7 +76,7 @@
 	submit      func(records [][]byte, timeout time.Duration) []error // returns one error per record
 	succeed     func(epoch int64) bool
 	starter     Starter
-	spec        func(ctx context.Context, job string) (string, bool) // of a job that this daemon has read from the log
+	specOf      func(ctx context.Context, job string) (string, bool) // of a job that this daemon has read from the log
 }
 
 // Starter sends workers orders to start runs.
@@ -90,7 +90,7 @@
 	defer recoverAsError(&err)
 	callCtx, cancel := handlerContext(args.Within)
 	defer cancel()
-	spec, known := s.spec(callCtx, args.Order.Job)
+	spec, known := s.specOf(callCtx, args.Order.Job)
 	if !known {
 		reply.Unsent = true
 		return nil
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -72,7 +72,7 @@
 			}
 			e.appending = false
 			if err == nil && offset >= e.state.NextOffset {
-				e.ackedAppends[offset] = decoded{record: *record}
+				e.ackedAppends[offset] = decodedRecord{record: *record}
 				e.applyAcked(ctx, bootclock.Now())
 			}
 			if fault.Is(err, fault.Conflict) {
@@ -97,15 +97,15 @@
 func (e *engine) logDecision(decision *placer.Decision) {
 	e.metrics.countDecision(decision)
 	if decision.Kind == placer.DecisionJobStarted {
-		return // the start of the run is logged on its own
+		return // the start of the run is logged separately
 	}
 	e.log.Emit(evDecision, "decision", decision.Kind, "job", decision.Job, "occurrence", decision.Task.Occurrence, "step", decision.Task.Step, "task", decision.Task.Index,
 		"run", decision.Run, "worker", decision.Worker, "reason", decision.Reason, "age_ms", decision.Age.Milliseconds(), "version", decision.Value)
 }
 
 // registryReadInterval returns the time between two reads of the registry, given the number of
-// workers in the last one. Reads are rarer while the store is slow, because all reads share what
-// it can send, and when they would take more than registryLinkShare of the link.
+// workers in the last one. Reads are rarer while the store is slow, because all reads share its
+// bandwidth, and when they would take more than registryLinkShare of the link.
 func (e *engine) registryReadInterval(workers int) time.Duration {
 	interval := registryInterval
 	if e.store.storeSlow.Load() {
--- a/daemon/cell/planned_stop_test.go
+++ b/daemon/cell/planned_stop_test.go
@@ -24,10 +24,10 @@
 )
 
 const (
-	lostSlack   = 200 * time.Millisecond // after a request's last byte; a connection that ends without an answer later than that is a lost request
-	stopGraceS  = 5
-	stopCallers = 30
-	stopSeed    = 7
+	lostRequestDelay = 200 * time.Millisecond // after a request's last byte; a connection that ends without an answer later than that is a lost request
+	stopGraceS       = 5
+	stopCallers      = 30
+	stopSeed         = 7
 
 	signalHandlingTime = 100 * time.Millisecond // time for the daemon's goroutine to react to the signal
 )
@@ -39,25 +39,25 @@
 	unanswered bool
 }
 
-func (s *delayedStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (s *delayedStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	delay := rand.N(s.maxDelay + 1)
 	if s.unanswered {
 		delay = time.Hour
 	}
 	select {
 	case <-time.After(delay):
-		return s.fakeStore.Append(ctx, part, records, fence)
+		return s.fakeStore.Append(ctx, partition, records, fence)
 	case <-ctx.Done():
 		return 0, errNoAnswer
 	}
 }
 
-func (s *delayedStore) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+func (s *delayedStore) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return s.fakeStore.Read(ctx, part, from, wait)
+	return s.fakeStore.Read(ctx, partition, from, wait)
 }
 
 // stopPlatform is a platform client with a delayedStore.
@@ -66,16 +66,16 @@
 	*delayedStore
 }
 
-func (p stopPlatform) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
-	return p.delayedStore.Append(ctx, part, records, fence)
+func (p stopPlatform) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
+	return p.delayedStore.Append(ctx, partition, records, fence)
 }
 
-func (p stopPlatform) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
-	return p.delayedStore.Read(ctx, part, from, wait)
+func (p stopPlatform) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
+	return p.delayedStore.Read(ctx, partition, from, wait)
 }
 
-func (p stopPlatform) End(ctx context.Context, part int, from int64) (int64, error) {
-	return p.delayedStore.End(ctx, part, from)
+func (p stopPlatform) End(ctx context.Context, partition int, from int64) (int64, error) {
+	return p.delayedStore.End(ctx, partition, from)
 }
 
 func (p stopPlatform) Configuration(_ context.Context, _ int64, wait time.Duration) (*cluster.Configuration, int64, error) {
@@ -136,9 +136,9 @@
 }
 
 // lost reports whether a request that was sent completely ended without an answer: its connection
-// ended later than lostSlack after its last byte.
+// ended later than lostRequestDelay after its last byte.
 func (a *callAttempt) lost() bool {
-	return a.status == 0 && !a.sent.IsZero() && a.ended.Sub(a.sent) > lostSlack
+	return a.status == 0 && !a.sent.IsZero() && a.ended.Sub(a.sent) > lostRequestDelay
 }
 
 // tcpCaller sends requests on persistent connections.
@@ -267,9 +267,9 @@
 	return logged, signalledAt, stopTime, attempts
 }
 
-// Guards against requests that are accepted during a planned stop and cut off at its end (during
-// rolling restarts, a request accepted 4.5 s after SIGTERM was closed without an answer 0.6 s later),
-// with a healthy, a slow and an unresponsive store; and against refusals without a Retry-After header.
+// Guards against requests that are accepted during a planned stop and cut off at its end (a request
+// accepted 4.5 s after SIGTERM was closed without an answer 0.6 s later), with a healthy, a slow and an
+// unresponsive store; and against refusals without a Retry-After header.
 func TestPlannedStopAnswersAcceptedRequests(t *testing.T) {
 	for name, store := range map[string]*delayedStore{
 		"well": {maxDelay: 5 * time.Millisecond}, "late": {maxDelay: 2 * time.Second}, "silent": {unanswered: true},
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -19,9 +19,9 @@
 	End(ctx context.Context, partition int, from int64) (int64, error)
 }
 
-// Snapshots stores the newest snapshot of the state that a partition of the log leads to, in
-// partitions of its own, for longer than the log keeps records. A fence applies to one of these
-// partitions. Errors are those of Log.
+// Snapshots stores the newest snapshot of the state that is built from a partition of the log. It has
+// its own partitions, which keep the newest entry of each key for longer than the log keeps records.
+// A fence applies to one of these partitions. Errors are those of Log.
 type Snapshots interface {
 	Save(ctx context.Context, partition int, entries []cluster.Entry, fence *cluster.Fence) (int64, error)
 	// SavedAfterKey returns the newest entries of the keys that follow a key, as many as one answer holds.
@@ -57,7 +57,7 @@
 	Workers
 	Adviser
 	CallerCodec
-	Observe(onCall func(cluster.Call)) // sets a callback for every call; called before the first call
+	Observe(onCall func(cluster.Call)) // sets a callback for every call; must be called before the first of them
 }
 
 // CallerCodec decodes callers' requests and encodes the answers.
--- a/daemon/cell/reads.go
+++ b/daemon/cell/reads.go
@@ -14,7 +14,7 @@
 
 // Purposes of reads, with their number, and the interval of log lines about them.
 const (
-	readToFollow       purpose = iota // the log reader reads on
+	readToFollow       purpose = iota // the log reader reads the next records
 	readToRefresh                     // an answer to a caller or peer, or a claim, needs the current end of the log
 	readToProbe                       // checks whether the store answers
 	readToRestore                     // reads a snapshot
@@ -68,7 +68,7 @@
 	return fields
 }
 
-// logCatchingUp logs the progress of a daemon that has not read the log to its end lately, once per
+// logCatchingUp logs the progress of a daemon that has not read the log to its end recently, once per
 // catchUpLogInterval: its offset, and what it has read from the store so far.
 func (e *engine) logCatchingUp(now time.Duration) {
 	if now-e.readToEndAt < readyReadAge || now-e.catchUpLoggedAt < catchUpLogInterval {
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -17,16 +17,16 @@
 	"briarproxy/daemon/event"
 )
 
-// Time limits, delays and numbers of calls to the store, directly and through other daemons.
+// Timeouts, delays and limits of calls to the store, directly and through other daemons.
 const (
 	directTimeout         = 1500 * time.Millisecond // a slow store answers within a second; with a shorter limit, calls that still queue there would only be made again
 	slowStoreTimeout      = 3 * time.Second         // of a call to a store that is known to be slow: a partition queues up to 2 s of appends
 	maxProbeInterval      = 1200 * time.Millisecond // between probes of a direct path that has been down for long
-	relayRetryDelay       = 900 * time.Millisecond  // until other daemons are asked again after none of them reached the store
-	maxRelayTries         = 4                       // made only within relayTimeout: a daemon that is cut off reaches no peer either, and its direct path may work again
+	relayRetryDelay       = 900 * time.Millisecond  // for which no other daemon is asked after none of them reached the store
+	maxRelayTries         = 4                       // made only within relayTimeout: a daemon that is cut off from the network reaches no peer either, and its direct path may work again
 	preferredRelays       = 3                       // daemons that the first tries choose from; in a large cell, its size divided by preferredRelayDivisor
 	preferredRelayDivisor = 4
-	relayTimeout          = 900 * time.Millisecond // of a call through one daemon: covers a slow answer of the store, and bounds the wait for a dead daemon
+	relayTimeout          = 900 * time.Millisecond // of a call through one daemon: longer than a slow answer of the store takes, and short enough for a daemon that is down
 )
 
 // storeAccess is the part of the platform's store that daemons reach for each other.
@@ -35,22 +35,22 @@
 	Registry
 }
 
-// relay calls the store directly or, while the store refuses this daemon or the network path to it
+// storeClient calls the store directly or, while the store refuses this daemon or the network path to it
 // is down, through other daemons. All calls may safely be made twice.
-type relay struct {
-	direct            storeAccess
-	peers             *peerClients
-	members           atomic.Pointer[[]string] // addresses of the other daemons, those with more capacity and nearer to the store first
-	directDown        atomic.Bool              // the direct path to the store is down
-	readPosition      atomic.Int64             // log position of the last read; probes use it
-	relayBlockedUntil atomic.Int64             // boot clock: no other daemon is asked before
-	directAnsweredAt  atomic.Int64             // boot clock: last answer to a direct call
-	answeredAt        atomic.Int64             // boot clock: last answer of the store, directly or through another daemon; initially the start
-	confirmedAt       atomic.Int64             // boot clock: as answeredAt, but 0 before the first answer
-	reads             *readStats
-	latency           atomic.Int64           // current latency of the store, ns
-	storeSlow         atomic.Bool            // the store takes much longer than usual to answer
-	lastRelay         atomic.Pointer[string] // address of the daemon that reached the store last
+type storeClient struct {
+	direct               storeAccess
+	peers                *peerClients
+	memberAddresses      atomic.Pointer[[]string] // addresses of the other daemons, those with more capacity and nearer to the store first
+	directDown           atomic.Bool              // the direct path to the store is down
+	readPosition         atomic.Int64             // log position of the last read; probes use it
+	relayingBlockedUntil atomic.Int64             // boot clock: no other daemon is asked before this time
+	directAnsweredAt     atomic.Int64             // boot clock: last answer to a direct call
+	answeredAt           atomic.Int64             // boot clock: last answer of the store, directly or through another daemon; initially the start
+	confirmedAt          atomic.Int64             // boot clock: as answeredAt, but 0 before the first answer
+	reads                *readStats
+	latency              atomic.Int64           // current latency of the store, ns
+	storeSlow            atomic.Bool            // the store takes much longer than usual to answer
+	lastRelay            atomic.Pointer[string] // address of the daemon that reached the store last
 
 	log             *event.Logger
 	failureLoggedAt atomic.Int64 // boot clock: last log line about a failure through other daemons
@@ -60,12 +60,12 @@
 	directCalls map[int]func() // cancels the direct calls in progress, by call id
 }
 
-func newRelay(direct storeAccess, peers *peerClients) *relay {
-	r := &relay{direct: direct, peers: peers, directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
-	r.answeredAt.Store(int64(bootclock.Now()))
-	r.directAnsweredAt.Store(r.answeredAt.Load())
-	r.members.Store(&[]string{})
-	return r
+func newStoreClient(direct storeAccess, peers *peerClients) *storeClient {
+	c := &storeClient{direct: direct, peers: peers, directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
+	c.answeredAt.Store(int64(bootclock.Now()))
+	c.directAnsweredAt.Store(c.answeredAt.Load())
+	c.memberAddresses.Store(&[]string{})
+	return c
 }
 
 // shouldRelay reports whether a failed call may succeed through another daemon.
@@ -75,48 +75,48 @@
 
 // callStore makes a call directly and, if that fails or the direct path is down, through other
 // daemons. The store may hold the call for the given wait before it answers.
-func (r *relay) callStore(ctx context.Context, wait time.Duration, direct func(ctx context.Context) error, throughPeer func(ctx context.Context, address string) error) error {
+func (c *storeClient) callStore(ctx context.Context, wait time.Duration, direct func(ctx context.Context) error, throughPeer func(ctx context.Context, address string) error) error {
 	var err error
-	skipDirect := r.directDown.Load() && int64(bootclock.Now()) >= r.relayBlockedUntil.Load()
+	skipDirect := c.directDown.Load() && int64(bootclock.Now()) >= c.relayingBlockedUntil.Load()
 	if !skipDirect {
 		sentAt := int64(bootclock.Now())
-		callCtx, cancel := context.WithTimeout(ctx, wait+r.directCallTimeout())
-		unregister := r.registerDirectCall(cancel)
+		callCtx, cancel := context.WithTimeout(ctx, wait+c.directCallTimeout())
+		unregister := c.registerDirectCall(cancel)
 		err = direct(callCtx)
 		timedOut := errors.Is(callCtx.Err(), context.DeadlineExceeded)
 		unregister()
 		cancel()
 		if !shouldRelay(err) {
-			r.recordDirectAnswer()
+			c.recordDirectAnswer()
 			return err
 		}
-		if fault.Is(err, fault.Unknown) && r.directAnsweredAt.Load() > sentAt {
+		if fault.Is(err, fault.Unknown) && c.directAnsweredAt.Load() > sentAt {
 			return err // the store answered other calls meanwhile: it is slow, and a relayed call would only add to its load
 		}
-		if ctx.Err() != nil || timedOut && r.unansweredTime() < 0 {
+		if ctx.Err() != nil || timedOut && c.unansweredTime() < 0 {
 			return err // the caller cancelled, or the store is slow: neither shows that the path is down
 		}
-		r.markDirectDown()
-		if int64(bootclock.Now()) < r.relayBlockedUntil.Load() {
+		c.markDirectDown()
+		if int64(bootclock.Now()) < c.relayingBlockedUntil.Load() {
 			return err
 		}
 	}
-	members := *r.members.Load()
+	addresses := *c.memberAddresses.Load()
 	relayingSince := bootclock.Now()
 	tries := 0
-	for try := 0; try < maxRelayTries && len(members) > 0 && ctx.Err() == nil && bootclock.Now()-relayingSince < relayTimeout; try++ {
+	for try := 0; try < maxRelayTries && len(addresses) > 0 && ctx.Err() == nil && bootclock.Now()-relayingSince < relayTimeout; try++ {
 		tries++
-		address := chooseRelay(members, try)
-		if lastAddress := r.lastRelay.Load(); try == 0 && lastAddress != nil && slices.Contains(members, *lastAddress) {
+		address := chooseRelay(addresses, try)
+		if lastAddress := c.lastRelay.Load(); try == 0 && lastAddress != nil && slices.Contains(addresses, *lastAddress) {
 			address = *lastAddress
 		}
 		callCtx, cancel := context.WithTimeout(ctx, min(wait, maxRelayReadWait)+relayTimeout)
 		relayErr := throughPeer(callCtx, address)
 		cancel()
 		if !shouldRelay(relayErr) {
-			r.lastRelay.Store(&address)
-			r.answeredAt.Store(int64(bootclock.Now()))
-			r.confirmedAt.Store(r.answeredAt.Load())
+			c.lastRelay.Store(&address)
+			c.answeredAt.Store(int64(bootclock.Now()))
+			c.confirmedAt.Store(c.answeredAt.Load())
 			return relayErr
 		}
 		err = preferUnknownOutcome(err, relayErr)
@@ -124,8 +124,8 @@
 	if ctx.Err() != nil {
 		return preferUnknownOutcome(err, fault.Wrap(ctx.Err(), fault.Unavailable, "retry", "the call was cancelled or timed out before another daemon reached the store"))
 	}
-	r.relayBlockedUntil.Store(int64(bootclock.Now() + relayRetryDelay))
-	r.logFailure(err, tries, bootclock.Now()-relayingSince)
+	c.relayingBlockedUntil.Store(int64(bootclock.Now() + relayRetryDelay))
+	c.logFailure(err, tries, bootclock.Now()-relayingSince)
 	if err == nil {
 		err = fault.New(fault.Unavailable, "retry", "the store can't be reached directly, and no other daemon is known")
 	}
@@ -134,17 +134,17 @@
 
 // logFailure logs, at most once a second, that neither this daemon nor those that it asked reached
 // the store.
-func (r *relay) logFailure(err error, tries int, took time.Duration) {
+func (c *storeClient) logFailure(err error, tries int, took time.Duration) {
 	now := int64(bootclock.Now())
-	if last := r.failureLoggedAt.Load(); err == nil || now-last < int64(time.Second) || !r.failureLoggedAt.CompareAndSwap(last, now) {
+	if last := c.failureLoggedAt.Load(); err == nil || now-last < int64(time.Second) || !c.failureLoggedAt.CompareAndSwap(last, now) {
 		return
 	}
-	r.log.Emit(evStoreThroughPeersFailed, "reason", err.Error(), "asked", tries, "took_ms", took.Milliseconds())
+	c.log.Emit(evStoreThroughPeersFailed, "reason", err.Error(), "asked", tries, "took_ms", took.Milliseconds())
 }
 
 // directCallTimeout returns the time limit of a direct call, not counting the wait that it asks for.
-func (r *relay) directCallTimeout() time.Duration {
-	if r.storeSlow.Load() {
+func (c *storeClient) directCallTimeout() time.Duration {
+	if c.storeSlow.Load() {
 		return slowStoreTimeout
 	}
 	return directTimeout
@@ -153,45 +153,45 @@
 // chooseRelay chooses a random daemon for a try. The first tries choose among those with the most
 // capacity near the store, as a relay's link carries the log once more for each daemon that
 // reads through it; later tries choose among all.
-func chooseRelay(members []string, try int) string {
-	candidates := len(members)
+func chooseRelay(addresses []string, try int) string {
+	candidates := len(addresses)
 	if try < maxRelayTries/2 {
 		candidates = max(min(preferredRelays, candidates), candidates/preferredRelayDivisor)
 	}
-	return members[rand.IntN(candidates)]
+	return addresses[rand.IntN(candidates)]
 }
 
 // registerDirectCall registers a direct call, to be cancelled when another one finds that the path is
 // down.
-func (r *relay) registerDirectCall(cancel func()) (unregister func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastCallID++
-	id := r.lastCallID
-	r.directCalls[id] = cancel
+func (c *storeClient) registerDirectCall(cancel func()) (unregister func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastCallID++
+	id := c.lastCallID
+	c.directCalls[id] = cancel
 	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.directCalls, id)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.directCalls, id)
 	}
 }
 
 // markDirectDown marks the direct path as down, cancels the direct calls in progress and probes the
 // path in the background, so that no call waits for it.
-func (r *relay) markDirectDown() {
-	if r.directDown.Swap(true) {
+func (c *storeClient) markDirectDown() {
+	if c.directDown.Swap(true) {
 		return
 	}
-	r.log.Emit(evPathLost, "silent_ms", r.unansweredTime().Milliseconds())
-	r.cancelDirectCalls()
-	go r.probeUntilReached()
+	c.log.Emit(evPathLost, "silent_ms", c.unansweredTime().Milliseconds())
+	c.cancelDirectCalls()
+	go c.probeUntilReached()
 }
 
 // cancelDirectCalls cancels the direct calls in progress.
-func (r *relay) cancelDirectCalls() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, cancel := range r.directCalls {
+func (c *storeClient) cancelDirectCalls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cancel := range c.directCalls {
 		cancel()
 	}
 }
@@ -206,14 +206,14 @@
 }
 
 // Append implements Log.
-func (r *relay) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (c *storeClient) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	var offset int64
-	err := r.callStore(ctx, 0, func(ctx context.Context) (err error) {
-		offset, err = r.direct.Append(ctx, partition, records, fence)
+	err := c.callStore(ctx, 0, func(ctx context.Context) (err error) {
+		offset, err = c.direct.Append(ctx, partition, records, fence)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &AppendReply{}
-		err := r.peers.call(ctx, address, appendMethod, &AppendArgs{partition, records, fence, remoteTimeout(ctx, directTimeout)}, reply)
+		err := c.peers.call(ctx, address, appendMethod, &AppendArgs{partition, records, fence, remoteTimeout(ctx, directTimeout)}, reply)
 		offset = reply.Offset
 		return remoteError(err, reply.Failure, fault.Unknown)
 	})
@@ -221,15 +221,15 @@
 }
 
 // Read implements Log.
-func (r *relay) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
+func (c *storeClient) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
 	var page cluster.LogPage
-	r.readPosition.Store(from)
-	err := r.callStore(ctx, wait, func(ctx context.Context) (err error) {
-		page, err = r.direct.Read(ctx, partition, from, wait)
+	c.readPosition.Store(from)
+	err := c.callStore(ctx, wait, func(ctx context.Context) (err error) {
+		page, err = c.direct.Read(ctx, partition, from, wait)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &ReadReply{}
-		err := r.peers.call(ctx, address, readMethod, &ReadArgs{partition, from, min(wait, maxRelayReadWait), remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
+		err := c.peers.call(ctx, address, readMethod, &ReadArgs{partition, from, min(wait, maxRelayReadWait), remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
 		page = reply.Page
 		return remoteError(err, reply.Failure, fault.Unavailable)
 	})
@@ -237,31 +237,31 @@
 }
 
 // End implements Log.
-func (r *relay) End(ctx context.Context, partition int, from int64) (int64, error) {
+func (c *storeClient) End(ctx context.Context, partition int, from int64) (int64, error) {
 	var end int64
-	err := r.callStore(ctx, 0, func(ctx context.Context) (err error) {
-		end, err = r.direct.End(ctx, partition, from)
+	err := c.callStore(ctx, 0, func(ctx context.Context) (err error) {
+		end, err = c.direct.End(ctx, partition, from)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &EndReply{}
-		err := r.peers.call(ctx, address, endMethod, &ReadArgs{Partition: partition, From: from, Within: remoteTimeout(ctx, directTimeout)}, reply)
+		err := c.peers.call(ctx, address, endMethod, &ReadArgs{Partition: partition, From: from, Within: remoteTimeout(ctx, directTimeout)}, reply)
 		end = reply.End
 		return remoteError(err, reply.Failure, fault.Unavailable)
 	})
-	r.reads.count(readToRefresh, 0)
+	c.reads.count(readToRefresh, 0)
 	return end, err
 }
 
 // Configuration implements Registry.
-func (r *relay) Configuration(ctx context.Context, from int64, wait time.Duration) (*cluster.Configuration, int64, error) {
+func (c *storeClient) Configuration(ctx context.Context, from int64, wait time.Duration) (*cluster.Configuration, int64, error) {
 	var config *cluster.Configuration
 	next := from
-	err := r.callStore(ctx, wait, func(ctx context.Context) (err error) {
-		config, next, err = r.direct.Configuration(ctx, from, wait)
+	err := c.callStore(ctx, wait, func(ctx context.Context) (err error) {
+		config, next, err = c.direct.Configuration(ctx, from, wait)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &ConfigurationReply{}
-		err := r.peers.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
+		err := c.peers.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
 		if err == nil && reply.Failure == "" {
 			next = reply.Next
 			if reply.Some {
@@ -274,15 +274,15 @@
 }
 
 // Workers implements Registry.
-func (r *relay) Workers(ctx context.Context) ([]cluster.Worker, []string, error) {
+func (c *storeClient) Workers(ctx context.Context) ([]cluster.Worker, []string, error) {
 	var workers []cluster.Worker
 	var unusable []string
-	err := r.callStore(ctx, 0, func(ctx context.Context) (err error) {
-		workers, unusable, err = r.direct.Workers(ctx)
+	err := c.callStore(ctx, 0, func(ctx context.Context) (err error) {
+		workers, unusable, err = c.direct.Workers(ctx)
 		return err
 	}, func(ctx context.Context, address string) error {
 		reply := &WorkersReply{}
-		err := r.peers.call(ctx, address, workersMethod, &ReadArgs{Within: remoteTimeout(ctx, directTimeout)}, reply)
+		err := c.peers.call(ctx, address, workersMethod, &ReadArgs{Within: remoteTimeout(ctx, directTimeout)}, reply)
 		workers, unusable = reply.Workers, reply.Unusable
 		return remoteError(err, reply.Failure, fault.Unavailable)
 	})
--- a/daemon/cell/relay_test.go
+++ b/daemon/cell/relay_test.go
@@ -68,93 +68,93 @@
 )
 
 // Guards against a daemon that can't serve callers while the store refuses only this daemon.
-func TestRelayReachesTheStoreThroughAnotherDaemon(t *testing.T) {
+func TestStoreIsReachedThroughAnotherDaemon(t *testing.T) {
 	direct, peer := &fakeStore{}, &fakeStore{}
 	direct.failWith(errRefused)
-	r := newRelay(direct, newPeerClients())
+	client := newStoreClient(direct, newPeerClients())
 	addresses := []string{serveStorePeer(t, peer)}
-	r.members.Store(&addresses)
+	client.memberAddresses.Store(&addresses)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	offset, err := r.Append(ctx, 0, [][]byte{{1}}, &cluster.Fence{Producer: "p", Epoch: 1})
+	offset, err := client.Append(ctx, 0, [][]byte{{1}}, &cluster.Fence{Producer: "p", Epoch: 1})
 	require.NoError(t, err)
 	require.EqualValues(t, 1, offset)
-	page, err := r.Read(ctx, 0, 5, 0)
+	page, err := client.Read(ctx, 0, 5, 0)
 	require.NoError(t, err)
 	require.EqualValues(t, 5, page.End)
-	config, next, err := r.Configuration(ctx, -1, 0)
+	config, next, err := client.Configuration(ctx, -1, 0)
 	require.NoError(t, err)
 	require.EqualValues(t, 3, config.Version)
 	require.EqualValues(t, 4, next)
-	workers, _, err := r.Workers(ctx)
+	workers, _, err := client.Workers(ctx)
 	require.NoError(t, err)
 	require.Len(t, workers, 1)
 }
 
 // Guards against reporting an append as not stored when the first of two tries may have stored it, and
 // against a second try, through another daemon, of an append that the log has rejected as fenced off.
-func TestRelayPreservesUnknownOutcomes(t *testing.T) {
+func TestStoreClientPreservesUnknownOutcomes(t *testing.T) {
 	direct, peer := &fakeStore{}, &fakeStore{}
-	r := newRelay(direct, newPeerClients())
+	client := newStoreClient(direct, newPeerClients())
 	addresses := []string{serveStorePeer(t, peer)}
-	r.members.Store(&addresses)
+	client.memberAddresses.Store(&addresses)
 	direct.failWith(errNoAnswer)
 	peer.failWith(errRefused)
-	_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+	_, err := client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 
 	direct, peer = &fakeStore{}, &fakeStore{}
-	r = newRelay(direct, newPeerClients())
-	r.members.Store(&addresses)
+	client = newStoreClient(direct, newPeerClients())
+	client.memberAddresses.Store(&addresses)
 	direct.failWith(errConflict)
-	_, err = r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+	_, err = client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
 	require.Zero(t, peer.appends.Load())
 
 	direct.failWith(errRefused)
 	addresses = []string{serveStorePeer(t, peer)}
 	peer.failWith(errConflict)
-	r.members.Store(&addresses)
-	_, err = r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+	client.memberAddresses.Store(&addresses)
+	_, err = client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
 }
 
 // Guards against repeating each call through several daemons while the store fails for all of them:
 // the platform charges for calls and limits their rate.
-func TestRelayDoesNotMultiplyCallsInAnOutage(t *testing.T) {
+func TestStoreClientDoesNotMultiplyCallsInAnOutage(t *testing.T) {
 	direct, peer := &fakeStore{}, &fakeStore{}
 	direct.failWith(errRefused)
 	peer.failWith(errRefused)
-	r := newRelay(direct, newPeerClients())
+	client := newStoreClient(direct, newPeerClients())
 	addresses := []string{serveStorePeer(t, peer)}
-	r.members.Store(&addresses)
+	client.memberAddresses.Store(&addresses)
 	for range 10 {
-		_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+		_, err := client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 		require.True(t, fault.Is(err, fault.Refused), "%v", err)
 	}
-	require.Positive(t, r.relayBlockedUntil.Load())
+	require.Positive(t, client.relayingBlockedUntil.Load())
 	direct.failWith(nil)
-	_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+	_, err := client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 	require.NoError(t, err)
 }
 
 // Guards against a placer that is replaced because the store refuses it and a third of the other
 // daemons: two random tries both chose such daemons, and then nothing was tried for 0.9 s.
-func TestRelayReusesTheLastWorkingRelay(t *testing.T) {
+func TestStoreClientReusesTheLastWorkingRelay(t *testing.T) {
 	direct, refused, reachable := &fakeStore{}, &fakeStore{}, &fakeStore{}
 	direct.failWith(errRefused)
 	refused.failWith(errRefused)
-	r := newRelay(direct, newPeerClients())
+	client := newStoreClient(direct, newPeerClients())
 	addresses := []string{serveStorePeer(t, refused), serveStorePeer(t, refused), serveStorePeer(t, refused), serveStorePeer(t, reachable)}
-	r.members.Store(&addresses)
+	client.memberAddresses.Store(&addresses)
 	reachableAddress := addresses[3]
-	r.lastRelay.Store(&reachableAddress)
+	client.lastRelay.Store(&reachableAddress)
 	for range 20 {
-		_, err := r.Append(t.Context(), 0, [][]byte{{1}}, nil)
+		_, err := client.Append(t.Context(), 0, [][]byte{{1}}, nil)
 		require.NoError(t, err)
 	}
 	require.EqualValues(t, 20, reachable.appends.Load())
-	require.Zero(t, r.relayBlockedUntil.Load())
+	require.Zero(t, client.relayingBlockedUntil.Load())
 }
 
 // slowAdviser answers after a delay that the name of the first worker states.
@@ -198,7 +198,7 @@
 
 // Guards against a placer that reads the log through the slow links of the smallest VMs: a relay chosen
 // at random had 1/20 of the bandwidth, so the ends of runs were read late.
-func TestRelayPrefersStrongDaemons(t *testing.T) {
+func TestStoreClientPrefersRelaysWithHighCapacity(t *testing.T) {
 	members := make([]string, 20)
 	for i := range members {
 		members[i] = string(rune('a' + i))
@@ -226,17 +226,17 @@
 // calls in progress and repeated each through other daemons, so that the log stored nothing for 8 s.
 func TestSlowAppendDoesNotMarkDirectPathDown(t *testing.T) {
 	peer := &fakeStore{}
-	r := newRelay(&slowAppendStore{}, newPeerClients())
-	r.members.Store(&[]string{serveStorePeer(t, peer)})
+	client := newStoreClient(&slowAppendStore{}, newPeerClients())
+	client.memberAddresses.Store(&[]string{serveStorePeer(t, peer)})
 	done := make(chan error, 1)
-	go func() { _, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil); done <- err }()
+	go func() { _, err := client.Append(t.Context(), partition, [][]byte{{1}}, nil); done <- err }()
 	for range 20 {
-		_, err := r.Read(t.Context(), partition, 0, 0)
+		_, err := client.Read(t.Context(), partition, 0, 0)
 		require.NoError(t, err)
 		time.Sleep(directTimeout / 16)
 	}
 	require.True(t, fault.Is(<-done, fault.Unknown))
-	require.False(t, r.directDown.Load())
+	require.False(t, client.directDown.Load())
 	require.Zero(t, peer.appends.Load())
 }
 
@@ -251,50 +251,50 @@
 	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-// Guards against one call that its own caller cancels blocking the way through other daemons for all
-// calls: as a result, a placer's appends took 1.5 s each.
+// Guards against a call that is cancelled early and then keeps all other calls from being relayed: the
+// appends of a placer took 1.5 s each as a result.
 func TestCallerCancellationDoesNotBlockRelaying(t *testing.T) {
-	store, r, _ := newUnresponsiveStore(t)
+	store, client, _ := newUnresponsiveStore(t)
 	addresses := []string{serveStorePeer(t, &slowStore{appendTime: 200 * time.Millisecond})}
-	r.members.Store(&addresses)
-	require.Eventually(t, r.directDown.Load, 3*unresponsiveAfter, 10*time.Millisecond)
-	sent := store.started.Load()
+	client.memberAddresses.Store(&addresses)
+	require.Eventually(t, client.directDown.Load, 3*unresponsiveAfter, 10*time.Millisecond)
+	sent := store.sentAppends.Load()
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := r.Append(short, partition, [][]byte{{1}}, nil)
+	_, err := client.Append(short, partition, [][]byte{{1}}, nil)
 	require.Error(t, err)
 	start := time.Now()
-	_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+	_, err = client.Append(t.Context(), partition, [][]byte{{1}}, nil)
 	require.NoError(t, err)
 	require.Less(t, time.Since(start), relayTimeout)
-	require.Equal(t, sent, store.started.Load(), "the direct path was tried although it is marked as down")
+	require.Equal(t, sent, store.sentAppends.Load(), "the direct path was tried although it is marked as down")
 }
 
-// Guards against one call that its caller cancels early marking a working path as down.
+// Guards against a working path that is marked as down because a call on it was cancelled early.
 func TestCallerCancellationDoesNotMarkDirectPathDown(t *testing.T) {
 	store := &unresponsiveStore{}
 	store.unresponsive.Store(true)
-	r := newRelay(store, newPeerClients())
+	client := newStoreClient(store, newPeerClients())
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := r.Append(short, partition, [][]byte{{1}}, nil)
+	_, err := client.Append(short, partition, [][]byte{{1}}, nil)
 	require.Error(t, err)
-	require.False(t, r.directDown.Load())
+	require.False(t, client.directDown.Load())
 }
 
 // Guards against a store that has become slow and that all daemons mistake for a path that is down: they
 // then repeat each call through each other.
 func TestOneTimeoutOfASlowStoreDoesNotMarkDirectPathDown(t *testing.T) {
 	store := &unresponsiveStore{}
-	r := newRelay(store, newPeerClients())
-	r.latency.Store(int64(800 * time.Millisecond))
+	client := newStoreClient(store, newPeerClients())
+	client.latency.Store(int64(800 * time.Millisecond))
 	store.unresponsive.Store(true)
-	_, err := r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+	_, err := client.Append(t.Context(), partition, [][]byte{{1}}, nil)
 	require.Error(t, err)
-	require.False(t, r.directDown.Load(), "one missing answer is within the tolerance at the store's current latency")
+	require.False(t, client.directDown.Load(), "one missing answer is within the tolerance at the store's current latency")
 	for range 2 {
-		_, err = r.Append(t.Context(), partition, [][]byte{{1}}, nil)
+		_, err = client.Append(t.Context(), partition, [][]byte{{1}}, nil)
 		require.Error(t, err)
 	}
-	require.True(t, r.directDown.Load())
+	require.True(t, client.directDown.Load())
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -22,7 +22,7 @@
 	Limits     LimitSettings    `json:"limits"`
 	Bounds     BoundSettings    `json:"bounds"`
 
-	defaultedFields []string // Paths of the fields that were absent or 0 and got their default.
+	defaultedFields []string // paths of the fields that were absent or 0 and got their default
 }
 
 // ListenSettings are the addresses to listen on, as IP:port.
@@ -44,28 +44,28 @@
 type LimitSettings struct {
 	MemoryMiB   float64 `json:"memory_mib"`
 	Descriptors float64 `json:"descriptors"`
-	CPUShare    float64 `json:"cpu_share"` // Number of cores.
+	CPUShare    float64 `json:"cpu_share"` // number of cores, which may be a fraction
 	LinkMbps    float64 `json:"link_mbps"`
 }
 
 // Resources that the placer needs in a cell with 350 workers and 600 starts a second, as measured
-// (see docs/CAPACITY.md), and ratios of a process's limits to them.
+// (see docs/CAPACITY.md), and capacity factors, which are multiples of these resources.
 const (
-	placerCPUCores        = 0.1
-	placerMemoryMiB       = 150
-	placerLinkMbps        = 10
-	minGatheringStrength  = 0.5 // Below this ratio, other daemons send the placer no records to append, unless the log is slow.
-	unstatedLimitStrength = 1   // A limit that is not set counts as exactly sufficient.
+	placerCPUCores           = 0.1
+	placerMemoryMiB          = 150
+	placerLinkMbps           = 10
+	minForwardCapacityFactor = 0.5 // below it, other daemons forward no records to the placer unless the log is slow
+	unsetLimitCapacityFactor = 1   // a limit that is not set counts as exactly what a placer needs
 )
 
-// strength returns the lowest ratio of the process's limits to the resources that a placer needs.
-func (l *LimitSettings) strength() float64 {
+// capacityFactor returns the lowest ratio of the process's limits to the resources that a placer needs.
+func (l *LimitSettings) capacityFactor() float64 {
 	lowest := l.MemoryMiB / placerMemoryMiB
 	for _, resource := range []struct{ limit, needed float64 }{{l.CPUShare, placerCPUCores}, {l.LinkMbps, placerLinkMbps}} {
 		if resource.limit > 0 {
 			lowest = min(lowest, resource.limit/resource.needed)
 		} else {
-			lowest = min(lowest, unstatedLimitStrength)
+			lowest = min(lowest, unsetLimitCapacityFactor)
 		}
 	}
 	return lowest
@@ -73,13 +73,13 @@
 
 // BoundSettings are the time bounds of the deployment.
 type BoundSettings struct {
-	MaxLeaseMS float64 `json:"max_lease_ms"` // Longest lease that workers grant.
-	FailoverMS float64 `json:"failover_ms"`  // Longest time for a change of the placer.
-	EarlyMS    float64 `json:"early_ms"`
-	StopMS     float64 `json:"stop_ms"`  // How long a worker may continue a task after it was told to stop it.
-	GraceS     float64 `json:"grace_s"`  // Time from SIGTERM to SIGKILL.
-	StatusS    float64 `json:"status_s"` // How long the state of an ended job can be queried.
-	KeepS      float64 `json:"keep_s"`   // Retention time of the log's records.
+	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
+	FailoverMS float64 `json:"failover_ms"`  // longest time without a placer when its daemon fails
+	EarlyMS    float64 `json:"early_ms"`     // how much earlier than its due time a task may start
+	StopMS     float64 `json:"stop_ms"`      // how long a worker may continue a task after it was told to stop it
+	GraceS     float64 `json:"grace_s"`      // time from SIGTERM to SIGKILL
+	StatusS    float64 `json:"status_s"`     // how long the state of an ended job can be queried
+	KeepS      float64 `json:"keep_s"`       // retention time of the log's records
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -104,7 +104,7 @@
 	return s, s.validate()
 }
 
-// Defaults of the bounds that a deployment does not set. They are the values of existing deployments.
+// Defaults of the bounds that a deployment does not set. They are those of the existing deployments.
 const (
 	defaultMaxLeaseMS = 6000
 	defaultFailoverMS = 3000
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -34,7 +34,7 @@
 }
 
 // Guards against errors that do not name the invalid setting.
-func TestSettingsNameTheField(t *testing.T) {
+func TestSettingsErrorsNameTheField(t *testing.T) {
 	for original, field := range map[string]string{
 		`"name": "a"`: "name", `"127.0.0.1:4"`: "platform.store", `"memory_mib": 284`: "limits.memory_mib",
 		`"max_lease_ms": 10000`: "bounds.max_lease_ms",
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -12,22 +12,22 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Timing, size limits, keys and partitions of snapshots.
+// Times, size limits, keys and partitions of snapshots.
 const (
-	snapshotRetentionShare = 0.2             // Longest time between two snapshots, as a share of the log's retention time.
-	snapshotEntryThreshold = 8000            // Log entries that make a snapshot due early; with 0.2 cores and 10 Mbit/s a daemon reads as many in 1 s.
-	minSnapshotInterval    = 5 * time.Second // Shortest time between two snapshots that are due early.
-	snapshotLinkShare      = 0.05            // Share of the placer's link that early snapshots may use on average.
-	snapshotTimeout        = 5 * time.Second // Time limit of a snapshot, without the time that throttling adds.
-	maxSaveBytes           = 1 << 20         // Size limit of one append, below the limit of a call to the store.
-	saveLinkShare          = 0.25            // Share of the link that a snapshot may use while it is written; the placer's orders need the rest.
-	targetSaveTime         = time.Second     // Duration of one append at that share, below the append's time limit.
-	headKey                = "state"         // Key of the snapshot's head.
-	writerKey              = "writer"        // Key of the epoch of the placer that writes snapshots.
-	keyBeforeHead          = "r"             // Sorts before headKey and after the keys that former versions wrote.
+	snapshotRetentionShare = 0.2             // longest time between two snapshots, as a share of the log's retention time
+	snapshotEntryThreshold = 8000            // log entries that make a snapshot due early; with 0.2 cores and 10 Mbit/s a daemon reads as many in 1 s
+	minSnapshotInterval    = 5 * time.Second // shortest time between two snapshots that are due early
+	earlySnapshotLinkShare = 0.05            // share of the placer's link that early snapshots may use on average
+	snapshotTimeout        = 5 * time.Second // time limit of a snapshot, without the time that throttling adds
+	maxSaveBytes           = 1 << 20         // size limit of one append, below the limit of a call to the store
+	snapshotWriteLinkShare = 0.25            // share of the link that a snapshot may use while it is written; the placer's orders need the rest
+	targetSaveTime         = time.Second     // duration of one append at that share, below the append's time limit
+	headKey                = "state"         // key of the snapshot's head
+	writerKey              = "writer"        // key of the epoch of the placer that writes snapshots
+	keyBeforeHead          = "r"             // sorts before headKey and after the keys that former versions wrote
 
 	headPartition      = 0
-	snapshotPartitions = 3 // One partition for the head and two for the chunks.
+	snapshotPartitions = 3 // one partition for the head and two for the chunks
 )
 
 // chunkPartition returns the partition for the chunks of a generation. Generations alternate
@@ -47,25 +47,25 @@
 // often enough that no log record expires before a snapshot covers it.
 func (e *engine) saveSnapshot(ctx context.Context, now time.Duration) {
 	interval := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
-	due := now-e.savedAt > interval || e.unsavedEntries > snapshotEntryThreshold && now-e.savedAt > e.snapshotInterval()
-	if e.saving || !due || e.state.NextOffset == e.savedOffset {
+	due := now-e.lastSnapshotAt > interval || e.entriesSinceSnapshot > snapshotEntryThreshold && now-e.lastSnapshotAt > e.snapshotInterval()
+	if e.savingSnapshot || !due || e.state.NextOffset == e.snapshotOffset {
 		return
 	}
-	if !e.snapshotWriter.started {
-		e.beginSnapshots(ctx, now)
+	if !e.snapshotWriter.takenOver {
+		e.takeOverSnapshots(ctx, now)
 		return
 	}
-	generation := e.savedGeneration + 1
-	coveredEntries := e.unsavedEntries
+	generation := e.snapshotGeneration + 1
+	coveredEntries := e.entriesSinceSnapshot
 	head, chunks, err := e.state.Snapshot(generation, now)
-	e.savedAt = now
+	e.lastSnapshotAt = now
 	if err != nil {
 		e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 		return
 	}
-	e.saving, e.savedBytes = true, 0
+	e.savingSnapshot, e.snapshotBytes = true, 0
 	for _, chunk := range chunks {
-		e.savedBytes += len(chunk)
+		e.snapshotBytes += len(chunk)
 	}
 	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
@@ -76,15 +76,15 @@
 			if e.placer != startedBy {
 				return
 			}
-			e.saving = false
+			e.savingSnapshot = false
 			if err != nil {
-				writer.started = false // The failed snapshot's head may have been stored.
+				writer.takenOver = false // the failed snapshot's head may have been stored
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", head.Next)
 				return
 			}
-			e.savedOffset, e.savedGeneration = head.Next, generation
-			e.unsavedEntries -= coveredEntries
-			e.log.Emit(evSnapshotSaved, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.savedBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
+			e.snapshotOffset, e.snapshotGeneration = head.Next, generation
+			e.entriesSinceSnapshot -= coveredEntries
+			e.log.Emit(evSnapshotSaved, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.snapshotBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
 		})
 	}()
 }
@@ -92,17 +92,17 @@
 // snapshotInterval returns the shortest time between two snapshots that are due early, given the
 // size of the last one. A placer on a slow link needs most of the link for its orders.
 func (e *engine) snapshotInterval() time.Duration {
-	bytesPerSecond := snapshotLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit
+	bytesPerSecond := earlySnapshotLinkShare * e.settings.Limits.LinkMbps * bytesPerMbit
 	if bytesPerSecond <= 0 {
 		return minSnapshotInterval
 	}
-	return max(minSnapshotInterval, time.Duration(float64(e.savedBytes)/bytesPerSecond*float64(time.Second)))
+	return max(minSnapshotInterval, time.Duration(float64(e.snapshotBytes)/bytesPerSecond*float64(time.Second)))
 }
 
-// beginSnapshots fences earlier writers and looks up the newest snapshot's generation, so that
+// takeOverSnapshots fences earlier writers and looks up the newest snapshot's generation, so that
 // the next snapshot does not overwrite it.
-func (e *engine) beginSnapshots(ctx context.Context, now time.Duration) {
-	e.saving, e.savedAt = true, now
+func (e *engine) takeOverSnapshots(ctx context.Context, now time.Duration) {
+	e.savingSnapshot, e.lastSnapshotAt = true, now
 	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
 		takeOverCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -112,14 +112,14 @@
 			if e.placer != startedBy {
 				return
 			}
-			e.saving = false
+			e.savingSnapshot = false
 			if err != nil {
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 				return
 			}
-			writer.started = true
-			e.savedAt = 0
-			e.savedGeneration = max(e.savedGeneration, generation)
+			writer.takenOver = true
+			e.lastSnapshotAt = 0
+			e.snapshotGeneration = max(e.snapshotGeneration, generation)
 		})
 	}()
 }
@@ -128,11 +128,11 @@
 // of a superseded placer.
 type snapshotWriter struct {
 	store              Snapshots
-	linkBytesPerSecond float64 // Rate of this daemon's link; 0 if unknown.
+	linkBytesPerSecond float64 // rate of this daemon's link; 0 if unknown
 	fence              cluster.Fence
-	sequences          [snapshotPartitions]int64           // Number of answered appends to each partition.
-	unanswered         [snapshotPartitions][]cluster.Entry // Entries of an append that got no answer and may still be stored later.
-	started            bool                                // Whether the newest snapshot is known and no earlier placer can write another one.
+	sequences          [snapshotPartitions]int64           // number of answered appends to each partition
+	unanswered         [snapshotPartitions][]cluster.Entry // entries of an append that got no answer and may still be stored later
+	takenOver          bool                                // the newest generation is known and no earlier placer can write another snapshot
 }
 
 // takeOver fences earlier placers in every partition and returns the generation of the newest
@@ -157,7 +157,7 @@
 	if w.linkBytesPerSecond <= 0 {
 		return maxSaveBytes
 	}
-	return min(maxSaveBytes, int(saveLinkShare*w.linkBytesPerSecond*targetSaveTime.Seconds()))
+	return min(maxSaveBytes, int(snapshotWriteLinkShare*w.linkBytesPerSecond*targetSaveTime.Seconds()))
 }
 
 // minTransferTime returns how long the transfer of the given number of bytes takes at the share of
@@ -166,7 +166,7 @@
 	if w.linkBytesPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(bytes) / (saveLinkShare * w.linkBytesPerSecond) * float64(time.Second))
+	return time.Duration(float64(bytes) / (snapshotWriteLinkShare * w.linkBytesPerSecond) * float64(time.Second))
 }
 
 // timeout returns the time limit for writing a snapshot, including the time that throttling adds.
@@ -185,7 +185,7 @@
 		return
 	}
 	select {
-	case <-ctx.Done(): // The next append returns the error.
+	case <-ctx.Done(): // the next append returns the error
 	case <-time.After(wait):
 	}
 }
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -21,8 +21,8 @@
 
 // Sizes of the store's responses.
 const (
-	maxListBytes        = 1 << 20 // Limit of a response with newest entries, in base64.
-	recordOverheadBytes = 4 + 1   // Size of a record without its key and value.
+	maxListBytes        = 1 << 20 // limit of a response with newest entries, in base64
+	recordOverheadBytes = 4 + 1   // size of a record without its key and value
 )
 
 // keyedStore keeps the newest entry of each key of a partition, and all records until they expire.
@@ -30,13 +30,13 @@
 type keyedStore struct {
 	mu         sync.Mutex
 	partitions [snapshotPartitions]keyedPartition
-	respond    func(partition int) (stored, answered bool) // If nil, every append is stored and answered.
+	respond    func(partition int) (stored, answered bool) // if nil, every append is stored and answered
 }
 
 type keyedPartition struct {
 	epoch, sequence int64
-	lastOffset      int64 // Offset of the last append.
-	firstUnexpired  int   // Index of the oldest record that has not expired.
+	lastOffset      int64 // offset of the last append
+	firstUnexpired  int   // index of the oldest record that has not expired
 	records         []cluster.Entry
 	newest          map[string][]byte
 }
@@ -129,7 +129,7 @@
 func readWholeSnapshot(t testing.TB, reader *snapshotReader, maxFailures int) (*flow.State, int64) {
 	const maxCalls = 1000
 	for range maxCalls {
-		head, state, err := reader.step(t.Context())
+		head, state, err := reader.readNext(t.Context())
 		if err != nil {
 			maxFailures--
 			require.GreaterOrEqual(t, maxFailures, 0, "%v", err)
@@ -142,7 +142,7 @@
 }
 
 func newTestSnapshotReader(store Snapshots) *snapshotReader {
-	return newSnapshotReader(store, newRelay(&fakeStore{}, newPeerClients()).reads)
+	return newSnapshotReader(store, newStoreClient(&fakeStore{}, newPeerClients()).reads)
 }
 
 // newTestSnapshot returns a snapshot of the given generation of a state with the given number of jobs.
@@ -181,7 +181,7 @@
 		entries = append(entries, cluster.Entry{Key: chunkKey(i), Value: chunk})
 	}
 	_, err = newWriter.append(t.Context(), chunkPartition(head.Generation), entries)
-	require.NoError(t, err) // The head of this snapshot has not been written yet.
+	require.NoError(t, err) // the head of this snapshot has not been written yet
 	for _, lateGeneration := range []int64{generation, generation + 1} {
 		lateHead, lateChunks := newTestSnapshot(t, 5, lateGeneration)
 		require.True(t, fault.Is(formerWriter.save(t.Context(), lateHead, lateChunks), fault.Conflict), "chunks of generation %d", lateGeneration)
@@ -209,7 +209,7 @@
 				store := &keyedStore{}
 				e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{KeepS: 300}}, headOnlyPlatform{keyedStore: store}, event.Discard())
 				e.snapshotWriter = &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
-				e.claiming = true // Keeps this daemon from claiming the placer's role.
+				e.claiming = true // keeps this daemon from claiming the placer's role
 				go e.run(t.Context())
 				lastGeneration := int64(0)
 				requireSaved := func(nextOffset int64) {
@@ -217,10 +217,10 @@
 					require.Eventually(t, func() bool {
 						e.do(t.Context(), func(e *engine) {
 							e.state.NextOffset = nextOffset
-							e.savedAt = min(e.savedAt, -time.Hour)
+							e.lastSnapshotAt = min(e.lastSnapshotAt, -time.Hour)
 							e.saveSnapshot(t.Context(), bootclock.Now())
 						})
-						head, _, _ := newTestSnapshotReader(store).step(t.Context())
+						head, _, _ := newTestSnapshotReader(store).readNext(t.Context())
 						if head == nil || head.Next != nextOffset {
 							return false
 						}
@@ -255,7 +255,7 @@
 	require.NoError(t, err)
 	pages := make(chan page)
 	reader := &logReader{
-		log: &fakeStore{}, snapshots: store, reads: newRelay(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
+		log: &fakeStore{}, snapshots: store, reads: newStoreClient(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
 		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
 	}
 	go reader.run(t.Context())
@@ -309,6 +309,6 @@
 	defer cancel()
 	start := time.Now()
 	require.NoError(t, writer.save(saveCtx, head, chunks))
-	minSeconds := float64(len(chunks)*len(chunks[0])) / (saveLinkShare * store.bytesPerSecond)
+	minSeconds := float64(len(chunks)*len(chunks[0])) / (snapshotWriteLinkShare * store.bytesPerSecond)
 	require.Greater(t, time.Since(start).Seconds(), 0.9*minSeconds, "the placer's orders need the rest of the link")
 }
--- a/daemon/cell/stopping.go
+++ b/daemon/cell/stopping.go
@@ -22,17 +22,17 @@
 	stopPollInterval = 20 * time.Millisecond
 )
 
-// stopSchedule is the timetable of a planned stop, counted from its signal.
+// stopSchedule holds the times of a planned stop, counted from its signal.
 type stopSchedule struct {
-	balancerUntil time.Duration // until then the load balancer may send new connections
-	answerUntil   time.Duration // until then requests may wait for their outcome
-	end           time.Duration // by then the answers are sent
+	newConnectionsUntil time.Duration // until then the load balancer may send new connections
+	answerUntil         time.Duration // until then requests may wait for their outcome
+	end                 time.Duration // by then the answers are sent
 }
 
 func newStopSchedule(grace time.Duration) stopSchedule {
 	end := max(0, grace-stopReserve)
 	answerUntil := max(0, end-answerWriteTime)
-	return stopSchedule{balancerUntil: min(drainTimeout, answerUntil), answerUntil: answerUntil, end: end}
+	return stopSchedule{newConnectionsUntil: min(drainTimeout, answerUntil), answerUntil: answerUntil, end: end}
 }
 
 // admits reports whether a request with the given expected time can still be answered with its
@@ -61,9 +61,9 @@
 		return stageFinished
 	case elapsed >= s.answerUntil:
 		return stageCancelRequests
-	case !s.admits(elapsed, 0) && elapsed >= s.balancerUntil, elapsed >= s.balancerUntil && unconnectedFor >= quietPeriod:
+	case !s.admits(elapsed, 0) && elapsed >= s.newConnectionsUntil, elapsed >= s.newConnectionsUntil && unconnectedFor >= quietPeriod:
 		return stageCloseListener
-	case elapsed >= s.balancerUntil:
+	case elapsed >= s.newConnectionsUntil:
 		return stageCloseIdle
 	default:
 		return stageServing
--- a/daemon/cell/tail.go
+++ b/daemon/cell/tail.go
@@ -9,7 +9,7 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Times of reading the log, its snapshots, the configuration and the registry.
+// Times and limits of reads of the log, its snapshots, the configuration and the registry.
 const (
 	readWait             = 1000 * time.Millisecond          // for which the store holds a read that finds no record
 	readTimeout          = readWait + 2200*time.Millisecond // a direct attempt, then one through another daemon
@@ -30,7 +30,7 @@
 
 // page is the result of one read of the log reader: records of the log, or a part of a snapshot.
 type page struct {
-	records []decoded
+	records []decodedRecord
 	next    int64 // offset after the last record of the page
 	end     int64 // offset of the next append to the log
 	first   int64 // oldest retained offset
@@ -44,8 +44,8 @@
 	generation int64              // of the snapshot
 }
 
-// decoded is a record of the log, or the error of decoding it.
-type decoded struct {
+// decodedRecord is a record of the log, or the error of decoding it.
+type decodedRecord struct {
 	record flow.Record
 	err    error
 }
@@ -106,7 +106,7 @@
 // and when records have expired before it read them.
 func restorePage(ctx context.Context, snapshot *snapshotReader, from int64) page {
 	p := page{sentAt: bootclock.Now(), next: from, end: from + 1}
-	p.head, p.snapshot, p.err = snapshot.step(ctx)
+	p.head, p.snapshot, p.err = snapshot.readNext(ctx)
 	p.readAt = bootclock.Now()
 	if p.snapshot != nil {
 		p.generation = snapshot.generation
@@ -136,7 +136,7 @@
 		p.err = fault.New(fault.Internal, "report this as a bug", "the log ends at offset %d, before the read position %d", logPage.End, from)
 		return p
 	}
-	p.records = make([]decoded, len(logPage.Records))
+	p.records = make([]decodedRecord, len(logPage.Records))
 	for i, data := range logPage.Records {
 		p.records[i].record, p.records[i].err = flow.Decode(data)
 	}
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -18,15 +18,15 @@
 	appendTimeout         = directTimeout + 300*time.Millisecond // of one append: a direct attempt, then one through another daemon
 	appendRetryDelay      = 120 * time.Millisecond               // doubled after each failure in a row
 	maxAppendRetryDelay   = 960 * time.Millisecond
-	appendQueueLength     = 4096 // records that wait for an append
-	maxOpenForwards       = 16   // concurrent calls that forward a group to the placer
-	groupWindow           = 4 * time.Millisecond
+	appendQueueLength     = 4096                    // records that wait for an append
+	maxOpenForwards       = 16                      // concurrent calls that forward a group to the placer
+	groupWindow           = 4 * time.Millisecond    // records that arrive within it are appended together
 	maxGroupRecords       = 512                     // at 400 bytes each, a partition slowed down by a factor of 100 appends them within a second
-	minPlacerWait         = 500 * time.Millisecond  // after the wait for the placer, the record is appended from here as well
+	minPlacerWait         = 500 * time.Millisecond  // the shortest wait for an answer of the placer, after which this daemon appends the record as well
 	aliveTimeout          = 300 * time.Millisecond  // a round trip between regions to a busy daemon
-	placerWaitFactor      = 3                       // times the average latency: at a slow store, a shorter wait would have all daemons append their records a second time
-	maxPlacerWait         = 1500 * time.Millisecond // leaves time within the caller's time limit for an append from here
-	slowLogExcess         = 100 * time.Millisecond  // over the usual latency, beyond which a log counts as slow: appends of all daemons would queue there for seconds
+	placerWaitFactor      = 3                       // times the average latency; after a shorter wait at a slow store, all daemons would append their records a second time
+	maxPlacerWait         = 1500 * time.Millisecond // leaves time within the caller's time limit for an append from this daemon
+	slowLogMargin         = 100 * time.Millisecond  // added to the usual latency, beyond which a log counts as slow: appends of all daemons would queue there for seconds
 	latencyAverageDivisor = 4                       // each answer moves the average by the difference divided by this
 	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence after which another daemon claims; doubled after each attempt
 	maxOpenHedges         = 3                       // concurrent attempts of one append
@@ -117,14 +117,14 @@
 // Records are forwarded to the placer, which is near the log and merges those of all daemons:
 // a partition carries out one append at a time, so at a slow store many small appends would
 // queue behind each other. Records that the placer does not get stored in time, or that would
-// cross the slow link of a weak placer, are appended from this daemon.
+// cross the slow link of a low-capacity placer, are appended from this daemon.
 type writer struct {
 	log             Log
 	peers           *peerClients
 	placerAddress   atomic.Pointer[string] // "" means this daemon, or no known placer
 	fallbackAddress atomic.Pointer[string] // daemon that appends for all while the log is slow and the placer is not reached; "" means this daemon
-	queue           chan *pendingRecord    // records of this daemon, to be forwarded or appended here
-	directQueue     chan *pendingRecord    // records to append here
+	queue           chan *pendingRecord    // this daemon's records, to be forwarded to the placer or appended directly
+	directQueue     chan *pendingRecord    // records that this daemon appends itself
 	forwardSlots    chan struct{}          // semaphore of concurrent forwards
 	placerLatency   atomic.Int64           // moving average of the placer's answers, ns
 	appendTimes     recentMax              // durations of successful appends
@@ -134,13 +134,13 @@
 	logSuspect, logUnresponsive func() bool
 	// logAnswersInTime probes the log and reports whether it answers within the usual time. logSlow
 	// notices a log that has become slow only after a second or two.
-	logAnswersInTime func(ctx context.Context) bool
-	storedAt         atomic.Int64                              // boot clock: time of the last successful append or forward
-	weakPlacer       atomic.Bool                               // the placer's VM lacks the resources of a placer: records must not cross its link twice
-	onAppended       func(firstOffset int64, records [][]byte) // called after every successful append from here
+	logAnswersInTime  func(ctx context.Context) bool
+	storedAt          atomic.Int64                              // boot clock: time of the last successful append or forward
+	lowCapacityPlacer atomic.Bool                               // the placer has less than minForwardCapacityFactor: records must not cross its link twice
+	onAppended        func(firstOffset int64, records [][]byte) // called after every successful append of this daemon
 }
 
-// alwaysFalse stands in for checks of the log's health until they are set.
+// alwaysFalse is the default of the checks of the log's health.
 func alwaysFalse() bool { return false }
 
 func newWriter(log Log, peers *peerClients) *writer {
@@ -228,7 +228,7 @@
 	switch {
 	case w.logSlow() && placer == "":
 		return *w.fallbackAddress.Load()
-	case w.weakPlacer.Load() && !w.logSlow():
+	case w.lowCapacityPlacer.Load() && !w.logSlow():
 		return ""
 	default:
 		return placer
