--- a/standin/integration/cluster_test.go
+++ b/standin/integration/cluster_test.go
@@ -24,83 +24,83 @@
 	"briarproxy/standin/worker"
 )
 
-// Times of the harness.
+// Timeouts and intervals of the test harness.
 const (
-	readyTimeout = 15 * time.Second
-	pollEvery    = 50 * time.Millisecond
-	drainDelay   = time.Second
-	lease        = 3 * time.Second // half of the default, so that takeovers fit into short tests
-	callTimeout  = 5 * time.Second
+	readyTimeout  = 15 * time.Second
+	pollInterval  = 50 * time.Millisecond
+	drainDelay    = time.Second
+	leaseDuration = 3 * time.Second // Half of the default, so that takeovers fit into short tests.
+	callTimeout   = 5 * time.Second
 )
 
-// place is a region with its only data centre.
-type place struct{ region, dataCentre string }
+// location is a region with its only data centre.
+type location struct{ region, dataCentre string }
 
-// user is an example user with its regions and the size of its workers.
-type user struct {
-	objects    string
-	places     []place
-	milliCores int
-	memoryMiB  int
+// deployment is one of the example configurations with its regions and the size of its workers.
+type deployment struct {
+	configFolder string
+	locations    []location
+	milliCores   int
+	memoryMiB    int
 }
 
 var (
-	inspectors = user{
-		objects:    "../../examples/inspectors",
-		places:     []place{{"doto", "kushiro"}, {"dohoku", "asahikawa"}, {"doo", "hakodate"}},
-		milliCores: 64000, memoryMiB: 262144,
+	inspectors = deployment{
+		configFolder: "../../examples/inspectors",
+		locations:    []location{{"doto", "kushiro"}, {"dohoku", "asahikawa"}, {"doo", "hakodate"}},
+		milliCores:   64000, memoryMiB: 262144,
 	}
-	cooperative = user{
-		objects:    "../../examples/cooperative",
-		places:     []place{{"gaspesie", "gaspe"}, {"monteregie", "saint-jean"}, {"saguenay", "chicoutimi"}},
-		milliCores: 32000, memoryMiB: 65536,
+	cooperative = deployment{
+		configFolder: "../../examples/cooperative",
+		locations:    []location{{"gaspesie", "gaspe"}, {"monteregie", "saint-jean"}, {"saguenay", "chicoutimi"}},
+		milliCores:   32000, memoryMiB: 65536,
 	}
 )
 
-// options describe a system to start.
+// options describes the cluster to start.
 type options struct {
-	user         *user // default: inspectors
-	racks        int   // in each region, default 1
-	daemons      int
-	workers      int
-	operations   []string // NAME=MS
-	logProxies   bool     // a fault proxy between each daemon and the log service
-	workerProxy  bool     // a fault proxy before each worker
-	workersFlags []string
+	deployment     *deployment // The default is inspectors.
+	racksPerRegion int         // The default is 1.
+	daemons        int
+	workers        int
+	operations     []string // Each entry has the form NAME=MS.
+	logProxies     bool     // Puts a fault proxy between each daemon and the log service.
+	workerProxies  bool     // Puts a fault proxy in front of each worker.
+	workerFlags    []string
 }
 
-// cluster is a running system with its stand-ins.
+// cluster is a set of running daemons with the simulated services and workers that they use.
 type cluster struct {
 	*testing.T
-	options  options
-	logURL   string
-	vmsURL   string
-	journal  string
-	vms      []wire.VM         // as the VM list shows them
-	direct   map[string]string // worker -> its own address, without a proxy
-	proxies  map[string]*faultproxy.Proxy
-	daemons  []*daemon
-	logProxy []*faultproxy.Proxy // by daemon
+	options         options
+	logURL          string
+	vmListURL       string
+	journalPath     string
+	vms             []wire.VM         // The VMs as the VM list reports them.
+	workerAddresses map[string]string // Maps a worker's name to its own address, which bypasses the proxy.
+	workerProxies   map[string]*faultproxy.Proxy
+	daemons         []*daemon
+	logProxies      []*faultproxy.Proxy // Indexed like daemons.
 }
 
-// daemon is a running briarproxyd.
+// daemon is a running briarproxyd process.
 type daemon struct {
 	*process
-	settings string
-	caller   string // base URL
-	metrics  string // base URL
+	settingsPath string
+	callerURL    string
+	metricsURL   string
 }
 
-// start starts a system that serves a user's example, and waits until each daemon
-// is ready.
-func start(t *testing.T, o options) *cluster {
+// startCluster starts a cluster with an example configuration and waits until each
+// daemon is ready.
+func startCluster(t *testing.T, o options) *cluster {
 	t.Helper()
-	if o.user == nil {
-		o.user = &inspectors
+	if o.deployment == nil {
+		o.deployment = &inspectors
 	}
-	o.racks = max(1, o.racks)
+	o.racksPerRegion = max(1, o.racksPerRegion)
 	c := startStandins(t, o)
-	require.Zero(t, c.publish("operator", 0, o.user.objects))
+	require.Zero(t, c.publish("operator", 0, o.deployment.configFolder))
 	for i := range o.daemons {
 		c.startDaemon(i)
 	}
@@ -112,50 +112,50 @@
 
 func startStandins(t *testing.T, o options) *cluster {
 	t.Helper()
-	c := &cluster{T: t, options: o, direct: map[string]string{}, proxies: map[string]*faultproxy.Proxy{}}
+	c := &cluster{T: t, options: o, workerAddresses: map[string]string{}, workerProxies: map[string]*faultproxy.Proxy{}}
 	folder := t.TempDir()
-	c.journal = filepath.Join(folder, "journal")
-	c.logURL = "http://" + startProcess(t, "logservice", "standin", "logservice").waitLine("listening")[1]
+	c.journalPath = filepath.Join(folder, "journal")
+	c.logURL = "http://" + startProcess(t, "logservice", "standin", "logservice").waitForLine("listening")[1]
 	c.startWorkers(filepath.Join(folder, "vms.json"))
-	list := startProcess(t, "vmlist", "standin", "vmlist", "--file", c.writeList(folder))
-	c.vmsURL = "http://" + list.waitLine("listening")[1]
+	list := startProcess(t, "vmlist", "standin", "vmlist", "--file", c.writeVMList(folder))
+	c.vmListURL = "http://" + list.waitForLine("listening")[1]
 	return c
 }
 
-// startWorkers starts the workers, which trust the system to keep to their
-// capacity and journal it when it does not.
+// startWorkers starts the workers. They accept starts beyond their capacity and record
+// them in the journal, so that a test can detect overcommitment.
 func (c *cluster) startWorkers(list string) {
 	c.Helper()
-	u := c.options.user
-	count := len(u.places) * c.options.racks
-	perRack := (c.options.workers + count - 1) / count
-	racks := make([]string, 0, count)
-	for _, p := range u.places {
-		for n := range c.options.racks {
-			racks = append(racks, fmt.Sprintf("%s/%s/r%d", p.region, p.dataCentre, n+1))
+	d := c.options.deployment
+	rackCount := len(d.locations) * c.options.racksPerRegion
+	perRack := (c.options.workers + rackCount - 1) / rackCount
+	racks := make([]string, 0, rackCount)
+	for _, location := range d.locations {
+		for n := range c.options.racksPerRegion {
+			racks = append(racks, fmt.Sprintf("%s/%s/r%d", location.region, location.dataCentre, n+1))
 		}
 	}
 	args := []string{
 		"workers", "--count", fmt.Sprint(c.options.workers), "--per-rack", fmt.Sprint(perRack), "--racks", strings.Join(racks, ","),
-		"--trusting", "--milli-cores", fmt.Sprint(u.milliCores), "--memory-mib", fmt.Sprint(u.memoryMiB), "--journal", c.journal, "--vm-list", list,
+		"--trusting", "--milli-cores", fmt.Sprint(d.milliCores), "--memory-mib", fmt.Sprint(d.memoryMiB), "--journal", c.journalPath, "--vm-list", list,
 	}
 	for _, op := range c.options.operations {
 		args = append(args, "--operation", op)
 	}
-	startProcess(c.T, "workers", "standin", append(args, c.options.workersFlags...)...).waitLine("ready")
+	startProcess(c.T, "workers", "standin", append(args, c.options.workerFlags...)...).waitForLine("ready")
 	vms, err := vmlist.LoadFile(list)
 	require.NoError(c, err)
 	c.vms = vms
 	for i, vm := range c.vms {
-		c.direct[vm.Name] = vm.Address
-		if c.options.workerProxy {
-			c.proxies[vm.Name] = c.proxy(vm.Address)
-			c.vms[i].Address = c.proxies[vm.Name].Address()
+		c.workerAddresses[vm.Name] = vm.Address
+		if c.options.workerProxies {
+			c.workerProxies[vm.Name] = c.startProxy(vm.Address)
+			c.vms[i].Address = c.workerProxies[vm.Name].Address()
 		}
 	}
 }
 
-func (c *cluster) writeList(folder string) string {
+func (c *cluster) writeVMList(folder string) string {
 	c.Helper()
 	data, err := json.Marshal(wire.VMList{VMs: c.vms})
 	require.NoError(c, err)
@@ -164,8 +164,8 @@
 	return path
 }
 
-// proxy starts a fault proxy in the test's process.
-func (c *cluster) proxy(target string) *faultproxy.Proxy {
+// startProxy starts a fault proxy in the test process.
+func (c *cluster) startProxy(target string) *faultproxy.Proxy {
 	c.Helper()
 	p, err := faultproxy.Listen(faultproxy.Options{Target: target})
 	require.NoError(c, err)
@@ -173,14 +173,15 @@
 	return p
 }
 
-// publish runs briarctl publish and returns its exit code; base 0 names no base.
+// publish runs briarctl publish and returns its exit code. With base 0, it passes no
+// base version.
 func (c *cluster) publish(author string, base int64, folder string) int {
 	c.Helper()
 	args := []string{"publish", "--log", c.logURL, "--author", author}
 	if base > 0 {
 		args = append(args, "--base", fmt.Sprint(base))
 	}
-	cmd := exec.Command(binary("briarctl"), append(args, folder)...)
+	cmd := exec.Command(binaryPath("briarctl"), append(args, folder)...)
 	out, err := cmd.CombinedOutput()
 	c.Logf("briarctl publish by %s: %s", author, bytes.TrimSpace(out))
 	if cmd.ProcessState == nil {
@@ -189,67 +190,67 @@
 	return cmd.ProcessState.ExitCode()
 }
 
-// startDaemon starts the daemon with an index.
+// startDaemon starts the daemon with index i and appends it to c.daemons.
 func (c *cluster) startDaemon(i int) {
 	c.Helper()
 	logURL := c.logURL
 	if c.options.logProxies {
-		p := c.proxy(strings.TrimPrefix(c.logURL, "http://"))
-		c.logProxy = append(c.logProxy, p)
+		p := c.startProxy(strings.TrimPrefix(c.logURL, "http://"))
+		c.logProxies = append(c.logProxies, p)
 		logURL = "http://" + p.Address()
 	}
 	s := settings.Defaults()
 	s.Name = fmt.Sprintf("entry-%d", i+1)
-	home := c.options.user.places[i%len(c.options.user.places)]
-	s.Region, s.DataCentre = home.region, home.dataCentre
+	location := c.options.deployment.locations[i%len(c.options.deployment.locations)]
+	s.Region, s.DataCentre = location.region, location.dataCentre
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
-	s.LogURL, s.VMListURL = logURL, c.vmsURL
+	s.LogURL, s.VMListURL = logURL, c.vmListURL
 	s.DrainDelay = drainDelay
-	s.Lease = settings.Lease{Duration: lease, HeartbeatInterval: lease / 3}
+	s.Lease = settings.Lease{Duration: leaseDuration, HeartbeatInterval: leaseDuration / 3}
 	path := filepath.Join(c.TempDir(), s.Name+".jsonc")
 	require.NoError(c, os.WriteFile(path, s.Encode(), 0o600))
-	d := &daemon{settings: path, process: startProcess(c.T, s.Name, "briarproxyd", "run", "--settings", path)}
-	for _, field := range d.waitLine("listening") {
+	d := &daemon{settingsPath: path, process: startProcess(c.T, s.Name, "briarproxyd", "run", "--settings", path)}
+	for _, field := range d.waitForLine("listening") {
 		if address, ok := strings.CutPrefix(field, "caller="); ok {
-			d.caller = "http://" + address
+			d.callerURL = "http://" + address
 		}
 		if address, ok := strings.CutPrefix(field, "metrics="); ok {
-			d.metrics = "http://" + address
+			d.metricsURL = "http://" + address
 		}
 	}
-	require.NotEmpty(c, d.caller)
-	require.NotEmpty(c, d.metrics)
+	require.NotEmpty(c, d.callerURL)
+	require.NotEmpty(c, d.metricsURL)
 	c.daemons = append(c.daemons, d)
 }
 
-// ready reports whether the daemon says that it is ready.
-func (d *daemon) ready() bool {
+// isReady reports whether the daemon's readiness check succeeds.
+func (d *daemon) isReady() bool {
 	client := resty.New().SetTimeout(callTimeout)
-	return demo.Ready(context.Background(), client, d.metrics)
+	return demo.Ready(context.Background(), client, d.metricsURL)
 }
 
 func (d *daemon) waitReady() {
 	d.t.Helper()
-	require.Eventually(d.t, d.ready, readyTimeout, pollEvery, "%s is not ready", d.name)
+	require.Eventually(d.t, d.isReady, readyTimeout, pollInterval, "%s is not ready", d.name)
 }
 
-// urls returns the callers' base URLs of all daemons but those left out.
-func (c *cluster) urls(without ...*daemon) []string {
+// callerURLs returns the base URLs that callers use for all daemons except the given ones.
+func (c *cluster) callerURLs(except ...*daemon) []string {
 	var urls []string
 	for _, d := range c.daemons {
-		left := true
-		for _, w := range without {
-			left = left && d != w
+		included := true
+		for _, excluded := range except {
+			included = included && d != excluded
 		}
-		if left {
-			urls = append(urls, d.caller)
+		if included {
+			urls = append(urls, d.callerURL)
 		}
 	}
 	return urls
 }
 
-// control posts a control call to a stand-in.
-func (c *cluster) control(base, path string, body any) {
+// postControl sends a control request to a simulated service or worker.
+func (c *cluster) postControl(base, path string, body any) {
 	c.Helper()
 	data, err := json.Marshal(body)
 	require.NoError(c, err)
@@ -260,22 +261,22 @@
 	require.Equal(c, http.StatusOK, response.StatusCode, path)
 }
 
-// controlWorker posts a control call to a worker, past its fault proxy.
-func (c *cluster) controlWorker(name, path string, body any) {
+// postWorkerControl sends a control request to a worker and bypasses its fault proxy.
+func (c *cluster) postWorkerControl(name, path string, body any) {
 	c.Helper()
-	c.control("http://"+c.direct[name], path, body)
+	c.postControl("http://"+c.workerAddresses[name], path, body)
 }
 
-// setLeaving makes the VM list show a VM as leaving.
-func (c *cluster) setLeaving(name string) {
+// markVMLeaving makes the VM list report a VM as leaving.
+func (c *cluster) markVMLeaving(name string) {
 	c.Helper()
 	patch := json.RawMessage(fmt.Sprintf(`{"name":%q,"state":%q}`, name, wire.VMLeaving))
-	c.control(c.vmsURL, "/control/vms", vmlist.Change{Patch: []json.RawMessage{patch}})
+	c.postControl(c.vmListURL, "/control/vms", vmlist.Change{Patch: []json.RawMessage{patch}})
 }
 
-func (c *cluster) entries() []worker.Entry {
+func (c *cluster) journalEntries() []worker.Entry {
 	c.Helper()
-	entries, err := demo.ReadJournal(c.journal)
+	entries, err := demo.ReadJournal(c.journalPath)
 	require.NoError(c, err)
 	return entries
 }
--- a/standin/integration/daemon_failure_test.go
+++ b/standin/integration/daemon_failure_test.go
@@ -16,80 +16,81 @@
 
 var fastOperations = []string{"survey=200", "certificate=300", "doorstep=100"}
 
-// Guards against a system that loses, doubles or refuses work when nothing fails.
-func TestWholePath(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	records = append(records, c.load(c.urls(), 6*time.Second, doorsteps(20), certificates(5), surveys(4)).wait()...)
-	c.requireFinal(records, "doorstep", demo.ToldAnswered)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+// Guards against lost, duplicated or refused work in a cluster without failures.
+func TestRequestsWithoutFailures(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	records = append(records, c.startLoad(c.callerURLs(), 6*time.Second, doorstepLoad(20), certificateLoad(5), surveyLoad(4)).wait()...)
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against certificates that run twice or are lost when the daemon that
-// forwards them, or that owns their key, is killed.
+// Guards against certificate requests that run twice or are lost when the daemon that
+// forwards them, or the daemon that owns their key, is killed.
 func TestDaemonKilled(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	load := c.load(c.urls(), 8*time.Second, certificates(15), surveys(4))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	load := c.startLoad(c.callerURLs(), 8*time.Second, certificateLoad(15), surveyLoad(4))
 	time.Sleep(2 * time.Second)
 	c.daemons[0].kill()
 	records = append(records, load.wait()...)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against a daemon that acts on expired leases after a pause: a certificate
-// that runs twice, a task in two places, a VM over its capacity.
+// Guards against a daemon that acts on expired leases after a pause. The consequences
+// are a certificate request that runs twice, a task that runs on two workers, or an
+// overcommitted VM.
 func TestDaemonPaused(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	all := c.load(c.urls(), 12*time.Second, certificates(10), surveys(3))
-	others := c.load(c.urls(c.daemons[1]), 12*time.Second, doorsteps(15))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	all := c.startLoad(c.callerURLs(), 12*time.Second, certificateLoad(10), surveyLoad(3))
+	others := c.startLoad(c.callerURLs(c.daemons[1]), 12*time.Second, doorstepLoad(15))
 	time.Sleep(1500 * time.Millisecond)
 	c.daemons[1].pause()
 	time.Sleep(10 * time.Second)
-	c.daemons[1].unpause()
+	c.daemons[1].resume()
 	records = append(records, all.wait()...)
 	records = append(records, others.wait()...)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.requireFinal(records, "doorstep", demo.ToldAnswered, demo.ToldNotRun)
-	c.verify(records)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered, demo.ToldNotRun)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against a planned stop that cuts off a request in flight: every call of
-// the daemon before it turned unready is answered, and it ends by itself.
+// Guards against a graceful stop that drops in-flight requests. The daemon must answer
+// every request that was sent before it became unready, and then exit by itself.
 func TestGracefulStop(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: []string{"survey=200", "certificate=600", "doorstep=400"}})
-	records := c.warm()
-	others := c.load(c.urls(c.daemons[2]), 7*time.Second, doorsteps(10), certificates(5))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: []string{"survey=200", "certificate=600", "doorstep=400"}})
+	records := c.warmUp()
+	others := c.startLoad(c.callerURLs(c.daemons[2]), 7*time.Second, doorstepLoad(10), certificateLoad(5))
 	calls := c.callUntilUnready(c.daemons[2], 40)
 	time.Sleep(2 * time.Second)
-	c.daemons[2].stopSoft()
+	c.daemons[2].terminate()
 	stopped := calls.wait()
-	assert.Greater(t, len(stopped), 40, "too few requests to show anything")
+	assert.Greater(t, len(stopped), 40, "too few requests for a meaningful test")
 	assert.Zero(t, c.daemons[2].waitExit(15*time.Second))
 	for _, r := range stopped {
 		if r.Final == demo.ToldBroken || r.Final == demo.ToldUnknown {
-			assert.Fail(t, "a request was cut off", "%s: %s", r.Kind, lastDetail(r))
+			assert.Fail(t, "an in-flight request was dropped", "%s: %s", r.Kind, lastDetail(r))
 		}
 	}
 	records = append(records, stopped...)
 	records = append(records, others.wait()...)
-	c.verify(records)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against long tasks that are lost, run in two places or start again
-// without need when the owner of their rack or of their job is killed.
+// Guards against long tasks that are lost, run on two workers at once or are restarted
+// needlessly when the daemon that owns their rack or their job is killed.
 func TestJobSurvivesKilledDaemon(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 9, operations: []string{"risk-map=7000", "certificate=300", "doorstep=100"}})
-	records := c.warm()
-	ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+	c := startCluster(t, options{daemons: 3, workers: 9, operations: []string{"risk-map=7000", "certificate=300", "doorstep=100"}})
+	records := c.warmUp()
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	client := demo.NewClient(c.urls(), seed)
+	client := demo.NewClient(c.callerURLs(), seed)
 	defer client.Close()
 	spec := wire.JobSpec{ID: "map-1", Template: "risk-map", Tasks: 30, Body: []byte("map")}
 	record := client.Submit(ctx, "risk-map", spec, 10*time.Second)
@@ -99,28 +100,28 @@
 	c.daemons[0].kill()
 	client.Await(ctx, record, 15*time.Second)
 	records = append(records, record)
-	c.verify(records)
+	c.verifyAgainstJournal(records)
 	starts := 0
-	for _, e := range c.entries() {
+	for _, e := range c.journalEntries() {
 		if e.Job == spec.ID && e.Event == worker.EventStart {
 			starts++
 		}
 	}
-	assert.Equal(t, spec.Tasks, starts, "a task that its worker goes on running needs no second start")
+	assert.Equal(t, spec.Tasks, starts, "a task that is still running on its worker must not be started again")
 }
 
-// Guards against faults that only two failures together show: the log service is
-// down, and a daemon is killed meanwhile.
+// Guards against faults that only a combination of failures exposes: a daemon is
+// killed while the log service is unavailable.
 func TestDaemonKilledDuringLogOutage(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	load := c.load(c.urls(), 7*time.Second, certificates(10), surveys(4))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	load := c.startLoad(c.callerURLs(), 7*time.Second, certificateLoad(10), surveyLoad(4))
 	time.Sleep(1500 * time.Millisecond)
-	c.control(c.logURL, "/control/outage", logservice.Outage{MS: 4000})
+	c.postControl(c.logURL, "/control/outage", logservice.Outage{MS: 4000})
 	time.Sleep(time.Second)
 	c.daemons[1].kill()
 	records = append(records, load.wait()...)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
--- a/standin/integration/gang_test.go
+++ b/standin/integration/gang_test.go
@@ -13,29 +13,29 @@
 	"briarproxy/standin/worker"
 )
 
-// Guards against a gang whose tasks do not all run together, and against one that
-// uses fewer racks than its object asks for (min_racks of mill-wear-review is 3).
+// Guards against a gang whose tasks do not all run at the same time, and against a gang
+// on fewer racks than its configuration requires (min_racks of mill-wear-review is 3).
 func TestGangRunsTogetherOnEnoughRacks(t *testing.T) {
-	c := start(t, options{user: &cooperative, daemons: 3, workers: 48, racks: 2, operations: []string{"wear-review=2000"}})
-	ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+	c := startCluster(t, options{deployment: &cooperative, daemons: 3, workers: 48, racksPerRegion: 2, operations: []string{"wear-review=2000"}})
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	client := demo.NewClient(c.urls(), seed)
+	client := demo.NewClient(c.callerURLs(), seed)
 	defer client.Close()
 	spec := wire.JobSpec{ID: "review-1", Template: "mill-wear-review", Tasks: 24, Body: []byte("review")}
 	record := client.Submit(ctx, "mill-wear-review", spec, 5*time.Second)
 	require.Equal(t, demo.ToldAccepted, record.Final, lastDetail(record))
 	client.Await(ctx, record, 12*time.Second)
-	c.verify([]*demo.Record{record})
+	c.verifyAgainstJournal([]*demo.Record{record})
 
 	rackOf := map[string]string{}
 	for _, vm := range c.vms {
 		rackOf[vm.Name] = wire.RackUnit(vm.DataCentre, vm.Rack)
 	}
-	tasks := map[string]int{} // by rack
-	for _, e := range c.entries() {
+	tasksByRack := map[string]int{}
+	for _, e := range c.journalEntries() {
 		if e.Event == worker.EventStart {
-			tasks[rackOf[e.VM]]++
+			tasksByRack[rackOf[e.VM]]++
 		}
 	}
-	assert.GreaterOrEqual(t, len(tasks), 3, "tasks by rack: %v", tasks)
+	assert.GreaterOrEqual(t, len(tasksByRack), 3, "tasks by rack: %v", tasksByRack)
 }
--- a/standin/integration/load_test.go
+++ b/standin/integration/load_test.go
@@ -17,26 +17,26 @@
 
 const (
 	seed = 20261204
-	// settle is longer than a start is valid (2 s): what was wrongly reported as
-	// not run has begun by then.
-	settle     = 2500 * time.Millisecond
-	warmWait   = 15 * time.Second
-	loadWait   = 40 * time.Second
-	repeatWait = 3 * time.Second // after which a caller gives up a call and asks another daemon
+	// Exceeds the 2 s for which a start order is valid, so that a run that was wrongly
+	// reported as not run has begun by then.
+	startExpiryWait = 2500 * time.Millisecond
+	warmUpTimeout   = 15 * time.Second
+	loadTimeout     = 40 * time.Second
+	retryTimeout    = 3 * time.Second // A caller then abandons the call and retries through another daemon.
 )
 
-// warm waits until requests to every daemon and jobs are answered, so that a test
-// starts from a system that has settled.
-func (c *cluster) warm() []*demo.Record {
+// warmUp waits until every daemon has answered a doorstep and a certificate request, so
+// that a test begins in a steady state.
+func (c *cluster) warmUp() []*demo.Record {
 	c.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), warmWait)
+	ctx, cancel := context.WithTimeout(context.Background(), warmUpTimeout)
 	defer cancel()
 	var records []*demo.Record
-	for i, url := range c.urls() {
+	for i, url := range c.callerURLs() {
 		client := demo.NewClient([]string{url}, seed)
 		defer client.Close()
 		for _, request := range []demo.Request{demo.Doorstep("warm", i), demo.Certificate("warm", i)} {
-			request.Kind, request.Deadline = "warm-up", warmWait
+			request.Kind, request.Deadline = "warm-up", warmUpTimeout
 			record := client.Do(ctx, request)
 			require.Equal(c, demo.ToldAnswered, record.Final, "%s through %s: %s", record.Kind, url, lastDetail(record))
 			records = append(records, record)
@@ -52,18 +52,18 @@
 	return r.Attempts[len(r.Attempts)-1].Detail
 }
 
-// background is load that runs while a test injects failures.
-type background struct {
+// backgroundLoad is load that runs while a test injects failures.
+type backgroundLoad struct {
 	done    chan struct{}
 	records []*demo.Record
 }
 
-// load sends requests to daemons for a time.
-func (c *cluster) load(urls []string, duration time.Duration, kinds ...demo.Kind) *background {
-	b := &background{done: make(chan struct{})}
+// startLoad starts sending requests to the given daemons for the given duration.
+func (c *cluster) startLoad(urls []string, duration time.Duration, kinds ...demo.Kind) *backgroundLoad {
+	b := &backgroundLoad{done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
-		ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 		defer cancel()
 		client := demo.NewClient(urls, seed)
 		defer client.Close()
@@ -72,27 +72,28 @@
 	return b
 }
 
-// wait returns the records of a load when all its requests are decided.
-func (b *background) wait() []*demo.Record {
+// wait waits until all requests of the load have an outcome and returns their records.
+func (b *backgroundLoad) wait() []*demo.Record {
 	<-b.done
 	return b.records
 }
 
-// verify compares what callers were told with what ran.
-func (c *cluster) verify(records []*demo.Record) {
+// verifyAgainstJournal checks the responses to the callers against the runs in the
+// workers' journals.
+func (c *cluster) verifyAgainstJournal(records []*demo.Record) {
 	c.Helper()
-	time.Sleep(settle)
-	entries := c.entries()
+	time.Sleep(startExpiryWait)
+	entries := c.journalEntries()
 	var table strings.Builder
 	demo.Print(&table, demo.Summarise(records, entries))
 	c.Logf("\n%s", table.String())
 	for _, v := range demo.Compare(records, entries) {
-		assert.Fail(c, "a rule is broken", "%s", v)
+		assert.Fail(c, "a consistency rule is violated", "%s", v)
 	}
 }
 
-// requireFinal checks that every record of a kind ended in one of the given ways.
-func (c *cluster) requireFinal(records []*demo.Record, kind string, allowed ...demo.Told) {
+// requireOutcome checks that every record of a kind has one of the allowed final outcomes.
+func (c *cluster) requireOutcome(records []*demo.Record, kind string, allowed ...demo.Told) {
 	c.Helper()
 	count := 0
 	for _, r := range records {
@@ -107,50 +108,51 @@
 	assert.NotZero(c, count, "no %s was sent", kind)
 }
 
-// Streams of the inspectors' requests.
+// The following functions define the kinds of load of the inspectors deployment.
 
-func doorsteps(perSecond float64) demo.Kind {
+func doorstepLoad(perSecond float64) demo.Kind {
 	return demo.Kind{Name: "doorstep", PerSecond: perSecond, Make: func(n int) demo.Request { return demo.Doorstep("load", n) }}
 }
 
-// certificates are repeated through another daemon after repeatWait.
-func certificates(perSecond float64) demo.Kind {
+// certificateLoad returns requests that are retried through another daemon after
+// retryTimeout.
+func certificateLoad(perSecond float64) demo.Kind {
 	return demo.Kind{Name: "certificate", PerSecond: perSecond, Make: func(n int) demo.Request {
 		r := demo.Certificate("load", n)
-		r.Deadline, r.CallWait = 20*time.Second, repeatWait
+		r.Deadline, r.CallWait = 20*time.Second, retryTimeout
 		return r
 	}}
 }
 
-func surveys(perSecond float64) demo.Kind {
+func surveyLoad(perSecond float64) demo.Kind {
 	return demo.Kind{Name: "survey", PerSecond: perSecond, Make: func(n int) demo.Request { return demo.Survey("load", n) }}
 }
 
-// riskMaps are batch jobs with a number of tasks each.
-func riskMaps(perSecond float64, tasks int) demo.Kind {
+// riskMapLoad returns batch jobs with the given number of tasks each.
+func riskMapLoad(perSecond float64, tasks int) demo.Kind {
 	return demo.Kind{Name: "risk-map", PerSecond: perSecond, Batch: true, Job: func(n int) wire.JobSpec {
 		return wire.JobSpec{ID: fmt.Sprintf("map-%d", n), Template: "risk-map", Tasks: tasks, Body: []byte(fmt.Sprintf("map %d", n))}
 	}}
 }
 
-// callUntilUnready sends requests to one daemon until it says that it is not
-// ready, as a load balancer does. No call is repeated.
-func (c *cluster) callUntilUnready(d *daemon, perSecond int) *background {
-	b := &background{done: make(chan struct{})}
+// callUntilUnready sends requests to one daemon until its readiness check fails, as a
+// load balancer does. It does not retry requests.
+func (c *cluster) callUntilUnready(d *daemon, perSecond int) *backgroundLoad {
+	b := &backgroundLoad{done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
-		ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 		defer cancel()
-		client := demo.NewClient([]string{d.caller}, seed)
+		client := demo.NewClient([]string{d.callerURL}, seed)
 		defer client.Close()
 		var ledger demo.Ledger
 		var group sync.WaitGroup
-		for n := 1; d.ready() && ctx.Err() == nil; n++ {
+		for n := 1; d.isReady() && ctx.Err() == nil; n++ {
 			request := demo.Doorstep("stop", n)
 			if n%4 == 0 {
 				request = demo.Certificate("stop", n)
 			}
-			group.Go(func() { ledger.Add(client.Once(ctx, d.caller, request)) })
+			group.Go(func() { ledger.Add(client.Once(ctx, d.callerURL, request)) })
 			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 		group.Wait()
--- a/standin/integration/log_failure_test.go
+++ b/standin/integration/log_failure_test.go
@@ -13,93 +13,94 @@
 	"briarproxy/standin/logservice"
 )
 
-// Guards against a log outage that stops doorstep requests, lets a certificate run
-// without its record, refuses one without a retry time, or leaves jobs behind.
+// Guards against a log outage that blocks doorstep requests, lets a certificate request
+// run without a log record, refuses one without a retry time, or leaves jobs unfinished.
 func TestLogOutage(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: []string{"survey=3000", "certificate=300", "doorstep=100"}})
-	records := c.warm()
-	client := demo.NewClient(c.urls(), seed)
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: []string{"survey=3000", "certificate=300", "doorstep=100"}})
+	records := c.warmUp()
+	client := demo.NewClient(c.callerURLs(), seed)
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), loadWait)
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 
-	before := c.load(c.urls(), time.Second, surveys(8))
+	before := c.startLoad(c.callerURLs(), time.Second, surveyLoad(8))
 	time.Sleep(1500 * time.Millisecond)
-	c.control(c.logURL, "/control/outage", logservice.Outage{MS: 8000})
-	during := c.load(c.urls(), 7*time.Second, doorsteps(20))
+	c.postControl(c.logURL, "/control/outage", logservice.Outage{MS: 8000})
+	during := c.startLoad(c.callerURLs(), 7*time.Second, doorstepLoad(20))
 	time.Sleep(500 * time.Millisecond)
-	refused := c.refusedCertificates(ctx, client)
+	refused := c.sendRefusedCertificates(ctx, client)
 	records = append(records, refused...)
 	records = append(records, during.wait()...)
 	records = append(records, before.wait()...)
 
-	after := c.load(c.urls(), time.Second, certificates(5), surveys(3)).wait()
-	c.requireFinal(after, "certificate", demo.ToldAnswered)
+	after := c.startLoad(c.callerURLs(), time.Second, certificateLoad(5), surveyLoad(3)).wait()
+	c.requireOutcome(after, "certificate", demo.ToldAnswered)
 	records = append(records, after...)
-	c.requireFinal(records, "doorstep", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// refusedCertificates sends certificates once during an outage and checks that each
-// is refused as not run with a retry time.
-func (c *cluster) refusedCertificates(ctx context.Context, client *demo.Client) []*demo.Record {
+// sendRefusedCertificates sends certificate requests without retries during an outage
+// and checks that each is refused as not run, with a retry time.
+func (c *cluster) sendRefusedCertificates(ctx context.Context, client *demo.Client) []*demo.Record {
 	c.Helper()
 	var ledger demo.Ledger
 	var group sync.WaitGroup
 	for n := range 20 {
 		request := demo.Certificate("outage", n)
 		request.Deadline = 5 * time.Second
-		url := c.daemons[n%len(c.daemons)].caller
+		url := c.daemons[n%len(c.daemons)].callerURL
 		group.Go(func() { ledger.Add(client.Once(ctx, url, request)) })
 		time.Sleep(200 * time.Millisecond)
 	}
 	group.Wait()
 	for _, r := range ledger.Records() {
-		assert.Truef(c, r.RefusedWithTime(), "a certificate during the outage: %s, %s", r.Final, lastDetail(r))
+		assert.Truef(c, r.RefusedWithTime(), "a certificate request during the outage was not refused with a retry time: %s, %s", r.Final, lastDetail(r))
 	}
 	return ledger.Records()
 }
 
-// Guards against lost answers of appends that are taken for failures: a record that
-// is written twice, a certificate that runs twice, accepted work that is forgotten.
-func TestLogAnswersLost(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	c.control(c.logURL, "/control/lose", logservice.Lose{Probability: 0.3, Seed: seed})
-	records = append(records, c.load(c.urls(), 8*time.Second, doorsteps(10), certificates(8), surveys(4)).wait()...)
-	c.control(c.logURL, "/control/lose", logservice.Lose{})
-	c.requireFinal(records, "doorstep", demo.ToldAnswered)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+// Guards against treating a lost append reply as a failed append. The consequences are a
+// record that is written twice, a certificate request that runs twice, or accepted work
+// that is lost.
+func TestLogRepliesLost(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	c.postControl(c.logURL, "/control/lose", logservice.Lose{Probability: 0.3, Seed: seed})
+	records = append(records, c.startLoad(c.callerURLs(), 8*time.Second, doorstepLoad(10), certificateLoad(8), surveyLoad(4)).wait()...)
+	c.postControl(c.logURL, "/control/lose", logservice.Lose{})
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against two publications from one base that both count, against one that
-// overwrites the other, and against daemons that go back to an older version.
-func TestOperatorsPublishAtOnce(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
+// Guards against concurrent publications from the same base version that both succeed or
+// overwrite each other, and against daemons that revert to an older version.
+func TestConcurrentPublications(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
 	codes := make(chan int, 2)
 	for _, author := range []string{"akiko", "benoit"} {
-		go func() { codes <- c.publish(author, 1, inspectors.objects) }()
+		go func() { codes <- c.publish(author, 1, inspectors.configFolder) }()
 	}
 	first, second := <-codes, <-codes
-	assert.True(t, (first == 0) != (second == 0), "exit codes %d and %d: exactly one must win", first, second)
-	records = append(records, c.load(c.urls(), 3*time.Second, doorsteps(20)).wait()...)
-	inForce := time.Now().Add(-time.Second)
+	assert.True(t, (first == 0) != (second == 0), "exit codes %d and %d: exactly one must succeed", first, second)
+	records = append(records, c.startLoad(c.callerURLs(), 3*time.Second, doorstepLoad(20)).wait()...)
+	rolloutDeadline := time.Now().Add(-time.Second)
 	versions := map[string]int64{}
 	for _, r := range records {
 		for _, a := range r.Attempts {
 			require.LessOrEqual(t, a.ConfigVersion, int64(2))
 			versions[a.Daemon] = max(versions[a.Daemon], a.ConfigVersion)
-			if r.Sent.After(inForce) {
-				assert.Equal(t, int64(2), a.ConfigVersion, "%s is behind 2 s after the publication", a.Daemon)
+			if r.Sent.After(rolloutDeadline) {
+				assert.Equal(t, int64(2), a.ConfigVersion, "%s still has an older version 2 s after the publication", a.Daemon)
 			}
 		}
 	}
-	for _, url := range c.urls() {
+	for _, url := range c.callerURLs() {
 		assert.Equal(t, int64(2), versions[url])
 	}
-	c.verify(records)
+	c.verifyAgainstJournal(records)
 }
--- a/standin/integration/main_test.go
+++ b/standin/integration/main_test.go
@@ -8,33 +8,33 @@
 	"testing"
 )
 
-// binEnv names the variable with the folder of built binaries.
+// binEnv is the environment variable that names the directory with prebuilt binaries.
 const binEnv = "BRIARPROXY_BIN"
 
 var binFolder string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
-func run(m *testing.M) int {
+func runTests(m *testing.M) int {
 	binFolder = os.Getenv(binEnv)
 	if binFolder == "" {
-		folder, err := os.MkdirTemp("", "briarproxy-bin-")
+		dir, err := os.MkdirTemp("", "briarproxy-bin-")
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		defer func() { _ = os.RemoveAll(folder) }()
-		if err := build(folder); err != nil {
+		defer func() { _ = os.RemoveAll(dir) }()
+		if err := buildBinaries(dir); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		binFolder = folder
+		binFolder = dir
 	}
 	return m.Run()
 }
 
-func build(folder string) error {
-	args := []string{"build", "-o", folder + string(filepath.Separator), "briarproxy/daemon/cmd/briarproxyd", "briarproxy/daemon/cmd/briarctl", "briarproxy/standin/cmd/standin"}
+func buildBinaries(dir string) error {
+	args := []string{"build", "-o", dir + string(filepath.Separator), "briarproxy/daemon/cmd/briarproxyd", "briarproxy/daemon/cmd/briarctl", "briarproxy/standin/cmd/standin"}
 	out, err := exec.Command("go", args...).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("go build: %w\n%s", err, out)
@@ -42,4 +42,4 @@
 	return nil
 }
 
-func binary(name string) string { return filepath.Join(binFolder, name) }
+func binaryPath(name string) string { return filepath.Join(binFolder, name) }
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -19,28 +19,28 @@
 	"briarproxy/standin/platform"
 )
 
-// platformCell is a cell of real daemons on the stand-in of the users' platform.
+// platformCell is a cell of real daemons that run on the simulated platform.
 type platformCell struct {
-	t       *testing.T
-	store   *platform.Store
-	fleet   *platform.Fleet
-	daemons []*process
-	callers []string
-	keep    int       // seconds for which the store keeps records
-	address [2]string // of the store and the advice service
+	t                *testing.T
+	store            *platform.Store
+	fleet            *platform.Fleet
+	daemons          []*process
+	callerAddresses  []string
+	retentionSeconds int       // How long the store retains records.
+	serviceAddresses [2]string // The addresses of the store and the advice service, in this order.
 }
 
 const (
-	workerCores = 16000 // thousandths
-	workerMemMB = 32768
-	jobsPath    = "/jobs/"
-	jobsHost    = "cell.example"
-	anyPort     = "127.0.0.1:0"
+	workerMilliCores = 16000
+	workerMemoryMB   = 32768
+	jobsPath         = "/jobs/"
+	jobsHost         = "cell.example"
+	loopbackAnyPort  = "127.0.0.1:0"
 )
 
 func newPlatformCell(t *testing.T, daemons, workers int, advice bool) *platformCell {
 	t.Helper()
-	return startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 300}, daemons, workers, advice)
+	return startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300}, daemons, workers, advice)
 }
 
 func startPlatformCell(c *platformCell, daemons, workers int, advice bool) *platformCell {
@@ -59,13 +59,13 @@
 	})
 	require.NoError(t, err)
 	c.store.Put("keyed.op", "config", manifest)
-	c.fleet, err = platform.NewFleet(c.store, "pool", workers, platform.Size{Cpu: workerCores, MemMb: workerMemMB})
+	c.fleet, err = platform.NewFleet(c.store, "pool", workers, platform.Size{Cpu: workerMilliCores, MemMb: workerMemoryMB})
 	require.NoError(t, err)
 	t.Cleanup(c.fleet.Close)
 	store, adviser := httptest.NewServer(c.store), httptest.NewServer(c.fleet)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); adviser.Close() })
-	t.Cleanup(c.showDecisions)
-	c.address = [2]string{store.Listener.Addr().String(), adviser.Listener.Addr().String()}
+	t.Cleanup(c.logDecisionsOnFailure)
+	c.serviceAddresses = [2]string{store.Listener.Addr().String(), adviser.Listener.Addr().String()}
 	for i := range daemons {
 		c.addDaemon(i)
 	}
@@ -76,11 +76,11 @@
 	name := fmt.Sprintf("d%d", i)
 	settings := map[string]any{
 		"name": name, "region": "r", "data_centre": "z",
-		"listen":   map[string]any{"callers": anyPort, "ready": anyPort, "peers": anyPort, "metrics": anyPort},
-		"platform": map[string]any{"store": c.address[0], "advice": c.address[1], "machines": ""},
+		"listen":   map[string]any{"callers": loopbackAnyPort, "ready": loopbackAnyPort, "peers": loopbackAnyPort, "metrics": loopbackAnyPort},
+		"platform": map[string]any{"store": c.serviceAddresses[0], "advice": c.serviceAddresses[1], "machines": ""},
 		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
 		"bounds": map[string]any{
-			"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.keep,
+			"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.retentionSeconds,
 		},
 	}
 	data, err := json.Marshal(settings)
@@ -89,12 +89,12 @@
 	require.NoError(c.t, os.WriteFile(file, data, 0o600))
 	p := startProcess(c.t, name, "briarproxyd", "serve", "--settings", file)
 	c.daemons = append(c.daemons, p)
-	c.callers = append(c.callers, callersAddress(p))
+	c.callerAddresses = append(c.callerAddresses, waitCallerAddress(p))
 }
 
-// showDecisions writes what the daemons decided, but for what goes well, if the test
-// failed.
-func (c *platformCell) showDecisions() {
+// logDecisionsOnFailure logs the output of the daemons if the test failed. It omits the
+// lines about sent starts, successful runs and accepted jobs.
+func (c *platformCell) logDecisionsOnFailure() {
 	if !c.t.Failed() {
 		return
 	}
@@ -109,10 +109,11 @@
 	}
 }
 
-// callersAddress waits for the line in which a daemon names its addresses.
-func callersAddress(p *process) string {
+// waitCallerAddress waits until the daemon has logged its addresses and returns the one
+// for callers.
+func waitCallerAddress(p *process) string {
 	p.t.Helper()
-	const event = 900 // cell-started
+	const event = 900 // The event's name is cell-started.
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		p.mu.Lock()
 		lines := p.lines
@@ -127,12 +128,13 @@
 			}
 		}
 	}
-	require.Fail(p.t, "a daemon does not start", p.name)
+	require.Fail(p.t, "the daemon did not log its addresses", p.name)
 	return ""
 }
 
-// post hands a body in as a caller does; 0 is no answer.
-func post(url string, body any) int {
+// postJob submits a job as a caller does. It returns the HTTP status, or 0 if there was
+// no response.
+func postJob(url string, body any) int {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return http.StatusBadRequest
@@ -148,19 +150,20 @@
 	if err != nil {
 		return 0
 	}
-	_ = resp.Body.Close() // only the status counts
+	_ = resp.Body.Close() // Only the status is used.
 	return resp.StatusCode
 }
 
-// call makes one call of a caller; status 0 is no answer.
-func (c *platformCell) call(daemon int, method, id string, body any) (int, string) {
+// callDaemon sends one caller request to a daemon and returns the HTTP status and the
+// body. The status is 0 if there was no complete response.
+func (c *platformCell) callDaemon(daemon int, method, id string, body any) (int, string) {
 	var payload io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
 		require.NoError(c.t, err)
 		payload = bytes.NewReader(data)
 	}
-	req, err := http.NewRequest(method, "http://"+c.callers[daemon]+jobsPath+id, payload)
+	req, err := http.NewRequest(method, "http://"+c.callerAddresses[daemon]+jobsPath+id, payload)
 	require.NoError(c.t, err)
 	req.Host = jobsHost
 	req.Header.Set("X-Deadline-Ms", "3000")
@@ -169,7 +172,7 @@
 	if err != nil {
 		return 0, ""
 	}
-	defer resp.Body.Close() //nolint:errcheck // it is read whole
+	defer resp.Body.Close() //nolint:errcheck // The body is read to its end.
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, ""
@@ -177,36 +180,37 @@
 	return resp.StatusCode, string(text)
 }
 
-// submit hands a job in, as callers do: again with the same id until it is accepted,
-// through the next daemon.
+// submit submits a job as callers do: it retries with the same ID through the next
+// daemon until the job is accepted.
 func (c *platformCell) submit(daemon int, id string, steps ...map[string]any) {
 	for try := range 60 {
-		status, _ := c.call((daemon+try)%len(c.daemons), http.MethodPost, id, map[string]any{"Spec": "spec of " + id, "Steps": steps})
+		status, _ := c.callDaemon((daemon+try)%len(c.daemons), http.MethodPost, id, map[string]any{"Spec": "spec of " + id, "Steps": steps})
 		if status == http.StatusOK {
 			return
 		}
 		require.NotEqual(c.t, http.StatusBadRequest, status)
 		time.Sleep(200 * time.Millisecond)
 	}
-	require.Fail(c.t, "job is not accepted", id)
+	require.Fail(c.t, "job was not accepted", id)
 }
 
-func (c *platformCell) step(job string, index, count int, takes time.Duration, more map[string]any) map[string]any {
-	c.fleet.SetStepPlan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: takes})
-	step := map[string]any{"Count": count, "Cpu": 4000, "MemMb": 4096, "EstimateMs": takes.Milliseconds()}
-	for k, v := range more {
+func (c *platformCell) newStep(job string, index, count int, duration time.Duration, extra map[string]any) map[string]any {
+	c.fleet.SetStepPlan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: duration})
+	step := map[string]any{"Count": count, "Cpu": 4000, "MemMb": 4096, "EstimateMs": duration.Milliseconds()}
+	for k, v := range extra {
 		step[k] = v
 	}
 	return step
 }
 
-// completed waits until a daemon shows all jobs as completed.
-func (c *platformCell) completed(daemon int, ids []string, within time.Duration) {
+// waitCompleted waits until a daemon reports all jobs as completed, and then checks that
+// the workers saw no violations.
+func (c *platformCell) waitCompleted(daemon int, ids []string, timeout time.Duration) {
 	c.t.Helper()
-	deadline := time.Now().Add(within)
+	deadline := time.Now().Add(timeout)
 	for _, id := range ids {
 		for {
-			status, text := c.call(daemon, http.MethodGet, id, nil)
+			status, text := c.callDaemon(daemon, http.MethodGet, id, nil)
 			if status == http.StatusOK && strings.Contains(text, "completed") {
 				break
 			}
@@ -217,8 +221,9 @@
 	require.Empty(c.t, c.fleet.Violations())
 }
 
-// placer returns the daemon whose claim is the newest in the log.
-func (c *platformCell) placer() int {
+// currentPlacer returns the index of the daemon with the latest claim in the log, or -1
+// if there is none.
+func (c *platformCell) currentPlacer() int {
 	placer := -1
 	for _, record := range c.store.Records("briarproxy.jobs") {
 		var r struct {
@@ -234,62 +239,62 @@
 	return placer
 }
 
-// Guards against a path through the adapter that loses, doubles or never ends jobs: steps,
-// gangs and advice with three daemons.
-func TestPlatformJobsEnd(t *testing.T) {
+// Guards against jobs that are lost, run twice or never complete on the platform. The
+// jobs have steps and gangs, and three daemons use the advice service.
+func TestPlatformJobsComplete(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 3, 8, true)
 	var ids []string
 	for i := range 12 {
 		id := fmt.Sprintf("%016x", 0xa000+i)
-		first := c.step(id, 0, 3, 200*time.Millisecond, nil)
-		second := c.step(id, 1, 2, 300*time.Millisecond, map[string]any{"StartAfter": []int{0}, "Gang": true})
+		first := c.newStep(id, 0, 3, 200*time.Millisecond, nil)
+		second := c.newStep(id, 1, 2, 300*time.Millisecond, map[string]any{"StartAfter": []int{0}, "Gang": true})
 		c.submit(i%3, id, first, second)
 		ids = append(ids, id)
 	}
-	c.completed(1, ids, 30*time.Second)
+	c.waitCompleted(1, ids, 30*time.Second)
 	require.Equal(t, 12*5, c.fleet.Starts())
-	status, _ := c.call(2, http.MethodGet, fmt.Sprintf("%016x", 0xbeef), nil)
+	status, _ := c.callDaemon(2, http.MethodGet, fmt.Sprintf("%016x", 0xbeef), nil)
 	require.Equal(t, http.StatusGone, status)
 }
 
-// Guards against a takeover that starts what still runs, forgets what ended, or waits for
-// leases that need not be waited for.
+// Guards against a placer takeover that starts running tasks again, forgets tasks that
+// have ended, or waits for leases needlessly.
 func TestPlatformPlacerKilled(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 3, 8, false)
 	var ids []string
 	for i := range 10 {
 		id := fmt.Sprintf("%016x", 0xb000+i)
-		c.submit(i%3, id, c.step(id, 0, 2, 2500*time.Millisecond, nil), c.step(id, 1, 1, 200*time.Millisecond, map[string]any{"StartAfter": []int{0}}))
+		c.submit(i%3, id, c.newStep(id, 0, 2, 2500*time.Millisecond, nil), c.newStep(id, 1, 1, 200*time.Millisecond, map[string]any{"StartAfter": []int{0}}))
 		ids = append(ids, id)
 	}
 	time.Sleep(500 * time.Millisecond)
-	victim := c.placer()
+	victim := c.currentPlacer()
 	require.GreaterOrEqual(t, victim, 0)
 	require.NoError(t, c.daemons[victim].cmd.Process.Kill())
-	c.completed((victim+1)%3, ids, 20*time.Second)
-	require.Equal(t, 30, c.fleet.Starts(), "what ran during the takeover is not started again")
+	c.waitCompleted((victim+1)%3, ids, 20*time.Second)
+	require.Equal(t, 30, c.fleet.Starts(), "tasks that run during the takeover must not be started again")
 }
 
-// Guards against a planned stop of the placer that leaves the cell without one.
+// Guards against a graceful stop of the placer that leaves the cell without a placer.
 func TestPlatformPlacerStopped(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 2, 4, false)
 	id := fmt.Sprintf("%016x", 0xc000)
-	c.submit(0, id, c.step(id, 0, 2, 3*time.Second, nil))
-	victim := c.placer()
+	c.submit(0, id, c.newStep(id, 0, 2, 3*time.Second, nil))
+	victim := c.currentPlacer()
 	require.NoError(t, c.daemons[victim].cmd.Process.Signal(syscall.SIGTERM))
 	next := fmt.Sprintf("%016x", 0xc001)
-	c.submit(1-victim, next, c.step(next, 0, 1, 100*time.Millisecond, nil))
-	c.completed(1-victim, []string{next}, 3*time.Second)
-	c.completed(1-victim, []string{id}, 10*time.Second)
+	c.submit(1-victim, next, c.newStep(next, 0, 1, 100*time.Millisecond, nil))
+	c.waitCompleted(1-victim, []string{next}, 3*time.Second)
+	c.waitCompleted(1-victim, []string{id}, 10*time.Second)
 	require.Equal(t, 3, c.fleet.Starts())
 }
 
-// Guards against jobs that are accepted twice or lost when answers of the store are lost,
-// and against a placer that does not go on after an outage.
-func TestPlatformStoreLosesAnswersAndIsDown(t *testing.T) {
+// Guards against jobs that are accepted twice or lost when replies of the store are lost,
+// and against a placer that does not resume after an outage of the store.
+func TestPlatformStoreRepliesLostAndOutage(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 3, 8, false)
 	var ids []string
@@ -298,91 +303,91 @@
 		if i%2 == 0 {
 			c.store.LoseAppendReplies(2)
 		}
-		c.submit(i%3, id, c.step(id, 0, 2, 2*time.Second, nil))
+		c.submit(i%3, id, c.newStep(id, 0, 2, 2*time.Second, nil))
 		ids = append(ids, id)
 	}
 	c.store.SetUnavailable(true)
 	time.Sleep(3500 * time.Millisecond)
-	status, _ := c.call(0, http.MethodPost, fmt.Sprintf("%016x", 0xdead), map[string]any{"Spec": "x", "Steps": []any{c.step("0", 0, 1, time.Second, nil)}})
-	require.Equal(t, http.StatusServiceUnavailable, status, "a refusing store has not stored anything, so the job is rejected")
+	status, _ := c.callDaemon(0, http.MethodPost, fmt.Sprintf("%016x", 0xdead), map[string]any{"Spec": "x", "Steps": []any{c.newStep("0", 0, 1, time.Second, nil)}})
+	require.Equal(t, http.StatusServiceUnavailable, status, "the unavailable store has not stored the job, so it must be rejected")
 	c.store.SetUnavailable(false)
-	c.completed(2, ids, 20*time.Second)
-	require.Equal(t, 16, c.fleet.Starts(), "tasks run on under their leases while the store is down")
+	c.waitCompleted(2, ids, 20*time.Second)
+	require.Equal(t, 16, c.fleet.Starts(), "tasks must continue under their leases during the outage of the store")
 }
 
-// Guards against a task that is given up because its end was lost with its worker's life
-// before it could be recorded, and against one that ran being shown as done without a
-// record. Workers forget such ends, so the second run is allowed.
-func TestPlatformWorkerRestartsBeforeItsEndIsRecorded(t *testing.T) {
+// Guards against abandoning a task whose end was lost in a worker restart before it could
+// be recorded, and against reporting such a task as done without a record. Workers do not
+// remember such ends across restarts, so a second run is allowed.
+func TestPlatformWorkerRestartsBeforeTaskEndIsRecorded(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 2, 1, false)
 	id := fmt.Sprintf("%016x", 0xd100)
-	c.submit(0, id, c.step(id, 0, 1, 600*time.Millisecond, nil))
+	c.submit(0, id, c.newStep(id, 0, 1, 600*time.Millisecond, nil))
 	require.Eventually(t, func() bool { return c.fleet.Starts() == 1 }, 5*time.Second, 10*time.Millisecond)
 	c.store.SetUnavailable(true)
-	time.Sleep(1200 * time.Millisecond) // the task ends, and the placer can't record that
-	placer := c.placer()
+	time.Sleep(1200 * time.Millisecond) // The task ends, and the placer cannot record that.
+	placer := c.currentPlacer()
 	c.daemons[placer].kill()
 	c.fleet.Restart("i-0000")
 	c.store.SetUnavailable(false)
-	c.completed(1-placer, []string{id}, 30*time.Second)
+	c.waitCompleted(1-placer, []string{id}, 30*time.Second)
 	require.Equal(t, 2, c.fleet.Starts())
 }
 
-// Guards against jobs that are lost with records that the log keeps for a limited time: a
-// daemon that starts later, without any older one, must know them and go on with them.
+// Guards against losing jobs when their log records expire. A daemon that starts after all
+// others have been killed must know the jobs and continue them.
 func TestPlatformHistoryExpires(t *testing.T) {
 	t.Parallel()
-	t.Run("of the log", func(t *testing.T) { historyExpires(t, false) })
-	t.Run("of the log and the snapshots", func(t *testing.T) { historyExpires(t, true) })
+	t.Run("log expired", func(t *testing.T) { testHistoryExpiry(t, false) })
+	t.Run("log and snapshots expired", func(t *testing.T) { testHistoryExpiry(t, true) })
 }
 
-func historyExpires(t *testing.T, snapshots bool) {
+func testHistoryExpiry(t *testing.T, snapshots bool) {
 	t.Parallel()
-	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 5}, 2, 4, false)
+	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 5}, 2, 4, false)
 	var ids []string
 	for i := range 6 {
 		id := fmt.Sprintf("%016x", 0xe000+i)
-		takes := 100 * time.Millisecond
+		duration := 100 * time.Millisecond
 		if i%2 == 0 {
-			takes = 6 * time.Second
+			duration = 6 * time.Second
 		}
-		c.submit(i%2, id, c.step(id, 0, 2, takes, nil), c.step(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}))
+		c.submit(i%2, id, c.newStep(id, 0, 2, duration, nil), c.newStep(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}))
 		ids = append(ids, id)
 	}
 	time.Sleep(2500 * time.Millisecond)
 	c.store.Expire("briarproxy.jobs", 3)
 	for part := 0; part < 3 && snapshots; part++ {
-		c.store.ExpirePartition("keyed.briarproxy", part, 0) // the newest of each key stay
+		c.store.ExpirePartition("keyed.briarproxy", part, 0) // The newest record of each key remains.
 	}
 	for _, d := range c.daemons {
 		require.NoError(t, d.cmd.Process.Kill())
 	}
 	c.addDaemon(2)
-	c.completed(2, ids, 20*time.Second)
-	require.Equal(t, 18, c.fleet.Starts(), "what ran is adopted, what ended does not run again")
+	c.waitCompleted(2, ids, 20*time.Second)
+	require.Equal(t, 18, c.fleet.Starts(), "running tasks must be adopted, and ended tasks must not run again")
 }
 
-// Guards against an id that can't be followed to the decisions on its job.
-func TestPlatformIdLeadsToTheDecisions(t *testing.T) {
+// Guards against logged decisions that cannot be found by their job's ID.
+func TestPlatformDecisionsLoggedWithJobID(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 2, 2, false)
 	id := fmt.Sprintf("%016x", 0xf000)
-	c.submit(0, id, c.step(id, 0, 1, 100*time.Millisecond, nil))
-	c.completed(0, []string{id}, 5*time.Second)
+	c.submit(0, id, c.newStep(id, 0, 1, 100*time.Millisecond, nil))
+	c.waitCompleted(0, []string{id}, 5*time.Second)
 	for _, wanted := range []string{"job-accepted", "start sent", "run ended"} {
-		require.Eventually(t, func() bool { return c.logged(id, wanted) }, 3*time.Second, 50*time.Millisecond, wanted)
+		require.Eventually(t, func() bool { return c.hasLogged(id, wanted) }, 3*time.Second, 50*time.Millisecond, wanted)
 	}
 }
 
-// logged reports whether a daemon wrote a line with both texts.
-func (c *platformCell) logged(id, text string) bool {
+// hasLogged reports whether a daemon has logged a line that contains both texts.
+func (c *platformCell) hasLogged(jobID, text string) bool {
 	for _, p := range c.daemons {
 		p.mu.Lock()
 		lines := p.lines
 		p.mu.Unlock()
 		for _, line := range lines {
-			if strings.Contains(line, id) && strings.Contains(line, text) {
+			if strings.Contains(line, jobID) && strings.Contains(line, text) {
 				return true
 			}
 		}
--- a/standin/integration/process_test.go
+++ b/standin/integration/process_test.go
@@ -18,99 +18,102 @@
 )
 
 const (
-	startTimeout = 15 * time.Second
-	logTail      = 6 << 10 // bytes of a process's log that a failed test shows
+	startTimeout    = 15 * time.Second
+	maxLogTailBytes = 6 << 10 // A failed test shows this much of a process's log.
 )
 
-// process is a child process of a test. It is killed at the test's end.
+// process is a child process of a test. It is killed when the test ends.
 type process struct {
-	t    *testing.T
-	name string
-	cmd  *exec.Cmd
-	log  string // file with its standard error
-	done chan struct{}
-
-	mu    sync.Mutex
-	lines []string
-	grown chan struct{} // closed and replaced with each line
+	t       *testing.T
+	name    string
+	cmd     *exec.Cmd
+	logPath string // The file that receives standard error.
+	exited  chan struct{}
+
+	mu        sync.Mutex
+	lines     []string
+	lineAdded chan struct{} // Closed and replaced when a line is added.
 }
 
-// startProcess starts a binary and collects its standard output.
+// startProcess starts a binary, collects the lines of its standard output and redirects
+// its standard error to a file.
 func startProcess(t *testing.T, name, bin string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, cmd: exec.Command(binary(bin), args...), done: make(chan struct{}), grown: make(chan struct{})}
-	p.log = filepath.Join(t.TempDir(), name+".log")
-	file, err := os.Create(p.log)
+	p := &process{t: t, name: name, cmd: exec.Command(binaryPath(bin), args...), exited: make(chan struct{}), lineAdded: make(chan struct{})}
+	p.logPath = filepath.Join(t.TempDir(), name+".log")
+	file, err := os.Create(p.logPath)
 	require.NoError(t, err)
 	p.cmd.Stderr = file
 	out, err := p.cmd.StdoutPipe()
 	require.NoError(t, err)
-	// The process ends with the test binary even when that is killed.
+	// The process is killed when the test binary ends, even if that is killed itself.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, p.cmd.Start())
 	_ = file.Close()
-	go p.collect(out)
-	t.Cleanup(p.end)
+	go p.collectOutput(out)
+	t.Cleanup(p.cleanUp)
 	return p
 }
 
-func (p *process) collect(out io.Reader) {
+func (p *process) collectOutput(out io.Reader) {
 	scanner := bufio.NewScanner(out)
 	for scanner.Scan() {
 		p.mu.Lock()
 		p.lines = append(p.lines, scanner.Text())
-		close(p.grown)
-		p.grown = make(chan struct{})
+		close(p.lineAdded)
+		p.lineAdded = make(chan struct{})
 		p.mu.Unlock()
 	}
 	_ = p.cmd.Wait()
-	close(p.done)
+	close(p.exited)
 }
 
-// end kills the process if it still runs, and shows its log if the test failed.
-func (p *process) end() {
+// cleanUp kills the process if it is still running, and shows the end of its log if the
+// test failed.
+func (p *process) cleanUp() {
 	select {
-	case <-p.done:
+	case <-p.exited:
 	default:
 		p.kill()
 	}
 	if p.t.Failed() {
-		p.t.Logf("end of the log of %s (%s):\n%s", p.name, p.cmd.ProcessState, p.tail())
+		p.t.Logf("last log lines of %s (%s):\n%s", p.name, p.cmd.ProcessState, p.logTail())
 	}
 }
 
-// routine are the messages of decisions on single requests and tasks, of which a
-// daemon writes hundreds in a test.
-var routine = []string{
+// routineMessages are log messages about individual requests and tasks, of which a daemon
+// writes hundreds during a test.
+var routineMessages = []string{
 	"shard opened", "request forwarded", "request placed", "keyed request", "job accepted",
 	"task placed", "room reserved", "task started", "task attempt ended", "request answered",
 }
 
-// tail returns the end of the log without routine lines.
-func (p *process) tail() []byte {
-	data, _ := os.ReadFile(p.log)
+// logTail returns the end of the log without the lines of routine messages.
+func (p *process) logTail() []byte {
+	data, _ := os.ReadFile(p.logPath)
 	var kept []byte
 	for line := range bytes.Lines(data) {
-		if !isRoutine(line) {
+		if !isRoutineLine(line) {
 			kept = append(kept, line...)
 		}
 	}
-	return bytes.ToValidUTF8(kept[max(0, len(kept)-logTail):], []byte("?"))
+	return bytes.ToValidUTF8(kept[max(0, len(kept)-maxLogTailBytes):], []byte("?"))
 }
 
-func isRoutine(line []byte) bool {
-	return slices.ContainsFunc(routine, func(message string) bool {
+func isRoutineLine(line []byte) bool {
+	return slices.ContainsFunc(routineMessages, func(message string) bool {
 		return bytes.Contains(line, []byte(`"message":"`+message))
 	})
 }
 
-// waitLine returns the fields of the first line of output with the prefix.
-func (p *process) waitLine(prefix string) []string {
+// waitForLine waits for a line of standard output with the prefix and returns the fields
+// of the first one.
+func (p *process) waitForLine(prefix string) []string {
 	p.t.Helper()
 	timeout := time.After(startTimeout)
 	for {
 		p.mu.Lock()
-		lines, grown := p.lines, p.grown
+		lines, grown := p.lines, p.lineAdded
 		p.mu.Unlock()
 		for _, line := range lines {
 			if strings.HasPrefix(line, prefix) {
@@ -119,10 +122,10 @@
 		}
 		select {
 		case <-grown:
-		case <-p.done:
-			require.FailNow(p.t, p.name+" ended before it was ready", "%s", p.tail())
+		case <-p.exited:
+			require.FailNow(p.t, p.name+" exited before it was ready", "%s", p.logTail())
 		case <-timeout:
-			require.FailNow(p.t, p.name+" printed no line "+prefix, "%q", lines)
+			require.FailNow(p.t, p.name+" did not print a line with the prefix "+prefix, "%q", lines)
 		}
 	}
 }
@@ -132,23 +135,23 @@
 	require.NoError(p.t, p.cmd.Process.Signal(s), p.name)
 }
 
-// kill ends the process at once, also a paused one, and waits for it.
+// kill sends SIGKILL, which also ends a paused process, and waits for the exit.
 func (p *process) kill() {
 	_ = p.cmd.Process.Signal(syscall.SIGKILL)
-	<-p.done
+	<-p.exited
 }
 
-func (p *process) pause()    { p.signal(syscall.SIGSTOP) }
-func (p *process) unpause()  { p.signal(syscall.SIGCONT) }
-func (p *process) stopSoft() { p.signal(syscall.SIGTERM) }
+func (p *process) pause()     { p.signal(syscall.SIGSTOP) }
+func (p *process) resume()    { p.signal(syscall.SIGCONT) }
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
 
-// waitExit waits for the process to end by itself and returns its exit code.
-func (p *process) waitExit(limit time.Duration) int {
+// waitExit waits for the process to exit by itself and returns its exit code.
+func (p *process) waitExit(timeout time.Duration) int {
 	p.t.Helper()
 	select {
-	case <-p.done:
-	case <-time.After(limit):
-		require.FailNow(p.t, p.name+" did not end", "within %s", limit)
+	case <-p.exited:
+	case <-time.After(timeout):
+		require.FailNow(p.t, p.name+" did not exit", "within %s", timeout)
 	}
 	return p.cmd.ProcessState.ExitCode()
 }
--- a/standin/integration/rolling_test.go
+++ b/standin/integration/rolling_test.go
@@ -25,111 +25,114 @@
 	"briarproxy/standin/faultproxy"
 )
 
-// Times of planned stops.
+// Parameters of the rolling stop test.
 const (
-	rollingCallers  = 24
-	graceLeft       = 450 * time.Millisecond // of the grace period, when a process has ended
-	lostSlack       = 200 * time.Millisecond
-	callerPatience  = 3 * time.Second
-	balancerMisses  = 2
-	balancerEvery   = time.Second
-	signalGapLeast  = 800 * time.Millisecond
-	signalGapSpread = 400 * time.Millisecond
-	signalOverlap   = 100 * time.Millisecond // in every second turn: the balancer has no daemon in rotation
-	rollingDefault  = 14 * time.Second
-	rollingPoll     = 20 * time.Millisecond
-	storeLateMost   = 1200 // ms, each way
+	rollingCallerCount      = 24
+	minGraceLeft            = 450 * time.Millisecond // A process must exit at least this long before the grace period ends.
+	lossMargin              = 200 * time.Millisecond
+	callerTimeout           = 3 * time.Second
+	balancerMaxFailedChecks = 2
+	balancerCheckInterval   = time.Second
+	minSignalGap            = 800 * time.Millisecond
+	signalGapJitter         = 400 * time.Millisecond
+	overlapSignalGap        = 100 * time.Millisecond // Used in every second round, so that no daemon is in rotation.
+	defaultRollingDuration  = 14 * time.Second
+	rollingPollInterval     = 20 * time.Millisecond
+	maxStoreDelayMS         = 1200 // In each direction.
 )
 
-// balancer sends new connections to daemons as the platform does: it checks each once a
-// second, and one that misses two checks gets none, unless fewer than half are left.
-type balancer struct {
-	mu      sync.Mutex
-	callers []string
-	ready   []string
-	misses  []int
+// loadBalancer distributes new connections as the platform does. It checks each daemon
+// once per second and removes a daemon from rotation after two consecutive failed checks.
+// If fewer than half of the daemons are in rotation, it uses all of them.
+type loadBalancer struct {
+	mu              sync.Mutex
+	callerAddresses []string
+	readyAddresses  []string
+	failedChecks    []int
 }
 
-func (b *balancer) set(i int, callers, ready string) {
+func (b *loadBalancer) setAddresses(i int, callers, ready string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.callers[i], b.ready[i] = callers, ready
+	b.callerAddresses[i], b.readyAddresses[i] = callers, ready
 }
 
-func (b *balancer) watch(ctx context.Context, i int) {
-	client := &http.Client{Timeout: balancerEvery, Transport: &http.Transport{DisableKeepAlives: true}}
+func (b *loadBalancer) checkReadiness(ctx context.Context, i int) {
+	client := &http.Client{Timeout: balancerCheckInterval, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		b.mu.Lock()
-		address := b.ready[i]
+		address := b.readyAddresses[i]
 		b.mu.Unlock()
 		response, err := client.Get("http://" + address + "/ready")
-		well := err == nil && response.StatusCode == http.StatusOK
+		ready := err == nil && response.StatusCode == http.StatusOK
 		if err == nil {
-			_ = response.Body.Close() // only the status counts
+			_ = response.Body.Close() // Only the status is used.
 		}
 		b.mu.Lock()
-		if b.misses[i]++; well {
-			b.misses[i] = 0
+		if b.failedChecks[i]++; ready {
+			b.failedChecks[i] = 0
 		}
 		b.mu.Unlock()
-		time.Sleep(balancerEvery)
+		time.Sleep(balancerCheckInterval)
 	}
 }
 
-// pick returns the callers' address of a daemon in rotation.
-func (b *balancer) pick() string {
+// pickDaemon returns the caller address of a random daemon in rotation.
+func (b *loadBalancer) pickDaemon() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var in []string
-	for i, address := range b.callers {
-		if b.misses[i] < balancerMisses {
-			in = append(in, address)
+	var inRotation []string
+	for i, address := range b.callerAddresses {
+		if b.failedChecks[i] < balancerMaxFailedChecks {
+			inRotation = append(inRotation, address)
 		}
 	}
-	if 2*len(in) < len(b.callers) {
-		in = b.callers
+	if 2*len(inRotation) < len(b.callerAddresses) {
+		inRotation = b.callerAddresses
 	}
-	return in[rand.IntN(len(in))]
+	return inRotation[rand.IntN(len(inRotation))]
 }
 
-// seen is what a caller saw of one request.
-type seen struct {
-	id     string // of a job that was handed in
+// requestOutcome is the outcome of one request as its caller observed it.
+type requestOutcome struct {
+	jobID  string // Empty unless the request submits a job.
 	sent   time.Time
 	ended  time.Time
-	status int // 0 without a complete answer
+	status int // The status is 0 if there was no complete response.
 	daemon string
 	err    error
 }
 
-// lost reports whether a request that was sent ended without an answer, as rule LOST says.
-func (s *seen) lost() bool {
-	return s.status == 0 && !s.sent.IsZero() && s.ended.Sub(s.sent) > lostSlack && s.ended.Sub(s.sent) < callerPatience-lostSlack
+// isLost reports whether a sent request counts as lost under the LOST rule: it ended without
+// a response, more than lossMargin after it was sent and more than lossMargin before
+// callerTimeout.
+func (s *requestOutcome) isLost() bool {
+	return s.status == 0 && !s.sent.IsZero() && s.ended.Sub(s.sent) > lossMargin && s.ended.Sub(s.sent) < callerTimeout-lossMargin
 }
 
-// rolling stops daemons in turn while callers keep their connections.
-type rolling struct {
-	*soak
-	balancer *balancer
-	mu       sync.Mutex
-	requests []seen
-	serial   int
-	stopped  []time.Time // of each daemon's stop under way
-	again    []time.Time // of the second signal
-	story    []string
+// rollingStopTest stops daemons in turn while callers reuse their connections.
+type rollingStopTest struct {
+	*soakTest
+	balancer       *loadBalancer
+	mu             sync.Mutex
+	outcomes       []requestOutcome
+	jobCount       int
+	stoppingSince  []time.Time // By daemon; zero if it is not stopping.
+	secondSignalAt []time.Time // By daemon; zero if no second signal is due.
+	eventLog       []string
 }
 
-func newRolling(t *testing.T, seed uint64) *rolling {
-	r := &rolling{soak: newSoak(t, seed), stopped: make([]time.Time, soakDaemons), again: make([]time.Time, soakDaemons)}
-	r.balancer = &balancer{callers: make([]string, soakDaemons), ready: make([]string, soakDaemons), misses: make([]int, soakDaemons)}
-	for i := range soakDaemons {
-		r.balancer.set(i, r.callers[i], readyAddress(t, r.daemons[i]))
-		go r.balancer.watch(t.Context(), i)
+func newRollingStopTest(t *testing.T, seed uint64) *rollingStopTest {
+	r := &rollingStopTest{soakTest: newSoakTest(t, seed), stoppingSince: make([]time.Time, soakDaemonCount), secondSignalAt: make([]time.Time, soakDaemonCount)}
+	r.balancer = &loadBalancer{callerAddresses: make([]string, soakDaemonCount), readyAddresses: make([]string, soakDaemonCount), failedChecks: make([]int, soakDaemonCount)}
+	for i := range soakDaemonCount {
+		r.balancer.setAddresses(i, r.callerAddresses[i], readyAddress(t, r.daemons[i]))
+		go r.balancer.checkReadiness(t.Context(), i)
 	}
 	return r
 }
 
-// readyAddress is where a daemon that has started answers the balancer.
+// readyAddress returns the address of the readiness check of a daemon that has started.
 func readyAddress(t *testing.T, p *process) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,29 +145,30 @@
 			return started.Ready
 		}
 	}
-	require.Fail(t, "a daemon does not name its address for checks", p.name)
+	require.Fail(t, "the daemon did not log the address of its readiness check", p.name)
 	return ""
 }
 
-// call uses its connection as long as that is open, and then has the balancer send it elsewhere.
-func (r *rolling) call(ctx context.Context, rng *rand.Rand, gap time.Duration) {
-	defer r.calls.Done()
+// runCaller sends requests over one connection until it is closed, and then opens a new
+// one to a daemon that the load balancer picks.
+func (r *rollingStopTest) runCaller(ctx context.Context, rng *rand.Rand, maxPause time.Duration) {
+	defer r.activeCallers.Done()
 	daemon := ""
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		daemon = r.balancer.pick()
+		daemon = r.balancer.pickDaemon()
 		return (&net.Dialer{}).DialContext(ctx, "tcp", daemon)
 	}}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: callerPatience}
-	last := ""
+	client := &http.Client{Transport: transport, Timeout: callerTimeout}
+	lastJobID := ""
 	for ctx.Err() == nil {
-		one := seen{}
-		method, id, body := http.MethodGet, last, []byte(nil)
-		if last == "" || rng.IntN(2) == 0 {
-			method, id, body = r.job()
-			one.id = id
+		outcome := requestOutcome{}
+		method, id, body := http.MethodGet, lastJobID, []byte(nil)
+		if lastJobID == "" || rng.IntN(2) == 0 {
+			method, id, body = r.newJobRequest()
+			outcome.jobID = id
 		}
-		var sent atomic.Pointer[time.Time] // set by the transport's goroutine
+		var sent atomic.Pointer[time.Time] // Set by a goroutine of the transport.
 		trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if now := time.Now(); info.Err == nil {
 				sent.Store(&now)
@@ -175,192 +179,196 @@
 			r.t.Error(err)
 			return
 		}
-		request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerPatience.Milliseconds(), 10))
+		request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 		response, err := client.Do(request)
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close() // it is read whole
+			_ = response.Body.Close() // The body is read to its end.
 		}
-		one.ended, one.daemon, one.err = time.Now(), daemon, err
+		outcome.ended, outcome.daemon, outcome.err = time.Now(), daemon, err
 		if at := sent.Load(); at != nil {
-			one.sent = *at
+			outcome.sent = *at
 		}
 		if err == nil {
-			one.status = response.StatusCode
+			outcome.status = response.StatusCode
 		}
-		if one.status == http.StatusOK {
-			last = id
+		if outcome.status == http.StatusOK {
+			lastJobID = id
 		}
 		r.mu.Lock()
-		r.requests = append(r.requests, one)
+		r.outcomes = append(r.outcomes, outcome)
 		r.mu.Unlock()
-		time.Sleep(time.Duration(rng.Int64N(int64(gap))))
+		time.Sleep(time.Duration(rng.Int64N(int64(maxPause))))
 	}
 }
 
-// job returns the request that hands in a new job.
-func (r *rolling) job() (method, id string, body []byte) {
+// newJobRequest returns a request that submits a new job.
+func (r *rollingStopTest) newJobRequest() (method, id string, body []byte) {
 	r.mu.Lock()
-	r.serial++
-	id = fmt.Sprintf("%016x", 0x7011000+r.serial)
+	r.jobCount++
+	id = fmt.Sprintf("%016x", 0x7011000+r.jobCount)
 	r.mu.Unlock()
-	body, err := json.Marshal(map[string]any{"Spec": id, "Steps": []any{r.step(id, 0, 1, 50*time.Millisecond, nil)}})
+	body, err := json.Marshal(map[string]any{"Spec": id, "Steps": []any{r.newStep(id, 0, 1, 50*time.Millisecond, nil)}})
 	if err != nil {
 		r.t.Error(err)
 	}
 	return http.MethodPost, id, body
 }
 
-// signalNext sends a daemon SIGTERM, and maybe a second one later.
-func (r *rolling) signalNext(i int, now time.Time) {
-	r.daemons[i].stopSoft()
-	r.stopped[i], r.again[i] = now, time.Time{}
+// signalDaemon sends SIGTERM to a daemon and randomly schedules a second one.
+func (r *rollingStopTest) signalDaemon(i int, now time.Time) {
+	r.daemons[i].terminate()
+	r.stoppingSince[i], r.secondSignalAt[i] = now, time.Time{}
 	if r.rng.IntN(2) == 0 {
-		r.again[i] = now.Add(time.Duration(r.rng.Int64N(int64(graceTime))))
+		r.secondSignalAt[i] = now.Add(time.Duration(r.rng.Int64N(int64(gracePeriod))))
 	}
 }
 
-// follow starts daemons again that have ended, and checks how they did.
-func (r *rolling) follow(now time.Time) {
-	for i, since := range r.stopped {
+// superviseStops sends the scheduled second signals, checks the exit status and stop
+// duration of daemons that have exited, and restarts them.
+func (r *rollingStopTest) superviseStops(now time.Time) {
+	for i, since := range r.stoppingSince {
 		if since.IsZero() {
 			continue
 		}
 		p := r.daemons[i]
-		if at := r.again[i]; !at.IsZero() && now.After(at) {
-			r.again[i] = time.Time{}
-			_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+		if at := r.secondSignalAt[i]; !at.IsZero() && now.After(at) {
+			r.secondSignalAt[i] = time.Time{}
+			_ = p.cmd.Process.Signal(syscall.SIGTERM) // The process may have exited.
 		}
 		select {
-		case <-p.done:
-			r.stopped[i] = time.Time{}
-			took := now.Sub(since)
-			r.story = append(r.story, fmt.Sprintf("d%d ended after %.1fs", i, took.Seconds()))
+		case <-p.exited:
+			r.stoppingSince[i] = time.Time{}
+			elapsed := now.Sub(since)
+			r.eventLog = append(r.eventLog, fmt.Sprintf("d%d exited after %.1fs", i, elapsed.Seconds()))
 			require.Zero(r.t, p.cmd.ProcessState.ExitCode(), "%s: %s", p.name, p.cmd.ProcessState)
-			require.Less(r.t, took, graceTime-graceLeft, "%s was slow to end", p.name)
-			r.restart(i)
-			r.balancer.set(i, r.callers[i], readyAddress(r.t, r.daemons[i]))
+			require.Less(r.t, elapsed, gracePeriod-minGraceLeft, "%s exited too close to the end of the grace period", p.name)
+			r.restartDaemon(i)
+			r.balancer.setAddresses(i, r.callerAddresses[i], readyAddress(r.t, r.daemons[i]))
 		default:
-			require.Less(r.t, now.Sub(since), graceTime, "%s does not end", p.name)
+			require.Less(r.t, now.Sub(since), gracePeriod, "%s did not exit within the grace period", p.name)
 		}
 	}
 }
 
-func (r *rolling) isStopping() bool {
-	return slices.ContainsFunc(r.stopped, func(at time.Time) bool { return !at.IsZero() })
+func (r *rollingStopTest) isStopping() bool {
+	return slices.ContainsFunc(r.stoppingSince, func(at time.Time) bool { return !at.IsZero() })
 }
 
-// disturb makes the store late for some daemons, resets channels to it, or ends that.
-func (r *rolling) disturb() {
+// injectStoreFaults randomly delays each daemon's connections to the store, resets them,
+// or removes the delay.
+func (r *rollingStopTest) injectStoreFaults() {
 	for i, proxy := range r.proxies {
 		switch r.rng.IntN(3) {
 		case 0:
-			late := faultproxy.Delay{UpMS: r.rng.Int64N(storeLateMost), DownMS: r.rng.Int64N(storeLateMost)}
-			require.NoError(r.t, proxy.SetDelay(late))
-			r.story = append(r.story, fmt.Sprintf("store late for d%d by %d ms", i, late.UpMS+late.DownMS))
+			delay := faultproxy.Delay{UpMS: r.rng.Int64N(maxStoreDelayMS), DownMS: r.rng.Int64N(maxStoreDelayMS)}
+			require.NoError(r.t, proxy.SetDelay(delay))
+			r.eventLog = append(r.eventLog, fmt.Sprintf("store delayed for d%d by %d ms", i, delay.UpMS+delay.DownMS))
 		case 1:
 			require.NoError(r.t, proxy.Cut(faultproxy.Cut{}))
-			r.story = append(r.story, fmt.Sprintf("store channels of d%d reset", i))
+			r.eventLog = append(r.eventLog, fmt.Sprintf("store connections of d%d reset", i))
 		default:
 			require.NoError(r.t, proxy.SetDelay(faultproxy.Delay{}))
 		}
 	}
 }
 
-// rollingFromEnvironment returns the length and the seed of a run.
-func rollingFromEnvironment(t *testing.T) (length time.Duration, seed uint64) {
-	length, seed = rollingDefault, soakSeed
+// rollingParameters returns the duration and the seed of a run, from the environment if
+// they are set there.
+func rollingParameters(t *testing.T) (duration time.Duration, seed uint64) {
+	duration, seed = defaultRollingDuration, defaultSoakSeed
 	var err error
 	if text := os.Getenv(soakEnv); text != "" {
-		length, err = time.ParseDuration(text)
+		duration, err = time.ParseDuration(text)
 		require.NoError(t, err, soakEnv)
 	}
 	if text := os.Getenv(soakSeedEnv); text != "" {
 		seed, err = strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err, soakSeedEnv)
 	}
-	return length, seed
+	return duration, seed
 }
 
-// Guards against requests that a daemon takes and does not answer in a planned stop (LOST on a
-// day of rolling restarts), against one that is not ended within the grace period or by a second
-// signal, and against jobs that were refused and ran: all daemons are stopped in turn, 0.8 to
-// 1.2 s or 0.1 s apart, while callers use their connections and the store is late at times.
+// Guards against requests that a daemon accepts but does not answer during a graceful stop,
+// which callers see as LOST during rolling restarts. Also guards against a stop that exceeds
+// the grace period or that a second signal breaks, and against refused jobs that run. All
+// daemons are stopped in turn, 0.8 to 1.2 s or 0.1 s apart, while callers reuse their
+// connections and the store is slow at times.
 func TestPlatformRollingStops(t *testing.T) {
 	t.Parallel()
-	length, seed := rollingFromEnvironment(t)
-	r := newRolling(t, seed)
+	duration, seed := rollingParameters(t)
+	r := newRollingStopTest(t, seed)
 	ctx, stop := context.WithCancel(t.Context())
-	for i := range rollingCallers {
-		gap := []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}[i%3]
-		r.calls.Add(1)
-		go r.call(ctx, rand.New(rand.NewPCG(seed, uint64(i)+2)), gap)
+	for i := range rollingCallerCount {
+		maxPause := []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}[i%3]
+		r.activeCallers.Add(1)
+		go r.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+2)), maxPause)
 	}
 	begin := time.Now()
-	next, overlap, signalAt, disturbAt := 0, true, begin.Add(time.Second), begin.Add(500*time.Millisecond)
-	for now := begin; now.Sub(begin) < length; now = time.Now() {
-		if now.After(disturbAt) {
-			r.disturb()
-			disturbAt = now.Add(time.Duration(500+r.rng.IntN(2000)) * time.Millisecond)
+	next, overlapping, signalAt, faultAt := 0, true, begin.Add(time.Second), begin.Add(500*time.Millisecond)
+	for now := begin; now.Sub(begin) < duration; now = time.Now() {
+		if now.After(faultAt) {
+			r.injectStoreFaults()
+			faultAt = now.Add(time.Duration(500+r.rng.IntN(2000)) * time.Millisecond)
 		}
-		if now.After(signalAt) && r.stopped[next].IsZero() {
-			r.signalNext(next, now)
-			next = (next + 1) % soakDaemons
-			signalAt = now.Add(signalGapLeast + time.Duration(r.rng.Int64N(int64(signalGapSpread))))
-			if overlap {
-				signalAt = now.Add(signalOverlap)
+		if now.After(signalAt) && r.stoppingSince[next].IsZero() {
+			r.signalDaemon(next, now)
+			next = (next + 1) % soakDaemonCount
+			signalAt = now.Add(minSignalGap + time.Duration(r.rng.Int64N(int64(signalGapJitter))))
+			if overlapping {
+				signalAt = now.Add(overlapSignalGap)
 			}
 			if next == 0 {
-				overlap, signalAt = !overlap, now.Add(graceTime) // all are to be back before the next turn
+				overlapping, signalAt = !overlapping, now.Add(gracePeriod) // All daemons must be running again before the next round.
 			}
 		}
-		r.follow(now)
-		time.Sleep(rollingPoll)
+		r.superviseStops(now)
+		time.Sleep(rollingPollInterval)
 	}
 	for r.isStopping() {
-		r.follow(time.Now())
-		time.Sleep(rollingPoll)
+		r.superviseStops(time.Now())
+		time.Sleep(rollingPollInterval)
 	}
 	for _, proxy := range r.proxies {
 		require.NoError(t, proxy.SetDelay(faultproxy.Delay{}))
 	}
 	stop()
-	r.calls.Wait()
-	r.judge(seed)
+	r.activeCallers.Wait()
+	r.checkOutcomes(seed)
 }
 
-// judge checks what the callers saw.
-func (r *rolling) judge(seed uint64) {
+// checkOutcomes checks the outcomes that the callers observed.
+func (r *rollingStopTest) checkOutcomes(seed uint64) {
 	var accepted []string
-	counts, turnedAway, unsent, cut, late, lost := map[int]int{}, 0, 0, 0, 0, 0
-	for _, one := range r.requests {
-		counts[one.status]++
+	counts, connectionsRefused, unsent, closedEarly, timedOut, lost := map[int]int{}, 0, 0, 0, 0, 0
+	for _, outcome := range r.outcomes {
+		counts[outcome.status]++
 		switch {
-		case one.lost():
+		case outcome.isLost():
 			lost++
-			r.t.Logf("lost: %s sent %v, ended %v later: %v", one.daemon, one.sent, one.ended.Sub(one.sent), one.err)
-		case one.status == 0 && !one.sent.IsZero() && one.ended.Sub(one.sent) > lostSlack:
-			late++
-		case one.status == 0 && !one.sent.IsZero():
-			cut++
-		case one.status == 0 && errors.Is(one.err, syscall.ECONNREFUSED):
-			turnedAway++
-		case one.status == 0:
+			r.t.Logf("lost: %s sent %v, ended %v later: %v", outcome.daemon, outcome.sent, outcome.ended.Sub(outcome.sent), outcome.err)
+		case outcome.status == 0 && !outcome.sent.IsZero() && outcome.ended.Sub(outcome.sent) > lossMargin:
+			timedOut++
+		case outcome.status == 0 && !outcome.sent.IsZero():
+			closedEarly++
+		case outcome.status == 0 && errors.Is(outcome.err, syscall.ECONNREFUSED):
+			connectionsRefused++
+		case outcome.status == 0:
 			unsent++
-			r.t.Logf("not sent: %s ended %v: %v", one.daemon, one.ended, one.err)
-		case one.status == http.StatusOK && one.id != "":
-			accepted = append(accepted, one.id)
+			r.t.Logf("not sent: %s ended %v: %v", outcome.daemon, outcome.ended, outcome.err)
+		case outcome.status == http.StatusOK && outcome.jobID != "":
+			accepted = append(accepted, outcome.jobID)
 		}
 	}
-	r.t.Logf("seed %d: %d requests, answers %v, %d found no listener, %d not sent, %d cut within %v, %d without an answer in time; %v",
-		seed, len(r.requests), counts, turnedAway, unsent, cut, lostSlack, late, r.story)
-	require.Zero(r.t, lost, "requests without an answer")
-	require.Zero(r.t, late, "requests without an answer in the caller's time limit")
+	r.t.Logf("seed %d: %d requests, responses by status %v, %d connections refused, %d not sent, %d closed without a response within %v, %d timed out; %v",
+		seed, len(r.outcomes), counts, connectionsRefused, unsent, closedEarly, lossMargin, timedOut, r.eventLog)
+	require.Zero(r.t, lost, "lost requests")
+	require.Zero(r.t, timedOut, "requests that timed out")
 	require.NotEmpty(r.t, accepted)
-	r.completed(0, accepted, soakSettle)
-	for _, one := range r.requests {
-		if one.id != "" && one.status == http.StatusServiceUnavailable {
-			require.False(r.t, r.fleet.HasStarted(one.id), "job %s was refused and ran", one.id)
+	r.waitCompleted(0, accepted, soakCompletionTimeout)
+	for _, outcome := range r.outcomes {
+		if outcome.jobID != "" && outcome.status == http.StatusServiceUnavailable {
+			require.False(r.t, r.fleet.HasStarted(outcome.jobID), "job %s was refused but ran", outcome.jobID)
 		}
 	}
 }
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -20,78 +20,80 @@
 	"briarproxy/standin/platform"
 )
 
-// The environment may hold the length of the soak, as 3m, and its seed. Without them it is
-// the same in every run of the tests, and short.
+// Parameters of the soak test. The environment variables may set its duration, such as 3m,
+// and its seed. Without them, the test is short and uses the same seed in every run.
 const (
-	soakEnv     = "BRIARPROXY_SOAK"
-	soakSeedEnv = "BRIARPROXY_SOAK_SEED"
-	soakDefault = 12 * time.Second
-	soakSeed    = 7 // without one in the environment
-	soakDaemons = 4
-	soakWorkers = 12
-	soakSettle  = 60 * time.Second // longest lease of a lost placer, and the backlog
-	jobGap      = 70 * time.Millisecond
+	soakEnv               = "BRIARPROXY_SOAK"
+	soakSeedEnv           = "BRIARPROXY_SOAK_SEED"
+	defaultSoakDuration   = 12 * time.Second
+	defaultSoakSeed       = 7
+	soakDaemonCount       = 4
+	soakWorkerCount       = 12
+	soakCompletionTimeout = 60 * time.Second // Covers the longest lease of a failed placer and the backlog.
+	jobInterval           = 70 * time.Millisecond
 )
 
-// soak plays random faults against real daemons, each of which reaches the store through a
-// proxy of its own.
-type soak struct {
+// soakTest injects random faults into a cell of real daemons, each of which connects to
+// the store through its own proxy.
+type soakTest struct {
 	*platformCell
-	rng     *rand.Rand
-	proxies []*faultproxy.Proxy
-	gone    []*process // daemons that were started again
-	ill     []bool     // daemons with a fault under way; the test's own goroutine
+	rng             *rand.Rand
+	proxies         []*faultproxy.Proxy
+	replacedDaemons []*process // Former processes of restarted daemons.
+	faulty          []bool     // Daemons with an active fault. Only the test's own goroutine uses it.
 
-	mu       sync.Mutex
-	reached  []string // callers' addresses of the daemons, by number
-	accepted []string
-	rejected []string // every try was answered with "not accepted"
-	calls    sync.WaitGroup
+	mu                     sync.Mutex
+	currentCallerAddresses []string // By daemon.
+	accepted               []string
+	rejected               []string // Every attempt was answered with a refusal.
+	activeCallers          sync.WaitGroup
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{rng: rand.New(rand.NewPCG(seed, 1)), ill: make([]bool, soakDaemons)}
-	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), keep: 300}, 0, soakWorkers, true)
-	store := s.address[0]
-	for i := range soakDaemons {
+func newSoakTest(t *testing.T, seed uint64) *soakTest {
+	s := &soakTest{rng: rand.New(rand.NewPCG(seed, 1)), faulty: make([]bool, soakDaemonCount)}
+	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300}, 0, soakWorkerCount, true)
+	store := s.serviceAddresses[0]
+	for i := range soakDaemonCount {
 		proxy, err := faultproxy.Listen(faultproxy.Options{Target: store})
 		require.NoError(t, err)
 		t.Cleanup(proxy.Close)
 		s.proxies = append(s.proxies, proxy)
-		s.address[0] = proxy.Address()
+		s.serviceAddresses[0] = proxy.Address()
 		s.addDaemon(i)
-		s.reached = append(s.reached, s.callers[i])
+		s.currentCallerAddresses = append(s.currentCallerAddresses, s.callerAddresses[i])
 	}
 	return s
 }
 
-// restart starts a daemon's program again behind its proxy.
-func (s *soak) restart(i int) {
-	s.address[0] = s.proxies[i].Address()
+// restartDaemon starts a new process of a daemon behind the same proxy.
+func (s *soakTest) restartDaemon(i int) {
+	s.serviceAddresses[0] = s.proxies[i].Address()
 	s.addDaemon(i)
 	last := len(s.daemons) - 1
-	s.gone = append(s.gone, s.daemons[i])
-	s.daemons[i], s.callers[i] = s.daemons[last], s.callers[last]
-	s.daemons, s.callers = s.daemons[:last], s.callers[:last]
+	s.replacedDaemons = append(s.replacedDaemons, s.daemons[i])
+	s.daemons[i], s.callerAddresses[i] = s.daemons[last], s.callerAddresses[last]
+	s.daemons, s.callerAddresses = s.daemons[:last], s.callerAddresses[:last]
 	s.mu.Lock()
-	s.reached[i] = s.callers[i]
+	s.currentCallerAddresses[i] = s.callerAddresses[i]
 	s.mu.Unlock()
 }
 
-// callersOf is read beside restarts, which change the cell's own lists.
-func (s *soak) callersOf(i int) string {
+// callerAddress returns a daemon's address for callers. It is safe to call during restarts,
+// which change the cell's own lists without a lock.
+func (s *soakTest) callerAddress(i int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reached[i]
+	return s.currentCallerAddresses[i]
 }
 
-// showStories writes all that any daemon, also one that was killed, said of the jobs that
-// the workers complain of.
-func (s *soak) showStories() {
-	for _, problem := range s.fleet.Violations() {
-		id := regexp.MustCompile("[0-9a-f]{16}").FindString(problem)
+// logViolationHistories logs, for each violation that the workers report, the log lines of
+// all daemons that name its job, change the placer, or report an ended lease or a worker
+// restart. Daemons that were replaced are included.
+func (s *soakTest) logViolationHistories() {
+	for _, violation := range s.fleet.Violations() {
+		id := regexp.MustCompile("[0-9a-f]{16}").FindString(violation)
 		var lines []string
-		for _, p := range append(s.gone, s.daemons...) {
+		for _, p := range append(s.replacedDaemons, s.daemons...) {
 			p.mu.Lock()
 			for _, line := range p.lines {
 				if strings.Contains(line, id) || strings.Contains(line, `"event":93`) || strings.Contains(line, "worker started again") || strings.Contains(line, "lease ended") {
@@ -100,17 +102,18 @@
 			}
 			p.mu.Unlock()
 		}
-		slices.Sort(lines) // they begin with the time
-		s.t.Logf("%s:\n%s", problem, strings.Join(lines, "\n"))
+		slices.Sort(lines) // Each line begins with its time.
+		s.t.Logf("%s:\n%s", violation, strings.Join(lines, "\n"))
 	}
 }
 
-// hand hands a job in through daemons in turn until one gives a final answer.
-func (s *soak) hand(id string, body map[string]any, first int) {
-	defer s.calls.Done()
-	refused := true
+// submitUntilAccepted submits a job through the daemons in turn until one accepts it, at
+// most eight times.
+func (s *soakTest) submitUntilAccepted(id string, body map[string]any, firstDaemon int) {
+	defer s.activeCallers.Done()
+	allRefused := true
 	for try := range 8 {
-		status := post("http://"+s.callersOf((first+try)%soakDaemons)+jobsPath+id, body)
+		status := postJob("http://"+s.callerAddress((firstDaemon+try)%soakDaemonCount)+jobsPath+id, body)
 		switch status {
 		case http.StatusOK:
 			s.mu.Lock()
@@ -119,47 +122,48 @@
 			return
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		default:
-			refused = false // it may have been accepted
+			allRefused = false // The job may have been accepted.
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	if refused {
+	if allRefused {
 		s.mu.Lock()
 		s.rejected = append(s.rejected, id)
 		s.mu.Unlock()
 	}
 }
 
-// fault begins a random fault and returns what ends it, and when.
-func (s *soak) fault() (what string, after time.Duration, heal func()) {
-	after = time.Duration(300+s.rng.IntN(3500)) * time.Millisecond
-	i := s.rng.IntN(soakDaemons)
-	well := 0
-	for _, ill := range s.ill {
-		if !ill {
-			well++
+// injectFault starts a random fault. It returns the function that ends the fault and the
+// delay after which to call it.
+func (s *soakTest) injectFault() (description string, healAfter time.Duration, heal func()) {
+	healAfter = time.Duration(300+s.rng.IntN(3500)) * time.Millisecond
+	i := s.rng.IntN(soakDaemonCount)
+	healthyCount := 0
+	for _, faulty := range s.faulty {
+		if !faulty {
+			healthyCount++
 		}
 	}
 	kind := s.rng.IntN(9)
-	if kind < 6 && (s.ill[i] || well < 2) {
+	if kind < 6 && (s.faulty[i] || healthyCount < 2) {
 		kind = 6 + kind%3
 	}
-	daemon := func(name string, begin, end func()) (string, time.Duration, func()) {
-		s.ill[i] = true
+	daemonFault := func(name string, begin, end func()) (string, time.Duration, func()) {
+		s.faulty[i] = true
 		begin()
-		return fmt.Sprint(name, " d", i), after, func() { end(); s.ill[i] = false }
+		return fmt.Sprint(name, " d", i), healAfter, func() { end(); s.faulty[i] = false }
 	}
 	p, proxy := s.daemons[i], s.proxies[i]
 	switch kind {
 	case 0:
-		return daemon("kill", p.kill, func() { s.restart(i) })
+		return daemonFault("kill", p.kill, func() { s.restartDaemon(i) })
 	case 1:
-		return daemon("pause", p.pause, p.unpause)
+		return daemonFault("pause", p.pause, p.resume)
 	case 2:
-		return daemon("stop", p.stopSoft, func() { <-p.done; s.restart(i) })
+		return daemonFault("stop", p.terminate, func() { <-p.exited; s.restartDaemon(i) })
 	case 3, 4:
 		mode := []faultproxy.Mode{faultproxy.ModeRefuse, faultproxy.ModeSilent}[kind-3]
-		return daemon("store away ("+string(mode)+")", func() {
+		return daemonFault("store unreachable ("+string(mode)+")", func() {
 			require.NoError(s.t, proxy.SetNew(faultproxy.New{Mode: mode}))
 			require.NoError(s.t, proxy.Silence(faultproxy.Silence{All: true}))
 		}, func() {
@@ -167,86 +171,86 @@
 			require.NoError(s.t, proxy.Cut(faultproxy.Cut{}))
 		})
 	case 5:
-		return daemon("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
+		return daemonFault("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
 			func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{})) })
 	case 6:
 		s.store.SetUnavailable(true)
-		return "store down", after, func() { s.store.SetUnavailable(false) }
+		return "store down", healAfter, func() { s.store.SetUnavailable(false) }
 	case 7:
 		s.store.LoseAppendReplies(3)
-		return "answers lost", 0, func() {}
+		return "append replies lost", 0, func() {}
 	default:
-		s.fleet.Restart(fmt.Sprintf("i-%04x", s.rng.IntN(soakWorkers)))
+		s.fleet.Restart(fmt.Sprintf("i-%04x", s.rng.IntN(soakWorkerCount)))
 		return "worker restarted", 0, func() {}
 	}
 }
 
-// Guards against every promise to callers under faults of the real programs, alone and
-// together: accepted jobs end, no task runs twice at once or again after it was done, no
-// worker is given more than it holds, and what was refused never ran.
+// Guards the guarantees to callers under single and concurrent faults of the real programs.
+// Accepted jobs complete, no task runs twice at the same time or again after it is done, no
+// worker is overcommitted, and refused jobs never run.
 func TestPlatformSoak(t *testing.T) {
-	length := soakDefault
+	duration := defaultSoakDuration
 	if text := os.Getenv(soakEnv); text != "" {
 		var err error
-		length, err = time.ParseDuration(text)
+		duration, err = time.ParseDuration(text)
 		require.NoError(t, err, soakEnv)
 	}
-	seed := uint64(soakSeed)
+	seed := uint64(defaultSoakSeed)
 	if text := os.Getenv(soakSeedEnv); text != "" {
 		var err error
 		seed, err = strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err, soakSeedEnv)
 	}
-	s := newSoak(t, seed)
-	type ending struct {
+	s := newSoakTest(t, seed)
+	type scheduledHeal struct {
 		at   time.Time
 		heal func()
 	}
-	var endings []ending
-	var story []string
+	var scheduledHeals []scheduledHeal
+	var faultLog []string
 	begin := time.Now()
 	nextFault, jobs := begin.Add(time.Second), 0
-	for time.Since(begin) < length {
-		time.Sleep(jobGap)
+	for time.Since(begin) < duration {
+		time.Sleep(jobInterval)
 		id := fmt.Sprintf("%016x", 0x50a0000+jobs)
-		takes := time.Duration(100+s.rng.IntN(1500)) * time.Millisecond
+		taskDuration := time.Duration(100+s.rng.IntN(1500)) * time.Millisecond
 		gang := s.rng.IntN(4) == 0
 		body := map[string]any{"Spec": id, "Steps": []any{
-			s.step(id, 0, 1+s.rng.IntN(3), takes, map[string]any{"Gang": gang}),
-			s.step(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}),
+			s.newStep(id, 0, 1+s.rng.IntN(3), taskDuration, map[string]any{"Gang": gang}),
+			s.newStep(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}),
 		}}
-		s.calls.Add(1)
-		go s.hand(id, body, s.rng.IntN(soakDaemons))
+		s.activeCallers.Add(1)
+		go s.submitUntilAccepted(id, body, s.rng.IntN(soakDaemonCount))
 		jobs++
 		now := time.Now()
-		rest := endings[:0]
-		for _, e := range endings {
+		remaining := scheduledHeals[:0]
+		for _, e := range scheduledHeals {
 			if now.After(e.at) {
 				e.heal()
 			} else {
-				rest = append(rest, e)
+				remaining = append(remaining, e)
 			}
 		}
-		endings = rest
+		scheduledHeals = remaining
 		if now.After(nextFault) {
-			what, after, heal := s.fault()
-			story = append(story, fmt.Sprintf("%.1fs %s for %.1fs", now.Sub(begin).Seconds(), what, after.Seconds()))
-			endings = append(endings, ending{now.Add(after), heal})
+			description, healAfter, heal := s.injectFault()
+			faultLog = append(faultLog, fmt.Sprintf("%.1fs %s for %.1fs", now.Sub(begin).Seconds(), description, healAfter.Seconds()))
+			scheduledHeals = append(scheduledHeals, scheduledHeal{now.Add(healAfter), heal})
 			nextFault = now.Add(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
 		}
 	}
-	for _, e := range endings {
+	for _, e := range scheduledHeals {
 		e.heal()
 	}
-	s.calls.Wait()
-	t.Logf("seed %d: %d jobs, %d accepted, %d rejected, %d starts; %s", seed, jobs, len(s.accepted), len(s.rejected), s.fleet.Starts(), strings.Join(story, "; "))
+	s.activeCallers.Wait()
+	t.Logf("seed %d: %d jobs, %d accepted, %d rejected, %d starts; %s", seed, jobs, len(s.accepted), len(s.rejected), s.fleet.Starts(), strings.Join(faultLog, "; "))
 	require.NotEmpty(t, s.accepted)
-	t.Cleanup(s.showStories)
-	s.completed(0, s.accepted, soakSettle)
+	t.Cleanup(s.logViolationHistories)
+	s.waitCompleted(0, s.accepted, soakCompletionTimeout)
 	for _, id := range s.rejected {
-		require.False(t, s.fleet.HasStarted(id), "job %s was refused by every daemon and ran", id)
+		require.False(t, s.fleet.HasStarted(id), "job %s was refused at every attempt but ran", id)
 	}
 	for _, p := range s.daemons {
-		require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)), "%s has ended by itself", p.name)
+		require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)), "%s has exited unexpectedly", p.name)
 	}
 }
--- a/standin/integration/stop_test.go
+++ b/standin/integration/stop_test.go
@@ -10,29 +10,29 @@
 )
 
 const (
-	graceTime    = 6 * time.Second // of the settings that the tests write
-	signalPause  = 20 * time.Millisecond
-	signalsDense = 2 * time.Second // from then on signals come without a pause, to meet the end of the process
+	gracePeriod            = 6 * time.Second // The value of grace_s in the settings that the tests write.
+	signalInterval         = 20 * time.Millisecond
+	continuousSignalsAfter = 2 * time.Second // From then on, signals follow without a pause, so that some arrive while the process exits.
 )
 
-// Guards against a planned stop that a second signal cuts short, so that requests are not
-// answered or its last line is not written.
-func TestPlatformSecondSignalDoesNotEndAPlannedStop(t *testing.T) {
+// Guards against a second signal that cuts a graceful stop short, so that requests are not
+// answered or the final log line is not written.
+func TestPlatformSecondSignalDuringGracefulStop(t *testing.T) {
 	t.Parallel()
 	c := newPlatformCell(t, 1, 1, false)
 	p := c.daemons[0]
 	began := time.Now()
 	for ended := false; !ended; {
-		_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
-		if time.Since(began) < signalsDense {
-			time.Sleep(signalPause)
+		_ = p.cmd.Process.Signal(syscall.SIGTERM) // The process may have exited.
+		if time.Since(began) < continuousSignalsAfter {
+			time.Sleep(signalInterval)
 		}
 		select {
-		case <-p.done:
+		case <-p.exited:
 			ended = true
 		default:
 		}
-		require.Less(t, time.Since(began), graceTime)
+		require.Less(t, time.Since(began), gracePeriod)
 	}
 	require.Zero(t, p.cmd.ProcessState.ExitCode(), "%s", p.cmd.ProcessState)
 	p.mu.Lock()
--- a/standin/integration/worker_failure_test.go
+++ b/standin/integration/worker_failure_test.go
@@ -12,179 +12,181 @@
 	"briarproxy/standin/worker"
 )
 
-// Guards against work that is lost or doubled when a worker fails and is replaced
-// on the same address, and against a daemon that takes it for the old one.
+// Guards against work that is lost or duplicated when a worker fails and restarts at the
+// same address, and against a daemon that mistakes the new worker for the old one.
 func TestWorkerRestarted(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	load := c.load(c.urls(), 9*time.Second, doorsteps(15), certificates(8), surveys(5))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	load := c.startLoad(c.callerURLs(), 9*time.Second, doorstepLoad(15), certificateLoad(8), surveyLoad(5))
 	for i := range 4 {
 		time.Sleep(1500 * time.Millisecond)
-		c.controlWorker(c.vms[2*i].Name, "/control/restart", struct{}{})
+		c.postWorkerControl(c.vms[2*i].Name, "/control/restart", struct{}{})
 	}
 	records = append(records, load.wait()...)
-	c.requireFinal(records, "certificate", demo.ToldAnswered, demo.ToldRan, demo.ToldUnknown)
-	c.requireLostOnFailedVMs(records)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered, demo.ToldRan, demo.ToldUnknown)
+	c.requireUnansweredOnlyOnFailedVMs(records)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// requireLostOnFailedVMs checks that only requests whose every run was on a VM that
-// failed afterwards have no answer: what the VM knew of them is gone.
-func (c *cluster) requireLostOnFailedVMs(records []*demo.Record) {
+// requireUnansweredOnlyOnFailedVMs checks that a request is unanswered only if every VM
+// that ran it failed afterwards, because the VM's results are then lost.
+func (c *cluster) requireUnansweredOnlyOnFailedVMs(records []*demo.Record) {
 	c.Helper()
-	survived := map[string]*demo.Run{}
-	for _, run := range demo.Runs(c.entries()) {
+	survivingRuns := map[string]*demo.Run{}
+	for _, run := range demo.Runs(c.journalEntries()) {
 		if run.Gone == 0 {
-			survived[run.BodyDigest] = run
+			survivingRuns[run.BodyDigest] = run
 		}
 	}
 	for _, r := range records {
-		if run := survived[r.Digest]; run != nil && r.Final != demo.ToldAnswered && r.Final != demo.ToldAccepted {
-			assert.Fail(c, "an answer was not fetched", "%s ran on %s, which did not fail; its caller was told %s: %s", r.Kind, run.VM, r.Final, lastDetail(r))
+		if run := survivingRuns[r.Digest]; run != nil && r.Final != demo.ToldAnswered && r.Final != demo.ToldAccepted {
+			assert.Fail(c, "a result was not delivered", "%s ran on %s, which did not fail; its caller was told %s: %s", r.Kind, run.VM, r.Final, lastDetail(r))
 		}
 	}
 }
 
-// Guards against callers that wait for a connection which delivers nothing any
-// more, and against a second run of what was sent on it.
-func TestSilentWorkerConnections(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations, workerProxy: true})
-	records := c.warm()
-	load := c.load(c.urls(), 9*time.Second, doorsteps(15), certificates(8), surveys(3))
+// Guards against callers that wait for a stalled connection to a worker, and against a
+// second run of the requests that were sent on it.
+func TestUnresponsiveWorkerConnections(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations, workerProxies: true})
+	records := c.warmUp()
+	load := c.startLoad(c.callerURLs(), 9*time.Second, doorstepLoad(15), certificateLoad(8), surveyLoad(3))
 	for _, direction := range []faultproxy.Direction{faultproxy.DirectionBoth, faultproxy.DirectionDown, faultproxy.DirectionUp} {
 		time.Sleep(2 * time.Second)
-		for _, p := range c.proxies {
+		for _, p := range c.workerProxies {
 			assert.NoError(t, p.Silence(faultproxy.Silence{All: true, Direction: direction}))
 		}
 	}
 	records = append(records, load.wait()...)
-	c.requireFinal(records, "doorstep", demo.ToldAnswered)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against new work on VMs that leave, whether the VM list says so or the
+// Guards against new work on VMs that are leaving according to the VM list or to the
 // worker itself.
 func TestLeavingVMs(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
-	load := c.load(c.urls(), 9*time.Second, doorsteps(25), certificates(5), surveys(4))
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
+	load := c.startLoad(c.callerURLs(), 9*time.Second, doorstepLoad(25), certificateLoad(5), surveyLoad(4))
 	time.Sleep(2 * time.Second)
 	listed, draining := c.vms[0].Name, c.vms[4].Name
-	c.setLeaving(listed)
-	c.controlWorker(draining, "/control/drain", worker.Drain{Draining: true})
-	limit := time.Now().Add(4 * time.Second).UnixMicro()
+	c.markVMLeaving(listed)
+	c.postWorkerControl(draining, "/control/drain", worker.Drain{Draining: true})
+	cutoffUS := time.Now().Add(4 * time.Second).UnixMicro()
 	records = append(records, load.wait()...)
-	before := map[string]int{}
-	for _, e := range c.entries() {
+	startsBefore := map[string]int{}
+	for _, e := range c.journalEntries() {
 		if e.Event != worker.EventStart {
 			continue
 		}
-		if e.TimeUS < limit {
-			before[e.VM]++
+		if e.TimeUS < cutoffUS {
+			startsBefore[e.VM]++
 			continue
 		}
-		assert.NotContains(t, []string{listed, draining}, e.VM, "new work %s on a VM that leaves", e.ID)
+		assert.NotContains(t, []string{listed, draining}, e.VM, "new work %s on a leaving VM", e.ID)
 	}
-	assert.NotZero(t, before[listed]+before[draining], "neither VM ever had work, so the test shows nothing")
-	c.requireFinal(records, "doorstep", demo.ToldAnswered)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.verify(records)
+	assert.NotZero(t, startsBefore[listed]+startsBefore[draining], "neither VM had any work, so the test is not meaningful")
+	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against a report that was written before a start and read after it: the
-// task that it does not list yet must not count as gone and start a second time.
-func TestLateReports(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: []string{"survey=1000", "certificate=300", "doorstep=100"}})
-	records := c.warm()
+// Guards against a delayed worker report that was created before a task's start and is
+// processed after it. The task is not in the report, but must not be considered lost and
+// started again.
+func TestDelayedReports(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: []string{"survey=1000", "certificate=300", "doorstep=100"}})
+	records := c.warmUp()
 	for _, vm := range c.vms {
-		c.controlWorker(vm.Name, "/control/misbehaviour", worker.Misbehaviour{LateAnswersMS: 300, Paths: []string{wire.PathReport}})
+		c.postWorkerControl(vm.Name, "/control/misbehaviour", worker.Misbehaviour{LateAnswersMS: 300, Paths: []string{wire.PathReport}})
 	}
-	records = append(records, c.load(c.urls(), 5*time.Second, surveys(15)).wait()...)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	records = append(records, c.startLoad(c.callerURLs(), 5*time.Second, surveyLoad(15)).wait()...)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// Guards against answers that belong to another request, are cut short or lack
-// their end, and against a second run of the request because its answer was bad.
-func TestSpoiltAnswers(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 8, operations: fastOperations})
-	records := c.warm()
+// Guards against passing on worker responses that belong to another request, are truncated
+// or never end, and against a second run of a request because of such a response.
+func TestCorruptWorkerResponses(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
+	records := c.warmUp()
 	paths := []string{wire.PathStart, wire.PathStop}
 	faults := []worker.Misbehaviour{{ForeignResults: true}, {ShortenResults: true}, {TruncateAnswers: true}, {HangAnswers: true}}
 	for i, vm := range c.vms {
-		bad := faults[i%len(faults)]
-		bad.Paths, bad.Share, bad.Seed = paths, 0.3, int64(i+1)
-		c.controlWorker(vm.Name, "/control/misbehaviour", bad)
+		fault := faults[i%len(faults)]
+		fault.Paths, fault.Share, fault.Seed = paths, 0.3, int64(i+1)
+		c.postWorkerControl(vm.Name, "/control/misbehaviour", fault)
 	}
-	records = append(records, c.load(c.urls(), 7*time.Second, doorsteps(15), certificates(8), surveys(4)).wait()...)
-	c.requireFinal(records, "certificate", demo.ToldAnswered)
-	c.requireFinal(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.verify(records)
+	records = append(records, c.startLoad(c.callerURLs(), 7*time.Second, doorstepLoad(15), certificateLoad(8), surveyLoad(4)).wait()...)
+	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.verifyAgainstJournal(records)
 }
 
-// busiest returns the VM on which most tasks were started so far.
-func (c *cluster) busiest() string {
+// busiestVM returns the VM with the most task starts so far.
+func (c *cluster) busiestVM() string {
 	c.Helper()
 	counts := map[string]int{}
-	best := ""
-	for _, e := range c.entries() {
+	busiest := ""
+	for _, e := range c.journalEntries() {
 		if e.Event == worker.EventStart && e.Kind == wire.KindTask {
 			counts[e.VM]++
 		}
-		if counts[e.VM] > counts[best] {
-			best = e.VM
+		if counts[e.VM] > counts[busiest] {
+			busiest = e.VM
 		}
 	}
-	return best
+	return busiest
 }
 
-// isolateWithin is the time in which a rack's owner learns of a third failure: it
-// asks for a report every 2 s.
-const isolateWithin = 3 * time.Second
+// isolationTimeout is the time within which a rack's owner learns of a third failure. The
+// owner requests a report every 2 s.
+const isolationTimeout = 3 * time.Second
 
-// startsAfterIsolation counts the starts on a VM that come over isolateWithin after
-// its third failure in a row, by which time two operations have failed.
+// startsAfterIsolation counts the starts on a VM later than isolationTimeout after the VM
+// should be isolated: at its third failure, or later if only one operation has failed until
+// then.
 func (c *cluster) startsAfterIsolation(vm string, from time.Time) (late int, isolated bool) {
 	c.Helper()
 	failures := 0
 	operations := map[string]bool{}
-	var limit int64
-	for _, e := range c.entries() {
+	var cutoffUS int64
+	for _, e := range c.journalEntries() {
 		if e.VM != vm || e.TimeUS < from.UnixMicro() || e.Kind != wire.KindTask {
 			continue
 		}
-		if e.Event == worker.EventStart && limit > 0 && e.TimeUS > limit {
+		if e.Event == worker.EventStart && cutoffUS > 0 && e.TimeUS > cutoffUS {
 			late++
 		}
 		if e.Event == worker.EventEnd && e.State == wire.RunFailed {
 			failures++
 			operations[e.Operation] = true
 		}
-		if limit == 0 && failures >= 3 && len(operations) > 1 {
-			limit = e.TimeUS + isolateWithin.Microseconds()
+		if cutoffUS == 0 && failures >= 3 && len(operations) > 1 {
+			cutoffUS = e.TimeUS + isolationTimeout.Microseconds()
 		}
 	}
-	return late, limit > 0
+	return late, cutoffUS > 0
 }
 
-// Guards against a worker that fails everything and attracts all work, because it
-// is free again at once. Two unlike operations are sent: one alone would not tell a
-// bad worker from a bad operation.
-func TestWorkerFailsEverything(t *testing.T) {
-	c := start(t, options{daemons: 3, workers: 9, operations: append([]string{"risk-map=300"}, fastOperations...)})
-	records := c.warm()
-	sending := c.load(c.urls(), 9*time.Second, surveys(10), riskMaps(1, 40))
+// Guards against a worker that fails every task and attracts all work, because each failure
+// frees its capacity at once. The test sends two operations, since failures of only one
+// would not distinguish a faulty worker from a faulty operation.
+func TestWorkerFailsAllTasks(t *testing.T) {
+	c := startCluster(t, options{daemons: 3, workers: 9, operations: append([]string{"risk-map=300"}, fastOperations...)})
+	records := c.warmUp()
+	runningLoad := c.startLoad(c.callerURLs(), 9*time.Second, surveyLoad(10), riskMapLoad(1, 40))
 	time.Sleep(1500 * time.Millisecond)
-	bad := c.busiest()
-	c.controlWorker(bad, "/control/misbehaviour", worker.Misbehaviour{FailAll: true})
+	failingVM := c.busiestVM()
+	c.postWorkerControl(failingVM, "/control/misbehaviour", worker.Misbehaviour{FailAll: true})
 	from := time.Now()
-	load := sending.wait()
-	c.requireFinal(load, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	late, isolated := c.startsAfterIsolation(bad, from)
-	assert.True(t, isolated, "the VM never had failures that isolate it, so the test shows nothing")
-	assert.LessOrEqual(t, late, 1, "starts on the VM that fails everything, long after it should be isolated; one may be a probe")
-	c.verify(append(records, load...))
+	loadRecords := runningLoad.wait()
+	c.requireOutcome(loadRecords, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	late, isolated := c.startsAfterIsolation(failingVM, from)
+	assert.True(t, isolated, "the VM had too few failures to be isolated, so the test is not meaningful")
+	assert.LessOrEqual(t, late, 1, "starts on the failing VM after it should be isolated; one start may be a probe")
+	c.verifyAgainstJournal(append(records, loadRecords...))
 }
