Rename the remaining exported identifiers of the cell

Cause: CallerDeadline returns a duration, and CPUShare counts cores.

The setting stays cpu_share.

Conclusion: nothing but names differs, as a comparison of the code without comments and layout shows.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -105,7 +105,7 @@
 
 // timeLimit returns how long the daemon may take to answer a request.
 func (a *callerAPI) timeLimit(r *http.Request) time.Duration {
-	limit := a.engine.platform.CallerDeadline(r)
+	limit := a.engine.platform.CallerTimeout(r)
 	if limit == 0 {
 		return defaultAnswerTimeout
 	}
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -65,5 +65,5 @@
 	DecodeJob(body []byte) (flow.Submit, error)
 	EncodeState(phase flow.Phase) []byte
 	EncodePending(count int) []byte
-	CallerDeadline(r *http.Request) time.Duration // time limit that the request states; 0 if it states none
+	CallerTimeout(r *http.Request) time.Duration // time limit that the request states; 0 if it states none
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -44,7 +44,7 @@
 type LimitSettings struct {
 	MemoryMiB   float64 `json:"memory_mib"`
 	Descriptors float64 `json:"descriptors"`
-	CPUShare    float64 `json:"cpu_share"` // number of cores, which may be a fraction
+	CPUCores    float64 `json:"cpu_share"` // number of cores, which may be a fraction
 	LinkMbps    float64 `json:"link_mbps"`
 }
 
@@ -61,7 +61,7 @@
 // capacityFactor returns the lowest ratio of the process's limits to the resources that a placer needs.
 func (l *LimitSettings) capacityFactor() float64 {
 	lowest := l.MemoryMiB / placerMemoryMiB
-	for _, resource := range []struct{ limit, needed float64 }{{l.CPUShare, placerCPUCores}, {l.LinkMbps, placerLinkMbps}} {
+	for _, resource := range []struct{ limit, needed float64 }{{l.CPUCores, placerCPUCores}, {l.LinkMbps, placerLinkMbps}} {
 		if resource.limit > 0 {
 			lowest = min(lowest, resource.limit/resource.needed)
 		} else {
