--- a/standin/faultproxy/doc.go
+++ b/standin/faultproxy/doc.go
@@ -1,4 +1,4 @@
-// Package faultproxy is a TCP proxy that injects faults of the network: delay,
-// connections that are cut, refused or go silent for good, and answers that are
-// lost after their request was passed on.
+// Package faultproxy is a TCP proxy that injects network faults: delays, connections
+// that are reset, refused or permanently silent (they stay open but deliver nothing),
+// and responses that are lost after their request reached the target.
 package faultproxy
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -9,121 +9,124 @@
 )
 
 const (
-	chunkBytes    = 32 << 10
-	delayedChunks = 1024 // chunks of one direction under way; more hold up the sender
+	readBufferBytes = 32 << 10
+	maxQueuedChunks = 1024 // Each direction queues at most this many chunks; a full queue blocks the sender.
 )
 
-// link is one connection through the proxy.
-type link struct {
-	id     int64
-	client net.Conn
-	server net.Conn
-	opened time.Time
-	up     flow // client to target
-	down   flow // target to client
-	closed chan struct{}
-	once   sync.Once
+// proxiedConn is one connection through the proxy.
+type proxiedConn struct {
+	id        int64
+	client    net.Conn
+	server    net.Conn
+	opened    time.Time
+	up        stream // It carries data from the client to the target.
+	down      stream // It carries data from the target to the client.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-// flow is one direction of a link.
-type flow struct {
-	silent atomic.Bool // drops everything from now on, without an end of stream
+// stream is one direction of a proxied connection.
+type stream struct {
+	silent atomic.Bool // If set, all data and the end of the stream are dropped.
 	bytes  atomic.Int64
 }
 
-// chunk is data under way. A chunk without data is the end of the stream.
+// chunk is data that is delivered when it is due. A chunk without data is the end of
+// the stream.
 type chunk struct {
 	data []byte
 	due  time.Time
 }
 
-// cut closes both sides with a reset, so that neither takes it for an orderly end.
-func (l *link) cut() {
-	l.once.Do(func() {
-		close(l.closed)
-		reset(l.client)
-		reset(l.server)
+// reset closes both sides with a TCP reset, so that neither sees an orderly end.
+func (pc *proxiedConn) reset() {
+	pc.closeOnce.Do(func() {
+		close(pc.closed)
+		closeWithReset(pc.client)
+		closeWithReset(pc.server)
 	})
 }
 
-func reset(c net.Conn) {
+// closeWithReset closes a connection and sends a TCP reset.
+func closeWithReset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
 }
 
-// finish closes both sides after both directions have ended.
-func (l *link) finish() {
-	l.once.Do(func() {
-		close(l.closed)
-		_ = l.client.Close()
-		_ = l.server.Close()
+// closeBoth closes both sides after both directions have ended.
+func (pc *proxiedConn) closeBoth() {
+	pc.closeOnce.Do(func() {
+		close(pc.closed)
+		_ = pc.client.Close()
+		_ = pc.server.Close()
 	})
 }
 
-// read takes data from source until it ends and hands it on with the time at which
-// it is due. The hook sees each chunk first; if it returns false the chunk is lost.
-func (l *link) read(source net.Conn, f *flow, delay func() time.Duration, pass func() bool, out chan<- chunk) {
+// readStream reads from source until it ends and queues the data with the time at
+// which it is due. It calls forwards for each chunk and drops the chunk if the result
+// is false.
+func (pc *proxiedConn) readStream(source net.Conn, s *stream, delay func() time.Duration, forwards func() bool, out chan<- chunk) {
 	defer close(out)
 	for {
-		buffer := make([]byte, chunkBytes)
+		buffer := make([]byte, readBufferBytes)
 		n, err := source.Read(buffer)
-		if n > 0 && !f.silent.Load() && pass() {
-			f.bytes.Add(int64(n))
-			l.send(out, chunk{data: buffer[:n], due: time.Now().Add(delay())})
+		if n > 0 && !s.silent.Load() && forwards() {
+			s.bytes.Add(int64(n))
+			pc.send(out, chunk{data: buffer[:n], due: time.Now().Add(delay())})
 		}
 		if err == nil {
 			continue
 		}
 		if err == io.EOF {
-			l.send(out, chunk{due: time.Now().Add(delay())})
-		} else if !f.silent.Load() {
-			l.cut()
+			pc.send(out, chunk{due: time.Now().Add(delay())})
+		} else if !s.silent.Load() {
+			pc.reset()
 		}
 		return
 	}
 }
 
-func (l *link) send(out chan<- chunk, c chunk) {
+func (pc *proxiedConn) send(out chan<- chunk, c chunk) {
 	select {
 	case out <- c:
-	case <-l.closed:
+	case <-pc.closed:
 	}
 }
 
-// write delivers chunks when they are due. A failure of the destination reaches
-// the source only if the way back is not silent.
-func (l *link) write(destination net.Conn, f, back *flow, in <-chan chunk) {
+// writeStream delivers chunks when they are due. A failed write resets the connection,
+// unless the reverse direction is silent: the source must then not see the failure.
+func (pc *proxiedConn) writeStream(destination net.Conn, s, reverse *stream, in <-chan chunk) {
 	for c := range in {
-		if !l.wait(c.due) {
+		if !pc.waitUntil(c.due) {
 			return
 		}
 		switch {
-		case f.silent.Load():
+		case s.silent.Load():
 		case c.data == nil:
 			closeWrite(destination)
 		default:
 			if _, err := destination.Write(c.data); err == nil {
 				continue
 			}
-			if !back.silent.Load() {
-				l.cut()
+			if !reverse.silent.Load() {
+				pc.reset()
 				return
 			}
-			f.silent.Store(true)
+			s.silent.Store(true)
 		}
 	}
 }
 
-// wait returns at the given time, or false as soon as the link is closed.
-func (l *link) wait(due time.Time) bool {
+// waitUntil returns true at the given time, or false as soon as the connection is closed.
+func (pc *proxiedConn) waitUntil(due time.Time) bool {
 	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
-	case <-l.closed:
+	case <-pc.closed:
 		return false
 	}
 }
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -14,69 +14,70 @@
 
 const dialTimeout = 5 * time.Second
 
-// Options configure a Proxy.
+// Options configures a Proxy.
 type Options struct {
-	Listen string // IP:port; default 127.0.0.1:0
-	Target string // IP:port
+	Listen string // It has the form IP:port; the default is 127.0.0.1:0.
+	Target string // It has the form IP:port.
 }
 
-// Delay is the body of POST /control/delay. It applies to data that arrives from
-// then on, of open and of new connections.
+// Delay is the body of POST /control/delay. It applies to data that arrives after the
+// call, on open and on new connections.
 type Delay struct {
-	UpMS   int64 `json:"up_ms"`   // client to target
-	DownMS int64 `json:"down_ms"` // target to client
+	UpMS   int64 `json:"up_ms"`   // It applies from the client to the target.
+	DownMS int64 `json:"down_ms"` // It applies from the target to the client.
 }
 
-// Mode says what new connections meet.
+// Mode defines how the proxy treats new connections.
 type Mode string
 
 // Modes for new connections.
 const (
-	ModePass   Mode = "pass"
-	ModeRefuse Mode = "refuse" // reset at once
-	ModeSilent Mode = "silent" // accepted, but nothing is ever delivered
+	ModePass   Mode = "pass"   // Data is forwarded.
+	ModeRefuse Mode = "refuse" // The connection is reset immediately.
+	ModeSilent Mode = "silent" // The connection is accepted, but no data is ever delivered.
 )
 
-// New is the body of POST /control/new.
+// ConnectionPolicy is the body of POST /control/new. It sets the mode of connections
+// that are accepted after the call.
 type New struct {
 	Mode Mode `json:"mode"`
 }
 
-// Direction names one way of a connection.
+// Direction is a direction of data on a connection.
 type Direction string
 
 // Directions of a connection.
 const (
 	DirectionBoth Direction = ""
-	DirectionUp   Direction = "up"   // client to target
-	DirectionDown Direction = "down" // target to client
+	DirectionUp   Direction = "up"   // It means data from the client to the target.
+	DirectionDown Direction = "down" // It means data from the target to the client.
 )
 
-// Silence is the body of POST /control/silence: existing connections stop
-// delivering for good, without being closed.
+// Silence is the body of POST /control/silence: open connections permanently stop
+// delivering data without being closed.
 type Silence struct {
 	IDs       []int64   `json:"ids,omitempty"`
-	All       bool      `json:"all,omitempty"` // all that are open now
+	All       bool      `json:"all,omitempty"` // It selects all open connections.
 	Direction Direction `json:"direction,omitempty"`
 }
 
-// Cut is the body of POST /control/cut. No ids mean all connections.
+// Reset is the body of POST /control/cut. Without IDs, all connections are reset.
 type Cut struct {
 	IDs []int64 `json:"ids,omitempty"`
 }
 
-// Lose is the body of POST /control/lose: as soon as the target answers on a
-// connection, the answer is dropped and the connection is cut. The request has
-// been passed on by then.
+// ResponseLoss is the body of POST /control/lose: as soon as the target responds on a
+// connection, the response is dropped and the connection is reset. The request has
+// reached the target by then.
 type Lose struct {
-	Answers int64   `json:"answers"`          // the next so many; 0 ends the loss
-	IDs     []int64 `json:"ids,omitempty"`    // connections; empty: any
-	Silent  bool    `json:"silent,omitempty"` // the connection goes silent both ways and is not cut
+	Answers int64   `json:"answers"`          // This many of the next responses are lost; 0 ends the loss.
+	IDs     []int64 `json:"ids,omitempty"`    // Only these connections lose responses; empty means any.
+	Silent  bool    `json:"silent,omitempty"` // The connection goes silent in both directions instead of being reset.
 }
 
 // Connection describes an open connection.
 type Connection struct {
-	ID         int64  `json:"id"` // rises with each connection
+	ID         int64  `json:"id"` // It increases with each accepted connection.
 	Client     string `json:"client"`
 	AgeMS      int64  `json:"age_ms"`
 	UpBytes    int64  `json:"up_bytes"`
@@ -85,39 +86,39 @@
 	SilentDown bool   `json:"silent_down,omitempty"`
 }
 
-// Connections answers GET /control/connections.
+// Connections is the response to GET /control/connections.
 type Connections struct {
-	Accepted    int64        `json:"accepted"` // since the start, with those refused
+	Accepted    int64        `json:"accepted"` // It counts connections since the start, including refused ones.
 	Connections []Connection `json:"connections"`
 }
 
-// Proxy passes connections on to its target. As an http.Handler it serves the
-// control calls, which belong on another listener.
+// Proxy forwards TCP connections to its target. It implements http.Handler for the
+// control calls, which must be served on another listener.
 type Proxy struct {
 	mux      *http.ServeMux
 	options  Options
 	listener net.Listener
 	group    sync.WaitGroup
 
-	mu     sync.Mutex
-	links  map[int64]*link
-	lastID int64
-	delay  Delay
-	mode   Mode
-	lose   Lose
-	closed bool
+	mu           sync.Mutex
+	conns        map[int64]*proxiedConn
+	lastID       int64
+	delay        Delay
+	mode         Mode
+	responseLoss Lose
+	closed       bool
 }
 
-// Listen starts a proxy.
+// Listen starts a proxy that accepts connections in the background until Close.
 func Listen(options Options) (*Proxy, error) {
 	if options.Listen == "" {
 		options.Listen = "127.0.0.1:0"
 	}
 	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "listen on %s", options.Listen)
+		return nil, fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "cannot listen on %s", options.Listen)
 	}
-	p := &Proxy{mux: http.NewServeMux(), options: options, listener: listener, links: map[int64]*link{}, mode: ModePass}
+	p := &Proxy{mux: http.NewServeMux(), options: options, listener: listener, conns: map[int64]*proxiedConn{}, mode: ModePass}
 	p.mux.HandleFunc("POST /control/delay", httpjson.Control(p.SetDelay))
 	p.mux.HandleFunc("POST /control/new", httpjson.Control(p.SetNew))
 	p.mux.HandleFunc("POST /control/silence", httpjson.Control(p.Silence))
@@ -126,7 +127,7 @@
 	p.mux.HandleFunc("GET /control/connections", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, p.Connections())
 	})
-	p.group.Go(p.accept)
+	p.group.Go(p.acceptLoop)
 	return p, nil
 }
 
@@ -136,7 +137,7 @@
 // Address returns the IP:port that clients connect to.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Close cuts all connections and waits for the proxy's goroutines.
+// Close resets all connections and waits for the proxy's goroutines to end.
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
@@ -146,10 +147,10 @@
 	p.group.Wait()
 }
 
-// SetDelay sets the added delay.
+// SetDelay sets the delay that is added in each direction.
 func (p *Proxy) SetDelay(d Delay) error {
 	if d.UpMS < 0 || d.DownMS < 0 {
-		return fault.New(fault.Invalid, "use at least 0", "delay %d, %d", d.UpMS, d.DownMS)
+		return fault.New(fault.Invalid, "use at least 0", "delay out of range: up %d ms, down %d ms", d.UpMS, d.DownMS)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,10 +158,10 @@
 	return nil
 }
 
-// SetNew sets what new connections meet.
+// SetConnectionPolicy sets the mode of new connections.
 func (p *Proxy) SetNew(n New) error {
 	if n.Mode != ModePass && n.Mode != ModeRefuse && n.Mode != ModeSilent {
-		return fault.New(fault.Invalid, "use pass, refuse or silent", "mode %q is not known", n.Mode)
+		return fault.New(fault.Invalid, "use pass, refuse or silent", "unknown mode %q", n.Mode)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -168,78 +169,79 @@
 	return nil
 }
 
-// SetLose sets which answers are lost.
+// SetResponseLoss sets which responses are lost.
 func (p *Proxy) SetLose(l Lose) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lose = l
+	p.responseLoss = l
 	return nil
 }
 
-// Silence makes existing connections go silent for good. Ids of connections that
-// are closed already are passed over.
+// Silence makes open connections permanently silent. IDs of connections that are
+// already closed are ignored.
 func (p *Proxy) Silence(s Silence) error {
 	if len(s.IDs) == 0 && !s.All {
-		return fault.New(fault.Invalid, "give ids or set all", "no connection is named")
+		return fault.New(fault.Invalid, "give ids or set all", "no connections selected")
 	}
 	if s.Direction != DirectionBoth && s.Direction != DirectionUp && s.Direction != DirectionDown {
-		return fault.New(fault.Invalid, "use up, down or nothing", "direction %q is not known", s.Direction)
+		return fault.New(fault.Invalid, "use up, down or nothing", "unknown direction %q", s.Direction)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, l := range p.links {
+	for id, pc := range p.conns {
 		if s.All || slices.Contains(s.IDs, id) {
-			l.silence(s.Direction)
+			pc.silence(s.Direction)
 		}
 	}
 	return nil
 }
 
-func (l *link) silence(d Direction) {
+func (pc *proxiedConn) silence(d Direction) {
 	if d != DirectionDown {
-		l.up.silent.Store(true)
+		pc.up.silent.Store(true)
 	}
 	if d != DirectionUp {
-		l.down.silent.Store(true)
+		pc.down.silent.Store(true)
 	}
 }
 
-// Cut resets connections on both sides.
+// Reset closes connections with a TCP reset on both sides.
 func (p *Proxy) Cut(c Cut) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, l := range p.links {
+	for id, pc := range p.conns {
 		if len(c.IDs) == 0 || slices.Contains(c.IDs, id) {
-			l.cut()
+			pc.reset()
 		}
 	}
 	return nil
 }
 
-// Connections lists the open connections by id.
+// Connections lists the open connections in order of their IDs.
 func (p *Proxy) Connections() Connections {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := Connections{Accepted: p.lastID, Connections: make([]Connection, 0, len(p.links))}
-	for _, l := range p.links {
+	list := Connections{Accepted: p.lastID, Connections: make([]Connection, 0, len(p.conns))}
+	for _, pc := range p.conns {
 		list.Connections = append(list.Connections, Connection{
-			ID:         l.id,
-			Client:     l.client.RemoteAddr().String(),
-			AgeMS:      time.Since(l.opened).Milliseconds(),
-			UpBytes:    l.up.bytes.Load(),
-			DownBytes:  l.down.bytes.Load(),
-			SilentUp:   l.up.silent.Load(),
-			SilentDown: l.down.silent.Load(),
+			ID:         pc.id,
+			Client:     pc.client.RemoteAddr().String(),
+			AgeMS:      time.Since(pc.opened).Milliseconds(),
+			UpBytes:    pc.up.bytes.Load(),
+			DownBytes:  pc.down.bytes.Load(),
+			SilentUp:   pc.up.silent.Load(),
+			SilentDown: pc.down.silent.Load(),
 		})
 	}
 	slices.SortFunc(list.Connections, func(a, b Connection) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// acceptRetry spaces out failing accepts, for instance when no descriptors are left.
-const acceptRetry = 10 * time.Millisecond
+// acceptRetryDelay limits the rate of failing accepts, for example when the process has
+// no file descriptors left.
+const acceptRetryDelay = 10 * time.Millisecond
 
-func (p *Proxy) accept() {
+func (p *Proxy) acceptLoop() {
 	for {
 		client, err := p.listener.Accept()
 		if err == nil {
@@ -249,7 +251,7 @@
 		if p.isClosed() {
 			return
 		}
-		time.Sleep(acceptRetry)
+		time.Sleep(acceptRetryDelay)
 	}
 }
 
@@ -259,74 +261,77 @@
 	return p.closed
 }
 
-// serve passes one connection on until it ends.
+// serve forwards one connection until it ends.
 func (p *Proxy) serve(client net.Conn) {
-	id, mode := p.admit()
+	id, mode := p.assignID()
 	if mode == ModeRefuse {
-		reset(client)
+		closeWithReset(client)
 		return
 	}
-	server, err := p.dial(mode)
+	server, err := p.dialTarget(mode)
 	if err != nil {
-		reset(client)
+		closeWithReset(client)
 		return
 	}
-	l := &link{id: id, client: client, server: server, opened: time.Now(), closed: make(chan struct{})}
+	pc := &proxiedConn{id: id, client: client, server: server, opened: time.Now(), closed: make(chan struct{})}
 	if mode == ModeSilent {
-		l.silence(DirectionBoth)
+		pc.silence(DirectionBoth)
 	}
-	if !p.add(l) {
-		l.cut()
+	if !p.add(pc) {
+		pc.reset()
 		return
 	}
-	p.relay(l)
-	p.remove(l)
+	p.relay(pc)
+	p.remove(pc)
 }
 
-// admit numbers a new connection.
-func (p *Proxy) admit() (int64, Mode) {
+// assignID returns the ID of a new connection and the mode that applies to it.
+func (p *Proxy) assignID() (int64, Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastID++
 	return p.lastID, p.mode
 }
 
-// dial connects to the target. A connection that is silent from the start needs
-// none, so that it opens even when the target is down.
-func (p *Proxy) dial(mode Mode) (net.Conn, error) {
+// dialTarget connects to the target. A connection that is silent from the start has no
+// target connection, so that it opens even when the target is down.
+func (p *Proxy) dialTarget(mode Mode) (net.Conn, error) {
 	if mode == ModeSilent {
-		nowhere, _ := net.Pipe()
-		return nowhere, nil
+		unconnected, _ := net.Pipe()
+		return unconnected, nil
 	}
 	return net.DialTimeout("tcp", p.options.Target, dialTimeout)
 }
 
-func (p *Proxy) add(l *link) bool {
+// add registers a connection, or returns false if the proxy is closed.
+func (p *Proxy) add(pc *proxiedConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return false
 	}
-	p.links[l.id] = l
+	p.conns[pc.id] = pc
 	return true
 }
 
-func (p *Proxy) remove(l *link) {
-	l.finish()
+func (p *Proxy) remove(pc *proxiedConn) {
+	pc.closeBoth()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.links, l.id)
+	delete(p.conns, pc.id)
 }
 
-// relay returns when both directions have ended.
-func (p *Proxy) relay(l *link) {
-	up := make(chan chunk, delayedChunks)
-	down := make(chan chunk, delayedChunks)
+// relay forwards data in both directions and returns when both have ended.
+func (p *Proxy) relay(pc *proxiedConn) {
+	up := make(chan chunk, maxQueuedChunks)
+	down := make(chan chunk, maxQueuedChunks)
 	var group sync.WaitGroup
-	group.Go(func() { l.read(l.client, &l.up, p.upDelay, func() bool { return true }, up) })
-	group.Go(func() { l.write(l.server, &l.up, &l.down, up) })
-	group.Go(func() { l.read(l.server, &l.down, p.downDelay, func() bool { return p.passesAnswer(l) }, down) })
-	group.Go(func() { l.write(l.client, &l.down, &l.up, down) })
+	group.Go(func() { pc.readStream(pc.client, &pc.up, p.upDelay, func() bool { return true }, up) })
+	group.Go(func() { pc.writeStream(pc.server, &pc.up, &pc.down, up) })
+	group.Go(func() {
+		pc.readStream(pc.server, &pc.down, p.downDelay, func() bool { return p.forwardsResponse(pc) }, down)
+	})
+	group.Go(func() { pc.writeStream(pc.client, &pc.down, &pc.up, down) })
 	group.Wait()
 }
 
@@ -342,19 +347,19 @@
 	return time.Duration(p.delay.DownMS) * time.Millisecond
 }
 
-// passesAnswer reports whether data from the target is passed on, and otherwise
-// cuts or silences the connection.
-func (p *Proxy) passesAnswer(l *link) bool {
+// forwardsResponse reports whether data from the target is forwarded. If the data is to
+// be lost, it resets or silences the connection.
+func (p *Proxy) forwardsResponse(pc *proxiedConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lose.Answers <= 0 || (len(p.lose.IDs) > 0 && !slices.Contains(p.lose.IDs, l.id)) {
+	if p.responseLoss.Answers <= 0 || (len(p.responseLoss.IDs) > 0 && !slices.Contains(p.responseLoss.IDs, pc.id)) {
 		return true
 	}
-	p.lose.Answers--
-	if p.lose.Silent {
-		l.silence(DirectionBoth)
+	p.responseLoss.Answers--
+	if p.responseLoss.Silent {
+		pc.silence(DirectionBoth)
 		return false
 	}
-	l.cut()
+	pc.reset()
 	return false
 }
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -18,21 +18,21 @@
 )
 
 const (
-	testTimeout = 5 * time.Second
-	quiet       = 100 * time.Millisecond // without data for so long counts as silent
+	testTimeout    = 5 * time.Second
+	silenceTimeout = 100 * time.Millisecond // A connection without data for this long counts as silent.
 )
 
-// echo answers each line and counts the lines that arrived.
-type echo struct {
-	listener net.Listener
-	lines    atomic.Int64
-	ends     atomic.Int64 // connections that ended
+// echoServer sends each line back and counts the lines that it received.
+type echoServer struct {
+	listener   net.Listener
+	lines      atomic.Int64
+	endedConns atomic.Int64 // It counts connections whose end the server has seen.
 }
 
-func newEcho(t *testing.T) *echo {
+func newEchoServer(t *testing.T) *echoServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e := &echo{listener: listener}
+	e := &echoServer{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for c, err := listener.Accept(); err == nil; c, err = listener.Accept() {
@@ -42,9 +42,9 @@
 	return e
 }
 
-func (e *echo) serve(c net.Conn) {
+func (e *echoServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	defer e.ends.Add(1)
+	defer e.endedConns.Add(1)
 	scanner := bufio.NewScanner(c)
 	for scanner.Scan() {
 		e.lines.Add(1)
@@ -52,8 +52,8 @@
 	}
 }
 
-func newProxy(t *testing.T) (*Proxy, *echo) {
-	e := newEcho(t)
+func newProxy(t *testing.T) (*Proxy, *echoServer) {
+	e := newEchoServer(t)
 	p, err := Listen(Options{Target: e.listener.Addr().String()})
 	require.NoError(t, err)
 	t.Cleanup(p.Close)
@@ -72,110 +72,110 @@
 	return client{Conn: c, reader: bufio.NewReader(c)}
 }
 
-// ask sends a line and returns the answer.
-func (c client) ask(line string, timeout time.Duration) (string, error) {
-	_, _ = fmt.Fprintln(c, line) // a failed write makes the read fail
+// roundTrip sends a line and returns the response.
+func (c client) roundTrip(line string, timeout time.Duration) (string, error) {
+	_, _ = fmt.Fprintln(c, line) // The read fails if the write failed.
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
-	answer, err := c.reader.ReadString('\n')
-	return strings.TrimSpace(answer), err
+	response, err := c.reader.ReadString('\n')
+	return strings.TrimSpace(response), err
 }
 
-func requireAnswer(t *testing.T, c client, line string) {
+func requireEcho(t *testing.T, c client, line string) {
 	t.Helper()
-	answer, err := c.ask(line, testTimeout)
+	response, err := c.roundTrip(line, testTimeout)
 	require.NoError(t, err)
-	require.Equal(t, line, answer)
+	require.Equal(t, line, response)
 }
 
 func requireSilent(t *testing.T, c client) {
 	t.Helper()
-	_, err := c.ask("x", quiet)
+	_, err := c.roundTrip("x", silenceTimeout)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must stay open")
 }
 
-// Guards against a silent connection that clients can notice by an error, and one
-// that harms others: liveness per connection could then not be tested.
+// Guards against a silent connection that returns an error to its client or affects
+// other connections. Tests of liveness checks per connection need neither to happen.
 func TestSilentConnection(t *testing.T) {
 	cases := []struct {
 		direction Direction
-		arrives   int64
+		wantLines int64
 	}{{DirectionBoth, 0}, {DirectionUp, 0}, {DirectionDown, 1}}
 	for _, c := range cases {
 		t.Run("direction "+string(c.direction), func(t *testing.T) {
 			p, e := newProxy(t)
-			chosen, other := dial(t, p), dial(t, p)
-			requireAnswer(t, chosen, "a")
-			requireAnswer(t, other, "b")
+			silenced, other := dial(t, p), dial(t, p)
+			requireEcho(t, silenced, "a")
+			requireEcho(t, other, "b")
 			list := p.Connections().Connections
 			require.Len(t, list, 2)
 			ids := map[string]int64{list[0].Client: list[0].ID, list[1].Client: list[1].ID}
 			before := e.lines.Load()
-			require.NoError(t, p.Silence(Silence{IDs: []int64{ids[chosen.LocalAddr().String()]}, Direction: c.direction}))
-			requireSilent(t, chosen)
-			assert.Equal(t, c.arrives, e.lines.Load()-before)
-			requireAnswer(t, other, "c")
-			requireAnswer(t, dial(t, p), "d")
-			requireSilent(t, chosen)
+			require.NoError(t, p.Silence(Silence{IDs: []int64{ids[silenced.LocalAddr().String()]}, Direction: c.direction}))
+			requireSilent(t, silenced)
+			assert.Equal(t, c.wantLines, e.lines.Load()-before)
+			requireEcho(t, other, "c")
+			requireEcho(t, dial(t, p), "d")
+			requireSilent(t, silenced)
 		})
 	}
 }
 
-// Guards against a target that learns through a silent connection that its client
-// has gone: it must see neither data nor the end.
-func TestSilentConnectionHidesTheEnd(t *testing.T) {
+// Guards against a silent connection that passes the client's close on to the target:
+// the target must see neither data nor the end of the stream.
+func TestSilentConnectionHidesClientClose(t *testing.T) {
 	p, e := newProxy(t)
 	c := dial(t, p)
-	requireAnswer(t, c, "a")
+	requireEcho(t, c, "a")
 	require.NoError(t, p.Silence(Silence{All: true}))
 	require.NoError(t, c.Close())
-	time.Sleep(quiet)
-	assert.Zero(t, e.ends.Load())
+	time.Sleep(silenceTimeout)
+	assert.Zero(t, e.endedConns.Load())
 	require.NoError(t, p.Cut(Cut{}))
-	assert.Eventually(t, func() bool { return e.ends.Load() == 1 }, testTimeout, time.Millisecond)
+	assert.Eventually(t, func() bool { return e.endedConns.Load() == 1 }, testTimeout, time.Millisecond)
 }
 
-// Guards against a lost answer whose request did not reach the target.
-func TestLostAnswers(t *testing.T) {
+// Guards against a lost response whose request did not reach the target.
+func TestLostResponses(t *testing.T) {
 	p, e := newProxy(t)
 	require.NoError(t, p.SetLose(Lose{Answers: 1}))
-	_, err := dial(t, p).ask("a", testTimeout)
+	_, err := dial(t, p).roundTrip("a", testTimeout)
 	require.Error(t, err)
 	assert.Equal(t, int64(1), e.lines.Load())
 
 	require.NoError(t, p.SetLose(Lose{Answers: 1, Silent: true}))
 	requireSilent(t, dial(t, p))
 	assert.Equal(t, int64(2), e.lines.Load())
-	requireAnswer(t, dial(t, p), "b")
+	requireEcho(t, dial(t, p), "b")
 }
 
-// Guards against cuts and refusals that leave connections usable.
-func TestCutAndRefuse(t *testing.T) {
+// Guards against connections that are still usable after a reset or a refusal.
+func TestResetAndRefuse(t *testing.T) {
 	p, _ := newProxy(t)
 	open := dial(t, p)
-	requireAnswer(t, open, "a")
+	requireEcho(t, open, "a")
 	require.NoError(t, p.SetNew(New{Mode: ModeRefuse}))
-	// The reset comes during the connect or with the first use.
+	// The reset arrives during the connect or on first use.
 	if c, err := net.DialTimeout("tcp", p.Address(), testTimeout); err == nil {
-		_, err = client{Conn: c, reader: bufio.NewReader(c)}.ask("b", testTimeout)
+		_, err = client{Conn: c, reader: bufio.NewReader(c)}.roundTrip("b", testTimeout)
 		require.Error(t, err)
 		require.NoError(t, c.Close())
 	}
-	requireAnswer(t, open, "c")
+	requireEcho(t, open, "c")
 	require.NoError(t, p.Cut(Cut{}))
-	_, err := open.ask("d", testTimeout)
+	_, err := open.roundTrip("d", testTimeout)
 	require.Error(t, err)
 	require.NoError(t, p.SetNew(New{Mode: ModeSilent}))
 	requireSilent(t, dial(t, p))
 	require.NoError(t, p.SetNew(New{Mode: ModePass}))
-	requireAnswer(t, dial(t, p), "e")
+	requireEcho(t, dial(t, p), "e")
 }
 
-// Guards against delay that does not apply, or that limits throughput by holding
-// each chunk until the former one has arrived.
+// Guards against a delay without effect, and one that limits throughput because each
+// chunk waits until the previous one was delivered.
 func TestDelay(t *testing.T) {
 	p, _ := newProxy(t)
 	c := dial(t, p)
-	requireAnswer(t, c, "a")
+	requireEcho(t, c, "a")
 	require.NoError(t, p.SetDelay(Delay{UpMS: 40, DownMS: 60}))
 	begin := time.Now()
 	for i := range 20 {
@@ -193,9 +193,9 @@
 	assert.Less(t, time.Since(begin), 20*100*time.Millisecond)
 }
 
-// Guards against HTTP exchanges that the proxy changes when no fault is on: large
-// bodies must pass whole, and the control calls must answer.
-func TestPassesHTTP(t *testing.T) {
+// Guards against a proxy that alters HTTP traffic while no fault is injected: large
+// bodies must arrive complete, and the control calls must respond.
+func TestForwardsHTTP(t *testing.T) {
 	body := strings.Repeat("0123456789", 100_000)
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, body) }))
 	defer target.Close()
@@ -210,8 +210,8 @@
 	assert.True(t, body == string(got))
 
 	for path, want := range map[string]int{"/control/cut": http.StatusOK, "/control/silence": http.StatusBadRequest} {
-		answer := httptest.NewRecorder()
-		p.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, nil))
-		assert.Equal(t, want, answer.Code, path)
+		recorder := httptest.NewRecorder()
+		p.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, nil))
+		assert.Equal(t, want, recorder.Code, path)
 	}
 }
--- a/standin/internal/httpjson/httpjson.go
+++ b/standin/internal/httpjson/httpjson.go
@@ -1,5 +1,5 @@
-// Package httpjson holds what the HTTP stand-ins share: JSON bodies, query
-// numbers, and serving on a listener until a context ends.
+// Package httpjson contains the HTTP code that the simulated services share: JSON
+// bodies, integer query parameters, and serving on a listener until a context ends.
 package httpjson
 
 import (
@@ -15,18 +15,18 @@
 	"briarproxy/core/fault"
 )
 
-// MaxBody is the largest body, in bytes, that Decode reads.
+// MaxBodyBytes is the length of the longest body that Decode reads.
 const MaxBody = 16 << 20
 
-// Empty is the answer of calls that return nothing.
+// Empty is the response body of calls that return nothing.
 type Empty struct{}
 
-// Failure is the body of an error answer.
+// ErrorResponse is the body of an error response.
 type Failure struct {
 	Error string `json:"error"`
 }
 
-// Write answers with a status and a JSON body.
+// Write sends a response with a status and a JSON body.
 func Write(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -39,7 +39,7 @@
 	_, _ = w.Write(data)
 }
 
-// Fail answers with a status and a Failure.
+// WriteError sends a response with a status and an ErrorResponse.
 func Fail(w http.ResponseWriter, status int, format string, args ...any) {
 	Write(w, status, Failure{Error: fmt.Sprintf(format, args...)})
 }
@@ -48,16 +48,16 @@
 func Decode(r *http.Request, target any) error {
 	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBody))
 	if err := decoder.Decode(target); err != nil {
-		return fault.Wrap(err, fault.Invalid, "send the JSON object that the path expects", "body of %s", r.URL.Path)
+		return fault.Wrap(err, fault.Invalid, "send the JSON object that the path expects", "cannot decode body of %s", r.URL.Path)
 	}
-	// Reads to the end, so that the server notices when the client goes away.
+	// The server detects a disconnected client only after the body was read to its end.
 	_, err := io.Copy(io.Discard, r.Body)
 	return err
 }
 
-// Control returns a handler that decodes a T, applies it and answers with an
-// empty object, or with 400 if the body is not a T or apply refuses it. No body
-// stands for the zero T.
+// ControlHandler returns a handler that decodes a T, applies it and responds with an
+// empty object, or with status 400 if the body cannot be decoded or apply returns an
+// error. A missing body is decoded as the zero T.
 func Control[T any](apply func(T) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body T
@@ -76,8 +76,8 @@
 	}
 }
 
-// QueryInt returns a number from the query, or fallback if it is absent. Errors
-// are of kind fault.Invalid.
+// QueryInt returns a non-negative integer from the query, or fallback if the parameter
+// is absent. Errors are of kind fault.Invalid.
 func QueryInt(r *http.Request, key string, fallback int64) (int64, error) {
 	text := r.URL.Query().Get(key)
 	if text == "" {
@@ -90,19 +90,19 @@
 	return value, nil
 }
 
-// Serve listens on address, prints "listening ADDRESS" and then label, if any, to
-// out, and serves until ctx ends. It then closes all connections, because
-// requests that hang on purpose would hold up a graceful shutdown.
+// Serve listens on address, writes "listening ADDRESS" and the label, if any, to out,
+// and serves until ctx ends. It then closes all connections, because requests that hang
+// as an injected fault would block a graceful shutdown.
 func Serve(ctx context.Context, address, label string, handler http.Handler, out io.Writer) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "listen on %s", address)
+		return fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "cannot listen on %s", address)
 	}
 	Announce(out, listener.Addr().String(), label)
 	return ServeOn(ctx, listener, handler)
 }
 
-// Announce prints the line that tells a parent process the address.
+// Announce writes the line from which a parent process reads the address.
 func Announce(out io.Writer, address, label string) {
 	if label == "" {
 		_, _ = fmt.Fprintf(out, "listening %s\n", address)
--- a/standin/vmlist/vmlist_test.go
+++ b/standin/vmlist/vmlist_test.go
@@ -11,9 +11,9 @@
 	"briarproxy/core/wire"
 )
 
-// Guards against a list that shows changes early, out of order, or with fields
-// lost that a patch does not name.
-func TestChangesAreSeenAfterTheLag(t *testing.T) {
+// Guards against a list that shows changes too early or out of order, and against
+// patches that clear fields that they do not contain.
+func TestChangesBecomeVisibleAfterLag(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(Options{
 		VMs: []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLive}, {Name: "b"}},
--- a/standin/worker/attempt.go
+++ b/standin/worker/attempt.go
@@ -11,74 +11,74 @@
 	"briarproxy/core/wire"
 )
 
-// attempt is a start that was accepted.
+// attempt is a run of one generation of a task or request.
 type attempt struct {
 	start      wire.Start
-	plan       plan
+	plan       runPlan
 	state      wire.RunState
-	began      time.Duration
-	ended      time.Duration
+	startedAt  time.Duration
+	endedAt    time.Duration
 	leaseUntil time.Duration
-	usage      resource.Vector // real use while running
+	usage      resource.Vector // This is the actual use while the attempt runs.
 	checkpoint bool
 	result     *wire.Result
-	done       chan struct{} // closed when the attempt has ended or the worker crashed
+	done       chan struct{} // It is closed when the attempt ends or the worker restarts.
 
-	// Progress: work done up to progressAt, in time at full speed.
-	worked     time.Duration
-	progressAt time.Duration
-	percent    int
-	timer      *time.Timer
+	// completedWork is the progress up to progressAt, as run time at full speed.
+	completedWork time.Duration
+	progressAt    time.Duration
+	percent       int
+	timer         *time.Timer
 }
 
-// advance brings the progress up to now.
-func (a *attempt) advance(now time.Duration) {
-	a.worked += (now - a.progressAt) * time.Duration(a.percent) / 100
+// updateProgress adds the work done since progressAt.
+func (a *attempt) updateProgress(now time.Duration) {
+	a.completedWork += (now - a.progressAt) * time.Duration(a.percent) / 100
 	a.progressAt = now
 }
 
-// maxScaled is the longest work that is slowed by throttling; longer work would
-// overflow the calculation and counts as endless.
-const maxScaled = 365 * 24 * time.Hour
+// maxThrottledWork is the longest remaining work that throttling extends. Longer work
+// would overflow the calculation and is treated as endless.
+const maxThrottledWork = 365 * 24 * time.Hour
 
-// endsAt returns when the work is complete at the present speed.
+// endsAt returns when the work will be complete at the current speed.
 func (a *attempt) endsAt() time.Duration {
-	remaining := max(0, a.plan.run-a.worked)
-	if remaining > maxScaled {
+	remaining := max(0, a.plan.runTime-a.completedWork)
+	if remaining > maxThrottledWork {
 		return a.progressAt + remaining
 	}
 	return a.progressAt + remaining*100/time.Duration(a.percent)
 }
 
-// nextEvent returns when the attempt ends or its lease lapses.
+// nextEvent returns when the attempt ends or its lease expires, whichever is first.
 func (a *attempt) nextEvent() time.Duration { return min(a.endsAt(), a.leaseUntil) }
 
-// past is what is known of the generations of an id that are over here: they
-// ended, were forbidden, or were refused for good.
-type past struct {
-	highest int64 // this and all lower generations may not start any more
-	ran     []ran // those that ran
-	at      time.Duration
+// generationHistory records the generations of an ID that may not start here any more:
+// they have ended, were forbidden by a stop, or were refused finally.
+type generationHistory struct {
+	highestGeneration int64               // This generation and all lower ones may not start any more.
+	outcomes          []generationOutcome // It lists the generations that ran.
+	updatedAt         time.Duration
 }
 
-// ran is a generation that ran and its last state.
-type ran struct {
+// generationOutcome is a generation that ran and its final state.
+type generationOutcome struct {
 	generation int64
 	state      wire.RunState
 }
 
-// state returns what became of a generation.
-func (p *past) state(generation int64) wire.RunState {
-	for _, r := range p.ran {
-		if r.generation == generation {
-			return r.state
+// stateOf returns the final state of a generation, or RunNeverStarted if it did not run.
+func (h *generationHistory) stateOf(generation int64) wire.RunState {
+	for _, outcome := range h.outcomes {
+		if outcome.generation == generation {
+			return outcome.state
 		}
 	}
 	return wire.RunNeverStarted
 }
 
-// RequestResult is the body of a request's result, from which a caller sees that
-// it got the answer to its own request.
+// RequestResult is the body of a request's result. It lets a caller verify that the
+// response belongs to its own request.
 type RequestResult struct {
 	ID         string `json:"id"`
 	Generation int64  `json:"generation"`
@@ -88,13 +88,13 @@
 	Padding    string `json:"padding,omitempty"`
 }
 
-// result returns the result of an attempt that ended by itself.
+// result returns the result of an attempt that ran to its end.
 func (w *Worker) result(a *attempt) *wire.Result {
 	r := &wire.Result{ID: a.start.ID, Generation: a.start.Generation, State: wire.RunFinished}
 	if a.plan.fail {
 		r.State = wire.RunFailed
 		r.Error = "operation " + a.start.Operation + " failed"
-		r.Digest = digest(nil)
+		r.Digest = sha256Hex(nil)
 		return r
 	}
 	body, err := json.Marshal(RequestResult{
@@ -102,19 +102,19 @@
 		Generation: a.start.Generation,
 		Operation:  a.start.Operation,
 		VM:         w.options.Name,
-		BodySHA256: digest(a.start.Body),
+		BodySHA256: sha256Hex(a.start.Body),
 		Padding:    strings.Repeat("x", int(a.plan.resultBytes)),
 	})
 	if err != nil {
-		panic("result cannot be encoded: " + err.Error())
+		panic("cannot encode result: " + err.Error())
 	}
 	r.Body = body
 	r.Length = int64(len(body))
-	r.Digest = digest(body)
+	r.Digest = sha256Hex(body)
 	return r
 }
 
-func digest(data []byte) string {
+func sha256Hex(data []byte) string {
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:])
 }
--- a/standin/worker/behaviour.go
+++ b/standin/worker/behaviour.go
@@ -12,116 +12,119 @@
 	"briarproxy/core/wire"
 )
 
-// Names that an operation itself gives a meaning to, before the options apply.
+// Operation names and prefixes of names that determine how an operation runs, unless
+// Options.Operations has an entry for it.
 const (
-	opSleep   = "sleep:" // runs for so many ms
-	opFail    = "fail:"  // runs for so many ms, then fails
-	opForever = "forever"
+	opSleepPrefix = "sleep:" // The run time in milliseconds follows.
+	opFailPrefix  = "fail:"  // The run time in milliseconds follows, after which the operation fails.
+	opForever     = "forever"
 )
 
-const forever = 100 * 365 * 24 * time.Hour
+const endlessRunTime = 100 * 365 * 24 * time.Hour
 
-// Operation says how an operation runs.
+// Operation defines how an operation runs.
 type Operation struct {
 	RunMS       int64 `json:"run_ms"`
 	Fail        bool  `json:"fail,omitempty"`
-	ResultBytes int64 `json:"result_bytes,omitempty"` // padding of the result body
+	ResultBytes int64 `json:"result_bytes,omitempty"` // The result body is padded with this many bytes.
 }
 
-// Misbehaviour is the body of POST /control/misbehaviour, which replaces the
-// former one. The zero value is a healthy worker.
+// Misbehaviour is the set of faults that a worker injects. It is the body of POST
+// /control/misbehaviour, which replaces the previous set. The zero value injects no
+// faults.
 type Misbehaviour struct {
-	FailAll         bool     `json:"fail_all,omitempty"`         // everything that starts fails at once
-	FailOperations  []string `json:"fail_operations,omitempty"`  // each start of these fails at once
-	HangAnswers     bool     `json:"hang_answers,omitempty"`     // no answer, though the message took effect
-	TruncateAnswers bool     `json:"truncate_answers,omitempty"` // the connection closes in the middle of the answer
-	ShortenResults  bool     `json:"shorten_results,omitempty"`  // the result body lacks its second half
-	ForeignResults  bool     `json:"foreign_results,omitempty"`  // the result carries another id
-	LateAnswersMS   int64    `json:"late_answers_ms,omitempty"`  // answers leave so much later
-	Paths           []string `json:"paths,omitempty"`            // protocol paths with faulty answers; empty: all
-	Share           float64  `json:"share,omitempty"`            // of answers that are faulty; 0: all
-	Seed            int64    `json:"seed,omitempty"`             // of the choice of answers
-	RealUse         float64  `json:"real_use,omitempty"`         // real use as a multiple of the declared size; 0: 1
-	RunTime         float64  `json:"run_time,omitempty"`         // real run time as a multiple of the expected one; 0: 1
+	FailAll         bool     `json:"fail_all,omitempty"`         // Every attempt fails as soon as it starts.
+	FailOperations  []string `json:"fail_operations,omitempty"`  // Attempts of these operations fail as soon as they start.
+	HangAnswers     bool     `json:"hang_answers,omitempty"`     // No response is sent, though the message took effect.
+	TruncateAnswers bool     `json:"truncate_answers,omitempty"` // The connection closes in the middle of the response.
+	ShortenResults  bool     `json:"shorten_results,omitempty"`  // The result body lacks its second half.
+	ForeignResults  bool     `json:"foreign_results,omitempty"`  // The result has a wrong ID.
+	LateAnswersMS   int64    `json:"late_answers_ms,omitempty"`  // Each response is delayed by this time.
+	Paths           []string `json:"paths,omitempty"`            // Only responses on these protocol paths are faulty; empty means all paths.
+	Share           float64  `json:"share,omitempty"`            // Each response is faulty with this probability; 0 means that all are.
+	Seed            int64    `json:"seed,omitempty"`             // It seeds the random choice of faulty responses.
+	RealUse         float64  `json:"real_use,omitempty"`         // The actual use is this multiple of the declared size; 0 means 1.
+	RunTime         float64  `json:"run_time,omitempty"`         // The actual run time is this multiple of the planned one; 0 means 1.
 }
 
-func (m Misbehaviour) check() error {
+func (m Misbehaviour) validate() error {
 	if m.Share < 0 || m.Share > 1 || m.RealUse < 0 || m.RunTime < 0 || m.LateAnswersMS < 0 {
-		return fault.New(fault.Invalid, "use a share from 0 to 1 and no negative numbers", "misbehaviour is out of range")
+		return fault.New(fault.Invalid, "use a share from 0 to 1 and no negative numbers", "misbehaviour has a value out of range")
 	}
 	return nil
 }
 
-// strikes reports whether the answer on a path is faulty.
-func (m Misbehaviour) strikes(path string, random *rand.Rand) bool {
+// affectsResponse reports whether the response on a path is faulty.
+func (m Misbehaviour) affectsResponse(path string, random *rand.Rand) bool {
 	if len(m.Paths) > 0 && !slices.Contains(m.Paths, path) {
 		return false
 	}
 	return m.Share == 0 || random.Float64() < m.Share
 }
 
-func (m Misbehaviour) realUse(declared resource.Vector) resource.Vector {
+func (m Misbehaviour) actualUse(declared resource.Vector) resource.Vector {
 	if m.RealUse == 0 {
 		return declared
 	}
 	return resource.Vector{
 		MilliCores:   int64(float64(declared.MilliCores) * m.RealUse),
 		MemoryMiB:    int64(float64(declared.MemoryMiB) * m.RealUse),
-		Accelerators: declared.Accelerators, // whole devices and slots are handed out exactly
+		Accelerators: declared.Accelerators, // Accelerators and slots are allocated whole, so their use does not differ.
 		Slots:        declared.Slots,
 	}
 }
 
-// plan is how one attempt will run.
-type plan struct {
-	run         time.Duration
+// runPlan defines how one attempt will run.
+type runPlan struct {
+	runTime     time.Duration
 	fail        bool
 	resultBytes int64
 }
 
-// plan decides how an attempt runs: by the misbehaviour, the mapped operations,
-// the operation's name, a task's declared run time and the default, in this order.
-func (w *Worker) plan(start wire.Start) plan {
-	if w.bad.FailAll || slices.Contains(w.bad.FailOperations, start.Operation) {
-		return plan{fail: true}
+// planRun decides how an attempt runs. In order of precedence, it uses the injected
+// faults, Options.Operations, the operation's name, a task's declared run time and
+// the default.
+func (w *Worker) planRun(start wire.Start) runPlan {
+	if w.misbehaviour.FailAll || slices.Contains(w.misbehaviour.FailOperations, start.Operation) {
+		return runPlan{fail: true}
 	}
-	p := w.healthyPlan(start)
-	if w.bad.RunTime > 0 && p.run < forever {
-		p.run = time.Duration(float64(p.run) * w.bad.RunTime)
+	p := w.planWithoutMisbehaviour(start)
+	if w.misbehaviour.RunTime > 0 && p.runTime < endlessRunTime {
+		p.runTime = time.Duration(float64(p.runTime) * w.misbehaviour.RunTime)
 	}
 	return p
 }
 
-func (w *Worker) healthyPlan(start wire.Start) plan {
+func (w *Worker) planWithoutMisbehaviour(start wire.Start) runPlan {
 	if op, ok := w.options.Operations[start.Operation]; ok {
-		return plan{run: ms(op.RunMS), fail: op.Fail, resultBytes: op.ResultBytes}
+		return runPlan{runTime: milliseconds(op.RunMS), fail: op.Fail, resultBytes: op.ResultBytes}
 	}
 	if start.Operation == opForever {
-		return plan{run: forever}
+		return runPlan{runTime: endlessRunTime}
 	}
-	if run, ok := namedTime(start.Operation, opSleep); ok {
-		return plan{run: run}
+	if run, ok := parseNamedRunTime(start.Operation, opSleepPrefix); ok {
+		return runPlan{runTime: run}
 	}
-	if run, ok := namedTime(start.Operation, opFail); ok {
-		return plan{run: run, fail: true}
+	if run, ok := parseNamedRunTime(start.Operation, opFailPrefix); ok {
+		return runPlan{runTime: run, fail: true}
 	}
 	if start.Kind == wire.KindTask && start.RunMS > 0 {
-		return plan{run: ms(start.RunMS)}
+		return runPlan{runTime: milliseconds(start.RunMS)}
 	}
-	return plan{run: w.options.DefaultRun}
+	return runPlan{runTime: w.options.DefaultRun}
 }
 
-// namedTime parses the time in a name such as sleep:20.
-func namedTime(operation, prefix string) (time.Duration, bool) {
+// parseNamedRunTime parses the run time in an operation name such as sleep:20.
+func parseNamedRunTime(operation, prefix string) (time.Duration, bool) {
 	text, ok := strings.CutPrefix(operation, prefix)
 	if !ok {
 		return 0, false
 	}
-	value, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || value < 0 {
+	runMS, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || runMS < 0 {
 		return 0, false
 	}
-	return ms(value), true
+	return milliseconds(runMS), true
 }
 
-func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/standin/worker/doc.go
+++ b/standin/worker/doc.go
@@ -1,5 +1,5 @@
-// Package worker is an in-memory stand-in for a worker VM. It speaks the worker
-// protocol of core/wire, pretends to run work for a time that the operation's
-// name or the options give, writes a journal from which tests check the
-// invariants, and misbehaves on demand.
+// Package worker simulates a worker VM in memory. A simulated worker serves the
+// worker protocol of core/wire, lets each attempt last for a time that the
+// operation's name or the options set, writes a journal from which tests check the
+// scheduler's invariants, and injects faults on request.
 package worker
--- a/standin/worker/http.go
+++ b/standin/worker/http.go
@@ -10,8 +10,8 @@
 	"briarproxy/standin/internal/httpjson"
 )
 
-// HeaderIncarnation carries the worker's incarnation on every answer of the
-// protocol, because StopReply and StartReply have no field for it.
+// HeaderIncarnation is the header that holds the worker's incarnation in every
+// response of the protocol, because StopReply and StartReply have no field for it.
 const HeaderIncarnation = "Briar-Worker-Incarnation"
 
 // Pause is the body of POST /control/pause.
@@ -24,20 +24,20 @@
 	Draining bool `json:"draining"`
 }
 
-func (w *Worker) routes() {
-	handle(w, wire.PathFence, func(f wire.Fence) any { return w.Fence(f) })
-	handle(w, wire.PathRenew, func(r wire.Renew) any { return w.Renew(r) })
-	handle(w, wire.PathStop, func(s wire.Stop) any { return w.Stop(s) })
-	handle(w, wire.PathThrottle, func(t wire.Throttle) any { return w.Throttle(t) })
-	handle(w, wire.PathCheckpoint, func(c wire.Checkpoint) any { return w.Checkpoint(c) })
-	handle(w, wire.PathAck, func(a wire.Ack) any { w.Ack(a); return httpjson.Empty{} })
+func (w *Worker) registerRoutes() {
+	handlePost(w, wire.PathFence, func(f wire.Fence) any { return w.Fence(f) })
+	handlePost(w, wire.PathRenew, func(r wire.Renew) any { return w.Renew(r) })
+	handlePost(w, wire.PathStop, func(s wire.Stop) any { return w.Stop(s) })
+	handlePost(w, wire.PathThrottle, func(t wire.Throttle) any { return w.Throttle(t) })
+	handlePost(w, wire.PathCheckpoint, func(c wire.Checkpoint) any { return w.Checkpoint(c) })
+	handlePost(w, wire.PathAck, func(a wire.Ack) any { w.Ack(a); return httpjson.Empty{} })
 	w.mux.HandleFunc("POST "+wire.PathStart, w.handleStart)
 	w.mux.HandleFunc("GET "+wire.PathReport, func(rw http.ResponseWriter, r *http.Request) {
-		w.answer(rw, r, http.StatusOK, w.Report())
+		w.respond(rw, r, http.StatusOK, w.Report())
 	})
 	w.mux.HandleFunc("POST /control/misbehaviour", httpjson.Control(w.SetMisbehaviour))
 	w.mux.HandleFunc("POST /control/drain", httpjson.Control(func(d Drain) error { w.SetDraining(d.Draining); return nil }))
-	w.mux.HandleFunc("POST /control/pause", httpjson.Control(func(p Pause) error { w.Pause(ms(p.MS)); return nil }))
+	w.mux.HandleFunc("POST /control/pause", httpjson.Control(func(p Pause) error { w.Pause(milliseconds(p.MS)); return nil }))
 	w.mux.HandleFunc("POST /control/restart", httpjson.Control(func(httpjson.Empty) error { w.Restart(); return nil }))
 	w.mux.HandleFunc("GET /control/journal", func(rw http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(rw, http.StatusOK, w.options.Journal.Entries())
@@ -47,16 +47,16 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) { w.mux.ServeHTTP(rw, r) }
 
-// handle routes a POST whose body is a T. A body that is not a T is answered with
-// 400.
-func handle[T any](w *Worker, path string, apply func(T) any) {
+// handlePost registers the handler of a POST whose body is a T. It responds with
+// status 400 if the body cannot be decoded.
+func handlePost[T any](w *Worker, path string, apply func(T) any) {
 	w.mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
 		var body T
 		if err := httpjson.Decode(r, &body); err != nil {
 			httpjson.Fail(rw, http.StatusBadRequest, "%v", err)
 			return
 		}
-		w.answer(rw, r, http.StatusOK, apply(body))
+		w.respond(rw, r, http.StatusOK, apply(body))
 	})
 }
 
@@ -69,17 +69,17 @@
 	refusal, a := w.accept(start)
 	switch {
 	case refusal != "":
-		w.answer(rw, r, http.StatusOK, wire.StartReply{Refused: refusal})
+		w.respond(rw, r, http.StatusOK, wire.StartReply{Refused: refusal})
 	case start.Kind == wire.KindTask:
-		w.answer(rw, r, http.StatusAccepted, wire.StartReply{})
+		w.respond(rw, r, http.StatusAccepted, wire.StartReply{})
 	default:
-		w.answerResult(rw, r, a)
+		w.respondWithResult(rw, r, a)
 	}
 }
 
-// answerResult waits for a request to end. The request goes on if its client goes
-// away; the result is then kept.
-func (w *Worker) answerResult(rw http.ResponseWriter, r *http.Request, a *attempt) {
+// respondWithResult waits for a request to end and sends its result. If the client
+// disconnects, the request continues and its result is retained.
+func (w *Worker) respondWithResult(rw http.ResponseWriter, r *http.Request, a *attempt) {
 	select {
 	case <-a.done:
 	case <-r.Context().Done():
@@ -88,67 +88,68 @@
 	w.mu.Lock()
 	result := a.result
 	w.mu.Unlock()
-	if result == nil { // the worker crashed
+	if result == nil { // The worker was restarted before the request ended.
 		panic(http.ErrAbortHandler)
 	}
-	w.answer(rw, r, http.StatusOK, wire.StartReply{Result: result})
+	w.respond(rw, r, http.StatusOK, wire.StartReply{Result: result})
 }
 
-// answer sends an answer with the faults that are switched on.
-func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, status int, body any) {
+// respond sends a response and applies the injected faults to it.
+func (w *Worker) respond(rw http.ResponseWriter, r *http.Request, status int, body any) {
 	w.mu.Lock()
-	bad := w.bad
-	strikes := bad.strikes(r.URL.Path, w.random)
+	misbehaviour := w.misbehaviour
+	faulty := misbehaviour.affectsResponse(r.URL.Path, w.random)
 	incarnation := w.incarnation
 	w.mu.Unlock()
 	rw.Header().Set(HeaderIncarnation, strconv.FormatInt(incarnation, 10))
-	if !strikes {
+	if !faulty {
 		httpjson.Write(rw, status, body)
 		return
 	}
-	if bad.LateAnswersMS > 0 {
-		time.Sleep(ms(bad.LateAnswersMS))
+	if misbehaviour.LateAnswersMS > 0 {
+		time.Sleep(milliseconds(misbehaviour.LateAnswersMS))
 	}
-	if bad.HangAnswers {
+	if misbehaviour.HangAnswers {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	body = bad.spoil(body)
-	if bad.TruncateAnswers {
-		truncate(rw, status, body)
+	body = misbehaviour.corruptResponse(body)
+	if misbehaviour.TruncateAnswers {
+		writeTruncated(rw, status, body)
 	}
 	httpjson.Write(rw, status, body)
 }
 
-// spoil returns the body with a result that is shortened or foreign.
-func (m Misbehaviour) spoil(body any) any {
+// corruptResponse returns the body of a response after applying the faults of results.
+func (m Misbehaviour) corruptResponse(body any) any {
 	switch b := body.(type) {
 	case wire.StartReply:
-		b.Result = m.spoilResult(b.Result)
+		b.Result = m.corruptResult(b.Result)
 		return b
 	case wire.StopReply:
-		b.Result = m.spoilResult(b.Result)
+		b.Result = m.corruptResult(b.Result)
 		return b
 	}
 	return body
 }
 
-func (m Misbehaviour) spoilResult(result *wire.Result) *wire.Result {
+func (m Misbehaviour) corruptResult(result *wire.Result) *wire.Result {
 	if result == nil {
 		return nil
 	}
-	r := *result
+	corrupted := *result
 	if m.ShortenResults {
-		r.Body = r.Body[:len(r.Body)/2]
+		corrupted.Body = corrupted.Body[:len(corrupted.Body)/2]
 	}
 	if m.ForeignResults {
-		r.ID += "-foreign"
+		corrupted.ID += "-foreign"
 	}
-	return &r
+	return &corrupted
 }
 
-// truncate announces the whole answer, sends half of it and closes the connection.
-func truncate(rw http.ResponseWriter, status int, body any) {
+// writeTruncated declares the full length of a response, sends half of it and closes
+// the connection.
+func writeTruncated(rw http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err == nil {
 		rw.Header().Set("Content-Type", "application/json")
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -18,14 +18,14 @@
 // Kinds of journal entries.
 const (
 	EventStart    JournalEvent = "start"
-	EventEnd      JournalEvent = "end"      // ran to its end, finished or failed
-	EventStop     JournalEvent = "stop"     // stopped before its end; Reason says by what
-	EventRefuse   JournalEvent = "refuse"   // Reason holds the wire.Refusal
-	EventForbid   JournalEvent = "forbid"   // a stop left a tombstone
-	EventOverload JournalEvent = "overload" // accepted work is over capacity
-	EventOveruse  JournalEvent = "overuse"  // real use is over capacity
-	EventFence    JournalEvent = "fence"
-	EventBoot     JournalEvent = "boot" // a new incarnation, with nothing running
+	EventEnd      JournalEvent = "end"      // The attempt ended by itself, finished or failed.
+	EventStop     JournalEvent = "stop"     // The attempt was stopped early; Reason holds the cause.
+	EventRefuse   JournalEvent = "refuse"   // Reason holds the wire.Refusal.
+	EventForbid   JournalEvent = "forbid"   // A stop recorded a tombstone, which forbids later starts.
+	EventOverload JournalEvent = "overload" // The declared sizes of the running attempts exceed the capacity.
+	EventOveruse  JournalEvent = "overuse"  // The actual use of the running attempts exceeds the capacity.
+	EventFence    JournalEvent = "fence"    // The lowest accepted epoch was raised.
+	EventBoot     JournalEvent = "boot"     // A new incarnation began, with nothing running.
 )
 
 // Reasons of EventStop.
@@ -36,13 +36,13 @@
 	ReasonCrash      = "crash"
 )
 
-// Entry is one line of a journal. Seq orders the entries of one journal.
+// Entry is one line of a journal. Seq numbers the entries of one journal from 1.
 type Entry struct {
 	Seq         int64           `json:"seq"`
-	TimeUS      int64           `json:"time_us"` // Unix time, µs
+	TimeUS      int64           `json:"time_us"` // This is the Unix time in microseconds.
 	VM          string          `json:"vm"`
 	Incarnation int64           `json:"incarnation"`
-	ClockMS     int64           `json:"clock_ms"` // the worker's clock
+	ClockMS     int64           `json:"clock_ms"` // This is the reading of the worker's own clock.
 	Event       JournalEvent    `json:"event"`
 	ID          string          `json:"id,omitempty"`
 	Generation  int64           `json:"generation,omitempty"`
@@ -52,15 +52,15 @@
 	Job         string          `json:"job,omitempty"`
 	State       wire.RunState   `json:"state,omitempty"`
 	Reason      string          `json:"reason,omitempty"`
-	Digest      string          `json:"digest,omitempty"`      // of the result, at the end
-	BodyDigest  string          `json:"body_digest,omitempty"` // of the body, at the start
-	OverdueUS   int64           `json:"overdue_us,omitempty"`  // for ReasonLapse: time since the lease lapsed; a paused worker notices late
-	InUse       resource.Vector `json:"in_use"`                // committed after the event
-	RealUse     resource.Vector `json:"real_use"`              // used after the event
+	Digest      string          `json:"digest,omitempty"`      // EventEnd sets it to the digest of the result.
+	BodyDigest  string          `json:"body_digest,omitempty"` // EventStart sets it to the digest of the start's body.
+	OverdueUS   int64           `json:"overdue_us,omitempty"`  // ReasonLeaseExpired sets it to the time since the expiry, which a paused worker detects late.
+	InUse       resource.Vector `json:"in_use"`                // This is the sum of the running attempts' declared sizes after the event.
+	RealUse     resource.Vector `json:"real_use"`              // This is the sum of the running attempts' actual use after the event.
 	Capacity    resource.Vector `json:"capacity"`
 }
 
-// Journal collects the entries of one or more workers.
+// Journal records the entries of one or more workers.
 type Journal struct {
 	mu      sync.Mutex
 	seq     int64
@@ -72,8 +72,8 @@
 // in memory if out is nil.
 func NewJournal(out io.Writer) *Journal { return &Journal{out: out} }
 
-// Add numbers an entry, stamps its time and stores it. Entries are written one by
-// one without a buffer, so that none is lost when the process is killed.
+// Add sets the number and the time of an entry and stores it. Each entry is written
+// without buffering, so that none is lost when the process is killed.
 func (j *Journal) Add(e Entry) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -86,22 +86,22 @@
 	}
 	line, err := json.Marshal(e)
 	if err != nil {
-		panic("journal entry cannot be encoded: " + err.Error())
+		panic("cannot encode journal entry: " + err.Error())
 	}
 	if _, err := j.out.Write(append(line, '\n')); err != nil {
-		panic("journal cannot be written: " + err.Error())
+		panic("cannot write journal: " + err.Error())
 	}
 }
 
-// Entries returns the entries that are kept in memory.
+// Entries returns a copy of the entries that are kept in memory.
 func (j *Journal) Entries() []Entry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return append([]Entry{}, j.entries...)
 }
 
-// ReadEntries parses a journal file. A last line that a killed process left
-// incomplete is passed over. Errors are of kind fault.Invalid.
+// ReadEntries parses a journal file. It ignores an incomplete last line, which a
+// killed process may leave. Errors are of kind fault.Invalid.
 func ReadEntries(in io.Reader) ([]Entry, error) {
 	var entries []Entry
 	decoder := json.NewDecoder(in)
@@ -112,7 +112,7 @@
 			return entries, nil
 		}
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Invalid, "read a file that a worker wrote", "journal entry %d", len(entries)+1)
+			return nil, fault.Wrap(err, fault.Invalid, "read a journal file that a worker wrote", "cannot decode journal entry %d", len(entries)+1)
 		}
 		entries = append(entries, e)
 	}
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -9,47 +9,48 @@
 	"briarproxy/core/wire"
 )
 
-// Fence raises the lowest epoch that is accepted and returns the inventory. A
-// lower epoch is refused; the inventory is then only informative.
+// Fence raises the lowest accepted epoch and returns the inventory of attempts. A
+// lower epoch is refused; the inventory is then for information only.
 func (w *Worker) Fence(f wire.Fence) wire.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
-	if w.stale(f.Epoch) {
-		w.journalStale("", 0, f.Epoch)
-		report := w.report(now)
+	now := w.processDueEvents()
+	if w.isStaleEpoch(f.Epoch) {
+		w.recordStaleEpoch("", 0, f.Epoch)
+		report := w.buildReport(now)
 		report.Refused = wire.RefusedStaleEpoch
 		return report
 	}
 	if f.Epoch > w.epoch {
 		w.epoch = f.Epoch
-		w.journal(EventFence, wire.Start{Epoch: f.Epoch}, "", "")
+		w.recordEvent(EventFence, wire.Start{Epoch: f.Epoch}, "", "")
 	}
-	return w.report(now)
+	return w.buildReport(now)
 }
 
-// stale reports whether a fence forbids messages of an epoch.
-func (w *Worker) stale(epoch int64) bool { return epoch < w.epoch && !w.options.Unfenced }
+// isStaleEpoch reports whether messages of an epoch are fenced off.
+func (w *Worker) isStaleEpoch(epoch int64) bool { return epoch < w.epoch && !w.options.Unfenced }
 
-// tooLate reports whether a not_after has passed on the worker's clock.
-func (w *Worker) tooLate(notAfterMS int64, now time.Duration) bool {
-	return now > ms(notAfterMS) && !w.options.Unfenced
+// notAfterPassed reports whether the worker's clock is past a not_after.
+func (w *Worker) notAfterPassed(notAfterMS int64, now time.Duration) bool {
+	return now > milliseconds(notAfterMS) && !w.options.Unfenced
 }
 
-// journalStale records a message of an old owner other than a start.
-func (w *Worker) journalStale(id string, generation, epoch int64) {
+// recordStaleEpoch records the refusal of a message with a stale epoch. Refused
+// starts are recorded by accept.
+func (w *Worker) recordStaleEpoch(id string, generation, epoch int64) {
 	message := wire.Start{ID: id, Generation: generation, Epoch: epoch}
-	w.journal(EventRefuse, message, "", string(wire.RefusedStaleEpoch))
+	w.recordEvent(EventRefuse, message, "", string(wire.RefusedStaleEpoch))
 }
 
-// Report returns the inventory.
+// Report returns the worker's state and the inventory of its attempts.
 func (w *Worker) Report() wire.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.report(w.settle())
+	return w.buildReport(w.processDueEvents())
 }
 
-func (w *Worker) report(now time.Duration) wire.Report {
+func (w *Worker) buildReport(now time.Duration) wire.Report {
 	r := wire.Report{
 		VM:          w.options.Name,
 		Incarnation: w.incarnation,
@@ -57,15 +58,15 @@
 		Epoch:       w.epoch,
 		Draining:    w.draining,
 		Capacity:    w.options.Capacity,
-		Attempts:    make([]wire.Attempt, 0, len(w.running)),
+		Attempts:    make([]wire.Attempt, 0, len(w.runningAttempts)),
 	}
-	for _, a := range w.running {
-		r.Attempts = append(r.Attempts, w.inventory(a, now))
+	for _, a := range w.runningAttempts {
+		r.Attempts = append(r.Attempts, w.attemptReport(a, now))
 	}
-	for _, kept := range w.ended {
-		for _, a := range kept {
+	for _, retained := range w.endedAttempts {
+		for _, a := range retained {
 			if a.start.Kind == wire.KindTask || w.options.ReportEndedRequests {
-				r.Attempts = append(r.Attempts, w.inventory(a, now))
+				r.Attempts = append(r.Attempts, w.attemptReport(a, now))
 			}
 		}
 	}
@@ -75,7 +76,7 @@
 	return r
 }
 
-func (w *Worker) inventory(a *attempt, now time.Duration) wire.Attempt {
+func (w *Worker) attemptReport(a *attempt, now time.Duration) wire.Attempt {
 	return wire.Attempt{
 		ID:         a.start.ID,
 		Generation: a.start.Generation,
@@ -93,10 +94,10 @@
 	}
 }
 
-// reportedUsage returns the use that was measured UsageLag ago.
+// reportedUsage returns the usage of an attempt as it was UsageLag ago.
 func (w *Worker) reportedUsage(a *attempt, now time.Duration) resource.Vector {
-	measured := now - max(0, w.options.UsageLag)
-	if measured < a.began || (a.state != wire.RunRunning && measured >= a.ended) {
+	sampledAt := now - max(0, w.options.UsageLag)
+	if sampledAt < a.startedAt || (a.state != wire.RunRunning && sampledAt >= a.endedAt) {
 		return resource.Vector{}
 	}
 	usage := a.usage
@@ -104,40 +105,41 @@
 	return usage
 }
 
-// accept begins an attempt, or returns the refusal.
+// accept starts an attempt or returns the reason for refusing it.
 func (w *Worker) accept(s wire.Start) (wire.Refusal, *attempt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
-	if refusal := w.refuses(s, now); refusal != "" {
-		w.journal(EventRefuse, s, "", string(refusal))
+	now := w.processDueEvents()
+	if refusal := w.startRefusal(s, now); refusal != "" {
+		w.recordEvent(EventRefuse, s, "", string(refusal))
 		if refusal == wire.RefusedNoRoom {
-			// A copy that arrives when there is room again must not run, because
-			// the sender was told that this attempt never will.
-			w.remember(s.ID, s.Generation, wire.RunNeverStarted, now)
+			// A duplicate of this start that arrives when there is capacity again must
+			// not run, because the sender was told that this attempt will never run.
+			w.recordGeneration(s.ID, s.Generation, wire.RunNeverStarted, now)
 		}
 		return refusal, nil
 	}
 	w.epoch = max(w.epoch, s.Epoch)
-	return "", w.begin(s, now)
+	return "", w.startAttempt(s, now)
 }
 
-// refuses returns the reason to refuse a start, or "". Room comes last, because
-// only its refusal depends on anything that can change back.
-func (w *Worker) refuses(s wire.Start, now time.Duration) wire.Refusal {
+// startRefusal returns the reason to refuse a start, or "". The capacity is checked
+// last, because only that refusal depends on a condition that can become acceptable
+// again.
+func (w *Worker) startRefusal(s wire.Start, now time.Duration) wire.Refusal {
 	switch {
-	case malformed(s):
+	case isMalformed(s):
 		return wire.RefusedMalformed
 	case s.Incarnation != w.incarnation:
 		return wire.RefusedWrongIncarnation
-	case w.stale(s.Epoch):
+	case w.isStaleEpoch(s.Epoch):
 		return wire.RefusedStaleEpoch
 	}
-	if refusal := w.refusesGeneration(s); refusal != "" {
+	if refusal := w.generationRefusal(s); refusal != "" {
 		return refusal
 	}
 	switch {
-	case w.tooLate(s.NotAfterMS, now):
+	case w.notAfterPassed(s.NotAfterMS, now):
 		return wire.RefusedTooLate
 	case w.draining:
 		return wire.RefusedDraining
@@ -147,22 +149,22 @@
 	return ""
 }
 
-func malformed(s wire.Start) bool {
+func isMalformed(s wire.Start) bool {
 	return s.ID == "" || s.Generation < 0 || s.LeaseMS <= 0 || s.Operation == "" ||
 		(s.Kind != wire.KindRequest && s.Kind != wire.KindTask) || s.Resources.HasNegative()
 }
 
-// refusesGeneration keeps an id to one run at a time and each generation to one
-// run. A higher generation is refused while a lower one runs: the sender must
-// have it stopped first.
-func (w *Worker) refusesGeneration(s wire.Start) wire.Refusal {
-	if p, ok := w.past[s.ID]; ok && s.Generation <= p.highest {
-		if p.state(s.Generation) == wire.RunNeverStarted {
+// generationRefusal limits an ID to one running attempt at a time and each generation
+// to one run. A higher generation is refused while a lower one runs: the sender must
+// stop the lower one first.
+func (w *Worker) generationRefusal(s wire.Start) wire.Refusal {
+	if history, ok := w.histories[s.ID]; ok && s.Generation <= history.highestGeneration {
+		if history.stateOf(s.Generation) == wire.RunNeverStarted {
 			return wire.RefusedStaleGeneration
 		}
 		return wire.RefusedDuplicate
 	}
-	a, ok := w.running[s.ID]
+	a, ok := w.runningAttempts[s.ID]
 	switch {
 	case !ok:
 		return ""
@@ -172,102 +174,105 @@
 	return wire.RefusedDuplicate
 }
 
-// Renew extends run leases. It never shortens one.
+// Renew extends the leases of running attempts and never shortens one. The reply
+// lists the IDs that do not run here in the given generation.
 func (w *Worker) Renew(r wire.Renew) wire.RenewReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
-	if w.stale(r.Epoch) {
-		w.journalStale("", 0, r.Epoch)
+	now := w.processDueEvents()
+	if w.isStaleEpoch(r.Epoch) {
+		w.recordStaleEpoch("", 0, r.Epoch)
 		return wire.RenewReply{Refused: wire.RefusedStaleEpoch}
 	}
-	if w.tooLate(r.NotAfterMS, now) {
+	if w.notAfterPassed(r.NotAfterMS, now) {
 		return wire.RenewReply{Refused: wire.RefusedTooLate}
 	}
 	var reply wire.RenewReply
 	for _, l := range r.Leases {
-		a, ok := w.running[l.ID]
+		a, ok := w.runningAttempts[l.ID]
 		if !ok || a.start.Generation != l.Generation {
 			reply.Gone = append(reply.Gone, l.ID)
 			continue
 		}
-		a.leaseUntil = max(a.leaseUntil, now+ms(l.LeaseMS))
+		a.leaseUntil = max(a.leaseUntil, now+milliseconds(l.LeaseMS))
 	}
 	return reply
 }
 
-// Stop ends an attempt or forbids one that has not been seen. The answer is about
-// the generation that was asked for, except that a query finds a lower generation
-// running if one does.
+// Stop ends an attempt, or forbids its start if the attempt is unknown. A query does
+// not end a running attempt. The reply describes the requested generation, except
+// that a query returns running if a lower generation runs.
 func (w *Worker) Stop(s wire.Stop) wire.StopReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
-	if w.stale(s.Epoch) {
-		w.journalStale(s.ID, s.Generation, s.Epoch)
+	now := w.processDueEvents()
+	if w.isStaleEpoch(s.Epoch) {
+		w.recordStaleEpoch(s.ID, s.Generation, s.Epoch)
 		return wire.StopReply{Refused: wire.RefusedStaleEpoch}
 	}
 	if s.Incarnation != 0 && s.Incarnation != w.incarnation {
 		return wire.StopReply{Refused: wire.RefusedWrongIncarnation}
 	}
-	if a, ok := w.running[s.ID]; ok && a.start.Generation <= s.Generation {
+	if a, ok := w.runningAttempts[s.ID]; ok && a.start.Generation <= s.Generation {
 		if s.Query {
-			w.forbid(s, now)
+			w.addTombstone(s, now)
 			return wire.StopReply{State: wire.RunRunning}
 		}
-		w.stop(a, now, ReasonStop)
+		w.stopAttempt(a, now, ReasonStop)
 	}
-	w.forbid(s, now)
-	return w.outcome(s)
+	w.addTombstone(s, now)
+	return w.endedOutcome(s)
 }
 
-// forbid leaves a tombstone for an attempt that has not been seen. It needs none
-// if this or a higher generation runs or is over.
-func (w *Worker) forbid(s wire.Stop, now time.Duration) {
-	if a, ok := w.running[s.ID]; ok && a.start.Generation >= s.Generation {
+// addTombstone forbids the start of an attempt that is unknown here. No tombstone is
+// needed if this or a higher generation is running, has ended or is forbidden.
+func (w *Worker) addTombstone(s wire.Stop, now time.Duration) {
+	if a, ok := w.runningAttempts[s.ID]; ok && a.start.Generation >= s.Generation {
 		return
 	}
-	if p, ok := w.past[s.ID]; ok && p.highest >= s.Generation {
+	if history, ok := w.histories[s.ID]; ok && history.highestGeneration >= s.Generation {
 		return
 	}
-	w.remember(s.ID, s.Generation, wire.RunNeverStarted, now)
-	w.journal(EventForbid, wire.Start{ID: s.ID, Generation: s.Generation, Epoch: s.Epoch}, wire.RunNeverStarted, "")
+	w.recordGeneration(s.ID, s.Generation, wire.RunNeverStarted, now)
+	w.recordEvent(EventForbid, wire.Start{ID: s.ID, Generation: s.Generation, Epoch: s.Epoch}, wire.RunNeverStarted, "")
 }
 
-// outcome tells what became of an attempt that does not run.
-func (w *Worker) outcome(s wire.Stop) wire.StopReply {
-	for _, a := range w.ended[s.ID] {
+// endedOutcome returns the state and, if still retained, the result of an attempt that
+// does not run.
+func (w *Worker) endedOutcome(s wire.Stop) wire.StopReply {
+	for _, a := range w.endedAttempts[s.ID] {
 		if a.start.Generation == s.Generation {
 			return wire.StopReply{State: a.state, Result: a.result}
 		}
 	}
-	if p, ok := w.past[s.ID]; ok {
-		return wire.StopReply{State: p.state(s.Generation)}
+	if history, ok := w.histories[s.ID]; ok {
+		return wire.StopReply{State: history.stateOf(s.Generation)}
 	}
 	return wire.StopReply{State: wire.RunNeverStarted}
 }
 
-// Ack drops the results of ended attempts. That they ran stays known.
+// Ack deletes the results of ended attempts. Their final states are retained.
 func (w *Worker) Ack(a wire.Ack) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settle()
-	for _, acked := range a.Attempts {
-		kept := slices.DeleteFunc(w.ended[acked.ID], func(e *attempt) bool { return e.start.Generation == acked.Generation })
-		if len(kept) == 0 {
-			delete(w.ended, acked.ID)
+	w.processDueEvents()
+	for _, acknowledged := range a.Attempts {
+		retained := slices.DeleteFunc(w.endedAttempts[acknowledged.ID], func(e *attempt) bool { return e.start.Generation == acknowledged.Generation })
+		if len(retained) == 0 {
+			delete(w.endedAttempts, acknowledged.ID)
 		} else {
-			w.ended[acked.ID] = kept
+			w.endedAttempts[acknowledged.ID] = retained
 		}
 	}
 }
 
-// Throttle limits a running task. The answer has the state of the attempt; an
-// attempt that does not run here is refused as stale-generation without effect.
+// Throttle limits the speed of a running task to a percentage. The reply holds the
+// state of the attempt; if the attempt does not run here, the message is refused
+// as stale-generation and has no effect.
 func (w *Worker) Throttle(t wire.Throttle) wire.StopReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
+	now := w.processDueEvents()
 	a, refusal := w.runningTask(t.ID, t.Generation, t.Epoch)
 	if refusal == "" && (t.Percent < 1 || t.Percent > 100) {
 		refusal = wire.RefusedMalformed
@@ -275,34 +280,36 @@
 	if refusal != "" {
 		return wire.StopReply{Refused: refusal}
 	}
-	a.advance(now)
+	a.updateProgress(now)
 	a.percent = t.Percent
-	w.rearm(a, now)
+	w.resetTimer(a, now)
 	return wire.StopReply{State: wire.RunRunning}
 }
 
 // Checkpoint stores the progress of a running task and stops it. A later attempt
-// continues from there. Refusals are those of Throttle.
+// continues from there. It is refused for the same reasons as Throttle.
 func (w *Worker) Checkpoint(c wire.Checkpoint) wire.StopReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
+	now := w.processDueEvents()
 	a, refusal := w.runningTask(c.ID, c.Generation, c.Epoch)
 	if refusal != "" {
 		return wire.StopReply{Refused: refusal}
 	}
-	a.advance(now)
+	a.updateProgress(now)
 	a.checkpoint = true
-	w.options.Checkpoints.put(c.ID, a.worked)
-	w.stop(a, now, ReasonCheckpoint)
+	w.options.Checkpoints.put(c.ID, a.completedWork)
+	w.stopAttempt(a, now, ReasonCheckpoint)
 	return wire.StopReply{State: a.state, Result: a.result}
 }
 
+// runningTask returns the running attempt that a message names, or the reason to
+// refuse the message.
 func (w *Worker) runningTask(id string, generation, epoch int64) (*attempt, wire.Refusal) {
-	a, ok := w.running[id]
+	a, ok := w.runningAttempts[id]
 	switch {
-	case w.stale(epoch):
-		w.journalStale(id, generation, epoch)
+	case w.isStaleEpoch(epoch):
+		w.recordStaleEpoch(id, generation, epoch)
 		return nil, wire.RefusedStaleEpoch
 	case !ok || a.start.Generation != generation:
 		return nil, wire.RefusedStaleGeneration
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -13,84 +13,84 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Defaults of the options.
+// Defaults of the options, and the upper limit of a clock's first reading.
 const (
 	DefaultKeepResults = 10 * time.Minute
 	DefaultKeepPast    = time.Hour
 	DefaultUsageLag    = 5 * time.Second
 	DefaultRunTime     = 10 * time.Millisecond
-	maxClockStart      = 1000 * time.Hour
+	maxInitialClock    = 1000 * time.Hour
 )
 
-// Options configure a Worker. Zero values mean the defaults.
+// Options configures a Worker. Zero values select the defaults.
 type Options struct {
 	Name        string
 	Capacity    resource.Vector
-	Incarnation int64                // 0: Unix time in ms
-	Trusting    bool                 // accepts work over capacity, and journals it
-	Unfenced    bool                 // ignores epochs and not_after, as in pools with fencing: false
-	Operations  map[string]Operation // by name
-	DefaultRun  time.Duration        // of operations that nothing else gives a time
-	UsageLag    time.Duration        // age of the use that reports show; negative: none
-	KeepResults time.Duration        // how long results wait for an ack
-	KeepPast    time.Duration        // how long ended attempts and tombstones are remembered
-	Journal     *Journal             // nil: in memory
-	Checkpoints *Checkpoints         // nil: own
-	// ReportEndedRequests adds ended requests to reports. They are left out by
-	// default, because nobody may acknowledge them and a report would grow by
-	// every request of KeepResults.
+	Incarnation int64                // The default is the Unix time in milliseconds.
+	Trusting    bool                 // The worker accepts work beyond its capacity and journals each overload.
+	Unfenced    bool                 // The worker ignores epochs and not_after, as in pools with the setting fencing: false.
+	Operations  map[string]Operation // The keys are names of operations.
+	DefaultRun  time.Duration        // It applies if neither the operation nor the task sets a run time.
+	UsageLag    time.Duration        // Reports show the usage of this long ago; a negative value means no lag.
+	KeepResults time.Duration        // Results wait this long for an ack.
+	KeepPast    time.Duration        // States of ended attempts and tombstones are retained for this long.
+	Journal     *Journal             // The default is a journal in memory.
+	Checkpoints *Checkpoints         // The default is a store of this worker alone.
+	// ReportEndedRequests adds ended requests to reports. They are omitted by
+	// default, because they may never be acknowledged and a report would then
+	// list every request of the last ResultRetention.
 	ReportEndedRequests bool
-	Clock               func() time.Duration // nil: boot clock with an arbitrary start
+	Clock               func() time.Duration // The default is the boot clock with an arbitrary origin.
 }
 
-// Checkpoints stores the progress of checkpointed tasks by id. The platform keeps
-// them outside of the workers, so workers of one test share one store.
+// Checkpoints stores the progress of checkpointed tasks by ID. The platform stores
+// checkpoints outside of the workers, so the workers of one test share one store.
 type Checkpoints struct {
-	mu     sync.Mutex
-	worked map[string]time.Duration
+	mu            sync.Mutex
+	completedWork map[string]time.Duration
 }
 
 // NewCheckpoints returns an empty store.
-func NewCheckpoints() *Checkpoints { return &Checkpoints{worked: map[string]time.Duration{}} }
+func NewCheckpoints() *Checkpoints { return &Checkpoints{completedWork: map[string]time.Duration{}} }
 
-func (c *Checkpoints) put(id string, worked time.Duration) {
+func (c *Checkpoints) put(id string, completedWork time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.worked[id] = worked
+	c.completedWork[id] = completedWork
 }
 
 func (c *Checkpoints) get(id string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.worked[id]
+	return c.completedWork[id]
 }
 
-// Worker is one worker VM. It is an http.Handler.
+// Worker is one simulated worker VM. It implements http.Handler.
 type Worker struct {
 	mux     *http.ServeMux
 	options Options
 
-	mu          sync.Mutex
-	clockStart  time.Duration // reading of the boot clock at which the worker's clock is 0
-	incarnation int64
-	epoch       int64
-	draining    bool
-	running     map[string]*attempt
-	ended       map[string][]*attempt // by id, with their results, until ack or KeepResults
-	past        map[string]*past      // generations that are over, by id
-	lastPurge   time.Duration
-	inUse       resource.Vector
-	realUse     resource.Vector
-	bad         Misbehaviour
-	random      *rand.Rand
+	mu              sync.Mutex
+	clockOrigin     time.Duration // The worker's clock is 0 at this reading of the boot clock.
+	incarnation     int64
+	epoch           int64
+	draining        bool
+	runningAttempts map[string]*attempt
+	endedAttempts   map[string][]*attempt         // It holds ended attempts with their results by ID, until an ack or for ResultRetention.
+	histories       map[string]*generationHistory // It holds the generations that may not start any more, by ID.
+	lastPurge       time.Duration
+	inUse           resource.Vector
+	actualUse       resource.Vector
+	misbehaviour    Misbehaviour
+	random          *rand.Rand
 }
 
-// New returns a worker that runs nothing.
+// New returns a worker without running attempts.
 func New(options Options) *Worker {
 	setDefaults(&options)
 	w := &Worker{mux: http.NewServeMux(), options: options, random: rand.New(rand.NewSource(1))}
-	w.boot(options.Incarnation)
-	w.routes()
+	w.startIncarnation(options.Incarnation)
+	w.registerRoutes()
 	return w
 }
 
@@ -118,65 +118,66 @@
 	}
 }
 
-// boot begins an incarnation. Its clock starts at a value that depends on the name
-// and the incarnation, so that nobody can rely on clocks that agree.
-func (w *Worker) boot(incarnation int64) {
+// startIncarnation discards all state and begins an incarnation. The first reading of
+// its clock is derived from the name and the incarnation, so that code that relies on
+// synchronised clocks fails in tests.
+func (w *Worker) startIncarnation(incarnation int64) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(w.options.Name))
-	start := time.Duration((h.Sum64()^uint64(incarnation)*0x9e3779b97f4a7c15)%uint64(maxClockStart.Milliseconds())) * time.Millisecond
-	w.clockStart = bootclock.Now() - start
+	start := time.Duration((h.Sum64()^uint64(incarnation)*0x9e3779b97f4a7c15)%uint64(maxInitialClock.Milliseconds())) * time.Millisecond
+	w.clockOrigin = bootclock.Now() - start
 	w.incarnation = incarnation
 	w.epoch = 0
 	w.draining = false
-	w.running = map[string]*attempt{}
-	w.ended = map[string][]*attempt{}
-	w.past = map[string]*past{}
+	w.runningAttempts = map[string]*attempt{}
+	w.endedAttempts = map[string][]*attempt{}
+	w.histories = map[string]*generationHistory{}
 	w.inUse = resource.Vector{}
-	w.realUse = resource.Vector{}
-	w.journal(EventBoot, wire.Start{}, "", "")
+	w.actualUse = resource.Vector{}
+	w.recordEvent(EventBoot, wire.Start{}, "", "")
 }
 
 // Journal returns the worker's journal.
 func (w *Worker) Journal() *Journal { return w.options.Journal }
 
-// Restart kills everything that runs, without results, and begins a new
-// incarnation, as a VM that fails and is replaced on the same address. Requests
-// that wait for an answer see their connection close.
+// Restart ends all running attempts without results and begins a new incarnation,
+// like a VM that fails and is replaced at the same address. The connections of
+// requests that wait for a response are closed.
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, a := range w.running {
-		w.release(a)
+	for _, a := range w.runningAttempts {
+		w.releaseResources(a)
 		a.state = wire.RunStopped
-		w.journal(EventStop, a.start, a.state, ReasonCrash)
+		w.recordEvent(EventStop, a.start, a.state, ReasonCrash)
 		close(a.done)
 	}
-	w.boot(max(w.incarnation+1, time.Now().UnixMilli()))
+	w.startIncarnation(max(w.incarnation+1, time.Now().UnixMilli()))
 }
 
-// Pause freezes the worker: no message is answered and nothing ends meanwhile. The
-// worker's clock goes on.
+// Pause freezes the worker for d: it answers no message and ends no attempt, while
+// its clock continues to run.
 func (w *Worker) Pause(d time.Duration) {
 	w.mu.Lock()
 	time.AfterFunc(d, w.mu.Unlock)
 }
 
-// SetDraining makes the worker refuse new work, or accept it again.
+// SetDraining sets whether the worker refuses new work.
 func (w *Worker) SetDraining(draining bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.draining = draining
 }
 
-// SetMisbehaviour replaces the misbehaviour. The real use of running attempts
-// stays as it was at their start.
+// SetMisbehaviour replaces the injected faults. Running attempts keep the actual
+// use that they started with.
 func (w *Worker) SetMisbehaviour(m Misbehaviour) error {
-	if err := m.check(); err != nil {
+	if err := m.validate(); err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.bad = m
+	w.misbehaviour = m
 	w.random = rand.New(rand.NewSource(m.Seed))
 	return nil
 }
@@ -185,10 +186,10 @@
 	if w.options.Clock != nil {
 		return w.options.Clock()
 	}
-	return bootclock.Now() - w.clockStart
+	return bootclock.Now() - w.clockOrigin
 }
 
-func (w *Worker) entry(event JournalEvent, start wire.Start, state wire.RunState, reason string) Entry {
+func (w *Worker) newEntry(event JournalEvent, start wire.Start, state wire.RunState, reason string) Entry {
 	return Entry{
 		VM:          w.options.Name,
 		Incarnation: w.incarnation,
@@ -203,160 +204,162 @@
 		State:       state,
 		Reason:      reason,
 		InUse:       w.inUse,
-		RealUse:     w.realUse,
+		RealUse:     w.actualUse,
 		Capacity:    w.options.Capacity,
 	}
 }
 
-func (w *Worker) journal(event JournalEvent, start wire.Start, state wire.RunState, reason string) {
-	w.options.Journal.Add(w.entry(event, start, state, reason))
+func (w *Worker) recordEvent(event JournalEvent, start wire.Start, state wire.RunState, reason string) {
+	w.options.Journal.Add(w.newEntry(event, start, state, reason))
 }
 
-// settle carries out what the clock has brought: lapsed leases, ends of attempts
-// and results that are no longer kept. Every message calls it first, so that a
-// decision never rests on an attempt whose time is over. An attempt whose lease
-// and work are both over counts as lapsed: the worker was paused, and a paused VM
-// does no work.
-func (w *Worker) settle() time.Duration {
+// processDueEvents stops attempts whose lease has expired, finishes attempts whose
+// work is complete, deletes results past their retention and returns the current
+// time. The handler of each message calls it first, so that no decision is based on
+// an attempt that is already due to end. If both the lease and the work of an attempt
+// are due, the lease counts as expired: the worker was paused, and a paused VM does
+// no work.
+func (w *Worker) processDueEvents() time.Duration {
 	now := w.now()
-	for _, a := range w.running {
+	for _, a := range w.runningAttempts {
 		switch {
 		case a.leaseUntil <= now:
-			w.stop(a, now, ReasonLapse)
+			w.stopAttempt(a, now, ReasonLapse)
 		case a.endsAt() <= now:
-			w.finish(a, now)
+			w.finishAttempt(a, now)
 		}
 	}
-	w.purge(now)
+	w.purgeExpired(now)
 	return now
 }
 
-func (w *Worker) finish(a *attempt, now time.Duration) {
-	w.release(a)
+func (w *Worker) finishAttempt(a *attempt, now time.Duration) {
+	w.releaseResources(a)
 	a.result = w.result(a)
 	a.state = a.result.State
-	w.keep(a, now)
-	e := w.entry(EventEnd, a.start, a.state, "")
+	w.recordEnd(a, now)
+	e := w.newEntry(EventEnd, a.start, a.state, "")
 	e.Digest = a.result.Digest
 	w.options.Journal.Add(e)
 }
 
-func (w *Worker) stop(a *attempt, now time.Duration, reason string) {
-	w.release(a)
+func (w *Worker) stopAttempt(a *attempt, now time.Duration, reason string) {
+	w.releaseResources(a)
 	a.state = wire.RunStopped
 	a.result = &wire.Result{
 		ID:         a.start.ID,
 		Generation: a.start.Generation,
 		State:      wire.RunStopped,
-		Digest:     digest(nil),
+		Digest:     sha256Hex(nil),
 		Error:      "stopped: " + reason,
 	}
-	w.keep(a, now)
-	e := w.entry(EventStop, a.start, a.state, reason)
+	w.recordEnd(a, now)
+	e := w.newEntry(EventStop, a.start, a.state, reason)
 	if reason == ReasonLapse {
 		e.OverdueUS = (now - a.leaseUntil).Microseconds()
 	}
 	w.options.Journal.Add(e)
 }
 
-// release frees what a running attempt holds.
-func (w *Worker) release(a *attempt) {
+// releaseResources removes a running attempt and subtracts its resources from the totals.
+func (w *Worker) releaseResources(a *attempt) {
 	a.timer.Stop()
-	delete(w.running, a.start.ID)
+	delete(w.runningAttempts, a.start.ID)
 	w.inUse = w.inUse.Sub(a.start.Resources)
-	w.realUse = w.realUse.Sub(a.usage)
+	w.actualUse = w.actualUse.Sub(a.usage)
 }
 
-// keep stores an ended attempt.
-func (w *Worker) keep(a *attempt, now time.Duration) {
-	a.ended = now
-	a.start.Body = nil // not needed any more, and kept results are many
-	w.ended[a.start.ID] = append(w.ended[a.start.ID], a)
-	w.remember(a.start.ID, a.start.Generation, a.state, now)
+// recordEnd stores an ended attempt with its result and wakes the request that waits for it.
+func (w *Worker) recordEnd(a *attempt, now time.Duration) {
+	a.endedAt = now
+	a.start.Body = nil // This saves memory, because many results are retained and none needs the body.
+	w.endedAttempts[a.start.ID] = append(w.endedAttempts[a.start.ID], a)
+	w.recordGeneration(a.start.ID, a.start.Generation, a.state, now)
 	close(a.done)
 }
 
-// remember notes what became of a generation that is over or forbidden.
-func (w *Worker) remember(id string, generation int64, state wire.RunState, now time.Duration) {
-	p, ok := w.past[id]
+// recordGeneration records the state of a generation that has ended or may not start.
+func (w *Worker) recordGeneration(id string, generation int64, state wire.RunState, now time.Duration) {
+	history, ok := w.histories[id]
 	if !ok {
-		p = &past{}
-		w.past[id] = p
+		history = &generationHistory{}
+		w.histories[id] = history
 	}
-	p.highest = max(p.highest, generation)
-	p.at = now
+	history.highestGeneration = max(history.highestGeneration, generation)
+	history.updatedAt = now
 	if state != wire.RunNeverStarted {
-		p.ran = append(p.ran, ran{generation: generation, state: state})
+		history.outcomes = append(history.outcomes, generationOutcome{generation: generation, state: state})
 	}
 }
 
-// purgeEvery bounds the cost of scans over the kept results.
-const purgeEvery = time.Second
+// purgeInterval is the minimum time between scans of the retained results, whose
+// cost it limits.
+const purgeInterval = time.Second
 
-func (w *Worker) purge(now time.Duration) {
-	if now-w.lastPurge < purgeEvery && now >= w.lastPurge {
+func (w *Worker) purgeExpired(now time.Duration) {
+	if now-w.lastPurge < purgeInterval && now >= w.lastPurge {
 		return
 	}
 	w.lastPurge = now
-	for id, kept := range w.ended {
-		kept = slices.DeleteFunc(kept, func(a *attempt) bool { return now-a.ended > w.options.KeepResults })
-		w.ended[id] = kept
-		if len(kept) == 0 {
-			delete(w.ended, id)
+	for id, retained := range w.endedAttempts {
+		retained = slices.DeleteFunc(retained, func(a *attempt) bool { return now-a.endedAt > w.options.KeepResults })
+		w.endedAttempts[id] = retained
+		if len(retained) == 0 {
+			delete(w.endedAttempts, id)
 		}
 	}
-	for id, p := range w.past {
-		if now-p.at > w.options.KeepPast {
-			delete(w.past, id)
+	for id, history := range w.histories {
+		if now-history.updatedAt > w.options.KeepPast {
+			delete(w.histories, id)
 		}
 	}
 }
 
-// begin starts an attempt that was accepted.
-func (w *Worker) begin(start wire.Start, now time.Duration) *attempt {
+// startAttempt starts an attempt that was accepted.
+func (w *Worker) startAttempt(start wire.Start, now time.Duration) *attempt {
 	a := &attempt{
 		start:      start,
-		plan:       w.plan(start),
+		plan:       w.planRun(start),
 		state:      wire.RunRunning,
-		began:      now,
-		leaseUntil: now + ms(start.LeaseMS),
-		usage:      w.bad.realUse(start.Resources),
+		startedAt:  now,
+		leaseUntil: now + milliseconds(start.LeaseMS),
+		usage:      w.misbehaviour.actualUse(start.Resources),
 		done:       make(chan struct{}),
 		progressAt: now,
 		percent:    100,
 	}
 	if start.Kind == wire.KindTask {
-		a.worked = w.options.Checkpoints.get(start.ID)
+		a.completedWork = w.options.Checkpoints.get(start.ID)
 	}
-	w.running[start.ID] = a
+	w.runningAttempts[start.ID] = a
 	w.inUse = w.inUse.Add(start.Resources)
-	w.realUse = w.realUse.Add(a.usage)
-	e := w.entry(EventStart, start, a.state, "")
-	e.BodyDigest = digest(start.Body)
+	w.actualUse = w.actualUse.Add(a.usage)
+	e := w.newEntry(EventStart, start, a.state, "")
+	e.BodyDigest = sha256Hex(start.Body)
 	w.options.Journal.Add(e)
 	if !w.inUse.Fits(w.options.Capacity) {
-		w.journal(EventOverload, start, a.state, "")
+		w.recordEvent(EventOverload, start, a.state, "")
 	}
-	if !w.realUse.Fits(w.options.Capacity) {
-		w.journal(EventOveruse, start, a.state, "")
+	if !w.actualUse.Fits(w.options.Capacity) {
+		w.recordEvent(EventOveruse, start, a.state, "")
 	}
-	a.timer = time.AfterFunc(a.nextEvent()-now, func() { w.wake(a) })
+	a.timer = time.AfterFunc(a.nextEvent()-now, func() { w.onTimer(a) })
 	return a
 }
 
-// wake runs when an attempt's next event is due.
-func (w *Worker) wake(a *attempt) {
+// onTimer runs when the next event of an attempt is due.
+func (w *Worker) onTimer(a *attempt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.settle()
-	if w.running[a.start.ID] == a {
-		w.rearm(a, now)
+	now := w.processDueEvents()
+	if w.runningAttempts[a.start.ID] == a {
+		w.resetTimer(a, now)
 	}
 }
 
-// minTimer keeps a clock that does not follow real time from causing a busy loop.
-const minTimer = time.Millisecond
+// minTimerInterval prevents a busy loop when Options.Clock does not follow real time.
+const minTimerInterval = time.Millisecond
 
-func (w *Worker) rearm(a *attempt, now time.Duration) {
-	a.timer.Reset(max(minTimer, a.nextEvent()-now))
+func (w *Worker) resetTimer(a *attempt, now time.Duration) {
+	a.timer.Reset(max(minTimerInterval, a.nextEvent()-now))
 }
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -24,29 +24,29 @@
 
 const testTimeout = 5 * time.Second
 
-// clock is a worker's clock that only tests move.
-type clock struct{ now atomic.Int64 }
+// fakeClock is a worker's clock that advances only when a test advances it.
+type fakeClock struct{ now atomic.Int64 }
 
-func (c *clock) read() time.Duration  { return time.Duration(c.now.Load()) }
-func (c *clock) move(d time.Duration) { c.now.Add(int64(d)) }
-func slots(n int64) resource.Vector   { return resource.Vector{Slots: n} }
-func (w *Worker) events() []Entry     { return w.Journal().Entries() }
+func (c *fakeClock) read() time.Duration     { return time.Duration(c.now.Load()) }
+func (c *fakeClock) advance(d time.Duration) { c.now.Add(int64(d)) }
+func slots(n int64) resource.Vector          { return resource.Vector{Slots: n} }
+func (w *Worker) events() []Entry            { return w.Journal().Entries() }
 func refusalOf(w *Worker, s wire.Start) wire.Refusal {
 	refusal, _ := w.accept(s)
 	return refusal
 }
 
-func newWorker(change func(*Options)) (*Worker, *clock) {
-	c := &clock{}
-	c.move(time.Hour)
+func newWorker(modify func(*Options)) (*Worker, *fakeClock) {
+	c := &fakeClock{}
+	c.advance(time.Hour)
 	options := Options{Name: "w", Incarnation: 7, Capacity: slots(2), Clock: c.read, UsageLag: time.Second}
-	if change != nil {
-		change(&options)
+	if modify != nil {
+		modify(&options)
 	}
 	return New(options), c
 }
 
-func task(id string, generation int64) wire.Start {
+func newTaskStart(id string, generation int64) wire.Start {
 	return wire.Start{
 		ID: id, Generation: generation, Epoch: 5, Incarnation: 7,
 		NotAfterMS: time.Hour.Milliseconds() + 2000, LeaseMS: 20000,
@@ -54,38 +54,38 @@
 	}
 }
 
-func count(entries []Entry, event JournalEvent) int {
+func countEvents(entries []Entry, event JournalEvent) int {
 	return len(slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Event != event }))
 }
 
-// Guards against a worker that accepts what the protocol refuses: each case would
-// let a paused or superseded scheduler overload a VM or run something twice.
-func TestStartIsRefused(t *testing.T) {
-	runAndStop := func(w *Worker, _ *clock) {
-		w.accept(task("a", 2))
+// Guards against a worker that accepts a start that the protocol refuses. Each case
+// would let a paused or superseded scheduler overload a VM or start an attempt twice.
+func TestStartRefusals(t *testing.T) {
+	runAndStop := func(w *Worker, _ *fakeClock) {
+		w.accept(newTaskStart("a", 2))
 		w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5})
 	}
 	cases := []struct {
 		name    string
-		prepare func(*Worker, *clock)
+		prepare func(*Worker, *fakeClock)
 		change  func(*wire.Start)
 		want    wire.Refusal
 	}{
 		{"accepted", nil, nil, ""},
-		{"lower epoch", func(w *Worker, _ *clock) { w.Fence(wire.Fence{Epoch: 6}) }, nil, wire.RefusedStaleEpoch},
-		{"equal epoch", func(w *Worker, _ *clock) { w.Fence(wire.Fence{Epoch: 5}) }, nil, ""},
-		{"not_after reached", func(_ *Worker, c *clock) { c.move(2 * time.Second) }, nil, ""},
-		{"not_after passed", func(_ *Worker, c *clock) { c.move(2*time.Second + 1) }, nil, wire.RefusedTooLate},
+		{"lower epoch", func(w *Worker, _ *fakeClock) { w.Fence(wire.Fence{Epoch: 6}) }, nil, wire.RefusedStaleEpoch},
+		{"equal epoch", func(w *Worker, _ *fakeClock) { w.Fence(wire.Fence{Epoch: 5}) }, nil, ""},
+		{"not_after reached", func(_ *Worker, c *fakeClock) { c.advance(2 * time.Second) }, nil, ""},
+		{"not_after passed", func(_ *Worker, c *fakeClock) { c.advance(2*time.Second + 1) }, nil, wire.RefusedTooLate},
 		{"other incarnation", nil, func(s *wire.Start) { s.Incarnation = 6 }, wire.RefusedWrongIncarnation},
-		{"same generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 2)) }, nil, wire.RefusedDuplicate},
-		{"lower generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 1)) }, nil, wire.RefusedDuplicate},
-		{"higher generation runs", func(w *Worker, _ *clock) { w.accept(task("a", 3)) }, nil, wire.RefusedStaleGeneration},
+		{"same generation runs", func(w *Worker, _ *fakeClock) { w.accept(newTaskStart("a", 2)) }, nil, wire.RefusedDuplicate},
+		{"lower generation runs", func(w *Worker, _ *fakeClock) { w.accept(newTaskStart("a", 1)) }, nil, wire.RefusedDuplicate},
+		{"higher generation runs", func(w *Worker, _ *fakeClock) { w.accept(newTaskStart("a", 3)) }, nil, wire.RefusedStaleGeneration},
 		{"same generation stopped", runAndStop, nil, wire.RefusedDuplicate},
-		{"acknowledged", func(w *Worker, c *clock) { runAndStop(w, c); w.Ack(ackOf("a", 2)) }, nil, wire.RefusedDuplicate},
-		{"stop came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5}) }, nil, wire.RefusedStaleGeneration},
-		{"query came first", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 3, Epoch: 5, Query: true}) }, nil, wire.RefusedStaleGeneration},
-		{"stop of a lower generation", func(w *Worker, _ *clock) { w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5}) }, nil, ""},
-		{"draining", func(w *Worker, _ *clock) { w.SetDraining(true) }, nil, wire.RefusedDraining},
+		{"acknowledged", func(w *Worker, c *fakeClock) { runAndStop(w, c); w.Ack(newAck("a", 2)) }, nil, wire.RefusedDuplicate},
+		{"stop came first", func(w *Worker, _ *fakeClock) { w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5}) }, nil, wire.RefusedStaleGeneration},
+		{"query came first", func(w *Worker, _ *fakeClock) { w.Stop(wire.Stop{ID: "a", Generation: 3, Epoch: 5, Query: true}) }, nil, wire.RefusedStaleGeneration},
+		{"stop of a lower generation", func(w *Worker, _ *fakeClock) { w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5}) }, nil, ""},
+		{"draining", func(w *Worker, _ *fakeClock) { w.SetDraining(true) }, nil, wire.RefusedDraining},
 		{"no room", nil, func(s *wire.Start) { s.Resources = slots(3) }, wire.RefusedNoRoom},
 		{"no lease", nil, func(s *wire.Start) { s.LeaseMS = 0 }, wire.RefusedMalformed},
 		{"negative size", nil, func(s *wire.Start) { s.Resources = slots(-1) }, wire.RefusedMalformed},
@@ -96,7 +96,7 @@
 			if c.prepare != nil {
 				c.prepare(w, clock)
 			}
-			start := task("a", 2)
+			start := newTaskStart("a", 2)
 			if c.change != nil {
 				c.change(&start)
 			}
@@ -105,46 +105,47 @@
 	}
 }
 
-// Guards against a copy of a refused start that runs when there is room again,
-// after its sender was told that it never will.
+// Guards against a duplicate of a refused start that runs when there is capacity again,
+// although its sender was told that it would never run.
 func TestNoRoomIsFinal(t *testing.T) {
 	w, _ := newWorker(nil)
-	require.Empty(t, refusalOf(w, task("a", 1)))
-	require.Empty(t, refusalOf(w, task("b", 1)))
-	require.Equal(t, wire.RefusedNoRoom, refusalOf(w, task("c", 1)))
+	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
+	require.Empty(t, refusalOf(w, newTaskStart("b", 1)))
+	require.Equal(t, wire.RefusedNoRoom, refusalOf(w, newTaskStart("c", 1)))
 	w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 5})
-	assert.Equal(t, wire.RefusedStaleGeneration, refusalOf(w, task("c", 1)))
-	assert.Empty(t, refusalOf(w, task("c", 2)))
-	assert.Zero(t, count(w.events(), EventOverload))
+	assert.Equal(t, wire.RefusedStaleGeneration, refusalOf(w, newTaskStart("c", 1)))
+	assert.Empty(t, refusalOf(w, newTaskStart("c", 2)))
+	assert.Zero(t, countEvents(w.events(), EventOverload))
 }
 
-// Guards against an overload by the scheduler that no journal shows.
-func TestTrustingWorkerJournalsOverload(t *testing.T) {
+// Guards against a VM that the scheduler overloads without an entry in the journal.
+func TestOvercommittingWorkerJournalsOverload(t *testing.T) {
 	w, _ := newWorker(func(o *Options) { o.Trusting = true })
 	for _, id := range []string{"a", "b", "c"} {
-		require.Empty(t, refusalOf(w, task(id, 1)))
+		require.Empty(t, refusalOf(w, newTaskStart(id, 1)))
 	}
 	entries := w.events()
-	require.Equal(t, 1, count(entries, EventOverload))
+	require.Equal(t, 1, countEvents(entries, EventOverload))
 	last := entries[len(entries)-2]
 	assert.Equal(t, EventOverload, last.Event)
 	assert.Equal(t, slots(3), last.InUse)
 }
 
-// Guards against a stand-in for unfenced pools that still fences: waits for the
-// lease and the start validity would then be untested.
+// Guards against a worker that still fences although fencing is disabled. The
+// scheduler's waits for the lease and for not_after, which replace fencing in such
+// pools, would then be untested.
 func TestUnfencedWorker(t *testing.T) {
 	w, c := newWorker(func(o *Options) { o.Unfenced = true })
 	w.Fence(wire.Fence{Epoch: 9})
-	c.move(time.Minute)
-	assert.Empty(t, refusalOf(w, task("a", 1)))
+	c.advance(time.Minute)
+	assert.Empty(t, refusalOf(w, newTaskStart("a", 1)))
 }
 
-// Guards against a fence that an old owner can undo, and one that does not bind
+// Guards against a fence that a former owner can lower, and one that does not apply to
 // messages other than starts.
-func TestFenceBindsOldOwner(t *testing.T) {
+func TestFenceRefusesFormerOwner(t *testing.T) {
 	w, _ := newWorker(nil)
-	require.Empty(t, refusalOf(w, task("a", 1)))
+	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
 	report := w.Fence(wire.Fence{Epoch: 9})
 	require.Len(t, report.Attempts, 1)
 	assert.Equal(t, wire.RunRunning, report.Attempts[0].State)
@@ -152,110 +153,111 @@
 	assert.Equal(t, int64(9), w.Report().Epoch)
 	assert.Equal(t, wire.RefusedStaleEpoch, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 8}).Refused)
 	assert.Equal(t, wire.RefusedStaleEpoch, w.Renew(wire.Renew{Epoch: 8, NotAfterMS: 1 << 40}).Refused)
-	assert.Equal(t, 3, count(w.events(), EventRefuse))
+	assert.Equal(t, 3, countEvents(w.events(), EventRefuse))
 	assert.Equal(t, wire.RunRunning, w.Stop(wire.Stop{ID: "a", Generation: 1, Epoch: 9, Query: true}).State)
 }
 
-// Guards against an answer about another generation: a caller would be told "not
-// run" for something that ran, or the reverse.
-func TestStopTellsAboutTheGenerationAskedFor(t *testing.T) {
+// Guards against a reply about another generation, which would tell a caller that an
+// attempt did not run although it ran, or the reverse.
+func TestStopReportsRequestedGeneration(t *testing.T) {
 	w, c := newWorker(nil)
 	ask := func(generation int64, query bool) wire.StopReply {
 		return w.Stop(wire.Stop{ID: "a", Generation: generation, Epoch: 5, Query: query})
 	}
-	start := task("a", 1)
+	start := newTaskStart("a", 1)
 	start.Operation = "sleep:100"
 	require.Empty(t, refusalOf(w, start))
 	assert.Equal(t, wire.RunRunning, ask(1, true).State)
-	c.move(100 * time.Millisecond)
+	c.advance(100 * time.Millisecond)
 	finished := ask(1, true)
 	require.Equal(t, wire.RunFinished, finished.State)
-	assert.Equal(t, digest(finished.Result.Body), finished.Result.Digest)
-	require.Empty(t, refusalOf(w, task("a", 3)))
-	assert.Equal(t, wire.RunFinished, ask(1, false).State, "generation 1 finished before")
+	assert.Equal(t, sha256Hex(finished.Result.Body), finished.Result.Digest)
+	require.Empty(t, refusalOf(w, newTaskStart("a", 3)))
+	assert.Equal(t, wire.RunFinished, ask(1, false).State, "generation 1 had finished")
 	assert.Equal(t, wire.RunNeverStarted, ask(2, false).State)
-	assert.Equal(t, wire.RunRunning, ask(4, true).State, "the id still runs")
+	assert.Equal(t, wire.RunRunning, ask(4, true).State, "a lower generation of the ID is running")
 	assert.Equal(t, wire.RunNeverStarted, ask(4, false).State)
 	assert.Equal(t, wire.RunStopped, ask(3, true).State)
-	w.Ack(ackOf("a", 1))
-	forgotten := ask(1, true)
-	assert.Equal(t, wire.RunFinished, forgotten.State, "it ran, though its result is gone")
-	assert.Nil(t, forgotten.Result)
+	w.Ack(newAck("a", 1))
+	acknowledged := ask(1, true)
+	assert.Equal(t, wire.RunFinished, acknowledged.State, "the state is retained after the ack")
+	assert.Nil(t, acknowledged.Result)
 }
 
-// Guards against work that outlives its run lease, also when the worker was
-// paused beyond both the lease and the end of the work.
+// Guards against an attempt that continues after its lease expired, also if the worker
+// was paused until after both the lease and the work were due.
 func TestRunLease(t *testing.T) {
 	w, c := newWorker(nil)
 	for _, id := range []string{"a", "b"} {
-		start := task(id, 1)
+		start := newTaskStart(id, 1)
 		start.Operation = "sleep:30000"
 		require.Empty(t, refusalOf(w, start))
 	}
-	c.move(15 * time.Second)
+	c.advance(15 * time.Second)
 	renewal := wire.Renew{Epoch: 5, NotAfterMS: c.read().Milliseconds(), Leases: []wire.LeaseRenewal{
 		{ID: "a", Generation: 1, LeaseMS: 20000}, {ID: "b", Generation: 2, LeaseMS: 20000},
 	}}
 	assert.Equal(t, []string{"b"}, w.Renew(renewal).Gone)
-	c.move(5 * time.Second)
+	c.advance(5 * time.Second)
 	assert.Equal(t, wire.RefusedTooLate, w.Renew(renewal).Refused)
 	report := w.Report()
 	assert.Equal(t, wire.RunRunning, report.Attempts[0].State)
 	assert.Equal(t, wire.RunStopped, report.Attempts[1].State)
-	c.move(time.Minute)
+	c.advance(time.Minute)
 	assert.Equal(t, wire.RunStopped, w.Report().Attempts[0].State)
 	entries := w.events()
 	assert.Equal(t, (45 * time.Second).Microseconds(), entries[len(entries)-1].OverdueUS)
 }
 
-// Guards against results that vanish before the 10 minutes are over, and reports
-// that grow for good.
+// Guards against results that are deleted before the retention of 10 minutes ends, and
+// against reports that grow without limit.
 func TestResultsAreKeptForTenMinutes(t *testing.T) {
 	w, c := newWorker(nil)
-	require.Empty(t, refusalOf(w, task("a", 1)))
-	c.move(10 * time.Second)
+	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
+	c.advance(10 * time.Second)
 	require.Equal(t, wire.RunFinished, w.Report().Attempts[0].State)
-	c.move(DefaultKeepResults)
+	c.advance(DefaultKeepResults)
 	require.Len(t, w.Report().Attempts, 1)
-	c.move(time.Second)
+	c.advance(time.Second)
 	assert.Empty(t, w.Report().Attempts)
 }
 
-// Guards against a checkpoint that loses progress and a throttle without effect.
+// Guards against a checkpoint that loses progress, and a throttle without effect.
 func TestThrottleAndCheckpoint(t *testing.T) {
 	w, c := newWorker(nil)
-	require.Empty(t, refusalOf(w, task("a", 1)))
-	c.move(4 * time.Second)
+	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
+	c.advance(4 * time.Second)
 	w.Throttle(wire.Throttle{ID: "a", Generation: 1, Epoch: 5, Percent: 50})
-	c.move(4 * time.Second) // 6 s of 10 s are done
+	c.advance(4 * time.Second) // 6 s of 10 s are complete.
 	assert.Equal(t, wire.RunStopped, w.Checkpoint(wire.Checkpoint{ID: "a", Generation: 1, Epoch: 5}).State)
-	again := task("a", 2)
-	again.NotAfterMS += 8000
-	require.Empty(t, refusalOf(w, again))
-	c.move(3999 * time.Millisecond)
+	second := newTaskStart("a", 2)
+	second.NotAfterMS += 8000
+	require.Empty(t, refusalOf(w, second))
+	c.advance(3999 * time.Millisecond)
 	assert.Equal(t, wire.RunRunning, w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5, Query: true}).State)
-	c.move(time.Millisecond)
+	c.advance(time.Millisecond)
 	assert.Equal(t, wire.RunFinished, w.Stop(wire.Stop{ID: "a", Generation: 2, Epoch: 5, Query: true}).State)
 }
 
-// Guards against estimates that tests can only learn from fresh reports: use is
-// reported late and differs from the declared size.
-func TestUsageLagsAndDiffers(t *testing.T) {
+// Guards against reports whose usage is current or equal to the declared size. The
+// scheduler's estimates must be tested with usage that lags and differs.
+func TestReportedUsageLagsAndDiffersFromDeclared(t *testing.T) {
 	w, c := newWorker(func(o *Options) { o.Capacity = resource.Vector{MilliCores: 1000} })
 	require.NoError(t, w.SetMisbehaviour(Misbehaviour{RealUse: 3}))
-	start := task("a", 1)
+	start := newTaskStart("a", 1)
 	start.Resources = resource.Vector{MilliCores: 500}
 	require.Empty(t, refusalOf(w, start))
 	assert.Zero(t, w.Report().Attempts[0].Usage)
-	c.move(time.Second)
+	c.advance(time.Second)
 	assert.Equal(t, int64(1500), w.Report().Attempts[0].Usage.MilliCores)
-	assert.Equal(t, 1, count(w.events(), EventOveruse))
-	assert.Zero(t, count(w.events(), EventOverload))
+	assert.Equal(t, 1, countEvents(w.events(), EventOveruse))
+	assert.Zero(t, countEvents(w.events(), EventOverload))
 }
 
-// Guards against books that drift under any order of messages: in use must equal
-// the sum of what runs, never exceed capacity, and no attempt may run twice.
-func TestBooksBalance(t *testing.T) {
+// Guards against resource accounting that becomes inconsistent under some order of
+// messages: the resources in use must equal the sum of the running attempts and never
+// exceed the capacity, and no attempt may run twice.
+func TestResourceAccountingIsConsistent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w, c := newWorker(nil)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -263,15 +265,15 @@
 			generation := rapid.Int64Range(1, 4).Draw(t, "generation")
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				start := task(id, generation)
+				start := newTaskStart(id, generation)
 				start.NotAfterMS = 1 << 40
 				w.accept(start)
 			case 1:
 				w.Stop(wire.Stop{ID: id, Generation: generation, Epoch: 5, Query: rapid.Bool().Draw(t, "query")})
 			case 2:
-				c.move(time.Duration(rapid.IntRange(0, 15000).Draw(t, "ms")) * time.Millisecond)
+				c.advance(time.Duration(rapid.IntRange(0, 15000).Draw(t, "ms")) * time.Millisecond)
 			case 3:
-				w.Ack(ackOf(id, generation))
+				w.Ack(newAck(id, generation))
 			}
 		}
 		var sum resource.Vector
@@ -285,7 +287,7 @@
 		for _, e := range w.events() {
 			require.True(t, e.InUse.Fits(e.Capacity))
 			if e.Event == EventStart {
-				require.Greater(t, e.Generation, started[e.ID], "generations of %s must rise", e.ID)
+				require.Greater(t, e.Generation, started[e.ID], "generations of %s must increase", e.ID)
 				started[e.ID] = e.Generation
 			}
 		}
@@ -305,8 +307,8 @@
 	return json.NewDecoder(response.Body).Decode(reply)
 }
 
-func request(w *Worker, id string) wire.Start {
-	s := task(id, 1)
+func newRequestStart(w *Worker, id string) wire.Start {
+	s := newTaskStart(id, 1)
 	s.Kind = wire.KindRequest
 	s.Operation = "sleep:1"
 	s.Body = []byte("body of " + id)
@@ -315,32 +317,32 @@
 	return s
 }
 
-// Guards against a fault injection that prevents the run itself: the run must
-// take effect, and a later query must find its result.
-func TestFaultyAnswersOfRequestsThatRan(t *testing.T) {
+// Guards against an injected response fault that prevents the run itself: the request
+// must run, and a later query must return its result.
+func TestFaultyResponsesOfRequestsThatRan(t *testing.T) {
 	cases := []struct {
-		name  string
-		bad   Misbehaviour
-		check func(*testing.T, wire.StartReply, error)
+		name         string
+		misbehaviour Misbehaviour
+		check        func(*testing.T, wire.StartReply, error)
 	}{
 		{"healthy", Misbehaviour{}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
 			var body RequestResult
 			require.NoError(t, json.Unmarshal(r.Result.Body, &body))
-			assert.Equal(t, RequestResult{ID: "r", Generation: 1, Operation: "sleep:1", VM: "w", BodySHA256: digest([]byte("body of r"))}, body)
+			assert.Equal(t, RequestResult{ID: "r", Generation: 1, Operation: "sleep:1", VM: "w", BodySHA256: sha256Hex([]byte("body of r"))}, body)
 		}},
 		{"truncated", Misbehaviour{TruncateAnswers: true}, func(t *testing.T, _ wire.StartReply, err error) {
 			assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 		}},
 		{"shortened", Misbehaviour{ShortenResults: true}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
-			assert.NotEqual(t, r.Result.Digest, digest(r.Result.Body))
+			assert.NotEqual(t, r.Result.Digest, sha256Hex(r.Result.Body))
 		}},
 		{"foreign", Misbehaviour{ForeignResults: true}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
 			assert.NotEqual(t, "r", r.Result.ID)
 		}},
-		{"fails everything", Misbehaviour{FailAll: true}, func(t *testing.T, r wire.StartReply, err error) {
+		{"all operations fail", Misbehaviour{FailAll: true}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
 			assert.Equal(t, wire.RunFailed, r.Result.State)
 		}},
@@ -350,29 +352,29 @@
 			w := New(Options{Name: "w", Capacity: slots(1)})
 			server := httptest.NewServer(w)
 			defer server.Close()
-			require.NoError(t, w.SetMisbehaviour(c.bad))
+			require.NoError(t, w.SetMisbehaviour(c.misbehaviour))
 			var reply wire.StartReply
-			err := post(t, server.URL+wire.PathStart, testTimeout, request(w, "r"), &reply)
+			err := post(t, server.URL+wire.PathStart, testTimeout, newRequestStart(w, "r"), &reply)
 			c.check(t, reply, err)
-			stopped := w.Stop(wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true})
-			require.NotNil(t, stopped.Result)
-			assert.Equal(t, 1, count(w.events(), EventStart))
+			outcome := w.Stop(wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true})
+			require.NotNil(t, outcome.Result)
+			assert.Equal(t, 1, countEvents(w.events(), EventStart))
 		})
 	}
 }
 
-// Guards against a hang or a delay of answers that spreads: other paths and other
-// connections must answer, or a resolve over a new connection could not succeed.
-func TestHungAndLateAnswers(t *testing.T) {
+// Guards against a response fault that also blocks other paths or connections: they must
+// respond, or a query over a new connection for the outcome could not succeed.
+func TestHungAndDelayedResponses(t *testing.T) {
 	w := New(Options{Name: "w", Capacity: slots(2)})
 	server := httptest.NewServer(w)
 	defer server.Close()
 	require.NoError(t, w.SetMisbehaviour(Misbehaviour{HangAnswers: true, Paths: []string{wire.PathStart}}))
-	err := post(t, server.URL+wire.PathStart, 100*time.Millisecond, request(w, "r"), &wire.StartReply{})
+	err := post(t, server.URL+wire.PathStart, 100*time.Millisecond, newRequestStart(w, "r"), &wire.StartReply{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
-	var stopped wire.StopReply
-	require.NoError(t, post(t, server.URL+wire.PathStop, testTimeout, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &stopped))
-	assert.Equal(t, wire.RunFinished, stopped.State)
+	var outcome wire.StopReply
+	require.NoError(t, post(t, server.URL+wire.PathStop, testTimeout, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &outcome))
+	assert.Equal(t, wire.RunFinished, outcome.State)
 
 	require.NoError(t, w.SetMisbehaviour(Misbehaviour{LateAnswersMS: 50}))
 	begin := time.Now()
@@ -380,11 +382,11 @@
 	assert.GreaterOrEqual(t, time.Since(begin), 50*time.Millisecond)
 }
 
-// Guards against a paused worker that answers, and one whose clock stands still
-// meanwhile: expired leases would look valid on resume.
+// Guards against a paused worker that responds, and one whose clock stops during the
+// pause, which would make expired leases look valid afterwards.
 func TestPausedWorker(t *testing.T) {
 	w := New(Options{Name: "w", Capacity: slots(1)})
-	start := request(w, "r")
+	start := newRequestStart(w, "r")
 	start.Kind, start.Operation, start.LeaseMS = wire.KindTask, "sleep:20", 50
 	require.Empty(t, refusalOf(w, start))
 	begin := time.Now()
@@ -394,12 +396,12 @@
 	assert.Equal(t, wire.RunStopped, report.Attempts[0].State)
 }
 
-// Guards against a journal that can't be read back after its process was killed in
-// the middle of a line.
-func TestJournalIsReadBack(t *testing.T) {
+// Guards against a journal that cannot be read after its process was killed while it
+// wrote a line.
+func TestJournalWithTruncatedLastLineIsReadable(t *testing.T) {
 	var file bytes.Buffer
 	w, _ := newWorker(func(o *Options) { o.Journal = NewJournal(&file) })
-	require.Empty(t, refusalOf(w, task("a", 1)))
+	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
 	text := file.String()
 	entries, err := ReadEntries(strings.NewReader(text + text[:20]))
 	require.NoError(t, err)
@@ -408,13 +410,13 @@
 	assert.Equal(t, slots(1), entries[1].InUse)
 }
 
-// Guards against a restarted worker that answers for its former incarnation, or
-// leaves a caller waiting for a run that is gone.
-func TestRestartBreaksWaitingRequests(t *testing.T) {
+// Guards against a restarted worker that accepts starts for its former incarnation, or
+// leaves a caller waiting for an attempt that the restart ended.
+func TestRestartAbortsWaitingRequests(t *testing.T) {
 	w := New(Options{Name: "w", Capacity: slots(1)})
 	server := httptest.NewServer(w)
 	defer server.Close()
-	start := request(w, "r")
+	start := newRequestStart(w, "r")
 	start.Operation = "forever"
 	failed := make(chan error, 1)
 	go func() {
@@ -427,6 +429,6 @@
 	assert.Empty(t, w.Report().Attempts)
 }
 
-func ackOf(id string, generation int64) wire.Ack {
+func newAck(id string, generation int64) wire.Ack {
 	return wire.Ack{Attempts: []wire.AttemptID{{ID: id, Generation: generation}}}
 }
