--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -1,5 +1,5 @@
-// Command demo sends the example users' work to running cells and compares what
-// callers were told with the workers' journals. scripts/demo.sh starts the cells.
+// Command demo sends the example users' work to running cells and compares the answers to
+// callers with the workers' journals. scripts/demo.sh starts the cells.
 package main
 
 import (
@@ -48,7 +48,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	addCells(cmd, &cells)
+	addCellFlag(cmd, &cells)
 	flags.DurationVar(&options.Duration, "duration", defaultDuration, "time for which requests are sent")
 	flags.IntVar(&options.GangTasks, "gang-tasks", defaultGangTasks, "tasks of the gang job")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the times between requests and of the daemons chosen")
@@ -56,7 +56,7 @@
 	return cmd
 }
 
-func addCells(cmd *cobra.Command, cells *[]string) {
+func addCellFlag(cmd *cobra.Command, cells *[]string) {
 	cmd.Flags().StringArrayVar(cells, "cell", nil, "USER,JOURNAL,URL,URL...: user, workers' journal file and daemons of a cell; may be repeated")
 	_ = cmd.MarkFlagRequired("cell")
 }
@@ -91,19 +91,19 @@
 }
 
 func warmCommand() *cobra.Command {
-	var texts []string
+	var cellTexts []string
 	cmd := &cobra.Command{
 		Use:   "warm",
 		Short: "Wait until each daemon of the cells answers requests",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cells, err := demo.ParseCells(texts)
+			cells, err := demo.ParseCells(cellTexts)
 			if err != nil {
 				return err
 			}
 			return demo.Warm(cmd.Context(), cells)
 		},
 	}
-	addCells(cmd, &texts)
+	addCellFlag(cmd, &cellTexts)
 	return cmd
 }
--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// flags of the command.
+// flags holds the values of the command-line flags.
 type flags struct {
 	options  load.Options
 	plan     load.Plan
@@ -60,7 +60,7 @@
 	for _, name := range f.parts {
 		part := load.Part(name)
 		if !slices.Contains(load.Parts, part) {
-			return fault.New(fault.Invalid, "use idle, waits, starts or recovery", "measurement %q does not exist", name)
+			return fault.New(fault.Invalid, "use idle, waits, starts or recovery", "unknown measurement %q", name)
 		}
 		f.plan.Parts = append(f.plan.Parts, part)
 	}
--- a/standin/demo/client.go
+++ b/standin/demo/client.go
@@ -15,12 +15,11 @@
 	"briarproxy/standin/worker"
 )
 
-// Times of a caller.
 const (
-	brokenPause  = 100 * time.Millisecond // before another daemon is tried
-	answerMargin = 500 * time.Millisecond // by which an answer may miss the caller's deadline
-	jobCall      = 5 * time.Second        // one call that waits for a job
-	busyPause    = 200 * time.Millisecond // before a job call is repeated
+	brokenRetryDelay = 100 * time.Millisecond // before another daemon is tried after a broken connection
+	answerMargin     = 500 * time.Millisecond // by which an answer may arrive after the caller's deadline
+	jobCallTimeout   = 5 * time.Second        // of one call that waits for a job
+	jobRetryDelay    = 200 * time.Millisecond // before a failed call about a job is repeated
 )
 
 // Client sends requests to the daemons of one cell. It is safe for concurrent use.
@@ -33,7 +32,7 @@
 }
 
 // NewClient returns a client of the daemons with the given base URLs. The seed
-// decides which daemons requests go to.
+// determines the choice of daemons.
 func NewClient(daemons []string, seed uint64) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}
 	return &Client{
@@ -46,8 +45,8 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.GetClient().CloseIdleConnections() }
 
-// pick returns a random daemon other than the one to avoid, if there is one.
-func (c *Client) pick(avoid string) string {
+// pickDaemon returns a random daemon other than the one to avoid, if there is another.
+func (c *Client) pickDaemon(avoid string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	start := c.rng.IntN(len(c.daemons))
@@ -59,20 +58,20 @@
 	return avoid
 }
 
-// Do sends a request until it is answered or its deadline has passed, as a careful
-// caller does: it waits for Retry-After, and asks another daemon after a broken
-// connection or an unknown outcome, with the same idempotency key.
+// Do sends a request until it is answered, must not be repeated, or its deadline would
+// pass. Before a retry it waits for Retry-After. After a broken connection or an unknown
+// outcome it retries at another daemon with the same idempotency key.
 func (c *Client) Do(ctx context.Context, request Request) *Record {
 	record := NewRecord(request)
 	deadline := record.Sent.Add(request.Deadline)
 	avoid := ""
 	for {
-		attempt := c.send(ctx, record, c.pick(avoid), time.Until(deadline))
+		attempt := c.send(ctx, record, c.pickDaemon(avoid), time.Until(deadline))
 		record.Attempts = append(record.Attempts, attempt)
 		record.Final = attempt.Told
 		record.Answered = time.Now()
-		pause, again := attempt.again(request)
-		if !again || time.Until(deadline) <= pause || !sleep(ctx, pause) {
+		delay, retry := attempt.retryDelay(request)
+		if !retry || time.Until(deadline) <= delay || !sleep(ctx, delay) {
 			return record
 		}
 		avoid = ""
@@ -82,21 +81,21 @@
 	}
 }
 
-// again reports whether a caller may send the request again, and after what time.
-func (a Attempt) again(request Request) (time.Duration, bool) {
+// retryDelay returns the time to wait before a retry, and whether the caller may retry.
+func (a Attempt) retryDelay(request Request) (time.Duration, bool) {
 	repeatable := request.Idempotent || request.Key != ""
 	switch a.Told {
 	case ToldNotRun:
 		return a.RetryAfter, a.RetryAfter > 0
 	case ToldUnknown:
-		return a.RetryAfter, repeatable && a.RetryAfter > 0 // without a time nothing more can be learned
+		return a.RetryAfter, repeatable && a.RetryAfter > 0 // without Retry-After, a retry would not learn more
 	case ToldBroken:
-		return brokenPause, repeatable
+		return brokenRetryDelay, repeatable
 	}
 	return 0, false
 }
 
-// Once sends a request to one daemon without repeats.
+// SendOnce sends a request to one daemon without retries.
 func (c *Client) Once(ctx context.Context, daemon string, request Request) *Record {
 	record := NewRecord(request)
 	attempt := c.send(ctx, record, daemon, request.Deadline)
@@ -106,17 +105,17 @@
 	return record
 }
 
-func (c *Client) send(ctx context.Context, record *Record, daemon string, left time.Duration) Attempt {
+func (c *Client) send(ctx context.Context, record *Record, daemon string, timeout time.Duration) Attempt {
 	attempt := Attempt{Daemon: daemon, Told: ToldBroken}
 	if record.CallWait > 0 {
-		left = min(left, record.CallWait)
+		timeout = min(timeout, record.CallWait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, left+answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerMargin)
 	defer cancel()
 	call := c.http.R().SetContext(ctx).SetBody(record.Body).
 		SetHeader("Content-Type", "application/octet-stream").
 		SetHeader(wire.HeaderOperation, record.Operation).
-		SetHeader(wire.HeaderDeadlineMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+		SetHeader(wire.HeaderDeadlineMS, strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
 	if record.Key != "" {
 		call.SetHeader(wire.HeaderIdempotencyKey, record.Key)
 	}
@@ -128,15 +127,15 @@
 		attempt.Detail = err.Error()
 		return attempt
 	}
-	return record.read(attempt, response)
+	return record.readAnswer(attempt, response)
 }
 
-// read interprets an answer.
-func (r *Record) read(attempt Attempt, response *resty.Response) Attempt {
+// readAnswer interprets an answer and records violations in it.
+func (r *Record) readAnswer(attempt Attempt, response *resty.Response) Attempt {
 	attempt = readHeaders(attempt, response)
 	if response.Header().Get(wire.HeaderResultDigest) != digest(response.Body()) {
 		attempt.Detail = "the answer does not match its digest"
-		r.violate(attempt.Detail)
+		r.addViolation(attempt.Detail)
 		return attempt
 	}
 	switch response.StatusCode() {
@@ -161,11 +160,11 @@
 	var result worker.RequestResult
 	if err := json.Unmarshal(response.Body(), &result); err != nil {
 		attempt.Detail = err.Error()
-		r.violate("the answer is not what a worker wrote: " + err.Error())
+		r.addViolation("the answer is not a worker's result: " + err.Error())
 		return attempt
 	}
 	if result.BodySHA256 != r.Digest {
-		r.violate("the answer belongs to another request, " + result.ID)
+		r.addViolation("the answer belongs to another request, " + result.ID)
 	}
 	attempt.Told = ToldAnswered
 	r.Result = &result
@@ -182,7 +181,7 @@
 	var body acceptedBody
 	if err := json.Unmarshal(response.Body(), &body); err != nil || body.ID == "" {
 		attempt.Detail = "the answer names no job"
-		r.violate(attempt.Detail)
+		r.addViolation(attempt.Detail)
 		return attempt
 	}
 	attempt.Told = ToldAccepted
@@ -194,7 +193,7 @@
 	var problem wire.Problem
 	if err := json.Unmarshal(response.Body(), &problem); err != nil {
 		attempt.Detail = err.Error()
-		r.violate("an error without a problem body, status " + response.Status())
+		r.addViolation("the error answer has no problem body, status " + response.Status())
 		return attempt
 	}
 	attempt.Detail = problem.Type + ": " + problem.Detail
@@ -209,9 +208,9 @@
 	return attempt
 }
 
-func (r *Record) violate(text string) { r.Violations = append(r.Violations, text) }
+func (r *Record) addViolation(text string) { r.Violations = append(r.Violations, text) }
 
-// sleep waits and reports whether the context is still valid.
+// sleep waits for the duration and reports whether the context was not cancelled meanwhile.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/standin/demo/compare.go
+++ b/standin/demo/compare.go
@@ -8,8 +8,8 @@
 	"briarproxy/standin/worker"
 )
 
-// Compare checks everything that callers were told against what ran. It includes
-// CheckJournal. Call it after all records are complete.
+// CheckRecords checks all answers to callers against the runs in the journal, and the
+// journal itself with CheckJournal. All records must be complete.
 func Compare(records []*Record, entries []worker.Entry) []Violation {
 	found := CheckJournal(entries)
 	runs := newIndex(Runs(entries))
@@ -19,37 +19,37 @@
 	return found
 }
 
-// index finds runs by what records know.
-type index struct {
+// runIndex finds runs by the properties that records hold.
+type runIndex struct {
 	byBody map[string][]*Run
 	byJob  map[string][]*Run
 	byID   map[string][]*Run
 }
 
-func newIndex(runs []*Run) index {
-	return index{
-		byBody: byKey(runs, func(r *Run) string { return r.BodyDigest }),
-		byJob:  byKey(runs, func(r *Run) string { return r.Job }),
-		byID:   byKey(runs, func(r *Run) string { return requestOf(r.ID) }),
+func newIndex(runs []*Run) runIndex {
+	return runIndex{
+		byBody: groupBy(runs, func(r *Run) string { return r.BodyDigest }),
+		byJob:  groupBy(runs, func(r *Run) string { return r.Job }),
+		byID:   groupBy(runs, func(r *Run) string { return requestID(r.ID) }),
 	}
 }
 
-// requestOf strips the number that a shard owner appends to the request id for
-// each attempt of a keyed request.
-func requestOf(id string) string {
+// requestID strips the number that a shard owner appends to the request id for each
+// attempt of a request with an idempotency key.
+func requestID(id string) string {
 	request, _, _ := strings.Cut(id, ".")
 	return request
 }
 
-// of returns the runs of a record.
-func (x index) of(r *Record) []*Run {
+// runsOf returns the runs of a record's request or job.
+func (x runIndex) runsOf(r *Record) []*Run {
 	if r.Tasks > 0 {
 		return x.byJob[r.JobID]
 	}
 	return x.byBody[r.Digest]
 }
 
-func (x index) check(r *Record) []Violation {
+func (x runIndex) check(r *Record) []Violation {
 	var found []Violation
 	for _, text := range r.Violations {
 		found = append(found, violation(RuleForeign, "%s of body %.8s: %s", r.Kind, r.Digest, text))
@@ -59,15 +59,15 @@
 	found = append(found, x.checkOnce(r)...)
 	found = append(found, x.checkAccepted(r)...)
 	if r.Tasks > 0 && !r.Batch {
-		found = append(found, checkGang(r, x.of(r))...)
+		found = append(found, checkGang(r, x.runsOf(r))...)
 	}
 	return found
 }
 
-// checkNotRun checks invariant 4. A request that was only ever told "not run" must
-// have no run at all. Among mixed answers each "not run" speaks of the call that it
-// answers, which the request id names.
-func (x index) checkNotRun(r *Record) []Violation {
+// checkNotRun checks invariant 4: what a caller was told did not run has not run. If all
+// answers to a request were "not run", it must have no run at all. Otherwise each "not run"
+// holds only for the call that it answers, which the request id identifies.
+func (x runIndex) checkNotRun(r *Record) []Violation {
 	var found []Violation
 	only := true
 	for _, a := range r.Attempts {
@@ -79,21 +79,22 @@
 			found = append(found, violation(RuleNotRun, "%s %s: %s", r.Kind, a.RequestID, a.Detail))
 		}
 	}
-	if only && len(r.Attempts) > 0 && len(x.of(r)) > 0 && len(found) == 0 {
-		found = append(found, violation(RuleNotRun, "%s of body %.8s was only told not-run and ran as %s", r.Kind, r.Digest, x.of(r)[0].ID))
+	if only && len(r.Attempts) > 0 && len(x.runsOf(r)) > 0 && len(found) == 0 {
+		found = append(found, violation(RuleNotRun, "%s of body %.8s was only told not-run and ran as %s", r.Kind, r.Digest, x.runsOf(r)[0].ID))
 	}
 	return found
 }
 
-// checkAnswer checks that the answer is that of a run of this request.
-func (x index) checkAnswer(r *Record) []Violation {
-	if r.Final == ToldRan && len(x.of(r)) == 0 {
-		return []Violation{violation(RuleUnexplained, "%s of body %.8s: %s", r.Kind, r.Digest, r.last().Detail)}
+// checkAnswer checks that the answer is the result of a run of this request, and that a
+// request reported as run has a run.
+func (x runIndex) checkAnswer(r *Record) []Violation {
+	if r.Final == ToldRan && len(x.runsOf(r)) == 0 {
+		return []Violation{violation(RuleUnexplained, "%s of body %.8s: %s", r.Kind, r.Digest, r.lastAttempt().Detail)}
 	}
 	if r.Final != ToldAnswered {
 		return nil
 	}
-	for _, run := range x.of(r) {
+	for _, run := range x.runsOf(r) {
 		if run.ID == r.Result.ID && run.Generation == r.Result.Generation && run.Finished && run.Digest == r.ResultDigest {
 			return nil
 		}
@@ -101,18 +102,18 @@
 	return []Violation{violation(RuleAnswer, "%s %s was answered, but no such run finished", r.Kind, r.Result.ID)}
 }
 
-// checkOnce checks invariant 5.
-func (x index) checkOnce(r *Record) []Violation {
-	runs := x.of(r)
+// checkOnce checks invariant 5: a non-idempotent request is started at most once.
+func (x runIndex) checkOnce(r *Record) []Violation {
+	runs := x.runsOf(r)
 	if r.Idempotent || len(runs) <= 1 {
 		return nil
 	}
 	return []Violation{violation(RuleAtMostOnce, "%s with key %s was started %d times, as %s and %s", r.Kind, r.Key, len(runs), runs[0].ID, runs[1].ID)}
 }
 
-// checkAccepted checks that accepted work ran to its end and that its results are
-// those of its runs.
-func (x index) checkAccepted(r *Record) []Violation {
+// checkAccepted checks that an accepted job succeeded and that its results are those of
+// its runs.
+func (x runIndex) checkAccepted(r *Record) []Violation {
 	if r.Final != ToldAccepted {
 		return nil
 	}
@@ -125,7 +126,7 @@
 		found = append(found, violation(RuleLost, "%s: job %s has %d of %d results", r.Kind, r.JobID, len(r.JobResults), want))
 	}
 	for _, result := range r.JobResults {
-		ran := slices.ContainsFunc(x.of(r), func(run *Run) bool {
+		ran := slices.ContainsFunc(x.runsOf(r), func(run *Run) bool {
 			return run.ID == result.ID && run.Generation == result.Generation && run.Finished && run.Digest == result.Digest
 		})
 		if !ran {
@@ -146,25 +147,25 @@
 	return state
 }
 
-// checkGang checks that there was a moment at which every task of a gang ran.
+// checkGang checks that all tasks of a gang were running at the same time.
 func checkGang(r *Record, runs []*Run) []Violation {
 	if r.Final != ToldAccepted {
 		return nil
 	}
-	var began, over int64
+	var lastStart, firstEnd int64
 	tasks := 0
 	for _, run := range runs {
 		if !run.Finished {
 			continue
 		}
 		tasks++
-		began = max(began, run.Start)
-		if over == 0 || run.End < over {
-			over = run.End
+		lastStart = max(lastStart, run.Start)
+		if firstEnd == 0 || run.End < firstEnd {
+			firstEnd = run.End
 		}
 	}
-	if tasks == r.Tasks && began <= over {
+	if tasks == r.Tasks && lastStart <= firstEnd {
 		return nil
 	}
-	return []Violation{violation(RuleGang, "job %s: %d of %d tasks finished, the last began %d µs after the first ended", r.JobID, tasks, r.Tasks, began-over)}
+	return []Violation{violation(RuleGang, "job %s: %d of %d tasks finished, the last began %d µs after the first ended", r.JobID, tasks, r.Tasks, lastStart-firstEnd)}
 }
--- a/standin/demo/compare_test.go
+++ b/standin/demo/compare_test.go
@@ -11,10 +11,10 @@
 	"briarproxy/standin/worker"
 )
 
-// journal builds entries with rising times.
-type journal struct{ entries []worker.Entry }
+// journalBuilder builds journal entries with increasing times.
+type journalBuilder struct{ entries []worker.Entry }
 
-func (j *journal) add(event worker.JournalEvent, vm, id string, generation int64, change func(*worker.Entry)) {
+func (j *journalBuilder) add(event worker.JournalEvent, vm, id string, generation int64, change func(*worker.Entry)) {
 	e := worker.Entry{
 		TimeUS: int64(len(j.entries)+1) * 1000, VM: vm, Event: event, ID: id, Generation: generation,
 		Kind: wire.KindRequest, Capacity: resource.Vector{Slots: 8},
@@ -25,15 +25,15 @@
 	j.entries = append(j.entries, e)
 }
 
-func (j *journal) start(vm, id string, generation int64, body []byte) {
+func (j *journalBuilder) start(vm, id string, generation int64, body []byte) {
 	j.add(worker.EventStart, vm, id, generation, func(e *worker.Entry) { e.BodyDigest = digest(body) })
 }
 
-func (j *journal) end(vm, id string, generation int64, result string) {
+func (j *journalBuilder) end(vm, id string, generation int64, result string) {
 	j.add(worker.EventEnd, vm, id, generation, func(e *worker.Entry) { e.State, e.Digest = wire.RunFinished, result })
 }
 
-func rules(found []Violation) []Rule {
+func violatedRules(found []Violation) []Rule {
 	var names []Rule
 	for _, v := range found {
 		names = append(names, v.Rule)
@@ -41,9 +41,9 @@
 	return names
 }
 
-// Guards against a checker that passes over a broken invariant, or reports one
-// where there is none.
-func TestCompareFindsExactlyWhatIsBroken(t *testing.T) {
+// Guards against a check that misses a violated invariant or reports a violation where
+// there is none.
+func TestCheckRecordsFindsExactlyTheViolations(t *testing.T) {
 	body := []byte("b")
 	answered := func(id string) *Record {
 		return &Record{
@@ -52,7 +52,7 @@
 			Result:   &worker.RequestResult{ID: id, Generation: 1}, ResultDigest: "d",
 		}
 	}
-	once := func(told Told) *Record {
+	nonIdempotent := func(told Told) *Record {
 		return &Record{
 			Request: Request{Kind: "k", Key: "key", Body: body}, Digest: digest(body), Final: told,
 			Attempts: []Attempt{{Told: told, RequestID: "r", RetryAfter: time.Second}},
@@ -72,69 +72,69 @@
 	cases := []struct {
 		name   string
 		record *Record
-		fill   func(j *journal)
+		fill   func(j *journalBuilder)
 		want   []Rule
 	}{
-		{"whole path", answered("r"), func(j *journal) { j.start("v", "r", 1, body); j.end("v", "r", 1, "d") }, nil},
-		{"another result", answered("r"), func(j *journal) { j.start("v", "r", 1, body); j.end("v", "r", 1, "x") }, []Rule{RuleAnswer}},
-		{"answer of another request", answered("r"), func(j *journal) { j.start("v", "r", 1, []byte("c")); j.end("v", "r", 1, "d") }, []Rule{RuleAnswer}},
-		{"over capacity", answered("r"), func(j *journal) {
+		{"started and finished", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, body); j.end("v", "r", 1, "d") }, nil},
+		{"result of no run", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, body); j.end("v", "r", 1, "x") }, []Rule{RuleAnswer}},
+		{"answer of another request", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, []byte("c")); j.end("v", "r", 1, "d") }, []Rule{RuleAnswer}},
+		{"over capacity", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 			j.add(worker.EventStart, "v", "other", 1, func(e *worker.Entry) { e.InUse.Slots = 9 })
 		}, []Rule{RuleCapacity}},
-		{"overlap", answered("r"), func(j *journal) {
+		{"overlap", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.start("w", "r", 2, body)
 			j.end("v", "r", 1, "d")
 			j.add(worker.EventStop, "w", "r", 2, nil)
 		}, []Rule{RuleOverlap}},
-		{"late notice of a lapsed lease", answered("r"), func(j *journal) {
+		{"expired lease noticed late", answered("r"), func(j *journalBuilder) {
 			j.start("v", "x", 1, nil)
 			j.start("w", "x", 2, nil)
 			j.add(worker.EventStop, "v", "x", 1, func(e *worker.Entry) { e.OverdueUS = 2000 })
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 		}, nil},
-		{"effect twice", answered("r"), func(j *journal) {
+		{"two effects", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 			j.start("w", "r", 2, body)
 			j.end("w", "r", 2, "d")
 		}, []Rule{RuleTwice}},
-		{"run again after the VM failed", answered("r"), func(j *journal) {
+		{"run again after the VM failed", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 			j.add(worker.EventBoot, "v", "", 0, nil)
 			j.start("w", "r", 2, body)
 			j.end("w", "r", 2, "d")
 		}, nil},
-		{"VM failed after both runs", answered("r"), func(j *journal) {
+		{"VM failed after both runs", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 			j.start("w", "r", 2, body)
 			j.end("w", "r", 2, "d")
 			j.add(worker.EventBoot, "v", "", 0, nil)
 		}, []Rule{RuleTwice}},
-		{"non-idempotent twice under two ids", once(ToldUnknown), func(j *journal) {
+		{"non-idempotent twice under two ids", nonIdempotent(ToldUnknown), func(j *journalBuilder) {
 			j.start("v", "r.1", 1, body)
 			j.end("v", "r.1", 1, "d")
 			j.start("w", "s.1", 1, body)
 		}, []Rule{RuleAtMostOnce}},
-		{"told not-run and ran", once(ToldNotRun), func(j *journal) { j.start("v", "r.1", 1, body) }, []Rule{RuleNotRun}},
-		{"told not-run and ran under another id", once(ToldNotRun), func(j *journal) { j.start("v", "s", 1, body) }, []Rule{RuleNotRun}},
-		{"told not-run", once(ToldNotRun), func(*journal) {}, nil},
-		{"told ran and did not", once(ToldRan), func(*journal) {}, []Rule{RuleUnexplained}},
-		{"accepted and pending", accepted(wire.JobPending), func(*journal) {}, []Rule{RuleLost}},
-		{"accepted without result", accepted(wire.JobSucceeded), func(*journal) {}, []Rule{RuleLost}},
-		{"accepted, result without run", accepted(wire.JobSucceeded, wire.Result{ID: "j/0", Generation: 1, Digest: "d"}), func(*journal) {}, []Rule{RuleAnswer}},
-		{"gang one after the other", gang, func(j *journal) {
+		{"told not-run and ran", nonIdempotent(ToldNotRun), func(j *journalBuilder) { j.start("v", "r.1", 1, body) }, []Rule{RuleNotRun}},
+		{"told not-run and ran under another id", nonIdempotent(ToldNotRun), func(j *journalBuilder) { j.start("v", "s", 1, body) }, []Rule{RuleNotRun}},
+		{"told not-run", nonIdempotent(ToldNotRun), func(*journalBuilder) {}, nil},
+		{"told ran and did not", nonIdempotent(ToldRan), func(*journalBuilder) {}, []Rule{RuleUnexplained}},
+		{"accepted and pending", accepted(wire.JobPending), func(*journalBuilder) {}, []Rule{RuleLost}},
+		{"accepted without result", accepted(wire.JobSucceeded), func(*journalBuilder) {}, []Rule{RuleLost}},
+		{"accepted, result without run", accepted(wire.JobSucceeded, wire.Result{ID: "j/0", Generation: 1, Digest: "d"}), func(*journalBuilder) {}, []Rule{RuleAnswer}},
+		{"gang tasks in sequence", gang, func(j *journalBuilder) {
 			for _, id := range []string{"j/0", "j/1"} {
 				j.add(worker.EventStart, "v", id, 1, task)
 				j.add(worker.EventEnd, "v", id, 1, task)
 			}
 		}, []Rule{RuleGang}},
-		{"gang together", gang, func(j *journal) {
+		{"gang tasks at the same time", gang, func(j *journalBuilder) {
 			j.add(worker.EventStart, "v", "j/0", 1, task)
 			j.add(worker.EventStart, "w", "j/1", 1, task)
 			j.add(worker.EventEnd, "v", "j/0", 1, task)
@@ -143,16 +143,16 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var j journal
+			var j journalBuilder
 			c.fill(&j)
-			assert.Equal(t, c.want, rules(Compare([]*Record{c.record}, j.entries)))
+			assert.Equal(t, c.want, violatedRules(Compare([]*Record{c.record}, j.entries)))
 		})
 	}
 }
 
-// Guards against a summary that hides a lost or doubled request.
+// Guards against a summary that omits a lost or duplicated request.
 func TestSummaryCountsEachRequestOnce(t *testing.T) {
-	var j journal
+	var j journalBuilder
 	j.start("v", "a", 1, []byte("a"))
 	j.end("v", "a", 1, "d")
 	j.start("v", "b.1", 1, []byte("b"))
@@ -168,5 +168,5 @@
 		record("a", ToldAnswered, 0), record("b", ToldUnknown, time.Second), record("c", ToldNotRun, time.Second), record("d", ToldNotRun, 0),
 	}, j.entries)
 	assert.Equal(t, []Row{{Kind: "k", Durable: true, Sent: 4, Answered: 1, RanOnce: 2, Refused: 1, Lost: 2, Doubled: 1, P50: 1, P99: 1}}, rows)
-	assert.Equal(t, []string{"2 lost", "1 doubled", "only 1 of 4 answered"}, rows[0].faults())
+	assert.Equal(t, []string{"2 lost", "1 doubled", "only 1 of 4 answered"}, rows[0].failures())
 }
--- a/standin/demo/doc.go
+++ b/standin/demo/doc.go
@@ -1,3 +1,3 @@
-// Package demo sends the two users' work to a running system as their callers do,
-// and compares what the callers were told with what the workers' journals say ran.
+// Package demo sends the work of the two example users to running cells as their callers
+// do, and compares the answers with what ran according to the workers' journals.
 package demo
--- a/standin/demo/jobs.go
+++ b/standin/demo/jobs.go
@@ -11,20 +11,20 @@
 	"briarproxy/standin/worker"
 )
 
-// Submit submits a job until it is accepted or refused for good, or the deadline
-// has passed. Repeats carry the same id, so that they are the same job.
-func (c *Client) Submit(ctx context.Context, kind string, spec wire.JobSpec, wait time.Duration) *Record {
-	record := NewRecord(Request{Kind: kind, Operation: spec.Template, Idempotent: true, Durable: true, Body: spec.Body, Deadline: wait})
+// SubmitJob submits a job until it is accepted, must not be retried, or the timeout has passed.
+// Retries carry the same id, so that they do not create another job.
+func (c *Client) Submit(ctx context.Context, kind string, spec wire.JobSpec, timeout time.Duration) *Record {
+	record := NewRecord(Request{Kind: kind, Operation: spec.Template, Idempotent: true, Durable: true, Body: spec.Body, Deadline: timeout})
 	record.JobID = spec.ID
 	record.Tasks = spec.Tasks
 	avoid := ""
-	for time.Since(record.Sent) < wait {
-		attempt := c.submit(ctx, spec, c.pick(avoid))
+	for time.Since(record.Sent) < timeout {
+		attempt := c.postJob(ctx, spec, c.pickDaemon(avoid))
 		record.Attempts = append(record.Attempts, attempt)
 		record.Final = attempt.Told
 		record.Answered = time.Now()
-		pause, again := attempt.again(record.Request)
-		if !again || !sleep(ctx, pause) {
+		delay, retry := attempt.retryDelay(record.Request)
+		if !retry || !sleep(ctx, delay) {
 			break
 		}
 		avoid = attempt.Daemon
@@ -32,9 +32,9 @@
 	return record
 }
 
-func (c *Client) submit(ctx context.Context, spec wire.JobSpec, daemon string) Attempt {
+func (c *Client) postJob(ctx context.Context, spec wire.JobSpec, daemon string) Attempt {
 	attempt := Attempt{Daemon: daemon, Told: ToldBroken}
-	ctx, cancel := context.WithTimeout(ctx, 2*jobCall)
+	ctx, cancel := context.WithTimeout(ctx, 2*jobCallTimeout)
 	defer cancel()
 	var problem wire.Problem
 	response, err := c.http.R().SetContext(ctx).SetBody(spec).SetError(&problem).Post(daemon + "/v1/jobs")
@@ -56,36 +56,37 @@
 	return attempt
 }
 
-// Await follows the job of an accepted record until it has ended or the time has
-// passed, and reads its results.
-func (c *Client) Await(ctx context.Context, record *Record, wait time.Duration) {
+// AwaitJob polls the job of an accepted record until it has ended or the timeout has passed,
+// and reads its results.
+func (c *Client) Await(ctx context.Context, record *Record, timeout time.Duration) {
 	if record.Final != ToldAccepted || record.JobID == "" {
 		return
 	}
-	deadline := time.Now().Add(wait)
+	deadline := time.Now().Add(timeout)
 	avoid := ""
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		daemon := c.pick(avoid)
-		left := min(jobCall, time.Until(deadline))
+		daemon := c.pickDaemon(avoid)
+		callTimeout := min(jobCallTimeout, time.Until(deadline))
 		var status wire.JobStatus
-		ok := c.get(ctx, daemon+"/v1/jobs/"+record.JobID+"?wait_ms="+strconv.FormatInt(max(1, left.Milliseconds()), 10), &status)
+		ok := c.get(ctx, daemon+"/v1/jobs/"+record.JobID+"?wait_ms="+strconv.FormatInt(max(1, callTimeout.Milliseconds()), 10), &status)
 		if !ok {
 			avoid = daemon
-			sleep(ctx, busyPause)
+			sleep(ctx, jobRetryDelay)
 			continue
 		}
 		avoid = ""
 		record.Job = &status
-		if ended(status.State) && c.fetch(ctx, daemon, record) {
+		if hasEnded(status.State) && c.fetchResults(ctx, daemon, record) {
 			return
 		}
 	}
 }
 
-func ended(state wire.JobState) bool { return state != wire.JobPending && state != wire.JobRunning }
+func hasEnded(state wire.JobState) bool { return state != wire.JobPending && state != wire.JobRunning }
 
-// fetch reads the results of a job that has ended.
-func (c *Client) fetch(ctx context.Context, daemon string, record *Record) bool {
+// fetchResults reads the results of a job that has ended, if it succeeded, and reports
+// whether there is nothing left to read.
+func (c *Client) fetchResults(ctx context.Context, daemon string, record *Record) bool {
 	if record.Job.State != wire.JobSucceeded {
 		return true
 	}
@@ -99,23 +100,23 @@
 	return true
 }
 
-// checkResults compares each result with its digest and the body that was sent.
+// checkResults checks each result against its digest and the request body.
 func (r *Record) checkResults() {
 	for _, result := range r.JobResults {
 		var body worker.RequestResult
 		switch {
 		case result.Digest != digest(result.Body) || result.Length != int64(len(result.Body)):
-			r.violate("the result of " + result.ID + " does not match its digest")
+			r.addViolation("the result of " + result.ID + " does not match its digest")
 		case json.Unmarshal(result.Body, &body) != nil:
-			r.violate("the result of " + result.ID + " is not what a worker wrote")
+			r.addViolation("the result of " + result.ID + " does not have the format of a worker's result")
 		case body.BodySHA256 != r.Digest:
-			r.violate("the result of " + result.ID + " belongs to another request, " + body.ID)
+			r.addViolation("the result of " + result.ID + " belongs to another request, " + body.ID)
 		}
 	}
 }
 
 func (c *Client) get(ctx context.Context, url string, reply any) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*jobCall)
+	ctx, cancel := context.WithTimeout(ctx, 2*jobCallTimeout)
 	defer cancel()
 	response, err := c.http.R().SetContext(ctx).Get(url)
 	return err == nil && response.StatusCode() == http.StatusOK && json.Unmarshal(response.Body(), reply) == nil
--- a/standin/demo/journal.go
+++ b/standin/demo/journal.go
@@ -9,10 +9,10 @@
 	"briarproxy/standin/worker"
 )
 
-// Rule names what a violation breaks.
+// Rule is an invariant that the demo checks, named after its violation.
 type Rule string
 
-// Rules that are checked.
+// Values of Rule.
 const (
 	RuleCapacity    Rule = "vm-over-capacity"
 	RuleOverlap     Rule = "attempts-overlap"
@@ -26,7 +26,7 @@
 	RuleUnexplained Rule = "told-ran-but-did-not"
 )
 
-// Violation is a broken rule.
+// Violation is a violated rule.
 type Violation struct {
 	Rule   Rule
 	Detail string
@@ -38,7 +38,7 @@
 	return Violation{Rule: rule, Detail: fmt.Sprintf(format, args...)}
 }
 
-// Run is one attempt that a worker started. Times are Unix time in µs.
+// Run is one attempt that a worker started. Times are Unix times in µs.
 type Run struct {
 	ID         string
 	Generation int64
@@ -47,45 +47,46 @@
 	Job        string
 	BodyDigest string
 	Start      int64
-	End        int64 // 0: still running at the end of the journal
-	Finished   bool  // ran to its end with success
+	End        int64 // 0 if still running at the end of the journal
+	Finished   bool  // ended successfully
 	Failed     bool
-	Stopped    string // reason of a stop
-	Digest     string // of the result
-	Gone       int64  // when the VM failed or was replaced after the run, 0: not
+	Stopped    string // reason, if the run was stopped
+	Digest     string // of the result, hex SHA-256
+	Gone       int64  // time at which the VM failed or was replaced after the start of the run; 0 if it was not
 }
 
-// Runs pairs the starts in a journal with their ends, in order of their start.
+// Runs pairs the starts in a journal with their ends and returns the runs in order of their
+// starts.
 func Runs(entries []worker.Entry) []*Run {
-	type place struct {
+	type runKey struct {
 		vm, id      string
 		incarnation int64
 	}
-	open := map[place]*Run{}
+	open := map[runKey]*Run{}
 	var runs []*Run
 	for _, e := range entries {
-		at := place{e.VM, e.ID, e.Incarnation}
+		key := runKey{e.VM, e.ID, e.Incarnation}
 		switch e.Event {
 		case worker.EventBoot:
-			forget(runs, e)
+			markLost(runs, e)
 		case worker.EventStart:
-			open[at] = &Run{
+			open[key] = &Run{
 				ID: e.ID, Generation: e.Generation, VM: e.VM, Kind: e.Kind, Job: e.Job,
 				BodyDigest: e.BodyDigest, Start: e.TimeUS,
 			}
-			runs = append(runs, open[at])
+			runs = append(runs, open[key])
 		case worker.EventEnd, worker.EventStop:
-			if run := open[at]; run != nil {
+			if run := open[key]; run != nil {
 				run.end(e)
-				delete(open, at)
+				delete(open, key)
 			}
 		}
 	}
 	return runs
 }
 
-// forget marks the runs of a VM that was replaced.
-func forget(runs []*Run, boot worker.Entry) {
+// markLost marks the earlier runs of a VM that booted again as lost with it.
+func markLost(runs []*Run, boot worker.Entry) {
 	for _, r := range runs {
 		if r.VM == boot.VM && r.Gone == 0 {
 			r.Gone = boot.TimeUS
@@ -94,7 +95,7 @@
 }
 
 func (r *Run) end(e worker.Entry) {
-	// A worker that was paused notices a lapsed lease late; the run ended before.
+	// A paused worker notices only later that a lease has expired; the run ended at expiry.
 	r.End = e.TimeUS - e.OverdueUS
 	r.Finished = e.Event == worker.EventEnd && e.State == wire.RunFinished
 	r.Failed = e.Event == worker.EventEnd && e.State == wire.RunFailed
@@ -104,9 +105,9 @@
 	}
 }
 
-// CheckJournal checks what can be seen from the workers' journal alone: no VM over
-// its capacity at any moment, no two attempts of one id at the same time, and no
-// request or task that took effect twice.
+// CheckJournal checks the invariants that the workers' journal alone can show: no VM is ever
+// over its capacity, no two attempts of one id run at the same time, and no request or task
+// takes effect twice.
 func CheckJournal(entries []worker.Entry) []Violation {
 	return slices.Concat(checkCapacity(entries), checkOverlap(Runs(entries)), checkTwice(Runs(entries)))
 }
@@ -121,10 +122,11 @@
 	return found
 }
 
-// checkOverlap relies on one clock for all workers of a journal.
+// checkOverlap checks that attempts of one id do not overlap. All workers of a journal must
+// use the same clock.
 func checkOverlap(runs []*Run) []Violation {
 	var found []Violation
-	for id, attempts := range byKey(runs, func(r *Run) string { return r.ID }) {
+	for id, attempts := range groupBy(runs, func(r *Run) string { return r.ID }) {
 		slices.SortStableFunc(attempts, func(a, b *Run) int { return cmp.Compare(a.Start, b.Start) })
 		for i, later := range attempts[min(1, len(attempts)):] {
 			earlier := attempts[i]
@@ -139,8 +141,8 @@
 
 func checkTwice(runs []*Run) []Violation {
 	var found []Violation
-	for id, attempts := range byKey(runs, func(r *Run) string { return r.ID }) {
-		if first, second, twice := effectTwice(attempts); twice {
+	for id, attempts := range groupBy(runs, func(r *Run) string { return r.ID }) {
+		if first, second, twice := findTwoEffects(attempts); twice {
 			found = append(found, violation(RuleTwice, "%s finished on %s as generation %d and again on %s as generation %d",
 				id, first.VM, first.Generation, second.VM, second.Generation))
 		}
@@ -148,13 +150,13 @@
 	return found
 }
 
-// effectTwice returns two runs of one id that both finished. What finished on a VM
-// that failed before the later run began may run again: its result is gone.
-func effectTwice(attempts []*Run) (first, second *Run, twice bool) {
+// findTwoEffects returns two runs of one id that both finished. A run whose VM failed before
+// the later run began does not count, because its result was lost with the VM.
+func findTwoEffects(attempts []*Run) (first, second *Run, twice bool) {
 	for i, later := range attempts {
 		for _, earlier := range attempts[:i] {
-			gone := earlier.Gone > 0 && earlier.Gone <= later.Start
-			if earlier.Finished && later.Finished && !gone {
+			lost := earlier.Gone > 0 && earlier.Gone <= later.Start
+			if earlier.Finished && later.Finished && !lost {
 				return earlier, later, true
 			}
 		}
@@ -162,7 +164,7 @@
 	return nil, nil, false
 }
 
-func byKey(runs []*Run, key func(*Run) string) map[string][]*Run {
+func groupBy(runs []*Run, key func(*Run) string) map[string][]*Run {
 	groups := map[string][]*Run{}
 	for _, r := range runs {
 		groups[key(r)] = append(groups[key(r)], r)
--- a/standin/demo/load.go
+++ b/standin/demo/load.go
@@ -11,40 +11,40 @@
 	"briarproxy/core/wire"
 )
 
-// Users whose work the demo runs; the names are those of their directories in examples.
+// Example users whose work the demo runs, named after their directories in examples.
 const (
 	UserInspectors  = "inspectors"
 	UserCooperative = "cooperative"
 )
 
-// awaitWait is the time for which accepted jobs are followed. When the owner of a
+// jobTimeout is the time allowed for submitting a job and for its end. When the owner of a
 // team's shard is killed, its successor takes 6 s to claim the shard and leases new
 // portions of the team's quota only 20 s later.
-const awaitWait = 35 * time.Second
+const jobTimeout = 35 * time.Second
 
-// Kind is a stream of requests of one kind.
+// Stream is a sequence of requests of one kind, or of jobs, at an average rate.
 type Kind struct {
 	Name      string
 	PerSecond float64
 	Make      func(number int) Request
-	Job       func(number int) wire.JobSpec // instead of Make: a job
-	Batch     bool                          // the tasks of the job need not run together
-	Limit     int                           // requests in all, 0: as many as the time allows
-	After     time.Duration                 // start of the stream
+	Job       func(number int) wire.JobSpec // set instead of NewRequest for a stream of jobs
+	Batch     bool                          // the job's tasks need not run at the same time
+	Limit     int                           // 0 if unlimited
+	After     time.Duration                 // before the first request
 }
 
-// Kinds returns the work of a user. The name makes keys and bodies unique to a run.
+// UserStreams returns the streams of a user. The name makes keys and bodies unique to a run.
 func Kinds(user, name string, gangTasks int) ([]Kind, error) {
 	switch user {
 	case UserInspectors:
-		return inspectors(name), nil
+		return inspectorStreams(name), nil
 	case UserCooperative:
-		return cooperative(name, gangTasks), nil
+		return cooperativeStreams(name, gangTasks), nil
 	}
-	return nil, fault.New(fault.Invalid, "use "+UserInspectors+" or "+UserCooperative, "user %q is not known", user)
+	return nil, fault.New(fault.Invalid, "use "+UserInspectors+" or "+UserCooperative, "unknown user %q", user)
 }
 
-func inspectors(name string) []Kind {
+func inspectorStreams(name string) []Kind {
 	return []Kind{
 		{Name: "survey", PerSecond: 4, Make: func(n int) Request { return Survey(name, n) }},
 		{Name: "certificate", PerSecond: 5, Make: func(n int) Request { return Certificate(name, n) }},
@@ -52,93 +52,93 @@
 	}
 }
 
-// Survey returns a durable request of the inspectors. Its key keeps a repeat after a
-// broken connection from becoming a second job.
+// Survey returns a durable request of the inspectors. Its idempotency key prevents a second
+// job when the request is retried after a broken connection.
 func Survey(name string, n int) Request {
 	return Request{
-		Kind: "survey", Service: "dispatch", Operation: "survey", Team: "town-offices", Key: key(name, "survey", n),
-		Idempotent: true, Durable: true, Body: body(name, "survey", n), Deadline: awaitWait, CallWait: time.Second,
+		Kind: "survey", Service: "dispatch", Operation: "survey", Team: "town-offices", Key: uniqueKey(name, "survey", n),
+		Idempotent: true, Durable: true, Body: requestBody(name, "survey", n), Deadline: jobTimeout, CallWait: time.Second,
 	}
 }
 
 // Certificate returns a non-idempotent request of the inspectors.
 func Certificate(name string, n int) Request {
 	return Request{
-		Kind: "certificate", Service: "dispatch", Operation: "certificate", Key: key(name, "certificate", n),
-		Body: body(name, "certificate", n), Deadline: 30 * time.Second,
+		Kind: "certificate", Service: "dispatch", Operation: "certificate", Key: uniqueKey(name, "certificate", n),
+		Body: requestBody(name, "certificate", n), Deadline: 30 * time.Second,
 	}
 }
 
-// Doorstep returns a request for which an inspector waits.
+// Doorstep returns an urgent, idempotent request of the inspectors.
 func Doorstep(name string, n int) Request {
 	return Request{
 		Kind: "doorstep", Service: "dispatch", Operation: "doorstep", Idempotent: true,
-		Body: body(name, "doorstep", n), Deadline: 4 * time.Second,
+		Body: requestBody(name, "doorstep", n), Deadline: 4 * time.Second,
 	}
 }
 
-func cooperative(name string, gangTasks int) []Kind {
+func cooperativeStreams(name string, gangTasks int) []Kind {
 	return []Kind{
 		{Name: "certify", PerSecond: 3, Make: func(n int) Request {
 			return Request{
-				Kind: "certify", Service: "mill", Operation: "certify", Key: key(name, "certify", n),
-				Durable: true, Body: body(name, "certify", n), Deadline: awaitWait, CallWait: time.Second,
+				Kind: "certify", Service: "mill", Operation: "certify", Key: uniqueKey(name, "certify", n),
+				Durable: true, Body: requestBody(name, "certify", n), Deadline: jobTimeout, CallWait: time.Second,
 			}
 		}},
 		{Name: "quote", PerSecond: 12, Make: func(n int) Request {
 			return Request{
 				Kind: "quote", Service: "mill", Operation: "quote", Team: "member-farms", Idempotent: true,
-				Body: body(name, "quote", n), Deadline: 3 * time.Second,
+				Body: requestBody(name, "quote", n), Deadline: 3 * time.Second,
 			}
 		}},
 		{Name: "mill-wear-review", PerSecond: 1, Limit: 1, After: 2 * time.Second, Job: func(n int) wire.JobSpec {
-			return wire.JobSpec{ID: key(name, "review", n), Template: "mill-wear-review", Tasks: gangTasks, Body: body(name, "review", n)}
+			return wire.JobSpec{ID: uniqueKey(name, "review", n), Template: "mill-wear-review", Tasks: gangTasks, Body: requestBody(name, "review", n)}
 		}},
 	}
 }
 
-func key(name, kind string, n int) string { return fmt.Sprintf("%s-%s-%d", name, kind, n) }
+func uniqueKey(name, kind string, n int) string { return fmt.Sprintf("%s-%s-%d", name, kind, n) }
 
-func body(name, kind string, n int) []byte {
+func requestBody(name, kind string, n int) []byte {
 	return []byte(fmt.Sprintf(`{"run":%q,"kind":%q,"number":%d}`, name, kind, n))
 }
 
-// Send runs streams of requests for a time, waits until each has been answered or
-// given up, follows accepted jobs to their end, and returns the records. The seed
-// decides the times between requests.
-func Send(ctx context.Context, client *Client, kinds []Kind, duration time.Duration, seed uint64) []*Record {
-	var ledger Ledger
+// SendStreams sends the streams' requests for the duration, waits until each request was
+// answered or given up and each accepted job has ended, and returns the records. The seed
+// determines the times between requests.
+func Send(ctx context.Context, client *Client, streams []Kind, duration time.Duration, seed uint64) []*Record {
+	var recorder Ledger
 	var group sync.WaitGroup
-	for i, kind := range kinds {
+	for i, stream := range streams {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
-		group.Go(func() { kind.send(ctx, client, duration, rng, &ledger, &group) })
+		group.Go(func() { stream.send(ctx, client, duration, rng, &recorder, &group) })
 	}
 	group.Wait()
-	return ledger.Records()
+	return recorder.Records()
 }
 
-func (k Kind) send(ctx context.Context, client *Client, duration time.Duration, rng *rand.Rand, ledger *Ledger, group *sync.WaitGroup) {
+func (s Kind) send(ctx context.Context, client *Client, duration time.Duration, rng *rand.Rand, recorder *Ledger, group *sync.WaitGroup) {
 	end := time.Now().Add(duration)
-	if !sleep(ctx, k.After) {
+	if !sleep(ctx, s.After) {
 		return
 	}
-	for n := 1; time.Now().Before(end) && (k.Limit == 0 || n <= k.Limit); n++ {
-		group.Go(func() { ledger.Add(k.one(ctx, client, n)) })
-		gap := time.Duration((0.5 + rng.Float64()) / k.PerSecond * float64(time.Second))
-		if !sleep(ctx, gap) {
+	for n := 1; time.Now().Before(end) && (s.Limit == 0 || n <= s.Limit); n++ {
+		group.Go(func() { recorder.Add(s.sendOne(ctx, client, n)) })
+		interval := time.Duration((0.5 + rng.Float64()) / s.PerSecond * float64(time.Second))
+		if !sleep(ctx, interval) {
 			return
 		}
 	}
 }
 
-func (k Kind) one(ctx context.Context, client *Client, n int) *Record {
+func (s Kind) sendOne(ctx context.Context, client *Client, n int) *Record {
 	var record *Record
-	if k.Job != nil {
-		record = client.Submit(ctx, k.Name, k.Job(n), awaitWait)
-		record.Batch = k.Batch
+	if s.Job != nil {
+		record = client.Submit(ctx, s.Name, s.Job(n), jobTimeout)
+		record.Batch = s.Batch
 	} else {
-		record = client.Do(ctx, k.Make(n))
+		record = client.Do(ctx, s.Make(n))
 	}
-	client.Await(ctx, record, awaitWait)
+	client.Await(ctx, record, jobTimeout)
 	return record
 }
--- a/standin/demo/platform.go
+++ b/standin/demo/platform.go
@@ -18,86 +18,86 @@
 	"briarproxy/standin/platform"
 )
 
-// Times of callers on the users' platform.
 const (
-	platformTries = 12
-	platformRetry = 400 * time.Millisecond
-	platformCall  = 3 * time.Second
-	platformPoll  = 200 * time.Millisecond
-	platformEnd   = 40 * time.Second // a killed placer's leases, and the backlog
+	platformMaxAttempts  = 12
+	platformRetryDelay   = 400 * time.Millisecond
+	platformCallTimeout  = 3 * time.Second
+	platformPollInterval = 200 * time.Millisecond
+	platformEndTimeout   = 40 * time.Second // covers the leases of a killed placer and the backlog after it
 )
 
 // PlatformOptions configure RunPlatform.
 type PlatformOptions struct {
-	Daemons  []string // addresses of the callers' API
+	Daemons  []string // host:port of the callers' API
 	Duration time.Duration
 	Seed     uint64
 	Out      io.Writer
 }
 
-// platformKind is a stream of jobs like those of the example users.
-type platformKind struct {
-	name      string
-	perSecond float64
-	tasks     int
-	step      platform.SpecStep
-	gang      bool
-	then      bool // a second step follows
+// platformStream is a sequence of jobs of one kind, like those of the example users, at a
+// constant rate.
+type platformStream struct {
+	name          string
+	jobsPerSecond float64
+	tasks         int
+	step          platform.SpecStep
+	gang          bool
+	secondStep    bool // a shorter step of one task follows the first
 }
 
-var platformKinds = []platformKind{
+var platformStreams = []platformStream{
 	{"survey", 1, 4, platform.SpecStep{MS: 2000, Cpu: 18000, MemMb: 37000}, true, false},
 	{"certificate", 3, 6, platform.SpecStep{MS: 900, Cpu: 3900, MemMb: 14000}, false, true},
 	{"doorstep", 15, 2, platform.SpecStep{MS: 250, Cpu: 5600, MemMb: 21000}, false, false},
 }
 
-// job is one job with its times.
-type job struct {
-	kind     string
-	sent     time.Time
-	accepted time.Time
-	ended    time.Time
-	state    string
+// platformJob is a submitted job with the times of its events.
+type platformJob struct {
+	kind       string
+	sentAt     time.Time
+	acceptedAt time.Time
+	endedAt    time.Time
+	state      string
 }
 
-// RunPlatform sends jobs to daemons on the users' platform and prints what became of them.
-// Its error tells that an accepted job did not end.
+// RunPlatform sends jobs to daemons on the users' platform and prints a summary of them. It
+// returns an error if an accepted job was not completed.
 func RunPlatform(ctx context.Context, o PlatformOptions) error {
 	rng := rand.New(rand.NewPCG(o.Seed, 2))
-	client := &http.Client{Timeout: platformCall}
+	client := &http.Client{Timeout: platformCallTimeout}
 	var mu sync.Mutex
-	var jobs []*job
+	var jobs []*platformJob
 	var group sync.WaitGroup
-	for i, k := range platformKinds {
-		gap := time.Duration(float64(time.Second) / k.perSecond)
+	for i, stream := range platformStreams {
+		interval := time.Duration(float64(time.Second) / stream.jobsPerSecond)
 		seed := rng.Uint64()
 		group.Go(func() {
-			local := rand.New(rand.NewPCG(seed, 3))
+			streamRNG := rand.New(rand.NewPCG(seed, 3))
 			end := time.Now().Add(o.Duration)
 			for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
-				j := &job{kind: k.name, sent: time.Now()}
+				j := &platformJob{kind: stream.name, sentAt: time.Now()}
 				mu.Lock()
 				jobs = append(jobs, j)
 				mu.Unlock()
 				id := fmt.Sprintf("%02x%06x%08x", i, n, uint32(o.Seed))
-				first := local.IntN(len(o.Daemons))
-				group.Go(func() { j.follow(ctx, client, o.Daemons, first, id, k) })
-				sleep(ctx, gap)
+				first := streamRNG.IntN(len(o.Daemons))
+				group.Go(func() { j.submitAndAwait(ctx, client, o.Daemons, first, id, stream) })
+				sleep(ctx, interval)
 			}
 		})
 	}
 	group.Wait()
-	return report(o.Out, jobs)
+	return printPlatformReport(o.Out, jobs)
 }
 
-// body is the job as a caller posts it.
-func (k *platformKind) body() ([]byte, error) {
-	steps := []platform.SpecStep{k.step}
-	list := []map[string]any{k.step.Body(k.tasks, k.gang, nil)}
-	if k.then {
-		last := platform.SpecStep{MS: k.step.MS / 4, Cpu: k.step.Cpu, MemMb: k.step.MemMb}
-		steps = append(steps, last)
-		list = append(list, last.Body(1, false, []int{0}))
+// jobBody returns the body of a caller's request that submits a job.
+func (s *platformStream) jobBody() ([]byte, error) {
+	steps := []platform.SpecStep{s.step}
+	list := []map[string]any{s.step.Body(s.tasks, s.gang, nil)}
+	if s.secondStep {
+		second := platform.SpecStep{MS: s.step.MS / 4, Cpu: s.step.Cpu, MemMb: s.step.MemMb}
+		steps = append(steps, second)
+		list = append(list, second.Body(1, false, []int{0}))
 	}
 	spec, err := json.Marshal(steps)
 	if err != nil {
@@ -106,47 +106,47 @@
 	return json.Marshal(map[string]any{"Spec": string(spec), "Steps": list})
 }
 
-// follow hands a job in, through the next daemon after each failure, and asks for its
-// state until that is final.
-func (j *job) follow(ctx context.Context, client *http.Client, daemons []string, first int, id string, k platformKind) {
-	body, err := k.body()
+// submitAndAwait submits a job, at the next daemon after each failure, and polls its state
+// until that is final or platformEndTimeout has passed.
+func (j *platformJob) submitAndAwait(ctx context.Context, client *http.Client, daemons []string, first int, id string, stream platformStream) {
+	body, err := stream.jobBody()
 	if err != nil {
 		return
 	}
-	for try := range platformTries {
-		status, text := call(ctx, client, http.MethodPost, daemons[(first+try)%len(daemons)], id, body)
+	for attempt := range platformMaxAttempts {
+		status, text := callPlatform(ctx, client, http.MethodPost, daemons[(first+attempt)%len(daemons)], id, body)
 		if status == http.StatusOK {
-			j.accepted = time.Now()
+			j.acceptedAt = time.Now()
 			j.state = text
 			break
 		}
-		sleep(ctx, platformRetry)
+		sleep(ctx, platformRetryDelay)
 	}
-	limit := time.Now().Add(platformEnd)
-	for try := 0; !j.accepted.IsZero() && time.Now().Before(limit) && ctx.Err() == nil; try++ {
-		if status, text := call(ctx, client, http.MethodGet, daemons[(first+try)%len(daemons)], id, nil); status == http.StatusOK {
+	limit := time.Now().Add(platformEndTimeout)
+	for attempt := 0; !j.acceptedAt.IsZero() && time.Now().Before(limit) && ctx.Err() == nil; attempt++ {
+		if status, text := callPlatform(ctx, client, http.MethodGet, daemons[(first+attempt)%len(daemons)], id, nil); status == http.StatusOK {
 			if j.state = text; strings.Contains(text, "completed") || strings.Contains(text, "failed") {
-				j.ended = time.Now()
+				j.endedAt = time.Now()
 				return
 			}
 		}
-		sleep(ctx, platformPoll)
+		sleep(ctx, platformPollInterval)
 	}
 }
 
-// call makes one call of a caller; status 0 is no answer.
-func call(ctx context.Context, client *http.Client, method, address, id string, body []byte) (int, string) {
+// callPlatform sends one request and returns the status, 0 without an answer, and the body.
+func callPlatform(ctx context.Context, client *http.Client, method, address, id string, body []byte) (int, string) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+platform.DemoPath+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = platform.DemoHost
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(platformCall.Milliseconds()))
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(platformCallTimeout.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, ""
 	}
-	defer resp.Body.Close() //nolint:errcheck // it is read whole
+	defer resp.Body.Close() //nolint:errcheck // the body is read to its end
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, ""
@@ -154,40 +154,40 @@
 	return resp.StatusCode, string(text)
 }
 
-func report(out io.Writer, jobs []*job) error {
+func printPlatformReport(out io.Writer, jobs []*platformJob) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "\nusers' platform\nKIND\tJOBS\tACCEPTED\tCOMPLETED\tP50 MS\tP99 MS")
-	unended := 0
-	for _, k := range platformKinds {
-		var took []int64
+	incomplete := 0
+	for _, stream := range platformStreams {
+		var durationsMS []int64
 		sent, accepted := 0, 0
 		for _, j := range jobs {
-			if j.kind != k.name {
+			if j.kind != stream.name {
 				continue
 			}
 			sent++
-			if j.accepted.IsZero() {
+			if j.acceptedAt.IsZero() {
 				continue
 			}
 			accepted++
 			if strings.Contains(j.state, "completed") {
-				took = append(took, j.ended.Sub(j.sent).Milliseconds())
+				durationsMS = append(durationsMS, j.endedAt.Sub(j.sentAt).Milliseconds())
 			} else {
-				unended++
+				incomplete++
 			}
 		}
-		slices.Sort(took)
+		slices.Sort(durationsMS)
 		p50, p99 := int64(0), int64(0)
-		if n := len(took); n > 0 {
-			p50, p99 = took[n/2], took[n*99/100]
+		if n := len(durationsMS); n > 0 {
+			p50, p99 = durationsMS[n/2], durationsMS[n*99/100]
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\n", k.name, sent, accepted, len(took), p50, p99)
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\n", stream.name, sent, accepted, len(durationsMS), p50, p99)
 	}
 	if err := table.Flush(); err != nil {
-		return fault.Wrap(err, fault.Unavailable, "free the output", "the table can't be written")
+		return fault.Wrap(err, fault.Unavailable, "check that the output is writable", "cannot write the table")
 	}
-	if unended > 0 {
-		return fault.New(fault.Internal, "read the daemons' logs", "%d accepted jobs were not completed", unended)
+	if incomplete > 0 {
+		return fault.New(fault.Internal, "read the daemons' logs", "%d accepted jobs were not completed", incomplete)
 	}
 	return nil
 }
--- a/standin/demo/ready.go
+++ b/standin/demo/ready.go
@@ -13,19 +13,19 @@
 )
 
 const (
-	readyPoll  = 50 * time.Millisecond
-	readyCall  = time.Second
-	maxWarming = 16
-	warmWait   = 20 * time.Second // a daemon owns nothing for the first lease
+	readyPollInterval   = 50 * time.Millisecond
+	readyCallTimeout    = time.Second
+	maxConcurrentChecks = 16
+	servingTimeout      = 20 * time.Second // a daemon owns no shards for the time of its first lease
 )
 
-// WaitReady waits until each daemon says that it is ready; urls are base URLs of
-// metrics listeners. Its error names the first daemon that is not.
+// WaitReady waits until each daemon reports that it is ready; urls are base URLs of metrics
+// listeners. The error names the first daemon that is not ready.
 func WaitReady(ctx context.Context, urls []string) error {
-	client := resty.New().SetTimeout(readyCall)
+	client := resty.New().SetTimeout(readyCallTimeout)
 	for _, url := range urls {
 		for !Ready(ctx, client, url) {
-			if !sleep(ctx, readyPoll) {
+			if !sleep(ctx, readyPollInterval) {
 				return fault.New(fault.Unavailable, "read the daemon's log", "%s is not ready", url)
 			}
 		}
@@ -33,43 +33,44 @@
 	return nil
 }
 
-// Ready reports whether a daemon says that it is ready.
+// IsReady reports whether the daemon with a metrics listener at url is ready.
 func Ready(ctx context.Context, client *resty.Client, url string) bool {
 	response, err := client.R().SetContext(ctx).Get(url + "/readyz")
 	return err == nil && response.StatusCode() == http.StatusOK
 }
 
-// Warm waits until each daemon of the cells answers requests of the user that need
-// a slot and ones that need a key shard. Its error is that of one daemon.
+// WaitServing waits until each daemon of the cells answers requests of its cell's user, both
+// those that need a slot and those that need a key shard. On failure it returns the error
+// of one daemon.
 func Warm(ctx context.Context, cells []Cell) error {
 	name := fmt.Sprintf("warm-%d", time.Now().UnixMilli())
-	pool := pond.NewPool(maxWarming)
+	pool := pond.NewPool(maxConcurrentChecks)
 	defer pool.StopAndWait()
 	group := pool.NewGroup()
 	for _, cell := range cells {
-		kinds, err := Kinds(cell.User, name, 1)
+		streams, err := Kinds(cell.User, name, 1)
 		if err != nil {
 			return err
 		}
 		for i, url := range cell.Daemons {
-			group.SubmitErr(func() error { return warm(ctx, url, kinds, i) })
+			group.SubmitErr(func() error { return waitDaemonServing(ctx, url, streams, i) })
 		}
 	}
 	return group.Wait()
 }
 
-func warm(ctx context.Context, url string, kinds []Kind, number int) error {
+func waitDaemonServing(ctx context.Context, url string, streams []Kind, number int) error {
 	client := NewClient([]string{url}, 1)
 	defer client.Close()
-	for _, kind := range kinds {
-		if kind.Make == nil {
+	for _, stream := range streams {
+		if stream.Make == nil {
 			continue
 		}
-		request := kind.Make(number)
-		request.Deadline = warmWait
+		request := stream.Make(number)
+		request.Deadline = servingTimeout
 		record := client.Do(ctx, request)
 		if record.Final != ToldAnswered && record.Final != ToldAccepted {
-			return fault.New(fault.Unavailable, "read the daemons' logs", "%s through %s: %s, %s", kind.Name, url, record.Final, record.last().Detail)
+			return fault.New(fault.Unavailable, "read the daemons' logs", "%s through %s: %s, %s", stream.Name, url, record.Final, record.lastAttempt().Detail)
 		}
 	}
 	return nil
--- a/standin/demo/record.go
+++ b/standin/demo/record.go
@@ -10,21 +10,21 @@
 	"briarproxy/standin/worker"
 )
 
-// Told is what one answer of a daemon told the caller.
+// AttemptOutcome is the outcome of a request according to one answer of a daemon.
 type Told string
 
-// Values of Told.
+// Values of AttemptOutcome.
 const (
-	ToldAnswered Told = "answered" // 200 with a whole answer
-	ToldAccepted Told = "accepted" // 202: logged as a job
-	ToldRan      Told = "ran"      // an error that says that the request ran
+	ToldAnswered Told = "answered" // 200 with a complete result
+	ToldAccepted Told = "accepted" // 202: recorded as a job in the log
+	ToldRan      Told = "ran"      // an error that states that the request ran
 	ToldNotRun   Told = "not-run"
 	ToldUnknown  Told = "unknown"
 	ToldBroken   Told = "broken" // no answer, or an incomplete one
 )
 
-// Request is one piece of work of a caller. Body must differ between requests,
-// because journals identify requests by its digest.
+// Request is a request of a caller. Body must differ between requests, because its digest
+// identifies the request in the workers' journals.
 type Request struct {
 	Kind       string // row of the summary
 	Service    string
@@ -32,16 +32,16 @@
 	Team       string
 	Key        string // idempotency key, "" for none
 	Idempotent bool   // the operation may run again
-	Durable    bool   // accepted work must run
+	Durable    bool   // once accepted, it must run
 	Body       []byte
-	Deadline   time.Duration // time after which the caller gives up
-	CallWait   time.Duration // time that one call waits; 0: until the deadline
+	Deadline   time.Duration // time after sending at which the caller gives up
+	CallWait   time.Duration // of one call; 0: until the deadline
 }
 
-// Attempt is one call of a daemon.
+// Attempt is one call to a daemon.
 type Attempt struct {
 	Daemon        string
-	RequestID     string // given by the daemon, "" without an answer
+	RequestID     string // assigned by the daemon, "" without an answer
 	Told          Told
 	Status        int
 	RetryAfter    time.Duration
@@ -49,7 +49,7 @@
 	Detail        string
 }
 
-// Record is a request and what its caller was told.
+// Record is a request with the answers that its caller received.
 type Record struct {
 	Request
 	Digest   string // hex SHA-256 of the body
@@ -58,29 +58,29 @@
 	Attempts []Attempt
 	Final    Told
 
-	Result       *worker.RequestResult // of ToldAnswered
+	Result       *worker.RequestResult // set for OutcomeAnswered
 	ResultDigest string
 
 	JobID      string          // of durable requests and jobs
-	Job        *wire.JobStatus // last status read
+	Job        *wire.JobStatus // status that was read last
 	JobResults []wire.Result   // of a job that succeeded
-	Tasks      int             // of jobs
-	Batch      bool            // the tasks of the job need not run together
-	Violations []string        // found by the caller itself
+	Tasks      int             // number of tasks of a job, 0 for a request
+	Batch      bool            // the job's tasks need not run at the same time
+	Violations []string        // that the caller found in the answers
 }
 
-// NewRecord returns the record of a request that is being sent.
+// NewRecord returns the record of a request that is sent now.
 func NewRecord(r Request) *Record {
 	return &Record{Request: r, Digest: digest(r.Body), Sent: time.Now()}
 }
 
-// RefusedWithTime reports whether the caller was told in the end that the request
-// did not run, and when to try again.
+// RefusedWithRetryAfter reports whether the last answer said that the request did not run
+// and when to retry.
 func (r *Record) RefusedWithTime() bool {
-	return r.Final == ToldNotRun && r.last().RetryAfter > 0
+	return r.Final == ToldNotRun && r.lastAttempt().RetryAfter > 0
 }
 
-func (r *Record) last() Attempt {
+func (r *Record) lastAttempt() Attempt {
 	if len(r.Attempts) == 0 {
 		return Attempt{}
 	}
@@ -92,22 +92,22 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Ledger collects the records of many callers.
+// Recorder collects the records of concurrent callers.
 type Ledger struct {
 	mu      sync.Mutex
 	records []*Record
 }
 
-// Add stores the record of a request that has been answered or given up.
-func (l *Ledger) Add(r *Record) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.records = append(l.records, r)
+// Add stores the record of a request that was answered or given up.
+func (c *Ledger) Add(r *Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records = append(c.records, r)
 }
 
-// Records returns the records so far.
-func (l *Ledger) Records() []*Record {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]*Record{}, l.records...)
+// Records returns the records stored so far.
+func (c *Ledger) Records() []*Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Record{}, c.records...)
 }
--- a/standin/demo/run.go
+++ b/standin/demo/run.go
@@ -13,11 +13,11 @@
 	"briarproxy/standin/worker"
 )
 
-// Cell is one running system.
+// Cell is a running cluster of daemons and workers, with the user whose work it runs.
 type Cell struct {
 	User    string
 	Daemons []string // base URLs of the callers' API
-	Journal string   // file of its workers
+	Journal string   // file to which its workers write their journal
 }
 
 // ParseCells parses cells written as USER,JOURNAL,URL,URL... Errors are of kind
@@ -37,7 +37,7 @@
 func parseCell(text string) (Cell, error) {
 	parts := strings.Split(text, ",")
 	if len(parts) < 3 {
-		return Cell{}, fault.New(fault.Invalid, "use USER,JOURNAL,URL,URL...", "cell %q", text)
+		return Cell{}, fault.New(fault.Invalid, "use USER,JOURNAL,URL,URL...", "cell %q is incomplete", text)
 	}
 	return Cell{User: parts[0], Journal: parts[1], Daemons: parts[2:]}, nil
 }
@@ -45,28 +45,28 @@
 // Options configure RunCells.
 type Options struct {
 	Cells     []Cell
-	Duration  time.Duration // of the load
+	Duration  time.Duration // time for which requests are sent
 	GangTasks int           // tasks of the gang job
 	Seed      uint64
 	Out       io.Writer
 }
 
-// settleWait is the time after the last answer in which a request that was
-// wrongly reported as not run would still begin; starts are valid for 2 s.
-const settleWait = 3 * time.Second
+// settleTime is the time after the last answer within which a request wrongly reported as
+// not run would still start; a start order is valid for 2 s.
+const settleTime = 3 * time.Second
 
-// RunCells runs the work of all cells at once and prints a table for each. Its error
-// tells that work was lost or doubled, a VM overloaded or a caller misinformed.
+// RunCells runs the work of all cells concurrently and prints a table for each. It returns
+// an error if work was lost or duplicated, a VM was overloaded or an answer was wrong.
 func RunCells(ctx context.Context, options Options) error {
 	name := fmt.Sprintf("run-%d", time.Now().UnixMilli())
-	results := make([]result, len(options.Cells))
+	results := make([]cellResult, len(options.Cells))
 	var group sync.WaitGroup
 	for i, cell := range options.Cells {
-		kinds, err := Kinds(cell.User, name, options.GangTasks)
+		streams, err := Kinds(cell.User, name, options.GangTasks)
 		if err != nil {
 			return err
 		}
-		group.Go(func() { results[i] = cell.run(ctx, kinds, options) })
+		group.Go(func() { results[i] = cell.run(ctx, streams, options) })
 	}
 	group.Wait()
 	failures := 0
@@ -74,43 +74,43 @@
 		failures += results[i].print(options.Out, cell.User)
 	}
 	if failures > 0 {
-		return fault.New(fault.Internal, "read the lines above and the daemons' logs", "the demo found %d faults", failures)
+		return fault.New(fault.Internal, "read the faults printed above and the daemons' logs", "the demo found %d faults", failures)
 	}
 	return nil
 }
 
-// result is the outcome of one cell.
-type result struct {
+// cellResult holds the records of one cell and what the checks found in them.
+type cellResult struct {
 	records    []*Record
 	rows       []Row
 	violations []Violation
 	err        error
 }
 
-func (c Cell) run(ctx context.Context, kinds []Kind, options Options) result {
+func (c Cell) run(ctx context.Context, streams []Kind, options Options) cellResult {
 	client := NewClient(c.Daemons, options.Seed)
 	defer client.Close()
-	records := Send(ctx, client, kinds, options.Duration, options.Seed)
-	sleep(ctx, settleWait)
+	records := Send(ctx, client, streams, options.Duration, options.Seed)
+	sleep(ctx, settleTime)
 	entries, err := ReadJournal(c.Journal)
 	if err != nil {
-		return result{err: err}
+		return cellResult{err: err}
 	}
-	return result{records: records, rows: Summarise(records, entries), violations: Compare(records, entries)}
+	return cellResult{records: records, rows: Summarise(records, entries), violations: Compare(records, entries)}
 }
 
 // ReadJournal reads the journal file of a cell's workers.
 func ReadJournal(path string) ([]worker.Entry, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "name the file that the workers write", "journal")
+		return nil, fault.Wrap(err, fault.Invalid, "pass the file to which the workers write their journal", "journal")
 	}
 	defer func() { _ = file.Close() }()
 	return worker.ReadEntries(file)
 }
 
 // print writes the table and the faults of a cell and returns the number of faults.
-func (r result) print(out io.Writer, user string) int {
+func (r cellResult) print(out io.Writer, user string) int {
 	_, _ = fmt.Fprintf(out, "\n%s\n", user)
 	if r.err != nil {
 		_, _ = fmt.Fprintf(out, "fault: %v\n", r.err)
@@ -123,7 +123,7 @@
 		faults++
 	}
 	for _, row := range r.rows {
-		for _, text := range row.faults() {
+		for _, text := range row.failures() {
 			_, _ = fmt.Fprintf(out, "fault: %s: %s\n", row.Kind, text)
 			faults++
 		}
@@ -134,9 +134,10 @@
 	return faults
 }
 
-// faults lists what makes a row a failure. Requests that are neither durable nor
-// non-idempotent may miss their deadline, but not most of them.
-func (r Row) faults() []string {
+// failures returns the reasons for which a row counts as failed. Requests that are
+// idempotent and not durable may miss their deadlines, but at least half of all requests
+// must be answered.
+func (r Row) failures() []string {
 	var found []string
 	if r.Lost > 0 && r.Durable {
 		found = append(found, fmt.Sprintf("%d lost", r.Lost))
@@ -150,16 +151,16 @@
 	return found
 }
 
-// maxUnanswered bounds the requests that a failure lists.
-const maxUnanswered = 10
+// maxUnanswered bounds the unanswered requests that are printed for a cell with faults.
+const maxUnansweredPrinted = 10
 
 func printUnanswered(out io.Writer, records []*Record) {
 	listed := 0
 	for _, r := range records {
-		if r.done() || listed == maxUnanswered {
+		if r.succeeded() || listed == maxUnansweredPrinted {
 			continue
 		}
 		listed++
-		_, _ = fmt.Fprintf(out, "not answered: %s of body %.8s: %s after %d calls, the last to %s: %s\n", r.Kind, r.Digest, r.Final, len(r.Attempts), r.last().Daemon, r.last().Detail)
+		_, _ = fmt.Fprintf(out, "not answered: %s of body %.8s: %s after %d calls, the last to %s: %s\n", r.Kind, r.Digest, r.Final, len(r.Attempts), r.lastAttempt().Daemon, r.lastAttempt().Detail)
 	}
 }
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -14,18 +14,18 @@
 // Row sums up the requests of one kind.
 type Row struct {
 	Kind     string
-	Durable  bool // or non-idempotent: none may be lost
+	Durable  bool // durable or non-idempotent: no request may be lost
 	Sent     int
-	Answered int   // with the result, or as a job that succeeded
-	RanOnce  int   // exactly one run took effect
-	Refused  int   // told not-run, with a time to retry
-	Lost     int   // neither of these
-	Doubled  int   // ran more often than the operation allows
-	P50      int64 // ms from sending to the start of the run
-	P99      int64 // ms
+	Answered int   // with a result, or as a job that succeeded
+	RanOnce  int   // exactly one run finished, or one per task
+	Refused  int   // reported as not run, with Retry-After
+	Lost     int   // neither answered nor refused with Retry-After
+	Doubled  int   // ran more often than the operation permits
+	P50      int64 // of the time from sending to the start of the run
+	P99      int64
 }
 
-// Summarise returns a row for each kind, in the order of the first request.
+// Summarise returns a row for each kind of request, sorted by kind.
 func Summarise(records []*Record, entries []worker.Entry) []Row {
 	runs := newIndex(Runs(entries))
 	byKind := map[string][]*Record{}
@@ -44,15 +44,15 @@
 	return rows
 }
 
-func summarise(kind string, records []*Record, runs index) Row {
+func summarise(kind string, records []*Record, runs runIndex) Row {
 	row := Row{Kind: kind, Sent: len(records), Durable: records[0].Durable || !records[0].Idempotent}
 	var waits []int64
 	for _, r := range records {
-		of := runs.of(r)
+		recordRuns := runs.runsOf(r)
 		switch {
-		case r.done():
+		case r.succeeded():
 			row.Answered++
-			if wait, ok := waited(r, of); ok {
+			if wait, ok := waitTime(r, recordRuns); ok {
 				waits = append(waits, wait)
 			}
 		case r.RefusedWithTime():
@@ -60,10 +60,10 @@
 		default:
 			row.Lost++
 		}
-		if effects(of) == max(1, r.Tasks) {
+		if countFinished(recordRuns) == max(1, r.Tasks) {
 			row.RanOnce++
 		}
-		if doubled(r, of) {
+		if duplicated(r, recordRuns) {
 			row.Doubled++
 		}
 	}
@@ -72,12 +72,12 @@
 	return row
 }
 
-// done reports whether the caller has what it asked for.
-func (r *Record) done() bool {
+// succeeded reports whether the caller got its result or its accepted job succeeded.
+func (r *Record) succeeded() bool {
 	return r.Final == ToldAnswered || (r.Final == ToldAccepted && r.Job != nil && r.Job.State == wire.JobSucceeded)
 }
 
-func effects(runs []*Run) int {
+func countFinished(runs []*Run) int {
 	count := 0
 	for _, run := range runs {
 		if run.Finished {
@@ -87,24 +87,24 @@
 	return count
 }
 
-// doubled reports whether a non-idempotent request was started twice, or one call
-// of an idempotent request took effect twice for no reason. A caller that repeats an
-// idempotent request makes a new call.
-func doubled(r *Record, runs []*Run) bool {
+// duplicated reports whether a non-idempotent request was started twice, or one call of an
+// idempotent request took effect twice without the loss of a VM. A caller's retry of an
+// idempotent request is a new call.
+func duplicated(r *Record, runs []*Run) bool {
 	if !r.Idempotent {
 		return len(runs) > 1
 	}
-	for _, same := range byKey(runs, func(run *Run) string { return run.ID }) {
-		if _, _, twice := effectTwice(same); twice {
+	for _, same := range groupBy(runs, func(run *Run) string { return run.ID }) {
+		if _, _, twice := findTwoEffects(same); twice {
 			return true
 		}
 	}
 	return false
 }
 
-// waited returns the time in ms from sending to the start of the run whose answer
-// the caller has; for a job, of its last task.
-func waited(r *Record, runs []*Run) (int64, bool) {
+// waitTime returns the time in ms from sending to the start of the run whose result the
+// caller received; for a job, to the start of its last task.
+func waitTime(r *Record, runs []*Run) (int64, bool) {
 	var start int64
 	for _, run := range runs {
 		if run.Finished && (r.Result == nil || run.ID == r.Result.ID) {
@@ -121,7 +121,7 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-// Print writes rows as a table.
+// PrintSummary writes rows as a table.
 func Print(out io.Writer, rows []Row) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(w, "kind\tsent\tanswered\tran once\trefused, retry time\tlost\tdoubled\twait p50 ms\twait p99 ms\t")
@@ -131,7 +131,7 @@
 	_ = w.Flush()
 }
 
-// ByTime orders journal entries of several files by time.
+// SortByTime sorts the journal entries of several files by time.
 func ByTime(entries []worker.Entry) {
 	slices.SortStableFunc(entries, func(a, b worker.Entry) int { return cmp.Compare(a.TimeUS, b.TimeUS) })
 }
--- a/standin/load/cell.go
+++ b/standin/load/cell.go
@@ -18,60 +18,61 @@
 )
 
 //go:embed cell/objects.jsonc
-var objects string
+var configObjects string
 
-// Options describe a cell. Zero values take the defaults.
+// Options configure a cell. The daemons use their own defaults for empty settings.
 type Options struct {
-	Bin         string // directory of the binaries
+	Bin         string // directory of the built programs
 	Daemons     int
 	Workers     int
-	MemoryLimit string // of each daemon, such as 32MiB; "": the daemon's default
-	LogLevel    string // of each daemon; "": the daemon's default
-	Keep        string // directory that the run's logs and journals stay in; "": they are removed
+	MemoryLimit string // memory_limit of each daemon, such as 32MiB; "": the daemon's default
+	LogLevel    string // log_level of each daemon; "": the daemon's default
+	Keep        string // directory to create for logs and journals; "": a temporary one that Stop removes
 }
 
-// Layout of a cell.
 const (
-	perRack      = 8
-	slotsPerVM   = 8
-	readyTimeout = 60 * time.Second
+	workersPerRack = 8
+	slotsPerVM     = 8
+	readyTimeout   = 60 * time.Second
 )
 
-// locations are the regions and data centres over which racks and daemons are spread.
-var locations = []struct{ region, dataCentre string }{
+// dataCentres are the data centres, with their regions, over which racks and daemons are
+// spread in turn.
+var dataCentres = []struct{ region, dataCentre string }{
 	{"doto", "kushiro"}, {"dohoku", "asahikawa"}, {"doo", "hakodate"},
 }
 
-// runTimes of the operations in cell/objects.jsonc.
+// runTimes are the run times of the operations in cell/objects.jsonc.
 var runTimes = map[string]time.Duration{
 	"doorstep": 300 * time.Millisecond, "certificate": 300 * time.Millisecond,
 	"survey": 1200 * time.Millisecond, "short": 50 * time.Millisecond,
 }
 
-// Cell is a running system: stand-ins for the platform and daemons.
+// Cell is a running cluster of daemons with stand-ins for the log service, the VM list
+// and the workers, each in a process of its own.
 type Cell struct {
-	options   Options
-	dir       string
-	processes []*process
-	logURL    string
-	vmListURL string
-	vms       []wire.VM
-	racks     []*process // one process for each rack
-	journals  []string   // of the racks
-	daemons   []*daemon
-	client    *http.Client
-	starts    startIndex
-	traffic   traffic
+	options      Options
+	dir          string
+	processes    []*process
+	logURL       string
+	vmListURL    string
+	vms          []wire.VM
+	racks        []*process // one process per rack, which runs all of its workers
+	rackJournals []string   // journal file of each rack's workers
+	daemons      []*daemon
+	client       *http.Client
+	journal      journalIndex
+	traffic      traffic
 }
 
 type daemon struct {
 	*process
-	url     string // callers' API
-	peer    string // IP:port of the peer listener
-	metrics string // base URL of the monitor listener
+	callerURL   string // base URL of the callers' API
+	peerAddress string // IP:port of the listener for other daemons
+	metricsURL  string // base URL of the metrics listener
 }
 
-// Start starts a cell and waits until requests are answered.
+// Start starts a cell and waits until all daemons answer requests.
 func Start(options Options) (*Cell, error) {
 	dir, err := runDirectory(options.Keep)
 	if err != nil {
@@ -93,7 +94,7 @@
 	return os.MkdirTemp("", "briar-load-")
 }
 
-// Stop ends all processes and removes the run's files.
+// Stop kills all processes and removes the cell's files unless they are to be kept.
 func (c *Cell) Stop() {
 	for i := len(c.processes) - 1; i >= 0; i-- {
 		c.processes[i].kill()
@@ -107,7 +108,7 @@
 	if err := c.startPlatform(); err != nil {
 		return err
 	}
-	if err := c.publish(); err != nil {
+	if err := c.publishObjects(); err != nil {
 		return err
 	}
 	for i := range c.options.Daemons {
@@ -120,20 +121,20 @@
 			return err
 		}
 	}
-	return c.awaitService()
+	return c.awaitServing()
 }
 
 func (c *Cell) startPlatform() error {
-	service, err := c.launch("logservice", "standin", "logservice")
+	logProcess, err := c.launch("logservice", "standin", "logservice")
 	if err != nil {
 		return err
 	}
-	line, err := service.line("listening")
+	line, err := logProcess.awaitLine("listening")
 	if err != nil {
 		return err
 	}
 	c.logURL = "http://" + strings.Fields(line)[1]
-	for rack := range (c.options.Workers + perRack - 1) / perRack {
+	for rack := range (c.options.Workers + workersPerRack - 1) / workersPerRack {
 		if err := c.startRack(rack); err != nil {
 			return err
 		}
@@ -141,13 +142,13 @@
 	return c.startVMList()
 }
 
-func (c *Cell) startRack(rack int) error {
-	at := locations[rack%len(locations)]
-	name := fmt.Sprintf("rack-%02d", rack)
+func (c *Cell) startRack(number int) error {
+	location := dataCentres[number%len(dataCentres)]
+	name := fmt.Sprintf("rack-%02d", number)
 	vms := filepath.Join(c.dir, name+".json")
 	journal := filepath.Join(c.dir, name+".journal")
-	args := []string{"workers", "--count", fmt.Sprint(min(perRack, c.options.Workers-rack*perRack)),
-		"--prefix", name + "-", "--racks", at.region + "/" + at.dataCentre + "/" + name, "--vm-list", vms,
+	args := []string{"workers", "--count", fmt.Sprint(min(workersPerRack, c.options.Workers-number*workersPerRack)),
+		"--prefix", name + "-", "--racks", location.region + "/" + location.dataCentre + "/" + name, "--vm-list", vms,
 		"--journal", journal, "--milli-cores", "64000", "--memory-mib", "262144"}
 	for operation, run := range runTimes {
 		args = append(args, "--operation", fmt.Sprintf("%s=%d", operation, run.Milliseconds()))
@@ -156,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := p.line("ready"); err != nil {
+	if _, err := p.awaitLine("ready"); err != nil {
 		return err
 	}
 	var list wire.VMList
@@ -165,7 +166,7 @@
 		err = json.Unmarshal(data, &list)
 	}
 	c.racks = append(c.racks, p)
-	c.journals = append(c.journals, journal)
+	c.rackJournals = append(c.rackJournals, journal)
 	c.vms = append(c.vms, list.VMs...)
 	return err
 }
@@ -183,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	line, err := p.line("listening")
+	line, err := p.awaitLine("listening")
 	if err != nil {
 		return err
 	}
@@ -191,31 +192,32 @@
 	return nil
 }
 
-func (c *Cell) publish() error {
+func (c *Cell) publishObjects() error {
 	dir := filepath.Join(c.dir, "objects")
 	if err := os.Mkdir(dir, 0o755); err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(dir, "objects.jsonc"), []byte(objects), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, "objects.jsonc"), []byte(configObjects), 0o644); err != nil {
 		return err
 	}
 	p, err := c.launch("publish", "briarctl", "publish", "--log", c.logURL, "--author", "load", dir)
 	if err != nil {
 		return err
 	}
-	<-p.ended
+	<-p.exited
 	if !p.command.ProcessState.Success() {
-		return fault.New(fault.Invalid, "read "+p.logFile, "the objects were not published")
+		return fault.New(fault.Invalid, "read "+p.logFile, "briarctl failed to publish the configuration objects")
 	}
 	return nil
 }
 
-// addDaemon starts a daemon with a number. It does not wait until it is ready.
+// addDaemon starts the daemon with the given number and waits until it listens, but not
+// until it is ready.
 func (c *Cell) addDaemon(number int) (*daemon, error) {
-	at := locations[number%len(locations)]
+	location := dataCentres[number%len(dataCentres)]
 	name := fmt.Sprintf("daemon-%02d", number)
 	settings := map[string]any{
-		"name": name, "region": at.region, "data_centre": at.dataCentre, "log_url": c.logURL, "vm_list_url": c.vmListURL,
+		"name": name, "region": location.region, "data_centre": location.dataCentre, "log_url": c.logURL, "vm_list_url": c.vmListURL,
 		"drain_delay": "500ms", "listen": map[string]string{
 			"caller": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 	}
@@ -237,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	line, err := p.line("listening")
+	line, err := p.awaitLine("listening")
 	if err != nil {
 		return nil, err
 	}
@@ -246,49 +248,51 @@
 		key, address, _ := strings.Cut(field, "=")
 		switch key {
 		case "caller":
-			d.url = "http://" + address
+			d.callerURL = "http://" + address
 		case "peer":
-			d.peer = address
+			d.peerAddress = address
 		case "metrics":
-			d.metrics = "http://" + address
+			d.metricsURL = "http://" + address
 		}
 	}
 	c.daemons = append(c.daemons, d)
 	return d, nil
 }
 
-// awaitReady waits until the daemon reports that it is ready.
+// awaitReady waits until the daemon reports that it is ready and returns the time that
+// this took.
 func (c *Cell) awaitReady(d *daemon) (time.Duration, error) {
 	began := time.Now()
 	for time.Since(began) < readyTimeout {
-		if c.get(d.metrics+"/readyz", nil) == nil {
+		if c.get(d.metricsURL+"/readyz", nil) == nil {
 			return time.Since(began), nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return 0, fault.New(fault.Unavailable, "read "+d.logFile, "%s was not ready in %s", d.name, readyTimeout)
+	return 0, fault.New(fault.Unavailable, "read "+d.logFile, "%s did not become ready within %s", d.name, readyTimeout)
 }
 
-// awaitService waits until every daemon answers requests and every key shard has
-// an owner.
-func (c *Cell) awaitService() error {
+// awaitServing waits until every daemon answers requests and every key shard has an
+// owner: it requires a series of answers without a failure, at least two per daemon.
+func (c *Cell) awaitServing() error {
 	deadline := time.Now().Add(readyTimeout)
-	streak := 0
+	consecutive := 0
 	for i := 0; time.Now().Before(deadline); i++ {
-		a := c.send(c.daemons[i%len(c.daemons)], certificate, fmt.Sprintf("start-%d", i), 5*time.Second)
-		if a.kind != answered {
-			streak = 0
+		result := c.sendRequest(c.daemons[i%len(c.daemons)], certificate, fmt.Sprintf("start-%d", i), 5*time.Second)
+		if result.outcome != outcomeAnswered {
+			consecutive = 0
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		if streak++; streak >= max(8, 2*len(c.daemons)) {
+		if consecutive++; consecutive >= max(8, 2*len(c.daemons)) {
 			return nil
 		}
 	}
-	return fault.New(fault.Unavailable, "read the daemons' logs", "the cell answered no requests in %s", readyTimeout)
+	return fault.New(fault.Unavailable, "read the daemons' logs", "the daemons did not answer a series of requests within %s", readyTimeout)
 }
 
-// get reads JSON into reply, which may be nil; a status other than 200 is an error.
+// get decodes a JSON answer into reply, which may be nil. A status other than 2xx is an
+// error.
 func (c *Cell) get(url string, reply any) error {
 	response, err := c.client.Get(url)
 	if err != nil {
@@ -309,14 +313,14 @@
 	return decode(response, url, nil)
 }
 
-func decode(response *http.Response, url string, reply any) error {
+func decode(response *http.Response, source string, reply any) error {
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
 	}
 	if response.StatusCode/100 != 2 {
-		return fault.New(fault.Unavailable, "read the process's log", "%s answered %s", url, response.Status)
+		return fault.New(fault.Unavailable, "read the process's log", "%s answered %s", source, response.Status)
 	}
 	if reply == nil {
 		return nil
--- a/standin/load/costs.go
+++ b/standin/load/costs.go
@@ -9,29 +9,30 @@
 	"briarproxy/standin/logservice"
 )
 
-// Budget of the control cost of one daemon (design page, 1.6).
+// Control-cost budget of one daemon, from section 1.6 of the design page.
 const (
-	budgetCore  = 2.9 // % of a core
-	budgetRSS   = 32  // MB
-	budgetBytes = 9   // KB/s
+	budgetCorePercent        = 2.9
+	budgetRSSMB              = 32
+	budgetTrafficKBPerSecond = 9
 )
 
-// trafficSample is the time between readings of the connections' counters.
-const trafficSample = time.Second
+// trafficSampleInterval is the time between readings of the connections' counters. What a
+// connection carries after its last reading is not counted.
+const trafficSampleInterval = time.Second
 
-// observation is the use of all daemons, summed, and of the log.
+// observation is a reading of the resource usage of all daemons and of the log's counters.
 type observation struct {
-	at      time.Time
-	daemons int
-	sum     usage
-	maxRSS  int64
-	log     logservice.Stats
-	traffic traffic
+	at          time.Time
+	daemons     int
+	total       usage
+	maxRSSBytes int64
+	logStats    logservice.Stats
+	traffic     traffic
 }
 
 func (c *Cell) observe() (observation, error) {
 	o := observation{at: time.Now(), daemons: len(c.daemons)}
-	if err := c.countTraffic(); err != nil {
+	if err := c.updateTraffic(); err != nil {
 		return o, err
 	}
 	o.traffic = traffic{bytes: maps.Clone(c.traffic.bytes), segments: maps.Clone(c.traffic.segments)}
@@ -40,67 +41,67 @@
 		if err != nil {
 			return o, err
 		}
-		o.sum.cpu += u.cpu
-		o.sum.rss += u.rss
-		o.maxRSS = max(o.maxRSS, u.rss)
+		o.total.cpu += u.cpu
+		o.total.rssBytes += u.rssBytes
+		o.maxRSSBytes = max(o.maxRSSBytes, u.rssBytes)
 	}
 	var err error
-	o.log, err = c.logStats()
+	o.logStats, err = c.logStats()
 	return o, err
 }
 
-// cost is the use of one daemon, on average.
+// cost is the resource usage between two observations, per daemon unless noted.
 type cost struct {
-	core    float64            // % of a core
-	rss     float64            // MB
-	maxRSS  float64            // MB, of the largest
-	traffic map[string]float64 // KB/s sent and received, by purpose
-	control float64            // KB/s, without callers
-	packets float64            // with payload, a second, without callers
-	appends float64            // of the whole cell a second
+	corePercent        float64 // CPU time, % of one core
+	rssMB              float64
+	maxRSSMB           float64            // of the largest daemon
+	trafficKBPerSecond map[string]float64 // payload sent and received, by purpose
+	controlKBPerSecond float64            // without the traffic of callers
+	packetsPerSecond   float64            // segments with payload, without those of callers
+	appendsPerSecond   float64            // log appends of the whole cell
 }
 
-func (o observation) subtract(before observation) cost {
+func (o observation) costSince(before observation) cost {
 	elapsed := o.at.Sub(before.at).Seconds()
-	each := elapsed * float64(o.daemons)
-	k := cost{
-		core:    100 * (o.sum.cpu - before.sum.cpu).Seconds() / each,
-		rss:     float64(o.sum.rss) / float64(o.daemons) / 1e6,
-		maxRSS:  float64(o.maxRSS) / 1e6,
-		traffic: map[string]float64{},
-		appends: float64(o.log.Appends-before.log.Appends) / elapsed,
+	daemonSeconds := elapsed * float64(o.daemons)
+	result := cost{
+		corePercent:        100 * (o.total.cpu - before.total.cpu).Seconds() / daemonSeconds,
+		rssMB:              float64(o.total.rssBytes) / float64(o.daemons) / 1e6,
+		maxRSSMB:           float64(o.maxRSSBytes) / 1e6,
+		trafficKBPerSecond: map[string]float64{},
+		appendsPerSecond:   float64(o.logStats.Appends-before.logStats.Appends) / elapsed,
 	}
 	for purpose, bytes := range o.traffic.bytes {
-		rate := float64(bytes-before.traffic.bytes[purpose]) / each / 1e3
-		k.traffic[purpose] = rate
-		if purpose != toCallers {
-			k.control += rate
-			k.packets += float64(o.traffic.segments[purpose]-before.traffic.segments[purpose]) / each
+		rate := float64(bytes-before.traffic.bytes[purpose]) / daemonSeconds / 1e3
+		result.trafficKBPerSecond[purpose] = rate
+		if purpose != purposeCallers {
+			result.controlKBPerSecond += rate
+			result.packetsPerSecond += float64(o.traffic.segments[purpose]-before.traffic.segments[purpose]) / daemonSeconds
 		}
 	}
-	return k
+	return result
 }
 
-func (k cost) report(r *Report, of string) {
+func (c cost) report(r *Report, caseName string) {
 	values := []Value{
-		{"core", k.core, "%"}, {"RSS", k.rss, "MB"}, {"largest", k.maxRSS, "MB"},
-		{"traffic without callers", k.control, "KB/s"}, {"packets", k.packets, "/s"},
+		{"core", c.corePercent, "%"}, {"RSS", c.rssMB, "MB"}, {"largest", c.maxRSSMB, "MB"},
+		{"traffic without callers", c.controlKBPerSecond, "KB/s"}, {"packets", c.packetsPerSecond, "/s"},
 	}
-	for _, purpose := range slices.Sorted(maps.Keys(k.traffic)) {
-		values = append(values, Value{purpose, k.traffic[purpose], "KB/s"})
+	for _, purpose := range slices.Sorted(maps.Keys(c.trafficKBPerSecond)) {
+		values = append(values, Value{purpose, c.trafficKBPerSecond[purpose], "KB/s"})
 	}
-	r.add("cost per daemon", of, "", "", append(values, Value{"log appends of the cell", k.appends, "/s"})...)
+	r.addRow("cost per daemon", caseName, "", "", append(values, Value{"log appends of the cell", c.appendsPerSecond, "/s"})...)
 }
 
-// idle measures the cost without requests.
-func (c *Cell) idle(r *Report, lasting time.Duration) error {
+// measureIdle measures the cost of a cell that receives no requests.
+func (c *Cell) measureIdle(r *Report, duration time.Duration) error {
 	before, err := c.observe()
 	if err != nil {
 		return err
 	}
-	for began := time.Now(); time.Since(began) < lasting; {
-		time.Sleep(trafficSample)
-		if err := c.countTraffic(); err != nil {
+	for began := time.Now(); time.Since(began) < duration; {
+		time.Sleep(trafficSampleInterval)
+		if err := c.updateTraffic(); err != nil {
 			return err
 		}
 	}
@@ -108,10 +109,10 @@
 	if err != nil {
 		return err
 	}
-	k := after.subtract(before)
-	of := fmt.Sprintf("idle, %d daemons, %d workers", len(c.daemons), len(c.vms))
-	k.report(r, of)
-	r.target("budget per daemon, "+of, k.core <= budgetCore && k.rss <= budgetRSS && k.control <= budgetBytes,
-		"%.2f of %.1f%% of a core, %.1f of %d MB, %.1f of %d KB/s", k.core, budgetCore, k.rss, budgetRSS, k.control, budgetBytes)
+	idle := after.costSince(before)
+	caseName := fmt.Sprintf("idle, %d daemons, %d workers", len(c.daemons), len(c.vms))
+	idle.report(r, caseName)
+	r.addTarget("budget per daemon, "+caseName, idle.corePercent <= budgetCorePercent && idle.rssMB <= budgetRSSMB && idle.controlKBPerSecond <= budgetTrafficKBPerSecond,
+		"%.2f of %.1f%% of a core, %.1f of %d MB, %.1f of %d KB/s", idle.corePercent, budgetCorePercent, idle.rssMB, budgetRSSMB, idle.controlKBPerSecond, budgetTrafficKBPerSecond)
 	return nil
 }
--- a/standin/load/process.go
+++ b/standin/load/process.go
@@ -14,22 +14,22 @@
 	"briarproxy/core/fault"
 )
 
-// startTimeout bounds the time until a program prints that it listens.
+// startTimeout bounds the wait for a line that a program prints once it has started.
 const startTimeout = 15 * time.Second
 
-// process is a program that a run started.
+// process is a program started by a cell.
 type process struct {
 	name    string
 	command *exec.Cmd
 	lines   chan string
-	ended   chan struct{}
+	exited  chan struct{}
 	logFile string
 }
 
-// launch starts a program of the run's binary directory. Its standard error goes to
-// a file in the run's directory.
+// launch starts a program from Options.Bin. Its standard error is appended to a
+// file in the cell's directory.
 func (c *Cell) launch(name, program string, args ...string) (*process, error) {
-	p := &process{name: name, lines: make(chan string, 1024), ended: make(chan struct{})}
+	p := &process{name: name, lines: make(chan string, 1024), exited: make(chan struct{})}
 	p.logFile = filepath.Join(c.dir, name+".log")
 	stderr, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -55,14 +55,14 @@
 			}
 		}
 		_ = p.command.Wait()
-		close(p.ended)
+		close(p.exited)
 	}()
 	c.processes = append(c.processes, p)
 	return p, nil
 }
 
-// line waits for a line of output with a given start.
-func (p *process) line(prefix string) (string, error) {
+// awaitLine waits for a line of standard output with the given prefix.
+func (p *process) awaitLine(prefix string) (string, error) {
 	timeout := time.After(startTimeout)
 	for {
 		select {
@@ -70,51 +70,52 @@
 			if strings.HasPrefix(line, prefix) {
 				return line, nil
 			}
-		case <-p.ended:
-			return "", fault.New(fault.Unavailable, "read "+p.logFile, "%s ended before it printed %q", p.name, prefix)
+		case <-p.exited:
+			return "", fault.New(fault.Unavailable, "read "+p.logFile, "%s exited before it printed %q", p.name, prefix)
 		case <-timeout:
-			return "", fault.New(fault.Unavailable, "read "+p.logFile, "%s did not print %q in %s", p.name, prefix, startTimeout)
+			return "", fault.New(fault.Unavailable, "read "+p.logFile, "%s did not print %q within %s", p.name, prefix, startTimeout)
 		}
 	}
 }
 
 func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
-// kill ends the process without a planned stop.
+// kill sends SIGKILL, so that the process can't shut down gracefully, and waits for its
+// exit.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
-	<-p.ended
+	<-p.exited
 }
 
-// usage is what a process has used since its start.
+// usage is the CPU time that a process has used since its start, and its memory.
 type usage struct {
-	cpu time.Duration
-	rss int64 // bytes
+	cpu      time.Duration
+	rssBytes int64
 }
 
 // clockTick is the unit of CPU times in /proc/PID/stat (USER_HZ).
 const clockTick = 10 * time.Millisecond
 
-// usage reads the counters of the kernel.
+// usage reads the kernel's counters of the process.
 func (p *process) usage() (usage, error) {
 	var u usage
-	root := fmt.Sprintf("/proc/%d/", p.command.Process.Pid)
-	stat, err := os.ReadFile(root + "stat")
+	procDir := fmt.Sprintf("/proc/%d/", p.command.Process.Pid)
+	stat, err := os.ReadFile(procDir + "stat")
 	if err != nil {
 		return u, err
 	}
 	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
-	u.cpu = time.Duration(number(fields[11])+number(fields[12])) * clockTick
-	status, err := keyed(root + "status")
+	u.cpu = time.Duration(parseCounter(fields[11])+parseCounter(fields[12])) * clockTick
+	status, err := readProcFields(procDir + "status")
 	if err != nil {
 		return u, err
 	}
-	u.rss = status["VmRSS"] << 10
+	u.rssBytes = status["VmRSS"] << 10
 	return u, nil
 }
 
-// keyed reads a file of /proc with lines "key: number".
-func keyed(path string) (map[string]int64, error) {
+// readProcFields reads a file of /proc with lines "key: number".
+func readProcFields(path string) (map[string]int64, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -123,14 +124,14 @@
 	for line := range strings.Lines(string(data)) {
 		key, rest, _ := strings.Cut(line, ":")
 		if fields := strings.Fields(rest); len(fields) > 0 {
-			values[key] = number(fields[0])
+			values[key] = parseCounter(fields[0])
 		}
 	}
 	return values, nil
 }
 
-// number parses a counter; text that is none counts as 0.
-func number(text string) int64 {
+// parseCounter parses a decimal number; it returns 0 for any other text.
+func parseCounter(text string) int64 {
 	n, _ := strconv.ParseInt(text, 10, 64)
 	return n
 }
--- a/standin/load/recovery.go
+++ b/standin/load/recovery.go
@@ -11,68 +11,68 @@
 	"briarproxy/core/wire"
 )
 
-// Times of recovery measurements.
 const (
-	recoveryTimeout = 30 * time.Second
-	probeInterval   = 100 * time.Millisecond
-	probeTimeout    = 4 * time.Second
-	quietTime       = 4 * time.Second // without a failed or slow probe, after which a cell has recovered
-	slowWait        = time.Second     // of a probe that counts as slow
-	pauseTime       = 10 * time.Second
-	longTasks       = 96
+	recoveryTimeout    = 30 * time.Second
+	probeInterval      = 100 * time.Millisecond
+	probeTimeout       = 4 * time.Second
+	quietPeriod        = 4 * time.Second // time without a failed or slow probe after which a cell has recovered
+	slowProbeThreshold = time.Second     // least wait of a slow probe
+	pauseDuration      = 10 * time.Second
+	longJobTasks       = 96
 )
 
-// recovery says how a cell did after a fault.
+// recovery is the outcome of the probes after a fault.
 type recovery struct {
-	kinds    map[string]*probeResult
-	finished bool // before the timeout
+	byOperation map[string]*probeResult
+	recovered   bool // the probes were normal again before the timeout
 }
 
 type probeResult struct {
-	sent, bad int
-	normal    time.Duration // end of the last probe that failed or waited for slowWait, since the fault
-	slowest   time.Duration // wait of an answered probe
-	problem   string
+	sent, failed   int
+	recoveredAfter time.Duration // time from the fault to the end of the last failed or slow probe
+	slowestSuccess time.Duration // longest wait of an answered probe
+	lastProblem    string
 }
 
-// probe sends a request of each operation to the daemons at each interval, and a
-// job of one task, until none has failed for quietTime.
-func (c *Cell) probe(daemons []*daemon, fault time.Time, limit time.Duration) recovery {
+// probeUntilRecovered sends a request of each interactive operation and a job of one task
+// at every probeInterval, to the daemons in turn, until no probe has failed or been slow
+// for quietPeriod.
+func (c *Cell) probeUntilRecovered(daemons []*daemon, faultTime time.Time, timeout time.Duration) recovery {
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	rec := recovery{kinds: map[string]*probeResult{doorstep: {}, certificate: {}, "job": {}}}
+	rec := recovery{byOperation: map[string]*probeResult{doorstep: {}, certificate: {}, "job": {}}}
 	began := time.Now()
-	lastBad := began
-	note := func(kind string, a answer) {
+	lastFailure := began
+	record := func(operation string, result requestResult) {
 		mu.Lock()
 		defer mu.Unlock()
-		p := rec.kinds[kind]
+		p := rec.byOperation[operation]
 		p.sent++
-		if a.kind == answered {
-			p.slowest = max(p.slowest, a.wait())
+		if result.outcome == outcomeAnswered {
+			p.slowestSuccess = max(p.slowestSuccess, result.waitTime())
 		} else {
-			p.bad++
-			p.problem = kindNames[a.kind] + " " + a.problem
+			p.failed++
+			p.lastProblem = outcomeNames[result.outcome] + " " + result.problemType
 		}
-		if a.kind != answered || a.wait() >= slowWait {
-			p.normal = max(p.normal, a.sent.Add(a.took).Sub(fault))
-			lastBad = time.Now()
+		if result.outcome != outcomeAnswered || result.waitTime() >= slowProbeThreshold {
+			p.recoveredAfter = max(p.recoveredAfter, result.sentAt.Add(result.elapsed).Sub(faultTime))
+			lastFailure = time.Now()
 		}
 	}
-	for i := 0; time.Since(began) < limit; i++ {
+	for i := 0; time.Since(began) < timeout; i++ {
 		d := daemons[i%len(daemons)]
 		key := fmt.Sprintf("probe-%d-%d", began.UnixNano(), i)
-		group.Go(func() { note(doorstep, c.send(d, doorstep, key, probeTimeout)) })
-		group.Go(func() { note(certificate, c.send(d, certificate, key, probeTimeout)) })
+		group.Go(func() { record(doorstep, c.sendRequest(d, doorstep, key, probeTimeout)) })
+		group.Go(func() { record(certificate, c.sendRequest(d, certificate, key, probeTimeout)) })
 		group.Go(func() {
-			note("job", c.submit(d, wire.JobSpec{ID: key, Template: "short", Tasks: 1}, probeTimeout))
+			record("job", c.submitJob(d, wire.JobSpec{ID: key, Template: "short", Tasks: 1}, probeTimeout))
 		})
 		time.Sleep(probeInterval)
 		mu.Lock()
-		quiet := time.Since(lastBad)
+		quiet := time.Since(lastFailure)
 		mu.Unlock()
-		if quiet > quietTime && time.Since(began) > quietTime+probeTimeout {
-			rec.finished = true
+		if quiet > quietPeriod && time.Since(began) > quietPeriod+probeTimeout {
+			rec.recovered = true
 			break
 		}
 	}
@@ -80,20 +80,20 @@
 	return rec
 }
 
-func (rec recovery) report(r *Report, of string) {
-	for _, kind := range []string{doorstep, certificate, "job"} {
-		p := rec.kinds[kind]
-		r.add("recovery", of, kind, p.problem, seconds("normal after", p.normal),
-			count("failed probes", p.bad), count("of", p.sent), milliseconds("slowest success", p.slowest))
+func (rec recovery) report(r *Report, caseName string) {
+	for _, operation := range []string{doorstep, certificate, "job"} {
+		p := rec.byOperation[operation]
+		r.addRow("recovery", caseName, operation, p.lastProblem, seconds("normal after", p.recoveredAfter),
+			count("failed probes", p.failed), count("of", p.sent), milliseconds("slowest success", p.slowestSuccess))
 	}
-	if !rec.finished {
-		r.target("recovered, "+of, false, "probes still failed after %s", recoveryTimeout)
+	if !rec.recovered {
+		r.addTarget("recovered, "+caseName, false, "probes still failed after %s", recoveryTimeout)
 	}
 }
 
-// recover measures a paused daemon, the loss and replacement of another one, and a
-// lost rack, in this order.
-func (c *Cell) recover(r *Report) error {
+// measureRecovery measures recovery from a paused daemon, from the loss and replacement of
+// another one, and from the loss of a rack, in this order.
+func (c *Cell) measureRecovery(r *Report) error {
 	if err := c.readJournals(); err != nil {
 		return err
 	}
@@ -101,26 +101,27 @@
 	paused, others := c.daemons[last], c.daemons[:last]
 	began := time.Now()
 	paused.signal(syscall.SIGSTOP)
-	resume := time.AfterFunc(pauseTime, func() { paused.signal(syscall.SIGCONT) })
-	c.probe(others, began, recoveryTimeout).report(r, fmt.Sprintf("daemon paused for %s", pauseTime))
+	resume := time.AfterFunc(pauseDuration, func() { paused.signal(syscall.SIGCONT) })
+	c.probeUntilRecovered(others, began, recoveryTimeout).report(r, fmt.Sprintf("daemon paused for %s", pauseDuration))
 	if resume.Stop() {
 		paused.signal(syscall.SIGCONT)
 	}
-	// The first one is killed because it holds units: the paused one gets none back
-	// before the settling time of ownership is over.
+	// The first daemon is killed because it holds ownership units; the paused one gets none back
+	// before the settling time of ownership has passed.
 	killed := c.daemons[0]
 	began = time.Now()
 	killed.kill()
 	c.daemons = slices.Clone(c.daemons[1:])
-	c.probe(c.daemons, began, recoveryTimeout).report(r, "daemon killed")
-	if err := c.replace(r, last+1); err != nil {
+	c.probeUntilRecovered(c.daemons, began, recoveryTimeout).report(r, "daemon killed")
+	if err := c.measureReplacement(r, last+1); err != nil {
 		return err
 	}
-	return c.loseRack(r)
+	return c.measureRackLoss(r)
 }
 
-// replace starts a new daemon and measures when it serves.
-func (c *Cell) replace(r *Report, number int) error {
+// measureReplacement starts a new daemon and measures the time until it is ready and
+// until it answers a request.
+func (c *Cell) measureReplacement(r *Report, number int) error {
 	began := time.Now()
 	d, err := c.addDaemon(number)
 	if err != nil {
@@ -130,54 +131,54 @@
 		return err
 	}
 	ready := time.Since(began)
-	for c.send(d, doorstep, "", probeTimeout).kind != answered {
+	for c.sendRequest(d, doorstep, "", probeTimeout).outcome != outcomeAnswered {
 		if time.Since(began) > readyTimeout {
 			break
 		}
 		time.Sleep(probeInterval)
 	}
-	r.add("recovery", "new daemon", "ready", fmt.Sprintf("%d jobs known to the cell", len(c.starts.jobs)),
+	r.addRow("recovery", "new daemon", "ready", fmt.Sprintf("%d jobs known to the cell", len(c.journal.startsByJob)),
 		seconds("ready", ready), seconds("first request answered", time.Since(began)))
 	return nil
 }
 
-// loseRack kills the workers of a rack that runs tasks and measures when the tasks
-// run elsewhere.
-func (c *Cell) loseRack(r *Report) error {
+// measureRackLoss kills the workers of the rack that runs the most tasks of a job and
+// measures the time until those tasks are started elsewhere.
+func (c *Cell) measureRackLoss(r *Report) error {
 	const job = "long-1"
-	if a := c.submit(c.daemons[0], wire.JobSpec{ID: job, Template: "long", Tasks: longTasks}, probeTimeout); a.kind != answered {
-		r.add("recovery", "rack lost", "tasks", "the job was not accepted: "+a.problem)
+	if result := c.submitJob(c.daemons[0], wire.JobSpec{ID: job, Template: "long", Tasks: longJobTasks}, probeTimeout); result.outcome != outcomeAnswered {
+		r.addRow("recovery", "rack lost", "tasks", "the job was not accepted: "+result.problemType)
 		return nil
 	}
-	if err := c.awaitStarts(job, longTasks); err != nil {
+	if err := c.awaitStarts(job, longJobTasks); err != nil {
 		return err
 	}
 	rack, affected := c.busiestRack(job)
-	before := len(c.starts.jobs[job])
+	startsBefore := len(c.journal.startsByJob[job])
 	began := time.Now()
 	c.racks[rack].kill()
-	go c.probe(c.daemons, began, quietTime)
-	slowest, first := time.Duration(0), time.Duration(0)
-	for time.Since(began) < 2*recoveryTimeout && len(c.starts.jobs[job]) < before+affected {
-		time.Sleep(drainPoll)
+	go c.probeUntilRecovered(c.daemons, began, quietPeriod)
+	lastRestart, firstRestart := time.Duration(0), time.Duration(0)
+	for time.Since(began) < 2*recoveryTimeout && len(c.journal.startsByJob[job]) < startsBefore+affected {
+		time.Sleep(drainPollInterval)
 		if err := c.readJournals(); err != nil {
 			return err
 		}
 	}
-	again := c.starts.jobs[job][before:]
-	for i, s := range again {
-		if after := s.at.Sub(began); i == 0 || after < first {
-			first = after
+	restarts := c.journal.startsByJob[job][startsBefore:]
+	for i, s := range restarts {
+		if after := s.startedAt.Sub(began); i == 0 || after < firstRestart {
+			firstRestart = after
 		}
-		slowest = max(slowest, s.at.Sub(began))
+		lastRestart = max(lastRestart, s.startedAt.Sub(began))
 	}
-	r.add("recovery", "rack lost", "tasks", "", count("on the rack", affected), count("started elsewhere", len(again)),
-		seconds("first after", first), seconds("last after", slowest))
-	return c.cancel(job)
+	r.addRow("recovery", "rack lost", "tasks", "", count("on the rack", affected), count("started elsewhere", len(restarts)),
+		seconds("first after", firstRestart), seconds("last after", lastRestart))
+	return c.cancelJob(job)
 }
 
-func (c *Cell) cancel(job string) error {
-	request, err := newDelete(c.daemons[0].url + "/v1/jobs/" + job)
+func (c *Cell) cancelJob(job string) error {
+	request, err := newDeleteRequest(c.daemons[0].callerURL + "/v1/jobs/" + job)
 	if err != nil {
 		return err
 	}
@@ -188,10 +189,11 @@
 	return decode(response, "cancel "+job, nil)
 }
 
-// awaitStarts waits until so many tasks of a job have started.
+// awaitStarts waits until the journals show the given number of task starts of a job, for
+// at most recoveryTimeout.
 func (c *Cell) awaitStarts(job string, tasks int) error {
-	for began := time.Now(); len(c.starts.jobs[job]) < tasks && time.Since(began) < recoveryTimeout; {
-		time.Sleep(drainPoll)
+	for began := time.Now(); len(c.journal.startsByJob[job]) < tasks && time.Since(began) < recoveryTimeout; {
+		time.Sleep(drainPollInterval)
 		if err := c.readJournals(); err != nil {
 			return err
 		}
@@ -199,11 +201,12 @@
 	return nil
 }
 
-// busiestRack returns the rack on which most tasks of a job were started.
+// busiestRack returns the rack on which the most tasks of a job were started, and their
+// number.
 func (c *Cell) busiestRack(job string) (rack, tasks int) {
 	for i := range c.racks {
 		n := 0
-		for _, s := range c.starts.jobs[job] {
+		for _, s := range c.journal.startsByJob[job] {
 			if strings.HasPrefix(s.vm, fmt.Sprintf("rack-%02d-", i)) {
 				n++
 			}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -19,7 +19,7 @@
 	Unit   string  `json:"unit,omitempty"`
 }
 
-// Row is one line of the table.
+// Row holds the values of one measured case.
 type Row struct {
 	Section string  `json:"section"`
 	Case    string  `json:"case"`
@@ -37,7 +37,7 @@
 	Included  map[string]json.RawMessage `json:"included,omitempty"` // reports of other benchmarks
 }
 
-// Target says whether a measured goal was met.
+// Target is a goal and whether the measurement met it.
 type Target struct {
 	Name   string `json:"name"`
 	Detail string `json:"detail"`
@@ -49,24 +49,24 @@
 	return &Report{GoVersion: runtime.Version(), Cores: runtime.NumCPU(), Included: map[string]json.RawMessage{}}
 }
 
-func (r *Report) add(section, of, item, note string, values ...Value) {
-	r.Rows = append(r.Rows, Row{Section: section, Case: of, Item: item, Values: values, Note: note})
+func (r *Report) addRow(section, caseName, item, note string, values ...Value) {
+	r.Rows = append(r.Rows, Row{Section: section, Case: caseName, Item: item, Values: values, Note: note})
 }
 
-func (r *Report) target(name string, met bool, format string, args ...any) {
+func (r *Report) addTarget(name string, met bool, format string, args ...any) {
 	r.Targets = append(r.Targets, Target{Name: name, Met: met, Detail: fmt.Sprintf(format, args...)})
 }
 
-// Print writes the table.
+// Print writes the report as a table.
 func (r *Report) Print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "section\tcase\titem\tvalues\tnote")
 	for _, row := range r.Rows {
-		texts := make([]string, len(row.Values))
+		values := make([]string, len(row.Values))
 		for i, v := range row.Values {
-			texts[i] = v.String()
+			values[i] = v.String()
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", row.Section, row.Case, row.Item, strings.Join(texts, "  "), row.Note)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", row.Section, row.Case, row.Item, strings.Join(values, "  "), row.Note)
 	}
 	for _, t := range r.Targets {
 		verdict := "met"
@@ -87,7 +87,7 @@
 	return os.WriteFile(path, append(data, '\n'), 0o644)
 }
 
-// String formats a value with three or four significant digits.
+// String formats the number with four significant digits, or as an integer from 1000 on.
 func (v Value) String() string {
 	number := fmt.Sprintf("%.4g", v.Number)
 	if v.Number >= 1000 {
@@ -106,8 +106,8 @@
 	return Value{Name: name, Number: float64(d.Milliseconds()) / 1000, Unit: "s"}
 }
 
-// quantile returns the smallest value that at least a share q of all values do not
-// exceed; 0 without values.
+// quantile returns the smallest value such that at least a fraction q of all values do
+// not exceed it. It returns 0 for no values.
 func quantile(sorted []time.Duration, q float64) time.Duration {
 	if len(sorted) == 0 {
 		return 0
@@ -116,7 +116,7 @@
 	return sorted[min(max(index, 0), len(sorted)-1)]
 }
 
-func quantiles(waits []time.Duration) []Value {
+func quantileValues(waits []time.Duration) []Value {
 	slices.Sort(waits)
 	return []Value{
 		milliseconds("p50", quantile(waits, 0.5)),
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -12,48 +12,48 @@
 	"briarproxy/core/wire"
 )
 
-// Operations of the service in cell/objects.jsonc.
+// Operations of the example service in cell/objects.jsonc, one for each service class.
 const (
 	doorstep    = "doorstep"    // urgent, idempotent
-	certificate = "certificate" // keyed, not idempotent
-	survey      = "survey"      // durable
+	certificate = "certificate" // not idempotent, sent with an idempotency key
+	survey      = "survey"      // durable: accepted as a job that must run
 )
 
-// kind is what became of a request, as its caller sees it.
-type kind int
+// outcome is the result of a request, as its caller sees it.
+type outcome int
 
 const (
-	answered kind = iota // with a result, or accepted as a job
-	refused              // not run
-	unknown              // may have run
-	failed               // ran and failed
-	broken               // no answer, or one that tells no outcome
-	kinds                // number of kinds
+	outcomeAnswered outcome = iota // with a result, or accepted as a job
+	outcomeRefused                 // did not run
+	outcomeUnknown                 // may have run
+	outcomeFailed                  // ran and failed
+	outcomeBroken                  // no answer, or one that does not state an outcome
+	outcomeCount                   // number of outcomes
 )
 
-var kindNames = [kinds]string{"answered", "refused", "unknown", "failed", "broken"}
+var outcomeNames = [outcomeCount]string{"answered", "refused", "unknown", "failed", "broken"}
 
-// answer is one request and its end.
-type answer struct {
-	operation string
-	kind      kind
-	problem   string // type of the problem, "" without one
-	job       string // id of the accepted job
-	sent      time.Time
-	took      time.Duration
+// requestResult is the outcome of one request.
+type requestResult struct {
+	operation   string
+	outcome     outcome
+	problemType string // "" if no problem was reported
+	jobID       string // of the accepted job
+	sentAt      time.Time
+	elapsed     time.Duration
 }
 
-// wait is the time that a request did not run.
-func (a answer) wait() time.Duration { return max(0, a.took-runTimes[a.operation]) }
+// waitTime is the time from sending to the answer, less the run time of the operation.
+func (a requestResult) waitTime() time.Duration { return max(0, a.elapsed-runTimes[a.operation]) }
 
-// send sends one request and waits for its end. The key is also the body; a
-// doorstep request needs no key.
-func (c *Cell) send(d *daemon, operation, key string, timeout time.Duration) answer {
+// sendRequest sends one request and waits for its outcome. The key is also the body.
+// Doorstep requests are idempotent and carry no idempotency key.
+func (c *Cell) sendRequest(d *daemon, operation, key string, timeout time.Duration) requestResult {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/v1/services/dispatch/requests", bytes.NewReader([]byte(key)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.callerURL+"/v1/services/dispatch/requests", bytes.NewReader([]byte(key)))
 	if err != nil {
-		return answer{operation: operation, kind: broken}
+		return requestResult{operation: operation, outcome: outcomeBroken}
 	}
 	request.Header.Set(wire.HeaderOperation, operation)
 	if operation != doorstep {
@@ -65,43 +65,43 @@
 	return c.do(request, operation)
 }
 
-// submit submits a batch job.
-func (c *Cell) submit(d *daemon, spec wire.JobSpec, timeout time.Duration) answer {
+// submitJob submits a batch job. The result says whether it was accepted, not how it ended.
+func (c *Cell) submitJob(d *daemon, spec wire.JobSpec, timeout time.Duration) requestResult {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	body, err := json.Marshal(spec)
 	if err != nil {
-		return answer{operation: spec.Template, kind: broken}
+		return requestResult{operation: spec.Template, outcome: outcomeBroken}
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/v1/jobs", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.callerURL+"/v1/jobs", bytes.NewReader(body))
 	if err != nil {
-		return answer{operation: spec.Template, kind: broken}
+		return requestResult{operation: spec.Template, outcome: outcomeBroken}
 	}
 	request.Header.Set(wire.HeaderDeadlineMS, strconv.FormatInt(timeout.Milliseconds(), 10))
 	return c.do(request, spec.Template)
 }
 
-func (c *Cell) do(request *http.Request, operation string) answer {
-	a := answer{operation: operation, kind: broken, sent: time.Now()}
+func (c *Cell) do(request *http.Request, operation string) requestResult {
+	a := requestResult{operation: operation, outcome: outcomeBroken, sentAt: time.Now()}
 	response, err := c.client.Do(request)
 	if err != nil {
-		a.took = time.Since(a.sent)
+		a.elapsed = time.Since(a.sentAt)
 		return a
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	a.took = time.Since(a.sent)
+	a.elapsed = time.Since(a.sentAt)
 	if err != nil {
 		return a
 	}
-	a.judge(response.StatusCode, body)
+	a.setOutcome(response.StatusCode, body)
 	return a
 }
 
-// judge reads the outcome from an answer.
-func (a *answer) judge(status int, body []byte) {
+// setOutcome derives the outcome from an answer; one that states none leaves it unchanged.
+func (a *requestResult) setOutcome(status int, body []byte) {
 	if status == http.StatusOK {
-		a.kind = answered
+		a.outcome = outcomeAnswered
 		return
 	}
 	var reply struct {
@@ -111,16 +111,16 @@
 	if json.Unmarshal(body, &reply) != nil {
 		return
 	}
-	a.job = reply.ID
-	a.problem = reply.Type
+	a.jobID = reply.ID
+	a.problemType = reply.Type
 	switch {
 	case status == http.StatusAccepted:
-		a.kind = answered
+		a.outcome = outcomeAnswered
 	case reply.Outcome == wire.OutcomeNotRun:
-		a.kind = refused
+		a.outcome = outcomeRefused
 	case reply.Outcome == wire.OutcomeUnknown:
-		a.kind = unknown
+		a.outcome = outcomeUnknown
 	case reply.Outcome == wire.OutcomeRan:
-		a.kind = failed
+		a.outcome = outcomeFailed
 	}
 }
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Part names a measurement.
+// Measurement is a measurement that Run can make.
 type Part string
 
-// Measurements that Run knows. Each needs a few daemons.
+// Values of Measurement. Each needs a cell of several daemons.
 const (
 	PartIdle     Part = "idle"
 	PartWaits    Part = "waits"
@@ -13,20 +13,20 @@
 	PartRecovery Part = "recovery"
 )
 
-// Parts lists all measurements in the order in which they run.
+// Measurements lists all measurements in their default order.
 var Parts = []Part{PartIdle, PartWaits, PartStarts, PartRecovery}
 
-// Plan says what a run measures.
+// Plan selects and configures the measurements of a run.
 type Plan struct {
 	Parts        []Part
-	Loads        []float64 // multiples of the slots' capacity, lowest first
-	FailingLoads []float64 // the same, for the part with failing workers
-	Lasting      time.Duration
-	StartRates   []float64 // task starts a second that are asked for
+	Loads        []float64     // multiples of the slots' capacity, lowest first
+	FailingLoads []float64     // as Loads, for the measurement with failing workers; empty skips it
+	Lasting      time.Duration // of each load and of the idle measurement
+	StartRates   []float64     // requested task starts per second
 }
 
-// Run starts a cell, measures the plan's parts on it and stops it. The rows of
-// parts that ended are in the report also when an error is returned.
+// Run starts a cell, makes the plan's measurements on it and stops it. When it returns an
+// error, the report still holds the rows of the measurements made before.
 func Run(options Options, plan Plan, r *Report) error {
 	c, err := Start(options)
 	if err != nil {
@@ -34,32 +34,32 @@
 	}
 	defer c.Stop()
 	for _, part := range plan.Parts {
-		if err := c.run(part, plan, r); err != nil {
+		if err := c.measure(part, plan, r); err != nil {
 			return err
 		}
 	}
 	if err := c.readJournals(); err != nil {
 		return err
 	}
-	r.target("no worker over its capacity", c.starts.faults == 0, "%d overloads in the journals", c.starts.faults)
+	r.addTarget("no worker over its capacity", c.journal.capacityViolations == 0, "%d overloads in the journals", c.journal.capacityViolations)
 	return nil
 }
 
-func (c *Cell) run(part Part, plan Plan, r *Report) error {
+func (c *Cell) measure(part Part, plan Plan, r *Report) error {
 	switch part {
 	case PartIdle:
-		return c.idle(r, plan.Lasting)
+		return c.measureIdle(r, plan.Lasting)
 	case PartWaits:
-		return c.waits(r, plan.Loads, plan.FailingLoads, plan.Lasting)
+		return c.measureWaits(r, plan.Loads, plan.FailingLoads, plan.Lasting)
 	case PartStarts:
 		for _, rate := range plan.StartRates {
-			if err := c.taskStarts(r, rate); err != nil {
+			if err := c.measureTaskStarts(r, rate); err != nil {
 				return err
 			}
 		}
 		return nil
 	case PartRecovery:
-		return c.recover(r)
+		return c.measureRecovery(r)
 	}
 	return nil
 }
--- a/standin/load/starts.go
+++ b/standin/load/starts.go
@@ -11,39 +11,39 @@
 	"briarproxy/standin/worker"
 )
 
-// startIndex holds what the workers' journals say of tasks.
-type startIndex struct {
-	offsets []int64 // bytes read of each journal
-	jobs    map[string][]start
-	tasks   int // task starts
-	ends    map[string]int
-	faults  int // overloads
+// journalIndex aggregates the tasks in the workers' journals.
+type journalIndex struct {
+	readOffsets        []int64 // next byte to read of each journal
+	startsByJob        map[string][]taskStart
+	taskStarts         int // number of tasks started
+	endsByJob          map[string]int
+	capacityViolations int // entries that report a worker over its capacity
 }
 
-// start is the start of a task.
-type start struct {
-	task string
-	vm   string
-	at   time.Time
+// taskStart is a start of a task.
+type taskStart struct {
+	taskID    string
+	vm        string
+	startedAt time.Time
 }
 
-// readJournals takes in what was appended to the journals.
+// readJournals reads the entries appended to the journals since the last call.
 func (c *Cell) readJournals() error {
-	x := &c.starts
-	if x.jobs == nil {
-		x.jobs, x.ends, x.offsets = map[string][]start{}, map[string]int{}, make([]int64, len(c.journals))
+	x := &c.journal
+	if x.startsByJob == nil {
+		x.startsByJob, x.endsByJob, x.readOffsets = map[string][]taskStart{}, map[string]int{}, make([]int64, len(c.rackJournals))
 	}
-	for i, path := range c.journals {
-		read, err := x.read(path, x.offsets[i])
+	for i, path := range c.rackJournals {
+		read, err := x.readFile(path, x.readOffsets[i])
 		if err != nil {
 			return err
 		}
-		x.offsets[i] += read
+		x.readOffsets[i] += read
 	}
 	return nil
 }
 
-func (x *startIndex) read(path string, from int64) (read int64, err error) {
+func (x *journalIndex) readFile(path string, from int64) (read int64, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return 0, err
@@ -52,12 +52,12 @@
 	if _, err := file.Seek(from, io.SeekStart); err != nil {
 		return 0, err
 	}
-	return x.scan(file)
+	return x.readLines(file)
 }
 
-// scan takes in whole lines and returns their length. What is left is read once
-// its line is complete.
-func (x *startIndex) scan(in io.Reader) (read int64, err error) {
+// readLines adds the entries of all complete lines and returns the bytes read. An
+// incomplete last line is left for the next call.
+func (x *journalIndex) readLines(in io.Reader) (read int64, err error) {
 	reader := bufio.NewReader(in)
 	for {
 		line, err := reader.ReadBytes('\n')
@@ -70,20 +70,20 @@
 		read += int64(len(line))
 		var e worker.Entry
 		if json.Unmarshal(line, &e) == nil {
-			x.add(e)
+			x.addEntry(e)
 		}
 	}
 }
 
-func (x *startIndex) add(e worker.Entry) {
+func (x *journalIndex) addEntry(e worker.Entry) {
 	switch {
 	case e.Event == worker.EventOverload || e.Event == worker.EventOveruse:
-		x.faults++
+		x.capacityViolations++
 	case e.Job == "":
 	case e.Event == worker.EventStart:
-		x.tasks++
-		x.jobs[e.Job] = append(x.jobs[e.Job], start{task: e.ID, vm: e.VM, at: time.UnixMicro(e.TimeUS)})
+		x.taskStarts++
+		x.startsByJob[e.Job] = append(x.startsByJob[e.Job], taskStart{taskID: e.ID, vm: e.VM, startedAt: time.UnixMicro(e.TimeUS)})
 	case e.Event == worker.EventEnd:
-		x.ends[e.Job]++
+		x.endsByJob[e.Job]++
 	}
 }
--- a/standin/load/waits.go
+++ b/standin/load/waits.go
@@ -10,18 +10,17 @@
 	"briarproxy/standin/worker"
 )
 
-// Phases of a measurement of waiting times.
 const (
-	outageTime   = 10 * time.Second // shorter than the 60 s of a long outage
-	drainTimeout = 45 * time.Second
-	drainPoll    = 500 * time.Millisecond
-	failingShare = 10 // every tenth worker
-	targetRatio  = 1.5
+	outageDuration      = 10 * time.Second // shorter than the 60 s after which an outage counts as long
+	drainTimeout        = 45 * time.Second
+	drainPollInterval   = 500 * time.Millisecond
+	failingWorkerStride = 10 // every tenth worker fails its work
+	maxP99Ratio         = 1.5
 )
 
-// waits measures waiting times at healthyLoads with all workers healthy, at failingLoads
-// with a tenth of the workers failing everything, and through an outage of the log.
-func (c *Cell) waits(r *Report, healthyLoads, failingLoads []float64, lasting time.Duration) error {
+// measureWaits measures waiting times at healthyLoads with all workers healthy, at
+// failingLoads with a tenth of the workers failing all work, and during a log outage.
+func (c *Cell) measureWaits(r *Report, healthyLoads, failingLoads []float64, duration time.Duration) error {
 	for _, failing := range []bool{false, true} {
 		loads := healthyLoads
 		if failing {
@@ -35,19 +34,19 @@
 		}
 		p99 := map[float64]time.Duration{}
 		for _, load := range loads {
-			of := fmt.Sprintf("%.0f%% load", load*100)
+			caseName := fmt.Sprintf("%.0f%% load", load*100)
 			if failing {
-				of += ", 10% of workers fail"
+				caseName += ", 10% of workers fail"
 			}
-			urgent, err := c.phase(r, of, load, lasting)
+			urgent, err := c.measureLoad(r, caseName, load, duration)
 			if err != nil {
 				return err
 			}
 			p99[load] = urgent
 		}
 		low, high := p99[loads[0]], p99[loads[len(loads)-1]]
-		r.target(fmt.Sprintf("urgent p99 at %.0f%% within 1.5 times that at %.0f%%, failing workers: %t", loads[len(loads)-1]*100, loads[0]*100, failing),
-			float64(high) <= targetRatio*float64(low), "%.1f ms against %.1f ms: ratio %.2f", ms(high), ms(low), float64(high)/float64(max(low, 1)))
+		r.addTarget(fmt.Sprintf("urgent p99 at %.0f%% within 1.5 times that at %.0f%%, failing workers: %t", loads[len(loads)-1]*100, loads[0]*100, failing),
+			float64(high) <= maxP99Ratio*float64(low), "%.1f ms against %.1f ms: ratio %.2f", toMilliseconds(high), toMilliseconds(low), float64(high)/float64(max(low, 1)))
 	}
 	if err := c.setFailing(false); err != nil {
 		return err
@@ -55,14 +54,15 @@
 	if len(healthyLoads) == 0 {
 		return nil
 	}
-	return c.throughOutage(r, healthyLoads[0])
+	return c.measureLogOutage(r, healthyLoads[0])
 }
 
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+func toMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
+// setFailing makes every tenth worker fail all work, or none.
 func (c *Cell) setFailing(failing bool) error {
 	for i, vm := range c.vms {
-		if i%failingShare != 0 {
+		if i%failingWorkerStride != 0 {
 			continue
 		}
 		if err := c.post("http://"+vm.Address+"/control/misbehaviour", worker.Misbehaviour{FailAll: failing}); err != nil {
@@ -72,79 +72,82 @@
 	return nil
 }
 
-// phase measures one load and returns the urgent requests' p99.
-func (c *Cell) phase(r *Report, of string, load float64, lasting time.Duration) (time.Duration, error) {
+// measureLoad measures one load and returns the 99th percentile of the urgent requests'
+// waiting times.
+func (c *Cell) measureLoad(r *Report, caseName string, load float64, duration time.Duration) (time.Duration, error) {
 	before, err := c.observe()
 	if err != nil {
 		return 0, err
 	}
 	began := time.Now()
-	answers := c.generate(fmt.Sprintf("p%d", began.UnixNano()), c.daemons, c.mixed(load), lasting)
+	results := c.generate(fmt.Sprintf("p%d", began.UnixNano()), c.daemons, c.mixedStreams(load), duration)
 	after, err := c.observe()
 	if err != nil {
 		return 0, err
 	}
-	after.subtract(before).report(r, of)
-	return c.reportWaits(r, of, answers)
+	after.costSince(before).report(r, caseName)
+	return c.reportWaits(r, caseName, results)
 }
 
-// reportWaits adds a row for each class and waits for the durable requests.
-func (c *Cell) reportWaits(r *Report, of string, answers []answer) (time.Duration, error) {
-	drained, lost := c.drain(answers)
+// reportWaits waits for the accepted durable requests to end and adds a row for each
+// operation. It returns the 99th percentile of the urgent requests' waiting times.
+func (c *Cell) reportWaits(r *Report, caseName string, results []requestResult) (time.Duration, error) {
+	drained, lost := c.awaitDurableJobs(results)
 	if err := c.readJournals(); err != nil {
 		return 0, err
 	}
 	urgent := time.Duration(0)
-	for _, m := range mix {
+	for _, m := range requestMix {
 		var waits []time.Duration
-		counts := [kinds]int{}
+		counts := [outcomeCount]int{}
 		problems := map[string]int{}
-		for _, a := range answers {
-			if a.operation != m.operation {
+		for _, result := range results {
+			if result.operation != m.operation {
 				continue
 			}
-			counts[a.kind]++
-			if a.problem != "" {
-				problems[a.problem]++
+			counts[result.outcome]++
+			if result.problemType != "" {
+				problems[result.problemType]++
 			}
-			if a.kind == answered {
-				waits = append(waits, c.waitOf(a))
+			if result.outcome == outcomeAnswered {
+				waits = append(waits, c.waitTime(result))
 			}
 		}
-		values := quantiles(waits)
-		for k := refused; k < kinds; k++ {
-			if counts[k] > 0 {
-				values = append(values, count(kindNames[k], counts[k]))
+		values := quantileValues(waits)
+		for o := outcomeRefused; o < outcomeCount; o++ {
+			if counts[o] > 0 {
+				values = append(values, count(outcomeNames[o], counts[o]))
 			}
 		}
-		note := common(problems)
+		note := mostFrequent(problems)
 		if m.operation == survey {
 			values = append(values, count("lost", lost), seconds("drained after", drained))
-			r.target("no durable request lost, "+of, lost == 0, "%d lost of %d accepted", lost, counts[answered])
+			r.addTarget("no durable request lost, "+caseName, lost == 0, "%d lost of %d accepted", lost, counts[outcomeAnswered])
 		}
 		if m.operation == doorstep {
 			urgent = quantile(waits, 0.99)
 		}
-		r.add("waiting time", of, m.operation, note, values...)
+		r.addRow("waiting time", caseName, m.operation, note, values...)
 	}
 	return urgent, nil
 }
 
-// waitOf is the time until the request ran: for a durable one until its first start
-// in a worker's journal.
-func (c *Cell) waitOf(a answer) time.Duration {
-	if a.operation != survey {
-		return a.wait()
+// waitTime returns the time until the request ran. For a durable request, this is the time
+// until its first start in a worker's journal, or drainTimeout if it has not started.
+func (c *Cell) waitTime(result requestResult) time.Duration {
+	if result.operation != survey {
+		return result.waitTime()
 	}
-	if starts := c.starts.jobs[a.job]; len(starts) > 0 {
-		first := slices.MinFunc(starts, func(x, y start) int { return x.at.Compare(y.at) })
-		return max(0, first.at.Sub(a.sent))
+	if starts := c.journal.startsByJob[result.jobID]; len(starts) > 0 {
+		first := slices.MinFunc(starts, func(x, y taskStart) int { return x.startedAt.Compare(y.startedAt) })
+		return max(0, first.startedAt.Sub(result.sentAt))
 	}
 	return drainTimeout
 }
 
-// common returns the most frequent problem.
-func common(problems map[string]int) string {
+// mostFrequent returns the most frequent problem; of equally frequent ones, the first by
+// name.
+func mostFrequent(problems map[string]int) string {
 	name, most := "", 0
 	for problem, n := range problems {
 		if n > most || n == most && problem < name {
@@ -154,45 +157,47 @@
 	return name
 }
 
-// drain waits until every accepted durable request has ended. Those that are not
-// known to any daemon, or have not ended in time, are lost.
-func (c *Cell) drain(answers []answer) (time.Duration, int) {
+// awaitDurableJobs waits until every accepted durable request has ended, and returns the
+// time that this took and the number of requests that were lost: those of which the first
+// daemon reports no end within drainTimeout.
+func (c *Cell) awaitDurableJobs(results []requestResult) (time.Duration, int) {
 	began := time.Now()
 	var open []string
-	for _, a := range answers {
-		if a.operation == survey && a.kind == answered && a.job != "" {
-			open = append(open, a.job)
+	for _, result := range results {
+		if result.operation == survey && result.outcome == outcomeAnswered && result.jobID != "" {
+			open = append(open, result.jobID)
 		}
 	}
 	for len(open) > 0 && time.Since(began) < drainTimeout {
-		open = slices.DeleteFunc(open, func(id string) bool { return c.ended(id) })
+		open = slices.DeleteFunc(open, func(id string) bool { return c.jobEnded(id) })
 		if len(open) > 0 {
-			time.Sleep(drainPoll)
+			time.Sleep(drainPollInterval)
 		}
 	}
 	return time.Since(began), len(open)
 }
 
-func (c *Cell) ended(job string) bool {
+func (c *Cell) jobEnded(job string) bool {
 	var status wire.JobStatus
-	if err := c.get(c.daemons[0].url+"/v1/jobs/"+job, &status); err != nil {
+	if err := c.get(c.daemons[0].callerURL+"/v1/jobs/"+job, &status); err != nil {
 		return false
 	}
 	return status.State == wire.JobSucceeded || status.State == wire.JobFailed
 }
 
-// throughOutage measures a load while the log refuses everything.
-func (c *Cell) throughOutage(r *Report, load float64) error {
-	if err := c.post(c.logURL+"/control/outage", logservice.Outage{MS: outageTime.Milliseconds(), Mode: logservice.OutageRefuse}); err != nil {
+// measureLogOutage measures a load while the log refuses all calls, and the recovery
+// afterwards.
+func (c *Cell) measureLogOutage(r *Report, load float64) error {
+	if err := c.post(c.logURL+"/control/outage", logservice.Outage{MS: outageDuration.Milliseconds(), Mode: logservice.OutageRefuse}); err != nil {
 		return err
 	}
-	of := fmt.Sprintf("log outage of %s, %.0f%% load", outageTime, load*100)
+	caseName := fmt.Sprintf("log outage of %s, %.0f%% load", outageDuration, load*100)
 	began := time.Now()
-	answers := c.generate(fmt.Sprintf("o%d", began.UnixNano()), c.daemons, c.mixed(load), outageTime)
-	if _, err := c.reportWaits(r, of, answers); err != nil {
+	results := c.generate(fmt.Sprintf("o%d", began.UnixNano()), c.daemons, c.mixedStreams(load), outageDuration)
+	if _, err := c.reportWaits(r, caseName, results); err != nil {
 		return err
 	}
-	recovered := c.probe(c.daemons, began.Add(outageTime), recoveryTimeout)
-	recovered.report(r, "log outage of "+outageTime.String())
+	recovery := c.probeUntilRecovered(c.daemons, began.Add(outageDuration), recoveryTimeout)
+	recovery.report(r, "log outage of "+outageDuration.String())
 	return nil
 }
