--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -101,7 +101,7 @@
 			if err != nil {
 				return err
 			}
-			return demo.Warm(cmd.Context(), cells)
+			return demo.WaitServing(cmd.Context(), cells)
 		},
 	}
 	addCellFlag(cmd, &cellTexts)
--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -49,8 +49,8 @@
 	set.StringSliceVar(&f.parts, "parts", []string{"idle", "waits", "starts", "recovery"}, "measurements to run")
 	set.Float64SliceVar(&f.plan.Loads, "loads", []float64{0.5, 0.9, 1.2, 2}, "multiples of the slots' capacity, lowest first")
 	set.Float64SliceVar(&f.plan.FailingLoads, "failing-loads", []float64{0.5, 2}, "the same with a tenth of the workers failing")
-	set.DurationVar(&f.plan.Lasting, "lasting", 5*time.Second, "time of each load and of the idle measurement")
-	set.Float64SliceVar(&f.plan.StartRates, "starts", []float64{500, 2200}, "task starts a second that are asked for")
+	set.DurationVar(&f.plan.Duration, "lasting", 5*time.Second, "time of each load and of the idle measurement")
+	set.Float64SliceVar(&f.plan.TaskStartRates, "starts", []float64{500, 2200}, "task starts a second that are asked for")
 	set.StringVar(&f.json, "json", "", "file for the report")
 	set.StringArrayVar(&f.included, "include", nil, "JSON report of another benchmark to put into the report; may be repeated")
 	return cmd
@@ -58,11 +58,11 @@
 
 func (f *flags) run(cmd *cobra.Command) error {
 	for _, name := range f.parts {
-		part := load.Part(name)
-		if !slices.Contains(load.Parts, part) {
+		part := load.Measurement(name)
+		if !slices.Contains(load.Measurements, part) {
 			return fault.New(fault.Invalid, "use idle, waits, starts or recovery", "unknown measurement %q", name)
 		}
-		f.plan.Parts = append(f.plan.Parts, part)
+		f.plan.Measurements = append(f.plan.Measurements, part)
 	}
 	report := load.NewReport()
 	if err := f.include(report); err != nil {
--- a/standin/demo/client.go
+++ b/standin/demo/client.go
@@ -63,19 +63,19 @@
 // outcome it retries at another daemon with the same idempotency key.
 func (c *Client) Do(ctx context.Context, request Request) *Record {
 	record := NewRecord(request)
-	deadline := record.Sent.Add(request.Deadline)
+	deadline := record.SentAt.Add(request.Deadline)
 	avoid := ""
 	for {
 		attempt := c.send(ctx, record, c.pickDaemon(avoid), time.Until(deadline))
 		record.Attempts = append(record.Attempts, attempt)
-		record.Final = attempt.Told
-		record.Answered = time.Now()
+		record.FinalOutcome = attempt.Outcome
+		record.AnsweredAt = time.Now()
 		delay, retry := attempt.retryDelay(request)
 		if !retry || time.Until(deadline) <= delay || !sleep(ctx, delay) {
 			return record
 		}
 		avoid = ""
-		if attempt.Told != ToldNotRun {
+		if attempt.Outcome != OutcomeNotRun {
 			avoid = attempt.Daemon
 		}
 	}
@@ -84,31 +84,31 @@
 // retryDelay returns the time to wait before a retry, and whether the caller may retry.
 func (a Attempt) retryDelay(request Request) (time.Duration, bool) {
 	repeatable := request.Idempotent || request.Key != ""
-	switch a.Told {
-	case ToldNotRun:
+	switch a.Outcome {
+	case OutcomeNotRun:
 		return a.RetryAfter, a.RetryAfter > 0
-	case ToldUnknown:
+	case OutcomeUnknown:
 		return a.RetryAfter, repeatable && a.RetryAfter > 0 // without Retry-After, a retry would not learn more
-	case ToldBroken:
+	case OutcomeBroken:
 		return brokenRetryDelay, repeatable
 	}
 	return 0, false
 }
 
 // SendOnce sends a request to one daemon without retries.
-func (c *Client) Once(ctx context.Context, daemon string, request Request) *Record {
+func (c *Client) SendOnce(ctx context.Context, daemon string, request Request) *Record {
 	record := NewRecord(request)
 	attempt := c.send(ctx, record, daemon, request.Deadline)
 	record.Attempts = []Attempt{attempt}
-	record.Final = attempt.Told
-	record.Answered = time.Now()
+	record.FinalOutcome = attempt.Outcome
+	record.AnsweredAt = time.Now()
 	return record
 }
 
 func (c *Client) send(ctx context.Context, record *Record, daemon string, timeout time.Duration) Attempt {
-	attempt := Attempt{Daemon: daemon, Told: ToldBroken}
-	if record.CallWait > 0 {
-		timeout = min(timeout, record.CallWait)
+	attempt := Attempt{Daemon: daemon, Outcome: OutcomeBroken}
+	if record.AttemptTimeout > 0 {
+		timeout = min(timeout, record.AttemptTimeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+answerMargin)
 	defer cancel()
@@ -163,10 +163,10 @@
 		r.addViolation("the answer is not a worker's result: " + err.Error())
 		return attempt
 	}
-	if result.BodySHA256 != r.Digest {
+	if result.BodySHA256 != r.BodyDigest {
 		r.addViolation("the answer belongs to another request, " + result.ID)
 	}
-	attempt.Told = ToldAnswered
+	attempt.Outcome = OutcomeAnswered
 	r.Result = &result
 	r.ResultDigest = digest(response.Body())
 	return attempt
@@ -184,7 +184,7 @@
 		r.addViolation(attempt.Detail)
 		return attempt
 	}
-	attempt.Told = ToldAccepted
+	attempt.Outcome = OutcomeAccepted
 	r.JobID = body.ID
 	return attempt
 }
@@ -199,11 +199,11 @@
 	attempt.Detail = problem.Type + ": " + problem.Detail
 	switch problem.Outcome {
 	case wire.OutcomeNotRun:
-		attempt.Told = ToldNotRun
+		attempt.Outcome = OutcomeNotRun
 	case wire.OutcomeRan:
-		attempt.Told = ToldRan
+		attempt.Outcome = OutcomeRan
 	default:
-		attempt.Told = ToldUnknown
+		attempt.Outcome = OutcomeUnknown
 	}
 	return attempt
 }
--- a/standin/demo/client_test.go
+++ b/standin/demo/client_test.go
@@ -80,22 +80,22 @@
 		name       string
 		request    Request
 		script     []func(http.ResponseWriter, *http.Request)
-		outcomes   []Told
+		outcomes   []AttemptOutcome
 		minTime    time.Duration
 		violations int
 	}{
-		{"answered", keyed, []func(http.ResponseWriter, *http.Request){own}, []Told{ToldAnswered}, 0, 0},
-		{"refused, then answered", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "1"), own}, []Told{ToldNotRun, ToldAnswered}, time.Second, 0},
-		{"refused without Retry-After", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "")}, []Told{ToldNotRun}, 0, 0},
-		{"refused beyond the deadline", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "60")}, []Told{ToldNotRun}, 0, 0},
-		{"connection broken, with a key", keyed, []func(http.ResponseWriter, *http.Request){abortConnection, own}, []Told{ToldBroken, ToldAnswered}, brokenRetryDelay, 0},
-		{"connection broken, without a key", keyless, []func(http.ResponseWriter, *http.Request){abortConnection}, []Told{ToldBroken}, 0, 0},
-		{"unknown with a key", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "1"), own}, []Told{ToldUnknown, ToldAnswered}, time.Second, 0},
-		{"unknown without Retry-After", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "")}, []Told{ToldUnknown}, 0, 0},
-		{"unknown without a key", keyless, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "1")}, []Told{ToldUnknown}, 0, 0},
-		{"ran", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeRan, "1")}, []Told{ToldRan}, 0, 0},
-		{"answer to another request", keyed, []func(http.ResponseWriter, *http.Request){otherRequest}, []Told{ToldAnswered}, 0, 1},
-		{"answer without digest", keyed, []func(http.ResponseWriter, *http.Request){withoutDigest, own}, []Told{ToldBroken, ToldAnswered}, 0, 1},
+		{"answered", keyed, []func(http.ResponseWriter, *http.Request){own}, []AttemptOutcome{OutcomeAnswered}, 0, 0},
+		{"refused, then answered", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "1"), own}, []AttemptOutcome{OutcomeNotRun, OutcomeAnswered}, time.Second, 0},
+		{"refused without Retry-After", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "")}, []AttemptOutcome{OutcomeNotRun}, 0, 0},
+		{"refused beyond the deadline", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeNotRun, "60")}, []AttemptOutcome{OutcomeNotRun}, 0, 0},
+		{"connection broken, with a key", keyed, []func(http.ResponseWriter, *http.Request){abortConnection, own}, []AttemptOutcome{OutcomeBroken, OutcomeAnswered}, brokenRetryDelay, 0},
+		{"connection broken, without a key", keyless, []func(http.ResponseWriter, *http.Request){abortConnection}, []AttemptOutcome{OutcomeBroken}, 0, 0},
+		{"unknown with a key", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "1"), own}, []AttemptOutcome{OutcomeUnknown, OutcomeAnswered}, time.Second, 0},
+		{"unknown without Retry-After", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "")}, []AttemptOutcome{OutcomeUnknown}, 0, 0},
+		{"unknown without a key", keyless, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeUnknown, "1")}, []AttemptOutcome{OutcomeUnknown}, 0, 0},
+		{"ran", keyed, []func(http.ResponseWriter, *http.Request){replyProblem(wire.OutcomeRan, "1")}, []AttemptOutcome{OutcomeRan}, 0, 0},
+		{"answer to another request", keyed, []func(http.ResponseWriter, *http.Request){otherRequest}, []AttemptOutcome{OutcomeAnswered}, 0, 1},
+		{"answer without digest", keyed, []func(http.ResponseWriter, *http.Request){withoutDigest, own}, []AttemptOutcome{OutcomeBroken, OutcomeAnswered}, 0, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -106,14 +106,14 @@
 			client.Close()
 			server.Close() // waits for the handlers, whose recorded keys are read below
 			keys, left := handler.received()
-			var outcomes []Told
+			var outcomes []AttemptOutcome
 			for i, a := range record.Attempts {
-				outcomes = append(outcomes, a.Told)
+				outcomes = append(outcomes, a.Outcome)
 				assert.Equal(t, c.request.Key, keys[i])
 			}
 			assert.Equal(t, c.outcomes, outcomes)
-			assert.Equal(t, c.outcomes[len(c.outcomes)-1], record.Final)
-			assert.GreaterOrEqual(t, record.Answered.Sub(record.Sent), c.minTime)
+			assert.Equal(t, c.outcomes[len(c.outcomes)-1], record.FinalOutcome)
+			assert.GreaterOrEqual(t, record.AnsweredAt.Sub(record.SentAt), c.minTime)
 			assert.Len(t, record.Violations, c.violations)
 			assert.Zero(t, left)
 		})
--- a/standin/demo/compare.go
+++ b/standin/demo/compare.go
@@ -10,7 +10,7 @@
 
 // CheckRecords checks all answers to callers against the runs in the journal, and the
 // journal itself with CheckJournal. All records must be complete.
-func Compare(records []*Record, entries []worker.Entry) []Violation {
+func CheckRecords(records []*Record, entries []worker.Entry) []Violation {
 	found := CheckJournal(entries)
 	runs := newIndex(Runs(entries))
 	for _, r := range records {
@@ -46,19 +46,19 @@
 	if r.Tasks > 0 {
 		return x.byJob[r.JobID]
 	}
-	return x.byBody[r.Digest]
+	return x.byBody[r.BodyDigest]
 }
 
 func (x runIndex) check(r *Record) []Violation {
 	var found []Violation
 	for _, text := range r.Violations {
-		found = append(found, violation(RuleForeign, "%s of body %.8s: %s", r.Kind, r.Digest, text))
+		found = append(found, violation(RuleWrongAnswer, "%s of body %.8s: %s", r.Kind, r.BodyDigest, text))
 	}
 	found = append(found, x.checkNotRun(r)...)
 	found = append(found, x.checkAnswer(r)...)
 	found = append(found, x.checkOnce(r)...)
 	found = append(found, x.checkAccepted(r)...)
-	if r.Tasks > 0 && !r.Batch {
+	if r.Tasks > 0 && !r.IndependentTasks {
 		found = append(found, checkGang(r, x.runsOf(r))...)
 	}
 	return found
@@ -71,16 +71,16 @@
 	var found []Violation
 	only := true
 	for _, a := range r.Attempts {
-		if a.Told != ToldNotRun {
+		if a.Outcome != OutcomeNotRun {
 			only = false
 			continue
 		}
 		if a.RequestID != "" && len(x.byID[a.RequestID]) > 0 {
-			found = append(found, violation(RuleNotRun, "%s %s: %s", r.Kind, a.RequestID, a.Detail))
+			found = append(found, violation(RuleNotRunButRan, "%s %s: %s", r.Kind, a.RequestID, a.Detail))
 		}
 	}
 	if only && len(r.Attempts) > 0 && len(x.runsOf(r)) > 0 && len(found) == 0 {
-		found = append(found, violation(RuleNotRun, "%s of body %.8s was only told not-run and ran as %s", r.Kind, r.Digest, x.runsOf(r)[0].ID))
+		found = append(found, violation(RuleNotRunButRan, "%s of body %.8s was only told not-run and ran as %s", r.Kind, r.BodyDigest, x.runsOf(r)[0].ID))
 	}
 	return found
 }
@@ -88,18 +88,18 @@
 // checkAnswer checks that the answer is the result of a run of this request, and that a
 // request reported as run has a run.
 func (x runIndex) checkAnswer(r *Record) []Violation {
-	if r.Final == ToldRan && len(x.runsOf(r)) == 0 {
-		return []Violation{violation(RuleUnexplained, "%s of body %.8s: %s", r.Kind, r.Digest, r.lastAttempt().Detail)}
+	if r.FinalOutcome == OutcomeRan && len(x.runsOf(r)) == 0 {
+		return []Violation{violation(RuleRanWithoutRun, "%s of body %.8s: %s", r.Kind, r.BodyDigest, r.lastAttempt().Detail)}
 	}
-	if r.Final != ToldAnswered {
+	if r.FinalOutcome != OutcomeAnswered {
 		return nil
 	}
 	for _, run := range x.runsOf(r) {
-		if run.ID == r.Result.ID && run.Generation == r.Result.Generation && run.Finished && run.Digest == r.ResultDigest {
+		if run.ID == r.Result.ID && run.Generation == r.Result.Generation && run.Finished && run.ResultDigest == r.ResultDigest {
 			return nil
 		}
 	}
-	return []Violation{violation(RuleAnswer, "%s %s was answered, but no such run finished", r.Kind, r.Result.ID)}
+	return []Violation{violation(RuleAnswerWithoutRun, "%s %s was answered, but no such run finished", r.Kind, r.Result.ID)}
 }
 
 // checkOnce checks invariant 5: a non-idempotent request is started at most once.
@@ -114,7 +114,7 @@
 // checkAccepted checks that an accepted job succeeded and that its results are those of
 // its runs.
 func (x runIndex) checkAccepted(r *Record) []Violation {
-	if r.Final != ToldAccepted {
+	if r.FinalOutcome != OutcomeAccepted {
 		return nil
 	}
 	if r.Job == nil || r.Job.State != wire.JobSucceeded {
@@ -127,10 +127,10 @@
 	}
 	for _, result := range r.JobResults {
 		ran := slices.ContainsFunc(x.runsOf(r), func(run *Run) bool {
-			return run.ID == result.ID && run.Generation == result.Generation && run.Finished && run.Digest == result.Digest
+			return run.ID == result.ID && run.Generation == result.Generation && run.Finished && run.ResultDigest == result.Digest
 		})
 		if !ran {
-			found = append(found, violation(RuleAnswer, "%s: no run has the result of %s", r.Kind, result.ID))
+			found = append(found, violation(RuleAnswerWithoutRun, "%s: no run has the result of %s", r.Kind, result.ID))
 		}
 	}
 	return found
@@ -149,7 +149,7 @@
 
 // checkGang checks that all tasks of a gang were running at the same time.
 func checkGang(r *Record, runs []*Run) []Violation {
-	if r.Final != ToldAccepted {
+	if r.FinalOutcome != OutcomeAccepted {
 		return nil
 	}
 	var lastStart, firstEnd int64
@@ -159,13 +159,13 @@
 			continue
 		}
 		tasks++
-		lastStart = max(lastStart, run.Start)
-		if firstEnd == 0 || run.End < firstEnd {
-			firstEnd = run.End
+		lastStart = max(lastStart, run.StartUS)
+		if firstEnd == 0 || run.EndUS < firstEnd {
+			firstEnd = run.EndUS
 		}
 	}
 	if tasks == r.Tasks && lastStart <= firstEnd {
 		return nil
 	}
-	return []Violation{violation(RuleGang, "job %s: %d of %d tasks finished, the last began %d µs after the first ended", r.JobID, tasks, r.Tasks, lastStart-firstEnd)}
+	return []Violation{violation(RuleGangNotTogether, "job %s: %d of %d tasks finished, the last began %d µs after the first ended", r.JobID, tasks, r.Tasks, lastStart-firstEnd)}
 }
--- a/standin/demo/compare_test.go
+++ b/standin/demo/compare_test.go
@@ -47,25 +47,25 @@
 	body := []byte("b")
 	answered := func(id string) *Record {
 		return &Record{
-			Request: Request{Kind: "k", Idempotent: true, Body: body}, Digest: digest(body), Final: ToldAnswered,
-			Attempts: []Attempt{{Told: ToldAnswered, RequestID: id}},
+			Request: Request{Kind: "k", Idempotent: true, Body: body}, BodyDigest: digest(body), FinalOutcome: OutcomeAnswered,
+			Attempts: []Attempt{{Outcome: OutcomeAnswered, RequestID: id}},
 			Result:   &worker.RequestResult{ID: id, Generation: 1}, ResultDigest: "d",
 		}
 	}
-	nonIdempotent := func(told Told) *Record {
+	nonIdempotent := func(told AttemptOutcome) *Record {
 		return &Record{
-			Request: Request{Kind: "k", Key: "key", Body: body}, Digest: digest(body), Final: told,
-			Attempts: []Attempt{{Told: told, RequestID: "r", RetryAfter: time.Second}},
+			Request: Request{Kind: "k", Key: "key", Body: body}, BodyDigest: digest(body), FinalOutcome: told,
+			Attempts: []Attempt{{Outcome: told, RequestID: "r", RetryAfter: time.Second}},
 		}
 	}
 	accepted := func(state wire.JobState, results ...wire.Result) *Record {
 		return &Record{
-			Request: Request{Kind: "k", Idempotent: true, Durable: true, Body: body}, Digest: digest(body), Final: ToldAccepted,
+			Request: Request{Kind: "k", Idempotent: true, Durable: true, Body: body}, BodyDigest: digest(body), FinalOutcome: OutcomeAccepted,
 			JobID: "j", Job: &wire.JobStatus{State: state}, JobResults: results,
 		}
 	}
 	gang := &Record{
-		Request: Request{Kind: "gang", Idempotent: true, Body: body}, Digest: digest(body), Final: ToldAccepted, JobID: "j", Tasks: 2,
+		Request: Request{Kind: "gang", Idempotent: true, Body: body}, BodyDigest: digest(body), FinalOutcome: OutcomeAccepted, JobID: "j", Tasks: 2,
 		Job: &wire.JobStatus{State: wire.JobSucceeded}, JobResults: []wire.Result{{ID: "j/0", Generation: 1, Digest: "d"}, {ID: "j/1", Generation: 1, Digest: "d"}},
 	}
 	task := func(e *worker.Entry) { e.Kind, e.Job, e.State, e.Digest = wire.KindTask, "j", wire.RunFinished, "d" }
@@ -76,19 +76,19 @@
 		want   []Rule
 	}{
 		{"started and finished", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, body); j.end("v", "r", 1, "d") }, nil},
-		{"result of no run", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, body); j.end("v", "r", 1, "x") }, []Rule{RuleAnswer}},
-		{"answer of another request", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, []byte("c")); j.end("v", "r", 1, "d") }, []Rule{RuleAnswer}},
+		{"result of no run", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, body); j.end("v", "r", 1, "x") }, []Rule{RuleAnswerWithoutRun}},
+		{"answer of another request", answered("r"), func(j *journalBuilder) { j.start("v", "r", 1, []byte("c")); j.end("v", "r", 1, "d") }, []Rule{RuleAnswerWithoutRun}},
 		{"over capacity", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
 			j.add(worker.EventStart, "v", "other", 1, func(e *worker.Entry) { e.InUse.Slots = 9 })
-		}, []Rule{RuleCapacity}},
+		}, []Rule{RuleOverCapacity}},
 		{"overlap", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.start("w", "r", 2, body)
 			j.end("v", "r", 1, "d")
 			j.add(worker.EventStop, "w", "r", 2, nil)
-		}, []Rule{RuleOverlap}},
+		}, []Rule{RuleAttemptsOverlap}},
 		{"expired lease noticed late", answered("r"), func(j *journalBuilder) {
 			j.start("v", "x", 1, nil)
 			j.start("w", "x", 2, nil)
@@ -101,7 +101,7 @@
 			j.end("v", "r", 1, "d")
 			j.start("w", "r", 2, body)
 			j.end("w", "r", 2, "d")
-		}, []Rule{RuleTwice}},
+		}, []Rule{RuleTwoEffects}},
 		{"run again after the VM failed", answered("r"), func(j *journalBuilder) {
 			j.start("v", "r", 1, body)
 			j.end("v", "r", 1, "d")
@@ -115,25 +115,25 @@
 			j.start("w", "r", 2, body)
 			j.end("w", "r", 2, "d")
 			j.add(worker.EventBoot, "v", "", 0, nil)
-		}, []Rule{RuleTwice}},
-		{"non-idempotent twice under two ids", nonIdempotent(ToldUnknown), func(j *journalBuilder) {
+		}, []Rule{RuleTwoEffects}},
+		{"non-idempotent twice under two ids", nonIdempotent(OutcomeUnknown), func(j *journalBuilder) {
 			j.start("v", "r.1", 1, body)
 			j.end("v", "r.1", 1, "d")
 			j.start("w", "s.1", 1, body)
 		}, []Rule{RuleAtMostOnce}},
-		{"told not-run and ran", nonIdempotent(ToldNotRun), func(j *journalBuilder) { j.start("v", "r.1", 1, body) }, []Rule{RuleNotRun}},
-		{"told not-run and ran under another id", nonIdempotent(ToldNotRun), func(j *journalBuilder) { j.start("v", "s", 1, body) }, []Rule{RuleNotRun}},
-		{"told not-run", nonIdempotent(ToldNotRun), func(*journalBuilder) {}, nil},
-		{"told ran and did not", nonIdempotent(ToldRan), func(*journalBuilder) {}, []Rule{RuleUnexplained}},
+		{"told not-run and ran", nonIdempotent(OutcomeNotRun), func(j *journalBuilder) { j.start("v", "r.1", 1, body) }, []Rule{RuleNotRunButRan}},
+		{"told not-run and ran under another id", nonIdempotent(OutcomeNotRun), func(j *journalBuilder) { j.start("v", "s", 1, body) }, []Rule{RuleNotRunButRan}},
+		{"told not-run", nonIdempotent(OutcomeNotRun), func(*journalBuilder) {}, nil},
+		{"told ran and did not", nonIdempotent(OutcomeRan), func(*journalBuilder) {}, []Rule{RuleRanWithoutRun}},
 		{"accepted and pending", accepted(wire.JobPending), func(*journalBuilder) {}, []Rule{RuleLost}},
 		{"accepted without result", accepted(wire.JobSucceeded), func(*journalBuilder) {}, []Rule{RuleLost}},
-		{"accepted, result without run", accepted(wire.JobSucceeded, wire.Result{ID: "j/0", Generation: 1, Digest: "d"}), func(*journalBuilder) {}, []Rule{RuleAnswer}},
+		{"accepted, result without run", accepted(wire.JobSucceeded, wire.Result{ID: "j/0", Generation: 1, Digest: "d"}), func(*journalBuilder) {}, []Rule{RuleAnswerWithoutRun}},
 		{"gang tasks in sequence", gang, func(j *journalBuilder) {
 			for _, id := range []string{"j/0", "j/1"} {
 				j.add(worker.EventStart, "v", id, 1, task)
 				j.add(worker.EventEnd, "v", id, 1, task)
 			}
-		}, []Rule{RuleGang}},
+		}, []Rule{RuleGangNotTogether}},
 		{"gang tasks at the same time", gang, func(j *journalBuilder) {
 			j.add(worker.EventStart, "v", "j/0", 1, task)
 			j.add(worker.EventStart, "w", "j/1", 1, task)
@@ -145,7 +145,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var j journalBuilder
 			c.fill(&j)
-			assert.Equal(t, c.want, violatedRules(Compare([]*Record{c.record}, j.entries)))
+			assert.Equal(t, c.want, violatedRules(CheckRecords([]*Record{c.record}, j.entries)))
 		})
 	}
 }
@@ -158,15 +158,15 @@
 	j.start("v", "b.1", 1, []byte("b"))
 	j.end("v", "b.1", 1, "d")
 	j.start("v", "c.1", 1, []byte("b"))
-	record := func(body string, final Told, retry time.Duration) *Record {
+	record := func(body string, final AttemptOutcome, retry time.Duration) *Record {
 		return &Record{
-			Request: Request{Kind: "k"}, Digest: digest([]byte(body)), Sent: time.UnixMicro(0), Final: final,
-			Attempts: []Attempt{{Told: final, RetryAfter: retry}}, Result: &worker.RequestResult{ID: body},
+			Request: Request{Kind: "k"}, BodyDigest: digest([]byte(body)), SentAt: time.UnixMicro(0), FinalOutcome: final,
+			Attempts: []Attempt{{Outcome: final, RetryAfter: retry}}, Result: &worker.RequestResult{ID: body},
 		}
 	}
 	rows := Summarise([]*Record{
-		record("a", ToldAnswered, 0), record("b", ToldUnknown, time.Second), record("c", ToldNotRun, time.Second), record("d", ToldNotRun, 0),
+		record("a", OutcomeAnswered, 0), record("b", OutcomeUnknown, time.Second), record("c", OutcomeNotRun, time.Second), record("d", OutcomeNotRun, 0),
 	}, j.entries)
-	assert.Equal(t, []Row{{Kind: "k", Durable: true, Sent: 4, Answered: 1, RanOnce: 2, Refused: 1, Lost: 2, Doubled: 1, P50: 1, P99: 1}}, rows)
+	assert.Equal(t, []Row{{Kind: "k", Durable: true, Sent: 4, Answered: 1, RanOnce: 2, Refused: 1, Lost: 2, Duplicated: 1, P50MS: 1, P99MS: 1}}, rows)
 	assert.Equal(t, []string{"2 lost", "1 doubled", "only 1 of 4 answered"}, rows[0].failures())
 }
--- a/standin/demo/jobs.go
+++ b/standin/demo/jobs.go
@@ -13,16 +13,16 @@
 
 // SubmitJob submits a job until it is accepted, must not be retried, or the timeout has passed.
 // Retries carry the same id, so that they do not create another job.
-func (c *Client) Submit(ctx context.Context, kind string, spec wire.JobSpec, timeout time.Duration) *Record {
+func (c *Client) SubmitJob(ctx context.Context, kind string, spec wire.JobSpec, timeout time.Duration) *Record {
 	record := NewRecord(Request{Kind: kind, Operation: spec.Template, Idempotent: true, Durable: true, Body: spec.Body, Deadline: timeout})
 	record.JobID = spec.ID
 	record.Tasks = spec.Tasks
 	avoid := ""
-	for time.Since(record.Sent) < timeout {
+	for time.Since(record.SentAt) < timeout {
 		attempt := c.postJob(ctx, spec, c.pickDaemon(avoid))
 		record.Attempts = append(record.Attempts, attempt)
-		record.Final = attempt.Told
-		record.Answered = time.Now()
+		record.FinalOutcome = attempt.Outcome
+		record.AnsweredAt = time.Now()
 		delay, retry := attempt.retryDelay(record.Request)
 		if !retry || !sleep(ctx, delay) {
 			break
@@ -33,7 +33,7 @@
 }
 
 func (c *Client) postJob(ctx context.Context, spec wire.JobSpec, daemon string) Attempt {
-	attempt := Attempt{Daemon: daemon, Told: ToldBroken}
+	attempt := Attempt{Daemon: daemon, Outcome: OutcomeBroken}
 	ctx, cancel := context.WithTimeout(ctx, 2*jobCallTimeout)
 	defer cancel()
 	var problem wire.Problem
@@ -44,22 +44,22 @@
 	}
 	attempt = readHeaders(attempt, response)
 	if response.StatusCode() == http.StatusAccepted {
-		attempt.Told = ToldAccepted
+		attempt.Outcome = OutcomeAccepted
 		return attempt
 	}
 	attempt.Detail = response.String()
-	attempt.Told = ToldUnknown
+	attempt.Outcome = OutcomeUnknown
 	var body wire.Problem
 	if json.Unmarshal(response.Body(), &body) == nil && body.Outcome == wire.OutcomeNotRun {
-		attempt.Told = ToldNotRun
+		attempt.Outcome = OutcomeNotRun
 	}
 	return attempt
 }
 
 // AwaitJob polls the job of an accepted record until it has ended or the timeout has passed,
 // and reads its results.
-func (c *Client) Await(ctx context.Context, record *Record, timeout time.Duration) {
-	if record.Final != ToldAccepted || record.JobID == "" {
+func (c *Client) AwaitJob(ctx context.Context, record *Record, timeout time.Duration) {
+	if record.FinalOutcome != OutcomeAccepted || record.JobID == "" {
 		return
 	}
 	deadline := time.Now().Add(timeout)
@@ -95,7 +95,7 @@
 		return false
 	}
 	record.JobResults = results.Results
-	record.Answered = time.Now()
+	record.AnsweredAt = time.Now()
 	record.checkResults()
 	return true
 }
@@ -109,7 +109,7 @@
 			r.addViolation("the result of " + result.ID + " does not match its digest")
 		case json.Unmarshal(result.Body, &body) != nil:
 			r.addViolation("the result of " + result.ID + " does not have the format of a worker's result")
-		case body.BodySHA256 != r.Digest:
+		case body.BodySHA256 != r.BodyDigest:
 			r.addViolation("the result of " + result.ID + " belongs to another request, " + body.ID)
 		}
 	}
--- a/standin/demo/journal.go
+++ b/standin/demo/journal.go
@@ -14,16 +14,16 @@
 
 // Values of Rule.
 const (
-	RuleCapacity    Rule = "vm-over-capacity"
-	RuleOverlap     Rule = "attempts-overlap"
-	RuleTwice       Rule = "request-took-effect-twice"
-	RuleAtMostOnce  Rule = "non-idempotent-ran-twice"
-	RuleNotRun      Rule = "told-not-run-but-ran"
-	RuleAnswer      Rule = "answer-without-run"
-	RuleForeign     Rule = "wrong-answer"
-	RuleLost        Rule = "lost"
-	RuleGang        Rule = "gang-not-together"
-	RuleUnexplained Rule = "told-ran-but-did-not"
+	RuleOverCapacity     Rule = "vm-over-capacity"
+	RuleAttemptsOverlap  Rule = "attempts-overlap"
+	RuleTwoEffects       Rule = "request-took-effect-twice"
+	RuleAtMostOnce       Rule = "non-idempotent-ran-twice"
+	RuleNotRunButRan     Rule = "told-not-run-but-ran"
+	RuleAnswerWithoutRun Rule = "answer-without-run"
+	RuleWrongAnswer      Rule = "wrong-answer"
+	RuleLost             Rule = "lost"
+	RuleGangNotTogether  Rule = "gang-not-together"
+	RuleRanWithoutRun    Rule = "told-ran-but-did-not"
 )
 
 // Violation is a violated rule.
@@ -40,19 +40,19 @@
 
 // Run is one attempt that a worker started. Times are Unix times in µs.
 type Run struct {
-	ID         string
-	Generation int64
-	VM         string
-	Kind       wire.Kind
-	Job        string
-	BodyDigest string
-	Start      int64
-	End        int64 // 0 if still running at the end of the journal
-	Finished   bool  // ended successfully
-	Failed     bool
-	Stopped    string // reason, if the run was stopped
-	Digest     string // of the result, hex SHA-256
-	Gone       int64  // time at which the VM failed or was replaced after the start of the run; 0 if it was not
+	ID           string
+	Generation   int64
+	VM           string
+	Kind         wire.Kind
+	Job          string
+	BodyDigest   string
+	StartUS      int64
+	EndUS        int64 // 0 if still running at the end of the journal
+	Finished     bool  // ended successfully
+	Failed       bool
+	StopReason   string // reason, if the run was stopped
+	ResultDigest string // of the result, hex SHA-256
+	LostUS       int64  // time at which the VM failed or was replaced after the start of the run; 0 if it was not
 }
 
 // Runs pairs the starts in a journal with their ends and returns the runs in order of their
@@ -72,7 +72,7 @@
 		case worker.EventStart:
 			open[key] = &Run{
 				ID: e.ID, Generation: e.Generation, VM: e.VM, Kind: e.Kind, Job: e.Job,
-				BodyDigest: e.BodyDigest, Start: e.TimeUS,
+				BodyDigest: e.BodyDigest, StartUS: e.TimeUS,
 			}
 			runs = append(runs, open[key])
 		case worker.EventEnd, worker.EventStop:
@@ -88,20 +88,20 @@
 // markLost marks the earlier runs of a VM that booted again as lost with it.
 func markLost(runs []*Run, boot worker.Entry) {
 	for _, r := range runs {
-		if r.VM == boot.VM && r.Gone == 0 {
-			r.Gone = boot.TimeUS
+		if r.VM == boot.VM && r.LostUS == 0 {
+			r.LostUS = boot.TimeUS
 		}
 	}
 }
 
 func (r *Run) end(e worker.Entry) {
 	// A paused worker notices only later that a lease has expired; the run ended at expiry.
-	r.End = e.TimeUS - e.OverdueUS
+	r.EndUS = e.TimeUS - e.OverdueUS
 	r.Finished = e.Event == worker.EventEnd && e.State == wire.RunFinished
 	r.Failed = e.Event == worker.EventEnd && e.State == wire.RunFailed
-	r.Digest = e.Digest
+	r.ResultDigest = e.Digest
 	if e.Event == worker.EventStop {
-		r.Stopped = e.Reason
+		r.StopReason = e.Reason
 	}
 }
 
@@ -116,7 +116,7 @@
 	var found []Violation
 	for _, e := range entries {
 		if e.Event == worker.EventOverload || !e.InUse.Fits(e.Capacity) {
-			found = append(found, violation(RuleCapacity, "%s has %v in use of %v after %s of %s", e.VM, e.InUse, e.Capacity, e.Event, e.ID))
+			found = append(found, violation(RuleOverCapacity, "%s has %v in use of %v after %s of %s", e.VM, e.InUse, e.Capacity, e.Event, e.ID))
 		}
 	}
 	return found
@@ -127,11 +127,11 @@
 func checkOverlap(runs []*Run) []Violation {
 	var found []Violation
 	for id, attempts := range groupBy(runs, func(r *Run) string { return r.ID }) {
-		slices.SortStableFunc(attempts, func(a, b *Run) int { return cmp.Compare(a.Start, b.Start) })
+		slices.SortStableFunc(attempts, func(a, b *Run) int { return cmp.Compare(a.StartUS, b.StartUS) })
 		for i, later := range attempts[min(1, len(attempts)):] {
 			earlier := attempts[i]
-			if earlier.End == 0 || earlier.End > later.Start {
-				found = append(found, violation(RuleOverlap, "%s: generation %d on %s was not over when generation %d began on %s",
+			if earlier.EndUS == 0 || earlier.EndUS > later.StartUS {
+				found = append(found, violation(RuleAttemptsOverlap, "%s: generation %d on %s was not over when generation %d began on %s",
 					id, earlier.Generation, earlier.VM, later.Generation, later.VM))
 			}
 		}
@@ -143,7 +143,7 @@
 	var found []Violation
 	for id, attempts := range groupBy(runs, func(r *Run) string { return r.ID }) {
 		if first, second, twice := findTwoEffects(attempts); twice {
-			found = append(found, violation(RuleTwice, "%s finished on %s as generation %d and again on %s as generation %d",
+			found = append(found, violation(RuleTwoEffects, "%s finished on %s as generation %d and again on %s as generation %d",
 				id, first.VM, first.Generation, second.VM, second.Generation))
 		}
 	}
@@ -155,7 +155,7 @@
 func findTwoEffects(attempts []*Run) (first, second *Run, twice bool) {
 	for i, later := range attempts {
 		for _, earlier := range attempts[:i] {
-			lost := earlier.Gone > 0 && earlier.Gone <= later.Start
+			lost := earlier.LostUS > 0 && earlier.LostUS <= later.StartUS
 			if earlier.Finished && later.Finished && !lost {
 				return earlier, later, true
 			}
--- a/standin/demo/load.go
+++ b/standin/demo/load.go
@@ -23,18 +23,18 @@
 const jobTimeout = 35 * time.Second
 
 // Stream is a sequence of requests of one kind, or of jobs, at an average rate.
-type Kind struct {
-	Name      string
-	PerSecond float64
-	Make      func(number int) Request
-	Job       func(number int) wire.JobSpec // set instead of NewRequest for a stream of jobs
-	Batch     bool                          // the job's tasks need not run at the same time
-	Limit     int                           // 0 if unlimited
-	After     time.Duration                 // before the first request
+type Stream struct {
+	Name              string
+	RequestsPerSecond float64
+	NewRequest        func(number int) Request
+	NewJob            func(number int) wire.JobSpec // set instead of NewRequest for a stream of jobs
+	IndependentTasks  bool                          // the job's tasks need not run at the same time
+	MaxRequests       int                           // 0 if unlimited
+	StartDelay        time.Duration                 // before the first request
 }
 
 // UserStreams returns the streams of a user. The name makes keys and bodies unique to a run.
-func Kinds(user, name string, gangTasks int) ([]Kind, error) {
+func UserStreams(user, name string, gangTasks int) ([]Stream, error) {
 	switch user {
 	case UserInspectors:
 		return inspectorStreams(name), nil
@@ -44,11 +44,11 @@
 	return nil, fault.New(fault.Invalid, "use "+UserInspectors+" or "+UserCooperative, "unknown user %q", user)
 }
 
-func inspectorStreams(name string) []Kind {
-	return []Kind{
-		{Name: "survey", PerSecond: 4, Make: func(n int) Request { return Survey(name, n) }},
-		{Name: "certificate", PerSecond: 5, Make: func(n int) Request { return Certificate(name, n) }},
-		{Name: "doorstep", PerSecond: 20, Make: func(n int) Request { return Doorstep(name, n) }},
+func inspectorStreams(name string) []Stream {
+	return []Stream{
+		{Name: "survey", RequestsPerSecond: 4, NewRequest: func(n int) Request { return Survey(name, n) }},
+		{Name: "certificate", RequestsPerSecond: 5, NewRequest: func(n int) Request { return Certificate(name, n) }},
+		{Name: "doorstep", RequestsPerSecond: 20, NewRequest: func(n int) Request { return Doorstep(name, n) }},
 	}
 }
 
@@ -57,7 +57,7 @@
 func Survey(name string, n int) Request {
 	return Request{
 		Kind: "survey", Service: "dispatch", Operation: "survey", Team: "town-offices", Key: uniqueKey(name, "survey", n),
-		Idempotent: true, Durable: true, Body: requestBody(name, "survey", n), Deadline: jobTimeout, CallWait: time.Second,
+		Idempotent: true, Durable: true, Body: requestBody(name, "survey", n), Deadline: jobTimeout, AttemptTimeout: time.Second,
 	}
 }
 
@@ -77,21 +77,21 @@
 	}
 }
 
-func cooperativeStreams(name string, gangTasks int) []Kind {
-	return []Kind{
-		{Name: "certify", PerSecond: 3, Make: func(n int) Request {
+func cooperativeStreams(name string, gangTasks int) []Stream {
+	return []Stream{
+		{Name: "certify", RequestsPerSecond: 3, NewRequest: func(n int) Request {
 			return Request{
 				Kind: "certify", Service: "mill", Operation: "certify", Key: uniqueKey(name, "certify", n),
-				Durable: true, Body: requestBody(name, "certify", n), Deadline: jobTimeout, CallWait: time.Second,
+				Durable: true, Body: requestBody(name, "certify", n), Deadline: jobTimeout, AttemptTimeout: time.Second,
 			}
 		}},
-		{Name: "quote", PerSecond: 12, Make: func(n int) Request {
+		{Name: "quote", RequestsPerSecond: 12, NewRequest: func(n int) Request {
 			return Request{
 				Kind: "quote", Service: "mill", Operation: "quote", Team: "member-farms", Idempotent: true,
 				Body: requestBody(name, "quote", n), Deadline: 3 * time.Second,
 			}
 		}},
-		{Name: "mill-wear-review", PerSecond: 1, Limit: 1, After: 2 * time.Second, Job: func(n int) wire.JobSpec {
+		{Name: "mill-wear-review", RequestsPerSecond: 1, MaxRequests: 1, StartDelay: 2 * time.Second, NewJob: func(n int) wire.JobSpec {
 			return wire.JobSpec{ID: uniqueKey(name, "review", n), Template: "mill-wear-review", Tasks: gangTasks, Body: requestBody(name, "review", n)}
 		}},
 	}
@@ -106,8 +106,8 @@
 // SendStreams sends the streams' requests for the duration, waits until each request was
 // answered or given up and each accepted job has ended, and returns the records. The seed
 // determines the times between requests.
-func Send(ctx context.Context, client *Client, streams []Kind, duration time.Duration, seed uint64) []*Record {
-	var recorder Ledger
+func SendStreams(ctx context.Context, client *Client, streams []Stream, duration time.Duration, seed uint64) []*Record {
+	var recorder Recorder
 	var group sync.WaitGroup
 	for i, stream := range streams {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
@@ -117,28 +117,28 @@
 	return recorder.Records()
 }
 
-func (s Kind) send(ctx context.Context, client *Client, duration time.Duration, rng *rand.Rand, recorder *Ledger, group *sync.WaitGroup) {
+func (s Stream) send(ctx context.Context, client *Client, duration time.Duration, rng *rand.Rand, recorder *Recorder, group *sync.WaitGroup) {
 	end := time.Now().Add(duration)
-	if !sleep(ctx, s.After) {
+	if !sleep(ctx, s.StartDelay) {
 		return
 	}
-	for n := 1; time.Now().Before(end) && (s.Limit == 0 || n <= s.Limit); n++ {
+	for n := 1; time.Now().Before(end) && (s.MaxRequests == 0 || n <= s.MaxRequests); n++ {
 		group.Go(func() { recorder.Add(s.sendOne(ctx, client, n)) })
-		interval := time.Duration((0.5 + rng.Float64()) / s.PerSecond * float64(time.Second))
+		interval := time.Duration((0.5 + rng.Float64()) / s.RequestsPerSecond * float64(time.Second))
 		if !sleep(ctx, interval) {
 			return
 		}
 	}
 }
 
-func (s Kind) sendOne(ctx context.Context, client *Client, n int) *Record {
+func (s Stream) sendOne(ctx context.Context, client *Client, n int) *Record {
 	var record *Record
-	if s.Job != nil {
-		record = client.Submit(ctx, s.Name, s.Job(n), jobTimeout)
-		record.Batch = s.Batch
+	if s.NewJob != nil {
+		record = client.SubmitJob(ctx, s.Name, s.NewJob(n), jobTimeout)
+		record.IndependentTasks = s.IndependentTasks
 	} else {
-		record = client.Do(ctx, s.Make(n))
+		record = client.Do(ctx, s.NewRequest(n))
 	}
-	client.Await(ctx, record, jobTimeout)
+	client.AwaitJob(ctx, record, jobTimeout)
 	return record
 }
--- a/standin/demo/ready.go
+++ b/standin/demo/ready.go
@@ -24,7 +24,7 @@
 func WaitReady(ctx context.Context, urls []string) error {
 	client := resty.New().SetTimeout(readyCallTimeout)
 	for _, url := range urls {
-		for !Ready(ctx, client, url) {
+		for !IsReady(ctx, client, url) {
 			if !sleep(ctx, readyPollInterval) {
 				return fault.New(fault.Unavailable, "read the daemon's log", "%s is not ready", url)
 			}
@@ -34,7 +34,7 @@
 }
 
 // IsReady reports whether the daemon with a metrics listener at url is ready.
-func Ready(ctx context.Context, client *resty.Client, url string) bool {
+func IsReady(ctx context.Context, client *resty.Client, url string) bool {
 	response, err := client.R().SetContext(ctx).Get(url + "/readyz")
 	return err == nil && response.StatusCode() == http.StatusOK
 }
@@ -42,13 +42,13 @@
 // WaitServing waits until each daemon of the cells answers requests of its cell's user, both
 // those that need a slot and those that need a key shard. On failure it returns the error
 // of one daemon.
-func Warm(ctx context.Context, cells []Cell) error {
+func WaitServing(ctx context.Context, cells []Cell) error {
 	name := fmt.Sprintf("warm-%d", time.Now().UnixMilli())
 	pool := pond.NewPool(maxConcurrentChecks)
 	defer pool.StopAndWait()
 	group := pool.NewGroup()
 	for _, cell := range cells {
-		streams, err := Kinds(cell.User, name, 1)
+		streams, err := UserStreams(cell.User, name, 1)
 		if err != nil {
 			return err
 		}
@@ -59,18 +59,18 @@
 	return group.Wait()
 }
 
-func waitDaemonServing(ctx context.Context, url string, streams []Kind, number int) error {
+func waitDaemonServing(ctx context.Context, url string, streams []Stream, number int) error {
 	client := NewClient([]string{url}, 1)
 	defer client.Close()
 	for _, stream := range streams {
-		if stream.Make == nil {
+		if stream.NewRequest == nil {
 			continue
 		}
-		request := stream.Make(number)
+		request := stream.NewRequest(number)
 		request.Deadline = servingTimeout
 		record := client.Do(ctx, request)
-		if record.Final != ToldAnswered && record.Final != ToldAccepted {
-			return fault.New(fault.Unavailable, "read the daemons' logs", "%s through %s: %s, %s", stream.Name, url, record.Final, record.lastAttempt().Detail)
+		if record.FinalOutcome != OutcomeAnswered && record.FinalOutcome != OutcomeAccepted {
+			return fault.New(fault.Unavailable, "read the daemons' logs", "%s through %s: %s, %s", stream.Name, url, record.FinalOutcome, record.lastAttempt().Detail)
 		}
 	}
 	return nil
--- a/standin/demo/run.go
+++ b/standin/demo/run.go
@@ -62,7 +62,7 @@
 	results := make([]cellResult, len(options.Cells))
 	var group sync.WaitGroup
 	for i, cell := range options.Cells {
-		streams, err := Kinds(cell.User, name, options.GangTasks)
+		streams, err := UserStreams(cell.User, name, options.GangTasks)
 		if err != nil {
 			return err
 		}
@@ -87,16 +87,16 @@
 	err        error
 }
 
-func (c Cell) run(ctx context.Context, streams []Kind, options Options) cellResult {
+func (c Cell) run(ctx context.Context, streams []Stream, options Options) cellResult {
 	client := NewClient(c.Daemons, options.Seed)
 	defer client.Close()
-	records := Send(ctx, client, streams, options.Duration, options.Seed)
+	records := SendStreams(ctx, client, streams, options.Duration, options.Seed)
 	sleep(ctx, settleTime)
 	entries, err := ReadJournal(c.Journal)
 	if err != nil {
 		return cellResult{err: err}
 	}
-	return cellResult{records: records, rows: Summarise(records, entries), violations: Compare(records, entries)}
+	return cellResult{records: records, rows: Summarise(records, entries), violations: CheckRecords(records, entries)}
 }
 
 // ReadJournal reads the journal file of a cell's workers.
@@ -116,7 +116,7 @@
 		_, _ = fmt.Fprintf(out, "fault: %v\n", r.err)
 		return 1
 	}
-	Print(out, r.rows)
+	PrintSummary(out, r.rows)
 	faults := 0
 	for _, v := range r.violations {
 		_, _ = fmt.Fprintf(out, "fault: %s\n", v)
@@ -142,8 +142,8 @@
 	if r.Lost > 0 && r.Durable {
 		found = append(found, fmt.Sprintf("%d lost", r.Lost))
 	}
-	if r.Doubled > 0 {
-		found = append(found, fmt.Sprintf("%d doubled", r.Doubled))
+	if r.Duplicated > 0 {
+		found = append(found, fmt.Sprintf("%d doubled", r.Duplicated))
 	}
 	if 2*r.Answered < r.Sent {
 		found = append(found, fmt.Sprintf("only %d of %d answered", r.Answered, r.Sent))
@@ -161,6 +161,6 @@
 			continue
 		}
 		listed++
-		_, _ = fmt.Fprintf(out, "not answered: %s of body %.8s: %s after %d calls, the last to %s: %s\n", r.Kind, r.Digest, r.Final, len(r.Attempts), r.lastAttempt().Daemon, r.lastAttempt().Detail)
+		_, _ = fmt.Fprintf(out, "not answered: %s of body %.8s: %s after %d calls, the last to %s: %s\n", r.Kind, r.BodyDigest, r.FinalOutcome, len(r.Attempts), r.lastAttempt().Daemon, r.lastAttempt().Detail)
 	}
 }
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -13,16 +13,16 @@
 
 // Row sums up the requests of one kind.
 type Row struct {
-	Kind     string
-	Durable  bool // durable or non-idempotent: no request may be lost
-	Sent     int
-	Answered int   // with a result, or as a job that succeeded
-	RanOnce  int   // exactly one run finished, or one per task
-	Refused  int   // reported as not run, with Retry-After
-	Lost     int   // neither answered nor refused with Retry-After
-	Doubled  int   // ran more often than the operation permits
-	P50      int64 // of the time from sending to the start of the run
-	P99      int64
+	Kind       string
+	Durable    bool // durable or non-idempotent: no request may be lost
+	Sent       int
+	Answered   int   // with a result, or as a job that succeeded
+	RanOnce    int   // exactly one run finished, or one per task
+	Refused    int   // reported as not run, with Retry-After
+	Lost       int   // neither answered nor refused with Retry-After
+	Duplicated int   // ran more often than the operation permits
+	P50MS      int64 // of the time from sending to the start of the run
+	P99MS      int64
 }
 
 // Summarise returns a row for each kind of request, sorted by kind.
@@ -55,7 +55,7 @@
 			if wait, ok := waitTime(r, recordRuns); ok {
 				waits = append(waits, wait)
 			}
-		case r.RefusedWithTime():
+		case r.RefusedWithRetryAfter():
 			row.Refused++
 		default:
 			row.Lost++
@@ -64,17 +64,17 @@
 			row.RanOnce++
 		}
 		if duplicated(r, recordRuns) {
-			row.Doubled++
+			row.Duplicated++
 		}
 	}
 	slices.Sort(waits)
-	row.P50, row.P99 = quantile(waits, 0.50), quantile(waits, 0.99)
+	row.P50MS, row.P99MS = quantile(waits, 0.50), quantile(waits, 0.99)
 	return row
 }
 
 // succeeded reports whether the caller got its result or its accepted job succeeded.
 func (r *Record) succeeded() bool {
-	return r.Final == ToldAnswered || (r.Final == ToldAccepted && r.Job != nil && r.Job.State == wire.JobSucceeded)
+	return r.FinalOutcome == OutcomeAnswered || (r.FinalOutcome == OutcomeAccepted && r.Job != nil && r.Job.State == wire.JobSucceeded)
 }
 
 func countFinished(runs []*Run) int {
@@ -108,10 +108,10 @@
 	var start int64
 	for _, run := range runs {
 		if run.Finished && (r.Result == nil || run.ID == r.Result.ID) {
-			start = max(start, run.Start)
+			start = max(start, run.StartUS)
 		}
 	}
-	return max(0, (start-r.Sent.UnixMicro())/1000), start > 0
+	return max(0, (start-r.SentAt.UnixMicro())/1000), start > 0
 }
 
 func quantile(sorted []int64, q float64) int64 {
@@ -122,16 +122,16 @@
 }
 
 // PrintSummary writes rows as a table.
-func Print(out io.Writer, rows []Row) {
+func PrintSummary(out io.Writer, rows []Row) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(w, "kind\tsent\tanswered\tran once\trefused, retry time\tlost\tdoubled\twait p50 ms\twait p99 ms\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Kind, r.Sent, r.Answered, r.RanOnce, r.Refused, r.Lost, r.Doubled, r.P50, r.P99)
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Kind, r.Sent, r.Answered, r.RanOnce, r.Refused, r.Lost, r.Duplicated, r.P50MS, r.P99MS)
 	}
 	_ = w.Flush()
 }
 
 // SortByTime sorts the journal entries of several files by time.
-func ByTime(entries []worker.Entry) {
+func SortByTime(entries []worker.Entry) {
 	slices.SortStableFunc(entries, func(a, b worker.Entry) int { return cmp.Compare(a.TimeUS, b.TimeUS) })
 }
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -39,7 +39,7 @@
 
 // ConnectionPolicy is the body of POST /control/new. It sets the mode of connections
 // that are accepted after the call.
-type New struct {
+type ConnectionPolicy struct {
 	Mode Mode `json:"mode"`
 }
 
@@ -62,17 +62,17 @@
 }
 
 // Reset is the body of POST /control/cut. Without IDs, all connections are reset.
-type Cut struct {
+type Reset struct {
 	IDs []int64 `json:"ids,omitempty"`
 }
 
 // ResponseLoss is the body of POST /control/lose: as soon as the target responds on a
 // connection, the response is dropped and the connection is reset. The request has
 // reached the target by then.
-type Lose struct {
-	Answers int64   `json:"answers"`          // This many of the next responses are lost; 0 ends the loss.
-	IDs     []int64 `json:"ids,omitempty"`    // Only these connections lose responses; empty means any.
-	Silent  bool    `json:"silent,omitempty"` // The connection goes silent in both directions instead of being reset.
+type ResponseLoss struct {
+	Responses int64   `json:"answers"`          // This many of the next responses are lost; 0 ends the loss.
+	IDs       []int64 `json:"ids,omitempty"`    // Only these connections lose responses; empty means any.
+	Silent    bool    `json:"silent,omitempty"` // The connection goes silent in both directions instead of being reset.
 }
 
 // Connection describes an open connection.
@@ -105,7 +105,7 @@
 	lastID       int64
 	delay        Delay
 	mode         Mode
-	responseLoss Lose
+	responseLoss ResponseLoss
 	closed       bool
 }
 
@@ -119,11 +119,11 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "choose a free address, or port 0", "cannot listen on %s", options.Listen)
 	}
 	p := &Proxy{mux: http.NewServeMux(), options: options, listener: listener, conns: map[int64]*proxiedConn{}, mode: ModePass}
-	p.mux.HandleFunc("POST /control/delay", httpjson.Control(p.SetDelay))
-	p.mux.HandleFunc("POST /control/new", httpjson.Control(p.SetNew))
-	p.mux.HandleFunc("POST /control/silence", httpjson.Control(p.Silence))
-	p.mux.HandleFunc("POST /control/cut", httpjson.Control(p.Cut))
-	p.mux.HandleFunc("POST /control/lose", httpjson.Control(p.SetLose))
+	p.mux.HandleFunc("POST /control/delay", httpjson.ControlHandler(p.SetDelay))
+	p.mux.HandleFunc("POST /control/new", httpjson.ControlHandler(p.SetConnectionPolicy))
+	p.mux.HandleFunc("POST /control/silence", httpjson.ControlHandler(p.Silence))
+	p.mux.HandleFunc("POST /control/cut", httpjson.ControlHandler(p.Reset))
+	p.mux.HandleFunc("POST /control/lose", httpjson.ControlHandler(p.SetResponseLoss))
 	p.mux.HandleFunc("GET /control/connections", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, p.Connections())
 	})
@@ -143,7 +143,7 @@
 	p.closed = true
 	p.mu.Unlock()
 	_ = p.listener.Close()
-	_ = p.Cut(Cut{})
+	_ = p.Reset(Reset{})
 	p.group.Wait()
 }
 
@@ -159,7 +159,7 @@
 }
 
 // SetConnectionPolicy sets the mode of new connections.
-func (p *Proxy) SetNew(n New) error {
+func (p *Proxy) SetConnectionPolicy(n ConnectionPolicy) error {
 	if n.Mode != ModePass && n.Mode != ModeRefuse && n.Mode != ModeSilent {
 		return fault.New(fault.Invalid, "use pass, refuse or silent", "unknown mode %q", n.Mode)
 	}
@@ -170,7 +170,7 @@
 }
 
 // SetResponseLoss sets which responses are lost.
-func (p *Proxy) SetLose(l Lose) error {
+func (p *Proxy) SetResponseLoss(l ResponseLoss) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.responseLoss = l
@@ -206,7 +206,7 @@
 }
 
 // Reset closes connections with a TCP reset on both sides.
-func (p *Proxy) Cut(c Cut) error {
+func (p *Proxy) Reset(c Reset) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, pc := range p.conns {
@@ -352,10 +352,10 @@
 func (p *Proxy) forwardsResponse(pc *proxiedConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.responseLoss.Answers <= 0 || (len(p.responseLoss.IDs) > 0 && !slices.Contains(p.responseLoss.IDs, pc.id)) {
+	if p.responseLoss.Responses <= 0 || (len(p.responseLoss.IDs) > 0 && !slices.Contains(p.responseLoss.IDs, pc.id)) {
 		return true
 	}
-	p.responseLoss.Answers--
+	p.responseLoss.Responses--
 	if p.responseLoss.Silent {
 		pc.silence(DirectionBoth)
 		return false
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -130,19 +130,19 @@
 	require.NoError(t, c.Close())
 	time.Sleep(silenceTimeout)
 	assert.Zero(t, e.endedConns.Load())
-	require.NoError(t, p.Cut(Cut{}))
+	require.NoError(t, p.Reset(Reset{}))
 	assert.Eventually(t, func() bool { return e.endedConns.Load() == 1 }, testTimeout, time.Millisecond)
 }
 
 // Guards against a lost response whose request did not reach the target.
 func TestLostResponses(t *testing.T) {
 	p, e := newProxy(t)
-	require.NoError(t, p.SetLose(Lose{Answers: 1}))
+	require.NoError(t, p.SetResponseLoss(ResponseLoss{Responses: 1}))
 	_, err := dial(t, p).roundTrip("a", testTimeout)
 	require.Error(t, err)
 	assert.Equal(t, int64(1), e.lines.Load())
 
-	require.NoError(t, p.SetLose(Lose{Answers: 1, Silent: true}))
+	require.NoError(t, p.SetResponseLoss(ResponseLoss{Responses: 1, Silent: true}))
 	requireSilent(t, dial(t, p))
 	assert.Equal(t, int64(2), e.lines.Load())
 	requireEcho(t, dial(t, p), "b")
@@ -153,7 +153,7 @@
 	p, _ := newProxy(t)
 	open := dial(t, p)
 	requireEcho(t, open, "a")
-	require.NoError(t, p.SetNew(New{Mode: ModeRefuse}))
+	require.NoError(t, p.SetConnectionPolicy(ConnectionPolicy{Mode: ModeRefuse}))
 	// The reset arrives during the connect or on first use.
 	if c, err := net.DialTimeout("tcp", p.Address(), testTimeout); err == nil {
 		_, err = client{Conn: c, reader: bufio.NewReader(c)}.roundTrip("b", testTimeout)
@@ -161,12 +161,12 @@
 		require.NoError(t, c.Close())
 	}
 	requireEcho(t, open, "c")
-	require.NoError(t, p.Cut(Cut{}))
+	require.NoError(t, p.Reset(Reset{}))
 	_, err := open.roundTrip("d", testTimeout)
 	require.Error(t, err)
-	require.NoError(t, p.SetNew(New{Mode: ModeSilent}))
+	require.NoError(t, p.SetConnectionPolicy(ConnectionPolicy{Mode: ModeSilent}))
 	requireSilent(t, dial(t, p))
-	require.NoError(t, p.SetNew(New{Mode: ModePass}))
+	require.NoError(t, p.SetConnectionPolicy(ConnectionPolicy{Mode: ModePass}))
 	requireEcho(t, dial(t, p), "e")
 }
 
--- a/standin/integration/cluster_test.go
+++ b/standin/integration/cluster_test.go
@@ -226,7 +226,7 @@
 // isReady reports whether the daemon's readiness check succeeds.
 func (d *daemon) isReady() bool {
 	client := resty.New().SetTimeout(callTimeout)
-	return demo.Ready(context.Background(), client, d.metricsURL)
+	return demo.IsReady(context.Background(), client, d.metricsURL)
 }
 
 func (d *daemon) waitReady() {
--- a/standin/integration/daemon_failure_test.go
+++ b/standin/integration/daemon_failure_test.go
@@ -21,9 +21,9 @@
 	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
 	records := c.warmUp()
 	records = append(records, c.startLoad(c.callerURLs(), 6*time.Second, doorstepLoad(20), certificateLoad(5), surveyLoad(4)).wait()...)
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -36,8 +36,8 @@
 	time.Sleep(2 * time.Second)
 	c.daemons[0].kill()
 	records = append(records, load.wait()...)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -55,9 +55,9 @@
 	c.daemons[1].resume()
 	records = append(records, all.wait()...)
 	records = append(records, others.wait()...)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered, demo.ToldNotRun)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered, demo.OutcomeNotRun)
 	c.verifyAgainstJournal(records)
 }
 
@@ -74,7 +74,7 @@
 	assert.Greater(t, len(stopped), 40, "too few requests for a meaningful test")
 	assert.Zero(t, c.daemons[2].waitExit(15*time.Second))
 	for _, r := range stopped {
-		if r.Final == demo.ToldBroken || r.Final == demo.ToldUnknown {
+		if r.FinalOutcome == demo.OutcomeBroken || r.FinalOutcome == demo.OutcomeUnknown {
 			assert.Fail(t, "an in-flight request was dropped", "%s: %s", r.Kind, lastDetail(r))
 		}
 	}
@@ -93,12 +93,12 @@
 	client := demo.NewClient(c.callerURLs(), seed)
 	defer client.Close()
 	spec := wire.JobSpec{ID: "map-1", Template: "risk-map", Tasks: 30, Body: []byte("map")}
-	record := client.Submit(ctx, "risk-map", spec, 10*time.Second)
-	record.Batch = true
-	require.Equal(t, demo.ToldAccepted, record.Final, lastDetail(record))
+	record := client.SubmitJob(ctx, "risk-map", spec, 10*time.Second)
+	record.IndependentTasks = true
+	require.Equal(t, demo.OutcomeAccepted, record.FinalOutcome, lastDetail(record))
 	time.Sleep(2 * time.Second)
 	c.daemons[0].kill()
-	client.Await(ctx, record, 15*time.Second)
+	client.AwaitJob(ctx, record, 15*time.Second)
 	records = append(records, record)
 	c.verifyAgainstJournal(records)
 	starts := 0
@@ -121,7 +121,7 @@
 	time.Sleep(time.Second)
 	c.daemons[1].kill()
 	records = append(records, load.wait()...)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
--- a/standin/integration/gang_test.go
+++ b/standin/integration/gang_test.go
@@ -22,9 +22,9 @@
 	client := demo.NewClient(c.callerURLs(), seed)
 	defer client.Close()
 	spec := wire.JobSpec{ID: "review-1", Template: "mill-wear-review", Tasks: 24, Body: []byte("review")}
-	record := client.Submit(ctx, "mill-wear-review", spec, 5*time.Second)
-	require.Equal(t, demo.ToldAccepted, record.Final, lastDetail(record))
-	client.Await(ctx, record, 12*time.Second)
+	record := client.SubmitJob(ctx, "mill-wear-review", spec, 5*time.Second)
+	require.Equal(t, demo.OutcomeAccepted, record.FinalOutcome, lastDetail(record))
+	client.AwaitJob(ctx, record, 12*time.Second)
 	c.verifyAgainstJournal([]*demo.Record{record})
 
 	rackOf := map[string]string{}
--- a/standin/integration/load_test.go
+++ b/standin/integration/load_test.go
@@ -38,7 +38,7 @@
 		for _, request := range []demo.Request{demo.Doorstep("warm", i), demo.Certificate("warm", i)} {
 			request.Kind, request.Deadline = "warm-up", warmUpTimeout
 			record := client.Do(ctx, request)
-			require.Equal(c, demo.ToldAnswered, record.Final, "%s through %s: %s", record.Kind, url, lastDetail(record))
+			require.Equal(c, demo.OutcomeAnswered, record.FinalOutcome, "%s through %s: %s", record.Kind, url, lastDetail(record))
 			records = append(records, record)
 		}
 	}
@@ -59,7 +59,7 @@
 }
 
 // startLoad starts sending requests to the given daemons for the given duration.
-func (c *cluster) startLoad(urls []string, duration time.Duration, kinds ...demo.Kind) *backgroundLoad {
+func (c *cluster) startLoad(urls []string, duration time.Duration, kinds ...demo.Stream) *backgroundLoad {
 	b := &backgroundLoad{done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
@@ -67,7 +67,7 @@
 		defer cancel()
 		client := demo.NewClient(urls, seed)
 		defer client.Close()
-		b.records = demo.Send(ctx, client, kinds, duration, seed)
+		b.records = demo.SendStreams(ctx, client, kinds, duration, seed)
 	}()
 	return b
 }
@@ -85,15 +85,15 @@
 	time.Sleep(startExpiryWait)
 	entries := c.journalEntries()
 	var table strings.Builder
-	demo.Print(&table, demo.Summarise(records, entries))
+	demo.PrintSummary(&table, demo.Summarise(records, entries))
 	c.Logf("\n%s", table.String())
-	for _, v := range demo.Compare(records, entries) {
+	for _, v := range demo.CheckRecords(records, entries) {
 		assert.Fail(c, "a consistency rule is violated", "%s", v)
 	}
 }
 
 // requireOutcome checks that every record of a kind has one of the allowed final outcomes.
-func (c *cluster) requireOutcome(records []*demo.Record, kind string, allowed ...demo.Told) {
+func (c *cluster) requireOutcome(records []*demo.Record, kind string, allowed ...demo.AttemptOutcome) {
 	c.Helper()
 	count := 0
 	for _, r := range records {
@@ -101,8 +101,8 @@
 			continue
 		}
 		count++
-		if !slices.Contains(allowed, r.Final) {
-			assert.Fail(c, kind+" ended as "+string(r.Final), "body %.8s after %d calls: %+v", r.Digest, len(r.Attempts), r.Attempts)
+		if !slices.Contains(allowed, r.FinalOutcome) {
+			assert.Fail(c, kind+" ended as "+string(r.FinalOutcome), "body %.8s after %d calls: %+v", r.BodyDigest, len(r.Attempts), r.Attempts)
 		}
 	}
 	assert.NotZero(c, count, "no %s was sent", kind)
@@ -110,27 +110,27 @@
 
 // The following functions define the kinds of load of the inspectors deployment.
 
-func doorstepLoad(perSecond float64) demo.Kind {
-	return demo.Kind{Name: "doorstep", PerSecond: perSecond, Make: func(n int) demo.Request { return demo.Doorstep("load", n) }}
+func doorstepLoad(perSecond float64) demo.Stream {
+	return demo.Stream{Name: "doorstep", RequestsPerSecond: perSecond, NewRequest: func(n int) demo.Request { return demo.Doorstep("load", n) }}
 }
 
 // certificateLoad returns requests that are retried through another daemon after
 // retryTimeout.
-func certificateLoad(perSecond float64) demo.Kind {
-	return demo.Kind{Name: "certificate", PerSecond: perSecond, Make: func(n int) demo.Request {
+func certificateLoad(perSecond float64) demo.Stream {
+	return demo.Stream{Name: "certificate", RequestsPerSecond: perSecond, NewRequest: func(n int) demo.Request {
 		r := demo.Certificate("load", n)
-		r.Deadline, r.CallWait = 20*time.Second, retryTimeout
+		r.Deadline, r.AttemptTimeout = 20*time.Second, retryTimeout
 		return r
 	}}
 }
 
-func surveyLoad(perSecond float64) demo.Kind {
-	return demo.Kind{Name: "survey", PerSecond: perSecond, Make: func(n int) demo.Request { return demo.Survey("load", n) }}
+func surveyLoad(perSecond float64) demo.Stream {
+	return demo.Stream{Name: "survey", RequestsPerSecond: perSecond, NewRequest: func(n int) demo.Request { return demo.Survey("load", n) }}
 }
 
 // riskMapLoad returns batch jobs with the given number of tasks each.
-func riskMapLoad(perSecond float64, tasks int) demo.Kind {
-	return demo.Kind{Name: "risk-map", PerSecond: perSecond, Batch: true, Job: func(n int) wire.JobSpec {
+func riskMapLoad(perSecond float64, tasks int) demo.Stream {
+	return demo.Stream{Name: "risk-map", RequestsPerSecond: perSecond, IndependentTasks: true, NewJob: func(n int) wire.JobSpec {
 		return wire.JobSpec{ID: fmt.Sprintf("map-%d", n), Template: "risk-map", Tasks: tasks, Body: []byte(fmt.Sprintf("map %d", n))}
 	}}
 }
@@ -145,14 +145,14 @@
 		defer cancel()
 		client := demo.NewClient([]string{d.callerURL}, seed)
 		defer client.Close()
-		var ledger demo.Ledger
+		var ledger demo.Recorder
 		var group sync.WaitGroup
 		for n := 1; d.isReady() && ctx.Err() == nil; n++ {
 			request := demo.Doorstep("stop", n)
 			if n%4 == 0 {
 				request = demo.Certificate("stop", n)
 			}
-			group.Go(func() { ledger.Add(client.Once(ctx, d.callerURL, request)) })
+			group.Go(func() { ledger.Add(client.SendOnce(ctx, d.callerURL, request)) })
 			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 		group.Wait()
--- a/standin/integration/log_failure_test.go
+++ b/standin/integration/log_failure_test.go
@@ -34,10 +34,10 @@
 	records = append(records, before.wait()...)
 
 	after := c.startLoad(c.callerURLs(), time.Second, certificateLoad(5), surveyLoad(3)).wait()
-	c.requireOutcome(after, "certificate", demo.ToldAnswered)
+	c.requireOutcome(after, "certificate", demo.OutcomeAnswered)
 	records = append(records, after...)
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -45,18 +45,18 @@
 // and checks that each is refused as not run, with a retry time.
 func (c *cluster) sendRefusedCertificates(ctx context.Context, client *demo.Client) []*demo.Record {
 	c.Helper()
-	var ledger demo.Ledger
+	var ledger demo.Recorder
 	var group sync.WaitGroup
 	for n := range 20 {
 		request := demo.Certificate("outage", n)
 		request.Deadline = 5 * time.Second
 		url := c.daemons[n%len(c.daemons)].callerURL
-		group.Go(func() { ledger.Add(client.Once(ctx, url, request)) })
+		group.Go(func() { ledger.Add(client.SendOnce(ctx, url, request)) })
 		time.Sleep(200 * time.Millisecond)
 	}
 	group.Wait()
 	for _, r := range ledger.Records() {
-		assert.Truef(c, r.RefusedWithTime(), "a certificate request during the outage was not refused with a retry time: %s, %s", r.Final, lastDetail(r))
+		assert.Truef(c, r.RefusedWithRetryAfter(), "a certificate request during the outage was not refused with a retry time: %s, %s", r.FinalOutcome, lastDetail(r))
 	}
 	return ledger.Records()
 }
@@ -70,9 +70,9 @@
 	c.postControl(c.logURL, "/control/lose", logservice.Lose{Probability: 0.3, Seed: seed})
 	records = append(records, c.startLoad(c.callerURLs(), 8*time.Second, doorstepLoad(10), certificateLoad(8), surveyLoad(4)).wait()...)
 	c.postControl(c.logURL, "/control/lose", logservice.Lose{})
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -94,7 +94,7 @@
 		for _, a := range r.Attempts {
 			require.LessOrEqual(t, a.ConfigVersion, int64(2))
 			versions[a.Daemon] = max(versions[a.Daemon], a.ConfigVersion)
-			if r.Sent.After(rolloutDeadline) {
+			if r.SentAt.After(rolloutDeadline) {
 				assert.Equal(t, int64(2), a.ConfigVersion, "%s still has an older version 2 s after the publication", a.Daemon)
 			}
 		}
--- a/standin/integration/rolling_test.go
+++ b/standin/integration/rolling_test.go
@@ -265,7 +265,7 @@
 			require.NoError(r.t, proxy.SetDelay(delay))
 			r.eventLog = append(r.eventLog, fmt.Sprintf("store delayed for d%d by %d ms", i, delay.UpMS+delay.DownMS))
 		case 1:
-			require.NoError(r.t, proxy.Cut(faultproxy.Cut{}))
+			require.NoError(r.t, proxy.Reset(faultproxy.Reset{}))
 			r.eventLog = append(r.eventLog, fmt.Sprintf("store connections of d%d reset", i))
 		default:
 			require.NoError(r.t, proxy.SetDelay(faultproxy.Delay{}))
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -164,11 +164,11 @@
 	case 3, 4:
 		mode := []faultproxy.Mode{faultproxy.ModeRefuse, faultproxy.ModeSilent}[kind-3]
 		return daemonFault("store unreachable ("+string(mode)+")", func() {
-			require.NoError(s.t, proxy.SetNew(faultproxy.New{Mode: mode}))
+			require.NoError(s.t, proxy.SetConnectionPolicy(faultproxy.ConnectionPolicy{Mode: mode}))
 			require.NoError(s.t, proxy.Silence(faultproxy.Silence{All: true}))
 		}, func() {
-			require.NoError(s.t, proxy.SetNew(faultproxy.New{Mode: faultproxy.ModePass}))
-			require.NoError(s.t, proxy.Cut(faultproxy.Cut{}))
+			require.NoError(s.t, proxy.SetConnectionPolicy(faultproxy.ConnectionPolicy{Mode: faultproxy.ModePass}))
+			require.NoError(s.t, proxy.Reset(faultproxy.Reset{}))
 		})
 	case 5:
 		return daemonFault("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
--- a/standin/integration/worker_failure_test.go
+++ b/standin/integration/worker_failure_test.go
@@ -23,9 +23,9 @@
 		c.postWorkerControl(c.vms[2*i].Name, "/control/restart", struct{}{})
 	}
 	records = append(records, load.wait()...)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered, demo.ToldRan, demo.ToldUnknown)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered, demo.OutcomeRan, demo.OutcomeUnknown)
 	c.requireUnansweredOnlyOnFailedVMs(records)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -35,13 +35,13 @@
 	c.Helper()
 	survivingRuns := map[string]*demo.Run{}
 	for _, run := range demo.Runs(c.journalEntries()) {
-		if run.Gone == 0 {
+		if run.LostUS == 0 {
 			survivingRuns[run.BodyDigest] = run
 		}
 	}
 	for _, r := range records {
-		if run := survivingRuns[r.Digest]; run != nil && r.Final != demo.ToldAnswered && r.Final != demo.ToldAccepted {
-			assert.Fail(c, "a result was not delivered", "%s ran on %s, which did not fail; its caller was told %s: %s", r.Kind, run.VM, r.Final, lastDetail(r))
+		if run := survivingRuns[r.BodyDigest]; run != nil && r.FinalOutcome != demo.OutcomeAnswered && r.FinalOutcome != demo.OutcomeAccepted {
+			assert.Fail(c, "a result was not delivered", "%s ran on %s, which did not fail; its caller was told %s: %s", r.Kind, run.VM, r.FinalOutcome, lastDetail(r))
 		}
 	}
 }
@@ -59,9 +59,9 @@
 		}
 	}
 	records = append(records, load.wait()...)
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -89,8 +89,8 @@
 		assert.NotContains(t, []string{listed, draining}, e.VM, "new work %s on a leaving VM", e.ID)
 	}
 	assert.NotZero(t, startsBefore[listed]+startsBefore[draining], "neither VM had any work, so the test is not meaningful")
-	c.requireOutcome(records, "doorstep", demo.ToldAnswered)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
+	c.requireOutcome(records, "doorstep", demo.OutcomeAnswered)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
 	c.verifyAgainstJournal(records)
 }
 
@@ -101,10 +101,10 @@
 	c := startCluster(t, options{daemons: 3, workers: 8, operations: []string{"survey=1000", "certificate=300", "doorstep=100"}})
 	records := c.warmUp()
 	for _, vm := range c.vms {
-		c.postWorkerControl(vm.Name, "/control/misbehaviour", worker.Misbehaviour{LateAnswersMS: 300, Paths: []string{wire.PathReport}})
+		c.postWorkerControl(vm.Name, "/control/misbehaviour", worker.Misbehaviour{ResponseDelayMS: 300, Paths: []string{wire.PathReport}})
 	}
 	records = append(records, c.startLoad(c.callerURLs(), 5*time.Second, surveyLoad(15)).wait()...)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -114,15 +114,15 @@
 	c := startCluster(t, options{daemons: 3, workers: 8, operations: fastOperations})
 	records := c.warmUp()
 	paths := []string{wire.PathStart, wire.PathStop}
-	faults := []worker.Misbehaviour{{ForeignResults: true}, {ShortenResults: true}, {TruncateAnswers: true}, {HangAnswers: true}}
+	faults := []worker.Misbehaviour{{MismatchResultIDs: true}, {TruncateResults: true}, {TruncateResponses: true}, {HangResponses: true}}
 	for i, vm := range c.vms {
 		fault := faults[i%len(faults)]
-		fault.Paths, fault.Share, fault.Seed = paths, 0.3, int64(i+1)
+		fault.Paths, fault.FaultProbability, fault.Seed = paths, 0.3, int64(i+1)
 		c.postWorkerControl(vm.Name, "/control/misbehaviour", fault)
 	}
 	records = append(records, c.startLoad(c.callerURLs(), 7*time.Second, doorstepLoad(15), certificateLoad(8), surveyLoad(4)).wait()...)
-	c.requireOutcome(records, "certificate", demo.ToldAnswered)
-	c.requireOutcome(records, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(records, "certificate", demo.OutcomeAnswered)
+	c.requireOutcome(records, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	c.verifyAgainstJournal(records)
 }
 
@@ -184,7 +184,7 @@
 	c.postWorkerControl(failingVM, "/control/misbehaviour", worker.Misbehaviour{FailAll: true})
 	from := time.Now()
 	loadRecords := runningLoad.wait()
-	c.requireOutcome(loadRecords, "survey", demo.ToldAnswered, demo.ToldAccepted)
+	c.requireOutcome(loadRecords, "survey", demo.OutcomeAnswered, demo.OutcomeAccepted)
 	late, isolated := c.startsAfterIsolation(failingVM, from)
 	assert.True(t, isolated, "the VM had too few failures to be isolated, so the test is not meaningful")
 	assert.LessOrEqual(t, late, 1, "starts on the failing VM after it should be isolated; one start may be a probe")
--- a/standin/internal/httpjson/httpjson.go
+++ b/standin/internal/httpjson/httpjson.go
@@ -16,13 +16,13 @@
 )
 
 // MaxBodyBytes is the length of the longest body that Decode reads.
-const MaxBody = 16 << 20
+const MaxBodyBytes = 16 << 20
 
 // Empty is the response body of calls that return nothing.
 type Empty struct{}
 
 // ErrorResponse is the body of an error response.
-type Failure struct {
+type ErrorResponse struct {
 	Error string `json:"error"`
 }
 
@@ -40,13 +40,13 @@
 }
 
 // WriteError sends a response with a status and an ErrorResponse.
-func Fail(w http.ResponseWriter, status int, format string, args ...any) {
-	Write(w, status, Failure{Error: fmt.Sprintf(format, args...)})
+func WriteError(w http.ResponseWriter, status int, format string, args ...any) {
+	Write(w, status, ErrorResponse{Error: fmt.Sprintf(format, args...)})
 }
 
 // Decode reads a JSON body into target. Errors are of kind fault.Invalid.
 func Decode(r *http.Request, target any) error {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBody))
+	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBodyBytes))
 	if err := decoder.Decode(target); err != nil {
 		return fault.Wrap(err, fault.Invalid, "send the JSON object that the path expects", "cannot decode body of %s", r.URL.Path)
 	}
@@ -58,7 +58,7 @@
 // ControlHandler returns a handler that decodes a T, applies it and responds with an
 // empty object, or with status 400 if the body cannot be decoded or apply returns an
 // error. A missing body is decoded as the zero T.
-func Control[T any](apply func(T) error) http.HandlerFunc {
+func ControlHandler[T any](apply func(T) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body T
 		var err error
@@ -69,7 +69,7 @@
 			err = apply(body)
 		}
 		if err != nil {
-			Fail(w, http.StatusBadRequest, "%v", err)
+			WriteError(w, http.StatusBadRequest, "%v", err)
 			return
 		}
 		Write(w, http.StatusOK, Empty{})
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -3,26 +3,26 @@
 import "time"
 
 // Measurement is a measurement that Run can make.
-type Part string
+type Measurement string
 
 // Values of Measurement. Each needs a cell of several daemons.
 const (
-	PartIdle     Part = "idle"
-	PartWaits    Part = "waits"
-	PartStarts   Part = "starts"
-	PartRecovery Part = "recovery"
+	MeasurementIdle     Measurement = "idle"
+	MeasurementWaits    Measurement = "waits"
+	MeasurementStarts   Measurement = "starts"
+	MeasurementRecovery Measurement = "recovery"
 )
 
 // Measurements lists all measurements in their default order.
-var Parts = []Part{PartIdle, PartWaits, PartStarts, PartRecovery}
+var Measurements = []Measurement{MeasurementIdle, MeasurementWaits, MeasurementStarts, MeasurementRecovery}
 
 // Plan selects and configures the measurements of a run.
 type Plan struct {
-	Parts        []Part
-	Loads        []float64     // multiples of the slots' capacity, lowest first
-	FailingLoads []float64     // as Loads, for the measurement with failing workers; empty skips it
-	Lasting      time.Duration // of each load and of the idle measurement
-	StartRates   []float64     // requested task starts per second
+	Measurements   []Measurement
+	Loads          []float64     // multiples of the slots' capacity, lowest first
+	FailingLoads   []float64     // as Loads, for the measurement with failing workers; empty skips it
+	Duration       time.Duration // of each load and of the idle measurement
+	TaskStartRates []float64     // requested task starts per second
 }
 
 // Run starts a cell, makes the plan's measurements on it and stops it. When it returns an
@@ -33,7 +33,7 @@
 		return err
 	}
 	defer c.Stop()
-	for _, part := range plan.Parts {
+	for _, part := range plan.Measurements {
 		if err := c.measure(part, plan, r); err != nil {
 			return err
 		}
@@ -45,20 +45,20 @@
 	return nil
 }
 
-func (c *Cell) measure(part Part, plan Plan, r *Report) error {
+func (c *Cell) measure(part Measurement, plan Plan, r *Report) error {
 	switch part {
-	case PartIdle:
-		return c.measureIdle(r, plan.Lasting)
-	case PartWaits:
-		return c.measureWaits(r, plan.Loads, plan.FailingLoads, plan.Lasting)
-	case PartStarts:
-		for _, rate := range plan.StartRates {
+	case MeasurementIdle:
+		return c.measureIdle(r, plan.Duration)
+	case MeasurementWaits:
+		return c.measureWaits(r, plan.Loads, plan.FailingLoads, plan.Duration)
+	case MeasurementStarts:
+		for _, rate := range plan.TaskStartRates {
 			if err := c.measureTaskStarts(r, rate); err != nil {
 				return err
 			}
 		}
 		return nil
-	case PartRecovery:
+	case MeasurementRecovery:
 		return c.measureRecovery(r)
 	}
 	return nil
--- a/standin/load/starts.go
+++ b/standin/load/starts.go
@@ -77,7 +77,7 @@
 
 func (x *journalIndex) addEntry(e worker.Entry) {
 	switch {
-	case e.Event == worker.EventOverload || e.Event == worker.EventOveruse:
+	case e.Event == worker.EventOverload || e.Event == worker.EventUsageOverload:
 		x.capacityViolations++
 	case e.Job == "":
 	case e.Event == worker.EventStart:
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -81,10 +81,10 @@
 	s.setLimits(Limits{AppendsPerSecond: options.AppendsPerSecond})
 	s.mux.HandleFunc("POST /v1/streams/{name}/records", s.handleAppend)
 	s.mux.HandleFunc("GET /v1/streams/{name}/records", s.handleRead)
-	s.mux.HandleFunc("POST /control/outage", httpjson.Control(s.SetOutage))
-	s.mux.HandleFunc("POST /control/delay", httpjson.Control(s.SetDelay))
-	s.mux.HandleFunc("POST /control/lose", httpjson.Control(s.SetLose))
-	s.mux.HandleFunc("POST /control/limits", httpjson.Control(s.SetLimits))
+	s.mux.HandleFunc("POST /control/outage", httpjson.ControlHandler(s.SetOutage))
+	s.mux.HandleFunc("POST /control/delay", httpjson.ControlHandler(s.SetDelay))
+	s.mux.HandleFunc("POST /control/lose", httpjson.ControlHandler(s.SetLose))
+	s.mux.HandleFunc("POST /control/limits", httpjson.ControlHandler(s.SetLimits))
 	s.mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.Stats())
 	})
@@ -180,7 +180,7 @@
 	switch mode {
 	case OutageRefuse:
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
-		httpjson.Fail(w, http.StatusServiceUnavailable, "the log service is down")
+		httpjson.WriteError(w, http.StatusServiceUnavailable, "the log service is down")
 		return true
 	case OutageHang:
 		<-r.Context().Done()
@@ -194,10 +194,10 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		httpjson.Fail(w, http.StatusRequestEntityTooLarge, "a record has at most %d bytes", MaxRecordBytes)
+		httpjson.WriteError(w, http.StatusRequestEntityTooLarge, "a record has at most %d bytes", MaxRecordBytes)
 		return
 	case err != nil:
-		httpjson.Fail(w, http.StatusBadRequest, "read record: %v", err)
+		httpjson.WriteError(w, http.StatusBadRequest, "read record: %v", err)
 		return
 	}
 	if s.meetsOutage(w, r, ScopeAppends, &s.stats.AppendsFailed) {
@@ -211,7 +211,7 @@
 	offset, lost, ok := s.append(r.PathValue("name"), data)
 	if !ok {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
-		httpjson.Fail(w, http.StatusTooManyRequests, "over the cap of appends a second")
+		httpjson.WriteError(w, http.StatusTooManyRequests, "over the cap of appends a second")
 		return
 	}
 	if sleep(r, delay.AnswerMS) || lost {
@@ -271,7 +271,7 @@
 func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
 	query, err := parseRead(r)
 	if err != nil {
-		httpjson.Fail(w, http.StatusBadRequest, "%v", err)
+		httpjson.WriteError(w, http.StatusBadRequest, "%v", err)
 		return
 	}
 	timeout := time.NewTimer(query.wait)
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -79,8 +79,8 @@
 	l := &List{mux: http.NewServeMux(), options: options, latest: slices.Clone(options.VMs)}
 	l.versions = []version{{visibleFrom: options.Now(), vms: l.latest}}
 	l.mux.HandleFunc("GET /v1/vms", l.handleList)
-	l.mux.HandleFunc("POST /control/vms", httpjson.Control(l.Change))
-	l.mux.HandleFunc("POST /control/outage", httpjson.Control(l.SetOutage))
+	l.mux.HandleFunc("POST /control/vms", httpjson.ControlHandler(l.Change))
+	l.mux.HandleFunc("POST /control/outage", httpjson.ControlHandler(l.SetOutage))
 	return l
 }
 
@@ -133,7 +133,7 @@
 }
 
 // Visible returns the version of the list that clients currently read.
-func (l *List) Seen() wire.VMList {
+func (l *List) Visible() wire.VMList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
@@ -154,12 +154,12 @@
 	unavailable := l.options.Now().Before(l.outageUntil)
 	l.mu.Unlock()
 	if unavailable {
-		httpjson.Fail(w, http.StatusServiceUnavailable, "the VM list is unavailable")
+		httpjson.WriteError(w, http.StatusServiceUnavailable, "the VM list is unavailable")
 		return
 	}
-	data, err := json.Marshal(l.Seen())
+	data, err := json.Marshal(l.Visible())
 	if err != nil {
-		httpjson.Fail(w, http.StatusInternalServerError, "%v", err)
+		httpjson.WriteError(w, http.StatusInternalServerError, "%v", err)
 		return
 	}
 	digest := sha256.Sum256(data)
--- a/standin/vmlist/vmlist_test.go
+++ b/standin/vmlist/vmlist_test.go
@@ -23,10 +23,10 @@
 	require.NoError(t, l.Change(Change{Patch: []json.RawMessage{[]byte(`{"name":"a","state":"leaving"}`), []byte(`{"name":"c"}`)}}))
 	now = now.Add(30 * time.Second)
 	require.NoError(t, l.Change(Change{Remove: []string{"b"}}))
-	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLive}, {Name: "b"}}, l.Seen().VMs)
+	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLive}, {Name: "b"}}, l.Visible().VMs)
 	now = now.Add(30 * time.Second)
-	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLeaving}, {Name: "b"}, {Name: "c"}}, l.Seen().VMs)
+	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLeaving}, {Name: "b"}, {Name: "c"}}, l.Visible().VMs)
 	now = now.Add(30 * time.Second)
-	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLeaving}, {Name: "c"}}, l.Seen().VMs)
+	assert.Equal(t, []wire.VM{{Name: "a", Rack: "r1", State: wire.VMLeaving}, {Name: "c"}}, l.Visible().VMs)
 	require.Error(t, l.Change(Change{Patch: []json.RawMessage{[]byte(`{"state":"leaving"}`)}}))
 }
--- a/standin/worker/behaviour.go
+++ b/standin/worker/behaviour.go
@@ -33,22 +33,22 @@
 // /control/misbehaviour, which replaces the previous set. The zero value injects no
 // faults.
 type Misbehaviour struct {
-	FailAll         bool     `json:"fail_all,omitempty"`         // Every attempt fails as soon as it starts.
-	FailOperations  []string `json:"fail_operations,omitempty"`  // Attempts of these operations fail as soon as they start.
-	HangAnswers     bool     `json:"hang_answers,omitempty"`     // No response is sent, though the message took effect.
-	TruncateAnswers bool     `json:"truncate_answers,omitempty"` // The connection closes in the middle of the response.
-	ShortenResults  bool     `json:"shorten_results,omitempty"`  // The result body lacks its second half.
-	ForeignResults  bool     `json:"foreign_results,omitempty"`  // The result has a wrong ID.
-	LateAnswersMS   int64    `json:"late_answers_ms,omitempty"`  // Each response is delayed by this time.
-	Paths           []string `json:"paths,omitempty"`            // Only responses on these protocol paths are faulty; empty means all paths.
-	Share           float64  `json:"share,omitempty"`            // Each response is faulty with this probability; 0 means that all are.
-	Seed            int64    `json:"seed,omitempty"`             // It seeds the random choice of faulty responses.
-	RealUse         float64  `json:"real_use,omitempty"`         // The actual use is this multiple of the declared size; 0 means 1.
-	RunTime         float64  `json:"run_time,omitempty"`         // The actual run time is this multiple of the planned one; 0 means 1.
+	FailAll           bool     `json:"fail_all,omitempty"`         // Every attempt fails as soon as it starts.
+	FailOperations    []string `json:"fail_operations,omitempty"`  // Attempts of these operations fail as soon as they start.
+	HangResponses     bool     `json:"hang_answers,omitempty"`     // No response is sent, though the message took effect.
+	TruncateResponses bool     `json:"truncate_answers,omitempty"` // The connection closes in the middle of the response.
+	TruncateResults   bool     `json:"shorten_results,omitempty"`  // The result body lacks its second half.
+	MismatchResultIDs bool     `json:"foreign_results,omitempty"`  // The result has a wrong ID.
+	ResponseDelayMS   int64    `json:"late_answers_ms,omitempty"`  // Each response is delayed by this time.
+	Paths             []string `json:"paths,omitempty"`            // Only responses on these protocol paths are faulty; empty means all paths.
+	FaultProbability  float64  `json:"share,omitempty"`            // Each response is faulty with this probability; 0 means that all are.
+	Seed              int64    `json:"seed,omitempty"`             // It seeds the random choice of faulty responses.
+	ActualUseFactor   float64  `json:"real_use,omitempty"`         // The actual use is this multiple of the declared size; 0 means 1.
+	RunTimeFactor     float64  `json:"run_time,omitempty"`         // The actual run time is this multiple of the planned one; 0 means 1.
 }
 
 func (m Misbehaviour) validate() error {
-	if m.Share < 0 || m.Share > 1 || m.RealUse < 0 || m.RunTime < 0 || m.LateAnswersMS < 0 {
+	if m.FaultProbability < 0 || m.FaultProbability > 1 || m.ActualUseFactor < 0 || m.RunTimeFactor < 0 || m.ResponseDelayMS < 0 {
 		return fault.New(fault.Invalid, "use a share from 0 to 1 and no negative numbers", "misbehaviour has a value out of range")
 	}
 	return nil
@@ -59,16 +59,16 @@
 	if len(m.Paths) > 0 && !slices.Contains(m.Paths, path) {
 		return false
 	}
-	return m.Share == 0 || random.Float64() < m.Share
+	return m.FaultProbability == 0 || random.Float64() < m.FaultProbability
 }
 
 func (m Misbehaviour) actualUse(declared resource.Vector) resource.Vector {
-	if m.RealUse == 0 {
+	if m.ActualUseFactor == 0 {
 		return declared
 	}
 	return resource.Vector{
-		MilliCores:   int64(float64(declared.MilliCores) * m.RealUse),
-		MemoryMiB:    int64(float64(declared.MemoryMiB) * m.RealUse),
+		MilliCores:   int64(float64(declared.MilliCores) * m.ActualUseFactor),
+		MemoryMiB:    int64(float64(declared.MemoryMiB) * m.ActualUseFactor),
 		Accelerators: declared.Accelerators, // Accelerators and slots are allocated whole, so their use does not differ.
 		Slots:        declared.Slots,
 	}
@@ -89,8 +89,8 @@
 		return runPlan{fail: true}
 	}
 	p := w.planWithoutMisbehaviour(start)
-	if w.misbehaviour.RunTime > 0 && p.runTime < endlessRunTime {
-		p.runTime = time.Duration(float64(p.runTime) * w.misbehaviour.RunTime)
+	if w.misbehaviour.RunTimeFactor > 0 && p.runTime < endlessRunTime {
+		p.runTime = time.Duration(float64(p.runTime) * w.misbehaviour.RunTimeFactor)
 	}
 	return p
 }
@@ -111,7 +111,7 @@
 	if start.Kind == wire.KindTask && start.RunMS > 0 {
 		return runPlan{runTime: milliseconds(start.RunMS)}
 	}
-	return runPlan{runTime: w.options.DefaultRun}
+	return runPlan{runTime: w.options.DefaultOperationRunTime}
 }
 
 // parseNamedRunTime parses the run time in an operation name such as sleep:20.
--- a/standin/worker/http.go
+++ b/standin/worker/http.go
@@ -35,10 +35,10 @@
 	w.mux.HandleFunc("GET "+wire.PathReport, func(rw http.ResponseWriter, r *http.Request) {
 		w.respond(rw, r, http.StatusOK, w.Report())
 	})
-	w.mux.HandleFunc("POST /control/misbehaviour", httpjson.Control(w.SetMisbehaviour))
-	w.mux.HandleFunc("POST /control/drain", httpjson.Control(func(d Drain) error { w.SetDraining(d.Draining); return nil }))
-	w.mux.HandleFunc("POST /control/pause", httpjson.Control(func(p Pause) error { w.Pause(milliseconds(p.MS)); return nil }))
-	w.mux.HandleFunc("POST /control/restart", httpjson.Control(func(httpjson.Empty) error { w.Restart(); return nil }))
+	w.mux.HandleFunc("POST /control/misbehaviour", httpjson.ControlHandler(w.SetMisbehaviour))
+	w.mux.HandleFunc("POST /control/drain", httpjson.ControlHandler(func(d Drain) error { w.SetDraining(d.Draining); return nil }))
+	w.mux.HandleFunc("POST /control/pause", httpjson.ControlHandler(func(p Pause) error { w.Pause(milliseconds(p.MS)); return nil }))
+	w.mux.HandleFunc("POST /control/restart", httpjson.ControlHandler(func(httpjson.Empty) error { w.Restart(); return nil }))
 	w.mux.HandleFunc("GET /control/journal", func(rw http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(rw, http.StatusOK, w.options.Journal.Entries())
 	})
@@ -53,7 +53,7 @@
 	w.mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
 		var body T
 		if err := httpjson.Decode(r, &body); err != nil {
-			httpjson.Fail(rw, http.StatusBadRequest, "%v", err)
+			httpjson.WriteError(rw, http.StatusBadRequest, "%v", err)
 			return
 		}
 		w.respond(rw, r, http.StatusOK, apply(body))
@@ -106,15 +106,15 @@
 		httpjson.Write(rw, status, body)
 		return
 	}
-	if misbehaviour.LateAnswersMS > 0 {
-		time.Sleep(milliseconds(misbehaviour.LateAnswersMS))
+	if misbehaviour.ResponseDelayMS > 0 {
+		time.Sleep(milliseconds(misbehaviour.ResponseDelayMS))
 	}
-	if misbehaviour.HangAnswers {
+	if misbehaviour.HangResponses {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	body = misbehaviour.corruptResponse(body)
-	if misbehaviour.TruncateAnswers {
+	if misbehaviour.TruncateResponses {
 		writeTruncated(rw, status, body)
 	}
 	httpjson.Write(rw, status, body)
@@ -138,10 +138,10 @@
 		return nil
 	}
 	corrupted := *result
-	if m.ShortenResults {
+	if m.TruncateResults {
 		corrupted.Body = corrupted.Body[:len(corrupted.Body)/2]
 	}
-	if m.ForeignResults {
+	if m.MismatchResultIDs {
 		corrupted.ID += "-foreign"
 	}
 	return &corrupted
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -17,23 +17,23 @@
 
 // Kinds of journal entries.
 const (
-	EventStart    JournalEvent = "start"
-	EventEnd      JournalEvent = "end"      // The attempt ended by itself, finished or failed.
-	EventStop     JournalEvent = "stop"     // The attempt was stopped early; Reason holds the cause.
-	EventRefuse   JournalEvent = "refuse"   // Reason holds the wire.Refusal.
-	EventForbid   JournalEvent = "forbid"   // A stop recorded a tombstone, which forbids later starts.
-	EventOverload JournalEvent = "overload" // The declared sizes of the running attempts exceed the capacity.
-	EventOveruse  JournalEvent = "overuse"  // The actual use of the running attempts exceeds the capacity.
-	EventFence    JournalEvent = "fence"    // The lowest accepted epoch was raised.
-	EventBoot     JournalEvent = "boot"     // A new incarnation began, with nothing running.
+	EventStart         JournalEvent = "start"
+	EventEnd           JournalEvent = "end"      // The attempt ended by itself, finished or failed.
+	EventStop          JournalEvent = "stop"     // The attempt was stopped early; Reason holds the cause.
+	EventRefuse        JournalEvent = "refuse"   // Reason holds the wire.Refusal.
+	EventTombstone     JournalEvent = "forbid"   // A stop recorded a tombstone, which forbids later starts.
+	EventOverload      JournalEvent = "overload" // The declared sizes of the running attempts exceed the capacity.
+	EventUsageOverload JournalEvent = "overuse"  // The actual use of the running attempts exceeds the capacity.
+	EventFence         JournalEvent = "fence"    // The lowest accepted epoch was raised.
+	EventBoot          JournalEvent = "boot"     // A new incarnation began, with nothing running.
 )
 
 // Reasons of EventStop.
 const (
-	ReasonStop       = "stop"
-	ReasonLapse      = "lapsed-lease"
-	ReasonCheckpoint = "checkpoint"
-	ReasonCrash      = "crash"
+	ReasonStop         = "stop"
+	ReasonLeaseExpired = "lapsed-lease"
+	ReasonCheckpoint   = "checkpoint"
+	ReasonCrash        = "crash"
 )
 
 // Entry is one line of a journal. Seq numbers the entries of one journal from 1.
@@ -56,7 +56,7 @@
 	BodyDigest  string          `json:"body_digest,omitempty"` // EventStart sets it to the digest of the start's body.
 	OverdueUS   int64           `json:"overdue_us,omitempty"`  // ReasonLeaseExpired sets it to the time since the expiry, which a paused worker detects late.
 	InUse       resource.Vector `json:"in_use"`                // This is the sum of the running attempts' declared sizes after the event.
-	RealUse     resource.Vector `json:"real_use"`              // This is the sum of the running attempts' actual use after the event.
+	ActualUse   resource.Vector `json:"real_use"`              // This is the sum of the running attempts' actual use after the event.
 	Capacity    resource.Vector `json:"capacity"`
 }
 
--- a/standin/worker/protocol.go
+++ b/standin/worker/protocol.go
@@ -29,11 +29,11 @@
 }
 
 // isStaleEpoch reports whether messages of an epoch are fenced off.
-func (w *Worker) isStaleEpoch(epoch int64) bool { return epoch < w.epoch && !w.options.Unfenced }
+func (w *Worker) isStaleEpoch(epoch int64) bool { return epoch < w.epoch && !w.options.DisableFencing }
 
 // notAfterPassed reports whether the worker's clock is past a not_after.
 func (w *Worker) notAfterPassed(notAfterMS int64, now time.Duration) bool {
-	return now > milliseconds(notAfterMS) && !w.options.Unfenced
+	return now > milliseconds(notAfterMS) && !w.options.DisableFencing
 }
 
 // recordStaleEpoch records the refusal of a message with a stale epoch. Refused
@@ -143,7 +143,7 @@
 		return wire.RefusedTooLate
 	case w.draining:
 		return wire.RefusedDraining
-	case !w.options.Trusting && !w.inUse.Add(s.Resources).Fits(w.options.Capacity):
+	case !w.options.AllowOvercommit && !w.inUse.Add(s.Resources).Fits(w.options.Capacity):
 		return wire.RefusedNoRoom
 	}
 	return ""
@@ -234,7 +234,7 @@
 		return
 	}
 	w.recordGeneration(s.ID, s.Generation, wire.RunNeverStarted, now)
-	w.recordEvent(EventForbid, wire.Start{ID: s.ID, Generation: s.Generation, Epoch: s.Epoch}, wire.RunNeverStarted, "")
+	w.recordEvent(EventTombstone, wire.Start{ID: s.ID, Generation: s.Generation, Epoch: s.Epoch}, wire.RunNeverStarted, "")
 }
 
 // endedOutcome returns the state and, if still retained, the result of an attempt that
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -15,27 +15,27 @@
 
 // Defaults of the options, and the upper limit of a clock's first reading.
 const (
-	DefaultKeepResults = 10 * time.Minute
-	DefaultKeepPast    = time.Hour
-	DefaultUsageLag    = 5 * time.Second
-	DefaultRunTime     = 10 * time.Millisecond
-	maxInitialClock    = 1000 * time.Hour
+	DefaultResultRetention  = 10 * time.Minute
+	DefaultHistoryRetention = time.Hour
+	DefaultUsageLag         = 5 * time.Second
+	DefaultRunTime          = 10 * time.Millisecond
+	maxInitialClock         = 1000 * time.Hour
 )
 
 // Options configures a Worker. Zero values select the defaults.
 type Options struct {
-	Name        string
-	Capacity    resource.Vector
-	Incarnation int64                // The default is the Unix time in milliseconds.
-	Trusting    bool                 // The worker accepts work beyond its capacity and journals each overload.
-	Unfenced    bool                 // The worker ignores epochs and not_after, as in pools with the setting fencing: false.
-	Operations  map[string]Operation // The keys are names of operations.
-	DefaultRun  time.Duration        // It applies if neither the operation nor the task sets a run time.
-	UsageLag    time.Duration        // Reports show the usage of this long ago; a negative value means no lag.
-	KeepResults time.Duration        // Results wait this long for an ack.
-	KeepPast    time.Duration        // States of ended attempts and tombstones are retained for this long.
-	Journal     *Journal             // The default is a journal in memory.
-	Checkpoints *Checkpoints         // The default is a store of this worker alone.
+	Name                    string
+	Capacity                resource.Vector
+	Incarnation             int64                // The default is the Unix time in milliseconds.
+	AllowOvercommit         bool                 // The worker accepts work beyond its capacity and journals each overload.
+	DisableFencing          bool                 // The worker ignores epochs and not_after, as in pools with the setting fencing: false.
+	Operations              map[string]Operation // The keys are names of operations.
+	DefaultOperationRunTime time.Duration        // It applies if neither the operation nor the task sets a run time.
+	UsageLag                time.Duration        // Reports show the usage of this long ago; a negative value means no lag.
+	ResultRetention         time.Duration        // Results wait this long for an ack.
+	HistoryRetention        time.Duration        // States of ended attempts and tombstones are retained for this long.
+	Journal                 *Journal             // The default is a journal in memory.
+	Checkpoints             *Checkpoints         // The default is a store of this worker alone.
 	// ReportEndedRequests adds ended requests to reports. They are omitted by
 	// default, because they may never be acknowledged and a report would then
 	// list every request of the last ResultRetention.
@@ -98,17 +98,17 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = time.Now().UnixMilli()
 	}
-	if o.DefaultRun == 0 {
-		o.DefaultRun = DefaultRunTime
+	if o.DefaultOperationRunTime == 0 {
+		o.DefaultOperationRunTime = DefaultRunTime
 	}
 	if o.UsageLag == 0 {
 		o.UsageLag = DefaultUsageLag
 	}
-	if o.KeepResults == 0 {
-		o.KeepResults = DefaultKeepResults
+	if o.ResultRetention == 0 {
+		o.ResultRetention = DefaultResultRetention
 	}
-	if o.KeepPast == 0 {
-		o.KeepPast = DefaultKeepPast
+	if o.HistoryRetention == 0 {
+		o.HistoryRetention = DefaultHistoryRetention
 	}
 	if o.Journal == nil {
 		o.Journal = NewJournal(nil)
@@ -204,7 +204,7 @@
 		State:       state,
 		Reason:      reason,
 		InUse:       w.inUse,
-		RealUse:     w.actualUse,
+		ActualUse:   w.actualUse,
 		Capacity:    w.options.Capacity,
 	}
 }
@@ -224,7 +224,7 @@
 	for _, a := range w.runningAttempts {
 		switch {
 		case a.leaseUntil <= now:
-			w.stopAttempt(a, now, ReasonLapse)
+			w.stopAttempt(a, now, ReasonLeaseExpired)
 		case a.endsAt() <= now:
 			w.finishAttempt(a, now)
 		}
@@ -255,7 +255,7 @@
 	}
 	w.recordEnd(a, now)
 	e := w.newEntry(EventStop, a.start, a.state, reason)
-	if reason == ReasonLapse {
+	if reason == ReasonLeaseExpired {
 		e.OverdueUS = (now - a.leaseUntil).Microseconds()
 	}
 	w.options.Journal.Add(e)
@@ -302,14 +302,14 @@
 	}
 	w.lastPurge = now
 	for id, retained := range w.endedAttempts {
-		retained = slices.DeleteFunc(retained, func(a *attempt) bool { return now-a.endedAt > w.options.KeepResults })
+		retained = slices.DeleteFunc(retained, func(a *attempt) bool { return now-a.endedAt > w.options.ResultRetention })
 		w.endedAttempts[id] = retained
 		if len(retained) == 0 {
 			delete(w.endedAttempts, id)
 		}
 	}
 	for id, history := range w.histories {
-		if now-history.updatedAt > w.options.KeepPast {
+		if now-history.updatedAt > w.options.HistoryRetention {
 			delete(w.histories, id)
 		}
 	}
@@ -341,7 +341,7 @@
 		w.recordEvent(EventOverload, start, a.state, "")
 	}
 	if !w.actualUse.Fits(w.options.Capacity) {
-		w.recordEvent(EventOveruse, start, a.state, "")
+		w.recordEvent(EventUsageOverload, start, a.state, "")
 	}
 	a.timer = time.AfterFunc(a.nextEvent()-now, func() { w.onTimer(a) })
 	return a
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -120,7 +120,7 @@
 
 // Guards against a VM that the scheduler overloads without an entry in the journal.
 func TestOvercommittingWorkerJournalsOverload(t *testing.T) {
-	w, _ := newWorker(func(o *Options) { o.Trusting = true })
+	w, _ := newWorker(func(o *Options) { o.AllowOvercommit = true })
 	for _, id := range []string{"a", "b", "c"} {
 		require.Empty(t, refusalOf(w, newTaskStart(id, 1)))
 	}
@@ -135,7 +135,7 @@
 // scheduler's waits for the lease and for not_after, which replace fencing in such
 // pools, would then be untested.
 func TestUnfencedWorker(t *testing.T) {
-	w, c := newWorker(func(o *Options) { o.Unfenced = true })
+	w, c := newWorker(func(o *Options) { o.DisableFencing = true })
 	w.Fence(wire.Fence{Epoch: 9})
 	c.advance(time.Minute)
 	assert.Empty(t, refusalOf(w, newTaskStart("a", 1)))
@@ -216,7 +216,7 @@
 	require.Empty(t, refusalOf(w, newTaskStart("a", 1)))
 	c.advance(10 * time.Second)
 	require.Equal(t, wire.RunFinished, w.Report().Attempts[0].State)
-	c.advance(DefaultKeepResults)
+	c.advance(DefaultResultRetention)
 	require.Len(t, w.Report().Attempts, 1)
 	c.advance(time.Second)
 	assert.Empty(t, w.Report().Attempts)
@@ -243,14 +243,14 @@
 // scheduler's estimates must be tested with usage that lags and differs.
 func TestReportedUsageLagsAndDiffersFromDeclared(t *testing.T) {
 	w, c := newWorker(func(o *Options) { o.Capacity = resource.Vector{MilliCores: 1000} })
-	require.NoError(t, w.SetMisbehaviour(Misbehaviour{RealUse: 3}))
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{ActualUseFactor: 3}))
 	start := newTaskStart("a", 1)
 	start.Resources = resource.Vector{MilliCores: 500}
 	require.Empty(t, refusalOf(w, start))
 	assert.Zero(t, w.Report().Attempts[0].Usage)
 	c.advance(time.Second)
 	assert.Equal(t, int64(1500), w.Report().Attempts[0].Usage.MilliCores)
-	assert.Equal(t, 1, countEvents(w.events(), EventOveruse))
+	assert.Equal(t, 1, countEvents(w.events(), EventUsageOverload))
 	assert.Zero(t, countEvents(w.events(), EventOverload))
 }
 
@@ -331,14 +331,14 @@
 			require.NoError(t, json.Unmarshal(r.Result.Body, &body))
 			assert.Equal(t, RequestResult{ID: "r", Generation: 1, Operation: "sleep:1", VM: "w", BodySHA256: sha256Hex([]byte("body of r"))}, body)
 		}},
-		{"truncated", Misbehaviour{TruncateAnswers: true}, func(t *testing.T, _ wire.StartReply, err error) {
+		{"truncated", Misbehaviour{TruncateResponses: true}, func(t *testing.T, _ wire.StartReply, err error) {
 			assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 		}},
-		{"shortened", Misbehaviour{ShortenResults: true}, func(t *testing.T, r wire.StartReply, err error) {
+		{"shortened", Misbehaviour{TruncateResults: true}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
 			assert.NotEqual(t, r.Result.Digest, sha256Hex(r.Result.Body))
 		}},
-		{"foreign", Misbehaviour{ForeignResults: true}, func(t *testing.T, r wire.StartReply, err error) {
+		{"foreign", Misbehaviour{MismatchResultIDs: true}, func(t *testing.T, r wire.StartReply, err error) {
 			require.NoError(t, err)
 			assert.NotEqual(t, "r", r.Result.ID)
 		}},
@@ -369,14 +369,14 @@
 	w := New(Options{Name: "w", Capacity: slots(2)})
 	server := httptest.NewServer(w)
 	defer server.Close()
-	require.NoError(t, w.SetMisbehaviour(Misbehaviour{HangAnswers: true, Paths: []string{wire.PathStart}}))
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{HangResponses: true, Paths: []string{wire.PathStart}}))
 	err := post(t, server.URL+wire.PathStart, 100*time.Millisecond, newRequestStart(w, "r"), &wire.StartReply{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	var outcome wire.StopReply
 	require.NoError(t, post(t, server.URL+wire.PathStop, testTimeout, wire.Stop{ID: "r", Generation: 1, Epoch: 5, Query: true}, &outcome))
 	assert.Equal(t, wire.RunFinished, outcome.State)
 
-	require.NoError(t, w.SetMisbehaviour(Misbehaviour{LateAnswersMS: 50}))
+	require.NoError(t, w.SetMisbehaviour(Misbehaviour{ResponseDelayMS: 50}))
 	begin := time.Now()
 	require.NoError(t, post(t, server.URL+wire.PathFence, testTimeout, wire.Fence{Epoch: 5}, &wire.Report{}))
 	assert.GreaterOrEqual(t, time.Since(begin), 50*time.Millisecond)
