Reword unclear comments on leases, relays and hand-overs

Comments only. The stand-in worker's comments say that a lease expires, the placer's resource constants no longer say how they were obtained, and five comments that were half sentences or ambiguous are reworded.

--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -89,7 +89,7 @@
 	for i, h := range order {
 		require.Equal(t, i >= 4, HasHigherCapacity(s, h, 101*second), h.Daemon)
 	}
-	s.Claim.Daemon = "near" // the silent placer does not count
+	s.Claim.Daemon = "near" // The unresponsive placer is excluded from the ranking.
 	require.Equal(t, 0, ClaimRank(s, order[1], 101*second))
 	s.Members["near2"] = flow.Member{Hello: order[1], LastSeen: 50 * second}
 	require.Equal(t, 0, ClaimRank(s, order[2], 101*second))
--- a/core/placer/courier.go
+++ b/core/placer/courier.go
@@ -15,8 +15,9 @@
 
 // startRelays decides which start commands the placer sends itself. A start command carries the
 // whole Spec of its job, which every daemon has read from the log. A relay can therefore send it
-// for a hundredth of the bytes on the placer's link. The fencing check of the worker applies to a
-// relayed command as to a direct one, and its lease ends at a time on the worker's clock.
+// for a hundredth of the bytes on the placer's link. The worker applies the same fencing check
+// to relayed and direct commands. The lease in a command ends at a fixed time on the worker's clock,
+// so a delay at the relay does not extend it.
 // Without relays the start commands alone can fill the link: 200 starts a second with a Spec of
 // 1.3 KB take more than 2 Mbit/s.
 type startRelays struct {
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -35,9 +35,9 @@
 	go e.retireFormerPlacer(placingCtx, e.placer, former)
 }
 
-// retireFormerPlacer asks the former placer to stop. Once that one has stopped, the runs that it
-// started end at the latest with their present leases. If it does not answer, it may renew leases
-// for up to maxLogOutage.
+// retireFormerPlacer asks the former placer to stop. After it has stopped, the runs that it
+// started end at the latest when their current leases expire. If it does not answer, it may renew
+// leases for up to maxLogOutage.
 func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim) {
 	for attempt := 0; attempt < maxRetireTries && ctx.Err() == nil; attempt++ {
 		err := error(nil)
@@ -175,9 +175,9 @@
 	e.claim(ctx, "the former placer hands over", func(stored bool) { reply <- stored })
 }
 
-// handOverIfDue begins a hand-over when this daemon is isolated from the others, when it
-// reaches the log only through them, or when one with much more capacity is alive: a daemon on a
-// small VM is the placer only while no daemon on a larger VM can be.
+// handOverIfDue begins a hand-over when this daemon is isolated from the other daemons, when it
+// reaches the log only through them, or when a daemon with much more capacity is alive: a daemon on
+// a small VM is the placer only while no daemon on a larger VM can be.
 func (e *engine) handOverIfDue(now time.Duration) {
 	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
 		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -48,8 +48,8 @@
 	LinkMbps    float64 `json:"link_mbps"`
 }
 
-// Resources that the placer needs in a cell with 350 workers and 600 starts a second, as measured
-// (see docs/CAPACITY.md), and capacity factors, which are multiples of these resources.
+// Resources that the placer needs in a cell with 350 workers and 600 starts a second (see
+// docs/CAPACITY.md), and capacity factors, which are multiples of these resources.
 const (
 	placerCPUCores           = 0.1
 	placerMemoryMiB          = 150
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -146,8 +146,8 @@
 
 // completionCounts reports whether the completion of a run is still valid, so that its task must
 // not run again. An acknowledged completion is valid forever. One that is not yet acknowledged is
-// lost when the worker restarts, and by the platform's rules is void once the worker's lease
-// has lapsed after it.
+// lost when the worker restarts and, by the platform's rules, becomes void if the worker's lease
+// expires after it.
 func (f *Fleet) completionCounts(run completedRun) bool {
 	return f.confirmed[run] || run.worker.born == run.born && run.endNumber > run.worker.lapsedUpTo
 }
@@ -164,7 +164,7 @@
 	highestToken  int64
 	leaseUntil    int64
 	lastEndNumber int64
-	lapsedUpTo    int64 // The lease has lapsed after the ended runs up to this number.
+	lapsedUpTo    int64 // The lease has expired since the runs up to this number ended.
 	runs          map[string]*taskRun
 	ended         []endRow
 	highestRun    map[string]int
@@ -229,7 +229,7 @@
 	}
 }
 
-// endDueRuns ends the runs that are complete, or all runs if the lease has lapsed. The caller must
+// endDueRuns ends the runs that are complete, or all runs if the lease has expired. The caller must
 // hold the fleet's lock.
 func (w *Worker) endDueRuns() {
 	now := time.Now()
