Core packages: clarify comments of flow, cluster, chart and place

Some comments were incomplete or wrong about the code: Probe named a reason for the limit of probes that is not one, refusals and countRefusals left out the label and the limit per VM, Unplaced was said to fit no worker, and the restore of the membership and the time of the last record did not say what they do. Several fields of the search and the results of a start order had no comment.

The comments now say what the code does, and markGangDone and planGang give their reason in full. Two tests and some local variables have names that match their content. No behaviour, check, bound or seed changes.

--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -119,7 +119,7 @@
 }
 
 // Guards against unknown charts, states and events that are accepted without an error.
-func TestMisuse(t *testing.T) {
+func TestUnknownNamesAreRejected(t *testing.T) {
 	_, err := Load("nothing")
 	assert.True(t, fault.Is(err, fault.Internal))
 	c, err := Load(Task)
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -177,10 +177,10 @@
 	RefusedStaleRun     StartResult = "old run"      // the run is not newer than one that already ended on the worker
 	RefusedLeaseExpired StartResult = "lease passed" // the order arrived after its lease had expired
 	RefusedCapacity     StartResult = "no room"
-	RefusedTicket       StartResult = "no ticket" // the ticket is missing or has expired
-	RefusedOther        StartResult = "refused"   // the worker is unhealthy or rejected the order; the order had no effect
-	OtherLife           StartResult = "other life"
-	NotSent             StartResult = "not sent" // the order would have reached the worker after its ticket or lease expired
+	RefusedTicket       StartResult = "no ticket"  // the ticket is missing or has expired
+	RefusedOther        StartResult = "refused"    // the worker is unhealthy or rejected the order; the order had no effect
+	OtherLife           StartResult = "other life" // another worker is at the address of the one that the order names
+	NotSent             StartResult = "not sent"   // the order would have reached the worker after its ticket or lease expired
 )
 
 // LeaseRenewal renews the lease of a worker, acknowledges ends of runs and requests the worker's
--- a/core/flow/ended.go
+++ b/core/flow/ended.go
@@ -14,7 +14,7 @@
 // Numbers are encoded as by binary.PutUvarint.
 const (
 	endedVersion    = 0x02
-	endedTextIDFlag = 0x80 // the id is stored as length and text, otherwise as binaryIDBytes bytes that print as hexadecimal
+	endedTextIDFlag = 0x80 // the id is stored as its length and text; without the flag, as binaryIDBytes bytes that the id spells in hexadecimal
 	binaryIDBytes   = 8
 	maxEndedAgeMS   = int64(1) << 40 // about 35 years; a larger age means an invalid chunk
 )
@@ -63,8 +63,8 @@
 // restoreEndedJobs adds the jobs of a chunk to the state. The data starts after the version byte.
 func (s *State) restoreEndedJobs(data []byte, generation int64, now time.Duration) error {
 	r := endedJobReader{remaining: data}
-	if is := int64(r.uvarint()); !r.invalid && is != generation {
-		return generationMismatch(is, generation)
+	if got := int64(r.uvarint()); !r.invalid && got != generation {
+		return generationMismatch(got, generation)
 	}
 	age := int64(0)
 	for !r.invalid && len(r.remaining) > 0 {
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -39,7 +39,7 @@
 	Steps       []Step `json:"t"`
 	Times       int    `json:"n,omitempty"` // number of occurrences; 0 means a single one without a due time
 	FirstMS     int64  `json:"f,omitempty"` // due time of the first occurrence, Unix ms
-	EveryMS     int64  `json:"e,omitempty"`
+	EveryMS     int64  `json:"e,omitempty"` // time between the due times of two occurrences
 	MaxAttempts int    `json:"m"`
 	AtMS        int64  `json:"at"` // time of acceptance, Unix ms of the accepting daemon's clock
 }
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -31,7 +31,7 @@
 	Parts      []SnapshotPart `json:"p"` // one per chunk
 	Next       int64          `json:"x"` // offset of the first record that the snapshot does not include
 	Claim      Claim          `json:"c"`
-	Token      int64          `json:"k"`
+	Token      int64          `json:"k"` // fencing token of the claim
 	Members    []Hello        `json:"m,omitempty"`
 }
 
@@ -92,7 +92,7 @@
 	}
 	negativeOffset := slices.ContainsFunc(head.Parts, func(p SnapshotPart) bool { return p.Offset < 0 })
 	if negativeOffset || head.Generation < 0 || head.Chunks < 1 || head.Chunks != len(head.Parts) {
-		return SnapshotHead{}, fault.New(fault.Invalid, "remove the snapshot head, which has another version or writer", "head of snapshot %d is invalid: it describes %d of %d chunks", head.Generation, len(head.Parts), head.Chunks)
+		return SnapshotHead{}, fault.New(fault.Invalid, "remove the snapshot head: another version of the daemon or another program wrote it", "head of snapshot %d is invalid: it describes %d of %d chunks", head.Generation, len(head.Parts), head.Chunks)
 	}
 	return head, nil
 }
@@ -230,8 +230,8 @@
 	return s, nil
 }
 
-// RestoreMembership sets the claim and the members from the head of a snapshot. Jobs stay as
-// they are.
+// RestoreMembership sets the claim and adds the members that the head of a snapshot describes.
+// Jobs and the other members stay as they are.
 func (s *State) RestoreMembership(head *SnapshotHead, now time.Duration) {
 	s.Claim = head.Claim
 	for _, h := range head.Members {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -119,7 +119,7 @@
 	Jobs         map[string]*Job
 	Claim        Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
 	FencingToken int64         // fencing token of the newest claim: the claim's offset plus one
-	LastHeard    time.Duration // boot-clock time of the placer's last claim or batch
+	LastHeard    time.Duration // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
 	ClaimedAt    time.Duration // boot-clock time at which the newest claim was applied
 	Members      map[string]Member
 	NextOffset   int64          // offset of the next record
@@ -234,6 +234,8 @@
 	return firstErr
 }
 
+// find returns the task with its job, occurrence and step, or nils if the log has no such task.
+// It creates the occurrence if no run of it has begun.
 func (s *State) find(id cluster.TaskID) (*Job, *Occurrence, *StepState, *TaskState) {
 	j := s.Jobs[id.Job]
 	if j == nil || id.Step < 0 || id.Step >= len(j.Steps) || id.Index < 0 ||
@@ -300,8 +302,8 @@
 	return nil
 }
 
-// markGangDone marks the other members of a gang as done. A gang completes as a whole, so the
-// end of one member suffices.
+// markGangDone marks the other members of a gang as done. The end of one member suffices, so the
+// gang does not run again if the end of another member was lost with its worker.
 func (s *State) markGangDone(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
 	for i := range step.Tasks {
 		t := &step.Tasks[i]
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -39,10 +39,10 @@
 	return Record{Batch: b}
 }
 
-func endRecord(how cluster.EndReason, ids ...cluster.RunID) Record {
+func endRecord(reason cluster.EndReason, ids ...cluster.RunID) Record {
 	b := &Batch{Epoch: 9}
 	for _, id := range ids {
-		b.Ends = append(b.Ends, End{RunID: id, Reason: how})
+		b.Ends = append(b.Ends, End{RunID: id, Reason: reason})
 	}
 	return Record{Batch: b}
 }
--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -23,14 +23,14 @@
 	unusedNodes   []int32
 	pools         map[string]*poolIndex
 	rackIDs       map[rackKey]int32
-	workerOfTask  map[string]int32 // by task id
-	spreadTasks   map[jobRack]int  // number of placed tasks with SpreadRacks
-	failedShapes  map[failedShape]int64
-	heldWorkers   map[string][]int32 // by owner; may list workers whose hold has ended, WorkerState.Hold is authoritative
-	rackUsed      []bool             // scratch: by rack number, whether the gang being planned uses it
-	usedRacks     []int32            // scratch: racks set in rackUsed
-	candidates    []candidate        // scratch: workers found for the gang being planned
-	bookings      []booking          // scratch: capacity booked by the planning run
+	workerOfTask  map[string]int32      // by task id
+	spreadTasks   map[jobRack]int       // number of placed tasks with SpreadRacks
+	failedShapes  map[failedShape]int64 // capacity version of the pool at which the shape fit no worker
+	heldWorkers   map[string][]int32    // by owner; may list workers whose hold has ended, WorkerState.Hold is authoritative
+	rackUsed      []bool                // scratch: by rack number, whether the gang being planned uses it
+	usedRacks     []int32               // scratch: racks set in rackUsed
+	candidates    []candidate           // scratch: workers found for the gang being planned
+	bookings      []booking             // scratch: capacity booked by the planning run
 }
 
 type rackKey struct{ dataCentre, rack string }
@@ -271,8 +271,8 @@
 }
 
 // SetLive records whether the worker is known to be live.
-func (c *Cell) SetLive(vm string, usable bool) {
-	c.setFlags(vm, func(w *WorkerState) { w.Live = usable })
+func (c *Cell) SetLive(vm string, live bool) {
+	c.setFlags(vm, func(w *WorkerState) { w.Live = live })
 }
 
 // SetDraining marks the worker as draining, which lasts until a new incarnation.
--- a/core/place/check_test.go
+++ b/core/place/check_test.go
@@ -7,7 +7,8 @@
 	"briarproxy/core/resource"
 )
 
-// CheckIndex compares the index with one recounted from the workers' states.
+// CheckIndex checks the index against totals and buckets that it recomputes from the
+// workers' states.
 func CheckIndex(c *Cell) error {
 	for name, p := range c.pools {
 		if err := checkPool(c, name, p); err != nil {
--- a/core/place/doc.go
+++ b/core/place/doc.go
@@ -8,5 +8,5 @@
 // never cause a refusal: a search that finds nothing within them is repeated over
 // every worker whose bucket may fit the request.
 //
-// A Cell is not safe for concurrent use.
+// A Cell is not safe for concurrent use; one goroutine owns it.
 package place
--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -9,9 +9,9 @@
 )
 
 // planGang plans all tasks of a gang or none. For tasks of equal size it finds a
-// placement whenever one exists, because each task takes one of the equal places
-// that a worker offers, in a new rack as in a used one. Tasks of unequal size are
-// planned largest first, which can miss a packing that exists.
+// placement whenever one exists: the tasks that are booked first, to reach the
+// minimum number of racks, take no larger share of a worker than the others. Tasks
+// of unequal size are planned largest first, which can miss a packing that exists.
 func (p *planner) planGang(members []*wire.TaskAsk) {
 	if slices.ContainsFunc(members, p.neverFits) {
 		return
--- a/core/place/locality.go
+++ b/core/place/locality.go
@@ -19,8 +19,8 @@
 }
 
 // maxDistance returns the largest distance that the scope allows.
-func maxDistance(r Scope) int {
-	switch r {
+func maxDistance(scope Scope) int {
+	switch scope {
 	case ScopeDataCentre:
 		return 0
 	case ScopeRegion:
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -129,9 +129,9 @@
 // that exceed every worker but are reported as merely unplaced.
 func TestGangRacksAndNeverFits(t *testing.T) {
 	cell := fourRacks(8)
-	rules := localOptions
-	rules.Gangs = []place.GangRule{{Gang: "g", MinRacks: 3}}
-	plan := cell.Plan(gangOf(4, 1000), rules, 0, nil)
+	options := localOptions
+	options.Gangs = []place.GangRule{{Gang: "g", MinRacks: 3}}
+	plan := cell.Plan(gangOf(4, 1000), options, 0, nil)
 	racks := map[string]bool{}
 	for _, a := range plan.Assignments {
 		racks[a.Rack] = true
@@ -140,7 +140,7 @@
 	assert.Len(t, racks, 3)
 
 	cell.AddTask(plan.Assignments[3].VM, place.Task{ID: "x", Resources: resource.Vector{MilliCores: 4000}})
-	accepted, refused := cell.Commit(plan, rules, 0)
+	accepted, refused := cell.Commit(plan, options, 0)
 	assert.Empty(t, accepted)
 	assert.Len(t, refused, 4)
 	for _, r := range refused {
@@ -150,8 +150,8 @@
 
 	assert.Len(t, fourRacks(40).Plan(gangOf(60, 2500), localOptions, 0, nil).Unplaced, 60)
 	assert.Len(t, fourRacks(40).Plan(gangOf(40, 2500), localOptions, 0, nil).Assignments, 40)
-	rules.Gangs[0].MinRacks = 5
-	plan = cell.Plan(gangOf(5, 1000), rules, 0, nil)
+	options.Gangs[0].MinRacks = 5
+	plan = cell.Plan(gangOf(5, 1000), options, 0, nil)
 	assert.Empty(t, plan.Assignments)
 	require.Len(t, plan.Unplaced, 5)
 	assert.Contains(t, plan.Unplaced[0].Refused, wire.Refused{Reason: string(place.ReasonRackUsed), Count: 7})
@@ -213,7 +213,7 @@
 }
 
 // Guards against a summary that counts unschedulable workers as free.
-func TestSummaryCountsOpenWorkers(t *testing.T) {
+func TestSummaryCountsSchedulableWorkers(t *testing.T) {
 	cell := fourRacks(3)
 	cell.SetQuarantined("vm-00", true)
 	cell.AddTask("vm-01", place.Task{ID: "x", Resources: resource.Vector{MilliCores: 1000}})
@@ -244,18 +244,18 @@
 // that is refused the headroom.
 func TestHeadroomIsForUrgentWork(t *testing.T) {
 	cell := fourRacks(10)
-	rules := localOptions
-	rules.Headroom = []place.Headroom{{Pool: "a", BelowPriority: 500, Share: 0.2}}
+	options := localOptions
+	options.Headroom = []place.Headroom{{Pool: "a", BelowPriority: 500, Share: 0.2}}
 	placed := 0
 	for i := range 40 {
-		plan := cell.Plan([]wire.TaskAsk{askFor(fmt.Sprint(i), 1000, 0)}, rules, 0, nil)
-		accepted, _ := cell.Commit(plan, rules, 0)
+		plan := cell.Plan([]wire.TaskAsk{askFor(fmt.Sprint(i), 1000, 0)}, options, 0, nil)
+		accepted, _ := cell.Commit(plan, options, 0)
 		placed += len(accepted)
 	}
 	assert.Equal(t, 32, placed)
 	urgent := askFor("urgent", 4000, 0)
 	urgent.Priority = 500
-	assert.Len(t, cell.Plan([]wire.TaskAsk{urgent}, rules, 0, nil).Assignments, 1)
+	assert.Len(t, cell.Plan([]wire.TaskAsk{urgent}, options, 0, nil).Assignments, 1)
 }
 
 func preemptible(id string, cores, memory int64, priority int) place.Task {
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -155,7 +155,8 @@
 }
 
 // countRefusals returns the number of refused workers per reason. Workers in
-// buckets that were not searched count as lacking capacity.
+// buckets that were not searched count as lacking capacity, and so do workers that
+// were refused for their label or the limit per VM.
 func (p *planner) countRefusals(pool *poolIndex, r refusals, headroom int) []wire.Refused {
 	outOfScope := 0
 	if p.options.Scope != ScopeAnywhere {
--- a/core/place/probe.go
+++ b/core/place/probe.go
@@ -8,9 +8,9 @@
 )
 
 // Probe plans the first of the requests that fits on a quarantined worker, to find
-// out whether the worker has recovered. The plan is empty if the worker is not
-// quarantined, is draining or is not live. Tasks from before the quarantine may
-// still run there, so the caller must limit the number of probes per worker.
+// out whether the worker has recovered. The plan is empty if none fits, or if the
+// worker is not quarantined, is draining or is not live. The caller must limit the
+// number of probes per worker. Tasks from before the quarantine may still run there.
 func (c *Cell) Probe(vm string, asks []wire.TaskAsk, o Options, now time.Duration) Plan {
 	plan := Plan{PlannedAt: now}
 	i, ok := c.workerByVM[vm]
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -35,7 +35,8 @@
 	return failedShape{ask.Pool, o.DataCentre, o.Region, o.Scope, o.ProtectAccelerators, ask.Resources}
 }
 
-// refusals counts the workers that a search refused, per reason other than capacity.
+// refusals counts the workers that a search refused, for the reasons that are not
+// reported as lacking capacity.
 type refusals struct {
 	avoided, held, strandsAccelerators, rackUsed int
 }
@@ -56,10 +57,10 @@
 
 	best      int32 // -1 until a worker is found
 	bestCost  float64
-	scored    int
-	examined  int
-	unbounded bool
-	truncated bool
+	scored    int  // workers scored in the current tier
+	examined  int  // workers examined in the current tier
+	unbounded bool // the pass ignores the bounds per bucket and on examined workers
+	truncated bool // the bounds have ended a pass early, so workers may be left out
 	refused   refusals
 
 	collecting   bool  // collect workers instead of choosing the best
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -29,7 +29,7 @@
 	Preemptible    bool
 	Checkpointable bool          // a checkpoint is taken before it is preempted
 	Throttled      bool          // its cores are already limited by a preemption
-	SpreadRacks    bool          // counts towards the job's tasks in the rack
+	SpreadRacks    bool          // counted per rack, to spread the job's next tasks over racks
 	ExpectedEnd    time.Duration // on the boot clock; 0 means unknown
 }
 
@@ -158,7 +158,8 @@
 	Victims []Victim
 }
 
-// Unplaced is a request that fits no worker, with the refused workers by reason.
+// Unplaced is a request that got no worker, with the number of refused workers by
+// reason.
 type Unplaced struct {
 	TaskID  string
 	Gang    string
