Clarify comments and names of the placer

Some comments of core/placer needed a second reading or did not match the code: the rank of a claim, the preference for other daemons, the delay of relayed starts and the growth of the start window. Some names were used for two things or said the wrong one, and several timing constants had no comment. Only comments and unexported names change.

--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -14,10 +14,10 @@
 	adviceRetryDelay      = 250 * time.Millisecond
 	initialAdviserBackoff = 2 * time.Second // doubled with each further failure of a daemon to return an answer
 	maxAdviserBackoff     = 16 * time.Second
-	slowCallFactor        = 4    // a call is slow if it takes more than this many times as long as the shortest call of any queue
-	maxCallsPerAdviser    = 16   // half of the 32 calls that the service accepts from a daemon: during a takeover, both placers may call
-	quickCallDaemonShare  = 0.34 // share of the daemons that is reserved for quick calls
-	usualNetworkDelay     = 70 * time.Millisecond
+	slowCallFactor        = 4                     // a call is slow if it takes more than this many times as long as the shortest call of any queue
+	maxCallsPerAdviser    = 16                    // half of the 32 calls that the service accepts from a daemon: during a takeover, both placers may call
+	quickCallDaemonShare  = 0.34                  // share of the daemons that is reserved for quick calls
+	usualNetworkDelay     = 70 * time.Millisecond // initial answerDelay of a daemon, and the upper bound of ticketAge
 	maxAnswerDelay        = time.Second
 	answerDelayResolution = 20 * time.Millisecond // smaller differences do not affect the ranking of daemons
 	answerDelayDivisor    = 8                     // each answer moves the average by 1/8 of the difference
@@ -27,7 +27,7 @@
 // adviser is a daemon through which the placer calls the advice service.
 type adviser struct {
 	name                string
-	busyUntil           time.Duration // boot clock: expected time at which the service has processed all calls sent so far
+	busyUntil           time.Duration // boot clock: expected time at which the service has processed all calls sent through the daemon so far
 	callsInFlight       int
 	avoidUntil          time.Duration // boot clock: receives no calls before this time
 	consecutiveFailures int           // consecutive calls without an answer
@@ -44,10 +44,10 @@
 // daemon, so that a backlog does not make new requests late as well.
 type advisers struct {
 	byName             map[string]*adviser
-	candidates         []*adviser          // daemons available in this planning pass, shortest answerDelay first
-	longestRefusedCall [2][2]time.Duration // by lateness (on time, late) and lane (quick, slow): longest call for which this pass found no daemon
-	callsInFlight      map[cluster.StepID]adviceCall
-	shortestCall       time.Duration // duration of the shortest call of any queue
+	candidates         []*adviser                    // daemons available in this planning pass, shortest answerDelay first
+	longestRefusedCall [2][2]time.Duration           // by lateness (on time, late) and lane (quick, slow): longest call for which this pass found no daemon
+	callsByStep        map[cluster.StepID]adviceCall // calls in flight
+	shortestCall       time.Duration                 // duration of the shortest call of any queue
 
 	sortByName bool // see DisabledMechanisms.NearAdvisers
 }
@@ -56,7 +56,7 @@
 type adviceCall struct{ expected time.Duration } // queueing and service time, without the daemon's answerDelay
 
 func newAdvisers() *advisers {
-	return &advisers{byName: map[string]*adviser{}, callsInFlight: map[cluster.StepID]adviceCall{}}
+	return &advisers{byName: map[string]*adviser{}, callsByStep: map[cluster.StepID]adviceCall{}}
 }
 
 // setQueues updates shortestCall from the advice rules of the queues.
@@ -151,13 +151,13 @@
 func (a *advisers) callSent(name string, step cluster.StepID, cost, now time.Duration) {
 	d := a.byName[name]
 	d.callsInFlight++
-	a.callsInFlight[step] = adviceCall{expected: d.queueDelay(now) + cost}
+	a.callsByStep[step] = adviceCall{expected: d.queueDelay(now) + cost}
 	d.busyUntil = now + d.queueDelay(now) + cost
 }
 
 func (a *advisers) callFinished(c *AdviseCommand, took time.Duration, failed bool, now time.Duration) {
-	call := a.callsInFlight[c.Step]
-	delete(a.callsInFlight, c.Step)
+	call := a.callsByStep[c.Step]
+	delete(a.callsByStep, c.Step)
 	d := a.byName[c.Daemon]
 	if d == nil {
 		return
@@ -175,7 +175,8 @@
 	d.answerDelay += (min(max(0, took-call.expected), maxAnswerDelay) - d.answerDelay) / answerDelayDivisor
 }
 
-// ticketAge returns how old the tickets of an answer may be on arrival: its network delay.
+// ticketAge returns how old the tickets of an answer may be on arrival: the network delay of the
+// answer, at most usualNetworkDelay.
 func (a *advisers) ticketAge(c *AdviseCommand) time.Duration {
 	if d := a.byName[c.Daemon]; d != nil {
 		return min(d.answerDelay, usualNetworkDelay)
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -21,20 +21,20 @@
 	settleFailoverFactor = 2
 	maxClaimJitter       = 20 * time.Millisecond
 
-	// rankDelay is the least delay per rank. It gives the claim of one daemon time to reach the
-	// next one before that claims too: an append and a read between regions. While the log is
-	// slow, twice its current latency applies instead.
-	rankDelay                 = 60 * time.Millisecond
-	logLatenciesPerRank       = 2
-	maxDelayedRanks           = 8                      // more daemons than this do not fail at once unless the log fails, too
-	helloTimeout              = 12 * time.Second       // daemons append a Hello record every few seconds
-	betterCandidateClaimDelay = 2 * time.Second        // better candidates have claimed by then, even if they missed a probe
-	usualRecordGap            = 600 * time.Millisecond // between two reads that return records of an idle placer
-	recordGapDelayFactor      = 3
-	logReplayTime             = 3 * time.Second // a daemon has replayed the log within this time after its start
-	capacityClassRatio        = 1.5             // differences below this ratio do not affect a placer
-	logLatencyClassWidth      = 10 * time.Millisecond
-	minCapacityFactor         = 0.01 // also assumed for a daemon that does not report its capacity
+	// rankDelay is the least delay per rank. Within it, the claim of one daemon reaches the daemon
+	// of the next rank, which then does not claim: an append and a read between regions. While the
+	// log is slow, twice its current latency applies instead.
+	rankDelay            = 60 * time.Millisecond
+	logLatenciesPerRank  = 2
+	maxDelayedRanks      = 8                      // more daemons than this do not fail at once unless the log fails, too
+	helloTimeout         = 12 * time.Second       // daemons append a Hello record every few seconds
+	preferOthersDelay    = 2 * time.Second        // preferred daemons have claimed by then, even if one query of the log's end, which precedes each claim, has failed
+	usualRecordGap       = 600 * time.Millisecond // between two reads that return records of an idle placer
+	recordGapDelayFactor = 3
+	logReplayTime        = 3 * time.Second // a daemon has replayed the log within this time after its start
+	capacityClassRatio   = 1.5             // differences below this ratio do not affect a placer
+	logLatencyClassWidth = 10 * time.Millisecond
+	minCapacityFactor    = 0.01 // also assumed for a daemon that does not report its capacity
 )
 
 // ClaimInput is the local information on which a daemon decides whether to claim.
@@ -47,7 +47,7 @@
 	Jitter                 time.Duration // random delay of this daemon, below maxClaimJitter
 	MaxLogLatency          time.Duration // longest recent response time of the log; 0 means unknown
 	Rank                   int           // number of daemons that claim before this one
-	BetterCandidatePresent bool          // another daemon is a better placer: it has a higher capacity class, or this one lacks a direct path to the log or was isolated recently
+	BetterCandidatePresent bool          // a daemon of a higher capacity class is alive, or this one has no direct path to the log or has recently stopped placing because of isolation or an error
 	MaxRecordGap           time.Duration // longest recent gap between records of the placer, without the current one
 }
 
@@ -61,7 +61,7 @@
 	delay := claimDelayRoundTrips*in.LogRoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.MaxLogLatency)
 	silence := in.Now - max(s.LastHeard, in.ReadySince)
 	if in.BetterCandidatePresent {
-		delay += betterCandidateClaimDelay
+		delay += preferOthersDelay
 	}
 	if s.Claim.Daemon == "" && silence > delay {
 		return "there is no placer", true
@@ -81,9 +81,9 @@
 	return "", false
 }
 
-// ClaimRank returns the number of daemons that claim before self: those of a higher capacity
-// class, then those closer to the log. Without this order all daemons of a large cell claim at
-// once, and each claim fences the one before.
+// ClaimRank returns the number of daemons that claim before self: all live daemons that
+// CompareCandidates sorts before it, except the present placer. Without this order all daemons of
+// a large cell claim at once, and each claim fences the one before.
 func ClaimRank(s *flow.State, self flow.Hello, now time.Duration) int {
 	n := 0
 	for name, m := range s.Members {
--- a/core/placer/courier.go
+++ b/core/placer/courier.go
@@ -14,10 +14,12 @@
 )
 
 // startRelays decides which start commands the placer sends itself. A start command carries the
-// whole Spec of its job, which every daemon has read from the log. A relay can therefore send it
-// for a hundredth of the bytes on the placer's link. The worker applies the same fencing check
-// to relayed and direct commands. The lease in a command ends at a fixed time on the worker's clock,
-// so a delay at the relay does not extend it.
+// whole Spec of its job, which every daemon has read from the log. A relay therefore receives the
+// command without the Spec, which takes a hundredth of the bytes on the placer's link.
+//
+// The worker applies the same fencing check to relayed and direct commands. The lease in a command
+// ends at a fixed time on the worker's clock, so a delay at the relay does not extend it.
+//
 // Without relays the start commands alone can fill the link: 200 starts a second with a Spec of
 // 1.3 KB take more than 2 Mbit/s.
 type startRelays struct {
@@ -70,7 +72,8 @@
 	return best
 }
 
-// relayFailed excludes a daemon that did not return the answer to a command for relayAvoidTime.
+// relayFailed excludes a relay for relayAvoidTime after it has not returned the answer to a command.
+// An empty name means that the placer sent the command itself.
 func (p *Placer) relayFailed(name string, now time.Duration) {
 	if name != "" {
 		p.relays.avoidUntil[name] = now + relayAvoidTime
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -54,7 +54,7 @@
 // BatchAppended processes the log's acknowledgement of a batch and starts its runs.
 func (p *Placer) BatchAppended(runs []*run, now time.Duration) []Command {
 	var commands []Command
-	p.lastAppendTime = now - p.flushedAt
+	p.lastAppendDuration = now - p.flushedAt
 	expired := p.expiredGangs(runs, now)
 	for _, r := range runs {
 		if r.state != logging || p.runs[r.TaskID] != r {
@@ -82,8 +82,8 @@
 	return r.ticket.text != "" && now+p.deliveryTime() > r.ticket.validUntil
 }
 
-// deliveryTime returns the expected time from sending a command to its arrival at the worker,
-// based on recent answers.
+// deliveryTime returns the expected time from sending a command to its arrival at the worker: half
+// the median latency of recent start commands, but at least ticketSendMargin.
 func (p *Placer) deliveryTime() time.Duration { return max(ticketSendMargin, p.startWindow.median/2) }
 
 // sendDeadline returns the latest time at which a start command created now may be sent. The
@@ -127,7 +127,7 @@
 func (p *Placer) firstStart(r *run, now time.Duration) Command {
 	p.addDecision(Decision{Kind: "start sent", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.plannedAt, Value: p.token})
 	r.startSentAt = now
-	p.unansweredStarts = append(p.unansweredStarts, r)
+	p.recentStarts = append(p.recentStarts, r)
 	p.retryBudget.AddRequest()
 	return p.startCommand(r, p.chooseRelay(r.vm, r.spec, now), now)
 }
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -425,13 +425,13 @@
 	return cluster.Started
 }
 
-func (c *fakeCell) poll(w *fakeWorker, h *cluster.LeaseRenewal) *cluster.WorkerReport {
-	w.token = h.Token
-	w.extendLease(c.now, h.LeaseUntil)
+func (c *fakeCell) poll(w *fakeWorker, renewal *cluster.LeaseRenewal) *cluster.WorkerReport {
+	w.token = renewal.Token
+	w.extendLease(c.now, renewal.LeaseUntil)
 	unconfirmed := w.ended[:0:0]
 	for _, e := range w.ended {
 		switch {
-		case e.Number > h.Confirmed:
+		case e.Number > renewal.Confirmed:
 			unconfirmed = append(unconfirmed, e)
 		case e.Reason == cluster.Done && e.Number > w.expiredUpTo:
 			c.confirmedDone[e.TaskID] = true
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -75,10 +75,10 @@
 // sortSteps sorts waiting steps by the order in which they receive capacity and advice.
 func (p *Placer) sortSteps(steps []*pendingStep, wallMS int64) {
 	for _, step := range steps {
-		step.stepRank = newStepRank(step, wallMS)
+		step.rank = newStepRank(step, wallMS)
 		if p.options.Disabled.QueuePriorities {
-			step.stepRank.priority = 0
+			step.rank.priority = 0
 		}
 	}
-	slices.SortFunc(steps, func(a, b *pendingStep) int { return a.stepRank.compare(b.stepRank) })
+	slices.SortFunc(steps, func(a, b *pendingStep) int { return a.rank.compare(b.rank) })
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -18,6 +18,7 @@
 	maxClockDrift = 0.02
 	// leaseMargin covers the rounding of worker clocks and the scheduling delay of this process.
 	leaseMargin = 150 * time.Millisecond
+	// maxPollWait is how long a worker may delay its answer to a poll until a run ends.
 	maxPollWait = 1400 * time.Millisecond
 	// maxSilenceForRenewal is longer than a poll takes. The lease of a worker that has not
 	// answered for this long is not renewed.
@@ -34,7 +35,8 @@
 	// idlePollInterval is short enough that the error in the estimate of an idle worker's
 	// clock stays below the slack of a lease.
 	idlePollInterval = 20 * time.Second
-	missedPollDelay  = 400 * time.Millisecond
+	// missedPollDelay is the time from the failure of a poll to the next poll of the worker.
+	missedPollDelay = 400 * time.Millisecond
 	// stopRetryInterval is the time after which a stop command without effect is sent again.
 	stopRetryInterval = 700 * time.Millisecond
 	// ticketSendMargin is the validity that a ticket must still have when the start command
@@ -48,8 +50,9 @@
 	// scanInterval is the least time between two scans of all workers and runs. Every event
 	// causes a tick, and there may be a thousand events a second.
 	scanInterval = 10 * time.Millisecond
-	// maxStartedDelay is how long the start of a job waits for a batch with other contents.
-	maxStartedDelay = 150 * time.Millisecond
+	// maxStartedJobsDelay is how long the record that a job has started waits for a batch that is
+	// appended for other reasons.
+	maxStartedJobsDelay = 150 * time.Millisecond
 	// heartbeatInterval is the time after which an idle placer appends an empty batch to show
 	// that it is alive. Several heartbeats fit into a failover timeout.
 	heartbeatInterval = 250 * time.Millisecond
@@ -62,7 +65,10 @@
 	// a worker before it is avoided for avoidAfterFailures.
 	failuresToAvoid    = 3
 	avoidAfterFailures = 6 * time.Second
-	avoidAfterRefusal  = 500 * time.Millisecond
+	// avoidAfterRefusal is how long a worker is avoided after it has refused a start for lack of
+	// capacity. If it refuses as unhealthy, the time is multiplied by the number of such refusals
+	// in a row, at most 8.
+	avoidAfterRefusal = 500 * time.Millisecond
 )
 
 // Options are the limits of a deployment.
@@ -160,17 +166,17 @@
 	decisions      []Decision
 	queuedCommands []Command
 
-	unansweredStarts []*run // runs with a recent start command, oldest first
-	yields           yields
-	retryBudget      *admission.RetryBudget
-	relays           startRelays
-	startWindow      startWindow
-	queues           map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
-	lastPlanAt       time.Duration
-	lastScanAt       time.Duration
-	lastAppendTime   time.Duration   // of the last batch, from Flush to its acknowledgement
-	planAttempts     int             // number of times that the last planning pass called the cell's planner
-	maxFree          resource.Vector // largest free amount of each resource on any worker, in this planning pass
+	recentStarts       []*run // runs whose first start command was sent within startRetryDelay, oldest first
+	yields             yields
+	retryBudget        *admission.RetryBudget
+	relays             startRelays
+	startWindow        startWindow
+	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
+	lastPlanAt         time.Duration
+	lastScanAt         time.Duration
+	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
+	planAttempts       int             // number of times that the last planning pass called the cell's planner
+	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
 }
 
 // New returns the placer for the newest claim in the state. It adopts all runs that are active
@@ -243,7 +249,8 @@
 // Epoch returns the epoch of the placer's appends.
 func (p *Placer) Epoch() int64 { return p.epoch }
 
-// WaitingSteps returns the number of steps that are ready and not complete.
+// IncompleteSteps returns the number of steps that are ready and not complete, including those
+// whose tasks are all running.
 func (p *Placer) WaitingSteps() int { return len(p.steps) }
 
 // ActiveRuns returns the number of runs that are planned and whose end is not recorded yet.
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -25,9 +25,9 @@
 	minPendingRuns = 48
 	// startsPerVMPerSecond is the highest rate at which one worker starts tasks.
 	startsPerVMPerSecond = 8.0
-	// maxCountedAppendTime limits the append time for which starts are planned ahead. Most tickets
-	// expire during a longer append.
-	maxCountedAppendTime = time.Second
+	// maxCountedAppendDuration limits the append duration for which starts are planned ahead.
+	// Most tickets expire during a longer append.
+	maxCountedAppendDuration = time.Second
 	// maxHoldShare is the share of a pool that may be held for one gang.
 	maxHoldShare = 0.5
 	holdValidity = time.Second
@@ -74,7 +74,7 @@
 		}
 		activeBefore, adviceInFlightBefore := step.activeRuns, step.adviceInFlight
 		placed := p.placeStep(step, waiting, now, wallMS)
-		if !placed && step.def.Gang && step.stepRank.timeliness == onTime && !p.options.Disabled.Yields {
+		if !placed && step.def.Gang && step.rank.timeliness == onTime && !p.options.Disabled.Yields {
 			p.yields.addGang(step)
 		}
 		commands = p.requestAdvice(commands, step, placed, now)
@@ -96,7 +96,7 @@
 	if p.options.Disabled.PendingRunScaling {
 		return max(minPendingRuns, len(p.vms))
 	}
-	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendTime, maxCountedAppendTime).Seconds()
+	startsDuringAppend := startsPerVMPerSecond * float64(len(p.vms)) * min(p.lastAppendDuration, maxCountedAppendDuration).Seconds()
 	return max(minPendingRuns, len(p.vms), int(startsDuringAppend))
 }
 
--- a/core/placer/repeat.go
+++ b/core/placer/repeat.go
@@ -17,7 +17,7 @@
 // retries from multiplying the commands while all answers are slow.
 func (p *Placer) retryStarts(commands []Command, now time.Duration) []Command {
 	handled := 0
-	for _, r := range p.unansweredStarts {
+	for _, r := range p.recentStarts {
 		if now-r.startSentAt < startRetryDelay {
 			break
 		}
@@ -28,7 +28,7 @@
 		p.addDecision(Decision{Kind: "start repeated", Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.startSentAt, Value: p.token})
 		commands = append(commands, p.startCommand(r, "", now))
 	}
-	p.unansweredStarts = p.unansweredStarts[handled:]
+	p.recentStarts = p.recentStarts[handled:]
 	return commands
 }
 
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -25,7 +25,7 @@
 	readyAt        time.Duration // time at which the step became ready
 	latestStartMS  int64         // Unix ms; see latestStart
 	objective      time.Duration // of the job
-	stepRank       stepRank      // in this planning pass
+	rank           stepRank      // in this planning pass
 	grants         map[string]ticket
 	denied         map[string]bool
 	adviceInFlight bool
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -142,7 +142,7 @@
 // at a time and passes the runs to BatchAppended when the log has acknowledged it.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
 	n := len(p.pendingBatch.Begins) + len(p.pendingBatch.Ends)
-	if len(p.pendingBatch.StartedJobs) > 0 && now-p.flushedAt >= maxStartedDelay {
+	if len(p.pendingBatch.StartedJobs) > 0 && now-p.flushedAt >= maxStartedJobsDelay {
 		n++
 	}
 	if n == 0 && now-p.flushedAt < heartbeatInterval || n > 0 && now-p.flushedAt < batchInterval {
--- a/core/placer/window.go
+++ b/core/placer/window.go
@@ -18,8 +18,8 @@
 	minWindowRuns = 16
 	// minWindowShare is the least share of the runs in progress that a reduction leaves.
 	minWindowShare = 0.5
-	// windowGrowthFactor applies at each adjustment in which the window has delayed starts while
-	// the latency was within its limit.
+	// windowGrowthFactor applies at each adjustment before which the limit has delayed a start
+	// although the latency did not exceed the baseline by more than maxStartQueueDelay.
 	windowGrowthFactor = 1.25
 	// minWindowAnswers is the least number of answers for an adjustment.
 	minWindowAnswers = 8
@@ -93,7 +93,7 @@
 func (p *Placer) startsInProgress() int {
 	n := 0
 	for _, r := range p.runs {
-		if isStarting(r.state) {
+		if isStartInProgress(r.state) {
 			n++
 		}
 	}
@@ -107,4 +107,4 @@
 	return n
 }
 
-func isStarting(s chart.State) bool { return s == ticketing || s == logging || s == starting }
+func isStartInProgress(s chart.State) bool { return s == ticketing || s == logging || s == starting }
--- a/core/placer/yield.go
+++ b/core/placer/yield.go
@@ -24,8 +24,8 @@
 		y.priority = map[string]int{}
 	}
 	for worker := range gang.grants {
-		if priority, known := y.priority[worker]; !known || gang.stepRank.priority < priority {
-			y.priority[worker] = gang.stepRank.priority
+		if priority, known := y.priority[worker]; !known || gang.rank.priority < priority {
+			y.priority[worker] = gang.rank.priority
 		}
 	}
 }
@@ -39,6 +39,6 @@
 func (y *yields) withoutYielded(step *pendingStep, workers []string) []string {
 	return slices.DeleteFunc(workers, func(id string) bool {
 		priority, waits := y.priority[id]
-		return waits && priority < step.stepRank.priority
+		return waits && priority < step.rank.priority
 	})
 }
