--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -22,8 +22,8 @@
 // Load of a daemon on a slow link, and the time within which it must serve callers again.
 const (
 	slowLinkBytesPerSecond = 10 * bytesPerMbit
-	callerPollsPerSecond   = 8               // queries of one daemon's callers
-	maxCatchUpTime         = 8 * time.Second // from the start of the daemon
+	callerPollsPerSecond   = 8               // queries by one daemon's callers
+	maxCatchUpTime         = 8 * time.Second // bound for a daemon that starts after a loss of all VMs
 	snapshotJobs           = 4600
 	specBytes              = 600
 	tailRecords            = 1500 // records of the log after the snapshot
@@ -96,8 +96,8 @@
 	return values, err
 }
 
-func (s *slowLinkStore) SavedFromOffset(ctx context.Context, partition int, from int64, maxEntries int) ([]cluster.Entry, bool, error) {
-	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, partition, from, maxEntries)
+func (s *slowLinkStore) SavedFromOffset(ctx context.Context, partition int, from int64, maxBytes int) ([]cluster.Entry, bool, error) {
+	entries, expired, err := s.keyedStore.SavedFromOffset(ctx, partition, from, maxBytes)
 	bytes := 0
 	for _, e := range entries {
 		bytes += len(e.Value)
@@ -121,8 +121,8 @@
 	return p.slowLink.End(ctx, partition, from)
 }
 
-func (p slowLinkPlatform) SavedFromOffset(ctx context.Context, partition int, from int64, maxEntries int) ([]cluster.Entry, bool, error) {
-	return p.slowLink.SavedFromOffset(ctx, partition, from, maxEntries)
+func (p slowLinkPlatform) SavedFromOffset(ctx context.Context, partition int, from int64, maxBytes int) ([]cluster.Entry, bool, error) {
+	return p.slowLink.SavedFromOffset(ctx, partition, from, maxBytes)
 }
 
 func (p slowLinkPlatform) SavedAfterKey(ctx context.Context, partition int, after string) (map[string][]byte, error) {
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -11,8 +11,8 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// handleClaim handles a claim that was just applied to the state. Placing starts if the
-// claim is the last one that this process sent.
+// handleClaim handles a claim that was just applied to the state. It ends the placer of this
+// daemon, if there is one, and starts a new one if the claim is the last that this process sent.
 func (e *engine) handleClaim(ctx context.Context, former flow.Claim, now time.Duration) {
 	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
@@ -35,9 +35,9 @@
 	go e.retireFormerPlacer(placingCtx, e.placer, former)
 }
 
-// retireFormerPlacer asks the former placer to stop. After it has stopped, the runs that it
-// started end at the latest when their current leases expire. If it does not answer, it may renew
-// leases for up to maxLogOutage.
+// retireFormerPlacer asks the former placer to stop. Once it has stopped, it renews no
+// more leases, so that the last one that it granted ends soon. A former placer that does not answer
+// may renew leases for up to maxLogOutage.
 func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim) {
 	for attempt := 0; attempt < maxRetireTries && ctx.Err() == nil; attempt++ {
 		err := error(nil)
@@ -77,8 +77,8 @@
 	e.log.Emit(evPlacerEnded, "reason", reason, "epoch", e.claimEpoch)
 }
 
-// claimIfDue claims if placer.ShouldClaim says so, both on the state at hand and on one that
-// has been brought up to the end of the log.
+// claimIfDue claims if placer.ShouldClaim decides so twice: on the present state, and again after
+// the log has been read up to its end.
 func (e *engine) claimIfDue(ctx context.Context, now time.Duration) {
 	if e.draining || e.claiming || e.config == nil || e.readToEndAt < e.claimAnsweredAt {
 		return // the outcome of the last claim has not been read yet
@@ -165,8 +165,8 @@
 }
 
 // succeed claims at the request of a placer that has stopped and chose this daemon as its
-// successor, so no daemon has to wait for a time without records of the placer. The reply
-// reports whether the claim was stored.
+// successor. The other daemons then need not wait until the placer has been silent for long
+// enough. The reply reports whether the claim was stored.
 func (e *engine) succeed(ctx context.Context, epoch int64, reply chan<- bool) {
 	if e.draining || e.claiming || e.config == nil || e.placer != nil || e.logUnreachable || !e.readState().noOlderThan(readyReadAge, bootclock.Now()) || e.store.directDown.Load() || e.state.Claim.Epoch != epoch {
 		reply <- false
@@ -212,9 +212,9 @@
 	failing, total := e.placer.FailingAdvisers()
 	mostFailing := 2*failing >= total
 	if e.writer.lowCapacityPlacer.Load() {
-		mostFailing = failing == total // other daemons forward no records to a low-capacity placer, and its link makes some calls time out
+		mostFailing = failing == total // other daemons append past a low-capacity placer even if they reach it, and its slow link makes some calls time out
 	}
-	return total > 2 && mostFailing && e.bypassedRecords >= isolationBypassedRecords && now-e.lastBypassAt < handOverDelay
+	return total > 2 && mostFailing && e.bypassedRecords >= isolationBypassThreshold && now-e.lastBypassAt < handOverDelay
 }
 
 // beginDrain begins a planned stop. If this daemon is the placer, it stores its last results
--- a/daemon/cell/claiming_test.go
+++ b/daemon/cell/claiming_test.go
@@ -73,7 +73,7 @@
 		}
 		e.handOverIfDue(now)
 		handsOverOnDeaths = e.handingOver
-		e.bypassedRecords, e.lastBypassAt = isolationBypassedRecords, now
+		e.bypassedRecords, e.lastBypassAt = isolationBypassThreshold, now
 		e.writer.lowCapacityPlacer.Store(true)
 		e.handOverIfDue(now)
 		handsOverWithLowCapacity = e.handingOver
--- a/daemon/cell/counts_test.go
+++ b/daemon/cell/counts_test.go
@@ -32,13 +32,13 @@
 	require.Empty(t, problems)
 
 	// A daemon that is no longer the placer must not report the cell's gauges: the new placer does.
-	e := newTestCallerAPI(t, &fakeStore{}, 0)
-	e.onEngine(func(e *engine) {
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
+	api.onEngine(func(e *engine) {
 		e.metrics.publishSummary(&placer.Summary{Workers: 5})
 		e.publishMetrics(time.Hour)
 	})
-	require.Equal(t, 0, testutil.CollectAndCount(e.engine.metrics.workers))
-	e = newTestCallerAPI(t, &fakeStore{}, 10*time.Second)
-	require.Equal(t, http.StatusServiceUnavailable, e.request(http.MethodPost, "/p/new", jobBody).Code)
-	require.InDelta(t, 1, testutil.ToFloat64(e.engine.metrics.rejections.WithLabelValues("log away")), 0)
+	require.Equal(t, 0, testutil.CollectAndCount(api.engine.metrics.workers))
+	api = newTestCallerAPI(t, &fakeStore{}, 10*time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodPost, "/p/new", jobBody).Code)
+	require.InDelta(t, 1, testutil.ToFloat64(api.engine.metrics.rejections.WithLabelValues("log away")), 0)
 }
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -29,22 +29,22 @@
 	summaryInterval          = time.Second
 	expiryInterval           = 10 * time.Second
 	endedJobRetentionFactor  = 1.25                    // keeps ended jobs longer than bounds.status_s, because clocks differ and answers take time
-	failoverBoundShare       = 0.35                    // of the failover bound; the rest is left for the take-over
+	failoverBoundShare       = 0.35                    // share of bounds.failover_ms for which a placer may be silent before others claim; they need the rest to take over
 	maxLease                 = 4800 * time.Millisecond // longer leases delay the restart of tasks of lost workers
 	readyReadAge             = 1600 * time.Millisecond // a daemon that has not read the log for this long rejects callers
 	maxRetireTries           = 4
-	claimConflictBackoff     = 2500 * time.Millisecond // a partition queues at most 2 s of appends
-	maxBusyPlacerSilence     = 7 * time.Second         // while the log is slow: as long as three appends wait in a full partition
+	claimConflictBackoff     = 2500 * time.Millisecond // by then the higher claim is stored and read, as a partition queues at most 2 s of appends
+	maxBusyPlacerSilence     = 7 * time.Second         // a silent placer whose daemon answers keeps its claim for this long at a slow log: three appends of 2 s each in a full partition
 	maxStackBytes            = 2048
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
 	handOverDelay            = 2 * time.Second       // a new placer does not know the state of all workers yet
-	isolationBypassedRecords = 5                     // a single failed call to the placer also makes a daemon append a record past it
-	stepDownBackoff          = 10 * time.Second      // after it the network path may work again
+	isolationBypassThreshold = 5                     // not fewer, because a single failed call to the placer also makes a daemon append a record past it
+	stepDownBackoff          = 10 * time.Second      // for this long a daemon that stepped down lets others claim first; later its network path may work again
 	maxHandOverTries         = 2
 	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
-	maxLogOutage             = 14 * time.Second // longest outage of the log during which leases are renewed
+	maxLogOutage             = 14 * time.Second // without an acknowledged batch for this long, the placer stops and renews no more leases
 )
 
 // engine owns the state that is built from the log and, while this daemon holds the claim,
@@ -107,8 +107,8 @@
 
 	// Inputs of the decisions on claims and hand-overs. Times are on the boot clock.
 	endQueryAnsweredAt time.Duration // when the last query for the end of the log ended
-	endQueryTimes      recentMax     // latencies of the queries for the end of the log that precede claims
-	batchGaps          recentMax     // between batches of the placer
+	endQueryTimes      recentMax     // durations of the queries for the end of the log that precede claims, also of failed ones
+	batchGaps          recentMax     // times between batches of the placer
 	readTimes          recentMin     // latency of reads of the log
 	placingStartedAt   time.Duration
 	directDownSince    time.Duration // since when the log is reached through other daemons only; 0 while it is reached directly
--- a/daemon/cell/lately.go
+++ b/daemon/cell/lately.go
@@ -12,8 +12,8 @@
 // recentMax tracks the longest duration recorded within recentMaxWindow, such as the log's response
 // times or the gaps between two records of the placer. A maximum is used because the first quick
 // response of a store that has recovered from slowness does not mean that a silent placer has
-// failed: its records may still be queued there. Calls without an answer are not recorded, so
-// that a failed placer does not prolong the wait for it.
+// failed: its records may still be queued there. Appends without an answer are not recorded, so
+// that those sent to a failed placer do not delay the claim of its successor.
 type recentMax struct {
 	mu         sync.Mutex
 	value      time.Duration
--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -22,7 +22,7 @@
 	maxOpenAdviceCalls = 2048 // the placer bounds the calls of each daemon
 )
 
-// orderSender carries out the placer's commands in worker pools of limited size.
+// orderSender carries out the placer's commands on goroutine pools of limited size.
 type orderSender struct {
 	engine     *engine
 	orderPool  pond.Pool
