Reword comments on appends, planned stops and consults in the cell daemon

Some comments did not match the code or needed a second reading: the waits for the placer's answer, when a log counts as slow, how long a planned stop expects new connections, and the request time that it assumes at least.

--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -37,7 +37,8 @@
 
 const jobBody = `{"Spec":"s","Steps":[{"Count":1,"Cpu":500}]}`
 
-// newTestCallerAPI runs an engine that last read the log to its end the given time ago.
+// newTestCallerAPI runs an engine that last read the log to its end the given time ago, and returns its
+// callers' API.
 func newTestCallerAPI(t *testing.T, store *fakeStore, readAge time.Duration) *callerAPI {
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}},
 		fakePlatform{platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second)), store}, event.Discard())
--- a/daemon/cell/consult.go
+++ b/daemon/cell/consult.go
@@ -42,7 +42,7 @@
 	return view{r.Pending, r.Found, flow.Phase(r.Phase), readState{r.Offset, max(bootclock.Now()-r.Age, 1)}}
 }
 
-// consultClient consults other daemons when this one has not read the log to its end.
+// consultClient consults other daemons when this one has not recently read the log to its end.
 type consultClient struct {
 	peers           *peerClients // not shared: a timeout may close the connection, which must not affect appends
 	memberAddresses *atomic.Pointer[[]string]
@@ -51,7 +51,7 @@
 }
 
 // consult returns what another daemon knows. It consults at most maxTries daemons, one after another.
-// An error of kind fault.Unavailable means that none of them has read the log to its end.
+// An error of kind fault.Unavailable means that none of them has read enough of the log itself.
 func (c *consultClient) consult(ctx context.Context, queue, job string, maxTries int) (view, error) {
 	addresses := *c.memberAddresses.Load()
 	var tried []string
--- a/daemon/cell/contact_test.go
+++ b/daemon/cell/contact_test.go
@@ -16,36 +16,36 @@
 type unresponsiveStore struct {
 	fakeStore
 	unresponsive atomic.Bool
-	sentAppends  atomic.Int64 // appends that were sent
+	sentAppends  atomic.Int64 // including those without an answer
 	reads        atomic.Int64
 }
 
-func (s *unresponsiveStore) Append(ctx context.Context, part int, records [][]byte, fence *cluster.Fence) (int64, error) {
+func (s *unresponsiveStore) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
 	s.sentAppends.Add(1)
 	if s.unresponsive.Load() {
 		<-ctx.Done()
 		return 0, errNoAnswer
 	}
-	return s.fakeStore.Append(ctx, part, records, fence)
+	return s.fakeStore.Append(ctx, partition, records, fence)
 }
 
-func (s *unresponsiveStore) Read(ctx context.Context, part int, from int64, wait time.Duration) (cluster.LogPage, error) {
+func (s *unresponsiveStore) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
 	s.reads.Add(1)
 	if s.unresponsive.Load() {
 		<-ctx.Done()
 		return cluster.LogPage{}, errNoAnswer
 	}
-	return s.fakeStore.Read(ctx, part, from, wait)
+	return s.fakeStore.Read(ctx, partition, from, wait)
 }
 
 // End counts as a read, as it is a read that returns no records.
-func (s *unresponsiveStore) End(ctx context.Context, part int, from int64) (int64, error) {
-	page, err := s.Read(ctx, part, from, 0)
+func (s *unresponsiveStore) End(ctx context.Context, partition int, from int64) (int64, error) {
+	page, err := s.Read(ctx, partition, from, 0)
 	return page.End, err
 }
 
-// newUnresponsiveStore returns a store that has just stopped answering, and a store client that monitors it
-// and a writer that appends to it.
+// newUnresponsiveStore returns a store that has just stopped answering, with a store client that
+// monitors it and a writer that appends to it.
 func newUnresponsiveStore(t *testing.T) (*unresponsiveStore, *storeClient, *writer) {
 	store := &unresponsiveStore{}
 	client := newStoreClient(store, newPeerClients())
--- a/daemon/cell/dialer.go
+++ b/daemon/cell/dialer.go
@@ -16,8 +16,8 @@
 )
 
 // NewDialer returns a dialer whose connections the kernel closes once sent bytes stay unacknowledged
-// for longer than unackedTimeout. Connections to VMs that have lost power, or are
-// cut off by a network partition, do not end by themselves.
+// for longer than unackedTimeout. Connections to VMs that have lost power, or are cut off by a network
+// partition, do not end by themselves.
 func NewDialer(dialTimeout, unackedTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval, Control: func(_, _ string, rawConn syscall.RawConn) error {
 		var sockoptErr error
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -12,8 +12,8 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// servePeer serves a daemon's view to other daemons and returns its address.
-func servePeer(t *testing.T, api *callerAPI) string {
+// serveConsults lets other daemons consult a daemon, and returns the address for it.
+func serveConsults(t *testing.T, api *callerAPI) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -38,7 +38,7 @@
 	current.onEngine(func(e *engine) {
 		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
 	})
-	api := newUnreadDaemon(t, servePeer(t, current))
+	api := newUnreadDaemon(t, serveConsults(t, current))
 	for _, test := range []struct {
 		method, path, body string
 		status             int
@@ -64,9 +64,9 @@
 // daemon that is itself behind the log.
 func TestConsultIsNotForwarded(t *testing.T) {
 	stale := newTestCallerAPI(t, &fakeStore{}, 10*time.Second)
-	current := []string{servePeer(t, newTestCallerAPI(t, &fakeStore{}, 0))}
+	current := []string{serveConsults(t, newTestCallerAPI(t, &fakeStore{}, 0))}
 	stale.engine.store.memberAddresses.Store(&current)
-	api := newUnreadDaemon(t, servePeer(t, stale), servePeer(t, newUnreadDaemon(t)))
+	api := newUnreadDaemon(t, serveConsults(t, stale), serveConsults(t, newUnreadDaemon(t)))
 	for _, path := range []string{"/p/", "/p/unknown"} {
 		got := api.request(http.MethodGet, path, "")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code, path)
@@ -85,7 +85,8 @@
 	require.False(t, succeeded)
 }
 
-// Guards against answers from a state that is older than allowed.
+// Guards against answers from a state that is older than callers expect: they take a count or a state
+// for the current one.
 func TestSourcesOfAnswers(t *testing.T) {
 	const now = time.Minute
 	never, fresh, old := readState{}, readState{1, now - time.Second}, readState{1, now - 2*time.Second}
@@ -104,8 +105,8 @@
 	}
 }
 
-// Guards against answers from a state that lacks records: records that expired unread once counted as
-// read.
+// Guards against answers from a state that lacks records, because records that expired unread counted
+// as read.
 func TestExpiredRecordsDoNotRenewTheReadState(t *testing.T) {
 	api := newSlowLinkDaemon(t, &slowLinkStore{})
 	now := bootclock.Now()
@@ -136,6 +137,6 @@
 func TestAJobIsUnknownOnlyAtTheEndOfTheLog(t *testing.T) {
 	peer := newSlowLinkDaemon(t, newStoreWithSnapshots(t))
 	peer.onEngine(func(e *engine) { e.state.NextOffset, e.readToEndAt = snapshotJobs, bootclock.Now() }) // tailRecords behind
-	api := newUnreadDaemon(t, servePeer(t, peer))
+	api := newUnreadDaemon(t, serveConsults(t, peer))
 	require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodGet, "/p/unknown", "").Code)
 }
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -19,7 +19,7 @@
 // Timeouts of connections between daemons.
 const (
 	peerDialTimeout    = 700 * time.Millisecond
-	peerUnackedTimeout = 1500 * time.Millisecond // of sent bytes without a TCP acknowledgement, after which the peer's VM or the network path counts as failed
+	peerUnackedTimeout = 1500 * time.Millisecond // if sent bytes get no TCP acknowledgement for this long, the peer's VM or the network path counts as failed
 )
 
 // RPC methods between daemons for the placer's work.
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -24,12 +24,12 @@
 	maxProbeInterval      = 1200 * time.Millisecond // between probes of a direct path that has been down for long
 	relayRetryDelay       = 900 * time.Millisecond  // for which no other daemon is asked after none of them reached the store
 	maxRelayTries         = 4                       // made only within relayTimeout: a daemon that is cut off from the network reaches no peer either, and its direct path may work again
-	preferredRelays       = 3                       // daemons that the first tries choose from; in a large cell, its size divided by preferredRelayDivisor
+	preferredRelays       = 3                       // number of daemons that the first tries choose from; in a large cell, the number of other daemons divided by preferredRelayDivisor
 	preferredRelayDivisor = 4
 	relayTimeout          = 900 * time.Millisecond // of a call through one daemon: longer than a slow answer of the store takes, and short enough for a daemon that is down
 )
 
-// storeAccess is the part of the platform's store that daemons reach for each other.
+// storeAccess is the part of the platform's store that daemons also call on behalf of each other.
 type storeAccess interface {
 	Log
 	Registry
--- a/daemon/cell/stopping.go
+++ b/daemon/cell/stopping.go
@@ -14,11 +14,11 @@
 // Times of a planned stop. The platform's load balancer stops sending new connections after two
 // failed health checks, a second apart.
 const (
-	drainTimeout     = 2600 * time.Millisecond
-	stopReserve      = 900 * time.Millisecond // of the grace period, for the last log lines and the exit, also on a slow VM
-	answerWriteTime  = 300 * time.Millisecond // from the last known outcome until its answer is sent
-	minRequestTime   = 600 * time.Millisecond // of an append from another region to a healthy store
-	quietPeriod      = 150 * time.Millisecond // without a request before a connection is closed
+	drainTimeout     = 2600 * time.Millisecond // for which the load balancer may still send new connections; also the time limit of the placer's hand-over
+	stopReserve      = 900 * time.Millisecond  // of the grace period, for the last log lines and the exit, also on a slow VM
+	answerWriteTime  = 300 * time.Millisecond  // from the last known outcome until its answer is sent
+	minRequestTime   = 600 * time.Millisecond  // assumed for every request: an append from another region to a healthy store takes this long
+	quietPeriod      = 150 * time.Millisecond  // without a request before a connection is closed
 	stopPollInterval = 20 * time.Millisecond
 )
 
--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -22,13 +22,13 @@
 	maxOpenForwards       = 16                      // concurrent calls that forward a group to the placer
 	groupWindow           = 4 * time.Millisecond    // records that arrive within it are appended together
 	maxGroupRecords       = 512                     // at 400 bytes each, a partition slowed down by a factor of 100 appends them within a second
-	minPlacerWait         = 500 * time.Millisecond  // the shortest wait for an answer of the placer, after which this daemon appends the record as well
+	minPlacerWait         = 500 * time.Millisecond  // the shortest wait for an answer of the placer; if it does not respond then, this daemon appends the record as well
 	aliveTimeout          = 300 * time.Millisecond  // a round trip between regions to a busy daemon
-	placerWaitFactor      = 3                       // times the average latency; after a shorter wait at a slow store, all daemons would append their records a second time
-	maxPlacerWait         = 1500 * time.Millisecond // leaves time within the caller's time limit for an append from this daemon
-	slowLogMargin         = 100 * time.Millisecond  // added to the usual latency, beyond which a log counts as slow: appends of all daemons would queue there for seconds
+	placerWaitFactor      = 3                       // the wait is this multiple of the average latency; with a shorter one, all daemons would append their records a second time at a slow store
+	maxPlacerWait         = 1500 * time.Millisecond // the longest wait unless the log is slow; leaves time within the caller's time limit for an append from this daemon
+	slowLogMargin         = 100 * time.Millisecond  // a log whose latency exceeds the usual one by more than this counts as slow: appends of all daemons would queue there for seconds
 	latencyAverageDivisor = 4                       // each answer moves the average by the difference divided by this
-	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the silence after which another daemon claims; doubled after each attempt
+	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the time without records of the placer after which another daemon claims its role; doubled after each attempt
 	maxOpenHedges         = 3                       // concurrent attempts of one append
 	peerReturnMargin      = 100 * time.Millisecond  // of a call's time limit, left for the reply to travel back
 	suspectPollInterval   = 20 * time.Millisecond
@@ -92,9 +92,8 @@
 	return p.abandoned || p.stored || time.Now().After(p.deadline)
 }
 
-// finalOutcome returns the outcome of the record, and abandons a record that is
-// certainly not stored. It is called once the record is done, its deadline has passed or its
-// caller has gone.
+// finalOutcome returns the outcome of the record, and abandons a record that is certainly not stored.
+// It is called once the record is done, its deadline has passed or its caller has gone.
 func (p *pendingRecord) finalOutcome() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,7 +125,7 @@
 	queue           chan *pendingRecord    // this daemon's records, to be forwarded to the placer or appended directly
 	directQueue     chan *pendingRecord    // records that this daemon appends itself
 	forwardSlots    chan struct{}          // semaphore of concurrent forwards
-	placerLatency   atomic.Int64           // moving average of the placer's answers, ns
+	placerLatency   atomic.Int64           // moving average of the latency of the placer's answers, ns
 	appendTimes     recentMax              // durations of successful appends
 	logSlow         func() bool            // reports whether the log takes much longer than usual to answer
 	// logSuspect reports whether an append sent now is likely to get no answer; logUnresponsive
@@ -136,7 +135,7 @@
 	// notices a log that has become slow only after a second or two.
 	logAnswersInTime  func(ctx context.Context) bool
 	storedAt          atomic.Int64                              // boot clock: time of the last successful append or forward
-	lowCapacityPlacer atomic.Bool                               // the placer has less than minForwardCapacityFactor: records must not cross its link twice
+	lowCapacityPlacer atomic.Bool                               // the placer's capacity factor is below minForwardCapacityFactor: records must not cross its link twice, unless the log is slow
 	onAppended        func(firstOffset int64, records [][]byte) // called after every successful append of this daemon
 }
 
@@ -355,8 +354,8 @@
 	}
 }
 
-// alive reports whether a daemon answers RPCs. It asks that daemon to yield an epoch before the
-// first one, which has no effect.
+// alive reports whether a daemon answers RPCs. It sends a yield for an epoch before the first one,
+// which has no effect.
 func (w *writer) alive(ctx context.Context, address string) bool {
 	callCtx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
@@ -370,7 +369,7 @@
 	w.placerLatency.Store(int64(average + (latency-average)/latencyAverageDivisor))
 }
 
-// placerWait returns how long to wait for an answer of the placer.
+// placerWait returns how long to wait for an answer of the placer before checking that it is alive.
 func (w *writer) placerWait() time.Duration {
 	return min(max(minPlacerWait, placerWaitFactor*time.Duration(w.placerLatency.Load())), maxPlacerWait)
 }
@@ -449,7 +448,7 @@
 		var unsettled []*pendingRecord
 		for _, record := range drainQueue(w.directQueue) {
 			if record.refuse(); !record.settled() {
-				unsettled = append(unsettled, record) // an attempt has been made or is in progress
+				unsettled = append(unsettled, record) // it may be stored: an attempt is in progress or got no answer
 			}
 		}
 		w.queueDirect(unsettled)
@@ -490,7 +489,7 @@
 }
 
 // appendUntilAnswered hedges an append until there is an answer: it starts the next attempt while
-// earlier ones wait, as their answers may be lost and a placer whose records stop is replaced.
+// earlier ones wait, because their answers may be lost, and a placer whose records stop is replaced.
 func (f *fencedAppender) appendUntilAnswered(ctx context.Context, data []byte, fence cluster.Fence) (int64, error) {
 	type answer struct {
 		offset int64
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -17,7 +17,8 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// serveSubmissions serves the method Submit of a placer and returns its address.
+// serveSubmissions starts a daemon that handles submissions of other daemons with submit, as the placer
+// does, and returns its address.
 func serveSubmissions(t *testing.T, submit func([][]byte, time.Duration) []error) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -86,7 +87,7 @@
 }
 
 // Guards against a placer that is replaced because one answer of the log was lost: it waited for that
-// answer while its records stopped, and another daemon claimed.
+// answer while its records stopped, and another daemon claimed its role.
 func TestPlacerHedgesAnUnansweredAppend(t *testing.T) {
 	store := &hangingStore{}
 	store.hangingCalls.Store(1)
