Correct comments, texts and names of the adapters and leaf packages

A reading as a newcomer found comments that named a former type, said something else than the code, or had lost a size or a cause; help texts that spoke of stories, winners and verdicts; and a few private names.

The type that lists the actions after a failed start is called Actions; nothing outside its package names it. All other renames are of unexported identifiers and tests.

No behaviour, check, bound or seed changes.

--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -12,8 +12,8 @@
 	"briarproxy/core/resource"
 )
 
-// naiveQueue is a reference model of Queue that scans one slice linearly.
-type naiveQueue struct {
+// referenceQueue is a reference model of Queue that scans one slice linearly.
+type referenceQueue struct {
 	classes      []Class
 	credit       map[string]float64
 	virtualTime  map[string]float64
@@ -21,7 +21,7 @@
 	entries      []*Entry[int]
 }
 
-func (n *naiveQueue) count(class, team string) int {
+func (n *referenceQueue) count(class, team string) int {
 	total := 0
 	for _, e := range n.entries {
 		if e.Class == class && (team == "" || e.Team == team) {
@@ -31,7 +31,7 @@
 	return total
 }
 
-func (n *naiveQueue) push(e *Entry[int]) {
+func (n *referenceQueue) push(e *Entry[int]) {
 	key := [2]string{e.Class, e.Team}
 	if n.count(e.Class, e.Team) == 0 {
 		n.virtualStart[key] = math.Max(n.virtualStart[key], n.virtualTime[e.Class])
@@ -39,7 +39,7 @@
 	n.entries = append(n.entries, e)
 }
 
-func (n *naiveQueue) pop() *Entry[int] {
+func (n *referenceQueue) pop() *Entry[int] {
 	var chosen *Class
 	for i := range n.classes {
 		c := &n.classes[i]
@@ -78,7 +78,7 @@
 	return best
 }
 
-func (n *naiveQueue) before(a, b *Entry[int]) bool {
+func (n *referenceQueue) before(a, b *Entry[int]) bool {
 	va, vb := n.virtualStart[[2]string{a.Class, a.Team}], n.virtualStart[[2]string{b.Class, b.Team}]
 	if va != vb {
 		return va < vb
@@ -92,7 +92,7 @@
 	return a.Value < b.Value
 }
 
-func (n *naiveQueue) remove(e *Entry[int]) {
+func (n *referenceQueue) remove(e *Entry[int]) {
 	for i := range n.entries {
 		if n.entries[i] == e {
 			n.entries = append(n.entries[:i], n.entries[i+1:]...)
@@ -112,7 +112,7 @@
 
 // Guards against heap or credit errors that serve entries in an order other than that
 // of the reference model, and against removals that corrupt the heaps.
-func TestQueueMatchesNaive(t *testing.T) {
+func TestQueueMatchesReferenceModel(t *testing.T) {
 	weights := map[string]float64{"a": 1, "b": 2, "c": 4}
 	rapid.Check(t, func(t *rapid.T) {
 		classes := []Class{
@@ -121,7 +121,7 @@
 			{Name: "low", Priority: 1, MinShare: 0.125, MaxLength: 1000},
 		}
 		queue := NewQueue[int]()
-		naive := &naiveQueue{classes: classes, credit: map[string]float64{}, virtualTime: map[string]float64{}, virtualStart: map[[2]string]float64{}}
+		reference := &referenceQueue{classes: classes, credit: map[string]float64{}, virtualTime: map[string]float64{}, virtualStart: map[[2]string]float64{}}
 		for _, c := range classes {
 			queue.SetClass(c)
 		}
@@ -135,18 +135,18 @@
 					StartBy: time.Duration(rapid.IntRange(0, 20).Draw(t, "by")), Value: i,
 				}
 				require.Nil(t, queue.Push(0, Load{}, e))
-				naive.push(e)
+				reference.push(e)
 			case 3, 4:
-				require.Same(t, naive.pop(), queue.Pop(nil))
+				require.Same(t, reference.pop(), queue.Pop(nil))
 			case 5:
-				if len(naive.entries) > 0 {
-					e := rapid.SampledFrom(naive.entries).Draw(t, "cancelled")
+				if len(reference.entries) > 0 {
+					e := rapid.SampledFrom(reference.entries).Draw(t, "cancelled")
 					require.True(t, queue.Remove(e))
 					require.False(t, queue.Remove(e))
-					naive.remove(e)
+					reference.remove(e)
 				}
 			}
-			require.Equal(t, len(naive.entries), queue.Len())
+			require.Equal(t, len(reference.entries), queue.Len())
 		}
 	})
 }
--- a/core/admission/quotaowner.go
+++ b/core/admission/quotaowner.go
@@ -26,7 +26,7 @@
 
 type teamQuota struct {
 	ledger  *QuotaLedger
-	holders map[string]*quotaHolder
+	holders map[string]*holderRecord
 }
 
 // QuotaBound is the log record of the most that is leased of a team's quota from this
@@ -36,9 +36,9 @@
 	Most resource.Vector `json:"most"`
 }
 
-// quotaHolder is the owner's record of a holder whose last request is younger than the
+// holderRecord is the owner's record of a holder whose last request is younger than the
 // TTL of a portion.
-type quotaHolder struct {
+type holderRecord struct {
 	seq       int64
 	expiresAt time.Duration
 	unmet     bool // the last grant was less than the holder wanted
@@ -61,7 +61,7 @@
 	t.expire(now)
 	h := t.holders[holder]
 	if h == nil {
-		h = &quotaHolder{heldAtTakeover: request.Held.Max(resource.Vector{})}
+		h = &holderRecord{heldAtTakeover: request.Held.Max(resource.Vector{})}
 		t.holders[holder] = h
 	}
 	if seq <= h.seq {
@@ -128,7 +128,7 @@
 }
 
 // othersLeasedBeyond returns the sum of leasedBeyond of all other holders.
-func (t *teamQuota) othersLeasedBeyond(self *quotaHolder) resource.Vector {
+func (t *teamQuota) othersLeasedBeyond(self *holderRecord) resource.Vector {
 	var sum resource.Vector
 	for _, h := range t.holders {
 		if h != self {
@@ -160,7 +160,7 @@
 func (o *QuotaOwner) team(name string) *teamQuota {
 	t := o.teams[name]
 	if t == nil {
-		t = &teamQuota{ledger: NewQuotaLedger(resource.Vector{}), holders: map[string]*quotaHolder{}}
+		t = &teamQuota{ledger: NewQuotaLedger(resource.Vector{}), holders: map[string]*holderRecord{}}
 		o.teams[name] = t
 	}
 	return t
@@ -185,7 +185,7 @@
 	}
 }
 
-func (t *teamQuota) othersUnmet(self *quotaHolder) bool {
+func (t *teamQuota) othersUnmet(self *holderRecord) bool {
 	for _, h := range t.holders {
 		if h != self && h.unmet {
 			return true
--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -11,8 +11,8 @@
 	"briarproxy/core/resource"
 )
 
-// largeSet returns a set with 620 teams, 400 batch jobs and 100 services in which the
-// quota of one team is a parameter.
+// largeSet returns a set with 620 teams, which is the scale that the system is designed
+// for, 400 batch jobs and 100 services. The quota of one team is a parameter.
 func largeSet(quota int64) *object.Set {
 	s := setWithTeam("x")
 	for i := range int64(620) {
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -269,7 +269,7 @@
 
 // Guards against a record whose id cannot be read, so that a lost response to an append
 // cannot be resolved by reading the log.
-func TestIDOf(t *testing.T) {
+func TestRecordID(t *testing.T) {
 	id, ok := RecordID(encodedPublication(t, "one", 0))
 	assert.True(t, ok)
 	assert.Equal(t, "one", id)
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -16,7 +16,7 @@
 	MaxDeclaredFactor float64       // limit of the estimate as a multiple of the declared size, unless reported use exceeds it
 	MinSamples        int           // number of ended tasks before estimates replace the declared values
 	ReportLag         time.Duration // lag of usage reports; the use of tasks that run shorter is unknown
-	PeakWindow        time.Duration // length of the periods for which the peak use is kept
+	PeakWindow        time.Duration // length of a period; an estimate is at least the peak use of the current and the previous one
 	MaxTemplates      int           // most templates kept; the least recently used are evicted
 }
 
--- a/core/jsonc/reader_test.go
+++ b/core/jsonc/reader_test.go
@@ -49,7 +49,7 @@
 	}
 	cases := []struct {
 		text string
-		want string // These are millicores, MiB, bytes and duration, or the rule of the first issue.
+		want string // want is the millicores, MiB, bytes and duration, or the rule of the first issue.
 	}{
 		{`"c": "2", "m": "64GiB", "b": "64KiB", "d": "90s"`, "2000 65536 65536 1m30s"},
 		{`"c": "1.5", "m": "1024KiB", "b": "3B", "d": "250ms"`, "1500 1 3 250ms"},
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -34,8 +34,8 @@
 	Template string
 }
 
-// Verdict lists the actions to take after a failure.
-type Verdict struct {
+// Actions lists the actions to take after a failure.
+type Actions struct {
 	Isolate    []string // VMs to isolate
 	Restore    []string // VMs to use again, because faulty tasks had caused their isolation
 	TaskFailed bool     // the task is faulty and must not be retried
@@ -80,13 +80,13 @@
 
 // RecordFailure records a failed start. If the worker is isolated and being probed, the
 // failure also ends the probe.
-func (t *Tracker) RecordFailure(f Failure, now time.Duration) Verdict {
+func (t *Tracker) RecordFailure(f Failure, now time.Duration) Actions {
 	t.recordRack(f)
 	w := t.worker(f.VM)
 	if w.isolated {
 		t.probeFailed(w, now)
 	}
-	var v Verdict
+	var v Actions
 	if t.failsEverywhere(t.tasks[f.TaskID]) {
 		v.TaskFailed = true
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -16,7 +16,7 @@
 
 // Guards against isolating a worker for failures of a single template, or for failures
 // that a success interrupted.
-func TestWorkerIsIsolatedOnlyForConsecutiveUnlikeFailures(t *testing.T) {
+func TestWorkerIsIsolatedOnlyForConsecutiveFailuresOfDistinctTemplates(t *testing.T) {
 	cases := map[string]struct {
 		templates string // one letter per failed start; '+' is a success
 		want      bool
@@ -44,7 +44,7 @@
 
 // Guards against retrying a faulty task forever and against isolating workers because
 // of it.
-func TestTaskThatFailsOnUnlikeWorkersIsFailed(t *testing.T) {
+func TestTaskThatFailsInDistinctRacksIsFailed(t *testing.T) {
 	tr := New(Defaults())
 	f := Failure{TaskID: "bad", Template: "x"}
 	for i, rack := range []string{"r1", "r1", "r2"} {
--- a/core/wire/quota.go
+++ b/core/wire/quota.go
@@ -6,7 +6,7 @@
 const MaxQuotaRequests = 256
 
 // QuotaArgs asks the owner of a key shard for portions of the quotas of the teams that
-// belong to the shard. Its fields keep the names that net/rpc sends.
+// belong to the shard. net/rpc sends the names of the fields, so they must not change.
 type QuotaArgs struct {
 	Holder     string // daemon and incarnation; for the jobs of a shard: daemon, shard unit and shard epoch
 	Seq        int64  // increases with each call of the holder; a call that arrives after a later one has no effect
--- a/daemon/internal/ctl/configlog.go
+++ b/daemon/internal/ctl/configlog.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// publish appends a publication and returns its verdict. The verdict is read back from
-// the stream, so that a lost response to the append is not taken for a result.
+// publish appends a publication and returns whether it was accepted. The result is read
+// back from the stream, so that it is correct even if the response to the append was lost.
 func (l *configLog) publish(ctx context.Context, p config.Publication) (config.PublicationResult, error) {
 	progress := config.NewProgress()
 	if err := progress.Step(config.Checked); err != nil {
@@ -98,14 +98,14 @@
 	}
 	for {
 		if err := l.readToEnd(ctx); err != nil {
-			return config.PublicationResult{}, fault.Wrap(err, fault.Unknown, "run history to see whether the version was accepted", "the publication is in the log but its verdict can't be read")
+			return config.PublicationResult{}, fault.Wrap(err, fault.Unknown, "run history to see whether the version was accepted", "the publication is in the log but its result can't be read")
 		}
-		if verdict, known := l.reader.PublicationResult(p.ID); known {
-			return verdict, progress.RecordResult(verdict)
+		if result, known := l.reader.PublicationResult(p.ID); known {
+			return result, progress.RecordResult(result)
 		}
 		select {
 		case <-ctx.Done():
-			return config.PublicationResult{}, fault.New(fault.Unknown, "run history to see whether the version was accepted", "the verdict on the publication was not read in time")
+			return config.PublicationResult{}, fault.New(fault.Unknown, "run history to see whether the version was accepted", "the result of the publication was not read in time")
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
--- a/daemon/internal/ctl/publish.go
+++ b/daemon/internal/ctl/publish.go
@@ -28,7 +28,7 @@
 	f.logFlags.register(cmd)
 	cmd.Flags().StringVar(&f.author, "author", defaultAuthor(), "who publishes")
 	cmd.Flags().StringVarP(&f.message, "message", "m", "", "why")
-	cmd.Flags().Int64Var(&f.base, "base", baseNewest, "version that the objects were made from; the newest when left out")
+	cmd.Flags().Int64Var(&f.base, "base", baseNewest, "version that the objects are based on; the newest if not set")
 }
 
 func newPublish() *cobra.Command {
@@ -36,9 +36,9 @@
 	cmd := &cobra.Command{
 		Use:   "publish DIR",
 		Short: "Check a directory of objects and put it in force",
-		Long: "publish checks the objects of a directory and, if the whole set is right, publishes\n" +
+		Long: "publish checks the objects of a directory and, if the whole set is valid, publishes\n" +
 			"it as the version after its base. If another operator has published since the base,\n" +
-			"nothing is changed and the command names the winner.\n\n" + exitCodes,
+			"nothing is changed and the command names the version that was accepted instead.\n\n" + exitCodes,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			files, err := readObjectFiles(args[0])
@@ -69,7 +69,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			version, err := strconv.ParseInt(args[0], 10, 64)
 			if err != nil {
-				return fmt.Errorf("version %q is no number; see briarctl history", args[0])
+				return fmt.Errorf("version %q is not a number; see briarctl history", args[0])
 			}
 			if flags.message == "" {
 				flags.message = "rollback to version " + args[0]
@@ -103,14 +103,14 @@
 	if base == baseNewest {
 		base = l.reader.Version()
 	}
-	verdict, err := l.publish(ctx, config.Publication{ID: newPublicationID(), Base: base, Author: flags.author, Message: flags.message, Set: set})
+	result, err := l.publish(ctx, config.Publication{ID: newPublicationID(), Base: base, Author: flags.author, Message: flags.message, Set: set})
 	if err != nil {
 		return err
 	}
-	if err := verdict.Err(); err != nil {
+	if err := result.Err(); err != nil {
 		return err
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "version %d is accepted\n", verdict.Version)
+	fmt.Fprintf(cmd.OutOrStdout(), "version %d is accepted\n", result.Version)
 	return nil
 }
 
--- a/daemon/internal/ctl/timeline.go
+++ b/daemon/internal/ctl/timeline.go
@@ -16,9 +16,9 @@
 	var pagePath string
 	cmd := &cobra.Command{
 		Use:   "timeline LOG...",
-		Short: "Tell one ordered story from the logs of several daemons",
-		Long: "timeline puts the lines of several daemons' logs in order and tells the story of a\n" +
-			"job, of a worker, or of who placed. Without a filter it prints every line but summaries.\n\n" + exitCodes,
+		Short: "Merge the logs of several daemons into one timeline",
+		Long: "timeline prints the lines of several daemons' logs in order of time, for a job, for a\n" +
+			"worker or for changes of the placer. Without a filter it prints all lines but summaries.\n\n" + exitCodes,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			lines, err := readLogs(files, cmd.ErrOrStderr())
@@ -32,9 +32,9 @@
 			return timeline.Write(cmd.OutOrStdout(), selected)
 		},
 	}
-	cmd.Flags().StringVar(&filter.Job, "job", "", "lines of this job, and who placed meanwhile")
-	cmd.Flags().StringVar(&filter.Worker, "worker", "", "lines of this worker, and who placed meanwhile")
-	cmd.Flags().BoolVar(&filter.Ownership, "ownership", false, "who placed, starts and stops, and when daemons lost the log")
+	cmd.Flags().StringVar(&filter.Job, "job", "", "lines of this job, and changes of the placer meanwhile")
+	cmd.Flags().StringVar(&filter.Worker, "worker", "", "lines of this worker, and changes of the placer meanwhile")
+	cmd.Flags().BoolVar(&filter.Ownership, "ownership", false, "changes of the placer, starts and stops of daemons, and losses of the log")
 	cmd.Flags().StringVar(&pagePath, "html", "", "write one self-contained page to this file instead of text")
 	return cmd
 }
--- a/daemon/settings/table.go
+++ b/daemon/settings/table.go
@@ -89,7 +89,7 @@
 	{"drain_delay", false, true,
 		func(s *Settings) jsonc.ReadFunc { return jsonc.Duration(&s.DrainDelay, 0, maxTimeout) },
 		func(s *Settings) string { return encodeString(s.DrainDelay.String()) },
-		"time between unreadiness and the end of accepting at a planned stop"},
+		"time at a planned stop between reporting not ready and no longer accepting connections"},
 	{"limits.body", false, true,
 		func(s *Settings) jsonc.ReadFunc { return jsonc.Bytes(&s.Limits.MaxBodyBytes, 1, maxBodyBytes) },
 		func(s *Settings) string { return encodeString(formatBytes(s.Limits.MaxBodyBytes)) },
@@ -161,7 +161,7 @@
 			return jsonc.Bytes(&s.MemoryLimitBytes, minMemoryLimitBytes, maxMemoryLimitBytes)
 		},
 		func(s *Settings) string { return encodeString(formatBytes(s.MemoryLimitBytes)) },
-		"memory above which the garbage collector works harder"},
+		"soft memory limit of the Go runtime; above it, garbage is collected more often"},
 }
 
 // groupFields returns the readers for the fields of a group, or for the top-level fields
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -16,7 +16,7 @@
 
 // Limits of one response.
 const (
-	defaultReadKB = 1024 // This is the limit of reads that don't set one.
+	defaultReadKB = 1024 // defaultReadKB limits reads that set no limit of their own.
 	maxListItems  = 500
 	maxListBytes  = 1 << 20
 )
@@ -28,22 +28,22 @@
 	producers           map[string]*producer
 	changed             chan struct{}
 	unavailable         bool
-	appendRepliesToLose int // This many of the next appends get no response.
+	appendRepliesToLose int // appendRepliesToLose is the number of coming appends that get no response.
 	calls               int
 }
 
 // partition is one partition of a topic.
 type partition struct {
 	records [][]byte
-	first   int            // This is the oldest offset that is retained.
-	newest  map[string]int // In keyed topics, it maps each key to the offset of its newest record.
+	first   int            // first is the oldest retained offset.
+	newest  map[string]int // newest maps the keys of a keyed topic to the offsets of their newest records.
 }
 
 // producer is the state of a fenced writer in one partition.
 type producer struct {
 	epoch        int64
 	nextSequence int64
-	offsets      map[int64]int64 // It maps sequence numbers to offsets.
+	offsets      map[int64]int64 // offsets maps the sequence numbers of answered appends to their offsets.
 }
 
 // NewStore returns an empty store.
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -26,21 +26,21 @@
 	pool           string
 	capacity       Size
 	workers        map[string]*Worker
-	plans          map[string]StepPlan // Its keys have the form JOB.STEP.
+	plans          map[string]StepPlan // plans has keys of the form JOB.STEP.
 	completed      map[string]completedRun
-	confirmed      map[completedRun]bool // These completed runs were acknowledged while the lease was valid.
-	running        map[string]string     // It maps tasks to worker IDs.
+	confirmed      map[completedRun]bool // confirmed holds the completed runs that were acknowledged while the lease was valid.
+	running        map[string]string     // running maps tasks to worker IDs.
 	violations     []string
 	starts         int
-	startedJobs    map[string]bool            // At least one task of these jobs was started.
-	grantedWorkers map[string]map[string]bool // It maps steps to worker IDs.
+	startedJobs    map[string]bool            // startedJobs holds the jobs of which at least one task was started.
+	grantedWorkers map[string]map[string]bool // grantedWorkers maps steps to the IDs of the workers granted for them.
 }
 
 // StepPlan says how the tasks of a step run.
 type StepPlan struct {
 	Size  Size
 	Takes time.Duration
-	Fail  int // This many runs of each task fail before one succeeds.
+	Fail  int // Fail is the number of runs of each task that fail before one succeeds.
 }
 
 // NewFleet starts n workers that listen on the loopback interface and registers them in the
@@ -164,7 +164,7 @@
 	highestToken  int64
 	leaseUntil    int64
 	lastEndNumber int64
-	lapsedUpTo    int64 // The lease has expired since the runs up to this number ended.
+	lapsedUpTo    int64 // The lease expired after the runs up to lapsedUpTo had ended.
 	runs          map[string]*taskRun
 	ended         []endRow
 	highestRun    map[string]int
