Rename the last exported identifiers that a new reader stumbled on

Stored and sent values are unchanged.

Conclusion: nothing but names differs, as a comparison of the code without comments and layout shows.

--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -100,7 +100,7 @@
 // Snapshot returns the state as a head and chunks. The data needed for placement comes first;
 // ended jobs, of which only the phase is still needed, come last.
 func (s *State) Snapshot(generation int64, now time.Duration) (SnapshotHead, [][]byte, error) {
-	head := SnapshotHead{Generation: generation, Next: s.NextOffset, Claim: s.Claim, Token: s.FencingToken}
+	head := SnapshotHead{Generation: generation, Next: s.NextOffset, Claim: s.Claim, Token: s.ClaimToken}
 	for _, m := range s.Members {
 		head.Members = append(head.Members, m.Hello)
 	}
@@ -225,7 +225,7 @@
 		return nil, fault.New(fault.Invalid, "read the snapshot again", "snapshot is incomplete: got %d of %d chunks", r.added, r.head.Chunks)
 	}
 	s := r.state
-	s.NextOffset, s.FencingToken, s.LastHeard = r.head.Next, r.head.Token, now
+	s.NextOffset, s.ClaimToken, s.LastHeard = r.head.Next, r.head.Token, now
 	s.RestoreMembership(&r.head, now)
 	return s, nil
 }
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -14,7 +14,7 @@
 
 // comparableState returns the parts of a state that must survive a snapshot.
 func comparableState(s *State) map[string]any {
-	view := map[string]any{"next": s.NextOffset, "claim": s.Claim, "token": s.FencingToken, "pending": s.Pending}
+	view := map[string]any{"next": s.NextOffset, "claim": s.Claim, "token": s.ClaimToken, "pending": s.Pending}
 	for id, j := range s.Jobs {
 		view[id] = j.Phase
 		if j.Phase.Final() && j.ActiveRuns <= 0 {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -116,14 +116,14 @@
 // State is the state that the records of one log partition describe. It is not safe for
 // concurrent use.
 type State struct {
-	Jobs         map[string]*Job
-	Claim        Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
-	FencingToken int64         // fencing token of the newest claim: the claim's offset plus one
-	LastHeard    time.Duration // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
-	ClaimedAt    time.Duration // boot-clock time at which the newest claim was applied
-	Members      map[string]Member
-	NextOffset   int64          // offset of the next record
-	Pending      map[string]int // by queue: number of jobs without a due time that have not begun
+	Jobs       map[string]*Job
+	Claim      Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
+	ClaimToken int64         // fencing token of the newest claim: the claim's offset plus one
+	LastHeard  time.Duration // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
+	ClaimedAt  time.Duration // boot-clock time at which the newest claim was applied
+	Members    map[string]Member
+	NextOffset int64          // offset of the next record
+	Pending    map[string]int // by queue: number of jobs without a due time that have not begun
 }
 
 // NewState returns the empty state before the first record.
@@ -142,7 +142,7 @@
 	case r.Cancel != nil:
 		return s.applyCancel(r.Cancel, now)
 	case r.Claim != nil:
-		s.Claim, s.FencingToken, s.LastHeard, s.ClaimedAt = *r.Claim, offset+1, now, now
+		s.Claim, s.ClaimToken, s.LastHeard, s.ClaimedAt = *r.Claim, offset+1, now, now
 	case r.Release != nil:
 		if r.Release.Epoch == s.Claim.Epoch {
 			s.Claim.Daemon = ""
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -39,16 +39,16 @@
 
 // ClaimInput is the local information on which a daemon decides whether to claim.
 type ClaimInput struct {
-	Now                    time.Duration // boot clock
-	ReadySince             time.Duration // since when the daemon has met all conditions for a placer and has read the log without interruption
-	CaughtUpAt             time.Duration // last read that reached the end of the log
-	LogRoundTrip           time.Duration // usual round trip to the log
-	FailoverTimeout        time.Duration // silence of the placer after which other daemons claim
-	Jitter                 time.Duration // random delay of this daemon, below maxClaimJitter
-	MaxLogLatency          time.Duration // longest recent response time of the log; 0 means unknown
-	Rank                   int           // number of daemons that claim before this one
-	BetterCandidatePresent bool          // a daemon of a higher capacity class is alive, or this one has no direct path to the log or has recently stopped placing because of isolation or an error
-	MaxRecordGap           time.Duration // longest recent gap between records of the placer, without the current one
+	Now             time.Duration // boot clock
+	ReadySince      time.Duration // since when the daemon has met all conditions for a placer and has read the log without interruption
+	CaughtUpAt      time.Duration // last read that reached the end of the log
+	LogRoundTrip    time.Duration // usual round trip to the log
+	FailoverTimeout time.Duration // silence of the placer after which other daemons claim
+	Jitter          time.Duration // random delay of this daemon, below maxClaimJitter
+	MaxLogLatency   time.Duration // longest recent response time of the log; 0 means unknown
+	Rank            int           // number of daemons that claim before this one
+	PreferOthers    bool          // a daemon of a higher capacity class is alive, or this one has no direct path to the log or has recently stopped placing because of isolation or an error
+	MaxRecordGap    time.Duration // longest recent gap between records of the placer, without the current one
 }
 
 // ShouldClaim reports whether a daemon should claim the placer role, and why. Only the time in
@@ -60,7 +60,7 @@
 	}
 	delay := claimDelayRoundTrips*in.LogRoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.MaxLogLatency)
 	silence := in.Now - max(s.LastHeard, in.ReadySince)
-	if in.BetterCandidatePresent {
+	if in.PreferOthers {
 		delay += preferOthersDelay
 	}
 	if s.Claim.Daemon == "" && silence > delay {
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -41,8 +41,8 @@
 		}, false},
 		{"a new placer is silent while it takes over", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 102*second, 102*second }, false},
 		{"a new placer is silent for longer than a takeover needs", &flow.State{Claim: placing.Claim, LastHeard: 100 * second, ClaimedAt: 99 * second}, func(in *ClaimInput) { in.Now, in.CaughtUpAt = 104*second, 104*second }, true},
-		{"the placer is silent, but a daemon with more capacity claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.BetterCandidatePresent = 102*second, 102*second, true }, false},
-		{"the placer is silent and the daemon with more capacity does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.BetterCandidatePresent = 104*second, 104*second, true }, true},
+		{"the placer is silent, but a daemon with more capacity claims first", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.PreferOthers = 102*second, 102*second, true }, false},
+		{"the placer is silent and the daemon with more capacity does not claim", placing, func(in *ClaimInput) { in.Now, in.CaughtUpAt, in.PreferOthers = 104*second, 104*second, true }, true},
 		{"the placer is silent, but its records were infrequent before", placing, func(in *ClaimInput) {
 			in.Now, in.CaughtUpAt, in.MaxRecordGap = 102*second, 102*second, 1200*time.Millisecond
 		}, false},
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -187,7 +187,7 @@
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
-		queues: map[string]*cluster.Queue{}, token: state.FencingToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
+		queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
 	}
 	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
@@ -251,7 +251,7 @@
 
 // IncompleteSteps returns the number of steps that are ready and not complete, including those
 // whose tasks are all running.
-func (p *Placer) WaitingSteps() int { return len(p.steps) }
+func (p *Placer) IncompleteSteps() int { return len(p.steps) }
 
 // ActiveRuns returns the number of runs that are planned and whose end is not recorded yet.
 func (p *Placer) ActiveRuns() int { return len(p.runs) }
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -30,7 +30,7 @@
 		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
 	}, now)
 	e.metrics.claims.WithLabelValues("won").Inc()
-	e.log.Emit(evPlacerBegan, "offset", e.state.FencingToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
+	e.log.Emit(evPlacerBegan, "offset", e.state.ClaimToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
 	go e.watchRegistry(placingCtx, e.placer)
 	go e.retireFormerPlacer(placingCtx, e.placer, former)
 }
@@ -88,7 +88,7 @@
 	}
 	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
-		Rank: placer.ClaimRank(e.state, e.hello(), now), BetterCandidatePresent: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
+		Rank: placer.ClaimRank(e.state, e.hello(), now), PreferOthers: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
 			e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff, MaxRecordGap: e.batchGaps.longest(now),
 		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
