Reword comments and names of the stand-ins that needed a second reading

Cause: a fresh reader found half sentences that hid their subject, one doc comment that named another constant, one log of a test under the former name of its type, and comments such as "It means data from the client". Change: such comments are written out; local names follow the renamed types; the reason that an inspector waits for a doorstep answer is back. Conclusion: only comments and unexported names change; no check, bound or seed does.

--- a/standin/demo/client.go
+++ b/standin/demo/client.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	brokenRetryDelay = 100 * time.Millisecond // before another daemon is tried after a broken connection
-	answerMargin     = 500 * time.Millisecond // by which an answer may arrive after the caller's deadline
-	jobCallTimeout   = 5 * time.Second        // of one call that waits for a job
-	jobRetryDelay    = 200 * time.Millisecond // before a failed call about a job is repeated
+	brokenRetryDelay = 100 * time.Millisecond // wait after a broken connection before another daemon is tried
+	answerMargin     = 500 * time.Millisecond // time after the caller's deadline within which an answer is still accepted
+	jobCallTimeout   = 5 * time.Second        // timeout of one call that waits for a job
+	jobRetryDelay    = 200 * time.Millisecond // wait before a failed call about a job is repeated
 )
 
 // Client sends requests to the daemons of one cell. It is safe for concurrent use.
--- a/standin/demo/compare.go
+++ b/standin/demo/compare.go
@@ -12,7 +12,7 @@
 // journal itself with CheckJournal. All records must be complete.
 func CheckRecords(records []*Record, entries []worker.Entry) []Violation {
 	found := CheckJournal(entries)
-	runs := newIndex(Runs(entries))
+	runs := newRunIndex(Runs(entries))
 	for _, r := range records {
 		found = append(found, runs.check(r)...)
 	}
@@ -26,7 +26,7 @@
 	byID   map[string][]*Run
 }
 
-func newIndex(runs []*Run) runIndex {
+func newRunIndex(runs []*Run) runIndex {
 	return runIndex{
 		byBody: groupBy(runs, func(r *Run) string { return r.BodyDigest }),
 		byJob:  groupBy(runs, func(r *Run) string { return r.Job }),
--- a/standin/demo/journal.go
+++ b/standin/demo/journal.go
@@ -50,8 +50,8 @@
 	EndUS        int64 // 0 if still running at the end of the journal
 	Finished     bool  // ended successfully
 	Failed       bool
-	StopReason   string // reason, if the run was stopped
-	ResultDigest string // of the result, hex SHA-256
+	StopReason   string // empty unless the run was stopped
+	ResultDigest string // hex SHA-256 of the result
 	LostUS       int64  // time at which the VM failed or was replaced after the start of the run; 0 if it was not
 }
 
--- a/standin/demo/load.go
+++ b/standin/demo/load.go
@@ -30,7 +30,7 @@
 	NewJob            func(number int) wire.JobSpec // set instead of NewRequest for a stream of jobs
 	IndependentTasks  bool                          // the job's tasks need not run at the same time
 	MaxRequests       int                           // 0 if unlimited
-	StartDelay        time.Duration                 // before the first request
+	StartDelay        time.Duration                 // wait before the first request
 }
 
 // UserStreams returns the streams of a user. The name makes keys and bodies unique to a run.
@@ -69,7 +69,8 @@
 	}
 }
 
-// Doorstep returns an urgent, idempotent request of the inspectors.
+// Doorstep returns an urgent, idempotent request of the inspectors; an inspector waits for its
+// answer.
 func Doorstep(name string, n int) Request {
 	return Request{
 		Kind: "doorstep", Service: "dispatch", Operation: "doorstep", Idempotent: true,
--- a/standin/demo/platform.go
+++ b/standin/demo/platform.go
@@ -26,7 +26,7 @@
 	platformEndTimeout   = 40 * time.Second // covers the leases of a killed placer and the backlog after it
 )
 
-// PlatformOptions configure RunPlatform.
+// PlatformOptions configures RunPlatform.
 type PlatformOptions struct {
 	Daemons  []string // host:port of the callers' API
 	Duration time.Duration
--- a/standin/demo/record.go
+++ b/standin/demo/record.go
@@ -35,7 +35,7 @@
 	Durable        bool   // once accepted, it must run
 	Body           []byte
 	Deadline       time.Duration // time after sending at which the caller gives up
-	AttemptTimeout time.Duration // of one call; 0: until the deadline
+	AttemptTimeout time.Duration // timeout of one call; 0: until the deadline
 }
 
 // Attempt is one call to a daemon.
@@ -58,7 +58,7 @@
 	Attempts     []Attempt
 	FinalOutcome AttemptOutcome
 
-	Result       *worker.RequestResult // set for OutcomeAnswered
+	Result       *worker.RequestResult // set if the final outcome is OutcomeAnswered
 	ResultDigest string
 
 	JobID            string          // of durable requests and jobs
@@ -66,7 +66,7 @@
 	JobResults       []wire.Result   // of a job that succeeded
 	Tasks            int             // number of tasks of a job, 0 for a request
 	IndependentTasks bool            // the job's tasks need not run at the same time
-	Violations       []string        // that the caller found in the answers
+	Violations       []string        // violations that the caller found in the answers
 }
 
 // NewRecord returns the record of a request that is sent now.
--- a/standin/demo/run.go
+++ b/standin/demo/run.go
@@ -42,7 +42,7 @@
 	return Cell{User: parts[0], Journal: parts[1], Daemons: parts[2:]}, nil
 }
 
-// Options configure RunCells.
+// Options configures RunCells.
 type Options struct {
 	Cells     []Cell
 	Duration  time.Duration // time for which requests are sent
@@ -151,7 +151,7 @@
 	return found
 }
 
-// maxUnanswered bounds the unanswered requests that are printed for a cell with faults.
+// maxUnansweredPrinted limits the unanswered requests that are printed for a cell with faults.
 const maxUnansweredPrinted = 10
 
 func printUnanswered(out io.Writer, records []*Record) {
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -21,13 +21,13 @@
 	Refused    int   // reported as not run, with Retry-After
 	Lost       int   // neither answered nor refused with Retry-After
 	Duplicated int   // ran more often than the operation permits
-	P50MS      int64 // of the time from sending to the start of the run
-	P99MS      int64
+	P50MS      int64 // median time from sending to the start of the run
+	P99MS      int64 // 99th percentile of the same time
 }
 
 // Summarise returns a row for each kind of request, sorted by kind.
 func Summarise(records []*Record, entries []worker.Entry) []Row {
-	runs := newIndex(Runs(entries))
+	runs := newRunIndex(Runs(entries))
 	byKind := map[string][]*Record{}
 	var kinds []string
 	for _, r := range records {
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -19,8 +19,8 @@
 	client    net.Conn
 	server    net.Conn
 	opened    time.Time
-	up        stream // It carries data from the client to the target.
-	down      stream // It carries data from the target to the client.
+	up        stream // Data from the client to the target.
+	down      stream // Data from the target to the client.
 	closed    chan struct{}
 	closeOnce sync.Once
 }
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -16,15 +16,15 @@
 
 // Options configures a Proxy.
 type Options struct {
-	Listen string // It has the form IP:port; the default is 127.0.0.1:0.
-	Target string // It has the form IP:port.
+	Listen string // The address is IP:port; the default is 127.0.0.1:0.
+	Target string // The address is IP:port.
 }
 
 // Delay is the body of POST /control/delay. It applies to data that arrives after the
 // call, on open and on new connections.
 type Delay struct {
-	UpMS   int64 `json:"up_ms"`   // It applies from the client to the target.
-	DownMS int64 `json:"down_ms"` // It applies from the target to the client.
+	UpMS   int64 `json:"up_ms"`   // Delay from the client to the target.
+	DownMS int64 `json:"down_ms"` // Delay from the target to the client.
 }
 
 // Mode defines how the proxy treats new connections.
@@ -49,15 +49,15 @@
 // Directions of a connection.
 const (
 	DirectionBoth Direction = ""
-	DirectionUp   Direction = "up"   // It means data from the client to the target.
-	DirectionDown Direction = "down" // It means data from the target to the client.
+	DirectionUp   Direction = "up"   // From the client to the target.
+	DirectionDown Direction = "down" // From the target to the client.
 )
 
 // Silence is the body of POST /control/silence: open connections permanently stop
 // delivering data without being closed.
 type Silence struct {
 	IDs       []int64   `json:"ids,omitempty"`
-	All       bool      `json:"all,omitempty"` // It selects all open connections.
+	All       bool      `json:"all,omitempty"` // If set, all open connections are selected.
 	Direction Direction `json:"direction,omitempty"`
 }
 
@@ -77,7 +77,7 @@
 
 // Connection describes an open connection.
 type Connection struct {
-	ID         int64  `json:"id"` // It increases with each accepted connection.
+	ID         int64  `json:"id"` // IDs increase with each accepted connection.
 	Client     string `json:"client"`
 	AgeMS      int64  `json:"age_ms"`
 	UpBytes    int64  `json:"up_bytes"`
@@ -88,7 +88,7 @@
 
 // Connections is the response to GET /control/connections.
 type Connections struct {
-	Accepted    int64        `json:"accepted"` // It counts connections since the start, including refused ones.
+	Accepted    int64        `json:"accepted"` // Connections accepted since the start, including refused ones.
 	Connections []Connection `json:"connections"`
 }
 
@@ -159,13 +159,13 @@
 }
 
 // SetConnectionPolicy sets the mode of new connections.
-func (p *Proxy) SetConnectionPolicy(n ConnectionPolicy) error {
-	if n.Mode != ModePass && n.Mode != ModeRefuse && n.Mode != ModeSilent {
-		return fault.New(fault.Invalid, "use pass, refuse or silent", "unknown mode %q", n.Mode)
+func (p *Proxy) SetConnectionPolicy(policy ConnectionPolicy) error {
+	if policy.Mode != ModePass && policy.Mode != ModeRefuse && policy.Mode != ModeSilent {
+		return fault.New(fault.Invalid, "use pass, refuse or silent", "unknown mode %q", policy.Mode)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = n.Mode
+	p.mode = policy.Mode
 	return nil
 }
 
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -26,7 +26,7 @@
 type echoServer struct {
 	listener   net.Listener
 	lines      atomic.Int64
-	endedConns atomic.Int64 // It counts connections whose end the server has seen.
+	endedConns atomic.Int64 // Connections whose end the server has seen.
 }
 
 func newEchoServer(t *testing.T) *echoServer {
--- a/standin/integration/load_test.go
+++ b/standin/integration/load_test.go
@@ -17,12 +17,12 @@
 
 const (
 	seed = 20261204
-	// Exceeds the 2 s for which a start order is valid, so that a run that was wrongly
-	// reported as not run has begun by then.
+	// startExpiryWait exceeds the 2 s for which a start order is valid, so that a run that
+	// was wrongly reported as not run has begun by then.
 	startExpiryWait = 2500 * time.Millisecond
 	warmUpTimeout   = 15 * time.Second
 	loadTimeout     = 40 * time.Second
-	retryTimeout    = 3 * time.Second // A caller then abandons the call and retries through another daemon.
+	retryTimeout    = 3 * time.Second // After this time, a caller abandons a call and retries through another daemon.
 )
 
 // warmUp waits until every daemon has answered a doorstep and a certificate request, so
@@ -145,18 +145,18 @@
 		defer cancel()
 		client := demo.NewClient([]string{d.callerURL}, seed)
 		defer client.Close()
-		var ledger demo.Recorder
+		var recorder demo.Recorder
 		var group sync.WaitGroup
 		for n := 1; d.isReady() && ctx.Err() == nil; n++ {
 			request := demo.Doorstep("stop", n)
 			if n%4 == 0 {
 				request = demo.Certificate("stop", n)
 			}
-			group.Go(func() { ledger.Add(client.SendOnce(ctx, d.callerURL, request)) })
+			group.Go(func() { recorder.Add(client.SendOnce(ctx, d.callerURL, request)) })
 			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 		group.Wait()
-		b.records = ledger.Records()
+		b.records = recorder.Records()
 	}()
 	return b
 }
--- a/standin/integration/log_failure_test.go
+++ b/standin/integration/log_failure_test.go
@@ -45,20 +45,20 @@
 // and checks that each is refused as not run, with a retry time.
 func (c *cluster) sendRefusedCertificates(ctx context.Context, client *demo.Client) []*demo.Record {
 	c.Helper()
-	var ledger demo.Recorder
+	var recorder demo.Recorder
 	var group sync.WaitGroup
 	for n := range 20 {
 		request := demo.Certificate("outage", n)
 		request.Deadline = 5 * time.Second
 		url := c.daemons[n%len(c.daemons)].callerURL
-		group.Go(func() { ledger.Add(client.SendOnce(ctx, url, request)) })
+		group.Go(func() { recorder.Add(client.SendOnce(ctx, url, request)) })
 		time.Sleep(200 * time.Millisecond)
 	}
 	group.Wait()
-	for _, r := range ledger.Records() {
+	for _, r := range recorder.Records() {
 		assert.Truef(c, r.RefusedWithRetryAfter(), "a certificate request during the outage was not refused with a retry time: %s, %s", r.FinalOutcome, lastDetail(r))
 	}
-	return ledger.Records()
+	return recorder.Records()
 }
 
 // Guards against treating a lost append reply as a failed append. The consequences are a
--- a/standin/integration/main_test.go
+++ b/standin/integration/main_test.go
@@ -11,13 +11,13 @@
 // binEnv is the environment variable that names the directory with prebuilt binaries.
 const binEnv = "BRIARPROXY_BIN"
 
-var binFolder string
+var binDir string
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
-	binFolder = os.Getenv(binEnv)
-	if binFolder == "" {
+	binDir = os.Getenv(binEnv)
+	if binDir == "" {
 		dir, err := os.MkdirTemp("", "briarproxy-bin-")
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -28,7 +28,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		binFolder = dir
+		binDir = dir
 	}
 	return m.Run()
 }
@@ -42,4 +42,4 @@
 	return nil
 }
 
-func binaryPath(name string) string { return filepath.Join(binFolder, name) }
+func binaryPath(name string) string { return filepath.Join(binDir, name) }
--- a/standin/integration/process_test.go
+++ b/standin/integration/process_test.go
@@ -46,7 +46,7 @@
 	p.cmd.Stderr = file
 	out, err := p.cmd.StdoutPipe()
 	require.NoError(t, err)
-	// The process is killed when the test binary ends, even if that is killed itself.
+	// The kernel kills the process when the test binary ends, even if the test binary is killed.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, p.cmd.Start())
 	_ = file.Close()
@@ -113,7 +113,7 @@
 	timeout := time.After(startTimeout)
 	for {
 		p.mu.Lock()
-		lines, grown := p.lines, p.lineAdded
+		lines, lineAdded := p.lines, p.lineAdded
 		p.mu.Unlock()
 		for _, line := range lines {
 			if strings.HasPrefix(line, prefix) {
@@ -121,7 +121,7 @@
 			}
 		}
 		select {
-		case <-grown:
+		case <-lineAdded:
 		case <-p.exited:
 			require.FailNow(p.t, p.name+" exited before it was ready", "%s", p.logTail())
 		case <-timeout:
--- a/standin/integration/rolling_test.go
+++ b/standin/integration/rolling_test.go
@@ -28,8 +28,8 @@
 // Parameters of the rolling stop test.
 const (
 	rollingCallerCount      = 24
-	minGraceLeft            = 450 * time.Millisecond // A process must exit at least this long before the grace period ends.
-	lossMargin              = 200 * time.Millisecond
+	minGraceLeft            = 450 * time.Millisecond // A process must exit more than this long before the grace period ends.
+	lossMargin              = 200 * time.Millisecond // See requestOutcome.isLost.
 	callerTimeout           = 3 * time.Second
 	balancerMaxFailedChecks = 2
 	balancerCheckInterval   = time.Second
@@ -291,8 +291,8 @@
 
 // Guards against requests that a daemon accepts but does not answer during a graceful stop,
 // which callers see as LOST during rolling restarts. Also guards against a stop that exceeds
-// the grace period or that a second signal breaks, and against refused jobs that run. All
-// daemons are stopped in turn, 0.8 to 1.2 s or 0.1 s apart, while callers reuse their
+// the grace period or fails because of a second signal, and against refused jobs that run.
+// All daemons are stopped in turn, 0.8 to 1.2 s or 0.1 s apart, while callers reuse their
 // connections and the store is slow at times.
 func TestPlatformRollingStops(t *testing.T) {
 	t.Parallel()
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -185,9 +185,9 @@
 	}
 }
 
-// Guards the guarantees to callers under single and concurrent faults of the real programs.
-// Accepted jobs complete, no task runs twice at the same time or again after it is done, no
-// worker is overcommitted, and refused jobs never run.
+// Guards against broken guarantees to callers under single and concurrent faults of the
+// real programs: an accepted job that does not complete, a task that runs twice at the same
+// time or again after it is done, an overcommitted worker, or a refused job that runs.
 func TestPlatformSoak(t *testing.T) {
 	duration := defaultSoakDuration
 	if text := os.Getenv(soakEnv); text != "" {
--- a/standin/integration/worker_failure_test.go
+++ b/standin/integration/worker_failure_test.go
@@ -146,9 +146,10 @@
 // owner requests a report every 2 s.
 const isolationTimeout = 3 * time.Second
 
-// startsAfterIsolation counts the starts on a VM later than isolationTimeout after the VM
-// should be isolated: at its third failure, or later if only one operation has failed until
-// then.
+// startsAfterIsolation counts the starts on a VM that come more than isolationTimeout after
+// the failures that should isolate it, and reports whether there were such failures. A VM
+// should be isolated after its third failure, or after a later one if all failures before
+// are of the same operation.
 func (c *cluster) startsAfterIsolation(vm string, from time.Time) (late int, isolated bool) {
 	c.Helper()
 	failures := 0
--- a/standin/load/cell.go
+++ b/standin/load/cell.go
@@ -20,7 +20,7 @@
 //go:embed cell/objects.jsonc
 var configObjects string
 
-// Options configure a cell. The daemons use their own defaults for empty settings.
+// Options configures a cell. The daemons use their own defaults for empty settings.
 type Options struct {
 	Bin         string // directory of the built programs
 	Daemons     int
--- a/standin/load/process.go
+++ b/standin/load/process.go
@@ -26,8 +26,8 @@
 	logFile string
 }
 
-// launch starts a program from Options.Bin. Its standard error is appended to a
-// file in the cell's directory.
+// launch starts a program from the directory of built programs. Its standard error is
+// appended to a file in the cell's directory.
 func (c *Cell) launch(name, program string, args ...string) (*process, error) {
 	p := &process{name: name, lines: make(chan string, 1024), exited: make(chan struct{})}
 	p.logFile = filepath.Join(c.dir, name+".log")
--- a/standin/load/recovery.go
+++ b/standin/load/recovery.go
@@ -16,7 +16,7 @@
 	probeInterval      = 100 * time.Millisecond
 	probeTimeout       = 4 * time.Second
 	quietPeriod        = 4 * time.Second // time without a failed or slow probe after which a cell has recovered
-	slowProbeThreshold = time.Second     // least wait of a slow probe
+	slowProbeThreshold = time.Second     // a probe that waits at least this long counts as slow
 	pauseDuration      = 10 * time.Second
 	longJobTasks       = 96
 )
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Measurement is a measurement that Run can make.
+// Measurement names a measurement that Run can make.
 type Measurement string
 
 // Values of Measurement. Each needs a cell of several daemons.
@@ -33,8 +33,8 @@
 		return err
 	}
 	defer c.Stop()
-	for _, part := range plan.Measurements {
-		if err := c.measure(part, plan, r); err != nil {
+	for _, measurement := range plan.Measurements {
+		if err := c.measure(measurement, plan, r); err != nil {
 			return err
 		}
 	}
@@ -45,8 +45,8 @@
 	return nil
 }
 
-func (c *Cell) measure(part Measurement, plan Plan, r *Report) error {
-	switch part {
+func (c *Cell) measure(measurement Measurement, plan Plan, r *Report) error {
+	switch measurement {
 	case MeasurementIdle:
 		return c.measureIdle(r, plan.Duration)
 	case MeasurementWaits:
--- a/standin/load/waits.go
+++ b/standin/load/waits.go
@@ -158,8 +158,8 @@
 }
 
 // awaitDurableJobs waits until every accepted durable request has ended, and returns the
-// time that this took and the number of requests that were lost: those of which the first
-// daemon reports no end within drainTimeout.
+// time that this took and the number of lost requests. A request counts as lost if the first
+// daemon does not report its end within drainTimeout.
 func (c *Cell) awaitDurableJobs(results []requestResult) (time.Duration, int) {
 	began := time.Now()
 	var open []string
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -48,7 +48,7 @@
 
 	mu          sync.Mutex
 	latest      []wire.VM
-	versions    []version // They are in order of time, and the first is the visible one.
+	versions    []version // Versions are in order of time; the first is the visible one.
 	outageUntil time.Time
 }
 
--- a/standin/worker/attempt.go
+++ b/standin/worker/attempt.go
@@ -19,10 +19,10 @@
 	startedAt  time.Duration
 	endedAt    time.Duration
 	leaseUntil time.Duration
-	usage      resource.Vector // This is the actual use while the attempt runs.
+	usage      resource.Vector // The actual use while the attempt runs.
 	checkpoint bool
 	result     *wire.Result
-	done       chan struct{} // It is closed when the attempt ends or the worker restarts.
+	done       chan struct{} // Closed when the attempt ends or the worker restarts.
 
 	// completedWork is the progress up to progressAt, as run time at full speed.
 	completedWork time.Duration
@@ -57,7 +57,7 @@
 // they have ended, were forbidden by a stop, or were refused finally.
 type generationHistory struct {
 	highestGeneration int64               // This generation and all lower ones may not start any more.
-	outcomes          []generationOutcome // It lists the generations that ran.
+	outcomes          []generationOutcome // The generations that ran.
 	updatedAt         time.Duration
 }
 
--- a/standin/worker/behaviour.go
+++ b/standin/worker/behaviour.go
@@ -42,7 +42,7 @@
 	ResponseDelayMS   int64    `json:"late_answers_ms,omitempty"`  // Each response is delayed by this time.
 	Paths             []string `json:"paths,omitempty"`            // Only responses on these protocol paths are faulty; empty means all paths.
 	FaultProbability  float64  `json:"share,omitempty"`            // Each response is faulty with this probability; 0 means that all are.
-	Seed              int64    `json:"seed,omitempty"`             // It seeds the random choice of faulty responses.
+	Seed              int64    `json:"seed,omitempty"`             // Seed of the random choice of faulty responses.
 	ActualUseFactor   float64  `json:"real_use,omitempty"`         // The actual use is this multiple of the declared size; 0 means 1.
 	RunTimeFactor     float64  `json:"run_time,omitempty"`         // The actual run time is this multiple of the planned one; 0 means 1.
 }
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -39,10 +39,10 @@
 // Entry is one line of a journal. Seq numbers the entries of one journal from 1.
 type Entry struct {
 	Seq         int64           `json:"seq"`
-	TimeUS      int64           `json:"time_us"` // This is the Unix time in microseconds.
+	TimeUS      int64           `json:"time_us"` // Unix time in microseconds.
 	VM          string          `json:"vm"`
 	Incarnation int64           `json:"incarnation"`
-	ClockMS     int64           `json:"clock_ms"` // This is the reading of the worker's own clock.
+	ClockMS     int64           `json:"clock_ms"` // Reading of the worker's own clock.
 	Event       JournalEvent    `json:"event"`
 	ID          string          `json:"id,omitempty"`
 	Generation  int64           `json:"generation,omitempty"`
@@ -52,11 +52,11 @@
 	Job         string          `json:"job,omitempty"`
 	State       wire.RunState   `json:"state,omitempty"`
 	Reason      string          `json:"reason,omitempty"`
-	Digest      string          `json:"digest,omitempty"`      // EventEnd sets it to the digest of the result.
-	BodyDigest  string          `json:"body_digest,omitempty"` // EventStart sets it to the digest of the start's body.
-	OverdueUS   int64           `json:"overdue_us,omitempty"`  // ReasonLeaseExpired sets it to the time since the expiry, which a paused worker detects late.
-	InUse       resource.Vector `json:"in_use"`                // This is the sum of the running attempts' declared sizes after the event.
-	ActualUse   resource.Vector `json:"real_use"`              // This is the sum of the running attempts' actual use after the event.
+	Digest      string          `json:"digest,omitempty"`      // Digest of the result; set for EventEnd.
+	BodyDigest  string          `json:"body_digest,omitempty"` // Digest of the start's body; set for EventStart.
+	OverdueUS   int64           `json:"overdue_us,omitempty"`  // Time since the lease expired, which a paused worker detects late; set for ReasonLeaseExpired.
+	InUse       resource.Vector `json:"in_use"`                // Sum of the running attempts' declared sizes after the event.
+	ActualUse   resource.Vector `json:"real_use"`              // Sum of the running attempts' actual use after the event.
 	Capacity    resource.Vector `json:"capacity"`
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -30,7 +30,7 @@
 	AllowOvercommit         bool                 // The worker accepts work beyond its capacity and journals each overload.
 	DisableFencing          bool                 // The worker ignores epochs and not_after, as in pools with the setting fencing: false.
 	Operations              map[string]Operation // The keys are names of operations.
-	DefaultOperationRunTime time.Duration        // It applies if neither the operation nor the task sets a run time.
+	DefaultOperationRunTime time.Duration        // Run time if neither the operation nor the task sets one.
 	UsageLag                time.Duration        // Reports show the usage of this long ago; a negative value means no lag.
 	ResultRetention         time.Duration        // Results wait this long for an ack.
 	HistoryRetention        time.Duration        // States of ended attempts and tombstones are retained for this long.
@@ -76,8 +76,8 @@
 	epoch           int64
 	draining        bool
 	runningAttempts map[string]*attempt
-	endedAttempts   map[string][]*attempt         // It holds ended attempts with their results by ID, until an ack or for ResultRetention.
-	histories       map[string]*generationHistory // It holds the generations that may not start any more, by ID.
+	endedAttempts   map[string][]*attempt         // Ended attempts with their results by ID, until an ack or for ResultRetention.
+	histories       map[string]*generationHistory // The generations that may not start any more, by ID.
 	lastPurge       time.Duration
 	inUse           resource.Vector
 	actualUse       resource.Vector
@@ -272,7 +272,7 @@
 // recordEnd stores an ended attempt with its result and wakes the request that waits for it.
 func (w *Worker) recordEnd(a *attempt, now time.Duration) {
 	a.endedAt = now
-	a.start.Body = nil // This saves memory, because many results are retained and none needs the body.
+	a.start.Body = nil // Frees memory: many ended attempts are retained, and none needs its body.
 	w.endedAttempts[a.start.ID] = append(w.endedAttempts[a.start.ID], a)
 	w.recordGeneration(a.start.ID, a.start.Generation, a.state, now)
 	close(a.done)
