--- a/standin/demo/run.go
+++ b/standin/demo/run.go
@@ -15,9 +15,9 @@
 
 // Cell is a running cluster of daemons and workers, with the user whose work it runs.
 type Cell struct {
-	User    string
-	Daemons []string // base URLs of the callers' API
-	Journal string   // file to which its workers write their journal
+	User        string
+	Daemons     []string // base URLs of the callers' API
+	JournalPath string   // file to which its workers write their journal
 }
 
 // ParseCells parses cells written as USER,JOURNAL,URL,URL... Errors are of kind
@@ -39,7 +39,7 @@
 	if len(parts) < 3 {
 		return Cell{}, fault.New(fault.Invalid, "use USER,JOURNAL,URL,URL...", "cell %q is incomplete", text)
 	}
-	return Cell{User: parts[0], Journal: parts[1], Daemons: parts[2:]}, nil
+	return Cell{User: parts[0], JournalPath: parts[1], Daemons: parts[2:]}, nil
 }
 
 // Options configures RunCells.
@@ -92,7 +92,7 @@
 	defer client.Close()
 	records := SendStreams(ctx, client, streams, options.Duration, options.Seed)
 	sleep(ctx, settleTime)
-	entries, err := ReadJournal(c.Journal)
+	entries, err := ReadJournal(c.JournalPath)
 	if err != nil {
 		return cellResult{err: err}
 	}
