A gang no longer holds the workers of long-running tasks

Cause: a placer that takes over gave each adopted run the expected end "now plus the estimate". A long-running task has no estimate, so its end was "now" and not "unknown", and it counted as about to end. A gang that needed the room was then given a hold on the workers of such tasks, renewed at each planning pass without end, and a held worker refuses all work that doesn't end before the hold begins. A long-running task with an estimate had the same effect without any takeover.

Change: flow.Step.ExpectedRunTime says how long a task is expected to run, unknown for long-running tasks; placing and adopting both use it, and place.Task.SetExpectedRunTime is the only way to an expected end.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -29,6 +29,15 @@
 	MaxUnavailable int             `json:"m,omitempty"` // maximum number of tasks that may be disrupted on purpose at the same time
 }
 
+// ExpectedRunTime returns the expected run time of a task, or 0 if it is unknown. A long-running
+// task ends only when its job is cancelled, whatever the caller's estimate.
+func (s *Step) ExpectedRunTime() time.Duration {
+	if s.LongRunning {
+		return 0
+	}
+	return time.Duration(s.EstimateMS) * time.Millisecond
+}
+
 // Submit accepts a job. Only the first submission of an id takes effect.
 type Submit struct {
 	ID          string `json:"id"`
--- a/core/place/verify.go
+++ b/core/place/verify.go
@@ -125,12 +125,19 @@
 		Resources: ask.Resources, Priority: ask.Priority,
 		Preemptible: ask.Preemptible, Checkpointable: ask.CheckpointOK, SpreadRacks: ask.SpreadRacks,
 	}
-	if ask.RunMS > 0 {
-		t.ExpectedEnd = now + time.Duration(ask.RunMS)*time.Millisecond
-	}
+	t.SetExpectedRunTime(time.Duration(ask.RunMS)*time.Millisecond, now)
 	return t
 }
 
+// SetExpectedRunTime sets the expected end of a task that runs for the given time from now on; 0
+// means unknown.
+func (t *Task) SetExpectedRunTime(runTime, now time.Duration) {
+	t.ExpectedEnd = 0
+	if runTime > 0 {
+		t.ExpectedEnd = now + runTime
+	}
+}
+
 // restoreCommitted undoes bookings of a planning run. Unlike adjustCommitted, it
 // keeps the capacity version: the pool is as it was before the bookings, so shapes
 // that did not fit then still do not fit.
--- /dev/null
+++ b/core/placer/hold_test.go
@@ -0,0 +1,72 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/core/resource"
+)
+
+// cellWithOccupiedWorkers returns a cell of four workers, of which the two with label b each run a
+// task of the given step that leaves too little room for a member of waitingGang.
+func cellWithOccupiedWorkers(t *testing.T, occupant flow.Step) *fakeCell {
+	c := newFakeCell(t, 4, workerCapacity)
+	for _, id := range []string{"w02", "w03"} {
+		c.workers[id].Labels = []string{"b", "r0"}
+	}
+	c.runTime = func(s cluster.Start) time.Duration {
+		if s.Job == "occupant" {
+			return time.Hour
+		}
+		return 800 * time.Millisecond
+	}
+	c.takeOver()
+	c.advance(200 * time.Millisecond)
+	occupant.Count, occupant.Size, occupant.Label = 2, resource.Vector{MilliCores: 10_000, MemoryMiB: 4096}, "b"
+	c.submit("occupant", occupant)
+	c.advance(500 * time.Millisecond)
+	require.Equal(t, 2, c.starts)
+	return c
+}
+
+// waitingGang returns a gang that does not fit beside the occupants.
+func waitingGang() flow.Step {
+	return flow.Step{Count: 2, Size: resource.Vector{MilliCores: 12_000, MemoryMiB: 4096}, EstimateMS: 800, Label: "b", Gang: true}
+}
+
+// requireSmallJobRuns fails the test unless a job that fits beside the occupants runs within a second.
+func (c *fakeCell) requireSmallJobRuns() {
+	small := flow.Step{Count: 2, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 800, Label: "b"}
+	c.submit("small", small)
+	c.advance(2 * time.Second)
+	require.Equal(c.t, flow.Completed, c.state.Jobs["small"].Phase, "the workers have room and are held for a gang that can't start")
+}
+
+// Guards against a gang that holds the workers of long-running tasks against all other work, for
+// ends that never come.
+func TestGangDoesNotHoldWorkersOfLongRunningTasks(t *testing.T) {
+	cases := map[string]struct {
+		estimateMS int64
+		disturb    func(c *fakeCell)
+	}{
+		"after a takeover": {disturb: func(c *fakeCell) { c.takeOver() }},
+		"with an estimate":                  {estimateMS: 600},
+		"with an estimate after a takeover": {estimateMS: 600, disturb: func(c *fakeCell) { c.takeOver() }},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := cellWithOccupiedWorkers(t, flow.Step{LongRunning: true, EstimateMS: test.estimateMS})
+			if test.disturb != nil {
+				test.disturb(c)
+			}
+			c.advance(8 * time.Second)
+			c.submit("gang", waitingGang())
+			c.advance(2 * time.Second)
+			c.requireSmallJobRuns()
+		})
+	}
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -341,7 +341,7 @@
 func (p *Placer) cellTask(r *run, now time.Duration) place.Task {
 	task := place.Task{ID: cellTaskID(r.TaskID), Job: cellJobID(r.StepID()), Generation: int64(r.Run), Resources: r.size}
 	if j := p.state.Jobs[r.Job]; j != nil && r.Step < len(j.Steps) {
-		task.ExpectedEnd = now + time.Duration(j.Steps[r.Step].EstimateMS)*time.Millisecond
+		task.SetExpectedRunTime(j.Steps[r.Step].ExpectedRunTime(), now)
 	}
 	return task
 }
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -268,7 +268,7 @@
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
 			TaskID: cellTaskID(step.taskID(index)), Job: cellJobID(step.id), Generation: int64(step.nextRun(index)), Pool: step.job.Pool,
-			Resources: reservedResources(step.def), RunMS: step.def.EstimateMS, AvoidVMs: avoid, Among: workers,
+			Resources: reservedResources(step.def), RunMS: step.def.ExpectedRunTime().Milliseconds(), AvoidVMs: avoid, Among: workers,
 			Label: step.def.Label, NearRack: step.def.NearRack, PerVM: step.def.MaxPerWorker,
 		}
 		if allOrNothing {
