A gang no longer holds the workers of overdue tasks

A task that stands still, or runs many times its estimate, let a gang hold its worker against all other work.

Change: a task that has run for twice its expected time is overdue and has no expected end any more (place.Task.OverdueAt), so its worker is held only if the gang fits beside it. Cell.SetExpectedEnd, which nothing called, is gone.

Measured: TestGangDoesNotHoldWorkersOfOverdueTasks fails before and passes after.

Conclusion: an expected end is used only while it can still be right.

--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"briarproxy/core/resource"
 )
@@ -408,16 +407,6 @@
 	return c.Resize(taskID, generation, size)
 }
 
-// SetExpectedEnd changes the time at which a task attempt is expected to end.
-func (c *Cell) SetExpectedEnd(taskID string, generation int64, end time.Duration) bool {
-	i, n := c.findAttempt(taskID, generation)
-	if n < 0 {
-		return false
-	}
-	c.states[i].Tasks[n].ExpectedEnd = end
-	return true
-}
-
 // findAttempt returns the worker of a task attempt and the position in its tasks,
 // which is -1 if the attempt is not placed.
 func (c *Cell) findAttempt(taskID string, generation int64) (int32, int) {
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -93,11 +93,11 @@
 }
 
 // lastExpectedEnd returns the time at which all tasks of the worker are expected to
-// have ended, and false if the end of a task is unknown.
+// have ended, and false if the end of a task is unknown or the task is overdue.
 func lastExpectedEnd(w *WorkerState, now time.Duration) (time.Duration, bool) {
 	end := now
 	for n := range w.Tasks {
-		if w.Tasks[n].ExpectedEnd == 0 {
+		if t := &w.Tasks[n]; t.ExpectedEnd == 0 || now > t.OverdueAt {
 			return 0, false
 		}
 		end = max(end, w.Tasks[n].ExpectedEnd)
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -31,6 +31,7 @@
 	Throttled      bool          // its cores are already limited by a preemption
 	SpreadRacks    bool          // counted per rack, to spread the job's next tasks over racks
 	ExpectedEnd    time.Duration // on the boot clock; 0 means unknown
+	OverdueAt      time.Duration // from then on a task that still runs has no expected end
 }
 
 // Hold reserves a worker for one gang or task.
--- a/core/place/verify.go
+++ b/core/place/verify.go
@@ -129,12 +129,16 @@
 	return t
 }
 
+// overdueFactor is the multiple of its expected run time after which a task counts as overdue.
+// Estimates of callers are often off by half.
+const overdueFactor = 2
+
 // SetExpectedRunTime sets the expected end of a task that runs for the given time from now on; 0
 // means unknown.
 func (t *Task) SetExpectedRunTime(runTime, now time.Duration) {
-	t.ExpectedEnd = 0
+	t.ExpectedEnd, t.OverdueAt = 0, 0
 	if runTime > 0 {
-		t.ExpectedEnd = now + runTime
+		t.ExpectedEnd, t.OverdueAt = now+runTime, now+overdueFactor*runTime
 	}
 }
 
--- a/core/placer/hold_test.go
+++ b/core/placer/hold_test.go
@@ -53,7 +53,7 @@
 		estimateMS int64
 		disturb    func(c *fakeCell)
 	}{
-		"after a takeover": {disturb: func(c *fakeCell) { c.takeOver() }},
+		"after a takeover":                  {disturb: func(c *fakeCell) { c.takeOver() }},
 		"with an estimate":                  {estimateMS: 600},
 		"with an estimate after a takeover": {estimateMS: 600, disturb: func(c *fakeCell) { c.takeOver() }},
 	}
@@ -70,3 +70,13 @@
 		})
 	}
 }
+
+// Guards against a gang that holds the workers of tasks that run far longer than estimated, and so
+// keeps all other work off them for as long as these tasks run.
+func TestGangDoesNotHoldWorkersOfOverdueTasks(t *testing.T) {
+	c := cellWithOccupiedWorkers(t, flow.Step{EstimateMS: 600})
+	c.advance(8 * time.Second)
+	c.submit("gang", waitingGang())
+	c.advance(2 * time.Second)
+	c.requireSmallJobRuns()
+}
