A hold ends with the reason for it

Change: a hold is released when its job ends, when no plan for a hold is possible any more, and a new plan takes the place of the former one.

Measured: TestCancelledGangReleasesItsHold and TestGangThatCannotStartReleasesItsHold fail before and pass after.

Conclusion: no path is known any more on which a worker is held for a gang that gains nothing.

--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -132,10 +132,11 @@
 	return slices.ContainsFunc(c.heldWorkers[owner], func(i int32) bool { return c.holdInForce(i, owner, now) })
 }
 
-// ApplyHold holds the workers of the plan and returns the number of workers held.
-// A worker that is held for another owner keeps that hold.
+// ApplyHold holds the workers of the plan, instead of those that the gang held before, and
+// returns the number of workers held. A worker that is held for another owner keeps that hold.
 func (c *Cell) ApplyHold(plan HoldPlan, now time.Duration) int {
 	c.releaseExpiredHolds(now)
+	c.ReleaseHold(plan.Gang)
 	held := 0
 	for _, vm := range plan.VMs {
 		if c.hold(vm, Hold{Owner: plan.Gang, Start: plan.Start, Expires: plan.Expires}, now) {
--- a/core/placer/hold_test.go
+++ b/core/placer/hold_test.go
@@ -80,3 +80,28 @@
 	c.advance(2 * time.Second)
 	c.requireSmallJobRuns()
 }
+
+// Guards against workers that stay held for a gang whose job was cancelled.
+func TestCancelledGangReleasesItsHold(t *testing.T) {
+	c := cellWithOccupiedWorkers(t, flow.Step{EstimateMS: 20_000})
+	c.submit("gang", waitingGang())
+	c.advance(2 * time.Second)
+	require.NoError(t, c.append(flow.Record{Cancel: &flow.Cancel{ID: "gang", AtMS: c.wallMS()}}))
+	long := flow.Step{Count: 2, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 30_000, Label: "b"}
+	c.submit("long", long)
+	c.advance(time.Second)
+	require.NotEqual(t, flow.Queued, c.state.Jobs["long"].Phase, "the workers have room and are held for a cancelled gang")
+}
+
+// Guards against workers that stay held for a gang that can't use them any more.
+func TestGangThatCannotStartReleasesItsHold(t *testing.T) {
+	c := cellWithOccupiedWorkers(t, flow.Step{EstimateMS: 20_000})
+	c.submit("gang", waitingGang())
+	c.advance(2 * time.Second)
+	c.workers["w03"].Draining = true // the only other worker with the label
+	c.publishRegistry()
+	long := flow.Step{Count: 2, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 30_000, Label: "b"}
+	c.submit("long", long)
+	c.advance(time.Second)
+	require.NotEqual(t, flow.Queued, c.state.Jobs["long"].Phase, "the worker has room and is held for a gang that does not fit any more")
+}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -380,6 +380,8 @@
 	plan, ok := p.cell.PlanHold(p.taskAsks(step, tasks, workers, true), place.Options{}, maxHoldShare, now, holdValidity)
 	if ok {
 		p.cell.ApplyHold(plan, now)
+	} else {
+		p.cell.ReleaseHold(cellJobID(step.id))
 	}
 	return true
 }
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -116,6 +116,7 @@
 	delete(p.jobs, jobID)
 	for stepID := range pending.activated {
 		delete(p.steps, stepID)
+		p.cell.ReleaseHold(cellJobID(stepID))
 		for i := range pending.job.Steps[stepID.Step].Count {
 			if r := p.runs[cluster.TaskID{Job: jobID, Occurrence: stepID.Occurrence, Step: stepID.Step, Index: i}]; r != nil {
 				r.wanted = false
