A new placer waits for the leases of all earlier placers, not only the last one's

Cause: a new placer asked only the placer of the claim just before its own to stop, and took its answer, its release or its restart for the end of the leases of all earlier placers: the bound on inherited leases fell from 19 s to 4.95 s. A placer before that one, cut off from the log and from all daemons, renews leases for up to 14 s meanwhile. Two daemons that claim at the same moment are enough, as the first of them answers at once.

Ruled out: a refused connection never counted as the end of a process, as the check did not see through the wrapped error; it is gone, and the four tries at once with it.

The bound after the restart of a worker is a value of its own, which the answer of a former placer no longer shortens.

Observability: event 936 names the earlier placers asked, "lease ended" says who granted the last lease.

Conclusion: what a placer knows of another one's leases comes from that placer, from its process's end, or from time.

--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -33,6 +33,7 @@
 	Claim      Claim          `json:"c"`
 	Token      int64          `json:"k"` // fencing token of the claim
 	Members    []Hello        `json:"m,omitempty"`
+	Superseded []Claim        `json:"u,omitempty"` // see State.Superseded
 }
 
 // savedJob is the stored form of a job with its steps and tasks.
@@ -104,6 +105,9 @@
 	for _, m := range s.Members {
 		head.Members = append(head.Members, m.Hello)
 	}
+	for _, c := range s.Superseded {
+		head.Superseded = append(head.Superseded, c.Claim)
+	}
 	full, ended := s.jobsForSnapshot(now)
 	chunks, err := encodeFullJobs(full, generation, now)
 	if err != nil {
@@ -230,10 +234,14 @@
 	return s, nil
 }
 
-// RestoreMembership sets the claim and adds the members that the head of a snapshot describes.
-// Jobs and the other members stay as they are.
+// RestoreMembership sets the claims and adds the members that the head of a snapshot describes.
+// Jobs and the other members stay as they are. How long ago a claim was superseded is not known, so
+// that time is taken to be now.
 func (s *State) RestoreMembership(head *SnapshotHead, now time.Duration) {
-	s.Claim = head.Claim
+	s.Claim, s.Superseded = head.Claim, nil
+	for _, c := range head.Superseded {
+		s.Superseded = append(s.Superseded, SupersededClaim{Claim: c, At: now})
+	}
 	for _, h := range head.Members {
 		s.Members[h.Daemon] = Member{Hello: h, LastSeen: now}
 	}
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -196,3 +196,25 @@
 		require.True(t, fault.Is(err, fault.Invalid), "%s: %v", invalid, err)
 	}
 }
+
+// Guards against a daemon that starts from a snapshot and does not know of an earlier placer that may
+// still renew leases.
+func TestSnapshotKeepsSupersededClaims(t *testing.T) {
+	s := NewState()
+	for _, r := range []Record{
+		{Claim: &Claim{Daemon: "a", Epoch: 1, StartedMS: 1}},
+		{Claim: &Claim{Daemon: "b", Epoch: 2, StartedMS: 1}},
+		{Release: &Release{Daemon: "b", Epoch: 2}},
+		{Claim: &Claim{Daemon: "c", Epoch: 3, StartedMS: 1}},
+	} {
+		require.NoError(t, s.Apply(&r, time.Second))
+	}
+	head, chunks, err := s.Snapshot(1, 2*time.Second)
+	require.NoError(t, err)
+	restored, err := Restore(head, chunks, 9*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, []SupersededClaim{{Claim{Daemon: "a", Epoch: 1, StartedMS: 1}, 9 * time.Second}}, restored.Superseded)
+	restarted := Record{Hello: &Hello{Daemon: "a", StartedMS: 2}}
+	require.NoError(t, restored.Apply(&restarted, 10*time.Second))
+	require.Empty(t, restored.Superseded, "the process that claimed has ended")
+}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"briarproxy/core/cluster"
@@ -113,14 +114,25 @@
 	LastSeen time.Duration // boot-clock time of the last Hello
 }
 
+// SupersededClaim is a claim that a later one followed although it was not released. Its placer may
+// not know of the later claim, and may still renew leases of workers.
+type SupersededClaim struct {
+	Claim
+	At time.Duration // boot-clock time at which the next claim was applied; the placer has appended no record since
+}
+
+// supersededRetention is longer than any placer works without the log.
+const supersededRetention = time.Minute
+
 // State is the state that the records of one log partition describe. It is not safe for
 // concurrent use.
 type State struct {
 	Jobs       map[string]*Job
-	Claim      Claim         // newest claim; Daemon is "" if there is none, it was released or its process has ended
-	ClaimToken int64         // fencing token of the newest claim: the claim's offset plus one
-	LastHeard  time.Duration // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
-	ClaimedAt  time.Duration // boot-clock time at which the newest claim was applied
+	Claim      Claim             // newest claim; Daemon is "" if there is none, it was released or its process has ended
+	Superseded []SupersededClaim // claims before the newest one whose placers are not known to have stopped
+	ClaimToken int64             // fencing token of the newest claim: the claim's offset plus one
+	LastHeard  time.Duration     // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
+	ClaimedAt  time.Duration     // boot-clock time at which the newest claim was applied
 	Members    map[string]Member
 	NextOffset int64          // offset of the next record
 	Pending    map[string]int // by queue: number of jobs without a due time that have not begun
@@ -142,6 +154,7 @@
 	case r.Cancel != nil:
 		return s.applyCancel(r.Cancel, now)
 	case r.Claim != nil:
+		s.supersedeClaim(r.Claim.Daemon, now)
 		s.Claim, s.ClaimToken, s.LastHeard, s.ClaimedAt = *r.Claim, offset+1, now, now
 	case r.Release != nil:
 		if r.Release.Epoch == s.Claim.Epoch {
@@ -157,6 +170,17 @@
 	return nil
 }
 
+// supersedeClaim notes that the given daemon follows the present claim, if that is not released. A
+// daemon claims only when it does not place, so its own earlier claims need no note.
+func (s *State) supersedeClaim(successor string, now time.Duration) {
+	if s.Claim.Daemon != "" {
+		s.Superseded = append(s.Superseded, SupersededClaim{Claim: s.Claim, At: now})
+	}
+	s.Superseded = slices.DeleteFunc(s.Superseded, func(c SupersededClaim) bool {
+		return c.Daemon == successor || now-c.At > supersededRetention
+	})
+}
+
 // Skip advances past a record that cannot be decoded.
 func (s *State) Skip() { s.NextOffset++ }
 
@@ -207,6 +231,7 @@
 	if h.Daemon == s.Claim.Daemon && h.StartedMS > s.Claim.StartedMS {
 		s.Claim.Daemon = "" // the daemon has restarted, so the process that claimed has ended
 	}
+	s.Superseded = slices.DeleteFunc(s.Superseded, func(c SupersededClaim) bool { return c.Daemon == h.Daemon && c.StartedMS < h.StartedMS })
 	s.Members[h.Daemon] = Member{Hello: h, LastSeen: now}
 }
 
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -141,6 +141,13 @@
 	c.publishRegistry()
 }
 
+// retireFormerPlacers tells the placer that all former ones have stopped.
+func (c *fakeCell) retireFormerPlacers() {
+	for _, former := range c.placer.FormerPlacers(c.now) {
+		c.placer.FormerPlacerRetired(former.Daemon, former.Epoch, c.now)
+	}
+}
+
 func (c *fakeCell) publishRegistry() {
 	var list []cluster.Worker
 	for _, w := range c.workers {
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -219,7 +219,7 @@
 	w.placer = nil
 	w.generate(6*time.Second, 1)
 	w.takeOver()
-	w.placer.FormerPlacerRetired(w.now)
+	w.retireFormerPlacers()
 	w.generate(9*time.Second, 1)
 	require.Less(t, len(w.placer.steps), 400, "%v", w)
 }
@@ -233,7 +233,7 @@
 	w.placer = nil
 	w.generate(12*time.Second, 1)
 	w.takeOver()
-	w.placer.FormerPlacerRetired(w.now)
+	w.retireFormerPlacers()
 	w.generate(2*time.Second, 1)
 	w.resetCounts()
 	w.generate(5*time.Second, 1)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -162,6 +162,7 @@
 	token          int64
 	epoch          int64
 	createdAt      time.Duration
+	formerPlacers  []formerPlacer
 	planNeeded     bool // something has changed since the last planning pass
 	decisions      []Decision
 	queuedCommands []Command
@@ -191,6 +192,7 @@
 	}
 	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
+	p.setFormerPlacers(now)
 	for _, job := range state.Jobs {
 		p.adoptRuns(job, now)
 	}
@@ -219,7 +221,7 @@
 				}
 				p.runs[id] = r
 				v.runs[id] = r
-				v.inheritedLeaseEnd = now + p.options.Lease + p.options.MaxRenewalWithoutLog + leaseMargin
+				v.hasFormerLease = true
 			}
 		}
 	}
@@ -359,13 +361,14 @@
 		listedRuns[report.Ended[i].RunID] = true
 	}
 	v.resetLife(report.Life)
-	v.inheritedLeaseEnd = now + p.options.MaxLease + leaseMargin
+	v.hasFormerLease = false // the report proves that this incarnation has seen this placer's token
+	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
 		r.wasListed = false
 		switch {
 		case !r.mayHaveStarted() || listedRuns[r.RunID]:
 		case r.state == starting || r.state == uncertain || r.answeredAt >= v.pollSentAt || r.mayStartLate(now):
-			v.inheritedLeaseEnd = now + maxCommandDelay + p.options.MaxLease + leaseMargin
+			v.lateLeaseEnd = now + maxCommandDelay + p.options.MaxLease + leaseMargin
 		default:
 			p.endRun(r, cluster.Lost, "", now)
 		}
@@ -373,13 +376,3 @@
 	p.cell.RemoveWorker(v.Life.Worker)
 	p.updateCellWorker(v, now)
 }
-
-// FormerPlacerRetired is called when the former placer sends no more commands: the runs that it
-// started end at the latest with the leases that it has granted until now.
-func (p *Placer) FormerPlacerRetired(now time.Duration) {
-	for _, v := range p.vms {
-		if v.inheritedLeaseEnd > 0 {
-			v.inheritedLeaseEnd = min(v.inheritedLeaseEnd, now+p.options.Lease+leaseMargin)
-		}
-	}
-}
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -127,7 +127,7 @@
 	lost := c.busyWorker()
 	lost.up, lost.inRegistry = false, false
 	c.takeOver()
-	c.placer.FormerPlacerRetired(c.now)
+	c.retireFormerPlacers()
 	c.advance(6*time.Second + 3*time.Second)
 	require.Equal(t, map[flow.Phase]int{flow.Completed: 1}, c.jobsByPhase())
 }
@@ -218,7 +218,7 @@
 			w.partitioned = false
 		}
 		c.takeOver()
-		c.placer.FormerPlacerRetired(c.now)
+		c.retireFormerPlacers()
 		c.advance(40 * time.Second)
 		phases := c.jobsByPhase()
 		require.Equal(t, jobs, phases[flow.Completed]+phases[flow.Cancelled], "seed %d: %v", seed, phases)
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -33,8 +33,10 @@
 
 // endExpiredRuns ends the runs of workers on which all leases have certainly expired.
 func (p *Placer) endExpiredRuns(now time.Duration) {
+	formerLeaseEnd := p.formerLeaseEnd()
 	for _, v := range p.vms {
-		if len(v.runs) == 0 || now <= v.leaseEnd() {
+		end, grantedBy := v.leaseEnd(formerLeaseEnd)
+		if len(v.runs) == 0 || now <= end {
 			continue
 		}
 		n := 0
@@ -45,7 +47,7 @@
 			}
 		}
 		if n > 0 {
-			p.addDecision(Decision{Kind: "lease ended", Worker: v.Life.Worker, Age: now - v.answeredAt})
+			p.addDecision(Decision{Kind: "lease ended", Worker: v.Life.Worker, Reason: "the last lease was granted by " + grantedBy, Age: now - v.answeredAt})
 		}
 	}
 }
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -16,8 +16,9 @@
 	clockMS          int64         // last value read from its clock
 	clockAt          time.Duration // boot clock: arrival of the answer with clockMS
 
-	leaseUntilMS      int64         // latest lease expiry that this placer has sent to the current incarnation, on the worker's clock
-	inheritedLeaseEnd time.Duration // boot clock: expiry of all leases that former placers, or commands to the previous incarnation, can have set
+	leaseUntilMS   int64         // latest lease expiry that this placer has sent to the current incarnation, on the worker's clock
+	hasFormerLease bool          // former placers may have granted leases
+	lateLeaseEnd   time.Duration // boot clock: expiry of all leases that late commands to the previous incarnation can set
 
 	runs           map[cluster.TaskID]*run
 	lastListedEnd  int64       // highest number of an end that the worker has listed
@@ -85,14 +86,20 @@
 	v.answeredAt = now
 }
 
-// leaseEnd returns the boot clock time at which every lease on the worker has certainly expired.
-func (v *vm) leaseEnd() time.Duration {
-	end := v.inheritedLeaseEnd
+// leaseEnd returns the boot clock time at which every lease on the worker has certainly expired, given
+// that time for the leases of former placers, and who granted the last of them.
+func (v *vm) leaseEnd(formerLeaseEnd time.Duration) (end time.Duration, grantedBy string) {
+	end, grantedBy = v.lateLeaseEnd, "a late command to the previous incarnation"
+	if v.hasFormerLease && formerLeaseEnd > end {
+		end, grantedBy = formerLeaseEnd, "a former placer"
+	}
 	if v.clockKnown && v.leaseUntilMS > 0 {
 		left := time.Duration(float64(v.leaseUntilMS-v.clockMS)/(1-maxClockDrift)) * time.Millisecond
-		end = max(end, v.clockAt+left+leaseMargin)
+		if own := v.clockAt + left + leaseMargin; own > end {
+			end, grantedBy = own, "this placer"
+		}
 	}
-	return end
+	return end, grantedBy
 }
 
 // markEndRecorded marks the end of a run as recorded and advances the number up to which ends
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -84,7 +84,7 @@
 		e.state.Skip()
 		return
 	}
-	former, formerLastHeard := e.state.Claim, e.state.LastHeard
+	formerLastHeard := e.state.LastHeard
 	position := e.state.NextOffset
 	e.recoverPanic(func() {
 		if err := e.state.Apply(&d.record, now); err != nil {
@@ -104,7 +104,7 @@
 	}
 	e.publishPlacer()
 	if d.record.Claim != nil {
-		e.handleClaim(ctx, former, now)
+		e.handleClaim(ctx, now)
 	}
 }
 
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -13,7 +13,7 @@
 
 // handleClaim handles a claim that was just applied to the state. It ends the placer of this
 // daemon, if there is one, and starts a new one if the claim is the last that this process sent.
-func (e *engine) handleClaim(ctx context.Context, former flow.Claim, now time.Duration) {
+func (e *engine) handleClaim(ctx context.Context, now time.Duration) {
 	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
 	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.startedMS
@@ -32,29 +32,47 @@
 	e.metrics.claims.WithLabelValues("won").Inc()
 	e.log.Emit(evPlacerBegan, "offset", e.state.ClaimToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
 	go e.watchRegistry(placingCtx, e.placer)
-	go e.retireFormerPlacer(placingCtx, e.placer, former)
+	e.retireFormerPlacers(placingCtx, e.placer, now)
 }
 
-// retireFormerPlacer asks the former placer to stop. Once it has stopped, it renews no
-// more leases, so that the last one that it granted ends soon. A former placer that does not answer
-// may renew leases for up to maxLogOutage.
-func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim) {
-	for attempt := 0; attempt < maxRetireTries && ctx.Err() == nil; attempt++ {
-		err := error(nil)
-		if former.Daemon != "" && former.Address != e.settings.Listen.Peers {
-			callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-			err = e.peers.yield(callCtx, former.Address, former.Epoch)
-			cancel()
-		}
+// retireFormerPlacers asks the placers of all earlier claims that may still renew leases to stop, each
+// until it answers or can't renew any lease any more.
+func (e *engine) retireFormerPlacers(ctx context.Context, p *placer.Placer, now time.Duration) {
+	former := p.FormerPlacers(now)
+	e.log.Emit(evFormerPlacers, "epoch", p.Epoch(), "former", formerNames(former))
+	for _, claim := range former {
+		go e.retireFormerPlacer(ctx, p, claim, now+maxLogOutage)
+	}
+}
+
+func formerNames(claims []flow.Claim) []string {
+	names := make([]string, len(claims))
+	for i := range claims {
+		names[i] = claims[i].Daemon
+	}
+	return names
+}
+
+// retireFormerPlacer asks a former placer to stop. Once it has stopped, it renews no more leases, so that
+// the last one that it granted ends soon. No answer and a refused connection leave open whether it runs.
+func (e *engine) retireFormerPlacer(ctx context.Context, p *placer.Placer, former flow.Claim, until time.Duration) {
+	for tries := 1; ctx.Err() == nil && bootclock.Now() < until; tries++ {
+		callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
+		err := e.peers.yield(callCtx, former.Address, former.Epoch)
+		cancel()
 		if err == nil {
 			e.do(ctx, func(e *engine) {
 				if e.placer == p {
-					e.log.Emit(evPlacerRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", attempt+1)
-					p.FormerPlacerRetired(bootclock.Now())
+					e.log.Emit(evPlacerRetired, "former", former.Daemon, "epoch", former.Epoch, "tries", tries)
+					p.FormerPlacerRetired(former.Daemon, former.Epoch, bootclock.Now())
 				}
 			})
 			return
 		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retireRetryDelay):
+		}
 	}
 }
 
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -32,7 +32,6 @@
 	failoverBoundShare       = 0.35                    // share of bounds.failover_ms for which a placer may be silent before others claim; they need the rest to take over
 	maxLease                 = 4800 * time.Millisecond // longer leases delay the restart of tasks of lost workers
 	readyReadAge             = 1600 * time.Millisecond // a daemon that has not read the log for this long rejects callers
-	maxRetireTries           = 4
 	claimConflictBackoff     = 2500 * time.Millisecond // by then the higher claim is stored and read, as a partition queues at most 2 s of appends
 	maxBusyPlacerSilence     = 7 * time.Second         // a silent placer whose daemon answers keeps its claim for this long at a slow log: three appends of 2 s each in a full partition
 	maxStackBytes            = 2048
@@ -44,7 +43,8 @@
 	maxHandOverTries         = 2
 	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
-	maxLogOutage             = 14 * time.Second // without an acknowledged batch for this long, the placer stops and renews no more leases
+	retireRetryDelay         = 200 * time.Millisecond // after a call that failed at once
+	maxLogOutage             = 14 * time.Second       // without an acknowledged batch for this long, the placer stops and renews no more leases
 )
 
 // engine owns the state that is built from the log and, while this daemon holds the claim,
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -27,6 +27,7 @@
 	evPlacerEnded             = event.Define(932, "placer-ended", log.WarnLevel, "This daemon is no longer the placer, for the reason given.")
 	evRegistryUnusable        = event.Define(933, "registry-entries-unusable", log.WarnLevel, "Entries of the worker registry can't be decoded and were ignored.")
 	evPlacerRetired           = event.Define(934, "former-placer-retired", log.InfoLevel, "The former placer has stopped sending commands or its process has ended; the runs that it started end with the leases that it granted.")
+	evFormerPlacers           = event.Define(936, "former-placers-asked", log.InfoLevel, "The new placer asks all earlier placers that may still renew leases to stop. Field former: their daemons. Until each has answered (934) or can't renew leases any more, tasks of workers that this placer can't reach are not started again.")
 	evPlacerHandedOver        = event.Define(935, "placer-handed-over", log.InfoLevel, "A stopping placer has handed over to the named daemon, whose claim is stored.")
 	evJobAccepted             = event.Define(940, "job-accepted", log.InfoLevel, "A job is stored and will be run.")
 	evJobRejected             = event.Define(941, "job-rejected", log.InfoLevel, "A job was not accepted and will never run, for the reason given.")
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/rpc"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"briarproxy/core/cluster"
@@ -185,15 +183,10 @@
 	return grants, reply.Valid, err
 }
 
-// yield makes the daemon at an address stop sending orders under an epoch. A refused connection
-// counts as success, because the process has ended then.
+// yield makes the daemon at an address stop sending orders under an epoch.
 func (p *peerClients) yield(ctx context.Context, address string, epoch int64) error {
 	var reply bool
-	err := p.call(ctx, address, yieldMethod, &YieldArgs{epoch}, &reply)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil
-	}
-	return err
+	return p.call(ctx, address, yieldMethod, &YieldArgs{epoch}, &reply)
 }
 
 // call makes one RPC. It closes a connection that breaks, or on which no answer arrived between the
