A daemon that has yielded an epoch does not place under it later

Cause, found as another order of events that gives two placers without one knowing of the other: a successor asks the daemon of a claim to stop. If that daemon has not read its own claim yet, it has no placer, answers, and forgets the question. When it reads the claim, and the log can't be read further, it places, and renews leases that the successor takes for expired.

Change: the daemon keeps the newest epoch that it has yielded; a claim of its own up to that epoch has no effect.

Measured: TestYieldedClaimDoesNotPlace fails before and passes after.

Conclusion: an answer to Yield now holds for the future, as its successor assumes.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -17,7 +17,7 @@
 	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
 	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.startedMS
-	if !own || e.state.Claim.Epoch != e.claimEpoch {
+	if !own || e.state.Claim.Epoch != e.claimEpoch || e.claimEpoch <= e.yieldedEpoch {
 		return
 	}
 	placingCtx, cancel := context.WithCancel(ctx)
@@ -77,8 +77,9 @@
 }
 
 // yield stops placing at the request of a successor if this daemon's epoch is not newer than
-// the given one.
+// the given one. A claim of this daemon that is applied later has no effect either.
 func (e *engine) yield(epoch int64) {
+	e.yieldedEpoch = max(e.yieldedEpoch, epoch)
 	if e.placer != nil && e.placer.Epoch() <= epoch {
 		e.stopPlacing("requested by the successor")
 	}
@@ -151,7 +152,7 @@
 func (e *engine) claim(ctx context.Context, reason string, done func(stored bool)) {
 	rank := placer.ClaimRank(e.state, e.hello(), bootclock.Now())
 	epoch := placer.NextEpoch(e.state, rank, e.rng)
-	e.claiming, e.claimEpoch = true, epoch
+	e.claiming, e.claimEpoch, e.claimSentAt = true, epoch, bootclock.Now()
 	e.appender = &fencedAppender{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: epoch}, logSlow: e.store.storeSlow.Load}
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
 		"rank", rank,
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -81,6 +81,8 @@
 	placer             *placer.Placer
 	appender           *fencedAppender
 	claimEpoch         int64           // epoch of the last claim that this daemon has appended
+	claimSentAt        time.Duration   // when that claim was sent
+	yieldedEpoch       int64           // newest epoch of which a successor has asked this daemon to stop placing
 	claiming           bool            // a claim, or the check before it, is under way
 	claimAnsweredAt    time.Duration   // when the last claim was answered
 	claimConflictAt    time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
--- a/daemon/cell/retire_test.go
+++ b/daemon/cell/retire_test.go
@@ -90,3 +90,22 @@
 		})
 	}
 }
+
+// Guards against a daemon that has told its successor that it does not place, and then reads its own
+// earlier claim and places.
+func TestYieldedClaimDoesNotPlace(t *testing.T) {
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
+	places := func(epoch int64) (placing bool) {
+		api.onEngine(func(e *engine) {
+			e.claimEpoch, e.claimSentAt = epoch, bootclock.Now()
+			own := flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Epoch: epoch, StartedMS: e.startedMS}}
+			e.applyRecord(api.ctx, &decodedRecord{record: own}, bootclock.Now())
+			placing = e.placer != nil
+			e.stopPlacing("end of the test case")
+		})
+		return placing
+	}
+	api.onEngine(func(e *engine) { e.yield(6) })
+	require.False(t, places(6))
+	require.True(t, places(7), "a later claim is not affected")
+}
