A placer counts its time without the log from when it sent its claim

The time began when the daemon read its own claim. A claim that was stored, and superseded, during an outage may be read many seconds later, and the placer then renewed leases for 14 s more.

Change: the time begins when the claim was sent; no later claim can have been stored before.

Measured: TestTimeWithoutLogCountsFromTheClaim fails before and passes after.

Conclusion: the bound that a successor computes from the log now covers every placer.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -24,7 +24,8 @@
 	e.placingContext, e.cancelPlacing = placingCtx, cancel
 	e.snapshotWriter = &snapshotWriter{store: e.platform, linkBytesPerSecond: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
 	e.savingSnapshot, e.lastSnapshotAt = false, now
-	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = now, now, 0
+	// The log may have superseded the claim at any time since it was sent.
+	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = e.claimSentAt, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
 		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -88,7 +88,7 @@
 	claimConflictAt    time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
 	handingOver        bool            // the placer releases its claim once the append under way has ended
 	appending          bool            // a batch is being appended
-	batchAckedAt       time.Duration   // when the last acknowledged batch was sent, at first when placing began
+	batchAckedAt       time.Duration   // when the last acknowledged batch was sent, at first when the claim was
 	placingContext     context.Context // cancelled when this daemon stops placing
 	cancelPlacing      context.CancelFunc
 	helloSentAt        time.Duration
--- a/daemon/cell/retire_test.go
+++ b/daemon/cell/retire_test.go
@@ -44,7 +44,7 @@
 		for i := range history {
 			e.applyRecord(api.ctx, &decodedRecord{record: history[i]}, bootclock.Now())
 		}
-		e.claimEpoch = 9
+		e.claimEpoch, e.claimSentAt = 9, bootclock.Now()
 		e.appender = &fencedAppender{log: e.store, fence: cluster.Fence{Producer: "placer", Epoch: 9}, logSlow: e.store.storeSlow.Load}
 		own := flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: "own", Epoch: 9, StartedMS: e.startedMS}}
 		e.applyRecord(api.ctx, &decodedRecord{record: own}, bootclock.Now())
@@ -109,3 +109,27 @@
 	require.False(t, places(6))
 	require.True(t, places(7), "a later claim is not affected")
 }
+
+// Guards against a placer that renews leases for longer than its successors assume, because its claim
+// was stored, and superseded, long before this daemon read it.
+func TestTimeWithoutLogCountsFromTheClaim(t *testing.T) {
+	for name, test := range map[string]struct {
+		sentBefore time.Duration
+		places     bool
+	}{
+		"sent a moment ago":         {time.Second, true},
+		"sent before a long outage": {maxLogOutage + time.Second, false},
+	} {
+		api, placing := newTestCallerAPI(t, &fakeStore{}, 0), false
+		api.onEngine(func(e *engine) {
+			e.appender = &fencedAppender{log: e.store, logSlow: e.store.storeSlow.Load}
+			e.claimEpoch, e.claimSentAt = 6, bootclock.Now()-test.sentBefore
+			own := flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Epoch: 6, StartedMS: e.startedMS}}
+			e.applyRecord(api.ctx, &decodedRecord{record: own}, bootclock.Now())
+			e.runTimers(api.ctx, bootclock.Now())
+			placing = e.placer != nil
+			e.stopPlacing("end of the test case")
+		})
+		require.Equal(t, test.places, placing, name)
+	}
+}
