A task that crashes the workers that start it is given up

Cause: the end of a run whose worker is lost counts for nothing, whoever caused the loss. The worker accepts the start, then answers no more; after 5.2 s its leases have expired, and the task starts on the next worker, without end.

Change: a run that is the last thing its worker started before it fell silent or restarted ends as "crashed". Runs beside the cause look the same once, and used to be placed together with it again: a step with such an end is placed on trial, on workers that start nothing else until they have listed the run. An end that a worker lists clears the count; a lost lease does not.

TestTaskThatCrashesItsWorkersIsGivenUp fails before in all six cases. LIMIT with a capacity that shrinks and grows held before (TestShrunkCapacityIsNotExceeded).

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -154,6 +154,7 @@
 	GangTimedOut EndReason = "alone"   // the other members of the gang did not start in time
 	NeverStarted EndReason = "void"    // the run never began and can no longer begin
 	Lost         EndReason = "lost"    // the worker's incarnation ended while the run was on it
+	Crashed      EndReason = "crashed" // the worker stopped answering, or restarted, as it started the run
 )
 
 // Start is an order to start a run.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -29,10 +29,15 @@
 	Active     bool         `json:"a,omitempty"`
 	Done       bool         `json:"d,omitempty"`
 	Failures   int          `json:"f,omitempty"`
-	Life       cluster.Life `json:"l"` // worker incarnation of the last run
+	Crashes    int          `json:"x,omitempty"` // number of runs that ended as cluster.Crashed since a worker has listed the end of one
+	Life       cluster.Life `json:"l"`           // worker incarnation of the last run
 	Checkpoint string       `json:"c,omitempty"`
 }
 
+// maxCrashes is the number of workers that may crash as they start a task. Then its job fails,
+// as the task would go on to crash one worker after another.
+const maxCrashes = 3
+
 // StepState is the state of one step of an occurrence according to the log.
 type StepState struct {
 	Tasks         []TaskState
@@ -306,6 +311,16 @@
 		return nil
 	}
 	s.markRunning(j)
+	switch e.Reason {
+	case cluster.Crashed:
+		if t.Crashes++; t.Crashes >= maxCrashes {
+			s.finish(j, Failed, now)
+		}
+	case cluster.LeaseExpired, cluster.Lost:
+		// Whether the worker has survived the start is not known.
+	default:
+		t.Crashes = 0
+	}
 	def := &j.Steps[e.Step]
 	if e.Checkpoint != "" && def.Gang {
 		step.Tasks[0].Checkpoint = e.Checkpoint // the checkpoint of any member is valid for the whole gang
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -167,3 +167,26 @@
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 	require.Equal(t, []string{"j"}, s.Forget(time.Hour, 2*time.Hour))
 }
+
+// Guards against a task that crashes workers and is never given up, because some of its crashes could
+// not be told from a lost worker, and against one that is given up although workers have survived it.
+func TestTaskIsGivenUpAfterItsWorkersCrashed(t *testing.T) {
+	for name, test := range map[string]struct {
+		ends  []cluster.EndReason
+		phase Phase
+	}{
+		"twice":                        {[]cluster.EndReason{cluster.Crashed, cluster.Crashed}, Running},
+		"three times":                  {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Crashed}, Failed},
+		"with lost workers in between": {[]cluster.EndReason{cluster.Crashed, cluster.LeaseExpired, cluster.Crashed, cluster.Lost, cluster.Crashed}, Failed},
+		"with a listed end in between": {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Stopped, cluster.Crashed}, Running},
+		"on lost workers only":         {[]cluster.EndReason{cluster.LeaseExpired, cluster.Lost, cluster.LeaseExpired, cluster.Lost}, Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := stateWithJob(t, Step{Count: 2})
+			for i, reason := range test.ends {
+				applyRecords(t, s, beginRecord(runOf(0, 0, i+1)), endRecord(reason, runOf(0, 0, i+1)))
+			}
+			require.Equal(t, test.phase, s.Jobs["j"].Phase)
+		})
+	}
+}
--- /dev/null
+++ b/core/placer/crash.go
@@ -0,0 +1,78 @@
+package placer
+
+import (
+	"time"
+
+	"briarproxy/core/flow"
+)
+
+// A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause is
+// not known, so each run that the worker started last is suspect. The step of a suspect run is then
+// placed on trial: on workers that are not starting anything else, and which start nothing else until
+// they have listed the run, if there are any. A run that was only beside the cause shows that in its
+// next trial.
+
+// crashDelay is the longest time from the answer to a start command until a worker that the run crashes
+// answers nothing any more.
+const crashDelay = 150 * time.Millisecond
+
+// isLastStart reports whether nothing shows that the worker has survived the start of the run: it has
+// never listed the run, and answered nothing after the answer to the start command, if there was one.
+func (r *run) isLastStart() bool {
+	return r.startsSent > 0 && !r.progress.seen && r.vm.answeredAt <= r.answeredAt+crashDelay
+}
+
+// hasCrashed reports whether a worker has crashed as it started a task of the step.
+func hasCrashed(step *flow.StepState) bool {
+	if step == nil {
+		return false
+	}
+	for i := range step.Tasks {
+		if step.Tasks[i].Crashes > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// maxTrialWait is how long a step on trial waits for workers that start nothing else. In a busy cell
+// there may be none.
+const maxTrialWait = time.Second
+
+// workersForTrial returns the candidates (nil: all workers) on which no other run was started that the
+// worker has not listed yet, or all candidates if too few are found within maxTrialWait.
+func (p *Placer) workersForTrial(step *pendingStep, tasks int, candidates []string, now time.Duration) []string {
+	all := candidates
+	if all == nil {
+		all = p.workerIDs
+	}
+	eligible := make([]string, 0, len(all))
+	for _, id := range all {
+		if v := p.vms[id]; v != nil && !v.startsRuns() {
+			eligible = append(eligible, id)
+		}
+	}
+	if now-step.crashedAt > maxTrialWait && !p.mayFit(step, eligible, tasks) {
+		return candidates
+	}
+	return eligible
+}
+
+func (v *vm) startsRuns() bool {
+	for _, r := range v.runs {
+		if !r.progress.seen {
+			return true
+		}
+	}
+	return false
+}
+
+// onTrial reports whether the worker has a run on trial that it has not listed yet.
+func (v *vm) onTrial() bool {
+	for _, r := range v.runs {
+		if r.onTrial && !r.progress.seen {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/placer/crash_test.go
@@ -0,0 +1,115 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/core/resource"
+)
+
+// crashWorkersOf makes each worker that starts a task of the job crash at once. It is back after the
+// given time. The result counts the crashes.
+func (c *fakeCell) crashWorkersOf(job string, down time.Duration) (crashes *int) {
+	crashes = new(int)
+	runTime := c.runTime
+	c.runTime = func(s cluster.Start) time.Duration {
+		if s.Job != job {
+			return runTime(s)
+		}
+		c.after(0, func() {
+			for _, w := range c.workers {
+				if w.runs[s.TaskID] == nil {
+					continue
+				}
+				*crashes++
+				w.up, w.runs = false, map[cluster.TaskID]*fakeRun{}
+				c.after(down, func() { c.restart(w); w.up = true; c.publishRegistry() })
+			}
+		})
+		return time.Hour
+	}
+	return crashes
+}
+
+// Guards against a task that crashes one worker after another, and takes the work of others with it,
+// without end (BUDGET), and against giving up the tasks beside it.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		down     time.Duration
+		answered bool
+		step     flow.Step
+	}{
+		{"back within the lease", 2 * time.Second, true, batchStep(1)},
+		{"back after the lease", 9 * time.Second, true, batchStep(1)},
+		{"back within the lease, the start is not answered", 2 * time.Second, false, batchStep(1)},
+		{"back after the lease, the start is not answered", 9 * time.Second, false, batchStep(1)},
+		{"long-running", 2 * time.Second, true, flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true}},
+		{"gang", 2 * time.Second, true, flow.Step{Count: 3, Size: batchStep(1).Size, EstimateMS: 800, Gang: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := readyCell(t, 8)
+			crashes := c.crashWorkersOf("deadly", test.down)
+			c.commandFault = func(command Command) (bool, time.Duration) {
+				return !test.answered && command.Start != nil && command.Start.Order.Job == "deadly", 0
+			}
+			c.submit("beside", flow.Step{Count: 16, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 8000})
+			c.advance(time.Second)
+			c.submit("deadly", test.step)
+			jobs := 0
+			for range 160 {
+				c.submit(fmt.Sprint("j", jobs), batchStep(2))
+				jobs++
+				c.advance(500 * time.Millisecond)
+			}
+			c.advance(40 * time.Second)
+			require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+			require.LessOrEqual(t, *crashes, 3*test.step.Count, "crashes of workers")
+			require.Equal(t, map[flow.Phase]int{flow.Failed: 1, flow.Completed: jobs + 1}, c.jobsByPhase())
+		})
+	}
+}
+
+// Guards against giving up a task whose workers crash while it runs, long after they have started it.
+func TestTaskOnCrashingWorkersIsNotGivenUp(t *testing.T) {
+	c := readyCell(t, 8)
+	c.runTime = func(cluster.Start) time.Duration { return 10 * time.Second }
+	c.submit("j", batchStep(1))
+	for range 5 {
+		c.advance(3 * time.Second)
+		w := c.busyWorker()
+		w.up, w.runs = false, map[cluster.TaskID]*fakeRun{}
+		c.advance(2 * time.Second)
+		c.restart(w)
+		w.up = true
+		c.publishRegistry()
+		c.advance(3 * time.Second)
+	}
+	c.advance(20 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+}
+
+// Guards against a start on a worker whose capacity has shrunk below what it runs (LIMIT), and
+// against one that stays unused after its capacity has grown again.
+func TestShrunkCapacityIsNotExceeded(t *testing.T) {
+	c := readyCell(t, 1)
+	c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
+	c.submit("first", batchStep(2))
+	c.advance(500 * time.Millisecond)
+	w := c.workers["w00"]
+	w.Capacity = resource.Vector{MilliCores: 9000, MemoryMiB: 32768}
+	c.publishRegistry()
+	c.submit("second", batchStep(2)) // the fake workers fail the test when their capacity is exceeded
+	c.advance(10 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 2}, c.jobsByPhase())
+	w.Capacity = workerCapacity
+	c.publishRegistry()
+	c.submit("third", batchStep(4))
+	c.advance(4 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 3}, c.jobsByPhase())
+}
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -37,6 +37,9 @@
 		r.vm.markEndRecorded(end.RunID)
 	}
 	p.planNeeded = true
+	if step := p.steps[end.StepID()]; step != nil && end.Reason == cluster.Crashed {
+		step.onTrial, step.crashedAt = true, now
+	}
 	pending := p.jobs[end.Job]
 	if pending == nil {
 		return
@@ -328,7 +331,7 @@
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
 			r.progress.observe(row.Percent, now)
-			r.load, r.wasListed = row.Load, true
+			r.load, r.wasListed, r.workerCrashed = row.Load, true, false
 			if row.Checkpoint != "" {
 				r.lastCheckpoint = row.Checkpoint
 			}
@@ -410,6 +413,9 @@
 	}
 	delete(r.vm.runs, r.TaskID)
 	p.cell.Release(cellTaskID(r.TaskID), int64(r.Run))
+	if r.onTrial {
+		p.updateCellWorker(r.vm, now)
+	}
 	p.planNeeded = true
 	if r.stray {
 		delete(p.runs, r.TaskID)
@@ -425,6 +431,9 @@
 		}
 		return
 	}
+	if r.workerCrashed && how != cluster.Done && how != cluster.Failed {
+		how = cluster.Crashed
+	}
 	if checkpoint == "" && how != cluster.NeverStarted {
 		checkpoint = r.lastCheckpoint // a lost worker cannot report a newer one
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -337,7 +337,7 @@
 		p.cell.SetDraining(v.Life.Worker)
 	}
 	present := v.inRegistry || now-v.lastInRegistryAt < unregisteredGracePeriod && now-v.answeredAt < unregisteredAnswerTimeout
-	p.cell.SetLive(v.Life.Worker, present && !v.Draining && v.tokenSeen && v.missedPolls == 0 && now >= v.avoidUntil)
+	p.cell.SetLive(v.Life.Worker, present && !v.Draining && v.tokenSeen && v.missedPolls == 0 && now >= v.avoidUntil && !v.onTrial())
 }
 
 func (p *Placer) cellTask(r *run, now time.Duration) place.Task {
@@ -365,6 +365,7 @@
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
 		r.wasListed = false
+		r.workerCrashed = r.mayHaveStarted() && !listedRuns[r.RunID] && r.isLastStart()
 		switch {
 		case !r.mayHaveStarted() || listedRuns[r.RunID]:
 		case r.state == starting || r.state == uncertain || r.answeredAt >= v.pollSentAt || r.mayStartLate(now):
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -199,6 +199,9 @@
 	case step.def.TailTargetMS > 0:
 		workers = p.workersForServing(workers)
 	}
+	if step.onTrial {
+		workers = p.workersForTrial(step, len(tasks), workers, now)
+	}
 	if !p.mayFit(step, workers, len(tasks)) {
 		return tasks
 	}
@@ -339,10 +342,14 @@
 	r := &run{
 		RunID: cluster.RunID{TaskID: id, Run: step.nextRun(index)}, state: ticketing, vm: v, size: reservedResources(step.def),
 		spec: step.job.Spec, checkpoint: step.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
+		onTrial: step.onTrial,
 	}
 	p.runs[id] = r
 	v.runs[id] = r
 	step.activeRuns++
+	if r.onTrial {
+		p.updateCellWorker(v, now)
+	}
 	if step.queue != nil && step.queue.Advice != nil {
 		if grant := step.grants[v.Life.Worker]; grant.validUntil > now+ticketPlanMargin && !awaitTickets {
 			r.ticket = grant
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -46,6 +46,8 @@
 	recorded       bool          // the log has acknowledged its Begin record
 	stray          bool          // listed by a worker but not active according to the log, so it is only stopped
 	wanted         bool          // false: it is to be stopped as soon as possible
+	onTrial        bool          // an earlier run of its step was the last that a worker started before it crashed
+	workerCrashed  bool          // its worker has probably crashed as it started the run
 	wasListed      bool          // the current incarnation of the worker has listed it
 	plannedAt      time.Duration // boot clock
 	answeredAt     time.Duration // time of the answer to its start command; the answer to a later poll must list the run
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -31,9 +31,11 @@
 	adviceInFlight bool
 	adviceSentAt   time.Duration
 	nextAdviceAt   time.Duration
-	avoidWorkers   []string // workers on which a task of the step failed
-	ticketsNeeded  []string // workers on which resources are reserved until a new ticket arrives
-	activeRuns     int      // runs of the step that are planned and whose end is not recorded yet
+	avoidWorkers   []string      // workers on which a task of the step failed
+	ticketsNeeded  []string      // workers on which resources are reserved until a new ticket arrives
+	onTrial        bool          // a worker has crashed as it started a task of the step
+	crashedAt      time.Duration // time of the last such crash that was recorded
+	activeRuns     int           // runs of the step that are planned and whose end is not recorded yet
 }
 
 // dueOccurrence is an occurrence whose due time is still to come.
@@ -79,7 +81,7 @@
 		pending.activated[id] = true
 		step := &pendingStep{
 			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now,
-			grants: map[string]ticket{}, denied: map[string]bool{},
+			grants: map[string]ticket{}, denied: map[string]bool{}, onTrial: hasCrashed(pending.job.Step(occurrence, s)),
 		}
 		for i := 0; i < step.def.Count; i++ {
 			if p.runs[cluster.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: s, Index: i}] != nil {
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -42,6 +42,7 @@
 		n := 0
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
+				r.workerCrashed = r.workerCrashed || r.isLastStart()
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
 			}
@@ -133,7 +134,7 @@
 		wait = pacingPollWait
 	}
 	for _, r := range v.runs {
-		if r.state == uncertain || r.state == stopping {
+		if r.state == uncertain || r.state == stopping || r.onTrial && !r.progress.seen {
 			return 0
 		}
 	}
