A start that was never answered counts less than a crash

Found by reading the fix of deadly tasks again: a start to a worker that was cut off, or idle and polled rarely, gets no answer, and the worker stays silent until its leases expire. That counted as a crash, so three workers cut off at the same time could fail a job that can be done.

A crash needs an answered start, or a restart of the worker.

Measured: TestTaskIsGivenUpAfterItsWorkersCrashed has both cases, and four silent ends leave the job running.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -154,7 +154,8 @@
 	GangTimedOut EndReason = "alone"   // the other members of the gang did not start in time
 	NeverStarted EndReason = "void"    // the run never began and can no longer begin
 	Lost         EndReason = "lost"    // the worker's incarnation ended while the run was on it
-	Crashed      EndReason = "crashed" // the worker stopped answering, or restarted, as it started the run
+	Crashed      EndReason = "crashed" // the worker restarted as it started the run, or answered the start and nothing more
+	Unanswered   EndReason = "silent"  // the worker answered neither the start nor anything later, until its lease expired
 )
 
 // Start is an order to start a run.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -30,13 +30,18 @@
 	Done       bool         `json:"d,omitempty"`
 	Failures   int          `json:"f,omitempty"`
 	Crashes    int          `json:"x,omitempty"` // number of runs that ended as cluster.Crashed since a worker has listed the end of one
+	Unanswered int          `json:"u,omitempty"` // the same of cluster.Unanswered
 	Life       cluster.Life `json:"l"`           // worker incarnation of the last run
 	Checkpoint string       `json:"c,omitempty"`
 }
 
-// maxCrashes is the number of workers that may crash as they start a task. Then its job fails,
-// as the task would go on to crash one worker after another.
-const maxCrashes = 3
+// Limits for a task that crashes one worker after another. At either of them its job fails.
+const (
+	maxCrashes = 3 // workers that have crashed as they started the task
+	// maxLostStarts counts workers that did not answer the start as well. They may have been cut off,
+	// so it takes more of them.
+	maxLostStarts = 5
+)
 
 // StepState is the state of one step of an occurrence according to the log.
 type StepState struct {
@@ -313,13 +318,15 @@
 	s.markRunning(j)
 	switch e.Reason {
 	case cluster.Crashed:
-		if t.Crashes++; t.Crashes >= maxCrashes {
-			s.finish(j, Failed, now)
-		}
+		t.Crashes++
+		s.failAtCrashLimit(j, t, now)
+	case cluster.Unanswered:
+		t.Unanswered++
+		s.failAtCrashLimit(j, t, now)
 	case cluster.LeaseExpired, cluster.Lost:
 		// Whether the worker has survived the start is not known.
 	default:
-		t.Crashes = 0
+		t.Crashes, t.Unanswered = 0, 0
 	}
 	def := &j.Steps[e.Step]
 	if e.Checkpoint != "" && def.Gang {
@@ -342,6 +349,12 @@
 	return nil
 }
 
+func (s *State) failAtCrashLimit(j *Job, t *TaskState, now time.Duration) {
+	if t.Crashes >= maxCrashes || t.Crashes+t.Unanswered >= maxLostStarts {
+		s.finish(j, Failed, now)
+	}
+}
+
 // markGangDone marks the other members of a gang as done. The end of one member suffices, so the
 // gang does not run again if the end of another member was lost with its worker.
 func (s *State) markGangDone(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -175,11 +175,13 @@
 		ends  []cluster.EndReason
 		phase Phase
 	}{
-		"twice":                        {[]cluster.EndReason{cluster.Crashed, cluster.Crashed}, Running},
-		"three times":                  {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Crashed}, Failed},
-		"with lost workers in between": {[]cluster.EndReason{cluster.Crashed, cluster.LeaseExpired, cluster.Crashed, cluster.Lost, cluster.Crashed}, Failed},
-		"with a listed end in between": {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Stopped, cluster.Crashed}, Running},
-		"on lost workers only":         {[]cluster.EndReason{cluster.LeaseExpired, cluster.Lost, cluster.LeaseExpired, cluster.Lost}, Running},
+		"twice":                         {[]cluster.EndReason{cluster.Crashed, cluster.Crashed}, Running},
+		"three times":                   {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Crashed}, Failed},
+		"with lost workers in between":  {[]cluster.EndReason{cluster.Crashed, cluster.LeaseExpired, cluster.Crashed, cluster.Lost, cluster.Crashed}, Failed},
+		"with a listed end in between":  {[]cluster.EndReason{cluster.Crashed, cluster.Crashed, cluster.Stopped, cluster.Crashed}, Running},
+		"without an answer, four times": {[]cluster.EndReason{cluster.Unanswered, cluster.Unanswered, cluster.Unanswered, cluster.Unanswered}, Running},
+		"without an answer, five times": {[]cluster.EndReason{cluster.Unanswered, cluster.Unanswered, cluster.Crashed, cluster.Unanswered, cluster.Unanswered}, Failed},
+		"on lost workers only":          {[]cluster.EndReason{cluster.LeaseExpired, cluster.Lost, cluster.LeaseExpired, cluster.Lost}, Running},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := stateWithJob(t, Step{Count: 2})
--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
 )
 
@@ -22,13 +23,24 @@
 	return r.startsSent > 0 && !r.progress.seen && r.vm.answeredAt <= r.answeredAt+crashDelay
 }
 
+// markLostStart notes how the run ends on a worker that has been silent until its leases expired.
+func (r *run) markLostStart() {
+	switch {
+	case r.lostStart != "" || !r.isLastStart():
+	case r.state == running:
+		r.lostStart = cluster.Crashed
+	default:
+		r.lostStart = cluster.Unanswered
+	}
+}
+
 // hasCrashed reports whether a worker has crashed as it started a task of the step.
 func hasCrashed(step *flow.StepState) bool {
 	if step == nil {
 		return false
 	}
 	for i := range step.Tasks {
-		if step.Tasks[i].Crashes > 0 {
+		if step.Tasks[i].Crashes+step.Tasks[i].Unanswered > 0 {
 			return true
 		}
 	}
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -37,7 +37,7 @@
 		r.vm.markEndRecorded(end.RunID)
 	}
 	p.planNeeded = true
-	if step := p.steps[end.StepID()]; step != nil && end.Reason == cluster.Crashed {
+	if step := p.steps[end.StepID()]; step != nil && (end.Reason == cluster.Crashed || end.Reason == cluster.Unanswered) {
 		step.onTrial, step.crashedAt = true, now
 	}
 	pending := p.jobs[end.Job]
@@ -331,7 +331,7 @@
 		r := p.runs[row.TaskID]
 		if r != nil && r.Run == row.Run && r.vm == v {
 			r.progress.observe(row.Percent, now)
-			r.load, r.wasListed, r.workerCrashed = row.Load, true, false
+			r.load, r.wasListed, r.lostStart = row.Load, true, ""
 			if row.Checkpoint != "" {
 				r.lastCheckpoint = row.Checkpoint
 			}
@@ -431,8 +431,8 @@
 		}
 		return
 	}
-	if r.workerCrashed && how != cluster.Done && how != cluster.Failed {
-		how = cluster.Crashed
+	if r.lostStart != "" && how != cluster.Done && how != cluster.Failed {
+		how = r.lostStart
 	}
 	if checkpoint == "" && how != cluster.NeverStarted {
 		checkpoint = r.lastCheckpoint // a lost worker cannot report a newer one
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -365,7 +365,9 @@
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
 		r.wasListed = false
-		r.workerCrashed = r.mayHaveStarted() && !listedRuns[r.RunID] && r.isLastStart()
+		if r.mayHaveStarted() && !listedRuns[r.RunID] && r.isLastStart() {
+			r.lostStart = cluster.Crashed
+		}
 		switch {
 		case !r.mayHaveStarted() || listedRuns[r.RunID]:
 		case r.state == starting || r.state == uncertain || r.answeredAt >= v.pollSentAt || r.mayStartLate(now):
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -42,21 +42,21 @@
 	spec           string
 	checkpoint     string
 	ticket         ticket
-	released       bool          // its resources were released
-	recorded       bool          // the log has acknowledged its Begin record
-	stray          bool          // listed by a worker but not active according to the log, so it is only stopped
-	wanted         bool          // false: it is to be stopped as soon as possible
-	onTrial        bool          // an earlier run of its step was the last that a worker started before it crashed
-	workerCrashed  bool          // its worker has probably crashed as it started the run
-	wasListed      bool          // the current incarnation of the worker has listed it
-	plannedAt      time.Duration // boot clock
-	answeredAt     time.Duration // time of the answer to its start command; the answer to a later poll must list the run
-	startSentAt    time.Duration // time at which the first start command was sent
-	startsSent     int           // number of start commands sent
-	startsInFlight int           // number of start commands that are neither answered nor timed out
-	stopSentAt     time.Duration // time of the last stop command
-	stopAnsweredAt time.Duration // time at which the worker last answered a stop command
-	stopInFlight   bool          // a stop command is in flight
+	released       bool              // its resources were released
+	recorded       bool              // the log has acknowledged its Begin record
+	stray          bool              // listed by a worker but not active according to the log, so it is only stopped
+	wanted         bool              // false: it is to be stopped as soon as possible
+	onTrial        bool              // an earlier run of its step was the last that a worker started before it crashed
+	lostStart      cluster.EndReason // how the run ends if its worker has probably crashed as it started the run; "" otherwise
+	wasListed      bool              // the current incarnation of the worker has listed it
+	plannedAt      time.Duration     // boot clock
+	answeredAt     time.Duration     // time of the answer to its start command; the answer to a later poll must list the run
+	startSentAt    time.Duration     // time at which the first start command was sent
+	startsSent     int               // number of start commands sent
+	startsInFlight int               // number of start commands that are neither answered nor timed out
+	stopSentAt     time.Duration     // time of the last stop command
+	stopAnsweredAt time.Duration     // time at which the worker last answered a stop command
+	stopInFlight   bool              // a stop command is in flight
 	progress       progress
 	lastCheckpoint string // newest checkpoint that the worker has reported
 	load           int    // last reported load: tail latency in ms of a serving run, thousandths of a core of any other run
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -42,7 +42,7 @@
 		n := 0
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
-				r.workerCrashed = r.workerCrashed || r.isLastStart()
+				r.markLostStart()
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
 			}
