A listed end shows that the worker has survived the start

Cause: a run marked as the last start of a restarted worker kept the mark if the new incarnation carried out a late copy of the start, and its listed end then counted as a crash. Found by reading the diff again.

Change: a listed end clears the mark; any other end takes it.

--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -18,7 +18,7 @@
 const crashDelay = 150 * time.Millisecond
 
 // isLastStart reports whether nothing shows that the worker has survived the start of the run: it has
-// never listed the run, and answered nothing after the answer to the start command, if there was one.
+// never listed the run, and answered nothing later than crashDelay after the answer to the start command.
 func (r *run) isLastStart() bool {
 	return r.startsSent > 0 && !r.progress.seen && r.vm.answeredAt <= r.answeredAt+crashDelay
 }
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -294,6 +294,7 @@
 
 func (p *Placer) processEnd(r *run, e *cluster.EndReport, now time.Duration) {
 	v := r.vm
+	r.lostStart = "" // a worker that lists the end has survived the start
 	switch e.Reason {
 	case cluster.Failed:
 		p.countWorkerFailure(v, r, now)
@@ -431,7 +432,7 @@
 		}
 		return
 	}
-	if r.lostStart != "" && how != cluster.Done && how != cluster.Failed {
+	if r.lostStart != "" {
 		how = r.lostStart
 	}
 	if checkpoint == "" && how != cluster.NeverStarted {
