The placer logs plans that the cell refuses at the commit

Five explanations fit: the planner finds no worker; workers are held; the former runs still count; tickets are missing; the planner finds workers and the commit refuses them. Refusals at the commit were dropped.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -132,7 +132,7 @@
 	Worker            string
 	Reason            string
 	Age               time.Duration // of the input on which the decision is based
-	Value             int64         // depends on Kind: the fencing token, the incarnation of a worker, a limit or a percentage
+	Value             int64         // depends on Kind: the fencing token, the incarnation of a worker, a limit, a percentage or a number of tasks
 	WastedCoreSeconds float64       // core-seconds of work lost with the end of a run
 }
 
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -33,6 +33,8 @@
 	holdValidity = time.Second
 	// maxSameRackWait is how long a step waits for free capacity within one rack.
 	maxSameRackWait = 2 * time.Second
+	// refusalReportInterval is the least time between two reports of refused plans of one step.
+	refusalReportInterval = time.Second
 )
 
 // plan places the tasks of the waiting steps, in the order of the steps' ranks, and requests
@@ -300,7 +302,8 @@
 	p.planAttempts++
 	options := place.Options{NoPreemption: true}
 	plan := p.cell.Plan(asks, options, now, nil)
-	committed, _ := p.cell.Commit(plan, options, now)
+	committed, refused := p.cell.Commit(plan, options, now)
+	p.reportRefusedPlan(step, refused, now)
 	if len(committed) == 0 {
 		return tasks
 	}
@@ -322,6 +325,26 @@
 	return unplaced
 }
 
+// reportRefusedPlan adds a decision if the cell has refused a plan that was made for its current
+// state: the planner and the check disagree about a rule, and the step may never be placed.
+func (p *Placer) reportRefusedPlan(step *pendingStep, refused []place.Refusal, now time.Duration) {
+	if len(refused) == 0 || now < step.nextReportAt {
+		return
+	}
+	step.nextReportAt = now + refusalReportInterval
+	cause := refused[0]
+	for _, r := range refused {
+		if r.Reason != place.ReasonGangDoesNotFit { // the other members of a gang are refused with the one that breaks a rule
+			cause = r
+			break
+		}
+	}
+	p.addDecision(Decision{
+		Kind: "plan refused", Job: step.id.Job, Task: step.taskID(0), Worker: cause.VM, Reason: string(cause.Reason),
+		Age: now - step.readyAt, Value: int64(len(refused)),
+	})
+}
+
 // hasTickets reports whether the step has a valid ticket for every chosen worker.
 func (s *pendingStep) hasTickets(chosen []place.Assignment, now time.Duration) bool {
 	if s.queue == nil || s.queue.Advice == nil {
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -31,6 +31,7 @@
 	adviceInFlight bool
 	adviceSentAt   time.Duration
 	nextAdviceAt   time.Duration
+	nextReportAt   time.Duration // of a refused plan
 	avoidWorkers   []string      // workers on which a task of the step failed
 	ticketsNeeded  []string      // workers on which resources are reserved until a new ticket arrives
 	onTrial        bool          // a worker has crashed as it started a task of the step
