A hold for a gang respects the limit of tasks per worker

What callers saw: a gang with AntiAffinity that waits in a busy service waits for as long as other work does, while the same gang without the limit starts within seconds.

Cause, the same rule on a related path: PlanHold counted how many members fit into the capacity of a worker, not how many of them the worker may take. It held one worker for members that need several, so the other workers never had room for one.

Evidence: found by reading each place that counts tasks per worker.

Change: one function says how many tasks capacity and limit admit; PlanHold uses it for now and for the time when the worker's tasks have ended.

Tests: the test above, and a model, TestGangFitsOnHeldWorkersWhenTheirTasksHaveEnded (a hold is enough for its gang once the tasks there have ended).

--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -74,10 +74,10 @@
 			continue
 		}
 		candidate := holdCandidate{worker: int32(i), freeAt: now}
-		candidate.tasks = w.Free().CountFitting(ask.Resources)
+		candidate.tasks = fittingTasks(w.Free(), ask, tasksOfJob(w, ask.Job))
 		if end, known := lastExpectedEnd(w, now); candidate.tasks == 0 && known {
 			candidate.freeAt = end
-			candidate.tasks = w.Capacity.Sub(resource.Vector{Slots: w.Slots}).CountFitting(ask.Resources)
+			candidate.tasks = fittingTasks(w.Capacity.Sub(resource.Vector{Slots: w.Slots}), ask, 0)
 		}
 		if candidate.tasks > 0 {
 			candidates = append(candidates, candidate)
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -266,6 +266,39 @@
 	})
 }
 
+// Guards against a hold that keeps too few workers for its gang, so that the gang does not
+// fit on them even when their tasks have ended.
+func TestGangFitsOnHeldWorkersWhenTheirTasksHaveEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(0, 25).Draw(t, "steps") {
+			m.randomOperation(t)
+		}
+		o := place.Options{DataCentre: "d0", Region: "r0", NoPreemption: true}
+		ask := drawAsk(t, m.next, "held")
+		asks := make([]wire.TaskAsk, rapid.IntRange(1, 8).Draw(t, "tasks"))
+		for i := range asks {
+			asks[i] = ask
+			asks[i].TaskID = fmt.Sprintf("held-%d", i)
+		}
+		hold, ok := m.cell.PlanHold(asks, o, 1, m.now, time.Minute)
+		if !ok {
+			return
+		}
+		require.Equal(t, len(hold.VMs), m.cell.ApplyHold(hold, m.now))
+		for _, vm := range hold.VMs {
+			w, _ := m.cell.Worker(vm)
+			for _, task := range w.Tasks {
+				m.cell.Release(task.ID, task.Generation)
+			}
+		}
+		for i := range asks {
+			asks[i].Among = hold.VMs
+		}
+		require.Len(t, m.cell.Plan(asks, o, hold.Start, nil).Assignments, len(asks))
+	})
+}
+
 // Guards against refusing a gang of equal tasks that the full scan places one task
 // at a time.
 func TestGangOfEqualTasksIsPlacedWhenTheFullScanPlacesIt(t *testing.T) {
--- a/core/placer/hold_test.go
+++ b/core/placer/hold_test.go
@@ -105,3 +105,17 @@
 	c.advance(time.Second)
 	require.NotEqual(t, flow.Queued, c.state.Jobs["long"].Phase, "the worker has room and is held for a gang that does not fit any more")
 }
+
+// Guards against a gang with a limit of tasks per worker that waits for as long as other work does,
+// because too few workers are held for it: one that has room for all members takes only some of them.
+func TestHoldForGangWithLimitPerWorkerCoversAllMembers(t *testing.T) {
+	c := readyCell(t, 4)
+	c.runTime = func(s cluster.Start) time.Duration { return time.Duration(600+s.Index*97%500) * time.Millisecond } // the workers are never all idle
+	c.submit("backlog", flow.Step{Count: 1000, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 800})
+	c.advance(300 * time.Millisecond)
+	gang := flow.Step{Count: 2, Size: resource.Vector{MilliCores: 8000, MemoryMiB: 1024}, EstimateMS: 800, Gang: true, MaxPerWorker: 1}
+	c.submit("gang", gang)
+	c.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
+	require.NotEqual(t, flow.Completed, c.state.Jobs["backlog"].Phase, "the gang must not have to wait for the backlog")
+}
