The quick check of free capacity respects the limit of tasks per worker

Cause, the same rule on a related path: whether the workers found are enough is decided by the quick check mayFit, which counted room and not the limit. One worker without starts that has room for the whole gang, or that runs as many tasks of the step as it may, counted as enough, so the step never went on to the other workers.

Change: the cell says how many more tasks like a request a worker can take, with the function that holds use; mayFit adds these numbers up.

Evidence: TestStepOnTrialDoesNotWaitForWorkersBeyondItsLimit fails before ("got [w00]", a worker that takes one of two members) and passes.

--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"briarproxy/core/resource"
+	"briarproxy/core/wire"
 )
 
 // Cell holds the state of the workers that one scheduler instance is responsible
@@ -77,6 +78,16 @@
 	return c.states[i].Free(), true
 }
 
+// FittingTasks returns how many more tasks like the request the free capacity of a worker and the
+// limit per worker admit. It is 0 if the worker is unknown or not schedulable.
+func (c *Cell) FittingTasks(vm string, ask *wire.TaskAsk) int64 {
+	i, ok := c.workerByVM[vm]
+	if !ok || !c.states[i].Schedulable() {
+		return 0
+	}
+	return fittingTasks(&c.states[i], ask)
+}
+
 // Workers returns a copy of the state of all workers. The order is unspecified but
 // deterministic: the same sequence of operations yields the same order.
 func (c *Cell) Workers() []WorkerState {
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"briarproxy/core/resource"
 	"briarproxy/core/wire"
 )
 
@@ -74,10 +73,10 @@
 			continue
 		}
 		candidate := holdCandidate{worker: int32(i), freeAt: now}
-		candidate.tasks = fittingTasks(w.Free(), ask, tasksOfJob(w, ask.Job))
+		candidate.tasks = fittingTasks(w, ask)
 		if end, known := lastExpectedEnd(w, now); candidate.tasks == 0 && known {
 			candidate.freeAt = end
-			candidate.tasks = fittingTasks(w.Capacity.Sub(resource.Vector{Slots: w.Slots}), ask, 0)
+			candidate.tasks = fittingTasksWhenEmpty(w, ask)
 		}
 		if candidate.tasks > 0 {
 			candidates = append(candidates, candidate)
--- a/core/place/pervm.go
+++ b/core/place/pervm.go
@@ -23,17 +23,22 @@
 	return n
 }
 
-// fittingTasks returns how many tasks like the request the free capacity of a worker and the
-// limit per worker admit. present is the number of tasks of the job on the worker; it is not
-// used without a limit.
-func fittingTasks(free resource.Vector, ask *wire.TaskAsk, present int) int64 {
-	n := free.CountFitting(ask.Resources)
-	if ask.PerVM > 0 {
-		n = min(n, int64(max(0, ask.PerVM-present)))
+// fittingTasks returns how many more tasks like the request the free capacity of the worker and
+// the limit per worker admit.
+func fittingTasks(w *WorkerState, ask *wire.TaskAsk) int64 {
+	n := w.Free().CountFitting(ask.Resources)
+	if ask.PerVM > 0 && n > 0 {
+		n = min(n, int64(max(0, ask.PerVM-tasksOfJob(w, ask.Job))))
 	}
 	return n
 }
 
+// fittingTasksWhenEmpty is fittingTasks for the time when all tasks of the worker have ended.
+func fittingTasksWhenEmpty(w *WorkerState, ask *wire.TaskAsk) int64 {
+	empty := WorkerState{Worker: w.Worker, Committed: resource.Vector{Slots: w.Slots}}
+	return fittingTasks(&empty, ask)
+}
+
 // jobWorker identifies the tasks of one job on one worker.
 type jobWorker struct {
 	job    string
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -121,19 +121,25 @@
 	if step.def.Gang {
 		needed = tasks
 	}
+	ask := step.capacityAsk()
 	for _, id := range workers {
-		free, schedulable := p.cell.FreeCapacity(id)
-		for schedulable && needed > 0 && reservedResources(step.def).Fits(free) {
-			free = free.Sub(reservedResources(step.def))
-			needed--
-		}
-		if needed == 0 {
+		if needed -= int(p.cell.FittingTasks(id, &ask)); needed <= 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// capacityAsk returns a request that stands for any task of the step where only free capacity and
+// the limit per worker count.
+func (s *pendingStep) capacityAsk() wire.TaskAsk {
+	ask := wire.TaskAsk{Resources: reservedResources(s.def), PerVM: s.def.MaxPerWorker}
+	if ask.PerVM > 0 {
+		ask.Job = cellJobID(s.id)
+	}
+	return ask
+}
+
 // updateMaxFree computes the largest free amount of each resource on any worker.
 func (p *Placer) updateMaxFree() {
 	p.maxFree = resource.Vector{}
--- a/core/placer/spread_test.go
+++ b/core/placer/spread_test.go
@@ -77,3 +77,21 @@
 	c.advance(15 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
 }
+
+// Guards against a step with a limit of tasks per worker that waits without end after a crash of one of
+// its workers, for workers that start nothing else: those found have room for its tasks, but may not
+// take as many.
+func TestStepOnTrialDoesNotWaitForWorkersBeyondItsLimit(t *testing.T) {
+	c := readyCell(t, 4)
+	c.submit("beside", flow.Step{Count: 3, Size: batchStep(1).Size, EstimateMS: 800, MaxPerWorker: 1})
+	for len(c.placer.runs) < 3 {
+		c.advance(5 * time.Millisecond)
+	}
+	gang := flow.Step{Count: 2, Size: batchStep(1).Size, EstimateMS: 800, Gang: true, MaxPerWorker: 1}
+	step := &pendingStep{id: cluster.StepID{Job: "gang"}, def: &gang, onTrial: true, crashedAt: c.now}
+	require.Len(t, c.placer.workersForTrial(step, 2, nil, c.now), 1, "three workers start a run")
+	later := c.now + maxTrialWait + time.Millisecond
+	require.Nil(t, c.placer.workersForTrial(step, 2, nil, later), "one worker can't take both members: any may")
+	gang.MaxPerWorker = 2
+	require.Len(t, c.placer.workersForTrial(step, 2, nil, later), 1)
+}
