A call for advice names workers for the limit of tasks per worker

What callers saw: a step with AntiAffinity whose queue has advice starts later than need be, as it takes several calls for advice one after the other.

Cause, the same rule on a related path: the call names as many workers as are expected to hold the tasks, and the expectation counted room only. Twenty tasks of one core, each on a worker of its own, were expected to fit on five workers granted.

Change: the expectation uses the number of tasks that room and limit admit; a worker that runs as many tasks of the step as it may is named last, like a full one.

Measured: TestFirstCallNamesEnoughWorkersForTheLimitPerWorker needs two calls before and one now.

--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -55,6 +55,7 @@
 	limit := min(maxCallWorkers, step.queue.Advice.MaxVMs)
 	workers := make([]string, 0, limit)
 	expectedTasks, grantRate := 0.0, p.grantRate(step.job.Queue)
+	ask := step.capacityAsk()
 	startIndex := 0
 	if n := len(p.workerIDs); n > 0 {
 		startIndex = int(step.job.Offset*workerStride) % n
@@ -68,8 +69,7 @@
 		if _, granted := step.grants[id]; granted || !reservedResources(step.def).Fits(v.Capacity) || step.def.Label != "" && !v.HasLabel(step.def.Label) {
 			continue
 		}
-		free, _ := p.cell.FreeCapacity(id)
-		n := free.CountFitting(reservedResources(step.def))
+		n := p.cell.FittingTasks(id, &ask)
 		if n == 0 {
 			fullWorkers = append(fullWorkers, id)
 			continue
