Backfill tasks of one plan share out the idle cores

What callers saw: the tasks of a step that fills started on one worker and shared its cores, while other workers had idle cores: eight tasks of eight cores on one worker of sixteen, beside three idle ones.

Cause, the same as for the limit per worker: whether a worker has enough idle cores is decided from the runs that are there before the plan. A backfill task reserves no cores, so the tasks of the same plan did not count, and all went to the worker with the lowest cost.

Change: a planning run takes a limit of tasks for each VM, and the placer sets it to the number of tasks that find enough idle cores there one after the other. Tasks beyond that are planned without it, as before: a step must not wait for cores that its tasks don't reserve.

Tests: TestBackfillTasksOfOneStepSpreadOverIdleCores, single tasks and a gang: before, all eight on one worker, and two on each of four now; its last part (tasks beyond the idle cores start at once) passed before, too, and guards against waiting. TestRunLimitPerVMIsKept covers the planner.

--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -65,7 +65,7 @@
 		return []wire.Refused{{Reason: string(ReasonRackUsed), Count: len(ordered)}}
 	}
 	rest := ordered[n:]
-	if len(rest) > 1 && interchangeable(rest) {
+	if len(rest) > 1 && p.options.MaxPerVM == nil && interchangeable(rest) {
 		return p.bookEqualTasks(rest)
 	}
 	for _, ask := range rest {
--- a/core/place/pervm.go
+++ b/core/place/pervm.go
@@ -12,6 +12,12 @@
 	return ask.PerVM > 0 && tasksOfJob(w, ask.Job)+booked >= ask.PerVM
 }
 
+// atRunLimit reports whether the planning run may place no more tasks of the job on the VM.
+func atRunLimit(vm string, booked int, o *Options) bool {
+	limit, limited := o.MaxPerVM[vm]
+	return limited && booked >= limit
+}
+
 // tasksOfJob returns the number of the worker's tasks that belong to the job.
 func tasksOfJob(w *WorkerState, job string) int {
 	n := 0
@@ -46,11 +52,14 @@
 }
 
 // bookingCounts counts the tasks that a planning run has booked, by job and worker. It is
-// nil in a run in which no request has a limit per worker.
+// nil in a run without limits per worker.
 type bookingCounts map[jobWorker]int
 
 // newBookingCounts returns the counts for a planning run of the requests.
-func newBookingCounts(asks []wire.TaskAsk) bookingCounts {
+func newBookingCounts(asks []wire.TaskAsk, o *Options) bookingCounts {
+	if o.MaxPerVM != nil {
+		return bookingCounts{}
+	}
 	for i := range asks {
 		if asks[i].PerVM > 0 {
 			return bookingCounts{}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -351,3 +351,24 @@
 	assert.True(t, cell.Release("t", 2))
 	require.NoError(t, place.CheckIndex(cell))
 }
+
+// Guards against a planning run that places more tasks of a job on a VM than its caller allows.
+func TestRunLimitPerVMIsKept(t *testing.T) {
+	o := localOptions
+	o.MaxPerVM = map[string]int{"vm-00": 1, "vm-01": 2, "vm-02": 0}
+	for name, gang := range map[string]string{"single tasks": "", "gang": "g"} {
+		t.Run(name, func(t *testing.T) {
+			cell := fourRacks(4)
+			asks := gangOf(3, 1000)
+			for i := range asks {
+				asks[i].Gang, asks[i].AvoidVMs = gang, []string{"vm-03"}
+			}
+			perVM := map[string]int{}
+			for _, a := range cell.Plan(asks, o, 0, nil).Assignments {
+				perVM[a.VM]++
+			}
+			require.Equal(t, map[string]int{"vm-00": 1, "vm-01": 2}, perVM)
+			require.Len(t, cell.Plan(asks, localOptions, 0, nil).Assignments, 3, "the limit ends with the run")
+		})
+	}
+}
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -43,7 +43,7 @@
 	p.plan.PlannedAt = now
 	p.plan.Assignments = make([]Assignment, 0, len(asks))
 	p.bookings = c.bookings[:0]
-	p.booked = newBookingCounts(asks)
+	p.booked = newBookingCounts(asks, &o)
 	p.planAll(asks)
 	p.undoBookings(0)
 	c.bookings = p.bookings
@@ -140,7 +140,7 @@
 	if worker >= 0 {
 		return worker, nil
 	}
-	if s.refused.none() && len(p.bookings) == 0 && !restrictsWorkers(ask) {
+	if s.refused.none() && len(p.bookings) == 0 && !restrictsWorkers(ask) && p.options.MaxPerVM == nil {
 		p.rememberFailedShape(key, pool.capacityVersion)
 	}
 	return -1, p.countRefusals(pool, s.refused, 0)
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -214,7 +214,11 @@
 		s.refused.held++
 		return false
 	}
-	switch checkAfterIndex(w, s.ask, s.booked.of(s.ask.Job, i), s.options, s.now) {
+	booked := s.booked.of(s.ask.Job, i)
+	if atRunLimit(w.VM, booked, s.options) {
+		return false
+	}
+	switch checkAfterIndex(w, s.ask, booked, s.options, s.now) {
 	case ReasonNone:
 	case ReasonAvoided:
 		s.refused.avoided++
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -94,6 +94,7 @@
 	ProtectAccelerators bool // see strandsAccelerators
 	CandidateLimit      int  // workers scored per tier of a search; 0 means DefaultCandidateLimit
 	NoPreemption        bool
+	MaxPerVM            map[string]int // by VM: most tasks of one job that this run places there; not checked by Commit
 }
 
 // DefaultCandidateLimit is the default number of workers scored per tier of a search.
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -54,19 +54,40 @@
 	}
 	eligible := make([]string, 0, len(candidates))
 	for _, id := range candidates {
-		v := p.vms[id]
-		if v == nil {
-			continue
-		}
-		free, schedulable := p.cell.FreeCapacity(id)
-		serving, _, backfillMilliCores := p.countServingAndBackfill(v)
-		if schedulable && serving == 0 && float64(free.MilliCores-backfillMilliCores) >= minIdleCoreShare*float64(step.def.Size.MilliCores) {
+		if v := p.vms[id]; v != nil && p.maxBackfillTasks(step, v) > 0 {
 			eligible = append(eligible, id)
 		}
 	}
 	return eligible
 }
 
+// maxBackfillTasks returns how many more tasks of the backfill step find enough idle cores on the
+// worker, one after the other. It is 0 if the worker serves.
+func (p *Placer) maxBackfillTasks(step *pendingStep, v *vm) int {
+	free, schedulable := p.cell.FreeCapacity(v.Life.Worker)
+	serving, _, backfillMilliCores := p.countServingAndBackfill(v)
+	idle, needed := free.MilliCores-backfillMilliCores, step.def.Size.MilliCores
+	surplus := float64(idle) - minIdleCoreShare*float64(needed)
+	switch {
+	case !schedulable || serving > 0 || surplus < 0:
+		return 0
+	case needed <= 0:
+		return step.def.Count
+	}
+	return 1 + int(surplus/float64(needed))
+}
+
+// tasksOnIdleCores returns by worker how many more tasks of the backfill step find enough idle cores.
+func (p *Placer) tasksOnIdleCores(step *pendingStep, workers []string) map[string]int {
+	counts := make(map[string]int, len(workers))
+	for _, id := range workers {
+		if v := p.vms[id]; v != nil {
+			counts[id] = p.maxBackfillTasks(step, v)
+		}
+	}
+	return counts
+}
+
 // workersForServing returns the candidates (nil: all workers) without backfill tasks, for a
 // serving step. If there are none, it returns candidates unchanged.
 func (p *Placer) workersForServing(candidates []string) []string {
--- a/core/placer/fill_test.go
+++ b/core/placer/fill_test.go
@@ -80,3 +80,24 @@
 	c.advance(20 * time.Second)
 	require.Equal(t, 100, fill.pacePercent)
 }
+
+// Guards against backfill tasks that crowd one worker while others have idle cores, because a plan counts
+// only the tasks that were there before it, and against tasks that wait when no more cores are idle.
+func TestBackfillTasksOfOneStepSpreadOverIdleCores(t *testing.T) {
+	for name, gang := range map[string]bool{"single tasks": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			c := servingCell(t, 4)
+			fill := backfillStep(8)
+			fill.Gang = gang
+			c.submit("fill", fill)
+			c.advance(300 * time.Millisecond)
+			for id, w := range c.workers {
+				require.Len(t, w.runs, 2, "worker %s has idle cores for two tasks", id)
+			}
+		})
+	}
+	c := servingCell(t, 2)
+	c.submit("fill", backfillStep(6))
+	c.advance(300 * time.Millisecond)
+	require.Equal(t, 6, c.starts, "tasks beyond the idle cores start as well")
+}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -250,7 +250,15 @@
 // planAndCommit plans and commits the tasks on the given workers (nil: any) and returns the tasks
 // that could not be placed. With allOrNothing set, either all tasks are placed or none.
 func (p *Placer) planAndCommit(step *pendingStep, tasks []int, workers []string, now time.Duration, allOrNothing bool) []int {
-	return p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), now)
+	options := place.Options{NoPreemption: true}
+	if step.def.Backfill {
+		options.MaxPerVM = p.tasksOnIdleCores(step, workers)
+		if tasks = p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now); len(tasks) == 0 {
+			return nil
+		}
+		options.MaxPerVM = nil // the rest starts without idle cores of its own rather than wait
+	}
+	return p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now)
 }
 
 func (p *Placer) taskAsks(step *pendingStep, tasks []int, workers []string, allOrNothing bool) []wire.TaskAsk {
@@ -294,9 +302,8 @@
 
 // commit plans the asks, commits the assignments and creates their runs. It returns the tasks
 // that could not be placed.
-func (p *Placer) commit(step *pendingStep, tasks []int, asks []wire.TaskAsk, now time.Duration) []int {
+func (p *Placer) commit(step *pendingStep, tasks []int, asks []wire.TaskAsk, options place.Options, now time.Duration) []int {
 	p.planAttempts++
-	options := place.Options{NoPreemption: true}
 	plan := p.cell.Plan(asks, options, now, nil)
 	committed, refused := p.cell.Commit(plan, options, now)
 	p.reportRefusedPlan(step, refused, now)
