Preemption spares workers that refuse the request anyway

What callers see (not on the users' platform, where nothing is preempted): work of less urgent tasks is thrown away, and the urgent task is still not placed.

Cause, the same rule on a related path: the search for victims compared capacity, excluded workers and holds, but not the limit of tasks per worker, neither for tasks that run there nor for those that the same plan has booked; nor the label and the named workers.

Change: holds and preemption share one test for workers that the request rules out, and preemption counts the tasks of the job as the search does. Victims of the same job count as present, as a job's tasks have one priority.

TestPreemptionSparesWorkersThatRefuseTheRequestAnyway (limit, label, named worker) and TestPreemptionCountsTasksOfTheSamePlan failed before.

--- a/core/place/among.go
+++ b/core/place/among.go
@@ -1,6 +1,10 @@
 package place
 
-import "briarproxy/core/wire"
+import (
+	"slices"
+
+	"briarproxy/core/wire"
+)
 
 // restrictsWorkers reports whether a request accepts only some workers of its pool.
 // Such a request neither uses nor updates failedShapes, which describes whole pools.
@@ -8,6 +12,11 @@
 	return ask.Among != nil || ask.Label != "" || ask.PerVM > 0
 }
 
+// excluded reports whether the request rules the worker out, whatever runs there.
+func excluded(w *WorkerState, ask *wire.TaskAsk) bool {
+	return avoided(w.VM, ask.AvoidVMs) || lacksLabel(w, ask.Label) || ask.Among != nil && !slices.Contains(ask.Among, w.VM)
+}
+
 // scanNamed examines the workers that the request names. Placement advice names at
 // most 100 workers, so a linear scan is enough.
 func (s *search) scanNamed() {
--- a/core/place/hold.go
+++ b/core/place/hold.go
@@ -68,8 +68,7 @@
 		if !c.present[i] || notInPool(w, ask.Pool) || notSchedulable(w) || distance(w.Region, w.DataCentre, o) > maxDistance(o.Scope) {
 			continue
 		}
-		if heldForOther(w, ask, now) || avoided(w.VM, ask.AvoidVMs) || lacksLabel(w, ask.Label) ||
-			(ask.Among != nil && !slices.Contains(ask.Among, w.VM)) {
+		if heldForOther(w, ask, now) || excluded(w, ask) {
 			continue
 		}
 		candidate := holdCandidate{worker: int32(i), freeAt: now}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -372,3 +372,41 @@
 		})
 	}
 }
+
+// Guards against preempting tasks for a request that the worker refuses for another reason than
+// capacity: their work is lost, and the request is not placed.
+func TestPreemptionSparesWorkersThatRefuseTheRequestAnyway(t *testing.T) {
+	cases := map[string]func(cell *place.Cell, ask *wire.TaskAsk){
+		"limit per worker": func(cell *place.Cell, ask *wire.TaskAsk) {
+			ask.PerVM = 1
+			cell.AddTask("vm-00", place.Task{ID: "same-job", Job: ask.Job, Generation: 1, Priority: 9})
+		},
+		"label":        func(_ *place.Cell, ask *wire.TaskAsk) { ask.Label = "gpu" },
+		"named worker": func(_ *place.Cell, ask *wire.TaskAsk) { ask.Among = []string{"vm-01"} },
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			cell := fourRacks(1)
+			cell.AddTask("vm-00", place.Task{ID: "victim", Job: "other", Generation: 1, Resources: resource.Vector{MilliCores: 4000}, Preemptible: true})
+			ask := askFor("urgent", 1000, 0)
+			ask.Priority, ask.CanPreempt = 5, true
+			require.Len(t, cell.Plan([]wire.TaskAsk{ask}, localOptions, 0, nil).Preemptions, 1)
+			prepare(cell, &ask)
+			require.Empty(t, cell.Plan([]wire.TaskAsk{ask}, localOptions, 0, nil).Preemptions)
+		})
+	}
+}
+
+// Guards against preempting tasks for the second task of a job on a worker on which the same plan
+// has placed the first, beyond the limit per worker.
+func TestPreemptionCountsTasksOfTheSamePlan(t *testing.T) {
+	cell := fourRacks(1)
+	cell.AddTask("vm-00", place.Task{ID: "victim", Job: "other", Generation: 1, Resources: resource.Vector{MilliCores: 3000}, Preemptible: true})
+	asks := []wire.TaskAsk{askFor("first", 1000, 0), askFor("second", 1000, 0)}
+	for i := range asks {
+		asks[i].Priority, asks[i].CanPreempt, asks[i].PerVM = 5, true, 1
+	}
+	plan := cell.Plan(asks, localOptions, 0, nil)
+	require.Len(t, plan.Assignments, 1)
+	require.Empty(t, plan.Preemptions)
+}
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -78,7 +78,10 @@
 	if p.preemptionWorkers[worker] || distance(w.Region, w.DataCentre, p.options) > maxDistance(p.options.Scope) {
 		return nil
 	}
-	if avoided(w.VM, ask.AvoidVMs) || heldForOther(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
+	if excluded(w, ask) || heldForOther(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
+		return nil
+	}
+	if booked := p.booked.of(ask.Job, worker); atPerVMLimit(w, ask, booked) || atRunLimit(w.VM, booked, p.options) {
 		return nil
 	}
 	if p.options.ProtectAccelerators && acceleratorCost(w.Capacity, ask.Resources) > 0 {
--- a/core/place/property_test.go
+++ b/core/place/property_test.go
@@ -167,13 +167,13 @@
 		}
 		require.Empty(t, m.cell.Verify(plan, o, m.now), "a plan for the current state is refused")
 		m.commit(t, plan, o)
-		m.carryOutPreemptions(t, plan)
+		m.carryOutPreemptions(t, plan, o)
 	}
 }
 
 // carryOutPreemptions preempts the plan's victims and checks that the preempting
-// tasks then fit.
-func (m *cellModel) carryOutPreemptions(t *rapid.T, plan place.Plan) {
+// tasks are then accepted.
+func (m *cellModel) carryOutPreemptions(t *rapid.T, plan place.Plan, o place.Options) {
 	for _, p := range plan.Preemptions {
 		for _, v := range p.Victims {
 			require.Less(t, m.live[v.TaskID].Priority, p.Ask.Priority)
@@ -186,6 +186,7 @@
 		}
 		w, _ := m.cell.Worker(p.VM)
 		require.True(t, p.Ask.Resources.Fits(w.Free().Max(resource.Vector{})), "%v into %v", p.Ask.Resources, w.Free())
+		require.Equal(t, place.ReasonNone, place.Check(&w, p.Ask, &o, m.now))
 	}
 }
 
