Real processes: gangs with AntiAffinity start, and the soak has such steps

The simulated workers of standin/platform report a start beyond the limit of tasks per worker, a new test submits gangs with AntiAffinity 1 and 2 to an idle service of three daemons, and two thirds of the soak's first steps have a limit.

--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -195,7 +195,8 @@
 }
 
 func (c *platformCell) newStep(job string, index, count int, duration time.Duration, extra map[string]any) map[string]any {
-	c.fleet.SetStepPlan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: duration})
+	maxPerWorker, _ := extra["AntiAffinity"].(int)
+	c.fleet.SetStepPlan(job, index, platform.StepPlan{Size: platform.Size{Cpu: 4000, MemMb: 4096}, Takes: duration, MaxPerWorker: maxPerWorker})
 	step := map[string]any{"Count": count, "Cpu": 4000, "MemMb": 4096, "EstimateMs": duration.Milliseconds()}
 	for k, v := range extra {
 		step[k] = v
@@ -239,6 +240,20 @@
 	return placer
 }
 
+// Guards against an accepted gang with AntiAffinity that is never started in an idle service.
+func TestPlatformGangWithAntiAffinityStarts(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 3, 8, true)
+	var ids []string
+	for limit := 1; limit <= 2; limit++ {
+		id := fmt.Sprintf("%016x", 0xaf00+limit)
+		c.submit(limit, id, c.newStep(id, 0, 4, 300*time.Millisecond, map[string]any{"Gang": true, "AntiAffinity": limit}))
+		ids = append(ids, id)
+	}
+	c.waitCompleted(0, ids, 30*time.Second)
+	require.Equal(t, 2*4, c.fleet.Starts())
+}
+
 // Guards against jobs that are lost, run twice or never complete on the platform. The
 // jobs have steps and gangs, and three daemons use the advice service.
 func TestPlatformJobsComplete(t *testing.T) {
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -215,8 +215,9 @@
 		id := fmt.Sprintf("%016x", 0x50a0000+jobs)
 		taskDuration := time.Duration(100+s.rng.IntN(1500)) * time.Millisecond
 		gang := s.rng.IntN(4) == 0
+		maxPerWorker := s.rng.IntN(3) // 0 means no limit
 		body := map[string]any{"Spec": id, "Steps": []any{
-			s.newStep(id, 0, 1+s.rng.IntN(3), taskDuration, map[string]any{"Gang": gang}),
+			s.newStep(id, 0, 1+s.rng.IntN(3), taskDuration, map[string]any{"Gang": gang, "AntiAffinity": maxPerWorker}),
 			s.newStep(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}),
 		}}
 		s.activeCallers.Add(1)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -38,9 +38,10 @@
 
 // StepPlan says how the tasks of a step run.
 type StepPlan struct {
-	Size  Size
-	Takes time.Duration
-	Fail  int // Fail is the number of runs of each task that fail before one succeeds.
+	Size         Size
+	Takes        time.Duration
+	Fail         int // Fail is the number of runs of each task that fail before one succeeds.
+	MaxPerWorker int // MaxPerWorker is the most tasks of the step on one worker; 0 means no limit.
 }
 
 // NewFleet starts n workers that listen on the loopback interface and registers them in the
@@ -329,13 +330,19 @@
 	f.running[cmd.Task] = w.id
 	f.starts++
 	f.startedJobs[nameParts[0]] = true
-	used := Size{}
-	for _, r := range w.runs {
+	used, tasksOfStep := Size{}, 0
+	for task, r := range w.runs {
 		used = used.add(r.size)
+		if strings.HasPrefix(task, step+".") {
+			tasksOfStep++
+		}
 	}
 	if !used.fitsIn(f.capacity) {
 		f.addViolation("worker %s is overcommitted: its runs need %+v, its capacity is %+v", w.id, used, f.capacity)
 	}
+	if plan.MaxPerWorker > 0 && tasksOfStep > plan.MaxPerWorker {
+		f.addViolation("worker %s has %d tasks of step %s, which allows %d on one worker", w.id, tasksOfStep, step, plan.MaxPerWorker)
+	}
 	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
 }
 
