The placer's tests fail on refused plans, and its model draws limits per worker

A simulated cell fails its test when the cell refuses what was just planned for it, in every test of core/placer, and TestInvariantsUnderFaults gives both steps of its jobs a limit of none, one or two tasks per worker.

Jobs with these limits were not drawn before, which is why the model missed the fault.

--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -173,7 +173,10 @@
 		commands := c.placer.Tick(c.now, c.wallMS())
 		c.placerTime += time.Since(began)
 		c.dispatch(commands)
-		c.decisions = append(c.decisions, c.placer.TakeDecisions()...)
+		for _, d := range c.placer.TakeDecisions() {
+			require.NotEqual(c.t, decisionPlanRefused, d.Kind, "the cell refuses what was planned for it: %+v", d)
+			c.decisions = append(c.decisions, d)
+		}
 		if c.logUnreachable {
 			continue
 		}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -142,6 +142,8 @@
 	DecisionJobStarted = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
 )
 
+const decisionPlanRefused = "plan refused"
+
 // Placer is the state of the placer of one log partition. Its times are those of the boot clock.
 type Placer struct {
 	options        Options
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -207,7 +207,9 @@
 			default:
 				second := batchStep(1 + rng.IntN(3))
 				second.DependsOn, second.Gang = []int{0}, rng.IntN(2) == 0
-				c.submit(fmt.Sprint("j", jobs), batchStep(1+rng.IntN(4)), second)
+				first := batchStep(1 + rng.IntN(4))
+				first.MaxPerWorker, second.MaxPerWorker = rng.IntN(3), rng.IntN(3) // 0 means no limit
+				c.submit(fmt.Sprint("j", jobs), first, second)
 				jobs++
 			}
 			c.publishRegistry()
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -343,7 +343,7 @@
 		}
 	}
 	p.addDecision(Decision{
-		Kind: "plan refused", Job: step.id.Job, Task: step.taskID(0), Worker: cause.VM, Reason: string(cause.Reason),
+		Kind: decisionPlanRefused, Job: step.id.Job, Task: step.taskID(0), Worker: cause.VM, Reason: string(cause.Reason),
 		Age: now - step.readyAt, Value: int64(len(refused)),
 	})
 }
--- a/core/placer/refusal_test.go
+++ b/core/placer/refusal_test.go
@@ -28,7 +28,7 @@
 	}
 	var reports []Decision
 	for _, d := range c.placer.TakeDecisions() {
-		if d.Kind == "plan refused" {
+		if d.Kind == decisionPlanRefused {
 			reports = append(reports, d)
 		}
 	}
