Gangs with a limit per worker are planned in one pass

Cause: members with a limit per worker were searched for one at a time, since the planner did not know how many of them a worker may take. It knows now.

Change: equal members with the same limit count as interchangeable, and the pass over the index collects workers with as many tasks as capacity and limits admit.

TestLargeGangIsPlannedWithinItsLimitPerWorker passes before and after.

--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -65,7 +65,7 @@
 		return []wire.Refused{{Reason: string(ReasonRackUsed), Count: len(ordered)}}
 	}
 	rest := ordered[n:]
-	if len(rest) > 1 && p.options.MaxPerVM == nil && interchangeable(rest) {
+	if len(rest) > 1 && interchangeable(rest) {
 		return p.bookEqualTasks(rest)
 	}
 	for _, ask := range rest {
@@ -89,13 +89,13 @@
 }
 
 // interchangeable reports whether the tasks can be placed in any order with the
-// same result. Tasks that are spread over racks or limited per VM are not, because
-// the cost or the check of one depends on where the others are.
+// same result. Tasks that are spread over racks are not, because the cost of one
+// depends on where the others are.
 func interchangeable(asks []*wire.TaskAsk) bool {
 	first := asks[0]
 	for _, a := range asks {
 		if a.Resources != first.Resources || a.Pool != first.Pool || a.Priority != first.Priority ||
-			a.RunMS != first.RunMS || a.SpreadRacks || a.PerVM > 0 || a.Label != first.Label || !slices.Equal(a.Among, first.Among) || !slices.Equal(a.AvoidVMs, first.AvoidVMs) {
+			a.RunMS != first.RunMS || a.SpreadRacks || a.PerVM != first.PerVM || a.Job != first.Job || a.Label != first.Label || !slices.Equal(a.Among, first.Among) || !slices.Equal(a.AvoidVMs, first.AvoidVMs) {
 			return false
 		}
 	}
--- a/core/place/large_test.go
+++ b/core/place/large_test.go
@@ -90,3 +90,25 @@
 		cell.Resize("old-"+vm, 1, resource.Vector{MilliCores: 14_977 + rng.Int64N(1500), MemoryMiB: 31_760})
 	}
 }
+
+// Guards against a large gang whose members are planned in one pass and crowd the workers beyond the
+// limit per worker, also next to tasks that are there already.
+func TestLargeGangIsPlannedWithinItsLimitPerWorker(t *testing.T) {
+	const workers, members = 1000, 1500
+	cell := fourRacks(workers)
+	asks := gangOf(members, 100)
+	for i := range asks {
+		asks[i].PerVM = 2
+	}
+	for i := range 400 {
+		cell.AddTask(fmt.Sprintf("vm-%02d", i), place.Task{ID: fmt.Sprint("old-", i), Job: asks[0].Job, Generation: 1})
+	}
+	plan := cell.Plan(asks, localOptions, 0, nil)
+	require.Len(t, plan.Assignments, members, "the limit leaves room for 1,600 tasks")
+	require.Empty(t, cell.Verify(plan, localOptions, 0))
+	asks = gangOf(members+101, 100)
+	for i := range asks {
+		asks[i].PerVM = 2
+	}
+	require.Empty(t, cell.Plan(asks, localOptions, 0, nil).Assignments)
+}
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -81,7 +81,8 @@
 	if excluded(w, ask) || heldForOther(w, ask, p.now) || !ask.Resources.Fits(w.Capacity) {
 		return nil
 	}
-	if booked := p.booked.of(ask.Job, worker); atPerVMLimit(w, ask, booked) || atRunLimit(w.VM, booked, p.options) {
+	booked := p.booked.of(ask.Job, worker)
+	if tasksUnderPerVMLimit(w, ask, booked) == 0 || tasksUnderRunLimit(w.VM, booked, p.options) == 0 {
 		return nil
 	}
 	if p.options.ProtectAccelerators && acceleratorCost(w.Capacity, ask.Resources) > 0 {
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -44,7 +44,7 @@
 		return ReasonHeld
 	case lacksLabel(w, ask.Label):
 		return ReasonLacksLabel
-	case atPerVMLimit(w, ask, booked):
+	case tasksUnderPerVMLimit(w, ask, booked) == 0:
 		return ReasonPerVMLimit
 	case o.ProtectAccelerators && strandsAccelerators(w.Capacity, free, ask.Resources):
 		return ReasonStrandsAccelerators
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -215,7 +215,7 @@
 		return false
 	}
 	booked := s.booked.of(s.ask.Job, i)
-	if atRunLimit(w.VM, booked, s.options) {
+	if tasksUnderRunLimit(w.VM, booked, s.options) == 0 {
 		return false
 	}
 	switch checkAfterIndex(w, s.ask, booked, s.options, s.now) {
@@ -243,7 +243,7 @@
 	}
 	cost := Cost(w, s.ask, s.options, tasksInRack)
 	if s.collecting {
-		n := s.maxTasks(w)
+		n := min(s.maxTasks(w), tasksUnderPerVMLimit(w, s.ask, booked), tasksUnderRunLimit(w.VM, booked, s.options))
 		s.tasksToPlace -= n
 		s.collected = append(s.collected, candidate{i, n, cost})
 		return true
@@ -254,8 +254,8 @@
 	return true
 }
 
-// maxTasks returns how many tasks of the gang fit on the worker. The worker has
-// passed checkAfterIndex, so the result is at least 1.
+// maxTasks returns how many tasks of the gang fit into the worker's free capacity. The
+// worker has passed checkAfterIndex, so the result is at least 1.
 func (s *search) maxTasks(w *WorkerState) int64 {
 	free, size := w.Free(), s.ask.Resources
 	n := free.CountFitting(size)
