The quick check of free capacity respects the label

What callers saw (from reading, not from a play): a step with Requirements on trial after a crash may wait without end, as for the limit per worker: a worker without the label that starts nothing counts as enough, so the step never goes on to the workers with the label.

Cause: the quick check counted room on workers that the request rules out.

Change: the number of tasks that a worker can take is 0 where the request rules the worker out.

Evidence: TestStepOnTrialDoesNotWaitForWorkersWithoutItsLabel fails before and passes. Workers on which a task of the step failed are still counted; whether they count depends on the number of workers, which the quick check does not know. Only suspected, not shown.

--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -79,10 +79,11 @@
 }
 
 // FittingTasks returns how many more tasks like the request the free capacity of a worker and the
-// limit per worker admit. It is 0 if the worker is unknown or not schedulable.
+// limit per worker admit. It is 0 if the worker is unknown or not schedulable, or if the request
+// rules it out.
 func (c *Cell) FittingTasks(vm string, ask *wire.TaskAsk) int64 {
 	i, ok := c.workerByVM[vm]
-	if !ok || !c.states[i].Schedulable() {
+	if !ok || !c.states[i].Schedulable() || excluded(&c.states[i], ask) {
 		return 0
 	}
 	return fittingTasks(&c.states[i], ask)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -142,6 +142,7 @@
 	DecisionJobStarted = "job began" // a worker has accepted the first run of a job; Reason is the queue of the job
 )
 
+// decisionPlanRefused is the kind of decision that reports a fault of the planner.
 const decisionPlanRefused = "plan refused"
 
 // Placer is the state of the placer of one log partition. Its times are those of the boot clock.
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -130,10 +130,10 @@
 	return false
 }
 
-// capacityAsk returns a request that stands for any task of the step where only free capacity and
-// the limit per worker count.
+// capacityAsk returns a request that stands for any task of the step where only free capacity, the
+// label and the limit per worker count.
 func (s *pendingStep) capacityAsk() wire.TaskAsk {
-	ask := wire.TaskAsk{Resources: reservedResources(s.def), PerVM: s.def.MaxPerWorker}
+	ask := wire.TaskAsk{Resources: reservedResources(s.def), Label: s.def.Label, PerVM: s.def.MaxPerWorker}
 	if ask.PerVM > 0 {
 		ask.Job = cellJobID(s.id)
 	}
--- a/core/placer/spread_test.go
+++ b/core/placer/spread_test.go
@@ -95,3 +95,20 @@
 	gang.MaxPerWorker = 2
 	require.Len(t, c.placer.workersForTrial(step, 2, nil, later), 1)
 }
+
+// Guards against a step with a label that waits without end after a crash of one of its workers, for
+// workers that start nothing else: those found lack the label.
+func TestStepOnTrialDoesNotWaitForWorkersWithoutItsLabel(t *testing.T) {
+	c := readyCell(t, 4)
+	c.workers["w03"].Labels = []string{"b"}
+	c.publishRegistry()
+	c.submit("beside", flow.Step{Count: 1, Size: batchStep(1).Size, EstimateMS: 800, Label: "b"})
+	for len(c.placer.runs) < 1 {
+		c.advance(5 * time.Millisecond)
+	}
+	def := flow.Step{Count: 1, Size: batchStep(1).Size, EstimateMS: 800, Label: "b"}
+	step := &pendingStep{id: cluster.StepID{Job: "job"}, def: &def, onTrial: true, crashedAt: c.now}
+	require.Len(t, c.placer.workersForTrial(step, 1, nil, c.now), 3, "the worker with the label starts a run")
+	later := c.now + maxTrialWait + time.Millisecond
+	require.Nil(t, c.placer.workersForTrial(step, 1, nil, later), "any worker may")
+}
