--- a/core/placer/advise_test.go
+++ b/core/placer/advise_test.go
@@ -80,23 +80,17 @@
 // first call names workers with room for all its tasks, but too few for that limit.
 func TestFirstCallNamesEnoughWorkersForTheLimitPerWorker(t *testing.T) {
 	c := newFakeCell(t, 60, workerCapacity)
-	c.config.Queues = append(c.config.Queues, cluster.Queue{
-		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
-		Advice: &cluster.Advice{Decide: 100 * time.Millisecond, Valid: 1500 * time.Millisecond, MaxVMs: 100},
-	})
-	calls := 0
-	c.advice = func(a *AdviseCommand) (grants []cluster.Grant) {
+	c.addAdvisedQueue(100 * time.Millisecond)
+	calls, grantAll := 0, c.advice
+	c.advice = func(a *AdviseCommand) []cluster.Grant {
 		calls++
-		for _, w := range a.Workers {
-			grants = append(grants, cluster.Grant{Worker: w, Ticket: "t"})
-		}
-		return grants
+		return grantAll(a)
 	}
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}}))
 	c.takeOver()
 	c.advance(200 * time.Millisecond)
 	gang := flow.Step{Count: 20, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1024}, EstimateMS: 800, Gang: true, MaxPerWorker: 1}
-	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wallMS()}}))
+	c.submitTo("advised", "gang", gang)
 	c.advance(3 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase)
 	require.Equal(t, 1, calls)
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -128,8 +128,25 @@
 	return err
 }
 
-func (c *fakeCell) submit(id string, steps ...flow.Step) {
-	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wallMS()}}))
+// addAdvisedQueue adds the queue "advised", whose advice takes the given time and grants all workers.
+func (c *fakeCell) addAdvisedQueue(decide time.Duration) {
+	c.config.Queues = append(c.config.Queues, cluster.Queue{
+		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
+		Advice: &cluster.Advice{Decide: decide, Valid: 1500 * time.Millisecond, MaxVMs: 100},
+	})
+	c.advice = func(a *AdviseCommand) (grants []cluster.Grant) {
+		for _, w := range a.Workers {
+			grants = append(grants, cluster.Grant{Worker: w, Ticket: "t"})
+		}
+		return grants
+	}
+}
+
+func (c *fakeCell) submit(id string, steps ...flow.Step) { c.submitTo("q", id, steps...) }
+
+// submitTo submits a job to the named queue. Its Spec is its id.
+func (c *fakeCell) submitTo(queue, id string, steps ...flow.Step) {
+	require.NoError(c.t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: queue, Pool: "p", Config: 1, Spec: id, Steps: steps, MaxAttempts: 3, AtMS: c.wallMS()}}))
 }
 
 // takeOver replaces the placer by a new one.
--- a/core/placer/gang_test.go
+++ b/core/placer/gang_test.go
@@ -14,10 +14,7 @@
 // its tickets expired, and a map that receives the times at which members of the gang start.
 func gangWithExpiredTickets(t *testing.T) (c *fakeCell, starts map[cluster.TaskID]time.Duration) {
 	c = newFakeCell(t, 2, workerCapacity)
-	c.config.Queues = append(c.config.Queues, cluster.Queue{
-		Name: "advised", Pool: "p", MaxAttempts: 3, Slack: 2, Target: time.Second,
-		Advice: &cluster.Advice{Decide: 400 * time.Millisecond, Valid: 1500 * time.Millisecond, MaxVMs: 100},
-	})
+	c.addAdvisedQueue(400 * time.Millisecond)
 	starts = map[cluster.TaskID]time.Duration{}
 	c.runTime = func(s cluster.Start) time.Duration {
 		if s.Job == "gang" {
@@ -25,12 +22,6 @@
 		}
 		return 3 * time.Second
 	}
-	c.advice = func(a *AdviseCommand) (grants []cluster.Grant) {
-		for _, w := range a.Workers {
-			grants = append(grants, cluster.Grant{Worker: w, Ticket: "t"})
-		}
-		return grants
-	}
 	require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}}))
 	c.takeOver()
 	c.advance(200 * time.Millisecond)
@@ -38,7 +29,7 @@
 	c.advance(200 * time.Millisecond)
 	gang := batchStep(6)
 	gang.Gang = true
-	require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: "gang", Queue: "advised", Pool: "p", Config: 1, Spec: "s", Steps: []flow.Step{gang}, MaxAttempts: 3, AtMS: c.wallMS()}}))
+	c.submitTo("advised", "gang", gang)
 	c.advance(2500 * time.Millisecond)
 	require.Empty(t, starts)
 	return c, starts
