--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -256,7 +256,7 @@
 		if tasks = p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now); len(tasks) == 0 {
 			return nil
 		}
-		options.MaxPerVM = nil // the rest starts without idle cores of its own rather than wait
+		options.MaxPerVM = nil // the remaining tasks reserve no cores, so they start without idle ones rather than wait
 	}
 	return p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now)
 }
