Log a lease that another incarnation of a worker has granted

The logs could not tell why a worker held a lease beyond the time after which its placer's successor gave its runs up.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -142,6 +142,7 @@
 	if v == nil {
 		return false
 	}
+	p.reportForeignLease(c.Life, c.Order.LeaseUntil, clockMS)
 	if v.Life == c.Life {
 		v.observeClock(clockMS, now)
 	}
@@ -198,6 +199,16 @@
 	return fenced
 }
 
+// reportForeignLease reports a command that another incarnation of the worker than the intended one has
+// executed. Its clock differs, so the lease may last up to MaxLease there.
+func (p *Placer) reportForeignLease(intended cluster.Life, leaseUntilMS, clockMS int64) {
+	granted := time.Duration(leaseUntilMS-clockMS) * time.Millisecond
+	if clockMS <= 0 || leaseUntilMS <= 0 || granted <= p.options.Lease+leaseMargin {
+		return
+	}
+	p.addDecision(Decision{Kind: decisionForeignLease, Worker: intended.Worker, Value: intended.Born, Age: min(granted, p.options.MaxLease)})
+}
+
 // updateStartWindow adjusts the limit of concurrent starts to the response time of a start
 // command, or to the lack of an answer.
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
@@ -254,6 +265,7 @@
 	if report.Life.Born < v.Born {
 		return // late answer from before the worker's restart
 	}
+	p.reportForeignLease(c.Life, c.Renewal.LeaseUntil, report.ClockMS)
 	if report.Life.Born > v.Born {
 		p.workerRestarted(v, report, now)
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -145,6 +145,10 @@
 // decisionPlanRefused is the kind of decision that reports a fault of the planner.
 const decisionPlanRefused = "plan refused"
 
+// decisionForeignLease is the kind of decision that reports a lease on another incarnation than the
+// intended one. Age is the duration of the lease, Value the intended incarnation.
+const decisionForeignLease = "lease on another incarnation"
+
 // Placer is the state of the placer of one log partition. Its times are those of the boot clock.
 type Placer struct {
 	options        Options
