--- a/standin/cmd/standin/fleet.go
+++ b/standin/cmd/standin/fleet.go
@@ -13,6 +13,9 @@
 	"briarproxy/standin/platform"
 )
 
+// maxLease is the longest lease of the workers, and the default of the daemons' setting.
+const maxLease = 6 * time.Second
+
 // platformCommand runs the stand-in of the users' platform: its store, workers with the
 // advice service, and one queue.
 func platformCommand() *cobra.Command {
@@ -28,7 +31,7 @@
 			if err := publishQueue(store); err != nil {
 				return err
 			}
-			fleet, err := platform.NewFleet(store, "pool", workers, size)
+			fleet, err := platform.NewFleet(store, "pool", workers, size, maxLease)
 			if err != nil {
 				return err
 			}
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -26,8 +26,9 @@
 	fleet            *platform.Fleet
 	daemons          []*process
 	callerAddresses  []string
-	retentionSeconds int       // How long the store retains records.
-	serviceAddresses [2]string // The addresses of the store and the advice service, in this order.
+	retentionSeconds int           // How long the store retains records.
+	maxLease         time.Duration // The longest lease that workers grant.
+	serviceAddresses [2]string     // The addresses of the store and the advice service, in this order.
 }
 
 const (
@@ -36,11 +37,12 @@
 	jobsPath         = "/jobs/"
 	jobsHost         = "cell.example"
 	loopbackAnyPort  = "127.0.0.1:0"
+	defaultMaxLease  = 6 * time.Second
 )
 
 func newPlatformCell(t *testing.T, daemons, workers int, advice bool) *platformCell {
 	t.Helper()
-	return startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300}, daemons, workers, advice)
+	return startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: defaultMaxLease}, daemons, workers, advice)
 }
 
 func startPlatformCell(c *platformCell, daemons, workers int, advice bool) *platformCell {
@@ -59,7 +61,7 @@
 	})
 	require.NoError(t, err)
 	c.store.Put("keyed.op", "config", manifest)
-	c.fleet, err = platform.NewFleet(c.store, "pool", workers, platform.Size{Cpu: workerMilliCores, MemMb: workerMemoryMB})
+	c.fleet, err = platform.NewFleet(c.store, "pool", workers, platform.Size{Cpu: workerMilliCores, MemMb: workerMemoryMB}, c.maxLease)
 	require.NoError(t, err)
 	t.Cleanup(c.fleet.Close)
 	store, adviser := httptest.NewServer(c.store), httptest.NewServer(c.fleet)
@@ -80,7 +82,7 @@
 		"platform": map[string]any{"store": c.serviceAddresses[0], "advice": c.serviceAddresses[1], "machines": ""},
 		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
 		"bounds": map[string]any{
-			"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.retentionSeconds,
+			"max_lease_ms": c.maxLease.Milliseconds(), "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.retentionSeconds,
 		},
 	}
 	data, err := json.Marshal(settings)
@@ -349,6 +351,24 @@
 	require.Equal(t, 2, c.fleet.Starts())
 }
 
+// Guards against a task that runs twice: its restarted worker, which the next placer can't reach, keeps it
+// under a lease that a command to the former incarnation has set.
+func TestPlatformTaskRunsOnceOnARestartedWorkerThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: 10 * time.Second}, 2, 3, false)
+	first, second := fmt.Sprintf("%016x", 0xd200), fmt.Sprintf("%016x", 0xd201)
+	c.submit(0, first, c.newStep(first, 0, 8, 100*time.Millisecond, nil))
+	c.waitCompleted(0, []string{first}, 10*time.Second)
+	c.fleet.Restart("i-0000")
+	c.submit(0, second, c.newStep(second, 0, 9, 9500*time.Millisecond, nil))
+	require.Eventually(t, func() bool { return c.fleet.RunsOn("i-0000") > 0 }, 5*time.Second, time.Millisecond)
+	c.fleet.Silence("i-0000")
+	placer := c.currentPlacer()
+	c.daemons[placer].kill()
+	c.addDaemon(placer) // Its start tells the next placer that the former process has ended.
+	c.waitCompleted(1-placer, []string{second}, 60*time.Second)
+}
+
 // Guards against losing jobs when their log records expire. A daemon that starts after all
 // others have been killed must know the jobs and continue them.
 func TestPlatformHistoryExpires(t *testing.T) {
@@ -359,7 +379,7 @@
 
 func testHistoryExpiry(t *testing.T, snapshots bool) {
 	t.Parallel()
-	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 5}, 2, 4, false)
+	c := startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 5, maxLease: defaultMaxLease}, 2, 4, false)
 	var ids []string
 	for i := range 6 {
 		id := fmt.Sprintf("%016x", 0xe000+i)
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -51,7 +51,7 @@
 
 func newSoakTest(t *testing.T, seed uint64) *soakTest {
 	s := &soakTest{rng: rand.New(rand.NewPCG(seed, 1)), faulty: make([]bool, soakDaemonCount)}
-	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300}, 0, soakWorkerCount, true)
+	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: defaultMaxLease}, 0, soakWorkerCount, true)
 	store := s.serviceAddresses[0]
 	for i := range soakDaemonCount {
 		proxy, err := faultproxy.Listen(faultproxy.Options{Target: store})
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -33,6 +33,7 @@
 	violations     []string
 	starts         int
 	startedJobs    map[string]bool            // startedJobs holds the jobs of which at least one task was started.
+	maxLease       time.Duration              // maxLease is the longest lease that a worker grants, counted from the command.
 	grantedWorkers map[string]map[string]bool // grantedWorkers maps steps to the IDs of the workers granted for them.
 }
 
@@ -46,13 +47,13 @@
 
 // NewFleet starts n workers that listen on the loopback interface and registers them in the
 // store.
-func NewFleet(store *Store, pool string, n int, capacity Size) (*Fleet, error) {
+func NewFleet(store *Store, pool string, n int, capacity Size, maxLease time.Duration) (*Fleet, error) {
 	f := &Fleet{
-		store: store, pool: pool, capacity: capacity, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
+		store: store, pool: pool, capacity: capacity, maxLease: maxLease, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
 		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{},
 	}
 	for i := range n {
-		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8)}
+		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}, silent: make(chan struct{})}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -60,7 +61,7 @@
 		w.address = l.Addr().String()
 		w.restart()
 		f.workers[w.id] = w
-		w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
+		w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second, ConnState: w.trackConnection}
 		go func() { _ = w.server.Serve(l) }() // Close ends this goroutine.
 		w.register()
 	}
@@ -102,11 +103,32 @@
 	return f.starts
 }
 
-// Restart simulates a restart of a worker, which loses all its runs and begins a new incarnation.
+// Restart simulates a restart of a worker, which loses all its runs and connections and begins a new
+// incarnation.
 func (f *Fleet) Restart(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].restart()
+	w := f.workers[id]
+	w.clockOffset = restartedClockOffset
+	w.restart()
+	for conn := range w.connections {
+		_ = conn.Close() // The clients notice it.
+	}
+}
+
+// Silence cuts a worker off for good: its runs go on, and it executes and answers no further commands.
+func (f *Fleet) Silence(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.workers[id].silent)
+}
+
+// RunsOn returns the number of runs in progress on a worker.
+func (f *Fleet) RunsOn(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].endDueRuns()
+	return len(f.workers[id].runs)
 }
 
 func (f *Fleet) addViolation(format string, args ...any) {
@@ -162,6 +184,9 @@
 	rack          string
 	born          int64
 	started       time.Time
+	clockOffset   time.Duration     // clockOffset is what the clock shows at the start.
+	connections   map[net.Conn]bool // connections holds the open connections.
+	silent        chan struct{}     // silent is closed when the worker is cut off.
 	highestToken  int64
 	leaseUntil    int64
 	lastEndNumber int64
@@ -212,8 +237,31 @@
 	w.fleet.store.Put("keyed.servers", w.id, entry)
 }
 
+// Clocks of workers at their start. The first incarnations have run for long.
+const (
+	firstClockOffset     = time.Hour
+	restartedClockOffset = time.Second
+)
+
 // clock returns the worker's own clock in ms.
-func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() + 1000 }
+func (w *Worker) clock() int64 { return (w.clockOffset + time.Since(w.started)).Milliseconds() }
+
+// extendLease extends the lease up to a time on the worker's clock, but never beyond the longest lease
+// from now.
+func (w *Worker) extendLease(until int64) {
+	w.leaseUntil = max(w.leaseUntil, min(until, w.clock()+w.fleet.maxLease.Milliseconds()))
+}
+
+func (w *Worker) trackConnection(conn net.Conn, state http.ConnState) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		w.connections[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(w.connections, conn)
+	}
+}
 
 // end records that the run of a task has ended.
 func (w *Worker) end(task, how string) {
@@ -266,6 +314,12 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	select {
+	case <-w.silent:
+		<-r.Context().Done()
+		return
+	default:
+	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	w.endDueRuns()
@@ -313,6 +367,9 @@
 		refuse("ticket")
 		return
 	}
+	if otherWorker, running := f.running[cmd.Task]; running {
+		f.workers[otherWorker].endDueRuns()
+	}
 	if otherWorker, running := f.running[cmd.Task]; running {
 		f.addViolation("task %s was started on worker %s while running on worker %s", cmd.Task, w.id, otherWorker)
 	}
@@ -325,7 +382,7 @@
 		how = "failed"
 		w.failedRuns[cmd.Task]++
 	}
-	w.leaseUntil = max(w.leaseUntil, cmd.DeadlineMs)
+	w.extendLease(cmd.DeadlineMs)
 	w.runs[cmd.Task] = &taskRun{run: cmd.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how}
 	f.running[cmd.Task] = w.id
 	f.starts++
@@ -386,7 +443,7 @@
 // hold serves POST /hold. It renews the lease and drops acknowledged ended runs. If none remain, it
 // waits for one up to the requested time.
 func (w *Worker) hold(out http.ResponseWriter, r *http.Request, cmd *command) {
-	w.leaseUntil = max(w.leaseUntil, cmd.DeadlineMs)
+	w.extendLease(cmd.DeadlineMs)
 	unconfirmed := w.ended[:0:0]
 	for _, e := range w.ended {
 		switch {
