--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -181,7 +181,7 @@
 	RefusedCapacity     StartResult = "no room"
 	RefusedTicket       StartResult = "no ticket"  // the ticket is missing or has expired
 	RefusedOther        StartResult = "refused"    // the worker is unhealthy or rejected the order; the order had no effect
-	RefusedOtherWorker  StartResult = "other life" // another worker is at the address of the one that the order names
+	RefusedOtherWorker  StartResult = "other life" // another worker, or another incarnation of it, is at the address; the order was not sent or had no effect
 	NotSent             StartResult = "not sent"   // the order would have reached the worker after its ticket or lease expired
 )
 
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -146,6 +146,7 @@
 	if v.Life == c.Life {
 		v.observeClock(clockMS, now)
 	}
+	p.checkIncarnation(v, c.Life, result, now)
 	r := p.runs[c.Order.TaskID]
 	if r == nil || r.Run != c.Order.Run || r.vm != v {
 		return result == cluster.RefusedFenced
@@ -209,6 +210,16 @@
 	p.addDecision(Decision{Kind: decisionForeignLease, Worker: intended.Worker, Value: intended.Born, Age: min(granted, p.options.MaxLease)})
 }
 
+// checkIncarnation excludes a worker from placement and polls it if the answer to a command shows that
+// the known incarnation has ended.
+func (p *Placer) checkIncarnation(v *vm, intended cluster.Life, result cluster.StartResult, now time.Duration) {
+	if result != cluster.RefusedOtherWorker || v.Life != intended {
+		return
+	}
+	v.tokenSeen, v.nextPollAt = false, now
+	p.updateCellWorker(v, now)
+}
+
 // updateStartWindow adjusts the limit of concurrent starts to the response time of a start
 // command, or to the lack of an answer.
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
@@ -228,6 +239,7 @@
 	if v.Life == c.Life {
 		v.observeClock(clockMS, now)
 	}
+	p.checkIncarnation(v, c.Life, result, now)
 	r := p.runs[c.Run.TaskID]
 	if r == nil || r.Run != c.Run.Run || r.vm != v {
 		return result == cluster.RefusedFenced
--- a/core/placer/fill.go
+++ b/core/placer/fill.go
@@ -167,6 +167,7 @@
 	if v.Life == c.Life {
 		v.observeClock(clockMS, now)
 	}
+	p.checkIncarnation(v, c.Life, result, now)
 	if r := p.runs[c.Run.TaskID]; r != nil && r.Run == c.Run.Run && r.vm == v {
 		r.paceInFlight = false
 		r.paceConfirmed = result == cluster.Started
--- a/core/placer/incarnation_test.go
+++ b/core/placer/incarnation_test.go
@@ -28,3 +28,26 @@
 	require.EqualValues(t, 1, reports[0].Value)
 	require.Equal(t, testOptions.MaxLease, reports[0].Age)
 }
+
+// Guards against start commands that are sent again and again to an incarnation of a worker that has ended.
+func TestWorkerOfAnotherIncarnationIsPolledBeforeItGetsAStart(t *testing.T) {
+	c := readyCell(t, 1)
+	var starts []*StartCommand
+	c.commandFault = func(command Command) (bool, time.Duration) {
+		if command.Start != nil {
+			starts = append(starts, command.Start)
+			return true, time.Hour // answered only by the explicit call below
+		}
+		return false, 0
+	}
+	c.submit("j", batchStep(1))
+	c.advance(100 * time.Millisecond)
+	require.Len(t, starts, 1)
+	c.workers["w00"].partitioned = true
+	c.placer.StartAnswered(starts[0], cluster.RefusedOtherWorker, 0, c.now)
+	c.advance(time.Second)
+	require.Len(t, starts, 1)
+	c.workers["w00"].partitioned = false
+	c.advance(2 * missedPollDelay)
+	require.Greater(t, len(starts), 1)
+}
