A task whose success is listed late does not start again

Callers saw a task run twice: its worker had listed the first run as done 2.3 s before the second one started. Cause: ends of runs that are not active were confirmed without a record, also those of runs that were given up while their worker was silent; how these ended was not known until then.

Change: the state keeps the run of a task that was given up last. Until the task begins again, a listed end of that run (done or failed) is recorded and then confirmed; a planned run that waits for its record is withdrawn. Failed ends count as attempts, which they did not.

--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -31,6 +31,7 @@
 	Failures   int          `json:"f,omitempty"`
 	Crashes    int          `json:"x,omitempty"` // number of runs that ended as cluster.Crashed since a worker has listed the end of one
 	Unanswered int          `json:"u,omitempty"` // the same of cluster.Unanswered
+	GivenUpRun int          `json:"g,omitempty"` // last run that ended without word of its worker, if no later run has ended otherwise
 	Life       cluster.Life `json:"l"`           // worker incarnation of the last run
 	Checkpoint string       `json:"c,omitempty"`
 }
@@ -307,15 +308,23 @@
 	if t.Done && t.LastRun == e.Run {
 		return nil // the gang was already marked as done by another member's end
 	}
-	if !t.Active || t.LastRun != e.Run {
+	active := t.Active && t.LastRun == e.Run
+	if !active && !j.AcceptsLateEnd(e.RunID) {
 		return fault.New(fault.Conflict, "none needed: the end is already recorded", "run %d of task %v is not active", e.Run, e.TaskID)
 	}
-	t.Active = false
-	j.ActiveRuns--
+	if active {
+		t.Active = false
+		j.ActiveRuns--
+	}
 	if e.Reason == cluster.NeverStarted {
 		return nil
 	}
 	s.markRunning(j)
+	t.GivenUpRun = 0
+	switch e.Reason {
+	case cluster.LeaseExpired, cluster.Lost, cluster.Crashed, cluster.Unanswered:
+		t.GivenUpRun = e.Run
+	}
 	switch e.Reason {
 	case cluster.Crashed:
 		t.Crashes++
@@ -349,6 +358,20 @@
 	return nil
 }
 
+// AcceptsLateEnd reports whether the run was given up without word of its worker and its task has not
+// begun again since, so that an end that the worker lists later still counts.
+func (j *Job) AcceptsLateEnd(id cluster.RunID) bool {
+	step := j.Step(id.Occurrence, id.Step)
+	if step == nil || id.Index < 0 || id.Index >= len(step.Tasks) || id.Run == 0 {
+		return false
+	}
+	t := &step.Tasks[id.Index]
+	if t.Done || t.Active || t.GivenUpRun != id.Run {
+		return false
+	}
+	return !j.Steps[id.Step].Gang || step.HighestRun == id.Run
+}
+
 func (s *State) failAtCrashLimit(j *Job, t *TaskState, now time.Duration) {
 	if t.Crashes >= maxCrashes || t.Crashes+t.Unanswered >= maxLostStarts {
 		s.finish(j, Failed, now)
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -192,3 +192,46 @@
 		})
 	}
 }
+
+// Guards against ends that are listed late and lost, and against those that count although the task has begun
+// again.
+func TestLateEndCountsUntilTheTaskBeginsAgain(t *testing.T) {
+	id := cluster.TaskID{Job: "j"}
+	run := func(n int) cluster.RunID { return cluster.RunID{TaskID: id, Run: n} }
+	given := func(t *testing.T, later ...Batch) *State {
+		s := NewState()
+		apply := func(r Record) { require.NoError(t, s.Apply(&r, 0)) }
+		apply(Record{Claim: &Claim{Daemon: "d", Epoch: 1}})
+		apply(Record{Submit: &Submit{ID: "j", Queue: "q", Pool: "p", Steps: []Step{{Count: 1}}, MaxAttempts: 2}})
+		apply(Record{Batch: &Batch{Epoch: 1, Begins: []Begin{{RunID: run(1)}}}})
+		apply(Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: run(1), Reason: cluster.LeaseExpired}}}})
+		for i := range later {
+			later[i].Epoch = 1
+			apply(Record{Batch: &later[i]})
+		}
+		return s
+	}
+	end := func(s *State, n int, reason cluster.EndReason) error {
+		return s.Apply(&Record{Batch: &Batch{Epoch: 1, Ends: []End{{RunID: run(n), Reason: reason}}}}, 0)
+	}
+	begin := Batch{Begins: []Begin{{RunID: run(2)}}}
+	withdraw := Batch{Ends: []End{{RunID: run(2), Reason: cluster.NeverStarted}}}
+
+	s := given(t)
+	require.NoError(t, end(s, 1, cluster.Done))
+	require.Equal(t, Completed, s.Jobs["j"].Phase)
+	require.Zero(t, s.Jobs["j"].ActiveRuns)
+
+	s = given(t, begin, withdraw)
+	require.NoError(t, end(s, 1, cluster.Failed))
+	require.Equal(t, 1, s.Task(id).Failures)
+	require.Error(t, end(s, 1, cluster.Failed), "it counts once")
+
+	s = given(t, begin)
+	require.Error(t, end(s, 1, cluster.Done))
+	require.True(t, s.Task(id).Active)
+
+	s = given(t, begin, Batch{Ends: []End{{RunID: run(2), Reason: cluster.Failed}}})
+	require.Error(t, end(s, 1, cluster.Done))
+	require.Equal(t, 1, s.Task(id).Failures)
+}
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -300,12 +300,18 @@
 
 // processEnds processes the run ends that the worker has not reported before.
 func (p *Placer) processEnds(v *vm, report *cluster.WorkerReport, now time.Duration) {
+	v.endsPostponed = false
 	for i := range report.Ended {
 		e := &report.Ended[i]
 		if e.Number <= v.lastListedEnd {
 			continue
 		}
+		if p.mustPostponeEnd(v, e, now) {
+			v.endsPostponed = true
+			break
+		}
 		v.lastListedEnd = e.Number
+		p.trackLateEnd(v, e, now)
 		r := p.runs[e.TaskID]
 		tracked := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
 		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !tracked || r.stray})
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -50,6 +50,10 @@
 	steps := make([]*pendingStep, 0, len(p.steps))
 	for _, step := range p.steps {
 		step.setQueue(p.queues[step.job.Queue])
+		if now < step.heldUntil {
+			p.planNeeded = true
+			continue
+		}
 		if step.job.Config <= p.config.Version {
 			steps = append(steps, step)
 		}
