--- a/core/placer/lateend_test.go
+++ b/core/placer/lateend_test.go
@@ -66,3 +66,15 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 	require.Equal(t, 1, c.starts)
 }
+
+// Guards against a worker that is back and stays unused, with ends that nobody confirms, because it had no run left
+// that counted when it fell silent.
+func TestWorkerWhoseRunsWereGivenUpIsUsedSoonAfterItIsBack(t *testing.T) {
+	c, w := unreachableUntilGivenUp(t, cluster.Done)
+	w.partitioned = false
+	c.advance(3 * time.Second)
+	require.Empty(t, w.ended)
+	c.submit("next", batchStep(1))
+	c.advance(time.Second)
+	require.Equal(t, 2, c.starts)
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -35,6 +35,9 @@
 	// idlePollInterval is short enough that the error in the estimate of an idle worker's
 	// clock stays below the slack of a lease.
 	idlePollInterval = 20 * time.Second
+	// silentPollInterval is the time between polls of a worker that has not answered the last one and has
+	// no runs.
+	silentPollInterval = 2 * time.Second
 	// missedPollDelay is the time from the failure of a poll to the next poll of the worker.
 	missedPollDelay = 400 * time.Millisecond
 	// stopRetryInterval is the time after which a stop command without effect is sent again.
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -120,6 +120,8 @@
 		return true
 	case v.recordedUpTo > v.confirmedUpTo:
 		return true
+	case v.missedPolls > 0:
+		return v.inRegistry && now-v.pollSentAt > silentPollInterval
 	default:
 		return v.inRegistry && now-v.answeredAt > idlePollInterval
 	}
