Tests of late ends beside later runs and gangs, from the review

The withdrawal of a planned run now passes the present time on, with which the worker is shown as usable again.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -309,7 +309,7 @@
 		v.lastListedEnd = e.Number
 		r := p.runs[e.TaskID]
 		tracked := r != nil && r.Run == e.Run && r.vm == v && r.state != ended
-		late := (!tracked || r.stray) && p.recordLateEnd(v, e)
+		late := (!tracked || r.stray) && p.recordLateEnd(v, e, now)
 		v.unrecordedEnds = append(v.unrecordedEnds, listedEnd{number: e.Number, run: e.RunID, recorded: !late && (!tracked || r.stray)})
 		if tracked {
 			p.processEnd(r, e, now)
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -531,6 +531,14 @@
 	return r
 }
 
+// addWorker adds an idle worker like w00.
+func (c *fakeCell) addWorker(id string) {
+	like := c.workers["w00"].Worker
+	like.Life, like.Address = cluster.Life{Worker: id, Born: 1}, id
+	c.workers[id] = &fakeWorker{Worker: like, up: true, inRegistry: true, runs: map[cluster.TaskID]*fakeRun{}, highestRun: map[cluster.TaskID]int{}}
+	c.publishRegistry()
+}
+
 // restart replaces the incarnation of a worker by a new one.
 func (c *fakeCell) restart(w *fakeWorker) {
 	w.Born++
--- a/core/placer/lateend.go
+++ b/core/placer/lateend.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
@@ -15,7 +16,7 @@
 
 // recordLateEnd adds the end to the next batch if its run was given up and the end changes the state of
 // the task. It reports whether it did.
-func (p *Placer) recordLateEnd(v *vm, e *cluster.EndReport) bool {
+func (p *Placer) recordLateEnd(v *vm, e *cluster.EndReport, now time.Duration) bool {
 	if e.Reason != cluster.Done && e.Reason != cluster.Failed || !p.wasGivenUp(v, e) {
 		return false
 	}
@@ -24,7 +25,7 @@
 	if step := p.steps[e.StepID()]; step != nil {
 		step.lateEnds++
 		if e.Reason == cluster.Done {
-			p.withdrawLaterRuns(step, e)
+			p.withdrawLaterRuns(step, e, now)
 		}
 	}
 	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: e.RunID, Reason: e.Reason})
@@ -44,7 +45,7 @@
 
 // withdrawLaterRuns stops the runs that began after the one that has succeeded: those of the task, or of
 // all members of a gang.
-func (p *Placer) withdrawLaterRuns(step *pendingStep, e *cluster.EndReport) {
+func (p *Placer) withdrawLaterRuns(step *pendingStep, e *cluster.EndReport, now time.Duration) {
 	for i := range step.def.Count {
 		r := p.runs[step.taskID(i)]
 		if r == nil || r.Run <= e.Run || r.stray || i != e.Index && !step.def.Gang {
@@ -54,7 +55,7 @@
 		if n := slices.Index(p.pendingRuns, r); n >= 0 {
 			p.pendingRuns = slices.Delete(p.pendingRuns, n, n+1)
 			p.pendingBatch.Begins = slices.Delete(p.pendingBatch.Begins, n, n+1)
-			p.endRun(r, cluster.NeverStarted, "", 0)
+			p.endRun(r, cluster.NeverStarted, "", now)
 		}
 	}
 }
--- a/core/placer/lateend_test.go
+++ b/core/placer/lateend_test.go
@@ -8,6 +8,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
+	"briarproxy/core/resource"
 )
 
 // unreachableUntilGivenUp returns a cell of one worker on which a task has ended while the worker was
@@ -51,12 +52,7 @@
 func TestPlannedRunIsWithdrawnWhenAnEarlierOneIsListedAsDone(t *testing.T) {
 	c, w := unreachableUntilGivenUp(t, cluster.Done)
 	c.logUnreachable = true
-	other := *w
-	other.Life, other.Address = cluster.Life{Worker: "w01", Born: 1}, "w01"
-	other.partitioned, other.token, other.leaseUntilMS, other.ended = false, 0, 0, nil
-	other.runs, other.highestRun = map[cluster.TaskID]*fakeRun{}, map[cluster.TaskID]int{}
-	c.workers["w01"] = &other
-	c.publishRegistry()
+	c.addWorker("w01")
 	c.advance(time.Second)
 	require.Equal(t, logging, c.placer.runs[cluster.TaskID{Job: "j"}].state)
 	w.partitioned = false
@@ -78,3 +74,61 @@
 	c.advance(time.Second)
 	require.Equal(t, 2, c.starts)
 }
+
+// Guards against a task that starts a third time after its first run was listed as done, because the end is discarded
+// while the second run works.
+func TestSuccessListedWhileALaterRunWorksCounts(t *testing.T) {
+	c, w := unreachableUntilGivenUp(t, cluster.Done)
+	c.outcome = func(s cluster.Start) cluster.EndReason {
+		if s.Run == 2 {
+			return cluster.Failed
+		}
+		return cluster.Done
+	}
+	c.runTime = func(cluster.Start) time.Duration { return 5 * time.Second }
+	c.addWorker("w01")
+	c.advance(500 * time.Millisecond)
+	require.Equal(t, 2, c.starts)
+	w.partitioned = false
+	c.advance(15 * time.Second)
+	require.Equal(t, 2, c.starts)
+	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+	require.Zero(t, c.placer.ActiveRuns())
+}
+
+// Guards against more attempts than allowed, because a failure is discarded that is listed while a later run works.
+func TestFailureListedWhileALaterRunWorksCounts(t *testing.T) {
+	c, w := unreachableUntilGivenUp(t, cluster.Failed)
+	c.addWorker("w01")
+	c.advance(500 * time.Millisecond)
+	require.Equal(t, 2, c.starts)
+	w.partitioned = false
+	c.advance(40 * time.Second)
+	require.Equal(t, flow.Failed, c.state.Jobs["j"].Phase)
+	require.Equal(t, 3, c.starts)
+}
+
+// Guards against a gang that runs again after a member was listed as done, because its next run was planned.
+func TestPlannedGangIsWithdrawnWhenAMemberIsListedAsDone(t *testing.T) {
+	c := newFakeCell(t, 2, resource.Vector{MilliCores: 1000, MemoryMiB: 8000})
+	c.takeOver()
+	c.retireFormerPlacers()
+	c.advance(time.Second)
+	c.runTime = func(cluster.Start) time.Duration { return 2 * time.Second }
+	c.submit("j", flow.Step{Count: 2, Gang: true, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 100}, EstimateMS: 2000})
+	c.advance(500 * time.Millisecond)
+	c.workers["w00"].partitioned, c.workers["w01"].partitioned = true, true
+	c.advance(9 * time.Second)
+	require.False(t, c.state.Task(cluster.TaskID{Job: "j"}).Active)
+	c.logUnreachable = true
+	c.addWorker("w02")
+	c.addWorker("w03")
+	c.advance(time.Second)
+	require.Equal(t, logging, c.placer.runs[cluster.TaskID{Job: "j"}].state)
+	c.workers["w00"].partitioned, c.workers["w01"].partitioned = false, false
+	c.advance(25 * time.Second)
+	c.logUnreachable = false
+	c.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+	require.Equal(t, 2, c.starts)
+}
