A worker that answers with an earlier start time is polled with pauses

If the answer to a poll came from an incarnation that started before the known one, the next poll followed at once, 100 a second in the test; since commands are bound to an incarnation each of them opened a connection. Found by the review.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -276,6 +276,7 @@
 	}
 	v.pollInFlight = false
 	if report.Life.Born < v.Born {
+		v.nextPollAt = now + missedPollDelay
 		return // late answer from before the worker's restart
 	}
 	p.reportForeignLease(c.Life, c.Renewal.LeaseUntil, report.ClockMS)
--- a/core/placer/incarnation_test.go
+++ b/core/placer/incarnation_test.go
@@ -10,6 +10,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
+	"briarproxy/core/resource"
 )
 
 // Guards against a lease that is longer than intended, on another incarnation of the worker, without a line in the log.
@@ -96,3 +97,18 @@
 		})
 	}
 }
+
+// Guards against a worker that is polled without a pause while it answers with an earlier start time than its entry in
+// the registry.
+func TestWorkerWithAnEarlierStartTimeIsPolledWithPauses(t *testing.T) {
+	c := newFakeCell(t, 1, resource.Vector{MilliCores: 1000, MemoryMiB: 1024})
+	w := c.workers["w00"]
+	w.Born = 2
+	c.takeOver()
+	w.Born = 1
+	polls := 0
+	c.commandFault = func(Command) (bool, time.Duration) { polls++; return false, 0 }
+	c.advance(4 * time.Second)
+	require.Positive(t, polls)
+	require.LessOrEqual(t, polls, int(4*time.Second/missedPollDelay))
+}
