--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -218,6 +218,7 @@
 // WorkerReport is a worker's response to a LeaseRenewal.
 type WorkerReport struct {
 	Life    Life
+	Renewed bool // the renewal took effect; false if another incarnation than the intended one was only asked for its report
 	ClockMS int64
 	Running []RunReport
 	Ended   []EndReport
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -279,7 +279,9 @@
 		v.nextPollAt = now + missedPollDelay
 		return // late answer from before the worker's restart
 	}
-	p.reportForeignLease(c.Life, c.Renewal.LeaseUntil, report.ClockMS)
+	if report.Renewed {
+		p.reportForeignLease(c.Life, c.Renewal.LeaseUntil, report.ClockMS)
+	}
 	if report.Life.Born > v.Born {
 		p.workerRestarted(v, report, now)
 	}
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -426,6 +426,7 @@
 		answer(func(now time.Duration) []Command { p.PollFailed(command.Poll, now); return nil })
 	default:
 		report := c.poll(w, &cluster.LeaseRenewal{Token: command.Poll.Renewal.Token})
+		report.Renewed = false
 		answer(func(now time.Duration) []Command { p.PollAnswered(command.Poll, report, now); return nil })
 	}
 }
@@ -512,7 +513,7 @@
 		}
 	}
 	w.ended = unconfirmed
-	r := &cluster.WorkerReport{Life: w.Life, ClockMS: w.clockMS(c.now), Ended: append([]cluster.EndReport(nil), unconfirmed...)}
+	r := &cluster.WorkerReport{Life: w.Life, Renewed: true, ClockMS: w.clockMS(c.now), Ended: append([]cluster.EndReport(nil), unconfirmed...)}
 	for _, e := range r.Ended {
 		if _, listed := c.listedDone[e.TaskID]; !listed && e.Reason == cluster.Done {
 			c.listedDone[e.TaskID] = listing{c.now, renewal.Token}
--- a/core/placer/incarnation_test.go
+++ b/core/placer/incarnation_test.go
@@ -94,6 +94,9 @@
 			for id, job := range c.state.Jobs {
 				require.Equal(t, flow.Completed, job.Phase, id)
 			}
+			for _, d := range c.decisions {
+				require.NotEqual(t, decisionForeignLease, d.Kind, "no command was sent to another incarnation")
+			}
 		})
 	}
 }
