Stand-in: a cut of a worker can end, and its runs end on time meanwhile

Cause: Fleet.Silence was for good, so no test could have a worker that is cut off come back. Ends of a worker that nobody asked were found only at the next command: a run that was complete before its lease expired was listed as lapsed, and a completion that an expired lease had made void still counted.

Change: Reconnect ends a cut; cuts are counted, since they may overlap. Commands of the cut hang until their client gives up, also a hold that waited when the cut began, and are never executed. endDueRuns ends each run by its own time, before or at the lapse of the lease, and the check for completions calls it first.

--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -53,7 +53,7 @@
 		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{},
 	}
 	for i := range n {
-		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}, silent: make(chan struct{})}
+		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -116,11 +116,19 @@
 	}
 }
 
-// Silence cuts a worker off for good: its runs go on, and it executes and answers no further commands.
+// Silence cuts a worker off until Reconnect is called: its runs go on, and it neither executes nor answers
+// commands. Cuts may overlap; each needs its own call of Reconnect.
 func (f *Fleet) Silence(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.workers[id].silent)
+	f.workers[id].cuts++
+}
+
+// Reconnect ends a cut. Commands that the worker received during the cut are never executed.
+func (f *Fleet) Reconnect(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].cuts--
 }
 
 // RunsOn returns the number of runs in progress on a worker.
@@ -172,6 +180,7 @@
 // lost when the worker restarts and, by the platform's rules, becomes void if the worker's lease
 // expires after it.
 func (f *Fleet) completionCounts(run completedRun) bool {
+	run.worker.endDueRuns() // A worker that is cut off may not have noticed that its lease has expired.
 	return f.confirmed[run] || run.worker.born == run.born && run.endNumber > run.worker.lapsedUpTo
 }
 
@@ -186,7 +195,7 @@
 	started       time.Time
 	clockOffset   time.Duration     // clockOffset is what the clock shows at the start.
 	connections   map[net.Conn]bool // connections holds the open connections.
-	silent        chan struct{}     // silent is closed when the worker is cut off.
+	cuts          int               // cuts is the number of cuts that have not ended.
 	highestToken  int64
 	leaseUntil    int64
 	lastEndNumber int64
@@ -278,21 +287,24 @@
 	}
 }
 
-// endDueRuns ends the runs that are complete, or all runs if the lease has expired. The caller must
-// hold the fleet's lock.
+// endDueRuns ends the runs that are complete, or all runs if the lease has expired. A run that was
+// complete before that keeps its outcome, however late this is called. The caller must hold the
+// fleet's lock.
 func (w *Worker) endDueRuns() {
-	now := time.Now()
-	if w.clock() > w.leaseUntil {
-		w.lapsedUpTo = w.lastEndNumber
-	}
+	now := w.clock()
+	expired := now > w.leaseUntil
 	for task, r := range w.runs {
-		switch {
-		case w.clock() > w.leaseUntil:
-			w.end(task, "lapsed")
-		case now.After(r.endAt):
+		if endAt := (w.clockOffset + r.endAt.Sub(w.started)).Milliseconds(); endAt < now && (!expired || endAt <= w.leaseUntil) {
 			w.end(task, r.how)
 		}
 	}
+	if !expired {
+		return
+	}
+	w.lapsedUpTo = w.lastEndNumber
+	for task := range w.runs {
+		w.end(task, "lapsed")
+	}
 }
 
 // command is the body of any request to a worker.
@@ -314,14 +326,12 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	select {
-	case <-w.silent:
-		<-r.Context().Done()
-		return
-	default:
-	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	if w.cuts > 0 {
+		w.hang(r)
+		return
+	}
 	w.endDueRuns()
 	if cmd.FencingToken < w.highestToken {
 		writeJSON(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": "fence"})
@@ -344,6 +354,13 @@
 	}
 }
 
+// hang waits until the client gives up a request. The caller must hold the fleet's lock.
+func (w *Worker) hang(r *http.Request) {
+	w.fleet.mu.Unlock()
+	<-r.Context().Done()
+	w.fleet.mu.Lock()
+}
+
 // start serves POST /run-start and records violations of the platform's rules.
 func (w *Worker) start(out http.ResponseWriter, cmd *command) {
 	f := w.fleet
@@ -461,6 +478,10 @@
 		w.fleet.mu.Lock()
 		w.endDueRuns()
 	}
+	if w.cuts > 0 {
+		w.hang(r)
+		return
+	}
 	running, finished := [][]any{}, [][]any{}
 	for task, run := range w.runs {
 		running = append(running, []any{task, run.run, "", 50, 100})
