The soak cuts off workers, alone and after a restart with a kill of the placer

Cause: no action of TestPlatformSoak gave a restarted worker a lease that its next placer doesn't know of, so the faults of 2026-12-07 could not show there.

Change: new seeded actions: a worker is cut off for 1 to 9 s; one to four workers restart under their ids, are cut off 0 to 2 s later for 5 to 9 s, and the placer is killed within a second of that and started again. Faults of workers repeat on the same one half of the time. Workers grant up to 10 s, some tasks last 6 to 10 s, many while such workers wait for their cut. Faults end at their time after the last job, too. Soaks above 15 s come in bursts of 15 s each 30 s. Checks are unchanged.

--- a/standin/integration/rolling_test.go
+++ b/standin/integration/rolling_test.go
@@ -123,7 +123,7 @@
 }
 
 func newRollingStopTest(t *testing.T, seed uint64) *rollingStopTest {
-	r := &rollingStopTest{soakTest: newSoakTest(t, seed), stoppingSince: make([]time.Time, soakDaemonCount), secondSignalAt: make([]time.Time, soakDaemonCount)}
+	r := &rollingStopTest{soakTest: newSoakTest(t, seed, defaultMaxLease), stoppingSince: make([]time.Time, soakDaemonCount), secondSignalAt: make([]time.Time, soakDaemonCount)}
 	r.balancer = &loadBalancer{callerAddresses: make([]string, soakDaemonCount), readyAddresses: make([]string, soakDaemonCount), failedChecks: make([]int, soakDaemonCount)}
 	for i := range soakDaemonCount {
 		r.balancer.setAddresses(i, r.callerAddresses[i], readyAddress(t, r.daemons[i]))
--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -30,7 +30,13 @@
 	soakDaemonCount       = 4
 	soakWorkerCount       = 12
 	soakCompletionTimeout = 60 * time.Second // Covers the longest lease of a failed placer and the backlog.
+	soakMaxLease          = 10 * time.Second // Twice the longest lease of a placer, as on the users' machines.
 	jobInterval           = 70 * time.Millisecond
+
+	// Each cycle begins with a burst of jobs and faults. The cell can't keep up with it, so the rest of the
+	// cycle is for the backlog.
+	soakBurst = 15 * time.Second
+	soakCycle = 30 * time.Second
 )
 
 // soakTest injects random faults into a cell of real daemons, each of which connects to
@@ -40,7 +46,14 @@
 	rng             *rand.Rand
 	proxies         []*faultproxy.Proxy
 	replacedDaemons []*process // Former processes of restarted daemons.
-	faulty          []bool     // Daemons with an active fault. Only the test's own goroutine uses it.
+
+	// Only the test's own goroutine uses these.
+	faulty        []bool // Daemons with an active fault.
+	lastWorker    string // The worker of the last fault of a worker.
+	dueFaults     []scheduledFault
+	faultEvents   []string
+	begin         time.Time
+	longJobsUntil time.Time // Many tasks are long until then, so that some start on workers that are cut off next.
 
 	mu                     sync.Mutex
 	currentCallerAddresses []string // By daemon.
@@ -49,9 +62,15 @@
 	activeCallers          sync.WaitGroup
 }
 
-func newSoakTest(t *testing.T, seed uint64) *soakTest {
+// scheduledFault begins or ends a fault at a later time.
+type scheduledFault struct {
+	at  time.Time
+	run func()
+}
+
+func newSoakTest(t *testing.T, seed uint64, maxLease time.Duration) *soakTest {
 	s := &soakTest{rng: rand.New(rand.NewPCG(seed, 1)), faulty: make([]bool, soakDaemonCount)}
-	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: defaultMaxLease}, 0, soakWorkerCount, true)
+	s.platformCell = startPlatformCell(&platformCell{t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: maxLease}, 0, soakWorkerCount, true)
 	store := s.serviceAddresses[0]
 	for i := range soakDaemonCount {
 		proxy, err := faultproxy.Listen(faultproxy.Options{Target: store})
@@ -96,7 +115,7 @@
 		for _, p := range append(s.replacedDaemons, s.daemons...) {
 			p.mu.Lock()
 			for _, line := range p.lines {
-				if strings.Contains(line, id) || strings.Contains(line, `"event":93`) || strings.Contains(line, "worker started again") || strings.Contains(line, "lease ended") {
+				if strings.Contains(line, id) || strings.Contains(line, `"event":93`) || strings.Contains(line, "worker started again") || strings.Contains(line, "lease ended") || strings.Contains(line, "lease on another") {
 					lines = append(lines, line)
 				}
 			}
@@ -133,37 +152,111 @@
 	}
 }
 
-// injectFault starts a random fault. It returns the function that ends the fault and the
-// delay after which to call it.
-func (s *soakTest) injectFault() (description string, healAfter time.Duration, heal func()) {
-	healAfter = time.Duration(300+s.rng.IntN(3500)) * time.Millisecond
-	i := s.rng.IntN(soakDaemonCount)
+// schedule calls a function after a delay.
+func (s *soakTest) schedule(delay time.Duration, run func()) {
+	s.dueFaults = append(s.dueFaults, scheduledFault{time.Now().Add(delay), run})
+}
+
+// runScheduled calls the scheduled functions that are due at a time, in their order.
+func (s *soakTest) runScheduled(now time.Time) {
+	slices.SortStableFunc(s.dueFaults, func(a, b scheduledFault) int { return a.at.Compare(b.at) })
+	for len(s.dueFaults) > 0 && s.dueFaults[0].at.Before(now) {
+		due := s.dueFaults[0]
+		s.dueFaults = s.dueFaults[1:]
+		due.run()
+	}
+}
+
+func (s *soakTest) logFault(format string, args ...any) {
+	s.faultEvents = append(s.faultEvents, fmt.Sprintf("%.1fs ", time.Since(s.begin).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// randomDelay returns a random duration from shortest to below longest.
+func (s *soakTest) randomDelay(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(s.rng.Int64N(int64(longest-shortest)))
+}
+
+func (s *soakTest) randomWorker() string {
+	s.lastWorker = fmt.Sprintf("i-%04x", s.rng.IntN(soakWorkerCount))
+	return s.lastWorker
+}
+
+// pickWorker returns a random worker, or as often the last one again, so that its faults overlap and
+// follow each other.
+func (s *soakTest) pickWorker() string {
+	if s.rng.IntN(2) == 0 && s.lastWorker != "" {
+		return s.lastWorker
+	}
+	return s.randomWorker()
+}
+
+// canFail reports whether a daemon has no fault and another one has none either.
+func (s *soakTest) canFail(daemon int) bool {
 	healthyCount := 0
 	for _, faulty := range s.faulty {
 		if !faulty {
 			healthyCount++
 		}
 	}
-	kind := s.rng.IntN(9)
-	if kind < 6 && (s.faulty[i] || healthyCount < 2) {
-		kind = 6 + kind%3
+	return healthyCount >= 2 && !s.faulty[daemon]
+}
+
+// cutOffWorker schedules a cut between a worker and all daemons.
+func (s *soakTest) cutOffWorker(worker string, delay, length time.Duration) {
+	s.schedule(delay, func() {
+		s.logFault("%s cut off for %.1fs", worker, length.Seconds())
+		s.fleet.Silence(worker)
+	})
+	s.schedule(delay+length, func() { s.fleet.Reconnect(worker) })
+}
+
+// killPlacer schedules the end of the daemon that is the placer by then, and its next start.
+func (s *soakTest) killPlacer(delay, downTime time.Duration) {
+	victim := -1
+	s.schedule(delay, func() {
+		if placer := s.currentPlacer(); placer >= 0 && s.canFail(placer) {
+			victim = placer
+			s.logFault("placer d%d killed for %.1fs", victim, downTime.Seconds())
+			s.faulty[victim] = true
+			s.daemons[victim].kill()
+		}
+	})
+	s.schedule(delay+downTime, func() {
+		if victim >= 0 {
+			s.restartDaemon(victim)
+			s.faulty[victim] = false
+		}
+	})
+}
+
+// injectFault starts a random fault and schedules its end.
+func (s *soakTest) injectFault() {
+	healAfter := time.Duration(300+s.rng.IntN(3500)) * time.Millisecond
+	i := s.rng.IntN(soakDaemonCount)
+	kind := s.rng.IntN(15)
+	if kind < 6 && !s.canFail(i) {
+		kind += 6
 	}
-	daemonFault := func(name string, begin, end func()) (string, time.Duration, func()) {
-		s.faulty[i] = true
+	fault := func(name string, begin, end func()) {
+		s.logFault("%s for %.1fs", name, healAfter.Seconds())
 		begin()
-		return fmt.Sprint(name, " d", i), healAfter, func() { end(); s.faulty[i] = false }
+		s.schedule(healAfter, end)
+	}
+	daemonFault := func(name string, begin, end func()) {
+		s.faulty[i] = true
+		fault(fmt.Sprint(name, " d", i), begin, func() { end(); s.faulty[i] = false })
 	}
 	p, proxy := s.daemons[i], s.proxies[i]
 	switch kind {
 	case 0:
-		return daemonFault("kill", p.kill, func() { s.restartDaemon(i) })
+		daemonFault("kill", p.kill, func() { s.restartDaemon(i) })
 	case 1:
-		return daemonFault("pause", p.pause, p.resume)
+		daemonFault("pause", p.pause, p.resume)
 	case 2:
-		return daemonFault("stop", p.terminate, func() { <-p.exited; s.restartDaemon(i) })
+		daemonFault("stop", p.terminate, func() { <-p.exited; s.restartDaemon(i) })
 	case 3, 4:
 		mode := []faultproxy.Mode{faultproxy.ModeRefuse, faultproxy.ModeSilent}[kind-3]
-		return daemonFault("store unreachable ("+string(mode)+")", func() {
+		daemonFault("store unreachable ("+string(mode)+")", func() {
 			require.NoError(s.t, proxy.SetConnectionPolicy(faultproxy.ConnectionPolicy{Mode: mode}))
 			require.NoError(s.t, proxy.Silence(faultproxy.Silence{All: true}))
 		}, func() {
@@ -171,17 +264,29 @@
 			require.NoError(s.t, proxy.Reset(faultproxy.Reset{}))
 		})
 	case 5:
-		return daemonFault("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
+		daemonFault("store slow", func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{UpMS: 100, DownMS: 150})) },
 			func() { require.NoError(s.t, proxy.SetDelay(faultproxy.Delay{})) })
 	case 6:
-		s.store.SetUnavailable(true)
-		return "store down", healAfter, func() { s.store.SetUnavailable(false) }
+		fault("store down", func() { s.store.SetUnavailable(true) }, func() { s.store.SetUnavailable(false) })
 	case 7:
+		s.logFault("append replies lost")
 		s.store.LoseAppendReplies(3)
-		return "append replies lost", 0, func() {}
+	case 8:
+		worker := s.pickWorker()
+		s.logFault("%s restarted", worker)
+		s.fleet.Restart(worker)
+	case 9, 10:
+		s.cutOffWorker(s.pickWorker(), 0, s.randomDelay(time.Second, 9*time.Second))
 	default:
-		s.fleet.Restart(fmt.Sprintf("i-%04x", s.rng.IntN(soakWorkerCount)))
-		return "worker restarted", 0, func() {}
+		cutAfter := s.randomDelay(0, 2*time.Second)
+		s.longJobsUntil = time.Now().Add(cutAfter)
+		for range 1 + s.rng.IntN(4) {
+			worker := s.randomWorker()
+			s.logFault("%s restarted", worker)
+			s.fleet.Restart(worker)
+			s.cutOffWorker(worker, cutAfter, s.randomDelay(5*time.Second, 9*time.Second))
+		}
+		s.killPlacer(cutAfter+s.randomDelay(0, time.Second), s.randomDelay(200*time.Millisecond, 1200*time.Millisecond))
 	}
 }
 
@@ -201,50 +306,46 @@
 		seed, err = strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err, soakSeedEnv)
 	}
-	s := newSoakTest(t, seed)
-	type scheduledHeal struct {
-		at   time.Time
-		heal func()
-	}
-	var scheduledHeals []scheduledHeal
-	var faultLog []string
-	begin := time.Now()
-	nextFault, jobs := begin.Add(time.Second), 0
-	for time.Since(begin) < duration {
+	s := newSoakTest(t, seed, soakMaxLease)
+	s.begin = time.Now()
+	nextFault, jobs := s.begin.Add(time.Second), 0
+	for time.Since(s.begin) < duration {
 		time.Sleep(jobInterval)
+		if time.Since(s.begin)%soakCycle >= soakBurst {
+			s.runScheduled(time.Now())
+			continue
+		}
 		id := fmt.Sprintf("%016x", 0x50a0000+jobs)
-		taskDuration := time.Duration(100+s.rng.IntN(1500)) * time.Millisecond
+		taskDuration, taskCount := s.randomDelay(100*time.Millisecond, 1600*time.Millisecond), 1+s.rng.IntN(3)
+		longJobInterval := 10
+		if time.Now().Before(s.longJobsUntil) {
+			longJobInterval = 2
+		}
+		if s.rng.IntN(longJobInterval) == 0 {
+			taskDuration, taskCount = s.randomDelay(6*time.Second, 10*time.Second), 1 // Runs on when a placer's leases have expired.
+		}
 		gang := s.rng.IntN(4) == 0
 		maxPerWorker := s.rng.IntN(3) // 0 means no limit
 		body := map[string]any{"Spec": id, "Steps": []any{
-			s.newStep(id, 0, 1+s.rng.IntN(3), taskDuration, map[string]any{"Gang": gang, "AntiAffinity": maxPerWorker}),
+			s.newStep(id, 0, taskCount, taskDuration, map[string]any{"Gang": gang, "AntiAffinity": maxPerWorker}),
 			s.newStep(id, 1, 1, 100*time.Millisecond, map[string]any{"StartAfter": []int{0}}),
 		}}
 		s.activeCallers.Add(1)
 		go s.submitUntilAccepted(id, body, s.rng.IntN(soakDaemonCount))
 		jobs++
 		now := time.Now()
-		remaining := scheduledHeals[:0]
-		for _, e := range scheduledHeals {
-			if now.After(e.at) {
-				e.heal()
-			} else {
-				remaining = append(remaining, e)
-			}
-		}
-		scheduledHeals = remaining
+		s.runScheduled(now)
 		if now.After(nextFault) {
-			description, healAfter, heal := s.injectFault()
-			faultLog = append(faultLog, fmt.Sprintf("%.1fs %s for %.1fs", now.Sub(begin).Seconds(), description, healAfter.Seconds()))
-			scheduledHeals = append(scheduledHeals, scheduledHeal{now.Add(healAfter), heal})
+			s.injectFault()
 			nextFault = now.Add(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
 		}
 	}
-	for _, e := range scheduledHeals {
-		e.heal()
+	for len(s.dueFaults) > 0 {
+		time.Sleep(jobInterval)
+		s.runScheduled(time.Now())
 	}
 	s.activeCallers.Wait()
-	t.Logf("seed %d: %d jobs, %d accepted, %d rejected, %d starts; %s", seed, jobs, len(s.accepted), len(s.rejected), s.fleet.Starts(), strings.Join(faultLog, "; "))
+	t.Logf("seed %d: %d jobs, %d accepted, %d rejected, %d starts; %s", seed, jobs, len(s.accepted), len(s.rejected), s.fleet.Starts(), strings.Join(s.faultEvents, "; "))
 	require.NotEmpty(t, s.accepted)
 	t.Cleanup(s.logViolationHistories)
 	s.waitCompleted(0, s.accepted, soakCompletionTimeout)
