Stand-in: a command that a former incarnation has received is not executed

Cause: a handler that had read its command before Fleet.Restart executed it on the new incarnation, with the former one's times. Change: a connection belongs to the incarnation that accepted it; its commands hang on any other. Measured (trial, 6 clients that send without pause, 8 s of restarts): 92 such commands before, none after.

--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -61,7 +62,7 @@
 		w.address = l.Addr().String()
 		w.restart()
 		f.workers[w.id] = w
-		w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second, ConnState: w.trackConnection}
+		w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second, ConnState: w.trackConnection, ConnContext: w.markConnection}
 		go func() { _ = w.server.Serve(l) }() // Close ends this goroutine.
 		w.register()
 	}
@@ -272,6 +273,15 @@
 	}
 }
 
+// bornKey is the context key of the incarnation that has accepted a connection.
+type bornKey struct{}
+
+func (w *Worker) markConnection(ctx context.Context, _ net.Conn) context.Context {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return context.WithValue(ctx, bornKey{}, w.born)
+}
+
 // end records that the run of a task has ended.
 func (w *Worker) end(task, how string) {
 	r := w.runs[task]
@@ -328,8 +338,8 @@
 	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	if w.cuts > 0 {
-		w.hang(r)
+	if w.cuts > 0 || r.Context().Value(bornKey{}) != any(w.born) {
+		w.hang(r) // A command that the former incarnation has received ends with it.
 		return
 	}
 	w.endDueRuns()
