Workspaces in the configuration; calls without a known key are refused

Cause: the adapter read neither workspaces nor keys, so requests ran with keys that no configuration ever held.

Change: a configuration has workspaces (keys, priority, weight, maximum) and a queue may be public. A submission records its workspace. Without workspaces nothing changes.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -30,6 +30,7 @@
 	Target      time.Duration // see Objective
 	Timeout     time.Duration // time limit for a call from a caller
 	Advice      *Advice       // nil means that every worker of the pool may run the queue's steps
+	Public      bool          // calls need no key
 }
 
 // Objective returns the target time from submission to completion of a job whose longest chain
@@ -55,10 +56,11 @@
 
 // Configuration is one published, immutable version of the operator's configuration.
 type Configuration struct {
-	Version int64
-	Queues  []Queue
-	Pools   []Pool
-	Limits  Limits
+	Version    int64
+	Queues     []Queue
+	Pools      []Pool
+	Workspaces []Workspace // none means that calls need no key
+	Limits     Limits
 }
 
 // Queue returns the queue with the given name, or nil.
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -43,7 +43,8 @@
 	ID          string `json:"id"`
 	Queue       string `json:"q"`
 	Pool        string `json:"o"`
-	Config      int64  `json:"v"` // version of the configuration under which the job was accepted
+	Workspace   string `json:"w,omitempty"` // of the key with which the job was submitted; "" means none
+	Config      int64  `json:"v"`           // version of the configuration under which the job was accepted
 	Spec        string `json:"s"`
 	Steps       []Step `json:"t"`
 	Times       int    `json:"n,omitempty"` // number of occurrences; 0 means a single one without a due time
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -39,8 +39,10 @@
 	queue   *cluster.Queue
 	version int64
 	view
-	logUnreachable bool // the store is unresponsive or has not answered for logOutageThreshold
-	maxBodyBytes   int  // of the request
+	logUnreachable bool   // the store is unresponsive or has not answered for logOutageThreshold
+	maxBodyBytes   int    // of the request
+	workspace      string // of the key; "" if the call carries none and needs none
+	keyRefused     bool   // the call carries an unknown key, or none although it needs one
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -73,8 +75,8 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	path := r.URL.Path
-	lookup, ok := query(ctx, a.engine, func(e *engine, reply chan<- lookupResult) { reply <- e.lookup(host, path) })
+	path, key := r.URL.Path, a.engine.platform.CallerKey(r)
+	lookup, ok := query(ctx, a.engine, func(e *engine, reply chan<- lookupResult) { reply <- e.lookup(host, path, key) })
 	switch {
 	case !ok:
 		return reject(w, http.StatusServiceUnavailable)
@@ -82,6 +84,8 @@
 		return reject(w, http.StatusServiceUnavailable)
 	case lookup.queue == nil:
 		return answer(w, http.StatusNotFound, nil)
+	case lookup.keyRefused:
+		return answer(w, http.StatusUnauthorized, nil)
 	}
 	if limit := time.Duration(callerTimeoutShare * float64(lookup.queue.Timeout)); limit > 0 {
 		queueCtx, cancelQueueCtx := context.WithTimeout(ctx, limit)
@@ -121,8 +125,9 @@
 // readState returns how far this daemon has read the log.
 func (e *engine) readState() readState { return readState{e.state.NextOffset, e.readToEndAt} }
 
-// lookup finds the queue that a path belongs to and what is known about the job that it names.
-func (e *engine) lookup(host, path string) lookupResult {
+// lookup finds the queue that a path belongs to, the workspace of the key, and what is known about the
+// job that the path names.
+func (e *engine) lookup(host, path, key string) lookupResult {
 	if e.config == nil {
 		return lookupResult{}
 	}
@@ -133,6 +138,10 @@
 	if result.queue == nil {
 		return result
 	}
+	if len(e.config.Workspaces) > 0 {
+		workspace, known := e.keyring.Workspace(key)
+		result.workspace, result.keyRefused = workspace, !known && (key != "" || !result.queue.Public)
+	}
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
@@ -231,7 +240,7 @@
 		a.engine.metrics.rejections.WithLabelValues("log away").Inc()
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
-	job.ID, job.Queue, job.Pool, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.version
+	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -68,10 +68,11 @@
 
 	state          *flow.State
 	config         *cluster.Configuration
-	firstConfigAt  time.Duration // when the first configuration came into force
-	readableSince  time.Duration // start of the present period in which the log could be read without a gap
-	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
-	roundTrip      time.Duration // shortest round trip to the log so far
+	keyring        *cluster.Keyring // of config
+	firstConfigAt  time.Duration    // when the first configuration came into force
+	readableSince  time.Duration    // start of the present period in which the log could be read without a gap
+	readToEndAt    time.Duration    // when the state last reached the end of the log; 0 is never
+	roundTrip      time.Duration    // shortest round trip to the log so far
 	logUnreachable bool
 	headApplied    bool // members and claim come from the head of a snapshot
 	draining       bool
@@ -292,8 +293,8 @@
 	if e.config == nil {
 		e.firstConfigAt = bootclock.Now()
 	}
-	e.config = c
-	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools))
+	e.config, e.keyring = c, cluster.NewKeyring(c)
+	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "workspaces", len(c.Workspaces))
 	if e.placer != nil {
 		e.placer.SetConfig(c)
 	}
--- a/daemon/cell/ports.go
+++ b/daemon/cell/ports.go
@@ -65,5 +65,6 @@
 	DecodeJob(body []byte) (flow.Submit, error)
 	EncodeState(phase flow.Phase) []byte
 	EncodePending(count int) []byte
+	CallerKey(r *http.Request) string            // key of a workspace that the request carries; "" if it carries none
 	CallerTimeout(r *http.Request) time.Duration // time limit that the request states; 0 if it states none
 }
