Connections to workers end before a daemon's descriptors do

A placer kept up to 24 idle connections to each worker for 60 s. A process without descriptors reaches neither the store nor other daemons, and net/rpc's Accept ends for good at the first connection that it can't accept.

Connections of other daemons are accepted again after a failure.

--- a/daemon/cell/orders.go
+++ b/daemon/cell/orders.go
@@ -18,7 +18,7 @@
 	pollTimeout        = 1000 * time.Millisecond // in addition to the wait of the poll
 	adviceTimeout      = 2500 * time.Millisecond // longer than the advice service needs for one call, because it serves calls of one daemon one after the other
 	maxOpenOrders      = 256
-	maxOpenPolls       = 2048 // one for each worker of a placer
+	unlimitedOpenPolls = 2048 // without a limit of descriptors
 	maxOpenAdviceCalls = 2048 // the placer bounds the calls of each daemon
 )
 
@@ -31,7 +31,7 @@
 }
 
 func newOrderSender(e *engine) *orderSender {
-	return &orderSender{engine: e, orderPool: pond.NewPool(maxOpenOrders), pollPool: pond.NewPool(maxOpenPolls), advicePool: pond.NewPool(maxOpenAdviceCalls)}
+	return &orderSender{engine: e, orderPool: pond.NewPool(maxOpenOrders), pollPool: pond.NewPool(e.settings.Limits.openPolls()), advicePool: pond.NewPool(maxOpenAdviceCalls)}
 }
 
 // execute hands the placer's commands to the orderSender.
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"slices"
@@ -14,8 +15,9 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Timeouts of connections between daemons.
+// Times of connections between daemons.
 const (
+	acceptRetryDelay   = 20 * time.Millisecond // after a connection could not be accepted
 	peerDialTimeout    = 700 * time.Millisecond
 	peerUnackedTimeout = 1500 * time.Millisecond // if sent bytes get no TCP acknowledgement for this long, the peer's VM or the network path counts as failed
 )
@@ -149,10 +151,26 @@
 	if err := server.RegisterName("Cell", service); err != nil {
 		return fault.Wrap(err, fault.Internal, "report this as a bug", "can't register the RPC service for other daemons")
 	}
-	go server.Accept(listener)
+	go acceptPeers(server, listener)
 	return nil
 }
 
+// acceptPeers accepts connections of other daemons until the listener is closed. A process without
+// free descriptors accepts none for a while. The Accept of the RPC library would then end for good.
+func acceptPeers(server *rpc.Server, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			go server.ServeConn(conn)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			time.Sleep(acceptRetryDelay)
+		}
+	}
+}
+
 // peerClients makes RPCs to other daemons over one shared connection to each.
 type peerClients struct {
 	mu          sync.Mutex
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -71,6 +71,30 @@
 	return lowest
 }
 
+// Shares of the descriptors for connections to workers. The rest is for callers, other daemons, the
+// store and files. A process without free descriptors can neither connect nor accept connections.
+const (
+	pollDescriptorShare = 3.0 / 8 // polls under way
+	idleDescriptorShare = 3.0 / 8 // connections that no request uses
+)
+
+// openPolls returns the number of polls of workers that may be under way.
+func (l *LimitSettings) openPolls() int {
+	if l.Descriptors <= 0 {
+		return unlimitedOpenPolls
+	}
+	return max(1, int(pollDescriptorShare*l.Descriptors))
+}
+
+// IdleWorkerConnections returns the number of connections to workers that may be open without a
+// request; 0 means any number.
+func (l *LimitSettings) IdleWorkerConnections() int {
+	if l.Descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(idleDescriptorShare*l.Descriptors))
+}
+
 // BoundSettings are the time bounds of the deployment.
 type BoundSettings struct {
 	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
--- a/daemon/internal/daemoncmd/serve.go
+++ b/daemon/internal/daemoncmd/serve.go
@@ -53,6 +53,7 @@
 	go checkSettingsOnHangup(ctx, path, logger)
 	adapter := platform.New(platform.Addresses{Store: s.Platform.Store, Advice: s.Platform.Advice, Cloud: s.Platform.Cloud},
 		cell.NewDialer(cell.PlatformDialTimeout, cell.PlatformUnackedTimeout))
+	adapter.LimitIdleWorkerConnections(s.Limits.IdleWorkerConnections())
 	return cell.Run(ctx, s, adapter, logger)
 }
 
