Followers and the placer don't sort all daemons for each announcement and event

The placer sorted all of them at each event, too, and compared all names of advisers with each other at each planning pass.

Changed members are published together after 0.2 s at most and a Hello without news not at all; the reasons for a hand-over are checked ten times a second, the best successor is found without sorting, and a sort computes each capacity class once.

--- a/core/placer/advise.go
+++ b/core/placer/advise.go
@@ -75,16 +75,15 @@
 // candidates of a planning pass.
 func (a *advisers) setMembers(names []string, now time.Duration) {
 	a.candidates, a.longestRefusedCall = a.candidates[:0], [2][2]time.Duration{}
-	for name := range a.byName {
-		if !slices.Contains(names, name) {
-			delete(a.byName, name)
-		}
-	}
+	former := a.byName
+	a.byName = make(map[string]*adviser, len(names))
 	for _, name := range names {
-		if a.byName[name] == nil {
-			a.byName[name] = &adviser{name: name, answerDelay: usualNetworkDelay}
+		d := former[name]
+		if d == nil {
+			d = &adviser{name: name, answerDelay: usualNetworkDelay}
 		}
-		if d := a.byName[name]; now >= d.avoidUntil {
+		a.byName[name] = d
+		if now >= d.avoidUntil {
 			a.candidates = append(a.candidates, d)
 		}
 	}
--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -104,25 +104,73 @@
 	return false
 }
 
-// Successors returns the daemons to which a stopping placer may hand over, the best candidate
-// first. Daemons that started within logReplayTime are left out, as they may not have replayed the
-// log.
+// Successors returns the daemons to which a stopping placer may hand over, the best candidate first.
 func Successors(s *flow.State, self string, now time.Duration, wallMS int64) []flow.Hello {
 	var list []flow.Hello
 	for name, m := range s.Members {
-		if name != self && now-m.LastSeen < helloTimeout && wallMS-m.StartedMS > logReplayTime.Milliseconds() {
+		if maySucceed(name, &m, self, now, wallMS) {
 			list = append(list, m.Hello)
 		}
 	}
-	slices.SortFunc(list, CompareCandidates)
+	SortCandidates(list)
 	return list
 }
 
+// BestSuccessor returns the first of Successors.
+func BestSuccessor(s *flow.State, self string, now time.Duration, wallMS int64) (best flow.Hello, found bool) {
+	for name, m := range s.Members {
+		if maySucceed(name, &m, self, now, wallMS) && (!found || CompareCandidates(m.Hello, best) < 0) {
+			best, found = m.Hello, true
+		}
+	}
+	return best, found
+}
+
+// maySucceed reports whether the daemon may take over from self. One that started within logReplayTime may
+// not have replayed the log.
+func maySucceed(name string, m *flow.Member, self string, now time.Duration, wallMS int64) bool {
+	return name != self && now-m.LastSeen < helloTimeout && wallMS-m.StartedMS > logReplayTime.Milliseconds()
+}
+
+// SortCandidates sorts daemons by CompareCandidates. Every daemon sorts all others, so it computes the
+// capacity class of each only once.
+func SortCandidates(list []flow.Hello) {
+	type candidate struct {
+		class int
+		hello flow.Hello
+	}
+	candidates := make([]*candidate, len(list))
+	for i := range list {
+		candidates[i] = &candidate{capacityClass(list[i].CapacityFactor), list[i]}
+	}
+	slices.SortFunc(candidates, func(a, b *candidate) int {
+		if byClass := cmp.Compare(b.class, a.class); byClass != 0 {
+			return byClass
+		}
+		return compareWithinClass(&a.hello, &b.hello)
+	})
+	for i := range candidates {
+		list[i] = candidates[i].hello
+	}
+}
+
 // CompareCandidates sorts daemons by suitability for the placer role: by capacity class, then by
 // the latency of the log. Among equal ones the one that started last comes first, as a rolling
 // restart reaches it last.
 func CompareCandidates(a, b flow.Hello) int {
-	return cmp.Or(cmp.Compare(capacityClass(b.CapacityFactor), capacityClass(a.CapacityFactor)), cmp.Compare(a.LogLatencyMS/logLatencyClassWidth.Milliseconds(), b.LogLatencyMS/logLatencyClassWidth.Milliseconds()), cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
+	if byClass := cmp.Compare(capacityClass(b.CapacityFactor), capacityClass(a.CapacityFactor)); byClass != 0 {
+		return byClass
+	}
+	return compareWithinClass(&a, &b)
+}
+
+// compareWithinClass sorts daemons of one capacity class.
+func compareWithinClass(a, b *flow.Hello) int {
+	const width = int64(logLatencyClassWidth / time.Millisecond)
+	if byLatency := cmp.Compare(a.LogLatencyMS/width, b.LogLatencyMS/width); byLatency != 0 {
+		return byLatency
+	}
+	return cmp.Or(cmp.Compare(b.StartedMS, a.StartedMS), cmp.Compare(a.Daemon, b.Daemon))
 }
 
 // capacityClass maps capacity factors that differ little to the same class.
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -124,3 +126,29 @@
 		require.Greater(t, NextEpoch(s, rank, rng), s.Claim.Epoch)
 	}
 }
+
+// Guards against daemons that disagree on who claims next, because one of them sorts the candidates otherwise.
+func TestCandidatesHaveOneOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	state := flow.NewState()
+	var want []flow.Hello
+	for i := range 200 {
+		h := flow.Hello{Daemon: strconv.Itoa(i), CapacityFactor: 4 * rng.Float64(), LogLatencyMS: rng.Int64N(60), StartedMS: rng.Int64N(3)}
+		state.Members[h.Daemon] = flow.Member{Hello: h, LastSeen: time.Second}
+		want = append(want, h)
+	}
+	slices.SortFunc(want, CompareCandidates)
+	list := slices.Collect(func(yield func(flow.Hello) bool) {
+		for _, m := range state.Members {
+			if !yield(m.Hello) {
+				return
+			}
+		}
+	})
+	SortCandidates(list)
+	require.Equal(t, want, list)
+	require.Equal(t, want, Successors(state, "", time.Second, time.Hour.Milliseconds()))
+	best, found := BestSuccessor(state, "", time.Second, time.Hour.Milliseconds())
+	require.True(t, found)
+	require.Equal(t, want[0], best)
+}
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"briarproxy/core/fault"
@@ -86,6 +85,10 @@
 	}
 	formerLastHeard := e.state.LastHeard
 	position := e.state.NextOffset
+	if h := d.record.Hello; h != nil {
+		known := e.state.Members[h.Daemon]
+		e.membersChanged = e.membersChanged || *h != known.Hello || now-known.LastSeen >= memberTimeout
+	}
 	e.recoverPanic(func() {
 		if err := e.state.Apply(&d.record, now); err != nil {
 			e.log.Emit(evRecordUnreadable, "position", position, "reason", err.Error())
@@ -99,7 +102,7 @@
 	if e.placer != nil {
 		e.placer.RecordApplied(&d.record, now)
 	}
-	if d.record.Hello != nil || d.record.Claim != nil || d.record.Release != nil {
+	if d.record.Claim != nil || d.record.Release != nil {
 		e.publishMembers()
 	}
 	e.publishPlacer()
@@ -143,11 +146,11 @@
 	if e.state.Claim.Daemon == e.settings.Name {
 		return ""
 	}
-	successors := placer.Successors(e.state, e.state.Claim.Daemon, bootclock.Now(), time.Now().UnixMilli())
-	if len(successors) == 0 || successors[0].Daemon == e.settings.Name {
+	successor, found := placer.BestSuccessor(e.state, e.state.Claim.Daemon, bootclock.Now(), time.Now().UnixMilli())
+	if !found || successor.Daemon == e.settings.Name {
 		return ""
 	}
-	return successors[0].Address
+	return successor.Address
 }
 
 // applyHead takes the members and the claim from the head of a snapshot: the daemons that may
@@ -211,16 +214,27 @@
 	}
 }
 
+// publishMembersIfDue publishes the members some time after a Hello has changed them, and now and then because
+// members that send none are left out. Sorting them for each Hello of each daemon would cost every daemon a
+// time that grows with the square of their number.
+func (e *engine) publishMembersIfDue(now time.Duration) {
+	if age := now - e.membersPublishedAt; e.membersChanged && age >= membersPublishDelay || age >= helloInterval {
+		e.publishMembers()
+	}
+}
+
 // publishMembers gives the store client the addresses of the daemons that may relay calls to the store,
 // those best suited as the placer first, and the writer the address of the fallback appender.
 func (e *engine) publishMembers() {
+	now := bootclock.Now()
+	e.membersChanged, e.membersPublishedAt = false, now
 	hellos := make([]flow.Hello, 0, len(e.state.Members))
 	for name, m := range e.state.Members {
-		if name != e.settings.Name && bootclock.Now()-m.LastSeen < memberTimeout {
+		if name != e.settings.Name && now-m.LastSeen < memberTimeout {
 			hellos = append(hellos, m.Hello)
 		}
 	}
-	slices.SortFunc(hellos, placer.CompareCandidates)
+	placer.SortCandidates(hellos)
 	addresses := make([]string, len(hellos))
 	for i := range hellos {
 		addresses[i] = hellos[i].Address
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -199,8 +199,10 @@
 // reaches the log only through them, or when a daemon with much more capacity is alive: a daemon on
 // a small VM is the placer only while no daemon on a larger VM can be.
 func (e *engine) handOverIfDue(now time.Duration) {
-	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
-		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
+	if e.handingOver || now-e.placingStartedAt < handOverDelay {
+		return
+	}
+	if _, found := placer.BestSuccessor(e.state, e.settings.Name, now, time.Now().UnixMilli()); !found {
 		return
 	}
 	if e.isolated(now) {
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -25,6 +25,7 @@
 	placerTickInterval       = 20 * time.Millisecond
 	followerTickInterval     = 250 * time.Millisecond
 	helloInterval            = 5 * time.Second
+	membersPublishDelay      = 200 * time.Millisecond
 	memberTimeout            = 3 * helloInterval // a daemon without a Hello record for this long gets no requests
 	summaryInterval          = time.Second
 	expiryInterval           = 10 * time.Second
@@ -37,9 +38,10 @@
 	maxStackBytes            = 2048
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
-	handOverDelay            = 2 * time.Second       // a new placer does not know the state of all workers yet
-	isolationBypassThreshold = 5                     // not fewer, because a single failed call to the placer also makes a daemon append a record past it
-	stepDownBackoff          = 10 * time.Second      // for this long a daemon that stepped down lets others claim first; later its network path may work again
+	handOverCheckInterval    = 100 * time.Millisecond
+	handOverDelay            = 2 * time.Second  // a new placer does not know the state of all workers yet
+	isolationBypassThreshold = 5                // not fewer, because a single failed call to the placer also makes a daemon append a record past it
+	stepDownBackoff          = 10 * time.Second // for this long a daemon that stepped down lets others claim first; later its network path may work again
 	maxHandOverTries         = 2
 	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
@@ -81,18 +83,21 @@
 
 	placer             *placer.Placer
 	appender           *fencedAppender
-	claimEpoch         int64           // epoch of the last claim that this daemon has appended
-	claimSentAt        time.Duration   // when that claim was sent
-	yieldedEpoch       int64           // newest epoch of which a successor has asked this daemon to stop placing
-	claiming           bool            // a claim, or the check before it, is under way
-	claimAnsweredAt    time.Duration   // when the last claim was answered
-	claimConflictAt    time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	claimEpoch         int64         // epoch of the last claim that this daemon has appended
+	claimSentAt        time.Duration // when that claim was sent
+	yieldedEpoch       int64         // newest epoch of which a successor has asked this daemon to stop placing
+	claiming           bool          // a claim, or the check before it, is under way
+	claimAnsweredAt    time.Duration // when the last claim was answered
+	claimConflictAt    time.Duration // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	handOverCheckedAt  time.Duration
 	handingOver        bool            // the placer releases its claim once the append under way has ended
 	appending          bool            // a batch is being appended
 	batchAckedAt       time.Duration   // when the last acknowledged batch was sent, at first when the claim was
 	placingContext     context.Context // cancelled when this daemon stops placing
 	cancelPlacing      context.CancelFunc
 	helloSentAt        time.Duration
+	membersChanged     bool // a member has changed since membersPublishedAt
+	membersPublishedAt time.Duration
 	lastExpiryAt       time.Duration
 	unusableEntries    int // entries of the registry that could not be read the last time
 	summaryLoggedAt    time.Duration
@@ -140,7 +145,7 @@
 	e := &engine{
 		settings: s, startedMS: time.Now().UnixMilli(), platform: p, store: store, peers: peers, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), wakeRead: make(chan struct{}, 1),
-		ackedAppends: map[int64]decodedRecord{}, state: flow.NewState(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
+		ackedAppends: map[int64]decodedRecord{}, state: flow.NewState(), membersPublishedAt: bootclock.Now(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
 	}
 	e.writer.logSlow, e.writer.logSuspect, e.writer.logUnresponsive = store.storeSlow.Load, store.suspect, store.unresponsive
 	e.writer.logAnswersInTime = store.answersInTime
@@ -234,6 +239,7 @@
 		e.lastExpiryAt = now
 		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
 	}
+	e.publishMembersIfDue(now)
 	e.logCatchingUp(now)
 	if e.placer != nil {
 		e.runPlacer(ctx, now)
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -17,7 +17,10 @@
 		e.stopPlacing("no batch was acknowledged within the longest tolerated log outage")
 		return
 	}
-	e.handOverIfDue(now)
+	if now-e.handOverCheckedAt >= handOverCheckInterval {
+		e.handOverCheckedAt = now
+		e.handOverIfDue(now)
+	}
 	if e.handingOver {
 		if !e.appending {
 			e.releaseClaim(ctx)
