The placer's scans of all runs cost a bounded share of the processor

Every 10 ms the placer scanned all runs for unwanted ones. With 110,000 runs on 18,000 workers, renewals took 0.45 to 0.53 cores of decisions, half of them for these scans. Above 4,000 runs the scans now become rarer with the runs.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -53,6 +53,8 @@
 	// scanInterval is the least time between two scans of all workers and runs. Every event
 	// causes a tick, and there may be a thousand events a second.
 	scanInterval = 10 * time.Millisecond
+	// scanIntervalPerRun bounds the share of the processor that the scans take in a large cell.
+	scanIntervalPerRun = 2500 * time.Nanosecond
 	// maxStartedJobsDelay is how long the record that a job has started waits for a batch that is
 	// appended for other reasons.
 	maxStartedJobsDelay = 150 * time.Millisecond
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -13,7 +13,7 @@
 	commands := p.queuedCommands
 	p.queuedCommands = nil
 	p.activateDue(now, wallMS+p.options.EarlyStart.Milliseconds()/2)
-	scanDue := now-p.lastScanAt >= scanInterval
+	scanDue := now-p.lastScanAt >= max(scanInterval, scanIntervalPerRun*time.Duration(len(p.runs)))
 	if scanDue {
 		p.lastScanAt = now
 		p.endExpiredRuns(now)
