A daemon compares itself with all others only when the placer is silent

Each event of a follower worked out its rank among all daemons and whether one of a higher capacity class is alive, also while the placer's records come: two comparisons with each daemon. ShouldClaim refuses then whatever the rank is.

--- a/core/placer/claim.go
+++ b/core/placer/claim.go
@@ -51,6 +51,17 @@
 	MaxRecordGap    time.Duration // longest recent gap between records of the placer, without the current one
 }
 
+// silence returns for how long the placer has been silent while the log was readable.
+func (in *ClaimInput) silence(s *flow.State) time.Duration {
+	return in.Now - max(s.LastHeard, in.ReadySince)
+}
+
+// PlacerHeard reports whether the placer has been heard of so recently that ShouldClaim refuses whatever the
+// daemon's rank is. It saves the comparison with all daemons, which each event would otherwise cost.
+func PlacerHeard(s *flow.State, in *ClaimInput) bool {
+	return s.Claim.Daemon != "" && in.silence(s) <= in.FailoverTimeout
+}
+
 // ShouldClaim reports whether a daemon should claim the placer role, and why. Only the time in
 // which the log was readable counts as silence of the placer: after an outage of the log, every
 // placer has been silent.
@@ -59,7 +70,7 @@
 		return "", false
 	}
 	delay := claimDelayRoundTrips*in.LogRoundTrip + in.Jitter + time.Duration(min(in.Rank, maxDelayedRanks))*max(rankDelay, logLatenciesPerRank*in.MaxLogLatency)
-	silence := in.Now - max(s.LastHeard, in.ReadySince)
+	silence := in.silence(s)
 	if in.PreferOthers {
 		delay += preferOthersDelay
 	}
--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -152,3 +152,17 @@
 	require.True(t, found)
 	require.Equal(t, want[0], best)
 }
+
+// Guards against a daemon that never claims, because it takes a placer for alive that has been silent for too long.
+func TestPlacerIsHeardOnlyWhileNoDaemonClaims(t *testing.T) {
+	in := ClaimInput{Now: 100 * second, CaughtUpAt: 100 * second, ReadySince: second, FailoverTimeout: second}
+	for silence := time.Duration(0); silence < 30*second; silence += 50 * time.Millisecond {
+		for _, daemon := range []string{"", "a"} {
+			s := &flow.State{Claim: flow.Claim{Daemon: daemon, Epoch: 1}, LastHeard: in.Now - silence}
+			if _, claim := ShouldClaim(s, in); claim {
+				require.False(t, PlacerHeard(s, &in), "placer %q, silent for %v", daemon, silence)
+			}
+			require.Equal(t, daemon == "a" && silence <= second, PlacerHeard(s, &in))
+		}
+	}
+}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -108,10 +108,14 @@
 	}
 	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
-		Rank: placer.ClaimRank(e.state, e.hello(), now), PreferOthers: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
-			e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff, MaxRecordGap: e.batchGaps.longest(now),
-		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
+		MaxRecordGap: e.batchGaps.longest(now), FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
+	if placer.PlacerHeard(e.state, &input) {
+		return
+	}
+	input.Rank = placer.ClaimRank(e.state, e.hello(), now)
+	input.PreferOthers = placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
+		e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff
 	if _, shouldClaim := placer.ShouldClaim(e.state, input); !shouldClaim {
 		return
 	}
