A key that was taken away ends to work within a bound on every daemon

Cause: a daemon that can't read the configuration went on with the keys that it knew, without end. A caller with another workspace's key could read, cancel and repeat a job.

Change: bounds.revoke_ms (from the platform where it fails closed) makes the right to accept keys a lease on the configuration, renewed by complete readings of the operator's topic from their sending on, for nine tenths of the bound on the boot clock (core/keylease, a chart that the code interprets). After its end calls with a key get 503 with Retry-After and the daemon is not ready; public queues go on. Late readings are repeated directly and through other daemons; in calm there is one call a second, as before. Versions never go back, and one that can't be used lets the lease run out. The reading of the topic goes on to its end, also past a page. A job is open to callers of its workspace only (403);

--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -24,10 +24,11 @@
 	Daemon        Name = "daemon"         // life cycle of a daemon
 	ConfigVersion Name = "config-version" // life cycle of a configuration version, from draft to replacement by its successor
 	Run           Name = "run"            // life cycle of a run of a task at the placer
+	KeyLease      Name = "key-lease"      // a daemon's right to accept calls with a key
 )
 
 // Names returns the names of all embedded charts.
-func Names() []Name { return []Name{Request, Task, Lease, Daemon, ConfigVersion, Run} }
+func Names() []Name { return []Name{Request, Task, Lease, Daemon, ConfigVersion, Run, KeyLease} }
 
 // State is a state of a chart.
 type State string
--- a/core/flow/fuzz_test.go
+++ b/core/flow/fuzz_test.go
@@ -76,6 +76,8 @@
 	f.Add([]byte(`[{"s":{"id":"j","t":[{"n":-2}]},"p":"running","k":{"0":[]}}]`))
 	f.Add(append([]byte{endedVersion, 0, 1}, "8bytes--\x05\x80\x03abc\x00"...))
 	f.Add([]byte{endedVersion, 0, endedTextIDFlag, 0xff, 0xff, 0x03})
+	f.Add(append([]byte{endedVersionWithWorkspaces, 0, 1}, "8bytes--\x05\x01\x01w\x80\x03abc\x00\x01"...))
+	f.Add(append([]byte{endedVersionWithWorkspaces, 0, 1}, "8bytes--\x05\x02\x01w"...))
 	f.Fuzz(func(_ *testing.T, chunk []byte) {
 		s, err := Restore(SnapshotHead{Chunks: 1, Parts: []SnapshotPart{DescribeChunk(chunk)}}, [][]byte{chunk}, time.Second)
 		if err != nil {
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -260,8 +260,8 @@
 
 // restoreChunk adds the jobs of one chunk to the state.
 func (s *State) restoreChunk(data []byte, generation int64, now time.Duration) error {
-	if len(data) > 0 && data[0] == endedVersion {
-		return s.restoreEndedJobs(data[1:], generation, now)
+	if isEndedChunk(data) {
+		return s.restoreEndedJobs(data, generation, now)
 	}
 	plain, err := decompress(data)
 	var chunk struct {
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -182,6 +182,24 @@
 	require.Equal(t, s.Jobs, restored.Jobs)
 }
 
+// Guards against an ended job that loses its workspace, or gets another one, when its details are
+// dropped and through a snapshot of several chunks.
+func TestEndedJobsKeepTheirWorkspace(t *testing.T) {
+	s := mixedJobs(t, 30_000)
+	names := []string{"", "mill", "farms", "café"}
+	for i := range 30_000 {
+		s.Jobs[fmt.Sprintf("%016x", i)].Workspace = names[i%len(names)]
+	}
+	s.Forget(time.Hour, time.Minute)
+	head, chunks, err := s.Snapshot(7, time.Minute)
+	require.NoError(t, err)
+	restored, err := Restore(head, chunks, time.Minute)
+	require.NoError(t, err)
+	for i := range 30_000 {
+		require.Equal(t, names[i%len(names)], restored.Jobs[fmt.Sprintf("%016x", i)].Workspace)
+	}
+}
+
 // Guards against an invalid head that crashes the process or makes it request chunks for ever.
 func TestInvalidHeadsAreRejected(t *testing.T) {
 	head, _, err := stateWithJob(t, Step{Count: 1}).Snapshot(3, 0)
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -450,7 +450,7 @@
 }
 
 // Forget removes jobs without active runs that ended longer ago than keep, and returns their
-// ids. Ended jobs within that time are reduced to their id, offset, phase and end time after
+// ids. Ended jobs within that time are reduced to their id, workspace, offset, phase and end time after
 // endedJobDetailRetention.
 func (s *State) Forget(keep, now time.Duration) []string {
 	var forgotten []string
@@ -461,7 +461,7 @@
 			delete(s.Jobs, id)
 			forgotten = append(forgotten, id)
 		case len(j.Steps) > 0:
-			s.Jobs[id] = &Job{Submit: Submit{ID: id}, Offset: j.Offset, Phase: j.Phase, EndedAt: j.EndedAt}
+			s.Jobs[id] = &Job{Submit: Submit{ID: id, Workspace: j.Workspace}, Offset: j.Offset, Phase: j.Phase, EndedAt: j.EndedAt}
 		}
 	}
 	return forgotten
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -39,10 +39,9 @@
 	queue   *cluster.Queue
 	version int64
 	view
-	logUnreachable bool   // the store is unresponsive or has not answered for logOutageThreshold
-	maxBodyBytes   int    // of the request
-	workspace      string // of the key; "" if the call carries none and needs none
-	keyRefused     bool   // the call carries an unknown key, or none although it needs one
+	logUnreachable bool // the store is unresponsive or has not answered for logOutageThreshold
+	maxBodyBytes   int  // of the request
+	keyCheck       keyCheck
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -84,8 +83,10 @@
 		return reject(w, http.StatusServiceUnavailable)
 	case lookup.queue == nil:
 		return answer(w, http.StatusNotFound, nil)
-	case lookup.keyRefused:
-		return answer(w, http.StatusUnauthorized, nil)
+	case lookup.keyCheck.refusal != "":
+		return a.refuseKey(w, lookup.keyCheck.refusal)
+	case lookup.Found && !lookup.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	if limit := time.Duration(callerTimeoutShare * float64(lookup.queue.Timeout)); limit > 0 {
 		queueCtx, cancelQueueCtx := context.WithTimeout(ctx, limit)
@@ -138,10 +139,7 @@
 	if result.queue == nil {
 		return result
 	}
-	if len(e.config.Workspaces) > 0 {
-		workspace, known := e.keyring.Workspace(key)
-		result.workspace, result.keyRefused = workspace, !known && (key != "" || !result.queue.Public)
-	}
+	result.keyCheck = e.checkKey(key, result.queue.Public, bootclock.Now())
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
@@ -155,7 +153,7 @@
 	v := lookup.view
 	if src == fromPeer {
 		var err error
-		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", maxConsultTries); err != nil {
+		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", false, maxConsultTries); err != nil {
 			return a.rejectQuery(w, lookup, "", err)
 		}
 	}
@@ -178,9 +176,9 @@
 	switch sourceOfState(lookup.readState, lookup.view, bootclock.Now()) {
 	case fromPeer:
 		if !lookup.Found {
-			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, maxConsultTries)
+			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, maxConsultTries)
 		}
-		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, 1); err == nil && v.Found {
+		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, 1); err == nil && v.Found {
 			return v, nil
 		}
 		return lookup.view, nil // outdated, but correct as of the last read
@@ -214,6 +212,8 @@
 		return a.rejectQuery(w, lookup, id, err)
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 }
@@ -240,7 +240,7 @@
 		a.engine.metrics.rejections.WithLabelValues("log away").Inc()
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
-	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.workspace, lookup.version
+	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
@@ -271,6 +271,8 @@
 	switch {
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	case v.Phase.Final():
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 	}
--- a/daemon/cell/consult.go
+++ b/daemon/cell/consult.go
@@ -36,10 +36,14 @@
 	Phase   string
 	Offset  int64         // up to which that daemon has read the log
 	Age     time.Duration // since that daemon last read the log to its end
+	// Workspace is the workspace of the job. Attributed is set by every daemon that knows workspaces: one of
+	// an earlier version does not say to which workspace a job belongs.
+	Workspace  string
+	Attributed bool
 }
 
 func (r *ConsultReply) view() view {
-	return view{r.Pending, r.Found, flow.Phase(r.Phase), readState{r.Offset, max(bootclock.Now()-r.Age, 1)}}
+	return view{r.Pending, r.Found, flow.Phase(r.Phase), r.Workspace, readState{r.Offset, max(bootclock.Now()-r.Age, 1)}}
 }
 
 // consultClient consults other daemons when this one has not recently read the log to its end.
@@ -51,8 +55,8 @@
 }
 
 // consult returns what another daemon knows. It consults at most maxTries daemons, one after another.
-// An error of kind fault.Unavailable means that none of them has read enough of the log itself.
-func (c *consultClient) consult(ctx context.Context, queue, job string, maxTries int) (view, error) {
+// With needWorkspace, an answer counts only if it says to which workspace the job belongs. An error of kind fault.Unavailable means that none of them has read enough of the log itself.
+func (c *consultClient) consult(ctx context.Context, queue, job string, needWorkspace bool, maxTries int) (view, error) {
 	addresses := *c.memberAddresses.Load()
 	var tried []string
 	for len(tried) < maxTries && ctx.Err() == nil {
@@ -65,7 +69,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, consultTimeout)
 		err := c.peers.call(callCtx, address, consultMethod, &ConsultArgs{queue, job, remoteTimeout(callCtx, consultTimeout) - consultReturnMargin}, reply)
 		cancel()
-		if err == nil && reply.Known {
+		if usable := reply.Known && (reply.Attributed || !reply.Found || !needWorkspace); err == nil && usable {
 			c.lastAnswering.Store(&address)
 			return reply.view(), nil
 		}
@@ -102,7 +106,7 @@
 	defer cancel()
 	v, known := s.consultView(ctx, args.Queue, args.Job)
 	age, _ := v.readState.age(bootclock.Now())
-	*reply = ConsultReply{Known: known, Pending: v.Pending, Found: v.Found, Phase: string(v.Phase), Offset: v.readState.offset, Age: age}
+	*reply = ConsultReply{Known: known, Pending: v.Pending, Found: v.Found, Phase: string(v.Phase), Offset: v.readState.offset, Age: age, Workspace: v.Workspace, Attributed: true}
 	return nil
 }
 
@@ -110,7 +114,7 @@
 func (e *engine) view(queue, job string) view {
 	v := view{Pending: e.state.Pending[queue], readState: e.readState()}
 	if j := e.state.Jobs[job]; j != nil {
-		v.Found, v.Phase = true, j.Phase
+		v.Found, v.Phase, v.Workspace = true, j.Phase, j.Workspace
 	}
 	return v
 }
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -35,6 +35,9 @@
 	readCalls         *prometheus.CounterVec
 	readBytes         *prometheus.CounterVec
 	configVersion     prometheus.Gauge
+	keyRefusals       *prometheus.CounterVec
+	keyLeaseAge       prometheus.Gauge
+	keyLeaseHeld      prometheus.Gauge
 	logAge            prometheus.Gauge
 	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
@@ -81,6 +84,9 @@
 		readCalls:         counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
 		readBytes:         counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
 		configVersion:     gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
+		keyRefusals:       counter("key_refusals_total", "Calls that were refused for their key, by reason.", "reason"),
+		keyLeaseAge:       gauge("key_lease_age_seconds", "Time since the reading was sent that last confirmed the configuration in force.").WithLabelValues(),
+		keyLeaseHeld:      gauge("key_lease_held", "1 while calls with a key are accepted.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
 		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
@@ -143,6 +149,10 @@
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
+	if age, confirmed := e.keyLease.Age(now); confirmed {
+		m.keyLeaseAge.Set(age.Seconds())
+	}
+	m.keyLeaseHeld.Set(map[bool]float64{true: 1}[e.keyLease.Holds(now)])
 	if e.readToEndAt > 0 {
 		m.logAge.Set((now - e.readToEndAt).Seconds())
 	}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"briarproxy/core/cluster"
-	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/core/keylease"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
 	"briarproxy/daemon/event"
@@ -69,10 +69,12 @@
 	state          *flow.State
 	config         *cluster.Configuration
 	keyring        *cluster.Keyring // of config
-	firstConfigAt  time.Duration    // when the first configuration came into force
-	readableSince  time.Duration    // start of the present period in which the log could be read without a gap
-	readToEndAt    time.Duration    // when the state last reached the end of the log; 0 is never
-	roundTrip      time.Duration    // shortest round trip to the log so far
+	keyLease       *keylease.Lease
+	keyLeaseHeld   bool          // as last logged
+	firstConfigAt  time.Duration // when the first configuration came into force
+	readableSince  time.Duration // start of the present period in which the log could be read without a gap
+	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
+	roundTrip      time.Duration // shortest round trip to the log so far
 	logUnreachable bool
 	headApplied    bool // members and claim come from the head of a snapshot
 	draining       bool
@@ -146,6 +148,7 @@
 	e.writer.logAnswersInTime = store.answersInTime
 	e.orders = newOrderSender(e)
 	e.consultClient = &consultClient{peers: newPeerClients(), memberAddresses: &store.memberAddresses, placerAddress: &e.writer.placerAddress}
+	e.keyLease = keylease.New(millis(s.Bounds.RevokeMS))
 	e.metrics = newMetrics()
 	store.log = log
 	store.reads = newReadStats(e.metrics)
@@ -235,6 +238,7 @@
 		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
 	}
 	e.logCatchingUp(now)
+	e.logKeyLease(now)
 	if e.placer != nil {
 		e.runPlacer(ctx, now)
 		return
@@ -257,49 +261,6 @@
 	go func() { _ = e.writer.append(ctx, &r, helloInterval) }() // an error is ignored: the next Hello follows within seconds
 }
 
-// watchConfig waits for new configurations and puts each in force.
-func (e *engine) watchConfig(ctx context.Context) {
-	position := int64(-1)
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
-		config, next, err := e.store.Configuration(callCtx, position, configWait)
-		cancel()
-		position = next
-		if err != nil {
-			if fault.Is(err, fault.Invalid) {
-				e.log.Emit(evConfigUnreadable, "reason", err.Error(), "position", position)
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(readRetryDelay):
-			}
-			continue
-		}
-		if config == nil {
-			if position < 0 {
-				time.Sleep(readRetryDelay)
-			}
-			continue
-		}
-		e.do(ctx, func(e *engine) { e.setConfig(config) })
-	}
-}
-
-// setConfig puts a configuration in force unless the present one is as new or newer.
-func (e *engine) setConfig(c *cluster.Configuration) {
-	if e.config != nil && c.Version <= e.config.Version {
-		return
-	}
-	if e.config == nil {
-		e.firstConfigAt = bootclock.Now()
-	}
-	e.config, e.keyring = c, cluster.NewKeyring(c)
-	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "workspaces", len(c.Workspaces))
-	if e.placer != nil {
-		e.placer.SetConfig(c)
-	}
-}
-
 // specOf returns the Spec of a job that has not ended. The record of a job that was just
 // submitted may not have been read yet, so specOf tries several times, with specRetryDelay
 // between the tries.
--- a/daemon/cell/events.go
+++ b/daemon/cell/events.go
@@ -22,6 +22,8 @@
 	evCatchingUp              = event.Define(917, "log-catching-up", log.InfoLevel, "Written once a second while this daemon is behind the end of the log. Fields: the offset it has reached, a lower bound of the log's end, whether it has ever reached the end, and what it has read from the store since it started, by purpose.")
 	evConfigInForce           = event.Define(920, "config-in-force", log.InfoLevel, "This daemon now uses the named version of the configuration.")
 	evConfigUnreadable        = event.Define(921, "config-unreadable", log.ErrorLevel, "The configuration can't be read; this daemon keeps using the previous version.")
+	evKeyLeaseHeld            = event.Define(922, "key-lease-held", log.InfoLevel, "A reading has confirmed the configuration in force; calls with a key are accepted. Fields: the age of that reading, and for how long a reading confirms.")
+	evKeyLeaseLapsed          = event.Define(923, "key-lease-lapsed", log.WarnLevel, "The configuration in force was not confirmed in time, or the newest version can't be read (state blocked; see 921). Calls with a key get 503 with Retry-After until it is. Check the platform's store and this daemon's path to it.")
 	evClaim                   = event.Define(930, "placer-claim", log.InfoLevel, "This daemon claims the role of the placer, for the reason given.")
 	evPlacerBegan             = event.Define(931, "placer-began", log.InfoLevel, "This daemon is the placer as of the named offset of the log.")
 	evPlacerEnded             = event.Define(932, "placer-ended", log.WarnLevel, "This daemon is no longer the placer, for the reason given.")
--- a/daemon/cell/knowledge.go
+++ b/daemon/cell/knowledge.go
@@ -36,6 +36,7 @@
 	Pending   int        // number of waiting jobs of the queue
 	Found     bool       // whether the log contains the job
 	Phase     flow.Phase // of the job, if Found
+	Workspace string     // of the job, if Found; "" if it has none
 	readState readState  // of the state that the view was taken from
 }
 
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -129,5 +129,5 @@
 		debug.SetGCPercent(map[bool]int{true: placerGCPercent, false: followerGCPercent}[isPlacer])
 	}
 	e.appliedOffset.Store(e.state.NextOffset)
-	e.isReady.Store(!e.draining && e.config != nil && e.readToEndAt > 0 && now-e.lastStoreAnswer() < readyReadAge+readWait)
+	e.isReady.Store(!e.draining && e.config != nil && e.keyLease.Holds(now) && e.readToEndAt > 0 && now-e.lastStoreAnswer() < readyReadAge+readWait)
 }
--- a/daemon/cell/peerstore.go
+++ b/daemon/cell/peerstore.go
@@ -89,6 +89,9 @@
 	Config  cluster.Configuration
 	Next    int64
 	Failure string
+	// Complete is set by every daemon that knows workspaces. One of an earlier version leaves them out of
+	// Config, which would open queues that need a key.
+	Complete bool
 }
 
 // WorkersReply answers the method Workers.
@@ -135,13 +138,14 @@
 	return nil
 }
 
-// Configuration reads the published configuration on behalf of another daemon.
+// Configuration reads the published configuration on behalf of another daemon. Each call reads the
+// store anew, because the answer renews the key lease of the daemon that asks.
 func (s *peerService) Configuration(args *ReadArgs, reply *ConfigurationReply) (err error) {
 	defer recoverAsError(&err)
 	ctx, cancel := handlerContext(args.Within)
 	defer cancel()
 	config, next, err := s.store.Configuration(ctx, args.From, args.Wait)
-	reply.Next, reply.Failure = next, failureName(err)
+	reply.Next, reply.Failure, reply.Complete = next, failureName(err), true
 	if config != nil {
 		reply.Some, reply.Config = true, *config
 	}
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -252,27 +252,6 @@
 	return end, err
 }
 
-// Configuration implements Registry.
-func (c *storeClient) Configuration(ctx context.Context, from int64, wait time.Duration) (*cluster.Configuration, int64, error) {
-	var config *cluster.Configuration
-	next := from
-	err := c.callStore(ctx, wait, func(ctx context.Context) (err error) {
-		config, next, err = c.direct.Configuration(ctx, from, wait)
-		return err
-	}, func(ctx context.Context, address string) error {
-		reply := &ConfigurationReply{}
-		err := c.peers.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
-		if err == nil && reply.Failure == "" {
-			next = reply.Next
-			if reply.Some {
-				config = &reply.Config
-			}
-		}
-		return remoteError(err, reply.Failure, fault.Unavailable)
-	})
-	return config, next, err
-}
-
 // Workers implements Registry.
 func (c *storeClient) Workers(ctx context.Context) ([]cluster.Worker, []string, error) {
 	var workers []cluster.Worker
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -80,6 +80,11 @@
 	GraceS     float64 `json:"grace_s"`      // time from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"`     // how long the state of an ended job can be queried
 	KeepS      float64 `json:"keep_s"`       // retention time of the log's records
+	// RevokeMS is how long a key may work after a configuration without it was published, also on a daemon
+	// that can't read the configuration: that daemon refuses calls with keys before the time is over. With
+	// 0 it goes on with the version that it has. A value that is too low makes daemons refuse callers while
+	// the store is merely slow.
+	RevokeMS float64 `json:"revoke_ms"`
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -156,9 +161,16 @@
 			return fault.New(fault.Invalid, "increase it", "%s is %v, but must be at least %v", f.path, f.value, f.minimum)
 		}
 	}
+	if revoke := s.Bounds.RevokeMS; revoke != 0 && revoke < minRevokeMS {
+		return fault.New(fault.Invalid, "increase it, or leave it out if keys need no bound", "bounds.revoke_ms is %v, but must be at least %v", revoke, minRevokeMS)
+	}
 	return nil
 }
 
+// minRevokeMS is the least bound within which the configuration can be confirmed over and over by
+// daemons in other regions than the store.
+const minRevokeMS = 1000
+
 // LogReload logs the outcome of reloading the settings.
 func LogReload(log *event.Logger, err error) {
 	if err != nil {
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -16,7 +16,7 @@
  "listen": {"callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
  "platform": {"store": "127.0.0.1:4", "advice": null, "machines": null},
  "limits": {"memory_mib": 284, "descriptors": 4100},
- "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": null}}`
+ "bounds": {"max_lease_ms": 10000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": null, "revoke_ms": 5000}}`
 
 func loadSettings(t *testing.T, text string) (*Settings, error) {
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
@@ -37,9 +37,9 @@
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for original, field := range map[string]string{
 		`"name": "a"`: "name", `"127.0.0.1:4"`: "platform.store", `"memory_mib": 284`: "limits.memory_mib",
-		`"max_lease_ms": 10000`: "bounds.max_lease_ms",
+		`"max_lease_ms": 10000`: "bounds.max_lease_ms", `"revoke_ms": 5000`: "bounds.revoke_ms",
 	} {
-		replacement := strings.NewReplacer(`"a"`, `""`, "284", "1", "10000", "7", `"127.0.0.1:4"`, `""`).Replace(original)
+		replacement := strings.NewReplacer(`"a"`, `""`, "284", "1", "10000", "7", "5000", "7", `"127.0.0.1:4"`, `""`).Replace(original)
 		_, err := loadSettings(t, strings.Replace(completeSettings, original, replacement, 1))
 		require.True(t, fault.Is(err, fault.Invalid), "%v", err)
 		require.ErrorContains(t, err, field)
