Maxima of workspaces count across all workers

Change: the placer counts per workspace every run from its plan to its certain end: adopted ones, those on lost workers, strays. The check is in the function that commits plans; a step without room leaves the planning pass before it uses planning time, advice, holds or the start window. A lowered maximum stops nothing.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -355,6 +355,7 @@
 // processRunning compares the runs that the worker reports with those that it should have.
 func (p *Placer) processRunning(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	listedRuns := make(map[cluster.RunID]bool, len(report.Running))
+	var strays []cluster.RunID
 	for i := range report.Running {
 		row := &report.Running[i]
 		listedRuns[row.RunID] = true
@@ -371,8 +372,11 @@
 			}
 			continue
 		}
-		p.handleStrayRun(v, row, now)
+		if untracked := p.handleStrayRun(v, row, now); untracked {
+			strays = append(strays, row.RunID)
+		}
 	}
+	p.countUntracked(v, strays)
 	if len(report.Ended) >= maxReportedEnds {
 		return // the report may have been truncated: a run that it lacks may have ended
 	}
@@ -410,13 +414,13 @@
 }
 
 // handleStrayRun stops a run that is not active according to the log. The capacity of the run
-// stays occupied until the run is gone, unless the task has another run.
-func (p *Placer) handleStrayRun(v *vm, row *cluster.RunReport, now time.Duration) {
+// stays occupied until the run is gone, unless the task has another run: then the stray one is not
+// tracked, and the result is true.
+func (p *Placer) handleStrayRun(v *vm, row *cluster.RunReport, now time.Duration) (untracked bool) {
 	if known := p.runs[row.TaskID]; known != nil {
-		// The task has another run, so the stray one is stopped without being tracked.
 		p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
 		p.queuedCommands = append(p.queuedCommands, Command{Stop: &StopCommand{Life: v.Life, Address: v.Address, Run: row.RunID, Token: p.token}})
-		return
+		return true
 	}
 	j := p.state.Jobs[row.Job]
 	r := &run{RunID: row.RunID, state: stopping, vm: v, stray: true, wasListed: true, recorded: true, plannedAt: now, answeredAt: now}
@@ -424,12 +428,14 @@
 		r.size = reservedResources(&j.Steps[row.Step])
 	}
 	p.addDecision(Decision{Kind: "stray run", Job: row.Job, Task: row.TaskID, Run: row.Run, Worker: v.Life.Worker})
+	p.countRun(r, j)
 	p.runs[row.TaskID] = r
 	v.runs[row.TaskID] = r
 	if step := p.steps[row.StepID()]; step != nil {
 		step.activeRuns++
 	}
 	p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
+	return false
 }
 
 // endRun releases the capacity of a run and adds its end to the next batch.
@@ -442,6 +448,7 @@
 		r.transition(dropped)
 	}
 	delete(r.vm.runs, r.TaskID)
+	r.workspace.Remove(r.countedSize)
 	p.cell.Release(cellTaskID(r.TaskID), int64(r.Run))
 	if r.onTrial {
 		p.updateCellWorker(r.vm, now)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -159,6 +159,7 @@
 	config         *cluster.Configuration
 	cell           *place.Cell
 	vms            map[string]*vm
+	workspaces     map[string]*workspace
 	workerIDs      []string // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
@@ -187,6 +188,7 @@
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
+	planPass           int             // number of planning passes so far
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
 	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
 }
@@ -196,7 +198,7 @@
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
-		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
+		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
 		queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
@@ -230,6 +232,7 @@
 					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
 					pacePercent: 100, // the pace that the former placer set is not known
 				}
+				p.countRun(r, job)
 				p.runs[id] = r
 				v.runs[id] = r
 				v.hasFormerLease = true
@@ -286,6 +289,7 @@
 		p.queues[config.Queues[i].Name] = &config.Queues[i]
 	}
 	p.advisers.setQueues(config.Queues)
+	p.setWorkspaces(config.Workspaces)
 	p.planNeeded = true
 }
 
@@ -316,7 +320,7 @@
 	}
 	slices.Sort(p.workerIDs)
 	for id, v := range p.vms {
-		if !v.inRegistry && len(v.runs) == 0 && !v.pollInFlight {
+		if !v.inRegistry && len(v.runs) == 0 && len(v.untracked) == 0 && !v.pollInFlight {
 			p.cell.RemoveWorker(id)
 			delete(p.vms, id)
 			continue
@@ -371,6 +375,7 @@
 	for i := range report.Ended {
 		listedRuns[report.Ended[i].RunID] = true
 	}
+	p.countUntracked(v, nil)
 	v.resetLife(report.Life)
 	v.hasFormerLease = false // the report proves that this incarnation has seen this placer's token
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -45,6 +45,7 @@
 	}
 	p.planAttempts = 0
 	p.yields.reset()
+	p.planPass++
 	p.UpdateMembers(now)
 	p.updateMaxFree()
 	steps := make([]*pendingStep, 0, len(p.steps))
@@ -71,10 +72,13 @@
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
+		if waiting = p.withinMaximum(step, waiting, now); len(waiting) == 0 {
+			continue // a run of the workspace that ends triggers the next pass
+		}
 		if !step.def.Gang && len(waiting) > startsAllowed {
 			waiting = waiting[:startsAllowed]
 		}
-		activeBefore, adviceInFlightBefore := step.activeRuns, step.adviceInFlight
+		activeBefore, adviceInFlightBefore, unplaced := step.activeRuns, step.adviceInFlight, len(waiting)
 		placed := p.placeStep(step, waiting, now, wallMS)
 		if !placed && step.def.Gang && step.rank.timeliness == onTime && !p.options.Disabled.Yields {
 			p.yields.addGang(step)
@@ -85,6 +89,9 @@
 			waiting = p.waitingTasks(step, waiting[:0])
 			startsAllowed -= len(waiting)
 		}
+		if step.adviceInFlight {
+			step.reserveWhileAdvised(unplaced - (step.activeRuns - activeBefore))
+		}
 		if !placed && step.def.Gang && !holdAttempted && !p.options.Disabled.GangHolds {
 			holdAttempted = p.holdWorkers(step, waiting, now)
 		}
@@ -305,6 +312,7 @@
 func (p *Placer) commit(step *pendingStep, tasks []int, asks []wire.TaskAsk, options place.Options, now time.Duration) []int {
 	p.planAttempts++
 	plan := p.cell.Plan(asks, options, now, nil)
+	refuseBeyondMaximum(step, &plan)
 	committed, refused := p.cell.Commit(plan, options, now)
 	p.reportRefusedPlan(step, refused, now)
 	if len(committed) == 0 {
@@ -370,6 +378,7 @@
 		spec: step.job.Spec, checkpoint: step.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
 		onTrial: step.onTrial,
 	}
+	p.countRun(r, step.job)
 	p.runs[id] = r
 	v.runs[id] = r
 	step.activeRuns++
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -38,7 +38,9 @@
 	cluster.RunID
 	state          chart.State
 	vm             *vm
-	size           resource.Vector
+	size           resource.Vector // reserved on the worker
+	workspace      *workspace      // for which it counts
+	countedSize    resource.Vector // as which it counts there
 	spec           string
 	checkpoint     string
 	ticket         ticket
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -22,6 +22,8 @@
 	job            *flow.Job
 	def            *flow.Step
 	queue          *cluster.Queue
+	workspace      *workspace
+	atMaximum      bool          // its workspace was at its maximum in the last planning pass
 	readyAt        time.Duration // time at which the step became ready
 	latestStartMS  int64         // Unix ms; see latestStart
 	objective      time.Duration // of the job
@@ -82,7 +84,7 @@
 		}
 		pending.activated[id] = true
 		step := &pendingStep{
-			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now,
+			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now, workspace: p.workspaceOf(pending.job.Workspace),
 			grants: map[string]ticket{}, denied: map[string]bool{}, onTrial: hasCrashed(pending.job.Step(occurrence, s)),
 		}
 		for i := 0; i < step.def.Count; i++ {
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -22,6 +22,8 @@
 	Advisers         int                     // daemons through which advice may be requested
 	AdviceCalls      int                     // requests for advice in flight
 	Waiting          map[string]QueueBacklog // by queue
+	AwaitingMaximum  int                     // waiting steps whose workspace is at its maximum
+	Workspaces       map[string]WorkspaceUse // by workspace; none if the configuration has none
 }
 
 // QueueBacklog describes the waiting steps of one queue: those that have tasks to start.
@@ -30,9 +32,19 @@
 	LongestWait time.Duration // time since the first of them became ready
 }
 
+// WorkspaceUse describes what one workspace runs and what it waits for.
+type WorkspaceUse struct {
+	Runs         int
+	Used         resource.Vector
+	Maximum      resource.Vector // an amount of 0 is no limit
+	WaitingSteps int
+	HeldSteps    int // waiting steps that its maximum holds
+	LongestWait  time.Duration
+}
+
 // Summarize returns the current counts.
 func (p *Placer) Summarize(now time.Duration, wallMS int64) Summary {
-	summary := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]QueueBacklog{}, Advisers: len(p.advisers.byName)}
+	summary := Summary{Steps: len(p.steps), Workers: len(p.vms), Runs: map[chart.State]int{}, Waiting: map[string]QueueBacklog{}, Workspaces: p.workspaceUses(), Advisers: len(p.advisers.byName)}
 	var waiting []int
 	for _, step := range p.steps {
 		if waiting = p.waitingTasks(step, waiting[:0]); len(waiting) == 0 {
@@ -41,7 +53,10 @@
 		counts := summary.Waiting[step.job.Queue]
 		summary.Waiting[step.job.Queue] = QueueBacklog{counts.Steps + 1, max(counts.LongestWait, now-step.readyAt)}
 		advised := step.queue == nil || step.queue.Advice == nil || len(step.grants) > 0
+		summary.countWaiting(step, now)
 		switch {
+		case step.atMaximum:
+			summary.AwaitingMaximum++
 		case step.adviceInFlight:
 			summary.AdviceInFlight++
 		case !advised:
@@ -68,3 +83,27 @@
 	}
 	return summary
 }
+
+// workspaceUses returns the use of each workspace of the configuration.
+func (p *Placer) workspaceUses() map[string]WorkspaceUse {
+	uses := make(map[string]WorkspaceUse, len(p.config.Workspaces))
+	for i := range p.config.Workspaces {
+		w := p.workspaceOf(p.config.Workspaces[i].Name)
+		uses[w.Name] = WorkspaceUse{Runs: w.Runs, Used: w.Used, Maximum: w.Maximum}
+	}
+	return uses
+}
+
+// countWaiting counts a waiting step for its workspace, if the configuration has that.
+func (s *Summary) countWaiting(step *pendingStep, now time.Duration) {
+	use, known := s.Workspaces[step.workspace.Name]
+	if !known {
+		return
+	}
+	use.WaitingSteps++
+	use.LongestWait = max(use.LongestWait, now-step.readyAt)
+	if step.atMaximum {
+		use.HeldSteps++
+	}
+	s.Workspaces[step.workspace.Name] = use
+}
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -21,6 +21,7 @@
 	lateLeaseEnd   time.Duration // boot clock: expiry of all leases that late commands to the previous incarnation can set
 
 	runs           map[cluster.TaskID]*run
+	untracked      []untrackedRun
 	lastListedEnd  int64       // highest number of an end that the worker has listed
 	unrecordedEnds []listedEnd // in the order of their numbers, from the first that is not recorded
 	recordedUpTo   int64       // ends up to this number are recorded in the log
--- /dev/null
+++ b/core/placer/workspace.go
@@ -0,0 +1,138 @@
+package placer
+
+import (
+	"time"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/core/place"
+	"briarproxy/core/resource"
+	"briarproxy/core/share"
+)
+
+// The load that this file answers: a workspace that sends more than it may have running. Its steps
+// wait for its own runs to end, and cost the others neither workers nor planning time nor advice.
+
+// maximumReportInterval is the least time between two reports that a workspace is at its maximum.
+const maximumReportInterval = time.Second
+
+// decisionAtMaximum is the kind of decision that reports a step that waits for its workspace's maximum.
+// Reason is the workspace, Value the number of its steps that waited for it in the last planning pass.
+const decisionAtMaximum = "workspace at its maximum"
+
+// workspace is the placer's state of one workspace.
+type workspace struct {
+	share.Account
+	planPass     int             // planning pass to which the next two fields belong
+	reserved     resource.Vector // for tasks that wait for advice
+	held         int             // steps that the maximum has kept waiting
+	nextReportAt time.Duration
+}
+
+// untrackedRun is a run that a worker lists although the task has another run, which is tracked.
+type untrackedRun struct {
+	cluster.RunID
+	workspace *workspace
+	size      resource.Vector
+}
+
+// workspaceOf returns the state of a workspace; that of "" covers the jobs without one.
+func (p *Placer) workspaceOf(name string) *workspace {
+	w := p.workspaces[name]
+	if w == nil {
+		w = &workspace{Account: share.Account{Name: name}}
+		p.workspaces[name] = w
+	}
+	return w
+}
+
+// setWorkspaces updates weights and maxima. A workspace that has left the configuration keeps its
+// last ones, as it may still have jobs.
+func (p *Placer) setWorkspaces(list []cluster.Workspace) {
+	for i := range list {
+		w := p.workspaceOf(list[i].Name)
+		w.Weight, w.Maximum = list[i].Weight, list[i].Maximum
+	}
+}
+
+// countRun counts a run for the workspace of its job. The job is nil if it is no longer known.
+//
+// A backfill task counts with its cores, although it reserves none on its worker: the maximum limits
+// what runs.
+func (p *Placer) countRun(r *run, job *flow.Job) {
+	r.workspace, r.countedSize = p.sizeInWorkspace(job, r.Step)
+	r.workspace.Add(r.countedSize)
+}
+
+// sizeInWorkspace returns the workspace of a job and what one task of the step counts there.
+func (p *Placer) sizeInWorkspace(job *flow.Job, step int) (*workspace, resource.Vector) {
+	if job == nil {
+		return p.workspaceOf(""), resource.Vector{}
+	}
+	if step < 0 || step >= len(job.Steps) {
+		return p.workspaceOf(job.Workspace), resource.Vector{}
+	}
+	return p.workspaceOf(job.Workspace), job.Steps[step].Size
+}
+
+// countUntracked replaces the untracked runs of a worker by those that its newest report lists.
+func (p *Placer) countUntracked(v *vm, listed []cluster.RunID) {
+	for _, u := range v.untracked {
+		u.workspace.Remove(u.size)
+	}
+	v.untracked = v.untracked[:0]
+	for _, id := range listed {
+		w, size := p.sizeInWorkspace(p.state.Jobs[id.Job], id.Step)
+		w.Add(size)
+		v.untracked = append(v.untracked, untrackedRun{id, w, size})
+	}
+}
+
+// withinMaximum returns the waiting tasks that may start under the maximum of the step's workspace,
+// of a gang all or none. If there are none, the step takes no part in this planning pass.
+func (p *Placer) withinMaximum(step *pendingStep, waiting []int, now time.Duration) []int {
+	w := step.workspace
+	if !w.Limited() {
+		return waiting
+	}
+	if w.planPass != p.planPass {
+		w.planPass, w.reserved, w.held = p.planPass, resource.Vector{}, 0
+	}
+	room := w.Room(step.def.Size, w.reserved, len(waiting), step.def.Gang)
+	step.atMaximum = room == 0
+	if step.atMaximum {
+		w.held++
+		p.reportMaximum(step, now)
+	}
+	return waiting[:room]
+}
+
+// reserveWhileAdvised sets the room of tasks aside that wait for advice, so that the steps behind them
+// do not ask for more advice than the workspace can use.
+func (s *pendingStep) reserveWhileAdvised(tasks int) {
+	if s.workspace.Limited() {
+		s.workspace.reserved = s.workspace.reserved.Add(s.def.Size.Scale(int64(tasks)))
+	}
+}
+
+func (p *Placer) reportMaximum(step *pendingStep, now time.Duration) {
+	w := step.workspace
+	if now < w.nextReportAt {
+		return
+	}
+	w.nextReportAt = now + maximumReportInterval
+	reason := w.Name
+	if step.def.Gang && !w.MayEverFit(step.def.Size, step.def.Count) {
+		reason += ": the gang is larger than the maximum"
+	}
+	p.addDecision(Decision{Kind: decisionAtMaximum, Job: step.id.Job, Task: step.taskID(0), Reason: reason, Age: now - step.readyAt, Value: int64(w.held)})
+}
+
+// refuseBeyondMaximum removes the assignments from a plan that the maximum of the step's workspace does
+// not allow. It is part of the check of each plan before it is committed.
+func refuseBeyondMaximum(step *pendingStep, plan *place.Plan) {
+	n := len(plan.Assignments)
+	if room := step.workspace.Room(step.def.Size, resource.Vector{}, n, step.def.Gang); room < n {
+		plan.Assignments = plan.Assignments[:room]
+	}
+}
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -44,6 +44,10 @@
 	workers           *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
+	workspaceRuns     *prometheus.GaugeVec
+	workspaceCores    *prometheus.GaugeVec
+	workspaceSteps    *prometheus.GaugeVec
+	workspaceOldest   *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
 }
 
@@ -90,6 +94,10 @@
 		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
+		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
+		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
+		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
 	}
 }
@@ -114,6 +122,7 @@
 		m.waitingSteps.WithLabelValues(queue).Set(float64(waiting.Steps))
 		m.oldestWaiting.WithLabelValues(queue).Set(waiting.LongestWait.Seconds())
 	}
+	m.publishWorkspaces(summary.Workspaces)
 	m.runs.Reset()
 	for state, count := range summary.Runs {
 		m.runs.WithLabelValues(string(state)).Set(float64(count))
@@ -126,6 +135,26 @@
 	m.workerMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
 }
 
+// workspaceGauges returns the gauges that have a series for each workspace.
+func (m *metrics) workspaceGauges() []*prometheus.GaugeVec {
+	return []*prometheus.GaugeVec{m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
+}
+
+// publishWorkspaces sets the gauges of the workspaces of the configuration.
+func (m *metrics) publishWorkspaces(uses map[string]placer.WorkspaceUse) {
+	for _, g := range m.workspaceGauges() {
+		g.Reset()
+	}
+	for name, use := range uses {
+		m.workspaceRuns.WithLabelValues(name).Set(float64(use.Runs))
+		m.workspaceCores.WithLabelValues(name, "used").Set(float64(use.Used.MilliCores) / 1000)
+		m.workspaceCores.WithLabelValues(name, "maximum").Set(float64(use.Maximum.MilliCores) / 1000)
+		m.workspaceSteps.WithLabelValues(name, "waiting").Set(float64(use.WaitingSteps))
+		m.workspaceSteps.WithLabelValues(name, "held by maximum").Set(float64(use.HeldSteps))
+		m.workspaceOldest.WithLabelValues(name).Set(use.LongestWait.Seconds())
+	}
+}
+
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
@@ -154,7 +183,8 @@
 		return
 	}
 	m.isPlacer.Set(0)
-	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory} {
+	onlyPlacer := append(m.workspaceGauges(), m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory)
+	for _, g := range onlyPlacer {
 		g.Reset() // another daemon reports them now
 	}
 }
