A gang that waits for its workspace's maximum keeps the room

Change: a gang that does not fit under the maximum keeps its room from the steps behind it in the order, if it can ever fit.

--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -24,7 +24,7 @@
 type workspace struct {
 	share.Account
 	planPass     int             // planning pass to which the next two fields belong
-	reserved     resource.Vector // for tasks that wait for advice
+	reserved     resource.Vector // for tasks that wait for advice, and for a gang that waits for room
 	held         int             // steps that the maximum has kept waiting
 	nextReportAt time.Duration
 }
@@ -103,6 +103,7 @@
 	if step.atMaximum {
 		w.held++
 		p.reportMaximum(step, now)
+		step.reserveForGang()
 	}
 	return waiting[:room]
 }
@@ -115,6 +116,14 @@
 	}
 }
 
+// reserveForGang keeps the steps behind a gang from taking the room that it waits for. Without this a
+// workspace near its maximum would start single tasks only, as each of them fits sooner.
+func (s *pendingStep) reserveForGang() {
+	if s.def.Gang && s.workspace.MayEverFit(s.def.Size, s.def.Count) {
+		s.workspace.reserved = s.workspace.reserved.Add(s.def.Size.Scale(int64(s.def.Count)))
+	}
+}
+
 func (p *Placer) reportMaximum(step *pendingStep, now time.Duration) {
 	w := step.workspace
 	if now < w.nextReportAt {
--- a/core/placer/workspace_test.go
+++ b/core/placer/workspace_test.go
@@ -86,6 +86,30 @@
 	require.LessOrEqual(t, reports, 7)
 }
 
+// Guards against a gang that waits for as long as its workspace sends single tasks that are less urgent:
+// near the maximum each of them fits sooner.
+func TestGangAtTheMaximumPrecedesLessUrgentTasks(t *testing.T) {
+	c := cellWithWorkspaces(t, 8, 4)
+	c.config.Queues = append(c.config.Queues, cluster.Queue{Name: "less", Pool: "p", Priority: 1, MaxAttempts: 3, Slack: 2, Target: time.Minute})
+	c.placer.SetConfig(c.config)
+	c.runTime = func(cluster.Start) time.Duration { return 800 * time.Millisecond }
+	single := func(i int) {
+		require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: fmt.Sprint("single", i), Queue: "less", Pool: "p", Workspace: "ws0", Config: 1, Steps: []flow.Step{batchStep(1)}, MaxAttempts: 3, AtMS: c.wallMS()}}))
+	}
+	for i := range 40 {
+		if i == 20 {
+			gang := batchStep(4)
+			gang.Gang = true
+			c.submitFrom("ws0", "gang", gang)
+		}
+		single(i)
+		c.advance(100 * time.Millisecond)
+	}
+	require.Equal(t, flow.Completed, c.state.Jobs["gang"].Phase, "it starts once the tasks before it have ended")
+	c.advance(10 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 41}, c.jobsByPhase())
+}
+
 // Guards against a lowered maximum that stops runs, or that does not keep new ones from starting.
 func TestLoweredMaximumStopsNoRuns(t *testing.T) {
 	c := cellWithWorkspaces(t, 8, 6)
