Urgent steps and gangs prefer fast workers; waits for racks by what they save

Nothing waits by a measured rate for a rack. Where bounds.remote_factor is set, tasks wait for the rack of their data or group by core/patience.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -7,6 +7,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/resource"
+	"briarproxy/core/speed"
 )
 
 // Step is a set of identical tasks of a job.
@@ -108,6 +109,8 @@
 	Begins      []Begin  `json:"b,omitempty"`
 	Ends        []End    `json:"x,omitempty"`
 	StartedJobs []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
+	// Speeds are the workers' speeds as the placer estimates them, if they have changed.
+	Speeds []speed.Saved `json:"v,omitempty"`
 }
 
 // Record is one log record. Exactly one field is set.
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"encoding/json"
 	"hash/crc32"
+	"maps"
 	"slices"
 	"time"
 
 	"briarproxy/core/fault"
+	"briarproxy/core/speed"
 )
 
 // maxChunkBytes is the target size of a snapshot chunk. It is below the log's limit for a record.
@@ -22,6 +24,7 @@
 type savedChunk struct {
 	Generation int64             `json:"g"`
 	Jobs       []json.RawMessage `json:"j"`
+	Speeds     []speed.Saved     `json:"v,omitempty"` // in the first chunk only
 }
 
 // SnapshotHead describes a complete snapshot. It is written after all chunks.
@@ -109,7 +112,7 @@
 		head.Superseded = append(head.Superseded, c.Claim)
 	}
 	full, ended := s.jobsForSnapshot(now)
-	chunks, err := encodeFullJobs(full, generation, now)
+	chunks, err := encodeFullJobs(full, s.speedsForSnapshot(), generation, now)
 	if err != nil {
 		return SnapshotHead{}, nil, err
 	}
@@ -141,10 +144,14 @@
 	return full, ended
 }
 
+func (s *State) speedsForSnapshot() []speed.Saved {
+	return slices.SortedFunc(maps.Values(s.Speeds), func(a, b speed.Saved) int { return cmp.Compare(a.Worker, b.Worker) })
+}
+
 // encodeFullJobs returns the chunks of jobs with their steps and tasks, at least one chunk.
-func encodeFullJobs(jobs []*Job, generation int64, now time.Duration) ([][]byte, error) {
+func encodeFullJobs(jobs []*Job, speeds []speed.Saved, generation int64, now time.Duration) ([][]byte, error) {
 	var chunks [][]byte
-	chunk, size := savedChunk{Generation: generation}, 0
+	chunk, size := savedChunk{Generation: generation, Speeds: speeds}, 0
 	flush := func() error {
 		data, err := json.Marshal(chunk)
 		if err == nil {
@@ -154,7 +161,7 @@
 			return fault.Wrap(err, fault.Internal, "report this as a bug", "snapshot chunk cannot be encoded")
 		}
 		chunks = append(chunks, data)
-		chunk.Jobs, size = nil, 0
+		chunk.Jobs, chunk.Speeds, size = nil, nil, 0
 		return nil
 	}
 	for _, j := range jobs {
@@ -265,8 +272,9 @@
 	}
 	plain, err := decompress(data)
 	var chunk struct {
-		Generation int64      `json:"g"`
-		Jobs       []savedJob `json:"j"`
+		Generation int64         `json:"g"`
+		Jobs       []savedJob    `json:"j"`
+		Speeds     []speed.Saved `json:"v"`
 	}
 	if err == nil {
 		err = json.Unmarshal(plain, &chunk)
@@ -277,6 +285,7 @@
 	if chunk.Generation != generation {
 		return generationMismatch(chunk.Generation, generation)
 	}
+	s.applySpeeds(chunk.Speeds)
 	for i := range chunk.Jobs {
 		if err := s.restoreJob(&chunk.Jobs[i], now); err != nil {
 			return err
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -6,6 +6,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
+	"briarproxy/core/speed"
 )
 
 // Phase is the phase of a job's life cycle.
@@ -148,13 +149,14 @@
 	LastHeard  time.Duration     // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
 	ClaimedAt  time.Duration     // boot-clock time at which the newest claim was applied
 	Members    map[string]Member
-	NextOffset int64          // offset of the next record
-	Pending    map[string]int // by queue: number of jobs without a due time that have not begun
+	NextOffset int64                  // offset of the next record
+	Pending    map[string]int         // by queue: number of jobs without a due time that have not begun
+	Speeds     map[string]speed.Saved // by worker: newest estimate of its speed, if it was ever unusual
 }
 
 // NewState returns the empty state before the first record.
 func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}}
+	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}, Speeds: map[string]speed.Saved{}}
 }
 
 // Apply applies the record at State.NextOffset, which was read at boot-clock time now. An error
@@ -254,6 +256,7 @@
 		return fault.New(fault.Conflict, "none needed: a newer placer has taken over", "batch has epoch %d, but the current epoch is %d", b.Epoch, s.Claim.Epoch)
 	}
 	s.LastHeard = now
+	s.applySpeeds(b.Speeds)
 	for _, id := range b.StartedJobs {
 		if j := s.Jobs[id]; j != nil {
 			s.markRunning(j)
@@ -273,6 +276,22 @@
 	return firstErr
 }
 
+// maxSpeeds bounds the workers whose speed is kept. It is above the number of workers of any cell.
+const maxSpeeds = 20_000
+
+// applySpeeds keeps the newest estimate of each worker. One without evidence removes the worker.
+func (s *State) applySpeeds(speeds []speed.Saved) {
+	for _, saved := range speeds {
+		_, known := s.Speeds[saved.Worker]
+		switch {
+		case saved.Evidence <= 0:
+			delete(s.Speeds, saved.Worker)
+		case known || len(s.Speeds) < maxSpeeds:
+			s.Speeds[saved.Worker] = saved
+		}
+	}
+}
+
 // find returns the task with its job, occurrence and step, or nils if the log has no such task.
 // It creates the occurrence if no run of it has begun.
 func (s *State) find(id cluster.TaskID) (*Job, *Occurrence, *StepState, *TaskState) {
--- a/core/place/cell.go
+++ b/core/place/cell.go
@@ -296,6 +296,13 @@
 	c.setFlags(vm, func(w *WorkerState) { w.Quarantined = quarantined })
 }
 
+// SetSpeedLevel records how fast the worker is, see speed.Estimator.Level.
+func (c *Cell) SetSpeedLevel(vm string, level int) {
+	if i, ok := c.workerByVM[vm]; ok {
+		c.states[i].SpeedLevel = level
+	}
+}
+
 // adjustCommitted adds delta to the committed capacity of a worker. It raises
 // capacityVersion if any resource is freed.
 func (c *Cell) adjustCommitted(i int32, delta resource.Vector) {
--- a/core/place/gang.go
+++ b/core/place/gang.go
@@ -95,7 +95,7 @@
 	first := asks[0]
 	for _, a := range asks {
 		if a.Resources != first.Resources || a.Pool != first.Pool || a.Priority != first.Priority ||
-			a.RunMS != first.RunMS || a.SpreadRacks || a.PerVM != first.PerVM || a.Job != first.Job || a.Label != first.Label || !slices.Equal(a.Among, first.Among) || !slices.Equal(a.AvoidVMs, first.AvoidVMs) {
+			a.RunMS != first.RunMS || a.SpeedWeight != first.SpeedWeight || a.SpreadRacks || a.PerVM != first.PerVM || a.Job != first.Job || a.Label != first.Label || !slices.Equal(a.Among, first.Among) || !slices.Equal(a.AvoidVMs, first.AvoidVMs) {
 			return false
 		}
 	}
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -12,6 +12,7 @@
 	weightDistance    = 1000.0
 	weightAccelerator = 100.0
 	weightRack        = 50.0 // a task runs several times as long away from its data
+	weightSpeed       = 1.1  // of a speed level: decides between workers before the best fit does
 	weightSpread      = 10.0
 	weightBestFit     = 1.0
 )
@@ -61,6 +62,7 @@
 	if ask.NearRack != "" && ask.NearRack != w.Rack {
 		cost += weightRack
 	}
+	cost += weightSpeed * ask.SpeedWeight * float64(w.SpeedLevel)
 	cost += weightSpread * spreadCost(tasksInRack)
 	return cost + weightBestFit*bestFitCost(w.Capacity, w.Free(), ask.Resources)
 }
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -51,6 +51,7 @@
 	Quarantined bool
 	Hold        Hold
 	Tasks       []Task
+	SpeedLevel  int // see speed.Estimator.Level; negative means faster than usual
 	preemptible int // number of preemptible tasks
 }
 
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -48,20 +48,14 @@
 }
 
 // workersToAsk returns eligible workers that the step has not asked about. Workers with free
-// capacity come first, as many as are expected to hold the tasks. Steps start the search at
-// different workers, so that concurrent steps do not compete for the same ones.
+// capacity come first, as many as are expected to hold the tasks.
 func (p *Placer) workersToAsk(step *pendingStep) []string {
 	var fullWorkers []string
 	limit := min(maxCallWorkers, step.queue.Advice.MaxVMs)
 	workers := make([]string, 0, limit)
 	expectedTasks, grantRate := 0.0, p.grantRate(step.job.Queue)
 	ask := step.capacityAsk()
-	startIndex := 0
-	if n := len(p.workerIDs); n > 0 {
-		startIndex = int(step.job.Offset*workerStride) % n
-	}
-	for i := range p.workerIDs {
-		id := p.workerIDs[(startIndex+i)%len(p.workerIDs)]
+	for id := range p.askOrder(step) {
 		v := p.vms[id]
 		if v == nil || !v.inRegistry || v.Draining || !v.tokenSeen || v.Pool != step.job.Pool || step.denied[id] {
 			continue
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -323,12 +323,16 @@
 
 func (p *Placer) processEnd(r *run, e *cluster.EndReport, now time.Duration) {
 	v := r.vm
+	if p.options.RemoteFactor > 1 {
+		p.waits.releases.Observe(v.Life.Worker, r.size, now)
+	}
 	r.lostStart = "" // a worker that lists the end has survived the start
 	switch e.Reason {
 	case cluster.Failed:
 		p.countWorkerFailure(v, r, now)
 	case cluster.Done:
 		v.consecutiveFailures = 0
+		p.observeSpeed(r, now)
 	}
 	p.endRun(r, e.Reason, e.Checkpoint, now)
 }
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -30,6 +30,7 @@
 	answerDelay      time.Duration                                    // round trip of every command, and latency of an append
 	commandFault     func(c Command) (lost bool, delay time.Duration) // whether the answer to a command is lost, and how much later the command arrives
 	runTime          func(s cluster.Start) time.Duration
+	slowness         func(w *fakeWorker, s *cluster.Start) float64 // multiplies runTime
 	outcome          func(s cluster.Start) cluster.EndReason
 	decisions        []Decision
 	logUnreachable   bool                                // no batches are appended
@@ -107,6 +108,7 @@
 		}
 	}
 	c.runTime = func(cluster.Start) time.Duration { return 800 * time.Millisecond }
+	c.slowness = func(*fakeWorker, *cluster.Start) float64 { return 1 }
 	c.outcome = func(cluster.Start) cluster.EndReason { return cluster.Done }
 	return c
 }
@@ -465,7 +467,7 @@
 	for _, a := range job.Steps[s.Step].DependsOn {
 		require.True(c.t, job.Step(s.Occurrence, a) != nil && job.Step(s.Occurrence, a).Complete(), "task %v starts before step %d is complete", s.TaskID, a)
 	}
-	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: c.runTime(*s), pacePercent: 100}
+	run := &fakeRun{start: *s, size: size, startedAt: c.now, duration: time.Duration(float64(c.runTime(*s)) * c.slowness(w, s)), pacePercent: 100}
 	if s.Checkpoint != "" {
 		_, err := fmt.Sscan(s.Checkpoint, &run.checkpointPermille)
 		require.NoError(c.t, err, "checkpoint %q", s.Checkpoint)
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -76,6 +76,8 @@
 func (p *Placer) sortSteps(steps []*pendingStep, wallMS int64) {
 	for _, step := range steps {
 		step.rank = newStepRank(step, wallMS)
+		step.spare, step.waits = time.Duration(step.latestStartMS-wallMS)*time.Millisecond, false
+		step.speedWeight = newSpeedWeight(step)
 		if p.options.Disabled.QueuePriorities {
 			step.rank.priority = 0
 		}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -81,6 +81,7 @@
 	MaxRenewalWithoutLog time.Duration // a placer that can't reach the log renews leases for at most this long
 	EarlyStart           time.Duration // a task with a due time may start this much earlier
 	StopTimeout          time.Duration // longest time that a worker takes to stop a run
+	RemoteFactor         float64       // run time away from a task's data, or across racks, as a multiple; 0 means unknown
 	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
 	Disabled             DisabledMechanisms
 }
@@ -181,6 +182,8 @@
 	recentStarts       []*run // runs whose first start command was sent within startRetryDelay, oldest first
 	yields             yields
 	retryBudget        *admission.RetryBudget
+	speeds             workerSpeeds
+	waits              waits
 	relays             startRelays
 	startWindow        startWindow
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
@@ -199,11 +202,12 @@
 		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
-		queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
+		speeds: newWorkerSpeeds(), waits: newWaits(), queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
 	}
 	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
 	p.setFormerPlacers(now)
+	p.restoreSpeeds(now)
 	for _, job := range state.Jobs {
 		p.adoptRuns(job, now)
 	}
@@ -305,8 +309,11 @@
 		if entry.Born < v.Born {
 			continue // the entry describes an earlier incarnation of the worker
 		}
-		life := v.Life
+		life, differs := v.Life, isOtherMachine(&v.Worker, entry)
 		v.Worker = *entry
+		if differs {
+			p.forgetSpeed(v, now)
+		}
 		v.inRegistry, v.lastInRegistryAt = true, now
 		v.updateDeparture(entry, now)
 		if entry.Born > life.Born && life.Born != 0 {
@@ -315,6 +322,8 @@
 		}
 	}
 	slices.Sort(p.workerIDs)
+	p.speeds.outdated = true
+	p.speeds.estimator.Expire(now)
 	for id, v := range p.vms {
 		if !v.inRegistry && len(v.runs) == 0 && !v.pollInFlight {
 			p.cell.RemoveWorker(id)
@@ -340,6 +349,7 @@
 		Pools: []string{v.Pool}, Labels: v.Labels, Capacity: v.Capacity,
 	})
 	if !known {
+		p.cell.SetSpeedLevel(v.Life.Worker, v.speedLevel)
 		for _, r := range v.runs {
 			p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
 		}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -45,6 +45,8 @@
 	}
 	p.planAttempts = 0
 	p.yields.reset()
+	p.startPassOfWaits()
+	p.refreshSpeeds(now)
 	p.UpdateMembers(now)
 	p.updateMaxFree()
 	steps := make([]*pendingStep, 0, len(p.steps))
@@ -76,16 +78,16 @@
 		}
 		activeBefore, adviceInFlightBefore := step.activeRuns, step.adviceInFlight
 		placed := p.placeStep(step, waiting, now, wallMS)
-		if !placed && step.def.Gang && step.rank.timeliness == onTime && !p.options.Disabled.Yields {
+		if !placed && !step.waits && step.def.Gang && step.rank.timeliness == onTime && !p.options.Disabled.Yields {
 			p.yields.addGang(step)
 		}
-		commands = p.requestAdvice(commands, step, placed, now)
+		commands = p.requestAdvice(commands, step, placed || step.waits, now)
 		startsAllowed -= step.activeRuns - activeBefore
 		if step.adviceInFlight && !adviceInFlightBefore {
 			waiting = p.waitingTasks(step, waiting[:0])
 			startsAllowed -= len(waiting)
 		}
-		if !placed && step.def.Gang && !holdAttempted && !p.options.Disabled.GangHolds {
+		if !placed && !step.waits && step.def.Gang && !holdAttempted && !p.options.Disabled.GangHolds {
 			holdAttempted = p.holdWorkers(step, waiting, now)
 		}
 	}
@@ -214,15 +216,23 @@
 		return tasks
 	}
 	if step.def.SameRack && len(tasks) > 1 {
-		for _, rack := range p.groupByRack(workers) {
+		racks := p.groupByRack(workers)
+		for _, rack := range racks {
 			if unplaced := p.planAndCommit(step, tasks, rack, now, true); len(unplaced) == 0 {
 				return nil
 			}
 		}
-		if now-step.readyAt < maxSameRackWait {
+		if p.waitsForRack(step, len(tasks), racks, now) {
 			return tasks
 		}
 	}
+	tasks, waits := p.placeNearData(step, tasks, workers, now)
+	if waits || len(tasks) == 0 {
+		return tasks
+	}
+	if tasks = p.placeAtLikeSpeed(step, tasks, workers, now); len(tasks) == 0 {
+		return nil
+	}
 	return p.planAndCommit(step, tasks, workers, now, step.def.Gang)
 }
 
@@ -278,7 +288,7 @@
 		asks[i] = wire.TaskAsk{
 			TaskID: cellTaskID(step.taskID(index)), Job: cellJobID(step.id), Generation: int64(step.nextRun(index)), Pool: step.job.Pool,
 			Resources: reservedResources(step.def), RunMS: step.def.ExpectedRunTime().Milliseconds(), AvoidVMs: avoid, Among: workers,
-			Label: step.def.Label, NearRack: step.def.NearRack, PerVM: step.def.MaxPerWorker,
+			Label: step.def.Label, NearRack: step.def.NearRack, PerVM: step.def.MaxPerWorker, SpeedWeight: step.speedWeight,
 		}
 		if allOrNothing {
 			asks[i].Gang = cellJobID(step.id)
--- /dev/null
+++ b/core/placer/speed.go
@@ -0,0 +1,205 @@
+package placer
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+	"briarproxy/core/speed"
+)
+
+const (
+	// fastLevel and slowLevel are the levels from which a worker is asked about before or after the others.
+	fastLevel = -2
+	slowLevel = 2
+	// slowAffordFactor is the number of times that a step's spare time must cover what a slow worker takes longer, for the step
+	// to take any worker. It leaves time for runs that fail or take longer than estimated.
+	slowAffordFactor = 6
+	// likeSpeedLevels is the difference of levels up to which the members of a gang count as equally fast.
+	likeSpeedLevels = 1
+	// maxSpeedsPerBatch bounds the speeds that one batch publishes.
+	maxSpeedsPerBatch = 32
+	// maxAnswerLag is how much later than usual an answer to a poll may arrive for its ends to show run times.
+	maxAnswerLag = 300 * time.Millisecond
+)
+
+// workerSpeeds holds what the placer has learned of the speeds of the workers.
+type workerSpeeds struct {
+	estimator *speed.Estimator
+	outdated  bool        // classes has to be computed again
+	classes   [3][]string // workers of the registry: fast, usual and slow ones, each sorted
+	slowest   int         // highest level of any worker
+	mixed     bool        // not all workers are of one class
+}
+
+// restoreSpeeds takes over what the former placer has learned. Its error is at most the change that is published.
+func (p *Placer) restoreSpeeds(now time.Duration) {
+	for _, saved := range p.state.Speeds {
+		p.speeds.estimator.Restore(saved, now)
+	}
+}
+
+func newWorkerSpeeds() workerSpeeds { return workerSpeeds{estimator: speed.New(), outdated: true} }
+
+// observeSpeed learns from a run that its worker has listed as done. Left out are runs whose time depends on something
+// else than the worker: the other members of a gang, a pace, a checkpoint, idle cores; and those whose start or
+// end was not observed in time.
+func (p *Placer) observeSpeed(r *run, now time.Duration) {
+	step, v := p.steps[r.StepID()], r.vm
+	if step == nil || !measuresWorker(r, step.def) || r.startsSent != 1 || now-v.pollSentAt > maxPollWait+maxAnswerLag {
+		return
+	}
+	observed := speed.Run{
+		Worker: v.Life.Worker, Kind: step.job.Queue, Ran: now - r.answeredAt, Resolution: pollInterval, Estimate: step.def.ExpectedRunTime(),
+	}
+	if !p.speeds.estimator.Observe(observed, &step.evidence, now) {
+		return
+	}
+	p.updateSpeedLevel(v, now)
+}
+
+// measuresWorker reports whether the run time of a run depends on its task and its worker only.
+func measuresWorker(r *run, def *flow.Step) bool {
+	return !def.LongRunning && !def.Backfill && (!def.Gang || def.Count == 1) && (!def.SameRack || def.Count == 1) &&
+		(def.NearRack == "" || def.NearRack == r.vm.Rack) && r.checkpoint == "" && r.pacePercent == 100 && r.state == running && r.answeredAt > 0
+}
+
+func (p *Placer) updateSpeedLevel(v *vm, now time.Duration) {
+	if p.options.Disabled.WorkerSpeeds {
+		return
+	}
+	level := p.speeds.estimator.Level(v.Life.Worker, now)
+	if level == v.speedLevel {
+		return
+	}
+	if speedClass(level) != speedClass(v.speedLevel) {
+		p.speeds.outdated = true
+		p.addDecision(Decision{Kind: "worker speed changed", Worker: v.Life.Worker, Value: int64(100 / speed.Slowness(level))})
+	}
+	v.speedLevel = level
+	p.cell.SetSpeedLevel(v.Life.Worker, level)
+}
+
+// isOtherMachine reports whether a worker is not on the machine that its former description, if there is one, shows.
+func isOtherMachine(before, after *cluster.Worker) bool {
+	if before.Address == "" {
+		return false
+	}
+	return before.Capacity != after.Capacity || before.Rack != after.Rack || !slices.Equal(before.Labels, after.Labels)
+}
+
+// forgetSpeed drops the speed of a worker that has become another machine.
+func (p *Placer) forgetSpeed(v *vm, now time.Duration) {
+	p.speeds.estimator.Forget(v.Life.Worker)
+	p.updateSpeedLevel(v, now)
+}
+
+// speedClass returns 0 for a fast worker, 1 for a usual and 2 for a slow one.
+func speedClass(level int) int {
+	switch {
+	case level <= fastLevel:
+		return 0
+	case level >= slowLevel:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// refreshSpeeds sorts the workers into classes if that is due.
+func (p *Placer) refreshSpeeds(now time.Duration) {
+	s := &p.speeds
+	if !s.outdated {
+		return
+	}
+	s.slowest = -speed.MaxLevel
+	for i := range s.classes {
+		s.classes[i] = s.classes[i][:0]
+	}
+	for _, id := range p.workerIDs {
+		v := p.vms[id]
+		p.updateSpeedLevel(v, now)
+		class := speedClass(v.speedLevel)
+		s.classes[class] = append(s.classes[class], id)
+		s.slowest = max(s.slowest, v.speedLevel)
+	}
+	s.outdated = false
+	s.mixed = max(len(s.classes[0]), len(s.classes[1]), len(s.classes[2])) < len(p.workerIDs)
+}
+
+// newSpeedWeight returns how much a step prefers fast workers: not at all if it ends in time on slow ones as well, so that the
+// fast ones are left to others.
+func newSpeedWeight(step *pendingStep) float64 {
+	extra := time.Duration((speed.Slowness(slowLevel+1) - 1) * float64(step.def.ExpectedRunTime()))
+	if step.def.LongRunning || step.def.Backfill || step.spare > slowAffordFactor*extra {
+		return 0
+	}
+	return 1
+}
+
+// askOrder returns the workers in the order in which the step asks about them: those of the preferred speed first. Among
+// these, steps begin at different workers, so that concurrent steps do not compete for the same ones.
+func (p *Placer) askOrder(step *pendingStep) iter.Seq[string] {
+	classes := p.speeds.classes[:]
+	if !p.speeds.mixed || step.speedWeight == 0 {
+		classes = [][]string{p.workerIDs}
+	}
+	return func(yield func(string) bool) {
+		for _, class := range classes {
+			if len(class) == 0 {
+				continue
+			}
+			first := int(step.job.Offset*workerStride) % len(class)
+			for i := range class {
+				if !yield(class[(first+i)%len(class)]) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// placeAtLikeSpeed places a gang on the fastest of the named workers that have room for it. A gang ends with its slowest
+// member, so among workers of like speed the slower ones are taken, and the faster ones are left to others. It returns
+// the tasks that could not be placed.
+func (p *Placer) placeAtLikeSpeed(step *pendingStep, tasks []int, workers []string, now time.Duration) (unplaced []int) {
+	if !step.def.Gang || workers == nil || !p.speeds.mixed {
+		return tasks
+	}
+	level, found := p.slowestMember(step, workers, len(tasks))
+	if !found {
+		return tasks
+	}
+	chosen := make([]string, 0, len(workers))
+	for _, id := range workers {
+		if v := p.vms[id]; v != nil && v.speedLevel <= level+likeSpeedLevels {
+			chosen = append(chosen, id)
+		}
+	}
+	weight := step.speedWeight
+	step.speedWeight = -1
+	unplaced = p.planAndCommit(step, tasks, chosen, now, true)
+	step.speedWeight = weight
+	return unplaced
+}
+
+// slowestMember returns the level of the slowest worker if the tasks are placed on the fastest workers with room for them. It
+// reports false if there is too little room.
+func (p *Placer) slowestMember(step *pendingStep, workers []string, tasks int) (level int, found bool) {
+	var rooms [2*speed.MaxLevel + 1]int64 // by level
+	ask := step.capacityAsk()
+	for _, id := range workers {
+		if v := p.vms[id]; v != nil {
+			rooms[v.speedLevel+speed.MaxLevel] += p.cell.FittingTasks(id, &ask)
+		}
+	}
+	missing := int64(tasks)
+	for i, n := range rooms {
+		if missing -= n; missing <= 0 {
+			return i - speed.MaxLevel, true
+		}
+	}
+	return 0, false
+}
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -6,6 +6,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
+	"briarproxy/core/speed"
 )
 
 // pendingJob is the placer's state of a job that has not ended.
@@ -26,6 +27,12 @@
 	latestStartMS  int64         // Unix ms; see latestStart
 	objective      time.Duration // of the job
 	rank           stepRank      // in this planning pass
+	speedWeight    float64       // in this planning pass; see newSpeedWeight
+	evidence       speed.Step    // of the work of its tasks
+	spare          time.Duration // in this planning pass: until the latest start
+	waits          bool          // in this planning pass: tasks wait for a better place although another is free
+	waitsSince     time.Duration // since when tasks have waited for a better place; 0 means that they have not
+	waitEnded      bool          // the end of such a wait has been reported
 	grants         map[string]ticket
 	denied         map[string]bool
 	adviceInFlight bool
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -17,6 +17,8 @@
 	Runs             map[chart.State]int
 	Usable           int // workers that may receive tasks
 	Workers          int
+	Fast, Slow       int                     // workers in the registry whose speed differs from the usual one
+	WaitingForPlace  int                     // steps with tasks that wait for a better place although another is free
 	Free             resource.Vector         // of the usable workers
 	Capacity         resource.Vector         // of the usable workers
 	Advisers         int                     // daemons through which advice may be requested
@@ -49,6 +51,9 @@
 		default:
 			summary.AwaitingCapacity++
 		}
+		if step.waits {
+			summary.WaitingForPlace++
+		}
 		if step.latestStartMS < wallMS {
 			summary.Late++
 		}
@@ -56,6 +61,7 @@
 	for _, r := range p.runs {
 		summary.Runs[r.state]++
 	}
+	summary.Fast, summary.Slow = len(p.speeds.classes[0]), len(p.speeds.classes[2])
 	for id, v := range p.vms {
 		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			summary.Usable++
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -21,7 +21,7 @@
 		commands = p.stopUnwanted(commands, now)
 	}
 	commands = p.retryStarts(commands, now)
-	if p.planNeeded && now-p.lastPlanAt >= p.nextPlanDelay() {
+	if (p.planNeeded || p.waits.recheckAt > 0 && now >= p.waits.recheckAt) && now-p.lastPlanAt >= p.nextPlanDelay() {
 		p.planNeeded, p.lastPlanAt = false, now
 		commands = p.plan(commands, now, wallMS)
 	}
@@ -155,6 +155,7 @@
 	}
 	batch, runs = p.pendingBatch, p.pendingRuns
 	batch.Epoch = p.epoch
+	batch.Speeds = p.speeds.estimator.TakeChanges(maxSpeedsPerBatch)
 	p.pendingBatch, p.pendingRuns = flow.Batch{}, nil
 	p.flushedAt = now
 	return batch, runs, true
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -35,6 +35,7 @@
 	lastFailedJob       string        // job of the last failed run
 	avoidUntil          time.Duration // nothing is placed on the worker before this time
 	consecutiveRefusals int           // consecutive starts refused because the worker is unhealthy
+	speedLevel          int           // see speed.Estimator.Level
 	leavesAt            time.Duration // earliest time at which a draining worker leaves; 0 means unknown
 }
 
--- a/core/wire/peer.go
+++ b/core/wire/peer.go
@@ -183,6 +183,7 @@
 	Label        string   // required label of the VM; "" is none
 	NearRack     string   // preferred rack; "" is none
 	PerVM        int      // most tasks of the same Job on one VM; 0 is no limit
+	SpeedWeight  float64  // preference for fast VMs, from -1 (slow ones first) to 1; 0 is none
 	SpreadRacks  bool
 	Preemptible  bool
 	CanPreempt   bool
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -42,6 +42,7 @@
 	oldestWaiting     *prometheus.GaugeVec
 	runs              *prometheus.GaugeVec
 	workers           *prometheus.GaugeVec
+	placeWaits        *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
@@ -87,7 +88,8 @@
 		waitingSteps:      gauge("waiting_steps", "Steps with tasks to start, by queue; on the placer.", "queue"),
 		oldestWaiting:     gauge("waiting_oldest_seconds", "How long the oldest such step has waited, by queue; on the placer.", "queue"),
 		runs:              gauge("runs", "Runs by state; on the placer.", "state"),
-		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
+		workers:           gauge("workers", "Workers that are known, that may take work, and that are faster or slower than usual; on the placer.", "state"),
+		placeWaits:        gauge("steps_waiting_for_place", "Steps that wait for a better place although another one is free; on the placer."),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
@@ -120,6 +122,9 @@
 	}
 	m.workers.WithLabelValues("known").Set(float64(summary.Workers))
 	m.workers.WithLabelValues("usable").Set(float64(summary.Usable))
+	m.workers.WithLabelValues("fast").Set(float64(summary.Fast))
+	m.workers.WithLabelValues("slow").Set(float64(summary.Slow))
+	m.placeWaits.WithLabelValues().Set(float64(summary.WaitingForPlace))
 	m.workerCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
 	m.workerCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
 	m.workerMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
@@ -154,7 +159,7 @@
 		return
 	}
 	m.isPlacer.Set(0)
-	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory} {
+	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.placeWaits, m.workerCores, m.workerMemory} {
 		g.Reset() // another daemon reports them now
 	}
 }
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -45,7 +45,7 @@
 	e.metrics.publishSummary(&summary)
 	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "late", summary.Late,
 		"runs", summary.Runs, "usable", summary.Usable, "workers", summary.Workers, "free", summary.Free.String(), "capacity", summary.Capacity.String(),
-		"advisers", summary.Advisers, "calls", summary.AdviceCalls)
+		"advisers", summary.Advisers, "calls", summary.AdviceCalls, "fast", summary.Fast, "slow", summary.Slow, "place_waits", summary.WaitingForPlace)
 }
 
 // appendBatch appends the next batch, unless an append is under way or nothing is due.
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -80,6 +80,10 @@
 	GraceS     float64 `json:"grace_s"`      // time from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"`     // how long the state of an ended job can be queried
 	KeepS      float64 `json:"keep_s"`       // retention time of the log's records
+	// RemoteFactor is the run time of a task away from its data, or of a group across racks, as a multiple of the usual one. With
+	// it, tasks wait for a better place for as long as that pays; absent or 0 means that it is not known, and
+	// that only groups wait, for a fixed time. A value that is too high makes tasks wait too long.
+	RemoteFactor float64 `json:"remote_factor"`
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -156,6 +160,9 @@
 			return fault.New(fault.Invalid, "increase it", "%s is %v, but must be at least %v", f.path, f.value, f.minimum)
 		}
 	}
+	if f := s.Bounds.RemoteFactor; f != 0 && f < 1 {
+		return fault.New(fault.Invalid, "set it to 1 or more, or leave it out", "bounds.remote_factor is %v", f)
+	}
 	return nil
 }
 
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -33,6 +33,15 @@
 	require.Equal(t, []string{"bounds.keep_s"}, s.defaultedFields)
 }
 
+// Guards against a factor that would make every place look better than the data's own, and against deployments without
+// it that fail to start.
+func TestRemoteFactorIsOptionalButNotBelowOne(t *testing.T) {
+	for value, valid := range map[string]bool{"null": true, "0": true, "1": true, "3": true, "0.5": false, "-2": false} {
+		_, err := loadSettings(t, strings.Replace(completeSettings, `"keep_s": null`, `"remote_factor": `+value, 1))
+		require.Equal(t, valid, err == nil, "%s: %v", value, err)
+	}
+}
+
 // Guards against errors that do not name the invalid setting.
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for original, field := range map[string]string{
