--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -109,6 +109,10 @@
 	// 0 it goes on with the version that it has. A value that is too low makes daemons refuse callers while
 	// the store is merely slow.
 	RevokeMS float64 `json:"revoke_ms"`
+	// RemoteFactor is the run time of a task away from its data, or of a group across racks, as a multiple of the usual one. With
+	// it, tasks wait for a better place for as long as that pays; absent or 0 means that it is not known, and
+	// that only groups wait, for a fixed time. A value that is too high makes tasks wait too long.
+	RemoteFactor float64 `json:"remote_factor"`
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -188,6 +192,9 @@
 	if revoke := s.Bounds.RevokeMS; revoke != 0 && revoke < minRevokeMS {
 		return fault.New(fault.Invalid, "increase it, or leave it out if keys need no bound", "bounds.revoke_ms is %v, but must be at least %v", revoke, minRevokeMS)
 	}
+	if f := s.Bounds.RemoteFactor; f != 0 && f < 1 {
+		return fault.New(fault.Invalid, "set it to 1 or more, or leave it out", "bounds.remote_factor is %v", f)
+	}
 	return nil
 }
 
