--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -242,10 +242,13 @@
 	}
 	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
+	isForeign := a.consultOwner(ctx, id, lookup)
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
 	appendTime := bootclock.Now() - appendStart
 	switch {
+	case err == nil && isForeign():
+		return a.refuseKey(w, foreignJob) // the earlier submission of the id counts
 	case err == nil:
 		a.engine.log.Emit(evJobAccepted, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "append_ms", appendTime.Milliseconds())
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Queued))
--- a/daemon/cell/keys.go
+++ b/daemon/cell/keys.go
@@ -1,10 +1,17 @@
 package cell
 
 import (
+	"context"
 	"net/http"
 	"time"
+
+	"briarproxy/daemon/bootclock"
 )
 
+// maxOwnerWait is for how long an answer to a submission waits for another daemon's word on the owner
+// of the id, beyond the append.
+const maxOwnerWait = 200 * time.Millisecond
+
 // keyRefusal is the reason for refusing a call because of its key. It is a label of metrics.
 type keyRefusal string
 
@@ -51,6 +58,28 @@
 	return !check.required || v.Workspace == "" || v.Workspace == check.workspace
 }
 
+// consultOwner asks another daemon whether the id of a submission belongs to a job of another workspace,
+// if this daemon has not read the log lately. The function that it returns waits for the answer,
+// for at most maxOwnerWait, and reports whether it does.
+func (a *callerAPI) consultOwner(ctx context.Context, id string, lookup lookupResult) func() bool {
+	if !lookup.keyCheck.required || lookup.readState.noOlderThan(maxStateAge, bootclock.Now()) {
+		return func() bool { return false }
+	}
+	foreign := make(chan bool, 1)
+	go func() {
+		v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, true, maxConsultTries)
+		foreign <- err == nil && v.Found && !v.openTo(lookup.keyCheck)
+	}()
+	return func() bool {
+		select {
+		case isForeign := <-foreign:
+			return isForeign
+		case <-time.After(maxOwnerWait):
+			return false
+		}
+	}
+}
+
 // refuseKey answers a call that is refused because of its key. Nothing of it was executed.
 func (a *callerAPI) refuseKey(w http.ResponseWriter, reason keyRefusal) int {
 	a.engine.metrics.keyRefusals.WithLabelValues(string(reason)).Inc()
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -33,9 +33,10 @@
 	running        map[string]string     // running maps tasks to worker IDs.
 	violations     []string
 	starts         int
-	startedJobs    map[string]bool            // startedJobs holds the jobs of which at least one task was started.
-	maxLease       time.Duration              // maxLease is the longest lease that a worker grants, counted from the command.
-	grantedWorkers map[string]map[string]bool // grantedWorkers maps steps to the IDs of the workers granted for them.
+	startedJobs    map[string]bool               // startedJobs holds the jobs of which at least one task was started.
+	maxLease       time.Duration                 // maxLease is the longest lease that a worker grants, counted from the command.
+	grantedWorkers map[string]map[string]bool    // grantedWorkers maps steps to the IDs of the workers granted for them.
+	maxima         map[string][]publishedMaximum // maxima holds the published maxima of workspaces, the oldest first.
 }
 
 // StepPlan says how the tasks of a step run.
@@ -44,6 +45,7 @@
 	Takes        time.Duration
 	Fail         int // Fail is the number of runs of each task that fail before one succeeds.
 	MaxPerWorker int // MaxPerWorker is the most tasks of the step on one worker; 0 means no limit.
+	Workspace    string
 }
 
 // NewFleet starts n workers that listen on the loopback interface and registers them in the
@@ -51,7 +53,7 @@
 func NewFleet(store *Store, pool string, n int, capacity Size, maxLease time.Duration) (*Fleet, error) {
 	f := &Fleet{
 		store: store, pool: pool, capacity: capacity, maxLease: maxLease, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
-		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{},
+		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{}, maxima: map[string][]publishedMaximum{},
 	}
 	for i := range n {
 		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}}
@@ -209,10 +211,11 @@
 
 // taskRun is a run in progress.
 type taskRun struct {
-	run   int
-	size  Size
-	endAt time.Time
-	how   string
+	run       int
+	size      Size
+	endAt     time.Time
+	how       string
+	workspace string
 }
 
 // endRow is an ended run that the scheduler has not acknowledged.
@@ -410,7 +413,9 @@
 		w.failedRuns[cmd.Task]++
 	}
 	w.extendLease(cmd.DeadlineMs)
-	w.runs[cmd.Task] = &taskRun{run: cmd.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how}
+	started := &taskRun{run: cmd.Run, size: plan.Size, endAt: time.Now().Add(plan.Takes), how: how, workspace: plan.Workspace}
+	w.runs[cmd.Task] = started
+	f.checkMaximum(cmd.Task, started)
 	f.running[cmd.Task] = w.id
 	f.starts++
 	f.startedJobs[nameParts[0]] = true
@@ -436,6 +441,7 @@
 type SpecStep struct {
 	MS         int64
 	Cpu, MemMb int64
+	Workspace  string `json:",omitempty"`
 }
 
 // Body returns the step as part of a job submission.
@@ -452,7 +458,7 @@
 	var steps []SpecStep
 	if n, err := strconv.Atoi(step); err == nil && json.Unmarshal([]byte(spec), &steps) == nil && n < len(steps) {
 		s := steps[n]
-		return StepPlan{Size: Size{Cpu: s.Cpu, MemMb: s.MemMb}, Takes: time.Duration(s.MS) * time.Millisecond}
+		return StepPlan{Size: Size{Cpu: s.Cpu, MemMb: s.MemMb}, Takes: time.Duration(s.MS) * time.Millisecond, Workspace: s.Workspace}
 	}
 	return StepPlan{}
 }
