briarctl lists workspaces with share, use, waiting work and refusals

Cause: an operator who hears that one workspace's jobs are late had to read the metrics of every daemon.

Change: `briarctl workspaces METRICS_URL...` reads the daemons' metrics: what runs and waits from the daemon that places, submissions and refused keys summed over all. New metrics: submissions by workspace and outcome, shares by weight; the series of workspaces that a configuration no longer has are removed.

Measured: new tests of the command and the counts; packages internal/ctl and daemon/cell (keys, workspaces) pass.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -100,7 +100,11 @@
 	case r.Method == http.MethodGet:
 		return a.answerState(ctx, w, id, lookup)
 	case r.Method == http.MethodPost && id != "":
-		return a.submit(ctx, w, r, id, lookup)
+		status := a.submit(ctx, w, r, id, lookup)
+		if workspace := lookup.keyCheck.workspace; workspace != "" {
+			a.engine.metrics.countSubmission(workspace, status)
+		}
+		return status
 	case r.Method == http.MethodDelete && id != "":
 		return a.cancel(ctx, w, id, lookup)
 	default:
--- a/daemon/cell/configwatch.go
+++ b/daemon/cell/configwatch.go
@@ -166,6 +166,8 @@
 	}
 	if e.config == nil {
 		e.firstConfigAt = bootclock.Now()
+	} else {
+		e.metrics.forgetWorkspaces(e.config, c)
 	}
 	e.config, e.keyring = c, cluster.NewKeyring(c)
 	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "workspaces", len(c.Workspaces))
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -47,6 +48,8 @@
 	workers           *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
+	workspaceJobs     *prometheus.CounterVec
+	workspaceShare    *prometheus.GaugeVec
 	workspaceRuns     *prometheus.GaugeVec
 	workspaceCores    *prometheus.GaugeVec
 	workspaceSteps    *prometheus.GaugeVec
@@ -100,6 +103,8 @@
 		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workspaceJobs:     counter("workspace_submissions_total", "Submissions by workspace and outcome: accepted, refused (never executed) or unknown.", "workspace", "outcome"),
+		workspaceShare:    gauge("workspace_share", "Share of the workers that a workspace is owed while demand exceeds capacity; on the placer.", "workspace"),
 		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
 		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
 		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
@@ -143,7 +148,7 @@
 
 // workspaceGauges returns the gauges that have a series for each workspace.
 func (m *metrics) workspaceGauges() []*prometheus.GaugeVec {
-	return []*prometheus.GaugeVec{m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
+	return []*prometheus.GaugeVec{m.workspaceShare, m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
 }
 
 // publishWorkspaces sets the gauges of the workspaces of the configuration.
@@ -161,6 +166,45 @@
 	}
 }
 
+// publishShares sets the gauges of the shares that the weights of a configuration give.
+func (m *metrics) publishShares(c *cluster.Configuration) {
+	total := 0.0
+	for i := range c.Workspaces {
+		total += c.Workspaces[i].Weight
+	}
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; total > 0 {
+			m.workspaceShare.WithLabelValues(w.Name).Set(w.Weight / total)
+		}
+	}
+}
+
+// countSubmission records the outcome of a workspace's submission.
+func (m *metrics) countSubmission(workspace string, status int) {
+	outcome := "unknown"
+	switch {
+	case status == http.StatusOK:
+		outcome = "accepted"
+	case status < http.StatusInternalServerError || status == http.StatusServiceUnavailable:
+		outcome = "refused"
+	}
+	m.workspaceJobs.WithLabelValues(workspace, outcome).Inc()
+}
+
+// forgetWorkspaces removes the series of workspaces that a configuration no longer has.
+func (m *metrics) forgetWorkspaces(former, present *cluster.Configuration) {
+	kept := make(map[string]bool, len(present.Workspaces))
+	for i := range present.Workspaces {
+		kept[present.Workspaces[i].Name] = true
+	}
+	for i := range former.Workspaces {
+		if name := former.Workspaces[i].Name; !kept[name] {
+			m.workspaceJobs.DeletePartialMatch(prometheus.Labels{"workspace": name})
+			m.workspaceShare.DeleteLabelValues(name)
+		}
+	}
+}
+
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
@@ -190,6 +234,7 @@
 	}
 	if e.placer != nil {
 		m.isPlacer.Set(1)
+		m.publishShares(e.config)
 		return
 	}
 	m.isPlacer.Set(0)
--- a/daemon/cell/keys_test.go
+++ b/daemon/cell/keys_test.go
@@ -135,6 +135,25 @@
 	require.Equal(t, appends, store.appends.Load())
 }
 
+// Guards against submissions that are not counted for their workspace, and against metrics that grow with
+// each workspace that ever was.
+func TestSubmissionsAreCountedByWorkspace(t *testing.T) {
+	store := &fakeStore{}
+	api := newKeyedAPI(t, store)
+	require.Equal(t, http.StatusOK, api.requestWithKey(http.MethodPost, "/p/a", millKey, jobBody).Code)
+	store.failWith(errRefused)
+	require.Equal(t, http.StatusServiceUnavailable, api.requestWithKey(http.MethodPost, "/p/b", farmKey, jobBody).Code)
+	jobs := api.engine.metrics.workspaceJobs
+	require.InDelta(t, 1, testutil.ToFloat64(jobs.WithLabelValues("mill", "accepted")), 0)
+	require.InDelta(t, 1, testutil.ToFloat64(jobs.WithLabelValues("farms", "refused")), 0)
+	api.onEngine(func(e *engine) {
+		config := keyedConfig(5)
+		config.Workspaces = config.Workspaces[:1]
+		e.setConfig(config)
+	})
+	require.Equal(t, 1, testutil.CollectAndCount(jobs))
+}
+
 // formerDaemon answers as daemons that don't know workspaces do.
 type formerDaemon struct{}
 
--- a/daemon/internal/ctl/root.go
+++ b/daemon/internal/ctl/root.go
@@ -65,7 +65,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCheck(), newDiff(), newPublish(), newRollback(), newHistory(), newStatus(), newTop(), newExplain(), newTimeline(), newSettings())
+	root.AddCommand(newCheck(), newDiff(), newPublish(), newRollback(), newHistory(), newStatus(), newTop(), newExplain(), newTimeline(), newWorkspaces(), newSettings())
 	return root
 }
 
