--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -100,7 +100,11 @@
 	case r.Method == http.MethodGet:
 		return a.answerState(ctx, w, id, lookup)
 	case r.Method == http.MethodPost && id != "":
-		return a.submit(ctx, w, r, id, lookup)
+		status := a.submit(ctx, w, r, id, lookup)
+		if workspace := lookup.keyCheck.workspace; workspace != "" {
+			a.engine.metrics.countSubmission(workspace, status)
+		}
+		return status
 	case r.Method == http.MethodDelete && id != "":
 		return a.cancel(ctx, w, id, lookup)
 	default:
@@ -242,10 +246,13 @@
 	}
 	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
+	isForeign := a.consultOwner(ctx, id, lookup)
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
 	appendTime := bootclock.Now() - appendStart
 	switch {
+	case err == nil && isForeign():
+		return a.refuseKey(w, foreignJob) // the earlier submission of the id counts
 	case err == nil:
 		a.engine.log.Emit(evJobAccepted, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "append_ms", appendTime.Milliseconds())
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Queued))
