--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,15 +8,19 @@
 trap 'rm -f "$out"' EXIT
 packages=$(go list ./core/... ./daemon/... ./platform/... ./standin/...) || exit 1
 # shellcheck disable=SC2086
-go test -race -count=1 -timeout 20m -p 4 $packages 2>&1 | tee "$out"
+go test -race -count=1 -timeout 20m -p 4 -skip '^TestCrowd' $packages 2>&1 | tee "$out"
 status=${PIPESTATUS[0]}
+# The crowds run one at a time, apart from the other tests.
+go test -race -count=1 -timeout 20m -run '^TestCrowd' ./standin/integration 2>&1 | tee -a "$out"
+crowds=${PIPESTATUS[0]}
+[ "$status" -ne 0 ] || status=$crowds
 
 # Closing table of the run.
 printf '\n%-10s %8s %8s %10s\n' module passed failed 'no tests'
 for module in core daemon platform standin; do
   printf '%-10s %8d %8d %10d\n' "$module" \
-    "$(grep -cE "^ok +\\s*briarproxy/$module/" "$out")" \
-    "$(grep -cE "^FAIL\\s+briarproxy/$module/" "$out")" \
+    "$(grep -oE "^ok +\\s*briarproxy/$module/\\S*" "$out" | sort -u | wc -l)" \
+    "$(grep -oE "^FAIL\\s+briarproxy/$module/\\S*" "$out" | sort -u | wc -l)" \
     "$(grep -cE "^\\?\\s+briarproxy/$module/" "$out")"
 done
 echo "packages with the race detector; $(grep -c '^--- FAIL' "$out") failed tests"
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,6 +30,9 @@
 	retentionSeconds int           // How long the store retains records.
 	maxLease         time.Duration // The longest lease that workers grant.
 	serviceAddresses [2]string     // The addresses of the store and the advice service, in this order.
+	memoryMiB        int           // The daemons' limits.memory_mib; 0 is defaultMemoryMiB.
+	descriptors      int           // The daemons' limits.descriptors; 0 is defaultDescriptors.
+	metricsAddress   string        // The daemons' listen.metrics; "" is a port of the system's choice.
 }
 
 const (
@@ -38,6 +42,9 @@
 	jobsHost         = "cell.example"
 	loopbackAnyPort  = "127.0.0.1:0"
 	defaultMaxLease  = 6 * time.Second
+
+	defaultMemoryMiB   = 256
+	defaultDescriptors = 4096
 )
 
 func newPlatformCell(t *testing.T, daemons, workers int, advice bool) *platformCell {
@@ -78,9 +85,9 @@
 	name := fmt.Sprintf("d%d", i)
 	settings := map[string]any{
 		"name": name, "region": "r", "data_centre": "z",
-		"listen":   map[string]any{"callers": loopbackAnyPort, "ready": loopbackAnyPort, "peers": loopbackAnyPort, "metrics": loopbackAnyPort},
+		"listen":   map[string]any{"callers": loopbackAnyPort, "ready": loopbackAnyPort, "peers": loopbackAnyPort, "metrics": cmp.Or(c.metricsAddress, loopbackAnyPort)},
 		"platform": map[string]any{"store": c.serviceAddresses[0], "advice": c.serviceAddresses[1], "machines": ""},
-		"limits":   map[string]any{"memory_mib": 256, "descriptors": 4096},
+		"limits":   map[string]any{"memory_mib": cmp.Or(c.memoryMiB, defaultMemoryMiB), "descriptors": cmp.Or(c.descriptors, defaultDescriptors)},
 		"bounds": map[string]any{
 			"max_lease_ms": c.maxLease.Milliseconds(), "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": c.retentionSeconds,
 		},
@@ -113,7 +120,13 @@
 
 // waitCallerAddress waits until the daemon has logged its addresses and returns the one
 // for callers.
-func waitCallerAddress(p *process) string {
+func waitCallerAddress(p *process) string { return waitAddresses(p).Callers }
+
+// daemonAddresses are the addresses that a daemon has logged.
+type daemonAddresses struct{ Callers, Ready, Peers string }
+
+// waitAddresses waits until the daemon has logged its addresses and returns them.
+func waitAddresses(p *process) daemonAddresses {
 	p.t.Helper()
 	const event = 900 // The event's name is cell-started.
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
@@ -122,16 +135,16 @@
 		p.mu.Unlock()
 		for _, line := range lines {
 			var started struct {
-				Event   int
-				Callers string
+				Event int
+				daemonAddresses
 			}
 			if json.Unmarshal([]byte(line), &started) == nil && started.Event == event {
-				return started.Callers
+				return started.daemonAddresses
 			}
 		}
 	}
 	require.Fail(p.t, "the daemon did not log its addresses", p.name)
-	return ""
+	return daemonAddresses{}
 }
 
 // postJob submits a job as a caller does. It returns the HTTP status, or 0 if there was
