Each port of a daemon bounds what strangers hold

Cause: bodies grew without a budget or a deadline, and no port limited connections; net/rpc stopped accepting for good after one error of accept, and allocated by a stranger's word for the length of a message.

Change: a door at each port carries out what core/intake decides: listeners with small buffers, deadlines by progress, bodies read into reserved memory, messages between daemons reserved by their length, errors of accept retried. What is refused gets 503 with Retry-After or a closed connection.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,10 +38,11 @@
 	queue   *cluster.Queue
 	version int64
 	view
-	logUnreachable bool   // the store is unresponsive or has not answered for logOutageThreshold
-	maxBodyBytes   int    // of the request
-	workspace      string // of the key; "" if the call carries none and needs none
-	keyRefused     bool   // the call carries an unknown key, or none although it needs one
+	logUnreachable bool          // the store is unresponsive or has not answered for logOutageThreshold
+	maxBodyBytes   int           // of the request
+	bodyTime       time.Duration // in which the body must arrive
+	workspace      string        // of the key; "" if the call carries none and needs none
+	keyRefused     bool          // the call carries an unknown key, or none although it needs one
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -133,7 +133,7 @@
 	}
 	result := lookupResult{
 		version: e.config.Version, queue: e.config.Match(host, path), view: view{readState: e.readState()},
-		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastStoreAnswer() > logOutageThreshold, maxBodyBytes: maxBodyBytes,
+		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastStoreAnswer() > logOutageThreshold, maxBodyBytes: maxBodyBytes, bodyTime: maxRequestTime,
 	}
 	if result.queue == nil {
 		return result
@@ -145,6 +145,9 @@
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
+	if limit := e.config.Limits.IdleTimeout; limit > 0 {
+		result.bodyTime = min(limit, maxRequestTime)
+	}
 	result.view = e.view(result.queue.Name, path[len(result.queue.PathPrefix):])
 	return result
 }
@@ -218,18 +221,22 @@
 	return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 }
 
+// decode decodes a body. Few bodies are decoded at a time, as what is made of one takes many times its size.
+func (a *callerAPI) decode(body []byte) (flow.Submit, error) {
+	a.engine.decoding <- struct{}{}
+	defer func() { <-a.engine.decoding }()
+	return a.engine.platform.DecodeJob(body)
+}
+
 func (a *callerAPI) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, lookup lookupResult) int {
 	if lookup.Found {
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(lookup.Phase))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(lookup.maxBodyBytes)+1))
-	switch {
-	case err != nil:
-		return answer(w, http.StatusBadRequest, nil)
-	case len(body) > lookup.maxBodyBytes:
-		return answer(w, http.StatusRequestEntityTooLarge, nil)
+	body, status := a.readBody(ctx, w, r, &lookup)
+	if status != 0 {
+		return status
 	}
-	job, err := a.engine.platform.DecodeJob(body)
+	job, err := a.decode(body)
 	if err != nil {
 		a.engine.log.Emit(evJobRejected, "job", id, "queue", lookup.queue.Name, "reason", err.Error())
 		a.engine.metrics.rejections.WithLabelValues("invalid").Inc()
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,6 +46,10 @@
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
+	doorUsed          *prometheus.GaugeVec
+	doorLimit         *prometheus.GaugeVec
+	doorRefusals      *prometheus.CounterVec
+	doorEvictions     *prometheus.CounterVec
 }
 
 func newMetrics() metrics {
@@ -91,6 +96,10 @@
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
+		doorUsed:          gauge("door_used", "What strangers hold, by port and by what it is: connections, or bytes of bodies, long headers and messages.", "port", "of"),
+		doorLimit:         gauge("door_limit", "What strangers may hold, as door_used.", "port", "of"),
+		doorRefusals:      counter("door_refused_total", "Connections and requests of strangers that were refused, by port and reason.", "port", "reason"),
+		doorEvictions:     counter("door_evicted_total", "Connections that gave way to others, by port and by what they were used for.", "port", "stage"),
 	}
 }
 
@@ -140,6 +149,7 @@
 // is the placer, it removes the gauges that only the placer reports.
 func (e *engine) publishMetrics(now time.Duration) {
 	m := &e.metrics
+	e.publishDoors()
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
@@ -158,3 +168,24 @@
 		g.Reset() // another daemon reports them now
 	}
 }
+
+// publishDoors sets the gauges of the doors, and logs one line if any of them has refused or evicted
+// something since the last call.
+func (e *engine) publishDoors() {
+	var crowded []string
+	refused, evicted := 0, 0
+	for _, d := range e.doors {
+		r := d.report()
+		e.metrics.doorUsed.WithLabelValues(d.port, "connections").Set(float64(r.connections))
+		e.metrics.doorUsed.WithLabelValues(d.port, "bytes").Set(float64(r.bytes))
+		e.metrics.doorLimit.WithLabelValues(d.port, "connections").Set(float64(r.limits.Connections))
+		e.metrics.doorLimit.WithLabelValues(d.port, "bytes").Set(float64(r.limits.Bytes))
+		if r.refused+r.evicted > 0 {
+			crowded = append(crowded, fmt.Sprintf("%s: %d of %d connections, %d of %d bytes", d.port, r.connections, r.limits.Connections, r.bytes, r.limits.Bytes))
+			refused, evicted = refused+r.refused, evicted+r.evicted
+		}
+	}
+	if len(crowded) > 0 {
+		e.log.Emit(evCrowd, "ports", crowded, "refused", refused, "evicted", evicted)
+	}
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -35,6 +35,7 @@
 	claimConflictBackoff     = 2500 * time.Millisecond // by then the higher claim is stored and read, as a partition queues at most 2 s of appends
 	maxBusyPlacerSilence     = 7 * time.Second         // a silent placer whose daemon answers keeps its claim for this long at a slow log: three appends of 2 s each in a full partition
 	maxStackBytes            = 2048
+	maxDecoding              = 2 // bodies at a time
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
 	handOverDelay            = 2 * time.Second       // a new placer does not know the state of all workers yet
@@ -124,6 +125,8 @@
 	isPlacer      atomic.Bool             // read by the log reader
 	isReady       atomic.Bool             // read by the load balancer's health checks
 	inFlight      atomic.Int64            // callers' requests under way
+	decoding      chan struct{}           // holds an element for each body that is being decoded
+	doors         []*door                 // of the ports, set before the engine runs
 	metrics       metrics
 }
 
@@ -144,6 +147,7 @@
 	}
 	e.writer.logSlow, e.writer.logSuspect, e.writer.logUnresponsive = store.storeSlow.Load, store.suspect, store.unresponsive
 	e.writer.logAnswersInTime = store.answersInTime
+	e.decoding = make(chan struct{}, maxDecoding)
 	e.orders = newOrderSender(e)
 	e.consultClient = &consultClient{peers: newPeerClients(), memberAddresses: &store.memberAddresses, placerAddress: &e.writer.placerAddress}
 	e.metrics = newMetrics()
--- a/daemon/cell/front.go
+++ b/daemon/cell/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarproxy/core/intake"
 	"briarproxy/daemon/bootclock"
 )
 
@@ -45,6 +46,7 @@
 	s.server = &http.Server{
 		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return s.requestContext },
+		ConnContext: withDoorConn,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
 				c.(*callerConn).requestAnswered()
@@ -88,6 +90,7 @@
 }
 
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	beginRequest(r)
 	w = closingResponseWriter{w, s}
 	stopStartedAt := time.Duration(s.stopStartedAt.Load())
 	if stopStartedAt == 0 {
@@ -234,6 +237,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.nextRequestStarted, c.idleSince = !c.nextRequestStarted, false, time.Now()
+	if passed, ok := c.Conn.(*doorConn); ok {
+		passed.enter(intake.Idle)
+	}
 }
 
 // CloseWrite lets the HTTP server close the sending direction before the connection.
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"briarproxy/core/fault"
+	"briarproxy/core/intake"
 	"briarproxy/daemon/event"
 )
 
@@ -19,6 +20,8 @@
 	followerGCPercent = 100
 	placerGCPercent   = 200
 	heapLimitShare    = 0.6 // share of the process's memory limit; the rest is for stacks, buffers and unread bytes
+
+	maxProbeHeaderBytes = 4 << 10
 )
 
 // Run runs a daemon until the context is cancelled, then performs a planned stop.
@@ -42,7 +45,9 @@
 		stored, ok := query(callCtx, e, func(e *engine, reply chan<- bool) { e.succeed(runCtx, epoch, reply) })
 		return stored && ok
 	}
-	if err := servePeers(listeners.peers, &peerService{adviser: platform, store: platform, yield: yield, submit: e.writer.appendForPeer, succeed: succeed, consultView: e.consultView, starter: platform, specOf: e.specOf}); err != nil {
+	doors := openDoors(settings, &e.metrics)
+	e.doors = []*door{doors.callers, doors.peers, doors.ready, doors.metrics}
+	if err := servePeers(doors.peers.listen(listeners.peers), &peerService{adviser: platform, store: platform, yield: yield, submit: e.writer.appendForPeer, succeed: succeed, consultView: e.consultView, starter: platform, specOf: e.specOf}); err != nil {
 		return err
 	}
 	reader := &logReader{log: e.store, snapshots: platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
@@ -56,14 +61,13 @@
 	go e.writer.run(runCtx)
 	go e.watchConfig(runCtx)
 	go e.run(runCtx)
-	server := e.newCallerServer(&callerAPI{engine: e, ctx: runCtx}, listeners.callers)
+	server := e.newCallerServer(&callerAPI{engine: e, ctx: runCtx}, doors.callers.listen(listeners.callers))
 	go serve(server.server, server.trackingListener())
-	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout}
-	go serve(readyServer, listeners.ready)
+	go serve(newProbeServer(http.HandlerFunc(e.serveReady)), doors.ready.listen(listeners.ready))
 	if listeners.metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
-		go serve(&http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, listeners.metrics)
+		go serve(newProbeServer(mux), doors.metrics.listen(listeners.metrics))
 	}
 	log.Emit(evStarted, "callers", settings.Listen.Callers, "ready", settings.Listen.Ready, "peers", settings.Listen.Peers, "data_centre", settings.DataCentre, "region", settings.Region, "defaults", settings.defaultedFields)
 	<-ctx.Done()
@@ -74,23 +78,46 @@
 // reports the shutdown.
 func serve(s *http.Server, l net.Listener) { _ = s.Serve(l) }
 
+// doors are the doors of a daemon's ports.
+type doors struct{ callers, peers, ready, metrics *door }
+
+func openDoors(settings *Settings, m *metrics) doors {
+	ports := settings.Limits.ports()
+	return doors{newDoor("callers", ports.Callers, m), newDoor("peers", ports.Peers, m), newDoor("ready", ports.Ready, m), newDoor("metrics", ports.Metrics, m)}
+}
+
+// newProbeServer returns the HTTP server of a port for health checks or metrics, whose requests have no bodies.
+func newProbeServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout,
+		MaxHeaderBytes: maxProbeHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				c.(*doorConn).enter(intake.Idle)
+			}
+		},
+	}
+}
+
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
 // openListeners listens on the addresses of the settings and replaces them by the actual ones.
 func openListeners(settings *Settings) (listeners, error) {
 	var l listeners
 	for _, f := range []struct {
-		path    string
-		setting *string
-		target  *net.Listener
+		path        string
+		setting     *string
+		target      *net.Listener
+		bufferBytes int
 	}{
-		{"listen.callers", &settings.Listen.Callers, &l.callers}, {"listen.ready", &settings.Listen.Ready, &l.ready},
-		{"listen.peers", &settings.Listen.Peers, &l.peers}, {"listen.metrics", &settings.Listen.Metrics, &l.metrics},
+		{"listen.callers", &settings.Listen.Callers, &l.callers, callerBufferBytes}, {"listen.ready", &settings.Listen.Ready, &l.ready, callerBufferBytes},
+		{"listen.peers", &settings.Listen.Peers, &l.peers, peerBufferBytes}, {"listen.metrics", &settings.Listen.Metrics, &l.metrics, callerBufferBytes},
 	} {
 		if *f.setting == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", *f.setting)
+		config := net.ListenConfig{Control: smallBuffers(f.bufferBytes)}
+		listener, err := config.Listen(context.Background(), "tcp", *f.setting)
 		if err != nil {
 			return l, fault.Wrap(err, fault.Unavailable, "free the address or change the setting", "%s: can't listen on %s", f.path, *f.setting)
 		}
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"slices"
@@ -149,10 +150,26 @@
 	if err := server.RegisterName("Cell", service); err != nil {
 		return fault.Wrap(err, fault.Internal, "report this as a bug", "can't register the RPC service for other daemons")
 	}
-	go server.Accept(listener)
+	go acceptPeers(listener, server)
 	return nil
 }
 
+// acceptPeers serves connections until the listener is closed. Other errors, such as a lack of
+// descriptors, do not end it.
+func acceptPeers(listener net.Listener, server *rpc.Server) {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			time.Sleep(acceptRetryDelay)
+		default:
+			go server.ServeConn(newMessageConn(conn))
+		}
+	}
+}
+
 // peerClients makes RPCs to other daemons over one shared connection to each.
 type peerClients struct {
 	mu          sync.Mutex
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"os"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/tailscale/hujson"
 
 	"briarproxy/core/fault"
+	"briarproxy/core/intake"
 	"briarproxy/daemon/event"
 )
 
@@ -46,6 +48,57 @@
 	Descriptors float64 `json:"descriptors"`
 	CPUCores    float64 `json:"cpu_share"` // number of cores, which may be a fraction
 	LinkMbps    float64 `json:"link_mbps"`
+
+	// What strangers may hold. The defaults follow from MemoryMiB and Descriptors (core/intake).
+	CallerConnections *float64 `json:"caller_connections"` // connections of callers
+	CallerMiB         *float64 `json:"caller_mib"`         // bodies and long headers of callers, MiB
+	PeerConnections   *float64 `json:"peer_connections"`   // connections on listen.peers
+	PeerMiB           *float64 `json:"peer_mib"`           // messages that arrive on listen.peers, MiB
+}
+
+// ports returns what strangers may hold on each port.
+func (l *LimitSettings) ports() intake.Ports {
+	ports := intake.Divide(intake.Machine{MemoryBytes: int64(l.MemoryMiB * (1 << 20)), Descriptors: int(l.Descriptors)})
+	for _, f := range []struct {
+		set         *float64
+		connections *int
+	}{{l.CallerConnections, &ports.Callers.Connections}, {l.PeerConnections, &ports.Peers.Connections}} {
+		if f.set != nil {
+			*f.connections = int(*f.set)
+		}
+	}
+	for _, f := range []struct {
+		set   *float64
+		bytes *int64
+	}{{l.CallerMiB, &ports.Callers.Bytes}, {l.PeerMiB, &ports.Peers.Bytes}} {
+		if f.set != nil {
+			*f.bytes = int64(*f.set * (1 << 20))
+		}
+	}
+	return ports
+}
+
+// validateIntake returns an error that names the first of these limits that is below what one request
+// needs or above what the machine has.
+func (l *LimitSettings) validateIntake() error {
+	const unknown = 1 << 20 // descriptors, if they are not set
+	for _, f := range []struct {
+		path             string
+		value            *float64
+		minimum, maximum float64
+	}{
+		{"limits.caller_connections", l.CallerConnections, 1, cmp.Or(l.Descriptors, unknown)}, {"limits.caller_mib", l.CallerMiB, 1, l.MemoryMiB},
+		{"limits.peer_connections", l.PeerConnections, 1, cmp.Or(l.Descriptors, unknown)}, {"limits.peer_mib", l.PeerMiB, 8, l.MemoryMiB},
+	} {
+		switch {
+		case f.value == nil:
+		case *f.value < f.minimum:
+			return fault.New(fault.Invalid, "increase it, or leave it out for the default", "%s is %v, but must be at least %v", f.path, *f.value, f.minimum)
+		case *f.value > f.maximum:
+			return fault.New(fault.Invalid, "decrease it, or leave it out for the default", "%s is %v, but the machine has %v", f.path, *f.value, f.maximum)
+		}
+	}
+	return nil
 }
 
 // Resources that the placer needs in a cell with 350 workers and 600 starts a second (see
@@ -156,7 +209,7 @@
 			return fault.New(fault.Invalid, "increase it", "%s is %v, but must be at least %v", f.path, f.value, f.minimum)
 		}
 	}
-	return nil
+	return s.Limits.validateIntake()
 }
 
 // LogReload logs the outcome of reloading the settings.
--- a/daemon/cell/settings_test.go
+++ b/daemon/cell/settings_test.go
@@ -47,3 +47,24 @@
 	_, err := loadSettings(t, strings.Replace(completeSettings, `"region"`, `"regoin"`, 1))
 	require.ErrorContains(t, err, "regoin")
 }
+
+// Guards against limits for strangers that no request passes or that the machine doesn't have, and
+// against errors that do not name the field.
+func TestLimitsForStrangersAreChecked(t *testing.T) {
+	for _, field := range []string{"caller_connections", "caller_mib", "peer_connections", "peer_mib"} {
+		for value, valid := range map[string]bool{"0": false, "-1": false, "100000": false, "64": true, "null": true} {
+			_, err := loadSettings(t, strings.Replace(completeSettings, `"memory_mib"`, `"`+field+`": `+value+`, "memory_mib"`, 1))
+			if valid {
+				require.NoError(t, err, "%s: %s", field, value)
+				continue
+			}
+			require.True(t, fault.Is(err, fault.Invalid), "%s: %s: %v", field, value, err)
+			require.ErrorContains(t, err, "limits."+field)
+		}
+	}
+	s, err := loadSettings(t, strings.Replace(completeSettings, `"memory_mib"`, `"caller_connections": 50, "caller_mib": 2, "memory_mib"`, 1))
+	require.NoError(t, err)
+	ports := s.Limits.ports()
+	require.Equal(t, 50, ports.Callers.Connections)
+	require.EqualValues(t, 2<<20, ports.Callers.Bytes)
+}
