--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,10 +38,10 @@
 	queue   *cluster.Queue
 	version int64
 	view
-	logUnreachable bool   // the store is unresponsive or has not answered for logOutageThreshold
-	maxBodyBytes   int    // of the request
-	workspace      string // of the key; "" if the call carries none and needs none
-	keyRefused     bool   // the call carries an unknown key, or none although it needs one
+	logUnreachable bool          // the store is unresponsive or has not answered for logOutageThreshold
+	maxBodyBytes   int           // of the request
+	bodyTime       time.Duration // in which the body must arrive
+	keyCheck       keyCheck
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -84,8 +83,10 @@
 		return reject(w, http.StatusServiceUnavailable)
 	case lookup.queue == nil:
 		return answer(w, http.StatusNotFound, nil)
-	case lookup.keyRefused:
-		return answer(w, http.StatusUnauthorized, nil)
+	case lookup.keyCheck.refusal != "":
+		return a.refuseKey(w, lookup.keyCheck.refusal)
+	case lookup.Found && !lookup.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	if limit := time.Duration(callerTimeoutShare * float64(lookup.queue.Timeout)); limit > 0 {
 		queueCtx, cancelQueueCtx := context.WithTimeout(ctx, limit)
@@ -99,7 +100,11 @@
 	case r.Method == http.MethodGet:
 		return a.answerState(ctx, w, id, lookup)
 	case r.Method == http.MethodPost && id != "":
-		return a.submit(ctx, w, r, id, lookup)
+		status := a.submit(ctx, w, r, id, lookup)
+		if workspace := lookup.keyCheck.workspace; workspace != "" {
+			a.engine.metrics.countSubmission(workspace, status)
+		}
+		return status
 	case r.Method == http.MethodDelete && id != "":
 		return a.cancel(ctx, w, id, lookup)
 	default:
@@ -133,18 +138,18 @@
 	}
 	result := lookupResult{
 		version: e.config.Version, queue: e.config.Match(host, path), view: view{readState: e.readState()},
-		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastStoreAnswer() > logOutageThreshold, maxBodyBytes: maxBodyBytes,
+		logUnreachable: e.store.unresponsive() || bootclock.Now()-e.lastStoreAnswer() > logOutageThreshold, maxBodyBytes: maxBodyBytes, bodyTime: maxRequestTime,
 	}
 	if result.queue == nil {
 		return result
 	}
-	if len(e.config.Workspaces) > 0 {
-		workspace, known := e.keyring.Workspace(key)
-		result.workspace, result.keyRefused = workspace, !known && (key != "" || !result.queue.Public)
-	}
+	result.keyCheck = e.checkKey(key, result.queue.Public, bootclock.Now())
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
+	if limit := e.config.Limits.IdleTimeout; limit > 0 {
+		result.bodyTime = min(limit, maxRequestTime)
+	}
 	result.view = e.view(result.queue.Name, path[len(result.queue.PathPrefix):])
 	return result
 }
@@ -155,7 +160,7 @@
 	v := lookup.view
 	if src == fromPeer {
 		var err error
-		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", maxConsultTries); err != nil {
+		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", false, maxConsultTries); err != nil {
 			return a.rejectQuery(w, lookup, "", err)
 		}
 	}
@@ -178,9 +183,9 @@
 	switch sourceOfState(lookup.readState, lookup.view, bootclock.Now()) {
 	case fromPeer:
 		if !lookup.Found {
-			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, maxConsultTries)
+			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, maxConsultTries)
 		}
-		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, 1); err == nil && v.Found {
+		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, 1); err == nil && v.Found {
 			return v, nil
 		}
 		return lookup.view, nil // outdated, but correct as of the last read
@@ -214,22 +219,28 @@
 		return a.rejectQuery(w, lookup, id, err)
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 }
 
+// decode decodes a body. Few bodies are decoded at a time, as what is made of one takes many times its size.
+func (a *callerAPI) decode(body []byte) (flow.Submit, error) {
+	a.engine.decoding <- struct{}{}
+	defer func() { <-a.engine.decoding }()
+	return a.engine.platform.DecodeJob(body)
+}
+
 func (a *callerAPI) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, lookup lookupResult) int {
 	if lookup.Found {
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(lookup.Phase))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(lookup.maxBodyBytes)+1))
-	switch {
-	case err != nil:
-		return answer(w, http.StatusBadRequest, nil)
-	case len(body) > lookup.maxBodyBytes:
-		return answer(w, http.StatusRequestEntityTooLarge, nil)
+	body, status := a.readBody(ctx, w, r, &lookup)
+	if status != 0 {
+		return status
 	}
-	job, err := a.engine.platform.DecodeJob(body)
+	job, err := a.decode(body)
 	if err != nil {
 		a.engine.log.Emit(evJobRejected, "job", id, "queue", lookup.queue.Name, "reason", err.Error())
 		a.engine.metrics.rejections.WithLabelValues("invalid").Inc()
@@ -240,12 +251,15 @@
 		a.engine.metrics.rejections.WithLabelValues("log away").Inc()
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
-	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.workspace, lookup.version
+	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
+	isForeign := a.consultOwner(ctx, id, lookup)
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
 	appendTime := bootclock.Now() - appendStart
 	switch {
+	case err == nil && isForeign():
+		return a.refuseKey(w, foreignJob) // the earlier submission of the id counts
 	case err == nil:
 		a.engine.log.Emit(evJobAccepted, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "append_ms", appendTime.Milliseconds())
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Queued))
@@ -271,6 +285,8 @@
 	switch {
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	case v.Phase.Final():
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 	}
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -35,6 +37,9 @@
 	readCalls         *prometheus.CounterVec
 	readBytes         *prometheus.CounterVec
 	configVersion     prometheus.Gauge
+	keyRefusals       *prometheus.CounterVec
+	keyLeaseAge       prometheus.Gauge
+	keyLeaseHeld      prometheus.Gauge
 	logAge            prometheus.Gauge
 	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
@@ -42,9 +47,20 @@
 	oldestWaiting     *prometheus.GaugeVec
 	runs              *prometheus.GaugeVec
 	workers           *prometheus.GaugeVec
+	placeWaits        *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
+	workspaceJobs     *prometheus.CounterVec
+	workspaceShare    *prometheus.GaugeVec
+	workspaceRuns     *prometheus.GaugeVec
+	workspaceCores    *prometheus.GaugeVec
+	workspaceSteps    *prometheus.GaugeVec
+	workspaceOldest   *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
+	doorUsed          *prometheus.GaugeVec
+	doorLimit         *prometheus.GaugeVec
+	doorRefusals      *prometheus.CounterVec
+	doorEvictions     *prometheus.CounterVec
 }
 
 func newMetrics() metrics {
@@ -81,16 +97,30 @@
 		readCalls:         counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
 		readBytes:         counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
 		configVersion:     gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
+		keyRefusals:       counter("key_refusals_total", "Calls that were refused for their key, by reason.", "reason"),
+		keyLeaseAge:       gauge("key_lease_age_seconds", "Time since the reading was sent that last confirmed the configuration in force.").WithLabelValues(),
+		keyLeaseHeld:      gauge("key_lease_held", "1 while calls with a key are accepted.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
 		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
 		waitingSteps:      gauge("waiting_steps", "Steps with tasks to start, by queue; on the placer.", "queue"),
 		oldestWaiting:     gauge("waiting_oldest_seconds", "How long the oldest such step has waited, by queue; on the placer.", "queue"),
 		runs:              gauge("runs", "Runs by state; on the placer.", "state"),
-		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
+		workers:           gauge("workers", "Workers that are known, that may take work, and that are faster or slower than usual; on the placer.", "state"),
+		placeWaits:        gauge("steps_waiting_for_place", "Steps that wait for a better place although another one is free; on the placer."),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workspaceJobs:     counter("workspace_submissions_total", "Submissions by workspace and outcome: accepted, refused (never executed) or unknown.", "workspace", "outcome"),
+		workspaceShare:    gauge("workspace_share", "Share of the workers that a workspace is owed while demand exceeds capacity; on the placer.", "workspace"),
+		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
+		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
+		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
+		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
+		doorUsed:          gauge("door_used", "What strangers hold, by port and by what it is: connections, or bytes of bodies, long headers and messages.", "port", "of"),
+		doorLimit:         gauge("door_limit", "What strangers may hold, as door_used.", "port", "of"),
+		doorRefusals:      counter("door_refused_total", "Connections and requests of strangers that were refused, by port and reason.", "port", "reason"),
+		doorEvictions:     counter("door_evicted_total", "Connections that gave way to others, by port and by what they were used for.", "port", "stage"),
 	}
 }
 
@@ -114,18 +144,81 @@
 		m.waitingSteps.WithLabelValues(queue).Set(float64(waiting.Steps))
 		m.oldestWaiting.WithLabelValues(queue).Set(waiting.LongestWait.Seconds())
 	}
+	m.publishWorkspaces(summary.Workspaces)
 	m.runs.Reset()
 	for state, count := range summary.Runs {
 		m.runs.WithLabelValues(string(state)).Set(float64(count))
 	}
 	m.workers.WithLabelValues("known").Set(float64(summary.Workers))
 	m.workers.WithLabelValues("usable").Set(float64(summary.Usable))
+	m.workers.WithLabelValues("fast").Set(float64(summary.Fast))
+	m.workers.WithLabelValues("slow").Set(float64(summary.Slow))
+	m.placeWaits.WithLabelValues().Set(float64(summary.WaitingForPlace))
 	m.workerCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
 	m.workerCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
 	m.workerMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
 	m.workerMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
 }
 
+// workspaceGauges returns the gauges that have a series for each workspace.
+func (m *metrics) workspaceGauges() []*prometheus.GaugeVec {
+	return []*prometheus.GaugeVec{m.workspaceShare, m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
+}
+
+// publishWorkspaces sets the gauges of the workspaces of the configuration.
+func (m *metrics) publishWorkspaces(uses map[string]placer.WorkspaceUse) {
+	for _, g := range m.workspaceGauges() {
+		g.Reset()
+	}
+	for name, use := range uses {
+		m.workspaceRuns.WithLabelValues(name).Set(float64(use.Runs))
+		m.workspaceCores.WithLabelValues(name, "used").Set(float64(use.Used.MilliCores) / 1000)
+		m.workspaceCores.WithLabelValues(name, "maximum").Set(float64(use.Maximum.MilliCores) / 1000)
+		m.workspaceSteps.WithLabelValues(name, "waiting").Set(float64(use.WaitingSteps))
+		m.workspaceSteps.WithLabelValues(name, "held by maximum").Set(float64(use.HeldSteps))
+		m.workspaceOldest.WithLabelValues(name).Set(use.LongestWait.Seconds())
+	}
+}
+
+// publishShares sets the gauges of the shares that the weights of a configuration give.
+func (m *metrics) publishShares(c *cluster.Configuration) {
+	total := 0.0
+	for i := range c.Workspaces {
+		total += c.Workspaces[i].Weight
+	}
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; total > 0 {
+			m.workspaceShare.WithLabelValues(w.Name).Set(w.Weight / total)
+		}
+	}
+}
+
+// countSubmission records the outcome of a workspace's submission.
+func (m *metrics) countSubmission(workspace string, status int) {
+	outcome := "unknown"
+	switch {
+	case status == http.StatusOK:
+		outcome = "accepted"
+	case status < http.StatusInternalServerError || status == http.StatusServiceUnavailable:
+		outcome = "refused"
+	}
+	m.workspaceJobs.WithLabelValues(workspace, outcome).Inc()
+}
+
+// forgetWorkspaces removes the series of workspaces that a configuration no longer has.
+func (m *metrics) forgetWorkspaces(former, present *cluster.Configuration) {
+	kept := make(map[string]bool, len(present.Workspaces))
+	for i := range present.Workspaces {
+		kept[present.Workspaces[i].Name] = true
+	}
+	for i := range former.Workspaces {
+		if name := former.Workspaces[i].Name; !kept[name] {
+			m.workspaceJobs.DeletePartialMatch(prometheus.Labels{"workspace": name})
+			m.workspaceShare.DeleteLabelValues(name)
+		}
+	}
+}
+
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
@@ -140,9 +233,14 @@
 // is the placer, it removes the gauges that only the placer reports.
 func (e *engine) publishMetrics(now time.Duration) {
 	m := &e.metrics
+	e.publishDoors()
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
+	if age, confirmed := e.keyLease.Age(now); confirmed {
+		m.keyLeaseAge.Set(age.Seconds())
+	}
+	m.keyLeaseHeld.Set(map[bool]float64{true: 1}[e.keyLease.Holds(now)])
 	if e.readToEndAt > 0 {
 		m.logAge.Set((now - e.readToEndAt).Seconds())
 	}
@@ -151,10 +249,33 @@
 	}
 	if e.placer != nil {
 		m.isPlacer.Set(1)
+		m.publishShares(e.config)
 		return
 	}
 	m.isPlacer.Set(0)
-	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory} {
+	onlyPlacer := append(m.workspaceGauges(), m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.placeWaits, m.workerCores, m.workerMemory)
+	for _, g := range onlyPlacer {
 		g.Reset() // another daemon reports them now
 	}
 }
+
+// publishDoors sets the gauges of the doors, and logs one line if any of them has refused or evicted
+// something since the last call.
+func (e *engine) publishDoors() {
+	var crowded []string
+	refused, evicted := 0, 0
+	for _, d := range e.doors {
+		r := d.report()
+		e.metrics.doorUsed.WithLabelValues(d.port, "connections").Set(float64(r.connections))
+		e.metrics.doorUsed.WithLabelValues(d.port, "bytes").Set(float64(r.bytes))
+		e.metrics.doorLimit.WithLabelValues(d.port, "connections").Set(float64(r.limits.Connections))
+		e.metrics.doorLimit.WithLabelValues(d.port, "bytes").Set(float64(r.limits.Bytes))
+		if r.refused+r.evicted > 0 {
+			crowded = append(crowded, fmt.Sprintf("%s: %d of %d connections, %d of %d bytes", d.port, r.connections, r.limits.Connections, r.bytes, r.limits.Bytes))
+			refused, evicted = refused+r.refused, evicted+r.evicted
+		}
+	}
+	if len(crowded) > 0 {
+		e.log.Emit(evCrowd, "ports", crowded, "refused", refused, "evicted", evicted)
+	}
+}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"briarproxy/core/cluster"
-	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/core/keylease"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
 	"briarproxy/daemon/event"
@@ -36,6 +36,7 @@
 	claimConflictBackoff     = 2500 * time.Millisecond // by then the higher claim is stored and read, as a partition queues at most 2 s of appends
 	maxBusyPlacerSilence     = 7 * time.Second         // a silent placer whose daemon answers keeps its claim for this long at a slow log: three appends of 2 s each in a full partition
 	maxStackBytes            = 2048
+	maxDecoding              = 2 // bodies at a time
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
 	handOverCheckInterval    = 100 * time.Millisecond
@@ -71,10 +72,12 @@
 	state          *flow.State
 	config         *cluster.Configuration
 	keyring        *cluster.Keyring // of config
-	firstConfigAt  time.Duration    // when the first configuration came into force
-	readableSince  time.Duration    // start of the present period in which the log could be read without a gap
-	readToEndAt    time.Duration    // when the state last reached the end of the log; 0 is never
-	roundTrip      time.Duration    // shortest round trip to the log so far
+	keyLease       *keylease.Lease
+	keyLeaseHeld   bool          // as last logged
+	firstConfigAt  time.Duration // when the first configuration came into force
+	readableSince  time.Duration // start of the present period in which the log could be read without a gap
+	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
+	roundTrip      time.Duration // shortest round trip to the log so far
 	logUnreachable bool
 	headApplied    bool // members and claim come from the head of a snapshot
 	draining       bool
@@ -129,6 +132,8 @@
 	isPlacer      atomic.Bool             // read by the log reader
 	isReady       atomic.Bool             // read by the load balancer's health checks
 	inFlight      atomic.Int64            // callers' requests under way
+	decoding      chan struct{}           // holds an element for each body that is being decoded
+	doors         []*door                 // of the ports, set before the engine runs
 	metrics       metrics
 }
 
@@ -149,8 +154,10 @@
 	}
 	e.writer.logSlow, e.writer.logSuspect, e.writer.logUnresponsive = store.storeSlow.Load, store.suspect, store.unresponsive
 	e.writer.logAnswersInTime = store.answersInTime
+	e.decoding = make(chan struct{}, maxDecoding)
 	e.orders = newOrderSender(e)
 	e.consultClient = &consultClient{peers: newPeerClients(), memberAddresses: &store.memberAddresses, placerAddress: &e.writer.placerAddress}
+	e.keyLease = keylease.New(millis(s.Bounds.RevokeMS))
 	e.metrics = newMetrics()
 	store.log = log
 	store.reads = newReadStats(e.metrics)
@@ -241,6 +248,7 @@
 	}
 	e.publishMembersIfDue(now)
 	e.logCatchingUp(now)
+	e.logKeyLease(now)
 	if e.placer != nil {
 		e.runPlacer(ctx, now)
 		return
@@ -263,49 +271,6 @@
 	go func() { _ = e.writer.append(ctx, &r, helloInterval) }() // an error is ignored: the next Hello follows within seconds
 }
 
-// watchConfig waits for new configurations and puts each in force.
-func (e *engine) watchConfig(ctx context.Context) {
-	position := int64(-1)
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
-		config, next, err := e.store.Configuration(callCtx, position, configWait)
-		cancel()
-		position = next
-		if err != nil {
-			if fault.Is(err, fault.Invalid) {
-				e.log.Emit(evConfigUnreadable, "reason", err.Error(), "position", position)
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(readRetryDelay):
-			}
-			continue
-		}
-		if config == nil {
-			if position < 0 {
-				time.Sleep(readRetryDelay)
-			}
-			continue
-		}
-		e.do(ctx, func(e *engine) { e.setConfig(config) })
-	}
-}
-
-// setConfig puts a configuration in force unless the present one is as new or newer.
-func (e *engine) setConfig(c *cluster.Configuration) {
-	if e.config != nil && c.Version <= e.config.Version {
-		return
-	}
-	if e.config == nil {
-		e.firstConfigAt = bootclock.Now()
-	}
-	e.config, e.keyring = c, cluster.NewKeyring(c)
-	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "workspaces", len(c.Workspaces))
-	if e.placer != nil {
-		e.placer.SetConfig(c)
-	}
-}
-
 // specOf returns the Spec of a job that has not ended. The record of a job that was just
 // submitted may not have been read yet, so specOf tries several times, with specRetryDelay
 // between the tries.
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -17,7 +17,6 @@
 
 // Times of connections between daemons.
 const (
-	acceptRetryDelay   = 20 * time.Millisecond // after a connection could not be accepted
 	peerDialTimeout    = 700 * time.Millisecond
 	peerUnackedTimeout = 1500 * time.Millisecond // if sent bytes get no TCP acknowledgement for this long, the peer's VM or the network path counts as failed
 )
@@ -151,22 +150,22 @@
 	if err := server.RegisterName("Cell", service); err != nil {
 		return fault.Wrap(err, fault.Internal, "report this as a bug", "can't register the RPC service for other daemons")
 	}
-	go acceptPeers(server, listener)
+	go acceptPeers(listener, server)
 	return nil
 }
 
-// acceptPeers accepts connections of other daemons until the listener is closed. A process without
-// free descriptors accepts none for a while. The Accept of the RPC library would then end for good.
-func acceptPeers(server *rpc.Server, listener net.Listener) {
+// acceptPeers serves connections until the listener is closed. Other errors, such as a lack of
+// descriptors, do not end it.
+func acceptPeers(listener net.Listener, server *rpc.Server) {
 	for {
 		conn, err := listener.Accept()
 		switch {
-		case err == nil:
-			go server.ServeConn(conn)
 		case errors.Is(err, net.ErrClosed):
 			return
-		default:
+		case err != nil:
 			time.Sleep(acceptRetryDelay)
+		default:
+			go server.ServeConn(newMessageConn(conn))
 		}
 	}
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"os"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/tailscale/hujson"
 
 	"briarproxy/core/fault"
+	"briarproxy/core/intake"
 	"briarproxy/daemon/event"
 )
 
@@ -46,6 +48,57 @@
 	Descriptors float64 `json:"descriptors"`
 	CPUCores    float64 `json:"cpu_share"` // number of cores, which may be a fraction
 	LinkMbps    float64 `json:"link_mbps"`
+
+	// What strangers may hold. The defaults follow from MemoryMiB and Descriptors (core/intake).
+	CallerConnections *float64 `json:"caller_connections"` // connections of callers
+	CallerMiB         *float64 `json:"caller_mib"`         // bodies and long headers of callers, MiB
+	PeerConnections   *float64 `json:"peer_connections"`   // connections on listen.peers
+	PeerMiB           *float64 `json:"peer_mib"`           // messages that arrive on listen.peers, MiB
+}
+
+// ports returns what strangers may hold on each port.
+func (l *LimitSettings) ports() intake.Ports {
+	ports := intake.Divide(intake.Machine{MemoryBytes: int64(l.MemoryMiB * (1 << 20)), Descriptors: int(l.Descriptors)})
+	for _, f := range []struct {
+		set         *float64
+		connections *int
+	}{{l.CallerConnections, &ports.Callers.Connections}, {l.PeerConnections, &ports.Peers.Connections}} {
+		if f.set != nil {
+			*f.connections = int(*f.set)
+		}
+	}
+	for _, f := range []struct {
+		set   *float64
+		bytes *int64
+	}{{l.CallerMiB, &ports.Callers.Bytes}, {l.PeerMiB, &ports.Peers.Bytes}} {
+		if f.set != nil {
+			*f.bytes = int64(*f.set * (1 << 20))
+		}
+	}
+	return ports
+}
+
+// validateIntake returns an error that names the first of these limits that is below what one request
+// needs or above what the machine has.
+func (l *LimitSettings) validateIntake() error {
+	const unknown = 1 << 20 // descriptors, if they are not set
+	for _, f := range []struct {
+		path             string
+		value            *float64
+		minimum, maximum float64
+	}{
+		{"limits.caller_connections", l.CallerConnections, 1, cmp.Or(l.Descriptors, unknown)}, {"limits.caller_mib", l.CallerMiB, 1, l.MemoryMiB},
+		{"limits.peer_connections", l.PeerConnections, 1, cmp.Or(l.Descriptors, unknown)}, {"limits.peer_mib", l.PeerMiB, 8, l.MemoryMiB},
+	} {
+		switch {
+		case f.value == nil:
+		case *f.value < f.minimum:
+			return fault.New(fault.Invalid, "increase it, or leave it out for the default", "%s is %v, but must be at least %v", f.path, *f.value, f.minimum)
+		case *f.value > f.maximum:
+			return fault.New(fault.Invalid, "decrease it, or leave it out for the default", "%s is %v, but the machine has %v", f.path, *f.value, f.maximum)
+		}
+	}
+	return nil
 }
 
 // Resources that the placer needs in a cell with 350 workers and 600 starts a second (see
@@ -104,6 +157,15 @@
 	GraceS     float64 `json:"grace_s"`      // time from SIGTERM to SIGKILL
 	StatusS    float64 `json:"status_s"`     // how long the state of an ended job can be queried
 	KeepS      float64 `json:"keep_s"`       // retention time of the log's records
+	// RevokeMS is how long a key may work after a configuration without it was published, also on a daemon
+	// that can't read the configuration: that daemon refuses calls with keys before the time is over. With
+	// 0 it goes on with the version that it has. A value that is too low makes daemons refuse callers while
+	// the store is merely slow.
+	RevokeMS float64 `json:"revoke_ms"`
+	// RemoteFactor is the run time of a task away from its data, or of a group across racks, as a multiple of the usual one. With
+	// it, tasks wait for a better place for as long as that pays; absent or 0 means that it is not known, and
+	// that only groups wait, for a fixed time. A value that is too high makes tasks wait too long.
+	RemoteFactor float64 `json:"remote_factor"`
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -180,9 +242,19 @@
 			return fault.New(fault.Invalid, "increase it", "%s is %v, but must be at least %v", f.path, f.value, f.minimum)
 		}
 	}
-	return nil
+	if revoke := s.Bounds.RevokeMS; revoke != 0 && revoke < minRevokeMS {
+		return fault.New(fault.Invalid, "increase it, or leave it out if keys need no bound", "bounds.revoke_ms is %v, but must be at least %v", revoke, minRevokeMS)
+	}
+	if f := s.Bounds.RemoteFactor; f != 0 && f < 1 {
+		return fault.New(fault.Invalid, "set it to 1 or more, or leave it out", "bounds.remote_factor is %v", f)
+	}
+	return s.Limits.validateIntake()
 }
 
+// minRevokeMS is the least bound within which the configuration can be confirmed over and over by
+// daemons in other regions than the store.
+const minRevokeMS = 1000
+
 // LogReload logs the outcome of reloading the settings.
 func LogReload(log *event.Logger, err error) {
 	if err != nil {
