Shares of the descriptors add up to less than the whole

Cause: connections to workers got three quarters of the descriptors, callers and other daemons a quarter each: a placer under a crowd could have run out of them.

Change: polls keep three eighths, idle connections to workers get five sixteenths, callers an eighth, other daemons a tenth.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -17,10 +17,10 @@
 // Shares of a process's limits. What remains is for the state, the store, workers and files.
 const (
 	callerMemoryShare     = 1.0 / 4 // half of it for connections, half for bodies
-	callerDescriptorShare = 1.0 / 4
+	callerDescriptorShare = 1.0 / 8
 	peerConnectionShare   = 1.0 / 8 // of memory
 	peerMessageShare      = 1.0 / 16
-	peerDescriptorShare   = 1.0 / 4
+	peerDescriptorShare   = 1.0 / 10
 	peerConnectionBytes   = 24 << 10
 	probeConnections      = 32 // on the port for readiness
 	scrapeConnections     = 16 // on the port for metrics
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -127,8 +127,8 @@
 // Shares of the descriptors for connections to workers. The rest is for callers, other daemons, the
 // store and files. A process without free descriptors can neither connect nor accept connections.
 const (
-	pollDescriptorShare = 3.0 / 8 // polls under way
-	idleDescriptorShare = 3.0 / 8 // connections that no request uses
+	pollDescriptorShare = 3.0 / 8  // polls under way
+	idleDescriptorShare = 5.0 / 16 // connections that no request uses
 )
 
 // openPolls returns the number of polls of workers that may be under way.
