make demo shows two workspaces, one of them greedy, and a revoked key

Cause: the demo played one kind of caller, without keys.

Change: the stand-in of the users' platform publishes two workspaces and has an operator that takes keys away over HTTP; its workers check the greedy workspace's maximum. The demo sends the greedy workspace's jobs faster than its maximum allows beside the others, and a caller whose key is taken away on the way; it fails if that key works for longer than bounds.revoke_ms.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -130,7 +130,7 @@
 	"listen": {"callers": "127.0.0.1:0", "ready": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 	"platform": {"store": "$2", "advice": "$3", "machines": ""},
 	"limits": {"memory_mib": 256, "descriptors": 4096},
-	"bounds": {"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": 300},
+	"bounds": {"max_lease_ms": 6000, "failover_ms": 3000, "early_ms": 250, "stop_ms": 900, "grace_s": 6, "status_s": 120, "keep_s": 300, "revoke_ms": 3000},
 }
 EOF
   run "$name" "$bin/briarproxyd" serve --settings "$dir/$name.jsonc"
@@ -162,7 +162,7 @@
 "$bin/demo" "${cells[@]}" --duration "${seconds}s" --seed "$seed" &
 demo=$!
 pids+=("$demo")
-"$bin/demo" platform "${platform_callers[@]}" --duration "${seconds}s" --seed "$seed" &
+"$bin/demo" platform "${platform_callers[@]}" --operator "$(field "$text" operator)" --duration "${seconds}s" --seed "$seed" &
 platform_demo=$!
 pids+=("$platform_demo")
 sleep "$kill_after"
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -74,6 +74,9 @@
 	}
 	cmd.Flags().DurationVar(&options.Duration, "duration", defaultDuration, "time for which jobs are sent")
 	cmd.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of the ids and of the daemons chosen")
+	cmd.Flags().StringVar(&options.Operator, "operator", "", "HOST:PORT of the stand-in's operator")
+	cmd.Flags().DurationVar(&options.RevokeBound, "revoke-bound", 3*time.Second, "bounds.revoke_ms of the daemons")
+	_ = cmd.MarkFlagRequired("operator")
 	return cmd
 }
 
--- a/standin/cmd/standin/fleet.go
+++ b/standin/cmd/standin/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,25 +16,26 @@
 const maxLease = 6 * time.Second
 
 // platformCommand runs the stand-in of the users' platform: its store, workers with the
-// advice service, and one queue.
+// advice service, an operator, and one queue of two workspaces.
 func platformCommand() *cobra.Command {
 	var workers int
 	var size platform.Size
 	cmd := &cobra.Command{
 		Use:   "platform",
-		Short: "Run the users' platform: store, workers, advice and one queue",
+		Short: "Run the users' platform: store, workers, advice, operator and one queue",
 		Long:  "platform runs until SIGTERM and fails if a worker saw a broken promise.",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			store := platform.NewStore()
-			if err := publishQueue(store); err != nil {
-				return err
-			}
+			operator := publishQueue(store)
 			fleet, err := platform.NewFleet(store, "pool", workers, size, maxLease)
 			if err != nil {
 				return err
 			}
 			defer fleet.Close()
+			for _, w := range platform.DemoWorkspaces() {
+				fleet.SetMaximum(w.Name, w.Maximum)
+			}
 			storeAddress, err := serveOn(store)
 			if err != nil {
 				return err
@@ -44,7 +44,11 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "listening store=%s advice=%s\n", storeAddress, adviceAddress)
+			operatorAddress, err := serveOn(operator)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "listening store=%s advice=%s operator=%s\n", storeAddress, adviceAddress, operatorAddress)
 			<-cmd.Context().Done()
 			problems := fleet.Violations()
 			fmt.Fprintf(cmd.OutOrStdout(), "ended starts=%d problems=%d\n", fleet.Starts(), len(problems))
@@ -61,21 +65,16 @@
 	return cmd
 }
 
-func publishQueue(store *platform.Store) error {
-	manifest, err := json.Marshal(map[string]any{
-		"Version": 1, "Services": []any{map[string]any{"Name": "pool"}},
+func publishQueue(store *platform.Store) *platform.Operator {
+	return platform.NewOperator(store, map[string]any{
+		"Services": []any{map[string]any{"Name": "pool"}},
 		"Routes": []any{map[string]any{
 			"Name": "jobs", "Host": platform.DemoHost, "PathPrefix": platform.DemoPath, "Type": "non_idempotent", "TimeoutMs": 3000,
 			"TargetLatencyMs": 1200, "Priority": 1, "Service": "pool", "MaxAttempts": 3, "SlackFactor": 2.0,
 			"Advice": map[string]any{"DecideMs": 5.0, "EachMs": 0.2, "ValidMs": 1500},
 		}},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "report this as a bug", "the configuration can't be encoded")
-	}
-	store.Put("keyed.op", "config", manifest)
-	return nil
+	}, platform.DemoWorkspaces()...)
 }
 
 func serveOn(handler http.Handler) (string, error) {
--- a/standin/demo/platform.go
+++ b/standin/demo/platform.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -28,10 +29,12 @@
 
 // PlatformOptions configures RunPlatform.
 type PlatformOptions struct {
-	Daemons  []string // host:port of the callers' API
-	Duration time.Duration
-	Seed     uint64
-	Out      io.Writer
+	Daemons     []string // host:port of the callers' API
+	Operator    string   // host:port of the stand-in's operator
+	Duration    time.Duration
+	RevokeBound time.Duration // within which a key must end to work
+	Seed        uint64
+	Out         io.Writer
 }
 
 // platformStream is a sequence of jobs of one kind, like those of the example users, at a
@@ -43,12 +46,14 @@
 	step          platform.SpecStep
 	gang          bool
 	secondStep    bool // a shorter step of one task follows the first
+	workspace     string
 }
 
 var platformStreams = []platformStream{
-	{"survey", 1, 4, platform.SpecStep{MS: 2000, Cpu: 18000, MemMb: 37000}, true, false},
-	{"certificate", 3, 6, platform.SpecStep{MS: 900, Cpu: 3900, MemMb: 14000}, false, true},
-	{"doorstep", 15, 2, platform.SpecStep{MS: 250, Cpu: 5600, MemMb: 21000}, false, false},
+	{"survey", 1, 4, platform.SpecStep{MS: 2000, Cpu: 18000, MemMb: 37000}, true, false, platform.DemoWorkspace},
+	{"certificate", 3, 6, platform.SpecStep{MS: 900, Cpu: 3900, MemMb: 14000}, false, true, platform.DemoWorkspace},
+	{"doorstep", 15, 2, platform.SpecStep{MS: 250, Cpu: 5600, MemMb: 21000}, false, false, platform.DemoWorkspace},
+	{"flood", 14, 4, platform.SpecStep{MS: 500, Cpu: 4000, MemMb: 8000}, false, false, platform.DemoGreedyWorkspace},
 }
 
 // platformJob is a submitted job with the times of its events.
@@ -68,6 +73,8 @@
 	var mu sync.Mutex
 	var jobs []*platformJob
 	var group sync.WaitGroup
+	revoked := &revokedKey{options: &o, client: client}
+	group.Go(func() { revoked.play(ctx) })
 	for i, stream := range platformStreams {
 		interval := time.Duration(float64(time.Second) / stream.jobsPerSecond)
 		seed := rng.Uint64()
@@ -87,15 +94,17 @@
 		})
 	}
 	group.Wait()
-	return printPlatformReport(o.Out, jobs)
+	return errors.Join(printPlatformReport(o.Out, jobs), revoked.report(o.Out))
 }
 
 // jobBody returns the body of a caller's request that submits a job.
 func (s *platformStream) jobBody() ([]byte, error) {
-	steps := []platform.SpecStep{s.step}
+	first := s.step
+	first.Workspace = s.workspace
+	steps := []platform.SpecStep{first}
 	list := []map[string]any{s.step.Body(s.tasks, s.gang, nil)}
 	if s.secondStep {
-		second := platform.SpecStep{MS: s.step.MS / 4, Cpu: s.step.Cpu, MemMb: s.step.MemMb}
+		second := platform.SpecStep{MS: s.step.MS / 4, Cpu: s.step.Cpu, MemMb: s.step.MemMb, Workspace: s.workspace}
 		steps = append(steps, second)
 		list = append(list, second.Body(1, false, []int{0}))
 	}
@@ -113,8 +122,9 @@
 	if err != nil {
 		return
 	}
+	key := demoKey(stream.workspace)
 	for attempt := range platformMaxAttempts {
-		status, text := callPlatform(ctx, client, http.MethodPost, daemons[(first+attempt)%len(daemons)], id, body)
+		status, text := callPlatform(ctx, client, http.MethodPost, daemons[(first+attempt)%len(daemons)], id, key, body)
 		if status == http.StatusOK {
 			j.acceptedAt = time.Now()
 			j.state = text
@@ -124,7 +134,7 @@
 	}
 	limit := time.Now().Add(platformEndTimeout)
 	for attempt := 0; !j.acceptedAt.IsZero() && time.Now().Before(limit) && ctx.Err() == nil; attempt++ {
-		if status, text := callPlatform(ctx, client, http.MethodGet, daemons[(first+attempt)%len(daemons)], id, nil); status == http.StatusOK {
+		if status, text := callPlatform(ctx, client, http.MethodGet, daemons[(first+attempt)%len(daemons)], id, key, nil); status == http.StatusOK {
 			if j.state = text; strings.Contains(text, "completed") || strings.Contains(text, "failed") {
 				j.endedAt = time.Now()
 				return
@@ -135,12 +145,13 @@
 }
 
 // callPlatform sends one request and returns the status, 0 without an answer, and the body.
-func callPlatform(ctx context.Context, client *http.Client, method, address, id string, body []byte) (int, string) {
+func callPlatform(ctx context.Context, client *http.Client, method, address, id, key string, body []byte) (int, string) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+platform.DemoPath+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = platform.DemoHost
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(platformCallTimeout.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
@@ -156,7 +167,7 @@
 
 func printPlatformReport(out io.Writer, jobs []*platformJob) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "\nusers' platform\nKIND\tJOBS\tACCEPTED\tCOMPLETED\tP50 MS\tP99 MS")
+	_, _ = fmt.Fprintln(table, "\nusers' platform\nWORKSPACE\tKIND\tJOBS\tACCEPTED\tCOMPLETED\tP50 MS\tP99 MS")
 	incomplete := 0
 	for _, stream := range platformStreams {
 		var durationsMS []int64
@@ -181,7 +192,7 @@
 		if n := len(durationsMS); n > 0 {
 			p50, p99 = durationsMS[n/2], durationsMS[n*99/100]
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\n", stream.name, sent, accepted, len(durationsMS), p50, p99)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", stream.workspace, stream.name, sent, accepted, len(durationsMS), p50, p99)
 	}
 	if err := table.Flush(); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check that the output is writable", "cannot write the table")
--- a/standin/platform/doc.go
+++ b/standin/platform/doc.go
@@ -10,3 +10,17 @@
 	DemoHost = "jobs.example"
 	DemoPath = "/jobs/"
 )
+
+// Workspaces of "make demo". The greedy one sends more than it may run at a time.
+const (
+	DemoWorkspace       = "inspectors"
+	DemoGreedyWorkspace = "greedy"
+)
+
+// DemoWorkspaces returns the workspaces of "make demo".
+func DemoWorkspaces() []Workspace {
+	return []Workspace{
+		{Name: DemoWorkspace, Keys: []string{"inspectors-former-key", "inspectors-key"}, Weight: 30},
+		{Name: DemoGreedyWorkspace, Keys: []string{"greedy-key"}, Weight: 5, Maximum: Size{Cpu: 96000}},
+	}
+}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -99,3 +100,17 @@
 	at, revoked := o.revokedAt[key]
 	return at, revoked
 }
+
+// ServeHTTP takes the oldest key of the workspace in the query away, and answers when the new version is
+// acknowledged.
+func (o *Operator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	workspace := r.URL.Query().Get("revoke")
+	o.mu.Lock()
+	_, known := o.workspaces[workspace]
+	o.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"Key": o.Revoke(workspace)})
+}
