--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -29,6 +29,7 @@
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
 		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
+		RemoteFactor: e.settings.Bounds.RemoteFactor,
 	}, now)
 	e.metrics.claims.WithLabelValues("won").Inc()
 	e.log.Emit(evPlacerBegan, "offset", e.state.ClaimToken-1, "epoch", e.state.Claim.Epoch, "jobs", len(e.state.Jobs), "runs", e.placer.ActiveRuns())
@@ -199,8 +200,10 @@
 // reaches the log only through them, or when a daemon with much more capacity is alive: a daemon on
 // a small VM is the placer only while no daemon on a larger VM can be.
 func (e *engine) handOverIfDue(now time.Duration) {
-	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
-		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
+	if e.handingOver || now-e.placingStartedAt < handOverDelay {
+		return
+	}
+	if _, found := placer.BestSuccessor(e.state, e.settings.Name, now, time.Now().UnixMilli()); !found {
 		return
 	}
 	if e.isolated(now) {
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -46,6 +47,7 @@
 	oldestWaiting     *prometheus.GaugeVec
 	runs              *prometheus.GaugeVec
 	workers           *prometheus.GaugeVec
+	placeWaits        *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
 	workspaceJobs     *prometheus.CounterVec
@@ -55,6 +57,10 @@
 	workspaceSteps    *prometheus.GaugeVec
 	workspaceOldest   *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
+	doorUsed          *prometheus.GaugeVec
+	doorLimit         *prometheus.GaugeVec
+	doorRefusals      *prometheus.CounterVec
+	doorEvictions     *prometheus.CounterVec
 }
 
 func newMetrics() metrics {
@@ -100,7 +106,8 @@
 		waitingSteps:      gauge("waiting_steps", "Steps with tasks to start, by queue; on the placer.", "queue"),
 		oldestWaiting:     gauge("waiting_oldest_seconds", "How long the oldest such step has waited, by queue; on the placer.", "queue"),
 		runs:              gauge("runs", "Runs by state; on the placer.", "state"),
-		workers:           gauge("workers", "Workers that are known, and that may take work; on the placer.", "state"),
+		workers:           gauge("workers", "Workers that are known, that may take work, and that are faster or slower than usual; on the placer.", "state"),
+		placeWaits:        gauge("steps_waiting_for_place", "Steps that wait for a better place although another one is free; on the placer."),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
 		workspaceJobs:     counter("workspace_submissions_total", "Submissions by workspace and outcome: accepted, refused (never executed) or unknown.", "workspace", "outcome"),
@@ -110,6 +117,10 @@
 		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
 		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
+		doorUsed:          gauge("door_used", "What strangers hold, by port and by what it is: connections, or bytes of bodies, long headers and messages.", "port", "of"),
+		doorLimit:         gauge("door_limit", "What strangers may hold, as door_used.", "port", "of"),
+		doorRefusals:      counter("door_refused_total", "Connections and requests of strangers that were refused, by port and reason.", "port", "reason"),
+		doorEvictions:     counter("door_evicted_total", "Connections that gave way to others, by port and by what they were used for.", "port", "stage"),
 	}
 }
 
@@ -140,6 +151,9 @@
 	}
 	m.workers.WithLabelValues("known").Set(float64(summary.Workers))
 	m.workers.WithLabelValues("usable").Set(float64(summary.Usable))
+	m.workers.WithLabelValues("fast").Set(float64(summary.Fast))
+	m.workers.WithLabelValues("slow").Set(float64(summary.Slow))
+	m.placeWaits.WithLabelValues().Set(float64(summary.WaitingForPlace))
 	m.workerCores.WithLabelValues("total").Set(float64(summary.Capacity.MilliCores) / 1000)
 	m.workerCores.WithLabelValues("free").Set(float64(summary.Free.MilliCores) / 1000)
 	m.workerMemory.WithLabelValues("total").Set(float64(summary.Capacity.MemoryMiB) * (1 << 20))
@@ -219,6 +233,7 @@
 // is the placer, it removes the gauges that only the placer reports.
 func (e *engine) publishMetrics(now time.Duration) {
 	m := &e.metrics
+	e.publishDoors()
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
@@ -238,8 +253,29 @@
 		return
 	}
 	m.isPlacer.Set(0)
-	onlyPlacer := append(m.workspaceGauges(), m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.workerCores, m.workerMemory)
+	onlyPlacer := append(m.workspaceGauges(), m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.placeWaits, m.workerCores, m.workerMemory)
 	for _, g := range onlyPlacer {
 		g.Reset() // another daemon reports them now
 	}
 }
+
+// publishDoors sets the gauges of the doors, and logs one line if any of them has refused or evicted
+// something since the last call.
+func (e *engine) publishDoors() {
+	var crowded []string
+	refused, evicted := 0, 0
+	for _, d := range e.doors {
+		r := d.report()
+		e.metrics.doorUsed.WithLabelValues(d.port, "connections").Set(float64(r.connections))
+		e.metrics.doorUsed.WithLabelValues(d.port, "bytes").Set(float64(r.bytes))
+		e.metrics.doorLimit.WithLabelValues(d.port, "connections").Set(float64(r.limits.Connections))
+		e.metrics.doorLimit.WithLabelValues(d.port, "bytes").Set(float64(r.limits.Bytes))
+		if r.refused+r.evicted > 0 {
+			crowded = append(crowded, fmt.Sprintf("%s: %d of %d connections, %d of %d bytes", d.port, r.connections, r.limits.Connections, r.bytes, r.limits.Bytes))
+			refused, evicted = refused+r.refused, evicted+r.evicted
+		}
+	}
+	if len(crowded) > 0 {
+		e.log.Emit(evCrowd, "ports", crowded, "refused", refused, "evicted", evicted)
+	}
+}
