Renewals don't wait behind polls that wait for an end

A daemon has polls under way for three eighths of its descriptors. With more workers that have work, polls wait for their turn; in a played cell with six times as many, workers were renewed every 8.9 s, after their leases (4.8 s) had ended. The wait of a poll now shrinks with the polls that there are for each worker, and the test has no gap of 2.6 s. Nothing changes while there is a poll for each worker, as in all earlier deployments.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -20,6 +20,8 @@
 	leaseMargin = 150 * time.Millisecond
 	// maxPollWait is how long a worker may delay its answer to a poll until a run ends.
 	maxPollWait = 1400 * time.Millisecond
+	// pollRoundTrip is how much longer than its wait a poll takes, between regions.
+	pollRoundTrip = 100 * time.Millisecond
 	// maxSilenceForRenewal is longer than a poll takes. The lease of a worker that has not
 	// answered for this long is not renewed.
 	maxSilenceForRenewal = 2600 * time.Millisecond
@@ -84,6 +86,7 @@
 	EarlyStart           time.Duration // a task with a due time may start this much earlier
 	StopTimeout          time.Duration // longest time that a worker takes to stop a run
 	RemoteFactor         float64       // run time away from a task's data, or across racks, as a multiple; 0 means unknown
+	OpenPolls            int           // polls that may be under way at a time; the others wait for their turn; 0 means any number
 	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
 	Disabled             DisabledMechanisms
 }
@@ -192,6 +195,7 @@
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
+	workersWithRuns    int             // at the last scan
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
 	planPass           int             // number of planning passes so far
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
--- a/core/placer/renewal_bench_test.go
+++ b/core/placer/renewal_bench_test.go
@@ -21,12 +21,18 @@
 	reports map[string]*cluster.WorkerReport
 	answers map[time.Duration][]*PollCommand // by the time at which they arrive
 	polls   int
+
+	openPolls  int // polls that may be under way at a time; 0 means any number
+	underWay   int
+	queued     []*PollCommand           // for their turn
+	answeredAt map[string]time.Duration // by worker
+	longestGap time.Duration            // between two answers of a worker
 }
 
-func newRenewalLoad(b *testing.B, workers int) *renewalLoad {
+func newRenewalLoad(b testing.TB, workers int) *renewalLoad {
 	l := &renewalLoad{
 		fakeCell: newFakeCell(b, workers, resource.Vector{MilliCores: 64000, MemoryMiB: 131072}),
-		reports:  map[string]*cluster.WorkerReport{}, answers: map[time.Duration][]*PollCommand{},
+		reports:  map[string]*cluster.WorkerReport{}, answers: map[time.Duration][]*PollCommand{}, answeredAt: map[string]time.Duration{},
 	}
 	require.NoError(b, l.append(flow.Record{Claim: &flow.Claim{Daemon: "former", Epoch: 1}}))
 	step := flow.Step{Count: tasksPerWorker, Size: resource.Vector{MilliCores: 9000, MemoryMiB: 16000}, EstimateMS: 60_000}
@@ -53,16 +59,26 @@
 		for _, c := range l.answers[l.now] {
 			report := l.reports[c.Life.Worker]
 			report.ClockMS = l.now.Milliseconds()
+			l.underWay--
+			if former := l.answeredAt[c.Life.Worker]; former > 0 {
+				l.longestGap = max(l.longestGap, l.now-former)
+			}
+			l.answeredAt[c.Life.Worker] = l.now
 			l.placer.PollAnswered(c, report, l.now)
 		}
 		delete(l.answers, l.now)
 		for _, c := range l.placer.Tick(l.now, l.wallMS()) {
 			if c.Poll != nil {
-				l.polls++
-				at := (l.now + c.Poll.Renewal.Wait + l.answerDelay).Truncate(tick) + tick
-				l.answers[at] = append(l.answers[at], c.Poll)
+				l.queued = append(l.queued, c.Poll)
 			}
 		}
+		for len(l.queued) > 0 && (l.openPolls == 0 || l.underWay < l.openPolls) {
+			c := l.queued[0]
+			l.queued = l.queued[1:]
+			l.polls, l.underWay = l.polls+1, l.underWay+1
+			at := (l.now + c.Renewal.Wait + l.answerDelay).Truncate(tick) + tick
+			l.answers[at] = append(l.answers[at], c)
+		}
 		l.placer.TakeDecisions()
 	}
 }
@@ -96,7 +112,22 @@
 				l.takeOver()
 				l.play(100 * time.Millisecond)
 				clear(l.answers)
+				l.queued = nil
 			}
 		})
 	}
 }
+
+// Guards against leases that end although every worker answers: a daemon with few descriptors had fewer polls
+// under way than workers, and renewals waited behind polls that waited for an end.
+func TestRenewalsDoNotWaitBehindPollsThatWait(t *testing.T) {
+	l := newRenewalLoad(t, 600)
+	l.openPolls, l.answerDelay = 100, 60*time.Millisecond
+	l.takeOver()
+	l.placer.options.OpenPolls = l.openPolls
+	l.play(4 * time.Second)
+	l.longestGap = 0
+	l.play(20 * time.Second)
+	require.Less(t, l.longestGap, maxSilenceForRenewal)
+	require.Equal(t, 600*tasksPerWorker, l.placer.ActiveRuns(), "no lease has ended")
+}
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -34,9 +34,14 @@
 // endExpiredRuns ends the runs of workers on which all leases have certainly expired.
 func (p *Placer) endExpiredRuns(now time.Duration) {
 	formerLeaseEnd := p.formerLeaseEnd()
+	p.workersWithRuns = 0
 	for _, v := range p.vms {
+		if len(v.runs) == 0 {
+			continue
+		}
+		p.workersWithRuns++
 		end, grantedBy := v.leaseEnd(formerLeaseEnd)
-		if len(v.runs) == 0 || now <= end {
+		if now <= end {
 			continue
 		}
 		n := 0
@@ -131,9 +136,9 @@
 	if v.missedPolls > 0 {
 		return 0
 	}
-	wait := maxPollWait
+	wait := p.longestPollWait()
 	if serving, backfill, _ := p.countServingAndBackfill(v); serving > 0 && backfill > 0 {
-		wait = pacingPollWait
+		wait = min(wait, pacingPollWait)
 	}
 	for _, r := range v.runs {
 		if r.state == uncertain || r.state == stopping || r.onTrial && !r.progress.seen {
@@ -143,6 +148,17 @@
 	return wait
 }
 
+// longestPollWait returns the longest wait of a poll with which the polls that may be under way reach all
+// workers as often as they do when there are enough of them. Otherwise renewals would wait for their turn
+// behind polls that wait for an end, until the leases have ended.
+func (p *Placer) longestPollWait() time.Duration {
+	if p.options.OpenPolls <= 0 || p.workersWithRuns <= p.options.OpenPolls {
+		return maxPollWait
+	}
+	perPoll := (maxPollWait + pollInterval) * time.Duration(p.options.OpenPolls) / time.Duration(p.workersWithRuns)
+	return max(0, min(maxPollWait, perPoll-pollRoundTrip))
+}
+
 // Flush returns the batch to append next, and false if none is due. The caller appends one batch
 // at a time and passes the runs to BatchAppended when the log has acknowledged it.
 func (p *Placer) Flush(now time.Duration) (batch flow.Batch, runs []*run, ok bool) {
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -29,6 +29,7 @@
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
 		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
+		OpenPolls:    e.settings.Limits.openPolls(),
 		RemoteFactor: e.settings.Bounds.RemoteFactor,
 	}, now)
 	e.metrics.claims.WithLabelValues("won").Inc()
