--- a/daemon/cell/peers_test.go
+++ b/daemon/cell/peers_test.go
@@ -46,7 +46,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ended := make(chan struct{})
-	go func() { acceptPeers(rpc.NewServer(), listener); close(ended) }()
+	go func() { acceptPeers(listener, rpc.NewServer()); close(ended) }()
 	require.NoError(t, listener.Close())
 	select {
 	case <-ended:
