A reading of the configuration that is no longer needed keeps its connection

Cause: when a repeated reading is answered first, the first one was cancelled, which closes its connection to another daemon if nothing else was answered on it; appends under way on that connection lose their outcome.

Change: the first reading runs to its own time limit; repeated ones have connections of their own. The key lease ends with the engine.

Measured: the new test fails when the first reading is cancelled; key and workspace tests pass three times under the race detector.

--- a/daemon/cell/configwatch.go
+++ b/daemon/cell/configwatch.go
@@ -34,10 +34,10 @@
 }
 
 // configThroughPeer reads the operator's topic through another daemon, which calls the store anew.
-func (c *storeClient) configThroughPeer(ctx context.Context, address string, from int64, wait time.Duration) (configReading, error) {
+func (p *peerClients) configThroughPeer(ctx context.Context, address string, from int64, wait time.Duration) (configReading, error) {
 	r := configReading{next: from, sentAt: bootclock.Now()}
 	reply := &ConfigurationReply{}
-	err := c.peers.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
+	err := p.call(ctx, address, configurationMethod, &ReadArgs{From: from, Wait: min(wait, maxRelayReadWait), Within: remoteTimeout(ctx, directTimeout+maxRelayReadWait)}, reply)
 	err = remoteError(err, reply.Failure, fault.Unavailable)
 	if err == nil && reply.Some && !reply.Complete {
 		return r, fault.New(fault.Unavailable, "update that daemon", "the daemon at %s leaves out the workspaces of the configuration", address)
@@ -58,7 +58,7 @@
 		reading, err = c.configDirect(ctx, from, wait)
 		return err
 	}, func(ctx context.Context, address string) (err error) {
-		reading, err = c.configThroughPeer(ctx, address, from, wait)
+		reading, err = c.peers.configThroughPeer(ctx, address, from, wait)
 		return err
 	})
 	return reading, err
@@ -86,7 +86,12 @@
 			}
 		}()
 	}
-	send(func() (configReading, error) { return c.readConfig(ctx, from, wait) })
+	// Not cancelled once another reading is answered: that would close a connection that appends share.
+	firstCtx, cancelFirst := context.WithTimeout(context.WithoutCancel(ctx), wait+storeTimeout)
+	send(func() (configReading, error) {
+		defer cancelFirst()
+		return c.readConfig(firstCtx, from, wait)
+	})
 	hedge := time.NewTimer(wait + lateReadingDelay + time.Duration(toleratedLatencies*c.latency.Load()))
 	defer hedge.Stop()
 	for {
@@ -106,7 +111,7 @@
 				send(func() (configReading, error) {
 					callCtx, cancelCall := context.WithTimeout(ctx, rereadTimeout)
 					defer cancelCall()
-					return c.configThroughPeer(callCtx, chooseRelay(addresses, maxRelayTries), from, 0)
+					return c.rereadPeers.configThroughPeer(callCtx, chooseRelay(addresses, maxRelayTries), from, 0)
 				})
 			}
 		case <-ctx.Done():
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -179,6 +179,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			e.keyLease.Stop()
 			return
 		case p := <-e.pages:
 			e.recoverPanic(func() { e.handlePage(ctx, p) })
--- a/daemon/cell/keys_test.go
+++ b/daemon/cell/keys_test.go
@@ -191,7 +191,7 @@
 	require.NoError(t, server.RegisterName("Cell", formerDaemon{}))
 	go server.Accept(listener)
 	client := newStoreClient(&fakeStore{}, newPeerClients())
-	_, err = client.configThroughPeer(t.Context(), listener.Addr().String(), 3, 0)
+	_, err = client.peers.configThroughPeer(t.Context(), listener.Addr().String(), 3, 0)
 	require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
 
 	api := newUnreadDaemon(t, listener.Addr().String())
@@ -310,6 +310,25 @@
 	require.Less(t, bootclock.Now()-began, lateReadingDelay+rereadInterval)
 }
 
+// Guards against appends that lose their connection to another daemon, and with it their outcome, because
+// a reading of the configuration through it is no longer needed.
+func TestAReadingThatIsNotNeededKeepsItsConnection(t *testing.T) {
+	direct, behindPeer := &fakeStore{}, &topicStore{}
+	direct.failWith(errRefused)
+	behindPeer.publish(keyedConfig(4))
+	behindPeer.hanging.Store(1)
+	client := newStoreClient(configRefusing{direct}, newPeerClients())
+	addresses := []string{serveStorePeer(t, behindPeer)}
+	client.memberAddresses.Store(&addresses)
+	ctx, cancel := context.WithCancel(t.Context())
+	reading, err := client.readConfigHedged(ctx, -1, 0)
+	cancel()
+	require.NoError(t, err)
+	require.EqualValues(t, 4, reading.config.Version)
+	time.Sleep(20 * time.Millisecond)
+	require.NotNil(t, client.peers.connected(addresses[0]), "the first reading is under way on it")
+}
+
 // Guards against a lease that is renewed by what another daemon has read earlier.
 func TestAPeerReadsTheStoreAnewForEachReading(t *testing.T) {
 	direct, behindPeer := &fakeStore{}, &topicStore{}
@@ -328,6 +347,13 @@
 	}
 }
 
+// connected returns the connection to an address, or nil.
+func (p *peerClients) connected(address string) *peerConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections[address]
+}
+
 type configRefusing struct{ *fakeStore }
 
 func (c configRefusing) Configuration(_ context.Context, from int64, _ time.Duration) (*cluster.Configuration, int64, error) {
--- a/daemon/cell/relay.go
+++ b/daemon/cell/relay.go
@@ -40,6 +40,7 @@
 type storeClient struct {
 	direct               storeAccess
 	peers                *peerClients
+	rereadPeers          *peerClients             // for repeated readings of the configuration; not shared, as one that is not needed any more closes its connection
 	memberAddresses      atomic.Pointer[[]string] // addresses of the other daemons, those with more capacity and nearer to the store first
 	directDown           atomic.Bool              // the direct path to the store is down
 	readPosition         atomic.Int64             // log position of the last read; probes use it
@@ -61,7 +62,7 @@
 }
 
 func newStoreClient(direct storeAccess, peers *peerClients) *storeClient {
-	c := &storeClient{direct: direct, peers: peers, directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
+	c := &storeClient{direct: direct, peers: peers, rereadPeers: newPeerClients(), directCalls: map[int]func(){}, reads: newReadStats(newMetrics()), log: event.Discard()}
 	c.answeredAt.Store(int64(bootclock.Now()))
 	c.directAnsweredAt.Store(c.answeredAt.Load())
 	c.memberAddresses.Store(&[]string{})
