--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -35,6 +35,9 @@
 	readCalls         *prometheus.CounterVec
 	readBytes         *prometheus.CounterVec
 	configVersion     prometheus.Gauge
+	keyRefusals       *prometheus.CounterVec
+	keyLeaseAge       prometheus.Gauge
+	keyLeaseHeld      prometheus.Gauge
 	logAge            prometheus.Gauge
 	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
@@ -45,6 +48,10 @@
 	placeWaits        *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
+	workspaceRuns     *prometheus.GaugeVec
+	workspaceCores    *prometheus.GaugeVec
+	workspaceSteps    *prometheus.GaugeVec
+	workspaceOldest   *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
 }
 
@@ -82,6 +89,9 @@
 		readCalls:         counter("store_reads_total", "Reads of the store by purpose: to follow the log, to refresh an answer, to probe the path, to restore a snapshot.", "purpose"),
 		readBytes:         counter("store_read_bytes_total", "Bytes of records and snapshots that reads of the store brought, by purpose.", "purpose"),
 		configVersion:     gauge("config_version", "Version of the configuration in force.").WithLabelValues(),
+		keyRefusals:       counter("key_refusals_total", "Calls that were refused for their key, by reason.", "reason"),
+		keyLeaseAge:       gauge("key_lease_age_seconds", "Time since the reading was sent that last confirmed the configuration in force.").WithLabelValues(),
+		keyLeaseHeld:      gauge("key_lease_held", "1 while calls with a key are accepted.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
 		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
@@ -92,6 +102,10 @@
 		placeWaits:        gauge("steps_waiting_for_place", "Steps that wait for a better place although another one is free; on the placer."),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
+		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
+		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
+		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
 	}
 }
@@ -116,6 +130,7 @@
 		m.waitingSteps.WithLabelValues(queue).Set(float64(waiting.Steps))
 		m.oldestWaiting.WithLabelValues(queue).Set(waiting.LongestWait.Seconds())
 	}
+	m.publishWorkspaces(summary.Workspaces)
 	m.runs.Reset()
 	for state, count := range summary.Runs {
 		m.runs.WithLabelValues(string(state)).Set(float64(count))
@@ -131,6 +146,26 @@
 	m.workerMemory.WithLabelValues("free").Set(float64(summary.Free.MemoryMiB) * (1 << 20))
 }
 
+// workspaceGauges returns the gauges that have a series for each workspace.
+func (m *metrics) workspaceGauges() []*prometheus.GaugeVec {
+	return []*prometheus.GaugeVec{m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
+}
+
+// publishWorkspaces sets the gauges of the workspaces of the configuration.
+func (m *metrics) publishWorkspaces(uses map[string]placer.WorkspaceUse) {
+	for _, g := range m.workspaceGauges() {
+		g.Reset()
+	}
+	for name, use := range uses {
+		m.workspaceRuns.WithLabelValues(name).Set(float64(use.Runs))
+		m.workspaceCores.WithLabelValues(name, "used").Set(float64(use.Used.MilliCores) / 1000)
+		m.workspaceCores.WithLabelValues(name, "maximum").Set(float64(use.Maximum.MilliCores) / 1000)
+		m.workspaceSteps.WithLabelValues(name, "waiting").Set(float64(use.WaitingSteps))
+		m.workspaceSteps.WithLabelValues(name, "held by maximum").Set(float64(use.HeldSteps))
+		m.workspaceOldest.WithLabelValues(name).Set(use.LongestWait.Seconds())
+	}
+}
+
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
@@ -148,6 +183,10 @@
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
+	if age, confirmed := e.keyLease.Age(now); confirmed {
+		m.keyLeaseAge.Set(age.Seconds())
+	}
+	m.keyLeaseHeld.Set(map[bool]float64{true: 1}[e.keyLease.Holds(now)])
 	if e.readToEndAt > 0 {
 		m.logAge.Set((now - e.readToEndAt).Seconds())
 	}
@@ -159,7 +198,8 @@
 		return
 	}
 	m.isPlacer.Set(0)
-	for _, g := range []*prometheus.GaugeVec{m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.placeWaits, m.workerCores, m.workerMemory} {
+	onlyPlacer := append(m.workspaceGauges(), m.waitingSteps, m.oldestWaiting, m.runs, m.workers, m.placeWaits, m.workerCores, m.workerMemory)
+	for _, g := range onlyPlacer {
 		g.Reset() // another daemon reports them now
 	}
 }
--- a/daemon/cell/settings.go
+++ b/daemon/cell/settings.go
@@ -71,6 +71,30 @@
 	return lowest
 }
 
+// Shares of the descriptors for connections to workers. The rest is for callers, other daemons, the
+// store and files. A process without free descriptors can neither connect nor accept connections.
+const (
+	pollDescriptorShare = 3.0 / 8 // polls under way
+	idleDescriptorShare = 3.0 / 8 // connections that no request uses
+)
+
+// openPolls returns the number of polls of workers that may be under way.
+func (l *LimitSettings) openPolls() int {
+	if l.Descriptors <= 0 {
+		return unlimitedOpenPolls
+	}
+	return max(1, int(pollDescriptorShare*l.Descriptors))
+}
+
+// IdleWorkerConnections returns the number of connections to workers that may be open without a
+// request; 0 means any number.
+func (l *LimitSettings) IdleWorkerConnections() int {
+	if l.Descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(idleDescriptorShare*l.Descriptors))
+}
+
 // BoundSettings are the time bounds of the deployment.
 type BoundSettings struct {
 	MaxLeaseMS float64 `json:"max_lease_ms"` // longest lease that workers grant
@@ -84,6 +108,11 @@
 	// it, tasks wait for a better place for as long as that pays; absent or 0 means that it is not known, and
 	// that only groups wait, for a fixed time. A value that is too high makes tasks wait too long.
 	RemoteFactor float64 `json:"remote_factor"`
+	// RevokeMS is how long a key may work after a configuration without it was published, also on a daemon
+	// that can't read the configuration: that daemon refuses calls with keys before the time is over. With
+	// 0 it goes on with the version that it has. A value that is too low makes daemons refuse callers while
+	// the store is merely slow.
+	RevokeMS float64 `json:"revoke_ms"`
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -163,9 +192,16 @@
 	if f := s.Bounds.RemoteFactor; f != 0 && f < 1 {
 		return fault.New(fault.Invalid, "set it to 1 or more, or leave it out", "bounds.remote_factor is %v", f)
 	}
+	if revoke := s.Bounds.RevokeMS; revoke != 0 && revoke < minRevokeMS {
+		return fault.New(fault.Invalid, "increase it, or leave it out if keys need no bound", "bounds.revoke_ms is %v, but must be at least %v", revoke, minRevokeMS)
+	}
 	return nil
 }
 
+// minRevokeMS is the least bound within which the configuration can be confirmed over and over by
+// daemons in other regions than the store.
+const minRevokeMS = 1000
+
 // LogReload logs the outcome of reloading the settings.
 func LogReload(log *event.Logger, err error) {
 	if err != nil {
