The median worker is the usual one

Change: the estimates are centred on their median, and the offset of a kind is a plain mean at first.

--- a/core/placer/speed.go
+++ b/core/placer/speed.go
@@ -30,7 +30,6 @@
 	estimator *speed.Estimator
 	outdated  bool        // classes has to be computed again
 	classes   [3][]string // workers of the registry: fast, usual and slow ones, each sorted
-	slowest   int         // highest level of any worker
 	mixed     bool        // not all workers are of one class
 }
 
@@ -114,7 +113,7 @@
 	if !s.outdated {
 		return
 	}
-	s.slowest = -speed.MaxLevel
+	s.estimator.Centre(now)
 	for i := range s.classes {
 		s.classes[i] = s.classes[i][:0]
 	}
@@ -123,7 +122,6 @@
 		p.updateSpeedLevel(v, now)
 		class := speedClass(v.speedLevel)
 		s.classes[class] = append(s.classes[class], id)
-		s.slowest = max(s.slowest, v.speedLevel)
 	}
 	s.outdated = false
 	s.mixed = max(len(s.classes[0]), len(s.classes[1]), len(s.classes[2])) < len(p.workerIDs)
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -23,6 +23,8 @@
 	maxWorkerEvidence = 200.0
 	// evidenceHalfLife is the time in which the evidence of a worker that runs nothing loses half of its weight.
 	evidenceHalfLife = 10 * time.Minute
+	// minCentreEvidence is the evidence of a worker that counts for the median.
+	minCentreEvidence = 10.0
 	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used.
 	minSignificance = 2.0
 	// maxRunTime bounds run times and estimates. Beyond it they are taken for errors.
@@ -84,6 +86,7 @@
 	offset     float64 // mean logarithm of the ratio of run times to estimates
 	variance   float64 // of the steps around offset
 	taskSpread float64 // variance among tasks of a step
+	steps      int     // observed so far
 }
 
 // Estimator estimates the factors of all workers of a cell. It is not safe for concurrent use.
@@ -133,9 +136,7 @@
 		k.taskSpread += kindWeight * (max(minTaskSpread*minTaskSpread, residual*residual) - k.taskSpread)
 	}
 	w.add(factor+residual, 1/variance)
-	if f, _ := w.posterior(); math.Abs(f-w.published) > publishChange {
-		e.changed[r.Worker] = true
-	}
+	e.noteChange(r.Worker, w)
 	return true
 }
 
@@ -147,7 +148,9 @@
 	}
 	limit := 2 * maxResidual * math.Sqrt(k.variance)
 	deviation = min(max(deviation, -limit), limit)
-	k.offset += kindWeight * deviation
+	k.steps++
+	weight := max(kindWeight, 1/float64(k.steps+1)) // a plain mean at first
+	k.offset += weight * deviation
 	k.variance += kindWeight * (max(minTaskSpread*minTaskSpread, deviation*deviation) - k.variance)
 }
 
@@ -211,6 +214,37 @@
 	delete(e.workers, id)
 }
 
+// Centre makes the median worker the usual one. Without it, an error of all estimates of a kind would at first be
+// taken for the workers', which makes all of them slow or fast.
+func (e *Estimator) Centre(now time.Duration) {
+	factors := make([]float64, 0, len(e.workers))
+	for _, w := range e.workers {
+		if w.age(now); w.evidence >= minCentreEvidence {
+			factor, _ := w.posterior()
+			factors = append(factors, factor)
+		}
+	}
+	if len(factors) == 0 {
+		return
+	}
+	slices.Sort(factors)
+	median := factors[len(factors)/2]
+	for id, w := range e.workers {
+		w.sum -= median * w.evidence
+		e.noteChange(id, w)
+	}
+	for _, k := range e.kinds {
+		k.offset += median
+	}
+}
+
+// noteChange notes that the estimate of a worker has to be published, if it has to.
+func (e *Estimator) noteChange(id string, w *worker) {
+	if factor, _ := w.posterior(); math.Abs(factor-w.published) > publishChange {
+		e.changed[id] = true
+	}
+}
+
 // Expire forgets the workers of which the evidence has become less than that of one run, such as those that left long ago.
 func (e *Estimator) Expire(now time.Duration) {
 	for id, w := range e.workers {
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -25,7 +25,9 @@
 			if rng.Float64() < 0.03 {
 				ran *= 7
 			}
-			now += time.Millisecond
+			if now += time.Millisecond; now%time.Second == 0 {
+				e.Centre(now)
+			}
 			e.Observe(Run{Worker: fmt.Sprint(worker), Kind: "k", Ran: seconds(ran), Resolution: 150 * time.Millisecond, Estimate: seconds(estimate)}, &step, now)
 		}
 	}
@@ -40,13 +42,9 @@
 	for seed := range uint64(5) {
 		e := New()
 		now := playSteps(e, rand.New(rand.NewPCG(seed, 1)), 600, 5, threeSpeeds, 90, 0)
-		usual := 0.0 // the model leaves open which speed counts as the usual one
-		for w := 1; w < 90; w += 3 {
-			usual += math.Log(e.Of(fmt.Sprint(w), now).Slowness) / 30
-		}
 		wrong := 0
 		for w := range 90 {
-			if got := math.Log(e.Of(fmt.Sprint(w), now).Slowness) - usual; math.Abs(got-math.Log(threeSpeeds(w))) > 0.25 {
+			if got := math.Log(e.Of(fmt.Sprint(w), now).Slowness); math.Abs(got-math.Log(threeSpeeds(w))) > 0.25 {
 				wrong++
 			}
 		}
@@ -68,6 +66,23 @@
 	}
 }
 
+func TestWrongEstimatesDoNotMakeAllWorkersSlow(t *testing.T) {
+	e := New()
+	rng := rand.New(rand.NewPCG(1, 10))
+	for now := time.Duration(0); now < 20*time.Second; now += time.Second {
+		for i := range 40 {
+			var step Step
+			for range 3 { // callers estimate half of the work
+				e.Observe(Run{Worker: fmt.Sprint(rng.IntN(60)), Kind: "k", Ran: seconds(2 * math.Exp(0.2*rng.NormFloat64())), Estimate: time.Second}, &step, now+time.Duration(i)*time.Millisecond)
+			}
+		}
+		e.Centre(now)
+	}
+	for w := range 60 {
+		assert.LessOrEqual(t, math.Abs(float64(e.Level(fmt.Sprint(w), 20*time.Second))), 1.0, "worker %d", w)
+	}
+}
+
 func TestSingleTailDoesNotMarkWorkerAsSlow(t *testing.T) {
 	e := New()
 	now := playSteps(e, rand.New(rand.NewPCG(1, 3)), 100, 5, func(int) float64 { return 1 }, 10, 0)
