Steps that prefer fast workers ask about slow ones last

Cause: urgent steps that ask about fast workers first compete for the same ones, which are full when the answers come. Change: only slow workers are asked about later; the share of cores in use is computed only for steps that may wait.

--- a/core/placer/speed.go
+++ b/core/placer/speed.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// fastLevel and slowLevel are the levels from which a worker is asked about before or after the others.
+	// fastLevel and slowLevel are the levels from which a worker counts as fast or slow.
 	fastLevel = -2
 	slowLevel = 2
 	// slowAffordFactor is the number of times that a step's spare time must cover what a slow worker takes longer, for the step
@@ -28,9 +28,11 @@
 // workerSpeeds holds what the placer has learned of the speeds of the workers.
 type workerSpeeds struct {
 	estimator *speed.Estimator
-	outdated  bool        // classes has to be computed again
-	classes   [3][]string // workers of the registry: fast, usual and slow ones, each sorted
-	mixed     bool        // not all workers are of one class
+	outdated  bool     // the rest has to be computed again
+	notSlow   []string // of the registry, sorted
+	slow      []string // the others, sorted
+	fast      int      // number of fast workers
+	mixed     bool     // not all workers are of one class
 }
 
 // restoreSpeeds takes over what the former placer has learned. Its error is at most the change that is published.
@@ -114,17 +116,22 @@
 		return
 	}
 	s.estimator.Centre(now)
-	for i := range s.classes {
-		s.classes[i] = s.classes[i][:0]
-	}
+	s.notSlow, s.slow, s.fast = s.notSlow[:0], s.slow[:0], 0
 	for _, id := range p.workerIDs {
 		v := p.vms[id]
 		p.updateSpeedLevel(v, now)
-		class := speedClass(v.speedLevel)
-		s.classes[class] = append(s.classes[class], id)
+		switch speedClass(v.speedLevel) {
+		case 0:
+			s.fast++
+			s.notSlow = append(s.notSlow, id)
+		case 1:
+			s.notSlow = append(s.notSlow, id)
+		case 2:
+			s.slow = append(s.slow, id)
+		}
 	}
 	s.outdated = false
-	s.mixed = max(len(s.classes[0]), len(s.classes[1]), len(s.classes[2])) < len(p.workerIDs)
+	s.mixed = max(s.fast, len(s.notSlow)-s.fast, len(s.slow)) < len(p.workerIDs)
 }
 
 // newSpeedWeight returns how much a step prefers fast workers: not at all if it ends in time on slow ones as well, so that the
@@ -137,12 +144,12 @@
 	return 1
 }
 
-// askOrder returns the workers in the order in which the step asks about them: those of the preferred speed first. Among
-// these, steps begin at different workers, so that concurrent steps do not compete for the same ones.
+// askOrder returns the workers in the order in which the step asks about them. A step that prefers fast workers asks about slow ones
+// last. Among the others, steps begin at different workers, fast or not, so that concurrent steps do not compete for the same ones.
 func (p *Placer) askOrder(step *pendingStep) iter.Seq[string] {
-	classes := p.speeds.classes[:]
-	if !p.speeds.mixed || step.speedWeight == 0 {
-		classes = [][]string{p.workerIDs}
+	classes := [][]string{p.workerIDs}
+	if p.speeds.mixed && step.speedWeight > 0 {
+		classes = [][]string{p.speeds.notSlow, p.speeds.slow}
 	}
 	return func(yield func(string) bool) {
 		for _, class := range classes {
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -76,7 +76,7 @@
 	for _, r := range p.runs {
 		summary.Runs[r.state]++
 	}
-	summary.Fast, summary.Slow = len(p.speeds.classes[0]), len(p.speeds.classes[2])
+	summary.Fast, summary.Slow = p.speeds.fast, len(p.speeds.slow)
 	for id, v := range p.vms {
 		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			summary.Usable++
--- a/core/placer/wait.go
+++ b/core/placer/wait.go
@@ -14,7 +14,7 @@
 type waits struct {
 	releases  *patience.Releases         // by worker
 	ahead     map[string]resource.Vector // by place: what steps lack there that come before in this planning pass
-	load      float64                    // share of the cores in use, in this planning pass
+	load      float64                    // see loadShare; computed once in a planning pass
 	recheckAt time.Duration              // when the waits are weighed again; 0 means that no step waits
 }
 
@@ -24,10 +24,16 @@
 
 // startPassOfWaits prepares the state for a planning pass.
 func (p *Placer) startPassOfWaits() {
-	p.waits.recheckAt = 0
+	p.waits.recheckAt, p.waits.load = 0, unknownLoad
 	clear(p.waits.ahead)
-	if p.options.RemoteFactor <= 1 {
-		return
+}
+
+const unknownLoad = -1
+
+// loadShare returns the share of the cores that are in use.
+func (p *Placer) loadShare() float64 {
+	if p.waits.load != unknownLoad {
+		return p.waits.load
 	}
 	var free, capacity int64
 	for id, v := range p.vms {
@@ -36,6 +42,7 @@
 		}
 	}
 	p.waits.load = 1 - float64(free)/float64(max(1, capacity))
+	return p.waits.load
 }
 
 // waitsForPlace reports whether the given number of tasks of the step wait until the workers of a place have room for them,
@@ -43,7 +50,7 @@
 func (p *Placer) waitsForPlace(step *pendingStep, place string, workers []string, tasks int, factor float64, now time.Duration) bool {
 	lack, feasible := p.lackAt(step, workers, tasks)
 	choice := patience.Choice{
-		Work: step.def.ExpectedRunTime(), Factor: factor, Expected: patience.Never, Load: p.waits.load, Spare: step.spare,
+		Work: step.def.ExpectedRunTime(), Factor: factor, Expected: patience.Never, Load: p.loadShare(), Spare: step.spare,
 	}
 	if step.waitsSince > 0 {
 		choice.Waited = now - step.waitsSince
