--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -25,8 +25,10 @@
 	evidenceHalfLife = 10 * time.Minute
 	// minCentreEvidence is the evidence of a worker that counts for the median.
 	minCentreEvidence = 10.0
-	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used.
+	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used, and minDifference the
+	// least difference from the usual speed.
 	minSignificance = 2.0
+	minDifference   = 0.18
 	// maxRunTime bounds run times and estimates. Beyond it they are taken for errors.
 	maxRunTime = 24 * time.Hour
 	// publishChange is the change of a worker's factor, as a logarithm, that is published: the bound of the
@@ -71,7 +73,7 @@
 
 // Significant reports whether the worker surely differs from the usual speed.
 func (e Estimate) Significant() bool {
-	return math.Abs(math.Log(e.Slowness)) > minSignificance*e.Spread
+	return math.Abs(math.Log(e.Slowness)) > max(minDifference, minSignificance*e.Spread)
 }
 
 type worker struct {
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -58,7 +58,7 @@
 		now := playSteps(e, rand.New(rand.NewPCG(seed, 2)), 600, 5, func(int) float64 { return 1 }, 90, 0)
 		far := 0
 		for w := range 90 {
-			if level := e.Level(fmt.Sprint(w), now); level < -1 || level > 1 {
+			if e.Level(fmt.Sprint(w), now) != 0 {
 				far++
 			}
 		}
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -109,10 +109,14 @@
 	}
 	input := placer.ClaimInput{
 		Now: now, ReadySince: max(e.readableSince, e.firstConfigAt), CaughtUpAt: e.readToEndAt, LogRoundTrip: e.roundTrip, Jitter: e.claimJitter,
-		Rank: placer.ClaimRank(e.state, e.hello(), now), PreferOthers: placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
-			e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff, MaxRecordGap: e.batchGaps.longest(now),
-		FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
+		MaxRecordGap: e.batchGaps.longest(now), FailoverTimeout: time.Duration(failoverBoundShare * float64(millis(e.settings.Bounds.FailoverMS))),
 	}
+	if placer.PlacerHeard(e.state, &input) {
+		return
+	}
+	input.Rank = placer.ClaimRank(e.state, e.hello(), now)
+	input.PreferOthers = placer.HasHigherCapacity(e.state, e.hello(), now) || e.store.directDown.Load() ||
+		e.steppedDownAt > 0 && now-e.steppedDownAt < stepDownBackoff
 	if _, shouldClaim := placer.ShouldClaim(e.state, input); !shouldClaim {
 		return
 	}
@@ -200,8 +204,10 @@
 // reaches the log only through them, or when a daemon with much more capacity is alive: a daemon on
 // a small VM is the placer only while no daemon on a larger VM can be.
 func (e *engine) handOverIfDue(now time.Duration) {
-	if e.handingOver || now-e.placingStartedAt < handOverDelay ||
-		len(placer.Successors(e.state, e.settings.Name, now, time.Now().UnixMilli())) == 0 {
+	if e.handingOver || now-e.placingStartedAt < handOverDelay {
+		return
+	}
+	if _, found := placer.BestSuccessor(e.state, e.settings.Name, now, time.Now().UnixMilli()); !found {
 		return
 	}
 	if e.isolated(now) {
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -48,11 +50,17 @@
 	placeWaits        *prometheus.GaugeVec
 	workerCores       *prometheus.GaugeVec
 	workerMemory      *prometheus.GaugeVec
+	workspaceJobs     *prometheus.CounterVec
+	workspaceShare    *prometheus.GaugeVec
 	workspaceRuns     *prometheus.GaugeVec
 	workspaceCores    *prometheus.GaugeVec
 	workspaceSteps    *prometheus.GaugeVec
 	workspaceOldest   *prometheus.GaugeVec
 	wastedCoreSeconds prometheus.Counter
+	doorUsed          *prometheus.GaugeVec
+	doorLimit         *prometheus.GaugeVec
+	doorRefusals      *prometheus.CounterVec
+	doorEvictions     *prometheus.CounterVec
 }
 
 func newMetrics() metrics {
@@ -102,11 +110,17 @@
 		placeWaits:        gauge("steps_waiting_for_place", "Steps that wait for a better place although another one is free; on the placer."),
 		workerCores:       gauge("room_cores", "Cores of the workers that may take work; on the placer.", "state"),
 		workerMemory:      gauge("room_memory_bytes", "Memory of the workers that may take work; on the placer.", "state"),
+		workspaceJobs:     counter("workspace_submissions_total", "Submissions by workspace and outcome: accepted, refused (never executed) or unknown.", "workspace", "outcome"),
+		workspaceShare:    gauge("workspace_share", "Share of the workers that a workspace is owed while demand exceeds capacity; on the placer.", "workspace"),
 		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
 		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
 		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
 		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
+		doorUsed:          gauge("door_used", "What strangers hold, by port and by what it is: connections, or bytes of bodies, long headers and messages.", "port", "of"),
+		doorLimit:         gauge("door_limit", "What strangers may hold, as door_used.", "port", "of"),
+		doorRefusals:      counter("door_refused_total", "Connections and requests of strangers that were refused, by port and reason.", "port", "reason"),
+		doorEvictions:     counter("door_evicted_total", "Connections that gave way to others, by port and by what they were used for.", "port", "stage"),
 	}
 }
 
@@ -148,7 +162,7 @@
 
 // workspaceGauges returns the gauges that have a series for each workspace.
 func (m *metrics) workspaceGauges() []*prometheus.GaugeVec {
-	return []*prometheus.GaugeVec{m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
+	return []*prometheus.GaugeVec{m.workspaceShare, m.workspaceRuns, m.workspaceCores, m.workspaceSteps, m.workspaceOldest}
 }
 
 // publishWorkspaces sets the gauges of the workspaces of the configuration.
@@ -166,6 +180,45 @@
 	}
 }
 
+// publishShares sets the gauges of the shares that the weights of a configuration give.
+func (m *metrics) publishShares(c *cluster.Configuration) {
+	total := 0.0
+	for i := range c.Workspaces {
+		total += c.Workspaces[i].Weight
+	}
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; total > 0 {
+			m.workspaceShare.WithLabelValues(w.Name).Set(w.Weight / total)
+		}
+	}
+}
+
+// countSubmission records the outcome of a workspace's submission.
+func (m *metrics) countSubmission(workspace string, status int) {
+	outcome := "unknown"
+	switch {
+	case status == http.StatusOK:
+		outcome = "accepted"
+	case status < http.StatusInternalServerError || status == http.StatusServiceUnavailable:
+		outcome = "refused"
+	}
+	m.workspaceJobs.WithLabelValues(workspace, outcome).Inc()
+}
+
+// forgetWorkspaces removes the series of workspaces that a configuration no longer has.
+func (m *metrics) forgetWorkspaces(former, present *cluster.Configuration) {
+	kept := make(map[string]bool, len(present.Workspaces))
+	for i := range present.Workspaces {
+		kept[present.Workspaces[i].Name] = true
+	}
+	for i := range former.Workspaces {
+		if name := former.Workspaces[i].Name; !kept[name] {
+			m.workspaceJobs.DeletePartialMatch(prometheus.Labels{"workspace": name})
+			m.workspaceShare.DeleteLabelValues(name)
+		}
+	}
+}
+
 // countPlatformCall records the outcome, bytes and duration of a call to the platform.
 func (m *metrics) countPlatformCall(call cluster.Call) {
 	m.calls.WithLabelValues(call.Dependency, call.Outcome).Inc()
@@ -180,6 +233,7 @@
 // is the placer, it removes the gauges that only the placer reports.
 func (e *engine) publishMetrics(now time.Duration) {
 	m := &e.metrics
+	e.publishDoors()
 	if e.config != nil {
 		m.configVersion.Set(float64(e.config.Version))
 	}
@@ -195,6 +249,7 @@
 	}
 	if e.placer != nil {
 		m.isPlacer.Set(1)
+		m.publishShares(e.config)
 		return
 	}
 	m.isPlacer.Set(0)
@@ -203,3 +258,24 @@
 		g.Reset() // another daemon reports them now
 	}
 }
+
+// publishDoors sets the gauges of the doors, and logs one line if any of them has refused or evicted
+// something since the last call.
+func (e *engine) publishDoors() {
+	var crowded []string
+	refused, evicted := 0, 0
+	for _, d := range e.doors {
+		r := d.report()
+		e.metrics.doorUsed.WithLabelValues(d.port, "connections").Set(float64(r.connections))
+		e.metrics.doorUsed.WithLabelValues(d.port, "bytes").Set(float64(r.bytes))
+		e.metrics.doorLimit.WithLabelValues(d.port, "connections").Set(float64(r.limits.Connections))
+		e.metrics.doorLimit.WithLabelValues(d.port, "bytes").Set(float64(r.limits.Bytes))
+		if r.refused+r.evicted > 0 {
+			crowded = append(crowded, fmt.Sprintf("%s: %d of %d connections, %d of %d bytes", d.port, r.connections, r.limits.Connections, r.bytes, r.limits.Bytes))
+			refused, evicted = refused+r.refused, evicted+r.evicted
+		}
+	}
+	if len(crowded) > 0 {
+		e.log.Emit(evCrowd, "ports", crowded, "refused", refused, "evicted", evicted)
+	}
+}
