--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -27,7 +27,7 @@
 	minCentreEvidence = 10.0
 	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used, and minDifference the
 	// least difference from the usual speed.
-	minSignificance = 2.0
+	minSignificance = 3.0
 	minDifference   = 0.18
 	// maxRunTime bounds run times and estimates. Beyond it they are taken for errors.
 	maxRunTime = 24 * time.Hour
