The port for daemons has smaller buffers and a price for what the kernel holds

Cause: with descriptors to spare, each of up to 682 strangers on listen.peers could leave 256 KiB in the kernel, unread while its message waits for bytes: 25 MB with 78 of them.

Change: buffers of 32 KiB on that port, 48 KiB a connection, three sixteenths of the memory. A test with messages inside the limit of length, and descriptors to spare.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -18,12 +18,12 @@
 const (
 	callerMemoryShare     = 1.0 / 4 // half of it for connections, half for bodies
 	callerDescriptorShare = 1.0 / 4
-	peerConnectionShare   = 1.0 / 8 // of memory
+	peerConnectionShare   = 3.0 / 16 // of memory
 	peerMessageShare      = 1.0 / 16
 	peerDescriptorShare   = 1.0 / 4
-	peerConnectionBytes   = 24 << 10
-	probeConnections      = 32 // on the port for readiness
-	scrapeConnections     = 16 // on the port for metrics
+	peerConnectionBytes   = 48 << 10 // goroutines, buffers, and what the kernel holds of it
+	probeConnections      = 32       // on the port for readiness
+	scrapeConnections     = 16       // on the port for metrics
 	probeBytes            = 1 << 20
 	fileDescriptors       = 200 // not for sockets
 	minConnections        = 16
--- a/daemon/cell/door.go
+++ b/daemon/cell/door.go
@@ -23,7 +23,7 @@
 	maxRequestTime    = 15 * time.Second       // from the first byte of a request to its last, if the configuration states no time
 	acceptRetryDelay  = 20 * time.Millisecond
 	callerBufferBytes = 16 << 10 // of the kernel, for each direction of a connection; unread bytes count as memory
-	peerBufferBytes   = 256 << 10
+	peerBufferBytes   = 32 << 10
 	minQueueLength    = 64 // connections that are not accepted yet
 )
 
--- a/standin/integration/crowd_test.go
+++ b/standin/integration/crowd_test.go
@@ -361,10 +361,19 @@
 
 // Guards against strangers on the port for other daemons: messages of megabytes that stop short.
 func TestCrowdAtThePeersPort(t *testing.T) {
-	c := newCrowdTest(t)
-	message := append([]byte{0xFD, 0x7F, 0xFF, 0xFF}, make([]byte, 256<<10)...) // a length of 8 MiB, in the encoding of encoding/gob
-	c.arrive(c.addresses.Peers, func(conn net.Conn, _ int) { _ = write(conn, message) })
-	require.Eventually(t, func() bool {
+	testCrowdAtThePeersPort(newCrowdTest(t), []byte{0xFD, 0x7F, 0xFF, 0xFF}) // 8 MiB
+}
+
+// Guards against strangers on that port who know what daemons accept and meet no limit of descriptors.
+func TestCrowdAtThePeersPortThatMeetsTheMemoryFirst(t *testing.T) {
+	testCrowdAtThePeersPort(newCrowdTestWith(t, defaultDescriptors), []byte{0xFD, 0x2F, 0xFF, 0xFF}, []byte{0xFD, 0x08, 0x00, 0x00}) // 3 and 0.5 MiB
+}
+
+// testCrowdAtThePeersPort sends a crowd whose messages begin with lengths in the encoding of encoding/gob.
+func testCrowdAtThePeersPort(c *crowdTest, lengths ...[]byte) {
+	part := make([]byte, 256<<10)
+	c.arrive(c.addresses.Peers, func(conn net.Conn, i int) { _ = write(conn, lengths[i%len(lengths)]) && write(conn, part) })
+	require.Eventually(c.t, func() bool {
 		conn, err := net.DialTimeout("tcp", c.addresses.Peers, time.Second)
 		if err != nil {
 			return false
