--- a/core/placer/claim_test.go
+++ b/core/placer/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -124,3 +126,43 @@
 		require.Greater(t, NextEpoch(s, rank, rng), s.Claim.Epoch)
 	}
 }
+
+// Guards against daemons that disagree on who claims next, because one of them sorts the candidates otherwise.
+func TestCandidatesHaveOneOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	state := flow.NewState()
+	var want []flow.Hello
+	for i := range 200 {
+		h := flow.Hello{Daemon: strconv.Itoa(i), CapacityFactor: 4 * rng.Float64(), LogLatencyMS: rng.Int64N(60), StartedMS: rng.Int64N(3)}
+		state.Members[h.Daemon] = flow.Member{Hello: h, LastSeen: time.Second}
+		want = append(want, h)
+	}
+	slices.SortFunc(want, CompareCandidates)
+	list := slices.Collect(func(yield func(flow.Hello) bool) {
+		for _, m := range state.Members {
+			if !yield(m.Hello) {
+				return
+			}
+		}
+	})
+	SortCandidates(list)
+	require.Equal(t, want, list)
+	require.Equal(t, want, Successors(state, "", time.Second, time.Hour.Milliseconds()))
+	best, found := BestSuccessor(state, "", time.Second, time.Hour.Milliseconds())
+	require.True(t, found)
+	require.Equal(t, want[0], best)
+}
+
+// Guards against a daemon that never claims, because it takes a placer for alive that has been silent for too long.
+func TestPlacerIsHeardOnlyWhileNoDaemonClaims(t *testing.T) {
+	in := ClaimInput{Now: 100 * second, CaughtUpAt: 100 * second, ReadySince: second, FailoverTimeout: second}
+	for silence := time.Duration(0); silence < 30*second; silence += 50 * time.Millisecond {
+		for _, daemon := range []string{"", "a"} {
+			s := &flow.State{Claim: flow.Claim{Daemon: daemon, Epoch: 1}, LastHeard: in.Now - silence}
+			if _, claim := ShouldClaim(s, in); claim {
+				require.False(t, PlacerHeard(s, &in), "placer %q, silent for %v", daemon, silence)
+			}
+			require.Equal(t, daemon == "a" && silence <= second, PlacerHeard(s, &in))
+		}
+	}
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -53,6 +53,8 @@
 	// scanInterval is the least time between two scans of all workers and runs. Every event
 	// causes a tick, and there may be a thousand events a second.
 	scanInterval = 10 * time.Millisecond
+	// scanIntervalPerRun bounds the share of the processor that the scans take in a large cell.
+	scanIntervalPerRun = 2500 * time.Nanosecond
 	// maxStartedJobsDelay is how long the record that a job has started waits for a batch that is
 	// appended for other reasons.
 	maxStartedJobsDelay = 150 * time.Millisecond
@@ -81,6 +83,7 @@
 	MaxRenewalWithoutLog time.Duration // a placer that can't reach the log renews leases for at most this long
 	EarlyStart           time.Duration // a task with a due time may start this much earlier
 	StopTimeout          time.Duration // longest time that a worker takes to stop a run
+	RemoteFactor         float64       // run time away from a task's data, or across racks, as a multiple; 0 means unknown
 	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
 	Disabled             DisabledMechanisms
 }
@@ -159,6 +162,7 @@
 	config         *cluster.Configuration
 	cell           *place.Cell
 	vms            map[string]*vm
+	workspaces     map[string]*workspace
 	workerIDs      []string // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
@@ -181,12 +185,15 @@
 	recentStarts       []*run // runs whose first start command was sent within startRetryDelay, oldest first
 	yields             yields
 	retryBudget        *admission.RetryBudget
+	speeds             workerSpeeds
+	waits              waits
 	relays             startRelays
 	startWindow        startWindow
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
+	planPass           int             // number of planning passes so far
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
 	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
 }
@@ -196,14 +203,15 @@
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
-		vms: map[string]*vm{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
+		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
-		queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
+		speeds: newWorkerSpeeds(), waits: newWaits(), queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
 	}
 	p.advisers.sortByName = options.Disabled.NearAdvisers
 	p.SetConfig(config)
 	p.setFormerPlacers(now)
+	p.restoreSpeeds(now)
 	for _, job := range state.Jobs {
 		p.adoptRuns(job, now)
 	}
@@ -230,6 +238,7 @@
 					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
 					pacePercent: 100, // the pace that the former placer set is not known
 				}
+				p.countRun(r, job)
 				p.runs[id] = r
 				v.runs[id] = r
 				v.hasFormerLease = true
@@ -286,6 +295,7 @@
 		p.queues[config.Queues[i].Name] = &config.Queues[i]
 	}
 	p.advisers.setQueues(config.Queues)
+	p.setWorkspaces(config.Workspaces)
 	p.planNeeded = true
 }
 
@@ -305,8 +315,11 @@
 		if entry.Born < v.Born {
 			continue // the entry describes an earlier incarnation of the worker
 		}
-		life := v.Life
+		life, differs := v.Life, isOtherMachine(&v.Worker, entry)
 		v.Worker = *entry
+		if differs {
+			p.forgetSpeed(v, now)
+		}
 		v.inRegistry, v.lastInRegistryAt = true, now
 		v.updateDeparture(entry, now)
 		if entry.Born > life.Born && life.Born != 0 {
@@ -315,8 +328,10 @@
 		}
 	}
 	slices.Sort(p.workerIDs)
+	p.speeds.outdated = true
+	p.speeds.estimator.Expire(now)
 	for id, v := range p.vms {
-		if !v.inRegistry && len(v.runs) == 0 && !v.pollInFlight {
+		if !v.inRegistry && len(v.runs) == 0 && len(v.untracked) == 0 && !v.pollInFlight {
 			p.cell.RemoveWorker(id)
 			delete(p.vms, id)
 			continue
@@ -340,6 +355,7 @@
 		Pools: []string{v.Pool}, Labels: v.Labels, Capacity: v.Capacity,
 	})
 	if !known {
+		p.cell.SetSpeedLevel(v.Life.Worker, v.speedLevel)
 		for _, r := range v.runs {
 			p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
 		}
@@ -371,6 +387,7 @@
 	for i := range report.Ended {
 		listedRuns[report.Ended[i].RunID] = true
 	}
+	p.countUntracked(v, nil)
 	v.resetLife(report.Life)
 	v.hasFormerLease = false // the report proves that this incarnation has seen this placer's token
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -6,6 +6,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
+	"briarproxy/core/speed"
 )
 
 // pendingJob is the placer's state of a job that has not ended.
@@ -22,10 +23,18 @@
 	job            *flow.Job
 	def            *flow.Step
 	queue          *cluster.Queue
+	workspace      *workspace
+	atMaximum      bool          // its workspace was at its maximum in the last planning pass
 	readyAt        time.Duration // time at which the step became ready
 	latestStartMS  int64         // Unix ms; see latestStart
 	objective      time.Duration // of the job
 	rank           stepRank      // in this planning pass
+	speedWeight    float64       // in this planning pass; see newSpeedWeight
+	evidence       speed.Step    // of the work of its tasks
+	spare          time.Duration // in this planning pass: until the latest start
+	waits          bool          // in this planning pass: tasks wait for a better place although another is free
+	waitsSince     time.Duration // since when tasks have waited for a better place; 0 means that they have not
+	waitEnded      bool          // the end of such a wait has been reported
 	grants         map[string]ticket
 	denied         map[string]bool
 	adviceInFlight bool
@@ -82,7 +91,7 @@
 		}
 		pending.activated[id] = true
 		step := &pendingStep{
-			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now,
+			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now, workspace: p.workspaceOf(pending.job.Workspace),
 			grants: map[string]ticket{}, denied: map[string]bool{}, onTrial: hasCrashed(pending.job.Step(occurrence, s)),
 		}
 		for i := 0; i < step.def.Count; i++ {
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -21,6 +21,7 @@
 	lateLeaseEnd   time.Duration // boot clock: expiry of all leases that late commands to the previous incarnation can set
 
 	runs           map[cluster.TaskID]*run
+	untracked      []untrackedRun
 	lastListedEnd  int64       // highest number of an end that the worker has listed
 	unrecordedEnds []listedEnd // in the order of their numbers, from the first that is not recorded
 	recordedUpTo   int64       // ends up to this number are recorded in the log
@@ -35,6 +36,7 @@
 	lastFailedJob       string        // job of the last failed run
 	avoidUntil          time.Duration // nothing is placed on the worker before this time
 	consecutiveRefusals int           // consecutive starts refused because the worker is unhealthy
+	speedLevel          int           // see speed.Estimator.Level
 	leavesAt            time.Duration // earliest time at which a draining worker leaves; 0 means unknown
 }
 
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -41,8 +41,7 @@
 	logUnreachable bool          // the store is unresponsive or has not answered for logOutageThreshold
 	maxBodyBytes   int           // of the request
 	bodyTime       time.Duration // in which the body must arrive
-	workspace      string        // of the key; "" if the call carries none and needs none
-	keyRefused     bool          // the call carries an unknown key, or none although it needs one
+	keyCheck       keyCheck
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -84,8 +83,10 @@
 		return reject(w, http.StatusServiceUnavailable)
 	case lookup.queue == nil:
 		return answer(w, http.StatusNotFound, nil)
-	case lookup.keyRefused:
-		return answer(w, http.StatusUnauthorized, nil)
+	case lookup.keyCheck.refusal != "":
+		return a.refuseKey(w, lookup.keyCheck.refusal)
+	case lookup.Found && !lookup.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	if limit := time.Duration(callerTimeoutShare * float64(lookup.queue.Timeout)); limit > 0 {
 		queueCtx, cancelQueueCtx := context.WithTimeout(ctx, limit)
@@ -99,7 +100,11 @@
 	case r.Method == http.MethodGet:
 		return a.answerState(ctx, w, id, lookup)
 	case r.Method == http.MethodPost && id != "":
-		return a.submit(ctx, w, r, id, lookup)
+		status := a.submit(ctx, w, r, id, lookup)
+		if workspace := lookup.keyCheck.workspace; workspace != "" {
+			a.engine.metrics.countSubmission(workspace, status)
+		}
+		return status
 	case r.Method == http.MethodDelete && id != "":
 		return a.cancel(ctx, w, id, lookup)
 	default:
@@ -138,10 +143,7 @@
 	if result.queue == nil {
 		return result
 	}
-	if len(e.config.Workspaces) > 0 {
-		workspace, known := e.keyring.Workspace(key)
-		result.workspace, result.keyRefused = workspace, !known && (key != "" || !result.queue.Public)
-	}
+	result.keyCheck = e.checkKey(key, result.queue.Public, bootclock.Now())
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
@@ -158,7 +160,7 @@
 	v := lookup.view
 	if src == fromPeer {
 		var err error
-		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", maxConsultTries); err != nil {
+		if v, err = a.engine.consultClient.consult(ctx, lookup.queue.Name, "", false, maxConsultTries); err != nil {
 			return a.rejectQuery(w, lookup, "", err)
 		}
 	}
@@ -181,9 +183,9 @@
 	switch sourceOfState(lookup.readState, lookup.view, bootclock.Now()) {
 	case fromPeer:
 		if !lookup.Found {
-			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, maxConsultTries)
+			return a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, maxConsultTries)
 		}
-		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, 1); err == nil && v.Found {
+		if v, err := a.engine.consultClient.consult(ctx, lookup.queue.Name, id, lookup.keyCheck.required, 1); err == nil && v.Found {
 			return v, nil
 		}
 		return lookup.view, nil // outdated, but correct as of the last read
@@ -217,6 +219,8 @@
 		return a.rejectQuery(w, lookup, id, err)
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	}
 	return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 }
@@ -247,12 +251,15 @@
 		a.engine.metrics.rejections.WithLabelValues("log away").Inc()
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
-	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.workspace, lookup.version
+	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
 	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
+	isForeign := a.consultOwner(ctx, id, lookup)
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
 	appendTime := bootclock.Now() - appendStart
 	switch {
+	case err == nil && isForeign():
+		return a.refuseKey(w, foreignJob) // the earlier submission of the id counts
 	case err == nil:
 		a.engine.log.Emit(evJobAccepted, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "append_ms", appendTime.Milliseconds())
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Queued))
@@ -278,6 +285,8 @@
 	switch {
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
+	case !v.openTo(lookup.keyCheck):
+		return a.refuseKey(w, foreignJob)
 	case v.Phase.Final():
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 	}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"briarproxy/core/cluster"
-	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/core/keylease"
 	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
 	"briarproxy/daemon/event"
@@ -25,6 +25,7 @@
 	placerTickInterval       = 20 * time.Millisecond
 	followerTickInterval     = 250 * time.Millisecond
 	helloInterval            = 5 * time.Second
+	membersPublishDelay      = 200 * time.Millisecond
 	memberTimeout            = 3 * helloInterval // a daemon without a Hello record for this long gets no requests
 	summaryInterval          = time.Second
 	expiryInterval           = 10 * time.Second
@@ -38,9 +39,10 @@
 	maxDecoding              = 2 // bodies at a time
 	maxSpecTries             = 4
 	specRetryDelay           = 40 * time.Millisecond // about one read of the log
-	handOverDelay            = 2 * time.Second       // a new placer does not know the state of all workers yet
-	isolationBypassThreshold = 5                     // not fewer, because a single failed call to the placer also makes a daemon append a record past it
-	stepDownBackoff          = 10 * time.Second      // for this long a daemon that stepped down lets others claim first; later its network path may work again
+	handOverCheckInterval    = 100 * time.Millisecond
+	handOverDelay            = 2 * time.Second  // a new placer does not know the state of all workers yet
+	isolationBypassThreshold = 5                // not fewer, because a single failed call to the placer also makes a daemon append a record past it
+	stepDownBackoff          = 10 * time.Second // for this long a daemon that stepped down lets others claim first; later its network path may work again
 	maxHandOverTries         = 2
 	handOverTimeout          = 1200 * time.Millisecond // one append to a slow store; two tries fit into drainTimeout
 	retireTimeout            = 800 * time.Millisecond
@@ -70,10 +72,12 @@
 	state          *flow.State
 	config         *cluster.Configuration
 	keyring        *cluster.Keyring // of config
-	firstConfigAt  time.Duration    // when the first configuration came into force
-	readableSince  time.Duration    // start of the present period in which the log could be read without a gap
-	readToEndAt    time.Duration    // when the state last reached the end of the log; 0 is never
-	roundTrip      time.Duration    // shortest round trip to the log so far
+	keyLease       *keylease.Lease
+	keyLeaseHeld   bool          // as last logged
+	firstConfigAt  time.Duration // when the first configuration came into force
+	readableSince  time.Duration // start of the present period in which the log could be read without a gap
+	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
+	roundTrip      time.Duration // shortest round trip to the log so far
 	logUnreachable bool
 	headApplied    bool // members and claim come from the head of a snapshot
 	draining       bool
@@ -82,18 +86,21 @@
 
 	placer             *placer.Placer
 	appender           *fencedAppender
-	claimEpoch         int64           // epoch of the last claim that this daemon has appended
-	claimSentAt        time.Duration   // when that claim was sent
-	yieldedEpoch       int64           // newest epoch of which a successor has asked this daemon to stop placing
-	claiming           bool            // a claim, or the check before it, is under way
-	claimAnsweredAt    time.Duration   // when the last claim was answered
-	claimConflictAt    time.Duration   // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	claimEpoch         int64         // epoch of the last claim that this daemon has appended
+	claimSentAt        time.Duration // when that claim was sent
+	yieldedEpoch       int64         // newest epoch of which a successor has asked this daemon to stop placing
+	claiming           bool          // a claim, or the check before it, is under way
+	claimAnsweredAt    time.Duration // when the last claim was answered
+	claimConflictAt    time.Duration // when the log refused an append in favour of a higher claim that is not read yet; 0 is never
+	handOverCheckedAt  time.Duration
 	handingOver        bool            // the placer releases its claim once the append under way has ended
 	appending          bool            // a batch is being appended
 	batchAckedAt       time.Duration   // when the last acknowledged batch was sent, at first when the claim was
 	placingContext     context.Context // cancelled when this daemon stops placing
 	cancelPlacing      context.CancelFunc
 	helloSentAt        time.Duration
+	membersChanged     bool // a member has changed since membersPublishedAt
+	membersPublishedAt time.Duration
 	lastExpiryAt       time.Duration
 	unusableEntries    int // entries of the registry that could not be read the last time
 	summaryLoggedAt    time.Duration
@@ -143,13 +150,14 @@
 	e := &engine{
 		settings: s, startedMS: time.Now().UnixMilli(), platform: p, store: store, peers: peers, log: log, rng: rng,
 		pages: make(chan page), calls: make(chan func(*engine), 1024), wakeRead: make(chan struct{}, 1),
-		ackedAppends: map[int64]decodedRecord{}, state: flow.NewState(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
+		ackedAppends: map[int64]decodedRecord{}, state: flow.NewState(), membersPublishedAt: bootclock.Now(), claimJitter: placer.ClaimJitter(rng), writer: newWriter(store, peers), cancelPlacing: func() {},
 	}
 	e.writer.logSlow, e.writer.logSuspect, e.writer.logUnresponsive = store.storeSlow.Load, store.suspect, store.unresponsive
 	e.writer.logAnswersInTime = store.answersInTime
 	e.decoding = make(chan struct{}, maxDecoding)
 	e.orders = newOrderSender(e)
 	e.consultClient = &consultClient{peers: newPeerClients(), memberAddresses: &store.memberAddresses, placerAddress: &e.writer.placerAddress}
+	e.keyLease = keylease.New(millis(s.Bounds.RevokeMS))
 	e.metrics = newMetrics()
 	store.log = log
 	store.reads = newReadStats(e.metrics)
@@ -238,7 +246,9 @@
 		e.lastExpiryAt = now
 		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
 	}
+	e.publishMembersIfDue(now)
 	e.logCatchingUp(now)
+	e.logKeyLease(now)
 	if e.placer != nil {
 		e.runPlacer(ctx, now)
 		return
@@ -261,49 +271,6 @@
 	go func() { _ = e.writer.append(ctx, &r, helloInterval) }() // an error is ignored: the next Hello follows within seconds
 }
 
-// watchConfig waits for new configurations and puts each in force.
-func (e *engine) watchConfig(ctx context.Context) {
-	position := int64(-1)
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
-		config, next, err := e.store.Configuration(callCtx, position, configWait)
-		cancel()
-		position = next
-		if err != nil {
-			if fault.Is(err, fault.Invalid) {
-				e.log.Emit(evConfigUnreadable, "reason", err.Error(), "position", position)
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(readRetryDelay):
-			}
-			continue
-		}
-		if config == nil {
-			if position < 0 {
-				time.Sleep(readRetryDelay)
-			}
-			continue
-		}
-		e.do(ctx, func(e *engine) { e.setConfig(config) })
-	}
-}
-
-// setConfig puts a configuration in force unless the present one is as new or newer.
-func (e *engine) setConfig(c *cluster.Configuration) {
-	if e.config != nil && c.Version <= e.config.Version {
-		return
-	}
-	if e.config == nil {
-		e.firstConfigAt = bootclock.Now()
-	}
-	e.config, e.keyring = c, cluster.NewKeyring(c)
-	e.log.Emit(evConfigInForce, "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools), "workspaces", len(c.Workspaces))
-	if e.placer != nil {
-		e.placer.SetConfig(c)
-	}
-}
-
 // specOf returns the Spec of a job that has not ended. The record of a job that was just
 // submitted may not have been read yet, so specOf tries several times, with specRetryDelay
 // between the tries.
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -15,7 +15,7 @@
 	"briarproxy/daemon/bootclock"
 )
 
-// Timeouts of connections between daemons.
+// Times of connections between daemons.
 const (
 	peerDialTimeout    = 700 * time.Millisecond
 	peerUnackedTimeout = 1500 * time.Millisecond // if sent bytes get no TCP acknowledgement for this long, the peer's VM or the network path counts as failed
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -17,7 +17,10 @@
 		e.stopPlacing("no batch was acknowledged within the longest tolerated log outage")
 		return
 	}
-	e.handOverIfDue(now)
+	if now-e.handOverCheckedAt >= handOverCheckInterval {
+		e.handOverCheckedAt = now
+		e.handOverIfDue(now)
+	}
 	if e.handingOver {
 		if !e.appending {
 			e.releaseClaim(ctx)
@@ -43,9 +46,9 @@
 	e.summaryLoggedAt = now
 	summary := e.placer.Summarize(now, time.Now().UnixMilli())
 	e.metrics.publishSummary(&summary)
-	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "late", summary.Late,
+	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "at_maximum", summary.AwaitingMaximum, "late", summary.Late,
 		"runs", summary.Runs, "usable", summary.Usable, "workers", summary.Workers, "free", summary.Free.String(), "capacity", summary.Capacity.String(),
-		"advisers", summary.Advisers, "calls", summary.AdviceCalls)
+		"advisers", summary.Advisers, "calls", summary.AdviceCalls, "fast", summary.Fast, "slow", summary.Slow, "place_waits", summary.WaitingForPlace)
 }
 
 // appendBatch appends the next batch, unless an append is under way or nothing is due.
