--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -4,8 +4,8 @@
 
 // Prices, sizes and times that Gates count with.
 const (
-	ConnectionBytes  = 40 << 10               // of a connection: goroutines, buffers, a usual header, and what the kernel holds of it
-	HeaderBytes      = 32 << 10               // of a header beyond UsualHeader, while and after it is parsed
+	ConnectionBytes  = 64 << 10               // of a connection: goroutines, buffers, a usual header, and what the kernel holds of it
+	HeaderBytes      = 256 << 10              // of a header beyond UsualHeader: thousands of short fields, each with a key and a list
 	UsualHeader      = 4 << 10                // bytes that a header has without a reservation
 	BodyPrice        = 3                      // bytes reserved for each byte of a body: itself, what is decoded from it, and its record
 	SmallReservation = 16 << 10 * BodyPrice   // up to this size a reservation may use the last eighth of the bytes
@@ -18,12 +18,12 @@
 const (
 	callerMemoryShare     = 1.0 / 4 // half of it for connections, half for bodies
 	callerDescriptorShare = 1.0 / 8
-	peerConnectionShare   = 1.0 / 8 // of memory
+	peerConnectionShare   = 3.0 / 16 // of memory
 	peerMessageShare      = 1.0 / 16
 	peerDescriptorShare   = 1.0 / 10
-	peerConnectionBytes   = 24 << 10
-	probeConnections      = 32 // on the port for readiness
-	scrapeConnections     = 16 // on the port for metrics
+	peerConnectionBytes   = 48 << 10 // goroutines, buffers, and what the kernel holds of it
+	probeConnections      = 32       // on the port for readiness
+	scrapeConnections     = 16       // on the port for metrics
 	probeBytes            = 1 << 20
 	fileDescriptors       = 200 // not for sockets
 	minConnections        = 16
