A body has at least 5 s whatever the configuration says; one line for a crowd is tested

Cause: a published IdleTimeout of a second would refuse the largest legal body on a link of 2 Mbit/s.

Change: the time for a body is at least 5 s, before the caller's and the queue's limits. A test that 998 refusals are reported in one line.

--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -148,7 +148,7 @@
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
 	if limit := e.config.Limits.IdleTimeout; limit > 0 {
-		result.bodyTime = min(limit, maxRequestTime)
+		result.bodyTime = min(max(limit, leastBodyTime), maxRequestTime)
 	}
 	result.view = e.view(result.queue.Name, path[len(result.queue.PathPrefix):])
 	return result
--- a/daemon/cell/door.go
+++ b/daemon/cell/door.go
@@ -21,6 +21,7 @@
 	sendTimeout       = 10 * time.Second       // in which a part of an answer must be taken
 	lingerTimeout     = 300 * time.Millisecond // for which the rest of a refused request is read, as closing a connection with unread bytes resets it
 	maxRequestTime    = 15 * time.Second       // from the first byte of a request to its last, if the configuration states no time
+	leastBodyTime     = 5 * time.Second        // of any configuration: the largest body takes 1 s at 2 Mbit/s, and lost packets take seconds
 	acceptRetryDelay  = 20 * time.Millisecond
 	callerBufferBytes = 16 << 10 // of the kernel, for each direction of a connection; unread bytes count as memory
 	peerBufferBytes   = 32 << 10
--- a/daemon/cell/door_test.go
+++ b/daemon/cell/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,10 +15,12 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"briarproxy/core/intake"
 	"briarproxy/daemon/bootclock"
+	"briarproxy/daemon/event"
 )
 
 // startDoorServer serves a callers' API behind a door and returns its address and the door.
@@ -181,6 +184,27 @@
 	require.Eventually(t, func() bool { r := d.report(); return r.connections == 0 && r.bytes == 0 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a crowd that fills the log, and against refusals that operators can't see.
+func TestACrowdIsReportedInOneLine(t *testing.T) {
+	var out bytes.Buffer
+	api := newTestCallerAPI(t, &fakeStore{}, 0)
+	e := &engine{metrics: api.engine.metrics, log: event.NewLogger(&out, log.InfoLevel, "a")}
+	e.doors = []*door{newDoor("callers", intake.Limits{Connections: 1, Bytes: 1 << 20}, &e.metrics), newDoor("ready", intake.Limits{Connections: 1, Bytes: 1 << 20}, &e.metrics)}
+	for _, d := range e.doors {
+		for range 500 {
+			client, server := net.Pipe()
+			if d.open(server) == nil {
+				require.NoError(t, server.Close())
+			}
+			require.NoError(t, client.Close())
+		}
+	}
+	e.publishDoors()
+	e.publishDoors()
+	require.Equal(t, 1, strings.Count(out.String(), `"event":948`), out.String())
+	require.Contains(t, out.String(), `"refused":998`)
+}
+
 // nullConn is a connection that moves no bytes. Its deadlines are real.
 type nullConn struct{ net.Conn }
 
