--- a/core/placer/ablation.go
+++ b/core/placer/ablation.go
@@ -8,6 +8,6 @@
 	NearAdvisers      bool // the daemons reserved for quick advice calls are those with the shortest response times
 	QueuePriorities   bool // the operator's queue priorities affect the order of steps
 	StartRetries      bool // start commands without an answer are sent a second time
-	WorkerSpeeds      bool // steps prefer fast workers, and the members of a gang run at like speed
+	WorkerSpeeds      bool // urgent steps and gangs keep off slow workers
 	PendingRunScaling bool // the limit of planned runs rises while appends to the log are slow
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -355,7 +355,7 @@
 		Pools: []string{v.Pool}, Labels: v.Labels, Capacity: v.Capacity,
 	})
 	if !known {
-		p.cell.SetSpeedLevel(v.Life.Worker, v.speedLevel)
+		p.cell.SetSpeedLevel(v.Life.Worker, v.penaltyLevel())
 		for _, r := range v.runs {
 			p.cell.AddTask(v.Life.Worker, p.cellTask(r, now))
 		}
--- a/core/placer/speed.go
+++ b/core/placer/speed.go
@@ -32,7 +32,7 @@
 	notSlow   []string // of the registry, sorted
 	slow      []string // the others, sorted
 	fast      int      // number of fast workers
-	mixed     bool     // not all workers are of one class
+	mixed     bool     // some workers are slow, and others aren't
 }
 
 // restoreSpeeds takes over what the former placer has learned. Its error is at most the change that is published.
@@ -80,7 +80,7 @@
 		p.addDecision(Decision{Kind: "worker speed changed", Worker: v.Life.Worker, Value: int64(100 / speed.Slowness(level))})
 	}
 	v.speedLevel = level
-	p.cell.SetSpeedLevel(v.Life.Worker, level)
+	p.cell.SetSpeedLevel(v.Life.Worker, v.penaltyLevel())
 }
 
 // isOtherMachine reports whether a worker is not on the machine that its former description, if there is one, shows.
@@ -109,6 +109,15 @@
 	}
 }
 
+// penaltyLevel returns the worker's level if it is slow, and 0 otherwise. What is gained on a fast worker is lost again by worse packing, so
+// placement only keeps off slow ones.
+func (v *vm) penaltyLevel() int {
+	if speedClass(v.speedLevel) != 2 {
+		return 0
+	}
+	return v.speedLevel
+}
+
 // refreshSpeeds sorts the workers into classes if that is due.
 func (p *Placer) refreshSpeeds(now time.Duration) {
 	s := &p.speeds
@@ -131,11 +140,11 @@
 		}
 	}
 	s.outdated = false
-	s.mixed = max(s.fast, len(s.notSlow)-s.fast, len(s.slow)) < len(p.workerIDs)
+	s.mixed = len(s.slow) > 0 && len(s.notSlow) > 0
 }
 
-// newSpeedWeight returns how much a step prefers fast workers: not at all if it ends in time on slow ones as well, so that the
-// fast ones are left to others.
+// newSpeedWeight returns how much a step keeps off slow workers: not at all if it ends in time on them as well, so that the others
+// are left to more urgent work.
 func newSpeedWeight(step *pendingStep) float64 {
 	extra := time.Duration((speed.Slowness(slowLevel+1) - 1) * float64(step.def.ExpectedRunTime()))
 	if step.def.LongRunning || step.def.Backfill || step.spare > slowAffordFactor*extra {
@@ -144,8 +153,8 @@
 	return 1
 }
 
-// askOrder returns the workers in the order in which the step asks about them. A step that prefers fast workers asks about slow ones
-// last. Among the others, steps begin at different workers, fast or not, so that concurrent steps do not compete for the same ones.
+// askOrder returns the workers in the order in which the step asks about them. A step that keeps off slow workers asks about them
+// last. Among the others, steps begin at different workers, so that concurrent steps do not compete for the same ones.
 func (p *Placer) askOrder(step *pendingStep) iter.Seq[string] {
 	classes := [][]string{p.workerIDs}
 	if p.speeds.mixed && step.speedWeight > 0 {
@@ -166,9 +175,9 @@
 	}
 }
 
-// placeAtLikeSpeed places a gang on the fastest of the named workers that have room for it. A gang ends with its slowest
-// member, so among workers of like speed the slower ones are taken, and the faster ones are left to others. It returns
-// the tasks that could not be placed.
+// placeAtLikeSpeed places a gang on those of the named workers that have room for it and of which the slowest is as fast as possible. A
+// gang ends with its slowest member, so among these the slower ones are taken, and the faster ones are left to others. It returns the
+// tasks that could not be placed.
 func (p *Placer) placeAtLikeSpeed(step *pendingStep, tasks []int, workers []string, now time.Duration) (unplaced []int) {
 	if !step.def.Gang || workers == nil || !p.speeds.mixed {
 		return tasks
@@ -179,7 +188,7 @@
 	}
 	chosen := make([]string, 0, len(workers))
 	for _, id := range workers {
-		if v := p.vms[id]; v != nil && v.speedLevel <= level+likeSpeedLevels {
+		if v := p.vms[id]; v != nil && v.penaltyLevel() <= level+likeSpeedLevels {
 			chosen = append(chosen, id)
 		}
 	}
@@ -193,17 +202,17 @@
 // slowestMember returns the level of the slowest worker if the tasks are placed on the fastest workers with room for them. It
 // reports false if there is too little room.
 func (p *Placer) slowestMember(step *pendingStep, workers []string, tasks int) (level int, found bool) {
-	var rooms [2*speed.MaxLevel + 1]int64 // by level
+	var rooms [speed.MaxLevel + 1]int64 // by level
 	ask := step.capacityAsk()
 	for _, id := range workers {
 		if v := p.vms[id]; v != nil {
-			rooms[v.speedLevel+speed.MaxLevel] += p.cell.FittingTasks(id, &ask)
+			rooms[v.penaltyLevel()] += p.cell.FittingTasks(id, &ask)
 		}
 	}
 	missing := int64(tasks)
 	for i, n := range rooms {
 		if missing -= n; missing <= 0 {
-			return i - speed.MaxLevel, true
+			return i, true
 		}
 	}
 	return 0, false
--- a/core/placer/speed_test.go
+++ b/core/placer/speed_test.go
@@ -58,9 +58,9 @@
 	return w
 }
 
-// Guards against urgent work and gangs on slow workers while fast ones have room: in a cell in which each third worker takes
+// Guards against urgent work and gangs on slow workers while others have room: in a cell in which each third worker takes
 // 1.7 times as long as the usual ones, one of ten quick requests was late although a third of the cell was idle.
-func TestUrgentWorkPrefersFastWorkers(t *testing.T) {
+func TestUrgentWorkKeepsOffSlowWorkers(t *testing.T) {
 	const seeds = 3
 	for _, load := range []float64{0.6, 1, 1.4} {
 		before, after := map[string]float64{}, map[string]float64{}
