Rates and fair shares of workspaces

Cause: the placer ranked steps by urgency only, so a workspace that sends many times its usual took the cell from the others.

Change: a Submit carries the rate of its workspace; a token bucket in the state, fed in the order of the log, marks jobs beyond it. They are placed after everything else, only while less than 0.6 of the cell is in use, and use no planning time before. Within a class of equal urgency, workspaces below their fair share by dominant resource and weight come first. Steps at a maximum leave the pass before the sort. Ranks are compared by pointer. Without workspaces the order is as before.

--- a/core/cluster/workspace.go
+++ b/core/cluster/workspace.go
@@ -62,12 +62,14 @@
 // time whatever part of a guessed key is right.
 type Keyring struct {
 	workspaces map[[sha256.Size]byte]string
+	weights    map[string]float64 // by workspace
 }
 
 // NewKeyring returns the keyring of a configuration.
 func NewKeyring(c *Configuration) *Keyring {
-	k := &Keyring{workspaces: map[[sha256.Size]byte]string{}}
+	k := &Keyring{workspaces: map[[sha256.Size]byte]string{}, weights: make(map[string]float64, len(c.Workspaces))}
 	for i := range c.Workspaces {
+		k.weights[c.Workspaces[i].Name] = c.Workspaces[i].Weight
 		for _, key := range c.Workspaces[i].Keys {
 			k.workspaces[sha256.Sum256([]byte(key))] = c.Workspaces[i].Name
 		}
@@ -83,3 +85,11 @@
 	name, known = k.workspaces[sha256.Sum256([]byte(key))]
 	return name, known
 }
+
+// Weight returns the weight of a workspace, or 0 if it is not in the configuration.
+func (k *Keyring) Weight(workspace string) float64 {
+	if k == nil {
+		return 0
+	}
+	return k.weights[workspace]
+}
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -41,18 +41,19 @@
 
 // Submit accepts a job. Only the first submission of an id takes effect.
 type Submit struct {
-	ID          string `json:"id"`
-	Queue       string `json:"q"`
-	Pool        string `json:"o"`
-	Workspace   string `json:"w,omitempty"` // of the key with which the job was submitted; "" means none
-	Config      int64  `json:"v"`           // version of the configuration under which the job was accepted
-	Spec        string `json:"s"`
-	Steps       []Step `json:"t"`
-	Times       int    `json:"n,omitempty"` // number of occurrences; 0 means a single one without a due time
-	FirstMS     int64  `json:"f,omitempty"` // due time of the first occurrence, Unix ms
-	EveryMS     int64  `json:"e,omitempty"` // time between the due times of two occurrences
-	MaxAttempts int    `json:"m"`
-	AtMS        int64  `json:"at"` // time of acceptance, Unix ms of the accepting daemon's clock
+	ID          string  `json:"id"`
+	Queue       string  `json:"q"`
+	Pool        string  `json:"o"`
+	Workspace   string  `json:"w,omitempty"` // of the key with which the job was submitted; "" means none
+	Rate        float64 `json:"r,omitempty"` // jobs a second that the workspace may submit; 0 is no limit
+	Config      int64   `json:"v"`           // version of the configuration under which the job was accepted
+	Spec        string  `json:"s"`
+	Steps       []Step  `json:"t"`
+	Times       int     `json:"n,omitempty"` // number of occurrences; 0 means a single one without a due time
+	FirstMS     int64   `json:"f,omitempty"` // due time of the first occurrence, Unix ms
+	EveryMS     int64   `json:"e,omitempty"` // time between the due times of two occurrences
+	MaxAttempts int     `json:"m"`
+	AtMS        int64   `json:"at"` // time of acceptance, Unix ms of the accepting daemon's clock
 }
 
 // Cancel cancels a job.
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"briarproxy/core/fault"
+	"briarproxy/core/share"
 	"briarproxy/core/speed"
 )
 
@@ -29,23 +30,25 @@
 
 // SnapshotHead describes a complete snapshot. It is written after all chunks.
 type SnapshotHead struct {
-	Generation int64          `json:"g"`
-	Chunks     int            `json:"n"`
-	Parts      []SnapshotPart `json:"p"` // one per chunk
-	Next       int64          `json:"x"` // offset of the first record that the snapshot does not include
-	Claim      Claim          `json:"c"`
-	Token      int64          `json:"k"` // fencing token of the claim
-	Members    []Hello        `json:"m,omitempty"`
-	Superseded []Claim        `json:"u,omitempty"` // see State.Superseded
+	Generation int64                   `json:"g"`
+	Chunks     int                     `json:"n"`
+	Parts      []SnapshotPart          `json:"p"` // one per chunk
+	Next       int64                   `json:"x"` // offset of the first record that the snapshot does not include
+	Claim      Claim                   `json:"c"`
+	Token      int64                   `json:"k"` // fencing token of the claim
+	Members    []Hello                 `json:"m,omitempty"`
+	Superseded []Claim                 `json:"u,omitempty"` // see State.Superseded
+	Rates      map[string]share.Bucket `json:"r,omitempty"` // see State.Rates; without full buckets
 }
 
 // savedJob is the stored form of a job with its steps and tasks.
 type savedJob struct {
-	Submit   *Submit             `json:"s,omitempty"`
-	Offset   int64               `json:"o,omitempty"`
-	Phase    Phase               `json:"p"`
-	EndedMS  int64               `json:"e,omitempty"` // time since the end of the job
-	Occurred map[int][]savedStep `json:"k,omitempty"`
+	Submit     *Submit             `json:"s,omitempty"`
+	Offset     int64               `json:"o,omitempty"`
+	Phase      Phase               `json:"p"`
+	EndedMS    int64               `json:"e,omitempty"` // time since the end of the job
+	Occurred   map[int][]savedStep `json:"k,omitempty"`
+	BeyondRate bool                `json:"b,omitempty"`
 }
 
 type savedStep struct {
@@ -111,6 +114,7 @@
 	for _, c := range s.Superseded {
 		head.Superseded = append(head.Superseded, c.Claim)
 	}
+	head.Rates = s.ratesForSnapshot()
 	full, ended := s.jobsForSnapshot(now)
 	chunks, err := encodeFullJobs(full, s.speedsForSnapshot(), generation, now)
 	if err != nil {
@@ -124,6 +128,25 @@
 	return head, chunks, nil
 }
 
+// ratesForSnapshot returns the buckets that are not full. A workspace without a bucket has a full one.
+func (s *State) ratesForSnapshot() map[string]share.Bucket {
+	newestMS := int64(0)
+	for _, b := range s.Rates {
+		newestMS = max(newestMS, b.AtMS)
+	}
+	var rates map[string]share.Bucket
+	for name, b := range s.Rates {
+		if b.Full(newestMS) {
+			continue
+		}
+		if rates == nil {
+			rates = map[string]share.Bucket{}
+		}
+		rates[name] = b
+	}
+	return rates
+}
+
 // jobsForSnapshot returns the jobs that are saved in full, unfinished ones first, and the ended
 // jobs of which only the phase is saved, the most recently ended first.
 func (s *State) jobsForSnapshot(now time.Duration) (full, ended []*Job) {
@@ -181,7 +204,7 @@
 }
 
 func toSavedJob(j *Job, now time.Duration) savedJob {
-	saved := savedJob{Phase: j.Phase, Offset: j.Offset}
+	saved := savedJob{Phase: j.Phase, Offset: j.Offset, BeyondRate: j.BeyondRate}
 	if j.Phase.Final() {
 		saved.EndedMS = (now - j.EndedAt).Milliseconds()
 	}
@@ -238,6 +261,9 @@
 	s := r.state
 	s.NextOffset, s.ClaimToken, s.LastHeard = r.head.Next, r.head.Token, now
 	s.RestoreMembership(&r.head, now)
+	for name, b := range r.head.Rates {
+		s.Rates[name] = b
+	}
 	return s, nil
 }
 
@@ -302,7 +328,7 @@
 	if saved.Submit == nil {
 		return fault.New(fault.Invalid, "read the snapshot again", "job in the snapshot has no submission")
 	}
-	j := &Job{Offset: saved.Offset, Phase: saved.Phase, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
+	j := &Job{Offset: saved.Offset, Phase: saved.Phase, BeyondRate: saved.BeyondRate, EndedAt: now - time.Duration(saved.EndedMS)*time.Millisecond}
 	if err := saved.Submit.validate(); err != nil {
 		return err
 	}
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -236,3 +236,36 @@
 	require.NoError(t, restored.Apply(&restarted, 10*time.Second))
 	require.Empty(t, restored.Superseded, "the process that claimed has ended")
 }
+
+// Guards against a daemon that starts from a snapshot and finds other jobs beyond the rate of their
+// workspace than the daemons that have read the log from its start.
+func TestRatesAreRestored(t *testing.T) {
+	submit := func(s *State, i int) {
+		require.NoError(t, s.Apply(&Record{Submit: &Submit{ID: fmt.Sprint("j", i), Queue: "q", Workspace: "ws", Rate: 3, Steps: []Step{{Count: 1}}, AtMS: 1_700_000_000_000 + int64(i)*200}}, time.Second))
+	}
+	s := NewState()
+	for i := range 20 {
+		submit(s, i)
+	}
+	head, chunks, err := s.Snapshot(1, time.Second)
+	require.NoError(t, err)
+	stored, err := head.Encode()
+	require.NoError(t, err)
+	head, err = DecodeHead(stored)
+	require.NoError(t, err)
+	restored, err := Restore(head, chunks, time.Second)
+	require.NoError(t, err)
+	beyond := 0
+	for i := range 40 {
+		if i >= 20 {
+			submit(s, i)
+			submit(restored, i)
+		}
+		id := fmt.Sprint("j", i)
+		require.Equal(t, s.Jobs[id].BeyondRate, restored.Jobs[id].BeyondRate, id)
+		if s.Jobs[id].BeyondRate {
+			beyond++
+		}
+	}
+	require.Equal(t, 14, beyond, "of 5 jobs a second, 3 are within the rate, and 2 more at the start")
+}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -6,6 +6,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
+	"briarproxy/core/share"
 	"briarproxy/core/speed"
 )
 
@@ -75,6 +76,7 @@
 	CompletedOccurrences int                 // number of complete occurrences
 	EndedAt              time.Duration       // boot-clock time at which the final phase was applied
 	ActiveRuns           int                 // number of runs that have begun and not ended
+	BeyondRate           bool                // submitted beyond the rate of its workspace
 }
 
 // Step returns the state of a step, or nil if no run of the occurrence has begun or the step
@@ -149,14 +151,15 @@
 	LastHeard  time.Duration     // boot-clock time of the placer's last claim or batch, or of the restore from a snapshot
 	ClaimedAt  time.Duration     // boot-clock time at which the newest claim was applied
 	Members    map[string]Member
-	NextOffset int64                  // offset of the next record
-	Pending    map[string]int         // by queue: number of jobs without a due time that have not begun
-	Speeds     map[string]speed.Saved // by worker: newest estimate of its speed, if it was ever unusual
+	NextOffset int64                   // offset of the next record
+	Pending    map[string]int          // by queue: number of jobs without a due time that have not begun
+	Rates      map[string]share.Bucket // by workspace: what is left of its rate of submissions
+	Speeds     map[string]speed.Saved  // by worker: newest estimate of its speed, if it was ever unusual
 }
 
 // NewState returns the empty state before the first record.
 func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}, Speeds: map[string]speed.Saved{}}
+	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}, Rates: map[string]share.Bucket{}, Speeds: map[string]speed.Saved{}}
 }
 
 // Apply applies the record at State.NextOffset, which was read at boot-clock time now. An error
@@ -207,13 +210,24 @@
 	if err := in.validate(); err != nil {
 		return err
 	}
-	s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Queued}
+	s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Queued, BeyondRate: !s.withinRate(in)}
 	if in.Times == 0 {
 		s.Pending[in.Queue]++
 	}
 	return nil
 }
 
+// withinRate takes a token from the bucket of the job's workspace and reports whether there was one.
+func (s *State) withinRate(in *Submit) bool {
+	if in.Workspace == "" || in.Rate <= 0 {
+		return true
+	}
+	b := s.Rates[in.Workspace]
+	within := b.Take(in.Rate, in.AtMS)
+	s.Rates[in.Workspace] = b
+	return within
+}
+
 func (s *State) applyCancel(c *Cancel, now time.Duration) error {
 	j := s.Jobs[c.ID]
 	if j == nil {
--- a/core/placer/ask.go
+++ b/core/placer/ask.go
@@ -15,7 +15,7 @@
 	}
 	workers := step.ticketsNeeded
 	step.ticketsNeeded = nil
-	late := step.rank.timeliness != onTime && len(workers) == 0 // calls for reserved capacity count as on time, as the capacity is idle meanwhile
+	late := (step.rank.timeliness != onTime || step.rank.beyondRate) && len(workers) == 0 // calls for reserved capacity count as on time, as the capacity is idle meanwhile
 	if len(workers) == 0 {
 		if placed || step.adviceInFlight || now < step.nextAdviceAt || p.advisers.pick(adviceCallTime(step.queue.Advice, usualCallWorkers), late, now) == "" {
 			return commands // the answer to another call triggers the next planning pass
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -452,7 +452,7 @@
 		r.transition(dropped)
 	}
 	delete(r.vm.runs, r.TaskID)
-	r.workspace.Remove(r.countedSize)
+	p.removeUse(r.workspace, r.countedSize)
 	p.cell.Release(cellTaskID(r.TaskID), int64(r.Run))
 	if r.onTrial {
 		p.updateCellWorker(r.vm, now)
--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -73,7 +73,8 @@
 	submitted   map[string]int // by kind
 	jobs        int
 	daemons     int
-	counted     map[string]bool // jobs that are counted or left out of the counts
+	counted     map[string]bool    // jobs that are counted or left out of the counts
+	sender      *cluster.Workspace // of the jobs submitted next; nil is none
 }
 
 func newWorkload(t testing.TB, workers, daemons int, kinds []requestKind, seed uint64) *workload {
@@ -144,6 +145,9 @@
 	id := fmt.Sprintf("%s-%05d", k.name, w.jobs)
 	w.jobs++
 	submission := &flow.Submit{ID: id, Queue: k.name, Pool: "p", Config: 1, Spec: "s", MaxAttempts: 4, AtMS: w.wallMS()}
+	if w.sender != nil {
+		submission.Workspace, submission.Rate = w.sender.Name, w.sender.Weight
+	}
 	criticalPath := time.Duration(0)
 	for s := range max(1, int(w.logNormal(k.steps, 0.4)+0.5)) {
 		duration := time.Duration(w.logNormal(1, 0.5) * float64(k.duration))
--- a/core/placer/order.go
+++ b/core/placer/order.go
@@ -21,6 +21,7 @@
 
 // stepRank is the sort key of a waiting step.
 type stepRank struct {
+	beyondRate    bool // the workspace has submitted the job beyond its rate
 	timeliness    timeliness
 	priority      int           // of the queue; 0 is the highest
 	latestStartMS int64         // Unix ms: latest start with which the job completes within its objective
@@ -34,9 +35,11 @@
 // The order is designed for overload. Steps that can still be on time precede late ones, so
 // that a backlog does not make new requests late as well. Within a class, the operator's queue
 // priority decides. Steps of equal priority that can be on time are sorted by latest start, late
-// ones by least work, which completes most jobs with the same capacity.
+// ones by least work, which completes most jobs with the same capacity. What a workspace submits
+// beyond its rate follows after everything else. Steps of one class are placed in turns of their
+// workspaces (see turns); the rank is then the order within a workspace.
 func newStepRank(step *pendingStep, wallMS int64) stepRank {
-	r := stepRank{latestStartMS: step.latestStartMS, coreTime: step.coreTime(), offset: step.job.Offset, step: step.id.Step}
+	r := stepRank{beyondRate: step.job.BeyondRate, latestStartMS: step.latestStartMS, coreTime: step.coreTime(), offset: step.job.Offset, step: step.id.Step}
 	if step.queue != nil {
 		r.priority = step.queue.Priority
 	}
@@ -52,8 +55,8 @@
 }
 
 // compare returns a negative number if the step of rank a is placed before that of b.
-func (a stepRank) compare(b stepRank) int {
-	if order := cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority)); order != 0 {
+func (a *stepRank) compare(b *stepRank) int {
+	if order := a.compareClass(b); order != 0 {
 		return order
 	}
 	if a.timeliness == onTime {
@@ -62,8 +65,21 @@
 	return cmp.Or(cmp.Compare(a.coreTime, b.coreTime), a.compareAge(b))
 }
 
+// compareClass compares what precedes the turns of the workspaces.
+func (a *stepRank) compareClass(b *stepRank) int {
+	if a.beyondRate != b.beyondRate {
+		if a.beyondRate {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority))
+}
+
+func (a *stepRank) sameClass(b *stepRank) bool { return a.compareClass(b) == 0 }
+
 // compareAge makes the order total: it sorts steps of equal rank by the log offset of their jobs.
-func (a stepRank) compareAge(b stepRank) int {
+func (a *stepRank) compareAge(b *stepRank) int {
 	return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.step, b.step))
 }
 
@@ -82,5 +98,5 @@
 			step.rank.priority = 0
 		}
 	}
-	slices.SortFunc(steps, func(a, b *pendingStep) int { return a.rank.compare(b.rank) })
+	slices.SortFunc(steps, func(a, b *pendingStep) int { return a.rank.compare(&b.rank) })
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -9,6 +9,7 @@
 	"briarproxy/core/flow"
 	"briarproxy/core/place"
 	"briarproxy/core/resource"
+	"briarproxy/core/share"
 )
 
 // Fixed times and limits.
@@ -163,7 +164,8 @@
 	cell           *place.Cell
 	vms            map[string]*vm
 	workspaces     map[string]*workspace
-	workerIDs      []string // workers of the registry, sorted
+	running        share.Turns // with the weights of the workspaces that have runs
+	workerIDs      []string    // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
 	steps          map[cluster.StepID]*pendingStep
@@ -194,8 +196,11 @@
 	lastScanAt         time.Duration
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
 	planPass           int             // number of planning passes so far
+	plannedSteps       int             // number of steps in the last planning pass
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
 	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
+	totalFree          resource.Vector // of the workers that may receive tasks, in this planning pass
+	totalCapacity      resource.Vector // of the workers that may receive tasks, in this planning pass
 }
 
 // New returns the placer for the newest claim in the state. It adopts all runs that are active
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -43,25 +43,27 @@
 	if len(p.steps) == 0 {
 		return commands
 	}
-	p.planAttempts = 0
+	p.planAttempts, p.plannedSteps = 0, 0
 	p.yields.reset()
-	p.planPass++
 	p.startPassOfWaits()
 	p.refreshSpeeds(now)
 	p.UpdateMembers(now)
 	p.updateMaxFree()
+	p.planPass++
 	steps := make([]*pendingStep, 0, len(p.steps))
 	for _, step := range p.steps {
 		step.setQueue(p.queues[step.job.Queue])
-		if step.job.Config <= p.config.Version && step.lateEnds == 0 {
+		if step.job.Config <= p.config.Version && step.lateEnds == 0 && p.mayTakePart(step, now) {
 			steps = append(steps, step)
 		}
 	}
+	p.plannedSteps = len(steps)
 	p.sortSteps(steps, wallMS)
+	turns := p.newTurns(steps)
 	holdAttempted := false
 	var waiting []int
 	startsAllowed := p.startWindow.available(p.startsInProgress)
-	for _, step := range steps {
+	for step := turns.next(); step != nil; step = turns.next() {
 		if len(p.pendingRuns) >= p.maxPendingRuns() {
 			p.planNeeded = true
 			break
@@ -74,6 +76,9 @@
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
+		if step.rank.beyondRate && !p.mayLend() {
+			break // all steps that follow are beyond the rates of their workspaces, too
+		}
 		if waiting = p.withinMaximum(step, waiting, now); len(waiting) == 0 {
 			continue // a run of the workspace that ends triggers the next pass
 		}
@@ -82,7 +87,7 @@
 		}
 		activeBefore, adviceInFlightBefore, unplaced := step.activeRuns, step.adviceInFlight, len(waiting)
 		placed := p.placeStep(step, waiting, now, wallMS)
-		if !placed && !step.waits && step.def.Gang && step.rank.timeliness == onTime && !p.options.Disabled.Yields {
+		if !placed && !step.waits && step.def.Gang && step.rank.timeliness == onTime && !step.rank.beyondRate && !p.options.Disabled.Yields {
 			p.yields.addGang(step)
 		}
 		commands = p.requestAdvice(commands, step, placed || step.waits, now)
@@ -94,7 +99,7 @@
 		if step.adviceInFlight {
 			step.reserveWhileAdvised(unplaced - (step.activeRuns - activeBefore))
 		}
-		if !placed && !step.waits && step.def.Gang && !holdAttempted && !p.options.Disabled.GangHolds {
+		if !placed && !step.waits && step.def.Gang && !step.rank.beyondRate && !holdAttempted && !p.options.Disabled.GangHolds {
 			holdAttempted = p.holdWorkers(step, waiting, now)
 		}
 	}
@@ -113,7 +118,7 @@
 
 // nextPlanDelay returns the least time from the start of the last planning pass to the next one.
 func (p *Placer) nextPlanDelay() time.Duration {
-	return planInterval + planIntervalPerStep*time.Duration(len(p.steps)) + planIntervalPerAttempt*time.Duration(p.planAttempts)
+	return planInterval + planIntervalPerStep*time.Duration(p.plannedSteps) + planIntervalPerAttempt*time.Duration(p.planAttempts)
 }
 
 // mayFit reports whether the workers (nil: all) may have free capacity for at least one task of
@@ -149,12 +154,15 @@
 	return ask
 }
 
-// updateMaxFree computes the largest free amount of each resource on any worker.
+// updateMaxFree computes the largest free amount of each resource on any worker, and the sums over all
+// workers that may receive tasks.
 func (p *Placer) updateMaxFree() {
-	p.maxFree = resource.Vector{}
-	for id := range p.vms {
+	p.maxFree, p.totalFree, p.totalCapacity = resource.Vector{}, resource.Vector{}, resource.Vector{}
+	for id, v := range p.vms {
 		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			p.maxFree = p.maxFree.Max(free)
+			p.totalFree = p.totalFree.Add(free)
+			p.totalCapacity = p.totalCapacity.Add(v.Capacity)
 		}
 	}
 }
@@ -389,6 +397,7 @@
 		onTrial: step.onTrial,
 	}
 	p.countRun(r, step.job)
+	p.totalFree = p.totalFree.Sub(r.size)
 	p.runs[id] = r
 	v.runs[id] = r
 	step.activeRuns++
--- a/core/placer/summary.go
+++ b/core/placer/summary.go
@@ -25,6 +25,7 @@
 	AdviceCalls      int                     // requests for advice in flight
 	Waiting          map[string]QueueBacklog // by queue
 	AwaitingMaximum  int                     // waiting steps whose workspace is at its maximum
+	BeyondRate       int                     // waiting steps of jobs that were submitted beyond the rate of their workspace
 	Workspaces       map[string]WorkspaceUse // by workspace; none if the configuration has none
 }
 
@@ -41,6 +42,7 @@
 	Maximum      resource.Vector // an amount of 0 is no limit
 	WaitingSteps int
 	HeldSteps    int // waiting steps that its maximum holds
+	BeyondRate   int // waiting steps of jobs that it has submitted beyond its rate
 	LongestWait  time.Duration
 }
 
@@ -56,6 +58,9 @@
 		summary.Waiting[step.job.Queue] = QueueBacklog{counts.Steps + 1, max(counts.LongestWait, now-step.readyAt)}
 		advised := step.queue == nil || step.queue.Advice == nil || len(step.grants) > 0
 		summary.countWaiting(step, now)
+		if step.job.BeyondRate {
+			summary.BeyondRate++
+		}
 		switch {
 		case step.atMaximum:
 			summary.AwaitingMaximum++
@@ -111,5 +116,8 @@
 	if step.atMaximum {
 		use.HeldSteps++
 	}
+	if step.job.BeyondRate {
+		use.BeyondRate++
+	}
 	s.Workspaces[step.workspace.Name] = use
 }
--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -13,6 +13,11 @@
 // The load that this file answers: a workspace that sends more than it may have running. Its steps
 // wait for its own runs to end, and cost the others neither workers nor planning time nor advice.
 
+// maxLentUseShare is the share of the cell in use up to which work beyond its workspace's rate starts. The
+// platform requires that waiting work starts while less than half of a pool is in use; the more is lent
+// beyond that, the longer a gang that is owed waits for workers with enough room.
+const maxLentUseShare = 0.6
+
 // maximumReportInterval is the least time between two reports that a workspace is at its maximum.
 const maximumReportInterval = time.Second
 
@@ -23,9 +28,13 @@
 // workspace is the placer's state of one workspace.
 type workspace struct {
 	share.Account
-	planPass     int             // planning pass to which the next two fields belong
+	planPass     int             // planning pass to which the fields from reserved to queue belong
 	reserved     resource.Vector // for tasks that wait for advice, and for a gang that waits for room
 	held         int             // steps that the maximum has kept waiting
+	wasHeld      bool            // the maximum kept steps waiting in the last pass
+	hasWork      bool            // a step of the workspace is ready
+	shareUsed    float64         // multiple of its fair share; see share.Turns
+	queue        []*pendingStep  // its steps of the present class that were put off, the most urgent one first
 	nextReportAt time.Duration
 }
 
@@ -53,6 +62,12 @@
 		w := p.workspaceOf(list[i].Name)
 		w.Weight, w.Maximum = list[i].Weight, list[i].Maximum
 	}
+	p.running = share.Turns{}
+	for _, w := range p.workspaces {
+		if w.Runs > 0 {
+			p.running.AddWeight(&w.Account)
+		}
+	}
 }
 
 // countRun counts a run for the workspace of its job. The job is nil if it is no longer known.
@@ -61,7 +76,21 @@
 // what runs.
 func (p *Placer) countRun(r *run, job *flow.Job) {
 	r.workspace, r.countedSize = p.sizeInWorkspace(job, r.Step)
-	r.workspace.Add(r.countedSize)
+	p.addUse(r.workspace, r.countedSize)
+}
+
+// addUse counts a run of a workspace.
+func (p *Placer) addUse(w *workspace, size resource.Vector) {
+	if w.Add(size); w.Runs == 1 {
+		p.running.AddWeight(&w.Account)
+	}
+}
+
+// removeUse ends the count of a run of a workspace.
+func (p *Placer) removeUse(w *workspace, size resource.Vector) {
+	if w.Remove(size); w.Runs == 0 {
+		p.running.RemoveWeight(&w.Account)
+	}
 }
 
 // sizeInWorkspace returns the workspace of a job and what one task of the step counts there.
@@ -78,36 +107,67 @@
 // countUntracked replaces the untracked runs of a worker by those that its newest report lists.
 func (p *Placer) countUntracked(v *vm, listed []cluster.RunID) {
 	for _, u := range v.untracked {
-		u.workspace.Remove(u.size)
+		p.removeUse(u.workspace, u.size)
 	}
 	v.untracked = v.untracked[:0]
 	for _, id := range listed {
 		w, size := p.sizeInWorkspace(p.state.Jobs[id.Job], id.Step)
-		w.Add(size)
+		p.addUse(w, size)
 		v.untracked = append(v.untracked, untrackedRun{id, w, size})
 	}
 }
 
+// mayLend reports whether the cell has room for what workspaces submit beyond their rates. Without the
+// part that stays free, such work would keep the cell full, and a gang that arrives would wait for as
+// long as that work takes.
+func (p *Placer) mayLend() bool {
+	least := float64(1)
+	for _, r := range [...][2]int64{{p.totalFree.MilliCores, p.totalCapacity.MilliCores}, {p.totalFree.MemoryMiB, p.totalCapacity.MemoryMiB}} {
+		if r[1] > 0 {
+			least = min(least, float64(r[0])/float64(r[1]))
+		}
+	}
+	return least > 1-maxLentUseShare
+}
+
+// mayTakePart reports whether a step may take part in this planning pass: not if its workspace has no
+// room under its maximum, or if the job is beyond the rate and the cell has no room to lend. Such steps
+// use no planning time, however many they are. A gang takes part, as the room that it waits for is kept
+// in its turn.
+func (p *Placer) mayTakePart(step *pendingStep, now time.Duration) bool {
+	w := step.workspace
+	w.beginPass(p.planPass)
+	step.atMaximum = false
+	if w.wasHeld && !step.def.Gang && w.Room(step.def.Size, resource.Vector{}, 1, false) == 0 {
+		p.heldAtMaximum(step, now)
+		return false
+	}
+	return !step.job.BeyondRate || p.mayLend()
+}
+
 // withinMaximum returns the waiting tasks that may start under the maximum of the step's workspace,
-// of a gang all or none. If there are none, the step takes no part in this planning pass.
+// of a gang all or none.
 func (p *Placer) withinMaximum(step *pendingStep, waiting []int, now time.Duration) []int {
 	w := step.workspace
 	if !w.Limited() {
 		return waiting
 	}
-	if w.planPass != p.planPass {
-		w.planPass, w.reserved, w.held = p.planPass, resource.Vector{}, 0
-	}
 	room := w.Room(step.def.Size, w.reserved, len(waiting), step.def.Gang)
-	step.atMaximum = room == 0
-	if step.atMaximum {
-		w.held++
-		p.reportMaximum(step, now)
+	if room == 0 {
+		p.heldAtMaximum(step, now)
 		step.reserveForGang()
 	}
 	return waiting[:room]
 }
 
+// heldAtMaximum notes that the maximum of its workspace keeps the step waiting.
+func (p *Placer) heldAtMaximum(step *pendingStep, now time.Duration) {
+	w := step.workspace
+	step.atMaximum = true
+	w.held++
+	p.reportMaximum(step, now)
+}
+
 // reserveWhileAdvised sets the room of tasks aside that wait for advice, so that the steps behind them
 // do not ask for more advice than the workspace can use.
 func (s *pendingStep) reserveWhileAdvised(tasks int) {
--- a/core/share/account.go
+++ b/core/share/account.go
@@ -71,30 +71,26 @@
 		return false
 	}
 	for _, d := range a.limits(used, size) {
-		if float64(d.used) > oversizeUseShare*float64(d.limit) {
+		if d.applies() && float64(d.used) > oversizeUseShare*float64(d.limit) {
 			return false
 		}
 	}
 	return true
 }
 
-// limit is one limited resource that a task uses.
+// limit is the maximum of one resource, the amount used, and what a task needs.
 type limit struct{ limit, used, size int64 }
 
-// limits returns the resources of which the workspace has a maximum and the task needs some.
-func (a *Account) limits(used, size resource.Vector) []limit {
-	limits := make([]limit, 0, 4)
-	for _, d := range [...]limit{
+// applies reports whether the workspace has a maximum of the resource and the task needs some.
+func (d limit) applies() bool { return d.limit > 0 && d.size > 0 }
+
+func (a *Account) limits(used, size resource.Vector) [4]limit {
+	return [4]limit{
 		{a.Maximum.MilliCores, used.MilliCores, size.MilliCores},
 		{a.Maximum.MemoryMiB, used.MemoryMiB, size.MemoryMiB},
 		{a.Maximum.Accelerators, used.Accelerators, size.Accelerators},
 		{a.Maximum.Slots, used.Slots, size.Slots},
-	} {
-		if d.limit > 0 && d.size > 0 {
-			limits = append(limits, d)
-		}
 	}
-	return limits
 }
 
 // fitting returns how many tasks of one size fit between an amount used and the maximum, at most
@@ -102,7 +98,9 @@
 func (a *Account) fitting(used, size resource.Vector) int64 {
 	n := int64(math.MaxInt32)
 	for _, d := range a.limits(used, size) {
-		n = min(n, max(0, d.limit-d.used)/d.size)
+		if d.applies() {
+			n = min(n, max(0, d.limit-d.used)/d.size)
+		}
 	}
 	return n
 }
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -42,6 +42,7 @@
 	maxBodyBytes   int           // of the request
 	bodyTime       time.Duration // in which the body must arrive
 	keyCheck       keyCheck
+	rate           float64 // jobs a second that the workspace may submit; 0 is no limit
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -144,6 +145,7 @@
 		return result
 	}
 	result.keyCheck = e.checkKey(key, result.queue.Public, bootclock.Now())
+	result.rate = e.keyring.Weight(result.keyCheck.workspace)
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
@@ -252,7 +254,7 @@
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
 	job.ID, job.Queue, job.Pool, job.Workspace, job.Config = id, lookup.queue.Name, lookup.queue.Pool, lookup.keyCheck.workspace, lookup.version
-	job.MaxAttempts, job.AtMS = lookup.queue.MaxAttempts, time.Now().UnixMilli()
+	job.MaxAttempts, job.AtMS, job.Rate = lookup.queue.MaxAttempts, time.Now().UnixMilli(), lookup.rate
 	isForeign := a.consultOwner(ctx, id, lookup)
 	appendStart := bootclock.Now()
 	err = a.engine.writer.append(ctx, &flow.Record{Submit: &job}, remaining(ctx))
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -114,7 +114,7 @@
 		workspaceShare:    gauge("workspace_share", "Share of the workers that a workspace is owed while demand exceeds capacity; on the placer.", "workspace"),
 		workspaceRuns:     gauge("workspace_runs", "Runs that count towards the maximum of their workspace; on the placer.", "workspace"),
 		workspaceCores:    gauge("workspace_cores", "Cores that a workspace uses, and that it may use at most (0 is no limit); on the placer.", "workspace", "kind"),
-		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait, and those of them that wait for the maximum of their workspace; on the placer.", "workspace", "state"),
+		workspaceSteps:    gauge("workspace_steps", "Steps with tasks to start that wait; those of them that wait for the maximum of their workspace; those of jobs beyond its rate; on the placer.", "workspace", "state"),
 		workspaceOldest:   gauge("workspace_waiting_oldest_seconds", "How long the oldest such step has waited, by workspace; on the placer.", "workspace"),
 		wastedCoreSeconds: counter("thrown_away_core_seconds_total", "Work of runs that ended without being done and without a checkpoint, from their start on.").WithLabelValues(),
 		doorUsed:          gauge("door_used", "What strangers hold, by port and by what it is: connections, or bytes of bodies, long headers and messages.", "port", "of"),
@@ -176,6 +176,7 @@
 		m.workspaceCores.WithLabelValues(name, "maximum").Set(float64(use.Maximum.MilliCores) / 1000)
 		m.workspaceSteps.WithLabelValues(name, "waiting").Set(float64(use.WaitingSteps))
 		m.workspaceSteps.WithLabelValues(name, "held by maximum").Set(float64(use.HeldSteps))
+		m.workspaceSteps.WithLabelValues(name, "beyond rate").Set(float64(use.BeyondRate))
 		m.workspaceOldest.WithLabelValues(name).Set(use.LongestWait.Seconds())
 	}
 }
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -46,7 +46,7 @@
 	e.summaryLoggedAt = now
 	summary := e.placer.Summarize(now, time.Now().UnixMilli())
 	e.metrics.publishSummary(&summary)
-	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "at_maximum", summary.AwaitingMaximum, "late", summary.Late,
+	e.log.Emit(evSummary, "steps", summary.Steps, "unadvised", summary.Unadvised, "asking", summary.AdviceInFlight, "roomless", summary.AwaitingCapacity, "at_maximum", summary.AwaitingMaximum, "beyond_rate", summary.BeyondRate, "late", summary.Late,
 		"runs", summary.Runs, "usable", summary.Usable, "workers", summary.Workers, "free", summary.Free.String(), "capacity", summary.Capacity.String(),
 		"advisers", summary.Advisers, "calls", summary.AdviceCalls, "fast", summary.Fast, "slow", summary.Slow, "place_waits", summary.WaitingForPlace)
 }
