--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -9,6 +9,7 @@
 	"briarproxy/core/flow"
 	"briarproxy/core/place"
 	"briarproxy/core/resource"
+	"briarproxy/core/share"
 )
 
 // Fixed times and limits.
@@ -20,6 +21,8 @@
 	leaseMargin = 150 * time.Millisecond
 	// maxPollWait is how long a worker may delay its answer to a poll until a run ends.
 	maxPollWait = 1400 * time.Millisecond
+	// pollRoundTrip is how much longer than its wait a poll takes, between regions.
+	pollRoundTrip = 100 * time.Millisecond
 	// maxSilenceForRenewal is longer than a poll takes. The lease of a worker that has not
 	// answered for this long is not renewed.
 	maxSilenceForRenewal = 2600 * time.Millisecond
@@ -84,6 +87,7 @@
 	EarlyStart           time.Duration // a task with a due time may start this much earlier
 	StopTimeout          time.Duration // longest time that a worker takes to stop a run
 	RemoteFactor         float64       // run time away from a task's data, or across racks, as a multiple; 0 means unknown
+	OpenPolls            int           // polls that may be under way at a time; the others wait for their turn; 0 means any number
 	LinkMbps             float64       // bandwidth of the placer's network link; 0 means unknown
 	Disabled             DisabledMechanisms
 }
@@ -163,7 +167,8 @@
 	cell           *place.Cell
 	vms            map[string]*vm
 	workspaces     map[string]*workspace
-	workerIDs      []string // workers of the registry, sorted
+	running        share.Turns // with the weights of the workspaces that have runs
+	workerIDs      []string    // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
 	steps          map[cluster.StepID]*pendingStep
@@ -192,10 +197,14 @@
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
+	workersWithRuns    int             // at the last scan
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
 	planPass           int             // number of planning passes so far
+	plannedSteps       int             // number of steps in the last planning pass
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
 	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
+	totalFree          resource.Vector // of the workers that may receive tasks, in this planning pass
+	totalCapacity      resource.Vector // of the workers that may receive tasks, in this planning pass
 }
 
 // New returns the placer for the newest claim in the state. It adopts all runs that are active
