--- a/core/patience/patience.go
+++ b/core/patience/patience.go
@@ -38,9 +38,9 @@
 	return min(time.Duration(float64(c.Work)*(c.Factor-1)), MaxWait)
 }
 
-// Decide weighs the choice. At the free place the work would occupy capacity for longer by its saving, which delays others to
-// the degree that the capacity is in use. So a wait may be as long as both together, and no longer even if the
-// expectation is wrong.
+// Decide weighs the choice. At the free place the work would occupy capacity for longer by its saving, which delays
+// others to the degree that the capacity is in use. So a wait may be as long as both together, and no longer even if
+// the expectation is wrong.
 func Decide(c Choice) Verdict {
 	saving := c.Saving()
 	limit := min(time.Duration(float64(saving)*(1+min(max(c.Load, 0), 1))), MaxWait)
--- a/core/patience/releases.go
+++ b/core/patience/releases.go
@@ -45,6 +45,7 @@
 	p.accelerators += float64(max(0, freed.Accelerators))
 }
 
+// age forgets what is past. From then on p.at is now, or later if the clock has gone back.
 func (p *released) age(now time.Duration) {
 	if now <= p.at {
 		return
@@ -73,7 +74,7 @@
 		}
 		p.age(now)
 		// The weights of releases at a constant rate since the first one sum up to this time.
-		observed := max(minObserved.Seconds(), memory.Seconds()*(1-math.Exp(-float64(now-p.since)/float64(memory))))
+		observed := max(minObserved.Seconds(), memory.Seconds()*(1-math.Exp(-float64(p.at-p.since)/float64(memory))))
 		milliCores, memoryMiB, accelerators = milliCores+p.milliCores/observed, memoryMiB+p.memoryMiB/observed, accelerators+p.accelerators/observed
 	}
 	seconds := 0.0
--- a/core/place/speed_test.go
+++ b/core/place/speed_test.go
@@ -14,7 +14,8 @@
 	"briarproxy/core/wire"
 )
 
-// Guards against a preference for fast workers that outweighs the data's rack, and against a best fit that outweighs the preference.
+// Guards against a preference for fast workers that outweighs the data's rack, and against a best fit that outweighs
+// the preference.
 func TestSpeedDecidesAfterTheRackAndBeforeTheFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		level := rapid.IntRange(-10, 10)
@@ -34,7 +35,8 @@
 	})
 }
 
-// Measures a decision for one task in a large cell that is four fifths full, with and without a preference for fast workers.
+// Measures a decision for one task in a large cell that is four fifths full, with and without a preference for fast
+// workers.
 func BenchmarkDecision(b *testing.B) {
 	const workers = 18_000
 	cell := place.NewCell()
--- a/core/placer/speed.go
+++ b/core/placer/speed.go
@@ -14,8 +14,8 @@
 	// fastLevel and slowLevel are the levels from which a worker counts as fast or slow.
 	fastLevel = -2
 	slowLevel = 2
-	// slowAffordFactor is the number of times that a step's spare time must cover what a slow worker takes longer, for the step
-	// to take any worker. It leaves time for runs that fail or take longer than estimated.
+	// slowAffordFactor is the number of times that a step's spare time must cover what a slow worker takes longer, for
+	// the step to take any worker. It leaves time for runs that fail or take longer than estimated.
 	slowAffordFactor = 6
 	// likeSpeedLevels is the difference of levels up to which the members of a gang count as equally fast.
 	likeSpeedLevels = 1
@@ -109,8 +109,8 @@
 	}
 }
 
-// penaltyLevel returns the worker's level if it is slow, and 0 otherwise. What is gained on a fast worker is lost again by worse packing, so
-// placement only keeps off slow ones.
+// penaltyLevel returns the worker's level if it is slow, and 0 otherwise. What is gained on a fast worker is lost again
+// by worse packing, so placement only keeps off slow ones.
 func (v *vm) penaltyLevel() int {
 	if speedClass(v.speedLevel) != 2 {
 		return 0
@@ -143,8 +143,8 @@
 	s.mixed = len(s.slow) > 0 && len(s.notSlow) > 0
 }
 
-// newSpeedWeight returns how much a step keeps off slow workers: not at all if it ends in time on them as well, so that the others
-// are left to more urgent work.
+// newSpeedWeight returns how much a step keeps off slow workers: not at all if it ends in time on them as well, so that
+// the others are left to more urgent work.
 func newSpeedWeight(step *pendingStep) float64 {
 	extra := time.Duration((speed.Slowness(slowLevel+1) - 1) * float64(step.def.ExpectedRunTime()))
 	if step.def.LongRunning || step.def.Backfill || step.spare > slowAffordFactor*extra {
@@ -153,8 +153,9 @@
 	return 1
 }
 
-// askOrder returns the workers in the order in which the step asks about them. A step that keeps off slow workers asks about them
-// last. Among the others, steps begin at different workers, so that concurrent steps do not compete for the same ones.
+// askOrder returns the workers in the order in which the step asks about them. A step that keeps off slow workers asks
+// about them last. Among the others, steps begin at different workers, so that concurrent steps do not compete for the
+// same ones.
 func (p *Placer) askOrder(step *pendingStep) iter.Seq[string] {
 	classes := [][]string{p.workerIDs}
 	if p.speeds.mixed && step.speedWeight > 0 {
@@ -175,9 +176,9 @@
 	}
 }
 
-// placeAtLikeSpeed places a gang on those of the named workers that have room for it and of which the slowest is as fast as possible. A
-// gang ends with its slowest member, so among these the slower ones are taken, and the faster ones are left to others. It returns the
-// tasks that could not be placed.
+// placeAtLikeSpeed places a gang on those of the named workers that have room for it and of which the slowest is as
+// fast as possible. A gang ends with its slowest member, so among these the slower ones are taken, and the faster ones
+// are left to others. It returns the tasks that could not be placed.
 func (p *Placer) placeAtLikeSpeed(step *pendingStep, tasks []int, workers []string, now time.Duration) (unplaced []int) {
 	if !step.def.Gang || workers == nil || !p.speeds.mixed {
 		return tasks
@@ -199,8 +200,8 @@
 	return unplaced
 }
 
-// slowestMember returns the level of the slowest worker if the tasks are placed on the fastest workers with room for them. It
-// reports false if there is too little room.
+// slowestMember returns the level of the slowest worker if the tasks are placed on the fastest workers with room for
+// them. It reports false if there is too little room.
 func (p *Placer) slowestMember(step *pendingStep, workers []string, tasks int) (level int, found bool) {
 	var rooms [speed.MaxLevel + 1]int64 // by level
 	ask := step.capacityAsk()
--- a/core/placer/speed_test.go
+++ b/core/placer/speed_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Guards against speeds that are learned from what says nothing about a worker: members of a gang, which wait for each other, and runs
-// that go on from a checkpoint.
+// Guards against speeds that are learned from what says nothing about a worker: members of a gang, which wait for each
+// other, and runs that go on from a checkpoint.
 func TestOnlyWholeRunsMeasureTheirWorker(t *testing.T) {
 	c := newFakeCell(t, 2, workerCapacity)
 	c.takeOver()
--- a/core/placer/wait.go
+++ b/core/placer/wait.go
@@ -45,8 +45,9 @@
 	return p.waits.load
 }
 
-// waitsForPlace reports whether the given number of tasks of the step wait until the workers of a place have room for them,
-// where they run in 1/factor of the time that they take on the workers that are free now. A waiting step holds no room.
+// waitsForPlace reports whether the given number of tasks of the step wait until the workers of a place have room for
+// them, where they run in 1/factor of the time that they take on the workers that are free now. A waiting step holds no
+// room.
 func (p *Placer) waitsForPlace(step *pendingStep, place string, workers []string, tasks int, factor float64, now time.Duration) bool {
 	lack, feasible := p.lackAt(step, workers, tasks)
 	choice := patience.Choice{
@@ -75,7 +76,8 @@
 	return true
 }
 
-// lackAt returns what the workers have to free until the tasks have room there together. It reports false if they never will.
+// lackAt returns what the workers have to free until the tasks have room there together. It reports false if they never
+// will.
 func (p *Placer) lackAt(step *pendingStep, workers []string, tasks int) (lack resource.Vector, feasible bool) {
 	ask, size := step.capacityAsk(), reservedResources(step.def)
 	fitting, most := 0, 0
@@ -113,7 +115,8 @@
 	return p.waitsForPlace(step, "rack "+p.vms[best[0]].Rack, best, tasks, p.options.RemoteFactor, now)
 }
 
-// placeNearData places tasks in the rack of their data. It returns those that found no room there, and whether they wait for it.
+// placeNearData places tasks in the rack of their data. It returns those that found no room there, and whether they
+// wait for it.
 func (p *Placer) placeNearData(step *pendingStep, tasks []int, workers []string, now time.Duration) (unplaced []int, waits bool) {
 	if step.def.NearRack == "" || p.options.RemoteFactor <= 1 {
 		return tasks, false
--- a/core/placer/wait_test.go
+++ b/core/placer/wait_test.go
@@ -12,8 +12,9 @@
 	"briarproxy/core/resource"
 )
 
-// racksUnderLoad returns a cell of two racks. In r0, the eight workers run one task each that takes the whole worker and is followed by
-// another one; r1 is idle. Tasks of the job "data" have their data in r0 and take three times as long in r1.
+// racksUnderLoad returns a cell of two racks. In r0, the eight workers run one task each that takes the whole worker
+// and is followed by another one; r1 is idle. Tasks of the job "data" have their data in r0 and take three times as
+// long in r1.
 func racksUnderLoad(t *testing.T, runTime time.Duration) (c *fakeCell, startedIn map[string]time.Duration) {
 	c = newFakeCell(t, 16, workerCapacity)
 	startedIn = map[string]time.Duration{}
@@ -56,7 +57,8 @@
 	return flow.Step{Count: 1, Size: resource.Vector{MilliCores: 1000, MemoryMiB: 1}, EstimateMS: estimate.Milliseconds(), NearRack: rack}
 }
 
-// Guards against tasks that run for three times as long away from their data although a worker there is free a moment later.
+// Guards against tasks that run for three times as long away from their data although a worker there is free a moment
+// later.
 func TestLongTaskWaitsForItsData(t *testing.T) {
 	c, startedIn := racksUnderLoad(t, 2*time.Second)
 	c.submit("data", dataStep("r0", 3*time.Second))
@@ -107,7 +109,8 @@
 	require.GreaterOrEqual(t, c.starts-starts, 8, "all workers of the other rack")
 }
 
-// Guards against a change for deployments that don't say what several racks cost: there, a group waits for one rack for the fixed time.
+// Guards against a change for deployments that don't say what several racks cost: there, a group waits for one rack for
+// the fixed time.
 func TestWithoutFactorGroupsWaitForTheFixedTime(t *testing.T) {
 	c, _ := racksUnderLoad(t, time.Hour)
 	c.placer.options.RemoteFactor = 0
--- a/core/speed/doc.go
+++ b/core/speed/doc.go
@@ -6,7 +6,7 @@
 // level above until there is evidence: a step to its kind's expectation, a worker to the usual speed. Tasks of the same
 // step on different workers are the main evidence, because their work is nearly the same.
 //
-// Decomposing performance by job and machine follows Quasar (Delimitrou and Kozyrakis, ASPLOS 2014) and Gavel (Narayanan et
-// al., OSDI 2020). Their profiling runs and matrix factorisation are left out: tasks here last seconds, and a worker
-// has one speed for all kinds of work.
+// Decomposing performance by job and machine follows Quasar (Delimitrou and Kozyrakis, ASPLOS 2014) and Gavel
+// (Narayanan et al., OSDI 2020). Their profiling runs and matrix factorisation are left out: tasks here last seconds,
+// and a worker has one speed for all kinds of work.
 package speed
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -25,8 +25,8 @@
 	evidenceHalfLife = 10 * time.Minute
 	// minCentreEvidence is the evidence of a worker that counts for the median.
 	minCentreEvidence = 10.0
-	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used, and minDifference the
-	// least difference from the usual speed.
+	// minSignificance is the least ratio of an estimate to its standard deviation at which it is used, and
+	// minDifference the least difference from the usual speed.
 	minSignificance = 3.0
 	minDifference   = 0.18
 	// maxRunTime bounds run times and estimates. Beyond it they are taken for errors.
@@ -247,7 +247,8 @@
 	}
 }
 
-// Expire forgets the workers of which the evidence has become less than that of one run, such as those that left long ago.
+// Expire forgets the workers of which the evidence has become less than that of one run, such as those that left long
+// ago.
 func (e *Estimator) Expire(now time.Duration) {
 	for id, w := range e.workers {
 		if w.age(now); w.evidence < 1 && now-w.addedAt > evidenceHalfLife {
