Connections that a daemon has ended are replaced before the next call; the tests of the crowds read all addresses

Cause: a daemon at its limit of connections ends the longest idle one, and the next call on it failed although nothing was sent; a placer of 300 machines has two connections from each. The tests picked the port for metrics by opening and closing it: one of 12 runs failed at the start, as another process had taken it.

Change: a shared connection that has ended is dialled again before a call. Other daemons get an eighth of the descriptors (a tenth before); the shares add up to fifteen sixteenths. Event 900 names the address for metrics, and the tests read it.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -20,7 +20,7 @@
 	callerDescriptorShare = 1.0 / 8
 	peerConnectionShare   = 3.0 / 16 // of memory
 	peerMessageShare      = 1.0 / 16
-	peerDescriptorShare   = 1.0 / 10
+	peerDescriptorShare   = 1.0 / 8
 	peerConnectionBytes   = 48 << 10 // goroutines, buffers, and what the kernel holds of it
 	probeConnections      = 32       // on the port for readiness
 	scrapeConnections     = 16       // on the port for metrics
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -69,7 +69,7 @@
 		mux.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
 		go serve(newProbeServer(mux), doors.metrics.listen(listeners.metrics))
 	}
-	log.Emit(evStarted, "callers", settings.Listen.Callers, "ready", settings.Listen.Ready, "peers", settings.Listen.Peers, "data_centre", settings.DataCentre, "region", settings.Region, "defaults", settings.defaultedFields)
+	log.Emit(evStarted, "callers", settings.Listen.Callers, "ready", settings.Listen.Ready, "peers", settings.Listen.Peers, "metrics", settings.Listen.Metrics, "data_centre", settings.DataCentre, "region", settings.Region, "defaults", settings.defaultedFields)
 	<-ctx.Done()
 	return e.plannedStop(runCtx, server)
 }
--- a/daemon/cell/peers.go
+++ b/daemon/cell/peers.go
@@ -180,6 +180,22 @@
 type peerConn struct {
 	*rpc.Client
 	answeredAt atomic.Int64 // boot clock
+	conn       *watchedConn
+}
+
+// watchedConn is a connection that knows whether the other daemon has ended it, for example in favour of
+// others at its limit. A call on it would fail although nothing was sent.
+type watchedConn struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.ended.Store(true)
+	}
+	return n, err
 }
 
 func newPeerClients() *peerClients { return &peerClients{connections: map[string]*peerConn{}} }
@@ -238,14 +254,19 @@
 	p.mu.Lock()
 	existing := p.connections[address]
 	p.mu.Unlock()
-	if existing != nil {
+	switch {
+	case existing == nil:
+	case existing.conn.ended.Load():
+		p.drop(address, existing)
+	default:
 		return existing, nil
 	}
 	conn, err := NewDialer(peerDialTimeout, peerUnackedTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	client := &peerConn{Client: rpc.NewClient(conn)}
+	watched := &watchedConn{Conn: conn}
+	client := &peerConn{Client: rpc.NewClient(watched), conn: watched}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if existing := p.connections[address]; existing != nil {
--- a/daemon/cell/peers_test.go
+++ b/daemon/cell/peers_test.go
@@ -54,3 +54,32 @@
 		t.Fatal("acceptPeers has not returned")
 	}
 }
+
+// Guards against calls that fail because the other daemon has ended the connection between two calls, as it
+// does at its limit.
+func TestAnEndedConnectionToAPeerIsReplacedBeforeTheNextCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Cell", &peerService{yield: func(int64) {}}))
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+			go server.ServeConn(conn)
+		}
+	}()
+	peers, address := newPeerClients(), listener.Addr().String()
+	require.NoError(t, peers.yield(t.Context(), address, 1))
+	require.NoError(t, (<-accepted).Close())
+	peers.mu.Lock()
+	first := peers.connections[address]
+	peers.mu.Unlock()
+	require.Eventually(t, first.conn.ended.Load, 5*time.Second, time.Millisecond)
+	require.NoError(t, peers.yield(t.Context(), address, 2))
+}
--- a/standin/integration/crowd_test.go
+++ b/standin/integration/crowd_test.go
@@ -35,7 +35,6 @@
 type crowdTest struct {
 	*platformCell
 	addresses daemonAddresses
-	metrics   string
 	mu        sync.Mutex
 	open      []net.Conn
 	stop      chan struct{}
@@ -49,14 +48,10 @@
 
 func newCrowdTestWith(t *testing.T, descriptors int) *crowdTest {
 	t.Helper()
-	free, err := net.Listen("tcp", loopbackAnyPort)
-	require.NoError(t, err)
-	metrics := free.Addr().String()
-	require.NoError(t, free.Close())
-	c := &crowdTest{metrics: metrics, stop: make(chan struct{}), sampled: make(chan crowdPeak, 1)}
+	c := &crowdTest{stop: make(chan struct{}), sampled: make(chan crowdPeak, 1)}
 	c.platformCell = startPlatformCell(&platformCell{
 		t: t, store: platform.NewStore(), retentionSeconds: 300, maxLease: defaultMaxLease,
-		memoryMiB: crowdMemoryMiB, descriptors: descriptors, metricsAddress: metrics,
+		memoryMiB: crowdMemoryMiB, descriptors: descriptors,
 	}, 1, 4, false)
 	c.addresses = waitAddresses(c.daemons[0])
 	c.ordinaryRequest("before") // a daemon that isn't ready refuses everyone
@@ -146,7 +141,7 @@
 // sample records the peaks of the daemon's descriptors and of its ports' queues until stop is closed.
 func (c *crowdTest) sample() {
 	ports := map[string]bool{}
-	for _, address := range []string{c.addresses.Callers, c.addresses.Ready, c.addresses.Peers, c.metrics} {
+	for _, address := range []string{c.addresses.Callers, c.addresses.Ready, c.addresses.Peers, c.addresses.Metrics} {
 		_, port, _ := net.SplitHostPort(address)
 		number, _ := strconv.Atoi(port)
 		ports[fmt.Sprintf("%04X", number)] = true
@@ -396,9 +391,9 @@
 // Guards against strangers on the port for metrics: headers of hundreds of kilobytes that never end.
 func TestCrowdAtTheMetricsPort(t *testing.T) {
 	c := newCrowdTest(t)
-	c.arrive(c.metrics, endlessHeader("/metrics"))
+	c.arrive(c.addresses.Metrics, endlessHeader("/metrics"))
 	require.Eventually(t, func() bool {
-		resp, err := (&http.Client{Timeout: 2 * time.Second}).Get("http://" + c.metrics + "/metrics")
+		resp, err := (&http.Client{Timeout: 2 * time.Second}).Get("http://" + c.addresses.Metrics + "/metrics")
 		if err != nil {
 			return false
 		}
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -36,7 +36,6 @@
 	workspaceOf      func(job string) string // The workspace of a job; nil if there are none.
 	memoryMiB        int                     // The daemons' limits.memory_mib; 0 is defaultMemoryMiB.
 	descriptors      int                     // The daemons' limits.descriptors; 0 is defaultDescriptors.
-	metricsAddress   string                  // The daemons' listen.metrics; "" is a port of the system's choice.
 }
 
 const (
@@ -91,7 +90,7 @@
 	name := fmt.Sprintf("d%d", i)
 	settings := map[string]any{
 		"name": name, "region": "r", "data_centre": "z",
-		"listen":   map[string]any{"callers": loopbackAnyPort, "ready": loopbackAnyPort, "peers": loopbackAnyPort, "metrics": cmp.Or(c.metricsAddress, loopbackAnyPort)},
+		"listen":   map[string]any{"callers": loopbackAnyPort, "ready": loopbackAnyPort, "peers": loopbackAnyPort, "metrics": loopbackAnyPort},
 		"platform": map[string]any{"store": c.serviceAddresses[0], "advice": c.serviceAddresses[1], "machines": ""},
 		"limits":   map[string]any{"memory_mib": cmp.Or(c.memoryMiB, defaultMemoryMiB), "descriptors": cmp.Or(c.descriptors, defaultDescriptors)},
 		"bounds": map[string]any{
@@ -129,7 +128,7 @@
 func waitCallerAddress(p *process) string { return waitAddresses(p).Callers }
 
 // daemonAddresses are the addresses that a daemon has logged.
-type daemonAddresses struct{ Callers, Ready, Peers string }
+type daemonAddresses struct{ Callers, Ready, Peers, Metrics string }
 
 // waitAddresses waits until the daemon has logged its addresses and returns them.
 func waitAddresses(p *process) daemonAddresses {
