Work beyond the rate is bounded by pool; long-running tasks are exempt

Cause: the bound of what is lent counted the whole cell, so a full pool could keep work out of an idle one, and a long-running task, which is owed whenever it fits, waited with the rest.

Measured: TestWorkBeyondTheRateStartsInAnIdlePool; package core/placer passes.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -167,8 +167,9 @@
 	cell           *place.Cell
 	vms            map[string]*vm
 	workspaces     map[string]*workspace
-	running        share.Turns // with the weights of the workspaces that have runs
-	workerIDs      []string    // workers of the registry, sorted
+	pools          map[string]*poolUse // in this planning pass
+	running        share.Turns         // with the weights of the workspaces that have runs
+	workerIDs      []string            // workers of the registry, sorted
 	runs           map[cluster.TaskID]*run
 	jobs           map[string]*pendingJob
 	steps          map[cluster.StepID]*pendingStep
@@ -203,7 +204,6 @@
 	plannedSteps       int             // number of steps in the last planning pass
 	planAttempts       int             // number of times that the last planning pass called the cell's planner
 	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
-	totalFree          resource.Vector // of the workers that may receive tasks, in this planning pass
 	totalCapacity      resource.Vector // of the workers that may receive tasks, in this planning pass
 }
 
@@ -212,7 +212,7 @@
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
-		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
+		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, pools: map[string]*poolUse{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
 		speeds: newWorkerSpeeds(), waits: newWaits(), queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -49,6 +49,7 @@
 	p.refreshSpeeds(now)
 	p.UpdateMembers(now)
 	p.updateMaxFree()
+	p.countPools()
 	p.planPass++
 	steps := make([]*pendingStep, 0, len(p.steps))
 	for _, step := range p.steps {
@@ -76,8 +77,8 @@
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
-		if step.rank.beyondRate && !p.mayLend() {
-			break // all steps that follow are beyond the rates of their workspaces, too
+		if step.rank.beyondRate && !p.mayLend(step) {
+			continue
 		}
 		if waiting = p.withinMaximum(step, waiting, now); len(waiting) == 0 {
 			continue // a run of the workspace that ends triggers the next pass
@@ -154,15 +155,12 @@
 	return ask
 }
 
-// updateMaxFree computes the largest free amount of each resource on any worker, and the sums over all
-// workers that may receive tasks.
+// updateMaxFree computes the largest free amount of each resource on any worker.
 func (p *Placer) updateMaxFree() {
-	p.maxFree, p.totalFree, p.totalCapacity = resource.Vector{}, resource.Vector{}, resource.Vector{}
-	for id, v := range p.vms {
+	p.maxFree = resource.Vector{}
+	for id := range p.vms {
 		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			p.maxFree = p.maxFree.Max(free)
-			p.totalFree = p.totalFree.Add(free)
-			p.totalCapacity = p.totalCapacity.Add(v.Capacity)
 		}
 	}
 }
@@ -397,7 +395,9 @@
 		onTrial: step.onTrial,
 	}
 	p.countRun(r, step.job)
-	p.totalFree = p.totalFree.Sub(r.size)
+	if use := p.pools[v.Pool]; use != nil {
+		use.free = use.free.Sub(r.size)
+	}
 	p.runs[id] = r
 	v.runs[id] = r
 	step.activeRuns++
--- a/core/placer/turns_test.go
+++ b/core/placer/turns_test.go
@@ -172,6 +172,30 @@
 	}
 }
 
+// Guards against a job beyond its workspace's rate that waits although its pool is idle, because another
+// pool is full, and against a long-running one that waits for the cell to empty.
+func TestWorkBeyondTheRateStartsInAnIdlePool(t *testing.T) {
+	c := cellWithWorkspaces(t, 8, 0)
+	for i := range 8 {
+		c.workers[fmt.Sprintf("w%02d", i)].Pool = []string{"p", "other"}[i%2]
+	}
+	c.publishRegistry()
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	submit := func(id, pool string, step flow.Step) {
+		require.NoError(t, c.append(flow.Record{Submit: &flow.Submit{ID: id, Queue: "q", Pool: pool, Workspace: "ws0", Rate: 0.01, Config: 1, Steps: []flow.Step{step}, MaxAttempts: 3, AtMS: c.wallMS()}}))
+	}
+	serving := batchStep(1)
+	serving.LongRunning = true
+	submit("full", "other", batchStep(14))
+	submit("idle", "p", batchStep(2))
+	submit("waits", "other", batchStep(2))
+	submit("lasts", "other", serving)
+	c.advance(time.Second)
+	for id, begun := range map[string]int{"full": 14, "idle": 2, "waits": 0, "lasts": 1} {
+		require.Equal(t, begun, c.state.Jobs[id].ActiveRuns, id)
+	}
+}
+
 // Measures a planning pass over a backlog in a full cell, by the number of workspaces that it comes from.
 func BenchmarkPlanWorkspaces(b *testing.B) {
 	for _, workspaces := range []int{0, 1, 1000} {
--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -13,7 +13,7 @@
 // The load that this file answers: a workspace that sends more than it may have running. Its steps
 // wait for its own runs to end, and cost the others neither workers nor planning time nor advice.
 
-// maxLentUseShare is the share of the cell in use up to which work beyond its workspace's rate starts. The
+// maxLentUseShare is the share of a pool in use up to which work beyond its workspace's rate starts. The
 // platform requires that waiting work starts while less than half of a pool is in use; the more is lent
 // beyond that, the longer a gang that is owed waits for workers with enough room.
 const maxLentUseShare = 0.6
@@ -117,12 +117,22 @@
 	}
 }
 
-// mayLend reports whether the cell has room for what workspaces submit beyond their rates. Without the
-// part that stays free, such work would keep the cell full, and a gang that arrives would wait for as
-// long as that work takes.
-func (p *Placer) mayLend() bool {
-	least := float64(1)
-	for _, r := range [...][2]int64{{p.totalFree.MilliCores, p.totalCapacity.MilliCores}, {p.totalFree.MemoryMiB, p.totalCapacity.MemoryMiB}} {
+// poolUse is what the workers of a pool that may receive tasks have, and what of it is free.
+type poolUse struct{ free, capacity resource.Vector }
+
+// mayLend reports whether a step of a job beyond its workspace's rate may start. Without the part of the
+// pool that stays free, such work would keep the pool full, and a gang that arrives would wait for as
+// long as that work takes. Long-running tasks are exempt: they are owed whenever they fit.
+func (p *Placer) mayLend(step *pendingStep) bool {
+	if step.def.LongRunning {
+		return true
+	}
+	use := p.pools[step.job.Pool]
+	if use == nil {
+		return false
+	}
+	least := 1.0
+	for _, r := range [...][2]int64{{use.free.MilliCores, use.capacity.MilliCores}, {use.free.MemoryMiB, use.capacity.MemoryMiB}} {
 		if r[1] > 0 {
 			least = min(least, float64(r[0])/float64(r[1]))
 		}
@@ -130,6 +140,29 @@
 	return least > 1-maxLentUseShare
 }
 
+// countPools computes what the workers of each pool have and what is free, if the configuration has
+// workspaces.
+func (p *Placer) countPools() {
+	p.totalCapacity = resource.Vector{}
+	clear(p.pools)
+	if len(p.config.Workspaces) == 0 {
+		return
+	}
+	for id, v := range p.vms {
+		free, schedulable := p.cell.FreeCapacity(id)
+		if !schedulable {
+			continue
+		}
+		use := p.pools[v.Pool]
+		if use == nil {
+			use = &poolUse{}
+			p.pools[v.Pool] = use
+		}
+		use.free, use.capacity = use.free.Add(free), use.capacity.Add(v.Capacity)
+		p.totalCapacity = p.totalCapacity.Add(v.Capacity)
+	}
+}
+
 // mayTakePart reports whether a step may take part in this planning pass: not if its workspace has no
 // room under its maximum, or if the job is beyond the rate and the cell has no room to lend. Such steps
 // use no planning time, however many they are. A gang takes part, as the room that it waits for is kept
@@ -142,7 +175,7 @@
 		p.heldAtMaximum(step, now)
 		return false
 	}
-	return !step.job.BeyondRate || p.mayLend()
+	return !step.job.BeyondRate || p.mayLend(step)
 }
 
 // withinMaximum returns the waiting tasks that may start under the maximum of the step's workspace,
