Work beyond the rate waits for room in its own pool only

Cause: the room to lend was taken over all workers, so work beyond a workspace's rate waited beside an idle pool for as long as another pool was in use, and one pool without room ended the planning pass for all.

Change: free amounts and capacity are summed by pool.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -197,14 +197,14 @@
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
-	workersWithRuns    int             // at the last scan
-	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
-	planPass           int             // number of planning passes so far
-	plannedSteps       int             // number of steps in the last planning pass
-	planAttempts       int             // number of times that the last planning pass called the cell's planner
-	maxFree            resource.Vector // largest free amount of each resource on any worker, in this planning pass
-	totalFree          resource.Vector // of the workers that may receive tasks, in this planning pass
-	totalCapacity      resource.Vector // of the workers that may receive tasks, in this planning pass
+	workersWithRuns    int                  // at the last scan
+	lastAppendDuration time.Duration        // of the last batch, from Flush to its acknowledgement
+	planPass           int                  // number of planning passes so far
+	plannedSteps       int                  // number of steps in the last planning pass
+	planAttempts       int                  // number of times that the last planning pass called the cell's planner
+	maxFree            resource.Vector      // largest free amount of each resource on any worker, in this planning pass
+	totalCapacity      resource.Vector      // of the workers that may receive tasks, in this planning pass
+	poolRooms          map[string]*poolRoom // by pool, in this planning pass
 }
 
 // New returns the placer for the newest claim in the state. It adopts all runs that are active
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -76,8 +76,8 @@
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
-		if step.rank.beyondRate && !p.mayLend() {
-			break // all steps that follow are beyond the rates of their workspaces, too
+		if step.rank.beyondRate && !p.mayLend(step.job.Pool) {
+			continue // a run of the pool that ends triggers the next pass
 		}
 		if waiting = p.withinMaximum(step, waiting, now); len(waiting) == 0 {
 			continue // a run of the workspace that ends triggers the next pass
@@ -157,12 +157,17 @@
 // updateMaxFree computes the largest free amount of each resource on any worker, and the sums over all
 // workers that may receive tasks.
 func (p *Placer) updateMaxFree() {
-	p.maxFree, p.totalFree, p.totalCapacity = resource.Vector{}, resource.Vector{}, resource.Vector{}
+	p.maxFree, p.totalCapacity, p.poolRooms = resource.Vector{}, resource.Vector{}, map[string]*poolRoom{}
 	for id, v := range p.vms {
 		if free, schedulable := p.cell.FreeCapacity(id); schedulable {
 			p.maxFree = p.maxFree.Max(free)
-			p.totalFree = p.totalFree.Add(free)
 			p.totalCapacity = p.totalCapacity.Add(v.Capacity)
+			room := p.poolRooms[v.Pool]
+			if room == nil {
+				room = &poolRoom{}
+				p.poolRooms[v.Pool] = room
+			}
+			room.free, room.capacity = room.free.Add(free), room.capacity.Add(v.Capacity)
 		}
 	}
 }
@@ -397,7 +402,9 @@
 		onTrial: step.onTrial,
 	}
 	p.countRun(r, step.job)
-	p.totalFree = p.totalFree.Sub(r.size)
+	if room := p.poolRooms[step.job.Pool]; room != nil {
+		room.free = room.free.Sub(r.size)
+	}
 	p.runs[id] = r
 	v.runs[id] = r
 	step.activeRuns++
--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -13,7 +13,7 @@
 // The load that this file answers: a workspace that sends more than it may have running. Its steps
 // wait for its own runs to end, and cost the others neither workers nor planning time nor advice.
 
-// maxLentUseShare is the share of the cell in use up to which work beyond its workspace's rate starts. The
+// maxLentUseShare is the share of a pool in use up to which work beyond its workspace's rate starts. The
 // platform requires that waiting work starts while less than half of a pool is in use; the more is lent
 // beyond that, the longer a gang that is owed waits for workers with enough room.
 const maxLentUseShare = 0.6
@@ -117,12 +117,19 @@
 	}
 }
 
-// mayLend reports whether the cell has room for what workspaces submit beyond their rates. Without the
-// part that stays free, such work would keep the cell full, and a gang that arrives would wait for as
+// poolRoom is the room of the workers of a pool that may receive tasks.
+type poolRoom struct{ free, capacity resource.Vector }
+
+// mayLend reports whether a pool has room for what workspaces submit beyond their rates. Without the
+// part that stays free, such work would keep the pool full, and a gang that arrives would wait for as
 // long as that work takes.
-func (p *Placer) mayLend() bool {
+func (p *Placer) mayLend(pool string) bool {
+	room := p.poolRooms[pool]
+	if room == nil {
+		return true // nothing can start there
+	}
 	least := float64(1)
-	for _, r := range [...][2]int64{{p.totalFree.MilliCores, p.totalCapacity.MilliCores}, {p.totalFree.MemoryMiB, p.totalCapacity.MemoryMiB}} {
+	for _, r := range [...][2]int64{{room.free.MilliCores, room.capacity.MilliCores}, {room.free.MemoryMiB, room.capacity.MemoryMiB}} {
 		if r[1] > 0 {
 			least = min(least, float64(r[0])/float64(r[1]))
 		}
@@ -131,7 +138,7 @@
 }
 
 // mayTakePart reports whether a step may take part in this planning pass: not if its workspace has no
-// room under its maximum, or if the job is beyond the rate and the cell has no room to lend. Such steps
+// room under its maximum, or if the job is beyond the rate and its pool has no room to lend. Such steps
 // use no planning time, however many they are. A gang takes part, as the room that it waits for is kept
 // in its turn.
 func (p *Placer) mayTakePart(step *pendingStep, now time.Duration) bool {
@@ -142,7 +149,7 @@
 		p.heldAtMaximum(step, now)
 		return false
 	}
-	return !step.job.BeyondRate || p.mayLend()
+	return !step.job.BeyondRate || p.mayLend(step.job.Pool)
 }
 
 // withinMaximum returns the waiting tasks that may start under the maximum of the step's workspace,
