Tasks that last start beyond the rate of their workspace

Cause: work beyond the rate starts only while less than 0.6 of its pool is in use, so a task that lasts did not start, or not again after its worker was lost, in a pool that stays busier than that.

Change: tasks that last don't wait for room to lend; their rank still follows that of all work within the rates. Found by reading; TestTaskThatLastsStartsBeyondTheRate failed before and passes now.

--- a/core/placer/lend_test.go
+++ b/core/placer/lend_test.go
@@ -37,3 +37,17 @@
 	c.advance(2 * time.Second)
 	require.Equal(t, 1, c.state.Jobs["beyond"].ActiveRuns)
 }
+
+// Guards against a task that lasts and waits for as long as its pool is busy, because its job was submitted
+// beyond the rate of its workspace: there may never be a time with less work.
+func TestTaskThatLastsStartsBeyondTheRate(t *testing.T) {
+	c := cellWithWorkspaces(t, 8, 0, 0)
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.submitFrom("ws1", "usual", batchStep(int(6*workerCapacity.MilliCores/4000)))
+	c.advance(500 * time.Millisecond)
+	lasting := batchStep(1)
+	lasting.LongRunning = true
+	c.submitBeyondRate("p", "lasting", lasting)
+	c.advance(2 * time.Second)
+	require.Equal(t, 1, c.state.Jobs["lasting"].ActiveRuns)
+}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -76,7 +76,7 @@
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
-		if step.rank.beyondRate && !p.mayLend(step.job.Pool) {
+		if p.awaitsLentRoom(step) {
 			continue // a run of the pool that ends triggers the next pass
 		}
 		if waiting = p.withinMaximum(step, waiting, now); len(waiting) == 0 {
--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -137,6 +137,12 @@
 	return least > 1-maxLentUseShare
 }
 
+// awaitsLentRoom reports whether a step is beyond its workspace's rate and its pool has no room for it. A
+// task that lasts does not wait: in a pool that stays busy it would never run.
+func (p *Placer) awaitsLentRoom(step *pendingStep) bool {
+	return step.job.BeyondRate && !step.def.LongRunning && !p.mayLend(step.job.Pool)
+}
+
 // mayTakePart reports whether a step may take part in this planning pass: not if its workspace has no
 // room under its maximum, or if the job is beyond the rate and its pool has no room to lend. Such steps
 // use no planning time, however many they are. A gang takes part, as the room that it waits for is kept
@@ -149,7 +155,7 @@
 		p.heldAtMaximum(step, now)
 		return false
 	}
-	return !step.job.BeyondRate || p.mayLend(step.job.Pool)
+	return !p.awaitsLentRoom(step)
 }
 
 // withinMaximum returns the waiting tasks that may start under the maximum of the step's workspace,
