Configurations hold digests of keys

Cause: daemons relay configurations to each other on listen.peers, which asks for no credentials, so anyone who connects to that port could read the keys of all workspaces.

--- a/core/cluster/workspace.go
+++ b/core/cluster/workspace.go
@@ -11,12 +11,28 @@
 // Workspace is a group of callers that shares keys, a maximum and a share of the workers.
 type Workspace struct {
 	Name     string
-	Keys     []string        // secrets: they are neither logged nor stored, and appear in no error
+	Keys     []KeyDigest
 	Priority int             // 0 is the highest priority
 	Weight   float64         // share of the workers while demand exceeds capacity, relative to other workspaces; also the jobs a second that it may submit
 	Maximum  resource.Vector // most that its tasks may hold on all workers together; an amount of 0 is no limit
 }
 
+// KeyDigest is the digest of a key. Configurations hold no keys, as daemons pass them to each other over
+// a port that anyone can connect to.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key, which is a secret.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// DigestKeys returns the digests of keys.
+func DigestKeys(keys ...string) []KeyDigest {
+	digests := make([]KeyDigest, 0, len(keys))
+	for _, key := range keys {
+		digests = append(digests, DigestKey(key))
+	}
+	return digests
+}
+
 // Workspace returns the workspace with the given name, or nil.
 func (c *Configuration) Workspace(name string) *Workspace {
 	for i := range c.Workspaces {
@@ -31,7 +47,7 @@
 // names a key by its position only.
 func (c *Configuration) CheckWorkspaces() error {
 	names := make(map[string]bool, len(c.Workspaces))
-	holders := map[string]string{}
+	holders, empty := map[KeyDigest]string{}, DigestKey("")
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
 		switch {
@@ -46,7 +62,7 @@
 		}
 		names[w.Name] = true
 		for k, key := range w.Keys {
-			if key == "" {
+			if key == empty {
 				return fault.New(fault.Invalid, "remove the key or set it", "workspaces[%d].keys[%d] is empty", i, k)
 			}
 			if holder, held := holders[key]; held {
@@ -61,17 +77,17 @@
 // Keyring finds the workspace that a key belongs to. It holds digests, so a lookup takes the same
 // time whatever part of a guessed key is right.
 type Keyring struct {
-	workspaces map[[sha256.Size]byte]string
+	workspaces map[KeyDigest]string
 	weights    map[string]float64 // by workspace
 }
 
 // NewKeyring returns the keyring of a configuration.
 func NewKeyring(c *Configuration) *Keyring {
-	k := &Keyring{workspaces: map[[sha256.Size]byte]string{}, weights: make(map[string]float64, len(c.Workspaces))}
+	k := &Keyring{workspaces: map[KeyDigest]string{}, weights: make(map[string]float64, len(c.Workspaces))}
 	for i := range c.Workspaces {
 		k.weights[c.Workspaces[i].Name] = c.Workspaces[i].Weight
 		for _, key := range c.Workspaces[i].Keys {
-			k.workspaces[sha256.Sum256([]byte(key))] = c.Workspaces[i].Name
+			k.workspaces[key] = c.Workspaces[i].Name
 		}
 	}
 	return k
@@ -82,7 +98,7 @@
 	if k == nil || key == "" {
 		return "", false
 	}
-	name, known = k.workspaces[sha256.Sum256([]byte(key))]
+	name, known = k.workspaces[DigestKey(key)]
 	return name, known
 }
 
--- a/core/cluster/workspace_test.go
+++ b/core/cluster/workspace_test.go
@@ -11,10 +11,10 @@
 
 func TestInvalidWorkspacesAreRefusedWithTheFieldAndWithoutTheKey(t *testing.T) {
 	for field, workspaces := range map[string][]Workspace{
-		"workspaces[0].name":    {{Keys: []string{"secret"}}},
+		"workspaces[0].name":    {{Keys: DigestKeys("secret")}},
 		"workspaces[1].name":    {{Name: "a"}, {Name: "a"}},
-		"workspaces[1].keys[0]": {{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}},
-		"workspaces[0].keys[1]": {{Name: "a", Keys: []string{"secret", ""}}},
+		"workspaces[1].keys[0]": {{Name: "a", Keys: DigestKeys("secret")}, {Name: "b", Keys: DigestKeys("secret")}},
+		"workspaces[0].keys[1]": {{Name: "a", Keys: DigestKeys("secret", "")}},
 		"workspaces[0].maximum": {{Name: "a", Maximum: resource.Vector{MemoryMiB: -1}}},
 		"workspaces[0].weight":  {{Name: "a", Weight: -1}},
 	} {
@@ -22,11 +22,11 @@
 		require.ErrorContains(t, err, field)
 		require.NotContains(t, err.Error(), "secret")
 	}
-	require.NoError(t, (&Configuration{Workspaces: []Workspace{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b"}}}).CheckWorkspaces())
+	require.NoError(t, (&Configuration{Workspaces: []Workspace{{Name: "a", Keys: DigestKeys("k1", "k2")}, {Name: "b"}}}).CheckWorkspaces())
 }
 
 func TestKeyringKnowsOnlyKeysOfTheConfiguration(t *testing.T) {
-	k := NewKeyring(&Configuration{Workspaces: []Workspace{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}}})
+	k := NewKeyring(&Configuration{Workspaces: []Workspace{{Name: "a", Keys: DigestKeys("k1", "k2")}, {Name: "b", Keys: DigestKeys("k3")}}})
 	name, known := k.Workspace("k3")
 	require.True(t, known)
 	require.Equal(t, "b", name)
@@ -39,7 +39,7 @@
 func BenchmarkKeyringOf10000Workspaces(b *testing.B) {
 	c := &Configuration{}
 	for i := range 10_000 {
-		c.Workspaces = append(c.Workspaces, Workspace{Name: strconv.Itoa(i), Keys: []string{"first-key-of-" + strconv.Itoa(i), "second-key-of-" + strconv.Itoa(i)}})
+		c.Workspaces = append(c.Workspaces, Workspace{Name: strconv.Itoa(i), Keys: DigestKeys("first-key-of-"+strconv.Itoa(i), "second-key-of-"+strconv.Itoa(i))})
 	}
 	k := NewKeyring(c)
 	for b.Loop() {
--- a/daemon/cell/keys_test.go
+++ b/daemon/cell/keys_test.go
@@ -39,7 +39,7 @@
 			{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2},
 			{Name: "open", Host: "h", PathPrefix: "/public/", MaxAttempts: 2, Public: true},
 		},
-		Workspaces: []cluster.Workspace{{Name: "mill", Keys: []string{millKey}}, {Name: "farms", Keys: []string{farmKey}}},
+		Workspaces: []cluster.Workspace{{Name: "mill", Keys: cluster.DigestKeys(millKey)}, {Name: "farms", Keys: cluster.DigestKeys(farmKey)}},
 	}
 }
 
@@ -446,7 +446,7 @@
 	config := keyedConfig(1)
 	for i := range 10_000 {
 		name := "workspace-" + string(rune('a'+i%26)) + time.Duration(i).String()
-		config.Workspaces = append(config.Workspaces, cluster.Workspace{Name: name, Keys: []string{"1st " + name, "2nd " + name}})
+		config.Workspaces = append(config.Workspaces, cluster.Workspace{Name: name, Keys: cluster.DigestKeys("1st "+name, "2nd "+name)})
 	}
 	e.applyConfigReading(configReading{config, 1, bootclock.Now() + time.Hour})
 	for b.Loop() {
