Runs of a lost worker end to count for their workspace

Cause: a run that a worker lists beside another run of the task was counted until the worker's next report. A worker that was taken away reports no more, so the run took a part of its workspace's maximum for ever, and the placer kept the worker.

Change: such runs end to count when all leases of the worker have certainly expired, as its other runs do. Found by reading; TestRunsOfALostWorkerEndToCount failed before and passes now.

--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -36,14 +36,19 @@
 	formerLeaseEnd := p.formerLeaseEnd()
 	p.workersWithRuns = 0
 	for _, v := range p.vms {
-		if len(v.runs) == 0 {
+		if len(v.runs) > 0 {
+			p.workersWithRuns++
+		} else if len(v.untracked) == 0 {
 			continue
 		}
-		p.workersWithRuns++
 		end, grantedBy := v.leaseEnd(formerLeaseEnd)
 		if now <= end {
 			continue
 		}
+		if len(v.untracked) > 0 {
+			p.countUntracked(v, nil)
+			p.planNeeded = true
+		}
 		n := 0
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
--- a/core/placer/workspace_test.go
+++ b/core/placer/workspace_test.go
@@ -222,3 +222,20 @@
 		}
 	})
 }
+
+// Guards against a maximum that stays in use for ever: a worker that is taken away reports no more that a run
+// has ended of which the task has another run by then.
+func TestRunsOfALostWorkerEndToCount(t *testing.T) {
+	c := cellWithWorkspaces(t, 8, 1)
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.submitFrom("ws0", "lost", batchStep(1))
+	c.advance(500 * time.Millisecond)
+	c.workers["w07"].up, c.workers["w07"].inRegistry = false, false
+	c.placer.countUntracked(c.placer.vms["w07"], []cluster.RunID{{TaskID: cluster.TaskID{Job: "lost"}, Run: 1}})
+	require.Equal(t, 2, c.placer.workspaceOf("ws0").Runs)
+	c.publishRegistry()
+	c.advance(countLag)
+	c.publishRegistry()
+	require.NotContains(t, c.placer.vms, "w07")
+	require.Equal(t, 1, c.placer.workspaceOf("ws0").Runs)
+}
