A whole request is served before its connection gives way

Cause: a connection that was idle when it was chosen to give way may receive a whole request before its reads are made to fail. The HTTP server takes a failed read while it serves for a caller that has left, and cancels the request.

Change: reads of such a connection fail only once its request is answered. Found by reading; TestConnectionThatGivesWayFinishesAWholeRequest failed before and passes now.

--- a/daemon/cell/door.go
+++ b/daemon/cell/door.go
@@ -170,7 +170,8 @@
 	headerReserved bool
 }
 
-// leave makes the connection's reads fail, and a send that is under way. The server then closes it.
+// leave makes the connection's reads fail, and a send that is under way. The server then closes it. If a whole
+// request has arrived meanwhile, that is served first.
 func (c *doorConn) leave() {
 	if c == nil {
 		return
@@ -199,14 +200,15 @@
 
 // applyDeadline sets the earliest of the deadlines that apply. It is called with mu held.
 func (c *doorConn) applyDeadline() {
+	c.door.mu.Lock()
+	serving := c.entry.Stage() == intake.Serving
+	began, received := c.entry.Received()
+	c.door.mu.Unlock()
 	deadline := c.serverDeadline
 	switch {
-	case c.left:
+	case c.left && !serving: // a failed read while a request is served would cancel the request
 		deadline = c.door.started
 	case c.requestEnd > 0:
-		c.door.mu.Lock()
-		began, received := c.entry.Received()
-		c.door.mu.Unlock()
 		if until := c.door.started.Add(intake.ReadUntil(began, received, c.requestEnd)); deadline.IsZero() || until.Before(deadline) {
 			deadline = until
 		}
@@ -283,16 +285,19 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requestEnd > 0 && (stage == intake.Serving || stage == intake.Idle) {
-		c.requestEnd = 0
-		c.applyDeadline()
-	}
 	c.door.mu.Lock()
-	defer c.door.mu.Unlock()
 	c.door.gate.Enter(c.entry, stage, c.door.now())
 	if stage == intake.Idle {
 		c.door.release()
 	}
+	c.door.mu.Unlock()
+	limited := c.requestEnd > 0
+	if stage == intake.Serving || stage == intake.Idle {
+		c.requestEnd = 0
+	}
+	if c.left || limited && c.requestEnd == 0 {
+		c.applyDeadline()
+	}
 }
 
 // reserve reserves bytes for the request until it is answered. It waits for them for a short time while
--- a/daemon/cell/door_test.go
+++ b/daemon/cell/door_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -232,3 +233,26 @@
 		conn.enter(intake.Idle)
 	}
 }
+
+// Guards against a whole request whose context ends because its connection, idle until then, was to give way
+// as the request arrived.
+func TestConnectionThatGivesWayFinishesAWholeRequest(t *testing.T) {
+	m := newMetrics()
+	client, server := net.Pipe()
+	defer client.Close() //nolint:errcheck // of a test
+	c := newDoor("callers", intake.Limits{Connections: 16, Bytes: 1 << 20}, &m).open(server)
+	c.enter(intake.Serving)
+	c.leave()
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	select {
+	case err := <-read:
+		require.Fail(t, "the server would cancel the request", "%v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	c.enter(intake.Idle)
+	require.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+}
