Work beyond the rate waits for free cores, not for free memory

Cause: the review showed that such work waited in a pool with idle cores because 0.65 of its memory was in use. The platform requires a start while under half of the capacity is in use, and does not say of which resource.

Change: the share of the cores in use decides. Work that finds no memory waits as any other.

Measured: the new test fails on the former code; the tests of workspaces, rates, lending and floods pass.

--- a/core/placer/lend_test.go
+++ b/core/placer/lend_test.go
@@ -51,3 +51,16 @@
 	c.advance(2 * time.Second)
 	require.Equal(t, 1, c.state.Jobs["lasting"].ActiveRuns)
 }
+
+// Guards against work beyond the rate that waits in a pool whose cores are idle because its memory is in use.
+func TestWorkBeyondTheRateStartsBesideIdleCores(t *testing.T) {
+	c := cellWithWorkspaces(t, 8, 0, 0)
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	usual := batchStep(8)
+	usual.Size.MilliCores, usual.Size.MemoryMiB = 1, workerCapacity.MemoryMiB*7/10
+	c.submitFrom("ws1", "usual", usual)
+	c.advance(500 * time.Millisecond)
+	c.submitBeyondRate("p", "beyond", batchStep(1))
+	c.advance(2 * time.Second)
+	require.Equal(t, 1, c.state.Jobs["beyond"].ActiveRuns)
+}
--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -122,7 +122,7 @@
 
 // mayLend reports whether a step of a job beyond its workspace's rate may start. Without the part of the
 // pool that stays free, such work would keep the pool full, and a gang that arrives would wait for as
-// long as that work takes. Long-running tasks are exempt: they are owed whenever they fit.
+// long as that work takes. Cores count, as memory in use keeps none of them busy. Long-running tasks are exempt: they are owed whenever they fit.
 func (p *Placer) mayLend(step *pendingStep) bool {
 	if step.def.LongRunning {
 		return true
@@ -131,13 +131,7 @@
 	if use == nil {
 		return false
 	}
-	least := 1.0
-	for _, r := range [...][2]int64{{use.free.MilliCores, use.capacity.MilliCores}, {use.free.MemoryMiB, use.capacity.MemoryMiB}} {
-		if r[1] > 0 {
-			least = min(least, float64(r[0])/float64(r[1]))
-		}
-	}
-	return least > 1-maxLentUseShare
+	return float64(use.free.MilliCores) > (1-maxLentUseShare)*float64(use.capacity.MilliCores)
 }
 
 // countPools computes what the workers of each pool have and what is free, if the configuration has
