--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,8 +19,8 @@
 printf '\n%-10s %8s %8s %10s\n' module passed failed 'no tests'
 for module in core daemon platform standin; do
   printf '%-10s %8d %8d %10d\n' "$module" \
-    "$(grep -oE "^ok +\\s*briarproxy/$module/\\S*" "$out" | sort -u | wc -l)" \
-    "$(grep -oE "^FAIL\\s+briarproxy/$module/\\S*" "$out" | sort -u | wc -l)" \
+    "$(grep -oE "^ok +\\s*briarproxy/$module(/\\S*)?\\s" "$out" | sort -u | wc -l)" \
+    "$(grep -oE "^FAIL\\s+briarproxy/$module(/\\S*)?\\s" "$out" | sort -u | wc -l)" \
     "$(grep -cE "^\\?\\s+briarproxy/$module/" "$out")"
 done
 echo "packages with the race detector; $(grep -c '^--- FAIL' "$out") failed tests"
