briarctl checks a configuration before it is published

Cause: an operator saw a mistake in a configuration only when daemons refused it, or when work did not start.

Change: core/audit finds errors, entries that can never match, limits that contradict each other, and what differs from the version in force; briarctl check FILE prints them, as a table or JSON, with exit codes.

--- a/daemon/internal/ctl/check.go
+++ b/daemon/internal/ctl/check.go
@@ -25,17 +25,24 @@
 
 func newCheck() *cobra.Command {
 	var output outputFlag
+	var inForce string
 	cmd := &cobra.Command{
-		Use:   "check DIR...",
-		Short: "Check sets of objects and list every problem",
+		Use:   "check DIR... | check FILE [--in-force FILE]",
+		Short: "Check sets of objects, or a configuration of the users' platform, and list every problem",
 		Long: "check reads the files *.json and *.jsonc of each directory and its subdirectories\n" +
-			"as one set of objects and lists every problem of the set.\n\n" + exitCodes,
+			"as one set of objects and lists every problem of the set.\n\n" +
+			"Of a file it checks the configuration in the form in which it is published on the users' platform: errors,\n" +
+			"entries that can never match, limits that contradict each other, and with --in-force what it changes.\n" +
+			"Changes alone are no problems.\n\n" + exitCodes,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, dirs []string) error {
 			asJSON, err := output.isJSON()
 			if err != nil {
 				return err
 			}
+			if info, err := os.Stat(dirs[0]); inForce != "" || err == nil && info.Mode().IsRegular() {
+				return checkConfiguration(cmd.OutOrStdout(), dirs, inForce, asJSON)
+			}
 			results, err := checkDirectories(dirs)
 			if err != nil {
 				return err
@@ -44,6 +51,7 @@
 		},
 	}
 	output.register(cmd)
+	cmd.Flags().StringVar(&inForce, "in-force", "", "file with the configuration that is in force, to compare with")
 	return cmd
 }
 
