--- a/core/placer/workspace.go
+++ b/core/placer/workspace.go
@@ -122,7 +122,8 @@
 
 // mayLend reports whether a step of a job beyond its workspace's rate may start. Without the part of the
 // pool that stays free, such work would keep the pool full, and a gang that arrives would wait for as
-// long as that work takes. Cores count, as memory in use keeps none of them busy. Long-running tasks are exempt: they are owed whenever they fit.
+// long as that work takes. Cores count, as memory in use keeps none of them busy. Long-running tasks are
+// exempt: they are owed whenever they fit.
 func (p *Placer) mayLend(step *pendingStep) bool {
 	if step.def.LongRunning {
 		return true
