A test of the centring of worker speeds that fails without it

Cause: TestWrongEstimatesDoNotMakeAllWorkersSlow passes without the centring that it was written for.

Change: one more test, of the centring itself. The former one stays.

Measured: it fails with a median of 0 in place of the computed one, and passes with the code.

--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -171,3 +171,18 @@
 	assert.Equal(t, 0, e.Level("0", now))
 	assert.NotPanics(t, func() { e.TakeChanges(100) })
 }
+
+// Guards against an error that is common to all workers and makes every one of them slow, so that none is preferred.
+func TestErrorOfAllWorkersIsMovedToTheirKind(t *testing.T) {
+	e := New()
+	k := e.kind("k")
+	for i := range 31 {
+		e.worker(fmt.Sprint(i), 0).add(0.6, 200)
+	}
+	require.NotZero(t, e.Level("0", 0))
+	e.Centre(0)
+	for i := range 31 {
+		require.Zero(t, e.Level(fmt.Sprint(i), 0))
+	}
+	require.InDelta(t, 0.6, k.offset, 0.1)
+}
