The callers' tests count appends of callers' records only

The engine of these tests announces itself with its first event; the writer usually puts that record into the same append as the caller's, and when the announcement comes late it makes an append of its own. This is from reading: 600 runs on one and two processors did not repeat it.

Change: the engine of these tests announces itself after 5 s. The checks are the same, and stricter: the one append is now the caller's.

Measured: daemon/cell passes with the race detector; the two tests that count appends passed 240 times.

--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -50,6 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	e.claiming = true // keeps this daemon from becoming the placer
+	e.helloSentAt = bootclock.Now() // the daemon announces itself in 5 s; the tests count the appends of callers' records
 	go e.run(ctx)
 	go e.writer.run(ctx)
 	return &callerAPI{engine: e, ctx: ctx}
