--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -49,7 +49,7 @@
 	e.state.Pending["q"] = 7
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	e.claiming = true // keeps this daemon from becoming the placer
+	e.claiming = true               // keeps this daemon from becoming the placer
 	e.helloSentAt = bootclock.Now() // the daemon announces itself in 5 s; the tests count the appends of callers' records
 	go e.run(ctx)
 	go e.writer.run(ctx)
