--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -286,6 +286,7 @@
 	}
 	switch {
 	case !v.Found:
+		a.engine.log.Emit(evCancelUnknown, "job", id, "queue", lookup.queue.Name, "offset", v.readState.offset)
 		return answer(w, http.StatusGone, nil)
 	case !v.openTo(lookup.keyCheck):
 		return a.refuseKey(w, foreignJob)
