A cancellation outweighs a submission that is stored later

Cause: DELETE answered 410 when the log had no such job, and left nothing in the log that a submission under way would meet. A submission that meets one becomes a cancelled job. Ids have at most 128 bytes. Why it works: the log orders the two records; whichever comes first, the job is cancelled, and the answer waits for the record. Tests: TestPlatformCancelledJobWithALateSubmissionDoesNotRun (real processes) fails on the former code: a task starts. TestCallersAreAnswered now counts the appends of each request in place of all, and TestADaemonBehindTheLogConsultsACurrentOne expects 3 in place of 2: the cancellation of an unknown job is the third.

--- a/core/flow/fuzz_test.go
+++ b/core/flow/fuzz_test.go
@@ -35,7 +35,7 @@
 	for _, r := range []Record{
 		{Submit: &Submit{ID: "j", Queue: "q", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}}, MaxAttempts: 1}},
 		{Submit: &Submit{ID: "j", Times: 3, Steps: []Step{{Count: -1}}}},
-		{Claim: &Claim{Daemon: "d", Epoch: 1}}, begin, end, {Cancel: &Cancel{ID: "j"}}, {Hello: &Hello{Daemon: "d", Leaving: true}}, {},
+		{Claim: &Claim{Daemon: "d", Epoch: 1}}, begin, end, {Cancel: &Cancel{ID: "j"}}, {Cancel: &Cancel{ID: "k", Absent: true, Workspace: "w"}}, {Hello: &Hello{Daemon: "d", Leaving: true}}, {},
 	} {
 		data, err := r.Encode()
 		if err != nil {
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -56,10 +56,12 @@
 	AtMS        int64   `json:"at"` // time of acceptance, Unix ms of the accepting daemon's clock
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. With Absent it also cancels a submission of the id that is stored after it.
 type Cancel struct {
-	ID   string `json:"id"`
-	AtMS int64  `json:"at"`
+	ID        string `json:"id"`
+	AtMS      int64  `json:"at"`
+	Absent    bool   `json:"u,omitempty"` // the log contained no job of the id when the caller cancelled it
+	Workspace string `json:"w,omitempty"` // with Absent: of the caller's key; "" means none
 }
 
 // Claim makes a daemon the placer as of the claim's offset in the log.
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -26,6 +26,26 @@
 	Generation int64             `json:"g"`
 	Jobs       []json.RawMessage `json:"j"`
 	Speeds     []speed.Saved     `json:"v,omitempty"` // in the first chunk only
+	Tombstones []json.RawMessage `json:"d,omitempty"` // in chunks of their own, the oldest first
+}
+
+// savedTombstone is the stored form of a tombstone.
+type savedTombstone struct {
+	ID        string `json:"i"`
+	Workspace string `json:"w,omitempty"`
+	AgeMS     int64  `json:"a,omitempty"`
+}
+
+// encode returns the stored form of the chunk.
+func (c *savedChunk) encode() ([]byte, error) {
+	data, err := json.Marshal(c)
+	if err == nil {
+		data, err = compress(data)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "snapshot chunk cannot be encoded")
+	}
+	return data, nil
 }
 
 // SnapshotHead describes a complete snapshot. It is written after all chunks.
@@ -120,6 +140,11 @@
 	if err != nil {
 		return SnapshotHead{}, nil, err
 	}
+	tombstones, err := encodeTombstones(s.tombstones.sorted(), generation, now)
+	if err != nil {
+		return SnapshotHead{}, nil, err
+	}
+	chunks = append(chunks, tombstones...)
 	chunks = append(chunks, encodeEndedJobs(ended, generation, now)...)
 	head.Chunks = len(chunks)
 	for _, chunk := range chunks {
@@ -176,12 +201,9 @@
 	var chunks [][]byte
 	chunk, size := savedChunk{Generation: generation, Speeds: speeds}, 0
 	flush := func() error {
-		data, err := json.Marshal(chunk)
-		if err == nil {
-			data, err = compress(data)
-		}
+		data, err := chunk.encode()
 		if err != nil {
-			return fault.Wrap(err, fault.Internal, "report this as a bug", "snapshot chunk cannot be encoded")
+			return err
 		}
 		chunks = append(chunks, data)
 		chunk.Jobs, chunk.Speeds, size = nil, nil, 0
@@ -203,6 +225,38 @@
 	return chunks, flush()
 }
 
+// encodeTombstones returns chunks of at most maxChunkBytes before compression, as ids may be incompressible.
+func encodeTombstones(all []*tombstone, generation int64, now time.Duration) ([][]byte, error) {
+	var chunks [][]byte
+	chunk, size := savedChunk{Generation: generation}, 0
+	for i, t := range all {
+		data, err := json.Marshal(savedTombstone{t.id, t.workspace, (now - t.at).Milliseconds()})
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "the cancellation of %q cannot be encoded for the snapshot", t.id)
+		}
+		chunk.Tombstones = append(chunk.Tombstones, data)
+		size += len(data)
+		if size < maxChunkBytes && i < len(all)-1 {
+			continue
+		}
+		encoded, err := chunk.encode()
+		if err != nil {
+			return nil, err
+		}
+		chunks = append(chunks, encoded)
+		chunk.Tombstones, size = nil, 0
+	}
+	return chunks, nil
+}
+
+func (s *State) restoreTombstones(saved []savedTombstone, now time.Duration) {
+	for i := range saved {
+		if t := &saved[i]; t.ID != "" {
+			s.tombstones.add(t.ID, t.Workspace, now-time.Duration(t.AgeMS)*time.Millisecond)
+		}
+	}
+}
+
 func toSavedJob(j *Job, now time.Duration) savedJob {
 	saved := savedJob{Phase: j.Phase, Offset: j.Offset, BeyondRate: j.BeyondRate}
 	if j.Phase.Final() {
@@ -298,9 +352,10 @@
 	}
 	plain, err := decompress(data)
 	var chunk struct {
-		Generation int64         `json:"g"`
-		Jobs       []savedJob    `json:"j"`
-		Speeds     []speed.Saved `json:"v"`
+		Generation int64            `json:"g"`
+		Jobs       []savedJob       `json:"j"`
+		Speeds     []speed.Saved    `json:"v"`
+		Tombstones []savedTombstone `json:"d"`
 	}
 	if err == nil {
 		err = json.Unmarshal(plain, &chunk)
@@ -312,6 +367,7 @@
 		return generationMismatch(chunk.Generation, generation)
 	}
 	s.applySpeeds(chunk.Speeds)
+	s.restoreTombstones(chunk.Tombstones, now)
 	for i := range chunk.Jobs {
 		if err := s.restoreJob(&chunk.Jobs[i], now); err != nil {
 			return err
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -155,11 +155,12 @@
 	Pending    map[string]int          // by queue: number of jobs without a due time that have not begun
 	Rates      map[string]share.Bucket // by workspace: what is left of its rate of submissions
 	Speeds     map[string]speed.Saved  // by worker: newest estimate of its speed, if it was ever unusual
+	tombstones tombstones              // ids that were cancelled while the log contained no job of them
 }
 
 // NewState returns the empty state before the first record.
 func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}, Rates: map[string]share.Bucket{}, Speeds: map[string]speed.Saved{}}
+	return &State{Jobs: map[string]*Job{}, Members: map[string]Member{}, Pending: map[string]int{}, Rates: map[string]share.Bucket{}, Speeds: map[string]speed.Saved{}, tombstones: newTombstones()}
 }
 
 // Apply applies the record at State.NextOffset, which was read at boot-clock time now. An error
@@ -169,7 +170,7 @@
 	s.NextOffset++
 	switch {
 	case r.Submit != nil:
-		return s.applySubmit(r.Submit, offset)
+		return s.applySubmit(r.Submit, offset, now)
 	case r.Cancel != nil:
 		return s.applyCancel(r.Cancel, now)
 	case r.Claim != nil:
@@ -203,13 +204,17 @@
 // Skip advances past a record that cannot be decoded.
 func (s *State) Skip() { s.NextOffset++ }
 
-func (s *State) applySubmit(in *Submit, offset int64) error {
+func (s *State) applySubmit(in *Submit, offset int64, now time.Duration) error {
 	if s.Jobs[in.ID] != nil {
 		return nil
 	}
 	if err := in.validate(); err != nil {
 		return err
 	}
+	if s.Withdrawn(in.ID, in.Workspace) {
+		s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Cancelled, EndedAt: now}
+		return nil
+	}
 	s.Jobs[in.ID] = &Job{Submit: *in, Offset: offset, Phase: Queued, BeyondRate: !s.withinRate(in)}
 	if in.Times == 0 {
 		s.Pending[in.Queue]++
@@ -230,10 +235,16 @@
 
 func (s *State) applyCancel(c *Cancel, now time.Duration) error {
 	j := s.Jobs[c.ID]
-	if j == nil {
+	switch {
+	case j == nil && c.Absent && c.ID != "":
+		s.tombstones.add(c.ID, c.Workspace, now)
+	case j == nil:
 		return fault.New(fault.Invalid, "none needed: the job's retention period has passed", "cannot cancel unknown job %s", c.ID)
+	case c.Absent && j.Workspace != "" && j.Workspace != c.Workspace:
+		// The job of another workspace continues. The daemon could not refuse the caller, as it did not know the job.
+	default:
+		s.finish(j, Cancelled, now)
 	}
-	s.finish(j, Cancelled, now)
 	return nil
 }
 
@@ -484,8 +495,9 @@
 
 // Forget removes jobs without active runs that ended longer ago than keep, and returns their
 // ids. Ended jobs within that time are reduced to their id, workspace, offset, phase and end time after
-// endedJobDetailRetention.
+// endedJobDetailRetention. Tombstones are removed after TombstoneRetention.
 func (s *State) Forget(keep, now time.Duration) []string {
+	s.tombstones.expire(now - TombstoneRetention)
 	var forgotten []string
 	for id, j := range s.Jobs {
 		switch {
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -163,7 +163,7 @@
 	require.Empty(t, s.Forget(time.Hour, 2*time.Second+endedJobDetailRetention))
 	require.Empty(t, s.Jobs["j"].Steps)
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
-	require.NoError(t, s.applySubmit(&Submit{ID: "j", Steps: []Step{{Count: 1}}}, 99))
+	require.NoError(t, s.applySubmit(&Submit{ID: "j", Steps: []Step{{Count: 1}}}, 99, 2*time.Second))
 	require.Equal(t, Completed, s.Jobs["j"].Phase)
 	require.Equal(t, []string{"j"}, s.Forget(time.Hour, 2*time.Hour))
 }
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -21,6 +21,7 @@
 	logOutageRetryAfter   = 2 * time.Second         // outages of the log last some seconds, and callers have few retries
 	logOutageThreshold    = 1500 * time.Millisecond // without an answer from the store; twice the duration of a read in an idle cell
 	maxBodyBytes          = 256 << 10
+	maxJobIDBytes         = 128 // every daemon keeps the ids of ended jobs, and those of cancelled jobs that it does not know
 	maxHeaderBytes        = 16 << 10
 	readHeaderTimeout     = 3 * time.Second
 	idleConnectionTimeout = 60 * time.Second
@@ -43,6 +44,14 @@
 	bodyTime       time.Duration // in which the body must arrive
 	keyCheck       keyCheck
 	rate           float64 // jobs a second that the workspace may submit; 0 is no limit
+	cancellation   recordedCancellation
+}
+
+// recordedCancellation is what this daemon has read of cancellations of a job that was not submitted before them.
+type recordedCancellation struct {
+	withdrawn bool // a submission of the job does not run any more
+	lately    bool // another cancellation by the caller's workspace need not be recorded
+	refused   bool // the workspace, or all together, have cancelled too many jobs that were not submitted
 }
 
 // query runs a function on the engine's goroutine and waits for its result. It returns false if
@@ -95,6 +104,9 @@
 		ctx = queueCtx
 	}
 	id := path[len(lookup.queue.PathPrefix):]
+	if len(id) > maxJobIDBytes {
+		return a.refuseID(w, r)
+	}
 	switch {
 	case r.Method == http.MethodGet && id == "":
 		return a.answerCount(ctx, w, lookup)
@@ -113,6 +125,15 @@
 	}
 }
 
+// refuseID answers a request whose job id is longer than that of any accepted job.
+func (a *callerAPI) refuseID(w http.ResponseWriter, r *http.Request) int {
+	if r.Method == http.MethodPost {
+		a.engine.metrics.rejections.WithLabelValues("invalid").Inc()
+		return answer(w, http.StatusBadRequest, nil)
+	}
+	return answer(w, http.StatusGone, nil)
+}
+
 // timeLimit returns how long the daemon may take to answer a request.
 func (a *callerAPI) timeLimit(r *http.Request) time.Duration {
 	limit := a.engine.platform.CallerTimeout(r)
@@ -146,6 +167,7 @@
 	}
 	result.keyCheck = e.checkKey(key, result.queue.Public, bootclock.Now())
 	result.rate = e.keyring.Weight(result.keyCheck.workspace)
+	result.cancellation = e.recordedCancellation(path[len(result.queue.PathPrefix):], result.keyCheck.workspace)
 	if limit := e.config.Limits.Body; limit > 0 {
 		result.maxBodyBytes = min(limit, maxBodyBytes)
 	}
@@ -156,6 +178,14 @@
 	return result
 }
 
+func (e *engine) recordedCancellation(id, workspace string) recordedCancellation {
+	return recordedCancellation{
+		withdrawn: e.state.Withdrawn(id, workspace),
+		lately:    e.state.WithdrawnLately(id, workspace, bootclock.Now()),
+		refused:   !e.state.AcceptsTombstone(workspace),
+	}
+}
+
 // answerCount answers how many jobs of a queue are pending.
 func (a *callerAPI) answerCount(ctx context.Context, w http.ResponseWriter, lookup lookupResult) int {
 	src := sourceOfCount(lookup.readState, bootclock.Now())
@@ -262,6 +292,9 @@
 	switch {
 	case err == nil && isForeign():
 		return a.refuseKey(w, foreignJob) // the earlier submission of the id counts
+	case err == nil && lookup.cancellation.withdrawn:
+		a.engine.log.Emit(evJobCancelled, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "before_submission", true)
+		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Cancelled))
 	case err == nil:
 		a.engine.log.Emit(evJobAccepted, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "append_ms", appendTime.Milliseconds())
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Queued))
@@ -279,6 +312,9 @@
 func (a *callerAPI) cancel(ctx context.Context, w http.ResponseWriter, id string, lookup lookupResult) int {
 	v := lookup.view
 	if !v.Found {
+		if lookup.cancellation.lately {
+			return answer(w, http.StatusGone, nil)
+		}
 		var err error
 		if v, err = a.currentView(ctx, id, lookup); err != nil {
 			return a.rejectQuery(w, lookup, id, err)
@@ -286,31 +322,54 @@
 	}
 	switch {
 	case !v.Found:
-		a.engine.log.Emit(evCancelUnknown, "job", id, "queue", lookup.queue.Name, "offset", v.readState.offset)
-		return answer(w, http.StatusGone, nil)
+		return a.cancelUnknown(ctx, w, id, lookup, v)
 	case !v.openTo(lookup.keyCheck):
 		return a.refuseKey(w, foreignJob)
 	case v.Phase.Final():
 		return answer(w, http.StatusOK, a.engine.platform.EncodeState(v.Phase))
 	}
+	if status := a.appendCancel(ctx, w, flow.Cancel{ID: id}, lookup); status != 0 {
+		return status
+	}
+	a.engine.log.Emit(evJobCancelled, "job", id, "queue", lookup.queue.Name, "version", lookup.version, "before_submission", false)
+	return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Cancelled))
+}
+
+// cancelUnknown cancels a job that the log does not contain. Its submission may still be under way, so the caller is
+// told that no such job exists only once the log has a cancellation for a late submission to meet.
+func (a *callerAPI) cancelUnknown(ctx context.Context, w http.ResponseWriter, id string, lookup lookupResult, v view) int {
+	if lookup.cancellation.refused {
+		a.engine.log.Emit(evCancelRejected, "job", id, "queue", lookup.queue.Name, "reason", "too many jobs were cancelled that the log does not contain", "version", lookup.version)
+		a.engine.metrics.rejections.WithLabelValues("too many cancellations").Inc()
+		return reject(w, http.StatusServiceUnavailable)
+	}
+	if status := a.appendCancel(ctx, w, flow.Cancel{ID: id, Absent: true, Workspace: lookup.keyCheck.workspace}, lookup); status != 0 {
+		return status
+	}
+	a.engine.log.Emit(evCancelUnknown, "job", id, "queue", lookup.queue.Name, "offset", v.readState.offset)
+	return answer(w, http.StatusGone, nil)
+}
+
+// appendCancel stores a cancellation. Unless it is stored, it answers the caller and returns the status.
+func (a *callerAPI) appendCancel(ctx context.Context, w http.ResponseWriter, cancel flow.Cancel, lookup lookupResult) int {
 	if lookup.logUnreachable {
-		a.engine.log.Emit(evCancelRejected, "job", id, "queue", lookup.queue.Name, "reason", "the log does not answer", "version", lookup.version)
+		a.engine.log.Emit(evCancelRejected, "job", cancel.ID, "queue", lookup.queue.Name, "reason", "the log does not answer", "version", lookup.version)
 		a.engine.metrics.rejections.WithLabelValues("log away").Inc()
 		return rejectWithRetryAfter(w, http.StatusServiceUnavailable, logOutageRetryAfter)
 	}
-	err := a.engine.writer.append(ctx, &flow.Record{Cancel: &flow.Cancel{ID: id, AtMS: time.Now().UnixMilli()}}, remaining(ctx))
+	cancel.AtMS = time.Now().UnixMilli()
+	err := a.engine.writer.append(ctx, &flow.Record{Cancel: &cancel}, remaining(ctx))
 	switch {
 	case fault.Is(err, fault.Refused):
 		a.engine.metrics.rejections.WithLabelValues("not stored").Inc()
-		a.engine.log.Emit(evCancelRejected, "job", id, "queue", lookup.queue.Name, "reason", err.Error(), "version", lookup.version)
+		a.engine.log.Emit(evCancelRejected, "job", cancel.ID, "queue", lookup.queue.Name, "reason", err.Error(), "version", lookup.version)
 		return reject(w, http.StatusServiceUnavailable)
 	case err != nil:
 		a.engine.metrics.rejections.WithLabelValues("outcome unknown").Inc()
-		a.engine.log.Emit(evCancelOutcomeUnknown, "job", id, "queue", lookup.queue.Name, "reason", err.Error(), "version", lookup.version)
+		a.engine.log.Emit(evCancelOutcomeUnknown, "job", cancel.ID, "queue", lookup.queue.Name, "reason", err.Error(), "version", lookup.version)
 		return answer(w, http.StatusGatewayTimeout, nil)
 	}
-	a.engine.log.Emit(evJobCancelled, "job", id, "queue", lookup.queue.Name, "version", lookup.version)
-	return answer(w, http.StatusOK, a.engine.platform.EncodeState(flow.Cancelled))
+	return 0
 }
 
 // remaining returns the time limit of an append: 50 ms less than the request has left. The 50 ms
--- a/daemon/cell/callers_test.go
+++ b/daemon/cell/callers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -68,26 +69,89 @@
 func TestCallersAreAnswered(t *testing.T) {
 	store := &fakeStore{}
 	api := newTestCallerAPI(t, store, 0)
+	long := strings.Repeat("f", maxJobIDBytes+1)
 	for _, test := range []struct {
 		method, path, body string
 		status             int
 		text               string
+		appends            int64 // of this request
 	}{
-		{http.MethodPost, "/p/new", jobBody, http.StatusOK, "queued"},
-		{http.MethodPost, "/p/known", jobBody, http.StatusOK, "completed"},
-		{http.MethodPost, "/p/bad", `{"Spec":"s","Steps":[]}`, http.StatusBadRequest, ""},
-		{http.MethodPost, "/p/", jobBody, http.StatusMethodNotAllowed, ""},
-		{http.MethodPost, "/other/x", jobBody, http.StatusNotFound, ""},
-		{http.MethodGet, "/p/known", "", http.StatusOK, `{"State":"completed"}`},
-		{http.MethodGet, "/p/unknown", "", http.StatusGone, ""},
-		{http.MethodDelete, "/p/unknown", "", http.StatusGone, ""},
-		{http.MethodGet, "/p/", "", http.StatusOK, `{"Pending":7}`},
+		{http.MethodPost, "/p/new", jobBody, http.StatusOK, "queued", 1},
+		{http.MethodPost, "/p/known", jobBody, http.StatusOK, "completed", 0},
+		{http.MethodPost, "/p/bad", `{"Spec":"s","Steps":[]}`, http.StatusBadRequest, "", 0},
+		{http.MethodPost, "/p/" + long, jobBody, http.StatusBadRequest, "", 0},
+		{http.MethodPost, "/p/", jobBody, http.StatusMethodNotAllowed, "", 0},
+		{http.MethodPost, "/other/x", jobBody, http.StatusNotFound, "", 0},
+		{http.MethodGet, "/p/known", "", http.StatusOK, `{"State":"completed"}`, 0},
+		{http.MethodGet, "/p/unknown", "", http.StatusGone, "", 0},
+		{http.MethodDelete, "/p/unknown", "", http.StatusGone, "", 1},
+		{http.MethodDelete, "/p/known", "", http.StatusOK, "completed", 0},
+		{http.MethodDelete, "/p/" + long, "", http.StatusGone, "", 0},
+		{http.MethodGet, "/p/", "", http.StatusOK, `{"Pending":7}`, 0},
 	} {
+		before := store.appends.Load()
 		got := api.request(test.method, test.path, test.body)
 		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
 		require.Contains(t, got.Body.String(), test.text)
+		require.Equal(t, test.appends, store.appends.Load()-before, "%s %s", test.method, test.path)
 	}
-	require.EqualValues(t, 1, store.appends.Load())
+}
+
+// endAnsweringStore reports the log's end although other calls may fail.
+type endAnsweringStore struct {
+	Platform
+	ends *fakeStore
+}
+
+func (s endAnsweringStore) End(ctx context.Context, partition int, from int64) (int64, error) {
+	return s.ends.End(ctx, partition, from)
+}
+
+// Guards against a caller who is told that no job of an id exists although a submission of it that is stored later
+// would run: the answer must leave a record in the log that such a submission meets.
+func TestCancellationOfAnUnknownJobIsAnsweredOnceItIsStored(t *testing.T) {
+	store, answering := &fakeStore{}, &fakeStore{}
+	api := newTestCallerAPI(t, store, 0)
+	api.engine.store.direct = endAnsweringStore{api.engine.platform, answering}
+	store.failWith(errNoAnswer)
+	require.Equal(t, http.StatusGatewayTimeout, api.request(http.MethodDelete, "/p/unknown", "").Code)
+	store.failWith(errRefused)
+	got := api.request(http.MethodDelete, "/p/unknown", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.Equal(t, "1", got.Header().Get("Retry-After"))
+	store.failWith(nil)
+	require.Eventually(t, func() bool {
+		api.onEngine(func(e *engine) { e.readToEndAt = bootclock.Now() })
+		return api.request(http.MethodDelete, "/p/unknown", "").Code == http.StatusGone
+	}, 5*time.Second, 50*time.Millisecond)
+
+	api.onEngine(func(e *engine) {
+		require.NoError(t, e.state.Apply(&flow.Record{Cancel: &flow.Cancel{ID: "unknown", Absent: true}}, bootclock.Now()))
+	})
+	sent := store.appends.Load()
+	require.Equal(t, http.StatusGone, api.request(http.MethodDelete, "/p/unknown", "").Code)
+	require.Equal(t, sent, store.appends.Load(), "the log has the cancellation already")
+	require.Equal(t, http.StatusGone, api.request(http.MethodGet, "/p/unknown", "").Code, "nobody has submitted the job")
+	got = api.request(http.MethodPost, "/p/unknown", jobBody)
+	require.Equal(t, http.StatusOK, got.Code)
+	require.Contains(t, got.Body.String(), "cancelled")
+}
+
+// Guards against a caller who fills the log and the memory of all daemons by cancelling jobs that do not exist.
+func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
+	store := &fakeStore{}
+	api := newTestCallerAPI(t, store, 0)
+	api.onEngine(func(e *engine) {
+		for i := 0; e.state.AcceptsTombstone(""); i++ {
+			require.NoError(t, e.state.Apply(&flow.Record{Cancel: &flow.Cancel{ID: strconv.Itoa(i), Absent: true}}, bootclock.Now()))
+		}
+		e.state.Jobs["open"] = &flow.Job{Submit: flow.Submit{ID: "open", Queue: "q"}, Phase: flow.Running}
+	})
+	got := api.request(http.MethodDelete, "/p/unknown", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.Code)
+	require.NotEmpty(t, got.Header().Get("Retry-After"))
+	require.Zero(t, store.appends.Load())
+	require.Equal(t, http.StatusOK, api.request(http.MethodDelete, "/p/open", "").Code, "a known job can be cancelled all the same")
 }
 
 // Guards against callers that wait for their whole time limit during a known outage of the log,
--- a/daemon/cell/knowledge_test.go
+++ b/daemon/cell/knowledge_test.go
@@ -57,7 +57,7 @@
 		require.Equal(t, test.status, got.Code, "%s %s", test.method, test.path)
 		require.Contains(t, got.Body.String(), test.text)
 	}
-	require.EqualValues(t, 2, api.engine.platform.(slowLinkPlatform).store.appends.Load(), "the cancellation and the new job")
+	require.EqualValues(t, 3, api.engine.platform.(slowLinkPlatform).store.appends.Load(), "both cancellations and the new job")
 }
 
 // Guards against a chain of daemons that forward a query, and against status 410 or a count from a
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -169,6 +169,11 @@
 // callAddress sends one caller request, with a key if it is not empty. It returns the HTTP status,
 // 0 if there was no complete response, and the body.
 func callAddress(address, method, id, key string, body any) (int, string) {
+	return callAddressWithin(3*time.Second, address, method, id, key, body)
+}
+
+// callAddressWithin is like callAddress for a caller that leaves after some time.
+func callAddressWithin(patience time.Duration, address, method, id, key string, body any) (int, string) {
 	var payload io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -186,7 +191,7 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{Timeout: patience}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, ""
@@ -277,6 +282,33 @@
 	require.Equal(t, 2*4, c.fleet.Starts())
 }
 
+// Guards against a job that runs although its cancellation was acknowledged, because the store carries its submission
+// out later: its caller had left without an answer and cancelled it at another daemon.
+func TestPlatformCancelledJobWithALateSubmissionDoesNotRun(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 3, 4, false)
+	first := fmt.Sprintf("%016x", 0xcc00)
+	c.submit(0, first, c.newStep(first, 0, 1, 100*time.Millisecond, nil))
+	c.waitCompleted(0, []string{first}, 15*time.Second)
+	late := fmt.Sprintf("%016x", 0xcc01)
+	step := c.newStep(late, 0, 2, 10*time.Second, nil)
+	c.store.HoldAppends()
+	status, _ := callAddressWithin(600*time.Millisecond, c.callerAddresses[0], http.MethodPost, late, "", map[string]any{"Spec": "spec of " + late, "Steps": []any{step}})
+	require.Zero(t, status)
+	c.store.AnswerAppends()
+	require.Eventually(t, func() bool {
+		status, _ := c.callDaemon(1, http.MethodDelete, late, nil)
+		return status == http.StatusGone || status == http.StatusOK
+	}, 5*time.Second, 20*time.Millisecond)
+	require.Positive(t, c.store.CarryOutHeldAppends())
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		require.Equal(t, 1, c.fleet.Starts(), "a task of the cancelled job has started")
+	}
+	status, text := c.callDaemon(2, http.MethodGet, late, nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, text, "cancelled")
+}
+
 // Guards against jobs that are lost, run twice or never complete on the platform. The
 // jobs have steps and gangs, and three daemons use the advice service.
 func TestPlatformJobsComplete(t *testing.T) {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -29,9 +29,17 @@
 	changed             chan struct{}
 	unavailable         bool
 	appendRepliesToLose int // appendRepliesToLose is the number of coming appends that get no response.
+	holdsAppends        bool
+	heldAppends         []heldAppend
 	calls               int
 }
 
+// heldAppend is an append that got no response and is carried out later.
+type heldAppend struct {
+	partition string
+	body      []byte
+}
+
 // partition is one partition of a topic.
 type partition struct {
 	records [][]byte
@@ -65,6 +73,33 @@
 	s.appendRepliesToLose = n
 }
 
+// HoldAppends makes the store hold back all appends without a producer and leave them unanswered, until
+// AnswerAppends.
+func (s *Store) HoldAppends() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdsAppends = true
+}
+
+// AnswerAppends makes the store answer coming appends again. Those held back stay so.
+func (s *Store) AnswerAppends() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdsAppends = false
+}
+
+// CarryOutHeldAppends carries out the appends that were held back, and returns their number.
+func (s *Store) CarryOutHeldAppends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.heldAppends
+	s.heldAppends = nil
+	for _, a := range held {
+		s.appendRecords(a.partition, a.body)
+	}
+	return len(held)
+}
+
 // Expire expires all but the given number of newest records of a topic's partition 0.
 func (s *Store) Expire(topic string, keep int) { s.ExpirePartition(topic, 0, keep) }
 
@@ -102,6 +137,15 @@
 	s.changed = make(chan struct{})
 }
 
+// appendRecords appends the records of a request's body. The caller must hold the lock.
+func (s *Store) appendRecords(name string, body []byte) {
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		s.appendRecord(name, append([]byte(nil), body[4:4+n]...))
+		body = body[4+n:]
+	}
+}
+
 // partition returns the partition with the given name, TOPIC/NUMBER, and creates it if it does
 // not exist. The caller must hold the lock.
 func (s *Store) partition(name string) *partition {
@@ -182,12 +226,12 @@
 			return
 		}
 	}
-	offset := int64(len(s.partition(name).records))
-	for len(body) >= 4 {
-		n := int(binary.BigEndian.Uint32(body))
-		s.appendRecord(name, append([]byte(nil), body[4:4+n]...))
-		body = body[4+n:]
+	if s.holdsAppends && p == nil {
+		s.heldAppends = append(s.heldAppends, heldAppend{name, body})
+		panic(http.ErrAbortHandler)
 	}
+	offset := int64(len(s.partition(name).records))
+	s.appendRecords(name, body)
 	if p != nil {
 		p.offsets[sequence], p.nextSequence = offset, sequence+1
 	}
