No record is sent after its deadline

A submission whose outcome was reported as unknown was sent again until the log answered, however long that took, so that it could be stored after a tombstone of its id had expired. Cause: the deadline ended the caller's wait, not the attempts; it was on a clock that stops during suspension and had no upper bound. Change: no attempt begins after the deadline, which is on the boot clock and at most 30 s away. Measured: TestWriterSendsNoRecordAfterItsDeadline failed before (one append after the deadline) and passes; the other tests of the writer pass.

--- a/daemon/cell/writer.go
+++ b/daemon/cell/writer.go
@@ -30,6 +30,7 @@
 	latencyAverageDivisor = 4                       // each answer moves the average by the difference divided by this
 	hedgeDelay            = 600 * time.Millisecond  // longer than a slow answer, shorter than the time without records of the placer after which another daemon claims its role; doubled after each attempt
 	maxOpenHedges         = 3                       // concurrent attempts of one append
+	maxRecordTime         = 30 * time.Second        // for which a record is sent at most, whatever time its caller has: TombstoneRetention is longer
 	peerReturnMargin      = 100 * time.Millisecond  // of a call's time limit, left for the reply to travel back
 	suspectPollInterval   = 20 * time.Millisecond
 )
@@ -37,7 +38,7 @@
 // pendingRecord is a record to append, with the state of its attempts and its outcome.
 type pendingRecord struct {
 	data     []byte
-	deadline time.Time
+	deadline time.Duration // boot clock, which also counts the time for which this VM is suspended
 	done     chan struct{} // closed once the record is stored or abandoned
 
 	mu             sync.Mutex
@@ -47,12 +48,12 @@
 	abandoned      bool // must not be sent any more
 }
 
-// beginAttempt registers an attempt and reports whether it may be made: a record that is stored
-// or abandoned is not sent again.
+// beginAttempt registers an attempt and reports whether it may be made: a record that is stored,
+// abandoned or past its deadline is not sent again.
 func (p *pendingRecord) beginAttempt() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.abandoned || p.stored {
+	if p.abandoned || p.stored || p.late() {
 		return false
 	}
 	p.attempts++
@@ -89,9 +90,11 @@
 func (p *pendingRecord) settled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.abandoned || p.stored || time.Now().After(p.deadline)
+	return p.abandoned || p.stored || p.late()
 }
 
+func (p *pendingRecord) late() bool { return bootclock.Now() > p.deadline }
+
 // finalOutcome returns the outcome of the record, and abandons a record that is certainly not stored.
 // It is called once the record is done, its deadline has passed or its caller has gone.
 func (p *pendingRecord) finalOutcome() error {
@@ -177,7 +180,8 @@
 
 // enqueueAndWait queues a record and waits for its outcome, at most until its deadline.
 func (w *writer) enqueueAndWait(ctx context.Context, queue chan *pendingRecord, data []byte, timeout time.Duration) error {
-	pending := &pendingRecord{data: data, deadline: time.Now().Add(timeout), done: make(chan struct{})}
+	timeout = min(timeout, maxRecordTime)
+	pending := &pendingRecord{data: data, deadline: bootclock.Now() + timeout, done: make(chan struct{})}
 	select {
 	case queue <- pending:
 	default:
@@ -321,7 +325,7 @@
 	}
 	result, sentAt := make(chan error, 1), time.Now()
 	go func() {
-		timeout := time.Until(live[0].deadline)
+		timeout := live[0].deadline - bootclock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		reply := &SubmitReply{}
--- a/daemon/cell/writer_test.go
+++ b/daemon/cell/writer_test.go
@@ -86,6 +86,29 @@
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 }
 
+// Guards against a submission that is sent again after its caller was told that its outcome is unknown, for as long as the
+// log does not answer: it could be stored long after the caller has cancelled the job.
+func TestWriterSendsNoRecordAfterItsDeadline(t *testing.T) {
+	store := &fakeStore{}
+	store.failWith(errNoAnswer)
+	w := runWriter(t, store, "")
+	require.True(t, fault.Is(w.append(t.Context(), testSubmission, 300*time.Millisecond), fault.Unknown))
+	store.failWith(nil)
+	time.Sleep(2 * maxAppendRetryDelay)
+	require.Zero(t, store.appends.Load())
+	require.NoError(t, w.append(t.Context(), testSubmission, time.Second))
+	require.EqualValues(t, 1, store.appends.Load())
+}
+
+// Guards against a record that a daemon sends for hours because its caller allows so much time.
+func TestTimeForARecordIsBounded(t *testing.T) {
+	w := newWriter(&fakeStore{}, newPeerClients())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Error(t, w.append(ctx, testSubmission, 24*time.Hour))
+	require.LessOrEqual(t, (<-w.queue).deadline, bootclock.Now()+maxRecordTime)
+}
+
 // Guards against a placer that is replaced because one answer of the log was lost: it waited for that
 // answer while its records stopped, and another daemon claimed its role.
 func TestPlacerHedgesAnUnansweredAppend(t *testing.T) {
@@ -168,7 +191,7 @@
 func TestRecordsOfAGroupHaveSeparateOutcomes(t *testing.T) {
 	store := &limitedStore{limit: 1}
 	placer := newWriter(store, newPeerClients())
-	placer.directQueue <- &pendingRecord{data: []byte{1}, deadline: time.Now().Add(time.Minute), done: make(chan struct{})}
+	placer.directQueue <- &pendingRecord{data: []byte{1}, deadline: bootclock.Now() + time.Minute, done: make(chan struct{})}
 	go func() {
 		for len(placer.directQueue) < maxGroupRecords+1 { // one record more than fits into the first append
 			time.Sleep(time.Millisecond)
