Ended jobs are forgotten as of the last read to the log's end

A daemon that was frozen for longer than ended jobs (or tombstones) are kept dropped them when it woke, before it read the late submission that they stand against, and had the job queued again. Cause: forgetting followed the clock, applying records follows reading. Change: jobs and tombstones are dropped by the time of the last read to the log's end. Measured: TestFrozenDaemonKeepsEndedJobsUntilItHasReadTheLog failed before (queued in place of cancelled) and passes.

--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -245,7 +245,7 @@
 	}
 	if now-e.lastExpiryAt > expiryInterval {
 		e.lastExpiryAt = now
-		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), now)
+		e.forgetEnded()
 	}
 	e.publishMembersIfDue(now)
 	e.logCatchingUp(now)
@@ -257,6 +257,14 @@
 	e.claimIfDue(ctx, now)
 }
 
+// forgetEnded removes ended jobs and tombstones whose retention had passed when the log was last read to its end. After a
+// suspension, records that other daemons have applied within that time are still to be read.
+func (e *engine) forgetEnded() {
+	if e.readToEndAt > 0 {
+		e.state.Forget(time.Duration(endedJobRetentionFactor*e.settings.Bounds.StatusS*float64(time.Second)), e.readToEndAt)
+	}
+}
+
 // hello returns the content of the Hello record, which announces this daemon to the others.
 func (e *engine) hello() flow.Hello {
 	return flow.Hello{
