--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -28,7 +28,7 @@
 		e.applyHead(p.head, now)
 		return
 	}
-	e.logEnd = p.end
+	e.logEnd, e.logFirst = p.end, max(e.logFirst, p.first)
 	if e.logUnreachable || e.readToEndAt == 0 || now-e.readToEndAt > readyReadAge+readTimeout {
 		if e.logUnreachable {
 			e.log.Emit(evLogBack, "position", p.next, "away_ms", (now - e.readToEndAt).Milliseconds())
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -106,6 +106,7 @@
 	summaryLoggedAt    time.Duration
 	catchUpLoggedAt    time.Duration
 	logEnd             int64 // end of the log as of the last read
+	logFirst           int64 // oldest offset that the log retained as of the last read
 	metricsPublishedAt time.Duration
 
 	snapshotWriter       *snapshotWriter
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -63,6 +63,7 @@
 		e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 		return
 	}
+	e.log.Emit(evSnapshotBegun, "offset", head.Next, "covered", e.snapshotOffset, "first", e.logFirst, "placing_ms", (now - e.placingStartedAt).Milliseconds())
 	e.savingSnapshot, e.snapshotBytes = true, 0
 	for _, chunk := range chunks {
 		e.snapshotBytes += len(chunk)
