--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -113,7 +113,14 @@
 	Ends        []End    `json:"x,omitempty"`
 	StartedJobs []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
 	// Speeds are the workers' speeds as the placer estimates them, if they have changed.
-	Speeds []speed.Saved `json:"v,omitempty"`
+	Speeds   []speed.Saved  `json:"v,omitempty"`
+	Snapshot *SavedSnapshot `json:"n,omitempty"` // newest snapshot, if it was saved since the last batch
+}
+
+// SavedSnapshot tells the daemons that follow the log that a snapshot is stored.
+type SavedSnapshot struct {
+	Next  int64 `json:"x"`           // offset of the first record that it does not include
+	AgeMS int64 `json:"a,omitempty"` // time since its placer had read the log up to that offset
 }
 
 // Record is one log record. Exactly one field is set.
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -96,6 +96,9 @@
 	})
 	e.state.NextOffset = position + 1
 	e.entriesSinceSnapshot += countEntries(&d.record)
+	if b := d.record.Batch; b != nil && b.Epoch == e.state.Claim.Epoch {
+		e.noteSnapshot(b.Snapshot)
+	}
 	if d.record.Batch != nil && e.state.LastHeard > formerLastHeard && formerLastHeard > 0 {
 		e.batchGaps.record(e.state.LastHeard-formerLastHeard, now)
 	}
@@ -174,7 +177,7 @@
 	}
 	e.stopPlacing("records of the log expired before this daemon read them")
 	e.state = p.snapshot
-	e.snapshotOffset, e.entriesSinceSnapshot = p.snapshot.NextOffset, 0
+	e.snapshotOffset, e.snapshotAsOf, e.entriesSinceSnapshot = p.snapshot.NextOffset, 0, 0
 	e.log.Emit(evSnapshotLoaded, "offset", e.state.NextOffset, "jobs", len(e.state.Jobs), "generation", p.generation)
 	e.publishMembers()
 	e.publishPlacer()
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -24,6 +24,7 @@
 	e.placingContext, e.cancelPlacing = placingCtx, cancel
 	e.snapshotWriter = &snapshotWriter{store: e.platform, linkBytesPerSecond: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
 	e.savingSnapshot, e.lastSnapshotAt = false, now
+	e.snapshotRetryAt, e.snapshotSavedAt, e.snapshotNote = 0, 0, nil
 	// The log may have superseded the claim at any time since it was sent.
 	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = e.claimSentAt, now, 0
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -110,12 +110,17 @@
 	metricsPublishedAt time.Duration
 
 	snapshotWriter       *snapshotWriter
-	savingSnapshot       bool          // a snapshot, or the lookup before the first one, is under way
-	lastSnapshotAt       time.Duration // when the last snapshot was begun; 0 makes the next one due at once
-	snapshotOffset       int64         // log offset up to which the newest known snapshot covers the records
-	snapshotGeneration   int64         // generation of the newest known snapshot
-	snapshotBytes        int           // size of the last snapshot that this placer began to write
-	entriesSinceSnapshot int           // entries in the records since the newest snapshot that this daemon knows
+	savingSnapshot       bool                // a snapshot, or the lookup before the first one, is under way
+	lastSnapshotAt       time.Duration       // when the last snapshot was begun, or this placer; early snapshots keep a distance from it. 0 lets the next one begin at once
+	snapshotRetryAt      time.Duration       // no snapshot begins before
+	snapshotSavedAt      time.Duration       // when the last snapshot that this placer has saved was begun; 0 is none
+	snapshotOffset       int64               // log offset up to which the newest known snapshot covers the records
+	snapshotAsOf         time.Duration       // no record beyond snapshotOffset was stored before this time; 0 is unknown
+	snapshotNote         *flow.SavedSnapshot // of a saved snapshot that no batch has named yet, with its age at snapshotNotedAt
+	snapshotNotedAt      time.Duration
+	snapshotGeneration   int64 // generation of the newest known snapshot
+	snapshotBytes        int   // size of the last snapshot that this placer began to write
+	entriesSinceSnapshot int   // entries in the records since the newest snapshot that this daemon knows
 
 	// Inputs of the decisions on claims and hand-overs. Times are on the boot clock.
 	endQueryAnsweredAt time.Duration // when the last query for the end of the log ended
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -60,6 +60,7 @@
 	if !due {
 		return
 	}
+	batch.Snapshot = e.takeSnapshotNote(now)
 	e.appending = true
 	p, appender := e.placer, e.appender
 	e.metrics.batches.Inc()
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -14,8 +14,9 @@
 
 // Times, size limits, keys and partitions of snapshots.
 const (
-	snapshotRetentionShare = 0.2             // longest time between two snapshots, as a share of the log's retention time
+	snapshotRetentionShare = 0.2             // age of the oldest record that no snapshot covers, beyond which a snapshot is due, as a share of the log's retention time
 	snapshotEntryThreshold = 8000            // log entries that make a snapshot due early; with 0.2 cores and 10 Mbit/s a daemon reads as many in 1 s
+	snapshotRetryDelay     = 2 * time.Second // after a snapshot, or the lookup before the first one, was begun
 	minSnapshotInterval    = 5 * time.Second // shortest time between two snapshots that are due early
 	earlySnapshotLinkShare = 0.05            // share of the placer's link that early snapshots may use on average
 	snapshotTimeout        = 5 * time.Second // time limit of a snapshot, without the time that throttling adds
@@ -43,27 +44,29 @@
 	return fmt.Sprintf("%06d", chunk)
 }
 
-// saveSnapshot starts writing a snapshot of the placer's state if one is due. Snapshots are due
-// often enough that no log record expires before a snapshot covers it.
+// saveSnapshot starts writing a snapshot of the placer's state if one is due.
 func (e *engine) saveSnapshot(ctx context.Context, now time.Duration) {
-	interval := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
-	due := now-e.lastSnapshotAt > interval || e.entriesSinceSnapshot > snapshotEntryThreshold && now-e.lastSnapshotAt > e.snapshotInterval()
-	if e.savingSnapshot || !due || e.state.NextOffset == e.snapshotOffset {
+	if e.savingSnapshot || now < e.snapshotRetryAt || e.state.NextOffset == e.snapshotOffset {
+		return
+	}
+	reason := e.snapshotReason(now)
+	if reason == "" {
 		return
 	}
+	e.snapshotRetryAt = now + snapshotRetryDelay
 	if !e.snapshotWriter.takenOver {
-		e.takeOverSnapshots(ctx, now)
+		e.takeOverSnapshots(ctx)
 		return
 	}
 	generation := e.snapshotGeneration + 1
-	coveredEntries := e.entriesSinceSnapshot
+	coveredEntries, asOf := e.entriesSinceSnapshot, e.readToEndAt
 	head, chunks, err := e.state.Snapshot(generation, now)
 	e.lastSnapshotAt = now
 	if err != nil {
 		e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 		return
 	}
-	e.log.Emit(evSnapshotBegun, "offset", head.Next, "covered", e.snapshotOffset, "first", e.logFirst, "placing_ms", (now - e.placingStartedAt).Milliseconds())
+	e.log.Emit(evSnapshotBegun, "reason", reason, "offset", head.Next, "covered", e.snapshotOffset, "first", e.logFirst, "placing_ms", (now - e.placingStartedAt).Milliseconds())
 	e.savingSnapshot, e.snapshotBytes = true, 0
 	for _, chunk := range chunks {
 		e.snapshotBytes += len(chunk)
@@ -83,13 +86,55 @@
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", head.Next)
 				return
 			}
-			e.snapshotOffset, e.snapshotGeneration = head.Next, generation
+			e.snapshotOffset, e.snapshotAsOf, e.snapshotGeneration, e.snapshotSavedAt = head.Next, asOf, generation, now
+			e.snapshotNote, e.snapshotNotedAt = &flow.SavedSnapshot{Next: head.Next}, asOf
 			e.entriesSinceSnapshot -= coveredEntries
 			e.log.Emit(evSnapshotSaved, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.snapshotBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
 		})
 	}()
 }
 
+// snapshotReason returns why a snapshot is due, or "". No record may expire before a snapshot covers it, whichever
+// daemon places meanwhile. So what counts is the age of the oldest record that no snapshot covers, not the time for which this
+// daemon places; if that age is not known, the record may be about to expire.
+func (e *engine) snapshotReason(now time.Duration) string {
+	interval := time.Duration(snapshotRetentionShare * e.settings.Bounds.KeepS * float64(time.Second))
+	savedLately := e.snapshotSavedAt > 0 && now-e.snapshotSavedAt <= interval // by this placer
+	switch {
+	case e.logFirst > e.snapshotOffset:
+		return "the log does not reach back to the newest snapshot"
+	case e.snapshotAsOf == 0:
+		return "the age of the newest snapshot is not known"
+	case now-e.snapshotAsOf > interval && !savedLately:
+		return "the newest snapshot is old"
+	case e.entriesSinceSnapshot > snapshotEntryThreshold && now-e.lastSnapshotAt > e.snapshotInterval():
+		return "many entries since the newest snapshot"
+	}
+	return ""
+}
+
+// takeSnapshotNote returns the note for the next batch about a snapshot that no batch has named yet, or nil.
+func (e *engine) takeSnapshotNote(now time.Duration) *flow.SavedSnapshot {
+	note := e.snapshotNote
+	if note != nil {
+		note.AgeMS = (now - e.snapshotNotedAt).Milliseconds()
+		e.snapshotNote = nil
+	}
+	return note
+}
+
+// noteSnapshot takes note of a snapshot that a batch names. The batch was stored after this daemon last read the log to its
+// end, which bounds the snapshot's age also for a daemon that reads the batch late.
+func (e *engine) noteSnapshot(note *flow.SavedSnapshot) {
+	if note == nil || note.Next <= e.snapshotOffset {
+		return
+	}
+	e.snapshotOffset, e.snapshotAsOf, e.entriesSinceSnapshot = note.Next, 0, 0
+	if e.readToEndAt > 0 {
+		e.snapshotAsOf = max(0, e.readToEndAt-time.Duration(note.AgeMS)*time.Millisecond)
+	}
+}
+
 // snapshotInterval returns the shortest time between two snapshots that are due early, given the
 // size of the last one. A placer on a slow link needs most of the link for its orders.
 func (e *engine) snapshotInterval() time.Duration {
@@ -102,8 +147,8 @@
 
 // takeOverSnapshots fences earlier writers and looks up the newest snapshot's generation, so that
 // the next snapshot does not overwrite it.
-func (e *engine) takeOverSnapshots(ctx context.Context, now time.Duration) {
-	e.savingSnapshot, e.lastSnapshotAt = true, now
+func (e *engine) takeOverSnapshots(ctx context.Context) {
+	e.savingSnapshot = true
 	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
 		takeOverCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -119,7 +164,7 @@
 				return
 			}
 			writer.takenOver = true
-			e.lastSnapshotAt = 0
+			e.lastSnapshotAt, e.snapshotRetryAt = 0, 0
 			e.snapshotGeneration = max(e.snapshotGeneration, generation)
 		})
 	}()
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -217,7 +217,7 @@
 					require.Eventually(t, func() bool {
 						e.do(t.Context(), func(e *engine) {
 							e.state.NextOffset = nextOffset
-							e.lastSnapshotAt = min(e.lastSnapshotAt, -time.Hour)
+							e.snapshotAsOf = 0 // a snapshot is due
 							e.saveSnapshot(t.Context(), bootclock.Now())
 						})
 						head, _, _ := newTestSnapshotReader(store).readNext(t.Context())
@@ -312,3 +312,74 @@
 	minSeconds := float64(len(chunks)*len(chunks[0])) / (snapshotWriteLinkShare * store.bytesPerSecond)
 	require.Greater(t, time.Since(start).Seconds(), 0.9*minSeconds, "the placer's orders need the rest of the link")
 }
+
+// newFollower returns a daemon that has read the log to its end at the given time, under the placer "x".
+func newFollower(readToEndAt time.Duration) *engine {
+	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, KeepS: 100}}, nil, event.Discard())
+	e.readToEndAt = readToEndAt
+	e.state.Claim = flow.Claim{Daemon: "x", Epoch: 1}
+	return e
+}
+
+// Guards against an accepted job that is lost because each takeover postpones the next snapshot: placers that were replaced sooner
+// than a snapshot became due wrote none until the log had expired (review/12).
+func TestTakeoversDoNotPostponeSnapshots(t *testing.T) {
+	const interval = 20 * time.Second // snapshotRetentionShare of KeepS
+	start := time.Hour
+	for name, test := range map[string]struct {
+		note        *flow.SavedSnapshot // read at start
+		readToEndAt time.Duration       // before the note
+		first       int64               // oldest retained offset
+		takeoverAt  time.Duration
+		due         bool
+	}{
+		"no snapshot known":           {takeoverAt: start, due: true},
+		"fresh snapshot":              {note: &flow.SavedSnapshot{Next: 50}, readToEndAt: start, takeoverAt: start + interval/2},
+		"old snapshot":                {note: &flow.SavedSnapshot{Next: 50}, readToEndAt: start, takeoverAt: start + interval + time.Second, due: true},
+		"old when it was named":       {note: &flow.SavedSnapshot{Next: 50, AgeMS: interval.Milliseconds()}, readToEndAt: start, takeoverAt: start + time.Second, due: true},
+		"named while this one froze":  {note: &flow.SavedSnapshot{Next: 50}, readToEndAt: start - time.Minute, takeoverAt: start + time.Second, due: true},
+		"named before this one began": {note: &flow.SavedSnapshot{Next: 50}, takeoverAt: start + time.Second, due: true},
+		"log shortened by the store":  {note: &flow.SavedSnapshot{Next: 50}, readToEndAt: start, first: 51, takeoverAt: start + time.Second, due: true},
+	} {
+		e := newFollower(test.readToEndAt)
+		if test.note != nil {
+			e.applyRecord(t.Context(), &decodedRecord{record: flow.Record{Batch: &flow.Batch{Epoch: 1, Snapshot: test.note}}}, start)
+		}
+		e.state.NextOffset, e.logFirst = 60, test.first
+		e.claimEpoch = 2
+		claim := flow.Record{Claim: &flow.Claim{Daemon: "a", Epoch: 2, StartedMS: e.startedMS}}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // the placer of this test calls nobody
+		e.applyRecord(ctx, &decodedRecord{record: claim}, test.takeoverAt)
+		require.NotNil(t, e.placer, name)
+		require.Equal(t, test.due, e.snapshotReason(test.takeoverAt) != "", name)
+	}
+}
+
+// Guards against followers that do not learn of a saved snapshot, so that each takeover writes another one.
+func TestSavedSnapshotIsNamedInTheNextBatch(t *testing.T) {
+	store := &keyedStore{}
+	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{KeepS: 300}}, headOnlyPlatform{keyedStore: store}, event.Discard())
+	e.snapshotWriter = &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+	e.claiming, e.readToEndAt = true, bootclock.Now()
+	go e.run(t.Context())
+	var note *flow.SavedSnapshot
+	require.Eventually(t, func() bool {
+		found, _ := query(t.Context(), e, func(e *engine, reply chan<- *flow.SavedSnapshot) {
+			e.state.NextOffset = 7
+			e.saveSnapshot(t.Context(), bootclock.Now())
+			reply <- e.takeSnapshotNote(bootclock.Now())
+		})
+		note = found
+		return note != nil
+	}, 10*time.Second, 5*time.Millisecond)
+	require.EqualValues(t, 7, note.Next)
+	require.Less(t, note.AgeMS, int64(10_000))
+	again, _ := query(t.Context(), e, func(e *engine, reply chan<- bool) { reply <- e.takeSnapshotNote(bootclock.Now()) == nil })
+	require.True(t, again)
+
+	follower := newFollower(time.Hour)
+	follower.applyRecord(t.Context(), &decodedRecord{record: flow.Record{Batch: &flow.Batch{Epoch: 1, Snapshot: note}}}, time.Hour)
+	require.EqualValues(t, 7, follower.snapshotOffset)
+	require.NotZero(t, follower.snapshotAsOf)
+}
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -27,6 +27,7 @@
 	fleet            *platform.Fleet
 	daemons          []*process
 	callerAddresses  []string
+	settingsFiles    []string
 	retentionSeconds int           // How long the store retains records.
 	maxLease         time.Duration // The longest lease that workers grant.
 	serviceAddresses [2]string     // The addresses of the store and the advice service, in this order.
@@ -86,6 +87,12 @@
 	return c
 }
 
+// restartDaemon starts a daemon that has ended again, under its name and with its settings.
+func (c *platformCell) restartDaemon(i int) {
+	p := startProcess(c.t, c.daemons[i].name, "briarproxyd", "serve", "--settings", c.settingsFiles[i])
+	c.daemons[i], c.callerAddresses[i] = p, waitCallerAddress(p)
+}
+
 func (c *platformCell) addDaemon(i int) {
 	name := fmt.Sprintf("d%d", i)
 	settings := map[string]any{
@@ -103,6 +110,7 @@
 	require.NoError(c.t, os.WriteFile(file, data, 0o600))
 	p := startProcess(c.t, name, "briarproxyd", "serve", "--settings", file)
 	c.daemons = append(c.daemons, p)
+	c.settingsFiles = append(c.settingsFiles, file)
 	c.callerAddresses = append(c.callerAddresses, waitCallerAddress(p))
 }
 
@@ -456,6 +464,39 @@
 	require.Equal(t, 18, c.fleet.Starts(), "running tasks must be adopted, and ended tasks must not run again")
 }
 
+// Guards against an accepted job that is lost because placers are killed sooner than they save a snapshot: daemons that start
+// after the log has expired know neither a snapshot nor the record of the job.
+func TestPlatformKilledPlacersKeepTheHistory(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 3, 4, false)
+	id := fmt.Sprintf("%016x", 0xe100)
+	c.submit(0, id, c.newStep(id, 0, 2, time.Hour, map[string]any{"LongRunning": true}))
+	require.Eventually(t, func() bool { return c.fleet.Starts() == 2 }, 15*time.Second, 20*time.Millisecond)
+	for range 3 {
+		killed := c.currentPlacer()
+		require.NoError(t, c.daemons[killed].cmd.Process.Kill())
+		require.Eventually(t, func() bool { return c.currentPlacer() != killed }, 15*time.Second, 20*time.Millisecond)
+		c.restartDaemon(killed)
+		time.Sleep(time.Second)
+	}
+	c.store.Expire("briarproxy.jobs", 1)
+	time.Sleep(2 * time.Second) // a daemon that follows the log writes a snapshot that reaches the records that are left
+	for i := range c.daemons {
+		if i != c.currentPlacer() {
+			require.NoError(t, c.daemons[i].cmd.Process.Kill())
+			c.restartDaemon(i)
+		}
+	}
+	for i := range c.daemons {
+		status := 0
+		for end := time.Now().Add(20 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			status, _ = c.callDaemon(i, http.MethodGet, id, nil)
+			require.NotEqual(t, http.StatusGone, status, "daemon %d", i)
+		}
+		require.Equal(t, http.StatusOK, status, "daemon %d", i)
+	}
+}
+
 // Guards against logged decisions that cannot be found by their job's ID.
 func TestPlatformDecisionsLoggedWithJobID(t *testing.T) {
 	t.Parallel()
