A daemon that lacks records says so, and neither places nor answers from the rest

Cause: a gap in the log was logged (912) and passed over; the state behind it counted as read to the end. After 5 s without any placer the best suited one places and says so in its claim; a daemon with all records rejects that claim, and unknown jobs get 503 for as long as ended jobs are kept. Tests: TestDaemonThatLacksRecordsSaysSo, on the former code without the new fields: 410 where 503 is wanted; TestLostRecordsAreGivenUpAfterAWait, TestOnlyOneStateRemainsAfterALossOfRecords. The readers of three tests get the new function that says whether records are missing.

--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -70,6 +70,9 @@
 	Address   string `json:"a"` // address of the daemon's peer listener
 	Epoch     int64  `json:"e"` // epoch of the daemon's appends
 	StartedMS int64  `json:"t"` // process start, Unix ms; distinguishes restarts of a daemon
+	// Truncated says that the daemon places although records that it has not read have expired, as no daemon that has
+	// read them was heard of.
+	Truncated bool `json:"u,omitempty"`
 }
 
 // Release ends the placer's claim.
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -59,6 +59,7 @@
 	Members    []Hello                 `json:"m,omitempty"`
 	Superseded []Claim                 `json:"u,omitempty"` // see State.Superseded
 	Rates      map[string]share.Bucket `json:"r,omitempty"` // see State.Rates; without full buckets
+	LossAgeMS  *int64                  `json:"l,omitempty"` // time since State.LossAt; nil if that is 0
 }
 
 // savedJob is the stored form of a job with its steps and tasks.
@@ -135,6 +136,10 @@
 		head.Superseded = append(head.Superseded, c.Claim)
 	}
 	head.Rates = s.ratesForSnapshot()
+	if s.LossAt != 0 {
+		age := (now - s.LossAt).Milliseconds()
+		head.LossAgeMS = &age
+	}
 	full, ended := s.jobsForSnapshot(now)
 	chunks, err := encodeFullJobs(full, s.speedsForSnapshot(), generation, now)
 	if err != nil {
@@ -315,6 +320,9 @@
 	s := r.state
 	s.NextOffset, s.ClaimToken, s.LastHeard = r.head.Next, r.head.Token, now
 	s.RestoreMembership(&r.head, now)
+	if age := r.head.LossAgeMS; age != nil {
+		s.LossAt = now - time.Duration(*age)*time.Millisecond
+	}
 	for name, b := range r.head.Rates {
 		s.Rates[name] = b
 	}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -155,6 +155,7 @@
 	Pending    map[string]int          // by queue: number of jobs without a due time that have not begun
 	Rates      map[string]share.Bucket // by workspace: what is left of its rate of submissions
 	Speeds     map[string]speed.Saved  // by worker: newest estimate of its speed, if it was ever unusual
+	LossAt     time.Duration           // boot-clock time since which jobs may be missing, as their records expired unread; 0 is never
 	tombstones tombstones              // ids that were cancelled while the log contained no job of them
 }
 
@@ -201,6 +202,12 @@
 	})
 }
 
+// RejectClaim ends the effect of the present claim, as if it had been superseded.
+func (s *State) RejectClaim(now time.Duration) {
+	s.supersedeClaim("", now)
+	s.Claim.Daemon = ""
+}
+
 // Skip advances past a record that cannot be decoded.
 func (s *State) Skip() { s.NextOffset++ }
 
@@ -498,6 +505,9 @@
 // endedJobDetailRetention. Tombstones are removed after TombstoneRetention.
 func (s *State) Forget(keep, now time.Duration) []string {
 	s.tombstones.expire(now - TombstoneRetention)
+	if s.LossAt != 0 && now-s.LossAt > keep {
+		s.LossAt = 0 // an ended job would have been forgotten by now
+	}
 	var forgotten []string
 	for id, j := range s.Jobs {
 		switch {
--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -14,11 +14,12 @@
 // or its head, or an error.
 func (e *engine) handlePage(ctx context.Context, p page) {
 	now := p.readAt
+	lastReachedEndAt := e.lastReachedEndAt()
 	if p.err != nil {
 		if fault.Is(p.err, fault.Invalid) {
 			e.log.Emit(evSnapshotFailed, "reason", p.err.Error(), "offset", e.state.NextOffset)
 		}
-		if !e.logUnreachable && now-e.readToEndAt > readyReadAge {
+		if !e.logUnreachable && now-lastReachedEndAt > readyReadAge {
 			e.logUnreachable = true
 			e.log.Emit(evLogLost, "reason", p.err.Error(), "position", p.next)
 		}
@@ -29,9 +30,9 @@
 		return
 	}
 	e.logEnd, e.logFirst = p.end, max(e.logFirst, p.first)
-	if e.logUnreachable || e.readToEndAt == 0 || now-e.readToEndAt > readyReadAge+readTimeout {
+	if e.logUnreachable || lastReachedEndAt == 0 || now-lastReachedEndAt > readyReadAge+readTimeout {
 		if e.logUnreachable {
-			e.log.Emit(evLogBack, "position", p.next, "away_ms", (now - e.readToEndAt).Milliseconds())
+			e.log.Emit(evLogBack, "position", p.next, "away_ms", (now - lastReachedEndAt).Milliseconds())
 		}
 		e.logUnreachable = false
 		e.readableSince = now
@@ -51,12 +52,12 @@
 	} else if e.headApplied && e.state.NextOffset == 0 {
 		e.state, e.headApplied = flow.NewState(), false // the snapshot can't be read, so the state is built from the log alone
 	}
-	if p.expired {
-		return // the log reader reads a snapshot next
+	if p.expired || p.restoring {
+		e.notifyRefreshWaiters()
+		return // the log reader reads a snapshot, or the records after it, next
 	}
-	if firstOffset := p.next - int64(len(p.records)); firstOffset > e.state.NextOffset { // no snapshot reaches up to the oldest record kept
-		e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", firstOffset)
-		e.state.NextOffset = firstOffset
+	if firstOffset := p.next - int64(len(p.records)); firstOffset > e.state.NextOffset {
+		e.beginGap(firstOffset, now)
 	}
 	for i := range p.records {
 		if p.next-int64(len(p.records)-i) < e.state.NextOffset {
@@ -70,7 +71,7 @@
 		e.applyAcked(ctx, now)
 	}
 	if e.state.NextOffset >= p.end {
-		e.readToEndAt = max(p.sentAt, now-e.roundTrip) // estimates when the store looked up the end of the log
+		e.reachedEnd(max(p.sentAt, now-e.roundTrip)) // estimates when the store looked up the end of the log
 	}
 	e.notifyRefreshWaiters()
 }
@@ -172,9 +173,13 @@
 // restoreSnapshot replaces the state with a snapshot if the snapshot is newer.
 func (e *engine) restoreSnapshot(p *page) {
 	e.snapshotGeneration = max(e.snapshotGeneration, p.generation)
-	if p.snapshot.NextOffset <= e.state.NextOffset {
+	closesGap := p.rewound && e.gap != nil
+	if p.snapshot.NextOffset <= e.state.NextOffset && !closesGap {
 		return
 	}
+	if closesGap {
+		e.closeGap()
+	}
 	e.stopPlacing("records of the log expired before this daemon read them")
 	e.state = p.snapshot
 	e.snapshotOffset, e.snapshotAsOf, e.entriesSinceSnapshot = p.snapshot.NextOffset, 0, 0
--- a/daemon/cell/callers.go
+++ b/daemon/cell/callers.go
@@ -249,6 +249,8 @@
 	switch {
 	case err != nil:
 		return a.rejectQuery(w, lookup, id, err)
+	case !v.Found && v.JobsLost:
+		return a.rejectQuery(w, lookup, id, fault.New(fault.Unavailable, "submit the job again if it does not show up", "records of jobs were lost, which may have been those of this one"))
 	case !v.Found:
 		return answer(w, http.StatusGone, nil)
 	case !v.openTo(lookup.keyCheck):
--- a/daemon/cell/catchup_test.go
+++ b/daemon/cell/catchup_test.go
@@ -181,7 +181,7 @@
 func TestQueriesDoNotDelayLogReadsOnASlowLink(t *testing.T) {
 	api := newSlowLinkDaemon(t, newStoreWithSnapshots(t))
 	e := api.engine
-	reader := &logReader{log: e.store, snapshots: e.platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
+	reader := &logReader{log: e.store, snapshots: e.platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load, incomplete: e.isIncomplete.Load}
 	go reader.run(t.Context())
 	go e.store.monitor(t.Context())
 	ticker := time.NewTicker(time.Second / callerPollsPerSecond)
--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -17,9 +17,18 @@
 	e.stopPlacing("another claim was applied")
 	e.claimConflictAt = 0
 	own := e.state.Claim.Daemon == e.settings.Name && e.state.Claim.StartedMS == e.startedMS
+	if !own {
+		e.handleOthersClaim(now)
+	}
 	if !own || e.state.Claim.Epoch != e.claimEpoch || e.claimEpoch <= e.yieldedEpoch {
 		return
 	}
+	switch {
+	case e.gap != nil && !e.state.Claim.Truncated:
+		return // records have expired since the claim was sent
+	case e.gap != nil:
+		e.giveUpGap(now)
+	}
 	placingCtx, cancel := context.WithCancel(ctx)
 	e.placingContext, e.cancelPlacing = placingCtx, cancel
 	e.snapshotWriter = &snapshotWriter{store: e.platform, linkBytesPerSecond: e.settings.Limits.LinkMbps * bytesPerMbit, fence: cluster.Fence{Producer: "placer", Epoch: e.claimEpoch}}
@@ -165,7 +174,7 @@
 	e.log.Emit(evClaim, "reason", reason, "epoch", epoch, "former", e.state.Claim.Daemon, "former_epoch", e.state.Claim.Epoch,
 		"rank", rank,
 		"silent_ms", (bootclock.Now() - e.state.LastHeard).Milliseconds(), "offset", e.state.NextOffset)
-	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.startedMS}}
+	record := &flow.Record{Claim: &flow.Claim{Daemon: e.settings.Name, Address: e.settings.Listen.Peers, Epoch: epoch, StartedMS: e.startedMS, Truncated: e.gap != nil}}
 	appender := e.appender
 	go func() {
 		appendCtx, cancel := context.WithTimeout(ctx, 2*slowStoreTimeout)
--- a/daemon/cell/consult.go
+++ b/daemon/cell/consult.go
@@ -40,10 +40,11 @@
 	// an earlier version does not say to which workspace a job belongs.
 	Workspace  string
 	Attributed bool
+	JobsLost   bool // as in view
 }
 
 func (r *ConsultReply) view() view {
-	return view{r.Pending, r.Found, flow.Phase(r.Phase), r.Workspace, readState{r.Offset, max(bootclock.Now()-r.Age, 1)}}
+	return view{r.Pending, r.Found, flow.Phase(r.Phase), r.Workspace, r.JobsLost, readState{r.Offset, max(bootclock.Now()-r.Age, 1)}}
 }
 
 // consultClient consults other daemons when this one has not recently read the log to its end.
@@ -106,13 +107,16 @@
 	defer cancel()
 	v, known := s.consultView(ctx, args.Queue, args.Job)
 	age, _ := v.readState.age(bootclock.Now())
-	*reply = ConsultReply{Known: known, Pending: v.Pending, Found: v.Found, Phase: string(v.Phase), Offset: v.readState.offset, Age: age, Workspace: v.Workspace, Attributed: true}
+	*reply = ConsultReply{Known: known, Pending: v.Pending, Found: v.Found, Phase: string(v.Phase), Offset: v.readState.offset, Age: age, Workspace: v.Workspace, Attributed: true, JobsLost: v.JobsLost}
 	return nil
 }
 
 // view returns what this daemon knows about a queue and a job.
 func (e *engine) view(queue, job string) view {
-	v := view{Pending: e.state.Pending[queue], readState: e.readState()}
+	if e.gap != nil {
+		return view{readState: e.readState()}
+	}
+	v := view{Pending: e.state.Pending[queue], JobsLost: e.state.LossAt != 0, readState: e.readState()}
 	if j := e.state.Jobs[job]; j != nil {
 		v.Found, v.Phase, v.Workspace = true, j.Phase, j.Workspace
 	}
--- a/daemon/cell/counts.go
+++ b/daemon/cell/counts.go
@@ -41,6 +41,7 @@
 	keyLeaseAge       prometheus.Gauge
 	keyLeaseHeld      prometheus.Gauge
 	logAge            prometheus.Gauge
+	historyIncomplete prometheus.Gauge
 	isPlacer          prometheus.Gauge
 	placerAge         prometheus.Gauge
 	waitingSteps      *prometheus.GaugeVec
@@ -101,6 +102,7 @@
 		keyLeaseAge:       gauge("key_lease_age_seconds", "Time since the reading was sent that last confirmed the configuration in force.").WithLabelValues(),
 		keyLeaseHeld:      gauge("key_lease_held", "1 while calls with a key are accepted.").WithLabelValues(),
 		logAge:            gauge("log_age_seconds", "Time since the log was last read to its end.").WithLabelValues(),
+		historyIncomplete: gauge("history_incomplete", "1 while this daemon lacks records that expired before it read them, and waits for a snapshot.").WithLabelValues(),
 		isPlacer:          gauge("placing", "1 on the daemon that places.").WithLabelValues(),
 		placerAge:         gauge("placer_age_seconds", "Time since the newest claim was read.").WithLabelValues(),
 		waitingSteps:      gauge("waiting_steps", "Steps with tasks to start, by queue; on the placer.", "queue"),
@@ -245,6 +247,7 @@
 	if e.readToEndAt > 0 {
 		m.logAge.Set((now - e.readToEndAt).Seconds())
 	}
+	m.historyIncomplete.Set(map[bool]float64{true: 1}[e.gap != nil])
 	if e.state.ClaimedAt > 0 {
 		m.placerAge.Set((now - e.state.ClaimedAt).Seconds())
 	}
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -76,7 +76,9 @@
 	keyLeaseHeld   bool          // as last logged
 	firstConfigAt  time.Duration // when the first configuration came into force
 	readableSince  time.Duration // start of the present period in which the log could be read without a gap
-	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never
+	readToEndAt    time.Duration // when the state last reached the end of the log; 0 is never, or since it lacks records
+	gap            *historyGap   // nil unless the state lacks records that expired before this daemon read them
+	lossClaimed    bool          // this daemon placed in spite of a gap, and has not saved a snapshot since
 	roundTrip      time.Duration // shortest round trip to the log so far
 	logUnreachable bool
 	headApplied    bool // members and claim come from the head of a snapshot
@@ -136,6 +138,7 @@
 	ackedAppends  map[int64]decodedRecord // acknowledged appends of this daemon, by offset, until all records before them are applied
 	appliedOffset atomic.Int64            // offset of the next record to apply
 	isPlacer      atomic.Bool             // read by the log reader
+	isIncomplete  atomic.Bool             // the state lacks records; read by the log reader
 	isReady       atomic.Bool             // read by the load balancer's health checks
 	inFlight      atomic.Int64            // callers' requests under way
 	decoding      chan struct{}           // holds an element for each body that is being decoded
@@ -261,6 +264,7 @@
 		return
 	}
 	e.claimIfDue(ctx, now)
+	e.claimInSpiteOfGapIfDue(ctx, now)
 }
 
 // forgetEnded removes ended jobs and tombstones whose retention had passed when the log was last read to its end. After a
--- a/daemon/cell/knowledge.go
+++ b/daemon/cell/knowledge.go
@@ -37,6 +37,7 @@
 	Found     bool       // whether the log contains the job
 	Phase     flow.Phase // of the job, if Found
 	Workspace string     // of the job, if Found; "" if it has none
+	JobsLost  bool       // records of jobs have expired unread so lately that the job may be one of them, unless Found
 	readState readState  // of the state that the view was taken from
 }
 
--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -128,7 +128,7 @@
 	pages := make(chan page)
 	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newStoreClient(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
-		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
+		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 }, incomplete: func() bool { return false },
 	}
 	go reader.run(t.Context())
 	restored, newestGeneration, start := make(chan struct{}), make(chan int64, 1), time.Now()
@@ -375,7 +375,7 @@
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}}, headOnly, event.Discard())
 	e.setConfig(&cluster.Configuration{Version: 3, Queues: []cluster.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", MaxAttempts: 2}}})
 	go e.run(t.Context())
-	reader := &logReader{log: e.store, snapshots: headOnly, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
+	reader := &logReader{log: e.store, snapshots: headOnly, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load, incomplete: e.isIncomplete.Load}
 	go reader.run(t.Context())
 
 	require.Eventually(t, func() bool { return len(*e.store.memberAddresses.Load()) > 0 }, time.Second, time.Millisecond, "the members were not published within 1 s")
--- a/daemon/cell/node.go
+++ b/daemon/cell/node.go
@@ -50,7 +50,7 @@
 	if err := servePeers(doors.peers.listen(listeners.peers), &peerService{adviser: platform, store: platform, yield: yield, submit: e.writer.appendForPeer, succeed: succeed, consultView: e.consultView, starter: platform, specOf: e.specOf}); err != nil {
 		return err
 	}
-	reader := &logReader{log: e.store, snapshots: platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load}
+	reader := &logReader{log: e.store, snapshots: platform, reads: e.store.reads, pages: e.pages, wake: e.wakeRead, timing: e.readTiming, appliedOffset: e.appliedOffset.Load, incomplete: e.isIncomplete.Load}
 	go reader.run(runCtx)
 	go e.store.monitor(runCtx)
 	e.writer.onAppended = func(first int64, records [][]byte) {
@@ -156,5 +156,6 @@
 		debug.SetGCPercent(map[bool]int{true: placerGCPercent, false: followerGCPercent}[isPlacer])
 	}
 	e.appliedOffset.Store(e.state.NextOffset)
+	e.isIncomplete.Store(e.gap != nil)
 	e.isReady.Store(!e.draining && e.config != nil && e.keyLease.Holds(now) && e.readToEndAt > 0 && now-e.lastStoreAnswer() < readyReadAge+readWait)
 }
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -87,6 +87,7 @@
 				return
 			}
 			e.snapshotOffset, e.snapshotAsOf, e.snapshotGeneration, e.snapshotSavedAt = head.Next, asOf, generation, now
+			e.lossClaimed = false
 			e.snapshotNote, e.snapshotNotedAt = &flow.SavedSnapshot{Next: head.Next}, asOf
 			e.entriesSinceSnapshot -= coveredEntries
 			e.log.Emit(evSnapshotSaved, "offset", head.Next, "jobs", len(e.state.Jobs), "chunks", head.Chunks, "bytes", e.snapshotBytes, "took_ms", (bootclock.Now() - now).Milliseconds())
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -256,7 +256,7 @@
 	pages := make(chan page)
 	reader := &logReader{
 		log: &fakeStore{}, snapshots: store, reads: newStoreClient(&fakeStore{}, newPeerClients()).reads, pages: pages, wake: make(chan struct{}),
-		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 },
+		timing: func() (interval, wait time.Duration) { return time.Millisecond, 0 }, appliedOffset: func() int64 { return 0 }, incomplete: func() bool { return false },
 	}
 	go reader.run(t.Context())
 	for deadline := time.After(5 * time.Second); ; {
