Soak of the log's history: killed placers, freezes, late appends, early cancellations

Cause: no soak let the log expire, or let a caller cancel a job before it was stored. Change: TestPlatformHistorySoak plays both, in series and overlapping, at a stand-in store that keeps records for 6 s; callers ask for lasting jobs all the while.

--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -28,7 +28,8 @@
 	producers           map[string]*producer
 	changed             chan struct{}
 	unavailable         bool
-	appendRepliesToLose int // appendRepliesToLose is the number of coming appends that get no response.
+	appendRepliesToLose int           // appendRepliesToLose is the number of coming appends that get no response.
+	retention           time.Duration // retention is how long records are kept; 0 keeps them until Expire.
 	holdsAppends        bool
 	heldAppends         []heldAppend
 	calls               int
@@ -42,9 +43,17 @@
 
 // partition is one partition of a topic.
 type partition struct {
-	records [][]byte
-	first   int            // first is the oldest retained offset.
-	newest  map[string]int // newest maps the keys of a keyed topic to the offsets of their newest records.
+	records  [][]byte
+	storedAt []time.Time
+	first    int            // first is the oldest retained offset.
+	newest   map[string]int // newest maps the keys of a keyed topic to the offsets of their newest records.
+}
+
+// expire expires the records that are older than the retention time, unless that is 0.
+func (p *partition) expire(retention time.Duration) {
+	for retention > 0 && p.first < len(p.records) && time.Since(p.storedAt[p.first]) > retention {
+		p.first++
+	}
 }
 
 // producer is the state of a fenced writer in one partition.
@@ -73,6 +82,13 @@
 	s.appendRepliesToLose = n
 }
 
+// RetainFor makes all records expire when they are older than the given time.
+func (s *Store) RetainFor(retention time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retention = retention
+}
+
 // HoldAppends makes the store hold back all appends without a producer and leave them unanswered, until
 // AnswerAppends.
 func (s *Store) HoldAppends() {
@@ -133,6 +149,7 @@
 		p.newest[string(record[1:1+int(record[0])])] = len(p.records)
 	}
 	p.records = append(p.records, record)
+	p.storedAt = append(p.storedAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -254,6 +271,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		s.partition(name).expire(s.retention)
 		records, first, changed := s.partition(name).records, s.partition(name).first, s.changed
 		s.mu.Unlock()
 		if from < first {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -33,7 +33,7 @@
 	running        map[string]string     // running maps tasks to worker IDs.
 	violations     []string
 	starts         int
-	startedJobs    map[string]bool               // startedJobs holds the jobs of which at least one task was started.
+	startedJobs    map[string]time.Time          // startedJobs maps the jobs of which a task was started to the time of the first start.
 	maxLease       time.Duration                 // maxLease is the longest lease that a worker grants, counted from the command.
 	grantedWorkers map[string]map[string]bool    // grantedWorkers maps steps to the IDs of the workers granted for them.
 	maxima         map[string][]publishedMaximum // maxima holds the published maxima of workspaces, the oldest first.
@@ -53,7 +53,7 @@
 func NewFleet(store *Store, pool string, n int, capacity Size, maxLease time.Duration) (*Fleet, error) {
 	f := &Fleet{
 		store: store, pool: pool, capacity: capacity, maxLease: maxLease, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
-		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]bool{}, maxima: map[string][]publishedMaximum{},
+		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]time.Time{}, maxima: map[string][]publishedMaximum{},
 	}
 	for i := range n {
 		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}}
@@ -96,7 +96,16 @@
 func (f *Fleet) HasStarted(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.startedJobs[job]
+	_, started := f.startedJobs[job]
+	return started
+}
+
+// StartedBefore reports whether a task of a job was started before the given time.
+func (f *Fleet) StartedBefore(job string, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first, started := f.startedJobs[job]
+	return started && first.Before(at)
 }
 
 // Starts returns the number of runs started.
@@ -418,7 +427,9 @@
 	f.checkMaximum(cmd.Task, started)
 	f.running[cmd.Task] = w.id
 	f.starts++
-	f.startedJobs[nameParts[0]] = true
+	if _, started := f.startedJobs[nameParts[0]]; !started {
+		f.startedJobs[nameParts[0]] = time.Now()
+	}
 	used, tasksOfStep := Size{}, 0
 	for task, r := range w.runs {
 		used = used.add(r.size)
