Claims that wait for an answer are not sent with a gap in the log

Cause: found on reading the change again: a claim that waited to hear whether a busy placer is alive could be sent after records had expired, without the wait for a daemon that has them; the address of a rejected placer stayed published; 912 was repeated with each read while the log went on expiring. Change: that claim is dropped, the address is withdrawn, 912 is written once for each gap. Measured: the tests of gaps and claims in daemon/cell pass.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -157,7 +157,7 @@
 		alive := e.writer.alive(ctx, currentClaim.Address)
 		e.do(ctx, func(e *engine) {
 			e.claiming = false
-			if !alive && e.state.Claim == currentClaim && !e.draining {
+			if !alive && e.state.Claim == currentClaim && !e.draining && e.gap == nil {
 				e.claim(ctx, reason, nil)
 			}
 		})
--- a/daemon/cell/gap.go
+++ b/daemon/cell/gap.go
@@ -26,7 +26,9 @@
 
 // beginGap continues at the oldest retained record although earlier ones were not read.
 func (e *engine) beginGap(first int64, now time.Duration) {
-	e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", first)
+	if e.gap == nil { // else the log goes on expiring while this daemon looks for a snapshot
+		e.log.Emit(evHistoryLost, "position", e.state.NextOffset, "first", first)
+	}
 	e.stopPlacing("records of the log expired before this daemon read them")
 	e.state.NextOffset = first
 	e.markIncomplete(first, now)
@@ -87,6 +89,7 @@
 		e.markIncomplete(e.logFirst, now)
 	case e.state.Claim.Truncated && e.gap == nil && e.readToEndAt > 0:
 		e.state.RejectClaim(now)
+		e.publishPlacer()
 	}
 }
 
