Real processes: jobs lost with all daemons are not denied; the soak's store keeps its own time

Cause: no test with real processes lost records on all daemons. Change: TestPlatformLostHistoryIsNotDenied. The stand-in's store ages records by its own clock, which stands still while the process does; the last answers are awaited for 400 tries 50 ms apart, not for 20 s.

--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -497,6 +497,35 @@
 	}
 }
 
+// Guards against daemons that deny a job whose records were lost with all daemons that had read them, and against a cell that
+// accepts no jobs afterwards.
+func TestPlatformLostHistoryIsNotDenied(t *testing.T) {
+	t.Parallel()
+	c := newPlatformCell(t, 2, 4, false)
+	lost, next := fmt.Sprintf("%016x", 0xe200), fmt.Sprintf("%016x", 0xe201)
+	c.submit(0, lost, c.newStep(lost, 0, 1, time.Hour, map[string]any{"LongRunning": true}))
+	require.Eventually(t, func() bool { return c.fleet.Starts() == 1 }, 15*time.Second, 20*time.Millisecond)
+	for _, d := range c.daemons {
+		d.kill()
+	}
+	c.store.Expire("briarproxy.jobs", 1)
+	for i := range c.daemons {
+		c.restartDaemon(i)
+	}
+	requireNotDenied := func(period time.Duration) {
+		for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for i := range c.daemons {
+				status, text := c.callDaemon(i, http.MethodGet, lost, nil)
+				require.Equal(t, http.StatusServiceUnavailable, status, "daemon %d: %s", i, text)
+			}
+		}
+	}
+	requireNotDenied(9 * time.Second) // They wait for a daemon with all records, and then give up.
+	c.submit(1, next, c.newStep(next, 0, 1, 100*time.Millisecond, nil))
+	c.waitCompleted(0, []string{next}, 20*time.Second)
+	requireNotDenied(time.Second)
+}
+
 // Guards against logged decisions that cannot be found by their job's ID.
 func TestPlatformDecisionsLoggedWithJobID(t *testing.T) {
 	t.Parallel()
--- a/standin/integration/soak_history_test.go
+++ b/standin/integration/soak_history_test.go
@@ -25,7 +25,7 @@
 	historyRetentionSeconds = 6
 	historyFaultyDaemons    = 2 // The most daemons with a fault at a time; at least two others have all records.
 	historyLastingJobs      = 4
-	historySettleTime       = 20 * time.Second // After the last fault, for the store's late appends and a takeover.
+	historyAnswerTries      = 400 // 20 s if each is answered at once: for the store's late appends and a takeover after the last fault.
 )
 
 // historySoak kills, pauses and stops daemons in series at a store that keeps records for a few seconds and carries some out late,
@@ -173,10 +173,11 @@
 // finalState returns the answer of a daemon for a job, once it gives one.
 func (s *historySoak) finalState(daemon int, id string, accepts func(status int, text string) bool) string {
 	status, text := 0, ""
-	for end := time.Now().Add(historySettleTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for range historyAnswerTries {
 		if status, text = callAddress(s.address(daemon), http.MethodGet, id, "", nil); accepts(status, text) {
 			break
 		}
+		time.Sleep(50 * time.Millisecond)
 	}
 	return fmt.Sprint(status, " ", text)
 }
@@ -214,7 +215,7 @@
 		require.NoError(t, err, soakEnv)
 	}
 	cell := &platformCell{t: t, store: platform.NewStore(), retentionSeconds: historyRetentionSeconds, maxLease: soakMaxLease}
-	cell.store.RetainFor(historyRetentionSeconds * time.Second)
+	cell.store.RetainFor(t.Context(), historyRetentionSeconds*time.Second)
 	s := &historySoak{
 		platformCell: startPlatformCell(cell, int(envNumber(t, soakDaemonsEnv, historyDaemonCount)), historyWorkerCount, false),
 		rng:          rand.New(rand.NewPCG(seed, 2)), faulty: map[int]bool{}, cancelled: map[string]time.Time{},
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -30,6 +31,7 @@
 	unavailable         bool
 	appendRepliesToLose int           // appendRepliesToLose is the number of coming appends that get no response.
 	retention           time.Duration // retention is how long records are kept; 0 keeps them until Expire.
+	clock               time.Duration // clock is the store's time; see RetainFor.
 	holdsAppends        bool
 	heldAppends         []heldAppend
 	calls               int
@@ -44,14 +46,14 @@
 // partition is one partition of a topic.
 type partition struct {
 	records  [][]byte
-	storedAt []time.Time
-	first    int            // first is the oldest retained offset.
-	newest   map[string]int // newest maps the keys of a keyed topic to the offsets of their newest records.
+	storedAt []time.Duration // storedAt holds the store's time of each record.
+	first    int             // first is the oldest retained offset.
+	newest   map[string]int  // newest maps the keys of a keyed topic to the offsets of their newest records.
 }
 
-// expire expires the records that are older than the retention time, unless that is 0.
-func (p *partition) expire(retention time.Duration) {
-	for retention > 0 && p.first < len(p.records) && time.Since(p.storedAt[p.first]) > retention {
+// expireBefore expires the records that were stored before a time of the store.
+func (p *partition) expireBefore(limit time.Duration) {
+	for p.first < len(p.records) && p.storedAt[p.first] < limit {
 		p.first++
 	}
 }
@@ -82,11 +84,29 @@
 	s.appendRepliesToLose = n
 }
 
-// RetainFor makes all records expire when they are older than the given time.
-func (s *Store) RetainFor(retention time.Duration) {
+// clockTick is the step of the store's clock.
+const clockTick = 20 * time.Millisecond
+
+// RetainFor makes all records expire when they are older than the given time, until the context ends. The store's clock
+// goes on by a tick at a time and so stands still while this process does: no record expires that the store could not serve.
+func (s *Store) RetainFor(ctx context.Context, retention time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retention = retention
+	go func() {
+		ticker := time.NewTicker(clockTick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				s.mu.Lock()
+				s.clock += clockTick
+				s.mu.Unlock()
+			}
+		}
+	}()
 }
 
 // HoldAppends makes the store hold back all appends without a producer and leave them unanswered, until
@@ -149,7 +169,7 @@
 		p.newest[string(record[1:1+int(record[0])])] = len(p.records)
 	}
 	p.records = append(p.records, record)
-	p.storedAt = append(p.storedAt, time.Now())
+	p.storedAt = append(p.storedAt, s.clock)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -271,7 +291,9 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		s.partition(name).expire(s.retention)
+		if s.retention > 0 {
+			s.partition(name).expireBefore(s.clock - s.retention)
+		}
 		records, first, changed := s.partition(name).records, s.partition(name).first, s.changed
 		s.mu.Unlock()
 		if from < first {
