--- a/daemon/cell/gap_test.go
+++ b/daemon/cell/gap_test.go
@@ -47,23 +47,14 @@
 	return int64(len(l.records)), nil
 }
 
+// platformClient keeps the methods of the client below those of the fakes that gapPlatform embeds beside it.
+type platformClient struct{ *platform.Client }
+
 // gapPlatform is a platform with such a log.
 type gapPlatform struct {
-	fakePlatform
+	platformClient
 	*keyedStore
-	log *expiringLog
-}
-
-func (p gapPlatform) Append(ctx context.Context, partition int, records [][]byte, fence *cluster.Fence) (int64, error) {
-	return p.log.Append(ctx, partition, records, fence)
-}
-
-func (p gapPlatform) Read(ctx context.Context, partition int, from int64, wait time.Duration) (cluster.LogPage, error) {
-	return p.log.Read(ctx, partition, from, wait)
-}
-
-func (p gapPlatform) End(ctx context.Context, partition int, from int64) (int64, error) {
-	return p.log.End(ctx, partition, from)
+	*expiringLog
 }
 
 func (p gapPlatform) Workers(context.Context) ([]cluster.Worker, []string, error) {
@@ -98,7 +89,7 @@
 	}
 	log.first = 8
 	client := platform.New(platform.Addresses{}, NewDialer(time.Second, time.Second))
-	return &gapCell{gapPlatform{fakePlatform{client, &fakeStore{}}, store, log}, whole, saved}
+	return &gapCell{gapPlatform{platformClient{client}, store, log}, whole, saved}
 }
 
 // start starts a daemon and waits until it has read the end of the log.
