The history soak goes on while a daemon stops

Cause: the soak's loop waited for the end of a planned stop (2.8 s), so no job, call or other fault came meanwhile.

--- a/standin/integration/soak_history_test.go
+++ b/standin/integration/soak_history_test.go
@@ -96,6 +96,16 @@
 	s.fail(i, "kill", time.Duration(100+s.rng.IntN(900))*time.Millisecond, (*process).kill, func(*process) { s.restart(i) })
 }
 
+// restartStopped restarts a daemon once its planned stop has ended. Callers and other faults go on meanwhile.
+func (s *historySoak) restartStopped(i int, p *process) {
+	select {
+	case <-p.exited:
+		s.restart(i)
+	default:
+		s.schedule(jobInterval, func() { s.restartStopped(i, p) })
+	}
+}
+
 func (s *historySoak) injectFault() {
 	i := s.rng.IntN(len(s.daemons))
 	switch s.rng.IntN(8) {
@@ -105,7 +115,7 @@
 		s.kill(i)
 		s.kill(s.currentPlacer())
 	case 4:
-		s.fail(i, "stop", 500*time.Millisecond, (*process).terminate, func(p *process) { <-p.exited; s.restart(i) })
+		s.fail(i, "stop", 500*time.Millisecond, (*process).terminate, func(p *process) { s.restartStopped(i, p) })
 	case 5:
 		if s.rng.IntN(2) == 0 {
 			i = s.currentPlacer()
