A gap found while a question waits fails the question

Callers got 410 for an accepted job, and DELETE stored a cancellation for it, if the daemon found out between the query for the end of the log and the answer that its state lacks records: by expired records, or by the claim of another daemon that gave the records up at the same time. Cause: refresh reported that the end was reached, whatever the state was by then; the view of an incomplete state is empty, like that of an unknown job.

Evidence: in failing runs d0 claims at offset 9 and d1 at offset 10 within 1 ms, and the question that d1 passes to d0 waits for offset 11. Change: refresh fails if the state lacks records when the answer is due. That covers callers' queries, cancellations and other daemons' questions.

--- a/daemon/cell/applying.go
+++ b/daemon/cell/applying.go
@@ -260,8 +260,8 @@
 	}
 }
 
-// refresh runs f once the log has been read up to its present end. It passes ok as false if
-// that end can't be determined.
+// refresh runs f once the log has been read up to its present end. It passes ok as false if that end can't be determined, or
+// if it turns out meanwhile that the state lacks records.
 func (e *engine) refresh(ctx context.Context, f func(e *engine, ok bool)) {
 	nextOffset := e.state.NextOffset
 	go func() {
@@ -272,7 +272,7 @@
 		e.do(ctx, func(e *engine) {
 			e.endQueryAnsweredAt = answeredAt
 			if err != nil || e.state.NextOffset >= end {
-				f(e, err == nil)
+				f(e, err == nil && e.gap == nil)
 				return
 			}
 			e.refreshWaiters = append(e.refreshWaiters, refreshWaiter{end, f})
@@ -287,7 +287,7 @@
 	e.refreshWaiters = nil
 	for _, w := range waiters {
 		if e.state.NextOffset >= w.end {
-			w.callback(e, true)
+			w.callback(e, e.gap == nil)
 		} else {
 			e.refreshWaiters = append(e.refreshWaiters, w)
 		}
--- a/daemon/cell/gap_test.go
+++ b/daemon/cell/gap_test.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	records [][]byte
 	first   int64
+	onEnd   func(*expiringLog) // called with the lock held before a query for the end is answered
 }
 
 func (l *expiringLog) Append(_ context.Context, _ int, records [][]byte, _ *cluster.Fence) (int64, error) {
@@ -44,6 +45,9 @@
 func (l *expiringLog) End(context.Context, int, int64) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.onEnd != nil {
+		l.onEnd(l)
+	}
 	return int64(len(l.records)), nil
 }
 
@@ -132,6 +136,41 @@
 	require.Eventually(t, api.engine.isReady.Load, time.Second, 10*time.Millisecond)
 }
 
+// Guards against a daemon that finds out while it answers that it lacks records, and then answers from the rest that a job does
+// not exist.
+func TestDaemonThatComesToLackRecordsSaysSo(t *testing.T) {
+	start := func(t *testing.T) *callerAPI {
+		cell := newGapCell(t)
+		log := cell.platform.expiringLog
+		log.first = 0
+		api := cell.start(t)
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		log.onEnd = func(l *expiringLog) { // the daemon follows the log too slowly: the next record expires before it is read
+			l.records = append(l.records, l.records[0], l.records[0])
+			l.first, l.onEnd = int64(len(l.records)-1), nil
+		}
+		return api
+	}
+	requireIncomplete := func(t *testing.T, api *callerAPI) {
+		incomplete, _ := query(t.Context(), api.engine, func(e *engine, reply chan<- bool) { reply <- e.gap != nil })
+		require.True(t, incomplete)
+	}
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			api := start(t)
+			require.Equal(t, http.StatusServiceUnavailable, api.request(method, "/p/other", "").Code)
+			requireIncomplete(t, api)
+		})
+	}
+	t.Run("consulted", func(t *testing.T) {
+		api := start(t)
+		_, known := api.engine.consultView(t.Context(), "q", "other")
+		require.False(t, known)
+		requireIncomplete(t, api)
+	})
+}
+
 // Guards against a cell that never places again because all daemons lack the same records, and against one that then denies the
 // jobs whose records were lost.
 func TestLostRecordsAreGivenUpAfterAWait(t *testing.T) {
@@ -172,7 +211,11 @@
 
 	other := newFollower(time.Hour)
 	other.lossClaimed = true
+	answered := true
+	other.refreshWaiters = []refreshWaiter{{0, func(_ *engine, ok bool) { answered = ok }}}
 	other.applyRecord(t.Context(), &decodedRecord{record: claim}, time.Hour)
+	other.notifyRefreshWaiters()
 	require.NotNil(t, other.gap)
 	require.Zero(t, other.readToEndAt)
+	require.False(t, answered, "a caller's query that was under way gets no answer from the state that is given up")
 }
