A daemon that begins to stop does not claim any more

The check before a claim reads the log to its end. A planned stop that began meanwhile was not looked at, so that the stopping daemon claimed and placed until its process ended; the cell then had to notice its silence. The check looks at it now, as the one for a slow log did already. TestDaemonThatBeginsToStopDuringTheCheckBeforeAClaimDoesNotClaim failed before and passes 20 of 20 times with the race detector.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -138,7 +138,7 @@
 		input.Now, input.CaughtUpAt = bootclock.Now(), e.readToEndAt
 		e.endQueryTimes.record(e.endQueryAnsweredAt-querySentAt, e.endQueryAnsweredAt)
 		input.MaxLogLatency = max(e.endQueryTimes.longest(input.Now), e.writer.appendTimes.longest(input.Now))
-		if reason, shouldClaim := placer.ShouldClaim(e.state, input); shouldClaim && ok {
+		if reason, shouldClaim := placer.ShouldClaim(e.state, input); shouldClaim && ok && !e.draining {
 			e.claimUnlessPlacerAlive(ctx, reason)
 		}
 	})
--- a/daemon/cell/gap_test.go
+++ b/daemon/cell/gap_test.go
@@ -196,6 +196,22 @@
 	follower.onEngine(func(e *engine) { require.Nil(t, e.gap) })
 }
 
+// Guards against a daemon that claims although its planned stop has begun: it would delay the takeover by one that stays.
+func TestDaemonThatBeginsToStopDuringTheCheckBeforeAClaimDoesNotClaim(t *testing.T) {
+	for _, stops := range []bool{false, true} {
+		cell := newGapCell(t)
+		e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{MaxLeaseMS: 6000, StatusS: 120, FailoverMS: 3000, KeepS: 300}}, cell.platform, event.Discard())
+		e.setConfig(&cluster.Configuration{Version: 3})
+		e.state, e.readToEndAt, e.readableSince, e.firstConfigAt = cell.whole, bootclock.Now(), 1, 1
+		e.claimIfDue(t.Context(), e.readToEndAt)
+		require.True(t, e.claiming, "the end of the log is asked for")
+		checked := <-e.calls
+		e.draining = stops
+		checked(e)
+		require.Equal(t, !stops, e.claiming)
+	}
+}
+
 // Guards against a daemon with all records that follows a placer without some of them, and against two daemons that go on from
 // different remains of the log.
 func TestOnlyOneStateRemainsAfterALossOfRecords(t *testing.T) {
