--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -36,6 +36,7 @@
 	e.snapshotRetryAt, e.snapshotSavedAt, e.snapshotNote = 0, 0, nil
 	// The log may have superseded the claim at any time since it was sent.
 	e.batchAckedAt, e.placingStartedAt, e.bypassedRecords = e.claimSentAt, now, 0
+	e.handingOver = e.draining // the planned stop began after the claim was sent
 	e.placer = placer.New(e.state, e.configOrEmpty(), placer.Options{
 		Lease: min(maxLease, millis(e.settings.Bounds.MaxLeaseMS)), MaxLease: millis(e.settings.Bounds.MaxLeaseMS), MaxRenewalWithoutLog: maxLogOutage,
 		EarlyStart: millis(e.settings.Bounds.EarlyMS), StopTimeout: millis(e.settings.Bounds.StopMS), LinkMbps: e.settings.Limits.LinkMbps,
@@ -295,6 +296,7 @@
 		successors = nil // an isolated daemon reaches none of them
 	}
 	e.stopPlacing("planned stop or hand-over")
+	e.snapshotRetryAt = 0
 	go func() {
 		drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 		defer cancel()
--- a/daemon/cell/engine.go
+++ b/daemon/cell/engine.go
@@ -263,6 +263,7 @@
 		e.runPlacer(ctx, now)
 		return
 	}
+	e.saveLastSnapshot(ctx, now)
 	e.claimIfDue(ctx, now)
 	e.claimInSpiteOfGapIfDue(ctx, now)
 }
--- a/daemon/cell/gap_test.go
+++ b/daemon/cell/gap_test.go
@@ -22,9 +22,17 @@
 	records [][]byte
 	first   int64
 	onEnd   func(*expiringLog) // called with the lock held before a query for the end is answered
+
+	onAppend func(records [][]byte) // called without the lock before records are appended
 }
 
 func (l *expiringLog) Append(_ context.Context, _ int, records [][]byte, _ *cluster.Fence) (int64, error) {
+	l.mu.Lock()
+	onAppend := l.onAppend
+	l.mu.Unlock()
+	if onAppend != nil {
+		onAppend(records)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	offset := int64(len(l.records))
@@ -196,6 +204,36 @@
 	follower.onEngine(func(e *engine) { require.Nil(t, e.gap) })
 }
 
+// Guards against a daemon whose planned stop begins while its claim is under way: it went on placing until its end, and saved
+// nothing for the daemons that start after the log has expired.
+func TestClaimWonDuringAPlannedStopIsReleasedAndTheStateSaved(t *testing.T) {
+	cell := newGapCell(t)
+	log := cell.platform.expiringLog
+	log.first = 0
+	claimed := make(chan struct{})
+	log.onAppend = func(records [][]byte) {
+		if r, err := flow.Decode(records[0]); err == nil && r.Claim != nil {
+			claimed <- struct{}{}
+			<-claimed
+		}
+	}
+	api := cell.start(t)
+	<-claimed
+	api.onEngine(func(e *engine) { e.draining = true })
+	log.mu.Lock()
+	log.onAppend = nil
+	log.mu.Unlock()
+	claimed <- struct{}{}
+	require.Eventually(t, func() bool {
+		saved, _ := query(t.Context(), api.engine, func(e *engine, reply chan<- bool) {
+			reply <- e.placer == nil && e.state.Claim.Epoch == e.claimEpoch && e.state.Claim.Daemon == "" && e.snapshotOffset == e.state.NextOffset
+		})
+		return saved
+	}, 10*time.Second, 10*time.Millisecond)
+	started := cell.start(t)
+	require.Equal(t, http.StatusOK, started.request(http.MethodGet, "/p/late", "").Code)
+}
+
 // Guards against a daemon that claims although its planned stop has begun: it would delay the takeover by one that stays.
 func TestDaemonThatBeginsToStopDuringTheCheckBeforeAClaimDoesNotClaim(t *testing.T) {
 	for _, stops := range []bool{false, true} {
--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -34,7 +34,7 @@
 	e.appendBatch(ctx, now)
 	e.logSummary(now)
 	if e.placer != nil {
-		e.saveSnapshot(e.placingContext, now)
+		e.saveSnapshot(ctx, now)
 	}
 }
 
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -9,6 +9,7 @@
 	"briarproxy/core/cluster"
 	"briarproxy/core/fault"
 	"briarproxy/core/flow"
+	"briarproxy/core/placer"
 	"briarproxy/daemon/bootclock"
 )
 
@@ -55,9 +56,34 @@
 	}
 	e.snapshotRetryAt = now + snapshotRetryDelay
 	if !e.snapshotWriter.takenOver {
-		e.takeOverSnapshots(ctx)
+		e.takeOverSnapshots(ctx, e.placingContext)
 		return
 	}
+	e.writeSnapshot(ctx, e.placingContext, reason, now)
+}
+
+// lastStateUnsaved reports whether this daemon, which stops as planned, was the last placer, no other daemon has claimed since,
+// and records exist that no snapshot covers. If all daemons stop, nobody else saves them before they expire.
+func (e *engine) lastStateUnsaved() bool {
+	releasedLast := e.state.Claim.Daemon == "" && e.state.Claim.Epoch == e.claimEpoch
+	return e.draining && releasedLast && e.readToEndAt > 0 && e.state.NextOffset > e.snapshotOffset
+}
+
+// saveLastSnapshot starts writing a snapshot if the last state before a stop of all daemons is unsaved.
+func (e *engine) saveLastSnapshot(ctx context.Context, now time.Duration) {
+	switch {
+	case e.savingSnapshot || now < e.snapshotRetryAt || !e.lastStateUnsaved():
+	case !e.snapshotWriter.takenOver:
+		e.snapshotRetryAt = now + lastSaveInterval
+		e.takeOverSnapshots(ctx, ctx)
+	default:
+		e.snapshotRetryAt = now + lastSaveInterval
+		e.writeSnapshot(ctx, ctx, "all daemons stop", now)
+	}
+}
+
+// writeSnapshot starts writing a snapshot. It ends with writingCtx.
+func (e *engine) writeSnapshot(ctx, writingCtx context.Context, reason string, now time.Duration) {
 	generation := e.snapshotGeneration + 1
 	coveredEntries, asOf := e.entriesSinceSnapshot, e.readToEndAt
 	head, chunks, err := e.state.Snapshot(generation, now)
@@ -73,14 +99,13 @@
 	}
 	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
-		saveCtx, cancel := context.WithTimeout(ctx, writer.timeout(chunks))
+		saveCtx, cancel := context.WithTimeout(writingCtx, writer.timeout(chunks))
 		defer cancel()
 		err := writer.save(saveCtx, &head, chunks)
 		e.do(ctx, func(e *engine) {
-			if e.placer != startedBy {
+			if !e.endSaving(writer, startedBy) {
 				return
 			}
-			e.savingSnapshot = false
 			if err != nil {
 				writer.takenOver = false // the failed snapshot's head may have been stored
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", head.Next)
@@ -95,6 +120,20 @@
 	}()
 }
 
+// endSaving ends a call of the writer to the store, and reports whether its outcome still matters: it doesn't once this daemon has
+// stopped placing meanwhile.
+func (e *engine) endSaving(writer *snapshotWriter, startedBy *placer.Placer) bool {
+	if e.snapshotWriter != writer {
+		return false
+	}
+	e.savingSnapshot = false
+	if e.placer != startedBy {
+		writer.takenOver = false // the newest generation is not known: the call may have stored one
+		return false
+	}
+	return true
+}
+
 // snapshotReason returns why a snapshot is due, or "". No record may expire before a snapshot covers it, whichever
 // daemon places meanwhile. So what counts is the age of the oldest record that no snapshot covers, not the time for which this
 // daemon places; if that age is not known, the record may be about to expire.
@@ -147,19 +186,18 @@
 }
 
 // takeOverSnapshots fences earlier writers and looks up the newest snapshot's generation, so that
-// the next snapshot does not overwrite it.
-func (e *engine) takeOverSnapshots(ctx context.Context) {
+// the next snapshot does not overwrite it. It ends with writingCtx.
+func (e *engine) takeOverSnapshots(ctx, writingCtx context.Context) {
 	e.savingSnapshot = true
 	writer, startedBy := e.snapshotWriter, e.placer
 	go func() {
-		takeOverCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		takeOverCtx, cancel := context.WithTimeout(writingCtx, snapshotTimeout)
 		defer cancel()
 		generation, err := writer.takeOver(takeOverCtx)
 		e.do(ctx, func(e *engine) {
-			if e.placer != startedBy {
+			if !e.endSaving(writer, startedBy) {
 				return
 			}
-			e.savingSnapshot = false
 			if err != nil {
 				e.log.Emit(evSnapshotFailed, "reason", err.Error(), "offset", e.state.NextOffset)
 				return
--- a/daemon/cell/snapshot_test.go
+++ b/daemon/cell/snapshot_test.go
@@ -209,6 +209,7 @@
 				store := &keyedStore{}
 				e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{KeepS: 300}}, headOnlyPlatform{keyedStore: store}, event.Discard())
 				e.snapshotWriter = &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+				e.placingContext = t.Context()
 				e.claiming = true // keeps this daemon from claiming the placer's role
 				go e.run(t.Context())
 				lastGeneration := int64(0)
@@ -361,6 +362,7 @@
 	store := &keyedStore{}
 	e := newEngine(&Settings{Name: "a", Bounds: BoundSettings{KeepS: 300}}, headOnlyPlatform{keyedStore: store}, event.Discard())
 	e.snapshotWriter = &snapshotWriter{store: store, fence: cluster.Fence{Producer: "placer", Epoch: 10}}
+	e.placingContext = t.Context()
 	e.claiming, e.readToEndAt = true, bootclock.Now()
 	go e.run(t.Context())
 	var note *flow.SavedSnapshot
--- a/daemon/cell/stopping.go
+++ b/daemon/cell/stopping.go
@@ -20,6 +20,7 @@
 	minRequestTime   = 600 * time.Millisecond  // assumed for every request: an append from another region to a healthy store takes this long
 	quietPeriod      = 150 * time.Millisecond  // without a request before a connection is closed
 	stopPollInterval = 20 * time.Millisecond
+	lastSaveInterval = 200 * time.Millisecond // between two snapshots of the last daemon to stop, while records still arrive
 )
 
 // stopSchedule holds the times of a planned stop, counted from its signal.
@@ -92,9 +93,23 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	e.awaitLastSnapshot(ctx, startedAt+server.schedule.end)
 	return e.finishStop(startedAt, server)
 }
 
+// awaitLastSnapshot waits until the last state before a stop of all daemons is saved, at the longest until the given time.
+func (e *engine) awaitLastSnapshot(ctx context.Context, until time.Duration) {
+	waitCtx, cancel := context.WithTimeout(ctx, until-bootclock.Now())
+	defer cancel()
+	for waitCtx.Err() == nil {
+		unsaved, _ := query(waitCtx, e, func(e *engine, reply chan<- bool) { reply <- e.lastStateUnsaved() })
+		if !unsaved {
+			return
+		}
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // newCallerServer returns the HTTP server for a daemon's callers.
 func (e *engine) newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
 	s := newCallerServer(handler, listener, time.Duration(e.settings.Bounds.GraceS*float64(time.Second)))
--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -497,6 +497,47 @@
 	}
 }
 
+// Guards against an accepted job that is lost because all daemons stop before a snapshot covers it, and start again only after
+// the log has expired.
+func TestPlatformStopOfAllDaemonsKeepsTheHistory(t *testing.T) {
+	t.Parallel()
+	t.Run("together", func(t *testing.T) { testStopOfAllDaemons(t, false) })
+	t.Run("in turn", func(t *testing.T) { testStopOfAllDaemons(t, true) })
+}
+
+func testStopOfAllDaemons(t *testing.T, inTurn bool) {
+	t.Parallel()
+	c := newPlatformCell(t, 3, 4, false)
+	ids := []string{fmt.Sprintf("%016x", 0xe300), fmt.Sprintf("%016x", 0xe301)}
+	c.submit(0, ids[0], c.newStep(ids[0], 0, 1, time.Hour, map[string]any{"LongRunning": true}))
+	require.Eventually(t, func() bool { return c.fleet.Starts() == 1 }, 15*time.Second, 20*time.Millisecond)
+	placer := c.currentPlacer()
+	killed, last := (placer+1)%3, (placer+2)%3
+	c.daemons[killed].kill()
+	c.daemons[placer].terminate()
+	if inTurn {
+		require.Zero(t, c.daemons[placer].waitExit(6*time.Second))
+	}
+	c.submit(last, ids[1], c.newStep(ids[1], 0, 1, time.Hour, map[string]any{"LongRunning": true}))
+	c.daemons[last].terminate()
+	require.Zero(t, c.daemons[placer].waitExit(6*time.Second))
+	require.Zero(t, c.daemons[last].waitExit(6*time.Second))
+	c.store.Expire("briarproxy.jobs", 0)
+	for i := range c.daemons {
+		c.restartDaemon(i)
+	}
+	for i := range c.daemons {
+		for _, id := range ids {
+			status := 0
+			for end := time.Now().Add(20 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				status, _ = c.callDaemon(i, http.MethodGet, id, nil)
+				require.NotEqual(t, http.StatusGone, status, "daemon %d", i)
+			}
+			require.Equal(t, http.StatusOK, status, "daemon %d", i)
+		}
+	}
+}
+
 // Guards against daemons that deny a job whose records were lost with all daemons that had read them, and against a cell that
 // accepts no jobs afterwards.
 func TestPlatformLostHistoryIsNotDenied(t *testing.T) {
