The history soak ends with a stop of all daemons

They stop as planned, a short while after one another, right after a job was accepted, and start again once the log has expired. That job and the lasting ones have to run again, and nothing may deny them.

--- a/standin/integration/soak_history_test.go
+++ b/standin/integration/soak_history_test.go
@@ -192,6 +192,31 @@
 	return fmt.Sprint(status, " ", text)
 }
 
+// requireLastingJobsRun requires that every daemon shows the lasting jobs as running, once its answer is accepted.
+func (s *historySoak) requireLastingJobsRun(lasting []string, accepts func(status int, text string) bool) {
+	for i := range s.daemons {
+		for _, id := range lasting {
+			state := s.finalState(i, id, accepts)
+			require.Contains(s.t, state, "running", "lasting job %s at d%d", id, i)
+		}
+	}
+}
+
+// stopAll stops all daemons as planned, a short while after one another, and starts them again once the log has expired.
+func (s *historySoak) stopAll() {
+	for _, i := range s.rng.Perm(len(s.daemons)) {
+		s.daemons[i].terminate()
+		time.Sleep(time.Duration(s.rng.IntN(400)) * time.Millisecond)
+	}
+	for _, p := range s.daemons {
+		require.Zero(s.t, p.waitExit(10*time.Second))
+	}
+	time.Sleep((historyRetentionSeconds + 1) * time.Second)
+	for i := range s.daemons {
+		s.restart(i)
+	}
+}
+
 func (s *historySoak) hasEvent(number int) bool {
 	for _, p := range append(s.retired, s.daemons...) {
 		p.mu.Lock()
@@ -216,7 +241,8 @@
 }
 
 // Guards against accepted jobs that are denied, lost or never completed, and against cancelled jobs that run, while placers are
-// killed in series, daemons are frozen for longer than the log keeps records, and the store carries submissions out late.
+// killed in series, daemons are frozen for longer than the log keeps records, and the store carries submissions out late. In the end
+// all daemons stop for longer than the log keeps records.
 func TestPlatformHistorySoak(t *testing.T) {
 	duration, seed := defaultSoakDuration, envNumber(t, soakSeedEnv, defaultSoakSeed)
 	if text := os.Getenv(soakEnv); text != "" {
@@ -274,11 +300,8 @@
 	require.Empty(t, s.denied)
 	s.waitCompleted(0, s.completes, soakCompletionTimeout)
 	time.Sleep(historyRetentionSeconds * time.Second)
+	s.requireLastingJobsRun(lasting, func(status int, _ string) bool { return status == http.StatusOK })
 	for i := range s.daemons {
-		for _, id := range lasting {
-			state := s.finalState(i, id, func(status int, _ string) bool { return status == http.StatusOK })
-			require.Contains(t, state, "running", "lasting job %s at d%d", id, i)
-		}
 		for id, at := range s.cancelled {
 			if s.fleet.StartedBefore(id, at) {
 				continue // It may have ended before it was cancelled.
@@ -294,4 +317,10 @@
 	for _, p := range s.daemons {
 		require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)), "%s has exited unexpectedly", p.name)
 	}
+	id := fmt.Sprintf("%016x", 0x1a5ff)
+	s.submit(0, id, s.newStep(id, 0, 2, time.Hour, map[string]any{"LongRunning": true}))
+	s.stopAll()
+	s.requireLastingJobsRun(append(lasting, id), func(status int, text string) bool {
+		return status == http.StatusGone || strings.Contains(text, "running")
+	})
 }
