The last placer waits for a successor before it saves

A released claim is usually taken within the time of a read and the rank's delay. A stopping daemon that saves a large state at once would spend its link, which its last callers need, for nothing. It begins after 500 ms.

--- a/daemon/cell/claiming.go
+++ b/daemon/cell/claiming.go
@@ -296,7 +296,7 @@
 		successors = nil // an isolated daemon reaches none of them
 	}
 	e.stopPlacing("planned stop or hand-over")
-	e.snapshotRetryAt = 0
+	e.snapshotRetryAt = bootclock.Now() + lastSaveDelay
 	go func() {
 		drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 		defer cancel()
--- a/daemon/cell/stopping.go
+++ b/daemon/cell/stopping.go
@@ -20,6 +20,7 @@
 	minRequestTime   = 600 * time.Millisecond  // assumed for every request: an append from another region to a healthy store takes this long
 	quietPeriod      = 150 * time.Millisecond  // without a request before a connection is closed
 	stopPollInterval = 20 * time.Millisecond
+	lastSaveDelay    = 500 * time.Millisecond // from the release of the claim until the last daemon saves its state; a successor claims sooner
 	lastSaveInterval = 200 * time.Millisecond // between two snapshots of the last daemon to stop, while records still arrive
 )
 
