--- a/daemon/cell/gap_test.go
+++ b/daemon/cell/gap_test.go
@@ -234,6 +234,14 @@
 	require.Equal(t, http.StatusOK, started.request(http.MethodGet, "/p/late", "").Code)
 }
 
+// Guards against a panic in the planned stop of a cell in which no daemon has claimed yet: no snapshot can be saved.
+func TestPlannedStopBeforeTheFirstClaimSavesNothing(t *testing.T) {
+	e := newFollower(bootclock.Now())
+	e.state.Claim, e.state.NextOffset, e.draining = flow.Claim{}, 1, true
+	require.False(t, e.lastStateUnsaved())
+	require.NotPanics(t, func() { e.saveLastSnapshot(t.Context(), bootclock.Now()) })
+}
+
 // Guards against a daemon that claims although its planned stop has begun: it would delay the takeover by one that stays.
 func TestDaemonThatBeginsToStopDuringTheCheckBeforeAClaimDoesNotClaim(t *testing.T) {
 	for _, stops := range []bool{false, true} {
--- a/daemon/cell/snapshot.go
+++ b/daemon/cell/snapshot.go
@@ -65,7 +65,7 @@
 // lastStateUnsaved reports whether this daemon, which stops as planned, was the last placer, no other daemon has claimed since,
 // and records exist that no snapshot covers. If all daemons stop, nobody else saves them before they expire.
 func (e *engine) lastStateUnsaved() bool {
-	releasedLast := e.state.Claim.Daemon == "" && e.state.Claim.Epoch == e.claimEpoch
+	releasedLast := e.snapshotWriter != nil && e.state.Claim.Daemon == "" && e.state.Claim.Epoch == e.claimEpoch
 	return e.draining && releasedLast && e.readToEndAt > 0 && e.state.NextOffset > e.snapshotOffset
 }
 
