--- a/standin/integration/platform_test.go
+++ b/standin/integration/platform_test.go
@@ -487,13 +487,18 @@
 			c.restartDaemon(i)
 		}
 	}
+	c.requireKnown(id)
+}
+
+// requireKnown requires that every daemon comes to know the job, and that none denies it meanwhile.
+func (c *platformCell) requireKnown(id string) {
 	for i := range c.daemons {
 		status := 0
 		for end := time.Now().Add(20 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			status, _ = c.callDaemon(i, http.MethodGet, id, nil)
-			require.NotEqual(t, http.StatusGone, status, "daemon %d", i)
+			require.NotEqual(c.t, http.StatusGone, status, "daemon %d", i)
 		}
-		require.Equal(t, http.StatusOK, status, "daemon %d", i)
+		require.Equal(c.t, http.StatusOK, status, "daemon %d", i)
 	}
 }
 
@@ -526,15 +531,8 @@
 	for i := range c.daemons {
 		c.restartDaemon(i)
 	}
-	for i := range c.daemons {
-		for _, id := range ids {
-			status := 0
-			for end := time.Now().Add(20 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				status, _ = c.callDaemon(i, http.MethodGet, id, nil)
-				require.NotEqual(t, http.StatusGone, status, "daemon %d", i)
-			}
-			require.Equal(t, http.StatusOK, status, "daemon %d", i)
-		}
+	for _, id := range ids {
+		c.requireKnown(id)
 	}
 }
 
