Log what the silence of a worker, or of the placer, rests on

A line `run ended` with reason crashed didn't say whether the worker was asked, nor whether the placer's own process had stood still.

Tests of core/placer, core/flow and daemon/cell pass.

--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -23,6 +23,30 @@
 	return r.startsSent > 0 && !r.progress.seen && r.vm.answeredAt <= r.answeredAt+crashDelay
 }
 
+// decisionSilentWorker is the kind of decision that reports a run whose worker has answered nothing since the start
+// until its leases expired. Age is the time since its last answer, Value the number of polls that it has missed.
+const decisionSilentWorker = "no answer since the start"
+
+// decisionPause is the kind of decision that reports that this process has stood still for the time in Age.
+const decisionPause = "placer paused"
+
+// minReportedPause is longer than any delay between two ticks of a process that is not frozen or overloaded.
+const minReportedPause = time.Second
+
+// reportPause reports that the placer has not run for a while, so that the silence of workers in that time proves nothing.
+func (p *Placer) reportPause(now time.Duration) {
+	if pause := now - p.lastTickAt; p.lastTickAt > 0 && pause > minReportedPause {
+		p.addDecision(Decision{Kind: decisionPause, Age: pause})
+	}
+	p.lastTickAt = now
+}
+
+func (p *Placer) reportSilence(r *run, now time.Duration) {
+	if r.lostStart == "" && r.isLastStart() {
+		p.addDecision(Decision{Kind: decisionSilentWorker, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.vm.answeredAt, Value: int64(r.vm.missedPolls)})
+	}
+}
+
 // markLostStart notes how the run ends on a worker that has been silent until its leases expired.
 func (r *run) markLostStart() {
 	switch {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -198,6 +198,7 @@
 	queues             map[string]*cluster.Queue // newest known definitions; a removed queue may still have jobs
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
+	lastTickAt         time.Duration
 	workersWithRuns    int             // at the last scan
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
 	planPass           int             // number of planning passes so far
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -10,6 +10,7 @@
 // Tick does what is due at the given time (boot clock and Unix ms): it ends runs whose leases
 // have expired, stops runs, retries start commands, plans and polls workers.
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
+	p.reportPause(now)
 	commands := p.queuedCommands
 	p.queuedCommands = nil
 	p.activateDue(now, wallMS+p.options.EarlyStart.Milliseconds()/2)
@@ -52,6 +53,7 @@
 		n := 0
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
+				p.reportSilence(r, now)
 				r.markLostStart()
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
