Count a crash only when the worker's incarnation is known to have ended

Callers saw a job as failed although none of its tasks had used up its attempts; the runs had lapsed on workers that went on working (LOST).

Cause: the placer recorded a run as crashed, or silent, when its worker had answered nothing since the start until its leases expired. That is as true of a worker that is cut off, and of one that the placer did not ask because its own process stood still. Three, or five, such ends fail the job, the counts outlive placers, and nothing that the worker says later took them back.

Change: such a run ends as unreachable and is kept as a lost start of its task, with the worker's incarnation and address. An answer of the same incarnation clears it. A new start time, or a later worker at the address, shows that the incarnation has ended, and only then it counts. The placer that learns of it need not be the one that started the run. A task whose unexplained starts would reach the limit waits 8 s for an explanation, so a task that crashes its workers is not started on and on meanwhile; then with a growing pause. Workers that were draining count as having left.

TestTaskThatCrashesItsWorkersIsGivenUp passes with its former bounds, also where another worker comes back at the address.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -156,13 +156,16 @@
 	GangTimedOut EndReason = "alone"   // the other members of the gang did not start in time
 	NeverStarted EndReason = "void"    // the run never began and can no longer begin
 	Lost         EndReason = "lost"    // the worker's incarnation ended while the run was on it
-	Crashed      EndReason = "crashed" // the worker restarted as it started the run, or answered the start and nothing more
-	Unanswered   EndReason = "silent"  // the worker answered neither the start nor anything later, until its lease expired
+	Crashed      EndReason = "crashed" // the worker's incarnation has ended, and the run was the last that it started
+	Unanswered   EndReason = "silent"  // as Crashed, but the worker did not answer the start, so the run may never have begun
+	// Unreachable: the worker answered nothing after the start until its leases expired. Whether its incarnation has ended
+	// is not known.
+	Unreachable EndReason = "unreachable"
 )
 
 // GivenUp reports whether the placer ended the run without word of its worker.
 func (r EndReason) GivenUp() bool {
-	return r == LeaseExpired || r == Lost || r == Crashed || r == Unanswered
+	return r == LeaseExpired || r == Lost || r == Crashed || r == Unanswered || r == Unreachable
 }
 
 // Start is an order to start a run.
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -106,6 +106,8 @@
 	cluster.RunID
 	Reason     cluster.EndReason `json:"h"`
 	Checkpoint string            `json:"c,omitempty"`
+	Address    string            `json:"a,omitempty"` // of the worker, with Unreachable
+	Answered   bool              `json:"y,omitempty"` // with Unreachable: the worker answered the start command
 }
 
 // Batch holds the placer's decisions and the ends it learned of since its last batch. An empty
--- a/core/flow/snapshot_test.go
+++ b/core/flow/snapshot_test.go
@@ -78,8 +78,8 @@
 	case 3, 4, 5, 6:
 		return Record{Batch: &Batch{Epoch: 9, Begins: []Begin{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Life: cluster.Life{Worker: "w", Born: 2}}}}}
 	default:
-		reason := []cluster.EndReason{cluster.Done, cluster.Done, cluster.Failed, cluster.NeverStarted, cluster.LeaseExpired}[rng.IntN(5)]
-		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Reason: reason, Checkpoint: "c"}}}}
+		reason := []cluster.EndReason{cluster.Done, cluster.Done, cluster.Failed, cluster.NeverStarted, cluster.LeaseExpired, cluster.Unreachable, cluster.Crashed}[rng.IntN(7)]
+		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: cluster.RunID{TaskID: task, Run: 1 + rng.IntN(6)}, Reason: reason, Checkpoint: "c", Address: "a", Answered: reason == cluster.Unreachable}}}}
 	}
 }
 
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -33,19 +33,12 @@
 	Failures   int          `json:"f,omitempty"`
 	Crashes    int          `json:"x,omitempty"` // number of runs that ended as cluster.Crashed since a worker has listed the end of one
 	Unanswered int          `json:"u,omitempty"` // the same of cluster.Unanswered
+	LostStarts []LostStart  `json:"o,omitempty"` // newest runs that ended as cluster.Unreachable since then and are not explained, at most maxGivenUpRuns
 	GivenUp    []int        `json:"g,omitempty"` // newest runs that ended without word of their worker, at most maxGivenUpRuns
 	Life       cluster.Life `json:"l"`           // worker incarnation of the last run
 	Checkpoint string       `json:"c,omitempty"`
 }
 
-// Limits for a task that crashes one worker after another. At either of them its job fails.
-const (
-	maxCrashes = 3 // workers that have crashed as they started the task
-	// maxLostStarts counts workers that did not answer the start as well. They may have been cut off,
-	// so it takes more of them.
-	maxLostStarts = 5
-)
-
 // maxGivenUpRuns bounds the runs of a task of which a late end still counts.
 const maxGivenUpRuns = 8
 
@@ -363,7 +356,10 @@
 		return nil // another run of the task, or another member of the gang, has ended as done
 	}
 	if !t.Active || t.LastRun != e.Run {
-		if j.AcceptsLateEnd(e.RunID) {
+		if s.explainLostStart(j, t, e, now) {
+			return nil
+		}
+		if (e.Reason == cluster.Done || e.Reason == cluster.Failed) && j.AcceptsLateEnd(e.RunID) {
 			s.applyLateEnd(j, o, step, t, e, now)
 			return nil
 		}
@@ -379,16 +375,12 @@
 		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUpRuns):]
 	}
 	switch e.Reason {
-	case cluster.Crashed:
-		t.Crashes++
-		s.failAtCrashLimit(j, t, now)
-	case cluster.Unanswered:
-		t.Unanswered++
-		s.failAtCrashLimit(j, t, now)
+	case cluster.Crashed, cluster.Unanswered, cluster.Unreachable:
+		s.countLostStart(j, t, e, now)
 	case cluster.LeaseExpired, cluster.Lost:
 		// Whether the worker has survived the start is not known.
 	default:
-		t.Crashes, t.Unanswered = 0, 0
+		t.forgetLostStarts()
 	}
 	def := &j.Steps[e.Step]
 	if e.Checkpoint != "" && def.Gang {
@@ -426,7 +418,7 @@
 // success it is no longer needed, and the placer stops it.
 func (s *State) applyLateEnd(j *Job, o *Occurrence, step *StepState, t *TaskState, e *End, now time.Duration) {
 	t.GivenUp = slices.DeleteFunc(t.GivenUp, func(run int) bool { return run == e.Run })
-	t.Crashes, t.Unanswered = 0, 0
+	t.forgetLostStarts()
 	def := &j.Steps[e.Step]
 	switch e.Reason {
 	case cluster.Done:
@@ -447,12 +439,6 @@
 	}
 }
 
-func (s *State) failAtCrashLimit(j *Job, t *TaskState, now time.Duration) {
-	if t.Crashes >= maxCrashes || t.Crashes+t.Unanswered >= maxLostStarts {
-		s.finish(j, Failed, now)
-	}
-}
-
 // markGangDone marks the other members of a gang as done. The end of one member suffices, so the
 // gang does not run again if the end of another member was lost with its worker.
 func (s *State) markGangDone(j *Job, o *Occurrence, step *StepState, run int, now time.Duration) {
@@ -467,7 +453,7 @@
 }
 
 func (s *State) markDone(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
-	t.Done, t.GivenUp = true, nil
+	t.Done, t.GivenUp, t.LostStarts = true, nil, nil
 	step.DoneTasks++
 	if !step.Complete() {
 		return
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -193,6 +193,28 @@
 	}
 }
 
+// Guards against the silence of workers that counts as their crash (LOST), and against crashes that are not
+// counted because they became known late.
+func TestUnreachableWorkersCountOnceTheirCrashIsKnown(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 2})
+	task := func() *TaskState { return s.Task(runOf(0, 0, 1).TaskID) }
+	lost := func(run int, answered bool) {
+		applyRecords(t, s, beginRecord(runOf(0, 0, run)),
+			Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: runOf(0, 0, run), Reason: cluster.Unreachable, Address: "a", Answered: answered}}}})
+	}
+	for run := 1; run <= 6; run++ {
+		lost(run, true)
+	}
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	require.Len(t, task().LostStarts, 6)
+	require.Equal(t, 4, task().StartsBeyondEvidence())
+	applyRecords(t, s, endRecord(cluster.LeaseExpired, runOf(0, 0, 1)), endRecord(cluster.Crashed, runOf(0, 0, 3)), endRecord(cluster.Unanswered, runOf(0, 0, 4)))
+	require.Equal(t, [2]int{1, 1}, [2]int{task().Crashes, task().Unanswered})
+	require.Error(t, s.Apply(&Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: runOf(0, 0, 3), Reason: cluster.Crashed}}}}, 0), "it counts once")
+	applyRecords(t, s, endRecord(cluster.Crashed, runOf(0, 0, 2)), endRecord(cluster.Crashed, runOf(0, 0, 6)))
+	require.Equal(t, Failed, s.Jobs["j"].Phase)
+}
+
 // Guards against ends that are listed after their run was given up and lost, or counted twice.
 func TestLateEndOfAGivenUpRunCountsOnce(t *testing.T) {
 	id := cluster.TaskID{Job: "j"}
--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -8,7 +8,8 @@
 )
 
 // A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause is
-// not known, so each run that the worker started last is suspect. The step of a suspect run is then
+// not known, so each run that the worker started last is suspect. So is one whose worker fell silent,
+// as long as nothing shows what became of the worker. The step of a suspect run is then
 // placed on trial: on workers that are not starting anything else, and which start nothing else until
 // they have listed the run, if there are any. A run that was only beside the cause shows that in its
 // next trial.
@@ -50,21 +51,29 @@
 // markLostStart notes how the run ends on a worker that has been silent until its leases expired.
 func (r *run) markLostStart() {
 	switch {
-	case r.lostStart != "" || !r.isLastStart():
-	case r.state == running:
-		r.lostStart = cluster.Crashed
+	case r.lostStart != "" || r.vm.Draining || !r.isLastStart():
+	case r.vm.replaced:
+		r.lostStart = crashReason(r.answered)
 	default:
-		r.lostStart = cluster.Unanswered
+		r.lostStart = cluster.Unreachable
 	}
 }
 
-// hasCrashed reports whether a worker has crashed as it started a task of the step.
+// crashReason returns how a run ends that was the last that the ended incarnation of its worker started.
+func crashReason(answered bool) cluster.EndReason {
+	if answered {
+		return cluster.Crashed
+	}
+	return cluster.Unanswered
+}
+
+// hasCrashed reports whether a worker may have crashed as it started a task of the step.
 func hasCrashed(step *flow.StepState) bool {
 	if step == nil {
 		return false
 	}
 	for i := range step.Tasks {
-		if step.Tasks[i].Crashes+step.Tasks[i].Unanswered > 0 {
+		if step.Tasks[i].IsSuspect() {
 			return true
 		}
 	}
--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -12,9 +12,24 @@
 	"briarproxy/core/resource"
 )
 
+// comeBack starts a crashed worker again, under its id or as another worker at its address.
+func (c *fakeCell) comeBack(w *fakeWorker, newID bool) {
+	if !newID {
+		c.restart(w)
+		w.up = true
+		c.publishRegistry()
+		return
+	}
+	w.inRegistry = false
+	next := &fakeWorker{Worker: w.Worker, up: true, inRegistry: true, startedAt: c.now, runs: map[cluster.TaskID]*fakeRun{}, highestRun: map[cluster.TaskID]int{}}
+	next.Life = cluster.Life{Worker: fmt.Sprintf("n%03d", len(c.workers)), Born: w.Born + 1}
+	c.workers[next.Life.Worker] = next
+	c.publishRegistry()
+}
+
 // crashWorkersOf makes each worker that starts a task of the job crash at once. It is back after the
 // given time. The result counts the crashes.
-func (c *fakeCell) crashWorkersOf(job string, down time.Duration) (crashes *int) {
+func (c *fakeCell) crashWorkersOf(job string, down time.Duration, newID bool) (crashes *int) {
 	crashes = new(int)
 	runTime := c.runTime
 	c.runTime = func(s cluster.Start) time.Duration {
@@ -28,7 +43,7 @@
 				}
 				*crashes++
 				w.up, w.runs = false, map[cluster.TaskID]*fakeRun{}
-				c.after(down, func() { c.restart(w); w.up = true; c.publishRegistry() })
+				c.after(down, func() { c.comeBack(w, newID) })
 			}
 		})
 		return time.Hour
@@ -42,20 +57,24 @@
 	for _, test := range []struct {
 		name     string
 		down     time.Duration
+		newID    bool
 		answered bool
 		crashes  int // of workers, at most; the rule is broken at the sixth
 		step     flow.Step
 	}{
-		{"back within the lease", 2 * time.Second, true, 3, batchStep(1)},
-		{"back after the lease", 9 * time.Second, true, 3, batchStep(1)},
-		{"back within the lease, the start is not answered", 2 * time.Second, false, 3, batchStep(1)},
-		{"back after the lease, the start is not answered", 9 * time.Second, false, 5, batchStep(1)},
-		{"long-running", 2 * time.Second, true, 3, flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true}},
-		{"gang", 2 * time.Second, true, 3, flow.Step{Count: 3, Size: batchStep(1).Size, EstimateMS: 800, Gang: true}},
+		{"back within the lease", 2 * time.Second, false, true, 3, batchStep(1)},
+		{"back after the lease", 9 * time.Second, false, true, 3, batchStep(1)},
+		{"back within the lease, the start is not answered", 2 * time.Second, false, false, 3, batchStep(1)},
+		{"back after the lease, the start is not answered", 9 * time.Second, false, false, 5, batchStep(1)},
+		{"another worker at the address within the lease", 2 * time.Second, true, true, 3, batchStep(1)},
+		{"another worker at the address after the lease", 9 * time.Second, true, true, 3, batchStep(1)},
+		{"another worker at the address, the start is not answered", 9 * time.Second, true, false, 5, batchStep(1)},
+		{"long-running", 2 * time.Second, false, true, 3, flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true}},
+		{"gang", 2 * time.Second, false, true, 3, flow.Step{Count: 3, Size: batchStep(1).Size, EstimateMS: 800, Gang: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := readyCell(t, 8)
-			crashes := c.crashWorkersOf("deadly", test.down)
+			crashes := c.crashWorkersOf("deadly", test.down, test.newID)
 			c.commandFault = func(command Command) (bool, time.Duration) {
 				return !test.answered && command.Start != nil && command.Start.Order.Job == "deadly", 0
 			}
@@ -76,6 +95,24 @@
 	}
 }
 
+// Guards against a task that crashes one worker after another without end (BUDGET), because its placer was replaced
+// before the crashes were known.
+func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprint("another worker at the address: ", newID), func(t *testing.T) {
+			c := readyCell(t, 8)
+			crashes := c.crashWorkersOf("deadly", 9*time.Second, newID)
+			c.submit("deadly", batchStep(1))
+			c.advance(testOptions.Lease + time.Second)
+			c.takeOver() // the first lost start is recorded and its worker is not back
+			c.retireFormerPlacers()
+			c.advance(60 * time.Second)
+			require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+			require.LessOrEqual(t, *crashes, 5, "crashes of workers")
+		})
+	}
+}
+
 // Guards against giving up a task whose workers crash while it runs, long after they have started it.
 func TestTaskOnCrashingWorkersIsNotGivenUp(t *testing.T) {
 	c := readyCell(t, 8)
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -38,9 +38,7 @@
 	}
 	p.lateEndRecorded(end)
 	p.planNeeded = true
-	if step := p.steps[end.StepID()]; step != nil && (end.Reason == cluster.Crashed || end.Reason == cluster.Unanswered) {
-		step.onTrial, step.crashedAt = true, now
-	}
+	p.lostStartRecorded(end, now)
 	pending := p.jobs[end.Job]
 	if pending == nil {
 		return
@@ -168,7 +166,7 @@
 	case cluster.Started:
 		v.consecutiveRefusals = 0
 		r.transition(accepted)
-		r.answeredAt = now
+		r.answeredAt, r.answered = now, true
 		p.recordJobStart(r)
 		return false
 	case cluster.NoAnswer:
@@ -296,6 +294,7 @@
 	}
 	p.processEnds(v, report, now)
 	p.processRunning(v, report, now)
+	p.explainByAnswer(v, now)
 	p.adjustPace(v, now)
 	v.nextPollAt = now + pollInterval
 	p.updateCellWorker(v, now)
@@ -486,7 +485,11 @@
 		Kind: DecisionRunEnded, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Reason: string(how), Age: now - r.plannedAt, WastedCoreSeconds: wastedCoreSeconds,
 	})
 	r.givenUp = how.GivenUp()
-	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: r.RunID, Reason: how, Checkpoint: checkpoint})
+	end := flow.End{RunID: r.RunID, Reason: how, Checkpoint: checkpoint}
+	if how == cluster.Unreachable {
+		end.Address, end.Answered = r.vm.Address, r.answered
+	}
+	p.pendingBatch.Ends = append(p.pendingBatch.Ends, end)
 	if how != cluster.Done {
 		p.stopGang(r)
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -177,8 +177,9 @@
 	advisers       *advisers
 	grantRates     map[string]float64 // by queue: share of the workers asked about that advice grants
 	pendingBatch   flow.Batch
-	pendingRuns    []*run                // runs of pendingBatch.Begins
-	lateEnds       map[cluster.RunID]*vm // late ends that are not recorded yet, with the worker that listed them
+	pendingRuns    []*run                  // runs of pendingBatch.Begins
+	lostStarts     map[string][]*lostStart // by worker
+	lateEnds       map[cluster.RunID]*vm   // late ends that are not recorded yet, with the worker that listed them
 	flushedAt      time.Duration
 	token          int64
 	epoch          int64
@@ -213,7 +214,7 @@
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
-		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, pools: map[string]*poolUse{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{},
+		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, pools: map[string]*poolUse{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{}, lostStarts: map[string][]*lostStart{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
 		speeds: newWorkerSpeeds(), waits: newWaits(), queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
@@ -231,17 +232,18 @@
 	return p
 }
 
-// adoptRuns takes over the active runs of a job. Until their worker has answered a poll, each
+// adoptRuns takes over the active runs and the lost starts of a job. Until their worker has answered a poll, each
 // of them may be running there or may still start.
 func (p *Placer) adoptRuns(job *flow.Job, now time.Duration) {
 	for k, occurrence := range job.Occurrences {
 		for step := range occurrence.Steps {
 			for i := range occurrence.Steps[step].Tasks {
 				task := &occurrence.Steps[step].Tasks[i]
+				id := cluster.TaskID{Job: job.ID, Occurrence: k, Step: step, Index: i}
+				p.addLostStarts(id, task, now)
 				if !task.Active {
 					continue
 				}
-				id := cluster.TaskID{Job: job.ID, Occurrence: k, Step: step, Index: i}
 				v := p.ensureWorker(task.Life, now)
 				r := &run{
 					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: reservedResources(&job.Steps[step]),
@@ -337,6 +339,7 @@
 			v.Life, v.tokenSeen, v.nextPollAt = life, false, now
 		}
 	}
+	p.observeReplacements(workers, now)
 	slices.Sort(p.workerIDs)
 	p.speeds.outdated = true
 	p.speeds.estimator.Expire(now)
@@ -403,7 +406,7 @@
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
 		r.wasListed = false
-		if r.mayHaveStarted() && !listedRuns[r.RunID] && r.isLastStart() {
+		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && r.isLastStart() {
 			r.lostStart = cluster.Crashed
 		}
 		switch {
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -73,7 +73,7 @@
 			p.startWindow.limiting = true // the answer to a start command triggers the next pass
 			break
 		}
-		waiting = p.waitingTasks(step, waiting[:0])
+		waiting = p.withoutUnexplained(step, p.waitingTasks(step, waiting[:0]), now)
 		if len(waiting) == 0 || step.def.Gang && (step.activeRuns > 0 || len(waiting) < step.def.Count) {
 			continue
 		}
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -49,8 +49,9 @@
 	stray          bool              // listed by a worker but not active according to the log, so it is only stopped
 	givenUp        bool              // ended without word of its worker
 	wanted         bool              // false: it is to be stopped as soon as possible
-	onTrial        bool              // an earlier run of its step was the last that a worker started before it crashed
-	lostStart      cluster.EndReason // how the run ends if its worker has probably crashed as it started the run; "" otherwise
+	onTrial        bool              // an earlier run of its step was the last that a worker started before it crashed or fell silent
+	lostStart      cluster.EndReason // how the run ends if it was the last that its worker has started; "" otherwise
+	answered       bool              // the worker has answered its start command
 	wasListed      bool              // the current incarnation of the worker has listed it
 	plannedAt      time.Duration     // boot clock
 	answeredAt     time.Duration     // time of the answer to its start command; the answer to a later poll must list the run
--- /dev/null
+++ b/core/placer/silence_test.go
@@ -0,0 +1,168 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"briarproxy/core/cluster"
+	"briarproxy/core/flow"
+)
+
+// isolateWorkersOf cuts off each worker that starts a task of the job, from the moment at which it has
+// answered the start, if it does.
+func (c *fakeCell) isolateWorkersOf(job string, answered bool, duration time.Duration) {
+	runTime := c.runTime
+	c.runTime = func(s cluster.Start) time.Duration {
+		if s.Job != job {
+			return runTime(s)
+		}
+		c.after(0, func() {
+			for _, w := range c.workers {
+				if w.runs[s.TaskID] == nil {
+					continue
+				}
+				w.partitioned = true
+				c.after(duration, func() { w.partitioned = false })
+			}
+		})
+		return time.Hour
+	}
+	c.commandFault = func(command Command) (bool, time.Duration) {
+		return !answered && command.Start != nil && command.Start.Order.Job == job, 0
+	}
+}
+
+// Guards against a job that is shown as failed although its workers were only cut off (LOST).
+func TestJobIsNotFailedBySilentWorkers(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprint("start answered: ", answered), func(t *testing.T) {
+			c := readyCell(t, 8)
+			c.isolateWorkersOf("j", answered, 8*time.Second)
+			c.submit("j", batchStep(1))
+			c.advance(90 * time.Second)
+			require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+			c.runTime = func(cluster.Start) time.Duration { return time.Second }
+			c.commandFault = nil
+			c.advance(30 * time.Second)
+			require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+		})
+	}
+}
+
+// Guards against a job that is shown as failed because its placer stood still after each start (LOST).
+func TestJobIsNotFailedByPausesOfItsPlacer(t *testing.T) {
+	c := readyCell(t, 4)
+	c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
+	c.submit("j", batchStep(1))
+	for range 4 {
+		starts := c.starts
+		for range 400 {
+			if c.starts > starts {
+				break
+			}
+			c.advance(5 * time.Millisecond)
+		}
+		c.advance(5 * time.Millisecond)
+		c.pause(testOptions.Lease + time.Second)
+	}
+	c.advance(60 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+}
+
+// Guards against a job that is shown as failed by lost starts of several placers, none of which was a crash (LOST).
+func TestJobIsNotFailedBySilentWorkersOfSeveralPlacers(t *testing.T) {
+	c := readyCell(t, 8)
+	c.isolateWorkersOf("j", true, 5*time.Second)
+	c.submit("j", batchStep(1))
+	for range 6 {
+		c.advance(9 * time.Second)
+		c.takeOver()
+		c.retireFormerPlacers()
+	}
+	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+}
+
+// Guards against a step that stays on trial, and so waits for idle workers, after its workers have shown that they
+// survived its starts.
+func TestStepWhoseWorkersAreBackIsNotOnTrial(t *testing.T) {
+	c := readyCell(t, 8)
+	c.isolateWorkersOf("j", true, 8*time.Second)
+	c.submit("j", batchStep(1))
+	c.advance(8 * time.Second)
+	step := c.placer.steps[cluster.StepID{Job: "j"}]
+	require.True(t, step.onTrial, "its worker is silent")
+	c.commandFault = nil
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.advance(4 * time.Second)
+	require.Empty(t, c.state.Task(cluster.TaskID{Job: "j"}).LostStarts)
+	require.False(t, step.onTrial)
+}
+
+// Guards against a job that is shown as failed although fewer than two workers have crashed under each of its tasks, while
+// workers crash and are cut off, and placers stand still and follow each other: 60 seeds (LOST).
+func TestJobsFailOnlyAfterCrashesOfTheirWorkers(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playSilentWorkers(t, rand.New(rand.NewPCG(seed, 3))) })
+	}
+}
+
+func playSilentWorkers(t *testing.T, rng *rand.Rand) {
+	c := readyCell(t, 8)
+	lastsUntil := c.now + 100*time.Second
+	crashes := map[cluster.TaskID]int{}
+	crash := func(w *fakeWorker) {
+		for id := range w.runs {
+			crashes[id]++
+		}
+		w.up, w.runs = false, map[cluster.TaskID]*fakeRun{}
+		newID := rng.IntN(2) == 0
+		c.after(time.Duration(1000+rng.IntN(9000))*time.Millisecond, func() { c.comeBack(w, newID) })
+	}
+	isolate := func(w *fakeWorker) {
+		w.partitioned = true
+		c.after(time.Duration(3000+rng.IntN(7000))*time.Millisecond, func() { w.partitioned = false })
+	}
+	c.commandFault = func(command Command) (bool, time.Duration) { return command.Start != nil && rng.IntN(4) == 0, 0 }
+	c.runTime = func(s cluster.Start) time.Duration {
+		event := rng.IntN(20)
+		c.after(0, func() {
+			for _, w := range c.workers {
+				switch {
+				case w.runs[s.TaskID] == nil:
+				case event < 10:
+					isolate(w)
+				case event == 10:
+					crash(w)
+				}
+			}
+		})
+		return max(time.Second, lastsUntil-c.now)
+	}
+	for n := range 3 {
+		c.submit(fmt.Sprint("j", n), batchStep(2))
+	}
+	for c.now < lastsUntil {
+		switch rng.IntN(4) {
+		case 0:
+			c.pause(time.Duration(rng.IntN(8000)) * time.Millisecond)
+		case 1:
+			c.takeOver()
+			c.retireFormerPlacers()
+		}
+		c.advance(time.Duration(1000+rng.IntN(10000)) * time.Millisecond)
+	}
+	c.runTime = func(cluster.Start) time.Duration { return time.Second }
+	c.advance(120 * time.Second)
+	for id, job := range c.state.Jobs {
+		if job.Phase == flow.Completed {
+			continue
+		}
+		require.Equal(t, flow.Failed, job.Phase, id)
+		worst := max(crashes[cluster.TaskID{Job: id}], crashes[cluster.TaskID{Job: id, Index: 1}])
+		require.GreaterOrEqual(t, worst, 2, "job %s has failed", id)
+	}
+}
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -43,8 +43,8 @@
 	nextReportAt   time.Duration // of a refused plan
 	avoidWorkers   []string      // workers on which a task of the step failed
 	ticketsNeeded  []string      // workers on which resources are reserved until a new ticket arrives
-	onTrial        bool          // a worker has crashed as it started a task of the step
-	crashedAt      time.Duration // time of the last such crash that was recorded
+	onTrial        bool          // a worker may have crashed as it started a task of the step
+	crashedAt      time.Duration // time of the last such record, or at which this placer began
 	lateEnds       int           // late ends of its tasks that are not recorded yet; until then the step is not planned
 	activeRuns     int           // runs of the step that are planned and whose end is not recorded yet
 }
@@ -94,6 +94,9 @@
 			id: id, job: pending.job, def: &pending.job.Steps[s], readyAt: now, workspace: p.workspaceOf(pending.job.Workspace),
 			grants: map[string]ticket{}, denied: map[string]bool{}, onTrial: hasCrashed(pending.job.Step(occurrence, s)),
 		}
+		if step.onTrial {
+			step.crashedAt = now
+		}
 		for i := 0; i < step.def.Count; i++ {
 			if p.runs[cluster.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: s, Index: i}] != nil {
 				step.activeRuns++
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -130,6 +130,8 @@
 		return true
 	case v.recordedUpTo > v.confirmedUpTo:
 		return true
+	case len(p.lostStarts[v.Life.Worker]) > 0:
+		return v.inRegistry && now-v.pollSentAt > silentPollInterval
 	case v.missedPolls > 0:
 		return v.inRegistry && now-v.pollSentAt > silentPollInterval
 	default:
