Count crashes that follow a listing, and those under adopted runs

Cause: two kinds of crashes were not counted. And the crash of a worker whose run was adopted by a new placer counted as a lost worker. Two uncounted crashes leave three or more to count.

Change: a run on trial, which is alone on its worker, has survived its start only when the worker answers later than the longest time in which a start crashes a worker; until then nothing else is started there. A run that is not on trial may be beside the cause, so its step is only put on trial. An adopted run whose worker has answered nothing to this placer, and whose incarnation is known to have ended, counts like one whose start was not answered.

--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -11,17 +11,25 @@
 // not known, so each run that the worker started last is suspect. So is one whose worker fell silent,
 // as long as nothing shows what became of the worker. The step of a suspect run is then
 // placed on trial: on workers that are not starting anything else, and which start nothing else until
-// they have listed the run, if there are any. A run that was only beside the cause shows that in its
+// they have survived its start, if there are any. A run that was only beside the cause shows that in its
 // next trial.
 
 // crashDelay is the longest time from the answer to a start command until a worker that the run crashes
 // answers nothing any more.
 const crashDelay = 150 * time.Millisecond
 
-// isLastStart reports whether nothing shows that the worker has survived the start of the run: it has
-// never listed the run, and answered nothing later than crashDelay after the answer to the start command.
+// hasSurvivedStart reports whether the worker has answered anything later than crashDelay after the answer
+// to the start command.
+func (r *run) hasSurvivedStart() bool { return r.vm.answeredAt > r.answeredAt+crashDelay }
+
+// isLastStart reports whether nothing shows that the worker has survived the start of the run. A run that is
+// not on trial may be beside the cause of a crash, so it counts as survived once the worker has listed it. If
+// a former placer sent the start command, any answer to this one counts.
 func (r *run) isLastStart() bool {
-	return r.startsSent > 0 && !r.progress.seen && r.vm.answeredAt <= r.answeredAt+crashDelay
+	if r.adopted {
+		return r.vm.answeredAt == 0
+	}
+	return r.startsSent > 0 && !r.hasSurvivedStart() && (r.onTrial || !r.progress.seen)
 }
 
 // decisionSilentWorker is the kind of decision that reports a run whose worker has answered nothing since the start
@@ -48,12 +56,21 @@
 	}
 }
 
+// suspectStep places the step of a run on trial whose worker has not shown that it survived the start.
+func (p *Placer) suspectStep(r *run, now time.Duration) {
+	if step := p.steps[r.StepID()]; step != nil && !r.adopted && r.startsSent > 0 && !r.vm.Draining && !r.hasSurvivedStart() {
+		step.onTrial, step.crashedAt = true, now
+	}
+}
+
 // markLostStart notes how the run ends on a worker that has been silent until its leases expired.
 func (r *run) markLostStart() {
 	switch {
 	case r.lostStart != "" || r.vm.Draining || !r.isLastStart():
 	case r.vm.replaced:
 		r.lostStart = crashReason(r.answered)
+	case r.adopted:
+		// The former placer may have heard from the worker after the start.
 	default:
 		r.lostStart = cluster.Unreachable
 	}
@@ -112,10 +129,10 @@
 	return false
 }
 
-// onTrial reports whether the worker has a run on trial that it has not listed yet.
+// onTrial reports whether the worker has a run on trial whose start it has not survived yet.
 func (v *vm) onTrial() bool {
 	for _, r := range v.runs {
-		if r.onTrial && !r.progress.seen {
+		if r.onTrial && !r.hasSurvivedStart() {
 			return true
 		}
 	}
--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -27,16 +27,16 @@
 	c.publishRegistry()
 }
 
-// crashWorkersOf makes each worker that starts a task of the job crash at once. It is back after the
-// given time. The result counts the crashes.
-func (c *fakeCell) crashWorkersOf(job string, down time.Duration, newID bool) (crashes *int) {
+// crashWorkersOf makes each worker that starts a task of the job crash after the given delay. It is back after the
+// time down. The result counts the crashes.
+func (c *fakeCell) crashWorkersOf(job string, delay, down time.Duration, newID bool) (crashes *int) {
 	crashes = new(int)
 	runTime := c.runTime
 	c.runTime = func(s cluster.Start) time.Duration {
 		if s.Job != job {
 			return runTime(s)
 		}
-		c.after(0, func() {
+		c.after(delay, func() {
 			for _, w := range c.workers {
 				if w.runs[s.TaskID] == nil {
 					continue
@@ -74,7 +74,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := readyCell(t, 8)
-			crashes := c.crashWorkersOf("deadly", test.down, test.newID)
+			crashes := c.crashWorkersOf("deadly", 0, test.down, test.newID)
 			c.commandFault = func(command Command) (bool, time.Duration) {
 				return !test.answered && command.Start != nil && command.Start.Order.Job == "deadly", 0
 			}
@@ -101,7 +101,7 @@
 	for _, newID := range []bool{false, true} {
 		t.Run(fmt.Sprint("another worker at the address: ", newID), func(t *testing.T) {
 			c := readyCell(t, 8)
-			crashes := c.crashWorkersOf("deadly", 9*time.Second, newID)
+			crashes := c.crashWorkersOf("deadly", 0, 9*time.Second, newID)
 			c.submit("deadly", batchStep(1))
 			c.advance(testOptions.Lease + time.Second)
 			c.takeOver() // the first lost start is recorded and its worker is not back
@@ -113,6 +113,53 @@
 	}
 }
 
+// Guards against a task that crashes one worker after another without end (BUDGET), because each of them has listed the
+// run before it crashed.
+func TestCrashSoonAfterTheRunWasListedCounts(t *testing.T) {
+	c := readyCell(t, 8)
+	crashes := c.crashWorkersOf("deadly", 80*time.Millisecond, 3*time.Second, true)
+	runTime := c.runTime
+	c.runTime = func(s cluster.Start) time.Duration {
+		c.after(20*time.Millisecond, func() {
+			if r := c.placer.runs[s.TaskID]; r != nil {
+				r.vm.nextPollAt = c.now
+			}
+		})
+		return runTime(s)
+	}
+	c.submit("deadly", batchStep(1))
+	c.advance(60 * time.Second)
+	require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+	require.LessOrEqual(t, *crashes, 5, "crashes of workers")
+}
+
+// Guards against a task that crashes one worker after another without end (BUDGET), because each placer that started it
+// is replaced before the worker's leases have expired.
+func TestCrashesUnderAdoptedRunsCount(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprint("another worker at the address: ", newID), func(t *testing.T) {
+			c := readyCell(t, 8)
+			crashes := c.crashWorkersOf("deadly", 0, 3*time.Second, newID)
+			c.submit("deadly", batchStep(1))
+			for range 8 {
+				started := *crashes
+				for range 4000 {
+					if *crashes > started {
+						break
+					}
+					c.advance(5 * time.Millisecond)
+				}
+				c.advance(time.Second)
+				c.takeOver()
+				c.retireFormerPlacers()
+			}
+			c.advance(30 * time.Second)
+			require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+			require.LessOrEqual(t, *crashes, 5, "crashes of workers")
+		})
+	}
+}
+
 // Guards against giving up a task whose workers crash while it runs, long after they have started it.
 func TestTaskOnCrashingWorkersIsNotGivenUp(t *testing.T) {
 	c := readyCell(t, 8)
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -29,7 +29,9 @@
 
 // endRecorded processes the record of a run's end after it was read back from the log.
 func (p *Placer) endRecorded(end *flow.End, now time.Duration) {
-	if r := p.runs[end.TaskID]; r != nil && r.Run == end.Run && r.state == ended {
+	r := p.runs[end.TaskID]
+	ownEnd := r != nil && r.Run == end.Run && r.state == ended
+	if ownEnd {
 		delete(p.runs, end.TaskID)
 		if step := p.steps[end.StepID()]; step != nil {
 			step.activeRuns--
@@ -38,7 +40,7 @@
 	}
 	p.lateEndRecorded(end)
 	p.planNeeded = true
-	p.lostStartRecorded(end, now)
+	p.lostStartRecorded(end, !ownEnd, now)
 	pending := p.jobs[end.Job]
 	if pending == nil {
 		return
--- a/core/placer/loststart.go
+++ b/core/placer/loststart.go
@@ -113,8 +113,8 @@
 	p.pendingBatch.Ends = append(p.pendingBatch.Ends, flow.End{RunID: l.RunID, Reason: reason})
 }
 
-// lostStartRecorded updates the step after the record of a lost start or of its explanation.
-func (p *Placer) lostStartRecorded(end *flow.End, now time.Duration) {
+// lostStartRecorded updates the step after the record of a lost start or, if late, of its explanation.
+func (p *Placer) lostStartRecorded(end *flow.End, late bool, now time.Duration) {
 	step := p.steps[end.StepID()]
 	if step == nil {
 		return
@@ -126,7 +126,7 @@
 	case cluster.Crashed, cluster.Unanswered:
 		step.onTrial, step.crashedAt = true, now
 	case cluster.LeaseExpired:
-		step.onTrial = step.onTrial && hasCrashed(step.job.Step(end.Occurrence, end.Step))
+		step.onTrial = step.onTrial && !late || hasCrashed(step.job.Step(end.Occurrence, end.Step))
 	}
 }
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -247,7 +247,7 @@
 				v := p.ensureWorker(task.Life, now)
 				r := &run{
 					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: reservedResources(&job.Steps[step]),
-					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
+					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, adopted: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
 					pacePercent: 100, // the pace that the former placer set is not known
 				}
 				p.countRun(r, job)
@@ -406,8 +406,11 @@
 	v.lateLeaseEnd = now + p.options.MaxLease + leaseMargin
 	for _, r := range v.runs {
 		r.wasListed = false
+		if !listedRuns[r.RunID] {
+			p.suspectStep(r, now)
+		}
 		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && r.isLastStart() {
-			r.lostStart = cluster.Crashed
+			r.lostStart = crashReason(!r.adopted)
 		}
 		switch {
 		case !r.mayHaveStarted() || listedRuns[r.RunID]:
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -46,6 +46,7 @@
 	ticket         ticket
 	released       bool              // its resources were released
 	recorded       bool              // the log has acknowledged its Begin record
+	adopted        bool              // a former placer began it
 	stray          bool              // listed by a worker but not active according to the log, so it is only stopped
 	givenUp        bool              // ended without word of its worker
 	wanted         bool              // false: it is to be stopped as soon as possible
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -54,6 +54,7 @@
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
 				p.reportSilence(r, now)
+				p.suspectStep(r, now)
 				r.markLostStart()
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
@@ -150,7 +151,7 @@
 		wait = min(wait, pacingPollWait)
 	}
 	for _, r := range v.runs {
-		if r.state == uncertain || r.state == stopping || r.onTrial && !r.progress.seen {
+		if r.state == uncertain || r.state == stopping || r.onTrial && !r.hasSurvivedStart() {
 			return 0
 		}
 	}
