--- a/daemon/cell/loader_test.go
+++ b/daemon/cell/loader_test.go
@@ -379,9 +379,14 @@
 	go reader.run(t.Context())
 
 	require.Eventually(t, func() bool { return len(*e.store.memberAddresses.Load()) > 0 }, time.Second, time.Millisecond, "the members were not published within 1 s")
-	require.Equal(t, []string{"b:1"}, *e.store.memberAddresses.Load())
-	require.Equal(t, "b:1", *e.writer.placerAddress.Load())
 	api := &callerAPI{engine: e, ctx: t.Context()}
+	var members []string
+	placerAddress := ""
+	api.onEngine(func(e *engine) {
+		members, placerAddress = *e.store.memberAddresses.Load(), *e.writer.placerAddress.Load()
+	})
+	require.Equal(t, []string{"b:1"}, members)
+	require.Equal(t, "b:1", placerAddress)
 	for _, path := range []string{"/p/", fmt.Sprintf("/p/%016x", 1)} {
 		require.Equal(t, http.StatusServiceUnavailable, api.request(http.MethodGet, path, "").Code, path)
 	}
