A placer that stood still for less than a lease lets no run lapse

A poll that does not renew the lease, because the worker has not answered for 2.6 s, still let the worker delay its answer by up to 1.4 s. When the silence was that of the placer, which was frozen or slow, its leases ended on sound workers before the next poll: with the deployed lease of 4.8 s, pauses of about 2.6 to 3.2 s that begin between two polls. Such polls now ask for an answer at once.

--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -42,6 +42,8 @@
 	refuseTicket     func(s *cluster.Start) bool              // whether the worker refuses the ticket of a start command
 	onJobEnd         func(j *flow.Job)                        // called for each job that ends
 	boundConnections bool                                     // commands reach the intended incarnation only, as with the platform's adapter
+	holdsPolls       bool                                     // workers delay their answers to polls until the wait of the poll has passed
+	pausedUntil      time.Duration                            // until then the placer's process is frozen, and answers wait for it
 }
 
 // listing is a worker's answer that lists an end.
@@ -120,6 +122,17 @@
 	c.scheduled = append(c.scheduled, scheduledEvent{c.now + d, c.seq, do})
 }
 
+// afterPause does something after the given time, but not before the placer's process works again.
+func (c *fakeCell) afterPause(d time.Duration, do func()) {
+	c.after(d, func() {
+		if c.now < c.pausedUntil {
+			c.after(c.pausedUntil-c.now, do)
+			return
+		}
+		do()
+	})
+}
+
 // append appends a record to the log and passes it to the placer.
 func (c *fakeCell) append(r flow.Record) error {
 	err := c.state.Apply(&r, c.now)
@@ -193,7 +206,7 @@
 		c.now += 5 * time.Millisecond
 		c.runScheduled()
 		c.tickWorkers()
-		if c.placer == nil {
+		if c.placer == nil || c.now < c.pausedUntil {
 			continue
 		}
 		began := time.Now()
@@ -346,7 +359,7 @@
 
 func (c *fakeCell) deliver(p *Placer, command Command, lost bool) {
 	answer := func(f func(now time.Duration) []Command) {
-		c.after(c.answerDelay/2, func() {
+		c.afterPause(c.answerDelay/2, func() {
 			if c.placer == p {
 				began := time.Now()
 				commands := f(c.now)
@@ -401,8 +414,17 @@
 			answer(func(now time.Duration) []Command { p.PollFailed(poll, now); return nil })
 			return
 		}
-		report := c.poll(w, &poll.Renewal)
-		answer(func(now time.Duration) []Command { p.PollAnswered(poll, report, now); return nil })
+		report := func() {
+			report := c.poll(w, &poll.Renewal)
+			answer(func(now time.Duration) []Command { p.PollAnswered(poll, report, now); return nil })
+		}
+		if !c.holdsPolls || poll.Renewal.Wait == 0 {
+			report()
+			return
+		}
+		w.token = poll.Renewal.Token
+		w.extendLease(c.now, poll.Renewal.LeaseUntil)
+		c.after(poll.Renewal.Wait, report)
 	}
 }
 
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -94,7 +94,8 @@
 }
 
 // pollWorkers polls the workers for which a poll is due and renews the leases of those that have
-// runs and have answered recently.
+// runs and have answered recently. Polls that renew nothing do not wait for an end, so that a worker that
+// this placer has not asked for a while is known to answer, and its leases are renewed, before they end.
 func (p *Placer) pollWorkers(commands []Command, now time.Duration) []Command {
 	for _, v := range p.vms {
 		if v.pollInFlight || now < v.nextPollAt || v.Address == "" || !p.needsPoll(v, now) {
@@ -105,8 +106,8 @@
 			renewal.Confirmed = v.recordedUpTo
 		}
 		if len(v.runs) > 0 && v.clockKnown {
-			renewal.Wait = p.pollWait(v)
 			if v.missedPolls == 0 && now-v.answeredAt < maxSilenceForRenewal {
+				renewal.Wait = p.pollWait(v)
 				renewal.LeaseUntil = v.clockLowerBoundMS(now) + p.leaseDuration(v, now).Milliseconds()
 				v.leaseUntilMS = max(v.leaseUntilMS, renewal.LeaseUntil)
 			}
--- a/core/placer/trouble_test.go
+++ b/core/placer/trouble_test.go
@@ -71,6 +71,25 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
+// Guards against runs that end with their leases on sound workers because the placer was frozen for less than a lease and
+// then asked the workers, without a renewal, to answer late.
+func TestPauseOfThePlacerWithinTheLeaseEndsNoRun(t *testing.T) {
+	const pause = 3300 * time.Millisecond // a renewal is at most one poll old before it, so that over a second of the lease is left after it
+	for offset := time.Duration(0); offset <= maxPollWait+pollInterval; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			c := readyCell(t, 3)
+			c.holdsPolls = true
+			c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
+			c.submit("j", batchStep(6))
+			c.advance(5*time.Second + offset)
+			c.pausedUntil = c.now + pause
+			c.advance(pause + 25*time.Second)
+			require.Equal(t, 6, c.starts)
+			require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+		})
+	}
+}
+
 // Guards against a worker that has left, or is draining, and is used again after a takeover
 // because the new placer has not seen it leave.
 func TestWorkersThatLeftStayUnusedAfterATakeover(t *testing.T) {
