A rack owner that was frozen does not judge tasks by its clock alone

After a freeze longer than the run lease, the owner's first tick ended all tasks as stopped and told the shard owners: also those whose ends the workers listed, which ran again (or failed, where a task may run once), and those that the rack's next owner kept running, which then ran twice. A task now counts as lost only if its worker was asked after the lease had lapsed and listed no end, and while this daemon's lease of the rack is valid, as a successor may have renewed the run leases.

--- a/daemon/rack/inventory.go
+++ b/daemon/rack/inventory.go
@@ -287,11 +287,15 @@
 	}
 }
 
-// declareLost ends attempts whose run lease has surely lapsed. Renewals are sent
-// only while the worker answers, so that a lease can lapse.
+// declareLost ends attempts whose run lease has surely lapsed on a worker that has been asked since and did not list their
+// ends. Renewals are sent only while the worker answers, so that a lease can lapse. Once this daemon's lease of the rack has
+// ended, a successor may have renewed the run leases.
 func (o *Owner) declareLost(w *worker, now time.Duration) {
+	if unit := o.View.Current().Units[w.unit]; !unit.Mine || unit.Epoch != w.epoch || now >= unit.LeaseUntil {
+		return
+	}
 	for _, a := range w.attempts {
-		if a.ended() || a.reservation != 0 || now < a.leaseUntil {
+		if a.ended() || a.reservation != 0 || now < a.leaseUntil || w.asking || w.askedAt < a.leaseUntil {
 			continue
 		}
 		o.Log.Emit(eventLost, "task", a.task.ID, "generation", a.task.Generation, "vm", w.vm.Name)
--- a/daemon/rack/owner_test.go
+++ b/daemon/rack/owner_test.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -158,3 +159,35 @@
 	reserve.handle(h.Owner)
 	require.Error(t, (<-reserve.reply).err)
 }
+
+// Guards against a task that runs again, or is never known to have succeeded, because its rack owner was frozen for longer
+// than the run lease and judges by its clock before it reads what the worker lists.
+func TestFrozenOwnerTellsTheEndThatTheWorkerLists(t *testing.T) {
+	h := newHarness(t, vmSize)
+	h.pass(time.Second, tickInterval)
+	require.True(t, h.start(h.reserve("j/0", taskSize)[0], taskSize).Started)
+	h.worker.attempts["j/0"].State = wire.RunFinished
+	h.now += time.Minute
+	h.pass(5*time.Second, tickInterval)
+	require.Len(t, h.shards.ended, 1)
+	require.Equal(t, wire.RunFinished, h.shards.ended[0].State)
+}
+
+// Guards against a second run of a task that its rack's next owner keeps running, because the former owner was frozen, finds
+// its own run leases lapsed and tells so before it reads that it has a successor.
+func TestFrozenOwnerWithASuccessorTellsNoEnds(t *testing.T) {
+	h := newHarness(t, vmSize)
+	snapshot := *h.holder.Current()
+	snapshot.Units = maps.Clone(snapshot.Units)
+	rack := wire.RackUnit("c", "r")
+	unit := snapshot.Units[rack]
+	unit.LeaseUntil = h.now + 6*time.Second
+	snapshot.Units[rack] = unit
+	h.holder.Publish(&snapshot)
+	h.pass(time.Second, tickInterval)
+	require.True(t, h.start(h.reserve("j/0", taskSize)[0], taskSize).Started)
+	h.now += time.Minute
+	h.worker.epoch, h.worker.leases["j/0"] = testEpoch+1, h.now+runLease
+	h.pass(5*time.Second, tickInterval)
+	require.Empty(t, h.shards.ended)
+}
