At most half of a pool's workers are set apart for failing runs

A failed run proves that the task or its worker is at fault, not which. Three failures of different jobs in a row set a worker apart for 6 s. Three jobs that fail everywhere did that to all three workers of a pool, and nothing was placed there. Now a worker is set apart only if at most half of its pool is with it; a pool of one worker keeps it.

TestJobsThatFailEverywhereDoNotSetAllWorkersApart and TestLastingTasksThatFailAreRestartedSoon fail 10 of 10 times without the change and pass 20 of 20 times with it. The package's other tests pass (one run).

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -349,13 +349,29 @@
 	}
 	v.lastFailedJob = r.Job
 	v.consecutiveFailures++
-	if v.consecutiveFailures >= failuresToAvoid {
+	if v.consecutiveFailures >= failuresToAvoid && p.maySetApart(v, now) {
 		v.avoidUntil = now + avoidAfterFailures
 		p.addDecision(Decision{Kind: "worker set apart", Worker: v.Life.Worker, Job: r.Job, Reason: "runs of several jobs failed in a row"})
 		p.updateCellWorker(v, now)
 	}
 }
 
+// maySetApart reports whether at most half of the workers of the pool are set apart with this one. Where more of them fail
+// runs, the tasks are at fault.
+func (p *Placer) maySetApart(v *vm, now time.Duration) bool {
+	workers, apart := 0, 1
+	for _, other := range p.vms {
+		if !other.inRegistry || other.Pool != v.Pool {
+			continue
+		}
+		workers++
+		if other != v && other.consecutiveFailures >= failuresToAvoid && now < other.avoidUntil {
+			apart++
+		}
+	}
+	return 2*apart <= workers
+}
+
 // processRunning compares the runs that the worker reports with those that it should have.
 func (p *Placer) processRunning(v *vm, report *cluster.WorkerReport, now time.Duration) {
 	listedRuns := make(map[cluster.RunID]bool, len(report.Running))
--- a/core/placer/trouble_test.go
+++ b/core/placer/trouble_test.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -157,3 +159,53 @@
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a pool in which nothing is placed for seconds because a few jobs fail by their own fault on each of its
+// workers.
+func TestJobsThatFailEverywhereDoNotSetAllWorkersApart(t *testing.T) {
+	c := readyCell(t, 3)
+	c.runTime = func(cluster.Start) time.Duration { return 300 * time.Millisecond }
+	c.outcome = func(s cluster.Start) cluster.EndReason {
+		if s.Job != "sound" {
+			return cluster.Failed
+		}
+		return cluster.Done
+	}
+	for i := range 3 {
+		c.submit(fmt.Sprint("faulty", i), batchStep(1))
+	}
+	c.advance(3 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Failed: 3}, c.jobsByPhase())
+	c.submit("sound", batchStep(3))
+	c.publishRegistry()
+	c.advance(2 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["sound"].Phase)
+}
+
+// Guards against a lasting task that is not restarted for seconds because other lasting tasks, which fail now and then, fail on
+// the same workers. The tasks of such a pool never end as done.
+func TestLastingTasksThatFailAreRestartedSoon(t *testing.T) {
+	for _, workers := range []int{1, 3} {
+		t.Run(fmt.Sprint(workers, " workers"), func(t *testing.T) {
+			c := readyCell(t, workers)
+			jobs := 4 * workers / 2 // under half of the room
+			rng := rand.New(rand.NewPCG(1, 1))
+			c.runTime = func(cluster.Start) time.Duration { return time.Duration(1000+rng.IntN(9000)) * time.Millisecond }
+			c.outcome = func(cluster.Start) cluster.EndReason { return cluster.Failed }
+			for i := range jobs {
+				c.submit(fmt.Sprint("j", i), flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true})
+			}
+			c.advance(time.Second)
+			for idleSince := map[string]time.Duration{}; c.now < 2*time.Minute; c.advance(100 * time.Millisecond) {
+				c.publishRegistry()
+				for i := range jobs {
+					id := fmt.Sprint("j", i)
+					if c.state.Task(cluster.TaskID{Job: id}).Active {
+						idleSince[id] = c.now
+					}
+					require.Less(t, c.now-idleSince[id], 6*time.Second, "task of %s at %v", id, c.now)
+				}
+			}
+		})
+	}
+}
