--- a/core/placer/trouble_test.go
+++ b/core/placer/trouble_test.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -71,6 +73,25 @@
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
 
+// Guards against runs that end with their leases on sound workers because the placer was frozen for less than a lease and
+// then asked the workers, without a renewal, to answer late.
+func TestPauseOfThePlacerWithinTheLeaseEndsNoRun(t *testing.T) {
+	const pause = 3300 * time.Millisecond // a renewal is at most one poll old before it, so that over a second of the lease is left after it
+	for offset := time.Duration(0); offset <= maxPollWait+pollInterval; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			c := readyCell(t, 3)
+			c.holdsPolls = true
+			c.runTime = func(cluster.Start) time.Duration { return 20 * time.Second }
+			c.submit("j", batchStep(6))
+			c.advance(5*time.Second + offset)
+			c.pausedUntil = c.now + pause
+			c.advance(pause + 25*time.Second)
+			require.Equal(t, 6, c.starts)
+			require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+		})
+	}
+}
+
 // Guards against a worker that has left, or is draining, and is used again after a takeover
 // because the new placer has not seen it leave.
 func TestWorkersThatLeftStayUnusedAfterATakeover(t *testing.T) {
@@ -138,3 +159,53 @@
 	require.Equal(t, 2, c.starts)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a pool in which nothing is placed for seconds because a few jobs fail by their own fault on each of its
+// workers.
+func TestJobsThatFailEverywhereDoNotSetAllWorkersApart(t *testing.T) {
+	c := readyCell(t, 3)
+	c.runTime = func(cluster.Start) time.Duration { return 300 * time.Millisecond }
+	c.outcome = func(s cluster.Start) cluster.EndReason {
+		if s.Job != "sound" {
+			return cluster.Failed
+		}
+		return cluster.Done
+	}
+	for i := range 3 {
+		c.submit(fmt.Sprint("faulty", i), batchStep(1))
+	}
+	c.advance(3 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Failed: 3}, c.jobsByPhase())
+	c.submit("sound", batchStep(3))
+	c.publishRegistry()
+	c.advance(2 * time.Second)
+	require.Equal(t, flow.Completed, c.state.Jobs["sound"].Phase)
+}
+
+// Guards against a lasting task that is not restarted for seconds because other lasting tasks, which fail now and then, fail on
+// the same workers. The tasks of such a pool never end as done.
+func TestLastingTasksThatFailAreRestartedSoon(t *testing.T) {
+	for _, workers := range []int{1, 3} {
+		t.Run(fmt.Sprint(workers, " workers"), func(t *testing.T) {
+			c := readyCell(t, workers)
+			jobs := 4 * workers / 2 // under half of the room
+			rng := rand.New(rand.NewPCG(1, 1))
+			c.runTime = func(cluster.Start) time.Duration { return time.Duration(1000+rng.IntN(9000)) * time.Millisecond }
+			c.outcome = func(cluster.Start) cluster.EndReason { return cluster.Failed }
+			for i := range jobs {
+				c.submit(fmt.Sprint("j", i), flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true})
+			}
+			c.advance(time.Second)
+			for idleSince := map[string]time.Duration{}; c.now < 2*time.Minute; c.advance(100 * time.Millisecond) {
+				c.publishRegistry()
+				for i := range jobs {
+					id := fmt.Sprint("j", i)
+					if c.state.Task(cluster.TaskID{Job: id}).Active {
+						idleSince[id] = c.now
+					}
+					require.Less(t, c.now-idleSince[id], 6*time.Second, "task of %s at %v", id, c.now)
+				}
+			}
+		})
+	}
+}
