Real processes: lost starts that are silences, and those that are crashes

Change: the stand-in's workers can be cut off right after they have started a task of a job, in both directions or with only their answers lost, with or without the answer to the start; or crash then, and be back at the same address under the same ID or a new one.

--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,10 @@
 	maxLease       time.Duration                 // maxLease is the longest lease that a worker grants, counted from the command.
 	grantedWorkers map[string]map[string]bool    // grantedWorkers maps steps to the IDs of the workers granted for them.
 	maxima         map[string][]publishedMaximum // maxima holds the published maxima of workspaces, the oldest first.
+	startFaults    map[string]*StartFault        // startFaults holds what happens to workers that start a task of a job.
+	lastID         int                           // lastID is the number in the newest worker ID.
+	failedEnds     map[string]int                // failedEnds counts the runs of each task that have ended as failed.
+	crashesUnder   map[string]int                // crashesUnder counts the workers that have crashed while they ran a task.
 }
 
 // StepPlan says how the tasks of a step run.
@@ -54,6 +60,7 @@
 	f := &Fleet{
 		store: store, pool: pool, capacity: capacity, maxLease: maxLease, workers: map[string]*Worker{}, plans: map[string]StepPlan{},
 		completed: map[string]completedRun{}, confirmed: map[completedRun]bool{}, running: map[string]string{}, grantedWorkers: map[string]map[string]bool{}, startedJobs: map[string]time.Time{}, maxima: map[string][]publishedMaximum{},
+		startFaults: map[string]*StartFault{}, lastID: n - 1, failedEnds: map[string]int{}, crashesUnder: map[string]int{},
 	}
 	for i := range n {
 		w := &Worker{fleet: f, id: fmt.Sprintf("i-%04x", i), rack: fmt.Sprintf("r%d", i/8), clockOffset: firstClockOffset, connections: map[net.Conn]bool{}}
@@ -73,7 +80,10 @@
 
 // Close stops the workers' servers.
 func (f *Fleet) Close() {
-	for _, w := range f.workers {
+	f.mu.Lock()
+	workers := slices.Collect(maps.Values(f.workers))
+	f.mu.Unlock()
+	for _, w := range workers {
 		_ = w.server.Close()
 	}
 }
@@ -121,11 +131,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id]
+	w.loseRuns()
 	w.clockOffset = restartedClockOffset
 	w.restart()
-	for conn := range w.connections {
-		_ = conn.Close() // The clients notice it.
-	}
+	w.closeConnections()
 }
 
 // Silence cuts a worker off until Reconnect is called: its runs go on, and it neither executes nor answers
@@ -143,6 +152,21 @@
 	f.workers[id].cuts--
 }
 
+// LoseAnswers makes all answers of a worker get lost until DeliverAnswers is called: it executes the commands that it
+// receives. Losses may overlap; each needs its own call of DeliverAnswers.
+func (f *Fleet) LoseAnswers(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].answerLosses++
+}
+
+// DeliverAnswers ends a loss of answers. Answers that got lost are never delivered.
+func (f *Fleet) DeliverAnswers(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].answerLosses--
+}
+
 // RunsOn returns the number of runs in progress on a worker.
 func (f *Fleet) RunsOn(id string) int {
 	f.mu.Lock()
@@ -208,6 +232,9 @@
 	clockOffset   time.Duration     // clockOffset is what the clock shows at the start.
 	connections   map[net.Conn]bool // connections holds the open connections.
 	cuts          int               // cuts is the number of cuts that have not ended.
+	answerLosses  int               // answerLosses is the number of losses of answers that have not ended.
+	starts        int               // starts is the number of runs started.
+	down          bool              // down is set while the worker has crashed and is not back yet.
 	highestToken  int64
 	leaseUntil    int64
 	lastEndNumber int64
@@ -237,9 +264,6 @@
 
 // restart drops all state of the worker and begins a new incarnation.
 func (w *Worker) restart() {
-	for task := range w.runs {
-		delete(w.fleet.running, task)
-	}
 	w.born = max(time.Now().UnixMilli(), w.born+1)
 	w.started = time.Now()
 	w.highestToken, w.leaseUntil, w.lastEndNumber, w.lapsedUpTo = 0, 0, 0, 0
@@ -280,6 +304,9 @@
 	switch state {
 	case http.StateNew:
 		w.connections[conn] = true
+		if w.down {
+			_ = conn.Close() // The client notices it.
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(w.connections, conn)
 	}
@@ -304,8 +331,11 @@
 	w.lastEndNumber++
 	w.highestRun[task] = max(w.highestRun[task], r.run)
 	w.ended = append(w.ended, endRow{w.lastEndNumber, task, r.run, how})
-	if how == "done" {
+	switch how {
+	case "done":
 		w.fleet.completed[task] = completedRun{w, w.born, w.lastEndNumber}
+	case "failed":
+		w.fleet.failedEnds[task]++
 	}
 }
 
@@ -350,32 +380,61 @@
 	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	if w.cuts > 0 || r.Context().Value(bornKey{}) != any(w.born) {
+	if w.cuts > 0 || w.down || r.Context().Value(bornKey{}) != any(w.born) {
 		w.hang(r) // A command that the former incarnation has received ends with it.
 		return
 	}
+	starts := w.starts
+	status, body := w.execute(r, &cmd)
+	lost := w.cuts > 0 || w.answerLosses > 0
+	if fault := w.fleet.startFaults[jobOf(cmd.Task)]; fault != nil && w.starts > starts {
+		lost = lost || !fault.Answered
+		w.suffer(fault)
+	}
+	if lost {
+		w.hang(r)
+		return
+	}
+	writeJSON(out, status, body)
+}
+
+// execute executes a command and returns the answer.
+func (w *Worker) execute(r *http.Request, cmd *command) (status int, body map[string]any) {
 	w.endDueRuns()
 	if cmd.FencingToken < w.highestToken {
-		writeJSON(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": "fence"})
-		return
+		return w.refuse("fence")
 	}
 	w.highestToken = cmd.FencingToken
 	switch r.URL.Path {
 	case "/run-start":
-		w.start(out, &cmd)
+		return w.start(cmd)
 	case "/run-stop":
 		w.highestRun[cmd.Task] = max(w.highestRun[cmd.Task], cmd.Run)
 		if run := w.runs[cmd.Task]; run != nil && run.run == cmd.Run {
 			w.end(cmd.Task, "stopped")
 		}
-		writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
+		return w.accept()
 	case "/hold":
-		w.hold(out, r, &cmd)
+		return w.hold(r, cmd)
 	default:
-		out.WriteHeader(http.StatusNotFound)
+		return http.StatusNotFound, nil
 	}
 }
 
+func (w *Worker) accept() (status int, body map[string]any) {
+	return http.StatusOK, map[string]any{"ClockMs": w.clock()}
+}
+
+func (w *Worker) refuse(reason string) (status int, body map[string]any) {
+	return http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": reason}
+}
+
+// jobOf returns the job of a task, whose name begins with it.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // hang waits until the client gives up a request. The caller must hold the fleet's lock.
 func (w *Worker) hang(r *http.Request) {
 	w.fleet.mu.Unlock()
@@ -384,27 +443,20 @@
 }
 
 // start serves POST /run-start and records violations of the platform's rules.
-func (w *Worker) start(out http.ResponseWriter, cmd *command) {
+func (w *Worker) start(cmd *command) (status int, body map[string]any) {
 	f := w.fleet
-	refuse := func(reason string) {
-		writeJSON(out, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": reason})
-	}
 	if r := w.runs[cmd.Task]; r != nil && r.run == cmd.Run {
-		writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
-		return
+		return w.accept()
 	}
 	nameParts := strings.Split(cmd.Task, ".")
 	step := nameParts[0] + "." + nameParts[1] + "." + nameParts[2]
 	switch {
 	case cmd.Run <= w.highestRun[cmd.Task]:
-		refuse("old")
-		return
+		return w.refuse("old")
 	case w.clock() > cmd.DeadlineMs:
-		refuse("late")
-		return
+		return w.refuse("late")
 	case f.grantedWorkers[step] != nil && cmd.Ticket != "t-"+step+"-"+w.id:
-		refuse("ticket")
-		return
+		return w.refuse("ticket")
 	}
 	if otherWorker, running := f.running[cmd.Task]; running {
 		f.workers[otherWorker].endDueRuns()
@@ -427,6 +479,7 @@
 	f.checkMaximum(cmd.Task, started)
 	f.running[cmd.Task] = w.id
 	f.starts++
+	w.starts++
 	if _, started := f.startedJobs[nameParts[0]]; !started {
 		f.startedJobs[nameParts[0]] = time.Now()
 	}
@@ -443,7 +496,7 @@
 	if plan.MaxPerWorker > 0 && tasksOfStep > plan.MaxPerWorker {
 		f.addViolation("worker %s has %d tasks of step %s, which allows %d on one worker", w.id, tasksOfStep, step, plan.MaxPerWorker)
 	}
-	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock()})
+	return w.accept()
 }
 
 // SpecStep is an element of a job's Spec, which is a JSON array with one element per step. It
@@ -486,7 +539,7 @@
 
 // hold serves POST /hold. It renews the lease and drops acknowledged ended runs. If none remain, it
 // waits for one up to the requested time.
-func (w *Worker) hold(out http.ResponseWriter, r *http.Request, cmd *command) {
+func (w *Worker) hold(r *http.Request, cmd *command) (status int, body map[string]any) {
 	w.extendLease(cmd.DeadlineMs)
 	unconfirmed := w.ended[:0:0]
 	for _, e := range w.ended {
@@ -505,10 +558,6 @@
 		w.fleet.mu.Lock()
 		w.endDueRuns()
 	}
-	if w.cuts > 0 {
-		w.hang(r)
-		return
-	}
 	running, finished := [][]any{}, [][]any{}
 	for task, run := range w.runs {
 		running = append(running, []any{task, run.run, "", 50, 100})
@@ -516,5 +565,5 @@
 	for _, e := range w.ended {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock(), "born": w.born, "Running": running, "Finished": finished})
+	return http.StatusOK, map[string]any{"ClockMs": w.clock(), "born": w.born, "Running": running, "Finished": finished}
 }
