A task with unexplained lost starts waits for one fixed time

After five starts on workers that stay cut off, the task waited 32 s for an explanation, with room for it in the cell (LOST, in a test with real processes whose workers are all cut off together). The wait no longer doubles: 2.9 s, below the time for which a ready task may stand still. With the lease before it, a crashed worker that is back within 7.7 s at the deployed lease is known before the task starts again; by a sixth start the third crash is over 20 s old.

--- a/core/flow/loststart.go
+++ b/core/flow/loststart.go
@@ -71,13 +71,10 @@
 // IsSuspect reports whether a worker may have crashed as it started the task, and none has survived it since.
 func (t *TaskState) IsSuspect() bool { return t.Crashes+t.Unanswered+len(t.LostStarts) > 0 }
 
-// StartsBeyondEvidence returns by how many lost starts, if the unexplained ones were crashes, the task
-// would have reached the limit of crashes, counted from 1. It is 0 below the limit, or if all are explained.
-func (t *TaskState) StartsBeyondEvidence() int {
-	if len(t.LostStarts) == 0 {
-		return 0
-	}
-	return max(0, t.Crashes+t.Unanswered+len(t.LostStarts)-maxCrashes+1)
+// NeedsExplanation reports whether the task would have reached the limit of crashes if its unexplained
+// lost starts were crashes.
+func (t *TaskState) NeedsExplanation() bool {
+	return len(t.LostStarts) > 0 && t.Crashes+t.Unanswered+len(t.LostStarts) >= maxCrashes
 }
 
 func (t *TaskState) forgetLostStarts() { t.Crashes, t.Unanswered, t.LostStarts = 0, 0, nil }
--- a/core/placer/loststart.go
+++ b/core/placer/loststart.go
@@ -15,12 +15,10 @@
 // decisionLostStart is the kind of decision that reports what became of the worker of a lost start.
 const decisionLostStart = "lost start explained"
 
-// restartTime is the time within which a crashed worker is expected to be back. A task whose lost starts
-// would be too many crashes waits that long for an explanation, and twice as long for each further one.
-const (
-	restartTime         = 8 * time.Second
-	maxRestartDoublings = 3
-)
+// explanationWait is how long a task whose lost starts would be too many crashes waits for an explanation
+// before it is started again. With the lease that has expired before, it covers the time in which a crashed worker
+// is back. A ready task must not stand still for longer while there is room for it.
+const explanationWait = 2900 * time.Millisecond
 
 // lostStart is a recorded lost start that is not explained.
 type lostStart struct {
@@ -138,7 +136,7 @@
 	}
 	allowed := tasks[:0]
 	for _, i := range tasks {
-		if n := state.Tasks[i].StartsBeyondEvidence(); n > 0 && now-step.crashedAt < restartTime<<min(n-1, maxRestartDoublings) {
+		if state.Tasks[i].NeedsExplanation() && now-step.crashedAt < explanationWait {
 			p.waits.recheckAt = now + waitRecheckInterval
 			continue
 		}
--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -166,3 +166,20 @@
 		require.GreaterOrEqual(t, worst, 2, "job %s has failed", id)
 	}
 }
+
+// Guards against a task that stands still while there is room for it, after its starts were lost on workers that stay cut off (LOST).
+func TestTaskOfSilentWorkersIsStartedAgainSoon(t *testing.T) {
+	c := readyCell(t, 12)
+	c.isolateWorkersOf("j", true, 10*time.Minute)
+	c.submit("j", batchStep(1))
+	c.advance(time.Second)
+	idleSince := time.Duration(0)
+	for range 9000 {
+		c.advance(5 * time.Millisecond)
+		if c.state.Task(cluster.TaskID{Job: "j"}).Active {
+			idleSince = c.now
+		}
+		require.Less(t, c.now-idleSince, 3*time.Second)
+	}
+	require.GreaterOrEqual(t, c.starts, 5)
+}
