Measure the latency of starts without the placer's own pauses

Cause: starts that are answered after a pause of the placer's process seem to have taken 6 s.

Change: answers that have waited for this process are not measured, and a median is used for 2 s after its adjustment only.

Measured: TestPlacerStartsTasksAfterAPause fails without the change (the second job stays queued) and passes with it.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -83,12 +83,14 @@
 
 // ticketExpired reports whether the run's ticket would expire before it reaches the worker.
 func (p *Placer) ticketExpired(r *run, now time.Duration) bool {
-	return r.ticket.text != "" && now+p.deliveryTime() > r.ticket.validUntil
+	return r.ticket.text != "" && now+p.deliveryTime(now) > r.ticket.validUntil
 }
 
 // deliveryTime returns the expected time from sending a command to its arrival at the worker: half
 // the median latency of recent start commands, but at least ticketSendMargin.
-func (p *Placer) deliveryTime() time.Duration { return max(ticketSendMargin, p.startWindow.median/2) }
+func (p *Placer) deliveryTime(now time.Duration) time.Duration {
+	return max(ticketSendMargin, p.startWindow.recentMedian(now)/2)
+}
 
 // sendDeadline returns the latest time at which a start command created now may be sent. The
 // ticket limits only the first command: a retry also finds out whether the run has started on an
@@ -98,7 +100,7 @@
 	if r.ticket.text != "" && r.startsSent == 0 {
 		expiry = min(expiry, r.ticket.validUntil)
 	}
-	return expiry - p.deliveryTime()
+	return expiry - p.deliveryTime(now)
 }
 
 // expiredGangs returns the gangs in which the ticket of a member expired while the plan was
@@ -225,6 +227,10 @@
 // command, or to the lack of an answer.
 func (p *Placer) updateStartWindow(r *run, now time.Duration) {
 	p.planNeeded = p.planNeeded || p.startWindow.limiting
+	if p.pause(now) > minReportedPause {
+		p.startWindow.discard(now) // the answer has waited for this process
+		return
+	}
 	if r.state == starting && p.startWindow.observe(r.startSentAt, now, p.startsInProgress) {
 		p.addDecision(Decision{Kind: "start window changed", Value: int64(p.startWindow.limit), Age: now - r.startSentAt})
 	}
--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// Guards against a placer that starts nothing any more because the latencies of the starts during its pause look like the
+// time that a command takes, which is longer than tickets are valid (LOST).
+func TestPlacerStartsTasksAfterAPause(t *testing.T) {
+	c := newFakeCell(t, 8, workerCapacity)
+	c.addAdvisedQueue(50 * time.Millisecond)
+	announce := func() { require.NoError(t, c.append(flow.Record{Hello: &flow.Hello{Daemon: "d", Address: "x"}})) }
+	announce()
+	c.takeOver()
+	c.advance(300 * time.Millisecond)
+	c.answerDelay = 40 * time.Millisecond
+	c.submitTo("advised", "first", batchStep(16))
+	for range 200 {
+		if c.starts > 0 {
+			break
+		}
+		c.advance(5 * time.Millisecond)
+	}
+	require.Positive(t, c.starts)
+	c.pausedUntil = c.now + 6*time.Second
+	c.advance(7 * time.Second)
+	announce()
+	c.submitTo("advised", "second", batchStep(4))
+	c.advance(8 * time.Second)
+	require.Equal(t, map[flow.Phase]int{flow.Completed: 2}, c.jobsByPhase())
+}
+
 // Guards against a task that stands still while there is room for it, after its starts were lost on workers that stay cut off (LOST).
 func TestTaskOfSilentWorkersIsStartedAgainSoon(t *testing.T) {
 	c := readyCell(t, 12)
--- a/core/placer/window.go
+++ b/core/placer/window.go
@@ -25,6 +25,9 @@
 	minWindowAnswers = 8
 	// windowInterval is the least time between two adjustments: a few round trips between regions.
 	windowInterval = 200 * time.Millisecond
+	// medianValidity is how long a median is used after its adjustment. While nothing is started because of it, there are no
+	// answers that could correct it.
+	medianValidity = 2 * time.Second
 	// baselineDriftFactor raises the baseline at each adjustment, so that it follows a network
 	// path that has become longer.
 	baselineDriftFactor = 1.01
@@ -80,6 +83,19 @@
 	return w.limit != oldLimit
 }
 
+// discard drops the latencies since the last adjustment. Those of commands sent before now are not used.
+func (w *startWindow) discard(now time.Duration) {
+	w.latencies, w.adjustedAt, w.median = w.latencies[:0], now, 0
+}
+
+// recentMedian returns the median latency at the last adjustment, or 0 if it was long ago.
+func (w *startWindow) recentMedian(now time.Duration) time.Duration {
+	if now-w.adjustedAt > medianValidity {
+		return 0
+	}
+	return w.median
+}
+
 // available returns how many more runs may be planned in addition to those that are being started.
 func (w *startWindow) available(startsInProgress func() int) int {
 	if math.IsInf(w.limit, 1) {
