A step keeps off workers on which it failed only while it finds places elsewhere

A failed run proves that the task or its worker is at fault, not which. A step kept off up to eight workers for good, unless the cell as a whole had fewer than twice as many. So a task that had failed on both workers of its pool, with its label or of its size never ran again in a cell with more workers; nor a lasting task whose other workers held as many tasks of its step as they may, or stayed full; nor a gang that needed these workers. After eight entries, the last one stayed the last.

--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -341,8 +341,8 @@
 // several jobs in a row fail receives no work for a while. Repeated failures of one job count
 // once, as the worker may not be their cause.
 func (p *Placer) countWorkerFailure(v *vm, r *run, now time.Duration) {
-	if step := p.steps[r.StepID()]; step != nil && len(step.avoidWorkers) < 8 {
-		step.avoidWorkers = append(step.avoidWorkers, v.Life.Worker)
+	if step := p.steps[r.StepID()]; step != nil {
+		step.avoid(v.Life.Worker, now)
 	}
 	if v.lastFailedJob == r.Job {
 		return
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -276,26 +276,16 @@
 	options := place.Options{NoPreemption: true}
 	if step.def.Backfill {
 		options.MaxPerVM = p.tasksOnIdleCores(step, workers)
-		if tasks = p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now); len(tasks) == 0 {
+		if tasks = p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing, now), options, now); len(tasks) == 0 {
 			return nil
 		}
 		options.MaxPerVM = nil // the remaining tasks reserve no cores, so they start without idle ones rather than wait
 	}
-	return p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing), options, now)
+	return p.commit(step, tasks, p.taskAsks(step, tasks, workers, allOrNothing, now), options, now)
 }
 
-func (p *Placer) taskAsks(step *pendingStep, tasks []int, workers []string, allOrNothing bool) []wire.TaskAsk {
-	workerCount := len(workers)
-	if workers == nil {
-		workerCount = len(p.vms)
-	}
-	avoid := step.avoidWorkers
-	if len(avoid) > 1 && workerCount < 2*len(avoid) {
-		avoid = avoid[len(avoid)-1:] // a task that fails everywhere must not rule out all workers of a small pool
-	}
-	if workerCount < 2 {
-		avoid = nil
-	}
+func (p *Placer) taskAsks(step *pendingStep, tasks []int, workers []string, allOrNothing bool, now time.Duration) []wire.TaskAsk {
+	avoid := p.workersToAvoid(step, len(tasks), workers, now)
 	asks := make([]wire.TaskAsk, len(tasks))
 	for i, index := range tasks {
 		asks[i] = wire.TaskAsk{
@@ -438,7 +428,7 @@
 	} else if len(workers) == 0 {
 		return false
 	}
-	plan, ok := p.cell.PlanHold(p.taskAsks(step, tasks, workers, true), place.Options{}, maxHoldShare, now, holdValidity)
+	plan, ok := p.cell.PlanHold(p.taskAsks(step, tasks, workers, true, now), place.Options{}, maxHoldShare, now, holdValidity)
 	if ok {
 		p.cell.ApplyHold(plan, now)
 	} else {
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -41,7 +41,8 @@
 	adviceSentAt   time.Duration
 	nextAdviceAt   time.Duration
 	nextReportAt   time.Duration // of a refused plan
-	avoidWorkers   []string      // workers on which a task of the step failed
+	avoidWorkers   []string      // workers on which a task of the step failed, the last one at the end
+	failedAt       time.Duration // time of the last such failure
 	ticketsNeeded  []string      // workers on which resources are reserved until a new ticket arrives
 	onTrial        bool          // a worker has crashed as it started a task of the step
 	crashedAt      time.Duration // time of the last such crash that was recorded
