A placer that was suspended starts no runs of a batch acknowledged long ago

The acknowledgement of a batch can wait for a daemon whose VM was suspended. When the daemon handled it before its next tick, which ends a placer that has been without the log for 14 s, it sent the starts of that batch under a new lease. Its successor counts on no start or renewal after those 14 s, and may have given the runs up and started the tasks elsewhere, if it did not reach the worker. The placer now ends there as well.

--- a/daemon/cell/placing.go
+++ b/daemon/cell/placing.go
@@ -70,34 +70,52 @@
 		sentAt := bootclock.Now()
 		record := &flow.Record{Batch: &batch}
 		offset, err := appender.append(appendCtx, record)
-		e.do(ctx, func(e *engine) {
-			if e.placer != p {
-				return
-			}
-			e.appending = false
-			if err == nil && offset >= e.state.NextOffset {
-				e.ackedAppends[offset] = decodedRecord{record: *record}
-				e.applyAcked(ctx, bootclock.Now())
-			}
-			if fault.Is(err, fault.Conflict) {
-				e.claimConflictAt = bootclock.Now()
-			}
-			if err != nil {
-				e.stopPlacing("appending a batch failed: " + err.Error())
-				return
-			}
-			e.batchAckedAt = sentAt
-			if e.placer != p {
-				return // a record that applyAcked applied has ended the placer
-			}
-			e.execute(e.placingContext, p.BatchAppended(runs, bootclock.Now()))
-			if len(e.ackedAppends) > 0 {
-				e.wakeReader()
-			}
-		})
+		begin := func() []placer.Command { return p.BatchAppended(runs, bootclock.Now()) }
+		e.do(ctx, func(e *engine) { e.batchAppended(ctx, p, &appendedBatch{record, offset, sentAt, err, begin}) })
 	}()
 }
 
+// appendedBatch is the outcome of an append of the placer.
+type appendedBatch struct {
+	record *flow.Record
+	offset int64
+	sentAt time.Duration // boot clock
+	err    error
+	begin  func() []placer.Command // returns the commands that start the runs of the batch
+}
+
+// batchAppended handles the outcome of an append of the placer p. An acknowledgement that this daemon handles late, because it
+// was suspended meanwhile, starts no runs: a successor may have given them up since.
+func (e *engine) batchAppended(ctx context.Context, p *placer.Placer, b *appendedBatch) {
+	if e.placer != p {
+		return
+	}
+	e.appending = false
+	if b.err == nil && b.offset >= e.state.NextOffset {
+		e.ackedAppends[b.offset] = decodedRecord{record: *b.record}
+		e.applyAcked(ctx, bootclock.Now())
+	}
+	if fault.Is(b.err, fault.Conflict) {
+		e.claimConflictAt = bootclock.Now()
+	}
+	if b.err != nil {
+		e.stopPlacing("appending a batch failed: " + b.err.Error())
+		return
+	}
+	e.batchAckedAt = b.sentAt
+	if e.placer != p {
+		return // a record that applyAcked applied has ended the placer
+	}
+	if bootclock.Now()-b.sentAt > maxLogOutage {
+		e.stopPlacing("a batch was acknowledged later than the longest tolerated log outage")
+		return
+	}
+	e.execute(e.placingContext, b.begin())
+	if len(e.ackedAppends) > 0 {
+		e.wakeReader()
+	}
+}
+
 func (e *engine) logDecision(decision *placer.Decision) {
 	e.metrics.countDecision(decision)
 	if decision.Kind == placer.DecisionJobStarted {
--- a/daemon/cell/retire_test.go
+++ b/daemon/cell/retire_test.go
@@ -9,6 +9,7 @@
 
 	"briarproxy/core/cluster"
 	"briarproxy/core/flow"
+	"briarproxy/core/placer"
 	"briarproxy/core/resource"
 	"briarproxy/daemon/bootclock"
 )
@@ -133,3 +134,38 @@
 		require.Equal(t, test.places, placing, name)
 	}
 }
+
+// Guards against a task that runs twice because a placer that was suspended for longer than any lease starts the runs of a batch
+// whose acknowledgement waited for it, although a successor has given them up (TWICE).
+func TestSuspendedPlacerStartsNoRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		age    time.Duration
+		starts int
+	}{
+		"suspended": {maxLogOutage + time.Second, 0},
+		"in time":   {time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			api := newPlacerAfter(t, serveSilentPeer(t))
+			recorder := startRecorder{sent: make(chan cluster.Start, 4)}
+			life, begun := cluster.Life{Worker: "x", Born: 1}, 0
+			api.onEngine(func(e *engine) {
+				recorder.Platform, e.platform = e.platform, recorder
+				now := bootclock.Now()
+				e.placer.SetRegistry([]cluster.Worker{{Life: life, Address: "x:1", Pool: "p", Capacity: resource.Vector{MilliCores: 1000}}}, now)
+				e.placer.PollAnswered(&placer.PollCommand{Life: life}, &cluster.WorkerReport{Life: life, ClockMS: 1000}, now)
+				submit := flow.Record{Submit: &flow.Submit{ID: "k", Queue: "q", Pool: "p", MaxAttempts: 2, Steps: []flow.Step{{Count: 1, Size: resource.Vector{MilliCores: 500}}}}}
+				e.applyRecord(api.ctx, &decodedRecord{record: submit}, now)
+				e.placer.Tick(now+time.Second, time.Now().UnixMilli())
+				batch, runs, _ := e.placer.Flush(now + 2*time.Second)
+				begun = len(batch.Begins)
+				p := e.placer
+				begin := func() []placer.Command { return p.BatchAppended(runs, bootclock.Now()) }
+				e.batchAppended(api.ctx, p, &appendedBatch{&flow.Record{Batch: &batch}, e.state.NextOffset, now - test.age, nil, begin})
+			})
+			require.Equal(t, 1, begun)
+			time.Sleep(100 * time.Millisecond)
+			require.Len(t, recorder.sent, test.starts)
+		})
+	}
+}
