Stop counting workers to keep off once the answer is known

The loop over the workers that a step may use ends as soon as those it keeps off leave room and workers enough, so that a failed step costs no pass over a large cell.

--- a/core/placer/avoid.go
+++ b/core/placer/avoid.go
@@ -52,9 +52,12 @@
 		if id != last[0] {
 			roomOffLast += n
 		}
+		if room >= tasks && workers >= 2*len(avoid) {
+			return avoid
+		}
 	}
 	switch {
-	case room >= tasks && (len(avoid) == 1 || workers >= 2*len(avoid)):
+	case room >= tasks && len(avoid) == 1:
 		return avoid
 	case roomOffLast >= tasks:
 		return last // a task that fails everywhere must not rule out all workers of a small pool
