Failing test: restarts long after the lost start count as crashes

Callers would see a job as failed while its task runs (LOST). Three workers are cut off after a start, end the run as lapsed, and restart behind the cut a minute later. By then the task has been at work on a fourth worker for over 30 s. Each later start time counts as a crash under the task.

Fails on: Phase is failed. Not fixed here.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -166,3 +166,56 @@
 		require.GreaterOrEqual(t, worst, 2, "job %s has failed", id)
 	}
 }
+
+// workerOf returns the worker that is up and has a run of the task, or nil.
+func (c *fakeCell) workerOf(id cluster.TaskID) *fakeWorker {
+	for _, w := range c.workers {
+		if w.up && w.runs[id] != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// cutOff returns the workers that are cut off.
+func (c *fakeCell) cutOff() (workers []*fakeWorker) {
+	for _, w := range c.workers {
+		if w.partitioned {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+// advanceUntil runs the simulation until the condition holds, for 60 s at most.
+func (c *fakeCell) advanceUntil(condition func() bool) {
+	for range 12000 {
+		if condition() {
+			return
+		}
+		c.advance(5 * time.Millisecond)
+	}
+	require.Fail(c.t, "the condition does not hold after 60 s")
+}
+
+// Guards against a job that is shown as failed while its task is at work, because workers that were cut off long before have
+// restarted since (LOST).
+func TestJobIsNotFailedByLateRestartsOfSilentWorkers(t *testing.T) {
+	c := readyCell(t, 8)
+	task := cluster.TaskID{Job: "j"}
+	c.isolateWorkersOf("j", true, time.Hour)
+	c.submit("j", batchStep(1))
+	c.advanceUntil(func() bool { return len(c.cutOff()) == 3 })
+	c.runTime = func(cluster.Start) time.Duration { return 5 * time.Minute }
+	c.advance(60 * time.Second)
+	w := c.workerOf(task)
+	require.NotNil(t, w)
+	require.False(t, w.partitioned, "the task is at work")
+	for _, w := range c.cutOff() {
+		c.restart(w)
+		w.partitioned = false
+	}
+	c.publishRegistry()
+	c.advance(20 * time.Second)
+	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+}
