Failing test: a run that has long been at work counts as a lost start after a takeover

Callers would see a lasting job as failed (LOST). Each of its runs is listed to its placer for 20 s; then its worker crashes, and the placer is replaced before the worker is back. The new placer has no answer from the former incarnation and takes the run for one that ended with its start.

Fails on: Phase is failed. Not fixed here.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -219,3 +219,25 @@
 	c.advance(20 * time.Second)
 	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a lasting job that is shown as failed, because workers crashed under its run, long after its start, while
+// placers were replaced (LOST).
+func TestLastingTaskIsNotFailedByLostWorkersAndTakeovers(t *testing.T) {
+	c := readyCell(t, 8)
+	task := cluster.TaskID{Job: "j"}
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.submit("j", flow.Step{Count: 1, Size: batchStep(1).Size, LongRunning: true})
+	for range 6 {
+		c.advanceUntil(func() bool { return c.workerOf(task) != nil || c.state.Jobs["j"].Phase.Final() })
+		require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+		c.advance(20 * time.Second)
+		w := c.workerOf(task)
+		require.NotNil(t, w)
+		w.up, w.runs = false, map[cluster.TaskID]*fakeRun{}
+		c.after(3*time.Second, func() { c.comeBack(w, false) })
+		c.takeOver()
+		c.retireFormerPlacers()
+	}
+	c.advance(20 * time.Second)
+	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+}
