Failing test: a silent worker that drains and leaves counts as crashed

Callers would see a job as failed (LOST). Three workers are cut off from the placer after a start and lapse the run; they reach the store, announce that they drain, and leave. Another worker takes the address of each. Whether a worker drains is looked at when its leases expire, not when the lost start is explained.

Fails on: Phase is failed. Not fixed here.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -260,3 +260,29 @@
 	}
 	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a job that is shown as failed because workers that were cut off from the placer have drained and left, and
+// others use their addresses (LOST).
+func TestJobIsNotFailedByWorkersThatDrainAndLeave(t *testing.T) {
+	c := readyCell(t, 8)
+	c.isolateWorkersOf("j", true, time.Hour)
+	c.submit("j", batchStep(1))
+	for range 60 {
+		c.advance(time.Second)
+		for _, w := range c.cutOff() {
+			if w.Draining || len(w.runs) > 0 {
+				continue
+			}
+			w.Draining, w.Stays = true, 3*time.Second
+			c.publishRegistry()
+			c.after(5*time.Second, func() {
+				w.up, w.partitioned = false, false
+				left := w.Worker
+				w.Draining, w.Stays = false, 0 // comeBack copies the entry
+				c.comeBack(w, true)
+				w.Worker = left
+			})
+		}
+	}
+	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
+}
