Failing test: crashes under adopted runs whose worker is back after the lease are not counted

A task that crashes the workers that start it is started a sixth time and more (BUDGET). The placer is replaced within the lease of each of the first three starts, and the workers are back 9 s after the crash, when the leases have expired. The adopted run then ends as lapsed and leaves no lost start, so nothing explains it later.

Not fixed here.

--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -211,3 +211,24 @@
 	c.advance(40 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a task that crashes one worker after another without end (BUDGET), because its placer is replaced soon after a
+// start and the worker is back only after its leases have expired.
+func TestLateCrashesUnderAdoptedRunsCount(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprint("another worker at the address: ", newID), func(t *testing.T) {
+			c := readyCell(t, 12)
+			crashes := c.crashWorkersOf("deadly", 0, 9*time.Second, newID)
+			c.submit("deadly", batchStep(1))
+			for n := range 3 {
+				c.advanceUntil(func() bool { return *crashes > n })
+				c.advance(time.Second)
+				c.takeOver()
+				c.retireFormerPlacers()
+			}
+			c.advance(90 * time.Second)
+			require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+			require.LessOrEqual(t, *crashes, 5, "crashes of workers")
+		})
+	}
+}
