Failing test: lost starts of other tasks of the step prolong a task's wait without end

A task with three unexplained lost starts waits for 8 s from crashedAt, which is that of its step. Each lost start of another task of the step renews it, so the task is not started for 60 s although there is room (LOST). Each takeover renews it, too.

Fails on: task 0 isn't started within 60 s. Not fixed here.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -286,3 +286,31 @@
 	}
 	require.Equal(t, flow.Running, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a task that is not started, although there is room, as long as other tasks of its step lose workers (LOST).
+func TestTaskDoesNotWaitForExplanationsOfOtherTasks(t *testing.T) {
+	c := readyCell(t, 8)
+	c.placer = nil
+	apply := func(r flow.Record) { require.NoError(t, c.state.Apply(&r, c.now)) }
+	apply(flow.Record{Submit: &flow.Submit{ID: "j", Queue: "q", Pool: "p", Config: 1, Spec: "j", Steps: []flow.Step{batchStep(2)}, MaxAttempts: 3, AtMS: c.wallMS()}})
+	waiting, flaky := cluster.TaskID{Job: "j"}, cluster.TaskID{Job: "j", Index: 1}
+	for run := 1; run <= 3; run++ {
+		id := cluster.RunID{TaskID: waiting, Run: run}
+		apply(flow.Record{Batch: &flow.Batch{Epoch: c.state.Claim.Epoch, Begins: []flow.Begin{{RunID: id, Life: cluster.Life{Worker: "gone", Born: 1}}}}})
+		apply(flow.Record{Batch: &flow.Batch{Epoch: c.state.Claim.Epoch, Ends: []flow.End{{RunID: id, Reason: cluster.Unreachable, Address: "gone", Answered: true}}}})
+	}
+	c.runTime = func(s cluster.Start) time.Duration {
+		if s.TaskID == flaky {
+			c.after(0, func() {
+				w := c.workerOf(flaky)
+				w.partitioned = true
+				c.after(7*time.Second, func() { w.partitioned = false })
+			})
+		}
+		return time.Hour
+	}
+	c.takeOver()
+	c.retireFormerPlacers()
+	c.advance(2*restartTime + time.Second)
+	require.Greater(t, c.state.Task(waiting).LastRun, 3)
+}
