Failing test: the late failed end of a lost start is followed by a refused record

When the worker is back, the same answer gives the late end `failed` and the explanation `lapsed`, in one batch. The first forgets the lost start, so the second is refused: the daemon logs "run is not active" as an unreadable record. The attempt is counted, once. The same is to be expected (by reading, not run) when another run's listed end is in the batch before the explanation.

Fails on: Apply returns a conflict. Not fixed here.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -337,3 +337,18 @@
 	c.advanceUntil(func() bool { return c.workerOf(task) != nil })
 	require.Less(t, c.now-goneAt, 9*time.Second)
 }
+
+// Guards against a batch that the placer's own state refuses, as it holds both a late end and the explanation of a lost start.
+func TestLateFailureOfALostStartIsRecordedOnce(t *testing.T) {
+	c := readyCell(t, 8)
+	c.isolateWorkersOf("j", true, 8*time.Second)
+	isolated := c.runTime
+	c.runTime = func(s cluster.Start) time.Duration {
+		isolated(s)
+		return time.Second
+	}
+	c.outcome = func(cluster.Start) cluster.EndReason { return cluster.Failed }
+	c.submit("j", batchStep(1))
+	c.advance(12 * time.Second) // fails if a batch is refused
+	require.Equal(t, 1, c.state.Task(cluster.TaskID{Job: "j"}).Failures)
+}
