Failing test: a step stays on trial until it ends after a cut that follows a listed start

suspectStep puts a step on trial when a run that was listed soon after its start lapses. Such a run leaves no lost start, so no explanation takes the step off trial, though its worker is back and names the same incarnation. From then on each start of the step keeps other work off its worker.

Not fixed here. No rule is broken by itself.

--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -352,3 +352,26 @@
 	c.advance(12 * time.Second) // fails if a batch is refused
 	require.Equal(t, 1, c.state.Task(cluster.TaskID{Job: "j"}).Failures)
 }
+
+// Guards against a step that stays on trial until it is complete, although the worker that was silent has shown that it survived
+// the start.
+func TestStepIsNotOnTrialAfterItsListedRunLapsed(t *testing.T) {
+	c := readyCell(t, 8)
+	task := cluster.TaskID{Job: "j"}
+	c.runTime = func(cluster.Start) time.Duration {
+		c.after(15*time.Millisecond, func() { c.placer.runs[task].vm.nextPollAt = c.now })
+		c.after(40*time.Millisecond, func() {
+			w := c.workerOf(task)
+			w.partitioned = true
+			c.after(8*time.Second, func() { w.partitioned = false })
+		})
+		return time.Hour
+	}
+	c.submit("j", batchStep(1))
+	c.advanceUntil(func() bool { return len(c.cutOff()) == 1 })
+	require.True(t, c.placer.runs[task].progress.seen)
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.advance(20 * time.Second)
+	require.Empty(t, c.cutOff())
+	require.False(t, c.placer.steps[cluster.StepID{Job: "j"}].onTrial)
+}
