Keep other starts off a worker while the start of a run on trial is on its way

Callers' tasks could be started beside a task on trial, and count as suspect when it crashes their worker. Since a run on trial awaits an answer later than answeredAt + 150 ms, but answeredAt is 0 until its start is answered, so from its plan until then it passed for survived; polls could also wait for 1.4 s meanwhile. Only the two checks of trials change: whether an unanswered start counts as lost (isLastStart, suspectStep) stays as it was.

--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -22,6 +22,9 @@
 // to the start command.
 func (r *run) hasSurvivedStart() bool { return r.vm.answeredAt > r.answeredAt+crashDelay }
 
+// awaitsTrial reports whether the run is on trial and its worker has not survived its start yet.
+func (r *run) awaitsTrial() bool { return r.onTrial && (r.answeredAt == 0 || !r.hasSurvivedStart()) }
+
 // isLastStart reports whether nothing shows that the worker has survived the start of the run. A run that is
 // not on trial may be beside the cause of a crash, so it counts as survived once the worker has listed it. If
 // a former placer sent the start command, any answer to this one counts.
@@ -132,7 +135,7 @@
 // onTrial reports whether the worker has a run on trial whose start it has not survived yet.
 func (v *vm) onTrial() bool {
 	for _, r := range v.runs {
-		if r.onTrial && !r.hasSurvivedStart() {
+		if r.awaitsTrial() {
 			return true
 		}
 	}
--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -232,3 +232,20 @@
 		})
 	}
 }
+
+// Guards against other starts on a worker to which the start of a run on trial is on its way, and so against innocent tasks that
+// count as beside the cause of a crash.
+func TestWorkerOfATrialStartsNothingElseUntilTheStartIsAnswered(t *testing.T) {
+	c := readyCell(t, 1)
+	c.answerDelay = 100 * time.Millisecond
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.submit("j", batchStep(1))
+	c.placer.steps[cluster.StepID{Job: "j"}].onTrial = true
+	c.advance(50 * time.Millisecond)
+	require.True(t, c.placer.runs[cluster.TaskID{Job: "j"}].onTrial)
+	c.submit("beside", batchStep(1))
+	c.advance(200 * time.Millisecond)
+	require.Nil(t, c.placer.runs[cluster.TaskID{Job: "beside"}])
+	c.advance(2 * time.Second)
+	require.NotNil(t, c.placer.runs[cluster.TaskID{Job: "beside"}])
+}
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -151,7 +151,7 @@
 		wait = min(wait, pacingPollWait)
 	}
 	for _, r := range v.runs {
-		if r.state == uncertain || r.state == stopping || r.onTrial && !r.hasSurvivedStart() {
+		if r.state == uncertain || r.state == stopping || r.awaitsTrial() {
 			return 0
 		}
 	}
