--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -211,3 +211,64 @@
 	c.advance(40 * time.Second)
 	require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
 }
+
+// Guards against a task that crashes one worker after another without end (BUDGET), because its placer is replaced soon after a
+// start and the worker is back only after its leases have expired.
+func TestLateCrashesUnderAdoptedRunsCount(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprint("another worker at the address: ", newID), func(t *testing.T) {
+			c := readyCell(t, 12)
+			crashes := c.crashWorkersOf("deadly", 0, 9*time.Second, newID)
+			c.submit("deadly", batchStep(1))
+			for n := range 3 {
+				c.advanceUntil(func() bool { return *crashes > n })
+				c.advance(time.Second)
+				c.takeOver()
+				c.retireFormerPlacers()
+			}
+			c.advance(90 * time.Second)
+			require.Equal(t, flow.Failed, c.state.Jobs["deadly"].Phase)
+			require.LessOrEqual(t, *crashes, 5, "crashes of workers")
+		})
+	}
+}
+
+// Guards against other starts on a worker to which the start of a run on trial is on its way, and so against innocent tasks that
+// count as beside the cause of a crash.
+func TestWorkerOfATrialStartsNothingElseUntilTheStartIsAnswered(t *testing.T) {
+	c := readyCell(t, 1)
+	c.answerDelay = 100 * time.Millisecond
+	c.runTime = func(cluster.Start) time.Duration { return time.Hour }
+	c.submit("j", batchStep(1))
+	c.placer.steps[cluster.StepID{Job: "j"}].onTrial = true
+	c.advance(50 * time.Millisecond)
+	require.True(t, c.placer.runs[cluster.TaskID{Job: "j"}].onTrial)
+	c.submit("beside", batchStep(1))
+	c.advance(200 * time.Millisecond)
+	require.Nil(t, c.placer.runs[cluster.TaskID{Job: "beside"}])
+	c.advance(2 * time.Second)
+	require.NotNil(t, c.placer.runs[cluster.TaskID{Job: "beside"}])
+}
+
+// Guards against planning passes in a large cell that take seconds because steps are on trial, as after a cut of many workers.
+func TestPlanningStepsOnTrialInALargeCellIsNotSlow(t *testing.T) {
+	plan := func(onTrial bool) time.Duration {
+		c := newFakeCell(t, 6000, resource.Vector{MilliCores: 64000, MemoryMiB: 262144})
+		c.takeOver()
+		c.advance(50 * time.Millisecond)
+		for n := range 100 {
+			c.submit(fmt.Sprint("j", n), batchStep(8))
+		}
+		for _, step := range c.placer.steps {
+			step.onTrial = onTrial
+		}
+		c.placer.startWindow.limit = 1000
+		began := time.Now()
+		c.placer.plan(nil, c.now, c.wallMS())
+		took := time.Since(began)
+		require.Len(t, c.placer.runs, 800)
+		return took
+	}
+	usual := max(plan(false), 5*time.Millisecond)
+	require.Less(t, plan(true), 20*usual)
+}
