Ask when, where and from whom the end of an incarnation is known

Change: batches carry their time, so that each run has the time of its begin. The next process at the address shows a crash only if it started within 15 s of it, and if it has answered as the incarnation of its entry. An adopted run is a lost start only if it began less than a lease before the takeover: otherwise the former placer has heard from its worker. Suspicion of a step that no lost start supports ends after 10 s.

--- a/core/flow/loststart.go
+++ b/core/flow/loststart.go
@@ -25,6 +25,7 @@
 	Life     cluster.Life `json:"l"`
 	Address  string       `json:"a"`
 	Answered bool         `json:"y,omitempty"` // the worker answered the start command
+	BeganMS  int64        `json:"b,omitempty"` // see TaskState
 }
 
 // countLostStart processes the end of a run that was the last that its worker started.
@@ -35,7 +36,7 @@
 	case cluster.Unanswered:
 		t.Unanswered++
 	case cluster.Unreachable:
-		t.LostStarts = append(t.LostStarts, LostStart{Run: e.Run, Life: t.Life, Address: e.Address, Answered: e.Answered})
+		t.LostStarts = append(t.LostStarts, LostStart{Run: e.Run, Life: t.Life, Address: e.Address, Answered: e.Answered, BeganMS: t.BeganMS})
 		t.LostStarts = t.LostStarts[max(0, len(t.LostStarts)-maxGivenUpRuns):]
 	}
 	if t.Crashes >= maxCrashes || t.Crashes+t.Unanswered >= maxLostStarts {
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -114,6 +114,7 @@
 // batch serves as a heartbeat.
 type Batch struct {
 	Epoch       int64    `json:"e"`
+	AtMS        int64    `json:"t,omitempty"` // time of the decisions, Unix ms of the placer's clock
 	Begins      []Begin  `json:"b,omitempty"`
 	Ends        []End    `json:"x,omitempty"`
 	StartedJobs []string `json:"s,omitempty"` // ids of jobs whose first run was accepted by a worker
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -36,6 +36,7 @@
 	LostStarts []LostStart  `json:"o,omitempty"` // newest runs that ended as cluster.Unreachable since then and are not explained, at most maxGivenUpRuns
 	GivenUp    []int        `json:"g,omitempty"` // newest runs that ended without word of their worker, at most maxGivenUpRuns
 	Life       cluster.Life `json:"l"`           // worker incarnation of the last run
+	BeganMS    int64        `json:"b,omitempty"` // time of the last begin, Unix ms of the placer's clock; 0 means unknown
 	Checkpoint string       `json:"c,omitempty"`
 }
 
@@ -294,7 +295,7 @@
 		}
 	}
 	for i := range b.Begins {
-		if err := s.applyBegin(&b.Begins[i]); err != nil && firstErr == nil {
+		if err := s.applyBegin(&b.Begins[i], b.AtMS); err != nil && firstErr == nil {
 			firstErr = err
 		}
 	}
@@ -336,12 +337,12 @@
 	return t
 }
 
-func (s *State) applyBegin(b *Begin) error {
+func (s *State) applyBegin(b *Begin, atMS int64) error {
 	j, _, step, t := s.find(b.TaskID)
 	if t == nil || t.Done || t.Active || b.Run <= t.LastRun {
 		return fault.New(fault.Conflict, "report this as a bug", "run %d of task %v cannot begin: the task is unknown, done or active, or the run is not newer than the last one", b.Run, b.TaskID)
 	}
-	t.LastRun, t.Active, t.Life = b.Run, true, b.Life
+	t.LastRun, t.Active, t.Life, t.BeganMS = b.Run, true, b.Life, atMS
 	step.HighestRun = max(step.HighestRun, b.Run)
 	j.ActiveRuns++
 	return nil
@@ -453,7 +454,7 @@
 }
 
 func (s *State) markDone(j *Job, o *Occurrence, step *StepState, t *TaskState, now time.Duration) {
-	t.Done, t.GivenUp, t.LostStarts = true, nil, nil
+	t.Done, t.GivenUp, t.LostStarts, t.BeganMS = true, nil, nil, 0
 	step.DoneTasks++
 	if !step.Complete() {
 		return
--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -27,10 +27,11 @@
 
 // isLastStart reports whether nothing shows that the worker has survived the start of the run. A run that is
 // not on trial may be beside the cause of a crash, so it counts as survived once the worker has listed it. If
-// a former placer sent the start command, any answer to this one counts.
-func (r *run) isLastStart() bool {
+// a former placer sent the start command, any answer to this one counts, and so does the time that the former
+// placer had for hearing from the worker.
+func (p *Placer) isLastStart(r *run) bool {
 	if r.adopted {
-		return r.vm.answeredAt == 0
+		return r.vm.answeredAt == 0 && r.beganMS > p.wallAtMS(p.createdAt-p.options.Lease)
 	}
 	return r.startsSent > 0 && !r.hasSurvivedStart() && (r.onTrial || !r.progress.seen)
 }
@@ -63,31 +64,46 @@
 }
 
 func (p *Placer) reportSilence(r *run, now time.Duration) {
-	if r.lostStart == "" && r.isLastStart() {
+	if r.lostStart == "" && p.isLastStart(r) {
 		p.addDecision(Decision{Kind: decisionSilentWorker, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.vm.answeredAt, Value: int64(r.vm.missedPolls)})
 	}
 }
 
+// trialTime is how long a step is on trial after a run whose worker did not show that it survived the start,
+// if the run does not count as the last one that the worker started.
+const trialTime = 10 * time.Second
+
 // suspectStep places the step of a run on trial whose worker has not shown that it survived the start.
 func (p *Placer) suspectStep(r *run, now time.Duration) {
 	if step := p.steps[r.StepID()]; step != nil && !r.adopted && r.startsSent > 0 && !r.vm.Draining && !r.hasSurvivedStart() {
-		step.onTrial, step.crashedAt = true, now
+		step.trialUntil, step.crashedAt = now+trialTime, now
 	}
 }
 
+// isOnTrial reports whether a worker may have crashed as it started a task of the step.
+func (s *pendingStep) isOnTrial(now time.Duration) bool { return s.onTrial || now < s.trialUntil }
+
 // markLostStart notes how the run ends on a worker that has been silent until its leases expired.
-func (r *run) markLostStart() {
+func (p *Placer) markLostStart(r *run) {
 	switch {
-	case r.lostStart != "" || r.vm.Draining || !r.isLastStart():
-	case r.vm.replaced:
+	case r.lostStart != "" || r.vm.Draining || !p.isLastStart(r):
+	case isRestartOf(r.beganMS, r.vm.replacedBorn):
 		r.lostStart = crashReason(r.answered)
-	case r.adopted:
-		// The former placer may have heard from the worker after the start.
-	default:
+	case r.vm.replacedBorn == 0:
 		r.lostStart = cluster.Unreachable
 	}
 }
 
+// maxRestartTime is the longest time from the begin of a run to the start of the next worker process at the
+// address for which the worker counts as crashed by the run. Clocks of machines may differ.
+const maxRestartTime = 15 * time.Second
+
+// isRestartOf reports whether a worker process that started at the given time (Unix ms) shows that the former
+// one crashed as it started a run.
+func isRestartOf(beganMS, born int64) bool {
+	return beganMS > 0 && born > 0 && born-beganMS <= maxRestartTime.Milliseconds()
+}
+
 // crashReason returns how a run ends that was the last that the ended incarnation of its worker started.
 func crashReason(answered bool) cluster.EndReason {
 	if answered {
--- a/core/placer/crash_test.go
+++ b/core/placer/crash_test.go
@@ -22,7 +22,7 @@
 	}
 	w.inRegistry = false
 	next := &fakeWorker{Worker: w.Worker, up: true, inRegistry: true, startedAt: c.now, runs: map[cluster.TaskID]*fakeRun{}, highestRun: map[cluster.TaskID]int{}}
-	next.Life = cluster.Life{Worker: fmt.Sprintf("n%03d", len(c.workers)), Born: w.Born + 1}
+	next.Life = cluster.Life{Worker: fmt.Sprintf("n%03d", len(c.workers)), Born: max(w.Born+1, c.wallMS())}
 	c.workers[next.Life.Worker] = next
 	c.publishRegistry()
 }
--- a/core/placer/events.go
+++ b/core/placer/events.go
@@ -294,7 +294,7 @@
 	if v.missedPolls > 0 {
 		p.addDecision(Decision{Kind: "worker answers again", Worker: v.Life.Worker})
 	}
-	v.missedPolls = 0
+	v.missedPolls, v.replacedBorn = 0, 0
 	v.observeClock(report.ClockMS, now)
 	v.tokenSeen = true // the answer proves that the worker has seen this placer's token since its start
 	if v.Life == c.Life {
@@ -303,6 +303,7 @@
 	p.processEnds(v, report, now)
 	p.processRunning(v, report, now)
 	p.explainByAnswer(v, now)
+	p.confirmReplacement(v, now)
 	p.adjustPace(v, now)
 	v.nextPollAt = now + pollInterval
 	p.updateCellWorker(v, now)
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -577,7 +577,7 @@
 
 // restart replaces the incarnation of a worker by a new one.
 func (c *fakeCell) restart(w *fakeWorker) {
-	w.Born++
+	w.Born = max(w.Born+1, c.wallMS())
 	w.runs, w.ended, w.highestRun = map[cluster.TaskID]*fakeRun{}, nil, map[cluster.TaskID]int{}
 	w.lastEndNumber, w.token, w.leaseUntilMS, w.expiredUpTo, w.startedAt = 0, 0, 0, 0, c.now
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -179,6 +179,7 @@
 	pendingBatch   flow.Batch
 	pendingRuns    []*run                  // runs of pendingBatch.Begins
 	lostStarts     map[string][]*lostStart // by worker
+	unconfirmed    map[string]bool         // workers of the registry at the address of a silent one that have not answered yet
 	lateEnds       map[cluster.RunID]*vm   // late ends that are not recorded yet, with the worker that listed them
 	flushedAt      time.Duration
 	token          int64
@@ -200,6 +201,7 @@
 	lastPlanAt         time.Duration
 	lastScanAt         time.Duration
 	lastTickAt         time.Duration
+	wallOffsetMS       int64           // Unix ms minus boot clock, at the last tick
 	workersWithRuns    int             // at the last scan
 	lastAppendDuration time.Duration   // of the last batch, from Flush to its acknowledgement
 	planPass           int             // number of planning passes so far
@@ -214,7 +216,7 @@
 func New(state *flow.State, config *cluster.Configuration, options Options, now time.Duration) *Placer {
 	p := &Placer{
 		options: options, state: state, config: config, cell: place.NewCell(),
-		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, pools: map[string]*poolUse{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{}, lostStarts: map[string][]*lostStart{},
+		vms: map[string]*vm{}, workspaces: map[string]*workspace{}, pools: map[string]*poolUse{}, runs: map[cluster.TaskID]*run{}, jobs: map[string]*pendingJob{}, lateEnds: map[cluster.RunID]*vm{}, lostStarts: map[string][]*lostStart{}, unconfirmed: map[string]bool{},
 		steps: map[cluster.StepID]*pendingStep{}, advisers: newAdvisers(), grantRates: map[string]float64{},
 		retryBudget: admission.NewRetryBudget(), relays: newStartRelays(options.LinkMbps, now), startWindow: newStartWindow(now),
 		speeds: newWorkerSpeeds(), waits: newWaits(), queues: map[string]*cluster.Queue{}, token: state.ClaimToken, epoch: state.Claim.Epoch, createdAt: now, flushedAt: now, planNeeded: true,
@@ -240,14 +242,14 @@
 			for i := range occurrence.Steps[step].Tasks {
 				task := &occurrence.Steps[step].Tasks[i]
 				id := cluster.TaskID{Job: job.ID, Occurrence: k, Step: step, Index: i}
-				p.addLostStarts(id, task, now)
+				p.addLostStarts(id, task, true, now)
 				if !task.Active {
 					continue
 				}
 				v := p.ensureWorker(task.Life, now)
 				r := &run{
 					RunID: cluster.RunID{TaskID: id, Run: task.LastRun}, state: uncertain, vm: v, size: reservedResources(&job.Steps[step]),
-					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, adopted: true, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
+					spec: job.Spec, checkpoint: task.Checkpoint, recorded: true, adopted: true, beganMS: task.BeganMS, wanted: !job.Phase.Final(), plannedAt: now, answeredAt: now,
 					pacePercent: 100, // the pace that the former placer set is not known
 				}
 				p.countRun(r, job)
@@ -259,6 +261,9 @@
 	}
 }
 
+// wallAtMS returns the Unix ms at a time of the boot clock.
+func (p *Placer) wallAtMS(at time.Duration) int64 { return p.wallOffsetMS + at.Milliseconds() }
+
 // ensureWorker returns the named worker, and adds it with the given incarnation if it is not
 // known.
 func (p *Placer) ensureWorker(life cluster.Life, now time.Duration) *vm {
@@ -409,7 +414,7 @@
 		if !listedRuns[r.RunID] {
 			p.suspectStep(r, now)
 		}
-		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && r.isLastStart() {
+		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && p.isLastStart(r) && isRestartOf(r.beganMS, report.Life.Born) {
 			r.lostStart = crashReason(!r.adopted)
 		}
 		switch {
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -222,7 +222,7 @@
 	case step.def.TailTargetMS > 0:
 		workers = p.workersForServing(workers)
 	}
-	if step.onTrial {
+	if step.isOnTrial(now) {
 		workers = p.workersForTrial(step, len(tasks), workers, now)
 	}
 	if !p.mayFit(step, workers, len(tasks)) {
@@ -382,7 +382,7 @@
 	r := &run{
 		RunID: cluster.RunID{TaskID: id, Run: step.nextRun(index)}, state: ticketing, vm: v, size: reservedResources(step.def),
 		spec: step.job.Spec, checkpoint: step.checkpoint(index), wanted: true, plannedAt: now, pacePercent: 100, paceConfirmed: true,
-		onTrial: step.onTrial,
+		onTrial: step.isOnTrial(now),
 	}
 	p.countRun(r, step.job)
 	if use := p.pools[v.Pool]; use != nil {
--- a/core/placer/run.go
+++ b/core/placer/run.go
@@ -53,6 +53,7 @@
 	onTrial        bool              // an earlier run of its step was the last that a worker started before it crashed or fell silent
 	lostStart      cluster.EndReason // how the run ends if it was the last that its worker has started; "" otherwise
 	answered       bool              // the worker has answered its start command
+	beganMS        int64             // time of its Begin record, Unix ms; 0 means unknown
 	wasListed      bool              // the current incarnation of the worker has listed it
 	plannedAt      time.Duration     // boot clock
 	answeredAt     time.Duration     // time of the answer to its start command; the answer to a later poll must list the run
--- a/core/placer/step.go
+++ b/core/placer/step.go
@@ -45,7 +45,8 @@
 	failedAt       time.Duration // time of the last such failure
 	ticketsNeeded  []string      // workers on which resources are reserved until a new ticket arrives
 	onTrial        bool          // a worker may have crashed as it started a task of the step
-	crashedAt      time.Duration // time of the last such record, or at which this placer began
+	trialUntil     time.Duration // a run of it ended without proof that its worker survived the start
+	crashedAt      time.Duration // time of the last such record or end, or at which this placer began
 	lateEnds       int           // late ends of its tasks that are not recorded yet; until then the step is not planned
 	activeRuns     int           // runs of the step that are planned and whose end is not recorded yet
 }
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -11,6 +11,7 @@
 // have expired, stops runs, retries start commands, plans and polls workers.
 func (p *Placer) Tick(now time.Duration, wallMS int64) []Command {
 	p.reportPause(now)
+	p.wallOffsetMS = wallMS - now.Milliseconds()
 	commands := p.queuedCommands
 	p.queuedCommands = nil
 	p.activateDue(now, wallMS+p.options.EarlyStart.Milliseconds()/2)
@@ -55,7 +56,7 @@
 			if r.mayHaveStarted() {
 				p.reportSilence(r, now)
 				p.suspectStep(r, now)
-				r.markLostStart()
+				p.markLostStart(r)
 				p.endRun(r, cluster.LeaseExpired, "", now)
 				n++
 			}
@@ -181,7 +182,7 @@
 		return flow.Batch{}, nil, false
 	}
 	batch, runs = p.pendingBatch, p.pendingRuns
-	batch.Epoch = p.epoch
+	batch.Epoch, batch.AtMS = p.epoch, p.wallAtMS(now)
 	batch.Speeds = p.speeds.estimator.TakeChanges(maxSpeedsPerBatch)
 	p.pendingBatch, p.pendingRuns = flow.Batch{}, nil
 	p.flushedAt = now
@@ -192,4 +193,5 @@
 func (p *Placer) recordBegin(r *run) {
 	p.pendingBatch.Begins = append(p.pendingBatch.Begins, flow.Begin{RunID: r.RunID, Life: r.vm.Life, Checkpoint: r.checkpoint})
 	p.pendingRuns = append(p.pendingRuns, r)
+	r.beganMS = p.wallAtMS(r.plannedAt)
 }
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -18,7 +18,7 @@
 
 	leaseUntilMS   int64         // latest lease expiry that this placer has sent to the current incarnation, on the worker's clock
 	hasFormerLease bool          // former placers may have granted leases
-	replaced       bool          // another worker has started at its address, so this one has ended
+	replacedBorn   int64         // start time, Unix ms, of another worker that has started at its address; 0: none is known
 	lateLeaseEnd   time.Duration // boot clock: expiry of all leases that late commands to the previous incarnation can set
 
 	runs           map[cluster.TaskID]*run
@@ -128,7 +128,7 @@
 // resetLife sets the worker's incarnation and clears the state of the previous one.
 func (v *vm) resetLife(life cluster.Life) {
 	v.Life = life
-	v.tokenSeen, v.clockKnown, v.replaced = false, false, false
+	v.tokenSeen, v.clockKnown, v.replacedBorn = false, false, 0
 	v.leaseUntilMS, v.lastListedEnd, v.recordedUpTo, v.confirmedUpTo = 0, 0, 0, 0
 	v.unrecordedEnds = nil
 	v.consecutiveFailures, v.consecutiveRefusals, v.avoidUntil, v.leavesAt = 0, 0, 0, 0
