Explain no lost start whose end the worker lists

A late end of a lost start and its explanation went into one batch; the second was refused and logged as an unreadable record. Callers saw nothing of it. TestLateFailureOfALostStartIsRecordedOnce fails without the check.

--- a/core/placer/loststart.go
+++ b/core/placer/loststart.go
@@ -156,7 +156,7 @@
 
 // explain adds the explanation of a lost start to the next batch.
 func (p *Placer) explain(l *lostStart, reason cluster.EndReason, now time.Duration) {
-	if l.explained || !p.isUnexplained(l) {
+	if l.explained || p.lateEnds[l.RunID] != nil || !p.isUnexplained(l) {
 		return
 	}
 	l.explained = true
