A VM list that was never read ends no attempts

A shard owner takes a VM that has been missing from the VM list for a minute for gone, and its attempts for stopped. While a daemon that has just started can't read the list, its list is empty: after a minute it ended all attempts that it had to verify, which run again beside the first runs (or fail, where they may run once).

--- a/daemon/shard/verify.go
+++ b/daemon/shard/verify.go
@@ -192,9 +192,10 @@
 	})
 }
 
-// vmGone reports whether the VM has been missing from the list for long enough.
+// vmGone reports whether the VM has been missing from the list for long enough. A list that was never read
+// tells nothing.
 func (r *runner) vmGone(vm string, listed bool) bool {
-	if listed {
+	if listed || len(r.View.Current().VMs) == 0 {
 		delete(r.missing, vm)
 		return false
 	}
