Runs are given up only on workers that were asked twice in vain

A placer that was frozen for longer than a lease gave up all runs by its clock in its first tick. Workers without runs are polled rarely, so it didn't ask what had become of them, and started the tasks again, also those that had ended as done meanwhile. Their leases had lapsed by then, but the silence was the placer's: the poll that was in flight failed on its own timeout, or none was. Runs are now given up when the worker has left two polls in a row unanswered, or has no known address. A lost worker has done that before its leases end, but for one that is about to leave (3 s).

The simulated workers' answers to polls now time out, so that polls in flight fail after a pause.

--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -414,9 +414,17 @@
 			answer(func(now time.Duration) []Command { p.PollFailed(poll, now); return nil })
 			return
 		}
+		arrived := c.now
 		report := func() {
 			report := c.poll(w, &poll.Renewal)
-			answer(func(now time.Duration) []Command { p.PollAnswered(poll, report, now); return nil })
+			answer(func(now time.Duration) []Command {
+				if now-arrived > poll.Renewal.Wait+commandTimeout {
+					p.PollFailed(poll, now)
+				} else {
+					p.PollAnswered(poll, report, now)
+				}
+				return nil
+			})
 		}
 		if !c.holdsPolls || poll.Renewal.Wait == 0 {
 			report()
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -43,6 +43,9 @@
 	silentPollInterval = 2 * time.Second
 	// missedPollDelay is the time from the failure of a poll to the next poll of the worker.
 	missedPollDelay = 400 * time.Millisecond
+	// minMissedPolls is the number of polls in a row that a worker has to leave unanswered until its runs
+	// are given up.
+	minMissedPolls = 2
 	// stopRetryInterval is the time after which a stop command without effect is sent again.
 	stopRetryInterval = 700 * time.Millisecond
 	// ticketSendMargin is the validity that a ticket must still have when the start command
--- a/core/placer/tick.go
+++ b/core/placer/tick.go
@@ -31,7 +31,8 @@
 	return commands
 }
 
-// endExpiredRuns ends the runs of workers on which all leases have certainly expired.
+// endExpiredRuns ends the runs of workers on which all leases have certainly expired, and which have not
+// answered when they were asked.
 func (p *Placer) endExpiredRuns(now time.Duration) {
 	formerLeaseEnd := p.formerLeaseEnd()
 	p.workersWithRuns = 0
@@ -49,6 +50,9 @@
 			p.countUntracked(v, nil)
 			p.planNeeded = true
 		}
+		if !v.askedInVain() {
+			continue
+		}
 		n := 0
 		for _, r := range v.runs {
 			if r.mayHaveStarted() {
--- a/core/placer/trouble_test.go
+++ b/core/placer/trouble_test.go
@@ -92,6 +92,24 @@
 	}
 }
 
+// Guards against tasks that run again, or crashes that count, because a placer that was frozen for longer than a lease gives
+// runs up by its clock before it reads the answers that wait for it.
+func TestEndsThatWaitForAFrozenPlacerCount(t *testing.T) {
+	for offset := time.Duration(0); offset <= maxPollWait+pollInterval; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			c := readyCell(t, 3)
+			c.holdsPolls = true
+			c.runTime = func(cluster.Start) time.Duration { return 3 * time.Second }
+			c.submit("j", batchStep(6))
+			c.advance(100*time.Millisecond + offset)
+			c.pausedUntil = c.now + 9*time.Second
+			c.advance(40 * time.Second)
+			require.Equal(t, 6, c.starts)
+			require.Equal(t, flow.Completed, c.state.Jobs["j"].Phase)
+		})
+	}
+}
+
 // Guards against a worker that has left, or is draining, and is used again after a takeover
 // because the new placer has not seen it leave.
 func TestWorkersThatLeftStayUnusedAfterATakeover(t *testing.T) {
--- a/core/placer/vm.go
+++ b/core/placer/vm.go
@@ -73,6 +73,10 @@
 	}
 }
 
+// askedInVain reports whether the worker is silent, and not this placer: it was polled twice without an answer, or its
+// address is not known. After a pause of this placer, the failure of the poll that was in flight tells nothing.
+func (v *vm) askedInVain() bool { return v.missedPolls >= minMissedPolls || v.Address == "" }
+
 // clockLowerBoundMS returns a lower bound of the current time on the worker's clock.
 func (v *vm) clockLowerBoundMS(now time.Duration) int64 {
 	elapsed := now - v.clockAt
