Soak: answers lost in series, and jobs that are shown as failed without cause

Change: a new kind of fault: the answers of the next 4 or 5 workers that start the task of one long job get lost for 5 to 8 s each. A caller asks for accepted jobs all the while, and all are asked for at the end: `failed` is allowed only if the runs of a task have ended as failed three times, or two workers have crashed under it. That all accepted jobs complete within 60 s is checked as before.

--- a/standin/integration/soak_test.go
+++ b/standin/integration/soak_test.go
@@ -48,12 +48,14 @@
 	replacedDaemons []*process // Former processes of restarted daemons.
 
 	// Only the test's own goroutine uses these.
-	faulty        []bool // Daemons with an active fault.
-	lastWorker    string // The worker of the last fault of a worker.
-	dueFaults     []scheduledFault
-	faultEvents   []string
-	begin         time.Time
-	longJobsUntil time.Time // Many tasks are long until then, so that some start on workers that are cut off next.
+	faulty           []bool // Daemons with an active fault.
+	lastWorker       string // The worker of the last fault of a worker.
+	dueFaults        []scheduledFault
+	faultEvents      []string
+	begin            time.Time
+	shownAsFailed    []string  // Jobs that were shown as failed without cause.
+	losesAnswersNext bool      // The answers of the workers that start the next job are lost.
+	longJobsUntil    time.Time // Many tasks are long until then, so that some start on workers that are cut off next.
 
 	mu                     sync.Mutex
 	currentCallerAddresses []string // By daemon.
@@ -110,11 +112,11 @@
 	return s.currentCallerAddresses[i]
 }
 
-// logViolationHistories logs, for each violation that the workers report, the log lines of
-// all daemons that name its job, change the placer, or report an ended lease or a worker
-// restart. Daemons that were replaced are included.
+// logViolationHistories logs, for each violation that the workers report and each job that was
+// shown as failed without cause, the log lines of all daemons that name its job, change the placer,
+// or report an ended lease or a worker restart. Daemons that were replaced are included.
 func (s *soakTest) logViolationHistories() {
-	for _, violation := range s.fleet.Violations() {
+	for _, violation := range append(s.fleet.Violations(), s.shownAsFailed...) {
 		id := regexp.MustCompile("[0-9a-f]{16}").FindString(violation)
 		var lines []string
 		for _, p := range append(s.replacedDaemons, s.daemons...) {
@@ -238,7 +240,7 @@
 func (s *soakTest) injectFault() {
 	healAfter := time.Duration(300+s.rng.IntN(3500)) * time.Millisecond
 	i := s.rng.IntN(soakDaemonCount)
-	kind := s.rng.IntN(15)
+	kind := s.rng.IntN(16)
 	if kind < 6 && !s.canFail(i) {
 		kind += 6
 	}
@@ -282,6 +284,8 @@
 		s.fleet.Restart(worker)
 	case 9, 10:
 		s.cutOffWorker(s.pickWorker(), 0, s.randomDelay(time.Second, 9*time.Second))
+	case 11:
+		s.losesAnswersNext = true
 	default:
 		cutAfter := s.randomDelay(0, 2*time.Second)
 		s.longJobsUntil = time.Now().Add(cutAfter)
@@ -298,7 +302,8 @@
 // Guards against broken guarantees to callers under single and concurrent faults of the
 // real programs: an accepted job that does not complete, a task that runs twice at the same
 // time or again after it is done, an overcommitted worker, a refused job that runs, a workspace
-// above its maximum, or a key that works for longer than the bound after it was taken away.
+// above its maximum, a key that works for longer than the bound after it was taken away, or a job that is shown
+// as failed without cause.
 func TestPlatformSoak(t *testing.T) {
 	duration := defaultSoakDuration
 	if text := os.Getenv(soakEnv); text != "" {
@@ -314,7 +319,7 @@
 	}
 	s := newSoakTest(t, seed, soakMaxLease, soakWorkspaces...)
 	s.begin = time.Now()
-	keys := s.useForeignKeys(seed)
+	keys, failed := s.useForeignKeys(seed), s.watchFailedJobs(seed)
 	nextFault, jobs := s.begin.Add(time.Second), 0
 	for time.Since(s.begin) < duration {
 		time.Sleep(jobInterval)
@@ -331,6 +336,11 @@
 		if s.rng.IntN(longJobInterval) == 0 {
 			taskDuration, taskCount = s.randomDelay(6*time.Second, 10*time.Second), 1 // Runs on when a placer's leases have expired.
 		}
+		if s.losesAnswersNext {
+			taskDuration, taskCount = s.randomDelay(6*time.Second, 10*time.Second), 1
+			s.loseAnswersInSeries(id)
+			s.losesAnswersNext = false
+		}
 		gang := s.rng.IntN(4) == 0
 		maxPerWorker := s.rng.IntN(3) // 0 means no limit
 		body := map[string]any{"Spec": id, "Steps": []any{
@@ -357,7 +367,9 @@
 	require.NotEmpty(t, s.accepted)
 	t.Cleanup(s.logViolationHistories)
 	keys.check()
-	s.waitCompleted(0, s.accepted, soakCompletionTimeout)
+	deadline := time.Now().Add(soakCompletionTimeout)
+	failed.check(deadline)
+	s.waitCompleted(0, s.accepted, time.Until(deadline))
 	for _, id := range s.rejected {
 		require.False(t, s.fleet.HasStarted(id), "job %s was refused at every attempt but ran", id)
 	}
