A job whose starts were not answered still waits

Cause: each end of a run marked its job as begun, also that of a run whose start was never answered, on a worker that was cut off before it. That start may never have arrived; the lack of an answer proves nothing. Answered and listed starts are recorded by themselves.

Change: an unreachable run whose start was not answered doesn't mark its job.

--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -370,7 +370,9 @@
 	if e.Reason == cluster.NeverStarted {
 		return nil
 	}
-	s.markRunning(j)
+	if e.Reason != cluster.Unreachable || e.Answered {
+		s.markRunning(j) // a start that was not answered may never have arrived
+	}
 	if e.Reason.GivenUp() {
 		t.GivenUp = append(t.GivenUp, e.Run)
 		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUpRuns):]
--- a/core/flow/state_test.go
+++ b/core/flow/state_test.go
@@ -215,6 +215,21 @@
 	require.Equal(t, Failed, s.Jobs["j"].Phase)
 }
 
+// Guards against a job that counts as begun, and is missing in the count of pending jobs, although no worker has answered
+// its start (MIXED).
+func TestJobWithUnansweredStartsIsPending(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 2})
+	unreachable := func(run int, answered bool) Record {
+		return Record{Batch: &Batch{Epoch: 9, Ends: []End{{RunID: runOf(0, 0, run), Reason: cluster.Unreachable, Answered: answered}}}}
+	}
+	applyRecords(t, s, beginRecord(runOf(0, 0, 1)), unreachable(1, false), endRecord(cluster.LeaseExpired, runOf(0, 0, 1)))
+	require.Equal(t, Queued, s.Jobs["j"].Phase)
+	require.Equal(t, 1, s.Pending["q"])
+	applyRecords(t, s, beginRecord(runOf(0, 0, 2)), unreachable(2, true))
+	require.Equal(t, Running, s.Jobs["j"].Phase)
+	require.Zero(t, s.Pending["q"])
+}
+
 // Guards against ends that are listed after their run was given up and lost, or counted twice.
 func TestLateEndOfAGivenUpRunCountsOnce(t *testing.T) {
 	id := cluster.TaskID{Job: "j"}
