--- a/core/flow/loststart.go
+++ b/core/flow/loststart.go
@@ -59,14 +59,9 @@
 	return true
 }
 
-// FindLostStart returns the unexplained lost start of a run, or nil if there is none.
-func (t *TaskState) FindLostStart(run int) *LostStart {
-	for i := range t.LostStarts {
-		if t.LostStarts[i].Run == run {
-			return &t.LostStarts[i]
-		}
-	}
-	return nil
+// HasLostStart reports whether the run is a lost start that is not explained.
+func (t *TaskState) HasLostStart(run int) bool {
+	return slices.ContainsFunc(t.LostStarts, func(l LostStart) bool { return l.Run == run })
 }
 
 // IsSuspect reports whether a worker may have crashed as it started the task, and none has survived it since.
--- a/core/placer/crash.go
+++ b/core/placer/crash.go
@@ -40,29 +40,6 @@
 // until its leases expired. Age is the time since its last answer, Value the number of polls that it has missed.
 const decisionSilentWorker = "no answer since the start"
 
-// decisionPause is the kind of decision that reports that this process has stood still for the time in Age.
-const decisionPause = "placer paused"
-
-// minReportedPause is longer than any delay between two ticks of a process that is not frozen or overloaded.
-const minReportedPause = time.Second
-
-// pause returns the time since the last tick.
-func (p *Placer) pause(now time.Duration) time.Duration {
-	if p.lastTickAt == 0 {
-		return 0
-	}
-	return now - p.lastTickAt
-}
-
-// reportPause reports that the placer has not run for a while, so that the silence of workers in that time proves nothing.
-func (p *Placer) reportPause(now time.Duration) {
-	if pause := p.pause(now); pause > minReportedPause {
-		p.addDecision(Decision{Kind: decisionPause, Age: pause})
-		p.startWindow.discard(now)
-	}
-	p.lastTickAt = now
-}
-
 func (p *Placer) reportSilence(r *run, now time.Duration) {
 	if r.lostStart == "" && p.isLastStart(r) {
 		p.addDecision(Decision{Kind: decisionSilentWorker, Job: r.Job, Task: r.TaskID, Run: r.Run, Worker: r.vm.Life.Worker, Age: now - r.vm.answeredAt, Value: int64(r.vm.missedPolls)})
@@ -87,7 +64,7 @@
 func (p *Placer) markLostStart(r *run) {
 	switch {
 	case r.lostStart != "" || r.vm.Draining || !p.isLastStart(r):
-	case isRestartOf(r.beganMS, r.vm.replacedBorn):
+	case isCrashRestart(r.beganMS, r.vm.replacedBorn):
 		r.lostStart = crashReason(r.answered)
 	case r.vm.replacedBorn == 0:
 		r.lostStart = cluster.Unreachable
@@ -98,9 +75,9 @@
 // address for which the worker counts as crashed by the run. Clocks of machines may differ.
 const maxRestartTime = 15 * time.Second
 
-// isRestartOf reports whether a worker process that started at the given time (Unix ms) shows that the former
+// isCrashRestart reports whether a worker process that started at the given time (Unix ms) shows that the former
 // one crashed as it started a run.
-func isRestartOf(beganMS, born int64) bool {
+func isCrashRestart(beganMS, born int64) bool {
 	return beganMS > 0 && born > 0 && born-beganMS <= maxRestartTime.Milliseconds()
 }
 
--- a/core/placer/fake_test.go
+++ b/core/placer/fake_test.go
@@ -239,17 +239,6 @@
 	}
 }
 
-// pause lets time pass for the workers while the placer's process stands still. Answers reach it afterwards.
-func (c *fakeCell) pause(d time.Duration) {
-	p := c.placer
-	c.placer = nil
-	for end := c.now + d; c.now < end; {
-		c.now += 5 * time.Millisecond
-		c.tickWorkers()
-	}
-	c.placer = p
-}
-
 func (c *fakeCell) runScheduled() {
 	sort.Slice(c.scheduled, func(i, j int) bool {
 		return c.scheduled[i].at < c.scheduled[j].at || c.scheduled[i].at == c.scheduled[j].at && c.scheduled[i].seq < c.scheduled[j].seq
--- a/core/placer/loststart.go
+++ b/core/placer/loststart.go
@@ -20,7 +20,7 @@
 // is back. A ready task must not stand still for longer while there is room for it.
 const explanationWait = 2900 * time.Millisecond
 
-// explanationWaitLasting is the same of a step that must be restarted soon.
+// explanationWaitLasting is the explanationWait of long-running steps, whose tasks must be restarted soon.
 const explanationWaitLasting = 2 * time.Second
 
 // lostStart is a recorded lost start that is not explained.
@@ -61,7 +61,7 @@
 // reasonAfterRestart returns what became of the worker if the next process at its address has started at
 // the given time (Unix ms). One that started long after the run began does not show when the worker ended.
 func (l *lostStart) reasonAfterRestart(born int64) cluster.EndReason {
-	if isRestartOf(l.beganMS, born) {
+	if isCrashRestart(l.beganMS, born) {
 		return crashReason(l.answered)
 	}
 	return cluster.LeaseExpired
@@ -151,7 +151,7 @@
 		return false
 	}
 	t := p.state.Task(l.TaskID)
-	return t != nil && t.FindLostStart(l.Run) != nil
+	return t != nil && t.HasLostStart(l.Run)
 }
 
 // explain adds the explanation of a lost start to the next batch.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -417,7 +417,7 @@
 		if !listedRuns[r.RunID] {
 			p.suspectStep(r, now)
 		}
-		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && p.isLastStart(r) && isRestartOf(r.beganMS, report.Life.Born) {
+		if r.mayHaveStarted() && !v.Draining && !listedRuns[r.RunID] && p.isLastStart(r) && isCrashRestart(r.beganMS, report.Life.Born) {
 			r.lostStart = crashReason(!r.adopted)
 		}
 		switch {
--- a/core/placer/silence_test.go
+++ b/core/placer/silence_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// pause lets time pass for the workers while the placer's process stands still. Answers reach it afterwards.
+func (c *fakeCell) pause(d time.Duration) {
+	p := c.placer
+	c.placer = nil
+	for end := c.now + d; c.now < end; {
+		c.now += 5 * time.Millisecond
+		c.tickWorkers()
+	}
+	c.placer = p
+}
+
 // Guards against a job that is shown as failed although its workers were only cut off (LOST).
 func TestJobIsNotFailedBySilentWorkers(t *testing.T) {
 	for answered, phase := range map[bool]flow.Phase{true: flow.Running, false: flow.Queued} {
